Lay the foundation: schema, HTTP and message transport, interfaces

Cause: nothing stands yet, and subsystems need fixed interfaces to be built side by side. Change: schema sources with generated slotted classes, result codes with their table, h11 server and client on trio, ZeroMQ calls and pushes with keyed digests, the key-value interface.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,45 @@
+# make run: set up and start a whole local system.  make test: set up and run the tests.
+PORT ?= 8080
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+READY := $(VENV)/.ready
+
+.PHONY: run test generate check-generated format lint bench-batch bench-mix bench-fleet capacity
+
+$(READY): pyproject.toml requirements.lock
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install -q -r requirements.lock
+	$(BIN)/python -m pip install -q --no-deps -e .
+	touch $(READY)
+
+run: $(READY)
+	$(BIN)/fescuedock local --port=$(PORT)
+
+test: $(READY)
+	$(BIN)/python -W error::ResourceWarning -m unittest discover -s tests -t .
+
+generate: $(READY)
+	$(BIN)/python tools/generate.py
+
+check-generated: $(READY)
+	$(BIN)/python tools/generate.py --check
+
+format: $(READY)
+	$(BIN)/black -q src tests bench tools
+
+lint: $(READY)
+	$(BIN)/black -q --check src tests bench tools
+	$(BIN)/ruff check -q src tests bench tools
+
+bench-batch: $(READY)
+	$(BIN)/python -m bench.batch
+
+bench-mix: $(READY)
+	$(BIN)/python -m bench.mix
+
+bench-fleet: $(READY)
+	$(BIN)/python -m bench.fleet
+
+capacity: $(READY)
+	$(BIN)/python -m bench.capacity
--- /dev/null
+++ b/src/fescuedock/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent: membership, configuration and the ownership of upstreams."""
--- /dev/null
+++ b/src/fescuedock/batch/__init__.py
@@ -0,0 +1,1 @@
+"""The batch runner: owns jobs and runs their items."""
--- /dev/null
+++ b/src/fescuedock/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/src/fescuedock/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry: HTTP for callers and operators."""
--- /dev/null
+++ b/src/fescuedock/net/address.py
@@ -0,0 +1,31 @@
+"""Where a process listens: an IP number and a port."""
+
+from dataclasses import dataclass
+from ipaddress import ip_address
+from typing import Self
+
+__all__ = ["Address"]
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Address:
+    """An IP number and a TCP or UDP port; names are never resolved."""
+
+    host: str
+    port: int
+
+    @classmethod
+    def parse(cls, text: str) -> Self:
+        """Read ``HOST:PORT``; ``ValueError`` names a ``text`` that is not one."""
+        host, separator, port = text.strip().rpartition(":")
+        try:
+            ip_address(host)
+            port_number = int(port)
+        except ValueError as error:
+            raise ValueError(f"not an IP number and port: {text!r}") from error
+        if not separator or not 0 <= port_number <= 65535:
+            raise ValueError(f"not an IP number and port: {text!r}")
+        return cls(host, port_number)
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
--- /dev/null
+++ b/src/fescuedock/net/channel.py
@@ -0,0 +1,243 @@
+"""Calls and pushes between our processes: ZeroMQ DEALER and ROUTER sockets under trio.
+
+A call has one answer, matched by its number; a push has none.  A call that times out may or may
+not have been executed, so every handler must bear being called again.
+
+ZeroMQ's file descriptor is edge-triggered and stands for both directions: reading its events or
+sending may use up the edge.  So every send is followed by a drain of what can be received.
+"""
+
+import itertools
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+
+import msgspec
+import trio
+import zmq
+from result import Err, Ok, Result
+
+from fescuedock.faults import Fault
+from fescuedock.net.address import Address
+from fescuedock.net.codec import BadMessageError, Codec
+from fescuedock.schema.result_codes import ResultCode
+
+__all__ = ["CallHandler", "ChannelClient", "Peer", "Push", "serve_channel"]
+
+_HIGH_WATER_MESSAGES = 10000
+_HEARTBEAT_MS = 2000
+_NUMBER_BYTES = 8
+# A push carries this in place of a call's number.
+_NO_CALL = bytes(_NUMBER_BYTES)
+
+Push = Callable[[msgspec.Struct], None]
+
+
+class Peer:
+    """The far end of a server's connection, by which the server can push later."""
+
+    __slots__ = ("_identity", "_send")
+
+    def __init__(self, identity: bytes, send: Callable[[list[bytes]], bool]) -> None:
+        self._identity = identity
+        self._send = send
+
+    def push(self, data: bytes) -> bool:
+        """Send encoded ``data`` without an answer; False when the peer has gone."""
+        return self._send([self._identity, _NO_CALL, data])
+
+    def __eq__(self, other: object) -> bool:
+        return isinstance(other, Peer) and other._identity == self._identity
+
+    def __hash__(self) -> int:
+        return hash(self._identity)
+
+
+# Returns the answer, or None for a one-way message.
+CallHandler = Callable[[msgspec.Struct, "ServerPeer"], Awaitable[msgspec.Struct | None]]
+
+
+class ServerPeer:
+    """What a handler knows of its caller."""
+
+    __slots__ = ("_codec", "_peer")
+
+    def __init__(self, peer: Peer, codec: Codec) -> None:
+        self._peer = peer
+        self._codec = codec
+
+    def push(self, message: msgspec.Struct) -> bool:
+        """Send ``message`` to the caller without waiting; False when it has gone."""
+        return self._peer.push(self._codec.encode(message, _NO_CALL))
+
+    def __eq__(self, other: object) -> bool:
+        return isinstance(other, ServerPeer) and other._peer == self._peer
+
+    def __hash__(self) -> int:
+        return hash(self._peer)
+
+
+class _Socket:
+    """A ZeroMQ socket pumped by trio; received messages go to a plain function."""
+
+    __slots__ = ("_on_message", "_socket")
+
+    def __init__(self, socket: zmq.Socket, on_message: Callable[[list[bytes]], None]) -> None:
+        self._socket = socket
+        self._on_message = on_message
+
+    def send(self, frames: list[bytes]) -> bool:
+        """Queue ``frames``; False when the peer is unknown or its queue is full."""
+        try:
+            self._socket.send_multipart(frames, zmq.NOBLOCK)
+        except zmq.ZMQError:
+            return False
+        finally:
+            self._drain()
+        return True
+
+    async def pump(self) -> None:
+        descriptor = self._socket.getsockopt(zmq.FD)
+        while True:
+            self._drain()
+            await trio.lowlevel.wait_readable(descriptor)
+
+    def _drain(self) -> None:
+        while self._socket.getsockopt(zmq.EVENTS) & zmq.POLLIN:
+            try:
+                self._on_message(self._socket.recv_multipart(zmq.NOBLOCK))
+            except zmq.Again:
+                return
+
+
+def _open_socket(kind: int) -> zmq.Socket:
+    socket = zmq.Context.instance().socket(kind)
+    socket.setsockopt(zmq.LINGER, 0)
+    socket.setsockopt(zmq.SNDHWM, _HIGH_WATER_MESSAGES)
+    socket.setsockopt(zmq.RCVHWM, _HIGH_WATER_MESSAGES)
+    socket.setsockopt(zmq.HEARTBEAT_IVL, _HEARTBEAT_MS)
+    socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, 2 * _HEARTBEAT_MS)
+    return socket
+
+
+async def serve_channel(
+    address: Address,
+    codec: Codec,
+    handler: CallHandler,
+    *,
+    task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Answer calls on ``address`` (port 0 takes a free one) until cancelled.
+
+    Reports the real ``Address`` through ``task_status``.  Messages that are not ours are dropped.
+    """
+    socket = _open_socket(zmq.ROUTER)
+    socket.setsockopt(zmq.ROUTER_MANDATORY, 1)
+    try:
+        if address.port:
+            socket.bind(f"tcp://{address}")
+            port = address.port
+        else:
+            port = socket.bind_to_random_port(f"tcp://{address.host}")
+        async with trio.open_nursery() as nursery:
+
+            def receive(frames: list[bytes]) -> None:
+                if len(frames) == 3:
+                    nursery.start_soon(answer, *frames)
+
+            async def answer(identity: bytes, number: bytes, data: bytes) -> None:
+                try:
+                    message = codec.decode(data, number)
+                except BadMessageError:
+                    return
+                reply = await handler(message, ServerPeer(Peer(identity, pumped.send), codec))
+                if reply is not None and number != _NO_CALL:
+                    pumped.send([identity, number, codec.encode(reply, number)])
+
+            pumped = _Socket(socket, receive)
+            task_status.started(Address(address.host, port))
+            await pumped.pump()
+    finally:
+        socket.close()
+
+
+class ChannelClient:
+    """Calls one server.  Make it with ``ChannelClient.open``."""
+
+    __slots__ = ("_codec", "_numbers", "_on_push", "_pumped", "_waiting", "address")
+
+    def __init__(self, address: Address, codec: Codec, on_push: Push | None) -> None:
+        self.address = address
+        self._codec = codec
+        self._on_push = on_push
+        self._waiting: dict[bytes, Callable[[bytes], None]] = {}
+        self._numbers = itertools.count(1)
+
+    @classmethod
+    @asynccontextmanager
+    async def open(
+        cls, address: Address, codec: Codec, on_push: Push | None = None
+    ) -> AsyncIterator["ChannelClient"]:
+        """Connect, and reconnect by itself, until the block is left."""
+        client = cls(address, codec, on_push)
+        socket = _open_socket(zmq.DEALER)
+        client._pumped = _Socket(socket, client._receive)
+        try:
+            socket.connect(f"tcp://{address}")
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(client._pumped.pump)
+                yield client
+                nursery.cancel_scope.cancel()
+        finally:
+            socket.close()
+
+    def push(self, message: msgspec.Struct) -> bool:
+        """Send ``message`` without an answer; False when it could not even be queued."""
+        return self._pumped.send([_NO_CALL, self._codec.encode(message, _NO_CALL)])
+
+    async def call(self, message: msgspec.Struct, timeout_ms: float) -> Result:
+        """Return ``Ok(answer)``, or ``Err(Fault)``.
+
+        ``PEER_UNREACHABLE`` when nothing was sent; ``PEER_UNKNOWN`` when no answer came in time.
+        """
+        number = next(self._numbers).to_bytes(_NUMBER_BYTES, "big")
+        answered = trio.Event()
+        answers: list[bytes] = []
+
+        def take(data: bytes) -> None:
+            answers.append(data)
+            answered.set()
+
+        self._waiting[number] = take
+        try:
+            if not self._pumped.send([number, self._codec.encode(message, number)]):
+                return Err(Fault(ResultCode.PEER_UNREACHABLE, f"cannot send to {self.address}"))
+            with trio.move_on_after(timeout_ms / 1000):
+                await answered.wait()
+        finally:
+            del self._waiting[number]
+        return self._decoded(answers, number)
+
+    def _decoded(self, answers: list[bytes], number: bytes) -> Result:
+        if not answers:
+            return Err(Fault(ResultCode.PEER_UNKNOWN, f"no answer from {self.address}"))
+        try:
+            return Ok(self._codec.decode(answers[0], number))
+        except BadMessageError as error:
+            return Err(Fault(ResultCode.PEER_UNKNOWN, f"{self.address}: {error}"))
+
+    def _receive(self, frames: list[bytes]) -> None:
+        if len(frames) != 2:
+            return
+        number, data = frames
+        if number != _NO_CALL:
+            # A late answer finds nobody waiting and is dropped.
+            self._waiting.get(number, _ignore)(data)
+        elif self._on_push is not None:
+            try:
+                self._on_push(self._codec.decode(data, number))
+            except BadMessageError:
+                return
+
+
+def _ignore(_data: bytes) -> None:
+    """Drop an answer that came too late."""
--- /dev/null
+++ b/src/fescuedock/net/codec.py
@@ -0,0 +1,99 @@
+"""Messages as bytes: MessagePack by type name, under a keyed digest of a shared secret.
+
+A frame that fails its digest, names an unknown type or does not decode raises ``BadMessageError`` and
+changes nothing.
+"""
+
+import hashlib
+import hmac
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+from types import ModuleType
+
+import msgspec
+
+__all__ = ["BadMessageError", "Codec", "Key", "load_keys"]
+
+_DIGEST_BYTES = 16
+
+
+class BadMessageError(Exception):
+    """A message from outside that must be ignored; the text says why."""
+
+
+@dataclass(frozen=True, slots=True)
+class Key:
+    """A named shared secret."""
+
+    name: str
+    secret: bytes
+
+
+def load_keys(path: Path) -> list[Key]:
+    """Read a key file of ``name hex`` lines, newest first; ``ValueError`` names a bad line."""
+    keys: list[Key] = []
+    for number, line in enumerate(path.read_text(encoding="ascii").splitlines(), start=1):
+        if not line.strip() or line.startswith("#"):
+            continue
+        name, _, secret = line.strip().partition(" ")
+        try:
+            keys.append(Key(name, bytes.fromhex(secret)))
+        except ValueError as error:
+            raise ValueError(f"{path}, line {number}: not 'name hex'") from error
+        if len(keys[-1].secret) < _DIGEST_BYTES:
+            raise ValueError(f"{path}, line {number}: a secret needs {_DIGEST_BYTES} bytes")
+    return keys
+
+
+class Codec:
+    """Encodes and decodes the message types of the given schema modules.
+
+    It signs with the first key and accepts any, so that keys can be rotated with two in force.
+    Without keys there is no digest.
+    """
+
+    def __init__(self, modules: Iterable[ModuleType], keys: Sequence[Key] = ()) -> None:
+        self._keys = tuple(keys)
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoders = {
+            name: msgspec.msgpack.Decoder(item)
+            for module in modules
+            for name, item in vars(module).items()
+            if isinstance(item, type) and issubclass(item, msgspec.Struct)
+        }
+
+    def encode(self, message: msgspec.Struct, context: bytes = b"") -> bytes:
+        """Return the signed bytes of ``message``; ``context`` is covered by the digest."""
+        body = self._encoder.encode((type(message).__name__, message))
+        if not self._keys:
+            return body
+        return _digest(self._keys[0], context, body) + body
+
+    def decode(self, data: bytes, context: bytes = b"") -> msgspec.Struct:
+        """Return the message in ``data``; raise ``BadMessageError`` for anything not ours."""
+        body = self._verified(data, context)
+        try:
+            name, raw = msgspec.msgpack.decode(body, type=tuple[str, msgspec.Raw])
+            decoder = self._decoders[name]
+            return decoder.decode(raw)
+        except KeyError as error:
+            raise BadMessageError(f"unknown message type {error}") from error
+        except msgspec.MsgspecError as error:
+            raise BadMessageError(str(error)) from error
+
+    def _verified(self, data: bytes, context: bytes) -> bytes:
+        if not self._keys:
+            return data
+        digest, body = data[:_DIGEST_BYTES], data[_DIGEST_BYTES:]
+        for key in self._keys:
+            if hmac.compare_digest(digest, _digest(key, context, body)):
+                return body
+        raise BadMessageError("wrong digest")
+
+
+def _digest(key: Key, context: bytes, body: bytes) -> bytes:
+    signer = hmac.new(key.secret, len(context).to_bytes(4, "big"), hashlib.sha256)
+    signer.update(context)
+    signer.update(body)
+    return signer.digest()[:_DIGEST_BYTES]
--- /dev/null
+++ b/src/fescuedock/net/http_client.py
@@ -0,0 +1,209 @@
+"""An HTTP/1.1 client whose errors say whether the request may have reached the server.
+
+A connection is reused only when its last answer was read to the end and nothing unread waits on
+it: anything else is closed, so that no caller can get the answer to somebody else's request.
+"""
+
+from collections import defaultdict
+from collections.abc import AsyncIterator, Mapping
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+import h11
+import trio
+
+from fescuedock.net.address import Address
+from fescuedock.net.http_server import Headers
+
+__all__ = ["ClientResponse", "HttpClient", "NotSentError", "ResponseLostError", "ResponseTooLargeError"]
+
+_RECEIVE_BYTES = 65536
+_MAX_HEADER_BYTES = 65536
+
+
+class NotSentError(Exception):
+    """No byte of the request can have reached the server."""
+
+
+class ResponseLostError(Exception):
+    """The request may have been executed; its answer is missing or ended early.
+
+    ``head_received`` tells a truncated answer from one that never began.
+    """
+
+    def __init__(self, message: str, *, head_received: bool = False) -> None:
+        super().__init__(message)
+        self.head_received = head_received
+
+
+class ResponseTooLargeError(Exception):
+    """The answer is longer than the reader's limit."""
+
+
+class ClientResponse:
+    """The answer to one request; its body can be read once."""
+
+    __slots__ = ("_connection", "headers", "status")
+
+    def __init__(
+        self, status: int, headers: Mapping[str, str], connection: "_ClientConnection"
+    ) -> None:
+        self.status = status
+        self.headers = headers
+        self._connection = connection
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body as it comes; raise ``ResponseLostError`` when it ends early."""
+        while True:
+            event = await self._connection.next_event(head_received=True)
+            if isinstance(event, h11.Data):
+                yield bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return
+            else:
+                raise ResponseLostError("connection closed within the answer", head_received=True)
+
+    async def read(self, limit_bytes: int = 16 * 1024 * 1024) -> bytes:
+        """Return the whole body; ``ResponseTooLargeError`` over ``limit_bytes``."""
+        parts: list[bytes] = []
+        size_bytes = 0
+        async for part in self.chunks():
+            size_bytes += len(part)
+            if size_bytes > limit_bytes:
+                raise ResponseTooLargeError(f"answer over {limit_bytes} bytes")
+            parts.append(part)
+        return b"".join(parts)
+
+
+@dataclass(slots=True)
+class HttpClient:
+    """Makes requests, keeping a few idle connections for each address."""
+
+    connect_timeout_ms: int = 2000
+    max_idle_per_address: int = 16
+
+    _idle: dict[Address, list["_ClientConnection"]] | None = None
+
+    @asynccontextmanager
+    async def request(
+        self,
+        address: Address,
+        method: str,
+        target: str,
+        headers: Headers = (),
+        body: bytes = b"",
+        *,
+        fresh: bool = False,
+    ) -> AsyncIterator[ClientResponse]:
+        """Send one request and give its answer; leaving the block early cuts the connection.
+
+        ``fresh`` forces a new connection: a reused one may have been closed by the server just
+        as we wrote to it, and then nobody can say whether the request arrived.
+        """
+        connection = None if fresh else self._take_idle(address)
+        if connection is None:
+            connection = await self._connect(address)
+        try:
+            response = await connection.exchange(address, method, target, headers, body)
+            yield response
+        except BaseException:
+            await connection.abort()
+            raise
+        if connection.reusable():
+            self._keep_idle(address, connection)
+        else:
+            await connection.abort()
+
+    async def close(self) -> None:
+        """Close the idle connections."""
+        for connections in (self._idle or {}).values():
+            for connection in connections:
+                await connection.abort()
+        self._idle = None
+
+    async def _connect(self, address: Address) -> "_ClientConnection":
+        try:
+            with trio.fail_after(self.connect_timeout_ms / 1000):
+                stream = await trio.open_tcp_stream(address.host, address.port)
+        except (OSError, trio.TooSlowError) as error:
+            raise NotSentError(f"cannot connect to {address}: {error!r}") from error
+        return _ClientConnection(stream)
+
+    def _take_idle(self, address: Address) -> "_ClientConnection | None":
+        waiting = (self._idle or {}).get(address, [])
+        while waiting:
+            connection = waiting.pop()
+            if connection.is_quiet():
+                return connection
+            connection.abandon()
+        return None
+
+    def _keep_idle(self, address: Address, connection: "_ClientConnection") -> None:
+        if self._idle is None:
+            self._idle = defaultdict(list)
+        waiting = self._idle[address]
+        if len(waiting) >= self.max_idle_per_address:
+            waiting.pop(0).abandon()
+        waiting.append(connection)
+
+
+class _ClientConnection:
+    """One connection: the h11 state and the socket."""
+
+    __slots__ = ("_protocol", "_stream")
+
+    def __init__(self, stream: trio.SocketStream) -> None:
+        self._protocol = h11.Connection(h11.CLIENT, _MAX_HEADER_BYTES)
+        self._stream = stream
+
+    async def exchange(
+        self, address: Address, method: str, target: str, headers: Headers, body: bytes
+    ) -> ClientResponse:
+        fields = [("host", str(address)), *headers]
+        if body or method not in ("GET", "HEAD", "DELETE"):
+            fields.append(("content-length", str(len(body))))
+        request = h11.Request(method=method, target=target, headers=fields)
+        data = self._protocol.send(request) + (self._protocol.send(h11.Data(data=body)) or b"")
+        data += self._protocol.send(h11.EndOfMessage()) or b""
+        try:
+            await self._stream.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise ResponseLostError(f"connection to {address} broke while sending") from error
+        event = await self.next_event(head_received=False)
+        while isinstance(event, h11.InformationalResponse):
+            event = await self.next_event(head_received=False)
+        if not isinstance(event, h11.Response):
+            raise ResponseLostError(f"{address} closed without an answer")
+        names = {name.decode("ascii"): value.decode("latin-1") for name, value in event.headers}
+        return ClientResponse(event.status_code, names, self)
+
+    async def next_event(self, *, head_received: bool) -> object:
+        while True:
+            try:
+                event = self._protocol.next_event()
+                if event is not h11.NEED_DATA:
+                    return event
+                self._protocol.receive_data(await self._stream.receive_some(_RECEIVE_BYTES))
+            except (h11.RemoteProtocolError, trio.BrokenResourceError) as error:
+                raise ResponseLostError(str(error), head_received=head_received) from error
+
+    def reusable(self) -> bool:
+        """Make ready for another request; False when the answer was not read to its end."""
+        protocol = self._protocol
+        if protocol.our_state is not h11.DONE or protocol.their_state is not h11.DONE:
+            return False
+        if protocol.trailing_data[0]:
+            return False
+        protocol.start_next_cycle()
+        return True
+
+    def is_quiet(self) -> bool:
+        """Whether nothing unread, not even an end of file, waits on the idle connection."""
+        return not self._stream.socket.is_readable()
+
+    def abandon(self) -> None:
+        self._stream.socket.close()
+
+    async def abort(self) -> None:
+        """Close at once, also while being cancelled."""
+        await trio.aclose_forcefully(self._stream)
--- /dev/null
+++ b/src/fescuedock/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of what the platform gives, each behind one narrow interface."""
--- /dev/null
+++ b/src/fescuedock/platform/kv.py
@@ -0,0 +1,92 @@
+"""The key-value service as the rest of the package sees it.
+
+One narrow interface, so that another dialect, an in-memory fake or an outside bench takes its
+place.  Every call counts against the service's small rates, a waiting watch as one.
+"""
+
+from contextlib import AbstractAsyncContextManager
+from dataclasses import dataclass
+from typing import Protocol
+
+import trio
+from result import Result
+
+from fescuedock.faults import Fault
+
+__all__ = ["KvEntry", "KvEvent", "KvPage", "KvStore", "KvWatchGap"]
+
+
+@dataclass(frozen=True, slots=True)
+class KvEntry:
+    """A key's value and the revision of its last change."""
+
+    key: str
+    value: bytes
+    mod_revision: int
+    lease_id: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class KvPage:
+    """Entries of one range read; ``more`` says that the limit cut it."""
+
+    entries: tuple[KvEntry, ...]
+    revision: int
+    more: bool
+
+
+@dataclass(frozen=True, slots=True)
+class KvEvent:
+    """One change seen by a watch; ``entry`` is None when the key was deleted."""
+
+    key: str
+    revision: int
+    entry: KvEntry | None
+
+
+@dataclass(frozen=True, slots=True)
+class KvWatchGap:
+    """Changes were missed; the watcher must read the whole range again."""
+
+    revision: int
+
+
+class KvStore(Protocol):
+    """What we use of the service.
+
+    Each method gives ``Err(Fault)`` with ``KV_UNAVAILABLE`` (nothing was written, also for reads),
+    ``KV_UNKNOWN`` (a write that may have taken effect) or ``KV_CONFLICT``.
+    """
+
+    async def get(self, key: str) -> Result[KvEntry | None, Fault]:
+        """Read one key; ``Ok(None)`` when it does not exist."""
+
+    async def get_range(
+        self, prefix: str, *, start_after: str = "", limit: int = 1000, keys_only: bool = False
+    ) -> Result[KvPage, Fault]:
+        """Read keys that begin with ``prefix``, in order, after ``start_after``."""
+
+    async def put_if(
+        self, key: str, value: bytes, expected_revision: int, *, lease_id: int = 0
+    ) -> Result[int, Fault]:
+        """Write if the key's mod revision is ``expected_revision`` (0: it does not exist).
+
+        Returns the new mod revision.
+        """
+
+    async def delete_if(self, key: str, expected_revision: int) -> Result[None, Fault]:
+        """Delete if the key's mod revision is ``expected_revision``."""
+
+    async def grant_lease(self, ttl_s: int) -> Result[int, Fault]:
+        """Return a new lease's identity."""
+
+    async def keep_lease(self, lease_id: int) -> Result[int, Fault]:
+        """Renew a lease; returns the seconds it now has, 0 when it has lapsed."""
+
+    async def revoke_lease(self, lease_id: int) -> Result[None, Fault]:
+        """End a lease, deleting its keys."""
+
+    def watch(
+        self, prefix: str, from_revision: int
+    ) -> AbstractAsyncContextManager["trio.MemoryReceiveChannel[KvEvent | KvWatchGap]"]:
+        """Watch keys under ``prefix``; the channel ends when the connection is lost."""
--- /dev/null
+++ b/src/fescuedock/report/__init__.py
@@ -0,0 +1,1 @@
+"""Reports: service-level burn."""
--- /dev/null
+++ b/src/fescuedock/schema/__init__.py
@@ -0,0 +1,1 @@
+"""Messages, settings and result codes, generated from ``source``."""
--- /dev/null
+++ b/src/fescuedock/schema/config.py
@@ -0,0 +1,143 @@
+"""The operators' configuration, its record in the key-value service, and messages that spread it.
+
+Generated from ``source/config.yaml``; do not edit.
+"""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import Annotated, Any, TypeAlias
+
+from msgspec import Meta, Struct, convert, field
+
+
+class ServiceKind(StrEnum):
+    MODEL = "model"
+    PLAIN = "plain"
+
+
+class OrderCheck(StrEnum):
+    """
+    Whether the engines of a service refuse an order with an old fencing number.
+    """
+
+    FENCED = "fenced"
+    IGNORED = "ignored"
+
+
+class Objectives(Struct):
+    """
+    What the users of a service were promised; the policy trades by these.
+    """
+
+    first_token_ms: Annotated[float, Meta(gt=0.0)] = 1000
+    inter_token_ms: Annotated[float, Meta(gt=0.0)] = 31
+    online_share: Annotated[
+        float,
+        Meta(description="Share of online answers that must keep the times above.", ge=0.0, le=1.0),
+    ] = 0.95
+    online_weight: Annotated[
+        float,
+        Meta(description="1 guards the online tail only; 0 batch throughput only.", ge=0.0, le=1.0),
+    ] = 0.5
+    batch_share: Annotated[
+        float,
+        Meta(description="Share of jobs that must be whole by their deadline.", ge=0.0, le=1.0),
+    ] = 0.99
+
+
+class ModelSpec(Struct):
+    version: Annotated[str, Meta(min_length=1)]
+    adapters: list[str] = field(default_factory=list)
+    weights_bytes: Annotated[int, Meta(ge=0)] = 0
+    min_upstreams: Annotated[int, Meta(ge=0)] = 1
+
+
+class ServiceSpec(Struct):
+    kind: ServiceKind
+    models: dict[str, ModelSpec] = field(default_factory=dict)
+    objectives: Objectives = field(default_factory=lambda: convert({}, type=Objectives))
+    order_check: OrderCheck = OrderCheck.IGNORED
+    non_idempotent: Annotated[
+        list[str], Meta(description='Calls that may not be repeated, as "METHOD /path-prefix".')
+    ] = field(default_factory=list)
+    request_timeout_ms: Annotated[int, Meta(ge=1)] = 60000
+
+
+KeyHash: TypeAlias = Annotated[str, Meta(pattern="^[0-9a-f]{64}$")]
+
+
+class MemberSpec(Struct):
+    """
+    A customer. Keys are kept as SHA-256 in hex, never in clear.
+    """
+
+    key_hashes: list[KeyHash] = field(default_factory=list)
+    share: Annotated[float, Meta(gt=0.0)] = 1
+
+
+class UpstreamPolicy(Struct):
+    drain: bool = False
+    max_in_flight: Annotated[int, Meta(description="0 lets the policy find the limit.", ge=0)] = 0
+
+
+class Configuration(Struct):
+    services: dict[str, ServiceSpec] = field(default_factory=dict)
+    members: dict[str, MemberSpec] = field(default_factory=dict)
+    upstreams: dict[str, UpstreamPolicy] = field(default_factory=dict)
+
+
+class AppliedPatch(Struct):
+    patch_id: str
+    patch_hash: str
+    version: Annotated[int, Meta(description="The version that the patch made.")]
+    actor: str = ""
+
+
+class ConfigRecord(Struct):
+    """
+    The one record. The chained hash covers the former record's hash and this document.
+    """
+
+    version: int
+    chain_hash: str
+    document: Annotated[bytes, Meta(description="Configuration as JSON.")]
+    patches: list[AppliedPatch] = field(default_factory=list)
+
+
+class PatchRequest(Struct):
+    """
+    Body of POST /admin/config/patches.
+    """
+
+    base_version: Annotated[int, Meta(ge=0)]
+    patch_id: Annotated[str, Meta(max_length=200, min_length=1)]
+    patch: Annotated[dict[str, Any], Meta(description="JSON merge patch (RFC 7396).")]
+    actor: str = ""
+
+
+class ConfigPush(Struct):
+    """
+    The whole record, or nothing but a version number when record is empty.
+    """
+
+    version: int
+    record: Annotated[bytes, Meta(description="ConfigRecord in MessagePack.")]
+
+
+class ConfigPull(Struct):
+    have_version: int
+
+
+class SubmitPatch(Struct):
+    """
+    An entry hands a patch to its VM's agent, which alone writes the record.
+    """
+
+    request: PatchRequest
+
+
+class SubmitPatchReply(Struct):
+    code: Annotated[int, Meta(description="A ResultCode.")]
+    version: Annotated[int, Meta(description="The version made")]
+    problems: list[str] = field(default_factory=list)
--- /dev/null
+++ b/src/fescuedock/schema/permits.py
@@ -0,0 +1,132 @@
+"""Messages between those who send work to upstreams and the agent that owns each upstream.
+
+Generated from ``source/permits.yaml``; do not edit.
+"""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import Annotated
+
+from msgspec import Meta, Struct
+
+
+class WorkClass(StrEnum):
+    ONLINE = "online"
+    BATCH = "batch"
+
+
+class AttemptOutcome(StrEnum):
+    """
+    How an attempt ended, as evidence about the upstream.
+    """
+
+    COMPLETED = "completed"
+    CANCELLED = "cancelled"
+    REVOKED = "revoked"
+    CONNECT_REFUSED = "connect_refused"
+    CONNECT_TIMEOUT = "connect_timeout"
+    RESPONSE_TIMEOUT = "response_timeout"
+    TRUNCATED = "truncated"
+    SERVER_ERROR = "server_error"
+    CLIENT_ERROR = "client_error"
+
+
+class PermitAsk(Struct):
+    """
+    Ask the owner of an upstream for one permit. Asking again with the same attempt_id gives the same permit.
+    """
+
+    upstream_id: str
+    attempt_id: Annotated[str, Meta(description="Unguessable")]
+    holder_id: Annotated[str, Meta(description="The asking process's incarnation.")]
+    service: str
+    member: str
+    work_class: WorkClass
+    slack_ms: Annotated[int, Meta(description="Time left until the work is due")]
+    prompt_tokens: int = 0
+    max_tokens: int = 0
+    prefix_hash: Annotated[str, Meta(description="Hash of the leading part of the prompt.")] = ""
+    wait_ms: Annotated[int, Meta(description="How long the owner may keep the ask queued.")] = 0
+
+
+class LoadSnapshot(Struct):
+    """
+    Fresh load of one upstream, piggybacked on each reply of its owner.
+    """
+
+    upstream_id: str
+    in_flight_online: int
+    in_flight_batch: int
+    queued_online: int
+    limit: Annotated[int, Meta(description="Attempts that the owner lets run at once now.")]
+    first_token_ms: Annotated[
+        float, Meta(description="Predicted for an online request that came now.")
+    ]
+    accepting: Annotated[bool, Meta(description="False for a leaving or unhealthy upstream.")]
+
+
+class PermitReply(Struct):
+    """
+    Grant (code 0) or refusal; a refusal means that nothing was started.
+    """
+
+    code: Annotated[int, Meta(description="A ResultCode.")]
+    load: LoadSnapshot
+    permit_id: str = ""
+    valid_ms: Annotated[int, Meta(description="Renew before this has passed.")] = 0
+    retry_after_ms: int = 0
+
+
+class HeldPermit(Struct):
+    """
+    What a new owner needs to rebuild its queue from a holder's renewal.
+    """
+
+    permit_id: str
+    upstream_id: str
+    attempt_id: str
+    service: str
+    member: str
+    work_class: WorkClass
+
+
+class PermitRenew(Struct):
+    holder_id: str
+    permits: list[HeldPermit]
+
+
+class PermitRenewReply(Struct):
+    valid_ms: int
+    revoked: Annotated[list[str], Meta(description="Permits that are no longer good.")]
+    loads: list[LoadSnapshot]
+
+
+class EndedPermit(Struct):
+    permit_id: str
+    upstream_id: str
+    outcome: AttemptOutcome
+    work_class: WorkClass
+    first_token_ms: Annotated[float, Meta(description="Below 0 when there was none.")] = -1
+    inter_token_ms: Annotated[
+        float, Meta(description="Mean between tokens; below 0 when unknown.")
+    ] = -1
+    prompt_tokens: int = 0
+    generated_tokens: int = 0
+
+
+class PermitsEnded(Struct):
+    """
+    One-way, batched.
+    """
+
+    holder_id: str
+    ended: list[EndedPermit]
+
+
+class PermitsRevoked(Struct):
+    """
+    Push from the owner; the holder cancels these attempts at once and ends their permits.
+    """
+
+    permit_ids: list[str]
--- /dev/null
+++ b/src/fescuedock/schema/settings.py
@@ -0,0 +1,101 @@
+"""The settings of every program; each definition is one section of the INI file.
+
+Generated from ``source/settings.yaml``; do not edit.
+"""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+from msgspec import Meta, Struct
+
+
+class VmSettings(Struct):
+    """
+    Section [vm]; read by every program.
+    """
+
+    vm_id: Annotated[str, Meta(min_length=1)]
+    host: Annotated[str, Meta(description="IP number that the programs listen on.", min_length=7)]
+    region: Annotated[str, Meta(min_length=1)]
+    failure_domain: Annotated[str, Meta(min_length=1)]
+    key_file: Annotated[str, Meta(description="File of shared secrets")] = ""
+    log_file: Annotated[str, Meta(description="JSON lines; empty is standard error.")] = ""
+    stop_timeout_ms: Annotated[int, Meta(description="Bound of a graceful shutdown.", ge=0)] = 60000
+
+
+class PlatformSettings(Struct):
+    """
+    Section [platform]; where the platform's services are, as HOST:PORT.
+    """
+
+    kv_addresses: Annotated[str, Meta(description="Comma-separated.", min_length=3)]
+    vm_list_address: Annotated[str, Meta(min_length=3)]
+    weight_store_address: str = ""
+    kv_timeout_ms: Annotated[int, Meta(ge=1)] = 1500
+    vm_list_poll_ms: Annotated[int, Meta(ge=10)] = 2000
+    key_prefix: str = "/fescuedock/"
+
+
+class EntrySettings(Struct):
+    """
+    Section [entry].
+    """
+
+    port: Annotated[int, Meta(description="0 takes a free port.", ge=0, le=65535)]
+    max_body_bytes: Annotated[int, Meta(ge=1024)] = 268435456
+    max_header_bytes: Annotated[int, Meta(ge=1024)] = 32768
+    request_read_timeout_ms: Annotated[int, Meta(ge=1)] = 30000
+    write_timeout_ms: Annotated[
+        int, Meta(description="A caller that takes no byte for this long is cut off.", ge=1)
+    ] = 30000
+    answer_valid_ms: Annotated[int, Meta(description="valid_for_ms of /v1/entries.", ge=100)] = (
+        10000
+    )
+    default_deadline_ms: Annotated[int, Meta(ge=1)] = 60000
+    require_api_key: bool = False
+
+
+class AgentSettings(Struct):
+    """
+    Section [agent].
+    """
+
+    port: Annotated[int, Meta(description="TCP for messages and UDP for probes.", ge=0, le=65535)]
+    probe_interval_ms: Annotated[int, Meta(ge=10)] = 1000
+    permit_valid_ms: Annotated[int, Meta(ge=100)] = 2000
+    config_confirm_ms: Annotated[
+        int, Meta(description="A VM whose version is unconfirmed for longer says so.", ge=100)
+    ] = 15000
+
+
+class BatchSettings(Struct):
+    """
+    Section [batch].
+    """
+
+    port: Annotated[int, Meta(ge=0, le=65535)]
+    max_items_in_flight: Annotated[int, Meta(ge=1)] = 256
+    group_items: Annotated[
+        int, Meta(description="Results made final in one compare-and-swap at most.", ge=1)
+    ] = 500
+    group_age_ms: Annotated[int, Meta(ge=1)] = 2000
+    item_attempts: Annotated[int, Meta(ge=1)] = 4
+    max_items: Annotated[int, Meta(ge=1)] = 110000
+    max_line_bytes: Annotated[int, Meta(ge=1024)] = 1048576
+    segment_items: Annotated[int, Meta(ge=1)] = 1000
+    segment_bytes: Annotated[int, Meta(ge=1024)] = 4194304
+    copies: Annotated[int, Meta(description="Copies wanted of each segment.", ge=1)] = 3
+    min_copies: Annotated[
+        int, Meta(description="Copies in distinct failure domains before an acknowledgement.", ge=1)
+    ] = 2
+
+
+class StoreSettings(Struct):
+    """
+    Section [store].
+    """
+
+    port: Annotated[int, Meta(ge=0, le=65535)]
+    data_folder: Annotated[str, Meta(min_length=1)]
+    max_bytes: Annotated[int, Meta(ge=1048576)] = 10737418240
--- /dev/null
+++ b/src/fescuedock/schema/store.py
@@ -0,0 +1,76 @@
+"""Messages to a store, which keeps write-once segments and append-only result logs on disk.
+
+Generated from ``source/store.yaml``; do not edit.
+"""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+from msgspec import Meta, Struct, field
+
+
+class PutSegment(Struct):
+    """
+    Write once; acknowledged only after fsync. The hash is SHA-256 of the body, in hex.
+    """
+
+    segment_hash: str
+    body: bytes
+
+
+class GetSegment(Struct):
+    segment_hash: str
+
+
+class SegmentReply(Struct):
+    body: bytes
+    code: Annotated[int, Meta(description="A ResultCode.")] = 0
+
+
+class HaveSegments(Struct):
+    segment_hashes: list[str]
+
+
+class HaveSegmentsReply(Struct):
+    missing: list[str]
+
+
+class DropSegments(Struct):
+    segment_hashes: list[str]
+
+
+class AppendLog(Struct):
+    """
+    Append result records of one job; acknowledged only after fsync.
+    """
+
+    job_id: str
+    epoch: int
+    records: list[bytes]
+
+
+class ReadLog(Struct):
+    job_id: str
+    offset_bytes: int = 0
+    limit_bytes: int = 1048576
+
+
+class LogReply(Struct):
+    """
+    Whole records from the offset on; next_offset_bytes equals the offset at the end.
+    """
+
+    code: Annotated[int, Meta(description="A ResultCode.")] = 0
+    records: list[bytes] = field(default_factory=list)
+    next_offset_bytes: int = 0
+
+
+class DropLog(Struct):
+    job_id: str
+
+
+class StoreReply(Struct):
+    code: Annotated[int, Meta(description="A ResultCode.")] = 0
+    message: str = ""
+    free_bytes: int = -1
--- /dev/null
+++ b/src/fescuedock/schema/view.py
@@ -0,0 +1,118 @@
+"""What a VM's agent tells the other programs of its VM about the fleet.
+
+Generated from ``source/view.yaml``; do not edit.
+"""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import Annotated
+
+from msgspec import Meta, Struct
+
+
+class Program(StrEnum):
+    ENTRY = "entry"
+    AGENT = "agent"
+    BATCH = "batch"
+    STORE = "store"
+
+
+class VmState(StrEnum):
+    """
+    State of a VM or upstream as membership sees it; suspect ones still get work.
+    """
+
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    LEAVING = "leaving"
+    GONE = "gone"
+
+
+class UpstreamKind(StrEnum):
+    ENGINE = "engine"
+    PLAIN = "plain"
+
+
+class VmRecord(Struct):
+    """
+    One VM of ours. A port of 0 says that the program does not run there.
+    """
+
+    vm_id: str
+    region: str
+    failure_domain: str
+    host: Annotated[str, Meta(description="IP number.")]
+    incarnation: Annotated[int, Meta(description="Raised by the VM itself to refute a suspicion.")]
+    state: VmState
+    entry_port: int = 0
+    agent_port: int = 0
+    batch_port: int = 0
+    store_port: int = 0
+    config_version: int = 0
+
+
+class UpstreamRecord(Struct):
+    """
+    One upstream, as the VM list shows it.
+    """
+
+    upstream_id: str
+    region: str
+    failure_domain: str
+    host: Annotated[str, Meta(description="IP number.")]
+    port: int
+    kind: UpstreamKind
+    service: Annotated[str, Meta(description="Service of the configuration that it belongs to.")]
+    leaving: bool = False
+
+
+class Hello(Struct):
+    """
+    A program tells its VM's agent, every second, that it runs and whether it is ready.
+    """
+
+    program: Program
+    port: int
+    ready: bool
+
+
+class HelloReply(Struct):
+    vm_id: str
+
+
+class ViewRequest(Struct):
+    """
+    Long poll for the fleet view; answered at once when it is newer than seen_version.
+    """
+
+    seen_version: int = 0
+    seen_config_version: int = 0
+    wait_ms: int = 0
+
+
+class ViewReply(Struct):
+    """
+    The fleet as this VM sees it now. The configuration is empty when not newer.
+    """
+
+    view_version: int
+    vms: list[VmRecord]
+    upstreams: list[UpstreamRecord]
+    membership_age_ms: Annotated[int, Meta(description="Time since the VM list was last read.")]
+    config_version: int
+    config_age_ms: Annotated[int, Meta(description="Time since the version was last confirmed.")]
+    config_document: Annotated[bytes, Meta(description="Configuration as JSON.")]
+
+
+class LeaveRequest(Struct):
+    """
+    Announce a planned stop of this VM.
+    """
+
+    reason: str = ""
+
+
+class Acknowledgement(Struct):
+    code: Annotated[int, Meta(description="A ResultCode.")] = 0
+    message: str = ""
--- /dev/null
+++ b/src/fescuedock/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and the upstreams, with faults on command."""
--- /dev/null
+++ b/src/fescuedock/store/__init__.py
@@ -0,0 +1,1 @@
+"""The store: write-once segments and result logs on disk."""
