--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benches that anyone can run; each prints its method, its figures and their ratios."""
--- /dev/null
+++ b/src/fescuedock/entry/context.py
@@ -0,0 +1,32 @@
+"""What the handlers of an entry share."""
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from fescuedock.clock import UnixClock
+from fescuedock.net.http_client import HttpClient
+from fescuedock.platform.kv import KvStore
+from fescuedock.settings import Settings
+
+if TYPE_CHECKING:
+    from fescuedock.agent.link import AgentLink, FleetView
+    from fescuedock.agent.permit_client import PermitClient
+    from fescuedock.report.metrics import Metrics
+    from fescuedock.store.client import StoreClient
+
+__all__ = ["EntryContext"]
+
+
+@dataclass(frozen=True, slots=True)
+class EntryContext:
+    """Wired once by ``run_entry``; handlers keep no other state than their own."""
+
+    settings: Settings
+    view: "FleetView"
+    agent: "AgentLink"
+    permits: "PermitClient"
+    stores: "StoreClient"
+    kv: KvStore
+    http: HttpClient
+    metrics: "Metrics"
+    unix_clock: UnixClock
--- /dev/null
+++ b/src/fescuedock/entry/routes.py
@@ -0,0 +1,63 @@
+"""Matches a request's method and path to a handler, with truthful 404 and 405 answers."""
+
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass
+
+from fescuedock.faults import Fault
+from fescuedock.net.http_server import Handler, Request, Responder
+from fescuedock.schema.result_codes import ResultCode
+
+__all__ = ["Route", "RouteHandler", "route_requests"]
+
+ANY_METHOD = "*"
+
+# Gets the request, the responder and the values of the pattern's {names}.
+RouteHandler = Callable[[Request, Responder, dict[str, str]], Awaitable[None]]
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """``pattern`` is a path whose ``{name}`` parts match one segment and ``{name*}`` the rest."""
+
+    method: str
+    pattern: str
+    handler: RouteHandler
+
+
+def route_requests(routes: Sequence[Route]) -> Handler:
+    """Return the handler that passes each request to the first route that matches."""
+
+    async def handle(request: Request, responder: Responder) -> None:
+        allowed: list[str] = []
+        for route in routes:
+            values = _match(route.pattern, request.path)
+            if values is None:
+                continue
+            if route.method in (request.method, ANY_METHOD):
+                await route.handler(request, responder, values)
+                return
+            allowed.append(route.method)
+        if not allowed:
+            await responder.send_fault(Fault(ResultCode.NOT_FOUND, f"no path {request.path!r}"))
+            return
+        fault = Fault(ResultCode.METHOD_NOT_ALLOWED, f"{request.path!r} takes no {request.method}")
+        await responder.send_fault(fault, [("allow", ", ".join(sorted(set(allowed))))])
+
+    return handle
+
+
+def _match(pattern: str, path: str) -> dict[str, str] | None:
+    wanted = pattern.split("/")
+    given = path.split("/")
+    values: dict[str, str] = {}
+    for position, part in enumerate(wanted):
+        if part.endswith("*}"):
+            values[part[1:-2]] = "/".join(given[position:])
+            return values if position < len(given) else None
+        if position >= len(given):
+            return None
+        if part.startswith("{") and given[position]:
+            values[part[1:-1]] = given[position]
+        elif part != given[position]:
+            return None
+    return values if len(wanted) == len(given) else None
--- a/src/fescuedock/net/codec.py
+++ b/src/fescuedock/net/codec.py
@@ -1,7 +1,7 @@
 """Messages as bytes: MessagePack by type name, under a keyed digest of a shared secret.
 
-A frame that fails its digest, names an unknown type or does not decode raises ``BadMessageError`` and
-changes nothing.
+A frame that fails its digest, names an unknown type or does not decode raises ``BadMessageError``
+and changes nothing.
 """
 
 import hashlib
--- a/src/fescuedock/net/http_client.py
+++ b/src/fescuedock/net/http_client.py
@@ -15,7 +15,13 @@
 from fescuedock.net.address import Address
 from fescuedock.net.http_server import Headers
 
-__all__ = ["ClientResponse", "HttpClient", "NotSentError", "ResponseLostError", "ResponseTooLargeError"]
+__all__ = [
+    "ClientResponse",
+    "HttpClient",
+    "NotSentError",
+    "ResponseLostError",
+    "ResponseTooLargeError",
+]
 
 _RECEIVE_BYTES = 65536
 _MAX_HEADER_BYTES = 65536
--- a/src/fescuedock/net/http_server.py
+++ b/src/fescuedock/net/http_server.py
@@ -62,7 +62,7 @@
     body: AsyncIterator[bytes]
 
     async def read(self, limit_bytes: int) -> bytes:
-        """Return the whole body; raise ``BodyTooLargeError`` when it is longer than ``limit_bytes``."""
+        """Return the whole body; ``BodyTooLargeError`` when it is over ``limit_bytes``."""
         parts: list[bytes] = []
         size_bytes = 0
         async for part in self.body:
--- /dev/null
+++ b/tests/builders/__init__.py
@@ -0,0 +1,1 @@
+"""Builders of test data, a module for each area."""
