--- /dev/null
+++ b/src/fescuedock/core/health.py
@@ -0,0 +1,151 @@
+"""Judges upstreams by how their attempts ended, without asking them anything.
+
+The owner of an upstream feeds every outcome into its ``HealthTracker``.  Faults add to a score by
+how much they say, successes take from it, and time halves it.  Past a threshold the upstream is
+taken out; it comes back only after several trials in a row went well, so a flapping upstream does
+not flap in and out.  A cap bounds how many may be out at once.
+
+A pure state machine: the caller passes the time.
+"""
+
+from collections.abc import Collection
+from dataclasses import dataclass, field
+
+from fescuedock.schema.permits import AttemptOutcome
+
+__all__ = ["FAULT_WEIGHTS", "HealthPolicy", "HealthTracker"]
+
+# How strongly an outcome speaks against the upstream.  A refused connection is a dead process; a
+# server error may be the request's own doing.  Outcomes that are not here say nothing: a client
+# error is the caller's, a cancellation or revocation ours.
+FAULT_WEIGHTS = {
+    AttemptOutcome.CONNECT_REFUSED: 3.0,
+    AttemptOutcome.CONNECT_TIMEOUT: 3.0,
+    AttemptOutcome.RESPONSE_TIMEOUT: 2.0,
+    AttemptOutcome.TRUNCATED: 2.0,
+    AttemptOutcome.SERVER_ERROR: 1.0,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class HealthPolicy:
+    """Thresholds of ``HealthTracker``; scores are in units of ``FAULT_WEIGHTS``."""
+
+    out_score: float = 6.0
+    success_credit: float = 1.0
+    half_life_ms: float = 10000.0
+    trials_wanted: int = 2
+    first_trial_ms: float = 500.0
+    max_trial_ms: float = 15000.0
+    trial_timeout_ms: float = 10000.0
+    max_out_share: float = 0.5
+
+
+@dataclass(slots=True)
+class _Record:
+    score: float = 0.0
+    scored_at_ms: float = 0.0
+    out: bool = False
+    trial_interval_ms: float = 0.0
+    next_trial_ms: float = 0.0
+    trial_ends_ms: float | None = None
+    trials_passed: int = 0
+
+
+@dataclass(slots=True)
+class HealthTracker:
+    """The health of the upstreams of one service, as far as one owner sees them."""
+
+    policy: HealthPolicy = field(default_factory=HealthPolicy)
+    fleet_count: int = 1
+    _records: dict[str, _Record] = field(default_factory=dict)
+
+    def set_upstreams(self, owned: Collection[str], fleet_count: int) -> None:
+        """Forget upstreams not in ``owned``; the cap is a share of ``fleet_count``."""
+        self.fleet_count = max(1, fleet_count)
+        for upstream_id in tuple(self._records):
+            if upstream_id not in owned:
+                del self._records[upstream_id]
+
+    def observe(self, upstream_id: str, outcome: AttemptOutcome, now_ms: float) -> None:
+        """Take in how one attempt on ``upstream_id`` ended."""
+        record = self._records.setdefault(upstream_id, _Record(scored_at_ms=now_ms))
+        if record.out:
+            self._observe_trial(record, outcome, now_ms)
+            return
+        self._fade(record, now_ms)
+        if outcome is AttemptOutcome.COMPLETED:
+            record.score = max(0.0, record.score - self.policy.success_credit)
+            return
+        record.score += FAULT_WEIGHTS.get(outcome, 0.0)
+        if record.score >= self.policy.out_score and self._may_take_out():
+            self._take_out(record, now_ms)
+
+    def accepting(self, upstream_id: str) -> bool:
+        """Whether ``upstream_id`` gets ordinary work."""
+        record = self._records.get(upstream_id)
+        return record is None or not record.out
+
+    def take_trial(self, upstream_id: str, now_ms: float) -> bool:
+        """Whether one attempt may go to an upstream that is out, as a trial.
+
+        At most one is under way at a time, and the wait between them doubles up to a bound.
+        """
+        record = self._records.get(upstream_id)
+        if record is None or not record.out:
+            return False
+        under_way = record.trial_ends_ms is not None and now_ms < record.trial_ends_ms
+        if under_way or now_ms < record.next_trial_ms:
+            return False
+        record.trial_ends_ms = now_ms + self.policy.trial_timeout_ms
+        return True
+
+    def next_trial_ms(self, upstream_id: str) -> float:
+        """Return the time before which ``take_trial`` gives False; 0 when it is not out."""
+        record = self._records.get(upstream_id)
+        if record is None or not record.out:
+            return 0.0
+        return max(record.next_trial_ms, record.trial_ends_ms or 0.0)
+
+    @property
+    def out_count(self) -> int:
+        return sum(record.out for record in self._records.values())
+
+    def _may_take_out(self) -> bool:
+        # One may always go: an owner often has a single upstream of a small fleet, and entries
+        # have a way of their own when too many owners refuse.
+        return self.out_count + 1 <= max(1.0, self.policy.max_out_share * self.fleet_count)
+
+    def _fade(self, record: _Record, now_ms: float) -> None:
+        age_ms = max(0.0, now_ms - record.scored_at_ms)
+        record.score *= 0.5 ** (age_ms / self.policy.half_life_ms)
+        record.scored_at_ms = now_ms
+
+    def _take_out(self, record: _Record, now_ms: float) -> None:
+        record.out = True
+        record.trials_passed = 0
+        record.trial_ends_ms = None
+        record.trial_interval_ms = self.policy.first_trial_ms
+        record.next_trial_ms = now_ms + record.trial_interval_ms
+
+    def _observe_trial(self, record: _Record, outcome: AttemptOutcome, now_ms: float) -> None:
+        if record.trial_ends_ms is None:
+            # An attempt from before it was taken out: old news.
+            return
+        record.trial_ends_ms = None
+        if outcome is AttemptOutcome.COMPLETED:
+            self._pass_trial(record, now_ms)
+        elif outcome in FAULT_WEIGHTS:
+            record.trials_passed = 0
+            wait_ms = min(self.policy.max_trial_ms, record.trial_interval_ms * 2)
+            record.trial_interval_ms = wait_ms
+            record.next_trial_ms = now_ms + wait_ms
+
+    def _pass_trial(self, record: _Record, now_ms: float) -> None:
+        record.trials_passed += 1
+        record.next_trial_ms = now_ms
+        if record.trials_passed < self.policy.trials_wanted:
+            return
+        record.out = False
+        record.score = 0.0
+        record.scored_at_ms = now_ms
