--- a/src/fescuedock/net/http_client.py
+++ b/src/fescuedock/net/http_client.py
@@ -21,6 +21,7 @@
     "NotSentError",
     "ResponseLostError",
     "ResponseTooLargeError",
+    "open_http_client",
 ]
 
 _RECEIVE_BYTES = 65536
@@ -58,16 +59,20 @@
         self.headers = headers
         self._connection = connection
 
-    async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the body as it comes; raise ``ResponseLostError`` when it ends early."""
-        while True:
-            event = await self._connection.next_event(head_received=True)
-            if isinstance(event, h11.Data):
-                yield bytes(event.data)
-            elif isinstance(event, h11.EndOfMessage):
-                return
-            else:
-                raise ResponseLostError("connection closed within the answer", head_received=True)
+    def chunks(self) -> AsyncIterator[bytes]:
+        """Iterate over the body as it comes; ``ResponseLostError`` when it ends early."""
+        return self
+
+    def __aiter__(self) -> AsyncIterator[bytes]:
+        return self
+
+    async def __anext__(self) -> bytes:
+        event = await self._connection.next_event(head_received=True)
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            raise StopAsyncIteration
+        raise ResponseLostError("connection closed within the answer", head_received=True)
 
     async def read(self, limit_bytes: int = 16 * 1024 * 1024) -> bytes:
         """Return the whole body; ``ResponseTooLargeError`` over ``limit_bytes``."""
@@ -153,6 +158,16 @@
         waiting.append(connection)
 
 
+@asynccontextmanager
+async def open_http_client(connect_timeout_ms: int = 2000) -> AsyncIterator[HttpClient]:
+    """Give a client whose idle connections are closed with the block."""
+    client = HttpClient(connect_timeout_ms)
+    try:
+        yield client
+    finally:
+        await client.close()
+
+
 class _ClientConnection:
     """One connection: the h11 state and the socket."""
 
--- a/src/fescuedock/net/http_server.py
+++ b/src/fescuedock/net/http_server.py
@@ -315,14 +315,19 @@
             with trio.fail_after(self._limits.write_timeout_ms / 1000):
                 await self._stream.send_all(data)
 
-    async def body(self) -> AsyncIterator[bytes]:
-        while not self._body_read.is_set():
-            with trio.fail_after(self._limits.read_timeout_ms / 1000):
-                event = await self.next_event()
-            if isinstance(event, h11.Data):
-                yield bytes(event.data)
-                continue
-            self._body_read.set()
+    def body(self) -> AsyncIterator[bytes]:
+        return _RequestBody(self)
+
+    async def next_body_part(self) -> bytes | None:
+        """Return the next bytes of the request's body, None after its end."""
+        if self._body_read.is_set():
+            return None
+        with trio.fail_after(self._limits.read_timeout_ms / 1000):
+            event = await self.next_event()
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        self._body_read.set()
+        return None
 
     def begin_body(self, head: h11.Request) -> None:
         """Take the end of a request without a body, so that watching can begin at once."""
@@ -366,3 +371,21 @@
                     return
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             return
+
+
+class _RequestBody:
+    """Iterates over a request's body; unlike a generator it may be left at any point."""
+
+    __slots__ = ("_connection",)
+
+    def __init__(self, connection: _Connection) -> None:
+        self._connection = connection
+
+    def __aiter__(self) -> "_RequestBody":
+        return self
+
+    async def __anext__(self) -> bytes:
+        part = await self._connection.next_body_part()
+        if part is None:
+            raise StopAsyncIteration
+        return part
--- /dev/null
+++ b/tests/test_net_http.py
@@ -0,0 +1,185 @@
+"""The HTTP transport: whole answers, truthful errors, disconnects, graceful stops."""
+
+import unittest
+
+import trio
+import trio.lowlevel
+import trio.testing
+
+from fescuedock.net.address import Address
+from fescuedock.net.http_client import NotSentError, ResponseLostError, open_http_client
+from fescuedock.net.http_server import HttpLimits, Request, Responder
+from tests.builders.net import echo_body, served
+
+GUARD_S = 20
+
+
+class HttpTransportTest(unittest.TestCase):
+    """Client and server against each other and against raw sockets."""
+
+    def run_guarded(self, test) -> None:
+        async def guarded() -> None:
+            with trio.fail_after(GUARD_S):
+                await test()
+
+        trio.run(guarded)
+
+    def test_bodies_go_there_and_back_over_one_connection(self) -> None:
+        async def test() -> None:
+            async with served(echo_body) as (_, address), open_http_client() as client:
+                for body in (b"first", b"second"):
+                    async with client.request(address, "POST", "/", (), body) as response:
+                        self.assertEqual(await response.read(), body)
+
+        self.run_guarded(test)
+
+    def test_a_body_over_the_limit_is_refused_and_the_next_request_served(self) -> None:
+        async def test() -> None:
+            async with served(echo_body) as (_, address), open_http_client() as client:
+                async with client.request(address, "POST", "/", (), b"x" * 2000) as response:
+                    self.assertEqual(response.status, 413)
+                    self.assertIn(b"BODY_TOO_LARGE", await response.read())
+                async with client.request(address, "POST", "/", (), b"fits") as response:
+                    self.assertEqual(await response.read(), b"fits")
+
+        self.run_guarded(test)
+
+    def test_a_handler_is_cancelled_when_its_caller_disconnects(self) -> None:
+        cancelled = trio.Event()
+
+        async def wait_forever(_request: Request, _responder: Responder) -> None:
+            try:
+                await trio.sleep_forever()
+            finally:
+                cancelled.set()
+
+        async def test() -> None:
+            async with served(wait_forever) as (_, address):
+                stream = await trio.open_tcp_stream(address.host, address.port)
+                await stream.send_all(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
+                await trio.testing.wait_all_tasks_blocked(0.05)
+                await stream.aclose()
+                await cancelled.wait()
+
+        self.run_guarded(test)
+
+    def test_a_streamed_answer_that_breaks_off_is_never_taken_for_whole(self) -> None:
+        async def break_off(_request: Request, responder: Responder) -> None:
+            with trio.CancelScope() as scope:
+                async with responder.stream(200, [("content-type", "text/plain")]) as body:
+                    await body.write(b"half")
+                    scope.cancel()
+                    await trio.sleep_forever()
+
+        async def test() -> None:
+            async with served(break_off) as (_, address), open_http_client() as client:
+                with self.assertRaises(ResponseLostError) as caught:
+                    async with client.request(address, "GET", "/") as response:
+                        await response.read()
+                self.assertTrue(caught.exception.head_received)
+
+        self.run_guarded(test)
+
+    def test_a_refused_connection_says_that_nothing_was_sent(self) -> None:
+        async def test() -> None:
+            listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            port = listeners[0].socket.getsockname()[1]
+            await listeners[0].aclose()
+            async with open_http_client() as client:
+                with self.assertRaises(NotSentError):
+                    async with client.request(Address("127.0.0.1", port), "GET", "/"):
+                        self.fail("nobody listens there")
+
+        self.run_guarded(test)
+
+    def test_a_connection_with_something_unread_is_never_reused(self) -> None:
+        """A server that sends a second, unasked answer must not have it taken for the next one."""
+        answer = b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\n"
+
+        async def serve_twice(stream: trio.SocketStream) -> None:
+            await stream.receive_some(1000)
+            await stream.send_all(answer + b"one")
+            await stream.send_all(answer + b"bad")
+            await trio.sleep_forever()
+
+        async def test() -> None:
+            async with trio.open_nursery() as nursery, open_http_client() as client:
+                listeners = await nursery.start(trio.serve_tcp, serve_twice, 0)
+                port = listeners[0].socket.getsockname()[1]
+                for _ in range(2):
+                    async with client.request(Address("127.0.0.1", port), "GET", "/") as response:
+                        self.assertEqual(await response.read(), b"one")
+                    await trio.testing.wait_all_tasks_blocked(0.05)
+                nursery.cancel_scope.cancel()
+
+        self.run_guarded(test)
+
+    def test_stopping_finishes_the_request_in_flight_and_refuses_new_connections(self) -> None:
+        release = trio.Event()
+
+        async def wait_for_release(_request: Request, responder: Responder) -> None:
+            await release.wait()
+            await responder.send_json(200, "done")
+
+        async def test() -> None:
+            async with (
+                served(wait_for_release) as (server, address),
+                open_http_client() as client,
+            ):
+                answers: list[bytes] = []
+
+                async def ask() -> None:
+                    async with client.request(address, "GET", "/") as response:
+                        answers.append(await response.read())
+
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(ask)
+                    while not server.in_flight:
+                        await trio.lowlevel.checkpoint()
+                    server.stop()
+                    await trio.testing.wait_all_tasks_blocked(0.05)
+                    with self.assertRaises(NotSentError):
+                        async with client.request(address, "GET", "/"):
+                            self.fail("the listener should be closed")
+                    release.set()
+                self.assertEqual(answers, [b'"done"'])
+
+        self.run_guarded(test)
+
+    def test_a_caller_that_takes_nothing_is_cut_off(self) -> None:
+        ended = trio.Event()
+
+        async def flood(_request: Request, responder: Responder) -> None:
+            try:
+                async with responder.stream(200, [("content-type", "text/plain")]) as body:
+                    while True:
+                        await body.write(b"x" * 65536)
+            finally:
+                ended.set()
+
+        async def test() -> None:
+            async with served(flood, HttpLimits(write_timeout_ms=50)) as (_, address):
+                stream = await trio.open_tcp_stream(address.host, address.port)
+                await stream.send_all(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
+                await ended.wait()
+                await stream.aclose()
+
+        self.run_guarded(test)
+
+    def test_malformed_requests_get_a_numbered_error(self) -> None:
+        cases = {
+            b"NOT HTTP\r\n\r\n": b"400",
+            b"GET / HTTP/1.1\r\nx: " + b"y" * 100_000 + b"\r\n\r\n": b"431",
+        }
+
+        async def test() -> None:
+            async with served(echo_body) as (_, address):
+                for sent, status in cases.items():
+                    stream = await trio.open_tcp_stream(address.host, address.port)
+                    await stream.send_all(sent)
+                    answer = await stream.receive_some(4096)
+                    self.assertEqual(answer.split(b" ")[1], status)
+                    self.assertIn(b'"outcome":"not_run"', answer)
+                    await stream.aclose()
+
+        self.run_guarded(test)
