--- /dev/null
+++ b/src/fescuedock/core/config/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on the configuration: patches, validation, the replica rule, writes."""
--- /dev/null
+++ b/src/fescuedock/core/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on orders to engines: fencing, placement of models, paced loads."""
