Keep one handler's error from ending a server

Change: errors of a handler are caught where it runs, reported through on_error, answered as INTERNAL (outcome unknown) when no answer began, and left visibly truncated when one had. Ruled out: a catch-all around the connection, which would also hide our own cancellation.

--- a/src/fescuedock/net/channel.py
+++ b/src/fescuedock/net/channel.py
@@ -124,11 +124,14 @@
     codec: Codec,
     handler: CallHandler,
     *,
+    on_error: Callable[[Exception], None] = lambda error: None,
     task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Answer calls on ``address`` (port 0 takes a free one) until cancelled.
 
     Reports the real ``Address`` through ``task_status``.  Messages that are not ours are dropped.
+    An error that a handler lets through goes to ``on_error`` and leaves its call unanswered, which
+    the caller takes for unknown.
     """
     socket = _open_socket(zmq.ROUTER)
     socket.setsockopt(zmq.ROUTER_MANDATORY, 1)
@@ -149,7 +152,11 @@
                     message = codec.decode(data, number)
                 except BadMessageError:
                     return
-                reply = await handler(message, ServerPeer(Peer(identity, pumped.send), codec))
+                try:
+                    reply = await handler(message, ServerPeer(Peer(identity, pumped.send), codec))
+                except Exception as error:
+                    on_error(error)
+                    return
                 if reply is not None and number != _NO_CALL:
                     pumped.send([identity, number, codec.encode(reply, number)])
 
--- a/src/fescuedock/net/http_server.py
+++ b/src/fescuedock/net/http_server.py
@@ -34,6 +34,7 @@
 _RECEIVE_BYTES = 65536
 _LINGER_READS = 64
 _LINGER_S = 1
+_CALLER_GONE = (trio.BrokenResourceError, trio.ClosedResourceError, trio.TooSlowError)
 
 
 class BodyTooLargeError(Exception):
@@ -159,6 +160,8 @@
 
     handler: Handler
     limits: HttpLimits = field(default_factory=HttpLimits)
+    # Told of errors that a handler let through, which are faults of ours.
+    on_error: Callable[[Exception], None] = lambda error: None
     in_flight: int = 0
     _stopping: trio.Event = field(default_factory=trio.Event)
     _idle_scopes: set[trio.CancelScope] = field(default_factory=set)
@@ -201,8 +204,8 @@
         try:
             while await self._serve_request(connection):
                 pass
-        except (trio.BrokenResourceError, trio.ClosedResourceError, trio.TooSlowError):
-            pass
+        except _CALLER_GONE:
+            return
         finally:
             with trio.CancelScope(shield=True, deadline=trio.current_time() + _LINGER_S):
                 await connection.close()
@@ -242,15 +245,42 @@
         request = _request_of(head, connection)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(connection.watch_disconnect, nursery.cancel_scope)
-            try:
-                await self.handler(request, responder)
-            except BodyTooLargeError as error:
-                await responder.send_fault(Fault(ResultCode.BODY_TOO_LARGE, str(error)))
-            except h11.RemoteProtocolError as error:
-                if not responder.started:
-                    await _send_protocol_fault(connection, error)
+            await self._run_handler(connection, request, responder)
             nursery.cancel_scope.cancel()
 
+    async def _run_handler(
+        self, connection: "_Connection", request: Request, responder: Responder
+    ) -> None:
+        """Run the handler; none of its errors may end the server or another caller's request."""
+        try:
+            await self.handler(request, responder)
+        except _CALLER_GONE:
+            return
+        except BodyTooLargeError as error:
+            await _fail(responder, Fault(ResultCode.BODY_TOO_LARGE, str(error)))
+        except h11.RemoteProtocolError as error:
+            await _send_protocol_fault(connection, error)
+        except Exception as error:
+            if _only_caller_gone(error):
+                return
+            self.on_error(error)
+            await _fail(responder, Fault(ResultCode.INTERNAL, "internal error; see the logs"))
+
+
+def _only_caller_gone(error: Exception) -> bool:
+    """Whether a handler's nursery raised nothing but its caller's disconnect."""
+    return isinstance(error, ExceptionGroup) and error.split(_CALLER_GONE)[1] is None
+
+
+async def _fail(responder: Responder, fault: Fault) -> None:
+    """Answer with ``fault`` unless an answer has begun, which then stays visibly truncated."""
+    if responder.started:
+        return
+    try:
+        await responder.send_fault(fault)
+    except _CALLER_GONE:
+        return
+
 
 def _request_of(head: h11.Request, connection: "_Connection") -> Request:
     target = head.target.decode("ascii", "replace")
--- a/tests/test_net_channel.py
+++ b/tests/test_net_channel.py
@@ -1,5 +1,6 @@
 """Messages between our processes: digests, key rotation, matching of answers, strangers."""
 
+import functools
 import tempfile
 import unittest
 from pathlib import Path
@@ -160,6 +161,26 @@
 
         self.run_guarded(test)
 
+    def test_an_error_in_one_handler_leaves_the_others_served(self) -> None:
+        seen: list[Exception] = []
+
+        async def answer(message, _peer) -> Acknowledgement:
+            if message.reason == "fail":
+                raise RuntimeError("a fault of ours")
+            return Acknowledgement()
+
+        async def test(nursery: trio.Nursery) -> None:
+            codec = signed_codec()
+            serve = functools.partial(serve_channel, on_error=seen.append)
+            address = await nursery.start(serve, LOOPBACK, codec, answer)
+            async with ChannelClient.open(address, codec) as client:
+                lost = await client.call(LeaveRequest(reason="fail"), 100)
+                self.assertEqual(lost.unwrap_err().code, ResultCode.PEER_UNKNOWN)
+                self.assertEqual(await client.call(LeaveRequest(), 10_000), Ok(Acknowledgement()))
+            self.assertEqual(len(seen), 1)
+
+        self.run_guarded(test)
+
     def test_many_calls_at_once_lose_no_wake_up(self) -> None:
         async def answer(message, _peer) -> Acknowledgement:
             return Acknowledgement(message=message.reason)
--- a/tests/test_net_http.py
+++ b/tests/test_net_http.py
@@ -163,6 +163,33 @@
                 await stream.send_all(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
                 await ended.wait()
                 await stream.aclose()
+                await trio.testing.wait_all_tasks_blocked(0.05)
+
+        self.run_guarded(test)
+
+    def test_an_error_in_one_handler_leaves_the_server_serving(self) -> None:
+        seen: list[Exception] = []
+
+        async def fail_or_echo(request: Request, responder: Responder) -> None:
+            if request.path == "/fail":
+                raise RuntimeError("a fault of ours")
+            if request.path == "/fail-late":
+                async with responder.stream(200, []):
+                    raise RuntimeError("a late fault of ours")
+            await echo_body(request, responder)
+
+        async def test() -> None:
+            async with served(fail_or_echo) as (server, address), open_http_client() as client:
+                server.on_error = seen.append
+                async with client.request(address, "GET", "/fail") as response:
+                    self.assertEqual(response.status, 500)
+                    self.assertIn(b'"outcome":"unknown"', await response.read())
+                with self.assertRaises(ResponseLostError):
+                    async with client.request(address, "GET", "/fail-late") as response:
+                        await response.read()
+                async with client.request(address, "POST", "/", (), b"on") as response:
+                    self.assertEqual(await response.read(), b"on")
+            self.assertEqual(len(seen), 2)
 
         self.run_guarded(test)
 
