--- a/src/fescuedock/platform/kv.py
+++ b/src/fescuedock/platform/kv.py
@@ -58,8 +58,12 @@
     ``KV_UNKNOWN`` (a write that may have taken effect) or ``KV_CONFLICT``.
     """
 
-    async def get(self, key: str) -> Result[KvEntry | None, Fault]:
-        """Read one key; ``Ok(None)`` when it does not exist."""
+    async def get(self, key: str, *, at_revision: int = 0) -> Result[KvEntry | None, Fault]:
+        """Read one key; ``Ok(None)`` when it does not exist.
+
+        ``at_revision`` reads the past; a revision that the service no longer keeps is refused
+        with ``KV_COMPACTED``.
+        """
 
     async def get_range(
         self, prefix: str, *, start_after: str = "", limit: int = 1000, keys_only: bool = False
--- a/src/fescuedock/schema/result_codes.py
+++ b/src/fescuedock/schema/result_codes.py
@@ -63,6 +63,8 @@
     PEER_UNREACHABLE = 5003
     PEER_UNKNOWN = 5004
     BAD_DIGEST = 5005
+    KV_COMPACTED = 5006
+    KV_VALUE_TOO_LARGE = 5007
     UPSTREAM_ERROR = 6000
     UPSTREAM_REJECTED = 6001
     UPSTREAM_LOST = 6002
@@ -119,6 +121,8 @@
     ResultCode.PEER_UNREACHABLE: 503,
     ResultCode.PEER_UNKNOWN: 503,
     ResultCode.BAD_DIGEST: 403,
+    ResultCode.KV_COMPACTED: 410,
+    ResultCode.KV_VALUE_TOO_LARGE: 413,
     ResultCode.UPSTREAM_ERROR: 502,
     ResultCode.UPSTREAM_REJECTED: 400,
     ResultCode.UPSTREAM_LOST: 502,
@@ -175,6 +179,8 @@
     ResultCode.PEER_UNREACHABLE: Outcome.NOT_RUN,
     ResultCode.PEER_UNKNOWN: Outcome.UNKNOWN,
     ResultCode.BAD_DIGEST: Outcome.NOT_RUN,
+    ResultCode.KV_COMPACTED: Outcome.NOT_RUN,
+    ResultCode.KV_VALUE_TOO_LARGE: Outcome.NOT_RUN,
     ResultCode.UPSTREAM_ERROR: Outcome.FAILED,
     ResultCode.UPSTREAM_REJECTED: Outcome.FAILED,
     ResultCode.UPSTREAM_LOST: Outcome.FAILED,
--- /dev/null
+++ b/src/fescuedock/standin/kv_state.py
@@ -0,0 +1,187 @@
+"""The state of a key-value service with revisions, leases and history; no I/O, no clock.
+
+The stand-in service serves it over HTTP and the tests' in-memory store calls it directly, so both
+have the same semantics: those of etcd, for the operations that we use.
+"""
+
+from bisect import bisect_left, insort
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from fescuedock.platform.kv import KvEntry, KvEvent, KvPage
+
+__all__ = ["CompactedError", "KvState", "Lease", "LeaseNotFoundError", "in_range", "prefix_end"]
+
+HISTORY_EVENTS = 100_000
+
+
+class LeaseNotFoundError(Exception):
+    """The lease was never granted, was revoked or has lapsed."""
+
+
+class CompactedError(Exception):
+    """The revision asked for is no longer kept; ``compact_revision`` is the oldest that is."""
+
+    def __init__(self, compact_revision: int) -> None:
+        super().__init__(f"revisions before {compact_revision} are compacted")
+        self.compact_revision = compact_revision
+
+
+@dataclass(slots=True)
+class Lease:
+    """A granted lease and the keys that go with it."""
+
+    lease_id: int
+    ttl_s: int
+    expires_at_s: float
+    keys: set[str] = field(default_factory=set)
+
+
+@dataclass(slots=True)
+class KvState:
+    """Keys, revisions, leases and the events of the latest revisions.
+
+    ``listeners`` are called with each event as it happens.
+    """
+
+    revision: int = 1
+    compact_revision: int = 1
+    leases: dict[int, Lease] = field(default_factory=dict)
+    listeners: list[Callable[[KvEvent], None]] = field(default_factory=list)
+    _entries: dict[str, KvEntry] = field(default_factory=dict)
+    _order: list[str] = field(default_factory=list)
+    _history: deque[KvEvent] = field(default_factory=deque)
+    _next_lease_id: int = 1001
+
+    def get(self, key: str, at_revision: int = 0) -> KvEntry | None:
+        """Return the entry of ``key``, at an older revision when ``at_revision`` is not 0."""
+        if not at_revision or at_revision >= self.revision:
+            return self._entries.get(key)
+        if at_revision < self.compact_revision:
+            raise CompactedError(self.compact_revision)
+        return self._entry_at(key, at_revision)
+
+    def _entry_at(self, key: str, at_revision: int) -> KvEntry | None:
+        for event in reversed(self._history):
+            if event.key == key and event.revision <= at_revision:
+                return event.entry
+        return None
+
+    def page(self, start: str, end: str | None, limit: int) -> KvPage:
+        """Return keys from ``start`` up to but without ``end`` (None: to the last), in order."""
+        first = bisect_left(self._order, start)
+        last = len(self._order) if end is None else bisect_left(self._order, end)
+        keys = self._order[first : max(first, last)]
+        shown = keys[:limit] if limit else keys
+        entries = tuple(self._entries[key] for key in shown)
+        return KvPage(entries, self.revision, more=len(shown) < len(keys))
+
+    def put(self, key: str, value: bytes, lease_id: int = 0) -> int:
+        """Write a key and return the new revision."""
+        if lease_id and lease_id not in self.leases:
+            raise LeaseNotFoundError(f"lease {lease_id} not found")
+        self._detach(key)
+        if lease_id:
+            self.leases[lease_id].keys.add(key)
+        if key not in self._entries:
+            insort(self._order, key)
+        self.revision += 1
+        entry = KvEntry(key, value, self.revision, lease_id)
+        self._entries[key] = entry
+        self._record(KvEvent(key, self.revision, entry))
+        return self.revision
+
+    def delete(self, key: str) -> bool:
+        """Delete a key; whether it was there."""
+        if key not in self._entries:
+            return False
+        self._detach(key)
+        del self._entries[key]
+        self._order.pop(bisect_left(self._order, key))
+        self.revision += 1
+        self._record(KvEvent(key, self.revision, None))
+        return True
+
+    def put_if(self, key: str, value: bytes, expected_revision: int, lease_id: int = 0) -> int:
+        """Write if the key is at ``expected_revision``; the new revision, or 0 when it is not."""
+        if self._mod_revision(key) != expected_revision:
+            return 0
+        return self.put(key, value, lease_id)
+
+    def delete_if(self, key: str, expected_revision: int) -> bool:
+        """Delete if the key is at ``expected_revision``; whether it was deleted."""
+        return self._mod_revision(key) == expected_revision and self.delete(key)
+
+    def _mod_revision(self, key: str) -> int:
+        entry = self._entries.get(key)
+        return entry.mod_revision if entry else 0
+
+    def grant(self, ttl_s: int, now_s: float) -> int:
+        """Grant a lease of ``ttl_s`` seconds and return its identity."""
+        lease_id = self._next_lease_id
+        self._next_lease_id += 1
+        self.leases[lease_id] = Lease(lease_id, ttl_s, now_s + ttl_s)
+        return lease_id
+
+    def keep(self, lease_id: int, now_s: float) -> int:
+        """Renew a lease and return its seconds, 0 when it is not there any more."""
+        lease = self.leases.get(lease_id)
+        if lease is None:
+            return 0
+        lease.expires_at_s = now_s + lease.ttl_s
+        return lease.ttl_s
+
+    def revoke(self, lease_id: int) -> bool:
+        """End a lease and delete its keys; whether it was there."""
+        lease = self.leases.pop(lease_id, None)
+        if lease is None:
+            return False
+        for key in sorted(lease.keys):
+            self.delete(key)
+        return True
+
+    def expire(self, now_s: float) -> None:
+        """End the leases whose time is up."""
+        for lease in tuple(self.leases.values()):
+            if lease.expires_at_s <= now_s:
+                self.revoke(lease.lease_id)
+
+    def events_since(self, start: str, end: str | None, from_revision: int) -> list[KvEvent]:
+        """Return a key range's events from ``from_revision`` on; ``CompactedError`` if not kept."""
+        if from_revision < self.compact_revision:
+            raise CompactedError(self.compact_revision)
+        first = bisect_left(self._history, from_revision, key=lambda event: event.revision)
+        newer = (self._history[position] for position in range(first, len(self._history)))
+        return [event for event in newer if in_range(event.key, start, end)]
+
+    def compact(self, revision: int) -> None:
+        """Forget the events before ``revision``."""
+        self.compact_revision = max(self.compact_revision, min(revision, self.revision))
+        while self._history and self._history[0].revision < self.compact_revision:
+            self._history.popleft()
+
+    def _record(self, event: KvEvent) -> None:
+        self._history.append(event)
+        if len(self._history) > HISTORY_EVENTS:
+            self.compact(self._history[1].revision)
+        for listener in tuple(self.listeners):
+            listener(event)
+
+    def _detach(self, key: str) -> None:
+        entry = self._entries.get(key)
+        if entry and entry.lease_id in self.leases:
+            self.leases[entry.lease_id].keys.discard(key)
+
+
+def in_range(key: str, start: str, end: str | None) -> bool:
+    """Whether ``key`` is from ``start`` up to but without ``end`` (None: no end)."""
+    return key >= start and (end is None or key < end)
+
+
+def prefix_end(prefix: str) -> str | None:
+    """Return the first key after all that begin with ``prefix``; None when there is none.
+
+    Keys are ASCII, so raising the last character is enough.
+    """
+    return prefix[:-1] + chr(ord(prefix[-1]) + 1) if prefix else None
