--- /dev/null
+++ b/src/fescuedock/agent/link.py
@@ -0,0 +1,224 @@
+"""How a program of a VM follows the fleet: a link to its VM's agent and a view kept fresh by it."""
+
+from collections.abc import AsyncIterator, Callable, Sequence
+from contextlib import asynccontextmanager
+
+import msgspec
+import trio
+from result import Ok, Result
+
+from fescuedock.clock import now_ms
+from fescuedock.core.rendezvous import choose_owner
+from fescuedock.net.address import Address
+from fescuedock.net.channel import ChannelClient
+from fescuedock.net.codec import Codec
+from fescuedock.schema.config import Configuration
+from fescuedock.schema.view import (
+    Hello,
+    Program,
+    UpstreamRecord,
+    ViewReply,
+    ViewRequest,
+    VmRecord,
+    VmState,
+)
+from fescuedock.settings import Settings
+
+__all__ = ["AgentLink", "FleetView", "open_agent_link", "port_of"]
+
+_HELLO_INTERVAL_S = 1
+_POLL_WAIT_MS = 10000
+_CALL_TIMEOUT_MS = 3000
+_RETRY_S = 0.2
+_PORT_FIELDS = {program: f"{program.value}_port" for program in Program}
+
+
+def port_of(vm: VmRecord, program: Program) -> int:
+    """Return the port of ``program`` on ``vm``, 0 when it does not run there."""
+    return getattr(vm, _PORT_FIELDS[program])
+
+
+class FleetView:
+    """The fleet as this VM sees it now; always a whole snapshot, replaced at once.
+
+    ``vms`` and ``upstreams`` are keyed by identity and hold those that are not gone.  ``version``
+    is 0 until the first snapshot; only differences of it mean anything.
+    """
+
+    __slots__ = (
+        "_changed",
+        "_confirmed_at_ms",
+        "_listed_at_ms",
+        "_owners",
+        "config_version",
+        "configuration",
+        "upstreams",
+        "version",
+        "vm_id",
+        "vms",
+    )
+
+    def __init__(self, vm_id: str) -> None:
+        self.vm_id = vm_id
+        self.version = 0
+        self.vms: dict[str, VmRecord] = {}
+        self.upstreams: dict[str, UpstreamRecord] = {}
+        self.configuration = Configuration()
+        self.config_version = 0
+        self._listed_at_ms = float("-inf")
+        self._confirmed_at_ms = float("-inf")
+        self._owners: dict[str, VmRecord | None] = {}
+        self._changed = trio.Event()
+
+    @property
+    def membership_age_ms(self) -> float:
+        """Time since this VM's agent last read the VM list; infinite before the first time."""
+        return now_ms() - self._listed_at_ms
+
+    @property
+    def config_age_ms(self) -> float:
+        """Time since the configuration's version was last known to be current."""
+        return now_ms() - self._confirmed_at_ms
+
+    def live_vms(self, program: Program | None = None) -> list[VmRecord]:
+        """Return the VMs that may get new work, for ``program`` if given.
+
+        Suspected VMs count as live; leaving ones, and those whose program is not ready, do not.
+        """
+        live = (VmState.ALIVE, VmState.SUSPECT)
+        vms = [vm for vm in self.vms.values() if vm.state in live]
+        if program is None:
+            return vms
+        return [vm for vm in vms if program in vm.ready and port_of(vm, program)]
+
+    def upstreams_of(self, service: str) -> list[UpstreamRecord]:
+        """Return the upstreams of ``service``, those that are leaving included."""
+        return [item for item in self.upstreams.values() if item.service == service]
+
+    def owner_of(self, upstream_id: str) -> VmRecord | None:
+        """Return the VM whose agent owns the upstream; None for an unknown one or no live VM."""
+        upstream = self.upstreams.get(upstream_id)
+        if upstream is None:
+            return None
+        if upstream_id not in self._owners:
+            self._owners[upstream_id] = choose_owner(upstream, self.live_vms(Program.AGENT))
+        return self._owners[upstream_id]
+
+    async def wait_changed(self, seen_version: int) -> int:
+        """Return the version as soon as it is another than ``seen_version``."""
+        while self.version == seen_version:
+            await self._changed.wait()
+        return self.version
+
+    def replace(
+        self,
+        version: int,
+        vms: Sequence[VmRecord],
+        upstreams: Sequence[UpstreamRecord],
+        membership_age_ms: float,
+    ) -> None:
+        """Take a new snapshot of the members and wake those who wait."""
+        self.vms = {vm.vm_id: vm for vm in vms}
+        self.upstreams = {item.upstream_id: item for item in upstreams}
+        self._listed_at_ms = now_ms() - membership_age_ms
+        self._owners.clear()
+        self._advance(version)
+
+    def replace_configuration(
+        self, view_version: int, config_version: int, configuration: Configuration, age_ms: float
+    ) -> None:
+        """Take a configuration, or the news that the one in force is still current."""
+        self._confirmed_at_ms = now_ms() - age_ms
+        self.configuration = configuration
+        self.config_version = config_version
+        self._advance(view_version)
+
+    def _advance(self, version: int) -> None:
+        if version == self.version:
+            return
+        self.version = version
+        self._changed.set()
+        self._changed = trio.Event()
+
+
+class AgentLink:
+    """Calls this VM's own agent."""
+
+    __slots__ = ("_client", "_hello")
+
+    def __init__(self, client: ChannelClient, hello: Callable[[], Hello]) -> None:
+        self._client = client
+        self._hello = hello
+
+    async def call(
+        self, message: msgspec.Struct, timeout_ms: float = _CALL_TIMEOUT_MS
+    ) -> Result[msgspec.Struct, object]:
+        """Return ``Ok(answer)`` or ``Err(Fault)`` as ``ChannelClient.call`` does."""
+        return await self._client.call(message, timeout_ms)
+
+    async def hello(self) -> bool:
+        """Tell the agent now what is told every second; False when it did not answer.
+
+        For a change of readiness that should not wait.
+        """
+        return (await self.call(self._hello())).is_ok()
+
+
+@asynccontextmanager
+async def open_agent_link(
+    settings: Settings,
+    codec: Codec,
+    program: Program,
+    port: int,
+    ready: Callable[[], bool],
+    in_flight: Callable[[], int] = lambda: 0,
+) -> AsyncIterator[tuple[AgentLink, FleetView]]:
+    """Connect to this VM's agent, announce ``program`` every second and keep a view fresh.
+
+    The view is empty (version 0) until the agent has answered once.
+    """
+    if settings.agent is None:
+        raise ValueError("the settings lack section [agent], which has the port of this VM's agent")
+
+    def hello() -> Hello:
+        return Hello(program=program, port=port, ready=ready(), in_flight=in_flight())
+
+    view = FleetView(settings.vm.vm_id)
+    address = Address(settings.vm.host, settings.agent.port)
+    async with ChannelClient.open(address, codec) as client, trio.open_nursery() as nursery:
+        link = AgentLink(client, hello)
+        nursery.start_soon(_announce, link)
+        nursery.start_soon(_follow, link, view)
+        yield link, view
+        nursery.cancel_scope.cancel()
+
+
+async def _announce(link: AgentLink) -> None:
+    while True:
+        await link.hello()
+        await trio.sleep(_HELLO_INTERVAL_S)
+
+
+async def _follow(link: AgentLink, view: FleetView) -> None:
+    while True:
+        request = ViewRequest(
+            seen_version=view.version,
+            seen_config_version=view.config_version,
+            wait_ms=_POLL_WAIT_MS if view.version else 0,
+        )
+        match await link.call(request, request.wait_ms + _CALL_TIMEOUT_MS):
+            case Ok(ViewReply() as reply):
+                _take(view, reply)
+            case _:
+                await trio.sleep(_RETRY_S)
+
+
+def _take(view: FleetView, reply: ViewReply) -> None:
+    configuration = view.configuration
+    config_version = view.config_version
+    if reply.config_document and reply.config_version > view.config_version:
+        configuration = msgspec.json.decode(reply.config_document, type=Configuration)
+        config_version = reply.config_version
+    if reply.config_version == config_version:
+        view.replace_configuration(view.version, config_version, configuration, reply.config_age_ms)
+    view.replace(reply.view_version, reply.vms, reply.upstreams, reply.membership_age_ms)
--- a/src/fescuedock/schema/view.py
+++ b/src/fescuedock/schema/view.py
@@ -8,7 +8,7 @@
 from enum import StrEnum
 from typing import Annotated
 
-from msgspec import Meta, Struct
+from msgspec import Meta, Struct, field
 
 
 class Program(StrEnum):
@@ -36,7 +36,7 @@
 
 class VmRecord(Struct):
     """
-    One VM of ours. A port of 0 says that the program does not run there.
+    One VM of ours. A port of 0 says that the program does not run there; ready names those that want new work.
     """
 
     vm_id: str
@@ -49,7 +49,14 @@
     agent_port: int = 0
     batch_port: int = 0
     store_port: int = 0
+    ready: list[Program] = field(default_factory=list)
+    entry_load: Annotated[
+        int, Meta(description="Requests in flight at the entry, as a power of two (0: none).")
+    ] = 0
     config_version: int = 0
+    config_confirmed: Annotated[
+        bool, Meta(description="Whether the VM knew the version to be current within its bound.")
+    ] = False
 
 
 class UpstreamRecord(Struct):
@@ -75,6 +82,7 @@
     program: Program
     port: int
     ready: bool
+    in_flight: Annotated[int, Meta(description="Requests in progress.")] = 0
 
 
 class HelloReply(Struct):
