--- /dev/null
+++ b/src/fescuedock/core/admission.py
@@ -0,0 +1,115 @@
+"""Decides at the entry whether an online request can still make it, before anything is asked.
+
+What cannot be answered within its deadline is refused at once, with a time at which it is worth
+asking again.  The prediction leans towards admitting: owners, who know the queues, refuse too.
+
+Pure: the caller passes the time.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from result import Err, Ok, Result
+
+from fescuedock.faults import Fault
+from fescuedock.schema.result_codes import ResultCode
+
+__all__ = ["Admission", "AdmissionPolicy", "RunTimes"]
+
+
+@dataclass(frozen=True, slots=True)
+class AdmissionPolicy:
+    """``max_in_flight`` bounds one entry's memory and CPU; engines have limits of their own."""
+
+    max_in_flight: int = 1024
+    gain: float = 0.05
+    min_retry_ms: int = 250
+    max_retry_ms: int = 30000
+
+
+@dataclass(slots=True)
+class RunTimes:
+    """Moving means of one service's answers: tokens per answer and time between tokens."""
+
+    tokens: float = 0.0
+    inter_token_ms: float = 0.0
+
+    def observe(self, tokens: int, inter_token_ms: float, gain: float) -> None:
+        if tokens <= 0 or inter_token_ms < 0:
+            return
+        if not self.tokens:
+            self.tokens, self.inter_token_ms = float(tokens), inter_token_ms
+            return
+        self.tokens += gain * (tokens - self.tokens)
+        self.inter_token_ms += gain * (inter_token_ms - self.inter_token_ms)
+
+    def run_ms(self, max_tokens: int) -> float:
+        """Return the predicted time from the first token to the last; 0 while nothing is known."""
+        tokens = min(self.tokens, max_tokens) if max_tokens > 0 else self.tokens
+        return max(0.0, tokens - 1) * self.inter_token_ms
+
+
+@dataclass(slots=True)
+class Admission:
+    """Requests in flight at this entry by member, and what their services' answers take."""
+
+    policy: AdmissionPolicy = field(default_factory=AdmissionPolicy)
+    _in_flight: dict[str, int] = field(default_factory=dict)
+    _times: dict[str, RunTimes] = field(default_factory=dict)
+
+    def times(self, service: str) -> RunTimes:
+        return self._times.setdefault(service, RunTimes())
+
+    def admit(self, member: str, shares: Mapping[str, float]) -> Result[None, Fault]:
+        """Count a request in, to be counted out by ``release``; ``Err`` when the entry is full.
+
+        A full entry still takes requests of members below their share, up to twice its bound.
+        """
+        total = sum(self._in_flight.values())
+        if total >= self.policy.max_in_flight:
+            fault = self._refusal_when_full(member, shares, total)
+            if fault is not None:
+                return Err(fault)
+        self._in_flight[member] = self._in_flight.get(member, 0) + 1
+        return Ok(None)
+
+    def release(self, member: str) -> None:
+        left = self._in_flight.get(member, 0) - 1
+        if left > 0:
+            self._in_flight[member] = left
+        else:
+            self._in_flight.pop(member, None)
+
+    def check_deadline(
+        self, left_ms: float, first_token_ms: float, run_ms: float, soonest_ms: float = 0.0
+    ) -> Result[None, Fault]:
+        """Refuse what would not be whole in ``left_ms``.
+
+        ``first_token_ms`` and ``run_ms`` are predictions; ``soonest_ms`` is a hint by an owner
+        when there will be room.
+        """
+        needed_ms = first_token_ms + run_ms
+        if needed_ms <= left_ms:
+            return Ok(None)
+        message = f"needs about {needed_ms:.0f} ms, {max(0.0, left_ms):.0f} ms are left"
+        retry_ms = self.retry_after_ms(max(soonest_ms, needed_ms - left_ms))
+        return Err(Fault(ResultCode.DEADLINE_CANNOT_BE_MET, message, retry_ms))
+
+    def retry_after_ms(self, wanted_ms: float) -> int:
+        """Return ``wanted_ms`` within the policy's bounds."""
+        return int(min(self.policy.max_retry_ms, max(self.policy.min_retry_ms, wanted_ms)))
+
+    def _refusal_when_full(
+        self, member: str, shares: Mapping[str, float], total: int
+    ) -> Fault | None:
+        own = self._in_flight.get(member, 0)
+        active = {*self._in_flight, member}
+        weight = sum(shares.get(name, 1.0) for name in active)
+        entitled = self.policy.max_in_flight * shares.get(member, 1.0) / weight
+        if own >= entitled:
+            message = f"{own} requests of {member!r} are in flight at a full entry"
+            return Fault(ResultCode.MEMBER_OVER_SHARE, message, self.policy.min_retry_ms)
+        if total >= 2 * self.policy.max_in_flight:
+            message = f"{total} requests are in flight at this entry"
+            return Fault(ResultCode.NO_CAPACITY, message, self.policy.min_retry_ms)
+        return None
--- /dev/null
+++ b/src/fescuedock/core/routing.py
@@ -0,0 +1,215 @@
+"""Chooses upstreams for an online request by the predicted time to its first token.
+
+The prediction adds up what the upstream's owner says of its queue, the prefill of the part of the
+prompt that its prefix cache lacks, and the way there.  Requests with the same leading part of the
+prompt go to the same upstream by rendezvous hashing, so that every entry agrees without a word,
+unless that one is busier than its fellows by more than a bound.
+
+Pure: the caller passes the time and the randomness.
+"""
+
+import random
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
+
+from fescuedock.core.rendezvous import rank_names
+from fescuedock.schema.permits import LoadSnapshot
+
+__all__ = [
+    "Candidate",
+    "Choice",
+    "Demand",
+    "DomainLatency",
+    "PrefillModel",
+    "RoutingPolicy",
+    "SilentOwners",
+    "choose_upstreams",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class RoutingPolicy:
+    """Constants of the choice.
+
+    A snapshot older than ``stale_ms`` says nothing.  An upstream keeps its prefixes while its work
+    in flight is within ``load_bound`` times the mean.  An owner that did not answer is passed over
+    for ``silent_ms``.
+    """
+
+    stale_ms: float = 1000.0
+    load_bound: float = 1.5
+    silent_ms: float = 1000.0
+    near_share: float = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """An upstream that may be asked.  ``load`` is None when nothing fresh is known."""
+
+    upstream_id: str
+    latency_ms: float
+    load: LoadSnapshot | None
+    owner_silent: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """What matters of the request: its prompt's length and leading part."""
+
+    prompt_tokens: int
+    prefix_tokens: int
+    prefix_hash: str
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """An upstream, best first; ``has_room`` is False when its owner is known to be full."""
+
+    upstream_id: str
+    first_token_ms: float
+    has_room: bool
+    known: bool
+
+
+def choose_upstreams(
+    candidates: Sequence[Candidate],
+    demand: Demand,
+    token_ms: float,
+    policy: RoutingPolicy,
+    rng: random.Random,
+) -> list[Choice]:
+    """Return the candidates from the best to the worst.
+
+    ``token_ms`` is the time that prefill takes for a prompt token.  Upstreams that are not
+    accepting, or whose owner is silent, come last.  The order among near equals is random, so
+    that entries which know the same do not all choose the same.
+    """
+    if not candidates:
+        return []
+    usual_ms = _usual_first_token_ms(candidates)
+    covering = _covering_upstream(candidates, demand, policy)
+    scored = []
+    for item in candidates:
+        covered = demand.prefix_tokens if item.upstream_id == covering else 0
+        prefill_ms = max(0, demand.prompt_tokens - covered) * token_ms
+        queue_ms = item.load.first_token_ms if item.load is not None else usual_ms
+        predicted_ms = queue_ms + prefill_ms + 2 * item.latency_ms
+        spread = 1.0 + policy.near_share * rng.random()
+        scored.append((_last_resort(item), not _has_room(item), predicted_ms * spread, item))
+    scored.sort(key=lambda entry: entry[:3])
+    return [
+        Choice(item.upstream_id, predicted_ms, not full, item.load is not None)
+        for _, full, predicted_ms, item in scored
+    ]
+
+
+def _last_resort(item: Candidate) -> int:
+    if item.load is not None and not item.load.accepting:
+        return 2
+    return 1 if item.owner_silent else 0
+
+
+def _has_room(item: Candidate) -> bool:
+    """Whether online work would be let in now, batch work giving way if need be."""
+    load = item.load
+    return load is None or (not load.queued_online and load.in_flight_online < load.limit)
+
+
+def _usual_first_token_ms(candidates: Iterable[Candidate]) -> float:
+    """Return the least that is known: an upstream nobody heard of lately is worth asking."""
+    known = [item.load.first_token_ms for item in candidates if item.load is not None]
+    return min(known, default=0.0)
+
+
+def _covering_upstream(
+    candidates: Sequence[Candidate], demand: Demand, policy: RoutingPolicy
+) -> str:
+    """Return the upstream that should have the prefix, or "" without one."""
+    if not demand.prefix_hash:
+        return ""
+    usable = {item.upstream_id: item for item in candidates if not _last_resort(item)}
+    busy = {name: _online_work(item) for name, item in usable.items()}
+    mean = sum(busy.values()) / max(1, len(busy))
+    bound = policy.load_bound * mean + 1
+    for name in rank_names(demand.prefix_hash, usable):
+        if busy[name] <= bound:
+            return name
+    return ""
+
+
+def _online_work(item: Candidate) -> int:
+    return 0 if item.load is None else item.load.in_flight_online + item.load.queued_online
+
+
+@dataclass(slots=True)
+class SilentOwners:
+    """Owners that did not answer of late, so that only the first request waits for each."""
+
+    policy: RoutingPolicy = field(default_factory=RoutingPolicy)
+    _until_ms: dict[str, float] = field(default_factory=dict)
+
+    def note_silent(self, vm_id: str, now_ms: float) -> None:
+        self._until_ms[vm_id] = now_ms + self.policy.silent_ms
+
+    def note_answer(self, vm_id: str) -> None:
+        self._until_ms.pop(vm_id, None)
+
+    def is_silent(self, vm_id: str, now_ms: float) -> bool:
+        return now_ms < self._until_ms.get(vm_id, float("-inf"))
+
+
+@dataclass(slots=True)
+class DomainLatency:
+    """One-way latency to each failure domain, from the round trips seen.
+
+    The least of late counts, because a handler's delays only ever add; it creeps up by
+    ``creep`` of itself with each observation, so that a longer way is learned too.
+    """
+
+    creep: float = 0.01
+    _least_ms: dict[str, float] = field(default_factory=dict)
+
+    def observe(self, failure_domain: str, round_trip_ms: float) -> None:
+        least_ms = self._least_ms.get(failure_domain, float("inf")) * (1 + self.creep)
+        self._least_ms[failure_domain] = min(least_ms, round_trip_ms)
+
+    def one_way_ms(self, failure_domain: str) -> float:
+        """Return 0 for a domain that nothing is known of, so that it gets tried."""
+        return self._least_ms.get(failure_domain, 0.0) / 2
+
+
+@dataclass(slots=True)
+class PrefillModel:
+    """Time of prefill for a prompt token, fitted to first-token times as they come.
+
+    A decayed least-squares line through (uncached prompt tokens, first-token time); its slope is
+    what is wanted, its intercept is the queue's and not ours to judge.
+    """
+
+    decay: float = 0.99
+    min_weight: float = 10.0
+    _sums: dict[str, float] = field(
+        default_factory=lambda: {"w": 0.0, "x": 0.0, "y": 0.0, "xx": 0.0, "xy": 0.0}
+    )
+
+    def observe(self, prompt_tokens: int, first_token_ms: float) -> None:
+        added: Mapping[str, float] = {
+            "w": 1.0,
+            "x": prompt_tokens,
+            "y": first_token_ms,
+            "xx": prompt_tokens * prompt_tokens,
+            "xy": prompt_tokens * first_token_ms,
+        }
+        for name, value in added.items():
+            self._sums[name] = self._sums[name] * self.decay + value
+
+    @property
+    def token_ms(self) -> float:
+        """Milliseconds for each prompt token; 0 until enough is known."""
+        sums = self._sums
+        if sums["w"] < self.min_weight:
+            return 0.0
+        spread = sums["xx"] - sums["x"] ** 2 / sums["w"]
+        if spread <= 0:
+            return 0.0
+        return max(0.0, (sums["xy"] - sums["x"] * sums["y"] / sums["w"]) / spread)
