Add settings loader, program runner, logs and metrics

A program is started from an INI file that is checked whole, logs JSON lines and stops gracefully; metrics keep histograms and per-time counts that merge without loss.

--- /dev/null
+++ b/src/fescuedock/cli/command_line.py
@@ -0,0 +1,91 @@
+"""Arguments of our programs: fire parses them, and nothing of fire shows.
+
+Parsing and running are apart, so that an error of the command itself is never shown as one of its
+arguments, and the other way round.
+"""
+
+import contextlib
+import functools
+import io
+import sys
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
+from enum import IntEnum
+
+import fire
+from fire.core import FireExit
+
+__all__ = ["Command", "ExitCode", "run_command_line"]
+
+_HELP_FLAGS = frozenset({"-h", "--help", "help"})
+
+
+class ExitCode(IntEnum):
+    """How a program of ours ends."""
+
+    OK = 0
+    FAILED = 1
+    USAGE = 2
+    UNKNOWN = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Command:
+    """One command: a function whose parameters are the arguments, and the help text."""
+
+    run: Callable[..., int]
+    help_text: str
+
+
+def run_command_line(
+    name: str, commands: Command | Mapping[str, Command | Mapping], arguments: Sequence[str] = ()
+) -> int:
+    """Parse ``arguments`` (by default the process's), run the command meant, return its exit code.
+
+    ``commands`` may be nested by name; the help of a group is under the key "".
+    """
+    words = list(arguments or sys.argv[1:])
+    if _HELP_FLAGS & set(words) or (not words and not isinstance(commands, Command)):
+        print(_help_for(commands, words), end="")
+        return ExitCode.OK if words else ExitCode.USAGE
+    chosen: list[Callable[[], int]] = []
+    shown = io.StringIO()
+    try:
+        with contextlib.redirect_stderr(shown), contextlib.redirect_stdout(shown):
+            fire.Fire(_recording(commands, chosen), command=words, name=name)
+    except FireExit:
+        chosen.clear()
+    if not chosen:
+        print(f"{name}: {_usage_error(shown.getvalue())}; see {name} --help", file=sys.stderr)
+        return ExitCode.USAGE
+    return chosen[0]()
+
+
+def _help_for(commands: Command | Mapping, words: Sequence[str]) -> str:
+    """Return the help of the innermost command that ``words`` name."""
+    for word in words:
+        if not isinstance(commands, Command) and word and word in commands:
+            commands = commands[word]
+    return commands.help_text if isinstance(commands, Command) else commands[""].help_text
+
+
+def _recording(commands: Command | Mapping, chosen: list) -> object:
+    """Return what fire shall call: the commands' signatures, which only note the call."""
+    if not isinstance(commands, Command):
+        return {name: _recording(command, chosen) for name, command in commands.items() if name}
+
+    # fire would read numbers and lists out of plain words.
+    @fire.decorators.SetParseFn(str)
+    @functools.wraps(commands.run)
+    def note(*args: str, **kwargs: str) -> None:
+        chosen.append(functools.partial(commands.run, *args, **kwargs))
+
+    return note
+
+
+def _usage_error(shown: str) -> str:
+    """Return the one line of fire's output that says what is wrong."""
+    for line in shown.splitlines():
+        if line.startswith("ERROR: "):
+            return line.removeprefix("ERROR: ").rstrip(".")
+    return "no such command"
--- /dev/null
+++ b/src/fescuedock/core/burn.py
@@ -0,0 +1,214 @@
+"""Service-level burn: how fast each service uses up the failures its objectives allow.
+
+Counts are kept as users count them, a query answered in time or a job delivered whole, in slots of
+time that can be added across processes without loss.
+"""
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from enum import StrEnum
+
+from fescuedock.schema.config import Objectives
+from fescuedock.schema.report import SlotCounts
+
+__all__ = [
+    "WINDOWS",
+    "Alarm",
+    "Burn",
+    "Promise",
+    "SlotSeries",
+    "Window",
+    "WindowBurn",
+    "assess_burn",
+    "merge_slots",
+]
+
+_FINE_S = 60
+_COARSE_S = 900
+_FINE_KEPT_S = 6 * 3600
+_COARSE_KEPT_S = 3 * 86400
+
+
+class Promise(StrEnum):
+    """What is counted."""
+
+    ONLINE = "online in time"
+    JOBS = "jobs whole by deadline"
+
+
+class Alarm(StrEnum):
+    """How urgent the burn is."""
+
+    NONE = "none"
+    SLOW = "slow burn"
+    FAST = "fast burn"
+
+
+@dataclass(frozen=True, slots=True)
+class Window:
+    """A stretch of time that ends now."""
+
+    name: str
+    length_s: int
+
+
+WINDOWS = (
+    Window("5 min", 300),
+    Window("1 h", 3600),
+    Window("6 h", 6 * 3600),
+    Window("3 d", _COARSE_KEPT_S),
+)
+
+# Burn rates at which a short and a long window together raise an alarm.  A fast burn uses 2% of a
+# 30-day budget in an hour, a slow one 10% in three days: the usual choice for paging and tickets.
+_FAST_RATE = 14.4
+_SLOW_RATE = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class WindowBurn:
+    """Counts of one window.
+
+    A rate of 1 uses the budget up exactly; ``None`` says that nothing was counted.  ``budget_left``
+    is a share of the failures that the objective allowed in the window, negative when overdrawn.
+    """
+
+    window: Window
+    total: int
+    kept: int
+    rate: float | None
+    budget_left: float | None
+
+
+@dataclass(frozen=True, slots=True)
+class Burn:
+    """One promise of one service over all windows."""
+
+    service: str
+    promise: Promise
+    objective_share: float
+    windows: tuple[WindowBurn, ...]
+    alarm: Alarm
+
+
+class SlotSeries:
+    """Counts of one service by time: a minute each for six hours, then a quarter hour each."""
+
+    __slots__ = ("_slots",)
+
+    def __init__(self) -> None:
+        self._slots: dict[tuple[int, int], SlotCounts] = {}
+
+    def count_online(self, now_s: int, *, in_time: bool, failed: bool) -> None:
+        slot = self._slot(now_s)
+        slot.online += 1
+        slot.online_in_time += in_time
+        slot.online_failed += failed
+
+    def count_job(self, now_s: int, *, in_time: bool) -> None:
+        slot = self._slot(now_s)
+        slot.jobs += 1
+        slot.jobs_in_time += in_time
+
+    def slots(self, now_s: int) -> list[SlotCounts]:
+        """Return the slots kept at ``now_s``, oldest first, after joining and dropping old ones."""
+        self._slots = {
+            (slot.length_s, slot.start_s): slot
+            for slot in merge_slots(_aged(slot, now_s) for slot in self._slots.values())
+            if slot.start_s > now_s - _COARSE_KEPT_S
+        }
+        return sorted(self._slots.values(), key=_by_start)
+
+    def _slot(self, now_s: int) -> SlotCounts:
+        start_s = now_s - now_s % _FINE_S
+        key = (_FINE_S, start_s)
+        if key not in self._slots:
+            if self._slots:
+                self.slots(now_s)
+            self._slots[key] = SlotCounts(start_s=start_s, length_s=_FINE_S)
+        return self._slots[key]
+
+
+def merge_slots(slots: Iterable[SlotCounts]) -> list[SlotCounts]:
+    """Add up slots that cover the same time; oldest first."""
+    merged: dict[tuple[int, int], SlotCounts] = {}
+    for slot in slots:
+        key = (slot.start_s, slot.length_s)
+        total = merged.setdefault(key, SlotCounts(start_s=slot.start_s, length_s=slot.length_s))
+        total.online += slot.online
+        total.online_in_time += slot.online_in_time
+        total.online_failed += slot.online_failed
+        total.jobs += slot.jobs
+        total.jobs_in_time += slot.jobs_in_time
+    return sorted(merged.values(), key=_by_start)
+
+
+def assess_burn(
+    service: str, objectives: Objectives, slots: Sequence[SlotCounts], now_s: int
+) -> tuple[Burn, ...]:
+    """Return the burn of each promise of ``service`` at ``now_s`` (Unix time)."""
+    shares = {Promise.ONLINE: objectives.online_share, Promise.JOBS: objectives.batch_share}
+    return tuple(_burn(service, promise, share, slots, now_s) for promise, share in shares.items())
+
+
+def _burn(
+    service: str, promise: Promise, share: float, slots: Sequence[SlotCounts], now_s: int
+) -> Burn:
+    windows = tuple(_window_burn(window, promise, share, slots, now_s) for window in WINDOWS)
+    return Burn(service, promise, share, windows, _alarm(windows))
+
+
+def _window_burn(
+    window: Window, promise: Promise, share: float, slots: Sequence[SlotCounts], now_s: int
+) -> WindowBurn:
+    since_s = now_s - window.length_s
+    inside = [slot for slot in slots if since_s < slot.start_s + slot.length_s <= now_s + _COARSE_S]
+    if promise is Promise.ONLINE:
+        total = sum(slot.online for slot in inside)
+        kept = sum(slot.online_in_time for slot in inside)
+    else:
+        total = sum(slot.jobs for slot in inside)
+        kept = sum(slot.jobs_in_time for slot in inside)
+    if not total:
+        return WindowBurn(window, 0, 0, None, None)
+    rate = _rate(total, kept, share)
+    return WindowBurn(window, total, kept, rate, 1 - rate)
+
+
+def _rate(total: int, kept: int, share: float) -> float:
+    """Return the share missed over the share that may be missed."""
+    missed = (total - kept) / total
+    if share < 1:
+        return missed / (1 - share)
+    return float("inf") if missed else 0.0
+
+
+def _alarm(windows: Sequence[WindowBurn]) -> Alarm:
+    """A short window together with a long one: it goes out soon after the cause is mended."""
+    five_min, hour, six_hours, three_days = (burn.rate or 0.0 for burn in windows)
+    if five_min >= _FAST_RATE and hour >= _FAST_RATE:
+        return Alarm.FAST
+    if six_hours > _SLOW_RATE and three_days > _SLOW_RATE:
+        return Alarm.SLOW
+    return Alarm.NONE
+
+
+def _aged(slot: SlotCounts, now_s: int) -> SlotCounts:
+    """Return ``slot``, or a quarter-hour one with its counts when it is old."""
+    start_s = slot.start_s - slot.start_s % _COARSE_S
+    # A whole quarter hour ages at once, so that it never stands in both forms.
+    if slot.length_s == _COARSE_S or start_s + _COARSE_S > now_s - _FINE_KEPT_S:
+        return slot
+    return SlotCounts(
+        start_s=start_s,
+        length_s=_COARSE_S,
+        online=slot.online,
+        online_in_time=slot.online_in_time,
+        online_failed=slot.online_failed,
+        jobs=slot.jobs,
+        jobs_in_time=slot.jobs_in_time,
+    )
+
+
+def _by_start(slot: SlotCounts) -> tuple[int, int]:
+    return slot.start_s, slot.length_s
--- a/src/fescuedock/daemon.py
+++ b/src/fescuedock/daemon.py
@@ -5,16 +5,35 @@
 tasks of one process.
 """
 
-from collections.abc import Awaitable
+import signal
+import sys
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
+from pathlib import Path
 from typing import Protocol
 
+import msgspec
 import trio
+import zmq
 
+from fescuedock.cli.command_line import Command, ExitCode, run_command_line
+from fescuedock.log import log_event, open_log
 from fescuedock.net.address import Address
-from fescuedock.settings import Settings
+from fescuedock.settings import Settings, load_settings
 
-__all__ = ["Program", "Stop"]
+__all__ = ["Program", "Stop", "run_program", "stop_on_signals"]
+
+_HELP = """\
+{name}: the {program} program of fescuedock.
+
+usage: {name} FILE
+
+FILE is the INI file of this VM.  Of its sections this program needs {sections}.
+When it serves, it prints one JSON line with its address on standard output.  SIGTERM or SIGINT
+begins a graceful shutdown, bounded by stop_timeout_ms; a second one ends the program at once.
+
+exit codes: 0 stopped, 1 failed while running, 2 bad settings or usage
+"""
 
 
 @dataclass(slots=True)
@@ -40,3 +59,77 @@
     def __call__(
         self, settings: Settings, stop: Stop, *, task_status: trio.TaskStatus[Address]
     ) -> Awaitable[None]: ...
+
+
+def run_program(name: str, program: Program, sections: Sequence[str]) -> None:
+    """Run ``program`` as the process ``fescuedock-NAME FILE``; never returns.
+
+    ``sections`` are those of the INI file that the program needs besides what all need.
+    """
+
+    def run(file: str) -> int:
+        return _run_file(name, program, sections, Path(file))
+
+    named = ", ".join(f"[{section}]" for section in sections)
+    help_text = _HELP.format(name=f"fescuedock-{name}", program=name, sections=named)
+    sys.exit(run_command_line(f"fescuedock-{name}", Command(run, help_text)))
+
+
+def _run_file(name: str, program: Program, sections: Sequence[str], path: Path) -> int:
+    loaded = load_settings(path, sections)
+    if loaded.is_err():
+        print(loaded.unwrap_err(), file=sys.stderr)
+        return ExitCode.USAGE
+    settings = loaded.unwrap()
+    try:
+        with open_log(settings.vm, name):
+            trio.run(_serve, name, program, settings)
+    except* (OSError, zmq.ZMQError) as errors:
+        # An address in use, a folder that cannot be written: the operator's to mend.
+        for error in _leaves(errors):
+            print(f"fescuedock-{name}: {error}", file=sys.stderr)
+        return_code = ExitCode.FAILED
+    else:
+        return_code = ExitCode.OK
+    return return_code
+
+
+def _leaves(errors: BaseExceptionGroup) -> list[BaseException]:
+    leaves: list[BaseException] = []
+    for error in errors.exceptions:
+        leaves += _leaves(error) if isinstance(error, BaseExceptionGroup) else [error]
+    return leaves
+
+
+async def _serve(name: str, program: Program, settings: Settings) -> None:
+    stop = Stop()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(stop_on_signals, stop, settings.vm.stop_timeout_ms, nursery.cancel_scope)
+
+        async def run(*, task_status: trio.TaskStatus[Address]) -> None:
+            await program(settings, stop, task_status=task_status)
+            log_event("stopped")
+            nursery.cancel_scope.cancel()
+
+        address = await nursery.start(run)
+        log_event("serving", address=str(address))
+        ready = {"program": name, "vm_id": settings.vm.vm_id, "address": str(address)}
+        print(msgspec.json.encode(ready).decode(), flush=True)
+
+
+async def stop_on_signals(
+    stop: Stop, stop_timeout_ms: int, scope: trio.CancelScope, *, report: Callable = log_event
+) -> None:
+    """Request ``stop`` at the first SIGTERM or SIGINT; cancel ``scope`` at the second one.
+
+    The scope is also cancelled ``stop_timeout_ms`` after the first.
+    """
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for number in signals:
+            if stop.requested:
+                break
+            report("stop_requested", signal=signal.Signals(number).name)
+            stop.request()
+            scope.deadline = trio.current_time() + stop_timeout_ms / 1000
+    report("stopped_at_once")
+    scope.cancel()
--- /dev/null
+++ b/src/fescuedock/report/metrics.py
@@ -0,0 +1,171 @@
+"""What a program counts: latency histograms, result codes, and promises kept.
+
+A snapshot can be merged with those of other processes without loss.  Names of members never
+appear: they are counted by group, and groups and services are bounded in number.
+"""
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from hdrh.histogram import HdrHistogram
+
+from fescuedock.clock import UnixClock
+from fescuedock.core.burn import SlotSeries
+from fescuedock.schema.config import Objectives
+from fescuedock.schema.report import CodeCount, LatencyHistogram, MetricsSnapshot, ServiceSlots
+from fescuedock.schema.result_codes import ResultCode
+
+__all__ = ["HistogramKey", "Measure", "Metrics", "new_histogram"]
+
+_MAX_SERVICES = 64
+_MAX_GROUPS = 8
+_OTHER = "other"
+_US_PER_MS = 1000
+_HIGHEST_US = 3600 * 1000 * 1000
+_DIGITS = 2
+_ONLINE = "online"
+_BATCH = "batch"
+# What the caller alone could have got right is no failure of ours.
+_CALLERS_OWN = frozenset(
+    code
+    for code in ResultCode
+    if 1000 <= code < 2000 or code in (ResultCode.UPSTREAM_REJECTED, ResultCode.ALREADY_CLAIMED)
+)
+
+ObjectivesOf = Callable[[str], Objectives]
+
+
+class Measure:
+    """Names of what the histograms measure."""
+
+    FIRST_TOKEN = "first_token"
+    INTER_TOKEN = "inter_token"
+    ITEM = "item"
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class HistogramKey:
+    """What one histogram is about."""
+
+    service: str
+    work_class: str
+    member_group: str
+    measure: str
+
+
+def new_histogram() -> HdrHistogram:
+    """Return an empty histogram of microseconds, up to an hour, to two digits."""
+    return HdrHistogram(1, _HIGHEST_US, _DIGITS)
+
+
+class Metrics:
+    """The counts of one process.
+
+    ``process`` names it across the fleet; ``objectives`` gives those now in force for a service.
+    """
+
+    __slots__ = ("_codes", "_groups", "_histograms", "_objectives", "_process", "_series", "_clock")
+
+    def __init__(
+        self, process: str, unix_clock: UnixClock, objectives: ObjectivesOf | None = None
+    ) -> None:
+        self._process = process
+        self._clock = unix_clock
+        self._objectives = objectives or _default_objectives
+        self._series: dict[str, SlotSeries] = {}
+        self._histograms: dict[HistogramKey, HdrHistogram] = {}
+        self._codes: Counter[tuple[str, int]] = Counter()
+        self._groups: set[str] = set()
+
+    def record_online(
+        self,
+        service: str,
+        member_group: str,
+        first_token_ms: float,
+        inter_token_ms: float,
+        code: ResultCode,
+    ) -> None:
+        """Count one online query at its end.
+
+        ``inter_token_ms`` is the mean time between its tokens, 0 for an answer in one piece; for a
+        query that failed both times are of no account.
+        """
+        service = self._bounded_service(service)
+        self._codes[service, int(code)] += 1
+        if code in _CALLERS_OWN:
+            return
+        answered = code == ResultCode.OK
+        wanted = self._objectives(service)
+        in_time = (
+            answered
+            and first_token_ms <= wanted.first_token_ms
+            and inter_token_ms <= wanted.inter_token_ms
+        )
+        self._series[service].count_online(self._clock(), in_time=in_time, failed=not answered)
+        if answered:
+            group = self._bounded_group(member_group)
+            self._record(service, _ONLINE, group, Measure.FIRST_TOKEN, first_token_ms)
+            if inter_token_ms:
+                self._record(service, _ONLINE, group, Measure.INTER_TOKEN, inter_token_ms)
+
+    def record_item(self, service: str, member_group: str, run_ms: float, code: ResultCode) -> None:
+        """Count one batch item at its end; ``run_ms`` from its dispatch."""
+        service = self._bounded_service(service)
+        self._codes[service, int(code)] += 1
+        group = self._bounded_group(member_group)
+        self._record(service, _BATCH, group, Measure.ITEM, run_ms)
+
+    def record_job(self, service: str, in_time: bool) -> None:
+        """Count one batch job when it is whole, or when its deadline has passed before."""
+        self._series[self._bounded_service(service)].count_job(self._clock(), in_time=in_time)
+
+    def snapshot(self) -> MetricsSnapshot:
+        """Return everything counted so far."""
+        now_s = self._clock()
+        return MetricsSnapshot(
+            process=self._process,
+            taken_at_s=now_s,
+            services=[
+                ServiceSlots(service, series.slots(now_s))
+                for service, series in sorted(self._series.items())
+            ],
+            histograms=[
+                _encoded(key, histogram) for key, histogram in sorted(self._histograms.items())
+            ],
+            codes=[CodeCount(*key, count) for key, count in sorted(self._codes.items())],
+        )
+
+    def _record(self, service: str, work_class: str, group: str, measure: str, ms: float) -> None:
+        key = HistogramKey(service, work_class, group, measure)
+        if key not in self._histograms:
+            self._histograms[key] = new_histogram()
+        value_us = min(max(round(ms * _US_PER_MS), 1), _HIGHEST_US)
+        self._histograms[key].record_value(value_us)
+
+    def _bounded_service(self, service: str) -> str:
+        if service not in self._series:
+            if len(self._series) >= _MAX_SERVICES:
+                service = _OTHER
+            self._series.setdefault(service, SlotSeries())
+        return service
+
+    def _bounded_group(self, group: str) -> str:
+        if group not in self._groups and len(self._groups) >= _MAX_GROUPS:
+            return _OTHER
+        self._groups.add(group)
+        return group
+
+
+def _default_objectives(_service: str) -> Objectives:
+    return Objectives()
+
+
+def _encoded(key: HistogramKey, histogram: HdrHistogram) -> LatencyHistogram:
+    return LatencyHistogram(
+        key.service,
+        key.work_class,
+        key.member_group,
+        key.measure,
+        histogram.encode().decode("ascii"),
+    )
--- a/src/fescuedock/settings.py
+++ b/src/fescuedock/settings.py
@@ -1,17 +1,37 @@
-"""The checked settings of one VM, as every program gets them."""
+"""The checked settings of one VM, as every program gets them, and the reader of its INI file."""
 
-from dataclasses import dataclass
+import configparser
+import ipaddress
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
 
+import msgspec
+from result import Err, Ok, Result
+
+from fescuedock.net.address import Address
 from fescuedock.schema.settings import (
     AgentSettings,
     BatchSettings,
     EntrySettings,
+    PermitSettings,
     PlatformSettings,
     StoreSettings,
     VmSettings,
 )
 
-__all__ = ["Settings"]
+__all__ = ["SECTIONS", "Settings", "SettingsProblems", "load_settings"]
+
+# The type of each section of the file.
+SECTIONS: Mapping[str, type[msgspec.Struct]] = {
+    "vm": VmSettings,
+    "platform": PlatformSettings,
+    "entry": EntrySettings,
+    "agent": AgentSettings,
+    "permits": PermitSettings,
+    "batch": BatchSettings,
+    "store": StoreSettings,
+}
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,3 +44,121 @@
     agent: AgentSettings | None = None
     batch: BatchSettings | None = None
     store: StoreSettings | None = None
+    permits: PermitSettings = field(default_factory=PermitSettings)
+
+
+@dataclass(frozen=True, slots=True)
+class SettingsProblems:
+    """Everything that is wrong with one file; ``str()`` gives one line for each problem."""
+
+    path: Path
+    problems: tuple[str, ...]
+
+    def __str__(self) -> str:
+        return "\n".join(f"{self.path}: {problem}" for problem in self.problems)
+
+
+def load_settings(path: Path, sections: Iterable[str]) -> Result[Settings, SettingsProblems]:
+    """Read and check the whole file at ``path``; ``sections`` are those that must be there.
+
+    Sections which are there but not asked for are checked too, since one file serves all programs
+    of a VM.
+    """
+    parser = configparser.ConfigParser(interpolation=None, default_section="")
+    try:
+        with open(path, encoding="utf-8") as file:
+            parser.read_file(file, source=path.name)
+    except (OSError, UnicodeDecodeError) as error:
+        return Err(SettingsProblems(path, (f"cannot be read: {error}",)))
+    except configparser.Error as error:
+        return Err(SettingsProblems(path, (_one_line(error),)))
+    return _checked(path, parser, {"vm", "platform", *sections})
+
+
+def _checked(
+    path: Path, parser: configparser.ConfigParser, wanted: set[str]
+) -> Result[Settings, SettingsProblems]:
+    problems = [f"[{name}]: unknown section" for name in parser.sections() if name not in SECTIONS]
+    problems += [f"[{name}]: missing section" for name in SECTIONS if name in wanted - set(parser)]
+    found: dict[str, msgspec.Struct] = {}
+    for name, kind in SECTIONS.items():
+        if parser.has_section(name):
+            found[name], section_problems = _section(name, kind, parser[name])
+            problems += section_problems
+    problems += _cross_checks(found)
+    if problems:
+        return Err(SettingsProblems(path, tuple(problems)))
+    return Ok(Settings(**found))
+
+
+def _section(
+    name: str, kind: type[msgspec.Struct], raw: Mapping[str, str]
+) -> tuple[msgspec.Struct | None, list[str]]:
+    """Convert one section; None with the problems when it is not valid."""
+    fields = {field.name: field for field in msgspec.structs.fields(kind)}
+    problems = [
+        f"[{name}] {key} = {value}: unknown key" for key, value in raw.items() if key not in fields
+    ]
+    values: dict[str, object] = {}
+    for key, field in fields.items():
+        if key not in raw:
+            if field.required:
+                problems.append(f"[{name}] {key}: missing")
+            continue
+        try:
+            values[key] = msgspec.convert(raw[key], field.type, strict=False)
+        except msgspec.ValidationError as error:
+            problems.append(f"[{name}] {key} = {raw[key]}: {_reason(error)}")
+    return (None, problems) if problems else (kind(**values), [])
+
+
+def _cross_checks(found: Mapping[str, msgspec.Struct | None]) -> Iterator[str]:
+    """Yield what the types of single values cannot say, for the sections that are valid."""
+    vm, platform, batch = (found.get(name) for name in ("vm", "platform", "batch"))
+    if vm is not None:
+        yield from _check_host(vm)
+    if platform is not None:
+        yield from _check_addresses("kv_addresses", platform.kv_addresses)
+        yield from _check_addresses("vm_list_address", platform.vm_list_address, most=1)
+        yield from _check_addresses("weight_store_address", platform.weight_store_address, most=1)
+    if batch is not None and batch.min_copies > batch.copies:
+        yield f"[batch] min_copies = {batch.min_copies}: more than copies = {batch.copies}"
+    yield from _check_ports(found)
+
+
+def _check_host(vm: VmSettings) -> Iterator[str]:
+    try:
+        ipaddress.ip_address(vm.host)
+    except ValueError:
+        yield f"[vm] host = {vm.host}: not an IP number"
+
+
+def _check_addresses(key: str, text: str, most: int = 0) -> Iterator[str]:
+    parts = text.split(",") if text else []
+    if most and len(parts) > most:
+        yield f"[platform] {key} = {text}: more than {most} address"
+    for part in parts:
+        try:
+            Address.parse(part)
+        except ValueError as error:
+            yield f"[platform] {key} = {text}: {error}"
+
+
+def _check_ports(found: Mapping[str, msgspec.Struct | None]) -> Iterator[str]:
+    taken: dict[int, str] = {}
+    for name in ("entry", "agent", "batch", "store"):
+        values = found.get(name)
+        if values is None or values.port == 0:
+            continue
+        if values.port in taken:
+            yield f"[{name}] port = {values.port}: also the port of [{taken[values.port]}]"
+        taken[values.port] = name
+
+
+def _one_line(error: Exception) -> str:
+    return " ".join(str(error).split())
+
+
+def _reason(error: msgspec.ValidationError) -> str:
+    reason = str(error)
+    return reason[0].lower() + reason[1:]
