--- /dev/null
+++ b/src/fescuedock/core/permits/estimates.py
@@ -0,0 +1,85 @@
+"""Small estimators that forget: means, peaks and a straight line, each by its own half-life."""
+
+from dataclasses import dataclass
+
+__all__ = ["DecayedLine", "DecayedMean", "DecayedPeak"]
+
+
+def _kept(elapsed_ms: float, half_life_ms: float) -> float:
+    return 0.5 ** (max(elapsed_ms, 0.0) / half_life_ms)
+
+
+@dataclass(slots=True)
+class DecayedMean:
+    """Mean of samples whose weight halves each ``half_life_ms``."""
+
+    half_life_ms: float
+    weight: float = 0.0
+    _sum: float = 0.0
+    _at_ms: float = 0.0
+
+    def add(self, value: float, now_ms: float) -> None:
+        kept = _kept(now_ms - self._at_ms, self.half_life_ms)
+        self._sum = self._sum * kept + value
+        self.weight = self.weight * kept + 1.0
+        self._at_ms = now_ms
+
+    def value(self, default: float) -> float:
+        """Return the mean, or ``default`` before the first sample."""
+        return self._sum / self.weight if self.weight else default
+
+
+@dataclass(slots=True)
+class DecayedPeak:
+    """Highest value seen, sinking toward later ones by half each ``half_life_ms``."""
+
+    half_life_ms: float
+    _peak: float = 0.0
+    _at_ms: float = 0.0
+
+    def add(self, value: float, now_ms: float) -> None:
+        self._peak = max(value, self.value(now_ms))
+        self._at_ms = now_ms
+
+    def value(self, now_ms: float) -> float:
+        return self._peak * _kept(now_ms - self._at_ms, self.half_life_ms)
+
+
+@dataclass(slots=True)
+class DecayedLine:
+    """Least-squares line through samples whose weight halves each ``half_life_ms``."""
+
+    half_life_ms: float
+    _count: float = 0.0
+    _x: float = 0.0
+    _y: float = 0.0
+    _xx: float = 0.0
+    _xy: float = 0.0
+    _at_ms: float = 0.0
+
+    def add(self, x: float, y: float, now_ms: float) -> None:
+        kept = _kept(now_ms - self._at_ms, self.half_life_ms)
+        self._count = self._count * kept + 1.0
+        self._x = self._x * kept + x
+        self._y = self._y * kept + y
+        self._xx = self._xx * kept + x * x
+        self._xy = self._xy * kept + x * y
+        self._at_ms = now_ms
+
+    @property
+    def slope(self) -> float:
+        """Growth of y with x, never below 0; 0 while the samples cannot tell."""
+        spread = self._count * self._xx - self._x * self._x
+        if spread <= 1e-9 * max(self._count * self._xx, 1.0):
+            return 0.0
+        return max((self._count * self._xy - self._x * self._y) / spread, 0.0)
+
+    def value(self, x: float, default: float) -> float:
+        """Return y on the line at ``x``, or ``default`` before the first sample."""
+        if not self._count:
+            return default
+        return max(self._y / self._count + self.slope * (x - self._x / self._count), 0.0)
+
+    @property
+    def mean_x(self) -> float:
+        return self._x / self._count if self._count else 0.0
--- a/src/fescuedock/schema/permits.py
+++ b/src/fescuedock/schema/permits.py
@@ -89,6 +89,10 @@
     service: str
     member: str
     work_class: WorkClass
+    slack_ms: Annotated[int, Meta(description="As in the ask")] = 0
+    prompt_tokens: int = 0
+    generated_tokens: Annotated[int, Meta(description="So far")] = 0
+    first_token_ms: Annotated[float, Meta(description="Below 0 while there is none.")] = -1
 
 
 class PermitRenew(Struct):
--- a/src/fescuedock/schema/settings.py
+++ b/src/fescuedock/schema/settings.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from enum import StrEnum
 from typing import Annotated
 
 from msgspec import Meta, Struct
@@ -56,6 +57,16 @@
     require_api_key: bool = False
 
 
+class CutOff(StrEnum):
+    """
+    What a VM does whose configuration is unconfirmed for longer than config_confirm_ms.  "serve" goes on, flagged; "majority" goes on while it reaches more than half of the VMs; "refuse" takes no new request.
+    """
+
+    SERVE = "serve"
+    MAJORITY = "majority"
+    REFUSE = "refuse"
+
+
 class AgentSettings(Struct):
     """
     Section [agent].
@@ -67,6 +78,7 @@
     config_confirm_ms: Annotated[
         int, Meta(description="A VM whose version is unconfirmed for longer says so.", ge=100)
     ] = 15000
+    config_cut_off: CutOff = CutOff.MAJORITY
 
 
 class BatchSettings(Struct):
@@ -99,3 +111,75 @@
     port: Annotated[int, Meta(ge=0, le=65535)]
     data_folder: Annotated[str, Meta(min_length=1)]
     max_bytes: Annotated[int, Meta(ge=1048576)] = 10737418240
+
+
+class PermitSettings(Struct):
+    """
+    Section [permits]; optional. How agents grant permits and holders keep them. docs/PERMITS.md gives the reason and the sensitivity of each.
+    """
+
+    start_limit: Annotated[
+        int,
+        Meta(description="Attempts at once at an upstream of which nothing is known yet.", ge=1),
+    ] = 8
+    max_limit: Annotated[
+        int, Meta(description="Attempts at once at any upstream however well it does.", ge=1)
+    ] = 512
+    limit_step: Annotated[
+        float,
+        Meta(
+            description="Attempts added to a limit in use for each adjust_ms without a violation.",
+            gt=0.0,
+        ),
+    ] = 1
+    limit_cut: Annotated[
+        float,
+        Meta(description="Factor on a limit when online misses its objective.", gt=0.0, le=1.0),
+    ] = 0.8
+    adjust_ms: Annotated[int, Meta(description="Time between two raises of a limit.", ge=10)] = 500
+    load_lag_ms: Annotated[
+        int, Meta(description="Age of what an engine reports as its load.", ge=0)
+    ] = 1000
+    load_poll_ms: Annotated[
+        int, Meta(description="Time between two reads of an engine's load by its owner.", ge=10)
+    ] = 500
+    estimate_half_life_ms: Annotated[
+        int, Meta(description="Time in which a measurement loses half its weight.", ge=100)
+    ] = 30000
+    peak_half_life_ms: Annotated[
+        int, Meta(description="Time in which a peak of online attempts is half forgotten.", ge=100)
+    ] = 300000
+    revocation_ms: Annotated[
+        int, Meta(description="Time that a revocation takes until one has been measured.", ge=1)
+    ] = 100
+    batch_start_share: Annotated[
+        float,
+        Meta(
+            description="Share of an engine's time that the prompts of new batch attempts may take while online runs.",
+            gt=0.0,
+            le=1.0,
+        ),
+    ] = 0.5
+    max_waiting: Annotated[
+        int, Meta(description="Asks that may wait for one upstream in each class.", ge=1)
+    ] = 256
+    urgent_slack_ms: Annotated[
+        int, Meta(description="Batch with less slack than this is revoked last.", ge=0)
+    ] = 600000
+    local_limit: Annotated[
+        int,
+        Meta(
+            description="Online attempts at once that one holder starts at an upstream whose owner is silent.",
+            ge=1,
+        ),
+    ] = 2
+    ended_batch_ms: Annotated[
+        int, Meta(description="How long a holder gathers ended permits into one message.", ge=0)
+    ] = 10
+    ended_memory_ms: Annotated[
+        int,
+        Meta(
+            description="How long an owner remembers an ended attempt so that a late ask cannot revive it.",
+            ge=100,
+        ),
+    ] = 60000
