--- a/src/fescuedock/log.py
+++ b/src/fescuedock/log.py
@@ -30,9 +30,11 @@
         with _destination(sys.stderr, settings, program):
             yield
         return
-    with open(settings.log_file, "a", encoding="utf-8") as file:
-        with _destination(file, settings, program):
-            yield
+    with (
+        open(settings.log_file, "a", encoding="utf-8") as file,
+        _destination(file, settings, program),
+    ):
+        yield
 
 
 @contextmanager
--- a/src/fescuedock/report/metrics.py
+++ b/src/fescuedock/report/metrics.py
@@ -65,7 +65,7 @@
     ``process`` names it across the fleet; ``objectives`` gives those now in force for a service.
     """
 
-    __slots__ = ("_codes", "_groups", "_histograms", "_objectives", "_process", "_series", "_clock")
+    __slots__ = ("_clock", "_codes", "_groups", "_histograms", "_objectives", "_process", "_series")
 
     def __init__(
         self, process: str, unix_clock: UnixClock, objectives: ObjectivesOf | None = None
--- a/src/fescuedock/settings.py
+++ b/src/fescuedock/settings.py
@@ -2,9 +2,11 @@
 
 import configparser
 import ipaddress
+import math
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import Any
 
 import msgspec
 from result import Err, Ok, Result
@@ -22,6 +24,9 @@
 
 __all__ = ["SECTIONS", "Settings", "SettingsProblems", "load_settings"]
 
+# The valid values of one section by key.
+_Values = dict[str, Any]
+
 # The type of each section of the file.
 SECTIONS: Mapping[str, type[msgspec.Struct]] = {
     "vm": VmSettings,
@@ -80,7 +85,7 @@
 ) -> Result[Settings, SettingsProblems]:
     problems = [f"[{name}]: unknown section" for name in parser.sections() if name not in SECTIONS]
     problems += [f"[{name}]: missing section" for name in SECTIONS if name in wanted - set(parser)]
-    found: dict[str, msgspec.Struct] = {}
+    found: dict[str, _Values] = {}
     for name, kind in SECTIONS.items():
         if parser.has_section(name):
             found[name], section_problems = _section(name, kind, parser[name])
@@ -88,52 +93,54 @@
     problems += _cross_checks(found)
     if problems:
         return Err(SettingsProblems(path, tuple(problems)))
-    return Ok(Settings(**found))
+    return Ok(Settings(**{name: SECTIONS[name](**values) for name, values in found.items()}))
 
 
 def _section(
     name: str, kind: type[msgspec.Struct], raw: Mapping[str, str]
-) -> tuple[msgspec.Struct | None, list[str]]:
-    """Convert one section; None with the problems when it is not valid."""
-    fields = {field.name: field for field in msgspec.structs.fields(kind)}
+) -> tuple[_Values, list[str]]:
+    """Convert one section; gives the values that are valid and what is wrong with the others."""
+    known = {item.name: item for item in msgspec.structs.fields(kind)}
     problems = [
-        f"[{name}] {key} = {value}: unknown key" for key, value in raw.items() if key not in fields
+        f"[{name}] {key} = {value}: unknown key" for key, value in raw.items() if key not in known
     ]
-    values: dict[str, object] = {}
-    for key, field in fields.items():
+    values: _Values = {}
+    for key, item in known.items():
         if key not in raw:
-            if field.required:
+            if item.required:
                 problems.append(f"[{name}] {key}: missing")
+            elif item.default is not msgspec.NODEFAULT:
+                values[key] = item.default
             continue
         try:
-            values[key] = msgspec.convert(raw[key], field.type, strict=False)
+            values[key] = msgspec.convert(raw[key], item.type, strict=False)
         except msgspec.ValidationError as error:
             problems.append(f"[{name}] {key} = {raw[key]}: {_reason(error)}")
-    return (None, problems) if problems else (kind(**values), [])
-
-
-def _cross_checks(found: Mapping[str, msgspec.Struct | None]) -> Iterator[str]:
-    """Yield what the types of single values cannot say, for the sections that are valid."""
-    vm, platform, batch = (found.get(name) for name in ("vm", "platform", "batch"))
-    if vm is not None:
-        yield from _check_host(vm)
-    if platform is not None:
-        yield from _check_addresses("kv_addresses", platform.kv_addresses)
-        yield from _check_addresses("vm_list_address", platform.vm_list_address, most=1)
-        yield from _check_addresses("weight_store_address", platform.weight_store_address, most=1)
-    if batch is not None and batch.min_copies > batch.copies:
-        yield f"[batch] min_copies = {batch.min_copies}: more than copies = {batch.copies}"
+    return values, problems
+
+
+def _cross_checks(found: Mapping[str, _Values]) -> Iterator[str]:
+    """Yield what the types of single values cannot say."""
+    yield from _check_host(found.get("vm", {}))
+    platform = found.get("platform", {})
+    yield from _check_addresses("kv_addresses", platform)
+    yield from _check_addresses("vm_list_address", platform, most=1)
+    yield from _check_addresses("weight_store_address", platform, most=1)
+    batch = found.get("batch", {})
+    if batch.get("min_copies", 0) > batch.get("copies", math.inf):
+        yield f"[batch] min_copies = {batch['min_copies']}: more than copies = {batch['copies']}"
     yield from _check_ports(found)
 
 
-def _check_host(vm: VmSettings) -> Iterator[str]:
+def _check_host(vm: _Values) -> Iterator[str]:
     try:
-        ipaddress.ip_address(vm.host)
+        ipaddress.ip_address(vm.get("host", "0.0.0.0"))
     except ValueError:
-        yield f"[vm] host = {vm.host}: not an IP number"
+        yield f"[vm] host = {vm['host']}: not an IP number"
 
 
-def _check_addresses(key: str, text: str, most: int = 0) -> Iterator[str]:
+def _check_addresses(key: str, platform: _Values, most: int = 0) -> Iterator[str]:
+    text = platform.get(key, "")
     parts = text.split(",") if text else []
     if most and len(parts) > most:
         yield f"[platform] {key} = {text}: more than {most} address"
@@ -144,15 +151,13 @@
             yield f"[platform] {key} = {text}: {error}"
 
 
-def _check_ports(found: Mapping[str, msgspec.Struct | None]) -> Iterator[str]:
+def _check_ports(found: Mapping[str, _Values]) -> Iterator[str]:
     taken: dict[int, str] = {}
-    for name in ("entry", "agent", "batch", "store"):
-        values = found.get(name)
-        if values is None or values.port == 0:
-            continue
-        if values.port in taken:
-            yield f"[{name}] port = {values.port}: also the port of [{taken[values.port]}]"
-        taken[values.port] = name
+    for name, values in found.items():
+        port = values.get("port", 0)
+        if port and port in taken:
+            yield f"[{name}] port = {port}: also the port of [{taken[port]}]"
+        taken[port] = name
 
 
 def _one_line(error: Exception) -> str:
