--- a/src/fescuedock/schema/config.py
+++ b/src/fescuedock/schema/config.py
@@ -76,9 +76,19 @@
     share: Annotated[float, Meta(gt=0.0)] = 1
 
 
+class EngineRole(StrEnum):
+    BOTH = "both"
+    PREFILL = "prefill"
+    DECODE = "decode"
+
+
 class UpstreamPolicy(Struct):
     drain: bool = False
     max_in_flight: Annotated[int, Meta(description="0 lets the policy find the limit.", ge=0)] = 0
+    models: Annotated[
+        list[str], Meta(description="Models that stay loaded here; the rest goes by demand.")
+    ] = field(default_factory=list)
+    role: EngineRole = EngineRole.BOTH
 
 
 class Configuration(Struct):
@@ -89,20 +99,34 @@
 
 class AppliedPatch(Struct):
     patch_id: str
-    patch_hash: str
+    patch_hash: Annotated[str, Meta(description="SHA-256 over base version and patch.")]
     version: Annotated[int, Meta(description="The version that the patch made.")]
     actor: str = ""
+    accepted_at_s: Annotated[int, Meta(description="Unix time.")] = 0
+    chain_hash: Annotated[str, Meta(description="The record's chained hash at that version.")] = ""
 
 
 class ConfigRecord(Struct):
     """
-    The one record. The chained hash covers the former record's hash and this document.
+    The one record; its chained hash covers the former one, the patch's identity and this document.
     """
 
     version: int
     chain_hash: str
     document: Annotated[bytes, Meta(description="Configuration as JSON.")]
-    patches: list[AppliedPatch] = field(default_factory=list)
+    patches: Annotated[list[AppliedPatch], Meta(description="The newest ones, oldest first.")] = (
+        field(default_factory=list)
+    )
+
+
+class ConfigDelta(Struct):
+    """
+    What makes a replica of one version into the next without the whole record.
+    """
+
+    patch: Annotated[bytes, Meta(description="The merge patch as JSON.")]
+    applied: AppliedPatch
+    kv_revision: Annotated[int, Meta(description="Revision of the record's key at this version.")]
 
 
 class PatchRequest(Struct):
@@ -118,15 +142,33 @@
 
 class ConfigPush(Struct):
     """
-    The whole record, or nothing but a version number when record is empty.
+    Answer to a pull, or unasked. Deltas when they begin at the receiver's version, else the record.
     """
 
     version: int
-    record: Annotated[bytes, Meta(description="ConfigRecord in MessagePack.")]
+    chain_hash: str
+    record: Annotated[
+        bytes,
+        Meta(description="Encoded ConfigRecord; empty when deltas do or there is nothing newer."),
+    ]
+    confirmed_age_ms: Annotated[
+        int,
+        Meta(
+            description="Since the sender's version was last known to be the newest; below 0 when never."
+        ),
+    ] = -1
+    kv_revision: Annotated[
+        int, Meta(description="Revision of the record's key at this version; 0 when not known.")
+    ] = 0
+    deltas: list[ConfigDelta] = field(default_factory=list)
 
 
 class ConfigPull(Struct):
     have_version: int
+    chain_hash: str = ""
+    whole_record: Annotated[
+        bool, Meta(description="Send the record even when it is not newer.")
+    ] = False
 
 
 class SubmitPatch(Struct):
--- a/src/fescuedock/schema/settings.py
+++ b/src/fescuedock/schema/settings.py
@@ -59,7 +59,7 @@
 
 class CutOff(StrEnum):
     """
-    What a VM does whose configuration is unconfirmed for longer than config_confirm_ms.  "serve" goes on, flagged; "majority" goes on while it reaches more than half of the VMs; "refuse" takes no new request.
+    What a VM does whose configuration stays unconfirmed (docs/CONFIGURATION.md).
     """
 
     SERVE = "serve"
@@ -92,7 +92,43 @@
         int, Meta(description="Results made final in one compare-and-swap at most.", ge=1)
     ] = 500
     group_age_ms: Annotated[int, Meta(ge=1)] = 2000
+    group_min_items: Annotated[
+        int, Meta(description="A group with fewer results waits up to group_max_age_ms.", ge=1)
+    ] = 64
+    group_max_age_ms: Annotated[int, Meta(ge=1)] = 20000
+    manifest_groups: Annotated[
+        int, Meta(description="Groups that move from the record to one manifest segment.", ge=2)
+    ] = 32
     item_attempts: Annotated[int, Meta(ge=1)] = 4
+    retry_backoff_ms: Annotated[
+        int,
+        Meta(
+            description="Before the second attempt of an item; doubled with each one and jittered.",
+            ge=1,
+        ),
+    ] = 500
+    max_retry_backoff_ms: Annotated[int, Meta(ge=1)] = 30000
+    buffer_bytes: Annotated[
+        int,
+        Meta(
+            description="Results of one job that are not yet in a segment; no new item starts above it.",
+            ge=1024,
+        ),
+    ] = 33554432
+    open_asks: Annotated[
+        int, Meta(description="Permits asked for at once from the owner of one upstream.", ge=1)
+    ] = 2
+    ask_wait_ms: Annotated[
+        int, Meta(description="How long an ask for a permit stays queued at the owner.", ge=1)
+    ] = 2000
+    scan_interval_ms: Annotated[
+        int, Meta(description="Between two readings of the index of open jobs by a scanner.", ge=10)
+    ] = 10000
+    scanners_per_domain: Annotated[int, Meta(ge=1)] = 1
+    takeover_silence_ms: Annotated[
+        int,
+        Meta(description="A live owner that does not answer for this long loses its jobs.", ge=1),
+    ] = 10000
     max_items: Annotated[int, Meta(ge=1)] = 110000
     max_line_bytes: Annotated[int, Meta(ge=1024)] = 1048576
     segment_items: Annotated[int, Meta(ge=1)] = 1000
