--- /dev/null
+++ b/src/fescuedock/core/store_placement.py
@@ -0,0 +1,103 @@
+"""Decides which stores get the copies of a segment or log, and when there are enough of them."""
+
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass, field
+
+from fescuedock.core.rendezvous import rank_names
+from fescuedock.schema.result_codes import ResultCode
+
+__all__ = ["CopyPlan", "StoreSite", "rank_stores"]
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class StoreSite:
+    """A store as placement sees it."""
+
+    vm_id: str
+    failure_domain: str
+
+
+def rank_stores(
+    key: str, sites: Iterable[StoreSite], avoided: Collection[str] = ()
+) -> list[StoreSite]:
+    """Return ``sites`` in the order in which they should be tried for ``key``.
+
+    The best of each failure domain come first, then the second best of each, and so on; within
+    one such round, and within a domain, rendezvous hashing decides.  The VMs in ``avoided`` come
+    last.
+    """
+    by_id = {site.vm_id: site for site in sites}
+    ranked = [by_id[name] for name in rank_names(key, by_id)]
+    willing = [site for site in ranked if site.vm_id not in avoided]
+    unwilling = [site for site in ranked if site.vm_id in avoided]
+    return _domains_first(willing) + _domains_first(unwilling)
+
+
+def _domains_first(ranked: list[StoreSite]) -> list[StoreSite]:
+    seen: dict[str, int] = {}
+    rounds: list[tuple[int, StoreSite]] = []
+    for site in ranked:
+        turn = seen.get(site.failure_domain, 0)
+        seen[site.failure_domain] = turn + 1
+        rounds.append((turn, site))
+    # The sort is stable, so that the rank decides within a round.
+    return [site for _, site in sorted(rounds, key=lambda item: item[0])]
+
+
+@dataclass(slots=True)
+class CopyPlan:
+    """The writing of one object's copies: whom to ask next, and whether it is enough.
+
+    ``candidates`` is the order of trial.  ``copies`` are wanted; ``min_copies`` in distinct failure
+    domains are needed.
+    """
+
+    candidates: list[StoreSite]
+    copies: int
+    min_copies: int
+    held: list[StoreSite] = field(default_factory=list)
+    refusals: dict[str, ResultCode] = field(default_factory=dict)
+    _asked: set[str] = field(default_factory=set)
+    _waiting: int = 0
+
+    def next_sites(self) -> list[StoreSite]:
+        """Return the stores to ask now; each counts as asked from here on."""
+        missing = self.copies - len(self.held) - self._waiting
+        chosen = self._chosen(missing)
+        self._asked.update(site.vm_id for site in chosen)
+        self._waiting += len(chosen)
+        return chosen
+
+    def _chosen(self, missing: int) -> list[StoreSite]:
+        left = [site for site in self.candidates if site.vm_id not in self._asked]
+        # A store in a domain that has a copy already is worth less than any in a new one.
+        domains = {site.failure_domain for site in self.held}
+        left.sort(key=lambda site: site.failure_domain in domains)
+        return left[: max(0, missing)]
+
+    def written(self, site: StoreSite) -> None:
+        """Note that ``site`` has the object on disk."""
+        self._waiting -= 1
+        self.held.append(site)
+
+    def refused(self, site: StoreSite, code: ResultCode) -> None:
+        """Note that ``site`` did not write the object, or did not say so in time."""
+        self._waiting -= 1
+        self.refusals[site.vm_id] = code
+
+    @property
+    def is_enough(self) -> bool:
+        """Whether the object may be acknowledged."""
+        return len({site.failure_domain for site in self.held}) >= self.min_copies
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether all wanted copies are written."""
+        return len(self.held) >= self.copies
+
+    @property
+    def failure_code(self) -> ResultCode:
+        """Why it is not enough: ``DISK_FULL`` when a store said so."""
+        if ResultCode.DISK_FULL in self.refusals.values():
+            return ResultCode.DISK_FULL
+        return ResultCode.STORES_UNAVAILABLE
--- a/src/fescuedock/schema/store.py
+++ b/src/fescuedock/schema/store.py
@@ -17,6 +17,9 @@
 
     segment_hash: str
     body: bytes
+    kept_since_s: Annotated[
+        int, Meta(description="Unix time from which retention counts; 0 is now.")
+    ] = 0
 
 
 class GetSegment(Struct):
@@ -29,7 +32,12 @@
 
 
 class HaveSegments(Struct):
+    """
+    Asks which segments a store holds. With renew their retention counts from now, on disk before the answer.
+    """
+
     segment_hashes: list[str]
+    renew: bool = False
 
 
 class HaveSegmentsReply(Struct):
@@ -46,7 +54,6 @@
     """
 
     job_id: str
-    epoch: int
     records: list[bytes]
 
 
@@ -73,4 +80,4 @@
 class StoreReply(Struct):
     code: Annotated[int, Meta(description="A ResultCode.")] = 0
     message: str = ""
-    free_bytes: int = -1
+    free_bytes: int = 0
--- /dev/null
+++ b/src/fescuedock/store/client.py
@@ -0,0 +1,238 @@
+"""Writes and reads copies on the stores of the fleet.
+
+Which stores hold a segment is found by its hash alone: the copies that a ``SegmentRef`` names are
+asked first, then every other store, so that a copy made by repair is found without a change of any
+record.
+"""
+
+from collections.abc import AsyncIterator, Callable, Collection, Iterable, Sequence
+from contextlib import asynccontextmanager
+from hashlib import sha256
+
+import msgspec
+import trio
+from result import Err, Ok, Result
+
+from fescuedock.agent.link import FleetView
+from fescuedock.clock import now_ms
+from fescuedock.core.store_placement import CopyPlan, StoreSite, rank_stores
+from fescuedock.faults import Fault
+from fescuedock.log import log_event
+from fescuedock.net.address import Address
+from fescuedock.net.channel_pool import ChannelPool, open_channel_pool
+from fescuedock.net.codec import Codec
+from fescuedock.schema.batch import SegmentRef
+from fescuedock.schema.result_codes import ResultCode
+from fescuedock.schema.settings import BatchSettings
+from fescuedock.schema.store import (
+    AppendLog,
+    DropLog,
+    GetSegment,
+    HaveSegments,
+    HaveSegmentsReply,
+    LogReply,
+    PutSegment,
+    ReadLog,
+    SegmentReply,
+    StoreReply,
+)
+from fescuedock.schema.view import Program, VmRecord
+
+__all__ = ["StoreClient", "TakeRecords", "open_store_client"]
+
+# Gets one page of log records.
+TakeRecords = Callable[[Sequence[bytes]], None]
+
+LOG_COPIES = 2
+_CALL_TIMEOUT_MS = 3000
+# How long a put that is safe already waits for the copies beyond the needed ones.
+_EXTRA_COPIES_WAIT_MS = 300
+# A store that failed is asked last for this long.
+_AVOID_MS = 5000
+_RETRY_AFTER_MS = 2000
+_PAGE_BYTES = 1048576
+
+
+class StoreClient:
+    """Calls the stores that the fleet view shows.  Make it with ``open_store_client``."""
+
+    __slots__ = ("_avoided_until_ms", "_settings", "_view", "channels")
+
+    def __init__(self, channels: ChannelPool, view: FleetView, settings: BatchSettings) -> None:
+        self.channels = channels
+        self._view = view
+        self._settings = settings
+        self._avoided_until_ms: dict[str, float] = {}
+
+    async def put_segment(
+        self, body: bytes, items: int = 0, exclude: Collection[str] = ()
+    ) -> Result[SegmentRef, Fault]:
+        """Write copies of ``body``; ``Ok`` only when enough failure domains have it on disk.
+
+        ``items`` is the number of lines for the reference; the VMs in ``exclude`` are not asked.
+        ``STORES_UNAVAILABLE`` or ``DISK_FULL`` when there are fewer than ``min_copies``.
+        """
+        segment_hash = sha256(body).hexdigest()
+        plan = self._plan(segment_hash, self._settings.copies, self._settings.min_copies, exclude)
+        await self._write(plan, PutSegment(segment_hash=segment_hash, body=body))
+        if not plan.is_enough:
+            return Err(_too_few(plan, f"segment {segment_hash[:12]}"))
+        copies = [site.vm_id for site in plan.held]
+        return Ok(
+            SegmentRef(segment_hash=segment_hash, items=items, size_bytes=len(body), copies=copies)
+        )
+
+    async def get_segment(self, ref: SegmentRef) -> Result[bytes, Fault]:
+        """Return the checked bytes of ``ref`` from any store that has them.
+
+        ``STORES_UNAVAILABLE`` when none of those that answered has a whole copy.
+        """
+        for vm in self._read_order(ref):
+            reply = await self._call(vm, GetSegment(segment_hash=ref.segment_hash))
+            if not isinstance(reply, SegmentReply) or reply.code != ResultCode.OK:
+                continue
+            if sha256(reply.body).hexdigest() == ref.segment_hash:
+                return Ok(reply.body)
+            log_event("segment_damaged", vm_id=vm.vm_id, segment_hash=ref.segment_hash)
+        message = f"no store that answers has segment {ref.segment_hash[:12]}"
+        return Err(Fault(ResultCode.STORES_UNAVAILABLE, message, _RETRY_AFTER_MS))
+
+    async def have_segments(
+        self, refs: Iterable[SegmentRef], *, renew: bool = False
+    ) -> dict[str, list[VmRecord]]:
+        """Return the VMs that hold each segment, by its hash; silent ones are left out.
+
+        With ``renew`` the retention of the segments counts from now on those VMs.
+        """
+        hashes = sorted({ref.segment_hash for ref in refs})
+        holders: dict[str, list[VmRecord]] = {segment_hash: [] for segment_hash in hashes}
+
+        async def ask(vm: VmRecord) -> None:
+            reply = await self._call(vm, HaveSegments(segment_hashes=hashes, renew=renew))
+            if isinstance(reply, HaveSegmentsReply):
+                for segment_hash in set(hashes).difference(reply.missing):
+                    holders[segment_hash].append(vm)
+
+        async with trio.open_nursery() as nursery:
+            for vm in self._stores() if hashes else ():
+                nursery.start_soon(ask, vm)
+        return holders
+
+    async def append_log(self, job_id: str, records: Sequence[bytes]) -> Result[int, Fault]:
+        """Append to the job's log on two stores in distinct failure domains if there are.
+
+        Returns the number of stores that have ``records`` on disk, at least one.
+        """
+        plan = self._plan(job_id, LOG_COPIES, 1, ())
+        await self._write(plan, AppendLog(job_id=job_id, records=list(records)))
+        return Ok(len(plan.held)) if plan.held else Err(_too_few(plan, f"the log of {job_id}"))
+
+    async def read_log(self, job_id: str, take: TakeRecords) -> Result[int, Fault]:
+        """Give ``take`` the records that any reachable store has, page by page.
+
+        Most come twice, and their order between stores means nothing.  Returns the number of
+        stores read to the end; ``STORES_UNAVAILABLE`` when that is none.
+        """
+        read = 0
+        for vm in self._stores():
+            read += await self._read_log_of(vm, job_id, take)
+        if not read:
+            message = f"no store answers with the log of {job_id}"
+            return Err(Fault(ResultCode.STORES_UNAVAILABLE, message, _RETRY_AFTER_MS))
+        return Ok(read)
+
+    async def drop_log(self, job_id: str) -> None:
+        """Delete the job's log on every reachable store; what remains expires by retention."""
+        async with trio.open_nursery() as nursery:
+            for vm in self._stores():
+                nursery.start_soon(self._call, vm, DropLog(job_id=job_id))
+
+    async def _read_log_of(self, vm: VmRecord, job_id: str, take: TakeRecords) -> bool:
+        offset_bytes = 0
+        while True:
+            page = ReadLog(job_id=job_id, offset_bytes=offset_bytes, limit_bytes=_PAGE_BYTES)
+            reply = await self._call(vm, page)
+            if not isinstance(reply, LogReply) or reply.code != ResultCode.OK:
+                return False
+            if not reply.records:
+                return True
+            take(reply.records)
+            offset_bytes = reply.next_offset_bytes
+
+    def _stores(self) -> list[VmRecord]:
+        return self._view.live_vms(Program.STORE)
+
+    def _avoided(self) -> set[str]:
+        now = now_ms()
+        return {vm_id for vm_id, until_ms in self._avoided_until_ms.items() if until_ms > now}
+
+    def _plan(self, key: str, copies: int, min_copies: int, exclude: Collection[str]) -> CopyPlan:
+        sites = [
+            StoreSite(vm.vm_id, vm.failure_domain)
+            for vm in self._stores()
+            if vm.vm_id not in exclude
+        ]
+        return CopyPlan(rank_stores(key, sites, self._avoided()), copies, min_copies)
+
+    def _read_order(self, ref: SegmentRef) -> list[VmRecord]:
+        stores = {vm.vm_id: vm for vm in self._stores()}
+        sites = [StoreSite(vm.vm_id, vm.failure_domain) for vm in stores.values()]
+        avoided = self._avoided()
+        ranked = rank_stores(ref.segment_hash, sites, avoided)
+        ranked.sort(key=lambda site: (site.vm_id in avoided, site.vm_id not in ref.copies))
+        return [stores[site.vm_id] for site in ranked]
+
+    async def _write(self, plan: CopyPlan, message: msgspec.Struct) -> None:
+        """Carry ``plan`` out: until it is complete, enough for long enough, or out of stores."""
+        vms = {vm.vm_id: vm for vm in self._stores()}
+        async with trio.open_nursery() as nursery:
+
+            async def ask(site: StoreSite) -> None:
+                reply = await self._call(vms[site.vm_id], message)
+                code = reply.code if isinstance(reply, StoreReply) else ResultCode.PEER_UNKNOWN
+                if code == ResultCode.OK:
+                    plan.written(site)
+                else:
+                    self._avoid(site.vm_id)
+                    plan.refused(site, ResultCode(code))
+                proceed()
+
+            def proceed() -> None:
+                for site in plan.next_sites():
+                    nursery.start_soon(ask, site)
+                if plan.is_enough:
+                    extra_s = _EXTRA_COPIES_WAIT_MS / 1000
+                    deadline = trio.current_time() + extra_s
+                    scope = nursery.cancel_scope
+                    scope.deadline = min(scope.deadline, deadline)
+
+            proceed()
+
+    async def _call(self, vm: VmRecord, message: msgspec.Struct) -> msgspec.Struct | None:
+        """Return the store's answer; None when there is none in time."""
+        address = Address(vm.host, vm.store_port)
+        client = await self.channels.client(address)
+        result = await client.call(message, _CALL_TIMEOUT_MS)
+        if result.is_ok():
+            return result.unwrap()
+        self._avoid(vm.vm_id)
+        self.channels.discard(address)
+        return None
+
+    def _avoid(self, vm_id: str) -> None:
+        self._avoided_until_ms[vm_id] = now_ms() + _AVOID_MS
+
+
+@asynccontextmanager
+async def open_store_client(
+    codec: Codec, view: FleetView, settings: BatchSettings
+) -> AsyncIterator[StoreClient]:
+    """Give a client whose channels are closed when the block is left."""
+    async with open_channel_pool(codec) as channels:
+        yield StoreClient(channels, view, settings)
+
+
+def _too_few(plan: CopyPlan, what: str) -> Fault:
+    held = len(plan.held)
+    message = f"{what}: {held} of {plan.min_copies} needed copies written"
+    return Fault(plan.failure_code, message, _RETRY_AFTER_MS)
