Write streamed events straight to the socket

Cause: each streamed token paid a lock, a cancel scope and a checkpoint on its way out, though the kernel nearly always takes it at once.

--- a/src/fescuedock/net/http_server.py
+++ b/src/fescuedock/net/http_server.py
@@ -4,6 +4,7 @@
 whatever it must finish regardless it shields itself.
 """
 
+import os
 from collections.abc import AsyncIterator, Awaitable, Callable, Mapping, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -306,7 +307,7 @@
 class _Connection:
     """One caller's connection: the h11 state and the socket."""
 
-    __slots__ = ("_body_read", "_limits", "_peer_closed", "_send_lock", "_stream", "protocol")
+    __slots__ = ("_body_read", "_limits", "_peer_closed", "_sending", "_stream", "protocol")
 
     def __init__(self, stream: trio.SocketStream, limits: HttpLimits) -> None:
         self.protocol = h11.Connection(h11.SERVER, limits.max_header_bytes)
@@ -314,7 +315,7 @@
         self._limits = limits
         self._body_read = trio.Event()
         self._peer_closed = False
-        self._send_lock = trio.Lock()
+        self._sending = False
 
     @property
     def body_read(self) -> bool:
@@ -340,10 +341,33 @@
 
     async def send_events(self, *events: h11.Event) -> None:
         """Serialise and send ``events``; ``trio.TooSlowError`` when the caller takes nothing."""
-        async with self._send_lock:
-            data = b"".join(self.protocol.send(event) or b"" for event in events)
+        if self._sending:
+            raise trio.BusyResourceError("two tasks answer one request")
+        data = b"".join(self.protocol.send(event) or b"" for event in events)
+        sent_bytes = self._send_now(data)
+        if sent_bytes < len(data):
+            await self._send_rest(data[sent_bytes:])
+
+    def _send_now(self, data: bytes) -> int:
+        """Hand the kernel what it takes without waiting, the usual case by far.
+
+        Saves a checkpoint and a cancel scope for each streamed token; fairness is kept by the
+        caller's own reads.
+        """
+        try:
+            return os.write(self._stream.socket.fileno(), data)
+        except BlockingIOError:
+            return 0
+        except OSError as error:
+            raise trio.BrokenResourceError(str(error)) from error
+
+    async def _send_rest(self, data: bytes) -> None:
+        self._sending = True
+        try:
             with trio.fail_after(self._limits.write_timeout_ms / 1000):
                 await self._stream.send_all(data)
+        finally:
+            self._sending = False
 
     def body(self) -> AsyncIterator[bytes]:
         return _RequestBody(self)
