--- a/src/fescuedock/net/http_client.py
+++ b/src/fescuedock/net/http_client.py
@@ -4,9 +4,10 @@
 it: anything else is closed, so that no caller can get the answer to somebody else's request.
 """
 
+import math
 from collections import defaultdict
-from collections.abc import AsyncIterator, Mapping
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Iterator, Mapping
+from contextlib import asynccontextmanager, contextmanager
 from dataclasses import dataclass
 
 import h11
@@ -105,9 +106,13 @@
         body: bytes = b"",
         *,
         fresh: bool = False,
+        answer_timeout_ms: float = math.inf,
     ) -> AsyncIterator[ClientResponse]:
         """Send one request and give its answer; leaving the block early cuts the connection.
 
+        ``answer_timeout_ms`` bounds the time from the connection to the answer's head; after it
+        the answer counts as lost.  The body's time is the reader's to bound.
+
         ``fresh`` forces a new connection: a reused one may have been closed by the server just
         as we wrote to it, and then nobody can say whether the request arrived.
         """
@@ -115,7 +120,8 @@
         if connection is None:
             connection = await self._connect(address)
         try:
-            response = await connection.exchange(address, method, target, headers, body)
+            with _answer_due(address, answer_timeout_ms):
+                response = await connection.exchange(address, method, target, headers, body)
             yield response
         except BaseException:
             await connection.abort()
@@ -168,6 +174,15 @@
         await client.close()
 
 
+@contextmanager
+def _answer_due(address: Address, timeout_ms: float) -> Iterator[None]:
+    try:
+        with trio.fail_after(timeout_ms / 1000):
+            yield
+    except trio.TooSlowError as error:
+        raise ResponseLostError(f"{address} did not answer in {timeout_ms:g} ms") from error
+
+
 class _ClientConnection:
     """One connection: the h11 state and the socket."""
 
--- /dev/null
+++ b/src/fescuedock/platform/engine.py
@@ -0,0 +1,200 @@
+"""Requests to a model engine or a plain service, and the stream of an engine's answer.
+
+Engines speak the OpenAI HTTP interface; a stream has one event for each token.  The stream hands
+every event on as the bytes that came, so a relay costs one read of the token's text.
+"""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import msgspec
+
+from fescuedock.net.address import Address
+from fescuedock.net.http_client import (
+    ClientResponse,
+    HttpClient,
+    NotSentError,
+    ResponseLostError,
+    ResponseTooLargeError,
+)
+from fescuedock.schema.view import UpstreamRecord
+
+__all__ = [
+    "EngineClient",
+    "EngineError",
+    "EngineEvent",
+    "EngineStream",
+    "NotSentError",
+    "ResponseLostError",
+    "ResumePoint",
+]
+
+ATTEMPT_HEADER = "x-attempt-id"
+_EVENT_END = b"\n\n"
+_DATA = b"data: "
+_DONE = b"data: [DONE]"
+_MAX_ANSWER_BYTES = 64 * 1024 * 1024
+_MAX_EVENT_BYTES = 1024 * 1024
+
+
+class EngineError(Exception):
+    """The engine answered with an error: an HTTP ``status`` with its ``body``.
+
+    An error inside a stream has the status 500.
+    """
+
+    def __init__(self, status: int, body: bytes) -> None:
+        super().__init__(f"HTTP {status}: {body[:200].decode('utf-8', 'replace')}")
+        self.status = status
+        self.body = body
+
+    @property
+    def is_permanent(self) -> bool:
+        """Whether the request can never succeed, so that a retry is of no use."""
+        return 400 <= self.status < 500 and self.status not in (408, 409, 425, 429)
+
+
+class ResumePoint(msgspec.Struct, frozen=True):
+    """How much of an answer was delivered: its ``tokens`` and their ``text``."""
+
+    tokens: int
+    text: str
+
+
+class EngineEvent(msgspec.Struct, gc=False):
+    """One event of a stream.
+
+    ``data`` is the whole event as it came, ``data: {...}`` with its empty line, fit to be relayed
+    as it is.  ``text`` is the token's text, empty in events that carry none.  ``finished`` marks
+    the event with the finish reason; one with the usage may follow it.
+    """
+
+    data: bytes
+    text: str
+    finished: bool
+
+
+class _Delta(msgspec.Struct, gc=False):
+    content: str | None = None
+
+
+class _Choice(msgspec.Struct, gc=False):
+    delta: _Delta | None = None
+    text: str = ""
+    finish_reason: str | None = None
+
+
+class _Chunk(msgspec.Struct, gc=False):
+    choices: list[_Choice] = []
+    error: msgspec.Raw | None = None
+
+
+_decode_chunk = msgspec.json.Decoder(_Chunk).decode
+
+
+class EngineStream:
+    """The events of one streamed answer, in order, to be iterated once.
+
+    Iteration ends normally only after the engine's ``[DONE]``, which is not given out; a stream
+    that ends before raises ``ResponseLostError``.
+    """
+
+    __slots__ = ("_response", "done", "headers")
+
+    def __init__(self, response: ClientResponse) -> None:
+        self._response = response
+        self.headers = response.headers
+        self.done = False
+
+    async def __aiter__(self) -> AsyncIterator[EngineEvent]:
+        rest = b""
+        async for chunk in self._response.chunks():
+            if self.done:
+                continue
+            *events, rest = (rest + chunk).split(_EVENT_END) if rest else chunk.split(_EVENT_END)
+            for event in events:
+                if event == _DONE:
+                    self.done = True
+                elif event.startswith(_DATA):
+                    yield _read_event(event)
+            if len(rest) > _MAX_EVENT_BYTES:
+                raise ResponseLostError("event without an end", head_received=True)
+        if not self.done:
+            raise ResponseLostError("stream ended before [DONE]", head_received=True)
+
+
+class EngineClient:
+    """Sends attempts to upstreams over one HTTP client."""
+
+    def __init__(self, http: HttpClient) -> None:
+        self._http = http
+
+    @asynccontextmanager
+    async def stream(
+        self,
+        upstream: UpstreamRecord,
+        path: str,
+        body: dict,
+        attempt_id: str,
+        resume: ResumePoint | None = None,
+    ) -> AsyncIterator[EngineStream]:
+        """Open a streamed answer; leaving the block early cuts the connection, which cancels it.
+
+        ``resume`` continues an answer after what was delivered.  Raises ``NotSentError`` (not
+        run), ``ResponseLostError`` or ``EngineError``.
+        """
+        document = {**body, "stream": True}
+        if resume is not None:
+            document["resume"] = resume
+        async with self._post(upstream, path, document, attempt_id) as response:
+            if response.status != 200:
+                raise EngineError(response.status, await _read(response))
+            yield EngineStream(response)
+
+    async def call(self, upstream: UpstreamRecord, path: str, body: dict, attempt_id: str) -> bytes:
+        """Return the JSON of an answer that is not streamed.  Raises as ``stream`` does."""
+        document = {**body, "stream": False}
+        async with self._post(upstream, path, document, attempt_id) as response:
+            answer = await _read(response)
+        if response.status != 200:
+            raise EngineError(response.status, answer)
+        return answer
+
+    async def cancel(self, upstream: UpstreamRecord, attempt_id: str) -> bool:
+        """End an attempt whose connection may hang; whether the engine knew it."""
+        path = f"/v1/streams/{attempt_id}/cancel"
+        async with self._post(upstream, path, {}, attempt_id) as response:
+            await _read(response)
+        return response.status == 200
+
+    @asynccontextmanager
+    async def _post(
+        self, upstream: UpstreamRecord, path: str, document: dict, attempt_id: str
+    ) -> AsyncIterator[ClientResponse]:
+        address = Address(upstream.host, upstream.port)
+        headers = [("content-type", "application/json"), (ATTEMPT_HEADER, attempt_id)]
+        body = msgspec.json.encode(document)
+        async with self._http.request(address, "POST", path, headers, body) as response:
+            yield response
+
+
+async def _read(response: ClientResponse) -> bytes:
+    try:
+        return await response.read(_MAX_ANSWER_BYTES)
+    except ResponseTooLargeError as error:
+        raise ResponseLostError(str(error), head_received=True) from error
+
+
+def _read_event(event: bytes) -> EngineEvent:
+    payload = event[len(_DATA) :]
+    try:
+        chunk = _decode_chunk(payload)
+    except msgspec.MsgspecError as error:
+        raise ResponseLostError(f"event cannot be read: {error}", head_received=True) from error
+    if chunk.error is not None:
+        raise EngineError(500, payload)
+    if not chunk.choices:
+        return EngineEvent(event + _EVENT_END, "", False)
+    choice = chunk.choices[0]
+    text = choice.text if choice.delta is None else choice.delta.content or ""
+    return EngineEvent(event + _EVENT_END, text, choice.finish_reason is not None)
--- /dev/null
+++ b/src/fescuedock/platform/engine_control.py
@@ -0,0 +1,133 @@
+"""The model engines' control interface: load, cache events, orders and KV cache transfer."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import msgspec
+from prometheus_client.parser import text_string_to_metric_families
+from result import Err, Ok, Result
+
+from fescuedock.faults import Fault
+from fescuedock.net.address import Address
+from fescuedock.net.http_client import (
+    ClientResponse,
+    HttpClient,
+    NotSentError,
+    ResponseLostError,
+    ResponseTooLargeError,
+)
+from fescuedock.platform.engine_wire import CacheEvents, EngineLoad, EngineOrder, KvBlocks
+from fescuedock.schema.result_codes import ResultCode
+from fescuedock.schema.view import UpstreamRecord
+
+__all__ = ["EngineControl"]
+
+RUNNING_METRIC = "vllm:num_requests_running"
+WAITING_METRIC = "vllm:num_requests_waiting"
+KV_USE_METRIC = "vllm:kv_cache_usage_perc"
+_MAX_ANSWER_BYTES = 256 * 1024 * 1024
+_TIMEOUT_MS = 2000
+_CONFLICT = 409
+
+
+class EngineControl:
+    """Calls to upstreams over one HTTP client.
+
+    Errors: ``PEER_UNREACHABLE`` when nothing was sent, ``PEER_UNKNOWN`` when the answer was lost,
+    ``UPSTREAM_ERROR`` for any other answer than success.
+    """
+
+    def __init__(self, http: HttpClient) -> None:
+        self._http = http
+
+    async def load(self, upstream: UpstreamRecord) -> Result[EngineLoad, Fault]:
+        """Read the engine's load report."""
+        result = await self._call(upstream, "GET", "/metrics")
+        return result.map(_load)
+
+    async def cache_events(
+        self, upstream: UpstreamRecord, after_seq: int
+    ) -> Result[CacheEvents, Fault]:
+        """Read the prefix cache's events after number ``after_seq``."""
+        result = await self._call(upstream, "GET", f"/v1/cache/events?after={after_seq}")
+        return result.and_then(lambda body: _decoded(body, CacheEvents))
+
+    async def order(
+        self, upstream: UpstreamRecord, order: EngineOrder, timeout_ms: float
+    ) -> Result[None, Fault]:
+        """Give an order and wait until it is carried out.
+
+        ``SUPERSEDED_ORDER`` when the engine has seen a higher fencing number.  The order may run
+        on after ``PEER_UNKNOWN``.
+        """
+        body = msgspec.json.encode(order)
+        result = await self._call(upstream, "POST", "/v1/orders", body, timeout_ms)
+        return result.map(lambda _: None)
+
+    async def export_kv(
+        self, upstream: UpstreamRecord, hashes: tuple[str, ...]
+    ) -> Result[KvBlocks, Fault]:
+        """Take the blocks out of an engine that it has cached."""
+        body = msgspec.json.encode(KvBlocks(hashes))
+        result = await self._call(upstream, "POST", "/v1/kv/export", body)
+        return result.and_then(lambda answer: _decoded(answer, KvBlocks))
+
+    async def import_kv(self, upstream: UpstreamRecord, blocks: KvBlocks) -> Result[None, Fault]:
+        """Put exported blocks into an engine's cache."""
+        body = msgspec.json.encode(blocks)
+        result = await self._call(upstream, "POST", "/v1/kv/import", body)
+        return result.map(lambda _: None)
+
+    async def _call(
+        self,
+        upstream: UpstreamRecord,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        timeout_ms: float = _TIMEOUT_MS,
+    ) -> Result[bytes, Fault]:
+        name = upstream.upstream_id
+        try:
+            async with self._open(upstream, method, path, body, timeout_ms) as response:
+                answer = await response.read(_MAX_ANSWER_BYTES)
+        except NotSentError as error:
+            return Err(Fault(ResultCode.PEER_UNREACHABLE, f"{name}: {error}"))
+        except (ResponseLostError, ResponseTooLargeError) as error:
+            return Err(Fault(ResultCode.PEER_UNKNOWN, f"{name}: {error}"))
+        if response.status == 200:
+            return Ok(answer)
+        superseded = response.status == _CONFLICT
+        code = ResultCode.SUPERSEDED_ORDER if superseded else ResultCode.UPSTREAM_ERROR
+        text = answer[:200].decode("utf-8", "replace")
+        return Err(Fault(code, f"{name}: HTTP {response.status}: {text}"))
+
+    @asynccontextmanager
+    async def _open(
+        self, upstream: UpstreamRecord, method: str, path: str, body: bytes, timeout_ms: float
+    ) -> AsyncIterator[ClientResponse]:
+        address = Address(upstream.host, upstream.port)
+        headers = [("content-type", "application/json")]
+        async with self._http.request(
+            address, method, path, headers, body, answer_timeout_ms=timeout_ms
+        ) as response:
+            yield response
+
+
+def _load(body: bytes) -> EngineLoad:
+    values = {
+        sample.name: sample.value
+        for family in text_string_to_metric_families(body.decode())
+        for sample in family.samples
+    }
+    return EngineLoad(
+        running=int(values.get(RUNNING_METRIC, 0)),
+        waiting=int(values.get(WAITING_METRIC, 0)),
+        kv_cache_use=values.get(KV_USE_METRIC, 0.0),
+    )
+
+
+def _decoded(body: bytes, kind: type) -> Result:
+    try:
+        return Ok(msgspec.json.decode(body, type=kind))
+    except msgspec.MsgspecError as error:
+        return Err(Fault(ResultCode.UPSTREAM_ERROR, f"answer cannot be read: {error}"))
--- /dev/null
+++ b/src/fescuedock/platform/etcd.py
@@ -0,0 +1,242 @@
+"""The key-value service in the dialect of etcd v3's HTTP/JSON gateway.
+
+Only the calls that we use.  What matters most is that a fault never promises too much: a write is
+``KV_UNAVAILABLE`` only when no byte of it reached the service or the service refused it.
+"""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+import msgspec
+import trio
+from result import Err, Ok, Result
+
+from fescuedock.faults import Fault
+from fescuedock.net.address import Address
+from fescuedock.net.http_client import (
+    HttpClient,
+    NotSentError,
+    ResponseLostError,
+    ResponseTooLargeError,
+)
+from fescuedock.platform import etcd_wire as wire
+from fescuedock.platform.etcd_watch import run_watch
+from fescuedock.platform.kv import KvEntry, KvEvent, KvPage, KvWatchGap
+from fescuedock.schema.result_codes import ResultCode
+from fescuedock.schema.settings import PlatformSettings
+
+__all__ = ["EtcdKv"]
+
+# A page of a range read holds many values of up to a megabyte.
+_MAX_ANSWER_BYTES = 256 * 1024 * 1024
+_RETRY_AFTER_MS = 1000
+_WATCH_BUFFER_EVENTS = 256
+_JSON = ("content-type", "application/json")
+# What etcd says when it refuses a call, and what that means to us.
+_REFUSALS = (
+    ("required revision has been compacted", ResultCode.KV_COMPACTED),
+    ("request is too large", ResultCode.KV_VALUE_TOO_LARGE),
+    ("requested lease not found", ResultCode.KV_CONFLICT),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    """What one address said."""
+
+    status: int
+    body: bytes
+
+
+class EtcdKv:
+    """A ``KvStore`` over one HTTP client; the address that answered last is tried first."""
+
+    def __init__(self, http: HttpClient, settings: PlatformSettings) -> None:
+        self._http = http
+        self._timeout_ms = settings.kv_timeout_ms
+        self._addresses = [Address.parse(part) for part in settings.kv_addresses.split(",")]
+
+    async def get(self, key: str, *, at_revision: int = 0) -> Result[KvEntry | None, Fault]:
+        """See ``KvStore.get``."""
+        request = wire.RangeRequest(key=key.encode(), revision=at_revision)
+        result = await self._read("/v3/kv/range", request, wire.RangeAnswer)
+        return result.map(lambda answer: _entry(answer.kvs[0]) if answer.kvs else None)
+
+    async def get_range(
+        self, prefix: str, *, start_after: str = "", limit: int = 1000, keys_only: bool = False
+    ) -> Result[KvPage, Fault]:
+        """See ``KvStore.get_range``."""
+        request = wire.RangeRequest(
+            key=f"{start_after}\0".encode() if start_after else prefix.encode(),
+            range_end=wire.prefix_end(prefix),
+            limit=limit,
+            keys_only=keys_only,
+        )
+        result = await self._read("/v3/kv/range", request, wire.RangeAnswer)
+        return result.map(_page)
+
+    async def put_if(
+        self, key: str, value: bytes, expected_revision: int, *, lease_id: int = 0
+    ) -> Result[int, Fault]:
+        """See ``KvStore.put_if``."""
+        put = wire.PutRequest(key=key.encode(), value=value, lease=lease_id)
+        request = _conditional(key, expected_revision, wire.Operation(request_put=put))
+        result = await self._write("/v3/kv/txn", request, wire.TxnAnswer)
+        return result.and_then(lambda answer: _swapped(answer, key, expected_revision))
+
+    async def delete_if(self, key: str, expected_revision: int) -> Result[None, Fault]:
+        """See ``KvStore.delete_if``."""
+        delete = wire.DeleteRequest(key=key.encode())
+        request = _conditional(key, expected_revision, wire.Operation(request_delete_range=delete))
+        result = await self._write("/v3/kv/txn", request, wire.TxnAnswer)
+        swapped = result.and_then(lambda answer: _swapped(answer, key, expected_revision))
+        return swapped.map(lambda _: None)
+
+    async def grant_lease(self, ttl_s: int) -> Result[int, Fault]:
+        """See ``KvStore.grant_lease``."""
+        request = wire.GrantRequest(ttl=ttl_s)
+        result = await self._write("/v3/lease/grant", request, wire.GrantAnswer)
+        return result.map(lambda answer: answer.lease_id)
+
+    async def keep_lease(self, lease_id: int) -> Result[int, Fault]:
+        """See ``KvStore.keep_lease``."""
+        request = wire.LeaseRequest(lease_id=lease_id)
+        result = await self._write("/v3/lease/keepalive", request, wire.KeepAnswer)
+        return result.map(lambda answer: answer.result.ttl)
+
+    async def revoke_lease(self, lease_id: int) -> Result[None, Fault]:
+        """See ``KvStore.revoke_lease``; a lease that has lapsed already is no fault."""
+        request = wire.LeaseRequest(lease_id=lease_id)
+        result = await self._write("/v3/lease/revoke", request, wire.Empty)
+        if isinstance(result, Err) and result.err_value.code is ResultCode.KV_CONFLICT:
+            return Ok(None)
+        return result.map(lambda _: None)
+
+    @asynccontextmanager
+    async def watch(
+        self, prefix: str, from_revision: int
+    ) -> AsyncIterator["trio.MemoryReceiveChannel[KvEvent | KvWatchGap]"]:
+        """See ``KvStore.watch``; when the block is entered the service is watching already."""
+        sender, receiver = trio.open_memory_channel(_WATCH_BUFFER_EVENTS)
+        error: Exception | None = None
+        async with trio.open_nursery() as nursery:
+            address = self._addresses[0]
+            timeout_ms = self._timeout_ms
+            await nursery.start(
+                run_watch, self._http, address, prefix, from_revision, timeout_ms, sender
+            )
+            try:
+                yield receiver
+            except Exception as raised:
+                # Raised again below: leaving the nursery would wrap it in a group.
+                error = raised
+            nursery.cancel_scope.cancel()
+        if error is not None:
+            raise error
+
+    async def _read(self, path: str, request: msgspec.Struct, kind: type) -> Result:
+        """Ask each address in turn; a read that failed at one may be repeated at the next."""
+        body = msgspec.json.encode(request)
+        reasons: list[str] = []
+        for address in tuple(self._addresses):
+            try:
+                answer = await self._post(address, path, body)
+            except (NotSentError, ResponseLostError) as error:
+                reasons.append(f"{address}: {error}")
+                self._try_last(address)
+                continue
+            if answer.status < 500:
+                return _decoded(answer, kind)
+            reasons.append(f"{address}: {_reason(answer)}")
+            self._try_last(address)
+        return _fault(ResultCode.KV_UNAVAILABLE, "; ".join(reasons))
+
+    async def _write(self, path: str, request: msgspec.Struct, kind: type) -> Result:
+        """Send to the first address that can be reached; what was sent once is not repeated."""
+        body = msgspec.json.encode(request)
+        reasons: list[str] = []
+        for address in tuple(self._addresses):
+            try:
+                answer = await self._post(address, path, body)
+            except NotSentError as error:
+                reasons.append(str(error))
+                self._try_last(address)
+                continue
+            except ResponseLostError as error:
+                self._try_last(address)
+                return _fault(ResultCode.KV_UNKNOWN, f"{address}: {error}")
+            if answer.status >= 500:
+                self._try_last(address)
+                return _fault(ResultCode.KV_UNKNOWN, f"{address}: {_reason(answer)}")
+            return _decoded(answer, kind, code_of_bad_body=ResultCode.KV_UNKNOWN)
+        return _fault(ResultCode.KV_UNAVAILABLE, "; ".join(reasons))
+
+    async def _post(self, address: Address, path: str, body: bytes) -> _Answer:
+        """Make one call; ``NotSentError`` and ``ResponseLostError`` as of the HTTP client."""
+        timeout_ms = self._timeout_ms
+        async with self._http.request(
+            address, "POST", path, [_JSON], body, answer_timeout_ms=timeout_ms
+        ) as response:
+            try:
+                with trio.fail_after(timeout_ms / 1000):
+                    return _Answer(response.status, await response.read(_MAX_ANSWER_BYTES))
+            except (trio.TooSlowError, ResponseTooLargeError) as error:
+                raise ResponseLostError(repr(error), head_received=True) from error
+
+    def _try_last(self, address: Address) -> None:
+        if self._addresses[0] == address:
+            self._addresses.append(self._addresses.pop(0))
+
+
+def _conditional(key: str, expected_revision: int, operation: wire.Operation) -> wire.TxnRequest:
+    compare = wire.Compare(key=key.encode(), mod_revision=expected_revision)
+    return wire.TxnRequest(compare=[compare], success=[operation])
+
+
+def _swapped(answer: wire.TxnAnswer, key: str, expected_revision: int) -> Result[int, Fault]:
+    if answer.succeeded:
+        return Ok(answer.header.revision)
+    message = f"{key} is not at revision {expected_revision}"
+    return Err(Fault(ResultCode.KV_CONFLICT, message))
+
+
+def _decoded(
+    answer: _Answer, kind: type, code_of_bad_body: ResultCode = ResultCode.KV_UNAVAILABLE
+) -> Result:
+    """Decode an answer that the service gave; its refusals promise that nothing was done."""
+    if answer.status >= 400:
+        return _refusal(answer)
+    try:
+        return Ok(msgspec.json.decode(answer.body, type=kind, strict=False))
+    except msgspec.MsgspecError as error:
+        return _fault(code_of_bad_body, f"answer cannot be read: {error}")
+
+
+def _refusal(answer: _Answer) -> Err[Fault]:
+    reason = _reason(answer)
+    for text, code in _REFUSALS:
+        if text in reason:
+            return Err(Fault(code, reason))
+    return _fault(ResultCode.KV_UNAVAILABLE, reason)
+
+
+def _reason(answer: _Answer) -> str:
+    try:
+        message = msgspec.json.decode(answer.body, type=wire.ErrorAnswer, strict=False).message
+    except msgspec.MsgspecError:
+        message = answer.body[:200].decode("utf-8", "replace")
+    return f"HTTP {answer.status}: {message}"
+
+
+def _fault(code: ResultCode, message: str) -> Err[Fault]:
+    return Err(Fault(code, message, _RETRY_AFTER_MS))
+
+
+def _page(answer: wire.RangeAnswer) -> KvPage:
+    entries = tuple(_entry(kv) for kv in answer.kvs)
+    return KvPage(entries, answer.header.revision, answer.more)
+
+
+def _entry(kv: wire.KeyValue) -> KvEntry:
+    return KvEntry(kv.key.decode(), kv.value, kv.mod_revision, kv.lease)
