--- a/src/fescuedock/core/retry.py
+++ b/src/fescuedock/core/retry.py
@@ -10,7 +10,7 @@
 import random
 from dataclasses import dataclass, field
 
-__all__ = ["RetryBudget", "RetryPolicy", "retry_wait_ms"]
+__all__ = ["AttemptHistory", "RetryBudget", "RetryPolicy"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -18,7 +18,8 @@
     """Bounds of retrying.
 
     ``share`` of recent successes may be retries; ``reserve`` retries are allowed besides while
-    there is little traffic, refilled at ``reserve_per_s``.
+    there is little traffic, refilled at ``reserve_per_s``.  A request during which upstreams were
+    lost ``max_losses`` times without giving anything may be what kills them, and is not tried on.
     """
 
     share: float = 0.2
@@ -26,6 +27,7 @@
     reserve_per_s: float = 1.0
     max_saved: float = 100.0
     max_attempts: int = 4
+    max_losses: int = 2
     first_wait_ms: float = 10.0
     max_wait_ms: float = 1000.0
 
@@ -63,18 +65,37 @@
         self._refilled_at_ms = now_ms
 
 
-def retry_wait_ms(
-    policy: RetryPolicy, attempts_made: int, slack_ms: float, rng: random.Random
-) -> float | None:
-    """Return how long to wait before the next attempt; None when there should be none.
-
-    ``slack_ms`` is the time left until the deadline less the predicted run time.  The first retry
-    goes to another upstream and need not wait long; later ones back off, with full jitter.
-    """
-    if attempts_made >= policy.max_attempts:
-        return None
-    bound_ms = min(policy.max_wait_ms, policy.first_wait_ms * 2 ** (attempts_made - 1))
-    wait_ms = rng.uniform(0.0, bound_ms)
-    if wait_ms > slack_ms:
-        return None
-    return wait_ms
+@dataclass(slots=True)
+class AttemptHistory:
+    """The attempts of one request so far."""
+
+    policy: RetryPolicy
+    failed: int = 0
+    losses: int = 0
+
+    def note_failure(self, *, upstream_lost: bool, progress: bool) -> None:
+        """Note a failed attempt.
+
+        ``upstream_lost`` says that the upstream went away while it ran the request, ``progress``
+        that the request got on by it.
+        """
+        self.failed += 1
+        if upstream_lost and not progress:
+            self.losses += 1
+
+    def next_wait_ms(
+        self, budget: RetryBudget, slack_ms: float, now_ms: float, rng: random.Random
+    ) -> float | None:
+        """Return how long to wait before another attempt; None when there should be none.
+
+        ``slack_ms`` is the time left until the deadline less the predicted run time.  The first
+        retry hardly waits, as it goes to another upstream; later ones back off, with full jitter.
+        The retry is taken from the ``budget``.
+        """
+        if self.failed >= self.policy.max_attempts or self.losses >= self.policy.max_losses:
+            return None
+        bound_ms = min(self.policy.max_wait_ms, self.policy.first_wait_ms * 2 ** (self.failed - 1))
+        wait_ms = rng.uniform(0.0, bound_ms)
+        if wait_ms > slack_ms or not budget.take(now_ms):
+            return None
+        return wait_ms
--- a/src/fescuedock/core/routing.py
+++ b/src/fescuedock/core/routing.py
@@ -16,6 +16,7 @@
 from fescuedock.schema.permits import LoadSnapshot
 
 __all__ = [
+    "Ask",
     "Candidate",
     "Choice",
     "Demand",
@@ -24,6 +25,7 @@
     "RoutingPolicy",
     "SilentOwners",
     "choose_upstreams",
+    "plan_asks",
 ]
 
 
@@ -33,13 +35,16 @@
 
     A snapshot older than ``stale_ms`` says nothing.  An upstream keeps its prefixes while its work
     in flight is within ``load_bound`` times the mean.  An owner that did not answer is passed over
-    for ``silent_ms``.
+    for ``silent_ms``.  An owner queues a request for at most ``queue_ms`` before the choice is made
+    anew with what is known by then.
     """
 
     stale_ms: float = 1000.0
     load_bound: float = 1.5
     silent_ms: float = 1000.0
     near_share: float = 0.05
+    queue_ms: float = 1000.0
+    max_out_share: float = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,12 +68,29 @@
 
 @dataclass(frozen=True, slots=True)
 class Choice:
-    """An upstream, best first; ``has_room`` is False when its owner is known to be full."""
+    """An upstream with its predicted time to the first token.
+
+    ``has_room`` is False when its owner is known to be full;
+    ``accepting`` is False for one that its owner keeps work from.
+    """
 
     upstream_id: str
     first_token_ms: float
-    has_room: bool
-    known: bool
+    has_room: bool = True
+    accepting: bool = True
+    owner_silent: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """Ask the owner of an upstream, which may queue the request for ``wait_ms``.
+
+    ``local`` asks nobody and takes from the process's own small limit.
+    """
+
+    upstream_id: str
+    wait_ms: float = 0.0
+    local: bool = False
 
 
 def choose_upstreams(
@@ -98,13 +120,37 @@
         scored.append((_last_resort(item), not _has_room(item), predicted_ms * spread, item))
     scored.sort(key=lambda entry: entry[:3])
     return [
-        Choice(item.upstream_id, predicted_ms, not full, item.load is not None)
+        Choice(item.upstream_id, predicted_ms, not full, _is_accepting(item), item.owner_silent)
         for _, full, predicted_ms, item in scored
     ]
 
 
+def plan_asks(choices: Sequence[Choice], slack_ms: float, policy: RoutingPolicy) -> list[Ask]:
+    """Return whom to ask, in order, until one grants.
+
+    The best two with room are asked for a permit at once; then upstreams whose owners are silent
+    are used directly, within the local limit; then the best queues the request.  When more
+    upstreams than ``max_out_share`` are kept out, the evidence is doubted and they are used too.
+    """
+    accepting = [item for item in choices if item.accepting]
+    doubted = len(accepting) < (1.0 - policy.max_out_share) * len(choices)
+    reachable = [item for item in accepting if not item.owner_silent]
+    asks = [Ask(item.upstream_id) for item in reachable if item.has_room][:2]
+    asks += [Ask(item.upstream_id, local=True) for item in accepting if item.owner_silent]
+    queue_ms = min(slack_ms, policy.queue_ms)
+    if queue_ms > 0:
+        asks += [Ask(item.upstream_id, queue_ms) for item in reachable[:1]]
+    if doubted:
+        asks += [Ask(item.upstream_id, local=True) for item in choices if not item.accepting]
+    return asks
+
+
+def _is_accepting(item: Candidate) -> bool:
+    return item.load is None or item.load.accepting
+
+
 def _last_resort(item: Candidate) -> int:
-    if item.load is not None and not item.load.accepting:
+    if not _is_accepting(item):
         return 2
     return 1 if item.owner_silent else 0
 
--- a/src/fescuedock/core/streams.py
+++ b/src/fescuedock/core/streams.py
@@ -8,66 +8,69 @@
 """
 
 import enum
+import re
 from dataclasses import dataclass, field
+from typing import Protocol
 
 __all__ = [
     "AttemptEnd",
-    "Continue",
-    "Drop",
-    "EndStream",
-    "GiveUp",
-    "Relay",
+    "NextStep",
     "ResumePoint",
+    "StallPolicy",
     "StreamEvent",
     "StreamState",
 ]
 
-
-class AttemptEnd(enum.Enum):
-    """How an attempt stopped giving events."""
-
-    WHOLE = enum.auto()
-    BROKEN = enum.auto()
+_IDENTITY = re.compile(rb'"id"\s*:\s*"[^"\\]*"')
 
 
 @dataclass(frozen=True, slots=True)
-class StreamEvent:
-    """One event of an engine's stream.
+class StallPolicy:
+    """When a silent stream counts as hung: ``factor`` times what is usual, ``floor_ms`` at least.
 
-    ``text`` is the token's text, empty for an event without a token; ``finished`` marks the event
-    that gives the reason for the end.
+    Too early doubles work that was only slow, too late keeps a caller waiting for a dead process
+    whose connection stays open.
     """
 
-    data: bytes
-    text: str = ""
-    finished: bool = False
+    factor: float = 10.0
+    floor_ms: float = 2000.0
 
+    def timeout_ms(self, usual_ms: float) -> float:
+        """Return how long to wait for the next event when ``usual_ms`` is the usual wait."""
+        return max(self.floor_ms, self.factor * usual_ms)
 
-@dataclass(frozen=True, slots=True)
-class Relay:
-    """Send ``data`` to the caller now."""
 
-    data: bytes
+class AttemptEnd(enum.Enum):
+    """How an attempt stopped giving events."""
 
+    WHOLE = enum.auto()
+    BROKEN = enum.auto()
 
-@dataclass(frozen=True, slots=True)
-class Drop:
-    """Nothing for the caller in this event."""
 
+class NextStep(enum.Enum):
+    """What follows the end of an attempt."""
 
-@dataclass(frozen=True, slots=True)
-class EndStream:
-    """The answer is whole: end the caller's stream."""
+    FINISH = enum.auto()
+    CONTINUE = enum.auto()
+    GIVE_UP = enum.auto()
+    IGNORE = enum.auto()
 
 
-@dataclass(frozen=True, slots=True)
-class Continue:
-    """The answer is not whole, and another attempt may go on with it."""
+class StreamEvent(Protocol):
+    """One event of an engine's stream.
 
+    ``data`` is what the caller would get.  ``text`` is the token's text, empty for an event
+    without a token; ``finished`` marks the event that gives the reason for the end.
+    """
 
-@dataclass(frozen=True, slots=True)
-class GiveUp:
-    """The answer is not whole, and what was relayed cannot be continued elsewhere."""
+    @property
+    def data(self) -> bytes: ...
+
+    @property
+    def text(self) -> str: ...
+
+    @property
+    def finished(self) -> bool: ...
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,21 +81,16 @@
     text: str
 
 
-_DROP = Drop()
-_END = EndStream()
-_CONTINUE = Continue()
-_GIVE_UP = GiveUp()
-
-
 @dataclass(slots=True)
 class StreamState:
     """What one caller was given.
 
     ``wants_usage`` says that the caller asked for a closing event with token counts, so that the
-    answer is not whole before it.
+    answer is not whole before it.  ``resumable`` is False for an answer of several texts.
     """
 
     wants_usage: bool = False
+    resumable: bool = True
     attempt_id: str = ""
     tokens: int = 0
     finished: bool = False
@@ -100,15 +98,16 @@
     _texts: list[str] = field(default_factory=list)
     _opened: bool = False
     _closed: bool = False
-    _resumable: bool = True
     _first_event: bool = True
+    _resumed: bool = False
+    _identity: bytes = b""
 
     @property
     def text(self) -> str:
         return "".join(self._texts)
 
     @property
-    def started(self) -> bool:
+    def opened(self) -> bool:
         """Whether the caller was given anything."""
         return self._opened
 
@@ -116,47 +115,62 @@
         """Let ``attempt_id`` take over; return where it must go on, None for from the start."""
         self.attempt_id = attempt_id
         self._first_event = True
+        self._resumed = self._opened
         if not self.tokens:
             return None
         return ResumePoint(self.tokens, self.text)
 
-    def receive(self, attempt_id: str, event: StreamEvent) -> Relay | Drop:
-        """Take in an event; what comes from another attempt than the current one is dropped."""
+    def receive(self, attempt_id: str, event: StreamEvent) -> bytes | None:
+        """Take in an event; return what the caller gets now, None for nothing.
+
+        What comes from another attempt than the current one is dropped.
+        """
         if attempt_id != self.attempt_id or self.ended:
-            return _DROP
+            return None
         first_event, self._first_event = self._first_event, False
         if self.finished:
-            return self._take_closing(event)
+            return self._closing(event)
         if event.text:
             self.tokens += 1
             self._texts.append(event.text)
-        elif first_event and self._opened and not event.finished:
-            # A resumed stream opens the answer again.
-            return _DROP
-        elif not first_event and not event.finished:
+        elif not event.finished and first_event and self._opened:
+            # A stream that took over opens the answer again.
+            return None
+        elif not event.finished and not first_event:
             # A part of the answer that no count of tokens describes.
-            self._resumable = False
-        self._opened = True
+            self.resumable = False
         self.finished = event.finished
-        return Relay(event.data)
+        return self._data_of(event)
 
-    def end(self, attempt_id: str, how: AttemptEnd) -> EndStream | Continue | GiveUp | Drop:
+    def end(self, attempt_id: str, how: AttemptEnd) -> NextStep:
         """Take in the end of an attempt.
 
         An engine's word that the stream is whole counts only after a reason for its end.
         """
         if attempt_id != self.attempt_id or self.ended:
-            return _DROP
+            return NextStep.IGNORE
         self.attempt_id = ""
         closed = self._closed or not self.wants_usage or how is AttemptEnd.WHOLE
         if self.finished and closed:
             self.ended = True
-            return _END
-        return _CONTINUE if self._resumable else _GIVE_UP
+            return NextStep.FINISH
+        if self.resumable or not self._opened:
+            return NextStep.CONTINUE
+        return NextStep.GIVE_UP
 
-    def _take_closing(self, event: StreamEvent) -> Relay | Drop:
-        """Relay one event after the end's reason: the token counts, if the caller wants them."""
+    def _closing(self, event: StreamEvent) -> bytes | None:
+        """Pass one event after the end's reason: the token counts, if the caller wants them."""
         if event.text or event.finished or not self.wants_usage or self._closed:
-            return _DROP
+            return None
         self._closed = True
-        return Relay(event.data)
+        return self._data_of(event)
+
+    def _data_of(self, event: StreamEvent) -> bytes:
+        """Return the event's bytes; all carry the answer identity of the first one."""
+        if not self._opened:
+            self._opened = True
+            found = _IDENTITY.search(event.data)
+            self._identity = found.group() if found else b""
+        if not self._resumed or not self._identity:
+            return event.data
+        return _IDENTITY.sub(lambda _: self._identity, event.data, count=1)
--- /dev/null
+++ b/src/fescuedock/entry/online_permits.py
@@ -0,0 +1,145 @@
+"""Finds an upstream for one attempt of an online request and gets the permit for it."""
+
+from collections.abc import Collection
+
+from result import Err, Ok, Result
+
+from fescuedock.agent.permit_client import Grant
+from fescuedock.clock import now_ms
+from fescuedock.core.routing import Ask, Candidate, Choice, choose_upstreams, plan_asks
+from fescuedock.entry.online_request import OnlineRequest
+from fescuedock.entry.online_state import OnlineState
+from fescuedock.faults import Fault
+from fescuedock.schema.permits import LoadSnapshot, PermitAsk, WorkClass
+from fescuedock.schema.result_codes import ResultCode
+from fescuedock.schema.view import UpstreamRecord
+
+__all__ = ["find_permit"]
+
+# A healthy owner answers in about a millisecond.
+_OWNER_TIMEOUT_MS = 25.0
+_NO_UPSTREAM_RETRY_MS = 1000
+_SILENCE = (ResultCode.PEER_UNREACHABLE, ResultCode.PEER_UNKNOWN)
+
+
+async def find_permit(
+    state: OnlineState, request: OnlineRequest, attempt_id: str, avoid: Collection[str] = ()
+) -> Result[Grant, Fault]:
+    """Return a permit on the best upstream that will take the attempt.
+
+    Upstreams in ``avoid`` are used only when there is no other.  A refusal is given at once when
+    owners refuse; while one of them queues the request, the choice is made anew now and then.
+    """
+    while True:
+        choices = _choose(state, request, avoid)
+        if not choices:
+            message = f"no live upstream serves {request.service!r}"
+            return Err(Fault(ResultCode.NO_UPSTREAM, message, _NO_UPSTREAM_RETRY_MS))
+        in_time = _check_deadline(state, request, choices)
+        if isinstance(in_time, Err):
+            return in_time
+        asked_at_ms = now_ms()
+        granted = await _ask_all(state, request, attempt_id, choices)
+        waited_ms = now_ms() - asked_at_ms
+        if isinstance(granted, Ok) or waited_ms < state.routing.queue_ms:
+            return granted
+
+
+def _choose(state: OnlineState, request: OnlineRequest, avoid: Collection[str]) -> list[Choice]:
+    view = state.context.view
+    policies = view.configuration.upstreams
+    usable = [
+        item
+        for item in view.upstreams_of(request.service)
+        if not item.leaving
+        and not (item.upstream_id in policies and policies[item.upstream_id].drain)
+    ]
+    others = [item for item in usable if item.upstream_id not in avoid]
+    candidates = [_candidate(state, item) for item in others or usable]
+    token_ms = state.prefill(request.service).token_ms
+    return choose_upstreams(candidates, request.demand, token_ms, state.routing, state.rng)
+
+
+def _candidate(state: OnlineState, upstream: UpstreamRecord) -> Candidate:
+    owner = state.context.view.owner_of(upstream.upstream_id)
+    silent = owner is None or state.silent.is_silent(owner.vm_id, now_ms())
+    latency_ms = state.latency.one_way_ms(upstream.failure_domain)
+    return Candidate(upstream.upstream_id, latency_ms, _fresh_load(state, upstream), silent)
+
+
+def _fresh_load(state: OnlineState, upstream: UpstreamRecord) -> LoadSnapshot | None:
+    timed = state.context.permits.loads.get(upstream.upstream_id)
+    if timed is None or now_ms() - timed.at_ms > state.routing.stale_ms:
+        return None
+    return timed.load
+
+
+def _check_deadline(
+    state: OnlineState, request: OnlineRequest, choices: list[Choice]
+) -> Result[None, Fault]:
+    first_token_ms = min(item.first_token_ms for item in choices)
+    run_ms = state.admission.times(request.service).run_ms(request.max_tokens)
+    return state.admission.check_deadline(request.left_ms(), first_token_ms, run_ms)
+
+
+async def _ask_all(
+    state: OnlineState, request: OnlineRequest, attempt_id: str, choices: list[Choice]
+) -> Result[Grant, Fault]:
+    """Ask in the planned order; the refusal that comes back soonest stands for all."""
+    run_ms = state.admission.times(request.service).run_ms(request.max_tokens)
+    refusal: Fault | None = None
+    for ask in plan_asks(choices, request.left_ms() - run_ms, state.routing):
+        granted = await _ask(state, request, attempt_id, ask, run_ms)
+        if isinstance(granted, Ok):
+            return granted
+        refusal = _kinder(refusal, granted.err_value)
+        if refusal.code is ResultCode.MEMBER_OVER_SHARE:
+            break
+    return Err(refusal or Fault(ResultCode.NO_CAPACITY, "no time is left to wait for capacity"))
+
+
+async def _ask(
+    state: OnlineState, request: OnlineRequest, attempt_id: str, ask: Ask, run_ms: float
+) -> Result[Grant, Fault]:
+    message = PermitAsk(
+        upstream_id=ask.upstream_id,
+        attempt_id=attempt_id,
+        holder_id=state.context.permits.holder_id,
+        service=request.service,
+        member=request.member,
+        work_class=WorkClass.ONLINE,
+        slack_ms=int(request.left_ms() - run_ms),
+        prompt_tokens=request.demand.prompt_tokens,
+        max_tokens=request.max_tokens,
+        prefix_hash=request.demand.prefix_hash,
+        wait_ms=int(ask.wait_ms),
+    )
+    if ask.local:
+        return state.context.permits.ask_local(message)
+    started_ms = now_ms()
+    granted = await state.context.permits.ask(message, ask.wait_ms + _OWNER_TIMEOUT_MS)
+    _note_answer(state, ask, granted, now_ms() - started_ms)
+    return granted
+
+
+def _note_answer(
+    state: OnlineState, ask: Ask, granted: Result[Grant, Fault], round_trip_ms: float
+) -> None:
+    owner = state.context.view.owner_of(ask.upstream_id)
+    if owner is None:
+        return
+    if isinstance(granted, Err) and granted.err_value.code in _SILENCE:
+        state.silent.note_silent(owner.vm_id, now_ms())
+        return
+    state.silent.note_answer(owner.vm_id)
+    if not ask.wait_ms:
+        state.latency.observe(owner.failure_domain, round_trip_ms)
+
+
+def _kinder(first: Fault | None, second: Fault) -> Fault:
+    """Return the refusal that tells more: an owner's before a silence, the sooner before others."""
+    if first is None or first.code in _SILENCE:
+        return second
+    if second.code in _SILENCE or not second.retry_after_ms:
+        return first
+    return second if second.retry_after_ms < (first.retry_after_ms or 10**9) else first
--- /dev/null
+++ b/src/fescuedock/entry/online_state.py
@@ -0,0 +1,53 @@
+"""What the online handlers of one entry keep between requests."""
+
+import random
+from dataclasses import dataclass, field
+
+from fescuedock.core.admission import Admission
+from fescuedock.core.retry import RetryBudget, RetryPolicy
+from fescuedock.core.routing import DomainLatency, PrefillModel, RoutingPolicy, SilentOwners
+from fescuedock.core.streams import StallPolicy
+from fescuedock.entry.context import EntryContext
+from fescuedock.platform.engine import EngineClient
+
+__all__ = ["OnlineState"]
+
+_IDENTITY_BITS = 128
+
+
+@dataclass(slots=True)
+class OnlineState:
+    """Shared by all online requests of one entry.
+
+    ``rng`` makes the attempt identities, so it must be unguessable: ``random.SystemRandom`` but
+    in tests.
+    """
+
+    context: EntryContext
+    rng: random.Random
+    routing: RoutingPolicy = field(default_factory=RoutingPolicy)
+    retry: RetryPolicy = field(default_factory=RetryPolicy)
+    stall: StallPolicy = field(default_factory=StallPolicy)
+    admission: Admission = field(default_factory=Admission)
+    latency: DomainLatency = field(default_factory=DomainLatency)
+    engines: EngineClient = field(init=False)
+    budget: RetryBudget = field(init=False)
+    silent: SilentOwners = field(init=False)
+    _prefill: dict[str, PrefillModel] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self.engines = EngineClient(self.context.http)
+        self.budget = RetryBudget(self.retry)
+        self.silent = SilentOwners(self.routing)
+
+    def prefill(self, service: str) -> PrefillModel:
+        return self._prefill.setdefault(service, PrefillModel())
+
+    def new_identity(self) -> str:
+        """Return an identity that nobody can guess."""
+        return f"{self.rng.getrandbits(_IDENTITY_BITS):032x}"
+
+    def shares(self) -> dict[str, float]:
+        """Return the members' shares of the configuration in force."""
+        members = self.context.view.configuration.members
+        return {name: spec.share for name, spec in members.items()}
--- /dev/null
+++ b/src/fescuedock/entry/online_stream.py
@@ -0,0 +1,194 @@
+"""Relays a streamed answer to its caller, from one upstream or from several after each other."""
+
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass, field
+
+import trio
+from result import Err, Ok, Result
+
+from fescuedock.clock import now_ms
+from fescuedock.core.streams import AttemptEnd, NextStep, StreamState
+from fescuedock.entry.online_attempt import Attempt, UpstreamStalledError
+from fescuedock.entry.online_request import OnlineRequest
+from fescuedock.entry.online_run import run_attempts
+from fescuedock.entry.online_state import OnlineState
+from fescuedock.entry.online_whole import deadline_fault
+from fescuedock.faults import Fault
+from fescuedock.net.http_client import ResponseLostError
+from fescuedock.net.http_server import Responder, ResponseStream, fault_body
+from fescuedock.platform.engine import EngineStream
+from fescuedock.schema.result_codes import ResultCode
+from fescuedock.schema.view import UpstreamRecord
+
+__all__ = ["relay_stream"]
+
+_DONE = b"data: [DONE]\n\n"
+_STREAM_HEADERS = (("content-type", "text/event-stream"), ("cache-control", "no-cache"))
+
+
+class _BrokenAnswerError(Exception):
+    """Ends the caller's response without its end mark, so that it is visibly truncated."""
+
+
+@dataclass(slots=True)
+class _Caller:
+    """The caller's side: its response is opened by the first bytes for it."""
+
+    responder: Responder
+    request_id: str
+    stack: AsyncExitStack
+    output: ResponseStream | None = None
+
+    async def write(self, data: bytes) -> None:
+        if self.output is None:
+            headers = [*_STREAM_HEADERS, ("x-request-id", self.request_id)]
+            response = self.responder.stream(200, headers)
+            self.output = await self.stack.enter_async_context(response)
+        await self.output.write(data)
+
+
+@dataclass(slots=True)
+class _Watch:
+    """Whether the relay waits for the upstream, and since when."""
+
+    timeout_ms: float
+    waiting: bool = True
+    since_ms: float = field(default_factory=now_ms)
+    stalled: bool = False
+
+
+async def relay_stream(
+    state: OnlineState, request: OnlineRequest, responder: Responder
+) -> Result[Attempt, Fault]:
+    """Answer with a stream; return the last attempt, or the fault that the caller was told.
+
+    Before the first token a failure is an ordinary error response.  After it, the fault is sent
+    as an event and the response is left without its end.
+    """
+    try:
+        async with AsyncExitStack() as stack:
+            caller = _Caller(responder, request.request_id, stack)
+            outcome = await _relay(state, request, caller)
+            if isinstance(outcome, Ok):
+                await caller.write(_DONE)
+                return outcome
+            if caller.output is not None:
+                await caller.write(b"data: " + fault_body(outcome.err_value) + b"\n\n")
+                raise _BrokenAnswerError
+    except _BrokenAnswerError:
+        return outcome
+    await responder.send_fault(outcome.err_value, [("x-request-id", request.request_id)])
+    return outcome
+
+
+async def _relay(
+    state: OnlineState, request: OnlineRequest, caller: _Caller
+) -> Result[Attempt, Fault]:
+    stream = StreamState(wants_usage=request.wants_usage, resumable=request.resumable)
+    sent = False
+    with trio.move_on_at(request.deadline_ms / 1000) as scope:
+
+        async def run_one(attempt: Attempt, upstream: UpstreamRecord) -> None:
+            nonlocal sent
+            sent = True
+            relay = _Relay(state, request, caller, stream, attempt, scope)
+            await relay.run(upstream)
+
+        return await run_attempts(state, request, run_one)
+    if stream.opened:
+        message = f"the answer was not whole after {request.spec.request_timeout_ms} ms"
+        return Err(Fault(ResultCode.TRUNCATED, message))
+    return Err(deadline_fault(sent=sent))
+
+
+@dataclass(slots=True)
+class _Relay:
+    """One attempt's way from the upstream to the caller."""
+
+    state: OnlineState
+    request: OnlineRequest
+    caller: _Caller
+    stream: StreamState
+    attempt: Attempt
+    scope: trio.CancelScope
+
+    async def run(self, upstream: UpstreamRecord) -> None:
+        """Relay until the answer is whole; raise one of ``ATTEMPT_ERRORS`` if it is not."""
+        resume = self.stream.begin(self.attempt.attempt_id)
+        body = self.request.body
+        how = AttemptEnd.BROKEN
+        error: Exception = ResponseLostError("the stream ended before the answer was whole")
+        try:
+            async with (
+                self._watched() as watch,
+                self.state.engines.stream(
+                    upstream, self.request.path, body, self.attempt.attempt_id, resume
+                ) as events,
+            ):
+                await self._relay_events(events, watch)
+                how = AttemptEnd.WHOLE
+        except (ResponseLostError, UpstreamStalledError) as lost:
+            error = lost
+        step = self.stream.end(self.attempt.attempt_id, how)
+        if step is not NextStep.FINISH:
+            raise error
+
+    async def _relay_events(self, events: EngineStream, watch: _Watch) -> None:
+        stream = self.stream
+        attempt = self.attempt
+        async for event in events:
+            at_ms = now_ms()
+            if event.text:
+                self._note_token(attempt, watch, at_ms)
+            data = stream.receive(attempt.attempt_id, event)
+            if data is not None:
+                watch.waiting = False
+                await self.caller.write(data)
+                watch.waiting = True
+            watch.since_ms = at_ms
+
+    def _note_token(self, attempt: Attempt, watch: _Watch, at_ms: float) -> None:
+        if not attempt.tokens:
+            objectives = self.request.spec.objectives
+            watch.timeout_ms = self.state.stall.timeout_ms(objectives.inter_token_ms)
+            # The caller is being served: from here on only the whole answer's time is bounded.
+            end_ms = attempt.started_ms + self.request.spec.request_timeout_ms
+            self.scope.deadline = max(self.scope.deadline, end_ms / 1000)
+        attempt.note_token(at_ms)
+
+    @asynccontextmanager
+    async def _watched(self) -> AsyncIterator[_Watch]:
+        """Cut the block off when the upstream stalls; raise its error or ``UpstreamStalledError``.
+
+        The nursery's group around an error of the block is taken off.
+        """
+        usual_ms = self.request.spec.objectives.first_token_ms
+        watch = _Watch(self.state.stall.timeout_ms(usual_ms))
+        caught: Exception | None = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_cancel_stalled, watch, nursery.cancel_scope)
+            try:
+                yield watch
+            except Exception as error:
+                caught = error
+            nursery.cancel_scope.cancel()
+        if caught is not None:
+            raise caught
+        if watch.stalled:
+            raise UpstreamStalledError(f"nothing came for {watch.timeout_ms:.0f} ms")
+
+
+async def _cancel_stalled(watch: _Watch, scope: trio.CancelScope) -> None:
+    """Cancel ``scope`` when its relay has waited for the upstream for too long."""
+    while True:
+        due_ms = watch.since_ms + watch.timeout_ms
+        if now_ms() < due_ms:
+            await trio.sleep_until(due_ms / 1000)
+        elif watch.waiting:
+            watch.stalled = True
+            scope.cancel()
+            return
+        else:
+            # The caller is slow; the write has a timeout of its own.
+            await trio.sleep(watch.timeout_ms / 1000)
