--- /dev/null
+++ b/src/fescuedock/store/logs.py
@@ -0,0 +1,220 @@
+"""Append-only logs of result records, a file for each job.
+
+Appends to any number of jobs that come while one round of fsync is due share that round, so that
+the disk is asked once for each file and not once for each call.
+"""
+
+import re
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+import trio
+from result import Err, Ok, Result
+
+from fescuedock.core.log_frames import HEADER_BYTES, encode_frames, read_frames
+from fescuedock.faults import Fault
+from fescuedock.schema.result_codes import ResultCode
+from fescuedock.schema.store import LogReply, ReadLog
+from fescuedock.store.disk import Disk
+from fescuedock.store.segments import Usage
+
+__all__ = ["LogFolder", "is_job_id"]
+
+_SUFFIX = ".log"
+_JOB_ID = re.compile(r"[A-Za-z0-9][A-Za-z0-9_-]{0,127}")
+_SCAN_BYTES = 1048576
+_MAX_PAGE_BYTES = 4 * 1048576
+# How long a round of fsync waits for more appends.
+_GATHER_MS = 2
+
+
+def is_job_id(text: str) -> bool:
+    """Whether ``text`` can name a log; nothing else gets near the file system."""
+    return _JOB_ID.fullmatch(text) is not None
+
+
+@dataclass(slots=True)
+class _Log:
+    """One log: ``size_bytes`` are written, the first ``synced_bytes`` survive a loss of power."""
+
+    size_bytes: int
+    synced_bytes: int
+
+
+class _Round:
+    """One round of fsync; the appends that wait for it see which logs failed."""
+
+    __slots__ = ("done", "failed", "jobs")
+
+    def __init__(self) -> None:
+        self.jobs: set[str] = set()
+        self.failed: dict[str, OSError] = {}
+        self.done = trio.Event()
+
+
+class LogFolder:
+    """The logs under one folder.  ``run`` must be running for appends to be acknowledged."""
+
+    __slots__ = ("_disk", "_folder", "_folder_dirty", "_logs", "_round", "_usage", "_wake")
+
+    def __init__(self, disk: Disk, folder: Path, usage: Usage) -> None:
+        self._disk = disk
+        self._folder = folder / "logs"
+        self._usage = usage
+        self._logs: dict[str, _Log] = {}
+        self._round = _Round()
+        self._wake = trio.Event()
+        self._folder_dirty = False
+
+    def open(self) -> None:
+        """Make the folder, find the logs and cut a torn last write off each."""
+        self._disk.make_folder(self._folder)
+        for file in list(self._disk.list_files(self._folder)):
+            job_id = file.name.removesuffix(_SUFFIX)
+            if file.name.endswith(_SUFFIX) and is_job_id(job_id):
+                self._recover(job_id, file.size_bytes)
+        self._disk.sync_folder(self._folder)
+        self._disk.sync_folder(self._folder.parent)
+
+    async def append(self, job_id: str, records: Sequence[bytes]) -> Result[None, Fault]:
+        """Append ``records``; returns when they survive a loss of power, all or none."""
+        if not is_job_id(job_id):
+            return Err(Fault(ResultCode.BAD_REQUEST, f"not a job identity: {job_id!r}"))
+        data = encode_frames(records)
+        if not self._usage.has_room(len(data)):
+            text = f"no room for {len(data)} bytes, {self._usage.free_bytes} are free"
+            return Err(Fault(ResultCode.DISK_FULL, text))
+        try:
+            self._write(job_id, data)
+        except OSError as error:
+            # A part of it may be there, and whatever followed that would be unreadable.
+            self._cut_to(job_id, self._logs[job_id].size_bytes)
+            return Err(Fault(ResultCode.DISK_FULL, f"the disk refused: {error}"))
+        return await self._synced(job_id)
+
+    def read(self, request: ReadLog) -> LogReply:
+        """Return whole records from an offset that an earlier answer gave, at least one if any."""
+        log = self._logs.get(request.job_id)
+        offset = request.offset_bytes
+        if log is None or offset >= log.size_bytes:
+            return LogReply(next_offset_bytes=offset)
+        path = self._path(request.job_id)
+        limit = min(request.limit_bytes, _MAX_PAGE_BYTES, log.size_bytes - offset)
+        frames = read_frames(self._disk.read(path, offset, max(limit, HEADER_BYTES)))
+        if not frames.records and frames.needed_bytes:
+            frames = read_frames(self._disk.read(path, offset, frames.needed_bytes))
+        next_offset = offset + frames.size_bytes
+        return LogReply(records=frames.records, next_offset_bytes=next_offset)
+
+    def drop(self, job_id: str) -> None:
+        """Delete the log if it is here."""
+        log = self._logs.pop(job_id, None)
+        if log is not None:
+            self._disk.remove(self._path(job_id))
+            self._usage.subtract(log.size_bytes)
+
+    def drop_older(self, before_s: int) -> int:
+        """Delete the logs last written before ``before_s``; return how many."""
+        names = [f"{job_id}{_SUFFIX}" for job_id in self._logs]
+        found = [self._disk.status(self._folder / name) for name in names]
+        old = [file.name for file in found if file is not None and file.modified_s < before_s]
+        for name in old:
+            self.drop(name.removesuffix(_SUFFIX))
+        return len(old)
+
+    async def run(self) -> None:
+        """Make appends durable, round by round, until cancelled."""
+        while True:
+            await self._wake.wait()
+            await trio.sleep(_GATHER_MS / 1000)
+            self._wake = trio.Event()
+            finished, self._round = self._round, _Round()
+            for job_id in finished.jobs:
+                self._sync(job_id, finished)
+                # Between two fsyncs other work of the store gets a turn.
+                await trio.lowlevel.checkpoint()
+            finished.done.set()
+
+    def _write(self, job_id: str, data: bytes) -> None:
+        if job_id not in self._logs:
+            self._logs[job_id] = _Log(0, 0)
+            self._usage.add(0)
+            self._folder_dirty = True
+        with self._disk.append(self._path(job_id)) as file:
+            file.write(data)
+        self._logs[job_id].size_bytes += len(data)
+        self._usage.used_bytes += len(data)
+
+    async def _synced(self, job_id: str) -> Result[None, Fault]:
+        joined = self._round
+        joined.jobs.add(job_id)
+        self._wake.set()
+        await joined.done.wait()
+        error = joined.failed.get(job_id)
+        if error is None:
+            return Ok(None)
+        return Err(Fault(ResultCode.STORES_UNAVAILABLE, f"the disk refused: {error}"))
+
+    def _sync(self, job_id: str, finished: _Round) -> None:
+        log = self._logs.get(job_id)
+        if log is None:
+            # Dropped in between, so that nobody needs its records.
+            return
+        try:
+            with self._disk.append(self._path(job_id)) as file:
+                file.sync()
+            if self._folder_dirty:
+                self._disk.sync_folder(self._folder)
+                self._folder_dirty = False
+        except OSError as error:
+            # After a failed fsync nobody knows what is on disk; a later one could wrongly succeed.
+            finished.failed[job_id] = error
+            self._fail_waiting(job_id, error)
+            self._cut_to(job_id, log.synced_bytes)
+            return
+        log.synced_bytes = log.size_bytes
+
+    def _cut_to(self, job_id: str, size_bytes: int) -> None:
+        """Cut the log to ``size_bytes``; a log that cannot be cut is given up."""
+        log = self._logs[job_id]
+        try:
+            with self._disk.append(self._path(job_id)) as file:
+                file.truncate(size_bytes)
+        except OSError as error:
+            self._fail_waiting(job_id, error)
+            self.drop(job_id)
+            return
+        self._usage.used_bytes -= log.size_bytes - size_bytes
+        log.size_bytes = size_bytes
+
+    def _fail_waiting(self, job_id: str, error: OSError) -> None:
+        """Refuse the appends whose records have just been cut off."""
+        if job_id in self._round.jobs:
+            self._round.failed[job_id] = error
+
+    def _recover(self, job_id: str, size_bytes: int) -> None:
+        valid_bytes = self._valid_bytes(job_id, size_bytes)
+        with self._disk.append(self._path(job_id)) as file:
+            if valid_bytes < size_bytes:
+                file.truncate(valid_bytes)
+            file.sync()
+        self._logs[job_id] = _Log(valid_bytes, valid_bytes)
+        self._usage.add(valid_bytes)
+
+    def _valid_bytes(self, job_id: str, size_bytes: int) -> int:
+        """Return where the last whole record ends, reading in bounded pieces."""
+        offset = 0
+        limit = _SCAN_BYTES
+        while True:
+            frames = read_frames(self._disk.read(self._path(job_id), offset, limit))
+            offset += frames.size_bytes
+            if frames.records:
+                limit = _SCAN_BYTES
+            elif limit < frames.needed_bytes <= size_bytes - offset:
+                limit = frames.needed_bytes
+            else:
+                return offset
+
+    def _path(self, job_id: str) -> Path:
+        return self._folder / f"{job_id}{_SUFFIX}"
