--- a/src/fescuedock/core/burn.py
+++ b/src/fescuedock/core/burn.py
@@ -8,8 +8,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from fescuedock.schema.config import Objectives
-from fescuedock.schema.report import SlotCounts
+from fescuedock.schema.report import ServiceObjectives, SlotCounts
 
 __all__ = [
     "WINDOWS",
@@ -94,21 +93,22 @@
 class SlotSeries:
     """Counts of one service by time: a minute each for six hours, then a quarter hour each."""
 
-    __slots__ = ("_slots",)
+    __slots__ = ("_slots", "total")
 
     def __init__(self) -> None:
+        self.total = SlotCounts(start_s=0, length_s=0)
         self._slots: dict[tuple[int, int], SlotCounts] = {}
 
     def count_online(self, now_s: int, *, in_time: bool, failed: bool) -> None:
-        slot = self._slot(now_s)
-        slot.online += 1
-        slot.online_in_time += in_time
-        slot.online_failed += failed
+        for slot in (self.total, self._slot(now_s)):
+            slot.online += 1
+            slot.online_in_time += in_time
+            slot.online_failed += failed
 
     def count_job(self, now_s: int, *, in_time: bool) -> None:
-        slot = self._slot(now_s)
-        slot.jobs += 1
-        slot.jobs_in_time += in_time
+        for slot in (self.total, self._slot(now_s)):
+            slot.jobs += 1
+            slot.jobs_in_time += in_time
 
     def slots(self, now_s: int) -> list[SlotCounts]:
         """Return the slots kept at ``now_s``, oldest first, after joining and dropping old ones."""
@@ -144,7 +144,7 @@
 
 
 def assess_burn(
-    service: str, objectives: Objectives, slots: Sequence[SlotCounts], now_s: int
+    service: str, objectives: ServiceObjectives, slots: Sequence[SlotCounts], now_s: int
 ) -> tuple[Burn, ...]:
     """Return the burn of each promise of ``service`` at ``now_s`` (Unix time)."""
     shares = {Promise.ONLINE: objectives.online_share, Promise.JOBS: objectives.batch_share}
--- /dev/null
+++ b/src/fescuedock/report/histograms.py
@@ -0,0 +1,46 @@
+"""Latency histograms out of snapshots: decoding, adding up, and reading them."""
+
+from collections.abc import Iterable, Sequence
+
+from hdrh.histogram import HdrHistogram
+
+from fescuedock.report.metrics import HistogramKey, new_histogram
+from fescuedock.schema.report import MetricsSnapshot
+
+__all__ = ["cumulative_counts", "decode_histogram", "merge_histograms", "percentiles_ms"]
+
+_US_PER_MS = 1000
+
+
+def decode_histogram(encoded: str) -> HdrHistogram:
+    """Return the histogram of a snapshot's ``encoded`` text."""
+    histogram = new_histogram()
+    histogram.decode_and_add(encoded)
+    return histogram
+
+
+def merge_histograms(snapshots: Iterable[MetricsSnapshot]) -> dict[HistogramKey, HdrHistogram]:
+    """Add up the histograms of ``snapshots``; nothing is lost, all share one layout."""
+    merged: dict[HistogramKey, HdrHistogram] = {}
+    for snapshot in snapshots:
+        for item in snapshot.histograms:
+            key = HistogramKey(item.service, item.work_class, item.member_group, item.measure)
+            if key not in merged:
+                merged[key] = new_histogram()
+            merged[key].decode_and_add(item.encoded)
+    return merged
+
+
+def cumulative_counts(histogram: HdrHistogram, bounds_us: Sequence[float]) -> list[int]:
+    """Return how many values are at most each of ``bounds_us``, which ascend."""
+    counts = [0] * len(bounds_us)
+    for item in histogram.get_recorded_iterator():
+        for position, bound_us in enumerate(bounds_us):
+            if item.value_iterated_to <= bound_us:
+                counts[position] += item.count_added_in_this_iter_step
+    return counts
+
+
+def percentiles_ms(histogram: HdrHistogram, percentiles: Sequence[float]) -> list[float]:
+    """Return the value at each of ``percentiles`` (0 to 100) in milliseconds."""
+    return [histogram.get_value_at_percentile(point) / _US_PER_MS for point in percentiles]
--- a/src/fescuedock/report/metrics.py
+++ b/src/fescuedock/report/metrics.py
@@ -127,7 +127,7 @@
             process=self._process,
             taken_at_s=now_s,
             services=[
-                ServiceSlots(service, series.slots(now_s))
+                ServiceSlots(service, series.total, series.slots(now_s))
                 for service, series in sorted(self._series.items())
             ],
             histograms=[
--- a/src/fescuedock/schema/report.py
+++ b/src/fescuedock/schema/report.py
@@ -49,6 +49,7 @@
 
 class ServiceSlots(Struct):
     service: str
+    total: Annotated[SlotCounts, Meta(description="Since the process began; length_s is 0.")]
     slots: list[SlotCounts] = field(default_factory=list)
 
 
@@ -60,3 +61,74 @@
     services: list[ServiceSlots] = field(default_factory=list)
     histograms: list[LatencyHistogram] = field(default_factory=list)
     codes: list[CodeCount] = field(default_factory=list)
+
+
+class MetricsRequest(Struct):
+    """
+    Ask a program of the same VM for its metrics.
+    """
+
+    reason: str = ""
+
+
+class ServiceObjectives(Struct):
+    first_token_ms: float
+    inter_token_ms: float
+    online_share: float
+    batch_share: float
+
+
+class VmStatus(Struct):
+    vm_id: str
+    region: str
+    failure_domain: str
+    host: str
+    state: str
+    ready: Annotated[list[str], Meta(description="Programs that are ready.")]
+    entry_port: int = 0
+    config_version: int = 0
+
+
+class UpstreamStatus(Struct):
+    """
+    One upstream as one entry sees it. Counts are -1 while it has no fresh load answer.
+    """
+
+    upstream_id: str
+    service: str
+    kind: str
+    failure_domain: str
+    leaving: bool
+    drain: bool
+    owner: Annotated[
+        str, Meta(description="VM whose agent grants its permits; empty when there is none.")
+    ]
+    in_flight_online: int = -1
+    in_flight_batch: int = -1
+    limit: int = -1
+    load_age_ms: int = -1
+
+
+class FleetStatus(Struct):
+    """
+    Body of GET /admin/status; the fleet as the answering VM sees it.
+    """
+
+    vm_id: str
+    config_version: int
+    config_age_ms: Annotated[int, Meta(description="Time since the version was last confirmed.")]
+    membership_age_ms: Annotated[int, Meta(description="Time since the VM list was last read.")]
+    vms: list[VmStatus]
+    upstreams: list[UpstreamStatus]
+
+
+class MetricsReport(Struct):
+    """
+    Body of GET /admin/metrics; the programs of one VM that keep metrics.
+    """
+
+    snapshots: list[MetricsSnapshot] = field(default_factory=list)
+    objectives: Annotated[
+        dict[str, ServiceObjectives], Meta(description="Of each service of the configuration.")
+    ] = field(default_factory=dict)
+    config_version: int = 0
