--- /dev/null
+++ b/src/fescuedock/standin/listener.py
@@ -0,0 +1,53 @@
+"""An HTTP server at one address that can die and come back on command."""
+
+from dataclasses import dataclass, field
+
+import trio
+
+from fescuedock.net.address import Address
+from fescuedock.net.http_server import Handler, HttpLimits, HttpServer
+
+__all__ = ["Listener"]
+
+# A stand-in waits as long as its client does.
+_LIMITS = HttpLimits(idle_timeout_ms=3_600_000)
+
+
+@dataclass(slots=True)
+class Listener:
+    """Serves ``handler``; its address stays the same while it is down."""
+
+    handler: Handler
+    address: Address | None = None
+    _up: trio.Event = field(default_factory=trio.Event)
+    _scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+
+    async def run(
+        self, address: Address, *, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Listen on ``address`` until cancelled; report the real ``Address``."""
+        self._up.set()
+        while True:
+            await self._up.wait()
+            self._scope = trio.CancelScope()
+            with self._scope:
+                async with trio.open_nursery() as nursery:
+                    server = HttpServer(self.handler, _LIMITS)
+                    bound = await nursery.start(server.serve, self.address or address)
+                    if self.address is None:
+                        self.address = bound
+                        task_status.started(bound)
+
+    @property
+    def is_up(self) -> bool:
+        return self._up.is_set()
+
+    def take_down(self) -> None:
+        """Refuse connections and cut all that are open."""
+        if self._up.is_set():
+            self._up = trio.Event()
+        self._scope.cancel()
+
+    def bring_up(self) -> None:
+        """Listen again."""
+        self._up.set()
--- /dev/null
+++ b/src/fescuedock/standin/vm_list.py
@@ -0,0 +1,93 @@
+"""A VM list that shows changes late."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+import msgspec
+import trio
+
+from fescuedock.net.address import Address
+from fescuedock.net.http_server import Request, Responder
+from fescuedock.platform.vm_list import STATE_LEAVING, ListedVm, VmList
+from fescuedock.standin.listener import Listener
+
+__all__ = ["VmListService"]
+
+
+@dataclass(frozen=True, slots=True)
+class _Version:
+    """The list from one moment on."""
+
+    from_s: float
+    etag: str
+    body: bytes
+
+
+@dataclass(slots=True)
+class VmListService:
+    """The list as it is; callers see it as it was ``lag_ms`` ago."""
+
+    lag_ms: float = 0.0
+    reads: int = 0
+    unchanged_reads: int = 0
+    listener: Listener = field(init=False)
+    _vms: dict[str, ListedVm] = field(default_factory=dict)
+    _versions: deque[_Version] = field(default_factory=deque)
+    _number: int = 0
+
+    def __post_init__(self) -> None:
+        self.listener = Listener(self.handle)
+        self._versions.append(_Version(float("-inf"), '"0"', b'{"vms":[]}'))
+
+    @property
+    def address(self) -> Address:
+        return self.listener.address
+
+    @property
+    def vms(self) -> tuple[ListedVm, ...]:
+        """The list without lag."""
+        return tuple(self._vms.values())
+
+    async def run(
+        self, address: Address, *, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve until cancelled; report the real ``Address``."""
+        await self.listener.run(address, task_status=task_status)
+
+    def add(self, vm: ListedVm) -> None:
+        """Add a VM, or replace the one of the same identity."""
+        self._vms[vm.vm_id] = vm
+        self._changed()
+
+    def leave(self, vm_id: str) -> None:
+        """Mark a VM as leaving."""
+        self.add(msgspec.structs.replace(self._vms[vm_id], state=STATE_LEAVING))
+
+    def remove(self, vm_id: str) -> None:
+        """Take a VM off the list."""
+        del self._vms[vm_id]
+        self._changed()
+
+    def _changed(self) -> None:
+        self._number += 1
+        body = msgspec.json.encode(VmList(self.vms))
+        self._versions.append(_Version(trio.current_time(), f'"{self._number}"', body))
+
+    async def handle(self, request: Request, responder: Responder) -> None:
+        if (request.method, request.path) != ("GET", "/v1/vms"):
+            await responder.send(404)
+            return
+        self.reads += 1
+        version = self._visible()
+        headers = [("etag", version.etag)]
+        if request.headers.get("if-none-match") == version.etag:
+            self.unchanged_reads += 1
+            await responder.send(304, headers=headers)
+            return
+        await responder.send(200, version.body, headers)
+
+    def _visible(self) -> _Version:
+        seen_until_s = trio.current_time() - self.lag_ms / 1000
+        while len(self._versions) > 1 and self._versions[1].from_s <= seen_until_s:
+            self._versions.popleft()
+        return self._versions[0]
--- /dev/null
+++ b/src/fescuedock/standin/weight_store.py
@@ -0,0 +1,61 @@
+"""A weight store that gives all loads together a limited rate."""
+
+from dataclasses import dataclass, field
+
+import trio
+
+from fescuedock.net.address import Address
+from fescuedock.net.http_server import Request, Responder
+from fescuedock.platform.weight_store import WeightCatalog, WeightRecord
+from fescuedock.standin.listener import Listener
+
+__all__ = ["WeightStoreService"]
+
+
+@dataclass(slots=True)
+class WeightStoreService:
+    """Weights by model, version and adapter; loads queue for ``bytes_per_s``."""
+
+    bytes_per_s: int = 1_000_000_000
+    weights: list[WeightRecord] = field(default_factory=list)
+    loads: int = 0
+    loads_at_once: int = 0
+    most_loads_at_once: int = 0
+    listener: Listener = field(init=False)
+    _free_at_s: float = float("-inf")
+
+    def __post_init__(self) -> None:
+        self.listener = Listener(self.handle)
+
+    @property
+    def address(self) -> Address:
+        return self.listener.address
+
+    async def run(
+        self, address: Address, *, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve until cancelled; report the real ``Address``."""
+        await self.listener.run(address, task_status=task_status)
+
+    async def load(self, size_bytes: int) -> None:
+        """Wait as long as ``size_bytes`` take behind all loads that began before."""
+        now_s = trio.current_time()
+        self._free_at_s = max(self._free_at_s, now_s) + size_bytes / self.bytes_per_s
+        self.loads += 1
+        self.loads_at_once += 1
+        self.most_loads_at_once = max(self.most_loads_at_once, self.loads_at_once)
+        try:
+            await trio.sleep_until(self._free_at_s)
+        finally:
+            self.loads_at_once -= 1
+
+    def size_bytes(self, model: str, version: str, adapter: str = "") -> int:
+        """Return the size of some weights, 0 for those that are not here."""
+        catalog = WeightCatalog(tuple(self.weights), self.bytes_per_s)
+        return catalog.size_bytes(model, version, adapter) or 0
+
+    async def handle(self, request: Request, responder: Responder) -> None:
+        if (request.method, request.path) != ("GET", "/v1/weights"):
+            await responder.send(404)
+            return
+        await responder.send_json(200, WeightCatalog(tuple(self.weights), self.bytes_per_s))
