--- a/src/fescuedock/agent/permit_client.py
+++ b/src/fescuedock/agent/permit_client.py
@@ -6,17 +6,35 @@
         case Err(fault): ...     # refused (retry_after_ms is truthful) or a silent owner
 """
 
-from collections.abc import AsyncIterator, Callable, Mapping
+from collections import defaultdict
+from collections.abc import AsyncIterator, Callable, Iterable, Mapping
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+import msgspec
 import trio
-from result import Err, Result
+from result import Err, Ok, Result
 
+from fescuedock.agent.peers import PeerChannels
+from fescuedock.clock import now_ms
+from fescuedock.core.permits.holder import HeldGrant, HolderBook
+from fescuedock.core.permits.local_limit import LocalLimit
 from fescuedock.faults import Fault
+from fescuedock.net.address import Address
+from fescuedock.net.channel import ChannelClient
 from fescuedock.net.codec import Codec
-from fescuedock.schema.permits import EndedPermit, LoadSnapshot, PermitAsk
+from fescuedock.schema.permits import (
+    AttemptOutcome,
+    EndedPermit,
+    LoadSnapshot,
+    PermitAsk,
+    PermitRenew,
+    PermitReply,
+    PermitsEnded,
+    PermitsRevoked,
+    WorkClass,
+)
 from fescuedock.schema.result_codes import ResultCode
 from fescuedock.settings import Settings
 
@@ -25,6 +43,10 @@
 
 __all__ = ["Grant", "PermitClient", "TimedLoad", "open_permit_client"]
 
+_DEFAULT_VALID_MS = 2000
+# Three renewals fit into the validity, so that two may be lost.
+_RENEWALS_PER_VALIDITY = 3
+
 
 @dataclass(frozen=True, slots=True)
 class TimedLoad:
@@ -38,16 +60,35 @@
 class Grant:
     """Leave to run one attempt.  ``end`` must be called once, however the attempt went.
 
-    When ``revoked`` is set, the holder cancels the attempt at once and ends the permit.  ``local``
-    says that no owner gave it (see ``PermitClient.ask_local``).
+    When ``revoked`` is set, the holder cancels the attempt at once and ends the permit.
     """
 
-    permit_id: str
-    upstream_id: str
-    local: bool
+    _held: HeldGrant
     _end: Callable[[EndedPermit], None]
     revoked: trio.Event = field(default_factory=trio.Event)
 
+    @property
+    def permit_id(self) -> str:
+        return self._held.ask.attempt_id
+
+    @property
+    def upstream_id(self) -> str:
+        return self._held.ask.upstream_id
+
+    @property
+    def local(self) -> bool:
+        """Whether no owner gave it (see ``PermitClient.ask_local``)."""
+        return self._held.local
+
+    def count_token(self) -> None:
+        """Note one more token, for the next renewal; optional, but lets the owner choose better.
+
+        The first one gives the time to the first token seconds before the attempt ends.
+        """
+        if not self._held.generated_tokens:
+            self._held.first_token_ms = now_ms() - self._held.granted_ms
+        self._held.generated_tokens += 1
+
     def end(self, ended: EndedPermit) -> None:
         """Report how the attempt went; sent to the owner with others.  Further calls do nothing."""
         self._end(ended)
@@ -56,8 +97,21 @@
 class PermitClient:
     """Asks owners for permits, renews what is held, and keeps their load snapshots."""
 
-    holder_id: str
-    loads: Mapping[str, TimedLoad]
+    def __init__(
+        self, settings: Settings, view: "FleetView", channels: PeerChannels, holder_id: str
+    ) -> None:
+        self.holder_id = holder_id
+        self.loads: Mapping[str, TimedLoad] = {}
+        self.local_limit = LocalLimit(settings.permits.local_limit)
+        self._settings = settings.permits
+        self._view = view
+        self._channels = channels
+        self._book = HolderBook()
+        self._grants: dict[str, Grant] = {}
+        self._valid_ms = settings.agent.permit_valid_ms if settings.agent else _DEFAULT_VALID_MS
+        self._something_ended = trio.Event()
+        # Attempts whose ask is under way; True once a revocation has overtaken the grant.
+        self._asking: dict[str, bool] = {}
 
     async def ask(self, ask: PermitAsk, timeout_ms: float) -> Result[Grant, Fault]:
         """Ask the owner of ``ask.upstream_id``; wait ``timeout_ms`` at most for its answer.
@@ -67,14 +121,140 @@
         use ``ask_local`` or another upstream, batch waits.  Any other fault is the owner's refusal.
         A late grant is given back by the client itself.
         """
-        return Err(Fault(ResultCode.PEER_UNREACHABLE, "not yet"))
+        sent_ms = now_ms()
+        answered = False
+        self._asking[ask.attempt_id] = False
+        try:
+            with trio.move_on_after(timeout_ms / 1000):
+                channel = await self._channel_of(ask.upstream_id)
+                if channel is None:
+                    answered = True
+                    return Err(_no_owner(ask.upstream_id))
+                reply = await channel.call(ask, timeout_ms)
+                answered = reply.is_ok()
+                return reply.and_then(lambda found: self._settle(ask, found, sent_ms))
+            return Err(Fault(ResultCode.PEER_UNKNOWN, f"no answer for {ask.upstream_id}"))
+        finally:
+            self._asking.pop(ask.attempt_id, None)
+            if not answered:
+                self._give_up(ask)
 
     def ask_local(self, ask: PermitAsk) -> Result[Grant, Fault]:
         """Grant one online attempt without its owner, under the conservative local limit.
 
         ``NO_CAPACITY`` when the local limit is used up, or for batch work, which must wait.
         """
-        return Err(Fault(ResultCode.NO_CAPACITY, "not yet"))
+        if ask.work_class is not WorkClass.ONLINE or not self.local_limit.try_take(ask.upstream_id):
+            message = f"no local room at {ask.upstream_id}"
+            return Err(Fault(ResultCode.NO_CAPACITY, message, self._settings.adjust_ms))
+        return Ok(self._grant(HeldGrant(ask, now_ms(), float("inf"), local=True)))
+
+    async def run(self) -> None:
+        """Renew, report ends and revoke what lapses; never returns."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._renew_forever)
+            nursery.start_soon(self._report_forever)
+
+    def take_push(self, message: msgspec.Struct) -> None:
+        """Take a message that an owner sent of its own accord."""
+        if isinstance(message, PermitsRevoked):
+            self._revoke(message.permit_ids)
+
+    async def _channel_of(self, upstream_id: str) -> ChannelClient | None:
+        owner = self._view.owner_of(upstream_id)
+        if owner is None:
+            return None
+        return await self._channels.get(Address(owner.host, owner.agent_port))
+
+    def _settle(self, ask: PermitAsk, reply: PermitReply, sent_ms: float) -> Result[Grant, Fault]:
+        self._note_loads([reply.load])
+        code = ResultCode(reply.code)
+        if code is ResultCode.OK:
+            held = HeldGrant(ask, now_ms(), sent_ms + reply.valid_ms)
+            self._valid_ms = reply.valid_ms
+            return Ok(self._grant(held))
+        return Err(Fault(code, f"refused at {ask.upstream_id}", reply.retry_after_ms))
+
+    def _grant(self, held: HeldGrant) -> Grant:
+        self._book.add(held)
+        grant = Grant(held, self._end)
+        self._grants[grant.permit_id] = grant
+        if self._asking.get(grant.permit_id):
+            grant.revoked.set()
+        return grant
+
+    def _end(self, ended: EndedPermit) -> None:
+        held = self._book.end(ended)
+        if held is None:
+            return
+        del self._grants[ended.permit_id]
+        if held.local:
+            self.local_limit.give_back(ended.upstream_id)
+        self._something_ended.set()
+
+    def _give_up(self, ask: PermitAsk) -> None:
+        outcome = AttemptOutcome.CANCELLED
+        self._book.give_up(EndedPermit(ask.attempt_id, ask.upstream_id, outcome, ask.work_class))
+        self._something_ended.set()
+
+    def _revoke(self, permit_ids: Iterable[str]) -> None:
+        for permit_id in permit_ids:
+            grant = self._grants.get(permit_id)
+            if grant is not None:
+                grant.revoked.set()
+            elif permit_id in self._asking:
+                self._asking[permit_id] = True
+
+    def _note_loads(self, loads: Iterable[LoadSnapshot]) -> None:
+        at_ms = now_ms()
+        self.loads = {**self.loads, **{load.upstream_id: TimedLoad(load, at_ms) for load in loads}}
+
+    async def _renew_forever(self) -> None:
+        while True:
+            await trio.sleep(self._valid_ms / _RENEWALS_PER_VALIDITY / 1000)
+            by_owner: dict[Address, list[HeldGrant]] = defaultdict(list)
+            for held in self._book:
+                owner = self._view.owner_of(held.ask.upstream_id)
+                if owner is not None and not held.local:
+                    by_owner[Address(owner.host, owner.agent_port)].append(held)
+            async with trio.open_nursery() as nursery:
+                for address, group in by_owner.items():
+                    nursery.start_soon(self._renew, address, group)
+            self._revoke(self._book.lapsed(now_ms()))
+
+    async def _renew(self, address: Address, group: list[HeldGrant]) -> None:
+        sent_ms = now_ms()
+        timeout_ms = self._valid_ms / _RENEWALS_PER_VALIDITY
+        channel = await self._channels.get(address)
+        message = PermitRenew(self.holder_id, [held.as_held(sent_ms) for held in group])
+        reply = await channel.call(message, timeout_ms)
+        if reply.is_err():
+            return
+        renewed = reply.unwrap()
+        self._valid_ms = renewed.valid_ms
+        self._note_loads(renewed.loads)
+        self._revoke(renewed.revoked)
+        known = {load.upstream_id for load in renewed.loads}
+        good = [held.ask.attempt_id for held in group if held.ask.upstream_id in known]
+        self._book.renewed(good, sent_ms + renewed.valid_ms)
+
+    async def _report_forever(self) -> None:
+        while True:
+            await self._something_ended.wait()
+            self._something_ended = trio.Event()
+            await trio.sleep(self._settings.ended_batch_ms / 1000)
+            by_owner: dict[Address, list[EndedPermit]] = defaultdict(list)
+            for ended in self._book.take_ended():
+                owner = self._view.owner_of(ended.upstream_id)
+                if owner is not None:
+                    by_owner[Address(owner.host, owner.agent_port)].append(ended)
+            for address, group in by_owner.items():
+                channel = await self._channels.get(address)
+                channel.push(PermitsEnded(self.holder_id, group))
+
+
+def _no_owner(upstream_id: str) -> Fault:
+    return Fault(ResultCode.PEER_UNREACHABLE, f"no owner is known for {upstream_id!r}")
 
 
 @asynccontextmanager
@@ -82,4 +262,11 @@
     settings: Settings, codec: Codec, view: "FleetView", holder_id: str
 ) -> AsyncIterator[PermitClient]:
     """Run a client's background work until the block is left."""
-    yield PermitClient()
+    async with trio.open_nursery() as nursery:
+        channels = PeerChannels(codec, nursery, lambda message: client.take_push(message))
+        client = PermitClient(settings, view, channels, holder_id)
+        nursery.start_soon(client.run)
+        try:
+            yield client
+        finally:
+            nursery.cancel_scope.cancel()
--- a/src/fescuedock/agent/permit_service.py
+++ b/src/fescuedock/agent/permit_service.py
@@ -1,33 +1,207 @@
 """The agent's part in permits: answers asks, renewals and ends for the upstreams that it owns."""
 
 import random
+from collections import Counter, defaultdict
+from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
-from fescuedock.net.channel import CallHandler
+import trio
+from result import Err, Result
+
+from fescuedock.agent.upstream_probe import UpstreamProbe
+from fescuedock.clock import now_ms
+from fescuedock.core.permits.actions import Action, Granted, Refused, Revoked
+from fescuedock.core.permits.owner import OwnedUpstream, PermitOwner
+from fescuedock.core.permits.queue import UpstreamTerms
+from fescuedock.core.permits.waiting import MemberShares
+from fescuedock.faults import Fault
+from fescuedock.net.channel import CallHandler, ServerPeer
+from fescuedock.net.http_client import HttpClient
+from fescuedock.platform.engine_control import EngineControl
+from fescuedock.platform.engine_wire import EngineLoad
+from fescuedock.schema.config import Configuration, Objectives
+from fescuedock.schema.permits import (
+    AttemptOutcome,
+    PermitAsk,
+    PermitRenew,
+    PermitRenewReply,
+    PermitReply,
+    PermitsEnded,
+    PermitsRevoked,
+)
+from fescuedock.schema.result_codes import ResultCode
+from fescuedock.schema.view import UpstreamKind, UpstreamRecord
 from fescuedock.settings import Settings
 
 if TYPE_CHECKING:
     from fescuedock.agent.link import FleetView
-    from fescuedock.platform.engine import EngineClient
 
 __all__ = ["PermitService"]
 
+_BUSY_TICK_S = 0.01
+_IDLE_TICK_S = 0.1
+
 
 class PermitService:
     """Soft state for each upstream that ``view`` says this VM owns."""
 
     def __init__(
-        self,
-        settings: Settings,
-        view: "FleetView",
-        engines: "EngineClient",
-        rng: random.Random,
+        self, settings: Settings, view: "FleetView", http: HttpClient, rng: random.Random
     ) -> None:
         self._settings = settings
+        self._view = view
+        self._control = EngineControl(http)
+        self._probe = UpstreamProbe(http, rng)
+        self._rng = rng
+        self._owner = PermitOwner(settings.permits, settings.agent.permit_valid_ms)
+        self._waiters: dict[str, list[_Waiter]] = defaultdict(list)
+        self._peers: dict[str, ServerPeer] = {}
+        self._followed_version = 0
 
     def handlers(self) -> dict[type, CallHandler]:
         """Handlers by message type, to be merged with those of the agent's other services."""
-        return {}
+        return {PermitAsk: self._ask, PermitRenew: self._renew, PermitsEnded: self._end}
 
     async def run(self) -> None:
-        """Follow ownership, expire permits, poll engine load and push revocations; never returns."""
+        """Follow ownership, expire permits, poll engines and push revocations; never returns."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._follow_view)
+            nursery.start_soon(self._tick_forever)
+            nursery.start_soon(self._poll_forever)
+
+    async def _ask(self, ask: PermitAsk, peer: ServerPeer) -> PermitReply:
+        self._peers[ask.holder_id] = peer
+        # The view may have changed since the loop that follows it last ran.
+        self._follow()
+        waiter = _Waiter()
+        self._waiters[ask.attempt_id].append(waiter)
+        try:
+            self._perform(self._owner.ask(ask, now_ms()))
+            action = await waiter.wait()
+        finally:
+            self._forget(ask.attempt_id, waiter)
+        return self._reply(action)
+
+    async def _renew(self, message: PermitRenew, peer: ServerPeer) -> PermitRenewReply:
+        self._peers[message.holder_id] = peer
+        self._follow()
+        renewal = self._owner.renew(message, now_ms())
+        self._perform(renewal.actions)
+        return renewal.reply
+
+    async def _end(self, message: PermitsEnded, _peer: ServerPeer) -> None:
+        self._perform(self._owner.end(message, now_ms()))
+
+    def _forget(self, attempt_id: str, waiter: "_Waiter") -> None:
+        waiters = self._waiters[attempt_id]
+        waiters.remove(waiter)
+        if not waiters:
+            del self._waiters[attempt_id]
+
+    def _reply(self, action: Granted | Refused) -> PermitReply:
+        load = self._owner.load(action.ask.upstream_id, now_ms())
+        match action:
+            case Granted():
+                return PermitReply(ResultCode.OK, load, action.permit_id, action.valid_ms)
+            case Refused():
+                return PermitReply(action.code, load, retry_after_ms=action.retry_after_ms)
+
+    def _perform(self, actions: Iterable[Action]) -> None:
+        revoked: dict[str, list[str]] = defaultdict(list)
+        for action in actions:
+            match action:
+                case Revoked():
+                    revoked[action.holder_id].append(action.permit_id)
+                case Granted() | Refused():
+                    for waiter in self._waiters.get(action.ask.attempt_id, ()):
+                        waiter.settle(action)
+        for holder_id, permit_ids in revoked.items():
+            peer = self._peers.get(holder_id)
+            # A push that is lost is made good by the answer to the holder's next renewal.
+            if peer is None or not peer.push(PermitsRevoked(permit_ids)):
+                self._peers.pop(holder_id, None)
+
+    async def _follow_view(self) -> None:
+        while True:
+            self._follow()
+            await self._view.wait_changed(self._followed_version)
+
+    def _follow(self) -> None:
+        if self._view.version == self._followed_version:
+            return
+        self._followed_version = self._view.version
+        counts = Counter(item.service for item in self._view.upstreams.values())
+        owned = {
+            upstream_id: OwnedUpstream(upstream.service, _terms(self._view.configuration, upstream))
+            for upstream_id, upstream in self._view.upstreams.items()
+            if self._is_ours(upstream_id)
+        }
+        self._perform(self._owner.set_upstreams(owned, counts, now_ms()))
+
+    def _is_ours(self, upstream_id: str) -> bool:
+        owner = self._view.owner_of(upstream_id)
+        return owner is not None and owner.vm_id == self._settings.vm.vm_id
+
+    async def _tick_forever(self) -> None:
+        while True:
+            self._perform(self._owner.tick(now_ms()))
+            await trio.sleep(_BUSY_TICK_S if self._owner.waits else _IDLE_TICK_S)
+
+    async def _poll_forever(self) -> None:
+        """Read the load of each engine that is ours, one round at a time."""
+        while True:
+            interval_s = self._settings.permits.load_poll_ms / 1000
+            await trio.sleep(interval_s * self._rng.uniform(0.8, 1.2))
+            async with trio.open_nursery() as nursery:
+                for upstream_id in self._owner.owned():
+                    upstream = self._view.upstreams.get(upstream_id)
+                    if upstream is not None:
+                        nursery.start_soon(self._poll, upstream)
+
+    async def _poll(self, upstream: UpstreamRecord) -> None:
+        if self._owner.take_trial(upstream.upstream_id, now_ms()):
+            outcome = await self._probe.run(upstream, self._view.configuration)
+            self._perform(self._owner.observe(upstream.upstream_id, outcome, now_ms()))
+        elif upstream.kind is UpstreamKind.ENGINE:
+            self._take_load(upstream.upstream_id, await self._control.load(upstream))
+
+    def _take_load(self, upstream_id: str, result: Result[EngineLoad, Fault]) -> None:
+        if isinstance(result, Err):
+            # A lost report says little; a refused connection says that the process is gone.
+            if result.err_value.code is ResultCode.PEER_UNREACHABLE:
+                refused = AttemptOutcome.CONNECT_REFUSED
+                self._perform(self._owner.observe(upstream_id, refused, now_ms()))
+            return
+        load = result.ok_value
+        self._owner.observe_load(upstream_id, load.running, load.waiting, now_ms())
+
+
+class _Waiter:
+    """One handler that waits for the decision on its ask."""
+
+    __slots__ = ("_action", "_settled")
+
+    def __init__(self) -> None:
+        self._settled = trio.Event()
+        self._action: Granted | Refused | None = None
+
+    def settle(self, action: Granted | Refused) -> None:
+        if self._action is None:
+            self._action = action
+            self._settled.set()
+
+    async def wait(self) -> Granted | Refused:
+        await self._settled.wait()
+        return self._action
+
+
+def _terms(configuration: Configuration, upstream: UpstreamRecord) -> UpstreamTerms:
+    service = configuration.services.get(upstream.service)
+    policy = configuration.upstreams.get(upstream.upstream_id)
+    members = configuration.members.items()
+    return UpstreamTerms(
+        objectives=service.objectives if service else Objectives(),
+        shares=MemberShares({name: member.share for name, member in members}),
+        max_in_flight=policy.max_in_flight if policy else 0,
+        admitting=not upstream.leaving and not (policy and policy.drain),
+    )
--- /dev/null
+++ b/src/fescuedock/core/permits/held.py
@@ -0,0 +1,160 @@
+"""The permits that are out for one upstream: exact counts, expiry, and which to take back first."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from fescuedock.schema.permits import HeldPermit, PermitAsk, WorkClass
+
+__all__ = ["Held", "HeldPermits"]
+
+
+@dataclass(slots=True)
+class Held:
+    """One permit that is out.  Its identity is that of the attempt."""
+
+    permit_id: str
+    holder_id: str
+    member: str
+    work_class: WorkClass
+    due_ms: float
+    granted_ms: float
+    expires_ms: float
+    prompt_tokens: int = 0
+    generated_tokens: int = 0
+    # Attempts that ran beside it when it started, itself among them.
+    in_flight_at_start: int = 1
+    # Whether batch ran beside it at any time.
+    shared: bool = False
+    revoked_ms: float | None = None
+    # The time to the first token was taken into account already.
+    first_token_seen: bool = False
+
+    @classmethod
+    def granted(cls, ask: PermitAsk, now_ms: float, valid_ms: int) -> "Held":
+        return cls(
+            permit_id=ask.attempt_id,
+            holder_id=ask.holder_id,
+            member=ask.member,
+            work_class=ask.work_class,
+            due_ms=now_ms + ask.slack_ms,
+            granted_ms=now_ms,
+            expires_ms=now_ms + valid_ms,
+            prompt_tokens=ask.prompt_tokens,
+        )
+
+    @classmethod
+    def adopted(cls, holder_id: str, permit: HeldPermit, now_ms: float, valid_ms: int) -> "Held":
+        """Take in a permit that another owner gave, from its holder's renewal."""
+        return cls(
+            permit_id=permit.permit_id,
+            holder_id=holder_id,
+            member=permit.member,
+            work_class=permit.work_class,
+            due_ms=now_ms + permit.slack_ms,
+            granted_ms=now_ms,
+            expires_ms=now_ms + valid_ms,
+            prompt_tokens=permit.prompt_tokens,
+            generated_tokens=permit.generated_tokens,
+            # When it started is not known, so its times are no evidence about our limits.
+            first_token_seen=True,
+        )
+
+    @property
+    def redo_tokens(self) -> int:
+        """Tokens that an engine has to read again when the attempt is resumed elsewhere."""
+        return self.prompt_tokens + self.generated_tokens
+
+
+@dataclass(slots=True)
+class HeldPermits:
+    """All permits of one upstream by identity.
+
+    A revoked permit stays until it ends or expires, since its attempt still runs.
+    """
+
+    online: int = 0
+    batch: int = 0
+    revoking: int = 0
+    _by_id: dict[str, Held] = field(default_factory=dict)
+    _by_member: dict[str, int] = field(default_factory=dict)
+
+    def __len__(self) -> int:
+        return len(self._by_id)
+
+    def __contains__(self, permit_id: str) -> bool:
+        return permit_id in self._by_id
+
+    def __iter__(self) -> Iterator[Held]:
+        return iter(self._by_id.values())
+
+    def get(self, permit_id: str) -> Held | None:
+        return self._by_id.get(permit_id)
+
+    def count_of(self, member: str) -> int:
+        return self._by_member.get(member, 0)
+
+    def members(self) -> Iterator[str]:
+        return iter(self._by_member)
+
+    @property
+    def staying(self) -> int:
+        """Attempts that will still run once all revocations are done."""
+        return len(self._by_id) - self.revoking
+
+    @property
+    def staying_batch(self) -> int:
+        return self.batch - self.revoking
+
+    def add(self, held: Held) -> None:
+        self._by_id[held.permit_id] = held
+        self._by_member[held.member] = self.count_of(held.member) + 1
+        if held.work_class is WorkClass.ONLINE:
+            self.online += 1
+            held.shared = self.batch > 0
+        else:
+            self.batch += 1
+            self._mark_shared()
+        held.in_flight_at_start = len(self._by_id)
+
+    def remove(self, permit_id: str) -> Held | None:
+        held = self._by_id.pop(permit_id, None)
+        if held is None:
+            return None
+        self._by_member[held.member] -= 1
+        if not self._by_member[held.member]:
+            del self._by_member[held.member]
+        if held.work_class is WorkClass.ONLINE:
+            self.online -= 1
+        else:
+            self.batch -= 1
+            self.revoking -= held.revoked_ms is not None
+        return held
+
+    def mark_revoked(self, held: Held, now_ms: float) -> None:
+        held.revoked_ms = now_ms
+        self.revoking += 1
+
+    def victims(self, count: int, now_ms: float, urgent_slack_ms: int) -> list[Held]:
+        """Return the ``count`` batch permits whose loss costs least.
+
+        Those due soon go last; among the others the fewest tokens to read again go first.
+        """
+        candidates = [
+            held
+            for held in self._by_id.values()
+            if held.work_class is WorkClass.BATCH and held.revoked_ms is None
+        ]
+        candidates.sort(key=lambda held: (held.due_ms - now_ms < urgent_slack_ms, held.redo_tokens))
+        return candidates[:count]
+
+    def expired(self, now_ms: float) -> list[Held]:
+        return [held for held in self._by_id.values() if held.expires_ms <= now_ms]
+
+    def postpone_expiry(self, by_ms: float) -> None:
+        for held in self._by_id.values():
+            held.expires_ms += by_ms
+
+    def _mark_shared(self) -> None:
+        for held in self._by_id.values():
+            if held.work_class is WorkClass.ONLINE:
+                held.shared = True
--- /dev/null
+++ b/src/fescuedock/core/permits/holder.py
@@ -0,0 +1,83 @@
+"""The holder's side: what an entry or batch runner holds, must renew and has to report."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from fescuedock.schema.permits import EndedPermit, HeldPermit, PermitAsk, WorkClass
+
+__all__ = ["HeldGrant", "HolderBook"]
+
+
+@dataclass(slots=True)
+class HeldGrant:
+    """One permit in this process, with what is known of its attempt."""
+
+    ask: PermitAsk
+    granted_ms: float
+    # Counted from before the ask or renewal was sent, so that the owner's own count ends later.
+    valid_until_ms: float
+    local: bool = False
+    first_token_ms: float = -1.0
+    generated_tokens: int = 0
+
+    def as_held(self, now_ms: float) -> HeldPermit:
+        """Return what a renewal says of this permit."""
+        return HeldPermit(
+            permit_id=self.ask.attempt_id,
+            upstream_id=self.ask.upstream_id,
+            attempt_id=self.ask.attempt_id,
+            service=self.ask.service,
+            member=self.ask.member,
+            work_class=self.ask.work_class,
+            slack_ms=self.ask.slack_ms - int(now_ms - self.granted_ms),
+            prompt_tokens=self.ask.prompt_tokens,
+            generated_tokens=self.generated_tokens,
+            first_token_ms=self.first_token_ms,
+        )
+
+
+@dataclass(slots=True)
+class HolderBook:
+    """All permits of one process."""
+
+    _grants: dict[str, HeldGrant] = field(default_factory=dict)
+    _ended: list[EndedPermit] = field(default_factory=list)
+
+    def __contains__(self, permit_id: str) -> bool:
+        return permit_id in self._grants
+
+    def __iter__(self) -> Iterator[HeldGrant]:
+        return iter(tuple(self._grants.values()))
+
+    def add(self, grant: HeldGrant) -> None:
+        self._grants[grant.ask.attempt_id] = grant
+
+    def end(self, ended: EndedPermit) -> HeldGrant | None:
+        """Forget a permit and keep its end for the next report; None when it was not held."""
+        grant = self._grants.pop(ended.permit_id, None)
+        if grant is not None and not grant.local:
+            self._ended.append(ended)
+        return grant
+
+    def give_up(self, ended: EndedPermit) -> None:
+        """Report the end of an ask whose answer did not come; its permit may exist."""
+        self._ended.append(ended)
+
+    def take_ended(self) -> list[EndedPermit]:
+        """Return the ends that were not reported yet and forget them."""
+        ended, self._ended = self._ended, []
+        return ended
+
+    def renewed(self, permit_ids: list[str], valid_until_ms: float) -> None:
+        for permit_id in permit_ids:
+            grant = self._grants.get(permit_id)
+            if grant is not None:
+                grant.valid_until_ms = valid_until_ms
+
+    def lapsed(self, now_ms: float) -> list[str]:
+        """Return the batch permits that no owner has renewed in time; online ones run on."""
+        return [
+            permit_id
+            for permit_id, grant in self._grants.items()
+            if grant.ask.work_class is WorkClass.BATCH and grant.valid_until_ms <= now_ms
+        ]
--- /dev/null
+++ b/src/fescuedock/core/permits/limits.py
@@ -0,0 +1,149 @@
+"""How many attempts an upstream may run at once, learned from online latency and engine load.
+
+Two limits.  The *hard* limit bounds everything; it starts high and comes down when the engine
+reports that it queues, or when online misses its objectives with no batch beside it.  The *mixed*
+limit bounds everything as long as batch is part of it; it starts low, rises by a step while online
+keeps its objectives, and is cut by a factor when not.  ``online_weight`` draws the mixed limit from
+what the objectives bear (0) to the number that online alone has reached by itself (1), so that
+batch only fills the space below online's own peaks.
+"""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from fescuedock.core.permits.estimates import DecayedMean, DecayedPeak
+from fescuedock.schema.config import Objectives
+from fescuedock.schema.settings import PermitSettings
+
+__all__ = ["AttemptSample", "UpstreamLimits"]
+
+# A limit counts as in use from this share of it on; below, more would change nothing.
+_IN_USE_SHARE = 0.9
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptSample:
+    """Times of one online attempt, and the circumstances in which it ran."""
+
+    first_token_ms: float
+    inter_token_ms: float
+    granted_ms: float
+    in_flight_at_start: int
+    shared: bool
+
+
+@dataclass(slots=True)
+class _Limit:
+    """One additive-increase, multiplicative-decrease limit.
+
+    Only attempts granted after the last change count as evidence: earlier ones ran under the limit
+    before it, and would have it cut twice for one cause.
+    """
+
+    value: float
+    half_life_ms: float
+    changed_ms: float
+    raised_ms: float
+    misses: DecayedMean = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.misses = DecayedMean(self.half_life_ms)
+
+    def observe(self, missed: bool, now_ms: float) -> None:
+        self.misses.add(float(missed), now_ms)
+
+    def cut(self, base: float, factor: float, floor: float, now_ms: float) -> None:
+        self.value = max(min(self.value, base) * factor, floor)
+        self.changed_ms = now_ms
+        self.raised_ms = now_ms
+        self.misses = DecayedMean(self.half_life_ms)
+
+
+class UpstreamLimits:
+    """The limits of one upstream."""
+
+    def __init__(self, settings: PermitSettings, objectives: Objectives, now_ms: float) -> None:
+        self._settings = settings
+        self.objectives = objectives
+        half_life_ms = settings.estimate_half_life_ms
+        self._hard = _Limit(settings.max_limit, half_life_ms, now_ms, now_ms)
+        self._mixed = _Limit(settings.start_limit, half_life_ms, now_ms, now_ms)
+        self._peak = DecayedPeak(settings.peak_half_life_ms)
+        self._burst = DecayedPeak(half_life_ms)
+        self._arrivals_ms: deque[float] = deque()
+        self._revocation = DecayedMean(half_life_ms)
+        self._full_since_ms: float | None = None
+
+    @property
+    def hard(self) -> int:
+        """Attempts that may run at once."""
+        return max(int(self._hard.value), 1)
+
+    def mixed(self, now_ms: float) -> int:
+        """Attempts that may run at once as long as batch is among them and online runs."""
+        weight = self.objectives.online_weight
+        bearable = min(self._mixed.value, self._hard.value)
+        peak = min(self._peak.value(now_ms), bearable)
+        return max(int(weight * peak + (1.0 - weight) * bearable), 1)
+
+    def headroom(self, now_ms: float) -> int:
+        """Attempts to keep free for the online burst of one revocation time."""
+        return int(self._burst.value(now_ms) + 0.5)
+
+    @property
+    def revocation_ms(self) -> float:
+        """Time from a revocation to the end of its attempt."""
+        return self._revocation.value(self._settings.revocation_ms)
+
+    def online_started(self, in_flight_online: int, now_ms: float) -> None:
+        """Take in that one more online attempt runs, ``in_flight_online`` in all."""
+        self._peak.add(in_flight_online, now_ms)
+        self._arrivals_ms.append(now_ms)
+        while self._arrivals_ms[0] < now_ms - self.revocation_ms:
+            self._arrivals_ms.popleft()
+        self._burst.add(len(self._arrivals_ms), now_ms)
+
+    def revocation_done(self, took_ms: float, now_ms: float) -> None:
+        self._revocation.add(took_ms, now_ms)
+
+    def observe_attempt(self, sample: AttemptSample, now_ms: float) -> None:
+        """Take in an online attempt's times; a miss beyond the objectives' share cuts a limit."""
+        limit = self._mixed if sample.shared else self._hard
+        if sample.granted_ms < limit.changed_ms:
+            return
+        missed = self._missed(sample)
+        limit.observe(missed, now_ms)
+        if missed and limit.misses.value(0.0) > 1.0 - self.objectives.online_share:
+            limit.cut(sample.in_flight_at_start, self._settings.limit_cut, 1.0, now_ms)
+
+    def observe_load(self, running: int, waiting: int, now_ms: float) -> None:
+        """Take in an engine's own report, which is up to ``load_lag_ms`` old.
+
+        An engine that queues has shown how many it can run.  Reports that follow a cut within the
+        lag tell of the time before it.
+        """
+        if not waiting or running < 1:
+            return
+        if now_ms - self._hard.changed_ms < self._settings.load_lag_ms:
+            return
+        if running < self._hard.value:
+            self._hard.cut(running, 1.0, 1.0, now_ms)
+
+    def adjust(self, in_flight: int, in_flight_batch: int, now_ms: float) -> None:
+        """Raise what is in use and has kept the objectives; to be called every now and then."""
+        self._raise(self._hard, in_flight, self._settings.max_limit, now_ms)
+        if in_flight_batch:
+            self._raise(self._mixed, in_flight, self._hard.value, now_ms)
+
+    def _raise(self, limit: _Limit, in_flight: int, ceiling: float, now_ms: float) -> None:
+        if now_ms - limit.raised_ms < self._settings.adjust_ms:
+            return
+        limit.raised_ms = now_ms
+        allowed = 1.0 - self.objectives.online_share
+        in_use = in_flight >= _IN_USE_SHARE * limit.value
+        if in_use and limit.misses.value(0.0) <= allowed:
+            limit.value = min(limit.value + self._settings.limit_step, ceiling)
+
+    def _missed(self, sample: AttemptSample) -> bool:
+        late = sample.first_token_ms > self.objectives.first_token_ms
+        return late or sample.inter_token_ms > self.objectives.inter_token_ms
--- /dev/null
+++ b/src/fescuedock/core/permits/owner.py
@@ -0,0 +1,162 @@
+"""All the upstreams that one agent owns: their queues, and its verdict on their health."""
+
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+
+from fescuedock.core.health import HealthTracker
+from fescuedock.core.permits.actions import Action, Refused
+from fescuedock.core.permits.queue import UpstreamQueue, UpstreamTerms
+from fescuedock.schema.permits import (
+    AttemptOutcome,
+    LoadSnapshot,
+    PermitAsk,
+    PermitRenew,
+    PermitRenewReply,
+    PermitsEnded,
+)
+from fescuedock.schema.result_codes import ResultCode
+from fescuedock.schema.settings import PermitSettings
+
+__all__ = ["OwnedUpstream", "PermitOwner", "Renewal"]
+
+
+@dataclass(frozen=True, slots=True)
+class OwnedUpstream:
+    """One upstream that this agent owns, as the fleet view and the configuration have it."""
+
+    service: str
+    terms: UpstreamTerms
+
+
+@dataclass(frozen=True, slots=True)
+class Renewal:
+    """The answer to a renewal, and what else it brought about."""
+
+    reply: PermitRenewReply
+    actions: list[Action]
+
+
+class PermitOwner:
+    """Soft state only: a new owner starts empty and learns from the holders' renewals."""
+
+    def __init__(self, settings: PermitSettings, valid_ms: int) -> None:
+        self._settings = settings
+        self._valid_ms = valid_ms
+        self._queues: dict[str, UpstreamQueue] = {}
+        self._services: dict[str, str] = {}
+        self._health: dict[str, HealthTracker] = {}
+
+    def owns(self, upstream_id: str) -> bool:
+        return upstream_id in self._queues
+
+    def owned(self) -> Iterator[str]:
+        return iter(tuple(self._queues))
+
+    def set_upstreams(
+        self,
+        owned: Mapping[str, OwnedUpstream],
+        fleet_counts: Mapping[str, int],
+        now_ms: float,
+    ) -> list[Action]:
+        """Take in which upstreams are ours now; ``fleet_counts`` is by service, of all owners."""
+        actions: list[Action] = []
+        for upstream_id in set(self._queues) - set(owned):
+            actions += self._queues.pop(upstream_id).refuse_all(ResultCode.PEER_UNREACHABLE)
+        for upstream_id, upstream in owned.items():
+            queue = self._queues.get(upstream_id)
+            if queue is None:
+                self._queues[upstream_id] = self._new_queue(upstream_id, upstream.terms, now_ms)
+            else:
+                actions += queue.set_terms(upstream.terms, now_ms)
+        self._services = {upstream_id: item.service for upstream_id, item in owned.items()}
+        for service, count in fleet_counts.items():
+            ours = [name for name, its_service in self._services.items() if its_service == service]
+            self._tracker(service).set_upstreams(ours, count)
+        return actions
+
+    def ask(self, ask: PermitAsk, now_ms: float) -> list[Action]:
+        """Take in an ask; ``PEER_UNREACHABLE`` tells that this agent is not the owner."""
+        queue = self._queues.get(ask.upstream_id)
+        if queue is None:
+            return [Refused(ask, ResultCode.PEER_UNREACHABLE, 0)]
+        return queue.ask(ask, now_ms)
+
+    def take_trial(self, upstream_id: str, now_ms: float) -> bool:
+        """Whether an upstream that is out may be probed now; bounded by its health policy."""
+        if upstream_id not in self._queues:
+            return False
+        return self._health_of(upstream_id).take_trial(upstream_id, now_ms)
+
+    def renew(self, message: PermitRenew, now_ms: float) -> Renewal:
+        """Extend what the holder has; permits of upstreams that are not ours stay untouched."""
+        revoked: list[str] = []
+        touched: dict[str, UpstreamQueue] = {}
+        for permit in message.permits:
+            queue = self._queues.get(permit.upstream_id)
+            if queue is None:
+                continue
+            touched[permit.upstream_id] = queue
+            if not queue.renew(message.holder_id, permit, now_ms):
+                revoked.append(permit.permit_id)
+        actions: list[Action] = []
+        for queue in touched.values():
+            actions += queue.trim(now_ms)
+        loads = [queue.load(now_ms) for queue in touched.values()]
+        return Renewal(PermitRenewReply(self._valid_ms, revoked, loads), actions)
+
+    def end(self, message: PermitsEnded, now_ms: float) -> list[Action]:
+        """Take in ended attempts and what they say about their upstreams."""
+        actions: list[Action] = []
+        for ended in message.ended:
+            queue = self._queues.get(ended.upstream_id)
+            if queue is None:
+                continue
+            actions += self.observe(ended.upstream_id, ended.outcome, now_ms)
+            actions += queue.end(ended, now_ms)
+        return actions
+
+    def observe(self, upstream_id: str, outcome: AttemptOutcome, now_ms: float) -> list[Action]:
+        """Take in evidence about an upstream's health."""
+        queue = self._queues.get(upstream_id)
+        if queue is None:
+            return []
+        tracker = self._health_of(upstream_id)
+        tracker.observe(upstream_id, outcome, now_ms)
+        healthy = tracker.accepting(upstream_id)
+        return [] if healthy == queue.healthy else queue.set_healthy(healthy, now_ms)
+
+    def observe_load(self, upstream_id: str, running: int, waiting: int, now_ms: float) -> None:
+        """Take in an engine's own report."""
+        queue = self._queues.get(upstream_id)
+        if queue is not None:
+            queue.observe_load(running, waiting, now_ms)
+
+    def tick(self, now_ms: float) -> list[Action]:
+        """Let time pass."""
+        actions: list[Action] = []
+        for queue in self._queues.values():
+            actions += queue.tick(now_ms)
+        return actions
+
+    @property
+    def waits(self) -> bool:
+        """Whether any ask is queued, so that ``tick`` is wanted soon."""
+        return any(queue.waits for queue in self._queues.values())
+
+    def load(self, upstream_id: str, now_ms: float) -> LoadSnapshot:
+        """Return a fresh load; of an upstream that is not ours, one that takes no work."""
+        queue = self._queues.get(upstream_id)
+        if queue is None:
+            return LoadSnapshot(upstream_id, 0, 0, 0, 0, 0.0, False)
+        return queue.load(now_ms)
+
+    def _new_queue(self, upstream_id: str, terms: UpstreamTerms, now_ms: float) -> UpstreamQueue:
+        return UpstreamQueue(
+            upstream_id, self._settings, terms, self._valid_ms, self._valid_ms, now_ms
+        )
+
+    def _health_of(self, upstream_id: str) -> HealthTracker:
+        return self._tracker(self._services[upstream_id])
+
+    def _tracker(self, service: str) -> HealthTracker:
+        return self._health.setdefault(service, HealthTracker())
--- /dev/null
+++ b/src/fescuedock/core/permits/queue.py
@@ -0,0 +1,324 @@
+"""The queue of one upstream: who may start now, who waits, who must give way.
+
+An online ask is granted at once as long as online alone is under the hard limit; if that leaves
+more than the mixed limit in flight, batch permits are revoked in the same step.  So for the time
+that a revocation takes, the upstream runs more than its limit by the permits being revoked, and
+never by more.  Batch is granted only into room that is free beyond the headroom for bursts.
+"""
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from fescuedock.core.permits.actions import Action, Granted, Refused, Revoked
+from fescuedock.core.permits.estimates import DecayedLine, DecayedMean
+from fescuedock.core.permits.held import Held, HeldPermits
+from fescuedock.core.permits.limits import AttemptSample, UpstreamLimits
+from fescuedock.core.permits.waiting import MemberShares, Waiting, WaitingAsks
+from fescuedock.schema.config import Objectives
+from fescuedock.schema.permits import EndedPermit, HeldPermit, LoadSnapshot, PermitAsk, WorkClass
+from fescuedock.schema.result_codes import ResultCode
+from fescuedock.schema.settings import PermitSettings
+
+__all__ = ["UpstreamQueue", "UpstreamTerms"]
+
+# An owner that was not run for this share of the validity cannot blame holders for the silence.
+_PAUSE_SHARE = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamTerms:
+    """What the configuration and the membership say of one upstream."""
+
+    objectives: Objectives = field(default_factory=Objectives)
+    shares: MemberShares = field(default_factory=MemberShares)
+    # 0 lets the policy find the limit.
+    max_in_flight: int = 0
+    # False once it leaves or drains: nothing new, what runs may finish.
+    admitting: bool = True
+
+
+class UpstreamQueue:
+    """Soft state of one upstream, kept by the agent that owns it.
+
+    ``rebuild_ms`` is how long batch waits after a change of owner, for the holders' renewals to
+    tell what runs already.
+    """
+
+    def __init__(
+        self,
+        upstream_id: str,
+        settings: PermitSettings,
+        terms: UpstreamTerms,
+        valid_ms: int,
+        rebuild_ms: float,
+        now_ms: float,
+    ) -> None:
+        self.upstream_id = upstream_id
+        self.healthy = True
+        self._settings = settings
+        self._terms = terms
+        self._valid_ms = valid_ms
+        self._batch_from_ms = now_ms + rebuild_ms
+        self._batch_start_ms = now_ms
+        self._online_seen_ms = -float("inf")
+        self._ticked_ms = now_ms
+        self._held = HeldPermits()
+        self._waiting = WaitingAsks(terms.shares)
+        self._ended: OrderedDict[str, float] = OrderedDict()
+        self._limits = UpstreamLimits(settings, terms.objectives, now_ms)
+        half_life_ms = settings.estimate_half_life_ms
+        self._online_hold = DecayedMean(half_life_ms)
+        self._first_token = DecayedMean(half_life_ms)
+        self._prompt_cost = DecayedLine(half_life_ms)
+
+    @property
+    def accepting(self) -> bool:
+        return self._terms.admitting and self.healthy
+
+    def set_terms(self, terms: UpstreamTerms, now_ms: float) -> list[Action]:
+        """Take in changed terms; asks that can no longer be granted are refused."""
+        self._terms = terms
+        self._waiting.shares = terms.shares
+        self._limits.objectives = terms.objectives
+        return self._serve(now_ms)
+
+    def set_healthy(self, healthy: bool, now_ms: float) -> list[Action]:
+        """Take in the owner's verdict; what runs may finish."""
+        self.healthy = healthy
+        return self._serve(now_ms)
+
+    def ask(self, ask: PermitAsk, now_ms: float) -> list[Action]:
+        """Take in an ask; it is granted, refused or queued.
+
+        An attempt that holds a permit gets the same again.  One that has ended gets none, so that
+        an ask that was overtaken by its own end cannot leave a permit behind.
+        """
+        held = self._held.get(ask.attempt_id)
+        if held is not None:
+            return [self._answer_again(ask, held)]
+        if ask.attempt_id in self._ended:
+            return [Refused(ask, ResultCode.REVOKED, 0)]
+        if not self.accepting:
+            return [Refused(ask, ResultCode.NO_CAPACITY, 0)]
+        if self._waiting.count(ask.work_class) >= self._settings.max_waiting:
+            return [Refused(ask, ResultCode.NO_CAPACITY, self._retry_after_ms(ask, now_ms))]
+        if ask.attempt_id not in self._waiting:
+            self._waiting.add(
+                Waiting(ask, now_ms, now_ms + max(ask.wait_ms, 0), now_ms + ask.slack_ms)
+            )
+        return self._serve(now_ms)
+
+    def renew(self, holder_id: str, permit: HeldPermit, now_ms: float) -> bool:
+        """Extend a permit; False when it is no longer good and its attempt must be cancelled.
+
+        A permit that is not known here was granted by a former owner, and is taken in.
+        """
+        if permit.permit_id in self._ended:
+            return False
+        held = self._held.get(permit.permit_id)
+        if held is None:
+            held = Held.adopted(holder_id, permit, now_ms, self._valid_ms)
+            self._held.add(held)
+        held.expires_ms = now_ms + self._valid_ms
+        held.generated_tokens = permit.generated_tokens
+        if permit.first_token_ms >= 0:
+            self._see_first_token(held, permit.first_token_ms, now_ms)
+        return held.revoked_ms is None
+
+    def trim(self, now_ms: float) -> list[Action]:
+        """Decide again after renewals, which may have brought more than the limits allow."""
+        return self._serve(now_ms)
+
+    def end(self, ended: EndedPermit, now_ms: float) -> list[Action]:
+        """Take in that an attempt is over, or that its ask was given up."""
+        self._remember_end(ended.permit_id, now_ms)
+        waiting = self._waiting.remove(ended.permit_id)
+        held = self._held.remove(ended.permit_id)
+        if held is not None:
+            self._learn(held, ended, now_ms)
+        refused = [] if waiting is None else [Refused(waiting.ask, ResultCode.REVOKED, 0)]
+        return [*refused, *self._serve(now_ms)]
+
+    def observe_load(self, running: int, waiting: int, now_ms: float) -> None:
+        """Take in the engine's own report of its load."""
+        self._limits.observe_load(running, waiting, now_ms)
+
+    def tick(self, now_ms: float) -> list[Action]:
+        """Let time pass: expire, adjust limits, grant what has become possible."""
+        silence_ms = now_ms - self._ticked_ms
+        self._ticked_ms = now_ms
+        if silence_ms > _PAUSE_SHARE * self._valid_ms:
+            self._held.postpone_expiry(silence_ms)
+        for held in self._held.expired(now_ms):
+            self._held.remove(held.permit_id)
+        while self._ended and next(iter(self._ended.values())) <= now_ms:
+            self._ended.popitem(last=False)
+        self._limits.adjust(len(self._held), self._held.staying_batch, now_ms)
+        return self._serve(now_ms)
+
+    @property
+    def waits(self) -> bool:
+        """Whether any ask is queued, which makes time matter."""
+        return any(self._waiting.count(work_class) for work_class in WorkClass)
+
+    def load(self, now_ms: float) -> LoadSnapshot:
+        queued = self._waiting.count(WorkClass.ONLINE)
+        predicted_ms = self._first_token.value(0.0) + self._online_wait_ms(queued)
+        return LoadSnapshot(
+            upstream_id=self.upstream_id,
+            in_flight_online=self._held.online,
+            in_flight_batch=self._held.batch,
+            queued_online=queued,
+            limit=self._hard_limit(),
+            first_token_ms=predicted_ms,
+            accepting=self.accepting,
+        )
+
+    def refuse_all(self, code: ResultCode) -> list[Action]:
+        """Answer every waiting ask, because this VM is no longer the owner."""
+        asks = [waiting.ask for waiting in self._waiting]
+        for ask in asks:
+            self._waiting.remove(ask.attempt_id)
+        return [Refused(ask, code, 0) for ask in asks]
+
+    def _serve(self, now_ms: float) -> list[Action]:
+        if not self.accepting:
+            return self.refuse_all(ResultCode.NO_CAPACITY)
+        actions = self._serve_online(now_ms)
+        actions += self._give_way(now_ms)
+        actions += self._serve_batch(now_ms)
+        return actions
+
+    def _serve_online(self, now_ms: float) -> list[Action]:
+        if not self._waiting.count(WorkClass.ONLINE):
+            return []
+        actions: list[Action] = []
+        queue = self._waiting.in_order(WorkClass.ONLINE, self._held.count_of)
+        ahead = 0
+        for waiting in queue:
+            if self._held.online < self._hard_limit():
+                self._waiting.remove(waiting.ask.attempt_id)
+                actions.append(self._grant(waiting.ask, now_ms))
+            elif now_ms + self._online_wait_ms(ahead) >= waiting.answer_by_ms:
+                self._waiting.remove(waiting.ask.attempt_id)
+                actions.append(self._refuse_online(waiting, ahead, now_ms))
+            else:
+                ahead += 1
+        return actions
+
+    def _refuse_online(self, waiting: Waiting, ahead: int, now_ms: float) -> Refused:
+        wait_ms = self._online_wait_ms(ahead)
+        code = ResultCode.NO_CAPACITY
+        if now_ms + wait_ms > waiting.due_ms:
+            code = ResultCode.DEADLINE_CANNOT_BE_MET
+        if self._waiting.over_share(waiting.ask.member, self._held.count_of):
+            code = ResultCode.MEMBER_OVER_SHARE
+        return Refused(waiting.ask, code, max(int(wait_ms), 1))
+
+    def _give_way(self, now_ms: float) -> list[Action]:
+        excess = self._held.staying - self._shared_limit(now_ms)
+        if excess <= 0 or not self._held.staying_batch:
+            return []
+        actions: list[Action] = []
+        for held in self._held.victims(excess, now_ms, self._settings.urgent_slack_ms):
+            self._held.mark_revoked(held, now_ms)
+            actions.append(Revoked(self.upstream_id, held.holder_id, held.permit_id))
+        return actions
+
+    def _serve_batch(self, now_ms: float) -> list[Action]:
+        if not self._waiting.count(WorkClass.BATCH):
+            return []
+        actions: list[Action] = []
+        for waiting in self._waiting.in_order(WorkClass.BATCH, self._held.count_of):
+            if self._batch_room(now_ms):
+                self._waiting.remove(waiting.ask.attempt_id)
+                actions.append(self._grant(waiting.ask, now_ms))
+                self._pace_batch(waiting.ask, now_ms)
+            elif now_ms >= waiting.answer_by_ms:
+                self._waiting.remove(waiting.ask.attempt_id)
+                retry_ms = self._retry_after_ms(waiting.ask, now_ms)
+                actions.append(Refused(waiting.ask, ResultCode.NO_CAPACITY, retry_ms))
+        return actions
+
+    def _batch_room(self, now_ms: float) -> bool:
+        if now_ms < self._batch_from_ms or now_ms < self._batch_start_ms:
+            return False
+        if self._waiting.count(WorkClass.ONLINE):
+            return False
+        limit = self._shared_limit(now_ms)
+        headroom = min(self._limits.headroom(now_ms), limit // 2)
+        # Permits being revoked still run, so they take room until they end.
+        return len(self._held) + headroom < limit
+
+    def _pace_batch(self, ask: PermitAsk, now_ms: float) -> None:
+        if self._quiet(now_ms):
+            return
+        prompt_ms = self._prompt_cost.slope * ask.prompt_tokens
+        self._batch_start_ms = now_ms + prompt_ms / self._settings.batch_start_share
+
+    def _grant(self, ask: PermitAsk, now_ms: float) -> Granted:
+        self._held.add(Held.granted(ask, now_ms, self._valid_ms))
+        if ask.work_class is WorkClass.ONLINE:
+            self._online_seen_ms = now_ms
+            self._limits.online_started(self._held.online, now_ms)
+        return Granted(ask, ask.attempt_id, self._valid_ms)
+
+    def _answer_again(self, ask: PermitAsk, held: Held) -> Action:
+        if held.revoked_ms is not None:
+            return Refused(ask, ResultCode.REVOKED, 0)
+        return Granted(ask, held.permit_id, self._valid_ms)
+
+    def _learn(self, held: Held, ended: EndedPermit, now_ms: float) -> None:
+        if held.revoked_ms is not None:
+            self._limits.revocation_done(now_ms - held.revoked_ms, now_ms)
+        if held.work_class is not WorkClass.ONLINE:
+            return
+        self._online_seen_ms = now_ms
+        self._online_hold.add(now_ms - held.granted_ms, now_ms)
+        if ended.first_token_ms >= 0:
+            self._see_first_token(held, ended.first_token_ms, now_ms)
+        if ended.inter_token_ms >= 0:
+            self._observe(held, -1.0, ended.inter_token_ms, now_ms)
+
+    def _see_first_token(self, held: Held, first_token_ms: float, now_ms: float) -> None:
+        if held.first_token_seen:
+            return
+        held.first_token_seen = True
+        self._prompt_cost.add(held.prompt_tokens, first_token_ms, now_ms)
+        if held.work_class is WorkClass.ONLINE:
+            self._first_token.add(first_token_ms, now_ms)
+            self._observe(held, first_token_ms, -1.0, now_ms)
+
+    def _observe(
+        self, held: Held, first_token_ms: float, inter_token_ms: float, now_ms: float
+    ) -> None:
+        sample = AttemptSample(
+            first_token_ms, inter_token_ms, held.granted_ms, held.in_flight_at_start, held.shared
+        )
+        self._limits.observe_attempt(sample, now_ms)
+
+    def _remember_end(self, permit_id: str, now_ms: float) -> None:
+        self._ended.pop(permit_id, None)
+        self._ended[permit_id] = now_ms + self._settings.ended_memory_ms
+
+    def _hard_limit(self) -> int:
+        return self._terms.max_in_flight or self._limits.hard
+
+    def _shared_limit(self, now_ms: float) -> int:
+        hard = self._hard_limit()
+        return hard if self._quiet(now_ms) else min(self._limits.mixed(now_ms), hard)
+
+    def _quiet(self, now_ms: float) -> bool:
+        return not self._held.online and now_ms - self._online_seen_ms > self._settings.quiet_ms
+
+    def _online_wait_ms(self, ahead: int) -> float:
+        if self._held.online < self._hard_limit():
+            return 0.0
+        hold_ms = self._online_hold.value(self._terms.objectives.first_token_ms)
+        return (ahead + 1) * hold_ms / self._hard_limit()
+
+    def _retry_after_ms(self, ask: PermitAsk, now_ms: float) -> int:
+        if ask.work_class is WorkClass.ONLINE:
+            return max(int(self._online_wait_ms(self._waiting.count(WorkClass.ONLINE))), 1)
+        ready_ms = max(self._batch_from_ms, self._batch_start_ms) - now_ms
+        return max(int(ready_ms), self._settings.adjust_ms)
--- /dev/null
+++ b/src/fescuedock/core/permits/waiting.py
@@ -0,0 +1,87 @@
+"""The asks that wait for one upstream, ordered by class, member share and slack."""
+
+from collections.abc import Callable, Iterator, Mapping
+from dataclasses import dataclass, field
+
+from fescuedock.schema.permits import PermitAsk, WorkClass
+
+__all__ = ["MemberShares", "Waiting", "WaitingAsks"]
+
+
+@dataclass(frozen=True, slots=True)
+class MemberShares:
+    """The configured weight of each member; one that is not named weighs 1."""
+
+    weights: Mapping[str, float] = field(default_factory=dict)
+
+    def weight(self, member: str) -> float:
+        return self.weights.get(member, 1.0)
+
+
+@dataclass(frozen=True, slots=True)
+class Waiting:
+    """One queued ask and the times by which it must be answered or becomes useless."""
+
+    ask: PermitAsk
+    arrived_ms: float
+    answer_by_ms: float
+    due_ms: float
+
+
+@dataclass(slots=True)
+class WaitingAsks:
+    """A queue of one upstream.  Online always goes before batch.
+
+    Within a class, members that run less than their share go first, so that one member's backlog
+    cannot hold up another's; among those, least slack goes first.
+    """
+
+    shares: MemberShares
+    _by_attempt: dict[str, Waiting] = field(default_factory=dict)
+    _counts: dict[WorkClass, int] = field(default_factory=lambda: dict.fromkeys(WorkClass, 0))
+
+    def __contains__(self, attempt_id: str) -> bool:
+        return attempt_id in self._by_attempt
+
+    def __iter__(self) -> Iterator[Waiting]:
+        return iter(self._by_attempt.values())
+
+    def count(self, work_class: WorkClass) -> int:
+        return self._counts[work_class]
+
+    def add(self, waiting: Waiting) -> None:
+        self._by_attempt[waiting.ask.attempt_id] = waiting
+        self._counts[waiting.ask.work_class] += 1
+
+    def remove(self, attempt_id: str) -> Waiting | None:
+        waiting = self._by_attempt.pop(attempt_id, None)
+        if waiting is not None:
+            self._counts[waiting.ask.work_class] -= 1
+        return waiting
+
+    def in_order(self, work_class: WorkClass, running: Callable[[str], int]) -> list[Waiting]:
+        """Return the asks of ``work_class``, next first.
+
+        ``running`` gives the attempts of a member that run now.
+        """
+        asks = [item for item in self._by_attempt.values() if item.ask.work_class is work_class]
+        used = {member: running(member) for member in {item.ask.member for item in asks}}
+        total_used = sum(used.values())
+        total_weight = sum(self.shares.weight(member) for member in used)
+
+        def rank(item: Waiting) -> tuple[float, float]:
+            member = item.ask.member
+            fair = total_used * self.shares.weight(member) / total_weight
+            over = max(used[member] - fair, 0.0)
+            return (over / self.shares.weight(member), item.due_ms)
+
+        return sorted(asks, key=rank)
+
+    def over_share(self, member: str, running: Callable[[str], int]) -> bool:
+        """Whether ``member`` runs more than its share while another member waits."""
+        members = {item.ask.member for item in self._by_attempt.values()} | {member}
+        if len(members) < 2:
+            return False
+        total = sum(running(name) for name in members)
+        weight = sum(self.shares.weight(name) for name in members)
+        return running(member) > total * self.shares.weight(member) / weight
--- a/src/fescuedock/schema/settings.py
+++ b/src/fescuedock/schema/settings.py
@@ -74,6 +74,21 @@
 
     port: Annotated[int, Meta(description="TCP for messages and UDP for probes.", ge=0, le=65535)]
     probe_interval_ms: Annotated[int, Meta(ge=10)] = 1000
+    suspicion_ms: Annotated[
+        int,
+        Meta(
+            description="Time that a suspected VM has to refute; longer in fleets of over ten VMs.",
+            ge=10,
+        ),
+    ] = 3000
+    removal_share: Annotated[
+        float,
+        Meta(
+            description="Largest share of the VMs dropped on evidence from one failure domain.",
+            ge=0.0,
+            le=1.0,
+        ),
+    ] = 0.25
     permit_valid_ms: Annotated[int, Meta(ge=100)] = 2000
     config_confirm_ms: Annotated[
         int, Meta(description="A VM whose version is unconfirmed for longer says so.", ge=100)
@@ -196,6 +211,10 @@
             le=1.0,
         ),
     ] = 0.5
+    quiet_ms: Annotated[
+        int,
+        Meta(description="Time without online after which batch may use the whole upstream.", ge=0),
+    ] = 2000
     max_waiting: Annotated[
         int, Meta(description="Asks that may wait for one upstream in each class.", ge=1)
     ] = 256
--- /dev/null
+++ b/tests/test_permits_service.py
@@ -0,0 +1,123 @@
+"""Permits between a served owner and a holder's client, over real sockets."""
+
+import unittest
+
+import trio
+from result import Err, Ok
+
+from fescuedock.faults import Fault
+from fescuedock.net.address import Address
+from fescuedock.schema.permits import AttemptOutcome, WorkClass
+from fescuedock.schema.result_codes import ResultCode
+from fescuedock.schema.view import UpstreamKind
+from tests.builders.permits import ask_for, end_of, served_owner, upstream_record
+
+GUARD_S = 20
+TIMEOUT_MS = 5000
+
+
+class ServedOwnerTest(unittest.TestCase):
+    """The path from a client's ask to the owner's decision and back."""
+
+    def test_online_is_granted_and_its_end_frees_the_count(self) -> None:
+        async def run() -> None:
+            async with served_owner() as owner:
+                ask = ask_for()
+                grant = (await owner.client.ask(ask, TIMEOUT_MS)).unwrap()
+                self.assertEqual(owner.client.loads["u1"].load.in_flight_online, 1)
+                grant.end(end_of(ask, AttemptOutcome.COMPLETED))
+                grant.end(end_of(ask, AttemptOutcome.COMPLETED))
+                while owner.client.loads["u1"].load.in_flight_online:
+                    probe = ask_for(wait_ms=0)
+                    other = (await owner.client.ask(probe, TIMEOUT_MS)).unwrap()
+                    other.end(end_of(probe, AttemptOutcome.CANCELLED))
+                    if owner.client.loads["u1"].load.in_flight_online == 1:
+                        return
+
+        _run(run)
+
+    def test_an_ask_repeated_gets_the_same_permit(self) -> None:
+        async def run() -> None:
+            async with served_owner() as owner:
+                ask = ask_for()
+                first = (await owner.client.ask(ask, TIMEOUT_MS)).unwrap()
+                again = (await owner.client.ask(ask, TIMEOUT_MS)).unwrap()
+                self.assertEqual(first.permit_id, again.permit_id)
+                self.assertEqual(owner.client.loads["u1"].load.in_flight_online, 1)
+
+        _run(run)
+
+    def test_online_without_room_revokes_batch_by_push(self) -> None:
+        async def run() -> None:
+            async with served_owner() as owner:
+                batch = ask_for(WorkClass.BATCH)
+                # Batch waits out the rebuild of the new owner first.
+                grant = (await owner.client.ask(batch, 2 * TIMEOUT_MS)).unwrap()
+                while not grant.revoked.is_set():
+                    match await owner.client.ask(ask_for(), TIMEOUT_MS):
+                        case Ok(_):
+                            await trio.sleep(0.01)
+                        case Err(fault):
+                            self.fail(f"online was refused: {fault}")
+
+        _run(run)
+
+    def test_a_leaving_upstream_gives_no_new_permit_and_answers_who_waits(self) -> None:
+        async def run() -> None:
+            async with served_owner() as owner:
+                (await owner.client.ask(ask_for(), TIMEOUT_MS)).unwrap()
+                owner.show(upstream_record(leaving=True))
+                refusal = await owner.client.ask(ask_for(), TIMEOUT_MS)
+                self.assertEqual(_code(refusal), ResultCode.NO_CAPACITY)
+                self.assertFalse(owner.client.loads["u1"].load.accepting)
+
+        _run(run)
+
+    def test_a_silent_owner_leaves_online_the_local_limit_and_batch_nothing(self) -> None:
+        async def run() -> None:
+            async with served_owner() as owner:
+                owner.show(upstream_record(), Address("127.0.0.1", 9))
+                silent = await owner.client.ask(ask_for(), 50)
+                self.assertIn(_code(silent), (ResultCode.PEER_UNKNOWN, ResultCode.PEER_UNREACHABLE))
+                grants = [owner.client.ask_local(ask_for()) for _ in range(3)]
+                self.assertEqual([grant.is_ok() for grant in grants], [True, True, False])
+                batch = owner.client.ask_local(ask_for(WorkClass.BATCH))
+                self.assertEqual(_code(batch), ResultCode.NO_CAPACITY)
+
+        _run(run)
+
+    def test_a_batch_permit_that_no_owner_renews_is_revoked_by_its_holder(self) -> None:
+        async def run() -> None:
+            async with served_owner() as owner:
+                grant = (await owner.client.ask(ask_for(WorkClass.BATCH), 2 * TIMEOUT_MS)).unwrap()
+                owner.show(upstream_record(), Address("127.0.0.1", 9))
+                await grant.revoked.wait()
+
+        _run(run)
+
+    def test_an_engine_that_refuses_connections_is_taken_out(self) -> None:
+        async def run() -> None:
+            async with served_owner() as owner:
+                # Nothing listens on the discard port.
+                owner.show(upstream_record(port=9, kind=UpstreamKind.ENGINE))
+                while (await owner.client.ask(ask_for(), TIMEOUT_MS)).is_ok():
+                    pass
+                self.assertFalse(owner.client.loads["u1"].load.accepting)
+
+        _run(run)
+
+
+def _code(result: "Ok | Err[Fault]") -> ResultCode:
+    return result.err().code
+
+
+def _run(body: object) -> None:
+    async def guarded() -> None:
+        with trio.fail_after(GUARD_S):
+            await body()
+
+    trio.run(guarded)
+
+
+if __name__ == "__main__":
+    unittest.main()
