Send messages as values without field names

Cause: at the target a node sends about 11 permit asks a second and as many answers, and its control budget is 12 KB/s; half of each message was the names of its fields. Change: schema sources marked wire: true generate array-like structs; records in the key-value service and the configuration keep their names, since they outlive versions. Conclusion: kept; the price is that fields may only be added at the end, with a default.

--- a/src/fescuedock/schema/permits.py
+++ b/src/fescuedock/schema/permits.py
@@ -8,7 +8,9 @@
 from enum import StrEnum
 from typing import Annotated
 
-from msgspec import Meta, Struct
+from msgspec import Meta
+
+from fescuedock.schema.wire import WireStruct
 
 
 class WorkClass(StrEnum):
@@ -32,7 +34,7 @@
     CLIENT_ERROR = "client_error"
 
 
-class PermitAsk(Struct):
+class PermitAsk(WireStruct):
     """
     Ask the owner of an upstream for one permit. Asking again with the same attempt_id gives the same permit.
     """
@@ -50,7 +52,7 @@
     wait_ms: Annotated[int, Meta(description="How long the owner may keep the ask queued.")] = 0
 
 
-class LoadSnapshot(Struct):
+class LoadSnapshot(WireStruct):
     """
     Fresh load of one upstream, piggybacked on each reply of its owner.
     """
@@ -66,7 +68,7 @@
     accepting: Annotated[bool, Meta(description="False for a leaving or unhealthy upstream.")]
 
 
-class PermitReply(Struct):
+class PermitReply(WireStruct):
     """
     Grant (code 0) or refusal; a refusal means that nothing was started.
     """
@@ -78,7 +80,7 @@
     retry_after_ms: int = 0
 
 
-class HeldPermit(Struct):
+class HeldPermit(WireStruct):
     """
     What a new owner needs to rebuild its queue from a holder's renewal.
     """
@@ -95,18 +97,18 @@
     first_token_ms: Annotated[float, Meta(description="Below 0 while there is none.")] = -1
 
 
-class PermitRenew(Struct):
+class PermitRenew(WireStruct):
     holder_id: str
     permits: list[HeldPermit]
 
 
-class PermitRenewReply(Struct):
+class PermitRenewReply(WireStruct):
     valid_ms: int
     revoked: Annotated[list[str], Meta(description="Permits that are no longer good.")]
     loads: list[LoadSnapshot]
 
 
-class EndedPermit(Struct):
+class EndedPermit(WireStruct):
     permit_id: str
     upstream_id: str
     outcome: AttemptOutcome
@@ -119,7 +121,7 @@
     generated_tokens: int = 0
 
 
-class PermitsEnded(Struct):
+class PermitsEnded(WireStruct):
     """
     One-way, batched.
     """
@@ -128,7 +130,7 @@
     ended: list[EndedPermit]
 
 
-class PermitsRevoked(Struct):
+class PermitsRevoked(WireStruct):
     """
     Push from the owner; the holder cancels these attempts at once and ends their permits.
     """
--- a/src/fescuedock/schema/store.py
+++ b/src/fescuedock/schema/store.py
@@ -7,10 +7,12 @@
 
 from typing import Annotated
 
-from msgspec import Meta, Struct, field
+from msgspec import Meta, field
 
+from fescuedock.schema.wire import WireStruct
 
-class PutSegment(Struct):
+
+class PutSegment(WireStruct):
     """
     Write once; acknowledged only after fsync. The hash is SHA-256 of the body, in hex.
     """
@@ -22,16 +24,16 @@
     ] = 0
 
 
-class GetSegment(Struct):
+class GetSegment(WireStruct):
     segment_hash: str
 
 
-class SegmentReply(Struct):
+class SegmentReply(WireStruct):
     body: bytes
     code: Annotated[int, Meta(description="A ResultCode.")] = 0
 
 
-class HaveSegments(Struct):
+class HaveSegments(WireStruct):
     """
     Asks which segments a store holds. With renew their retention counts from now, on disk before the answer.
     """
@@ -40,15 +42,15 @@
     renew: bool = False
 
 
-class HaveSegmentsReply(Struct):
+class HaveSegmentsReply(WireStruct):
     missing: list[str]
 
 
-class DropSegments(Struct):
+class DropSegments(WireStruct):
     segment_hashes: list[str]
 
 
-class AppendLog(Struct):
+class AppendLog(WireStruct):
     """
     Append result records of one job; acknowledged only after fsync.
     """
@@ -57,13 +59,13 @@
     records: list[bytes]
 
 
-class ReadLog(Struct):
+class ReadLog(WireStruct):
     job_id: str
     offset_bytes: int = 0
     limit_bytes: int = 1048576
 
 
-class LogReply(Struct):
+class LogReply(WireStruct):
     """
     Whole records from the offset on; next_offset_bytes equals the offset at the end.
     """
@@ -73,11 +75,11 @@
     next_offset_bytes: int = 0
 
 
-class DropLog(Struct):
+class DropLog(WireStruct):
     job_id: str
 
 
-class StoreReply(Struct):
+class StoreReply(WireStruct):
     code: Annotated[int, Meta(description="A ResultCode.")] = 0
     message: str = ""
     free_bytes: int = 0
--- a/src/fescuedock/schema/view.py
+++ b/src/fescuedock/schema/view.py
@@ -8,7 +8,9 @@
 from enum import StrEnum
 from typing import Annotated
 
-from msgspec import Meta, Struct, field
+from msgspec import Meta, field
+
+from fescuedock.schema.wire import WireStruct
 
 
 class Program(StrEnum):
@@ -34,7 +36,7 @@
     PLAIN = "plain"
 
 
-class VmRecord(Struct):
+class VmRecord(WireStruct):
     """
     One VM of ours. A port of 0 says that the program does not run there; ready names those that want new work.
     """
@@ -59,7 +61,7 @@
     ] = False
 
 
-class UpstreamRecord(Struct):
+class UpstreamRecord(WireStruct):
     """
     One upstream, as the VM list shows it.
     """
@@ -74,7 +76,7 @@
     leaving: bool = False
 
 
-class Hello(Struct):
+class Hello(WireStruct):
     """
     A program tells its VM's agent, every second, that it runs and whether it is ready.
     """
@@ -85,11 +87,11 @@
     in_flight: Annotated[int, Meta(description="Requests in progress.")] = 0
 
 
-class HelloReply(Struct):
+class HelloReply(WireStruct):
     vm_id: str
 
 
-class ViewRequest(Struct):
+class ViewRequest(WireStruct):
     """
     Long poll for the fleet view; answered at once when it is newer than seen_version.
     """
@@ -99,7 +101,7 @@
     wait_ms: int = 0
 
 
-class ViewReply(Struct):
+class ViewReply(WireStruct):
     """
     The fleet as this VM sees it now. The configuration is empty when not newer.
     """
@@ -113,7 +115,7 @@
     config_document: Annotated[bytes, Meta(description="Configuration as JSON.")]
 
 
-class LeaveRequest(Struct):
+class LeaveRequest(WireStruct):
     """
     Announce a planned stop of this VM.
     """
@@ -121,6 +123,6 @@
     reason: str = ""
 
 
-class Acknowledgement(Struct):
+class Acknowledgement(WireStruct):
     code: Annotated[int, Meta(description="A ResultCode.")] = 0
     message: str = ""
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -6,6 +6,7 @@
 """
 
 import argparse
+import re
 import subprocess
 import sys
 import tempfile
@@ -21,7 +22,9 @@
 CODES_PAGE = ROOT / "docs" / "RESULT_CODES.md"
 # The generator makes a class of the document itself, which holds nothing but definitions.
 ROOT_CLASS = "SchemaDocument"
-EMPTY_ROOT = f"class {ROOT_CLASS}(Struct):\n    pass\n"
+EMPTY_ROOT = re.compile(rf"class {ROOT_CLASS}\(\w+\):\n    pass\n")
+# A source with ``wire: true`` holds messages between our processes.
+WIRE_BASE = "--base-class=fescuedock.schema.wire.WireStruct"
 CODEGEN_OPTIONS = (
     "--input-file-type=jsonschema",
     "--output-model-type=msgspec.Struct",
@@ -81,11 +84,13 @@
             definition["required"] = list(definition["properties"])
     with tempfile.TemporaryDirectory() as folder:
         expanded = Path(folder) / source.name
-        expanded.write_text(yaml.safe_dump(document, sort_keys=False), encoding="utf-8")
         command = [sys.executable, "-W", "ignore", "-m", "datamodel_code_generator"]
         command += ["--input", str(expanded), *CODEGEN_OPTIONS]
+        command += [WIRE_BASE] if document.pop("wire", False) else []
+        expanded.write_text(yaml.safe_dump(document, sort_keys=False), encoding="utf-8")
         done = subprocess.run(command, check=True, capture_output=True, text=True)
-    body = done.stdout.split("from __future__", 1)[1].replace(EMPTY_ROOT, "")
+    body = done.stdout.split("from __future__", 1)[1]
+    body = EMPTY_ROOT.sub("", body)
     header = f'"""{title}\n\nGenerated from ``source/{source.name}``; do not edit.\n"""'
     return _formatted(f"{header}\n\nfrom __future__{body}")
 
