--- a/src/fescuedock/cli/command_line.py
+++ b/src/fescuedock/cli/command_line.py
@@ -6,6 +6,7 @@
 
 import contextlib
 import functools
+import inspect
 import io
 import sys
 from collections.abc import Callable, Mapping, Sequence
@@ -13,7 +14,7 @@
 from enum import IntEnum
 
 import fire
-from fire.core import FireExit
+from fire.core import FireError, FireExit
 
 __all__ = ["Command", "ExitCode", "run_command_line"]
 
@@ -45,9 +46,12 @@
     ``commands`` may be nested by name; the help of a group is under the key "".
     """
     words = list(arguments or sys.argv[1:])
-    if _HELP_FLAGS & set(words) or (not words and not isinstance(commands, Command)):
-        print(_help_for(commands, words), end="")
-        return ExitCode.OK if words else ExitCode.USAGE
+    if _HELP_FLAGS & set(words):
+        print(_innermost(commands, words).help_text, end="")
+        return ExitCode.OK
+    if _names_group(commands, words):
+        print(_innermost(commands, words).help_text, end="", file=sys.stderr)
+        return ExitCode.USAGE
     chosen: list[Callable[[], int]] = []
     shown = io.StringIO()
     try:
@@ -61,28 +65,57 @@
     return chosen[0]()
 
 
-def _help_for(commands: Command | Mapping, words: Sequence[str]) -> str:
-    """Return the help of the innermost command that ``words`` name."""
+def _innermost(commands: Command | Mapping, words: Sequence[str]) -> Command:
+    """Return the command that ``words`` name, or what stands for the innermost group."""
     for word in words:
         if not isinstance(commands, Command) and word and word in commands:
             commands = commands[word]
-    return commands.help_text if isinstance(commands, Command) else commands[""].help_text
+    return commands if isinstance(commands, Command) else commands[""]
+
+
+def _names_group(commands: Command | Mapping, words: Sequence[str]) -> bool:
+    """Return whether ``words`` name a group and no command in it."""
+    for word in words:
+        if isinstance(commands, Command) or word not in commands:
+            return False
+        commands = commands[word]
+    return not isinstance(commands, Command)
 
 
 def _recording(commands: Command | Mapping, chosen: list) -> object:
     """Return what fire shall call: the commands' signatures, which only note the call."""
     if not isinstance(commands, Command):
         return {name: _recording(command, chosen) for name, command in commands.items() if name}
+    # Left alone, fire would read numbers and lists out of plain words.
+    parsers = {
+        name: _PARSERS.get(parameter.annotation, str)
+        for name, parameter in inspect.signature(commands.run).parameters.items()
+    }
 
-    # fire would read numbers and lists out of plain words.
-    @fire.decorators.SetParseFn(str)
+    @fire.decorators.SetParseFns(**parsers)
     @functools.wraps(commands.run)
-    def note(*args: str, **kwargs: str) -> None:
+    def note(*args: object, **kwargs: object) -> None:
         chosen.append(functools.partial(commands.run, *args, **kwargs))
 
     return note
 
 
+def _parse_bool(text: str) -> bool:
+    if text.lower() not in ("true", "false"):
+        raise FireError(f"not true or false: {text}")
+    return text.lower() == "true"
+
+
+def _parse_int(text: str) -> int:
+    try:
+        return int(text)
+    except ValueError as error:
+        raise FireError(f"not a whole number: {text}") from error
+
+
+_PARSERS = {bool: _parse_bool, int: _parse_int}
+
+
 def _usage_error(shown: str) -> str:
     """Return the one line of fire's output that says what is wrong."""
     for line in shown.splitlines():
--- a/src/fescuedock/daemon.py
+++ b/src/fescuedock/daemon.py
@@ -21,7 +21,7 @@
 from fescuedock.net.address import Address
 from fescuedock.settings import Settings, load_settings
 
-__all__ = ["Program", "Stop", "run_program", "stop_on_signals"]
+__all__ = ["Program", "Stop", "leaf_errors", "run_program", "stop_on_signals"]
 
 _HELP = """\
 {name}: the {program} program of fescuedock.
@@ -86,7 +86,7 @@
             trio.run(_serve, name, program, settings)
     except* (OSError, zmq.ZMQError) as errors:
         # An address in use, a folder that cannot be written: the operator's to mend.
-        for error in _leaves(errors):
+        for error in leaf_errors(errors):
             print(f"fescuedock-{name}: {error}", file=sys.stderr)
         return_code = ExitCode.FAILED
     else:
@@ -94,10 +94,11 @@
     return return_code
 
 
-def _leaves(errors: BaseExceptionGroup) -> list[BaseException]:
+def leaf_errors(errors: BaseExceptionGroup) -> list[BaseException]:
+    """Return the single exceptions within nested groups."""
     leaves: list[BaseException] = []
     for error in errors.exceptions:
-        leaves += _leaves(error) if isinstance(error, BaseExceptionGroup) else [error]
+        leaves += leaf_errors(error) if isinstance(error, BaseExceptionGroup) else [error]
     return leaves
 
 
