--- /dev/null
+++ b/src/fescuedock/core/acceptance.py
@@ -0,0 +1,268 @@
+"""Decides whether an input may become a job, and which job it is.
+
+Nothing is accepted of an input with a single wrong line; the refusal names the first one.
+"""
+
+import re
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from hashlib import blake2b, sha256
+
+import msgspec
+from result import Err, Ok, Result
+
+from fescuedock.core.segments import is_blank
+from fescuedock.faults import Fault
+from fescuedock.schema.batch import FileRecord, JobRecord, JobState, SegmentRef
+from fescuedock.schema.result_codes import ResultCode
+from fescuedock.schema.settings import BatchSettings
+
+__all__ = [
+    "MODEL_ENDPOINTS",
+    "SERVICE_PREFIX",
+    "InputChecker",
+    "JobRequest",
+    "check_file",
+    "file_identity",
+    "job_identity",
+    "new_record",
+    "parse_window_s",
+    "same_job",
+]
+
+MODEL_ENDPOINTS = ("/v1/chat/completions", "/v1/completions")
+SERVICE_PREFIX = "/services/"
+BATCH_PURPOSE = "batch"
+
+_MAX_CUSTOM_ID_CHARS = 512
+_MAX_MODELS = 64
+# Two of 110,000 identities share a digest once in 10**28 inputs.
+_DIGEST_BYTES = 16
+_IDENTITY_CHARS = 32
+_MAX_WINDOW_S = 14 * 24 * 3600
+_UNIT_S = {"": 1, "s": 1, "m": 60, "h": 3600, "d": 86400}
+_WINDOW = re.compile(r"([0-9]{1,9})([smhd]?)")
+
+
+class _Body(msgspec.Struct):
+    model: str = ""
+
+
+class _Line(msgspec.Struct):
+    custom_id: str
+    method: str
+    url: str
+    body: _Body
+
+
+@dataclass(slots=True)
+class InputChecker:
+    """Checks the lines of one input as they come.
+
+    After the first ``problem`` nothing is checked any more.  Memory grows by a digest for each
+    line up to ``max_items``.
+    """
+
+    settings: BatchSettings
+    item_count: int = 0
+    endpoint: str = ""
+    models: dict[str, int] = field(default_factory=dict)
+    problem: Fault | None = None
+    _line_number: int = 0
+    _digests: set[bytes] = field(default_factory=set)
+    _decoder: msgspec.json.Decoder[_Line] = field(
+        default_factory=lambda: msgspec.json.Decoder(_Line)
+    )
+
+    def check(self, line: bytes) -> None:
+        """Check the next line; blank ones count for the line number only."""
+        if self.problem is not None:
+            return
+        self._line_number += 1
+        if is_blank(line):
+            return
+        self.problem = self._problem_of(line)
+        if self.problem is not None:
+            self._digests.clear()
+            return
+        self.item_count += 1
+
+    def finish(self) -> None:
+        """Note that the input has ended."""
+        self._digests.clear()
+        if self.problem is None and not self.item_count:
+            self.problem = Fault(ResultCode.EMPTY_INPUT, "the input has no lines")
+
+    def _problem_of(self, line: bytes) -> Fault | None:
+        if self.item_count >= self.settings.max_items:
+            return self._fault(
+                ResultCode.TOO_MANY_ITEMS, f"over {self.settings.max_items} items in one input"
+            )
+        if len(line.rstrip(b"\r\n")) > self.settings.max_line_bytes:
+            return self._fault(
+                ResultCode.LINE_TOO_LONG, f"over {self.settings.max_line_bytes} bytes"
+            )
+        try:
+            decoded = self._decoder.decode(line)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            return self._fault(ResultCode.BAD_LINE, str(error))
+        return self._problem_of_fields(decoded) or self._problem_of_identity(decoded.custom_id)
+
+    def _problem_of_fields(self, line: _Line) -> Fault | None:
+        if line.method != "POST":
+            return self._fault(ResultCode.BAD_LINE, f"method must be POST, not {line.method!r}")
+        if line.url not in MODEL_ENDPOINTS and not line.url.startswith(SERVICE_PREFIX):
+            return self._fault(ResultCode.BAD_LINE, f"no endpoint {line.url!r}")
+        self.endpoint = self.endpoint or line.url
+        if line.url != self.endpoint:
+            text = f"url {line.url!r} differs from {self.endpoint!r} of the lines before"
+            return self._fault(ResultCode.BAD_LINE, text)
+        if line.url not in MODEL_ENDPOINTS:
+            return None
+        if not line.body.model:
+            return self._fault(ResultCode.BAD_LINE, "body.model is missing")
+        self.models.setdefault(line.body.model, self._line_number)
+        if len(self.models) > _MAX_MODELS:
+            return self._fault(ResultCode.BAD_LINE, f"over {_MAX_MODELS} models in one input")
+        return None
+
+    def _problem_of_identity(self, custom_id: str) -> Fault | None:
+        if not 0 < len(custom_id) <= _MAX_CUSTOM_ID_CHARS:
+            text = f"custom_id must have 1 to {_MAX_CUSTOM_ID_CHARS} characters"
+            return self._fault(ResultCode.BAD_LINE, text)
+        digest = blake2b(custom_id.encode(), digest_size=_DIGEST_BYTES).digest()
+        if digest in self._digests:
+            text = f"custom_id {custom_id!r} stands on an earlier line too"
+            return self._fault(ResultCode.DUPLICATE_CUSTOM_ID, text)
+        self._digests.add(digest)
+        return None
+
+    def _fault(self, code: ResultCode, text: str) -> Fault:
+        return Fault(code, f"line {self._line_number}: {text}")
+
+
+@dataclass(frozen=True, slots=True)
+class JobRequest:
+    """What a member asks for; ``idempotency_key`` is empty when it gave none."""
+
+    member: str
+    idempotency_key: str
+    endpoint: str
+    window_s: int
+    metadata: Mapping[str, str]
+    input_hash: str
+
+    @property
+    def content_hash(self) -> str:
+        """SHA-256, in hex, of everything that makes it this job and not another."""
+        metadata = sorted(self.metadata.items())
+        return _digest(self.endpoint, self.window_s, metadata, self.input_hash)
+
+
+def job_identity(request: JobRequest) -> str:
+    """Return the identity of the one job that ``request``, however often it comes, stands for.
+
+    It follows from the member's idempotency key or, without one, from the content.
+    """
+    if request.idempotency_key:
+        digest = _digest(request.member, "key", request.idempotency_key)
+    else:
+        digest = _digest(request.member, "content", request.content_hash)
+    return f"batch_{digest[:_IDENTITY_CHARS]}"
+
+
+def file_identity(member: str, idempotency_key: str, content_hash: str) -> str:
+    """Return the identity of a file uploaded under an idempotency key."""
+    return f"file-{_digest(member, idempotency_key, content_hash)[:_IDENTITY_CHARS]}"
+
+
+def same_job(record: JobRecord, request: JobRequest) -> Result[None, Fault]:
+    """Check that the job found under the identity of ``request`` is the one asked for."""
+    if record.member == request.member and record.content_hash == request.content_hash:
+        return Ok(None)
+    text = f"Idempotency-Key {request.idempotency_key!r} belongs to a job with other content"
+    return Err(Fault(ResultCode.KEY_REUSED, text))
+
+
+def check_file(
+    file: FileRecord, endpoint: str, service_of_model: Callable[[str], str | None]
+) -> Result[str, Fault]:
+    """Return the service that a job of ``file`` for ``endpoint`` belongs to, or why it cannot be.
+
+    ``service_of_model`` gives None for a model that no service offers.
+    """
+    if file.purpose != BATCH_PURPOSE:
+        text = f"file {file.file_id!r} has purpose {file.purpose!r}, not {BATCH_PURPOSE!r}"
+        return Err(Fault(ResultCode.BAD_REQUEST, text))
+    if file.problem_code:
+        return Err(Fault(ResultCode(file.problem_code), file.problem))
+    if file.endpoint != endpoint:
+        text = f"line 1: url {file.endpoint!r} is not the job's endpoint {endpoint!r}"
+        return Err(Fault(ResultCode.BAD_LINE, text))
+    if endpoint.startswith(SERVICE_PREFIX):
+        return Ok(endpoint.removeprefix(SERVICE_PREFIX).partition("/")[0])
+    return _service_of_models(file.models, service_of_model)
+
+
+def _service_of_models(
+    models: Mapping[str, int], service_of_model: Callable[[str], str | None]
+) -> Result[str, Fault]:
+    service = ""
+    for model, line_number in sorted(models.items(), key=lambda item: item[1]):
+        found = service_of_model(model)
+        if found is None:
+            text = f"line {line_number}: no service offers model {model!r}"
+            return Err(Fault(ResultCode.UNKNOWN_MODEL, text))
+        if service not in ("", found):
+            text = (
+                f"line {line_number}: model {model!r} is of {found!r}, earlier ones of {service!r}"
+            )
+            return Err(Fault(ResultCode.BAD_LINE, text))
+        service = found
+    return Ok(service)
+
+
+def parse_window_s(text: str) -> Result[int, Fault]:
+    """Return the seconds of a completion window such as ``24h``, ``90m`` or ``3600``."""
+    match = _WINDOW.fullmatch(text.strip())
+    window_s = int(match[1]) * _UNIT_S[match[2]] if match else 0
+    if 0 < window_s <= _MAX_WINDOW_S:
+        return Ok(window_s)
+    message = f"completion_window must be like 24h, 90m or 3600s, up to 14d, not {text!r}"
+    return Err(Fault(ResultCode.BAD_REQUEST, message))
+
+
+def new_record(
+    request: JobRequest, file: FileRecord, service: str, now_s: int, *, non_idempotent: bool
+) -> JobRecord:
+    """Return the record that makes ``request`` an accepted job.
+
+    The input's references leave out where the copies are: they are found by hash, and the record
+    is rewritten with each commit.
+    """
+    segments = [
+        SegmentRef(
+            segment_hash=ref.segment_hash, items=ref.items, size_bytes=ref.size_bytes, copies=[]
+        )
+        for ref in file.segments
+    ]
+    return JobRecord(
+        job_id=job_identity(request),
+        member=request.member,
+        service=service,
+        endpoint=request.endpoint,
+        content_hash=request.content_hash,
+        state=JobState.RUNNING,
+        epoch=0,
+        created_at_s=now_s,
+        deadline_s=now_s + request.window_s,
+        item_count=file.item_count,
+        input=segments,
+        non_idempotent=non_idempotent,
+        metadata=dict(request.metadata),
+        input_file_id=file.file_id,
+    )
+
+
+def _digest(*parts: object) -> str:
+    return sha256(msgspec.json.encode(parts)).hexdigest()
--- /dev/null
+++ b/src/fescuedock/core/segments.py
@@ -0,0 +1,108 @@
+"""Cuts a stream of bytes into lines, and lines into segments bounded in items and bytes.
+
+Nothing is added or taken away: the segments of a stream, one after the other, are the stream.
+"""
+
+from dataclasses import dataclass, field
+
+__all__ = ["CutSegment", "LineReader", "SegmentCutter", "is_blank", "item_lines"]
+
+_NEWLINE = b"\n"
+
+
+@dataclass(frozen=True, slots=True)
+class CutSegment:
+    """A segment ready to be stored; ``items`` counts its lines that are not blank."""
+
+    body: bytes
+    items: int
+
+
+def is_blank(line: bytes) -> bool:
+    """Whether ``line`` is no item."""
+    return not line.strip()
+
+
+def item_lines(body: bytes) -> list[bytes]:
+    """Return the items of a segment: its lines that are not blank, without their ends."""
+    return [line for line in body.split(_NEWLINE) if not is_blank(line)]
+
+
+class LineReader:
+    """Cuts chunks of a stream into lines that keep their newline.
+
+    A line over ``max_line_bytes`` comes in pieces of ``max_line_bytes + 1``, so that memory stays
+    bounded and the first piece is seen to be too long.
+    """
+
+    __slots__ = ("_max_piece_bytes", "_rest", "_rest_bytes")
+
+    def __init__(self, max_line_bytes: int) -> None:
+        self._max_piece_bytes = max_line_bytes + 1
+        self._rest: list[bytes] = []
+        self._rest_bytes = 0
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Return the lines that ``data`` completes."""
+        lines: list[bytes] = []
+        *whole, last = data.split(_NEWLINE)
+        for part in whole:
+            self._hold(part, lines)
+            lines.append(self._take() + _NEWLINE)
+        self._hold(last, lines)
+        return lines
+
+    def finish(self) -> list[bytes]:
+        """Return the last line if the stream did not end with a newline."""
+        return [self._take()] if self._rest_bytes else []
+
+    def _hold(self, part: bytes, lines: list[bytes]) -> None:
+        while self._rest_bytes + len(part) > self._max_piece_bytes:
+            room = self._max_piece_bytes - self._rest_bytes
+            self._rest.append(part[:room])
+            part = part[room:]
+            lines.append(self._take())
+        if part:
+            self._rest.append(part)
+            self._rest_bytes += len(part)
+
+    def _take(self) -> bytes:
+        line = b"".join(self._rest)
+        self._rest.clear()
+        self._rest_bytes = 0
+        return line
+
+
+@dataclass(slots=True)
+class SegmentCutter:
+    """Gathers lines into segments of at most ``max_items`` items and ``max_bytes`` bytes.
+
+    Only a single line longer than that makes a larger one.
+    """
+
+    max_items: int
+    max_bytes: int
+    _lines: list[bytes] = field(default_factory=list)
+    _items: int = 0
+    _size_bytes: int = 0
+
+    def add(self, line: bytes) -> CutSegment | None:
+        """Add ``line`` with its newline; returns the segment that it has no place in any more."""
+        is_item = not is_blank(line)
+        full = self._items + is_item > self.max_items
+        full = full or self._size_bytes + len(line) > self.max_bytes
+        cut = self.finish() if full else None
+        self._lines.append(line)
+        self._items += is_item
+        self._size_bytes += len(line)
+        return cut
+
+    def finish(self) -> CutSegment | None:
+        """Return what has been gathered; None when that is nothing."""
+        if not self._lines:
+            return None
+        cut = CutSegment(b"".join(self._lines), self._items)
+        self._lines = []
+        self._items = 0
+        self._size_bytes = 0
+        return cut
--- a/src/fescuedock/store/segments.py
+++ b/src/fescuedock/store/segments.py
@@ -80,16 +80,14 @@
         Everything found is made durable, since a segment may be found that was never acknowledged
         and will be now.
         """
-        for path in (self._temporary, self._aside, *self._subfolders()):
+        for path in (self._temporary, self._aside, self._folder):
             self._disk.make_folder(path)
         for file in list(self._disk.list_files(self._temporary)):
             self._disk.remove(self._temporary / file.name)
-        for path in self._subfolders():
-            for file in self._disk.list_files(path):
-                if _SEGMENT_NAME.fullmatch(file.name):
-                    self._index[file.name] = file
-                    self._usage.add(file.size_bytes)
-            self._disk.sync_folder(path)
+        for file in self._disk.list_files(self._folder):
+            if _SEGMENT_NAME.fullmatch(file.name):
+                self._index[file.name] = file
+                self._usage.add(file.size_bytes)
         self._disk.sync_folder(self._folder)
         self._disk.sync_folder(self._folder.parent)
 
@@ -177,7 +175,7 @@
             raise
         self._index[segment_hash] = FileStatus(segment_hash, len(body), kept_since_s)
         self._usage.add(len(body))
-        self._disk.sync_folder(path.parent)
+        self._disk.sync_folder(self._folder)
 
     def _renew(self, segment_hash: str, kept_since_s: int) -> None:
         path = self._path(segment_hash)
@@ -188,7 +186,7 @@
                 file.sync()
             self._index[segment_hash] = FileStatus(segment_hash, known.size_bytes, kept_since_s)
         # The write that made the file may have stopped before this.
-        self._disk.sync_folder(path.parent)
+        self._disk.sync_folder(self._folder)
 
     def _guarded(self, action: Callable[[], None]) -> Result[None, Fault]:
         try:
@@ -208,8 +206,4 @@
         self._disk.rename(path, self._aside / segment_hash)
 
     def _path(self, segment_hash: str) -> Path:
-        return self._folder / segment_hash[:2] / segment_hash
-
-    def _subfolders(self) -> Iterator[Path]:
-        for number in range(256):
-            yield self._folder / f"{number:02x}"
+        return self._folder / segment_hash
--- /dev/null
+++ b/tests/builders/store.py
@@ -0,0 +1,119 @@
+"""Stores for tests: real ones behind real channels, over any disk, in a fleet view of their own."""
+
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import trio
+
+from fescuedock.agent.link import FleetView
+from fescuedock.net.address import Address
+from fescuedock.net.channel import serve_channel
+from fescuedock.net.codec import Codec
+from fescuedock.schema import batch, store
+from fescuedock.schema.settings import BatchSettings
+from fescuedock.schema.view import Program, VmRecord, VmState
+from fescuedock.store.client import StoreClient, open_store_client
+from fescuedock.store.disk import Disk, OsDisk
+from fescuedock.store.logs import LogFolder
+from fescuedock.store.segments import SegmentFolder, Usage
+from fescuedock.store.service import store_handler
+
+HOST = "127.0.0.1"
+NOW_S = 1_800_000_000
+MAX_BYTES = 64 * 1024 * 1024
+
+
+def store_vm(vm_id: str, failure_domain: str, port: int = 1) -> VmRecord:
+    """Return a VM that runs nothing but a store."""
+    return VmRecord(
+        vm_id=vm_id,
+        region="caldas",
+        failure_domain=failure_domain,
+        host=HOST,
+        incarnation=1,
+        state=VmState.ALIVE,
+        store_port=port,
+        ready=[Program.STORE],
+    )
+
+
+class StoreNode:
+    """One store of a test, as ``run_store`` puts it together, without an agent."""
+
+    def __init__(self, folder: Path, disk: Disk | None = None, max_bytes: int = MAX_BYTES) -> None:
+        self.disk = OsDisk() if disk is None else disk
+        self.usage = Usage(max_bytes)
+        self.damaged: list[str] = []
+        self.segments = SegmentFolder(self.disk, folder, self.usage, self.damaged.append)
+        self.logs = LogFolder(self.disk, folder, self.usage)
+        self.disk.make_folder(folder)
+        self.segments.open()
+        self.logs.open()
+        self.scope = trio.CancelScope()
+
+    async def serve(
+        self, codec: Codec, *, task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        handler = store_handler(self.segments, self.logs, self.usage, lambda: NOW_S)
+        with self.scope:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.logs.run)
+                await serve_channel(Address(HOST, 0), codec, handler, task_status=task_status)
+
+
+class StoreFleet:
+    """Several stores and a client that sees them."""
+
+    def __init__(self, codec: Codec, nursery: trio.Nursery, root: Path) -> None:
+        self.codec = codec
+        self.view = FleetView("vm-test")
+        self.nodes: dict[str, StoreNode] = {}
+        self.client: StoreClient
+        self._nursery = nursery
+        self._root = root
+
+    async def add(self, vm_id: str, failure_domain: str, **options: object) -> StoreNode:
+        node = StoreNode(self._root / vm_id, **options)
+        address = await self._nursery.start(node.serve, self.codec)
+        self.nodes[vm_id] = node
+        self._show([*self.view.vms.values(), store_vm(vm_id, failure_domain, address.port)])
+        return node
+
+    def lose(self, vm_id: str, *, seen: bool = True) -> None:
+        """Stop a store for good; ``seen`` says whether the fleet view knows already."""
+        self.nodes.pop(vm_id).scope.cancel()
+        if seen:
+            self._show([vm for vm in self.view.vms.values() if vm.vm_id != vm_id])
+
+    def holders(self, segment_hash: str) -> list[str]:
+        return [name for name, node in self.nodes.items() if node.segments.status(segment_hash)]
+
+    def _show(self, vms: list[VmRecord]) -> None:
+        self.view.replace(self.view.version + 1, vms, [], 0)
+
+
+@asynccontextmanager
+async def open_stores(
+    root: Path, sites: dict[str, str], settings: BatchSettings | None = None
+) -> AsyncIterator[StoreFleet]:
+    """Run a store for each VM of ``sites``, which gives the failure domains."""
+    codec = Codec((batch, store))
+    async with trio.open_nursery() as nursery:
+        fleet = StoreFleet(codec, nursery, root)
+        for vm_id, failure_domain in sites.items():
+            await fleet.add(vm_id, failure_domain)
+        settings = settings or BatchSettings(port=0)
+        async with open_store_client(codec, fleet.view, settings) as fleet.client:
+            yield fleet
+        nursery.cancel_scope.cancel()
+
+
+def run(test: Callable, *arguments: object) -> None:
+    """Run an async test, bounded so that a hang is a failure."""
+
+    async def bounded() -> None:
+        with trio.fail_after(30):
+            await test(*arguments)
+
+    trio.run(bounded)
