--- /dev/null
+++ b/src/fescuedock/core/batch/actions.py
@@ -0,0 +1,80 @@
+"""What a job's state machine asks its daemon to do; an ``on_`` call of the machine answers it."""
+
+from dataclasses import dataclass
+
+from fescuedock.schema.batch import JobRecord, SegmentRef
+
+__all__ = [
+    "Action",
+    "AppendLog",
+    "CleanUp",
+    "PutSegment",
+    "ReadInput",
+    "ReadLog",
+    "ReadRecord",
+    "StopAttempts",
+    "WriteRecord",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class ReadRecord:
+    """Read the job's record; answer with ``on_record`` or ``on_kv_failed``."""
+
+
+@dataclass(frozen=True, slots=True)
+class WriteRecord:
+    """Write the record if it is still at ``expected_revision``.
+
+    Answer with ``on_written``, or ``on_kv_failed`` with the fault's code.
+    """
+
+    record: JobRecord
+    expected_revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class ReadLog:
+    """Read the job's result log; answer each page with ``on_log_page``, the end ``on_log_end``."""
+
+
+@dataclass(frozen=True, slots=True)
+class AppendLog:
+    """Append ``records`` to the job's result log; answer with ``on_logged``, whatever came of it.
+
+    The log only saves work after a takeover, so a failure loses nothing that was promised.
+    """
+
+    records: tuple[bytes, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class PutSegment:
+    """Write a segment of ``items`` lines; answer ``on_segment`` or ``on_segment_failed``."""
+
+    number: int
+    body: bytes
+    items: int
+
+
+@dataclass(frozen=True, slots=True)
+class ReadInput:
+    """Read input segment ``index``; answer with ``on_input`` or ``on_input_failed``."""
+
+    index: int
+    ref: SegmentRef
+
+
+@dataclass(frozen=True, slots=True)
+class StopAttempts:
+    """Cancel every attempt of the job in flight; answer each with ``on_attempt_ended``."""
+
+
+@dataclass(frozen=True, slots=True)
+class CleanUp:
+    """Drop the job's entry in the index of open jobs, and its result log."""
+
+
+Action = (
+    ReadRecord | WriteRecord | ReadLog | AppendLog | PutSegment | ReadInput | StopAttempts | CleanUp
+)
--- /dev/null
+++ b/src/fescuedock/core/batch/commits.py
@@ -0,0 +1,203 @@
+"""Brings an owner's changes into the job's record, one compare-and-swap at a time.
+
+The queue never assumes what became of a write.  After any answer but a plain success it reads the
+record and looks there: a group whose items are done was committed, a record under another epoch
+belongs to somebody else.  The revision makes a delayed duplicate of a write fail.
+"""
+
+import random
+from enum import StrEnum, auto
+
+from fescuedock.core.batch.actions import ReadRecord, WriteRecord
+from fescuedock.core.batch.ranges import holds
+from fescuedock.core.batch.record import DuplicateItemError, OwnerChange, changed, claimed, is_final
+from fescuedock.schema.batch import CommittedGroup, JobForecast, JobRecord, JobState, SegmentRef
+from fescuedock.schema.result_codes import ResultCode
+
+__all__ = ["CommitQueue", "Ownership"]
+
+_FIRST_RETRY_MS = 50.0
+_LAST_RETRY_MS = 5000.0
+
+
+class Ownership(StrEnum):
+    """What the queue knows of its right to write the record."""
+
+    CLAIMING = auto()
+    OWNED = auto()
+    FINAL = auto()
+    LOST = auto()
+    VANISHED = auto()
+
+
+class CommitQueue:
+    """Claims one job for ``owner`` and then writes its changes.
+
+    ``owner`` must be unique to this run of this program.
+    """
+
+    __slots__ = (
+        "_asked_epoch",
+        "_busy",
+        "_failures",
+        "_finish_at_s",
+        "_folded",
+        "_forecast",
+        "_groups",
+        "_marks",
+        "_must_read",
+        "_owner",
+        "_random",
+        "_retry_at_ms",
+        "_revision",
+        "_writing",
+        "epoch",
+        "ownership",
+        "record",
+    )
+
+    def __init__(self, owner: str, random_: random.Random) -> None:
+        self.ownership = Ownership.CLAIMING
+        self.record: JobRecord | None = None
+        self.epoch = 0
+        self._owner = owner
+        self._random = random_
+        self._asked_epoch = 0
+        self._revision = 0
+        self._busy = False
+        self._must_read = True
+        self._writing: JobRecord | None = None
+        self._failures = 0
+        self._retry_at_ms = 0.0
+        self._groups: list[CommittedGroup] = []
+        self._marks: list[list[int]] = []
+        self._folded: SegmentRef | None = None
+        self._forecast: list[JobForecast] | None = None
+        self._finish_at_s = 0
+
+    @property
+    def idle(self) -> bool:
+        """Whether everything that was added is in the record."""
+        waiting = self._groups or self._marks or self._folded or self._forecast is not None
+        return not self._busy and not self._must_read and not waiting
+
+    @property
+    def retry_at_ms(self) -> float:
+        """When ``next_action`` has something new after a failure."""
+        return self._retry_at_ms
+
+    @property
+    def cancelling(self) -> bool:
+        return self.record is not None and self.record.state is JobState.CANCELLING
+
+    def add_group(self, group: CommittedGroup) -> None:
+        self._groups.append(group)
+
+    def add_marks(self, ranges: list[list[int]]) -> None:
+        self._marks += ranges
+
+    def fold(self, manifest: SegmentRef) -> None:
+        """Let ``manifest`` take the place of the first ``manifest.items`` groups."""
+        self._folded = manifest
+
+    def report(self, forecast: list[JobForecast]) -> None:
+        """Record a forecast, or with an empty list that the deadline will be met after all."""
+        self._forecast = forecast
+
+    def finish(self, at_s: int) -> None:
+        """Make the record final, once the rest is in."""
+        self._finish_at_s = self._finish_at_s or at_s
+
+    def look(self) -> None:
+        """Read the record at the next chance: somebody says that it was changed."""
+        self._must_read = True
+
+    def next_action(self, now_ms: float) -> ReadRecord | WriteRecord | None:
+        """Return the next call on the key-value service; None while there is none to make."""
+        if self._busy or now_ms < self._retry_at_ms:
+            return None
+        if self.ownership not in (Ownership.CLAIMING, Ownership.OWNED):
+            return None
+        if self._must_read:
+            self._busy = True
+            return ReadRecord()
+        self._writing = self._next_record()
+        if self._writing is None:
+            return None
+        self._busy = True
+        return WriteRecord(self._writing, self._revision)
+
+    def on_record(self, record: JobRecord | None, revision: int) -> None:
+        """Take what the service holds now."""
+        self._answered()
+        self._must_read = False
+        self._revision = revision
+        self.record = record or self.record
+        if record is None:
+            self.ownership = Ownership.VANISHED
+            return
+        self._settle(record)
+
+    def on_written(self, revision: int) -> None:
+        """The last write took effect."""
+        self._answered()
+        self._revision = revision
+        self.record = self._writing
+        self._settle(self._writing)
+
+    def on_failed(self, code: ResultCode, now_ms: float) -> None:
+        """The last call failed, or what became of it is unknown."""
+        self._busy = False
+        self._must_read = True
+        if code is ResultCode.KV_CONFLICT:
+            return
+        delay_ms = min(_FIRST_RETRY_MS * 2**self._failures, _LAST_RETRY_MS)
+        self._failures += 1
+        self._retry_at_ms = now_ms + delay_ms * self._random.uniform(0.5, 1.5)
+
+    def _answered(self) -> None:
+        self._busy = False
+        self._failures = 0
+        self._retry_at_ms = 0.0
+
+    def _settle(self, record: JobRecord) -> None:
+        """Compare ``record`` with what was asked for, and keep only what is still to be written."""
+        if self.epoch == 0:
+            self._settle_claim(record)
+        elif record.epoch != self.epoch:
+            self.ownership = Ownership.LOST
+        elif is_final(record):
+            self.ownership = Ownership.FINAL
+        else:
+            self._drop_settled(record)
+
+    def _settle_claim(self, record: JobRecord) -> None:
+        if is_final(record):
+            self.ownership = Ownership.FINAL
+        elif self._asked_epoch and record.epoch >= self._asked_epoch:
+            ours = record.epoch == self._asked_epoch and record.owner == self._owner
+            self.ownership = Ownership.OWNED if ours else Ownership.LOST
+            self.epoch = record.epoch if ours else 0
+
+    def _drop_settled(self, record: JobRecord) -> None:
+        self._groups = [item for item in self._groups if not holds(record.done, item.ranges[0][0])]
+        self._marks = [item for item in self._marks if not holds(record.marked, item[0])]
+        if self._folded in record.manifests:
+            self._folded = None
+        if self._forecast == record.forecast:
+            self._forecast = None
+
+    def _next_record(self) -> JobRecord | None:
+        if self.epoch == 0:
+            self._asked_epoch = self.record.epoch + 1
+            return claimed(self.record, self._owner)
+        change = OwnerChange(self._groups, self._marks, self._folded, self._forecast)
+        change.finished_at_s = self._finish_at_s
+        if not change:
+            return None
+        try:
+            return changed(self.record, change)
+        except DuplicateItemError:
+            # Somebody else's doing or a fault of ours; the next claim starts from the record.
+            self.ownership = Ownership.LOST
+            return None
--- /dev/null
+++ b/src/fescuedock/core/batch/folding.py
@@ -0,0 +1,57 @@
+"""Moves committed groups from the record to manifest segments, so that the record stays small."""
+
+from fescuedock.core.batch.actions import PutSegment
+from fescuedock.core.batch.results import manifest_body, without_copies
+from fescuedock.schema.batch import JobRecord, SegmentRef
+
+__all__ = ["ManifestFolder"]
+
+# Numbers of result segments begin at 0.
+_NUMBER = -1
+_RETRY_MS = 1000.0
+
+
+class ManifestFolder:
+    """Folds ``groups_wanted`` groups at a time, and all of them when the job finishes."""
+
+    __slots__ = ("_busy", "_folded", "_groups_wanted", "_retry_at_ms")
+
+    def __init__(self, groups_wanted: int) -> None:
+        self._groups_wanted = groups_wanted
+        self._busy = False
+        self._folded: SegmentRef | None = None
+        self._retry_at_ms = 0.0
+
+    @property
+    def due_at_ms(self) -> float:
+        return self._retry_at_ms
+
+    def knows(self, number: int) -> bool:
+        """Whether segment ``number`` is a manifest."""
+        return number == _NUMBER
+
+    def settled(self, record: JobRecord) -> bool:
+        """Return whether the record is as small as it can be made."""
+        return not self._busy and len(record.groups) <= 1
+
+    def next_action(self, record: JobRecord, finishing: bool, now_ms: float) -> PutSegment | None:
+        """Return the manifest to be written now, if any."""
+        if self._folded is not None and self._folded in record.manifests:
+            self._folded = None
+        if self._busy or self._folded is not None or now_ms < self._retry_at_ms:
+            return None
+        count = len(record.groups) if finishing else self._groups_wanted
+        if len(record.groups) < max(count, 2):
+            return None
+        self._busy = True
+        return PutSegment(_NUMBER, manifest_body(record.groups[:count]), count)
+
+    def on_segment(self, ref: SegmentRef) -> SegmentRef:
+        """Take the written manifest; returns what the record should hold in place of groups."""
+        self._busy = False
+        self._folded = without_copies(ref)
+        return self._folded
+
+    def on_failed(self, now_ms: float) -> None:
+        self._busy = False
+        self._retry_at_ms = now_ms + _RETRY_MS
--- /dev/null
+++ b/src/fescuedock/core/batch/items.py
@@ -0,0 +1,271 @@
+"""The items of one job: which may run now, where, and when one that failed has had its chances.
+
+Fresh items come in order from the input segment at hand.  An item that failed waits, jittered, and
+avoids the upstream where it failed.  An item that was in flight when a worker died is a suspect:
+the first time it may just have stood beside the cause, so it runs as the only suspect of an
+upstream; after another death it runs there alone, and deaths beyond the allowed attempts end it.
+
+Memory is bounded by the input segment at hand and by the items in flight or waiting.
+"""
+
+import heapq
+import random
+from dataclasses import dataclass
+from enum import StrEnum, auto
+
+from fescuedock.core.batch.ranges import ItemSet
+from fescuedock.schema.result_codes import ResultCode
+from fescuedock.schema.settings import BatchSettings
+
+__all__ = ["AttemptEnd", "EndKind", "Isolation", "Item", "ItemQueue", "ItemVerdict"]
+
+_ALONE_DEATHS = 2
+
+
+class EndKind(StrEnum):
+    """How an attempt ended, as far as the item is concerned."""
+
+    DONE = auto()
+    REJECTED = auto()
+    SERVER_ERROR = auto()
+    NOT_SENT = auto()
+    BUSY = auto()
+    DIED = auto()
+    REVOKED = auto()
+    STOPPED = auto()
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptEnd:
+    """One attempt's end; ``text`` and ``tokens`` are what was generated, for a later resume.
+
+    For ``DONE`` and ``REJECTED`` the body is the upstream's answer; for others a message.
+    """
+
+    kind: EndKind
+    status: int = 0
+    body: bytes = b""
+    text: str = ""
+    tokens: int = 0
+
+
+class Isolation(StrEnum):
+    """What may run beside an item on its upstream, of the same runner."""
+
+    NONE = auto()
+    ONLY_SUSPECT = auto()
+    ALONE = auto()
+
+
+_STRICTNESS = (Isolation.NONE, Isolation.ONLY_SUSPECT, Isolation.ALONE)
+
+
+@dataclass(slots=True, eq=False)
+class Item:
+    """An item in flight or waiting for another attempt."""
+
+    number: int
+    line: bytes
+    failures: int = 0
+    deaths: int = 0
+    text: str = ""
+    tokens: int = 0
+    avoid: str = ""
+    upstream_id: str = ""
+    ready_at_ms: float = 0.0
+
+    @property
+    def isolation(self) -> Isolation:
+        if self.deaths >= _ALONE_DEATHS:
+            return Isolation.ALONE
+        return Isolation.ONLY_SUSPECT if self.deaths else Isolation.NONE
+
+
+@dataclass(frozen=True, slots=True)
+class ItemVerdict:
+    """An item's end by our decision."""
+
+    number: int
+    code: ResultCode
+    message: str
+    line: bytes
+
+
+class ItemQueue:
+    """Hands out the items of a job that have no result yet; ``ended`` is shared with the job."""
+
+    __slots__ = (
+        "_cursor",
+        "_ended",
+        "_in_flight",
+        "_random",
+        "_settings",
+        "_waiting",
+        "_window",
+        "_window_start",
+        "non_idempotent",
+    )
+
+    def __init__(
+        self, ended: ItemSet, non_idempotent: bool, settings: BatchSettings, random_: random.Random
+    ) -> None:
+        self._ended = ended
+        self.non_idempotent = non_idempotent
+        self._settings = settings
+        self._random = random_
+        self._cursor = 0
+        self._window: list[bytes] = []
+        self._window_start = 0
+        self._in_flight: dict[int, Item] = {}
+        self._waiting: list[tuple[float, int, Item]] = []
+        self._skip()
+
+    @property
+    def in_flight(self) -> int:
+        return len(self._in_flight)
+
+    @property
+    def wanted_item(self) -> int | None:
+        """The next fresh item when its line is not at hand; None when no line is wanted."""
+        if self._cursor >= self._ended.size or self._has_line():
+            return None
+        return self._cursor
+
+    @property
+    def next_fresh(self) -> int:
+        """The next item that was never taken, or the number of items."""
+        return self._cursor
+
+    @property
+    def next_ready_ms(self) -> float:
+        return self._waiting[0][0] if self._waiting else float("inf")
+
+    def holds(self, item: Item) -> bool:
+        """Whether ``item`` is in flight."""
+        return self._in_flight.get(item.number) is item
+
+    def strictest_ready(self, now_ms: float) -> Isolation:
+        """Return the strictest isolation that a waiting item needs which may run now."""
+        ready = [item.isolation for at_ms, _, item in self._waiting if at_ms <= now_ms]
+        return max(ready, key=_STRICTNESS.index, default=Isolation.NONE)
+
+    def load(self, start: int, lines: list[bytes]) -> None:
+        """Take the lines of the items from ``start`` on."""
+        self._window_start, self._window = start, lines
+        self._skip()
+
+    def fresh_numbers(self, limit: int) -> list[int]:
+        """Return up to ``limit`` fresh items at hand without taking them."""
+        found: list[int] = []
+        number = self._cursor
+        end = self._window_start + len(self._window)
+        while self._has_line() and number < end and len(found) < limit:
+            found.append(number)
+            number = self._ended.next_missing(number + 1)
+        return found
+
+    def peek(self, now_ms: float, fresh: bool = True) -> Item | None:
+        """Return an item that may run now, without taking it."""
+        if self._waiting and self._waiting[0][0] <= now_ms:
+            return self._waiting[0][2]
+        if fresh and self._may_start_fresh():
+            return Item(self._cursor, self._window[self._cursor - self._window_start])
+        return None
+
+    def take(
+        self, upstream_id: str, allowed: Isolation, now_ms: float, fresh: bool = True
+    ) -> Item | None:
+        """Take the next item for ``upstream_id``.
+
+        ``allowed`` is the strictest isolation that the upstream can give now.
+        """
+        item = self._take_waiting(upstream_id, allowed, now_ms)
+        if item is None and fresh and self._may_start_fresh():
+            item = Item(self._cursor, self._window[self._cursor - self._window_start])
+            self._cursor += 1
+            self._skip()
+        if item is not None:
+            item.upstream_id = upstream_id
+            self._in_flight[item.number] = item
+        return item
+
+    def on_ended(self, number: int, end: AttemptEnd, now_ms: float) -> ItemVerdict | None:
+        """Judge a failed attempt: a verdict ends the item, None means that it waits again."""
+        item = self._in_flight.pop(number)
+        if self.non_idempotent and end.kind not in (EndKind.NOT_SENT, EndKind.BUSY):
+            return self._judge_once_only(item, end)
+        return self._judge(item, end, now_ms)
+
+    def release(self, number: int) -> Item:
+        """Forget an item in flight that has its result."""
+        return self._in_flight.pop(number)
+
+    def _judge(self, item: Item, end: AttemptEnd, now_ms: float) -> ItemVerdict | None:
+        item.text, item.tokens = end.text, end.tokens
+        if end.kind in (EndKind.REVOKED, EndKind.STOPPED):
+            self._wait(item, now_ms)
+            return None
+        item.avoid = item.upstream_id
+        item.deaths += end.kind is EndKind.DIED
+        item.failures += end.kind is EndKind.SERVER_ERROR
+        # What was generated may be what makes the next attempt fail.
+        if end.kind in (EndKind.DIED, EndKind.SERVER_ERROR):
+            item.text, item.tokens = "", 0
+        if item.deaths >= self._settings.item_attempts:
+            message = f"{item.deaths} workers died while they ran the item"
+            return ItemVerdict(item.number, ResultCode.ITEM_ISOLATED, message, item.line)
+        if item.failures >= self._settings.item_attempts:
+            message = f"{item.failures} attempts failed; the last one: {_text(end)}"
+            return ItemVerdict(item.number, ResultCode.ITEM_IMPOSSIBLE, message, item.line)
+        self._wait(item, now_ms + self._backoff_ms(item))
+        return None
+
+    def _judge_once_only(self, item: Item, end: AttemptEnd) -> ItemVerdict:
+        if end.kind is EndKind.SERVER_ERROR:
+            message = f"the call was made once and failed: {_text(end)}"
+            return ItemVerdict(item.number, ResultCode.UPSTREAM_ERROR, message, item.line)
+        message = f"the call was made once and its result is lost ({end.kind.value})"
+        return ItemVerdict(item.number, ResultCode.ITEM_UNKNOWN, message, item.line)
+
+    def _wait(self, item: Item, ready_at_ms: float) -> None:
+        item.ready_at_ms = ready_at_ms
+        heapq.heappush(self._waiting, (ready_at_ms, item.number, item))
+
+    def _backoff_ms(self, item: Item) -> float:
+        doublings = item.failures + item.deaths - 1
+        delay_ms = self._settings.retry_backoff_ms * 2.0 ** max(doublings, 0)
+        capped_ms = min(delay_ms, self._settings.max_retry_backoff_ms)
+        return capped_ms * self._random.uniform(0.5, 1.5)
+
+    def _take_waiting(self, upstream_id: str, allowed: Isolation, now_ms: float) -> Item | None:
+        ready = [entry for entry in self._waiting if entry[0] <= now_ms]
+        for entry in sorted(ready, key=lambda entry: entry[:2]):
+            item = entry[2]
+            if _suits(item.isolation, allowed) and self._may_run_on(item, upstream_id, now_ms):
+                self._waiting.remove(entry)
+                heapq.heapify(self._waiting)
+                return item
+        return None
+
+    def _may_run_on(self, item: Item, upstream_id: str, now_ms: float) -> bool:
+        # When no other upstream has taken it for a while, there may be no other.
+        patience_ms = self._settings.retry_backoff_ms
+        return item.avoid != upstream_id or now_ms >= item.ready_at_ms + patience_ms
+
+    def _may_start_fresh(self) -> bool:
+        # Retries that pile up mean trouble that fresh items would only add to.
+        return self._has_line() and len(self._waiting) < self._settings.max_items_in_flight
+
+    def _has_line(self) -> bool:
+        return self._window_start <= self._cursor < self._window_start + len(self._window)
+
+    def _skip(self) -> None:
+        self._cursor = self._ended.next_missing(self._cursor)
+
+
+def _suits(wanted: Isolation, allowed: Isolation) -> bool:
+    return _STRICTNESS.index(wanted) <= _STRICTNESS.index(allowed)
+
+
+def _text(end: AttemptEnd) -> str:
+    return f"HTTP {end.status} {end.body[:200].decode('utf-8', 'replace')}"
--- /dev/null
+++ b/src/fescuedock/core/batch/recovery.py
@@ -0,0 +1,66 @@
+"""Reads the result log that a former owner left, and takes over what was not committed."""
+
+from collections.abc import Iterator, Sequence
+
+import msgspec
+
+from fescuedock.core.batch.actions import ReadLog
+from fescuedock.core.batch.ranges import ItemSet
+from fescuedock.schema.batch import LoggedResult
+
+__all__ = ["LogRecovery"]
+
+_ATTEMPTS = 5
+_FIRST_RETRY_MS = 200.0
+
+_decode = msgspec.msgpack.Decoder(LoggedResult).decode
+
+
+class LogRecovery:
+    """Reads a log as often as it takes to get all of it through a bounded buffer.
+
+    After several failures it gives up: the items without a known result run again, or end as
+    unknown when they may not.
+    """
+
+    __slots__ = ("_due_at_ms", "_failures", "_reading", "_skipped", "done", "reused")
+
+    def __init__(self, needed: bool) -> None:
+        self.done = not needed
+        self.reused = 0
+        self._failures = 0
+        self._due_at_ms = 0.0
+        self._reading = False
+        self._skipped = False
+
+    @property
+    def due_at_ms(self) -> float:
+        return float("inf") if self.done or self._reading else self._due_at_ms
+
+    def next_action(self, now_ms: float) -> ReadLog | None:
+        if self.done or self._reading or now_ms < self._due_at_ms:
+            return None
+        self._reading = True
+        self._skipped = False
+        return ReadLog()
+
+    def results(self, records: Sequence[bytes], ended: ItemSet) -> Iterator[LoggedResult]:
+        """Give the results in a page whose items have none yet; both stores' copies come."""
+        for record in records:
+            result = _decode(record)
+            if result.item_number not in ended:
+                yield result
+
+    def skip(self) -> None:
+        """A result did not fit; the log must be read again."""
+        self._skipped = True
+
+    def on_end(self, complete: bool, now_ms: float) -> None:
+        """The reading ended; ``complete`` says that a store was read to its end."""
+        self._reading = False
+        if complete:
+            self.done = not self._skipped
+            return
+        self._failures += 1
+        self.done = self._failures >= _ATTEMPTS
+        self._due_at_ms = now_ms + _FIRST_RETRY_MS * 2**self._failures
--- /dev/null
+++ b/src/fescuedock/core/batch/scheduler.py
@@ -0,0 +1,196 @@
+"""Which job gets the next permit of an upstream, among the jobs of one runner.
+
+Jobs that must have nearly all of their service's rate to make the deadline go first, least slack
+before more.  Every few turns, and when no job is urgent, members take turns by their shares.  A job
+that cannot make it even so is not urgent any more: it would only take others with it.
+"""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from fescuedock.core.batch.forecast import RateMeter
+from fescuedock.core.batch.items import Isolation, Item
+from fescuedock.core.batch.job import JobRun
+from fescuedock.schema.settings import BatchSettings
+
+__all__ = ["Assignment", "ItemScheduler", "ShareOf"]
+
+# Weight of a member among those who wait.
+ShareOf = Callable[[str], float]
+
+# A job is urgent when its slack is below this share of the time to its deadline.
+_URGENT_SHARE = 0.25
+_FAIR_TURN_EVERY = 4
+# Jobs that may hold a segment of their input in memory.
+_MAX_LOADED_JOBS = 8
+
+
+@dataclass(frozen=True, slots=True)
+class Assignment:
+    """One item to be run now."""
+
+    run: JobRun
+    item: Item
+    isolation: Isolation
+    upstream_id: str
+    service: str
+
+
+@dataclass(slots=True)
+class _Upstream:
+    """What this runner has in flight at one upstream."""
+
+    in_flight: int = 0
+    suspects: int = 0
+    alone: bool = False
+    reserved: bool = False
+
+    def allows(self) -> Isolation | None:
+        """Return the strictest isolation that can be given; None when nothing may start."""
+        if self.alone:
+            return None
+        if not self.in_flight:
+            return Isolation.ALONE
+        if self.reserved:
+            return None
+        return Isolation.NONE if self.suspects else Isolation.ONLY_SUSPECT
+
+
+class ItemScheduler:
+    """Holds the runner's jobs and what is in flight where."""
+
+    __slots__ = ("_meters", "_runs", "_settings", "_turn", "_upstreams", "_used", "in_flight")
+
+    def __init__(self, settings: BatchSettings) -> None:
+        self._settings = settings
+        self._runs: dict[str, JobRun] = {}
+        self._upstreams: dict[str, _Upstream] = {}
+        self._used: dict[str, float] = {}
+        self._meters: dict[str, RateMeter] = {}
+        self._turn = 0
+        self.in_flight = 0
+
+    def add(self, run: JobRun) -> None:
+        self._runs[run.job_id] = run
+
+    def remove(self, run: JobRun) -> None:
+        self._runs.pop(run.job_id, None)
+
+    def services(self) -> set[str]:
+        """Return the services that have jobs here."""
+        return {run.record.service for run in self._runs.values() if run.record is not None}
+
+    def items_per_s(self, service: str, now_ms: float) -> float | None:
+        """Return the rate of the service's items over all jobs here; None when unknown."""
+        meter = self._meters.get(service)
+        return meter.items_per_s(now_ms) if meter else None
+
+    def choose_loaded(self, now_ms: float) -> None:
+        """Let the jobs with the least slack hold input, and no others.
+
+        Also tells each job what rate to expect before it has one of its own.
+        """
+        working = [run for run in self._runs.values() if run.record is not None]
+        for run in working:
+            run.expect_rate(self.items_per_s(run.record.service, now_ms) or 0.0)
+        working.sort(key=lambda run: self.slack_ms(run, now_ms))
+        for index, run in enumerate(working):
+            run.may_load = index < _MAX_LOADED_JOBS
+
+    def next_run(self, service: str, upstream_id: str, now_ms: float) -> JobRun | None:
+        """Return the job whose item would probably get a permit of ``upstream_id`` now."""
+        if self._allowed(service, upstream_id, now_ms) is None:
+            return None
+        ready = self._ready(service, now_ms)
+        return min(ready, key=lambda run: self.slack_ms(run, now_ms), default=None)
+
+    def take(
+        self, service: str, upstream_id: str, share_of: ShareOf, now_ms: float
+    ) -> Assignment | None:
+        """Return what to run on ``upstream_id``, for which there is a permit."""
+        allowed = self._allowed(service, upstream_id, now_ms)
+        if allowed is None:
+            return None
+        for run in self._ordered(list(self._ready(service, now_ms)), now_ms):
+            item = run.take(upstream_id, allowed, now_ms)
+            if item is not None:
+                self._started(run, item, share_of)
+                return Assignment(run, item, item.isolation, upstream_id, service)
+        return None
+
+    def on_ended(self, assignment: Assignment, now_ms: float) -> None:
+        """Take back an assignment, however its attempt ended."""
+        upstream = self._upstreams[assignment.upstream_id]
+        upstream.in_flight -= 1
+        upstream.suspects -= assignment.isolation is not Isolation.NONE
+        if assignment.isolation is Isolation.ALONE:
+            upstream.alone = False
+        if not upstream.in_flight and not upstream.reserved:
+            del self._upstreams[assignment.upstream_id]
+        self.in_flight -= 1
+        meter = self._meters.setdefault(assignment.service, RateMeter(now_ms))
+        meter.on_ended(now_ms)
+
+    def slack_ms(self, run: JobRun, now_ms: float) -> float:
+        """Return the time to spare if the job had its service's whole rate."""
+        left_ms = run.deadline_ms - now_ms
+        rate = self.items_per_s(run.record.service, now_ms)
+        return left_ms - run.items_left / rate * 1000.0 if rate else left_ms
+
+    def _ready(self, service: str, now_ms: float) -> Iterable[JobRun]:
+        for run in self._runs.values():
+            if run.record is None or run.record.service != service:
+                continue
+            if run.peek(now_ms) is not None:
+                yield run
+
+    def _allowed(self, service: str, upstream_id: str, now_ms: float) -> Isolation | None:
+        if self.in_flight >= self._settings.max_items_in_flight:
+            return None
+        upstream = self._upstreams.get(upstream_id)
+        if upstream is None:
+            return Isolation.ALONE
+        self._reserve(service, upstream, now_ms)
+        return upstream.allows()
+
+    def _reserve(self, service: str, upstream: _Upstream, now_ms: float) -> None:
+        """Let one upstream run empty when an item must run alone and finds none empty."""
+        runs = self._ready(service, now_ms)
+        strict = (run.strictest_isolation(now_ms) is Isolation.ALONE for run in runs)
+        if not any(strict):
+            upstream.reserved = False
+        elif not any(other.reserved for other in self._upstreams.values()):
+            upstream.reserved = upstream.in_flight > 0
+
+    def _ordered(self, ready: list[JobRun], now_ms: float) -> list[JobRun]:
+        if len(ready) < 2:
+            return ready
+        self._turn += 1
+        by_slack = sorted(ready, key=lambda run: self.slack_ms(run, now_ms))
+        by_member = sorted(by_slack, key=lambda run: self._used.get(run.record.member, 0.0))
+        if self._turn % _FAIR_TURN_EVERY == 0:
+            return by_member
+        urgent = [run for run in by_slack if self._is_urgent(run, now_ms)]
+        return urgent + [run for run in by_member if run not in urgent]
+
+    def _is_urgent(self, run: JobRun, now_ms: float) -> bool:
+        left_ms = run.deadline_ms - now_ms
+        return 0 <= self.slack_ms(run, now_ms) < left_ms * _URGENT_SHARE
+
+    def _started(self, run: JobRun, item: Item, share_of: ShareOf) -> None:
+        self._count_use(run.record.member, share_of)
+        upstream = self._upstreams.setdefault(item.upstream_id, _Upstream())
+        upstream.in_flight += 1
+        upstream.suspects += item.isolation is not Isolation.NONE
+        if item.isolation is Isolation.ALONE:
+            upstream.alone = True
+            upstream.reserved = False
+        self.in_flight += 1
+
+    def _count_use(self, member: str, share_of: ShareOf) -> None:
+        """Charge one item to ``member``; who was away starts level with the least used."""
+        present = {run.record.member for run in self._runs.values() if run.record is not None}
+        others = [self._used.get(name, 0.0) for name in present if name in self._used]
+        start = self._used.get(member, min(others, default=0.0))
+        self._used = {name: used for name, used in self._used.items() if name in present}
+        self._used[member] = start + 1.0 / max(share_of(member), 1e-9)
--- /dev/null
+++ b/src/fescuedock/core/batch/takeover.py
@@ -0,0 +1,97 @@
+"""When a runner should claim a job that somebody names to it.
+
+Being wrong costs work that is done twice, never a wrong result: the epoch decides whose commit
+counts.  So silence and membership are evidence enough.
+"""
+
+from dataclasses import dataclass
+from enum import StrEnum, auto
+
+from fescuedock.core.rendezvous import choose_name, rank_names
+from fescuedock.schema.view import VmRecord
+
+__all__ = ["OwnerAnswer", "RunnerName", "SilenceLog", "Verdict", "chosen_runner", "judge", "scans"]
+
+
+class Verdict(StrEnum):
+    """What to do about a job."""
+
+    CLAIM = auto()
+    ASK_OWNER = auto()
+    LEAVE = auto()
+
+
+class OwnerAnswer(StrEnum):
+    """What the recorded owner says when asked whether it runs the job."""
+
+    RUNNING = auto()
+    NOT_RUNNING = auto()
+    SILENT = auto()
+
+
+@dataclass(frozen=True, slots=True)
+class RunnerName:
+    """The name under which a runner claims: its VM, and an incarnation for each start."""
+
+    vm_id: str
+    incarnation: str
+
+    @classmethod
+    def parse(cls, text: str) -> "RunnerName":
+        vm_id, _, incarnation = text.rpartition("/")
+        return cls(vm_id, incarnation)
+
+    def __str__(self) -> str:
+        return f"{self.vm_id}/{self.incarnation}"
+
+
+class SilenceLog:
+    """Remembers since when the owner of a job has not answered."""
+
+    __slots__ = ("_since_ms",)
+
+    def __init__(self) -> None:
+        self._since_ms: dict[str, float] = {}
+
+    def silent_ms(self, job_id: str, now_ms: float) -> float:
+        """Note that the owner is silent; returns for how long it has been."""
+        return now_ms - self._since_ms.setdefault(job_id, now_ms)
+
+    def clear(self, job_id: str) -> None:
+        self._since_ms.pop(job_id, None)
+
+
+def judge(
+    owner: str,
+    me: RunnerName,
+    owner_vm: VmRecord | None,
+    answer: OwnerAnswer | None,
+    silent_ms: float,
+    takeover_silence_ms: float,
+) -> Verdict:
+    """Decide about a job that ``me`` does not run; ``answer`` is None before the owner was asked.
+
+    ``owner_vm`` is None when the view does not show the owner's VM.
+    """
+    if not owner or owner_vm is None or owner_vm.vm_id == me.vm_id:
+        return Verdict.CLAIM
+    if answer is None:
+        return Verdict.ASK_OWNER
+    if answer is OwnerAnswer.NOT_RUNNING:
+        return Verdict.CLAIM
+    if answer is OwnerAnswer.SILENT and silent_ms >= takeover_silence_ms:
+        return Verdict.CLAIM
+    return Verdict.LEAVE
+
+
+def chosen_runner(job_id: str, vms: list[VmRecord]) -> VmRecord | None:
+    """Return the VM whose runner should own the job, of ``vms`` that can."""
+    by_id = {vm.vm_id: vm for vm in vms}
+    return by_id.get(choose_name(job_id, by_id))
+
+
+def scans(vm_id: str, vms: list[VmRecord], scanners_per_domain: int) -> bool:
+    """Return whether ``vm_id`` is one of its failure domain's scanners of the open jobs."""
+    domain = next((vm.failure_domain for vm in vms if vm.vm_id == vm_id), None)
+    names = [vm.vm_id for vm in vms if vm.failure_domain == domain]
+    return vm_id in rank_names(f"scanner/{domain}", names)[:scanners_per_domain]
--- a/src/fescuedock/schema/settings.py
+++ b/src/fescuedock/schema/settings.py
@@ -115,6 +115,13 @@
         int, Meta(description="Groups that move from the record to one manifest segment.", ge=2)
     ] = 32
     item_attempts: Annotated[int, Meta(ge=1)] = 4
+    mark_items: Annotated[
+        int,
+        Meta(
+            description="Items of a non-idempotent job marked in one write; after a loss so many at most end as unknown without having run.",
+            ge=1,
+        ),
+    ] = 32
     retry_backoff_ms: Annotated[
         int,
         Meta(
