--- a/src/fescuedock/report/prometheus.py
+++ b/src/fescuedock/report/prometheus.py
@@ -53,12 +53,12 @@
     family = CounterMetricFamily(
         "fescuedock_results",
         "Online queries and batch items by result code.",
-        labels=("process", "service", "code"),
+        labels=("program", "service", "code"),
     )
     for snapshot in snapshots:
         for item in snapshot.codes:
             name = ResultCode(item.code).name
-            family.add_metric((snapshot.process, item.service, name), item.count)
+            family.add_metric((_program(snapshot), item.service, name), item.count)
     return family
 
 
@@ -72,10 +72,10 @@
         ("jobs_in_time", "Batch jobs whole by their deadline."),
     )
     for name, text in counts:
-        family = CounterMetricFamily(f"fescuedock_{name}", text, labels=("process", "service"))
+        family = CounterMetricFamily(f"fescuedock_{name}", text, labels=("program", "service"))
         for snapshot in snapshots:
             for service in snapshot.services:
-                labels = (snapshot.process, service.service)
+                labels = (_program(snapshot), service.service)
                 family.add_metric(labels, getattr(service.total, name))
         yield family
 
@@ -84,13 +84,13 @@
     family = HistogramMetricFamily(
         "fescuedock_latency_seconds",
         "First token, mean time between tokens, and run of batch items.",
-        labels=("process", "service", "work_class", "member_group", "measure"),
+        labels=("program", "service", "work_class", "member_group", "measure"),
     )
     for snapshot in snapshots:
         for item in snapshot.histograms:
             histogram = decode_histogram(item.encoded)
             labels = (
-                snapshot.process,
+                _program(snapshot),
                 item.service,
                 item.work_class,
                 item.member_group,
@@ -105,6 +105,11 @@
     return family
 
 
+def _program(snapshot: MetricsSnapshot) -> str:
+    """Return the program's name; its incarnation would be a new label at each start."""
+    return snapshot.process.split("/")[1]
+
+
 def _fleet(status: FleetStatus) -> Iterator[Metric]:
     gauges = (
         ("config_version", "Version of the configuration in force.", status.config_version),
--- a/src/fescuedock/schema/report.py
+++ b/src/fescuedock/schema/report.py
@@ -55,7 +55,10 @@
 
 class MetricsSnapshot(Struct):
     process: Annotated[
-        str, Meta(description="VM and program; snapshots of one process replace each other.")
+        str,
+        Meta(
+            description="VM/PROGRAM/INCARNATION; a newer snapshot replaces an older one of the same process."
+        ),
     ]
     taken_at_s: Annotated[int, Meta(description="Unix time.")]
     services: list[ServiceSlots] = field(default_factory=list)
