--- a/src/fescuedock/settings.py
+++ b/src/fescuedock/settings.py
@@ -3,7 +3,7 @@
 import configparser
 import ipaddress
 import math
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Collection, Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -22,7 +22,7 @@
     VmSettings,
 )
 
-__all__ = ["SECTIONS", "Settings", "SettingsProblems", "load_settings"]
+__all__ = ["SECTIONS", "Settings", "SettingsProblems", "load_sections", "load_settings"]
 
 # The valid values of one section by key.
 _Values = dict[str, Any]
@@ -69,6 +69,15 @@
     Sections which are there but not asked for are checked too, since one file serves all programs
     of a VM.
     """
+    return load_sections(path, SECTIONS, {"vm", "platform", *sections}).map(
+        lambda found: Settings(**found)
+    )
+
+
+def load_sections(
+    path: Path, kinds: Mapping[str, type[msgspec.Struct]], wanted: Collection[str]
+) -> Result[dict[str, msgspec.Struct], SettingsProblems]:
+    """Read a file whose sections are of ``kinds``; those in ``wanted`` must be there."""
     parser = configparser.ConfigParser(interpolation=None, default_section="")
     try:
         with open(path, encoding="utf-8") as file:
@@ -77,23 +86,19 @@
         return Err(SettingsProblems(path, (f"cannot be read: {error}",)))
     except configparser.Error as error:
         return Err(SettingsProblems(path, (_one_line(error),)))
-    return _checked(path, parser, {"vm", "platform", *sections})
-
-
-def _checked(
-    path: Path, parser: configparser.ConfigParser, wanted: set[str]
-) -> Result[Settings, SettingsProblems]:
-    problems = [f"[{name}]: unknown section" for name in parser.sections() if name not in SECTIONS]
-    problems += [f"[{name}]: missing section" for name in SECTIONS if name in wanted - set(parser)]
+    problems = [f"[{name}]: unknown section" for name in parser.sections() if name not in kinds]
+    problems += [
+        f"[{name}]: missing section" for name in kinds if name in set(wanted) - set(parser)
+    ]
     found: dict[str, _Values] = {}
-    for name, kind in SECTIONS.items():
+    for name, kind in kinds.items():
         if parser.has_section(name):
             found[name], section_problems = _section(name, kind, parser[name])
             problems += section_problems
     problems += _cross_checks(found)
     if problems:
         return Err(SettingsProblems(path, tuple(problems)))
-    return Ok(Settings(**{name: SECTIONS[name](**values) for name, values in found.items()}))
+    return Ok({name: kinds[name](**values) for name, values in found.items()})
 
 
 def _section(
