--- a/src/fescuedock/platform/engine.py
+++ b/src/fescuedock/platform/engine.py
@@ -34,6 +34,7 @@
 _DATA = b"data: "
 _DONE = b"data: [DONE]"
 _MAX_ANSWER_BYTES = 64 * 1024 * 1024
+_PERMANENT = (400, 413, 422)
 _MAX_EVENT_BYTES = 1024 * 1024
 
 
@@ -50,8 +51,11 @@
 
     @property
     def is_permanent(self) -> bool:
-        """Whether the request can never succeed, so that a retry is of no use."""
-        return 400 <= self.status < 500 and self.status not in (408, 409, 425, 429)
+        """Whether the request can never succeed, so that a retry is of no use.
+
+        A 404 is not: the model may be loaded elsewhere.
+        """
+        return self.status in _PERMANENT
 
 
 class ResumePoint(msgspec.Struct, frozen=True):
--- a/src/fescuedock/schema/settings.py
+++ b/src/fescuedock/schema/settings.py
@@ -245,3 +245,79 @@
             ge=100,
         ),
     ] = 60000
+
+
+class StandinSettings(Struct):
+    """
+    Section [standin]; read by fescuedock-standin alone. Ports of 0 take a free one. docs/STANDINS.md tells what each stand-in does.
+    """
+
+    host: Annotated[
+        str, Meta(description="IP number that the stand-ins listen on.", min_length=7)
+    ] = "127.0.0.1"
+    control_port: Annotated[
+        int, Meta(description="Faults on command over HTTP.", ge=0, le=65535)
+    ] = 0
+    kv_port: Annotated[int, Meta(ge=0, le=65535)] = 0
+    vm_list_port: Annotated[int, Meta(ge=0, le=65535)] = 0
+    weight_store_port: Annotated[int, Meta(ge=0, le=65535)] = 0
+    first_upstream_port: Annotated[
+        int,
+        Meta(
+            description="Port of the first engine; the other engines and the plain services follow it.",
+            ge=0,
+            le=65535,
+        ),
+    ] = 0
+    region: Annotated[str, Meta(min_length=1)] = "local"
+    failure_domains: Annotated[
+        str,
+        Meta(description="Comma-separated; upstreams are spread over them in turn.", min_length=1),
+    ] = "hall-a,hall-b,hall-c"
+    system_vms: Annotated[str, Meta(description="VMs of ours that the VM list shows")] = ""
+    engines: Annotated[int, Meta(ge=0)] = 3
+    engine_service: Annotated[str, Meta(min_length=1)] = "demo-llm"
+    models: Annotated[str, Meta(description="Models loaded from the start")] = "demo-model"
+    checks_fencing: Annotated[
+        bool, Meta(description="Whether engines refuse an order with an old fencing number.")
+    ] = True
+    plain_services: Annotated[int, Meta(ge=0)] = 1
+    plain_service: Annotated[str, Meta(min_length=1)] = "demo-plain"
+    step_ms: Annotated[
+        float, Meta(description="Time of one step of an engine that serves nothing.", gt=0.0)
+    ] = 12.5
+    step_ms_per_sequence: Annotated[
+        float, Meta(description="Added for each sequence that gets a token.", ge=0.0)
+    ] = 0.3
+    prefill_ms_per_token: Annotated[
+        float, Meta(description="Added for each prompt token worked off.", ge=0.0)
+    ] = 0.05
+    max_prefill_tokens: Annotated[
+        int, Meta(description="Prompt tokens worked off in one step at most.", ge=1)
+    ] = 512
+    max_sequences: Annotated[int, Meta(ge=1)] = 64
+    kv_tokens: Annotated[
+        int, Meta(description="Tokens whose KV fits into an engine's memory.", ge=1)
+    ] = 200000
+    prefix_cache_blocks: Annotated[int, Meta(description="Blocks of 16 tokens.", ge=0)] = 4000
+    cache_event_delay_ms: Annotated[float, Meta(ge=0.0)] = 500
+    cache_event_lose_every: Annotated[
+        int, Meta(description="Every so-many-th cache event is lost; 0 loses none.", ge=0)
+    ] = 0
+    load_report_ms: Annotated[
+        float, Meta(description="Age that an engine's load report can have.", gt=0.0)
+    ] = 500
+    model_load_ms: Annotated[
+        float, Meta(description="Time of a load after its weights have come.", ge=0.0)
+    ] = 100
+    role_change_ms: Annotated[float, Meta(ge=0.0)] = 100
+    weight_bytes: Annotated[int, Meta(description="Size of the weights of each model.", ge=0)] = (
+        100000000
+    )
+    weight_bytes_per_s: Annotated[int, Meta(description="Rate that all loads share.", ge=1)] = (
+        1000000000
+    )
+    vm_list_lag_ms: Annotated[float, Meta(ge=0.0)] = 0
+    kv_progress_ms: Annotated[
+        float, Meta(description="Time between two progress messages of a quiet watch.", gt=0.0)
+    ] = 1000
--- /dev/null
+++ b/src/fescuedock/standin/engine.py
@@ -0,0 +1,231 @@
+"""A stand-in model engine: OpenAI's HTTP interface over a model of token times.
+
+It knows no priorities and admits what comes, as real engines do.  It can die, freeze, slow down,
+cut streams and fail on command, and by words in a prompt: ``[[impossible]]`` is a permanent
+error, ``[[fails]]`` a server error, ``[[kills]]`` the engine's death.
+"""
+
+from collections import deque
+from dataclasses import dataclass, field
+from itertools import count
+
+import trio
+
+from fescuedock.clock import UnixClock, unix_clock
+from fescuedock.entry.routes import Route, route_requests
+from fescuedock.net.address import Address
+from fescuedock.net.http_server import Request, Responder
+from fescuedock.platform.engine import ATTEMPT_HEADER
+from fescuedock.standin.engine_admin import EngineAdmin
+from fescuedock.standin.engine_core import EngineCore, EngineStats, Generation
+from fescuedock.standin.engine_orders import EngineOrders
+from fescuedock.standin.engine_requests import (
+    CHAT_PATH,
+    COMPLETIONS_PATH,
+    AnswerShape,
+    BadRequestError,
+    GenerateRequest,
+    read_request,
+)
+from fescuedock.standin.listener import Listener
+from fescuedock.standin.token_text import answer_text, token_texts
+
+__all__ = ["EngineFaults", "EngineService", "error_body"]
+
+IMPOSSIBLE = "[[impossible]]"
+FAILS = "[[fails]]"
+KILLS = "[[kills]]"
+_MAX_BODY_BYTES = 64 * 1024 * 1024
+_STREAM_HEADERS = (("content-type", "text/event-stream"), ("cache-control", "no-cache"))
+
+
+@dataclass(slots=True)
+class EngineFaults:
+    """Faults of requests to come.
+
+    Each status of ``fail_with`` is the answer of one request, and each number of ``cut_after``
+    cuts one stream after that many tokens.  ``restart_ms`` is how long the engine stays away
+    after ``[[kills]]``.
+    """
+
+    fail_with: deque[int] = field(default_factory=deque)
+    cut_after: deque[int] = field(default_factory=deque)
+    restart_ms: float = 1000.0
+
+
+class EngineService:
+    """One engine; ``run`` serves it."""
+
+    def __init__(self, upstream_id: str, core: EngineCore, orders: EngineOrders) -> None:
+        self.upstream_id = upstream_id
+        self.core = core
+        self.orders = orders
+        self.faults = EngineFaults()
+        self.deaths = 0
+        self._admin = EngineAdmin(core, orders)
+        self.listener = Listener(self._handler())
+        self._numbers = count(1)
+        self._unix_clock: UnixClock | None = None
+        self._background: trio.Nursery | None = None
+
+    def _handler(self):
+        routes = [
+            Route("POST", CHAT_PATH, self._generate),
+            Route("POST", COMPLETIONS_PATH, self._generate),
+            Route("POST", "/v1/streams/{attempt_id}/cancel", self._cancel),
+            *self._admin.routes(),
+        ]
+        handle = route_requests(routes)
+
+        async def handle_thawed(request: Request, responder: Responder) -> None:
+            await self.core.wait_thawed()
+            await handle(request, responder)
+
+        return handle_thawed
+
+    @property
+    def address(self) -> Address:
+        return self.listener.address
+
+    @property
+    def stats(self) -> EngineStats:
+        return self.core.stats
+
+    async def run(
+        self, address: Address, *, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve until cancelled; report the real ``Address``."""
+        self._unix_clock = unix_clock()
+        async with trio.open_nursery() as nursery:
+            self._background = nursery
+            nursery.start_soon(self.core.run)
+            nursery.start_soon(self._admin.run)
+            task_status.started(await nursery.start(self.listener.run, address))
+
+    def die(self) -> None:
+        """Cut every connection, lose every request and the cache, and refuse connections."""
+        self.deaths += 1
+        self.listener.take_down()
+        self.core.crash()
+
+    def revive(self) -> None:
+        self.listener.bring_up()
+
+    def freeze(self) -> None:
+        """Take connections, but give no byte until ``thaw``."""
+        self.core.freeze()
+
+    def thaw(self) -> None:
+        self.core.thaw()
+
+    @property
+    def slowness(self) -> float:
+        """Factor on all token times."""
+        return self.core.model.slowness
+
+    @slowness.setter
+    def slowness(self, value: float) -> None:
+        self.core.model.slowness = value
+
+    async def _generate(self, request: Request, responder: Responder, _: dict[str, str]) -> None:
+        body = await request.read(_MAX_BODY_BYTES)
+        attempt_id = request.headers.get(ATTEMPT_HEADER) or f"anonymous-{next(self._numbers)}"
+        try:
+            wanted = read_request(request.path, body, attempt_id)
+            self._check(wanted)
+        except BadRequestError as error:
+            await _refuse(responder, 400, str(error))
+            return
+        if await self._fault(wanted, responder):
+            return
+        try:
+            generation = self.core.admit(wanted)
+        except ValueError as error:
+            await _refuse(responder, 409, str(error))
+            return
+        try:
+            await self._answer(generation, responder)
+        finally:
+            self.core.finish(generation)
+
+    def _check(self, wanted: GenerateRequest) -> None:
+        if IMPOSSIBLE in wanted.prompt:
+            raise BadRequestError(f"the prompt contains {IMPOSSIBLE}")
+        resume = wanted.resume
+        if resume is None:
+            return
+        if resume.tokens >= wanted.answer_tokens:
+            raise BadRequestError(f"nothing is left after {resume.tokens} tokens")
+        if resume.text != answer_text(wanted.prompt, resume.tokens):
+            raise BadRequestError(f"resume.text is not the first {resume.tokens} tokens")
+
+    async def _fault(self, wanted: GenerateRequest, responder: Responder) -> bool:
+        """Do what a prompt or a command asks for; whether the request is at its end."""
+        if KILLS in wanted.prompt:
+            self._background.start_soon(self._die_for_a_while)
+            await trio.sleep_forever()
+        if FAILS in wanted.prompt:
+            await _refuse(responder, 500, f"the prompt contains {FAILS}")
+            return True
+        if self.faults.fail_with:
+            await _refuse(responder, self.faults.fail_with.popleft(), "failing on command")
+            return True
+        if not self.orders.serves(wanted.model):
+            await _refuse(responder, 404, f"model {wanted.model!r} is not loaded")
+            return True
+        return False
+
+    async def _die_for_a_while(self) -> None:
+        self.die()
+        await trio.sleep(self.faults.restart_ms / 1000)
+        self.revive()
+
+    async def _answer(self, generation: Generation, responder: Responder) -> None:
+        shape = AnswerShape(generation.request, self._unix_clock())
+        if generation.request.stream:
+            await self._stream(generation, shape, responder)
+            return
+        total = generation.sequence.answer_tokens
+        while await generation.wait_tokens(generation.ready) < total:
+            pass
+        wanted = generation.request
+        text = answer_text(wanted.prompt, wanted.answer_tokens)
+        await responder.send(200, shape.whole(text, wanted.answer_tokens))
+
+    async def _stream(
+        self, generation: Generation, shape: AnswerShape, responder: Responder
+    ) -> None:
+        wanted = generation.request
+        total = generation.sequence.answer_tokens
+        cut_after = self.faults.cut_after.popleft() if self.faults.cut_after else total + 1
+        taken = await generation.wait_tokens(0)
+        async with responder.stream(200, _STREAM_HEADERS) as stream:
+            await stream.write(shape.first_event() + _events(shape, wanted, 0, taken))
+            while taken < total:
+                if taken >= cut_after:
+                    raise trio.BrokenResourceError("stream cut on command")
+                ready = await generation.wait_tokens(taken)
+                await stream.write(_events(shape, wanted, taken, ready))
+                taken = ready
+            await stream.write(shape.last_events(wanted.answer_tokens))
+
+    async def _cancel(self, request: Request, responder: Responder, values: dict[str, str]) -> None:
+        if self.core.cancel(values["attempt_id"]):
+            await responder.send_json(200, {"cancelled": values["attempt_id"]})
+            return
+        await _refuse(responder, 404, f"no attempt {values['attempt_id']!r}")
+
+
+def _events(shape: AnswerShape, wanted: GenerateRequest, first: int, end: int) -> bytes:
+    texts = token_texts(wanted.prompt, wanted.first_token + first, end - first)
+    return b"".join(shape.token_event(text) for text in texts)
+
+
+def error_body(status: int, message: str) -> dict:
+    """Return an error as OpenAI's interface shows it."""
+    kind = "invalid_request_error" if status < 500 else "server_error"
+    return {"error": {"message": message, "type": kind, "param": None, "code": status}}
+
+
+async def _refuse(responder: Responder, status: int, message: str) -> None:
+    await responder.send_json(status, error_body(status, message))
--- /dev/null
+++ b/src/fescuedock/standin/engine_orders.py
@@ -0,0 +1,127 @@
+"""What a stand-in engine has loaded, and the orders that change it."""
+
+from dataclasses import dataclass, field, replace
+
+import trio
+
+from fescuedock.platform.engine_wire import EngineOrder
+from fescuedock.standin.token_time import EngineProfile
+from fescuedock.standin.weight_store import WeightStoreService
+
+__all__ = [
+    "BadOrderError",
+    "EngineOrders",
+    "ReceivedOrder",
+    "SupersededOrderError",
+    "profile_of_role",
+]
+
+ROLES = ("both", "prefill", "decode")
+# How much faster a role makes an engine at its own work, and slower at the other.
+_ROLE_GAIN = 1.6
+
+
+class SupersededOrderError(Exception):
+    """The engine checks fencing numbers and has seen a higher one."""
+
+
+class BadOrderError(Exception):
+    """The order cannot be carried out."""
+
+
+@dataclass(frozen=True, slots=True)
+class ReceivedOrder:
+    """An order, when it came and whether it was obeyed."""
+
+    at_s: float
+    order: EngineOrder
+    obeyed: bool
+
+
+@dataclass(slots=True)
+class EngineOrders:
+    """The models, adapters and role of one engine.  Without models it serves any."""
+
+    weights: WeightStoreService
+    checks_fencing: bool = True
+    load_ms: float = 100.0
+    role_change_ms: float = 100.0
+    models: dict[str, str] = field(default_factory=dict)
+    adapters: dict[str, str] = field(default_factory=dict)
+    role: str = "both"
+    highest_fencing: int = 0
+    received: list[ReceivedOrder] = field(default_factory=list)
+
+    def serves(self, model: str) -> bool:
+        """Whether a request may name ``model``, the name of a model or an adapter."""
+        return not self.models or model in self.models or model in self.adapters
+
+    async def carry_out(self, order: EngineOrder) -> None:
+        """Obey an order, which takes as long as a load takes.
+
+        ``SupersededOrderError`` and ``BadOrderError`` say that nothing was done.
+        """
+        action = _ACTIONS.get(order.order)
+        if action is None or (order.role and order.role not in ROLES):
+            raise BadOrderError(f"no order {order.order!r} with role {order.role!r}")
+        superseded = order.fencing < self.highest_fencing
+        obeyed = not (superseded and self.checks_fencing)
+        self.received.append(ReceivedOrder(trio.current_time(), order, obeyed))
+        if not obeyed:
+            message = f"fencing number {order.fencing} is below {self.highest_fencing}"
+            raise SupersededOrderError(message)
+        self.highest_fencing = max(self.highest_fencing, order.fencing)
+        await action(self, order)
+
+    async def _load_model(self, order: EngineOrder) -> None:
+        if self.models.get(order.model) == order.version:
+            return
+        await self._load(self.weights.size_bytes(order.model, order.version))
+        self.models[order.model] = order.version
+
+    async def _unload_model(self, order: EngineOrder) -> None:
+        self.models.pop(order.model, None)
+
+    async def _load_adapter(self, order: EngineOrder) -> None:
+        if self.adapters.get(order.adapter) == order.version:
+            return
+        await self._load(self.weights.size_bytes(order.model, order.version, order.adapter))
+        self.adapters[order.adapter] = order.version
+
+    async def _unload_adapter(self, order: EngineOrder) -> None:
+        self.adapters.pop(order.adapter, None)
+
+    async def _set_role(self, order: EngineOrder) -> None:
+        if self.role == order.role:
+            return
+        await trio.sleep(self.role_change_ms / 1000)
+        self.role = order.role
+
+    async def _load(self, size_bytes: int) -> None:
+        await self.weights.load(size_bytes)
+        await trio.sleep(self.load_ms / 1000)
+
+
+_ACTIONS = {
+    "load_model": EngineOrders._load_model,
+    "unload_model": EngineOrders._unload_model,
+    "load_adapter": EngineOrders._load_adapter,
+    "unload_adapter": EngineOrders._unload_adapter,
+    "set_role": EngineOrders._set_role,
+}
+
+
+def profile_of_role(profile: EngineProfile, role: str) -> EngineProfile:
+    """Return the speeds that an engine has in ``role``."""
+    if role == "prefill":
+        gain = _ROLE_GAIN
+    elif role == "decode":
+        gain = 1 / _ROLE_GAIN
+    else:
+        gain = 1.0
+    return replace(
+        profile,
+        step_ms=profile.step_ms * gain,
+        step_ms_per_sequence=profile.step_ms_per_sequence * gain,
+        prefill_ms_per_token=profile.prefill_ms_per_token / gain,
+    )
--- /dev/null
+++ b/src/fescuedock/standin/engine_requests.py
@@ -0,0 +1,183 @@
+"""Requests that the stand-in engine takes, and the JSON of its answers."""
+
+from dataclasses import dataclass
+
+import msgspec
+
+from fescuedock.platform.engine import ResumePoint
+from fescuedock.standin.token_text import natural_tokens, prompt_tokens
+
+__all__ = ["AnswerShape", "BadRequestError", "GenerateRequest", "read_request"]
+
+CHAT_PATH = "/v1/chat/completions"
+COMPLETIONS_PATH = "/v1/completions"
+
+
+class BadRequestError(Exception):
+    """The request can never succeed."""
+
+
+class _Part(msgspec.Struct):
+    text: str = ""
+
+
+class _Message(msgspec.Struct):
+    role: str
+    content: str | list[_Part] | None = None
+
+
+class _StreamOptions(msgspec.Struct):
+    include_usage: bool = False
+
+
+class _Body(msgspec.Struct):
+    model: str
+    messages: list[_Message] = []
+    prompt: str | list[str] = ""
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    stream: bool | None = None
+    stream_options: _StreamOptions | None = None
+    resume: ResumePoint | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class GenerateRequest:
+    """One request for an answer of ``answer_tokens``, from token ``first_token`` on."""
+
+    attempt_id: str
+    model: str
+    prompt: str
+    prompt_tokens: int
+    answer_tokens: int
+    limited: bool
+    chat: bool
+    stream: bool
+    include_usage: bool
+    resume: ResumePoint | None
+
+    @property
+    def first_token(self) -> int:
+        return self.resume.tokens if self.resume else 0
+
+
+def read_request(path: str, body: bytes, attempt_id: str) -> GenerateRequest:
+    """Read the body of a chat or text completion; ``BadRequestError`` says what is wrong."""
+    try:
+        given = msgspec.json.decode(body, type=_Body)
+    except msgspec.MsgspecError as error:
+        raise BadRequestError(str(error)) from error
+    prompt = _chat_text(given.messages) if path == CHAT_PATH else _prompt_text(given.prompt)
+    limit = given.max_completion_tokens or given.max_tokens
+    if limit is not None and limit < 1:
+        raise BadRequestError(f"max_tokens must be at least 1, not {limit}")
+    if given.resume is not None and given.resume.tokens < 0:
+        raise BadRequestError(f"resume.tokens must not be negative: {given.resume.tokens}")
+    natural = natural_tokens(prompt)
+    return GenerateRequest(
+        attempt_id=attempt_id,
+        model=given.model,
+        prompt=prompt,
+        prompt_tokens=prompt_tokens(prompt),
+        answer_tokens=limit or natural,
+        limited=limit is not None,
+        chat=path == CHAT_PATH,
+        stream=bool(given.stream),
+        include_usage=bool(given.stream_options and given.stream_options.include_usage),
+        resume=given.resume,
+    )
+
+
+def _chat_text(messages: list[_Message]) -> str:
+    """Return a conversation as the one text that the engine works on."""
+    if not messages:
+        raise BadRequestError("messages must not be empty")
+    return "".join(f"<{message.role}>{_content(message)}\n" for message in messages)
+
+
+def _content(message: _Message) -> str:
+    if isinstance(message.content, list):
+        return "".join(part.text for part in message.content)
+    return message.content or ""
+
+
+def _prompt_text(prompt: str | list[str]) -> str:
+    return prompt if isinstance(prompt, str) else "\n".join(prompt)
+
+
+_PLACE = "<text>"
+
+
+class AnswerShape:
+    """Forms the JSON of one answer: OpenAI's chat or text completion, whole or in chunks."""
+
+    __slots__ = ("_created_s", "_request", "_token_head", "_token_tail")
+
+    def __init__(self, request: GenerateRequest, created_s: int) -> None:
+        self._request = request
+        self._created_s = created_s
+        part = {"delta": {"content": _PLACE}} if request.chat else {"text": _PLACE}
+        event = self._event(part, None)
+        # Everything but the text is the same in each token's event.
+        self._token_head, _, self._token_tail = event.rpartition(_PLACE.encode())
+
+    def first_event(self) -> bytes:
+        """Return the event before a chat's first token, empty for text completions."""
+        if not self._request.chat:
+            return b""
+        return self._event({"delta": {"role": "assistant", "content": ""}}, None)
+
+    def token_event(self, text: str) -> bytes:
+        """Return a token's event; ``text`` has no characters that JSON escapes."""
+        return self._token_head + text.encode() + self._token_tail
+
+    def last_events(self, generated: int) -> bytes:
+        """Return the finish, the usage if asked for, and the end mark."""
+        part = {"delta": {}} if self._request.chat else {"text": ""}
+        events = self._event(part, self._finish_reason())
+        if self._request.include_usage:
+            document = {**self._head(chunk=True), "choices": [], "usage": self._usage(generated)}
+            events += _sse(document)
+        return events + b"data: [DONE]\n\n"
+
+    def whole(self, text: str, generated: int) -> bytes:
+        """Return the answer that is not streamed."""
+        if self._request.chat:
+            part = {"message": {"role": "assistant", "content": text}}
+        else:
+            part = {"text": text}
+        choice = {"index": 0, "finish_reason": self._finish_reason(), "logprobs": None, **part}
+        head = self._head(chunk=False)
+        return msgspec.json.encode({**head, "choices": [choice], "usage": self._usage(generated)})
+
+    def _event(self, part: dict, finish_reason: str | None) -> bytes:
+        choice = {"index": 0, **part, "finish_reason": finish_reason, "logprobs": None}
+        return _sse({**self._head(chunk=True), "choices": [choice]})
+
+    def _head(self, *, chunk: bool) -> dict:
+        if self._request.chat:
+            kind = "chat.completion.chunk" if chunk else "chat.completion"
+        else:
+            kind = "text_completion"
+        return {
+            "id": f"cmpl-{self._request.attempt_id}",
+            "object": kind,
+            "created": self._created_s,
+            "model": self._request.model,
+        }
+
+    def _finish_reason(self) -> str:
+        return "length" if self._request.limited else "stop"
+
+    def _usage(self, generated: int) -> dict:
+        """Return the usage block; tokens before a resume point count as generated."""
+        prompt = self._request.prompt_tokens
+        return {
+            "prompt_tokens": prompt,
+            "completion_tokens": generated,
+            "total_tokens": prompt + generated,
+        }
+
+
+def _sse(document: dict) -> bytes:
+    return b"data: " + msgspec.json.encode(document) + b"\n\n"
--- /dev/null
+++ b/src/fescuedock/standin/token_text.py
@@ -0,0 +1,43 @@
+"""The text that the stand-in engine answers: a function of the prompt and the token's index.
+
+A test thus knows every byte that a caller must get, whichever engine or engines gave it.
+"""
+
+from hashlib import blake2b
+
+__all__ = ["answer_text", "natural_tokens", "prompt_tokens", "token_texts"]
+
+_SYLLABLES = [consonant + vowel for consonant in "bdfklmnprstv" for vowel in "aeiou"]
+_CHARS_PER_TOKEN = 4
+_SHORTEST_TOKENS = 8
+_LENGTHS = 57
+
+
+def token_texts(prompt: str, first: int, count: int) -> list[str]:
+    """Return the texts of ``count`` tokens from index ``first`` on."""
+    return [_token_text(prompt, index) for index in range(first, first + count)]
+
+
+def answer_text(prompt: str, count: int) -> str:
+    """Return the first ``count`` tokens of the answer to ``prompt`` as one text."""
+    return "".join(token_texts(prompt, 0, count))
+
+
+def natural_tokens(prompt: str) -> int:
+    """Return the length of the answer when the caller does not limit it: 8 to 64 tokens."""
+    return _SHORTEST_TOKENS + _digest(prompt)[0] % _LENGTHS
+
+
+def prompt_tokens(prompt: str) -> int:
+    """Return the number of tokens of a prompt, at least 1."""
+    return max(1, -(-len(prompt) // _CHARS_PER_TOKEN))
+
+
+def _token_text(prompt: str, index: int) -> str:
+    digest = blake2b(b"%d" % index, digest_size=3, key=_digest(prompt)).digest()
+    word = "".join(_SYLLABLES[byte % len(_SYLLABLES)] for byte in digest)
+    return word if index == 0 else f" {word}"
+
+
+def _digest(prompt: str) -> bytes:
+    return blake2b(prompt.encode(), digest_size=16).digest()
