--- /dev/null
+++ b/src/fescuedock/standin/main.py
@@ -0,0 +1,114 @@
+"""The program ``fescuedock-standin``: every stand-in in one process, for development and tests."""
+
+import ipaddress
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+
+import msgspec
+import trio
+from result import Err, Ok, Result
+
+from fescuedock.cli.command_line import Command, ExitCode, run_command_line
+from fescuedock.daemon import Stop, leaf_errors, stop_on_signals
+from fescuedock.log import log_event, open_log
+from fescuedock.schema.settings import StandinSettings, VmSettings
+from fescuedock.settings import SettingsProblems, load_sections
+from fescuedock.standin.platform import Standins, parse_system_vms, run_standins
+
+__all__ = ["load_standin_settings", "main"]
+
+_NAME = "fescuedock-standin"
+_STOP_TIMEOUT_MS = 1000
+_MAX_PORT = 65535
+_HELP = f"""\
+{_NAME}: small stand-ins for the platform, model engines and plain services.
+
+usage: {_NAME} FILE
+
+FILE is an INI file with a section [standin].  When all serve, one JSON line with their addresses
+is printed on standard output.  Faults are commanded over HTTP; see docs/STANDINS.md.
+
+exit codes: 0 stopped, 1 failed while running, 2 bad settings or usage
+"""
+
+
+def main() -> None:
+    """Run the process; never returns."""
+    sys.exit(run_command_line(_NAME, Command(_run_file, _HELP)))
+
+
+def load_standin_settings(path: Path) -> Result[StandinSettings, SettingsProblems]:
+    """Read and check the file at ``path``."""
+    loaded = load_sections(path, {"standin": StandinSettings}, {"standin"})
+    if isinstance(loaded, Err):
+        return loaded
+    settings = loaded.ok_value["standin"]
+    problems = tuple(_problems(settings))
+    return Err(SettingsProblems(path, problems)) if problems else Ok(settings)
+
+
+def _problems(settings: StandinSettings) -> Iterator[str]:
+    """Yield what the types of single values cannot say."""
+    try:
+        ipaddress.ip_address(settings.host)
+    except ValueError:
+        yield f"[standin] host = {settings.host}: not an IP number"
+    try:
+        parse_system_vms(settings.system_vms)
+    except ValueError as error:
+        yield f"[standin] system_vms = {settings.system_vms}: {error}"
+    if not settings.failure_domains.strip(" ,"):
+        yield f"[standin] failure_domains = {settings.failure_domains}: names none"
+    first = settings.first_upstream_port
+    if first and first + settings.engines + settings.plain_services - 1 > _MAX_PORT:
+        yield f"[standin] first_upstream_port = {first}: too high for the upstreams after it"
+
+
+def _run_file(file: str) -> int:
+    loaded = load_standin_settings(Path(file))
+    if isinstance(loaded, Err):
+        print(loaded.err_value, file=sys.stderr)
+        return ExitCode.USAGE
+    settings = loaded.ok_value
+    log_settings = VmSettings(
+        vm_id="standin", host=settings.host, region=settings.region, failure_domain="standin"
+    )
+    code = ExitCode.OK
+    try:
+        with open_log(log_settings, "standin"):
+            trio.run(_serve, settings)
+    except* OSError as errors:
+        # An address in use: the operator's to mend.
+        for error in leaf_errors(errors):
+            print(f"{_NAME}: {error}", file=sys.stderr)
+        code = ExitCode.FAILED
+    return code
+
+
+async def _serve(settings: StandinSettings) -> None:
+    stop = Stop()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(stop_on_signals, stop, _STOP_TIMEOUT_MS, nursery.cancel_scope)
+        standins = await nursery.start(run_standins, settings)
+        print(msgspec.json.encode(_addresses(standins)).decode(), flush=True)
+        await stop.wait()
+        log_event("stopped")
+        nursery.cancel_scope.cancel()
+
+
+def _addresses(standins: Standins) -> dict[str, object]:
+    """Return the line that says where everything serves."""
+    upstreams = {**standins.engines, **standins.plain}
+    return {
+        "program": "standin",
+        "kv": str(standins.kv.address),
+        "vm_list": str(standins.vm_list.address),
+        "weight_store": str(standins.weight_store.address),
+        "control": str(standins.control),
+        "upstreams": {name: str(service.address) for name, service in upstreams.items()},
+    }
+
+
+if __name__ == "__main__":
+    main()
