Accept files and batch jobs: /v1/files and /v1/batches for the public openai client

A job is acknowledged after its segments are on disk in distinct failure domains, its record is created by compare-and-swap and the index of open jobs names it.

--- a/src/fescuedock/core/acceptance.py
+++ b/src/fescuedock/core/acceptance.py
@@ -18,6 +18,7 @@
 from fescuedock.schema.settings import BatchSettings
 
 __all__ = [
+    "BATCH_PURPOSE",
     "MODEL_ENDPOINTS",
     "SERVICE_PREFIX",
     "InputChecker",
@@ -28,6 +29,7 @@
     "new_record",
     "parse_window_s",
     "same_job",
+    "same_job_by_file",
 ]
 
 MODEL_ENDPOINTS = ("/v1/chat/completions", "/v1/completions")
@@ -35,6 +37,8 @@
 BATCH_PURPOSE = "batch"
 
 _MAX_CUSTOM_ID_CHARS = 512
+_MAX_NAME_CHARS = 512
+_SHOWN_CHARS = 80
 _MAX_MODELS = 64
 # Two of 110,000 identities share a digest once in 10**28 inputs.
 _DIGEST_BYTES = 16
@@ -103,6 +107,8 @@
                 ResultCode.LINE_TOO_LONG, f"over {self.settings.max_line_bytes} bytes"
             )
         try:
+            # The decoder does not look into the strings that it skips.
+            line.decode()
             decoded = self._decoder.decode(line)
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
             return self._fault(ResultCode.BAD_LINE, str(error))
@@ -110,17 +116,19 @@
 
     def _problem_of_fields(self, line: _Line) -> Fault | None:
         if line.method != "POST":
-            return self._fault(ResultCode.BAD_LINE, f"method must be POST, not {line.method!r}")
-        if line.url not in MODEL_ENDPOINTS and not line.url.startswith(SERVICE_PREFIX):
-            return self._fault(ResultCode.BAD_LINE, f"no endpoint {line.url!r}")
+            return self._fault(
+                ResultCode.BAD_LINE, f"method must be POST, not {_short(line.method)}"
+            )
+        if len(line.url) > _MAX_NAME_CHARS or not _is_endpoint(line.url):
+            return self._fault(ResultCode.BAD_LINE, f"no endpoint {_short(line.url)}")
         self.endpoint = self.endpoint or line.url
         if line.url != self.endpoint:
-            text = f"url {line.url!r} differs from {self.endpoint!r} of the lines before"
+            text = f"url {_short(line.url)} differs from {_short(self.endpoint)} on earlier lines"
             return self._fault(ResultCode.BAD_LINE, text)
         if line.url not in MODEL_ENDPOINTS:
             return None
-        if not line.body.model:
-            return self._fault(ResultCode.BAD_LINE, "body.model is missing")
+        if not 0 < len(line.body.model) <= _MAX_NAME_CHARS:
+            return self._fault(ResultCode.BAD_LINE, "body.model is missing or too long")
         self.models.setdefault(line.body.model, self._line_number)
         if len(self.models) > _MAX_MODELS:
             return self._fault(ResultCode.BAD_LINE, f"over {_MAX_MODELS} models in one input")
@@ -132,7 +140,7 @@
             return self._fault(ResultCode.BAD_LINE, text)
         digest = blake2b(custom_id.encode(), digest_size=_DIGEST_BYTES).digest()
         if digest in self._digests:
-            text = f"custom_id {custom_id!r} stands on an earlier line too"
+            text = f"custom_id {_short(custom_id)} stands on an earlier line too"
             return self._fault(ResultCode.DUPLICATE_CUSTOM_ID, text)
         self._digests.add(digest)
         return None
@@ -180,7 +188,23 @@
     """Check that the job found under the identity of ``request`` is the one asked for."""
     if record.member == request.member and record.content_hash == request.content_hash:
         return Ok(None)
-    text = f"Idempotency-Key {request.idempotency_key!r} belongs to a job with other content"
+    return _key_reused(request)
+
+
+def same_job_by_file(record: JobRecord, request: JobRequest, file_id: str) -> Result[None, Fault]:
+    """Check as ``same_job`` does when the file's record, and with it the hash, is gone."""
+    same = (
+        record.member == request.member
+        and record.input_file_id == file_id
+        and record.endpoint == request.endpoint
+        and record.deadline_s - record.created_at_s == request.window_s
+        and record.metadata == request.metadata
+    )
+    return Ok(None) if same else _key_reused(request)
+
+
+def _key_reused(request: JobRequest) -> Err[Fault]:
+    text = f"Idempotency-Key {_short(request.idempotency_key)} belongs to a job with other content"
     return Err(Fault(ResultCode.KEY_REUSED, text))
 
 
@@ -264,5 +288,14 @@
     )
 
 
+def _is_endpoint(url: str) -> bool:
+    return url in MODEL_ENDPOINTS or url.startswith(SERVICE_PREFIX)
+
+
+def _short(text: str) -> str:
+    """Return ``text`` quoted for a message, cut if it is long."""
+    return repr(text if len(text) <= _SHOWN_CHARS else text[:_SHOWN_CHARS] + "...")
+
+
 def _digest(*parts: object) -> str:
     return sha256(msgspec.json.encode(parts)).hexdigest()
--- /dev/null
+++ b/src/fescuedock/entry/job_acceptance.py
@@ -0,0 +1,142 @@
+"""Accepts a batch job: checks, copies on disk, record, index, and only then the acknowledgement.
+
+Every step may be repeated, by a resend through any entry at the same time: the job's identity
+follows from the request, so all of them end at the same record.
+"""
+
+from collections.abc import Sequence
+
+from result import Err, Ok, Result
+
+from fescuedock.core.acceptance import (
+    SERVICE_PREFIX,
+    JobRequest,
+    check_file,
+    job_identity,
+    new_record,
+    same_job,
+    same_job_by_file,
+)
+from fescuedock.core.batch.takeover import RunnerName, chosen_runner
+from fescuedock.core.claims import is_non_idempotent
+from fescuedock.entry.context import EntryContext
+from fescuedock.entry.job_records import create_job, ensure_listed, read_stored
+from fescuedock.entry.models import service_of_model
+from fescuedock.faults import Fault
+from fescuedock.net.address import Address
+from fescuedock.schema.batch import FileRecord, JobPush, JobRecord, SegmentRef
+from fescuedock.schema.config import ServiceKind
+from fescuedock.schema.result_codes import ResultCode
+from fescuedock.schema.view import Program, VmRecord
+
+__all__ = ["accept_job", "find_accepted", "push_job"]
+
+
+async def accept_job(
+    context: EntryContext, request: JobRequest, file: FileRecord
+) -> Result[JobRecord, Fault]:
+    """Return the record of the accepted job, which may be there already; or why there is none."""
+    found = await read_stored(context, job_identity(request))
+    if isinstance(found, Err):
+        return found
+    if found.ok_value is not None:
+        return await _acknowledged_if_same(context, request, found.ok_value.record)
+    record = await _checked_record(context, request, file)
+    if isinstance(record, Err):
+        return record
+    kept = await _ensure_copies(context, file.segments)
+    if isinstance(kept, Err):
+        return kept
+    created = await create_job(context, record.ok_value)
+    if isinstance(created, Err):
+        return created
+    return await _acknowledged_if_same(context, request, created.ok_value)
+
+
+async def find_accepted(
+    context: EntryContext, request: JobRequest, file_id: str
+) -> Result[JobRecord | None, Fault]:
+    """Return the job accepted before under the idempotency key, when its file is gone since.
+
+    ``Ok(None)`` when there is none; ``KEY_REUSED`` when the job was another one.
+    """
+    found = await read_stored(context, job_identity(request))
+    if isinstance(found, Err) or found.ok_value is None:
+        return found
+    record = found.ok_value.record
+    same = same_job_by_file(record, request, file_id)
+    return same if isinstance(same, Err) else await _acknowledged(context, record)
+
+
+async def push_job(context: EntryContext, record: JobRecord, *, cancelled: bool = False) -> None:
+    """Tell the runners that own the job or should; what gets lost is found by the scanners."""
+    runners = context.view.live_vms(Program.BATCH)
+    chosen = chosen_runner(record.job_id, runners)
+    owner_id = RunnerName.parse(record.owner).vm_id
+    told = {vm.vm_id: vm for vm in runners if vm.vm_id == owner_id or vm == chosen}
+    message = JobPush(job_id=record.job_id, cancelled=cancelled)
+    for vm in told.values():
+        await _push(context, vm, message)
+
+
+async def _push(context: EntryContext, vm: VmRecord, message: JobPush) -> None:
+    client = await context.stores.channels.client(Address(vm.host, vm.batch_port))
+    client.push(message)
+
+
+async def _acknowledged_if_same(
+    context: EntryContext, request: JobRequest, record: JobRecord
+) -> Result[JobRecord, Fault]:
+    same = same_job(record, request)
+    return same if isinstance(same, Err) else await _acknowledged(context, record)
+
+
+async def _acknowledged(context: EntryContext, record: JobRecord) -> Result[JobRecord, Fault]:
+    listed = await ensure_listed(context, record)
+    if isinstance(listed, Err):
+        return listed
+    await push_job(context, record)
+    return Ok(record)
+
+
+async def _checked_record(
+    context: EntryContext, request: JobRequest, file: FileRecord
+) -> Result[JobRecord, Fault]:
+    configuration = context.view.configuration
+    service = check_file(
+        file, request.endpoint, lambda model: service_of_model(configuration, model)
+    )
+    if isinstance(service, Err):
+        return service
+    non_idempotent = False
+    if request.endpoint.startswith(SERVICE_PREFIX):
+        spec = configuration.services.get(service.ok_value)
+        if spec is None or spec.kind is not ServiceKind.PLAIN:
+            text = f"no plain service {service.ok_value!r}"
+            return Err(Fault(ResultCode.UNKNOWN_SERVICE, text))
+        path = request.endpoint.removeprefix(f"{SERVICE_PREFIX}{service.ok_value}")
+        non_idempotent = is_non_idempotent(spec.non_idempotent, "POST", path)
+    now_s = context.unix_clock()
+    return Ok(new_record(request, file, service.ok_value, now_s, non_idempotent=non_idempotent))
+
+
+async def _ensure_copies(
+    context: EntryContext, segments: Sequence[SegmentRef]
+) -> Result[None, Fault]:
+    """Make sure that enough failure domains have the input on disk now, not when it was uploaded.
+
+    Their retention counts from now.
+    """
+    needed = context.settings.batch.min_copies
+    holders = await context.stores.have_segments(segments, renew=True)
+    for ref in segments:
+        domains = {vm.failure_domain for vm in holders[ref.segment_hash]}
+        if len(domains) >= needed:
+            continue
+        body = await context.stores.get_segment(ref)
+        if isinstance(body, Err):
+            return body
+        written = await context.stores.put_segment(body.ok_value, ref.items)
+        if isinstance(written, Err):
+            return written
+    return Ok(None)
--- /dev/null
+++ b/src/fescuedock/entry/job_records.py
@@ -0,0 +1,183 @@
+"""Reads and writes the records of batch jobs in the key-value service, for an entry.
+
+The record alone says that a job is accepted.  An acknowledgement also waits for the key in the
+index of open jobs, by which scanners find a job that was pushed to nobody.
+"""
+
+from dataclasses import dataclass
+
+import msgspec
+from result import Err, Ok, Result
+
+from fescuedock.core.batch.record import cancel_requested, is_final
+from fescuedock.core.job_keys import (
+    job_key,
+    member_job_id,
+    member_job_key,
+    member_job_prefix,
+    open_job_key,
+)
+from fescuedock.entry.context import EntryContext
+from fescuedock.faults import Fault
+from fescuedock.platform.kv_writes import put_resolved
+from fescuedock.schema.batch import JobRecord
+from fescuedock.schema.result_codes import ResultCode
+
+__all__ = [
+    "JobPage",
+    "StoredJob",
+    "create_job",
+    "ensure_listed",
+    "list_jobs",
+    "read_job",
+    "read_stored",
+    "request_cancel",
+]
+
+_ATTEMPTS = 8
+
+
+@dataclass(frozen=True, slots=True)
+class StoredJob:
+    """A record and the revision under which it was read."""
+
+    record: JobRecord
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class JobPage:
+    """Jobs of one member, youngest first; ``more`` says that there are older ones."""
+
+    records: list[JobRecord]
+    more: bool
+
+
+async def read_stored(context: EntryContext, job_id: str) -> Result[StoredJob | None, Fault]:
+    """Return the job, whoever's it is; ``Ok(None)`` when there is none."""
+    found = await context.kv.get(job_key(_prefix(context), job_id))
+    if isinstance(found, Err):
+        return found
+    entry = found.ok_value
+    if entry is None:
+        return Ok(None)
+    return Ok(StoredJob(msgspec.msgpack.decode(entry.value, type=JobRecord), entry.mod_revision))
+
+
+async def read_job(context: EntryContext, member: str, job_id: str) -> Result[StoredJob, Fault]:
+    """Return the member's job; ``NOT_FOUND`` also for a job of another member."""
+    found = await read_stored(context, job_id)
+    if isinstance(found, Err):
+        return found
+    if found.ok_value is None or found.ok_value.record.member != member:
+        return Err(Fault(ResultCode.NOT_FOUND, f"no batch {job_id[:80]!r}"))
+    return Ok(found.ok_value)
+
+
+async def create_job(context: EntryContext, record: JobRecord) -> Result[JobRecord, Fault]:
+    """Create the record, or return the one that is there already under this identity."""
+    key = job_key(_prefix(context), record.job_id)
+    value = msgspec.msgpack.encode(record)
+    written = await put_resolved(context.kv, key, value, 0, lambda found: found == value)
+    if isinstance(written, Ok):
+        return Ok(record)
+    if written.err_value.code is not ResultCode.KV_CONFLICT:
+        return written
+    found = await read_stored(context, record.job_id)
+    if isinstance(found, Err):
+        return found
+    if found.ok_value is None:
+        return Err(_unknown(f"batch {record.job_id} was there and is gone"))
+    return Ok(found.ok_value.record)
+
+
+async def ensure_listed(context: EntryContext, record: JobRecord) -> Result[None, Fault]:
+    """Put the job into the index of open jobs and into its member's list.
+
+    Must follow the record, and precede the acknowledgement.  ``KV_UNKNOWN`` on any failure: the
+    record is there, so the job may run.
+    """
+    prefix = _prefix(context)
+    keys = [member_job_key(prefix, record.member, record.created_at_s, record.job_id)]
+    if not is_final(record):
+        keys.append(open_job_key(prefix, record.job_id))
+    for key in keys:
+        written = await _renew_key(context, key)
+        if isinstance(written, Err):
+            return Err(_unknown(f"batch {record.job_id} may be accepted: {written.err_value}"))
+    return Ok(None)
+
+
+async def list_jobs(
+    context: EntryContext, member: str, after: JobRecord | None, limit: int
+) -> Result[JobPage, Fault]:
+    """Return up to ``limit`` jobs of the member, those older than ``after``."""
+    prefix = member_job_prefix(_prefix(context), member)
+    start = ""
+    if after is not None:
+        start = member_job_key(_prefix(context), member, after.created_at_s, after.job_id)
+    page = await context.kv.get_range(prefix, start_after=start, limit=limit, keys_only=True)
+    if isinstance(page, Err):
+        return page
+    records: list[JobRecord] = []
+    for entry in page.ok_value.entries:
+        found = await read_stored(context, member_job_id(entry.key))
+        if isinstance(found, Err):
+            return found
+        if found.ok_value is not None:
+            records.append(found.ok_value.record)
+    return Ok(JobPage(records, page.ok_value.more))
+
+
+async def request_cancel(
+    context: EntryContext, member: str, job_id: str
+) -> Result[JobRecord, Fault]:
+    """Record the cancel; returns the record with it, or the final one that it came too late for."""
+    for _ in range(_ATTEMPTS):
+        found = await read_job(context, member, job_id)
+        if isinstance(found, Err):
+            return found
+        stored = found.ok_value
+        after = cancel_requested(stored.record)
+        if after is stored.record:
+            return Ok(after)
+        written = await _replace(context, after, stored.revision)
+        if isinstance(written, Ok):
+            return Ok(after)
+        if written.err_value.code is not ResultCode.KV_CONFLICT:
+            return written
+    return Err(Fault(ResultCode.KV_CONFLICT, f"batch {job_id} changes too fast", 1000))
+
+
+async def _replace(context: EntryContext, record: JobRecord, revision: int) -> Result[int, Fault]:
+    key = job_key(_prefix(context), record.job_id)
+    value = msgspec.msgpack.encode(record)
+    return await put_resolved(context.kv, key, value, revision, lambda found: found == value)
+
+
+async def _renew_key(context: EntryContext, key: str) -> Result[None, Fault]:
+    """Create the key, or write it again; whose write it is makes no difference.
+
+    Somebody may have found an older one before the record existed and be about to delete it under
+    the revision that it had.
+    """
+    revision = 0
+    for _ in range(_ATTEMPTS):
+        written = await context.kv.put_if(key, b"", revision)
+        if isinstance(written, Ok):
+            return Ok(None)
+        if written.err_value.code not in (ResultCode.KV_CONFLICT, ResultCode.KV_UNKNOWN):
+            return written
+        found = await context.kv.get(key)
+        if isinstance(found, Err):
+            return found
+        revision = found.ok_value.mod_revision if found.ok_value else 0
+    return Err(_unknown(f"{key} changes too fast"))
+
+
+def _unknown(text: str) -> Fault:
+    return Fault(ResultCode.KV_UNKNOWN, f"{text}; send again with the same key", 1000)
+
+
+def _prefix(context: EntryContext) -> str:
+    return context.settings.platform.key_prefix
--- /dev/null
+++ b/src/fescuedock/entry/result_files.py
@@ -0,0 +1,83 @@
+"""The output and error files of batch jobs, put together from the committed groups.
+
+Only what is committed is ever read, so each ``custom_id`` stands once in the two files of a job.
+"""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+import msgspec
+from result import Err, Ok, Result
+
+from fescuedock.entry.context import EntryContext
+from fescuedock.entry.file_content import FileContent
+from fescuedock.faults import Fault
+from fescuedock.schema.batch import CommittedGroup, JobManifest, JobRecord, SegmentRef
+from fescuedock.schema.result_codes import ResultCode
+from fescuedock.store.client import StoreClient
+
+__all__ = ["ResultFile", "ResultKind", "parse_result_file", "result_content", "result_file_id"]
+
+_JOB_PREFIX = "batch_"
+
+
+class ResultKind(StrEnum):
+    """Which of a job's two files."""
+
+    OUTPUT = "output"
+    ERROR = "error"
+
+
+@dataclass(frozen=True, slots=True)
+class ResultFile:
+    """The file that an identity names."""
+
+    job_id: str
+    kind: ResultKind
+
+
+def result_file_id(job_id: str, kind: ResultKind) -> str:
+    """Return the identity of one of the job's files."""
+    return f"file-{kind.value}-{job_id.removeprefix(_JOB_PREFIX)}"
+
+
+def parse_result_file(file_id: str) -> ResultFile | None:
+    """Return what ``file_id`` names; None when it is not a result file."""
+    for kind in ResultKind:
+        prefix = f"file-{kind.value}-"
+        if file_id.startswith(prefix):
+            return ResultFile(_JOB_PREFIX + file_id.removeprefix(prefix), kind)
+    return None
+
+
+async def result_content(
+    context: EntryContext, record: JobRecord, kind: ResultKind
+) -> Result[FileContent, Fault]:
+    """Return the content of a job's file as far as it is committed now."""
+    groups = await committed_groups(context.stores, record)
+    if isinstance(groups, Err):
+        return groups
+    refs = [ref for group in groups.ok_value for ref in _refs_of(group, kind)]
+    return Ok(FileContent(context.stores, refs))
+
+
+async def committed_groups(
+    stores: StoreClient, record: JobRecord
+) -> Result[list[CommittedGroup], Fault]:
+    """Return all groups of a job in order, those in manifests included."""
+    groups: list[CommittedGroup] = []
+    for ref in record.manifests:
+        body = await stores.get_segment(ref)
+        if isinstance(body, Err):
+            return body
+        try:
+            manifest = msgspec.msgpack.decode(body.ok_value, type=JobManifest)
+        except msgspec.MsgspecError as error:
+            text = f"manifest {ref.segment_hash[:12]} of {record.job_id}: {error}"
+            return Err(Fault(ResultCode.CORRUPT_SEGMENT, text))
+        groups += manifest.groups
+    return Ok(groups + record.groups)
+
+
+def _refs_of(group: CommittedGroup, kind: ResultKind) -> list[SegmentRef]:
+    return group.outputs if kind is ResultKind.OUTPUT else group.errors
--- /dev/null
+++ b/src/fescuedock/entry/uploads.py
@@ -0,0 +1,191 @@
+"""Takes an uploaded file in: cut into segments, written to stores and checked on the way.
+
+Memory is bounded by the settings and not by the file: one segment is gathered while the one before
+it is written.
+"""
+
+from dataclasses import dataclass, field
+from hashlib import sha256
+
+from result import Err, Ok, Result
+
+from fescuedock.core.acceptance import InputChecker
+from fescuedock.core.segments import CutSegment, LineReader, SegmentCutter
+from fescuedock.entry.multipart import FormReader, PartBegin, PartData, open_form
+from fescuedock.faults import Fault
+from fescuedock.net.http_server import BodyTooLargeError, Request
+from fescuedock.schema.batch import FileRecord, SegmentRef
+from fescuedock.schema.result_codes import ResultCode
+from fescuedock.schema.settings import BatchSettings
+from fescuedock.store.client import StoreClient
+
+__all__ = ["Upload", "receive_upload"]
+
+_FILE_FIELD = "file"
+_PURPOSE_FIELD = "purpose"
+_MAX_FIELD_BYTES = 512
+_MAX_FILENAME_CHARS = 255
+
+
+@dataclass(slots=True)
+class Upload:
+    """A file whose content is on the stores."""
+
+    filename: str = ""
+    purpose: str = ""
+    content_hash: str = ""
+    size_bytes: int = 0
+    segments: list[SegmentRef] = field(default_factory=list)
+    checker: InputChecker | None = None
+
+    def record(self, file_id: str, member: str, now_s: int) -> FileRecord:
+        """Return the record that makes this a file of ``member``."""
+        checker = self.checker
+        record = FileRecord(
+            file_id=file_id,
+            member=member,
+            filename=self.filename,
+            purpose=self.purpose,
+            size_bytes=self.size_bytes,
+            created_at_s=now_s,
+            content_hash=self.content_hash,
+            segments=self.segments,
+            item_count=checker.item_count,
+            endpoint=checker.endpoint,
+            models=checker.models,
+        )
+        if checker.problem is not None:
+            record.problem_code = checker.problem.code
+            record.problem = checker.problem.message
+        return record
+
+
+async def receive_upload(
+    request: Request, stores: StoreClient, settings: BatchSettings, max_bytes: int
+) -> Result[Upload, Fault]:
+    """Read the form of ``POST /v1/files`` to its end and write its file to the stores.
+
+    ``BodyTooLargeError`` when the request is over ``max_bytes``.
+    """
+    opened = open_form(request.headers.get("content-type", ""))
+    if isinstance(opened, Err):
+        return opened
+    receiver = _Receiver(opened.ok_value, _ContentWriter(stores, settings))
+    received_bytes = 0
+    async for data in request.body:
+        received_bytes += len(data)
+        if received_bytes > max_bytes:
+            raise BodyTooLargeError(f"body over {max_bytes} bytes")
+        await receiver.feed(data)
+    return await receiver.finish()
+
+
+class _Receiver:
+    """Follows the form; after the first fault the rest is read and dropped.
+
+    An answer sent while the caller still sends could be lost with the connection.
+    """
+
+    def __init__(self, form: FormReader, content: "_ContentWriter") -> None:
+        self._form = form
+        self._content = content
+        self._upload = Upload()
+        self._field = ""
+        self._purpose = b""
+        self._has_file = False
+        self._fault: Fault | None = None
+
+    async def feed(self, data: bytes) -> None:
+        if self._fault is not None:
+            return
+        events = self._form.feed(data)
+        if isinstance(events, Err):
+            self._fault = events.err_value
+            return
+        for event in events.ok_value:
+            result = await self._take(event)
+            if isinstance(result, Err):
+                self._fault = result.err_value
+                return
+
+    async def finish(self) -> Result[Upload, Fault]:
+        if self._fault is not None:
+            return Err(self._fault)
+        if not self._form.complete:
+            return Err(Fault(ResultCode.BAD_REQUEST, "the form ends early"))
+        self._upload.purpose = self._purpose.decode("utf-8", "replace")
+        if not self._has_file or not self._upload.purpose:
+            return Err(Fault(ResultCode.BAD_REQUEST, "the form needs the fields file and purpose"))
+        finished = await self._content.finish(self._upload)
+        return finished if isinstance(finished, Err) else Ok(self._upload)
+
+    async def _take(self, event: PartBegin | PartData) -> Result[None, Fault]:
+        if isinstance(event, PartBegin):
+            return self._begin(event)
+        if self._field == _FILE_FIELD:
+            return await self._content.write(event.data)
+        if self._field == _PURPOSE_FIELD:
+            self._purpose += event.data
+            if len(self._purpose) > _MAX_FIELD_BYTES:
+                return Err(Fault(ResultCode.BAD_REQUEST, "the field purpose is too long"))
+        return Ok(None)
+
+    def _begin(self, event: PartBegin) -> Result[None, Fault]:
+        self._field = event.name
+        if event.name != _FILE_FIELD:
+            return Ok(None)
+        if self._has_file:
+            return Err(Fault(ResultCode.BAD_REQUEST, "the form has two files"))
+        self._has_file = True
+        self._upload.filename = (event.filename or _FILE_FIELD)[:_MAX_FILENAME_CHARS]
+        return Ok(None)
+
+
+class _ContentWriter:
+    """Cuts, checks and writes the content of one file."""
+
+    def __init__(self, stores: StoreClient, settings: BatchSettings) -> None:
+        self._stores = stores
+        self._checker = InputChecker(settings)
+        self._reader = LineReader(settings.max_line_bytes)
+        self._cutter = SegmentCutter(settings.segment_items, settings.segment_bytes)
+        self._hash = sha256()
+        self._size_bytes = 0
+        self._segments: list[SegmentRef] = []
+
+    async def write(self, data: bytes) -> Result[None, Fault]:
+        self._hash.update(data)
+        self._size_bytes += len(data)
+        return await self._add(self._reader.feed(data))
+
+    async def finish(self, upload: Upload) -> Result[None, Fault]:
+        """Write what is left and put the result into ``upload``."""
+        result = await self._add(self._reader.finish())
+        last = self._cutter.finish()
+        if isinstance(result, Ok) and last is not None:
+            result = await self._put(last)
+        if isinstance(result, Err):
+            return result
+        self._checker.finish()
+        upload.checker = self._checker
+        upload.content_hash = self._hash.hexdigest()
+        upload.size_bytes = self._size_bytes
+        upload.segments = self._segments
+        return Ok(None)
+
+    async def _add(self, lines: list[bytes]) -> Result[None, Fault]:
+        for line in lines:
+            self._checker.check(line)
+            cut = self._cutter.add(line)
+            if cut is not None:
+                result = await self._put(cut)
+                if isinstance(result, Err):
+                    return result
+        return Ok(None)
+
+    async def _put(self, cut: CutSegment) -> Result[None, Fault]:
+        result = await self._stores.put_segment(cut.body, cut.items)
+        if isinstance(result, Err):
+            return result
+        self._segments.append(result.ok_value)
+        return Ok(None)
