--- /dev/null
+++ b/src/fescuedock/core/claims.py
@@ -0,0 +1,232 @@
+"""At most one execution of a call that carries an ``Idempotency-Key``.
+
+Before the call is dispatched, one record is created in the key-value service by compare-and-swap;
+whoever finds it there does not dispatch.  The record says ``dispatched`` from the start, so that
+a writer which dies leaves behind a call that may have run and will not run again.  Only a writer
+that knows its call was not sent changes that, and only its own record.
+
+A pure state machine: it returns what to do next and is told how that went.
+"""
+
+import re
+from collections.abc import Iterable, Set
+from dataclasses import dataclass, field
+from enum import Enum, auto
+from hashlib import sha256
+from typing import TYPE_CHECKING
+
+import msgspec
+from result import Err, Ok, Result
+
+from fescuedock.faults import Fault
+from fescuedock.schema.claims import ClaimRecord, ClaimState, RecordedAnswer
+from fescuedock.schema.result_codes import ResultCode
+
+if TYPE_CHECKING:
+    from fescuedock.platform.kv import KvEntry
+
+__all__ = [
+    "Claim",
+    "Dispatch",
+    "PutRecord",
+    "ReadRecord",
+    "Refuse",
+    "Replay",
+    "claim_key",
+    "is_expired",
+    "is_non_idempotent",
+    "request_hash",
+]
+
+MAX_RECORDED_BYTES = 32 * 1024
+
+_RETRY_AFTER_MS = 1000
+_SLASHES = re.compile(r"/+")
+_ANY_METHOD = "*"
+
+
+@dataclass(frozen=True, slots=True)
+class PutRecord:
+    """Write ``record`` if the key is at ``expected_revision``, finding out what became of it."""
+
+    key: str
+    record: ClaimRecord
+    expected_revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class ReadRecord:
+    """Read the key."""
+
+    key: str
+
+
+@dataclass(frozen=True, slots=True)
+class Dispatch:
+    """The claim is ours: send the call, once."""
+
+
+@dataclass(frozen=True, slots=True)
+class Replay:
+    """The call was answered before: give the caller that answer."""
+
+    answer: RecordedAnswer
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    """Do not send the call."""
+
+    fault: Fault
+
+
+class _Phase(Enum):
+    CREATING = auto()
+    READING = auto()
+    OWNED = auto()
+    OVER = auto()
+
+
+@dataclass(slots=True)
+class Claim:
+    """One entry's attempt to be the one that dispatches a call.
+
+    ``token`` must be unguessable and new.  ``unsent_tokens`` are those of earlier attempts by this
+    process which certainly dispatched nothing, although their records may stand.
+    """
+
+    key: str
+    token: str
+    request_hash: str
+    created_at_s: int
+    unsent_tokens: Set[str] = frozenset()
+    revision: int = 0
+    _phase: _Phase = field(default=_Phase.CREATING)
+
+    def start(self) -> PutRecord:
+        """Return the first step: create the record."""
+        return PutRecord(self.key, self._record(ClaimState.DISPATCHED), 0)
+
+    def written(self, result: Result[int, Fault]) -> Dispatch | ReadRecord | Refuse:
+        """Take in how the write of the claim went."""
+        self._expect(_Phase.CREATING)
+        match result:
+            case Ok(revision):
+                self.revision = revision
+                self._phase = _Phase.OWNED
+                return Dispatch()
+            case Err(Fault(code=ResultCode.KV_CONFLICT)):
+                self._phase = _Phase.READING
+                return ReadRecord(self.key)
+            case Err(fault):
+                return self._unavailable(str(fault))
+
+    def read(self, result: Result["KvEntry | None", Fault]) -> PutRecord | Replay | Refuse:
+        """Take in the record that was there first."""
+        self._expect(_Phase.READING)
+        match result:
+            case Err(fault):
+                return self._unavailable(str(fault))
+            case Ok(None):
+                return self._unavailable("the claim there was has just been removed")
+            case Ok(entry):
+                return self._judge(entry)
+
+    def not_sent(self) -> PutRecord:
+        """The call was certainly not sent: return the write that lets another one try."""
+        self._expect(_Phase.OWNED)
+        self._phase = _Phase.OVER
+        return PutRecord(self.key, self._record(ClaimState.NOT_SENT), self.revision)
+
+    def answered(self, answer: RecordedAnswer) -> PutRecord:
+        """The call was answered: return the write that keeps the answer if it is small."""
+        self._expect(_Phase.OWNED)
+        self._phase = _Phase.OVER
+        small = len(answer.body) <= MAX_RECORDED_BYTES
+        data = msgspec.json.encode(answer) if small else b""
+        return PutRecord(self.key, self._record(ClaimState.ANSWERED, data), self.revision)
+
+    def _judge(self, entry: "KvEntry") -> PutRecord | Replay | Refuse:
+        try:
+            found = msgspec.json.decode(entry.value, type=ClaimRecord)
+        except msgspec.MsgspecError as error:
+            return self._unavailable(f"the claim there cannot be read: {error}")
+        if found.request_hash != self.request_hash:
+            message = "the Idempotency-Key was used for another call"
+            return self._refuse(Fault(ResultCode.KEY_REUSED, message))
+        if found.state is ClaimState.NOT_SENT or found.token in self.unsent_tokens:
+            self._phase = _Phase.CREATING
+            return PutRecord(self.key, self._record(ClaimState.DISPATCHED), entry.mod_revision)
+        if found.state is ClaimState.ANSWERED and found.answer:
+            self._phase = _Phase.OVER
+            return Replay(msgspec.json.decode(found.answer, type=RecordedAnswer))
+        message = "a call with this Idempotency-Key was dispatched before"
+        return self._refuse(Fault(ResultCode.ALREADY_CLAIMED, message))
+
+    def _record(self, state: ClaimState, answer: bytes = b"") -> ClaimRecord:
+        return ClaimRecord(
+            token=self.token,
+            request_hash=self.request_hash,
+            state=state,
+            created_at_s=self.created_at_s,
+            answer=answer,
+        )
+
+    def _unavailable(self, why: str) -> Refuse:
+        message = f"the call's claim could not be made: {why}"
+        return self._refuse(Fault(ResultCode.CLAIM_UNAVAILABLE, message, _RETRY_AFTER_MS))
+
+    def _refuse(self, fault: Fault) -> Refuse:
+        self._phase = _Phase.OVER
+        return Refuse(fault)
+
+    def _expect(self, phase: _Phase) -> None:
+        if self._phase is not phase:
+            raise RuntimeError(f"claim is {self._phase.name}, not {phase.name}")
+
+
+def claim_key(prefix: str, member: str, service: str, idempotency_key: str) -> str:
+    """Return the key of the record; each member has keys of its own."""
+    name = "\0".join((member, service, idempotency_key))
+    return f"{prefix}claims/{sha256(name.encode()).hexdigest()}"
+
+
+def request_hash(method: str, target: str, body: bytes) -> str:
+    """Return what tells one call from another under the same Idempotency-Key."""
+    digest = sha256(f"{method}\0{target}\0".encode())
+    digest.update(body)
+    return digest.hexdigest()
+
+
+def is_expired(entry: "KvEntry", retention_s: int, now_s: int) -> bool:
+    """Whether a record is older than ``retention_s``; one that cannot be read never is."""
+    try:
+        record = msgspec.json.decode(entry.value, type=ClaimRecord)
+    except msgspec.MsgspecError:
+        return False
+    return now_s - record.created_at_s > retention_s
+
+
+def is_non_idempotent(rules: Iterable[str], method: str, path: str) -> bool:
+    """Whether a rule of the form ``METHOD /path-prefix`` covers the call; ``*`` is any method.
+
+    Repeated slashes and dot segments do not get a call around a rule.
+    """
+    plain_path = _plain(path)
+    for rule in rules:
+        rule_method, _, prefix = rule.strip().partition(" ")
+        if rule_method not in (_ANY_METHOD, method):
+            continue
+        if plain_path.startswith(_plain(prefix.strip())):
+            return True
+    return False
+
+
+def _plain(path: str) -> str:
+    parts: list[str] = []
+    for part in _SLASHES.sub("/", "/" + path).split("/"):
+        if part == "..":
+            del parts[-1:]
+        elif part != ".":
+            parts.append(part)
+    return "/" + "/".join(parts).lstrip("/")
--- /dev/null
+++ b/src/fescuedock/entry/claiming.py
@@ -0,0 +1,155 @@
+"""Makes and keeps the claims of calls with an ``Idempotency-Key``, and removes old ones."""
+
+import random
+from collections import OrderedDict
+
+import msgspec
+import trio
+from result import Err, Ok, Result
+
+from fescuedock.core.claims import (
+    Claim,
+    Dispatch,
+    PutRecord,
+    ReadRecord,
+    Refuse,
+    Replay,
+    claim_key,
+    is_expired,
+    request_hash,
+)
+from fescuedock.core.rendezvous import choose_name
+from fescuedock.entry.context import EntryContext
+from fescuedock.entry.service_call import ServiceCall
+from fescuedock.faults import Fault
+from fescuedock.log import log_event
+from fescuedock.platform.kv_writes import put_resolved
+from fescuedock.schema.claims import ClaimRecord, RecordedAnswer
+from fescuedock.schema.result_codes import ResultCode
+from fescuedock.schema.view import Program
+
+__all__ = ["ClaimDesk", "sweep_claims", "sweep_claims_forever"]
+
+_TOKEN_BITS = 128
+_PUT_ATTEMPTS = 3
+# The caller waits for the record of its answer, but not through an outage.
+_KEEP_TIMEOUT_S = 0.5
+_MAX_UNSENT = 1024
+_RETRY_AFTER_MS = 1000
+_SWEEPER = "claims"
+_PAGE = 200
+# Deletions take a small part of what the key-value service can write.
+_DELETE_PAUSE_S = 0.02
+
+
+class ClaimDesk:
+    """Makes the claims of one entry."""
+
+    __slots__ = ("_context", "_rng", "_unsent")
+
+    def __init__(self, context: EntryContext, rng: random.Random) -> None:
+        self._context = context
+        self._rng = rng
+        # Tokens of claims that may stand although nothing was sent under them.
+        self._unsent: OrderedDict[str, None] = OrderedDict()
+
+    async def make_claim(self, call: ServiceCall) -> Result[Claim | RecordedAnswer, Fault]:
+        """Return a claim under which ``call`` may be sent once, or the answer it had before.
+
+        ``CLAIM_UNAVAILABLE``, ``ALREADY_CLAIMED`` or ``KEY_REUSED`` when it must not be sent.
+        """
+        prefix = self._context.settings.platform.key_prefix
+        claim = Claim(
+            key=claim_key(prefix, call.member, call.service, call.idempotency_key),
+            token=f"{self._rng.getrandbits(_TOKEN_BITS):032x}",
+            request_hash=request_hash(call.method, call.target, call.body),
+            created_at_s=self._context.unix_clock(),
+            unsent_tokens=self._unsent.keys(),
+        )
+        self._note_unsent(claim.token)
+        with trio.move_on_at(call.deadline_ms / 1000):
+            made = await self._carry_on(claim)
+            if isinstance(made, Ok) and made.ok_value is claim:
+                del self._unsent[claim.token]
+            return made
+        message = "the call's claim could not be made within the deadline"
+        return Err(Fault(ResultCode.CLAIM_UNAVAILABLE, message, _RETRY_AFTER_MS))
+
+    async def keep(self, claim: Claim, answer: RecordedAnswer) -> None:
+        """Record the answer for resends, which else learn only that the call may have run."""
+        await self._put_once(claim.answered(answer))
+
+    async def release(self, claim: Claim) -> None:
+        """Record that nothing was sent, so that a resend can run the call."""
+        await self._put_once(claim.not_sent())
+
+    async def _carry_on(self, claim: Claim) -> Result[Claim | RecordedAnswer, Fault]:
+        step = claim.start()
+        while True:
+            match step:
+                case PutRecord():
+                    step = claim.written(await self._put(claim, step))
+                case ReadRecord(key):
+                    step = claim.read(await self._context.kv.get(key))
+                case Dispatch():
+                    return Ok(claim)
+                case Replay(answer):
+                    return Ok(answer)
+                case Refuse(fault):
+                    return Err(fault)
+
+    async def _put(self, claim: Claim, step: PutRecord) -> Result[int, Fault]:
+        return await put_resolved(
+            self._context.kv,
+            step.key,
+            msgspec.json.encode(step.record),
+            step.expected_revision,
+            lambda value: msgspec.json.decode(value, type=ClaimRecord).token == claim.token,
+            attempts=_PUT_ATTEMPTS,
+        )
+
+    async def _put_once(self, step: PutRecord) -> None:
+        """Write without following up: both outcomes of a lost answer are truthful."""
+        value = msgspec.json.encode(step.record)
+        with trio.move_on_after(_KEEP_TIMEOUT_S):
+            written = await self._context.kv.put_if(step.key, value, step.expected_revision)
+            if isinstance(written, Ok):
+                return
+        log_event("claim_not_updated", key=step.key, state=step.record.state.value)
+
+    def _note_unsent(self, token: str) -> None:
+        self._unsent[token] = None
+        if len(self._unsent) > _MAX_UNSENT:
+            self._unsent.popitem(last=False)
+
+
+async def sweep_claims_forever(context: EntryContext) -> None:
+    """Remove old claims now and then, if this entry is the one that does it for the fleet."""
+    while True:
+        await trio.sleep(context.settings.entry.claim_sweep_interval_ms / 1000)
+        entries = [vm.vm_id for vm in context.view.live_vms(Program.ENTRY)]
+        if choose_name(_SWEEPER, entries) == context.settings.vm.vm_id:
+            await sweep_claims(context)
+
+
+async def sweep_claims(context: EntryContext) -> int:
+    """Delete the claims that are older than the retention; return how many.
+
+    Two sweepers at once do no harm: each deletes only the revision that it read.
+    """
+    prefix = f"{context.settings.platform.key_prefix}claims/"
+    retention_s = context.settings.entry.claim_retention_s
+    start_after = ""
+    deleted = 0
+    while True:
+        page = await context.kv.get_range(prefix, start_after=start_after, limit=_PAGE)
+        if isinstance(page, Err):
+            log_event("claim_sweep_broken_off", reason=str(page.err_value))
+            return deleted
+        for entry in page.ok_value.entries:
+            start_after = entry.key
+            if is_expired(entry, retention_s, context.unix_clock()):
+                deleted += (await context.kv.delete_if(entry.key, entry.mod_revision)).is_ok()
+                await trio.sleep(_DELETE_PAUSE_S)
+        if not page.ok_value.more:
+            return deleted
--- a/src/fescuedock/entry/main.py
+++ b/src/fescuedock/entry/main.py
@@ -13,6 +13,7 @@
 from fescuedock.clock import now_ms, unix_clock
 from fescuedock.daemon import Stop, run_program
 from fescuedock.entry.app import entry_handler
+from fescuedock.entry.claiming import sweep_claims_forever
 from fescuedock.entry.context import EntryContext
 from fescuedock.faults import Fault
 from fescuedock.log import log_event
@@ -93,6 +94,7 @@
         async with _open_context(entry, bound) as context:
             entry.view = context.view
             entry.handler = entry_handler(context, lambda: entry.joined)
+            nursery.start_soon(sweep_claims_forever, context)
             task_status.started(bound)
             await stop.wait()
             await _leave(entry, context.agent)
--- a/src/fescuedock/entry/online_attempt.py
+++ b/src/fescuedock/entry/online_attempt.py
@@ -7,7 +7,7 @@
 
 from fescuedock.agent.permit_client import Grant
 from fescuedock.clock import now_ms
-from fescuedock.entry.online_request import OnlineRequest
+from fescuedock.entry.online_permits import OnlineCall
 from fescuedock.faults import Fault
 from fescuedock.net.http_client import NotSentError, ResponseLostError
 from fescuedock.platform.engine import EngineError
@@ -48,19 +48,23 @@
     """Times of one attempt; ``end`` reports them, whatever happened."""
 
     grant: Grant
-    attempt_id: str
-    request: OnlineRequest
+    call: OnlineCall
     started_ms: float
     first_token_at_ms: float = -1.0
     last_token_at_ms: float = -1.0
     tokens: int = 0
     outcome: AttemptOutcome = AttemptOutcome.CANCELLED
 
+    @property
+    def attempt_id(self) -> str:
+        return self.grant.permit_id
+
     def note_token(self, at_ms: float) -> None:
         if not self.tokens:
             self.first_token_at_ms = at_ms
         self.last_token_at_ms = at_ms
         self.tokens += 1
+        self.grant.count_token()
 
     @property
     def first_token_ms(self) -> float:
@@ -83,14 +87,14 @@
                 work_class=WorkClass.ONLINE,
                 first_token_ms=self.first_token_ms,
                 inter_token_ms=self.inter_token_ms,
-                prompt_tokens=self.request.demand.prompt_tokens,
+                prompt_tokens=self.call.demand.prompt_tokens,
                 generated_tokens=self.tokens,
             )
         )
 
 
-def begin_attempt(grant: Grant, attempt_id: str, request: OnlineRequest) -> Attempt:
-    return Attempt(grant, attempt_id, request, now_ms())
+def begin_attempt(grant: Grant, call: OnlineCall) -> Attempt:
+    return Attempt(grant, call, now_ms())
 
 
 def failure_of(error: Exception) -> Failure:
--- a/src/fescuedock/entry/online_permits.py
+++ b/src/fescuedock/entry/online_permits.py
@@ -1,20 +1,20 @@
-"""Finds an upstream for one attempt of an online request and gets the permit for it."""
+"""Finds an upstream for one attempt of an online call and gets the permit for it."""
 
 from collections.abc import Collection
+from typing import Protocol
 
 from result import Err, Ok, Result
 
 from fescuedock.agent.permit_client import Grant
 from fescuedock.clock import now_ms
-from fescuedock.core.routing import Ask, Candidate, Choice, choose_upstreams, plan_asks
-from fescuedock.entry.online_request import OnlineRequest
+from fescuedock.core.routing import Ask, Candidate, Choice, Demand, choose_upstreams, plan_asks
 from fescuedock.entry.online_state import OnlineState
 from fescuedock.faults import Fault
 from fescuedock.schema.permits import LoadSnapshot, PermitAsk, WorkClass
 from fescuedock.schema.result_codes import ResultCode
 from fescuedock.schema.view import UpstreamRecord
 
-__all__ = ["find_permit"]
+__all__ = ["OnlineCall", "find_permit"]
 
 # A healthy owner answers in about a millisecond.
 _OWNER_TIMEOUT_MS = 25.0
@@ -22,42 +22,65 @@
 _SILENCE = (ResultCode.PEER_UNREACHABLE, ResultCode.PEER_UNKNOWN)
 
 
+class OnlineCall(Protocol):
+    """What a permit is asked for: an online request to a model, or a call to a plain service."""
+
+    @property
+    def service(self) -> str: ...
+
+    @property
+    def member(self) -> str: ...
+
+    @property
+    def demand(self) -> Demand: ...
+
+    @property
+    def max_tokens(self) -> int: ...
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether the call may be sent again after it may have run."""
+
+    def left_ms(self) -> float: ...
+
+
 async def find_permit(
-    state: OnlineState, request: OnlineRequest, attempt_id: str, avoid: Collection[str] = ()
+    state: OnlineState, call: OnlineCall, avoid: Collection[str] = ()
 ) -> Result[Grant, Fault]:
     """Return a permit on the best upstream that will take the attempt.
 
-    Upstreams in ``avoid`` are used only when there is no other.  A refusal is given at once when
-    owners refuse; while one of them queues the request, the choice is made anew now and then.
+    The permit's identity is unguessable and serves as the attempt's.  Upstreams in ``avoid`` are
+    used only when there is no other.  A refusal is given at once when owners refuse; while one of
+    them queues the call, the choice is made anew now and then.
     """
     while True:
-        choices = _choose(state, request, avoid)
+        choices = _choose(state, call, avoid)
         if not choices:
-            message = f"no live upstream serves {request.service!r}"
+            message = f"no live upstream serves {call.service!r}"
             return Err(Fault(ResultCode.NO_UPSTREAM, message, _NO_UPSTREAM_RETRY_MS))
-        in_time = _check_deadline(state, request, choices)
+        in_time = _check_deadline(state, call, choices)
         if isinstance(in_time, Err):
             return in_time
         asked_at_ms = now_ms()
-        granted = await _ask_all(state, request, attempt_id, choices)
+        granted = await _ask_all(state, call, choices)
         waited_ms = now_ms() - asked_at_ms
         if isinstance(granted, Ok) or waited_ms < state.routing.queue_ms:
             return granted
 
 
-def _choose(state: OnlineState, request: OnlineRequest, avoid: Collection[str]) -> list[Choice]:
+def _choose(state: OnlineState, call: OnlineCall, avoid: Collection[str]) -> list[Choice]:
     view = state.context.view
     policies = view.configuration.upstreams
     usable = [
         item
-        for item in view.upstreams_of(request.service)
+        for item in view.upstreams_of(call.service)
         if not item.leaving
         and not (item.upstream_id in policies and policies[item.upstream_id].drain)
     ]
     others = [item for item in usable if item.upstream_id not in avoid]
     candidates = [_candidate(state, item) for item in others or usable]
-    token_ms = state.prefill(request.service).token_ms
-    return choose_upstreams(candidates, request.demand, token_ms, state.routing, state.rng)
+    token_ms = state.prefill(call.service).token_ms
+    return choose_upstreams(candidates, call.demand, token_ms, state.routing, state.rng)
 
 
 def _candidate(state: OnlineState, upstream: UpstreamRecord) -> Candidate:
@@ -75,21 +98,21 @@
 
 
 def _check_deadline(
-    state: OnlineState, request: OnlineRequest, choices: list[Choice]
+    state: OnlineState, call: OnlineCall, choices: list[Choice]
 ) -> Result[None, Fault]:
     first_token_ms = min(item.first_token_ms for item in choices)
-    run_ms = state.admission.times(request.service).run_ms(request.max_tokens)
-    return state.admission.check_deadline(request.left_ms(), first_token_ms, run_ms)
+    run_ms = state.admission.times(call.service).run_ms(call.max_tokens)
+    return state.admission.check_deadline(call.left_ms(), first_token_ms, run_ms)
 
 
 async def _ask_all(
-    state: OnlineState, request: OnlineRequest, attempt_id: str, choices: list[Choice]
+    state: OnlineState, call: OnlineCall, choices: list[Choice]
 ) -> Result[Grant, Fault]:
     """Ask in the planned order; the refusal that comes back soonest stands for all."""
-    run_ms = state.admission.times(request.service).run_ms(request.max_tokens)
+    run_ms = state.admission.times(call.service).run_ms(call.max_tokens)
     refusal: Fault | None = None
-    for ask in plan_asks(choices, request.left_ms() - run_ms, state.routing):
-        granted = await _ask(state, request, attempt_id, ask, run_ms)
+    for ask in plan_asks(choices, call.left_ms() - run_ms, state.routing):
+        granted = await _ask(state, call, ask, run_ms)
         if isinstance(granted, Ok):
             return granted
         refusal = _kinder(refusal, granted.err_value)
@@ -99,19 +122,19 @@
 
 
 async def _ask(
-    state: OnlineState, request: OnlineRequest, attempt_id: str, ask: Ask, run_ms: float
+    state: OnlineState, call: OnlineCall, ask: Ask, run_ms: float
 ) -> Result[Grant, Fault]:
     message = PermitAsk(
         upstream_id=ask.upstream_id,
-        attempt_id=attempt_id,
+        attempt_id=state.new_identity(),
         holder_id=state.context.permits.holder_id,
-        service=request.service,
-        member=request.member,
+        service=call.service,
+        member=call.member,
         work_class=WorkClass.ONLINE,
-        slack_ms=int(request.left_ms() - run_ms),
-        prompt_tokens=request.demand.prompt_tokens,
-        max_tokens=request.max_tokens,
-        prefix_hash=request.demand.prefix_hash,
+        slack_ms=int(call.left_ms() - run_ms),
+        prompt_tokens=call.demand.prompt_tokens,
+        max_tokens=call.max_tokens,
+        prefix_hash=call.demand.prefix_hash,
         wait_ms=int(ask.wait_ms),
     )
     if ask.local:
--- a/src/fescuedock/entry/online_request.py
+++ b/src/fescuedock/entry/online_request.py
@@ -57,6 +57,10 @@
         """Whether the answer is one text, which another attempt can go on with."""
         return self.body.get("n") in (None, 1) and not self.body.get("logprobs")
 
+    @property
+    def repeatable(self) -> bool:
+        return True
+
     def left_ms(self) -> float:
         """Return the time left until the deadline."""
         return self.deadline_ms - now_ms()
--- a/src/fescuedock/entry/online_run.py
+++ b/src/fescuedock/entry/online_run.py
@@ -1,10 +1,11 @@
-"""Runs attempts of an online request one after the other until one is whole or none may follow."""
+"""Runs attempts of an online call one after the other until one is whole or none may follow."""
 
 from collections.abc import Awaitable, Callable
 
 import trio
 from result import Err, Ok, Result
 
+from fescuedock.clock import now_ms
 from fescuedock.core.retry import AttemptHistory
 from fescuedock.entry.online_attempt import (
     ATTEMPT_ERRORS,
@@ -13,8 +14,7 @@
     begin_attempt,
     failure_of,
 )
-from fescuedock.entry.online_permits import find_permit
-from fescuedock.entry.online_request import OnlineRequest
+from fescuedock.entry.online_permits import OnlineCall, find_permit
 from fescuedock.entry.online_state import OnlineState
 from fescuedock.faults import Fault
 from fescuedock.schema.permits import AttemptOutcome
@@ -23,39 +23,40 @@
 
 __all__ = ["RunAttempt", "run_attempts"]
 
-# Runs one attempt; raises one of ATTEMPT_ERRORS when it fails.
-RunAttempt = Callable[[Attempt, UpstreamRecord], Awaitable[None]]
+# Runs one attempt; raises one of ATTEMPT_ERRORS when it fails, else says how the upstream did.
+RunAttempt = Callable[[Attempt, UpstreamRecord], Awaitable[AttemptOutcome]]
 
 
 async def run_attempts(
-    state: OnlineState, request: OnlineRequest, run_one: RunAttempt
+    state: OnlineState, call: OnlineCall, run_one: RunAttempt
 ) -> Result[Attempt, Fault]:
     """Return the attempt that ended well, or the fault to answer with.
 
-    A fault says "not run" only when nothing was ever sent to an upstream.
+    A fault says "not run" only when nothing was ever sent to an upstream.  A call that may not be
+    repeated gets another attempt only after one that was certainly not sent.
     """
     history = AttemptHistory(state.retry)
     avoid: set[str] = set()
-    last: Failure | None = None
+    sent: Failure | None = None
     while True:
-        attempt_id = state.new_identity()
-        granted = await find_permit(state, request, attempt_id, avoid)
+        granted = await find_permit(state, call, avoid)
         if isinstance(granted, Err):
-            return Err(_truthful(granted.err_value, last))
-        attempt = begin_attempt(granted.ok_value, attempt_id, request)
+            return Err(_truthful(granted.err_value, sent))
+        attempt = begin_attempt(granted.ok_value, call)
         failure = await _try(state, attempt, run_one)
         if failure is None:
             return Ok(attempt)
         if failure.permanent:
             return Err(failure.fault)
-        last = failure if last is None or _was_sent(failure) else last
+        if _was_sent(failure):
+            sent = failure
+            if not call.repeatable:
+                return Err(_unknown(failure))
         avoid.add(attempt.grant.upstream_id)
         history.note_failure(upstream_lost=failure.upstream_lost, progress=attempt.tokens > 0)
-        wait_ms = history.next_wait_ms(
-            state.budget, request.left_ms(), trio.current_time() * 1000, state.rng
-        )
+        wait_ms = history.next_wait_ms(state.budget, call.left_ms(), now_ms(), state.rng)
         if wait_ms is None:
-            return Err(_truthful(failure.fault, last))
+            return Err(_truthful(failure.fault, sent))
         await trio.sleep(wait_ms / 1000)
 
 
@@ -66,13 +67,12 @@
         if upstream is None:
             fault = Fault(ResultCode.NO_UPSTREAM, f"{attempt.grant.upstream_id} has left")
             return Failure(AttemptOutcome.CANCELLED, fault)
-        await run_one(attempt, upstream)
+        attempt.outcome = await run_one(attempt, upstream)
     except ATTEMPT_ERRORS as error:
         failure = failure_of(error)
         attempt.outcome = failure.outcome
         return failure
     else:
-        attempt.outcome = AttemptOutcome.COMPLETED
         _learn(state, attempt)
         return None
     finally:
@@ -83,20 +83,24 @@
     state.budget.succeeded()
     if attempt.tokens < 1:
         return
-    request = attempt.request
-    times = state.admission.times(request.service)
+    call = attempt.call
+    times = state.admission.times(call.service)
     times.observe(attempt.tokens, attempt.inter_token_ms, state.admission.policy.gain)
-    state.prefill(request.service).observe(request.demand.prompt_tokens, attempt.first_token_ms)
+    state.prefill(call.service).observe(call.demand.prompt_tokens, attempt.first_token_ms)
 
 
 def _was_sent(failure: Failure) -> bool:
     return failure.fault.outcome is not Outcome.NOT_RUN
 
 
-def _truthful(fault: Fault, last: Failure | None) -> Fault:
-    """Return ``fault``, or the failure of an attempt that was sent where it would say "not run"."""
-    if fault.outcome is not Outcome.NOT_RUN or last is None or not _was_sent(last):
+def _unknown(failure: Failure) -> Fault:
+    message = f"the call may have run: {failure.fault.message}"
+    return Fault(ResultCode.EXECUTION_UNKNOWN, message)
+
+
+def _truthful(fault: Fault, sent: Failure | None) -> Fault:
+    """Return ``fault``, or that of an attempt that was sent where ``fault`` would say "not run"."""
+    if fault.outcome is not Outcome.NOT_RUN or sent is None:
         return fault
-    return Fault(
-        last.fault.code, f"{last.fault.message}; then {fault.message}", fault.retry_after_ms
-    )
+    message = f"{sent.fault.message}; then: {fault.message}"
+    return Fault(sent.fault.code, message, fault.retry_after_ms)
--- a/src/fescuedock/entry/online_stream.py
+++ b/src/fescuedock/entry/online_stream.py
@@ -18,6 +18,7 @@
 from fescuedock.net.http_client import ResponseLostError
 from fescuedock.net.http_server import Responder, ResponseStream, fault_body
 from fescuedock.platform.engine import EngineStream
+from fescuedock.schema.permits import AttemptOutcome
 from fescuedock.schema.result_codes import ResultCode
 from fescuedock.schema.view import UpstreamRecord
 
@@ -89,11 +90,12 @@
     sent = False
     with trio.move_on_at(request.deadline_ms / 1000) as scope:
 
-        async def run_one(attempt: Attempt, upstream: UpstreamRecord) -> None:
+        async def run_one(attempt: Attempt, upstream: UpstreamRecord) -> AttemptOutcome:
             nonlocal sent
             sent = True
             relay = _Relay(state, request, caller, stream, attempt, scope)
             await relay.run(upstream)
+            return AttemptOutcome.COMPLETED
 
         return await run_attempts(state, request, run_one)
     if stream.opened:
--- a/src/fescuedock/entry/online_whole.py
+++ b/src/fescuedock/entry/online_whole.py
@@ -8,6 +8,7 @@
 from fescuedock.entry.online_run import run_attempts
 from fescuedock.entry.online_state import OnlineState
 from fescuedock.faults import Fault
+from fescuedock.schema.permits import AttemptOutcome
 from fescuedock.schema.result_codes import ResultCode
 from fescuedock.schema.view import UpstreamRecord
 
@@ -25,14 +26,14 @@
     answers: list[bytes] = []
     sent = False
 
-    async def run_one(attempt: Attempt, upstream: UpstreamRecord) -> None:
+    async def run_one(attempt: Attempt, upstream: UpstreamRecord) -> AttemptOutcome:
         nonlocal sent
         sent = True
         with trio.move_on_after(_stall_ms(state, request) / 1000):
             answers.append(
                 await state.engines.call(upstream, request.path, request.body, attempt.attempt_id)
             )
-            return
+            return AttemptOutcome.COMPLETED
         raise UpstreamStalledError("the engine did not answer in many times the usual time")
 
     with trio.move_on_at(request.deadline_ms / 1000):
--- /dev/null
+++ b/src/fescuedock/entry/service_call.py
@@ -0,0 +1,170 @@
+"""Reads a call to a plain service, and carries out one attempt of it."""
+
+from collections.abc import AsyncIterator, Mapping
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from fescuedock.clock import now_ms
+from fescuedock.core.claims import is_non_idempotent
+from fescuedock.core.routing import Demand
+from fescuedock.entry.context import EntryContext
+from fescuedock.entry.members import ANONYMOUS, find_member
+from fescuedock.entry.online_request import DEADLINE_HEADER, read_deadline_ms
+from fescuedock.faults import Fault
+from fescuedock.net.address import Address
+from fescuedock.net.http_client import ClientResponse, HttpClient
+from fescuedock.net.http_server import Headers, Request
+from fescuedock.schema.config import ServiceKind, ServiceSpec
+from fescuedock.schema.result_codes import ResultCode
+from fescuedock.schema.view import UpstreamRecord
+
+__all__ = ["ServiceCall", "open_attempt", "passed_headers", "read_service_call"]
+
+KEY_HEADER = "idempotency-key"
+MARK_HEADER = "x-non-idempotent"
+
+_MAX_BODY_BYTES = 16 * 1024 * 1024
+_MAX_KEY_CHARACTERS = 255
+_NO_DEMAND = Demand(0, 0, "")
+_TRUE = ("true", "1", "yes")
+# These belong to one connection, or are ours.
+_NOT_PASSED = frozenset(
+    {
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        DEADLINE_HEADER,
+        MARK_HEADER,
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceCall:
+    """One call; ``target`` is the path and query at the service, ``deadline_ms`` our clock's."""
+
+    request_id: str
+    service: str
+    spec: ServiceSpec
+    member: str
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    deadline_ms: float
+    repeatable: bool
+    idempotency_key: str
+
+    @property
+    def demand(self) -> Demand:
+        return _NO_DEMAND
+
+    @property
+    def max_tokens(self) -> int:
+        return 0
+
+    def left_ms(self) -> float:
+        """Return the time left until the deadline."""
+        return self.deadline_ms - now_ms()
+
+
+async def read_service_call(
+    context: EntryContext, request: Request, values: Mapping[str, str], request_id: str
+) -> Result[ServiceCall, Fault]:
+    """Read and check a call to ``/services/{service}/{path*}``."""
+    arrived_ms = now_ms()
+    member = find_member(context, request.headers)
+    if isinstance(member, Err):
+        return member
+    service = values["service"]
+    spec = context.view.configuration.services.get(service)
+    if spec is None or spec.kind is not ServiceKind.PLAIN:
+        return Err(Fault(ResultCode.UNKNOWN_SERVICE, f"no plain service is named {service!r}"))
+    wait = _time_allowed_ms(context, request.headers, spec)
+    if isinstance(wait, Err):
+        return wait
+    key = request.headers.get(KEY_HEADER, "")
+    if len(key) > _MAX_KEY_CHARACTERS:
+        message = f"the Idempotency-Key has more than {_MAX_KEY_CHARACTERS} characters"
+        return Err(Fault(ResultCode.BAD_REQUEST, message))
+    marked = request.headers.get(MARK_HEADER, "").lower() in _TRUE
+    ruled = is_non_idempotent(spec.non_idempotent, request.method, values["path"])
+    return Ok(
+        ServiceCall(
+            request_id=request_id,
+            service=service,
+            spec=spec,
+            member=member.ok_value,
+            method=request.method,
+            target=_target_at_service(request.target),
+            headers=_request_headers(request.headers, member.ok_value, request_id),
+            body=await request.read(_MAX_BODY_BYTES),
+            deadline_ms=arrived_ms + wait.ok_value,
+            repeatable=not (marked or ruled or key),
+            idempotency_key=key,
+        )
+    )
+
+
+@asynccontextmanager
+async def open_attempt(
+    http: HttpClient, call: ServiceCall, upstream: UpstreamRecord
+) -> AsyncIterator[ClientResponse]:
+    """Send the call once.
+
+    Raises ``NotSentError`` or ``ResponseLostError``.  A call that may not be repeated gets a
+    connection of its own: only on a new one is it certain that nothing was sent when it fails
+    to open.
+    """
+    address = Address(upstream.host, upstream.port)
+    async with http.request(
+        address, call.method, call.target, call.headers, call.body, fresh=not call.repeatable
+    ) as response:
+        yield response
+
+
+def passed_headers(headers: Mapping[str, str], request_id: str) -> list[tuple[str, str]]:
+    """Return the service's headers that are the caller's business."""
+    passed = [item for item in headers.items() if item[0] not in _NOT_PASSED]
+    if not any(name == "x-request-id" for name, _ in passed):
+        passed.append(("x-request-id", request_id))
+    return passed
+
+
+def _time_allowed_ms(
+    context: EntryContext, headers: Mapping[str, str], spec: ServiceSpec
+) -> Result[int, Fault]:
+    if DEADLINE_HEADER not in headers:
+        return Ok(spec.request_timeout_ms)
+    return read_deadline_ms(context, headers)
+
+
+def _request_headers(
+    headers: Mapping[str, str], member: str, request_id: str
+) -> list[tuple[str, str]]:
+    """Return what the service gets; a member's key for us is none of its business."""
+    passed = [item for item in headers.items() if item[0] not in _NOT_PASSED]
+    if member != ANONYMOUS:
+        passed = [item for item in passed if item[0] != "authorization"]
+    if "x-request-id" not in headers:
+        passed.append(("x-request-id", request_id))
+    return passed
+
+
+def _target_at_service(target: str) -> str:
+    """Return ``/path?query`` of a target ``/services/NAME/path?query``, as it was written."""
+    path, mark, query = target.partition("?")
+    parts = path.split("/", 3)
+    rest = parts[3] if len(parts) > 3 else ""
+    return f"/{rest}{mark}{query}"
--- /dev/null
+++ b/src/fescuedock/entry/services.py
@@ -0,0 +1,209 @@
+"""Calls to plain services: any method under ``/services/{service}/``.
+
+A call that may be repeated is retried under the budget.  One that may not, by the service's
+configuration or its own mark, is sent at most once; with an ``Idempotency-Key`` that holds through
+resends at any entry.
+"""
+
+import random
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass
+
+import trio
+from result import Err, Ok, Result
+
+from fescuedock.clock import now_ms
+from fescuedock.entry.claiming import ClaimDesk
+from fescuedock.entry.context import EntryContext
+from fescuedock.entry.online_attempt import Attempt, UpstreamStalledError
+from fescuedock.entry.online_run import run_attempts
+from fescuedock.entry.online_state import OnlineState
+from fescuedock.entry.routes import Route
+from fescuedock.entry.service_call import (
+    ServiceCall,
+    open_attempt,
+    passed_headers,
+    read_service_call,
+)
+from fescuedock.faults import Fault
+from fescuedock.net.http_client import ClientResponse, ResponseLostError
+from fescuedock.net.http_server import Request, Responder
+from fescuedock.schema.claims import RecordedAnswer
+from fescuedock.schema.permits import AttemptOutcome
+from fescuedock.schema.result_codes import Outcome, ResultCode
+from fescuedock.schema.view import UpstreamRecord
+
+__all__ = ["routes"]
+
+# An answer up to this size is held until it is whole, so that a broken one can be tried again.
+_HELD_BYTES = 1024 * 1024
+_EVENT_STREAM = "text/event-stream"
+_JSON = "application/json"
+_RETRY_AFTER_MS = 1000
+
+# Told of an answer before the caller gets it.
+KeepAnswer = Callable[[RecordedAnswer], Awaitable[None]]
+
+
+class _BrokenAnswerError(Exception):
+    """The answer broke off after the caller had got a part of it."""
+
+
+def routes(context: EntryContext, rng: random.Random | None = None) -> list[Route]:
+    """Return the routes of plain services.  ``rng`` must be unguessable outside tests."""
+    state = OnlineState(context, rng or random.SystemRandom())
+    desk = ClaimDesk(context, state.rng)
+
+    async def call(request: Request, responder: Responder, values: dict[str, str]) -> None:
+        await _serve(state, desk, request, responder, values)
+
+    return [Route("*", "/services/{service}/{path*}", call)]
+
+
+async def _serve(
+    state: OnlineState,
+    desk: ClaimDesk,
+    request: Request,
+    responder: Responder,
+    values: dict[str, str],
+) -> None:
+    started_ms = now_ms()
+    request_id = request.headers.get("x-request-id") or state.new_identity()
+    headers = [("x-request-id", request_id)]
+    read = await read_service_call(state.context, request, values, request_id)
+    if isinstance(read, Err):
+        await responder.send_fault(read.err_value, headers)
+        return
+    call = read.ok_value
+    outcome = state.admission.admit(call.member, state.shares())
+    if isinstance(outcome, Ok):
+        try:
+            outcome = await _carry_out(state, desk, call, responder)
+        finally:
+            state.admission.release(call.member)
+    if isinstance(outcome, Err) and not responder.started:
+        await responder.send_fault(outcome.err_value, headers)
+    code = ResultCode.OK if isinstance(outcome, Ok) else outcome.err_value.code
+    state.context.metrics.record_online(call.service, call.member, now_ms() - started_ms, 0.0, code)
+
+
+async def _carry_out(
+    state: OnlineState, desk: ClaimDesk, call: ServiceCall, responder: Responder
+) -> Result[None, Fault]:
+    """Answer ``call``; a fault is the caller's answer unless a part of another one went out."""
+    if not call.idempotency_key:
+        return await _run(state, call, responder, _keep_nothing)
+    return await _run_claimed(state, desk, call, responder)
+
+
+async def _run_claimed(
+    state: OnlineState, desk: ClaimDesk, call: ServiceCall, responder: Responder
+) -> Result[None, Fault]:
+    made = await desk.make_claim(call)
+    if isinstance(made, Err):
+        return made
+    claim = made.ok_value
+    if isinstance(claim, RecordedAnswer):
+        await responder.send(claim.status, claim.body, _replay_headers(claim, call))
+        return Ok(None)
+    # The call goes on when its caller leaves: a resend finds the answer in the record.
+    with trio.CancelScope(shield=True):
+        outcome = await _run(state, call, responder, lambda answer: desk.keep(claim, answer))
+        if isinstance(outcome, Err) and outcome.err_value.outcome is Outcome.NOT_RUN:
+            await desk.release(claim)
+    return outcome
+
+
+async def _run(
+    state: OnlineState, call: ServiceCall, responder: Responder, keep: KeepAnswer
+) -> Result[None, Fault]:
+    """Send the call and its answer on within the deadline."""
+    sent = False
+
+    async def run_one(attempt: Attempt, upstream: UpstreamRecord) -> AttemptOutcome:
+        nonlocal sent
+        sent = True
+        with trio.move_on_after(call.spec.request_timeout_ms / 1000):
+            async with open_attempt(state.context.http, call, upstream) as response:
+                attempt.note_token(now_ms())
+                await _relay(attempt, call, response, responder, keep)
+                failed = response.status >= 500
+                return AttemptOutcome.SERVER_ERROR if failed else AttemptOutcome.COMPLETED
+        raise UpstreamStalledError(f"no answer in {call.spec.request_timeout_ms} ms")
+
+    try:
+        with trio.move_on_at(call.deadline_ms / 1000):
+            outcome = await run_attempts(state, call, run_one)
+            return outcome.map(lambda _: None)
+    except _BrokenAnswerError as error:
+        return Err(Fault(ResultCode.TRUNCATED, str(error)))
+    return Err(_deadline_fault(call, sent=sent))
+
+
+async def _relay(
+    attempt: Attempt,
+    call: ServiceCall,
+    response: ClientResponse,
+    responder: Responder,
+    keep: KeepAnswer,
+) -> None:
+    """Give the caller the answer: in one piece when it is small, else as it comes."""
+    chunks = response.chunks()
+    streamed = response.headers.get("content-type", "").startswith(_EVENT_STREAM)
+    held = await _read_held(chunks, 0 if streamed else _HELD_BYTES)
+    headers = passed_headers(response.headers, call.request_id)
+    kind = response.headers.get("content-type", "")
+    await keep(RecordedAnswer(response.status, kind, held.body if held.whole else b""))
+    if held.whole:
+        await responder.send(response.status, held.body, headers)
+        return
+    try:
+        async with responder.stream(response.status, headers) as output:
+            await output.write(held.body)
+            async for chunk in chunks:
+                await output.write(chunk)
+    except ResponseLostError as error:
+        attempt.outcome = AttemptOutcome.TRUNCATED
+        raise _BrokenAnswerError(str(error)) from error
+
+
+@dataclass(frozen=True, slots=True)
+class _Held:
+    """The beginning of an answer; ``whole`` says that it is all of it."""
+
+    body: bytes
+    whole: bool
+
+
+async def _read_held(chunks: AsyncIterator[bytes], limit_bytes: int) -> _Held:
+    parts: list[bytes] = []
+    size_bytes = 0
+    async for chunk in chunks:
+        parts.append(chunk)
+        size_bytes += len(chunk)
+        if size_bytes > limit_bytes:
+            return _Held(b"".join(parts), False)
+    return _Held(b"".join(parts), True)
+
+
+async def _keep_nothing(_answer: RecordedAnswer) -> None:
+    """Record no answer: the call has no Idempotency-Key."""
+
+
+def _replay_headers(answer: RecordedAnswer, call: ServiceCall) -> list[tuple[str, str]]:
+    return [
+        ("content-type", answer.content_type or _JSON),
+        ("x-request-id", call.request_id),
+        ("idempotent-replay", "true"),
+    ]
+
+
+def _deadline_fault(call: ServiceCall, *, sent: bool) -> Fault:
+    if not sent:
+        message = "no capacity came free within the deadline"
+        return Fault(ResultCode.DEADLINE_CANNOT_BE_MET, message, _RETRY_AFTER_MS)
+    if call.repeatable:
+        message = "no whole answer came within the deadline"
+        return Fault(ResultCode.UPSTREAM_TIMEOUT, message, _RETRY_AFTER_MS)
+    message = "the call may have run: no answer came within the deadline"
+    return Fault(ResultCode.EXECUTION_UNKNOWN, message)
--- a/src/fescuedock/schema/settings.py
+++ b/src/fescuedock/schema/settings.py
@@ -55,6 +55,13 @@
     )
     default_deadline_ms: Annotated[int, Meta(ge=1)] = 60000
     require_api_key: bool = False
+    claim_retention_s: Annotated[
+        int,
+        Meta(description="How long a resend with the same Idempotency-Key finds its call.", ge=60),
+    ] = 86400
+    claim_sweep_interval_ms: Annotated[
+        int, Meta(description="Between two removals of old claims.", ge=100)
+    ] = 3600000
 
 
 class CutOff(StrEnum):
