--- a/src/fescuedock/standin/platform.py
+++ b/src/fescuedock/standin/platform.py
@@ -71,16 +71,21 @@
         engine = EngineService(upstream_id, self._engine_core(), self._engine_orders())
         address = await self.nursery.start(engine.run, Address(self.settings.host, port))
         self.engines[upstream_id] = engine
-        service = self.settings.engine_service
+        service = service or self.settings.engine_service
         self._list(upstream_id, failure_domain, address, UpstreamKind.ENGINE, service)
         return engine
 
-    async def add_plain(self, upstream_id: str, failure_domain: str, port: int = 0) -> PlainService:
-        """Start one more plain service and show it in the VM list."""
+    async def add_plain(
+        self, upstream_id: str, failure_domain: str, port: int = 0, service: str = ""
+    ) -> PlainService:
+        """Start one more plain service and show it in the VM list.
+
+        Without ``service`` it belongs to the one of the settings.
+        """
         plain = PlainService(upstream_id)
         address = await self.nursery.start(plain.run, Address(self.settings.host, port))
         self.plain[upstream_id] = plain
-        service = self.settings.plain_service
+        service = service or self.settings.plain_service
         self._list(upstream_id, failure_domain, address, UpstreamKind.PLAIN, service)
         return plain
 
