--- a/src/fescuedock/core/job_keys.py
+++ b/src/fescuedock/core/job_keys.py
@@ -17,7 +17,7 @@
     "member_job_key",
     "member_job_prefix",
     "open_job_key",
-    "open_job_prefix",
+    "open_jobs_prefix",
 ]
 
 BUCKETS = 256
@@ -40,14 +40,14 @@
     return job_prefix(key_prefix, bucket_of(job_id)) + job_id
 
 
-def open_job_prefix(key_prefix: str, bucket: int) -> str:
-    """Return what the keys of the index of open jobs of ``bucket`` begin with."""
-    return f"{key_prefix}open/{bucket:02x}/"
+def open_jobs_prefix(key_prefix: str) -> str:
+    """Return what the keys of the index of open jobs begin with."""
+    return f"{key_prefix}open/"
 
 
 def open_job_key(key_prefix: str, job_id: str) -> str:
     """Return the key that shows the job in the index of open jobs."""
-    return open_job_prefix(key_prefix, bucket_of(job_id)) + job_id
+    return f"{open_jobs_prefix(key_prefix)}{bucket_of(job_id):02x}/{job_id}"
 
 
 def member_job_prefix(key_prefix: str, member: str) -> str:
