--- a/src/fescuedock/standin/platform.py
+++ b/src/fescuedock/standin/platform.py
@@ -65,9 +65,12 @@
         )
 
     async def add_engine(
-        self, upstream_id: str, failure_domain: str, port: int = 0
+        self, upstream_id: str, failure_domain: str, port: int = 0, service: str = ""
     ) -> EngineService:
-        """Start one more engine and show it in the VM list."""
+        """Start one more engine and show it in the VM list.
+
+        Without ``service`` it belongs to the one of the settings.
+        """
         engine = EngineService(upstream_id, self._engine_core(), self._engine_orders())
         address = await self.nursery.start(engine.run, Address(self.settings.host, port))
         self.engines[upstream_id] = engine
