--- a/src/fescuedock/report/metrics.py
+++ b/src/fescuedock/report/metrics.py
@@ -1,9 +1,10 @@
 """What a program counts: latency histograms, result codes, and promises kept.
 
-A snapshot can be merged with those of other processes without loss.  Names of members never
-appear: they are counted by group, and groups and services are bounded in number.
+A snapshot can be merged with those of other processes without loss.  Members are counted by group
+and never by name, and services are bounded in number, so that what is kept stays small.
 """
 
+import zlib
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -16,10 +17,10 @@
 from fescuedock.schema.report import CodeCount, LatencyHistogram, MetricsSnapshot, ServiceSlots
 from fescuedock.schema.result_codes import ResultCode
 
-__all__ = ["HistogramKey", "Measure", "Metrics", "new_histogram"]
+__all__ = ["HistogramKey", "Measure", "Metrics", "group_of", "new_histogram"]
 
 _MAX_SERVICES = 64
-_MAX_GROUPS = 8
+_MEMBER_GROUPS = 8
 _OTHER = "other"
 _US_PER_MS = 1000
 _HIGHEST_US = 3600 * 1000 * 1000
@@ -65,7 +66,7 @@
     ``process`` names it across the fleet; ``objectives`` gives those now in force for a service.
     """
 
-    __slots__ = ("_clock", "_codes", "_groups", "_histograms", "_objectives", "_process", "_series")
+    __slots__ = ("_clock", "_codes", "_histograms", "_objectives", "_process", "_series")
 
     def __init__(
         self, process: str, unix_clock: UnixClock, objectives: ObjectivesOf | None = None
@@ -76,12 +77,11 @@
         self._series: dict[str, SlotSeries] = {}
         self._histograms: dict[HistogramKey, HdrHistogram] = {}
         self._codes: Counter[tuple[str, int]] = Counter()
-        self._groups: set[str] = set()
 
     def record_online(
         self,
         service: str,
-        member_group: str,
+        member: str,
         first_token_ms: float,
         inter_token_ms: float,
         code: ResultCode,
@@ -104,17 +104,16 @@
         )
         self._series[service].count_online(self._clock(), in_time=in_time, failed=not answered)
         if answered:
-            group = self._bounded_group(member_group)
+            group = group_of(member)
             self._record(service, _ONLINE, group, Measure.FIRST_TOKEN, first_token_ms)
             if inter_token_ms:
                 self._record(service, _ONLINE, group, Measure.INTER_TOKEN, inter_token_ms)
 
-    def record_item(self, service: str, member_group: str, run_ms: float, code: ResultCode) -> None:
+    def record_item(self, service: str, member: str, run_ms: float, code: ResultCode) -> None:
         """Count one batch item at its end; ``run_ms`` from its dispatch."""
         service = self._bounded_service(service)
         self._codes[service, int(code)] += 1
-        group = self._bounded_group(member_group)
-        self._record(service, _BATCH, group, Measure.ITEM, run_ms)
+        self._record(service, _BATCH, group_of(member), Measure.ITEM, run_ms)
 
     def record_job(self, service: str, in_time: bool) -> None:
         """Count one batch job when it is whole, or when its deadline has passed before."""
@@ -150,11 +149,10 @@
             self._series.setdefault(service, SlotSeries())
         return service
 
-    def _bounded_group(self, group: str) -> str:
-        if group not in self._groups and len(self._groups) >= _MAX_GROUPS:
-            return _OTHER
-        self._groups.add(group)
-        return group
+
+def group_of(member: str) -> str:
+    """Return the group that ``member`` is counted in, the same in every process."""
+    return f"group-{zlib.crc32(member.encode()) % _MEMBER_GROUPS}"
 
 
 def _default_objectives(_service: str) -> Objectives:
--- a/tests/test_report_metrics.py
+++ b/tests/test_report_metrics.py
@@ -116,7 +116,7 @@
         services = {item.service for item in snapshot.services}
         groups = {item.member_group for item in snapshot.histograms}
         self.assertLessEqual(len(services), 65)
-        self.assertLessEqual(len(groups), 9)
+        self.assertLessEqual(len(groups), 8)
         self.assertEqual(sum(item.total.online for item in snapshot.services), 2700)
 
     def test_value_out_of_range_is_kept_at_the_end_of_the_range(self) -> None:
