--- /dev/null
+++ b/src/fescuedock/batch/attempts.py
@@ -0,0 +1,164 @@
+"""Runs one item once at one upstream and reports how that ended."""
+
+from dataclasses import dataclass, field
+
+import msgspec
+import trio
+
+from fescuedock.agent.permit_client import Grant
+from fescuedock.clock import now_ms
+from fescuedock.core.batch.answers import ItemLine, read_line
+from fescuedock.core.batch.assembly import AnswerAssembly, can_stream
+from fescuedock.core.batch.items import AttemptEnd, EndKind, Item
+from fescuedock.platform.engine import (
+    EngineClient,
+    EngineError,
+    NotSentError,
+    ResponseLostError,
+    ResumePoint,
+)
+from fescuedock.schema.permits import AttemptOutcome, EndedPermit, WorkClass
+from fescuedock.schema.view import UpstreamKind, UpstreamRecord
+
+__all__ = ["Attempt", "run_attempt"]
+
+_CHAT_URL = "/v1/chat/completions"
+_SERVICE_DEPTH = 3
+_BUSY_STATUSES = (429, 503)
+_OUTCOMES = {
+    EndKind.DONE: AttemptOutcome.COMPLETED,
+    EndKind.REJECTED: AttemptOutcome.CLIENT_ERROR,
+    EndKind.SERVER_ERROR: AttemptOutcome.SERVER_ERROR,
+    EndKind.NOT_SENT: AttemptOutcome.CONNECT_REFUSED,
+    EndKind.BUSY: AttemptOutcome.SERVER_ERROR,
+    EndKind.DIED: AttemptOutcome.TRUNCATED,
+    EndKind.REVOKED: AttemptOutcome.REVOKED,
+    EndKind.STOPPED: AttemptOutcome.CANCELLED,
+}
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One attempt in progress; cancelling ``scope`` stops it.
+
+    ``stall_timeout_ms`` bounds the wait for the next token, or for an answer that is not streamed.
+    """
+
+    item: Item
+    upstream: UpstreamRecord
+    grant: Grant
+    stall_timeout_ms: float
+    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+    started_ms: float = 0.0
+    first_token_ms: float = -1.0
+
+
+async def run_attempt(engine: EngineClient, attempt: Attempt) -> AttemptEnd:
+    """Run the attempt to its end, give its permit back, and return how it ended.
+
+    A revoked permit or a cancelled scope closes the connection, which cancels the stream; what was
+    generated till then is in the result.
+    """
+    item = attempt.item
+    line = read_line(item.line)
+    gathered = AnswerAssembly(line.url == _CHAT_URL, item.text, item.tokens)
+    attempt.started_ms = now_ms()
+    end = AttemptEnd(EndKind.STOPPED)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_cancel_when_revoked, attempt)
+        with attempt.scope:
+            end = await _judged(engine, attempt, line, gathered)
+        nursery.cancel_scope.cancel()
+    if end.kind is EndKind.STOPPED and attempt.grant.revoked.is_set():
+        end = AttemptEnd(EndKind.REVOKED)
+    if end.kind is not EndKind.DONE:
+        end = AttemptEnd(end.kind, end.status, end.body, gathered.text, gathered.tokens)
+    _give_back(attempt, end, gathered.tokens - item.tokens)
+    return end
+
+
+async def _cancel_when_revoked(attempt: Attempt) -> None:
+    await attempt.grant.revoked.wait()
+    attempt.scope.cancel()
+
+
+async def _judged(
+    engine: EngineClient, attempt: Attempt, line: ItemLine, gathered: AnswerAssembly
+) -> AttemptEnd:
+    """Make the call and tell from its end what to think of it."""
+    try:
+        with trio.CancelScope() as stall:
+            answer = await _answer(engine, attempt, line, gathered, stall)
+    except NotSentError as error:
+        return AttemptEnd(EndKind.NOT_SENT, body=str(error).encode())
+    except ResponseLostError as error:
+        return AttemptEnd(EndKind.DIED, body=str(error).encode())
+    except EngineError as error:
+        return AttemptEnd(_kind_of(error), error.status, error.body)
+    if stall.cancelled_caught:
+        return AttemptEnd(EndKind.DIED, body=b"no answer in time")
+    return AttemptEnd(EndKind.DONE, 200, answer)
+
+
+async def _answer(
+    engine: EngineClient,
+    attempt: Attempt,
+    line: ItemLine,
+    gathered: AnswerAssembly,
+    stall: trio.CancelScope,
+) -> bytes:
+    """Return the JSON of the whole answer, moving the deadline of ``stall`` on at each token."""
+    body = msgspec.json.decode(line.body)
+    stall_s = attempt.stall_timeout_ms / 1000
+    stall.deadline = trio.current_time() + stall_s
+    attempt_id = attempt.grant.permit_id
+    if attempt.upstream.kind is UpstreamKind.PLAIN or not can_stream(body):
+        path = _path_at(attempt.upstream, line.url)
+        return await engine.call(attempt.upstream, path, body, attempt_id)
+    body["stream_options"] = {"include_usage": True}
+    resume = ResumePoint(gathered.tokens, gathered.text) if gathered.tokens else None
+    async with engine.stream(attempt.upstream, line.url, body, attempt_id, resume) as stream:
+        async for event in stream:
+            stall.deadline = trio.current_time() + stall_s
+            if event.text:
+                _note_token(attempt)
+            gathered.add(event.data, event.text, event.finished)
+    return gathered.body()
+
+
+def _note_token(attempt: Attempt) -> None:
+    attempt.grant.count_token()
+    if attempt.first_token_ms < 0:
+        attempt.first_token_ms = now_ms() - attempt.started_ms
+
+
+def _path_at(upstream: UpstreamRecord, url: str) -> str:
+    """Return the path that the upstream knows: a plain service's own, without our prefix."""
+    if upstream.kind is not UpstreamKind.PLAIN:
+        return url
+    return "/" + url.split("/", _SERVICE_DEPTH)[_SERVICE_DEPTH]
+
+
+def _kind_of(error: EngineError) -> EndKind:
+    if error.status in _BUSY_STATUSES:
+        return EndKind.BUSY
+    return EndKind.REJECTED if error.is_permanent else EndKind.SERVER_ERROR
+
+
+def _give_back(attempt: Attempt, end: AttemptEnd, tokens: int) -> None:
+    """End the permit, with what the attempt showed about the upstream."""
+    inter_token_ms = -1.0
+    if tokens > 1 and attempt.first_token_ms >= 0:
+        streamed_ms = now_ms() - attempt.started_ms - attempt.first_token_ms
+        inter_token_ms = streamed_ms / (tokens - 1)
+    attempt.grant.end(
+        EndedPermit(
+            permit_id=attempt.grant.permit_id,
+            upstream_id=attempt.upstream.upstream_id,
+            outcome=_OUTCOMES[end.kind],
+            work_class=WorkClass.BATCH,
+            first_token_ms=attempt.first_token_ms,
+            inter_token_ms=inter_token_ms,
+            generated_tokens=max(tokens, 0),
+        )
+    )
--- /dev/null
+++ b/src/fescuedock/batch/context.py
@@ -0,0 +1,58 @@
+"""What the tasks of a batch runner share."""
+
+import random
+from dataclasses import dataclass, field
+
+import trio
+
+from fescuedock.agent.link import FleetView
+from fescuedock.agent.permit_client import PermitClient
+from fescuedock.clock import UnixClock
+from fescuedock.core.batch.scheduler import ItemScheduler
+from fescuedock.core.batch.takeover import RunnerName
+from fescuedock.platform.engine import EngineClient
+from fescuedock.platform.kv import KvStore
+from fescuedock.settings import Settings
+from fescuedock.store.client import StoreClient
+
+__all__ = ["RunnerContext", "WorkSignal"]
+
+
+class WorkSignal:
+    """Wakes the tasks that wait for items to run."""
+
+    __slots__ = ("_event",)
+
+    def __init__(self) -> None:
+        self._event = trio.Event()
+
+    def notify(self) -> None:
+        self._event.set()
+        self._event = trio.Event()
+
+    async def wait(self, timeout_ms: float) -> None:
+        """Return at the next ``notify``, or after ``timeout_ms``."""
+        event = self._event
+        with trio.move_on_after(timeout_ms / 1000):
+            await event.wait()
+
+
+@dataclass(slots=True)
+class RunnerContext:
+    """Wired once by ``run_batch``."""
+
+    settings: Settings
+    name: RunnerName
+    view: FleetView
+    permits: PermitClient
+    stores: StoreClient
+    engine: EngineClient
+    kv: KvStore
+    unix_clock: UnixClock
+    scheduler: ItemScheduler
+    random: random.Random
+    signal: WorkSignal = field(default_factory=WorkSignal)
+
+    def work_changed(self) -> None:
+        """Let those who ask for permits look for work again."""
+        self.signal.notify()
--- /dev/null
+++ b/src/fescuedock/batch/dispatch.py
@@ -0,0 +1,164 @@
+"""Asks the owners of upstreams for permits and runs an item on each that is granted.
+
+The item is chosen only when the permit is there, so that it serves the most urgent one.
+"""
+
+from collections.abc import Callable
+from secrets import token_hex
+
+import trio
+from result import Ok, Result
+
+from fescuedock.agent.permit_client import Grant
+from fescuedock.batch.attempts import Attempt, run_attempt
+from fescuedock.batch.context import RunnerContext
+from fescuedock.batch.jobs import JobTask
+from fescuedock.clock import now_ms
+from fescuedock.core.batch.job import JobRun
+from fescuedock.core.batch.scheduler import Assignment
+from fescuedock.faults import Fault
+from fescuedock.schema.config import MemberSpec, ServiceSpec
+from fescuedock.schema.permits import AttemptOutcome, EndedPermit, PermitAsk, WorkClass
+from fescuedock.schema.view import UpstreamRecord
+
+__all__ = ["Dispatcher"]
+
+_IDLE_WAIT_MS = 500.0
+_EMPTY_GRANT_PAUSE_MS = 50.0
+_REFUSED_PAUSE_MS = 100.0
+# An ask may be late by this much beyond the time it may stay queued.
+_ASK_MARGIN_MS = 500.0
+_RECHECK_S = 1.0
+_BYTES_PER_TOKEN = 4
+_MAX_SLACK_MS = 2**31 - 1
+
+# Finds the running job of a state machine.
+TaskOf = Callable[[str], JobTask | None]
+
+
+class Dispatcher:
+    """Keeps asks open at the owner of each upstream whose service has jobs here."""
+
+    __slots__ = ("_asking", "_context", "_nursery", "_stopping", "_task_of")
+
+    def __init__(self, context: RunnerContext, task_of: TaskOf) -> None:
+        self._context = context
+        self._task_of = task_of
+        self._asking: set[str] = set()
+        self._stopping = False
+
+    def stop(self) -> None:
+        """Start no further item."""
+        self._stopping = True
+        self._context.work_changed()
+
+    async def run(self) -> None:
+        """Follow the fleet view; never returns."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            while True:
+                self._context.scheduler.choose_loaded(now_ms())
+                for upstream in list(self._context.view.upstreams.values()):
+                    if self._is_wanted(upstream.upstream_id):
+                        self._start(upstream.upstream_id)
+                seen = self._context.view.version
+                with trio.move_on_after(_RECHECK_S):
+                    await self._context.view.wait_changed(seen)
+
+    def _start(self, upstream_id: str) -> None:
+        if upstream_id in self._asking:
+            return
+        self._asking.add(upstream_id)
+        self._nursery.start_soon(self._ask_of, upstream_id)
+
+    def _is_wanted(self, upstream_id: str) -> bool:
+        upstream = self._context.view.upstreams.get(upstream_id)
+        return upstream is not None and not upstream.leaving and not self._stopping
+
+    async def _ask_of(self, upstream_id: str) -> None:
+        async with trio.open_nursery() as nursery:
+            for _ in range(self._context.settings.batch.open_asks):
+                nursery.start_soon(self._ask_forever, upstream_id)
+        self._asking.discard(upstream_id)
+
+    async def _ask_forever(self, upstream_id: str) -> None:
+        """Ask for one permit after the other while the upstream is there."""
+        context = self._context
+        while self._is_wanted(upstream_id):
+            upstream = context.view.upstreams[upstream_id]
+            run = context.scheduler.next_run(upstream.service, upstream_id, now_ms())
+            if run is None:
+                await context.signal.wait(_IDLE_WAIT_MS)
+                continue
+            result = await self._ask(upstream, run)
+            if isinstance(result, Ok):
+                await self._use(upstream, result.ok_value)
+                continue
+            pause_ms = max(result.err_value.retry_after_ms, _REFUSED_PAUSE_MS)
+            await trio.sleep(pause_ms * context.random.uniform(0.5, 1.5) / 1000)
+
+    async def _ask(self, upstream: UpstreamRecord, run: JobRun) -> Result[Grant, Fault]:
+        context = self._context
+        wait_ms = context.settings.batch.ask_wait_ms
+        now = now_ms()
+        item = run.peek(now)
+        slack_ms = context.scheduler.slack_ms(run, now)
+        ask = PermitAsk(
+            upstream_id=upstream.upstream_id,
+            attempt_id=token_hex(16),
+            holder_id=context.permits.holder_id,
+            service=upstream.service,
+            member=run.record.member,
+            work_class=WorkClass.BATCH,
+            slack_ms=int(min(max(slack_ms, -_MAX_SLACK_MS), _MAX_SLACK_MS)),
+            prompt_tokens=len(item.line) // _BYTES_PER_TOKEN if item else 0,
+            wait_ms=wait_ms,
+        )
+        return await context.permits.ask(ask, wait_ms + _ASK_MARGIN_MS)
+
+    async def _use(self, upstream: UpstreamRecord, grant: Grant) -> None:
+        """Run an item under ``grant``, or give it back at once when there is none any more."""
+        scheduler = self._context.scheduler
+        assignment = None
+        if self._is_wanted(upstream.upstream_id) and not grant.revoked.is_set():
+            assignment = scheduler.take(
+                upstream.service, upstream.upstream_id, self._share_of, now_ms()
+            )
+        if assignment is None:
+            grant.end(_unused(grant))
+            await trio.sleep(_EMPTY_GRANT_PAUSE_MS / 1000)
+            return
+        # What is polled by the job itself, such as the next input, may be due now.
+        task = self._task_of(assignment.run.job_id)
+        task.wake()
+        self._nursery.start_soon(self._run_item, task, assignment, upstream, grant)
+
+    async def _run_item(
+        self, task: JobTask, assignment: Assignment, upstream: UpstreamRecord, grant: Grant
+    ) -> None:
+        context = self._context
+        spec = context.view.configuration.services.get(upstream.service)
+        timeout_ms = spec.request_timeout_ms if spec else ServiceSpec.request_timeout_ms
+        attempt = Attempt(assignment.item, upstream, grant, timeout_ms)
+        task.attempts.add(attempt.scope)
+        try:
+            end = await run_attempt(context.engine, attempt)
+        finally:
+            task.attempts.discard(attempt.scope)
+        context.scheduler.on_ended(assignment, now_ms())
+        task.run.on_attempt_ended(assignment.item, end, now_ms())
+        task.wake()
+        context.work_changed()
+
+    def _share_of(self, member: str) -> float:
+        spec = self._context.view.configuration.members.get(member)
+        return (spec or MemberSpec()).share
+
+
+def _unused(grant: Grant) -> EndedPermit:
+    return EndedPermit(
+        permit_id=grant.permit_id,
+        upstream_id=grant.upstream_id,
+        outcome=AttemptOutcome.CANCELLED,
+        work_class=WorkClass.BATCH,
+    )
--- /dev/null
+++ b/src/fescuedock/batch/jobs.py
@@ -0,0 +1,183 @@
+"""Runs the state machine of one job: carries out its actions and reports their answers to it."""
+
+import trio
+from result import Err, Ok
+
+from fescuedock.batch.context import RunnerContext
+from fescuedock.clock import now_ms
+from fescuedock.core.batch.actions import (
+    Action,
+    AppendLog,
+    CleanUp,
+    PutSegment,
+    ReadInput,
+    ReadLog,
+    ReadRecord,
+    StopAttempts,
+    WriteRecord,
+)
+from fescuedock.core.batch.job import JobRun, Moment
+from fescuedock.core.batch.record import decode_record, encode_record
+from fescuedock.core.job_keys import job_key, open_job_key
+from fescuedock.core.segments import item_lines
+from fescuedock.log import log_event
+from fescuedock.schema.result_codes import ResultCode
+
+__all__ = ["JobTask", "clean_up"]
+
+_CLEAN_UP_TRIES = 5
+_CLEAN_UP_PAUSE_S = 0.5
+
+
+class JobTask:
+    """One job that this runner has claimed or is claiming."""
+
+    __slots__ = ("_changed", "_context", "attempts", "run")
+
+    def __init__(self, context: RunnerContext, run: JobRun) -> None:
+        self.run = run
+        # Scopes of the attempts in progress.
+        self.attempts: set[trio.CancelScope] = set()
+        self._context = context
+        self._changed = trio.Event()
+
+    def wake(self) -> None:
+        """Look at the state machine again: something was reported to it."""
+        self._changed.set()
+
+    async def work(self) -> None:
+        """Run until this runner has nothing more to do with the job."""
+        log_event("job_taken", job_id=self.run.job_id)
+        clean = False
+        async with trio.open_nursery() as nursery:
+            while not self.run.over:
+                self._changed = trio.Event()
+                for action in self.run.poll(self._moment()):
+                    if isinstance(action, StopAttempts):
+                        self.stop_attempts()
+                    elif isinstance(action, CleanUp):
+                        clean = True
+                    else:
+                        nursery.start_soon(self._execute, action)
+                self._context.work_changed()
+                if not self.run.over:
+                    await self._wait()
+            self.stop_attempts()
+            nursery.cancel_scope.cancel()
+        self._report_end()
+        if clean:
+            await clean_up(self._context, self.run.job_id)
+
+    def stop_attempts(self) -> None:
+        """Cancel every attempt of the job in progress."""
+        for scope in self.attempts:
+            scope.cancel()
+
+    def _moment(self) -> Moment:
+        return Moment(now_ms(), self._context.unix_clock())
+
+    async def _wait(self) -> None:
+        wake_at_ms = self.run.wake_at_ms(now_ms())
+        with trio.move_on_at(wake_at_ms / 1000):
+            await self._changed.wait()
+
+    def _report_end(self) -> None:
+        run = self.run
+        record = run.record
+        log_event(
+            "job_left",
+            job_id=run.job_id,
+            phase=run.phase.value,
+            epoch=run.epoch,
+            succeeded=record.succeeded if record else 0,
+            failed=record.failed if record else 0,
+            reused=run.reused,
+        )
+
+    async def _execute(self, action: Action) -> None:
+        match action:
+            case ReadRecord():
+                await self._read_record()
+            case WriteRecord():
+                await self._write_record(action)
+            case ReadLog():
+                await self._read_log()
+            case AppendLog():
+                await self._append_log(action)
+            case PutSegment():
+                await self._put_segment(action)
+            case ReadInput():
+                await self._read_input(action)
+        self.wake()
+
+    async def _read_record(self) -> None:
+        result = await self._context.kv.get(self._key())
+        if isinstance(result, Err):
+            self.run.on_kv_failed(result.err_value.code, now_ms())
+            return
+        entry = result.ok_value
+        record = decode_record(entry.value) if entry else None
+        self.run.on_record(record, entry.mod_revision if entry else 0)
+
+    async def _write_record(self, action: WriteRecord) -> None:
+        # What became of a write without an answer is for the state machine to find out: it knows
+        # from the epoch and the items what is its own.
+        value = encode_record(action.record)
+        result = await self._context.kv.put_if(self._key(), value, action.expected_revision)
+        if isinstance(result, Ok):
+            self.run.on_written(result.ok_value)
+        else:
+            self.run.on_kv_failed(result.err_value.code, now_ms())
+
+    async def _read_log(self) -> None:
+        def take(records: list[bytes]) -> None:
+            self.run.on_log_page(records, now_ms())
+            self.wake()
+
+        result = await self._context.stores.read_log(self.run.job_id, take)
+        self.run.on_log_end(result.is_ok(), now_ms())
+
+    async def _append_log(self, action: AppendLog) -> None:
+        result = await self._context.stores.append_log(self.run.job_id, action.records)
+        if isinstance(result, Err):
+            log_event("log_not_written", job_id=self.run.job_id, fault=str(result.err_value))
+        self.run.on_logged()
+
+    async def _put_segment(self, action: PutSegment) -> None:
+        result = await self._context.stores.put_segment(action.body, action.items)
+        if isinstance(result, Ok):
+            self.run.on_segment(action.number, result.ok_value)
+        else:
+            log_event("segment_not_written", job_id=self.run.job_id, fault=str(result.err_value))
+            self.run.on_segment_failed(action.number, now_ms())
+
+    async def _read_input(self, action: ReadInput) -> None:
+        result = await self._context.stores.get_segment(action.ref)
+        lines = item_lines(result.ok_value) if isinstance(result, Ok) else []
+        if len(lines) != action.ref.items:
+            log_event("input_not_read", job_id=self.run.job_id, index=action.index)
+            self.run.on_input_failed(now_ms())
+            return
+        self.run.on_input(action.index, lines, now_ms())
+
+    def _key(self) -> str:
+        return job_key(self._context.settings.platform.key_prefix, self.run.job_id)
+
+
+async def clean_up(context: RunnerContext, job_id: str) -> None:
+    """Take a final job off the index of open jobs and drop its log.
+
+    What fails here is done again by the next scan that finds the job in the index.
+    """
+    await context.stores.drop_log(job_id)
+    key = open_job_key(context.settings.platform.key_prefix, job_id)
+    for _ in range(_CLEAN_UP_TRIES):
+        found = await context.kv.get(key)
+        if isinstance(found, Ok):
+            entry = found.ok_value
+            if entry is None:
+                return
+            deleted = await context.kv.delete_if(key, entry.mod_revision)
+            if isinstance(deleted, Ok) or deleted.err_value.code is ResultCode.KV_CONFLICT:
+                return
+        await trio.sleep(_CLEAN_UP_PAUSE_S)
--- /dev/null
+++ b/src/fescuedock/batch/runner.py
@@ -0,0 +1,204 @@
+"""The jobs of one runner: which it takes, and what it answers when asked about them."""
+
+import msgspec
+import trio
+from result import Err, Ok
+
+from fescuedock.batch.context import RunnerContext
+from fescuedock.batch.jobs import JobTask, clean_up
+from fescuedock.clock import now_ms
+from fescuedock.core.batch.job import JobRun
+from fescuedock.core.batch.record import decode_record, is_final
+from fescuedock.core.batch.takeover import (
+    OwnerAnswer,
+    RunnerName,
+    SilenceLog,
+    Verdict,
+    chosen_runner,
+    judge,
+)
+from fescuedock.core.job_keys import job_key
+from fescuedock.log import log_event
+from fescuedock.net.address import Address
+from fescuedock.net.channel import ServerPeer
+from fescuedock.net.channel_pool import ChannelPool
+from fescuedock.schema.batch import JobCheck, JobCheckReply, JobPush, JobRecord
+from fescuedock.schema.view import Program, VmRecord
+
+__all__ = ["Runner"]
+
+_CHECK_TIMEOUT_MS = 1000
+
+
+class Runner:
+    """Takes the jobs that are pushed to it, unless their owners still run them."""
+
+    __slots__ = (
+        "_channels",
+        "_considering",
+        "_context",
+        "_nursery",
+        "_owners",
+        "_silence",
+        "_stopping",
+        "_tasks",
+    )
+
+    def __init__(
+        self, context: RunnerContext, channels: ChannelPool, nursery: trio.Nursery
+    ) -> None:
+        self._context = context
+        self._channels = channels
+        self._nursery = nursery
+        self._tasks: dict[str, JobTask] = {}
+        self._considering: set[str] = set()
+        # Owners of jobs that are not ours, so that a scan costs no call of the service.
+        self._owners: dict[str, str] = {}
+        self._silence = SilenceLog()
+        self._stopping = False
+
+    async def handle(self, message: msgspec.Struct, _peer: ServerPeer) -> msgspec.Struct | None:
+        """Answer one message of an entry, a scanner or another runner."""
+        match message:
+            case JobPush():
+                self.push(message)
+            case JobCheck():
+                task = self._tasks.get(message.job_id)
+                running = task is not None and not task.run.over
+                return JobCheckReply(running, str(self._context.name))
+        return None
+
+    def push(self, message: JobPush) -> None:
+        """Look at a job that was named; a cancel of a running one takes effect at once."""
+        task = self._tasks.get(message.job_id)
+        if task is not None:
+            task.run.on_pushed(message.cancelled)
+            task.wake()
+        elif not self._stopping and message.job_id not in self._considering:
+            self._considering.add(message.job_id)
+            self._nursery.start_soon(self._consider, message)
+
+    def task_of(self, job_id: str) -> JobTask | None:
+        """Return the task of a job that runs here."""
+        return self._tasks.get(job_id)
+
+    @property
+    def tasks(self) -> list[JobTask]:
+        return list(self._tasks.values())
+
+    def stop(self) -> None:
+        """Take no further job."""
+        self._stopping = True
+
+    async def hand_over(self) -> None:
+        """Name this runner's jobs to the runners that come next, and forget them."""
+        others = [vm for vm in self._live_runners() if vm.vm_id != self._context.name.vm_id]
+        for job_id in list(self._tasks):
+            del self._tasks[job_id]
+            heir = chosen_runner(job_id, others)
+            if heir is not None:
+                channel = await self._channels.client(Address(heir.host, heir.batch_port))
+                channel.push(JobPush(job_id))
+
+    async def pass_on(self, job_id: str) -> None:
+        """Name an open job to the runner that should own it."""
+        chosen = chosen_runner(job_id, self._live_runners())
+        if chosen is None or chosen.vm_id == self._context.name.vm_id:
+            self.push(JobPush(job_id))
+            return
+        channel = await self._channels.client(Address(chosen.host, chosen.batch_port))
+        channel.push(JobPush(job_id))
+
+    def _live_runners(self) -> list[VmRecord]:
+        return self._context.view.live_vms(Program.BATCH)
+
+    async def _consider(self, message: JobPush) -> None:
+        try:
+            if await self._is_ours_to_take(message):
+                self._take(message.job_id)
+        finally:
+            self._considering.discard(message.job_id)
+
+    async def _is_ours_to_take(self, message: JobPush) -> bool:
+        """Find out whether the job has no owner that goes on with it."""
+        job_id = message.job_id
+        known = self._owners.get(job_id)
+        asked = known is not None and not message.cancelled
+        if asked and await self._verdict(job_id, known) is Verdict.LEAVE:
+            return False
+        record = await self._read(job_id)
+        if record is None:
+            return False
+        if is_final(record):
+            self._owners.pop(job_id, None)
+            await clean_up(self._context, job_id)
+            return False
+        self._owners[job_id] = record.owner
+        if asked and record.owner == known:
+            return True
+        if await self._verdict(job_id, record.owner) is Verdict.CLAIM:
+            return True
+        if message.cancelled:
+            await self._tell_owner(record.owner, message)
+        return False
+
+    async def _verdict(self, job_id: str, owner: str) -> Verdict:
+        """Decide about a job that is recorded as ``owner``'s, asking it if need be."""
+        vm = self._context.view.vms.get(RunnerName.parse(owner).vm_id)
+        name = self._context.name
+        silence_ms = self._context.settings.batch.takeover_silence_ms
+        verdict = judge(owner, name, vm, None, 0.0, silence_ms)
+        if verdict is not Verdict.ASK_OWNER:
+            return verdict
+        answer = await self._ask_owner(job_id, owner, Address(vm.host, vm.batch_port))
+        silent_ms = 0.0
+        if answer is OwnerAnswer.SILENT:
+            silent_ms = self._silence.silent_ms(job_id, now_ms())
+        else:
+            self._silence.clear(job_id)
+        return judge(owner, name, vm, answer, silent_ms, silence_ms)
+
+    async def _ask_owner(self, job_id: str, owner: str, address: Address) -> OwnerAnswer:
+        channel = await self._channels.client(address)
+        result = await channel.call(JobCheck(job_id), _CHECK_TIMEOUT_MS)
+        match result:
+            case Ok(JobCheckReply(running=True, owner=name)) if name == owner:
+                return OwnerAnswer.RUNNING
+            case Ok(JobCheckReply()):
+                return OwnerAnswer.NOT_RUNNING
+        return OwnerAnswer.SILENT
+
+    async def _tell_owner(self, owner: str, message: JobPush) -> None:
+        vm = self._context.view.vms.get(RunnerName.parse(owner).vm_id)
+        if vm is not None:
+            channel = await self._channels.client(Address(vm.host, vm.batch_port))
+            channel.push(message)
+
+    async def _read(self, job_id: str) -> JobRecord | None:
+        key = job_key(self._context.settings.platform.key_prefix, job_id)
+        result = await self._context.kv.get(key)
+        if isinstance(result, Err):
+            log_event("job_not_read", job_id=job_id, fault=str(result.err_value))
+            return None
+        return decode_record(result.ok_value.value) if result.ok_value else None
+
+    def _take(self, job_id: str) -> None:
+        if self._stopping or job_id in self._tasks:
+            return
+        context = self._context
+        run = JobRun(job_id, str(context.name), context.settings.batch, context.random)
+        task = JobTask(context, run)
+        self._tasks[job_id] = task
+        self._silence.clear(job_id)
+        self._nursery.start_soon(self._work, task)
+
+    async def _work(self, task: JobTask) -> None:
+        scheduler = self._context.scheduler
+        scheduler.add(task.run)
+        try:
+            await task.work()
+        finally:
+            scheduler.remove(task.run)
+            if self._tasks.get(task.run.job_id) is task:
+                del self._tasks[task.run.job_id]
+        self._owners.pop(task.run.job_id, None)
--- /dev/null
+++ b/src/fescuedock/batch/scanner.py
@@ -0,0 +1,49 @@
+"""Reads the index of open jobs and names each job to the runner that should own it.
+
+Only a few runners of each failure domain do so; the others make no call of the key-value service
+for jobs that are not theirs.
+"""
+
+import trio
+from result import Err
+
+from fescuedock.batch.context import RunnerContext
+from fescuedock.batch.runner import Runner
+from fescuedock.core.batch.takeover import scans
+from fescuedock.core.job_keys import open_jobs_prefix
+from fescuedock.log import log_event
+from fescuedock.schema.view import Program
+
+__all__ = ["scan_forever"]
+
+_PAGE_JOBS = 1000
+
+
+async def scan_forever(context: RunnerContext, runner: Runner) -> None:
+    """Scan at the interval of the settings while this VM is one of its domain's scanners."""
+    batch = context.settings.batch
+    while True:
+        vms = context.view.live_vms(Program.BATCH)
+        if scans(context.name.vm_id, vms, batch.scanners_per_domain):
+            await _scan(context, runner)
+        # Jittered, so that the domains' scanners spread over the interval.
+        pause_ms = batch.scan_interval_ms * context.random.uniform(0.75, 1.25)
+        await trio.sleep(pause_ms / 1000)
+
+
+async def _scan(context: RunnerContext, runner: Runner) -> None:
+    prefix = open_jobs_prefix(context.settings.platform.key_prefix)
+    start_after = ""
+    while True:
+        page = await context.kv.get_range(
+            prefix, start_after=start_after, limit=_PAGE_JOBS, keys_only=True
+        )
+        if isinstance(page, Err):
+            log_event("open_jobs_not_read", fault=str(page.err_value))
+            return
+        entries = page.ok_value.entries
+        for entry in entries:
+            await runner.pass_on(entry.key.rpartition("/")[2])
+        if not page.ok_value.more or not entries:
+            return
+        start_after = entries[-1].key
--- a/src/fescuedock/schema/batch.py
+++ b/src/fescuedock/schema/batch.py
@@ -164,7 +164,7 @@
 
 class JobCheckReply(Struct):
     running: bool
-    epoch: int = 0
+    owner: Annotated[str, Meta(description="The runner that answers, as VM_ID/INCARNATION.")] = ""
 
 
 class FileRecord(Struct):
