--- /dev/null
+++ b/bench/mix_actors.py
@@ -0,0 +1,481 @@
+"""The actors of the mixed bench: owners, entries and a batch runner around the core's decisions.
+
+Messages take ``HOP_MS`` each way.  What decides is the code that ships (``core.permits``,
+``core.routing``); what is here only carries messages and plays the daemons' loops.
+"""
+
+import itertools
+import random
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from bench.mix_traffic import Arrival, Deployment, spread
+from bench.virtual import Attempt, VirtualEngine, VirtualLoop
+from fescuedock.core.permits.actions import Action, Granted, Refused, Revoked
+from fescuedock.core.permits.holder import HeldGrant, HolderBook
+from fescuedock.core.permits.local_limit import LocalLimit
+from fescuedock.core.permits.owner import OwnedUpstream, PermitOwner
+from fescuedock.core.permits.queue import UpstreamTerms
+from fescuedock.core.routing import (
+    Ask,
+    Candidate,
+    Demand,
+    RoutingPolicy,
+    SilentOwners,
+    choose_upstreams,
+    plan_asks,
+)
+from fescuedock.schema.permits import (
+    AttemptOutcome,
+    EndedPermit,
+    LoadSnapshot,
+    PermitAsk,
+    PermitRenew,
+    PermitsEnded,
+    WorkClass,
+)
+from fescuedock.schema.result_codes import ResultCode
+from fescuedock.schema.settings import PermitSettings
+
+__all__ = ["BatchRunner", "Entry", "Fleet", "OnlineResult", "OwnerHost", "OwnerFactory"]
+
+HOP_MS = 1.0
+VALID_MS = 2000
+TICK_MS = 10.0
+OWNER_TIMEOUT_MS = 25.0
+SERVICE = "service"
+
+OwnerFactory = Callable[[PermitSettings, int], PermitOwner]
+
+
+@dataclass(slots=True)
+class OnlineResult:
+    """What one online caller saw; gaps are times between tokens."""
+
+    arrival: Arrival
+    first_token_ms: float = -1.0
+    gaps_ms: list[float] = field(default_factory=list)
+    finished_ms: float = -1.0
+    refused: bool = False
+    # Where it ran last.
+    upstream_id: str = ""
+
+
+class OwnerHost:
+    """One agent that owns one upstream; a dead one is silent."""
+
+    def __init__(self, fleet: "Fleet", upstream_id: str, make: OwnerFactory) -> None:
+        self.fleet = fleet
+        self.upstream_id = upstream_id
+        self.alive = True
+        self._replies: dict[str, Callable[[Action, LoadSnapshot], None]] = {}
+        self._holders: dict[str, Holder] = {}
+        self.core = make(fleet.settings, VALID_MS)
+        terms = UpstreamTerms(fleet.deployment.objectives)
+        owned = {upstream_id: OwnedUpstream(SERVICE, terms)}
+        self.core.set_upstreams(owned, {SERVICE: len(fleet.engines)}, fleet.loop.now_ms)
+        fleet.loop.after(TICK_MS, self._tick)
+        fleet.loop.after(fleet.settings.load_poll_ms, self._poll)
+
+    def ask(self, ask: PermitAsk, holder: "Holder", reply: Callable) -> None:
+        if not self.alive:
+            return
+        self._holders[holder.holder_id] = holder
+        self._replies[ask.attempt_id] = reply
+        self._perform(self.core.ask(ask, self.fleet.loop.now_ms))
+
+    def renew(self, message: PermitRenew, holder: "Holder", reply: Callable) -> None:
+        if not self.alive:
+            return
+        self._holders[holder.holder_id] = holder
+        renewal = self.core.renew(message, self.fleet.loop.now_ms)
+        self._perform(renewal.actions)
+        self.fleet.loop.after(HOP_MS, reply, renewal.reply)
+
+    def end(self, message: PermitsEnded) -> None:
+        if self.alive:
+            self._perform(self.core.end(message, self.fleet.loop.now_ms))
+
+    def _tick(self) -> None:
+        if self.alive:
+            self._perform(self.core.tick(self.fleet.loop.now_ms))
+            self.fleet.loop.after(TICK_MS, self._tick)
+
+    def _poll(self) -> None:
+        if not self.alive:
+            return
+        now_ms = self.fleet.loop.now_ms
+        report = self.fleet.engines[self.upstream_id].report()
+        if report is None:
+            refused = AttemptOutcome.CONNECT_REFUSED
+            self._perform(self.core.observe(self.upstream_id, refused, now_ms))
+        else:
+            self.core.observe_load(self.upstream_id, *report, now_ms)
+        self.fleet.loop.after(self.fleet.settings.load_poll_ms, self._poll)
+
+    def _perform(self, actions: list[Action]) -> None:
+        for action in actions:
+            if isinstance(action, Revoked):
+                holder = self._holders[action.holder_id]
+                decided_ms = self.fleet.loop.now_ms
+                self.fleet.loop.after(HOP_MS, holder.revoke, action.permit_id, decided_ms)
+                continue
+            reply = self._replies.pop(action.ask.attempt_id, None)
+            if reply is not None:
+                load = self.core.load(self.upstream_id, self.fleet.loop.now_ms)
+                self.fleet.loop.after(HOP_MS, reply, action, load)
+
+
+class Holder:
+    """What entries and runners have in common: permits held, renewed and ended."""
+
+    def __init__(self, fleet: "Fleet", holder_id: str) -> None:
+        self.fleet = fleet
+        self.holder_id = holder_id
+        self.loads: dict[str, tuple[LoadSnapshot, float]] = {}
+        self._book = HolderBook()
+        self._numbers = itertools.count()
+        self._reporting = False
+        fleet.loop.after(VALID_MS / 3, self._renew)
+
+    def next_attempt(self) -> str:
+        return f"{self.holder_id}/{next(self._numbers)}"
+
+    def ask(self, ask: PermitAsk, done: Callable[[Action | None], None]) -> None:
+        """Ask the owner; ``done`` gets its action, or None when it stays silent."""
+        sent_ms = self.fleet.loop.now_ms
+        answered: list[Action | None] = []
+
+        def take(action: Action | None, load: LoadSnapshot | None) -> None:
+            if answered:
+                return
+            answered.append(action)
+            if load is not None:
+                self.loads[load.upstream_id] = (load, self.fleet.loop.now_ms)
+            if isinstance(action, Granted):
+                grant = HeldGrant(ask, self.fleet.loop.now_ms, sent_ms + action.valid_ms)
+                self._book.add(grant)
+            elif action is None:
+                outcome = AttemptOutcome.CANCELLED
+                given_up = EndedPermit(ask.attempt_id, ask.upstream_id, outcome, ask.work_class)
+                self._book.give_up(given_up)
+                self._report_soon()
+            done(action)
+
+        host = self.fleet.owners[ask.upstream_id]
+        self.fleet.loop.after(HOP_MS, host.ask, ask, self, take)
+        self.fleet.loop.after(ask.wait_ms + OWNER_TIMEOUT_MS, take, None, None)
+
+    def hold_local(self, ask: PermitAsk) -> None:
+        self._book.add(HeldGrant(ask, self.fleet.loop.now_ms, float("inf"), local=True))
+
+    def end(self, ended: EndedPermit) -> None:
+        if self._book.end(ended) is not None:
+            self._report_soon()
+
+    def revoke(self, permit_id: str, decided_ms: float | None = None) -> None:
+        """Entries have nothing that is revoked."""
+
+    def _report_soon(self) -> None:
+        if not self._reporting:
+            self._reporting = True
+            self.fleet.loop.after(self.fleet.settings.ended_batch_ms, self._report)
+
+    def _report(self) -> None:
+        self._reporting = False
+        for ended in self._book.take_ended():
+            message = PermitsEnded(self.holder_id, [ended])
+            self.fleet.loop.after(HOP_MS, self.fleet.owners[ended.upstream_id].end, message)
+
+    def _renew(self) -> None:
+        sent_ms = self.fleet.loop.now_ms
+        groups: dict[str, list[HeldGrant]] = {}
+        for grant in self._book:
+            if not grant.local:
+                groups.setdefault(grant.ask.upstream_id, []).append(grant)
+        for upstream_id, group in groups.items():
+            message = PermitRenew(self.holder_id, [grant.as_held(sent_ms) for grant in group])
+            host = self.fleet.owners[upstream_id]
+            self.fleet.loop.after(HOP_MS, host.renew, message, self, self._renewed(group, sent_ms))
+        for permit_id in self._book.lapsed(sent_ms):
+            self.revoke(permit_id)
+        self.fleet.loop.after(VALID_MS / 3, self._renew)
+
+    def _renewed(self, group: list[HeldGrant], sent_ms: float) -> Callable:
+        def take(reply: object) -> None:
+            for load in reply.loads:
+                self.loads[load.upstream_id] = (load, self.fleet.loop.now_ms)
+            self._book.renewed([grant.ask.attempt_id for grant in group], sent_ms + reply.valid_ms)
+            for permit_id in reply.revoked:
+                self.revoke(permit_id)
+
+        return take
+
+    def note_token(self, attempt_id: str) -> None:
+        grant = self._book.get(attempt_id)
+        if grant is not None:
+            if not grant.generated_tokens:
+                grant.first_token_ms = self.fleet.loop.now_ms - grant.granted_ms
+            grant.generated_tokens += 1
+
+
+class Entry(Holder):
+    """Serves online requests by the routing and the permits that ship."""
+
+    def __init__(self, fleet: "Fleet", holder_id: str, rng: random.Random) -> None:
+        super().__init__(fleet, holder_id)
+        self._rng = rng
+        self._policy = RoutingPolicy()
+        self._silent = SilentOwners(self._policy)
+        self._local = LocalLimit(fleet.settings.local_limit)
+
+    def serve(self, result: OnlineResult) -> None:
+        self._try(result, avoid=frozenset())
+
+    def _try(self, result: OnlineResult, avoid: frozenset[str]) -> None:
+        arrival = result.arrival
+        now_ms = self.fleet.loop.now_ms
+        candidates = [
+            self._candidate(upstream_id)
+            for upstream_id in self.fleet.engines
+            if upstream_id not in avoid
+        ]
+        demand = Demand(arrival.prompt_tokens, 0, "")
+        choices = choose_upstreams(candidates, demand, 0.0, self._policy, self._rng)
+        slack_ms = arrival.at_ms + self.fleet.deadline_ms - now_ms
+        asks = deque(plan_asks(choices, slack_ms, self._policy))
+        self._ask_next(result, asks, avoid, slack_ms)
+
+    def _candidate(self, upstream_id: str) -> Candidate:
+        now_ms = self.fleet.loop.now_ms
+        load, at_ms = self.loads.get(upstream_id, (None, 0.0))
+        fresh = load if now_ms - at_ms <= self._policy.stale_ms else None
+        silent = self._silent.is_silent(upstream_id, now_ms)
+        return Candidate(upstream_id, HOP_MS, fresh, silent)
+
+    def _ask_next(
+        self, result: OnlineResult, asks: deque[Ask], avoid: frozenset[str], slack_ms: float
+    ) -> None:
+        if not asks:
+            result.refused = True
+            return
+        step = asks.popleft()
+        message = self._message(result, step, slack_ms)
+        if step.local:
+            if self._local.try_take(step.upstream_id):
+                self.hold_local(message)
+                self._run(result, message, avoid, local=True)
+            else:
+                self._ask_next(result, asks, avoid, slack_ms)
+            return
+
+        def done(action: Action | None) -> None:
+            if isinstance(action, Granted):
+                self._run(result, message, avoid, local=False)
+                return
+            if action is None:
+                self._silent.note_silent(step.upstream_id, self.fleet.loop.now_ms)
+                asks.append(Ask(step.upstream_id, local=True))
+            self._ask_next(result, asks, avoid, slack_ms)
+
+        self.ask(message, done)
+
+    def _message(self, result: OnlineResult, step: Ask, slack_ms: float) -> PermitAsk:
+        return PermitAsk(
+            upstream_id=step.upstream_id,
+            attempt_id=self.next_attempt(),
+            holder_id=self.holder_id,
+            service=SERVICE,
+            member=result.arrival.member,
+            work_class=WorkClass.ONLINE,
+            slack_ms=int(slack_ms),
+            prompt_tokens=result.arrival.prompt_tokens,
+            max_tokens=result.arrival.answer_tokens,
+            wait_ms=int(step.wait_ms),
+        )
+
+    def _run(
+        self, result: OnlineResult, ask: PermitAsk, avoid: frozenset[str], local: bool
+    ) -> None:
+        run = _OnlineRun(self, result, ask, self.fleet.loop.now_ms)
+        result.upstream_id = ask.upstream_id
+
+        def on_end(whole: bool) -> None:
+            span = (run.started_ms, self.fleet.loop.now_ms)
+            self.fleet.spans.setdefault(ask.upstream_id, []).append(span)
+            if local:
+                self._local.give_back(ask.upstream_id)
+            self.end(run.ended(whole))
+            if whole:
+                result.finished_ms = self.fleet.loop.now_ms
+            else:
+                self._try(result, avoid | {ask.upstream_id})
+
+        done = len(result.gaps_ms) + (result.first_token_ms >= 0)
+        prompt_tokens = ask.prompt_tokens + done
+        left = max(result.arrival.answer_tokens - done, 1)
+        attempt = Attempt(ask.attempt_id, prompt_tokens, left, run.on_token, on_end)
+        self.fleet.loop.after(HOP_MS, self.fleet.engines[ask.upstream_id].start, attempt)
+
+
+@dataclass(slots=True)
+class _OnlineRun:
+    """One online attempt under way."""
+
+    entry: Entry
+    result: OnlineResult
+    ask: PermitAsk
+    started_ms: float
+    first_ms: float = -1.0
+    last_ms: float = -1.0
+    tokens: int = 0
+
+    def on_token(self) -> None:
+        now_ms = self.entry.fleet.loop.now_ms
+        if self.result.first_token_ms < 0:
+            self.result.first_token_ms = now_ms - self.result.arrival.at_ms
+        elif self.last_ms >= 0:
+            self.result.gaps_ms.append(now_ms - self.last_ms)
+        if not self.tokens:
+            self.first_ms = now_ms
+        self.last_ms = now_ms
+        self.tokens += 1
+        self.entry.note_token(self.ask.attempt_id)
+
+    def ended(self, whole: bool) -> EndedPermit:
+        outcome = AttemptOutcome.COMPLETED if whole else AttemptOutcome.TRUNCATED
+        first_ms = self.first_ms - self.started_ms if self.tokens else -1.0
+        mean_ms = (self.last_ms - self.first_ms) / (self.tokens - 1) if self.tokens > 1 else -1.0
+        return EndedPermit(
+            self.ask.attempt_id,
+            self.ask.upstream_id,
+            outcome,
+            WorkClass.ONLINE,
+            first_ms,
+            mean_ms,
+            self.ask.prompt_tokens,
+            self.tokens,
+        )
+
+
+@dataclass(slots=True)
+class Item:
+    """One batch item; generated tokens are kept over revocations."""
+
+    prompt_tokens: int
+    answer_tokens: int
+    done_tokens: int = 0
+
+
+class BatchRunner(Holder):
+    """Runs an endless backlog: keeps open asks at each owner, resumes what was revoked."""
+
+    OPEN_ASKS = 4
+    WAIT_MS = 5000
+
+    def __init__(self, fleet: "Fleet", holder_id: str, rng: random.Random) -> None:
+        super().__init__(fleet, holder_id)
+        self.tokens = 0
+        self.items_done = 0
+        self.revoked = 0
+        self.redone_tokens = 0
+        self.revocations_ms: list[float] = []
+        self._rng = rng
+        self._backlog: deque[Item] = deque()
+        self._running: dict[str, tuple[Item, str]] = {}
+        for upstream_id in fleet.engines:
+            for _ in range(self.OPEN_ASKS):
+                self._open_ask(upstream_id)
+
+    def revoke(self, permit_id: str, decided_ms: float | None = None) -> None:
+        running = self._running.pop(permit_id, None)
+        if running is None:
+            return
+        item, upstream_id = running
+        self.revoked += 1
+        self.fleet.loop.after(HOP_MS, self._cancel, upstream_id, permit_id, decided_ms)
+        self._backlog.appendleft(item)
+        self._end(permit_id, upstream_id, AttemptOutcome.REVOKED)
+
+    def _cancel(self, upstream_id: str, permit_id: str, decided_ms: float | None) -> None:
+        self.fleet.engines[upstream_id].cancel(permit_id)
+        if decided_ms is not None:
+            self.revocations_ms.append(self.fleet.loop.now_ms - decided_ms)
+
+    def _next_item(self) -> Item:
+        if self._backlog:
+            return self._backlog.popleft()
+        deployment = self.fleet.deployment
+        return Item(
+            spread(self._rng, deployment.batch_prompt_tokens),
+            spread(self._rng, deployment.batch_answer_tokens),
+        )
+
+    def _open_ask(self, upstream_id: str) -> None:
+        item = self._next_item()
+        ask = PermitAsk(
+            upstream_id=upstream_id,
+            attempt_id=self.next_attempt(),
+            holder_id=self.holder_id,
+            service=SERVICE,
+            member="clinic",
+            work_class=WorkClass.BATCH,
+            slack_ms=4 * 3600 * 1000,
+            prompt_tokens=item.prompt_tokens + item.done_tokens,
+            wait_ms=self.WAIT_MS,
+        )
+
+        def done(action: Action | None) -> None:
+            if isinstance(action, Granted):
+                self._run(item, ask)
+                self._open_ask(upstream_id)
+                return
+            self._backlog.appendleft(item)
+            refused = isinstance(action, Refused) and action.code is not ResultCode.REVOKED
+            delay_ms = max(action.retry_after_ms, 50) if refused else 200
+            self.fleet.loop.after(delay_ms, self._open_ask, upstream_id)
+
+        self.ask(ask, done)
+
+    def _run(self, item: Item, ask: PermitAsk) -> None:
+        attempt_id, upstream_id = ask.attempt_id, ask.upstream_id
+        self._running[attempt_id] = (item, upstream_id)
+        self.redone_tokens += item.done_tokens
+
+        def on_token() -> None:
+            if attempt_id in self._running:
+                item.done_tokens += 1
+                self.tokens += 1
+                self.note_token(attempt_id)
+
+        def on_end(whole: bool) -> None:
+            if self._running.pop(attempt_id, None) is None:
+                return
+            if whole:
+                self.items_done += 1
+            else:
+                self._backlog.appendleft(item)
+            outcome = AttemptOutcome.COMPLETED if whole else AttemptOutcome.TRUNCATED
+            self._end(attempt_id, upstream_id, outcome)
+
+        left = max(item.answer_tokens - item.done_tokens, 1)
+        attempt = Attempt(attempt_id, ask.prompt_tokens, left, on_token, on_end)
+        self.fleet.loop.after(HOP_MS, self.fleet.engines[upstream_id].start, attempt)
+
+    def _end(self, permit_id: str, upstream_id: str, outcome: AttemptOutcome) -> None:
+        self.end(EndedPermit(permit_id, upstream_id, outcome, WorkClass.BATCH))
+
+
+@dataclass(slots=True)
+class Fleet:
+    """The virtual fleet of one run."""
+
+    loop: VirtualLoop
+    deployment: Deployment
+    settings: PermitSettings
+    deadline_ms: float
+    engines: dict[str, VirtualEngine] = field(default_factory=dict)
+    owners: dict[str, OwnerHost] = field(default_factory=dict)
+    # Of each upstream, from when to when an online attempt ran there.
+    spans: dict[str, list[tuple[float, float]]] = field(default_factory=dict)
--- /dev/null
+++ b/bench/mix_runs.py
@@ -0,0 +1,279 @@
+"""One run of the mixed bench: a deployment's traffic under one way of sharing the engines."""
+
+import random
+from bisect import bisect_left, bisect_right
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+
+from bench.mix_actors import HOP_MS, BatchRunner, Entry, Fleet, Item, OnlineResult, OwnerHost
+from bench.mix_traffic import Deployment, arrivals_of, spread
+from bench.virtual import Attempt, VirtualEngine, VirtualLoop
+from fescuedock.core.permits.owner import PermitOwner
+from fescuedock.schema.settings import PermitSettings
+from fescuedock.standin.token_time import EngineProfile
+
+__all__ = ["Faults", "Plan", "RunResult", "run_direct", "run_oracle", "run_ours"]
+
+WORKERS = 6
+ENTRIES = 4
+DIRECT_BATCH_PER_WORKER = 64
+DETECT_OWNER_MS = 4000.0
+WARM_UP_MS = 10_000.0
+
+
+@dataclass(frozen=True, slots=True)
+class Faults:
+    """Times of what is to go wrong; below 0 is never."""
+
+    kill_worker_ms: float = -1.0
+    kill_owner_ms: float = -1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """What to run."""
+
+    deployment: Deployment
+    seed: int
+    duration_ms: float = 60_000.0
+    load: float = 1.0
+    batch: bool = True
+    settings: PermitSettings = field(default_factory=PermitSettings)
+    profile: EngineProfile = field(default_factory=EngineProfile)
+    faults: Faults = field(default_factory=Faults)
+    make_owner: Callable[[PermitSettings, int], PermitOwner] = PermitOwner
+    deadline_ms: float = 10_000.0
+
+    def rng(self, purpose: str) -> random.Random:
+        return random.Random(f"{self.deployment.name}/{self.seed}/{purpose}")
+
+
+@dataclass(slots=True)
+class RunResult:
+    """What one run gave; samples are of requests that arrived after the warm-up."""
+
+    results: list[OnlineResult]
+    duration_ms: float
+    batch_tokens: int = 0
+    revoked: int = 0
+    redone_tokens: int = 0
+    revocations_ms: list[float] = field(default_factory=list)
+    # Per worker: times at which online requests were sent there, and when they ended.
+    spans: dict[str, list[tuple[float, float]]] = field(default_factory=dict)
+
+    def _measured(self) -> list[OnlineResult]:
+        return [item for item in self.results if item.arrival.at_ms >= WARM_UP_MS]
+
+    def first_tokens_ms(self) -> list[float]:
+        return [item.first_token_ms for item in self._measured() if item.first_token_ms >= 0]
+
+    def gaps_ms(self) -> list[float]:
+        return [gap for item in self._measured() for gap in item.gaps_ms]
+
+    def refused_share(self) -> float:
+        measured = self._measured()
+        return sum(item.refused for item in measured) / max(len(measured), 1)
+
+    def batch_tokens_per_s(self) -> float:
+        return self.batch_tokens / ((self.duration_ms - WARM_UP_MS) / 1000)
+
+
+def _engines(loop: VirtualLoop, plan: Plan) -> dict[str, VirtualEngine]:
+    return {f"w{i}": VirtualEngine(loop, plan.profile, HOP_MS) for i in range(WORKERS)}
+
+
+def _results(plan: Plan) -> list[OnlineResult]:
+    arrivals = arrivals_of(plan.deployment, plan.seed, plan.duration_ms, plan.load)
+    return [OnlineResult(arrival) for arrival in arrivals]
+
+
+def _run(loop: VirtualLoop, plan: Plan, batch: object, results: list[OnlineResult]) -> RunResult:
+    before = [0]
+
+    def note() -> None:
+        before[0] = batch.tokens if batch else 0
+
+    loop.after(WARM_UP_MS, note)
+    loop.run_until(plan.duration_ms)
+    result = RunResult(results, plan.duration_ms)
+    if batch:
+        result.batch_tokens = batch.tokens - before[0]
+        result.revoked = batch.revoked
+        result.redone_tokens = batch.redone_tokens
+    return result
+
+
+def run_ours(plan: Plan) -> RunResult:
+    """Run with owners and permits; without batch it is "online alone"."""
+    loop = VirtualLoop()
+    fleet = Fleet(loop, plan.deployment, plan.settings, plan.deadline_ms)
+    fleet.engines = _engines(loop, plan)
+    fleet.owners = {name: OwnerHost(fleet, name, plan.make_owner) for name in fleet.engines}
+    entries = [Entry(fleet, f"e{i}", plan.rng(f"entry{i}")) for i in range(ENTRIES)]
+    results = _results(plan)
+    pick = plan.rng("entries")
+    for item in results:
+        loop.after(item.arrival.at_ms, pick.choice(entries).serve, item)
+    runner = BatchRunner(fleet, "r0", plan.rng("batch")) if plan.batch else None
+    _schedule_faults(fleet, plan)
+    result = _run(loop, plan, runner, results)
+    result.spans = fleet.spans
+    if runner:
+        result.revocations_ms = runner.revocations_ms
+    return result
+
+
+def _schedule_faults(fleet: Fleet, plan: Plan) -> None:
+    faults = plan.faults
+    if faults.kill_worker_ms >= 0:
+        fleet.loop.after(faults.kill_worker_ms, fleet.engines["w0"].die)
+    if faults.kill_owner_ms >= 0:
+
+        def kill() -> None:
+            fleet.owners["w1"].alive = False
+
+        def replace() -> None:
+            fleet.owners["w1"] = OwnerHost(fleet, "w1", plan.make_owner)
+
+        fleet.loop.after(faults.kill_owner_ms, kill)
+        fleet.loop.after(faults.kill_owner_ms + DETECT_OWNER_MS, replace)
+
+
+class _DirectOnline:
+    """Online straight to engines: the less busy of two, as far as one sender can know."""
+
+    def __init__(self, fleet: Fleet, rng: random.Random) -> None:
+        self._fleet = fleet
+        self._rng = rng
+        self._busy = dict.fromkeys(fleet.engines, 0)
+        self._number = 0
+
+    def serve(self, result: OnlineResult, upstream_id: str = "") -> None:
+        chosen = upstream_id or min(
+            self._rng.sample(list(self._busy), 2), key=self._busy.__getitem__
+        )
+        self._number += 1
+        self._busy[chosen] += 1
+        loop = self._fleet.loop
+        last_ms = [0.0]
+
+        def on_token() -> None:
+            if result.first_token_ms < 0:
+                result.first_token_ms = loop.now_ms - result.arrival.at_ms
+            else:
+                result.gaps_ms.append(loop.now_ms - last_ms[0])
+            last_ms[0] = loop.now_ms
+
+        def on_end(_whole: bool) -> None:
+            self._busy[chosen] -= 1
+            result.finished_ms = loop.now_ms
+
+        arrival = result.arrival
+        attempt = Attempt(
+            f"{id(self)}/{self._number}",
+            arrival.prompt_tokens,
+            arrival.answer_tokens,
+            on_token,
+            on_end,
+        )
+        loop.after(HOP_MS, self._fleet.engines[chosen].start, attempt)
+
+
+class _DirectBatch:
+    """Batch straight to engines, with so many attempts at each as ``allowed`` says."""
+
+    def __init__(self, fleet: Fleet, rng: random.Random, allowed: Callable[[str], int]) -> None:
+        self.tokens = 0
+        self.revoked = 0
+        self.redone_tokens = 0
+        self._fleet = fleet
+        self._rng = rng
+        self._allowed = allowed
+        self._kept: dict[str, list[Item]] = {name: [] for name in fleet.engines}
+        self._running: dict[str, dict[str, Item]] = {name: {} for name in fleet.engines}
+        self._number = 0
+        for name in fleet.engines:
+            self._adjust(name)
+
+    def _adjust(self, name: str) -> None:
+        running = self._running[name]
+        allowed = self._allowed(name)
+        while len(running) > max(allowed, 0):
+            attempt_id, item = running.popitem()
+            self.revoked += 1
+            self._fleet.engines[name].cancel(attempt_id)
+            self._kept[name].append(item)
+        while len(running) < allowed:
+            self._start(name)
+        self._fleet.loop.after(5.0, self._adjust, name)
+
+    def _start(self, name: str) -> None:
+        deployment = self._fleet.deployment
+        kept = self._kept[name]
+        # What was begun goes on without reading its prompt again: an oracle loses nothing.
+        prompt_tokens = 1 if kept else spread(self._rng, deployment.batch_prompt_tokens)
+        item = (
+            kept.pop()
+            if kept
+            else Item(prompt_tokens, spread(self._rng, deployment.batch_answer_tokens))
+        )
+        self._number += 1
+        attempt_id = f"b{self._number}"
+        self._running[name][attempt_id] = item
+
+        def on_token() -> None:
+            item.done_tokens += 1
+            self.tokens += 1
+
+        def on_end(_whole: bool) -> None:
+            self._running[name].pop(attempt_id, None)
+
+        left = max(item.answer_tokens - item.done_tokens, 1)
+        attempt = Attempt(attempt_id, prompt_tokens, left, on_token, on_end)
+        self._fleet.engines[name].start(attempt)
+
+
+def run_direct(plan: Plan) -> RunResult:
+    """Run with no policy: online and batch go straight to the engines."""
+    loop = VirtualLoop()
+    fleet = Fleet(loop, plan.deployment, plan.settings, plan.deadline_ms)
+    fleet.engines = _engines(loop, plan)
+    results = _results(plan)
+    online = _DirectOnline(fleet, plan.rng("direct"))
+    for item in results:
+        loop.after(item.arrival.at_ms, online.serve, item)
+    batch = _DirectBatch(fleet, plan.rng("batch"), lambda _name: DIRECT_BATCH_PER_WORKER)
+    return _run(loop, plan, batch, results)
+
+
+def run_oracle(plan: Plan, alone: RunResult, level: int, guard_ms: float) -> RunResult:
+    """Run with a batch scheduler that knows where and when online will arrive.
+
+    Batch fills each engine up to ``level`` less the online attempts of the next ``guard_ms`` (from
+    the run with online alone), gives way before they come, and loses nothing by it.
+    """
+    loop = VirtualLoop()
+    fleet = Fleet(loop, plan.deployment, plan.settings, plan.deadline_ms)
+    fleet.engines = _engines(loop, plan)
+    results = _results(plan)
+    online = _DirectOnline(fleet, plan.rng("direct"))
+    for item, old in zip(results, alone.results, strict=True):
+        loop.after(item.arrival.at_ms, online.serve, item, old.upstream_id)
+    batch = _DirectBatch(fleet, plan.rng("batch"), _knowing(loop, alone.spans, level, guard_ms))
+    return _run(loop, plan, batch, results)
+
+
+def _knowing(
+    loop: VirtualLoop, spans: dict[str, Sequence[tuple[float, float]]], level: int, guard_ms: float
+) -> Callable[[str], int]:
+    starts = {name: sorted(start for start, _ in items) for name, items in spans.items()}
+    ends = {name: sorted(end for _, end in items) for name, items in spans.items()}
+
+    def allowed(name: str) -> int:
+        if name not in starts:
+            return level
+        begun = bisect_right(starts[name], loop.now_ms + guard_ms)
+        over = bisect_left(ends[name], loop.now_ms)
+        return level - (begun - over)
+
+    return allowed
--- a/src/fescuedock/core/permits/estimates.py
+++ b/src/fescuedock/core/permits/estimates.py
@@ -18,10 +18,10 @@
     _sum: float = 0.0
     _at_ms: float = 0.0
 
-    def add(self, value: float, now_ms: float) -> None:
+    def add(self, value: float, now_ms: float, weight: float = 1.0) -> None:
         kept = _kept(now_ms - self._at_ms, self.half_life_ms)
-        self._sum = self._sum * kept + value
-        self.weight = self.weight * kept + 1.0
+        self._sum = self._sum * kept + value * weight
+        self.weight = self.weight * kept + weight
         self._at_ms = now_ms
 
     def value(self, default: float) -> float:
--- a/src/fescuedock/core/permits/held.py
+++ b/src/fescuedock/core/permits/held.py
@@ -3,9 +3,10 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
+from fescuedock.core.permits.prediction import Start
 from fescuedock.schema.permits import HeldPermit, PermitAsk, WorkClass
 
-__all__ = ["Held", "HeldPermits"]
+__all__ = ["Company", "Held", "HeldPermits"]
 
 
 @dataclass(slots=True)
@@ -21,16 +22,15 @@
     expires_ms: float
     prompt_tokens: int = 0
     generated_tokens: int = 0
-    # Attempts that ran beside it when it started, itself among them.
-    in_flight_at_start: int = 1
-    # Whether batch ran beside it at any time.
-    shared: bool = False
+    # Attempt-milliseconds of the upstream, and those of batch, up to when this one started.
+    area_before: float = 0.0
+    batch_area_before: float = 0.0
     revoked_ms: float | None = None
-    # The time to the first token was taken into account already.
-    first_token_seen: bool = False
+    # Set until the time to the first token has been taken into account.
+    start: Start | None = None
 
     @classmethod
-    def granted(cls, ask: PermitAsk, now_ms: float, valid_ms: int) -> "Held":
+    def granted(cls, ask: PermitAsk, start: Start, now_ms: float, valid_ms: int) -> "Held":
         return cls(
             permit_id=ask.attempt_id,
             holder_id=ask.holder_id,
@@ -40,11 +40,15 @@
             granted_ms=now_ms,
             expires_ms=now_ms + valid_ms,
             prompt_tokens=ask.prompt_tokens,
+            start=start,
         )
 
     @classmethod
     def adopted(cls, holder_id: str, permit: HeldPermit, now_ms: float, valid_ms: int) -> "Held":
-        """Take in a permit that another owner gave, from its holder's renewal."""
+        """Take in a permit that another owner gave, from its holder's renewal.
+
+        How it started is not known, so its first token is no evidence.
+        """
         return cls(
             permit_id=permit.permit_id,
             holder_id=holder_id,
@@ -55,8 +59,6 @@
             expires_ms=now_ms + valid_ms,
             prompt_tokens=permit.prompt_tokens,
             generated_tokens=permit.generated_tokens,
-            # When it started is not known, so its times are no evidence about our limits.
-            first_token_seen=True,
         )
 
     @property
@@ -65,6 +67,14 @@
         return self.prompt_tokens + self.generated_tokens
 
 
+@dataclass(frozen=True, slots=True)
+class Company:
+    """Mean number of attempts during one attempt, itself among them, and batch's share of it."""
+
+    in_flight: float
+    batch_share: float
+
+
 @dataclass(slots=True)
 class HeldPermits:
     """All permits of one upstream by identity.
@@ -75,6 +85,9 @@
     online: int = 0
     batch: int = 0
     revoking: int = 0
+    _area: float = 0.0
+    _batch_area: float = 0.0
+    _at_ms: float = 0.0
     _by_id: dict[str, Held] = field(default_factory=dict)
     _by_member: dict[str, int] = field(default_factory=dict)
 
@@ -105,21 +118,23 @@
     def staying_batch(self) -> int:
         return self.batch - self.revoking
 
-    def add(self, held: Held) -> None:
+    def add(self, held: Held, now_ms: float) -> None:
+        self._advance(now_ms)
+        held.area_before = self._area
+        held.batch_area_before = self._batch_area
         self._by_id[held.permit_id] = held
         self._by_member[held.member] = self.count_of(held.member) + 1
         if held.work_class is WorkClass.ONLINE:
             self.online += 1
-            held.shared = self.batch > 0
         else:
             self.batch += 1
-            self._mark_shared()
-        held.in_flight_at_start = len(self._by_id)
 
-    def remove(self, permit_id: str) -> Held | None:
-        held = self._by_id.pop(permit_id, None)
+    def remove(self, permit_id: str, now_ms: float) -> Held | None:
+        held = self._by_id.get(permit_id)
         if held is None:
             return None
+        self._advance(now_ms)
+        del self._by_id[permit_id]
         self._by_member[held.member] -= 1
         if not self._by_member[held.member]:
             del self._by_member[held.member]
@@ -154,7 +169,16 @@
         for held in self._by_id.values():
             held.expires_ms += by_ms
 
-    def _mark_shared(self) -> None:
-        for held in self._by_id.values():
-            if held.work_class is WorkClass.ONLINE:
-                held.shared = True
+    def company_of(self, held: Held, now_ms: float) -> Company:
+        """Return what ran at the upstream since ``held`` started, on the average."""
+        self._advance(now_ms)
+        elapsed_ms = max(now_ms - held.granted_ms, 1e-3)
+        area = max(self._area - held.area_before, elapsed_ms)
+        batch_area = self._batch_area - held.batch_area_before
+        return Company(area / elapsed_ms, batch_area / area)
+
+    def _advance(self, now_ms: float) -> None:
+        elapsed_ms = max(now_ms - self._at_ms, 0.0)
+        self._area += len(self._by_id) * elapsed_ms
+        self._batch_area += self.batch * elapsed_ms
+        self._at_ms = now_ms
--- a/src/fescuedock/core/permits/holder.py
+++ b/src/fescuedock/core/permits/holder.py
@@ -49,6 +49,9 @@
     def __iter__(self) -> Iterator[HeldGrant]:
         return iter(tuple(self._grants.values()))
 
+    def get(self, permit_id: str) -> HeldGrant | None:
+        return self._grants.get(permit_id)
+
     def add(self, grant: HeldGrant) -> None:
         self._grants[grant.ask.attempt_id] = grant
 
--- a/src/fescuedock/core/permits/limits.py
+++ b/src/fescuedock/core/permits/limits.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 
 from fescuedock.core.permits.estimates import DecayedMean, DecayedPeak
+from fescuedock.core.permits.held import Company
 from fescuedock.schema.config import Objectives
 from fescuedock.schema.settings import PermitSettings
 
@@ -19,42 +20,44 @@
 
 # A limit counts as in use from this share of it on; below, more would change nothing.
 _IN_USE_SHARE = 0.9
+# Weight of samples below which a share of misses means nothing.
+_MIN_EVIDENCE = 1.0
 
 
 @dataclass(frozen=True, slots=True)
 class AttemptSample:
-    """Times of one online attempt, and the circumstances in which it ran."""
+    """A time of one online attempt, and in what company it ran; a time below 0 is not known."""
 
     first_token_ms: float
     inter_token_ms: float
     granted_ms: float
-    in_flight_at_start: int
-    shared: bool
+    company: Company
 
 
 @dataclass(slots=True)
 class _Limit:
     """One additive-increase, multiplicative-decrease limit.
 
-    Only attempts granted after the last change count as evidence: earlier ones ran under the limit
+    Only attempts granted after the last cut count as evidence: earlier ones ran under the limit
     before it, and would have it cut twice for one cause.
     """
 
     value: float
     half_life_ms: float
-    changed_ms: float
+    cut_ms: float
     raised_ms: float
     misses: DecayedMean = field(init=False)
 
     def __post_init__(self) -> None:
         self.misses = DecayedMean(self.half_life_ms)
 
-    def observe(self, missed: bool, now_ms: float) -> None:
-        self.misses.add(float(missed), now_ms)
+    def observe(self, missed: bool, weight: float, sample: AttemptSample, now_ms: float) -> None:
+        if sample.granted_ms >= self.cut_ms and weight > 0:
+            self.misses.add(float(missed), now_ms, weight)
 
-    def cut(self, base: float, factor: float, floor: float, now_ms: float) -> None:
-        self.value = max(min(self.value, base) * factor, floor)
-        self.changed_ms = now_ms
+    def cut(self, value: float, now_ms: float) -> None:
+        self.value = max(min(self.value, value), 1.0)
+        self.cut_ms = now_ms
         self.raised_ms = now_ms
         self.misses = DecayedMean(self.half_life_ms)
 
@@ -72,7 +75,8 @@
         self._burst = DecayedPeak(half_life_ms)
         self._arrivals_ms: deque[float] = deque()
         self._revocation = DecayedMean(half_life_ms)
-        self._full_since_ms: float | None = None
+        self._engine_cap = float(settings.max_limit)
+        self._capped_ms = now_ms
 
     @property
     def hard(self) -> int:
@@ -107,14 +111,20 @@
         self._revocation.add(took_ms, now_ms)
 
     def observe_attempt(self, sample: AttemptSample, now_ms: float) -> None:
-        """Take in an online attempt's times; a miss beyond the objectives' share cuts a limit."""
-        limit = self._mixed if sample.shared else self._hard
-        if sample.granted_ms < limit.changed_ms:
-            return
-        missed = self._missed(sample)
-        limit.observe(missed, now_ms)
-        if missed and limit.misses.value(0.0) > 1.0 - self.objectives.online_share:
-            limit.cut(sample.in_flight_at_start, self._settings.limit_cut, 1.0, now_ms)
+        """Take in an online attempt's time; misses beyond the objectives' share cut a limit.
+
+        A miss counts against batch by batch's share of the company, and against online's own
+        number by the rest.  The latter only when the first token is late, which tells of a queue:
+        slow tokens are better than a refusal.
+        """
+        late = sample.first_token_ms > self.objectives.first_token_ms
+        slow = sample.inter_token_ms > self.objectives.inter_token_ms
+        batch_share = sample.company.batch_share
+        self._mixed.observe(late or slow, batch_share, sample, now_ms)
+        self._cut_if_missed(self._mixed, late or slow, sample, now_ms)
+        if sample.first_token_ms >= 0:
+            self._hard.observe(late, 1.0 - batch_share, sample, now_ms)
+            self._cut_if_missed(self._hard, late, sample, now_ms)
 
     def observe_load(self, running: int, waiting: int, now_ms: float) -> None:
         """Take in an engine's own report, which is up to ``load_lag_ms`` old.
@@ -124,17 +134,32 @@
         """
         if not waiting or running < 1:
             return
-        if now_ms - self._hard.changed_ms < self._settings.load_lag_ms:
+        if now_ms - self._hard.cut_ms < self._settings.load_lag_ms:
             return
         if running < self._hard.value:
-            self._hard.cut(running, 1.0, 1.0, now_ms)
+            self._hard.cut(running, now_ms)
+        self._engine_cap = running
+        self._capped_ms = now_ms
 
     def adjust(self, in_flight: int, in_flight_batch: int, now_ms: float) -> None:
         """Raise what is in use and has kept the objectives; to be called every now and then."""
-        self._raise(self._hard, in_flight, self._settings.max_limit, now_ms)
+        self._raise(self._hard, in_flight, self._ceiling(now_ms), now_ms)
         if in_flight_batch:
             self._raise(self._mixed, in_flight, self._hard.value, now_ms)
 
+    def _cut_if_missed(
+        self, limit: _Limit, missed: bool, sample: AttemptSample, now_ms: float
+    ) -> None:
+        allowed = 1.0 - self.objectives.online_share
+        enough = limit.misses.weight >= _MIN_EVIDENCE
+        if missed and enough and limit.misses.value(0.0) > allowed:
+            limit.cut(sample.company.in_flight * self._settings.limit_cut, now_ms)
+
+    def _ceiling(self, now_ms: float) -> float:
+        """Return how far the hard limit may rise: what the engine has shown is passed slowly."""
+        since = (now_ms - self._capped_ms) / self._settings.peak_half_life_ms
+        return min(self._engine_cap * 2.0**since, self._settings.max_limit)
+
     def _raise(self, limit: _Limit, in_flight: int, ceiling: float, now_ms: float) -> None:
         if now_ms - limit.raised_ms < self._settings.adjust_ms:
             return
@@ -142,8 +167,4 @@
         allowed = 1.0 - self.objectives.online_share
         in_use = in_flight >= _IN_USE_SHARE * limit.value
         if in_use and limit.misses.value(0.0) <= allowed:
-            limit.value = min(limit.value + self._settings.limit_step, ceiling)
-
-    def _missed(self, sample: AttemptSample) -> bool:
-        late = sample.first_token_ms > self.objectives.first_token_ms
-        return late or sample.inter_token_ms > self.objectives.inter_token_ms
+            limit.value = max(limit.value, min(limit.value + self._settings.limit_step, ceiling))
--- /dev/null
+++ b/src/fescuedock/core/permits/prediction.py
@@ -0,0 +1,60 @@
+"""Predicts the time to the first token of an attempt that would start now.
+
+An engine reads prompts one after another, so the prompts granted of late that it cannot have read
+yet come first; then the attempt waits for the step in progress, which takes longer the more runs.
+Both costs are learned from the times that holders report.
+"""
+
+from dataclasses import dataclass, field
+
+from fescuedock.core.permits.estimates import DecayedLine
+
+__all__ = ["FirstTokenModel", "Start"]
+
+
+@dataclass(frozen=True, slots=True)
+class Start:
+    """The circumstances in which an attempt started."""
+
+    prompt_tokens: int
+    prefill_ahead_ms: float
+    in_flight: int
+
+
+@dataclass(slots=True)
+class FirstTokenModel:
+    """The two learned costs of one upstream, and the prompts it has still to read."""
+
+    half_life_ms: float
+    _prompt: DecayedLine = field(init=False)
+    _occupancy: DecayedLine = field(init=False)
+    _read_by_ms: float = 0.0
+
+    def __post_init__(self) -> None:
+        self._prompt = DecayedLine(self.half_life_ms)
+        self._occupancy = DecayedLine(self.half_life_ms)
+
+    def prompt_ms(self, prompt_tokens: int) -> float:
+        """Return the time that an engine takes to read so many tokens; 0 while nothing is known."""
+        return self._prompt.slope * prompt_tokens
+
+    def prefill_ahead_ms(self, now_ms: float) -> float:
+        """Return how long the engine is busy with prompts that were granted before."""
+        return max(self._read_by_ms - now_ms, 0.0)
+
+    def start(self, prompt_tokens: int, in_flight: int, now_ms: float) -> Start:
+        """Take in that an attempt starts beside ``in_flight`` others."""
+        ahead_ms = self.prefill_ahead_ms(now_ms)
+        self._read_by_ms = now_ms + ahead_ms + self.prompt_ms(prompt_tokens)
+        return Start(prompt_tokens, ahead_ms, in_flight)
+
+    def observe(self, start: Start, first_token_ms: float, now_ms: float) -> None:
+        """Take in the time to the first token of an attempt."""
+        own_ms = first_token_ms - start.prefill_ahead_ms
+        self._prompt.add(start.prompt_tokens, own_ms, now_ms)
+        step_ms = max(own_ms - self.prompt_ms(start.prompt_tokens), 0.0)
+        self._occupancy.add(start.in_flight, step_ms, now_ms)
+
+    def predict_ms(self, in_flight: int, now_ms: float) -> float:
+        """Return the time to the first token, without that of reading the prompt itself."""
+        return self.prefill_ahead_ms(now_ms) + self._occupancy.value(in_flight, 0.0)
--- a/src/fescuedock/core/permits/queue.py
+++ b/src/fescuedock/core/permits/queue.py
@@ -10,9 +10,10 @@
 from dataclasses import dataclass, field
 
 from fescuedock.core.permits.actions import Action, Granted, Refused, Revoked
-from fescuedock.core.permits.estimates import DecayedLine, DecayedMean
+from fescuedock.core.permits.estimates import DecayedMean
 from fescuedock.core.permits.held import Held, HeldPermits
 from fescuedock.core.permits.limits import AttemptSample, UpstreamLimits
+from fescuedock.core.permits.prediction import FirstTokenModel
 from fescuedock.core.permits.waiting import MemberShares, Waiting, WaitingAsks
 from fescuedock.schema.config import Objectives
 from fescuedock.schema.permits import EndedPermit, HeldPermit, LoadSnapshot, PermitAsk, WorkClass
@@ -68,8 +69,7 @@
         self._limits = UpstreamLimits(settings, terms.objectives, now_ms)
         half_life_ms = settings.estimate_half_life_ms
         self._online_hold = DecayedMean(half_life_ms)
-        self._first_token = DecayedMean(half_life_ms)
-        self._prompt_cost = DecayedLine(half_life_ms)
+        self._first_token = FirstTokenModel(half_life_ms)
 
     @property
     def accepting(self) -> bool:
@@ -118,7 +118,7 @@
         held = self._held.get(permit.permit_id)
         if held is None:
             held = Held.adopted(holder_id, permit, now_ms, self._valid_ms)
-            self._held.add(held)
+            self._held.add(held, now_ms)
         held.expires_ms = now_ms + self._valid_ms
         held.generated_tokens = permit.generated_tokens
         if permit.first_token_ms >= 0:
@@ -133,9 +133,10 @@
         """Take in that an attempt is over, or that its ask was given up."""
         self._remember_end(ended.permit_id, now_ms)
         waiting = self._waiting.remove(ended.permit_id)
-        held = self._held.remove(ended.permit_id)
+        held = self._held.get(ended.permit_id)
         if held is not None:
             self._learn(held, ended, now_ms)
+            self._held.remove(held.permit_id, now_ms)
         refused = [] if waiting is None else [Refused(waiting.ask, ResultCode.REVOKED, 0)]
         return [*refused, *self._serve(now_ms)]
 
@@ -150,7 +151,7 @@
         if silence_ms > _PAUSE_SHARE * self._valid_ms:
             self._held.postpone_expiry(silence_ms)
         for held in self._held.expired(now_ms):
-            self._held.remove(held.permit_id)
+            self._held.remove(held.permit_id, now_ms)
         while self._ended and next(iter(self._ended.values())) <= now_ms:
             self._ended.popitem(last=False)
         self._limits.adjust(len(self._held), self._held.staying_batch, now_ms)
@@ -163,14 +164,14 @@
 
     def load(self, now_ms: float) -> LoadSnapshot:
         queued = self._waiting.count(WorkClass.ONLINE)
-        predicted_ms = self._first_token.value(0.0) + self._online_wait_ms(queued)
+        predicted_ms = self._first_token.predict_ms(self._held.staying, now_ms)
         return LoadSnapshot(
             upstream_id=self.upstream_id,
             in_flight_online=self._held.online,
             in_flight_batch=self._held.batch,
             queued_online=queued,
             limit=self._hard_limit(),
-            first_token_ms=predicted_ms,
+            first_token_ms=predicted_ms + self._online_wait_ms(queued),
             accepting=self.accepting,
         )
 
@@ -253,11 +254,12 @@
     def _pace_batch(self, ask: PermitAsk, now_ms: float) -> None:
         if self._quiet(now_ms):
             return
-        prompt_ms = self._prompt_cost.slope * ask.prompt_tokens
+        prompt_ms = self._first_token.prompt_ms(ask.prompt_tokens)
         self._batch_start_ms = now_ms + prompt_ms / self._settings.batch_start_share
 
     def _grant(self, ask: PermitAsk, now_ms: float) -> Granted:
-        self._held.add(Held.granted(ask, now_ms, self._valid_ms))
+        start = self._first_token.start(ask.prompt_tokens, self._held.staying, now_ms)
+        self._held.add(Held.granted(ask, start, now_ms, self._valid_ms), now_ms)
         if ask.work_class is WorkClass.ONLINE:
             self._online_seen_ms = now_ms
             self._limits.online_started(self._held.online, now_ms)
@@ -281,20 +283,18 @@
             self._observe(held, -1.0, ended.inter_token_ms, now_ms)
 
     def _see_first_token(self, held: Held, first_token_ms: float, now_ms: float) -> None:
-        if held.first_token_seen:
+        if held.start is None:
             return
-        held.first_token_seen = True
-        self._prompt_cost.add(held.prompt_tokens, first_token_ms, now_ms)
+        self._first_token.observe(held.start, first_token_ms, now_ms)
+        held.start = None
         if held.work_class is WorkClass.ONLINE:
-            self._first_token.add(first_token_ms, now_ms)
             self._observe(held, first_token_ms, -1.0, now_ms)
 
     def _observe(
         self, held: Held, first_token_ms: float, inter_token_ms: float, now_ms: float
     ) -> None:
-        sample = AttemptSample(
-            first_token_ms, inter_token_ms, held.granted_ms, held.in_flight_at_start, held.shared
-        )
+        company = self._held.company_of(held, now_ms)
+        sample = AttemptSample(first_token_ms, inter_token_ms, held.granted_ms, company)
         self._limits.observe_attempt(sample, now_ms)
 
     def _remember_end(self, permit_id: str, now_ms: float) -> None:
