--- a/src/fescuedock/agent/link.py
+++ b/src/fescuedock/agent/link.py
@@ -27,7 +27,7 @@
 __all__ = ["AgentLink", "FleetView", "open_agent_link", "port_of"]
 
 _HELLO_INTERVAL_S = 1
-_POLL_WAIT_MS = 10000
+_POLL_WAIT_MS = 2000
 _CALL_TIMEOUT_MS = 3000
 _RETRY_S = 0.2
 _PORT_FIELDS = {program: f"{program.value}_port" for program in Program}
@@ -120,10 +120,14 @@
         """Take a new snapshot of the members and wake those who wait."""
         self.vms = {vm.vm_id: vm for vm in vms}
         self.upstreams = {item.upstream_id: item for item in upstreams}
-        self._listed_at_ms = now_ms() - membership_age_ms
+        self.note_list_age(membership_age_ms)
         self._owners.clear()
         self._advance(version)
 
+    def note_list_age(self, age_ms: float) -> None:
+        """Take the time since the VM list was last read."""
+        self._listed_at_ms = now_ms() - age_ms
+
     def replace_configuration(
         self, view_version: int, config_version: int, configuration: Configuration, age_ms: float
     ) -> None:
@@ -214,6 +218,7 @@
 
 
 def _take(view: FleetView, reply: ViewReply) -> None:
+    view.note_list_age(reply.membership_age_ms)
     configuration = view.configuration
     config_version = view.config_version
     if reply.config_document and reply.config_version > view.config_version:
@@ -221,4 +226,5 @@
         config_version = reply.config_version
     if reply.config_version == config_version:
         view.replace_configuration(view.version, config_version, configuration, reply.config_age_ms)
-    view.replace(reply.view_version, reply.vms, reply.upstreams, reply.membership_age_ms)
+    if not reply.unchanged:
+        view.replace(reply.view_version, reply.vms, reply.upstreams, reply.membership_age_ms)
--- /dev/null
+++ b/src/fescuedock/agent/main.py
@@ -0,0 +1,162 @@
+"""The agent: membership, configuration, and the permits and orders of the upstreams it owns."""
+
+import errno
+import random
+from collections.abc import AsyncIterator, Mapping
+from contextlib import asynccontextmanager
+
+import msgspec
+import trio
+import zmq
+from result import Err, Result
+
+from fescuedock.agent.codec import open_codec
+from fescuedock.agent.config_follow import ConfigFollower
+from fescuedock.agent.config_service import CallPeer
+from fescuedock.agent.link import FleetView
+from fescuedock.agent.membership_service import MembershipService
+from fescuedock.agent.permit_service import PermitService
+from fescuedock.agent.programs import LocalPrograms
+from fescuedock.clock import now_ms, unix_clock
+from fescuedock.core.membership import Membership
+from fescuedock.daemon import Stop, run_program
+from fescuedock.faults import Fault
+from fescuedock.net.address import Address
+from fescuedock.net.channel import CallHandler, ServerPeer, serve_channel
+from fescuedock.net.channel_pool import ChannelPool, open_channel_pool
+from fescuedock.net.codec import Codec
+from fescuedock.net.http_client import HttpClient
+from fescuedock.net.udp import UdpSocket, open_udp
+from fescuedock.platform.etcd import EtcdKv
+from fescuedock.platform.vm_list import VmListClient
+from fescuedock.schema.result_codes import ResultCode
+from fescuedock.schema.view import VmRecord
+from fescuedock.settings import Settings
+
+__all__ = ["main", "run_agent"]
+
+_PORT_TRIES = 20
+# How long a stopping agent still answers, in probe intervals: its leave must have spread.
+_LEAVE_INTERVALS = 3
+
+
+async def run_agent(
+    settings: Settings, stop: Stop, *, task_status: trio.TaskStatus[Address]
+) -> None:
+    """Run the agent until ``stop``; reports the address of its messages and datagrams.
+
+    A stop is announced at once, so that other agents take over the upstreams; the agent answers
+    until that has spread, and then says that it is gone.
+    """
+    codec = open_codec(settings.vm)
+    http = HttpClient()
+    handlers: dict[type[msgspec.Struct], CallHandler] = {}
+    async with (
+        open_channel_pool(codec) as pool,
+        _open_port(settings, codec, handlers) as udp,
+        trio.open_nursery() as nursery,
+    ):
+        services = _Services(settings, codec, http, pool, udp)
+        handlers.update(services.handlers())
+        services.start(nursery)
+        task_status.started(udp.address)
+        await stop.wait()
+        await _leave(settings, services)
+        nursery.cancel_scope.cancel()
+    await http.close()
+
+
+class _Services:
+    """The agent's services, wired to each other."""
+
+    def __init__(
+        self, settings: Settings, codec: Codec, http: HttpClient, pool: ChannelPool, udp: UdpSocket
+    ) -> None:
+        rng = random.SystemRandom()
+        self.view = FleetView(settings.vm.vm_id)
+        programs = LocalPrograms(settings.vm, udp.address.port)
+        kv = EtcdKv(http, settings.platform)
+        self.config = ConfigFollower(settings, kv)
+        boot_ms = unix_clock()() * 1000 + rng.randrange(1000)
+        membership = Membership(
+            settings.agent,
+            settings.vm.vm_id,
+            programs.profile(now_ms(), 0, config_confirmed=False, serving=False),
+            boot_ms,
+            rng,
+            now_ms(),
+        )
+        self.membership = MembershipService(
+            settings,
+            membership,
+            udp,
+            codec,
+            VmListClient(http, settings.platform),
+            programs,
+            self.config,
+            self.view,
+        )
+        self.permits = PermitService(settings, self.view, http, rng)
+
+    def vms(self) -> list[VmRecord]:
+        """Return every VM that membership knows, gone ones included."""
+        return self.membership.vms()
+
+    def handlers(self) -> Mapping[type[msgspec.Struct], CallHandler]:
+        parts = (self.membership, self.config, self.permits)
+        return {kind: handler for part in parts for kind, handler in part.handlers().items()}
+
+    def start(self, nursery: trio.Nursery) -> None:
+        for part in (self.membership, self.config, self.permits):
+            nursery.start_soon(part.run)
+
+
+def _peer_caller(pool: ChannelPool) -> CallPeer:
+    async def call(
+        vm: VmRecord, message: msgspec.Struct, timeout_ms: float
+    ) -> Result[msgspec.Struct, Fault]:
+        if not vm.agent_port:
+            return Err(Fault(ResultCode.PEER_UNREACHABLE, f"no agent runs on {vm.vm_id}"))
+        client = await pool.client(Address(vm.host, vm.agent_port))
+        return await client.call(message, timeout_ms)
+
+    return call
+
+
+async def _leave(settings: Settings, services: _Services) -> None:
+    services.membership.leave()
+    wait_ms = _LEAVE_INTERVALS * settings.agent.probe_interval_ms
+    await trio.sleep(min(wait_ms, settings.vm.stop_timeout_ms) / 1000)
+    services.membership.finish()
+
+
+@asynccontextmanager
+async def _open_port(
+    settings: Settings, codec: Codec, handlers: Mapping[type[msgspec.Struct], CallHandler]
+) -> AsyncIterator[UdpSocket]:
+    """Serve messages, and give the socket for datagrams, on one port number."""
+
+    async def handle(message: msgspec.Struct, peer: ServerPeer) -> msgspec.Struct | None:
+        handler = handlers.get(type(message))
+        return None if handler is None else await handler(message, peer)
+
+    wanted = Address(settings.vm.host, settings.agent.port)
+    async with trio.open_nursery() as nursery:
+        for _ in range(_PORT_TRIES):
+            with open_udp(wanted) as udp:
+                try:
+                    await nursery.start(serve_channel, udp.address, codec, handle)
+                except zmq.ZMQError as error:
+                    if wanted.port or error.errno != errno.EADDRINUSE:
+                        raise
+                    # A free port for datagrams, but not for messages: try another.
+                    continue
+                yield udp
+                nursery.cancel_scope.cancel()
+                return
+    raise OSError(errno.EADDRINUSE, f"no port of {wanted.host} is free for TCP and UDP")
+
+
+def main() -> None:
+    """Run the agent as a process, from an INI file."""
+    run_program("agent", run_agent, sections=("vm", "platform", "agent"))
--- /dev/null
+++ b/src/fescuedock/agent/membership_service.py
@@ -0,0 +1,241 @@
+"""The shell of membership: datagrams, the VM list, and the view that this VM's programs follow."""
+
+import msgspec
+import trio
+from result import Ok
+
+from fescuedock.agent.link import FleetView
+from fescuedock.agent.programs import LocalPrograms
+from fescuedock.clock import now_ms
+from fescuedock.core.membership import (
+    Action,
+    Candidate,
+    Membership,
+    PeerVersion,
+    Send,
+    is_membership_message,
+)
+from fescuedock.net.address import Address
+from fescuedock.net.channel import CallHandler, ServerPeer
+from fescuedock.net.codec import BadMessageError, Codec
+from fescuedock.net.udp import UdpSocket
+from fescuedock.platform.vm_list import VmList, VmListClient
+from fescuedock.schema.config import Configuration
+from fescuedock.schema.view import (
+    Acknowledgement,
+    Hello,
+    HelloReply,
+    LeaveRequest,
+    UpstreamRecord,
+    ViewReply,
+    ViewRequest,
+    VmRecord,
+)
+from fescuedock.settings import Settings
+
+__all__ = ["ConfigSource", "MembershipService"]
+
+_MAX_DATAGRAM_BYTES = 1200
+_PUBLISH_INTERVAL_MS = 100.0
+_MAX_POLL_MS = 30000
+
+
+class ConfigSource:
+    """What membership needs of the configuration on this VM."""
+
+    current_version: int
+    document: bytes
+    confirmed_age_ms: float
+    unconfirmed: bool
+    serving: bool
+
+    def on_peer_version(self, vm: VmRecord, version: int) -> None:
+        raise NotImplementedError
+
+
+class MembershipService:
+    """Runs ``Membership`` over one UDP socket and keeps ``view`` current.
+
+    ``programs`` gets the announcements of the VM's programs; ``configuration`` says what is in
+    force here.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        membership: Membership,
+        udp: UdpSocket,
+        codec: Codec,
+        vm_list: VmListClient,
+        programs: LocalPrograms,
+        configuration: ConfigSource,
+        view: FleetView,
+    ) -> None:
+        self._settings = settings
+        self._membership = membership
+        self._udp = udp
+        self._codec = codec
+        self._vm_list = vm_list
+        self._programs = programs
+        self._configuration = configuration
+        self._view = view
+        self._upstreams: tuple[UpstreamRecord, ...] = ()
+        self._read_list: VmList | None = None
+        self._dirty = True
+        self._published_revision = -1
+        self._published_at_ms = float("-inf")
+
+    def handlers(self) -> dict[type[msgspec.Struct], CallHandler]:
+        """Handlers by message type, to be merged with those of the agent's other services."""
+        return {
+            Hello: self._on_hello,
+            ViewRequest: self._on_view_request,
+            LeaveRequest: self._on_leave_request,
+        }
+
+    def vms(self) -> list[VmRecord]:
+        """Return every VM that membership knows, gone ones included."""
+        return self._membership.records(with_gone=True)
+
+    async def run(self) -> None:
+        """Take part in membership until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._receive_forever)
+            nursery.start_soon(self._tick_forever)
+            nursery.start_soon(self._follow_list)
+
+    def leave(self) -> None:
+        """Announce that this VM takes no new work."""
+        self._perform(self._membership.leave(now_ms()))
+        self._publish(now_ms())
+
+    def finish(self) -> None:
+        """Announce that this VM is gone."""
+        self._perform(self._membership.finish(now_ms()))
+
+    # --- loops ---------------------------------------------------------------------------------
+
+    async def _receive_forever(self) -> None:
+        while True:
+            for data, source in await self._udp.receive():
+                self._take(data, source)
+
+    async def _tick_forever(self) -> None:
+        while True:
+            self._tick(now_ms())
+            await trio.sleep(self._membership.tick_ms / 1000)
+
+    async def _follow_list(self) -> None:
+        while True:
+            match await self._vm_list.read():
+                case Ok(VmList() as listed):
+                    self._take_list(listed)
+            await trio.sleep(self._settings.platform.vm_list_poll_ms / 1000)
+
+    def _tick(self, at_ms: float) -> None:
+        source = self._configuration
+        profile = self._programs.profile(
+            at_ms, source.current_version, not source.unconfirmed, source.serving
+        )
+        self._membership.set_profile(profile, at_ms)
+        self._perform(self._membership.tick(at_ms))
+        changed = self._dirty or self._membership.revision != self._published_revision
+        changed = changed or source.current_version != self._view.config_version
+        if changed and at_ms - self._published_at_ms >= _PUBLISH_INTERVAL_MS:
+            self._publish(at_ms)
+
+    def _take(self, data: bytes, source: Address) -> None:
+        if len(data) > _MAX_DATAGRAM_BYTES:
+            return
+        try:
+            message = self._codec.decode(data)
+        except BadMessageError:
+            return
+        if is_membership_message(message):
+            self._perform(self._membership.receive(message, source, now_ms()))
+
+    def _take_list(self, listed: VmList) -> None:
+        candidates = [
+            Candidate(vm.vm_id, Address(vm.host, vm.port), vm.is_leaving) for vm in listed.system
+        ]
+        self._membership.replace_list(candidates, now_ms())
+        if listed is not self._read_list:
+            self._read_list = listed
+            self._upstreams = listed.upstreams
+            self._dirty = True
+        self._view.note_list_age(now_ms() - self._membership.list_read_at_ms)
+
+    def _perform(self, actions: list[Action]) -> None:
+        for action in actions:
+            match action:
+                case Send(address, message):
+                    self._udp.send(self._codec.encode(message), address)
+                case PeerVersion(vm_id, version):
+                    vm = self._view.vms.get(vm_id)
+                    if vm is not None:
+                        self._configuration.on_peer_version(vm, version)
+
+    # --- the view ------------------------------------------------------------------------------
+
+    def _publish(self, at_ms: float) -> None:
+        """Replace the view by what is known now, and wake those who wait for it."""
+        self._dirty = False
+        self._published_at_ms = at_ms
+        self._published_revision = self._membership.revision
+        self._take_configuration()
+        drained = _drained(self._view.configuration)
+        upstreams = [
+            msgspec.structs.replace(item, leaving=item.leaving or item.upstream_id in drained)
+            for item in self._upstreams
+        ]
+        age_ms = at_ms - self._membership.list_read_at_ms
+        self._view.replace(self._view.version + 1, self._membership.records(), upstreams, age_ms)
+
+    def _take_configuration(self) -> None:
+        source = self._configuration
+        configuration = self._view.configuration
+        if source.current_version != self._view.config_version:
+            configuration = msgspec.json.decode(source.document, type=Configuration)
+        self._view.replace_configuration(
+            self._view.version, source.current_version, configuration, source.confirmed_age_ms
+        )
+
+    # --- handlers ------------------------------------------------------------------------------
+
+    async def _on_hello(self, message: Hello, _peer: ServerPeer) -> HelloReply:
+        self._programs.note(message, now_ms())
+        return HelloReply(self._settings.vm.vm_id)
+
+    async def _on_leave_request(self, _message: LeaveRequest, _peer: ServerPeer) -> Acknowledgement:
+        self.leave()
+        return Acknowledgement()
+
+    async def _on_view_request(self, message: ViewRequest, _peer: ServerPeer) -> ViewReply:
+        with trio.move_on_after(min(message.wait_ms, _MAX_POLL_MS) / 1000):
+            await self._view.wait_changed(message.seen_version)
+        return self._reply(message)
+
+    def _reply(self, message: ViewRequest) -> ViewReply:
+        view = self._view
+        source = self._configuration
+        unchanged = view.version == message.seen_version
+        newer = view.config_version > message.seen_config_version
+        return ViewReply(
+            view_version=view.version,
+            vms=[] if unchanged else list(view.vms.values()),
+            upstreams=[] if unchanged else list(view.upstreams.values()),
+            membership_age_ms=_whole(view.membership_age_ms),
+            config_version=view.config_version,
+            config_age_ms=_whole(source.confirmed_age_ms),
+            config_document=source.document if newer else b"",
+            unchanged=unchanged,
+        )
+
+
+def _drained(configuration: Configuration) -> set[str]:
+    return {name for name, policy in configuration.upstreams.items() if policy.drain}
+
+
+def _whole(age_ms: float) -> int:
+    """Return an age as a message carries it; "never" becomes a very long time."""
+    return int(min(age_ms, 2**53))
--- /dev/null
+++ b/src/fescuedock/core/membership/__init__.py
@@ -0,0 +1,16 @@
+"""Which VMs are there: failure detection and the spreading of news between agents, sans I/O."""
+
+from fescuedock.core.membership.actions import Action, PeerVersion, Send
+from fescuedock.core.membership.gossip import MAX_DATAGRAM_BYTES
+from fescuedock.core.membership.listing import Candidate
+from fescuedock.core.membership.membership import Membership, is_membership_message
+
+__all__ = [
+    "MAX_DATAGRAM_BYTES",
+    "Action",
+    "Candidate",
+    "Membership",
+    "PeerVersion",
+    "Send",
+    "is_membership_message",
+]
--- /dev/null
+++ b/src/fescuedock/core/membership/anti_entropy.py
@@ -0,0 +1,69 @@
+"""Compares whole tables with one member after another, for news that gossip has missed."""
+
+from random import Random
+
+from fescuedock.core.membership.actions import Action
+from fescuedock.core.membership.composer import Composer
+from fescuedock.core.membership.table import BUCKETS, Member, MemberTable, bucket_of
+from fescuedock.schema.membership import SyncReply, SyncRequest
+
+__all__ = ["TableSync"]
+
+_INTERVAL_MS = 10000
+_RETRY_MS = 500
+_REPLY_DATAGRAMS = 8
+# What one VM answers in one second, so that a fleet's start does not drown its first VM.
+_SERVED_PER_S = 5
+
+
+class TableSync:
+    """Asks one random member every ten seconds; sooner while there is more to learn."""
+
+    __slots__ = ("_composer", "_due_ms", "_rng", "_served", "_served_from_ms", "_table", "_vm_id")
+
+    def __init__(
+        self, vm_id: str, table: MemberTable, composer: Composer, rng: Random, now_ms: float
+    ) -> None:
+        self._vm_id = vm_id
+        self._table = table
+        self._composer = composer
+        self._rng = rng
+        self._due_ms = now_ms
+        self._served = 0
+        self._served_from_ms = now_ms
+
+    def tick(self, now_ms: float) -> list[Action]:
+        """Ask a member when that is due."""
+        if now_ms < self._due_ms:
+            return []
+        others = [item for item in self._table.present() if item.vm_id != self._vm_id]
+        if not others:
+            return []
+        # Until the answer has come, which may be lost.
+        self._due_ms = now_ms + _RETRY_MS
+        return [self._composer.sync_request(self._rng.choice(others))]
+
+    def serve(self, sender: Member, message: SyncRequest, now_ms: float) -> list[Action]:
+        """Answer with every member in the buckets that differ."""
+        if not self._may_serve(now_ms):
+            return []
+        own = self._table.bucket_hashes()
+        differing = {
+            bucket for bucket in range(BUCKETS) if own[bucket] != message.bucket_hashes[bucket]
+        }
+        members = [item for item in self._table if bucket_of(item.vm_id) in differing]
+        self._rng.shuffle(members)
+        updates = [item.update() for item in members]
+        return list(self._composer.sync_replies(sender, updates, _REPLY_DATAGRAMS))
+
+    def note_reply(self, message: SyncReply, now_ms: float) -> None:
+        """Plan the next comparison."""
+        if not message.more:
+            self._due_ms = now_ms + _INTERVAL_MS * self._rng.uniform(0.5, 1.5)
+
+    def _may_serve(self, now_ms: float) -> bool:
+        if now_ms - self._served_from_ms >= 1000:
+            self._served_from_ms = now_ms
+            self._served = 0
+        self._served += 1
+        return self._served <= _SERVED_PER_S
--- /dev/null
+++ b/src/fescuedock/core/membership/composer.py
@@ -0,0 +1,115 @@
+"""Builds datagrams: head, contents, and as much news as there is room for."""
+
+from collections.abc import Sequence
+
+import msgspec
+
+from fescuedock.core.membership.actions import Send
+from fescuedock.core.membership.gossip import GossipQueue, free_bytes, update_bytes
+from fescuedock.core.membership.table import Member, MemberTable
+from fescuedock.net.address import Address
+from fescuedock.schema.membership import (
+    DatagramHead,
+    Gossip,
+    Probe,
+    ProbeAck,
+    ProbeReport,
+    ProbeRequest,
+    SyncReply,
+    SyncRequest,
+    VmUpdate,
+)
+
+__all__ = ["Composer", "address_of"]
+
+
+def address_of(member: Member) -> Address:
+    """Return where a member's agent takes datagrams."""
+    return Address(member.profile.host, member.profile.agent_port)
+
+
+class Composer:
+    """Numbers this boot's datagrams and fills them from the queue of news.
+
+    ``about`` comes before other news: what the receiver must hear of itself, or of the sender.
+    """
+
+    __slots__ = ("_boot", "_queue", "_sequence", "_table", "_vm_id", "config_version")
+
+    def __init__(self, vm_id: str, boot: int, table: MemberTable, queue: GossipQueue) -> None:
+        self._vm_id = vm_id
+        self._boot = boot
+        self._table = table
+        self._queue = queue
+        self._sequence = 0
+        self.config_version = 0
+
+    def probe(
+        self, receiver: str, address: Address, nonce: int, about: Sequence[VmUpdate] = ()
+    ) -> Send:
+        return self._send(address, Probe(self._head(receiver), nonce, []), about)
+
+    def ack(
+        self, receiver: str, address: Address, nonce: int, about: Sequence[VmUpdate] = ()
+    ) -> Send:
+        return self._send(address, ProbeAck(self._head(receiver), nonce, []), about)
+
+    def request(self, helper: Member, nonce: int, target: str) -> Send:
+        message = ProbeRequest(self._head(helper.vm_id), nonce, target, [])
+        return self._send(address_of(helper), message)
+
+    def report(self, asker: Member, nonce: int, reached: bool) -> Send:
+        message = ProbeReport(self._head(asker.vm_id), nonce, reached, [])
+        return self._send(address_of(asker), message)
+
+    def gossip(self, member: Member, about: Sequence[VmUpdate] = ()) -> Send | None:
+        """Return a datagram of news, or None when there is none."""
+        send = self._send(address_of(member), Gossip(self._head(member.vm_id), []), about)
+        return send if send.message.updates else None
+
+    def sync_request(self, member: Member) -> Send:
+        hashes = self._table.bucket_hashes()
+        return Send(address_of(member), SyncRequest(self._head(member.vm_id), hashes))
+
+    def sync_replies(self, receiver: Member, updates: list[VmUpdate], limit: int) -> list[Send]:
+        """Return ``updates`` in at most ``limit`` datagrams; the last says if some are left."""
+        replies: list[Send] = []
+        left = list(updates)
+        while left or not replies:
+            message = SyncReply(self._head(receiver.vm_id), False, [])
+            left = _fill(message, left)
+            replies.append(Send(address_of(receiver), message))
+            if len(replies) == limit:
+                break
+        replies[-1].message.more = bool(left)
+        return replies
+
+    def _head(self, receiver: str) -> DatagramHead:
+        self._sequence += 1
+        return DatagramHead(self._vm_id, receiver, self._boot, self._sequence, self.config_version)
+
+    def _send(
+        self, address: Address, message: msgspec.Struct, about: Sequence[VmUpdate] = ()
+    ) -> Send:
+        _fill(message, about)
+        room_bytes = free_bytes(message)
+        fleet_size = len(self._table.present())
+        message.updates += self._queue.take(room_bytes, fleet_size, self._news)
+        return Send(address, message)
+
+    def _news(self, vm_id: str) -> VmUpdate | None:
+        member = self._table.get(vm_id)
+        if member is None or member.local_only:
+            return None
+        return member.update()
+
+
+def _fill(message: msgspec.Struct, updates: Sequence[VmUpdate]) -> list[VmUpdate]:
+    """Move updates into ``message`` while they fit; return those left over."""
+    room_bytes = free_bytes(message)
+    for position, update in enumerate(updates):
+        room_bytes -= update_bytes(update)
+        if room_bytes < 0:
+            return list(updates[position:])
+        message.updates.append(update)
+    return []
--- /dev/null
+++ b/src/fescuedock/core/membership/detection.py
@@ -0,0 +1,274 @@
+"""Finds out which members are dead, and says so only on evidence."""
+
+from collections.abc import Iterable, Sequence
+from random import Random
+
+from fescuedock.core.membership.actions import Action
+from fescuedock.core.membership.composer import Composer, address_of
+from fescuedock.core.membership.gossip import GossipQueue
+from fescuedock.core.membership.health import LocalHealth
+from fescuedock.core.membership.listing import VmListing
+from fescuedock.core.membership.probing import (
+    PendingProbe,
+    ProbePurpose,
+    ProbeRotation,
+    Probing,
+    choose_helpers,
+)
+from fescuedock.core.membership.suspicion import (
+    Suspicions,
+    enough_evidence,
+    removable,
+    suspicion_ms,
+)
+from fescuedock.core.membership.table import Member, MemberTable
+from fescuedock.core.rendezvous import rank_names
+from fescuedock.net.address import Address
+from fescuedock.schema.membership import (
+    MemberState,
+    ProbeAck,
+    ProbeReport,
+    ProbeRequest,
+    VmUpdate,
+)
+from fescuedock.schema.settings import AgentSettings
+
+__all__ = ["FailureDetector"]
+
+# Shares of the probe interval.
+_HELP_AFTER = 0.4
+_HELPER_WAIT = 0.4
+# Members that look for themselves when a suspicion has too little evidence.
+_CHECKERS = 3
+_MAX_CONTACTS = 32
+_BOOTSTRAP_CONTACTS = 3
+# Unanswered probes in a row, with silent helpers, before this VM suspects on its own.
+_SILENT_PROBES = 3
+_MAX_LIST_AGE_MS = 30000
+
+
+class FailureDetector:
+    """Probes one member and one candidate of the VM list in each interval, whatever the size."""
+
+    def __init__(
+        self,
+        settings: AgentSettings,
+        vm_id: str,
+        table: MemberTable,
+        listing: VmListing,
+        queue: GossipQueue,
+        composer: Composer,
+        health: LocalHealth,
+        rng: Random,
+        now_ms: float,
+    ) -> None:
+        self._settings = settings
+        self._vm_id = vm_id
+        self._table = table
+        self._listing = listing
+        self._queue = queue
+        self._composer = composer
+        self._health = health
+        self._rng = rng
+        self._probing = Probing(rng)
+        self._members = ProbeRotation(rng)
+        self._candidates = ProbeRotation(rng)
+        self._suspicions = Suspicions()
+        self._silent: dict[str, int] = {}
+        # VMs of one fleet must not probe in step.
+        self._probe_due_ms = now_ms + rng.uniform(0, settings.probe_interval_ms)
+        self._bootstrap_due_ms = now_ms
+
+    # --- time -------------------------------------------------------------------------------
+
+    def tick(self, now_ms: float) -> list[Action]:
+        """Do what is due: verdicts, helpers, the next probes, the end of suspicions."""
+        actions: list[Action] = []
+        for probe in self._probing.take_due(now_ms):
+            actions += self._unanswered(probe, now_ms)
+        for probe in self._probing.needing_helpers(now_ms):
+            actions += self._ask_helpers(probe)
+        if now_ms >= self._probe_due_ms:
+            self._probe_due_ms = now_ms + self._settings.probe_interval_ms
+            actions += self._probe_next(now_ms)
+        if now_ms >= self._bootstrap_due_ms and len(self._table.present()) == 1:
+            self._bootstrap_due_ms = now_ms + self._settings.probe_interval_ms / 5
+            for _ in range(_BOOTSTRAP_CONTACTS):
+                actions += self._contact_candidate(now_ms)
+        self._end_suspicions(now_ms)
+        return actions
+
+    def resume(self, lag_ms: float, paused: bool) -> None:
+        """Give back the time in which this VM could not listen."""
+        self._suspicions.postpone(lag_ms)
+        if paused:
+            self._probing.clear()
+
+    # --- probes -----------------------------------------------------------------------------
+
+    def check(self, member: Member, now_ms: float) -> list[Action]:
+        """Probe a member now."""
+        if self._probing.targets(member.vm_id, ProbePurpose.MEMBER):
+            return []
+        interval_ms = self._settings.probe_interval_ms * self._health.multiplier
+        probe = self._probing.start(
+            member.vm_id,
+            ProbePurpose.MEMBER,
+            now_ms + _HELP_AFTER * interval_ms,
+            now_ms + interval_ms,
+        )
+        return [self._probe(member, probe)]
+
+    def contact(
+        self, vm_id: str, address: Address, about: Sequence[VmUpdate], now_ms: float
+    ) -> list[Action]:
+        """Probe a VM that is no member, or has not proved its boot; silence proves nothing."""
+        if (
+            self._probing.targets(vm_id, ProbePurpose.CONTACT)
+            or len(self._probing) >= _MAX_CONTACTS
+        ):
+            return []
+        due_ms = now_ms + self._settings.probe_interval_ms
+        probe = self._probing.start(vm_id, ProbePurpose.CONTACT, due_ms, due_ms)
+        return [self._composer.probe(vm_id, address, probe.nonce, about)]
+
+    def help(self, message: ProbeRequest, now_ms: float) -> list[Action]:
+        """Probe a VM for the sender of ``message``, which could not reach it."""
+        target = self._table.get(message.target)
+        if target is None or target.gone or len(self._probing) >= _MAX_CONTACTS:
+            return []
+        due_ms = now_ms + _HELPER_WAIT * self._settings.probe_interval_ms
+        probe = self._probing.start(target.vm_id, ProbePurpose.HELP, due_ms, due_ms)
+        probe.asker = message.head.sender
+        probe.asker_nonce = message.nonce
+        return [self._probe(target, probe)]
+
+    def answers(self, message: ProbeAck) -> bool:
+        """Whether ``message`` answers a pending probe to its sender."""
+        probe = self._probing.get(message.nonce)
+        return probe is not None and probe.target == message.head.sender
+
+    def acknowledge(self, message: ProbeAck) -> list[Action]:
+        """Take the answer to a probe."""
+        if not self.answers(message):
+            return []
+        probe = self._probing.get(message.nonce)
+        self._probing.finish(probe.nonce)
+        if probe.purpose is ProbePurpose.HELP:
+            return self._report(probe, reached=True)
+        if probe.purpose is ProbePurpose.MEMBER:
+            self._health.note_answered()
+            self._silent.pop(probe.target, None)
+        return []
+
+    def reported(self, message: ProbeReport) -> None:
+        """Take a helper's answer."""
+        probe = self._probing.get(message.nonce)
+        if probe is None or not probe.helped:
+            return
+        if message.reached:
+            self._probing.finish(probe.nonce)
+            self._silent.pop(probe.target, None)
+        elif message.head.sender not in probe.witnesses:
+            probe.witnesses.append(message.head.sender)
+
+    def _probe_next(self, now_ms: float) -> list[Action]:
+        others = [item.vm_id for item in self._table.present() if item.vm_id != self._vm_id]
+        name = self._members.next(others)
+        actions = [] if name is None else self.check(self._table.get(name), now_ms)
+        return actions + self._contact_candidate(now_ms)
+
+    def _contact_candidate(self, now_ms: float) -> list[Action]:
+        """Try one VM that is listed but not among the members."""
+        absent = [item for item in self._listing.all() if self._is_absent(item.vm_id)]
+        name = self._candidates.next(item.vm_id for item in absent)
+        if name is None:
+            return []
+        own = self._table.get(self._vm_id)
+        known = self._table.get(name)
+        about = [own.update()] if known is None else [known.accusation(), own.update()]
+        return self.contact(name, self._listing.get(name).address, about, now_ms)
+
+    def _is_absent(self, vm_id: str) -> bool:
+        member = self._table.get(vm_id)
+        return member is None or member.gone
+
+    def _probe(self, member: Member, probe: PendingProbe) -> Action:
+        # An accused VM must hear of it, to refute.
+        about = [] if member.state is MemberState.ALIVE else [member.accusation()]
+        return self._composer.probe(member.vm_id, address_of(member), probe.nonce, about)
+
+    def _ask_helpers(self, probe: PendingProbe) -> list[Action]:
+        target = self._table.get(probe.target)
+        if target is None:
+            return []
+        others = [item for item in self._table.present() if item.vm_id != self._vm_id]
+        own_domain = self._table.get(self._vm_id).failure_domain
+        helpers = choose_helpers(target, own_domain, others, self._rng)
+        return [self._composer.request(helper, probe.nonce, probe.target) for helper in helpers]
+
+    # --- verdicts ---------------------------------------------------------------------------
+
+    def _unanswered(self, probe: PendingProbe, now_ms: float) -> list[Action]:
+        if probe.purpose is ProbePurpose.HELP and self._health.steady:
+            return self._report(probe, reached=False)
+        member = self._table.get(probe.target)
+        if probe.purpose is ProbePurpose.MEMBER and member is not None and not member.gone:
+            self._judge(member, probe.witnesses, now_ms)
+        return []
+
+    def _judge(self, member: Member, witnesses: Sequence[str], now_ms: float) -> None:
+        alone = len(self._table.present()) <= 2
+        if witnesses or alone:
+            if self._health.steady:
+                self.accuse(member, [self._vm_id, *witnesses], now_ms)
+            return
+        # Neither the target nor any helper: more likely it is this VM that is cut off.
+        self._health.note_unanswered()
+        self._silent[member.vm_id] = self._silent.get(member.vm_id, 0) + 1
+        if self._silent[member.vm_id] >= _SILENT_PROBES:
+            self.accuse(member, [self._vm_id], now_ms)
+
+    def accuse(self, member: Member, accusers: Iterable[str], now_ms: float) -> None:
+        """Suspect a member; the news spreads once two VMs, or enough, testify."""
+        news = self._table.add_accusers(member, accusers)
+        strong = len(member.accusers) > 1 or enough_evidence(
+            member.vm_id, member.accusers, self._table
+        )
+        if member.state is MemberState.ALIVE:
+            self._table.set_state(member, MemberState.SUSPECT, now_ms, local_only=not strong)
+        if strong and (news or member.local_only):
+            member.local_only = False
+            self._queue.add(member.vm_id)
+        self.watch(member, now_ms)
+
+    def watch(self, member: Member, now_ms: float) -> bool:
+        """Begin to count the time a suspected member has; False when that was done before."""
+        duration_ms = suspicion_ms(self._settings, len(self._table.present()))
+        return self._suspicions.watch(member, duration_ms, now_ms)
+
+    def second_opinion(self, member: Member, now_ms: float) -> list[Action]:
+        """Look for ourselves if others suspect on little evidence and we are among the checkers."""
+        if enough_evidence(member.vm_id, member.accusers, self._table):
+            return []
+        names = [item.vm_id for item in self._table.present() if item.vm_id != member.vm_id]
+        if self._vm_id not in rank_names(member.vm_id, names)[:_CHECKERS]:
+            return []
+        return self.check(member, now_ms)
+
+    def _end_suspicions(self, now_ms: float) -> None:
+        def supported(vm_id: str) -> bool:
+            return self._listing.supports_removal(vm_id, now_ms, _MAX_LIST_AGE_MS)
+
+        strong, weak = self._suspicions.take_due(self._table, now_ms, supported)
+        for member in strong:
+            self._table.set_state(member, MemberState.GONE, now_ms, local_only=False)
+            self._queue.add(member.vm_id)
+        for member in weak[: removable(self._table, self._settings.removal_share)]:
+            self._table.set_state(member, MemberState.GONE, now_ms, local_only=True)
+
+    def _report(self, probe: PendingProbe, reached: bool) -> list[Action]:
+        asker = self._table.get(probe.asker)
+        if asker is None or asker.gone:
+            return []
+        return [self._composer.report(asker, probe.asker_nonce, reached)]
--- /dev/null
+++ b/src/fescuedock/core/membership/freshness.py
@@ -0,0 +1,63 @@
+"""Tells fresh datagrams from replayed ones, by each sender's boot and sequence number."""
+
+from dataclasses import dataclass
+from enum import Enum, auto
+
+from fescuedock.schema.membership import DatagramHead
+
+__all__ = ["Freshness", "ReplayWindows"]
+
+# Datagrams overtake each other by far less than this.
+_WINDOW = 256
+
+
+class Freshness(Enum):
+    """``UNPROVEN``: this boot of the sender has not yet answered a nonce of ours."""
+
+    FRESH = auto()
+    REPLAYED = auto()
+    UNPROVEN = auto()
+
+
+@dataclass(slots=True)
+class _Window:
+    boot: int
+    highest: int
+    # Bit i is set when the sequence number highest - i was seen.
+    seen: int = 1
+
+
+class ReplayWindows:
+    """One window for each sender that has proved its boot.
+
+    A recorded datagram of an earlier boot, or one that comes to a receiver which has restarted and
+    remembers nothing, is unproven: only the answer to a nonce proves that the sender lives now.
+    """
+
+    __slots__ = ("_windows",)
+
+    def __init__(self) -> None:
+        self._windows: dict[str, _Window] = {}
+
+    def check(self, head: DatagramHead) -> Freshness:
+        """Judge a datagram and note it as seen."""
+        window = self._windows.get(head.sender)
+        if window is None or window.boot != head.boot:
+            return Freshness.UNPROVEN
+        ahead = head.sequence - window.highest
+        if ahead > 0:
+            window.seen = (window.seen << min(ahead, _WINDOW) | 1) & ((1 << _WINDOW) - 1)
+            window.highest = head.sequence
+            return Freshness.FRESH
+        bit = 1 << -ahead
+        if -ahead >= _WINDOW or window.seen & bit:
+            return Freshness.REPLAYED
+        window.seen |= bit
+        return Freshness.FRESH
+
+    def prove(self, head: DatagramHead) -> None:
+        """Open a window: the datagram answered a nonce that we have just made."""
+        self._windows[head.sender] = _Window(head.boot, head.sequence)
+
+    def forget(self, vm_id: str) -> None:
+        self._windows.pop(vm_id, None)
--- /dev/null
+++ b/src/fescuedock/core/membership/gossip.py
@@ -0,0 +1,75 @@
+"""Which news goes into the next datagram: each a bounded number of times, the newest first."""
+
+import math
+from collections.abc import Callable
+
+import msgspec
+
+from fescuedock.schema.membership import VmUpdate
+
+__all__ = ["MAX_DATAGRAM_BYTES", "GossipQueue", "free_bytes", "update_bytes"]
+
+MAX_DATAGRAM_BYTES = 1200
+_DIGEST_BYTES = 16
+# The array around type name and message, the name's own head, and a longer head of the updates.
+_FRAME_BYTES = 8
+_EXTRA_SENDS = 3
+
+_encoder = msgspec.msgpack.Encoder()
+
+
+def update_bytes(update: VmUpdate) -> int:
+    """Return the size of ``update`` within a datagram."""
+    return len(_encoder.encode(update))
+
+
+def free_bytes(message: msgspec.Struct) -> int:
+    """Return the room for updates that ``message``, which has none yet, leaves in a datagram."""
+    used_bytes = len(_encoder.encode(message)) + len(type(message).__name__)
+    return MAX_DATAGRAM_BYTES - _DIGEST_BYTES - _FRAME_BYTES - used_bytes
+
+
+class GossipQueue:
+    """The VMs about which there is news, and how often each was passed on."""
+
+    __slots__ = ("_sends",)
+
+    def __init__(self) -> None:
+        self._sends: dict[str, int] = {}
+
+    def __len__(self) -> int:
+        return len(self._sends)
+
+    def add(self, vm_id: str) -> None:
+        """Spread what is known of ``vm_id``, counting from the beginning."""
+        self._sends[vm_id] = 0
+
+    def discard(self, vm_id: str) -> None:
+        self._sends.pop(vm_id, None)
+
+    def take(
+        self, room_bytes: int, fleet_size: int, make: Callable[[str], VmUpdate | None]
+    ) -> list[VmUpdate]:
+        """Return updates of ``room_bytes`` at most, and count them as sent once more.
+
+        ``make`` gives what is known now of a VM, or None when that is nothing to spread.
+        """
+        limit = math.ceil(math.log(fleet_size + 1)) + _EXTRA_SENDS
+        updates: list[VmUpdate] = []
+        for vm_id in sorted(self._sends, key=self._sends.__getitem__):
+            update = make(vm_id)
+            if update is None:
+                del self._sends[vm_id]
+                continue
+            size_bytes = update_bytes(update)
+            if size_bytes > room_bytes:
+                break
+            room_bytes -= size_bytes
+            updates.append(update)
+            self._count(vm_id, limit)
+        return updates
+
+    def _count(self, vm_id: str, limit: int) -> None:
+        self._sends[vm_id] += 1
+        if self._sends[vm_id] >= limit:
+            del self._sends[vm_id]
--- /dev/null
+++ b/src/fescuedock/core/membership/listing.py
@@ -0,0 +1,51 @@
+"""The VM list as evidence: it lags, so it names whom to try and supports what probes say."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from fescuedock.net.address import Address
+
+__all__ = ["Candidate", "VmListing"]
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """A VM of ours, as the platform's list shows it."""
+
+    vm_id: str
+    address: Address
+    leaving: bool = False
+
+
+@dataclass(slots=True)
+class VmListing:
+    """The last list that was read; ``read_at_ms`` is minus infinity before the first."""
+
+    read_at_ms: float = float("-inf")
+    _candidates: dict[str, Candidate] = field(default_factory=dict)
+
+    def replace(self, candidates: Iterable[Candidate], now_ms: float) -> bool:
+        """Take a list that was read now; return whether it differs from the last."""
+        self.read_at_ms = now_ms
+        listed = {candidate.vm_id: candidate for candidate in candidates}
+        changed = listed != self._candidates
+        self._candidates = listed
+        return changed
+
+    def get(self, vm_id: str) -> Candidate | None:
+        return self._candidates.get(vm_id)
+
+    def all(self) -> list[Candidate]:
+        return list(self._candidates.values())
+
+    def supports_removal(self, vm_id: str, now_ms: float, max_age_ms: float) -> bool:
+        """Whether a list that is not too old says that ``vm_id`` has left or is leaving."""
+        if now_ms - self.read_at_ms > max_age_ms:
+            return False
+        candidate = self._candidates.get(vm_id)
+        return candidate is None or candidate.leaving
+
+    def says_leaving(self, vm_id: str) -> bool:
+        """Whether the list shows ``vm_id`` as leaving; an absent one may just not be listed yet."""
+        candidate = self._candidates.get(vm_id)
+        return candidate is not None and candidate.leaving
--- /dev/null
+++ b/src/fescuedock/core/membership/membership.py
@@ -0,0 +1,330 @@
+"""Membership of one VM: takes datagrams, the VM list and the time; returns what to send."""
+
+from collections.abc import Sequence
+from random import Random
+
+import msgspec
+
+from fescuedock.core.membership.actions import Action, PeerVersion
+from fescuedock.core.membership.anti_entropy import TableSync
+from fescuedock.core.membership.composer import Composer
+from fescuedock.core.membership.detection import FailureDetector
+from fescuedock.core.membership.freshness import Freshness, ReplayWindows
+from fescuedock.core.membership.gossip import GossipQueue
+from fescuedock.core.membership.health import LocalHealth
+from fescuedock.core.membership.listing import Candidate, VmListing
+from fescuedock.core.membership.suspicion import enough_evidence
+from fescuedock.core.membership.table import Member, MemberTable
+from fescuedock.core.membership.view import vm_records
+from fescuedock.net.address import Address
+from fescuedock.schema.membership import (
+    Gossip,
+    MemberState,
+    Probe,
+    ProbeAck,
+    ProbeReport,
+    ProbeRequest,
+    SyncReply,
+    SyncRequest,
+    VmProfile,
+    VmUpdate,
+)
+from fescuedock.schema.settings import AgentSettings
+from fescuedock.schema.view import VmRecord
+
+__all__ = ["Membership", "is_membership_message"]
+
+_MESSAGES = (Probe, ProbeAck, ProbeRequest, ProbeReport, Gossip, SyncRequest, SyncReply)
+_MAX_INCARNATION = 2**53 - 1
+_TICKS_PER_INTERVAL = 20
+_MIN_TICK_MS = 5.0
+_MAX_TICK_MS = 50.0
+_GOSSIP_SHARE = 0.25
+_GOSSIP_FANOUT = 2
+_ANNOUNCE_FANOUT = 6
+# Fields of a profile that may wait, so that a fleet-wide change does not come all at once.
+_SOFT_FIELDS = ("entry_load", "config_version")
+_SOFT_DELAY_MS_PER_VM = 300.0
+_TOMBSTONE_MS = 600000.0
+
+
+def is_membership_message(message: msgspec.Struct) -> bool:
+    """Whether a decoded message is one that ``Membership.receive`` takes."""
+    return isinstance(message, _MESSAGES)
+
+
+class Membership:
+    """The state machine of one VM's part in membership.
+
+    Call ``tick`` every ``tick_ms``, ``receive`` for each datagram that the codec accepted, and
+    carry out the actions they return.  ``boot`` must rise with each start of the process: Unix
+    time in milliseconds does.  ``revision`` changes whenever ``records`` may.
+    """
+
+    def __init__(
+        self,
+        settings: AgentSettings,
+        vm_id: str,
+        profile: VmProfile,
+        boot: int,
+        rng: Random,
+        now_ms: float,
+        *,
+        aware: bool = True,
+    ) -> None:
+        interval_ms = settings.probe_interval_ms
+        self.vm_id = vm_id
+        self.tick_ms = min(max(interval_ms / _TICKS_PER_INTERVAL, _MIN_TICK_MS), _MAX_TICK_MS)
+        self._rng = rng
+        self._aware = aware
+        self._table = MemberTable()
+        self._table.apply(VmUpdate(vm_id, boot, MemberState.ALIVE, [], profile), now_ms)
+        self._listing = VmListing()
+        self._listing_revision = 0
+        self._queue = GossipQueue()
+        self._queue.add(vm_id)
+        self._windows = ReplayWindows()
+        self._health = LocalHealth(interval_ms, aware)
+        self._composer = Composer(vm_id, boot, self._table, self._queue)
+        self._detector = FailureDetector(
+            settings,
+            vm_id,
+            self._table,
+            self._listing,
+            self._queue,
+            self._composer,
+            self._health,
+            rng,
+            now_ms,
+        )
+        self._sync = TableSync(vm_id, self._table, self._composer, rng, now_ms)
+        self._profile = profile
+        self._profile_due_ms = float("inf")
+        self._leave_asked = False
+        self._gossip_ms = _GOSSIP_SHARE * interval_ms
+        self._gossip_due_ms = now_ms
+        self._prune_due_ms = now_ms + _TOMBSTONE_MS
+        self._expected_ms = now_ms + self.tick_ms
+
+    # --- what the shell reads -----------------------------------------------------------------
+
+    @property
+    def revision(self) -> int:
+        return self._table.revision + self._listing_revision
+
+    @property
+    def list_read_at_ms(self) -> float:
+        """When the VM list was last read; minus infinity before the first time."""
+        return self._listing.read_at_ms
+
+    @property
+    def health_score(self) -> int:
+        """0 when this VM trusts its own timeouts, up to 8 when it does not."""
+        return self._health.score
+
+    def records(self, *, with_gone: bool = False) -> list[VmRecord]:
+        """Return the VMs known, this one included."""
+        return vm_records(self._table, self._listing, with_gone=with_gone)
+
+    # --- what the shell tells ------------------------------------------------------------------
+
+    def set_profile(self, profile: VmProfile, now_ms: float) -> None:
+        """Change what this VM says of itself; load and version may wait a little."""
+        self._composer.config_version = profile.config_version
+        if profile == self._profile:
+            return
+        soft = msgspec.structs.replace(
+            profile, **{name: getattr(self._profile, name) for name in _SOFT_FIELDS}
+        )
+        urgent = soft != self._profile
+        self._profile = profile
+        if urgent:
+            self._profile_due_ms = now_ms
+        elif self._profile_due_ms == float("inf"):
+            delay_ms = _SOFT_DELAY_MS_PER_VM * len(self._table.present())
+            self._profile_due_ms = now_ms + self._rng.uniform(0, delay_ms)
+
+    def replace_list(self, candidates: Sequence[Candidate], now_ms: float) -> None:
+        """Take the VM list as just read."""
+        self._listing_revision += self._listing.replace(candidates, now_ms)
+        self._follow_own_state(now_ms)
+
+    def leave(self, now_ms: float) -> list[Action]:
+        """Announce at once that this VM takes no new work."""
+        self._leave_asked = True
+        self._follow_own_state(now_ms)
+        return self._announce()
+
+    def finish(self, now_ms: float) -> list[Action]:
+        """Announce that this VM is gone, just before its agent ends."""
+        own = self._own()
+        self._table.set_state(own, MemberState.GONE, now_ms, local_only=False)
+        self._table.add_accusers(own, [self.vm_id])
+        return self._announce()
+
+    def tick(self, now_ms: float) -> list[Action]:
+        """Do what is due."""
+        self._observe_clock(now_ms)
+        self._expected_ms = now_ms + self.tick_ms
+        if now_ms >= self._profile_due_ms:
+            self._renew(self._own().state, now_ms)
+        actions = self._detector.tick(now_ms)
+        actions += self._gossip(now_ms)
+        actions += self._sync.tick(now_ms)
+        self._prune(now_ms)
+        return actions
+
+    def receive(self, message: msgspec.Struct, source: Address, now_ms: float) -> list[Action]:
+        """Take a decoded datagram; one that is not for us, or not fresh, changes nothing."""
+        head = message.head
+        if head.receiver != self.vm_id or head.sender == self.vm_id:
+            return []
+        freshness = self._windows.check(head)
+        if freshness is Freshness.REPLAYED:
+            return []
+        self._observe_clock(now_ms)
+        if freshness is Freshness.UNPROVEN and not self._proves(message):
+            return self._meet(message, source, now_ms)
+        actions: list[Action] = [PeerVersion(head.sender, head.config_version)]
+        for update in getattr(message, "updates", ()):
+            actions += self._learn(update, now_ms)
+        actions += self._hear_from(head.sender, source, now_ms)
+        return actions + self._dispatch(message, source, now_ms)
+
+    # --- datagrams -----------------------------------------------------------------------------
+
+    def _proves(self, message: msgspec.Struct) -> bool:
+        if not isinstance(message, ProbeAck) or not self._detector.answers(message):
+            return False
+        self._windows.prove(message.head)
+        return True
+
+    def _meet(self, message: msgspec.Struct, source: Address, now_ms: float) -> list[Action]:
+        """Let an unproven sender prove itself, and prove ourselves to it."""
+        actions = self._detector.contact(
+            message.head.sender, source, [self._own().update()], now_ms
+        )
+        if isinstance(message, Probe):
+            actions.append(self._ack(message, source))
+        return actions
+
+    def _ack(self, message: Probe, source: Address) -> Action:
+        # With this VM's own record: the sender may lack it, or hold a suspicion to be refuted.
+        own = [self._own().update()]
+        return self._composer.ack(message.head.sender, source, message.nonce, own)
+
+    def _dispatch(self, message: msgspec.Struct, source: Address, now_ms: float) -> list[Action]:
+        sender = message.head.sender
+        member = self._table.get(sender)
+        match message:
+            case Probe():
+                return [self._ack(message, source)]
+            case ProbeAck():
+                return self._detector.acknowledge(message)
+            case ProbeRequest():
+                return self._detector.help(message, now_ms)
+            case ProbeReport():
+                self._detector.reported(message)
+            case SyncRequest() if member is not None:
+                return self._sync.serve(member, message, now_ms)
+            case SyncReply():
+                self._sync.note_reply(message, now_ms)
+        return []
+
+    def _hear_from(self, vm_id: str, source: Address, now_ms: float) -> list[Action]:
+        """Use the fact that a VM has just spoken."""
+        member = self._table.get(vm_id)
+        if member is None or member.gone:
+            about = [self._own().update()] if member is None else [member.accusation()]
+            return self._detector.contact(vm_id, source, about, now_ms)
+        if member.state is MemberState.SUSPECT and member.local_only:
+            self._table.set_state(member, MemberState.ALIVE, now_ms, local_only=False)
+        return []
+
+    # --- news ----------------------------------------------------------------------------------
+
+    def _learn(self, update: VmUpdate, now_ms: float) -> list[Action]:
+        if update.vm_id == self.vm_id:
+            self._hear_of_self(update, now_ms)
+            return []
+        gone = update.state is MemberState.GONE
+        if gone and not enough_evidence(update.vm_id, update.accusers, self._table):
+            # Its sender may be cut off: look, rather than believe.
+            update = msgspec.structs.replace(update, state=MemberState.SUSPECT)
+        if not self._table.apply(update, now_ms):
+            return []
+        self._queue.add(update.vm_id)
+        member = self._table.get(update.vm_id)
+        if member.state is not MemberState.SUSPECT:
+            return []
+        self._detector.watch(member, now_ms)
+        return self._detector.second_opinion(member, now_ms)
+
+    def _hear_of_self(self, update: VmUpdate, now_ms: float) -> None:
+        own = self._own()
+        if own.gone or update.incarnation < own.incarnation:
+            return
+        accused = update.state in (MemberState.SUSPECT, MemberState.GONE)
+        if update.incarnation == own.incarnation and not accused:
+            return
+        if accused:
+            self._health.note_accused()
+        self._renew(own.state, now_ms, above=update.incarnation)
+
+    def _renew(self, state: MemberState, now_ms: float, above: int = 0) -> None:
+        """Take a higher incarnation, with the newest profile, and spread it."""
+        incarnation = min(max(self._own().incarnation, above) + 1, _MAX_INCARNATION)
+        update = VmUpdate(self.vm_id, incarnation, state, [], self._profile)
+        self._table.apply(update, now_ms)
+        self._queue.add(self.vm_id)
+        self._profile_due_ms = float("inf")
+
+    def _follow_own_state(self, now_ms: float) -> None:
+        leaving = self._leave_asked or self._listing.says_leaving(self.vm_id)
+        wanted = MemberState.LEAVING if leaving else MemberState.ALIVE
+        if not self._own().gone and self._own().state is not wanted:
+            self._renew(wanted, now_ms)
+
+    def _announce(self) -> list[Action]:
+        """Tell several members at once; they spread it."""
+        others = self._others()
+        chosen = self._rng.sample(others, min(_ANNOUNCE_FANOUT, len(others)))
+        about = [self._own().update()]
+        return [self._composer.gossip(member, about) for member in chosen]
+
+    def _gossip(self, now_ms: float) -> list[Action]:
+        if not self._queue or now_ms < self._gossip_due_ms:
+            return []
+        self._gossip_due_ms = now_ms + self._gossip_ms
+        others = self._others()
+        chosen = self._rng.sample(others, min(_GOSSIP_FANOUT, len(others)))
+        sends = [self._composer.gossip(member) for member in chosen]
+        return [send for send in sends if send is not None]
+
+    # --- upkeep --------------------------------------------------------------------------------
+
+    def _observe_clock(self, now_ms: float) -> None:
+        """Notice that the loop woke late."""
+        lag_ms = now_ms - self._expected_ms
+        if lag_ms <= 0 or not self._aware:
+            return
+        self._expected_ms = now_ms + self.tick_ms
+        self._detector.resume(lag_ms, self._health.note_lag(lag_ms))
+
+    def _prune(self, now_ms: float) -> None:
+        if now_ms < self._prune_due_ms:
+            return
+        self._prune_due_ms = now_ms + _TOMBSTONE_MS / 10
+        old_ms = now_ms - _TOMBSTONE_MS
+        for member in list(self._table):
+            unlisted = self._listing.get(member.vm_id) is None
+            if member.gone and unlisted and member.changed_at_ms < old_ms:
+                self._table.forget(member.vm_id)
+                self._windows.forget(member.vm_id)
+                self._queue.discard(member.vm_id)
+
+    def _own(self) -> Member:
+        return self._table.get(self.vm_id)
+
+    def _others(self) -> list[Member]:
+        return [member for member in self._table.present() if member.vm_id != self.vm_id]
--- /dev/null
+++ b/src/fescuedock/core/membership/suspicion.py
@@ -0,0 +1,107 @@
+"""When a suspected VM counts as gone: after time to refute, and on evidence of enough others."""
+
+import math
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from fescuedock.core.membership.table import Member, MemberTable
+from fescuedock.schema.membership import MemberState
+from fescuedock.schema.settings import AgentSettings
+
+__all__ = ["Suspicions", "enough_evidence", "removable", "suspicion_ms"]
+
+# With too little evidence a suspicion lasts longer, for others to look for themselves.
+_WEAK_FACTOR = 3
+_NEEDED_VMS = 2
+_NEEDED_DOMAINS = 2
+
+
+def suspicion_ms(settings: AgentSettings, fleet_size: int) -> float:
+    """Return how long a suspected VM may refute; news needs more rounds in a large fleet."""
+    return settings.suspicion_ms * max(1.0, math.log10(max(1, fleet_size)))
+
+
+def enough_evidence(vm_id: str, accusers: Iterable[str], table: MemberTable) -> bool:
+    """Whether ``accusers`` may remove ``vm_id`` for everybody.
+
+    Two VMs of two failure domains, or as many as the rest of the fleet can give.  A VM's own word
+    is enough.
+    """
+    named = set(accusers)
+    if vm_id in named:
+        return True
+    others = [member for member in table.present() if member.vm_id != vm_id]
+    known = [member for member in others if member.vm_id in named]
+    domains = {member.failure_domain for member in known}
+    all_domains = {member.failure_domain for member in others}
+    return len(known) >= min(_NEEDED_VMS, len(others)) and len(domains) >= min(
+        _NEEDED_DOMAINS, len(all_domains)
+    )
+
+
+@dataclass(slots=True)
+class _Suspicion:
+    incarnation: int
+    due_ms: float
+    weak_due_ms: float
+
+
+class Suspicions:
+    """The time that each suspected member has left."""
+
+    __slots__ = ("_by_vm",)
+
+    def __init__(self) -> None:
+        self._by_vm: dict[str, _Suspicion] = {}
+
+    def watch(self, member: Member, duration_ms: float, now_ms: float) -> bool:
+        """Begin to count for a suspected member; False when that was done before."""
+        known = self._by_vm.get(member.vm_id)
+        if known is not None and known.incarnation == member.incarnation:
+            return False
+        self._by_vm[member.vm_id] = _Suspicion(
+            member.incarnation, now_ms + duration_ms, now_ms + _WEAK_FACTOR * duration_ms
+        )
+        return True
+
+    def postpone(self, by_ms: float) -> None:
+        """Add the time in which this VM could not have heard a refutation."""
+        for suspicion in self._by_vm.values():
+            suspicion.due_ms += by_ms
+            suspicion.weak_due_ms += by_ms
+
+    def take_due(
+        self, table: MemberTable, now_ms: float, supported: Callable[[str], bool]
+    ) -> tuple[list[Member], list[Member]]:
+        """Return the members to remove now: on enough evidence, and on too little.
+
+        ``supported`` says whether other evidence than probes speaks for a removal.
+        """
+        strong: list[Member] = []
+        weak: list[Member] = []
+        for vm_id, suspicion in list(self._by_vm.items()):
+            member = table.get(vm_id)
+            if not _still_suspected(member, suspicion):
+                del self._by_vm[vm_id]
+            elif suspicion.due_ms <= now_ms and (
+                supported(vm_id) or enough_evidence(vm_id, member.accusers, table)
+            ):
+                strong.append(member)
+            elif suspicion.weak_due_ms <= now_ms:
+                weak.append(member)
+        return strong, weak
+
+
+def removable(table: MemberTable, share: float) -> int:
+    """Return how many more members may be dropped on weak evidence at the same time."""
+    dropped = sum(member.gone and member.local_only for member in table)
+    present = len(table.present())
+    return max(0, math.floor(share * (present + dropped)) - dropped)
+
+
+def _still_suspected(member: Member | None, suspicion: _Suspicion) -> bool:
+    return (
+        member is not None
+        and member.incarnation == suspicion.incarnation
+        and member.state in (MemberState.SUSPECT, MemberState.LEAVING)
+    )
--- /dev/null
+++ b/src/fescuedock/core/membership/table.py
@@ -0,0 +1,180 @@
+"""What one VM knows of the others: merging of news by precedence, and hashes to compare tables."""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from hashlib import blake2b
+
+from fescuedock.schema.membership import MemberState, VmProfile, VmUpdate
+
+__all__ = ["BUCKETS", "MAX_ACCUSERS", "Member", "MemberTable", "bucket_of"]
+
+BUCKETS = 32
+MAX_ACCUSERS = 4
+_RANK = {state: rank for rank, state in enumerate(MemberState)}
+
+
+@dataclass(slots=True)
+class Member:
+    """One VM.  ``profile`` is the one of ``profile_incarnation``, which may be behind.
+
+    ``local_only`` marks a suspicion or removal that only this VM holds and does not spread.
+    """
+
+    vm_id: str
+    incarnation: int
+    state: MemberState
+    profile: VmProfile
+    profile_incarnation: int
+    accusers: tuple[str, ...] = ()
+    changed_at_ms: float = 0.0
+    local_only: bool = False
+
+    @property
+    def failure_domain(self) -> str:
+        return self.profile.failure_domain
+
+    @property
+    def gone(self) -> bool:
+        return self.state is MemberState.GONE
+
+    def update(self) -> VmUpdate:
+        """Return what others may hear: a suspicion of this VM alone is no news for them."""
+        if self.local_only:
+            return self._update(MemberState.ALIVE, ())
+        return self._update(self.state, self.accusers)
+
+    def accusation(self) -> VmUpdate:
+        """Return what the member itself must hear, to refute."""
+        return self._update(self.state, self.accusers)
+
+    def _update(self, state: MemberState, accusers: Iterable[str]) -> VmUpdate:
+        known = self.profile_incarnation == self.incarnation
+        profile = self.profile if known else None
+        return VmUpdate(self.vm_id, self.incarnation, state, list(accusers), profile)
+
+
+def bucket_of(vm_id: str) -> int:
+    """Return the bucket in which tables compare ``vm_id``."""
+    return blake2b(vm_id.encode(), digest_size=1).digest()[0] % BUCKETS
+
+
+class MemberTable:
+    """Members by identity.  ``revision`` rises with every change of one."""
+
+    __slots__ = ("_hashes", "_members", "revision")
+
+    def __init__(self) -> None:
+        self._members: dict[str, Member] = {}
+        self._hashes = [0] * BUCKETS
+        self.revision = 0
+
+    def __iter__(self) -> Iterator[Member]:
+        return iter(self._members.values())
+
+    def get(self, vm_id: str) -> Member | None:
+        return self._members.get(vm_id)
+
+    def present(self) -> list[Member]:
+        """Return the members that are not gone."""
+        return [member for member in self._members.values() if not member.gone]
+
+    def forget(self, vm_id: str) -> None:
+        """Drop a member and its history."""
+        member = self._members.pop(vm_id)
+        self._flip_hash(member)
+        self.revision += 1
+
+    def apply(self, update: VmUpdate, now_ms: float) -> bool:
+        """Merge ``update``; return whether it was news, which others should hear too."""
+        member = self._members.get(update.vm_id)
+        if member is None:
+            return self._add(update, now_ms)
+        self._flip_hash(member)
+        news = _merge(member, update, now_ms)
+        self._flip_hash(member)
+        self.revision += news
+        return news
+
+    def set_state(
+        self, member: Member, state: MemberState, now_ms: float, *, local_only: bool
+    ) -> None:
+        """Change a member's state on this VM's own evidence, within its incarnation."""
+        self._flip_hash(member)
+        member.state = state
+        member.local_only = local_only
+        member.changed_at_ms = now_ms
+        if state is MemberState.ALIVE:
+            member.accusers = ()
+        self._flip_hash(member)
+        self.revision += 1
+
+    def add_accusers(self, member: Member, vm_ids: Iterable[str]) -> bool:
+        """Add evidence against a member; return whether any was new."""
+        before = member.accusers
+        member.accusers = _joined(before, vm_ids)
+        return member.accusers != before
+
+    def bucket_hashes(self) -> list[int]:
+        """Return one 32-bit hash for each bucket, the same for tables that agree.
+
+        Suspicions do not count: they come and go faster than tables are compared.
+        """
+        return list(self._hashes)
+
+    def _add(self, update: VmUpdate, now_ms: float) -> bool:
+        if update.profile is None or update.state is MemberState.GONE:
+            # Nothing could be done with it, and whoever has the profile will send it.
+            return False
+        member = Member(
+            vm_id=update.vm_id,
+            incarnation=update.incarnation,
+            state=update.state,
+            profile=update.profile,
+            profile_incarnation=update.incarnation,
+            accusers=tuple(update.accusers),
+            changed_at_ms=now_ms,
+        )
+        self._members[update.vm_id] = member
+        self._flip_hash(member)
+        self.revision += 1
+        return True
+
+    def _flip_hash(self, member: Member) -> None:
+        """Add a member's hash to its bucket, or take it out again."""
+        if member.gone:
+            return
+        leaving = member.state is MemberState.LEAVING
+        text = f"{member.vm_id}\0{member.profile_incarnation}\0{leaving:d}"
+        digest = blake2b(text.encode(), digest_size=4).digest()
+        self._hashes[bucket_of(member.vm_id)] ^= int.from_bytes(digest, "big")
+
+
+def _merge(member: Member, update: VmUpdate, now_ms: float) -> bool:
+    news = _merge_profile(member, update)
+    known = (member.incarnation, _RANK[member.state])
+    offered = (update.incarnation, _RANK[update.state])
+    if offered > known:
+        member.incarnation = update.incarnation
+        member.state = update.state
+        member.accusers = tuple(update.accusers)
+        member.changed_at_ms = now_ms
+        member.local_only = False
+        return True
+    if offered == known and update.state in (MemberState.SUSPECT, MemberState.GONE):
+        joined = _joined(member.accusers, update.accusers)
+        news = news or member.local_only or joined != member.accusers
+        member.accusers = joined
+        member.local_only = False
+    return news
+
+
+def _merge_profile(member: Member, update: VmUpdate) -> bool:
+    if update.profile is None or update.incarnation <= member.profile_incarnation:
+        return False
+    member.profile = update.profile
+    member.profile_incarnation = update.incarnation
+    return True
+
+
+def _joined(known: tuple[str, ...], more: Iterable[str]) -> tuple[str, ...]:
+    return tuple(dict.fromkeys((*known, *more)))[:MAX_ACCUSERS]
--- /dev/null
+++ b/src/fescuedock/core/membership/view.py
@@ -0,0 +1,42 @@
+"""Members as the records that the fleet view carries."""
+
+from fescuedock.core.membership.listing import VmListing
+from fescuedock.core.membership.table import Member, MemberTable
+from fescuedock.schema.membership import MemberState
+from fescuedock.schema.view import Program, VmRecord, VmState
+
+__all__ = ["vm_records"]
+
+
+def vm_records(table: MemberTable, listing: VmListing, *, with_gone: bool) -> list[VmRecord]:
+    """Return the members in the order of their identities.
+
+    One that the VM list shows as leaving counts as leaving, whatever it says itself.
+    """
+    members = sorted(table, key=lambda member: member.vm_id)
+    return [
+        _record(member, listing.says_leaving(member.vm_id))
+        for member in members
+        if with_gone or not member.gone
+    ]
+
+
+def _record(member: Member, listed_leaving: bool) -> VmRecord:
+    profile = member.profile
+    leaving = listed_leaving and member.state is not MemberState.GONE
+    return VmRecord(
+        vm_id=member.vm_id,
+        region=profile.region,
+        failure_domain=profile.failure_domain,
+        host=profile.host,
+        incarnation=member.incarnation,
+        state=VmState.LEAVING if leaving else VmState(member.state.value),
+        entry_port=profile.entry_port,
+        agent_port=profile.agent_port,
+        batch_port=profile.batch_port,
+        store_port=profile.store_port,
+        ready=[Program(program.value) for program in profile.ready],
+        entry_load=profile.entry_load,
+        config_version=profile.config_version,
+        config_confirmed=profile.config_confirmed,
+    )
--- a/src/fescuedock/schema/view.py
+++ b/src/fescuedock/schema/view.py
@@ -113,6 +113,12 @@
     config_version: int
     config_age_ms: Annotated[int, Meta(description="Time since the version was last confirmed.")]
     config_document: Annotated[bytes, Meta(description="Configuration as JSON.")]
+    unchanged: Annotated[
+        bool,
+        Meta(
+            description="The view is the one that the caller has; vms and upstreams are left out."
+        ),
+    ] = False
 
 
 class LeaveRequest(WireStruct):
