Tell callers which entries to use

GET /v1/entries names live VMs with a ready entry and a confirmed configuration, drawn by distance and load so that callers who keep an answer spread.

--- /dev/null
+++ b/src/fescuedock/core/entry_choice.py
@@ -0,0 +1,67 @@
+"""Which entries a caller is told to use, and in which order."""
+
+import math
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from random import Random
+
+from fescuedock.schema.view import Program, VmRecord, VmState
+
+__all__ = ["CallerPlace", "eligible_entries", "rank_entries"]
+
+# Distances count as powers of two, as load does: a caller takes an entry of another failure domain
+# as readily as one of its own that has eight times the load.
+_OTHER_DOMAIN = 3
+_OTHER_REGION = 8
+# Below this the load is noise: fewer than eight requests.
+_QUIET_LOAD = 3
+_LIVE = (VmState.ALIVE, VmState.SUSPECT)
+
+
+@dataclass(frozen=True, slots=True)
+class CallerPlace:
+    """Where a caller says it is; empty names say nothing."""
+
+    failure_domain: str = ""
+    region: str = ""
+
+
+def eligible_entries(vms: Iterable[VmRecord]) -> list[VmRecord]:
+    """Return the VMs that may be named: live, with a ready entry, their configuration confirmed.
+
+    If none could confirm its configuration, none is ahead of the others and all may be named.
+    """
+    ready = [vm for vm in vms if vm.state in _LIVE and vm.entry_port and Program.ENTRY in vm.ready]
+    return [vm for vm in ready if vm.config_confirmed] or ready
+
+
+def rank_entries(vms: Sequence[VmRecord], place: CallerPlace, rng: Random) -> list[VmRecord]:
+    """Return ``vms`` in the order in which one caller should try them.
+
+    The order is drawn anew for each answer, near and idle entries more likely first, so that
+    callers who keep their answers spread; suspected VMs come last.
+    """
+    place = _with_region(place, vms)
+    return sorted(vms, key=lambda vm: (vm.state is VmState.SUSPECT, _draw(_cost(vm, place), rng)))
+
+
+def _with_region(place: CallerPlace, vms: Sequence[VmRecord]) -> CallerPlace:
+    """Add the region of the failure domain, where that is known."""
+    if place.region:
+        return place
+    regions = [vm.region for vm in vms if vm.failure_domain == place.failure_domain]
+    return CallerPlace(place.failure_domain, regions[0] if regions else "")
+
+
+def _cost(vm: VmRecord, place: CallerPlace) -> int:
+    load = max(vm.entry_load, _QUIET_LOAD)
+    if place.failure_domain == vm.failure_domain:
+        return load
+    if place.region and place.region != vm.region:
+        return load + _OTHER_REGION
+    return load + _OTHER_DOMAIN
+
+
+def _draw(cost: int, rng: Random) -> float:
+    """Draw a sort key: the least of several is the entry's with a chance of 2 ** -cost."""
+    return -math.log(1.0 - rng.random()) * 2.0**cost
--- a/src/fescuedock/entry/app.py
+++ b/src/fescuedock/entry/app.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from fescuedock.entry import admin, files, jobs, models, online, seeing, services
+from fescuedock.entry import admin, entries, files, jobs, models, online, seeing, services
 from fescuedock.entry.context import EntryContext
 from fescuedock.entry.routes import route_requests
 from fescuedock.faults import Fault
@@ -11,7 +11,7 @@
 
 __all__ = ["entry_handler"]
 
-_MODULES = (models, online, services, files, jobs, admin, seeing)
+_MODULES = (models, online, services, files, jobs, entries, admin, seeing)
 _RETRY_AFTER_MS = 500
 
 
