Fuzz streams and claims against oracles; replay where an engine takes no resume point

An answer that breaks off goes on from the delivered tokens; an engine that refuses the resume point is made to start anew, and its tokens are compared with those delivered.

--- a/src/fescuedock/core/streams.py
+++ b/src/fescuedock/core/streams.py
@@ -87,10 +87,13 @@
 
     ``wants_usage`` says that the caller asked for a closing event with token counts, so that the
     answer is not whole before it.  ``resumable`` is False for an answer of several texts.
+    ``replays`` lets further attempts start anew, as far as they repeat what the caller was given;
+    it is set once an engine does not take a resume point.
     """
 
     wants_usage: bool = False
     resumable: bool = True
+    replays: bool = False
     attempt_id: str = ""
     tokens: int = 0
     finished: bool = False
@@ -101,11 +104,19 @@
     _first_event: bool = True
     _resumed: bool = False
     _identity: bytes = b""
+    # Tokens of the current attempt that repeat delivered ones.
+    _repeated: int = 0
+    _diverged: bool = False
 
     @property
     def text(self) -> str:
         return "".join(self._texts)
 
+    @property
+    def diverged(self) -> bool:
+        """Whether the current attempt gives another answer than the caller was given."""
+        return self._diverged
+
     @property
     def opened(self) -> bool:
         """Whether the caller was given anything."""
@@ -116,7 +127,8 @@
         self.attempt_id = attempt_id
         self._first_event = True
         self._resumed = self._opened
-        if not self.tokens:
+        self._repeated = 0 if self.replays else self.tokens
+        if self.replays or not self.tokens:
             return None
         return ResumePoint(self.tokens, self.text)
 
@@ -125,13 +137,18 @@
 
         What comes from another attempt than the current one is dropped.
         """
-        if attempt_id != self.attempt_id or self.ended:
+        if attempt_id != self.attempt_id or self.ended or self._diverged:
+            return None
+        if self._repeated < self.tokens and not self.finished:
+            self._first_event = False
+            self._compare(event)
             return None
         first_event, self._first_event = self._first_event, False
         if self.finished:
             return self._closing(event)
         if event.text:
             self.tokens += 1
+            self._repeated += 1
             self._texts.append(event.text)
         elif not event.finished and first_event and self._opened:
             # A stream that took over opens the answer again.
@@ -154,10 +171,20 @@
         if self.finished and closed:
             self.ended = True
             return NextStep.FINISH
-        if self.resumable or not self._opened:
+        if not self._opened or (self.resumable and not self._diverged):
             return NextStep.CONTINUE
         return NextStep.GIVE_UP
 
+    def _compare(self, event: StreamEvent) -> None:
+        """Take an event of a replay before it gets to where the caller is.
+
+        It must repeat what the caller was given, else the two halves would not be one answer.
+        """
+        if event.text:
+            self._diverged = event.text != self._texts[self._repeated]
+            self._repeated += 1
+        self._diverged |= event.finished
+
     def _closing(self, event: StreamEvent) -> bytes | None:
         """Pass one event after the end's reason: the token counts, if the caller wants them."""
         if event.text or event.finished or not self.wants_usage or self._closed:
--- a/src/fescuedock/entry/online_attempt.py
+++ b/src/fescuedock/entry/online_attempt.py
@@ -16,8 +16,10 @@
 
 __all__ = [
     "ATTEMPT_ERRORS",
+    "AnswerLostError",
     "Attempt",
     "Failure",
+    "ResumeRefusedError",
     "UpstreamStalledError",
     "begin_attempt",
     "failure_of",
@@ -30,7 +32,22 @@
     """The upstream keeps its connection open and gives nothing for too long."""
 
 
-ATTEMPT_ERRORS = (NotSentError, ResponseLostError, EngineError, UpstreamStalledError)
+class ResumeRefusedError(Exception):
+    """The engine does not continue an answer from a resume point."""
+
+
+class AnswerLostError(Exception):
+    """The answer broke off where no other attempt can go on with it."""
+
+
+ATTEMPT_ERRORS = (
+    NotSentError,
+    ResponseLostError,
+    EngineError,
+    UpstreamStalledError,
+    ResumeRefusedError,
+    AnswerLostError,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,6 +128,12 @@
         case UpstreamStalledError():
             fault = Fault(ResultCode.UPSTREAM_TIMEOUT, str(error), _RETRY_AFTER_MS)
             return Failure(AttemptOutcome.RESPONSE_TIMEOUT, fault, upstream_lost=True)
+        case ResumeRefusedError():
+            fault = Fault(ResultCode.UPSTREAM_LOST, str(error), _RETRY_AFTER_MS)
+            return Failure(AttemptOutcome.CLIENT_ERROR, fault)
+        case AnswerLostError():
+            fault = Fault(ResultCode.TRUNCATED, str(error), _RETRY_AFTER_MS)
+            return Failure(AttemptOutcome.TRUNCATED, fault, permanent=True)
         case EngineError():
             return _engine_failure(error)
     raise TypeError(f"not an attempt's error: {error!r}")
--- a/src/fescuedock/entry/online_stream.py
+++ b/src/fescuedock/entry/online_stream.py
@@ -8,8 +8,14 @@
 from result import Err, Ok, Result
 
 from fescuedock.clock import now_ms
-from fescuedock.core.streams import AttemptEnd, NextStep, StreamState
-from fescuedock.entry.online_attempt import Attempt, UpstreamStalledError
+from fescuedock.core.streams import AttemptEnd, NextStep, ResumePoint, StreamState
+from fescuedock.entry.online_attempt import (
+    ATTEMPT_ERRORS,
+    AnswerLostError,
+    Attempt,
+    ResumeRefusedError,
+    UpstreamStalledError,
+)
 from fescuedock.entry.online_request import OnlineRequest
 from fescuedock.entry.online_run import run_attempts
 from fescuedock.entry.online_state import OnlineState
@@ -17,7 +23,7 @@
 from fescuedock.faults import Fault
 from fescuedock.net.http_client import ResponseLostError
 from fescuedock.net.http_server import Responder, ResponseStream, fault_body
-from fescuedock.platform.engine import EngineStream
+from fescuedock.platform.engine import EngineError, EngineStream
 from fescuedock.schema.permits import AttemptOutcome
 from fescuedock.schema.result_codes import ResultCode
 from fescuedock.schema.view import UpstreamRecord
@@ -118,23 +124,31 @@
     async def run(self, upstream: UpstreamRecord) -> None:
         """Relay until the answer is whole; raise one of ``ATTEMPT_ERRORS`` if it is not."""
         resume = self.stream.begin(self.attempt.attempt_id)
-        body = self.request.body
         how = AttemptEnd.BROKEN
-        error: Exception = ResponseLostError("the stream ended before the answer was whole")
+        error: Exception = ResponseLostError("the stream ended without a reason for its end")
         try:
             async with (
                 self._watched() as watch,
                 self.state.engines.stream(
-                    upstream, self.request.path, body, self.attempt.attempt_id, resume
+                    upstream, self.request.path, self.request.body, self.attempt.attempt_id, resume
                 ) as events,
             ):
                 await self._relay_events(events, watch)
                 how = AttemptEnd.WHOLE
-        except (ResponseLostError, UpstreamStalledError) as lost:
-            error = lost
+        except ATTEMPT_ERRORS as caught:
+            error = caught
         step = self.stream.end(self.attempt.attempt_id, how)
+        if step is NextStep.GIVE_UP:
+            raise AnswerLostError(f"the answer cannot be continued: {error}") from error
         if step is not NextStep.FINISH:
-            raise error
+            raise self._resume_refusal(error, resume)
+
+    def _resume_refusal(self, error: Exception, resume: ResumePoint | None) -> Exception:
+        """Return ``error``, or what it means if an engine refused to go on from ``resume``."""
+        if resume is None or not isinstance(error, EngineError) or not error.is_permanent:
+            return error
+        self.stream.replays = True
+        return ResumeRefusedError(f"no resume after {resume.tokens} tokens: {error}")
 
     async def _relay_events(self, events: EngineStream, watch: _Watch) -> None:
         stream = self.stream
@@ -144,6 +158,8 @@
             if event.text:
                 self._note_token(attempt, watch, at_ms)
             data = stream.receive(attempt.attempt_id, event)
+            if stream.diverged:
+                raise ResponseLostError("another attempt gives another answer")
             if data is not None:
                 watch.waiting = False
                 await self.caller.write(data)
--- /dev/null
+++ b/tests/test_online_claims_core.py
@@ -0,0 +1,236 @@
+"""Claims: at most one execution through lost answers, outages, deaths and several entries."""
+
+import unittest
+
+import msgspec
+import trio
+import trio.testing
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+from result import Err, Ok, Result
+
+from fescuedock.core.claims import (
+    Claim,
+    Dispatch,
+    PutRecord,
+    ReadRecord,
+    Refuse,
+    Replay,
+    claim_key,
+    is_expired,
+    is_non_idempotent,
+    request_hash,
+)
+from fescuedock.faults import Fault
+from fescuedock.platform.kv_writes import put_resolved
+from fescuedock.schema.claims import ClaimRecord, RecordedAnswer
+from fescuedock.schema.result_codes import ResultCode
+from fescuedock.standin.kv_faults import LostAnswer
+from tests.builders.kv import MemoryKv
+
+KEY = claim_key("/p/", "m", "s", "k")
+HASH = request_hash("POST", "/bookings", b"{}")
+OTHER_HASH = request_hash("POST", "/bookings", b"{1}")
+ANSWER = RecordedAnswer(200, "text/plain", b"booked")
+
+
+def encode(record: ClaimRecord) -> bytes:
+    return msgspec.json.encode(record)
+
+
+def is_ours(token: str):
+    return lambda value: msgspec.json.decode(value, type=ClaimRecord).token == token
+
+
+async def carry_on(claim: Claim, kv: MemoryKv) -> Dispatch | Replay | Refuse:
+    """Do the claim's steps as an entry does."""
+    step = claim.start()
+    while True:
+        match step:
+            case PutRecord(key, record, revision):
+                written = await put_resolved(
+                    kv, key, encode(record), revision, is_ours(record.token), attempts=2
+                )
+                step = claim.written(written)
+            case ReadRecord(key):
+                step = claim.read(await kv.get(key))
+            case _:
+                return step
+
+
+async def put_once(kv: MemoryKv, step: PutRecord) -> None:
+    await kv.put_if(step.key, encode(step.record), step.expected_revision)
+
+
+class Entry:
+    """One entry with its own faults towards the shared key-value service."""
+
+    def __init__(self, kv: MemoryKv) -> None:
+        self.kv = kv
+        self.unsent: set[str] = set()
+
+
+class ClaimMachine(RuleBasedStateMachine):
+    """Resends of one call through two entries, with every fault we know of between them."""
+
+    @initialize()
+    def start(self) -> None:
+        shared = MemoryKv()
+        self.entries = [Entry(shared), Entry(MemoryKv(shared.state))]
+        self.executions = 0
+        self.tokens = 0
+
+    @rule(
+        entry=st.integers(0, 1),
+        lost=st.sampled_from([None, *LostAnswer]),
+        nth=st.integers(1, 2),
+        down=st.booleans(),
+        fate=st.sampled_from(["answered", "lost", "not_sent", "entry_dies"]),
+    )
+    def send(self, entry: int, lost: LostAnswer | None, nth: int, down: bool, fate: str) -> None:
+        site = self.entries[entry]
+        site.kv.faults.down = down
+        if lost is not None:
+            site.kv.faults.lose_answer(lost, nth)
+        trio.run(self._send, site, fate, clock=trio.testing.MockClock(autojump_threshold=0))
+        site.kv.faults.clear()
+
+    async def _send(self, site: Entry, fate: str) -> None:
+        self.tokens += 1
+        token = f"token-{self.tokens}"
+        claim = Claim(KEY, token, HASH, 0, frozenset(site.unsent))
+        site.unsent.add(token)
+        outcome = await carry_on(claim, site.kv)
+        if isinstance(outcome, Replay):
+            assert outcome.answer == ANSWER
+            assert self.executions == 1
+        if not isinstance(outcome, Dispatch):
+            return
+        site.unsent.discard(token)
+        await self._dispatch(site, claim, fate)
+
+    async def _dispatch(self, site: Entry, claim: Claim, fate: str) -> None:
+        if fate == "entry_dies":
+            return
+        if fate == "not_sent":
+            await put_once(site.kv, claim.not_sent())
+            return
+        self.executions += 1
+        if fate == "answered":
+            await put_once(site.kv, claim.answered(ANSWER))
+
+    @rule(entry=st.integers(0, 1))
+    def land_late_writes(self, entry: int) -> None:
+        self.entries[entry].kv.land_late_writes()
+
+    @rule(entry=st.integers(0, 1))
+    def entry_restarts(self, entry: int) -> None:
+        self.entries[entry].unsent.clear()
+
+    @invariant()
+    def at_most_once(self) -> None:
+        assert getattr(self, "executions", 0) <= 1
+
+
+ClaimMachine.TestCase.settings = hypothesis_settings(max_examples=150, stateful_step_count=12)
+ClaimMachineTest = ClaimMachine.TestCase
+
+
+class ClaimTest(unittest.TestCase):
+    """Single decisions."""
+
+    def claim(self, token: str = "t2", hash_: str = HASH, unsent: tuple[str, ...] = ()) -> Claim:
+        return Claim(KEY, token, hash_, 0, frozenset(unsent))
+
+    def written_by(self, token: str = "t1") -> MemoryKv:
+        """Return a service in which ``token`` holds the claim."""
+        kv = MemoryKv()
+        self.assertIsInstance(self.carry_on(self.claim(token), kv), Dispatch)
+        return kv
+
+    def carry_on(self, claim: Claim, kv: MemoryKv) -> Dispatch | Replay | Refuse:
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        return trio.run(carry_on, claim, kv, clock=clock)
+
+    def refusal(self, claim: Claim, kv: MemoryKv) -> ResultCode:
+        outcome = self.carry_on(claim, kv)
+        self.assertIsInstance(outcome, Refuse)
+        return outcome.fault.code
+
+    def test_a_second_writer_is_refused(self) -> None:
+        self.assertIs(self.refusal(self.claim(), self.written_by()), ResultCode.ALREADY_CLAIMED)
+
+    def test_other_content_under_the_key_is_refused(self) -> None:
+        claim = self.claim(hash_=OTHER_HASH)
+        self.assertIs(self.refusal(claim, self.written_by()), ResultCode.KEY_REUSED)
+
+    def test_an_own_claim_that_was_never_sent_is_taken_over(self) -> None:
+        claim = self.claim(unsent=("t1",))
+        self.assertIsInstance(self.carry_on(claim, self.written_by("t1")), Dispatch)
+
+    def test_an_outage_refuses_not_run_with_a_time_to_come_back(self) -> None:
+        kv = MemoryKv()
+        kv.faults.down = True
+        outcome = self.carry_on(self.claim(), kv)
+        self.assertIs(outcome.fault.code, ResultCode.CLAIM_UNAVAILABLE)
+        self.assertGreater(outcome.fault.retry_after_ms, 0)
+
+    def test_a_lost_answer_is_resolved_by_the_token(self) -> None:
+        kv = MemoryKv()
+        kv.faults.lose_answer(LostAnswer.AFTER_EFFECT)
+        self.assertIsInstance(self.carry_on(self.claim(), kv), Dispatch)
+
+    def test_a_claim_dispatches_only_once(self) -> None:
+        claim = self.claim()
+        claim.start()
+        self.assertIsInstance(claim.written(Ok(1)), Dispatch)
+        with self.assertRaises(RuntimeError):
+            claim.written(Ok(2))
+
+    def test_an_answer_over_the_bound_is_not_kept(self) -> None:
+        claim = self.claim()
+        claim.start()
+        claim.written(Ok(1))
+        step = claim.answered(RecordedAnswer(200, "", b"x" * (33 * 1024)))
+        self.assertEqual(step.record.answer, b"")
+
+    def test_a_removed_claim_is_no_leave_to_send(self) -> None:
+        claim = self.claim()
+        claim.start()
+        conflict: Result[int, Fault] = Err(Fault(ResultCode.KV_CONFLICT, ""))
+        self.assertIsInstance(claim.written(conflict), ReadRecord)
+        outcome = claim.read(Ok(None))
+        self.assertIs(outcome.fault.code, ResultCode.CLAIM_UNAVAILABLE)
+
+    def test_members_have_keys_of_their_own(self) -> None:
+        names = {claim_key("/p/", *parts) for parts in [("a", "b", "c"), ("ab", "", "c")]}
+        self.assertEqual(len(names), 2)
+
+    def test_expiry_spares_what_cannot_be_read(self) -> None:
+        kv = self.written_by()
+        entry = trio.run(kv.get, KEY).unwrap()
+        self.assertFalse(is_expired(entry, 60, 60))
+        self.assertTrue(is_expired(entry, 60, 61))
+        bad = type(entry)(entry.key, b"?", entry.mod_revision)
+        self.assertFalse(is_expired(bad, 60, 10**9))
+
+
+class RuleTest(unittest.TestCase):
+    """Which calls the configuration marks."""
+
+    RULES = ("POST /bookings", "* /payments/")
+
+    def test_method_and_prefix(self) -> None:
+        for method, path, expected in [
+            ("POST", "bookings", True),
+            ("POST", "bookings/7", True),
+            ("GET", "bookings", False),
+            ("DELETE", "payments/7", True),
+            ("POST", "queries", False),
+            ("POST", "//bookings", True),
+            ("POST", "x/../bookings", True),
+            ("POST", "./bookings", True),
+        ]:
+            with self.subTest(method=method, path=path):
+                self.assertIs(is_non_idempotent(self.RULES, method, path), expected)
--- /dev/null
+++ b/tests/test_online_streams_core.py
@@ -0,0 +1,179 @@
+"""The state of a streamed answer against an oracle, whatever the attempts do."""
+
+import unittest
+from dataclasses import dataclass
+
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+
+from fescuedock.core.streams import AttemptEnd, NextStep, StallPolicy, StreamState
+
+ANSWER = [f"word{index} " for index in range(8)]
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    data: bytes
+    text: str = ""
+    finished: bool = False
+
+
+def event(attempt_id: str, text: str = "", *, finished: bool = False) -> Event:
+    return Event(b'{"id":"%s"}%s' % (attempt_id.encode(), text.encode()), text, finished)
+
+
+class Engine:
+    """An engine's stream for one attempt, which may break off or be late."""
+
+    def __init__(self, attempt_id: str, first: int, *, opens: bool, usage: bool) -> None:
+        self.events = [event(attempt_id)] if opens else []
+        self.events += [event(attempt_id, text) for text in ANSWER[first:]]
+        self.events.append(event(attempt_id, finished=True))
+        if usage:
+            self.events.append(event(attempt_id))
+        self.sent = 0
+
+    def next(self) -> Event | None:
+        if self.sent == len(self.events):
+            return None
+        self.sent += 1
+        return self.events[self.sent - 1]
+
+
+class StreamMachine(RuleBasedStateMachine):
+    """Attempts break, come late, are refused their resume point; the caller's text never errs."""
+
+    @initialize(usage=st.booleans(), opens=st.booleans(), takes_resume=st.booleans())
+    def start(self, usage: bool, opens: bool, takes_resume: bool) -> None:
+        self.usage = usage
+        self.opens = opens
+        self.takes_resume = takes_resume
+        self.state = StreamState(wants_usage=usage)
+        self.got: list[bytes] = []
+        self.text = ""
+        self.finishes = 0
+        self.engines: dict[str, Engine] = {}
+        self.over = False
+        self.begin()
+
+    def begin(self) -> None:
+        attempt_id = f"a{len(self.engines)}"
+        resume = self.state.begin(attempt_id)
+        if resume is not None and (not self.takes_resume or resume.tokens == len(ANSWER)):
+            self.state.end(attempt_id, AttemptEnd.BROKEN)
+            self.state.replays = True
+            resume = self.state.begin(attempt_id)
+        first = resume.tokens if resume else 0
+        if resume:
+            assert resume.text == "".join(ANSWER[:first])
+        self.engines[attempt_id] = Engine(attempt_id, first, opens=self.opens, usage=self.usage)
+        self.current = attempt_id
+
+    def feed(self, attempt_id: str) -> bool:
+        found = self.engines[attempt_id].next()
+        if found is None:
+            return False
+        data = self.state.receive(attempt_id, found)
+        if data is not None:
+            self.got.append(data)
+            self.text += found.text
+            self.finishes += found.finished
+        return True
+
+    @precondition(lambda self: not self.over)
+    @rule(count=st.integers(1, 4))
+    def deliver(self, count: int) -> None:
+        for _ in range(count):
+            if not self.feed(self.current):
+                self.end(AttemptEnd.WHOLE)
+                return
+
+    @precondition(lambda self: not self.over)
+    @rule()
+    def break_off(self) -> None:
+        self.end(AttemptEnd.BROKEN)
+
+    @rule(data=st.data())
+    def deliver_late(self, data: st.DataObject) -> None:
+        """An attempt that is over goes on sending."""
+        old = [name for name in self.engines if name != self.current or self.over]
+        if not old:
+            return
+        name = data.draw(st.sampled_from(old))
+        before = len(self.got)
+        self.feed(name)
+        assert len(self.got) == before
+        assert self.state.end(name, AttemptEnd.WHOLE) is NextStep.IGNORE
+
+    def end(self, how: AttemptEnd) -> None:
+        step = self.state.end(self.current, how)
+        if step is NextStep.FINISH:
+            self.over = True
+            assert self.text == "".join(ANSWER)
+            assert self.finishes == 1
+        else:
+            assert step is NextStep.CONTINUE
+            self.begin()
+
+    @invariant()
+    def caller_has_a_prefix_of_the_answer(self) -> None:
+        assert "".join(ANSWER).startswith(self.text)
+        assert self.finishes <= 1
+
+    @invariant()
+    def one_identity(self) -> None:
+        assert len({data.split(b"}")[0] for data in self.got}) <= 1
+
+
+StreamMachine.TestCase.settings = hypothesis_settings(max_examples=150, stateful_step_count=30)
+StreamMachineTest = StreamMachine.TestCase
+
+
+class StreamStateTest(unittest.TestCase):
+    """Cases that the machine does not reach."""
+
+    def setUp(self) -> None:
+        self.state = StreamState()
+        self.state.begin("a")
+
+    def test_done_without_a_reason_is_not_whole(self) -> None:
+        self.state.receive("a", event("a", "x"))
+        self.assertIs(self.state.end("a", AttemptEnd.WHOLE), NextStep.CONTINUE)
+
+    def test_a_part_without_text_makes_the_answer_unresumable(self) -> None:
+        self.state.receive("a", event("a", "x"))
+        self.assertIsNotNone(self.state.receive("a", event("a")))
+        self.assertIs(self.state.end("a", AttemptEnd.BROKEN), NextStep.GIVE_UP)
+
+    def test_several_texts_give_up_once_opened(self) -> None:
+        state = StreamState(resumable=False)
+        state.begin("a")
+        self.assertIs(state.end("a", AttemptEnd.BROKEN), NextStep.CONTINUE)
+        state.begin("b")
+        state.receive("b", event("b", "x"))
+        self.assertIs(state.end("b", AttemptEnd.BROKEN), NextStep.GIVE_UP)
+
+    def test_a_replay_that_differs_is_given_up(self) -> None:
+        self.state.receive("a", event("a", "x"))
+        self.state.end("a", AttemptEnd.BROKEN)
+        self.state.replays = True
+        self.assertIsNone(self.state.begin("b"))
+        self.assertIsNone(self.state.receive("b", event("b", "y")))
+        self.assertTrue(self.state.diverged)
+        self.assertIsNone(self.state.receive("b", event("b", "z")))
+        self.assertIs(self.state.end("b", AttemptEnd.BROKEN), NextStep.GIVE_UP)
+
+    def test_a_replay_that_ends_too_early_is_given_up(self) -> None:
+        for text in "xy":
+            self.state.receive("a", event("a", text))
+        self.state.end("a", AttemptEnd.BROKEN)
+        self.state.replays = True
+        self.state.begin("b")
+        self.state.receive("b", event("b", "x", finished=True))
+        self.assertIs(self.state.end("b", AttemptEnd.WHOLE), NextStep.GIVE_UP)
+
+    def test_stall_time_follows_the_usual_time_above_a_floor(self) -> None:
+        policy = StallPolicy(factor=10, floor_ms=2000)
+        self.assertEqual(policy.timeout_ms(31), 2000)
+        self.assertEqual(policy.timeout_ms(1000), 10000)
