--- /dev/null
+++ b/tests/test_online_decisions.py
@@ -0,0 +1,334 @@
+"""Routing, retry budget, health and admission: single decisions in virtual time."""
+
+import random
+import unittest
+
+from result import Err, Ok
+
+from fescuedock.core.admission import Admission, AdmissionPolicy, RunTimes
+from fescuedock.core.health import HealthPolicy, HealthTracker
+from fescuedock.core.retry import AttemptHistory, RetryBudget, RetryPolicy
+from fescuedock.core.routing import (
+    Ask,
+    Candidate,
+    Choice,
+    Demand,
+    DomainLatency,
+    PrefillModel,
+    RoutingPolicy,
+    SilentOwners,
+    choose_upstreams,
+    plan_asks,
+)
+from fescuedock.schema.permits import AttemptOutcome, LoadSnapshot
+from fescuedock.schema.result_codes import ResultCode
+
+POLICY = RoutingPolicy()
+NO_PREFIX = Demand(100, 0, "")
+
+
+def load(name: str, **changes: object) -> LoadSnapshot:
+    fields: dict = {
+        "upstream_id": name,
+        "in_flight_online": 0,
+        "in_flight_batch": 0,
+        "queued_online": 0,
+        "limit": 10,
+        "first_token_ms": 50.0,
+        "accepting": True,
+    }
+    return LoadSnapshot(**{**fields, **changes})
+
+
+def candidate(name: str, latency_ms: float = 1.0, silent: bool = False, **changes) -> Candidate:
+    return Candidate(name, latency_ms, load(name, **changes), silent)
+
+
+def choose(*candidates: Candidate, demand: Demand = NO_PREFIX, token_ms: float = 0.0) -> list[str]:
+    rng = random.Random(1)
+    choices = choose_upstreams(candidates, demand, token_ms, POLICY, rng)
+    return [item.upstream_id for item in choices]
+
+
+class ChooseTest(unittest.TestCase):
+    """Which upstream comes first."""
+
+    def test_the_least_predicted_first_token_wins(self) -> None:
+        slow, fast = candidate("a", first_token_ms=200.0), candidate("b", first_token_ms=50.0)
+        self.assertEqual(choose(slow, fast), ["b", "a"])
+
+    def test_the_way_counts(self) -> None:
+        self.assertEqual(choose(candidate("far", latency_ms=40.0), candidate("near"))[0], "near")
+
+    def test_room_goes_before_speed_and_refusers_come_last(self) -> None:
+        full = candidate("full", first_token_ms=1.0, in_flight_online=10)
+        out = candidate("out", first_token_ms=1.0, accepting=False)
+        silent = candidate("silent", silent=True, first_token_ms=1.0)
+        self.assertEqual(
+            choose(out, silent, full, candidate("free")), ["free", "full", "silent", "out"]
+        )
+
+    def test_batch_work_in_flight_takes_no_room_from_online(self) -> None:
+        busy = candidate("busy", in_flight_batch=10, first_token_ms=10.0)
+        self.assertEqual(choose(busy, candidate("idle"))[0], "busy")
+
+    def test_an_upstream_nobody_heard_of_is_worth_asking(self) -> None:
+        unknown = Candidate("unknown", 1.0, None)
+        slow = candidate("slow", first_token_ms=500.0)
+        fast = candidate("fast", first_token_ms=10.0)
+        self.assertEqual(choose(slow, unknown, fast)[-1], "slow")
+
+    def test_a_prefix_stays_at_its_upstream_until_that_is_busier_than_the_bound(self) -> None:
+        names = ["a", "b", "c", "d"]
+        demand = Demand(1000, 900, "prefix")
+        home = choose(*map(candidate, names), demand=demand, token_ms=0.1)[0]
+        others = [candidate(name, in_flight_online=2) for name in names if name != home]
+        busy = candidate(home, in_flight_online=3)
+        self.assertEqual(choose(busy, *others, demand=demand, token_ms=0.1)[0], home)
+        too_busy = candidate(home, in_flight_online=9)
+        self.assertNotEqual(choose(too_busy, *others, demand=demand, token_ms=0.1)[0], home)
+
+    def test_affinity_yields_to_a_long_queue(self) -> None:
+        demand = Demand(1000, 900, "prefix")
+        home = choose(candidate("a"), candidate("b"), demand=demand, token_ms=0.1)[0]
+        slow = candidate(home, first_token_ms=500.0)
+        other = candidate("a" if home == "b" else "b")
+        self.assertNotEqual(choose(slow, other, demand=demand, token_ms=0.1)[0], home)
+
+
+class PlanTest(unittest.TestCase):
+    """Whom to ask, in which order."""
+
+    def test_the_best_two_then_a_place_in_the_best_queue(self) -> None:
+        choices = [Choice(name, 1.0) for name in "abc"]
+        expected = [Ask("a"), Ask("b"), Ask("a", POLICY.queue_ms)]
+        self.assertEqual(plan_asks(choices, 5000.0, POLICY), expected)
+
+    def test_no_longer_in_a_queue_than_there_is_slack(self) -> None:
+        full = [Choice("a", 1.0, has_room=False)]
+        self.assertEqual(plan_asks(full, 80.0, POLICY), [Ask("a", 80.0)])
+        self.assertEqual(plan_asks(full, 0.0, POLICY), [])
+
+    def test_silent_owners_are_passed_over_for_the_local_limit(self) -> None:
+        choices = [Choice("a", 1.0), Choice("b", 1.0, owner_silent=True)]
+        asks = plan_asks(choices, 5000.0, POLICY)
+        self.assertEqual(asks, [Ask("a"), Ask("b", local=True), Ask("a", POLICY.queue_ms)])
+        all_silent = [Choice(name, 1.0, owner_silent=True) for name in "ab"]
+        expected = [Ask("a", local=True), Ask("b", local=True)]
+        self.assertEqual(plan_asks(all_silent, 5000.0, POLICY), expected)
+
+    def test_those_kept_out_are_asked_only_when_they_are_too_many(self) -> None:
+        out = [Choice(name, 1.0, accepting=False) for name in "ab"]
+        some = [Choice(name, 1.0) for name in "cd"]
+        asks = plan_asks(some + out, 5000.0, POLICY)
+        self.assertEqual({ask.upstream_id for ask in asks}, {"c", "d"})
+        asks = plan_asks(some[:1] + out, 5000.0, POLICY)
+        self.assertEqual(
+            [ask for ask in asks if ask.local], [Ask("a", local=True), Ask("b", 0, True)]
+        )
+
+
+class LearnedTest(unittest.TestCase):
+    """What is learned from measurements."""
+
+    def test_prefill_time_is_the_slope(self) -> None:
+        model = PrefillModel()
+        rng = random.Random(2)
+        self.assertEqual(model.token_ms, 0.0)
+        for _ in range(200):
+            tokens = rng.randrange(10, 2000)
+            model.observe(tokens, 30 + tokens * 0.05 + rng.uniform(-5, 5))
+        self.assertAlmostEqual(model.token_ms, 0.05, delta=0.005)
+
+    def test_equal_prompts_tell_nothing(self) -> None:
+        model = PrefillModel()
+        for number in range(50):
+            model.observe(100, float(number))
+        self.assertEqual(model.token_ms, 0.0)
+
+    def test_latency_is_the_least_of_late_and_creeps_up(self) -> None:
+        latency = DomainLatency()
+        for round_trip_ms in (9.0, 2.0, 30.0):
+            latency.observe("d", round_trip_ms)
+        self.assertAlmostEqual(latency.one_way_ms("d"), 1.01)
+        for _ in range(500):
+            latency.observe("d", 10.0)
+        self.assertEqual(latency.one_way_ms("d"), 5.0)
+        self.assertEqual(latency.one_way_ms("unknown"), 0.0)
+
+    def test_silence_is_remembered_for_a_while(self) -> None:
+        silent = SilentOwners(POLICY)
+        silent.note_silent("vm", 0.0)
+        self.assertTrue(silent.is_silent("vm", 999.0))
+        self.assertFalse(silent.is_silent("vm", 1000.0))
+        silent.note_silent("vm", 0.0)
+        silent.note_answer("vm")
+        self.assertFalse(silent.is_silent("vm", 1.0))
+
+
+class RetryTest(unittest.TestCase):
+    """Retries end by themselves."""
+
+    def test_an_outage_uses_up_the_budget(self) -> None:
+        budget = RetryBudget(RetryPolicy(reserve=10, reserve_per_s=1))
+        taken = sum(budget.take(now_ms) for now_ms in range(1000))
+        self.assertEqual(taken, 10)
+        self.assertEqual(sum(budget.take(10_000.0) for _ in range(100)), 10)
+
+    def test_successes_pay_for_a_share(self) -> None:
+        budget = RetryBudget(RetryPolicy(share=0.25, reserve=0, reserve_per_s=0))
+        for _ in range(40):
+            budget.succeeded()
+        self.assertEqual(sum(budget.take(0.0) for _ in range(50)), 10)
+
+    def waits(self, policy: RetryPolicy, slack_ms: float, failures: int, **kind: bool) -> list:
+        history = AttemptHistory(policy)
+        budget = RetryBudget(policy)
+        rng = random.Random(3)
+        waits = []
+        for _ in range(failures):
+            history.note_failure(**{"upstream_lost": False, "progress": False, **kind})
+            waits.append(history.next_wait_ms(budget, slack_ms, 0.0, rng))
+        return waits
+
+    def test_attempts_are_bounded(self) -> None:
+        waits = self.waits(RetryPolicy(max_attempts=3), 1e9, 4)
+        self.assertEqual([wait is None for wait in waits], [False, False, True, True])
+
+    def test_no_retry_that_could_not_make_it(self) -> None:
+        self.assertEqual(self.waits(RetryPolicy(), -1.0, 1), [None])
+
+    def test_what_may_kill_upstreams_is_not_tried_on(self) -> None:
+        waits = self.waits(RetryPolicy(max_losses=2), 1e9, 2, upstream_lost=True)
+        self.assertEqual([wait is None for wait in waits], [False, True])
+        waits = self.waits(RetryPolicy(max_losses=2), 1e9, 2, upstream_lost=True, progress=True)
+        self.assertNotIn(None, waits)
+
+    def test_waits_are_jittered_and_grow(self) -> None:
+        policy = RetryPolicy(max_attempts=100, first_wait_ms=10, max_wait_ms=40, reserve=1000)
+        waits = self.waits(policy, 1e9, 90)
+        self.assertGreater(len(set(waits)), 80)
+        self.assertLessEqual(max(waits[:1]), 10)
+        self.assertLessEqual(max(waits), 40)
+        self.assertGreater(max(waits), 20)
+
+
+class HealthTest(unittest.TestCase):
+    """Taking upstreams out and back."""
+
+    def observe(self, tracker: HealthTracker, outcome: AttemptOutcome, count: int = 1) -> None:
+        for _ in range(count):
+            tracker.observe("u", outcome, 0.0)
+
+    def test_evidence_weighs_by_what_it_says(self) -> None:
+        for outcome, enough in [
+            (AttemptOutcome.CONNECT_REFUSED, 2),
+            (AttemptOutcome.CONNECT_TIMEOUT, 2),
+            (AttemptOutcome.TRUNCATED, 3),
+            (AttemptOutcome.RESPONSE_TIMEOUT, 3),
+            (AttemptOutcome.SERVER_ERROR, 6),
+        ]:
+            with self.subTest(outcome=outcome):
+                tracker = HealthTracker()
+                self.observe(tracker, outcome, enough - 1)
+                self.assertTrue(tracker.accepting("u"))
+                self.observe(tracker, outcome)
+                self.assertFalse(tracker.accepting("u"))
+
+    def test_what_says_nothing_changes_nothing(self) -> None:
+        tracker = HealthTracker()
+        for outcome in ("client_error", "cancelled", "revoked"):
+            self.observe(tracker, AttemptOutcome(outcome), 50)
+        self.assertTrue(tracker.accepting("u"))
+
+    def test_old_evidence_fades_and_successes_outweigh_single_faults(self) -> None:
+        tracker = HealthTracker()
+        for minute in range(20):
+            tracker.observe("u", AttemptOutcome.CONNECT_REFUSED, minute * 60_000.0)
+        for _ in range(100):
+            self.observe(tracker, AttemptOutcome.SERVER_ERROR)
+            self.observe(tracker, AttemptOutcome.COMPLETED, 2)
+        self.assertTrue(tracker.accepting("u"))
+
+    def out(self) -> HealthTracker:
+        tracker = HealthTracker(HealthPolicy(first_trial_ms=500, trials_wanted=2))
+        self.observe(tracker, AttemptOutcome.CONNECT_REFUSED, 2)
+        return tracker
+
+    def test_one_trial_at_a_time_and_two_successes_bring_it_back(self) -> None:
+        tracker = self.out()
+        self.assertFalse(tracker.take_trial("u", 499.0))
+        self.assertTrue(tracker.take_trial("u", 500.0))
+        self.assertFalse(tracker.take_trial("u", 501.0))
+        tracker.observe("u", AttemptOutcome.COMPLETED, 600.0)
+        self.assertFalse(tracker.accepting("u"))
+        self.assertTrue(tracker.take_trial("u", 600.0))
+        tracker.observe("u", AttemptOutcome.COMPLETED, 700.0)
+        self.assertTrue(tracker.accepting("u"))
+
+    def test_a_failed_trial_doubles_the_wait_and_starts_over(self) -> None:
+        tracker = self.out()
+        tracker.take_trial("u", 500.0)
+        tracker.observe("u", AttemptOutcome.CONNECT_REFUSED, 500.0)
+        self.assertEqual(tracker.next_trial_ms("u"), 1500.0)
+        self.assertFalse(tracker.take_trial("u", 1499.0))
+
+    def test_old_attempts_are_no_trials(self) -> None:
+        tracker = self.out()
+        self.observe(tracker, AttemptOutcome.COMPLETED, 10)
+        self.assertFalse(tracker.accepting("u"))
+
+    def test_a_cap_bounds_how_many_are_out(self) -> None:
+        tracker = HealthTracker(HealthPolicy(max_out_share=0.5))
+        names = [f"u{number}" for number in range(4)]
+        tracker.set_upstreams(names, 4)
+        for name in names:
+            for _ in range(9):
+                tracker.observe(name, AttemptOutcome.CONNECT_REFUSED, 0.0)
+        self.assertEqual(tracker.out_count, 2)
+
+
+class AdmissionTest(unittest.TestCase):
+    """Refusing at once what cannot make it."""
+
+    def test_a_deadline_that_cannot_be_met_is_refused_with_a_time(self) -> None:
+        admission = Admission()
+        self.assertIsInstance(admission.check_deadline(1000, 200, 700), Ok)
+        fault = admission.check_deadline(1000, 700, 700).unwrap_err()
+        self.assertIs(fault.code, ResultCode.DEADLINE_CANNOT_BE_MET)
+        self.assertEqual(fault.retry_after_ms, 400)
+
+    def test_a_full_entry_takes_members_below_their_share(self) -> None:
+        admission = Admission(AdmissionPolicy(max_in_flight=10))
+        for _ in range(10):
+            self.assertIsInstance(admission.admit("big", {}), Ok)
+        fault = admission.admit("big", {}).unwrap_err()
+        self.assertIs(fault.code, ResultCode.MEMBER_OVER_SHARE)
+        self.assertGreater(fault.retry_after_ms, 0)
+        taken = sum(admission.admit("small", {"small": 1.0}).is_ok() for _ in range(20))
+        self.assertEqual(taken, 5)
+        for _ in range(10):
+            admission.release("big")
+        self.assertIsInstance(admission.admit("big", {}), Ok)
+
+    def test_shares_weigh(self) -> None:
+        admission = Admission(AdmissionPolicy(max_in_flight=10))
+        for _ in range(10):
+            admission.admit("big", {})
+        shares = {"small": 4.0, "big": 1.0}
+        self.assertEqual(sum(admission.admit("small", shares).is_ok() for _ in range(20)), 8)
+
+    def test_twice_the_bound_is_the_end(self) -> None:
+        admission = Admission(AdmissionPolicy(max_in_flight=2))
+        results = [admission.admit(f"m{number}", {}) for number in range(6)]
+        refused = [item.err_value.code for item in results if isinstance(item, Err)]
+        self.assertGreaterEqual(len(refused), 2)
+
+    def test_run_time_follows_the_answers_and_the_callers_limit(self) -> None:
+        times = RunTimes()
+        self.assertEqual(times.run_ms(100), 0.0)
+        times.observe(50, 30.0, 0.05)
+        self.assertEqual(times.run_ms(0), 49 * 30.0)
+        self.assertEqual(times.run_ms(11), 300.0)
+        times.observe(0, -1.0, 0.05)
+        self.assertEqual(times.run_ms(11), 300.0)
