--- /dev/null
+++ b/tests/builders/standins.py
@@ -0,0 +1,128 @@
+"""Running stand-ins with the clients that talk to them."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+import trio
+
+from fescuedock.net.address import Address
+from fescuedock.net.http_client import HttpClient
+from fescuedock.platform.engine import EngineClient
+from fescuedock.platform.engine_control import EngineControl
+from fescuedock.platform.etcd import EtcdKv
+from fescuedock.schema.settings import PlatformSettings, StandinSettings
+from fescuedock.schema.view import UpstreamRecord
+from fescuedock.standin.engine import EngineService
+from fescuedock.standin.kv_service import KvService
+from fescuedock.standin.platform import Standins, run_standins
+
+__all__ = [
+    "FAST_ENGINES",
+    "EngineBench",
+    "chat_body",
+    "chat_prompt",
+    "etcd_client",
+    "open_http",
+    "run_async",
+    "running_engine",
+    "running_kv",
+    "running_standins",
+]
+
+LOOPBACK = Address("127.0.0.1", 0)
+_TEST_TIMEOUT_S = 60
+# Engines that give a token each millisecond or so, for tests that do not look at the time.
+FAST_ENGINES = {"step_ms": 1.0, "step_ms_per_sequence": 0.0, "prefill_ms_per_token": 0.001}
+
+
+def run_async(test: Callable[[], Awaitable[None]], clock: trio.abc.Clock | None = None) -> None:
+    """Run ``test`` in a loop of its own; one that hangs fails."""
+
+    async def run() -> None:
+        with trio.fail_after(_TEST_TIMEOUT_S):
+            await test()
+
+    trio.run(run, clock=clock)
+
+
+def etcd_client(http: HttpClient, *addresses: Address, timeout_ms: int = 1500) -> EtcdKv:
+    """Return a client of a service at ``addresses``."""
+    settings = PlatformSettings(
+        kv_addresses=",".join(str(address) for address in addresses),
+        vm_list_address="127.0.0.1:1",
+        kv_timeout_ms=timeout_ms,
+    )
+    return EtcdKv(http, settings)
+
+
+@asynccontextmanager
+async def open_http() -> AsyncIterator[HttpClient]:
+    """Give a client whose idle connections are closed after the block."""
+    http = HttpClient()
+    try:
+        yield http
+    finally:
+        with trio.CancelScope(shield=True):
+            await http.close()
+
+
+@asynccontextmanager
+async def running_kv(timeout_ms: int = 1500) -> AsyncIterator[tuple[KvService, EtcdKv]]:
+    """Serve a key-value service while the block runs, and give a client of it."""
+    service = KvService(progress_ms=50)
+    async with trio.open_nursery() as nursery:
+        address = await nursery.start(service.run, LOOPBACK)
+        async with open_http() as http:
+            yield service, etcd_client(http, address, timeout_ms=timeout_ms)
+        nursery.cancel_scope.cancel()
+
+
+@asynccontextmanager
+async def running_standins(**settings: object) -> AsyncIterator[Standins]:
+    """Run all stand-ins while the block runs, with engines that are fast."""
+    async with trio.open_nursery() as nursery:
+        chosen = StandinSettings(**{**FAST_ENGINES, **settings})
+        yield await nursery.start(run_standins, chosen)
+        nursery.cancel_scope.cancel()
+
+
+@dataclass(frozen=True, slots=True)
+class EngineBench:
+    """One engine and the clients to reach it."""
+
+    engine: EngineService
+    upstream: UpstreamRecord
+    client: EngineClient
+    control: EngineControl
+    standins: Standins
+
+
+@asynccontextmanager
+async def running_engine(**settings: object) -> AsyncIterator[EngineBench]:
+    """Run one engine while the block runs."""
+    async with running_standins(engines=1, plain_services=0, **settings) as standins:
+        (engine,) = standins.engines.values()
+        upstream = UpstreamRecord(
+            upstream_id=engine.upstream_id,
+            region="local",
+            failure_domain="hall-a",
+            host=engine.address.host,
+            port=engine.address.port,
+            kind="engine",
+            service="demo-llm",
+        )
+        async with open_http() as http:
+            yield EngineBench(engine, upstream, EngineClient(http), EngineControl(http), standins)
+
+
+def chat_body(text: str, max_tokens: int | None = None, **fields: object) -> dict:
+    """Return the body of a chat with one user message."""
+    messages = [{"role": "user", "content": text}]
+    limit = {} if max_tokens is None else {"max_tokens": max_tokens}
+    return {"model": "demo-model", "messages": messages, **limit, **fields}
+
+
+def chat_prompt(text: str) -> str:
+    """Return the prompt that the engine makes of ``chat_body(text)``."""
+    return f"<user>{text}\n"
