--- /dev/null
+++ b/src/fescuedock/cli/local.py
@@ -0,0 +1,130 @@
+"""``fescuedock local``: a whole system on one loop, with stand-ins for platform and engines.
+
+Three VMs in three failure domains run on 127.0.0.1, 127.0.0.2 and 127.0.0.3.  It is the quick
+start, and the base of the tests that go through every part.
+"""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import msgspec
+import trio
+
+from fescuedock.cli.local_setup import (
+    CHAT_MODEL,
+    PLACES,
+    TRIP_MODEL,
+    add_upstreams,
+    initial_patch,
+    standin_settings,
+)
+from fescuedock.cli.local_vm import LocalVm, vm_settings
+from fescuedock.net.address import Address
+from fescuedock.net.http_client import HttpClient, NotSentError, ResponseLostError
+from fescuedock.platform.vm_list import ROLE_SYSTEM, ListedVm
+from fescuedock.standin.platform import Standins, run_standins
+
+__all__ = ["LocalSystem", "NotReadyError", "open_local"]
+
+_PROBE_INTERVAL_S = 0.02
+_READY_TIMEOUT_S = 30
+_JSON = (("content-type", "application/json"),)
+
+
+class NotReadyError(Exception):
+    """The local system did not come to serve; the text has the last answer."""
+
+
+@dataclass(slots=True)
+class LocalSystem:
+    """A running local system."""
+
+    standins: Standins
+    vms: dict[str, LocalVm]
+    http: HttpClient = field(default_factory=HttpClient)
+    _nursery: trio.Nursery | None = None
+
+    @property
+    def entry_address(self) -> Address:
+        """The address of the first VM's entry."""
+        return next(iter(self.vms.values())).entry_address
+
+    async def start(self, vm: LocalVm) -> None:
+        """Start ``vm`` and keep it running in the background; return once it takes requests."""
+        self.vms[vm.vm_id] = vm
+        await self._nursery.start(vm.run, self._announce)
+
+    def stop(self) -> None:
+        """Begin the graceful shutdown of every VM."""
+        for vm in self.vms.values():
+            vm.stop.request()
+
+    async def wait_stopped(self) -> None:
+        """Wait until every VM has shut down."""
+        for vm in self.vms.values():
+            await vm.stopped.wait()
+
+    def _announce(self, vm: LocalVm) -> None:
+        place, address = vm.settings.vm, vm.addresses["agent"]
+        self.standins.vm_list.add(
+            ListedVm(
+                vm_id=vm.vm_id,
+                role=ROLE_SYSTEM,
+                region=place.region,
+                failure_domain=place.failure_domain,
+                host=address.host,
+                port=address.port,
+            )
+        )
+
+
+@asynccontextmanager
+async def open_local(port: int, data_folder: Path) -> AsyncIterator[LocalSystem]:
+    """Run a local system until the block is left; it serves when the block begins.
+
+    Its entries listen on ``port`` (0 takes free ones) of three loopback addresses.  Raises
+    ``OSError`` when an address is taken, ``NotReadyError`` when the system does not come up.
+    Leaving the block without ``stop`` ends it at once.
+    """
+    async with trio.open_nursery() as platform:
+        standins = await platform.start(run_standins, standin_settings())
+        await add_upstreams(standins)
+        async with trio.open_nursery() as vms:
+            system = LocalSystem(standins, {}, _nursery=vms)
+            for place in PLACES:
+                settings = vm_settings(place, standins.platform_settings(), port, data_folder)
+                await system.start(LocalVm(settings))
+            await _wait_ready(system)
+            yield system
+            if not all(vm.stop.requested for vm in system.vms.values()):
+                vms.cancel_scope.cancel()
+        await system.http.close()
+        platform.cancel_scope.cancel()
+
+
+async def _wait_ready(system: LocalSystem) -> None:
+    """Make the initial configuration and wait until each entry serves each model."""
+    with trio.move_on_after(_READY_TIMEOUT_S) as scope:
+        patch = msgspec.json.encode(initial_patch())
+        await _wait_answer(system, system.entry_address, "/admin/config/patches", patch)
+        for vm in system.vms.values():
+            for model in (CHAT_MODEL, TRIP_MODEL):
+                body = msgspec.json.encode({"model": model, "prompt": "ready?", "max_tokens": 1})
+                await _wait_answer(system, vm.entry_address, "/v1/completions", body)
+    if scope.cancelled_caught:
+        raise NotReadyError(f"not ready after {_READY_TIMEOUT_S} s")
+
+
+async def _wait_answer(system: LocalSystem, address: Address, path: str, body: bytes) -> None:
+    """Repeat a request until it is answered with 200."""
+    while True:
+        try:
+            async with system.http.request(address, "POST", path, _JSON, body) as response:
+                await response.read()
+                if response.status == 200:
+                    return
+        except (NotSentError, ResponseLostError):
+            pass
+        await trio.sleep(_PROBE_INTERVAL_S)
--- /dev/null
+++ b/src/fescuedock/cli/local_command.py
@@ -0,0 +1,76 @@
+"""The command ``fescuedock local``: its ready line, its banner and its end."""
+
+import sys
+import tempfile
+from pathlib import Path
+
+import msgspec
+import trio
+import zmq
+
+from fescuedock.cli.command_line import Command, ExitCode
+from fescuedock.cli.local import LocalSystem, NotReadyError, open_local
+from fescuedock.cli.local_banner import banner
+from fescuedock.cli.local_setup import log_settings
+from fescuedock.cli.local_vm import STOP_TIMEOUT_MS
+from fescuedock.daemon import Stop, leaf_errors, stop_on_signals
+from fescuedock.log import open_log
+
+__all__ = ["LOCAL_COMMAND"]
+
+_HELP = """\
+fescuedock local: a whole system on this machine, with stand-ins for platform and engines.
+
+usage: fescuedock local [--port=8080] [--data=FOLDER]
+
+Three VMs run on 127.0.0.1, 127.0.0.2 and 127.0.0.3; their entries listen on the port given (0 takes
+free ones).  When all serve, one JSON line with ready_url goes to standard output.  Stores and logs
+are in a temporary folder that is removed at the end, unless --data names one.
+SIGTERM or SIGINT begins a graceful shutdown, a second one ends it at once.
+
+exit codes: 0 stopped, 1 failed, 2 bad usage
+"""
+
+
+def _run(port: int = 8080, data: str = "") -> int:
+    if not 0 <= port <= 65535:
+        print(f"fescuedock local: not a port: {port}", file=sys.stderr)
+        return ExitCode.USAGE
+    if data:
+        return _run_in(port, Path(data))
+    with tempfile.TemporaryDirectory(prefix="fescuedock-") as folder:
+        return _run_in(port, Path(folder))
+
+
+def _run_in(port: int, folder: Path) -> int:
+    folder.mkdir(parents=True, exist_ok=True)
+    log_file = folder / "log.jsonl"
+    code = ExitCode.OK
+    try:
+        with open_log(log_settings(log_file), "local"):
+            trio.run(_serve, port, folder, log_file)
+    except* (OSError, zmq.ZMQError, NotReadyError) as errors:
+        for error in leaf_errors(errors):
+            print(f"fescuedock local: {error}", file=sys.stderr)
+        code = ExitCode.FAILED
+    return code
+
+
+async def _serve(port: int, folder: Path, log_file: Path) -> None:
+    async with open_local(port, folder) as system, trio.open_nursery() as nursery:
+        stop = Stop()
+        nursery.start_soon(stop_on_signals, stop, STOP_TIMEOUT_MS, nursery.cancel_scope)
+        _report_ready(system, log_file)
+        await stop.wait()
+        system.stop()
+        await system.wait_stopped()
+        nursery.cancel_scope.cancel()
+
+
+def _report_ready(system: LocalSystem, log_file: Path) -> None:
+    url = f"http://{system.entry_address}"
+    print(msgspec.json.encode({"ready_url": url}).decode(), flush=True)
+    print(banner(url, log_file), file=sys.stderr, flush=True)
+
+
+LOCAL_COMMAND = Command(_run, _HELP)
--- /dev/null
+++ b/src/fescuedock/cli/local_vm.py
@@ -0,0 +1,123 @@
+"""One VM of ``fescuedock local``: its four programs as tasks of this process."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from functools import partial
+from pathlib import Path
+
+import msgspec
+import trio
+
+from fescuedock.agent.main import run_agent
+from fescuedock.batch.main import run_batch
+from fescuedock.daemon import Program, Stop
+from fescuedock.entry.main import run_entry
+from fescuedock.net.address import Address
+from fescuedock.schema.settings import (
+    AgentSettings,
+    BatchSettings,
+    EntrySettings,
+    PlatformSettings,
+    StoreSettings,
+    VmSettings,
+)
+from fescuedock.settings import Settings
+from fescuedock.store.main import run_store
+
+__all__ = ["STOP_TIMEOUT_MS", "LocalVm", "VmPlace", "vm_settings"]
+
+STOP_TIMEOUT_MS = 20000
+# Callers of a local system ask again soon, so that stopping it is quick.
+_ANSWER_VALID_MS = 1000
+_CLIENT_PROGRAMS: dict[str, Program] = {
+    "store": run_store,
+    "batch": run_batch,
+    "entry": run_entry,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class VmPlace:
+    """Where a VM stands and listens."""
+
+    vm_id: str
+    region: str
+    failure_domain: str
+    host: str
+
+
+def vm_settings(
+    place: VmPlace, platform: PlatformSettings, entry_port: int, data_folder: Path
+) -> Settings:
+    """Return the settings of a VM whose other ports are taken as they are free."""
+    return Settings(
+        vm=VmSettings(
+            vm_id=place.vm_id,
+            host=place.host,
+            region=place.region,
+            failure_domain=place.failure_domain,
+            stop_timeout_ms=STOP_TIMEOUT_MS,
+        ),
+        platform=platform,
+        entry=EntrySettings(port=entry_port, answer_valid_ms=_ANSWER_VALID_MS),
+        agent=AgentSettings(port=0),
+        batch=BatchSettings(port=0),
+        store=StoreSettings(port=0, data_folder=str(data_folder / place.vm_id)),
+    )
+
+
+@dataclass(slots=True)
+class LocalVm:
+    """A VM that can be stopped gracefully by ``stop``, or lost at once by ``kill``.
+
+    ``settings`` have the real port of the agent once it serves; ``addresses`` those of all
+    programs.
+    """
+
+    settings: Settings
+    stop: Stop = field(default_factory=Stop)
+    addresses: dict[str, Address] = field(default_factory=dict)
+    stopped: trio.Event = field(default_factory=trio.Event)
+    _scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+
+    @property
+    def vm_id(self) -> str:
+        return self.settings.vm.vm_id
+
+    @property
+    def entry_address(self) -> Address:
+        return self.addresses["entry"]
+
+    def kill(self) -> None:
+        """End all programs at once, as a VM that loses power does; its disk stays."""
+        self._scope.cancel()
+
+    async def run(
+        self,
+        announce: Callable[["LocalVm"], None],
+        *,
+        task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Run until stopped or killed; reports the entry's address.
+
+        ``announce`` is called as soon as the agent serves, to put the VM on the VM list.
+        """
+        agent_stop = Stop()
+        with self._scope:
+            async with trio.open_nursery() as nursery:
+                address = await nursery.start(partial(run_agent, self.settings, agent_stop))
+                agent = msgspec.structs.replace(self.settings.agent, port=address.port)
+                self.settings = replace(self.settings, agent=agent)
+                self.addresses["agent"] = address
+                announce(self)
+                await self._run_clients(task_status)
+                # The other programs drain with the agent's help, so it goes last.
+                agent_stop.request()
+        self.stopped.set()
+
+    async def _run_clients(self, task_status: trio.TaskStatus[Address]) -> None:
+        async with trio.open_nursery() as nursery:
+            for name, program in _CLIENT_PROGRAMS.items():
+                run = partial(program, self.settings, self.stop)
+                self.addresses[name] = await nursery.start(run)
+            task_status.started(self.entry_address)
--- /dev/null
+++ b/src/fescuedock/cli/tables.py
@@ -0,0 +1,30 @@
+"""Plain text tables for the terminal."""
+
+from collections.abc import Sequence
+
+__all__ = ["table"]
+
+_GAP = "  "
+
+
+def table(heads: Sequence[str], rows: Sequence[Sequence[object]]) -> str:
+    """Return rows under their heads, columns as wide as their widest cell; numbers to the right."""
+    cells = [[str(cell) for cell in row] for row in rows]
+    widths = [
+        max([len(head), *(len(row[column]) for row in cells)]) for column, head in enumerate(heads)
+    ]
+    numeric = [
+        bool(rows) and all(isinstance(row[column], int | float) for row in rows)
+        for column in range(len(heads))
+    ]
+    lines = [_line(heads, widths, numeric)]
+    lines += [_line(row, widths, numeric) for row in cells]
+    return "\n".join(lines)
+
+
+def _line(cells: Sequence[str], widths: Sequence[int], numeric: Sequence[bool]) -> str:
+    parts = [
+        cell.rjust(width) if right else cell.ljust(width)
+        for cell, width, right in zip(cells, widths, numeric, strict=True)
+    ]
+    return _GAP.join(parts).rstrip()
