--- a/src/fescuedock/batch/attempts.py
+++ b/src/fescuedock/batch/attempts.py
@@ -95,6 +95,8 @@
         return AttemptEnd(EndKind.DIED, body=str(error).encode())
     except EngineError as error:
         return AttemptEnd(_kind_of(error), error.status, error.body)
+    except msgspec.MsgspecError as error:
+        return AttemptEnd(EndKind.SERVER_ERROR, 502, f"an event out of shape: {error}".encode())
     if stall.cancelled_caught:
         return AttemptEnd(EndKind.DIED, body=b"no answer in time")
     return AttemptEnd(EndKind.DONE, 200, answer)
