--- a/src/fescuedock/core/batch/assembly.py
+++ b/src/fescuedock/core/batch/assembly.py
@@ -20,7 +20,7 @@
     created: int = 0
     model: str = ""
     choices: list[_Choice] = []
-    usage: dict[str, object] | None = None
+    usage: dict | None = None
 
 
 class _Message(msgspec.Struct):
@@ -48,7 +48,7 @@
     created: int
     model: str
     choices: list[_ChatChoice | _TextChoice]
-    usage: dict[str, object] | None = None
+    usage: dict | None = None
 
 
 _read_chunk = msgspec.json.Decoder(_Chunk).decode
@@ -70,7 +70,7 @@
         self._chat = chat
         self._parts = [text] if text else []
         self._last = _Chunk()
-        self._usage: dict[str, object] | None = None
+        self._usage: dict | None = None
         self.tokens = tokens
 
     @property
