--- a/src/fescuedock/net/http_client.py
+++ b/src/fescuedock/net/http_client.py
@@ -132,10 +132,10 @@
             await connection.abort()
 
     async def close(self) -> None:
-        """Close the idle connections."""
+        """Close the idle connections; never waits, so it works while being cancelled too."""
         for connections in (self._idle or {}).values():
             for connection in connections:
-                await connection.abort()
+                connection.abandon()
         self._idle = None
 
     async def _connect(self, address: Address) -> "_ClientConnection":
