--- a/src/fescuedock/agent/main.py
+++ b/src/fescuedock/agent/main.py
@@ -25,7 +25,7 @@
 from fescuedock.net.channel import CallHandler, ServerPeer, serve_channel
 from fescuedock.net.channel_pool import ChannelPool, open_channel_pool
 from fescuedock.net.codec import Codec
-from fescuedock.net.http_client import HttpClient
+from fescuedock.net.http_client import HttpClient, open_http_client
 from fescuedock.net.udp import UdpSocket, open_udp
 from fescuedock.platform.etcd import EtcdKv
 from fescuedock.platform.vm_list import VmListClient
@@ -49,9 +49,9 @@
     until that has spread, and then says that it is gone.
     """
     codec = open_codec(settings.vm)
-    http = HttpClient()
     handlers: dict[type[msgspec.Struct], CallHandler] = {}
     async with (
+        open_http_client() as http,
         open_channel_pool(codec) as pool,
         _open_port(settings, codec, handlers) as udp,
         trio.open_nursery() as nursery,
@@ -63,7 +63,6 @@
         await stop.wait()
         await _leave(settings, services)
         nursery.cancel_scope.cancel()
-    await http.close()
 
 
 class _Services:
--- a/src/fescuedock/batch/main.py
+++ b/src/fescuedock/batch/main.py
@@ -23,7 +23,7 @@
 from fescuedock.net.channel import ServerPeer, serve_channel
 from fescuedock.net.channel_pool import open_channel_pool
 from fescuedock.net.codec import Codec
-from fescuedock.net.http_client import HttpClient
+from fescuedock.net.http_client import open_http_client
 from fescuedock.platform.engine import EngineClient
 from fescuedock.platform.etcd import EtcdKv
 from fescuedock.schema.batch import JobCheck, JobCheckReply
@@ -94,8 +94,8 @@
 ) -> AsyncIterator[RunnerContext]:
     incarnation = token_hex(8)
     name = RunnerName(settings.vm.vm_id, incarnation)
-    http = HttpClient()
     async with (
+        open_http_client() as http,
         open_permit_client(settings, codec, view, f"{name.vm_id}/batch/{incarnation}") as permits,
         open_store_client(codec, view, settings.batch) as stores,
     ):
@@ -111,7 +111,6 @@
             scheduler=ItemScheduler(settings.batch),
             random=random.Random(incarnation),
         )
-        await http.close()
 
 
 async def _leave(
--- a/src/fescuedock/cli/entry_session.py
+++ b/src/fescuedock/cli/entry_session.py
@@ -3,7 +3,7 @@
 import os
 import sys
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import TypeVar
 
 import msgspec
@@ -17,6 +17,7 @@
     NotSentError,
     ResponseLostError,
     ResponseTooLargeError,
+    open_http_client,
 )
 from fescuedock.schema.result_codes import Outcome
 
@@ -55,7 +56,7 @@
     """Requests to one entry, by default the one that the environment names."""
 
     address: Address
-    http: HttpClient = field(default_factory=HttpClient)
+    http: HttpClient
 
     async def get(self, target: str, kind: type[T], entry: Address | None = None) -> Result:
         """Return ``Ok`` with the answer as ``kind``, or ``Err(Failure)``."""
@@ -121,12 +122,8 @@
 async def _run_steps(
     address: Address, steps: Callable[[EntrySession], Awaitable[Result[str, Failure]]]
 ) -> Result[str, Failure]:
-    session = EntrySession(address)
-    try:
-        return await steps(session)
-    finally:
-        with trio.CancelScope(shield=True):
-            await session.http.close()
+    async with open_http_client() as http:
+        return await steps(EntrySession(address, http))
 
 
 def _headers() -> list[tuple[str, str]]:
--- a/src/fescuedock/cli/local.py
+++ b/src/fescuedock/cli/local.py
@@ -6,7 +6,7 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from pathlib import Path
 
 import msgspec
@@ -22,7 +22,12 @@
 )
 from fescuedock.cli.local_vm import LocalVm, vm_settings
 from fescuedock.net.address import Address
-from fescuedock.net.http_client import HttpClient, NotSentError, ResponseLostError
+from fescuedock.net.http_client import (
+    HttpClient,
+    NotSentError,
+    ResponseLostError,
+    open_http_client,
+)
 from fescuedock.platform.vm_list import ROLE_SYSTEM, ListedVm
 from fescuedock.standin.platform import Standins, run_standins
 
@@ -43,8 +48,8 @@
 
     standins: Standins
     vms: dict[str, LocalVm]
-    http: HttpClient = field(default_factory=HttpClient)
-    _nursery: trio.Nursery | None = None
+    http: HttpClient
+    _nursery: trio.Nursery
 
     @property
     def entry_address(self) -> Address:
@@ -88,11 +93,11 @@
     ``OSError`` when an address is taken, ``NotReadyError`` when the system does not come up.
     Leaving the block without ``stop`` ends it at once.
     """
-    async with trio.open_nursery() as platform:
+    async with open_http_client() as http, trio.open_nursery() as platform:
         standins = await platform.start(run_standins, standin_settings())
         await add_upstreams(standins)
         async with trio.open_nursery() as vms:
-            system = LocalSystem(standins, {}, _nursery=vms)
+            system = LocalSystem(standins, {}, http, vms)
             for place in PLACES:
                 settings = vm_settings(place, standins.platform_settings(), port, data_folder)
                 await system.start(LocalVm(settings))
@@ -100,7 +105,6 @@
             yield system
             if not all(vm.stop.requested for vm in system.vms.values()):
                 vms.cancel_scope.cancel()
-        await system.http.close()
         platform.cancel_scope.cancel()
 
 
--- a/src/fescuedock/entry/main.py
+++ b/src/fescuedock/entry/main.py
@@ -18,7 +18,7 @@
 from fescuedock.faults import Fault
 from fescuedock.log import log_event
 from fescuedock.net.address import Address
-from fescuedock.net.http_client import HttpClient
+from fescuedock.net.http_client import open_http_client
 from fescuedock.net.http_server import Handler, HttpLimits, HttpServer, Request, Responder
 from fescuedock.platform.etcd import EtcdKv
 from fescuedock.report.metrics import Metrics
@@ -106,7 +106,6 @@
     settings = entry.settings
     codec = open_codec(settings.vm)
     holder_id = f"{settings.vm.vm_id}/entry/{token_hex(8)}"
-    http = HttpClient()
     clock = unix_clock()
     link_to_agent = open_agent_link(
         settings,
@@ -117,6 +116,7 @@
         in_flight=lambda: entry.server.in_flight,
     )
     async with (
+        open_http_client() as http,
         link_to_agent as (agent, view),
         open_permit_client(settings, codec, view, holder_id) as permits,
         open_store_client(codec, view, settings.batch) as stores,
@@ -124,7 +124,6 @@
         kv = EtcdKv(http, settings.platform)
         metrics = Metrics(holder_id, clock, entry.objectives)
         yield EntryContext(settings, view, agent, permits, stores, kv, http, metrics, clock)
-        await http.close()
 
 
 async def _leave(entry: _Entry, agent: AgentLink) -> None:
