Change and spread the configuration through the agents

Patches go into one record by compare-and-swap; answers that were lost are resolved by the patch identity in the record. Each version has a chained hash; replicas take only higher versions of the same chain, as deltas or whole records. Versions spread by push to a few VMs picked at random, and by pull from whoever shows a higher one.

--- a/src/fescuedock/agent/config_service.py
+++ b/src/fescuedock/agent/config_service.py
@@ -1,20 +1,37 @@
 """The configuration as one VM's agent holds it: confirms, spreads and changes it."""
 
 from collections.abc import Awaitable, Callable, Sequence
-from dataclasses import dataclass
+from math import inf
 from random import Random
 from typing import Protocol
 
 import msgspec
-from result import Result
-
+import trio
+from result import Err, Ok, Result
+
+from fescuedock.clock import UnixClock, now_ms
+from fescuedock.core.config.node import Action, ConfigNode, Pull, PushTo, ReadRecord, ReadRevision
+from fescuedock.core.config.record import Refusal
+from fescuedock.core.config.spread import Standing, is_serving
+from fescuedock.core.config.writer import Accepted, PatchWriter, Put, Read, WriterStep
 from fescuedock.faults import Fault
-from fescuedock.net.channel import CallHandler
+from fescuedock.log import log_event
+from fescuedock.net.channel import CallHandler, ServerPeer
 from fescuedock.platform.kv import KvStore
-from fescuedock.schema.view import VmRecord
+from fescuedock.schema.config import ConfigPull, ConfigPush, SubmitPatch, SubmitPatchReply
+from fescuedock.schema.result_codes import ResultCode
+from fescuedock.schema.view import Acknowledgement, VmRecord
 from fescuedock.settings import Settings
 
-__all__ = ["CallPeer", "ConfigService", "VmSource"]
+__all__ = ["CONFIG_KEY", "CallPeer", "ConfigService", "VmSource"]
+
+CONFIG_KEY = "config"
+# How long an uncertain write is followed up before the operator is told that it is unknown.
+_RESOLVE_MS = 4000
+_FIRST_PAUSE_MS = 50
+_PUSH_TIMEOUT_MS = 1000
+# A patch is answered when another VM has it too, or after this time.
+_FIRST_COPY_MS = 300
 
 # Calls the agent of another VM: the VM, the message, the timeout in milliseconds.
 CallPeer = Callable[[VmRecord, msgspec.Struct, float], Awaitable[Result[msgspec.Struct, Fault]]]
@@ -27,53 +44,203 @@
         """Return every VM that membership knows, this one and gone ones included."""
 
 
-@dataclass(slots=True)
 class ConfigService:
     """Made once by the agent, which runs ``run`` and merges ``handlers`` into its own."""
 
-    settings: Settings
-    kv: KvStore
-    vms: VmSource
-    call_peer: CallPeer
-    random: Random
+    def __init__(
+        self,
+        settings: Settings,
+        kv: KvStore,
+        vms: VmSource,
+        call_peer: CallPeer,
+        rng: Random,
+        unix_clock: UnixClock,
+    ) -> None:
+        self._settings = settings
+        self._key = settings.platform.key_prefix + CONFIG_KEY
+        self._kv = kv
+        self._call_peer = call_peer
+        self._unix_clock = unix_clock
+        self._node = ConfigNode(
+            settings.vm.vm_id,
+            settings.vm.failure_domain,
+            settings.agent.config_confirm_ms,
+            vms.vms,
+            rng,
+        )
+        self._wake = trio.Event()
+        self._changed = trio.Event()
+        self._copied = trio.Event()
+        self._seen_version = 0
+        self._seen_standing = Standing.EMPTY
 
     @property
     def current_version(self) -> int:
         """The version in force on this VM; 0 when none was ever accepted."""
-        raise NotImplementedError
+        return self._node.version
 
     @property
     def document(self) -> bytes:
         """The ``Configuration`` in force, as JSON."""
-        raise NotImplementedError
+        return self._node.replica.record.document
 
     @property
     def confirmed_age_ms(self) -> float:
         """Time since the version in force was known to be the newest; infinite when never."""
-        raise NotImplementedError
+        return now_ms() - self._node.replica.confirmed_at_ms
 
     @property
     def unconfirmed(self) -> bool:
         """Whether the age is over ``config_confirm_ms``."""
-        raise NotImplementedError
+        return self._node.standing(now_ms()) is not Standing.CONFIRMED
 
     @property
     def serving(self) -> bool:
         """Whether the cut-off policy lets the entry of this VM take new requests."""
-        raise NotImplementedError
+        return is_serving(self._node.standing(now_ms()), self._settings.agent.config_cut_off)
+
+    @property
+    def alarm(self) -> str:
+        """What was refused and has to be looked at, in one line; empty when there is nothing."""
+        alarm = self._node.replica.alarm
+        if alarm is None:
+            return ""
+        return (
+            f"{alarm.kind.value}: {alarm.source} shows version {alarm.offered_version}, "
+            f"version {alarm.own_version} is in force here"
+        )
 
     def on_peer_version(self, vm: VmRecord, version: int) -> None:
         """Note the version that a membership message of ``vm`` carried."""
-        raise NotImplementedError
+        if version > self._node.version:
+            self._node.on_peer_version(vm, version, now_ms())
+            self._wake.set()
 
     async def wait_changed(self, seen_version: int) -> None:
         """Return when the version in force is above ``seen_version``."""
-        raise NotImplementedError
+        while self._node.version <= seen_version:
+            await self._changed.wait()
 
     def handlers(self) -> dict[type[msgspec.Struct], CallHandler]:
         """Return the handlers of this service's messages by message type."""
-        raise NotImplementedError
+        return {
+            ConfigPull: self._on_pull,
+            ConfigPush: self._on_push,
+            SubmitPatch: self._on_submit,
+        }
 
     async def run(self) -> None:
         """Keep the version confirmed and spread it until cancelled."""
-        raise NotImplementedError
+        async with trio.open_nursery() as nursery:
+            while True:
+                for action in self._node.tick(now_ms()):
+                    nursery.start_soon(self._perform, action)
+                self._note_changes()
+                self._wake = trio.Event()
+                due_ms = self._node.next_due_ms()
+                with trio.move_on_at(due_ms / 1000 if due_ms < inf else inf):
+                    await self._wake.wait()
+
+    async def _perform(self, action: Action) -> None:
+        match action:
+            case ReadRevision():
+                await self._read_revision()
+            case ReadRecord():
+                await self._read_record()
+            case Pull(vm, message):
+                await self._pull(vm, message)
+            case PushTo(vms, message):
+                async with trio.open_nursery() as nursery:
+                    for vm in vms:
+                        nursery.start_soon(self._push, vm, message)
+        self._note_changes()
+
+    async def _read_revision(self) -> None:
+        asked_at_ms = now_ms()
+        revision = None
+        match await self._kv.get_range(self._key, limit=1, keys_only=True):
+            case Ok(page):
+                found = [entry for entry in page.entries if entry.key == self._key]
+                revision = found[0].mod_revision if found else 0
+        for action in self._node.on_revision(revision, asked_at_ms):
+            await self._perform(action)
+
+    async def _read_record(self) -> None:
+        asked_at_ms = now_ms()
+        match await self._kv.get(self._key):
+            case Ok(None):
+                self._node.on_record(None, 0, asked_at_ms)
+            case Ok(entry):
+                self._node.on_record(entry.value, entry.mod_revision, asked_at_ms)
+
+    async def _pull(self, vm: VmRecord, message: ConfigPull) -> None:
+        asked_at_ms = now_ms()
+        match await self._call_peer(vm, message, self._node.limits.pull_timeout_ms):
+            case Ok(ConfigPush() as answer):
+                self._node.on_push(answer, asked_at_ms, now_ms())
+            case _:
+                self._node.on_pull_failed(vm, now_ms())
+
+    async def _push(self, vm: VmRecord, message: ConfigPush) -> None:
+        if (await self._call_peer(vm, message, _PUSH_TIMEOUT_MS)).is_ok():
+            self._copied.set()
+
+    def _note_changes(self) -> None:
+        """Wake whoever waits for a new version, and log what an operator must know."""
+        if self._node.version != self._seen_version:
+            self._seen_version = self._node.version
+            self._changed.set()
+            self._changed = trio.Event()
+            self._wake.set()
+            log_event("config_in_force", version=self._seen_version)
+        standing = self._node.standing(now_ms())
+        if standing is not self._seen_standing:
+            self._seen_standing = standing
+            log_event("config_standing", standing=standing.value, alarm=self.alarm)
+
+    async def _on_pull(self, message: ConfigPull, _peer: ServerPeer) -> ConfigPush:
+        return self._node.on_pull(message, now_ms())
+
+    async def _on_push(self, message: ConfigPush, _peer: ServerPeer) -> Acknowledgement:
+        self._node.on_push(message, -inf, now_ms())
+        self._note_changes()
+        return Acknowledgement()
+
+    async def _on_submit(self, message: SubmitPatch, _peer: ServerPeer) -> SubmitPatchReply:
+        writer = PatchWriter(message.request, self._node.replica, self._unix_clock())
+        step = await self._write(writer)
+        if not isinstance(step, Accepted):
+            return SubmitPatchReply(step.code.value, step.version, list(step.problems))
+        self._copied = trio.Event()
+        self._note_changes()
+        with trio.move_on_after(_FIRST_COPY_MS / 1000):
+            await self._copied.wait()
+        return SubmitPatchReply(ResultCode.OK.value, step.version)
+
+    async def _write(self, writer: PatchWriter) -> Accepted | Refusal:
+        """Carry out the writer's steps until it is known what became of the patch."""
+        deadline_ms = now_ms() + _RESOLVE_MS
+        pause_ms = _FIRST_PAUSE_MS
+        step: WriterStep | None = Read()
+        while not isinstance(step, Accepted | Refusal):
+            if step is None:
+                if not writer.uncertain or now_ms() >= deadline_ms:
+                    return writer.give_up()
+                await trio.sleep(pause_ms / 1000)
+                pause_ms *= 2
+                step = Read()
+            step = await self._write_step(writer, step)
+        return step
+
+    async def _write_step(self, writer: PatchWriter, step: Read | Put) -> WriterStep | None:
+        asked_at_ms = now_ms()
+        if isinstance(step, Put):
+            outcome = await self._kv.put_if(self._key, step.value, step.expected_revision)
+            return writer.on_put(outcome, asked_at_ms)
+        match await self._kv.get(self._key):
+            case Ok(None):
+                return writer.on_read(None, 0, asked_at_ms)
+            case Ok(entry):
+                return writer.on_read(entry.value, entry.mod_revision, asked_at_ms)
+            case Err(_):
+                return None
--- a/src/fescuedock/agent/main.py
+++ b/src/fescuedock/agent/main.py
@@ -11,8 +11,7 @@
 from result import Err, Result
 
 from fescuedock.agent.codec import open_codec
-from fescuedock.agent.config_follow import ConfigFollower
-from fescuedock.agent.config_service import CallPeer
+from fescuedock.agent.config_service import CallPeer, ConfigService
 from fescuedock.agent.link import FleetView
 from fescuedock.agent.membership_service import MembershipService
 from fescuedock.agent.permit_service import PermitService
@@ -75,8 +74,9 @@
         self.view = FleetView(settings.vm.vm_id)
         programs = LocalPrograms(settings.vm, udp.address.port)
         kv = EtcdKv(http, settings.platform)
-        self.config = ConfigFollower(settings, kv)
-        boot_ms = unix_clock()() * 1000 + rng.randrange(1000)
+        clock = unix_clock()
+        self.config = ConfigService(settings, kv, self, _peer_caller(pool), rng, clock)
+        boot_ms = clock() * 1000 + rng.randrange(1000)
         membership = Membership(
             settings.agent,
             settings.vm.vm_id,
--- /dev/null
+++ b/src/fescuedock/core/config/node.py
@@ -0,0 +1,242 @@
+"""What one agent does about the configuration: confirm, push and pull, decided without I/O.
+
+The shell carries out the actions that ``tick`` and the message methods return, and reports each
+one's outcome to ``on_revision``, ``on_record`` or ``on_push``.
+"""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from math import inf
+from random import Random
+
+from fescuedock.core.config.record import (
+    BadRecordError,
+    decode_record,
+    empty_record,
+    encode_record,
+)
+from fescuedock.core.config.replica import AlarmKind, Offer, Replica
+from fescuedock.core.config.spread import (
+    SpreadLimits,
+    Standing,
+    live,
+    pick_targets,
+    standing,
+    watchers_of,
+)
+from fescuedock.schema.config import ConfigDelta, ConfigPull, ConfigPush
+from fescuedock.schema.view import VmRecord
+
+__all__ = ["Action", "ConfigNode", "Pull", "PushTo", "ReadRecord", "ReadRevision"]
+
+# In a push: the sender's version was never confirmed.
+_NO_CONFIRMATION = -1
+
+
+@dataclass(frozen=True, slots=True)
+class ReadRevision:
+    """Ask the key-value service for the revision of the record's key, without its value."""
+
+
+@dataclass(frozen=True, slots=True)
+class ReadRecord:
+    """Read the record from the key-value service."""
+
+
+@dataclass(frozen=True, slots=True)
+class Pull:
+    """Send ``message`` to ``vm`` and give its answer to ``on_push``."""
+
+    vm: VmRecord
+    message: ConfigPull
+
+
+@dataclass(frozen=True, slots=True)
+class PushTo:
+    """Send ``message`` to each of ``vms``."""
+
+    vms: tuple[VmRecord, ...]
+    message: ConfigPush
+
+
+Action = ReadRevision | ReadRecord | Pull | PushTo
+
+
+@dataclass(slots=True)
+class ConfigNode:
+    """The configuration's state on one VM.  ``vms`` gives all VMs that membership knows."""
+
+    vm_id: str
+    failure_domain: str
+    confirm_limit_ms: float
+    vms: Callable[[], Sequence[VmRecord]]
+    random: Random
+    limits: SpreadLimits = field(default_factory=SpreadLimits)
+    replica: Replica = field(default_factory=Replica)
+    _heard: tuple[int, VmRecord] | None = None
+    _pull_due_ms: float = inf
+    _confirm_due_ms: float = -inf
+    _passed_on: int = 0
+    _confirm_failures: int = 0
+
+    @property
+    def version(self) -> int:
+        return self.replica.version
+
+    def standing(self, now_ms: float) -> Standing:
+        """Judge how well the version in force is confirmed."""
+        known = self.vms()
+        return standing(
+            now_ms - self.replica.confirmed_at_ms,
+            self.confirm_limit_ms,
+            self.version,
+            len(live(known)),
+            len(known),
+        )
+
+    def next_due_ms(self) -> float:
+        """Return when ``tick`` has to be called at the latest."""
+        return min(self._pull_due_ms, self._confirm_due_ms)
+
+    def on_peer_version(self, vm: VmRecord, version: int, now_ms: float) -> None:
+        """Note a version that a membership message of ``vm`` carried."""
+        if version <= self.version or (self._heard and version < self._heard[0]):
+            return
+        # The newest sender is the likeliest to answer.
+        self._heard = (version, vm)
+        # A push is probably on its way; a pull at once would double its bytes.
+        delay_ms = self.limits.pull_delay_ms * (0.5 + self.random.random())
+        self._pull_due_ms = min(self._pull_due_ms, now_ms + delay_ms)
+
+    def tick(self, now_ms: float) -> list[Action]:
+        """Return what is due now."""
+        actions: list[Action] = self.take_pushes(now_ms)
+        if now_ms >= self._pull_due_ms:
+            actions += self._pull_heard(now_ms)
+        if now_ms >= self._confirm_due_ms:
+            actions += self._confirm(now_ms)
+        return actions
+
+    def take_pushes(self, now_ms: float) -> list[Action]:
+        """Return the pushes that a new version calls for, once for each version."""
+        if self.version <= self._passed_on:
+            return []
+        deltas = self.replica.deltas_after(max(self._passed_on, self.version - 1))
+        self._passed_on = self.version
+        if self._heard and self._heard[0] <= self.version:
+            self._heard, self._pull_due_ms = None, inf
+        targets = pick_targets(self.vms(), self.vm_id, self.limits.push_targets, self.random)
+        if not targets or not deltas:
+            # Who took a whole record was behind, so the others have it or hear of it.
+            return []
+        return [PushTo(tuple(targets), self._push(now_ms, deltas))]
+
+    def on_pull(self, message: ConfigPull, now_ms: float) -> ConfigPush:
+        """Answer the pull of another VM."""
+        if message.whole_record:
+            return self._push(now_ms, (), whole=True)
+        if message.have_version >= self.version:
+            return self._push(now_ms, ())
+        deltas = self.replica.deltas_after(message.have_version)
+        return self._push(now_ms, deltas, whole=not deltas)
+
+    def on_push(self, message: ConfigPush, asked_at_ms: float, now_ms: float) -> Offer:
+        """Take a push, or the answer to a pull that was sent at ``asked_at_ms``.
+
+        An age is counted from then on; a push that came unasked does not confirm anything.
+        """
+        source = message.vm_id
+        for delta in message.deltas:
+            self.replica.offer_delta(delta)
+        if message.record:
+            self._offer_bytes(message.record, source, message.kv_revision)
+        if message.version > self.version:
+            self._hear_from(source, message.version, now_ms)
+            return Offer.GAP
+        if message.version < self.version:
+            return Offer.KNOWN
+        if message.chain_hash != self.replica.record.chain_hash:
+            self.replica.raise_alarm(AlarmKind.FORKED, source, message.version)
+            return Offer.REFUSED
+        if message.confirmed_age_ms != _NO_CONFIRMATION:
+            self.replica.confirm(asked_at_ms - message.confirmed_age_ms)
+        return Offer.APPLIED
+
+    def on_pull_failed(self, vm: VmRecord, now_ms: float) -> None:
+        """Note that ``vm`` did not answer, so that another is asked."""
+        self._confirm_failures += 1
+        if self._heard and self._heard[1].vm_id == vm.vm_id:
+            self._pull_due_ms = now_ms + self.limits.pull_delay_ms
+
+    def on_revision(self, revision: int | None, asked_at_ms: float) -> list[Action]:
+        """Take the revision of the record's key (0: no such key; None: the service is away)."""
+        if revision is None:
+            return self._ask_a_peer()
+        if revision == self.replica.kv_revision and revision:
+            self.replica.confirm(asked_at_ms)
+            return []
+        return [ReadRecord()]
+
+    def on_record(self, value: bytes | None, revision: int, asked_at_ms: float) -> None:
+        """Take the record's bytes, None when there is no record."""
+        try:
+            record = empty_record() if value is None else decode_record(value)
+        except BadRecordError:
+            self.replica.raise_alarm(AlarmKind.CORRUPT, "key-value service", 0)
+            return
+        self.replica.observe_kv(record, revision, asked_at_ms)
+
+    def _hear_from(self, vm_id: str, version: int, now_ms: float) -> None:
+        for vm in self.vms():
+            if vm.vm_id == vm_id:
+                self.on_peer_version(vm, version, now_ms)
+
+    def _offer_bytes(self, data: bytes, source: str, kv_revision: int) -> None:
+        try:
+            self.replica.offer_record(decode_record(data), source, kv_revision)
+        except BadRecordError:
+            self.replica.raise_alarm(AlarmKind.CORRUPT, source, 0)
+
+    def _push(
+        self, now_ms: float, deltas: Sequence[ConfigDelta], *, whole: bool = False
+    ) -> ConfigPush:
+        age_ms = now_ms - self.replica.confirmed_at_ms
+        return ConfigPush(
+            vm_id=self.vm_id,
+            version=self.version,
+            chain_hash=self.replica.record.chain_hash,
+            confirmed_age_ms=_NO_CONFIRMATION if age_ms == inf else int(age_ms) + 1,
+            kv_revision=self.replica.kv_revision,
+            deltas=list(deltas),
+            record=encode_record(self.replica.record) if whole else b"",
+        )
+
+    def _pull_heard(self, now_ms: float) -> list[Action]:
+        self._pull_due_ms = inf
+        if self._heard is None:
+            return []
+        # Asked again after a timeout, should the answer be lost.
+        self._pull_due_ms = now_ms + self.limits.pull_timeout_ms
+        return [Pull(self._heard[1], self._pull_message())]
+
+    def _confirm(self, now_ms: float) -> list[Action]:
+        """Watchers ask the key-value service, others ask a watcher of their failure domain."""
+        interval_ms = self.limits.watch_interval_ms
+        watchers = watchers_of(self.vms(), self.failure_domain, self.limits.watchers_per_domain)
+        if self.vm_id in watchers or not watchers:
+            self._confirm_due_ms = now_ms + interval_ms * (0.75 + 0.5 * self.random.random())
+            return [ReadRevision()]
+        self._confirm_due_ms = now_ms + self.confirm_limit_ms / 4 * (
+            0.75 + 0.5 * self.random.random()
+        )
+        by_id = {vm.vm_id: vm for vm in self.vms()}
+        chosen = watchers[self._confirm_failures % len(watchers)]
+        return [Pull(by_id[chosen], self._pull_message())]
+
+    def _ask_a_peer(self) -> list[Action]:
+        """The service is away: whoever is ahead, or confirmed by another way, is in some peer."""
+        targets = pick_targets(self.vms(), self.vm_id, 1, self.random)
+        return [Pull(vm, self._pull_message()) for vm in targets]
+
+    def _pull_message(self) -> ConfigPull:
+        return ConfigPull(self.version, self.replica.record.chain_hash)
--- /dev/null
+++ b/src/fescuedock/core/config/record.py
@@ -0,0 +1,180 @@
+"""The configuration's record: how a patch makes the next version, its chained hash, its bytes.
+
+Every replica that applies the same patch to the same version gets the same record, byte for byte,
+which the chained hash proves.
+"""
+
+import hashlib
+import zlib
+from dataclasses import dataclass
+
+import msgspec
+from result import Err, Ok, Result
+
+from fescuedock.core.config.check import find_problems
+from fescuedock.core.config.merge import merge_patch
+from fescuedock.schema.config import AppliedPatch, ConfigDelta, ConfigRecord, PatchRequest
+from fescuedock.schema.result_codes import ResultCode
+
+__all__ = [
+    "MAX_PATCHES",
+    "MAX_RECORD_BYTES",
+    "BadRecordError",
+    "Refusal",
+    "advance",
+    "apply_request",
+    "chain_agrees",
+    "decode_record",
+    "empty_record",
+    "encode_record",
+    "find_applied",
+    "patch_hash",
+]
+
+# A resend of a patch that is no longer remembered is refused as stale, so the bound costs no
+# safety, only the kinder answer.
+MAX_PATCHES = 256
+# The key-value service holds values up to a megabyte.
+MAX_RECORD_BYTES = 1_000_000
+# What a compressed record may unfold to, so that a bad one cannot fill our memory.
+_MAX_UNFOLDED_BYTES = 16_000_000
+_COMPRESSION_LEVEL = 6
+_EMPTY_DOCUMENT = b"{}"
+
+_json = msgspec.json.Encoder(order="deterministic")
+_packer = msgspec.msgpack.Encoder()
+_unpacker = msgspec.msgpack.Decoder(ConfigRecord)
+
+
+class BadRecordError(ValueError):
+    """Bytes that are not a record, or a record whose own chain does not agree."""
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """Why a patch was not taken; ``version`` is the current one."""
+
+    code: ResultCode
+    version: int
+    problems: tuple[str, ...] = ()
+
+
+def empty_record() -> ConfigRecord:
+    """Return version 0, which nobody ever wrote."""
+    return ConfigRecord(version=0, chain_hash="", document=_EMPTY_DOCUMENT, patches=[])
+
+
+def patch_hash(request: PatchRequest) -> str:
+    """Return the hash over what makes two uses of a patch identity the same patch."""
+    return hashlib.sha256(_json.encode((request.base_version, request.patch))).hexdigest()
+
+
+def find_applied(record: ConfigRecord, patch_id: str) -> AppliedPatch | None:
+    """Return what ``record`` remembers of a patch identity."""
+    return next((item for item in record.patches if item.patch_id == patch_id), None)
+
+
+def apply_request(
+    record: ConfigRecord, request: PatchRequest, accepted_at_s: int
+) -> Result[tuple[ConfigRecord, ConfigDelta], Refusal]:
+    """Return the next record and its delta (without a revision), or why there is none."""
+    if request.base_version != record.version:
+        return Err(Refusal(ResultCode.STALE_VERSION, record.version))
+    document = merge_patch(msgspec.json.decode(record.document), request.patch)
+    problems = find_problems(document)
+    if problems:
+        return Err(Refusal(ResultCode.INVALID_PATCH, record.version, tuple(problems)))
+    applied = AppliedPatch(
+        patch_id=request.patch_id,
+        patch_hash=patch_hash(request),
+        version=record.version + 1,
+        actor=request.actor,
+        accepted_at_s=accepted_at_s,
+    )
+    successor = _successor(record, document, applied)
+    size_bytes = len(encode_record(successor))
+    if size_bytes > MAX_RECORD_BYTES:
+        problem = f"configuration: {size_bytes} bytes are over the limit of {MAX_RECORD_BYTES}"
+        return Err(Refusal(ResultCode.INVALID_PATCH, record.version, (problem,)))
+    return Ok((successor, ConfigDelta(_json.encode(request.patch), successor.patches[-1], 0)))
+
+
+def advance(record: ConfigRecord, delta: ConfigDelta) -> ConfigRecord | None:
+    """Return the record that ``delta`` makes of ``record``; None when its chain does not agree."""
+    if delta.applied.version != record.version + 1:
+        return None
+    try:
+        document = merge_patch(
+            msgspec.json.decode(record.document), msgspec.json.decode(delta.patch)
+        )
+    except msgspec.DecodeError:
+        return None
+    successor = _successor(record, document, delta.applied)
+    return successor if successor.chain_hash == delta.applied.chain_hash else None
+
+
+def chain_agrees(older: ConfigRecord, newer: ConfigRecord) -> bool:
+    """Whether ``newer`` descends from ``older``, as far as it remembers.
+
+    A record remembers ``MAX_PATCHES`` hashes; beyond that its digest on the way is all there is.
+    """
+    if older.version in (0, newer.version):
+        return older.version == 0 or older.chain_hash == newer.chain_hash
+    for applied in newer.patches:
+        if applied.version == older.version:
+            return applied.chain_hash == older.chain_hash
+    return True
+
+
+def encode_record(record: ConfigRecord) -> bytes:
+    """Return the bytes that stand in the key-value service and travel between VMs."""
+    return zlib.compress(_packer.encode(record), _COMPRESSION_LEVEL)
+
+
+def decode_record(data: bytes) -> ConfigRecord:
+    """Read a record; ``BadRecordError`` when it is none or its own chain does not agree."""
+    unfolding = zlib.decompressobj()
+    try:
+        plain = unfolding.decompress(data, _MAX_UNFOLDED_BYTES)
+        record = _unpacker.decode(plain)
+    except (zlib.error, msgspec.MsgspecError) as error:
+        raise BadRecordError(f"not a configuration record: {error}") from error
+    if record.version and not _is_consistent(record):
+        raise BadRecordError(f"the chained hash of version {record.version} does not agree")
+    return record
+
+
+def _is_consistent(record: ConfigRecord) -> bool:
+    if not record.patches:
+        return False
+    newest = record.patches[-1]
+    if (newest.version, newest.chain_hash) != (record.version, record.chain_hash):
+        return False
+    former_hash = record.patches[-2].chain_hash if len(record.patches) > 1 else ""
+    return _chain_hash(former_hash, newest, record.document) == record.chain_hash
+
+
+def _successor(record: ConfigRecord, document: object, applied: AppliedPatch) -> ConfigRecord:
+    encoded = _json.encode(document)
+    chain_hash = _chain_hash(record.chain_hash, applied, encoded)
+    applied = msgspec.structs.replace(applied, chain_hash=chain_hash)
+    return ConfigRecord(
+        version=applied.version,
+        chain_hash=chain_hash,
+        document=encoded,
+        patches=[*record.patches, applied][-MAX_PATCHES:],
+    )
+
+
+def _chain_hash(former_hash: str, applied: AppliedPatch, document: bytes) -> str:
+    identity = (
+        former_hash,
+        applied.version,
+        applied.patch_id,
+        applied.patch_hash,
+        applied.actor,
+        applied.accepted_at_s,
+    )
+    digest = hashlib.sha256(_json.encode(identity))
+    digest.update(document)
+    return digest.hexdigest()
--- /dev/null
+++ b/src/fescuedock/core/config/replica.py
@@ -0,0 +1,127 @@
+"""One VM's copy of the configuration, which only ever goes forward.
+
+A higher version is applied when its chained hash agrees; a lower one, or another one of the same
+number, is refused and kept as an alarm.  Which version is the newest is known only by the
+key-value service, so every piece of evidence carries the time at which that service was asked.
+"""
+
+from collections import deque
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from enum import StrEnum
+from math import inf
+
+from fescuedock.core.config.record import advance, chain_agrees, empty_record
+from fescuedock.schema.config import ConfigDelta, ConfigRecord
+
+__all__ = ["Alarm", "AlarmKind", "Offer", "Replica"]
+
+# Enough for those who missed a few messages; who missed more takes the whole record.
+_KEPT_DELTAS = 32
+
+
+class AlarmKind(StrEnum):
+    """What an operator has to look at."""
+
+    REVERTED = "reverted"
+    FORKED = "forked"
+    CORRUPT = "corrupt"
+
+
+@dataclass(frozen=True, slots=True)
+class Alarm:
+    """The service or a peer shows a configuration that was refused."""
+
+    kind: AlarmKind
+    source: str
+    offered_version: int
+    own_version: int
+
+
+class Offer(StrEnum):
+    """What became of a record or delta that was offered."""
+
+    APPLIED = "applied"
+    KNOWN = "known"
+    GAP = "gap"
+    REFUSED = "refused"
+
+
+@dataclass(slots=True)
+class Replica:
+    """The record in force.  ``kv_revision`` is its key's revision, 0 when not known."""
+
+    record: ConfigRecord = field(default_factory=empty_record)
+    kv_revision: int = 0
+    confirmed_at_ms: float = -inf
+    alarm: Alarm | None = None
+    _deltas: deque[ConfigDelta] = field(default_factory=lambda: deque(maxlen=_KEPT_DELTAS))
+
+    @property
+    def version(self) -> int:
+        return self.record.version
+
+    @property
+    def ever_confirmed(self) -> bool:
+        """Whether it was ever known that nothing newer existed."""
+        return self.confirmed_at_ms > -inf
+
+    def offer_record(self, record: ConfigRecord, source: str, kv_revision: int = 0) -> Offer:
+        """Take a whole record that ``source`` shows, if it is a later one of the same chain."""
+        if record.version < self.version:
+            return Offer.KNOWN
+        if not chain_agrees(self.record, record):
+            return self._refuse(AlarmKind.FORKED, source, record.version)
+        if record.version == self.version:
+            self.kv_revision = kv_revision or self.kv_revision
+            return Offer.KNOWN
+        self._deltas.clear()
+        self._apply(record, kv_revision)
+        return Offer.APPLIED
+
+    def offer_delta(self, delta: ConfigDelta) -> Offer:
+        """Take the next version; ``GAP`` when the whole record is needed."""
+        if delta.applied.version <= self.version:
+            return Offer.KNOWN
+        successor = advance(self.record, delta)
+        if successor is None:
+            return Offer.GAP
+        self._apply(successor, delta.kv_revision)
+        self._deltas.append(delta)
+        return Offer.APPLIED
+
+    def accept(self, record: ConfigRecord, delta: ConfigDelta) -> None:
+        """Take the version that this VM itself wrote."""
+        if delta.applied.version == self.version + 1 and self.offer_delta(delta) is Offer.APPLIED:
+            return
+        self.offer_record(record, "own write", delta.kv_revision)
+
+    def observe_kv(self, record: ConfigRecord, kv_revision: int, asked_at_ms: float) -> Offer:
+        """Take what the key-value service held at or after ``asked_at_ms``."""
+        if record.version < self.version:
+            return self._refuse(AlarmKind.REVERTED, "key-value service", record.version)
+        offer = self.offer_record(record, "key-value service", kv_revision)
+        if offer is not Offer.REFUSED:
+            self.confirm(asked_at_ms)
+            self.alarm = None
+        return offer
+
+    def confirm(self, asked_at_ms: float) -> None:
+        """Note that the version in force was the newest at or after ``asked_at_ms``."""
+        self.confirmed_at_ms = max(self.confirmed_at_ms, asked_at_ms)
+
+    def raise_alarm(self, kind: AlarmKind, source: str, offered_version: int) -> None:
+        self.alarm = Alarm(kind, source, offered_version, self.version)
+
+    def deltas_after(self, version: int) -> Sequence[ConfigDelta]:
+        """Return the kept deltas from ``version`` to the one in force; empty when they lack one."""
+        wanted = [delta for delta in self._deltas if delta.applied.version > version]
+        return wanted if len(wanted) == self.version - version else ()
+
+    def _apply(self, record: ConfigRecord, kv_revision: int) -> None:
+        self.record = record
+        self.kv_revision = kv_revision
+
+    def _refuse(self, kind: AlarmKind, source: str, offered_version: int) -> Offer:
+        self.raise_alarm(kind, source, offered_version)
+        return Offer.REFUSED
--- /dev/null
+++ b/src/fescuedock/core/config/writer.py
@@ -0,0 +1,140 @@
+"""Writes one patch into the record by compare-and-swap, whatever becomes of the answers.
+
+The writer is driven by its caller: it says what to do with the key-value service, and is told how
+that ended.  A write whose answer was lost is resolved by reading the record back: it holds the
+patch's identity, or another write won, or the write is repeated as it was.  Repeating it cannot do
+harm, as only one write can succeed on the revision that all copies of it name.
+"""
+
+from dataclasses import dataclass
+
+import msgspec
+from result import Err, Ok, Result
+
+from fescuedock.core.config.record import (
+    BadRecordError,
+    Refusal,
+    apply_request,
+    decode_record,
+    empty_record,
+    encode_record,
+    find_applied,
+    patch_hash,
+)
+from fescuedock.core.config.replica import AlarmKind, Offer, Replica
+from fescuedock.faults import Fault
+from fescuedock.schema.config import AppliedPatch, ConfigDelta, ConfigRecord, PatchRequest
+from fescuedock.schema.result_codes import ResultCode
+
+__all__ = ["Accepted", "PatchWriter", "Put", "Read", "WriterStep"]
+
+
+@dataclass(frozen=True, slots=True)
+class Read:
+    """Read the record's key."""
+
+
+@dataclass(frozen=True, slots=True)
+class Put:
+    """Write ``value`` if the key is still at ``expected_revision``."""
+
+    value: bytes
+    expected_revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """The patch made ``version``, now or at an earlier use of its identity."""
+
+    version: int
+
+
+WriterStep = Read | Put | Accepted | Refusal
+
+
+@dataclass(slots=True)
+class PatchWriter:
+    """One patch on its way into the record, and from there into this VM's ``replica``.
+
+    Begin with ``Read``; each method returns the next step, or None to read after a little wait.
+    """
+
+    request: PatchRequest
+    replica: Replica
+    accepted_at_s: int
+    # Whether a write of ours may have taken effect, or may yet.
+    uncertain: bool = False
+    _put: Put | None = None
+    _record: ConfigRecord | None = None
+    _delta: ConfigDelta | None = None
+
+    def on_read(self, value: bytes | None, revision: int, asked_at_ms: float) -> WriterStep:
+        """Take the record's bytes (None: there is no record) and decide."""
+        try:
+            record = empty_record() if value is None else decode_record(value)
+        except BadRecordError:
+            self.replica.raise_alarm(AlarmKind.CORRUPT, "key-value service", 0)
+            return self._refused(ResultCode.CONFIG_REVERTED)
+        applied = find_applied(record, self.request.patch_id)
+        if applied is not None and self._is_ours(record):
+            self._accept(revision, asked_at_ms)
+        elif self.replica.observe_kv(record, revision, asked_at_ms) is Offer.REFUSED:
+            return self._refused(ResultCode.CONFIG_REVERTED)
+        if applied is not None:
+            return self._settled(applied)
+        if self._put is not None and self._put.expected_revision == revision:
+            return self._put
+        return self._lost_to(record) if self.uncertain else self._prepare(record, revision)
+
+    def on_put(self, outcome: Result[int, Fault], asked_at_ms: float) -> WriterStep | None:
+        """Take the outcome of the write that ``Put`` asked for."""
+        match outcome:
+            case Ok(revision):
+                self._accept(revision, asked_at_ms)
+                return Accepted(self._record.version)
+            case Err(fault) if fault.code is ResultCode.KV_CONFLICT:
+                return Read()
+            case Err(fault) if fault.code is ResultCode.KV_UNKNOWN:
+                self.uncertain = True
+        return None
+
+    def give_up(self) -> Refusal:
+        """Return the truthful answer when there is no time left to find out more."""
+        return self._refused(ResultCode.KV_UNAVAILABLE)
+
+    def _prepare(self, record: ConfigRecord, revision: int) -> WriterStep:
+        match apply_request(record, self.request, self.accepted_at_s):
+            case Err(refusal):
+                return refusal
+            case Ok(successor):
+                self._record, self._delta = successor
+        self._put = Put(encode_record(self._record), revision)
+        return self._put
+
+    def _accept(self, revision: int, asked_at_ms: float) -> None:
+        delta = msgspec.structs.replace(self._delta, kv_revision=revision)
+        self.replica.accept(self._record, delta)
+        self.replica.confirm(asked_at_ms)
+
+    def _is_ours(self, record: ConfigRecord) -> bool:
+        return self._record is not None and self._record.chain_hash == record.chain_hash
+
+    def _settled(self, applied: AppliedPatch) -> WriterStep:
+        if applied.patch_hash != patch_hash(self.request):
+            return Refusal(ResultCode.PATCH_ID_REUSED, self.replica.version)
+        return Accepted(applied.version)
+
+    def _lost_to(self, record: ConfigRecord) -> WriterStep:
+        """The key has moved on from the revision that our uncertain write named.
+
+        Our write can no longer succeed; it did before only if the record forgot it since.
+        """
+        made = self.request.base_version + 1
+        if any(applied.version == made for applied in record.patches):
+            return Refusal(ResultCode.STALE_VERSION, record.version)
+        return self._refused(ResultCode.KV_UNKNOWN)
+
+    def _refused(self, code: ResultCode) -> Refusal:
+        if self.uncertain:
+            code = ResultCode.KV_UNKNOWN
+        return Refusal(code, self.replica.version)
--- a/src/fescuedock/entry/admin.py
+++ b/src/fescuedock/entry/admin.py
@@ -1,11 +1,182 @@
-"""HTTP for operators: the configuration, its patches and history, and drains."""
+"""HTTP for operators: the configuration, its patches, history and spread."""
 
+import msgspec
+from result import Err, Ok, Result
+
+from fescuedock.core.config.record import BadRecordError, decode_record
 from fescuedock.entry.context import EntryContext
 from fescuedock.entry.routes import Route
+from fescuedock.faults import Fault
+from fescuedock.net.http_server import Request, Responder, fault_body
+from fescuedock.schema.config import (
+    AppliedPatch,
+    ConfigPull,
+    ConfigPush,
+    ConfigRecord,
+    PatchRequest,
+    SubmitPatch,
+    SubmitPatchReply,
+)
+from fescuedock.schema.result_codes import HTTP_STATUS, ResultCode
+from fescuedock.schema.view import VmState
+
+__all__ = [
+    "ConfigAnswer",
+    "HistoryAnswer",
+    "PatchAnswer",
+    "VersionsAnswer",
+    "VmVersion",
+    "routes",
+]
+
+_MAX_PATCH_BYTES = 4_000_000
+# Longer than the agent follows up a write whose answer was lost.
+_SUBMIT_TIMEOUT_MS = 12000
+_RETRY_AFTER_MS = 1000
+_NO_STORE = [("cache-control", "no-store")]
+_MESSAGES = {
+    ResultCode.STALE_VERSION: "the patch was built on another version than {version}",
+    ResultCode.INVALID_PATCH: "the patched configuration would be invalid: {problems}",
+    ResultCode.PATCH_ID_REUSED: "patch_id {patch_id!r} was used with other content",
+    ResultCode.KV_UNAVAILABLE: "the key-value service is away; nothing was written",
+    ResultCode.KV_UNKNOWN: "the answer to the write was lost; send again with the same patch_id",
+    ResultCode.CONFIG_REVERTED: "the key-value service shows a configuration older than {version}",
+}
+
+
+class ConfigAnswer(msgspec.Struct):
+    """GET /admin/config.  An age below 0 says that the version was never confirmed."""
+
+    version: int
+    chain_hash: str
+    confirmed_age_ms: int
+    configuration: msgspec.Raw
+
+
+class HistoryAnswer(msgspec.Struct):
+    """GET /admin/config/history: the patches that the record remembers, newest first."""
+
+    version: int
+    patches: list[AppliedPatch]
+
+
+class PatchAnswer(msgspec.Struct):
+    """An accepted patch."""
+
+    version: int
+
+
+class VmVersion(msgspec.Struct):
+    """The version in force on one VM, as membership messages say."""
 
-__all__ = ["routes"]
+    vm_id: str
+    failure_domain: str
+    state: VmState
+    version: int
+    confirmed: bool
+
+
+class VersionsAnswer(msgspec.Struct):
+    """GET /admin/config/versions: ``behind`` names the live VMs below ``version``."""
+
+    version: int
+    vms: list[VmVersion]
+    behind: list[str]
 
 
 def routes(context: EntryContext) -> list[Route]:
-    """Return the routes under ``/admin/``."""
-    return []
+    """Return the routes under ``/admin/config``."""
+
+    async def get_config(_request: Request, responder: Responder, _values: dict[str, str]) -> None:
+        match await _pull(context):
+            case Ok((push, record)):
+                answer = ConfigAnswer(
+                    push.version,
+                    push.chain_hash,
+                    push.confirmed_age_ms,
+                    msgspec.Raw(record.document),
+                )
+                await responder.send_json(200, answer, _NO_STORE)
+            case Err(fault):
+                await responder.send_fault(fault)
+
+    async def get_history(_request: Request, responder: Responder, _values: dict[str, str]) -> None:
+        match await _pull(context):
+            case Ok((push, record)):
+                answer = HistoryAnswer(push.version, record.patches[::-1])
+                await responder.send_json(200, answer, _NO_STORE)
+            case Err(fault):
+                await responder.send_fault(fault)
+
+    async def get_versions(request: Request, responder: Responder, _values: dict[str, str]) -> None:
+        try:
+            wanted = int(request.query.get("version", context.view.config_version))
+        except ValueError:
+            text = request.query["version"]
+            fault = Fault(ResultCode.BAD_REQUEST, f"version must be a number, not {text!r}")
+            await responder.send_fault(fault)
+            return
+        await responder.send_json(200, _versions(context, wanted), _NO_STORE)
+
+    async def post_patch(request: Request, responder: Responder, _values: dict[str, str]) -> None:
+        try:
+            patch = msgspec.json.decode(await request.read(_MAX_PATCH_BYTES), type=PatchRequest)
+        except msgspec.MsgspecError as error:
+            await responder.send_fault(Fault(ResultCode.BAD_REQUEST, str(error)))
+            return
+        match await context.agent.call(SubmitPatch(patch), _SUBMIT_TIMEOUT_MS):
+            case Ok(SubmitPatchReply() as reply):
+                await _send_reply(responder, patch, reply)
+            case Ok(other):
+                message = f"the agent answered {type(other).__name__}"
+                await responder.send_fault(Fault(ResultCode.INTERNAL, message))
+            case Err(fault):
+                await responder.send_fault(fault)
+
+    return [
+        Route("GET", "/admin/config", get_config),
+        Route("GET", "/admin/config/history", get_history),
+        Route("GET", "/admin/config/versions", get_versions),
+        Route("POST", "/admin/config/patches", post_patch),
+    ]
+
+
+async def _pull(context: EntryContext) -> Result[tuple[ConfigPush, ConfigRecord], Fault]:
+    """Get the record in force from this VM's agent."""
+    match await context.agent.call(ConfigPull(0, whole_record=True)):
+        case Ok(ConfigPush() as push):
+            try:
+                return Ok((push, decode_record(push.record)))
+            except BadRecordError as error:
+                return Err(Fault(ResultCode.INTERNAL, str(error)))
+        case Ok(other):
+            return Err(Fault(ResultCode.INTERNAL, f"the agent answered {type(other).__name__}"))
+        case Err(fault):
+            return Err(fault)
+
+
+def _versions(context: EntryContext, wanted: int) -> VersionsAnswer:
+    vms = [
+        VmVersion(vm.vm_id, vm.failure_domain, vm.state, vm.config_version, vm.config_confirmed)
+        for vm in sorted(context.view.vms.values(), key=lambda vm: vm.vm_id)
+        if vm.state is not VmState.GONE
+    ]
+    behind = [vm.vm_id for vm in vms if vm.version < wanted]
+    return VersionsAnswer(context.view.config_version, vms, behind)
+
+
+async def _send_reply(responder: Responder, patch: PatchRequest, reply: SubmitPatchReply) -> None:
+    code = ResultCode(reply.code)
+    if code is ResultCode.OK:
+        await responder.send_json(200, PatchAnswer(reply.version))
+        return
+    text = _MESSAGES.get(code, code.name).format(
+        version=reply.version, problems="; ".join(reply.problems), patch_id=patch.patch_id
+    )
+    body = msgspec.json.decode(fault_body(Fault(code, text)))
+    body["error"] |= {"version": reply.version, "problems": reply.problems}
+    fields = []
+    if HTTP_STATUS[code] == 503:
+        fields = [("retry-after", "1"), ("retry-after-ms", str(_RETRY_AFTER_MS))]
+        body["error"]["retry_after_ms"] = _RETRY_AFTER_MS
+    await responder.send_json(HTTP_STATUS[code], body, fields)
--- a/src/fescuedock/schema/config.py
+++ b/src/fescuedock/schema/config.py
@@ -145,6 +145,7 @@
     Answer to a pull, or unasked. Deltas when they begin at the receiver's version, else the record.
     """
 
+    vm_id: Annotated[str, Meta(description="The sender.")]
     version: int
     chain_hash: str
     record: Annotated[
