--- a/src/fescuedock/schema/settings.py
+++ b/src/fescuedock/schema/settings.py
@@ -103,6 +103,38 @@
     config_cut_off: CutOff = CutOff.MAJORITY
 
 
+class OrderSettings(Struct):
+    """
+    Section [orders]; optional. How agents give orders to engines; docs/ORDERS.md gives the reason of each.
+    """
+
+    lease_ms: Annotated[
+        int, Meta(description="How long a holder may give orders without renewing.", ge=1000)
+    ] = 10000
+    margin_ms: Annotated[
+        int, Meta(description="How much earlier the holder stops by its own clock.", ge=1)
+    ] = 1000
+    longest_order_ms: Annotated[
+        int,
+        Meta(
+            description="Bound of one order; a new holder waits it out where engines ignore fencing numbers.",
+            ge=1,
+        ),
+    ] = 120000
+    load_slots: Annotated[
+        int, Meta(description="Loads of weights at once in the whole fleet.", ge=1)
+    ] = 4
+    loads_per_model: Annotated[int, Meta(description="Loads of one model at once.", ge=1)] = 2
+    slot_lease_s: Annotated[int, Meta(ge=2)] = 15
+    retry_ms: Annotated[
+        int, Meta(description="Pause after an order or a claim that failed.", ge=10)
+    ] = 1000
+    settled_poll_ms: Annotated[
+        int,
+        Meta(description="How often an engine that needs nothing is asked what it has.", ge=100),
+    ] = 10000
+
+
 class BatchSettings(Struct):
     """
     Section [batch].
@@ -217,6 +249,20 @@
     revocation_ms: Annotated[
         int, Meta(description="Time that a revocation takes until one has been measured.", ge=1)
     ] = 100
+    burst_window_ms: Annotated[
+        int,
+        Meta(
+            description="Headroom covers the online arrivals of this time, or of one revocation if that takes longer.",
+            ge=0,
+        ),
+    ] = 100
+    tail_rise: Annotated[
+        float,
+        Meta(
+            description="Share by which batch may pass the peak that online reached by itself when online_weight is 1.",
+            ge=0.0,
+        ),
+    ] = 0.1
     batch_start_share: Annotated[
         float,
         Meta(
--- a/src/fescuedock/settings.py
+++ b/src/fescuedock/settings.py
@@ -16,6 +16,7 @@
     AgentSettings,
     BatchSettings,
     EntrySettings,
+    OrderSettings,
     PermitSettings,
     PlatformSettings,
     StoreSettings,
@@ -34,6 +35,7 @@
     "entry": EntrySettings,
     "agent": AgentSettings,
     "permits": PermitSettings,
+    "orders": OrderSettings,
     "batch": BatchSettings,
     "store": StoreSettings,
 }
@@ -50,6 +52,7 @@
     batch: BatchSettings | None = None
     store: StoreSettings | None = None
     permits: PermitSettings = field(default_factory=PermitSettings)
+    orders: OrderSettings = field(default_factory=OrderSettings)
 
 
 @dataclass(frozen=True, slots=True)
