Raise limits by evidence, slowly past what an engine has shown

Change: a raise needs the word of an attempt that started after the last one; until the first cut it goes by a quarter.

--- a/bench/mix_actors.py
+++ b/bench/mix_actors.py
@@ -363,6 +363,7 @@
 class Item:
     """One batch item; generated tokens are kept over revocations."""
 
+    key: str
     prompt_tokens: int
     answer_tokens: int
     done_tokens: int = 0
@@ -382,7 +383,9 @@
         self.redone_tokens = 0
         self.revocations_ms: list[float] = []
         self._rng = rng
-        self._backlog: deque[Item] = deque()
+        self._items = itertools.count()
+        # Revoked items, by the upstream that has read their prompts.
+        self._begun: dict[str, deque[Item]] = {name: deque() for name in fleet.engines}
         self._running: dict[str, tuple[Item, str]] = {}
         for upstream_id in fleet.engines:
             for _ in range(self.OPEN_ASKS):
@@ -395,7 +398,7 @@
         item, upstream_id = running
         self.revoked += 1
         self.fleet.loop.after(HOP_MS, self._cancel, upstream_id, permit_id, decided_ms)
-        self._backlog.appendleft(item)
+        self._begun[upstream_id].append(item)
         self._end(permit_id, upstream_id, AttemptOutcome.REVOKED)
 
     def _cancel(self, upstream_id: str, permit_id: str, decided_ms: float | None) -> None:
@@ -403,17 +406,18 @@
         if decided_ms is not None:
             self.revocations_ms.append(self.fleet.loop.now_ms - decided_ms)
 
-    def _next_item(self) -> Item:
-        if self._backlog:
-            return self._backlog.popleft()
+    def _next_item(self, upstream_id: str) -> Item:
+        if self._begun[upstream_id]:
+            return self._begun[upstream_id].popleft()
         deployment = self.fleet.deployment
         return Item(
+            f"item{next(self._items)}",
             spread(self._rng, deployment.batch_prompt_tokens),
             spread(self._rng, deployment.batch_answer_tokens),
         )
 
     def _open_ask(self, upstream_id: str) -> None:
-        item = self._next_item()
+        item = self._next_item(upstream_id)
         ask = PermitAsk(
             upstream_id=upstream_id,
             attempt_id=self.next_attempt(),
@@ -422,7 +426,7 @@
             member="clinic",
             work_class=WorkClass.BATCH,
             slack_ms=4 * 3600 * 1000,
-            prompt_tokens=item.prompt_tokens + item.done_tokens,
+            prompt_tokens=item.done_tokens or item.prompt_tokens,
             wait_ms=self.WAIT_MS,
         )
 
@@ -431,7 +435,7 @@
                 self._run(item, ask)
                 self._open_ask(upstream_id)
                 return
-            self._backlog.appendleft(item)
+            self._begun[upstream_id].appendleft(item)
             refused = isinstance(action, Refused) and action.code is not ResultCode.REVOKED
             delay_ms = max(action.retry_after_ms, 50) if refused else 200
             self.fleet.loop.after(delay_ms, self._open_ask, upstream_id)
@@ -455,12 +459,20 @@
             if whole:
                 self.items_done += 1
             else:
-                self._backlog.appendleft(item)
+                self._begun[upstream_id].append(item)
             outcome = AttemptOutcome.COMPLETED if whole else AttemptOutcome.TRUNCATED
             self._end(attempt_id, upstream_id, outcome)
 
         left = max(item.answer_tokens - item.done_tokens, 1)
-        attempt = Attempt(attempt_id, ask.prompt_tokens, left, on_token, on_end)
+        attempt = Attempt(
+            attempt_id,
+            item.prompt_tokens,
+            left,
+            on_token,
+            on_end,
+            prompt_key=item.key,
+            resumed_tokens=item.done_tokens,
+        )
         self.fleet.loop.after(HOP_MS, self.fleet.engines[upstream_id].start, attempt)
 
     def _end(self, permit_id: str, upstream_id: str, outcome: AttemptOutcome) -> None:
--- a/bench/mix_runs.py
+++ b/bench/mix_runs.py
@@ -18,7 +18,10 @@
 ENTRIES = 4
 DIRECT_BATCH_PER_WORKER = 64
 DETECT_OWNER_MS = 4000.0
-WARM_UP_MS = 10_000.0
+WARM_UP_MS = 20_000.0
+
+# Gives how many batch attempts may run at a worker, and whether new prompts may be read there.
+Allowed = Callable[[str], tuple[int, bool]]
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,7 +38,7 @@
 
     deployment: Deployment
     seed: int
-    duration_ms: float = 60_000.0
+    duration_ms: float = 80_000.0
     load: float = 1.0
     batch: bool = True
     settings: PermitSettings = field(default_factory=PermitSettings)
@@ -182,7 +185,7 @@
 class _DirectBatch:
     """Batch straight to engines, with so many attempts at each as ``allowed`` says."""
 
-    def __init__(self, fleet: Fleet, rng: random.Random, allowed: Callable[[str], int]) -> None:
+    def __init__(self, fleet: Fleet, rng: random.Random, allowed: Allowed) -> None:
         self.tokens = 0
         self.revoked = 0
         self.redone_tokens = 0
@@ -197,13 +200,13 @@
 
     def _adjust(self, name: str) -> None:
         running = self._running[name]
-        allowed = self._allowed(name)
+        allowed, may_read = self._allowed(name)
         while len(running) > max(allowed, 0):
             attempt_id, item = running.popitem()
             self.revoked += 1
             self._fleet.engines[name].cancel(attempt_id)
             self._kept[name].append(item)
-        while len(running) < allowed:
+        while len(running) < allowed and (may_read or self._kept[name]):
             self._start(name)
         self._fleet.loop.after(5.0, self._adjust, name)
 
@@ -212,12 +215,9 @@
         kept = self._kept[name]
         # What was begun goes on without reading its prompt again: an oracle loses nothing.
         prompt_tokens = 1 if kept else spread(self._rng, deployment.batch_prompt_tokens)
-        item = (
-            kept.pop()
-            if kept
-            else Item(prompt_tokens, spread(self._rng, deployment.batch_answer_tokens))
-        )
         self._number += 1
+        answer_tokens = spread(self._rng, deployment.batch_answer_tokens)
+        item = kept.pop() if kept else Item("", prompt_tokens, answer_tokens)
         attempt_id = f"b{self._number}"
         self._running[name][attempt_id] = item
 
@@ -242,7 +242,7 @@
     online = _DirectOnline(fleet, plan.rng("direct"))
     for item in results:
         loop.after(item.arrival.at_ms, online.serve, item)
-    batch = _DirectBatch(fleet, plan.rng("batch"), lambda _name: DIRECT_BATCH_PER_WORKER)
+    batch = _DirectBatch(fleet, plan.rng("batch"), lambda _name: (DIRECT_BATCH_PER_WORKER, True))
     return _run(loop, plan, batch, results)
 
 
@@ -265,15 +265,17 @@
 
 def _knowing(
     loop: VirtualLoop, spans: dict[str, Sequence[tuple[float, float]]], level: int, guard_ms: float
-) -> Callable[[str], int]:
+) -> Allowed:
     starts = {name: sorted(start for start, _ in items) for name, items in spans.items()}
     ends = {name: sorted(end for _, end in items) for name, items in spans.items()}
 
-    def allowed(name: str) -> int:
+    def allowed(name: str) -> tuple[int, bool]:
         if name not in starts:
-            return level
-        begun = bisect_right(starts[name], loop.now_ms + guard_ms)
+            return level, True
+        begun = bisect_right(starts[name], loop.now_ms)
+        soon = bisect_right(starts[name], loop.now_ms + guard_ms)
         over = bisect_left(ends[name], loop.now_ms)
-        return level - (begun - over)
+        # No prompt of batch is read when online is about to come.
+        return level - (soon - over), soon == begun
 
     return allowed
--- a/bench/virtual.py
+++ b/bench/virtual.py
@@ -2,6 +2,7 @@
 
 import heapq
 import itertools
+from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -38,6 +39,10 @@
     answer_tokens: int
     on_token: Callable[[], None]
     on_end: Callable[[bool], None]
+    # Names the prompt; one that the engine has read of late is not read again.
+    prompt_key: str = ""
+    # Tokens after the prompt that were generated before and have to be read again.
+    resumed_tokens: int = 0
     tokens: int = 0
 
 
@@ -49,7 +54,9 @@
     profile: EngineProfile
     hop_ms: float
     lag_ms: float = 1000.0
+    cached_prompts: int = 64
     alive: bool = True
+    _cache: OrderedDict[str, None] = field(default_factory=OrderedDict)
     _model: TokenTimeModel = field(init=False)
     _attempts: dict[str, Attempt] = field(default_factory=dict)
     _stepping: bool = False
@@ -64,9 +71,9 @@
             self.loop.after(self.hop_ms, attempt.on_end, False)
             return
         self._attempts[attempt.attempt_id] = attempt
-        self._model.admit(
-            Sequence(attempt.attempt_id, attempt.prompt_tokens, attempt.answer_tokens)
-        )
+        tokens = attempt.prompt_tokens + attempt.resumed_tokens
+        cached = attempt.prompt_tokens if attempt.prompt_key in self._cache else 0
+        self._model.admit(Sequence(attempt.attempt_id, tokens, attempt.answer_tokens, cached))
         self._go_on()
 
     def cancel(self, attempt_id: str) -> None:
@@ -100,13 +107,27 @@
 
     def _finish_step(self, produced: tuple[Sequence, ...]) -> None:
         self._stepping = False
+        told: list[tuple[Attempt, bool]] = []
         for sequence in produced:
             attempt = self._attempts.get(sequence.sequence_id)
-            if attempt is None:
-                continue
-            attempt.tokens += 1
-            self.loop.after(self.hop_ms, attempt.on_token)
-            if sequence.is_finished:
-                del self._attempts[sequence.sequence_id]
-                self.loop.after(self.hop_ms, attempt.on_end, True)
+            if attempt is not None:
+                self._keep_prompt(attempt)
+                told.append((attempt, sequence.is_finished))
+                if sequence.is_finished:
+                    del self._attempts[sequence.sequence_id]
+        self.loop.after(self.hop_ms, _tell, told)
         self._go_on()
+
+    def _keep_prompt(self, attempt: Attempt) -> None:
+        if attempt.prompt_key and attempt.prompt_key not in self._cache:
+            self._cache[attempt.prompt_key] = None
+            if len(self._cache) > self.cached_prompts:
+                self._cache.popitem(last=False)
+
+
+def _tell(told: list[tuple[Attempt, bool]]) -> None:
+    for attempt, finished in told:
+        attempt.tokens += 1
+        attempt.on_token()
+        if finished:
+            attempt.on_end(True)
--- a/src/fescuedock/core/permits/limits.py
+++ b/src/fescuedock/core/permits/limits.py
@@ -20,6 +20,8 @@
 
 # A limit counts as in use from this share of it on; below, more would change nothing.
 _IN_USE_SHARE = 0.9
+# Until its first cut a limit rises by this share at a time, so as to find the order of magnitude.
+_SLOW_START_SHARE = 0.25
 # Weight of samples below which a share of misses means nothing.
 _MIN_EVIDENCE = 1.0
 
@@ -46,6 +48,9 @@
     half_life_ms: float
     cut_ms: float
     raised_ms: float
+    was_cut: bool = False
+    # An attempt that started after the last raise has told of its times.
+    confirmed: bool = False
     misses: DecayedMean = field(init=False)
 
     def __post_init__(self) -> None:
@@ -54,9 +59,12 @@
     def observe(self, missed: bool, weight: float, sample: AttemptSample, now_ms: float) -> None:
         if sample.granted_ms >= self.cut_ms and weight > 0:
             self.misses.add(float(missed), now_ms, weight)
+        if sample.granted_ms >= self.raised_ms:
+            self.confirmed = True
 
     def cut(self, value: float, now_ms: float) -> None:
         self.value = max(min(self.value, value), 1.0)
+        self.was_cut = True
         self.cut_ms = now_ms
         self.raised_ms = now_ms
         self.misses = DecayedMean(self.half_life_ms)
@@ -87,7 +95,8 @@
         """Attempts that may run at once as long as batch is among them and online runs."""
         weight = self.objectives.online_weight
         bearable = min(self._mixed.value, self._hard.value)
-        peak = min(self._peak.value(now_ms), bearable)
+        own_peak = self._peak.value(now_ms) * (1.0 + self._settings.tail_rise)
+        peak = min(own_peak, bearable)
         return max(int(weight * peak + (1.0 - weight) * bearable), 1)
 
     def headroom(self, now_ms: float) -> int:
@@ -103,7 +112,8 @@
         """Take in that one more online attempt runs, ``in_flight_online`` in all."""
         self._peak.add(in_flight_online, now_ms)
         self._arrivals_ms.append(now_ms)
-        while self._arrivals_ms[0] < now_ms - self.revocation_ms:
+        window_ms = max(self._settings.burst_window_ms, self.revocation_ms)
+        while self._arrivals_ms[0] < now_ms - window_ms:
             self._arrivals_ms.popleft()
         self._burst.add(len(self._arrivals_ms), now_ms)
 
@@ -141,8 +151,13 @@
         self._engine_cap = running
         self._capped_ms = now_ms
 
-    def adjust(self, in_flight: int, in_flight_batch: int, now_ms: float) -> None:
-        """Raise what is in use and has kept the objectives; to be called every now and then."""
+    def adjust(self, in_flight: int, in_flight_batch: int, quiet: bool, now_ms: float) -> None:
+        """Raise what is in use and has kept the objectives; to be called every now and then.
+
+        ``quiet`` says that there is no online whose times could tell.
+        """
+        if quiet:
+            return
         self._raise(self._hard, in_flight, self._ceiling(now_ms), now_ms)
         if in_flight_batch:
             self._raise(self._mixed, in_flight, self._hard.value, now_ms)
@@ -156,15 +171,22 @@
             limit.cut(sample.company.in_flight * self._settings.limit_cut, now_ms)
 
     def _ceiling(self, now_ms: float) -> float:
-        """Return how far the hard limit may rise: what the engine has shown is passed slowly."""
-        since = (now_ms - self._capped_ms) / self._settings.peak_half_life_ms
-        return min(self._engine_cap * 2.0**since, self._settings.max_limit)
+        """Return how far the hard limit may rise: past what the engine has shown only later on."""
+        age = (now_ms - self._capped_ms) / self._settings.peak_half_life_ms
+        return min(self._engine_cap * max(age, 1.0), self._settings.max_limit)
 
     def _raise(self, limit: _Limit, in_flight: int, ceiling: float, now_ms: float) -> None:
+        """Raise by a step if the limit is in use and the last raise has been seen to do no harm."""
+        in_use = in_flight >= _IN_USE_SHARE * limit.value
+        if not in_use or not limit.confirmed or limit.value >= ceiling:
+            return
         if now_ms - limit.raised_ms < self._settings.adjust_ms:
             return
+        if limit.misses.value(0.0) > 1.0 - self.objectives.online_share:
+            return
+        step = self._settings.limit_step
+        if not limit.was_cut:
+            step = max(step, _SLOW_START_SHARE * limit.value)
+        limit.value = min(limit.value + step, ceiling)
         limit.raised_ms = now_ms
-        allowed = 1.0 - self.objectives.online_share
-        in_use = in_flight >= _IN_USE_SHARE * limit.value
-        if in_use and limit.misses.value(0.0) <= allowed:
-            limit.value = max(limit.value, min(limit.value + self._settings.limit_step, ceiling))
+        limit.confirmed = False
--- a/src/fescuedock/core/permits/queue.py
+++ b/src/fescuedock/core/permits/queue.py
@@ -154,7 +154,8 @@
             self._held.remove(held.permit_id, now_ms)
         while self._ended and next(iter(self._ended.values())) <= now_ms:
             self._ended.popitem(last=False)
-        self._limits.adjust(len(self._held), self._held.staying_batch, now_ms)
+        batch = self._held.staying_batch
+        self._limits.adjust(len(self._held), batch, self._quiet(now_ms), now_ms)
         return self._serve(now_ms)
 
     @property
