--- a/src/fescuedock/cli/local.py
+++ b/src/fescuedock/cli/local.py
@@ -21,6 +21,7 @@
     standin_settings,
 )
 from fescuedock.cli.local_vm import LocalVm, vm_settings
+from fescuedock.entry.entries import EntriesAnswer
 from fescuedock.net.address import Address
 from fescuedock.net.http_client import (
     HttpClient,
@@ -29,6 +30,8 @@
     open_http_client,
 )
 from fescuedock.platform.vm_list import ROLE_SYSTEM, ListedVm
+from fescuedock.schema.report import FleetStatus
+from fescuedock.schema.view import Program
 from fescuedock.standin.platform import Standins, run_standins
 
 __all__ = ["LocalSystem", "NotReadyError", "open_local"]
@@ -111,24 +114,42 @@
 async def _wait_ready(system: LocalSystem) -> None:
     """Make the initial configuration and wait until each entry serves each model."""
     with trio.move_on_after(_READY_TIMEOUT_S) as scope:
-        patch = msgspec.json.encode(initial_patch())
-        await _wait_answer(system, system.entry_address, "/admin/config/patches", patch)
+        await _wait_answer(system, system.entry_address, "/admin/config/patches", initial_patch())
         for vm in system.vms.values():
             for model in (CHAT_MODEL, TRIP_MODEL):
-                body = msgspec.json.encode({"model": model, "prompt": "ready?", "max_tokens": 1})
-                await _wait_answer(system, vm.entry_address, "/v1/completions", body)
+                probe = {"model": model, "prompt": "ready?", "max_tokens": 1}
+                await _wait_answer(system, vm.entry_address, "/v1/completions", probe)
+            await _wait_fleet(system, vm)
     if scope.cancelled_caught:
         raise NotReadyError(f"not ready after {_READY_TIMEOUT_S} s")
 
 
-async def _wait_answer(system: LocalSystem, address: Address, path: str, body: bytes) -> None:
-    """Repeat a request until it is answered with 200."""
+async def _wait_fleet(system: LocalSystem, vm: LocalVm) -> None:
+    """Wait until the entry of ``vm`` names every entry and knows every program as ready."""
+    while True:
+        named = await _wait_answer(system, vm.entry_address, "/v1/entries")
+        status = await _wait_answer(system, vm.entry_address, "/admin/status")
+        entries = msgspec.json.decode(named, type=EntriesAnswer).entries
+        vms = msgspec.json.decode(status, type=FleetStatus).vms
+        ready = sum(len(item.ready) for item in vms)
+        if len(entries) == len(PLACES) and ready == len(PLACES) * len(Program):
+            return
+        await trio.sleep(_PROBE_INTERVAL_S)
+
+
+async def _wait_answer(
+    system: LocalSystem, address: Address, path: str, body: object = None
+) -> bytes:
+    """Repeat a request, a POST if it has a body, until it is answered with 200."""
+    method = "GET" if body is None else "POST"
+    data = b"" if body is None else msgspec.json.encode(body)
     while True:
         try:
-            async with system.http.request(address, "POST", path, _JSON, body) as response:
-                await response.read()
+            async with system.http.request(address, method, path, _JSON, data) as response:
+                answer = await response.read()
                 if response.status == 200:
-                    return
+                    return answer
         except (NotSentError, ResponseLostError):
+            # Not up yet, or still refusing: that is what we wait for.
             pass
         await trio.sleep(_PROBE_INTERVAL_S)
