Give orders to engines: one holder for each upstream, fencing, paced loads

The agent that owns an upstream brings it to what the configuration asks for. A record for each upstream names the holder, its fencing number and the order under way; loads claim slots, so that the weight store's rate is shared.

--- a/src/fescuedock/agent/main.py
+++ b/src/fescuedock/agent/main.py
@@ -14,6 +14,7 @@
 from fescuedock.agent.config_service import CallPeer, ConfigService
 from fescuedock.agent.link import FleetView
 from fescuedock.agent.membership_service import MembershipService
+from fescuedock.agent.order_service import OrderService
 from fescuedock.agent.permit_service import PermitService
 from fescuedock.agent.programs import LocalPrograms
 from fescuedock.clock import now_ms, unix_clock
@@ -26,6 +27,7 @@
 from fescuedock.net.codec import Codec
 from fescuedock.net.http_client import HttpClient, open_http_client
 from fescuedock.net.udp import UdpSocket, open_udp
+from fescuedock.platform.engine_control import EngineControl
 from fescuedock.platform.etcd import EtcdKv
 from fescuedock.platform.vm_list import VmListClient
 from fescuedock.schema.result_codes import ResultCode
@@ -96,6 +98,9 @@
             self.view,
         )
         self.permits = PermitService(settings, self.view, http, rng)
+        self.orders = OrderService(
+            settings, kv, self.view, EngineControl(http), self.permits.load, rng
+        )
 
     def vms(self) -> list[VmRecord]:
         """Return every VM that membership knows, gone ones included."""
@@ -106,7 +111,7 @@
         return {kind: handler for part in parts for kind, handler in part.handlers().items()}
 
     def start(self, nursery: trio.Nursery) -> None:
-        for part in (self.membership, self.config, self.permits):
+        for part in (self.membership, self.config, self.permits, self.orders):
             nursery.start_soon(part.run)
 
 
--- a/src/fescuedock/agent/order_service.py
+++ b/src/fescuedock/agent/order_service.py
@@ -1,31 +1,284 @@
-"""Gives orders to the engines of the upstreams that this VM's agent owns."""
+"""Gives orders to the engines of the upstreams that this VM's agent owns.
 
-from collections.abc import Awaitable, Callable, Sequence
-from dataclasses import dataclass
+Nothing is held and nothing written while an upstream has what it has to have.
+"""
+
+from collections.abc import Callable
+from contextlib import AbstractAsyncContextManager, nullcontext
 from random import Random
+from typing import TYPE_CHECKING
+
+import msgspec
+import trio
+from result import Err, Ok, Result
 
+from fescuedock.agent.load_slots import LoadSlots
+from fescuedock.clock import now_ms
+from fescuedock.core.orders.fencing import (
+    Give,
+    GiveOutcome,
+    OrderHolder,
+    Phase,
+    ReadRecord,
+    Wait,
+    Write,
+)
+from fescuedock.core.orders.placement import (
+    next_order,
+    placement_of,
+    uses_weight_store,
+    without_lost,
+)
+from fescuedock.faults import Fault
+from fescuedock.log import log_event
+from fescuedock.platform.engine_control import EngineControl
+from fescuedock.platform.engine_wire import EngineOrder
 from fescuedock.platform.kv import KvStore
-from fescuedock.schema.config import Configuration
-from fescuedock.schema.view import UpstreamRecord
+from fescuedock.schema.config import OrderCheck
+from fescuedock.schema.orders import LoadSlot, OrderRecord, PlannedOrder
+from fescuedock.schema.permits import LoadSnapshot
+from fescuedock.schema.result_codes import ResultCode
+from fescuedock.schema.view import UpstreamKind, UpstreamRecord
 from fescuedock.settings import Settings
 
-__all__ = ["OrderService"]
+if TYPE_CHECKING:
+    from fescuedock.agent.link import FleetView
+
+__all__ = ["ORDERS_PREFIX", "SLOTS_PREFIX", "OrderService"]
+
+ORDERS_PREFIX = "orders/"
+SLOTS_PREFIX = "load-slots/"
+_MAX_AT_ONCE = 4
+_REFUSED_PAUSE_MS = 60000
+_OUTCOMES = {
+    ResultCode.PEER_UNREACHABLE: GiveOutcome.NOT_SENT,
+    ResultCode.PEER_UNKNOWN: GiveOutcome.UNKNOWN,
+    ResultCode.SUPERSEDED_ORDER: GiveOutcome.SUPERSEDED,
+    ResultCode.UPSTREAM_ERROR: GiveOutcome.REJECTED,
+}
 
 
-@dataclass(slots=True)
 class OrderService:
-    """Made once by the agent, which runs ``run``.
+    """Made once by the agent, which runs ``run``; follows ``view``.
 
-    ``owned`` gives the upstreams that this agent owns now; ``configuration`` the one in force.
+    ``load_of`` gives the load of an upstream that this VM owns, as evidence of demand.
     """
 
-    settings: Settings
-    kv: KvStore
-    owned: Callable[[], Sequence[UpstreamRecord]]
-    configuration: Callable[[], Configuration]
-    send_order: Callable[..., Awaitable[object]]
-    random: Random
+    def __init__(
+        self,
+        settings: Settings,
+        kv: KvStore,
+        view: "FleetView",
+        control: EngineControl,
+        load_of: Callable[[str], LoadSnapshot],
+        rng: Random,
+    ) -> None:
+        self._settings = settings
+        self._kv = kv
+        self._view = view
+        self._control = control
+        self._load_of = load_of
+        self._prefix = settings.platform.key_prefix + ORDERS_PREFIX
+        self._slots = LoadSlots(kv, settings.platform.key_prefix + SLOTS_PREFIX, settings.orders)
+        self._holder_id = f"{settings.vm.vm_id}/{rng.getrandbits(64):016x}"
+        self._turns = trio.CapacityLimiter(_MAX_AT_ONCE)
+        self._serving: dict[str, _Upstream] = {}
 
     async def run(self) -> None:
-        """Give orders while there are any, until cancelled."""
-        raise NotImplementedError
+        """Follow the view and serve each engine that this VM owns, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                version = self._view.version
+                for upstream in self._owned():
+                    if upstream.upstream_id not in self._serving:
+                        part = self._new_part(upstream)
+                        self._serving[upstream.upstream_id] = part
+                        nursery.start_soon(self._serve, part)
+                for part in self._serving.values():
+                    part.wake.set()
+                await self._view.wait_changed(version)
+
+    def _owned(self) -> list[UpstreamRecord]:
+        return [
+            item
+            for item in self._view.upstreams.values()
+            if item.kind is UpstreamKind.ENGINE and self._owns(item.upstream_id)
+        ]
+
+    def _owns(self, upstream_id: str) -> bool:
+        owner = self._view.owner_of(upstream_id)
+        return owner is not None and owner.vm_id == self._settings.vm.vm_id
+
+    def _new_part(self, upstream: UpstreamRecord) -> "_Upstream":
+        return _Upstream(upstream, OrderHolder(self._holder_id, False, self._settings.orders))
+
+    async def _serve(self, part: "_Upstream") -> None:
+        """Bring one upstream to what it has to have, and keep it there, while it is ours."""
+        name = part.upstream.upstream_id
+        while self._owns(name) or part.holder.holds:
+            part.refresh(self._view)
+            part.wake = trio.Event()
+            if part.holder.phase is Phase.UNKNOWN:
+                await self._read(part)
+            elif part.has_work(self._wanted(part)):
+                async with self._turns:
+                    wait_ms = await self._work(part)
+                with trio.move_on_after(max(wait_ms, 0) / 1000):
+                    await part.wake.wait()
+            else:
+                await self._rest(part)
+        del self._serving[name]
+
+    async def _rest(self, part: "_Upstream") -> None:
+        with trio.move_on_after(self._settings.orders.settled_poll_ms / 1000):
+            await part.wake.wait()
+            return
+        match await self._control.models(part.upstream):
+            case Ok(listed):
+                part.holder.state = without_lost(part.holder.state, listed)
+
+    async def _work(self, part: "_Upstream") -> float:
+        """Take steps until there is nothing to do or a wait without holding; returns the wait."""
+        while True:
+            wanted = self._wanted(part)
+            match part.holder.step(wanted, now_ms()):
+                case ReadRecord():
+                    await self._read(part)
+                case Write() as write:
+                    await self._write(part, write)
+                case Give() as give:
+                    await self._give(part, give)
+                case Wait(until_ms) if part.holder.holds:
+                    await trio.sleep_until(until_ms / 1000)
+                case Wait(until_ms):
+                    return until_ms - now_ms()
+
+    def _wanted(self, part: "_Upstream") -> PlannedOrder | None:
+        """Return the next order; None too when the upstream is no longer ours or is leaving."""
+        if part.upstream.leaving or not self._owns(part.upstream.upstream_id):
+            return None
+        placement = placement_of(self._view.configuration, part.upstream)
+        return next_order(part.holder.state, placement, part.refused(now_ms()))
+
+    def _has_online_demand(self, service: str) -> bool:
+        loads = [
+            self._load_of(item.upstream_id) for item in self._owned() if item.service == service
+        ]
+        return any(load.queued_online + load.in_flight_online for load in loads)
+
+    async def _read(self, part: "_Upstream") -> None:
+        match await self._kv.get(self._key(part)):
+            case Ok(None):
+                part.holder.on_read(None, 0, now_ms())
+            case Ok(entry):
+                record = msgspec.msgpack.decode(entry.value, type=OrderRecord)
+                part.holder.on_read(record, entry.mod_revision, now_ms())
+            case Err(_):
+                await trio.sleep(self._settings.orders.retry_ms / 1000)
+
+    async def _write(self, part: "_Upstream", write: Write) -> None:
+        data = msgspec.msgpack.encode(write.record)
+        part.holder.begin_write(write, now_ms())
+        match await self._kv.put_if(self._key(part), data, write.expected_revision):
+            case Ok(revision):
+                part.holder.on_write(revision, True, now_ms())
+            case Err(fault):
+                certain = fault.code is ResultCode.KV_CONFLICT
+                part.holder.on_write(None, certain, now_ms())
+                await trio.sleep(self._settings.orders.retry_ms / 1000)
+
+    def _key(self, part: "_Upstream") -> str:
+        return self._prefix + part.upstream.upstream_id
+
+    async def _give(self, part: "_Upstream", give: Give) -> None:
+        """Give the order, renewing the lease meanwhile; stop when the lease has run out.
+
+        The scope's deadline covers the sending too: after a pause of this process the loop sees
+        that it has passed before it lets anything be sent.
+        """
+        outcome = GiveOutcome.NOT_SENT
+        scope = trio.CancelScope(deadline=give.until_ms / 1000)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._renew, part, scope)
+            with scope:
+                async with self._slot(part.upstream, give.order):
+                    outcome = GiveOutcome.UNKNOWN
+                    outcome = await self._send(part.upstream, give)
+            nursery.cancel_scope.cancel()
+        if outcome is GiveOutcome.REJECTED:
+            part.refuse(give.order, now_ms())
+        part.holder.on_given(outcome, now_ms())
+
+    def _slot(
+        self, upstream: UpstreamRecord, order: PlannedOrder
+    ) -> AbstractAsyncContextManager[None]:
+        if not uses_weight_store(order):
+            return nullcontext()
+        slot = LoadSlot(self._holder_id, upstream.upstream_id, order.model)
+        return self._slots.claim(slot, lambda: self._has_online_demand(upstream.service))
+
+    async def _renew(self, part: "_Upstream", scope: trio.CancelScope) -> None:
+        holder = part.holder
+        while holder.holds:
+            scope.deadline = holder.lease_end_ms / 1000
+            await trio.sleep_until(holder.renewal_due_ms / 1000)
+            write = holder.renewal(now_ms())
+            if write is not None:
+                await self._write(part, write)
+            else:
+                await self._read(part)
+
+    async def _send(self, upstream: UpstreamRecord, give: Give) -> GiveOutcome:
+        order = give.order
+        message = EngineOrder(
+            give.fencing, order.kind.value, order.model, order.version, order.adapter, order.role
+        )
+        result: Result[None, Fault] = await self._control.order(
+            upstream, message, self._settings.orders.longest_order_ms
+        )
+        match result:
+            case Ok(_):
+                outcome = GiveOutcome.DONE
+            case Err(fault):
+                outcome = _OUTCOMES.get(fault.code, GiveOutcome.UNKNOWN)
+        log_event(
+            "order_given",
+            upstream_id=upstream.upstream_id,
+            fencing=give.fencing,
+            order=order.kind.value,
+            model=order.model,
+            version=order.version,
+            adapter=order.adapter,
+            outcome=outcome.value,
+        )
+        return outcome
+
+
+class _Upstream:
+    """One upstream that this agent serves."""
+
+    def __init__(self, upstream: UpstreamRecord, holder: OrderHolder) -> None:
+        self.upstream = upstream
+        self.holder = holder
+        self.wake = trio.Event()
+        self._refused: list[tuple[PlannedOrder, float]] = []
+
+    def refresh(self, view: "FleetView") -> None:
+        """Take the upstream as the view has it now; it is leaving when it is no longer there."""
+        found = view.upstreams.get(self.upstream.upstream_id)
+        self.upstream = found or msgspec.structs.replace(self.upstream, leaving=True)
+        service = view.configuration.services.get(self.upstream.service)
+        checks = service is not None and service.order_check is OrderCheck.FENCED
+        self.holder.engine_checks = checks
+
+    def has_work(self, wanted: PlannedOrder | None) -> bool:
+        return wanted is not None or self.holder.current is not None or self.holder.holds
+
+    def refuse(self, order: PlannedOrder, at_ms: float) -> None:
+        """Note that the engine would not carry out ``order``, which is left for a while."""
+        self._refused.append((order, at_ms + _REFUSED_PAUSE_MS))
+
+    def refused(self, at_ms: float) -> list[PlannedOrder]:
+        """Return the orders that are not to be tried now."""
+        self._refused = [item for item in self._refused if item[1] > at_ms]
+        return [order for order, _ in self._refused]
--- a/src/fescuedock/agent/permit_service.py
+++ b/src/fescuedock/agent/permit_service.py
@@ -22,6 +22,7 @@
 from fescuedock.schema.config import Configuration, Objectives
 from fescuedock.schema.permits import (
     AttemptOutcome,
+    LoadSnapshot,
     PermitAsk,
     PermitRenew,
     PermitRenewReply,
@@ -69,6 +70,10 @@
             nursery.start_soon(self._tick_forever)
             nursery.start_soon(self._poll_forever)
 
+    def load(self, upstream_id: str) -> LoadSnapshot:
+        """Return the load of an upstream as this agent counts it."""
+        return self._owner.load(upstream_id, now_ms())
+
     async def _ask(self, ask: PermitAsk, peer: ServerPeer) -> PermitReply:
         self._peers[ask.holder_id] = peer
         # The view may have changed since the loop that follows it last ran.
--- a/src/fescuedock/core/orders/__init__.py
+++ b/src/fescuedock/core/orders/__init__.py
@@ -1,1 +1,1 @@
-"""Decisions on orders to engines: fencing, placement of models, paced loads."""
+"""Decisions on orders to engines: who gives them, which ones, and how many loads at once."""
--- /dev/null
+++ b/src/fescuedock/core/orders/fencing.py
@@ -0,0 +1,313 @@
+"""Who may give orders to one upstream: one holder at a time, decided by compare-and-swap.
+
+Each write of the upstream's record by its holder begins a lease on the holder's own clock, counted
+from before the write was sent.  Another agent takes over only when it has seen the record
+unchanged for a whole lease and margin.  Engines that check the fencing number, which every order
+raises, refuse what a paused holder still sends.  For those that ignore it, the old holder gives
+nothing in the last ``margin_ms`` of its lease, and the new one lets the longest order pass first.
+
+An order is written into the record before it is given.  A new holder gives that one again before
+any other, so that orders never run out of their sequence.
+"""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+from math import inf
+
+import msgspec
+
+from fescuedock.core.orders.placement import after_order
+from fescuedock.schema.orders import EngineState, OrderRecord, PlannedOrder
+from fescuedock.schema.settings import OrderSettings
+
+__all__ = ["Give", "GiveOutcome", "OrderHolder", "Phase", "ReadRecord", "Step", "Wait", "Write"]
+
+_RENEWALS_PER_LEASE = 3
+
+
+class Phase(StrEnum):
+    """Where an agent stands with one upstream."""
+
+    # The record has to be read.
+    UNKNOWN = "unknown"
+    # Somebody holds it, as far as is known.
+    OBSERVING = "observing"
+    # Nobody holds it, as far as is known.
+    FREE = "free"
+    HOLDING = "holding"
+
+
+class GiveOutcome(StrEnum):
+    """How an order that was given ended."""
+
+    DONE = "done"
+    # It did not reach the engine.
+    NOT_SENT = "not_sent"
+    # It may be carried out, now or later.
+    UNKNOWN = "unknown"
+    # The engine says that it can never carry it out.
+    REJECTED = "rejected"
+    # The engine has seen a higher fencing number.
+    SUPERSEDED = "superseded"
+
+
+@dataclass(frozen=True, slots=True)
+class ReadRecord:
+    """Read the upstream's record."""
+
+
+@dataclass(frozen=True, slots=True)
+class Write:
+    """Write the record if its key is still at ``expected_revision``."""
+
+    record: OrderRecord
+    expected_revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Give:
+    """Give ``order``.  It must leave before ``until_ms``, or not at all."""
+
+    order: PlannedOrder
+    fencing: int
+    until_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Wait:
+    """Do nothing before ``until_ms``."""
+
+    until_ms: float
+
+
+Step = ReadRecord | Write | Give | Wait
+
+
+@dataclass(slots=True)
+class OrderHolder:
+    """One agent's part in the orders of one upstream.
+
+    ``holder_id`` names one run of one agent.  The shell asks ``step`` what to do, does it and
+    reports by ``on_read``, ``on_write`` or ``on_given``.  ``renewal`` may be written while an
+    order is under way.
+    """
+
+    holder_id: str
+    engine_checks: bool
+    settings: OrderSettings
+    phase: Phase = Phase.UNKNOWN
+    # What the engine has, as far as this agent has read or done.
+    state: EngineState = field(default_factory=EngineState)
+    _record: OrderRecord | None = None
+    _revision: int = 0
+    _beat: int = 0
+    _unchanged_since_ms: float = inf
+    _lease_began_ms: float = -inf
+    # Until then an order of the holder before may reach an engine that ignores the number,
+    _waited_out_at_ms: float = -inf
+    # and until then one of this agent's own.
+    _settled_at_ms: float = -inf
+    _paused_until_ms: float = -inf
+    _pending: Write | None = None
+    _pending_sent_ms: float = -inf
+    _finished_sequence: int = -1
+    _raise_by: int = 1
+    _raise_first: bool = False
+
+    @property
+    def current(self) -> PlannedOrder | None:
+        """The order begun and not known to be done."""
+        return self._record.current[0] if self._record and self._record.current else None
+
+    @property
+    def fencing(self) -> int:
+        return self._record.fencing if self._record else 0
+
+    @property
+    def holds(self) -> bool:
+        """Whether this agent took the upstream and has not learnt that it lost it."""
+        return self.phase is Phase.HOLDING
+
+    @property
+    def lease_end_ms(self) -> float:
+        """When this agent has to stop giving orders, on its own clock."""
+        return self._lease_began_ms + self.settings.lease_ms - self.settings.margin_ms
+
+    @property
+    def renewal_due_ms(self) -> float:
+        """When ``renewal`` is due next."""
+        return self._lease_began_ms + self.settings.lease_ms / _RENEWALS_PER_LEASE
+
+    def step(self, wanted: PlannedOrder | None, now_ms: float) -> Step:
+        """Return what to do now; ``wanted`` is the next order by ``state``, None for no more."""
+        if now_ms < self._paused_until_ms and not self.holds:
+            return Wait(self._paused_until_ms)
+        if self._pending is not None or self.phase is Phase.UNKNOWN:
+            return ReadRecord()
+        if self.phase is Phase.HOLDING:
+            return self._step_holding(wanted, now_ms)
+        if wanted is None and self.current is None:
+            return Wait(inf)
+        if self.phase is Phase.FREE:
+            return self._take()
+        return self._step_observing(now_ms)
+
+    def renewal(self, now_ms: float) -> Write | None:
+        """Return the write that renews the lease, if it is due."""
+        if not self.holds or self._pending is not None or now_ms < self.renewal_due_ms:
+            return None
+        return self._next_write()
+
+    def begin_write(self, write: Write, now_ms: float) -> None:
+        """Note that ``write`` is about to be sent: the lease it begins is counted from here."""
+        self._pending = write
+        self._pending_sent_ms = now_ms
+
+    def on_write(self, revision: int | None, certain: bool, now_ms: float) -> None:
+        """Take the outcome of the pending write: its new revision, or None when it failed.
+
+        ``certain`` says that a failed write neither took effect nor ever will, since the key has
+        moved on.
+        """
+        if revision is not None:
+            self._take_effect(revision, now_ms)
+        elif certain:
+            self._pending = None
+            self._lose()
+
+    def on_read(self, record: OrderRecord | None, revision: int, now_ms: float) -> None:
+        """Take the record as read; ``record`` is None when there is none."""
+        pending, self._pending = self._pending, None
+        if pending is not None and record == pending.record:
+            self._pending = pending
+            self._take_effect(revision, now_ms)
+        elif self.holds and revision == self._revision:
+            # The write is not there.  Should it come later, the next one fails and we read again.
+            return
+        else:
+            self._observe(record, revision, now_ms)
+
+    def on_given(self, outcome: GiveOutcome, now_ms: float) -> None:
+        """Take the end of the order that ``Give`` asked for."""
+        if not self.holds or self.current is None:
+            return
+        match outcome:
+            case GiveOutcome.DONE:
+                self.state = after_order(self.state, self.current)
+                self._raise_by = 1
+                self._finish()
+            case GiveOutcome.REJECTED:
+                self._finish()
+                self._paused_until_ms = now_ms + self.settings.retry_ms
+            case GiveOutcome.SUPERSEDED:
+                # Who holds it now?  Should it be this agent still, then the numbers went back
+                # with the key-value service, and are raised by more each time.
+                self._raise_by *= 2
+                self._paused_until_ms = now_ms + self.settings.retry_ms
+                self._lose()
+            case GiveOutcome.NOT_SENT:
+                self._paused_until_ms = now_ms + self.settings.retry_ms
+            case GiveOutcome.UNKNOWN:
+                self._raise_first = True
+                self._settled_at_ms = now_ms + self.settings.longest_order_ms
+                self._paused_until_ms = now_ms + self.settings.retry_ms
+
+    def _step_observing(self, now_ms: float) -> Step:
+        lease_ms = max(self._record.lease_ms, self.settings.lease_ms)
+        free_ms = self._unchanged_since_ms + lease_ms + self.settings.margin_ms
+        return self._take() if now_ms >= free_ms else Wait(free_ms)
+
+    def _step_holding(self, wanted: PlannedOrder | None, now_ms: float) -> Step:
+        if now_ms >= min(self.renewal_due_ms, self.lease_end_ms):
+            return self._next_write()
+        ready_ms = self._paused_until_ms
+        if not self.engine_checks:
+            ready_ms = max(ready_ms, self._waited_out_at_ms)
+            if self.current is None:
+                # Giving the same order again can do no harm; any other has to wait.
+                ready_ms = max(ready_ms, self._settled_at_ms)
+        if now_ms < ready_ms:
+            return Wait(min(ready_ms, self.renewal_due_ms))
+        if self.current is not None:
+            return self._give_current()
+        if wanted is not None:
+            return self._next_write(begin=wanted)
+        return self._next_write(release=True)
+
+    def _give_current(self) -> Step:
+        if self._raise_first:
+            return self._next_write(raise_fencing=True)
+        return Give(self.current, self.fencing, self.lease_end_ms)
+
+    def _take(self) -> Write:
+        former = self._record or OrderRecord(fencing=0, holder="", lease_ms=0, beat=0)
+        taken = msgspec.structs.replace(
+            former,
+            fencing=former.fencing + self._raise_by,
+            holder=self.holder_id,
+            lease_ms=self.settings.lease_ms,
+            beat=self._next_beat(),
+            state=self.state,
+        )
+        return Write(taken, self._revision)
+
+    def _next_write(
+        self,
+        *,
+        begin: PlannedOrder | None = None,
+        raise_fencing: bool = False,
+        release: bool = False,
+    ) -> Write:
+        record = msgspec.structs.replace(self._record, beat=self._next_beat(), state=self.state)
+        if begin is not None:
+            record.sequence += 1
+            record.current = [begin]
+        if begin is not None or raise_fencing:
+            record.fencing += 1
+        if release:
+            record.holder = ""
+        return Write(record, self._revision)
+
+    def _next_beat(self) -> int:
+        """Return a number that no other write of this agent has, so that each knows its own."""
+        self._beat = max(self._beat, self._record.beat if self._record else 0) + 1
+        return self._beat
+
+    def _take_effect(self, revision: int, now_ms: float) -> None:
+        written, self._pending = self._pending.record, None
+        had_holder = self._record is not None and bool(self._record.holder)
+        raised = self._record is not None and written.fencing > self._record.fencing
+        if written.current and written.sequence == self._finished_sequence:
+            # The order ended while this write was on its way.
+            written = msgspec.structs.replace(written, current=[], state=self.state)
+        self._record, self._revision = written, revision
+        self._lease_began_ms = self._pending_sent_ms
+        if not written.holder:
+            self.phase = Phase.FREE
+        elif self.phase is not Phase.HOLDING:
+            self.phase = Phase.HOLDING
+            self.state = written.state
+            self._raise_first = False
+            if had_holder:
+                self._waited_out_at_ms = now_ms + self.settings.longest_order_ms
+        elif raised:
+            self._raise_first = False
+
+    def _finish(self) -> None:
+        self._finished_sequence = self._record.sequence
+        self._record = msgspec.structs.replace(self._record, current=[], state=self.state)
+
+    def _lose(self) -> None:
+        self.phase = Phase.UNKNOWN
+        self._lease_began_ms = -inf
+        self._raise_first = False
+
+    def _observe(self, record: OrderRecord | None, revision: int, now_ms: float) -> None:
+        if revision != self._revision or self._unchanged_since_ms == inf:
+            self._unchanged_since_ms = now_ms
+        self._record, self._revision = record, revision
+        self.state = record.state if record else EngineState()
+        self._finished_sequence = -1
+        self._lease_began_ms = -inf
+        held = record is not None and record.holder
+        self.phase = Phase.OBSERVING if held else Phase.FREE
--- /dev/null
+++ b/src/fescuedock/core/orders/placement.py
@@ -0,0 +1,140 @@
+"""Which models, adapters and role an upstream has to have, and the next order on the way there.
+
+The configuration decides what: every model of the upstream's service, or those that its policy
+pins.  Demand decides which loads may go on: those that online traffic waits for come first.
+"""
+
+from collections.abc import Collection, Iterator, Mapping, Sequence
+from dataclasses import dataclass, field
+
+from fescuedock.schema.config import Configuration, ModelSpec, ServiceKind, UpstreamPolicy
+from fescuedock.schema.orders import EngineState, LoadSlot, OrderKind, PlannedOrder
+from fescuedock.schema.view import UpstreamRecord
+
+__all__ = [
+    "Placement",
+    "after_order",
+    "choose_slot",
+    "models_of",
+    "next_order",
+    "placement_of",
+    "uses_weight_store",
+    "without_lost",
+]
+
+_LOADS = (OrderKind.LOAD_MODEL, OrderKind.LOAD_ADAPTER)
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """What one upstream has to have, by the names of its models."""
+
+    models: Mapping[str, ModelSpec] = field(default_factory=dict)
+    role: str = "both"
+
+
+def models_of(configuration: Configuration, upstream: UpstreamRecord) -> list[str]:
+    """Return the models that ``upstream`` has to have, by name."""
+    service = configuration.services.get(upstream.service)
+    if service is None or service.kind is not ServiceKind.MODEL:
+        return []
+    pinned = configuration.upstreams.get(upstream.upstream_id, UpstreamPolicy()).models
+    return sorted(name for name in service.models if not pinned or name in pinned)
+
+
+def placement_of(configuration: Configuration, upstream: UpstreamRecord) -> Placement:
+    """Return what ``upstream`` has to have under ``configuration``."""
+    names = models_of(configuration, upstream)
+    if not names:
+        return Placement()
+    service = configuration.services[upstream.service]
+    policy = configuration.upstreams.get(upstream.upstream_id, UpstreamPolicy())
+    return Placement({name: service.models[name] for name in names}, policy.role.value)
+
+
+def next_order(
+    state: EngineState, wanted: Placement, refused: Sequence[PlannedOrder] = ()
+) -> PlannedOrder | None:
+    """Return the next order that brings ``state`` nearer to ``wanted``; None when it is there.
+
+    What is no longer wanted goes first, since memory is scarce.  ``refused`` are orders that the
+    engine would not carry out a while ago.
+    """
+    return next((order for order in _orders(state, wanted) if order not in refused), None)
+
+
+def without_lost(state: EngineState, listed: Collection[str]) -> EngineState:
+    """Return ``state`` without what the engine no longer lists, as after a restart of it."""
+    models = {name: version for name, version in state.models.items() if name in listed}
+    adapters = {name: base for name, base in state.adapters.items() if name in listed}
+    return EngineState(models, adapters, state.role if models else "both")
+
+
+def after_order(state: EngineState, order: PlannedOrder) -> EngineState:
+    """Return the state of an engine that has carried out ``order``."""
+    models, adapters, role = dict(state.models), dict(state.adapters), state.role
+    match order.kind:
+        case OrderKind.LOAD_MODEL:
+            models[order.model] = order.version
+        case OrderKind.UNLOAD_MODEL:
+            models.pop(order.model, None)
+        case OrderKind.LOAD_ADAPTER:
+            adapters[order.adapter] = _base(order.model, order.version)
+        case OrderKind.UNLOAD_ADAPTER:
+            adapters.pop(order.adapter, None)
+        case OrderKind.SET_ROLE:
+            role = order.role
+    return EngineState(models, adapters, role)
+
+
+def uses_weight_store(order: PlannedOrder) -> bool:
+    """Whether the order loads weights and so needs a slot."""
+    return order.kind in _LOADS
+
+
+def choose_slot(
+    taken: Mapping[int, LoadSlot], count: int, loads_per_model: int, model: str, online: bool
+) -> int | None:
+    """Return a free slot for a load of ``model``; None when it has to wait.
+
+    The last free slot is kept for loads that online traffic waits for (``online``).
+    """
+    if sum(slot.model == model for slot in taken.values()) >= loads_per_model:
+        return None
+    free = [index for index in range(count) if index not in taken]
+    if not free or (len(free) == 1 and count > 1 and not online):
+        return None
+    return free[0]
+
+
+def _orders(state: EngineState, wanted: Placement) -> Iterator[PlannedOrder]:
+    yield from _unloads(state, wanted)
+    if state.role != wanted.role and wanted.models:
+        yield PlannedOrder(OrderKind.SET_ROLE, role=wanted.role)
+    for name, spec in wanted.models.items():
+        if state.models.get(name) != spec.version:
+            yield PlannedOrder(OrderKind.LOAD_MODEL, model=name, version=spec.version)
+        for adapter in spec.adapters:
+            if state.adapters.get(adapter) != _base(name, spec.version):
+                yield PlannedOrder(
+                    OrderKind.LOAD_ADAPTER, model=name, version=spec.version, adapter=adapter
+                )
+
+
+def _unloads(state: EngineState, wanted: Placement) -> Iterator[PlannedOrder]:
+    if not wanted.models:
+        # An upstream of no configured service is left as it is.
+        return
+    adapters = {adapter for spec in wanted.models.values() for adapter in spec.adapters}
+    for adapter in _missing(state.adapters, adapters):
+        yield PlannedOrder(OrderKind.UNLOAD_ADAPTER, adapter=adapter)
+    for model in _missing(state.models, wanted.models):
+        yield PlannedOrder(OrderKind.UNLOAD_MODEL, model=model)
+
+
+def _missing(names: Mapping[str, str], wanted: Collection[str]) -> list[str]:
+    return sorted(name for name in names if name not in wanted)
+
+
+def _base(model: str, version: str) -> str:
+    return f"{model}@{version}"
--- a/src/fescuedock/platform/engine_control.py
+++ b/src/fescuedock/platform/engine_control.py
@@ -30,6 +30,14 @@
 _CONFLICT = 409
 
 
+class _ListedModel(msgspec.Struct):
+    id: str
+
+
+class _ModelList(msgspec.Struct):
+    data: list[_ListedModel]
+
+
 class EngineControl:
     """Calls to upstreams over one HTTP client.
 
@@ -45,6 +53,13 @@
         result = await self._call(upstream, "GET", "/metrics")
         return result.map(_load)
 
+    async def models(self, upstream: UpstreamRecord) -> Result[frozenset[str], Fault]:
+        """Read the names of the models and adapters that the engine serves."""
+        result = await self._call(upstream, "GET", "/v1/models")
+        return result.and_then(lambda body: _decoded(body, _ModelList)).map(
+            lambda listed: frozenset(item.id for item in listed.data)
+        )
+
     async def cache_events(
         self, upstream: UpstreamRecord, after_seq: int
     ) -> Result[CacheEvents, Fault]:
