--- /dev/null
+++ b/bench/engine_cost.py
@@ -0,0 +1,158 @@
+"""What our clients cost: CPU per streamed token of the engine client, and per key-value call.
+
+    python -m bench.engine_cost
+
+Each figure is CPU time of this process, the least and the median of interleaved rounds; on a busy
+machine the least is the one to compare.  Both ends run in it, so the other end's share is measured
+by itself (``raw`` rows: a bare socket read of the same bytes) and taken off.
+"""
+
+import statistics
+import time
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass
+
+import trio
+
+from fescuedock.net.address import Address
+from fescuedock.net.http_client import HttpClient
+from fescuedock.platform.engine import EngineClient
+from fescuedock.platform.etcd import EtcdKv
+from fescuedock.schema.settings import PlatformSettings
+from fescuedock.schema.view import UpstreamKind, UpstreamRecord
+from fescuedock.standin.engine_requests import AnswerShape, read_request
+from fescuedock.standin.kv_service import KvService
+from fescuedock.standin.token_text import token_texts
+
+ROUNDS = 15
+TOKENS = 2000
+KV_CALLS = 300
+LOOPBACK = Address("127.0.0.1", 0)
+PATH = "/v1/chat/completions"
+BODY = b'{"model":"demo-model","messages":[{"role":"user","content":"hello"}],"max_tokens":2000}'
+HEAD = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
+
+
+@dataclass(slots=True)
+class Pacer:
+    """Lets the server send a token only when the client has the one before."""
+
+    taken: trio.Event
+
+    def take(self) -> None:
+        self.taken.set()
+
+    async def wait(self) -> None:
+        await self.taken.wait()
+        self.taken = trio.Event()
+
+
+def token_events() -> list[bytes]:
+    """Return the events of an answer of ``TOKENS`` tokens, as the stand-in engine forms them."""
+    shape = AnswerShape(read_request(PATH, BODY, "attempt"), created_s=1)
+    return [shape.token_event(text) for text in token_texts("hello", 0, TOKENS)]
+
+
+def chunk(data: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+async def serve_canned(stream: trio.SocketStream, events: list[bytes], pacer: Pacer) -> None:
+    """Answer any request with ``events``, one chunk each, at the client's pace."""
+    await stream.receive_some(65536)
+    await stream.send_all(HEAD)
+    for event in events:
+        await stream.send_all(chunk(event))
+        await pacer.wait()
+    await stream.send_all(chunk(b"data: [DONE]\n\n") + b"0\r\n\r\n")
+
+
+async def read_raw(address: Address, pacer: Pacer) -> int:
+    """Read the answer with a bare socket and count the reads that brought tokens."""
+    stream = await trio.open_tcp_stream(address.host, address.port)
+    await stream.send_all(b"POST / HTTP/1.1\r\n\r\n")
+    count = 0
+    while count < TOKENS:
+        data = await stream.receive_some(65536)
+        if b"data: {" in data:
+            count += 1
+            pacer.take()
+    await stream.aclose()
+    return count
+
+
+async def read_with_client(address: Address, pacer: Pacer) -> int:
+    """Read the answer with ``EngineClient``."""
+    upstream = UpstreamRecord("u", "r", "d", address.host, address.port, UpstreamKind.ENGINE, "s")
+    client = EngineClient(HttpClient())
+    count = 0
+    async with client.stream(upstream, PATH, {}, "attempt") as events:
+        async for event in events:
+            if event.text:
+                count += 1
+                pacer.take()
+    return count
+
+
+Reader = Callable[[Address, Pacer], Awaitable[int]]
+
+
+async def token_cost_us(reader: Reader) -> float:
+    """Return CPU microseconds per token, both ends together, with ``reader``."""
+    events = token_events()
+    pacer = Pacer(trio.Event())
+    listeners = await trio.open_tcp_listeners(0, host=LOOPBACK.host)
+    address = Address(LOOPBACK.host, listeners[0].socket.getsockname()[1])
+
+    async def serve(stream: trio.SocketStream) -> None:
+        await serve_canned(stream, events, pacer)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(trio.serve_listeners, serve, listeners)
+        began_s = time.process_time()
+        count = await reader(address, pacer)
+        used_s = time.process_time() - began_s
+        nursery.cancel_scope.cancel()
+    return used_s / count * 1e6
+
+
+async def kv_costs_us() -> AsyncIterator[tuple[str, float]]:
+    """Yield the CPU microseconds of each kind of call, stand-in service included."""
+    async with trio.open_nursery() as nursery:
+        service = KvService()
+        address = await nursery.start(service.run, LOOPBACK)
+        http = HttpClient()
+        settings = PlatformSettings(kv_addresses=str(address), vm_list_address="127.0.0.1:1")
+        kv = EtcdKv(http, settings)
+        value = b"x" * 1000
+        revision = (await kv.put_if("key", value, 0)).unwrap()
+        began_s = time.process_time()
+        for _ in range(KV_CALLS):
+            (await kv.get("key")).unwrap()
+        yield "key-value get, 1 kB", (time.process_time() - began_s) / KV_CALLS * 1e6
+        began_s = time.process_time()
+        for _ in range(KV_CALLS):
+            revision = (await kv.put_if("key", value, revision)).unwrap()
+        yield "key-value put_if, 1 kB", (time.process_time() - began_s) / KV_CALLS * 1e6
+        await http.close()
+        nursery.cancel_scope.cancel()
+
+
+async def main() -> None:
+    costs: dict[str, list[float]] = {}
+    for _ in range(ROUNDS):
+        costs.setdefault("token, raw socket", []).append(await token_cost_us(read_raw))
+        costs.setdefault("token, EngineClient", []).append(await token_cost_us(read_with_client))
+        async for name, cost_us in kv_costs_us():
+            costs.setdefault(name, []).append(cost_us)
+    print("CPU of both ends, us              least  median")
+    for name, values in costs.items():
+        print(f"{name:30} {min(values):8.1f} {statistics.median(values):7.1f}")
+    # Rounds that follow each other see the same load of the machine.
+    pairs = zip(costs["token, EngineClient"], costs["token, raw socket"], strict=True)
+    over_us = statistics.median(client - raw for client, raw in pairs)
+    print(f"{'token, EngineClient over raw':38} {over_us:7.1f}")
+
+
+if __name__ == "__main__":
+    trio.run(main)
--- a/src/fescuedock/net/http_client.py
+++ b/src/fescuedock/net/http_client.py
@@ -5,6 +5,7 @@
 """
 
 import math
+import os
 from collections import defaultdict
 from collections.abc import AsyncIterator, Iterator, Mapping
 from contextlib import asynccontextmanager, contextmanager
@@ -219,10 +220,19 @@
                 event = self._protocol.next_event()
                 if event is not h11.NEED_DATA:
                     return event
-                self._protocol.receive_data(await self._stream.receive_some(_RECEIVE_BYTES))
-            except (h11.RemoteProtocolError, trio.BrokenResourceError) as error:
+                self._protocol.receive_data(await self._receive())
+            except (h11.RemoteProtocolError, OSError) as error:
                 raise ResponseLostError(str(error), head_received=head_received) from error
 
+    async def _receive(self) -> bytes:
+        """Wait for bytes first and read then: a stream's next token is seldom there already."""
+        while True:
+            await trio.lowlevel.wait_readable(self._stream.socket)
+            try:
+                return os.read(self._stream.socket.fileno(), _RECEIVE_BYTES)
+            except BlockingIOError:
+                continue
+
     def reusable(self) -> bool:
         """Make ready for another request; False when the answer was not read to its end."""
         protocol = self._protocol
--- a/src/fescuedock/platform/engine.py
+++ b/src/fescuedock/platform/engine.py
@@ -103,28 +103,40 @@
     that ends before raises ``ResponseLostError``.
     """
 
-    __slots__ = ("_response", "done", "headers")
+    __slots__ = ("_events", "_response", "_rest", "done", "headers")
 
     def __init__(self, response: ClientResponse) -> None:
         self._response = response
+        self._events: list[bytes] = []
+        self._rest = b""
         self.headers = response.headers
         self.done = False
 
-    async def __aiter__(self) -> AsyncIterator[EngineEvent]:
-        rest = b""
-        async for chunk in self._response.chunks():
-            if self.done:
-                continue
-            *events, rest = (rest + chunk).split(_EVENT_END) if rest else chunk.split(_EVENT_END)
-            for event in events:
-                if event == _DONE:
-                    self.done = True
-                elif event.startswith(_DATA):
-                    yield _read_event(event)
-            if len(rest) > _MAX_EVENT_BYTES:
-                raise ResponseLostError("event without an end", head_received=True)
-        if not self.done:
-            raise ResponseLostError("stream ended before [DONE]", head_received=True)
+    def __aiter__(self) -> "EngineStream":
+        return self
+
+    async def __anext__(self) -> EngineEvent:
+        while not self._events:
+            try:
+                chunk = await anext(self._response)
+            except StopAsyncIteration:
+                if self.done:
+                    raise
+                message = "stream ended before [DONE]"
+                raise ResponseLostError(message, head_received=True) from None
+            self._split(chunk)
+        return _read_event(self._events.pop())
+
+    def _split(self, chunk: bytes) -> None:
+        """Take the events that ``chunk`` completes; the last of them comes first."""
+        *events, self._rest = (self._rest + chunk).split(_EVENT_END)
+        for event in events:
+            if event == _DONE:
+                self.done = True
+            elif event.startswith(_DATA) and not self.done:
+                self._events.insert(0, event)
+        if len(self._rest) > _MAX_EVENT_BYTES:
+            raise ResponseLostError("event without an end", head_received=True)
 
 
 class EngineClient:
