Test the key-value client and stand-in; bound the beginning of a watch

A property drives both against a dict with lost answers. It found that deleting a key that is not there with expected revision 0 conflicted in the in-memory store and succeeded over HTTP; both now do as etcd does. A service that takes a watch and stays silent no longer holds the watcher.

--- a/src/fescuedock/platform/etcd.py
+++ b/src/fescuedock/platform/etcd.py
@@ -121,11 +121,7 @@
         sender, receiver = trio.open_memory_channel(_WATCH_BUFFER_EVENTS)
         error: Exception | None = None
         async with trio.open_nursery() as nursery:
-            address = self._addresses[0]
-            timeout_ms = self._timeout_ms
-            await nursery.start(
-                run_watch, self._http, address, prefix, from_revision, timeout_ms, sender
-            )
+            await self._begin_watch(nursery, prefix, from_revision, sender)
             try:
                 yield receiver
             except Exception as raised:
@@ -135,6 +131,24 @@
         if error is not None:
             raise error
 
+    async def _begin_watch(
+        self,
+        nursery: trio.Nursery,
+        prefix: str,
+        from_revision: int,
+        sender: "trio.MemorySendChannel[KvEvent | KvWatchGap]",
+    ) -> None:
+        """Wait until the service is watching; close ``sender`` when it does not begin in time."""
+        address = self._addresses[0]
+        begun = False
+        with trio.move_on_after((self._http.connect_timeout_ms + 2 * self._timeout_ms) / 1000):
+            begun = await nursery.start(
+                run_watch, self._http, address, prefix, from_revision, self._timeout_ms, sender
+            )
+        if not begun:
+            sender.close()
+            self._try_last(address)
+
     async def _read(self, path: str, request: msgspec.Struct, kind: type) -> Result:
         """Ask each address in turn; a read that failed at one may be repeated at the next."""
         body = msgspec.json.encode(request)
--- a/src/fescuedock/platform/etcd_watch.py
+++ b/src/fescuedock/platform/etcd_watch.py
@@ -1,7 +1,5 @@
 """The watch of etcd's HTTP gateway: one streamed answer of JSON lines."""
 
-from collections.abc import AsyncIterator
-
 import msgspec
 import trio
 
@@ -30,13 +28,13 @@
     timeout_ms: int,
     sender: "trio.MemorySendChannel[KvEvent | KvWatchGap]",
     *,
-    task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED,
+    task_status: trio.TaskStatus[bool] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Send the changes under ``prefix`` until the connection is lost, then close ``sender``.
 
-    Reports as started once the service is watching, or when the connection failed before.
+    Reports True once the service is watching, False when that failed.
     """
-    started = False
+    watch = _Watch(sender, task_status)
     with sender:
         try:
             async with http.request(
@@ -47,18 +45,46 @@
                 _request(prefix, from_revision),
                 answer_timeout_ms=timeout_ms,
             ) as response:
-                async for line in _lines(response):
-                    result = _decoder.decode(line).result
-                    if result.created and not started:
-                        started = True
-                        task_status.started()
-                    if await _forward(result, sender):
-                        break
+                await watch.follow(response)
         except (NotSentError, ResponseLostError, msgspec.MsgspecError, trio.BrokenResourceError):
             # The reader sees the end of the channel and watches anew.
             pass
-    if not started:
-        task_status.started()
+    if not watch.created:
+        task_status.started(False)
+
+
+class _Watch:
+    """One watch: whether the service has begun it, and where its events go."""
+
+    __slots__ = ("_sender", "_task_status", "created")
+
+    def __init__(
+        self,
+        sender: "trio.MemorySendChannel[KvEvent | KvWatchGap]",
+        task_status: trio.TaskStatus[bool],
+    ) -> None:
+        self._sender = sender
+        self._task_status = task_status
+        self.created = False
+
+    async def follow(self, response: ClientResponse) -> None:
+        """Pass on events until the service ends the watch."""
+        lines = _Lines()
+        async for chunk in response.chunks():
+            for line in lines.split(chunk):
+                if await self._take(_decoder.decode(line).result):
+                    return
+
+    async def _take(self, result: wire.WatchResult) -> bool:
+        """Pass on one message; whether it was the last."""
+        if result.created and not self.created:
+            self.created = True
+            self._task_status.started(True)
+        for event in result.events:
+            await self._sender.send(_event(event))
+        if result.canceled and result.compact_revision:
+            await self._sender.send(KvWatchGap(result.compact_revision))
+        return result.canceled
 
 
 def _request(prefix: str, from_revision: int) -> bytes:
@@ -71,26 +97,20 @@
     return msgspec.json.encode(wire.WatchRequest(create_request=create))
 
 
-async def _lines(response: ClientResponse) -> AsyncIterator[bytes]:
-    rest = b""
-    async for chunk in response.chunks():
-        *lines, rest = (rest + chunk).split(b"\n")
-        for line in lines:
-            if line:
-                yield line
-        if len(rest) > _MAX_LINE_BYTES:
-            raise ResponseLostError("watch line too long", head_received=True)
+class _Lines:
+    """Joins the lines that chunks cut apart."""
 
+    __slots__ = ("_rest",)
 
-async def _forward(
-    result: wire.WatchResult, sender: "trio.MemorySendChannel[KvEvent | KvWatchGap]"
-) -> bool:
-    """Pass on one message; whether it was the watch's last."""
-    for event in result.events:
-        await sender.send(_event(event))
-    if result.canceled and result.compact_revision:
-        await sender.send(KvWatchGap(result.compact_revision))
-    return result.canceled
+    def __init__(self) -> None:
+        self._rest = b""
+
+    def split(self, chunk: bytes) -> list[bytes]:
+        """Return the lines that ``chunk`` completes."""
+        *lines, self._rest = (self._rest + chunk).split(b"\n")
+        if len(self._rest) > _MAX_LINE_BYTES:
+            raise ResponseLostError("watch line too long", head_received=True)
+        return [line for line in lines if line]
 
 
 def _event(event: wire.Event) -> KvEvent:
--- a/src/fescuedock/standin/kv_state.py
+++ b/src/fescuedock/standin/kv_state.py
@@ -110,8 +110,11 @@
         return self.put(key, value, lease_id)
 
     def delete_if(self, key: str, expected_revision: int) -> bool:
-        """Delete if the key is at ``expected_revision``; whether it was deleted."""
-        return self._mod_revision(key) == expected_revision and self.delete(key)
+        """Delete if the key is at ``expected_revision`` (0: it is not there); whether it was."""
+        if self._mod_revision(key) != expected_revision:
+            return False
+        self.delete(key)
+        return True
 
     def _mod_revision(self, key: str) -> int:
         entry = self._entries.get(key)
--- /dev/null
+++ b/tests/test_standin_kv.py
@@ -0,0 +1,300 @@
+"""The key-value stand-in over HTTP with our client: semantics, faults, watches, counts."""
+
+import unittest
+
+import trio
+import trio.testing
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from result import Ok
+
+from fescuedock.net.address import Address
+from fescuedock.platform.kv import KvEntry, KvEvent, KvStore, KvWatchGap
+from fescuedock.schema.result_codes import ResultCode
+from fescuedock.standin.kv_faults import CallKind, LostAnswer
+from fescuedock.standin.kv_state import CompactedError, KvState
+from tests.builders.standins import etcd_client, open_http, run_async, running_kv
+
+MEGABYTE = 1024 * 1024
+NOBODY = Address("127.0.0.1", 1)
+
+keys = st.sampled_from(["a", "a/1", "a/2", "b"])
+steps = st.lists(
+    st.tuples(
+        st.sampled_from(["put", "delete", "get", "range"]),
+        keys,
+        # Whether the revision expected is the true one.
+        st.booleans(),
+        st.sampled_from([None, None, *LostAnswer]),
+    ),
+    max_size=20,
+)
+
+
+class DictOracle:
+    """The same operations on a dict, done when and only when the service says so or is unsure."""
+
+    def __init__(self, test: unittest.TestCase, kv: KvStore) -> None:
+        self.test = test
+        self.kv = kv
+        self.values: dict[str, bytes] = {}
+        self.revisions: dict[str, int] = {}
+
+    async def step(self, kind: str, key: str, right: bool, number: int) -> None:
+        expected = self.revisions.get(key, 0) if right else 999_999
+        match kind:
+            case "put":
+                value = b"%d" % number
+                result = await self.kv.put_if(key, value, expected)
+                await self.settle(key, value, right, result)
+            case "delete":
+                result = await self.kv.delete_if(key, expected)
+                await self.settle(key, None, right, result)
+            case "get":
+                await self.check(key)
+            case "range":
+                page = (await self.kv.get_range("a")).unwrap()
+                seen = {entry.key: entry.value for entry in page.entries}
+                wanted = {k: v for k, v in sorted(self.values.items()) if k.startswith("a")}
+                self.test.assertEqual(list(seen.items()), list(wanted.items()))
+
+    async def settle(self, key: str, value: bytes | None, may: bool, result) -> None:
+        """Apply a write that was done; read back one that may have been."""
+        if isinstance(result, Ok):
+            self.test.assertTrue(may)
+            self.set(key, value, result.ok_value)
+            return
+        code = result.err_value.code
+        if code is ResultCode.KV_CONFLICT:
+            self.test.assertFalse(may)
+            return
+        self.test.assertEqual(code, ResultCode.KV_UNKNOWN)
+        found = (await self.kv.get(key)).unwrap()
+        there = found.value if found else None
+        self.test.assertIn(there, (value, self.values.get(key)) if may else (self.values.get(key),))
+        self.set(key, there, found.mod_revision if found else 0)
+
+    def set(self, key: str, value: bytes | None, revision: int | None) -> None:
+        if value is None:
+            self.values.pop(key, None)
+            self.revisions.pop(key, None)
+            return
+        self.values[key] = value
+        self.revisions[key] = revision
+
+    async def check(self, key: str) -> None:
+        found = (await self.kv.get(key)).unwrap()
+        self.test.assertEqual(found.value if found else None, self.values.get(key))
+
+
+class EtcdKvTest(unittest.TestCase):
+    @settings(max_examples=60)
+    @given(steps)
+    def test_agrees_with_a_dict_whatever_answers_are_lost(self, drawn):
+        async def run() -> None:
+            async with running_kv() as (service, kv):
+                # A late write lands while it is read back, or never within this test.
+                service.faults.late_effect_ms = 3_600_000
+                oracle = DictOracle(self, kv)
+                for number, (kind, key, right, lost) in enumerate(drawn):
+                    if lost and kind in ("put", "delete"):
+                        service.faults.lose_answer(lost)
+                    await oracle.step(kind, key, right, number)
+                for key in ("a", "a/1", "a/2", "b"):
+                    await oracle.check(key)
+
+        run_async(run)
+
+    def test_pages_of_a_range_follow_each_other(self):
+        async def run() -> None:
+            async with running_kv() as (_, kv):
+                names = [f"p/{number:02}" for number in range(7)]
+                for name in [*names, "q"]:
+                    await kv.put_if(name, b"v", 0)
+                seen, after, more = [], "", True
+                while more:
+                    page = (await kv.get_range("p/", start_after=after, limit=3)).unwrap()
+                    seen += [entry.key for entry in page.entries]
+                    after, more = seen[-1], page.more
+                self.assertEqual(seen, names)
+                bare = (await kv.get_range("p/", keys_only=True)).unwrap().entries
+                self.assertEqual({entry.value for entry in bare}, {b""})
+
+        run_async(run)
+
+    def test_values_up_to_a_megabyte(self):
+        async def run() -> None:
+            async with running_kv() as (_, kv):
+                self.assertEqual(await kv.put_if("k", b"\xff" * MEGABYTE, 0), Ok(2))
+                self.assertEqual((await kv.get("k")).unwrap().value, b"\xff" * MEGABYTE)
+                refused = await kv.put_if("k", b"\xff" * (MEGABYTE + 1), 2)
+                self.assertEqual(refused.err_value.code, ResultCode.KV_VALUE_TOO_LARGE)
+
+        run_async(run)
+
+    def test_a_service_that_is_down_promises_that_nothing_was_written(self):
+        async def run() -> None:
+            async with running_kv() as (service, kv):
+                service.take_down()
+                await trio.testing.wait_all_tasks_blocked(0.01)
+                refused = await kv.put_if("k", b"1", 0)
+                self.assertEqual(refused.err_value.code, ResultCode.KV_UNAVAILABLE)
+                self.assertEqual((await kv.get("k")).err_value.code, ResultCode.KV_UNAVAILABLE)
+                service.bring_up()
+                await trio.testing.wait_all_tasks_blocked(0.01)
+                self.assertEqual(await kv.put_if("k", b"2", 0), Ok(2))
+
+        run_async(run)
+
+    def test_a_service_that_does_not_answer_leaves_a_write_unknown(self):
+        async def run() -> None:
+            async with running_kv(timeout_ms=50) as (service, kv):
+                service.faults.silent = True
+                unsure = await kv.put_if("k", b"1", 0)
+                self.assertEqual(unsure.err_value.code, ResultCode.KV_UNKNOWN)
+                self.assertEqual((await kv.get("k")).err_value.code, ResultCode.KV_UNAVAILABLE)
+
+        run_async(run)
+
+    def test_the_next_address_is_used_and_kept(self):
+        async def run() -> None:
+            async with running_kv() as (service, _), open_http() as http:
+                kv = etcd_client(http, NOBODY, service.address)
+                self.assertEqual(await kv.put_if("k", b"1", 0), Ok(2))
+                self.assertEqual((await kv.get("k")).unwrap(), KvEntry("k", b"1", 2))
+                async with kv.watch("k", 2) as events:
+                    self.assertEqual((await events.receive()).revision, 2)
+
+        run_async(run)
+
+    def test_a_lease_takes_its_keys_along(self):
+        async def run() -> None:
+            async with running_kv() as (service, kv):
+                lease_id = (await kv.grant_lease(5)).unwrap()
+                await kv.put_if("k", b"1", 0, lease_id=lease_id)
+                self.assertEqual(await kv.keep_lease(lease_id), Ok(5))
+                service.lapse_lease(lease_id)
+                self.assertEqual(await kv.get("k"), Ok(None))
+                self.assertEqual(await kv.keep_lease(lease_id), Ok(0))
+                self.assertEqual(await kv.revoke_lease(lease_id), Ok(None))
+                refused = await kv.put_if("k", b"2", 0, lease_id=lease_id)
+                self.assertEqual(refused.err_value.code, ResultCode.KV_CONFLICT)
+
+        run_async(run)
+
+    def test_calls_are_counted_and_a_watch_is_one(self):
+        async def run() -> None:
+            async with running_kv() as (service, kv):
+                async with kv.watch("", 1) as events:
+                    for number in range(5):
+                        await kv.put_if(f"k{number}", b"", 0)
+                        await events.receive()
+                self.assertEqual(service.faults.calls, {CallKind.WATCH: 1, CallKind.PUT: 5})
+
+        run_async(run)
+
+
+class WatchTest(unittest.TestCase):
+    def test_tells_of_the_past_and_of_what_comes(self):
+        async def run() -> None:
+            async with running_kv() as (_, kv):
+                await kv.put_if("w/1", b"old", 0)
+                async with kv.watch("w/", 2) as events:
+                    await kv.put_if("x", b"not watched", 0)
+                    await kv.delete_if("w/1", 2)
+                    first, second = await events.receive(), await events.receive()
+                self.assertEqual(first, KvEvent("w/1", 2, KvEntry("w/1", b"old", 2)))
+                self.assertEqual(second, KvEvent("w/1", 4, None))
+
+        run_async(run)
+
+    def test_from_revision_0_begins_when_the_block_is_entered(self):
+        async def run() -> None:
+            async with running_kv() as (_, kv):
+                await kv.put_if("w", b"1", 0)
+                async with kv.watch("w", 0) as events:
+                    await kv.put_if("w", b"2", 2)
+                    self.assertEqual((await events.receive()).revision, 3)
+
+        run_async(run)
+
+    def test_compacted_past_is_a_gap_and_the_end(self):
+        async def run() -> None:
+            async with running_kv() as (service, kv):
+                for number in range(4):
+                    await kv.put_if(f"w/{number}", b"", 0)
+                service.state.compact(4)
+                async with kv.watch("w/", 2) as events:
+                    seen = [event async for event in events]
+                self.assertEqual(seen, [KvWatchGap(4)])
+
+        run_async(run)
+
+    def test_a_lost_connection_ends_the_channel(self):
+        async def run() -> None:
+            async with running_kv() as (service, kv):
+                async with kv.watch("w", 0) as events:
+                    # Progress messages come meanwhile and are not events.
+                    await trio.sleep(0.12)
+                    service.cut_watches()
+                    self.assertEqual([event async for event in events], [])
+                self.assertEqual(service.state.listeners, [])
+
+        run_async(run)
+
+    def test_an_unreachable_service_ends_the_channel_at_once(self):
+        async def run() -> None:
+            async with open_http() as http, etcd_client(http, NOBODY).watch("w", 0) as events:
+                self.assertEqual([event async for event in events], [])
+
+        run_async(run)
+
+    def test_a_silent_service_ends_the_channel_in_time(self):
+        async def run() -> None:
+            async with running_kv(timeout_ms=1000) as (service, kv):
+                service.faults.silent = True
+                async with kv.watch("w", 0) as events:
+                    self.assertEqual([event async for event in events], [])
+
+        run_async(run, trio.testing.MockClock(rate=20))
+
+    def test_errors_of_the_block_come_out_as_they_are(self):
+        async def run() -> None:
+            async with running_kv() as (_, kv):
+                with self.assertRaises(LookupError):
+                    async with kv.watch("w", 0):
+                        raise LookupError
+                # The client is of further use.
+                self.assertIsInstance(await kv.get("w"), Ok)
+
+        run_async(run)
+
+
+class KvStateTest(unittest.TestCase):
+    def test_a_lease_ends_with_its_time(self):
+        state = KvState()
+        lease_id = state.grant(10, now_s=0.0)
+        state.put("k", b"1", lease_id)
+        self.assertEqual(state.keep(lease_id, now_s=9.0), 10)
+        state.expire(now_s=18.9)
+        self.assertIsNotNone(state.get("k"))
+        state.expire(now_s=19.0)
+        self.assertIsNone(state.get("k"))
+
+    def test_a_key_that_changed_its_lease_outlives_the_old_one(self):
+        state = KvState()
+        old, new = state.grant(10, 0.0), state.grant(10, 0.0)
+        state.put("k", b"1", old)
+        state.put("k", b"2", new)
+        state.revoke(old)
+        self.assertEqual(state.get("k").value, b"2")
+
+    def test_the_past_is_readable_until_it_is_compacted(self):
+        state = KvState()
+        for value in (b"1", b"2", b"3"):
+            state.put("k", value)
+        self.assertEqual(state.get("k", 2).value, b"1")
+        state.compact(3)
+        self.assertEqual(state.get("k", 3).value, b"2")
+        with self.assertRaises(CompactedError):
+            state.get("k", 2)
