--- a/src/fescuedock/platform/engine.py
+++ b/src/fescuedock/platform/engine.py
@@ -90,7 +90,7 @@
 
 class _Chunk(msgspec.Struct, gc=False):
     choices: list[_Choice] = []
-    error: msgspec.Raw | None = None
+    error: dict | None = None
 
 
 _decode_chunk = msgspec.json.Decoder(_Chunk).decode
--- a/src/fescuedock/settings.py
+++ b/src/fescuedock/settings.py
@@ -3,7 +3,7 @@
 import configparser
 import ipaddress
 import math
-from collections.abc import Collection, Iterable, Iterator, Mapping
+from collections.abc import Callable, Collection, Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -28,6 +28,8 @@
 # The valid values of one section by key.
 _Values = dict[str, Any]
 
+Checks = Callable[[Mapping[str, _Values]], Iterable[str]]
+
 # The type of each section of the file.
 SECTIONS: Mapping[str, type[msgspec.Struct]] = {
     "vm": VmSettings,
@@ -78,9 +80,16 @@
 
 
 def load_sections(
-    path: Path, kinds: Mapping[str, type[msgspec.Struct]], wanted: Collection[str]
+    path: Path,
+    kinds: Mapping[str, type[msgspec.Struct]],
+    wanted: Collection[str],
+    checks: Checks | None = None,
 ) -> Result[dict[str, msgspec.Struct], SettingsProblems]:
-    """Read a file whose sections are of ``kinds``; those in ``wanted`` must be there."""
+    """Read a file whose sections are of ``kinds``; those in ``wanted`` must be there.
+
+    ``checks`` yields what the types of single values cannot say; it gets the valid values of each
+    section and by default knows our programs' sections.
+    """
     parser = configparser.ConfigParser(interpolation=None, default_section="")
     try:
         with open(path, encoding="utf-8") as file:
@@ -98,7 +107,7 @@
         if parser.has_section(name):
             found[name], section_problems = _section(name, kind, parser[name])
             problems += section_problems
-    problems += _cross_checks(found)
+    problems += (checks or _cross_checks)(found)
     if problems:
         return Err(SettingsProblems(path, tuple(problems)))
     return Ok({name: kinds[name](**values) for name, values in found.items()})
--- a/src/fescuedock/standin/main.py
+++ b/src/fescuedock/standin/main.py
@@ -2,12 +2,13 @@
 
 import ipaddress
 import sys
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from pathlib import Path
+from typing import Any
 
 import msgspec
 import trio
-from result import Err, Ok, Result
+from result import Err, Result
 
 from fescuedock.cli.command_line import Command, ExitCode, run_command_line
 from fescuedock.daemon import Stop, leaf_errors, stop_on_signals
@@ -40,28 +41,26 @@
 
 def load_standin_settings(path: Path) -> Result[StandinSettings, SettingsProblems]:
     """Read and check the file at ``path``."""
-    loaded = load_sections(path, {"standin": StandinSettings}, {"standin"})
-    if isinstance(loaded, Err):
-        return loaded
-    settings = loaded.ok_value["standin"]
-    problems = tuple(_problems(settings))
-    return Err(SettingsProblems(path, problems)) if problems else Ok(settings)
+    loaded = load_sections(path, {"standin": StandinSettings}, {"standin"}, _problems)
+    return loaded.map(lambda found: found["standin"])
 
 
-def _problems(settings: StandinSettings) -> Iterator[str]:
-    """Yield what the types of single values cannot say."""
+def _problems(found: Mapping[str, dict[str, Any]]) -> Iterator[str]:
+    """Yield what the types of single values cannot say; only valid values are there."""
+    values = found.get("standin", {})
     try:
-        ipaddress.ip_address(settings.host)
+        ipaddress.ip_address(values.get("host", "127.0.0.1"))
     except ValueError:
-        yield f"[standin] host = {settings.host}: not an IP number"
+        yield f"[standin] host = {values['host']}: not an IP number"
     try:
-        parse_system_vms(settings.system_vms)
+        parse_system_vms(values.get("system_vms", ""))
     except ValueError as error:
-        yield f"[standin] system_vms = {settings.system_vms}: {error}"
-    if not settings.failure_domains.strip(" ,"):
-        yield f"[standin] failure_domains = {settings.failure_domains}: names none"
-    first = settings.first_upstream_port
-    if first and first + settings.engines + settings.plain_services - 1 > _MAX_PORT:
+        yield f"[standin] system_vms = {values['system_vms']}: {error}"
+    if not values.get("failure_domains", "any").strip(" ,"):
+        yield f"[standin] failure_domains = {values['failure_domains']}: names none"
+    first = values.get("first_upstream_port", 0)
+    upstreams = values.get("engines", 0) + values.get("plain_services", 0)
+    if first and first + upstreams - 1 > _MAX_PORT:
         yield f"[standin] first_upstream_port = {first}: too high for the upstreams after it"
 
 
--- a/src/fescuedock/standin/vm_list.py
+++ b/src/fescuedock/standin/vm_list.py
@@ -11,11 +11,11 @@
 from fescuedock.platform.vm_list import STATE_LEAVING, ListedVm, VmList
 from fescuedock.standin.listener import Listener
 
-__all__ = ["VmListService"]
+__all__ = ["ListVersion", "VmListService"]
 
 
 @dataclass(frozen=True, slots=True)
-class _Version:
+class ListVersion:
     """The list from one moment on."""
 
     from_s: float
@@ -32,12 +32,12 @@
     unchanged_reads: int = 0
     listener: Listener = field(init=False)
     _vms: dict[str, ListedVm] = field(default_factory=dict)
-    _versions: deque[_Version] = field(default_factory=deque)
+    _versions: deque[ListVersion] = field(default_factory=deque)
     _number: int = 0
 
     def __post_init__(self) -> None:
         self.listener = Listener(self.handle)
-        self._versions.append(_Version(float("-inf"), '"0"', b'{"vms":[]}'))
+        self._versions.append(ListVersion(float("-inf"), '"0"', b'{"vms":[]}'))
 
     @property
     def address(self) -> Address:
@@ -71,14 +71,14 @@
     def _changed(self) -> None:
         self._number += 1
         body = msgspec.json.encode(VmList(self.vms))
-        self._versions.append(_Version(trio.current_time(), f'"{self._number}"', body))
+        self._versions.append(ListVersion(trio.current_time(), f'"{self._number}"', body))
 
     async def handle(self, request: Request, responder: Responder) -> None:
         if (request.method, request.path) != ("GET", "/v1/vms"):
             await responder.send(404)
             return
         self.reads += 1
-        version = self._visible()
+        version = self.shown()
         headers = [("etag", version.etag)]
         if request.headers.get("if-none-match") == version.etag:
             self.unchanged_reads += 1
@@ -86,7 +86,8 @@
             return
         await responder.send(200, version.body, headers)
 
-    def _visible(self) -> _Version:
+    def shown(self) -> ListVersion:
+        """Return what callers see now."""
         seen_until_s = trio.current_time() - self.lag_ms / 1000
         while len(self._versions) > 1 and self._versions[1].from_s <= seen_until_s:
             self._versions.popleft()
