Go on by another owner, queue or the local limit when an owner is silent or refuses

The wait for an owner now grows with the asks under way, a silent owner ends the round and is planned around, the best three may queue, and an answer that gets on is continued up to 12 times.

--- a/src/fescuedock/core/retry.py
+++ b/src/fescuedock/core/retry.py
@@ -18,8 +18,10 @@
     """Bounds of retrying.
 
     ``share`` of recent successes may be retries; ``reserve`` retries are allowed besides while
-    there is little traffic, refilled at ``reserve_per_s``.  A request during which upstreams were
-    lost ``max_losses`` times without giving anything may be what kills them, and is not tried on.
+    there is little traffic, refilled at ``reserve_per_s``.  A request may fail ``max_attempts``
+    times without getting on, and be continued ``max_resumes`` times where it did get on.  One
+    during which upstreams were lost ``max_losses`` times without giving anything may be what kills
+    them, and is not tried on.
     """
 
     share: float = 0.2
@@ -27,6 +29,7 @@
     reserve_per_s: float = 1.0
     max_saved: float = 100.0
     max_attempts: int = 4
+    max_resumes: int = 12
     max_losses: int = 2
     first_wait_ms: float = 10.0
     max_wait_ms: float = 1000.0
@@ -71,6 +74,7 @@
 
     policy: RetryPolicy
     failed: int = 0
+    resumed: int = 0
     losses: int = 0
 
     def note_failure(self, *, upstream_lost: bool, progress: bool) -> None:
@@ -79,9 +83,11 @@
         ``upstream_lost`` says that the upstream went away while it ran the request, ``progress``
         that the request got on by it.
         """
+        if progress:
+            self.resumed += 1
+            return
         self.failed += 1
-        if upstream_lost and not progress:
-            self.losses += 1
+        self.losses += upstream_lost
 
     def next_wait_ms(
         self, budget: RetryBudget, slack_ms: float, now_ms: float, rng: random.Random
@@ -92,10 +98,20 @@
         retry hardly waits, as it goes to another upstream; later ones back off, with full jitter.
         The retry is taken from the ``budget``.
         """
-        if self.failed >= self.policy.max_attempts or self.losses >= self.policy.max_losses:
+        if self._is_exhausted:
             return None
-        bound_ms = min(self.policy.max_wait_ms, self.policy.first_wait_ms * 2 ** (self.failed - 1))
+        bound_ms = self.policy.first_wait_ms * 2 ** max(0, self.failed - 1)
+        bound_ms = min(self.policy.max_wait_ms, bound_ms)
         wait_ms = rng.uniform(0.0, bound_ms)
         if wait_ms > slack_ms or not budget.take(now_ms):
             return None
         return wait_ms
+
+    @property
+    def _is_exhausted(self) -> bool:
+        policy = self.policy
+        return (
+            self.failed >= policy.max_attempts
+            or self.resumed >= policy.max_resumes
+            or self.losses >= policy.max_losses
+        )
--- a/src/fescuedock/core/routing.py
+++ b/src/fescuedock/core/routing.py
@@ -17,6 +17,7 @@
 
 __all__ = [
     "Ask",
+    "AskTimeout",
     "Candidate",
     "Choice",
     "Demand",
@@ -28,6 +29,9 @@
     "plan_asks",
 ]
 
+_AT_ONCE = 2
+_QUEUES = 3
+
 
 @dataclass(frozen=True, slots=True)
 class RoutingPolicy:
@@ -92,6 +96,10 @@
     wait_ms: float = 0.0
     local: bool = False
 
+    @property
+    def queues(self) -> bool:
+        return self.wait_ms > 0
+
 
 def choose_upstreams(
     candidates: Sequence[Candidate],
@@ -129,17 +137,18 @@
     """Return whom to ask, in order, until one grants.
 
     The best two with room are asked for a permit at once; then upstreams whose owners are silent
-    are used directly, within the local limit; then the best queues the request.  When more
+    are used directly, within the local limit; then the best queues the request, or the next ones
+    if its owner refuses to, even one that is silent, which may be no more than slow.  When more
     upstreams than ``max_out_share`` are kept out, the evidence is doubted and they are used too.
     """
     accepting = [item for item in choices if item.accepting]
     doubted = len(accepting) < (1.0 - policy.max_out_share) * len(choices)
     reachable = [item for item in accepting if not item.owner_silent]
-    asks = [Ask(item.upstream_id) for item in reachable if item.has_room][:2]
+    asks = [Ask(item.upstream_id) for item in reachable if item.has_room][:_AT_ONCE]
     asks += [Ask(item.upstream_id, local=True) for item in accepting if item.owner_silent]
     queue_ms = min(slack_ms, policy.queue_ms)
     if queue_ms > 0:
-        asks += [Ask(item.upstream_id, queue_ms) for item in reachable[:1]]
+        asks += [Ask(item.upstream_id, queue_ms) for item in (reachable or accepting)[:_QUEUES]]
     if doubted:
         asks += [Ask(item.upstream_id, local=True) for item in choices if not item.accepting]
     return asks
@@ -187,6 +196,23 @@
     return 0 if item.load is None else item.load.in_flight_online + item.load.queued_online
 
 
+@dataclass(slots=True)
+class AskTimeout:
+    """How long to wait for an owner that should answer at once.
+
+    A process that is busy itself reads answers late, so each ask under way adds ``each_ms``: what
+    handling one request takes, so that a burst here does not look like silence there.
+    """
+
+    base_ms: float = 25.0
+    each_ms: float = 2.0
+    under_way: int = 0
+
+    @property
+    def timeout_ms(self) -> float:
+        return self.base_ms + self.each_ms * self.under_way
+
+
 @dataclass(slots=True)
 class SilentOwners:
     """Owners that did not answer of late, so that only the first request waits for each."""
--- a/src/fescuedock/entry/online_permits.py
+++ b/src/fescuedock/entry/online_permits.py
@@ -1,6 +1,7 @@
 """Finds an upstream for one attempt of an online call and gets the permit for it."""
 
 from collections.abc import Collection
+from dataclasses import dataclass, replace
 from typing import Protocol
 
 from result import Err, Ok, Result
@@ -16,9 +17,7 @@
 
 __all__ = ["OnlineCall", "find_permit"]
 
-# A healthy owner answers in about a millisecond.
-_OWNER_TIMEOUT_MS = 25.0
-_NO_UPSTREAM_RETRY_MS = 1000
+_RETRY_AFTER_MS = 1000
 _SILENCE = (ResultCode.PEER_UNREACHABLE, ResultCode.PEER_UNKNOWN)
 
 
@@ -57,15 +56,13 @@
         choices = _choose(state, call, avoid)
         if not choices:
             message = f"no live upstream serves {call.service!r}"
-            return Err(Fault(ResultCode.NO_UPSTREAM, message, _NO_UPSTREAM_RETRY_MS))
+            return Err(Fault(ResultCode.NO_UPSTREAM, message, _RETRY_AFTER_MS))
         in_time = _check_deadline(state, call, choices)
         if isinstance(in_time, Err):
             return in_time
-        asked_at_ms = now_ms()
-        granted = await _ask_all(state, call, choices)
-        waited_ms = now_ms() - asked_at_ms
-        if isinstance(granted, Ok) or waited_ms < state.routing.queue_ms:
-            return granted
+        answer = await _ask_all(state, call, choices)
+        if not answer.again:
+            return answer.result
 
 
 def _choose(state: OnlineState, call: OnlineCall, avoid: Collection[str]) -> list[Choice]:
@@ -105,20 +102,47 @@
     return state.admission.check_deadline(call.left_ms(), first_token_ms, run_ms)
 
 
-async def _ask_all(
-    state: OnlineState, call: OnlineCall, choices: list[Choice]
-) -> Result[Grant, Fault]:
-    """Ask in the planned order; the refusal that comes back soonest stands for all."""
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    """What came of a round of asks; ``again`` says that it taught enough for another one."""
+
+    result: Result[Grant, Fault]
+    again: bool = False
+
+
+async def _ask_all(state: OnlineState, call: OnlineCall, choices: list[Choice]) -> _Answer:
+    """Ask in the planned order; the refusal that comes back soonest stands for all.
+
+    An owner that turns out to be silent, or one that queued the call in vain, ends the round.
+    """
     run_ms = state.admission.times(call.service).run_ms(call.max_tokens)
     refusal: Fault | None = None
     for ask in plan_asks(choices, call.left_ms() - run_ms, state.routing):
+        started_ms = now_ms()
         granted = await _ask(state, call, ask, run_ms)
         if isinstance(granted, Ok):
-            return granted
+            return _Answer(granted)
+        if _taught(ask, granted.err_value, now_ms() - started_ms):
+            return _Answer(granted, again=True)
         refusal = _kinder(refusal, granted.err_value)
         if refusal.code is ResultCode.MEMBER_OVER_SHARE:
             break
-    return Err(refusal or Fault(ResultCode.NO_CAPACITY, "no time is left to wait for capacity"))
+    return _Answer(Err(_refusal(refusal)))
+
+
+def _taught(ask: Ask, fault: Fault, waited_ms: float) -> bool:
+    """Whether the rest of the round is better planned anew."""
+    if fault.code in _SILENCE:
+        return not ask.queues
+    return ask.queues and waited_ms >= ask.wait_ms
+
+
+def _refusal(fault: Fault | None) -> Fault:
+    """Return the caller's answer: nothing was sent, and it may come back."""
+    if fault is None or fault.code in _SILENCE:
+        why = "no time is left to wait" if fault is None else "no owner answers"
+        return Fault(ResultCode.NO_CAPACITY, f"no capacity: {why}", _RETRY_AFTER_MS)
+    return replace(fault, retry_after_ms=fault.retry_after_ms or _RETRY_AFTER_MS)
 
 
 async def _ask(
@@ -140,7 +164,12 @@
     if ask.local:
         return state.context.permits.ask_local(message)
     started_ms = now_ms()
-    granted = await state.context.permits.ask(message, ask.wait_ms + _OWNER_TIMEOUT_MS)
+    state.ask_timeout.under_way += 1
+    try:
+        timeout_ms = ask.wait_ms + state.ask_timeout.timeout_ms
+        granted = await state.context.permits.ask(message, timeout_ms)
+    finally:
+        state.ask_timeout.under_way -= 1
     _note_answer(state, ask, granted, now_ms() - started_ms)
     return granted
 
--- a/src/fescuedock/entry/online_state.py
+++ b/src/fescuedock/entry/online_state.py
@@ -5,7 +5,13 @@
 
 from fescuedock.core.admission import Admission
 from fescuedock.core.retry import RetryBudget, RetryPolicy
-from fescuedock.core.routing import DomainLatency, PrefillModel, RoutingPolicy, SilentOwners
+from fescuedock.core.routing import (
+    AskTimeout,
+    DomainLatency,
+    PrefillModel,
+    RoutingPolicy,
+    SilentOwners,
+)
 from fescuedock.core.streams import StallPolicy
 from fescuedock.entry.context import EntryContext
 from fescuedock.platform.engine import EngineClient
@@ -30,6 +36,7 @@
     stall: StallPolicy = field(default_factory=StallPolicy)
     admission: Admission = field(default_factory=Admission)
     latency: DomainLatency = field(default_factory=DomainLatency)
+    ask_timeout: AskTimeout = field(default_factory=AskTimeout)
     engines: EngineClient = field(init=False)
     budget: RetryBudget = field(init=False)
     silent: SilentOwners = field(init=False)
--- a/src/fescuedock/entry/online_stream.py
+++ b/src/fescuedock/entry/online_stream.py
@@ -63,6 +63,12 @@
     waiting: bool = True
     since_ms: float = field(default_factory=now_ms)
     stalled: bool = False
+    pause: trio.CancelScope = field(default_factory=trio.CancelScope)
+
+    def expect_within(self, timeout_ms: float) -> None:
+        """Look for a stall after ``timeout_ms`` from now on."""
+        self.timeout_ms = timeout_ms
+        self.pause.cancel()
 
 
 async def relay_stream(
@@ -169,7 +175,7 @@
     def _note_token(self, attempt: Attempt, watch: _Watch, at_ms: float) -> None:
         if not attempt.tokens:
             objectives = self.request.spec.objectives
-            watch.timeout_ms = self.state.stall.timeout_ms(objectives.inter_token_ms)
+            watch.expect_within(self.state.stall.timeout_ms(objectives.inter_token_ms))
             # The caller is being served: from here on only the whole answer's time is bounded.
             end_ms = attempt.started_ms + self.request.spec.request_timeout_ms
             self.scope.deadline = max(self.scope.deadline, end_ms / 1000)
@@ -201,12 +207,11 @@
     """Cancel ``scope`` when its relay has waited for the upstream for too long."""
     while True:
         due_ms = watch.since_ms + watch.timeout_ms
-        if now_ms() < due_ms:
-            await trio.sleep_until(due_ms / 1000)
-        elif watch.waiting:
+        if now_ms() >= due_ms and watch.waiting:
             watch.stalled = True
             scope.cancel()
             return
-        else:
-            # The caller is slow; the write has a timeout of its own.
-            await trio.sleep(watch.timeout_ms / 1000)
+        # While the caller is slow the clock stands still: the write has a timeout of its own.
+        wake_ms = max(due_ms, now_ms() + watch.timeout_ms / 2) if not watch.waiting else due_ms
+        with trio.CancelScope(deadline=wake_ms / 1000) as watch.pause:
+            await trio.sleep_forever()
--- a/tests/builders/online.py
+++ b/tests/builders/online.py
@@ -47,7 +47,19 @@
 from fescuedock.standin.token_text import answer_text
 from fescuedock.store.client import open_store_client
 
-__all__ = ["MODEL", "OnlineFleet", "chat_body", "oracle_text", "open_fleet", "read_stream"]
+__all__ = [
+    "MODEL",
+    "MODEL_SERVICE",
+    "OnlineFleet",
+    "ReadStream",
+    "chat_body",
+    "open_fleet",
+    "oracle_text",
+    "read_stream",
+    "record",
+    "run",
+    "wait_until",
+]
 
 HOST = "127.0.0.1"
 MODEL = "demo-model"
@@ -83,22 +95,22 @@
     def entry(self) -> Address:
         return self.entries[0]
 
-    def show(self, *, leaving: tuple[str, ...] = ()) -> None:
-        """Let the view show every stand-in, those in ``leaving`` as such."""
+    def show(self, *more: UpstreamRecord, leaving: tuple[str, ...] = ()) -> None:
+        """Let the view show every stand-in, those in ``leaving`` as such, and ``more``."""
         self._version += 1
         vm = VmRecord("vm1", "local", _DOMAIN, HOST, 1, VmState.ALIVE)
         if self.owner is not None:
             vm.agent_port = self.owner.address.port
             vm.ready = [Program.AGENT]
         upstreams = [
-            _record(name, item.address, UpstreamKind.ENGINE, MODEL_SERVICE, name in leaving)
+            record(name, item.address, UpstreamKind.ENGINE, MODEL_SERVICE, name in leaving)
             for name, item in self.standins.engines.items()
         ]
         upstreams += [
-            _record(name, item.address, UpstreamKind.PLAIN, PLAIN_SERVICE, name in leaving)
+            record(name, item.address, UpstreamKind.PLAIN, PLAIN_SERVICE, name in leaving)
             for name, item in self.standins.plain.items()
         ]
-        self.view.replace(self._version, [vm], upstreams, 0.0)
+        self.view.replace(self._version, [vm], [*upstreams, *more], 0.0)
 
     async def post(
         self,
@@ -114,8 +126,8 @@
             return response.status, dict(response.headers), await response.read()
 
 
-def _record(
-    name: str, address: Address, kind: UpstreamKind, service: str, leaving: bool
+def record(
+    name: str, address: Address, kind: UpstreamKind, service: str, leaving: bool = False
 ) -> UpstreamRecord:
     return UpstreamRecord(
         name, "local", _DOMAIN, address.host, address.port, kind, service, leaving
@@ -167,15 +179,19 @@
         fleet.show()
         for number in range(entries):
             await nursery.start(_serve_entry, settings, fleet, number)
-        yield fleet
-        await fleet.http.close()
-        nursery.cancel_scope.cancel()
+        try:
+            yield fleet
+        finally:
+            for http in (fleet.http, *(context.http for context in fleet.contexts)):
+                await http.close()
+            nursery.cancel_scope.cancel()
 
 
 async def _serve_owner(
     settings: Settings, view: FleetView, *, task_status: trio.TaskStatus[Owner]
 ) -> None:
-    service = PermitService(settings, view, HttpClient(), random.Random(1))
+    http = HttpClient()
+    service = PermitService(settings, view, http, random.Random(1))
     handlers = service.handlers()
     owner = Owner(service, Address(HOST, 0))
 
@@ -190,6 +206,11 @@
         owner.address = await nursery.start(serve_channel, Address(HOST, 0), codec, handle)
         nursery.start_soon(service.run)
         task_status.started(owner)
+        try:
+            await trio.sleep_forever()
+        finally:
+            with trio.CancelScope(shield=True):
+                await http.close()
 
 
 async def _serve_entry(
@@ -279,6 +300,12 @@
             stream.finish_reasons.append(choice["finish_reason"])
 
 
+async def wait_until(condition: Callable[[], bool]) -> None:
+    """Return once ``condition`` holds; the caller's guard bounds the wait."""
+    while not condition():  # noqa: ASYNC110
+        await trio.sleep(0.002)
+
+
 def run(body: Callable, guard_s: float = 30.0) -> None:
     """Run a test's coroutine function; a guard of real time keeps a fault from hanging it."""
 
--- a/tests/test_online_decisions.py
+++ b/tests/test_online_decisions.py
@@ -101,7 +101,7 @@
 
     def test_the_best_two_then_a_place_in_the_best_queue(self) -> None:
         choices = [Choice(name, 1.0) for name in "abc"]
-        expected = [Ask("a"), Ask("b"), Ask("a", POLICY.queue_ms)]
+        expected = [Ask("a"), Ask("b"), *(Ask(name, POLICY.queue_ms) for name in "abc")]
         self.assertEqual(plan_asks(choices, 5000.0, POLICY), expected)
 
     def test_no_longer_in_a_queue_than_there_is_slack(self) -> None:
@@ -114,7 +114,8 @@
         asks = plan_asks(choices, 5000.0, POLICY)
         self.assertEqual(asks, [Ask("a"), Ask("b", local=True), Ask("a", POLICY.queue_ms)])
         all_silent = [Choice(name, 1.0, owner_silent=True) for name in "ab"]
-        expected = [Ask("a", local=True), Ask("b", local=True)]
+        expected = [Ask(name, local=True) for name in "ab"]
+        expected += [Ask(name, POLICY.queue_ms) for name in "ab"]
         self.assertEqual(plan_asks(all_silent, 5000.0, POLICY), expected)
 
     def test_those_kept_out_are_asked_only_when_they_are_too_many(self) -> None:
@@ -201,8 +202,11 @@
     def test_what_may_kill_upstreams_is_not_tried_on(self) -> None:
         waits = self.waits(RetryPolicy(max_losses=2), 1e9, 2, upstream_lost=True)
         self.assertEqual([wait is None for wait in waits], [False, True])
-        waits = self.waits(RetryPolicy(max_losses=2), 1e9, 2, upstream_lost=True, progress=True)
-        self.assertNotIn(None, waits)
+
+    def test_an_answer_that_gets_on_is_continued_more_often(self) -> None:
+        policy = RetryPolicy(max_losses=2, max_resumes=6)
+        waits = self.waits(policy, 1e9, 6, upstream_lost=True, progress=True)
+        self.assertEqual([wait is None for wait in waits], [False] * 5 + [True])
 
     def test_waits_are_jittered_and_grow(self) -> None:
         policy = RetryPolicy(max_attempts=100, first_wait_ms=10, max_wait_ms=40, reserve=1000)
--- /dev/null
+++ b/tests/test_online_requests.py
@@ -0,0 +1,364 @@
+"""Online requests through a whole entry: real sockets, stand-in engines, a real owner of permits.
+
+Each caller's text is compared with the oracle's, which knows every token of every prompt.
+"""
+
+import random
+import unittest
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import msgspec
+import trio
+
+from fescuedock.net.http_client import ClientResponse, ResponseLostError
+from fescuedock.net.http_server import Request, Responder
+from fescuedock.schema.result_codes import ResultCode
+from fescuedock.schema.view import UpstreamKind
+from tests.builders.net import served
+from tests.builders.online import (
+    MODEL_SERVICE,
+    OnlineFleet,
+    ReadStream,
+    chat_body,
+    open_fleet,
+    oracle_text,
+    read_stream,
+    record,
+    run,
+    wait_until,
+)
+
+CHAT = "/v1/chat/completions"
+LONG = {"max_tokens": 60}
+
+
+@asynccontextmanager
+async def streaming(fleet: OnlineFleet, body: dict) -> AsyncIterator[ClientResponse]:
+    async with fleet.http.request(fleet.entry, "POST", CHAT, [], msgspec.json.encode(body)) as got:
+        yield got
+
+
+async def read_truncated(response: ClientResponse) -> tuple[ReadStream, bool]:
+    """Return what came, and whether the response ended as a whole one."""
+    data = b""
+    try:
+        async for chunk in response.chunks():
+            data += chunk
+    except ResponseLostError:
+        return read_stream(data), False
+    return read_stream(data), True
+
+
+def fault_of(body: bytes) -> dict:
+    return msgspec.json.decode(body)["error"]
+
+
+def serving_engine(fleet: OnlineFleet) -> str:
+    return next(name for name, item in fleet.standins.engines.items() if item.core.load.running)
+
+
+class StreamTest(unittest.TestCase):
+    """Streamed answers through faults."""
+
+    def check_whole(self, data: bytes, body: dict) -> ReadStream:
+        stream = read_stream(data)
+        self.assertEqual(stream.text, oracle_text(body))
+        self.assertTrue(stream.done)
+        self.assertEqual(stream.finish_reasons, ["length"])
+        self.assertEqual(len(stream.identities), 1)
+        return stream
+
+    def test_death_of_the_worker_in_mid_stream_loses_and_doubles_nothing(self) -> None:
+        async def body() -> None:
+            async with open_fleet() as fleet:
+                wanted = chat_body(**LONG)
+                async with streaming(fleet, wanted) as response:
+                    data = b""
+                    died = ""
+                    async for chunk in response.chunks():
+                        data += chunk
+                        if not died and data.count(b"data:") > 5:
+                            died = serving_engine(fleet)
+                            fleet.standins.engines[died].die()
+                self.check_whole(data, wanted)
+                other = next(name for name in fleet.standins.engines if name != died)
+                resumed = fleet.standins.engines[other].stats
+                self.assertLess(resumed.tokens, 60)
+
+        run(body)
+
+    def test_many_callers_through_cuts_and_errors_each_get_their_own(self) -> None:
+        async def body() -> None:
+            async with open_fleet(engines=3) as fleet:
+                for number in range(60):
+                    await self.one_chat(fleet, f"fills the retry budget {number}")
+                rng = random.Random(5)
+                for engine in fleet.standins.engines.values():
+                    engine.faults.cut_after.extend(rng.choice([1, 3, *[99] * 6]) for _ in range(20))
+                    engine.faults.fail_with.append(500)
+                async with trio.open_nursery() as nursery:
+                    for number in range(30):
+                        nursery.start_soon(self.one_chat, fleet, f"caller {number} asks")
+
+        run(body)
+
+    async def one_chat(self, fleet: OnlineFleet, text: str) -> None:
+        wanted = chat_body(text, stream_options={"include_usage": True})
+        status, _, data = await fleet.post(CHAT, wanted)
+        self.assertEqual(status, 200)
+        stream = self.check_whole(data, wanted)
+        self.assertEqual(stream.usage["completion_tokens"], 12)
+
+    def test_an_answer_that_cannot_be_finished_is_visibly_broken(self) -> None:
+        async def body() -> None:
+            async with open_fleet(engines=1) as fleet:
+                fleet.standins.engines["engine-1"].faults.cut_after.extend([1] * 40)
+                async with streaming(fleet, chat_body()) as response:
+                    stream, whole = await read_truncated(response)
+                self.assertFalse(whole)
+                self.assertFalse(stream.done)
+                self.assertTrue(oracle_text(chat_body()).startswith(stream.text))
+                self.assertEqual(stream.error["name"], "UPSTREAM_LOST")
+                self.assertEqual(stream.error["outcome"], "failed")
+                self.assertGreater(stream.error["retry_after_ms"], 0)
+
+        run(body)
+
+    def test_a_hung_worker_is_left_for_another(self) -> None:
+        async def body() -> None:
+            async with open_fleet() as fleet:
+                wanted = chat_body(**LONG)
+                async with streaming(fleet, wanted) as response:
+                    data = b""
+                    frozen = ""
+                    async for chunk in response.chunks():
+                        data += chunk
+                        if not frozen and data.count(b"data:") > 5:
+                            frozen = serving_engine(fleet)
+                            fleet.standins.engines[frozen].freeze()
+                self.check_whole(data, wanted)
+
+        run(body)
+
+    def test_the_callers_disconnect_ends_the_work_upstream(self) -> None:
+        async def body() -> None:
+            async with open_fleet() as fleet:
+                async with streaming(fleet, chat_body(max_tokens=5000)) as response:
+                    await anext(response.chunks())
+                    engine = fleet.standins.engines[serving_engine(fleet)]
+                await wait_until(lambda: engine.stats.cancelled == 1)
+                self.assertFalse(engine.core.load.running)
+                await self.one_chat(fleet, "the entry serves on")
+                await wait_until(lambda: not any(self.in_flight(fleet)))
+
+        run(body)
+
+    def in_flight(self, fleet: OnlineFleet) -> list[int]:
+        book = fleet.owner.service._owner
+        now_ms = trio.current_time() * 1000
+        return [book.load(name, now_ms).in_flight_online for name in fleet.standins.engines]
+
+    def test_a_slow_caller_is_cut_off_and_held_in_bounded_memory(self) -> None:
+        sent_bytes = 0
+        gone = trio.Event()
+        event = b'data: {"choices":[{"text":"%s","finish_reason":null}]}\n\n' % (b"x" * 200_000)
+
+        async def produce(request: Request, responder: Responder) -> None:
+            nonlocal sent_bytes
+            await request.read(10_000)
+            try:
+                async with responder.stream(200, [("content-type", "text/event-stream")]) as out:
+                    while True:
+                        await out.write(event)
+                        sent_bytes += len(event)
+            finally:
+                gone.set()
+
+        async def body() -> None:
+            entry = {"write_timeout_ms": 300}
+            async with open_fleet(engines=0, entry_changes=entry) as fleet, served(produce) as made:
+                fleet.show(record("big", made[1], UpstreamKind.ENGINE, MODEL_SERVICE))
+                async with streaming(fleet, chat_body()):
+                    await gone.wait()
+                # What was not read fits into the sockets' buffers between us.
+                self.assertLess(sent_bytes, 40_000_000)
+
+        run(body)
+
+
+class WholeTest(unittest.TestCase):
+    """Answers in one piece, and errors."""
+
+    def check_text(self, data: bytes, body: dict) -> None:
+        answer = msgspec.json.decode(data)
+        self.assertEqual(answer["choices"][0]["message"]["content"], oracle_text(body))
+
+    def test_death_of_the_worker_gives_the_whole_answer_of_another(self) -> None:
+        async def body() -> None:
+            async with open_fleet() as fleet:
+                wanted = chat_body(stream=False, **LONG)
+
+                async def kill() -> None:
+                    await wait_until(
+                        lambda: any(
+                            item.stats.tokens > 5 for item in fleet.standins.engines.values()
+                        )
+                    )
+                    fleet.standins.engines[serving_engine(fleet)].die()
+
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(kill)
+                    status, _, data = await fleet.post(CHAT, wanted)
+                self.assertEqual(status, 200)
+                self.check_text(data, wanted)
+
+        run(body)
+
+    def test_a_prompt_that_kills_workers_is_given_up_after_two(self) -> None:
+        async def body() -> None:
+            async with open_fleet(engines=4) as fleet:
+                for engine in fleet.standins.engines.values():
+                    engine.faults.restart_ms = 60_000
+                status, _, data = await fleet.post(CHAT, chat_body("[[kills]]", stream=False))
+                self.assertEqual(status, 502)
+                self.assertEqual(fault_of(data)["outcome"], "failed")
+                self.assertEqual(sum(e.deaths for e in fleet.standins.engines.values()), 2)
+
+        run(body)
+
+    def test_what_the_engine_rejects_is_not_retried(self) -> None:
+        async def body() -> None:
+            async with open_fleet() as fleet:
+                for stream in (True, False):
+                    wanted = chat_body("[[impossible]]", stream=stream)
+                    status, _, data = await fleet.post(CHAT, wanted)
+                    self.assertEqual(status, 400)
+                    self.assertEqual(fault_of(data)["name"], "UPSTREAM_REJECTED")
+                    self.assertIn("[[impossible]]", fault_of(data)["message"])
+                self.assertEqual(fleet.owner.asks, 2)
+
+        run(body)
+
+    def test_the_deadline_ends_a_request_at_once(self) -> None:
+        async def body() -> None:
+            async with open_fleet(engines=1) as fleet:
+                fleet.standins.engines["engine-1"].freeze()
+                for stream in (True, False):
+                    started = trio.current_time()
+                    status, headers, data = await fleet.post(
+                        CHAT, chat_body(stream=stream), {"x-deadline-ms": "300"}
+                    )
+                    self.assertEqual((status, fault_of(data)["name"]), (504, "UPSTREAM_TIMEOUT"))
+                    self.assertIn("retry-after", headers)
+                    self.assertGreaterEqual(trio.current_time() - started, 0.299)
+
+        run(body)
+
+    def test_refusals_of_what_cannot_be_read_or_found(self) -> None:
+        async def body() -> None:
+            async with open_fleet(entry_changes={"require_api_key": True}) as fleet:
+                key = {"authorization": "Bearer key-of-escuela"}
+                for headers, wanted, name in [
+                    ({}, chat_body(), "UNAUTHORIZED"),
+                    ({"authorization": "Bearer wrong"}, chat_body(), "UNAUTHORIZED"),
+                    (key, chat_body(model="other"), "UNKNOWN_MODEL"),
+                    (key, b"{", "BAD_REQUEST"),
+                    (key, [1], "BAD_REQUEST"),
+                    ({**key, "x-deadline-ms": "-1"}, chat_body(), "BAD_REQUEST"),
+                ]:
+                    with self.subTest(name=name, headers=headers):
+                        _, _, data = await fleet.post(CHAT, wanted, headers)
+                        self.assertEqual(fault_of(data)["name"], name)
+                        self.assertEqual(fault_of(data)["outcome"], "not_run")
+                status, _, _ = await fleet.post(CHAT, chat_body(), key)
+                self.assertEqual(status, 200)
+
+        run(body)
+
+    def test_a_refused_connection_is_not_run(self) -> None:
+        async def body() -> None:
+            async with open_fleet(engines=1) as fleet:
+                fleet.standins.engines["engine-1"].die()
+                status, headers, data = await fleet.post(CHAT, chat_body())
+                self.assertEqual((status, fault_of(data)["outcome"]), (503, "not_run"))
+                self.assertIn("retry-after-ms", headers)
+                self.assertEqual(fleet.standins.engines["engine-1"].stats.admitted, 0)
+
+        run(body)
+
+    def test_after_a_lost_attempt_no_refusal_says_not_run(self) -> None:
+        async def body() -> None:
+            async with open_fleet(engines=1) as fleet:
+                engine = fleet.standins.engines["engine-1"]
+                engine.faults.restart_ms = 60_000
+                _, _, data = await fleet.post(CHAT, chat_body("[[kills]]"))
+                self.assertEqual(engine.deaths, 1)
+                self.assertEqual(fault_of(data)["outcome"], "failed")
+                self.assertEqual(fault_of(data)["code"], ResultCode.UPSTREAM_LOST)
+
+        run(body)
+
+
+class OwnerTest(unittest.TestCase):
+    """Permits from an owner that answers, is silent, or is gone."""
+
+    def test_silent_owners_do_not_stop_online(self) -> None:
+        async def body() -> None:
+            async with open_fleet() as fleet:
+                fleet.owner.silent = True
+                for _ in range(3):
+                    status, _, data = await fleet.post(CHAT, chat_body())
+                    self.assertEqual(status, 200)
+                    self.assertEqual(read_stream(data).text, oracle_text(chat_body()))
+                # Only the first request waited for the owner, and only once.
+                self.assertEqual(fleet.owner.asks, 1)
+
+        run(body)
+
+    def test_without_an_owner_the_local_limit_holds(self) -> None:
+        async def body() -> None:
+            async with open_fleet(engines=1, permit_changes={"local_limit": 2}) as fleet:
+                fleet.owner.silent = True
+                engine = fleet.standins.engines["engine-1"]
+                async with (
+                    streaming(fleet, chat_body(max_tokens=5000)),
+                    streaming(fleet, chat_body(max_tokens=5000)),
+                ):
+                    await wait_until(lambda: engine.core.load.running == 2)
+                    status, headers, data = await fleet.post(CHAT, chat_body())
+                self.assertEqual((status, fault_of(data)["name"]), (503, "NO_CAPACITY"))
+                self.assertEqual(fault_of(data)["outcome"], "not_run")
+                self.assertIn("retry-after-ms", headers)
+                self.assertEqual(engine.stats.admitted, 2)
+
+        run(body)
+
+    def test_a_leaving_upstream_gets_nothing_new_and_finishes_what_runs(self) -> None:
+        async def body() -> None:
+            async with open_fleet() as fleet:
+                wanted = chat_body(max_tokens=200)
+                async with streaming(fleet, wanted) as response:
+                    chunks = response.chunks()
+                    data = await anext(chunks)
+                    name = serving_engine(fleet)
+                    engine = fleet.standins.engines[name]
+                    fleet.show(leaving=(name,))
+                    for _ in range(10):
+                        status, _, _ = await fleet.post(CHAT, chat_body())
+                        self.assertEqual(status, 200)
+                    async for chunk in chunks:
+                        data += chunk
+                self.assertEqual(engine.stats.admitted, 1)
+                self.assertEqual(read_stream(data).text, oracle_text(wanted))
+
+        run(body)
+
+    def test_no_upstream_is_said_at_once(self) -> None:
+        async def body() -> None:
+            async with open_fleet(engines=0) as fleet:
+                status, headers, data = await fleet.post(CHAT, chat_body())
+                self.assertEqual((status, fault_of(data)["name"]), (503, "NO_UPSTREAM"))
+                self.assertIn("retry-after", headers)
+
+        run(body)
