--- a/src/fescuedock/core/membership/composer.py
+++ b/src/fescuedock/core/membership/composer.py
@@ -52,7 +52,10 @@
     def ack(
         self, receiver: str, address: Address, nonce: int, about: Sequence[VmUpdate] = ()
     ) -> Send:
-        return self._send(address, ProbeAck(self._head(receiver), nonce, []), about)
+        send = self._send(address, ProbeAck(self._head(receiver), nonce, []), about)
+        repeats = self._queue.take_repeats(free_bytes(send.message), self._news)
+        send.message.updates += repeats
+        return send
 
     def request(self, helper: Member, nonce: int, target: str) -> Send:
         message = ProbeRequest(self._head(helper.vm_id), nonce, target, [])
@@ -93,8 +96,7 @@
     ) -> Send:
         _fill(message, about)
         room_bytes = free_bytes(message)
-        fleet_size = len(self._table.present())
-        message.updates += self._queue.take(room_bytes, fleet_size, self._news)
+        message.updates += self._queue.take(room_bytes, self._table.present_count, self._news)
         return Send(address, message)
 
     def _news(self, vm_id: str) -> VmUpdate | None:
--- a/src/fescuedock/core/membership/detection.py
+++ b/src/fescuedock/core/membership/detection.py
@@ -91,7 +91,7 @@
         if now_ms >= self._probe_due_ms:
             self._probe_due_ms = now_ms + self._settings.probe_interval_ms
             actions += self._probe_next(now_ms)
-        if now_ms >= self._bootstrap_due_ms and len(self._table.present()) == 1:
+        if now_ms >= self._bootstrap_due_ms and self._table.present_count == 1:
             self._bootstrap_due_ms = now_ms + self._settings.probe_interval_ms / 5
             for _ in range(_BOOTSTRAP_CONTACTS):
                 actions += self._contact_candidate(now_ms)
@@ -218,7 +218,7 @@
         return []
 
     def _judge(self, member: Member, witnesses: Sequence[str], now_ms: float) -> None:
-        alone = len(self._table.present()) <= 2
+        alone = self._table.present_count <= 2
         if witnesses or alone:
             if self._health.steady:
                 self.accuse(member, [self._vm_id, *witnesses], now_ms)
@@ -244,7 +244,7 @@
 
     def watch(self, member: Member, now_ms: float) -> bool:
         """Begin to count the time a suspected member has; False when that was done before."""
-        duration_ms = suspicion_ms(self._settings, len(self._table.present()))
+        duration_ms = suspicion_ms(self._settings, self._table.present_count)
         return self._suspicions.watch(member, duration_ms, now_ms)
 
     def second_opinion(self, member: Member, now_ms: float) -> list[Action]:
--- a/src/fescuedock/core/membership/gossip.py
+++ b/src/fescuedock/core/membership/gossip.py
@@ -13,7 +13,10 @@
 _DIGEST_BYTES = 16
 # The array around type name and message, the name's own head, and a longer head of the updates.
 _FRAME_BYTES = 8
-_EXTRA_SENDS = 3
+_EXTRA_SENDS = 6
+# In how many acknowledgements news is repeated after that, and of how many VMs at most.
+_REPEATS = 10
+_MAX_RETIRED = 8
 
 _encoder = msgspec.msgpack.Encoder()
 
@@ -32,10 +35,11 @@
 class GossipQueue:
     """The VMs about which there is news, and how often each was passed on."""
 
-    __slots__ = ("_sends",)
+    __slots__ = ("_retired", "_sends")
 
     def __init__(self) -> None:
         self._sends: dict[str, int] = {}
+        self._retired: dict[str, int] = {}
 
     def __len__(self) -> int:
         return len(self._sends)
@@ -43,9 +47,11 @@
     def add(self, vm_id: str) -> None:
         """Spread what is known of ``vm_id``, counting from the beginning."""
         self._sends[vm_id] = 0
+        self._retired.pop(vm_id, None)
 
     def discard(self, vm_id: str) -> None:
         self._sends.pop(vm_id, None)
+        self._retired.pop(vm_id, None)
 
     def take(
         self, room_bytes: int, fleet_size: int, make: Callable[[str], VmUpdate | None]
@@ -69,7 +75,32 @@
             self._count(vm_id, limit)
         return updates
 
+    def take_repeats(
+        self, room_bytes: int, make: Callable[[str], VmUpdate | None]
+    ) -> list[VmUpdate]:
+        """Return news that was passed on often enough, for one who may have missed it.
+
+        A receiver ignores whoever has not yet proved its boot, and asks for proof: what was lost
+        so comes with the answer.
+        """
+        updates: list[VmUpdate] = []
+        for vm_id in reversed(list(self._retired)):
+            update = make(vm_id)
+            size_bytes = 0 if update is None else update_bytes(update)
+            if size_bytes > room_bytes:
+                break
+            if update is not None:
+                room_bytes -= size_bytes
+                updates.append(update)
+            self._retired[vm_id] -= 1
+            if update is None or not self._retired[vm_id]:
+                del self._retired[vm_id]
+        return updates
+
     def _count(self, vm_id: str, limit: int) -> None:
         self._sends[vm_id] += 1
         if self._sends[vm_id] >= limit:
             del self._sends[vm_id]
+            self._retired[vm_id] = _REPEATS
+            if len(self._retired) > _MAX_RETIRED:
+                del self._retired[next(iter(self._retired))]
--- a/src/fescuedock/core/membership/membership.py
+++ b/src/fescuedock/core/membership/membership.py
@@ -141,7 +141,7 @@
         if urgent:
             self._profile_due_ms = now_ms
         elif self._profile_due_ms == float("inf"):
-            delay_ms = _SOFT_DELAY_MS_PER_VM * len(self._table.present())
+            delay_ms = _SOFT_DELAY_MS_PER_VM * self._table.present_count
             self._profile_due_ms = now_ms + self._rng.uniform(0, delay_ms)
 
     def replace_list(self, candidates: Sequence[Candidate], now_ms: float) -> None:
--- a/src/fescuedock/core/membership/suspicion.py
+++ b/src/fescuedock/core/membership/suspicion.py
@@ -30,12 +30,13 @@
     named = set(accusers)
     if vm_id in named:
         return True
-    others = [member for member in table.present() if member.vm_id != vm_id]
-    known = [member for member in others if member.vm_id in named]
+    members = [table.get(name) for name in named]
+    known = [member for member in members if member is not None and not member.gone]
     domains = {member.failure_domain for member in known}
-    all_domains = {member.failure_domain for member in others}
-    return len(known) >= min(_NEEDED_VMS, len(others)) and len(domains) >= min(
-        _NEEDED_DOMAINS, len(all_domains)
+    subject = table.get(vm_id)
+    others = table.present_count - (subject is not None and not subject.gone)
+    return len(known) >= min(_NEEDED_VMS, others) and len(domains) >= min(
+        _NEEDED_DOMAINS, table.count_domains(vm_id)
     )
 
 
@@ -95,7 +96,7 @@
 def removable(table: MemberTable, share: float) -> int:
     """Return how many more members may be dropped on weak evidence at the same time."""
     dropped = sum(member.gone and member.local_only for member in table)
-    present = len(table.present())
+    present = table.present_count
     return max(0, math.floor(share * (present + dropped)) - dropped)
 
 
--- a/src/fescuedock/core/membership/table.py
+++ b/src/fescuedock/core/membership/table.py
@@ -1,5 +1,6 @@
 """What one VM knows of the others: merging of news by precedence, and hashes to compare tables."""
 
+from collections import Counter
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from hashlib import blake2b
@@ -61,10 +62,13 @@
 class MemberTable:
     """Members by identity.  ``revision`` rises with every change of one."""
 
-    __slots__ = ("_hashes", "_members", "revision")
+    __slots__ = ("_domains", "_hashes", "_members", "_present", "revision")
 
     def __init__(self) -> None:
         self._members: dict[str, Member] = {}
+        # Totals over the members that are not gone, kept up as these change.
+        self._present: dict[str, Member] = {}
+        self._domains: Counter[str] = Counter()
         self._hashes = [0] * BUCKETS
         self.revision = 0
 
@@ -76,12 +80,21 @@
 
     def present(self) -> list[Member]:
         """Return the members that are not gone."""
-        return [member for member in self._members.values() if not member.gone]
+        return list(self._present.values())
+
+    @property
+    def present_count(self) -> int:
+        return len(self._present)
+
+    def count_domains(self, without: str) -> int:
+        """Return in how many failure domains there are members besides ``without``."""
+        excluded = self._present.get(without)
+        alone = excluded is not None and self._domains[excluded.failure_domain] == 1
+        return len(self._domains) - alone
 
     def forget(self, vm_id: str) -> None:
         """Drop a member and its history."""
-        member = self._members.pop(vm_id)
-        self._flip_hash(member)
+        self._withdraw(self._members.pop(vm_id))
         self.revision += 1
 
     def apply(self, update: VmUpdate, now_ms: float) -> bool:
@@ -89,9 +102,9 @@
         member = self._members.get(update.vm_id)
         if member is None:
             return self._add(update, now_ms)
-        self._flip_hash(member)
+        self._withdraw(member)
         news = _merge(member, update, now_ms)
-        self._flip_hash(member)
+        self._enter(member)
         self.revision += news
         return news
 
@@ -99,13 +112,13 @@
         self, member: Member, state: MemberState, now_ms: float, *, local_only: bool
     ) -> None:
         """Change a member's state on this VM's own evidence, within its incarnation."""
-        self._flip_hash(member)
+        self._withdraw(member)
         member.state = state
         member.local_only = local_only
         member.changed_at_ms = now_ms
         if state is MemberState.ALIVE:
             member.accusers = ()
-        self._flip_hash(member)
+        self._enter(member)
         self.revision += 1
 
     def add_accusers(self, member: Member, vm_ids: Iterable[str]) -> bool:
@@ -135,14 +148,30 @@
             changed_at_ms=now_ms,
         )
         self._members[update.vm_id] = member
-        self._flip_hash(member)
+        self._enter(member)
         self.revision += 1
         return True
 
-    def _flip_hash(self, member: Member) -> None:
-        """Add a member's hash to its bucket, or take it out again."""
+    def _enter(self, member: Member) -> None:
+        """Count a member in the totals, unless it is gone."""
+        if member.gone:
+            return
+        self._present[member.vm_id] = member
+        self._domains[member.failure_domain] += 1
+        self._flip_hash(member)
+
+    def _withdraw(self, member: Member) -> None:
+        """Take a member out of the totals before it changes."""
         if member.gone:
             return
+        del self._present[member.vm_id]
+        self._domains[member.failure_domain] -= 1
+        if not self._domains[member.failure_domain]:
+            del self._domains[member.failure_domain]
+        self._flip_hash(member)
+
+    def _flip_hash(self, member: Member) -> None:
+        """Add a member's hash to its bucket, or take it out again."""
         leaving = member.state is MemberState.LEAVING
         text = f"{member.vm_id}\0{member.profile_incarnation}\0{leaving:d}"
         digest = blake2b(text.encode(), digest_size=4).digest()
