--- /dev/null
+++ b/tests/builders/batch.py
@@ -0,0 +1,314 @@
+"""A job, its record and stores in memory, and runners whose every call can fail in every way."""
+
+import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from hashlib import sha256
+
+import msgspec
+
+from fescuedock.core.batch.actions import (
+    Action,
+    AppendLog,
+    CleanUp,
+    PutSegment,
+    ReadInput,
+    ReadLog,
+    ReadRecord,
+    StopAttempts,
+    WriteRecord,
+)
+from fescuedock.core.batch.items import AttemptEnd, EndKind, Isolation, Item
+from fescuedock.core.batch.job import JobRun, Moment
+from fescuedock.core.batch.record import (
+    cancel_requested,
+    decode_record,
+    encode_record,
+    is_final,
+)
+from fescuedock.core.segments import item_lines
+from fescuedock.schema.batch import JobManifest, JobRecord, JobState, SegmentRef
+from fescuedock.schema.result_codes import ResultCode
+from fescuedock.schema.settings import BatchSettings
+
+__all__ = ["DONE", "JobWorld", "Runner", "batch_settings", "input_line", "job_record"]
+
+JOB_ID = "batch_1"
+DONE = AttemptEnd(EndKind.DONE, 200, b'{"choices":[]}')
+HOUR_S = 3600
+_WAYS_TO_LOSE = ("before", "after", "after", "late")
+_BAD_ENDS = [kind for kind in EndKind if kind is not EndKind.DONE]
+
+
+def batch_settings(**changes: int) -> BatchSettings:
+    """Return settings for jobs of a few items: groups of 3, input segments of 4."""
+    small = {"port": 0, "group_items": 3, "group_min_items": 2, "manifest_groups": 2}
+    small |= {"segment_items": 4, "mark_items": 2, "item_attempts": 2, "max_items_in_flight": 6}
+    return BatchSettings(**(small | changes))
+
+
+def input_line(number: int) -> bytes:
+    """Return the input line of an item."""
+    body = {"model": "m", "messages": [{"role": "user", "content": f"item {number}"}]}
+    url = "/v1/chat/completions"
+    line = {"custom_id": f"c{number}", "method": "POST", "url": url, "body": body}
+    return msgspec.json.encode(line)
+
+
+def job_record(item_count: int, input_refs: list[SegmentRef], **changes: object) -> JobRecord:
+    """Return the record of a job as it is accepted, due in an hour."""
+    record = JobRecord(
+        job_id=JOB_ID,
+        member="gent",
+        service="trip-desk",
+        endpoint="/v1/chat/completions",
+        content_hash="",
+        state=JobState.RUNNING,
+        epoch=0,
+        created_at_s=0,
+        deadline_s=HOUR_S,
+        item_count=item_count,
+        input=input_refs,
+    )
+    return msgspec.structs.replace(record, **changes)
+
+
+class JobWorld:
+    """The record of one job under compare-and-swap, its segments and its log, with an oracle.
+
+    ``committed`` counts, by item, the committed result lines; ``sent`` the attempts that may have
+    run.  The record is checked at each write that takes effect.
+    """
+
+    def __init__(
+        self, item_count: int, settings: BatchSettings, non_idempotent: bool = False
+    ) -> None:
+        self.settings = settings
+        self.item_count = item_count
+        self.now_ms = 1000.0
+        self.segments: dict[str, bytes] = {}
+        self.log: list[bytes] = []
+        self.kv_down = False
+        self.kv_calls = 0
+        self.open = True
+        self.sent: Counter[int] = Counter()
+        self.committed: Counter[int] = Counter()
+        self.late_writes: list[Callable[[], object]] = []
+        lines = [input_line(number) for number in range(item_count)]
+        step = settings.segment_items
+        chunks = [lines[start : start + step] for start in range(0, item_count, step)]
+        refs = [self.put(b"\n".join([*chunk, b""]), len(chunk)) for chunk in chunks]
+        self.value = encode_record(job_record(item_count, refs, non_idempotent=non_idempotent))
+        self.revision = 1
+
+    @property
+    def record(self) -> JobRecord:
+        return decode_record(self.value)
+
+    @property
+    def moment(self) -> Moment:
+        return Moment(self.now_ms, int(self.now_ms // 1000))
+
+    def put(self, body: bytes, items: int) -> SegmentRef:
+        """Store a segment."""
+        name = sha256(body).hexdigest()
+        self.segments[name] = body
+        return SegmentRef(name, items, len(body), ["store-1", "store-2"])
+
+    def write(self, record: JobRecord, expected_revision: int) -> int | None:
+        """Write the record if it is at ``expected_revision``, and check what it says."""
+        if expected_revision != self.revision:
+            return None
+        before = self.record
+        self.value = encode_record(record)
+        self.revision += 1
+        self._check(before, self.record)
+        return self.revision
+
+    def cancel(self) -> None:
+        """Record a cancel as an entry does."""
+        self.write(cancel_requested(self.record), self.revision)
+
+    def result_lines(self) -> list[dict]:
+        """Return every committed line, as the output and error files have them."""
+        groups = [
+            group
+            for ref in self.record.manifests
+            for group in msgspec.msgpack.decode(
+                self.segments[ref.segment_hash], type=JobManifest
+            ).groups
+        ]
+        groups += self.record.groups
+        lines = []
+        for group in groups:
+            for ref in [*group.outputs, *group.errors]:
+                found = item_lines(self.segments[ref.segment_hash])
+                assert len(found) == ref.items
+                lines += [msgspec.json.decode(line) for line in found]
+            assert group.succeeded == sum(ref.items for ref in group.outputs)
+            assert group.failed == sum(ref.items for ref in group.errors)
+        return lines
+
+    def _check(self, before: JobRecord, after: JobRecord) -> None:
+        assert after.epoch >= before.epoch
+        assert not is_final(before), "a final record was changed"
+        assert after.succeeded >= before.succeeded
+        assert after.failed >= before.failed
+        lines = self.result_lines()
+        committed = Counter(line["item_number"] for line in lines)
+        assert max(committed.values(), default=1) == 1, f"committed twice: {committed}"
+        assert committed >= self.committed, "a committed item is gone"
+        assert all(line["custom_id"] == f"c{line['item_number']}" for line in lines)
+        done = {number for start, end in after.done for number in range(start, end)}
+        assert done == set(committed)
+        assert after.succeeded + after.failed == len(done)
+        if after.state is JobState.COMPLETED:
+            assert len(done) == self.item_count, "items lost"
+        self.committed = committed
+
+
+@dataclass(eq=False)
+class Runner:
+    """One incarnation of a runner with its ``JobRun``; actions wait until ``perform`` is called."""
+
+    world: JobWorld
+    name: str
+    seed: int = 0
+    waiting: list[Action] = field(default_factory=list)
+    flying: list[Item] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.run = JobRun(JOB_ID, self.name, self.world.settings, random.Random(self.seed))
+
+    def poll(self) -> None:
+        """Let the machine decide; stops take effect at once, the rest waits."""
+        for action in self.run.poll(self.world.moment):
+            match action:
+                case StopAttempts():
+                    self.stop_attempts()
+                case CleanUp():
+                    self.world.open = False
+                    self.world.log.clear()
+                case _:
+                    self.waiting.append(action)
+
+    def stop_attempts(self) -> None:
+        for item in list(self.flying):
+            self.end(item, AttemptEnd(EndKind.STOPPED))
+
+    def take(self, upstream_id: str = "u1") -> Item | None:
+        """Start one attempt, if the machine has an item."""
+        item = self.run.take(upstream_id, Isolation.ALONE, self.world.now_ms)
+        if item is not None:
+            self.world.sent[item.number] += 1
+            self.flying.append(item)
+        return item
+
+    def end(self, item: Item, end: AttemptEnd = DONE) -> None:
+        """End one attempt."""
+        self.flying.remove(item)
+        if end.kind in (EndKind.NOT_SENT, EndKind.BUSY):
+            self.world.sent[item.number] -= 1
+        self.run.on_attempt_ended(item, end, self.world.now_ms)
+
+    def perform(self, action: Action, lost: str = "") -> None:
+        """Carry ``action`` out.
+
+        ``lost`` is empty, ``before`` (no effect, no answer), ``after`` (effect, no answer), or
+        ``late`` (no answer, and the effect comes with ``world.late_writes``).
+        """
+        self.waiting.remove(action)
+        match action:
+            case ReadRecord():
+                self._read(lost)
+            case WriteRecord():
+                self._write(action, lost)
+            case PutSegment():
+                self._put(action, lost)
+            case _:
+                self._other(action, lost)
+
+    def _read(self, lost: str) -> None:
+        self.world.kv_calls += 1
+        if self.world.kv_down or lost:
+            self.run.on_kv_failed(ResultCode.KV_UNAVAILABLE, self.world.now_ms)
+        else:
+            self.run.on_record(self.world.record, self.world.revision)
+
+    def _write(self, action: WriteRecord, lost: str) -> None:
+        world = self.world
+        world.kv_calls += 1
+        if world.kv_down:
+            self.run.on_kv_failed(ResultCode.KV_UNAVAILABLE, world.now_ms)
+            return
+        # As bytes: what the machine does to its structs later must not change what was sent.
+        sent = decode_record(encode_record(action.record))
+        if lost == "late":
+            world.late_writes.append(lambda: world.write(sent, action.expected_revision))
+        revision = None
+        if lost in ("", "after"):
+            revision = world.write(sent, action.expected_revision)
+        if revision is not None:
+            assert sent.owner == self.name, f"{self.name} wrote over {sent.owner}"
+        if lost:
+            self.run.on_kv_failed(ResultCode.KV_UNKNOWN, world.now_ms)
+        elif revision is None:
+            self.run.on_kv_failed(ResultCode.KV_CONFLICT, world.now_ms)
+        else:
+            self.run.on_written(revision)
+
+    def _put(self, action: PutSegment, lost: str) -> None:
+        ref = None if lost == "before" else self.world.put(action.body, action.items)
+        if lost or ref is None:
+            self.run.on_segment_failed(action.number, self.world.now_ms)
+        else:
+            self.run.on_segment(action.number, ref)
+
+    def _other(self, action: Action, lost: str) -> None:
+        world, run = self.world, self.run
+        match action:
+            case AppendLog():
+                if lost != "before":
+                    world.log += action.records
+                run.on_logged()
+            case ReadLog():
+                # Both stores' copies of the log come, the second one in another order.
+                for page in (world.log, world.log[::-1]) if not lost else ():
+                    run.on_log_page(page, world.now_ms)
+                run.on_log_end(not lost, world.now_ms)
+            case ReadInput() if lost:
+                run.on_input_failed(world.now_ms)
+            case ReadInput():
+                lines = item_lines(world.segments[action.ref.segment_hash])
+                run.on_input(action.index, lines, world.now_ms)
+
+    def stumble(self, rounds: int, chance: random.Random, faults: float = 0.15) -> None:
+        """Run, with each call and each attempt failing in some way at the rate of ``faults``."""
+        for _ in range(rounds):
+            self.poll()
+            for action in list(self.waiting):
+                if chance.random() < 0.8:
+                    wrong = chance.random() < faults
+                    self.perform(action, chance.choice(_WAYS_TO_LOSE) if wrong else "")
+            while chance.random() < 0.9 and self.take() is not None:
+                pass
+            for item in list(self.flying):
+                if chance.random() < 0.6:
+                    wrong = chance.random() < faults
+                    self.end(item, AttemptEnd(chance.choice(_BAD_ENDS), 500) if wrong else DONE)
+            self.world.now_ms += 250.0
+
+    def work(self, rounds: int = 400, until: Callable[[], bool] = lambda: False) -> None:
+        """Run as a daemon on a healthy platform would, until the job is over here."""
+        for _ in range(rounds):
+            if self.run.over or until():
+                return
+            self.poll()
+            for action in list(self.waiting):
+                self.perform(action)
+            while self.take() is not None:
+                pass
+            for item in list(self.flying):
+                self.end(item)
+            self.world.now_ms += 250.0
--- /dev/null
+++ b/tests/test_batch_stateful.py
@@ -0,0 +1,154 @@
+"""Several runners and one job under every kind of fault, against an oracle of committed items.
+
+``JobWorld`` checks at each write that takes effect: no item committed twice, none gone, no count
+going down, every line readable.  After each example the faults end, a last runner comes, and the
+job must become whole (or, when a cancel was recorded, end).
+"""
+
+import random
+import unittest
+
+from hypothesis import settings, strategies
+from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
+
+from fescuedock.core.batch.items import AttemptEnd, EndKind
+from fescuedock.core.batch.record import is_final
+from fescuedock.schema.batch import JobState
+from tests.builders.batch import DONE, JobWorld, Runner, batch_settings
+
+_ITEMS = 17
+_RUNNERS = 3
+_LOST = strategies.sampled_from(["", "", "", "", "before", "after", "late"])
+_ENDS = strategies.sampled_from(
+    [DONE, DONE, DONE, DONE]
+    + [AttemptEnd(kind, 500, b"{}") for kind in EndKind if kind is not EndKind.DONE]
+)
+_WHICH = strategies.integers(0, 9)
+_ROUNDS = strategies.sampled_from([5, 10, 20, 2])
+_SLOT = strategies.integers(0, _RUNNERS - 1)
+
+
+class BatchMachine(RuleBasedStateMachine):
+    """Rules act on one of a few slots, each with the current incarnation of a runner."""
+
+    @initialize(non_idempotent=strategies.booleans())
+    def accept(self, non_idempotent):
+        self.world = JobWorld(_ITEMS, batch_settings(), non_idempotent)
+        self.non_idempotent = non_idempotent
+        self.incarnations = 0
+        self.runners = [self._new_runner() for _ in range(_RUNNERS)]
+        self.cancelled = False
+        self.runners[0].work(6)
+
+    def _new_runner(self):
+        self.incarnations += 1
+        return Runner(self.world, f"vm-{self.incarnations}/x", self.incarnations)
+
+    @rule(slot=_SLOT, rounds=_ROUNDS)
+    def work(self, slot, rounds):
+        """A stretch without faults of the network; the service may still be down."""
+        self.runners[slot].work(rounds)
+
+    @rule(slot=_SLOT, rounds=_ROUNDS, seed=strategies.integers(0, 999))
+    def stumble(self, slot, rounds, seed):
+        """A stretch in which calls, answers and attempts fail now and then."""
+        self.runners[slot].stumble(rounds, random.Random(seed))
+
+    @rule(slot=_SLOT, rounds=_ROUNDS, seed=strategies.integers(0, 999))
+    def lose_and_take_over(self, slot, rounds, seed):
+        """A runner is lost in the middle of its work and another one comes."""
+        self.runners[slot].stumble(rounds, random.Random(seed))
+        self.runners[slot] = self._new_runner()
+        self.runners[slot].stumble(rounds, random.Random(seed + 1))
+
+    @rule(slot=_SLOT)
+    def poll(self, slot):
+        self.runners[slot].poll()
+
+    @rule(slot=_SLOT, which=_WHICH, lost=_LOST)
+    def perform(self, slot, which, lost):
+        runner = self.runners[slot]
+        if runner.waiting:
+            runner.perform(runner.waiting[which % len(runner.waiting)], lost)
+
+    @rule(slot=_SLOT, count=strategies.integers(1, 4))
+    def start_items(self, slot, count):
+        for _ in range(count):
+            self.runners[slot].take()
+
+    @rule(slot=_SLOT, which=_WHICH, end=_ENDS)
+    def end_item(self, slot, which, end):
+        runner = self.runners[slot]
+        if runner.flying:
+            runner.end(runner.flying[which % len(runner.flying)], end)
+
+    @rule(slot=_SLOT)
+    def kill(self, slot):
+        """The runner is lost with all it holds; another incarnation comes in its place."""
+        self.runners[slot] = self._new_runner()
+
+    @rule(slot=_SLOT)
+    def name_again(self, slot):
+        """A scanner names the job to a runner that had given it up."""
+        if self.runners[slot].run.over:
+            self.runners[slot] = self._new_runner()
+
+    @precondition(lambda self: not self.cancelled)
+    @rule(lucky=strategies.integers(0, 4), pushed=strategies.booleans(), slot=_SLOT)
+    def cancel(self, lucky, pushed, slot):
+        if lucky or self.world.kv_down or is_final(self.world.record):
+            return
+        self.world.cancel()
+        self.cancelled = True
+        if pushed:
+            self.runners[slot].run.on_pushed(True)
+
+    @rule(slot=_SLOT, cancelled=strategies.booleans())
+    def push(self, slot, cancelled):
+        """A push is only a hint: one that is wrong changes nothing."""
+        self.runners[slot].run.on_pushed(cancelled)
+
+    @rule(weight=strategies.integers(0, 3))
+    def switch_kv(self, weight):
+        """The service is up three times out of four."""
+        self.world.kv_down = weight == 0
+
+    @rule()
+    def land_late_writes(self):
+        late, self.world.late_writes = self.world.late_writes, []
+        for write in late:
+            write()
+
+    @rule(pause_ms=strategies.sampled_from([10.0, 500.0, 30000.0]))
+    def pass_time(self, pause_ms):
+        self.world.now_ms += pause_ms
+
+    def teardown(self):
+        if not hasattr(self, "world"):
+            return
+        self.world.kv_down = False
+        self.land_late_writes()
+        final = self._new_runner()
+        final.work()
+        # The others wake up and find that the job is no longer theirs.
+        for runner in self.runners:
+            runner.work(60)
+        self._check_end()
+
+    def _check_end(self):
+        record = self.world.record
+        assert is_final(record), record
+        assert not self.world.open
+        if not self.cancelled:
+            assert record.state is JobState.COMPLETED
+            assert set(self.world.committed) == set(range(_ITEMS))
+        if self.non_idempotent:
+            assert max(self.world.sent.values(), default=0) <= 1, self.world.sent
+
+
+BatchStatefulTest = BatchMachine.TestCase
+BatchStatefulTest.settings = settings(max_examples=200, stateful_step_count=50)
+
+
+if __name__ == "__main__":
+    unittest.main()
