--- a/tests/test_standin_engine.py
+++ b/tests/test_standin_engine.py
@@ -94,7 +94,8 @@
 
     def test_leaving_the_stream_cancels_it(self):
         async def test(bench: EngineBench) -> None:
-            body = chat_body("hello", 5000)
+            # Longer than the test may take, so that it cannot end by itself.
+            body = chat_body("hello", 10_000_000)
             async with bench.client.stream(bench.upstream, CHAT, body, "a") as stream:
                 await anext(stream)
                 self.assertEqual(bench.engine.core.load.running, 1)
