End a streamed answer at [DONE], even when the body does not end

A body that stays open after [DONE] held the answer until the relay took the upstream for stalled. The tail is read for at most 100 ms, to keep the connection.

--- a/src/fescuedock/platform/engine.py
+++ b/src/fescuedock/platform/engine.py
@@ -5,9 +5,10 @@
 """
 
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 
 import msgspec
+import trio
 
 from fescuedock.net.address import Address
 from fescuedock.net.http_client import (
@@ -36,6 +37,7 @@
 _MAX_ANSWER_BYTES = 64 * 1024 * 1024
 _PERMANENT = (400, 413, 422)
 _MAX_EVENT_BYTES = 1024 * 1024
+_TAIL_S = 0.1
 
 
 class EngineError(Exception):
@@ -117,16 +119,26 @@
 
     async def __anext__(self) -> EngineEvent:
         while not self._events:
+            if self.done:
+                await self._read_tail()
+                raise StopAsyncIteration
             try:
                 chunk = await anext(self._response)
             except StopAsyncIteration:
-                if self.done:
-                    raise
                 message = "stream ended before [DONE]"
                 raise ResponseLostError(message, head_received=True) from None
             self._split(chunk)
         return _read_event(self._events.pop())
 
+    async def _read_tail(self) -> None:
+        """Read to the body's end, so that the connection can be used again.
+
+        The answer is whole already: an engine that does not end the body costs a connection.
+        """
+        with trio.move_on_after(_TAIL_S), suppress(ResponseLostError):
+            async for _ in self._response:
+                pass
+
     def _split(self, chunk: bytes) -> None:
         """Take the events that ``chunk`` completes; the last of them comes first."""
         *events, self._rest = (self._rest + chunk).split(_EVENT_END)
--- a/tests/test_standin_engine.py
+++ b/tests/test_standin_engine.py
@@ -32,6 +32,7 @@
 
 CHAT = "/v1/chat/completions"
 TEXT = "/v1/completions"
+EVENT = b'data: {"choices":[{"text":"x"}]}\n\n'
 # A prompt of several cache blocks.
 LONG = "tell me more " * 30
 
@@ -289,12 +290,14 @@
 class EngineStreamTest(unittest.TestCase):
     """Bytes that no well-behaved engine sends."""
 
-    def read_all(self, parts: list[bytes]) -> list[str]:
+    def read_all(self, parts: list[bytes], *, ends: bool = True) -> list[str]:
         async def answer(request: Request, responder: Responder) -> None:
             async with responder.stream(200, []) as stream:
                 for part in parts:
                     await stream.write(part)
                     await trio.testing.wait_all_tasks_blocked(0.005)
+                if not ends:
+                    await trio.sleep_forever()
 
         texts: list[str] = []
 
@@ -325,8 +328,11 @@
         for cut in range(1, len(whole), 7):
             self.assertEqual(self.read_all([whole[:cut], whole[cut:]]), list("0123"))
 
+    def test_a_body_without_an_end_does_not_hold_up_a_whole_answer(self):
+        self.assertEqual(self.read_all([EVENT + b"data: [DONE]\n\n"], ends=False), ["x"])
+
     def test_streams_that_are_not_whole(self):
-        event = b'data: {"choices":[{"text":"x"}]}\n\n'
+        event = EVENT
         for parts, seen in (
             ([event], ["x", "ResponseLostError"]),
             ([event, b"data: [DONE]"], ["x", "ResponseLostError"]),
