--- a/src/fescuedock/batch/context.py
+++ b/src/fescuedock/batch/context.py
@@ -12,6 +12,7 @@
 from fescuedock.core.batch.takeover import RunnerName
 from fescuedock.platform.engine import EngineClient
 from fescuedock.platform.kv import KvStore
+from fescuedock.report.metrics import Metrics
 from fescuedock.settings import Settings
 from fescuedock.store.client import StoreClient
 
@@ -50,6 +51,7 @@
     kv: KvStore
     unix_clock: UnixClock
     scheduler: ItemScheduler
+    metrics: Metrics
     random: random.Random
     signal: WorkSignal = field(default_factory=WorkSignal)
 
--- a/src/fescuedock/batch/dispatch.py
+++ b/src/fescuedock/batch/dispatch.py
@@ -146,7 +146,10 @@
         finally:
             task.attempts.discard(attempt.scope)
         context.scheduler.on_ended(assignment, now_ms())
-        task.run.on_attempt_ended(assignment.item, end, now_ms())
+        code = task.run.on_attempt_ended(assignment.item, end, now_ms())
+        if code is not None:
+            run_ms = now_ms() - attempt.started_ms
+            context.metrics.record_item(upstream.service, task.run.record.member, run_ms, code)
         task.wake()
         context.work_changed()
 
--- a/src/fescuedock/batch/jobs.py
+++ b/src/fescuedock/batch/jobs.py
@@ -32,7 +32,7 @@
 class JobTask:
     """One job that this runner has claimed or is claiming."""
 
-    __slots__ = ("_changed", "_context", "attempts", "run")
+    __slots__ = ("_changed", "_context", "_counted", "attempts", "run")
 
     def __init__(self, context: RunnerContext, run: JobRun) -> None:
         self.run = run
@@ -40,6 +40,8 @@
         self.attempts: set[trio.CancelScope] = set()
         self._context = context
         self._changed = trio.Event()
+        # Whether the metrics have the job.
+        self._counted = False
 
     def wake(self) -> None:
         """Look at the state machine again: something was reported to it."""
@@ -60,10 +62,12 @@
                     else:
                         nursery.start_soon(self._execute, action)
                 self._context.work_changed()
+                self._count(now_ms() >= self.run.deadline_ms)
                 if not self.run.over:
                     await self._wait()
             self.stop_attempts()
             nursery.cancel_scope.cancel()
+        self._count(self.run.completed)
         self._report_end()
         if clean:
             await clean_up(self._context, self.run.job_id)
@@ -73,6 +77,15 @@
         for scope in self.attempts:
             scope.cancel()
 
+    def _count(self, due: bool) -> None:
+        """Count the job once: when it is whole, or when its deadline passes before."""
+        run = self.run
+        if not due or self._counted or not run.epoch:
+            return
+        self._counted = True
+        in_time = run.completed and run.record.finished_at_s <= run.record.deadline_s
+        self._context.metrics.record_job(run.record.service, in_time)
+
     def _moment(self) -> Moment:
         return Moment(now_ms(), self._context.unix_clock())
 
--- a/src/fescuedock/batch/main.py
+++ b/src/fescuedock/batch/main.py
@@ -14,7 +14,7 @@
 from fescuedock.batch.dispatch import Dispatcher
 from fescuedock.batch.runner import Runner
 from fescuedock.batch.scanner import scan_forever
-from fescuedock.clock import now_ms, unix_clock
+from fescuedock.clock import unix_clock
 from fescuedock.core.batch.scheduler import ItemScheduler
 from fescuedock.core.batch.takeover import RunnerName
 from fescuedock.daemon import Stop, run_program
@@ -26,7 +26,9 @@
 from fescuedock.net.http_client import open_http_client
 from fescuedock.platform.engine import EngineClient
 from fescuedock.platform.etcd import EtcdKv
+from fescuedock.report.metrics import Metrics
 from fescuedock.schema.batch import JobCheck, JobCheckReply
+from fescuedock.schema.config import Objectives
 from fescuedock.schema.view import Program
 from fescuedock.settings import Settings
 from fescuedock.store.client import open_store_client
@@ -94,9 +96,16 @@
 ) -> AsyncIterator[RunnerContext]:
     incarnation = token_hex(8)
     name = RunnerName(settings.vm.vm_id, incarnation)
+    holder_id = f"{name.vm_id}/batch/{incarnation}"
+    clock = unix_clock()
+
+    def objectives(service: str) -> Objectives:
+        spec = view.configuration.services.get(service)
+        return spec.objectives if spec else Objectives()
+
     async with (
         open_http_client() as http,
-        open_permit_client(settings, codec, view, f"{name.vm_id}/batch/{incarnation}") as permits,
+        open_permit_client(settings, codec, view, holder_id) as permits,
         open_store_client(codec, view, settings.batch) as stores,
     ):
         yield RunnerContext(
@@ -107,8 +116,9 @@
             stores=stores,
             engine=EngineClient(http),
             kv=EtcdKv(http, settings.platform),
-            unix_clock=unix_clock(),
+            unix_clock=clock,
             scheduler=ItemScheduler(settings.batch),
+            metrics=Metrics(holder_id, clock, objectives),
             random=random.Random(incarnation),
         )
 
@@ -129,7 +139,8 @@
     with trio.move_on_after(timeout_s * (1 - _ITEMS_SHARE)):
         while not all(task.run.saved or task.run.over for task in runner.tasks):
             for task in runner.tasks:
-                task.run.flush(now_ms())
+                if not task.run.in_flight:
+                    task.run.release()
                 task.wake()
             await context.signal.wait(_POLL_MS)
     log_event("jobs_handed_over", jobs=len(runner.tasks))
--- a/src/fescuedock/batch/runner.py
+++ b/src/fescuedock/batch/runner.py
@@ -23,6 +23,7 @@
 from fescuedock.net.channel import ServerPeer
 from fescuedock.net.channel_pool import ChannelPool
 from fescuedock.schema.batch import JobCheck, JobCheckReply, JobPush, JobRecord
+from fescuedock.schema.report import MetricsRequest
 from fescuedock.schema.view import Program, VmRecord
 
 __all__ = ["Runner"]
@@ -66,6 +67,8 @@
                 task = self._tasks.get(message.job_id)
                 running = task is not None and not task.run.over
                 return JobCheckReply(running, str(self._context.name))
+            case MetricsRequest():
+                return self._context.metrics.snapshot()
         return None
 
     def push(self, message: JobPush) -> None:
--- a/src/fescuedock/core/batch/commits.py
+++ b/src/fescuedock/core/batch/commits.py
@@ -50,6 +50,7 @@
         "_random",
         "_retry_at_ms",
         "_revision",
+        "_unmarks",
         "_writing",
         "epoch",
         "ownership",
@@ -71,6 +72,7 @@
         self._retry_at_ms = 0.0
         self._groups: list[CommittedGroup] = []
         self._marks: list[list[int]] = []
+        self._unmarks: list[list[int]] = []
         self._folded: SegmentRef | None = None
         self._forecast: list[JobForecast] | None = None
         self._finish_at_s = 0
@@ -78,7 +80,8 @@
     @property
     def idle(self) -> bool:
         """Whether everything that was added is in the record."""
-        waiting = self._groups or self._marks or self._folded or self._forecast is not None
+        waiting = self._groups or self._marks or self._unmarks or self._folded
+        waiting = waiting or self._forecast is not None
         return not self._busy and not self._must_read and not waiting
 
     @property
@@ -96,6 +99,10 @@
     def add_marks(self, ranges: list[list[int]]) -> None:
         self._marks += ranges
 
+    def remove_marks(self, ranges: list[list[int]]) -> None:
+        """Take back marks of items that were never dispatched and never will be by this owner."""
+        self._unmarks += ranges
+
     def fold(self, manifest: SegmentRef) -> None:
         """Let ``manifest`` take the place of the first ``manifest.items`` groups."""
         self._folded = manifest
@@ -182,6 +189,7 @@
     def _drop_settled(self, record: JobRecord) -> None:
         self._groups = [item for item in self._groups if not holds(record.done, item.ranges[0][0])]
         self._marks = [item for item in self._marks if not holds(record.marked, item[0])]
+        self._unmarks = [item for item in self._unmarks if holds(record.marked, item[0])]
         if self._folded in record.manifests:
             self._folded = None
         if self._forecast == record.forecast:
@@ -191,8 +199,14 @@
         if self.epoch == 0:
             self._asked_epoch = self.record.epoch + 1
             return claimed(self.record, self._owner)
-        change = OwnerChange(self._groups, self._marks, self._folded, self._forecast)
-        change.finished_at_s = self._finish_at_s
+        change = OwnerChange(
+            groups=self._groups,
+            marks=self._marks,
+            unmarks=self._unmarks,
+            folded=self._folded,
+            forecast=self._forecast,
+            finished_at_s=self._finish_at_s,
+        )
         if not change:
             return None
         try:
--- a/src/fescuedock/core/batch/items.py
+++ b/src/fescuedock/core/batch/items.py
@@ -140,6 +140,10 @@
     def next_ready_ms(self) -> float:
         return self._waiting[0][0] if self._waiting else float("inf")
 
+    def waiting_numbers(self) -> list[int]:
+        """Return the items that wait for another attempt."""
+        return [number for _, number, _ in self._waiting]
+
     def holds(self, item: Item) -> bool:
         """Whether ``item`` is in flight."""
         return self._in_flight.get(item.number) is item
--- a/src/fescuedock/core/batch/job.py
+++ b/src/fescuedock/core/batch/job.py
@@ -18,10 +18,10 @@
 from fescuedock.core.batch.forecast import DeadlineWatch
 from fescuedock.core.batch.items import AttemptEnd, EndKind, Isolation, Item, ItemQueue
 from fescuedock.core.batch.marks import MarkGate
-from fescuedock.core.batch.ranges import ItemSet
+from fescuedock.core.batch.ranges import ItemSet, to_ranges
 from fescuedock.core.batch.recovery import LogRecovery
 from fescuedock.core.batch.results import GroupBuilder
-from fescuedock.schema.batch import JobRecord, LoggedResult, SegmentRef
+from fescuedock.schema.batch import JobRecord, JobState, LoggedResult, SegmentRef
 from fescuedock.schema.result_codes import ResultCode
 from fescuedock.schema.settings import BatchSettings
 
@@ -81,6 +81,7 @@
         "_random",
         "_reading_input",
         "_recovery",
+        "_released",
         "_results",
         "_settings",
         "_stop_due",
@@ -115,6 +116,7 @@
         self._input_due_ms = 0.0
         self._judge_due_ms = 0.0
         self._stop_due = False
+        self._released = False
 
     @property
     def record(self) -> JobRecord | None:
@@ -130,6 +132,12 @@
         """Whether this runner has nothing more to do with the job."""
         return self.phase in _ENDS
 
+    @property
+    def completed(self) -> bool:
+        """Whether the job is whole."""
+        record = self.record
+        return record is not None and record.state is JobState.COMPLETED
+
     @property
     def items_left(self) -> int:
         return self._ended.size - len(self._ended)
@@ -179,9 +187,18 @@
             due.append(self._recovery.due_at_ms)
         return min((at_ms for at_ms in due if at_ms > now_ms), default=float("inf"))
 
-    def flush(self, now_ms: float) -> None:
-        """Close the open group now, as before a planned stop."""
-        self._results.seal_due(now_ms, flush=True)
+    def release(self) -> None:
+        """Prepare for a planned stop: start nothing more, and commit what there is.
+
+        Marks of items that were not dispatched are taken back, so that the next owner runs them.
+        To be called when no attempt is in flight any more.
+        """
+        if self._released or self._items is None:
+            return
+        self._released = True
+        if self._gate.ahead:
+            unused = self._gate.unused() + self._items.waiting_numbers()
+            self._commits.remove_marks(to_ranges(unused))
 
     def expect_rate(self, items_per_s: float) -> None:
         """Judge the deadline by this rate until the job has one of its own."""
@@ -202,26 +219,35 @@
         """Take an item to run on ``upstream_id``; answer with ``on_attempt_ended``."""
         if not self._can_start():
             return None
-        return self._items.take(upstream_id, allowed, now_ms, self._fresh_allowed())
+        item = self._items.take(upstream_id, allowed, now_ms, self._fresh_allowed())
+        if item is not None:
+            self._gate.on_dispatched(item.number)
+        return item
 
-    def on_attempt_ended(self, item: Item, end: AttemptEnd, now_ms: float) -> None:
-        """Take the end of an attempt; of a job that is over it changes nothing."""
+    def on_attempt_ended(self, item: Item, end: AttemptEnd, now_ms: float) -> ResultCode | None:
+        """Take the end of an attempt; of a job that is over it changes nothing.
+
+        Returns the item's code when this was its end, else None.
+        """
         if self.over or not self._items.holds(item):
-            return
+            return None
         job_id, number, line = self.job_id, item.number, item.line
         if end.kind is EndKind.DONE:
             self._items.release(number)
             text = succeeded_line(job_id, number, line, end.status, end.body)
             self._end_item(LoggedResult(number, True, text), now_ms)
-        elif end.kind is EndKind.REJECTED:
+            return ResultCode.OK
+        if end.kind is EndKind.REJECTED:
             self._items.release(number)
             text = rejected_line(job_id, number, line, end.status, end.body)
             self._end_item(LoggedResult(number, False, text), now_ms)
-        else:
-            verdict = self._items.on_ended(number, end, now_ms)
-            if verdict is not None:
-                text = failed_line(job_id, number, line, verdict.code, verdict.message)
-                self._end_item(LoggedResult(number, False, text), now_ms)
+            return ResultCode.UPSTREAM_REJECTED
+        verdict = self._items.on_ended(number, end, now_ms)
+        if verdict is None:
+            return None
+        text = failed_line(job_id, number, line, verdict.code, verdict.message)
+        self._end_item(LoggedResult(number, False, text), now_ms)
+        return verdict.code
 
     # Answers.
 
@@ -392,7 +418,7 @@
         raise ValueError(f"job {self.job_id}: its input has {start} items, not {wanted + 1}")
 
     def _ask_marks(self) -> None:
-        if self.phase is JobPhase.RUNNING and self._gate.ahead:
+        if self.phase is JobPhase.RUNNING and self._gate.ahead and not self._released:
             ranges = self._gate.wanted(self._items.fresh_numbers(self._gate.ahead))
             if ranges:
                 self._commits.add_marks(ranges)
@@ -407,7 +433,7 @@
 
     def _must_flush(self) -> bool:
         crowded = self._results.buffered_bytes >= self._settings.buffer_bytes
-        return self.phase is JobPhase.FINISHING or crowded
+        return self.phase is JobPhase.FINISHING or crowded or self._released
 
     def _poll_finish(self, moment: Moment, actions: list[Action]) -> None:
         finishing = self.phase is JobPhase.FINISHING and self.saved
@@ -418,7 +444,7 @@
             self._commits.finish(moment.now_s)
 
     def _can_start(self) -> bool:
-        if self.phase is not JobPhase.RUNNING or self.held:
+        if self.phase is not JobPhase.RUNNING or self.held or self._released:
             return False
         return self._results.buffered_bytes < self._settings.buffer_bytes
 
--- a/src/fescuedock/core/batch/marks.py
+++ b/src/fescuedock/core/batch/marks.py
@@ -26,6 +26,15 @@
         """Return whether a fresh item may be dispatched."""
         return not self._needed or (number < self._ours.size and number in self._ours)
 
+    def on_dispatched(self, number: int) -> None:
+        """Note that a marked item may run from now on."""
+        if self._needed:
+            self._ours.discard(number)
+
+    def unused(self) -> list[int]:
+        """Return the items that are marked and were not dispatched."""
+        return [number for start, end in self._ours.ranges() for number in range(start, end)]
+
     def unresolved(self, start: int, end: int) -> list[int]:
         """Return the items of a half-open range that a former owner had marked."""
         return [number for number in range(start, end) if holds(self._former, number)]
--- a/src/fescuedock/core/batch/record.py
+++ b/src/fescuedock/core/batch/record.py
@@ -39,11 +39,13 @@
     """What a job's owner wants to add to the record in one write.
 
     ``folded`` is a manifest segment that takes the place of the first ``folded.items`` groups.
+    ``unmarks`` are items that were marked and surely not dispatched.
     ``forecast`` of None leaves the forecast as it is.
     """
 
     groups: Sequence[CommittedGroup] = ()
     marks: Sequence[Sequence[int]] = ()
+    unmarks: Sequence[Sequence[int]] = ()
     folded: SegmentRef | None = None
     forecast: list[JobForecast] | None = None
     finished_at_s: int = field(default=0)
@@ -52,6 +54,7 @@
         return bool(
             self.groups
             or self.marks
+            or self.unmarks
             or self.folded
             or self.forecast is not None
             or self.finished_at_s
@@ -86,8 +89,8 @@
         after.groups = [*record.groups, *change.groups]
         after.succeeded += sum(group.succeeded for group in change.groups)
         after.failed += sum(group.failed for group in change.groups)
-    if change.marks:
-        after.marked = ItemSet(record.item_count, [*record.marked, *change.marks]).ranges()
+    if change.marks or change.unmarks:
+        after.marked = _marked(record, change)
     if change.folded is not None:
         after.manifests = [*record.manifests, change.folded]
         after.groups = after.groups[change.folded.items :]
@@ -111,6 +114,14 @@
     )
 
 
+def _marked(record: JobRecord, change: OwnerChange) -> list[list[int]]:
+    marked = ItemSet(record.item_count, [*record.marked, *change.marks])
+    for start, end in change.unmarks:
+        for number in range(start, end):
+            marked.discard(number)
+    return marked.ranges()
+
+
 def _with_groups(record: JobRecord, groups: Sequence[CommittedGroup]) -> list[list[int]]:
     done = ItemSet(record.item_count, record.done)
     for group in groups:
--- a/tests/test_batch_stateful.py
+++ b/tests/test_batch_stateful.py
@@ -87,6 +87,15 @@
         """The runner is lost with all it holds; another incarnation comes in its place."""
         self.runners[slot] = self._new_runner()
 
+    @rule(slot=_SLOT)
+    def stop(self, slot):
+        """A planned stop: no attempt is in flight any more, and unused marks are taken back."""
+        runner = self.runners[slot]
+        runner.stop_attempts()
+        runner.run.release()
+        runner.work(5)
+        self.runners[slot] = self._new_runner()
+
     @rule(slot=_SLOT)
     def name_again(self, slot):
         """A scanner names the job to a runner that had given it up."""
