--- a/src/fescuedock/platform/etcd_watch.py
+++ b/src/fescuedock/platform/etcd_watch.py
@@ -89,7 +89,7 @@
 
 def _request(prefix: str, from_revision: int) -> bytes:
     create = wire.WatchCreate(
-        key=prefix.encode(),
+        key=wire.prefix_start(prefix),
         range_end=wire.prefix_end(prefix),
         start_revision=from_revision,
         progress_notify=True,
