--- a/src/fescuedock/core/membership/detection.py
+++ b/src/fescuedock/core/membership/detection.py
@@ -186,7 +186,7 @@
             return []
         own = self._table.get(self._vm_id)
         known = self._table.get(name)
-        about = [own.update()] if known is None else [known.accusation(), own.update()]
+        about = [own.update()] if known is None else [known.update(), own.update()]
         return self.contact(name, self._listing.get(name).address, about, now_ms)
 
     def _is_absent(self, vm_id: str) -> bool:
@@ -195,7 +195,7 @@
 
     def _probe(self, member: Member, probe: PendingProbe) -> Action:
         # An accused VM must hear of it, to refute.
-        about = [] if member.state is MemberState.ALIVE else [member.accusation()]
+        about = [] if member.state is MemberState.ALIVE else [member.update()]
         return self._composer.probe(member.vm_id, address_of(member), probe.nonce, about)
 
     def _ask_helpers(self, probe: PendingProbe) -> list[Action]:
--- a/src/fescuedock/core/membership/membership.py
+++ b/src/fescuedock/core/membership/membership.py
@@ -186,9 +186,10 @@
         if freshness is Freshness.UNPROVEN and not self._proves(message):
             return self._meet(message, source, now_ms)
         actions: list[Action] = [PeerVersion(head.sender, head.config_version)]
+        self._revive(head.sender, now_ms)
         for update in getattr(message, "updates", ()):
             actions += self._learn(update, now_ms)
-        actions += self._hear_from(head.sender, source, now_ms)
+        actions += self._greet(head.sender, source, now_ms)
         return actions + self._dispatch(message, source, now_ms)
 
     # --- datagrams -----------------------------------------------------------------------------
@@ -231,15 +232,19 @@
                 self._sync.note_reply(message, now_ms)
         return []
 
-    def _hear_from(self, vm_id: str, source: Address, now_ms: float) -> list[Action]:
-        """Use the fact that a VM has just spoken."""
+    def _revive(self, vm_id: str, now_ms: float) -> None:
+        """Drop what this VM alone believed of one that has just spoken."""
         member = self._table.get(vm_id)
-        if member is None or member.gone:
-            about = [self._own().update()] if member is None else [member.accusation()]
-            return self._detector.contact(vm_id, source, about, now_ms)
-        if member.state is MemberState.SUSPECT and member.local_only:
+        if member is not None and member.local_only:
             self._table.set_state(member, MemberState.ALIVE, now_ms, local_only=False)
-        return []
+
+    def _greet(self, vm_id: str, source: Address, now_ms: float) -> list[Action]:
+        """Ask one that has spoken, but is no member, for its record."""
+        member = self._table.get(vm_id)
+        if member is not None and not member.gone:
+            return []
+        about = [self._own().update()] if member is None else [member.update()]
+        return self._detector.contact(vm_id, source, about, now_ms)
 
     # --- news ----------------------------------------------------------------------------------
 
--- a/src/fescuedock/core/membership/table.py
+++ b/src/fescuedock/core/membership/table.py
@@ -40,18 +40,11 @@
 
     def update(self) -> VmUpdate:
         """Return what others may hear: a suspicion of this VM alone is no news for them."""
-        if self.local_only:
-            return self._update(MemberState.ALIVE, ())
-        return self._update(self.state, self.accusers)
-
-    def accusation(self) -> VmUpdate:
-        """Return what the member itself must hear, to refute."""
-        return self._update(self.state, self.accusers)
-
-    def _update(self, state: MemberState, accusers: Iterable[str]) -> VmUpdate:
+        state = MemberState.ALIVE if self.local_only else self.state
+        accusers = [] if self.local_only else list(self.accusers)
         known = self.profile_incarnation == self.incarnation
         profile = self.profile if known else None
-        return VmUpdate(self.vm_id, self.incarnation, state, list(accusers), profile)
+        return VmUpdate(self.vm_id, self.incarnation, state, accusers, profile)
 
 
 def bucket_of(vm_id: str) -> int:
