--- a/src/fescuedock/schema/settings.py
+++ b/src/fescuedock/schema/settings.py
@@ -208,6 +208,41 @@
     port: Annotated[int, Meta(ge=0, le=65535)]
     data_folder: Annotated[str, Meta(min_length=1)]
     max_bytes: Annotated[int, Meta(ge=1048576)] = 10737418240
+    repair_bytes_per_s: Annotated[
+        int,
+        Meta(
+            description="What this store reads at most to copy segments to others and to check its own.",
+            ge=1024,
+        ),
+    ] = 16777216
+    repair_after_ms: Annotated[
+        int,
+        Meta(
+            description="A change of the stores must last this long before segments are copied for it.",
+            ge=0,
+        ),
+    ] = 30000
+    sweep_interval_s: Annotated[
+        int,
+        Meta(
+            description="Between two sweeps of everything; they check content and copies and apply the retention.",
+            ge=1,
+        ),
+    ] = 21600
+    segment_retention_s: Annotated[
+        int,
+        Meta(
+            description="A segment or log goes this long after its last use. It must outlast record_retention_s by the longest completion window.",
+            ge=1,
+        ),
+    ] = 5184000
+    record_retention_s: Annotated[
+        int,
+        Meta(
+            description="Records of files go this long after their creation and those of jobs this long after their end.",
+            ge=1,
+        ),
+    ] = 2592000
 
 
 class PermitSettings(Struct):
@@ -256,6 +291,13 @@
             ge=0,
         ),
     ] = 100
+    recent_half_life_ms: Annotated[
+        int,
+        Meta(
+            description="Time in which the last peak of online is half forgotten, and half its room given to batch.",
+            ge=1,
+        ),
+    ] = 1000
     tail_rise: Annotated[
         float,
         Meta(
@@ -263,6 +305,13 @@
             ge=0.0,
         ),
     ] = 0.1
+    online_reserve: Annotated[
+        float,
+        Meta(
+            description="Further attempts kept free of batch for each that online runs when online_weight is 1.",
+            ge=0.0,
+        ),
+    ] = 1
     batch_start_share: Annotated[
         float,
         Meta(
--- a/src/fescuedock/schema/store.py
+++ b/src/fescuedock/schema/store.py
@@ -31,6 +31,7 @@
 class SegmentReply(WireStruct):
     body: bytes
     code: Annotated[int, Meta(description="A ResultCode.")] = 0
+    kept_since_s: Annotated[int, Meta(description="Unix time from which retention counts.")] = 0
 
 
 class HaveSegments(WireStruct):
