--- a/src/fescuedock/core/batch/job.py
+++ b/src/fescuedock/core/batch/job.py
@@ -9,17 +9,24 @@
 from dataclasses import dataclass
 from enum import StrEnum, auto
 
-import msgspec
-
-from fescuedock.core.batch.actions import Action, AppendLog, CleanUp, ReadInput, StopAttempts
+from fescuedock.core.batch.actions import (
+    Action,
+    CleanUp,
+    PutSegment,
+    ReadInput,
+    ReadLog,
+    StopAttempts,
+)
 from fescuedock.core.batch.answers import failed_line, rejected_line, succeeded_line
 from fescuedock.core.batch.commits import CommitQueue, Ownership
 from fescuedock.core.batch.folding import ManifestFolder
 from fescuedock.core.batch.forecast import DeadlineWatch
+from fescuedock.core.batch.input_reader import InputReader
 from fescuedock.core.batch.items import AttemptEnd, EndKind, Isolation, Item, ItemQueue
 from fescuedock.core.batch.marks import MarkGate
 from fescuedock.core.batch.ranges import ItemSet, to_ranges
 from fescuedock.core.batch.recovery import LogRecovery
+from fescuedock.core.batch.result_log import ResultLog
 from fescuedock.core.batch.results import GroupBuilder
 from fescuedock.schema.batch import JobRecord, JobState, LoggedResult, SegmentRef
 from fescuedock.schema.result_codes import ResultCode
@@ -27,7 +34,6 @@
 
 __all__ = ["JobPhase", "JobRun", "Moment"]
 
-_INPUT_RETRY_MS = 1000.0
 _JUDGE_EVERY_MS = 2000.0
 
 
@@ -72,14 +78,11 @@
         "_ended",
         "_folder",
         "_gate",
-        "_input_due_ms",
+        "_input",
         "_items",
         "_judge_due_ms",
-        "_log_busy",
-        "_log_bytes",
-        "_log_waiting",
+        "_log",
         "_random",
-        "_reading_input",
         "_recovery",
         "_released",
         "_results",
@@ -109,11 +112,8 @@
         self._gate: MarkGate | None = None
         self._recovery: LogRecovery | None = None
         self._watch: DeadlineWatch | None = None
-        self._log_waiting: list[bytes] = []
-        self._log_bytes = 0
-        self._log_busy = False
-        self._reading_input = False
-        self._input_due_ms = 0.0
+        self._log = ResultLog(settings.buffer_bytes)
+        self._input = InputReader([])
         self._judge_due_ms = 0.0
         self._stop_due = False
         self._released = False
@@ -181,7 +181,7 @@
 
     def wake_at_ms(self, now_ms: float) -> float:
         """Return when ``poll`` has something new, if nothing is reported before."""
-        due = [self._results.due_at_ms(), self._input_due_ms, self._folder.due_at_ms]
+        due = [self._results.due_at_ms(), self._input.due_at_ms, self._folder.due_at_ms]
         due += [self._commits.retry_at_ms, self._judge_due_ms]
         if self._recovery is not None:
             due.append(self._recovery.due_at_ms)
@@ -283,7 +283,7 @@
         self._recovery.on_end(complete, now_ms)
 
     def on_logged(self) -> None:
-        self._log_busy = False
+        self._log.on_logged()
 
     def on_segment(self, number: int, ref: SegmentRef) -> None:
         if self._folder.knows(number):
@@ -300,14 +300,13 @@
             self._results.on_segment_failed(number, now_ms)
 
     def on_input(self, index: int, lines: list[bytes], now_ms: float) -> None:
-        self._reading_input = False
-        start = sum(ref.items for ref in self.record.input[:index])
+        self._input.on_read()
+        start = self._input.start_of(index)
         self._end_unresolved(start, lines, now_ms)
         self._items.load(start, lines)
 
     def on_input_failed(self, now_ms: float) -> None:
-        self._reading_input = False
-        self._input_due_ms = now_ms + _INPUT_RETRY_MS
+        self._input.on_failed(now_ms)
 
     # Inside.
 
@@ -347,6 +346,7 @@
         self.phase = JobPhase.RECOVERING
         self._ended = ItemSet(record.item_count, record.done)
         self._items = ItemQueue(self._ended, record.non_idempotent, settings, self._random)
+        self._input = InputReader(record.input)
         self._gate = MarkGate(record, settings.mark_items)
         self._recovery = LogRecovery(needed=record.epoch > 1)
         self._watch = DeadlineWatch(moment.now_ms + left_ms, moment.now_ms)
@@ -365,10 +365,7 @@
             return
         self._results.add(result, now_ms)
         self._watch.on_ended(now_ms)
-        if self._log_bytes < self._settings.buffer_bytes:
-            record = msgspec.msgpack.encode(result)
-            self._log_waiting.append(record)
-            self._log_bytes += len(record)
+        self._log.add(result)
 
     def _after_commit(self) -> None:
         if self._gate is not None and self._commits.ownership is Ownership.OWNED:
@@ -376,46 +373,21 @@
 
     def _poll_work(self, moment: Moment, actions: list[Action]) -> None:
         now_ms = moment.now_ms
-        self._poll_recovery(now_ms, actions)
-        self._poll_log(actions)
-        self._poll_input(now_ms, actions)
         self._ask_marks()
         self._judge_deadline(moment)
         self._results.seal_due(now_ms, self._must_flush())
+        next_ones = (self._next_reading(now_ms), self._log.next_action(), self._next_fold(moment))
+        actions += [action for action in next_ones if action is not None]
         actions += self._results.puts(now_ms)
-        self._poll_finish(moment, actions)
-
-    def _poll_recovery(self, now_ms: float, actions: list[Action]) -> None:
-        if self._results.buffered_bytes > self._settings.buffer_bytes // 2:
-            return
-        read = self._recovery.next_action(now_ms)
-        if read is not None:
-            actions.append(read)
-
-    def _poll_log(self, actions: list[Action]) -> None:
-        if self._log_busy or not self._log_waiting:
-            return
-        self._log_busy = True
-        actions.append(AppendLog(tuple(self._log_waiting)))
-        self._log_waiting.clear()
-        self._log_bytes = 0
 
-    def _poll_input(self, now_ms: float, actions: list[Action]) -> None:
-        if self.phase is not JobPhase.RUNNING or self._reading_input or not self.may_load:
-            return
+    def _next_reading(self, now_ms: float) -> ReadLog | ReadInput | None:
+        if self.phase is JobPhase.RECOVERING:
+            room = self._results.buffered_bytes <= self._settings.buffer_bytes // 2
+            return self._recovery.next_action(now_ms) if room else None
+        if self.phase is not JobPhase.RUNNING or not self.may_load:
+            return None
         wanted = self._items.wanted_item
-        if wanted is None or now_ms < self._input_due_ms:
-            return
-        self._reading_input = True
-        actions.append(self._read_input(wanted))
-
-    def _read_input(self, wanted: int) -> ReadInput:
-        start = 0
-        for index, ref in enumerate(self.record.input):
-            if wanted < start + ref.items:
-                return ReadInput(index, ref)
-            start += ref.items
-        raise ValueError(f"job {self.job_id}: its input has {start} items, not {wanted + 1}")
+        return None if wanted is None else self._input.next_action(wanted, now_ms)
 
     def _ask_marks(self) -> None:
         if self.phase is JobPhase.RUNNING and self._gate.ahead and not self._released:
@@ -435,17 +407,19 @@
         crowded = self._results.buffered_bytes >= self._settings.buffer_bytes
         return self.phase is JobPhase.FINISHING or crowded or self._released
 
-    def _poll_finish(self, moment: Moment, actions: list[Action]) -> None:
+    def _next_fold(self, moment: Moment) -> PutSegment | None:
+        """Return the manifest to be written, if any; at the end also make the record final."""
         finishing = self.phase is JobPhase.FINISHING and self.saved
         put = self._folder.next_action(self.record, finishing, moment.now_ms)
-        if put is not None:
-            actions.append(put)
         if finishing and self._folder.settled(self.record):
             self._commits.finish(moment.now_s)
+        return put
 
     def _can_start(self) -> bool:
         if self.phase is not JobPhase.RUNNING or self.held or self._released:
             return False
+        if self._commits.cancelling:
+            return False
         return self._results.buffered_bytes < self._settings.buffer_bytes
 
     def _fresh_allowed(self) -> bool:
--- a/tests/builders/batch.py
+++ b/tests/builders/batch.py
@@ -283,6 +283,17 @@
                 lines = item_lines(world.segments[action.ref.segment_hash])
                 run.on_input(action.index, lines, world.now_ms)
 
+    def step(self) -> None:
+        """Poll once and carry out all that waits, without a fault."""
+        self.poll()
+        for action in list(self.waiting):
+            self.perform(action)
+
+    def fill(self) -> None:
+        """Start attempts until the machine gives out no more items."""
+        while self.take() is not None:
+            pass
+
     def stumble(self, rounds: int, chance: random.Random, faults: float = 0.15) -> None:
         """Run, with each call and each attempt failing in some way at the rate of ``faults``."""
         for _ in range(rounds):
@@ -304,11 +315,8 @@
         for _ in range(rounds):
             if self.run.over or until():
                 return
-            self.poll()
-            for action in list(self.waiting):
-                self.perform(action)
-            while self.take() is not None:
-                pass
+            self.step()
+            self.fill()
             for item in list(self.flying):
                 self.end(item)
             self.world.now_ms += 250.0
