--- /dev/null
+++ b/bench/lost_answers.py
@@ -0,0 +1,138 @@
+"""What becomes of writes whose answer is lost, by ways of following them up.
+
+    python -m bench.lost_answers
+
+Three writers write one key on top of each other, ten times each; three writes in ten lose an
+answer (before or after their effect, or with the effect coming late).  Virtual time, seeded.
+"""
+
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, fields
+
+import trio
+import trio.testing
+from result import Err, Ok, Result
+
+from fescuedock.faults import Fault
+from fescuedock.platform.kv import KvStore
+from fescuedock.platform.kv_writes import put_resolved
+from fescuedock.schema.result_codes import ResultCode
+from fescuedock.standin.kv_faults import LostAnswer
+from tests.builders.kv import MemoryKv
+
+SEEDS = 300
+WRITES = 10
+KEY = "key"
+
+Put = Callable[[KvStore, str, bytes, int, Callable[[bytes], bool]], Awaitable[Result[int, Fault]]]
+
+
+@dataclass(slots=True)
+class Counts:
+    """What the writers were told, against what happened."""
+
+    writes: int = 0
+    unknown: int = 0
+    said_there_but_not: int = 0
+    said_not_but_there: int = 0
+    calls: int = 0
+
+    def add(self, other: "Counts") -> None:
+        for item in fields(self):
+            setattr(self, item.name, getattr(self, item.name) + getattr(other, item.name))
+
+
+async def give_up(kv, key, value, revision, is_ours):
+    """Take the first answer."""
+    return await kv.put_if(key, value, revision)
+
+
+async def read_once(kv, key, value, revision, is_ours):
+    """After a lost answer look once what is there."""
+    result = await kv.put_if(key, value, revision)
+    if isinstance(result, Ok) or result.err_value.code is not ResultCode.KV_UNKNOWN:
+        return result
+    return await current_value(kv, key, is_ours)
+
+
+async def repeat_and_read(kv, key, value, revision, is_ours):
+    """Repeat until there is an answer; after a conflict look what is there."""
+    while True:
+        result = await kv.put_if(key, value, revision)
+        if isinstance(result, Ok):
+            return result
+        if result.err_value.code is ResultCode.KV_CONFLICT:
+            return await current_value(kv, key, is_ours)
+        await trio.sleep(0.05)
+
+
+async def current_value(kv, key, is_ours) -> Result[int, Fault]:
+    entry = (await kv.get(key)).unwrap()
+    if entry is not None and is_ours(entry.value):
+        return Ok(entry.mod_revision)
+    return Err(Fault(ResultCode.KV_CONFLICT, f"{key} is another's"))
+
+
+def run_seed(put: Put, seed: int) -> Counts:
+    rng = random.Random(seed)
+    kv = MemoryKv()
+    kv.faults.delay_ms = 3
+    written: list[tuple[int, bytes]] = []
+    told: list[tuple[bytes, Result[int, Fault]]] = []
+    kv.state.listeners.append(lambda event: written.append((event.revision, event.entry.value)))
+
+    async def write(name: str) -> None:
+        for number in range(WRITES):
+            found = (await kv.get(KEY)).unwrap()
+            value = f"{name}{number}".encode()
+            if rng.random() < 0.3:
+                kv.faults.lose_answer(rng.choice(list(LostAnswer)), rng.randint(1, 3))
+            revision = found.mod_revision if found else 0
+            result = await put(kv, KEY, value, revision, lambda there, v=value: there == v)
+            told.append((value, result))
+            await trio.sleep(rng.random() * 0.05)
+
+    async def land_late() -> None:
+        while True:
+            await trio.sleep(0.07)
+            kv.land_late_writes()
+
+    async def run() -> None:
+        async with trio.open_nursery() as background:
+            background.start_soon(land_late)
+            async with trio.open_nursery() as writers:
+                for name in "abc":
+                    writers.start_soon(write, name)
+            background.cancel_scope.cancel()
+        kv.land_late_writes()
+
+    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+    return judge(told, written, kv.faults.total_calls)
+
+
+def judge(
+    told: list[tuple[bytes, Result[int, Fault]]], written: list[tuple[int, bytes]], calls: int
+) -> Counts:
+    counts = Counts(writes=len(told), calls=calls)
+    values = {value for _, value in written}
+    for value, result in told:
+        if isinstance(result, Ok):
+            counts.said_there_but_not += (result.ok_value, value) not in written
+        elif result.err_value.code is ResultCode.KV_UNKNOWN:
+            counts.unknown += 1
+        else:
+            counts.said_not_but_there += value in values
+    return counts
+
+
+def main() -> None:
+    for put in (give_up, read_once, repeat_and_read, put_resolved):
+        total = Counts()
+        for seed in range(SEEDS):
+            total.add(run_seed(put, seed))
+        print(f"{put.__name__:16} {total}")
+
+
+if __name__ == "__main__":
+    main()
