Test the scheduler, takeover and answers; mend what that showed

An urgent job got three turns of four from a slack of a quarter on, so the fair turns alone made it late (41 s for a deadline at 30 s in the test); urgency now begins at four tenths. logprobs=1 or True passed for "one text" and was streamed.

--- a/src/fescuedock/core/batch/assembly.py
+++ b/src/fescuedock/core/batch/assembly.py
@@ -5,9 +5,8 @@
 __all__ = ["AnswerAssembly", "can_stream"]
 
 # Requests whose answer is more than one text; they run without a stream and cannot be resumed.
-_WHOLE_ONLY = frozenset(
-    {"n", "logprobs", "top_logprobs", "tools", "functions", "best_of", "echo", "audio", "prompts"}
-)
+_WHOLE_ONLY = ("logprobs", "top_logprobs", "tools", "functions", "echo", "audio")
+_COUNTS = ("n", "best_of")
 _DATA = b"data: "
 
 
@@ -56,9 +55,10 @@
 
 def can_stream(body: dict) -> bool:
     """Return whether an answer to ``body`` can be put together from its stream."""
-    if isinstance(body.get("prompt"), list) and len(body["prompt"]) > 1:
-        return False
-    return not any(body.get(name) not in (None, False, 1, [], {}) for name in _WHOLE_ONLY)
+    prompt = body.get("prompt")
+    several = isinstance(prompt, list) and len(prompt) > 1
+    several = several or any(body.get(name) not in (None, 1) for name in _COUNTS)
+    return not several and not any(body.get(name) for name in _WHOLE_ONLY)
 
 
 class AnswerAssembly:
--- a/src/fescuedock/core/batch/scheduler.py
+++ b/src/fescuedock/core/batch/scheduler.py
@@ -18,9 +18,12 @@
 # Weight of a member among those who wait.
 ShareOf = Callable[[str], float]
 
-# A job is urgent when its slack is below this share of the time to its deadline.
-_URGENT_SHARE = 0.25
+# A job is urgent when its slack is below this share of the time to its deadline.  That must be more
+# than the share of the fair turns, or an urgent job would miss the deadline because of them.
+_URGENT_SHARE = 0.4
 _FAIR_TURN_EVERY = 4
+# A job that would be late by more than this share of the time left cannot make it.
+_HOPELESS_SHARE = 0.1
 # Jobs that may hold a segment of their input in memory.
 _MAX_LOADED_JOBS = 8
 
@@ -175,7 +178,8 @@
 
     def _is_urgent(self, run: JobRun, now_ms: float) -> bool:
         left_ms = run.deadline_ms - now_ms
-        return 0 <= self.slack_ms(run, now_ms) < left_ms * _URGENT_SHARE
+        slack_ms = self.slack_ms(run, now_ms)
+        return -left_ms * _HOPELESS_SHARE <= slack_ms < left_ms * _URGENT_SHARE
 
     def _started(self, run: JobRun, item: Item, share_of: ShareOf) -> None:
         self._count_use(run.record.member, share_of)
--- /dev/null
+++ b/tests/test_batch_decisions.py
@@ -0,0 +1,261 @@
+"""Which job gets a permit, where suspects run, who takes a job over, and the small parts."""
+
+import unittest
+
+import msgspec
+from hypothesis import given, strategies
+
+from fescuedock.core.batch.answers import failed_line, rejected_line, succeeded_line
+from fescuedock.core.batch.assembly import AnswerAssembly, can_stream
+from fescuedock.core.batch.items import AttemptEnd, EndKind, Isolation
+from fescuedock.core.batch.ranges import ItemSet, holds, to_ranges
+from fescuedock.core.batch.scheduler import ItemScheduler
+from fescuedock.core.batch.takeover import (
+    OwnerAnswer,
+    RunnerName,
+    SilenceLog,
+    Verdict,
+    chosen_runner,
+    judge,
+    scans,
+)
+from fescuedock.schema.result_codes import ResultCode
+from fescuedock.schema.view import VmRecord, VmState
+from tests.builders.batch import DONE, JobWorld, Runner, batch_settings, input_line
+
+_NUMBERS = strategies.sets(strategies.integers(0, 199))
+_SERVICE = "trip-desk"
+
+
+def _vm(vm_id: str, domain: str = "gent-hal", state: VmState = VmState.ALIVE) -> VmRecord:
+    return VmRecord(vm_id, "vlaanderen", domain, "127.0.0.1", 1, state, batch_port=7)
+
+
+class _Fleet:
+    """A scheduler with jobs; each has items at hand."""
+
+    def __init__(self) -> None:
+        self.settings = batch_settings(max_items_in_flight=1000, segment_items=200)
+        self.scheduler = ItemScheduler(self.settings)
+        self.runners: dict[str, Runner] = {}
+        self.now_ms = 1000.0
+
+    def add(self, name: str, *, member: str = "gent", items: int = 200, due_s: int = 3600) -> None:
+        world = JobWorld(items, self.settings)
+        record = msgspec.structs.replace(world.record, job_id=name, member=member, deadline_s=due_s)
+        world.value = msgspec.msgpack.encode(record)
+        runner = Runner(world, f"vm/{name}")
+        runner.run.job_id = name
+        for _ in range(4):
+            runner.step()
+        self.runners[name] = runner
+        self.scheduler.add(runner.run)
+
+    def take(self, upstream_id: str = "u1"):
+        return self.scheduler.take(_SERVICE, upstream_id, lambda _member: 1.0, self.now_ms)
+
+    def end(self, assignment, end: AttemptEnd = DONE) -> None:
+        self.scheduler.on_ended(assignment, self.now_ms)
+        assignment.run.on_attempt_ended(assignment.item, end, self.now_ms)
+
+    def served(self, turns: int) -> dict[str, int]:
+        """Run items one after the other; returns how many each job got."""
+        counts = dict.fromkeys(self.runners, 0)
+        for _ in range(turns):
+            assignment = self.take()
+            counts[assignment.run.job_id] += 1
+            self.now_ms += 100.0
+            self.end(assignment)
+        return counts
+
+
+class SchedulerTest(unittest.TestCase):
+    def test_members_take_turns_when_nothing_is_urgent(self):
+        fleet = _Fleet()
+        fleet.add("a1", member="manizales")
+        fleet.add("a2", member="manizales")
+        fleet.add("b", member="vandenbroucke")
+        counts = fleet.served(100)
+        self.assertAlmostEqual(counts["b"], 50, delta=2)
+
+    def test_a_job_with_little_slack_goes_first_but_not_alone(self):
+        fleet = _Fleet()
+        fleet.add("tight", member="a", due_s=26)
+        fleet.add("loose", member="b")
+        fleet.served(30)
+        counts = fleet.served(60)
+        self.assertGreaterEqual(counts["tight"], 40)
+        self.assertGreaterEqual(counts["loose"], 60 // 4 - 1)
+
+    def test_a_job_that_cannot_make_it_does_not_take_others_with_it(self):
+        fleet = _Fleet()
+        fleet.add("hopeless", member="a", due_s=6)
+        fleet.add("feasible", member="b", due_s=30)
+        while fleet.runners["feasible"].run.items_left:
+            fleet.served(1)
+        self.assertLess(fleet.now_ms, 30000.0)
+        self.assertGreater(fleet.runners["hopeless"].run.items_left, 0)
+
+    def test_a_newcomer_does_not_catch_up_on_what_it_never_waited_for(self):
+        fleet = _Fleet()
+        fleet.add("old", member="a")
+        fleet.served(60)
+        fleet.add("new", member="b")
+        counts = fleet.served(40)
+        self.assertAlmostEqual(counts["new"], 20, delta=2)
+
+    def test_nothing_starts_over_the_limit_in_flight(self):
+        fleet = _Fleet()
+        fleet.scheduler = ItemScheduler(batch_settings(max_items_in_flight=3))
+        fleet.add("a")
+        self.assertEqual(sum(fleet.take() is not None for _ in range(9)), 3)
+
+    def test_suspects_run_singly_and_then_alone(self):
+        fleet = _Fleet()
+        fleet.add("a")
+        first, second = fleet.take(), fleet.take()
+        fleet.end(first, AttemptEnd(EndKind.DIED))
+        fleet.end(second, AttemptEnd(EndKind.DIED))
+        fleet.now_ms += 10000.0
+        suspect = fleet.take("u2")
+        self.assertIs(suspect.isolation, Isolation.ONLY_SUSPECT)
+        beside = fleet.take("u2")
+        self.assertIs(beside.isolation, Isolation.NONE, "one suspect for each upstream")
+        fleet.end(suspect, AttemptEnd(EndKind.DIED))
+        self.assertIs(fleet.take("u3").isolation, Isolation.ONLY_SUSPECT)
+
+    def test_a_twofold_suspect_waits_for_an_empty_upstream_and_keeps_it(self):
+        fleet = _Fleet()
+        fleet.settings = batch_settings(max_items_in_flight=99, segment_items=200, item_attempts=4)
+        fleet.add("a")
+        bad = fleet.take("u1")
+        fleet.end(bad, AttemptEnd(EndKind.DIED))
+        fleet.now_ms += 10000.0
+        bad = fleet.take("u2")
+        fleet.end(bad, AttemptEnd(EndKind.DIED))
+        other = fleet.take("u3")
+        fleet.now_ms += 20000.0
+        self.assertIsNone(fleet.take("u3"), "the upstream runs empty for the suspect")
+        fleet.end(other)
+        alone = fleet.take("u3")
+        self.assertIs(alone.item, bad.item)
+        self.assertIs(alone.isolation, Isolation.ALONE)
+        self.assertIsNone(fleet.take("u3"))
+        fleet.end(alone)
+        self.assertIsNotNone(fleet.take("u3"))
+
+
+class TakeoverTest(unittest.TestCase):
+    ME = RunnerName("vm-1", "b")
+
+    def _judge(self, owner, vm, answer=None, silent_ms=0.0) -> Verdict:
+        return judge(owner, self.ME, vm, answer, silent_ms, 10000.0)
+
+    def test_who_is_gone_or_never_was_loses_the_job(self):
+        self.assertIs(self._judge("", None), Verdict.CLAIM)
+        self.assertIs(self._judge("vm-2/a", None), Verdict.CLAIM)
+        self.assertIs(self._judge("vm-1/a", _vm("vm-1")), Verdict.CLAIM)
+
+    def test_a_live_owner_is_asked_and_keeps_what_it_runs(self):
+        vm = _vm("vm-2")
+        self.assertIs(self._judge("vm-2/a", vm), Verdict.ASK_OWNER)
+        self.assertIs(self._judge("vm-2/a", vm, OwnerAnswer.RUNNING), Verdict.LEAVE)
+        self.assertIs(self._judge("vm-2/a", vm, OwnerAnswer.NOT_RUNNING), Verdict.CLAIM)
+
+    def test_silence_counts_after_a_while(self):
+        log = SilenceLog()
+        vm = _vm("vm-2")
+        for now_ms, verdict in (
+            (0.0, Verdict.LEAVE),
+            (9999.0, Verdict.LEAVE),
+            (1e4, Verdict.CLAIM),
+        ):
+            silent_ms = log.silent_ms("job", now_ms)
+            self.assertIs(self._judge("vm-2/a", vm, OwnerAnswer.SILENT, silent_ms), verdict)
+        log.clear("job")
+        self.assertEqual(log.silent_ms("job", 2e4), 0.0)
+
+    def test_each_domain_has_its_scanners_whatever_the_fleet(self):
+        vms = [_vm(f"vm-{number}", f"domain-{number % 3}") for number in range(9)]
+        chosen = [vm for vm in vms if scans(vm.vm_id, vms, 1)]
+        self.assertEqual({vm.failure_domain for vm in chosen}, {vm.failure_domain for vm in vms})
+        self.assertEqual(len(chosen), 3)
+        self.assertEqual(sum(scans(vm.vm_id, vms, 2) for vm in vms), 6)
+
+    def test_a_job_moves_only_when_its_runner_goes(self):
+        vms = [_vm(f"vm-{number}") for number in range(9)]
+        for job in range(50):
+            chosen = chosen_runner(f"job-{job}", vms)
+            rest = [vm for vm in vms if vm is not vms[job % 9]]
+            if chosen is not vms[job % 9]:
+                self.assertIs(chosen_runner(f"job-{job}", rest), chosen)
+
+
+class ItemSetTest(unittest.TestCase):
+    @given(_NUMBERS, _NUMBERS)
+    def test_it_is_a_set_of_numbers(self, first, second):
+        items = ItemSet(200, to_ranges(first))
+        for number in second:
+            self.assertEqual(items.add(number), number not in first)
+        union = first | second
+        self.assertEqual(len(items), len(union))
+        self.assertEqual(items.ranges(), to_ranges(union))
+        for number in range(200):
+            self.assertEqual(number in items, number in union)
+            self.assertEqual(holds(items.ranges(), number), number in union)
+            missing = next((item for item in range(number, 200) if item not in union), 200)
+            self.assertEqual(items.next_missing(number), missing)
+
+
+class AnswerTest(unittest.TestCase):
+    def test_a_result_line_is_one_line_in_the_shape_of_openai(self):
+        body = b'{"a":\n [1,\n 2]}'
+        line = succeeded_line("batch_1", 3, input_line(3), 200, body)
+        self.assertNotIn(b"\n", line)
+        decoded = msgspec.json.decode(line)
+        self.assertEqual(decoded["custom_id"], "c3")
+        self.assertEqual(decoded["response"]["body"], {"a": [1, 2]})
+        self.assertIsNone(decoded["error"])
+
+    def test_an_error_says_what_may_be_concluded(self):
+        line = failed_line("batch_1", 3, input_line(3), ResultCode.ITEM_UNKNOWN, "lost")
+        error = msgspec.json.decode(line)["error"]
+        self.assertEqual((error["number"], error["outcome"]), (ResultCode.ITEM_UNKNOWN, "unknown"))
+
+    def test_a_body_that_is_not_json_is_kept_as_text(self):
+        line = rejected_line("batch_1", 3, input_line(3), 400, b"<html>\n\xff")
+        self.assertEqual(msgspec.json.decode(line)["response"]["body"], "<html>\n\ufffd")
+
+    def test_a_streamed_answer_becomes_a_whole_one_after_a_resume(self):
+        answer = AnswerAssembly(chat=True, text="Dear ", tokens=1)
+        head = {"id": "x", "created": 5, "model": "m"}
+        token = {**head, "choices": [{"delta": {"content": "all"}, "finish_reason": None}]}
+        end = {**head, "choices": [{"delta": {}, "finish_reason": "stop"}]}
+        usage = {**head, "choices": [], "usage": {"total_tokens": 9}}
+        for document, text, finished in (
+            (token, "all", False),
+            (end, "", True),
+            (usage, "", False),
+        ):
+            answer.add(b"data: " + msgspec.json.encode(document) + b"\n\n", text, finished)
+        body = msgspec.json.decode(answer.body())
+        self.assertEqual(answer.tokens, 2)
+        self.assertEqual(body["choices"][0]["message"]["content"], "Dear all")
+        self.assertEqual(body["choices"][0]["finish_reason"], "stop")
+        self.assertEqual(body["usage"], {"total_tokens": 9})
+        self.assertEqual(body["object"], "chat.completion")
+
+    def test_only_an_answer_of_one_text_is_streamed(self):
+        self.assertTrue(can_stream({"n": 1, "prompt": ["one"], "logprobs": None}))
+        for body in (
+            {"n": 2},
+            {"tools": [{}]},
+            {"prompt": ["one", "two"]},
+            {"logprobs": True},
+            {"logprobs": 1},
+        ):
+            self.assertFalse(can_stream(body), body)
+
+
+if __name__ == "__main__":
+    unittest.main()
