--- a/src/fescuedock/core/routing.py
+++ b/src/fescuedock/core/routing.py
@@ -53,12 +53,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Candidate:
-    """An upstream that may be asked.  ``load`` is None when nothing fresh is known."""
+    """An upstream that may be asked.
+
+    ``load`` is None when nothing fresh is known; ``avoided`` says that it has failed this request.
+    """
 
     upstream_id: str
     latency_ms: float
     load: LoadSnapshot | None
     owner_silent: bool = False
+    avoided: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,9 +114,9 @@
 ) -> list[Choice]:
     """Return the candidates from the best to the worst.
 
-    ``token_ms`` is the time that prefill takes for a prompt token.  Upstreams that are not
-    accepting, or whose owner is silent, come last.  The order among near equals is random, so
-    that entries which know the same do not all choose the same.
+    ``token_ms`` is the time that prefill takes for a prompt token.  Last come upstreams that have
+    failed the request, whose owner is silent, or that are not accepting.  The order among near
+    equals is random, so that entries which know the same do not all choose the same.
     """
     if not candidates:
         return []
@@ -160,8 +164,10 @@
 
 def _last_resort(item: Candidate) -> int:
     if not _is_accepting(item):
+        return 3
+    if item.owner_silent:
         return 2
-    return 1 if item.owner_silent else 0
+    return 1 if item.avoided else 0
 
 
 def _has_room(item: Candidate) -> bool:
--- a/src/fescuedock/entry/online_permits.py
+++ b/src/fescuedock/entry/online_permits.py
@@ -74,17 +74,17 @@
         if not item.leaving
         and not (item.upstream_id in policies and policies[item.upstream_id].drain)
     ]
-    others = [item for item in usable if item.upstream_id not in avoid]
-    candidates = [_candidate(state, item) for item in others or usable]
+    candidates = [_candidate(state, item, item.upstream_id in avoid) for item in usable]
     token_ms = state.prefill(call.service).token_ms
     return choose_upstreams(candidates, call.demand, token_ms, state.routing, state.rng)
 
 
-def _candidate(state: OnlineState, upstream: UpstreamRecord) -> Candidate:
+def _candidate(state: OnlineState, upstream: UpstreamRecord, avoided: bool) -> Candidate:
     owner = state.context.view.owner_of(upstream.upstream_id)
     silent = owner is None or state.silent.is_silent(owner.vm_id, now_ms())
     latency_ms = state.latency.one_way_ms(upstream.failure_domain)
-    return Candidate(upstream.upstream_id, latency_ms, _fresh_load(state, upstream), silent)
+    load = _fresh_load(state, upstream)
+    return Candidate(upstream.upstream_id, latency_ms, load, silent, avoided)
 
 
 def _fresh_load(state: OnlineState, upstream: UpstreamRecord) -> LoadSnapshot | None:
--- a/tests/test_online_decisions.py
+++ b/tests/test_online_decisions.py
@@ -68,6 +68,10 @@
             choose(out, silent, full, candidate("free")), ["free", "full", "silent", "out"]
         )
 
+    def test_an_upstream_that_failed_the_request_comes_after_the_others(self) -> None:
+        failed = Candidate("failed", 1.0, load("failed", first_token_ms=1.0), avoided=True)
+        self.assertEqual(choose(failed, candidate("other")), ["other", "failed"])
+
     def test_batch_work_in_flight_takes_no_room_from_online(self) -> None:
         busy = candidate("busy", in_flight_batch=10, first_token_ms=10.0)
         self.assertEqual(choose(busy, candidate("idle"))[0], "busy")
