--- a/src/fescuedock/core/job_keys.py
+++ b/src/fescuedock/core/job_keys.py
@@ -13,9 +13,11 @@
     "file_prefix",
     "job_key",
     "job_prefix",
+    "member_job_created_s",
     "member_job_id",
     "member_job_key",
     "member_job_prefix",
+    "member_jobs_prefix",
     "open_job_key",
     "open_jobs_prefix",
 ]
@@ -50,9 +52,14 @@
     return f"{open_jobs_prefix(key_prefix)}{bucket_of(job_id):02x}/{job_id}"
 
 
+def member_jobs_prefix(key_prefix: str) -> str:
+    """Return what the keys of the lists of all members' jobs begin with."""
+    return f"{key_prefix}member-jobs/"
+
+
 def member_job_prefix(key_prefix: str, member: str) -> str:
     """Return what the keys of a member's jobs begin with, youngest first."""
-    return f"{key_prefix}member-jobs/{quote(member, safe='')}/"
+    return f"{member_jobs_prefix(key_prefix)}{quote(member, safe='')}/"
 
 
 def member_job_key(key_prefix: str, member: str, created_at_s: int, job_id: str) -> str:
@@ -66,6 +73,11 @@
     return key.rpartition("/")[2].partition("-")[2]
 
 
+def member_job_created_s(key: str) -> int:
+    """Return the time of creation, in Unix seconds, that a key of ``member_job_key`` holds."""
+    return _LAST_SECOND - int(key.rpartition("/")[2].partition("-")[0])
+
+
 def file_prefix(key_prefix: str, member: str = "") -> str:
     """Return what the keys of a member's files begin with, or of all without a ``member``."""
     return f"{key_prefix}files/{quote(member, safe='')}/" if member else f"{key_prefix}files/"
--- a/src/fescuedock/entry/job_records.py
+++ b/src/fescuedock/entry/job_records.py
@@ -6,10 +6,14 @@
 
 from dataclasses import dataclass
 
-import msgspec
 from result import Err, Ok, Result
 
-from fescuedock.core.batch.record import cancel_requested, is_final
+from fescuedock.core.batch.record import (
+    cancel_requested,
+    decode_record,
+    encode_record,
+    is_final,
+)
 from fescuedock.core.job_keys import (
     job_key,
     member_job_id,
@@ -61,7 +65,7 @@
     entry = found.ok_value
     if entry is None:
         return Ok(None)
-    return Ok(StoredJob(msgspec.msgpack.decode(entry.value, type=JobRecord), entry.mod_revision))
+    return Ok(StoredJob(decode_record(entry.value), entry.mod_revision))
 
 
 async def read_job(context: EntryContext, member: str, job_id: str) -> Result[StoredJob, Fault]:
@@ -77,7 +81,7 @@
 async def create_job(context: EntryContext, record: JobRecord) -> Result[JobRecord, Fault]:
     """Create the record, or return the one that is there already under this identity."""
     key = job_key(_prefix(context), record.job_id)
-    value = msgspec.msgpack.encode(record)
+    value = encode_record(record)
     written = await put_resolved(context.kv, key, value, 0, lambda found: found == value)
     if isinstance(written, Ok):
         return Ok(record)
@@ -151,7 +155,7 @@
 
 async def _replace(context: EntryContext, record: JobRecord, revision: int) -> Result[int, Fault]:
     key = job_key(_prefix(context), record.job_id)
-    value = msgspec.msgpack.encode(record)
+    value = encode_record(record)
     return await put_resolved(context.kv, key, value, revision, lambda found: found == value)
 
 
--- a/src/fescuedock/store/client.py
+++ b/src/fescuedock/store/client.py
@@ -88,7 +88,7 @@
         ``STORES_UNAVAILABLE`` when none of those that answered has a whole copy.
         """
         for vm in self._read_order(ref):
-            reply = await self._call(vm, GetSegment(segment_hash=ref.segment_hash))
+            reply = await self.call(vm, GetSegment(segment_hash=ref.segment_hash))
             if not isinstance(reply, SegmentReply) or reply.code != ResultCode.OK:
                 continue
             if sha256(reply.body).hexdigest() == ref.segment_hash:
@@ -108,7 +108,7 @@
         holders: dict[str, list[VmRecord]] = {segment_hash: [] for segment_hash in hashes}
 
         async def ask(vm: VmRecord) -> None:
-            reply = await self._call(vm, HaveSegments(segment_hashes=hashes, renew=renew))
+            reply = await self.call(vm, HaveSegments(segment_hashes=hashes, renew=renew))
             if isinstance(reply, HaveSegmentsReply):
                 for segment_hash in set(hashes).difference(reply.missing):
                     holders[segment_hash].append(vm)
@@ -145,13 +145,13 @@
         """Delete the job's log on every reachable store; what remains expires by retention."""
         async with trio.open_nursery() as nursery:
             for vm in self._stores():
-                nursery.start_soon(self._call, vm, DropLog(job_id=job_id))
+                nursery.start_soon(self.call, vm, DropLog(job_id=job_id))
 
     async def _read_log_of(self, vm: VmRecord, job_id: str, take: TakeRecords) -> bool:
         offset_bytes = 0
         while True:
             page = ReadLog(job_id=job_id, offset_bytes=offset_bytes, limit_bytes=_PAGE_BYTES)
-            reply = await self._call(vm, page)
+            reply = await self.call(vm, page)
             if not isinstance(reply, LogReply) or reply.code != ResultCode.OK:
                 return False
             if not reply.records:
@@ -188,7 +188,7 @@
         async with trio.open_nursery() as nursery:
 
             async def ask(site: StoreSite) -> None:
-                reply = await self._call(vms[site.vm_id], message)
+                reply = await self.call(vms[site.vm_id], message)
                 code = reply.code if isinstance(reply, StoreReply) else ResultCode.PEER_UNKNOWN
                 if code == ResultCode.OK:
                     plan.written(site)
@@ -208,7 +208,7 @@
 
             proceed()
 
-    async def _call(self, vm: VmRecord, message: msgspec.Struct) -> msgspec.Struct | None:
+    async def call(self, vm: VmRecord, message: msgspec.Struct) -> msgspec.Struct | None:
         """Return the store's answer; None when there is none in time."""
         address = Address(vm.host, vm.store_port)
         client = await self.channels.client(address)
--- a/src/fescuedock/store/main.py
+++ b/src/fescuedock/store/main.py
@@ -1,5 +1,7 @@
 """The program ``fescuedock-store``: keeps segments and result logs on this VM's disk."""
 
+from collections.abc import Callable
+from dataclasses import dataclass, field
 from pathlib import Path
 
 import trio
@@ -8,13 +10,18 @@
 from fescuedock.agent.link import open_agent_link
 from fescuedock.clock import unix_clock
 from fescuedock.daemon import Stop, run_program
-from fescuedock.log import log_event
 from fescuedock.net.address import Address
 from fescuedock.net.channel import serve_channel
+from fescuedock.net.http_client import HttpClient
+from fescuedock.platform.etcd import EtcdKv
+from fescuedock.schema.settings import StoreSettings
 from fescuedock.schema.view import Program
 from fescuedock.settings import Settings
+from fescuedock.store.client import open_store_client
 from fescuedock.store.disk import Disk, OsDisk
 from fescuedock.store.logs import LogFolder
+from fescuedock.store.repair import Repair
+from fescuedock.store.retention import RecordRetention
 from fescuedock.store.segments import SegmentFolder, Usage
 from fescuedock.store.service import store_handler
 
@@ -32,25 +39,34 @@
     task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve until ``stop``; ``OSError`` when the data folder cannot be opened."""
-    if settings.store is None:
-        raise ValueError("the settings lack section [store]")
+    if settings.store is None or settings.batch is None:
+        raise ValueError("the settings lack section [store] or [batch]")
     codec = open_codec(settings.vm)
-    usage = Usage(settings.store.max_bytes)
-    folder = Path(settings.store.data_folder)
-    disk = OsDisk() if disk is None else disk
-    segments = SegmentFolder(disk, folder, usage, _report_damage)
-    logs = LogFolder(disk, folder, usage)
-    disk.make_folder(folder)
-    segments.open()
-    logs.open()
-    handler = store_handler(segments, logs, usage, unix_clock())
+    clock = unix_clock()
+    folders = _open_folders(settings.store, OsDisk() if disk is None else disk)
+    handler = store_handler(folders.segments, folders.logs, folders.usage, clock)
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(logs.run)
+        nursery.start_soon(folders.logs.run)
         listen = Address(settings.vm.host, settings.store.port)
         address = await nursery.start(serve_channel, listen, codec, handler)
-        async with open_agent_link(
-            settings, codec, Program.STORE, address.port, lambda: not stop.requested
-        ) as (link, _view):
+        async with (
+            open_agent_link(
+                settings, codec, Program.STORE, address.port, lambda: not stop.requested
+            ) as (link, view),
+            open_store_client(codec, view, settings.batch) as client,
+        ):
+            repair = Repair(
+                segments=folders.segments,
+                logs=folders.logs,
+                records=_record_retention(settings),
+                client=client,
+                view=view,
+                settings=settings.store,
+                batch=settings.batch,
+                unix_clock=clock,
+            )
+            folders.on_damage = repair.on_damage
+            nursery.start_soon(repair.run)
             task_status.started(address)
             await stop.wait()
             await link.hello()
@@ -58,10 +74,37 @@
         nursery.cancel_scope.cancel()
 
 
-def _report_damage(segment_hash: str) -> None:
-    log_event("segment_damaged", segment_hash=segment_hash)
+@dataclass(slots=True)
+class _Folders:
+    """What is on the disk; damage is reported to ``on_damage`` once there is somebody to act."""
+
+    usage: Usage
+    segments: SegmentFolder = field(init=False)
+    logs: LogFolder = field(init=False)
+    on_damage: Callable[[str], None] = lambda segment_hash: None
+
+
+def _open_folders(settings: StoreSettings, disk: Disk) -> _Folders:
+    folder = Path(settings.data_folder)
+    folders = _Folders(Usage(settings.max_bytes))
+    folders.segments = SegmentFolder(
+        disk, folder, folders.usage, lambda segment_hash: folders.on_damage(segment_hash)
+    )
+    folders.logs = LogFolder(disk, folder, folders.usage)
+    disk.make_folder(folder)
+    folders.segments.open()
+    folders.logs.open()
+    return folders
+
+
+def _record_retention(settings: Settings) -> RecordRetention:
+    return RecordRetention(
+        kv=EtcdKv(HttpClient(), settings.platform),
+        key_prefix=settings.platform.key_prefix,
+        retention_s=settings.store.record_retention_s,
+    )
 
 
 def main() -> None:
     """Run the program from the command line."""
-    run_program("store", run_store, sections=("store", "agent"))
+    run_program("store", run_store, sections=("store", "agent", "batch"))
--- /dev/null
+++ b/src/fescuedock/store/repair.py
@@ -0,0 +1,226 @@
+"""Keeps up the copies of what this store holds, at a bounded rate.
+
+A sweep asks the other stores which of this store's segments they hold and copies what is short.  It
+follows a lasting change of the stores, and runs at the interval of the settings, then also checking
+the content of every segment.  A damaged segment is fetched from another store at once.
+"""
+
+from collections.abc import Iterable, Iterator, Sequence
+from dataclasses import dataclass, field
+from hashlib import sha256
+from itertools import islice
+
+import trio
+from result import Err
+
+from fescuedock.agent.link import FleetView
+from fescuedock.clock import UnixClock, now_ms
+from fescuedock.core.repair import Pace, Shortage, StableSites, find_shortages, is_responsible
+from fescuedock.core.store_placement import StoreSite
+from fescuedock.log import log_event
+from fescuedock.schema.result_codes import ResultCode
+from fescuedock.schema.settings import BatchSettings, StoreSettings
+from fescuedock.schema.store import (
+    GetSegment,
+    HaveSegments,
+    HaveSegmentsReply,
+    PutSegment,
+    SegmentReply,
+    StoreReply,
+)
+from fescuedock.schema.view import Program, VmRecord
+from fescuedock.store.client import StoreClient
+from fescuedock.store.logs import LogFolder
+from fescuedock.store.retention import RecordRetention
+from fescuedock.store.segments import SegmentFolder
+
+__all__ = ["Repair", "RepairCounts"]
+
+_ASKED_AT_ONCE = 500
+_LOOK_S = 1.0
+# The first full sweep comes early, so that a store which is replaced often makes one too.
+_FIRST_FULL_S = 600
+# Of all stores, the choice for this key deletes old records.
+_RETENTION_KEY = "retention"
+
+
+@dataclass(slots=True)
+class RepairCounts:
+    """What a store has done for its copies since it started."""
+
+    sweeps: int = 0
+    copied: int = 0
+    copied_bytes: int = 0
+    fetched: int = 0
+    expired: int = 0
+
+
+@dataclass(slots=True)
+class Repair:
+    """The work of one store; ``run`` must be running."""
+
+    segments: SegmentFolder
+    logs: LogFolder
+    records: RecordRetention
+    client: StoreClient
+    view: FleetView
+    settings: StoreSettings
+    batch: BatchSettings
+    unix_clock: UnixClock
+    counts: RepairCounts = field(default_factory=RepairCounts)
+    _damaged: set[str] = field(default_factory=set)
+    _wake: trio.Event = field(default_factory=trio.Event)
+    _pace: Pace = field(init=False)
+    _sites: StableSites = field(init=False)
+
+    def __post_init__(self) -> None:
+        self._pace = Pace(self.settings.repair_bytes_per_s)
+        self._sites = StableSites(self.settings.repair_after_ms)
+
+    def on_damage(self, segment_hash: str) -> None:
+        """Fetch a segment that was found damaged and is gone from this store."""
+        log_event("segment_damaged", segment_hash=segment_hash)
+        self._damaged.add(segment_hash)
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Repair until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._fetch_forever)
+            nursery.start_soon(self._sweep_forever)
+
+    async def _sweep_forever(self) -> None:
+        first_s = min(_FIRST_FULL_S, self.settings.sweep_interval_s)
+        next_full_s = trio.current_time() + first_s
+        while True:
+            await self._wait_due(next_full_s)
+            full = trio.current_time() >= next_full_s
+            if full:
+                next_full_s = trio.current_time() + self.settings.sweep_interval_s
+                await self.expire()
+            self._sites.settle()
+            await self.sweep(check_content=full)
+
+    async def _wait_due(self, next_full_s: float) -> None:
+        """Wait for the next full sweep or for a change of the stores that has lasted."""
+        while trio.current_time() < next_full_s:
+            left_ms = self._sites.observe(self._other_sites(), now_ms())
+            if left_ms == 0:
+                return
+            wait_s = _LOOK_S if left_ms is None else min(_LOOK_S, left_ms / 1000)
+            await trio.sleep(min(wait_s, max(0.0, next_full_s - trio.current_time())))
+
+    async def sweep(self, *, check_content: bool = False) -> None:
+        """Compare what is here with the other stores once and copy what is short."""
+        self.counts.sweeps += 1
+        names = [file.name for file in self.segments.files()]
+        for part in _parts(names, _ASKED_AT_ONCE):
+            if check_content:
+                await self._check(part)
+            await self._sweep_part([name for name in part if self.segments.status(name)])
+
+    async def _check(self, names: Iterable[str]) -> None:
+        for name in names:
+            file = self.segments.status(name)
+            if file is not None:
+                await self._wait_pace(file.size_bytes)
+                # A damaged one reports itself.
+                self.segments.get(name)
+
+    async def _sweep_part(self, names: Sequence[str]) -> None:
+        me = self.view.vm_id
+        holders: dict[str, set[str]] = {name: {me} for name in names}
+        answered: set[str] = {me}
+
+        async def ask(vm: VmRecord) -> None:
+            reply = await self.client.call(vm, HaveSegments(segment_hashes=list(names)))
+            if isinstance(reply, HaveSegmentsReply):
+                answered.add(vm.vm_id)
+                for name in set(names).difference(reply.missing):
+                    holders[name].add(vm.vm_id)
+
+        async with trio.open_nursery() as nursery:
+            for vm in self._others():
+                nursery.start_soon(ask, vm)
+        sites = [site for site in self._all_sites() if site.vm_id in answered]
+        for shortage in find_shortages(me, holders, sites, self.batch.copies):
+            await self._copy(shortage)
+
+    async def _copy(self, shortage: Shortage) -> None:
+        file = self.segments.status(shortage.segment_hash)
+        body = self.segments.get(shortage.segment_hash)
+        if file is None or isinstance(body, Err):
+            return
+        message = PutSegment(
+            segment_hash=shortage.segment_hash,
+            body=body.ok_value,
+            kept_since_s=file.modified_s,
+        )
+        vms = {vm.vm_id: vm for vm in self._others()}
+        made = 0
+        for site in shortage.targets:
+            if made == shortage.missing or site.vm_id not in vms:
+                continue
+            await self._wait_pace(file.size_bytes)
+            reply = await self.client.call(vms[site.vm_id], message)
+            if isinstance(reply, StoreReply) and reply.code == ResultCode.OK:
+                made += 1
+                self.counts.copied += 1
+                self.counts.copied_bytes += file.size_bytes
+        if made < shortage.missing:
+            log_event("copies_missing", segment_hash=file.name, missing=shortage.missing - made)
+
+    async def _fetch_forever(self) -> None:
+        while True:
+            await self._wake.wait()
+            self._wake = trio.Event()
+            while self._damaged:
+                await self._fetch(self._damaged.pop())
+
+    async def _fetch(self, segment_hash: str) -> None:
+        for vm in self._others():
+            reply = await self.client.call(vm, GetSegment(segment_hash=segment_hash))
+            if not isinstance(reply, SegmentReply) or reply.code != ResultCode.OK:
+                continue
+            if sha256(reply.body).hexdigest() != segment_hash:
+                continue
+            message = PutSegment(
+                segment_hash=segment_hash, body=reply.body, kept_since_s=reply.kept_since_s
+            )
+            self.segments.put(message, self.unix_clock)
+            self.counts.fetched += 1
+            return
+        log_event("segment_not_fetched", segment_hash=segment_hash)
+
+    async def expire(self) -> None:
+        """Apply the retention to what is here, and to the records if it is this store's turn."""
+        before_s = self.unix_clock() - self.settings.segment_retention_s
+        self.counts.expired += self.segments.drop_older(before_s)
+        self.counts.expired += self.logs.drop_older(before_s)
+        names = {self.view.vm_id, *(vm.vm_id for vm in self._others())}
+        if is_responsible(self.view.vm_id, _RETENTION_KEY, names):
+            self.counts.expired += await self.records.expire(self.unix_clock())
+
+    async def _wait_pace(self, size_bytes: int) -> None:
+        await trio.sleep(self._pace.delay_ms(size_bytes, now_ms()) / 1000)
+
+    def _others(self) -> list[VmRecord]:
+        stores = self.view.live_vms(Program.STORE)
+        return [vm for vm in stores if vm.vm_id != self.view.vm_id]
+
+    def _other_sites(self) -> list[StoreSite]:
+        return [_site(vm) for vm in self._others()]
+
+    def _all_sites(self) -> list[StoreSite]:
+        me = self.view.vms.get(self.view.vm_id)
+        return [*self._other_sites(), *([_site(me)] if me else [])]
+
+
+def _site(vm: VmRecord) -> StoreSite:
+    return StoreSite(vm.vm_id, vm.failure_domain)
+
+
+def _parts(names: Sequence[str], size: int) -> Iterator[list[str]]:
+    iterator = iter(names)
+    while part := list(islice(iterator, size)):
+        yield part
--- a/src/fescuedock/store/service.py
+++ b/src/fescuedock/store/service.py
@@ -46,7 +46,8 @@
     async def get(message: GetSegment) -> SegmentReply:
         result = segments.get(message.segment_hash)
         if isinstance(result, Ok):
-            return SegmentReply(body=result.ok_value)
+            file = segments.status(message.segment_hash)
+            return SegmentReply(body=result.ok_value, kept_since_s=file.modified_s)
         return SegmentReply(body=b"", code=result.err_value.code)
 
     async def have(message: HaveSegments) -> HaveSegmentsReply:
