--- a/src/fescuedock/core/batch/scheduler.py
+++ b/src/fescuedock/core/batch/scheduler.py
@@ -21,6 +21,8 @@
 # A job is urgent when its slack is below this share of the time to its deadline.  That must be more
 # than the share of the fair turns, or an urgent job would miss the deadline because of them.
 _URGENT_SHARE = 0.4
+# It is urgent as well when it has no time to spare for a takeover and the last commits.
+_URGENT_MS = 60000.0
 _FAIR_TURN_EVERY = 4
 # A job that would be late by more than this share of the time left cannot make it.
 _HOPELESS_SHARE = 0.1
@@ -62,7 +64,15 @@
 class ItemScheduler:
     """Holds the runner's jobs and what is in flight where."""
 
-    __slots__ = ("_meters", "_runs", "_settings", "_turn", "_upstreams", "_used", "in_flight")
+    __slots__ = (
+        "_meters",
+        "_runs",
+        "_settings",
+        "_turn",
+        "_upstreams",
+        "_used",
+        "in_flight",
+    )
 
     def __init__(self, settings: BatchSettings) -> None:
         self._settings = settings
@@ -179,7 +189,9 @@
     def _is_urgent(self, run: JobRun, now_ms: float) -> bool:
         left_ms = run.deadline_ms - now_ms
         slack_ms = self.slack_ms(run, now_ms)
-        return -left_ms * _HOPELESS_SHARE <= slack_ms < left_ms * _URGENT_SHARE
+        if slack_ms < -left_ms * _HOPELESS_SHARE:
+            return False
+        return slack_ms < max(left_ms * _URGENT_SHARE, _URGENT_MS)
 
     def _started(self, run: JobRun, item: Item, share_of: ShareOf) -> None:
         self._count_use(run.record.member, share_of)
