--- a/src/fescuedock/core/claims.py
+++ b/src/fescuedock/core/claims.py
@@ -160,7 +160,7 @@
         if found.state is ClaimState.ANSWERED and found.answer:
             self._phase = _Phase.OVER
             return Replay(msgspec.json.decode(found.answer, type=RecordedAnswer))
-        message = "a call with this Idempotency-Key was dispatched before"
+        message = "a call with this Idempotency-Key may have been dispatched before"
         return self._refuse(Fault(ResultCode.ALREADY_CLAIMED, message))
 
     def _record(self, state: ClaimState, answer: bytes = b"") -> ClaimRecord:
--- a/tests/builders/online.py
+++ b/tests/builders/online.py
@@ -50,6 +50,7 @@
 __all__ = [
     "MODEL",
     "MODEL_SERVICE",
+    "PLAIN_SERVICE",
     "OnlineFleet",
     "ReadStream",
     "chat_body",
