--- /dev/null
+++ b/src/fescuedock/cli/config_commands.py
@@ -0,0 +1,167 @@
+"""The commands ``config get``, ``diff``, ``patch``, ``history`` and ``wait``."""
+
+import getpass
+import sys
+from pathlib import Path
+
+import msgspec
+import trio
+from result import Err, Ok, Result
+
+from fescuedock.cli.command_line import Command, ExitCode
+from fescuedock.cli.config_patches import (
+    CurrentConfig,
+    diff_patch,
+    patch_id_of,
+    submit_patch,
+)
+from fescuedock.cli.entry_session import EntrySession, Failure, run_session, show_json
+from fescuedock.cli.tables import table
+from fescuedock.entry.admin import HistoryAnswer, VersionsAnswer
+from fescuedock.schema.config import PatchRequest
+
+__all__ = ["CONFIG_COMMANDS"]
+
+_POLL_S = 0.2
+_HELP = """\
+fescuedock config: read and change the operators' configuration.
+
+usage: fescuedock config get                          [--entry=HOST:PORT] [--json]
+       fescuedock config diff FILE                    [--entry=HOST:PORT]
+       fescuedock config patch FILE --base=VERSION [--patch-id=ID] [--actor=NAME]
+                                                      [--entry=HOST:PORT] [--json]
+       fescuedock config history                      [--entry=HOST:PORT] [--json]
+       fescuedock config wait VERSION [--timeout=30]  [--entry=HOST:PORT] [--json]
+
+  get      print the version and the configuration; --json prints both as one object
+  diff     print the merge patch that makes the configuration in FILE of the current one
+  patch    submit the JSON merge patch in FILE (- is standard input), built on VERSION; it is
+           refused when the configuration has moved on.  The identity is made of the content
+           unless --patch-id names one, so that after an unknown outcome the same command can be
+           sent again.
+  history  list the latest patches, newest first
+  wait     wait until VERSION is in force on every live VM, --timeout seconds at most
+
+exit codes: 0 done, 1 refused or failed, 2 bad usage, 3 outcome unknown
+"""
+
+
+def _get(entry: str = "", json: bool = False) -> int:
+    async def steps(session: EntrySession) -> Result[str, Failure]:
+        current = await session.get("/admin/config", CurrentConfig)
+        return current.map(show_json if json else _config_text)
+
+    return run_session(entry, steps)
+
+
+def _config_text(current: CurrentConfig) -> str:
+    return f"version {current.version}\n{show_json(current.configuration)}"
+
+
+def _diff(file: str, entry: str = "") -> int:
+    wanted = _read_object(file)
+    if wanted.is_err():
+        return _usage(wanted.unwrap_err())
+
+    async def steps(session: EntrySession) -> Result[str, Failure]:
+        current = await session.get("/admin/config", CurrentConfig)
+        if current.is_ok():
+            print(f"built on version {current.unwrap().version}", file=sys.stderr)
+        return current.map(
+            lambda found: show_json(diff_patch(found.configuration, wanted.unwrap()))
+        )
+
+    return run_session(entry, steps)
+
+
+def _patch(
+    file: str, base: int, patch_id: str = "", actor: str = "", entry: str = "", json: bool = False
+) -> int:
+    patch = _read_object(file)
+    if patch.is_err():
+        return _usage(patch.unwrap_err())
+    identity = patch_id or patch_id_of(base, patch.unwrap())
+    request = PatchRequest(base, identity, patch.unwrap(), actor or getpass.getuser())
+
+    async def steps(session: EntrySession) -> Result[str, Failure]:
+        done = await submit_patch(session, request)
+        return done.map(lambda version: _accepted_text(version, identity, json))
+
+    return run_session(entry, steps)
+
+
+def _accepted_text(version: int, identity: str, json: bool) -> str:
+    if json:
+        return show_json({"version": version, "patch_id": identity})
+    return f"version {version} accepted (patch_id {identity})"
+
+
+def _history(entry: str = "", json: bool = False) -> int:
+    async def steps(session: EntrySession) -> Result[str, Failure]:
+        found = await session.get("/admin/config/history", HistoryAnswer)
+        return found.map(show_json if json else _history_text)
+
+    return run_session(entry, steps)
+
+
+def _history_text(history: HistoryAnswer) -> str:
+    heads = ("VERSION", "ACCEPTED (UNIX TIME)", "ACTOR", "PATCH")
+    rows = [
+        (patch.version, patch.accepted_at_s, patch.actor or "-", patch.patch_id)
+        for patch in history.patches
+    ]
+    return table(heads, rows)
+
+
+def _wait(version: int, timeout: int = 30, entry: str = "", json: bool = False) -> int:
+    target = f"/admin/config/versions?version={version}"
+
+    async def steps(session: EntrySession) -> Result[str, Failure]:
+        found: Result[VersionsAnswer, Failure] = Err(Failure("not asked yet"))
+        with trio.move_on_after(timeout):
+            while True:
+                found = await session.get(target, VersionsAnswer)
+                if found.is_err() or not found.unwrap().behind:
+                    break
+                await trio.sleep(_POLL_S)
+        if found.is_ok() and found.unwrap().behind:
+            behind = ", ".join(found.unwrap().behind)
+            return Err(Failure(f"version {version} is not in force after {timeout} s on: {behind}"))
+        return found.map(show_json if json else _versions_text)
+
+    return run_session(entry, steps)
+
+
+def _versions_text(versions: VersionsAnswer) -> str:
+    heads = ("VM", "DOMAIN", "STATE", "VERSION", "CONFIRMED")
+    rows = [
+        (vm.vm_id, vm.failure_domain, vm.state.value, vm.version, "yes" if vm.confirmed else "no")
+        for vm in versions.vms
+    ]
+    return table(heads, rows)
+
+
+def _read_object(file: str) -> Result[dict[str, object], str]:
+    """Return the JSON object in ``file``, or what is wrong with it."""
+    try:
+        data = sys.stdin.buffer.read() if file == "-" else Path(file).read_bytes()
+        return Ok(msgspec.json.decode(data, type=dict[str, object]))
+    except OSError as error:
+        return Err(str(error))
+    except msgspec.MsgspecError as error:
+        return Err(f"{file} is not a JSON object: {error}")
+
+
+def _usage(text: str) -> int:
+    print(f"fescuedock: {text}", file=sys.stderr)
+    return ExitCode.USAGE
+
+
+CONFIG_COMMANDS = {
+    "": Command(lambda: ExitCode.USAGE, _HELP),
+    "get": Command(_get, _HELP),
+    "diff": Command(_diff, _HELP),
+    "patch": Command(_patch, _HELP),
+    "history": Command(_history, _HELP),
+    "wait": Command(_wait, _HELP),
+}
--- /dev/null
+++ b/src/fescuedock/cli/config_patches.py
@@ -0,0 +1,74 @@
+"""Reading, comparing and patching the configuration from the command."""
+
+import hashlib
+from collections.abc import Mapping
+
+import msgspec
+from result import Err, Ok, Result
+
+from fescuedock.cli.entry_session import EntrySession, Failure
+from fescuedock.core.config.merge import JsonValue
+from fescuedock.schema.config import PatchRequest
+
+__all__ = ["CurrentConfig", "diff_patch", "patch_id_of", "submit_on_current", "submit_patch"]
+
+# Other operators may patch between our read and our patch.
+_MAX_TRIES = 5
+_STALE = "STALE_VERSION"
+
+
+class CurrentConfig(msgspec.Struct):
+    """The part of GET /admin/config that the command uses."""
+
+    version: int
+    configuration: dict[str, object]
+
+
+class _Accepted(msgspec.Struct):
+    version: int
+
+
+def patch_id_of(base_version: int, patch: Mapping[str, object]) -> str:
+    """Return an identity made of the content, so that the same command sent again is the same."""
+    text = msgspec.json.encode([base_version, patch], order="deterministic")
+    return f"cli-{hashlib.sha256(text).hexdigest()[:24]}"
+
+
+def diff_patch(current: JsonValue, wanted: JsonValue) -> JsonValue:
+    """Return the merge patch that makes ``wanted`` of ``current``; ``{}`` when they are equal."""
+    if not isinstance(current, Mapping) or not isinstance(wanted, Mapping):
+        return wanted
+    patch: dict[str, object] = {name: None for name in current if name not in wanted}
+    for name, value in wanted.items():
+        if name not in current:
+            patch[name] = value
+        elif current[name] != value:
+            patch[name] = diff_patch(current[name], value)
+    return patch
+
+
+async def submit_patch(session: EntrySession, request: PatchRequest) -> Result[int, Failure]:
+    """Submit one patch; returns the version it made."""
+    done = await session.post("/admin/config/patches", request, _Accepted)
+    return done.map(lambda accepted: accepted.version)
+
+
+async def submit_on_current(
+    session: EntrySession, patch: dict[str, object], actor: str
+) -> Result[int, Failure]:
+    """Submit a patch that means the same on any version, on the current one.
+
+    Read and patch again when others were faster.
+    """
+    refused: Result[int, Failure] = Err(Failure("not tried"))
+    for _ in range(_MAX_TRIES):
+        match await session.get("/admin/config", CurrentConfig):
+            case Ok(CurrentConfig() as current):
+                identity = patch_id_of(current.version, patch)
+                request = PatchRequest(current.version, identity, patch, actor)
+                refused = await submit_patch(session, request)
+            case other:
+                return other
+        if refused.is_ok() or not refused.unwrap_err().text.startswith(_STALE):
+            return refused
+    return refused
--- a/src/fescuedock/cli/main.py
+++ b/src/fescuedock/cli/main.py
@@ -5,8 +5,12 @@
 from pathlib import Path
 
 from fescuedock.cli.command_line import Command, ExitCode, run_command_line
+from fescuedock.cli.config_commands import CONFIG_COMMANDS
+from fescuedock.cli.fleet_commands import DRAIN_COMMAND, STATUS_COMMAND, UPSTREAMS_COMMAND
+from fescuedock.cli.job_commands import JOB_COMMANDS
 from fescuedock.cli.local_command import LOCAL_COMMAND
-from fescuedock.settings import SECTIONS, load_settings
+from fescuedock.settings import load_settings
+from fescuedock.standin.main import load_standin_settings
 
 __all__ = ["main"]
 
@@ -15,10 +19,18 @@
 
 usage: fescuedock COMMAND [ARGUMENTS]
 
-  local            run a whole system on this machine, with stand-ins
+  status           the VMs of the fleet
+  upstreams        the upstreams, their owners and load
+  drain            take an upstream or a VM out of use
+  config           get, diff, patch, history, wait: the operators' configuration
+  jobs             list, show, cancel: batch jobs
+  burn             how fast each service uses up the failures its objectives allow
   check-settings   check the INI file of a VM
+  local            run a whole system on this machine, with stand-ins
+
+fescuedock COMMAND --help tells more.  Commands that talk to the fleet take --entry=HOST:PORT;
+without it they use the environment's FESCUEDOCK_ENTRY, or 127.0.0.1:8080.
 
-fescuedock COMMAND --help tells more.
 exit codes: 0 done, 1 refused or failed, 2 bad usage or settings, 3 outcome unknown
 """
 _CHECK_HELP = """\
@@ -32,18 +44,29 @@
 
 def _check_settings(file: str) -> int:
     path = Path(file)
-    loaded = load_settings(path, ())
+    loaded = load_standin_settings(path) if _is_standin(path) else load_settings(path, ())
     if loaded.is_err():
         print(loaded.unwrap_err(), file=sys.stderr)
         return ExitCode.USAGE
-    settings = loaded.unwrap()
-    named = [name for name in SECTIONS if getattr(settings, name) is not None]
-    print(f"{path}: good; sections {', '.join(named)}")
+    print(f"{path}: good")
     return ExitCode.OK
 
 
+def _is_standin(path: Path) -> bool:
+    """Return whether the file is one for the stand-ins, which has a section of its own only."""
+    try:
+        return any(line.strip() == "[standin]" for line in path.read_text("utf-8").splitlines())
+    except (OSError, UnicodeDecodeError):
+        return False
+
+
 _COMMANDS: Mapping[str, Command | Mapping] = {
     "": Command(lambda: ExitCode.USAGE, _HELP),
+    "status": STATUS_COMMAND,
+    "upstreams": UPSTREAMS_COMMAND,
+    "drain": DRAIN_COMMAND,
+    "config": CONFIG_COMMANDS,
+    "jobs": JOB_COMMANDS,
     "local": LOCAL_COMMAND,
     "check-settings": Command(_check_settings, _CHECK_HELP),
 }
