Test copies, logs and repair over the loss of stores; avoid silent stores

Cause: a put that was enough gave up its wait for a silent store without remembering it, so each put waited 300 ms again. Change: such a store is asked last for 5 s and its queue dropped.

--- a/src/fescuedock/store/client.py
+++ b/src/fescuedock/store/client.py
@@ -188,7 +188,12 @@
         async with trio.open_nursery() as nursery:
 
             async def ask(site: StoreSite) -> None:
-                reply = await self.call(vms[site.vm_id], message)
+                try:
+                    reply = await self.call(vms[site.vm_id], message)
+                except trio.Cancelled:
+                    if plan.is_enough:
+                        self._give_up(vms[site.vm_id])
+                    raise
                 code = reply.code if isinstance(reply, StoreReply) else ResultCode.PEER_UNKNOWN
                 if code == ResultCode.OK:
                     plan.written(site)
@@ -210,15 +215,18 @@
 
     async def call(self, vm: VmRecord, message: msgspec.Struct) -> msgspec.Struct | None:
         """Return the store's answer; None when there is none in time."""
-        address = Address(vm.host, vm.store_port)
-        client = await self.channels.client(address)
+        client = await self.channels.client(_address(vm))
         result = await client.call(message, _CALL_TIMEOUT_MS)
-        if result.is_ok():
-            return result.unwrap()
-        self._avoid(vm.vm_id)
-        self.channels.discard(address)
+        if isinstance(result, Ok):
+            return result.ok_value
+        self._give_up(vm)
         return None
 
+    def _give_up(self, vm: VmRecord) -> None:
+        """Ask the silent store last from now on, and drop what waits to be sent to it."""
+        self._avoid(vm.vm_id)
+        self.channels.discard(_address(vm))
+
     def _avoid(self, vm_id: str) -> None:
         self._avoided_until_ms[vm_id] = now_ms() + _AVOID_MS
 
@@ -232,6 +240,10 @@
         yield StoreClient(channels, view, settings)
 
 
+def _address(vm: VmRecord) -> Address:
+    return Address(vm.host, vm.store_port)
+
+
 def _too_few(plan: CopyPlan, what: str) -> Fault:
     held = len(plan.held)
     message = f"{what}: {held} of {plan.min_copies} needed copies written"
--- a/tests/builders/store.py
+++ b/tests/builders/store.py
@@ -11,13 +11,16 @@
 from fescuedock.net.channel import serve_channel
 from fescuedock.net.codec import Codec
 from fescuedock.schema import batch, store
-from fescuedock.schema.settings import BatchSettings
+from fescuedock.schema.settings import BatchSettings, StoreSettings
 from fescuedock.schema.view import Program, VmRecord, VmState
 from fescuedock.store.client import StoreClient, open_store_client
 from fescuedock.store.disk import Disk, OsDisk
 from fescuedock.store.logs import LogFolder
+from fescuedock.store.repair import Repair
+from fescuedock.store.retention import RecordRetention
 from fescuedock.store.segments import SegmentFolder, Usage
 from fescuedock.store.service import store_handler
+from tests.builders.kv import MemoryKv
 
 HOST = "127.0.0.1"
 NOW_S = 1_800_000_000
@@ -42,10 +45,14 @@
     """One store of a test, as ``run_store`` puts it together, without an agent."""
 
     def __init__(self, folder: Path, disk: Disk | None = None, max_bytes: int = MAX_BYTES) -> None:
+        self.folder = folder
         self.disk = OsDisk() if disk is None else disk
         self.usage = Usage(max_bytes)
         self.damaged: list[str] = []
-        self.segments = SegmentFolder(self.disk, folder, self.usage, self.damaged.append)
+        self.on_damage: Callable[[str], None] = self.damaged.append
+        self.segments = SegmentFolder(
+            self.disk, folder, self.usage, lambda segment_hash: self.on_damage(segment_hash)
+        )
         self.logs = LogFolder(self.disk, folder, self.usage)
         self.disk.make_folder(folder)
         self.segments.open()
@@ -68,6 +75,7 @@
     def __init__(self, codec: Codec, nursery: trio.Nursery, root: Path) -> None:
         self.codec = codec
         self.view = FleetView("vm-test")
+        self._views = [self.view]
         self.nodes: dict[str, StoreNode] = {}
         self.client: StoreClient
         self._nursery = nursery
@@ -80,6 +88,27 @@
         self._show([*self.view.vms.values(), store_vm(vm_id, failure_domain, address.port)])
         return node
 
+    def start_repair(self, vm_id: str, **settings: object) -> Repair:
+        """Let a store look after its copies; its own sweeps come only if ``settings`` say so."""
+        node = self.nodes[vm_id]
+        options = {"repair_after_ms": 3_600_000} | settings
+        view = FleetView(vm_id)
+        view.replace(1, list(self.view.vms.values()), [], 0)
+        self._views.append(view)
+        repair = Repair(
+            segments=node.segments,
+            logs=node.logs,
+            records=RecordRetention(MemoryKv(), "/test/", 1),
+            client=StoreClient(self.client.channels, view, BatchSettings(port=0)),
+            view=view,
+            settings=StoreSettings(port=0, data_folder="unused", **options),
+            batch=BatchSettings(port=0),
+            unix_clock=lambda: NOW_S,
+        )
+        node.on_damage = repair.on_damage
+        self._nursery.start_soon(repair.run)
+        return repair
+
     def lose(self, vm_id: str, *, seen: bool = True) -> None:
         """Stop a store for good; ``seen`` says whether the fleet view knows already."""
         self.nodes.pop(vm_id).scope.cancel()
@@ -90,7 +119,8 @@
         return [name for name, node in self.nodes.items() if node.segments.status(segment_hash)]
 
     def _show(self, vms: list[VmRecord]) -> None:
-        self.view.replace(self.view.version + 1, vms, [], 0)
+        for view in self._views:
+            view.replace(view.version + 1, vms, [], 0)
 
 
 @asynccontextmanager
@@ -117,3 +147,9 @@
             await test(*arguments)
 
     trio.run(bounded)
+
+
+async def until(condition: Callable[[], object]) -> None:
+    """Wait until ``condition`` holds; the bound is that of ``run``."""
+    while not condition():  # noqa: ASYNC110, real sockets and files give no event
+        await trio.sleep(0.005)
