--- a/src/fescuedock/core/membership/detection.py
+++ b/src/fescuedock/core/membership/detection.py
@@ -264,7 +264,8 @@
         for member in strong:
             self._table.set_state(member, MemberState.GONE, now_ms, local_only=False)
             self._queue.add(member.vm_id)
-        for member in weak[: removable(self._table, self._settings.removal_share)]:
+        allowed = removable(self._table, self._settings.removal_share) if weak else 0
+        for member in weak[:allowed]:
             self._table.set_state(member, MemberState.GONE, now_ms, local_only=True)
 
     def _report(self, probe: PendingProbe, reached: bool) -> list[Action]:
--- a/src/fescuedock/core/membership/table.py
+++ b/src/fescuedock/core/membership/table.py
@@ -95,6 +95,8 @@
         member = self._members.get(update.vm_id)
         if member is None:
             return self._add(update, now_ms)
+        if _is_known(member, update):
+            return False
         self._withdraw(member)
         news = _merge(member, update, now_ms)
         self._enter(member)
@@ -171,6 +173,16 @@
         self._hashes[bucket_of(member.vm_id)] ^= int.from_bytes(digest, "big")
 
 
+def _is_known(member: Member, update: VmUpdate) -> bool:
+    """Whether ``update`` cannot be news, as most that come are not."""
+    if update.profile is not None and update.incarnation > member.profile_incarnation:
+        return False
+    known = (member.incarnation, _RANK[member.state])
+    offered = (update.incarnation, _RANK[update.state])
+    accused = update.state in (MemberState.SUSPECT, MemberState.GONE)
+    return offered < known or (offered == known and not accused)
+
+
 def _merge(member: Member, update: VmUpdate, now_ms: float) -> bool:
     news = _merge_profile(member, update)
     known = (member.incarnation, _RANK[member.state])
