--- a/src/fescuedock/entry/main.py
+++ b/src/fescuedock/entry/main.py
@@ -31,9 +31,6 @@
 
 __all__ = ["main", "run_entry"]
 
-# News of a withdrawn entry reach every VM within this, and only then do answers stop naming it.
-_SPREAD_MS = 3000
-
 
 @dataclass(slots=True)
 class _Entry:
@@ -138,7 +135,7 @@
     with trio.move_on_at(stop_at_ms / 1000):
         told = await agent.hello()
         log_event("entry_leaving", agent_told=told, in_flight=entry.server.in_flight)
-        await trio.sleep((_SPREAD_MS + settings.entry.answer_valid_ms) / 1000)
+        await trio.sleep((settings.entry.leave_spread_ms + settings.entry.answer_valid_ms) / 1000)
     entry.server.stop()
     with trio.move_on_at(stop_at_ms / 1000):
         await entry.served.wait()
