--- a/src/fescuedock/cli/config_commands.py
+++ b/src/fescuedock/cli/config_commands.py
@@ -16,8 +16,8 @@
     submit_patch,
 )
 from fescuedock.cli.entry_session import EntrySession, Failure, run_session, show_json
-from fescuedock.cli.tables import table
 from fescuedock.entry.admin import HistoryAnswer, VersionsAnswer
+from fescuedock.report.tables import table
 from fescuedock.schema.config import PatchRequest
 
 __all__ = ["CONFIG_COMMANDS"]
--- a/src/fescuedock/cli/fleet_commands.py
+++ b/src/fescuedock/cli/fleet_commands.py
@@ -5,8 +5,8 @@
 from fescuedock.cli.command_line import Command, ExitCode
 from fescuedock.cli.config_patches import submit_on_current
 from fescuedock.cli.entry_session import EntrySession, Failure, run_session, show_json
-from fescuedock.cli.tables import table
 from fescuedock.net.address import Address
+from fescuedock.report.tables import table
 from fescuedock.schema.report import FleetStatus, UpstreamStatus, VmStatus
 from fescuedock.schema.view import Acknowledgement
 
--- a/src/fescuedock/cli/job_commands.py
+++ b/src/fescuedock/cli/job_commands.py
@@ -5,7 +5,7 @@
 
 from fescuedock.cli.command_line import Command, ExitCode
 from fescuedock.cli.entry_session import EntrySession, Failure, run_session, show_json
-from fescuedock.cli.tables import table
+from fescuedock.report.tables import table
 
 __all__ = ["JOB_COMMANDS"]
 
--- a/src/fescuedock/cli/main.py
+++ b/src/fescuedock/cli/main.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 from pathlib import Path
 
+from fescuedock.cli.burn_command import BURN_COMMAND
 from fescuedock.cli.command_line import Command, ExitCode, run_command_line
 from fescuedock.cli.config_commands import CONFIG_COMMANDS
 from fescuedock.cli.fleet_commands import DRAIN_COMMAND, STATUS_COMMAND, UPSTREAMS_COMMAND
@@ -67,6 +68,7 @@
     "drain": DRAIN_COMMAND,
     "config": CONFIG_COMMANDS,
     "jobs": JOB_COMMANDS,
+    "burn": BURN_COMMAND,
     "local": LOCAL_COMMAND,
     "check-settings": Command(_check_settings, _CHECK_HELP),
 }
--- a/src/fescuedock/core/burn.py
+++ b/src/fescuedock/core/burn.py
@@ -19,6 +19,9 @@
     "Window",
     "WindowBurn",
     "assess_burn",
+    "burn_rate",
+    "counts_of",
+    "fast_rate",
     "merge_slots",
 ]
 
@@ -26,6 +29,8 @@
 _COARSE_S = 900
 _FINE_KEPT_S = 6 * 3600
 _COARSE_KEPT_S = 3 * 86400
+# Ageing leaves 663 at most; it is put off until it joins many at once.
+_MAX_SLOTS = 1000
 
 
 class Promise(StrEnum):
@@ -62,6 +67,9 @@
 # 30-day budget in an hour, a slow one 10% in three days: the usual choice for paging and tickets.
 _FAST_RATE = 14.4
 _SLOW_RATE = 1.0
+# Where the objective allows so many failures that no rate gets that high, this share of the highest
+# possible rate counts as fast.
+_FAST_SHARE = 0.8
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,7 +131,7 @@
         start_s = now_s - now_s % _FINE_S
         key = (_FINE_S, start_s)
         if key not in self._slots:
-            if self._slots:
+            if len(self._slots) >= _MAX_SLOTS:
                 self.slots(now_s)
             self._slots[key] = SlotCounts(start_s=start_s, length_s=_FINE_S)
         return self._slots[key]
@@ -155,7 +163,7 @@
     service: str, promise: Promise, share: float, slots: Sequence[SlotCounts], now_s: int
 ) -> Burn:
     windows = tuple(_window_burn(window, promise, share, slots, now_s) for window in WINDOWS)
-    return Burn(service, promise, share, windows, _alarm(windows))
+    return Burn(service, promise, share, windows, _alarm(windows, share))
 
 
 def _window_burn(
@@ -163,34 +171,45 @@
 ) -> WindowBurn:
     since_s = now_s - window.length_s
     inside = [slot for slot in slots if since_s < slot.start_s + slot.length_s <= now_s + _COARSE_S]
-    if promise is Promise.ONLINE:
-        total = sum(slot.online for slot in inside)
-        kept = sum(slot.online_in_time for slot in inside)
-    else:
-        total = sum(slot.jobs for slot in inside)
-        kept = sum(slot.jobs_in_time for slot in inside)
+    total, kept = counts_of(promise, inside)
     if not total:
         return WindowBurn(window, 0, 0, None, None)
-    rate = _rate(total, kept, share)
+    rate = burn_rate(total, kept, share)
     return WindowBurn(window, total, kept, rate, 1 - rate)
 
 
-def _rate(total: int, kept: int, share: float) -> float:
-    """Return the share missed over the share that may be missed."""
+def _alarm(windows: Sequence[WindowBurn], share: float) -> Alarm:
+    """A short window together with a long one: it goes out soon after the cause is mended."""
+    five_min, hour, six_hours, three_days = (burn.rate or 0.0 for burn in windows)
+    if min(five_min, hour) > fast_rate(share):
+        return Alarm.FAST
+    if min(six_hours, three_days) > _SLOW_RATE:
+        return Alarm.SLOW
+    return Alarm.NONE
+
+
+def fast_rate(share: float) -> float:
+    """Return the rate over which the burn of an objective of ``share`` is fast."""
+    if share >= 1:
+        return _FAST_RATE
+    return min(_FAST_RATE, max(_SLOW_RATE, _FAST_SHARE / (1 - share)))
+
+
+def burn_rate(total: int, kept: int, share: float) -> float:
+    """Return the share missed over the share that may be missed; ``total`` is not 0."""
     missed = (total - kept) / total
     if share < 1:
         return missed / (1 - share)
     return float("inf") if missed else 0.0
 
 
-def _alarm(windows: Sequence[WindowBurn]) -> Alarm:
-    """A short window together with a long one: it goes out soon after the cause is mended."""
-    five_min, hour, six_hours, three_days = (burn.rate or 0.0 for burn in windows)
-    if five_min >= _FAST_RATE and hour >= _FAST_RATE:
-        return Alarm.FAST
-    if six_hours > _SLOW_RATE and three_days > _SLOW_RATE:
-        return Alarm.SLOW
-    return Alarm.NONE
+def counts_of(promise: Promise, slots: Iterable[SlotCounts]) -> tuple[int, int]:
+    """Return how many there were and how many kept the promise."""
+    if promise is Promise.ONLINE:
+        pairs = [(slot.online, slot.online_in_time) for slot in slots]
+    else:
+        pairs = [(slot.jobs, slot.jobs_in_time) for slot in slots]
+    return sum(total for total, _ in pairs), sum(kept for _, kept in pairs)
 
 
 def _aged(slot: SlotCounts, now_s: int) -> SlotCounts:
