--- a/src/fescuedock/entry/job_records.py
+++ b/src/fescuedock/entry/job_records.py
@@ -160,14 +160,14 @@
 
 
 async def _renew_key(context: EntryContext, key: str) -> Result[None, Fault]:
-    """Create the key, or write it again; whose write it is makes no difference.
+    """Make sure that the key was written after now, whoever writes it.
 
     Somebody may have found an older one before the record existed and be about to delete it under
     the revision that it had.
     """
-    revision = 0
+    seen_revision = 0
     for _ in range(_ATTEMPTS):
-        written = await context.kv.put_if(key, b"", revision)
+        written = await context.kv.put_if(key, b"", seen_revision)
         if isinstance(written, Ok):
             return Ok(None)
         if written.err_value.code not in (ResultCode.KV_CONFLICT, ResultCode.KV_UNKNOWN):
@@ -176,6 +176,9 @@
         if isinstance(found, Err):
             return found
         revision = found.ok_value.mod_revision if found.ok_value else 0
+        if revision > seen_revision > 0:
+            return Ok(None)
+        seen_revision = revision
     return Err(_unknown(f"{key} changes too fast"))
 
 
--- a/src/fescuedock/entry/multipart.py
+++ b/src/fescuedock/entry/multipart.py
@@ -1,5 +1,6 @@
 """Reads ``multipart/form-data`` as it comes, without keeping any part whole."""
 
+import logging
 from dataclasses import dataclass
 
 from python_multipart.exceptions import FormParserError
@@ -13,6 +14,9 @@
 
 _DISPOSITION = b"content-disposition"
 
+# The library warns of each malformed form, which is the caller's fault and not ours to log.
+logging.getLogger("python_multipart").setLevel(logging.CRITICAL)
+
 
 @dataclass(frozen=True, slots=True)
 class PartBegin:
--- a/tests/builders/jobs.py
+++ b/tests/builders/jobs.py
@@ -1,7 +1,6 @@
 """Entries for tests of files and batches: real HTTP, channels and stores, an in-memory key-value
 service, and nothing of the online side."""
 
-import random
 from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
 from hashlib import sha256
@@ -80,11 +79,20 @@
         self.context = context
         self.kv = kv
         self.address = address
+        self._clients: list[AsyncOpenAI] = []
 
     def client(self, member: str = "manizales", **options: object) -> AsyncOpenAI:
         """Return the public client, which makes no attempts of its own unless told to."""
         options = {"max_retries": 0, "timeout": 30.0} | options
-        return AsyncOpenAI(api_key=KEYS[member], base_url=f"http://{self.address}/v1", **options)
+        client = AsyncOpenAI(api_key=KEYS[member], base_url=f"http://{self.address}/v1", **options)
+        self._clients.append(client)
+        return client
+
+    async def close(self) -> None:
+        """Close the clients, so that the server need not wait for them."""
+        for client in self._clients:
+            await client.close()
+        await self.context.http.close()
 
 
 class JobSite:
@@ -118,6 +126,8 @@
         kvs = [first, *(MemoryKv(first.state) for _ in range(entries - 1))]
         opened = [await _open_entry(settings, fleet, kv, nursery) for kv in kvs]
         yield JobSite(fleet, opened)
+        for entry in opened:
+            await entry.close()
         nursery.cancel_scope.cancel()
 
 
@@ -139,8 +149,3 @@
     server = HttpServer(handler)
     address = await nursery.start(server.serve, Address(HOST, 0))
     return JobEntry(context, kv, address)
-
-
-def shuffled(seed: int, items: list) -> list:
-    """Return ``items`` in an order that ``seed`` decides."""
-    return random.Random(seed).sample(items, len(items))
