--- a/src/fescuedock/report/histograms.py
+++ b/src/fescuedock/report/histograms.py
@@ -7,18 +7,11 @@
 from fescuedock.report.metrics import HistogramKey, new_histogram
 from fescuedock.schema.report import MetricsSnapshot
 
-__all__ = ["cumulative_counts", "decode_histogram", "merge_histograms", "percentiles_ms"]
+__all__ = ["cumulative_counts", "merge_histograms", "percentiles_ms"]
 
 _US_PER_MS = 1000
 
 
-def decode_histogram(encoded: str) -> HdrHistogram:
-    """Return the histogram of a snapshot's ``encoded`` text."""
-    histogram = new_histogram()
-    histogram.decode_and_add(encoded)
-    return histogram
-
-
 def merge_histograms(snapshots: Iterable[MetricsSnapshot]) -> dict[HistogramKey, HdrHistogram]:
     """Add up the histograms of ``snapshots``; nothing is lost, all share one layout."""
     merged: dict[HistogramKey, HdrHistogram] = {}
--- a/src/fescuedock/report/prometheus.py
+++ b/src/fescuedock/report/prometheus.py
@@ -1,12 +1,12 @@
 """Metrics in Prometheus's text format, by its usual client library.
 
-Labels are services, member groups, result codes and programs, all bounded; never members,
-upstreams or requests.
+Labels are services, result codes and programs, all bounded; never members, upstreams or requests.
 """
 
 from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass
 
+from hdrh.histogram import HdrHistogram
 from prometheus_client import CONTENT_TYPE_LATEST, CollectorRegistry, generate_latest
 from prometheus_client.core import (
     CounterMetricFamily,
@@ -16,7 +16,8 @@
 )
 from prometheus_client.registry import Collector
 
-from fescuedock.report.histograms import cumulative_counts, decode_histogram
+from fescuedock.report.histograms import cumulative_counts
+from fescuedock.report.metrics import new_histogram
 from fescuedock.schema.report import FleetStatus, MetricsSnapshot
 from fescuedock.schema.result_codes import ResultCode
 
@@ -84,25 +85,28 @@
     family = HistogramMetricFamily(
         "fescuedock_latency_seconds",
         "First token, mean time between tokens, and run of batch items.",
-        labels=("program", "service", "work_class", "member_group", "measure"),
+        labels=("program", "service", "work_class", "measure"),
     )
+    for labels, histogram in sorted(_merged_groups(snapshots).items(), key=lambda item: item[0]):
+        bounds_us = [bound_s * _US_PER_S for bound_s in _BOUNDS_S]
+        counts = cumulative_counts(histogram, bounds_us)
+        buckets = [(str(bound), count) for bound, count in zip(_BOUNDS_S, counts, strict=True)]
+        buckets.append(("+Inf", histogram.get_total_count()))
+        total_s = histogram.get_mean_value() * histogram.get_total_count() / _US_PER_S
+        family.add_metric(labels, buckets, total_s)
+    return family
+
+
+def _merged_groups(
+    snapshots: Sequence[MetricsSnapshot],
+) -> dict[tuple[str, str, str, str], HdrHistogram]:
+    """Add up the member groups: with them, a scraper would keep eight times as much."""
+    merged: dict[tuple[str, str, str, str], HdrHistogram] = {}
     for snapshot in snapshots:
         for item in snapshot.histograms:
-            histogram = decode_histogram(item.encoded)
-            labels = (
-                _program(snapshot),
-                item.service,
-                item.work_class,
-                item.member_group,
-                item.measure,
-            )
-            bounds_us = [bound_s * _US_PER_S for bound_s in _BOUNDS_S]
-            counts = cumulative_counts(histogram, bounds_us)
-            buckets = [(str(bound), count) for bound, count in zip(_BOUNDS_S, counts, strict=True)]
-            buckets.append(("+Inf", histogram.get_total_count()))
-            total_s = histogram.get_mean_value() * histogram.get_total_count() / _US_PER_S
-            family.add_metric(labels, buckets, total_s)
-    return family
+            labels = (_program(snapshot), item.service, item.work_class, item.measure)
+            merged.setdefault(labels, new_histogram()).decode_and_add(item.encoded)
+    return merged
 
 
 def _program(snapshot: MetricsSnapshot) -> str:
