--- a/src/fescuedock/schema/settings.py
+++ b/src/fescuedock/schema/settings.py
@@ -48,8 +48,7 @@
     max_header_bytes: Annotated[int, Meta(ge=1024)] = 32768
     request_read_timeout_ms: Annotated[int, Meta(ge=1)] = 30000
     write_timeout_ms: Annotated[
-        int,
-        Meta(description="A caller that takes no byte for this long is cut off.", ge=1),
+        int, Meta(description="A caller that takes no byte for this long is cut off.", ge=1)
     ] = 30000
     answer_valid_ms: Annotated[int, Meta(description="valid_for_ms of /v1/entries.", ge=100)] = (
         10000
@@ -65,10 +64,7 @@
     ] = 3000
     claim_retention_s: Annotated[
         int,
-        Meta(
-            description="How long a resend with the same Idempotency-Key finds its call.",
-            ge=60,
-        ),
+        Meta(description="How long a resend with the same Idempotency-Key finds its call.", ge=60),
     ] = 86400
     claim_sweep_interval_ms: Annotated[
         int, Meta(description="Between two removals of old claims.", ge=100)
@@ -109,8 +105,7 @@
     ] = 0.25
     permit_valid_ms: Annotated[int, Meta(ge=100)] = 2000
     config_confirm_ms: Annotated[
-        int,
-        Meta(description="A VM whose version is unconfirmed for longer says so.", ge=100),
+        int, Meta(description="A VM whose version is unconfirmed for longer says so.", ge=100)
     ] = 15000
     config_cut_off: CutOff = CutOff.MAJORITY
 
@@ -121,12 +116,10 @@
     """
 
     lease_ms: Annotated[
-        int,
-        Meta(description="How long a holder may give orders without renewing.", ge=1000),
+        int, Meta(description="How long a holder may give orders without renewing.", ge=1000)
     ] = 10000
     margin_ms: Annotated[
-        int,
-        Meta(description="How much earlier the holder stops by its own clock.", ge=1),
+        int, Meta(description="How much earlier the holder stops by its own clock.", ge=1)
     ] = 1000
     longest_order_ms: Annotated[
         int,
@@ -145,10 +138,7 @@
     ] = 1000
     settled_poll_ms: Annotated[
         int,
-        Meta(
-            description="How often an engine that needs nothing is asked what it has.",
-            ge=100,
-        ),
+        Meta(description="How often an engine that needs nothing is asked what it has.", ge=100),
     ] = 10000
 
 
@@ -160,21 +150,15 @@
     port: Annotated[int, Meta(ge=0, le=65535)]
     max_items_in_flight: Annotated[int, Meta(ge=1)] = 256
     group_items: Annotated[
-        int,
-        Meta(description="Results made final in one compare-and-swap at most.", ge=1),
+        int, Meta(description="Results made final in one compare-and-swap at most.", ge=1)
     ] = 500
     group_age_ms: Annotated[int, Meta(ge=1)] = 2000
     group_min_items: Annotated[
-        int,
-        Meta(description="A group with fewer results waits up to group_max_age_ms.", ge=1),
+        int, Meta(description="A group with fewer results waits up to group_max_age_ms.", ge=1)
     ] = 64
     group_max_age_ms: Annotated[int, Meta(ge=1)] = 20000
     manifest_groups: Annotated[
-        int,
-        Meta(
-            description="Groups that move from the record to one manifest segment.",
-            ge=2,
-        ),
+        int, Meta(description="Groups that move from the record to one manifest segment.", ge=2)
     ] = 32
     item_attempts: Annotated[int, Meta(ge=1)] = 4
     mark_items: Annotated[
@@ -200,30 +184,18 @@
         ),
     ] = 33554432
     open_asks: Annotated[
-        int,
-        Meta(
-            description="Permits asked for at once from the owner of one upstream.",
-            ge=1,
-        ),
+        int, Meta(description="Permits asked for at once from the owner of one upstream.", ge=1)
     ] = 2
     ask_wait_ms: Annotated[
-        int,
-        Meta(description="How long an ask for a permit stays queued at the owner.", ge=1),
+        int, Meta(description="How long an ask for a permit stays queued at the owner.", ge=1)
     ] = 2000
     scan_interval_ms: Annotated[
-        int,
-        Meta(
-            description="Between two readings of the index of open jobs by a scanner.",
-            ge=10,
-        ),
+        int, Meta(description="Between two readings of the index of open jobs by a scanner.", ge=10)
     ] = 10000
     scanners_per_domain: Annotated[int, Meta(ge=1)] = 1
     takeover_silence_ms: Annotated[
         int,
-        Meta(
-            description="A live owner that does not answer for this long loses its jobs.",
-            ge=1,
-        ),
+        Meta(description="A live owner that does not answer for this long loses its jobs.", ge=1),
     ] = 10000
     max_items: Annotated[int, Meta(ge=1)] = 110000
     max_line_bytes: Annotated[int, Meta(ge=1024)] = 1048576
@@ -231,11 +203,7 @@
     segment_bytes: Annotated[int, Meta(ge=1024)] = 4194304
     copies: Annotated[int, Meta(description="Copies wanted of each segment.", ge=1)] = 3
     min_copies: Annotated[
-        int,
-        Meta(
-            description="Copies in distinct failure domains before an acknowledgement.",
-            ge=1,
-        ),
+        int, Meta(description="Copies in distinct failure domains before an acknowledgement.", ge=1)
     ] = 2
 
 
@@ -291,14 +259,10 @@
 
     start_limit: Annotated[
         int,
-        Meta(
-            description="Attempts at once at an upstream of which nothing is known yet.",
-            ge=1,
-        ),
+        Meta(description="Attempts at once at an upstream of which nothing is known yet.", ge=1),
     ] = 8
     max_limit: Annotated[
-        int,
-        Meta(description="Attempts at once at any upstream however well it does.", ge=1),
+        int, Meta(description="Attempts at once at any upstream however well it does.", ge=1)
     ] = 512
     limit_step: Annotated[
         float,
@@ -309,40 +273,23 @@
     ] = 1
     limit_cut: Annotated[
         float,
-        Meta(
-            description="Factor on a limit when online misses its objective.",
-            gt=0.0,
-            le=1.0,
-        ),
+        Meta(description="Factor on a limit when online misses its objective.", gt=0.0, le=1.0),
     ] = 0.8
     adjust_ms: Annotated[int, Meta(description="Time between two raises of a limit.", ge=10)] = 500
     load_lag_ms: Annotated[
         int, Meta(description="Age of what an engine reports as its load.", ge=0)
     ] = 1000
     load_poll_ms: Annotated[
-        int,
-        Meta(
-            description="Time between two reads of an engine's load by its owner.",
-            ge=10,
-        ),
+        int, Meta(description="Time between two reads of an engine's load by its owner.", ge=10)
     ] = 500
     estimate_half_life_ms: Annotated[
-        int,
-        Meta(description="Time in which a measurement loses half its weight.", ge=100),
+        int, Meta(description="Time in which a measurement loses half its weight.", ge=100)
     ] = 30000
     peak_half_life_ms: Annotated[
-        int,
-        Meta(
-            description="Time in which a peak of online attempts is half forgotten.",
-            ge=100,
-        ),
+        int, Meta(description="Time in which a peak of online attempts is half forgotten.", ge=100)
     ] = 300000
     revocation_ms: Annotated[
-        int,
-        Meta(
-            description="Time that a revocation takes until one has been measured.",
-            ge=1,
-        ),
+        int, Meta(description="Time that a revocation takes until one has been measured.", ge=1)
     ] = 100
     burst_window_ms: Annotated[
         int,
@@ -382,14 +329,10 @@
     ] = 0.5
     quiet_ms: Annotated[
         int,
-        Meta(
-            description="Time without online after which batch may use the whole upstream.",
-            ge=0,
-        ),
+        Meta(description="Time without online after which batch may use the whole upstream.", ge=0),
     ] = 2000
     max_waiting: Annotated[
-        int,
-        Meta(description="Asks that may wait for one upstream in each class.", ge=1),
+        int, Meta(description="Asks that may wait for one upstream in each class.", ge=1)
     ] = 256
     urgent_slack_ms: Annotated[
         int, Meta(description="Batch with less slack than this is revoked last.", ge=0)
@@ -402,11 +345,7 @@
         ),
     ] = 2
     ended_batch_ms: Annotated[
-        int,
-        Meta(
-            description="How long a holder gathers ended permits into one message.",
-            ge=0,
-        ),
+        int, Meta(description="How long a holder gathers ended permits into one message.", ge=0)
     ] = 10
     ended_memory_ms: Annotated[
         int,
@@ -442,24 +381,19 @@
     region: Annotated[str, Meta(min_length=1)] = "local"
     failure_domains: Annotated[
         str,
-        Meta(
-            description="Comma-separated; upstreams are spread over them in turn.",
-            min_length=1,
-        ),
+        Meta(description="Comma-separated; upstreams are spread over them in turn.", min_length=1),
     ] = "hall-a,hall-b,hall-c"
     system_vms: Annotated[str, Meta(description="VMs of ours that the VM list shows")] = ""
     engines: Annotated[int, Meta(ge=0)] = 3
     engine_service: Annotated[str, Meta(min_length=1)] = "demo-llm"
     models: Annotated[str, Meta(description="Models loaded from the start")] = "demo-model"
     checks_fencing: Annotated[
-        bool,
-        Meta(description="Whether engines refuse an order with an old fencing number."),
+        bool, Meta(description="Whether engines refuse an order with an old fencing number.")
     ] = True
     plain_services: Annotated[int, Meta(ge=0)] = 1
     plain_service: Annotated[str, Meta(min_length=1)] = "demo-plain"
     step_ms: Annotated[
-        float,
-        Meta(description="Time of one step of an engine that serves nothing.", gt=0.0),
+        float, Meta(description="Time of one step of an engine that serves nothing.", gt=0.0)
     ] = 12.5
     step_ms_per_sequence: Annotated[
         float, Meta(description="Added for each sequence that gets a token.", ge=0.0)
@@ -477,8 +411,7 @@
     prefix_cache_blocks: Annotated[int, Meta(description="Blocks of 16 tokens.", ge=0)] = 4000
     cache_event_delay_ms: Annotated[float, Meta(ge=0.0)] = 500
     cache_event_lose_every: Annotated[
-        int,
-        Meta(description="Every so-many-th cache event is lost; 0 loses none.", ge=0),
+        int, Meta(description="Every so-many-th cache event is lost; 0 loses none.", ge=0)
     ] = 0
     load_report_ms: Annotated[
         float, Meta(description="Age that an engine's load report can have.", gt=0.0)
@@ -495,6 +428,5 @@
     )
     vm_list_lag_ms: Annotated[float, Meta(ge=0.0)] = 0
     kv_progress_ms: Annotated[
-        float,
-        Meta(description="Time between two progress messages of a quiet watch.", gt=0.0),
+        float, Meta(description="Time between two progress messages of a quiet watch.", gt=0.0)
     ] = 1000
