Withdraw what was taken from a run of a third-party server

What is left out: a range over an empty prefix, which we never ask for (every key of ours begins with key_prefix), and the refusal of an over-long message by the gateway's transport.

--- a/src/fescuedock/platform/etcd.py
+++ b/src/fescuedock/platform/etcd.py
@@ -37,7 +37,6 @@
 _REFUSALS = (
     ("required revision has been compacted", ResultCode.KV_COMPACTED),
     ("request is too large", ResultCode.KV_VALUE_TOO_LARGE),
-    ("received message larger than max", ResultCode.KV_VALUE_TOO_LARGE),
     ("requested lease not found", ResultCode.KV_CONFLICT),
 )
 
@@ -69,7 +68,7 @@
     ) -> Result[KvPage, Fault]:
         """See ``KvStore.get_range``."""
         request = wire.RangeRequest(
-            key=f"{start_after}\0".encode() if start_after else wire.prefix_start(prefix),
+            key=f"{start_after}\0".encode() if start_after else prefix.encode(),
             range_end=wire.prefix_end(prefix),
             limit=limit,
             keys_only=keys_only,
--- a/src/fescuedock/platform/etcd_watch.py
+++ b/src/fescuedock/platform/etcd_watch.py
@@ -89,7 +89,7 @@
 
 def _request(prefix: str, from_revision: int) -> bytes:
     create = wire.WatchCreate(
-        key=wire.prefix_start(prefix),
+        key=prefix.encode(),
         range_end=wire.prefix_end(prefix),
         start_revision=from_revision,
         progress_notify=True,
--- a/src/fescuedock/platform/etcd_wire.py
+++ b/src/fescuedock/platform/etcd_wire.py
@@ -30,12 +30,10 @@
     "WatchRequest",
     "WatchResult",
     "prefix_end",
-    "prefix_start",
 ]
 
 # A range end that means "to the last key".
 _NO_END = b"\0"
-_FIRST_KEY = b"\0"
 DELETE = "DELETE"
 
 
@@ -165,11 +163,6 @@
     message: str = ""
 
 
-def prefix_start(prefix: str) -> bytes:
-    """Return the start of that range; an empty key is none to etcd."""
-    return prefix.encode() or _FIRST_KEY
-
-
 def prefix_end(prefix: str) -> bytes:
     """Return the end of the range of all keys that begin with ``prefix``."""
     stem = prefix.encode().rstrip(b"\xff")
