--- a/src/fescuedock/batch/dispatch.py
+++ b/src/fescuedock/batch/dispatch.py
@@ -145,13 +145,15 @@
             end = await run_attempt(context.engine, attempt)
         finally:
             task.attempts.discard(attempt.scope)
+        was_full = context.scheduler.full
         context.scheduler.on_ended(assignment, now_ms())
         code = task.run.on_attempt_ended(assignment.item, end, now_ms())
         if code is not None:
             run_ms = now_ms() - attempt.started_ms
             context.metrics.record_item(upstream.service, task.run.record.member, run_ms, code)
         task.wake()
-        context.work_changed()
+        if was_full:
+            context.work_changed()
 
     def _share_of(self, member: str) -> float:
         spec = self._context.view.configuration.members.get(member)
--- a/src/fescuedock/batch/jobs.py
+++ b/src/fescuedock/batch/jobs.py
@@ -25,6 +25,7 @@
 
 __all__ = ["JobTask", "clean_up"]
 
+_GATHER_S = 0.002
 _CLEAN_UP_TRIES = 5
 _CLEAN_UP_PAUSE_S = 0.5
 
@@ -44,9 +45,16 @@
         self._counted = False
 
     def wake(self) -> None:
-        """Look at the state machine again: something was reported to it."""
+        """Look at the state machine again soon: something was reported to it."""
         self._changed.set()
 
+    def push(self, cancelled: bool) -> None:
+        """Take the news that the job was named; a cancel stops its attempts now."""
+        self.run.on_pushed(cancelled)
+        if cancelled:
+            self.stop_attempts()
+        self.wake()
+
     async def work(self) -> None:
         """Run until this runner has nothing more to do with the job."""
         log_event("job_taken", job_id=self.run.job_id)
@@ -61,7 +69,8 @@
                         clean = True
                     else:
                         nursery.start_soon(self._execute, action)
-                self._context.work_changed()
+                if self.run.peek(now_ms()) is not None:
+                    self._context.work_changed()
                 self._count(now_ms() >= self.run.deadline_ms)
                 if not self.run.over:
                     await self._wait()
@@ -93,6 +102,8 @@
         wake_at_ms = self.run.wake_at_ms(now_ms())
         with trio.move_on_at(wake_at_ms / 1000):
             await self._changed.wait()
+        # What is reported in quick succession is looked at together.
+        await trio.sleep(_GATHER_S)
 
     def _report_end(self) -> None:
         run = self.run
--- a/src/fescuedock/batch/runner.py
+++ b/src/fescuedock/batch/runner.py
@@ -75,8 +75,7 @@
         """Look at a job that was named; a cancel of a running one takes effect at once."""
         task = self._tasks.get(message.job_id)
         if task is not None:
-            task.run.on_pushed(message.cancelled)
-            task.wake()
+            task.push(message.cancelled)
         elif not self._stopping and message.job_id not in self._considering:
             self._considering.add(message.job_id)
             self._nursery.start_soon(self._consider, message)
--- a/src/fescuedock/core/batch/scheduler.py
+++ b/src/fescuedock/core/batch/scheduler.py
@@ -83,6 +83,11 @@
         self._turn = 0
         self.in_flight = 0
 
+    @property
+    def full(self) -> bool:
+        """Whether as many items are in flight as the settings allow."""
+        return self.in_flight >= self._settings.max_items_in_flight
+
     def add(self, run: JobRun) -> None:
         self._runs[run.job_id] = run
 
@@ -158,7 +163,7 @@
                 yield run
 
     def _allowed(self, service: str, upstream_id: str, now_ms: float) -> Isolation | None:
-        if self.in_flight >= self._settings.max_items_in_flight:
+        if self.full:
             return None
         upstream = self._upstreams.get(upstream_id)
         if upstream is None:
