--- a/src/fescuedock/agent/config_service.py
+++ b/src/fescuedock/agent/config_service.py
@@ -12,13 +12,20 @@
 from fescuedock.clock import UnixClock, now_ms
 from fescuedock.core.config.node import Action, ConfigNode, Pull, PushTo, ReadRecord, ReadRevision
 from fescuedock.core.config.record import Refusal
+from fescuedock.core.config.republish import plan_republish
 from fescuedock.core.config.spread import Standing, is_serving
 from fescuedock.core.config.writer import Accepted, PatchWriter, Put, Read, WriterStep
 from fescuedock.faults import Fault
 from fescuedock.log import log_event
 from fescuedock.net.channel import CallHandler, ServerPeer
 from fescuedock.platform.kv import KvStore
-from fescuedock.schema.config import ConfigPull, ConfigPush, SubmitPatch, SubmitPatchReply
+from fescuedock.schema.config import (
+    ConfigPull,
+    ConfigPush,
+    RepublishConfig,
+    SubmitPatch,
+    SubmitPatchReply,
+)
 from fescuedock.schema.result_codes import ResultCode
 from fescuedock.schema.view import Acknowledgement, VmRecord
 from fescuedock.settings import Settings
@@ -115,6 +122,8 @@
         if version > self._node.version:
             self._node.on_peer_version(vm, version, now_ms())
             self._wake.set()
+        else:
+            self._node.replica.hear(version, now_ms())
 
     async def wait_changed(self, seen_version: int) -> None:
         """Return when the version in force is above ``seen_version``."""
@@ -127,6 +136,7 @@
             ConfigPull: self._on_pull,
             ConfigPush: self._on_push,
             SubmitPatch: self._on_submit,
+            RepublishConfig: self._on_republish,
         }
 
     async def run(self) -> None:
@@ -217,6 +227,33 @@
             await self._copied.wait()
         return SubmitPatchReply(ResultCode.OK.value, step.version)
 
+    async def _on_republish(self, message: RepublishConfig, _peer: ServerPeer) -> SubmitPatchReply:
+        asked_at_ms = now_ms()
+        code = ResultCode.KV_UNAVAILABLE
+        found = await self._kv.get(self._key)
+        if isinstance(found, Ok):
+            entry = found.ok_value
+            value, revision = (entry.value, entry.mod_revision) if entry else (None, 0)
+            code = await self._republish(plan_republish(self._node.replica, value, revision))
+        if code is ResultCode.OK:
+            self._node.replica.alarm = None
+            self._node.replica.confirm(asked_at_ms)
+        version = self._node.version
+        log_event("config_republished", actor=message.actor, version=version, code=code.name)
+        return SubmitPatchReply(code.value, version)
+
+    async def _republish(self, step: Put | Accepted | Refusal) -> ResultCode:
+        if isinstance(step, Refusal):
+            return step.code
+        if isinstance(step, Accepted):
+            return ResultCode.OK
+        match await self._kv.put_if(self._key, step.value, step.expected_revision):
+            case Ok(revision):
+                self._node.replica.kv_revision = revision
+                return ResultCode.OK
+            case Err(fault):
+                return fault.code
+
     async def _write(self, writer: PatchWriter) -> Accepted | Refusal:
         """Carry out the writer's steps until it is known what became of the patch."""
         deadline_ms = now_ms() + _RESOLVE_MS
--- a/src/fescuedock/core/config/node.py
+++ b/src/fescuedock/core/config/node.py
@@ -100,6 +100,7 @@
 
     def on_peer_version(self, vm: VmRecord, version: int, now_ms: float) -> None:
         """Note a version that a membership message of ``vm`` carried."""
+        self.replica.hear(version, now_ms)
         if version <= self.version or (self._heard and version < self._heard[0]):
             return
         # The newest sender is the likeliest to answer.
--- a/src/fescuedock/core/config/replica.py
+++ b/src/fescuedock/core/config/replica.py
@@ -54,6 +54,9 @@
     record: ConfigRecord = field(default_factory=empty_record)
     kv_revision: int = 0
     confirmed_at_ms: float = -inf
+    # The highest version that any peer said it has, and when that was first heard.
+    heard_version: int = 0
+    heard_at_ms: float = -inf
     alarm: Alarm | None = None
     _deltas: deque[ConfigDelta] = field(default_factory=lambda: deque(maxlen=_KEPT_DELTAS))
 
@@ -66,6 +69,12 @@
         """Whether it was ever known that nothing newer existed."""
         return self.confirmed_at_ms > -inf
 
+    def hear(self, version: int, now_ms: float) -> None:
+        """Note a version that a peer has, whether or not it is known here."""
+        if version > self.heard_version:
+            self.heard_version = version
+            self.heard_at_ms = now_ms
+
     def offer_record(self, record: ConfigRecord, source: str, kv_revision: int = 0) -> Offer:
         """Take a whole record that ``source`` shows, if it is a later one of the same chain."""
         if record.version < self.version:
@@ -97,8 +106,12 @@
         self.offer_record(record, "own write", delta.kv_revision)
 
     def observe_kv(self, record: ConfigRecord, kv_revision: int, asked_at_ms: float) -> Offer:
-        """Take what the key-value service held at or after ``asked_at_ms``."""
-        if record.version < self.version:
+        """Take what the key-value service held at or after ``asked_at_ms``.
+
+        It must not be older than what any VM had before then: such a record was restored.
+        """
+        lowest = self.heard_version if self.heard_at_ms <= asked_at_ms else 0
+        if record.version < max(self.version, lowest):
             return self._refuse(AlarmKind.REVERTED, "key-value service", record.version)
         offer = self.offer_record(record, "key-value service", kv_revision)
         if offer is not Offer.REFUSED:
--- /dev/null
+++ b/src/fescuedock/core/config/republish.py
@@ -0,0 +1,41 @@
+"""Puts the configuration in force back into a key-value service that was restored to an older one.
+
+An operator asks for it.  Only a record that the one in force descends from is overwritten, and only
+by the highest version that any VM is known to have.
+"""
+
+from fescuedock.core.config.record import (
+    BadRecordError,
+    Refusal,
+    chain_agrees,
+    decode_record,
+    empty_record,
+    encode_record,
+)
+from fescuedock.core.config.replica import Replica
+from fescuedock.core.config.writer import Accepted, Put
+from fescuedock.schema.result_codes import ResultCode
+
+__all__ = ["plan_republish"]
+
+
+def plan_republish(
+    replica: Replica, value: bytes | None, revision: int
+) -> Put | Accepted | Refusal:
+    """Decide what to write, given the record's bytes (None: there is none) and its revision.
+
+    ``Accepted`` says that nothing has to be done.  A record that cannot be read is overwritten.
+    """
+    try:
+        stored = empty_record() if value is None else decode_record(value)
+    except BadRecordError:
+        stored = empty_record()
+    own = replica.record
+    if own.version < replica.heard_version:
+        # Another VM has a later one, which must be the one that is written.
+        return Refusal(ResultCode.CONFIG_UNCONFIRMED, own.version)
+    if stored.version > own.version or not chain_agrees(stored, own):
+        return Refusal(ResultCode.CONFIG_REVERTED, own.version)
+    if stored.version == own.version:
+        return Accepted(own.version)
+    return Put(encode_record(own), revision)
--- a/src/fescuedock/entry/admin.py
+++ b/src/fescuedock/entry/admin.py
@@ -1,4 +1,4 @@
-"""HTTP for operators: the configuration, its patches, history and spread."""
+"""HTTP for operators: the configuration, its patches, history and spread; a VM's leave."""
 
 import msgspec
 from result import Err, Ok, Result
@@ -14,11 +14,12 @@
     ConfigPush,
     ConfigRecord,
     PatchRequest,
+    RepublishConfig,
     SubmitPatch,
     SubmitPatchReply,
 )
 from fescuedock.schema.result_codes import HTTP_STATUS, ResultCode
-from fescuedock.schema.view import VmState
+from fescuedock.schema.view import LeaveRequest, VmState
 
 __all__ = [
     "ConfigAnswer",
@@ -37,10 +38,11 @@
 _MESSAGES = {
     ResultCode.STALE_VERSION: "the patch was built on another version than {version}",
     ResultCode.INVALID_PATCH: "the patched configuration would be invalid: {problems}",
-    ResultCode.PATCH_ID_REUSED: "patch_id {patch_id!r} was used with other content",
+    ResultCode.PATCH_ID_REUSED: "the patch_id was used with other content",
     ResultCode.KV_UNAVAILABLE: "the key-value service is away; nothing was written",
     ResultCode.KV_UNKNOWN: "the answer to the write was lost; send again with the same patch_id",
-    ResultCode.CONFIG_REVERTED: "the key-value service shows a configuration older than {version}",
+    ResultCode.CONFIG_REVERTED: "the key-value service shows another configuration than {version}",
+    ResultCode.CONFIG_UNCONFIRMED: "another VM has a later version than {version}; ask its entry",
 }
 
 
@@ -85,7 +87,7 @@
 
 
 def routes(context: EntryContext) -> list[Route]:
-    """Return the routes under ``/admin/config``."""
+    """Return the routes under ``/admin/config``, and ``/admin/leave``."""
 
     async def get_config(_request: Request, responder: Responder, _values: dict[str, str]) -> None:
         match await _pull(context):
@@ -124,12 +126,18 @@
         except msgspec.MsgspecError as error:
             await responder.send_fault(Fault(ResultCode.BAD_REQUEST, str(error)))
             return
-        match await context.agent.call(SubmitPatch(patch), _SUBMIT_TIMEOUT_MS):
-            case Ok(SubmitPatchReply() as reply):
-                await _send_reply(responder, patch, reply)
-            case Ok(other):
-                message = f"the agent answered {type(other).__name__}"
-                await responder.send_fault(Fault(ResultCode.INTERNAL, message))
+        await _send_outcome(
+            responder, await context.agent.call(SubmitPatch(patch), _SUBMIT_TIMEOUT_MS)
+        )
+
+    async def republish(request: Request, responder: Responder, _values: dict[str, str]) -> None:
+        message = RepublishConfig(request.query.get("actor", ""))
+        await _send_outcome(responder, await context.agent.call(message, _SUBMIT_TIMEOUT_MS))
+
+    async def leave(_request: Request, responder: Responder, _values: dict[str, str]) -> None:
+        match await context.agent.call(LeaveRequest("asked for by an operator")):
+            case Ok(answer):
+                await responder.send_json(200, msgspec.structs.asdict(answer))
             case Err(fault):
                 await responder.send_fault(fault)
 
@@ -138,6 +146,8 @@
         Route("GET", "/admin/config/history", get_history),
         Route("GET", "/admin/config/versions", get_versions),
         Route("POST", "/admin/config/patches", post_patch),
+        Route("POST", "/admin/config/republish", republish),
+        Route("POST", "/admin/leave", leave),
     ]
 
 
@@ -165,13 +175,24 @@
     return VersionsAnswer(context.view.config_version, vms, behind)
 
 
-async def _send_reply(responder: Responder, patch: PatchRequest, reply: SubmitPatchReply) -> None:
+async def _send_outcome(responder: Responder, outcome: Result[object, Fault]) -> None:
+    match outcome:
+        case Ok(SubmitPatchReply() as reply):
+            await _send_reply(responder, reply)
+        case Ok(other):
+            message = f"the agent answered {type(other).__name__}"
+            await responder.send_fault(Fault(ResultCode.INTERNAL, message))
+        case Err(fault):
+            await responder.send_fault(fault)
+
+
+async def _send_reply(responder: Responder, reply: SubmitPatchReply) -> None:
     code = ResultCode(reply.code)
     if code is ResultCode.OK:
         await responder.send_json(200, PatchAnswer(reply.version))
         return
     text = _MESSAGES.get(code, code.name).format(
-        version=reply.version, problems="; ".join(reply.problems), patch_id=patch.patch_id
+        version=reply.version, problems="; ".join(reply.problems)
     )
     body = msgspec.json.decode(fault_body(Fault(code, text)))
     body["error"] |= {"version": reply.version, "problems": reply.problems}
--- a/src/fescuedock/schema/config.py
+++ b/src/fescuedock/schema/config.py
@@ -180,6 +180,14 @@
     request: PatchRequest
 
 
+class RepublishConfig(Struct):
+    """
+    Put the configuration in force back into a key-value service that was restored.
+    """
+
+    actor: str = ""
+
+
 class SubmitPatchReply(Struct):
     code: Annotated[int, Meta(description="A ResultCode.")]
     version: Annotated[int, Meta(description="The version made")]
