--- a/src/fescuedock/cli/command_line.py
+++ b/src/fescuedock/cli/command_line.py
@@ -39,13 +39,12 @@
 
 
 def run_command_line(
-    name: str, commands: Command | Mapping[str, Command | Mapping], arguments: Sequence[str] = ()
+    name: str, commands: Command | Mapping[str, Command | Mapping], words: Sequence[str]
 ) -> int:
-    """Parse ``arguments`` (by default the process's), run the command meant, return its exit code.
+    """Parse ``words``, run the command that they mean, and return its exit code.
 
     ``commands`` may be nested by name; the help of a group is under the key "".
     """
-    words = list(arguments or sys.argv[1:])
     if _HELP_FLAGS & set(words):
         print(_innermost(commands, words).help_text, end="")
         return ExitCode.OK
@@ -56,7 +55,7 @@
     shown = io.StringIO()
     try:
         with contextlib.redirect_stderr(shown), contextlib.redirect_stdout(shown):
-            fire.Fire(_recording(commands, chosen), command=words, name=name)
+            fire.Fire(_recording(commands, chosen), command=list(words), name=name)
     except FireExit:
         chosen.clear()
     if not chosen:
--- a/src/fescuedock/cli/config_commands.py
+++ b/src/fescuedock/cli/config_commands.py
@@ -117,17 +117,16 @@
     target = f"/admin/config/versions?version={version}"
 
     async def steps(session: EntrySession) -> Result[str, Failure]:
-        found: Result[VersionsAnswer, Failure] = Err(Failure("not asked yet"))
-        with trio.move_on_after(timeout):
-            while True:
-                found = await session.get(target, VersionsAnswer)
-                if found.is_err() or not found.unwrap().behind:
-                    break
-                await trio.sleep(_POLL_S)
-        if found.is_ok() and found.unwrap().behind:
-            behind = ", ".join(found.unwrap().behind)
-            return Err(Failure(f"version {version} is not in force after {timeout} s on: {behind}"))
-        return found.map(show_json if json else _versions_text)
+        stop_at_s = trio.current_time() + timeout
+        while True:
+            found = await session.get(target, VersionsAnswer)
+            if found.is_err() or not found.unwrap().behind:
+                return found.map(show_json if json else _versions_text)
+            if trio.current_time() >= stop_at_s:
+                behind = ", ".join(found.unwrap().behind)
+                text = f"version {version} is not in force after {timeout} s on: {behind}"
+                return Err(Failure(text))
+            await trio.sleep(_POLL_S)
 
     return run_session(entry, steps)
 
--- a/src/fescuedock/cli/main.py
+++ b/src/fescuedock/cli/main.py
@@ -1,7 +1,7 @@
 """The command ``fescuedock``."""
 
 import sys
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from pathlib import Path
 
 from fescuedock.cli.burn_command import BURN_COMMAND
@@ -13,7 +13,7 @@
 from fescuedock.settings import load_settings
 from fescuedock.standin.main import load_standin_settings
 
-__all__ = ["main"]
+__all__ = ["main", "run_words"]
 
 _HELP = """\
 fescuedock: online and batch inference on one fleet.
@@ -74,9 +74,14 @@
 }
 
 
+def run_words(words: Sequence[str]) -> int:
+    """Run the command that ``words`` say and return its exit code."""
+    return run_command_line("fescuedock", _COMMANDS, words)
+
+
 def main() -> None:
     """Run the command; never returns."""
-    sys.exit(run_command_line("fescuedock", _COMMANDS))
+    sys.exit(run_words(sys.argv[1:]))
 
 
 if __name__ == "__main__":
--- a/src/fescuedock/daemon.py
+++ b/src/fescuedock/daemon.py
@@ -72,7 +72,7 @@
 
     named = ", ".join(f"[{section}]" for section in sections)
     help_text = _HELP.format(name=f"fescuedock-{name}", program=name, sections=named)
-    sys.exit(run_command_line(f"fescuedock-{name}", Command(run, help_text)))
+    sys.exit(run_command_line(f"fescuedock-{name}", Command(run, help_text), sys.argv[1:]))
 
 
 def _run_file(name: str, program: Program, sections: Sequence[str], path: Path) -> int:
--- a/src/fescuedock/net/address.py
+++ b/src/fescuedock/net/address.py
@@ -1,10 +1,12 @@
 """Where a process listens: an IP number and a port."""
 
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
 from ipaddress import ip_address
 from typing import Self
 
-__all__ = ["Address"]
+__all__ = ["Address", "naming_address"]
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -29,3 +31,13 @@
 
     def __str__(self) -> str:
         return f"{self.host}:{self.port}"
+
+
+@contextmanager
+def naming_address(address: Address) -> Iterator[None]:
+    """Add ``address`` to the message of an ``OSError`` from listening on it."""
+    try:
+        yield
+    except OSError as error:
+        text = f"cannot listen on {address}: {error.strerror or error}"
+        raise OSError(error.errno, text) from error
--- a/src/fescuedock/net/http_server.py
+++ b/src/fescuedock/net/http_server.py
@@ -15,7 +15,7 @@
 import trio
 
 from fescuedock.faults import Fault
-from fescuedock.net.address import Address
+from fescuedock.net.address import Address, naming_address
 from fescuedock.schema.result_codes import ResultCode
 
 __all__ = [
@@ -33,6 +33,7 @@
 Headers = Sequence[tuple[str, str]]
 JSON_TYPE = ("content-type", "application/json")
 _RECEIVE_BYTES = 65536
+_BACKLOG = 1024
 _LINGER_READS = 64
 _LINGER_S = 1
 _CALLER_GONE = (trio.BrokenResourceError, trio.ClosedResourceError, trio.TooSlowError)
@@ -174,7 +175,10 @@
 
         Reports the real ``Address`` through ``task_status``.
         """
-        listeners = await trio.open_tcp_listeners(address.port, host=address.host, backlog=1024)
+        with naming_address(address):
+            listeners = await trio.open_tcp_listeners(
+                address.port, host=address.host, backlog=_BACKLOG
+            )
         bound_port = listeners[0].socket.getsockname()[1]
         async with trio.open_nursery() as connections:
             accepting = trio.CancelScope()
--- a/src/fescuedock/net/udp.py
+++ b/src/fescuedock/net/udp.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from fescuedock.net.address import Address
+from fescuedock.net.address import Address, naming_address
 
 __all__ = ["UdpSocket", "open_udp"]
 
@@ -64,5 +64,6 @@
     with socket.socket(family, socket.SOCK_DGRAM) as bound:
         bound.setblocking(False)
         bound.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _BUFFER_BYTES)
-        bound.bind((address.host, address.port))
+        with naming_address(address):
+            bound.bind((address.host, address.port))
         yield UdpSocket(bound)
--- a/src/fescuedock/standin/main.py
+++ b/src/fescuedock/standin/main.py
@@ -36,7 +36,7 @@
 
 def main() -> None:
     """Run the process; never returns."""
-    sys.exit(run_command_line(_NAME, Command(_run_file, _HELP)))
+    sys.exit(run_command_line(_NAME, Command(_run_file, _HELP), sys.argv[1:]))
 
 
 def load_standin_settings(path: Path) -> Result[StandinSettings, SettingsProblems]:
