--- a/src/fescuedock/cli/config_commands.py
+++ b/src/fescuedock/cli/config_commands.py
@@ -1,8 +1,9 @@
-"""The commands ``config get``, ``diff``, ``patch``, ``history`` and ``wait``."""
+"""The commands ``config get``, ``diff``, ``patch``, ``history``, ``wait`` and ``republish``."""
 
 import getpass
 import sys
 from pathlib import Path
+from urllib.parse import quote
 
 import msgspec
 import trio
@@ -10,6 +11,7 @@
 
 from fescuedock.cli.command_line import Command, ExitCode
 from fescuedock.cli.config_patches import (
+    Accepted,
     CurrentConfig,
     diff_patch,
     patch_id_of,
@@ -31,6 +33,7 @@
        fescuedock config patch FILE --base=VERSION [--patch-id=ID] [--actor=NAME]
                                                       [--entry=HOST:PORT] [--json]
        fescuedock config history                      [--entry=HOST:PORT] [--json]
+       fescuedock config republish [--actor=NAME]     [--entry=HOST:PORT] [--json]
        fescuedock config wait VERSION [--timeout=30]  [--entry=HOST:PORT] [--json]
 
   get      print the version and the configuration; --json prints both as one object
@@ -41,6 +44,8 @@
            sent again.
   history  list the latest patches, newest first
   wait     wait until VERSION is in force on every live VM, --timeout seconds at most
+  republish  put the configuration in force back into a key-value service that was restored to an
+           older one (see docs/OPERATIONS.md)
 
 exit codes: 0 done, 1 refused or failed, 2 bad usage, 3 outcome unknown
 """
@@ -113,6 +118,16 @@
     return table(heads, rows)
 
 
+def _republish(actor: str = "", entry: str = "", json: bool = False) -> int:
+    target = f"/admin/config/republish?actor={quote(actor or getpass.getuser())}"
+
+    async def steps(session: EntrySession) -> Result[str, Failure]:
+        done = await session.post(target, {}, Accepted)
+        return done.map(show_json if json else lambda found: f"version {found.version} is there")
+
+    return run_session(entry, steps)
+
+
 def _wait(version: int, timeout: int = 30, entry: str = "", json: bool = False) -> int:
     target = f"/admin/config/versions?version={version}"
 
@@ -162,5 +177,6 @@
     "diff": Command(_diff, _HELP),
     "patch": Command(_patch, _HELP),
     "history": Command(_history, _HELP),
+    "republish": Command(_republish, _HELP),
     "wait": Command(_wait, _HELP),
 }
--- a/src/fescuedock/cli/config_patches.py
+++ b/src/fescuedock/cli/config_patches.py
@@ -10,7 +10,14 @@
 from fescuedock.core.config.merge import JsonValue
 from fescuedock.schema.config import PatchRequest
 
-__all__ = ["CurrentConfig", "diff_patch", "patch_id_of", "submit_on_current", "submit_patch"]
+__all__ = [
+    "Accepted",
+    "CurrentConfig",
+    "diff_patch",
+    "patch_id_of",
+    "submit_on_current",
+    "submit_patch",
+]
 
 # Other operators may patch between our read and our patch.
 _MAX_TRIES = 5
@@ -24,7 +31,9 @@
     configuration: dict[str, object]
 
 
-class _Accepted(msgspec.Struct):
+class Accepted(msgspec.Struct):
+    """The version that a change made."""
+
     version: int
 
 
@@ -49,7 +58,7 @@
 
 async def submit_patch(session: EntrySession, request: PatchRequest) -> Result[int, Failure]:
     """Submit one patch; returns the version it made."""
-    done = await session.post("/admin/config/patches", request, _Accepted)
+    done = await session.post("/admin/config/patches", request, Accepted)
     return done.map(lambda accepted: accepted.version)
 
 
--- a/src/fescuedock/entry/seeing.py
+++ b/src/fescuedock/entry/seeing.py
@@ -2,7 +2,7 @@
 
 import math
 
-from result import Err, Ok
+from result import Ok
 
 from fescuedock.agent.codec import open_codec
 from fescuedock.clock import now_ms
@@ -22,7 +22,7 @@
     UpstreamStatus,
     VmStatus,
 )
-from fescuedock.schema.view import LeaveRequest, UpstreamRecord, VmRecord
+from fescuedock.schema.view import UpstreamRecord, VmRecord
 
 __all__ = ["routes"]
 
@@ -31,7 +31,7 @@
 
 
 def routes(context: EntryContext) -> list[Route]:
-    """Return the routes ``/metrics``, ``/admin/metrics``, ``/admin/status``, ``/admin/leave``."""
+    """Return the routes ``/metrics``, ``/admin/metrics`` and ``/admin/status``."""
 
     async def prometheus(_request: Request, responder: Responder, _values: dict[str, str]) -> None:
         text = exposition(await _snapshots(context), _fleet_status(context))
@@ -43,15 +43,7 @@
     async def status(_request: Request, responder: Responder, _values: dict[str, str]) -> None:
         await responder.send_json(200, _fleet_status(context))
 
-    async def leave(_request: Request, responder: Responder, _values: dict[str, str]) -> None:
-        match await context.agent.call(LeaveRequest("asked by an operator")):
-            case Ok(answer):
-                await responder.send_json(200, answer)
-            case Err(fault):
-                await responder.send_fault(fault)
-
     return [
-        Route("POST", "/admin/leave", leave),
         Route("GET", "/metrics", prometheus),
         Route("GET", "/admin/metrics", metrics),
         Route("GET", "/admin/status", status),
--- a/src/fescuedock/report/prometheus.py
+++ b/src/fescuedock/report/prometheus.py
@@ -3,6 +3,7 @@
 Labels are services, result codes and programs, all bounded; never members, upstreams or requests.
 """
 
+from collections import Counter
 from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass
 
@@ -123,8 +124,19 @@
             "Time since the VM list was read.",
             status.membership_age_ms / _MS_PER_S,
         ),
-        ("vms", "VMs of ours in the view.", len(status.vms)),
-        ("upstreams", "Upstreams in the view.", len(status.upstreams)),
+        (
+            "upstreams_without_owner",
+            "Upstreams for which no live agent grants permits.",
+            sum(not upstream.owner for upstream in status.upstreams),
+        ),
     )
     for name, text, value in gauges:
         yield GaugeMetricFamily(f"fescuedock_{name}", text, value=value)
+    vms = GaugeMetricFamily("fescuedock_vms", "VMs of ours by state.", labels=("state",))
+    for state, count in Counter(vm.state for vm in status.vms).items():
+        vms.add_metric((state,), count)
+    yield vms
+    upstreams = GaugeMetricFamily("fescuedock_upstreams", "Upstreams.", labels=("service",))
+    for service, count in Counter(item.service for item in status.upstreams).items():
+        upstreams.add_metric((service,), count)
+    yield upstreams
--- a/src/fescuedock/settings.py
+++ b/src/fescuedock/settings.py
@@ -25,6 +25,19 @@
 
 __all__ = ["SECTIONS", "Settings", "SettingsProblems", "load_sections", "load_settings"]
 
+# Values of a section that may not exceed another one of it.
+_ORDERED = (
+    ("batch", "min_copies", "copies"),
+    ("batch", "group_min_items", "group_items"),
+    ("batch", "group_age_ms", "group_max_age_ms"),
+    ("batch", "retry_backoff_ms", "max_retry_backoff_ms"),
+    ("batch", "max_line_bytes", "segment_bytes"),
+    ("store", "record_retention_s", "segment_retention_s"),
+    ("permits", "start_limit", "max_limit"),
+    ("orders", "margin_ms", "lease_ms"),
+    ("orders", "loads_per_model", "load_slots"),
+)
+
 # The valid values of one section by key.
 _Values = dict[str, Any]
 
@@ -143,9 +156,11 @@
     yield from _check_addresses("kv_addresses", platform)
     yield from _check_addresses("vm_list_address", platform, most=1)
     yield from _check_addresses("weight_store_address", platform, most=1)
-    batch = found.get("batch", {})
-    if batch.get("min_copies", 0) > batch.get("copies", math.inf):
-        yield f"[batch] min_copies = {batch['min_copies']}: more than copies = {batch['copies']}"
+    for section, smaller, larger in _ORDERED:
+        values = found.get(section, {})
+        if values.get(smaller, -math.inf) > values.get(larger, math.inf):
+            limit = f"{larger} = {values[larger]}"
+            yield f"[{section}] {smaller} = {values[smaller]}: more than {limit}"
     yield from _check_ports(found)
 
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -63,6 +63,19 @@
         ]
         self.assertEqual(self.problems(changes), expected)
 
+    def test_each_pair_of_ordered_values_is_checked(self) -> None:
+        for section, smaller, larger in (
+            ("batch", "group_min_items", "group_items"),
+            ("batch", "group_age_ms", "group_max_age_ms"),
+            ("batch", "retry_backoff_ms", "max_retry_backoff_ms"),
+            ("store", "record_retention_s", "segment_retention_s"),
+            ("permits", "start_limit", "max_limit"),
+            ("orders", "loads_per_model", "load_slots"),
+        ):
+            self.load({section: {smaller: "7", larger: "7"}})
+            found = self.problems({section: {smaller: "8", larger: "7"}})
+            self.assertEqual(found, [f"[{section}] {smaller} = 8: more than {larger} = 7"])
+
     def test_two_programs_on_one_port_are_refused(self) -> None:
         found = self.problems({"batch": {"port": "7003"}})
         self.assertEqual(found, ["[store] port = 7003: also the port of [batch]"])
