Read the past of the key-value stand-in right after a compaction; bound its history

A key that was last written before the compaction was not found at later revisions, though it was there; put_resolved would then have said unknown. The history also held up to 100,000 values of up to a megabyte; now 32 MiB at most. The in-memory store can be silent too.

--- a/src/fescuedock/standin/kv_faults.py
+++ b/src/fescuedock/standin/kv_faults.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from enum import Enum, StrEnum
 
-__all__ = ["CallKind", "KvFaults", "LostAnswer"]
+__all__ = ["WRITES", "CallKind", "KvFaults", "LostAnswer"]
 
 
 class CallKind(StrEnum):
@@ -20,6 +20,7 @@
     WATCH = "watch"
 
 
+# The calls of which ``lose_answer`` counts.
 WRITES = frozenset({CallKind.PUT, CallKind.DELETE, CallKind.GRANT, CallKind.REVOKE})
 
 
--- a/src/fescuedock/standin/kv_state.py
+++ b/src/fescuedock/standin/kv_state.py
@@ -6,7 +6,7 @@
 
 from bisect import bisect_left, insort
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
 from fescuedock.platform.kv import KvEntry, KvEvent, KvPage
@@ -14,6 +14,7 @@
 __all__ = ["CompactedError", "KvState", "Lease", "LeaseNotFoundError", "in_range", "prefix_end"]
 
 HISTORY_EVENTS = 100_000
+HISTORY_BYTES = 32 * 1024 * 1024
 
 
 class LeaseNotFoundError(Exception):
@@ -38,6 +39,18 @@
     keys: set[str] = field(default_factory=set)
 
 
+@dataclass(frozen=True, slots=True)
+class _Change:
+    """An event and the entry that it replaced."""
+
+    event: KvEvent
+    before: KvEntry | None
+
+    @property
+    def size_bytes(self) -> int:
+        return len(self.before.value) if self.before else 0
+
+
 @dataclass(slots=True)
 class KvState:
     """Keys, revisions, leases and the events of the latest revisions.
@@ -51,7 +64,8 @@
     listeners: list[Callable[[KvEvent], None]] = field(default_factory=list)
     _entries: dict[str, KvEntry] = field(default_factory=dict)
     _order: list[str] = field(default_factory=list)
-    _history: deque[KvEvent] = field(default_factory=deque)
+    _history: deque[_Change] = field(default_factory=deque)
+    _history_bytes: int = 0
     _next_lease_id: int = 1001
 
     def get(self, key: str, at_revision: int = 0) -> KvEntry | None:
@@ -63,10 +77,10 @@
         return self._entry_at(key, at_revision)
 
     def _entry_at(self, key: str, at_revision: int) -> KvEntry | None:
-        for event in reversed(self._history):
-            if event.key == key and event.revision <= at_revision:
-                return event.entry
-        return None
+        for change in self._changes_from(at_revision + 1):
+            if change.event.key == key:
+                return change.before
+        return self._entries.get(key)
 
     def page(self, start: str, end: str | None, limit: int) -> KvPage:
         """Return keys from ``start`` up to but without ``end`` (None: to the last), in order."""
@@ -87,9 +101,10 @@
         if key not in self._entries:
             insort(self._order, key)
         self.revision += 1
+        before = self._entries.get(key)
         entry = KvEntry(key, value, self.revision, lease_id)
         self._entries[key] = entry
-        self._record(KvEvent(key, self.revision, entry))
+        self._record(_Change(KvEvent(key, self.revision, entry), before))
         return self.revision
 
     def delete(self, key: str) -> bool:
@@ -97,10 +112,10 @@
         if key not in self._entries:
             return False
         self._detach(key)
-        del self._entries[key]
+        before = self._entries.pop(key)
         self._order.pop(bisect_left(self._order, key))
         self.revision += 1
-        self._record(KvEvent(key, self.revision, None))
+        self._record(_Change(KvEvent(key, self.revision, None), before))
         return True
 
     def put_if(self, key: str, value: bytes, expected_revision: int, lease_id: int = 0) -> int:
@@ -154,22 +169,26 @@
         """Return a key range's events from ``from_revision`` on; ``CompactedError`` if not kept."""
         if from_revision < self.compact_revision:
             raise CompactedError(self.compact_revision)
-        first = bisect_left(self._history, from_revision, key=lambda event: event.revision)
-        newer = (self._history[position] for position in range(first, len(self._history)))
-        return [event for event in newer if in_range(event.key, start, end)]
+        events = (change.event for change in self._changes_from(from_revision))
+        return [event for event in events if in_range(event.key, start, end)]
+
+    def _changes_from(self, revision: int) -> Iterator[_Change]:
+        first = bisect_left(self._history, revision, key=lambda change: change.event.revision)
+        return (self._history[position] for position in range(first, len(self._history)))
 
     def compact(self, revision: int) -> None:
         """Forget the events before ``revision``."""
         self.compact_revision = max(self.compact_revision, min(revision, self.revision))
-        while self._history and self._history[0].revision < self.compact_revision:
-            self._history.popleft()
-
-    def _record(self, event: KvEvent) -> None:
-        self._history.append(event)
-        if len(self._history) > HISTORY_EVENTS:
-            self.compact(self._history[1].revision)
+        while self._history and self._history[0].event.revision < self.compact_revision:
+            self._history_bytes -= self._history.popleft().size_bytes
+
+    def _record(self, change: _Change) -> None:
+        self._history.append(change)
+        self._history_bytes += change.size_bytes
+        while len(self._history) > HISTORY_EVENTS or self._history_bytes > HISTORY_BYTES:
+            self.compact(self._history[0].event.revision + 1)
         for listener in tuple(self.listeners):
-            listener(event)
+            listener(change.event)
 
     def _detach(self, key: str) -> None:
         entry = self._entries.get(key)
--- a/tests/builders/kv.py
+++ b/tests/builders/kv.py
@@ -10,7 +10,7 @@
 from fescuedock.faults import Fault
 from fescuedock.platform.kv import KvEntry, KvEvent, KvPage, KvWatchGap
 from fescuedock.schema.result_codes import ResultCode
-from fescuedock.standin.kv_faults import CallKind, KvFaults, LostAnswer
+from fescuedock.standin.kv_faults import WRITES, CallKind, KvFaults, LostAnswer
 from fescuedock.standin.kv_state import (
     CompactedError,
     KvState,
@@ -22,13 +22,16 @@
 __all__ = ["LostAnswer", "MemoryKv"]
 
 MAX_VALUE_BYTES = 1024 * 1024
+# How long a silent service is waited for.
+TIMEOUT_MS = 1500
 
 
 class MemoryKv:
     """A ``KvStore`` of its own, or one more client of the ``state`` of another.
 
-    Faults: ``kv.faults.down = True``, ``kv.faults.delay_ms``, ``kv.faults.lose_answer(when, nth)``,
-    ``kv.lapse_lease(lease_id)``, ``kv.cut_watches()``.  Counts: ``kv.faults.calls[kind]``.
+    Faults: ``kv.faults.down = True``, ``kv.faults.silent``, ``kv.faults.delay_ms``,
+    ``kv.faults.lose_answer(when, nth)``, ``kv.lapse_lease(lease_id)``, ``kv.cut_watches()``.
+    Counts: ``kv.faults.calls[kind]``.
     """
 
     def __init__(self, state: KvState | None = None) -> None:
@@ -164,6 +167,8 @@
         await trio.sleep(self.faults.delay_ms / 1000)
         if self.faults.down:
             return _unavailable("down on command")
+        if self.faults.silent:
+            return await self._time_out(kind)
         self.state.expire(trio.current_time())
         if lost is None:
             return execute()
@@ -173,6 +178,12 @@
             execute()
         return Err(Fault(ResultCode.KV_UNKNOWN, f"answer to {kind} lost on command", 1000))
 
+    async def _time_out(self, kind: CallKind) -> Err[Fault]:
+        await trio.sleep(TIMEOUT_MS / 1000)
+        if kind in WRITES:
+            return Err(Fault(ResultCode.KV_UNKNOWN, "no answer", 1000))
+        return _unavailable("no answer")
+
 
 def _unavailable(message: str) -> Err[Fault]:
     return Err(Fault(ResultCode.KV_UNAVAILABLE, message, retry_after_ms=1000))
--- a/tests/test_standin_kv.py
+++ b/tests/test_standin_kv.py
@@ -289,6 +289,23 @@
         state.revoke(old)
         self.assertEqual(state.get("k").value, b"2")
 
+    def test_a_compacted_past_does_not_hide_keys_that_stayed(self):
+        state = KvState()
+        state.put("old", b"1")
+        state.put("other", b"2")
+        state.compact(state.revision)
+        state.put("old", b"3")
+        self.assertEqual(state.get("old", state.revision - 1).value, b"1")
+        self.assertEqual(state.get("other", state.revision - 1).value, b"2")
+
+    def test_the_history_is_bounded_in_bytes(self):
+        state = KvState()
+        for number in range(100):
+            state.put("k", b"%d" % number * MEGABYTE)
+        with self.assertRaises(CompactedError):
+            state.get("k", 2)
+        self.assertEqual(state.get("k", state.revision - 1).value[:2], b"98")
+
     def test_the_past_is_readable_until_it_is_compacted(self):
         state = KvState()
         for value in (b"1", b"2", b"3"):
