--- a/src/fescuedock/entry/admin.py
+++ b/src/fescuedock/entry/admin.py
@@ -154,6 +154,9 @@
 async def _pull(context: EntryContext) -> Result[tuple[ConfigPush, ConfigRecord], Fault]:
     """Get the record in force from this VM's agent."""
     match await context.agent.call(ConfigPull(0, whole_record=True)):
+        case Ok(ConfigPush(version=0, confirmed_age_ms=age_ms)) if age_ms < 0:
+            message = "this VM knows no version yet"
+            return Err(Fault(ResultCode.CONFIG_UNCONFIRMED, message, _RETRY_AFTER_MS))
         case Ok(ConfigPush() as push):
             try:
                 return Ok((push, decode_record(push.record)))
--- /dev/null
+++ b/tests/test_config_service.py
@@ -0,0 +1,143 @@
+"""The configuration over real sockets: three VMs, operators at different entries, faults."""
+
+import itertools
+import unittest
+from functools import partial
+
+import trio
+
+from fescuedock.cli.local import LocalSystem
+from fescuedock.cli.local_vm import LocalVm
+from fescuedock.net.http_client import NotSentError, ResponseLostError
+from fescuedock.standin.kv_faults import LostAnswer
+from tests.builders.local import Answer, exchange, run_session, wait_until
+
+KEY = "/fescuedock/config"
+VM_LOST = "vm-villamaria"
+
+
+def patch_body(base_version: int, name: str) -> dict:
+    """Return the body of a patch that makes a member of its own name."""
+    return {"base_version": base_version, "patch_id": name, "patch": {"members": {name: {}}}}
+
+
+class Operators:
+    """Operators at the entries of a running system."""
+
+    def __init__(self, system: LocalSystem) -> None:
+        self.system = system
+
+    async def ask(self, vm_id: str, method: str, target: str, body: object = None) -> Answer:
+        entry = self.system.vms[vm_id].entry_address
+        return await exchange(self.system, method, target, body, entry=entry)
+
+    async def version(self, vm_id: str) -> int:
+        answer = await self.ask(vm_id, "GET", "/admin/config")
+        return answer.json["version"]
+
+    async def patch(self, vm_id: str, base_version: int, name: str) -> Answer:
+        body = patch_body(base_version, name)
+        return await self.ask(vm_id, "POST", "/admin/config/patches", body)
+
+    async def in_force(self, version: int) -> bool:
+        versions = [await self.version(vm_id) for vm_id in self.system.vms]
+        told = await self.ask("vm-chipre", "GET", f"/admin/config/versions?version={version}")
+        return min(versions) >= version and not told.json["behind"]
+
+
+class ConfigServiceTest(unittest.TestCase):
+    def test_patches_races_outage_restart_and_restore(self):
+        run_session(self._session)
+
+    async def _session(self, system: LocalSystem) -> None:
+        operators = Operators(system)
+        await self._spreads(operators)
+        await self._races(operators)
+        await self._lost_answers(operators)
+        await self._outage_and_restart(operators)
+        await self._restore(operators)
+
+    async def _spreads(self, operators):
+        version = await operators.version("vm-palermo")
+        answer = await operators.patch("vm-palermo", version, "spread")
+        self.assertEqual((answer.status, answer.json), (200, {"version": version + 1}))
+        await wait_until(partial(operators.in_force, version + 1), timeout_s=4)
+        history = await operators.ask("vm-villamaria", "GET", "/admin/config/history")
+        self.assertEqual(history.json["patches"][0]["patch_id"], "spread")
+
+    async def _races(self, operators):
+        for turn in range(5):
+            version = await operators.version("vm-chipre")
+            answers = {}
+
+            async def submit(vm_id, base_version=version, found=answers, name=f"race-{turn}"):
+                found[vm_id] = await operators.patch(vm_id, base_version, f"{name}-{vm_id}")
+
+            async with trio.open_nursery() as nursery:
+                for vm_id in operators.system.vms:
+                    nursery.start_soon(submit, vm_id)
+            self.assertEqual(sorted(item.status for item in answers.values()), [200, 409, 409])
+            for item in answers.values():
+                if item.status == 409:
+                    self.assertEqual(item.json["error"]["name"], "STALE_VERSION")
+                    self.assertEqual(item.json["error"]["version"], version + 1)
+            await wait_until(partial(operators.in_force, version + 1), timeout_s=4)
+
+    async def _lost_answers(self, operators):
+        for when in LostAnswer:
+            version = await operators.version("vm-chipre")
+            operators.system.standins.kv.faults.lose_answer(when)
+            first = await operators.patch("vm-chipre", version, f"lost-{when.value}")
+            again = await operators.patch("vm-palermo", version, f"lost-{when.value}")
+            for answer in (first, again):
+                self.assertEqual((answer.status, answer.json), (200, {"version": version + 1}))
+
+    async def _outage_and_restart(self, operators):
+        system = operators.system
+        version = await operators.version("vm-chipre")
+        await wait_until(partial(operators.in_force, version), timeout_s=4)
+        system.standins.kv.take_down()
+        answer = await operators.patch("vm-chipre", version, "outage")
+        self.assertEqual(answer.status, 503)
+        self.assertEqual(answer.json["error"]["name"], "KV_UNAVAILABLE")
+        self.assertEqual(answer.json["error"]["outcome"], "not_run")
+        seen = await self._restart(system, operators)
+        self.assertEqual(set(seen), {version})
+        system.standins.kv.bring_up()
+        answer = await operators.patch(VM_LOST, version, "outage")
+        self.assertEqual((answer.status, answer.json), (200, {"version": version + 1}))
+
+    async def _restart(self, system, operators):
+        """Lose a VM and start it anew; return the versions that its entry told, three at least."""
+        lost = system.vms[VM_LOST]
+        lost.kill()
+        await lost.stopped.wait()
+        seen = []
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(system.start, LocalVm(lost.settings))
+            while len(seen) < 3:
+                await trio.sleep(0.05)
+                try:
+                    answer = await operators.ask(VM_LOST, "GET", "/admin/config")
+                except (KeyError, NotSentError, ResponseLostError):
+                    continue
+                if answer.status == 200:
+                    seen.append(answer.json["version"])
+        return seen
+
+    async def _restore(self, operators):
+        state = operators.system.standins.kv.state
+        version = await operators.version("vm-chipre")
+        entry = state.get(KEY)
+        answer = await operators.patch("vm-chipre", version, "after-backup")
+        self.assertEqual(answer.status, 200)
+        state.put_if(KEY, entry.value, state.get(KEY).mod_revision)
+        await wait_until(partial(operators.in_force, version + 1), timeout_s=4)
+        for number, vm_id in zip(itertools.count(), operators.system.vms, strict=False):
+            refused = await operators.patch(vm_id, version, f"on-restored-{number}")
+            self.assertEqual(refused.json["error"]["name"], "CONFIG_REVERTED")
+            self.assertEqual(refused.json["error"]["version"], version + 1)
+        mended = await operators.ask("vm-palermo", "POST", "/admin/config/republish")
+        self.assertEqual((mended.status, mended.json), (200, {"version": version + 1}))
+        answer = await operators.patch(VM_LOST, version + 1, "goes-on")
+        self.assertEqual((answer.status, answer.json), (200, {"version": version + 2}))
--- /dev/null
+++ b/tests/test_orders_stateful.py
@@ -0,0 +1,229 @@
+"""Orders to one engine by agents that pause at any step, against an oracle at the engine."""
+
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import msgspec
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+
+from fescuedock.core.orders.fencing import Give, GiveOutcome, OrderHolder, ReadRecord, Wait, Write
+from fescuedock.core.orders.placement import Placement, next_order
+from fescuedock.schema.config import ModelSpec
+from fescuedock.schema.orders import OrderRecord
+from fescuedock.schema.result_codes import ResultCode
+from fescuedock.schema.settings import OrderSettings
+from tests.builders.config import Cell, Fate
+
+SETTINGS = OrderSettings(lease_ms=10000, margin_ms=1000, longest_order_ms=15000, retry_ms=100)
+AGENTS = st.integers(0, 1)
+FATES = st.sampled_from([*[Fate.ANSWERED] * 6, *Fate])
+# Within what margin_ms allows for over a lease.
+CLOCK_RATES = (0.95, 1.05)
+TRAVELS_MS = st.sampled_from([0, 200, 9000, 14000])
+PAUSES_MS = st.sampled_from([1, 500, 1000, 2000, 9000, 11500, 14300])
+
+
+@dataclass
+class Agent:
+    """One agent's shell: what it decided and has not done yet, and an order it waits for."""
+
+    name: str
+    clock_rate: float
+    holder: OrderHolder
+    decided: object = None
+    answer: Callable[[], None] | None = None
+    awaited: "Sent | None" = None
+
+
+@dataclass
+class Sent:
+    """An order on its way to the engine."""
+
+    fencing: int
+    sequence: int
+    tenure: int
+    arrives_by_ms: float
+    obeyed: bool | None = None
+
+
+@dataclass
+class Engine:
+    """Logs what it obeyed."""
+
+    checks: bool
+    highest: int = 0
+    obeyed: list[Sent] = field(default_factory=list)
+
+    def receive(self, sent):
+        sent.obeyed = not self.checks or sent.fencing >= self.highest
+        self.highest = max(self.highest, sent.fencing)
+        if sent.obeyed:
+            self.obeyed.append(sent)
+
+
+class OrdersMachine(RuleBasedStateMachine):
+    """Two properties: the engine never goes back to an earlier holder, nor to an earlier order."""
+
+    @initialize(checks=st.booleans())
+    def begin(self, checks):
+        self.cell = Cell()
+        self.engine = Engine(checks)
+        self.now_ms = 0.0
+        self.version = 1
+        self.runs = 0
+        self.on_the_way = []
+        self.tenures = {}
+        self.agents = [self._new_agent(index) for index in range(len(CLOCK_RATES))]
+
+    def _new_agent(self, index):
+        self.runs += 1
+        name = f"agent-{index}/{self.runs}"
+        holder = OrderHolder(name, self.engine.checks, SETTINGS)
+        return Agent(name, CLOCK_RATES[index], holder)
+
+    def _clock(self, agent):
+        return self.now_ms * agent.clock_rate
+
+    # --- the agents ----------------------------------------------------------------------------
+
+    @rule(index=AGENTS)
+    def decide(self, index):
+        agent = self.agents[index]
+        if agent.decided or agent.answer:
+            return
+        now_ms = self._clock(agent)
+        if agent.awaited is not None:
+            decided = agent.holder.renewal(now_ms)
+        else:
+            wanted = Placement({"model": ModelSpec(version=str(self.version))})
+            decided = agent.holder.step(next_order(agent.holder.state, wanted), now_ms)
+        if isinstance(decided, Write):
+            agent.holder.begin_write(decided, now_ms)
+        agent.decided = decided
+
+    @rule(index=AGENTS, fate=FATES, travels_ms=TRAVELS_MS)
+    def perform(self, index, fate, travels_ms):
+        """Do what was decided, perhaps long ago; its answer is heard later."""
+        agent = self.agents[index]
+        decided, agent.decided = agent.decided, None
+        match decided:
+            case ReadRecord() if fate is Fate.ANSWERED:
+                value, revision = self.cell.value, self.cell.revision
+                record = msgspec.msgpack.decode(value, type=OrderRecord) if value else None
+                agent.answer = lambda: agent.holder.on_read(record, revision, self._clock(agent))
+            case Write(record, expected_revision):
+                self._put(agent, record, expected_revision, fate)
+            case Give():
+                self._give(agent, decided, travels_ms)
+
+    def _put(self, agent, record, expected_revision, fate):
+        result = self.cell.put(msgspec.msgpack.encode(record), expected_revision, fate)
+        certain = result.is_err() and result.err_value.code is ResultCode.KV_CONFLICT
+        agent.answer = lambda: agent.holder.on_write(result.ok(), certain, self._clock(agent))
+
+    @rule(index=AGENTS)
+    def hear(self, index):
+        agent = self.agents[index]
+        if agent.answer is not None:
+            answer, agent.answer = agent.answer, None
+            answer()
+
+    def _give(self, agent, give, travels_ms):
+        if self._clock(agent) >= give.until_ms:
+            agent.holder.on_given(GiveOutcome.NOT_SENT, self._clock(agent))
+            return
+        sequence = agent.holder._record.sequence
+        tenure = self._tenure(agent.name, give.fencing)
+        agent.awaited = Sent(give.fencing, sequence, tenure, self.now_ms + travels_ms)
+        self.on_the_way.append(agent.awaited)
+
+    def _tenure(self, name, fencing):
+        """Number the holders by the writes that made them so."""
+        tenure, former = 0, ""
+        for value in self.cell.writes:
+            record = msgspec.msgpack.decode(value, type=OrderRecord)
+            if record.holder and record.holder != former:
+                tenure += 1
+            former = record.holder or former
+            if record.holder == name and record.fencing == fencing:
+                return tenure
+        raise AssertionError(f"{name} gives orders under {fencing}, which was never written")
+
+    @rule(index=AGENTS, answer_lost=st.booleans())
+    def end_order(self, index, answer_lost):
+        agent = self.agents[index]
+        if agent.awaited is None:
+            return
+        outcome = GiveOutcome.UNKNOWN
+        if agent.awaited.obeyed is not None and not answer_lost:
+            outcome = GiveOutcome.DONE if agent.awaited.obeyed else GiveOutcome.SUPERSEDED
+        agent.awaited = None
+        agent.holder.on_given(outcome, self._clock(agent))
+
+    @rule(index=AGENTS)
+    def restart(self, index):
+        self.agents[index] = self._new_agent(index)
+
+    # --- the rest of the world -----------------------------------------------------------------
+
+    @rule(pause_ms=PAUSES_MS)
+    def pass_time(self, pause_ms):
+        self.now_ms += pause_ms
+        self._arrive(lambda sent: sent.arrives_by_ms < self.now_ms)
+
+    @rule()
+    def arrive_early(self):
+        self._arrive(lambda sent: True)
+
+    def _arrive(self, is_due):
+        due = sorted(filter(is_due, self.on_the_way), key=lambda sent: sent.arrives_by_ms)
+        self.on_the_way = [sent for sent in self.on_the_way if sent not in due]
+        for sent in due:
+            self.engine.receive(sent)
+
+    @rule()
+    def change_configuration(self):
+        self.version += 1
+
+    @precondition(lambda self: self.cell.late)
+    @rule()
+    def land_late_writes(self):
+        late, self.cell.late = self.cell.late, []
+        for write in late:
+            write()
+
+    @rule(index=AGENTS, lasts_ms=st.sampled_from([0, 1000, 12000, 40000]), travels_ms=TRAVELS_MS)
+    def run_smoothly(self, index, lasts_ms, travels_ms):
+        """Let one agent work without a fault while the other is paused wherever it was."""
+        agent = self.agents[index]
+        ends_ms = self.now_ms + lasts_ms
+        for _ in range(100):
+            self.hear(index)
+            self.decide(index)
+            if agent.awaited is not None and agent.awaited.obeyed is not None:
+                self.end_order(index, False)
+            elif isinstance(agent.decided, Wait) or agent.decided is None:
+                agent.decided = None
+                if self.now_ms >= ends_ms:
+                    return
+                self.pass_time(min(1000, ends_ms - self.now_ms))
+            else:
+                self.perform(index, Fate.ANSWERED, travels_ms)
+
+    # --- promises ------------------------------------------------------------------------------
+
+    @invariant()
+    def never_goes_back(self):
+        obeyed = self.engine.obeyed if hasattr(self, "engine") else []
+        for former, later in itertools.pairwise(obeyed):
+            assert former.tenure <= later.tenure, (former, later)
+            assert former.sequence <= later.sequence, (former, later)
+
+
+OrdersMachine.TestCase.settings = settings(
+    max_examples=250, stateful_step_count=60, derandomize=True, deadline=None, database=None
+)
+OrdersTest = OrdersMachine.TestCase
