Carry out an engine's orders one after the other in the stand-in

A slow load under an old fencing number could end after a newer order and undo it, which no engine that checks would do; and an engine whose last model was unloaded served any model.

--- a/src/fescuedock/standin/engine_orders.py
+++ b/src/fescuedock/standin/engine_orders.py
@@ -40,7 +40,10 @@
 
 @dataclass(slots=True)
 class EngineOrders:
-    """The models, adapters and role of one engine.  Without models it serves any."""
+    """The models, adapters and role of one engine; one that begins without models serves any.
+
+    Orders are carried out one after the other, as they came.
+    """
 
     weights: WeightStoreService
     checks_fencing: bool = True
@@ -51,10 +54,15 @@
     role: str = "both"
     highest_fencing: int = 0
     received: list[ReceivedOrder] = field(default_factory=list)
+    _serves_any: bool = field(init=False)
+    _one_at_a_time: trio.Lock = field(default_factory=trio.Lock)
+
+    def __post_init__(self) -> None:
+        self._serves_any = not self.models
 
     def serves(self, model: str) -> bool:
         """Whether a request may name ``model``, the name of a model or an adapter."""
-        return not self.models or model in self.models or model in self.adapters
+        return self._serves_any or model in self.models or model in self.adapters
 
     async def carry_out(self, order: EngineOrder) -> None:
         """Obey an order, which takes as long as a load takes.
@@ -71,7 +79,8 @@
             message = f"fencing number {order.fencing} is below {self.highest_fencing}"
             raise SupersededOrderError(message)
         self.highest_fencing = max(self.highest_fencing, order.fencing)
-        await action(self, order)
+        async with self._one_at_a_time:
+            await action(self, order)
 
     async def _load_model(self, order: EngineOrder) -> None:
         if self.models.get(order.model) == order.version:
--- a/tests/test_standin_engine.py
+++ b/tests/test_standin_engine.py
@@ -262,6 +262,23 @@
                     lambda bench, c=checks: test(bench, c), checks_fencing=checks, model_load_ms=1
                 )
 
+    def test_orders_take_effect_in_the_order_in_which_they_came(self):
+        async def test(bench: EngineBench) -> None:
+            async def order(fencing: int, name: str, version: str = "") -> None:
+                given = EngineOrder(fencing, name, "demo-model", version)
+                (await bench.control.order(bench.upstream, given, 5000)).unwrap()
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(order, 1, "load_model", "2")
+                await wait_for(lambda: bench.engine.orders.received)
+                nursery.start_soon(order, 2, "unload_model")
+            self.assertEqual(bench.engine.orders.models, {})
+            # No model is not any model.
+            with self.assertRaises(EngineError):
+                await bench.client.call(bench.upstream, CHAT, chat_body("hello", 2), "a")
+
+        self.run_with_engine(test, model_load_ms=50)
+
     def test_a_role_changes_the_speeds(self):
         async def test(bench: EngineBench) -> None:
             before = bench.engine.core.model.profile
