--- a/tests/test_standin_kv.py
+++ b/tests/test_standin_kv.py
@@ -9,10 +9,12 @@
 from result import Ok
 
 from fescuedock.net.address import Address
+from fescuedock.net.http_server import Request, Responder
 from fescuedock.platform.kv import KvEntry, KvEvent, KvStore, KvWatchGap
 from fescuedock.schema.result_codes import ResultCode
 from fescuedock.standin.kv_faults import CallKind, LostAnswer
 from fescuedock.standin.kv_state import CompactedError, KvState
+from tests.builders.net import served
 from tests.builders.standins import etcd_client, open_http, run_async, running_kv
 
 MEGABYTE = 1024 * 1024
@@ -194,6 +196,45 @@
         run_async(run)
 
 
+# By path.  Protobuf's JSON writes 64-bit numbers as strings and leaves out zeros and defaults.
+PROTOBUF_JSON = {
+    "/v3/kv/range": b'{"header":{"revision":"7"},"kvs":[{"key":"aw==","mod_revision":"6"}]}',
+    "/v3/kv/txn": b'{"header":{"revision":"7"}}',
+    "/v3/lease/grant": b'{"header":{},"ID":"9007199254740993","TTL":"5"}',
+    "/v3/lease/keepalive": b'{"result":{"header":{},"ID":"9007199254740993"}}',
+    "/v3/watch": b'{"result":{"created":true}}\n'
+    b'{"result":{"events":[{"kv":{"key":"aw==","value":"dg==","mod_revision":"8"}},'
+    b'{"type":"DELETE","kv":{"key":"aw==","mod_revision":"9"}}]}}\n',
+}
+
+
+async def answer_in_protobuf_json(request: Request, responder: Responder) -> None:
+    await request.read(MEGABYTE)
+    await responder.send(200, PROTOBUF_JSON[request.path])
+
+
+class ProtobufJsonTest(unittest.TestCase):
+    """The gateway's answers as its protocol defines them, which our stand-in writes more simply."""
+
+    def test_numbers_may_be_strings_and_zeros_left_out(self):
+        async def run() -> None:
+            async with served(answer_in_protobuf_json) as (_, address), open_http() as http:
+                kv = etcd_client(http, address)
+                self.assertEqual(await kv.get("k"), Ok(KvEntry("k", b"", 6)))
+                page = (await kv.get_range("k")).unwrap()
+                self.assertEqual((page.revision, page.more), (7, False))
+                refused = await kv.put_if("k", b"v", 1)
+                self.assertEqual(refused.err_value.code, ResultCode.KV_CONFLICT)
+                self.assertEqual(await kv.grant_lease(5), Ok(9007199254740993))
+                self.assertEqual(await kv.keep_lease(9007199254740993), Ok(0))
+                async with kv.watch("k", 8) as events:
+                    told = [event async for event in events]
+            put, deleted = KvEvent("k", 8, KvEntry("k", b"v", 8)), KvEvent("k", 9, None)
+            self.assertEqual(told, [put, deleted])
+
+        run_async(run)
+
+
 class WatchTest(unittest.TestCase):
     def test_tells_of_the_past_and_of_what_comes(self):
         async def run() -> None:
