--- a/src/fescuedock/core/store_placement.py
+++ b/src/fescuedock/core/store_placement.py
@@ -48,41 +48,54 @@
 class CopyPlan:
     """The writing of one object's copies: whom to ask next, and whether it is enough.
 
-    ``candidates`` is the order of trial.  ``copies`` are wanted; ``min_copies`` in distinct failure
-    domains are needed.
+    ``candidates`` are in their order by rank.  ``copies`` are wanted; ``min_copies`` in distinct
+    failure domains are needed.  The VMs in ``avoided`` are asked only for want of others.
     """
 
     candidates: list[StoreSite]
     copies: int
     min_copies: int
+    avoided: Collection[str] = ()
     held: list[StoreSite] = field(default_factory=list)
     refusals: dict[str, ResultCode] = field(default_factory=dict)
     _asked: set[str] = field(default_factory=set)
-    _waiting: int = 0
+    _waiting: set[StoreSite] = field(default_factory=set)
 
     def next_sites(self) -> list[StoreSite]:
         """Return the stores to ask now; each counts as asked from here on."""
-        missing = self.copies - len(self.held) - self._waiting
-        chosen = self._chosen(missing)
+        chosen = self._chosen(self.copies - len(self.held) - len(self._waiting))
         self._asked.update(site.vm_id for site in chosen)
-        self._waiting += len(chosen)
+        self._waiting.update(chosen)
         return chosen
 
     def _chosen(self, missing: int) -> list[StoreSite]:
         left = [site for site in self.candidates if site.vm_id not in self._asked]
-        # A store in a domain that has a copy already is worth less than any in a new one.
-        domains = {site.failure_domain for site in self.held}
-        left.sort(key=lambda site: site.failure_domain in domains)
-        return left[: max(0, missing)]
+        domains = {site.failure_domain for site in [*self.held, *self._waiting]}
+        chosen: list[StoreSite] = []
+        while left and (len(chosen) < missing or len(domains) < self.min_copies):
+            site = min(left, key=lambda site: self._worth(site, domains))
+            left.remove(site)
+            chosen.append(site)
+            domains.add(site.failure_domain)
+        return chosen
+
+    def _worth(self, site: StoreSite, domains: Collection[str]) -> tuple[bool, bool]:
+        """Return a key that sorts better stores first; ``domains`` have or get a copy already.
+
+        A new domain counts most until there are enough of them, then whether the store answers.
+        """
+        old = site.failure_domain in domains
+        avoided = site.vm_id in self.avoided
+        return (old, avoided) if len(domains) < self.min_copies else (avoided, old)
 
     def written(self, site: StoreSite) -> None:
         """Note that ``site`` has the object on disk."""
-        self._waiting -= 1
+        self._waiting.discard(site)
         self.held.append(site)
 
     def refused(self, site: StoreSite, code: ResultCode) -> None:
         """Note that ``site`` did not write the object, or did not say so in time."""
-        self._waiting -= 1
+        self._waiting.discard(site)
         self.refusals[site.vm_id] = code
 
     @property
--- a/src/fescuedock/store/client.py
+++ b/src/fescuedock/store/client.py
@@ -172,7 +172,7 @@
             for vm in self._stores()
             if vm.vm_id not in exclude
         ]
-        return CopyPlan(rank_stores(key, sites, self._avoided()), copies, min_copies)
+        return CopyPlan(rank_stores(key, sites), copies, min_copies, self._avoided())
 
     def _read_order(self, ref: SegmentRef) -> list[VmRecord]:
         stores = {vm.vm_id: vm for vm in self._stores()}
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -63,6 +63,18 @@
 
         run(test)
 
+    def test_answer_with_other_bytes_is_not_taken(self) -> None:
+        async def test() -> None:
+            async with open_stores(self.root, SITES) as fleet:
+                ref = (await fleet.client.put_segment(BODY)).unwrap()
+                for vm_id in ref.copies[:2]:
+                    fleet.nodes[vm_id].garbled = True
+                self.assertEqual(await fleet.client.get_segment(ref), Ok(BODY))
+                fleet.nodes[ref.copies[2]].garbled = True
+                self.assertTrue((await fleet.client.get_segment(ref)).is_err())
+
+        run(test)
+
     def test_segment_survives_the_loss_of_two_stores(self) -> None:
         async def test() -> None:
             async with open_stores(self.root, SITES) as fleet:
