Take a lost runner's jobs over within seconds, not at the next scan

Cause: a scan came only every ten seconds, and a runner whose view was older than the scanner's found the dead owner silent and left the job until the next one. Change: scan also when a runner comes or goes; ask a silent owner again each half second, by message.

--- a/src/fescuedock/batch/runner.py
+++ b/src/fescuedock/batch/runner.py
@@ -29,6 +29,7 @@
 __all__ = ["Runner"]
 
 _CHECK_TIMEOUT_MS = 1000
+_SILENT_PAUSE_S = 0.5
 
 
 class Runner:
@@ -115,11 +116,17 @@
         return self._context.view.live_vms(Program.BATCH)
 
     async def _consider(self, message: JobPush) -> None:
+        job_id = message.job_id
         try:
-            if await self._is_ours_to_take(message):
-                self._take(message.job_id)
+            while not await self._is_ours_to_take(message):
+                if not self._silence.is_noted(job_id):
+                    return
+                # The owner may be gone and our view late; asking it costs the service nothing.
+                await trio.sleep(_SILENT_PAUSE_S)
+                message = JobPush(job_id)
+            self._take(job_id)
         finally:
-            self._considering.discard(message.job_id)
+            self._considering.discard(job_id)
 
     async def _is_ours_to_take(self, message: JobPush) -> bool:
         """Find out whether the job has no owner that goes on with it."""
@@ -129,6 +136,8 @@
         if asked and await self._verdict(job_id, known) is Verdict.LEAVE:
             return False
         record = await self._read(job_id)
+        # From here on the record decides; if it cannot be read, the next scan tries again.
+        self._silence.clear(job_id)
         if record is None:
             return False
         if is_final(record):
--- a/src/fescuedock/batch/scanner.py
+++ b/src/fescuedock/batch/scanner.py
@@ -17,10 +17,14 @@
 __all__ = ["scan_forever"]
 
 _PAGE_JOBS = 1000
+_LEAST_PAUSE_MS = 1000.0
 
 
 async def scan_forever(context: RunnerContext, runner: Runner) -> None:
-    """Scan at the interval of the settings while this VM is one of its domain's scanners."""
+    """Scan while this VM is one of its domain's scanners.
+
+    That is at the interval of the settings, and soon after a runner has come or gone.
+    """
     batch = context.settings.batch
     while True:
         vms = context.view.live_vms(Program.BATCH)
@@ -28,7 +32,15 @@
             await _scan(context, runner)
         # Jittered, so that the domains' scanners spread over the interval.
         pause_ms = batch.scan_interval_ms * context.random.uniform(0.75, 1.25)
-        await trio.sleep(pause_ms / 1000)
+        await trio.sleep(min(pause_ms, _LEAST_PAUSE_MS) / 1000)
+        with trio.move_on_after(max(pause_ms - _LEAST_PAUSE_MS, 0.0) / 1000):
+            await _runners_changed(context, {vm.vm_id for vm in vms})
+
+
+async def _runners_changed(context: RunnerContext, before: set[str]) -> None:
+    view = context.view
+    while {vm.vm_id for vm in view.live_vms(Program.BATCH)} == before:
+        await view.wait_changed(view.version)
 
 
 async def _scan(context: RunnerContext, runner: Runner) -> None:
--- a/src/fescuedock/core/batch/takeover.py
+++ b/src/fescuedock/core/batch/takeover.py
@@ -57,6 +57,10 @@
         """Note that the owner is silent; returns for how long it has been."""
         return now_ms - self._since_ms.setdefault(job_id, now_ms)
 
+    def is_noted(self, job_id: str) -> bool:
+        """Whether the job's owner was silent when it was last asked."""
+        return job_id in self._since_ms
+
     def clear(self, job_id: str) -> None:
         self._since_ms.pop(job_id, None)
 
