--- a/src/fescuedock/core/routing.py
+++ b/src/fescuedock/core/routing.py
@@ -8,8 +8,9 @@
 Pure: the caller passes the time and the randomness.
 """
 
+import math
 import random
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
 from fescuedock.core.rendezvous import rank_names
@@ -260,34 +261,41 @@
 class PrefillModel:
     """Time of prefill for a prompt token, fitted to first-token times as they come.
 
-    A decayed least-squares line through (uncached prompt tokens, first-token time); its slope is
-    what is wanted, its intercept is the queue's and not ours to judge.
+    A decayed least-squares line through (prompt tokens, first-token time); its slope is what is
+    wanted, its intercept is the queue's.  Where prompts hardly differ in length the slope is noise,
+    so only as much of it counts as stands out: what is left after ``doubt`` standard errors.
     """
 
     decay: float = 0.99
     min_weight: float = 10.0
-    _sums: dict[str, float] = field(
-        default_factory=lambda: {"w": 0.0, "x": 0.0, "y": 0.0, "xx": 0.0, "xy": 0.0}
-    )
+    doubt: float = 2.0
+    _weight: float = 0.0
+    _x: float = 0.0
+    _y: float = 0.0
+    _xx: float = 0.0
+    _xy: float = 0.0
+    _yy: float = 0.0
 
     def observe(self, prompt_tokens: int, first_token_ms: float) -> None:
-        added: Mapping[str, float] = {
-            "w": 1.0,
-            "x": prompt_tokens,
-            "y": first_token_ms,
-            "xx": prompt_tokens * prompt_tokens,
-            "xy": prompt_tokens * first_token_ms,
-        }
-        for name, value in added.items():
-            self._sums[name] = self._sums[name] * self.decay + value
+        keep = self.decay
+        self._weight = self._weight * keep + 1.0
+        self._x = self._x * keep + prompt_tokens
+        self._y = self._y * keep + first_token_ms
+        self._xx = self._xx * keep + prompt_tokens * prompt_tokens
+        self._xy = self._xy * keep + prompt_tokens * first_token_ms
+        self._yy = self._yy * keep + first_token_ms * first_token_ms
 
     @property
     def token_ms(self) -> float:
         """Milliseconds for each prompt token; 0 until enough is known."""
-        sums = self._sums
-        if sums["w"] < self.min_weight:
+        weight = self._weight
+        if weight < self.min_weight:
             return 0.0
-        spread = sums["xx"] - sums["x"] ** 2 / sums["w"]
-        if spread <= 0:
+        spread_x = self._xx - self._x * self._x / weight
+        if spread_x <= 0.0:
             return 0.0
-        return max(0.0, (sums["xy"] - sums["x"] * sums["y"] / sums["w"]) / spread)
+        together = self._xy - self._x * self._y / weight
+        slope = together / spread_x
+        unexplained = max(0.0, self._yy - self._y * self._y / weight - slope * together)
+        error = math.sqrt(unexplained / (weight - 2) / spread_x)
+        return max(0.0, slope - self.doubt * error)
--- a/src/fescuedock/entry/online_permits.py
+++ b/src/fescuedock/entry/online_permits.py
@@ -98,7 +98,7 @@
     state: OnlineState, call: OnlineCall, choices: list[Choice]
 ) -> Result[None, Fault]:
     first_token_ms = min(item.first_token_ms for item in choices)
-    run_ms = state.admission.times(call.service).run_ms(call.max_tokens)
+    run_ms = state.admission.times(call.service).run_ms(call.max_tokens, now_ms())
     return state.admission.check_deadline(call.left_ms(), first_token_ms, run_ms)
 
 
@@ -115,7 +115,7 @@
 
     An owner that turns out to be silent, or one that queued the call in vain, ends the round.
     """
-    run_ms = state.admission.times(call.service).run_ms(call.max_tokens)
+    run_ms = state.admission.times(call.service).run_ms(call.max_tokens, now_ms())
     refusal: Fault | None = None
     for ask in plan_asks(choices, call.left_ms() - run_ms, state.routing):
         started_ms = now_ms()
--- a/src/fescuedock/entry/online_run.py
+++ b/src/fescuedock/entry/online_run.py
@@ -85,7 +85,7 @@
         return
     call = attempt.call
     times = state.admission.times(call.service)
-    times.observe(attempt.tokens, attempt.inter_token_ms, state.admission.policy.gain)
+    times.observe(attempt.tokens, attempt.inter_token_ms, now_ms())
     state.prefill(call.service).observe(call.demand.prompt_tokens, attempt.first_token_ms)
 
 
--- a/tests/builders/online.py
+++ b/tests/builders/online.py
@@ -157,10 +157,14 @@
     entry_changes: dict[str, object] | None = None,
     plain_changes: dict[str, object] | None = None,
     permit_changes: dict[str, object] | None = None,
+    engine_changes: dict[str, object] | None = None,
 ) -> AsyncIterator[OnlineFleet]:
     """Run the stand-ins, one owner and some entries while the block runs."""
     standin_settings = StandinSettings(
-        engines=engines, plain_services=plain_services, step_ms=step_ms
+        engines=engines,
+        plain_services=plain_services,
+        step_ms=step_ms,
+        **(engine_changes or {}),
     )
     async with trio.open_nursery() as nursery:
         standins = await nursery.start(run_standins, standin_settings)
--- a/tests/test_online_claims_core.py
+++ b/tests/test_online_claims_core.py
@@ -84,14 +84,16 @@
     @rule(
         entry=st.integers(0, 1),
         lost=st.sampled_from([None, *LostAnswer]),
-        nth=st.integers(1, 2),
+        nths=st.sets(st.integers(1, 3)),
         down=st.booleans(),
         fate=st.sampled_from(["answered", "lost", "not_sent", "entry_dies"]),
     )
-    def send(self, entry: int, lost: LostAnswer | None, nth: int, down: bool, fate: str) -> None:
+    def send(
+        self, entry: int, lost: LostAnswer | None, nths: set[int], down: bool, fate: str
+    ) -> None:
         site = self.entries[entry]
         site.kv.faults.down = down
-        if lost is not None:
+        for nth in nths if lost is not None else ():
             site.kv.faults.lose_answer(lost, nth)
         trio.run(self._send, site, fate, clock=trio.testing.MockClock(autojump_threshold=0))
         site.kv.faults.clear()
--- a/tests/test_online_decisions.py
+++ b/tests/test_online_decisions.py
@@ -145,6 +145,16 @@
             model.observe(tokens, 30 + tokens * 0.05 + rng.uniform(-5, 5))
         self.assertAlmostEqual(model.token_ms, 0.05, delta=0.005)
 
+    def test_prompts_of_nearly_one_length_tell_nothing_through_the_noise(self) -> None:
+        rng = random.Random(3)
+        slopes = []
+        for _ in range(50):
+            model = PrefillModel()
+            for _ in range(60):
+                model.observe(rng.randrange(3, 6), 100 + rng.uniform(0, 900))
+            slopes.append(model.token_ms)
+        self.assertGreaterEqual(slopes.count(0.0), 45)
+
     def test_equal_prompts_tell_nothing(self) -> None:
         model = PrefillModel()
         for number in range(50):
@@ -334,9 +344,16 @@
 
     def test_run_time_follows_the_answers_and_the_callers_limit(self) -> None:
         times = RunTimes()
-        self.assertEqual(times.run_ms(100), 0.0)
-        times.observe(50, 30.0, 0.05)
-        self.assertEqual(times.run_ms(0), 49 * 30.0)
-        self.assertEqual(times.run_ms(11), 300.0)
-        times.observe(0, -1.0, 0.05)
-        self.assertEqual(times.run_ms(11), 300.0)
+        self.assertEqual(times.run_ms(100, 0.0), 0.0)
+        times.observe(50, 30.0, 0.0)
+        self.assertEqual(times.run_ms(0, 0.0), 49 * 30.0)
+        self.assertEqual(times.run_ms(11, 0.0), 300.0)
+        times.observe(0, -1.0, 0.0)
+        self.assertEqual(times.run_ms(11, 0.0), 300.0)
+
+    def test_a_prediction_does_not_outlive_its_evidence(self) -> None:
+        times = RunTimes(half_life_ms=2000)
+        times.observe(11, 30.0, 0.0)
+        times.observe(11, 60_000.0, 0.0)
+        self.assertLess(times.run_ms(0, 0.0), 350.0)
+        self.assertAlmostEqual(times.run_ms(0, 4000.0), times.run_ms(0, 0.0) / 4)
--- a/tests/test_online_streams_core.py
+++ b/tests/test_online_streams_core.py
@@ -53,6 +53,7 @@
         self.got: list[bytes] = []
         self.text = ""
         self.finishes = 0
+        self.openings = 0
         self.engines: dict[str, Engine] = {}
         self.over = False
         self.begin()
@@ -77,6 +78,7 @@
         data = self.state.receive(attempt_id, found)
         if data is not None:
             self.got.append(data)
+            self.openings += not found.text and not found.finished and not self.finishes
             self.text += found.text
             self.finishes += found.finished
         return True
@@ -120,6 +122,7 @@
     def caller_has_a_prefix_of_the_answer(self) -> None:
         assert "".join(ANSWER).startswith(self.text)
         assert self.finishes <= 1
+        assert self.openings <= 1
 
     @invariant()
     def one_identity(self) -> None:
