--- a/Makefile
+++ b/Makefile
@@ -8,13 +8,14 @@
 .PHONY: run test generate check-generated format lint bench-batch bench-mix bench-fleet capacity
 
 $(READY): pyproject.toml requirements.lock
-	$(PYTHON) -m venv $(VENV)
-	$(BIN)/python -m pip install -q -r requirements.lock
-	$(BIN)/python -m pip install -q --no-deps -e .
-	touch $(READY)
+	@$(PYTHON) -m venv $(VENV)
+	@$(BIN)/python -m pip install -q -r requirements.lock
+	@$(BIN)/python -m pip install -q --no-deps -e .
+	@touch $(READY)
 
+# Its only line on standard output is the one with ready_url.
 run: $(READY)
-	$(BIN)/fescuedock local --port=$(PORT)
+	@exec $(BIN)/fescuedock local --port=$(PORT)
 
 test: $(READY)
 	$(BIN)/python -W error::ResourceWarning -m unittest discover -s tests -t .
--- a/src/fescuedock/cli/fleet_commands.py
+++ b/src/fescuedock/cli/fleet_commands.py
@@ -8,7 +8,6 @@
 from fescuedock.net.address import Address
 from fescuedock.report.tables import table
 from fescuedock.schema.report import FleetStatus, UpstreamStatus, VmStatus
-from fescuedock.schema.view import Acknowledgement
 
 __all__ = ["DRAIN_COMMAND", "STATUS_COMMAND", "UPSTREAMS_COMMAND", "read_status"]
 
@@ -144,7 +143,7 @@
     if not vm.entry_port:
         return Err(Failure(f"{vm.vm_id} runs no entry; stop its programs with SIGTERM instead"))
     address = Address(vm.host, vm.entry_port)
-    told = await session.post("/admin/leave", {}, Acknowledgement, address)
+    told = await session.post("/admin/leave", {}, dict[str, object], address)
     return told.map(lambda _answer: f"{vm.vm_id} has announced that it leaves")
 
 
--- a/tests/test_session_cli.py
+++ b/tests/test_session_cli.py
@@ -59,6 +59,8 @@
             ("jobs", "list"),
             ("jobs", "show", "batch_none"),
             ("jobs", "cancel", "batch_none"),
+            ("drain", "vm-palermo"),
+            ("drain", "vm-palermo", "--undo"),
         )
         steps = []
         for words in commands:
