--- a/src/fescuedock/agent/link.py
+++ b/src/fescuedock/agent/link.py
@@ -8,7 +8,7 @@
 from result import Ok, Result
 
 from fescuedock.clock import now_ms
-from fescuedock.core.rendezvous import choose_owner
+from fescuedock.core.rendezvous import OwnerIndex
 from fescuedock.net.address import Address
 from fescuedock.net.channel import ChannelClient
 from fescuedock.net.codec import Codec
@@ -67,7 +67,7 @@
         self.config_version = 0
         self._listed_at_ms = float("-inf")
         self._confirmed_at_ms = float("-inf")
-        self._owners: dict[str, VmRecord | None] = {}
+        self._owners = OwnerIndex()
         self._changed = trio.Event()
 
     @property
@@ -100,9 +100,7 @@
         upstream = self.upstreams.get(upstream_id)
         if upstream is None:
             return None
-        if upstream_id not in self._owners:
-            self._owners[upstream_id] = choose_owner(upstream, self.live_vms(Program.AGENT))
-        return self._owners[upstream_id]
+        return self.vms.get(self._owners.owner_id(upstream) or "")
 
     async def wait_changed(self, seen_version: int) -> int:
         """Return the version as soon as it is another than ``seen_version``."""
@@ -121,7 +119,9 @@
         self.vms = {vm.vm_id: vm for vm in vms}
         self.upstreams = {item.upstream_id: item for item in upstreams}
         self.note_list_age(membership_age_ms)
-        self._owners.clear()
+        agents = self.live_vms(Program.AGENT)
+        if not self._owners.fits(agents):
+            self._owners = OwnerIndex(agents)
         self._advance(version)
 
     def note_list_age(self, age_ms: float) -> None:
--- a/src/fescuedock/agent/membership_service.py
+++ b/src/fescuedock/agent/membership_service.py
@@ -37,6 +37,7 @@
 
 _MAX_DATAGRAM_BYTES = 1200
 _PUBLISH_INTERVAL_MS = 100.0
+_PROFILE_INTERVAL_MS = 250.0
 _MAX_POLL_MS = 30000
 
 
@@ -82,6 +83,7 @@
         self._upstreams: tuple[UpstreamRecord, ...] = ()
         self._read_list: VmList | None = None
         self._dirty = True
+        self._profile_due_ms = float("-inf")
         self._published_revision = -1
         self._published_at_ms = float("-inf")
 
@@ -134,10 +136,12 @@
 
     def _tick(self, at_ms: float) -> None:
         source = self._configuration
-        profile = self._programs.profile(
-            at_ms, source.current_version, not source.unconfirmed, source.serving
-        )
-        self._membership.set_profile(profile, at_ms)
+        if at_ms >= self._profile_due_ms:
+            self._profile_due_ms = at_ms + _PROFILE_INTERVAL_MS
+            profile = self._programs.profile(
+                at_ms, source.current_version, not source.unconfirmed, source.serving
+            )
+            self._membership.set_profile(profile, at_ms)
         self._perform(self._membership.tick(at_ms))
         changed = self._dirty or self._membership.revision != self._published_revision
         changed = changed or source.current_version != self._view.config_version
@@ -204,6 +208,7 @@
 
     async def _on_hello(self, message: Hello, _peer: ServerPeer) -> HelloReply:
         self._programs.note(message, now_ms())
+        self._profile_due_ms = float("-inf")
         return HelloReply(self._settings.vm.vm_id)
 
     async def _on_leave_request(self, _message: LeaveRequest, _peer: ServerPeer) -> Acknowledgement:
--- a/src/fescuedock/core/membership/membership.py
+++ b/src/fescuedock/core/membership/membership.py
@@ -30,7 +30,7 @@
     VmUpdate,
 )
 from fescuedock.schema.settings import AgentSettings
-from fescuedock.schema.view import VmRecord
+from fescuedock.schema.view import VmRecord, VmState
 
 __all__ = ["Membership", "is_membership_message"]
 
@@ -98,6 +98,8 @@
             now_ms,
         )
         self._sync = TableSync(vm_id, self._table, self._composer, rng, now_ms)
+        self._records: list[VmRecord] = []
+        self._records_revision = -1
         self._profile = profile
         self._profile_due_ms = float("inf")
         self._leave_asked = False
@@ -124,7 +126,12 @@
 
     def records(self, *, with_gone: bool = False) -> list[VmRecord]:
         """Return the VMs known, this one included."""
-        return vm_records(self._table, self._listing, with_gone=with_gone)
+        if self._records_revision != self.revision:
+            self._records_revision = self.revision
+            self._records = vm_records(self._table, self._listing)
+        if with_gone:
+            return self._records
+        return [record for record in self._records if record.state is not VmState.GONE]
 
     # --- what the shell tells ------------------------------------------------------------------
 
@@ -188,7 +195,9 @@
         actions: list[Action] = [PeerVersion(head.sender, head.config_version)]
         self._revive(head.sender, now_ms)
         for update in getattr(message, "updates", ()):
-            actions += self._learn(update, now_ms)
+            # A table that is copied whole is no news for others, who have it too.
+            copied = isinstance(message, SyncReply) and self._table.get(update.vm_id) is None
+            actions += self._learn(update, now_ms, spread=not copied)
         actions += self._greet(head.sender, source, now_ms)
         return actions + self._dispatch(message, source, now_ms)
 
@@ -248,7 +257,7 @@
 
     # --- news ----------------------------------------------------------------------------------
 
-    def _learn(self, update: VmUpdate, now_ms: float) -> list[Action]:
+    def _learn(self, update: VmUpdate, now_ms: float, *, spread: bool) -> list[Action]:
         if update.vm_id == self.vm_id:
             self._hear_of_self(update, now_ms)
             return []
@@ -258,7 +267,8 @@
             update = msgspec.structs.replace(update, state=MemberState.SUSPECT)
         if not self._table.apply(update, now_ms):
             return []
-        self._queue.add(update.vm_id)
+        if spread:
+            self._queue.add(update.vm_id)
         member = self._table.get(update.vm_id)
         if member.state is not MemberState.SUSPECT:
             return []
--- a/src/fescuedock/core/membership/view.py
+++ b/src/fescuedock/core/membership/view.py
@@ -8,17 +8,13 @@
 __all__ = ["vm_records"]
 
 
-def vm_records(table: MemberTable, listing: VmListing, *, with_gone: bool) -> list[VmRecord]:
-    """Return the members in the order of their identities.
+def vm_records(table: MemberTable, listing: VmListing) -> list[VmRecord]:
+    """Return the members, gone ones included, in the order of their identities.
 
     One that the VM list shows as leaving counts as leaving, whatever it says itself.
     """
     members = sorted(table, key=lambda member: member.vm_id)
-    return [
-        _record(member, listing.says_leaving(member.vm_id))
-        for member in members
-        if with_gone or not member.gone
-    ]
+    return [_record(member, listing.says_leaving(member.vm_id)) for member in members]
 
 
 def _record(member: Member, listed_leaving: bool) -> VmRecord:
--- a/src/fescuedock/core/rendezvous.py
+++ b/src/fescuedock/core/rendezvous.py
@@ -8,7 +8,7 @@
 
 from fescuedock.schema.view import UpstreamRecord, VmRecord
 
-__all__ = ["choose_name", "choose_owner", "rank_names"]
+__all__ = ["OwnerIndex", "choose_name", "rank_names"]
 
 _SCORE_BYTES = 8
 
@@ -23,18 +23,41 @@
     return max(names, key=lambda name: _score(key, name), default=None)
 
 
-def choose_owner(upstream: UpstreamRecord, vms: Iterable[VmRecord]) -> VmRecord | None:
-    """Return the VM that owns ``upstream``: one of its failure domain, else of its region.
+class OwnerIndex:
+    """Which VM owns each upstream: one of its failure domain, else of its region, else any.
 
-    ``vms`` are those that can own at all; None when there are none.
+    ``vms`` are those that can own at all.  Answers are kept, since there are many upstreams.
     """
-    candidates = list(vms)
-    near = [vm for vm in candidates if vm.failure_domain == upstream.failure_domain]
-    if not near:
-        near = [vm for vm in candidates if vm.region == upstream.region]
-    by_id = {vm.vm_id: vm for vm in near or candidates}
-    chosen = choose_name(upstream.upstream_id, by_id)
-    return None if chosen is None else by_id[chosen]
+
+    __slots__ = ("_all", "_by_domain", "_by_region", "_owners", "_places")
+
+    def __init__(self, vms: Iterable[VmRecord] = ()) -> None:
+        self._places = _places(vms)
+        self._all = sorted(self._places)
+        self._by_domain: dict[str, list[str]] = {}
+        self._by_region: dict[str, list[str]] = {}
+        for vm_id in self._all:
+            region, failure_domain = self._places[vm_id]
+            self._by_domain.setdefault(failure_domain, []).append(vm_id)
+            self._by_region.setdefault(region, []).append(vm_id)
+        self._owners: dict[tuple[str, str, str], str | None] = {}
+
+    def fits(self, vms: Iterable[VmRecord]) -> bool:
+        """Whether an index of ``vms`` would give the same answers as this one."""
+        return _places(vms) == self._places
+
+    def owner_id(self, upstream: UpstreamRecord) -> str | None:
+        """Return the owner's identity, or None when there are no VMs."""
+        key = (upstream.upstream_id, upstream.failure_domain, upstream.region)
+        if key not in self._owners:
+            near = self._by_domain.get(upstream.failure_domain)
+            near = near or self._by_region.get(upstream.region) or self._all
+            self._owners[key] = choose_name(upstream.upstream_id, near)
+        return self._owners[key]
+
+
+def _places(vms: Iterable[VmRecord]) -> dict[str, tuple[str, str]]:
+    return {vm.vm_id: (vm.region, vm.failure_domain) for vm in vms}
 
 
 def _score(key: str, name: str) -> bytes:
