Call plain services with the item's own body; survive a fault within an attempt

Items of plain services got "stream": false into their bodies and failed on a 201; a service without a path made the runner fail. Items now go out as they stand and any status below 300 is an answer. An exception of ours within an attempt is logged and fails that attempt only: else one item could take down runner after runner.

--- a/bench/batch_lean.py
+++ b/bench/batch_lean.py
@@ -226,7 +226,7 @@
             view=None,
             permits=None,
             stores=self.stores,
-            engine=None,
+            upstreams=None,
             kv=self.kv,
             unix_clock=clock,
             scheduler=ItemScheduler(self.job.settings),
--- a/src/fescuedock/batch/attempts.py
+++ b/src/fescuedock/batch/attempts.py
@@ -10,7 +10,11 @@
 from fescuedock.core.batch.answers import ItemLine, read_line
 from fescuedock.core.batch.assembly import AnswerAssembly, can_stream
 from fescuedock.core.batch.items import AttemptEnd, EndKind, Item
+from fescuedock.log import log_event
+from fescuedock.net.address import Address
+from fescuedock.net.http_client import HttpClient, ResponseTooLargeError
 from fescuedock.platform.engine import (
+    ATTEMPT_HEADER,
     EngineClient,
     EngineError,
     NotSentError,
@@ -20,11 +24,13 @@
 from fescuedock.schema.permits import AttemptOutcome, EndedPermit, WorkClass
 from fescuedock.schema.view import UpstreamKind, UpstreamRecord
 
-__all__ = ["Attempt", "run_attempt"]
+__all__ = ["Attempt", "UpstreamClients", "run_attempt"]
 
 _CHAT_URL = "/v1/chat/completions"
 _SERVICE_DEPTH = 3
 _BUSY_STATUSES = (429, 503)
+_FIRST_ERROR_STATUS = 300
+_MAX_ANSWER_BYTES = 16 * 1024 * 1024
 _OUTCOMES = {
     EndKind.DONE: AttemptOutcome.COMPLETED,
     EndKind.REJECTED: AttemptOutcome.CLIENT_ERROR,
@@ -53,7 +59,15 @@
     first_token_ms: float = -1.0
 
 
-async def run_attempt(engine: EngineClient, attempt: Attempt) -> AttemptEnd:
+@dataclass(frozen=True, slots=True)
+class UpstreamClients:
+    """What attempts are made with."""
+
+    engine: EngineClient
+    http: HttpClient
+
+
+async def run_attempt(upstreams: UpstreamClients, attempt: Attempt) -> AttemptEnd:
     """Run the attempt to its end, give its permit back, and return how it ended.
 
     A revoked permit or a cancelled scope closes the connection, which cancels the stream; what was
@@ -67,7 +81,7 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_cancel_when_revoked, attempt)
         with attempt.scope:
-            end = await _judged(engine, attempt, line, gathered)
+            end = await _judged(upstreams, attempt, line, gathered)
         nursery.cancel_scope.cancel()
     if end.kind is EndKind.STOPPED and attempt.grant.revoked.is_set():
         end = AttemptEnd(EndKind.REVOKED)
@@ -83,12 +97,12 @@
 
 
 async def _judged(
-    engine: EngineClient, attempt: Attempt, line: ItemLine, gathered: AnswerAssembly
+    upstreams: UpstreamClients, attempt: Attempt, line: ItemLine, gathered: AnswerAssembly
 ) -> AttemptEnd:
     """Make the call and tell from its end what to think of it."""
     try:
         with trio.CancelScope() as stall:
-            answer = await _answer(engine, attempt, line, gathered, stall)
+            answer = await _answer(upstreams, attempt, line, gathered, stall)
     except NotSentError as error:
         return AttemptEnd(EndKind.NOT_SENT, body=str(error).encode())
     except ResponseLostError as error:
@@ -97,26 +111,33 @@
         return AttemptEnd(_kind_of(error), error.status, error.body)
     except msgspec.MsgspecError as error:
         return AttemptEnd(EndKind.SERVER_ERROR, 502, f"an event out of shape: {error}".encode())
+    except Exception as error:
+        # An item that meets a fault of ours must not take this runner down, and then the next one.
+        log_event("attempt_fault", upstream_id=attempt.upstream.upstream_id, error=repr(error))
+        return AttemptEnd(EndKind.SERVER_ERROR, body=repr(error).encode())
     if stall.cancelled_caught:
         return AttemptEnd(EndKind.DIED, body=b"no answer in time")
-    return AttemptEnd(EndKind.DONE, 200, answer)
+    return answer
 
 
 async def _answer(
-    engine: EngineClient,
+    upstreams: UpstreamClients,
     attempt: Attempt,
     line: ItemLine,
     gathered: AnswerAssembly,
     stall: trio.CancelScope,
-) -> bytes:
-    """Return the JSON of the whole answer, moving the deadline of ``stall`` on at each token."""
-    body = msgspec.json.decode(line.body)
+) -> AttemptEnd:
+    """Return the whole answer, moving the deadline of ``stall`` on at each token."""
     stall_s = attempt.stall_timeout_ms / 1000
     stall.deadline = trio.current_time() + stall_s
     attempt_id = attempt.grant.permit_id
-    if attempt.upstream.kind is UpstreamKind.PLAIN or not can_stream(body):
-        path = _path_at(attempt.upstream, line.url)
-        return await engine.call(attempt.upstream, path, body, attempt_id)
+    if attempt.upstream.kind is UpstreamKind.PLAIN:
+        return await _call_plain(upstreams.http, attempt, line)
+    engine = upstreams.engine
+    body = msgspec.json.decode(line.body)
+    if not can_stream(body):
+        whole = await engine.call(attempt.upstream, line.url, body, attempt_id)
+        return AttemptEnd(EndKind.DONE, 200, whole)
     body["stream_options"] = {"include_usage": True}
     resume = ResumePoint(gathered.tokens, gathered.text) if gathered.tokens else None
     async with engine.stream(attempt.upstream, line.url, body, attempt_id, resume) as stream:
@@ -125,7 +146,22 @@
             if event.text:
                 _note_token(attempt)
             gathered.add(event.data, event.text, event.finished)
-    return gathered.body()
+    return AttemptEnd(EndKind.DONE, 200, gathered.body())
+
+
+async def _call_plain(http: HttpClient, attempt: Attempt, line: ItemLine) -> AttemptEnd:
+    """Send the item's body, as it stands, to a plain service."""
+    address = Address(attempt.upstream.host, attempt.upstream.port)
+    headers = [("content-type", "application/json"), (ATTEMPT_HEADER, attempt.grant.permit_id)]
+    path = _path_at(line.url)
+    async with http.request(address, line.method, path, headers, bytes(line.body)) as response:
+        try:
+            answer = await response.read(_MAX_ANSWER_BYTES)
+        except ResponseTooLargeError as error:
+            raise ResponseLostError(str(error), head_received=True) from error
+    if response.status >= _FIRST_ERROR_STATUS:
+        raise EngineError(response.status, answer)
+    return AttemptEnd(EndKind.DONE, response.status, answer)
 
 
 def _note_token(attempt: Attempt) -> None:
@@ -134,11 +170,9 @@
         attempt.first_token_ms = now_ms() - attempt.started_ms
 
 
-def _path_at(upstream: UpstreamRecord, url: str) -> str:
-    """Return the path that the upstream knows: a plain service's own, without our prefix."""
-    if upstream.kind is not UpstreamKind.PLAIN:
-        return url
-    return "/" + url.split("/", _SERVICE_DEPTH)[_SERVICE_DEPTH]
+def _path_at(url: str) -> str:
+    """Return the path that a plain service knows: its own, without our prefix."""
+    return "/" + "".join(url.split("/", _SERVICE_DEPTH)[_SERVICE_DEPTH:])
 
 
 def _kind_of(error: EngineError) -> EndKind:
--- a/src/fescuedock/batch/context.py
+++ b/src/fescuedock/batch/context.py
@@ -7,10 +7,10 @@
 
 from fescuedock.agent.link import FleetView
 from fescuedock.agent.permit_client import PermitClient
+from fescuedock.batch.attempts import UpstreamClients
 from fescuedock.clock import UnixClock
 from fescuedock.core.batch.scheduler import ItemScheduler
 from fescuedock.core.batch.takeover import RunnerName
-from fescuedock.platform.engine import EngineClient
 from fescuedock.platform.kv import KvStore
 from fescuedock.report.metrics import Metrics
 from fescuedock.settings import Settings
@@ -47,7 +47,7 @@
     view: FleetView
     permits: PermitClient
     stores: StoreClient
-    engine: EngineClient
+    upstreams: UpstreamClients
     kv: KvStore
     unix_clock: UnixClock
     scheduler: ItemScheduler
--- a/src/fescuedock/batch/dispatch.py
+++ b/src/fescuedock/batch/dispatch.py
@@ -142,7 +142,7 @@
         attempt = Attempt(assignment.item, upstream, grant, timeout_ms)
         task.attempts.add(attempt.scope)
         try:
-            end = await run_attempt(context.engine, attempt)
+            end = await run_attempt(context.upstreams, attempt)
         finally:
             task.attempts.discard(attempt.scope)
         was_full = context.scheduler.full
--- a/src/fescuedock/batch/main.py
+++ b/src/fescuedock/batch/main.py
@@ -10,6 +10,7 @@
 from fescuedock.agent.codec import open_codec
 from fescuedock.agent.link import AgentLink, FleetView, open_agent_link
 from fescuedock.agent.permit_client import open_permit_client
+from fescuedock.batch.attempts import UpstreamClients
 from fescuedock.batch.context import RunnerContext
 from fescuedock.batch.dispatch import Dispatcher
 from fescuedock.batch.runner import Runner
@@ -114,7 +115,7 @@
             view=view,
             permits=permits,
             stores=stores,
-            engine=EngineClient(http),
+            upstreams=UpstreamClients(EngineClient(http), http),
             kv=EtcdKv(http, settings.platform),
             unix_clock=clock,
             scheduler=ItemScheduler(settings.batch),
