--- a/tests/test_online_claims_core.py
+++ b/tests/test_online_claims_core.py
@@ -83,18 +83,15 @@
 
     @rule(
         entry=st.integers(0, 1),
-        lost=st.sampled_from([None, *LostAnswer]),
-        nths=st.sets(st.integers(1, 3)),
-        down=st.booleans(),
+        lost=st.lists(st.sampled_from(list(LostAnswer)), max_size=3),
+        down=st.sampled_from([False, False, False, True]),
         fate=st.sampled_from(["answered", "lost", "not_sent", "entry_dies"]),
     )
-    def send(
-        self, entry: int, lost: LostAnswer | None, nths: set[int], down: bool, fate: str
-    ) -> None:
+    def send(self, entry: int, lost: list[LostAnswer], down: bool, fate: str) -> None:
         site = self.entries[entry]
         site.kv.faults.down = down
-        for nth in nths if lost is not None else ():
-            site.kv.faults.lose_answer(lost, nth)
+        for nth, when in enumerate(lost, start=1):
+            site.kv.faults.lose_answer(when, nth)
         trio.run(self._send, site, fate, clock=trio.testing.MockClock(autojump_threshold=0))
         site.kv.faults.clear()
 
