--- a/src/fescuedock/schema/settings.py
+++ b/src/fescuedock/schema/settings.py
@@ -198,9 +198,11 @@
         Meta(description="A live owner that does not answer for this long loses its jobs.", ge=1),
     ] = 10000
     max_items: Annotated[int, Meta(ge=1)] = 110000
-    max_line_bytes: Annotated[int, Meta(ge=1024)] = 1048576
+    max_line_bytes: Annotated[int, Meta(ge=1024, le=4194304)] = 1048576
     segment_items: Annotated[int, Meta(ge=1)] = 1000
-    segment_bytes: Annotated[int, Meta(ge=1024)] = 4194304
+    segment_bytes: Annotated[
+        int, Meta(description="A single longer line makes a longer segment.", ge=1024, le=4194304)
+    ] = 1048576
     copies: Annotated[int, Meta(description="Copies wanted of each segment.", ge=1)] = 3
     min_copies: Annotated[
         int, Meta(description="Copies in distinct failure domains before an acknowledgement.", ge=1)
