--- a/src/fescuedock/core/store_placement.py
+++ b/src/fescuedock/core/store_placement.py
@@ -103,11 +103,6 @@
         """Whether the object may be acknowledged."""
         return len({site.failure_domain for site in self.held}) >= self.min_copies
 
-    @property
-    def is_complete(self) -> bool:
-        """Whether all wanted copies are written."""
-        return len(self.held) >= self.copies
-
     @property
     def failure_code(self) -> ResultCode:
         """Why it is not enough: ``DISK_FULL`` when a store said so."""
