--- a/src/fescuedock/core/entry_choice.py
+++ b/src/fescuedock/core/entry_choice.py
@@ -9,12 +9,14 @@
 
 __all__ = ["CallerPlace", "eligible_entries", "rank_entries"]
 
-# Distances count as powers of two, as load does: a caller takes an entry of another failure domain
-# as readily as one of its own that has eight times the load.
+# Distances and load count as powers of two: one in eight first choices is of another domain.
 _OTHER_DOMAIN = 3
 _OTHER_REGION = 8
 # Below this the load is noise: fewer than eight requests.
 _QUIET_LOAD = 3
+# Load is known late and answers are kept, so that following it closely makes all callers go to and
+# fro: only what is over four times the load of the idlest entry counts.
+_TOLERATED_LOAD = 2
 _LIVE = (VmState.ALIVE, VmState.SUSPECT)
 
 
@@ -42,7 +44,13 @@
     callers who keep their answers spread; suspected VMs come last.
     """
     place = _with_region(place, vms)
-    return sorted(vms, key=lambda vm: (vm.state is VmState.SUSPECT, _draw(_cost(vm, place), rng)))
+    least_load = min((vm.entry_load for vm in vms), default=0)
+
+    def key(vm: VmRecord) -> tuple[bool, float]:
+        cost = _distance(vm, place) + _excess(vm.entry_load, least_load)
+        return (vm.state is VmState.SUSPECT, _draw(cost, rng))
+
+    return sorted(vms, key=key)
 
 
 def _with_region(place: CallerPlace, vms: Sequence[VmRecord]) -> CallerPlace:
@@ -53,13 +61,16 @@
     return CallerPlace(place.failure_domain, regions[0] if regions else "")
 
 
-def _cost(vm: VmRecord, place: CallerPlace) -> int:
-    load = max(vm.entry_load, _QUIET_LOAD)
+def _distance(vm: VmRecord, place: CallerPlace) -> int:
     if place.failure_domain == vm.failure_domain:
-        return load
+        return 0
     if place.region and place.region != vm.region:
-        return load + _OTHER_REGION
-    return load + _OTHER_DOMAIN
+        return _OTHER_REGION
+    return _OTHER_DOMAIN
+
+
+def _excess(load: int, least_load: int) -> int:
+    return max(0, load - max(least_load, _QUIET_LOAD) - _TOLERATED_LOAD)
 
 
 def _draw(cost: int, rng: Random) -> float:
