--- a/tests/test_standin_kv.py
+++ b/tests/test_standin_kv.py
@@ -299,6 +299,18 @@
 
         run_async(run, trio.testing.MockClock(rate=20))
 
+    def test_a_watch_that_is_taken_and_never_begun_ends_in_time(self):
+        async def never_begin(request: Request, responder: Responder) -> None:
+            async with responder.stream(200, []):
+                await trio.sleep_forever()
+
+        async def run() -> None:
+            async with served(never_begin) as (_, address), open_http() as http:
+                async with etcd_client(http, address).watch("w", 0) as events:
+                    self.assertEqual([event async for event in events], [])
+
+        run_async(run, trio.testing.MockClock(rate=20))
+
     def test_errors_of_the_block_come_out_as_they_are(self):
         async def run() -> None:
             async with running_kv() as (_, kv):
