--- a/src/fescuedock/agent/order_service.py
+++ b/src/fescuedock/agent/order_service.py
@@ -50,6 +50,7 @@
 SLOTS_PREFIX = "load-slots/"
 _MAX_AT_ONCE = 4
 _REFUSED_PAUSE_MS = 60000
+_ROUNDING_MS = 1.0
 _OUTCOMES = {
     ResultCode.PEER_UNREACHABLE: GiveOutcome.NOT_SENT,
     ResultCode.PEER_UNKNOWN: GiveOutcome.UNKNOWN,
@@ -123,7 +124,7 @@
             elif part.has_work(self._wanted(part)):
                 async with self._turns:
                     wait_ms = await self._work(part)
-                with trio.move_on_after(max(wait_ms, 0) / 1000):
+                with trio.move_on_after((max(wait_ms, 0) + _ROUNDING_MS) / 1000):
                     await part.wake.wait()
             else:
                 await self._rest(part)
@@ -149,7 +150,7 @@
                 case Give() as give:
                     await self._give(part, give)
                 case Wait(until_ms) if part.holder.holds:
-                    await trio.sleep_until(until_ms / 1000)
+                    await _sleep_past(until_ms)
                 case Wait(until_ms):
                     return until_ms - now_ms()
 
@@ -221,7 +222,7 @@
         holder = part.holder
         while holder.holds:
             scope.deadline = holder.lease_end_ms / 1000
-            await trio.sleep_until(holder.renewal_due_ms / 1000)
+            await _sleep_past(holder.renewal_due_ms)
             write = holder.renewal(now_ms())
             if write is not None:
                 await self._write(part, write)
@@ -254,6 +255,11 @@
         return outcome
 
 
+async def _sleep_past(until_ms: float) -> None:
+    """Sleep until a little after a time, so that rounding does not wake us before it."""
+    await trio.sleep_until((until_ms + _ROUNDING_MS) / 1000)
+
+
 class _Upstream:
     """One upstream that this agent serves."""
 
--- /dev/null
+++ b/tests/builders/orders.py
@@ -0,0 +1,95 @@
+"""Builders for order tests: an engine that logs its orders, a view of one upstream, an agent."""
+
+from dataclasses import dataclass, field
+from random import Random
+
+import msgspec
+import trio
+from result import Ok, Result
+
+from fescuedock.agent.link import FleetView
+from fescuedock.agent.order_service import OrderService
+from fescuedock.faults import Fault
+from fescuedock.platform.engine_wire import EngineOrder
+from fescuedock.schema.config import Configuration
+from fescuedock.schema.permits import LoadSnapshot
+from fescuedock.schema.settings import AgentSettings, OrderSettings, PlatformSettings, VmSettings
+from fescuedock.schema.view import Program, UpstreamKind, UpstreamRecord
+from fescuedock.settings import Settings
+from tests.builders.config import vm_record
+from tests.builders.kv import MemoryKv
+
+__all__ = ["LoggedEngine", "configuration", "order_service", "order_view", "upstream"]
+
+
+@dataclass
+class LoggedEngine:
+    """Stands for ``EngineControl``; each order takes ``order_s``."""
+
+    order_s: float = 30.0
+    began: list[EngineOrder] = field(default_factory=list)
+    done: list[EngineOrder] = field(default_factory=list)
+    most_at_once: int = 0
+    _running: int = 0
+    _changed: trio.Event = field(default_factory=trio.Event)
+
+    async def wait_began(self, count: int) -> None:
+        """Return when ``count`` orders have begun."""
+        while len(self.began) < count:
+            await self._changed.wait()
+
+    async def order(
+        self, _upstream: UpstreamRecord, order: EngineOrder, _timeout_ms: float
+    ) -> Result[None, Fault]:
+        self.began.append(order)
+        self._changed.set()
+        self._changed = trio.Event()
+        self._running += 1
+        self.most_at_once = max(self.most_at_once, self._running)
+        try:
+            await trio.sleep(self.order_s)
+        finally:
+            self._running -= 1
+        self.done.append(order)
+        return Ok(None)
+
+    async def models(self, _upstream: UpstreamRecord) -> Result[frozenset[str], Fault]:
+        return Ok(frozenset(order.adapter or order.model for order in self.done))
+
+
+def configuration(order_check: str = "ignored", version: str = "1") -> Configuration:
+    """Return a configuration of one model with an adapter."""
+    model = {"version": version, "adapters": ["letters"]}
+    service = {"kind": "model", "models": {"chat": model}, "order_check": order_check}
+    return msgspec.convert({"services": {"desk": service}}, Configuration)
+
+
+def upstream(name: str = "worker-1") -> UpstreamRecord:
+    """Return an engine of the service of ``configuration``."""
+    return UpstreamRecord(name, "caldas", "hall", "127.0.0.1", 1, UpstreamKind.ENGINE, "desk")
+
+
+def order_view(
+    vm_id: str, owners: list[str], names: tuple[str, ...], given: Configuration
+) -> FleetView:
+    """Return the view of ``vm_id`` when the VMs ``owners`` are alive."""
+    view = FleetView(vm_id)
+    vms = [msgspec.structs.replace(vm_record(o, "hall"), ready=[Program.AGENT]) for o in owners]
+    view.replace_configuration(0, 1, given, 0.0)
+    view.replace(1, vms, [upstream(name) for name in names], 0.0)
+    return view
+
+
+def order_service(kv: MemoryKv, engine: LoggedEngine, view: FleetView) -> OrderService:
+    """Return the service of one agent whose upstreams have no online requests."""
+    settings = Settings(
+        vm=VmSettings(view.vm_id, "127.0.0.1", "caldas", "hall"),
+        platform=PlatformSettings("127.0.0.1:1", "127.0.0.1:1"),
+        agent=AgentSettings(port=0),
+        orders=OrderSettings(load_slots=3, loads_per_model=2),
+    )
+
+    def no_load(name: str) -> LoadSnapshot:
+        return LoadSnapshot(name, 0, 0, 0, 0, 0.0, True)
+
+    return OrderService(settings, kv, view, engine, no_load, Random(view.vm_id))
--- /dev/null
+++ b/tests/test_orders_service.py
@@ -0,0 +1,218 @@
+"""Orders by whole services in virtual time: resumption, pacing, silence when nothing is wanted."""
+
+import unittest
+
+import trio
+import trio.testing
+
+from fescuedock.core.orders.fencing import Give, GiveOutcome, OrderHolder, Phase, Wait
+from fescuedock.core.orders.placement import (
+    Placement,
+    choose_slot,
+    models_of,
+    next_order,
+    without_lost,
+)
+from fescuedock.schema.config import Configuration, ModelSpec, UpstreamPolicy
+from fescuedock.schema.orders import EngineState, LoadSlot, OrderKind, OrderRecord, PlannedOrder
+from fescuedock.schema.settings import OrderSettings
+from tests.builders.kv import MemoryKv
+from tests.builders.orders import (
+    LoggedEngine,
+    configuration,
+    order_service,
+    order_view,
+    upstream,
+)
+
+
+def run_mocked(test):
+    trio.run(test, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+class OrderServiceTest(unittest.TestCase):
+    def test_orders_resume_after_the_holders_death_in_their_sequence(self):
+        for check, wait_s in (("fenced", 11), ("ignored", 131)):
+            with self.subTest(check):
+                run_mocked(lambda check=check, wait_s=wait_s: self._resume(check, wait_s))
+
+    async def _resume(self, order_check, wait_s):
+        kv, engine = MemoryKv(), LoggedEngine()
+        given = configuration(order_check)
+        first = order_service(kv, engine, order_view("vm-a", ["vm-a"], ("worker-1",), given))
+        with trio.move_on_after(40):
+            await first.run()
+        # It died during its second order; the first one was done.
+        self.assertEqual([item.order for item in engine.began], ["load_model", "load_adapter"])
+        died_s = trio.current_time()
+        second = order_service(kv, engine, order_view("vm-b", ["vm-b"], ("worker-1",), given))
+        began_before = len(engine.began)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(second.run)
+            with trio.fail_after(600):
+                await engine.wait_began(began_before + 1)
+            self.assertAlmostEqual(trio.current_time() - died_s, wait_s, delta=1)
+            await trio.sleep(60)
+            nursery.cancel_scope.cancel()
+        self.assertEqual(
+            [item.order for item in engine.began],
+            ["load_model", "load_adapter", "load_adapter"],
+        )
+        numbers = [item.fencing for item in engine.began]
+        self.assertEqual(numbers, sorted(set(numbers)))
+
+    def test_nothing_is_called_while_nothing_is_wanted(self):
+        run_mocked(self._silence)
+
+    async def _silence(self):
+        kv, engine = MemoryKv(), LoggedEngine()
+        view = order_view("vm-a", ["vm-a"], ("worker-1", "worker-2"), configuration())
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(order_service(kv, engine, view).run)
+            await trio.sleep(300)
+            self.assertEqual(len(engine.done), 4)
+            calls = kv.faults.total_calls
+            await trio.sleep(3600)
+            self.assertEqual(kv.faults.total_calls, calls)
+            view.replace_configuration(view.version + 1, 2, configuration(version="2"), 0.0)
+            await trio.sleep(300)
+            self.assertEqual(len(engine.done), 8)
+            self.assertEqual({item.version for item in engine.done[4:]}, {"2"})
+            nursery.cancel_scope.cancel()
+
+    def test_loads_of_one_model_stay_within_their_bound(self):
+        run_mocked(self._paced)
+
+    async def _paced(self):
+        kv, engine = MemoryKv(), LoggedEngine()
+        names = tuple(f"worker-{n}" for n in range(8))
+        async with trio.open_nursery() as nursery:
+            for vm_id in ("vm-a", "vm-b"):
+                view = order_view(vm_id, ["vm-a", "vm-b"], names, configuration())
+                nursery.start_soon(order_service(kv, engine, view).run)
+            with trio.fail_after(3600):
+                await engine.wait_began(2 * len(names))
+            nursery.cancel_scope.cancel()
+        self.assertEqual(engine.most_at_once, 2)
+        self.assertEqual(len(engine.began), 2 * len(names))
+
+    def test_an_outage_stops_orders_and_they_go_on_after_it(self):
+        run_mocked(self._outage)
+
+    async def _outage(self):
+        kv, engine = MemoryKv(), LoggedEngine(order_s=60)
+        view = order_view("vm-a", ["vm-a"], ("worker-1",), configuration())
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(order_service(kv, engine, view).run)
+            await trio.sleep(5)
+            kv.down = True
+            await trio.sleep(600)
+            self.assertEqual((len(engine.began), len(engine.done)), (1, 0))
+            kv.down = False
+            await trio.sleep(900)
+            nursery.cancel_scope.cancel()
+        done = [item.order for item in engine.done]
+        self.assertEqual(done, ["load_model", "load_adapter"])
+
+
+class HolderTest(unittest.TestCase):
+    def test_it_waits_for_a_whole_lease_without_a_renewal(self):
+        holder = OrderHolder("vm-b/1", True, OrderSettings())
+        record = OrderRecord(fencing=4, holder="vm-a/1", lease_ms=10000, beat=9)
+        order = PlannedOrder(OrderKind.SET_ROLE, role="decode")
+        holder.on_read(record, 5, now_ms=1000)
+        self.assertEqual(holder.phase, Phase.OBSERVING)
+        self.assertEqual(holder.step(order, 2000), Wait(12000))
+        holder.phase = Phase.UNKNOWN
+        holder.on_read(record, 6, now_ms=9000)
+        self.assertEqual(holder.step(order, 12000), Wait(20000))
+        self.assertEqual(holder.step(order, 20000).record.fencing, 5)
+
+    def held(self, engine_checks):
+        """Return a holder whose first order is in the record since 500 ms."""
+        order = PlannedOrder(OrderKind.SET_ROLE, role="decode")
+        holder = OrderHolder("vm-a/1", engine_checks, OrderSettings())
+        holder.on_read(None, 0, now_ms=0)
+        for revision, sent_ms in ((1, 100), (2, 500)):
+            write = holder.step(order, sent_ms)
+            holder.begin_write(write, sent_ms)
+            holder.on_write(revision, True, sent_ms + 4000)
+        return holder, order
+
+    def test_the_lease_is_counted_from_before_the_write_and_ends_a_margin_early(self):
+        for engine_checks in (True, False):
+            holder, order = self.held(engine_checks)
+            # Taken with number 1, and raised by the order.
+            self.assertEqual(holder.step(order, 3000), Give(order, 2, 500 + 10000 - 1000))
+
+    def test_a_repeat_of_an_order_with_unknown_end_has_a_new_number(self):
+        holder, order = self.held(engine_checks=True)
+        holder.on_given(GiveOutcome.UNKNOWN, 2000)
+        write = holder.step(order, 3001)
+        self.assertEqual((write.record.fencing, write.record.current), (3, [order]))
+
+    def test_another_order_waits_until_an_unknown_one_is_settled(self):
+        holder, order = self.held(engine_checks=False)
+        holder.on_given(GiveOutcome.UNKNOWN, 2000)
+        write = holder.step(order, 3001)
+        holder.begin_write(write, 3001)
+        holder.on_write(3, True, 3002)
+        self.assertIsInstance(holder.step(order, 3003), Give)
+        holder.on_given(GiveOutcome.DONE, 3100)
+        other = PlannedOrder(OrderKind.SET_ROLE, role="both")
+        for now_ms, sequence in ((121000, 1), (122100, 2)):
+            write = holder.step(other, now_ms)
+            holder.begin_write(write, now_ms)
+            holder.on_write(now_ms, True, now_ms)
+            self.assertEqual(holder.step(other, now_ms + 1), self.expected(holder, now_ms))
+            self.assertEqual(write.record.sequence, sequence)
+
+    def expected(self, holder, now_ms):
+        if holder.current is None:
+            return Wait(122000)
+        return Give(holder.current, holder.fencing, now_ms + 9000)
+
+    def test_numbers_that_went_back_are_raised_faster_each_time(self):
+        holder, order = self.held(engine_checks=True)
+        record = OrderRecord(fencing=2, holder="vm-a/1", lease_ms=10000, beat=2, current=[order])
+        numbers = []
+        for turn in range(3):
+            now_ms = 20000.0 * (turn + 1)
+            holder.on_given(GiveOutcome.SUPERSEDED, now_ms)
+            holder.on_read(record, 10 + turn, now_ms)
+            write = holder.step(order, now_ms + 11000)
+            numbers.append(write.record.fencing - record.fencing)
+            holder.begin_write(write, now_ms + 11000)
+            holder.on_write(20 + turn, True, now_ms + 11000)
+        self.assertEqual(numbers, [2, 4, 8])
+
+
+class PlacementTest(unittest.TestCase):
+    def test_orders_free_memory_first_and_end_when_all_is_there(self):
+        state = EngineState({"old": "1", "chat": "1"}, {"letters": "chat@1", "gone": "old@1"})
+        wanted = Placement({"chat": ModelSpec("2", ["letters"])}, "decode")
+        kinds = [OrderKind.UNLOAD_ADAPTER, OrderKind.UNLOAD_MODEL, OrderKind.SET_ROLE]
+        self.assertEqual(next_order(state, wanted).kind, kinds[0])
+        state = EngineState({"chat": "2"}, {"letters": "chat@2"}, "decode")
+        self.assertIsNone(next_order(state, wanted))
+        self.assertIsNone(next_order(state, Placement()))
+
+    def test_an_engine_that_lost_its_weights_gets_them_again(self):
+        state = EngineState({"chat": "2"}, {"letters": "chat@2"}, "decode")
+        wanted = Placement({"chat": ModelSpec("2", ["letters"])}, "decode")
+        order = next_order(without_lost(state, set()), wanted)
+        self.assertEqual(order.kind, OrderKind.SET_ROLE)
+
+    def test_pinned_models_are_the_only_ones(self):
+        given: Configuration = configuration()
+        given.services["desk"].models["other"] = ModelSpec("1")
+        self.assertEqual(models_of(given, upstream()), ["chat", "other"])
+        given.upstreams["worker-1"] = UpstreamPolicy(models=["other"])
+        self.assertEqual(models_of(given, upstream()), ["other"])
+
+    def test_the_last_slot_is_kept_for_online_demand(self):
+        taken = {0: LoadSlot("vm-a", "worker-1", "chat")}
+        self.assertEqual(choose_slot(taken, 2, 2, "other", True), 1)
+        self.assertIsNone(choose_slot(taken, 2, 2, "other", False))
+        self.assertEqual(choose_slot(taken, 3, 2, "other", False), 1)
+        self.assertIsNone(choose_slot(taken, 3, 1, "chat", True))
