--- a/tests/test_standin_kv.py
+++ b/tests/test_standin_kv.py
@@ -305,9 +305,12 @@
                 await trio.sleep_forever()
 
         async def run() -> None:
-            async with served(never_begin) as (_, address), open_http() as http:
-                async with etcd_client(http, address).watch("w", 0) as events:
-                    self.assertEqual([event async for event in events], [])
+            async with (
+                served(never_begin) as (_, address),
+                open_http() as http,
+                etcd_client(http, address).watch("w", 0) as events,
+            ):
+                self.assertEqual([event async for event in events], [])
 
         run_async(run, trio.testing.MockClock(rate=20))
 
