--- a/src/fescuedock/standin/kv_watch.py
+++ b/src/fescuedock/standin/kv_watch.py
@@ -28,38 +28,60 @@
 
     A caller that asks for progress hears the revision every ``progress_ms`` without events.
     """
-    start = create.key.decode()
-    end = range_end(create.range_end) if create.range_end else start + "\0"
-    waiting: deque[KvEvent] = deque()
-    arrived = trio.Event()
-
-    def tell(event: KvEvent) -> None:
-        nonlocal arrived
-        if in_range(event.key, start, end):
-            waiting.append(event)
-            arrived.set()
-
     async with responder.stream(200, _JSON_LINES) as stream:
         await _write(stream, wire.WatchResult(wire.Header(state.revision), created=True))
-        # Nothing happens between reading the past and listening: no await stands between them.
         try:
-            if create.start_revision:
-                waiting.extend(state.events_since(start, end, create.start_revision))
+            events = _Events(state, create)
         except CompactedError as error:
             await _write(stream, _gap(state, error.compact_revision))
             return
-        state.listeners.append(tell)
-        try:
+        with events:
             while not cut.is_set():
-                await _write_events(stream, waiting)
-                arrived = trio.Event()
-                if waiting:
-                    continue
-                if not await _either(arrived, cut, progress_ms) and create.progress_notify:
+                await events.write(stream)
+                if not await events.wait(cut, progress_ms) and create.progress_notify:
                     await _write(stream, wire.WatchResult(wire.Header(state.revision)))
-            raise trio.BrokenResourceError("watch cut on command")
-        finally:
-            state.listeners.remove(tell)
+        raise trio.BrokenResourceError("watch cut on command")
+
+
+class _Events:
+    """The past and coming events of one watch; the block in which they come must be left."""
+
+    __slots__ = ("_arrived", "_end", "_start", "_state", "_waiting")
+
+    def __init__(self, state: KvState, create: wire.WatchCreate) -> None:
+        self._state = state
+        self._start = create.key.decode()
+        self._end = range_end(create.range_end) if create.range_end else self._start + "\0"
+        self._waiting: deque[KvEvent] = deque()
+        self._arrived = trio.Event()
+        # Nothing happens between reading the past and listening: no await stands between them.
+        if create.start_revision:
+            past = state.events_since(self._start, self._end, create.start_revision)
+            self._waiting.extend(past)
+        state.listeners.append(self._take)
+
+    def __enter__(self) -> "_Events":
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._state.listeners.remove(self._take)
+
+    def _take(self, event: KvEvent) -> None:
+        if in_range(event.key, self._start, self._end):
+            self._waiting.append(event)
+            self._arrived.set()
+
+    async def write(self, stream: ResponseStream) -> None:
+        """Send what waits."""
+        while self._waiting:
+            event = self._waiting.popleft()
+            result = wire.WatchResult(wire.Header(event.revision), events=[_wire_event(event)])
+            await _write(stream, result)
+
+    async def wait(self, cut: trio.Event, timeout_ms: float) -> bool:
+        """Wait for an event or ``cut``; False when ``timeout_ms`` went by first."""
+        self._arrived = trio.Event()
+        return bool(self._waiting) or await _either(self._arrived, cut, timeout_ms)
 
 
 async def _either(arrived: trio.Event, cut: trio.Event, timeout_ms: float) -> bool:
@@ -76,13 +98,6 @@
     scope.cancel()
 
 
-async def _write_events(stream: ResponseStream, waiting: deque[KvEvent]) -> None:
-    while waiting:
-        event = waiting.popleft()
-        result = wire.WatchResult(wire.Header(event.revision), events=[_wire_event(event)])
-        await _write(stream, result)
-
-
 async def _write(stream: ResponseStream, result: wire.WatchResult) -> None:
     await stream.write(msgspec.json.encode(wire.WatchAnswer(result)) + b"\n")
 
