Refuse new work at an entry whose VM cannot confirm its configuration

Once answers that name it have expired; one without any configuration at once, since it cannot say that a model does not exist. Reads and operators' paths go on.

--- a/src/fescuedock/entry/app.py
+++ b/src/fescuedock/entry/app.py
@@ -7,27 +7,33 @@
 from fescuedock.entry.routes import route_requests
 from fescuedock.faults import Fault
 from fescuedock.net.http_server import Handler, Request, Responder
-from fescuedock.schema.result_codes import ResultCode
 
 __all__ = ["entry_handler"]
 
 _MODULES = (models, online, services, files, jobs, entries, admin, seeing)
-_RETRY_AFTER_MS = 500
+# Reads and the operators' paths are answered whatever the entry's standing.
+_WORK = (("POST", "/v1/"), ("", "/services/"))
 
+# Returns why new work is refused, None when it is taken.
+Refusal = Callable[[], Fault | None]
 
-def entry_handler(context: EntryContext, joined: Callable[[], bool]) -> Handler:
-    """Return the handler of every request to an entry.
 
-    Until ``joined`` says that the fleet and its configuration are known, everything is refused:
-    to say that a model does not exist would not be true.
-    """
+def entry_handler(context: EntryContext, refusal: Refusal) -> Handler:
+    """Return the handler of every request to an entry; ``refusal`` is asked for new work."""
     route = route_requests([item for module in _MODULES for item in module.routes(context)])
 
     async def handle(request: Request, responder: Responder) -> None:
-        if joined():
+        fault = refusal() if _is_work(request) else None
+        if fault is None:
             await route(request, responder)
-            return
-        message = "this entry does not know the fleet yet"
-        await responder.send_fault(Fault(ResultCode.NO_CAPACITY, message, _RETRY_AFTER_MS))
+        else:
+            await responder.send_fault(fault)
 
     return handle
+
+
+def _is_work(request: Request) -> bool:
+    return any(
+        request.path.startswith(prefix) and method in ("", request.method)
+        for method, prefix in _WORK
+    )
--- a/src/fescuedock/entry/main.py
+++ b/src/fescuedock/entry/main.py
@@ -11,6 +11,7 @@
 from fescuedock.agent.link import AgentLink, FleetView, open_agent_link
 from fescuedock.agent.permit_client import open_permit_client
 from fescuedock.clock import now_ms, unix_clock
+from fescuedock.core.entry_standing import EntryStanding
 from fescuedock.daemon import Stop, run_program
 from fescuedock.entry.app import entry_handler
 from fescuedock.entry.claiming import sweep_claims_forever
@@ -31,6 +32,8 @@
 
 __all__ = ["main", "run_entry"]
 
+_STARTING = Fault(ResultCode.NO_CAPACITY, "this entry does not know the fleet yet", 500)
+
 
 @dataclass(slots=True)
 class _Entry:
@@ -42,9 +45,12 @@
     view: FleetView | None = None
     leaving: bool = False
     served: trio.Event = field(default_factory=trio.Event)
+    standing: EntryStanding = field(init=False)
 
     def __post_init__(self) -> None:
-        self.server = HttpServer(self.handle, _limits(self.settings.entry))
+        settings = self.settings.entry
+        self.server = HttpServer(self.handle, _limits(settings))
+        self.standing = EntryStanding(settings.leave_spread_ms + settings.answer_valid_ms)
 
     @property
     def joined(self) -> bool:
@@ -60,11 +66,25 @@
         await self.server.serve(address, task_status=task_status)
         self.served.set()
 
+    def refusal(self) -> Fault | None:
+        """Return why new work is refused; a leaving entry takes it until it closes."""
+        if self.leaving:
+            return None
+        return self.standing.refusal(self.view.config_version, now_ms())
+
+    async def follow_standing(self) -> None:
+        """Note for ever whether this VM's agent lets the fleet name this entry."""
+        version = 0
+        while True:
+            own = self.view.vms.get(self.settings.vm.vm_id)
+            self.standing.note(own is not None and Program.ENTRY in own.ready, now_ms())
+            version = await self.view.wait_changed(version)
+
     async def handle(self, request: Request, responder: Responder) -> None:
-        if self.handler is not None:
+        if self.handler is not None and self.joined:
             await self.handler(request, responder)
             return
-        await responder.send_fault(Fault(ResultCode.NO_CAPACITY, "the entry is starting", 500))
+        await responder.send_fault(_STARTING)
 
     def objectives(self, service: str) -> Objectives:
         spec: ServiceSpec | None = None
@@ -90,7 +110,8 @@
         bound = await nursery.start(entry.serve, address)
         async with _open_context(entry, bound) as context:
             entry.view = context.view
-            entry.handler = entry_handler(context, lambda: entry.joined)
+            entry.handler = entry_handler(context, entry.refusal)
+            nursery.start_soon(entry.follow_standing)
             nursery.start_soon(sweep_claims_forever, context)
             task_status.started(bound)
             await stop.wait()
--- a/tests/builders/online.py
+++ b/tests/builders/online.py
@@ -241,7 +241,7 @@
             clock,
         )
         limits = HttpLimits(write_timeout_ms=settings.entry.write_timeout_ms)
-        server = HttpServer(entry_handler(context, lambda: True), limits)
+        server = HttpServer(entry_handler(context, lambda: None), limits)
         fleet.entries.append(await nursery.start(server.serve, Address(HOST, 0)))
         fleet.contexts.append(context)
         task_status.started()
