Let the validity of permits grow with the fleet

Cause: a holder renews with each owner by itself, and at the target nearly every permit that a node holds has another owner. With the fixed 2 s, worked out from the measured message sizes, renewals alone are some 73 messages and 15 kB a second for each node, over the whole control budget. Change: an owner gives 40 ms for each VM of the fleet, never under 2 s (14.8 s among 370); a holder renews each owner's permits when a third of what that owner gave has passed, where it took the validity of whoever answered last for all. Ruled out: renewing through one owner for others (it would need agreement), and no renewals at all (a holder that dies would keep its permits until membership sees it).

--- a/src/fescuedock/agent/permit_client.py
+++ b/src/fescuedock/agent/permit_client.py
@@ -170,8 +170,8 @@
         self._note_loads([reply.load])
         code = ResultCode(reply.code)
         if code is ResultCode.OK:
-            held = HeldGrant(ask, now_ms(), sent_ms + reply.valid_ms)
-            self._valid_ms = reply.valid_ms
+            renew_at_ms = sent_ms + reply.valid_ms / _RENEWALS_PER_VALIDITY
+            held = HeldGrant(ask, now_ms(), sent_ms + reply.valid_ms, renew_at_ms)
             return Ok(self._grant(held))
         return Err(Fault(code, f"refused at {ask.upstream_id}", reply.retry_after_ms))
 
@@ -212,16 +212,20 @@
     async def _renew_forever(self) -> None:
         while True:
             await trio.sleep(self._valid_ms / _RENEWALS_PER_VALIDITY / 1000)
-            by_owner: dict[Address, list[HeldGrant]] = defaultdict(list)
-            for held in self._book:
-                owner = self._view.owner_of(held.ask.upstream_id)
-                if owner is not None and not held.local:
-                    by_owner[Address(owner.host, owner.agent_port)].append(held)
             async with trio.open_nursery() as nursery:
-                for address, group in by_owner.items():
-                    nursery.start_soon(self._renew, address, group)
+                for address, group in self._held_by_owner().items():
+                    if any(held.renew_at_ms <= now_ms() for held in group):
+                        nursery.start_soon(self._renew, address, group)
             self._revoke(self._book.lapsed(now_ms()))
 
+    def _held_by_owner(self) -> dict[Address, list[HeldGrant]]:
+        by_owner: dict[Address, list[HeldGrant]] = defaultdict(list)
+        for held in self._book:
+            owner = self._view.owner_of(held.ask.upstream_id)
+            if owner is not None and not held.local:
+                by_owner[Address(owner.host, owner.agent_port)].append(held)
+        return by_owner
+
     async def _renew(self, address: Address, group: list[HeldGrant]) -> None:
         sent_ms = now_ms()
         timeout_ms = self._valid_ms / _RENEWALS_PER_VALIDITY
@@ -231,12 +235,12 @@
         if reply.is_err():
             return
         renewed = reply.unwrap()
-        self._valid_ms = renewed.valid_ms
         self._note_loads(renewed.loads)
         self._revoke(renewed.revoked)
         known = {load.upstream_id for load in renewed.loads}
         good = [held.ask.attempt_id for held in group if held.ask.upstream_id in known]
-        self._book.renewed(good, sent_ms + renewed.valid_ms)
+        renew_at_ms = sent_ms + renewed.valid_ms / _RENEWALS_PER_VALIDITY
+        self._book.renewed(good, sent_ms + renewed.valid_ms, renew_at_ms)
 
     async def _report_forever(self) -> None:
         while True:
--- a/src/fescuedock/agent/permit_service.py
+++ b/src/fescuedock/agent/permit_service.py
@@ -13,6 +13,7 @@
 from fescuedock.core.permits.actions import Action, Granted, Refused, Revoked
 from fescuedock.core.permits.owner import OwnedUpstream, PermitOwner
 from fescuedock.core.permits.queue import UpstreamTerms
+from fescuedock.core.permits.validity import validity_ms
 from fescuedock.core.permits.waiting import MemberShares
 from fescuedock.faults import Fault
 from fescuedock.net.channel import CallHandler, ServerPeer
@@ -135,6 +136,7 @@
         if self._view.version == self._followed_version:
             return
         self._followed_version = self._view.version
+        self._owner.set_validity(validity_ms(self._settings.agent, len(self._view.vms)))
         counts = Counter(item.service for item in self._view.upstreams.values())
         owned = {
             upstream_id: OwnedUpstream(upstream.service, _terms(self._view.configuration, upstream))
--- a/src/fescuedock/core/permits/holder.py
+++ b/src/fescuedock/core/permits/holder.py
@@ -16,6 +16,8 @@
     granted_ms: float
     # Counted from before the ask or renewal was sent, so that the owner's own count ends later.
     valid_until_ms: float
+    # When to ask for more time; an owner says how long its permits are good, and they differ.
+    renew_at_ms: float = 0.0
     local: bool = False
     first_token_ms: float = -1.0
     generated_tokens: int = 0
@@ -71,11 +73,14 @@
         ended, self._ended = self._ended, []
         return ended
 
-    def renewed(self, permit_ids: list[str], valid_until_ms: float) -> None:
+    def renewed(
+        self, permit_ids: list[str], valid_until_ms: float, renew_at_ms: float = 0.0
+    ) -> None:
         for permit_id in permit_ids:
             grant = self._grants.get(permit_id)
             if grant is not None:
                 grant.valid_until_ms = valid_until_ms
+                grant.renew_at_ms = renew_at_ms
 
     def lapsed(self, now_ms: float) -> list[str]:
         """Return the batch permits that no owner has renewed in time; online ones run on."""
--- a/src/fescuedock/core/permits/owner.py
+++ b/src/fescuedock/core/permits/owner.py
@@ -52,6 +52,12 @@
     def owned(self) -> Iterator[str]:
         return iter(tuple(self._queues))
 
+    def set_validity(self, valid_ms: int) -> None:
+        """Grant and renew permits for ``valid_ms`` from now on."""
+        self._valid_ms = valid_ms
+        for queue in self._queues.values():
+            queue.valid_ms = valid_ms
+
     def set_upstreams(
         self,
         owned: Mapping[str, OwnedUpstream],
--- a/src/fescuedock/core/permits/queue.py
+++ b/src/fescuedock/core/permits/queue.py
@@ -58,7 +58,7 @@
         self.healthy = True
         self._settings = settings
         self._terms = terms
-        self._valid_ms = valid_ms
+        self.valid_ms = valid_ms
         self._batch_from_ms = now_ms + rebuild_ms
         self._batch_start_ms = now_ms
         self._online_seen_ms = -float("inf")
@@ -117,9 +117,9 @@
             return False
         held = self._held.get(permit.permit_id)
         if held is None:
-            held = Held.adopted(holder_id, permit, now_ms, self._valid_ms)
+            held = Held.adopted(holder_id, permit, now_ms, self.valid_ms)
             self._held.add(held, now_ms)
-        held.expires_ms = now_ms + self._valid_ms
+        held.expires_ms = now_ms + self.valid_ms
         held.generated_tokens = permit.generated_tokens
         if permit.first_token_ms >= 0:
             self._see_first_token(held, permit.first_token_ms, now_ms)
@@ -148,7 +148,7 @@
         """Let time pass: expire, adjust limits, grant what has become possible."""
         silence_ms = now_ms - self._ticked_ms
         self._ticked_ms = now_ms
-        if silence_ms > _PAUSE_SHARE * self._valid_ms:
+        if silence_ms > _PAUSE_SHARE * self.valid_ms:
             self._held.postpone_expiry(silence_ms)
         for held in self._held.expired(now_ms):
             self._held.remove(held.permit_id, now_ms)
@@ -280,16 +280,16 @@
 
     def _grant(self, ask: PermitAsk, now_ms: float) -> Granted:
         start = self._first_token.start(ask.prompt_tokens, self._held.staying, now_ms)
-        self._held.add(Held.granted(ask, start, now_ms, self._valid_ms), now_ms)
+        self._held.add(Held.granted(ask, start, now_ms, self.valid_ms), now_ms)
         if ask.work_class is WorkClass.ONLINE:
             self._online_seen_ms = now_ms
             self._limits.online_started(self._held.online, now_ms)
-        return Granted(ask, ask.attempt_id, self._valid_ms)
+        return Granted(ask, ask.attempt_id, self.valid_ms)
 
     def _answer_again(self, ask: PermitAsk, held: Held) -> Action:
         if held.revoked_ms is not None:
             return Refused(ask, ResultCode.REVOKED, 0)
-        return Granted(ask, held.permit_id, self._valid_ms)
+        return Granted(ask, held.permit_id, self.valid_ms)
 
     def _learn(self, held: Held, ended: EndedPermit, now_ms: float) -> None:
         if held.revoked_ms is not None:
--- a/src/fescuedock/schema/settings.py
+++ b/src/fescuedock/schema/settings.py
@@ -103,7 +103,16 @@
             le=1.0,
         ),
     ] = 0.25
-    permit_valid_ms: Annotated[int, Meta(ge=100)] = 2000
+    permit_valid_ms: Annotated[
+        int, Meta(description="Least time that a permit is good without renewal.", ge=100)
+    ] = 2000
+    permit_valid_per_vm_ms: Annotated[
+        int,
+        Meta(
+            description="The time grows by this with each VM of the fleet so that renewals do not.",
+            ge=0,
+        ),
+    ] = 40
     config_confirm_ms: Annotated[
         int, Meta(description="A VM whose version is unconfirmed for longer says so.", ge=100)
     ] = 15000
--- a/tests/test_permits_service.py
+++ b/tests/test_permits_service.py
@@ -5,12 +5,14 @@
 import trio
 from result import Err, Ok
 
+from fescuedock.core.permits.validity import validity_ms
 from fescuedock.faults import Fault
 from fescuedock.net.address import Address
 from fescuedock.schema.permits import AttemptOutcome, WorkClass
 from fescuedock.schema.result_codes import ResultCode
+from fescuedock.schema.settings import AgentSettings
 from fescuedock.schema.view import UpstreamKind
-from tests.builders.permits import ask_for, end_of, served_owner, upstream_record
+from tests.builders.permits import VALID_MS, ask_for, end_of, served_owner, upstream_record
 
 GUARD_S = 20
 TIMEOUT_MS = 5000
@@ -47,6 +49,27 @@
 
         _run(run)
 
+    def test_the_validity_grows_with_the_fleet_and_renewals_thin_out(self) -> None:
+        settings = AgentSettings(0, permit_valid_ms=2000, permit_valid_per_vm_ms=40)
+        self.assertEqual(validity_ms(settings, 9), 2000)
+        self.assertEqual(validity_ms(settings, 370), 14_800)
+
+    def test_a_permit_is_renewed_by_the_time_its_owner_gave(self) -> None:
+        """One third of the validity after the ask, or after the last renewal, was sent."""
+
+        async def run() -> None:
+            async with served_owner() as owner:
+                held = (await owner.client.ask(ask_for(), TIMEOUT_MS)).unwrap()._held
+                first_ms = held.renew_at_ms
+                self.assertLess(first_ms, held.valid_until_ms - VALID_MS / 2)
+                while True:
+                    if held.renew_at_ms != first_ms:
+                        break
+                    await trio.sleep(0.01)
+                self.assertGreaterEqual(held.renew_at_ms, first_ms + VALID_MS / 3)
+
+        _run(run)
+
     def test_online_without_room_revokes_batch_by_push(self) -> None:
         async def run() -> None:
             async with served_owner() as owner:
