--- a/tests/builders/standins.py
+++ b/tests/builders/standins.py
@@ -28,6 +28,7 @@
     "running_engine",
     "running_kv",
     "running_standins",
+    "upstream_of",
 ]
 
 LOOPBACK = Address("127.0.0.1", 0)
@@ -87,6 +88,19 @@
         nursery.cancel_scope.cancel()
 
 
+def upstream_of(engine: EngineService) -> UpstreamRecord:
+    """Return the record under which a fleet would know ``engine``."""
+    return UpstreamRecord(
+        upstream_id=engine.upstream_id,
+        region="local",
+        failure_domain="hall-a",
+        host=engine.address.host,
+        port=engine.address.port,
+        kind="engine",
+        service="demo-llm",
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class EngineBench:
     """One engine and the clients to reach it."""
@@ -103,17 +117,10 @@
     """Run one engine while the block runs."""
     async with running_standins(engines=1, plain_services=0, **settings) as standins:
         (engine,) = standins.engines.values()
-        upstream = UpstreamRecord(
-            upstream_id=engine.upstream_id,
-            region="local",
-            failure_domain="hall-a",
-            host=engine.address.host,
-            port=engine.address.port,
-            kind="engine",
-            service="demo-llm",
-        )
         async with open_http() as http:
-            yield EngineBench(engine, upstream, EngineClient(http), EngineControl(http), standins)
+            yield EngineBench(
+                engine, upstream_of(engine), EngineClient(http), EngineControl(http), standins
+            )
 
 
 def chat_body(text: str, max_tokens: int | None = None, **fields: object) -> dict:
--- a/tests/test_standin_engine.py
+++ b/tests/test_standin_engine.py
@@ -16,9 +16,10 @@
     ResponseLostError,
     ResumePoint,
 )
-from fescuedock.platform.engine_wire import EngineOrder, KvBlocks, prefix_hashes
+from fescuedock.platform.engine_wire import EngineLoad, EngineOrder, KvBlocks, prefix_hashes
 from fescuedock.schema.result_codes import ResultCode
 from fescuedock.schema.view import UpstreamKind, UpstreamRecord
+from fescuedock.standin.engine import EngineService
 from fescuedock.standin.token_text import answer_text, token_texts
 from tests.builders.net import served
 from tests.builders.standins import (
@@ -28,6 +29,8 @@
     open_http,
     run_async,
     running_engine,
+    running_standins,
+    upstream_of,
 )
 
 CHAT = "/v1/chat/completions"
@@ -304,6 +307,57 @@
         self.run_with_engine(test, model_load_ms=300)
 
 
+class ResumptionTest(unittest.TestCase):
+    """Callers that carry on elsewhere whenever a stream breaks."""
+
+    CALLERS = 30
+    TOKENS = 40
+
+    def test_no_token_is_lost_or_doubled_while_engines_die(self):
+        async def run() -> None:
+            async with running_standins(engines=2, plain_services=0) as standins:
+                engines = list(standins.engines.values())
+                async with open_http() as http, trio.open_nursery() as faults:
+                    faults.start_soon(self._break_in_turn, engines)
+                    async with trio.open_nursery() as callers:
+                        for number in range(self.CALLERS):
+                            callers.start_soon(self._call, http, engines, f"caller {number}")
+                    faults.cancel_scope.cancel()
+                self.assertGreater(sum(engine.deaths for engine in engines), 2)
+                for engine in engines:
+                    self.assertEqual(engine.core.load, EngineLoad(0, 0, 0.0))
+
+        run_async(run)
+
+    async def _break_in_turn(self, engines: list[EngineService]) -> None:
+        while True:
+            for engine in engines:
+                before = engine.stats.tokens
+                await wait_for(lambda e=engine, b=before: e.stats.tokens >= b + 150)
+                engine.die()
+                # Some callers find it refusing connections.
+                await trio.sleep(0.005)
+                engine.revive()
+
+    async def _call(self, http: HttpClient, engines: list[EngineService], prompt: str) -> None:
+        texts: list[str] = []
+        attempt = 0
+        while len(texts) < self.TOKENS:
+            attempt += 1
+            engine = engines[(attempt + len(prompt)) % len(engines)]
+            point = ResumePoint(len(texts), "".join(texts)) if texts else None
+            body = {"model": "demo-model", "prompt": prompt, "max_tokens": self.TOKENS}
+            try:
+                async with EngineClient(http).stream(
+                    upstream_of(engine), TEXT, body, f"{prompt}/{attempt}", point
+                ) as stream:
+                    async for event in stream:
+                        texts += [event.text] if event.text else []
+            except (NotSentError, ResponseLostError):
+                await trio.sleep(0.002)
+        self.assertEqual("".join(texts), answer_text(prompt, self.TOKENS))
+
+
 class EngineStreamTest(unittest.TestCase):
     """Bytes that no well-behaved engine sends."""
 
--- a/tests/test_standin_kv.py
+++ b/tests/test_standin_kv.py
@@ -14,6 +14,7 @@
 from fescuedock.schema.result_codes import ResultCode
 from fescuedock.standin.kv_faults import CallKind, LostAnswer
 from fescuedock.standin.kv_state import CompactedError, KvState
+from tests.builders.kv import MemoryKv
 from tests.builders.net import served
 from tests.builders.standins import etcd_client, open_http, run_async, running_kv
 
@@ -107,6 +108,19 @@
 
         run_async(run)
 
+    @settings(max_examples=100)
+    @given(steps)
+    def test_the_in_memory_store_agrees_as_well(self, drawn):
+        async def run() -> None:
+            kv = MemoryKv()
+            oracle = DictOracle(self, kv)
+            for number, (kind, key, right, lost) in enumerate(drawn):
+                if lost and kind in ("put", "delete"):
+                    kv.faults.lose_answer(lost)
+                await oracle.step(kind, key, right, number)
+
+        run_async(run, trio.testing.MockClock(autojump_threshold=0))
+
     def test_pages_of_a_range_follow_each_other(self):
         async def run() -> None:
             async with running_kv() as (_, kv):
