--- a/src/fescuedock/entry/online_permits.py
+++ b/src/fescuedock/entry/online_permits.py
@@ -24,6 +24,9 @@
 class OnlineCall(Protocol):
     """What a permit is asked for: an online request to a model, or a call to a plain service."""
 
+    @property
+    def request_id(self) -> str: ...
+
     @property
     def service(self) -> str: ...
 
--- a/src/fescuedock/entry/online_run.py
+++ b/src/fescuedock/entry/online_run.py
@@ -17,6 +17,7 @@
 from fescuedock.entry.online_permits import OnlineCall, find_permit
 from fescuedock.entry.online_state import OnlineState
 from fescuedock.faults import Fault
+from fescuedock.log import log_event
 from fescuedock.schema.permits import AttemptOutcome
 from fescuedock.schema.result_codes import Outcome, ResultCode
 from fescuedock.schema.view import UpstreamRecord
@@ -46,6 +47,7 @@
         failure = await _try(state, attempt, run_one)
         if failure is None:
             return Ok(attempt)
+        _log_failure(call, attempt, failure)
         if failure.permanent:
             return Err(failure.fault)
         if _was_sent(failure):
@@ -79,6 +81,18 @@
         attempt.end()
 
 
+def _log_failure(call: OnlineCall, attempt: Attempt, failure: Failure) -> None:
+    log_event(
+        "online_attempt_failed",
+        request_id=call.request_id,
+        attempt_id=attempt.attempt_id,
+        upstream_id=attempt.grant.upstream_id,
+        outcome=failure.outcome.value,
+        tokens=attempt.tokens,
+        reason=failure.fault.message,
+    )
+
+
 def _learn(state: OnlineState, attempt: Attempt) -> None:
     state.budget.succeeded()
     if attempt.tokens < 1:
--- a/tests/builders/online.py
+++ b/tests/builders/online.py
@@ -72,11 +72,15 @@
 
 @dataclass(slots=True)
 class Owner:
-    """The one owner of all upstreams; ``silent`` makes it take asks and answer none."""
+    """The one owner of all upstreams.
+
+    ``silent`` makes it take asks and answer none, ``delay_ms`` answer late.
+    """
 
     service: PermitService
     address: Address
     silent: bool = False
+    delay_ms: float = 0.0
     asks: int = 0
 
 
@@ -204,6 +208,7 @@
         owner.asks += isinstance(message, permits.PermitAsk)
         if owner.silent:
             await trio.sleep_forever()
+        await trio.sleep(owner.delay_ms / 1000)
         return await handlers[type(message)](message, peer)
 
     async with trio.open_nursery() as nursery:
--- a/tests/test_online_requests.py
+++ b/tests/test_online_requests.py
@@ -187,6 +187,60 @@
         run(body)
 
 
+class TroubleTest(unittest.TestCase):
+    """Everything at once, at random."""
+
+    def test_callers_get_their_own_answer_a_visible_break_or_a_refusal(self) -> None:
+        async def body() -> None:
+            async with open_fleet(engines=3) as fleet:
+                rng = random.Random(11)
+                outcomes: set[str] = set()
+                async with trio.open_nursery() as callers, trio.open_nursery() as trouble:
+                    trouble.start_soon(self.make_trouble, fleet, rng)
+                    for number in range(80):
+                        callers.start_soon(self.ask, fleet, f"caller {number}", outcomes)
+                        await trio.sleep(rng.uniform(0, 0.02))
+                    trouble.cancel_scope.cancel()
+                self.assertIn("whole", outcomes)
+
+        run(body)
+
+    async def make_trouble(self, fleet: OnlineFleet, rng: random.Random) -> None:
+        while True:
+            engine = rng.choice(list(fleet.standins.engines.values()))
+            match rng.randrange(4):
+                case 0:
+                    engine.die()
+                    await trio.sleep(rng.uniform(0, 0.05))
+                    engine.revive()
+                case 1:
+                    engine.faults.cut_after.append(rng.randrange(1, 30))
+                case 2:
+                    engine.faults.fail_with.append(500)
+                case 3:
+                    fleet.owner.silent = not fleet.owner.silent
+                    fleet.show(leaving=(engine.upstream_id,) if rng.random() < 0.3 else ())
+            await trio.sleep(rng.uniform(0, 0.05))
+
+    async def ask(self, fleet: OnlineFleet, text: str, outcomes: set[str]) -> None:
+        wanted = chat_body(text, max_tokens=30)
+        async with streaming(fleet, wanted) as response:
+            if response.status != 200:
+                fault = fault_of(await response.read())
+                self.assertIn(fault["outcome"], ("not_run", "failed"))
+                self.assertGreater(fault["retry_after_ms"], 0)
+                outcomes.add(fault["outcome"])
+                return
+            stream, whole = await read_truncated(response)
+        self.assertTrue(oracle_text(wanted).startswith(stream.text))
+        self.assertIs(stream.done, whole)
+        if whole:
+            self.assertEqual(stream.text, oracle_text(wanted))
+        else:
+            self.assertEqual(stream.error["outcome"], "failed")
+        outcomes.add("whole" if whole else "broken")
+
+
 class WholeTest(unittest.TestCase):
     """Answers in one piece, and errors."""
 
@@ -354,6 +408,33 @@
 
         run(body)
 
+    def test_a_leaving_upstream_is_not_used_without_its_owner_either(self) -> None:
+        async def body() -> None:
+            async with open_fleet() as fleet:
+                fleet.owner.silent = True
+                fleet.show(leaving=("engine-1",))
+                for _ in range(6):
+                    status, _, _ = await fleet.post(CHAT, chat_body())
+                    self.assertEqual(status, 200)
+                self.assertEqual(fleet.standins.engines["engine-1"].stats.admitted, 0)
+
+        run(body)
+
+    def test_a_slow_owner_is_waited_for_before_anyone_is_refused(self) -> None:
+        async def body() -> None:
+            async with open_fleet(permit_changes={"local_limit": 1}) as fleet:
+                fleet.owner.delay_ms = 200
+                async with trio.open_nursery() as nursery:
+                    for _ in range(10):
+                        nursery.start_soon(self.one_whole_chat, fleet)
+
+        run(body)
+
+    async def one_whole_chat(self, fleet: OnlineFleet) -> None:
+        status, _, data = await fleet.post(CHAT, chat_body())
+        self.assertEqual(status, 200)
+        self.assertEqual(read_stream(data).text, oracle_text(chat_body()))
+
     def test_no_upstream_is_said_at_once(self) -> None:
         async def body() -> None:
             async with open_fleet(engines=0) as fleet:
