--- /dev/null
+++ b/bench/mix.py
@@ -0,0 +1,189 @@
+"""Online and batch on the same engines: what batch costs online, and what it gets.
+
+Run as ``python -m bench.mix``.  For each deployment and seed the same traffic runs, one after the
+other, (a) with online alone, (b) with online and batch straight to the engines, (c) with our
+permits, and under a clairvoyant scheduler; then (c) again with a worker and an owner killed, and
+with two and four times the load that the engines can carry.  Virtual time, so a rerun gives the
+same figures.
+"""
+
+import dataclasses
+import sys
+import time
+from collections.abc import Callable, Iterable, Sequence
+
+from bench.mix_runs import Faults, Plan, RunResult, run_direct, run_oracle, run_ours
+from bench.mix_traffic import DEPLOYMENTS, Deployment
+
+SEEDS = (1, 2)
+SHARES = (0.5, 0.99, 0.999)
+# The oracle's levels tried, from the highest; the first that keeps the bound is taken.
+ORACLE_LEVELS = (48, 40, 32, 28, 24, 20, 16, 14, 12)
+ORACLE_GUARD_MS = 40.0
+TAIL_BOUND = 1.10
+FAULT_MS = 40_000.0
+OVERLOADS = (0.5, 1.0, 2.0, 4.0)
+OVERLOAD_DURATION_MS = 45_000.0
+OVERLOAD_DEADLINE_MS = 5_000.0
+
+Run = Callable[[Plan], RunResult]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Summary:
+    """Quantiles of several runs together; ``attained`` is the share that kept the objectives."""
+
+    first_tokens_ms: tuple[float, ...]
+    gaps_ms: tuple[float, ...]
+    batch_tokens_per_s: float
+    refused: float
+    attained: float
+    revocations_ms: tuple[float, ...]
+
+
+def main() -> None:
+    """Run everything and print a report."""
+    started_s = time.monotonic()
+    for deployment in DEPLOYMENTS:
+        _report_mix(deployment)
+    for deployment in DEPLOYMENTS:
+        _report_overload(deployment)
+    print(f"took {time.monotonic() - started_s:.0f} s")
+
+
+def _report_mix(deployment: Deployment) -> None:
+    weight = deployment.objectives.online_weight
+    print(f"\n{deployment.name}, online_weight {weight:g}, seeds {SEEDS}")
+    plans = [Plan(deployment, seed) for seed in SEEDS]
+    alone: list[RunResult] = []
+    direct: list[RunResult] = []
+    ours: list[RunResult] = []
+    for plan in plans:
+        alone.append(run_ours(dataclasses.replace(plan, batch=False)))
+        direct.append(run_direct(plan))
+        ours.append(run_ours(plan))
+    base = _summary(deployment, alone)
+    _print_base(base)
+    _print("(b) no policy", _summary(deployment, direct), base)
+    found = _summary(deployment, ours)
+    _print("(c) permits", found, base)
+    level, oracle = _best_oracle(deployment, plans, alone, base)
+    _print(f"oracle, level {level}", oracle, base)
+    share = found.batch_tokens_per_s / oracle.batch_tokens_per_s
+    print(f"  batch: {share:.0%} of the oracle")
+    p50, p99 = (_quantile(found.revocations_ms, share) for share in (0.5, 0.99))
+    print(f"  burst to batch out of the way: p50 {p50:.1f} ms, p99 {p99:.1f} ms")
+    _report_fault(deployment, base, "a worker killed", Faults(kill_worker_ms=FAULT_MS))
+    _report_fault(deployment, base, "an owner killed", Faults(kill_owner_ms=FAULT_MS))
+    sys.stdout.flush()
+
+
+def _report_fault(deployment: Deployment, base: Summary, name: str, faults: Faults) -> None:
+    plan = Plan(deployment, SEEDS[0], faults=faults)
+    without = dataclasses.replace(plan, batch=False)
+    _print(f"(a) {name}", _summary(deployment, [run_ours(without)]), base)
+    _print(f"(c) {name}", _summary(deployment, [run_ours(plan)]), base)
+
+
+def _best_oracle(
+    deployment: Deployment, plans: Sequence[Plan], alone: Sequence[RunResult], base: Summary
+) -> tuple[int, Summary]:
+    """Return the highest level that keeps the bound that the deployment cares for.
+
+    With a weight of 1 that is the tail of online alone, else the objectives.
+    """
+    for level in ORACLE_LEVELS:
+        runs = [
+            run_oracle(plan, old, level, ORACLE_GUARD_MS)
+            for plan, old in zip(plans, alone, strict=True)
+        ]
+        found = _summary(deployment, runs)
+        if _keeps_bound(deployment, found, base):
+            return level, found
+    raise AssertionError("no level of the oracle keeps the bound")
+
+
+def _keeps_bound(deployment: Deployment, found: Summary, base: Summary) -> bool:
+    objectives = deployment.objectives
+    if objectives.online_weight < 0.5:
+        return found.attained >= objectives.online_share
+    first = found.first_tokens_ms[1] / base.first_tokens_ms[1]
+    gap = found.gaps_ms[1] / base.gaps_ms[1]
+    return max(first, gap) <= TAIL_BOUND
+
+
+def _report_overload(deployment: Deployment) -> None:
+    """Print goodput at multiples of the online load that the engines can just carry."""
+    print(
+        f"\n{deployment.name}: goodput under overload, answers within {OVERLOAD_DEADLINE_MS:g} ms"
+    )
+    capacity = deployment.capacity_load
+    steady = dataclasses.replace(deployment, burst_factor=1.0)
+    for load in OVERLOADS:
+        plan = Plan(
+            steady,
+            SEEDS[0],
+            duration_ms=OVERLOAD_DURATION_MS,
+            load=load * capacity,
+            deadline_ms=OVERLOAD_DEADLINE_MS,
+        )
+        run = run_ours(plan)
+        good = run.goodput_per_s(OVERLOAD_DEADLINE_MS)
+        print(f"  {load:3.1f}x: {good:6.1f} good/s, refused {run.refused_share():.3f}")
+    calm_ms = OVERLOAD_DURATION_MS / 2
+    plan = dataclasses.replace(plan, calm_from_ms=calm_ms)
+    took_ms = run_ours(plan).recovered_ms(calm_ms, deployment.objectives)
+    print(
+        f"  last refusal or late first token {took_ms / 1000:.1f} s after {OVERLOADS[-1]:g}x ended"
+    )
+    sys.stdout.flush()
+
+
+def _summary(deployment: Deployment, runs: Sequence[RunResult]) -> Summary:
+    first = _quantiles(value for run in runs for value in run.first_tokens_ms())
+    gaps = _quantiles(value for run in runs for value in run.gaps_ms())
+    count = len(runs)
+    return Summary(
+        first,
+        gaps,
+        sum(run.batch_tokens_per_s() for run in runs) / count,
+        sum(run.refused_share() for run in runs) / count,
+        sum(run.attained_share(deployment.objectives) for run in runs) / count,
+        tuple(value for run in runs for value in run.revocations_ms),
+    )
+
+
+def _quantiles(values: Iterable[float]) -> tuple[float, ...]:
+    ordered = sorted(values)
+    return tuple(_quantile(ordered, share) for share in SHARES)
+
+
+def _quantile(values: Sequence[float], share: float) -> float:
+    if not values:
+        return float("nan")
+    ordered = sorted(values)
+    return ordered[min(int(share * len(ordered)), len(ordered) - 1)]
+
+
+def _print_base(base: Summary) -> None:
+    first = " / ".join(f"{value:.0f}" for value in base.first_tokens_ms)
+    gaps = " / ".join(f"{value:.1f}" for value in base.gaps_ms)
+    print(f"  (a) online alone, p50 / p99 / p99.9: first token {first} ms, between {gaps} ms")
+    print(f"      objectives kept by {base.attained:.3f}, refused {base.refused:.4f}")
+
+
+def _print(name: str, found: Summary, base: Summary) -> None:
+    first = _ratios(found.first_tokens_ms, base.first_tokens_ms)
+    gaps = _ratios(found.gaps_ms, base.gaps_ms)
+    print(
+        f"  {name:22s} first token x {first}, between x {gaps}, objectives {found.attained:.3f}, "
+        f"refused {found.refused:.4f}, batch {found.batch_tokens_per_s:.0f} tokens/s"
+    )
+
+
+def _ratios(found: Sequence[float], base: Sequence[float]) -> str:
+    return " ".join(f"{mine / theirs:.2f}" for mine, theirs in zip(found, base, strict=True))
+
+
+if __name__ == "__main__":
+    main()
--- a/bench/mix_actors.py
+++ b/bench/mix_actors.py
@@ -12,6 +12,7 @@
 
 from bench.mix_traffic import Arrival, Deployment, spread
 from bench.virtual import Attempt, VirtualEngine, VirtualLoop
+from fescuedock.core.admission import Admission
 from fescuedock.core.permits.actions import Action, Granted, Refused, Revoked
 from fescuedock.core.permits.holder import HeldGrant, HolderBook
 from fescuedock.core.permits.local_limit import LocalLimit
@@ -229,6 +230,7 @@
         self._policy = RoutingPolicy()
         self._silent = SilentOwners(self._policy)
         self._local = LocalLimit(fleet.settings.local_limit)
+        self._admission = Admission()
 
     def serve(self, result: OnlineResult) -> None:
         self._try(result, avoid=frozenset())
@@ -243,7 +245,13 @@
         ]
         demand = Demand(arrival.prompt_tokens, 0, "")
         choices = choose_upstreams(candidates, demand, 0.0, self._policy, self._rng)
-        slack_ms = arrival.at_ms + self.fleet.deadline_ms - now_ms
+        run_ms = self._admission.times(SERVICE).run_ms(arrival.answer_tokens, now_ms)
+        left_ms = arrival.at_ms + self.fleet.deadline_ms - now_ms
+        first_token_ms = min((item.first_token_ms for item in choices), default=0.0)
+        if self._admission.check_deadline(left_ms, first_token_ms, run_ms).is_err():
+            result.refused = True
+            return
+        slack_ms = left_ms - run_ms
         asks = deque(plan_asks(choices, slack_ms, self._policy))
         self._ask_next(result, asks, avoid, slack_ms)
 
@@ -306,8 +314,11 @@
             self.fleet.spans.setdefault(ask.upstream_id, []).append(span)
             if local:
                 self._local.give_back(ask.upstream_id)
-            self.end(run.ended(whole))
+            ended = run.ended(whole)
+            self.end(ended)
             if whole:
+                times = self._admission.times(SERVICE)
+                times.observe(run.tokens, ended.inter_token_ms, self.fleet.loop.now_ms)
                 result.finished_ms = self.fleet.loop.now_ms
             else:
                 self._try(result, avoid | {ask.upstream_id})
--- a/bench/mix_runs.py
+++ b/bench/mix_runs.py
@@ -1,5 +1,6 @@
 """One run of the mixed bench: a deployment's traffic under one way of sharing the engines."""
 
+import math
 import random
 from bisect import bisect_left, bisect_right
 from collections.abc import Callable, Sequence
@@ -9,6 +10,7 @@
 from bench.mix_traffic import Deployment, arrivals_of, spread
 from bench.virtual import Attempt, VirtualEngine, VirtualLoop
 from fescuedock.core.permits.owner import PermitOwner
+from fescuedock.schema.config import Objectives
 from fescuedock.schema.settings import PermitSettings
 from fescuedock.standin.token_time import EngineProfile
 
@@ -40,6 +42,8 @@
     seed: int
     duration_ms: float = 80_000.0
     load: float = 1.0
+    # From when on the load is only half of what the engines can carry.
+    calm_from_ms: float = math.inf
     batch: bool = True
     settings: PermitSettings = field(default_factory=PermitSettings)
     profile: EngineProfile = field(default_factory=EngineProfile)
@@ -47,6 +51,9 @@
     make_owner: Callable[[PermitSettings, int], PermitOwner] = PermitOwner
     deadline_ms: float = 10_000.0
 
+    def load_at(self, at_ms: float) -> float:
+        return self.load if at_ms < self.calm_from_ms else self.deployment.capacity_load / 2
+
     def rng(self, purpose: str) -> random.Random:
         return random.Random(f"{self.deployment.name}/{self.seed}/{purpose}")
 
@@ -73,6 +80,30 @@
     def gaps_ms(self) -> list[float]:
         return [gap for item in self._measured() for gap in item.gaps_ms]
 
+    def attained_share(self, objectives: Objectives) -> float:
+        """Share of the requests whose first token and mean gap kept the objectives."""
+        kept = [_attains(item, objectives) for item in self._measured()]
+        return sum(kept) / max(len(kept), 1)
+
+    def goodput_per_s(self, deadline_ms: float) -> float:
+        """Whole answers within their deadline; requests due after the end do not count."""
+        due = [
+            item
+            for item in self._measured()
+            if item.arrival.at_ms + deadline_ms <= self.duration_ms
+        ]
+        good = sum(0 <= item.finished_ms - item.arrival.at_ms <= deadline_ms for item in due)
+        return good / ((self.duration_ms - deadline_ms - WARM_UP_MS) / 1000)
+
+    def recovered_ms(self, calm_from_ms: float, objectives: Objectives) -> float:
+        """Return the time from the calm to the last arrival that was refused or late."""
+        bad = [
+            item.arrival.at_ms
+            for item in self.results
+            if item.refused or item.first_token_ms > objectives.first_token_ms
+        ]
+        return max(max(bad, default=0.0) - calm_from_ms, 0.0)
+
     def refused_share(self) -> float:
         measured = self._measured()
         return sum(item.refused for item in measured) / max(len(measured), 1)
@@ -81,12 +112,19 @@
         return self.batch_tokens / ((self.duration_ms - WARM_UP_MS) / 1000)
 
 
+def _attains(item: OnlineResult, objectives: Objectives) -> bool:
+    if not 0 <= item.first_token_ms <= objectives.first_token_ms:
+        return False
+    mean_ms = sum(item.gaps_ms) / len(item.gaps_ms) if item.gaps_ms else 0.0
+    return mean_ms <= objectives.inter_token_ms
+
+
 def _engines(loop: VirtualLoop, plan: Plan) -> dict[str, VirtualEngine]:
     return {f"w{i}": VirtualEngine(loop, plan.profile, HOP_MS) for i in range(WORKERS)}
 
 
 def _results(plan: Plan) -> list[OnlineResult]:
-    arrivals = arrivals_of(plan.deployment, plan.seed, plan.duration_ms, plan.load)
+    arrivals = arrivals_of(plan.deployment, plan.seed, plan.duration_ms, plan.load_at)
     return [OnlineResult(arrival) for arrival in arrivals]
 
 
--- a/bench/mix_traffic.py
+++ b/bench/mix_traffic.py
@@ -1,11 +1,15 @@
 """Seeded online traffic of the two deployments, with bursts of seconds, and their batch items."""
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from fescuedock.schema.config import Objectives
 
-__all__ = ["DEPLOYMENTS", "Arrival", "Deployment", "arrivals_of"]
+__all__ = ["DEPLOYMENTS", "Arrival", "Deployment", "LoadAt", "arrivals_of", "spread"]
+
+# Gives the multiple of a deployment's rates at a time.
+LoadAt = Callable[[float], float]
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,6 +26,8 @@
     answer_tokens: int
     batch_prompt_tokens: int
     batch_answer_tokens: int
+    # Multiple of the traffic whose mean the six engines can just carry, found by trial.
+    capacity_load: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,6 +53,7 @@
     answer_tokens=40,
     batch_prompt_tokens=600,
     batch_answer_tokens=300,
+    capacity_load=5.0,
 )
 # Longer answers to teachers and drivers; rosters of letters.
 VANDENBROUCKE = Deployment(
@@ -60,15 +67,16 @@
     answer_tokens=120,
     batch_prompt_tokens=400,
     batch_answer_tokens=250,
+    capacity_load=6.0,
 )
 DEPLOYMENTS = (MANIZALES, VANDENBROUCKE)
 _MEMBERS = ("clinic", "school", "depot")
 
 
 def arrivals_of(
-    deployment: Deployment, seed: int, duration_ms: float, load: float = 1.0
+    deployment: Deployment, seed: int, duration_ms: float, load: LoadAt
 ) -> list[Arrival]:
-    """Return the online requests of ``duration_ms``; ``load`` multiplies every rate."""
+    """Return the online requests of ``duration_ms``; ``load`` multiplies the rates of a time."""
     rng = random.Random(f"{deployment.name}/{seed}")
     arrivals: list[Arrival] = []
     at_ms = 0.0
@@ -80,7 +88,7 @@
             burst_from_ms = at_ms + rng.expovariate(1.0 / deployment.burst_gap_s) * 1000
             burst_to_ms = burst_from_ms + deployment.burst_s * 1000
         factor = deployment.burst_factor if in_burst else 1.0
-        at_ms += rng.expovariate(deployment.rate_per_s * load * factor) * 1000
+        at_ms += rng.expovariate(deployment.rate_per_s * load(at_ms) * factor) * 1000
         arrivals.append(
             Arrival(
                 at_ms,
