--- a/src/fescuedock/core/config/node.py
+++ b/src/fescuedock/core/config/node.py
@@ -127,9 +127,9 @@
         if self._heard and self._heard[0] <= self.version:
             self._heard, self._pull_due_ms = None, inf
         targets = pick_targets(self.vms(), self.vm_id, self.limits.push_targets, self.random)
-        if not targets or not deltas:
-            # Who took a whole record was behind, so the others have it or hear of it.
+        if not targets:
             return []
+        # Without deltas it tells the version alone, and who lacks it pulls the record.
         return [PushTo(tuple(targets), self._push(now_ms, deltas))]
 
     def on_pull(self, message: ConfigPull, now_ms: float) -> ConfigPush:
--- a/src/fescuedock/core/config/record.py
+++ b/src/fescuedock/core/config/record.py
@@ -28,6 +28,7 @@
     "empty_record",
     "encode_record",
     "find_applied",
+    "last_delta",
     "patch_hash",
 ]
 
@@ -38,6 +39,8 @@
 MAX_RECORD_BYTES = 1_000_000
 # What a compressed record may unfold to, so that a bad one cannot fill our memory.
 _MAX_UNFOLDED_BYTES = 16_000_000
+# A patch up to this size is kept in the record, so that who reads the record can pass the patch on.
+_MAX_KEPT_PATCH_BYTES = 32_000
 _COMPRESSION_LEVEL = 6
 _EMPTY_DOCUMENT = b"{}"
 
@@ -61,7 +64,7 @@
 
 def empty_record() -> ConfigRecord:
     """Return version 0, which nobody ever wrote."""
-    return ConfigRecord(version=0, chain_hash="", document=_EMPTY_DOCUMENT, patches=[])
+    return ConfigRecord(version=0, chain_hash="", document=_EMPTY_DOCUMENT, last_patch=b"")
 
 
 def patch_hash(request: PatchRequest) -> str:
@@ -91,12 +94,13 @@
         actor=request.actor,
         accepted_at_s=accepted_at_s,
     )
-    successor = _successor(record, document, applied)
+    patch = _json.encode(request.patch)
+    successor = _successor(record, document, patch, applied)
     size_bytes = len(encode_record(successor))
     if size_bytes > MAX_RECORD_BYTES:
         problem = f"configuration: {size_bytes} bytes are over the limit of {MAX_RECORD_BYTES}"
         return Err(Refusal(ResultCode.INVALID_PATCH, record.version, (problem,)))
-    return Ok((successor, ConfigDelta(_json.encode(request.patch), successor.patches[-1], 0)))
+    return Ok((successor, ConfigDelta(patch, successor.patches[-1], 0)))
 
 
 def advance(record: ConfigRecord, delta: ConfigDelta) -> ConfigRecord | None:
@@ -109,10 +113,17 @@
         )
     except msgspec.DecodeError:
         return None
-    successor = _successor(record, document, delta.applied)
+    successor = _successor(record, document, delta.patch, delta.applied)
     return successor if successor.chain_hash == delta.applied.chain_hash else None
 
 
+def last_delta(record: ConfigRecord, kv_revision: int) -> ConfigDelta | None:
+    """Return the delta that made ``record``, if it remembers it."""
+    if not record.last_patch:
+        return None
+    return ConfigDelta(record.last_patch, record.patches[-1], kv_revision)
+
+
 def chain_agrees(older: ConfigRecord, newer: ConfigRecord) -> bool:
     """Whether ``newer`` descends from ``older``, as far as it remembers.
 
@@ -154,7 +165,9 @@
     return _chain_hash(former_hash, newest, record.document) == record.chain_hash
 
 
-def _successor(record: ConfigRecord, document: object, applied: AppliedPatch) -> ConfigRecord:
+def _successor(
+    record: ConfigRecord, document: object, patch: bytes, applied: AppliedPatch
+) -> ConfigRecord:
     encoded = _json.encode(document)
     chain_hash = _chain_hash(record.chain_hash, applied, encoded)
     applied = msgspec.structs.replace(applied, chain_hash=chain_hash)
@@ -163,6 +176,7 @@
         chain_hash=chain_hash,
         document=encoded,
         patches=[*record.patches, applied][-MAX_PATCHES:],
+        last_patch=patch if len(patch) <= _MAX_KEPT_PATCH_BYTES else b"",
     )
 
 
--- a/src/fescuedock/core/config/replica.py
+++ b/src/fescuedock/core/config/replica.py
@@ -11,7 +11,7 @@
 from enum import StrEnum
 from math import inf
 
-from fescuedock.core.config.record import advance, chain_agrees, empty_record
+from fescuedock.core.config.record import advance, chain_agrees, empty_record, last_delta
 from fescuedock.schema.config import ConfigDelta, ConfigRecord
 
 __all__ = ["Alarm", "AlarmKind", "Offer", "Replica"]
@@ -86,6 +86,9 @@
             return Offer.KNOWN
         self._deltas.clear()
         self._apply(record, kv_revision)
+        delta = last_delta(record, kv_revision)
+        if delta is not None:
+            self._deltas.append(delta)
         return Offer.APPLIED
 
     def offer_delta(self, delta: ConfigDelta) -> Offer:
--- a/src/fescuedock/core/config/spread.py
+++ b/src/fescuedock/core/config/spread.py
@@ -24,7 +24,7 @@
     """Fixed figures of the spread; docs/decisions/config-spread.md has how they were found."""
 
     watchers_per_domain: int = 2
-    push_targets: int = 4
+    push_targets: int = 8
     watch_interval_ms: float = 2000
     pull_delay_ms: float = 150
     pull_timeout_ms: float = 1000
--- a/src/fescuedock/schema/config.py
+++ b/src/fescuedock/schema/config.py
@@ -114,6 +114,9 @@
     version: int
     chain_hash: str
     document: Annotated[bytes, Meta(description="Configuration as JSON.")]
+    last_patch: Annotated[
+        bytes, Meta(description="The newest merge patch as JSON; empty when it is long.")
+    ]
     patches: Annotated[list[AppliedPatch], Meta(description="The newest ones, oldest first.")] = (
         field(default_factory=list)
     )
