--- a/bench/online_cost.py
+++ b/bench/online_cost.py
@@ -1,6 +1,6 @@
 """What an online request costs by way of an entry, against the engine reached directly.
 
-    python -m bench.online_cost
+    python -m bench.online_cost [--record]
 
 The programs run as processes of their own.  Requests alternate between the two ways, so that both
 meet the same machine.  First-token times are the caller's; CPU is what the kernel counted for the
@@ -9,6 +9,7 @@
 """
 
 import statistics
+import sys
 import tempfile
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
@@ -18,6 +19,7 @@
 import msgspec
 import trio
 
+from bench.slopes import Slope, record_slopes
 from fescuedock.net.address import Address
 from fescuedock.net.http_client import HttpClient, open_http_client
 from tests.builders.local import wait_until
@@ -224,6 +226,18 @@
         slopes[part] = (token_us, short - SHORT_TOKENS * token_us, costs.median("whole", part))
     for row, name in enumerate(("streamed token", "streamed request", "whole request")):
         print(f"{name:18} {slopes['entry_us'][row]:6.0f}  {slopes['agents_us'][row]:6.0f}")
+    if "--record" in sys.argv:
+        record_slopes(
+            {
+                "online_token_us": _slope(slopes["entry_us"][0], "of the entry, a streamed token"),
+                "online_request_us": _slope(slopes["entry_us"][1], "of the entry, a request"),
+                "online_agents_us": _slope(slopes["agents_us"][1], "of all agents, a request"),
+            }
+        )
+
+
+def _slope(value_us: float, what: str) -> Slope:
+    return Slope(round(value_us, 1), "us", "python -m bench.online_cost --record", f"CPU {what}")
 
 
 async def main() -> None:
