--- a/src/fescuedock/core/streams.py
+++ b/src/fescuedock/core/streams.py
@@ -12,6 +12,8 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from fescuedock.schema.config import Objectives
+
 __all__ = [
     "AttemptEnd",
     "NextStep",
@@ -39,6 +41,16 @@
         """Return how long to wait for the next event when ``usual_ms`` is the usual wait."""
         return max(self.floor_ms, self.factor * usual_ms)
 
+    def whole_timeout_ms(self, objectives: Objectives, max_tokens: int, bound_ms: float) -> float:
+        """Return how long to wait for an answer in one piece.
+
+        ``bound_ms`` where the caller sets no limit to its tokens: nobody knows how long it gets.
+        """
+        if max_tokens <= 0:
+            return bound_ms
+        run_ms = max_tokens * objectives.inter_token_ms
+        return min(bound_ms, self.timeout_ms(objectives.first_token_ms + run_ms))
+
 
 class AttemptEnd(enum.Enum):
     """How an attempt stopped giving events."""
--- a/src/fescuedock/entry/online_whole.py
+++ b/src/fescuedock/entry/online_whole.py
@@ -54,6 +54,6 @@
 
 
 def _stall_ms(state: OnlineState, request: OnlineRequest) -> float:
-    objectives = request.spec.objectives
-    run_ms = request.max_tokens * objectives.inter_token_ms
-    return state.stall.timeout_ms(objectives.first_token_ms + run_ms)
+    spec = request.spec
+    bound_ms = spec.request_timeout_ms
+    return state.stall.whole_timeout_ms(spec.objectives, request.max_tokens, bound_ms)
--- a/tests/test_online_streams_core.py
+++ b/tests/test_online_streams_core.py
@@ -8,6 +8,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
 from fescuedock.core.streams import AttemptEnd, NextStep, StallPolicy, StreamState
+from fescuedock.schema.config import Objectives
 
 ANSWER = [f"word{index} " for index in range(8)]
 
@@ -180,3 +181,10 @@
         policy = StallPolicy(factor=10, floor_ms=2000)
         self.assertEqual(policy.timeout_ms(31), 2000)
         self.assertEqual(policy.timeout_ms(1000), 10000)
+
+    def test_an_answer_of_unknown_length_gets_all_the_time_there_is(self) -> None:
+        policy = StallPolicy(factor=10, floor_ms=2000)
+        objectives = Objectives(first_token_ms=1000, inter_token_ms=30)
+        self.assertEqual(policy.whole_timeout_ms(objectives, 0, 60_000), 60_000)
+        self.assertEqual(policy.whole_timeout_ms(objectives, 10, 60_000), 13_000)
+        self.assertEqual(policy.whole_timeout_ms(objectives, 1000, 60_000), 60_000)
