--- a/tests/test_online_decisions.py
+++ b/tests/test_online_decisions.py
@@ -211,6 +211,10 @@
         waits = self.waits(RetryPolicy(max_attempts=3), 1e9, 4)
         self.assertEqual([wait is None for wait in waits], [False, False, True, True])
 
+    def test_a_dry_budget_ends_retries(self) -> None:
+        waits = self.waits(RetryPolicy(reserve=1, reserve_per_s=0), 1e9, 2)
+        self.assertEqual([wait is None for wait in waits], [False, True])
+
     def test_no_retry_that_could_not_make_it(self) -> None:
         self.assertEqual(self.waits(RetryPolicy(), -1.0, 1), [None])
 
--- a/tests/test_online_requests.py
+++ b/tests/test_online_requests.py
@@ -125,6 +125,16 @@
 
         run(body)
 
+    def test_a_caller_who_is_reading_is_served_past_the_deadline(self) -> None:
+        async def body() -> None:
+            async with open_fleet() as fleet:
+                wanted = chat_body(max_tokens=200)
+                status, _, data = await fleet.post(CHAT, wanted, {"x-deadline-ms": "250"})
+                self.assertEqual(status, 200)
+                self.check_whole(data, wanted)
+
+        run(body)
+
     def test_a_hung_worker_is_left_for_another(self) -> None:
         async def body() -> None:
             async with open_fleet() as fleet:
