--- a/src/fescuedock/core/membership/freshness.py
+++ b/src/fescuedock/core/membership/freshness.py
@@ -9,6 +9,7 @@
 
 # Datagrams overtake each other by far less than this.
 _WINDOW = 256
+_ALL_SEEN = (1 << _WINDOW) - 1
 
 
 class Freshness(Enum):
@@ -23,8 +24,9 @@
 class _Window:
     boot: int
     highest: int
-    # Bit i is set when the sequence number highest - i was seen.
-    seen: int = 1
+    # Bit i is set when the sequence number highest - i was seen.  Those from before the proof count
+    # as seen: they were dropped when they came, and could be recorded ones by now.
+    seen: int = _ALL_SEEN
 
 
 class ReplayWindows:
@@ -46,7 +48,7 @@
             return Freshness.UNPROVEN
         ahead = head.sequence - window.highest
         if ahead > 0:
-            window.seen = (window.seen << min(ahead, _WINDOW) | 1) & ((1 << _WINDOW) - 1)
+            window.seen = (window.seen << min(ahead, _WINDOW) | 1) & _ALL_SEEN
             window.highest = head.sequence
             return Freshness.FRESH
         bit = 1 << -ahead
--- a/src/fescuedock/core/membership/membership.py
+++ b/src/fescuedock/core/membership/membership.py
@@ -211,12 +211,10 @@
 
     def _meet(self, message: msgspec.Struct, source: Address, now_ms: float) -> list[Action]:
         """Let an unproven sender prove itself, and prove ourselves to it."""
-        actions = self._detector.contact(
-            message.head.sender, source, [self._own().update()], now_ms
-        )
-        if isinstance(message, Probe):
-            actions.append(self._ack(message, source))
-        return actions
+        # The answer first: it opens our window there, and what comes before it is dropped.
+        actions = [self._ack(message, source)] if isinstance(message, Probe) else []
+        own = [self._own().update()]
+        return actions + self._detector.contact(message.head.sender, source, own, now_ms)
 
     def _ack(self, message: Probe, source: Address) -> Action:
         # With this VM's own record: the sender may lack it, or hold a suspicion to be refuted.
