--- a/src/fescuedock/cli/local.py
+++ b/src/fescuedock/cli/local.py
@@ -41,7 +41,7 @@
 _JSON = (("content-type", "application/json"),)
 
 
-class NotReadyError(Exception):
+class NotReadyError(OSError):
     """The local system did not come to serve; the text has the last answer."""
 
 
--- a/src/fescuedock/cli/local_command.py
+++ b/src/fescuedock/cli/local_command.py
@@ -6,14 +6,13 @@
 
 import msgspec
 import trio
-import zmq
 
 from fescuedock.cli.command_line import Command, ExitCode
-from fescuedock.cli.local import LocalSystem, NotReadyError, open_local
+from fescuedock.cli.local import LocalSystem, open_local
 from fescuedock.cli.local_banner import banner
 from fescuedock.cli.local_setup import log_settings
 from fescuedock.cli.local_vm import STOP_TIMEOUT_MS
-from fescuedock.daemon import Stop, leaf_errors, stop_on_signals
+from fescuedock.daemon import Stop, report_errors, stop_on_signals
 from fescuedock.log import open_log
 
 __all__ = ["LOCAL_COMMAND"]
@@ -43,17 +42,14 @@
 
 
 def _run_in(port: int, folder: Path) -> int:
-    folder.mkdir(parents=True, exist_ok=True)
     log_file = folder / "log.jsonl"
-    code = ExitCode.OK
-    try:
+
+    def run() -> None:
+        folder.mkdir(parents=True, exist_ok=True)
         with open_log(log_settings(log_file), "local"):
             trio.run(_serve, port, folder, log_file)
-    except* (OSError, zmq.ZMQError, NotReadyError) as errors:
-        for error in leaf_errors(errors):
-            print(f"fescuedock local: {error}", file=sys.stderr)
-        code = ExitCode.FAILED
-    return code
+
+    return report_errors("fescuedock local", run)
 
 
 async def _serve(port: int, folder: Path, log_file: Path) -> None:
--- a/src/fescuedock/cli/local_vm.py
+++ b/src/fescuedock/cli/local_vm.py
@@ -27,8 +27,10 @@
 __all__ = ["STOP_TIMEOUT_MS", "LocalVm", "VmPlace", "vm_settings"]
 
 STOP_TIMEOUT_MS = 20000
-# Callers of a local system ask again soon, so that stopping it is quick.
+# News travel fast on one machine and callers ask again soon, so that stopping is quick.
 _ANSWER_VALID_MS = 1000
+_LEAVE_SPREAD_MS = 1000
+_PROBE_INTERVAL_MS = 300
 _CLIENT_PROGRAMS: dict[str, Program] = {
     "store": run_store,
     "batch": run_batch,
@@ -59,8 +61,12 @@
             stop_timeout_ms=STOP_TIMEOUT_MS,
         ),
         platform=platform,
-        entry=EntrySettings(port=entry_port, answer_valid_ms=_ANSWER_VALID_MS),
-        agent=AgentSettings(port=0),
+        entry=EntrySettings(
+            port=entry_port,
+            answer_valid_ms=_ANSWER_VALID_MS,
+            leave_spread_ms=_LEAVE_SPREAD_MS,
+        ),
+        agent=AgentSettings(port=0, probe_interval_ms=_PROBE_INTERVAL_MS),
         batch=BatchSettings(port=0),
         store=StoreSettings(port=0, data_folder=str(data_folder / place.vm_id)),
     )
--- a/src/fescuedock/daemon.py
+++ b/src/fescuedock/daemon.py
@@ -7,6 +7,7 @@
 
 import signal
 import sys
+import traceback
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -21,7 +22,7 @@
 from fescuedock.net.address import Address
 from fescuedock.settings import Settings, load_settings
 
-__all__ = ["Program", "Stop", "leaf_errors", "run_program", "stop_on_signals"]
+__all__ = ["Program", "Stop", "leaf_errors", "report_errors", "run_program", "stop_on_signals"]
 
 _HELP = """\
 {name}: the {program} program of fescuedock.
@@ -81,17 +82,31 @@
         print(loaded.unwrap_err(), file=sys.stderr)
         return ExitCode.USAGE
     settings = loaded.unwrap()
-    try:
+
+    def run() -> None:
         with open_log(settings.vm, name):
             trio.run(_serve, name, program, settings)
+
+    return report_errors(f"fescuedock-{name}", run)
+
+
+def report_errors(name: str, run: Callable[[], None]) -> int:
+    """Call ``run`` and return the exit code; tell each error by itself, without trio's groups.
+
+    What an operator can mend, as an address in use, is one line; a fault of ours has its traceback.
+    """
+    code = ExitCode.OK
+    try:
+        run()
     except* (OSError, zmq.ZMQError) as errors:
-        # An address in use, a folder that cannot be written: the operator's to mend.
         for error in leaf_errors(errors):
-            print(f"fescuedock-{name}: {error}", file=sys.stderr)
-        return_code = ExitCode.FAILED
-    else:
-        return_code = ExitCode.OK
-    return return_code
+            print(f"{name}: {error}", file=sys.stderr)
+        code = ExitCode.FAILED
+    except* Exception as errors:
+        for error in leaf_errors(errors):
+            traceback.print_exception(error)
+        code = ExitCode.FAILED
+    return code
 
 
 def leaf_errors(errors: BaseExceptionGroup) -> list[BaseException]:
--- a/src/fescuedock/standin/main.py
+++ b/src/fescuedock/standin/main.py
@@ -11,7 +11,7 @@
 from result import Err, Result
 
 from fescuedock.cli.command_line import Command, ExitCode, run_command_line
-from fescuedock.daemon import Stop, leaf_errors, stop_on_signals
+from fescuedock.daemon import Stop, report_errors, stop_on_signals
 from fescuedock.log import log_event, open_log
 from fescuedock.schema.settings import StandinSettings, VmSettings
 from fescuedock.settings import SettingsProblems, load_sections
@@ -73,16 +73,12 @@
     log_settings = VmSettings(
         vm_id="standin", host=settings.host, region=settings.region, failure_domain="standin"
     )
-    code = ExitCode.OK
-    try:
+
+    def run() -> None:
         with open_log(log_settings, "standin"):
             trio.run(_serve, settings)
-    except* OSError as errors:
-        # An address in use: the operator's to mend.
-        for error in leaf_errors(errors):
-            print(f"{_NAME}: {error}", file=sys.stderr)
-        code = ExitCode.FAILED
-    return code
+
+    return report_errors(_NAME, run)
 
 
 async def _serve(settings: StandinSettings) -> None:
--- a/tests/test_session_cli.py
+++ b/tests/test_session_cli.py
@@ -54,6 +54,7 @@
             ("config", "diff", str(patch)),
             ("drain", "worker-trip-desk-1"),
             ("drain", "worker-nowhere-1"),
+            ("config", "wait", "3"),
             ("upstreams", "--service=trip-desk"),
             ("drain", "worker-trip-desk-1", "--undo"),
             ("jobs", "list"),
@@ -120,6 +121,12 @@
             self.assertIn(f"usage: fescuedock-{name} FILE", done.output)
             self.assertIn("exit codes: 0 stopped", done.output)
 
+    def test_log_file_that_cannot_be_written_is_one_line(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = write_settings(Path(folder), {"vm": {"log_file": f"{folder}/none/log"}})
+            done = run_program_main(agent.main, str(path))
+        self.assertEqual((done.code, done.errors.count("\n")), (1, 1), done.errors)
+
     def test_taken_address_is_one_line(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             # An address that is not of this machine cannot be bound, like one that is taken.
