Hold work back from an upstream until it has the models of its service

A request for a model that is not loaded got 404 from the engine. The agent that owns the upstream knows from the order record and the engine's own list what it lacks. The models that an upstream's policy names are loaded first; all others of the service follow, since requests go to any upstream of a service.

--- a/src/fescuedock/agent/main.py
+++ b/src/fescuedock/agent/main.py
@@ -97,10 +97,11 @@
             self.config,
             self.view,
         )
-        self.permits = PermitService(settings, self.view, http, rng)
         self.orders = OrderService(
-            settings, kv, self.view, EngineControl(http), self.permits.load, rng
+            settings, kv, self.view, EngineControl(http), lambda name: self.permits.load(name), rng
         )
+        self.permits = PermitService(settings, self.view, http, rng, self.orders.is_loading)
+        self.orders.on_change = self.permits.follow_again
 
     def vms(self) -> list[VmRecord]:
         """Return every VM that membership knows, gone ones included."""
--- a/src/fescuedock/agent/order_service.py
+++ b/src/fescuedock/agent/order_service.py
@@ -13,6 +13,7 @@
 from result import Err, Ok, Result
 
 from fescuedock.agent.load_slots import LoadSlots
+from fescuedock.agent.served_upstream import ServedUpstream
 from fescuedock.clock import now_ms
 from fescuedock.core.orders.fencing import (
     Give,
@@ -24,6 +25,7 @@
     Write,
 )
 from fescuedock.core.orders.placement import (
+    lacks_model,
     next_order,
     placement_of,
     uses_weight_store,
@@ -34,7 +36,6 @@
 from fescuedock.platform.engine_control import EngineControl
 from fescuedock.platform.engine_wire import EngineOrder
 from fescuedock.platform.kv import KvStore
-from fescuedock.schema.config import OrderCheck
 from fescuedock.schema.orders import LoadSlot, OrderRecord, PlannedOrder
 from fescuedock.schema.permits import LoadSnapshot
 from fescuedock.schema.result_codes import ResultCode
@@ -49,7 +50,6 @@
 ORDERS_PREFIX = "orders/"
 SLOTS_PREFIX = "load-slots/"
 _MAX_AT_ONCE = 4
-_REFUSED_PAUSE_MS = 60000
 _ROUNDING_MS = 1.0
 _OUTCOMES = {
     ResultCode.PEER_UNREACHABLE: GiveOutcome.NOT_SENT,
@@ -83,7 +83,14 @@
         self._slots = LoadSlots(kv, settings.platform.key_prefix + SLOTS_PREFIX, settings.orders)
         self._holder_id = f"{settings.vm.vm_id}/{rng.getrandbits(64):016x}"
         self._turns = trio.CapacityLimiter(_MAX_AT_ONCE)
-        self._serving: dict[str, _Upstream] = {}
+        self._serving: dict[str, ServedUpstream] = {}
+        # Called when ``is_loading`` may have changed for an upstream.
+        self.on_change: Callable[[], None] = _ignore
+
+    def is_loading(self, upstream_id: str) -> bool:
+        """Whether the upstream is known to lack a model that requests may ask it for."""
+        part = self._serving.get(upstream_id)
+        return part is not None and part.is_loading
 
     async def run(self) -> None:
         """Follow the view and serve each engine that this VM owns, until cancelled."""
@@ -110,17 +117,17 @@
         owner = self._view.owner_of(upstream_id)
         return owner is not None and owner.vm_id == self._settings.vm.vm_id
 
-    def _new_part(self, upstream: UpstreamRecord) -> "_Upstream":
-        return _Upstream(upstream, OrderHolder(self._holder_id, False, self._settings.orders))
+    def _new_part(self, upstream: UpstreamRecord) -> ServedUpstream:
+        return ServedUpstream(upstream, OrderHolder(self._holder_id, False, self._settings.orders))
 
-    async def _serve(self, part: "_Upstream") -> None:
+    async def _serve(self, part: ServedUpstream) -> None:
         """Bring one upstream to what it has to have, and keep it there, while it is ours."""
         name = part.upstream.upstream_id
         while self._owns(name) or part.holder.holds:
             part.refresh(self._view)
             part.wake = trio.Event()
             if part.holder.phase is Phase.UNKNOWN:
-                await self._read(part)
+                await self._learn(part)
             elif part.has_work(self._wanted(part)):
                 async with self._turns:
                     wait_ms = await self._work(part)
@@ -130,15 +137,33 @@
                 await self._rest(part)
         del self._serving[name]
 
-    async def _rest(self, part: "_Upstream") -> None:
+    async def _learn(self, part: ServedUpstream) -> None:
+        """Read what the record and the engine itself say of the upstream."""
+        await self._read(part)
+        part.listed = (await self._control.models(part.upstream)).ok()
+        self._judge(part)
+
+    async def _rest(self, part: ServedUpstream) -> None:
         with trio.move_on_after(self._settings.orders.settled_poll_ms / 1000):
             await part.wake.wait()
             return
         match await self._control.models(part.upstream):
             case Ok(listed):
+                part.listed = listed
                 part.holder.state = without_lost(part.holder.state, listed)
-
-    async def _work(self, part: "_Upstream") -> float:
+                self._judge(part)
+
+    def _judge(self, part: ServedUpstream) -> None:
+        """Judge whether requests have to stay away; without knowledge they need not."""
+        loading = False
+        if part.listed is not None and not part.refused(now_ms()):
+            placement = placement_of(self._view.configuration, part.upstream)
+            loading = lacks_model(part.holder.state, part.listed, placement)
+        if loading is not part.is_loading:
+            part.is_loading = loading
+            self.on_change()
+
+    async def _work(self, part: ServedUpstream) -> float:
         """Take steps until there is nothing to do or a wait without holding; returns the wait."""
         while True:
             wanted = self._wanted(part)
@@ -154,7 +179,7 @@
                 case Wait(until_ms):
                     return until_ms - now_ms()
 
-    def _wanted(self, part: "_Upstream") -> PlannedOrder | None:
+    def _wanted(self, part: ServedUpstream) -> PlannedOrder | None:
         """Return the next order; None too when the upstream is no longer ours or is leaving."""
         if part.upstream.leaving or not self._owns(part.upstream.upstream_id):
             return None
@@ -167,7 +192,7 @@
         ]
         return any(load.queued_online + load.in_flight_online for load in loads)
 
-    async def _read(self, part: "_Upstream") -> None:
+    async def _read(self, part: ServedUpstream) -> None:
         match await self._kv.get(self._key(part)):
             case Ok(None):
                 part.holder.on_read(None, 0, now_ms())
@@ -177,7 +202,7 @@
             case Err(_):
                 await trio.sleep(self._settings.orders.retry_ms / 1000)
 
-    async def _write(self, part: "_Upstream", write: Write) -> None:
+    async def _write(self, part: ServedUpstream, write: Write) -> None:
         data = msgspec.msgpack.encode(write.record)
         part.holder.begin_write(write, now_ms())
         match await self._kv.put_if(self._key(part), data, write.expected_revision):
@@ -188,10 +213,10 @@
                 part.holder.on_write(None, certain, now_ms())
                 await trio.sleep(self._settings.orders.retry_ms / 1000)
 
-    def _key(self, part: "_Upstream") -> str:
+    def _key(self, part: ServedUpstream) -> str:
         return self._prefix + part.upstream.upstream_id
 
-    async def _give(self, part: "_Upstream", give: Give) -> None:
+    async def _give(self, part: ServedUpstream, give: Give) -> None:
         """Give the order, renewing the lease meanwhile; stop when the lease has run out.
 
         The scope's deadline covers the sending too: after a pause of this process the loop sees
@@ -209,6 +234,7 @@
         if outcome is GiveOutcome.REJECTED:
             part.refuse(give.order, now_ms())
         part.holder.on_given(outcome, now_ms())
+        self._judge(part)
 
     def _slot(
         self, upstream: UpstreamRecord, order: PlannedOrder
@@ -218,7 +244,7 @@
         slot = LoadSlot(self._holder_id, upstream.upstream_id, order.model)
         return self._slots.claim(slot, lambda: self._has_online_demand(upstream.service))
 
-    async def _renew(self, part: "_Upstream", scope: trio.CancelScope) -> None:
+    async def _renew(self, part: ServedUpstream, scope: trio.CancelScope) -> None:
         holder = part.holder
         while holder.holds:
             scope.deadline = holder.lease_end_ms / 1000
@@ -255,36 +281,10 @@
         return outcome
 
 
+def _ignore() -> None:
+    """Stand for nobody who wants to know."""
+
+
 async def _sleep_past(until_ms: float) -> None:
     """Sleep until a little after a time, so that rounding does not wake us before it."""
     await trio.sleep_until((until_ms + _ROUNDING_MS) / 1000)
-
-
-class _Upstream:
-    """One upstream that this agent serves."""
-
-    def __init__(self, upstream: UpstreamRecord, holder: OrderHolder) -> None:
-        self.upstream = upstream
-        self.holder = holder
-        self.wake = trio.Event()
-        self._refused: list[tuple[PlannedOrder, float]] = []
-
-    def refresh(self, view: "FleetView") -> None:
-        """Take the upstream as the view has it now; it is leaving when it is no longer there."""
-        found = view.upstreams.get(self.upstream.upstream_id)
-        self.upstream = found or msgspec.structs.replace(self.upstream, leaving=True)
-        service = view.configuration.services.get(self.upstream.service)
-        checks = service is not None and service.order_check is OrderCheck.FENCED
-        self.holder.engine_checks = checks
-
-    def has_work(self, wanted: PlannedOrder | None) -> bool:
-        return wanted is not None or self.holder.current is not None or self.holder.holds
-
-    def refuse(self, order: PlannedOrder, at_ms: float) -> None:
-        """Note that the engine would not carry out ``order``, which is left for a while."""
-        self._refused.append((order, at_ms + _REFUSED_PAUSE_MS))
-
-    def refused(self, at_ms: float) -> list[PlannedOrder]:
-        """Return the orders that are not to be tried now."""
-        self._refused = [item for item in self._refused if item[1] > at_ms]
-        return [order for order, _ in self._refused]
--- a/src/fescuedock/agent/permit_service.py
+++ b/src/fescuedock/agent/permit_service.py
@@ -2,7 +2,8 @@
 
 import random
 from collections import Counter, defaultdict
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import trio
@@ -45,16 +46,25 @@
 
 
 class PermitService:
-    """Soft state for each upstream that ``view`` says this VM owns."""
+    """Soft state for each upstream that ``view`` says this VM owns.
+
+    ``is_loading`` says of an upstream that it lacks a model and so must not get work yet.
+    """
 
     def __init__(
-        self, settings: Settings, view: "FleetView", http: HttpClient, rng: random.Random
+        self,
+        settings: Settings,
+        view: "FleetView",
+        http: HttpClient,
+        rng: random.Random,
+        is_loading: Callable[[str], bool] = lambda _upstream_id: False,
     ) -> None:
         self._settings = settings
         self._view = view
         self._control = EngineControl(http)
         self._probe = UpstreamProbe(http, rng)
         self._rng = rng
+        self._is_loading = is_loading
         self._owner = PermitOwner(settings.permits, settings.agent.permit_valid_ms)
         self._waiters: dict[str, list[_Waiter]] = defaultdict(list)
         self._peers: dict[str, ServerPeer] = {}
@@ -132,6 +142,11 @@
             self._follow()
             await self._view.wait_changed(self._followed_version)
 
+    def follow_again(self) -> None:
+        """Take in what ``is_loading`` says now."""
+        self._followed_version = -1
+        self._follow()
+
     def _follow(self) -> None:
         if self._view.version == self._followed_version:
             return
@@ -139,12 +154,18 @@
         self._owner.set_validity(validity_ms(self._settings.agent, len(self._view.vms)))
         counts = Counter(item.service for item in self._view.upstreams.values())
         owned = {
-            upstream_id: OwnedUpstream(upstream.service, _terms(self._view.configuration, upstream))
+            upstream_id: OwnedUpstream(upstream.service, self._terms(upstream))
             for upstream_id, upstream in self._view.upstreams.items()
             if self._is_ours(upstream_id)
         }
         self._perform(self._owner.set_upstreams(owned, counts, now_ms()))
 
+    def _terms(self, upstream: UpstreamRecord) -> UpstreamTerms:
+        terms = _terms(self._view.configuration, upstream)
+        if self._is_loading(upstream.upstream_id):
+            return replace(terms, admitting=False)
+        return terms
+
     def _is_ours(self, upstream_id: str) -> bool:
         owner = self._view.owner_of(upstream_id)
         return owner is not None and owner.vm_id == self._settings.vm.vm_id
--- /dev/null
+++ b/src/fescuedock/agent/served_upstream.py
@@ -0,0 +1,51 @@
+"""One upstream whose engine an agent gives orders to."""
+
+from typing import TYPE_CHECKING
+
+import msgspec
+import trio
+
+from fescuedock.core.orders.fencing import OrderHolder
+from fescuedock.schema.config import OrderCheck
+from fescuedock.schema.orders import PlannedOrder
+from fescuedock.schema.view import UpstreamRecord
+
+if TYPE_CHECKING:
+    from fescuedock.agent.link import FleetView
+
+__all__ = ["ServedUpstream"]
+
+_REFUSED_PAUSE_MS = 60000
+
+
+class ServedUpstream:
+    """What the agent keeps of it; ``wake`` is set when the fleet view has changed."""
+
+    def __init__(self, upstream: UpstreamRecord, holder: OrderHolder) -> None:
+        self.upstream = upstream
+        self.holder = holder
+        self.wake = trio.Event()
+        # The names that the engine said it serves; None when it was not asked or did not answer.
+        self.listed: frozenset[str] | None = None
+        self.is_loading = False
+        self._refused: list[tuple[PlannedOrder, float]] = []
+
+    def refresh(self, view: "FleetView") -> None:
+        """Take the upstream as the view has it now; it is leaving when it is no longer there."""
+        found = view.upstreams.get(self.upstream.upstream_id)
+        self.upstream = found or msgspec.structs.replace(self.upstream, leaving=True)
+        service = view.configuration.services.get(self.upstream.service)
+        checks = service is not None and service.order_check is OrderCheck.FENCED
+        self.holder.engine_checks = checks
+
+    def has_work(self, wanted: PlannedOrder | None) -> bool:
+        return wanted is not None or self.holder.current is not None or self.holder.holds
+
+    def refuse(self, order: PlannedOrder, at_ms: float) -> None:
+        """Note that the engine would not carry out ``order``, which is left for a while."""
+        self._refused.append((order, at_ms + _REFUSED_PAUSE_MS))
+
+    def refused(self, at_ms: float) -> list[PlannedOrder]:
+        """Return the orders that are not to be tried now."""
+        self._refused = [item for item in self._refused if item[1] > at_ms]
+        return [order for order, _ in self._refused]
--- a/src/fescuedock/core/orders/placement.py
+++ b/src/fescuedock/core/orders/placement.py
@@ -1,7 +1,8 @@
 """Which models, adapters and role an upstream has to have, and the next order on the way there.
 
-The configuration decides what: every model of the upstream's service, or those that its policy
-pins.  Demand decides which loads may go on: those that online traffic waits for come first.
+The configuration decides what: every model of the upstream's service, since requests go to any
+upstream of a service.  Its policy names those to load first.  Demand decides which loads may go on:
+those that online traffic waits for come first.
 """
 
 from collections.abc import Collection, Iterator, Mapping, Sequence
@@ -15,6 +16,7 @@
     "Placement",
     "after_order",
     "choose_slot",
+    "lacks_model",
     "models_of",
     "next_order",
     "placement_of",
@@ -34,12 +36,12 @@
 
 
 def models_of(configuration: Configuration, upstream: UpstreamRecord) -> list[str]:
-    """Return the models that ``upstream`` has to have, by name."""
+    """Return the models that ``upstream`` has to have, those that its policy names first."""
     service = configuration.services.get(upstream.service)
     if service is None or service.kind is not ServiceKind.MODEL:
         return []
-    pinned = configuration.upstreams.get(upstream.upstream_id, UpstreamPolicy()).models
-    return sorted(name for name in service.models if not pinned or name in pinned)
+    first = configuration.upstreams.get(upstream.upstream_id, UpstreamPolicy()).models
+    return sorted(service.models, key=lambda name: (name not in first, name))
 
 
 def placement_of(configuration: Configuration, upstream: UpstreamRecord) -> Placement:
@@ -63,6 +65,16 @@
     return next((order for order in _orders(state, wanted) if order not in refused), None)
 
 
+def lacks_model(state: EngineState, listed: Collection[str], wanted: Placement) -> bool:
+    """Whether the engine has no version at all of a wanted model or adapter.
+
+    ``listed`` are the names that the engine itself said it serves.
+    """
+    adapters = {adapter for spec in wanted.models.values() for adapter in spec.adapters}
+    have = {*state.models, *state.adapters, *listed}
+    return not have.issuperset({*wanted.models, *adapters})
+
+
 def without_lost(state: EngineState, listed: Collection[str]) -> EngineState:
     """Return ``state`` without what the engine no longer lists, as after a restart of it."""
     models = {name: version for name, version in state.models.items() if name in listed}
--- a/src/fescuedock/schema/config.py
+++ b/src/fescuedock/schema/config.py
@@ -86,7 +86,7 @@
     drain: bool = False
     max_in_flight: Annotated[int, Meta(description="0 lets the policy find the limit.", ge=0)] = 0
     models: Annotated[
-        list[str], Meta(description="Models that stay loaded here; the rest goes by demand.")
+        list[str], Meta(description="Models that are loaded here before the others of the service.")
     ] = field(default_factory=list)
     role: EngineRole = EngineRole.BOTH
 
