--- a/tests/test_orders_service.py
+++ b/tests/test_orders_service.py
@@ -5,7 +5,7 @@
 import trio
 import trio.testing
 
-from fescuedock.core.orders.fencing import Give, GiveOutcome, OrderHolder, Phase, Wait
+from fescuedock.core.orders.fencing import Give, GiveOutcome, OrderHolder, Phase, ReadRecord, Wait
 from fescuedock.core.orders.placement import (
     Placement,
     choose_slot,
@@ -173,6 +173,20 @@
         write = holder.step(order, 3001)
         self.assertEqual((write.record.fencing, write.record.current), (3, [order]))
 
+    def test_a_late_write_is_not_taken_for_the_one_sent_after_it(self):
+        holder, _ = self.held(engine_checks=True)
+        writes = []
+        for sent_ms in (4000, 8000):
+            writes.append(holder.renewal(sent_ms))
+            holder.begin_write(writes[-1], sent_ms)
+            holder.on_write(None, False, sent_ms + 1000)
+            if len(writes) == 1:
+                holder.on_read(OrderRecord(0, "", 0, 0), 2, sent_ms + 1100)
+        self.assertIsInstance(holder.step(None, 9100), ReadRecord)
+        # The first one has landed: its lease has long begun, so the holder must not go on.
+        holder.on_read(writes[0].record, 3, 9200)
+        self.assertEqual(holder.phase, Phase.OBSERVING)
+
     def test_another_order_waits_until_an_unknown_one_is_settled(self):
         holder, order = self.held(engine_checks=False)
         holder.on_given(GiveOutcome.UNKNOWN, 2000)
