--- a/src/fescuedock/store/client.py
+++ b/src/fescuedock/store/client.py
@@ -137,7 +137,7 @@
         stores read to the end; ``STORES_UNAVAILABLE`` when that is none.
         """
         read = 0
-        for vm in self._stores():
+        for vm in self._readable():
             read += await self._read_log_of(vm, job_id, take)
         if not read:
             message = f"no store answers with the log of {job_id}"
@@ -165,6 +165,14 @@
     def _stores(self) -> list[VmRecord]:
         return self._view.live_vms(Program.STORE)
 
+    def _readable(self) -> list[VmRecord]:
+        """Return every store that may answer, those that take no new work last."""
+        live = self._stores()
+        names = {vm.vm_id for vm in live}
+        return live + [
+            vm for vm in self._view.vms.values() if vm.store_port and vm.vm_id not in names
+        ]
+
     def _avoided(self) -> set[str]:
         now = now_ms()
         return {vm_id for vm_id, until_ms in self._avoided_until_ms.items() if until_ms > now}
@@ -178,9 +186,10 @@
         return CopyPlan(rank_stores(key, sites), copies, min_copies, self._avoided())
 
     def _read_order(self, ref: SegmentRef) -> list[VmRecord]:
-        stores = {vm.vm_id: vm for vm in self._stores()}
+        stores = {vm.vm_id: vm for vm in self._readable()}
         sites = [StoreSite(vm.vm_id, vm.failure_domain) for vm in stores.values()]
-        avoided = self._avoided()
+        live = {vm.vm_id for vm in self._stores()}
+        avoided = self._avoided().union(stores.keys() - live)
         ranked = rank_stores(ref.segment_hash, sites, avoided)
         ranked.sort(key=lambda site: (site.vm_id in avoided, site.vm_id not in ref.copies))
         return [stores[site.vm_id] for site in ranked]
--- a/src/fescuedock/store/repair.py
+++ b/src/fescuedock/store/repair.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Iterable, Iterator, Sequence
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field
 from hashlib import sha256
 from itertools import islice
 
@@ -118,6 +118,7 @@
             if check_content:
                 await self._check(part)
             await self._sweep_part([name for name in part if self.segments.status(name)])
+        log_event("sweep_done", segments=len(names), **asdict(self.counts))
 
     async def _check(self, names: Iterable[str]) -> None:
         for name in names:
--- a/tests/builders/store.py
+++ b/tests/builders/store.py
@@ -125,6 +125,19 @@
         if seen:
             self._show([vm for vm in self.view.vms.values() if vm.vm_id != vm_id])
 
+    def add_runner(self, vm_id: str, port: int) -> None:
+        """Show a batch runner on a VM that has a store."""
+        vms = dict(self.view.vms)
+        ready = [*vms[vm_id].ready, Program.BATCH]
+        vms[vm_id] = msgspec.structs.replace(vms[vm_id], batch_port=port, ready=ready)
+        self._show(list(vms.values()))
+
+    def leave(self, vm_id: str) -> None:
+        """Show a store as leaving."""
+        vms = dict(self.view.vms)
+        vms[vm_id] = msgspec.structs.replace(vms[vm_id], state=VmState.LEAVING)
+        self._show(list(vms.values()))
+
     def holders(self, segment_hash: str) -> list[str]:
         return [name for name, node in self.nodes.items() if node.segments.status(segment_hash)]
 
--- a/tests/test_entry_jobs.py
+++ b/tests/test_entry_jobs.py
@@ -11,12 +11,21 @@
 
 from fescuedock.core.batch.record import OwnerChange, changed, decode_record, encode_record
 from fescuedock.core.job_keys import job_key
-from fescuedock.schema.batch import CommittedGroup, JobManifest, JobRecord, JobState, SegmentRef
+from fescuedock.net.address import Address
+from fescuedock.net.channel import ServerPeer, serve_channel
+from fescuedock.schema.batch import (
+    CommittedGroup,
+    JobManifest,
+    JobPush,
+    JobRecord,
+    JobState,
+    SegmentRef,
+)
 from fescuedock.schema.result_codes import ResultCode
 from fescuedock.schema.settings import BatchSettings
 from tests.builders.jobs import ENDPOINT, JobEntry, JobSite, input_file, input_line, open_job_site
 from tests.builders.kv import LostAnswer
-from tests.builders.store import run
+from tests.builders.store import HOST, run, until
 
 PREFIX = "/fescuedock/"
 SMALL = BatchSettings(port=0, max_items=5, max_line_bytes=1024)
@@ -471,6 +480,29 @@
         self.at_site(test)
 
 
+class PushTest(_SiteTest):
+    def test_runner_is_told_of_new_and_cancelled_jobs(self) -> None:
+        async def test(site: JobSite) -> None:
+            told: list[JobPush] = []
+
+            async def take(message: JobPush, _peer: ServerPeer) -> None:
+                told.append(message)
+
+            async with trio.open_nursery() as nursery:
+                codec = site.fleet.codec
+                address = await nursery.start(serve_channel, Address(HOST, 0), codec, take)
+                site.fleet.add_runner("vm-2", address.port)
+                client = site.entry.client()
+                batch = await submit(client, await upload(client, input_file(3)))
+                await client.batches.cancel(batch.id)
+                await until(lambda: len(told) == 2)
+                nursery.cancel_scope.cancel()
+            self.assertEqual([message.job_id for message in told], [batch.id] * 2)
+            self.assertEqual([message.cancelled for message in told], [False, True])
+
+        self.at_site(test)
+
+
 class ResultTest(_SiteTest):
     async def _finish(self, site: JobSite, job_id: str) -> tuple[list[bytes], list[bytes]]:
         """Commit two items in a manifest, one output and one error after it; return the lines."""
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -88,6 +88,21 @@
 
         run(test)
 
+    def test_leaving_store_gets_nothing_new_and_is_still_read(self) -> None:
+        async def test() -> None:
+            async with open_stores(self.root, SITES) as fleet:
+                ref = (await fleet.client.put_segment(BODY)).unwrap()
+                await fleet.client.append_log("job-1", [b"record"])
+                for vm_id in fleet.nodes:
+                    fleet.leave(vm_id)
+                self.assertTrue((await fleet.client.put_segment(BODY + b"more")).is_err())
+                self.assertEqual(await fleet.client.get_segment(ref), Ok(BODY))
+                found: list[bytes] = []
+                await fleet.client.read_log("job-1", found.extend)
+                self.assertEqual(found, [b"record", b"record"])
+
+        run(test)
+
     def test_store_that_died_unnoticed_is_replaced_and_then_avoided(self) -> None:
         async def test() -> None:
             async with open_stores(self.root, SITES) as fleet:
