--- a/tests/test_batch_job.py
+++ b/tests/test_batch_job.py
@@ -15,6 +15,7 @@
 
 _ITEMS = 20
 _HOUR_MS = 3600 * 1000.0
+_MOST_ROUNDS = 400
 _ONCE_EACH = Counter(range(_ITEMS))
 
 
@@ -41,13 +42,16 @@
                     self.assertFalse(world.open)
             if seen <= writes:
                 return writes
+            self.assertLess(writes, _MOST_ROUNDS)
             writes += 1
 
     def _run_losing(self, world: JobWorld, nth: int, way: str) -> int:
         """Run a job whose write number ``nth`` gets no answer; returns the writes it made."""
         runner = Runner(world, "vm-1/a")
         seen = 0
-        while not runner.run.over:
+        for _ in range(_MOST_ROUNDS):
+            if runner.run.over:
+                break
             runner.poll()
             late = list(world.late_writes)
             for action in list(runner.waiting):
@@ -155,6 +159,19 @@
         self.assertEqual(paused.flying, [])
         self.assertEqual(world.value, value)
 
+    def test_of_two_that_claim_at_once_one_owns_the_job(self):
+        world = JobWorld(_ITEMS, batch_settings())
+        first, second = Runner(world, "vm-1/a"), Runner(world, "vm-2/b")
+        first.step()
+        second.step()
+        first.step()
+        second.work(20)
+        self.assertEqual(second.run.phase, JobPhase.LOST)
+        self.assertEqual(world.record.owner, "vm-1/a")
+        first.work()
+        self.assertEqual(first.run.phase, JobPhase.FINISHED)
+        self.assertEqual(world.record.epoch, 1)
+
     def test_a_planned_stop_leaves_nothing_to_repeat_and_no_mark(self):
         world = JobWorld(_ITEMS, batch_settings(), non_idempotent=True)
         first = Runner(world, "vm-1/a")
@@ -240,7 +257,9 @@
     def _run_bad(self, end: AttemptEnd) -> tuple[JobWorld, dict]:
         world = JobWorld(_ITEMS, batch_settings(item_attempts=3))
         runner = Runner(world, "vm-1/a")
-        while not runner.run.over:
+        for _ in range(_MOST_ROUNDS):
+            if runner.run.over:
+                break
             runner.step()
             while (item := runner.take()) is not None:
                 runner.end(item, end if item.number == 7 else DONE)
@@ -271,8 +290,10 @@
         world = JobWorld(1, batch_settings())
         runner = Runner(world, "vm-1/a")
         for tokens in range(1, 10):
-            while (item := runner.take()) is None:
-                runner.step()
+            runner.step()
+            runner.step()
+            runner.step()
+            item = runner.take()
             self.assertEqual(item.tokens, tokens - 1)
             runner.end(item, AttemptEnd(EndKind.REVOKED, text="x" * tokens, tokens=tokens))
         runner.work()
