Take answers in one piece from the engine's stream and put them together

They are continued after a worker's death, hung engines are noticed early, and owners learn the times between tokens also where callers do not stream.

--- a/src/fescuedock/core/streams.py
+++ b/src/fescuedock/core/streams.py
@@ -100,7 +100,7 @@
     ``wants_usage`` says that the caller asked for a closing event with token counts, so that the
     answer is not whole before it.  ``resumable`` is False for an answer of several texts.
     ``replays`` lets further attempts start anew, as far as they repeat what the caller was given;
-    it is set once an engine does not take a resume point.
+    it is set once an engine does not take a resume point.  ``begun``: there was an attempt.
     """
 
     wants_usage: bool = False
@@ -110,6 +110,7 @@
     tokens: int = 0
     finished: bool = False
     ended: bool = False
+    begun: bool = False
     _texts: list[str] = field(default_factory=list)
     _opened: bool = False
     _closed: bool = False
@@ -137,6 +138,7 @@
     def begin(self, attempt_id: str) -> ResumePoint | None:
         """Let ``attempt_id`` take over; return where it must go on, None for from the start."""
         self.attempt_id = attempt_id
+        self.begun = True
         self._first_event = True
         self._resumed = self._opened
         self._repeated = 0 if self.replays else self.tokens
--- a/src/fescuedock/entry/online.py
+++ b/src/fescuedock/entry/online.py
@@ -66,14 +66,14 @@
 
 async def _answer_whole(
     state: OnlineState, request: OnlineRequest, responder: Responder
-) -> Result[None, Fault]:
+) -> Result[Attempt, Fault]:
     headers = [("x-request-id", request.request_id)]
     answer = await fetch_whole(state, request)
     if isinstance(answer, Err):
         await responder.send_fault(answer.err_value, headers)
         return answer
-    await responder.send(200, answer.ok_value, headers)
-    return Ok(None)
+    await responder.send(200, answer.ok_value.body, headers)
+    return Ok(answer.ok_value.attempt)
 
 
 def _times_of(outcome: Result[Attempt | None, Fault], started_ms: float) -> _Times:
--- /dev/null
+++ b/src/fescuedock/entry/online_relay.py
@@ -0,0 +1,165 @@
+"""Takes a streamed answer from one upstream, or from several after each other."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+import trio
+from result import Result
+
+from fescuedock.clock import now_ms
+from fescuedock.core.streams import AttemptEnd, NextStep, ResumePoint, StreamState
+from fescuedock.entry.online_attempt import (
+    ATTEMPT_ERRORS,
+    AnswerLostError,
+    Attempt,
+    ResumeRefusedError,
+    UpstreamStalledError,
+)
+from fescuedock.entry.online_request import OnlineRequest
+from fescuedock.entry.online_run import run_attempts
+from fescuedock.entry.online_state import OnlineState
+from fescuedock.faults import Fault
+from fescuedock.net.http_client import ResponseLostError
+from fescuedock.platform.engine import EngineError, EngineStream
+from fescuedock.schema.permits import AttemptOutcome
+from fescuedock.schema.view import UpstreamRecord
+
+__all__ = ["WriteData", "relay_attempts"]
+
+# Gets the events of the answer, each once and in order, as the engine formed them.
+WriteData = Callable[[bytes], Awaitable[None]]
+
+
+async def relay_attempts(
+    state: OnlineState,
+    request: OnlineRequest,
+    stream: StreamState,
+    write: WriteData,
+    serving: Callable[[Attempt], None],
+) -> Result[Attempt, Fault]:
+    """Pass the events of a whole answer to ``write``; return the attempt that ended it.
+
+    ``serving`` is told of the first token of each attempt.
+    """
+
+    async def run_one(attempt: Attempt, upstream: UpstreamRecord) -> AttemptOutcome:
+        await _Relay(state, request, write, stream, attempt, serving).run(upstream)
+        return AttemptOutcome.COMPLETED
+
+    return await run_attempts(state, request, run_one)
+
+
+@dataclass(slots=True)
+class _Watch:
+    """Whether the relay waits for the upstream, and since when."""
+
+    timeout_ms: float
+    waiting: bool = True
+    since_ms: float = field(default_factory=now_ms)
+    stalled: bool = False
+    pause: trio.CancelScope = field(default_factory=trio.CancelScope)
+
+    def expect_within(self, timeout_ms: float) -> None:
+        """Look for a stall after ``timeout_ms`` from now on."""
+        self.timeout_ms = timeout_ms
+        self.pause.cancel()
+
+
+@dataclass(slots=True)
+class _Relay:
+    """One attempt's way from the upstream to the caller; ``serving`` is told of its first token."""
+
+    state: OnlineState
+    request: OnlineRequest
+    write: WriteData
+    stream: StreamState
+    attempt: Attempt
+    serving: Callable[[Attempt], None]
+
+    async def run(self, upstream: UpstreamRecord) -> None:
+        """Relay until the answer is whole; raise one of ``ATTEMPT_ERRORS`` if it is not."""
+        resume = self.stream.begin(self.attempt.attempt_id)
+        how = AttemptEnd.BROKEN
+        error: Exception = ResponseLostError("the stream ended without a reason for its end")
+        try:
+            async with (
+                self._watched() as watch,
+                self.state.engines.stream(
+                    upstream, self.request.path, self.request.body, self.attempt.attempt_id, resume
+                ) as events,
+            ):
+                await self._relay_events(events, watch)
+                how = AttemptEnd.WHOLE
+        except ATTEMPT_ERRORS as caught:
+            error = caught
+        step = self.stream.end(self.attempt.attempt_id, how)
+        if step is NextStep.GIVE_UP:
+            raise AnswerLostError(f"the answer cannot be continued: {error}") from error
+        if step is not NextStep.FINISH:
+            raise self._resume_refusal(error, resume)
+
+    def _resume_refusal(self, error: Exception, resume: ResumePoint | None) -> Exception:
+        """Return ``error``, or what it means if an engine refused to go on from ``resume``."""
+        if resume is None or not isinstance(error, EngineError) or not error.is_permanent:
+            return error
+        self.stream.replays = True
+        return ResumeRefusedError(f"no resume after {resume.tokens} tokens: {error}")
+
+    async def _relay_events(self, events: EngineStream, watch: _Watch) -> None:
+        stream = self.stream
+        attempt = self.attempt
+        async for event in events:
+            at_ms = now_ms()
+            if event.text:
+                self._note_token(attempt, watch, at_ms)
+            data = stream.receive(attempt.attempt_id, event)
+            if stream.diverged:
+                raise ResponseLostError("another attempt gives another answer")
+            if data is not None:
+                watch.waiting = False
+                await self.write(data)
+                watch.waiting = True
+            watch.since_ms = at_ms
+
+    def _note_token(self, attempt: Attempt, watch: _Watch, at_ms: float) -> None:
+        if not attempt.tokens:
+            objectives = self.request.spec.objectives
+            watch.expect_within(self.state.stall.timeout_ms(objectives.inter_token_ms))
+            self.serving(attempt)
+        attempt.note_token(at_ms)
+
+    @asynccontextmanager
+    async def _watched(self) -> AsyncIterator[_Watch]:
+        """Cut the block off when the upstream stalls; raise its error or ``UpstreamStalledError``.
+
+        The nursery's group around an error of the block is taken off.
+        """
+        usual_ms = self.request.spec.objectives.first_token_ms
+        watch = _Watch(self.state.stall.timeout_ms(usual_ms))
+        caught: Exception | None = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_cancel_stalled, watch, nursery.cancel_scope)
+            try:
+                yield watch
+            except Exception as error:
+                caught = error
+            nursery.cancel_scope.cancel()
+        if caught is not None:
+            raise caught
+        if watch.stalled:
+            raise UpstreamStalledError(f"nothing came for {watch.timeout_ms:.0f} ms")
+
+
+async def _cancel_stalled(watch: _Watch, scope: trio.CancelScope) -> None:
+    """Cancel ``scope`` when its relay has waited for the upstream for too long."""
+    while True:
+        due_ms = watch.since_ms + watch.timeout_ms
+        if now_ms() >= due_ms and watch.waiting:
+            watch.stalled = True
+            scope.cancel()
+            return
+        # While the caller is slow the clock stands still: the write has a timeout of its own.
+        wake_ms = max(due_ms, now_ms() + watch.timeout_ms / 2) if not watch.waiting else due_ms
+        with trio.CancelScope(deadline=wake_ms / 1000) as watch.pause:
+            await trio.sleep_forever()
--- a/src/fescuedock/entry/online_run.py
+++ b/src/fescuedock/entry/online_run.py
@@ -22,7 +22,9 @@
 from fescuedock.schema.result_codes import Outcome, ResultCode
 from fescuedock.schema.view import UpstreamRecord
 
-__all__ = ["RunAttempt", "run_attempts"]
+__all__ = ["RunAttempt", "deadline_fault", "run_attempts"]
+
+_RETRY_AFTER_MS = 1000
 
 # Runs one attempt; raises one of ATTEMPT_ERRORS when it fails, else says how the upstream did.
 RunAttempt = Callable[[Attempt, UpstreamRecord], Awaitable[AttemptOutcome]]
@@ -107,6 +109,15 @@
     return failure.fault.outcome is not Outcome.NOT_RUN
 
 
+def deadline_fault(*, sent: bool) -> Fault:
+    """Return the fault of a request given up at its deadline; ``sent`` to an upstream or not."""
+    if sent:
+        message = "no whole answer came within the deadline"
+        return Fault(ResultCode.UPSTREAM_TIMEOUT, message, _RETRY_AFTER_MS)
+    message = "no capacity came free within the deadline"
+    return Fault(ResultCode.DEADLINE_CANNOT_BE_MET, message, _RETRY_AFTER_MS)
+
+
 def _unknown(failure: Failure) -> Fault:
     message = f"the call may have run: {failure.fault.message}"
     return Fault(ResultCode.EXECUTION_UNKNOWN, message)
--- a/src/fescuedock/entry/online_whole.py
+++ b/src/fescuedock/entry/online_whole.py
@@ -1,34 +1,74 @@
-"""Answers online requests that are not streamed: with the whole answer or an error."""
+"""Answers online requests that are not streamed: with the whole answer or an error.
+
+The engine is asked for a stream where that loses nothing: a broken one is continued elsewhere, a
+hung one is noticed early, and the owner learns the times between tokens, by which it keeps batch
+work out of online's way.
+"""
+
+from dataclasses import dataclass, replace
 
 import trio
-from result import Err, Ok, Result
+from result import Err, Result
 
+from fescuedock.core.answers import AnswerCollector, can_be_collected, streamed_body
+from fescuedock.core.streams import StreamState
 from fescuedock.entry.online_attempt import Attempt, UpstreamStalledError
+from fescuedock.entry.online_relay import relay_attempts
 from fescuedock.entry.online_request import OnlineRequest
-from fescuedock.entry.online_run import run_attempts
+from fescuedock.entry.online_run import deadline_fault, run_attempts
 from fescuedock.entry.online_state import OnlineState
 from fescuedock.faults import Fault
 from fescuedock.schema.permits import AttemptOutcome
-from fescuedock.schema.result_codes import ResultCode
 from fescuedock.schema.view import UpstreamRecord
 
-__all__ = ["deadline_fault", "fetch_whole"]
+__all__ = ["WholeAnswer", "fetch_whole"]
+
+_CHAT_PATH = "/v1/chat/completions"
+
+
+@dataclass(frozen=True, slots=True)
+class WholeAnswer:
+    """The JSON of an answer, and the attempt that ended it."""
+
+    body: bytes
+    attempt: Attempt
 
-_RETRY_AFTER_MS = 1000
 
+async def fetch_whole(state: OnlineState, request: OnlineRequest) -> Result[WholeAnswer, Fault]:
+    """Return the answer; at the deadline the request is given up."""
+    stream = StreamState(wants_usage=True)
+    with trio.move_on_at(request.deadline_ms / 1000):
+        if not can_be_collected(request.body):
+            return await _call(state, request, stream)
+        collected = await _collect(state, request, stream)
+        if isinstance(collected, Err) or stream.resumable:
+            return collected
+        # The answer has parts that only the engine can put together.
+        return await _call(state, request, stream)
+    return Err(deadline_fault(sent=stream.begun))
+
+
+async def _collect(
+    state: OnlineState, request: OnlineRequest, stream: StreamState
+) -> Result[WholeAnswer, Fault]:
+    collector = AnswerCollector(chat=request.path == _CHAT_PATH)
 
-async def fetch_whole(state: OnlineState, request: OnlineRequest) -> Result[bytes, Fault]:
-    """Return the engine's JSON answer.
+    async def take(data: bytes) -> None:
+        collector.take(data)
 
-    A broken attempt starts again from the beginning elsewhere; at the deadline the request is
-    given up.
-    """
+    streamed = replace(request, body=streamed_body(request.body))
+    ended = await relay_attempts(state, streamed, stream, take, lambda _attempt: None)
+    return ended.map(lambda attempt: WholeAnswer(collector.answer(stream.text), attempt))
+
+
+async def _call(
+    state: OnlineState, request: OnlineRequest, stream: StreamState
+) -> Result[WholeAnswer, Fault]:
+    """Let the engine form the answer; a broken attempt starts again from the beginning."""
     answers: list[bytes] = []
-    sent = False
 
     async def run_one(attempt: Attempt, upstream: UpstreamRecord) -> AttemptOutcome:
-        nonlocal sent
-        sent = True
+        stream.begin(attempt.attempt_id)
         with trio.move_on_after(_stall_ms(state, request) / 1000):
             answers.append(
                 await state.engines.call(upstream, request.path, request.body, attempt.attempt_id)
@@ -36,21 +76,8 @@
             return AttemptOutcome.COMPLETED
         raise UpstreamStalledError("the engine did not answer in many times the usual time")
 
-    with trio.move_on_at(request.deadline_ms / 1000):
-        outcome = await run_attempts(state, request, run_one)
-        if isinstance(outcome, Ok):
-            return Ok(answers[0])
-        return outcome
-    return Err(deadline_fault(sent=sent))
-
-
-def deadline_fault(*, sent: bool) -> Fault:
-    """Return the fault of a request given up at its deadline."""
-    if sent:
-        message = "no whole answer came within the deadline"
-        return Fault(ResultCode.UPSTREAM_TIMEOUT, message, _RETRY_AFTER_MS)
-    message = "no capacity came free within the deadline"
-    return Fault(ResultCode.DEADLINE_CANNOT_BE_MET, message, _RETRY_AFTER_MS)
+    ended = await run_attempts(state, request, run_one)
+    return ended.map(lambda attempt: WholeAnswer(answers[0], attempt))
 
 
 def _stall_ms(state: OnlineState, request: OnlineRequest) -> float:
--- a/src/fescuedock/entry/services.py
+++ b/src/fescuedock/entry/services.py
@@ -16,7 +16,7 @@
 from fescuedock.entry.claiming import ClaimDesk
 from fescuedock.entry.context import EntryContext
 from fescuedock.entry.online_attempt import Attempt, UpstreamStalledError
-from fescuedock.entry.online_run import run_attempts
+from fescuedock.entry.online_run import deadline_fault, run_attempts
 from fescuedock.entry.online_state import OnlineState
 from fescuedock.entry.routes import Route
 from fescuedock.entry.service_call import (
@@ -39,7 +39,6 @@
 _HELD_BYTES = 1024 * 1024
 _EVENT_STREAM = "text/event-stream"
 _JSON = "application/json"
-_RETRY_AFTER_MS = 1000
 
 # Told of an answer before the caller gets it.
 KeepAnswer = Callable[[RecordedAnswer], Awaitable[None]]
@@ -199,11 +198,7 @@
 
 
 def _deadline_fault(call: ServiceCall, *, sent: bool) -> Fault:
-    if not sent:
-        message = "no capacity came free within the deadline"
-        return Fault(ResultCode.DEADLINE_CANNOT_BE_MET, message, _RETRY_AFTER_MS)
-    if call.repeatable:
-        message = "no whole answer came within the deadline"
-        return Fault(ResultCode.UPSTREAM_TIMEOUT, message, _RETRY_AFTER_MS)
+    if call.repeatable or not sent:
+        return deadline_fault(sent=sent)
     message = "the call may have run: no answer came within the deadline"
     return Fault(ResultCode.EXECUTION_UNKNOWN, message)
--- /dev/null
+++ b/tests/test_online_answers.py
@@ -0,0 +1,53 @@
+"""Answers in one piece, put together from events."""
+
+import unittest
+
+import msgspec
+
+from fescuedock.core.answers import AnswerCollector, can_be_collected, streamed_body
+
+
+def event(**fields: object) -> bytes:
+    head = {"id": "a1", "object": "chunk", "created": 7, "model": "m"}
+    return b"data: " + msgspec.json.encode({**head, **fields}) + b"\n\n"
+
+
+class CollectorTest(unittest.TestCase):
+    """What the caller gets instead of the events."""
+
+    def answer(self, *events: bytes, chat: bool = True) -> dict:
+        collector = AnswerCollector(chat=chat)
+        for data in events:
+            collector.take(data)
+        return msgspec.json.decode(collector.answer("hello"))
+
+    def test_the_end_and_the_counts_come_from_the_last_events(self) -> None:
+        usage = {"prompt_tokens": 1, "completion_tokens": 2, "total_tokens": 3}
+        answer = self.answer(
+            event(choices=[{"delta": {"role": "assistant"}}], system_fingerprint="fp"),
+            event(choices=[{"delta": {"content": "hello"}, "finish_reason": None}]),
+            event(choices=[{"delta": {}, "finish_reason": "length"}]),
+            event(choices=[], usage=usage),
+        )
+        self.assertEqual(answer["choices"][0]["message"], {"role": "assistant", "content": "hello"})
+        self.assertEqual(answer["choices"][0]["finish_reason"], "length")
+        self.assertEqual((answer["usage"], answer["system_fingerprint"]), (usage, "fp"))
+        self.assertEqual((answer["id"], answer["object"]), ("a1", "chat.completion"))
+
+    def test_an_engine_without_counts_gives_none(self) -> None:
+        last = event(choices=[{"text": "", "finish_reason": "stop"}])
+        answer = self.answer(event(choices=[{"text": "hello"}]), last, chat=False)
+        self.assertNotIn("usage", answer)
+        self.assertEqual(answer["choices"][0]["text"], "hello")
+        self.assertEqual(answer["choices"][0]["finish_reason"], "stop")
+
+    def test_what_is_more_than_one_text_is_left_to_the_engine(self) -> None:
+        self.assertTrue(can_be_collected({"n": 1, "prompt": ["one"], "tools": []}))
+        for fields in ({"n": 2}, {"best_of": 3}, {"echo": True}, {"tools": [{}]}, {"logprobs": 1}):
+            self.assertFalse(can_be_collected(fields), fields)
+        self.assertFalse(can_be_collected({"prompt": ["one", "two"]}))
+
+    def test_the_callers_body_is_kept(self) -> None:
+        body = {"model": "m", "stream": False}
+        self.assertIs(streamed_body(body)["stream"], True)
+        self.assertEqual(body, {"model": "m", "stream": False})
--- a/tests/test_online_requests.py
+++ b/tests/test_online_requests.py
@@ -17,6 +17,7 @@
 from fescuedock.schema.view import UpstreamKind
 from tests.builders.net import served
 from tests.builders.online import (
+    MODEL,
     MODEL_SERVICE,
     OnlineFleet,
     ReadStream,
@@ -279,6 +280,64 @@
 
         run(body)
 
+    def test_a_broken_whole_answer_goes_on_where_it_broke(self) -> None:
+        async def body() -> None:
+            async with open_fleet() as fleet:
+                for engine in fleet.standins.engines.values():
+                    engine.faults.cut_after.append(10)
+                wanted = chat_body(stream=False, **LONG)
+                status, _, data = await fleet.post(CHAT, wanted)
+                self.assertEqual(status, 200)
+                self.check_text(data, wanted)
+                tokens = sum(item.stats.tokens for item in fleet.standins.engines.values())
+                self.assertLess(tokens, 75)
+
+        run(body)
+
+    def test_whole_answers_are_those_of_the_engine(self) -> None:
+        async def body() -> None:
+            async with open_fleet(engines=1) as fleet:
+                engine = fleet.standins.engines["engine-1"].address
+                text = {"model": MODEL, "prompt": "who is entitled?", "max_tokens": 5}
+                for path, wanted in [
+                    (CHAT, chat_body(stream=False)),
+                    ("/v1/completions", text),
+                    (CHAT, chat_body(stream=False, tools=[{"type": "function"}])),
+                ]:
+                    _, _, ours = await fleet.post(path, wanted)
+                    async with fleet.http.request(
+                        engine, "POST", path, [], msgspec.json.encode(wanted)
+                    ) as response:
+                        theirs = await response.read()
+                    self.assertEqual(self.comparable(ours), self.comparable(theirs))
+
+        run(body)
+
+    def test_an_answer_with_other_parts_than_text_is_formed_by_the_engine(self) -> None:
+        whole = b'{"choices":[{"message":{"content":"x","reasoning_content":"because"}}]}'
+        parts = (
+            b'data: {"choices":[{"delta":{"role":"assistant"}}]}\n\n'
+            b'data: {"choices":[{"delta":{"reasoning_content":"because"}}]}\n\n'
+            b'data: {"choices":[{"delta":{"content":"x"},"finish_reason":"stop"}]}\n\n'
+            b"data: [DONE]\n\n"
+        )
+
+        async def answer(request: Request, responder: Responder) -> None:
+            streamed = msgspec.json.decode(await request.read(10_000)).get("stream")
+            await responder.send(200, parts if streamed else whole)
+
+        async def body() -> None:
+            async with open_fleet(engines=0) as fleet, served(answer) as made:
+                fleet.show(record("e", made[1], UpstreamKind.ENGINE, MODEL_SERVICE))
+                status, _, data = await fleet.post(CHAT, chat_body(stream=False))
+                self.assertEqual((status, data), (200, whole))
+
+        run(body)
+
+    def comparable(self, data: bytes) -> dict:
+        answer = msgspec.json.decode(data)
+        return {**answer, "id": answer["id"][:5], "created": 0}
+
     def test_a_prompt_that_kills_workers_is_given_up_after_two(self) -> None:
         async def body() -> None:
             async with open_fleet(engines=4) as fleet:
