--- a/bench/config_spread.py
+++ b/bench/config_spread.py
@@ -222,6 +222,8 @@
     print(f"\n{'VMs':>4} {'KV calls/h idle':>15} {'calls/s':>8} {'B/s/VM idle':>11}")
     for size in FLEETS:
         fleet = Fleet(size, Network())
+        fleet.run_until(5000)
+        fleet.change(0)
         fleet.run_until(30000)
         calls, sent = fleet.kv_calls, fleet.bytes_sent
         fleet.run_until(630000)
@@ -247,7 +249,8 @@
     print(f"  document {len(record.document)} B, record in the service {len(data)} B compressed")
     print(f"  delta of one change {len(msgspec.msgpack.encode(delta))} B")
     print(f"  accepting a patch {apply_ms:.0f} ms CPU, reading a record {decode_ms:.0f} ms CPU")
-    for name, size_bytes in (("delta", 4 * 500), ("whole record", len(data))):
+    pushed_bytes = SpreadLimits().push_targets * (len(msgspec.msgpack.encode(delta)) + 300)
+    for name, size_bytes in (("pushed deltas", pushed_bytes), ("whole record", len(data))):
         rate = size_bytes * CHANGES_PER_DAY / DAY_S
         print(f"  {CHANGES_PER_DAY} changes a day by {name}: {rate:.1f} B/s/VM")
 
--- a/tests/test_orders_service.py
+++ b/tests/test_orders_service.py
@@ -173,6 +173,13 @@
         write = holder.step(order, 3001)
         self.assertEqual((write.record.fencing, write.record.current), (3, [order]))
 
+    def test_a_write_that_conflicts_ends_the_hold(self):
+        holder, order = self.held(engine_checks=True)
+        holder.begin_write(holder.renewal(4000), 4000)
+        holder.on_write(None, True, 4005)
+        self.assertFalse(holder.holds)
+        self.assertIsInstance(holder.step(order, 4006), ReadRecord)
+
     def test_a_late_write_is_not_taken_for_the_one_sent_after_it(self):
         holder, _ = self.held(engine_checks=True)
         writes = []
