--- a/tests/builders/jobs.py
+++ b/tests/builders/jobs.py
@@ -1,11 +1,14 @@
 """Entries for tests of files and batches: real HTTP, channels and stores, an in-memory key-value
 service, and nothing of the online side."""
 
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import asynccontextmanager
+from functools import wraps
 from hashlib import sha256
 from pathlib import Path
+from tempfile import TemporaryDirectory
 from typing import cast
+from unittest import TestCase
 
 import msgspec
 import trio
@@ -30,7 +33,7 @@
 from fescuedock.schema.settings import BatchSettings, EntrySettings, PlatformSettings, VmSettings
 from fescuedock.settings import Settings
 from tests.builders.kv import MemoryKv
-from tests.builders.store import HOST, NOW_S, StoreFleet, open_stores
+from tests.builders.store import HOST, NOW_S, StoreFleet, open_stores, run
 
 KEYS = {"manizales": "key-m", "vandenbroucke": "key-v"}
 ENDPOINT = "/v1/chat/completions"
@@ -131,6 +134,20 @@
         nursery.cancel_scope.cancel()
 
 
+def at_site(**options: object) -> Callable:
+    """Run the decorated async method of a test case with a ``JobSite`` made with ``options``."""
+
+    def decorate(test: Callable) -> Callable:
+        async def inside(case: TestCase) -> None:
+            with TemporaryDirectory() as folder:
+                async with open_job_site(Path(folder), **options) as site:
+                    await test(case, site)
+
+        return wraps(test)(lambda case: run(inside, case))
+
+    return decorate
+
+
 async def _open_entry(
     settings: Settings, fleet: StoreFleet, kv: MemoryKv, nursery: trio.Nursery
 ) -> JobEntry:
--- a/tests/builders/store.py
+++ b/tests/builders/store.py
@@ -2,7 +2,10 @@
 
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
+from functools import wraps
 from pathlib import Path
+from tempfile import TemporaryDirectory
+from unittest import TestCase
 
 import msgspec
 import trio
@@ -176,3 +179,17 @@
     """Wait until ``condition`` holds; the bound is that of ``run``."""
     while not condition():  # noqa: ASYNC110, real sockets and files give no event
         await trio.sleep(0.005)
+
+
+def at_stores(sites: dict[str, str]) -> Callable:
+    """Run the decorated async method of a test case with a ``StoreFleet`` at ``sites``."""
+
+    def decorate(test: Callable) -> Callable:
+        async def inside(case: TestCase) -> None:
+            with TemporaryDirectory() as folder:
+                async with open_stores(Path(folder), sites) as fleet:
+                    await test(case, fleet)
+
+        return wraps(test)(lambda case: run(inside, case))
+
+    return decorate
