--- a/src/fescuedock/cli/local_vm.py
+++ b/src/fescuedock/cli/local_vm.py
@@ -27,10 +27,13 @@
 __all__ = ["STOP_TIMEOUT_MS", "LocalVm", "VmPlace", "vm_settings"]
 
 STOP_TIMEOUT_MS = 20000
-# News travel fast on one machine and callers ask again soon, so that stopping is quick.
+# News travel fast on one machine and callers ask again soon, so that what is stopped or killed is
+# made up for quickly.
 _ANSWER_VALID_MS = 1000
 _LEAVE_SPREAD_MS = 1000
 _PROBE_INTERVAL_MS = 300
+_SUSPICION_MS = 1000
+_SCAN_INTERVAL_MS = 2000
 _CLIENT_PROGRAMS: dict[str, Program] = {
     "store": run_store,
     "batch": run_batch,
@@ -66,8 +69,10 @@
             answer_valid_ms=_ANSWER_VALID_MS,
             leave_spread_ms=_LEAVE_SPREAD_MS,
         ),
-        agent=AgentSettings(port=0, probe_interval_ms=_PROBE_INTERVAL_MS),
-        batch=BatchSettings(port=0),
+        agent=AgentSettings(
+            port=0, probe_interval_ms=_PROBE_INTERVAL_MS, suspicion_ms=_SUSPICION_MS
+        ),
+        batch=BatchSettings(port=0, scan_interval_ms=_SCAN_INTERVAL_MS),
         store=StoreSettings(port=0, data_folder=str(data_folder / place.vm_id)),
     )
 
