Bound the predicted prefill; judge limits by what ran under them; no longest answer first

Changes: the cost is bounded by what was measured and fades without evidence; a sample counts only if it ran under the limit, and one miss is no share; online goes by the time it must start; renewals carry the rate of tokens, so limits hear of it in a renewal and not at the end of an answer; mixed limits stay under half of the misses allowed.

--- a/src/fescuedock/core/permits/estimates.py
+++ b/src/fescuedock/core/permits/estimates.py
@@ -68,11 +68,15 @@
 
     @property
     def slope(self) -> float:
-        """Growth of y with x, never below 0; 0 while the samples cannot tell."""
+        """Growth of y with x; 0 while the samples cannot tell.
+
+        Never below 0, nor so steep that y would be below 0 at x = 0: these are times that add up.
+        """
         spread = self._count * self._xx - self._x * self._x
         if spread <= 1e-9 * max(self._count * self._xx, 1.0):
             return 0.0
-        return max((self._count * self._xy - self._x * self._y) / spread, 0.0)
+        slope = (self._count * self._xy - self._x * self._y) / spread
+        return min(max(slope, 0.0), self._y / self._x if self._x else slope)
 
     def value(self, x: float, default: float) -> float:
         """Return y on the line at ``x``, or ``default`` before the first sample."""
@@ -80,6 +84,6 @@
             return default
         return max(self._y / self._count + self.slope * (x - self._x / self._count), 0.0)
 
-    @property
-    def mean_x(self) -> float:
-        return self._x / self._count if self._count else 0.0
+    def freshness(self, now_ms: float) -> float:
+        """Return 1 right after a sample, halved with each half-life since."""
+        return _kept(now_ms - self._at_ms, self.half_life_ms)
--- a/src/fescuedock/core/permits/held.py
+++ b/src/fescuedock/core/permits/held.py
@@ -22,7 +22,10 @@
     expires_ms: float
     prompt_tokens: int = 0
     generated_tokens: int = 0
-    # Attempt-milliseconds of the upstream, and those of batch, up to when this one started.
+    # Begin of the window whose token rate is to be seen next, and the tokens there were by then.
+    window_ms: float = 0.0
+    window_tokens: int = 0
+    # Attempt-milliseconds of the upstream, and those of batch, up to the window's begin.
     area_before: float = 0.0
     batch_area_before: float = 0.0
     revoked_ms: float | None = None
@@ -119,9 +122,7 @@
         return self.batch - self.revoking
 
     def add(self, held: Held, now_ms: float) -> None:
-        self._advance(now_ms)
-        held.area_before = self._area
-        held.batch_area_before = self._batch_area
+        self.start_window(held, 0, now_ms)
         self._by_id[held.permit_id] = held
         self._by_member[held.member] = self.count_of(held.member) + 1
         if held.work_class is WorkClass.ONLINE:
@@ -180,10 +181,20 @@
         for held in self._by_id.values():
             held.expires_ms += by_ms
 
+    def start_window(self, held: Held, tokens: int, now_ms: float) -> None:
+        """Begin a new window in which ``held`` is watched, by now at ``tokens``."""
+        self._advance(now_ms)
+        held.window_ms = now_ms
+        held.window_tokens = tokens
+        held.area_before = self._area
+        held.batch_area_before = self._batch_area
+
     def company_of(self, held: Held, now_ms: float) -> Company:
-        """Return what ran at the upstream since ``held`` started, on the average."""
+        """Return what ran at the upstream in the window of ``held``, on the average."""
         self._advance(now_ms)
-        elapsed_ms = max(now_ms - held.granted_ms, 1e-3)
+        elapsed_ms = now_ms - held.window_ms
+        if elapsed_ms <= 0:
+            return Company(len(self), self.batch / max(len(self), 1))
         area = max(self._area - held.area_before, elapsed_ms)
         batch_area = self._batch_area - held.batch_area_before
         return Company(area / elapsed_ms, batch_area / area)
--- a/src/fescuedock/core/permits/limits.py
+++ b/src/fescuedock/core/permits/limits.py
@@ -22,17 +22,24 @@
 _IN_USE_SHARE = 0.9
 # Until its first cut a limit rises by this share at a time, so as to find the order of magnitude.
 _SLOW_START_SHARE = 0.25
-# Weight of samples below which a share of misses means nothing.
-_MIN_EVIDENCE = 1.0
+# Shares of the misses that the objectives allow, from which on a limit is not raised, and is cut.
+# The limit swings between the two, and all of it must stay within what is allowed.
+_RAISE_SHARE = 0.25
+_CUT_SHARE = 0.5
+# Weight of misses below which their share means nothing.
+_MIN_MISSES = 2.0
 
 
 @dataclass(frozen=True, slots=True)
 class AttemptSample:
-    """A time of one online attempt, and in what company it ran; a time below 0 is not known."""
+    """A time of one online attempt, and in what company it ran since ``since_ms``.
+
+    A time below 0 is not known.
+    """
 
     first_token_ms: float
     inter_token_ms: float
-    granted_ms: float
+    since_ms: float
     company: Company
 
 
@@ -40,8 +47,9 @@
 class _Limit:
     """One additive-increase, multiplicative-decrease limit.
 
-    Only attempts granted after the last cut count as evidence: earlier ones ran under the limit
-    before it, and would have it cut twice for one cause.
+    Only attempts that started after the last cut and ran under the limit count as evidence: others
+    tell of the limit before it, or of a queue that it left behind, and would have it cut twice for
+    one cause.
     """
 
     value: float
@@ -57,11 +65,17 @@
         self.misses = DecayedMean(self.half_life_ms)
 
     def observe(self, missed: bool, weight: float, sample: AttemptSample, now_ms: float) -> None:
-        if sample.granted_ms >= self.cut_ms and weight > 0:
+        if not self.concerns(sample):
+            return
+        if weight > 0:
             self.misses.add(float(missed), now_ms, weight)
-        if sample.granted_ms >= self.raised_ms:
+        if sample.since_ms >= self.raised_ms:
             self.confirmed = True
 
+    def concerns(self, sample: AttemptSample) -> bool:
+        under = sample.company.in_flight <= self.value + 1.0
+        return under and sample.since_ms >= self.cut_ms
+
     def cut(self, value: float, now_ms: float) -> None:
         self.value = max(min(self.value, value), 1.0)
         self.was_cut = True
@@ -131,10 +145,12 @@
         slow = sample.inter_token_ms > self.objectives.inter_token_ms
         batch_share = sample.company.batch_share
         self._mixed.observe(late or slow, batch_share, sample, now_ms)
-        self._cut_if_missed(self._mixed, late or slow, sample, now_ms)
+        if late or slow:
+            self._cut_if_missed(self._mixed, _CUT_SHARE, sample, now_ms)
         if sample.first_token_ms >= 0:
             self._hard.observe(late, 1.0 - batch_share, sample, now_ms)
-            self._cut_if_missed(self._hard, late, sample, now_ms)
+            if late:
+                self._cut_if_missed(self._hard, 1.0, sample, now_ms)
 
     def observe_load(self, running: int, waiting: int, now_ms: float) -> None:
         """Take in an engine's own report, which is up to ``load_lag_ms`` old.
@@ -164,13 +180,19 @@
             self._raise(self._mixed, used, self._hard.value, now_ms)
 
     def _cut_if_missed(
-        self, limit: _Limit, missed: bool, sample: AttemptSample, now_ms: float
+        self, limit: _Limit, share: float, sample: AttemptSample, now_ms: float
     ) -> None:
-        allowed = 1.0 - self.objectives.online_share
-        enough = limit.misses.weight >= _MIN_EVIDENCE
-        if missed and enough and limit.misses.value(0.0) > allowed:
+        """Cut when the misses pass ``share`` of those allowed; one alone may be chance."""
+        misses = limit.misses.value(0.0)
+        if not limit.concerns(sample) or misses * limit.misses.weight < _MIN_MISSES:
+            return
+        if misses > share * self._allowed:
             limit.cut(sample.company.in_flight * self._settings.limit_cut, now_ms)
 
+    @property
+    def _allowed(self) -> float:
+        return 1.0 - self.objectives.online_share
+
     def _ceiling(self, now_ms: float) -> float:
         """Return how far the hard limit may rise: past what the engine has shown only later on."""
         age = (now_ms - self._capped_ms) / self._settings.peak_half_life_ms
@@ -183,7 +205,7 @@
             return
         if now_ms - limit.raised_ms < self._settings.adjust_ms:
             return
-        if limit.misses.value(0.0) > 1.0 - self.objectives.online_share:
+        if limit.misses.value(0.0) > _RAISE_SHARE * self._allowed:
             return
         step = self._settings.limit_step
         if not limit.was_cut:
--- a/src/fescuedock/core/permits/prediction.py
+++ b/src/fescuedock/core/permits/prediction.py
@@ -7,7 +7,7 @@
 
 from dataclasses import dataclass, field
 
-from fescuedock.core.permits.estimates import DecayedLine
+from fescuedock.core.permits.estimates import DecayedLine, DecayedPeak
 
 __all__ = ["FirstTokenModel", "Start"]
 
@@ -28,19 +28,25 @@
     half_life_ms: float
     _prompt: DecayedLine = field(init=False)
     _occupancy: DecayedLine = field(init=False)
+    _longest: DecayedPeak = field(init=False)
     _read_by_ms: float = 0.0
 
     def __post_init__(self) -> None:
         self._prompt = DecayedLine(self.half_life_ms)
         self._occupancy = DecayedLine(self.half_life_ms)
+        self._longest = DecayedPeak(self.half_life_ms)
 
     def prompt_ms(self, prompt_tokens: int) -> float:
         """Return the time that an engine takes to read so many tokens; 0 while nothing is known."""
         return self._prompt.slope * prompt_tokens
 
     def prefill_ahead_ms(self, now_ms: float) -> float:
-        """Return how long the engine is busy with prompts that were granted before."""
-        return max(self._read_by_ms - now_ms, 0.0)
+        """Return how long the engine is busy with prompts that were granted before.
+
+        Errors of the prompt's cost add up, so it is bounded by what attempts really had to wait.
+        """
+        ahead_ms = max(self._read_by_ms - now_ms, 0.0)
+        return min(ahead_ms, self._longest.value(now_ms))
 
     def left_ms(self, start: Start, started_ms: float, now_ms: float) -> float:
         """Return how long the prompt of an attempt is probably still being read."""
@@ -55,11 +61,17 @@
 
     def observe(self, start: Start, first_token_ms: float, now_ms: float) -> None:
         """Take in the time to the first token of an attempt."""
-        own_ms = first_token_ms - start.prefill_ahead_ms
+        self._longest.add(first_token_ms, now_ms)
+        own_ms = max(first_token_ms - start.prefill_ahead_ms, 0.0)
         self._prompt.add(start.prompt_tokens, own_ms, now_ms)
         step_ms = max(own_ms - self.prompt_ms(start.prompt_tokens), 0.0)
         self._occupancy.add(start.in_flight, step_ms, now_ms)
 
     def predict_ms(self, in_flight: int, now_ms: float) -> float:
-        """Return the time to the first token, without that of reading the prompt itself."""
-        return self.prefill_ahead_ms(now_ms) + self._occupancy.value(in_flight, 0.0)
+        """Return the time to the first token, without that of reading the prompt itself.
+
+        It fades without evidence: an upstream that is predicted to be slow gets no requests, and
+        nothing else would ever prove otherwise.
+        """
+        step_ms = self._occupancy.value(in_flight, 0.0) * self._occupancy.freshness(now_ms)
+        return self.prefill_ahead_ms(now_ms) + step_ms
--- a/src/fescuedock/core/permits/queue.py
+++ b/src/fescuedock/core/permits/queue.py
@@ -24,6 +24,8 @@
 
 # An owner that was not run for this share of the validity cannot blame holders for the silence.
 _PAUSE_SHARE = 0.5
+# Fewer tokens between two renewals tell little of the rate.
+_MIN_WINDOW_TOKENS = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -120,9 +122,9 @@
             held = Held.adopted(holder_id, permit, now_ms, self.valid_ms)
             self._held.add(held, now_ms)
         held.expires_ms = now_ms + self.valid_ms
-        held.generated_tokens = permit.generated_tokens
         if permit.first_token_ms >= 0:
             self._see_first_token(held, permit.first_token_ms, now_ms)
+        self._see_rate(held, permit.generated_tokens, now_ms)
         return held.revoked_ms is None
 
     def trim(self, now_ms: float) -> list[Action]:
@@ -300,7 +302,7 @@
         self._online_hold.add(now_ms - held.granted_ms, now_ms)
         if ended.first_token_ms >= 0:
             self._see_first_token(held, ended.first_token_ms, now_ms)
-        if ended.inter_token_ms >= 0:
+        if ended.inter_token_ms >= 0 and not held.window_tokens:
             self._observe(held, -1.0, ended.inter_token_ms, now_ms)
 
     def _see_first_token(self, held: Held, first_token_ms: float, now_ms: float) -> None:
@@ -311,11 +313,21 @@
         if held.work_class is WorkClass.ONLINE:
             self._observe(held, first_token_ms, -1.0, now_ms)
 
+    def _see_rate(self, held: Held, generated_tokens: int, now_ms: float) -> None:
+        """Take in the progress of an attempt: seconds before it ends, it shows the rate of now."""
+        held.generated_tokens = generated_tokens
+        tokens = generated_tokens - held.window_tokens
+        if tokens < _MIN_WINDOW_TOKENS:
+            return
+        if held.window_tokens and held.work_class is WorkClass.ONLINE:
+            self._observe(held, -1.0, (now_ms - held.window_ms) / tokens, now_ms)
+        self._held.start_window(held, generated_tokens, now_ms)
+
     def _observe(
         self, held: Held, first_token_ms: float, inter_token_ms: float, now_ms: float
     ) -> None:
         company = self._held.company_of(held, now_ms)
-        sample = AttemptSample(first_token_ms, inter_token_ms, held.granted_ms, company)
+        sample = AttemptSample(first_token_ms, inter_token_ms, held.window_ms, company)
         self._limits.observe_attempt(sample, now_ms)
 
     def _remember_end(self, permit_id: str, now_ms: float) -> None:
--- a/src/fescuedock/core/permits/waiting.py
+++ b/src/fescuedock/core/permits/waiting.py
@@ -27,13 +27,24 @@
     answer_by_ms: float
     due_ms: float
 
+    @property
+    def start_by_ms(self) -> float:
+        """Return the time by which it has to start, or is lost.
+
+        An online ask that has more slack than patience is as good as any other until then; putting
+        the least slack first would put the longest answers first, and fewer would be whole in time.
+        """
+        if self.ask.work_class is WorkClass.ONLINE:
+            return min(self.answer_by_ms, self.due_ms)
+        return self.due_ms
+
 
 @dataclass(slots=True)
 class WaitingAsks:
     """A queue of one upstream.  Online always goes before batch.
 
     Within a class, members that run less than their share go first, so that one member's backlog
-    cannot hold up another's; among those, least slack goes first.
+    cannot hold up another's; among those, what must start soonest goes first.
     """
 
     shares: MemberShares
@@ -73,7 +84,7 @@
             member = item.ask.member
             fair = total_used * self.shares.weight(member) / total_weight
             over = max(used[member] - fair, 0.0)
-            return (over / self.shares.weight(member), item.due_ms)
+            return (over / self.shares.weight(member), item.start_by_ms)
 
         return sorted(asks, key=rank)
 
