Cut the job's machine in two: its phases and writes, and the work on its items

JobWork has the items of a claimed job up to results that are ready to be committed; JobRun the phases, the record and the calls.

--- /dev/null
+++ b/src/fescuedock/core/batch/work.py
@@ -0,0 +1,192 @@
+"""The items of a claimed job, from its input to results that are ready to be committed."""
+
+import random
+from collections.abc import Sequence
+
+from fescuedock.core.batch.actions import AppendLog, PutSegment, ReadInput, ReadLog
+from fescuedock.core.batch.answers import failed_line, rejected_line, succeeded_line
+from fescuedock.core.batch.forecast import DeadlineWatch
+from fescuedock.core.batch.input_reader import InputReader
+from fescuedock.core.batch.items import AttemptEnd, EndKind, Isolation, Item, ItemQueue
+from fescuedock.core.batch.marks import MarkGate
+from fescuedock.core.batch.ranges import ItemSet, to_ranges
+from fescuedock.core.batch.recovery import LogRecovery
+from fescuedock.core.batch.result_log import ResultLog
+from fescuedock.core.batch.results import GroupBuilder
+from fescuedock.schema.batch import JobForecast, JobRecord, LoggedResult
+from fescuedock.schema.result_codes import ResultCode
+from fescuedock.schema.settings import BatchSettings
+
+__all__ = ["JobWork"]
+
+_JUDGE_EVERY_MS = 2000.0
+
+
+class JobWork:
+    """Set up from the record as it was claimed; ``deadline_ms`` is on the clock of ``now_ms``."""
+
+    __slots__ = (
+        "_ended",
+        "_gate",
+        "_input",
+        "_job_id",
+        "_judge_due_ms",
+        "_log",
+        "_settings",
+        "items",
+        "recovery",
+        "results",
+        "watch",
+    )
+
+    def __init__(
+        self,
+        record: JobRecord,
+        settings: BatchSettings,
+        random_: random.Random,
+        deadline_ms: float,
+        now_ms: float,
+    ) -> None:
+        self._job_id = record.job_id
+        self._settings = settings
+        self._ended = ItemSet(record.item_count, record.done)
+        self._gate = MarkGate(record, settings.mark_items)
+        self._input = InputReader(record.input)
+        self._log = ResultLog(settings.buffer_bytes)
+        self._judge_due_ms = 0.0
+        self.items = ItemQueue(self._ended, record.non_idempotent, settings, random_)
+        self.recovery = LogRecovery(needed=record.epoch > 1)
+        self.results = GroupBuilder(settings)
+        self.watch = DeadlineWatch(deadline_ms, now_ms)
+
+    @property
+    def items_left(self) -> int:
+        """Items without a result, committed or not."""
+        return self._ended.size - len(self._ended)
+
+    @property
+    def crowded(self) -> bool:
+        """Whether the results in memory are as many as the settings allow."""
+        return self.results.buffered_bytes >= self._settings.buffer_bytes
+
+    def due_ms(self) -> list[float]:
+        """Return the times at which there is something new to do by itself."""
+        due = [self.results.due_at_ms(), self._input.due_at_ms, self.recovery.due_at_ms]
+        return [*due, self._judge_due_ms]
+
+    def peek(self, now_ms: float) -> Item | None:
+        """Return the item that would probably run next, without taking it."""
+        return self.items.peek(now_ms, self._fresh_allowed())
+
+    def take(self, upstream_id: str, allowed: Isolation, now_ms: float) -> Item | None:
+        """Take an item to run on ``upstream_id``."""
+        item = self.items.take(upstream_id, allowed, now_ms, self._fresh_allowed())
+        if item is not None:
+            self._gate.on_dispatched(item.number)
+        return item
+
+    def on_attempt_ended(self, item: Item, end: AttemptEnd, now_ms: float) -> ResultCode | None:
+        """Take the end of an attempt; returns the item's code when this was its end too."""
+        if not self.items.holds(item):
+            return None
+        job_id, number, line = self._job_id, item.number, item.line
+        if end.kind is EndKind.DONE:
+            self.items.release(number)
+            text = succeeded_line(job_id, number, line, end.status, end.body)
+            self._end_item(LoggedResult(number, True, text), now_ms)
+            return ResultCode.OK
+        if end.kind is EndKind.REJECTED:
+            self.items.release(number)
+            text = rejected_line(job_id, number, line, end.status, end.body)
+            self._end_item(LoggedResult(number, False, text), now_ms)
+            return ResultCode.UPSTREAM_REJECTED
+        verdict = self.items.on_ended(number, end, now_ms)
+        if verdict is None:
+            return None
+        text = failed_line(job_id, number, line, verdict.code, verdict.message)
+        self._end_item(LoggedResult(number, False, text), now_ms)
+        return verdict.code
+
+    def on_log_page(self, records: Sequence[bytes], now_ms: float) -> None:
+        """Take over the results of a page of the former owner's log, as far as they fit."""
+        for result in self.recovery.results(records, self._ended):
+            if self.crowded:
+                self.recovery.skip()
+                return
+            self._ended.add(result.item_number)
+            self.recovery.reused += 1
+            self.results.add(result, now_ms)
+
+    def on_logged(self) -> None:
+        self._log.on_logged()
+
+    def on_input(self, index: int, lines: list[bytes], now_ms: float) -> None:
+        """Take the lines of an input segment."""
+        self._input.on_read()
+        start = self._input.start_of(index)
+        self._end_unresolved(start, lines, now_ms)
+        self.items.load(start, lines)
+
+    def on_input_failed(self, now_ms: float) -> None:
+        self._input.on_failed(now_ms)
+
+    def on_record(self, record: JobRecord) -> None:
+        """Take the record as it is now under our epoch."""
+        self._gate.on_record(record)
+
+    def next_log_read(self, now_ms: float) -> ReadLog | None:
+        """Return the reading of the former owner's log, when there is room for its results."""
+        room = self.results.buffered_bytes <= self._settings.buffer_bytes // 2
+        return self.recovery.next_action(now_ms) if room else None
+
+    def next_input_read(self, now_ms: float) -> ReadInput | None:
+        """Return the reading of the input segment that is wanted next."""
+        wanted = self.items.wanted_item
+        return None if wanted is None else self._input.next_action(wanted, now_ms)
+
+    def next_log_write(self) -> AppendLog | None:
+        """Return the results that are to go to the log."""
+        return self._log.next_action()
+
+    def next_puts(self, now_ms: float, flush: bool) -> list[PutSegment]:
+        """Return the segments to be written; ``flush`` closes the open group as it is."""
+        self.results.seal_due(now_ms, flush or self.crowded)
+        return self.results.puts(now_ms)
+
+    def next_marks(self) -> list[list[int]]:
+        """Return the items of a non-idempotent job to be marked now; mostly none."""
+        if not self._gate.ahead:
+            return []
+        return self._gate.wanted(self.items.fresh_numbers(self._gate.ahead))
+
+    def unused_marks(self) -> list[list[int]]:
+        """Return the marked items that were not dispatched."""
+        if not self._gate.ahead:
+            return []
+        return to_ranges(self._gate.unused() + self.items.waiting_numbers())
+
+    def judge(self, now_ms: float, now_s: int) -> list[JobForecast] | None:
+        """Return a new forecast to be recorded, empty to take one back, None for no change."""
+        if now_ms < self._judge_due_ms:
+            return None
+        self._judge_due_ms = now_ms + _JUDGE_EVERY_MS
+        return self.watch.judge(self.items_left, now_ms, now_s)
+
+    def _end_unresolved(self, start: int, lines: list[bytes], now_ms: float) -> None:
+        """End the items that a former owner may have dispatched and that may not run again."""
+        message = "the call may have been made before its runner was lost"
+        for number in self._gate.unresolved(start, start + len(lines)):
+            code, line = ResultCode.ITEM_UNKNOWN, lines[number - start]
+            text = failed_line(self._job_id, number, line, code, message)
+            self._end_item(LoggedResult(number, False, text), now_ms)
+
+    def _end_item(self, result: LoggedResult, now_ms: float) -> None:
+        """Take an item's one result; any further one is dropped here."""
+        if not self._ended.add(result.item_number):
+            return
+        self.results.add(result, now_ms)
+        self.watch.on_ended(now_ms)
+        self._log.add(result)
+
+    def _fresh_allowed(self) -> bool:
+        return self._gate.allows(self.items.next_fresh)
