--- a/src/fescuedock/core/membership/anti_entropy.py
+++ b/src/fescuedock/core/membership/anti_entropy.py
@@ -4,6 +4,7 @@
 
 from fescuedock.core.membership.actions import Action
 from fescuedock.core.membership.composer import Composer
+from fescuedock.core.membership.freshness import ReplayWindows
 from fescuedock.core.membership.table import BUCKETS, Member, MemberTable, bucket_of
 from fescuedock.schema.membership import SyncReply, SyncRequest
 
@@ -19,13 +20,29 @@
 class TableSync:
     """Asks one random member every ten seconds; sooner while there is more to learn."""
 
-    __slots__ = ("_composer", "_due_ms", "_rng", "_served", "_served_from_ms", "_table", "_vm_id")
+    __slots__ = (
+        "_composer",
+        "_due_ms",
+        "_rng",
+        "_served",
+        "_served_from_ms",
+        "_table",
+        "_vm_id",
+        "_windows",
+    )
 
     def __init__(
-        self, vm_id: str, table: MemberTable, composer: Composer, rng: Random, now_ms: float
+        self,
+        vm_id: str,
+        table: MemberTable,
+        windows: ReplayWindows,
+        composer: Composer,
+        rng: Random,
+        now_ms: float,
     ) -> None:
         self._vm_id = vm_id
         self._table = table
+        self._windows = windows
         self._composer = composer
         self._rng = rng
         self._due_ms = now_ms
@@ -36,12 +53,17 @@
         """Ask a member when that is due."""
         if now_ms < self._due_ms:
             return []
-        others = [item for item in self._table.present() if item.vm_id != self._vm_id]
-        if not others:
+        # The answer of any other would be dropped.
+        known = [
+            item
+            for item in self._table.present()
+            if item.vm_id != self._vm_id and self._windows.has_proved(item.vm_id)
+        ]
+        if not known:
             return []
         # Until the answer has come, which may be lost.
         self._due_ms = now_ms + _RETRY_MS
-        return [self._composer.sync_request(self._rng.choice(others))]
+        return [self._composer.sync_request(self._rng.choice(known))]
 
     def serve(self, sender: Member, message: SyncRequest, now_ms: float) -> list[Action]:
         """Answer with every member in the buckets that differ."""
--- a/src/fescuedock/core/membership/freshness.py
+++ b/src/fescuedock/core/membership/freshness.py
@@ -61,5 +61,9 @@
         """Open a window: the datagram answered a nonce that we have just made."""
         self._windows[head.sender] = _Window(head.boot, head.sequence)
 
+    def has_proved(self, vm_id: str) -> bool:
+        """Whether datagrams of ``vm_id`` count already."""
+        return vm_id in self._windows
+
     def forget(self, vm_id: str) -> None:
         self._windows.pop(vm_id, None)
--- a/src/fescuedock/core/membership/membership.py
+++ b/src/fescuedock/core/membership/membership.py
@@ -97,7 +97,7 @@
             rng,
             now_ms,
         )
-        self._sync = TableSync(vm_id, self._table, self._composer, rng, now_ms)
+        self._sync = TableSync(vm_id, self._table, self._windows, self._composer, rng, now_ms)
         self._records: list[VmRecord] = []
         self._records_revision = -1
         self._profile = profile
