--- a/src/fescuedock/entry/uploads.py
+++ b/src/fescuedock/entry/uploads.py
@@ -179,17 +179,25 @@
     def _cut(self, data: bytes) -> list[CutSegment]:
         self._hash.update(data)
         self._size_bytes += len(data)
-        return self._add(self._reader.feed(data))
+        if self._checker.problem is None:
+            return self._add(self._reader.feed(data))
+        return self._add([*self._reader.finish(), data])
 
     def _add(self, lines: list[bytes]) -> list[CutSegment]:
         cuts: list[CutSegment] = []
-        for line in lines:
+        for number, line in enumerate(lines):
             self._checker.check(line)
+            if self._checker.problem is not None:
+                # No input any more, so that it need not be taken apart, however short its lines.
+                return [*cuts, *self._add_whole(b"".join(lines[number:]))]
             cut = self._cutter.add(line)
-            if cut is not None:
-                cuts.append(cut)
+            cuts += [cut] if cut else []
         return cuts
 
+    def _add_whole(self, data: bytes) -> list[CutSegment]:
+        cut = self._cutter.add(data)
+        return [cut] if cut else []
+
     async def _put_all(self, cuts: list[CutSegment]) -> Result[None, Fault]:
         for cut in cuts:
             result = await self._stores.put_segment(cut.body, cut.items)
--- a/tests/test_entry_jobs.py
+++ b/tests/test_entry_jobs.py
@@ -13,6 +13,7 @@
 from fescuedock.net.channel import ServerPeer, serve_channel
 from fescuedock.schema.batch import (
     CommittedGroup,
+    FileRecord,
     JobManifest,
     JobPush,
     JobRecord,
@@ -62,6 +63,10 @@
     return decode_record(entry.kv.state.get(job_key(PREFIX, job_id)).value)
 
 
+def stored_file(entry: JobEntry, key: str) -> FileRecord:
+    return msgspec.msgpack.decode(entry.kv.state.get(key).value, type=FileRecord)
+
+
 def replace(entry: JobEntry, record: JobRecord) -> None:
     key = job_key(PREFIX, record.job_id)
     revision = entry.kv.state.get(key).mod_revision
@@ -97,10 +102,14 @@
     @at_site(batch=SMALL)
     async def test_any_bytes_come_back_as_they_were(self, site: JobSite) -> None:
         client = site.entry.client()
-        for content in (b"", b"\n\n", b"\r\nx", bytes(range(256)) * 40, b"z" * 5000):
+        short_lines = b"a\n" * 200_000
+        contents = (b"", b"\n\n", b"\r\nx", bytes(range(256)) * 40, b"z" * 5000, short_lines)
+        for content in contents:
             file = await client.files.create(file=("data", content), purpose="user_data")
             self.assertEqual((await client.files.content(file.id)).content, content)
             self.assertEqual(file.status, "processed")
+        found = [stored_file(site.entry, key) for key in keys(site.entry, "files")]
+        self.assertLess(max(len(file.segments) for file in found), 20)
 
     @at_site()
     async def test_list_goes_page_by_page(self, site: JobSite) -> None:
