--- a/tests/test_orders_stateful.py
+++ b/tests/test_orders_stateful.py
@@ -1,6 +1,7 @@
 """Orders to one engine by agents that pause at any step, against an oracle at the engine."""
 
 import itertools
+import unittest
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -135,13 +136,12 @@
         if self._clock(agent) >= give.until_ms:
             agent.holder.on_given(GiveOutcome.NOT_SENT, self._clock(agent))
             return
-        sequence = agent.holder._record.sequence
-        tenure = self._tenure(agent.name, give.fencing)
+        sequence, tenure = self._origin(agent.name, give.fencing)
         agent.awaited = Sent(give.fencing, sequence, tenure, self.now_ms + travels_ms)
         self.on_the_way.append(agent.awaited)
 
-    def _tenure(self, name, fencing):
-        """Number the holders by the writes that made them so."""
+    def _origin(self, name, fencing):
+        """Return an order's sequence and the number of its holder, by the writes so far."""
         tenure, former = 0, ""
         for value in self.cell.writes:
             record = msgspec.msgpack.decode(value, type=OrderRecord)
@@ -149,7 +149,7 @@
                 tenure += 1
             former = record.holder or former
             if record.holder == name and record.fencing == fencing:
-                return tenure
+                return record.sequence, tenure
         raise AssertionError(f"{name} gives orders under {fencing}, which was never written")
 
     @rule(index=AGENTS, answer_lost=st.booleans())
@@ -223,6 +223,60 @@
             assert former.sequence <= later.sequence, (former, later)
 
 
+class PausedHolderTest(unittest.TestCase):
+    """One agent is paused after each of its steps, around every bound, while another goes on."""
+
+    PAUSES_MS = (1000, 6000, 8800, 9200, 10200, 11300, 14000, 26000)
+    STEPS = 20
+    ANSWERS_MS = (50, 2500)
+    TRAVELS_MS = (300, 14000)
+
+    def test_a_holder_that_is_paused_at_any_step_does_no_harm(self):
+        takeovers = 0
+        cases = itertools.product(
+            (False, True),
+            range(1, self.STEPS),
+            self.PAUSES_MS,
+            self.ANSWERS_MS,
+            self.TRAVELS_MS,
+        )
+        for case in cases:
+            with self.subTest(case):
+                takeovers += self._run(*case)
+        self.assertGreater(takeovers, 50)
+
+    def _run(self, checks, steps, pause_ms, answer_ms, travels_ms):
+        world = OrdersMachine()
+        world.begin(checks)
+        for _ in range(steps):
+            self._step_slowly(world, answer_ms, travels_ms)
+        world.change_configuration()
+        world.run_smoothly(1, pause_ms, 0)
+        for _ in range(45):
+            world.perform(0, Fate.ANSWERED, 14000)
+            world.hear(0)
+            world.run_smoothly(0, 0, 14000)
+            world.run_smoothly(1, 1000, 0)
+            world.never_goes_back()
+        return len({sent.tenure for sent in world.engine.obeyed}) > 1
+
+    def _step_slowly(self, world, answer_ms, travels_ms):
+        """Let the first agent do one thing; answers and orders take a while."""
+        agent = world.agents[0]
+        if agent.answer is not None:
+            world.pass_time(answer_ms)
+            world.hear(0)
+        elif agent.decided is None or isinstance(agent.decided, Wait):
+            agent.decided = None
+            world.pass_time(answer_ms)
+            if agent.awaited is not None and agent.awaited.obeyed is not None:
+                world.end_order(0, False)
+                world.change_configuration()
+            world.decide(0)
+        else:
+            world.perform(0, Fate.ANSWERED, travels_ms)
+
+
 OrdersMachine.TestCase.settings = settings(
     max_examples=250, stateful_step_count=60, derandomize=True, deadline=None, database=None
 )
