Tell a shutdown that was cut off by exit code 1; take signals from the start

A program that did not finish within its bound, or was asked twice, ended with 0, so no test could tell a graceful shutdown from a forced one: removing the request to stop survived the tests. Three more mutants that survived are killed now: dropped counts of jobs, a fast burn on one window, a command run despite one argument too many.

--- a/src/fescuedock/cli/local.py
+++ b/src/fescuedock/cli/local.py
@@ -94,7 +94,7 @@
 
     Its entries listen on ``port`` (0 takes free ones) of three loopback addresses.  Raises
     ``OSError`` when an address is taken, ``NotReadyError`` when the system does not come up.
-    Leaving the block without ``stop`` ends it at once.
+    Leaving the block ends at once what still runs: see ``stop`` and ``wait_stopped``.
     """
     async with open_http_client() as http, trio.open_nursery() as platform:
         standins = await platform.start(run_standins, standin_settings())
@@ -106,8 +106,7 @@
                 await system.start(LocalVm(settings))
             await _wait_ready(system)
             yield system
-            if not all(vm.stop.requested for vm in system.vms.values()):
-                vms.cancel_scope.cancel()
+            vms.cancel_scope.cancel()
         platform.cancel_scope.cancel()
 
 
--- a/src/fescuedock/cli/local_command.py
+++ b/src/fescuedock/cli/local_command.py
@@ -12,7 +12,7 @@
 from fescuedock.cli.local_banner import banner
 from fescuedock.cli.local_setup import log_settings
 from fescuedock.cli.local_vm import STOP_TIMEOUT_MS
-from fescuedock.daemon import Stop, report_errors, stop_on_signals
+from fescuedock.daemon import CutOffError, Stop, report_errors, stop_on_signals
 from fescuedock.log import open_log
 
 __all__ = ["LOCAL_COMMAND"]
@@ -27,7 +27,7 @@
 are in a temporary folder that is removed at the end, unless --data names one.
 SIGTERM or SIGINT begins a graceful shutdown, a second one ends it at once.
 
-exit codes: 0 stopped, 1 failed, 2 bad usage
+exit codes: 0 stopped, 1 failed or cut off, 2 bad usage
 """
 
 
@@ -53,14 +53,19 @@
 
 
 async def _serve(port: int, folder: Path, log_file: Path) -> None:
-    async with open_local(port, folder) as system, trio.open_nursery() as nursery:
-        stop = Stop()
-        nursery.start_soon(stop_on_signals, stop, STOP_TIMEOUT_MS, nursery.cancel_scope)
-        _report_ready(system, log_file)
-        await stop.wait()
-        system.stop()
-        await system.wait_stopped()
+    stop = Stop()
+    finished = False
+    async with trio.open_nursery() as nursery:
+        await nursery.start(stop_on_signals, stop, STOP_TIMEOUT_MS, nursery.cancel_scope)
+        async with open_local(port, folder) as system:
+            _report_ready(system, log_file)
+            await stop.wait()
+            system.stop()
+            await system.wait_stopped()
+        finished = True
         nursery.cancel_scope.cancel()
+    if not finished:
+        raise CutOffError("ended before all that was in progress had finished")
 
 
 def _report_ready(system: LocalSystem, log_file: Path) -> None:
--- a/src/fescuedock/daemon.py
+++ b/src/fescuedock/daemon.py
@@ -22,7 +22,15 @@
 from fescuedock.net.address import Address
 from fescuedock.settings import Settings, load_settings
 
-__all__ = ["Program", "Stop", "leaf_errors", "report_errors", "run_program", "stop_on_signals"]
+__all__ = [
+    "CutOffError",
+    "Program",
+    "Stop",
+    "leaf_errors",
+    "report_errors",
+    "run_program",
+    "stop_on_signals",
+]
 
 _HELP = """\
 {name}: the {program} program of fescuedock.
@@ -33,10 +41,18 @@
 When it serves, it prints one JSON line with its address on standard output.  SIGTERM or SIGINT
 begins a graceful shutdown, bounded by stop_timeout_ms; a second one ends the program at once.
 
-exit codes: 0 stopped, 1 failed while running, 2 bad settings or usage
+exit codes: 0 stopped, 1 failed while running or cut off, 2 bad settings or usage
 """
 
 
+# What a program may still do after the bound of its graceful shutdown.
+_LAST_STEPS_MS = 2000
+
+
+class CutOffError(OSError):
+    """A shutdown was not graceful: the operator asked twice, or it took too long."""
+
+
 @dataclass(slots=True)
 class Stop:
     """Asks a program for a graceful shutdown."""
@@ -119,11 +135,16 @@
 
 async def _serve(name: str, program: Program, settings: Settings) -> None:
     stop = Stop()
+    finished = False
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(stop_on_signals, stop, settings.vm.stop_timeout_ms, nursery.cancel_scope)
+        await nursery.start(
+            stop_on_signals, stop, settings.vm.stop_timeout_ms, nursery.cancel_scope
+        )
 
         async def run(*, task_status: trio.TaskStatus[Address]) -> None:
+            nonlocal finished
             await program(settings, stop, task_status=task_status)
+            finished = True
             log_event("stopped")
             nursery.cancel_scope.cancel()
 
@@ -131,21 +152,30 @@
         log_event("serving", address=str(address))
         ready = {"program": name, "vm_id": settings.vm.vm_id, "address": str(address)}
         print(msgspec.json.encode(ready).decode(), flush=True)
+    if not finished:
+        raise CutOffError("ended before all that was in progress had finished")
 
 
 async def stop_on_signals(
-    stop: Stop, stop_timeout_ms: int, scope: trio.CancelScope, *, report: Callable = log_event
+    stop: Stop,
+    stop_timeout_ms: int,
+    scope: trio.CancelScope,
+    *,
+    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Request ``stop`` at the first SIGTERM or SIGINT; cancel ``scope`` at the second one.
 
-    The scope is also cancelled ``stop_timeout_ms`` after the first.
+    The scope is also cancelled when the program has not returned by itself soon after
+    ``stop_timeout_ms``, which bounds its graceful shutdown.
     """
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        task_status.started()
         async for number in signals:
             if stop.requested:
                 break
-            report("stop_requested", signal=signal.Signals(number).name)
+            log_event("stop_requested", signal=signal.Signals(number).name)
             stop.request()
-            scope.deadline = trio.current_time() + stop_timeout_ms / 1000
-    report("stopped_at_once")
+            limit_ms = stop_timeout_ms + _LAST_STEPS_MS
+            scope.deadline = trio.current_time() + limit_ms / 1000
+    log_event("stopped_at_once")
     scope.cancel()
--- a/src/fescuedock/standin/main.py
+++ b/src/fescuedock/standin/main.py
@@ -84,7 +84,7 @@
 async def _serve(settings: StandinSettings) -> None:
     stop = Stop()
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(stop_on_signals, stop, _STOP_TIMEOUT_MS, nursery.cancel_scope)
+        await nursery.start(stop_on_signals, stop, _STOP_TIMEOUT_MS, nursery.cancel_scope)
         standins = await nursery.start(run_standins, settings)
         print(msgspec.json.encode(_addresses(standins)).decode(), flush=True)
         await stop.wait()
--- a/tests/test_cli_command_line.py
+++ b/tests/test_cli_command_line.py
@@ -50,7 +50,13 @@
             self.assertEqual(self.run_words(*words), (ExitCode.OK, text, ""))
 
     def test_usage_errors_are_one_line_and_run_nothing(self) -> None:
-        cases = (("show",), ("show", "a", "b", "c", "d"), ("show", "a", "--port=x"), ("nope",))
+        cases = (
+            ("show",),
+            ("show", "a", "b", "c", "d"),
+            ("show", "a", "b", "true", "1", "one too many"),
+            ("show", "a", "--port=x"),
+            ("nope",),
+        )
         for words in cases:
             code, out, err = self.run_words(*words)
             self.assertEqual((code, out, self.calls), (ExitCode.USAGE, "", []), words)
--- a/tests/test_report_burn.py
+++ b/tests/test_report_burn.py
@@ -68,6 +68,11 @@
         self.count(0, kept=0, missed=100)
         self.assertIs(self.online().alarm, Alarm.FAST)
 
+    def test_a_few_bad_minutes_are_no_fast_burn(self) -> None:
+        self.count(1800, kept=1000, missed=0)
+        self.count(0, kept=0, missed=10)
+        self.assertIs(self.online().alarm, Alarm.NONE)
+
     def test_slow_burn_is_one_that_lasts(self) -> None:
         for hour in range(5):
             self.count(hour * 3600, kept=90, missed=10)
--- a/tests/test_report_metrics.py
+++ b/tests/test_report_metrics.py
@@ -37,7 +37,7 @@
         at_s, *values = query
         self.now_s = NOW_S + at_s
         self.metrics.record_online(*values)
-        self.metrics.record_job(values[0], in_time=values[2] < 1000)
+        self.metrics.record_job(values[0], in_time=values[1] == "small")
 
     def snapshot(self, now_s: int) -> MetricsSnapshot:
         self.now_s = now_s
@@ -86,6 +86,9 @@
         snapshots = [recorder.snapshot(end_s) for recorder in apart]
         whole = [together.snapshot(end_s)]
         self.assertEqual(merged_slots(snapshots), merged_slots(whole))
+        kept = sum(slot.jobs_in_time for slots in merged_slots(whole).values() for slot in slots)
+        recent = [query for _, query in recorded if query[0] >= 86400 + 900]
+        self.assertGreaterEqual(kept, sum(query[2] == "small" for query in recent))
         self.assertEqual(recorded_values(snapshots), recorded_values(whole))
         self.assertEqual(codes(snapshots), codes(whole))
 
