--- /dev/null
+++ b/tests/test_permits_queue.py
@@ -0,0 +1,200 @@
+"""The rules of one upstream's queue, one by one."""
+
+import unittest
+
+from fescuedock.core.permits.actions import Granted, Refused, Revoked
+from fescuedock.core.permits.held import Company
+from fescuedock.core.permits.limits import AttemptSample, UpstreamLimits
+from fescuedock.core.permits.prediction import FirstTokenModel
+from fescuedock.core.permits.queue import UpstreamQueue, UpstreamTerms
+from fescuedock.core.permits.waiting import MemberShares
+from fescuedock.schema.config import Objectives
+from fescuedock.schema.permits import AttemptOutcome, HeldPermit, PermitAsk, WorkClass
+from fescuedock.schema.result_codes import ResultCode
+from fescuedock.schema.settings import PermitSettings
+from tests.builders.permits import VALID_MS, ask_for, end_of, new_queue
+
+LIMIT = 4
+
+
+def full_queue(**terms: object) -> UpstreamQueue:
+    """Return a queue that lets ``LIMIT`` run at once, by the operators' word."""
+    settings = PermitSettings(start_limit=LIMIT, quiet_ms=0)
+    fields = {"objectives": Objectives(online_weight=0.0), "max_in_flight": LIMIT, **terms}
+    return new_queue(settings, UpstreamTerms(**fields))
+
+
+def held_permit(ask: PermitAsk, **changes: object) -> HeldPermit:
+    fields: dict = {
+        "permit_id": ask.attempt_id,
+        "upstream_id": ask.upstream_id,
+        "attempt_id": ask.attempt_id,
+        "service": ask.service,
+        "member": ask.member,
+        "work_class": ask.work_class,
+    }
+    return HeldPermit(**{**fields, **changes})
+
+
+class QueueTest(unittest.TestCase):
+    """Who starts, who waits, who gives way."""
+
+    def test_online_takes_the_place_of_the_batch_that_loses_least(self) -> None:
+        queue = full_queue()
+        asks = [ask_for(WorkClass.BATCH, prompt_tokens=tokens) for tokens in (300, 100, 200, 400)]
+        for ask in asks:
+            self.assertIsInstance(queue.ask(ask, 0.0)[0], Granted)
+        actions = queue.ask(ask_for(), 1.0)
+        revoked = [item.permit_id for item in actions if isinstance(item, Revoked)]
+        self.assertEqual(revoked, [asks[1].attempt_id])
+
+    def test_batch_that_is_due_soon_is_revoked_last(self) -> None:
+        queue = full_queue()
+        urgent = ask_for(WorkClass.BATCH, prompt_tokens=1, slack_ms=1000)
+        others = [ask_for(WorkClass.BATCH, prompt_tokens=500) for _ in range(LIMIT - 1)]
+        for ask in (urgent, *others):
+            queue.ask(ask, 0.0)
+        revoked = [
+            action.permit_id
+            for _ in range(LIMIT - 1)
+            for action in queue.ask(ask_for(), 1.0)
+            if isinstance(action, Revoked)
+        ]
+        self.assertNotIn(urgent.attempt_id, revoked)
+        self.assertEqual(len(revoked), LIMIT - 1)
+
+    def test_a_member_below_its_share_goes_before_one_above(self) -> None:
+        queue = full_queue(shares=MemberShares({"m1": 1.0, "m2": 1.0}))
+        running = [ask_for(member="m1") for _ in range(LIMIT)]
+        for ask in running:
+            queue.ask(ask, 0.0)
+        queue.ask(ask_for(member="m1", wait_ms=60_000, slack_ms=60_000), 1.0)
+        late = ask_for(member="m2", wait_ms=60_000, slack_ms=60_000)
+        queue.ask(late, 2.0)
+        actions = queue.end(end_of(running[0], AttemptOutcome.COMPLETED), 3.0)
+        self.assertEqual([item.ask.attempt_id for item in actions], [late.attempt_id])
+
+    def test_a_refusal_is_immediate_and_says_when_to_come_back(self) -> None:
+        queue = full_queue()
+        running = [ask_for() for _ in range(2 * LIMIT)]
+        for ask in running[:LIMIT]:
+            queue.ask(ask, 0.0)
+        for ended, started in zip(running[:LIMIT], running[LIMIT:], strict=True):
+            queue.end(end_of(ended, AttemptOutcome.COMPLETED), 400.0)
+            queue.ask(started, 400.0)
+        (refused,) = queue.ask(ask_for(wait_ms=50), 400.0)
+        self.assertIsInstance(refused, Refused)
+        self.assertEqual(refused.retry_after_ms, 400 // LIMIT)
+
+    def test_an_ask_overtaken_by_its_end_gets_nothing(self) -> None:
+        queue = full_queue()
+        ask = ask_for()
+        queue.end(end_of(ask, AttemptOutcome.CANCELLED), 0.0)
+        (refused,) = queue.ask(ask, 1.0)
+        self.assertEqual(refused.code, ResultCode.REVOKED)
+        self.assertEqual(queue.load(1.0).in_flight_online, 0)
+
+    def test_a_new_owner_admits_online_at_once_and_batch_after_a_renewal_period(self) -> None:
+        queue = new_queue(rebuild_ms=VALID_MS)
+        self.assertIsInstance(queue.ask(ask_for(), 1.0)[0], Granted)
+        self.assertEqual(queue.ask(ask_for(WorkClass.BATCH), 1.0), [])
+        self.assertEqual(queue.tick(VALID_MS - 1.0), [])
+        self.assertIsInstance(queue.tick(VALID_MS + 1.0)[0], Granted)
+
+    def test_a_new_owner_takes_in_what_runs_and_trims_it(self) -> None:
+        queue = full_queue()
+        asks = [ask_for(WorkClass.BATCH) for _ in range(LIMIT + 2)]
+        for ask in asks:
+            self.assertTrue(queue.renew("h1", held_permit(ask), 1.0))
+        revoked = [item for item in queue.trim(1.0) if isinstance(item, Revoked)]
+        self.assertEqual(len(revoked), 2)
+        self.assertFalse(queue.renew("h1", held_permit(asks[0]), 2.0))
+
+    def test_an_owner_that_was_paused_does_not_blame_the_holders(self) -> None:
+        queue = full_queue()
+        queue.ask(ask_for(), 0.0)
+        queue.tick(10 * VALID_MS)
+        self.assertEqual(queue.load(10 * VALID_MS).in_flight_online, 1)
+        queue.tick(10 * VALID_MS + VALID_MS * 0.4)
+        queue.tick(10 * VALID_MS + VALID_MS * 0.8)
+        queue.tick(10 * VALID_MS + VALID_MS * 1.2)
+        self.assertEqual(queue.load(11.2 * VALID_MS).in_flight_online, 0)
+
+    def test_a_leaving_upstream_lets_its_work_finish(self) -> None:
+        queue = full_queue()
+        held = ask_for(WorkClass.BATCH)
+        queue.ask(held, 0.0)
+        queue.set_terms(UpstreamTerms(admitting=False), 1.0)
+        self.assertIsInstance(queue.ask(ask_for(), 2.0)[0], Refused)
+        self.assertTrue(queue.renew("h1", held_permit(held), 3.0))
+
+    def test_with_a_weight_of_one_online_clears_batch_prompts_out_of_its_way(self) -> None:
+        terms = UpstreamTerms(Objectives(online_weight=1.0), max_in_flight=64)
+        queue = new_queue(PermitSettings(start_limit=64, quiet_ms=0, revocation_ms=1), terms)
+        for number in range(20):
+            ask = ask_for(prompt_tokens=100 + 100 * number)
+            queue.ask(ask, number * 1000.0)
+            first_ms = 10.0 + 0.05 * ask.prompt_tokens
+            ended = end_of(ask, AttemptOutcome.COMPLETED, first_token_ms=first_ms)
+            queue.end(ended, number * 1000.0 + 500)
+        batch = ask_for(WorkClass.BATCH, prompt_tokens=2000)
+        self.assertIsInstance(queue.ask(batch, 30_000.0)[0], Granted)
+        revoked = [item for item in queue.ask(ask_for(), 30_001.0) if isinstance(item, Revoked)]
+        self.assertEqual([item.permit_id for item in revoked], [batch.attempt_id])
+
+
+class LimitsTest(unittest.TestCase):
+    """How the limits follow what is measured."""
+
+    def new_limits(self, **objectives: object) -> UpstreamLimits:
+        fields = {"online_weight": 0.0, "online_share": 0.95, **objectives}
+        return UpstreamLimits(PermitSettings(start_limit=8), Objectives(**fields), 0.0)
+
+    def run_attempts(self, limits: UpstreamLimits, gap_ms: float, count: int = 40) -> None:
+        for number in range(count):
+            now_ms = 1000.0 * (number + 1)
+            company = Company(in_flight=limits.mixed(now_ms), batch_share=0.9)
+            limits.observe_attempt(AttemptSample(-1.0, gap_ms, now_ms - 500, company), now_ms)
+            limits.adjust(1, limits.mixed(now_ms), now_ms)
+
+    def test_the_mixed_limit_rises_while_online_keeps_its_objectives(self) -> None:
+        limits = self.new_limits(inter_token_ms=31)
+        self.run_attempts(limits, gap_ms=20)
+        self.assertGreater(limits.mixed(40_000.0), 40)
+
+    def test_misses_beside_batch_cut_the_mixed_limit_and_spare_the_hard_one(self) -> None:
+        limits = self.new_limits(inter_token_ms=31)
+        hard = limits.hard
+        self.run_attempts(limits, gap_ms=40)
+        self.assertLess(limits.mixed(40_000.0), 4)
+        self.assertEqual(limits.hard, hard)
+
+    def test_an_engine_that_queues_has_shown_its_limit_but_not_again_within_the_lag(self) -> None:
+        limits = self.new_limits()
+        limits.observe_load(64, 10, 2000.0)
+        self.assertEqual(limits.hard, 64)
+        limits.observe_load(32, 10, 2500.0)
+        self.assertEqual(limits.hard, 64)
+
+    def test_online_weight_draws_the_limit_to_the_peak_of_online_alone(self) -> None:
+        limits = self.new_limits(online_weight=1.0, inter_token_ms=31)
+        limits.online_started(3, 0.0)
+        self.run_attempts(limits, gap_ms=20)
+        self.assertLessEqual(limits.mixed(40_000.0), 4)
+
+
+class FirstTokenModelTest(unittest.TestCase):
+    """The prediction that entries choose by."""
+
+    def test_prefill_that_never_was_does_not_pile_up(self) -> None:
+        model = FirstTokenModel(30_000.0)
+        for number in range(20):
+            start = model.start(100 * (number + 1), 1, number * 100.0)
+            model.observe(start, 10.0 + 5.0 * number, number * 100.0 + 90)
+        for _ in range(1000):
+            model.start(1000, 1, 2000.0)
+        self.assertLess(model.prefill_ahead_ms(2000.0), 200)
+
+
+if __name__ == "__main__":
+    unittest.main()
