--- a/bench/capacity_model.py
+++ b/bench/capacity_model.py
@@ -5,6 +5,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
+from math import ceil
 
 from bench.slopes import Slope
 from fescuedock.core.permits.validity import validity_ms
@@ -13,6 +14,9 @@
 __all__ = ["Assumptions", "Load", "Target", "control_loads", "data_loads", "kv_loads", "total"]
 
 _DAY_S = 86400
+# As the shipped scanner reads the index.
+_PAGE_KEYS = 1000
+_SCAN_S = 10
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,6 +56,9 @@
     permit_valid_ms: float = 0
     load_poll_ms: float = 500
     load_page_bytes: float = 1000
+    accept_kv_calls: float = 4
+    job_open_s: float = 4 * 3600
+    status_poll_s: float = 30
 
 
 @dataclass(frozen=True, slots=True)
@@ -220,13 +227,25 @@
     value = {name: slope.value for name, slope in slopes.items()}
     peak = _peak(target, assumed)
     jobs = target.jobs_per_day / (assumed.batch_hours * 3600)
+    status_reads = jobs * assumed.job_open_s / assumed.status_poll_s
     claims = target.requests_per_s * assumed.claimed_share
     rows = {
         "job commits and claims": (
             peak.items_per_s / 1000 * value["batch_kv_calls_per_1000"],
             "items/s x calls per 1,000 items",
         ),
-        "job acceptance": (jobs * value["accept_kv_calls"], "jobs/s x calls for each"),
+        "file and job acceptance": (
+            jobs * assumed.accept_kv_calls,
+            f"jobs/s x {assumed.accept_kv_calls:.0f} calls, counted in the code",
+        ),
+        "callers asking for a job's state": (
+            status_reads,
+            f"open jobs, each read every {assumed.status_poll_s:.0f} s",
+        ),
+        "runners scanning the index of open jobs": (
+            target.failure_domains * ceil(jobs * assumed.job_open_s / _PAGE_KEYS) / _SCAN_S,
+            f"a scanner in each domain, every {_SCAN_S} s, by pages of {_PAGE_KEYS} keys",
+        ),
         "calls with an Idempotency-Key": (
             claims * 2,
             f"{assumed.claimed_share:.0%} of requests, a claim and its answer each",
--- a/bench/config_spread.py
+++ b/bench/config_spread.py
@@ -2,19 +2,22 @@
 
 Joins the shipped ``ConfigNode`` objects by a plain loop that delays and drops their messages, in
 virtual time.  Membership is stood for by one probe a second from each VM to another at random,
-which tells both their versions.  Run it with ``python -m bench.config_spread``.
+which tells both their versions.  Run it with ``python -m bench.config_spread``;
+with ``--record`` it only records its slopes.
 """
 
 import heapq
 import itertools
 import random
 import statistics
+import sys
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import msgspec
 
+from bench.slopes import Slope, record_slopes
 from fescuedock.core.config.node import Action, ConfigNode, Pull, PushTo, ReadRecord, ReadRevision
 from fescuedock.core.config.record import apply_request, decode_record, encode_record
 from fescuedock.core.config.spread import SpreadLimits
@@ -255,7 +258,33 @@
         print(f"  {CHANGES_PER_DAY} changes a day by {name}: {rate:.1f} B/s/VM")
 
 
+def record_costs() -> None:
+    """Record what one change costs one VM of the target's fleet."""
+    _, change_bytes = measure(Fleet(FLEETS[-1], Network()))
+    document = config_document(members=2700, models=35, keys=2)
+    replica = Fleet(1, Network()).nodes[0].replica
+    request = PatchRequest(0, "all", document)
+    data = encode_record(apply_request(replica.record, request, 0).unwrap()[0])
+    began_s = time.process_time()
+    decode_record(data)
+    read_us = (time.process_time() - began_s) * 1e6
+    command = "python -m bench.config_spread --record"
+    record_slopes(
+        {
+            "config_change_node_bytes": Slope(
+                round(change_bytes), "bytes", command, "sent by each of 370 VMs for a change"
+            ),
+            "config_change_node_us": Slope(
+                round(read_us), "us", command, "reading a record of 2,700 members and 35 models"
+            ),
+        }
+    )
+
+
 if __name__ == "__main__":
+    if "--record" in sys.argv:
+        record_costs()
+        sys.exit()
     print_spread()
     print_fan_out()
     print_idle()
--- a/bench/engine_cost.py
+++ b/bench/engine_cost.py
@@ -1,6 +1,6 @@
 """What our clients cost: CPU per streamed token of the engine client, and per key-value call.
 
-    python -m bench.engine_cost
+    python -m bench.engine_cost [--record]
 
 Each figure is CPU time of this process, the least and the median of interleaved rounds; on a busy
 machine the least is the one to compare.  Both ends run in it, so the other end's share is measured
@@ -9,12 +9,14 @@
 
 import base64
 import statistics
+import sys
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 import trio
 
+from bench.slopes import Slope, record_slopes
 from fescuedock.net.address import Address
 from fescuedock.net.http_client import HttpClient
 from fescuedock.platform.engine import EngineClient
@@ -177,6 +179,19 @@
         pairs = zip(costs[client], costs[raw], strict=True)
         over_us = statistics.median(ours - bare for ours, bare in pairs)
         print(f"{client + ' over raw':38} {over_us:7.1f}")
+    if "--record" in sys.argv:
+        _record(statistics.median(costs[TOKEN_CLIENT]), statistics.median(costs[KV_CLIENT]))
+
+
+def _record(token_us: float, kv_call_us: float) -> None:
+    command = "python -m bench.engine_cost --record"
+    method = "median CPU of both ends, the server end being canned bytes"
+    record_slopes(
+        {
+            "engine_event_us": Slope(round(token_us, 1), "us", command, f"a token; {method}"),
+            "kv_read_us": Slope(round(kv_call_us, 1), "us", command, f"a read of 1 kB; {method}"),
+        }
+    )
 
 
 if __name__ == "__main__":
