--- a/src/fescuedock/core/config/record.py
+++ b/src/fescuedock/core/config/record.py
@@ -83,8 +83,9 @@
     """Return the next record and its delta (without a revision), or why there is none."""
     if request.base_version != record.version:
         return Err(Refusal(ResultCode.STALE_VERSION, record.version))
-    document = merge_patch(msgspec.json.decode(record.document), request.patch)
-    problems = find_problems(document)
+    former = msgspec.json.decode(record.document)
+    document = merge_patch(former, request.patch)
+    problems = find_problems(document, former)
     if problems:
         return Err(Refusal(ResultCode.INVALID_PATCH, record.version, tuple(problems)))
     applied = AppliedPatch(
--- a/src/fescuedock/core/orders/placement.py
+++ b/src/fescuedock/core/orders/placement.py
@@ -36,12 +36,19 @@
 
 
 def models_of(configuration: Configuration, upstream: UpstreamRecord) -> list[str]:
-    """Return the models that ``upstream`` has to have, those that its policy names first."""
+    """Return the models that ``upstream`` has to have in the order to load them.
+
+    Those that its policy names come first, then the smaller ones.
+    """
     service = configuration.services.get(upstream.service)
     if service is None or service.kind is not ServiceKind.MODEL:
         return []
     first = configuration.upstreams.get(upstream.upstream_id, UpstreamPolicy()).models
-    return sorted(service.models, key=lambda name: (name not in first, name))
+
+    def rank(name: str) -> tuple[bool, int, str]:
+        return (name not in first, service.models[name].weights_bytes, name)
+
+    return sorted(service.models, key=rank)
 
 
 def placement_of(configuration: Configuration, upstream: UpstreamRecord) -> Placement:
--- a/src/fescuedock/schema/config.py
+++ b/src/fescuedock/schema/config.py
@@ -49,8 +49,9 @@
 class ModelSpec(Struct):
     version: Annotated[str, Meta(min_length=1)]
     adapters: list[str] = field(default_factory=list)
-    weights_bytes: Annotated[int, Meta(ge=0)] = 0
-    min_upstreams: Annotated[int, Meta(ge=0)] = 1
+    weights_bytes: Annotated[
+        int, Meta(description="An upstream loads the smaller models of its service first.", ge=0)
+    ] = 0
 
 
 class ServiceSpec(Struct):
--- a/tests/test_config_decisions.py
+++ b/tests/test_config_decisions.py
@@ -100,6 +100,22 @@
             ],
         )
 
+    def test_a_check_of_what_changed_finds_the_same_as_a_check_of_all(self):
+        former = config_document(members=3, models=2)
+        patches = [
+            {"members": {"member-00001": {"share": 0}}},
+            {"members": {"new": {"shar": 1}}},
+            {"services": {"service-0": {"kind": None}}},
+            {"services": {"service-1": {"models": {"model-0": {"version": "1"}}}}},
+            {"upstreams": {"u": {"models": ["model-9"]}}},
+            {"nothing": {}},
+            {"members": []},
+            {"members": {"member-00002": None}},
+        ]
+        for patch in patches:
+            document = merge_patch(former, patch)
+            self.assertEqual(find_problems(document, former), find_problems(document))
+
     def test_a_full_fleet_fits_into_one_value(self):
         document = config_document(members=2700, models=35, keys=2)
         record = empty_record()
