--- a/src/fescuedock/core/acceptance.py
+++ b/src/fescuedock/core/acceptance.py
@@ -1,4 +1,4 @@
-"""Decides whether an input may become a job, and which job it is.
+"""Decides whether an input may become a job.
 
 Nothing is accepted of an input with a single wrong line; the refusal names the first one.
 """
@@ -6,14 +6,14 @@
 import re
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
-from hashlib import blake2b, sha256
+from hashlib import blake2b
 
 import msgspec
 from result import Err, Ok, Result
 
 from fescuedock.core.segments import is_blank
 from fescuedock.faults import Fault
-from fescuedock.schema.batch import FileRecord, JobRecord, JobState, SegmentRef
+from fescuedock.schema.batch import FileRecord
 from fescuedock.schema.result_codes import ResultCode
 from fescuedock.schema.settings import BatchSettings
 
@@ -22,14 +22,8 @@
     "MODEL_ENDPOINTS",
     "SERVICE_PREFIX",
     "InputChecker",
-    "JobRequest",
     "check_file",
-    "file_identity",
-    "job_identity",
-    "new_record",
     "parse_window_s",
-    "same_job",
-    "same_job_by_file",
 ]
 
 MODEL_ENDPOINTS = ("/v1/chat/completions", "/v1/completions")
@@ -42,7 +36,6 @@
 _MAX_MODELS = 64
 # Two of 110,000 identities share a digest once in 10**28 inputs.
 _DIGEST_BYTES = 16
-_IDENTITY_CHARS = 32
 _MAX_WINDOW_S = 14 * 24 * 3600
 _UNIT_S = {"": 1, "s": 1, "m": 60, "h": 3600, "d": 86400}
 _WINDOW = re.compile(r"([0-9]{1,9})([smhd]?)")
@@ -149,65 +142,6 @@
         return Fault(code, f"line {self._line_number}: {text}")
 
 
-@dataclass(frozen=True, slots=True)
-class JobRequest:
-    """What a member asks for; ``idempotency_key`` is empty when it gave none."""
-
-    member: str
-    idempotency_key: str
-    endpoint: str
-    window_s: int
-    metadata: Mapping[str, str]
-    input_hash: str
-
-    @property
-    def content_hash(self) -> str:
-        """SHA-256, in hex, of everything that makes it this job and not another."""
-        metadata = sorted(self.metadata.items())
-        return _digest(self.endpoint, self.window_s, metadata, self.input_hash)
-
-
-def job_identity(request: JobRequest) -> str:
-    """Return the identity of the one job that ``request``, however often it comes, stands for.
-
-    It follows from the member's idempotency key or, without one, from the content.
-    """
-    if request.idempotency_key:
-        digest = _digest(request.member, "key", request.idempotency_key)
-    else:
-        digest = _digest(request.member, "content", request.content_hash)
-    return f"batch_{digest[:_IDENTITY_CHARS]}"
-
-
-def file_identity(member: str, idempotency_key: str, content_hash: str) -> str:
-    """Return the identity of a file uploaded under an idempotency key."""
-    return f"file-{_digest(member, idempotency_key, content_hash)[:_IDENTITY_CHARS]}"
-
-
-def same_job(record: JobRecord, request: JobRequest) -> Result[None, Fault]:
-    """Check that the job found under the identity of ``request`` is the one asked for."""
-    if record.member == request.member and record.content_hash == request.content_hash:
-        return Ok(None)
-    return _key_reused(request)
-
-
-def same_job_by_file(record: JobRecord, request: JobRequest, file_id: str) -> Result[None, Fault]:
-    """Check as ``same_job`` does when the file's record, and with it the hash, is gone."""
-    same = (
-        record.member == request.member
-        and record.input_file_id == file_id
-        and record.endpoint == request.endpoint
-        and record.deadline_s - record.created_at_s == request.window_s
-        and record.metadata == request.metadata
-    )
-    return Ok(None) if same else _key_reused(request)
-
-
-def _key_reused(request: JobRequest) -> Err[Fault]:
-    text = f"Idempotency-Key {_short(request.idempotency_key)} belongs to a job with other content"
-    return Err(Fault(ResultCode.KEY_REUSED, text))
-
-
 def check_file(
     file: FileRecord, endpoint: str, service_of_model: Callable[[str], str | None]
 ) -> Result[str, Fault]:
@@ -256,38 +190,6 @@
     return Err(Fault(ResultCode.BAD_REQUEST, message))
 
 
-def new_record(
-    request: JobRequest, file: FileRecord, service: str, now_s: int, *, non_idempotent: bool
-) -> JobRecord:
-    """Return the record that makes ``request`` an accepted job.
-
-    The input's references leave out where the copies are: they are found by hash, and the record
-    is rewritten with each commit.
-    """
-    segments = [
-        SegmentRef(
-            segment_hash=ref.segment_hash, items=ref.items, size_bytes=ref.size_bytes, copies=[]
-        )
-        for ref in file.segments
-    ]
-    return JobRecord(
-        job_id=job_identity(request),
-        member=request.member,
-        service=service,
-        endpoint=request.endpoint,
-        content_hash=request.content_hash,
-        state=JobState.RUNNING,
-        epoch=0,
-        created_at_s=now_s,
-        deadline_s=now_s + request.window_s,
-        item_count=file.item_count,
-        input=segments,
-        non_idempotent=non_idempotent,
-        metadata=dict(request.metadata),
-        input_file_id=file.file_id,
-    )
-
-
 def _is_endpoint(url: str) -> bool:
     return url in MODEL_ENDPOINTS or url.startswith(SERVICE_PREFIX)
 
@@ -295,7 +197,3 @@
 def _short(text: str) -> str:
     """Return ``text`` quoted for a message, cut if it is long."""
     return repr(text if len(text) <= _SHOWN_CHARS else text[:_SHOWN_CHARS] + "...")
-
-
-def _digest(*parts: object) -> str:
-    return sha256(msgspec.json.encode(parts)).hexdigest()
--- a/src/fescuedock/entry/files.py
+++ b/src/fescuedock/entry/files.py
@@ -6,7 +6,8 @@
 import trio
 from result import Err, Ok, Result
 
-from fescuedock.core.acceptance import BATCH_PURPOSE, file_identity
+from fescuedock.core.acceptance import BATCH_PURPOSE
+from fescuedock.core.job_identity import file_identity
 from fescuedock.entry.context import EntryContext
 from fescuedock.entry.file_content import FileContent
 from fescuedock.entry.file_records import create_file, delete_file, list_files, read_file
--- a/src/fescuedock/entry/job_acceptance.py
+++ b/src/fescuedock/entry/job_acceptance.py
@@ -8,17 +8,16 @@
 
 from result import Err, Ok, Result
 
-from fescuedock.core.acceptance import (
-    SERVICE_PREFIX,
+from fescuedock.core.acceptance import SERVICE_PREFIX, check_file
+from fescuedock.core.batch.takeover import RunnerName, chosen_runner
+from fescuedock.core.claims import is_non_idempotent
+from fescuedock.core.job_identity import (
     JobRequest,
-    check_file,
     job_identity,
     new_record,
     same_job,
     same_job_by_file,
 )
-from fescuedock.core.batch.takeover import RunnerName, chosen_runner
-from fescuedock.core.claims import is_non_idempotent
 from fescuedock.entry.context import EntryContext
 from fescuedock.entry.job_records import create_job, ensure_listed, read_stored
 from fescuedock.entry.models import service_of_model
--- a/src/fescuedock/entry/jobs.py
+++ b/src/fescuedock/entry/jobs.py
@@ -10,8 +10,9 @@
 import msgspec
 from result import Err, Ok, Result
 
-from fescuedock.core.acceptance import JobRequest, parse_window_s
+from fescuedock.core.acceptance import parse_window_s
 from fescuedock.core.batch.record import is_final
+from fescuedock.core.job_identity import JobRequest
 from fescuedock.entry.context import EntryContext
 from fescuedock.entry.file_records import read_file
 from fescuedock.entry.files import IDEMPOTENCY_HEADER, page_limit
--- a/src/fescuedock/store/main.py
+++ b/src/fescuedock/store/main.py
@@ -7,23 +7,23 @@
 import trio
 
 from fescuedock.agent.codec import open_codec
-from fescuedock.agent.link import open_agent_link
+from fescuedock.agent.link import FleetView, open_agent_link
 from fescuedock.clock import unix_clock
 from fescuedock.daemon import Stop, run_program
 from fescuedock.net.address import Address
 from fescuedock.net.channel import serve_channel
-from fescuedock.net.http_client import HttpClient
+from fescuedock.net.http_client import HttpClient, open_http_client
 from fescuedock.platform.etcd import EtcdKv
 from fescuedock.schema.settings import StoreSettings
 from fescuedock.schema.view import Program
 from fescuedock.settings import Settings
-from fescuedock.store.client import open_store_client
+from fescuedock.store.client import StoreClient, open_store_client
 from fescuedock.store.disk import Disk, OsDisk
 from fescuedock.store.logs import LogFolder
 from fescuedock.store.repair import Repair
 from fescuedock.store.retention import RecordRetention
 from fescuedock.store.segments import SegmentFolder, Usage
-from fescuedock.store.service import store_handler
+from fescuedock.store.service import StoreService
 
 __all__ = ["main", "run_store"]
 
@@ -42,29 +42,20 @@
     if settings.store is None or settings.batch is None:
         raise ValueError("the settings lack section [store] or [batch]")
     codec = open_codec(settings.vm)
-    clock = unix_clock()
     folders = _open_folders(settings.store, OsDisk() if disk is None else disk)
-    handler = store_handler(folders.segments, folders.logs, folders.usage, clock)
+    service = StoreService(folders.segments, folders.logs, folders.usage, unix_clock())
     async with trio.open_nursery() as nursery:
         nursery.start_soon(folders.logs.run)
         listen = Address(settings.vm.host, settings.store.port)
-        address = await nursery.start(serve_channel, listen, codec, handler)
+        address = await nursery.start(serve_channel, listen, codec, service.handle)
         async with (
             open_agent_link(
                 settings, codec, Program.STORE, address.port, lambda: not stop.requested
             ) as (link, view),
             open_store_client(codec, view, settings.batch) as client,
+            open_http_client() as http,
         ):
-            repair = Repair(
-                segments=folders.segments,
-                logs=folders.logs,
-                records=_record_retention(settings),
-                client=client,
-                view=view,
-                settings=settings.store,
-                batch=settings.batch,
-                unix_clock=clock,
-            )
+            repair = _repair(settings, service, client, view, http)
             folders.on_damage = repair.on_damage
             nursery.start_soon(repair.run)
             task_status.started(address)
@@ -97,12 +88,28 @@
     return folders
 
 
-def _record_retention(settings: Settings) -> RecordRetention:
-    return RecordRetention(
-        kv=EtcdKv(HttpClient(), settings.platform),
+def _repair(
+    settings: Settings,
+    service: StoreService,
+    client: StoreClient,
+    view: FleetView,
+    http: HttpClient,
+) -> Repair:
+    records = RecordRetention(
+        kv=EtcdKv(http, settings.platform),
         key_prefix=settings.platform.key_prefix,
         retention_s=settings.store.record_retention_s,
     )
+    return Repair(
+        segments=service.segments,
+        logs=service.logs,
+        records=records,
+        client=client,
+        view=view,
+        settings=settings.store,
+        batch=settings.batch,
+        unix_clock=service.unix_clock,
+    )
 
 
 def main() -> None:
--- a/tests/builders/store.py
+++ b/tests/builders/store.py
@@ -24,7 +24,7 @@
 from fescuedock.store.repair import Repair
 from fescuedock.store.retention import RecordRetention
 from fescuedock.store.segments import SegmentFolder, Usage
-from fescuedock.store.service import store_handler
+from fescuedock.store.service import StoreService
 from tests.builders.kv import MemoryKv
 
 HOST = "127.0.0.1"
@@ -68,10 +68,10 @@
     async def serve(
         self, codec: Codec, *, task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED
     ) -> None:
-        store = store_handler(self.segments, self.logs, self.usage, lambda: NOW_S)
+        service = StoreService(self.segments, self.logs, self.usage, lambda: NOW_S)
 
         async def handle(message: msgspec.Struct, peer: ServerPeer) -> msgspec.Struct | None:
-            reply = await store(message, peer)
+            reply = await service.handle(message, peer)
             if self.garbled and isinstance(reply, SegmentReply):
                 reply.body += b"garbled"
             return reply
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -7,7 +7,7 @@
 
 from fescuedock.schema.batch import SegmentRef
 from fescuedock.schema.result_codes import ResultCode
-from fescuedock.schema.store import GetSegment, PutSegment, ReadLog
+from fescuedock.schema.store import DropSegments, GetSegment, PutSegment, ReadLog
 from tests.builders.store import NOW_S, StoreFleet, StoreNode, at_stores, until
 
 SITES = {"vm-1": "chipre", "vm-2": "chipre", "vm-3": "palermo", "vm-4": "villamaria"}
@@ -117,6 +117,9 @@
         names = sorted(vm.vm_id for vm in held[ref.segment_hash])
         self.assertEqual(names, sorted(ref.copies))
         self.assertEqual(held[other.segment_hash], [])
+        drop = DropSegments(segment_hashes=[ref.segment_hash])
+        await fleet.client.call(fleet.view.vms[names[0]], drop)
+        self.assertEqual(fleet.holders(ref.segment_hash), names[1:])
 
 
 class LogTest(unittest.TestCase):
--- a/tests/test_store_retention.py
+++ b/tests/test_store_retention.py
@@ -8,6 +8,7 @@
 from fescuedock.core.batch.record import encode_record
 from fescuedock.core.job_keys import file_key, job_key, member_job_key, open_job_key
 from fescuedock.schema.batch import FileRecord, JobRecord, JobState
+from fescuedock.standin.kv_faults import CallKind
 from fescuedock.store.retention import RecordRetention
 from tests.builders.kv import MemoryKv
 from tests.builders.store import NOW_S
@@ -56,6 +57,8 @@
         young = self.add_job("young", JobState.COMPLETED, age_days=3, finished_days=3)
         running = self.add_job("running", JobState.RUNNING, age_days=45)
         self.assertEqual(self.expire(), 1)
+        # The key of a young job says its age, so that its record need not be read.
+        self.assertEqual(self.kv.faults.calls[CallKind.GET], 3)
         self.assertEqual(
             [self.there(key) for key in (old, late, young, running)], [False, True, True, True]
         )
