--- a/src/fescuedock/core/routing.py
+++ b/src/fescuedock/core/routing.py
@@ -8,8 +8,8 @@
 Pure: the caller passes the time and the randomness.
 """
 
-import math
 import random
+from collections import OrderedDict
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
@@ -24,6 +24,7 @@
     "Demand",
     "DomainLatency",
     "PrefillModel",
+    "PrefixMemory",
     "RoutingPolicy",
     "SilentOwners",
     "choose_upstreams",
@@ -79,12 +80,14 @@
 class Choice:
     """An upstream with its predicted time to the first token.
 
+    ``queue_ms`` leaves prefill out, which is a guess good enough to choose by and no more.
     ``has_room`` is False when its owner is known to be full;
     ``accepting`` is False for one that its owner keeps work from.
     """
 
     upstream_id: str
     first_token_ms: float
+    queue_ms: float = 0.0
     has_room: bool = True
     accepting: bool = True
     owner_silent: bool = False
@@ -128,14 +131,19 @@
         covered = demand.prefix_tokens if item.upstream_id == covering else 0
         prefill_ms = max(0, demand.prompt_tokens - covered) * token_ms
         queue_ms = item.load.first_token_ms if item.load is not None else usual_ms
-        predicted_ms = queue_ms + prefill_ms + 2 * item.latency_ms
+        queue_ms += 2 * item.latency_ms
         spread = 1.0 + policy.near_share * rng.random()
-        scored.append((_last_resort(item), not _has_room(item), predicted_ms * spread, item))
+        choice = Choice(
+            item.upstream_id,
+            (queue_ms + prefill_ms) * spread,
+            queue_ms,
+            _has_room(item),
+            _is_accepting(item),
+            item.owner_silent,
+        )
+        scored.append((_last_resort(item), not choice.has_room, choice.first_token_ms, choice))
     scored.sort(key=lambda entry: entry[:3])
-    return [
-        Choice(item.upstream_id, predicted_ms, not full, _is_accepting(item), item.owner_silent)
-        for _, full, predicted_ms, item in scored
-    ]
+    return [entry[3] for entry in scored]
 
 
 def plan_asks(choices: Sequence[Choice], slack_ms: float, policy: RoutingPolicy) -> list[Ask]:
@@ -257,45 +265,43 @@
         return self._least_ms.get(failure_domain, 0.0) / 2
 
 
+@dataclass(slots=True)
+class PrefixMemory:
+    """Which upstreams this process gave which prefixes of late, the latest ``size`` of each."""
+
+    size: int = 1024
+    _held: dict[str, OrderedDict[str, None]] = field(default_factory=dict)
+
+    def note(self, upstream_id: str, prefix_hash: str) -> bool:
+        """Note that a prefix went to an upstream; return whether it is the first time."""
+        held = self._held.setdefault(upstream_id, OrderedDict())
+        is_new = prefix_hash not in held
+        held[prefix_hash] = None
+        held.move_to_end(prefix_hash)
+        if len(held) > self.size:
+            held.popitem(last=False)
+        return is_new
+
+
 @dataclass(slots=True)
 class PrefillModel:
-    """Time of prefill for a prompt token, fitted to first-token times as they come.
+    """Time of prefill for a prompt token, from first tokens of prompts that no cache can have.
 
-    A decayed least-squares line through (prompt tokens, first-token time); its slope is what is
-    wanted, its intercept is the queue's.  Where prompts hardly differ in length the slope is noise,
-    so only as much of it counts as stands out: what is left after ``doubt`` standard errors.
+    Queues only ever add to it, so the least of late counts; it creeps up by ``creep`` of itself
+    with each observation.  Prompts shorter than ``min_tokens`` tell more of the queue than of it.
     """
 
-    decay: float = 0.99
-    min_weight: float = 10.0
-    doubt: float = 2.0
-    _weight: float = 0.0
-    _x: float = 0.0
-    _y: float = 0.0
-    _xx: float = 0.0
-    _xy: float = 0.0
-    _yy: float = 0.0
+    min_tokens: int = 256
+    creep: float = 0.01
+    _least_ms: float = float("inf")
 
     def observe(self, prompt_tokens: int, first_token_ms: float) -> None:
-        keep = self.decay
-        self._weight = self._weight * keep + 1.0
-        self._x = self._x * keep + prompt_tokens
-        self._y = self._y * keep + first_token_ms
-        self._xx = self._xx * keep + prompt_tokens * prompt_tokens
-        self._xy = self._xy * keep + prompt_tokens * first_token_ms
-        self._yy = self._yy * keep + first_token_ms * first_token_ms
+        if prompt_tokens < self.min_tokens or first_token_ms < 0:
+            return
+        least_ms = self._least_ms * (1 + self.creep)
+        self._least_ms = min(least_ms, first_token_ms / prompt_tokens)
 
     @property
     def token_ms(self) -> float:
-        """Milliseconds for each prompt token; 0 until enough is known."""
-        weight = self._weight
-        if weight < self.min_weight:
-            return 0.0
-        spread_x = self._xx - self._x * self._x / weight
-        if spread_x <= 0.0:
-            return 0.0
-        together = self._xy - self._x * self._y / weight
-        slope = together / spread_x
-        unexplained = max(0.0, self._yy - self._y * self._y / weight - slope * together)
-        error = math.sqrt(unexplained / (weight - 2) / spread_x)
-        return max(0.0, slope - self.doubt * error)
+        """Milliseconds for each prompt token; 0 until something is known."""
+        return self._least_ms if self._least_ms < float("inf") else 0.0
--- a/src/fescuedock/entry/online_permits.py
+++ b/src/fescuedock/entry/online_permits.py
@@ -77,17 +77,19 @@
         if not item.leaving
         and not (item.upstream_id in policies and policies[item.upstream_id].drain)
     ]
-    candidates = [_candidate(state, item, item.upstream_id in avoid) for item in usable]
+    candidates = [
+        replace(_candidate(state, item), avoided=item.upstream_id in avoid) for item in usable
+    ]
     token_ms = state.prefill(call.service).token_ms
     return choose_upstreams(candidates, call.demand, token_ms, state.routing, state.rng)
 
 
-def _candidate(state: OnlineState, upstream: UpstreamRecord, avoided: bool) -> Candidate:
+def _candidate(state: OnlineState, upstream: UpstreamRecord) -> Candidate:
     owner = state.context.view.owner_of(upstream.upstream_id)
     silent = owner is None or state.silent.is_silent(owner.vm_id, now_ms())
     latency_ms = state.latency.one_way_ms(upstream.failure_domain)
     load = _fresh_load(state, upstream)
-    return Candidate(upstream.upstream_id, latency_ms, load, silent, avoided)
+    return Candidate(upstream.upstream_id, latency_ms, load, silent)
 
 
 def _fresh_load(state: OnlineState, upstream: UpstreamRecord) -> LoadSnapshot | None:
@@ -100,7 +102,7 @@
 def _check_deadline(
     state: OnlineState, call: OnlineCall, choices: list[Choice]
 ) -> Result[None, Fault]:
-    first_token_ms = min(item.first_token_ms for item in choices)
+    first_token_ms = min(item.queue_ms for item in choices)
     run_ms = state.admission.times(call.service).run_ms(call.max_tokens, now_ms())
     return state.admission.check_deadline(call.left_ms(), first_token_ms, run_ms)
 
--- a/src/fescuedock/entry/online_run.py
+++ b/src/fescuedock/entry/online_run.py
@@ -99,10 +99,12 @@
     state.budget.succeeded()
     if attempt.tokens < 1:
         return
-    call = attempt.call
+    call, upstream_id = attempt.call, attempt.grant.upstream_id
+    demand = call.demand
     times = state.admission.times(call.service)
     times.observe(attempt.tokens, attempt.inter_token_ms, now_ms())
-    state.prefill(call.service).observe(call.demand.prompt_tokens, attempt.first_token_ms)
+    if state.prefixes.note(upstream_id, demand.prefix_hash):
+        state.prefill(call.service).observe(demand.prompt_tokens, attempt.first_token_ms)
 
 
 def _was_sent(failure: Failure) -> bool:
--- a/src/fescuedock/entry/online_state.py
+++ b/src/fescuedock/entry/online_state.py
@@ -9,6 +9,7 @@
     AskTimeout,
     DomainLatency,
     PrefillModel,
+    PrefixMemory,
     RoutingPolicy,
     SilentOwners,
 )
@@ -36,6 +37,7 @@
     stall: StallPolicy = field(default_factory=StallPolicy)
     admission: Admission = field(default_factory=Admission)
     latency: DomainLatency = field(default_factory=DomainLatency)
+    prefixes: PrefixMemory = field(default_factory=PrefixMemory)
     ask_timeout: AskTimeout = field(default_factory=AskTimeout)
     engines: EngineClient = field(init=False)
     budget: RetryBudget = field(init=False)
