--- a/src/fescuedock/core/config/node.py
+++ b/src/fescuedock/core/config/node.py
@@ -221,18 +221,22 @@
         return [Pull(self._heard[1], self._pull_message())]
 
     def _confirm(self, now_ms: float) -> list[Action]:
-        """Watchers ask the key-value service, others ask a watcher of their failure domain."""
-        interval_ms = self.limits.watch_interval_ms
+        """Watchers ask the key-value service, others ask a watcher of their failure domain.
+
+        Who got no confirmation that way for half of the limit asks the service too.
+        """
         watchers = watchers_of(self.vms(), self.failure_domain, self.limits.watchers_per_domain)
+        jitter = 0.75 + 0.5 * self.random.random()
         if self.vm_id in watchers or not watchers:
-            self._confirm_due_ms = now_ms + interval_ms * (0.75 + 0.5 * self.random.random())
+            self._confirm_due_ms = now_ms + self.limits.watch_interval_ms * jitter
             return [ReadRevision()]
-        self._confirm_due_ms = now_ms + self.confirm_limit_ms / 4 * (
-            0.75 + 0.5 * self.random.random()
-        )
+        self._confirm_due_ms = now_ms + self.confirm_limit_ms / 4 * jitter
         by_id = {vm.vm_id: vm for vm in self.vms()}
         chosen = watchers[self._confirm_failures % len(watchers)]
-        return [Pull(by_id[chosen], self._pull_message())]
+        actions: list[Action] = [Pull(by_id[chosen], self._pull_message())]
+        if now_ms - self.replica.confirmed_at_ms > self.confirm_limit_ms / 2 and self.version:
+            actions.append(ReadRevision())
+        return actions
 
     def _ask_a_peer(self) -> list[Action]:
         """The service is away: whoever is ahead, or confirmed by another way, is in some peer."""
--- a/tests/test_config_decisions.py
+++ b/tests/test_config_decisions.py
@@ -8,6 +8,7 @@
 
 from fescuedock.core.config.check import find_problems
 from fescuedock.core.config.merge import merge_patch
+from fescuedock.core.config.node import ReadRevision
 from fescuedock.core.config.record import (
     MAX_PATCHES,
     MAX_RECORD_BYTES,
@@ -227,6 +228,15 @@
         asker.on_push(answer, asked_at_ms=4990, now_ms=5010)
         self.assertAlmostEqual(asker.replica.confirmed_at_ms, 990, delta=2)
 
+    def test_who_gets_no_confirmation_from_watchers_asks_the_service(self):
+        vms = [vm_record(f"vm-{n}") for n in range(4)]
+        watchers = watchers_of(vms, vms[0].failure_domain, 2)
+        node = node_of(next(vm for vm in vms if vm.vm_id not in watchers), vms)
+        node.replica.offer_record(records(1)[1], "vm-b")
+        node.replica.confirm(0)
+        asked = {now_ms: ReadRevision() in node.tick(now_ms) for now_ms in (100, 7400, 12100)}
+        self.assertEqual(asked, {100: False, 7400: False, 12100: True})
+
 
 class StandingTest(unittest.TestCase):
     def judge(self, age_ms, version, reached, known):
