Give programs the changes of the view, not all of it

Every change sent the records of 370 VMs and 690 upstreams to each of a VM's three programs. Versions now rise over restarts of the agent: a program that held version 57 of its former life took the new 57 for the same.

--- a/src/fescuedock/agent/link.py
+++ b/src/fescuedock/agent/link.py
@@ -226,5 +226,21 @@
         config_version = reply.config_version
     if reply.config_version == config_version:
         view.replace_configuration(view.version, config_version, configuration, reply.config_age_ms)
-    if not reply.unchanged:
-        view.replace(reply.view_version, reply.vms, reply.upstreams, reply.membership_age_ms)
+    if reply.unchanged:
+        return
+    vms = {vm.vm_id: vm for vm in reply.vms}
+    upstreams = {item.upstream_id: item for item in reply.upstreams}
+    if reply.since_version:
+        vms = _without(view.vms | vms, reply.gone_vms)
+        upstreams = _without(view.upstreams | upstreams, reply.gone_upstreams)
+    view.replace(
+        reply.view_version,
+        list(vms.values()),
+        list(upstreams.values()),
+        reply.membership_age_ms,
+    )
+
+
+def _without(items: dict, names: Sequence[str]) -> dict:
+    dropped = set(names)
+    return {name: item for name, item in items.items() if name not in dropped}
--- a/src/fescuedock/agent/main.py
+++ b/src/fescuedock/agent/main.py
@@ -96,6 +96,7 @@
             programs,
             self.config,
             self.view,
+            first_version=boot_ms,
         )
         self.orders = OrderService(
             settings, kv, self.view, EngineControl(http), lambda name: self.permits.load(name), rng
--- a/src/fescuedock/agent/membership_service.py
+++ b/src/fescuedock/agent/membership_service.py
@@ -6,6 +6,7 @@
 
 from fescuedock.agent.link import FleetView
 from fescuedock.agent.programs import LocalPrograms
+from fescuedock.agent.view_history import ViewHistory
 from fescuedock.clock import now_ms
 from fescuedock.core.membership import (
     Action,
@@ -58,7 +59,7 @@
     """Runs ``Membership`` over one UDP socket and keeps ``view`` current.
 
     ``programs`` gets the announcements of the VM's programs; ``configuration`` says what is in
-    force here.
+    force here.  ``first_version`` must rise with each start of the agent, faster than versions do.
     """
 
     def __init__(
@@ -71,6 +72,7 @@
         programs: LocalPrograms,
         configuration: ConfigSource,
         view: FleetView,
+        first_version: int,
     ) -> None:
         self._settings = settings
         self._membership = membership
@@ -80,6 +82,8 @@
         self._programs = programs
         self._configuration = configuration
         self._view = view
+        self._history = ViewHistory()
+        self._first_version = first_version
         self._upstreams: tuple[UpstreamRecord, ...] = ()
         self._read_list: VmList | None = None
         self._dirty = True
@@ -187,13 +191,21 @@
         self._published_at_ms = at_ms
         self._published_revision = self._membership.revision
         self._take_configuration()
+        view = self._view
+        vms, upstreams = view.vms, view.upstreams
+        # Above those of this agent's former lives, which programs may still hold.
+        version = max(view.version, self._first_version) + 1
+        age_ms = at_ms - self._membership.list_read_at_ms
+        view.replace(version, self._membership.records(), self._shown_upstreams(), age_ms)
+        self._history.note(version, (vms, view.vms), (upstreams, view.upstreams))
+
+    def _shown_upstreams(self) -> list[UpstreamRecord]:
+        """Return the listed upstreams, those that an operator drains as leaving."""
         drained = _drained(self._view.configuration)
-        upstreams = [
-            msgspec.structs.replace(item, leaving=item.leaving or item.upstream_id in drained)
+        return [
+            msgspec.structs.replace(item, leaving=True) if item.upstream_id in drained else item
             for item in self._upstreams
         ]
-        age_ms = at_ms - self._membership.list_read_at_ms
-        self._view.replace(self._view.version + 1, self._membership.records(), upstreams, age_ms)
 
     def _take_configuration(self) -> None:
         source = self._configuration
@@ -223,18 +235,36 @@
     def _reply(self, message: ViewRequest) -> ViewReply:
         view = self._view
         source = self._configuration
-        unchanged = view.version == message.seen_version
         newer = view.config_version > message.seen_config_version
-        return ViewReply(
+        reply = ViewReply(
             view_version=view.version,
-            vms=[] if unchanged else list(view.vms.values()),
-            upstreams=[] if unchanged else list(view.upstreams.values()),
+            vms=[],
+            upstreams=[],
             membership_age_ms=_whole(view.membership_age_ms),
             config_version=view.config_version,
             config_age_ms=_whole(source.confirmed_age_ms),
             config_document=source.document if newer else b"",
-            unchanged=unchanged,
+            unchanged=view.version == message.seen_version,
         )
+        if not reply.unchanged:
+            self._fill(reply, message.seen_version)
+        return reply
+
+    def _fill(self, reply: ViewReply, seen_version: int) -> None:
+        """Add what changed since ``seen_version``, or everything when that is not known."""
+        view = self._view
+        changes = self._history.since(seen_version)
+        if changes is None:
+            reply.vms = list(view.vms.values())
+            reply.upstreams = list(view.upstreams.values())
+            return
+        reply.since_version = seen_version
+        reply.vms = [view.vms[name] for name in changes.vm_ids & view.vms.keys()]
+        reply.gone_vms = sorted(changes.vm_ids - view.vms.keys())
+        reply.upstreams = [
+            view.upstreams[name] for name in changes.upstream_ids & view.upstreams.keys()
+        ]
+        reply.gone_upstreams = sorted(changes.upstream_ids - view.upstreams.keys())
 
 
 def _drained(configuration: Configuration) -> set[str]:
--- /dev/null
+++ b/src/fescuedock/agent/view_history.py
@@ -0,0 +1,63 @@
+"""What has changed in the fleet view lately, so that a program gets changes and not all of it."""
+
+from collections import deque
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+import msgspec
+
+from fescuedock.schema.view import UpstreamRecord, VmRecord
+
+__all__ = ["ViewChanges", "ViewHistory"]
+
+_KEPT_VERSIONS = 64
+
+
+@dataclass(slots=True)
+class ViewChanges:
+    """The identities of records that were added, changed or removed."""
+
+    vm_ids: set[str] = field(default_factory=set)
+    upstream_ids: set[str] = field(default_factory=set)
+
+
+@dataclass(slots=True)
+class ViewHistory:
+    """The changes of the last versions; versions rise by one."""
+
+    _changes: deque[tuple[int, ViewChanges]] = field(
+        default_factory=lambda: deque(maxlen=_KEPT_VERSIONS)
+    )
+
+    def note(
+        self,
+        version: int,
+        vms: tuple[Mapping[str, VmRecord], Mapping[str, VmRecord]],
+        upstreams: tuple[Mapping[str, UpstreamRecord], Mapping[str, UpstreamRecord]],
+    ) -> None:
+        """Take the records before and after the step to ``version``."""
+        self._changes.append((version, ViewChanges(_changed(*vms), _changed(*upstreams))))
+
+    def since(self, seen_version: int) -> ViewChanges | None:
+        """Return what changed after ``seen_version``; None when that is no longer known."""
+        if not self._changes or seen_version < self._changes[0][0] - 1:
+            return None
+        if seen_version > self._changes[-1][0]:
+            # A version of this agent's former life.
+            return None
+        total = ViewChanges()
+        for version, changes in self._changes:
+            if version > seen_version:
+                total.vm_ids |= changes.vm_ids
+                total.upstream_ids |= changes.upstream_ids
+        return total
+
+
+def _changed(before: Mapping[str, msgspec.Struct], after: Mapping[str, msgspec.Struct]) -> set[str]:
+    # Most records are the very same objects, which is quicker to see than their equality.
+    names = {
+        name
+        for name, item in after.items()
+        if before.get(name) is not item and before.get(name) != item
+    }
+    return names | (before.keys() - after.keys())
--- a/src/fescuedock/core/membership/table.py
+++ b/src/fescuedock/core/membership/table.py
@@ -6,6 +6,7 @@
 from hashlib import blake2b
 
 from fescuedock.schema.membership import MemberState, VmProfile, VmUpdate
+from fescuedock.schema.view import VmRecord
 
 __all__ = ["BUCKETS", "MAX_ACCUSERS", "Member", "MemberTable", "bucket_of"]
 
@@ -29,6 +30,8 @@
     accusers: tuple[str, ...] = ()
     changed_at_ms: float = 0.0
     local_only: bool = False
+    # The record of the fleet view, kept until something changes.
+    record: VmRecord | None = None
 
     @property
     def failure_domain(self) -> str:
@@ -149,6 +152,7 @@
 
     def _enter(self, member: Member) -> None:
         """Count a member in the totals, unless it is gone."""
+        member.record = None
         if member.gone:
             return
         self._present[member.vm_id] = member
--- a/src/fescuedock/core/membership/view.py
+++ b/src/fescuedock/core/membership/view.py
@@ -18,15 +18,22 @@
 
 
 def _record(member: Member, listed_leaving: bool) -> VmRecord:
-    profile = member.profile
     leaving = listed_leaving and member.state is not MemberState.GONE
+    state = VmState.LEAVING if leaving else VmState(member.state.value)
+    if member.record is None or member.record.state is not state:
+        member.record = _made(member, state)
+    return member.record
+
+
+def _made(member: Member, state: VmState) -> VmRecord:
+    profile = member.profile
     return VmRecord(
         vm_id=member.vm_id,
         region=profile.region,
         failure_domain=profile.failure_domain,
         host=profile.host,
         incarnation=member.incarnation,
-        state=VmState.LEAVING if leaving else VmState(member.state.value),
+        state=state,
         entry_port=profile.entry_port,
         agent_port=profile.agent_port,
         batch_port=profile.batch_port,
--- a/src/fescuedock/schema/view.py
+++ b/src/fescuedock/schema/view.py
@@ -103,7 +103,7 @@
 
 class ViewReply(WireStruct):
     """
-    The fleet as this VM sees it now. The configuration is empty when not newer.
+    The fleet as this VM sees it now, or what changed in it. The configuration is empty when not newer.
     """
 
     view_version: int
@@ -119,6 +119,14 @@
             description="The view is the one that the caller has; vms and upstreams are left out."
         ),
     ] = False
+    since_version: Annotated[
+        int,
+        Meta(
+            description="Above 0: vms and upstreams hold only what was added or changed since this version."
+        ),
+    ] = 0
+    gone_vms: list[str] = field(default_factory=list)
+    gone_upstreams: list[str] = field(default_factory=list)
 
 
 class LeaveRequest(WireStruct):
