--- a/src/fescuedock/entry/files.py
+++ b/src/fescuedock/entry/files.py
@@ -1,5 +1,7 @@
 """The files of members: ``/v1/files`` as OpenAI's interface has it."""
 
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from secrets import token_hex
 
 import msgspec
@@ -28,9 +30,10 @@
 _OUTPUT_PURPOSE = "batch_output"
 _DEFAULT_PAGE = 100
 _MAX_PAGE = 100
-# Each upload in progress takes some segments and a digest for each line.
+# Each upload in progress takes some segments and a digest for each line, each download a segment.
 _MAX_UPLOADS = 8
-_UPLOAD_WAIT_MS = 10000
+_MAX_DOWNLOADS = 32
+_SLOT_WAIT_MS = 10000
 _RETRY_AFTER_MS = 2000
 
 
@@ -50,20 +53,13 @@
 def routes(context: EntryContext) -> list[Route]:
     """Return the routes under ``/v1/files``."""
     uploads = trio.Semaphore(_MAX_UPLOADS)
+    downloads = trio.Semaphore(_MAX_DOWNLOADS)
     turns = trio.Lock()
 
     async def upload(request: Request, responder: Responder, _values: dict[str, str]) -> None:
-        with trio.move_on_after(_UPLOAD_WAIT_MS / 1000) as waiting:
-            await uploads.acquire()
-        if waiting.cancelled_caught:
-            text = f"{_MAX_UPLOADS} uploads are in progress at this entry"
-            await responder.send_fault(Fault(ResultCode.NO_CAPACITY, text, _RETRY_AFTER_MS))
-            return
-        try:
-            created = await _upload(context, request, turns)
-        finally:
-            uploads.release()
-        await _answer(responder, created)
+        async with _slot(uploads, responder) as granted:
+            if granted:
+                await _answer(responder, await _upload(context, request, turns))
 
     async def list_all(request: Request, responder: Responder, _values: dict[str, str]) -> None:
         await _list(context, request, responder)
@@ -72,7 +68,9 @@
         await _answer(responder, await _find(context, request, values["file_id"]))
 
     async def content(request: Request, responder: Responder, values: dict[str, str]) -> None:
-        await _send_content(context, request, responder, values["file_id"])
+        async with _slot(downloads, responder) as granted:
+            if granted:
+                await _send_content(context, request, responder, values["file_id"])
 
     async def delete(request: Request, responder: Responder, values: dict[str, str]) -> None:
         await _delete(context, request, responder, values["file_id"])
@@ -95,6 +93,22 @@
     return Err(Fault(ResultCode.BAD_REQUEST, f"limit must be a number from 1, not {text[:20]!r}"))
 
 
+@asynccontextmanager
+async def _slot(slots: trio.Semaphore, responder: Responder) -> AsyncIterator[bool]:
+    """Hold one of ``slots`` for the block; gives False after a refusal for want of one."""
+    with trio.move_on_after(_SLOT_WAIT_MS / 1000) as waiting:
+        await slots.acquire()
+    if waiting.cancelled_caught:
+        text = "too many uploads or downloads are in progress at this entry"
+        await responder.send_fault(Fault(ResultCode.NO_CAPACITY, text, _RETRY_AFTER_MS))
+        yield False
+        return
+    try:
+        yield True
+    finally:
+        slots.release()
+
+
 async def _upload(
     context: EntryContext, request: Request, turns: trio.Lock
 ) -> Result[_FileObject, Fault]:
--- a/tests/builders/jobs.py
+++ b/tests/builders/jobs.py
@@ -78,7 +78,10 @@
 class JobEntry:
     """One entry with its own connection to the common key-value service."""
 
-    def __init__(self, context: EntryContext, kv: MemoryKv, address: Address) -> None:
+    def __init__(
+        self, context: EntryContext, kv: MemoryKv, server: HttpServer, address: Address
+    ) -> None:
+        self.server = server
         self.context = context
         self.kv = kv
         self.address = address
@@ -165,4 +168,4 @@
     handler = route_requests([*files.routes(context), *jobs.routes(context)])
     server = HttpServer(handler)
     address = await nursery.start(server.serve, Address(HOST, 0))
-    return JobEntry(context, kv, address)
+    return JobEntry(context, kv, server, address)
--- a/tests/test_entry_jobs.py
+++ b/tests/test_entry_jobs.py
@@ -1,6 +1,7 @@
 """Files and batches as the public ``openai`` client sees them, faults of the platform included."""
 
 import unittest
+from unittest.mock import patch
 
 import msgspec
 import trio
@@ -150,6 +151,34 @@
         await self.assert_refused(upload(client, input_file(20000)), ResultCode.DISK_FULL)
         self.assertEqual(keys(site.entry, "files"), [])
 
+    @patch("fescuedock.entry.files._SLOT_WAIT_MS", 50)
+    @at_site()
+    async def test_uploads_over_the_limit_are_refused_and_finished_ones_make_room(
+        self, site: JobSite
+    ) -> None:
+        head = b"POST /v1/files HTTP/1.1\r\nhost: x\r\ncontent-length: 999\r\n"
+        head += b"content-type: multipart/form-data; boundary=b\r\n\r\n"
+        address = site.entry.address
+        slow = [await trio.open_tcp_stream(address.host, address.port) for _ in range(8)]
+        for stream in slow:
+            await stream.send_all(head)
+        client = site.entry.client()
+        await until(lambda: site.entry.server.in_flight == 8)
+        await self.assert_refused(upload(client, GOOD), ResultCode.NO_CAPACITY)
+        for stream in slow:
+            await stream.aclose()
+        await until(lambda: site.entry.server.in_flight == 0)
+        await upload(client, GOOD)
+
+    @at_site()
+    async def test_lost_answers_during_a_deletion_are_told_truly(self, site: JobSite) -> None:
+        client = site.entry.client()
+        for when in LostAnswer:
+            file_id = await upload(client, GOOD)
+            site.entry.kv.faults.lose_answer(when)
+            self.assertTrue((await client.files.delete(file_id)).deleted)
+            await self.assert_refused(client.files.retrieve(file_id), ResultCode.NOT_FOUND)
+
 
 class AcceptanceTest(_SiteTest):
     @at_site(batch=SMALL)
