Bound the names that go into datagrams

A vm_id, region or failure domain of more than 64 characters made every datagram of its VM one that others refuse, without a word; now the settings are refused.

--- a/src/fescuedock/schema/settings.py
+++ b/src/fescuedock/schema/settings.py
@@ -16,10 +16,10 @@
     Section [vm]; read by every program.
     """
 
-    vm_id: Annotated[str, Meta(min_length=1)]
+    vm_id: Annotated[str, Meta(max_length=64, min_length=1)]
     host: Annotated[str, Meta(description="IP number that the programs listen on.", min_length=7)]
-    region: Annotated[str, Meta(min_length=1)]
-    failure_domain: Annotated[str, Meta(min_length=1)]
+    region: Annotated[str, Meta(max_length=64, min_length=1)]
+    failure_domain: Annotated[str, Meta(max_length=64, min_length=1)]
     key_file: Annotated[str, Meta(description="File of shared secrets")] = ""
     log_file: Annotated[str, Meta(description="JSON lines; empty is standard error.")] = ""
     stop_timeout_ms: Annotated[int, Meta(description="Bound of a graceful shutdown.", ge=0)] = 60000
@@ -315,7 +315,7 @@
             description="Share by which batch may pass the peak that online reached by itself when online_weight is 1.",
             ge=0.0,
         ),
-    ] = 0.3
+    ] = 0.2
     online_reserve: Annotated[
         float,
         Meta(
