--- a/bench/mix.py
+++ b/bench/mix.py
@@ -10,15 +10,15 @@
 import dataclasses
 import sys
 import time
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Iterable, Sequence
 
 from bench.mix_runs import Faults, Plan, RunResult, run_direct, run_oracle, run_ours
 from bench.mix_traffic import DEPLOYMENTS, Deployment
 
 SEEDS = (1, 2)
 SHARES = (0.5, 0.99, 0.999)
-# The oracle's levels tried, from the highest; the first that keeps the bound is taken.
-ORACLE_LEVELS = (48, 40, 32, 28, 24, 20, 16, 14, 12)
+# The oracle's levels, of which the highest that keeps the bound is taken.
+ORACLE_LEVELS = (12, 14, 16, 18, 20, 22, 24, 28, 32, 36, 40, 48)
 ORACLE_GUARD_MS = 40.0
 TAIL_BOUND = 1.10
 FAULT_MS = 40_000.0
@@ -26,7 +26,7 @@
 OVERLOAD_DURATION_MS = 45_000.0
 OVERLOAD_DEADLINE_MS = 5_000.0
 
-Run = Callable[[Plan], RunResult]
+__all__ = ["Summary", "main", "print_base", "print_ratios", "summarize"]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -62,13 +62,13 @@
         alone.append(run_ours(dataclasses.replace(plan, batch=False)))
         direct.append(run_direct(plan))
         ours.append(run_ours(plan))
-    base = _summary(deployment, alone)
-    _print_base(base)
-    _print("(b) no policy", _summary(deployment, direct), base)
-    found = _summary(deployment, ours)
-    _print("(c) permits", found, base)
+    base = summarize(deployment, alone)
+    print_base(base)
+    print_ratios("(b) no policy", summarize(deployment, direct), base)
+    found = summarize(deployment, ours)
+    print_ratios("(c) permits", found, base)
     level, oracle = _best_oracle(deployment, plans, alone, base)
-    _print(f"oracle, level {level}", oracle, base)
+    print_ratios(f"oracle, level {level}", oracle, base)
     share = found.batch_tokens_per_s / oracle.batch_tokens_per_s
     print(f"  batch: {share:.0%} of the oracle")
     p50, p99 = (_quantile(found.revocations_ms, share) for share in (0.5, 0.99))
@@ -81,8 +81,8 @@
 def _report_fault(deployment: Deployment, base: Summary, name: str, faults: Faults) -> None:
     plan = Plan(deployment, SEEDS[0], faults=faults)
     without = dataclasses.replace(plan, batch=False)
-    _print(f"(a) {name}", _summary(deployment, [run_ours(without)]), base)
-    _print(f"(c) {name}", _summary(deployment, [run_ours(plan)]), base)
+    print_ratios(f"(a) {name}", summarize(deployment, [run_ours(without)]), base)
+    print_ratios(f"(c) {name}", summarize(deployment, [run_ours(plan)]), base)
 
 
 def _best_oracle(
@@ -92,15 +92,24 @@
 
     With a weight of 1 that is the tail of online alone, else the objectives.
     """
-    for level in ORACLE_LEVELS:
+    best: tuple[int, Summary] | None = None
+    low, high = 0, len(ORACLE_LEVELS) - 1
+    while low <= high:
+        middle = (low + high) // 2
+        level = ORACLE_LEVELS[middle]
         runs = [
             run_oracle(plan, old, level, ORACLE_GUARD_MS)
             for plan, old in zip(plans, alone, strict=True)
         ]
-        found = _summary(deployment, runs)
+        found = summarize(deployment, runs)
         if _keeps_bound(deployment, found, base):
-            return level, found
-    raise AssertionError("no level of the oracle keeps the bound")
+            best = (level, found)
+            low = middle + 1
+        else:
+            high = middle - 1
+    if best is None:
+        raise RuntimeError(f"no level of {ORACLE_LEVELS} keeps the bound of {deployment.name}")
+    return best
 
 
 def _keeps_bound(deployment: Deployment, found: Summary, base: Summary) -> bool:
@@ -139,7 +148,8 @@
     sys.stdout.flush()
 
 
-def _summary(deployment: Deployment, runs: Sequence[RunResult]) -> Summary:
+def summarize(deployment: Deployment, runs: Sequence[RunResult]) -> Summary:
+    """Put several runs together."""
     first = _quantiles(value for run in runs for value in run.first_tokens_ms())
     gaps = _quantiles(value for run in runs for value in run.gaps_ms())
     count = len(runs)
@@ -165,14 +175,16 @@
     return ordered[min(int(share * len(ordered)), len(ordered) - 1)]
 
 
-def _print_base(base: Summary) -> None:
+def print_base(base: Summary) -> None:
+    """Print what online alone had."""
     first = " / ".join(f"{value:.0f}" for value in base.first_tokens_ms)
     gaps = " / ".join(f"{value:.1f}" for value in base.gaps_ms)
     print(f"  (a) online alone, p50 / p99 / p99.9: first token {first} ms, between {gaps} ms")
     print(f"      objectives kept by {base.attained:.3f}, refused {base.refused:.4f}")
 
 
-def _print(name: str, found: Summary, base: Summary) -> None:
+def print_ratios(name: str, found: Summary, base: Summary) -> None:
+    """Print ``found`` as ratios to ``base``."""
     first = _ratios(found.first_tokens_ms, base.first_tokens_ms)
     gaps = _ratios(found.gaps_ms, base.gaps_ms)
     print(
--- a/bench/mix_actors.py
+++ b/bench/mix_actors.py
@@ -9,6 +9,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 from bench.mix_traffic import Arrival, Deployment, spread
 from bench.virtual import Attempt, VirtualEngine, VirtualLoop
@@ -39,8 +40,12 @@
 from fescuedock.schema.result_codes import ResultCode
 from fescuedock.schema.settings import PermitSettings
 
+if TYPE_CHECKING:
+    from bench.mix_runs import Plan
+
 __all__ = ["BatchRunner", "Entry", "Fleet", "OnlineResult", "OwnerHost", "OwnerFactory"]
 
+WORKERS = 6
 HOP_MS = 1.0
 VALID_MS = 2000
 TICK_MS = 10.0
@@ -502,3 +507,11 @@
     owners: dict[str, OwnerHost] = field(default_factory=dict)
     # Of each upstream, from when to when an online attempt ran there.
     spans: dict[str, list[tuple[float, float]]] = field(default_factory=dict)
+
+    @classmethod
+    def of(cls, loop: VirtualLoop, plan: "Plan") -> "Fleet":
+        """Return the engines of a run, without owners."""
+        fleet = cls(loop, plan.deployment, plan.settings, plan.deadline_ms)
+        for number in range(WORKERS):
+            fleet.engines[f"w{number}"] = VirtualEngine(loop, plan.profile, HOP_MS)
+        return fleet
--- a/bench/mix_runs.py
+++ b/bench/mix_runs.py
@@ -8,15 +8,24 @@
 
 from bench.mix_actors import HOP_MS, BatchRunner, Entry, Fleet, Item, OnlineResult, OwnerHost
 from bench.mix_traffic import Deployment, arrivals_of, spread
-from bench.virtual import Attempt, VirtualEngine, VirtualLoop
+from bench.virtual import Attempt, VirtualLoop
 from fescuedock.core.permits.owner import PermitOwner
 from fescuedock.schema.config import Objectives
 from fescuedock.schema.settings import PermitSettings
 from fescuedock.standin.token_time import EngineProfile
 
-__all__ = ["Faults", "Plan", "RunResult", "run_direct", "run_oracle", "run_ours"]
+__all__ = [
+    "DirectBatch",
+    "DirectOnline",
+    "Faults",
+    "Plan",
+    "RunResult",
+    "run_direct",
+    "run_oracle",
+    "run_ours",
+    "run_plan",
+]
 
-WORKERS = 6
 ENTRIES = 4
 DIRECT_BATCH_PER_WORKER = 64
 DETECT_OWNER_MS = 4000.0
@@ -54,6 +63,11 @@
     def load_at(self, at_ms: float) -> float:
         return self.load if at_ms < self.calm_from_ms else self.deployment.capacity_load / 2
 
+    def results(self) -> list[OnlineResult]:
+        """Return the requests to come, each with nothing seen of it yet."""
+        arrivals = arrivals_of(self.deployment, self.seed, self.duration_ms, self.load_at)
+        return [OnlineResult(arrival) for arrival in arrivals]
+
     def rng(self, purpose: str) -> random.Random:
         return random.Random(f"{self.deployment.name}/{self.seed}/{purpose}")
 
@@ -119,16 +133,13 @@
     return mean_ms <= objectives.inter_token_ms
 
 
-def _engines(loop: VirtualLoop, plan: Plan) -> dict[str, VirtualEngine]:
-    return {f"w{i}": VirtualEngine(loop, plan.profile, HOP_MS) for i in range(WORKERS)}
-
-
-def _results(plan: Plan) -> list[OnlineResult]:
-    arrivals = arrivals_of(plan.deployment, plan.seed, plan.duration_ms, plan.load_at)
-    return [OnlineResult(arrival) for arrival in arrivals]
-
-
-def _run(loop: VirtualLoop, plan: Plan, batch: object, results: list[OnlineResult]) -> RunResult:
+def run_plan(
+    loop: VirtualLoop,
+    plan: Plan,
+    batch: "BatchRunner | DirectBatch | None",
+    results: list[OnlineResult],
+) -> RunResult:
+    """Let time pass and gather what came of it; batch counts from the end of the warm-up."""
     before = [0]
 
     def note() -> None:
@@ -147,17 +158,16 @@
 def run_ours(plan: Plan) -> RunResult:
     """Run with owners and permits; without batch it is "online alone"."""
     loop = VirtualLoop()
-    fleet = Fleet(loop, plan.deployment, plan.settings, plan.deadline_ms)
-    fleet.engines = _engines(loop, plan)
+    fleet = Fleet.of(loop, plan)
     fleet.owners = {name: OwnerHost(fleet, name, plan.make_owner) for name in fleet.engines}
     entries = [Entry(fleet, f"e{i}", plan.rng(f"entry{i}")) for i in range(ENTRIES)]
-    results = _results(plan)
+    results = plan.results()
     pick = plan.rng("entries")
     for item in results:
         loop.after(item.arrival.at_ms, pick.choice(entries).serve, item)
     runner = BatchRunner(fleet, "r0", plan.rng("batch")) if plan.batch else None
     _schedule_faults(fleet, plan)
-    result = _run(loop, plan, runner, results)
+    result = run_plan(loop, plan, runner, results)
     result.spans = fleet.spans
     if runner:
         result.revocations_ms = runner.revocations_ms
@@ -180,19 +190,21 @@
         fleet.loop.after(faults.kill_owner_ms + DETECT_OWNER_MS, replace)
 
 
-class _DirectOnline:
+class DirectOnline:
     """Online straight to engines: the less busy of two, as far as one sender can know."""
 
-    def __init__(self, fleet: Fleet, rng: random.Random) -> None:
+    def __init__(
+        self, fleet: Fleet, rng: random.Random, load_of: Callable[[str], int] | None = None
+    ) -> None:
         self._fleet = fleet
         self._rng = rng
         self._busy = dict.fromkeys(fleet.engines, 0)
+        self._load_of = load_of or self._busy.__getitem__
         self._number = 0
 
     def serve(self, result: OnlineResult, upstream_id: str = "") -> None:
-        chosen = upstream_id or min(
-            self._rng.sample(list(self._busy), 2), key=self._busy.__getitem__
-        )
+        pair = self._rng.sample(list(self._busy), 2)
+        chosen = upstream_id or min(pair, key=self._load_of)
         self._number += 1
         self._busy[chosen] += 1
         loop = self._fleet.loop
@@ -220,7 +232,7 @@
         loop.after(HOP_MS, self._fleet.engines[chosen].start, attempt)
 
 
-class _DirectBatch:
+class DirectBatch:
     """Batch straight to engines, with so many attempts at each as ``allowed`` says."""
 
     def __init__(self, fleet: Fleet, rng: random.Random, allowed: Allowed) -> None:
@@ -236,6 +248,9 @@
         for name in fleet.engines:
             self._adjust(name)
 
+    def running_at(self, name: str) -> int:
+        return len(self._running[name])
+
     def _adjust(self, name: str) -> None:
         running = self._running[name]
         allowed, may_read = self._allowed(name)
@@ -274,14 +289,13 @@
 def run_direct(plan: Plan) -> RunResult:
     """Run with no policy: online and batch go straight to the engines."""
     loop = VirtualLoop()
-    fleet = Fleet(loop, plan.deployment, plan.settings, plan.deadline_ms)
-    fleet.engines = _engines(loop, plan)
-    results = _results(plan)
-    online = _DirectOnline(fleet, plan.rng("direct"))
+    fleet = Fleet.of(loop, plan)
+    results = plan.results()
+    online = DirectOnline(fleet, plan.rng("direct"))
     for item in results:
         loop.after(item.arrival.at_ms, online.serve, item)
-    batch = _DirectBatch(fleet, plan.rng("batch"), lambda _name: (DIRECT_BATCH_PER_WORKER, True))
-    return _run(loop, plan, batch, results)
+    batch = DirectBatch(fleet, plan.rng("batch"), lambda _name: (DIRECT_BATCH_PER_WORKER, True))
+    return run_plan(loop, plan, batch, results)
 
 
 def run_oracle(plan: Plan, alone: RunResult, level: int, guard_ms: float) -> RunResult:
@@ -291,14 +305,13 @@
     the run with online alone), gives way before they come, and loses nothing by it.
     """
     loop = VirtualLoop()
-    fleet = Fleet(loop, plan.deployment, plan.settings, plan.deadline_ms)
-    fleet.engines = _engines(loop, plan)
-    results = _results(plan)
-    online = _DirectOnline(fleet, plan.rng("direct"))
+    fleet = Fleet.of(loop, plan)
+    results = plan.results()
+    online = DirectOnline(fleet, plan.rng("direct"))
     for item, old in zip(results, alone.results, strict=True):
         loop.after(item.arrival.at_ms, online.serve, item, old.upstream_id)
-    batch = _DirectBatch(fleet, plan.rng("batch"), _knowing(loop, alone.spans, level, guard_ms))
-    return _run(loop, plan, batch, results)
+    batch = DirectBatch(fleet, plan.rng("batch"), _knowing(loop, alone.spans, level, guard_ms))
+    return run_plan(loop, plan, batch, results)
 
 
 def _knowing(
--- /dev/null
+++ b/bench/mix_variants.py
@@ -0,0 +1,134 @@
+"""Policies that were not taken, on the traffic of ``bench.mix``, for docs/decisions/permits.md.
+
+Run as ``python -m bench.mix_variants``.
+"""
+
+import dataclasses
+from collections.abc import Callable
+
+from bench.mix import print_base, print_ratios, summarize
+from bench.mix_actors import Fleet
+from bench.mix_runs import DirectBatch, DirectOnline, Plan, RunResult, run_ours, run_plan
+from bench.mix_traffic import DEPLOYMENTS, Deployment
+from bench.virtual import VirtualLoop
+from fescuedock.core.permits.limits import UpstreamLimits
+from fescuedock.core.permits.owner import PermitOwner
+from fescuedock.core.permits.queue import UpstreamQueue, UpstreamTerms
+from fescuedock.schema.config import Objectives
+from fescuedock.schema.settings import PermitSettings
+
+SEEDS = (1, 2)
+FIXED_LIMITS = (16, 32, 48)
+DECENTRALISED_LEVELS = (16, 32)
+
+Variant = Callable[[Plan], RunResult]
+
+
+class _WaitingQueue(UpstreamQueue):
+    """Never takes batch back: online starts at once all the same, beside all of it."""
+
+    def _give_way(self, now_ms: float) -> list:
+        return []
+
+    def _clear_prefill(self, now_ms: float) -> list:
+        return []
+
+
+class _FixedLimits(UpstreamLimits):
+    """Stays where the settings start it."""
+
+    def adjust(self, online: int, batch: int, now_ms: float) -> None:
+        return
+
+
+class _FixedQueue(UpstreamQueue):
+    """Has a limit that no latency moves; online still revokes batch above it."""
+
+    def __init__(self, upstream_id: str, settings: PermitSettings, *rest: object) -> None:
+        super().__init__(upstream_id, settings, *rest)
+        self._limits = _FixedLimits(settings, self._limits.objectives, 0.0)
+        self._evidence.limits = self._limits
+
+
+def _owner_with(queue_type: type[UpstreamQueue]) -> type[PermitOwner]:
+    class Owner(PermitOwner):
+        """An owner with another kind of queue."""
+
+        def _new_queue(
+            self, upstream_id: str, terms: UpstreamTerms, now_ms: float
+        ) -> UpstreamQueue:
+            valid_ms = self._valid_ms
+            return queue_type(upstream_id, self._settings, terms, valid_ms, valid_ms, now_ms)
+
+    return Owner
+
+
+def main() -> None:
+    """Run each variant on both deployments."""
+    for deployment in DEPLOYMENTS:
+        plans = [Plan(deployment, seed) for seed in SEEDS]
+        alone = [run_ours(dataclasses.replace(plan, batch=False)) for plan in plans]
+        base = summarize(deployment, alone)
+        print(f"\n{deployment.name}")
+        print_base(base)
+        for name, variant in _variants(deployment):
+            found = summarize(deployment, [variant(plan) for plan in plans])
+            print_ratios(name, found, base)
+
+
+def _variants(deployment: Deployment) -> list[tuple[str, Variant]]:
+    variants: list[tuple[str, Variant]] = [("as shipped", run_ours), ("waiting", _waiting)]
+    variants += [(f"fixed limit {limit}", _fixed(limit)) for limit in FIXED_LIMITS]
+    variants += [(f"no owner, level {level}", _ownerless(level)) for level in DECENTRALISED_LEVELS]
+    return variants
+
+
+def _waiting(plan: Plan) -> RunResult:
+    return run_ours(dataclasses.replace(plan, make_owner=_owner_with(_WaitingQueue)))
+
+
+def _fixed(limit: int) -> Variant:
+    def run(plan: Plan) -> RunResult:
+        settings = PermitSettings(start_limit=limit)
+        objectives = Objectives(first_token_ms=1e9, inter_token_ms=1e9, online_weight=0.0)
+        deployment = dataclasses.replace(plan.deployment, objectives=objectives)
+        plan = dataclasses.replace(plan, deployment=deployment, settings=settings)
+        return run_ours(dataclasses.replace(plan, make_owner=_owner_with(_FixedQueue)))
+
+    return run
+
+
+def _ownerless(level: int) -> Variant:
+    """Nobody owns an upstream.
+
+    Online takes the less loaded of two, batch fills up to ``level``; both know the engines' own
+    reports only, which lag.
+    """
+
+    def run(plan: Plan) -> RunResult:
+        loop = VirtualLoop()
+        fleet = Fleet.of(loop, plan)
+        reports = dict.fromkeys(fleet.engines, (0, 0))
+
+        def poll() -> None:
+            for name, engine in fleet.engines.items():
+                reports[name] = engine.report() or (0, 0)
+            loop.after(plan.settings.load_poll_ms, poll)
+
+        def allowed(name: str) -> tuple[int, bool]:
+            online = max(sum(reports[name]) - batch.running_at(name), 0)
+            return level - online, True
+
+        poll()
+        results = plan.results()
+        online = DirectOnline(fleet, plan.rng("direct"), lambda name: sum(reports[name]))
+        for item in results:
+            loop.after(item.arrival.at_ms, online.serve, item)
+        batch = DirectBatch(fleet, plan.rng("batch"), allowed)
+        return run_plan(loop, plan, batch, results)
+
+    return run
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/fescuedock/core/permits/evidence.py
@@ -0,0 +1,70 @@
+"""What holders report of their attempts, turned into limits and predictions of one upstream."""
+
+from fescuedock.core.permits.estimates import DecayedMean
+from fescuedock.core.permits.held import Held, HeldPermits
+from fescuedock.core.permits.limits import AttemptSample, UpstreamLimits
+from fescuedock.core.permits.prediction import FirstTokenModel
+from fescuedock.schema.config import Objectives
+from fescuedock.schema.permits import EndedPermit, HeldPermit, WorkClass
+from fescuedock.schema.settings import PermitSettings
+
+__all__ = ["UpstreamEvidence"]
+
+# Fewer tokens between two renewals tell little of the rate.
+_MIN_WINDOW_TOKENS = 8
+
+
+class UpstreamEvidence:
+    """Hands each report to what can learn from it; ``held`` says in what company it ran."""
+
+    def __init__(
+        self, settings: PermitSettings, objectives: Objectives, held: HeldPermits, now_ms: float
+    ) -> None:
+        half_life_ms = settings.estimate_half_life_ms
+        self.limits = UpstreamLimits(settings, objectives, now_ms)
+        self.first_token = FirstTokenModel(half_life_ms)
+        self._held = held
+        self._online_hold = DecayedMean(half_life_ms)
+
+    def online_hold_ms(self, default: float) -> float:
+        """Return how long an online attempt holds its permit."""
+        return self._online_hold.value(default)
+
+    def observe_end(self, held: Held, ended: EndedPermit, now_ms: float) -> None:
+        """Take in the last report of an attempt, which is still counted as held."""
+        if held.revoked_ms is not None:
+            self.limits.revocation_done(now_ms - held.revoked_ms, now_ms)
+        if held.work_class is not WorkClass.ONLINE:
+            return
+        self._online_hold.add(now_ms - held.granted_ms, now_ms)
+        if ended.first_token_ms >= 0:
+            self._observe_first_token(held, ended.first_token_ms, now_ms)
+        if ended.inter_token_ms >= 0 and not held.window_tokens:
+            self._observe(held, -1.0, ended.inter_token_ms, now_ms)
+
+    def observe_progress(self, held: Held, permit: HeldPermit, now_ms: float) -> None:
+        """Take in a renewal: seconds before an attempt ends, it shows the rate of now."""
+        if permit.first_token_ms >= 0:
+            self._observe_first_token(held, permit.first_token_ms, now_ms)
+        held.generated_tokens = permit.generated_tokens
+        tokens = permit.generated_tokens - held.window_tokens
+        if tokens < _MIN_WINDOW_TOKENS:
+            return
+        if held.window_tokens and held.work_class is WorkClass.ONLINE:
+            self._observe(held, -1.0, (now_ms - held.window_ms) / tokens, now_ms)
+        self._held.start_window(held, permit.generated_tokens, now_ms)
+
+    def _observe_first_token(self, held: Held, first_token_ms: float, now_ms: float) -> None:
+        if held.start is None:
+            return
+        self.first_token.observe(held.start, first_token_ms, now_ms)
+        held.start = None
+        if held.work_class is WorkClass.ONLINE:
+            self._observe(held, first_token_ms, -1.0, now_ms)
+
+    def _observe(
+        self, held: Held, first_token_ms: float, inter_token_ms: float, now_ms: float
+    ) -> None:
+        company = self._held.company_of(held, now_ms)
+        sample = AttemptSample(first_token_ms, inter_token_ms, held.window_ms, company)
+        self.limits.observe_attempt(sample, now_ms)
--- a/src/fescuedock/core/permits/queue.py
+++ b/src/fescuedock/core/permits/queue.py
@@ -10,10 +10,8 @@
 from dataclasses import dataclass, field
 
 from fescuedock.core.permits.actions import Action, Granted, Refused, Revoked
-from fescuedock.core.permits.estimates import DecayedMean
+from fescuedock.core.permits.evidence import UpstreamEvidence
 from fescuedock.core.permits.held import Held, HeldPermits
-from fescuedock.core.permits.limits import AttemptSample, UpstreamLimits
-from fescuedock.core.permits.prediction import FirstTokenModel
 from fescuedock.core.permits.waiting import MemberShares, Waiting, WaitingAsks
 from fescuedock.schema.config import Objectives
 from fescuedock.schema.permits import EndedPermit, HeldPermit, LoadSnapshot, PermitAsk, WorkClass
@@ -24,8 +22,6 @@
 
 # An owner that was not run for this share of the validity cannot blame holders for the silence.
 _PAUSE_SHARE = 0.5
-# Fewer tokens between two renewals tell little of the rate.
-_MIN_WINDOW_TOKENS = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,10 +64,9 @@
         self._held = HeldPermits()
         self._waiting = WaitingAsks(terms.shares)
         self._ended: OrderedDict[str, float] = OrderedDict()
-        self._limits = UpstreamLimits(settings, terms.objectives, now_ms)
-        half_life_ms = settings.estimate_half_life_ms
-        self._online_hold = DecayedMean(half_life_ms)
-        self._first_token = FirstTokenModel(half_life_ms)
+        self._evidence = UpstreamEvidence(settings, terms.objectives, self._held, now_ms)
+        self._limits = self._evidence.limits
+        self._first_token = self._evidence.first_token
 
     @property
     def accepting(self) -> bool:
@@ -122,9 +117,7 @@
             held = Held.adopted(holder_id, permit, now_ms, self.valid_ms)
             self._held.add(held, now_ms)
         held.expires_ms = now_ms + self.valid_ms
-        if permit.first_token_ms >= 0:
-            self._see_first_token(held, permit.first_token_ms, now_ms)
-        self._see_rate(held, permit.generated_tokens, now_ms)
+        self._evidence.observe_progress(held, permit, now_ms)
         return held.revoked_ms is None
 
     def trim(self, now_ms: float) -> list[Action]:
@@ -137,7 +130,8 @@
         waiting = self._waiting.remove(ended.permit_id)
         held = self._held.get(ended.permit_id)
         if held is not None:
-            self._learn(held, ended, now_ms)
+            self._evidence.observe_end(held, ended, now_ms)
+            self._note_online(held.work_class, now_ms)
             self._held.remove(held.permit_id, now_ms)
         refused = [] if waiting is None else [Refused(waiting.ask, ResultCode.REVOKED, 0)]
         return [*refused, *self._serve(now_ms)]
@@ -179,7 +173,7 @@
         )
 
     def refuse_all(self, code: ResultCode) -> list[Action]:
-        """Answer every waiting ask, because this VM is no longer the owner."""
+        """Answer every waiting ask with ``code``: nothing can be granted here any more."""
         asks = [waiting.ask for waiting in self._waiting]
         for ask in asks:
             self._waiting.remove(ask.attempt_id)
@@ -283,53 +277,20 @@
     def _grant(self, ask: PermitAsk, now_ms: float) -> Granted:
         start = self._first_token.start(ask.prompt_tokens, self._held.staying, now_ms)
         self._held.add(Held.granted(ask, start, now_ms, self.valid_ms), now_ms)
+        self._note_online(ask.work_class, now_ms)
         if ask.work_class is WorkClass.ONLINE:
-            self._online_seen_ms = now_ms
             self._limits.online_started(self._held.online, now_ms)
         return Granted(ask, ask.attempt_id, self.valid_ms)
 
+    def _note_online(self, work_class: WorkClass, now_ms: float) -> None:
+        if work_class is WorkClass.ONLINE:
+            self._online_seen_ms = now_ms
+
     def _answer_again(self, ask: PermitAsk, held: Held) -> Action:
         if held.revoked_ms is not None:
             return Refused(ask, ResultCode.REVOKED, 0)
         return Granted(ask, held.permit_id, self.valid_ms)
 
-    def _learn(self, held: Held, ended: EndedPermit, now_ms: float) -> None:
-        if held.revoked_ms is not None:
-            self._limits.revocation_done(now_ms - held.revoked_ms, now_ms)
-        if held.work_class is not WorkClass.ONLINE:
-            return
-        self._online_seen_ms = now_ms
-        self._online_hold.add(now_ms - held.granted_ms, now_ms)
-        if ended.first_token_ms >= 0:
-            self._see_first_token(held, ended.first_token_ms, now_ms)
-        if ended.inter_token_ms >= 0 and not held.window_tokens:
-            self._observe(held, -1.0, ended.inter_token_ms, now_ms)
-
-    def _see_first_token(self, held: Held, first_token_ms: float, now_ms: float) -> None:
-        if held.start is None:
-            return
-        self._first_token.observe(held.start, first_token_ms, now_ms)
-        held.start = None
-        if held.work_class is WorkClass.ONLINE:
-            self._observe(held, first_token_ms, -1.0, now_ms)
-
-    def _see_rate(self, held: Held, generated_tokens: int, now_ms: float) -> None:
-        """Take in the progress of an attempt: seconds before it ends, it shows the rate of now."""
-        held.generated_tokens = generated_tokens
-        tokens = generated_tokens - held.window_tokens
-        if tokens < _MIN_WINDOW_TOKENS:
-            return
-        if held.window_tokens and held.work_class is WorkClass.ONLINE:
-            self._observe(held, -1.0, (now_ms - held.window_ms) / tokens, now_ms)
-        self._held.start_window(held, generated_tokens, now_ms)
-
-    def _observe(
-        self, held: Held, first_token_ms: float, inter_token_ms: float, now_ms: float
-    ) -> None:
-        company = self._held.company_of(held, now_ms)
-        sample = AttemptSample(first_token_ms, inter_token_ms, held.window_ms, company)
-        self._limits.observe_attempt(sample, now_ms)
-
     def _remember_end(self, permit_id: str, now_ms: float) -> None:
         self._ended.pop(permit_id, None)
         self._ended[permit_id] = now_ms + self._settings.ended_memory_ms
@@ -351,7 +312,7 @@
     def _online_wait_ms(self, ahead: int) -> float:
         if self._held.online < self._hard_limit():
             return 0.0
-        hold_ms = self._online_hold.value(self._terms.objectives.first_token_ms)
+        hold_ms = self._evidence.online_hold_ms(self._terms.objectives.first_token_ms)
         return (ahead + 1) * hold_ms / self._hard_limit()
 
     def _retry_after_ms(self, ask: PermitAsk, now_ms: float) -> int:
--- a/tests/test_permits_queue.py
+++ b/tests/test_permits_queue.py
@@ -86,6 +86,13 @@
         self.assertIsInstance(refused, Refused)
         self.assertEqual(refused.retry_after_ms, 400 // LIMIT)
 
+    def test_an_ask_repeated_gets_the_same_permit_and_counts_once(self) -> None:
+        queue = full_queue()
+        ask = ask_for()
+        first, again = queue.ask(ask, 0.0) + queue.ask(ask, 1.0)
+        self.assertEqual(first.permit_id, again.permit_id)
+        self.assertEqual(queue.load(1.0).in_flight_online, 1)
+
     def test_an_ask_overtaken_by_its_end_gets_nothing(self) -> None:
         queue = full_queue()
         ask = ask_for()
