--- a/tests/test_online_requests.py
+++ b/tests/test_online_requests.py
@@ -378,6 +378,19 @@
 
         run(body)
 
+    def test_one_slow_prefill_refuses_no_longer_prompt(self) -> None:
+        async def body() -> None:
+            async with open_fleet(engines=1) as fleet:
+                engine = fleet.standins.engines["engine-1"]
+                engine.slowness = 20.0
+                await fleet.post(CHAT, chat_body("x" * 1200, max_tokens=1))
+                engine.slowness = 1.0
+                longer = chat_body("y" * 40_000, max_tokens=1)
+                status, _, _ = await fleet.post(CHAT, longer, {"x-deadline-ms": "5000"})
+                self.assertEqual(status, 200)
+
+        run(body)
+
     def test_refusals_of_what_cannot_be_read_or_found(self) -> None:
         async def body() -> None:
             async with open_fleet(entry_changes={"require_api_key": True}) as fleet:
