--- a/tests/builders/processes.py
+++ b/tests/builders/processes.py
@@ -1,6 +1,7 @@
 """The programs as processes of their own, started from the INI files in examples/."""
 
 import os
+import secrets
 import subprocess
 import sys
 from collections.abc import AsyncIterator, Iterable
@@ -31,13 +32,17 @@
 def copy_examples(folder: Path) -> str:
     """Copy the files to ``folder`` for a loopback network of this process; return its prefix.
 
-    The whole of 127.0.0.0/8 is this machine, so the example's ports clash with nobody's.
+    The whole of 127.0.0.0/8 is this machine, so the example's ports clash with nobody's.  Messages
+    are signed with a new key.
     """
+    keys = folder / "keys"
+    keys.write_text(f"k1 {secrets.token_hex(32)}\n", encoding="ascii")
     number = os.getpid()
     network = f"127.{1 + number // 250 % 250}.{1 + number % 250}."
     for source in EXAMPLES.iterdir():
         text = source.read_text(encoding="utf-8").replace(_LOOPBACK, network)
         text = text.replace("data_folder = data/", f"data_folder = {folder}/data/")
+        text = text.replace("[vm]\n", f"[vm]\nkey_file = {keys}\n")
         # As in ``fescuedock local``, so that starting and stopping are quick.
         text = text.replace(
             "[entry]\n", "[entry]\nanswer_valid_ms = 1000\nleave_spread_ms = 1000\n"
--- a/tests/test_session_batch.py
+++ b/tests/test_session_batch.py
@@ -22,6 +22,7 @@
     def test_sessions_of_batch_jobs(self) -> None:
         async def sessions(system: LocalSystem) -> None:
             await self._job_ends_with_each_item_once_and_readable(system)
+            await self._metrics_count_the_job(system)
             await self._cancelled_job_stops(system)
             await self._openai_client_passes_the_same_path(system)
 
@@ -48,6 +49,20 @@
         texts = {line["response"]["body"]["choices"][0]["text"] for line in results}
         self.assertEqual(len(texts), len(results), "each item has its own answer")
 
+    async def _metrics_count_the_job(self, system: LocalSystem) -> None:
+        job = 'fescuedock_jobs_in_time_total{program="batch",service="trip-desk"} 1.0\n'
+        probe = 'fescuedock_results_total{code="OK",program="entry",service="trip-desk"} 1.0\n'
+
+        async def counted() -> bool:
+            texts = [
+                (await exchange(system, "GET", "/metrics", entry=vm.entry_address)).body.decode()
+                for vm in system.vms.values()
+            ]
+            probed = all(probe in text for text in texts)
+            return probed and sum(job in text for text in texts) == 1
+
+        await wait_until(counted)
+
     async def _cancelled_job_stops(self, system: LocalSystem) -> None:
         lines = job_lines(TRIP_MODEL, max_tokens=2000)
         file_id = (await upload(GoldenSession(system), lines)).json["id"]
