--- /dev/null
+++ b/bench/fleet_trials.py
@@ -0,0 +1,173 @@
+"""Trials of what membership does and of what it might have done; sections of bench.fleet."""
+
+import random
+import statistics
+import time
+from collections import Counter
+
+from fescuedock.schema.membership import DatagramHead, Probe
+from tests.builders.membership import CODEC, Fleet, vm_name
+
+__all__ = [
+    "LIMIT_MS",
+    "domains_of",
+    "joined",
+    "measure_damping",
+    "measure_heartbeats",
+    "measure_loss",
+    "measure_slowness",
+]
+
+LIMIT_MS = 60000.0
+# Larger fleets know each other from the start, since their joining takes the loop long.
+_LARGEST_JOIN = 185
+
+
+def domains_of(size: int) -> int:
+    return 3 if size == 9 else 7
+
+
+def joined(size: int, seed: int = 1, **options) -> tuple[Fleet, float]:
+    """Start all VMs at once; return when each knows all."""
+    fleet = Fleet(size, domains=domains_of(size), seed=seed, **options)
+    if size > _LARGEST_JOIN:
+        fleet.acquaint()
+    nodes = fleet.nodes.values()
+    took_ms = fleet.run_until(lambda: all(len(node.live()) == size for node in nodes), LIMIT_MS)
+    return fleet, took_ms
+
+
+class _Removals:
+    """Counts, for each step of the loop, VMs that run but are newly missing from a view."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self._fleet = fleet
+        self._missing: set[tuple[str, str]] = set()
+        self.removed: Counter[str] = Counter()
+        self.suspected: Counter[str] = Counter()
+        self._suspect: set[tuple[str, str]] = set()
+
+    def look(self) -> None:
+        running = {node.vm_id for node in self._fleet.running()}
+        missing, suspect = set(), set()
+        for node in self._fleet.running():
+            view = node.view()
+            missing |= {(node.vm_id, name) for name in running - set(view)}
+            suspect |= {
+                (node.vm_id, name) for name, item in view.items() if item.state == "suspect"
+            }
+        self.removed.update(name for _, name in missing - self._missing)
+        self.suspected.update(name for _, name in suspect - self._suspect)
+        self._missing, self._suspect = missing, suspect
+
+
+def measure_loss() -> None:
+    """False removals and suspicions while datagrams are lost, repeated and late."""
+    print("loss | VMs | s | views that dropped a running VM | views that suspected one")
+    for loss in (0.05, 0.2):
+        fleet, _ = joined(37)
+        fleet.loss, fleet.repeat, fleet.delay_ms = loss, 0.05, (0.2, 40.0)
+        removals = _Removals(fleet)
+        for _ in range(300):
+            fleet.run(200)
+            removals.look()
+        print(
+            f"{loss:.0%} | 37 | 60 | {removals.removed.total()} | {removals.suspected.total()}",
+            flush=True,
+        )
+
+
+_SLOW_VMS = 6
+_SEEDS = 2
+
+
+def _slow_run(aware: bool, seed: int, pause_ms: tuple[float, float]) -> tuple[int, int, int]:
+    """Let a third of 18 VMs stop and go for a minute at 5% loss; return what became of the rest."""
+    fleet, _ = joined(18, seed, aware=aware)
+    fleet.run(5000)
+    fleet.loss = 0.05
+    slow = [vm_name(number) for number in range(_SLOW_VMS)]
+    rng = random.Random(seed)
+    removals = _Removals(fleet)
+    changes_ms = dict.fromkeys(slow, (fleet.now_ms, False))
+    witness = fleet.nodes[vm_name(17)]
+    first = {name: item.incarnation for name, item in witness.view().items()}
+    for step in range(1200):
+        fleet.run(50)
+        for name, (due_ms, paused) in changes_ms.items():
+            if due_ms <= fleet.now_ms:
+                _turn(fleet, name, paused)
+                span_ms = rng.uniform(50, 300) if paused else rng.uniform(*pause_ms)
+                changes_ms[name] = (fleet.now_ms + span_ms, not paused)
+        if step % 4 == 0:
+            removals.look()
+    last = {name: item.incarnation for name, item in witness.view().items()}
+    steady = set(fleet.nodes) - set(slow)
+    return (
+        sum(removals.removed.values()),
+        sum(removals.suspected[name] for name in steady),
+        sum(last.get(name, 0) - first[name] for name in steady),
+    )
+
+
+def _turn(fleet: Fleet, name: str, paused: bool) -> None:
+    if paused:
+        fleet.wake(name)
+    else:
+        fleet.pause(name)
+
+
+def measure_slowness() -> None:
+    """Awareness of this VM's own slowness on and off, interleaved, with the same seeds."""
+    print("pauses ms | aware | runs | dropped a running VM | suspected a steady VM | refutations")
+    for pause_ms in ((300.0, 900.0), (1000.0, 4000.0)):
+        results: dict[bool, list[tuple[int, int, int]]] = {True: [], False: []}
+        for seed in range(_SEEDS):
+            for aware in (True, False) if seed % 2 else (False, True):
+                results[aware].append(_slow_run(aware, seed, pause_ms))
+        for aware, rows in results.items():
+            sums = [sum(column) for column in zip(*rows, strict=True)]
+            label = "on" if aware else "off"
+            print(
+                f"{pause_ms[0]:.0f}-{pause_ms[1]:.0f} | {label} | {len(rows)} | {sums[0]} | "
+                f"{sums[1]} | {sums[2]}  each run: {rows}",
+                flush=True,
+            )
+
+
+def measure_damping() -> None:
+    """What a VM that is cut off from all others drops, by the removal share."""
+    print(
+        "removal_share | VMs that a cut-off VM of 9 dropped after 120 s | after a lost hall of 2 "
+    )
+    for share in (1.0, 0.25, 0.0):
+        fleet, _ = joined(9, removal_share=share)
+        fleet.reaches = lambda a, b: "vm-000" not in (a.vm_id, b.vm_id)
+        fleet.run(120000)
+        alone = 9 - len(fleet.nodes["vm-000"].live())
+        split = Fleet(12, domains=2, removal_share=share)
+        split.run(20000)
+        split.reaches = lambda a, b: a.number % 2 == b.number % 2
+        split.run(60000)
+        dropped = statistics.mean(12 - len(node.live()) for node in split.running())
+        print(
+            f"{share} | {alone} | {dropped:.1f} of the other hall's 6 (mean over VMs)", flush=True
+        )
+
+
+def measure_heartbeats(rounds: int = 4000) -> None:
+    """What a heartbeat a second from everybody to everybody would cost, by the codec's cost."""
+    message = Probe(DatagramHead("vm-000", "vm-001", 1796228201799, 77, 12), 123456789, [])
+    started_s = time.process_time()
+    for _ in range(rounds):
+        CODEC.decode(CODEC.encode(message))
+    both_us = (time.process_time() - started_s) * 1e6 / rounds
+    size_bytes = len(CODEC.encode(message))
+    print(f"one heartbeat: {size_bytes} bytes, {both_us:.0f} us to encode and decode")
+    print("VMs | full mesh: datagrams/s in and out, bytes/s, CPU of the codec alone, per VM")
+    for size in (9, 37, 74, 185, 370):
+        peers = size - 1
+        print(
+            f"{size} | {2 * peers} | {2 * peers * size_bytes} | {peers * both_us / 1e4:.2f}%",
+            flush=True,
+        )
--- a/tests/test_membership_protocol.py
+++ b/tests/test_membership_protocol.py
@@ -412,6 +412,18 @@
         fleet.run(3000)
         self.assertIs(VmState.LEAVING, fleet.nodes["vm-002"].view()["vm-001"].state)
 
+    def test_what_gossip_missed_comes_by_comparing_tables(self) -> None:
+        fleet = Fleet(6)
+        fleet.run_until(fleet.agrees, 30000)
+        fleet.run(5000)
+        update = VmUpdate("vm-099", 5, MemberState.LEAVING, [], profile_of(99))
+        fleet.tell("vm-003", update)
+        self.assertIn("vm-099", fleet.nodes["vm-003"].view())
+        took_ms = fleet.run_until(
+            lambda: all("vm-099" in node.view() for node in fleet.running()), 60000
+        )
+        self.assertLess(took_ms, 60000)
+
     def test_a_vm_that_is_not_listed_but_answers_is_a_member(self) -> None:
         fleet = Fleet(4)
         fleet.run_until(fleet.agrees, 30000)
