--- a/bench/mix_actors.py
+++ b/bench/mix_actors.py
@@ -18,7 +18,7 @@
 from fescuedock.core.permits.holder import HeldGrant, HolderBook
 from fescuedock.core.permits.local_limit import LocalLimit
 from fescuedock.core.permits.owner import OwnedUpstream, PermitOwner
-from fescuedock.core.permits.queue import UpstreamTerms
+from fescuedock.core.permits.terms import UpstreamTerms
 from fescuedock.core.routing import (
     Ask,
     Candidate,
--- a/bench/mix_variants.py
+++ b/bench/mix_variants.py
@@ -13,7 +13,8 @@
 from bench.virtual import VirtualLoop
 from fescuedock.core.permits.limits import UpstreamLimits
 from fescuedock.core.permits.owner import PermitOwner
-from fescuedock.core.permits.queue import UpstreamQueue, UpstreamTerms
+from fescuedock.core.permits.queue import UpstreamQueue
+from fescuedock.core.permits.terms import UpstreamTerms
 from fescuedock.schema.config import Objectives
 from fescuedock.schema.settings import PermitSettings
 
--- a/bench/permit_costs.py
+++ b/bench/permit_costs.py
@@ -10,7 +10,7 @@
 
 from bench.slopes import Slope, record_slopes
 from fescuedock.core.permits.owner import OwnedUpstream, PermitOwner
-from fescuedock.core.permits.queue import UpstreamTerms
+from fescuedock.core.permits.terms import UpstreamTerms
 from fescuedock.net.codec import Codec, Key
 from fescuedock.schema import permits
 from fescuedock.schema.permits import AttemptOutcome, EndedPermit, HeldPermit, PermitAsk, WorkClass
--- a/src/fescuedock/agent/permit_service.py
+++ b/src/fescuedock/agent/permit_service.py
@@ -13,7 +13,7 @@
 from fescuedock.clock import now_ms
 from fescuedock.core.permits.actions import Action, Granted, Refused, Revoked
 from fescuedock.core.permits.owner import OwnedUpstream, PermitOwner
-from fescuedock.core.permits.queue import UpstreamTerms
+from fescuedock.core.permits.terms import UpstreamTerms
 from fescuedock.core.permits.validity import validity_ms
 from fescuedock.core.permits.waiting import MemberShares
 from fescuedock.faults import Fault
--- a/src/fescuedock/core/permits/owner.py
+++ b/src/fescuedock/core/permits/owner.py
@@ -5,7 +5,8 @@
 
 from fescuedock.core.health import HealthTracker
 from fescuedock.core.permits.actions import Action, Refused
-from fescuedock.core.permits.queue import UpstreamQueue, UpstreamTerms
+from fescuedock.core.permits.queue import UpstreamQueue
+from fescuedock.core.permits.terms import UpstreamTerms
 from fescuedock.schema.permits import (
     AttemptOutcome,
     LoadSnapshot,
--- a/src/fescuedock/core/permits/queue.py
+++ b/src/fescuedock/core/permits/queue.py
@@ -7,35 +7,22 @@
 """
 
 from collections import OrderedDict
-from dataclasses import dataclass, field
 
 from fescuedock.core.permits.actions import Action, Granted, Refused, Revoked
 from fescuedock.core.permits.evidence import UpstreamEvidence
 from fescuedock.core.permits.held import Held, HeldPermits
-from fescuedock.core.permits.waiting import MemberShares, Waiting, WaitingAsks
-from fescuedock.schema.config import Objectives
+from fescuedock.core.permits.terms import UpstreamTerms
+from fescuedock.core.permits.waiting import Waiting, WaitingAsks
 from fescuedock.schema.permits import EndedPermit, HeldPermit, LoadSnapshot, PermitAsk, WorkClass
 from fescuedock.schema.result_codes import ResultCode
 from fescuedock.schema.settings import PermitSettings
 
-__all__ = ["UpstreamQueue", "UpstreamTerms"]
+__all__ = ["UpstreamQueue"]
 
 # An owner that was not run for this share of the validity cannot blame holders for the silence.
 _PAUSE_SHARE = 0.5
 
 
-@dataclass(frozen=True, slots=True)
-class UpstreamTerms:
-    """What the configuration and the membership say of one upstream."""
-
-    objectives: Objectives = field(default_factory=Objectives)
-    shares: MemberShares = field(default_factory=MemberShares)
-    # 0 lets the policy find the limit.
-    max_in_flight: int = 0
-    # False once it leaves or drains: nothing new, what runs may finish.
-    admitting: bool = True
-
-
 class UpstreamQueue:
     """Soft state of one upstream, kept by the agent that owns it.
 
--- /dev/null
+++ b/src/fescuedock/core/permits/terms.py
@@ -0,0 +1,20 @@
+"""What the operators and the membership say of an upstream, as its queue needs it."""
+
+from dataclasses import dataclass, field
+
+from fescuedock.core.permits.waiting import MemberShares
+from fescuedock.schema.config import Objectives
+
+__all__ = ["UpstreamTerms"]
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamTerms:
+    """What the configuration and the membership say of one upstream."""
+
+    objectives: Objectives = field(default_factory=Objectives)
+    shares: MemberShares = field(default_factory=MemberShares)
+    # 0 lets the policy find the limit.
+    max_in_flight: int = 0
+    # False once it leaves or drains: nothing new, what runs may finish.
+    admitting: bool = True
--- a/tests/builders/permit_world.py
+++ b/tests/builders/permit_world.py
@@ -5,7 +5,7 @@
 from fescuedock.core.permits.actions import Action, Granted, Refused, Revoked
 from fescuedock.core.permits.holder import HeldGrant, HolderBook
 from fescuedock.core.permits.owner import OwnedUpstream, PermitOwner
-from fescuedock.core.permits.queue import UpstreamTerms
+from fescuedock.core.permits.terms import UpstreamTerms
 from fescuedock.schema.config import Objectives
 from fescuedock.schema.permits import (
     AttemptOutcome,
--- a/tests/builders/permits.py
+++ b/tests/builders/permits.py
@@ -11,7 +11,8 @@
 from fescuedock.agent.link import FleetView
 from fescuedock.agent.permit_client import PermitClient, open_permit_client
 from fescuedock.agent.permit_service import PermitService
-from fescuedock.core.permits.queue import UpstreamQueue, UpstreamTerms
+from fescuedock.core.permits.queue import UpstreamQueue
+from fescuedock.core.permits.terms import UpstreamTerms
 from fescuedock.net.address import Address
 from fescuedock.net.channel import serve_channel
 from fescuedock.net.codec import Codec
--- a/tests/test_permits_queue.py
+++ b/tests/test_permits_queue.py
@@ -6,7 +6,8 @@
 from fescuedock.core.permits.held import Company
 from fescuedock.core.permits.limits import AttemptSample, UpstreamLimits
 from fescuedock.core.permits.prediction import FirstTokenModel
-from fescuedock.core.permits.queue import UpstreamQueue, UpstreamTerms
+from fescuedock.core.permits.queue import UpstreamQueue
+from fescuedock.core.permits.terms import UpstreamTerms
 from fescuedock.core.permits.waiting import MemberShares
 from fescuedock.schema.config import Objectives
 from fescuedock.schema.permits import AttemptOutcome, HeldPermit, PermitAsk, WorkClass
