Suspect an item less when it was getting tokens as its worker died

Cause: every item in flight at a death became a suspect and ran one at a time. Change: suspicion 1 without a token, 0.5 with some; three, not four, end an item.

--- a/src/fescuedock/core/batch/items.py
+++ b/src/fescuedock/core/batch/items.py
@@ -1,9 +1,10 @@
 """The items of one job: which may run now, where, and when one that failed has had its chances.
 
 Fresh items come in order from the input segment at hand.  An item that failed waits, jittered, and
-avoids the upstream where it failed.  An item that was in flight when a worker died is a suspect:
-the first time it may just have stood beside the cause, so it runs as the only suspect of an
-upstream; after another death it runs there alone, and deaths beyond the allowed attempts end it.
+avoids the upstream where it failed.  An item that was in flight when a worker died may be the
+cause, less so if it was getting tokens: what kills a worker mostly does so at its start.  By its
+suspicion it runs as others do, as the only suspect of an upstream, or alone there, and at last it
+is ended.
 
 Memory is bounded by the input segment at hand and by the items in flight or waiting.
 """
@@ -19,7 +20,13 @@
 
 __all__ = ["AttemptEnd", "EndKind", "Isolation", "Item", "ItemQueue", "ItemVerdict"]
 
-_ALONE_DEATHS = 2
+# What the death of a worker adds to the suspicion of an item that had got no token there, or some.
+_SUSPICION = 1.0
+_SUSPICION_WITH_TOKENS = 0.5
+_SUSPECT_FROM = 1.0
+_ALONE_FROM = 2.0
+# Each death costs a worker and all that runs on it, so this is not the number of attempts.
+_ENDED_FROM = 3.0
 
 
 class EndKind(StrEnum):
@@ -68,6 +75,7 @@
     line: bytes
     failures: int = 0
     deaths: int = 0
+    suspicion: float = 0.0
     text: str = ""
     tokens: int = 0
     avoid: str = ""
@@ -76,9 +84,9 @@
 
     @property
     def isolation(self) -> Isolation:
-        if self.deaths >= _ALONE_DEATHS:
+        if self.suspicion >= _ALONE_FROM:
             return Isolation.ALONE
-        return Isolation.ONLY_SUSPECT if self.deaths else Isolation.NONE
+        return Isolation.ONLY_SUSPECT if self.suspicion >= _SUSPECT_FROM else Isolation.NONE
 
 
 @dataclass(frozen=True, slots=True)
@@ -205,17 +213,20 @@
         return self._in_flight.pop(number)
 
     def _judge(self, item: Item, end: AttemptEnd, now_ms: float) -> ItemVerdict | None:
+        progressed = end.tokens > item.tokens
         item.text, item.tokens = end.text, end.tokens
         if end.kind in (EndKind.REVOKED, EndKind.STOPPED):
             self._wait(item, now_ms)
             return None
         item.avoid = item.upstream_id
-        item.deaths += end.kind is EndKind.DIED
+        if end.kind is EndKind.DIED:
+            item.deaths += 1
+            item.suspicion += _SUSPICION_WITH_TOKENS if progressed else _SUSPICION
         item.failures += end.kind is EndKind.SERVER_ERROR
         # What was generated may be what makes the next attempt fail.
-        if end.kind in (EndKind.DIED, EndKind.SERVER_ERROR):
+        if end.kind is EndKind.SERVER_ERROR or item.suspicion >= _SUSPECT_FROM:
             item.text, item.tokens = "", 0
-        if item.deaths >= self._settings.item_attempts:
+        if item.suspicion >= min(self._settings.item_attempts, _ENDED_FROM):
             message = f"{item.deaths} workers died while they ran the item"
             return ItemVerdict(item.number, ResultCode.ITEM_ISOLATED, message, item.line)
         if item.failures >= self._settings.item_attempts:
--- a/tests/test_batch_decisions.py
+++ b/tests/test_batch_decisions.py
@@ -124,6 +124,21 @@
         fleet.end(suspect, AttemptEnd(EndKind.DIED))
         self.assertIs(fleet.take("u3").isolation, Isolation.ONLY_SUSPECT)
 
+    def test_an_item_that_was_getting_tokens_is_suspected_less(self):
+        fleet = _Fleet()
+        fleet.settings = batch_settings(segment_items=200, item_attempts=4)
+        fleet.add("a")
+        seen = []
+        for number in range(1, 7):
+            assignment = fleet.take(f"u{number}")
+            seen.append(assignment.isolation)
+            tokens = assignment.item.tokens + 5
+            fleet.end(assignment, AttemptEnd(EndKind.DIED, text="x" * tokens, tokens=tokens))
+            fleet.now_ms += 60000.0
+            self.assertEqual(assignment.item.tokens, 5 if number == 1 else 0)
+        expected = [Isolation.NONE] * 2 + [Isolation.ONLY_SUSPECT] * 2 + [Isolation.ALONE] * 2
+        self.assertEqual(seen, expected)
+
     def test_a_twofold_suspect_waits_for_an_empty_upstream_and_keeps_it(self):
         fleet = _Fleet()
         fleet.settings = batch_settings(max_items_in_flight=99, segment_items=200, item_attempts=4)
