--- a/src/fescuedock/agent/order_service.py
+++ b/src/fescuedock/agent/order_service.py
@@ -15,15 +15,7 @@
 from fescuedock.agent.load_slots import LoadSlots
 from fescuedock.agent.served_upstream import ServedUpstream
 from fescuedock.clock import now_ms
-from fescuedock.core.orders.fencing import (
-    Give,
-    GiveOutcome,
-    OrderHolder,
-    Phase,
-    ReadRecord,
-    Wait,
-    Write,
-)
+from fescuedock.core.orders.fencing import OrderHolder, Phase
 from fescuedock.core.orders.placement import (
     lacks_model,
     next_order,
@@ -31,6 +23,7 @@
     uses_weight_store,
     without_lost,
 )
+from fescuedock.core.orders.steps import Give, GiveOutcome, ReadRecord, Wait, Write
 from fescuedock.faults import Fault
 from fescuedock.log import log_event
 from fescuedock.platform.engine_control import EngineControl
--- a/src/fescuedock/core/orders/fencing.py
+++ b/src/fescuedock/core/orders/fencing.py
@@ -17,10 +17,11 @@
 import msgspec
 
 from fescuedock.core.orders.placement import after_order
+from fescuedock.core.orders.steps import Give, GiveOutcome, ReadRecord, Step, Wait, Write
 from fescuedock.schema.orders import EngineState, OrderRecord, PlannedOrder
 from fescuedock.schema.settings import OrderSettings
 
-__all__ = ["Give", "GiveOutcome", "OrderHolder", "Phase", "ReadRecord", "Step", "Wait", "Write"]
+__all__ = ["OrderHolder", "Phase"]
 
 _RENEWALS_PER_LEASE = 3
 
@@ -37,52 +38,6 @@
     HOLDING = "holding"
 
 
-class GiveOutcome(StrEnum):
-    """How an order that was given ended."""
-
-    DONE = "done"
-    # It did not reach the engine.
-    NOT_SENT = "not_sent"
-    # It may be carried out, now or later.
-    UNKNOWN = "unknown"
-    # The engine says that it can never carry it out.
-    REJECTED = "rejected"
-    # The engine has seen a higher fencing number.
-    SUPERSEDED = "superseded"
-
-
-@dataclass(frozen=True, slots=True)
-class ReadRecord:
-    """Read the upstream's record."""
-
-
-@dataclass(frozen=True, slots=True)
-class Write:
-    """Write the record if its key is still at ``expected_revision``."""
-
-    record: OrderRecord
-    expected_revision: int
-
-
-@dataclass(frozen=True, slots=True)
-class Give:
-    """Give ``order``.  It must leave before ``until_ms``, or not at all."""
-
-    order: PlannedOrder
-    fencing: int
-    until_ms: float
-
-
-@dataclass(frozen=True, slots=True)
-class Wait:
-    """Do nothing before ``until_ms``."""
-
-    until_ms: float
-
-
-Step = ReadRecord | Write | Give | Wait
-
-
 @dataclass(slots=True)
 class OrderHolder:
     """One agent's part in the orders of one upstream.
--- /dev/null
+++ b/src/fescuedock/core/orders/steps.py
@@ -0,0 +1,54 @@
+"""What the holder of an upstream's orders asks its shell to do, and how an order ended."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from fescuedock.schema.orders import OrderRecord, PlannedOrder
+
+__all__ = ["Give", "GiveOutcome", "ReadRecord", "Step", "Wait", "Write"]
+
+
+class GiveOutcome(StrEnum):
+    """How an order that was given ended."""
+
+    DONE = "done"
+    # It did not reach the engine.
+    NOT_SENT = "not_sent"
+    # It may be carried out, now or later.
+    UNKNOWN = "unknown"
+    # The engine says that it can never carry it out.
+    REJECTED = "rejected"
+    # The engine has seen a higher fencing number.
+    SUPERSEDED = "superseded"
+
+
+@dataclass(frozen=True, slots=True)
+class ReadRecord:
+    """Read the upstream's record."""
+
+
+@dataclass(frozen=True, slots=True)
+class Write:
+    """Write the record if its key is still at ``expected_revision``."""
+
+    record: OrderRecord
+    expected_revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Give:
+    """Give ``order``.  It must leave before ``until_ms``, or not at all."""
+
+    order: PlannedOrder
+    fencing: int
+    until_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Wait:
+    """Do nothing before ``until_ms``."""
+
+    until_ms: float
+
+
+Step = ReadRecord | Write | Give | Wait
--- a/tests/test_orders_service.py
+++ b/tests/test_orders_service.py
@@ -5,7 +5,7 @@
 import trio
 import trio.testing
 
-from fescuedock.core.orders.fencing import Give, GiveOutcome, OrderHolder, Phase, ReadRecord, Wait
+from fescuedock.core.orders.fencing import OrderHolder, Phase
 from fescuedock.core.orders.placement import (
     Placement,
     choose_slot,
@@ -13,6 +13,7 @@
     next_order,
     without_lost,
 )
+from fescuedock.core.orders.steps import Give, GiveOutcome, ReadRecord, Wait
 from fescuedock.schema.config import Configuration, ModelSpec, UpstreamPolicy
 from fescuedock.schema.orders import EngineState, LoadSlot, OrderKind, OrderRecord, PlannedOrder
 from fescuedock.schema.settings import OrderSettings
--- a/tests/test_orders_stateful.py
+++ b/tests/test_orders_stateful.py
@@ -10,8 +10,9 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
-from fescuedock.core.orders.fencing import Give, GiveOutcome, OrderHolder, ReadRecord, Wait, Write
+from fescuedock.core.orders.fencing import OrderHolder
 from fescuedock.core.orders.placement import Placement, next_order
+from fescuedock.core.orders.steps import Give, GiveOutcome, ReadRecord, Wait, Write
 from fescuedock.schema.config import ModelSpec
 from fescuedock.schema.orders import OrderRecord
 from fescuedock.schema.result_codes import ResultCode
