--- a/bench/fleet_agent.py
+++ b/bench/fleet_agent.py
@@ -7,6 +7,7 @@
 import itertools
 import os
 import random
+import socket
 import subprocess
 import sys
 import tempfile
@@ -251,13 +252,23 @@
 def _settings(folder: Path, standins) -> Settings:
     keys = folder / "keys"
     keys.write_text("k1 " + "5a" * 32 + "\n", encoding="ascii")
-    with open_udp(Address("127.0.0.1", 0)) as probe:
-        port = probe.address.port
+    port = _free_port("127.0.0.1")
     vm = VmSettings(_AGENT, "127.0.0.1", "region", "domain-0", key_file=str(keys))
     platform = standins.platform_settings()
     return Settings(vm=vm, platform=platform, agent=AgentSettings(port=port))
 
 
+def _free_port(host: str) -> int:
+    """Return a port that is free for TCP and UDP alike."""
+    while True:
+        with open_udp(Address(host, 0)) as udp, socket.socket() as tcp:
+            try:
+                tcp.bind((host, udp.address.port))
+            except OSError:
+                continue
+            return udp.address.port
+
+
 def _upstreams(count: int) -> list[ListedVm]:
     return [
         ListedVm(
--- a/tests/test_membership_entries.py
+++ b/tests/test_membership_entries.py
@@ -64,6 +64,11 @@
         # With nobody confirmed, nobody can be known to be ahead, and all may serve.
         self.assertEqual(confirmed if confirmed else serving, named)
 
+    def test_one_that_is_behind_is_not_named_while_another_is_confirmed(self) -> None:
+        behind = _vm(1, config_confirmed=False)
+        self.assertEqual([NINE[0]], eligible_entries([NINE[0], behind]))
+        self.assertEqual([behind], eligible_entries([behind]))
+
 
 class TestRanking(unittest.TestCase):
     def test_every_entry_is_named_once(self) -> None:
