Look again at upstreams after their orders; tell rejected orders from failed ones

After its first orders an upstream was not looked at again until the fleet view changed: a rejected order was not retried and an engine that lost its weights not noticed. EngineControl answered UPSTREAM_ERROR for every status, so that a 503 was taken for a rejection; a status of 4xx is UPSTREAM_REJECTED now.

--- a/src/fescuedock/agent/order_service.py
+++ b/src/fescuedock/agent/order_service.py
@@ -48,7 +48,7 @@
     ResultCode.PEER_UNREACHABLE: GiveOutcome.NOT_SENT,
     ResultCode.PEER_UNKNOWN: GiveOutcome.UNKNOWN,
     ResultCode.SUPERSEDED_ORDER: GiveOutcome.SUPERSEDED,
-    ResultCode.UPSTREAM_ERROR: GiveOutcome.REJECTED,
+    ResultCode.UPSTREAM_REJECTED: GiveOutcome.REJECTED,
 }
 
 
@@ -124,7 +124,8 @@
             elif part.has_work(self._wanted(part)):
                 async with self._turns:
                     wait_ms = await self._work(part)
-                with trio.move_on_after((max(wait_ms, 0) + _ROUNDING_MS) / 1000):
+                wait_ms = min(max(wait_ms, 0), self._settings.orders.settled_poll_ms)
+                with trio.move_on_after((wait_ms + _ROUNDING_MS) / 1000):
                     await part.wake.wait()
             else:
                 await self._rest(part)
--- a/src/fescuedock/platform/engine_control.py
+++ b/src/fescuedock/platform/engine_control.py
@@ -27,7 +27,9 @@
 KV_USE_METRIC = "vllm:kv_cache_usage_perc"
 _MAX_ANSWER_BYTES = 256 * 1024 * 1024
 _TIMEOUT_MS = 2000
+_BAD_REQUEST = 400
 _CONFLICT = 409
+_SERVER_ERROR = 500
 
 
 class _ListedModel(msgspec.Struct):
@@ -42,7 +44,8 @@
     """Calls to upstreams over one HTTP client.
 
     Errors: ``PEER_UNREACHABLE`` when nothing was sent, ``PEER_UNKNOWN`` when the answer was lost,
-    ``UPSTREAM_ERROR`` for any other answer than success.
+    ``UPSTREAM_REJECTED`` for a status of 4xx (nothing was done), ``UPSTREAM_ERROR`` for any other
+    answer than success.
     """
 
     def __init__(self, http: HttpClient) -> None:
@@ -111,10 +114,8 @@
             return Err(Fault(ResultCode.PEER_UNKNOWN, f"{name}: {error}"))
         if response.status == 200:
             return Ok(answer)
-        superseded = response.status == _CONFLICT
-        code = ResultCode.SUPERSEDED_ORDER if superseded else ResultCode.UPSTREAM_ERROR
         text = answer[:200].decode("utf-8", "replace")
-        return Err(Fault(code, f"{name}: HTTP {response.status}: {text}"))
+        return Err(Fault(_code_of(response.status), f"{name}: HTTP {response.status}: {text}"))
 
     @asynccontextmanager
     async def _open(
@@ -128,6 +129,14 @@
             yield response
 
 
+def _code_of(status: int) -> ResultCode:
+    if status == _CONFLICT:
+        return ResultCode.SUPERSEDED_ORDER
+    if _BAD_REQUEST <= status < _SERVER_ERROR:
+        return ResultCode.UPSTREAM_REJECTED
+    return ResultCode.UPSTREAM_ERROR
+
+
 def _load(body: bytes) -> EngineLoad:
     values = {
         sample.name: sample.value
--- a/tests/test_orders_service.py
+++ b/tests/test_orders_service.py
@@ -16,6 +16,7 @@
 from fescuedock.core.orders.steps import Give, GiveOutcome, ReadRecord, Wait
 from fescuedock.schema.config import Configuration, ModelSpec, UpstreamPolicy
 from fescuedock.schema.orders import EngineState, LoadSlot, OrderKind, OrderRecord, PlannedOrder
+from fescuedock.schema.result_codes import ResultCode
 from fescuedock.schema.settings import OrderSettings
 from tests.builders.kv import MemoryKv
 from tests.builders.orders import (
@@ -81,6 +82,20 @@
             self.assertEqual({item.version for item in engine.done[4:]}, {"2"})
             nursery.cancel_scope.cancel()
 
+    def test_an_engine_that_lost_its_weights_is_noticed(self):
+        run_mocked(self._lost_weights)
+
+    async def _lost_weights(self):
+        engine = LoggedEngine(order_s=1)
+        view = order_view("vm-a", ["vm-a"], ("worker-1",), configuration("fenced"))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(order_service(MemoryKv(), engine, view).run)
+            await trio.sleep(30)
+            engine.done.clear()
+            await trio.sleep(30)
+            self.assertEqual([item.order for item in engine.done], ["load_model", "load_adapter"])
+            nursery.cancel_scope.cancel()
+
     def test_loads_of_one_model_stay_within_their_bound(self):
         run_mocked(self._paced)
 
@@ -119,6 +134,22 @@
             nursery.cancel_scope.cancel()
         self.assertEqual([done for _, done in changes], [0, 2])
 
+    def test_an_order_that_fails_is_given_again_and_a_rejected_one_left_for_a_while(self):
+        run_mocked(self._refusals)
+
+    async def _refusals(self):
+        engine = LoggedEngine(order_s=1)
+        engine.faults = [ResultCode.UPSTREAM_ERROR, None, ResultCode.UPSTREAM_REJECTED]
+        view = order_view("vm-a", ["vm-a"], ("worker-1",), configuration("fenced"))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(order_service(MemoryKv(), engine, view).run)
+            await trio.sleep(30)
+            begun = [item.order for item in engine.began]
+            self.assertEqual(begun, ["load_model", "load_model", "load_adapter"])
+            await trio.sleep(60)
+            self.assertEqual([item.order for item in engine.done], ["load_model", "load_adapter"])
+            nursery.cancel_scope.cancel()
+
     def test_an_outage_stops_orders_and_they_go_on_after_it(self):
         run_mocked(self._outage)
 
