--- a/tests/builders/online.py
+++ b/tests/builders/online.py
@@ -3,6 +3,7 @@
 The agent is replaced by a fleet view made by hand; everything else is what ships.
 """
 
+import functools
 import random
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
@@ -60,6 +61,7 @@
     "record",
     "run",
     "wait_until",
+    "with_fleet",
 ]
 
 HOST = "127.0.0.1"
@@ -316,6 +318,23 @@
         await trio.sleep(0.002)
 
 
+def with_fleet(**changes: object) -> Callable:
+    """Let an ``async`` test method run with a fleet of its own, opened with ``changes``."""
+
+    def decorate(method: Callable) -> Callable:
+        @functools.wraps(method)
+        def test(self: object) -> None:
+            async def body() -> None:
+                async with open_fleet(**changes) as fleet:
+                    await method(self, fleet)
+
+            run(body)
+
+        return test
+
+    return decorate
+
+
 def run(body: Callable, guard_s: float = 30.0) -> None:
     """Run a test's coroutine function; a guard of real time keeps a fault from hanging it."""
 
--- a/tests/test_online_requests.py
+++ b/tests/test_online_requests.py
@@ -28,6 +28,7 @@
     record,
     run,
     wait_until,
+    with_fleet,
 )
 
 CHAT = "/v1/chat/completions"
@@ -70,39 +71,37 @@
         self.assertEqual(len(stream.identities), 1)
         return stream
 
-    def test_death_of_the_worker_in_mid_stream_loses_and_doubles_nothing(self) -> None:
-        async def body() -> None:
-            async with open_fleet() as fleet:
-                wanted = chat_body(**LONG)
-                async with streaming(fleet, wanted) as response:
-                    data = b""
-                    died = ""
-                    async for chunk in response.chunks():
-                        data += chunk
-                        if not died and data.count(b"data:") > 5:
-                            died = serving_engine(fleet)
-                            fleet.standins.engines[died].die()
-                self.check_whole(data, wanted)
-                other = next(name for name in fleet.standins.engines if name != died)
-                resumed = fleet.standins.engines[other].stats
-                self.assertLess(resumed.tokens, 60)
-
-        run(body)
-
-    def test_many_callers_through_cuts_and_errors_each_get_their_own(self) -> None:
-        async def body() -> None:
-            async with open_fleet(engines=3) as fleet:
-                for number in range(30):
-                    await self.one_chat(fleet, f"fills the retry budget {number}")
-                rng = random.Random(5)
-                for engine in fleet.standins.engines.values():
-                    engine.faults.cut_after.extend(rng.choice([1, 3, *[99] * 6]) for _ in range(20))
-                    engine.faults.fail_with.append(500)
-                async with trio.open_nursery() as nursery:
-                    for number in range(30):
-                        nursery.start_soon(self.one_chat, fleet, f"caller {number} asks")
-
-        run(body)
+    @with_fleet()
+    async def test_death_of_the_worker_in_mid_stream_loses_and_doubles_nothing(
+        self, fleet: OnlineFleet
+    ) -> None:
+        wanted = chat_body(**LONG)
+        async with streaming(fleet, wanted) as response:
+            data = b""
+            died = ""
+            async for chunk in response.chunks():
+                data += chunk
+                if not died and data.count(b"data:") > 5:
+                    died = serving_engine(fleet)
+                    fleet.standins.engines[died].die()
+        self.check_whole(data, wanted)
+        other = next(name for name in fleet.standins.engines if name != died)
+        resumed = fleet.standins.engines[other].stats
+        self.assertLess(resumed.tokens, 60)
+
+    @with_fleet(engines=3)
+    async def test_many_callers_through_cuts_and_errors_each_get_their_own(
+        self, fleet: OnlineFleet
+    ) -> None:
+        for number in range(30):
+            await self.one_chat(fleet, f"fills the retry budget {number}")
+        rng = random.Random(5)
+        for engine in fleet.standins.engines.values():
+            engine.faults.cut_after.extend(rng.choice([1, 3, *[99] * 6]) for _ in range(20))
+            engine.faults.fail_with.append(500)
+        async with trio.open_nursery() as nursery:
+            for number in range(30):
+                nursery.start_soon(self.one_chat, fleet, f"caller {number} asks")
 
     async def one_chat(self, fleet: OnlineFleet, text: str) -> None:
         wanted = chat_body(text, stream_options={"include_usage": True})
@@ -111,59 +110,51 @@
         stream = self.check_whole(data, wanted)
         self.assertEqual(stream.usage["completion_tokens"], 12)
 
-    def test_an_answer_that_cannot_be_finished_is_visibly_broken(self) -> None:
-        async def body() -> None:
-            async with open_fleet(engines=1) as fleet:
-                fleet.standins.engines["engine-1"].faults.cut_after.extend([1] * 40)
-                async with streaming(fleet, chat_body()) as response:
-                    stream, whole = await read_truncated(response)
-                self.assertFalse(whole)
-                self.assertFalse(stream.done)
-                self.assertTrue(oracle_text(chat_body()).startswith(stream.text))
-                self.assertEqual(stream.error["name"], "UPSTREAM_LOST")
-                self.assertEqual(stream.error["outcome"], "failed")
-                self.assertGreater(stream.error["retry_after_ms"], 0)
-
-        run(body)
-
-    def test_a_caller_who_is_reading_is_served_past_the_deadline(self) -> None:
-        async def body() -> None:
-            async with open_fleet() as fleet:
-                wanted = chat_body(max_tokens=200)
-                status, _, data = await fleet.post(CHAT, wanted, {"x-deadline-ms": "250"})
-                self.assertEqual(status, 200)
-                self.check_whole(data, wanted)
-
-        run(body)
-
-    def test_a_hung_worker_is_left_for_another(self) -> None:
-        async def body() -> None:
-            async with open_fleet() as fleet:
-                wanted = chat_body(**LONG)
-                async with streaming(fleet, wanted) as response:
-                    data = b""
-                    frozen = ""
-                    async for chunk in response.chunks():
-                        data += chunk
-                        if not frozen and data.count(b"data:") > 5:
-                            frozen = serving_engine(fleet)
-                            fleet.standins.engines[frozen].freeze()
-                self.check_whole(data, wanted)
-
-        run(body)
-
-    def test_the_callers_disconnect_ends_the_work_upstream(self) -> None:
-        async def body() -> None:
-            async with open_fleet() as fleet:
-                async with streaming(fleet, chat_body(max_tokens=5000)) as response:
-                    await anext(response.chunks())
-                    engine = fleet.standins.engines[serving_engine(fleet)]
-                await wait_until(lambda: engine.stats.cancelled == 1)
-                self.assertFalse(engine.core.load.running)
-                await self.one_chat(fleet, "the entry serves on")
-                await wait_until(lambda: not any(self.in_flight(fleet)))
+    @with_fleet(engines=1)
+    async def test_an_answer_that_cannot_be_finished_is_visibly_broken(
+        self, fleet: OnlineFleet
+    ) -> None:
+        fleet.standins.engines["engine-1"].faults.cut_after.extend([1] * 40)
+        async with streaming(fleet, chat_body()) as response:
+            stream, whole = await read_truncated(response)
+        self.assertFalse(whole)
+        self.assertFalse(stream.done)
+        self.assertTrue(oracle_text(chat_body()).startswith(stream.text))
+        self.assertEqual(stream.error["name"], "UPSTREAM_LOST")
+        self.assertEqual(stream.error["outcome"], "failed")
+        self.assertGreater(stream.error["retry_after_ms"], 0)
+
+    @with_fleet()
+    async def test_a_caller_who_is_reading_is_served_past_the_deadline(
+        self, fleet: OnlineFleet
+    ) -> None:
+        wanted = chat_body(max_tokens=200)
+        status, _, data = await fleet.post(CHAT, wanted, {"x-deadline-ms": "250"})
+        self.assertEqual(status, 200)
+        self.check_whole(data, wanted)
 
-        run(body)
+    @with_fleet()
+    async def test_a_hung_worker_is_left_for_another(self, fleet: OnlineFleet) -> None:
+        wanted = chat_body(**LONG)
+        async with streaming(fleet, wanted) as response:
+            data = b""
+            frozen = ""
+            async for chunk in response.chunks():
+                data += chunk
+                if not frozen and data.count(b"data:") > 5:
+                    frozen = serving_engine(fleet)
+                    fleet.standins.engines[frozen].freeze()
+        self.check_whole(data, wanted)
+
+    @with_fleet()
+    async def test_the_callers_disconnect_ends_the_work_upstream(self, fleet: OnlineFleet) -> None:
+        async with streaming(fleet, chat_body(max_tokens=5000)) as response:
+            await anext(response.chunks())
+            engine = fleet.standins.engines[serving_engine(fleet)]
+        await wait_until(lambda: engine.stats.cancelled == 1)
+        self.assertFalse(engine.core.load.running)
+        await self.one_chat(fleet, "the entry serves on")
+        await wait_until(lambda: not any(self.in_flight(fleet)))
 
     def in_flight(self, fleet: OnlineFleet) -> list[int]:
         book = fleet.owner.service._owner
@@ -201,20 +192,19 @@
 class TroubleTest(unittest.TestCase):
     """Everything at once, at random."""
 
-    def test_callers_get_their_own_answer_a_visible_break_or_a_refusal(self) -> None:
-        async def body() -> None:
-            async with open_fleet(engines=3) as fleet:
-                rng = random.Random(11)
-                outcomes: set[str] = set()
-                async with trio.open_nursery() as callers, trio.open_nursery() as trouble:
-                    trouble.start_soon(self.make_trouble, fleet, rng)
-                    for number in range(80):
-                        callers.start_soon(self.ask, fleet, f"caller {number}", outcomes)
-                        await trio.sleep(rng.uniform(0, 0.02))
-                    trouble.cancel_scope.cancel()
-                self.assertIn("whole", outcomes)
-
-        run(body)
+    @with_fleet(engines=3)
+    async def test_callers_get_their_own_answer_a_visible_break_or_a_refusal(
+        self, fleet: OnlineFleet
+    ) -> None:
+        rng = random.Random(11)
+        outcomes: set[str] = set()
+        async with trio.open_nursery() as callers, trio.open_nursery() as trouble:
+            trouble.start_soon(self.make_trouble, fleet, rng)
+            for number in range(80):
+                callers.start_soon(self.ask, fleet, f"caller {number}", outcomes)
+                await trio.sleep(rng.uniform(0, 0.02))
+            trouble.cancel_scope.cancel()
+        self.assertIn("whole", outcomes)
 
     async def make_trouble(self, fleet: OnlineFleet, rng: random.Random) -> None:
         while True:
@@ -259,59 +249,50 @@
         answer = msgspec.json.decode(data)
         self.assertEqual(answer["choices"][0]["message"]["content"], oracle_text(body))
 
-    def test_death_of_the_worker_gives_the_whole_answer_of_another(self) -> None:
-        async def body() -> None:
-            async with open_fleet() as fleet:
-                wanted = chat_body(stream=False, **LONG)
-
-                async def kill() -> None:
-                    await wait_until(
-                        lambda: any(
-                            item.stats.tokens > 5 for item in fleet.standins.engines.values()
-                        )
-                    )
-                    fleet.standins.engines[serving_engine(fleet)].die()
-
-                async with trio.open_nursery() as nursery:
-                    nursery.start_soon(kill)
-                    status, _, data = await fleet.post(CHAT, wanted)
-                self.assertEqual(status, 200)
-                self.check_text(data, wanted)
-
-        run(body)
-
-    def test_a_broken_whole_answer_goes_on_where_it_broke(self) -> None:
-        async def body() -> None:
-            async with open_fleet() as fleet:
-                for engine in fleet.standins.engines.values():
-                    engine.faults.cut_after.append(10)
-                wanted = chat_body(stream=False, **LONG)
-                status, _, data = await fleet.post(CHAT, wanted)
-                self.assertEqual(status, 200)
-                self.check_text(data, wanted)
-                tokens = sum(item.stats.tokens for item in fleet.standins.engines.values())
-                self.assertLess(tokens, 75)
-
-        run(body)
-
-    def test_whole_answers_are_those_of_the_engine(self) -> None:
-        async def body() -> None:
-            async with open_fleet(engines=1) as fleet:
-                engine = fleet.standins.engines["engine-1"].address
-                text = {"model": MODEL, "prompt": "who is entitled?", "max_tokens": 5}
-                for path, wanted in [
-                    (CHAT, chat_body(stream=False)),
-                    ("/v1/completions", text),
-                    (CHAT, chat_body(stream=False, tools=[{"type": "function"}])),
-                ]:
-                    _, _, ours = await fleet.post(path, wanted)
-                    async with fleet.http.request(
-                        engine, "POST", path, [], msgspec.json.encode(wanted)
-                    ) as response:
-                        theirs = await response.read()
-                    self.assertEqual(self.comparable(ours), self.comparable(theirs))
+    @with_fleet()
+    async def test_death_of_the_worker_gives_the_whole_answer_of_another(
+        self, fleet: OnlineFleet
+    ) -> None:
+        wanted = chat_body(stream=False, **LONG)
+
+        async def kill() -> None:
+            await wait_until(
+                lambda: any(item.stats.tokens > 5 for item in fleet.standins.engines.values())
+            )
+            fleet.standins.engines[serving_engine(fleet)].die()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(kill)
+            status, _, data = await fleet.post(CHAT, wanted)
+        self.assertEqual(status, 200)
+        self.check_text(data, wanted)
 
-        run(body)
+    @with_fleet()
+    async def test_a_broken_whole_answer_goes_on_where_it_broke(self, fleet: OnlineFleet) -> None:
+        for engine in fleet.standins.engines.values():
+            engine.faults.cut_after.append(10)
+        wanted = chat_body(stream=False, **LONG)
+        status, _, data = await fleet.post(CHAT, wanted)
+        self.assertEqual(status, 200)
+        self.check_text(data, wanted)
+        tokens = sum(item.stats.tokens for item in fleet.standins.engines.values())
+        self.assertLess(tokens, 75)
+
+    @with_fleet(engines=1)
+    async def test_whole_answers_are_those_of_the_engine(self, fleet: OnlineFleet) -> None:
+        engine = fleet.standins.engines["engine-1"].address
+        text = {"model": MODEL, "prompt": "who is entitled?", "max_tokens": 5}
+        for path, wanted in [
+            (CHAT, chat_body(stream=False)),
+            ("/v1/completions", text),
+            (CHAT, chat_body(stream=False, tools=[{"type": "function"}])),
+        ]:
+            _, _, ours = await fleet.post(path, wanted)
+            async with fleet.http.request(
+                engine, "POST", path, [], msgspec.json.encode(wanted)
+            ) as response:
+                theirs = await response.read()
+            self.assertEqual(self.comparable(ours), self.comparable(theirs))
 
     def test_an_answer_with_other_parts_than_text_is_formed_by_the_engine(self) -> None:
         whole = b'{"choices":[{"message":{"content":"x","reasoning_content":"because"}}]}'
@@ -338,190 +319,159 @@
         answer = msgspec.json.decode(data)
         return {**answer, "id": answer["id"][:5], "created": 0}
 
-    def test_a_prompt_that_kills_workers_is_given_up_after_two(self) -> None:
-        async def body() -> None:
-            async with open_fleet(engines=4) as fleet:
-                for engine in fleet.standins.engines.values():
-                    engine.faults.restart_ms = 60_000
-                status, _, data = await fleet.post(CHAT, chat_body("[[kills]]", stream=False))
-                self.assertEqual(status, 502)
-                self.assertEqual(fault_of(data)["outcome"], "failed")
-                self.assertEqual(sum(e.deaths for e in fleet.standins.engines.values()), 2)
-
-        run(body)
-
-    def test_what_the_engine_rejects_is_not_retried(self) -> None:
-        async def body() -> None:
-            async with open_fleet() as fleet:
-                for stream in (True, False):
-                    wanted = chat_body("[[impossible]]", stream=stream)
-                    status, _, data = await fleet.post(CHAT, wanted)
-                    self.assertEqual(status, 400)
-                    self.assertEqual(fault_of(data)["name"], "UPSTREAM_REJECTED")
-                    self.assertIn("[[impossible]]", fault_of(data)["message"])
-                self.assertEqual(fleet.owner.asks, 2)
-
-        run(body)
-
-    def test_the_deadline_ends_a_request_at_once(self) -> None:
-        async def body() -> None:
-            async with open_fleet(engines=1) as fleet:
-                fleet.standins.engines["engine-1"].freeze()
-                for stream in (True, False):
-                    started = trio.current_time()
-                    status, headers, data = await fleet.post(
-                        CHAT, chat_body(stream=stream), {"x-deadline-ms": "300"}
-                    )
-                    self.assertEqual((status, fault_of(data)["name"]), (504, "UPSTREAM_TIMEOUT"))
-                    self.assertIn("retry-after", headers)
-                    self.assertGreaterEqual(trio.current_time() - started, 0.299)
-
-        run(body)
-
-    def test_one_slow_prefill_refuses_no_longer_prompt(self) -> None:
-        async def body() -> None:
-            async with open_fleet(engines=1) as fleet:
-                engine = fleet.standins.engines["engine-1"]
-                engine.slowness = 20.0
-                await fleet.post(CHAT, chat_body("x" * 1200, max_tokens=1))
-                engine.slowness = 1.0
-                longer = chat_body("y" * 40_000, max_tokens=1)
-                status, _, _ = await fleet.post(CHAT, longer, {"x-deadline-ms": "5000"})
-                self.assertEqual(status, 200)
-
-        run(body)
-
-    def test_refusals_of_what_cannot_be_read_or_found(self) -> None:
-        async def body() -> None:
-            async with open_fleet(entry_changes={"require_api_key": True}) as fleet:
-                key = {"authorization": "Bearer key-of-escuela"}
-                for headers, wanted, name in [
-                    ({}, chat_body(), "UNAUTHORIZED"),
-                    ({"authorization": "Bearer wrong"}, chat_body(), "UNAUTHORIZED"),
-                    (key, chat_body(model="other"), "UNKNOWN_MODEL"),
-                    (key, b"{", "BAD_REQUEST"),
-                    (key, [1], "BAD_REQUEST"),
-                    ({**key, "x-deadline-ms": "-1"}, chat_body(), "BAD_REQUEST"),
-                ]:
-                    with self.subTest(name=name, headers=headers):
-                        _, _, data = await fleet.post(CHAT, wanted, headers)
-                        self.assertEqual(fault_of(data)["name"], name)
-                        self.assertEqual(fault_of(data)["outcome"], "not_run")
-                status, _, _ = await fleet.post(CHAT, chat_body(), key)
-                self.assertEqual(status, 200)
-
-        run(body)
-
-    def test_a_refused_connection_is_not_run(self) -> None:
-        async def body() -> None:
-            async with open_fleet(engines=1) as fleet:
-                fleet.standins.engines["engine-1"].die()
-                status, headers, data = await fleet.post(CHAT, chat_body())
-                self.assertEqual((status, fault_of(data)["outcome"]), (503, "not_run"))
-                self.assertIn("retry-after-ms", headers)
-                self.assertEqual(fleet.standins.engines["engine-1"].stats.admitted, 0)
+    @with_fleet(engines=4)
+    async def test_a_prompt_that_kills_workers_is_given_up_after_two(
+        self, fleet: OnlineFleet
+    ) -> None:
+        for engine in fleet.standins.engines.values():
+            engine.faults.restart_ms = 60_000
+        status, _, data = await fleet.post(CHAT, chat_body("[[kills]]", stream=False))
+        self.assertEqual(status, 502)
+        self.assertEqual(fault_of(data)["outcome"], "failed")
+        self.assertEqual(sum(e.deaths for e in fleet.standins.engines.values()), 2)
+
+    @with_fleet()
+    async def test_what_the_engine_rejects_is_not_retried(self, fleet: OnlineFleet) -> None:
+        for stream in (True, False):
+            wanted = chat_body("[[impossible]]", stream=stream)
+            status, _, data = await fleet.post(CHAT, wanted)
+            self.assertEqual(status, 400)
+            self.assertEqual(fault_of(data)["name"], "UPSTREAM_REJECTED")
+            self.assertIn("[[impossible]]", fault_of(data)["message"])
+        self.assertEqual(fleet.owner.asks, 2)
+
+    @with_fleet(engines=1)
+    async def test_the_deadline_ends_a_request_at_once(self, fleet: OnlineFleet) -> None:
+        fleet.standins.engines["engine-1"].freeze()
+        for stream in (True, False):
+            started = trio.current_time()
+            status, headers, data = await fleet.post(
+                CHAT, chat_body(stream=stream), {"x-deadline-ms": "300"}
+            )
+            self.assertEqual((status, fault_of(data)["name"]), (504, "UPSTREAM_TIMEOUT"))
+            self.assertIn("retry-after", headers)
+            self.assertGreaterEqual(trio.current_time() - started, 0.299)
+
+    @with_fleet(engines=1)
+    async def test_one_slow_prefill_refuses_no_longer_prompt(self, fleet: OnlineFleet) -> None:
+        engine = fleet.standins.engines["engine-1"]
+        engine.slowness = 20.0
+        await fleet.post(CHAT, chat_body("x" * 1200, max_tokens=1))
+        engine.slowness = 1.0
+        longer = chat_body("y" * 40_000, max_tokens=1)
+        status, _, _ = await fleet.post(CHAT, longer, {"x-deadline-ms": "5000"})
+        self.assertEqual(status, 200)
 
-        run(body)
+    @with_fleet(entry_changes={"require_api_key": True})
+    async def test_refusals_of_what_cannot_be_read_or_found(self, fleet: OnlineFleet) -> None:
+        key = {"authorization": "Bearer key-of-escuela"}
+        for headers, wanted, name in [
+            ({}, chat_body(), "UNAUTHORIZED"),
+            ({"authorization": "Bearer wrong"}, chat_body(), "UNAUTHORIZED"),
+            (key, chat_body(model="other"), "UNKNOWN_MODEL"),
+            (key, b"{", "BAD_REQUEST"),
+            (key, [1], "BAD_REQUEST"),
+            ({**key, "x-deadline-ms": "-1"}, chat_body(), "BAD_REQUEST"),
+        ]:
+            with self.subTest(name=name, headers=headers):
+                _, _, data = await fleet.post(CHAT, wanted, headers)
+                self.assertEqual(fault_of(data)["name"], name)
+                self.assertEqual(fault_of(data)["outcome"], "not_run")
+        status, _, _ = await fleet.post(CHAT, chat_body(), key)
+        self.assertEqual(status, 200)
 
-    def test_after_a_lost_attempt_no_refusal_says_not_run(self) -> None:
-        async def body() -> None:
-            async with open_fleet(engines=1) as fleet:
-                engine = fleet.standins.engines["engine-1"]
-                engine.faults.restart_ms = 60_000
-                _, _, data = await fleet.post(CHAT, chat_body("[[kills]]"))
-                self.assertEqual(engine.deaths, 1)
-                self.assertEqual(fault_of(data)["outcome"], "failed")
-                self.assertEqual(fault_of(data)["code"], ResultCode.UPSTREAM_LOST)
+    @with_fleet(engines=1)
+    async def test_a_refused_connection_is_not_run(self, fleet: OnlineFleet) -> None:
+        fleet.standins.engines["engine-1"].die()
+        status, headers, data = await fleet.post(CHAT, chat_body())
+        self.assertEqual((status, fault_of(data)["outcome"]), (503, "not_run"))
+        self.assertIn("retry-after-ms", headers)
+        self.assertEqual(fleet.standins.engines["engine-1"].stats.admitted, 0)
 
-        run(body)
+    @with_fleet(engines=1)
+    async def test_after_a_lost_attempt_no_refusal_says_not_run(self, fleet: OnlineFleet) -> None:
+        engine = fleet.standins.engines["engine-1"]
+        engine.faults.restart_ms = 60_000
+        _, _, data = await fleet.post(CHAT, chat_body("[[kills]]"))
+        self.assertEqual(engine.deaths, 1)
+        self.assertEqual(fault_of(data)["outcome"], "failed")
+        self.assertEqual(fault_of(data)["code"], ResultCode.UPSTREAM_LOST)
 
 
 class OwnerTest(unittest.TestCase):
     """Permits from an owner that answers, is silent, or is gone."""
 
-    def test_silent_owners_do_not_stop_online(self) -> None:
-        async def body() -> None:
-            async with open_fleet() as fleet:
-                fleet.owner.silent = True
-                for _ in range(3):
-                    status, _, data = await fleet.post(CHAT, chat_body())
-                    self.assertEqual(status, 200)
-                    self.assertEqual(read_stream(data).text, oracle_text(chat_body()))
-                # Only the first request waited for the owner, and only once.
-                self.assertEqual(fleet.owner.asks, 1)
-
-        run(body)
-
-    def test_without_an_owner_the_local_limit_holds(self) -> None:
-        async def body() -> None:
-            async with open_fleet(engines=1, permit_changes={"local_limit": 2}) as fleet:
-                fleet.owner.silent = True
-                engine = fleet.standins.engines["engine-1"]
-                async with (
-                    streaming(fleet, chat_body(max_tokens=5000)),
-                    streaming(fleet, chat_body(max_tokens=5000)),
-                ):
-                    await wait_until(lambda: engine.core.load.running == 2)
-                    status, headers, data = await fleet.post(CHAT, chat_body())
-                self.assertEqual((status, fault_of(data)["name"]), (503, "NO_CAPACITY"))
-                self.assertEqual(fault_of(data)["outcome"], "not_run")
-                self.assertIn("retry-after-ms", headers)
-                self.assertEqual(engine.stats.admitted, 2)
-
-        run(body)
-
-    def test_a_leaving_upstream_gets_nothing_new_and_finishes_what_runs(self) -> None:
-        async def body() -> None:
-            async with open_fleet() as fleet:
-                wanted = chat_body(max_tokens=200)
-                async with streaming(fleet, wanted) as response:
-                    chunks = response.chunks()
-                    data = await anext(chunks)
-                    name = serving_engine(fleet)
-                    engine = fleet.standins.engines[name]
-                    fleet.show(leaving=(name,))
-                    for _ in range(10):
-                        status, _, _ = await fleet.post(CHAT, chat_body())
-                        self.assertEqual(status, 200)
-                    async for chunk in chunks:
-                        data += chunk
-                self.assertEqual(engine.stats.admitted, 1)
-                self.assertEqual(read_stream(data).text, oracle_text(wanted))
-
-        run(body)
-
-    def test_a_leaving_upstream_is_not_used_without_its_owner_either(self) -> None:
-        async def body() -> None:
-            async with open_fleet() as fleet:
-                fleet.owner.silent = True
-                fleet.show(leaving=("engine-1",))
-                for _ in range(6):
-                    status, _, _ = await fleet.post(CHAT, chat_body())
-                    self.assertEqual(status, 200)
-                self.assertEqual(fleet.standins.engines["engine-1"].stats.admitted, 0)
-
-        run(body)
-
-    def test_a_slow_owner_is_waited_for_before_anyone_is_refused(self) -> None:
-        async def body() -> None:
-            async with open_fleet(permit_changes={"local_limit": 1}) as fleet:
-                fleet.owner.delay_ms = 200
-                async with trio.open_nursery() as nursery:
-                    for _ in range(10):
-                        nursery.start_soon(self.one_whole_chat, fleet)
-
-        run(body)
+    @with_fleet()
+    async def test_silent_owners_do_not_stop_online(self, fleet: OnlineFleet) -> None:
+        fleet.owner.silent = True
+        for _ in range(3):
+            status, _, data = await fleet.post(CHAT, chat_body())
+            self.assertEqual(status, 200)
+            self.assertEqual(read_stream(data).text, oracle_text(chat_body()))
+        # Only the first request waited for the owner, and only once.
+        self.assertEqual(fleet.owner.asks, 1)
+
+    @with_fleet(engines=1, permit_changes={"local_limit": 2})
+    async def test_without_an_owner_the_local_limit_holds(self, fleet: OnlineFleet) -> None:
+        fleet.owner.silent = True
+        engine = fleet.standins.engines["engine-1"]
+        async with (
+            streaming(fleet, chat_body(max_tokens=5000)),
+            streaming(fleet, chat_body(max_tokens=5000)),
+        ):
+            await wait_until(lambda: engine.core.load.running == 2)
+            status, headers, data = await fleet.post(CHAT, chat_body())
+        self.assertEqual((status, fault_of(data)["name"]), (503, "NO_CAPACITY"))
+        self.assertEqual(fault_of(data)["outcome"], "not_run")
+        self.assertIn("retry-after-ms", headers)
+        self.assertEqual(engine.stats.admitted, 2)
+
+    @with_fleet()
+    async def test_a_leaving_upstream_gets_nothing_new_and_finishes_what_runs(
+        self, fleet: OnlineFleet
+    ) -> None:
+        wanted = chat_body(max_tokens=200)
+        async with streaming(fleet, wanted) as response:
+            chunks = response.chunks()
+            data = await anext(chunks)
+            name = serving_engine(fleet)
+            engine = fleet.standins.engines[name]
+            fleet.show(leaving=(name,))
+            for _ in range(10):
+                status, _, _ = await fleet.post(CHAT, chat_body())
+                self.assertEqual(status, 200)
+            async for chunk in chunks:
+                data += chunk
+        self.assertEqual(engine.stats.admitted, 1)
+        self.assertEqual(read_stream(data).text, oracle_text(wanted))
+
+    @with_fleet()
+    async def test_a_leaving_upstream_is_not_used_without_its_owner_either(
+        self, fleet: OnlineFleet
+    ) -> None:
+        fleet.owner.silent = True
+        fleet.show(leaving=("engine-1",))
+        for _ in range(6):
+            status, _, _ = await fleet.post(CHAT, chat_body())
+            self.assertEqual(status, 200)
+        self.assertEqual(fleet.standins.engines["engine-1"].stats.admitted, 0)
+
+    @with_fleet(permit_changes={"local_limit": 1})
+    async def test_a_slow_owner_is_waited_for_before_anyone_is_refused(
+        self, fleet: OnlineFleet
+    ) -> None:
+        fleet.owner.delay_ms = 200
+        async with trio.open_nursery() as nursery:
+            for _ in range(10):
+                nursery.start_soon(self.one_whole_chat, fleet)
 
     async def one_whole_chat(self, fleet: OnlineFleet) -> None:
         status, _, data = await fleet.post(CHAT, chat_body())
         self.assertEqual(status, 200)
         self.assertEqual(read_stream(data).text, oracle_text(chat_body()))
 
-    def test_no_upstream_is_said_at_once(self) -> None:
-        async def body() -> None:
-            async with open_fleet(engines=0) as fleet:
-                status, headers, data = await fleet.post(CHAT, chat_body())
-                self.assertEqual((status, fault_of(data)["name"]), (503, "NO_UPSTREAM"))
-                self.assertIn("retry-after", headers)
-
-        run(body)
+    @with_fleet(engines=0)
+    async def test_no_upstream_is_said_at_once(self, fleet: OnlineFleet) -> None:
+        status, headers, data = await fleet.post(CHAT, chat_body())
+        self.assertEqual((status, fault_of(data)["name"]), (503, "NO_UPSTREAM"))
+        self.assertIn("retry-after", headers)
--- a/tests/test_online_services.py
+++ b/tests/test_online_services.py
@@ -16,7 +16,15 @@
 from fescuedock.standin.kv_faults import LostAnswer
 from fescuedock.standin.plain_service import PlainService
 from tests.builders.net import served
-from tests.builders.online import PLAIN_SERVICE, OnlineFleet, open_fleet, record, run, wait_until
+from tests.builders.online import (
+    PLAIN_SERVICE,
+    OnlineFleet,
+    open_fleet,
+    record,
+    run,
+    wait_until,
+    with_fleet,
+)
 
 BOOKINGS = "/services/demo-plain/bookings"
 QUERIES = "/services/demo-plain/queries"
@@ -99,49 +107,41 @@
 
         run(body)
 
-    def test_a_mark_of_the_request_counts_as_the_configurations(self) -> None:
-        async def body() -> None:
-            async with open_fleet() as fleet:
-                only_plain(fleet).cut_after = 1
-                marked = {"x-non-idempotent": "true"}
-                _, _, data = await fleet.post(QUERIES, ORDER, marked)
-                self.assertEqual(fault_of(data)["name"], "EXECUTION_UNKNOWN")
-                self.assertEqual(executions(fleet), 1)
-
-        run(body)
-
-    def test_the_deadline_leaves_it_unknown_at_once(self) -> None:
-        async def body() -> None:
-            async with open_fleet() as fleet:
-                only_plain(fleet).delay_ms = 60_000
-                _, _, data = await fleet.post(BOOKINGS, ORDER, {"x-deadline-ms": "200"})
-                self.assertEqual(fault_of(data)["name"], "EXECUTION_UNKNOWN")
-
-        run(body)
-
-    def test_a_refused_connection_moves_on_to_another_upstream(self) -> None:
-        async def body() -> None:
-            async with open_fleet(plain_services=2) as fleet:
-                only_plain(fleet).listener.take_down()
-                for number in range(4):
-                    status, _, _ = await fleet.post(BOOKINGS, ORDER, key(f"k{number}"))
-                    self.assertEqual(status, 200)
-                self.assertEqual(executions(fleet), 4)
-
-        run(body)
+    @with_fleet()
+    async def test_a_mark_of_the_request_counts_as_the_configurations(
+        self, fleet: OnlineFleet
+    ) -> None:
+        only_plain(fleet).cut_after = 1
+        marked = {"x-non-idempotent": "true"}
+        _, _, data = await fleet.post(QUERIES, ORDER, marked)
+        self.assertEqual(fault_of(data)["name"], "EXECUTION_UNKNOWN")
+        self.assertEqual(executions(fleet), 1)
+
+    @with_fleet()
+    async def test_the_deadline_leaves_it_unknown_at_once(self, fleet: OnlineFleet) -> None:
+        only_plain(fleet).delay_ms = 60_000
+        _, _, data = await fleet.post(BOOKINGS, ORDER, {"x-deadline-ms": "200"})
+        self.assertEqual(fault_of(data)["name"], "EXECUTION_UNKNOWN")
+
+    @with_fleet(plain_services=2)
+    async def test_a_refused_connection_moves_on_to_another_upstream(
+        self, fleet: OnlineFleet
+    ) -> None:
+        only_plain(fleet).listener.take_down()
+        for number in range(4):
+            status, _, _ = await fleet.post(BOOKINGS, ORDER, key(f"k{number}"))
+            self.assertEqual(status, 200)
+        self.assertEqual(executions(fleet), 4)
 
 
 class RepeatableTest(unittest.TestCase):
     """Calls that may be repeated, and how calls are passed on."""
 
-    def test_a_lost_answer_is_tried_again(self) -> None:
-        async def body() -> None:
-            async with open_fleet() as fleet:
-                only_plain(fleet).cut_after = 1
-                status, _, _ = await fleet.post(QUERIES, ORDER)
-                self.assertEqual((status, executions(fleet)), (200, 2))
-
-        run(body)
+    @with_fleet()
+    async def test_a_lost_answer_is_tried_again(self, fleet: OnlineFleet) -> None:
+        only_plain(fleet).cut_after = 1
+        status, _, _ = await fleet.post(QUERIES, ORDER)
+        self.assertEqual((status, executions(fleet)), (200, 2))
 
     def test_method_path_query_body_and_headers_go_through(self) -> None:
         async def body() -> None:
@@ -182,159 +182,139 @@
 
         run(body)
 
-    def test_an_unknown_service_is_said(self) -> None:
-        async def body() -> None:
-            async with open_fleet() as fleet:
-                for name in ("nobody", "demo-llm"):
-                    _, _, data = await fleet.post(f"/services/{name}/x", b"")
-                    self.assertEqual(fault_of(data)["name"], "UNKNOWN_SERVICE")
-
-        run(body)
+    @with_fleet()
+    async def test_an_unknown_service_is_said(self, fleet: OnlineFleet) -> None:
+        for name in ("nobody", "demo-llm"):
+            _, _, data = await fleet.post(f"/services/{name}/x", b"")
+            self.assertEqual(fault_of(data)["name"], "UNKNOWN_SERVICE")
 
 
 class ClaimTest(unittest.TestCase):
     """Resends with an Idempotency-Key, at two entries."""
 
-    def test_resends_at_two_entries_run_once_and_get_the_answer(self) -> None:
-        async def body() -> None:
-            async with open_fleet(entries=2) as fleet:
-                answers = [await fleet.post(BOOKINGS, ORDER, key(), entry) for entry in (0, 1, 0)]
-                self.assertEqual({status for status, _, _ in answers}, {200})
-                self.assertEqual(len({data for _, _, data in answers}), 1)
-                self.assertEqual(answers[1][1]["idempotent-replay"], "true")
-                self.assertEqual(executions(fleet), 1)
-                _, _, data = await fleet.post(BOOKINGS, b"other", key(), 1)
-                self.assertEqual(fault_of(data)["name"], "KEY_REUSED")
-
-        run(body)
-
-    def test_resends_at_once_run_once(self) -> None:
-        async def body() -> None:
-            async with open_fleet(entries=2) as fleet:
-                only_plain(fleet).delay_ms = 20
-                results: list[tuple[int, bytes]] = []
-
-                async def send(entry: int) -> None:
-                    status, _, data = await fleet.post(BOOKINGS, ORDER, key(), entry)
-                    results.append((status, data))
-
-                async with trio.open_nursery() as nursery:
-                    for number in range(8):
-                        nursery.start_soon(send, number % 2)
-                self.assertEqual(executions(fleet), 1)
-                refused = [fault_of(data)["name"] for status, data in results if status != 200]
-                self.assertEqual(set(refused), {"ALREADY_CLAIMED"})
-                self.assertEqual(len(refused), 7)
-
-        run(body)
-
-    def test_after_a_lost_answer_a_resend_elsewhere_does_not_run_it_again(self) -> None:
-        async def body() -> None:
-            async with open_fleet(entries=2) as fleet:
-                only_plain(fleet).cut_after = 1
-                _, _, first = await fleet.post(BOOKINGS, ORDER, key(), 0)
-                _, _, second = await fleet.post(BOOKINGS, ORDER, key(), 1)
-                self.assertEqual(fault_of(first)["name"], "EXECUTION_UNKNOWN")
-                self.assertEqual(fault_of(second)["name"], "ALREADY_CLAIMED")
-                self.assertEqual(executions(fleet), 1)
-
-        run(body)
-
-    def test_what_was_not_sent_can_be_sent_by_another_entry(self) -> None:
-        async def body() -> None:
-            async with open_fleet(entries=2) as fleet:
-                service = only_plain(fleet)
-                service.listener.take_down()
-                _, _, data = await fleet.post(BOOKINGS, ORDER, key(), 0)
-                self.assertEqual(fault_of(data)["outcome"], "not_run")
-                service.listener.bring_up()
-                status = 0
-                while status != 200:
-                    # The owner keeps work from it until a trial has gone well.
-                    status, _, data = await fleet.post(BOOKINGS, ORDER, key(), 1)
-                self.assertEqual(executions(fleet), 1)
-
-        run(body)
-
-    def test_an_outage_refuses_claims_only(self) -> None:
-        async def body() -> None:
-            async with open_fleet() as fleet:
-                fleet.standins.kv.take_down()
-                status, headers, data = await fleet.post(BOOKINGS, ORDER, key())
-                self.assertEqual((status, fault_of(data)["name"]), (503, "CLAIM_UNAVAILABLE"))
-                self.assertEqual(fault_of(data)["outcome"], "not_run")
-                self.assertIn("retry-after", headers)
-                self.assertEqual(executions(fleet), 0)
-                status, _, _ = await fleet.post(BOOKINGS, ORDER)
-                self.assertEqual((status, executions(fleet)), (200, 1))
-                fleet.standins.kv.bring_up()
-                while status != 200 or executions(fleet) == 1:
-                    # The service needs a moment to listen again.
-                    status, _, data = await fleet.post(BOOKINGS, ORDER, key())
-                self.assertEqual(executions(fleet), 2)
-
-        run(body)
-
-    def test_a_silent_service_refuses_by_the_deadline_and_a_resend_runs(self) -> None:
-        async def body() -> None:
-            async with open_fleet(entries=2) as fleet:
-                # The write takes effect, but its answers and all reads after it are lost.
-                fleet.standins.kv.faults.lose_answer(LostAnswer.AFTER_EFFECT)
-                fleet.standins.kv.faults.delay_ms = 100
-                headers = {**key(), "x-deadline-ms": "120"}
-                _, _, data = await fleet.post(BOOKINGS, ORDER, headers, 0)
-                self.assertEqual(fault_of(data)["name"], "CLAIM_UNAVAILABLE")
-                self.assertEqual(executions(fleet), 0)
-                fleet.standins.kv.faults.clear()
-                _, _, data = await fleet.post(BOOKINGS, ORDER, key(), 1)
-                self.assertEqual(fault_of(data)["name"], "ALREADY_CLAIMED")
-                status, _, _ = await fleet.post(BOOKINGS, ORDER, key(), 0)
-                self.assertEqual((status, executions(fleet)), (200, 1))
-
-        run(body)
-
-    def test_lost_answers_of_the_claim_do_not_run_it_twice_or_never(self) -> None:
-        async def body() -> None:
-            async with open_fleet(entries=2) as fleet:
-                for number, when in enumerate(LostAnswer):
-                    with self.subTest(when=when):
-                        fleet.standins.kv.faults.lose_answer(when)
-                        name = f"lost-{number}"
-                        first = await fleet.post(BOOKINGS, ORDER, key(name), 0)
-                        second = await fleet.post(BOOKINGS, ORDER, key(name), 1)
-                        self.assertEqual((first[0], second[0]), (200, 200))
-                        self.assertEqual(first[2], second[2])
-                        self.assertEqual(executions(fleet), number + 1)
-
-        run(body)
-
-    def test_a_caller_that_leaves_does_not_stop_a_claimed_call(self) -> None:
-        async def body() -> None:
-            async with open_fleet(entries=2) as fleet:
-                only_plain(fleet).delay_ms = 50
-                with trio.move_on_after(30):
-                    async with trio.open_nursery() as nursery:
-                        nursery.start_soon(fleet.post, BOOKINGS, ORDER, key())
-                        await wait_until(lambda: executions(fleet) == 1)
-                        nursery.cancel_scope.cancel()
-                status = 409
-                while status == 409:
-                    status, headers, _ = await fleet.post(BOOKINGS, ORDER, key(), 1)
-                self.assertEqual((status, headers["idempotent-replay"]), (200, "true"))
-                self.assertEqual(executions(fleet), 1)
-
-        run(body)
-
-    def test_old_claims_are_swept(self) -> None:
-        async def body() -> None:
-            async with open_fleet(entry_changes={"claim_retention_s": 60}) as fleet:
-                await fleet.post(BOOKINGS, ORDER, key())
-                context = fleet.contexts[0]
-                self.assertEqual(await sweep_claims(context), 0)
-                late = replace(context, unix_clock=lambda: context.unix_clock() + 61)
-                self.assertEqual(await sweep_claims(late), 1)
-                self.assertEqual(await sweep_claims(late), 0)
-                await fleet.post(BOOKINGS, ORDER, key())
-                self.assertEqual(executions(fleet), 2)
-
-        run(body)
+    @with_fleet(entries=2)
+    async def test_resends_at_two_entries_run_once_and_get_the_answer(
+        self, fleet: OnlineFleet
+    ) -> None:
+        answers = [await fleet.post(BOOKINGS, ORDER, key(), entry) for entry in (0, 1, 0)]
+        self.assertEqual({status for status, _, _ in answers}, {200})
+        self.assertEqual(len({data for _, _, data in answers}), 1)
+        self.assertEqual(answers[1][1]["idempotent-replay"], "true")
+        self.assertEqual(executions(fleet), 1)
+        _, _, data = await fleet.post(BOOKINGS, b"other", key(), 1)
+        self.assertEqual(fault_of(data)["name"], "KEY_REUSED")
+
+    @with_fleet(entries=2)
+    async def test_resends_at_once_run_once(self, fleet: OnlineFleet) -> None:
+        only_plain(fleet).delay_ms = 20
+        results: list[tuple[int, bytes]] = []
+
+        async def send(entry: int) -> None:
+            status, _, data = await fleet.post(BOOKINGS, ORDER, key(), entry)
+            results.append((status, data))
+
+        async with trio.open_nursery() as nursery:
+            for number in range(8):
+                nursery.start_soon(send, number % 2)
+        self.assertEqual(executions(fleet), 1)
+        refused = [fault_of(data)["name"] for status, data in results if status != 200]
+        self.assertEqual(set(refused), {"ALREADY_CLAIMED"})
+        self.assertEqual(len(refused), 7)
+
+    @with_fleet(entries=2)
+    async def test_after_a_lost_answer_a_resend_elsewhere_does_not_run_it_again(
+        self, fleet: OnlineFleet
+    ) -> None:
+        only_plain(fleet).cut_after = 1
+        _, _, first = await fleet.post(BOOKINGS, ORDER, key(), 0)
+        _, _, second = await fleet.post(BOOKINGS, ORDER, key(), 1)
+        self.assertEqual(fault_of(first)["name"], "EXECUTION_UNKNOWN")
+        self.assertEqual(fault_of(second)["name"], "ALREADY_CLAIMED")
+        self.assertEqual(executions(fleet), 1)
+
+    @with_fleet(entries=2)
+    async def test_what_was_not_sent_can_be_sent_by_another_entry(self, fleet: OnlineFleet) -> None:
+        service = only_plain(fleet)
+        service.listener.take_down()
+        _, _, data = await fleet.post(BOOKINGS, ORDER, key(), 0)
+        self.assertEqual(fault_of(data)["outcome"], "not_run")
+        service.listener.bring_up()
+        status = 0
+        while status != 200:
+            # The owner keeps work from it until a trial has gone well.
+            status, _, data = await fleet.post(BOOKINGS, ORDER, key(), 1)
+        self.assertEqual(executions(fleet), 1)
+
+    @with_fleet()
+    async def test_an_outage_refuses_claims_only(self, fleet: OnlineFleet) -> None:
+        fleet.standins.kv.take_down()
+        status, headers, data = await fleet.post(BOOKINGS, ORDER, key())
+        self.assertEqual((status, fault_of(data)["name"]), (503, "CLAIM_UNAVAILABLE"))
+        self.assertEqual(fault_of(data)["outcome"], "not_run")
+        self.assertIn("retry-after", headers)
+        self.assertEqual(executions(fleet), 0)
+        status, _, _ = await fleet.post(BOOKINGS, ORDER)
+        self.assertEqual((status, executions(fleet)), (200, 1))
+        fleet.standins.kv.bring_up()
+        while status != 200 or executions(fleet) == 1:
+            # The service needs a moment to listen again.
+            status, _, data = await fleet.post(BOOKINGS, ORDER, key())
+        self.assertEqual(executions(fleet), 2)
+
+    @with_fleet(entries=2)
+    async def test_a_silent_service_refuses_by_the_deadline_and_a_resend_runs(
+        self, fleet: OnlineFleet
+    ) -> None:
+        # The write takes effect, but its answers and all reads after it are lost.
+        fleet.standins.kv.faults.lose_answer(LostAnswer.AFTER_EFFECT)
+        fleet.standins.kv.faults.delay_ms = 100
+        headers = {**key(), "x-deadline-ms": "120"}
+        _, _, data = await fleet.post(BOOKINGS, ORDER, headers, 0)
+        self.assertEqual(fault_of(data)["name"], "CLAIM_UNAVAILABLE")
+        self.assertEqual(executions(fleet), 0)
+        fleet.standins.kv.faults.clear()
+        _, _, data = await fleet.post(BOOKINGS, ORDER, key(), 1)
+        self.assertEqual(fault_of(data)["name"], "ALREADY_CLAIMED")
+        status, _, _ = await fleet.post(BOOKINGS, ORDER, key(), 0)
+        self.assertEqual((status, executions(fleet)), (200, 1))
+
+    @with_fleet(entries=2)
+    async def test_lost_answers_of_the_claim_do_not_run_it_twice_or_never(
+        self, fleet: OnlineFleet
+    ) -> None:
+        for number, when in enumerate(LostAnswer):
+            with self.subTest(when=when):
+                fleet.standins.kv.faults.lose_answer(when)
+                name = f"lost-{number}"
+                first = await fleet.post(BOOKINGS, ORDER, key(name), 0)
+                second = await fleet.post(BOOKINGS, ORDER, key(name), 1)
+                self.assertEqual((first[0], second[0]), (200, 200))
+                self.assertEqual(first[2], second[2])
+                self.assertEqual(executions(fleet), number + 1)
+
+    @with_fleet(entries=2)
+    async def test_a_caller_that_leaves_does_not_stop_a_claimed_call(
+        self, fleet: OnlineFleet
+    ) -> None:
+        only_plain(fleet).delay_ms = 50
+        with trio.move_on_after(30):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(fleet.post, BOOKINGS, ORDER, key())
+                await wait_until(lambda: executions(fleet) == 1)
+                nursery.cancel_scope.cancel()
+        status = 409
+        while status == 409:
+            status, headers, _ = await fleet.post(BOOKINGS, ORDER, key(), 1)
+        self.assertEqual((status, headers["idempotent-replay"]), (200, "true"))
+        self.assertEqual(executions(fleet), 1)
+
+    @with_fleet(entry_changes={"claim_retention_s": 60})
+    async def test_old_claims_are_swept(self, fleet: OnlineFleet) -> None:
+        await fleet.post(BOOKINGS, ORDER, key())
+        context = fleet.contexts[0]
+        self.assertEqual(await sweep_claims(context), 0)
+        late = replace(context, unix_clock=lambda: context.unix_clock() + 61)
+        self.assertEqual(await sweep_claims(late), 1)
+        self.assertEqual(await sweep_claims(late), 0)
+        await fleet.post(BOOKINGS, ORDER, key())
+        self.assertEqual(executions(fleet), 2)
