--- a/src/fescuedock/agent/config_service.py
+++ b/src/fescuedock/agent/config_service.py
@@ -189,7 +189,7 @@
             case Ok(ConfigPush() as answer):
                 self._node.on_push(answer, asked_at_ms, now_ms())
             case _:
-                self._node.on_pull_failed(vm, now_ms())
+                self._node.on_pull_failed(vm)
 
     async def _push(self, vm: VmRecord, message: ConfigPush) -> None:
         if (await self._call_peer(vm, message, _PUSH_TIMEOUT_MS)).is_ok():
--- a/src/fescuedock/core/config/node.py
+++ b/src/fescuedock/core/config/node.py
@@ -163,11 +163,14 @@
             self.replica.confirm(asked_at_ms - message.confirmed_age_ms)
         return Offer.APPLIED
 
-    def on_pull_failed(self, vm: VmRecord, now_ms: float) -> None:
-        """Note that ``vm`` did not answer, so that another is asked."""
+    def on_pull_failed(self, vm: VmRecord) -> None:
+        """Note that ``vm`` did not answer, so that another is asked.
+
+        Whoever else has the version says so on its next membership message.
+        """
         self._confirm_failures += 1
         if self._heard and self._heard[1].vm_id == vm.vm_id:
-            self._pull_due_ms = now_ms + self.limits.pull_delay_ms
+            self._heard, self._pull_due_ms = None, inf
 
     def on_revision(self, revision: int | None, asked_at_ms: float) -> list[Action]:
         """Take the revision of the record's key (0: no such key; None: the service is away)."""
--- a/tests/test_config_decisions.py
+++ b/tests/test_config_decisions.py
@@ -8,7 +8,7 @@
 
 from fescuedock.core.config.check import find_problems
 from fescuedock.core.config.merge import merge_patch
-from fescuedock.core.config.node import ReadRevision
+from fescuedock.core.config.node import Pull, ReadRevision
 from fescuedock.core.config.record import (
     MAX_PATCHES,
     MAX_RECORD_BYTES,
@@ -228,6 +228,18 @@
         asker.on_push(answer, asked_at_ms=4990, now_ms=5010)
         self.assertAlmostEqual(asker.replica.confirmed_at_ms, 990, delta=2)
 
+    def test_a_vm_that_is_ahead_and_silent_is_not_asked_for_ever(self):
+        vms = [vm_record(f"vm-{n}") for n in range(4)]
+        node = node_of(vms[0], vms)
+        node.tick(0)
+        node.on_peer_version(vms[1], 5, 10)
+        pull = Pull(vms[1], ConfigPull(0))
+        self.assertIn(pull, node.tick(400))
+        node.on_pull_failed(vms[1])
+        self.assertNotIn(pull, node.tick(1500))
+        node.on_peer_version(vms[2], 5, 1600)
+        self.assertIn(Pull(vms[2], ConfigPull(0)), node.tick(2000))
+
     def test_who_gets_no_confirmation_from_watchers_asks_the_service(self):
         vms = [vm_record(f"vm-{n}") for n in range(4)]
         watchers = watchers_of(vms, vms[0].failure_domain, 2)
