--- a/src/fescuedock/net/http_client.py
+++ b/src/fescuedock/net/http_client.py
@@ -15,7 +15,7 @@
 import trio
 
 from fescuedock.net.address import Address
-from fescuedock.net.http_server import Headers
+from fescuedock.net.http_messages import Headers
 
 __all__ = [
     "ClientResponse",
--- /dev/null
+++ b/src/fescuedock/net/http_connection.py
@@ -0,0 +1,166 @@
+"""A caller's connection to the HTTP server: the h11 state and the socket."""
+
+import os
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+
+import h11
+import trio
+
+__all__ = ["CALLER_GONE", "LINGER_S", "HttpConnection", "HttpLimits"]
+
+LINGER_S = 1
+CALLER_GONE = (trio.BrokenResourceError, trio.ClosedResourceError, trio.TooSlowError)
+_RECEIVE_BYTES = 65536
+_LINGER_READS = 64
+
+
+@dataclass(frozen=True, slots=True)
+class HttpLimits:
+    """Bounds of one connection."""
+
+    max_header_bytes: int = 32768
+    read_timeout_ms: int = 30000
+    write_timeout_ms: int = 30000
+    idle_timeout_ms: int = 60000
+
+
+class HttpConnection:
+    """One caller's connection: the h11 state and the socket."""
+
+    __slots__ = ("_body_read", "_limits", "_peer_closed", "_sending", "_stream", "protocol")
+
+    def __init__(self, stream: trio.SocketStream, limits: HttpLimits) -> None:
+        self.protocol = h11.Connection(h11.SERVER, limits.max_header_bytes)
+        self._stream = stream
+        self._limits = limits
+        self._body_read = trio.Event()
+        self._peer_closed = False
+        self._sending = False
+
+    @property
+    def body_read(self) -> bool:
+        """Whether the request was taken to its end."""
+        return self._body_read.is_set()
+
+    async def next_event(self) -> object:
+        while True:
+            event = self.protocol.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            await self._receive()
+
+    async def _receive(self) -> None:
+        if self.protocol.they_are_waiting_for_100_continue:
+            await self.send_events(h11.InformationalResponse(status_code=100, headers=[]))
+        try:
+            data = await self._stream.receive_some(_RECEIVE_BYTES)
+        except trio.BrokenResourceError:
+            data = b""
+        self._peer_closed = not data
+        self.protocol.receive_data(data)
+
+    async def send_events(self, *events: h11.Event) -> None:
+        """Serialise and send ``events``; ``trio.TooSlowError`` when the caller takes nothing."""
+        if self._sending:
+            raise trio.BusyResourceError("two tasks answer one request")
+        data = b"".join(self.protocol.send(event) or b"" for event in events)
+        sent_bytes = self._send_now(data)
+        if sent_bytes < len(data):
+            await self._send_rest(data[sent_bytes:])
+
+    def _send_now(self, data: bytes) -> int:
+        """Hand the kernel what it takes without waiting, the usual case by far.
+
+        Saves a checkpoint and a cancel scope for each streamed token; fairness is kept by the
+        caller's own reads.
+        """
+        try:
+            return os.write(self._stream.socket.fileno(), data)
+        except BlockingIOError:
+            return 0
+        except OSError as error:
+            raise trio.BrokenResourceError(str(error)) from error
+
+    async def _send_rest(self, data: bytes) -> None:
+        self._sending = True
+        try:
+            with trio.fail_after(self._limits.write_timeout_ms / 1000):
+                await self._stream.send_all(data)
+        finally:
+            self._sending = False
+
+    def body(self) -> AsyncIterator[bytes]:
+        return _RequestBody(self)
+
+    async def next_body_part(self) -> bytes | None:
+        """Return the next bytes of the request's body, None after its end."""
+        if self._body_read.is_set():
+            return None
+        with trio.fail_after(self._limits.read_timeout_ms / 1000):
+            event = await self.next_event()
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        self._body_read.set()
+        return None
+
+    def begin_body(self, head: h11.Request) -> None:
+        """Take the end of a request without a body, so that watching can begin at once."""
+        names = {bytes(name) for name, _ in head.headers}
+        if not names & {b"content-length", b"transfer-encoding"}:
+            self.protocol.next_event()
+            self._body_read.set()
+
+    async def watch_disconnect(self, handler_scope: trio.CancelScope) -> None:
+        """Cancel ``handler_scope`` when the caller closes before its answer is complete."""
+        await self._body_read.wait()
+        while not self._peer_closed:
+            if self.protocol.trailing_data[0]:
+                # A pipelined request: stop reading, so that the caller cannot fill our memory.
+                return
+            await self._receive()
+        handler_scope.cancel()
+
+    async def prepare_next(self) -> bool:
+        """Make ready for the next request on this connection; False when there can be none."""
+        if self.protocol.our_state is not h11.DONE or self.protocol.their_state is not h11.DONE:
+            return False
+        self.protocol.start_next_cycle()
+        self._body_read = trio.Event()
+        return True
+
+    async def close(self) -> None:
+        """Close, first reading a little of what the caller still sends.
+
+        Closing with unread bytes resets the connection, which can destroy our answer on its way.
+        """
+        if not self.body_read and not self._peer_closed:
+            await self._linger()
+        await self._stream.aclose()
+
+    async def _linger(self) -> None:
+        try:
+            await self._stream.send_eof()
+            for _ in range(_LINGER_READS):
+                if not await self._stream.receive_some(_RECEIVE_BYTES):
+                    return
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return
+
+
+class _RequestBody:
+    """Iterates over a request's body; unlike a generator it may be left at any point."""
+
+    __slots__ = ("_connection",)
+
+    def __init__(self, connection: HttpConnection) -> None:
+        self._connection = connection
+
+    def __aiter__(self) -> "_RequestBody":
+        return self
+
+    async def __anext__(self) -> bytes:
+        part = await self._connection.next_body_part()
+        if part is None:
+            raise StopAsyncIteration
+        return part
--- /dev/null
+++ b/src/fescuedock/net/http_messages.py
@@ -0,0 +1,131 @@
+"""What an HTTP handler works with: the request, the responder, and the body of an error."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping, Sequence
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+import h11
+import msgspec
+
+from fescuedock.faults import Fault
+from fescuedock.net.http_connection import HttpConnection
+
+__all__ = [
+    "BodyTooLargeError",
+    "Handler",
+    "Headers",
+    "Request",
+    "Responder",
+    "ResponseStream",
+    "fault_body",
+]
+
+Headers = Sequence[tuple[str, str]]
+_JSON_TYPE = ("content-type", "application/json")
+
+
+class BodyTooLargeError(Exception):
+    """The request's body is over the limit the reader gave."""
+
+
+@dataclass(slots=True)
+class Request:
+    """One request.  Header names are lower case; of a repeated header the last counts."""
+
+    method: str
+    path: str
+    target: str
+    query: Mapping[str, str]
+    headers: Mapping[str, str]
+    body: AsyncIterator[bytes]
+
+    async def read(self, limit_bytes: int) -> bytes:
+        """Return the whole body; ``BodyTooLargeError`` when it is over ``limit_bytes``."""
+        parts: list[bytes] = []
+        size_bytes = 0
+        async for part in self.body:
+            size_bytes += len(part)
+            if size_bytes > limit_bytes:
+                raise BodyTooLargeError(f"body over {limit_bytes} bytes")
+            parts.append(part)
+        return b"".join(parts)
+
+
+class Responder:
+    """Sends the one response of a request, whole or as a stream."""
+
+    __slots__ = ("_connection", "started")
+
+    def __init__(self, connection: HttpConnection) -> None:
+        self._connection = connection
+        self.started = False
+
+    async def send(self, status: int, body: bytes = b"", headers: Headers = ()) -> None:
+        """Send a whole response; a body without a content type is JSON."""
+        fields = list(headers)
+        if not any(name.lower() == "content-type" for name, _ in fields):
+            fields.append(_JSON_TYPE)
+        fields.append(("content-length", str(len(body))))
+        if not self._connection.body_read:
+            # The rest of the body is in the way of the next request.
+            fields.append(("connection", "close"))
+        self.started = True
+        # One write for head and body: two small ones would wait for each other's ACK.
+        await self._connection.send_events(
+            h11.Response(status_code=status, headers=fields),
+            h11.Data(data=body),
+            h11.EndOfMessage(),
+        )
+
+    async def send_json(self, status: int, value: object, headers: Headers = ()) -> None:
+        await self.send(status, msgspec.json.encode(value), headers)
+
+    async def send_fault(self, fault: Fault, headers: Headers = ()) -> None:
+        """Send ``fault`` in the OpenAI error shape with code, name and outcome."""
+        fields = list(headers)
+        if fault.retry_after_ms:
+            fields.append(("retry-after", str(max(1, -(-fault.retry_after_ms // 1000)))))
+            fields.append(("retry-after-ms", str(fault.retry_after_ms)))
+        await self.send(fault.http_status, fault_body(fault), fields)
+
+    @asynccontextmanager
+    async def stream(self, status: int, headers: Headers) -> AsyncIterator["ResponseStream"]:
+        """Open a streamed response; leaving the block normally ends it as whole.
+
+        Leaving it by an exception breaks the connection, so that the caller sees a truncated
+        answer and never takes it for a whole one.
+        """
+        self.started = True
+        await self._connection.send_events(h11.Response(status_code=status, headers=list(headers)))
+        yield ResponseStream(self._connection)
+        await self._connection.send_events(h11.EndOfMessage())
+
+
+class ResponseStream:
+    """The open body of a streamed response."""
+
+    __slots__ = ("_connection",)
+
+    def __init__(self, connection: HttpConnection) -> None:
+        self._connection = connection
+
+    async def write(self, data: bytes) -> None:
+        """Send ``data``, waiting while the caller is slow."""
+        await self._connection.send_events(h11.Data(data=data))
+
+
+Handler = Callable[[Request, Responder], Awaitable[None]]
+
+
+def fault_body(fault: Fault) -> bytes:
+    """Return ``fault`` as the JSON error body that callers get."""
+    error = {
+        "message": fault.message,
+        "type": "invalid_request_error" if fault.http_status < 500 else "server_error",
+        "param": None,
+        "code": fault.code.value,
+        "name": fault.code.name,
+        "outcome": fault.outcome.value,
+        "retry_after_ms": fault.retry_after_ms,
+    }
+    return msgspec.json.encode({"error": error})
