--- /dev/null
+++ b/src/fescuedock/core/route_learning.py
@@ -0,0 +1,107 @@
+"""What an entry learns from its own requests, for ``routing`` to choose by.
+
+Pure: the caller passes the time.
+"""
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from fescuedock.core.routing import RoutingPolicy
+
+__all__ = ["AskTimeout", "DomainLatency", "PrefillModel", "PrefixMemory", "SilentOwners"]
+
+
+@dataclass(slots=True)
+class AskTimeout:
+    """How long to wait for an owner that should answer at once.
+
+    A process that is busy itself reads answers late, so each ask under way adds ``each_ms``: what
+    handling one request takes, so that a burst here does not look like silence there.
+    """
+
+    base_ms: float = 25.0
+    each_ms: float = 2.0
+    under_way: int = 0
+
+    @property
+    def timeout_ms(self) -> float:
+        return self.base_ms + self.each_ms * self.under_way
+
+
+@dataclass(slots=True)
+class SilentOwners:
+    """Owners that did not answer of late, so that only the first request waits for each."""
+
+    policy: RoutingPolicy = field(default_factory=RoutingPolicy)
+    _until_ms: dict[str, float] = field(default_factory=dict)
+
+    def note_silent(self, vm_id: str, now_ms: float) -> None:
+        self._until_ms[vm_id] = now_ms + self.policy.silent_ms
+
+    def note_answer(self, vm_id: str) -> None:
+        self._until_ms.pop(vm_id, None)
+
+    def is_silent(self, vm_id: str, now_ms: float) -> bool:
+        return now_ms < self._until_ms.get(vm_id, float("-inf"))
+
+
+@dataclass(slots=True)
+class DomainLatency:
+    """One-way latency to each failure domain, from the round trips seen.
+
+    The least of late counts, because a handler's delays only ever add; it creeps up by
+    ``creep`` of itself with each observation, so that a longer way is learned too.
+    """
+
+    creep: float = 0.01
+    _least_ms: dict[str, float] = field(default_factory=dict)
+
+    def observe(self, failure_domain: str, round_trip_ms: float) -> None:
+        least_ms = self._least_ms.get(failure_domain, float("inf")) * (1 + self.creep)
+        self._least_ms[failure_domain] = min(least_ms, round_trip_ms)
+
+    def one_way_ms(self, failure_domain: str) -> float:
+        """Return 0 for a domain that nothing is known of, so that it gets tried."""
+        return self._least_ms.get(failure_domain, 0.0) / 2
+
+
+@dataclass(slots=True)
+class PrefixMemory:
+    """Which upstreams this process gave which prefixes of late, the latest ``size`` of each."""
+
+    size: int = 1024
+    _held: dict[str, OrderedDict[str, None]] = field(default_factory=dict)
+
+    def note(self, upstream_id: str, prefix_hash: str) -> bool:
+        """Note that a prefix went to an upstream; return whether it is the first time."""
+        held = self._held.setdefault(upstream_id, OrderedDict())
+        is_new = prefix_hash not in held
+        held[prefix_hash] = None
+        held.move_to_end(prefix_hash)
+        if len(held) > self.size:
+            held.popitem(last=False)
+        return is_new
+
+
+@dataclass(slots=True)
+class PrefillModel:
+    """Time of prefill for a prompt token, from first tokens of prompts that no cache can have.
+
+    Queues only ever add to it, so the least of late counts; it creeps up by ``creep`` of itself
+    with each observation.  Prompts shorter than ``min_tokens`` tell more of the queue than of it.
+    """
+
+    min_tokens: int = 256
+    creep: float = 0.01
+    _least_ms: float = float("inf")
+
+    def observe(self, prompt_tokens: int, first_token_ms: float) -> None:
+        if prompt_tokens < self.min_tokens or first_token_ms < 0:
+            return
+        least_ms = self._least_ms * (1 + self.creep)
+        self._least_ms = min(least_ms, first_token_ms / prompt_tokens)
+
+    @property
+    def token_ms(self) -> float:
+        """Milliseconds for each prompt token; 0 until something is known."""
+        return self._least_ms if self._least_ms < float("inf") else 0.0
--- a/src/fescuedock/entry/online_state.py
+++ b/src/fescuedock/entry/online_state.py
@@ -5,14 +5,14 @@
 
 from fescuedock.core.admission import Admission
 from fescuedock.core.retry import RetryBudget, RetryPolicy
-from fescuedock.core.routing import (
+from fescuedock.core.route_learning import (
     AskTimeout,
     DomainLatency,
     PrefillModel,
     PrefixMemory,
-    RoutingPolicy,
     SilentOwners,
 )
+from fescuedock.core.routing import RoutingPolicy
 from fescuedock.core.streams import StallPolicy
 from fescuedock.entry.context import EntryContext
 from fescuedock.platform.engine import EngineClient
--- a/tests/test_online_decisions.py
+++ b/tests/test_online_decisions.py
@@ -9,16 +9,13 @@
 from fescuedock.core.entry_standing import EntryStanding
 from fescuedock.core.health import HealthPolicy, HealthTracker
 from fescuedock.core.retry import AttemptHistory, RetryBudget, RetryPolicy
+from fescuedock.core.route_learning import DomainLatency, PrefillModel, PrefixMemory, SilentOwners
 from fescuedock.core.routing import (
     Ask,
     Candidate,
     Choice,
     Demand,
-    DomainLatency,
-    PrefillModel,
-    PrefixMemory,
     RoutingPolicy,
-    SilentOwners,
     choose_upstreams,
     plan_asks,
 )
