--- a/src/fescuedock/schema/store.py
+++ b/src/fescuedock/schema/store.py
@@ -84,3 +84,11 @@
     code: Annotated[int, Meta(description="A ResultCode.")] = 0
     message: str = ""
     free_bytes: int = 0
+
+
+class AskSweep(WireStruct):
+    """
+    A store that has started asks another to compare its segments; a disk may have been replaced by an empty one.
+    """
+
+    vm_id: str
--- a/src/fescuedock/store/main.py
+++ b/src/fescuedock/store/main.py
@@ -57,6 +57,7 @@
         ):
             repair = _repair(settings, service, client, view, http)
             folders.on_damage = repair.on_damage
+            service.on_sweep_asked = repair.on_sweep_asked
             nursery.start_soon(repair.run)
             task_status.started(address)
             await stop.wait()
--- a/src/fescuedock/store/repair.py
+++ b/src/fescuedock/store/repair.py
@@ -21,6 +21,7 @@
 from fescuedock.schema.result_codes import ResultCode
 from fescuedock.schema.settings import BatchSettings, StoreSettings
 from fescuedock.schema.store import (
+    AskSweep,
     GetSegment,
     HaveSegments,
     HaveSegmentsReply,
@@ -70,6 +71,8 @@
     counts: RepairCounts = field(default_factory=RepairCounts)
     _damaged: set[str] = field(default_factory=set)
     _wake: trio.Event = field(default_factory=trio.Event)
+    _sweep_asked: bool = False
+    _others_asked: bool = False
     _pace: Pace = field(init=False)
     _sites: StableSites = field(init=False)
 
@@ -83,6 +86,10 @@
         self._damaged.add(segment_hash)
         self._wake.set()
 
+    def on_sweep_asked(self) -> None:
+        """Sweep soon: another store has started, perhaps with an empty disk."""
+        self._sweep_asked = True
+
     async def run(self) -> None:
         """Repair until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -99,25 +106,38 @@
                 next_full_s = trio.current_time() + self.settings.sweep_interval_s
                 await self.expire()
             self._sites.settle()
+            self._sweep_asked = False
+            await self._ask_others()
             await self.sweep(check_content=full)
 
     async def _wait_due(self, next_full_s: float) -> None:
         """Wait for the next full sweep or for a change of the stores that has lasted."""
         while trio.current_time() < next_full_s:
             left_ms = self._sites.observe(self._other_sites(), now_ms())
-            if left_ms == 0:
+            if left_ms == 0 or self._sweep_asked:
                 return
             wait_s = _LOOK_S if left_ms is None else min(_LOOK_S, left_ms / 1000)
             await trio.sleep(min(wait_s, max(0.0, next_full_s - trio.current_time())))
 
+    async def _ask_others(self) -> None:
+        """Ask every other store for a sweep, once after the start.
+
+        The others cannot see from the membership that a store came back without its segments.
+        """
+        if self._others_asked:
+            return
+        self._others_asked = True
+        for vm in self._others():
+            await self.client.call(vm, AskSweep(vm_id=self.view.vm_id))
+
     async def sweep(self, *, check_content: bool = False) -> None:
         """Compare what is here with the other stores once and copy what is short."""
-        self.counts.sweeps += 1
         names = [file.name for file in self.segments.files()]
         for part in _parts(names, _ASKED_AT_ONCE):
             if check_content:
                 await self._check(part)
             await self._sweep_part([name for name in part if self.segments.status(name)])
+        self.counts.sweeps += 1
         log_event("sweep_done", segments=len(names), **asdict(self.counts))
 
     async def _check(self, names: Iterable[str]) -> None:
--- a/src/fescuedock/store/service.py
+++ b/src/fescuedock/store/service.py
@@ -1,5 +1,6 @@
 """Answers the messages of a store from its folders."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import msgspec
@@ -11,6 +12,7 @@
 from fescuedock.schema.result_codes import ResultCode
 from fescuedock.schema.store import (
     AppendLog,
+    AskSweep,
     DropLog,
     DropSegments,
     GetSegment,
@@ -35,6 +37,8 @@
     logs: LogFolder
     usage: Usage
     unix_clock: UnixClock
+    # Called when another store wants this one to compare its segments with the others'.
+    on_sweep_asked: Callable[[], None] = lambda: None
 
     async def handle(
         self, message: msgspec.Struct, _peer: ServerPeer | None = None
@@ -62,6 +66,9 @@
                 for segment_hash in message.segment_hashes:
                     self.segments.drop(segment_hash)
                 return self._reply(Ok(None))
+            case AskSweep():
+                self.on_sweep_asked()
+                return self._reply(Ok(None))
             case DropLog():
                 self.logs.drop(message.job_id)
                 return self._reply(Ok(None))
--- a/tests/builders/store.py
+++ b/tests/builders/store.py
@@ -56,6 +56,7 @@
         self.damaged: list[str] = []
         self.garbled = False
         self.on_damage: Callable[[str], None] = self.damaged.append
+        self.on_sweep_asked: Callable[[], None] = lambda: None
         self.segments = SegmentFolder(
             self.disk, folder, self.usage, lambda segment_hash: self.on_damage(segment_hash)
         )
@@ -69,6 +70,7 @@
         self, codec: Codec, *, task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED
     ) -> None:
         service = StoreService(self.segments, self.logs, self.usage, lambda: NOW_S)
+        service.on_sweep_asked = lambda: self.on_sweep_asked()
 
         async def handle(message: msgspec.Struct, peer: ServerPeer) -> msgspec.Struct | None:
             reply = await service.handle(message, peer)
@@ -119,6 +121,7 @@
             unix_clock=lambda: NOW_S,
         )
         node.on_damage = repair.on_damage
+        node.on_sweep_asked = repair.on_sweep_asked
         self._nursery.start_soon(repair.run)
         return repair
 
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -208,6 +208,16 @@
             file = fleet.nodes[vm_id].segments.status(segment_hash)
             self.assertEqual(file.modified_s, 1000)
 
+    @at_stores({"vm-1": "chipre", "vm-2": "palermo", "vm-3": "villamaria"})
+    async def test_store_back_with_an_empty_disk_is_filled_again(self, fleet: StoreFleet) -> None:
+        ref = (await fleet.client.put_segment(BODY)).unwrap()
+        repairs = [fleet.start_repair(vm_id, repair_after_ms=0) for vm_id in fleet.nodes]
+        await until(lambda: all(repair.counts.sweeps for repair in repairs))
+        # The membership never shows the change.
+        fleet.nodes["vm-2"].segments.drop(ref.segment_hash)
+        fleet.start_repair("vm-2", repair_after_ms=0)
+        await until(lambda: len(fleet.holders(ref.segment_hash)) == 3)
+
     @at_stores(SITES)
     async def test_lasting_loss_starts_a_sweep_by_itself(self, fleet: StoreFleet) -> None:
         ref = (await fleet.client.put_segment(BODY)).unwrap()
