--- a/src/fescuedock/core/membership/detection.py
+++ b/src/fescuedock/core/membership/detection.py
@@ -5,6 +5,7 @@
 
 from fescuedock.core.membership.actions import Action
 from fescuedock.core.membership.composer import Composer, address_of
+from fescuedock.core.membership.freshness import ReplayWindows
 from fescuedock.core.membership.gossip import GossipQueue
 from fescuedock.core.membership.health import LocalHealth
 from fescuedock.core.membership.listing import VmListing
@@ -57,6 +58,7 @@
         table: MemberTable,
         listing: VmListing,
         queue: GossipQueue,
+        windows: ReplayWindows,
         composer: Composer,
         health: LocalHealth,
         rng: Random,
@@ -67,6 +69,7 @@
         self._table = table
         self._listing = listing
         self._queue = queue
+        self._windows = windows
         self._composer = composer
         self._health = health
         self._rng = rng
@@ -203,8 +206,10 @@
         if target is None:
             return []
         others = [item for item in self._table.present() if item.vm_id != self._vm_id]
+        # One that has not met this VM would first ask for proof, and come too late.
+        met = [item for item in others if self._windows.has_proved(item.vm_id)]
         own_domain = self._table.get(self._vm_id).failure_domain
-        helpers = choose_helpers(target, own_domain, others, self._rng)
+        helpers = choose_helpers(target, own_domain, met or others, self._rng)
         return [self._composer.request(helper, probe.nonce, probe.target) for helper in helpers]
 
     # --- verdicts ---------------------------------------------------------------------------
--- a/src/fescuedock/core/membership/membership.py
+++ b/src/fescuedock/core/membership/membership.py
@@ -92,6 +92,7 @@
             self._table,
             self._listing,
             self._queue,
+            self._windows,
             self._composer,
             self._health,
             rng,
