Bound the lines in flight of a job by bytes, not by their number alone

512 items in flight of up to a megabyte each were half a gigabyte. No fresh item starts while a job holds buffer_bytes of lines in flight or waiting.

--- a/src/fescuedock/core/batch/items.py
+++ b/src/fescuedock/core/batch/items.py
@@ -6,7 +6,8 @@
 suspicion it runs as others do, as the only suspect of an upstream, or alone there, and at last it
 is ended.
 
-Memory is bounded by the input segment at hand and by the items in flight or waiting.
+Memory is bounded by the input segment at hand, and by the number and bytes of the items in flight
+or waiting.
 """
 
 import heapq
@@ -105,6 +106,7 @@
     __slots__ = (
         "_cursor",
         "_ended",
+        "_held_bytes",
         "_in_flight",
         "_random",
         "_settings",
@@ -124,6 +126,8 @@
         self._cursor = 0
         self._window: list[bytes] = []
         self._window_start = 0
+        # Of the lines in flight or waiting.
+        self._held_bytes = 0
         self._in_flight: dict[int, Item] = {}
         self._waiting: list[tuple[float, int, Item]] = []
         self._skip()
@@ -194,6 +198,7 @@
         item = self._take_waiting(upstream_id, allowed, now_ms)
         if item is None and fresh and self._may_start_fresh():
             item = Item(self._cursor, self._window[self._cursor - self._window_start])
+            self._held_bytes += len(item.line)
             self._cursor += 1
             self._skip()
         if item is not None:
@@ -205,12 +210,18 @@
         """Judge a failed attempt: a verdict ends the item, None means that it waits again."""
         item = self._in_flight.pop(number)
         if self.non_idempotent and end.kind not in (EndKind.NOT_SENT, EndKind.BUSY):
-            return self._judge_once_only(item, end)
-        return self._judge(item, end, now_ms)
+            verdict = self._judge_once_only(item, end)
+        else:
+            verdict = self._judge(item, end, now_ms)
+        if verdict is not None:
+            self._held_bytes -= len(item.line)
+        return verdict
 
     def release(self, number: int) -> Item:
         """Forget an item in flight that has its result."""
-        return self._in_flight.pop(number)
+        item = self._in_flight.pop(number)
+        self._held_bytes -= len(item.line)
+        return item
 
     def _judge(self, item: Item, end: AttemptEnd, now_ms: float) -> ItemVerdict | None:
         progressed = end.tokens > item.tokens
@@ -269,7 +280,11 @@
 
     def _may_start_fresh(self) -> bool:
         # Retries that pile up mean trouble that fresh items would only add to.
-        return self._has_line() and len(self._waiting) < self._settings.max_items_in_flight
+        settings = self._settings
+        crowded = self._held_bytes >= settings.buffer_bytes
+        return (
+            self._has_line() and not crowded and len(self._waiting) < settings.max_items_in_flight
+        )
 
     def _has_line(self) -> bool:
         return self._window_start <= self._cursor < self._window_start + len(self._window)
--- a/src/fescuedock/schema/settings.py
+++ b/src/fescuedock/schema/settings.py
@@ -194,7 +194,7 @@
     buffer_bytes: Annotated[
         int,
         Meta(
-            description="Results of one job that are not yet in a segment; no new item starts above it.",
+            description="Of one job: results that are not yet in a segment, and as much again of lines in flight. No new item starts above it.",
             ge=1024,
         ),
     ] = 33554432
--- a/tests/test_batch_job.py
+++ b/tests/test_batch_job.py
@@ -113,6 +113,19 @@
         runner.work()
         self.assertEqual(world.sent, _ONCE_EACH)
 
+    def test_long_lines_in_flight_are_bounded_in_bytes(self):
+        world = JobWorld(_ITEMS, batch_settings(buffer_bytes=1024, segment_items=_ITEMS))
+        runner = Runner(world, "vm-1/a")
+        for _ in range(5):
+            runner.step()
+        runner.fill()
+        held_bytes = sum(len(item.line) for item in runner.flying)
+        self.assertGreaterEqual(held_bytes, 1024)
+        self.assertLess(held_bytes - len(runner.flying[-1].line), 1024)
+        self.assertLess(len(runner.flying), _ITEMS)
+        runner.work()
+        self.assertEqual(world.sent, _ONCE_EACH)
+
     def test_a_log_larger_than_the_buffer_is_read_in_parts(self):
         world = JobWorld(_ITEMS, batch_settings(buffer_bytes=1024))
         first = Runner(world, "vm-1/a")
