--- a/bench/mix_actors.py
+++ b/bench/mix_actors.py
@@ -19,12 +19,12 @@
 from fescuedock.core.permits.local_limit import LocalLimit
 from fescuedock.core.permits.owner import OwnedUpstream, PermitOwner
 from fescuedock.core.permits.terms import UpstreamTerms
+from fescuedock.core.route_learning import SilentOwners
 from fescuedock.core.routing import (
     Ask,
     Candidate,
     Demand,
     RoutingPolicy,
-    SilentOwners,
     choose_upstreams,
     plan_asks,
 )
