--- a/src/fescuedock/agent/membership_service.py
+++ b/src/fescuedock/agent/membership_service.py
@@ -1,5 +1,7 @@
 """The shell of membership: datagrams, the VM list, and the view that this VM's programs follow."""
 
+from typing import Protocol
+
 import msgspec
 import trio
 from result import Ok
@@ -42,17 +44,31 @@
 _MAX_POLL_MS = 30000
 
 
-class ConfigSource:
+class ConfigSource(Protocol):
     """What membership needs of the configuration on this VM."""
 
-    current_version: int
-    document: bytes
-    confirmed_age_ms: float
-    unconfirmed: bool
-    serving: bool
+    @property
+    def current_version(self) -> int:
+        """The version in force on this VM."""
+
+    @property
+    def document(self) -> bytes:
+        """The configuration in force, as JSON."""
+
+    @property
+    def confirmed_age_ms(self) -> float:
+        """Time since the version was known to be the newest."""
+
+    @property
+    def unconfirmed(self) -> bool:
+        """Whether that is too long ago."""
+
+    @property
+    def serving(self) -> bool:
+        """Whether the entry of this VM may take new requests all the same."""
 
     def on_peer_version(self, vm: VmRecord, version: int) -> None:
-        raise NotImplementedError
+        """Note the version that a datagram of ``vm`` carried."""
 
 
 class MembershipService:
--- a/src/fescuedock/schema/settings.py
+++ b/src/fescuedock/schema/settings.py
@@ -34,7 +34,7 @@
     vm_list_address: Annotated[str, Meta(min_length=3)]
     weight_store_address: str = ""
     kv_timeout_ms: Annotated[int, Meta(ge=1)] = 1500
-    vm_list_poll_ms: Annotated[int, Meta(ge=10)] = 2000
+    vm_list_poll_ms: Annotated[int, Meta(ge=10)] = 1500
     key_prefix: str = "/fescuedock/"
 
 
