Keep the operators' paths for those with an operators' key

Cause: whoever reached an entry's port could patch the configuration or send a VM away. The command line already sends FESCUEDOCK_API_KEY. Ruled out: keys in the configuration, since a patch that loses them would lock everybody out.

--- a/src/fescuedock/entry/app.py
+++ b/src/fescuedock/entry/app.py
@@ -4,6 +4,7 @@
 
 from fescuedock.entry import admin, entries, files, jobs, models, online, seeing, services
 from fescuedock.entry.context import EntryContext
+from fescuedock.entry.operators import is_operators_path, operator_refusal
 from fescuedock.entry.routes import route_requests
 from fescuedock.faults import Fault
 from fescuedock.net.http_server import Handler, Request, Responder
@@ -23,7 +24,7 @@
     route = route_requests([item for module in _MODULES for item in module.routes(context)])
 
     async def handle(request: Request, responder: Responder) -> None:
-        fault = refusal() if _is_work(request) else None
+        fault = _refused(context, refusal, request)
         if fault is None:
             await route(request, responder)
         else:
@@ -32,6 +33,12 @@
     return handle
 
 
+def _refused(context: EntryContext, refusal: Refusal, request: Request) -> Fault | None:
+    if is_operators_path(request.path):
+        return operator_refusal(context.settings.entry, request.headers)
+    return refusal() if _is_work(request) else None
+
+
 def _is_work(request: Request) -> bool:
     return any(
         request.path.startswith(prefix) and method in ("", request.method)
--- a/src/fescuedock/entry/members.py
+++ b/src/fescuedock/entry/members.py
@@ -10,7 +10,7 @@
 from fescuedock.schema.config import Configuration
 from fescuedock.schema.result_codes import ResultCode
 
-__all__ = ["ANONYMOUS", "MemberDirectory", "find_member"]
+__all__ = ["ANONYMOUS", "MemberDirectory", "bearer_key", "find_member"]
 
 # Stands for all callers without a known key, who then share one member's share.
 ANONYMOUS = "anonymous"
@@ -45,7 +45,7 @@
 
     Callers without a known key are ``ANONYMOUS``, or refused where the settings require a key.
     """
-    key = _bearer_key(headers)
+    key = bearer_key(headers)
     member = directory.member_of(context.view.configuration, key) if key else None
     if member is not None:
         return Ok(member)
@@ -55,7 +55,8 @@
     return Ok(ANONYMOUS)
 
 
-def _bearer_key(headers: Mapping[str, str]) -> str:
+def bearer_key(headers: Mapping[str, str]) -> str:
+    """Return the key of an ``Authorization: Bearer`` header, or an empty string."""
     value = headers.get("authorization", "")
     return value[len(_SCHEME) :].strip() if value.lower().startswith(_SCHEME) else ""
 
--- a/src/fescuedock/schema/settings.py
+++ b/src/fescuedock/schema/settings.py
@@ -55,6 +55,13 @@
     )
     default_deadline_ms: Annotated[int, Meta(ge=1)] = 60000
     require_api_key: bool = False
+    operator_key_hash: Annotated[
+        str,
+        Meta(
+            description="SHA-256 in hex of the keys that may use /admin/, comma-separated; empty lets everybody who reaches the port.",
+            pattern="^([0-9a-f]{64}( *, *[0-9a-f]{64})*)?$",
+        ),
+    ] = ""
     leave_spread_ms: Annotated[
         int,
         Meta(
