--- a/bench/virtual.py
+++ b/bench/virtual.py
@@ -95,10 +95,6 @@
             self._reports.pop(0)
         return self._reports[0][1:] if self.alive else None
 
-    def batch_and_all(self, is_batch: Callable[[str], bool]) -> tuple[int, int]:
-        """Return how many batch attempts it has, and how many in all."""
-        return sum(map(is_batch, self._attempts)), len(self._attempts)
-
     def _go_on(self) -> None:
         if not self._stepping and not self._model.is_idle:
             self._stepping = True
--- a/src/fescuedock/core/permits/held.py
+++ b/src/fescuedock/core/permits/held.py
@@ -1,6 +1,5 @@
 """The permits that are out for one upstream: exact counts, expiry, and which to take back first."""
 
-from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 from fescuedock.core.permits.prediction import Start
@@ -97,21 +96,12 @@
     def __len__(self) -> int:
         return len(self._by_id)
 
-    def __contains__(self, permit_id: str) -> bool:
-        return permit_id in self._by_id
-
-    def __iter__(self) -> Iterator[Held]:
-        return iter(self._by_id.values())
-
     def get(self, permit_id: str) -> Held | None:
         return self._by_id.get(permit_id)
 
     def count_of(self, member: str) -> int:
         return self._by_member.get(member, 0)
 
-    def members(self) -> Iterator[str]:
-        return iter(self._by_member)
-
     @property
     def staying(self) -> int:
         """Attempts that will still run once all revocations are done."""
--- a/src/fescuedock/core/permits/holder.py
+++ b/src/fescuedock/core/permits/holder.py
@@ -45,9 +45,6 @@
     _grants: dict[str, HeldGrant] = field(default_factory=dict)
     _ended: list[EndedPermit] = field(default_factory=list)
 
-    def __contains__(self, permit_id: str) -> bool:
-        return permit_id in self._grants
-
     def __iter__(self) -> Iterator[HeldGrant]:
         return iter(tuple(self._grants.values()))
 
--- a/src/fescuedock/core/permits/owner.py
+++ b/src/fescuedock/core/permits/owner.py
@@ -47,9 +47,6 @@
         self._services: dict[str, str] = {}
         self._health: dict[str, HealthTracker] = {}
 
-    def owns(self, upstream_id: str) -> bool:
-        return upstream_id in self._queues
-
     def owned(self) -> Iterator[str]:
         return iter(tuple(self._queues))
 
