Say 'not sent' for a call on a closed channel

Cause: while a program is cancelled, a task could still call through a client whose socket its neighbour had closed; ZMQError 'Socket operation on non-socket' came out of one session test in a run of the whole suite. Change: sending on a closed socket is refused as unreachable.

--- a/src/fescuedock/net/channel.py
+++ b/src/fescuedock/net/channel.py
@@ -86,7 +86,9 @@
         self._on_message = on_message
 
     def send(self, frames: list[bytes]) -> bool:
-        """Queue ``frames``; False when the peer is unknown or its queue is full."""
+        """Queue ``frames``; False when the peer is unknown, its queue is full or we closed."""
+        if self._socket.closed:
+            return False
         try:
             self._socket.send_multipart(frames, zmq.NOBLOCK)
         except zmq.ZMQError:
--- a/tests/test_net_channel.py
+++ b/tests/test_net_channel.py
@@ -201,3 +201,13 @@
                 self.assertEqual(sorted(answered, key=int), [str(n) for n in range(500)])
 
         self.run_guarded(test)
+
+    def test_a_call_after_the_close_was_not_sent(self) -> None:
+        async def test(nursery: trio.Nursery) -> None:
+            async with ChannelClient.open(LOOPBACK, signed_codec()) as client:
+                pass
+            refused = await client.call(LeaveRequest(), 10_000)
+            self.assertEqual(refused.unwrap_err().code, ResultCode.PEER_UNREACHABLE)
+            self.assertFalse(client.push(LeaveRequest()))
+
+        self.run_guarded(test)
