--- /dev/null
+++ b/tests/test_promises_calls.py
@@ -0,0 +1,237 @@
+"""What must hold for online requests, bookings and stops while parts of a system fail."""
+
+import unittest
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from fescuedock.cli.local import LocalSystem
+from fescuedock.cli.local_vm import LocalVm
+from fescuedock.standin.engine import EngineService
+from fescuedock.standin.kv_faults import LostAnswer
+from fescuedock.standin.plain_service import PlainService
+from tests.builders.local import Answer, run_session, wait_until
+from tests.builders.promises import (
+    CHAT_SERVICE,
+    TRIP_SERVICE,
+    book,
+    engines_of,
+    expected_lines,
+    job_owner,
+    job_status,
+    kv_down,
+    lost_vm,
+    owner_of,
+    result_lines,
+    stream_whole,
+    submit,
+    total_admitted,
+    total_running,
+)
+
+ANSWER_TOKENS = 80
+# Retries of an entry that has had no successes yet must suffice for all of them.
+CALLERS_PER_ENTRY = 3
+
+
+class OwnAnswerTest(unittest.TestCase):
+    def test_callers_get_their_own_whole_answers_through_a_freeze_a_death_and_a_lost_owner(
+        self,
+    ) -> None:
+        async def session(system: LocalSystem) -> None:
+            engines = engines_of(system, CHAT_SERVICE)
+            first = system.vms["vm-chipre"]
+            owner = await owner_of(system, first, engines[0].upstream_id)
+            left = [vm for vm in system.vms.values() if vm is not owner]
+            async with trio.open_nursery() as nursery:
+                for number in range(CALLERS_PER_ENTRY * len(left)):
+                    vm = left[number % len(left)]
+                    question = f"Caller {number} asks at {vm.vm_id}"
+                    nursery.start_soon(stream_whole, system, vm, question, 2 * ANSWER_TOKENS)
+                frozen = await self._streaming(engines)
+                frozen.freeze()
+                await lost_vm(owner)
+                dying = await self._streaming(engines, but=frozen)
+                # What it has still to give comes after its callers went elsewhere.
+                frozen.thaw()
+                dying.die()
+                dying.revive()
+            self.assertEqual(dying.deaths, 1)
+
+        run_session(session)
+
+    async def _streaming(
+        self, engines: list[EngineService], but: EngineService | None = None
+    ) -> EngineService:
+        """Wait until all streams of an engine other than ``but`` have got tokens; return it."""
+        found: list[EngineService] = []
+
+        async def streams() -> bool:
+            for engine in engines:
+                running = engine.core.model.running.values()
+                if engine is not but and running and all(item.generated >= 4 for item in running):
+                    found.append(engine)
+            return bool(found)
+
+        await wait_until(streams)
+        return found[0]
+
+
+class AtMostOnceTest(unittest.TestCase):
+    def test_booking_resent_through_all_entries_runs_once_whatever_write_is_lost(self) -> None:
+        async def session(system: LocalSystem) -> None:
+            plain = system.standins.plain["booking-1"]
+            for when in LostAnswer:
+                for nth in (1, 2, 3):
+                    system.standins.kv.faults.lose_answer(when, nth)
+                    await self._resend(system, plain, f"{when.value}-{nth}")
+            await self._lose_dispatcher(system, plain)
+
+        run_session(session)
+
+    async def _resend(self, system: LocalSystem, plain: PlainService, name: str) -> None:
+        """Book through all entries at once, then through each again."""
+        answers: list[Answer | None] = []
+
+        async def send(vm: LocalVm) -> None:
+            answers.append(await book(system, vm, name, {"idempotency-key": name}))
+
+        async with trio.open_nursery() as nursery:
+            for vm in system.vms.values():
+                nursery.start_soon(send, vm)
+        for vm in system.vms.values():
+            await send(vm)
+        self.assertEqual(plain.executions[name], 1, name)
+        whole = {answer.body for answer in answers if answer and answer.status == 200}
+        self.assertLessEqual(len(whole), 1, "all answers are those of the one execution")
+
+    async def _lose_dispatcher(self, system: LocalSystem, plain: PlainService) -> None:
+        """Lose the VM that sent a booking before it has the answer; the others must not send it."""
+        plain.delay_ms = 60_000
+        lost, *left = system.vms.values()
+        name = "lost-dispatcher"
+        key = {"idempotency-key": name}
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(book, system, lost, name, key)
+
+            async def runs() -> bool:
+                return plain.executions[name] == 1
+
+            await wait_until(runs)
+            # A booking under way holds its entry up, so that it can tell nothing more either.
+            lost.kill()
+            plain.delay_ms = 0
+            for vm in left:
+                answer = await book(system, vm, name, key)
+                self.assertEqual(answer.json["error"]["name"], "ALREADY_CLAIMED")
+                self.assertEqual(answer.json["error"]["outcome"], "unknown")
+            plain.listener.take_down()
+        plain.listener.bring_up()
+        for vm in left:
+            await book(system, vm, name, key)
+        self.assertEqual(plain.executions[name], 1)
+
+
+class TrueRefusalTest(unittest.TestCase):
+    def test_what_is_refused_as_not_run_never_ran(self) -> None:
+        async def session(system: LocalSystem) -> None:
+            self.outcomes: dict[str, str] = {}
+            plain = system.standins.plain["booking-1"]
+            first, second, third = system.vms.values()
+            await self._check(system, first, "fine", {})
+            plain.cut_before = 1
+            await self._check(system, first, "cut before", {})
+            plain.cut_after = 1
+            await self._check(system, second, "cut after", {})
+            plain.delay_ms = 60_000
+            await self._check(system, first, "deadline", {"x-deadline-ms": "300"})
+            plain.delay_ms = 0
+            plain.listener.take_down()
+            await self._check(system, third, "down", {})
+            await self._check(system, third, "down, keyed", {"idempotency-key": "down"})
+            plain.listener.bring_up()
+            with kv_down(system):
+                await self._check(system, second, "outage", {"idempotency-key": "outage"})
+            await self._during_loss(system, plain)
+            self.assertEqual(
+                self.outcomes,
+                {
+                    "fine": "200",
+                    "cut before": "unknown",
+                    "cut after": "unknown",
+                    "deadline": "unknown",
+                    "down": "not_run",
+                    "down, keyed": "not_run",
+                    "outage": "not_run",
+                    "owner lost": "200",
+                },
+            )
+
+        run_session(session)
+
+    async def _during_loss(self, system: LocalSystem, plain: PlainService) -> None:
+        """Lose the VM that grants the service's permits, which others learn only later."""
+        vms = list(system.vms.values())
+        owner = await owner_of(system, vms[0], plain.upstream_id)
+        other = next(vm for vm in vms if vm is not owner)
+        await lost_vm(owner)
+        await self._check(system, other, "owner lost", {})
+
+    async def _check(
+        self, system: LocalSystem, vm: LocalVm, name: str, headers: dict[str, str]
+    ) -> None:
+        answer = await book(system, vm, name, headers)
+        done = "200" if answer.status == 200 else answer.json["error"]["outcome"]
+        self.outcomes[name] = done
+        executions = system.standins.plain["booking-1"].executions[name]
+        if done == "not_run":
+            self.assertEqual(executions, 0, name)
+            self.assertIn("retry-after", answer.headers, name)
+        self.assertLessEqual(executions, 1, name)
+
+
+class PlannedStopTest(unittest.TestCase):
+    # So few that no limit makes an item give way.
+    LINES = 30
+
+    def test_stop_of_a_vm_under_streams_and_items_cuts_off_nothing_in_an_outage(self) -> None:
+        async def session(system: LocalSystem) -> None:
+            items, streams = engines_of(system, TRIP_SERVICE), engines_of(system, CHAT_SERVICE)
+            admitted = total_admitted(items)
+            expected = expected_lines(2 * ANSWER_TOKENS, self.LINES)
+            job_id = await submit(
+                system, system.vms["vm-chipre"], 2 * ANSWER_TOKENS, lines=self.LINES
+            )
+            async with trio.open_nursery() as nursery:
+                for number, vm in enumerate([*system.vms.values()] * 3):
+                    question = f"Question {number} at {vm.vm_id}"
+                    nursery.start_soon(stream_whole, system, vm, question, 3 * ANSWER_TOKENS)
+                await wait_until(self._all_run(streams, 9))
+                leaving = await job_owner(system)
+                leaving.stop.request()
+                with kv_down(system):
+                    await stream_whole(system, leaving, "Still there?", ANSWER_TOKENS)
+            await leaving.stopped.wait()
+            left = next(vm for vm in system.vms.values() if vm is not leaving)
+
+            async def completed() -> bool:
+                return await job_status(system, left, job_id) == "completed"
+
+            await wait_until(completed)
+            self.assertEqual(await result_lines(system, left, job_id), expected)
+            cancelled = {engine.upstream_id: engine.stats.cancelled for engine in items + streams}
+            self.assertEqual(cancelled, dict.fromkeys(cancelled, 0))
+            ran = sum(bool(text) for _, text in expected)
+            self.assertEqual(total_admitted(items), admitted + ran, "no item is run again")
+
+        run_session(session)
+
+    def _all_run(self, engines: list[EngineService], count: int) -> Callable[[], Awaitable[bool]]:
+        async def run() -> bool:
+            return total_running(engines) == count
+
+        return run
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_promises_jobs.py
@@ -0,0 +1,210 @@
+"""What must hold for jobs, and between jobs and online requests, while parts of a system fail."""
+
+import unittest
+
+import trio
+
+from fescuedock.cli.local import LocalSystem
+from fescuedock.cli.local_setup import TRIP_MODEL
+from fescuedock.cli.local_vm import LocalVm
+from fescuedock.standin.engine import EngineService
+from fescuedock.standin.kv_faults import LostAnswer
+from tests.builders.local import run_session, wait_until
+from tests.builders.promises import (
+    TRIP_SERVICE,
+    ask,
+    engines_of,
+    expected_lines,
+    job_owner,
+    job_status,
+    kv_down,
+    lost_vm,
+    owner_of,
+    result_lines,
+    stream_whole,
+    submit,
+    total_admitted,
+    total_running,
+    wait_answer,
+)
+
+ITEM_TOKENS = 20
+# An item of so many tokens does not end while a test runs.
+ENDLESS = 20_000
+
+
+class ExactlyOnceTest(unittest.TestCase):
+    def test_job_outlives_its_entry_an_outage_with_deaths_and_one_more_vm(self) -> None:
+        async def session(system: LocalSystem) -> None:
+            first, accepting, last = system.vms.values()
+            job_id = await submit(system, accepting, ITEM_TOKENS)
+            await lost_vm(accepting)
+            await job_owner(system, lost=accepting)
+            with kv_down(system):
+                await self._workers_die(system)
+            for vm in (first, last):
+
+                async def completed(vm=vm) -> bool:
+                    return await job_status(system, vm, job_id) == "completed"
+
+                await wait_until(completed)
+                found = await result_lines(system, vm, job_id)
+                self.assertEqual(found, expected_lines(ITEM_TOKENS))
+            await lost_vm(last)
+            found = await result_lines(system, first, job_id)
+            self.assertEqual(found, expected_lines(ITEM_TOKENS), "readable from one store alone")
+
+        run_session(session)
+
+    async def _workers_die(self, system: LocalSystem) -> None:
+        """Let a worker die while it runs items, and then again one that does."""
+        engines = engines_of(system, TRIP_SERVICE)
+
+        async def busy() -> bool:
+            return bool(total_running(engines))
+
+        for _ in range(2):
+            await wait_until(busy)
+            engine = max(engines, key=lambda item: len(item.core.model.running))
+            engine.die()
+            engine.revive()
+        self.assertEqual(sum(engine.deaths for engine in engines), 2)
+
+
+class CancelTest(unittest.TestCase):
+    def test_cancel_with_a_lost_answer_while_the_owner_is_dead_starts_nothing_more(self) -> None:
+        async def session(system: LocalSystem) -> None:
+            engines = engines_of(system, TRIP_SERVICE)
+            job_id = await submit(system, system.vms["vm-chipre"], ENDLESS)
+            owner = await job_owner(system)
+            other = next(vm for vm in system.vms.values() if vm is not owner)
+            await lost_vm(owner)
+            system.standins.kv.faults.lose_answer(LostAnswer.AFTER_EFFECT)
+            await wait_answer(other, system, f"/v1/batches/{job_id}/cancel", {})
+            admitted = total_admitted(engines)
+
+            async def stopped() -> bool:
+                cancelled = await job_status(system, other, job_id) == "cancelled"
+                return cancelled and not total_running(engines)
+
+            await wait_until(stopped)
+            # Time in which items of the job would run on if it had not stopped.
+            await stream_whole(system, other, "Is it over?", ITEM_TOKENS, TRIP_MODEL)
+            self.assertEqual(total_admitted(engines), admitted + 1)
+
+        run_session(session)
+
+
+class HeadOfLineTest(unittest.TestCase):
+    LIMIT = 4
+
+    def test_online_is_served_on_engines_busy_with_batch_also_without_their_owner(self) -> None:
+        async def session(system: LocalSystem) -> None:
+            engines = engines_of(system, TRIP_SERVICE)
+            await self._limit_engines(system)
+            first, *_ = vms = list(system.vms.values())
+            job_id = await submit(system, first, ENDLESS)
+            await self._wait_busy(engines)
+            await self._burst(system, vms, "with owners")
+            for engine in engines:
+                # While a revocation takes effect, what is revoked runs beside what is granted.
+                self.assertLessEqual(engine.stats.most_running, 2 * self.LIMIT)
+            self.assertTrue(sum(engine.stats.cancelled for engine in engines), "batch gave way")
+            await self._wait_busy(engines)
+            owner = await owner_of(system, first, engines[0].upstream_id)
+            left = [vm for vm in vms if vm is not owner]
+            await lost_vm(owner)
+            await self._burst(system, left, "without an owner")
+            job = (await ask(left[0], system, f"/v1/batches/{job_id}")).json
+            counts = job["request_counts"]
+            self.assertEqual((job["status"], counts["completed"]), ("in_progress", 0))
+
+        run_session(session)
+
+    async def _limit_engines(self, system: LocalSystem) -> None:
+        engines = engines_of(system, TRIP_SERVICE)
+        policies = {engine.upstream_id: {"max_in_flight": self.LIMIT} for engine in engines}
+        patch = {"base_version": 1, "patch_id": "limit", "patch": {"upstreams": policies}}
+        await wait_answer(system.vms["vm-chipre"], system, "/admin/config/patches", patch)
+        for vm in system.vms.values():
+
+            async def in_force(vm=vm) -> bool:
+                return (await ask(vm, system, "/admin/status")).json["config_version"] == 2
+
+            await wait_until(in_force)
+
+    async def _wait_busy(self, engines: list[EngineService]) -> None:
+        """Wait until batch runs wherever online bursts do not keep it out: half of each limit."""
+
+        async def busy() -> bool:
+            return all(len(item.core.model.running) >= self.LIMIT // 2 for item in engines)
+
+        await wait_until(busy)
+
+    async def _burst(self, system: LocalSystem, vms: list[LocalVm], name: str) -> None:
+        """Ask as much at once as all engines may run; a batch item before it would not end."""
+        async with trio.open_nursery() as nursery:
+            for number in range(self.LIMIT * len(engines_of(system, TRIP_SERVICE))):
+                vm = vms[number % len(vms)]
+                question = f"{name}, question {number}"
+                nursery.start_soon(stream_whole, system, vm, question, ITEM_TOKENS, TRIP_MODEL)
+
+
+class LeavingUpstreamTest(unittest.TestCase):
+    def test_leaving_worker_whose_owner_is_lost_gets_nothing_new_and_ends_what_runs(self) -> None:
+        async def session(system: LocalSystem) -> None:
+            leaving, *others = engines_of(system, TRIP_SERVICE)
+            first = system.vms["vm-chipre"]
+            job_id = await submit(system, first, ITEM_TOKENS)
+            await job_owner(system)
+            owner = await owner_of(system, first, leaving.upstream_id)
+            left = [vm for vm in system.vms.values() if vm is not owner]
+            await lost_vm(owner)
+            with kv_down(system):
+                await self._leaves(system, left, leaving)
+            admitted = leaving.stats.admitted
+            before = total_admitted(others)
+            await self._use(system, left, "after it left")
+            for vm in left:
+
+                async def completed(vm=vm) -> bool:
+                    return await job_status(system, vm, job_id) == "completed"
+
+                await wait_until(completed)
+            self.assertEqual(leaving.stats.admitted, admitted)
+            self.assertEqual(total_running([leaving]), 0)
+            self.assertGreater(total_admitted(others), before + 12)
+            self.assertEqual(
+                await result_lines(system, left[0], job_id), expected_lines(ITEM_TOKENS)
+            )
+
+        run_session(session)
+
+    async def _leaves(
+        self, system: LocalSystem, left: list[LocalVm], leaving: EngineService
+    ) -> None:
+        """Mark a worker as leaving under streams; return once every VM left has seen it."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._use, system, left, "while it leaves")
+            system.standins.vm_list.leave(leaving.upstream_id)
+            for vm in left:
+
+                async def seen(vm=vm) -> bool:
+                    found = (await ask(vm, system, "/admin/status")).json["upstreams"]
+                    return any(
+                        item["leaving"] and item["upstream_id"] == leaving.upstream_id
+                        for item in found
+                    )
+
+                await wait_until(seen)
+
+    async def _use(self, system: LocalSystem, vms: list[LocalVm], name: str) -> None:
+        async with trio.open_nursery() as nursery:
+            for number in range(12):
+                vm = vms[number % len(vms)]
+                question = f"{name}, question {number}"
+                nursery.start_soon(stream_whole, system, vm, question, ITEM_TOKENS, TRIP_MODEL)
+
+
+if __name__ == "__main__":
+    unittest.main()
