Name a missing argument in the words of the command line

Cause: fescuedock config wait without a version said that 'the function received no value', which is how the argument library sees it. Change: missing argument: version. Before: the new test fails on the old text; after: it passes.

--- a/src/fescuedock/cli/command_line.py
+++ b/src/fescuedock/cli/command_line.py
@@ -18,6 +18,9 @@
 
 __all__ = ["Command", "ExitCode", "run_command_line"]
 
+_FIRE_ERROR = "ERROR: "
+# Our users know of commands, not of functions.
+_FIRE_MISSING = "The function received no value for the required argument"
 _HELP_FLAGS = frozenset({"-h", "--help", "help"})
 
 
@@ -118,6 +121,7 @@
 def _usage_error(shown: str) -> str:
     """Return the one line of fire's output that says what is wrong."""
     for line in shown.splitlines():
-        if line.startswith("ERROR: "):
-            return line.removeprefix("ERROR: ").rstrip(".")
+        if line.startswith(_FIRE_ERROR):
+            text = line.removeprefix(_FIRE_ERROR).rstrip(".")
+            return text.replace(_FIRE_MISSING, "missing argument")
     return "no such command"
--- a/tests/test_cli_command_line.py
+++ b/tests/test_cli_command_line.py
@@ -63,6 +63,10 @@
             self.assertRegex(err, r"^tool: .+; see tool --help\n$")
             self.assertNotIn("fire", err.lower())
 
+    def test_a_missing_argument_is_named_in_our_words(self) -> None:
+        _, _, err = self.run_words("show")
+        self.assertEqual(err, "tool: missing argument: name; see tool --help\n")
+
     def test_group_without_command_shows_its_help_and_fails(self) -> None:
         self.assertEqual(self.run_words("jobs"), (ExitCode.USAGE, "", "the jobs\n"))
 
