Take result codes out of the table that nothing gives

Cause: six codes had been planned with the schema and no path answers with them, so the table promised more than the code does: LEAVING, JOB_CANCELLED, DEADLINE_PASSED, STALE_EPOCH, NOT_READY, BAD_DIGEST. Change: removed; their numbers stay unused. Every setting, field of the configuration and message was looked for in the same way, and each is read somewhere.

--- a/src/fescuedock/schema/result_codes.py
+++ b/src/fescuedock/schema/result_codes.py
@@ -34,23 +34,18 @@
     DEADLINE_CANNOT_BE_MET = 2001
     MEMBER_OVER_SHARE = 2002
     NO_UPSTREAM = 2003
-    LEAVING = 2004
     REVOKED = 2005
     BAD_LINE = 3000
     DUPLICATE_CUSTOM_ID = 3001
     TOO_MANY_ITEMS = 3002
     LINE_TOO_LONG = 3003
     KEY_REUSED = 3004
-    JOB_CANCELLED = 3005
     ITEM_IMPOSSIBLE = 3006
     ITEM_ISOLATED = 3007
     ITEM_UNKNOWN = 3008
-    DEADLINE_PASSED = 3009
     STORES_UNAVAILABLE = 3010
     DISK_FULL = 3011
-    STALE_EPOCH = 3012
     CORRUPT_SEGMENT = 3013
-    NOT_READY = 3014
     EMPTY_INPUT = 3015
     STALE_VERSION = 4000
     INVALID_PATCH = 4001
@@ -62,7 +57,6 @@
     KV_CONFLICT = 5002
     PEER_UNREACHABLE = 5003
     PEER_UNKNOWN = 5004
-    BAD_DIGEST = 5005
     KV_COMPACTED = 5006
     KV_VALUE_TOO_LARGE = 5007
     PLATFORM_UNAVAILABLE = 5008
@@ -93,23 +87,18 @@
     ResultCode.DEADLINE_CANNOT_BE_MET: 503,
     ResultCode.MEMBER_OVER_SHARE: 429,
     ResultCode.NO_UPSTREAM: 503,
-    ResultCode.LEAVING: 503,
     ResultCode.REVOKED: 503,
     ResultCode.BAD_LINE: 400,
     ResultCode.DUPLICATE_CUSTOM_ID: 400,
     ResultCode.TOO_MANY_ITEMS: 400,
     ResultCode.LINE_TOO_LONG: 400,
     ResultCode.KEY_REUSED: 409,
-    ResultCode.JOB_CANCELLED: 409,
     ResultCode.ITEM_IMPOSSIBLE: 422,
     ResultCode.ITEM_ISOLATED: 422,
     ResultCode.ITEM_UNKNOWN: 504,
-    ResultCode.DEADLINE_PASSED: 504,
     ResultCode.STORES_UNAVAILABLE: 503,
     ResultCode.DISK_FULL: 507,
-    ResultCode.STALE_EPOCH: 409,
     ResultCode.CORRUPT_SEGMENT: 500,
-    ResultCode.NOT_READY: 409,
     ResultCode.EMPTY_INPUT: 400,
     ResultCode.STALE_VERSION: 409,
     ResultCode.INVALID_PATCH: 422,
@@ -121,7 +110,6 @@
     ResultCode.KV_CONFLICT: 409,
     ResultCode.PEER_UNREACHABLE: 503,
     ResultCode.PEER_UNKNOWN: 503,
-    ResultCode.BAD_DIGEST: 403,
     ResultCode.KV_COMPACTED: 410,
     ResultCode.KV_VALUE_TOO_LARGE: 413,
     ResultCode.PLATFORM_UNAVAILABLE: 503,
@@ -152,23 +140,18 @@
     ResultCode.DEADLINE_CANNOT_BE_MET: Outcome.NOT_RUN,
     ResultCode.MEMBER_OVER_SHARE: Outcome.NOT_RUN,
     ResultCode.NO_UPSTREAM: Outcome.NOT_RUN,
-    ResultCode.LEAVING: Outcome.NOT_RUN,
     ResultCode.REVOKED: Outcome.NOT_RUN,
     ResultCode.BAD_LINE: Outcome.NOT_RUN,
     ResultCode.DUPLICATE_CUSTOM_ID: Outcome.NOT_RUN,
     ResultCode.TOO_MANY_ITEMS: Outcome.NOT_RUN,
     ResultCode.LINE_TOO_LONG: Outcome.NOT_RUN,
     ResultCode.KEY_REUSED: Outcome.NOT_RUN,
-    ResultCode.JOB_CANCELLED: Outcome.FAILED,
     ResultCode.ITEM_IMPOSSIBLE: Outcome.FAILED,
     ResultCode.ITEM_ISOLATED: Outcome.FAILED,
     ResultCode.ITEM_UNKNOWN: Outcome.UNKNOWN,
-    ResultCode.DEADLINE_PASSED: Outcome.FAILED,
     ResultCode.STORES_UNAVAILABLE: Outcome.NOT_RUN,
     ResultCode.DISK_FULL: Outcome.NOT_RUN,
-    ResultCode.STALE_EPOCH: Outcome.NOT_RUN,
     ResultCode.CORRUPT_SEGMENT: Outcome.FAILED,
-    ResultCode.NOT_READY: Outcome.NOT_RUN,
     ResultCode.EMPTY_INPUT: Outcome.NOT_RUN,
     ResultCode.STALE_VERSION: Outcome.NOT_RUN,
     ResultCode.INVALID_PATCH: Outcome.NOT_RUN,
@@ -180,7 +163,6 @@
     ResultCode.KV_CONFLICT: Outcome.NOT_RUN,
     ResultCode.PEER_UNREACHABLE: Outcome.NOT_RUN,
     ResultCode.PEER_UNKNOWN: Outcome.UNKNOWN,
-    ResultCode.BAD_DIGEST: Outcome.NOT_RUN,
     ResultCode.KV_COMPACTED: Outcome.NOT_RUN,
     ResultCode.KV_VALUE_TOO_LARGE: Outcome.NOT_RUN,
     ResultCode.PLATFORM_UNAVAILABLE: Outcome.NOT_RUN,
