--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -35,3 +35,4 @@
     slopes = {**read_slopes(path), **measured}
     ordered = dict(sorted(slopes.items()))
     path.write_bytes(msgspec.json.format(msgspec.json.encode(ordered), indent=2) + b"\n")
+    print("recorded; now run make capacity, whose page is made of these")
