Count a failure that an upstream gave as the upstream's, and keep the connection

Cause: a failure status that was passed on whole ended like a lost run, so the node logged call_given_up with UPSTREAM_LOST and closed the client's connection. Now it is logged as call_failure_passed_on and counted as UPSTREAM_ERROR. The new test in tests.test_node_online fails without the change.

--- a/src/fescuedock/node/online.py
+++ b/src/fescuedock/node/online.py
@@ -120,6 +120,8 @@
     pause_ms: float = 0.0
     # An attempt is under way whose request may have arrived.
     sending: bool = False
+    # The status of an upstream's failure that the client got whole; 0 for none.
+    failure_passed_on: int = 0
 
     def __post_init__(self) -> None:
         patience_ms = self.head.patience_ms
@@ -180,6 +182,9 @@
                 self._count(ResultCode.OK)
                 return
             self.progress.note(end)
+            if self.failure_passed_on:
+                self._note_failure_passed_on()
+                return
             if not self.progress.may_try_again():
                 await self.give_up(self._fault_of(end))
                 return
@@ -286,7 +291,10 @@
         else:
             await self.out.write(b"".join(parts))
             await self.responder.end()
-        return AttemptEnd.FAILED if answer.head.status >= _SERVER_ERROR else None
+        if answer.head.status < _SERVER_ERROR:
+            return None
+        self.failure_passed_on = answer.head.status
+        return AttemptEnd.FAILED
 
     async def _relay_events(
         self, answer: UpstreamAnswer, record: AttemptRecord, stall: trio.CancelScope
@@ -353,6 +361,17 @@
         headers = calls.refusal_headers(fault)
         await self.responder.send(fault.http_status, fault_body(fault), headers)
 
+    def _note_failure_passed_on(self) -> None:
+        log_event(
+            "call_failure_passed_on",
+            request_id=self.request_id,
+            route=self.route.name,
+            status=self.failure_passed_on,
+            attempts=self.progress.attempts,
+            took_ms=round(now_ms() - self.received_ms, 1),
+        )
+        self._count(ResultCode.UPSTREAM_ERROR)
+
     def _count(self, code: ResultCode) -> None:
         self.shared.metrics.record_online(
             self.service, self.member, max(self.first_event_ms, 0.0), self.pause_ms, code
--- a/tests/test_node_online.py
+++ b/tests/test_node_online.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+import eliot
 import trio
 
 from fescuedock.platform.standin.event_upstream import UpstreamFault, event_bytes
@@ -109,6 +110,35 @@
 
         self.run_fleet(test)
 
+    def test_after_a_failure_that_was_passed_on_the_connection_is_kept(self) -> None:
+        lines: list[dict] = []
+
+        async def test(fleet: NodeFleet) -> None:
+            for upstream in fleet.upstreams:
+                upstream.failing.add("/rights/1")
+            front = fleet.nodes[0].front
+            head = b"POST %b HTTP/1.1\r\nhost: desk.example\r\nx-request-id: %b\r\n"
+            stream = await trio.open_tcp_stream(front.host, front.port)
+            answers = b""
+            for path, request_id in ((b"/rights/1", b"failing"), (b"/rights/2", b"sound")):
+                await stream.send_all(head % (path, request_id) + b"content-length: 0\r\n\r\n")
+                await trio.sleep(0.3)
+                answers += await stream.receive_some(65536)
+            self.assertEqual(answers.count(b"HTTP/1.1 500"), 1)
+            self.assertEqual(answers.count(b"HTTP/1.1 200"), 1)
+            await stream.aclose()
+
+        eliot.add_destinations(lines.append)
+        try:
+            self.run_fleet(test)
+        finally:
+            eliot.remove_destination(lines.append)
+        # The first destination also gets what was logged before it.
+        ours = [line for line in lines if line.get("request_id") in ("failing", "sound")]
+        self.assertNotIn("call_given_up", [line["message_type"] for line in ours])
+        [passed_on] = [line for line in ours if line["message_type"] == "call_failure_passed_on"]
+        self.assertEqual((passed_on["request_id"], passed_on["status"]), ("failing", 500))
+
     def test_a_silent_upstream_is_left_for_another_one(self) -> None:
         async def test(fleet: NodeFleet) -> None:
             fleet.upstreams[0].faults += [UpstreamFault(hang_after=2)] * 3
