Let the kernel ask after idle channels instead of ZeroMQ's heartbeats

Cause: nodes keep a channel to each owner of an upstream, and each end was woken every two seconds on each of them. The limits are the old ones: 4 s until a silent one is given up. The new test fails without it.

--- a/src/fescuedock/net/channel.py
+++ b/src/fescuedock/net/channel.py
@@ -24,7 +24,13 @@
 __all__ = ["CallHandler", "ChannelClient", "Peer", "Push", "serve_channel"]
 
 _HIGH_WATER_MESSAGES = 10000
-_HEARTBEAT_MS = 2000
+# A connection that has gone silent without a reset is given up after 4 s: idle for 2 s, then two
+# questions of the kernel's, a second apart; or 4 s after a byte that was not acknowledged.
+# ZeroMQ's own heartbeats would do as much, but wake both processes for each.
+_KEEPALIVE_IDLE_S = 2
+_KEEPALIVE_INTERVAL_S = 1
+_KEEPALIVE_COUNT = 2
+_UNACKNOWLEDGED_MS = 4000
 _NUMBER_BYTES = 8
 # A push carries this in place of a call's number.
 _NO_CALL = bytes(_NUMBER_BYTES)
@@ -116,8 +122,11 @@
     socket.setsockopt(zmq.LINGER, 0)
     socket.setsockopt(zmq.SNDHWM, _HIGH_WATER_MESSAGES)
     socket.setsockopt(zmq.RCVHWM, _HIGH_WATER_MESSAGES)
-    socket.setsockopt(zmq.HEARTBEAT_IVL, _HEARTBEAT_MS)
-    socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, 2 * _HEARTBEAT_MS)
+    socket.setsockopt(zmq.TCP_KEEPALIVE, 1)
+    socket.setsockopt(zmq.TCP_KEEPALIVE_IDLE, _KEEPALIVE_IDLE_S)
+    socket.setsockopt(zmq.TCP_KEEPALIVE_INTVL, _KEEPALIVE_INTERVAL_S)
+    socket.setsockopt(zmq.TCP_KEEPALIVE_CNT, _KEEPALIVE_COUNT)
+    socket.setsockopt(zmq.TCP_MAXRT, _UNACKNOWLEDGED_MS)
     return socket
 
 
--- a/tests/test_net_channel.py
+++ b/tests/test_net_channel.py
@@ -19,6 +19,20 @@
 from tests.builders.net import LOOPBACK, key, signed_codec
 
 GUARD_S = 20
+# Of the column "tr" of /proc/net/tcp, and its state of an established connection.
+KEEPALIVE_TIMER = "02"
+ESTABLISHED = "01"
+
+
+def connection_timers(port: int) -> list[str]:
+    """Return the kernel's timer of both ends of each connection to ``port`` on this machine."""
+    rows = [line.split() for line in Path("/proc/net/tcp").read_text().splitlines()[1:]]
+    ending = f":{port:04X}"
+    return [
+        row[5].partition(":")[0]
+        for row in rows
+        if row[3] == ESTABLISHED and (row[1].endswith(ending) or row[2].endswith(ending))
+    ]
 
 
 class CodecTest(unittest.TestCase):
@@ -129,6 +143,22 @@
 
         self.run_guarded(test)
 
+    def test_the_kernel_asks_after_a_connection_that_is_idle(self) -> None:
+        async def answer(_message, _peer) -> Acknowledgement:
+            return Acknowledgement()
+
+        async def test(nursery: trio.Nursery) -> None:
+            codec = signed_codec()
+            address = await nursery.start(serve_channel, LOOPBACK, codec, answer)
+            async with ChannelClient.open(address, codec) as client:
+                self.assertTrue((await client.call(LeaveRequest(), 10_000)).is_ok())
+                # What was just sent is acknowledged by then, and its own timer off.
+                await trio.sleep(0.3)
+                timers = connection_timers(address.port)
+                self.assertEqual(timers, [KEEPALIVE_TIMER, KEEPALIVE_TIMER])
+
+        self.run_guarded(test)
+
     def test_a_push_reaches_the_client(self) -> None:
         async def answer(_message, peer) -> Acknowledgement:
             peer.push(PermitsRevoked(permit_ids=["p1"]))
