--- a/src/fescuedock/core/stored_jobs/job.py
+++ b/src/fescuedock/core/stored_jobs/job.py
@@ -121,6 +121,15 @@
             run for run in self._open.values() if not run.running and run.not_before_ms <= now_ms
         ]
 
+    def next_ready_ms(self, now_ms: float) -> float:
+        """Return when the next item that pauses may start; infinite when none does."""
+        pauses = [
+            run.not_before_ms
+            for run in self._open.values()
+            if not run.running and run.not_before_ms > now_ms
+        ]
+        return min(pauses, default=float("inf"))
+
     def finish(
         self, run: ItemRun, end: ItemEnd, upstream_id: str, max_failures: int, now_ms: float
     ) -> None:
--- /dev/null
+++ b/src/fescuedock/node/item_asking.py
@@ -0,0 +1,118 @@
+"""Keeps asks for permits open at the owners of upstreams while batch items wait on this node."""
+
+import random
+from collections import Counter
+from collections.abc import Callable, Mapping
+from secrets import token_hex
+
+import trio
+from result import Ok
+
+from fescuedock.agent.link import FleetView
+from fescuedock.agent.permit_client import Grant, PermitClient
+from fescuedock.clock import now_ms
+from fescuedock.core.stored_jobs.asking import AskCandidate, AskPolicy, choose_asks
+from fescuedock.schema.permits import PermitAsk, WorkClass
+from fescuedock.schema.settings import NodeSettings
+from fescuedock.schema.view import UpstreamRecord
+
+__all__ = ["ItemAsker"]
+
+# An ask may be answered this much later than the time that it may stay queued.
+_ASK_MARGIN_MS = 300.0
+# After a refusal that names no time: about the length of a call, by which slots come free.
+_REFUSED_PAUSE_MS = 60.0
+# A load that is older says nothing; that of online routing (``RoutingPolicy.stale_ms``).
+_LOAD_FRESH_MS = 1000.0
+
+
+class ItemAsker:
+    """Asks for permits and hands each one to ``use``, which gives it back when nothing waits.
+
+    ``waiting`` counts the items that could start now, by the service they need; ``slack_ms`` is how
+    long the most urgent of them for an upstream may still wait.
+    """
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        view: FleetView,
+        permits: PermitClient,
+        rng: random.Random,
+        waiting: Callable[[], Mapping[str, int]],
+        slack_ms: Callable[[UpstreamRecord], float],
+        use: Callable[[str, Grant], None],
+        policy: AskPolicy | None = None,
+    ) -> None:
+        self._settings = settings
+        self._view = view
+        self._permits = permits
+        self._rng = rng
+        self._waiting = waiting
+        self._slack_ms = slack_ms
+        self._use = use
+        self._policy = policy or AskPolicy()
+        # The upstreams that are being asked, with their services.
+        self._asking: dict[str, str] = {}
+        self._work = trio.Event()
+
+    def wake(self) -> None:
+        """Look again at what waits."""
+        self._work.set()
+        self._work = trio.Event()
+
+    async def run(self, longest_wait_s: Callable[[], float]) -> None:
+        """Ask until cancelled; look again after ``longest_wait_s`` at the latest."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                self._open_asks(nursery)
+                with trio.move_on_after(longest_wait_s()):
+                    await self._work.wait()
+
+    def _open_asks(self, nursery: trio.Nursery) -> None:
+        open_asks = Counter(self._asking.values())
+        for service, count in self._waiting().items():
+            candidates = [
+                AskCandidate(item.upstream_id, self._free_slots(item.upstream_id))
+                for item in self._view.upstreams_of(service)
+                if not item.leaving and item.upstream_id not in self._asking
+            ]
+            chosen = choose_asks(count, open_asks[service], candidates, self._policy, self._rng)
+            for upstream_id in chosen:
+                self._asking[upstream_id] = service
+                nursery.start_soon(self._ask, upstream_id)
+
+    def _free_slots(self, upstream_id: str) -> int | None:
+        timed = self._permits.loads.get(upstream_id)
+        if timed is None or now_ms() - timed.at_ms > _LOAD_FRESH_MS:
+            return None
+        return timed.load.limit - timed.load.in_flight_online - timed.load.in_flight_batch
+
+    async def _ask(self, upstream_id: str) -> None:
+        """Ask once; after a refusal the upstream is left alone for a while."""
+        try:
+            upstream = self._view.upstreams.get(upstream_id)
+            if upstream is None:
+                return
+            timeout_ms = self._settings.ask_wait_ms + _ASK_MARGIN_MS
+            granted = await self._permits.ask(self._new_ask(upstream), timeout_ms)
+            if isinstance(granted, Ok):
+                self._use(upstream_id, granted.ok_value)
+                return
+            pause_ms = max(granted.err_value.retry_after_ms, _REFUSED_PAUSE_MS)
+            await trio.sleep(pause_ms * self._rng.uniform(0.5, 1.5) / 1000)
+        finally:
+            self._asking.pop(upstream_id, None)
+            self.wake()
+
+    def _new_ask(self, upstream: UpstreamRecord) -> PermitAsk:
+        return PermitAsk(
+            upstream_id=upstream.upstream_id,
+            attempt_id=token_hex(16),
+            holder_id=self._permits.holder_id,
+            service=upstream.service,
+            member="",
+            work_class=WorkClass.BATCH,
+            slack_ms=int(self._slack_ms(upstream)),
+            wait_ms=self._settings.ask_wait_ms,
+        )
--- a/src/fescuedock/node/job_runner.py
+++ b/src/fescuedock/node/job_runner.py
@@ -1,9 +1,9 @@
 """Runs the items of the jobs that this node owns, and commits their results."""
 
 import random
+from collections import Counter
 from dataclasses import dataclass, field
 from functools import partial
-from secrets import token_hex
 
 import msgspec
 import trio
@@ -27,11 +27,11 @@
 from fescuedock.log import log_event
 from fescuedock.net.http_client import HttpClient
 from fescuedock.node.configuration import NodeConfiguration
+from fescuedock.node.item_asking import ItemAsker
 from fescuedock.node.item_run import run_item
 from fescuedock.node.job_store import JobStore, LoadedJob, VersionedRecord, decode_record
 from fescuedock.node.replicas import Replicas
 from fescuedock.report.metrics import Metrics
-from fescuedock.schema.permits import PermitAsk, WorkClass
 from fescuedock.schema.result_codes import ResultCode
 from fescuedock.schema.settings import NodeSettings
 from fescuedock.schema.stored_jobs import ResultGroup, StoredItem, StoredJobRecord
@@ -39,11 +39,9 @@
 
 __all__ = ["JobRunner"]
 
+# How often what waits is looked at when nothing has told of it.
 _IDLE_WAIT_S = 0.25
 _RECONCILE_S = 0.5
-# An ask may be answered this much later than the time that it may stay queued.
-_ASK_MARGIN_MS = 300.0
-_REFUSED_PAUSE_MS = 60.0
 # A route that is missing for so long has been removed, and with it what is left of its jobs.
 _ROUTE_GONE_MS = 2500.0
 # Beyond the time after which items may be given up: clocks of nodes differ, and may jump.
@@ -112,8 +110,9 @@
         self._claiming: set[str] = set()
         self._missing = MissingOwners()
         self._estimate = RunEstimate()
-        self._asking: set[str] = set()
-        self._work = trio.Event()
+        self._asker = ItemAsker(
+            settings, view, permits, rng, self._waiting, self._slack_ms, self._use
+        )
         self._nursery: trio.Nursery | None = None
         self.leaving = False
 
@@ -122,7 +121,7 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             nursery.start_soon(self._reconcile_forever)
-            await self._ask_forever()
+            await self._asker.run(self._next_look_s)
 
     def accept(self, stored: VersionedRecord, items: list[StoredItem]) -> None:
         """Take in a job that was just stored, and run it if it is new and this node's."""
@@ -243,7 +242,7 @@
         job = OwnedJob(run, stored)
         self._jobs[record.job_id] = job
         self._nursery.start_soon(self._commit_forever, job)
-        self._wake()
+        self._asker.wake()
 
     def _drop(self, job: OwnedJob, reason: str) -> None:
         """Cancel what runs of a job that is no longer ours."""
@@ -360,53 +359,32 @@
 
     # --- items -----------------------------------------------------------------------------------
 
-    def _wake(self) -> None:
-        self._work.set()
-        self._work = trio.Event()
-
-    async def _ask_forever(self) -> None:
-        """Keep asks open at the owners of all upstreams whose services have items waiting here."""
-        while True:
-            for upstream in list(self._view.upstreams.values()):
-                if upstream.upstream_id not in self._asking and self._is_wanted(upstream):
-                    self._asking.add(upstream.upstream_id)
-                    self._nursery.start_soon(self._ask_of, upstream.upstream_id)
-            with trio.move_on_after(_IDLE_WAIT_S):
-                await self._work.wait()
-
-    def _is_wanted(self, upstream: UpstreamRecord | None) -> bool:
-        if upstream is None or upstream.leaving or self.leaving:
-            return False
-        return self._choose(upstream) is not None
-
-    async def _ask_of(self, upstream_id: str) -> None:
-        """Ask for permits, one after the other, while items wait for the upstream."""
-        try:
-            while self._is_wanted(upstream := self._view.upstreams.get(upstream_id)):
-                granted = await self._permits.ask(
-                    self._new_ask(upstream), self._settings.ask_wait_ms + _ASK_MARGIN_MS
-                )
-                if isinstance(granted, Ok):
-                    self._use(upstream_id, granted.ok_value)
-                    continue
-                pause_ms = max(granted.err_value.retry_after_ms, _REFUSED_PAUSE_MS)
-                await trio.sleep(pause_ms * self._rng.uniform(0.5, 1.5) / 1000)
-        finally:
-            self._asking.discard(upstream_id)
+    def _waiting(self) -> dict[str, int]:
+        """Count the items that could start now, by service; none while this node leaves."""
+        counts: Counter[str] = Counter()
+        if self.leaving:
+            return counts
+        services = {item.service for item in self._view.upstreams.values()}
+        for job in self._jobs.values():
+            route = self._route_of(job.run.record)
+            if job.stopped or route is None:
+                continue
+            ready = len(job.run.ready_items(now_ms()))
+            for service in services:
+                if ready and route.allows(service):
+                    counts[service] += ready
+        return counts
+
+    def _next_look_s(self) -> float:
+        """Return the time until the next item that pauses may start again, within bounds."""
+        next_ms = min(
+            (job.run.next_ready_ms(now_ms()) for job in self._jobs.values()), default=float("inf")
+        )
+        return min(max(next_ms - now_ms(), 0.0) / 1000, _IDLE_WAIT_S)
 
-    def _new_ask(self, upstream: UpstreamRecord) -> PermitAsk:
+    def _slack_ms(self, upstream: UpstreamRecord) -> float:
         choice = self._choose(upstream)
-        slack_ms = choice.slack_ms if choice is not None else 0.0
-        return PermitAsk(
-            upstream_id=upstream.upstream_id,
-            attempt_id=token_hex(16),
-            holder_id=self._permits.holder_id,
-            service=upstream.service,
-            member="",
-            work_class=WorkClass.BATCH,
-            slack_ms=int(slack_ms),
-            wait_ms=self._settings.ask_wait_ms,
-        )
+        return choice.slack_ms if choice is not None else 0.0
 
     def _use(self, upstream_id: str, grant: Grant) -> None:
         """Run the most urgent item under ``grant``, or give it back when there is none any more."""
@@ -435,7 +413,7 @@
         max_failures = route.max_attempts if route is not None else 1
         job.run.finish(item, end, upstream.upstream_id, max_failures, now_ms())
         job.wake()
-        self._wake()
+        self._asker.wake()
 
     def _choose(self, upstream: UpstreamRecord) -> ItemChoice | None:
         """Return the item that the upstream should run next."""
--- a/tests/test_stored_jobs_core.py
+++ b/tests/test_stored_jobs_core.py
@@ -1,10 +1,12 @@
-"""Stored jobs' decisions: items, commits, owners, and what readers may be shown."""
+"""Stored jobs' decisions: items, asks, commits, owners, and what readers may be shown."""
 
+import random
 import unittest
 
 import msgspec
 
 from fescuedock.core.forwarding.event_stream import EventSplitter
+from fescuedock.core.stored_jobs.asking import AskCandidate, AskPolicy, choose_asks
 from fescuedock.core.stored_jobs.cache import JobCache
 from fescuedock.core.stored_jobs.commit import CommitState, judge_commit
 from fescuedock.core.stored_jobs.job import ItemEnd, ItemRun, StoredJob
@@ -77,6 +79,15 @@
             self.assertEqual(job.ready_items(1000.0 * turn), [])
         self.assertFalse(job.has_results)
 
+    def test_the_next_time_at_which_an_item_may_start_is_known(self) -> None:
+        job = stored_job("a")
+        self.assertEqual(job.next_ready_ms(0.0), float("inf"))
+        run = start_next(job)
+        job.finish(run, ItemEnd.INTERRUPTED, "i-1", 3, 100.0)
+        self.assertEqual(job.next_ready_ms(100.0), run.not_before_ms)
+        self.assertEqual(job.ready_items(run.not_before_ms), [run])
+        self.assertEqual(job.next_ready_ms(run.not_before_ms), float("inf"))
+
     def test_items_that_left_an_upstream_by_failure_go_there_last(self) -> None:
         job = stored_job("a", "b")
         bad = start_next(job, "i-1", 0.0)
@@ -151,6 +162,32 @@
         self.assertEqual(estimate.events, 60.0)
 
 
+class AskingTest(unittest.TestCase):
+    """How many owners are asked for the items that wait, and which."""
+
+    def choose(self, waiting: int, open_asks: int, *candidates: AskCandidate) -> list[str]:
+        return choose_asks(waiting, open_asks, candidates, AskPolicy(3), random.Random(1))
+
+    def test_a_few_asks_are_open_for_each_item(self) -> None:
+        fleet = [AskCandidate(f"i-{number}") for number in range(30)]
+        self.assertEqual(len(self.choose(1, 0, *fleet)), 3)
+        self.assertEqual(len(self.choose(1, 2, *fleet)), 1)
+        self.assertEqual(self.choose(1, 3, *fleet), [])
+        self.assertEqual(self.choose(0, 0, *fleet), [])
+        self.assertEqual(len(set(self.choose(20, 0, *fleet))), 30)
+
+    def test_upstreams_known_to_be_full_are_asked_last(self) -> None:
+        full = [AskCandidate(f"full-{number}", 0) for number in range(9)]
+        chosen = self.choose(1, 0, *full, AskCandidate("free", 4), AskCandidate("unknown"))
+        self.assertEqual(set(chosen[:2]), {"free", "unknown"})
+        self.assertIn(chosen[2], {item.upstream_id for item in full})
+
+    def test_nodes_that_know_the_same_do_not_all_ask_the_same(self) -> None:
+        fleet = [AskCandidate(f"i-{number}", 4) for number in range(30)]
+        first = {choose_asks(1, 0, fleet, AskPolicy(1), random.Random(n))[0] for n in range(40)}
+        self.assertGreater(len(first), 15)
+
+
 class CommitTest(unittest.TestCase):
     def test_a_record_that_shows_the_commit_means_done(self) -> None:
         wanted = job_record(listed=2, owner_id="n", owner_boot=1, epoch=1)
