--- a/src/fescuedock/core/routing.py
+++ b/src/fescuedock/core/routing.py
@@ -35,7 +35,9 @@
     A snapshot older than ``stale_ms`` says nothing.  An upstream keeps its prefixes while its work
     in flight is within ``load_bound`` times the mean.  An owner that did not answer is passed over
     for ``silent_ms``.  An owner queues a request for at most ``queue_ms`` before the choice is made
-    anew with what is known by then.
+    anew with what is known by then.  Where online would take the slot of a batch attempt, it counts
+    as ``evict_ms`` later: what that attempt pauses at the least before it runs again elsewhere
+    (``RetryPauses.interrupted_ms``).
     """
 
     stale_ms: float = 1000.0
@@ -45,6 +47,7 @@
     queue_ms: float = 1000.0
     max_out_share: float = 0.5
     at_once: int = 2
+    evict_ms: float = 25.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,7 +77,8 @@
 class Choice:
     """An upstream with its predicted time to the first token.
 
-    ``queue_ms`` leaves prefill out, which is a guess good enough to choose by and no more.
+    ``queue_ms`` leaves prefill out, which is a guess good enough to choose by and no more;
+    ``first_token_ms`` also has what batch work loses by it.
     ``has_room`` is False when its owner is known to be full;
     ``accepting`` is False for one that its owner keeps work from.
     """
@@ -126,10 +130,11 @@
         prefill_ms = max(0, demand.prompt_tokens - covered) * token_ms
         queue_ms = item.load.first_token_ms if item.load is not None else usual_ms
         queue_ms += 2 * item.latency_ms
+        evict_ms = policy.evict_ms if _takes_a_batch_slot(item) else 0.0
         spread = 1.0 + policy.near_share * rng.random()
         choice = Choice(
             item.upstream_id,
-            (queue_ms + prefill_ms) * spread,
+            (queue_ms + prefill_ms + evict_ms) * spread,
             queue_ms,
             _has_room(item),
             _is_accepting(item),
@@ -181,6 +186,14 @@
     return load is None or (not load.queued_online and load.in_flight_online < load.limit)
 
 
+def _takes_a_batch_slot(item: Candidate) -> bool:
+    """Whether all slots are taken, some of them by batch work that would have to give way."""
+    load = item.load
+    if load is None or not load.in_flight_batch:
+        return False
+    return load.in_flight_online + load.in_flight_batch >= load.limit
+
+
 def _usual_first_token_ms(candidates: Iterable[Candidate]) -> float:
     """Return the least that is known: an upstream nobody heard of lately is worth asking."""
     known = [item.load.first_token_ms for item in candidates if item.load is not None]
--- a/tests/test_online_decisions.py
+++ b/tests/test_online_decisions.py
@@ -80,6 +80,12 @@
         busy = candidate("busy", in_flight_batch=10, first_token_ms=10.0)
         self.assertEqual(choose(busy, candidate("idle"))[0], "busy")
 
+    def test_a_free_slot_goes_before_one_that_batch_would_have_to_give_up(self) -> None:
+        filled = candidate("filled", in_flight_online=2, in_flight_batch=8, first_token_ms=40.0)
+        free = candidate("free", in_flight_online=2, in_flight_batch=7, first_token_ms=50.0)
+        self.assertEqual(choose(filled, free), ["free", "filled"])
+        self.assertEqual(choose(free, filled), ["free", "filled"])
+
     def test_an_upstream_nobody_heard_of_is_worth_asking(self) -> None:
         unknown = Candidate("unknown", 1.0, None)
         slow = candidate("slow", first_token_ms=500.0)
