--- a/src/fescuedock/agent/main.py
+++ b/src/fescuedock/agent/main.py
@@ -1,13 +1,10 @@
 """The agent: membership, configuration, and the permits and orders of the upstreams it owns."""
 
-import errno
 import random
-from collections.abc import AsyncIterator, Mapping
-from contextlib import asynccontextmanager
+from collections.abc import Mapping
 
 import msgspec
 import trio
-import zmq
 from result import Err, Result
 
 from fescuedock.address import Address
@@ -17,6 +14,7 @@
 from fescuedock.agent.membership_service import MembershipService
 from fescuedock.agent.order_service import OrderService
 from fescuedock.agent.permit_service import PermitService
+from fescuedock.agent.port import open_agent_port
 from fescuedock.agent.programs import LocalPrograms
 from fescuedock.backing.engine_control import EngineControl
 from fescuedock.backing.etcd import EtcdKv
@@ -25,18 +23,17 @@
 from fescuedock.core.membership import Membership
 from fescuedock.daemon import Stop, run_program
 from fescuedock.faults import Fault
-from fescuedock.net.channel import CallHandler, ServerPeer, serve_channel
+from fescuedock.net.channel import CallHandler
 from fescuedock.net.channel_pool import ChannelPool, open_channel_pool
 from fescuedock.net.codec import Codec
 from fescuedock.net.http_client import HttpClient, open_http_client
-from fescuedock.net.udp import UdpSocket, open_udp
+from fescuedock.net.udp import UdpSocket
 from fescuedock.schema.result_codes import ResultCode
 from fescuedock.schema.view import VmRecord
 from fescuedock.settings import Settings
 
-__all__ = ["main", "open_agent_port", "run_agent"]
+__all__ = ["main", "run_agent"]
 
-_PORT_TRIES = 20
 # How long a stopping agent still answers, in probe intervals: its leave must have spread.
 _LEAVE_INTERVALS = 3
 
@@ -136,33 +133,6 @@
     services.membership.finish()
 
 
-@asynccontextmanager
-async def open_agent_port(
-    settings: Settings, codec: Codec, handlers: Mapping[type[msgspec.Struct], CallHandler]
-) -> AsyncIterator[UdpSocket]:
-    """Serve messages, and give the socket for datagrams, on one port number."""
-
-    async def handle(message: msgspec.Struct, peer: ServerPeer) -> msgspec.Struct | None:
-        handler = handlers.get(type(message))
-        return None if handler is None else await handler(message, peer)
-
-    wanted = Address(settings.vm.host, settings.agent.port)
-    async with trio.open_nursery() as nursery:
-        for _ in range(_PORT_TRIES):
-            with open_udp(wanted) as udp:
-                try:
-                    await nursery.start(serve_channel, udp.address, codec, handle)
-                except zmq.ZMQError as error:
-                    if wanted.port or error.errno != errno.EADDRINUSE:
-                        raise
-                    # A free port for datagrams, but not for messages: try another.
-                    continue
-                yield udp
-                nursery.cancel_scope.cancel()
-                return
-    raise OSError(errno.EADDRINUSE, f"no port of {wanted.host} is free for TCP and UDP")
-
-
 def main() -> None:
     """Run the agent as a process, from an INI file."""
     run_program("agent", run_agent, sections=("vm", "platform", "agent"))
--- a/src/fescuedock/backing/engine_control.py
+++ b/src/fescuedock/backing/engine_control.py
@@ -4,7 +4,6 @@
 from contextlib import asynccontextmanager
 
 import msgspec
-from prometheus_client.parser import text_string_to_metric_families
 from result import Err, Ok, Result
 
 from fescuedock.address import Address
@@ -138,6 +137,9 @@
 
 
 def _load(body: bytes) -> EngineLoad:
+    # Imported at the first page: 45 ms of the start of programs that read none.
+    from prometheus_client.parser import text_string_to_metric_families
+
     values = {
         sample.name: sample.value
         for family in text_string_to_metric_families(body.decode())
--- a/src/fescuedock/cli/command_line.py
+++ b/src/fescuedock/cli/command_line.py
@@ -1,26 +1,18 @@
-"""Arguments of our programs: fire parses them, and nothing of fire shows.
+"""Commands of our programs, and what runs for the words of a command line.
 
 Parsing and running are apart, so that an error of the command itself is never shown as one of its
 arguments, and the other way round.
 """
 
-import contextlib
-import functools
-import inspect
-import io
 import sys
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from enum import IntEnum
 
-import fire
-from fire.core import FireError, FireExit
+from result import Err
 
 __all__ = ["Command", "ExitCode", "run_command_line"]
 
-_FIRE_ERROR = "ERROR: "
-# Our users know of commands, not of functions.
-_FIRE_MISSING = "The function received no value for the required argument"
 _HELP_FLAGS = frozenset({"-h", "--help", "help"})
 
 
@@ -54,17 +46,14 @@
     if _names_group(commands, words):
         print(_innermost(commands, words).help_text, end="", file=sys.stderr)
         return ExitCode.USAGE
-    chosen: list[Callable[[], int]] = []
-    shown = io.StringIO()
-    try:
-        with contextlib.redirect_stderr(shown), contextlib.redirect_stdout(shown):
-            fire.Fire(_recording(commands, chosen), command=list(words), name=name)
-    except FireExit:
-        chosen.clear()
-    if not chosen:
-        print(f"{name}: {_usage_error(shown.getvalue())}; see {name} --help", file=sys.stderr)
+    # Imported when there are words to parse: fire is 40 ms of the start of a program without any.
+    from fescuedock.cli.words import parse_words
+
+    parsed = parse_words(name, commands, words)
+    if isinstance(parsed, Err):
+        print(f"{name}: {parsed.err_value}; see {name} --help", file=sys.stderr)
         return ExitCode.USAGE
-    return chosen[0]()
+    return parsed.ok_value()
 
 
 def _innermost(commands: Command | Mapping, words: Sequence[str]) -> Command:
@@ -82,46 +71,3 @@
             return False
         commands = commands[word]
     return not isinstance(commands, Command)
-
-
-def _recording(commands: Command | Mapping, chosen: list) -> object:
-    """Return what fire shall call: the commands' signatures, which only note the call."""
-    if not isinstance(commands, Command):
-        return {name: _recording(command, chosen) for name, command in commands.items() if name}
-    # Left alone, fire would read numbers and lists out of plain words.
-    parsers = {
-        name: _PARSERS.get(parameter.annotation, str)
-        for name, parameter in inspect.signature(commands.run).parameters.items()
-    }
-
-    @fire.decorators.SetParseFns(**parsers)
-    @functools.wraps(commands.run)
-    def note(*args: object, **kwargs: object) -> None:
-        chosen.append(functools.partial(commands.run, *args, **kwargs))
-
-    return note
-
-
-def _parse_bool(text: str) -> bool:
-    if text.lower() not in ("true", "false"):
-        raise FireError(f"not true or false: {text}")
-    return text.lower() == "true"
-
-
-def _parse_int(text: str) -> int:
-    try:
-        return int(text)
-    except ValueError as error:
-        raise FireError(f"not a whole number: {text}") from error
-
-
-_PARSERS = {bool: _parse_bool, int: _parse_int}
-
-
-def _usage_error(shown: str) -> str:
-    """Return the one line of fire's output that says what is wrong."""
-    for line in shown.splitlines():
-        if line.startswith(_FIRE_ERROR):
-            text = line.removeprefix(_FIRE_ERROR).rstrip(".")
-            return text.replace(_FIRE_MISSING, "missing argument")
-    return "no such command"
--- a/src/fescuedock/daemon.py
+++ b/src/fescuedock/daemon.py
@@ -91,7 +91,9 @@
 
     named = ", ".join(f"[{section}]" for section in sections)
     help_text = _HELP.format(name=f"fescuedock-{name}", program=name, sections=named)
-    words = sys.argv[1:] or ([file] if file else [])
+    words = sys.argv[1:]
+    if file and not words:
+        sys.exit(run(file))
     sys.exit(run_command_line(f"fescuedock-{name}", Command(run, help_text), words))
 
 
