--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -1,6 +1,5 @@
 """Run the soak: ``python -m tests.soak --seeds=1-50 --seconds=15``; see docs/SOAK.md."""
 
-import signal
 import sys
 from pathlib import Path
 
@@ -34,6 +33,4 @@
 
 
 if __name__ == "__main__":
-    # Ends like an interrupt, so that the processes of the run are ended too.
-    signal.signal(signal.SIGTERM, signal.default_int_handler)
     sys.exit(run_command_line("soak", Command(_soak, _HELP), sys.argv[1:]))
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -99,7 +99,7 @@
         node.signal(signal.SIGKILL)
         await node.process.wait()
         await trio.sleep(self.rng.uniform(0.05, 1.0))
-        await self._start(node)
+        await node.start()
         return f"{node.name} killed"
 
     async def _kill_all(self) -> str:
@@ -111,7 +111,7 @@
             await node.process.wait()
         await trio.sleep(self.rng.uniform(0.1, 0.6))
         for node in self.world.nodes:
-            await self._start(node)
+            await node.start()
         return "all nodes killed"
 
     async def _stop(self) -> str:
@@ -133,7 +133,7 @@
                 self.ledger.broken.append(f"{node.name} ended with {process.returncode}")
         node.signal(signal.SIGKILL)
         await process.wait()
-        await self._start(node)
+        await node.start()
         return f"{node.name} stopped, took {took_s:.1f} s"
 
     async def _pause(self) -> str:
@@ -145,11 +145,6 @@
         node.signal(signal.SIGCONT)
         return f"{node.name} paused"
 
-    async def _start(self, node: NodeProcess) -> None:
-        # Another fault may have started it meanwhile.
-        if not node.runs:
-            await node.start()
-
     # --- the store -------------------------------------------------------------------------------
 
     async def _store_down(self) -> str:
--- a/tests/soak/runs.py
+++ b/tests/soak/runs.py
@@ -2,6 +2,7 @@
 
 import random
 import shutil
+import signal
 from pathlib import Path
 
 import msgspec
@@ -55,6 +56,7 @@
     async with trio.open_nursery() as nursery:
         world = World(nursery, logs, own_network(), config=first_configuration())
         schedule = Schedule(world, ledger, rng)
+        await nursery.start(_end_on_signal)
         try:
             await world.start(nodes, _UPSTREAMS)
             await _wait_serving(world)
@@ -77,6 +79,14 @@
     )
 
 
+async def _end_on_signal(*, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED) -> None:
+    """Let SIGTERM end the run in order, so that the processes of the run are ended too."""
+    with trio.open_signal_receiver(signal.SIGTERM) as signals:
+        task_status.started()
+        async for number in signals:
+            raise SystemExit(128 + number)
+
+
 async def _wait_serving(world: World) -> None:
     """Wait until every node takes connections."""
     with trio.fail_after(_START_S):
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -68,14 +68,20 @@
     paused: bool = False
     # When it was last told to stop, killed, paused or harmed; for promises with a time bound.
     disturbed_s: float = float("-inf")
-    stops: int = 0
+    # Two faults may want to start it at the same moment.
+    _starting: trio.Lock = field(default_factory=trio.Lock)
 
     @property
     def runs(self) -> bool:
         return self.process is not None and self.process.returncode is None
 
     async def start(self) -> None:
-        """Start the process; its log goes on in the same file."""
+        """Start the process unless it runs; its log goes on in the same file."""
+        async with self._starting:
+            if not self.runs:
+                await self._start()
+
+    async def _start(self) -> None:
         command = [sys.executable, "-m", "fescuedock.node.main", str(self.settings)]
         async with await trio.open_file(self.log, "ab") as log:
             self.process = await trio.lowlevel.open_process(
