--- a/src/fescuedock/platform/standin/metadata_store.py
+++ b/src/fescuedock/platform/standin/metadata_store.py
@@ -5,17 +5,17 @@
 
 import base64
 from dataclasses import dataclass, field
+from functools import partial
 
 import msgspec
 import trio
 
-from fescuedock.address import Address
 from fescuedock.kv import KvEntry, KvEvent, KvTransaction
 from fescuedock.net.http_server import Request, Responder
 from fescuedock.platform import store_wire as wire
-from fescuedock.standin.kv_faults import CallKind, KvFaults, LostAnswer
-from fescuedock.standin.kv_state import CompactedError, KvState, LeaseNotFoundError, prefix_end
-from fescuedock.standin.listener import Listener
+from fescuedock.standin.kv_faults import CallKind, LostAnswer
+from fescuedock.standin.kv_host import KvHost
+from fescuedock.standin.kv_state import CompactedError, LeaseNotFoundError, prefix_end
 
 __all__ = ["MetadataStoreService"]
 
@@ -24,7 +24,6 @@
 _MAX_BODY_BYTES = 64 * 1024 * 1024
 _PAGE_ITEMS = 500
 _PAGE_BYTES = 1024 * 1024
-_EXPIRY_CHECK_MS = 50
 
 _KINDS = {
     ("GET", "kv-key"): CallKind.GET,
@@ -46,49 +45,17 @@
 
 
 @dataclass(slots=True)
-class MetadataStoreService:
-    """One store.  ``faults`` switches its faults, ``state`` may be looked at and changed."""
+class MetadataStoreService(KvHost):
+    """One store; see ``KvHost``."""
 
-    state: KvState = field(default_factory=KvState)
-    faults: KvFaults = field(default_factory=KvFaults)
     # Answered in place of every call while it is not 0: the store turns this caller away.
     refuse_status: int = 0
-    listener: Listener = field(init=False)
-    _late: trio.Nursery | None = None
     _changed: trio.Event = field(default_factory=trio.Event)
-    _cut: trio.Event = field(default_factory=trio.Event)
 
     def __post_init__(self) -> None:
-        self.listener = Listener(self.handle)
+        KvHost.__post_init__(self)
         self.state.listeners.append(self._note_change)
 
-    @property
-    def address(self) -> Address:
-        return self.listener.address
-
-    async def run(
-        self, address: Address, *, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED
-    ) -> None:
-        """Serve until cancelled; report the real ``Address``."""
-        async with trio.open_nursery() as nursery:
-            self._late = nursery
-            nursery.start_soon(self._expire_leases)
-            task_status.started(await nursery.start(self.listener.run, address))
-
-    def take_down(self) -> None:
-        """Refuse every connection from now on, and cut those that are open."""
-        self.faults.down = True
-        self.listener.take_down()
-
-    def bring_up(self) -> None:
-        self.faults.down = False
-        self.listener.bring_up()
-
-    def cut_watches(self) -> None:
-        """Lose the connections of all watches that are held."""
-        self._cut.set()
-        self._cut = trio.Event()
-
     async def handle(self, request: Request, responder: Responder) -> None:
         """Execute one call; returning without an answer cuts its connection."""
         body = await request.read(_MAX_BODY_BYTES)
@@ -107,7 +74,7 @@
         if kind is CallKind.WATCH:
             answer = await self._watch(request)
         elif lost is LostAnswer.LATE_EFFECT:
-            self._late.start_soon(self._execute_late, kind, request, argument, body)
+            self.execute_late(partial(self._execute, kind, request, argument, body))
             return
         elif lost is LostAnswer.BEFORE_EFFECT:
             return
@@ -139,12 +106,6 @@
             case _:
                 return _Answer(200 if self.state.revoke(int(argument)) else 404)
 
-    async def _execute_late(
-        self, kind: CallKind, request: Request, argument: str, body: bytes
-    ) -> None:
-        await trio.sleep(self.faults.late_effect_ms / 1000)
-        self._execute(kind, request, argument, body)
-
     def _get(self, key: str) -> _Answer:
         entry = self.state.get(key)
         return _Answer(404) if entry is None else _Answer(200, _item(entry))
@@ -189,7 +150,7 @@
     async def _watch(self, request: Request) -> _Answer | None:
         """Hold a watch until there is a change or its time is up; None when it was cut."""
         prefix, after = request.query["prefix"], int(request.query["after"])
-        cut = self._cut
+        cut = self.cut
         with trio.move_on_after(int(request.query["waitMs"]) / 1000):
             while not (events := self._events(prefix, after)):
                 if events is None or cut.is_set():
@@ -217,11 +178,6 @@
         self._changed.set()
         self._changed = trio.Event()
 
-    async def _expire_leases(self) -> None:
-        while True:
-            await trio.sleep(_EXPIRY_CHECK_MS / 1000)
-            self.state.expire(trio.current_time())
-
 
 async def _cancel_after(event: trio.Event, scope: trio.CancelScope) -> None:
     await event.wait()
