Pause longer after each run of an item that brought no event

Cause, seen in the soak: with upstreams that refuse connections three items made 75 runs a second, as each interruption was followed by the same 25 ms. The pause now doubles up to 200 ms while runs bring nothing, and is 25 ms again after an event. The new test in tests.test_stored_jobs_core fails without it.

--- a/src/fescuedock/core/stored_jobs/job.py
+++ b/src/fescuedock/core/stored_jobs/job.py
@@ -17,6 +17,9 @@
 
 __all__ = ["ItemEnd", "ItemRun", "RetryPauses", "StoredJob"]
 
+# Keeps the power within numbers.
+_MOST_DOUBLINGS = 16
+
 
 class ItemEnd(enum.Enum):
     """How one run of an item ended."""
@@ -35,12 +38,20 @@
     """Pause before an item runs again, doubled with each failure up to ``most_ms``.
 
     ``interrupted_ms`` follows a run that says nothing against the item: one round trip and a step
-    of an engine, so that a full or broken upstream is not asked in a tight loop.
+    of an engine.  Each further one in a row that brought no event doubles it, up to
+    ``most_interrupted_ms``: with the short pause alone three items whose upstreams all refused
+    connections made 75 runs a second.
     """
 
     first_ms: float = 100.0
     most_ms: float = 2000.0
     interrupted_ms: float = 25.0
+    most_interrupted_ms: float = 200.0
+
+    def after_interruption(self, barren_runs: int) -> float:
+        """Return the pause after ``barren_runs`` interrupted runs in a row without an event."""
+        doublings = min(max(barren_runs - 1, 0), _MOST_DOUBLINGS)
+        return min(self.interrupted_ms * 2**doublings, self.most_interrupted_ms)
 
 
 @dataclass(slots=True, eq=False)
@@ -51,11 +62,22 @@
     running: bool = False
     failures: int = 0
     interruptions: int = 0
+    # Interrupted runs in a row that brought no event, and the last event before them.
+    barren_runs: int = 0
+    barren_since_event: int = -1
     not_before_ms: float = 0.0
     last_event: int = -1
     texts: list[str] = field(default_factory=list)
     avoided: set[str] = field(default_factory=set)
 
+    def note_interruption(self) -> None:
+        """Count an interrupted run, and whether it brought anything."""
+        self.interruptions += 1
+        if self.last_event > self.barren_since_event:
+            self.barren_runs = 0
+        self.barren_runs += 1
+        self.barren_since_event = self.last_event
+
     def take(self, events: Iterable[SplitEvent]) -> bool:
         """Take events in order, each once; False when one is missing before them."""
         for event in events:
@@ -149,8 +171,9 @@
                     pause_ms = self._pauses.first_ms * 2 ** (run.failures - 1)
                     run.not_before_ms = now_ms + min(pause_ms, self._pauses.most_ms)
             case ItemEnd.INTERRUPTED:
-                run.interruptions += 1
-                run.not_before_ms = now_ms + self._pauses.interrupted_ms
+                run.note_interruption()
+                pause_ms = self._pauses.after_interruption(run.barren_runs)
+                run.not_before_ms = now_ms + pause_ms
 
     def progress(self) -> list[ItemProgress]:
         """Return what runs have given of the items without a result."""
--- a/tests/test_stored_jobs_core.py
+++ b/tests/test_stored_jobs_core.py
@@ -79,6 +79,19 @@
             self.assertEqual(job.ready_items(1000.0 * turn), [])
         self.assertFalse(job.has_results)
 
+    def test_interruptions_that_bring_nothing_are_paused_for_longer_each_time(self) -> None:
+        job = stored_job("a")
+        pauses = []
+        for _ in range(6):
+            run = start_next(job, now_ms=10_000.0)
+            job.finish(run, ItemEnd.INTERRUPTED, "i-1", 3, 0.0)
+            pauses.append(run.not_before_ms)
+        self.assertEqual(pauses, [25.0, 50.0, 100.0, 200.0, 200.0, 200.0])
+        run = start_next(job, now_ms=10_000.0)
+        run.take(events(0, 1))
+        job.finish(run, ItemEnd.INTERRUPTED, "i-1", 3, 0.0)
+        self.assertEqual(run.not_before_ms, 25.0)
+
     def test_the_next_time_at_which_an_item_may_start_is_known(self) -> None:
         job = stored_job("a")
         self.assertEqual(job.next_ready_ms(0.0), float("inf"))
