Count a new connection in the choice of an upstream

Cause: new connections are paid for, dear on the one site, and cost a round trip and a millisecond of the engine; among upstreams that are as good as equal chance decided. The new test in tests.test_online_decisions fails without it.

--- a/src/fescuedock/core/routing.py
+++ b/src/fescuedock/core/routing.py
@@ -37,7 +37,8 @@
     for ``silent_ms``.  An owner queues a request for at most ``queue_ms`` before the choice is made
     anew with what is known by then.  Where online would take the slot of a batch attempt, it counts
     as ``evict_ms`` later: what that attempt pauses at the least before it runs again elsewhere
-    (``RetryPauses.interrupted_ms``).
+    (``RetryPauses.interrupted_ms``).  An upstream without an idle connection counts as
+    ``connect_ms`` later: a round trip of 1 to 3 ms, and 1 ms that an engine takes for it.
     """
 
     stale_ms: float = 1000.0
@@ -48,13 +49,15 @@
     max_out_share: float = 0.5
     at_once: int = 2
     evict_ms: float = 25.0
+    connect_ms: float = 4.0
 
 
 @dataclass(frozen=True, slots=True)
 class Candidate:
     """An upstream that may be asked.
 
-    ``load`` is None when nothing fresh is known; ``avoided`` says that it has failed this request.
+    ``load`` is None when nothing fresh is known; ``avoided`` says that it has failed this request,
+    ``connected`` that an idle connection to it is kept.
     """
 
     upstream_id: str
@@ -62,6 +65,7 @@
     load: LoadSnapshot | None
     owner_silent: bool = False
     avoided: bool = False
+    connected: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,7 +82,7 @@
     """An upstream with its predicted time to the first token.
 
     ``queue_ms`` leaves prefill out, which is a guess good enough to choose by and no more;
-    ``first_token_ms`` also has what batch work loses by it.
+    ``first_token_ms`` also has what batch work loses by it, and a new connection.
     ``has_room`` is False when its owner is known to be full;
     ``accepting`` is False for one that its owner keeps work from.
     """
@@ -130,11 +134,12 @@
         prefill_ms = max(0, demand.prompt_tokens - covered) * token_ms
         queue_ms = item.load.first_token_ms if item.load is not None else usual_ms
         queue_ms += 2 * item.latency_ms
-        evict_ms = policy.evict_ms if _takes_a_batch_slot(item) else 0.0
+        extra_ms = policy.evict_ms if _takes_a_batch_slot(item) else 0.0
+        extra_ms += 0.0 if item.connected else policy.connect_ms
         spread = 1.0 + policy.near_share * rng.random()
         choice = Choice(
             item.upstream_id,
-            (queue_ms + prefill_ms + evict_ms) * spread,
+            (queue_ms + prefill_ms + extra_ms) * spread,
             queue_ms,
             _has_room(item),
             _is_accepting(item),
--- a/src/fescuedock/entry/online_permits.py
+++ b/src/fescuedock/entry/online_permits.py
@@ -81,6 +81,9 @@
     def new_identity(self) -> str:
         """Return an identity that nobody can guess."""
 
+    def is_connected(self, upstream: UpstreamRecord) -> bool:
+        """Whether an idle connection to ``upstream`` is kept."""
+
 
 async def find_permit(
     state: PermitSearch, call: OnlineCall, avoid: Collection[str] = ()
@@ -125,7 +128,8 @@
     silent = owner is None or state.silent.is_silent(owner.vm_id, now_ms())
     latency_ms = state.latency.one_way_ms(upstream.failure_domain)
     load = _fresh_load(state, upstream)
-    return Candidate(upstream.upstream_id, latency_ms, load, silent)
+    connected = state.is_connected(upstream)
+    return Candidate(upstream.upstream_id, latency_ms, load, silent, connected=connected)
 
 
 def _fresh_load(state: PermitSearch, upstream: UpstreamRecord) -> LoadSnapshot | None:
--- a/src/fescuedock/entry/online_state.py
+++ b/src/fescuedock/entry/online_state.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from fescuedock.address import Address
 from fescuedock.backing.engine import EngineClient
 from fescuedock.core.admission import Admission
 from fescuedock.core.retry import RetryBudget, RetryPolicy
@@ -21,6 +22,7 @@
 if TYPE_CHECKING:
     from fescuedock.agent.link import FleetView
     from fescuedock.agent.permit_client import PermitClient
+    from fescuedock.schema.view import UpstreamRecord
 
 __all__ = ["OnlineState"]
 
@@ -69,6 +71,10 @@
         """Return an identity that nobody can guess."""
         return f"{self.rng.getrandbits(_IDENTITY_BITS):032x}"
 
+    def is_connected(self, upstream: "UpstreamRecord") -> bool:
+        """Whether an idle connection to ``upstream`` is kept."""
+        return self.context.http.has_idle(Address(upstream.host, upstream.port))
+
     def shares(self) -> dict[str, float]:
         """Return the members' shares of the configuration in force."""
         members = self.context.view.configuration.members
--- a/src/fescuedock/net/http_client.py
+++ b/src/fescuedock/net/http_client.py
@@ -154,6 +154,11 @@
         else:
             await connection.abort()
 
+    def has_idle(self, address: Address) -> bool:
+        """Whether a connection is kept that its server should still have; costs no system call."""
+        now_s = trio.current_time()
+        return any(item.is_kept(now_s) for item in (self._idle or {}).get(address, ()))
+
     async def close(self) -> None:
         """Close the idle connections; never waits, so it works while being cancelled too."""
         for connections in (self._idle or {}).values():
@@ -342,9 +347,13 @@
         protocol.start_next_cycle()
         return True
 
+    def is_kept(self, now_s: float) -> bool:
+        """Whether the server said that it keeps the idle connection for longer."""
+        return now_s < self._idle_until_s
+
     def is_usable(self) -> bool:
         """Whether the server keeps the idle connection for sure, and nothing unread waits on it."""
-        if trio.current_time() >= self._idle_until_s:
+        if not self.is_kept(trio.current_time()):
             return False
         return not self._stream.socket.is_readable()
 
--- a/src/fescuedock/node/online.py
+++ b/src/fescuedock/node/online.py
@@ -6,6 +6,7 @@
 import trio
 from result import Err
 
+from fescuedock.address import Address
 from fescuedock.agent.link import FleetView
 from fescuedock.agent.permit_client import Grant, PermitClient
 from fescuedock.clock import now_ms
@@ -87,6 +88,10 @@
         """Return an identity that nobody can guess."""
         return f"{self.rng.getrandbits(_IDENTITY_BITS):032x}"
 
+    def is_connected(self, upstream: UpstreamRecord) -> bool:
+        """Whether an idle connection to ``upstream`` is kept."""
+        return self.http.has_idle(Address(upstream.host, upstream.port))
+
     async def handle(
         self, request: Request, responder: Responder, route: Route, body: bytes
     ) -> None:
--- a/tests/test_online_decisions.py
+++ b/tests/test_online_decisions.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+from dataclasses import replace
 
 from result import Err, Ok
 
@@ -86,6 +87,12 @@
         self.assertEqual(choose(filled, free), ["free", "filled"])
         self.assertEqual(choose(free, filled), ["free", "filled"])
 
+    def test_an_idle_connection_counts_among_equals_and_not_against_load(self) -> None:
+        new = replace(candidate("new"), connected=False)
+        self.assertEqual(choose(new, candidate("kept")), ["kept", "new"])
+        busy = candidate("kept", first_token_ms=80.0)
+        self.assertEqual(choose(new, busy), ["new", "kept"])
+
     def test_an_upstream_nobody_heard_of_is_worth_asking(self) -> None:
         unknown = Candidate("unknown", 1.0, None)
         slow = candidate("slow", first_token_ms=500.0)
--- a/tests/test_permit_search.py
+++ b/tests/test_permit_search.py
@@ -72,6 +72,9 @@
     def new_identity(self) -> str:
         return "attempt"
 
+    def is_connected(self, _upstream: UpstreamRecord) -> bool:
+        return True
+
 
 @dataclass
 class StubCall:
