--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
 
-.PHONY: events run soak test generate check-generated format lint bench-batch bench-mix bench-fleet capacity
+.PHONY: events run soak test generate check-generated format lint bench-batch bench-mix bench-fleet bench-worth capacity
 
 $(READY): pyproject.toml requirements.lock
 	@$(PYTHON) -m venv $(VENV)
@@ -47,6 +47,9 @@
 bench-mix: $(READY)
 	$(BIN)/python -m bench.mix
 
+bench-worth: $(READY)
+	$(BIN)/python -m bench.worth
+
 bench-fleet: $(READY)
 	$(BIN)/python -m bench.fleet
 
