--- a/tests/soak/regressions.py
+++ b/tests/soak/regressions.py
@@ -7,14 +7,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Regression:
-    """A seed and how long its faults go on; times are real, so a run repeats only mostly."""
+    """A seed, its nodes, and how long faults go on; times are real, so it repeats only mostly."""
 
     seed: int
+    nodes: int
     fault_s: float
     cause: str
 
 
 REGRESSIONS: tuple[Regression, ...] = (
-    Regression(3, 10.0, "the soak stopped a node that was still starting and had no handler yet"),
-    Regression(27, 12.0, "the soak's client was ended while it waited for a job's acceptance"),
+    Regression(
+        3, 4, 10.0, "the soak stopped a node that was still starting and had no handler yet"
+    ),
+    Regression(27, 4, 12.0, "the soak's client was ended while it waited for a job's acceptance"),
 )
