Vouch for a job's results only with all that is listed in hand

Cause, found on reading the change: a cache that had forgotten a running job and was opened again looked like a job without results; and a job that its client had ended counted as complete with whatever part of its results a node had. A reader could then be shown less than another one had been.

--- a/src/fescuedock/core/stored_jobs/cache.py
+++ b/src/fescuedock/core/stored_jobs/cache.py
@@ -15,13 +15,18 @@
     total: int
     results: list[StoredResult] = field(default_factory=list)
     items: dict[str, StoredItem] | None = None
-    # No further result can come, since a client ended the job.
-    ended: bool = False
+    # How many results there are for good once a client has ended the job; below 0 before.
+    listed_at_end: int = -1
     size_bytes: int = 0
 
     @property
     def is_complete(self) -> bool:
-        return self.ended or len(self.results) >= self.total
+        """Whether no further result can come.
+
+        Of a job that was ended, some that were listed before may still be missing here.
+        """
+        final = self.total if self.listed_at_end < 0 else self.listed_at_end
+        return len(self.results) >= final
 
     def add(self, group: ResultGroup) -> bool:
         """Take a group; False when positions before it are missing."""
@@ -66,7 +71,8 @@
     def open(self, record: StoredJobRecord) -> CachedJob:
         """Return the job of ``record``, remembered from now on."""
         job = self._jobs.setdefault(record.job_id, CachedJob(record.total))
-        job.ended = job.ended or record.ended
+        if record.ended:
+            job.listed_at_end = record.listed
         self._jobs.move_to_end(record.job_id)
         return job
 
--- a/src/fescuedock/node/job_runner.py
+++ b/src/fescuedock/node/job_runner.py
@@ -132,10 +132,10 @@
         if record.job_id not in self._jobs and self._owner.owns(record) and not record.listed:
             self._start(stored, LoadedJob(items, [], []))
 
-    def runs(self, job_id: str) -> bool:
-        """Whether this node runs the job, as far as it knows."""
+    def listed_of(self, job_id: str) -> int | None:
+        """Return how many results are listed of a job that this node runs, as far as it knows."""
         job = self._jobs.get(job_id)
-        return job is not None and not job.stopped
+        return None if job is None or job.stopped else job.versioned.record.listed
 
     async def leave(self) -> None:
         """Start no further item, and hand all jobs on to other nodes."""
--- a/src/fescuedock/node/main.py
+++ b/src/fescuedock/node/main.py
@@ -231,7 +231,7 @@
             owner,
             self._call_neighbour,
             self._address_of,
-            self._runner.runs,
+            self._runner.listed_of,
         )
         self.front.jobs = JobCalls(
             store,
--- a/src/fescuedock/node/owner_reads.py
+++ b/src/fescuedock/node/owner_reads.py
@@ -12,7 +12,7 @@
 
 from fescuedock.address import Address
 from fescuedock.clock import now_ms
-from fescuedock.core.stored_jobs.cache import JobCache
+from fescuedock.core.stored_jobs.cache import CachedJob, JobCache
 from fescuedock.core.stored_jobs.ownership import VOUCH_AGE_MS, OwnerIdentity
 from fescuedock.net.channel import CallHandler, ServerPeer
 from fescuedock.node.replicas import CallNeighbour, Replicas
@@ -34,7 +34,10 @@
 
 @dataclass(slots=True)
 class OwnerReads:
-    """``address_of`` gives the address of a live node, ``runs`` whether this node runs a job.
+    """``address_of`` gives the address of a live node.
+
+    ``listed_of`` gives how many results are listed of a job that this node runs, None for others.
+    The cache alone cannot tell: it forgets jobs when it is full.
 
     Before, each read that found nothing new was a call of the store: 349 of the 800 calls that were
     paid for on a calm day.
@@ -46,7 +49,7 @@
     owner: OwnerIdentity
     call_neighbour: CallNeighbour
     address_of: Callable[[str], Address | None]
-    runs: Callable[[str], bool]
+    listed_of: Callable[[str], int | None]
 
     def handlers(self) -> dict[type[msgspec.Struct], CallHandler]:
         """Handlers by message type, to be merged with those of other services."""
@@ -75,9 +78,10 @@
         results = job.page(known, _ANSWER_BYTES)
         if known + len(results) < len(job.results):
             return ReadResultsReply(ResultGroup(known, []), False)
-        sure = job.is_complete or self._is_sure(job_id)
+        sure = job.is_complete or self._has_all(job_id, job)
         return ReadResultsReply(ResultGroup(known, results), sure)
 
-    def _is_sure(self, job_id: str) -> bool:
+    def _has_all(self, job_id: str, job: CachedJob) -> bool:
+        """Whether the cache holds all that is listed of a job that this node still owns."""
         age_ms = self.replicas.tables[self.live_prefix].age_ms(now_ms())
-        return self.runs(job_id) and age_ms <= VOUCH_AGE_MS
+        return age_ms <= VOUCH_AGE_MS and self.listed_of(job_id) == len(job.results)
--- a/tests/test_node_jobs.py
+++ b/tests/test_node_jobs.py
@@ -103,6 +103,20 @@
         with mock.patch("fescuedock.node.owner_reads._ANSWER_BYTES", 300):
             self.run_fleet(test, nodes=2)
 
+    def test_an_owner_whose_cache_forgot_a_job_does_not_vouch_for_it(self) -> None:
+        async def test(fleet: NodeFleet) -> None:
+            first, second = (node.front for node in fleet.nodes)
+            fleet.upstreams[0].event_interval_ms = 1.0
+            self.assertEqual((await submit(fleet, first, "a", "b", "c")).status, 202)
+            await read_all(fleet, first, 3)
+            # The cache holds one job at the most, so this one takes the other's place.
+            self.assertEqual((await submit(fleet, first, "d", job_id="other")).status, 202)
+            await read_all(fleet, first, 1, job_id="other")
+            self.assertEqual(len(await read_all(fleet, second, 3)), 3)
+            self.assertEqual(len(await read_all(fleet, first, 3)), 3)
+
+        self.run_fleet(test, nodes=2, job_cache_bytes=1)
+
     def test_a_submission_whose_client_leaves_is_logged(self) -> None:
         lines: list[dict] = []
 
--- a/tests/test_stored_jobs_core.py
+++ b/tests/test_stored_jobs_core.py
@@ -256,6 +256,17 @@
 
 
 class JobCacheTest(unittest.TestCase):
+    def test_an_ended_job_is_complete_with_what_was_listed_and_not_before(self) -> None:
+        cache = JobCache(1000)
+        job = cache.open(job_record(total=3))
+        self.assertFalse(job.is_complete)
+        job.add(ResultGroup(0, [StoredResult("a", True, "x")]))
+        # Ended elsewhere, after another result had been listed.
+        cache.open(job_record(total=3, listed=2, ended=True))
+        self.assertFalse(job.is_complete)
+        job.add(ResultGroup(1, [StoredResult("b", True, "y")]))
+        self.assertTrue(job.is_complete)
+
     def test_groups_are_taken_without_a_gap_and_once(self) -> None:
         job = JobCache(1000).open(job_record())
         first = ResultGroup(0, [StoredResult("a", True, "x")])
