--- a/tests/soak/runs.py
+++ b/tests/soak/runs.py
@@ -3,6 +3,8 @@
 import random
 import shutil
 import signal
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from pathlib import Path
 
 import msgspec
@@ -101,10 +103,11 @@
 async def _soak(
     world: World, ledger: Ledger, schedule: Schedule, rng: random.Random, fault_s: float
 ) -> None:
-    async with trio.open_nursery() as clients:
-        online = [OnlineClient(world, ledger, rng) for _ in range(_ONLINE_CLIENTS)]
-        jobs = JobClient(world, ledger, rng)
-        for client in (*online, ConfigWatcher(world, ledger)):
+    online = [OnlineClient(world, ledger, rng) for _ in range(_ONLINE_CLIENTS)]
+    jobs = JobClient(world, ledger, rng)
+    watcher = ConfigWatcher(world, ledger)
+    async with _closing([*online, jobs, watcher]), trio.open_nursery() as clients:
+        for client in (*online, watcher):
             clients.start_soon(client.run)
         for _ in range(2):
             clients.start_soon(jobs.read_some)
@@ -119,6 +122,18 @@
         clients.cancel_scope.cancel()
 
 
+@asynccontextmanager
+async def _closing(
+    clients: list[OnlineClient | JobClient | ConfigWatcher],
+) -> AsyncIterator[None]:
+    """Close the connections that clients have kept when the block is left."""
+    try:
+        yield
+    finally:
+        for client in clients:
+            await client.http.close()
+
+
 async def _wait_jobs(ledger: Ledger) -> None:
     """Wait until every accepted job that nobody ended was read to its end."""
     while True:
