--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -1,6 +1,5 @@
 """Clients of the soak: online calls on kept connections, jobs, and a look at the configuration."""
 
-import base64
 import itertools
 import json
 import random
@@ -10,6 +9,7 @@
 
 from fescuedock.address import Address
 from fescuedock.net.http_client import HttpClient, NotSentError, ResponseLostError
+from tests.builders.jobs_calls import job_body
 from tests.builders.node import HOST
 from tests.soak.promises import CALM_S, NOT_RUN, SETTLE_S, Ledger, OnlineAttempt, SoakJob
 from tests.soak.world import NodeProcess, World
@@ -165,17 +165,7 @@
                 self.ledger.broken.append(f"{job.job_id} at {node.name}: {wrong}")
 
     async def _submit(self, job: SoakJob) -> None:
-        items = [
-            {
-                "id": name,
-                "path": f"/letters/{name}",
-                "headers": {"X-Model": "m", "X-Token-Count": "100,50"},
-                "body": base64.b64encode(name.encode()).decode(),
-                "tokens": 150,
-            }
-            for name in job.items
-        ]
-        body = json.dumps({"items": items}).encode()
+        body = job_body(*job.items)
         for _ in range(6):
             node = self.rng.choice(self.world.nodes)
             headers = {"x-request-id": job.job_id}
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -32,6 +32,9 @@
     def reset(self) -> None:
         """End both sides with a reset."""
         for stream in (self.near, self.far):
+            if stream.socket.fileno() < 0:
+                # Its own end was faster.
+                continue
             linger = (socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
             stream.socket.setsockopt(*linger)
         self.scope.cancel()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,6 +4,12 @@
 import unittest
 from pathlib import Path
 
+import trio
+import trio.testing
+
+from fescuedock.address import Address
+from tests.builders.standins import run_async
+from tests.soak.proxy import FaultProxy
 from tests.soak.regressions import REGRESSIONS
 from tests.soak.runs import run_seed
 
@@ -13,6 +19,10 @@
 NODES = 3
 
 
+async def _sleep(_stream: trio.SocketStream) -> None:
+    await trio.sleep_forever()
+
+
 class SoakTest(unittest.TestCase):
     def run_seed(self, seed: int, nodes: int, fault_s: float) -> None:
         with tempfile.TemporaryDirectory() as folder:
@@ -23,6 +33,26 @@
     def test_a_seeded_run_keeps_the_promises(self) -> None:
         self.run_seed(SEED, NODES, FAULT_S)
 
+    def test_a_connection_whose_end_was_faster_is_not_reset_again(self) -> None:
+        async def run() -> None:
+            async with trio.open_nursery() as nursery:
+                [listener] = await trio.open_tcp_listeners(0, host="127.0.0.1")
+                target = Address("127.0.0.1", listener.socket.getsockname()[1])
+                nursery.start_soon(trio.serve_listeners, _sleep, [listener])
+                proxy = FaultProxy(target)
+                address = await nursery.start(proxy.run, "127.0.0.1")
+                stream = await trio.open_tcp_stream(address.host, address.port)
+                await trio.testing.wait_all_tasks_blocked(0.05)
+                [link] = proxy._links
+                await link.far.aclose()
+                proxy.reset_open()
+                with self.assertRaises(trio.BrokenResourceError):
+                    await stream.receive_some(1)
+                await stream.aclose()
+                nursery.cancel_scope.cancel()
+
+        run_async(run)
+
     def test_seeds_that_failed_once_keep_them_now(self) -> None:
         for case in REGRESSIONS:
             with self.subTest(seed=case.seed, cause=case.cause):
