--- a/tests/test_online_services.py
+++ b/tests/test_online_services.py
@@ -265,10 +265,11 @@
     async def test_a_silent_service_refuses_by_the_deadline_and_a_resend_runs(
         self, fleet: OnlineFleet
     ) -> None:
-        # The write takes effect, but its answers and all reads after it are lost.
+        # The write takes effect 200 ms before the deadline, but its answers are lost, and the read
+        # after it would come 200 ms too late.
         fleet.standins.kv.faults.lose_answer(LostAnswer.AFTER_EFFECT)
-        fleet.standins.kv.faults.delay_ms = 100
-        headers = {**key(), "x-deadline-ms": "120"}
+        fleet.standins.kv.faults.delay_ms = 400
+        headers = {**key(), "x-deadline-ms": "600"}
         _, _, data = await fleet.post(BOOKINGS, ORDER, headers, 0)
         self.assertEqual(fault_of(data)["name"], "CLAIM_UNAVAILABLE")
         self.assertEqual(executions(fleet), 0)
