Count a fault of the soak as a disturbance from its beginning

Cause, found on reading: a fault was noted when it was over, so promises that hold in calm times were judged while, say, the store was away. The new test states it.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -13,7 +13,7 @@
 from fescuedock.platform.standin.event_upstream import UpstreamFault
 from fescuedock.standin.kv_faults import LostAnswer
 from tests.builders.node import SERVICE, config_document
-from tests.soak.promises import Ledger
+from tests.soak.promises import Disturbance, Ledger
 from tests.soak.world import STOP_TIMEOUT_S, NodeProcess, SoakUpstream, World, serves
 
 __all__ = ["Schedule", "version_route"]
@@ -75,14 +75,16 @@
         return [*nodes, *store, *upstreams, *spoilt, self._change]
 
     async def _cause(self, fault: Callable[[], Awaitable[str]]) -> None:
-        began_s = trio.current_time()
-        what = await fault()
-        if not what:
-            return
-        ended_s = trio.current_time()
-        self.told.append(f"{began_s - self._begun_s:.2f} to {ended_s - self._begun_s:.2f}: {what}")
+        disturbance = Disturbance(trio.current_time())
+        # Noted from its beginning: what goes on must not pass for calm.
         if fault not in (self._change, self._replace):
-            self.ledger.disturbed.append((began_s, ended_s))
+            self.ledger.disturbances.append(disturbance)
+        what = await fault()
+        disturbance.ended_s = trio.current_time()
+        began_s = disturbance.began_s - self._begun_s
+        ended_s = disturbance.ended_s - self._begun_s
+        if what:
+            self.told.append(f"{began_s:.2f} to {ended_s:.2f}: {what}")
 
     def _node(self) -> NodeProcess:
         return self.rng.choice(self.world.nodes)
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -10,7 +10,7 @@
 from fescuedock.platform.standin.event_upstream import event_bytes
 from tests.soak.world import SoakUpstream
 
-__all__ = ["CALM_S", "Ledger", "OnlineAttempt", "SoakJob"]
+__all__ = ["CALM_S", "Disturbance", "Ledger", "OnlineAttempt", "SoakJob"]
 
 # The users' bounds: how long a part must have been undisturbed, and the time to follow news.
 CALM_S = 3.0
@@ -22,6 +22,14 @@
 _EVENTS = 12
 
 
+@dataclass(slots=True)
+class Disturbance:
+    """When a part was harmed, in trio's time; one that goes on has no end yet."""
+
+    began_s: float
+    ended_s: float = float("inf")
+
+
 @dataclass(slots=True)
 class OnlineAttempt:
     """One request of a client; ``status`` is 0 when no answer came."""
@@ -95,12 +103,13 @@
     attempts: list[OnlineAttempt] = field(default_factory=list)
     jobs: dict[str, SoakJob] = field(default_factory=dict)
     broken: list[str] = field(default_factory=list)
-    # Beginning and end of each disturbance of any part, in trio's time.
-    disturbed: list[tuple[float, float]] = field(default_factory=list)
+    disturbances: list[Disturbance] = field(default_factory=list)
 
     def was_calm(self, from_s: float, to_s: float) -> bool:
         """Whether nothing was disturbed from ``CALM_S`` before ``from_s`` to ``to_s``."""
-        return all(end < from_s - CALM_S or begin > to_s for begin, end in self.disturbed)
+        return all(
+            item.ended_s < from_s - CALM_S or item.began_s > to_s for item in self.disturbances
+        )
 
     def judge_answer(self, attempt: OnlineAttempt) -> None:
         """Check what a client got."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,6 +9,7 @@
 
 from fescuedock.address import Address
 from tests.builders.standins import run_async
+from tests.soak.promises import CALM_S, Disturbance, Ledger
 from tests.soak.proxy import FaultProxy
 from tests.soak.regressions import REGRESSIONS
 from tests.soak.runs import run_seed
@@ -33,6 +34,14 @@
     def test_a_seeded_run_keeps_the_promises(self) -> None:
         self.run_seed(SEED, NODES, FAULT_S)
 
+    def test_what_goes_on_is_no_calm(self) -> None:
+        ledger = Ledger(disturbances=[Disturbance(10.0)])
+        self.assertTrue(ledger.was_calm(5.0, 9.0))
+        self.assertFalse(ledger.was_calm(20.0, 21.0))
+        ledger.disturbances[0].ended_s = 12.0
+        self.assertFalse(ledger.was_calm(12.0 + CALM_S, 21.0))
+        self.assertTrue(ledger.was_calm(12.1 + CALM_S, 21.0))
+
     def test_a_connection_whose_end_was_faster_is_not_reset_again(self) -> None:
         async def run() -> None:
             async with trio.open_nursery() as nursery:
