Make four tests able to fail, log an owner that does not answer, and keep one copy of two facts

A read whose owner is silent is logged (job_owner_silent) before the store is asked. The headers of one connection and the count of free slots stood twice.

--- a/src/fescuedock/core/routing.py
+++ b/src/fescuedock/core/routing.py
@@ -22,6 +22,7 @@
     "Demand",
     "RoutingPolicy",
     "choose_upstreams",
+    "free_slots",
     "plan_asks",
 ]
 
@@ -191,12 +192,15 @@
     return load is None or (not load.queued_online and load.in_flight_online < load.limit)
 
 
+def free_slots(load: LoadSnapshot) -> int:
+    """Return how many attempts could start without another one giving way; 0 or less for none."""
+    return load.limit - load.in_flight_online - load.in_flight_batch
+
+
 def _takes_a_batch_slot(item: Candidate) -> bool:
     """Whether all slots are taken, some of them by batch work that would have to give way."""
     load = item.load
-    if load is None or not load.in_flight_batch:
-        return False
-    return load.in_flight_online + load.in_flight_batch >= load.limit
+    return load is not None and load.in_flight_batch > 0 and free_slots(load) <= 0
 
 
 def _usual_first_token_ms(candidates: Iterable[Candidate]) -> float:
--- a/src/fescuedock/entry/service_call.py
+++ b/src/fescuedock/entry/service_call.py
@@ -15,6 +15,7 @@
 from fescuedock.entry.online_request import DEADLINE_HEADER, read_deadline_ms
 from fescuedock.faults import Fault
 from fescuedock.net.http_client import ClientResponse, HttpClient
+from fescuedock.net.http_messages import HOP_HEADERS
 from fescuedock.net.http_server import Headers, Request
 from fescuedock.schema.config import ServiceKind, ServiceSpec
 from fescuedock.schema.result_codes import ResultCode
@@ -30,24 +31,7 @@
 _NO_DEMAND = Demand(0, 0, "")
 _TRUE = ("true", "1", "yes")
 # These belong to one connection, or are ours.
-_NOT_PASSED = frozenset(
-    {
-        "connection",
-        "content-length",
-        "expect",
-        "host",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        DEADLINE_HEADER,
-        MARK_HEADER,
-    }
-)
+_NOT_PASSED = HOP_HEADERS | {"content-length", "host", DEADLINE_HEADER, MARK_HEADER}
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/fescuedock/net/http_messages.py
+++ b/src/fescuedock/net/http_messages.py
@@ -11,6 +11,7 @@
 from fescuedock.net.http_connection import HttpConnection
 
 __all__ = [
+    "HOP_HEADERS",
     "BodyTooLargeError",
     "Handler",
     "Headers",
@@ -22,6 +23,21 @@
 
 Headers = Sequence[tuple[str, str]]
 _JSON_TYPE = ("content-type", "application/json")
+# Concern one connection only, and are not passed on (RFC 9110, section 7.6.1).
+HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "expect",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
 
 
 class BodyTooLargeError(Exception):
--- a/src/fescuedock/node/item_asking.py
+++ b/src/fescuedock/node/item_asking.py
@@ -11,6 +11,7 @@
 from fescuedock.agent.link import FleetView
 from fescuedock.agent.permit_client import Grant, PermitClient
 from fescuedock.clock import now_ms
+from fescuedock.core.routing import RoutingPolicy, free_slots
 from fescuedock.core.stored_jobs.asking import AskCandidate, AskPolicy, choose_asks
 from fescuedock.schema.permits import PermitAsk, WorkClass
 from fescuedock.schema.settings import NodeSettings
@@ -22,8 +23,8 @@
 _ASK_MARGIN_MS = 300.0
 # After a refusal that names no time: about the length of a call, by which slots come free.
 _REFUSED_PAUSE_MS = 60.0
-# A load that is older says nothing; that of online routing (``RoutingPolicy.stale_ms``).
-_LOAD_FRESH_MS = 1000.0
+# A load that is older says nothing, as for online calls.
+_LOAD_FRESH_MS = RoutingPolicy().stale_ms
 
 
 class ItemAsker:
@@ -86,7 +87,7 @@
         timed = self._permits.loads.get(upstream_id)
         if timed is None or now_ms() - timed.at_ms > _LOAD_FRESH_MS:
             return None
-        return timed.load.limit - timed.load.in_flight_online - timed.load.in_flight_batch
+        return free_slots(timed.load)
 
     async def _ask(self, upstream_id: str) -> None:
         """Ask once; after a refusal the upstream is left alone for a while."""
--- a/src/fescuedock/node/owner_reads.py
+++ b/src/fescuedock/node/owner_reads.py
@@ -8,12 +8,13 @@
 from dataclasses import dataclass
 
 import msgspec
-from result import Ok
+from result import Err
 
 from fescuedock.address import Address
 from fescuedock.clock import now_ms
 from fescuedock.core.stored_jobs.cache import CachedJob, JobCache
 from fescuedock.core.stored_jobs.ownership import VOUCH_AGE_MS, OwnerIdentity
+from fescuedock.log import log_event
 from fescuedock.net.channel import CallHandler, ServerPeer
 from fescuedock.node.replicas import CallNeighbour, Replicas
 from fescuedock.schema.stored_jobs import (
@@ -63,10 +64,17 @@
         if address is None:
             return None
         message = ReadResults(record.job_id, known)
-        match await self.call_neighbour(address, message, _TIMEOUT_MS):
-            case Ok(ReadResultsReply() as reply):
-                return reply
-        return None
+        answer = await self.call_neighbour(address, message, _TIMEOUT_MS)
+        if isinstance(answer, Err):
+            log_event(
+                "job_owner_silent",
+                job_id=record.job_id,
+                owner=record.owner_id,
+                epoch=record.epoch,
+                reason=answer.err_value.message,
+            )
+            return None
+        return answer.ok_value
 
     async def _on_read(self, message: ReadResults, _peer: ServerPeer) -> ReadResultsReply:
         return self._reply(message.job_id, message.known)
--- a/src/fescuedock/platform/calls.py
+++ b/src/fescuedock/platform/calls.py
@@ -4,7 +4,7 @@
 
 from fescuedock.core.forwarding.calls import AnswerHead, CallHead
 from fescuedock.faults import Fault
-from fescuedock.net.http_messages import Headers
+from fescuedock.net.http_messages import HOP_HEADERS, Headers
 
 __all__ = [
     "HEALTH_ID_HEADER",
@@ -34,21 +34,6 @@
 _MISDIRECTED = 421
 HEALTH_ID_HEADER = "x-instance-id"
 
-# Concern one connection only and are not passed on.
-_HOP_HEADERS = frozenset(
-    (
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "expect",
-    )
-)
 # Set anew for each attempt.
 _REPLACED = frozenset(("host", "content-length", _DEADLINE, _EXPECTED_UPSTREAM, _LAST_EVENT))
 
@@ -124,7 +109,7 @@
         if field == "connection"
         for name in value.split(",")
     }
-    gone = _HOP_HEADERS | dropped | named
+    gone = HOP_HEADERS | dropped | named
     return [(name, value) for name, value in headers if name not in gone]
 
 
--- a/tests/test_membership_agent.py
+++ b/tests/test_membership_agent.py
@@ -5,12 +5,14 @@
 import tempfile
 import unittest
 from pathlib import Path
+from unittest import mock
 
 import msgspec
 import trio
 
 from fescuedock.agent.codec import open_codec
 from fescuedock.agent.link import FleetView
+from fescuedock.core.membership import Membership
 from fescuedock.net.channel import ChannelClient
 from fescuedock.net.codec import load_keys
 from fescuedock.schema.config import PatchRequest, SubmitPatch, SubmitPatchReply
@@ -44,6 +46,18 @@
 
         run_async(check)
 
+    def test_news_wake_an_agent_that_would_sleep_on(self) -> None:
+        async def check() -> None:
+            async with open_agents(1) as fleet, fleet.follow("vm-0") as (_, view):
+                await until(view, lambda seen: bool(seen.upstreams), limit_s=3)
+
+        # Nothing of its own is due, and it looks around every eight seconds.
+        with (
+            mock.patch("fescuedock.agent.membership_service._MAX_SLEEP_MS", 8000.0),
+            mock.patch.object(Membership, "schedule", lambda _self, _now_ms, latest_ms: latest_ms),
+        ):
+            run_async(check)
+
     def test_a_program_that_is_not_ready_or_silent_gets_no_work(self) -> None:
         ready = [False]
 
--- a/tests/test_net_http.py
+++ b/tests/test_net_http.py
@@ -33,6 +33,24 @@
 
         self.run_guarded(test)
 
+    def test_an_idle_connection_is_known_while_its_server_keeps_it(self) -> None:
+        async def answer(request: Request, responder: Responder) -> None:
+            kept = [("keep-alive", "timeout=1")] if request.path == "/short" else []
+            await responder.send(200, b"", kept)
+
+        async def test() -> None:
+            async with served(answer) as (_, address), open_http_client() as client:
+                self.assertFalse(client.has_idle(address))
+                for path, kept_after_wait in (("/", True), ("/short", False)):
+                    async with client.request(address, "GET", path) as response:
+                        await response.read()
+                        self.assertFalse(client.has_idle(address))
+                    self.assertTrue(client.has_idle(address))
+                    await trio.sleep(0.8)
+                    self.assertEqual(client.has_idle(address), kept_after_wait)
+
+        self.run_guarded(test)
+
     def test_a_body_over_the_limit_is_refused_and_the_next_request_served(self) -> None:
         async def test() -> None:
             async with served(echo_body) as (_, address), open_http_client() as client:
--- a/tests/test_node_jobs.py
+++ b/tests/test_node_jobs.py
@@ -103,6 +103,20 @@
         with mock.patch("fescuedock.node.owner_reads._ANSWER_BYTES", 300):
             self.run_fleet(test, nodes=2)
 
+    def test_an_interrupted_item_runs_again_when_its_pause_is_over(self) -> None:
+        async def test(fleet: NodeFleet) -> None:
+            [upstream] = fleet.upstreams
+            upstream.faults.append(UpstreamFault(cut_after=2))
+            front = fleet.nodes[0].front
+            self.assertEqual((await submit(fleet, front, "a")).status, 202)
+            await read_all(fleet, front, 1)
+            first_s, second_s = (at_s for _, at_s in upstream.started)
+            # A pause of 25 ms, an ask and a connection.
+            self.assertLess(second_s - first_s, 0.5)
+
+        with mock.patch("fescuedock.node.job_runner._IDLE_WAIT_S", 2.0):
+            self.run_fleet(test, nodes=1, upstreams=1)
+
     def test_an_owner_whose_cache_forgot_a_job_does_not_vouch_for_it(self) -> None:
         async def test(fleet: NodeFleet) -> None:
             first, second = (node.front for node in fleet.nodes)
--- a/tests/test_owner_reads.py
+++ b/tests/test_owner_reads.py
@@ -3,11 +3,17 @@
 import unittest
 from types import SimpleNamespace
 
+import eliot
+from result import Err
+
+from fescuedock.address import Address
 from fescuedock.clock import now_ms
 from fescuedock.core.replica_table import ReplicaTable
 from fescuedock.core.stored_jobs.cache import JobCache
 from fescuedock.core.stored_jobs.ownership import VOUCH_AGE_MS, OwnerIdentity
+from fescuedock.faults import Fault
 from fescuedock.node.owner_reads import OwnerReads
+from fescuedock.schema.result_codes import ResultCode
 from fescuedock.schema.stored_jobs import ReadResultsReply, ResultGroup, StoredResult
 from tests.builders.forwarding import job_record
 from tests.builders.standins import run_async
@@ -45,6 +51,34 @@
         self.assertEqual([result.item_id for result in reply.group.results], ["1"])
         self.assertTrue(reply.current)
 
+    def test_an_owner_that_is_silent_is_logged_and_says_nothing(self) -> None:
+        lines: list[dict] = []
+        replies: list[ReadResultsReply | None] = []
+
+        async def silent(*_args: object) -> Err:
+            return Err(Fault(ResultCode.PEER_UNKNOWN, "no answer"))
+
+        async def run() -> None:
+            reads = OwnerReads(
+                JobCache(1000),
+                SimpleNamespace(tables={}),
+                PREFIX,
+                OwnerIdentity("n-2", 1),
+                call_neighbour=silent,
+                address_of=lambda _vm_id: Address("127.0.0.1", 1),
+                listed_of=lambda _job_id: None,
+            )
+            replies.append(await reads.read(RECORD, 0))
+
+        eliot.add_destinations(lines.append)
+        try:
+            run_async(run)
+        finally:
+            eliot.remove_destination(lines.append)
+        self.assertEqual(replies, [None])
+        [line] = [line for line in lines if line["message_type"] == "job_owner_silent"]
+        self.assertEqual((line["owner"], line["reason"]), ("n-1", "no answer"))
+
     def test_a_cache_that_forgot_results_vouches_for_nothing(self) -> None:
         reply = self.ask(listed=2, cached=0)
         self.assertEqual((reply.group.results, reply.current), ([], False))
