--- a/bench/stops.py
+++ b/bench/stops.py
@@ -10,7 +10,7 @@
 import sys
 import tempfile
 from collections import Counter
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from functools import partial
 from pathlib import Path
 
@@ -75,7 +75,7 @@
         ListedVm(place.vm_id, ROLE_SYSTEM, place.region, domain, agent.host, agent.port)
     )
     port = msgspec.structs.replace(settings.agent, port=agent.port)
-    vm = _EntryVm(replace(settings, agent=port))
+    vm = _EntryVm(msgspec.structs.replace(settings, agent=port))
     await vm.start_entry(nursery)
     return vm
 
--- a/src/fescuedock/address.py
+++ b/src/fescuedock/address.py
@@ -2,15 +2,15 @@
 
 from collections.abc import Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass
 from ipaddress import ip_address
 from typing import Self
 
+import msgspec
+
 __all__ = ["Address", "naming_address"]
 
 
-@dataclass(frozen=True, slots=True, order=True)
-class Address:
+class Address(msgspec.Struct, frozen=True, order=True):
     """An IP number and a TCP or UDP port; names are never resolved."""
 
     host: str
--- a/src/fescuedock/agent/permit_client.py
+++ b/src/fescuedock/agent/permit_client.py
@@ -9,7 +9,6 @@
 from collections import defaultdict
 from collections.abc import AsyncIterator, Callable, Iterable, Mapping
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -49,16 +48,14 @@
 _RENEWALS_PER_VALIDITY = 3
 
 
-@dataclass(frozen=True, slots=True)
-class TimedLoad:
+class TimedLoad(msgspec.Struct, frozen=True):
     """A load snapshot and when it arrived, by ``clock.now_ms``."""
 
     load: LoadSnapshot
     at_ms: float
 
 
-@dataclass(slots=True, eq=False)
-class Grant:
+class Grant(msgspec.Struct, eq=False):
     """Leave to run one attempt.  ``end`` must be called once, however the attempt went.
 
     When ``revoked`` is set, the holder cancels the attempt at once and ends the permit.
@@ -66,7 +63,7 @@
 
     _held: HeldGrant
     _end: Callable[[EndedPermit], None]
-    revoked: trio.Event = field(default_factory=trio.Event)
+    revoked: trio.Event = msgspec.field(default_factory=trio.Event)
 
     @property
     def permit_id(self) -> str:
@@ -85,14 +82,14 @@
         """Whether no owner gave it (see ``PermitClient.ask_local``)."""
         return self._held.local
 
-    def count_token(self) -> None:
-        """Note one more token, for the next renewal; optional, but lets the owner choose better.
+    def count_tokens(self, count: int = 1) -> None:
+        """Note more tokens, for the next renewal; optional, but lets the owner choose better.
 
         The first one gives the time to the first token seconds before the attempt ends.
         """
         if not self._held.generated_tokens:
             self._held.first_token_ms = now_ms() - self._held.granted_ms
-        self._held.generated_tokens += 1
+        self._held.generated_tokens += count
 
     def describe(self, stage: BatchStage, slack_ms: float, left_ms: float) -> None:
         """Tell the owner, with the next renewal, which work was chosen to run."""
--- a/src/fescuedock/agent/permit_service.py
+++ b/src/fescuedock/agent/permit_service.py
@@ -3,9 +3,9 @@
 import random
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable
-from dataclasses import replace
 from typing import TYPE_CHECKING
 
+import msgspec
 import trio
 from result import Err, Result
 
@@ -174,7 +174,7 @@
     def _terms(self, upstream: UpstreamRecord) -> UpstreamTerms:
         terms = _terms(self._view.configuration, upstream)
         if self._is_loading(upstream.upstream_id):
-            return replace(terms, admitting=False)
+            return msgspec.structs.replace(terms, admitting=False)
         return terms
 
     def _is_ours(self, upstream_id: str) -> bool:
--- a/src/fescuedock/agent/programs.py
+++ b/src/fescuedock/agent/programs.py
@@ -1,7 +1,8 @@
 """The programs of this VM, as their agent knows them from what they announce every second."""
 
 from collections.abc import Collection
-from dataclasses import dataclass, field
+
+import msgspec
 
 from fescuedock.schema.membership import ProfileProgram, VmProfile
 from fescuedock.schema.settings import VmSettings
@@ -12,19 +13,17 @@
 _SILENT_MS = 3500.0
 
 
-@dataclass(slots=True)
-class _Announced:
+class _Announced(msgspec.Struct):
     hello: Hello
     at_ms: float
 
 
-@dataclass(slots=True)
-class LocalPrograms:
+class LocalPrograms(msgspec.Struct):
     """What this VM may say of itself; a program that fell silent no longer counts."""
 
     settings: VmSettings
     agent_port: int
-    _announced: dict[Program, _Announced] = field(default_factory=dict)
+    _announced: dict[Program, _Announced] = msgspec.field(default_factory=dict)
 
     def note(self, hello: Hello, now_ms: float) -> None:
         """Take a program's announcement."""
--- a/src/fescuedock/agent/upstream_checks.py
+++ b/src/fescuedock/agent/upstream_checks.py
@@ -2,8 +2,8 @@
 
 import random
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 
+import msgspec
 from result import Result
 
 from fescuedock.agent.upstream_probe import UpstreamProbe
@@ -18,8 +18,7 @@
 __all__ = ["UpstreamChecks", "engine_checks"]
 
 
-@dataclass(frozen=True, slots=True)
-class UpstreamChecks:
+class UpstreamChecks(msgspec.Struct, frozen=True):
     """``probe`` tries an upstream that was taken out; ``load`` reads an engine's own report.
 
     Without ``load`` nothing is read: where the number of slots is declared, the owner's own count
--- a/src/fescuedock/agent/view_history.py
+++ b/src/fescuedock/agent/view_history.py
@@ -2,7 +2,6 @@
 
 from collections import deque
 from collections.abc import Mapping
-from dataclasses import dataclass, field
 
 import msgspec
 
@@ -13,19 +12,17 @@
 _KEPT_VERSIONS = 64
 
 
-@dataclass(slots=True)
-class ViewChanges:
+class ViewChanges(msgspec.Struct):
     """The identities of records that were added, changed or removed."""
 
-    vm_ids: set[str] = field(default_factory=set)
-    upstream_ids: set[str] = field(default_factory=set)
+    vm_ids: set[str] = msgspec.field(default_factory=set)
+    upstream_ids: set[str] = msgspec.field(default_factory=set)
 
 
-@dataclass(slots=True)
-class ViewHistory:
+class ViewHistory(msgspec.Struct):
     """The changes of the last versions; versions rise by one."""
 
-    _changes: deque[tuple[int, ViewChanges]] = field(
+    _changes: deque[tuple[int, ViewChanges]] = msgspec.field(
         default_factory=lambda: deque(maxlen=_KEPT_VERSIONS)
     )
 
--- a/src/fescuedock/backing/etcd.py
+++ b/src/fescuedock/backing/etcd.py
@@ -6,7 +6,6 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
 
 import msgspec
 import trio
@@ -41,8 +40,7 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class _Answer:
+class _Answer(msgspec.Struct, frozen=True):
     """What one address said."""
 
     status: int
--- a/src/fescuedock/backing/kv_writes.py
+++ b/src/fescuedock/backing/kv_writes.py
@@ -1,8 +1,8 @@
 """Writes whose answer may be lost, carried on until it is known which write won."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
 
+import msgspec
 import trio
 from result import Err, Ok, Result
 
@@ -54,8 +54,7 @@
     return Err(Fault(ResultCode.KV_UNKNOWN, message, retry_after_ms=1000))
 
 
-@dataclass(slots=True)
-class _Write:
+class _Write(msgspec.Struct):
     """One write and whether a copy of it may be under way."""
 
     kv: KvStore
--- a/src/fescuedock/batch/attempts.py
+++ b/src/fescuedock/batch/attempts.py
@@ -1,7 +1,5 @@
 """Runs one item once at one upstream and reports how that ended."""
 
-from dataclasses import dataclass, field
-
 import msgspec
 import trio
 
@@ -43,8 +41,7 @@
 }
 
 
-@dataclass(slots=True, eq=False)
-class Attempt:
+class Attempt(msgspec.Struct, eq=False):
     """One attempt in progress; cancelling ``scope`` stops it.
 
     ``stall_timeout_ms`` bounds the wait for the next token, or for an answer that is not streamed.
@@ -54,13 +51,12 @@
     upstream: UpstreamRecord
     grant: Grant
     stall_timeout_ms: float
-    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+    scope: trio.CancelScope = msgspec.field(default_factory=trio.CancelScope)
     started_ms: float = 0.0
     first_token_ms: float = -1.0
 
 
-@dataclass(frozen=True, slots=True)
-class UpstreamClients:
+class UpstreamClients(msgspec.Struct, frozen=True):
     """What attempts are made with."""
 
     engine: EngineClient
@@ -165,7 +161,7 @@
 
 
 def _note_token(attempt: Attempt) -> None:
-    attempt.grant.count_token()
+    attempt.grant.count_tokens()
     if attempt.first_token_ms < 0:
         attempt.first_token_ms = now_ms() - attempt.started_ms
 
--- a/src/fescuedock/batch/context.py
+++ b/src/fescuedock/batch/context.py
@@ -1,8 +1,8 @@
 """What the tasks of a batch runner share."""
 
 import random
-from dataclasses import dataclass, field
 
+import msgspec
 import trio
 
 from fescuedock.agent.link import FleetView
@@ -38,8 +38,7 @@
             await event.wait()
 
 
-@dataclass(slots=True)
-class RunnerContext:
+class RunnerContext(msgspec.Struct):
     """Wired once by ``run_batch``."""
 
     settings: Settings
@@ -53,7 +52,7 @@
     scheduler: ItemScheduler
     metrics: Metrics
     random: random.Random
-    signal: WorkSignal = field(default_factory=WorkSignal)
+    signal: WorkSignal = msgspec.field(default_factory=WorkSignal)
 
     def work_changed(self) -> None:
         """Let those who ask for permits look for work again."""
--- a/src/fescuedock/cli/command_line.py
+++ b/src/fescuedock/cli/command_line.py
@@ -6,9 +6,9 @@
 
 import sys
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass
 from enum import IntEnum
 
+import msgspec
 from result import Err
 
 __all__ = ["Command", "ExitCode", "run_command_line"]
@@ -25,8 +25,7 @@
     UNKNOWN = 3
 
 
-@dataclass(frozen=True, slots=True)
-class Command:
+class Command(msgspec.Struct, frozen=True):
     """One command: a function whose parameters are the arguments, and the help text."""
 
     run: Callable[..., int]
--- a/src/fescuedock/cli/entry_session.py
+++ b/src/fescuedock/cli/entry_session.py
@@ -3,7 +3,6 @@
 import os
 import sys
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 from typing import TypeVar
 
 import msgspec
@@ -32,8 +31,7 @@
 T = TypeVar("T")
 
 
-@dataclass(frozen=True, slots=True)
-class Failure:
+class Failure(msgspec.Struct, frozen=True):
     """Why a command did not do what it was asked; one line for the operator."""
 
     text: str
@@ -51,8 +49,7 @@
     error: _ErrorDetail
 
 
-@dataclass(slots=True)
-class EntrySession:
+class EntrySession(msgspec.Struct):
     """Requests to one entry, by default the one that the environment names."""
 
     address: Address
--- a/src/fescuedock/cli/local.py
+++ b/src/fescuedock/cli/local.py
@@ -6,7 +6,6 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
 from pathlib import Path
 
 import msgspec
@@ -45,8 +44,7 @@
     """The local system did not come to serve; the text has the last answer."""
 
 
-@dataclass(slots=True)
-class LocalSystem:
+class LocalSystem(msgspec.Struct):
     """A running local system."""
 
     standins: Standins
--- a/src/fescuedock/cli/local_vm.py
+++ b/src/fescuedock/cli/local_vm.py
@@ -1,7 +1,6 @@
 """One VM of ``fescuedock local``: its four programs as tasks of this process."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
 from functools import partial
 from pathlib import Path
 
@@ -41,8 +40,7 @@
 }
 
 
-@dataclass(frozen=True, slots=True)
-class VmPlace:
+class VmPlace(msgspec.Struct, frozen=True):
     """Where a VM stands and listens."""
 
     vm_id: str
@@ -77,8 +75,7 @@
     )
 
 
-@dataclass(slots=True)
-class LocalVm:
+class LocalVm(msgspec.Struct):
     """A VM that can be stopped gracefully by ``stop``, or lost at once by ``kill``.
 
     ``settings`` have the real port of the agent once it serves; ``addresses`` those of all
@@ -86,10 +83,10 @@
     """
 
     settings: Settings
-    stop: Stop = field(default_factory=Stop)
-    addresses: dict[str, Address] = field(default_factory=dict)
-    stopped: trio.Event = field(default_factory=trio.Event)
-    _scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+    stop: Stop = msgspec.field(default_factory=Stop)
+    addresses: dict[str, Address] = msgspec.field(default_factory=dict)
+    stopped: trio.Event = msgspec.field(default_factory=trio.Event)
+    _scope: trio.CancelScope = msgspec.field(default_factory=trio.CancelScope)
 
     @property
     def vm_id(self) -> str:
@@ -118,7 +115,7 @@
             async with trio.open_nursery() as nursery:
                 address = await nursery.start(partial(run_agent, self.settings, agent_stop))
                 agent = msgspec.structs.replace(self.settings.agent, port=address.port)
-                self.settings = replace(self.settings, agent=agent)
+                self.settings = msgspec.structs.replace(self.settings, agent=agent)
                 self.addresses["agent"] = address
                 announce(self)
                 await self._run_clients(task_status)
--- a/src/fescuedock/core/acceptance.py
+++ b/src/fescuedock/core/acceptance.py
@@ -5,7 +5,6 @@
 
 import re
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
 from hashlib import blake2b
 
 import msgspec
@@ -52,8 +51,7 @@
     body: _Body
 
 
-@dataclass(slots=True)
-class InputChecker:
+class InputChecker(msgspec.Struct):
     """Checks the lines of one input as they come.
 
     After the first ``problem`` nothing is checked any more.  Memory grows by a digest for each
@@ -63,11 +61,11 @@
     settings: BatchSettings
     item_count: int = 0
     endpoint: str = ""
-    models: dict[str, int] = field(default_factory=dict)
+    models: dict[str, int] = msgspec.field(default_factory=dict)
     problem: Fault | None = None
     _line_number: int = 0
-    _digests: set[bytes] = field(default_factory=set)
-    _decoder: msgspec.json.Decoder[_Line] = field(
+    _digests: set[bytes] = msgspec.field(default_factory=set)
+    _decoder: msgspec.json.Decoder[_Line] = msgspec.field(
         default_factory=lambda: msgspec.json.Decoder(_Line)
     )
 
--- a/src/fescuedock/core/admission.py
+++ b/src/fescuedock/core/admission.py
@@ -7,8 +7,8 @@
 """
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
 
+import msgspec
 from result import Err, Ok, Result
 
 from fescuedock.faults import Fault
@@ -17,8 +17,7 @@
 __all__ = ["Admission", "AdmissionPolicy", "RunTimes"]
 
 
-@dataclass(frozen=True, slots=True)
-class AdmissionPolicy:
+class AdmissionPolicy(msgspec.Struct, frozen=True):
     """``max_in_flight`` bounds one entry's memory and CPU; engines have limits of their own."""
 
     max_in_flight: int = 1024
@@ -26,8 +25,7 @@
     max_retry_ms: int = 30000
 
 
-@dataclass(slots=True)
-class RunTimes:
+class RunTimes(msgspec.Struct):
     """Moving means of one service's answers: tokens per answer and time between tokens.
 
     A prediction that refuses requests keeps itself from being corrected, so it must not outlive
@@ -61,13 +59,12 @@
         return max(0.0, tokens - 1) * self._inter_token_ms * fading
 
 
-@dataclass(slots=True)
-class Admission:
+class Admission(msgspec.Struct):
     """Requests in flight at this entry by member, and what their services' answers take."""
 
-    policy: AdmissionPolicy = field(default_factory=AdmissionPolicy)
-    _in_flight: dict[str, int] = field(default_factory=dict)
-    _times: dict[str, RunTimes] = field(default_factory=dict)
+    policy: AdmissionPolicy = msgspec.field(default_factory=AdmissionPolicy)
+    _in_flight: dict[str, int] = msgspec.field(default_factory=dict)
+    _times: dict[str, RunTimes] = msgspec.field(default_factory=dict)
 
     def times(self, service: str) -> RunTimes:
         return self._times.setdefault(service, RunTimes())
--- a/src/fescuedock/core/batch/actions.py
+++ b/src/fescuedock/core/batch/actions.py
@@ -1,6 +1,6 @@
 """What a job's state machine asks its daemon to do; an ``on_`` call of the machine answers it."""
 
-from dataclasses import dataclass
+import msgspec
 
 from fescuedock.schema.batch import JobRecord, SegmentRef
 
@@ -17,13 +17,11 @@
 ]
 
 
-@dataclass(frozen=True, slots=True)
-class ReadRecord:
+class ReadRecord(msgspec.Struct, frozen=True):
     """Read the job's record; answer with ``on_record`` or ``on_kv_failed``."""
 
 
-@dataclass(frozen=True, slots=True)
-class WriteRecord:
+class WriteRecord(msgspec.Struct, frozen=True):
     """Write the record if it is still at ``expected_revision``.
 
     Answer with ``on_written``, or ``on_kv_failed`` with the fault's code.
@@ -33,13 +31,11 @@
     expected_revision: int
 
 
-@dataclass(frozen=True, slots=True)
-class ReadLog:
+class ReadLog(msgspec.Struct, frozen=True):
     """Read the job's result log; answer each page with ``on_log_page``, the end ``on_log_end``."""
 
 
-@dataclass(frozen=True, slots=True)
-class AppendLog:
+class AppendLog(msgspec.Struct, frozen=True):
     """Append ``records`` to the job's result log; answer with ``on_logged``, whatever came of it.
 
     The log only saves work after a takeover, so a failure loses nothing that was promised.
@@ -48,8 +44,7 @@
     records: tuple[bytes, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class PutSegment:
+class PutSegment(msgspec.Struct, frozen=True):
     """Write a segment of ``items`` lines; answer ``on_segment`` or ``on_segment_failed``."""
 
     number: int
@@ -57,21 +52,18 @@
     items: int
 
 
-@dataclass(frozen=True, slots=True)
-class ReadInput:
+class ReadInput(msgspec.Struct, frozen=True):
     """Read input segment ``index``; answer with ``on_input`` or ``on_input_failed``."""
 
     index: int
     ref: SegmentRef
 
 
-@dataclass(frozen=True, slots=True)
-class StopAttempts:
+class StopAttempts(msgspec.Struct, frozen=True):
     """Cancel every attempt of the job in flight; answer each with ``on_attempt_ended``."""
 
 
-@dataclass(frozen=True, slots=True)
-class CleanUp:
+class CleanUp(msgspec.Struct, frozen=True):
     """Drop the job's entry in the index of open jobs, and its result log."""
 
 
--- a/src/fescuedock/core/batch/items.py
+++ b/src/fescuedock/core/batch/items.py
@@ -12,9 +12,10 @@
 
 import heapq
 import random
-from dataclasses import dataclass
 from enum import StrEnum, auto
 
+import msgspec
+
 from fescuedock.core.batch.ranges import ItemSet
 from fescuedock.schema.result_codes import ResultCode
 from fescuedock.schema.settings import BatchSettings
@@ -43,8 +44,7 @@
     STOPPED = auto()
 
 
-@dataclass(frozen=True, slots=True)
-class AttemptEnd:
+class AttemptEnd(msgspec.Struct, frozen=True):
     """One attempt's end; ``text`` and ``tokens`` are what was generated, for a later resume.
 
     For ``DONE`` and ``REJECTED`` the body is the upstream's answer; for others a message.
@@ -68,8 +68,7 @@
 _STRICTNESS = (Isolation.NONE, Isolation.ONLY_SUSPECT, Isolation.ALONE)
 
 
-@dataclass(slots=True, eq=False)
-class Item:
+class Item(msgspec.Struct, eq=False):
     """An item in flight or waiting for another attempt."""
 
     number: int
@@ -90,8 +89,7 @@
         return Isolation.ONLY_SUSPECT if self.suspicion >= _SUSPECT_FROM else Isolation.NONE
 
 
-@dataclass(frozen=True, slots=True)
-class ItemVerdict:
+class ItemVerdict(msgspec.Struct, frozen=True):
     """An item's end by our decision."""
 
     number: int
--- a/src/fescuedock/core/batch/job.py
+++ b/src/fescuedock/core/batch/job.py
@@ -6,9 +6,10 @@
 
 import random
 from collections.abc import Sequence
-from dataclasses import dataclass
 from enum import StrEnum, auto
 
+import msgspec
+
 from fescuedock.core.batch.actions import (
     Action,
     CleanUp,
@@ -50,8 +51,7 @@
 }
 
 
-@dataclass(frozen=True, slots=True)
-class Moment:
+class Moment(msgspec.Struct, frozen=True):
     """One moment on the monotonic clock and in Unix time, which deadlines are in."""
 
     now_ms: float
--- a/src/fescuedock/core/batch/record.py
+++ b/src/fescuedock/core/batch/record.py
@@ -5,7 +5,6 @@
 """
 
 from collections.abc import Sequence
-from dataclasses import dataclass, field
 
 import msgspec
 
@@ -34,8 +33,7 @@
     """A group holds an item that already has a committed result."""
 
 
-@dataclass(slots=True)
-class OwnerChange:
+class OwnerChange(msgspec.Struct):
     """What a job's owner wants to add to the record in one write.
 
     ``folded`` is a manifest segment that takes the place of the first ``folded.items`` groups.
@@ -48,7 +46,7 @@
     unmarks: Sequence[Sequence[int]] = ()
     folded: SegmentRef | None = None
     forecast: list[JobForecast] | None = None
-    finished_at_s: int = field(default=0)
+    finished_at_s: int = msgspec.field(default=0)
 
     def __bool__(self) -> bool:
         return bool(
--- a/src/fescuedock/core/batch/results.py
+++ b/src/fescuedock/core/batch/results.py
@@ -4,8 +4,6 @@
 in memory, or in a segment; the bytes in memory are bounded by ``BatchSettings.buffer_bytes``.
 """
 
-from dataclasses import dataclass, field
-
 import msgspec
 
 from fescuedock.core.batch.actions import PutSegment
@@ -18,18 +16,17 @@
 _PUT_RETRY_MS = 1000.0
 
 
-@dataclass(slots=True)
-class _Group:
+class _Group(msgspec.Struct):
     """Results that will be committed together; ``refs`` are the segments written so far."""
 
-    numbers: list[int] = field(default_factory=list)
-    outputs: list[bytes] = field(default_factory=list)
-    errors: list[bytes] = field(default_factory=list)
+    numbers: list[int] = msgspec.field(default_factory=list)
+    outputs: list[bytes] = msgspec.field(default_factory=list)
+    errors: list[bytes] = msgspec.field(default_factory=list)
     size_bytes: int = 0
     opened_at_ms: float = 0.0
-    waiting_for: set[int] = field(default_factory=set)
-    output_refs: list[SegmentRef] = field(default_factory=list)
-    error_refs: list[SegmentRef] = field(default_factory=list)
+    waiting_for: set[int] = msgspec.field(default_factory=set)
+    output_refs: list[SegmentRef] = msgspec.field(default_factory=list)
+    error_refs: list[SegmentRef] = msgspec.field(default_factory=list)
 
     def committed(self) -> CommittedGroup:
         return CommittedGroup(
@@ -41,8 +38,7 @@
         )
 
 
-@dataclass(slots=True)
-class _Put:
+class _Put(msgspec.Struct):
     """One segment of a sealed group; its body is kept until a store has it."""
 
     group: _Group
--- a/src/fescuedock/core/batch/scheduler.py
+++ b/src/fescuedock/core/batch/scheduler.py
@@ -6,7 +6,8 @@
 """
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+
+import msgspec
 
 from fescuedock.core.batch.forecast import RateMeter
 from fescuedock.core.batch.items import Isolation, Item
@@ -30,8 +31,7 @@
 _MAX_LOADED_JOBS = 8
 
 
-@dataclass(frozen=True, slots=True)
-class Assignment:
+class Assignment(msgspec.Struct, frozen=True):
     """One item to be run now."""
 
     run: JobRun
@@ -41,8 +41,7 @@
     service: str
 
 
-@dataclass(slots=True)
-class _Upstream:
+class _Upstream(msgspec.Struct):
     """What this runner has in flight at one upstream."""
 
     in_flight: int = 0
--- a/src/fescuedock/core/batch/takeover.py
+++ b/src/fescuedock/core/batch/takeover.py
@@ -4,9 +4,10 @@
 counts.  So silence and membership are evidence enough.
 """
 
-from dataclasses import dataclass
 from enum import StrEnum, auto
 
+import msgspec
+
 from fescuedock.core.rendezvous import choose_name, rank_names
 from fescuedock.schema.view import VmRecord
 
@@ -29,8 +30,7 @@
     SILENT = auto()
 
 
-@dataclass(frozen=True, slots=True)
-class RunnerName:
+class RunnerName(msgspec.Struct, frozen=True):
     """The name under which a runner claims: its VM, and an incarnation for each start."""
 
     vm_id: str
--- a/src/fescuedock/core/burn.py
+++ b/src/fescuedock/core/burn.py
@@ -5,9 +5,10 @@
 """
 
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
 from enum import StrEnum
 
+import msgspec
+
 from fescuedock.schema.report import ServiceObjectives, SlotCounts
 
 __all__ = [
@@ -48,8 +49,7 @@
     FAST = "fast burn"
 
 
-@dataclass(frozen=True, slots=True)
-class Window:
+class Window(msgspec.Struct, frozen=True):
     """A stretch of time that ends now."""
 
     name: str
@@ -72,8 +72,7 @@
 _FAST_SHARE = 0.8
 
 
-@dataclass(frozen=True, slots=True)
-class WindowBurn:
+class WindowBurn(msgspec.Struct, frozen=True):
     """Counts of one window.
 
     A rate of 1 uses the budget up exactly; ``None`` says that nothing was counted.  ``budget_left``
@@ -87,8 +86,7 @@
     budget_left: float | None
 
 
-@dataclass(frozen=True, slots=True)
-class Burn:
+class Burn(msgspec.Struct, frozen=True):
     """One promise of one service over all windows."""
 
     service: str
--- a/src/fescuedock/core/claims.py
+++ b/src/fescuedock/core/claims.py
@@ -10,7 +10,6 @@
 
 import re
 from collections.abc import Iterable, Set
-from dataclasses import dataclass, field
 from enum import Enum, auto
 from hashlib import sha256
 from typing import TYPE_CHECKING
@@ -45,8 +44,7 @@
 _ANY_METHOD = "*"
 
 
-@dataclass(frozen=True, slots=True)
-class PutRecord:
+class PutRecord(msgspec.Struct, frozen=True):
     """Write ``record`` if the key is at ``expected_revision``, finding out what became of it."""
 
     key: str
@@ -54,27 +52,23 @@
     expected_revision: int
 
 
-@dataclass(frozen=True, slots=True)
-class ReadRecord:
+class ReadRecord(msgspec.Struct, frozen=True):
     """Read the key."""
 
     key: str
 
 
-@dataclass(frozen=True, slots=True)
-class Dispatch:
+class Dispatch(msgspec.Struct, frozen=True):
     """The claim is ours: send the call, once."""
 
 
-@dataclass(frozen=True, slots=True)
-class Replay:
+class Replay(msgspec.Struct, frozen=True):
     """The call was answered before: give the caller that answer."""
 
     answer: RecordedAnswer
 
 
-@dataclass(frozen=True, slots=True)
-class Refuse:
+class Refuse(msgspec.Struct, frozen=True):
     """Do not send the call."""
 
     fault: Fault
@@ -87,8 +81,7 @@
     OVER = auto()
 
 
-@dataclass(slots=True)
-class Claim:
+class Claim(msgspec.Struct):
     """One entry's attempt to be the one that dispatches a call.
 
     ``token`` must be unguessable and new.  ``unsent_tokens`` are those of earlier attempts by this
@@ -101,7 +94,7 @@
     created_at_s: int
     unsent_tokens: Set[str] = frozenset()
     revision: int = 0
-    _phase: _Phase = field(default=_Phase.CREATING)
+    _phase: _Phase = msgspec.field(default=_Phase.CREATING)
 
     def start(self) -> PutRecord:
         """Return the first step: create the record."""
--- a/src/fescuedock/core/config/node.py
+++ b/src/fescuedock/core/config/node.py
@@ -5,10 +5,11 @@
 """
 
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
 from math import inf
 from random import Random
 
+import msgspec
+
 from fescuedock.core.config.record import (
     BadRecordError,
     decode_record,
@@ -33,26 +34,22 @@
 _NO_CONFIRMATION = -1
 
 
-@dataclass(frozen=True, slots=True)
-class ReadRevision:
+class ReadRevision(msgspec.Struct, frozen=True):
     """Ask the key-value service for the revision of the record's key, without its value."""
 
 
-@dataclass(frozen=True, slots=True)
-class ReadRecord:
+class ReadRecord(msgspec.Struct, frozen=True):
     """Read the record from the key-value service."""
 
 
-@dataclass(frozen=True, slots=True)
-class Pull:
+class Pull(msgspec.Struct, frozen=True):
     """Send ``message`` to ``vm`` and give its answer to ``on_push``."""
 
     vm: VmRecord
     message: ConfigPull
 
 
-@dataclass(frozen=True, slots=True)
-class PushTo:
+class PushTo(msgspec.Struct, frozen=True):
     """Send ``message`` to each of ``vms``."""
 
     vms: tuple[VmRecord, ...]
@@ -62,8 +59,7 @@
 Action = ReadRevision | ReadRecord | Pull | PushTo
 
 
-@dataclass(slots=True)
-class ConfigNode:
+class ConfigNode(msgspec.Struct):
     """The configuration's state on one VM.  ``vms`` gives all VMs that membership knows."""
 
     vm_id: str
@@ -71,8 +67,8 @@
     confirm_limit_ms: float
     vms: Callable[[], Sequence[VmRecord]]
     random: Random
-    limits: SpreadLimits = field(default_factory=SpreadLimits)
-    replica: Replica = field(default_factory=Replica)
+    limits: SpreadLimits = msgspec.field(default_factory=SpreadLimits)
+    replica: Replica = msgspec.field(default_factory=Replica)
     _heard: tuple[int, VmRecord] | None = None
     _pull_due_ms: float = inf
     _confirm_due_ms: float = -inf
--- a/src/fescuedock/core/config/record.py
+++ b/src/fescuedock/core/config/record.py
@@ -6,7 +6,6 @@
 
 import hashlib
 import zlib
-from dataclasses import dataclass
 
 import msgspec
 from result import Err, Ok, Result
@@ -53,8 +52,7 @@
     """Bytes that are not a record, or a record whose own chain does not agree."""
 
 
-@dataclass(frozen=True, slots=True)
-class Refusal:
+class Refusal(msgspec.Struct, frozen=True):
     """Why a patch was not taken; ``version`` is the current one."""
 
     code: ResultCode
--- a/src/fescuedock/core/config/replica.py
+++ b/src/fescuedock/core/config/replica.py
@@ -7,10 +7,11 @@
 
 from collections import deque
 from collections.abc import Sequence
-from dataclasses import dataclass, field
 from enum import StrEnum
 from math import inf
 
+import msgspec
+
 from fescuedock.core.config.record import advance, chain_agrees, empty_record, last_delta
 from fescuedock.schema.config import ConfigDelta, ConfigRecord
 
@@ -28,8 +29,7 @@
     CORRUPT = "corrupt"
 
 
-@dataclass(frozen=True, slots=True)
-class Alarm:
+class Alarm(msgspec.Struct, frozen=True):
     """The service or a peer shows a configuration that was refused."""
 
     kind: AlarmKind
@@ -47,18 +47,17 @@
     REFUSED = "refused"
 
 
-@dataclass(slots=True)
-class Replica:
+class Replica(msgspec.Struct):
     """The record in force.  ``kv_revision`` is its key's revision, 0 when not known."""
 
-    record: ConfigRecord = field(default_factory=empty_record)
+    record: ConfigRecord = msgspec.field(default_factory=empty_record)
     kv_revision: int = 0
     confirmed_at_ms: float = -inf
     # The highest version that any peer said it has, and when that was first heard.
     heard_version: int = 0
     heard_at_ms: float = -inf
     alarm: Alarm | None = None
-    _deltas: deque[ConfigDelta] = field(default_factory=lambda: deque(maxlen=_KEPT_DELTAS))
+    _deltas: deque[ConfigDelta] = msgspec.field(default_factory=lambda: deque(maxlen=_KEPT_DELTAS))
 
     @property
     def version(self) -> int:
--- a/src/fescuedock/core/config/spread.py
+++ b/src/fescuedock/core/config/spread.py
@@ -6,10 +6,11 @@
 """
 
 from collections.abc import Sequence
-from dataclasses import dataclass
 from enum import StrEnum
 from random import Random
 
+import msgspec
+
 from fescuedock.core.rendezvous import rank_names
 from fescuedock.schema.settings import CutOff
 from fescuedock.schema.view import VmRecord, VmState
@@ -19,8 +20,7 @@
 _WATCHER_KEY = "config"
 
 
-@dataclass(frozen=True, slots=True)
-class SpreadLimits:
+class SpreadLimits(msgspec.Struct, frozen=True):
     """Fixed figures of the spread; docs/decisions/config-spread.md has how they were found."""
 
     watchers_per_domain: int = 2
--- a/src/fescuedock/core/config/writer.py
+++ b/src/fescuedock/core/config/writer.py
@@ -6,8 +6,6 @@
 harm, as only one write can succeed on the revision that all copies of it name.
 """
 
-from dataclasses import dataclass
-
 import msgspec
 from result import Err, Ok, Result
 
@@ -29,21 +27,18 @@
 __all__ = ["Accepted", "PatchWriter", "Put", "Read", "WriterStep"]
 
 
-@dataclass(frozen=True, slots=True)
-class Read:
+class Read(msgspec.Struct, frozen=True):
     """Read the record's key."""
 
 
-@dataclass(frozen=True, slots=True)
-class Put:
+class Put(msgspec.Struct, frozen=True):
     """Write ``value`` if the key is still at ``expected_revision``."""
 
     value: bytes
     expected_revision: int
 
 
-@dataclass(frozen=True, slots=True)
-class Accepted:
+class Accepted(msgspec.Struct, frozen=True):
     """The patch made ``version``, now or at an earlier use of its identity."""
 
     version: int
@@ -52,8 +47,7 @@
 WriterStep = Read | Put | Accepted | Refusal
 
 
-@dataclass(slots=True)
-class PatchWriter:
+class PatchWriter(msgspec.Struct):
     """One patch on its way into the record, and from there into this VM's ``replica``.
 
     Begin with ``Read``; each method returns the next step, or None to read after a little wait.
--- a/src/fescuedock/core/entry_choice.py
+++ b/src/fescuedock/core/entry_choice.py
@@ -2,9 +2,10 @@
 
 import math
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
 from random import Random
 
+import msgspec
+
 from fescuedock.schema.view import Program, VmRecord, VmState
 
 __all__ = ["CallerPlace", "eligible_entries", "named_fronts", "rank_entries"]
@@ -22,8 +23,7 @@
 _LEAST_SHARE = 0.5
 
 
-@dataclass(frozen=True, slots=True)
-class CallerPlace:
+class CallerPlace(msgspec.Struct, frozen=True):
     """Where a caller says it is; empty names say nothing."""
 
     failure_domain: str = ""
--- a/src/fescuedock/core/entry_standing.py
+++ b/src/fescuedock/core/entry_standing.py
@@ -7,7 +7,7 @@
 Pure: the caller passes the time.
 """
 
-from dataclasses import dataclass
+import msgspec
 
 from fescuedock.faults import Fault
 from fescuedock.schema.result_codes import ResultCode
@@ -17,8 +17,7 @@
 _RETRY_AFTER_MS = 1000
 
 
-@dataclass(slots=True)
-class EntryStanding:
+class EntryStanding(msgspec.Struct):
     """Follows whether the entry is named; ``grace_ms`` is how long answers naming it may live."""
 
     grace_ms: float
--- a/src/fescuedock/core/forwarding/calls.py
+++ b/src/fescuedock/core/forwarding/calls.py
@@ -1,12 +1,11 @@
 """What is known of a call and of an upstream's answer without understanding their bodies."""
 
-from dataclasses import dataclass
+import msgspec
 
 __all__ = ["AnswerHead", "CallHead"]
 
 
-@dataclass(frozen=True, slots=True)
-class CallHead:
+class CallHead(msgspec.Struct, frozen=True):
     """What a client says of its call."""
 
     request_id: str
@@ -29,8 +28,7 @@
         return sum(tokens for _, tokens in self.shared_parts)
 
 
-@dataclass(frozen=True, slots=True)
-class AnswerHead:
+class AnswerHead(msgspec.Struct, frozen=True):
     """What an upstream's answer says before its body.
 
     ``not_run`` is the upstream's promise that it did not run the request; without it any answer
--- a/src/fescuedock/core/forwarding/event_stream.py
+++ b/src/fescuedock/core/forwarding/event_stream.py
@@ -4,15 +4,14 @@
 again from the upstream that goes on.
 """
 
-from dataclasses import dataclass
+import msgspec
 
 __all__ = ["EventSplitter", "SplitEvent"]
 
 _NO_ID = -1
 
 
-@dataclass(frozen=True, slots=True)
-class SplitEvent:
+class SplitEvent(msgspec.Struct, frozen=True):
     """One event: its bytes, and its number, which is -1 for one that has none."""
 
     number: int
--- a/src/fescuedock/core/forwarding/progress.py
+++ b/src/fescuedock/core/forwarding/progress.py
@@ -8,7 +8,8 @@
 
 import enum
 from collections.abc import Iterable
-from dataclasses import dataclass
+
+import msgspec
 
 from fescuedock.core.forwarding.event_stream import SplitEvent
 
@@ -35,8 +36,7 @@
 _NOT_RUN = (AttemptEnd.NOT_SENT, AttemptEnd.REJECTED)
 
 
-@dataclass(slots=True)
-class CallProgress:
+class CallProgress(msgspec.Struct):
     """The attempts of one call so far.
 
     ``last_event`` is the number of the last event that the client has, below 0 for none.
--- a/src/fescuedock/core/forwarding/route_table.py
+++ b/src/fescuedock/core/forwarding/route_table.py
@@ -6,7 +6,8 @@
 import enum
 import random
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+
+import msgspec
 
 __all__ = ["ClientLimits", "Route", "RouteKind", "RouteTable", "ServiceTerms"]
 
@@ -20,8 +21,7 @@
     BATCH = "batch"
 
 
-@dataclass(frozen=True, slots=True)
-class Route:
+class Route(msgspec.Struct, frozen=True):
     """One route.  ``services`` pairs the names of services with their weights."""
 
     name: str
@@ -67,8 +67,7 @@
         return any(name == service and weight > 0 for name, weight in self.services)
 
 
-@dataclass(frozen=True, slots=True)
-class ServiceTerms:
+class ServiceTerms(msgspec.Struct, frozen=True):
     """What the configuration says of a service and its engines."""
 
     name: str
@@ -77,8 +76,7 @@
     slots: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class ClientLimits:
+class ClientLimits(msgspec.Struct, frozen=True):
     """Bounds of what clients may send, and of how long they may take."""
 
     max_header_bytes: int = 16384
@@ -87,18 +85,18 @@
     idle_timeout_ms: float = 15000.0
 
 
-@dataclass(frozen=True, slots=True)
-class RouteTable:
+class RouteTable(msgspec.Struct, frozen=True):
     """The routes and services of one version of the configuration."""
 
     version: int = 0
     routes: tuple[Route, ...] = ()
-    services: Mapping[str, ServiceTerms] = field(default_factory=dict)
-    limits: ClientLimits = field(default_factory=ClientLimits)
-    _by_host: dict[str, dict[str, Route]] = field(init=False, compare=False)
+    services: Mapping[str, ServiceTerms] = msgspec.field(default_factory=dict)
+    limits: ClientLimits = msgspec.field(default_factory=ClientLimits)
+    # Made of ``routes``, whatever is passed.
+    _by_host: dict[str, dict[str, Route]] = msgspec.field(default_factory=dict)
 
     def __post_init__(self) -> None:
-        object.__setattr__(self, "_by_host", _index(self.routes))
+        msgspec.structs.force_setattr(self, "_by_host", _index(self.routes))
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route of ``host`` with the longest prefix of ``path``; None without one.
--- a/src/fescuedock/core/forwarding/stalls.py
+++ b/src/fescuedock/core/forwarding/stalls.py
@@ -1,14 +1,13 @@
 """How long a silent upstream is waited for before a stream goes on at another one."""
 
-from dataclasses import dataclass
+import msgspec
 
 from fescuedock.core.forwarding.route_table import Route
 
 __all__ = ["StallLimits"]
 
 
-@dataclass(frozen=True, slots=True)
-class StallLimits:
+class StallLimits(msgspec.Struct, frozen=True):
     """Shares of the route's own targets, and bounds for routes that name none or odd ones.
 
     Too early runs a request twice that was only slow; too late costs the target.  At half of it
--- a/src/fescuedock/core/health.py
+++ b/src/fescuedock/core/health.py
@@ -9,7 +9,8 @@
 """
 
 from collections.abc import Collection
-from dataclasses import dataclass, field
+
+import msgspec
 
 from fescuedock.schema.permits import AttemptOutcome
 
@@ -27,8 +28,7 @@
 }
 
 
-@dataclass(frozen=True, slots=True)
-class HealthPolicy:
+class HealthPolicy(msgspec.Struct, frozen=True):
     """Thresholds of ``HealthTracker``; scores are in units of ``FAULT_WEIGHTS``."""
 
     out_score: float = 6.0
@@ -41,8 +41,7 @@
     max_out_share: float = 0.5
 
 
-@dataclass(slots=True)
-class _Record:
+class _Record(msgspec.Struct):
     score: float = 0.0
     scored_at_ms: float = 0.0
     out: bool = False
@@ -52,13 +51,12 @@
     trials_passed: int = 0
 
 
-@dataclass(slots=True)
-class HealthTracker:
+class HealthTracker(msgspec.Struct):
     """The health of the upstreams of one service, as far as one owner sees them."""
 
-    policy: HealthPolicy = field(default_factory=HealthPolicy)
+    policy: HealthPolicy = msgspec.field(default_factory=HealthPolicy)
     fleet_count: int = 1
-    _records: dict[str, _Record] = field(default_factory=dict)
+    _records: dict[str, _Record] = msgspec.field(default_factory=dict)
 
     def set_upstreams(self, owned: Collection[str], fleet_count: int) -> None:
         """Forget upstreams not in ``owned``; the cap is a share of ``fleet_count``."""
--- a/src/fescuedock/core/job_identity.py
+++ b/src/fescuedock/core/job_identity.py
@@ -1,7 +1,6 @@
 """Which job a request stands for, and the record that accepts it."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass
 from hashlib import sha256
 
 import msgspec
@@ -24,8 +23,7 @@
 _SHOWN_CHARS = 80
 
 
-@dataclass(frozen=True, slots=True)
-class JobRequest:
+class JobRequest(msgspec.Struct, frozen=True):
     """What a member asks for; ``idempotency_key`` is empty when it gave none."""
 
     member: str
--- a/src/fescuedock/core/log_budget.py
+++ b/src/fescuedock/core/log_budget.py
@@ -6,13 +6,13 @@
 """
 
 from collections import Counter
-from dataclasses import dataclass, field
+
+import msgspec
 
 __all__ = ["LogBudget"]
 
 
-@dataclass(slots=True)
-class LogBudget:
+class LogBudget(msgspec.Struct):
     """A token bucket for each kind of line, filled at its rate, of one second's size.
 
     The rates are those of one node at four times today's load: 15 calls a second and as many runs
@@ -21,8 +21,8 @@
 
     routine_per_s: float = 100.0
     other_per_s: float = 400.0
-    _tokens: dict[str, tuple[float, float]] = field(default_factory=dict)
-    _left_out: Counter[str] = field(default_factory=Counter)
+    _tokens: dict[str, tuple[float, float]] = msgspec.field(default_factory=dict)
+    _left_out: Counter[str] = msgspec.field(default_factory=Counter)
 
     def allow(self, kind: str, now_s: float, *, routine: bool) -> bool:
         """Whether a line of ``kind`` may be written now; counts it as left out if not."""
--- a/src/fescuedock/core/log_frames.py
+++ b/src/fescuedock/core/log_frames.py
@@ -1,10 +1,11 @@
 """The framing of log records: length and checksum, so that a torn last write is recognised."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass
 from struct import Struct
 from zlib import crc32
 
+import msgspec
+
 __all__ = ["HEADER_BYTES", "Frames", "encode_frames", "read_frames"]
 
 # Length of the record and CRC-32 over length and record, both big-endian.
@@ -12,8 +13,7 @@
 HEADER_BYTES = _HEADER.size
 
 
-@dataclass(frozen=True, slots=True)
-class Frames:
+class Frames(msgspec.Struct, frozen=True):
     """The whole records at the beginning of some bytes.
 
     ``size_bytes`` is the length of their frames.  ``needed_bytes`` is 0 when the next frame is
--- a/src/fescuedock/core/membership/actions.py
+++ b/src/fescuedock/core/membership/actions.py
@@ -1,7 +1,5 @@
 """What membership asks its shell to do."""
 
-from dataclasses import dataclass
-
 import msgspec
 
 from fescuedock.address import Address
@@ -9,16 +7,14 @@
 __all__ = ["Action", "PeerVersion", "Send"]
 
 
-@dataclass(frozen=True, slots=True)
-class Send:
+class Send(msgspec.Struct, frozen=True):
     """Send ``message`` as one datagram."""
 
     address: Address
     message: msgspec.Struct
 
 
-@dataclass(frozen=True, slots=True)
-class PeerVersion:
+class PeerVersion(msgspec.Struct, frozen=True):
     """A VM has just said which configuration version it has in force."""
 
     vm_id: str
--- a/src/fescuedock/core/membership/freshness.py
+++ b/src/fescuedock/core/membership/freshness.py
@@ -1,8 +1,9 @@
 """Tells fresh datagrams from replayed ones, by each sender's boot and sequence number."""
 
-from dataclasses import dataclass
 from enum import Enum, auto
 
+import msgspec
+
 from fescuedock.schema.membership import DatagramHead
 
 __all__ = ["Freshness", "ReplayWindows"]
@@ -20,8 +21,7 @@
     UNPROVEN = auto()
 
 
-@dataclass(slots=True)
-class _Window:
+class _Window(msgspec.Struct):
     boot: int
     highest: int
     # Bit i is set when the sequence number highest - i was seen.  Those from before the proof count
--- a/src/fescuedock/core/membership/listing.py
+++ b/src/fescuedock/core/membership/listing.py
@@ -1,15 +1,15 @@
 """The VM list as evidence: it lags, so it names whom to try and supports what probes say."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+
+import msgspec
 
 from fescuedock.address import Address
 
 __all__ = ["Candidate", "VmListing"]
 
 
-@dataclass(frozen=True, slots=True)
-class Candidate:
+class Candidate(msgspec.Struct, frozen=True):
     """A VM of ours, as the platform's list shows it."""
 
     vm_id: str
@@ -17,12 +17,11 @@
     leaving: bool = False
 
 
-@dataclass(slots=True)
-class VmListing:
+class VmListing(msgspec.Struct):
     """The last list that was read; ``read_at_ms`` is minus infinity before the first."""
 
     read_at_ms: float = float("-inf")
-    _candidates: dict[str, Candidate] = field(default_factory=dict)
+    _candidates: dict[str, Candidate] = msgspec.field(default_factory=dict)
 
     def replace(self, candidates: Iterable[Candidate], now_ms: float) -> bool:
         """Take a list that was read now; return whether it differs from the last."""
--- a/src/fescuedock/core/membership/probing.py
+++ b/src/fescuedock/core/membership/probing.py
@@ -1,10 +1,11 @@
 """Probes in flight: whom to probe next, through whom else, and what came of it."""
 
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass, field
 from enum import Enum, auto
 from random import Random
 
+import msgspec
+
 from fescuedock.core.membership.table import Member
 from fescuedock.schema.membership import MemberState
 
@@ -26,8 +27,7 @@
     CONTACT = auto()
 
 
-@dataclass(slots=True)
-class PendingProbe:
+class PendingProbe(msgspec.Struct):
     """A probe that was not answered yet.
 
     ``helpers_due_ms`` is when helpers are asked, ``due_ms`` when it counts as unanswered.
@@ -40,7 +40,7 @@
     due_ms: float
     helped: bool = False
     # Helpers that could not reach the target either.
-    witnesses: list[str] = field(default_factory=list)
+    witnesses: list[str] = msgspec.field(default_factory=list)
     # For HELP: who asked, and the nonce of the asker.
     asker: str = ""
     asker_nonce: int = 0
--- a/src/fescuedock/core/membership/suspicion.py
+++ b/src/fescuedock/core/membership/suspicion.py
@@ -2,7 +2,8 @@
 
 import math
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+
+import msgspec
 
 from fescuedock.core.membership.table import Member, MemberTable
 from fescuedock.schema.membership import MemberState
@@ -40,8 +41,7 @@
     )
 
 
-@dataclass(slots=True)
-class _Suspicion:
+class _Suspicion(msgspec.Struct):
     incarnation: int
     due_ms: float
     weak_due_ms: float
--- a/src/fescuedock/core/membership/table.py
+++ b/src/fescuedock/core/membership/table.py
@@ -2,9 +2,10 @@
 
 from collections import Counter
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass
 from hashlib import blake2b
 
+import msgspec
+
 from fescuedock.schema.membership import MemberState, VmProfile, VmUpdate
 from fescuedock.schema.view import VmRecord
 
@@ -15,8 +16,7 @@
 _RANK = {state: rank for rank, state in enumerate(MemberState)}
 
 
-@dataclass(slots=True)
-class Member:
+class Member(msgspec.Struct):
     """One VM.  ``profile`` is the one of ``profile_incarnation``, which may be behind.
 
     ``local_only`` marks a suspicion or removal that only this VM holds and does not spread.
--- a/src/fescuedock/core/orders/fencing.py
+++ b/src/fescuedock/core/orders/fencing.py
@@ -10,7 +10,6 @@
 any other, so that orders never run out of their sequence.
 """
 
-from dataclasses import dataclass, field
 from enum import StrEnum
 from math import inf
 
@@ -38,8 +37,7 @@
     HOLDING = "holding"
 
 
-@dataclass(slots=True)
-class OrderHolder:
+class OrderHolder(msgspec.Struct):
     """One agent's part in the orders of one upstream.
 
     ``holder_id`` names one run of one agent.  The shell asks ``step`` what to do, does it and
@@ -52,7 +50,7 @@
     settings: OrderSettings
     phase: Phase = Phase.UNKNOWN
     # What the engine has, as far as this agent has read or done.
-    state: EngineState = field(default_factory=EngineState)
+    state: EngineState = msgspec.field(default_factory=EngineState)
     _record: OrderRecord | None = None
     _revision: int = 0
     _beat: int = 0
--- a/src/fescuedock/core/orders/placement.py
+++ b/src/fescuedock/core/orders/placement.py
@@ -6,7 +6,8 @@
 """
 
 from collections.abc import Collection, Iterator, Mapping, Sequence
-from dataclasses import dataclass, field
+
+import msgspec
 
 from fescuedock.schema.config import Configuration, ModelSpec, ServiceKind, UpstreamPolicy
 from fescuedock.schema.orders import EngineState, LoadSlot, OrderKind, PlannedOrder
@@ -27,11 +28,10 @@
 _LOADS = (OrderKind.LOAD_MODEL, OrderKind.LOAD_ADAPTER)
 
 
-@dataclass(frozen=True, slots=True)
-class Placement:
+class Placement(msgspec.Struct, frozen=True):
     """What one upstream has to have, by the names of its models."""
 
-    models: Mapping[str, ModelSpec] = field(default_factory=dict)
+    models: Mapping[str, ModelSpec] = msgspec.field(default_factory=dict)
     role: str = "both"
 
 
--- a/src/fescuedock/core/orders/steps.py
+++ b/src/fescuedock/core/orders/steps.py
@@ -1,8 +1,9 @@
 """What the holder of an upstream's orders asks its shell to do, and how an order ended."""
 
-from dataclasses import dataclass
 from enum import StrEnum
 
+import msgspec
+
 from fescuedock.schema.orders import OrderRecord, PlannedOrder
 
 __all__ = ["Give", "GiveOutcome", "ReadRecord", "Step", "Wait", "Write"]
@@ -22,21 +23,18 @@
     SUPERSEDED = "superseded"
 
 
-@dataclass(frozen=True, slots=True)
-class ReadRecord:
+class ReadRecord(msgspec.Struct, frozen=True):
     """Read the upstream's record."""
 
 
-@dataclass(frozen=True, slots=True)
-class Write:
+class Write(msgspec.Struct, frozen=True):
     """Write the record if its key is still at ``expected_revision``."""
 
     record: OrderRecord
     expected_revision: int
 
 
-@dataclass(frozen=True, slots=True)
-class Give:
+class Give(msgspec.Struct, frozen=True):
     """Give ``order``.  It must leave before ``until_ms``, or not at all."""
 
     order: PlannedOrder
@@ -44,8 +42,7 @@
     until_ms: float
 
 
-@dataclass(frozen=True, slots=True)
-class Wait:
+class Wait(msgspec.Struct, frozen=True):
     """Do nothing before ``until_ms``."""
 
     until_ms: float
--- a/src/fescuedock/core/permits/actions.py
+++ b/src/fescuedock/core/permits/actions.py
@@ -1,6 +1,6 @@
 """What the owner of an upstream decides; its daemon carries these out."""
 
-from dataclasses import dataclass
+import msgspec
 
 from fescuedock.schema.permits import PermitAsk
 from fescuedock.schema.result_codes import ResultCode
@@ -8,8 +8,7 @@
 __all__ = ["Action", "Granted", "Refused", "Revoked"]
 
 
-@dataclass(frozen=True, slots=True)
-class Granted:
+class Granted(msgspec.Struct, frozen=True):
     """The ask may start now; its permit must be renewed before ``valid_ms`` has passed."""
 
     ask: PermitAsk
@@ -17,8 +16,7 @@
     valid_ms: int
 
 
-@dataclass(frozen=True, slots=True)
-class Refused:
+class Refused(msgspec.Struct, frozen=True):
     """The ask will not start; ``retry_after_ms`` is when asking again has a chance."""
 
     ask: PermitAsk
@@ -26,8 +24,7 @@
     retry_after_ms: int
 
 
-@dataclass(frozen=True, slots=True)
-class Revoked:
+class Revoked(msgspec.Struct, frozen=True):
     """The holder must cancel this attempt at once."""
 
     upstream_id: str
--- a/src/fescuedock/core/permits/estimates.py
+++ b/src/fescuedock/core/permits/estimates.py
@@ -1,6 +1,6 @@
 """Small estimators that forget: means, peaks and a straight line, each by its own half-life."""
 
-from dataclasses import dataclass
+import msgspec
 
 __all__ = ["DecayedLine", "DecayedMean", "DecayedPeak"]
 
@@ -9,8 +9,7 @@
     return 0.5 ** (max(elapsed_ms, 0.0) / half_life_ms)
 
 
-@dataclass(slots=True)
-class DecayedMean:
+class DecayedMean(msgspec.Struct):
     """Mean of samples whose weight halves each ``half_life_ms``."""
 
     half_life_ms: float
@@ -29,8 +28,7 @@
         return self._sum / self.weight if self.weight else default
 
 
-@dataclass(slots=True)
-class DecayedPeak:
+class DecayedPeak(msgspec.Struct):
     """Highest value seen, sinking toward later ones by half each ``half_life_ms``."""
 
     half_life_ms: float
@@ -45,8 +43,7 @@
         return self._peak * _kept(now_ms - self._at_ms, self.half_life_ms)
 
 
-@dataclass(slots=True)
-class DecayedLine:
+class DecayedLine(msgspec.Struct):
     """Least-squares line through samples whose weight halves each ``half_life_ms``."""
 
     half_life_ms: float
--- a/src/fescuedock/core/permits/held.py
+++ b/src/fescuedock/core/permits/held.py
@@ -1,6 +1,6 @@
 """The permits that are out for one upstream: exact counts, expiry, and which to take back first."""
 
-from dataclasses import dataclass, field
+import msgspec
 
 from fescuedock.core.permits.batch_order import batch_rank
 from fescuedock.core.permits.prediction import Start
@@ -9,8 +9,7 @@
 __all__ = ["Company", "Held", "HeldPermits"]
 
 
-@dataclass(slots=True)
-class Held:
+class Held(msgspec.Struct):
     """One permit that is out.  Its identity is that of the attempt."""
 
     permit_id: str
@@ -86,16 +85,14 @@
         return self.prompt_tokens + self.generated_tokens
 
 
-@dataclass(frozen=True, slots=True)
-class Company:
+class Company(msgspec.Struct, frozen=True):
     """Mean number of attempts during one attempt, itself among them, and batch's share of it."""
 
     in_flight: float
     batch_share: float
 
 
-@dataclass(slots=True)
-class HeldPermits:
+class HeldPermits(msgspec.Struct):
     """All permits of one upstream by identity.
 
     A revoked permit stays until it ends or expires, since its attempt still runs.
@@ -107,8 +104,8 @@
     _area: float = 0.0
     _batch_area: float = 0.0
     _at_ms: float = 0.0
-    _by_id: dict[str, Held] = field(default_factory=dict)
-    _by_member: dict[str, int] = field(default_factory=dict)
+    _by_id: dict[str, Held] = msgspec.field(default_factory=dict)
+    _by_member: dict[str, int] = msgspec.field(default_factory=dict)
 
     def __len__(self) -> int:
         return len(self._by_id)
--- a/src/fescuedock/core/permits/holder.py
+++ b/src/fescuedock/core/permits/holder.py
@@ -1,15 +1,15 @@
 """The holder's side: what an entry or batch runner holds, must renew and has to report."""
 
 from collections.abc import Iterator
-from dataclasses import dataclass, field
+
+import msgspec
 
 from fescuedock.schema.permits import EndedPermit, HeldPermit, PermitAsk, WorkClass
 
 __all__ = ["HeldGrant", "HolderBook"]
 
 
-@dataclass(slots=True)
-class HeldGrant:
+class HeldGrant(msgspec.Struct):
     """One permit in this process, with what is known of its attempt."""
 
     ask: PermitAsk
@@ -45,12 +45,11 @@
         return max(self.ask.left_ms - int(now_ms - self.granted_ms), 1)
 
 
-@dataclass(slots=True)
-class HolderBook:
+class HolderBook(msgspec.Struct):
     """All permits of one process."""
 
-    _grants: dict[str, HeldGrant] = field(default_factory=dict)
-    _ended: list[EndedPermit] = field(default_factory=list)
+    _grants: dict[str, HeldGrant] = msgspec.field(default_factory=dict)
+    _ended: list[EndedPermit] = msgspec.field(default_factory=list)
 
     def __iter__(self) -> Iterator[HeldGrant]:
         return iter(tuple(self._grants.values()))
--- a/src/fescuedock/core/permits/limits.py
+++ b/src/fescuedock/core/permits/limits.py
@@ -9,7 +9,8 @@
 """
 
 from collections import deque
-from dataclasses import dataclass, field
+
+import msgspec
 
 from fescuedock.core.permits.estimates import DecayedMean, DecayedPeak
 from fescuedock.core.permits.held import Company
@@ -30,8 +31,7 @@
 _MIN_MISSES = 2.0
 
 
-@dataclass(frozen=True, slots=True)
-class AttemptSample:
+class AttemptSample(msgspec.Struct, frozen=True):
     """A time of one online attempt, and in what company it ran since ``since_ms``.
 
     A time below 0 is not known.
@@ -43,7 +43,6 @@
     company: Company
 
 
-@dataclass(slots=True)
 class _Limit:
     """One additive-increase, multiplicative-decrease limit.
 
@@ -52,17 +51,17 @@
     one cause.
     """
 
-    value: float
-    half_life_ms: float
-    cut_ms: float
-    raised_ms: float
-    was_cut: bool = False
-    # An attempt that started after the last raise has told of its times.
-    confirmed: bool = False
-    misses: DecayedMean = field(init=False)
+    __slots__ = ("confirmed", "cut_ms", "half_life_ms", "misses", "raised_ms", "value", "was_cut")
 
-    def __post_init__(self) -> None:
-        self.misses = DecayedMean(self.half_life_ms)
+    def __init__(self, value: float, half_life_ms: float, now_ms: float) -> None:
+        self.value = value
+        self.half_life_ms = half_life_ms
+        self.cut_ms = now_ms
+        self.raised_ms = now_ms
+        self.was_cut = False
+        # An attempt that started after the last raise has told of its times.
+        self.confirmed = False
+        self.misses = DecayedMean(half_life_ms)
 
     def observe(self, missed: bool, weight: float, sample: AttemptSample, now_ms: float) -> None:
         if not self.concerns(sample):
@@ -91,8 +90,8 @@
         self._settings = settings
         self.objectives = objectives
         half_life_ms = settings.estimate_half_life_ms
-        self._hard = _Limit(settings.max_limit, half_life_ms, now_ms, now_ms)
-        self._mixed = _Limit(settings.start_limit, half_life_ms, now_ms, now_ms)
+        self._hard = _Limit(settings.max_limit, half_life_ms, now_ms)
+        self._mixed = _Limit(settings.start_limit, half_life_ms, now_ms)
         self._peak = DecayedPeak(settings.peak_half_life_ms)
         self._burst = DecayedPeak(half_life_ms)
         self._arrivals_ms: deque[float] = deque()
--- a/src/fescuedock/core/permits/local_limit.py
+++ b/src/fescuedock/core/permits/local_limit.py
@@ -1,16 +1,15 @@
 """The limit for online attempts that start without their upstream's owner."""
 
-from dataclasses import dataclass, field
+import msgspec
 
 __all__ = ["LocalLimit"]
 
 
-@dataclass(slots=True)
-class LocalLimit:
+class LocalLimit(msgspec.Struct):
     """Counts the attempts of one holder at each upstream whose owner is silent."""
 
     limit: int
-    _running: dict[str, int] = field(default_factory=dict)
+    _running: dict[str, int] = msgspec.field(default_factory=dict)
 
     def try_take(self, upstream_id: str) -> bool:
         running = self._running.get(upstream_id, 0)
--- a/src/fescuedock/core/permits/owner.py
+++ b/src/fescuedock/core/permits/owner.py
@@ -1,7 +1,8 @@
 """All the upstreams that one agent owns: their queues, and its verdict on their health."""
 
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass
+
+import msgspec
 
 from fescuedock.core.health import HealthTracker
 from fescuedock.core.permits.actions import Action, Refused
@@ -22,16 +23,14 @@
 __all__ = ["OwnedUpstream", "PermitOwner", "Renewal"]
 
 
-@dataclass(frozen=True, slots=True)
-class OwnedUpstream:
+class OwnedUpstream(msgspec.Struct, frozen=True):
     """One upstream that this agent owns, as the fleet view and the configuration have it."""
 
     service: str
     terms: UpstreamTerms
 
 
-@dataclass(frozen=True, slots=True)
-class Renewal:
+class Renewal(msgspec.Struct, frozen=True):
     """The answer to a renewal, and what else it brought about."""
 
     reply: PermitRenewReply
--- a/src/fescuedock/core/permits/prediction.py
+++ b/src/fescuedock/core/permits/prediction.py
@@ -5,15 +5,14 @@
 Both costs are learned from the times that holders report.
 """
 
-from dataclasses import dataclass, field
+import msgspec
 
 from fescuedock.core.permits.estimates import DecayedLine, DecayedPeak
 
 __all__ = ["FirstTokenModel", "Start"]
 
 
-@dataclass(frozen=True, slots=True)
-class Start:
+class Start(msgspec.Struct, frozen=True):
     """The circumstances in which an attempt started."""
 
     prompt_tokens: int
@@ -21,20 +20,16 @@
     in_flight: int
 
 
-@dataclass(slots=True)
 class FirstTokenModel:
     """The two learned costs of one upstream, and the prompts it has still to read."""
 
-    half_life_ms: float
-    _prompt: DecayedLine = field(init=False)
-    _occupancy: DecayedLine = field(init=False)
-    _longest: DecayedPeak = field(init=False)
-    _read_by_ms: float = 0.0
+    __slots__ = ("_longest", "_occupancy", "_prompt", "_read_by_ms")
 
-    def __post_init__(self) -> None:
-        self._prompt = DecayedLine(self.half_life_ms)
-        self._occupancy = DecayedLine(self.half_life_ms)
-        self._longest = DecayedPeak(self.half_life_ms)
+    def __init__(self, half_life_ms: float) -> None:
+        self._prompt = DecayedLine(half_life_ms)
+        self._occupancy = DecayedLine(half_life_ms)
+        self._longest = DecayedPeak(half_life_ms)
+        self._read_by_ms = 0.0
 
     def prompt_ms(self, prompt_tokens: int) -> float:
         """Return the time that an engine takes to read so many tokens; 0 while nothing is known."""
--- a/src/fescuedock/core/permits/terms.py
+++ b/src/fescuedock/core/permits/terms.py
@@ -1,6 +1,6 @@
 """What the operators and the membership say of an upstream, as its queue needs it."""
 
-from dataclasses import dataclass, field
+import msgspec
 
 from fescuedock.core.permits.waiting import MemberShares
 from fescuedock.schema.config import Objectives
@@ -8,12 +8,11 @@
 __all__ = ["UpstreamTerms"]
 
 
-@dataclass(frozen=True, slots=True)
-class UpstreamTerms:
+class UpstreamTerms(msgspec.Struct, frozen=True):
     """What the configuration and the membership say of one upstream."""
 
-    objectives: Objectives = field(default_factory=Objectives)
-    shares: MemberShares = field(default_factory=MemberShares)
+    objectives: Objectives = msgspec.field(default_factory=Objectives)
+    shares: MemberShares = msgspec.field(default_factory=MemberShares)
     # 0 lets the policy find the limit.
     max_in_flight: int = 0
     # Requests that the upstream declares to run at once, or 0.  Being exact, nothing is learned
--- a/src/fescuedock/core/permits/waiting.py
+++ b/src/fescuedock/core/permits/waiting.py
@@ -1,7 +1,8 @@
 """The asks that wait for one upstream, ordered by class, member share and slack."""
 
 from collections.abc import Callable, Iterator, Mapping
-from dataclasses import dataclass, field
+
+import msgspec
 
 from fescuedock.core.permits.batch_order import batch_rank
 from fescuedock.schema.permits import PermitAsk, WorkClass
@@ -9,18 +10,16 @@
 __all__ = ["MemberShares", "Waiting", "WaitingAsks"]
 
 
-@dataclass(frozen=True, slots=True)
-class MemberShares:
+class MemberShares(msgspec.Struct, frozen=True):
     """The configured weight of each member; one that is not named weighs 1."""
 
-    weights: Mapping[str, float] = field(default_factory=dict)
+    weights: Mapping[str, float] = msgspec.field(default_factory=dict)
 
     def weight(self, member: str) -> float:
         return self.weights.get(member, 1.0)
 
 
-@dataclass(frozen=True, slots=True)
-class Waiting:
+class Waiting(msgspec.Struct, frozen=True):
     """One queued ask and the times by which it must be answered or becomes useless."""
 
     ask: PermitAsk
@@ -61,8 +60,7 @@
         return self.due_ms if self.ask.target_ms else min(self.answer_by_ms, self.due_ms)
 
 
-@dataclass(slots=True)
-class WaitingAsks:
+class WaitingAsks(msgspec.Struct):
     """A queue of one upstream.  Online always goes before batch.
 
     Within a class, members that run less than their share go first, so that one member's backlog
@@ -70,8 +68,10 @@
     """
 
     shares: MemberShares
-    _by_attempt: dict[str, Waiting] = field(default_factory=dict)
-    _counts: dict[WorkClass, int] = field(default_factory=lambda: dict.fromkeys(WorkClass, 0))
+    _by_attempt: dict[str, Waiting] = msgspec.field(default_factory=dict)
+    _counts: dict[WorkClass, int] = msgspec.field(
+        default_factory=lambda: dict.fromkeys(WorkClass, 0)
+    )
 
     def __contains__(self, attempt_id: str) -> bool:
         return attempt_id in self._by_attempt
--- a/src/fescuedock/core/repair.py
+++ b/src/fescuedock/core/repair.py
@@ -5,7 +5,8 @@
 """
 
 from collections.abc import Collection, Iterable, Mapping
-from dataclasses import dataclass, field
+
+import msgspec
 
 from fescuedock.core.rendezvous import choose_name
 from fescuedock.core.store_placement import StoreSite, rank_stores
@@ -13,8 +14,7 @@
 __all__ = ["Pace", "Shortage", "StableSites", "find_shortages", "is_responsible"]
 
 
-@dataclass(frozen=True, slots=True)
-class Shortage:
+class Shortage(msgspec.Struct, frozen=True):
     """A segment with too few copies: ``missing`` more are wanted, of ``targets`` in this order."""
 
     segment_hash: str
@@ -58,8 +58,7 @@
     return Shortage(segment_hash, missing, ranked)
 
 
-@dataclass(slots=True)
-class Pace:
+class Pace(msgspec.Struct):
     """Spreads bytes over time so that on average no more than ``bytes_per_s`` pass."""
 
     bytes_per_s: int
@@ -72,8 +71,7 @@
         return start_ms - now_ms
 
 
-@dataclass(slots=True)
-class StableSites:
+class StableSites(msgspec.Struct):
     """Says when a change of the stores has lasted long enough to copy segments for it.
 
     A VM that restarts is back before that, and its segments with it.
@@ -81,7 +79,7 @@
 
     after_ms: float
     _settled: frozenset[StoreSite] = frozenset()
-    _seen: frozenset[StoreSite] = field(default_factory=frozenset)
+    _seen: frozenset[StoreSite] = msgspec.field(default_factory=frozenset)
     _since_ms: float = 0.0
 
     def observe(self, sites: Iterable[StoreSite], now_ms: float) -> float | None:
--- a/src/fescuedock/core/replica_table.py
+++ b/src/fescuedock/core/replica_table.py
@@ -7,7 +7,8 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+
+import msgspec
 
 from fescuedock.kv import KvEntry, KvEvent
 
@@ -17,8 +18,7 @@
 UNKNOWN_REVISION = -1
 
 
-@dataclass(slots=True)
-class ReplicaTable:
+class ReplicaTable(msgspec.Struct):
     """The keys below ``prefix`` as of ``revision``.
 
     ``version`` rises whenever ``entries`` change.  ``confirmed_ms`` is when this was last known to
@@ -29,9 +29,9 @@
     revision: int = UNKNOWN_REVISION
     version: int = 0
     confirmed_ms: float = float("-inf")
-    entries: dict[str, KvEntry] = field(default_factory=dict)
+    entries: dict[str, KvEntry] = msgspec.field(default_factory=dict)
     # Revisions of removals, so that an older state does not bring a key back.
-    _removed: dict[str, int] = field(default_factory=dict)
+    _removed: dict[str, int] = msgspec.field(default_factory=dict)
 
     @property
     def is_known(self) -> bool:
--- a/src/fescuedock/core/retry.py
+++ b/src/fescuedock/core/retry.py
@@ -8,13 +8,13 @@
 """
 
 import random
-from dataclasses import dataclass, field
+
+import msgspec
 
 __all__ = ["AttemptHistory", "RetryBudget", "RetryPolicy"]
 
 
-@dataclass(frozen=True, slots=True)
-class RetryPolicy:
+class RetryPolicy(msgspec.Struct, frozen=True):
     """Bounds of retrying.
 
     ``share`` of recent successes may be retries; ``reserve`` retries are allowed besides while
@@ -35,11 +35,10 @@
     max_wait_ms: float = 1000.0
 
 
-@dataclass(slots=True)
-class RetryBudget:
+class RetryBudget(msgspec.Struct):
     """How many retries one process may still send."""
 
-    policy: RetryPolicy = field(default_factory=RetryPolicy)
+    policy: RetryPolicy = msgspec.field(default_factory=RetryPolicy)
     _saved: float = 0.0
     _reserve: float = -1.0
     _refilled_at_ms: float = 0.0
@@ -68,8 +67,7 @@
         self._refilled_at_ms = now_ms
 
 
-@dataclass(slots=True)
-class AttemptHistory:
+class AttemptHistory(msgspec.Struct):
     """The attempts of one request so far."""
 
     policy: RetryPolicy
--- a/src/fescuedock/core/route_learning.py
+++ b/src/fescuedock/core/route_learning.py
@@ -4,15 +4,15 @@
 """
 
 from collections import OrderedDict
-from dataclasses import dataclass, field
+
+import msgspec
 
 from fescuedock.core.routing import RoutingPolicy
 
 __all__ = ["AskTimeout", "DomainLatency", "PrefillModel", "PrefixMemory", "SilentOwners"]
 
 
-@dataclass(slots=True)
-class AskTimeout:
+class AskTimeout(msgspec.Struct):
     """How long to wait for an owner that should answer at once.
 
     A process that is busy itself reads answers late, so each ask under way adds ``each_ms``: what
@@ -28,12 +28,11 @@
         return self.base_ms + self.each_ms * self.under_way
 
 
-@dataclass(slots=True)
-class SilentOwners:
+class SilentOwners(msgspec.Struct):
     """Owners that did not answer of late, so that only the first request waits for each."""
 
-    policy: RoutingPolicy = field(default_factory=RoutingPolicy)
-    _until_ms: dict[str, float] = field(default_factory=dict)
+    policy: RoutingPolicy = msgspec.field(default_factory=RoutingPolicy)
+    _until_ms: dict[str, float] = msgspec.field(default_factory=dict)
 
     def note_silent(self, vm_id: str, now_ms: float) -> None:
         self._until_ms[vm_id] = now_ms + self.policy.silent_ms
@@ -45,8 +44,7 @@
         return now_ms < self._until_ms.get(vm_id, float("-inf"))
 
 
-@dataclass(slots=True)
-class DomainLatency:
+class DomainLatency(msgspec.Struct):
     """One-way latency to each failure domain, from the round trips seen.
 
     The least of late counts, because a handler's delays only ever add; it creeps up by
@@ -54,7 +52,7 @@
     """
 
     creep: float = 0.01
-    _least_ms: dict[str, float] = field(default_factory=dict)
+    _least_ms: dict[str, float] = msgspec.field(default_factory=dict)
 
     def observe(self, failure_domain: str, round_trip_ms: float) -> None:
         least_ms = self._least_ms.get(failure_domain, float("inf")) * (1 + self.creep)
@@ -65,12 +63,11 @@
         return self._least_ms.get(failure_domain, 0.0) / 2
 
 
-@dataclass(slots=True)
-class PrefixMemory:
+class PrefixMemory(msgspec.Struct):
     """Which upstreams this process gave which prefixes of late, the latest ``size`` of each."""
 
     size: int = 1024
-    _held: dict[str, OrderedDict[str, None]] = field(default_factory=dict)
+    _held: dict[str, OrderedDict[str, None]] = msgspec.field(default_factory=dict)
 
     def note(self, upstream_id: str, prefix_hash: str) -> bool:
         """Note that a prefix went to an upstream; return whether it is the first time."""
@@ -83,8 +80,7 @@
         return is_new
 
 
-@dataclass(slots=True)
-class PrefillModel:
+class PrefillModel(msgspec.Struct):
     """Time of prefill for a prompt token, from first tokens of prompts that no cache can have.
 
     Queues only ever add to it, so the least of late counts; it creeps up by ``creep`` of itself
--- a/src/fescuedock/core/routing.py
+++ b/src/fescuedock/core/routing.py
@@ -10,7 +10,8 @@
 
 import random
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
+
+import msgspec
 
 from fescuedock.core.rendezvous import rank_names
 from fescuedock.schema.permits import LoadSnapshot
@@ -27,8 +28,7 @@
 ]
 
 
-@dataclass(frozen=True, slots=True)
-class RoutingPolicy:
+class RoutingPolicy(msgspec.Struct, frozen=True):
     """Constants of the choice.
 
     A snapshot older than ``stale_ms`` says nothing.  An upstream keeps its prefixes while its work
@@ -59,8 +59,7 @@
     connect_ms: float = 4.0
 
 
-@dataclass(frozen=True, slots=True)
-class Candidate:
+class Candidate(msgspec.Struct, frozen=True):
     """An upstream that may be asked.
 
     ``load`` is None when nothing fresh is known; ``avoided`` says that it has failed this request,
@@ -75,8 +74,7 @@
     connected: bool = True
 
 
-@dataclass(frozen=True, slots=True)
-class Demand:
+class Demand(msgspec.Struct, frozen=True):
     """What matters of the request: its prompt's length and leading part."""
 
     prompt_tokens: int
@@ -84,8 +82,7 @@
     prefix_hash: str
 
 
-@dataclass(frozen=True, slots=True)
-class Choice:
+class Choice(msgspec.Struct, frozen=True):
     """An upstream with its predicted time to the first token.
 
     ``queue_ms`` leaves prefill out, which is a guess good enough to choose by and no more;
@@ -102,8 +99,7 @@
     owner_silent: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class Ask:
+class Ask(msgspec.Struct, frozen=True):
     """Ask the owner of an upstream, which may queue the request for ``wait_ms``.
 
     ``local`` asks nobody and takes from the process's own small limit.
--- a/src/fescuedock/core/segments.py
+++ b/src/fescuedock/core/segments.py
@@ -3,15 +3,14 @@
 Nothing is added or taken away: the segments of a stream, one after the other, are the stream.
 """
 
-from dataclasses import dataclass, field
+import msgspec
 
 __all__ = ["CutSegment", "LineReader", "SegmentCutter", "is_blank", "item_lines"]
 
 _NEWLINE = b"\n"
 
 
-@dataclass(frozen=True, slots=True)
-class CutSegment:
+class CutSegment(msgspec.Struct, frozen=True):
     """A segment ready to be stored; ``items`` counts its lines that are not blank."""
 
     body: bytes
@@ -73,8 +72,7 @@
         return line
 
 
-@dataclass(slots=True)
-class SegmentCutter:
+class SegmentCutter(msgspec.Struct):
     """Gathers lines into segments of at most ``max_items`` items and ``max_bytes`` bytes.
 
     Only a single line longer than that makes a larger one.
@@ -82,7 +80,7 @@
 
     max_items: int
     max_bytes: int
-    _lines: list[bytes] = field(default_factory=list)
+    _lines: list[bytes] = msgspec.field(default_factory=list)
     _items: int = 0
     _size_bytes: int = 0
 
--- a/src/fescuedock/core/store_contact.py
+++ b/src/fescuedock/core/store_contact.py
@@ -6,13 +6,12 @@
 Pure: the caller passes the time.
 """
 
-from dataclasses import dataclass
+import msgspec
 
 __all__ = ["ContactPolicy", "StoreContact"]
 
 
-@dataclass(frozen=True, slots=True)
-class ContactPolicy:
+class ContactPolicy(msgspec.Struct, frozen=True):
     """``outage_ms`` without any answer is an outage: three held watches that failed at once.
 
     ``grace_ms`` after it, owners of lapsed keys have written them again; the platform says two
@@ -26,8 +25,7 @@
     max_pause_ms: float = 800.0
 
 
-@dataclass(slots=True)
-class StoreContact:
+class StoreContact(msgspec.Struct):
     """What the answers and failures of the service's calls tell."""
 
     policy: ContactPolicy = ContactPolicy()
--- a/src/fescuedock/core/store_placement.py
+++ b/src/fescuedock/core/store_placement.py
@@ -1,7 +1,8 @@
 """Decides which stores get the copies of a segment or log, and when there are enough of them."""
 
 from collections.abc import Collection, Iterable
-from dataclasses import dataclass, field
+
+import msgspec
 
 from fescuedock.core.rendezvous import rank_names
 from fescuedock.schema.result_codes import ResultCode
@@ -9,8 +10,7 @@
 __all__ = ["CopyPlan", "StoreSite", "rank_stores"]
 
 
-@dataclass(frozen=True, slots=True, order=True)
-class StoreSite:
+class StoreSite(msgspec.Struct, frozen=True, order=True):
     """A store as placement sees it."""
 
     vm_id: str
@@ -44,8 +44,7 @@
     return [site for _, site in sorted(rounds, key=lambda item: item[0])]
 
 
-@dataclass(slots=True)
-class CopyPlan:
+class CopyPlan(msgspec.Struct):
     """The writing of one object's copies: whom to ask next, and whether it is enough.
 
     ``candidates`` are in their order by rank.  ``copies`` are wanted; ``min_copies`` in distinct
@@ -56,10 +55,10 @@
     copies: int
     min_copies: int
     avoided: Collection[str] = ()
-    held: list[StoreSite] = field(default_factory=list)
-    refusals: dict[str, ResultCode] = field(default_factory=dict)
-    _asked: set[str] = field(default_factory=set)
-    _waiting: set[StoreSite] = field(default_factory=set)
+    held: list[StoreSite] = msgspec.field(default_factory=list)
+    refusals: dict[str, ResultCode] = msgspec.field(default_factory=dict)
+    _asked: set[str] = msgspec.field(default_factory=set)
+    _waiting: set[StoreSite] = msgspec.field(default_factory=set)
 
     def next_sites(self) -> list[StoreSite]:
         """Return the stores to ask now; each counts as asked from here on."""
--- a/src/fescuedock/core/stored_jobs/asking.py
+++ b/src/fescuedock/core/stored_jobs/asking.py
@@ -9,13 +9,13 @@
 
 import random
 from collections.abc import Iterable
-from dataclasses import dataclass
+
+import msgspec
 
 __all__ = ["AskCandidate", "AskPolicy", "choose_asks"]
 
 
-@dataclass(frozen=True, slots=True)
-class AskPolicy:
+class AskPolicy(msgspec.Struct, frozen=True):
     """``per_item`` asks are open for each waiting item.
 
     Asking all 30 upstreams for each made 66 nodes give back more permits than they used; with three
@@ -25,8 +25,7 @@
     per_item: int = 3
 
 
-@dataclass(frozen=True, slots=True)
-class AskCandidate:
+class AskCandidate(msgspec.Struct, frozen=True):
     """An upstream that is not being asked; ``free_slots`` is None when nothing fresh is known."""
 
     upstream_id: str
--- a/src/fescuedock/core/stored_jobs/cache.py
+++ b/src/fescuedock/core/stored_jobs/cache.py
@@ -1,19 +1,19 @@
 """What a node remembers of jobs for their readers; listed results never change."""
 
 from collections import OrderedDict
-from dataclasses import dataclass, field
+
+import msgspec
 
 from fescuedock.schema.stored_jobs import ResultGroup, StoredItem, StoredJobRecord, StoredResult
 
 __all__ = ["CachedJob", "JobCache"]
 
 
-@dataclass(slots=True)
-class CachedJob:
+class CachedJob(msgspec.Struct):
     """The first positions of one job, without a gap, and its items once they were read."""
 
     total: int
-    results: list[StoredResult] = field(default_factory=list)
+    results: list[StoredResult] = msgspec.field(default_factory=list)
     items: dict[str, StoredItem] | None = None
     # How many results there are for good once a client has ended the job; below 0 before.
     listed_at_end: int = -1
--- a/src/fescuedock/core/stored_jobs/job.py
+++ b/src/fescuedock/core/stored_jobs/job.py
@@ -5,7 +5,8 @@
 
 import enum
 from collections.abc import Collection, Iterable
-from dataclasses import dataclass, field
+
+import msgspec
 
 from fescuedock.core.forwarding.event_stream import SplitEvent
 from fescuedock.schema.stored_jobs import (
@@ -33,8 +34,7 @@
     INTERRUPTED = "interrupted"
 
 
-@dataclass(frozen=True, slots=True)
-class RetryPauses:
+class RetryPauses(msgspec.Struct, frozen=True):
     """Pause before an item runs again, doubled with each failure up to ``most_ms``.
 
     ``interrupted_ms`` follows a run that says nothing against the item: one round trip and a step
@@ -54,8 +54,7 @@
         return min(self.interrupted_ms * 2**doublings, self.most_interrupted_ms)
 
 
-@dataclass(slots=True, eq=False)
-class ItemRun:
+class ItemRun(msgspec.Struct, eq=False):
     """One item without a result yet, and what its runs have given so far."""
 
     item: StoredItem
@@ -67,8 +66,8 @@
     barren_since_event: int = -1
     not_before_ms: float = 0.0
     last_event: int = -1
-    texts: list[str] = field(default_factory=list)
-    avoided: set[str] = field(default_factory=set)
+    texts: list[str] = msgspec.field(default_factory=list)
+    avoided: set[str] = msgspec.field(default_factory=set)
     # The run under way, or the last one: when it began and from which event, how long it took.
     started_ms: float = 0.0
     started_event: int = -1
--- a/src/fescuedock/core/stored_jobs/keys.py
+++ b/src/fescuedock/core/stored_jobs/keys.py
@@ -1,6 +1,6 @@
 """Where the parts of a stored job lie in the key-value service."""
 
-from dataclasses import dataclass
+import msgspec
 
 __all__ = ["JobKeys"]
 
@@ -11,8 +11,7 @@
 _DATA = "data/"
 
 
-@dataclass(frozen=True, slots=True)
-class JobKeys:
+class JobKeys(msgspec.Struct, frozen=True):
     """Keys below ``prefix``.
 
     What every node follows (small records) is apart from what only a job's owner and its readers
--- a/src/fescuedock/core/stored_jobs/ownership.py
+++ b/src/fescuedock/core/stored_jobs/ownership.py
@@ -6,7 +6,8 @@
 
 import enum
 from collections.abc import Collection
-from dataclasses import dataclass, field
+
+import msgspec
 
 from fescuedock.core.rendezvous import choose_name
 from fescuedock.schema.stored_jobs import StoredJobRecord
@@ -26,8 +27,7 @@
     CLAIM = enum.auto()
 
 
-@dataclass(frozen=True, slots=True)
-class OwnerIdentity:
+class OwnerIdentity(msgspec.Struct, frozen=True):
     """A node and the start of its process."""
 
     node_id: str
@@ -42,8 +42,7 @@
     return not record.ended and record.listed < record.total
 
 
-@dataclass(slots=True)
-class MissingOwners:
+class MissingOwners(msgspec.Struct):
     """Since when owners of jobs are not among the nodes that membership shows.
 
     An owner that is missing for less than ``patience_ms`` may only be new to this node, whose own
@@ -51,7 +50,7 @@
     """
 
     patience_ms: float = 1500.0
-    _since_ms: dict[str, float] = field(default_factory=dict)
+    _since_ms: dict[str, float] = msgspec.field(default_factory=dict)
 
     def note(self, present: Collection[str], now_ms: float) -> None:
         """Take the nodes that are there now, leaving ones included."""
--- a/src/fescuedock/core/stored_jobs/pace.py
+++ b/src/fescuedock/core/stored_jobs/pace.py
@@ -3,13 +3,12 @@
 Pure: the caller passes the times.
 """
 
-from dataclasses import dataclass
+import msgspec
 
 __all__ = ["Pace", "RunEstimate"]
 
 
-@dataclass(slots=True)
-class RunEstimate:
+class RunEstimate(msgspec.Struct):
     """How many events items have and how long one takes.
 
     Until the first one the guess is a middling one: five seconds for 250 events.
@@ -41,8 +40,7 @@
         return max(left, self.spread, 1.0) * self.event_ms
 
 
-@dataclass(slots=True)
-class Pace:
+class Pace(msgspec.Struct):
     """Which share of the time items run, from their first run on; about the last 20 waits count.
 
     Online takes their slots now and then, so an item that needs 5 s may be done after 10.
--- a/src/fescuedock/core/stored_jobs/spools.py
+++ b/src/fescuedock/core/stored_jobs/spools.py
@@ -8,7 +8,8 @@
 """
 
 from collections.abc import Collection, Iterable
-from dataclasses import dataclass, field
+
+import msgspec
 
 from fescuedock.core.rendezvous import rank_names
 from fescuedock.schema.stored_jobs import NodeRecord
@@ -33,8 +34,7 @@
     return first + others
 
 
-@dataclass(slots=True)
-class KnownSpools:
+class KnownSpools(msgspec.Struct):
     """Which spools do not answer, and since when.
 
     One that has been silent for ``lost_after_ms`` is taken for lost with its disk: jobs that it
@@ -43,7 +43,7 @@
     """
 
     lost_after_ms: float = 60_000.0
-    _silent_since_ms: dict[str, float] = field(default_factory=dict)
+    _silent_since_ms: dict[str, float] = msgspec.field(default_factory=dict)
 
     def note_answer(self, vm_id: str) -> None:
         self._silent_since_ms.pop(vm_id, None)
--- a/src/fescuedock/core/stored_jobs/urgency.py
+++ b/src/fescuedock/core/stored_jobs/urgency.py
@@ -9,7 +9,8 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+
+import msgspec
 
 from fescuedock.core.permits.batch_order import batch_rank
 from fescuedock.core.stored_jobs.job import ItemRun, StoredJob
@@ -19,8 +20,7 @@
 __all__ = ["ItemChoice", "rank_items", "stage_of"]
 
 
-@dataclass(frozen=True, slots=True)
-class ItemChoice:
+class ItemChoice(msgspec.Struct, frozen=True):
     """An item that may run next, and how it stands against the time when its job is due.
 
     ``slack_ms`` is the time it may still wait if nothing interrupts it, below 0 when it is late
--- a/src/fescuedock/core/streams.py
+++ b/src/fescuedock/core/streams.py
@@ -9,9 +9,10 @@
 
 import enum
 import re
-from dataclasses import dataclass, field
 from typing import Protocol
 
+import msgspec
+
 from fescuedock.schema.config import Objectives
 
 __all__ = [
@@ -26,8 +27,7 @@
 _IDENTITY = re.compile(rb'"id"\s*:\s*"[^"\\]*"')
 
 
-@dataclass(frozen=True, slots=True)
-class StallPolicy:
+class StallPolicy(msgspec.Struct, frozen=True):
     """When a silent stream counts as hung: ``factor`` times what is usual, ``floor_ms`` at least.
 
     Too early doubles work that was only slow, too late keeps a caller waiting for a dead process
@@ -85,16 +85,14 @@
     def finished(self) -> bool: ...
 
 
-@dataclass(frozen=True, slots=True)
-class ResumePoint:
+class ResumePoint(msgspec.Struct, frozen=True):
     """Where another attempt goes on: after ``tokens`` tokens that read ``text``."""
 
     tokens: int
     text: str
 
 
-@dataclass(slots=True)
-class StreamState:
+class StreamState(msgspec.Struct):
     """What one caller was given.
 
     ``wants_usage`` says that the caller asked for a closing event with token counts, so that the
@@ -111,7 +109,7 @@
     finished: bool = False
     ended: bool = False
     begun: bool = False
-    _texts: list[str] = field(default_factory=list)
+    _texts: list[str] = msgspec.field(default_factory=list)
     _opened: bool = False
     _closed: bool = False
     _first_event: bool = True
--- a/src/fescuedock/core/upstream_listing.py
+++ b/src/fescuedock/core/upstream_listing.py
@@ -7,20 +7,20 @@
 """
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+
+import msgspec
 
 from fescuedock.schema.view import UpstreamRecord
 
 __all__ = ["UpstreamListing"]
 
 
-@dataclass(slots=True)
-class UpstreamListing:
+class UpstreamListing(msgspec.Struct):
     """The upstreams by identity, those that are kept through an outage included."""
 
-    _listed: dict[str, UpstreamRecord] = field(default_factory=dict)
+    _listed: dict[str, UpstreamRecord] = msgspec.field(default_factory=dict)
     # Upstreams whose entries vanished, with the record they had.
-    _lapsed: dict[str, UpstreamRecord] = field(default_factory=dict)
+    _lapsed: dict[str, UpstreamRecord] = msgspec.field(default_factory=dict)
 
     def take(self, found: Mapping[str, UpstreamRecord], *, in_grace: bool) -> None:
         """Take the entries as they are now; ``in_grace`` says that missing ones may come back."""
--- a/src/fescuedock/daemon.py
+++ b/src/fescuedock/daemon.py
@@ -9,7 +9,6 @@
 import sys
 import traceback
 from collections.abc import Awaitable, Callable, Sequence
-from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Protocol
 
@@ -54,11 +53,10 @@
     """A shutdown was not graceful: the operator asked twice, or it took too long."""
 
 
-@dataclass(slots=True)
-class Stop:
+class Stop(msgspec.Struct):
     """Asks a program for a graceful shutdown."""
 
-    _requested: trio.Event = field(default_factory=trio.Event)
+    _requested: trio.Event = msgspec.field(default_factory=trio.Event)
 
     def request(self) -> None:
         self._requested.set()
--- a/src/fescuedock/entry/context.py
+++ b/src/fescuedock/entry/context.py
@@ -1,8 +1,9 @@
 """What the handlers of an entry share."""
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from fescuedock.clock import UnixClock
 from fescuedock.kv import KvStore
 from fescuedock.net.http_client import HttpClient
@@ -17,8 +18,7 @@
 __all__ = ["EntryContext"]
 
 
-@dataclass(frozen=True, slots=True)
-class EntryContext:
+class EntryContext(msgspec.Struct, frozen=True):
     """Wired once by ``run_entry``; handlers keep no other state than their own."""
 
     settings: Settings
--- a/src/fescuedock/entry/file_records.py
+++ b/src/fescuedock/entry/file_records.py
@@ -1,7 +1,5 @@
 """Keeps the records of uploaded files in the key-value service."""
 
-from dataclasses import dataclass
-
 import msgspec
 from result import Err, Ok, Result
 
@@ -17,8 +15,7 @@
 _DELETE_ATTEMPTS = 4
 
 
-@dataclass(frozen=True, slots=True)
-class FilePage:
+class FilePage(msgspec.Struct, frozen=True):
     """Files of one member in the order of their identities; ``more`` says that there are others."""
 
     files: tuple[FileRecord, ...]
--- a/src/fescuedock/entry/job_records.py
+++ b/src/fescuedock/entry/job_records.py
@@ -4,8 +4,7 @@
 index of open jobs, by which scanners find a job that was pushed to nobody.
 """
 
-from dataclasses import dataclass
-
+import msgspec
 from result import Err, Ok, Result
 
 from fescuedock.backing.kv_writes import put_resolved
@@ -41,16 +40,14 @@
 _ATTEMPTS = 8
 
 
-@dataclass(frozen=True, slots=True)
-class StoredJob:
+class StoredJob(msgspec.Struct, frozen=True):
     """A record and the revision under which it was read."""
 
     record: JobRecord
     revision: int
 
 
-@dataclass(frozen=True, slots=True)
-class JobPage:
+class JobPage(msgspec.Struct, frozen=True):
     """Jobs of one member, youngest first; ``more`` says that there are older ones."""
 
     records: list[JobRecord]
--- a/src/fescuedock/entry/jobs.py
+++ b/src/fescuedock/entry/jobs.py
@@ -4,7 +4,6 @@
 an ``Idempotency-Key``.  Without one its content stands in for the key.
 """
 
-from dataclasses import dataclass, replace
 from typing import Any
 
 import msgspec
@@ -82,7 +81,7 @@
     file_id, wanted = asked.ok_value.file_id, asked.ok_value.request
     file = await read_file(context, member.ok_value, file_id)
     if isinstance(file, Ok):
-        wanted = replace(wanted, input_hash=file.ok_value.content_hash)
+        wanted = msgspec.structs.replace(wanted, input_hash=file.ok_value.content_hash)
         return await accept_job(context, wanted, file.ok_value)
     if file.err_value.code is ResultCode.NOT_FOUND and wanted.idempotency_key:
         accepted = await find_accepted(context, wanted, file_id)
@@ -90,8 +89,7 @@
     return file
 
 
-@dataclass(frozen=True, slots=True)
-class _Asked:
+class _Asked(msgspec.Struct, frozen=True):
     """A creation as asked for; the request lacks the hash of the input yet."""
 
     file_id: str
--- a/src/fescuedock/entry/multipart.py
+++ b/src/fescuedock/entry/multipart.py
@@ -1,8 +1,8 @@
 """Reads ``multipart/form-data`` as it comes, without keeping any part whole."""
 
 import logging
-from dataclasses import dataclass
 
+import msgspec
 from python_multipart.exceptions import FormParserError
 from python_multipart.multipart import MultipartParser, parse_options_header
 from result import Err, Ok, Result
@@ -18,16 +18,14 @@
 logging.getLogger("python_multipart").setLevel(logging.CRITICAL)
 
 
-@dataclass(frozen=True, slots=True)
-class PartBegin:
+class PartBegin(msgspec.Struct, frozen=True):
     """A field begins; ``filename`` is None unless it is a file."""
 
     name: str
     filename: str | None
 
 
-@dataclass(frozen=True, slots=True)
-class PartData:
+class PartData(msgspec.Struct, frozen=True):
     """Bytes of the field that began last."""
 
     data: bytes
--- a/src/fescuedock/entry/online.py
+++ b/src/fescuedock/entry/online.py
@@ -1,8 +1,8 @@
 """Online requests: chat and text completions, streamed and whole."""
 
 import random
-from dataclasses import dataclass
 
+import msgspec
 from result import Err, Ok, Result
 
 from fescuedock.clock import now_ms
@@ -23,8 +23,7 @@
 _PATHS = ("/v1/chat/completions", "/v1/completions")
 
 
-@dataclass(frozen=True, slots=True)
-class _Times:
+class _Times(msgspec.Struct, frozen=True):
     """What the caller saw; 0 between tokens for an answer in one piece."""
 
     first_token_ms: float = 0.0
--- a/src/fescuedock/entry/online_attempt.py
+++ b/src/fescuedock/entry/online_attempt.py
@@ -1,7 +1,5 @@
 """One attempt at an upstream: what its failures mean, and the report to the owner."""
 
-from dataclasses import dataclass
-
 import msgspec
 import trio
 
@@ -50,8 +48,7 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class Failure:
+class Failure(msgspec.Struct, frozen=True):
     """Why an attempt failed: evidence for the owner, and the fault if it stays at that."""
 
     outcome: AttemptOutcome
@@ -60,8 +57,7 @@
     upstream_lost: bool = False
 
 
-@dataclass(slots=True)
-class Attempt:
+class Attempt(msgspec.Struct):
     """Times of one attempt; ``end`` reports them, whatever happened."""
 
     grant: Grant
@@ -81,7 +77,7 @@
             self.first_token_at_ms = at_ms
         self.last_token_at_ms = at_ms
         self.tokens += 1
-        self.grant.count_token()
+        self.grant.count_tokens()
 
     @property
     def first_token_ms(self) -> float:
--- a/src/fescuedock/entry/online_permits.py
+++ b/src/fescuedock/entry/online_permits.py
@@ -2,10 +2,10 @@
 
 import random
 from collections.abc import Collection, Iterable, Sequence
-from dataclasses import dataclass, replace
 from itertools import groupby
 from typing import Protocol
 
+import msgspec
 import trio
 from result import Err, Ok, Result
 
@@ -122,7 +122,8 @@
         and not (item.upstream_id in policies and policies[item.upstream_id].drain)
     ]
     candidates = [
-        replace(_candidate(state, item), avoided=item.upstream_id in avoid) for item in usable
+        msgspec.structs.replace(_candidate(state, item), avoided=item.upstream_id in avoid)
+        for item in usable
     ]
     token_ms = state.prefill(call.service).token_ms
     return choose_upstreams(candidates, call.demand, token_ms, state.routing, state.rng)
@@ -165,8 +166,7 @@
     return state.admission.check_deadline(call.left_ms(), first_token_ms, run_ms)
 
 
-@dataclass(frozen=True, slots=True)
-class _Answer:
+class _Answer(msgspec.Struct, frozen=True):
     """What came of a round of asks; ``again`` says that it taught enough for another one."""
 
     result: Result[Grant, Fault]
@@ -268,7 +268,7 @@
     if fault is None or fault.code in _SILENCE:
         why = "no time is left to wait" if fault is None else "no owner answers"
         return Fault(ResultCode.NO_CAPACITY, f"no capacity: {why}", _RETRY_AFTER_MS)
-    return replace(fault, retry_after_ms=fault.retry_after_ms or _RETRY_AFTER_MS)
+    return msgspec.structs.replace(fault, retry_after_ms=fault.retry_after_ms or _RETRY_AFTER_MS)
 
 
 async def _ask(
--- a/src/fescuedock/entry/online_relay.py
+++ b/src/fescuedock/entry/online_relay.py
@@ -2,8 +2,8 @@
 
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
 
+import msgspec
 import trio
 from result import Result
 
@@ -50,15 +50,14 @@
     return await run_attempts(state, request, run_one)
 
 
-@dataclass(slots=True)
-class _Watch:
+class _Watch(msgspec.Struct):
     """Whether the relay waits for the upstream, and since when."""
 
     timeout_ms: float
     waiting: bool = True
-    since_ms: float = field(default_factory=now_ms)
+    since_ms: float = msgspec.field(default_factory=now_ms)
     stalled: bool = False
-    pause: trio.CancelScope = field(default_factory=trio.CancelScope)
+    pause: trio.CancelScope = msgspec.field(default_factory=trio.CancelScope)
 
     def expect_within(self, timeout_ms: float) -> None:
         """Look for a stall after ``timeout_ms`` from now on."""
@@ -66,8 +65,7 @@
         self.pause.cancel()
 
 
-@dataclass(slots=True)
-class _Relay:
+class _Relay(msgspec.Struct):
     """One attempt's way from the upstream to the caller; ``serving`` is told of its first token."""
 
     state: OnlineState
--- a/src/fescuedock/entry/online_request.py
+++ b/src/fescuedock/entry/online_request.py
@@ -1,7 +1,6 @@
 """Reads an online request: who asks, for what, by when."""
 
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass
 from hashlib import blake2b
 from typing import Any
 
@@ -29,8 +28,7 @@
 _HASH_BYTES = 12
 
 
-@dataclass(frozen=True, slots=True)
-class OnlineRequest:
+class OnlineRequest(msgspec.Struct, frozen=True):
     """One accepted call; ``deadline_ms`` is on ``clock.now_ms``."""
 
     request_id: str
--- a/src/fescuedock/entry/online_stream.py
+++ b/src/fescuedock/entry/online_stream.py
@@ -1,8 +1,8 @@
 """Streams an answer to its caller."""
 
 from contextlib import AsyncExitStack
-from dataclasses import dataclass
 
+import msgspec
 import trio
 from result import Err, Ok, Result
 
@@ -26,8 +26,7 @@
     """Ends the caller's response without its end mark, so that it is visibly truncated."""
 
 
-@dataclass(slots=True)
-class _Caller:
+class _Caller(msgspec.Struct):
     """The caller's side: its response is opened by the first bytes for it."""
 
     responder: Responder
--- a/src/fescuedock/entry/online_whole.py
+++ b/src/fescuedock/entry/online_whole.py
@@ -5,8 +5,7 @@
 work out of online's way.
 """
 
-from dataclasses import dataclass, replace
-
+import msgspec
 import trio
 from result import Err, Result
 
@@ -26,8 +25,7 @@
 _CHAT_PATH = "/v1/chat/completions"
 
 
-@dataclass(frozen=True, slots=True)
-class WholeAnswer:
+class WholeAnswer(msgspec.Struct, frozen=True):
     """The JSON of an answer, and the attempt that ended it."""
 
     body: bytes
@@ -56,7 +54,7 @@
     async def take(data: bytes) -> None:
         collector.take(data)
 
-    streamed = replace(request, body=streamed_body(request.body))
+    streamed = msgspec.structs.replace(request, body=streamed_body(request.body))
     ended = await relay_attempts(state, streamed, stream, take, lambda _attempt: None)
     return ended.map(lambda attempt: WholeAnswer(collector.answer(stream.text), attempt))
 
--- a/src/fescuedock/entry/result_files.py
+++ b/src/fescuedock/entry/result_files.py
@@ -3,7 +3,6 @@
 Only what is committed is ever read, so each ``custom_id`` stands once in the two files of a job.
 """
 
-from dataclasses import dataclass
 from enum import StrEnum
 
 import msgspec
@@ -28,8 +27,7 @@
     ERROR = "error"
 
 
-@dataclass(frozen=True, slots=True)
-class ResultFile:
+class ResultFile(msgspec.Struct, frozen=True):
     """The file that an identity names."""
 
     job_id: str
--- a/src/fescuedock/entry/routes.py
+++ b/src/fescuedock/entry/routes.py
@@ -1,7 +1,8 @@
 """Matches a request's method and path to a handler, with truthful 404 and 405 answers."""
 
 from collections.abc import Awaitable, Callable, Sequence
-from dataclasses import dataclass
+
+import msgspec
 
 from fescuedock.faults import Fault
 from fescuedock.net.http_server import Handler, Request, Responder
@@ -15,8 +16,7 @@
 RouteHandler = Callable[[Request, Responder, dict[str, str]], Awaitable[None]]
 
 
-@dataclass(frozen=True, slots=True)
-class Route:
+class Route(msgspec.Struct, frozen=True):
     """``pattern`` is a path whose ``{name}`` parts match one segment and ``{name*}`` the rest."""
 
     method: str
--- a/src/fescuedock/entry/service_call.py
+++ b/src/fescuedock/entry/service_call.py
@@ -2,8 +2,8 @@
 
 from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
 
+import msgspec
 from result import Err, Ok, Result
 
 from fescuedock.address import Address
@@ -34,8 +34,7 @@
 _NOT_PASSED = HOP_HEADERS | {"content-length", "host", DEADLINE_HEADER, MARK_HEADER}
 
 
-@dataclass(frozen=True, slots=True)
-class ServiceCall:
+class ServiceCall(msgspec.Struct, frozen=True):
     """One call; ``target`` is the path and query at the service, ``deadline_ms`` our clock's."""
 
     request_id: str
--- a/src/fescuedock/entry/services.py
+++ b/src/fescuedock/entry/services.py
@@ -7,8 +7,8 @@
 
 import random
 from collections.abc import AsyncIterator, Awaitable, Callable
-from dataclasses import dataclass
 
+import msgspec
 import trio
 from result import Err, Ok, Result
 
@@ -166,8 +166,7 @@
         raise _BrokenAnswerError(str(error)) from error
 
 
-@dataclass(frozen=True, slots=True)
-class _Held:
+class _Held(msgspec.Struct, frozen=True):
     """The beginning of an answer; ``whole`` says that it is all of it."""
 
     body: bytes
--- a/src/fescuedock/entry/uploads.py
+++ b/src/fescuedock/entry/uploads.py
@@ -4,9 +4,9 @@
 it is written.
 """
 
-from dataclasses import dataclass, field
 from hashlib import sha256
 
+import msgspec
 import trio
 from result import Err, Ok, Result
 
@@ -28,15 +28,14 @@
 _MAX_FILENAME_CHARS = 255
 
 
-@dataclass(slots=True)
-class Upload:
+class Upload(msgspec.Struct):
     """A file whose content is on the stores."""
 
     filename: str = ""
     purpose: str = ""
     content_hash: str = ""
     size_bytes: int = 0
-    segments: list[SegmentRef] = field(default_factory=list)
+    segments: list[SegmentRef] = msgspec.field(default_factory=list)
     checker: InputChecker | None = None
 
     def record(self, file_id: str, member: str, now_s: int) -> FileRecord:
--- a/src/fescuedock/faults.py
+++ b/src/fescuedock/faults.py
@@ -1,14 +1,13 @@
 """The one error value that crosses module boundaries: a numbered code with its explanation."""
 
-from dataclasses import dataclass
+import msgspec
 
 from fescuedock.schema.result_codes import HTTP_STATUS, OUTCOME, Outcome, ResultCode
 
 __all__ = ["Fault"]
 
 
-@dataclass(frozen=True, slots=True)
-class Fault:
+class Fault(msgspec.Struct, frozen=True):
     """Why something was refused or failed; the ``Err`` side of results across the package.
 
     ``retry_after_ms`` is 0 when there is no point in coming back by itself.
--- a/src/fescuedock/kv.py
+++ b/src/fescuedock/kv.py
@@ -6,9 +6,9 @@
 
 from collections.abc import Mapping, Sequence
 from contextlib import AbstractAsyncContextManager
-from dataclasses import dataclass, field
 from typing import Protocol
 
+import msgspec
 import trio
 from result import Result
 
@@ -27,8 +27,7 @@
 ]
 
 
-@dataclass(frozen=True, slots=True)
-class KvEntry:
+class KvEntry(msgspec.Struct, frozen=True):
     """A key's value and the revision of its last change."""
 
     key: str
@@ -37,8 +36,7 @@
     lease_id: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class KvPage:
+class KvPage(msgspec.Struct, frozen=True):
     """Entries of one range read; ``more`` says that the limit cut it."""
 
     entries: tuple[KvEntry, ...]
@@ -46,8 +44,7 @@
     more: bool
 
 
-@dataclass(frozen=True, slots=True)
-class KvEvent:
+class KvEvent(msgspec.Struct, frozen=True):
     """One change seen by a watch; ``entry`` is None when the key was deleted."""
 
     key: str
@@ -55,23 +52,20 @@
     entry: KvEntry | None
 
 
-@dataclass(frozen=True, slots=True)
-class KvWatchGap:
+class KvWatchGap(msgspec.Struct, frozen=True):
     """Changes were missed; the watcher must read the whole range again."""
 
     revision: int
 
 
-@dataclass(frozen=True, slots=True)
-class KvChanges:
+class KvChanges(msgspec.Struct, frozen=True):
     """What changed after some revision, up to ``revision`` and without a gap."""
 
     events: tuple[KvEvent, ...]
     revision: int
 
 
-@dataclass(frozen=True, slots=True)
-class KvTransaction:
+class KvTransaction(msgspec.Struct, frozen=True):
     """Writes and removals that happen together, or not at all.
 
     ``expected_revisions`` are conditions: 0 says that the key must not exist.  ``lease_id`` holds
@@ -79,7 +73,7 @@
     """
 
     expected_revisions: Mapping[str, int]
-    writes: Mapping[str, bytes] = field(default_factory=dict)
+    writes: Mapping[str, bytes] = msgspec.field(default_factory=dict)
     removes: Sequence[str] = ()
     lease_id: int = 0
 
--- a/src/fescuedock/net/codec.py
+++ b/src/fescuedock/net/codec.py
@@ -7,7 +7,6 @@
 import hashlib
 import hmac
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
 from pathlib import Path
 from types import ModuleType
 
@@ -22,8 +21,7 @@
     """A message from outside that must be ignored; the text says why."""
 
 
-@dataclass(frozen=True, slots=True)
-class Key:
+class Key(msgspec.Struct, frozen=True):
     """A named shared secret."""
 
     name: str
--- a/src/fescuedock/net/http_client.py
+++ b/src/fescuedock/net/http_client.py
@@ -10,9 +10,9 @@
 from collections import defaultdict
 from collections.abc import AsyncIterator, Callable, Iterator, Mapping
 from contextlib import asynccontextmanager, contextmanager
-from dataclasses import dataclass
 
 import h11
+import msgspec
 import trio
 
 from fescuedock.address import Address
@@ -59,7 +59,7 @@
     ``header_fields`` has all headers in order; of a repeated one ``headers`` has the last.
     """
 
-    __slots__ = ("_connection", "header_fields", "headers", "status")
+    __slots__ = ("_connection", "_ended", "header_fields", "headers", "status")
 
     def __init__(
         self, status: int, header_fields: Headers, connection: "_ClientConnection"
@@ -68,6 +68,7 @@
         self.header_fields = header_fields
         self.headers: Mapping[str, str] = dict(header_fields)
         self._connection = connection
+        self._ended = False
 
     def chunks(self) -> AsyncIterator[bytes]:
         """Iterate over the body as it comes; ``ResponseLostError`` when it ends early."""
@@ -77,11 +78,58 @@
         return self
 
     async def __anext__(self) -> bytes:
-        event = await self._connection.next_event(head_received=True)
+        if self._ended:
+            raise StopAsyncIteration
+        data = self._take(await self._connection.next_event(head_received=True))
+        if self._ended:
+            raise StopAsyncIteration
+        return data
+
+    async def read_some(self) -> bytes:
+        """Return all that has come of the body, waiting only while nothing has; empty at its end.
+
+        A stream's events that came together cost one wake-up, not one each.
+        """
+        data = self.read_ready()
+        if data or self._ended:
+            return data
+        data = self._take(await self._connection.next_event(head_received=True))
+        return self._with_ready(data) if data else data
+
+    def read_ready(self) -> bytes:
+        """Return what has come of the body by now, without waiting."""
+        return self._with_ready(b"")
+
+    def _with_ready(self, data: bytes) -> bytes:
+        """Return ``data`` and what has come behind it.
+
+        When the answer breaks off behind something, that is returned, and the next read fails.
+        """
+        parts = [data] if data else []
+        while not self._ended:
+            try:
+                event = self._connection.ready_event()
+                if event is None:
+                    break
+                parts.append(self._take(event))
+            except ResponseLostError:
+                if not parts:
+                    raise
+                break
+        return b"".join(parts)
+
+    @property
+    def ended(self) -> bool:
+        """Whether the body has been read to its end."""
+        return self._ended
+
+    def _take(self, event: object) -> bytes:
+        """Return the bytes of an event of the body, none for its end."""
         if isinstance(event, h11.Data):
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
-            raise StopAsyncIteration
+            self._ended = True
+            return b""
         raise ResponseLostError("connection closed within the answer", head_received=True)
 
     async def read(self, limit_bytes: int = 16 * 1024 * 1024) -> bytes:
@@ -100,8 +148,7 @@
 IsAnswer = Callable[[Headers], bool]
 
 
-@dataclass(slots=True)
-class HttpClient:
+class HttpClient(msgspec.Struct):
     """Makes requests, keeping a few idle connections for each address.
 
     ``on_connect`` is told of each new connection.
@@ -212,8 +259,7 @@
         raise ResponseLostError(f"{address} did not answer in {timeout_ms:g} ms") from error
 
 
-@dataclass(frozen=True, slots=True)
-class _Message:
+class _Message(msgspec.Struct, frozen=True):
     """A request as it goes out."""
 
     method: str
@@ -328,6 +374,20 @@
             except (h11.RemoteProtocolError, OSError) as error:
                 raise ResponseLostError(str(error), head_received=head_received) from error
 
+    def ready_event(self) -> object | None:
+        """Return the next event of an answer's body if it has come, else None."""
+        try:
+            event = self._protocol.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            self._protocol.receive_data(os.read(self._stream.socket.fileno(), _RECEIVE_BYTES))
+            event = self._protocol.next_event()
+        except BlockingIOError:
+            return None
+        except (h11.RemoteProtocolError, OSError) as error:
+            raise ResponseLostError(str(error), head_received=True) from error
+        return None if event is h11.NEED_DATA else event
+
     async def _receive(self) -> bytes:
         """Wait for bytes first and read then: a stream's next token is seldom there already."""
         while True:
--- a/src/fescuedock/net/http_connection.py
+++ b/src/fescuedock/net/http_connection.py
@@ -2,9 +2,9 @@
 
 import os
 from collections.abc import AsyncIterator, Callable
-from dataclasses import dataclass
 
 import h11
+import msgspec
 import trio
 
 __all__ = [
@@ -31,8 +31,7 @@
     """The request's head or body did not come in time."""
 
 
-@dataclass(frozen=True, slots=True)
-class HttpLimits:
+class HttpLimits(msgspec.Struct, frozen=True):
     """Bounds of one connection.
 
     ``header_timeout_ms`` runs from a head's first bytes to its end.
--- a/src/fescuedock/net/http_messages.py
+++ b/src/fescuedock/net/http_messages.py
@@ -2,7 +2,6 @@
 
 from collections.abc import AsyncIterator, Awaitable, Callable, Mapping, Sequence
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
 
 import h11
 import msgspec
@@ -44,8 +43,7 @@
     """The request's body is over the limit the reader gave."""
 
 
-@dataclass(slots=True)
-class Request:
+class Request(msgspec.Struct):
     """One request.  Header names are lower case; of a repeated header the last counts.
 
     ``header_fields`` has all of them in order, for who passes the request on.
--- a/src/fescuedock/net/http_server.py
+++ b/src/fescuedock/net/http_server.py
@@ -5,10 +5,10 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from urllib.parse import parse_qsl, unquote, urlsplit
 
 import h11
+import msgspec
 import trio
 
 from fescuedock.address import Address, naming_address
@@ -47,8 +47,7 @@
 _BACKLOG = 1024
 
 
-@dataclass(slots=True)
-class HttpServer:
+class HttpServer(msgspec.Struct):
     """Serves one handler on one listening address until it is stopped.
 
     ``limits`` may be replaced at any time and holds for open connections too.  While ``draining``
@@ -56,13 +55,13 @@
     """
 
     handler: Handler
-    limits: HttpLimits = field(default_factory=HttpLimits)
+    limits: HttpLimits = msgspec.field(default_factory=HttpLimits)
     draining: bool = False
     # Told of errors that a handler let through, which are faults of ours.
     on_error: Callable[[Exception], None] = lambda error: None
     in_flight: int = 0
-    _stopping: trio.Event = field(default_factory=trio.Event)
-    _idle_scopes: set[trio.CancelScope] = field(default_factory=set)
+    _stopping: trio.Event = msgspec.field(default_factory=trio.Event)
+    _idle_scopes: set[trio.CancelScope] = msgspec.field(default_factory=set)
 
     async def serve(
         self, address: Address, *, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED
--- a/src/fescuedock/node/attempt.py
+++ b/src/fescuedock/node/attempt.py
@@ -2,7 +2,8 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
+
+import msgspec
 
 from fescuedock.address import Address
 from fescuedock.agent.permit_client import Grant
@@ -28,16 +29,14 @@
 }
 
 
-@dataclass(frozen=True, slots=True)
-class UpstreamAnswer:
+class UpstreamAnswer(msgspec.Struct, frozen=True):
     """An upstream's answer: what its head says, and its body still to be read."""
 
     head: AnswerHead
     response: ClientResponse
 
 
-@dataclass(slots=True)
-class AttemptRecord:
+class AttemptRecord(msgspec.Struct):
     """What an attempt tells the owner of its upstream once it is over."""
 
     grant: Grant
@@ -55,7 +54,7 @@
             self.first_event_ms = at_ms - self.started_ms
         self.last_event_ms = at_ms
         self.events += count
-        self.grant.count_token()
+        self.grant.count_tokens(count)
 
     def finish(self, end: AttemptEnd | None) -> None:
         """Give the permit back; ``end`` is None for a whole answer."""
--- a/src/fescuedock/node/front.py
+++ b/src/fescuedock/node/front.py
@@ -1,7 +1,6 @@
 """What a node answers to clients and to the platform: calls, jobs, readiness and the directory."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 import trio
 
@@ -31,22 +30,36 @@
 _IDLE_SLACK_MS = 1000
 
 
-@dataclass(slots=True)
 class Front:
     """The handlers of one node; ``online`` and ``jobs`` are there once the node has started."""
 
-    settings: NodeSettings
-    own_address: Address
-    configuration: NodeConfiguration
-    view: FleetView
-    on_error: Callable[[Exception], None]
-    online: OnlineCalls | None = None
-    jobs: JobCalls | None = None
-    leaving: bool = False
-    server: HttpServer = field(init=False)
-
-    def __post_init__(self) -> None:
-        self.server = HttpServer(self.handle, http_limits(ClientLimits()), on_error=self.on_error)
+    __slots__ = (
+        "configuration",
+        "jobs",
+        "leaving",
+        "online",
+        "own_address",
+        "server",
+        "settings",
+        "view",
+    )
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        own_address: Address,
+        configuration: NodeConfiguration,
+        view: FleetView,
+        on_error: Callable[[Exception], None],
+    ) -> None:
+        self.settings = settings
+        self.own_address = own_address
+        self.configuration = configuration
+        self.view = view
+        self.online: OnlineCalls | None = None
+        self.jobs: JobCalls | None = None
+        self.leaving = False
+        self.server = HttpServer(self.handle, http_limits(ClientLimits()), on_error=on_error)
 
     @property
     def ready(self) -> bool:
--- a/src/fescuedock/node/item_run.py
+++ b/src/fescuedock/node/item_run.py
@@ -1,10 +1,12 @@
 """One run of a batch item at an upstream, from where the item's earlier runs have got to."""
 
+from contextlib import suppress
+
 import trio
 
 from fescuedock.agent.permit_client import Grant
 from fescuedock.clock import now_ms
-from fescuedock.core.forwarding.event_stream import EventSplitter
+from fescuedock.core.forwarding.event_stream import EventSplitter, SplitEvent
 from fescuedock.core.forwarding.progress import AttemptEnd
 from fescuedock.core.stored_jobs.job import ItemEnd, ItemRun
 from fescuedock.log import log_event
@@ -21,6 +23,9 @@
 _FAILED_STATUS = 500
 # Silence after which a run goes on elsewhere: several times the longest step of an engine.
 _STALL_MS = 1500.0
+# Between two reads of an item's events: a job's client sees its result only when it is whole, and
+# an engine writes an event about every 30 ms, each a wake-up of its own if read at once.
+_READ_PAUSE_MS = 100.0
 
 
 async def run_item(
@@ -113,19 +118,31 @@
     if head.is_forged:
         return ItemEnd.INTERRUPTED, AttemptEnd.LOST, "the answer bears no seal"
     splitter = EventSplitter()
-    async for chunk in answer.response.chunks():
-        stall.deadline = trio.current_time() + _STALL_MS / 1000
-        events = splitter.feed(chunk)
-        if not events:
-            continue
-        record.note_events(len(events))
-        if not item.take(events):
-            return ItemEnd.INTERRUPTED, AttemptEnd.LOST, "an event is missing"
+    response = answer.response
+    try:
+        while data := await response.read_some():
+            stall.deadline = trio.current_time() + _STALL_MS / 1000
+            if not _take_events(splitter.feed(data), item, record):
+                return ItemEnd.INTERRUPTED, AttemptEnd.LOST, "an event is missing"
+            if not response.ended:
+                await trio.sleep(_READ_PAUSE_MS / 1000)
+    except trio.Cancelled:
+        # What came since the last read need not be run again.
+        with suppress(ResponseLostError):
+            _take_events(splitter.feed(response.read_ready()), item, record)
+        raise
     if splitter.has_rest:
         return ItemEnd.INTERRUPTED, AttemptEnd.LOST, "the last event is not whole"
     return ItemEnd.WHOLE, None, ""
 
 
+def _take_events(events: list[SplitEvent], item: ItemRun, record: AttemptRecord) -> bool:
+    """Take in what came of an item; False when an event is missing."""
+    if events:
+        record.note_events(len(events))
+    return item.take(events)
+
+
 def _failure(status: int, *, not_run: bool) -> tuple[ItemEnd, AttemptEnd, str]:
     reason = f"status {status}"
     if not_run:
--- a/src/fescuedock/node/job_acceptance.py
+++ b/src/fescuedock/node/job_acceptance.py
@@ -7,7 +7,6 @@
 
 import random
 from collections.abc import Callable, Collection
-from dataclasses import dataclass, field
 
 import msgspec
 import trio
@@ -41,8 +40,7 @@
 OnAccepted = Callable[[VersionedRecord, list[StoredItem]], None]
 
 
-@dataclass(slots=True)
-class JobAcceptance:
+class JobAcceptance(msgspec.Struct):
     """What accepting needs; ``neighbours`` gives the nodes that may be asked."""
 
     store: JobStore
@@ -91,8 +89,7 @@
         return AcceptJobReply(ResultCode.KV_UNKNOWN)
 
 
-@dataclass(slots=True)
-class _Attempt:
+class _Attempt(msgspec.Struct):
     """One acceptance under way."""
 
     shared: JobAcceptance
@@ -100,13 +97,13 @@
     items: list[StoredItem]
     accepted: bool = False
     # Set once this node's own try has failed for good, so that nobody need wait for it.
-    own_failed: trio.Event = field(default_factory=trio.Event)
+    own_failed: trio.Event = msgspec.field(default_factory=trio.Event)
     own_fault: Fault | None = None
     # A neighbour's try may have stored the job, or may do so still.
     unsure: bool = False
     # Set once neighbours have failed as well.
-    all_failed: trio.Event = field(default_factory=trio.Event)
-    kept: Kept = field(default_factory=Kept)
+    all_failed: trio.Event = msgspec.field(default_factory=trio.Event)
+    kept: Kept = msgspec.field(default_factory=Kept)
 
     async def by_itself(self, scope: trio.CancelScope) -> None:
         if self.shared.replicas.contact.is_away(now_ms()):
--- a/src/fescuedock/node/job_calls.py
+++ b/src/fescuedock/node/job_calls.py
@@ -1,8 +1,8 @@
 """The clients' calls about batch jobs, at any node."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
 
+import msgspec
 import trio
 from result import Err, Ok, Result
 
@@ -36,8 +36,7 @@
 _LEFT = Err(Fault(ResultCode.EXECUTION_UNKNOWN, "its client left, and the job may be stored"))
 
 
-@dataclass(slots=True)
-class JobCalls:
+class JobCalls(msgspec.Struct):
     """Accepts, reads and ends jobs.  ``owner`` is this node, which runs what it accepts."""
 
     store: JobStore
--- a/src/fescuedock/node/job_runner.py
+++ b/src/fescuedock/node/job_runner.py
@@ -2,7 +2,6 @@
 
 import random
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass, field
 from functools import partial
 
 import msgspec
@@ -56,17 +55,16 @@
 }
 
 
-@dataclass(slots=True, eq=False)
-class OwnedJob:
+class OwnedJob(msgspec.Struct, eq=False):
     """A job that this node runs: its decisions, its record, and what wakes its commits."""
 
     run: StoredJob
     versioned: VersionedRecord
     # Set when this node has to let go of the job: what runs of it is cut off.
-    let_go: trio.Event = field(default_factory=trio.Event)
-    changed: trio.Event = field(default_factory=trio.Event)
-    route_seen_ms: float = field(default_factory=now_ms)
-    saved_ms: float = field(default_factory=now_ms)
+    let_go: trio.Event = msgspec.field(default_factory=trio.Event)
+    changed: trio.Event = msgspec.field(default_factory=trio.Event)
+    route_seen_ms: float = msgspec.field(default_factory=now_ms)
+    saved_ms: float = msgspec.field(default_factory=now_ms)
 
     @property
     def stopped(self) -> bool:
--- a/src/fescuedock/node/job_store.py
+++ b/src/fescuedock/node/job_store.py
@@ -5,7 +5,6 @@
 """
 
 from collections.abc import Mapping
-from dataclasses import dataclass
 from typing import Protocol
 
 import msgspec
@@ -40,16 +39,14 @@
     """What jobs need of the service."""
 
 
-@dataclass(frozen=True, slots=True)
-class VersionedRecord:
+class VersionedRecord(msgspec.Struct, frozen=True):
     """A job's record and the revision that the next change of it must name."""
 
     record: StoredJobRecord
     revision: int
 
 
-@dataclass(frozen=True, slots=True)
-class LoadedJob:
+class LoadedJob(msgspec.Struct, frozen=True):
     """All that is stored of a job."""
 
     items: list[StoredItem]
--- a/src/fescuedock/node/online.py
+++ b/src/fescuedock/node/online.py
@@ -1,7 +1,6 @@
 """What the online calls of one node share: how they look for permits, and what they learn."""
 
 import random
-from dataclasses import dataclass, field
 from secrets import token_hex
 
 import trio
@@ -27,6 +26,8 @@
 __all__ = ["ONLINE_ROUTING", "OnlineCalls"]
 
 _IDENTITY_BYTES = 16
+# What an upstream is taken to need to a first event until calls have shown it.
+_FIRST_EVENT_MS = 80.0
 # Of the moving mean of the times to a first event: about the last ten count.
 _FIRST_EVENT_GAIN = 0.1
 # How calls look for a permit.  All upstreams of a small service are asked before a call queues: a
@@ -35,28 +36,50 @@
 ONLINE_ROUTING = RoutingPolicy(at_once=8, queue_ms=150.0)
 
 
-@dataclass(slots=True)
 class OnlineCalls:
     """What the online calls of one node share; see ``PermitSearch`` for the learned parts."""
 
-    view: FleetView
-    permits: PermitClient
-    http: HttpClient
-    rng: random.Random
-    retry_after_ms: int
-    metrics: Metrics
-    routing: RoutingPolicy = ONLINE_ROUTING
-    admission: Admission = field(default_factory=Admission)
-    latency: DomainLatency = field(default_factory=DomainLatency)
-    ask_timeout: AskTimeout = field(default_factory=AskTimeout)
-    stalls: StallLimits = field(default_factory=StallLimits)
-    # What an upstream takes to a first event: a step, a prompt and the way; learned.
-    first_event_ms: float = 80.0
-    silent: SilentOwners = field(init=False)
-    _prefill: dict[str, PrefillModel] = field(default_factory=dict)
+    __slots__ = (
+        "_prefill",
+        "admission",
+        "ask_timeout",
+        "first_event_ms",
+        "http",
+        "latency",
+        "metrics",
+        "permits",
+        "retry_after_ms",
+        "rng",
+        "routing",
+        "silent",
+        "stalls",
+        "view",
+    )
 
-    def __post_init__(self) -> None:
+    def __init__(
+        self,
+        view: FleetView,
+        permits: PermitClient,
+        http: HttpClient,
+        rng: random.Random,
+        retry_after_ms: int,
+        metrics: Metrics,
+    ) -> None:
+        self.view = view
+        self.permits = permits
+        self.http = http
+        self.rng = rng
+        self.retry_after_ms = retry_after_ms
+        self.metrics = metrics
+        self.routing = ONLINE_ROUTING
+        self.admission = Admission()
+        self.latency = DomainLatency()
+        self.ask_timeout = AskTimeout()
+        self.stalls = StallLimits()
+        # What an upstream takes to a first event: a step, a prompt and the way; learned.
+        self.first_event_ms = _FIRST_EVENT_MS
         self.silent = SilentOwners(self.routing)
+        self._prefill: dict[str, PrefillModel] = {}
 
     def prefill(self, service: str) -> PrefillModel:
         return self._prefill.setdefault(service, PrefillModel())
--- a/src/fescuedock/node/online_call.py
+++ b/src/fescuedock/node/online_call.py
@@ -1,6 +1,5 @@
 """One online call of a client: passed on to an upstream as it came, and its answer back as well."""
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import trio
@@ -44,32 +43,54 @@
 _REJECTED_PAUSE_MS = 15.0
 
 
-@dataclass(slots=True)
 class Call:
     """One client's call on its way."""
 
-    shared: "OnlineCalls"
-    request: Request
-    responder: Responder
-    route: Route
-    body: bytes
-    head: CallHead
-    received_ms: float = field(default_factory=now_ms)
-    deadline_ms: float = field(init=False)
-    progress: CallProgress = field(init=False)
-    service: str = field(init=False)
-    demand: Demand = field(init=False)
-    avoided: set[str] = field(default_factory=set)
-    out: ResponseStream | None = None
-    # From the receipt to the first event, and between events; for the metrics.
-    first_event_ms: float = -1.0
-    pause_ms: float = 0.0
-    # An attempt is under way whose request may have arrived.
-    sending: bool = False
-    # The status of an upstream's failure that the client got whole; 0 for none.
-    failure_passed_on: int = 0
-
-    def __post_init__(self) -> None:
+    __slots__ = (
+        "avoided",
+        "body",
+        "deadline_ms",
+        "demand",
+        "failure_passed_on",
+        "first_event_ms",
+        "head",
+        "out",
+        "pause_ms",
+        "progress",
+        "received_ms",
+        "request",
+        "responder",
+        "route",
+        "sending",
+        "service",
+        "shared",
+    )
+
+    def __init__(
+        self,
+        shared: "OnlineCalls",
+        request: Request,
+        responder: Responder,
+        route: Route,
+        body: bytes,
+        head: CallHead,
+    ) -> None:
+        self.shared = shared
+        self.request = request
+        self.responder = responder
+        self.route = route
+        self.body = body
+        self.head = head
+        self.received_ms = now_ms()
+        self.avoided: set[str] = set()
+        self.out: ResponseStream | None = None
+        # From the receipt to the first event, and between events; for the metrics.
+        self.first_event_ms = -1.0
+        self.pause_ms = 0.0
+        # An attempt is under way whose request may have arrived.
+        self.sending = False
+        # The status of an upstream's failure that the client got whole; 0 for none.
+        self.failure_passed_on = 0
         patience_ms = self.head.patience_ms
         patience_ms = _DEFAULT_PATIENCE_MS if patience_ms is None else patience_ms
         if self.route.timeout_ms > 0:
@@ -258,9 +279,9 @@
             headers = calls.client_headers(answer.response.header_fields)
             self.out = await self.responder.begin(answer.head.status, headers)
         splitter = EventSplitter()
-        async for chunk in answer.response.chunks():
+        while data := await answer.response.read_some():
             stall.deadline = self._stall_s(first=False)
-            events = splitter.feed(chunk)
+            events = splitter.feed(data)
             if not events:
                 continue
             if self.first_event_ms < 0:
--- a/src/fescuedock/node/owner_reads.py
+++ b/src/fescuedock/node/owner_reads.py
@@ -5,7 +5,6 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import msgspec
 from result import Err
@@ -33,8 +32,7 @@
 _TIMEOUT_MS = 120.0
 
 
-@dataclass(slots=True)
-class OwnerReads:
+class OwnerReads(msgspec.Struct):
     """``address_of`` gives the address of a live node.
 
     ``listed_of`` gives how many results are listed of a job that this node runs, None for others.
--- a/src/fescuedock/node/replicas.py
+++ b/src/fescuedock/node/replicas.py
@@ -7,7 +7,6 @@
 
 import random
 from collections.abc import Awaitable, Callable, Collection, Mapping
-from dataclasses import dataclass
 from typing import Protocol
 
 import msgspec
@@ -51,8 +50,7 @@
     """A key-value service that can be read whole and asked for changes."""
 
 
-@dataclass(frozen=True, slots=True)
-class Watched:
+class Watched(msgspec.Struct, frozen=True):
     """A prefix, how long a watch of it is held, and the pause between two watches."""
 
     prefix: str
--- a/src/fescuedock/platform/job_calls.py
+++ b/src/fescuedock/platform/job_calls.py
@@ -3,7 +3,6 @@
 import base64
 import binascii
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass
 
 import msgspec
 from result import Err, Ok, Result
@@ -52,8 +51,7 @@
     next_position: int
 
 
-@dataclass(frozen=True, slots=True)
-class JobCall:
+class JobCall(msgspec.Struct, frozen=True):
     """A call about a job that exists: ``verb`` is ``read``, ``body`` or ``end``."""
 
     verb: str
--- a/src/fescuedock/report/burn_report.py
+++ b/src/fescuedock/report/burn_report.py
@@ -1,7 +1,8 @@
 """The burn report: metrics of many processes put together and held against the objectives."""
 
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
+
+import msgspec
 
 from fescuedock.core.burn import Alarm, Burn, assess_burn, merge_slots
 from fescuedock.report.histograms import merge_histograms, percentiles_ms
@@ -18,8 +19,7 @@
 PERCENTILES = (50.0, 75.0, 90.0, 95.0, 99.0, 99.9, 100.0)
 
 
-@dataclass(frozen=True, slots=True)
-class Latency:
+class Latency(msgspec.Struct, frozen=True):
     """One measure of one service, all members together; ``values_ms`` go with ``PERCENTILES``."""
 
     work_class: str
@@ -28,8 +28,7 @@
     values_ms: tuple[float, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class ServiceReport:
+class ServiceReport(msgspec.Struct, frozen=True):
     """One service: its objectives, the burn of each promise, latencies and counts by time."""
 
     service: str
@@ -39,8 +38,7 @@
     slots: tuple[SlotCounts, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class BurnReport:
+class BurnReport(msgspec.Struct, frozen=True):
     """All services at ``at_s`` (Unix time of the newest metrics).
 
     ``missing`` names VMs that did not answer, whose counts the report lacks.
--- a/src/fescuedock/report/explain.py
+++ b/src/fescuedock/report/explain.py
@@ -5,7 +5,8 @@
 
 import json
 from collections.abc import Iterable, Iterator, Mapping
-from dataclasses import dataclass
+
+import msgspec
 
 __all__ = ["LogLine", "lines_about", "parse_line"]
 
@@ -17,8 +18,7 @@
 _ID_FIELDS = ("request_id", "job_id", "item_id")
 
 
-@dataclass(frozen=True, slots=True)
-class LogLine:
+class LogLine(msgspec.Struct, frozen=True):
     """One event: Unix time in seconds, where, what, and its fields."""
 
     at_s: float
--- a/src/fescuedock/report/metrics.py
+++ b/src/fescuedock/report/metrics.py
@@ -8,8 +8,8 @@
 from bisect import bisect_left
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass
 
+import msgspec
 from hdrh.histogram import HdrHistogram
 
 from fescuedock.clock import UnixClock
@@ -55,8 +55,7 @@
     ITEM = "item"
 
 
-@dataclass(frozen=True, slots=True, order=True)
-class HistogramKey:
+class HistogramKey(msgspec.Struct, frozen=True, order=True):
     """What one histogram is about."""
 
     service: str
--- a/src/fescuedock/report/svg.py
+++ b/src/fescuedock/report/svg.py
@@ -2,9 +2,10 @@
 
 import math
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
 from html import escape
 
+import msgspec
+
 __all__ = ["Axis", "Guide", "Series", "linear_axis", "log_axis", "plot"]
 
 _WIDTH = 640
@@ -17,8 +18,7 @@
 _DOT_RADIUS = 3
 
 
-@dataclass(frozen=True, slots=True)
-class Axis:
+class Axis(msgspec.Struct, frozen=True):
     """One axis: where a value lies between 0 and 1, and the marks with their texts."""
 
     title: str
@@ -26,8 +26,7 @@
     marks: tuple[tuple[float, str], ...]
 
 
-@dataclass(frozen=True, slots=True)
-class Series:
+class Series(msgspec.Struct, frozen=True):
     """One line; it is broken where a value is None.  ``style`` is a class of the page's style."""
 
     name: str
@@ -35,8 +34,7 @@
     points: tuple[tuple[float, float | None], ...]
 
 
-@dataclass(frozen=True, slots=True)
-class Guide:
+class Guide(msgspec.Struct, frozen=True):
     """A dashed line across the plot at one value."""
 
     name: str
--- a/src/fescuedock/settings.py
+++ b/src/fescuedock/settings.py
@@ -4,7 +4,6 @@
 import ipaddress
 import math
 from collections.abc import Callable, Collection, Iterable, Iterator, Mapping
-from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
@@ -80,8 +79,7 @@
 SPOOL_SECTIONS = ("vm", "spool", "agent")
 
 
-@dataclass(frozen=True, slots=True)
-class Settings:
+class Settings(msgspec.Struct, frozen=True):
     """One INI file.  A section that a program does not need may be None."""
 
     vm: VmSettings
@@ -90,14 +88,13 @@
     agent: AgentSettings | None = None
     batch: BatchSettings | None = None
     store: StoreSettings | None = None
-    permits: PermitSettings = field(default_factory=PermitSettings)
-    orders: OrderSettings = field(default_factory=OrderSettings)
+    permits: PermitSettings = msgspec.field(default_factory=PermitSettings)
+    orders: OrderSettings = msgspec.field(default_factory=OrderSettings)
     node: NodeSettings | None = None
     spool: SpoolSettings | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class SettingsProblems:
+class SettingsProblems(msgspec.Struct, frozen=True):
     """Everything that is wrong with one file; ``str()`` gives one line for each problem."""
 
     path: Path
--- a/src/fescuedock/settings_file.py
+++ b/src/fescuedock/settings_file.py
@@ -6,7 +6,6 @@
 
 import signal
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
@@ -23,8 +22,7 @@
 _LOOK_INTERVAL_S = 2.0
 
 
-@dataclass(slots=True)
-class SettingsFile:
+class SettingsFile(msgspec.Struct):
     """A file, the sections that its program needs, and what was last read of it."""
 
     path: Path
--- a/src/fescuedock/store/disk.py
+++ b/src/fescuedock/store/disk.py
@@ -6,15 +6,15 @@
 
 import os
 from collections.abc import Iterator
-from dataclasses import dataclass
 from pathlib import Path
 from typing import Protocol, Self
 
+import msgspec
+
 __all__ = ["Disk", "DiskFile", "FileStatus", "OsDisk"]
 
 
-@dataclass(frozen=True, slots=True)
-class FileStatus:
+class FileStatus(msgspec.Struct, frozen=True):
     """A file as a folder lists it."""
 
     name: str
--- a/src/fescuedock/store/logs.py
+++ b/src/fescuedock/store/logs.py
@@ -6,9 +6,9 @@
 
 import re
 from collections.abc import Sequence
-from dataclasses import dataclass
 from pathlib import Path
 
+import msgspec
 import trio
 from result import Err, Ok, Result
 
@@ -34,8 +34,7 @@
     return _JOB_ID.fullmatch(text) is not None
 
 
-@dataclass(slots=True)
-class _Log:
+class _Log(msgspec.Struct):
     """One log: ``size_bytes`` are written, the first ``synced_bytes`` survive a loss of power."""
 
     size_bytes: int
--- a/src/fescuedock/store/retention.py
+++ b/src/fescuedock/store/retention.py
@@ -5,7 +5,6 @@
 """
 
 from collections.abc import AsyncIterator
-from dataclasses import dataclass
 
 import msgspec
 from result import Err, Ok
@@ -29,8 +28,7 @@
 _FILES_PAGE = 100
 
 
-@dataclass(frozen=True, slots=True)
-class RecordRetention:
+class RecordRetention(msgspec.Struct, frozen=True):
     """Finds and deletes what is older than ``retention_s``."""
 
     kv: KvStore
--- a/src/fescuedock/store/segments.py
+++ b/src/fescuedock/store/segments.py
@@ -8,10 +8,10 @@
 import errno
 import re
 from collections.abc import Callable, Iterable, Iterator
-from dataclasses import dataclass
 from hashlib import sha256
 from pathlib import Path
 
+import msgspec
 from result import Err, Ok, Result
 
 from fescuedock.clock import UnixClock
@@ -31,8 +31,7 @@
 _FULL = (errno.ENOSPC, errno.EDQUOT)
 
 
-@dataclass(slots=True)
-class Usage:
+class Usage(msgspec.Struct):
     """Bytes that the store keeps, against the bound of its settings."""
 
     max_bytes: int
--- a/src/fescuedock/store/service.py
+++ b/src/fescuedock/store/service.py
@@ -1,7 +1,6 @@
 """Answers the messages of a store from its folders."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import msgspec
 from result import Ok, Result
@@ -29,8 +28,7 @@
 __all__ = ["StoreService"]
 
 
-@dataclass(slots=True)
-class StoreService:
+class StoreService(msgspec.Struct):
     """The handler of a store's channel; every message may be repeated."""
 
     segments: SegmentFolder
--- a/tests/builders/load_player.py
+++ b/tests/builders/load_player.py
@@ -440,7 +440,7 @@
                 await grant.revoked.wait()
             if not grant.revoked.is_set():
                 run.last_event += 1
-                grant.count_token()
+                grant.count_tokens()
         self._fleet.end_run(grant.upstream_id)
         end = ItemEnd.INTERRUPTED if run.last_event + 1 < length else ItemEnd.WHOLE
         outcome = AttemptOutcome.REVOKED if end is ItemEnd.INTERRUPTED else AttemptOutcome.COMPLETED
--- a/tests/test_batch_attempts.py
+++ b/tests/test_batch_attempts.py
@@ -27,8 +27,8 @@
     ended: list = field(default_factory=list)
     tokens: int = 0
 
-    def count_token(self) -> None:
-        self.tokens += 1
+    def count_tokens(self, count: int = 1) -> None:
+        self.tokens += count
 
     def end(self, ended) -> None:
         self.ended.append(ended)
--- a/tests/test_heavy_load.py
+++ b/tests/test_heavy_load.py
@@ -2,9 +2,9 @@
 
 import random
 import unittest
-from dataclasses import replace
 
 import trio
+from msgspec.structs import replace
 from trio.testing import MockClock
 
 from fescuedock.core.routing import RoutingPolicy
--- a/tests/test_membership_protocol.py
+++ b/tests/test_membership_protocol.py
@@ -1,11 +1,11 @@
 """Membership: precedence, evidence, replays and strangers, slowness and damping."""
 
 import unittest
-from dataclasses import replace
 
 import msgspec
 from hypothesis import given
 from hypothesis import strategies as st
+from msgspec.structs import replace
 
 from fescuedock.address import Address
 from fescuedock.core.membership.freshness import Freshness, ReplayWindows
--- a/tests/test_net_http.py
+++ b/tests/test_net_http.py
@@ -8,7 +8,12 @@
 
 from fescuedock.address import Address
 from fescuedock.net.http_client import NotSentError, ResponseLostError, open_http_client
-from fescuedock.net.http_server import HttpLimits, Request, Responder
+from fescuedock.net.http_server import (
+    DroppedConnectionError,
+    HttpLimits,
+    Request,
+    Responder,
+)
 from tests.builders.net import echo_body, served
 
 GUARD_S = 20
@@ -98,6 +103,45 @@
 
         self.run_guarded(test)
 
+    def test_parts_of_a_body_that_came_together_are_read_at_once(self) -> None:
+        async def answer(request: Request, responder: Responder) -> None:
+            stream = await responder.begin(200, [])
+            for part in (b"a", b"b", b"c"):
+                await stream.write(part)
+                await trio.sleep(0.01)
+            await responder.end()
+
+        async def test() -> None:
+            async with served(answer) as (_, address), open_http_client() as client:
+                async with client.request(address, "GET", "/") as response:
+                    self.assertEqual(await response.read_some(), b"a")
+                    await trio.sleep(0.3)
+                    self.assertEqual(await response.read_some(), b"bc")
+                    self.assertEqual(await response.read_some(), b"")
+                self.assertTrue(client.has_idle(address))
+
+        self.run_guarded(test)
+
+    def test_what_came_before_a_break_is_read_and_the_next_read_fails(self) -> None:
+        async def answer(request: Request, responder: Responder) -> None:
+            stream = await responder.begin(200, [])
+            await stream.write(b"a")
+            await stream.write(b"b")
+            raise DroppedConnectionError
+
+        async def test() -> None:
+            async with (
+                served(answer) as (_, address),
+                open_http_client() as client,
+                client.request(address, "GET", "/") as response,
+            ):
+                await trio.sleep(0.3)
+                self.assertEqual(await response.read_some(), b"ab")
+                with self.assertRaises(ResponseLostError):
+                    await response.read_some()
+
+        self.run_guarded(test)
+
     def test_a_refused_connection_says_that_nothing_was_sent(self) -> None:
         async def test() -> None:
             listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
--- a/tests/test_online_decisions.py
+++ b/tests/test_online_decisions.py
@@ -2,8 +2,8 @@
 
 import random
 import unittest
-from dataclasses import replace
 
+from msgspec.structs import replace
 from result import Err, Ok
 
 from fescuedock.core.admission import Admission, AdmissionPolicy, RunTimes
--- a/tests/test_online_services.py
+++ b/tests/test_online_services.py
@@ -3,10 +3,10 @@
 import unittest
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import replace
 
 import msgspec
 import trio
+from msgspec.structs import replace
 
 from fescuedock.address import Address
 from fescuedock.entry.claiming import sweep_claims
