--- a/tests/builders/node.py
+++ b/tests/builders/node.py
@@ -210,8 +210,8 @@
         self.register(upstream)
         return upstream
 
-    def register(self, upstream: EventUpstream, state: str = "ready") -> None:
-        entry = worker_entry(str(upstream.address), state=state)
+    def register(self, upstream: EventUpstream, state: str = "ready", **changes: object) -> None:
+        entry = worker_entry(str(upstream.address), state=state, **changes)
         self.store.state.put(f"servers/{upstream.upstream_id}", json.dumps(entry).encode())
 
     def configure(self, document: dict) -> None:
--- a/tests/test_node_online.py
+++ b/tests/test_node_online.py
@@ -1,12 +1,19 @@
 """Online calls through whole nodes: passed on as they came, resumed, refused, never run twice."""
 
+import json
 import unittest
 
 import eliot
 import trio
 
 from fescuedock.platform.standin.event_upstream import UpstreamFault, event_bytes
-from tests.builders.node import NodeFleet, config_document, running_fleet
+from tests.builders.node import (
+    SLOTS,
+    NodeFleet,
+    config_document,
+    running_fleet,
+    worker_entry,
+)
 from tests.builders.standins import run_async
 
 
@@ -56,6 +63,38 @@
 
         self.run_fleet(test)
 
+    def test_an_upstream_that_started_again_holds_nothing_of_its_former_life(self) -> None:
+        async def test(fleet: NodeFleet) -> None:
+            [upstream], [node] = fleet.upstreams, fleet.nodes
+            fleet.register(upstream, born=1_000)
+            await trio.sleep(0.5)
+            upstream.faults += [UpstreamFault(hang_after=2) for _ in range(SLOTS)]
+            async with trio.open_nursery() as nursery:
+                for number in range(SLOTS):
+                    nursery.start_soon(fleet.call, node.front, "POST", f"/check/{number}", b"a")
+                await trio.sleep(0.3)
+                self.assertEqual(upstream.running, SLOTS)
+                fleet.register(upstream, born=2_000)
+                with trio.fail_after(0.7):
+                    answer = await fleet.call(node.front, "POST", "/check/9", b"case")
+                self.assertEqual(answer.body, whole_stream("/check/9", b"case"))
+                nursery.cancel_scope.cancel()
+
+        self.run_fleet(test, upstreams=1)
+
+    def test_an_entry_of_another_writer_costs_the_others_nothing(self) -> None:
+        async def test(fleet: NodeFleet) -> None:
+            odd = (b"\xff\x00", b"{}", json.dumps(worker_entry("x", state="resting")).encode())
+            for number, value in enumerate(odd):
+                fleet.store.state.put(f"servers/odd-{number}", value)
+            await trio.sleep(0.5)
+            for number in range(8):
+                answer = await fleet.call(fleet.nodes[0].front, "POST", f"/check/{number}", b"a")
+                self.assertEqual(answer.status, 200)
+            self.assertEqual(sum(len(item.seen) for item in fleet.upstreams), 8)
+
+        self.run_fleet(test)
+
     def test_a_stream_that_may_run_once_is_broken_off_visibly_and_runs_once(self) -> None:
         async def test(fleet: NodeFleet) -> None:
             for upstream in fleet.upstreams:
