--- a/src/fescuedock/agent/membership_service.py
+++ b/src/fescuedock/agent/membership_service.py
@@ -43,8 +43,9 @@
 _PUBLISH_INTERVAL_MS = 100.0
 _PROFILE_INTERVAL_MS = 250.0
 _MAX_POLL_MS = 30000
-# How long the tick loop sleeps at most: a change of the configuration does not wake it.
-_MAX_SLEEP_MS = 100.0
+# How long the tick loop sleeps at most: a change of the configuration does not wake it.  A tenth of
+# the 2 s in which a change has to be in force.
+_MAX_SLEEP_MS = 200.0
 
 
 class ConfigSource(Protocol):
--- a/src/fescuedock/agent/permit_service.py
+++ b/src/fescuedock/agent/permit_service.py
@@ -200,6 +200,9 @@
         """Read the load of each engine that is ours, one round at a time."""
         while True:
             interval_s = self._settings.permits.load_poll_ms / 1000
+            if not self._owner.owns_any:
+                await self._view.wait_changed(self._view.version)
+                continue
             await trio.sleep(interval_s * self._rng.uniform(0.8, 1.2))
             async with trio.open_nursery() as nursery:
                 for upstream_id in self._owner.owned():
--- a/src/fescuedock/node/fleet.py
+++ b/src/fescuedock/node/fleet.py
@@ -22,7 +22,7 @@
 
 # How long changes of the replicas are waited for: the end of a grace period is none.  Looking every
 # 50 ms instead was a tenth of the wake-ups of a node without work (20 of 220 a second).
-_LOOK_INTERVAL_S = 0.25
+_LOOK_INTERVAL_S = 0.4
 _RETRY_S = 0.5
 _RENEWALS_PER_TTL = 4
 
--- a/src/fescuedock/node/job_runner.py
+++ b/src/fescuedock/node/job_runner.py
@@ -41,6 +41,8 @@
 
 # How often what waits is looked at when nothing has told of it.
 _IDLE_WAIT_S = 0.25
+# The same while no job is open here.
+_NO_JOBS_WAIT_S = 2.0
 _RECONCILE_S = 0.5
 # A route that is missing for so long has been removed, and with it what is left of its jobs.
 _ROUTE_GONE_MS = 2500.0
@@ -379,6 +381,8 @@
 
     def _next_look_s(self) -> float:
         """Return the time until the next item that pauses may start again, within bounds."""
+        if not self._jobs:
+            return _NO_JOBS_WAIT_S
         next_ms = self._pool.next_ready_ms(now_ms())
         return min(max(next_ms - now_ms(), 0.0) / 1000, _IDLE_WAIT_S)
 
--- a/src/fescuedock/node/main.py
+++ b/src/fescuedock/node/main.py
@@ -66,7 +66,8 @@
 
 # The file of the settings where the command line names none.
 _SETTINGS_VARIABLE = "FESCUEDOCK_SETTINGS"
-_HELLO_INTERVAL_S = 0.25
+# Changes of the fleet view and the configuration, which make a node ready, are told at once.
+_HELLO_INTERVAL_S = 1.0
 _STORE_CONNECT_MS = 500
 _STORE_REPORT_S = 10.0
 _SEED_BITS = 128
@@ -403,7 +404,9 @@
     async def _announce(self) -> None:
         while True:
             self._note_programs()
-            await trio.sleep(_HELLO_INTERVAL_S)
+            version = self._view.version
+            with trio.move_on_after(_HELLO_INTERVAL_S):
+                await self._view.wait_changed(version)
 
     def _note_programs(self) -> None:
         """Tell membership what of this node is ready."""
--- a/src/fescuedock/node/replicas.py
+++ b/src/fescuedock/node/replicas.py
@@ -36,6 +36,9 @@
 _STALE_MS = 1500.0
 _NEIGHBOUR_INTERVAL_S = 0.4
 _NEIGHBOUR_TIMEOUT_MS = 400.0
+_FRESH_LOOK_S = 1.0
+# How often others hear within their patience that nothing has changed; two may be lost.
+_NO_NEWS_IN_PATIENCE = 3
 _MAX_AGE_MS = 2**31
 # What news may take beyond the watch that they come from: two of its usual answers and the way.
 _NEWS_MARGIN_MS = 250.0
@@ -67,6 +70,13 @@
         return self.wait_ms + self.pause_ms + _NEWS_MARGIN_MS
 
 
+class _Told(msgspec.Struct, frozen=True):
+    """The revision up to which others were told of a prefix, and when."""
+
+    revision: int
+    at_ms: float
+
+
 class Spread(Protocol):
     """How news go to the nodes of this group."""
 
@@ -103,7 +113,10 @@
         self._spread = spread
         self._rng = rng
         self._changed = trio.Event()
-        self._news = trio.Event()
+        # By prefix, set when news of it come.
+        self._news = {item.prefix: trio.Event() for item in watched}
+        # While this node watches: by prefix, what the others were told last.
+        self._told: dict[str, _Told] = {}
         # Prefixes of which news came that do not follow on from what is known.
         self._behind: set[str] = set()
 
@@ -149,7 +162,7 @@
             if read_whole:
                 fault = await self._read_whole(table)
             else:
-                fault = await self._read_changes(table, watched.wait_ms)
+                fault = await self._read_changes(table, watched)
             if fault is None:
                 read_whole = False
                 self._note_answer()
@@ -168,13 +181,14 @@
         """Wait for news from the node that watches; False when this node has to ask itself."""
         table = self.tables[watched.prefix]
         while not self._spread.watches(watched.prefix):
+            self._told.pop(watched.prefix, None)
             heard_ms = table.confirmed_ms
             left_ms = watched.patience_ms - table.age_ms(now_ms())
             if left_ms <= 0 or table.prefix in self._behind:
                 self._behind.discard(table.prefix)
                 return False
             with trio.move_on_after(min(left_ms / 1000, _DUTY_LOOK_S)):
-                await self._news.wait()
+                await self._news[watched.prefix].wait()
             if table.confirmed_ms > heard_ms:
                 return True
         return False
@@ -199,12 +213,13 @@
         table.replace(entries, revision, asked_ms)
         self._wake_if(table.version != before)
         if self._spread.watches(table.prefix):
+            self._told[table.prefix] = _Told(table.revision, now_ms())
             await self._spread.tell(self._snapshot(table))
         return None
 
-    async def _read_changes(self, table: ReplicaTable, wait_ms: int) -> Fault | None:
+    async def _read_changes(self, table: ReplicaTable, watched: Watched) -> Fault | None:
         before = table.version
-        result = await self._store.changes(table.prefix, table.revision, wait_ms)
+        result = await self._store.changes(table.prefix, table.revision, watched.wait_ms)
         if isinstance(result, Err):
             return result.err_value
         changes = result.ok_value
@@ -212,10 +227,27 @@
         events = table.apply(changes.events, changes.revision, now_ms())
         self._wake_if(table.version != before)
         if self._spread.watches(table.prefix):
-            news = _news_of(table.prefix, from_revision, changes.revision, events)
-            await self._spread.tell(news)
+            await self._tell(table, from_revision, events, watched.patience_ms)
         return None
 
+    async def _tell(
+        self,
+        table: ReplicaTable,
+        from_revision: int,
+        events: Collection[KvEvent],
+        patience_ms: float,
+    ) -> None:
+        """Send news to the others; that there are none, only now and then.
+
+        Upstreams' heartbeats end three watches a second, and each news wakes all of a group.
+        """
+        told = self._told.setdefault(table.prefix, _Told(from_revision, float("-inf")))
+        if not events and now_ms() - told.at_ms < patience_ms / _NO_NEWS_IN_PATIENCE:
+            return
+        news = _news_of(table.prefix, told.revision, table.revision, events)
+        self._told[table.prefix] = _Told(table.revision, now_ms())
+        await self._spread.tell(news)
+
     def _note_answer(self) -> None:
         if self.contact.answered(now_ms()):
             log_event("store_reached")
@@ -239,22 +271,23 @@
         table = self.tables.get(message.prefix)
         if table is None or not table.is_known:
             return
+        self._note_news(message.prefix)
         if message.from_revision > table.revision:
             self._behind.add(message.prefix)
         else:
             before = table.version
             table.apply(_events_of(message), message.revision, now_ms())
             self._wake_if(table.version != before)
-        self._note_news()
 
     async def _on_snapshot(self, message: ReplicaSnapshot, _peer: ServerPeer) -> None:
         self.contact.heard_of(now_ms())
         self._take(message, None)
-        self._note_news()
+        if message.prefix in self._news:
+            self._note_news(message.prefix)
 
-    def _note_news(self) -> None:
-        self._news.set()
-        self._news = trio.Event()
+    def _note_news(self, prefix: str) -> None:
+        self._news[prefix].set()
+        self._news[prefix] = trio.Event()
 
     # --- neighbours ----------------------------------------------------------------------------
 
@@ -263,7 +296,9 @@
             addresses = list(self._neighbours())
             if self._is_stale() and addresses:
                 await self._ask(self._rng.choice(addresses))
-            await trio.sleep(_NEIGHBOUR_INTERVAL_S)
+            # Those that wait hear soon; a fresh table becomes stale in over 2 s.
+            stale = self._is_stale()
+            await trio.sleep(_NEIGHBOUR_INTERVAL_S if stale else _FRESH_LOOK_S)
 
     def _is_stale(self) -> bool:
         return any(
