--- a/src/fescuedock/net/http_client.py
+++ b/src/fescuedock/net/http_client.py
@@ -90,25 +90,26 @@
 
         A stream's events that came together cost one wake-up, not one each.
         """
-        data = self.read_ready()
-        if data or self._ended:
-            return data
-        data = self._take(await self._connection.next_event(head_received=True))
-        return self._with_ready(data) if data else data
+        data = self._take_buffered()
+        while not data and not self._ended:
+            await self._connection.receive()
+            data = self._take_buffered()
+        return data
 
     def read_ready(self) -> bytes:
         """Return what has come of the body by now, without waiting."""
-        return self._with_ready(b"")
+        self._connection.receive_now()
+        return self._take_buffered()
 
-    def _with_ready(self, data: bytes) -> bytes:
-        """Return ``data`` and what has come behind it.
+    def _take_buffered(self) -> bytes:
+        """Return what has been received and not been returned yet.
 
         When the answer breaks off behind something, that is returned, and the next read fails.
         """
-        parts = [data] if data else []
+        parts: list[bytes] = []
         while not self._ended:
             try:
-                event = self._connection.ready_event()
+                event = self._connection.buffered_event()
                 if event is None:
                     break
                 parts.append(self._take(event))
@@ -379,19 +380,29 @@
             except (h11.RemoteProtocolError, OSError) as error:
                 raise ResponseLostError(str(error), head_received=head_received) from error
 
-    def ready_event(self) -> object | None:
-        """Return the next event of an answer's body if it has come, else None."""
+    def buffered_event(self) -> object | None:
+        """Return the next event of an answer's body that has been received, if there is one."""
         try:
             event = self._protocol.next_event()
-            if event is not h11.NEED_DATA:
-                return event
+        except h11.RemoteProtocolError as error:
+            raise ResponseLostError(str(error), head_received=True) from error
+        return None if event is h11.NEED_DATA else event
+
+    async def receive(self) -> None:
+        """Wait for more of an answer's body; the events are then buffered."""
+        try:
+            self._protocol.receive_data(await self._receive())
+        except (h11.RemoteProtocolError, OSError) as error:
+            raise ResponseLostError(str(error), head_received=True) from error
+
+    def receive_now(self) -> None:
+        """Receive what has come of an answer's body, if anything has."""
+        try:
             self._protocol.receive_data(os.read(self._stream.socket.fileno(), _RECEIVE_BYTES))
-            event = self._protocol.next_event()
         except BlockingIOError:
-            return None
+            return
         except (h11.RemoteProtocolError, OSError) as error:
             raise ResponseLostError(str(error), head_received=True) from error
-        return None if event is h11.NEED_DATA else event
 
     async def _receive(self) -> bytes:
         """Wait for bytes first and read then: a stream's next token is seldom there already."""
