--- a/src/fescuedock/agent/permit_client.py
+++ b/src/fescuedock/agent/permit_client.py
@@ -138,7 +138,7 @@
                 channel = await self._channel_of(ask.upstream_id)
                 if channel is None:
                     answered = True
-                    return Err(_no_owner(ask.upstream_id))
+                    return Err(self._no_owner(ask.upstream_id))
                 reply = await channel.call(ask, timeout_ms)
                 answered = reply.is_ok()
                 return reply.and_then(lambda found: self._settle(ask, found, sent_ms))
@@ -181,6 +181,12 @@
             return None
         return await self._channels.get(Address(owner.host, owner.agent_port))
 
+    def _no_owner(self, upstream_id: str) -> Fault:
+        # One that has gone since it was chosen says nothing against the node that owned it.
+        known = upstream_id in self._view.upstreams
+        code = ResultCode.PEER_UNREACHABLE if known else ResultCode.NOT_OWNER
+        return Fault(code, f"no owner is known for {upstream_id!r}")
+
     def _settle(self, ask: PermitAsk, reply: PermitReply, sent_ms: float) -> Result[Grant, Fault]:
         code = ResultCode(reply.code)
         if code is not ResultCode.NOT_OWNER:
@@ -275,10 +281,6 @@
                 channel.push(PermitsEnded(self.holder_id, group))
 
 
-def _no_owner(upstream_id: str) -> Fault:
-    return Fault(ResultCode.PEER_UNREACHABLE, f"no owner is known for {upstream_id!r}")
-
-
 @asynccontextmanager
 async def open_permit_client(
     settings: Settings, codec: Codec, view: "FleetView", holder_id: str
--- a/tests/test_permits_service.py
+++ b/tests/test_permits_service.py
@@ -3,6 +3,7 @@
 import unittest
 from unittest import mock
 
+import msgspec
 import trio
 from result import Err, Ok
 
@@ -153,6 +154,16 @@
 
         _run(run)
 
+    def test_an_ask_for_an_upstream_that_has_gone_is_no_silence_of_its_owner(self) -> None:
+        async def run() -> None:
+            async with served_owner() as owner:
+                gone = msgspec.structs.replace(ask_for(), upstream_id="gone")
+                refused = await owner.client.ask(gone, TIMEOUT_MS)
+                self.assertIs(_code(refused), ResultCode.NOT_OWNER)
+                self.assertNotIn("gone", owner.client.loads)
+
+        _run(run)
+
     def test_an_engine_that_refuses_connections_is_taken_out(self) -> None:
         async def run() -> None:
             async with served_owner() as owner:
