--- a/src/fescuedock/node/fleet.py
+++ b/src/fescuedock/node/fleet.py
@@ -67,7 +67,8 @@
         self._listing = UpstreamListing()
         self._last = ListedFleet()
         self._seen: tuple[int, int, int, bool] | None = None
-        self._decoded: dict[str, tuple[int, ListedVm]] = {}
+        # By key, its revision and the node that it names; None where it cannot be read.
+        self._decoded: dict[str, tuple[int, ListedVm | None]] = {}
 
     async def read(self) -> Result[VmList, Fault]:
         """See ``VmListSource.read``."""
@@ -117,20 +118,20 @@
 
     def _listed_nodes(self) -> tuple[ListedVm, ...]:
         """Return the nodes that are registered; each record is decoded once."""
-        decoded: dict[str, tuple[int, ListedVm]] = {}
+        decoded: dict[str, tuple[int, ListedVm | None]] = {}
         for key, entry in self._nodes.entries.items():
             if not key.startswith(self._nodes_prefix):
                 continue
-            revision, listed = self._decoded.get(key, (-1, None))
-            if listed is None or revision != entry.mod_revision:
-                listed = _listed_node(entry)
-            if listed is not None:
-                decoded[key] = (entry.mod_revision, listed)
+            known = self._decoded.get(key)
+            if known is None or known[0] != entry.mod_revision:
+                known = (entry.mod_revision, _listed_node(entry))
+            decoded[key] = known
         self._decoded = decoded
-        return tuple(listed for _, listed in decoded.values())
+        return tuple(listed for _, listed in decoded.values() if listed is not None)
 
 
 def _listed_node(entry: KvEntry) -> ListedVm | None:
+    """Decode a node's record; None, with a line in the log, when it is not one of ours."""
     try:
         record = msgspec.msgpack.decode(entry.value, type=NodeRecord)
     except msgspec.DecodeError as error:
--- a/src/fescuedock/node/health_probe.py
+++ b/src/fescuedock/node/health_probe.py
@@ -8,7 +8,7 @@
 from fescuedock.net.http_client import HttpClient, NotSentError, ResponseLostError
 from fescuedock.node.configuration import NodeConfiguration
 from fescuedock.platform.calls import HEALTH_ID_HEADER
-from fescuedock.platform.records import worker_id
+from fescuedock.platform.records import registered_id
 from fescuedock.schema.config import Configuration
 from fescuedock.schema.permits import AttemptOutcome
 from fescuedock.schema.view import UpstreamRecord
@@ -40,7 +40,7 @@
         async with http.request(address, "GET", path) as answer:
             await answer.read()
             named = answer.headers.get(HEALTH_ID_HEADER, "")
-            is_same = named in ("", worker_id(upstream.upstream_id))
+            is_same = named in ("", registered_id(upstream.upstream_id))
             healthy = answer.status == 200 and is_same
             return AttemptOutcome.COMPLETED if healthy else AttemptOutcome.SERVER_ERROR
     except NotSentError:
--- a/src/fescuedock/platform/calls.py
+++ b/src/fescuedock/platform/calls.py
@@ -5,7 +5,7 @@
 from fescuedock.core.forwarding.calls import AnswerHead, CallHead
 from fescuedock.faults import Fault
 from fescuedock.net.http_messages import HOP_HEADERS, Headers
-from fescuedock.platform.records import worker_id
+from fescuedock.platform.records import registered_id
 
 __all__ = [
     "HEALTH_ID_HEADER",
@@ -62,7 +62,7 @@
     """
     passed = _without_hops(headers, _REPLACED)
     passed.append((_DEADLINE, str(max(int(left_ms), 1))))
-    passed.append((_EXPECTED_UPSTREAM, worker_id(upstream_id)))
+    passed.append((_EXPECTED_UPSTREAM, registered_id(upstream_id)))
     if last_event >= 0:
         passed.append((_LAST_EVENT, str(last_event)))
     return passed
@@ -74,7 +74,7 @@
     """Return the headers of a batch item for one attempt at ``upstream_id``."""
     fields = [(name.lower(), value) for name, value in headers]
     passed = _without_hops(fields, _REPLACED | {_REQUEST_ID})
-    passed += [(_REQUEST_ID, item_id), (_EXPECTED_UPSTREAM, worker_id(upstream_id))]
+    passed += [(_REQUEST_ID, item_id), (_EXPECTED_UPSTREAM, registered_id(upstream_id))]
     if last_event >= 0:
         passed.append((_LAST_EVENT, str(last_event)))
     return passed
--- a/src/fescuedock/platform/records.py
+++ b/src/fescuedock/platform/records.py
@@ -27,7 +27,7 @@
     "read_upstream",
     "retired_node",
     "retirement_status_key",
-    "worker_id",
+    "registered_id",
 ]
 
 OPERATOR_PREFIX = "op/"
@@ -131,13 +131,13 @@
 def read_upstream(key: str, value: bytes, region: str) -> Result[UpstreamRecord, str]:
     """Decode the entry that a worker wrote at ``key``.
 
-    The identity names one life of the worker: one that starts again holds and knows nothing of
-    before, so nothing that was learned of its former life may be believed of it.
+    The identity names one incarnation of the worker: one that was restarted has neither the work
+    nor the cached prompts of before, so what was learned of it must not be used any more.
     """
     try:
         server = msgspec.json.decode(value, type=_Server)
         host, port = _host_and_port(server.address)
-        upstream_id = _life(key.removeprefix(UPSTREAM_PREFIX), server.born)
+        upstream_id = _incarnation_id(key.removeprefix(UPSTREAM_PREFIX), server.born)
     except (msgspec.DecodeError, ValueError, RecursionError) as error:
         return Err(f"{key} cannot be read: {error}")
     return Ok(
@@ -167,12 +167,12 @@
     return first == second
 
 
-def worker_id(upstream_id: str) -> str:
-    """Return the worker's own identity, under which it checks what is meant for it."""
+def registered_id(upstream_id: str) -> str:
+    """Return the identity that an upstream registered under, which it checks requests by."""
     return upstream_id.partition(_BORN)[0]
 
 
-def _life(name: str, born: int) -> str:
+def _incarnation_id(name: str, born: int) -> str:
     if not name or _BORN in name:
         raise ValueError(f"{name!r} is no identity")
     return f"{name}{_BORN}{born}" if born else name
--- a/tests/test_node_list.py
+++ b/tests/test_node_list.py
@@ -1,12 +1,14 @@
 """The node's list of its fleet, made from its replicas: the same object while it says the same."""
 
 import unittest
+from unittest.mock import patch
 
 import trio
 
 from fescuedock.core.replica_table import ReplicaTable
 from fescuedock.core.store_contact import StoreContact
 from fescuedock.kv import KvEntry
+from fescuedock.node import fleet
 from fescuedock.node.fleet import NodeList
 from fescuedock.schema.view import UpstreamKind, UpstreamRecord
 from tests.builders.standins import run_async
@@ -67,6 +69,22 @@
 
         run_async(run)
 
+    def test_a_node_s_record_that_cannot_be_read_names_none_and_is_logged_once(self) -> None:
+        logged: list[str] = []
+
+        def log(name: str, **_fields: object) -> None:
+            logged.append(name)
+
+        async def run() -> None:
+            self.nodes.note(KvEntry("live/odd", b"\xff", 2))
+            for revision in (3, 4):
+                self.put(b"ready:1", revision)
+                self.assertEqual((await self.list.read()).ok_value.vms, ())
+
+        with patch.object(fleet, "log_event", log):
+            run_async(run)
+        self.assertEqual(logged.count("node_unreadable"), 1)
+
     def test_a_change_is_due_at_once_and_the_end_of_a_grace_period_soon(self) -> None:
         async def run() -> None:
             began_s = trio.current_time()
--- a/tests/test_node_online.py
+++ b/tests/test_node_online.py
@@ -63,7 +63,7 @@
 
         self.run_fleet(test)
 
-    def test_an_upstream_that_started_again_holds_nothing_of_its_former_life(self) -> None:
+    def test_a_restarted_upstream_is_not_held_for_what_it_was(self) -> None:
         async def test(fleet: NodeFleet) -> None:
             [upstream], [node] = fleet.upstreams, fleet.nodes
             fleet.register(upstream, born=1_000)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -81,7 +81,7 @@
         )
         self.assertEqual(len({first.upstream_id, second.upstream_id, unborn.upstream_id}), 3)
         for record in (first, second, unborn):
-            self.assertEqual(records.worker_id(record.upstream_id), "i-1")
+            self.assertEqual(records.registered_id(record.upstream_id), "i-1")
             headers = dict(
                 calls.upstream_headers(
                     [], left_ms=1.0, upstream_id=record.upstream_id, last_event=-1
--- a/tests/test_upstream_entries.py
+++ b/tests/test_upstream_entries.py
@@ -59,7 +59,7 @@
         self.put_worker("plain", 1, slots=0)
         self.assertEqual(self.entries.read(self.table)["plain"].slots, 5)
 
-    def test_an_upstream_that_started_again_replaces_its_former_life(self) -> None:
+    def test_a_restarted_upstream_replaces_its_former_incarnation(self) -> None:
         self.put_worker("same", 1, born=1000)
         before = self.entries.read(self.table)
         self.put_worker("same", 2, born=2000)
