--- a/tests/test_net_http.py
+++ b/tests/test_net_http.py
@@ -142,6 +142,17 @@
 
         self.run_guarded(test)
 
+    def test_what_is_kept_to_a_server_that_has_gone_can_be_dropped(self) -> None:
+        async def test() -> None:
+            async with served(echo_body) as (_, address), open_http_client() as client:
+                async with client.request(address, "POST", "/", (), b"a") as response:
+                    await response.read()
+                self.assertTrue(client.has_idle(address))
+                client.drop_idle(address)
+                self.assertFalse(client.has_idle(address))
+
+        self.run_guarded(test)
+
     def test_a_refused_connection_says_that_nothing_was_sent(self) -> None:
         async def test() -> None:
             listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
