--- a/tests/test_permit_search.py
+++ b/tests/test_permit_search.py
@@ -4,7 +4,7 @@
 import unittest
 from dataclasses import dataclass, field
 
-from result import Ok
+from result import Err, Ok
 
 from fescuedock.agent.link import FleetView
 from fescuedock.agent.permit_client import TimedLoad
@@ -13,9 +13,10 @@
 from fescuedock.core.route_learning import AskTimeout, DomainLatency, PrefillModel, SilentOwners
 from fescuedock.core.routing import Demand, RoutingPolicy
 from fescuedock.entry.online_permits import find_permit
+from fescuedock.faults import Fault
 from fescuedock.schema.permits import LoadSnapshot, PermitAsk
 from fescuedock.schema.result_codes import ResultCode
-from fescuedock.schema.view import UpstreamKind, UpstreamRecord
+from fescuedock.schema.view import Program, UpstreamKind, UpstreamRecord, VmRecord, VmState
 from tests.builders.standins import run_async
 
 UPSTREAM = "u-1"
@@ -101,6 +102,57 @@
         return self.target_ms
 
 
+class MovedPermits(StubPermits):
+    """Refuses the first asks with ``code``; grants from then on."""
+
+    def __init__(self, code: ResultCode, refusals: int) -> None:
+        super().__init__()
+        self._code = code
+        self._refusals = refusals
+
+    async def ask(self, ask: PermitAsk, timeout_ms: float) -> Ok | Err:
+        if len(self.asked) < self._refusals:
+            self.asked.append(ask)
+            return Err(Fault(self._code, "refused"))
+        return await super().ask(ask, timeout_ms)
+
+
+class MovedUpstreamTest(unittest.TestCase):
+    """The node that is asked does not own the upstream any more, or not yet."""
+
+    def search(self, code: ResultCode) -> tuple[StubSearch, object]:
+        found = []
+
+        async def run() -> None:
+            state = StubSearch()
+            owner = VmRecord(
+                vm_id="node-2",
+                region="r",
+                failure_domain="d",
+                host="127.0.0.1",
+                incarnation=1,
+                state=VmState.ALIVE,
+                agent_port=1,
+                ready=[Program.AGENT],
+            )
+            state.view.replace(2, [owner], list(state.view.upstreams.values()), 0.0)
+            state.permits = MovedPermits(code, refusals=3)
+            result = await find_permit(state, StubCall(target_ms=500))
+            found.append((state, result, state.silent.is_silent("node-2", now_ms())))
+
+        run_async(run)
+        return found[0]
+
+    def test_the_call_asks_again_and_the_node_does_not_count_as_silent(self) -> None:
+        _, result, silent = self.search(ResultCode.NOT_OWNER)
+        self.assertTrue(result.is_ok())
+        self.assertFalse(silent)
+
+    def test_a_node_that_does_not_answer_counts_as_silent(self) -> None:
+        _, _, silent = self.search(ResultCode.PEER_UNKNOWN)
+        self.assertTrue(silent)
+
+
 class LongQueueTest(unittest.TestCase):
     """The queue of the only upstream is longer than the time that the call has left."""
 
