Let one place decide whether work of a job may begin, by the newest record that the node knows

Cause: the decision to begin rested on the record that a job was taken in with. A submission that came again, a neighbour's and a claim were not looked at again before items began, and a record that nobody had confirmed for any time still counted. Change: core/stored_jobs/work_gate.py judges each beginning (ended, listed, owned by this process, leaving, confirmed in time); JobRunner offers items of no other jobs, takes in no job that it refuses, and drops what it refuses for good. Neighbours that know the same say how old that is, and are asked 0.8 s sooner; a leaving node accepts nothing for others; dropping a job that was replaced meanwhile no longer drops its successor; the bound of the platform is in the settings. Ruled out: stopping at every outage of the store (a test shows that items go on while neighbours know no more either).

--- a/src/fescuedock/core/replica_table.py
+++ b/src/fescuedock/core/replica_table.py
@@ -84,13 +84,17 @@
             return False
         return self.is_heartbeat(known.value, event.entry.value)
 
+    def confirm(self, confirmed_ms: float) -> None:
+        """Take word that what this table held at ``confirmed_ms`` was all there was."""
+        self.confirmed_ms = max(self.confirmed_ms, confirmed_ms)
+
     def note(self, entry: KvEntry) -> None:
         """Take a single key that this node has itself written or read."""
         self._put(entry)
 
     def _confirm(self, revision: int, confirmed_ms: float) -> None:
         self.revision = max(self.revision, revision)
-        self.confirmed_ms = max(self.confirmed_ms, confirmed_ms)
+        self.confirm(confirmed_ms)
         if len(self._removed) > len(self.entries) + _MOST_REMOVED:
             self._forget_removed()
 
--- a/src/fescuedock/core/stored_jobs/ownership.py
+++ b/src/fescuedock/core/stored_jobs/ownership.py
@@ -78,12 +78,10 @@
     ``takers`` are the nodes that take jobs, this one included unless it is ``leaving``.  A node
     that was restarted claims its own jobs anew; others leave them to it unless it is gone.
     """
-    if not is_open(record):
+    if leaving or not is_open(record):
         return Duty.NONE
     if own.owns(record):
         return Duty.RUN
-    if leaving:
-        return Duty.NONE
     if record.owner_id == own.node_id:
         return Duty.CLAIM
     if record.owner_id and not owner_gone:
--- a/src/fescuedock/node/job_acceptance.py
+++ b/src/fescuedock/node/job_acceptance.py
@@ -41,7 +41,10 @@
 
 
 class JobAcceptance(msgspec.Struct):
-    """What accepting needs; ``neighbours`` gives the nodes that may be asked."""
+    """What accepting needs; ``neighbours`` gives the nodes that may be asked.
+
+    ``is_leaving`` says whether this node is about to stop and takes no job for others.
+    """
 
     store: JobStore
     replicas: Replicas
@@ -51,6 +54,7 @@
     on_accepted: OnAccepted
     rng: random.Random
     spools: Spools
+    is_leaving: Callable[[], bool]
 
     def handlers(self) -> dict[type[msgspec.Struct], CallHandler]:
         """Handlers by message type, to be merged with those of other services."""
@@ -74,7 +78,7 @@
 
     async def _on_accept_job(self, message: AcceptJob, _peer: ServerPeer) -> AcceptJobReply:
         """Accept a job for a neighbour, and own it."""
-        if self.replicas.contact.is_away(now_ms()):
+        if self.is_leaving() or self.replicas.contact.is_away(now_ms()):
             return AcceptJobReply(ResultCode.KV_UNAVAILABLE)
         record = msgspec.structs.replace(
             message.record, owner_id=self.owner.node_id, owner_boot=self.owner.boot
--- a/src/fescuedock/node/job_calls.py
+++ b/src/fescuedock/node/job_calls.py
@@ -248,7 +248,10 @@
         """End a job in the store; one that may still have to get there can't be ended yet."""
         for _ in range(2):
             ended = await self.store.end(job_id)
-            if isinstance(ended, Err) or ended.ok_value is not None:
+            if isinstance(ended, Err):
+                return ended
+            if ended.ok_value is not None:
+                self.replicas.note(self.store.keys.live, ended.ok_value.entry(self.store.keys))
                 return ended
             if await self.spools.may_hold(job_id):
                 return Err(_unsure("the job may still have to be stored", self.retry_after_ms))
--- a/src/fescuedock/node/job_runner.py
+++ b/src/fescuedock/node/job_runner.py
@@ -23,7 +23,7 @@
 )
 from fescuedock.core.stored_jobs.pool import ItemPool
 from fescuedock.core.stored_jobs.urgency import ItemChoice
-from fescuedock.kv import KvEntry
+from fescuedock.core.stored_jobs.work_gate import KnownRecords, WorkRefusal, refusal_of
 from fescuedock.log import log_event
 from fescuedock.net.http_client import HttpClient
 from fescuedock.node.configuration import NodeConfiguration
@@ -101,6 +101,7 @@
         self._store = store
         self._cache = cache
         self._replicas = replicas
+        self._table = replicas.tables[store.keys.live]
         self._configuration = configuration
         self._view = view
         self._permits = permits
@@ -116,6 +117,8 @@
         self._asker = ItemAsker(
             settings, view, permits, rng, self._waiting, self._choose, self._use
         )
+        # Whether jobs wait for news of their records.
+        self._held = False
         self._nursery: trio.Nursery | None = None
         self.leaving = False
 
@@ -158,26 +161,21 @@
                 await self._replicas.wait_changed(seen)
 
     def _reconcile(self) -> None:
-        table = self._replicas.tables[self._store.keys.live]
         takers = {vm.vm_id for vm in self._view.live_vms(Program.BATCH)}
         if not self.leaving:
             takers.add(self._owner.node_id)
         present = {*self._view.vms, self._owner.node_id}
         self._missing.note(present, now_ms())
-        for key, entry in list(table.entries.items()):
+        for job in list(self._jobs.values()):
+            self._let_go_if_refused(job)
+        for key, entry in list(self._table.entries.items()):
             if key.startswith(self._store.keys.records):
                 self._look_at(decode_record(entry), takers, present)
+        self._note_held()
 
     def _look_at(self, found: VersionedRecord, takers: set[str], present: set[str]) -> None:
         record = found.record
-        job = self._jobs.get(record.job_id)
-        if job is not None:
-            if found.revision > job.versioned.revision and not self._owner.owns(record):
-                self._drop(job, "another node owns it")
-            elif record.ended:
-                self._drop(job, "its client ended it")
-            return
-        if not is_open(record):
+        if record.job_id in self._jobs or not is_open(record):
             return
         gone = self._missing.is_gone(record.owner_id, present, now_ms())
         duty = duty_of(record, self._owner, takers, owner_gone=gone, leaving=self.leaving)
@@ -185,6 +183,25 @@
             self._claiming.add(record.job_id)
             self._nursery.start_soon(self._claim, found, duty)
 
+    def _let_go_if_refused(self, job: OwnedJob) -> None:
+        refusal = self._refusal(job.run.job_id)
+        # What is all listed goes with its last commit, which counts it.
+        if refusal is not None and refusal.is_final and refusal is not WorkRefusal.LISTED:
+            self._drop(job, refusal.value)
+
+    def _note_held(self) -> None:
+        """Log when jobs begin, or cease, to wait for news of their records."""
+        refusals = [self._refusal(job_id) for job_id in self._jobs]
+        held = refusals.count(WorkRefusal.UNCONFIRMED)
+        if bool(held) == self._held:
+            return
+        self._held = bool(held)
+        log_event(
+            "work_held" if held else "work_goes_on",
+            jobs=held,
+            records_age_ms=self._records_age_ms(),
+        )
+
     async def _claim(self, found: VersionedRecord, duty: Duty) -> None:
         try:
             claimed = await (
@@ -232,6 +249,10 @@
 
     def _start(self, stored: VersionedRecord, loaded: LoadedJob, way: str) -> None:
         record = stored.record
+        refusal = self._refusal(record.job_id)
+        if refusal is not None and refusal is not WorkRefusal.UNCONFIRMED:
+            log_event("job_not_started", job_id=record.job_id, way=way, reason=refusal.value)
+            return
         log_event(
             "job_started",
             job_id=record.job_id,
@@ -264,8 +285,9 @@
 
     def _drop(self, job: OwnedJob, reason: str) -> None:
         """Cancel what runs of a job that is no longer ours."""
-        if self._jobs.pop(job.run.job_id, None) is None:
+        if self._jobs.get(job.run.job_id) is not job:
             return
+        del self._jobs[job.run.job_id]
         log_event("job_dropped", job_id=job.run.job_id, reason=reason, listed=job.run.listed_count)
         job.let_go.set()
         job.wake()
@@ -372,27 +394,48 @@
 
     def _records_age_ms(self) -> float:
         """Return the time since the jobs' records here were known to be current."""
-        age_ms = self._replicas.tables[self._store.keys.live].age_ms(now_ms())
-        return round(min(age_ms, _LONG_AGO_MS))
+        return round(min(self._table.age_ms(now_ms()), _LONG_AGO_MS))
 
     def _note(self, stored: VersionedRecord) -> None:
-        key = self._store.keys.record(stored.record.job_id)
-        value = msgspec.msgpack.encode(stored.record)
-        self._replicas.note(self._store.keys.live, KvEntry(key, value, stored.revision))
+        self._replicas.note(self._store.keys.live, stored.entry(self._store.keys))
 
     # --- items -----------------------------------------------------------------------------------
 
     def _running_jobs(self) -> Iterator[StoredJob]:
-        return (job.run for job in self._jobs.values() if not job.stopped)
+        """Yield the jobs of which an item may begin now; all that begins is chosen among these."""
+        known = self._known_records()
+        return (
+            job.run
+            for job in self._jobs.values()
+            if not job.stopped and self._refusal(job.run.job_id, known) is None
+        )
+
+    def _refusal(self, job_id: str, known: KnownRecords | None = None) -> WorkRefusal | None:
+        """Return why no work of a job may begin here now, or None when it may.
+
+        Judged by the newest record heard of, not by the one that the job was taken in with: an end
+        may have overtaken that on any way into this node.
+        """
+        entry = self._table.entries.get(self._store.keys.record(job_id))
+        return refusal_of(
+            None if entry is None else decode_record(entry).record,
+            self._owner,
+            known or self._known_records(),
+            end_bound_ms=self._settings.end_bound_ms,
+            leaving=self.leaving,
+        )
+
+    def _known_records(self) -> KnownRecords:
+        away = self._replicas.contact.is_away(now_ms())
+        agreed_age_ms = self._replicas.agreed_age_ms() if away else float("inf")
+        return KnownRecords(self._table.age_ms(now_ms()), away, agreed_age_ms)
 
     def _serves(self, record: StoredJobRecord, service: str) -> bool:
         route = self._route_of(record)
         return route is not None and route.allows(service)
 
     def _waiting(self) -> Mapping[str, int]:
-        """Count the items that could start now, by service; none while this node leaves."""
-        if self.leaving:
-            return {}
+        """Count the items that could start now, by service."""
         services = {item.service for item in self._view.upstreams.values()}
         return self._pool.waiting(services, now_ms())
 
--- a/src/fescuedock/node/job_store.py
+++ b/src/fescuedock/node/job_store.py
@@ -46,6 +46,11 @@
     record: StoredJobRecord
     revision: int
 
+    def entry(self, keys: JobKeys) -> KvEntry:
+        """Return what lies in the service."""
+        key = keys.record(self.record.job_id)
+        return KvEntry(key, msgspec.msgpack.encode(self.record), self.revision)
+
 
 class LoadedJob(msgspec.Struct, frozen=True):
     """All that is stored of a job."""
--- a/src/fescuedock/node/main.py
+++ b/src/fescuedock/node/main.py
@@ -243,6 +243,7 @@
             self._runner.accept,
             self._rng,
             spools,
+            lambda: self.front.leaving,
         )
         self._owner_reads = OwnerReads(
             cache,
--- a/src/fescuedock/node/replicas.py
+++ b/src/fescuedock/node/replicas.py
@@ -5,6 +5,7 @@
 the loop goes on trying and neighbours that know more are asked instead.
 """
 
+import math
 import random
 from collections.abc import Awaitable, Callable, Collection, Mapping
 from typing import Protocol
@@ -32,11 +33,14 @@
 
 __all__ = ["CallNeighbour", "Replicas", "Spread", "StoreReader", "Watched"]
 
-# A table this old is asked of a neighbour: two held watches have failed by then.
-_STALE_MS = 1500.0
+# A table so much older than a watch is held is asked of a neighbour: longer than a node goes
+# without news when all is well (a pause of 300 ms and the way), and early enough for two neighbours
+# to answer before work stops for want of news.
+_STALE_MS = 700.0
 _NEIGHBOUR_INTERVAL_S = 0.4
 _NEIGHBOUR_TIMEOUT_MS = 400.0
-_FRESH_LOOK_S = 1.0
+# Between two looks at least, however soon a table may become stale.
+_LEAST_LOOK_S = 0.1
 _MAX_AGE_MS = 2**31
 # What news may take beyond the watch that they come from: two of its usual answers and the way.
 _NEWS_MARGIN_MS = 250.0
@@ -110,6 +114,8 @@
         self._news = {item.prefix: trio.Event() for item in watched}
         # Prefixes of which news came that do not follow on from what is known.
         self._behind: set[str] = set()
+        # When last a neighbour that was asked had told all that it knew.
+        self._agreed_ms = float("-inf")
 
     def handlers(self) -> dict[type[msgspec.Struct], CallHandler]:
         """Handlers by message type, to be merged with those of other services."""
@@ -268,25 +274,35 @@
     async def _ask_neighbours(self) -> None:
         while True:
             addresses = list(self._neighbours())
-            if self._is_stale() and addresses:
+            if self._fresh_ms() <= 0 and addresses:
                 await self._ask(self._rng.choice(addresses))
-            # Those that wait hear soon; a fresh table becomes stale in over 2 s.
-            stale = self._is_stale()
-            await trio.sleep(_NEIGHBOUR_INTERVAL_S if stale else _FRESH_LOOK_S)
+            fresh_s = self._fresh_ms() / 1000
+            await trio.sleep(_NEIGHBOUR_INTERVAL_S if fresh_s <= 0 else max(fresh_s, _LEAST_LOOK_S))
 
-    def _is_stale(self) -> bool:
-        return any(
-            table.age_ms(now_ms()) > item.wait_ms + _STALE_MS
+    def _fresh_ms(self) -> float:
+        """Return the time until a table becomes stale; 0 or less when one is."""
+        return min(
+            item.wait_ms + _STALE_MS - self.tables[item.prefix].age_ms(now_ms())
             for item in self._watched
-            if (table := self.tables[item.prefix])
         )
 
+    def agreed_age_ms(self) -> float:
+        """Return the time since a neighbour that was asked knew nothing newer; 0 without any.
+
+        Neighbours are asked only while a table here is stale.
+        """
+        return now_ms() - self._agreed_ms if self._neighbours() else 0.0
+
     async def _ask(self, address: Address) -> None:
         request = ReplicaRequest({name: table.revision for name, table in self.tables.items()})
         match await self._call_neighbour(address, request, _NEIGHBOUR_TIMEOUT_MS):
             case Ok(ReplicaReply() as reply):
                 for snapshot in reply.snapshots:
                     self._take(snapshot, address)
+                for prefix, age_ms in reply.ages_ms.items():
+                    if prefix in self.tables:
+                        self.tables[prefix].confirm(now_ms() - age_ms)
+                self._agreed_ms = now_ms()
 
     def _take(self, snapshot: ReplicaSnapshot, source: Address | None) -> None:
         table = self.tables.get(snapshot.prefix)
@@ -306,12 +322,18 @@
             self._wake()
 
     async def _on_request(self, message: ReplicaRequest, _peer: ServerPeer) -> ReplicaReply:
+        asked = [
+            (table, revision)
+            for name, revision in message.revisions.items()
+            if (table := self.tables.get(name)) is not None and table.is_known
+        ]
         return ReplicaReply(
-            [
-                self._snapshot(table)
-                for name, revision in message.revisions.items()
-                if (table := self.tables.get(name)) is not None and table.revision > revision
-            ]
+            [self._snapshot(table) for table, revision in asked if table.revision > revision],
+            {
+                table.prefix: _age_ms(table)
+                for table, revision in asked
+                if table.revision == revision
+            },
         )
 
     def _snapshot(self, table: ReplicaTable) -> ReplicaSnapshot:
@@ -319,8 +341,12 @@
             ReplicaEntry(entry.key, entry.mod_revision, entry.value)
             for entry in table.entries.values()
         ]
-        age_ms = min(table.age_ms(now_ms()), _MAX_AGE_MS)
-        return ReplicaSnapshot(table.prefix, table.revision, int(age_ms), entries)
+        return ReplicaSnapshot(table.prefix, table.revision, _age_ms(table), entries)
+
+
+def _age_ms(table: ReplicaTable) -> int:
+    """Return a table's age for a message, rounded up."""
+    return math.ceil(min(table.age_ms(now_ms()), _MAX_AGE_MS))
 
 
 def _news_of(
--- a/src/fescuedock/schema/replicas.py
+++ b/src/fescuedock/schema/replicas.py
@@ -7,7 +7,7 @@
 
 from typing import Annotated
 
-from msgspec import Meta
+from msgspec import Meta, field
 
 from fescuedock.schema.wire import WireStruct
 
@@ -44,6 +44,12 @@
 
 class ReplicaReply(WireStruct):
     snapshots: list[ReplicaSnapshot]
+    ages_ms: Annotated[
+        dict[str, int],
+        Meta(
+            description="Of the prefixes that the caller knows as well as the sender: since the sender knew that to be current."
+        ),
+    ] = field(default_factory=dict)
 
 
 class ReplicaNews(WireStruct):
--- a/src/fescuedock/schema/settings.py
+++ b/src/fescuedock/schema/settings.py
@@ -599,6 +599,13 @@
             ge=1024,
         ),
     ] = 524288
+    end_bound_ms: Annotated[
+        int,
+        Meta(
+            description="How long after the acknowledged end of a job an item of it may still begin; a node that nobody has told anything for nearly as long begins none.",
+            ge=1500,
+        ),
+    ] = 3000
     spool_losses: Annotated[
         int,
         Meta(
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -24,6 +24,7 @@
     "platform.valueBytes": "1048576",
     "seeds": "10.1.0.10:8166,10.2.0.40:8166",
     "bounds.graceS": "8",
+    "bounds.cancelMs": "2500",
     "internalPorts.0": "7720",
     "dataDir": "/data",
     "faultTolerance.machines": "2",
@@ -37,9 +38,15 @@
     return module
 
 
-def rendered(template: str, folder: str) -> Path:
+def rendered(template: str, folder: str, fields: dict[str, str] = FIELDS) -> Path:
+    """Render a template; a section is there only if its value is."""
+
+    def section(found: re.Match) -> str:
+        return found[2].replace("{{.}}", fields[found[1]]) if found[1] in fields else ""
+
     text = (ROOT / "deploy" / template).read_text(encoding="utf-8")
-    text = re.sub(r"\{\{([\w.]+)\}\}", lambda found: FIELDS[found[1]], text)
+    text = re.sub(r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}", section, text, flags=re.DOTALL)
+    text = re.sub(r"\{\{([\w.]+)\}\}", lambda found: fields[found[1]], text)
     path = Path(folder) / template
     path.write_text(text, encoding="utf-8")
     return path
@@ -75,8 +82,16 @@
             settings = load_settings(path, NODE_SECTIONS).unwrap()
             self.assertEqual(settings.node.front_address, "10.1.0.10:8161")
             self.assertEqual(settings.node.spool_losses, 2)
+            self.assertEqual(settings.node.end_bound_ms, 2500)
             self.assertEqual(run_words(["check-settings", str(path)]), 0)
 
+    def test_a_platform_that_names_no_bound_of_ends_has_the_usual_one(self) -> None:
+        fields = {name: value for name, value in FIELDS.items() if name != "bounds.cancelMs"}
+        with tempfile.TemporaryDirectory() as folder:
+            path = rendered("node.ini", folder, fields)
+            settings = load_settings(path, NODE_SECTIONS).unwrap()
+            self.assertEqual(settings.node.end_bound_ms, 3000)
+
     def test_bad_values_of_a_node_are_named(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             path = rendered("node.ini", folder)
