Know as of when a copy of the store's keys is certain, however late its news are read

Cause: a copy counted as current from the moment in which news of it were read. A process that had stood still, or news that were long on their way, made old knowledge new, and with it the leave to begin work. Change: besides when it was heard of, a table has a time at which it certainly was all there was: the beginning of a watch that brought changes, the end of its hold for one that brought none, the sender's own age for what another node tells. The gate of work goes by that. Ruled out: the same for what an owner vouches for to readers; it would cost calls of the store. Not covered: news pushed by another node that wait in a kernel's buffer; the next ones follow within 1.2 s.

--- a/src/fescuedock/core/replica_table.py
+++ b/src/fescuedock/core/replica_table.py
@@ -33,7 +33,8 @@
     """The keys below ``prefix`` as of ``revision``.
 
     ``version`` rises whenever ``entries`` change, but for heartbeats.  ``confirmed_ms`` is when
-    this was last known to be all there is.
+    this node last heard that this is all there is.  What it heard may have been long on its way:
+    ``as_of_ms`` is a time at which this certainly was all there was.
     """
 
     prefix: str
@@ -41,6 +42,7 @@
     revision: int = UNKNOWN_REVISION
     version: int = 0
     confirmed_ms: float = float("-inf")
+    as_of_ms: float = float("-inf")
     entries: dict[str, KvEntry] = msgspec.field(default_factory=dict)
     # Revisions of removals, so that an older state does not bring a key back.
     _removed: dict[str, int] = msgspec.field(default_factory=dict)
@@ -50,11 +52,18 @@
         return self.revision != UNKNOWN_REVISION
 
     def age_ms(self, now_ms: float) -> float:
-        """Return the time since the table was known to be current."""
+        """Return the time since this node last heard that the table is current."""
         return now_ms - self.confirmed_ms
 
+    def as_of_age_ms(self, now_ms: float) -> float:
+        """Return the longest time for which there may have been changes that are not here."""
+        return now_ms - self.as_of_ms
+
     def replace(self, entries: Iterable[KvEntry], revision: int, confirmed_ms: float) -> None:
-        """Take all keys as of ``revision``; those that are missing have gone by then."""
+        """Take all keys as of ``revision``; those that are missing have gone by then.
+
+        ``confirmed_ms`` is no later than when that was read.
+        """
         if revision < self.revision:
             return
         found = {entry.key: entry for entry in entries}
@@ -62,11 +71,18 @@
             self._put(entry)
         for key in [key for key in self.entries if key not in found]:
             self._remove(key, revision)
-        self._confirm(revision, confirmed_ms)
-
-    def apply(self, events: Iterable[KvEvent], revision: int, confirmed_ms: float) -> list[KvEvent]:
+        self._confirm(revision, confirmed_ms, confirmed_ms)
+
+    def apply(
+        self,
+        events: Iterable[KvEvent],
+        revision: int,
+        confirmed_ms: float,
+        as_of_ms: float = float("-inf"),
+    ) -> list[KvEvent]:
         """Take the changes that lead from this table's revision to ``revision``.
 
+        ``confirmed_ms`` is when they were heard of, ``as_of_ms`` no later than when they were all.
         Returns those that others have to hear of, which heartbeats are not.
         """
         news = [event for event in events if not self._is_heartbeat(event)]
@@ -75,7 +91,7 @@
                 self._remove(event.key, event.revision)
             else:
                 self._put(event.entry)
-        self._confirm(revision, confirmed_ms)
+        self._confirm(revision, confirmed_ms, as_of_ms)
         return news
 
     def _is_heartbeat(self, event: KvEvent) -> bool:
@@ -84,17 +100,19 @@
             return False
         return self.is_heartbeat(known.value, event.entry.value)
 
-    def confirm(self, confirmed_ms: float) -> None:
-        """Take word that what this table held at ``confirmed_ms`` was all there was."""
-        self.confirmed_ms = max(self.confirmed_ms, confirmed_ms)
+    def confirm(self, as_of_ms: float) -> None:
+        """Take word that what this table holds was all there was at ``as_of_ms``."""
+        self.confirmed_ms = max(self.confirmed_ms, as_of_ms)
+        self.as_of_ms = max(self.as_of_ms, as_of_ms)
 
     def note(self, entry: KvEntry) -> None:
         """Take a single key that this node has itself written or read."""
         self._put(entry)
 
-    def _confirm(self, revision: int, confirmed_ms: float) -> None:
+    def _confirm(self, revision: int, confirmed_ms: float, as_of_ms: float) -> None:
         self.revision = max(self.revision, revision)
-        self.confirm(confirmed_ms)
+        self.confirmed_ms = max(self.confirmed_ms, confirmed_ms)
+        self.as_of_ms = max(self.as_of_ms, as_of_ms)
         if len(self._removed) > len(self.entries) + _MOST_REMOVED:
             self._forget_removed()
 
--- a/src/fescuedock/node/job_runner.py
+++ b/src/fescuedock/node/job_runner.py
@@ -393,8 +393,8 @@
         return True
 
     def _records_age_ms(self) -> float:
-        """Return the time since the jobs' records here were known to be current."""
-        return round(min(self._table.age_ms(now_ms()), _LONG_AGO_MS))
+        """Return the time since the jobs' records here were certainly all there were."""
+        return round(min(self._table.as_of_age_ms(now_ms()), _LONG_AGO_MS))
 
     def _note(self, stored: VersionedRecord) -> None:
         self._replicas.note(self._store.keys.live, stored.entry(self._store.keys))
@@ -428,7 +428,7 @@
     def _known_records(self) -> KnownRecords:
         away = self._replicas.contact.is_away(now_ms())
         agreed_age_ms = self._replicas.agreed_age_ms() if away else float("inf")
-        return KnownRecords(self._table.age_ms(now_ms()), away, agreed_age_ms)
+        return KnownRecords(self._table.as_of_age_ms(now_ms()), away, agreed_age_ms)
 
     def _serves(self, record: StoredJobRecord, service: str) -> bool:
         route = self._route_of(record)
--- a/src/fescuedock/node/replicas.py
+++ b/src/fescuedock/node/replicas.py
@@ -41,7 +41,7 @@
 _NEIGHBOUR_TIMEOUT_MS = 400.0
 # Between two looks at least, however soon a table may become stale.
 _LEAST_LOOK_S = 0.1
-_MAX_AGE_MS = 2**31
+_MAX_AGE_MS = 2**31 - 1
 # What news may take beyond the watch that they come from: two of its usual answers and the way.
 _NEWS_MARGIN_MS = 250.0
 # How often a node that waits for news looks whether it has become the one that watches; one that
@@ -214,17 +214,22 @@
 
     async def _read_changes(self, table: ReplicaTable, watched: Watched) -> Fault | None:
         before = table.version
+        asked_ms = now_ms()
         result = await self._store.changes(table.prefix, table.revision, watched.wait_ms)
         if isinstance(result, Err):
             return result.err_value
         changes = result.ok_value
         from_revision = table.revision
-        events = table.apply(changes.events, changes.revision, now_ms())
+        # An answer may have been read long after it was given, by a process that stood still for
+        # one.  Without changes the store has held the watch for its whole time; with some it may
+        # have answered at once.
+        as_of_ms = asked_ms if changes.events else min(asked_ms + watched.wait_ms, now_ms())
+        events = table.apply(changes.events, changes.revision, now_ms(), as_of_ms)
         self._wake_if(table.version != before)
         if self._spread.watches(table.prefix):
             # Also when nothing has changed: others ask by themselves when they hear nothing, and
             # owners vouch for results only while they hear.
-            news = _news_of(table.prefix, from_revision, changes.revision, events)
+            news = _news_of(table, from_revision, changes.revision, events)
             await self._spread.tell(news)
         return None
 
@@ -256,7 +261,8 @@
             self._behind.add(message.prefix)
         else:
             before = table.version
-            table.apply(_events_of(message), message.revision, now_ms())
+            as_of_ms = now_ms() - message.as_of_age_ms
+            table.apply(_events_of(message), message.revision, now_ms(), as_of_ms)
             self._wake_if(table.version != before)
 
     async def _on_snapshot(self, message: ReplicaSnapshot, _peer: ServerPeer) -> None:
@@ -310,7 +316,8 @@
             return
         before = table.version
         entries = [KvEntry(item.key, item.value, item.revision) for item in snapshot.entries]
-        table.replace(entries, snapshot.revision, now_ms() - snapshot.age_ms)
+        table.replace(entries, snapshot.revision, now_ms() - snapshot.as_of_age_ms)
+        table.confirmed_ms = max(table.confirmed_ms, now_ms() - snapshot.age_ms)
         if table.version != before:
             log_event(
                 "replica_from_neighbour",
@@ -330,7 +337,7 @@
         return ReplicaReply(
             [self._snapshot(table) for table, revision in asked if table.revision > revision],
             {
-                table.prefix: _age_ms(table)
+                table.prefix: _whole_ms(table.as_of_age_ms(now_ms()))
                 for table, revision in asked
                 if table.revision == revision
             },
@@ -341,16 +348,22 @@
             ReplicaEntry(entry.key, entry.mod_revision, entry.value)
             for entry in table.entries.values()
         ]
-        return ReplicaSnapshot(table.prefix, table.revision, _age_ms(table), entries)
+        return ReplicaSnapshot(
+            table.prefix,
+            table.revision,
+            _whole_ms(table.age_ms(now_ms())),
+            as_of_age_ms=_whole_ms(table.as_of_age_ms(now_ms())),
+            entries=entries,
+        )
 
 
-def _age_ms(table: ReplicaTable) -> int:
-    """Return a table's age for a message, rounded up."""
-    return math.ceil(min(table.age_ms(now_ms()), _MAX_AGE_MS))
+def _whole_ms(age_ms: float) -> int:
+    """Return an age for a message, rounded up."""
+    return math.ceil(min(age_ms, _MAX_AGE_MS))
 
 
 def _news_of(
-    prefix: str, from_revision: int, revision: int, events: Collection[KvEvent]
+    table: ReplicaTable, from_revision: int, revision: int, events: Collection[KvEvent]
 ) -> ReplicaNews:
     entries = [
         ReplicaEntry(event.key, event.revision, event.entry.value)
@@ -358,7 +371,8 @@
         if event.entry is not None
     ]
     removed = {event.key: event.revision for event in events if event.entry is None}
-    return ReplicaNews(prefix, from_revision, revision, entries, removed)
+    as_of_age_ms = _whole_ms(table.as_of_age_ms(now_ms()))
+    return ReplicaNews(table.prefix, from_revision, revision, entries, removed, as_of_age_ms)
 
 
 def _events_of(message: ReplicaNews) -> list[KvEvent]:
--- a/src/fescuedock/schema/replicas.py
+++ b/src/fescuedock/schema/replicas.py
@@ -38,8 +38,14 @@
 
     prefix: str
     revision: int
-    age_ms: Annotated[int, Meta(description="Since the sender knew this to be current.")]
+    age_ms: Annotated[int, Meta(description="Since the sender heard that this is current.")]
     entries: list[ReplicaEntry]
+    as_of_age_ms: Annotated[
+        int,
+        Meta(
+            description="Since a time at which this certainly was all there was; older than the age, as news take time."
+        ),
+    ] = 2147483647
 
 
 class ReplicaReply(WireStruct):
@@ -47,7 +53,7 @@
     ages_ms: Annotated[
         dict[str, int],
         Meta(
-            description="Of the prefixes that the caller knows as well as the sender: since the sender knew that to be current."
+            description="Of the prefixes that the caller knows as well as the sender: since a time at which that certainly was all there was."
         ),
     ] = field(default_factory=dict)
 
@@ -64,3 +70,9 @@
     removed: Annotated[
         dict[str, int], Meta(description="Keys that were removed and the revisions of that.")
     ]
+    as_of_age_ms: Annotated[
+        int,
+        Meta(
+            description="When it was sent: since a time at which this certainly was all there was."
+        ),
+    ] = 0
