Play ends, refusals, kills and hand-overs over three nodes with work left, against an oracle of begins

Cause: the stateful test of jobs had no oracle for work after an end, and upstreams so fast that none was left; what an item began on was seen by no random test. Change: WorkAfterEndTest plays ten seeded worlds of three nodes, each with a way of its own to the store, two spools and slow upstreams: submissions that come again, by neighbours and by disks, ends, lost answers, kills, hand-overs, slow, silent and refusing stores, a forgotten history. Nothing may begin later than 3 s after its job's end, of a job refused at each try, or by a former owner for longer; what was accepted and not ended is done after calm, each item once and whole. Ruled out: one world after the other (as many seeds take five times as long).

--- a/src/fescuedock/spool/main.py
+++ b/src/fescuedock/spool/main.py
@@ -49,14 +49,19 @@
         handler = handlers.get(type(message))
         return None if handler is None else await handler(message, peer)
 
-    async with trio.open_nursery() as nursery:
-        address = await nursery.start(serve_channel, Address(vm.host, port), open_codec(vm), handle)
-        nursery.start_soon(service.run)
-        task_status.started(address)
-        await stop.wait()
-        nursery.cancel_scope.cancel()
-    with trio.CancelScope(shield=True):
-        await http.close()
+    # Also when it is cancelled, not asked to stop.
+    try:
+        async with trio.open_nursery() as nursery:
+            address = await nursery.start(
+                serve_channel, Address(vm.host, port), open_codec(vm), handle
+            )
+            nursery.start_soon(service.run)
+            task_status.started(address)
+            await stop.wait()
+            nursery.cancel_scope.cancel()
+    finally:
+        with trio.CancelScope(shield=True):
+            await http.close()
 
 
 def main() -> None:
--- a/tests/test_node_jobs_stateful.py
+++ b/tests/test_node_jobs_stateful.py
@@ -1,13 +1,27 @@
-"""Jobs over three nodes under lost answers and killed nodes, against a simple oracle."""
+"""Jobs over three nodes under lost answers and killed nodes, against a simple oracle.
 
+Of slow upstreams there is work left when a job ends, so the oracle sees also what begins too late.
+"""
+
+import tempfile
 import unittest
 from dataclasses import dataclass, field
+from pathlib import Path
 
 import trio
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
 from fescuedock.standin.kv_faults import LostAnswer
+from tests.builders.job_world import (
+    Begun,
+    JobWorld,
+    Step,
+    lost_answer,
+    noted_runs,
+    random_steps,
+    running_world,
+)
 from tests.builders.jobs_calls import read_page, submit, wanted_text
 from tests.builders.node import NodeFleet, running_fleet
 from tests.builders.standins import run_async
@@ -31,6 +45,20 @@
 )
 
 
+# The users' bound for an item that begins after its job's acknowledged end; for one that a former
+# owner begins after the new one has begun any, the same.
+BOUND_S = 3.0
+# An item takes 0.5 s, and eight run at once: a job's items last for 4 s.
+EVENT_INTERVAL_MS = 100.0
+WORK_ITEMS = 64
+# So many worlds are played, each by the steps of its seed, and so many at once: more make nodes
+# late, since all share one thread.
+WORLDS = 10
+WORLDS_AT_ONCE = 5
+STEPS = 9
+_PAUSES_S = (0.3, 0.8, 1.6, 3.1)
+
+
 @dataclass
 class JobOracle:
     """What clients have been told of one job."""
@@ -128,6 +156,184 @@
             await self.read(fleet, node.front, number, oracle)
 
 
+@dataclass
+class WorkOracle:
+    """What clients have been told of one job, and when."""
+
+    job_id: str
+    statuses: list[int] = field(default_factory=list)
+    # When its end was acknowledged first, in trio's time; whether one was not answered for sure.
+    ended_s: float | None = None
+    end_unsure: bool = False
+
+    @property
+    def accepted(self) -> bool:
+        return 202 in self.statuses
+
+    @property
+    def refused(self) -> bool:
+        """Whether each try was answered with the promise that nothing of it runs."""
+        return all(status == 503 for status in self.statuses)
+
+    @property
+    def items(self) -> list[str]:
+        return [f"{self.job_id}-{number}" for number in range(WORK_ITEMS)]
+
+
+class WorkAfterEndTest(unittest.TestCase):
+    """No work begins late after an end, of a refused job, or at a former owner; all else is done.
+
+    Worlds are played by seeds; a failure names its seed and steps.
+    """
+
+    def test_work_begins_only_where_it_may_and_all_of_it_is_done(self) -> None:
+        faults: list[str] = []
+
+        async def run() -> None:
+            limiter = trio.CapacityLimiter(WORLDS_AT_ONCE)
+            with noted_runs() as begun:
+                async with trio.open_nursery() as nursery:
+                    for seed in range(WORLDS):
+                        nursery.start_soon(self.play_world, seed, limiter, begun, faults)
+
+        run_async(run)
+        self.assertFalse(faults, "\n".join(faults))
+
+    async def play_world(
+        self, seed: int, limiter: trio.CapacityLimiter, begun: list[Begun], faults: list[str]
+    ) -> None:
+        steps = random_steps(seed, STEPS)
+        oracles = [WorkOracle(f"w{seed}-{number}") for number in range(2)]
+        async with limiter:
+            try:
+                with tempfile.TemporaryDirectory() as folder, trio.fail_after(50):
+                    async with running_world(Path(folder), EVENT_INTERVAL_MS) as world:
+                        await self.play(world, steps, oracles)
+                        found = late_begins(world, oracles) + overtaken(begun, oracles)
+            except* (AssertionError, trio.TooSlowError) as group:
+                found = [repr(error) for error in group.exceptions]
+        faults += [f"seed {seed}: {fault}; steps {steps}" for fault in found]
+
+    async def play(self, world: JobWorld, steps: list[Step], oracles: list[WorkOracle]) -> None:
+        for step in steps:
+            await self.do(world, step, oracles[step.job])
+        # Calm.  What comes again after an end comes later than any item may begin.
+        world.mend()
+        await world.restart_gone()
+        await world.fleet.wait_ready()
+        ended = [oracle for oracle in oracles if oracle.ended_s is not None]
+        if ended:
+            await trio.sleep_until(max(oracle.ended_s for oracle in ended) + BOUND_S)
+            await self.send_again(world, ended)
+        for upstream in world.fleet.upstreams:
+            upstream.event_interval_ms = 1.0
+        for oracle in oracles:
+            if oracle.accepted and oracle.ended_s is None and not oracle.end_unsure:
+                await self.read_to_the_end(world.fleet, oracle)
+
+    async def do(self, world: JobWorld, step: Step, oracle: WorkOracle) -> None:
+        node = world.live(step.node)
+        way = world.way_of(node)
+        match step.kind:
+            case "submit":
+                await self.submit(world.fleet, node.front, oracle)
+            case "submit_lost":
+                way.faults.lose_answer(lost_answer(step))
+                await self.submit(world.fleet, node.front, oracle)
+            case "submit_turned_away":
+                await self.submit_turned_away(world, step.node, oracle)
+            case "end":
+                await self.end(world.fleet, node.front, oracle)
+            case "end_lost":
+                way.faults.lose_answer(lost_answer(step))
+                await self.end(world.fleet, node.front, oracle)
+            case "kill" if not world.gone():
+                node.kill()
+                await node.ended.wait()
+            case "stop" if not world.gone():
+                node.stop.request()
+            case "mend":
+                world.mend()
+                await world.restart_gone()
+            case "pause":
+                await trio.sleep(_PAUSES_S[step.variant % len(_PAUSES_S)])
+            case _:
+                world.break_way(step)
+
+    async def submit(self, fleet: NodeFleet, front, oracle: WorkOracle) -> None:
+        answer = await submit(fleet, front, *oracle.items, job_id=oracle.job_id)
+        self.assertIn(answer.status, (202, 503, 504))
+        oracle.statuses.append(answer.status)
+
+    async def submit_turned_away(self, world: JobWorld, number: int, oracle: WorkOracle) -> None:
+        """Submit at a node that the store turns away, so that a neighbour or disks accept it."""
+        node = world.live(number)
+        way = world.way_of(node)
+        before, way.refuse_status = way.refuse_status, 429
+        await self.submit(world.fleet, node.front, oracle)
+        way.refuse_status = before
+
+    async def end(self, fleet: NodeFleet, front, oracle: WorkOracle) -> None:
+        answer = await fleet.call(front, "DELETE", f"/api/lots/{oracle.job_id}")
+        self.assertIn(answer.status, (200, 404, 503))
+        if answer.status == 404:
+            self.assertFalse(oracle.accepted)
+        elif answer.status == 503:
+            oracle.end_unsure = True
+        elif oracle.ended_s is None:
+            oracle.ended_s = trio.current_time()
+
+    async def send_again(self, world: JobWorld, ended: list[WorkOracle]) -> None:
+        """Submit ended jobs again, at each node and by neighbours."""
+        for oracle in ended:
+            for number, node in enumerate(world.fleet.nodes):
+                await self.submit(world.fleet, node.front, oracle)
+                await self.submit_turned_away(world, number, oracle)
+        await trio.sleep(0.7)
+
+    async def read_to_the_end(self, fleet: NodeFleet, oracle: WorkOracle) -> None:
+        """Read at all nodes in turn until everything is listed, each item once and whole."""
+        found: list[dict] = []
+        turn = 0
+        while len(found) < WORK_ITEMS:
+            front = fleet.nodes[turn % NODES].front
+            answer = await read_page(fleet, front, oracle.job_id, len(found))
+            self.assertIn(answer.status, (200, 503))
+            found += answer.json()["results"] if answer.status == 200 else []
+            turn += 1
+            await trio.sleep(0.05)
+        self.assertCountEqual([item["id"] for item in found], oracle.items)
+        for item in found:
+            self.assertEqual((item["state"], item["text"]), ("completed", wanted_text(item["id"])))
+
+
+def late_begins(world: JobWorld, oracles: list[WorkOracle]) -> list[str]:
+    """Return what began at any upstream too late after an end, or of a job that was refused."""
+    jobs = {name: oracle for oracle in oracles for name in oracle.items}
+    found = []
+    for upstream in world.fleet.upstreams:
+        for name, at_s in upstream.started:
+            oracle = jobs[name]
+            if oracle.refused:
+                found.append(f"{name} began though its job was refused")
+            elif oracle.ended_s is not None and at_s > oracle.ended_s + BOUND_S:
+                found.append(f"{name} began {at_s - oracle.ended_s:.2f} s after its job's end")
+    return found
+
+
+def overtaken(begun: list[Begun], oracles: list[WorkOracle]) -> list[str]:
+    """Return what a former owner began long after a newer one had begun work of the same job."""
+    found = []
+    for oracle in oracles:
+        runs = [run for run in begun if run.job_id == oracle.job_id]
+        for run in runs:
+            newer = [other.at_s for other in runs if other.epoch > run.epoch]
+            if newer and run.at_s > min(newer) + BOUND_S:
+                late_s = run.at_s - min(newer)
+                found.append(f"{oracle.job_id} epoch {run.epoch} began {late_s:.2f} s late")
+    return found
+
+
 def items_of(number: int) -> list[str]:
     return [f"{name}{number}" for name in ITEMS]
 
