Refuse no job that may be there: a conflict whose record cannot be read, a disk that failed after the rename

Cause: accepting gave KV_UNAVAILABLE, which promises that nothing is there, when the store refused after it had said that the record is there. A spool whose folder could not be synced denied a job whose file a restart finds and stores, and a node took any answer of a spool for a sure one. Change: a conflict leaves it open what became of the job; a spool keeps and stores such a job, and says KV_UNKNOWN until the name is synced; a node counts that as open. Ruled out: removing the file again, since that may fail as the sync did.

--- a/src/fescuedock/node/job_store.py
+++ b/src/fescuedock/node/job_store.py
@@ -97,6 +97,8 @@
                 found = await self.read_record(record.job_id)
                 if isinstance(found, Ok) and found.ok_value is not None:
                     return Ok(found.ok_value)
+                # It is there, though it cannot be read: a later refusal promises nothing.
+                unsure = True
             elif fault.code is ResultCode.KV_UNKNOWN:
                 unsure = True
             elif not unsure:
--- a/src/fescuedock/node/spools.py
+++ b/src/fescuedock/node/spools.py
@@ -13,7 +13,7 @@
 from fescuedock.faults import Fault
 from fescuedock.kv import KvEntry
 from fescuedock.log import log_event
-from fescuedock.schema.result_codes import ResultCode
+from fescuedock.schema.result_codes import OUTCOME, Outcome, ResultCode
 from fescuedock.schema.stored_jobs import (
     EmptySpool,
     EmptySpoolReply,
@@ -43,7 +43,8 @@
 
     def __init__(self) -> None:
         self.copies = 0
-        # Disks that were asked and have not answered; they may have a copy, which will be stored.
+        # Disks that were asked and have not said for sure whether they have a copy; one that is
+        # there will be stored.
         self.unanswered = 0
 
     @property
@@ -117,7 +118,8 @@
         answered = isinstance(reply, SpoolJobReply)
         done = answered and reply.code == ResultCode.OK
         kept.copies += done
-        kept.unanswered -= answered
+        # A disk that failed midway may have a copy all the same.
+        kept.unanswered -= answered and _is_sure(reply.code)
         log_event(
             "job_copy",
             routine=done,
@@ -142,3 +144,8 @@
             for key, entry in self._table.entries.items()
             if key.startswith(self._prefix)
         ]
+
+
+def _is_sure(code: int) -> bool:
+    """Whether a spool that answers so has a copy, or has none, for sure."""
+    return OUTCOME[ResultCode(code)] is not Outcome.UNKNOWN
--- a/src/fescuedock/spool/files.py
+++ b/src/fescuedock/spool/files.py
@@ -32,6 +32,8 @@
         self._folder = folder
         self._max_bytes = max_bytes
         self._jobs: dict[str, SpoolJob] = {}
+        # Those whose names a loss of power may take away; a restart without one finds them.
+        self._unsynced: set[str] = set()
         self._sizes_bytes: dict[str, int] = {}
 
     def __contains__(self, job_id: str) -> bool:
@@ -54,10 +56,14 @@
                 self._disk.remove(path)
 
     def put(self, job: SpoolJob) -> Result[None, Fault]:
-        """Keep a job; when it returns ``Ok`` the job survives a loss of power."""
+        """Keep a job; when it returns ``Ok`` the job survives a loss of power.
+
+        ``KV_UNKNOWN`` says that it may not, and that it is stored like all others while it is here;
+        after any other fault there is no copy of it.
+        """
         job_id = job.record.job_id
         if job_id in self._jobs:
-            return Ok(None)
+            return self._sync_names(job_id)
         body = msgspec.msgpack.encode(job)
         if sum(self._sizes_bytes.values()) + len(body) > self._max_bytes:
             return Err(Fault(ResultCode.DISK_FULL, f"no room for job {job_id}: {len(body)} bytes"))
@@ -68,11 +74,23 @@
                 file.write(hashlib.sha256(body).digest() + body)
                 file.sync()
             self._disk.rename(part, path)
-            self._disk.sync_folder(self._folder)
         except OSError as error:
             return Err(Fault(ResultCode.STORES_UNAVAILABLE, f"job {job_id} not written: {error}"))
+        # From its name on the job comes back with a restart, so it counts as being here.
         self._jobs[job_id] = job
         self._sizes_bytes[job_id] = len(body)
+        self._unsynced.add(job_id)
+        return self._sync_names(job_id)
+
+    def _sync_names(self, job_id: str) -> Result[None, Fault]:
+        """Let the job's name survive a loss of power, and with it those of all others."""
+        if job_id not in self._unsynced:
+            return Ok(None)
+        try:
+            self._disk.sync_folder(self._folder)
+        except OSError as error:
+            return Err(Fault(ResultCode.KV_UNKNOWN, f"job {job_id} may be lost: {error}"))
+        self._unsynced.clear()
         return Ok(None)
 
     def remove(self, job_id: str) -> None:
@@ -82,6 +100,7 @@
         """
         self._jobs.pop(job_id, None)
         self._sizes_bytes.pop(job_id, None)
+        self._unsynced.discard(job_id)
         try:
             self._disk.remove(self._path(job_id))
         except OSError as error:
--- a/src/fescuedock/spool/service.py
+++ b/src/fescuedock/spool/service.py
@@ -72,8 +72,8 @@
         if self._emptying:
             return Err(Fault(ResultCode.STORES_UNAVAILABLE, "the machine is to be removed"))
         kept = self._files.put(message)
-        if isinstance(kept, Ok):
-            self._kept.set()
+        # Also after a fault there may be a copy, which is stored like all others.
+        self._kept.set()
         return kept
 
     async def _find(self, message: FindSpooled, _peer: ServerPeer) -> FindSpooledReply:
--- /dev/null
+++ b/tests/test_job_refusals.py
@@ -0,0 +1,133 @@
+"""A refusal promises that nothing of the job is there, or will be: it may run nowhere after one."""
+
+import unittest
+from collections.abc import Callable
+from pathlib import Path
+
+import msgspec
+import trio
+from result import Err, Ok, Result
+
+from fescuedock.address import Address
+from fescuedock.core.replica_table import ReplicaTable
+from fescuedock.core.stored_jobs.keys import JobKeys
+from fescuedock.faults import Fault
+from fescuedock.kv import KvEntry, KvTransaction
+from fescuedock.node.job_store import JobStore
+from fescuedock.node.spools import Kept, Spools
+from fescuedock.schema.result_codes import ResultCode
+from fescuedock.schema.stored_jobs import NodeRecord, SpoolJob, SpoolJobReply
+from fescuedock.spool.files import SpoolFiles
+from tests.builders.disk import MemoryDisk
+from tests.builders.forwarding import job_record, stored_item
+from tests.builders.standins import run_async
+
+KEYS = JobKeys("p/")
+FOLDER = Path("/data/spool")
+VALUE_BYTES = 100_000
+JOB = SpoolJob(job_record("job-1", total=1), [stored_item("a")])
+
+
+class ScriptedKv:
+    """A service that answers each write, and each read, with the next of its codes."""
+
+    def __init__(self, writes: list[ResultCode], reads: list[ResultCode]) -> None:
+        self._writes = writes
+        self._reads = reads
+
+    async def transact(self, _transaction: KvTransaction) -> Result[int, Fault]:
+        return _answer(self._writes, 7)
+
+    async def get(self, _key: str, *, at_revision: int = 0) -> Result[KvEntry | None, Fault]:
+        return _answer(self._reads, None)
+
+
+def _answer(codes: list[ResultCode], value: object) -> Result:
+    code = codes.pop(0) if codes else ResultCode.KV_UNAVAILABLE
+    return Ok(value) if code is ResultCode.OK else Err(Fault(code, "on command"))
+
+
+class AcceptTest(unittest.TestCase):
+    def accept(self, kv: ScriptedKv) -> Result | None:
+        """Accept a job; None when it is not known in time what became of it."""
+        found: list[Result] = []
+
+        async def run() -> None:
+            with trio.move_on_after(0.5):
+                found.append(await JobStore(kv, KEYS, VALUE_BYTES).accept(JOB.record, JOB.items))
+
+        run_async(run)
+        return found[0] if found else None
+
+    def test_a_store_that_refuses_at_once_has_no_such_job(self) -> None:
+        refused = self.accept(ScriptedKv([], []))
+        self.assertIs(refused.err_value.code, ResultCode.KV_UNAVAILABLE)
+
+    def test_a_job_that_is_there_but_cannot_be_read_is_not_refused(self) -> None:
+        codes = [ResultCode.KV_CONFLICT]
+        self.assertIsNone(self.accept(ScriptedKv(codes, [])))
+
+
+class SpoolTest(unittest.TestCase):
+    """A disk that has failed midway may have the job: its restart would bring it to the store."""
+
+    def put_while(self, failing: Callable[[str], bool]) -> tuple[MemoryDisk, SpoolFiles, Result]:
+        disk = MemoryDisk()
+        files = SpoolFiles(disk, FOLDER, VALUE_BYTES)
+        files.open()
+        disk.failing = failing
+        return disk, files, files.put(JOB)
+
+    def test_what_a_restart_may_bring_back_is_not_refused(self) -> None:
+        for failing_step in ("create", "write", "sync", "rename", "sync_folder"):
+            with self.subTest(step=failing_step):
+                disk, files, put = self.put_while(lambda step, name=failing_step: step == name)
+                self.assertIsInstance(put, Err)
+                again = SpoolFiles(disk, FOLDER, VALUE_BYTES)
+                again.open()
+                if put.err_value.code is ResultCode.STORES_UNAVAILABLE:
+                    self.assertEqual(len(again), 0)
+                    self.assertNotIn("job-1", files)
+                else:
+                    self.assertIs(put.err_value.code, ResultCode.KV_UNKNOWN)
+                    self.assertIn("job-1", files)
+
+    def test_it_counts_as_kept_once_the_folder_is_on_disk(self) -> None:
+        disk, files, _ = self.put_while(lambda step: step == "sync_folder")
+        self.assertIsInstance(files.put(JOB), Err)
+        disk.failing = lambda _step: False
+        self.assertEqual(files.put(JOB), Ok(None))
+        disk.lose_power(seed=1)
+        again = SpoolFiles(disk, FOLDER, VALUE_BYTES)
+        again.open()
+        self.assertIn("job-1", again)
+
+    def test_a_node_counts_only_a_promise_as_a_denial(self) -> None:
+        for code, may_be_stored in (
+            (ResultCode.STORES_UNAVAILABLE, False),
+            (ResultCode.DISK_FULL, False),
+            (ResultCode.KV_UNKNOWN, True),
+        ):
+            with self.subTest(code=code):
+                kept = Kept()
+                self.assertFalse(self.keep(code, kept))
+                self.assertIs(kept.may_be_stored, may_be_stored)
+
+    def keep(self, code: ResultCode, kept: Kept) -> bool:
+        async def call(_address: Address, _message: msgspec.Struct, _timeout_ms: float) -> Result:
+            return Ok(SpoolJobReply(code))
+
+        table = ReplicaTable(KEYS.live)
+        record = NodeRecord("s-1", "caldas", "sala-1", "10.0.0.1", 1)
+        table.note(KvEntry(KEYS.spools + "s-1", msgspec.msgpack.encode(record), 2))
+        done: list[bool] = []
+
+        async def run() -> None:
+            done.append(await Spools(table, KEYS.spools, 1, call).keep(JOB.record, JOB.items, kept))
+
+        run_async(run)
+        return done[0]
+
+
+if __name__ == "__main__":
+    unittest.main()
