Give up no item while a node knows no configuration yet

Cause: a node that has just started misses every route until the configuration is read; one that had its own jobs back by then took the routes for removed after 2.5 s and listed the items as given up. Change: a route counts as gone only for a node that knows a configuration. Ruled out: holding the claim back until then, since items need upstreams, which need it anyway. Result: the added test failed before (both items given up) and passes after.

--- a/src/fescuedock/node/job_runner.py
+++ b/src/fescuedock/node/job_runner.py
@@ -358,7 +358,8 @@
     def _check_end(self, job: OwnedJob) -> None:
         """End items whose time is over, or whose route was removed."""
         record = job.versioned.record
-        if self._configuration.routes.find(record.host, record.path) is not None:
+        # A node that knows no configuration yet misses every route, and none has been removed.
+        if not self._configuration.is_known or self._route_of(record) is not None:
             job.route_seen_ms = now_ms()
         route_gone = now_ms() - job.route_seen_ms > _ROUTE_GONE_MS
         count = job.run.abandon() if route_gone else job.run.give_up(now_ms())
--- a/tests/test_node_jobs.py
+++ b/tests/test_node_jobs.py
@@ -7,12 +7,13 @@
 import trio
 
 from fescuedock.address import Address
+from fescuedock.node.configuration import NodeConfiguration
 from fescuedock.platform.standin.event_upstream import EventUpstream, UpstreamFault
 from fescuedock.platform.standin.metadata_store import MetadataStoreService
 from fescuedock.standin.kv_faults import CallKind, LostAnswer
 from tests.builders.jobs_calls import JOB, job_body, read_page, submit, wanted_text
 from tests.builders.net import LOOPBACK
-from tests.builders.node import NodeFleet, running_fleet
+from tests.builders.node import NodeFleet, config_document, running_fleet
 from tests.builders.standins import run_async
 
 
@@ -373,6 +374,24 @@
 
         self.run_fleet(test)
 
+    def test_a_node_that_knows_no_configuration_yet_gives_up_nothing(self) -> None:
+        async def test(fleet: NodeFleet) -> None:
+            [node] = fleet.nodes
+            for upstream in fleet.upstreams:
+                upstream.event_interval_ms = 300.0
+            await submit(fleet, node.front, "a", "b")
+            await trio.sleep(0.2)
+            node.kill()
+            with mock.patch.object(NodeConfiguration, "refresh", return_value=False):
+                again = await fleet.restart(node)
+                # Longer than a route that was removed is waited for.
+                await trio.sleep(3.5)
+            fleet.configure(config_document(version=2))
+            results = await read_all(fleet, again.front, 2)
+            self.assertEqual({item["state"] for item in results}, {"completed"})
+
+        self.run_fleet(test)
+
     def test_results_wait_for_the_store_and_are_listed_once_when_it_is_back(self) -> None:
         async def test(fleet: NodeFleet) -> None:
             slow(fleet.upstreams)
