Play the runner, acceptance and replicas of three nodes without sockets over many interleavings

Cause: whole nodes are too slow for more than a few worlds, and the decisions' unit tests see no order of events. Change: RunnerWorld runs the real JobRunner, JobAcceptance, Replicas and JobStore of three nodes over a store in memory and the mock clock; answers are lost or late, ways refuse or are silent, history is forgotten, processes are killed, leave and are restarted, clocks differ. Checked: begins after an end, of refused jobs and by former owners; results after an end; liveness after calm; each item listed once.

--- /dev/null
+++ b/tests/builders/runner_world.py
@@ -0,0 +1,417 @@
+"""The parts of nodes that accept, run, commit and end jobs, over a store in memory.
+
+Everything between a client's call and an upstream is real but for sockets and time: acceptance,
+replicas, the runner with its gate.  Nodes' knowledge lags, is lost and is asked of neighbours; runs
+take time and are noted.  Made for trio's mock clock.
+"""
+
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+from functools import partial
+
+import msgspec
+import trio
+from result import Err, Ok, Result
+
+from fescuedock.address import Address
+from fescuedock.core.forwarding.route_table import RouteKind, RouteTable
+from fescuedock.core.stored_jobs.cache import JobCache
+from fescuedock.core.stored_jobs.job import ItemEnd, ItemRun
+from fescuedock.core.stored_jobs.keys import JobKeys
+from fescuedock.core.stored_jobs.ownership import OwnerIdentity
+from fescuedock.faults import Fault
+from fescuedock.kv import KvChanges, KvEntry, KvEvent, KvPage, KvTransaction
+from fescuedock.node.job_acceptance import JobAcceptance
+from fescuedock.node.job_runner import JobRunner
+from fescuedock.node.job_store import JobStore
+from fescuedock.node.replicas import Replicas, Watched
+from fescuedock.node.spools import Spools
+from fescuedock.schema.result_codes import ResultCode
+from fescuedock.schema.settings import NodeSettings
+from fescuedock.schema.stored_jobs import StoredItem, StoredJobRecord
+from fescuedock.schema.view import Program, UpstreamKind, UpstreamRecord
+from fescuedock.standin.kv_state import CompactedError, KvState, prefix_end
+from tests.builders.forwarding import route, route_table, stored_item
+
+__all__ = ["END_BOUND_MS", "KEYS", "ModelNode", "RunnerWorld", "StoreWay", "items_of"]
+
+END_BOUND_MS = 3000
+KEYS = JobKeys("p/")
+# One way over the network, and the node's timeout of a call.
+_WAY_S = 0.004
+_TIMEOUT_S = 0.3
+_WATCH_MS = 500
+_SLOTS = 3
+_UPSTREAMS = 2
+# Unix time at trio's time 0, in seconds.
+_UNIX_S = 1_000_000
+_SERVICE = "desk-llm"
+
+
+@dataclass(slots=True)
+class StoreWay:
+    """One node's way to the store, with its faults; calls execute after ``before_s``.
+
+    ``lose`` calls take effect without an answer; ``after_s`` holds answers back.
+    """
+
+    state: KvState
+    refuses: bool = False
+    silent: bool = False
+    before_s: float = 0.0
+    after_s: float = 0.0
+    lose: int = 0
+    _changed: trio.Event = field(default_factory=trio.Event)
+
+    def __post_init__(self) -> None:
+        self.state.listeners.append(self._note_change)
+
+    def mend(self) -> None:
+        self.refuses = self.silent = False
+        self.before_s = self.after_s = 0.0
+        self.lose = 0
+
+    async def get(self, key: str, *, at_revision: int = 0) -> Result[KvEntry | None, Fault]:
+        return await self._call(lambda: Ok(self.state.get(key)), writes=False)
+
+    async def get_range(
+        self, prefix: str, *, start_after: str = "", limit: int = 1000, keys_only: bool = False
+    ) -> Result[KvPage, Fault]:
+        start = max(prefix, start_after + "\0") if start_after else prefix
+        # Small pages, so that changes come between them.
+        read = partial(self.state.page, start, prefix_end(prefix), 4)
+        return await self._call(lambda: Ok(read()), writes=False)
+
+    async def transact(self, transaction: KvTransaction) -> Result[int, Fault]:
+        def write() -> Result[int, Fault]:
+            revision = self.state.transact(transaction)
+            return Ok(revision) if revision else _fault(ResultCode.KV_CONFLICT)
+
+        return await self._call(write, writes=True)
+
+    async def changes(
+        self, prefix: str, after_revision: int, wait_ms: int
+    ) -> Result[KvChanges, Fault]:
+        with trio.move_on_after(wait_ms / 1000):
+            while self._events(prefix, after_revision) == []:
+                await self._changed.wait()
+
+        def read() -> Result[KvChanges, Fault]:
+            events = self._events(prefix, after_revision)
+            if events is None:
+                return _fault(ResultCode.KV_COMPACTED)
+            return Ok(KvChanges(tuple(events), self.state.revision))
+
+        return await self._call(read, writes=False)
+
+    def _events(self, prefix: str, after: int) -> list[KvEvent] | None:
+        try:
+            return self.state.events_since(prefix, prefix_end(prefix), after + 1)
+        except CompactedError:
+            return None
+
+    async def _call(self, execute, *, writes: bool) -> Result:
+        unanswered = ResultCode.KV_UNKNOWN if writes else ResultCode.KV_UNAVAILABLE
+        if self.refuses:
+            await trio.sleep(_WAY_S)
+            return _fault(ResultCode.KV_UNAVAILABLE)
+        if self.silent:
+            await trio.sleep(_TIMEOUT_S)
+            return _fault(unanswered)
+        before_s, after_s = _WAY_S + self.before_s, _WAY_S + self.after_s
+        await trio.sleep(before_s)
+        answer = execute()
+        lost = writes and self.lose > 0
+        self.lose -= lost
+        await trio.sleep(_TIMEOUT_S if lost else min(after_s, _TIMEOUT_S))
+        return _fault(unanswered) if lost or before_s + after_s > _TIMEOUT_S else answer
+
+    def _note_change(self, _event: KvEvent) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
+
+
+def _fault(code: ResultCode) -> Err[Fault]:
+    return Err(Fault(code, "on command"))
+
+
+class _Vm(msgspec.Struct, frozen=True):
+    vm_id: str
+
+
+class _View:
+    """What membership shows: the nodes that run, seen ``lag_s`` late, and all upstreams."""
+
+    def __init__(self, world: "RunnerWorld") -> None:
+        self._world = world
+        self.upstreams = {
+            name: UpstreamRecord(
+                name, "caldas", "sala-1", "10.0.0.9", 1, UpstreamKind.ENGINE, _SERVICE
+            )
+            for name in world.slots
+        }
+
+    @property
+    def vms(self) -> dict[str, _Vm]:
+        return {name: _Vm(name) for name in self._world.present()}
+
+    def live_vms(self, _program: Program) -> list[_Vm]:
+        return [vm for vm in self.vms.values() if not self._world.is_leaving(vm.vm_id)]
+
+    def upstreams_of(self, _service: str) -> list[UpstreamRecord]:
+        return list(self.upstreams.values())
+
+
+class _Permits:
+    """Grants slots at once while there are any, to all nodes together."""
+
+    holder_id = "holder"
+
+    def __init__(self, slots: Counter[str]) -> None:
+        self._slots = slots
+        self.loads: dict = {}
+
+    async def ask(self, ask: msgspec.Struct, _timeout_ms: float) -> Result["_Grant", Fault]:
+        await trio.sleep(_WAY_S)
+        if self._slots[ask.upstream_id] <= 0:
+            return Err(Fault(ResultCode.KV_UNAVAILABLE, "full", 60))
+        self._slots[ask.upstream_id] -= 1
+        return Ok(_Grant(ask.upstream_id))
+
+    def give_back(self, grant: "_Grant") -> None:
+        self._slots[grant.upstream_id] += 1
+
+
+class _Grant(msgspec.Struct, frozen=True):
+    upstream_id: str
+
+    def describe(self, *_standing: object) -> None:
+        return None
+
+
+class _Metrics:
+    def record_item(self, *_run: object) -> None:
+        return None
+
+
+class _Configuration(msgspec.Struct):
+    routes: RouteTable
+    is_known: bool = True
+
+
+class _OwnWatch:
+    """Each node asks the store by itself."""
+
+    def watches(self, _prefix: str) -> bool:
+        return True
+
+    async def tell(self, _message: msgspec.Struct) -> None:
+        return None
+
+
+@dataclass(frozen=True, slots=True)
+class BegunItem:
+    """A run that began: what, under which epoch, and trio's time in seconds."""
+
+    item_id: str
+    job_id: str
+    epoch: int
+    at_s: float
+
+
+class ModelNode:
+    """One process of a node; ``skew_s`` is how far its clock is ahead."""
+
+    def __init__(self, world: "RunnerWorld", name: str, way: StoreWay, skew_s: int) -> None:
+        self.name = name
+        self.way = way
+        self.leaving = False
+        self.scope = trio.CancelScope()
+        self.address = Address("10.0.0.1", int(name[2:]) + 1)
+        world.boots += 1
+        self.owner = OwnerIdentity(name, world.boots)
+        rng = random.Random(world.boots)
+        settings = NodeSettings(
+            front_address="10.0.0.1:1",
+            ready_address="10.0.0.1:2",
+            directory_address="10.0.0.1:3",
+            store_address="10.0.0.1:4",
+            key_prefix=KEYS.prefix,
+            commit_interval_ms=100,
+            end_bound_ms=END_BOUND_MS,
+        )
+        self.store = JobStore(way, KEYS, settings.store_value_bytes)
+        neighbours = partial(world.neighbours_of, self)
+        self.replicas = Replicas(
+            way, [Watched(KEYS.live, _WATCH_MS, 20)], world.call, neighbours, _OwnWatch(), rng
+        )
+        self._clock = lambda: int(_UNIX_S + skew_s + trio.current_time())
+        self.runner = JobRunner(
+            settings,
+            self.store,
+            JobCache(1_000_000),
+            self.replicas,
+            _Configuration(route_table(route("/letters/", kind=RouteKind.BATCH))),
+            _View(world),
+            _Permits(world.slots),
+            self,
+            self.owner,
+            self._clock,
+            rng,
+            _Metrics(),
+        )
+        self.acceptance = JobAcceptance(
+            self.store,
+            self.replicas,
+            self.owner,
+            world.call,
+            neighbours,
+            self.runner.accept,
+            rng,
+            Spools(self.replicas.tables[KEYS.live], KEYS.spools, 2, world.call),
+            lambda: self.leaving,
+        )
+        self.handlers = {**self.replicas.handlers(), **self.acceptance.handlers()}
+
+    async def run(self) -> None:
+        with self.scope:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.replicas.run)
+                nursery.start_soon(self.runner.run)
+
+    async def submit(self, job_id: str, items: list[StoredItem]) -> ResultCode:
+        """Submit a job as the front does; what is answered to the client."""
+        record = StoredJobRecord(
+            job_id=job_id,
+            host="desk.example",
+            path="/letters/new",
+            submitted_at_ms=self._clock() * 1000,
+            due_in_ms=18_000,
+            retention_ms=60_000,
+            total=len(items),
+            owner_id="" if self.leaving else self.owner.node_id,
+            owner_boot=0 if self.leaving else self.owner.boot,
+        )
+        accepted = await self.acceptance.accept(record, items, 2850.0)
+        return ResultCode.OK if isinstance(accepted, Ok) else accepted.err_value.code
+
+    async def end(self, job_id: str) -> int | None:
+        """End a job as the front does; how many results are listed, None without an answer."""
+        with trio.move_on_after(3.5):
+            ended = await self.store.end(job_id)
+            if isinstance(ended, Err) or ended.ok_value is None:
+                return None
+            self.replicas.note(KEYS.live, ended.ok_value.entry(KEYS))
+            return ended.ok_value.record.listed
+        return None
+
+    async def leave(self) -> None:
+        """Stop gracefully."""
+        self.leaving = True
+        with trio.move_on_after(3.0):
+            await self.runner.leave()
+        self.scope.cancel()
+
+
+class RunnerWorld:
+    """Three nodes; a node that was killed is missed by the others after ``lag_s``."""
+
+    NODES = 3
+
+    def __init__(self, nursery: trio.Nursery, skews_s: list[int], run_s: float) -> None:
+        self.state = KvState()
+        self.slots = Counter({f"i-{number}": _SLOTS for number in range(_UPSTREAMS)})
+        self.begun: list[BegunItem] = []
+        self.boots = 0
+        self.lag_s = 0.6
+        self.run_s = run_s
+        self._nursery = nursery
+        self._skews_s = skews_s
+        self._gone_s: dict[str, float] = {}
+        self.nodes: list[ModelNode] = []
+
+    def start(self) -> None:
+        for number in range(self.NODES):
+            way = StoreWay(self.state)
+            node = ModelNode(self, f"n-{number}", way, self._skews_s[number])
+            self.nodes.append(node)
+            self._nursery.start_soon(node.run)
+
+    def runs(self, node: ModelNode) -> bool:
+        return not node.scope.cancel_called
+
+    def live(self, number: int) -> ModelNode | None:
+        """Return the node of that number, or the next one that takes calls."""
+        order = [self.nodes[(number + offset) % self.NODES] for offset in range(self.NODES)]
+        return next((node for node in order if self.runs(node) and not node.leaving), None)
+
+    def present(self) -> list[str]:
+        """Return the nodes that membership shows, leaving ones included."""
+        for node in self.nodes:
+            if self.runs(node):
+                self._gone_s.pop(node.name, None)
+            else:
+                self._gone_s.setdefault(node.name, trio.current_time())
+        late_s = trio.current_time() - self.lag_s
+        return [
+            node.name for node in self.nodes if self._gone_s.get(node.name, late_s + 1) > late_s
+        ]
+
+    def is_leaving(self, name: str) -> bool:
+        return any(node.name == name and node.leaving for node in self.nodes)
+
+    def neighbours_of(self, own: ModelNode) -> list[Address]:
+        return [node.address for node in self.nodes if node is not own and self.runs(node)]
+
+    async def call(
+        self, address: Address, message: msgspec.Struct, timeout_ms: float
+    ) -> Result[msgspec.Struct, Fault]:
+        """Call the node at ``address``."""
+        await trio.sleep(_WAY_S)
+        node = next((node for node in self.nodes if node.address == address), None)
+        if node is None or not self.runs(node):
+            return _fault(ResultCode.PEER_UNREACHABLE)
+        with trio.move_on_after(timeout_ms / 1000):
+            reply = await node.handlers[type(message)](message, None)
+            await trio.sleep(_WAY_S)
+            return Ok(reply)
+        return _fault(ResultCode.PEER_UNKNOWN)
+
+    def leave(self, node: ModelNode) -> None:
+        self._nursery.start_soon(node.leave)
+
+    def restart(self, node: ModelNode) -> None:
+        """Start a killed or stopped node again under its name."""
+        number = self.nodes.index(node)
+        node.scope.cancel()
+        again = ModelNode(self, node.name, node.way, self._skews_s[number])
+        self.nodes[number] = again
+        self._nursery.start_soon(again.run)
+
+    async def run_item(
+        self,
+        _node: ModelNode,
+        job: StoredJobRecord,
+        item: ItemRun,
+        upstream: UpstreamRecord,
+        grant: _Grant,
+        stopped: trio.Event,
+        *_logged: object,
+    ) -> ItemEnd:
+        """Stand in for a run at an upstream."""
+        begun = BegunItem(item.item.item_id, job.job_id, job.epoch, trio.current_time())
+        self.begun.append(begun)
+        try:
+            with trio.move_on_after(self.run_s):
+                await stopped.wait()
+        finally:
+            self.slots[upstream.upstream_id] += 1
+        if stopped.is_set():
+            return ItemEnd.INTERRUPTED
+        item.last_event, item.texts = 0, [item.item.item_id]
+        return ItemEnd.WHOLE
+
+
+def items_of(job_id: str, count: int) -> list[StoredItem]:
+    return [stored_item(f"{job_id}-{number}") for number in range(count)]
--- /dev/null
+++ b/tests/test_job_runner_stateful.py
@@ -0,0 +1,200 @@
+"""Jobs over the real parts of three nodes, without sockets, over many interleavings and faults.
+
+Knowledge lags, is lost and restarted; answers are lost; clocks differ; epochs rise.  What clients
+were told stays true: see ``check``.
+"""
+
+import unittest
+from dataclasses import dataclass, field
+from unittest import mock
+
+import msgspec
+import trio
+import trio.testing
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from fescuedock.node import job_runner
+from fescuedock.schema.result_codes import ResultCode
+from fescuedock.schema.stored_jobs import ResultGroup, StoredJobRecord
+from tests.builders.runner_world import END_BOUND_MS, KEYS, RunnerWorld, items_of
+
+ITEMS = 24
+# An item takes this long, six run at once: a job lasts for 2.4 s, two for 4.8 s.
+RUN_S = 0.6
+# Long enough for owners that are gone to be missed, and for what is left to run.
+CALM_S = 14.0
+
+jobs = st.integers(0, 1)
+nodes = st.integers(0, RunnerWorld.NODES - 1)
+faults = st.sampled_from(
+    ["refuses", "silent", "slow_before", "slow_after", "too_slow_after", "lose", "lose_three"]
+)
+steps = st.lists(
+    st.one_of(
+        st.tuples(st.just("submit"), jobs, nodes),
+        st.tuples(st.just("submit"), jobs, nodes),
+        st.tuples(st.just("end"), jobs, nodes),
+        st.tuples(st.just("harm"), faults, nodes),
+        st.tuples(st.just("harm_all"), faults, nodes),
+        st.tuples(st.just("mend"), jobs, nodes),
+        st.tuples(st.just("kill"), jobs, nodes),
+        st.tuples(st.just("leave"), jobs, nodes),
+        st.tuples(st.just("restart"), jobs, nodes),
+        st.tuples(st.just("forget"), jobs, nodes),
+        st.tuples(st.just("pause"), st.sampled_from([0.05, 0.4, 1.2, 3.2]), nodes),
+    ),
+    min_size=4,
+    max_size=14,
+)
+skews_s = st.lists(st.integers(-3, 3), min_size=3, max_size=3)
+
+
+@dataclass
+class JobTold:
+    """What clients were told of one job."""
+
+    job_id: str
+    codes: list[ResultCode] = field(default_factory=list)
+    # When an end was acknowledged first, in trio's time, and how much was listed then.
+    ended_s: float | None = None
+    listed_at_end: int = 0
+    end_unsure: bool = False
+
+    @property
+    def accepted(self) -> bool:
+        return ResultCode.OK in self.codes
+
+    @property
+    def refused(self) -> bool:
+        return all(code is ResultCode.KV_UNAVAILABLE for code in self.codes)
+
+
+class JobRunnerStatefulTest(unittest.TestCase):
+    @settings(
+        max_examples=120,
+        deadline=None,
+        derandomize=True,
+        suppress_health_check=list(HealthCheck),
+    )
+    @given(steps, skews_s)
+    def test_what_clients_were_told_stays_true(self, chosen: list[tuple], skews: list[int]) -> None:
+        trio.run(self.run_world, chosen, skews, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    async def run_world(self, chosen: list[tuple], skews: list[int]) -> None:
+        async with trio.open_nursery() as nursery:
+            world = RunnerWorld(nursery, skews, RUN_S)
+            with mock.patch.object(job_runner, "run_item", world.run_item):
+                world.start()
+                await trio.sleep(0.3)
+                told = [JobTold(f"j{number}") for number in range(2)]
+                for step in chosen:
+                    await self.do(world, step, told)
+                await self.calm(world, told)
+                self.check(world, told)
+            nursery.cancel_scope.cancel()
+
+    async def do(self, world: RunnerWorld, step: tuple, told: list[JobTold]) -> None:
+        kind, what, number = step
+        node = world.live(number)
+        match kind:
+            case "submit" if node:
+                code = await node.submit(told[what].job_id, items_of(told[what].job_id, ITEMS))
+                told[what].codes.append(code)
+            case "end" if node:
+                await self.end(node, told[what])
+            case "harm":
+                harm(world.nodes[number].way, what)
+            case "harm_all":
+                for each in world.nodes:
+                    harm(each.way, what)
+            case "mend":
+                for each in world.nodes:
+                    each.way.mend()
+            case "kill" if node:
+                node.scope.cancel()
+            case "leave" if node:
+                world.leave(node)
+            case "restart":
+                world.restart(world.nodes[number])
+            case "forget":
+                world.state.compact(world.state.revision)
+            case "pause":
+                await trio.sleep(what)
+
+    async def end(self, node, told: JobTold) -> None:
+        listed = await node.end(told.job_id)
+        if listed is None:
+            told.end_unsure = True
+        elif told.ended_s is None:
+            told.ended_s, told.listed_at_end = trio.current_time(), listed
+
+    async def calm(self, world: RunnerWorld, told: list[JobTold]) -> None:
+        """Mend all, send ended jobs again at each node, and let what is left run."""
+        for node in tuple(world.nodes):
+            node.way.mend()
+            if not world.runs(node) or node.leaving:
+                world.restart(node)
+        await trio.sleep(END_BOUND_MS / 1000)
+        for job in told:
+            if job.ended_s is None:
+                continue
+            for node in world.nodes:
+                await node.submit(job.job_id, items_of(job.job_id, ITEMS))
+        await trio.sleep(CALM_S)
+
+    def check(self, world: RunnerWorld, told: list[JobTold]) -> None:
+        for job in told:
+            begun = [run for run in world.begun if run.job_id == job.job_id]
+            record = self.record_of(world, job)
+            if job.refused:
+                self.assertEqual(begun, [])
+                self.assertIsNone(record)
+            if job.ended_s is not None:
+                late_s = max([run.at_s - job.ended_s for run in begun], default=0.0)
+                self.assertLessEqual(late_s, END_BOUND_MS / 1000)
+                self.assertEqual(record.listed, job.listed_at_end)
+            elif job.accepted and not job.end_unsure:
+                self.assertEqual(record.listed, ITEMS)
+            for run in begun:
+                newer = [other.at_s for other in begun if other.epoch > run.epoch]
+                self.assertLessEqual(run.at_s - min(newer, default=run.at_s), END_BOUND_MS / 1000)
+            if record is not None:
+                self.check_results(world, record)
+
+    def check_results(self, world: RunnerWorld, record: StoredJobRecord) -> None:
+        """Each item is listed once at most, whole, and not beyond what the record says."""
+        page = world.state.page(KEYS.results(record.job_id), KEYS.results(record.job_id) + "~", 0)
+        groups = [msgspec.msgpack.decode(entry.value, type=ResultGroup) for entry in page.entries]
+        results = [result for group in groups for result in group.results]
+        self.assertEqual(len(results), record.listed)
+        self.assertEqual(len({result.item_id for result in results}), len(results))
+        for result in results:
+            self.assertEqual((result.completed, result.text), (True, result.item_id))
+
+    def record_of(self, world: RunnerWorld, job: JobTold) -> StoredJobRecord | None:
+        entry = world.state.get(KEYS.record(job.job_id))
+        return entry and msgspec.msgpack.decode(entry.value, type=StoredJobRecord)
+
+
+def harm(way, fault: str) -> None:
+    """Harm a node's way to the store until it is mended."""
+    match fault:
+        case "refuses":
+            way.refuses = True
+        case "silent":
+            way.silent = True
+        case "slow_before":
+            way.before_s = 0.15
+        case "slow_after":
+            way.after_s = 0.25
+        case "too_slow_after":
+            way.after_s = 0.4
+        case "lose":
+            way.lose = 1
+        case "lose_three":
+            way.lose = 3
+
+
+if __name__ == "__main__":
+    unittest.main()
