Use no permit for an upstream that the holder or the owner knows to be leaving or gone

Cause: an ask may wait at its owner for up to a second; the holder used whatever grant came of it, without looking whether the upstream had begun to leave or had gone meanwhile. An owner whose view had just changed granted a slot that an end, a tick or a probe freed, before the loop that follows the view had run. Local permits were not looked at either.

Change: all permits of a holder pass through PermitClient._grant, which gives those for an upstream that takes no more work back and answers NOT_OWNER, so that the call chooses anew. All decisions of the owner are made by PermitService._informed, which follows the view first.

Ruled out: refusing before the ask is sent, as the owner's answer also tells its load; a look in each of the callers.

--- a/src/fescuedock/agent/permit_client.py
+++ b/src/fescuedock/agent/permit_client.py
@@ -128,6 +128,7 @@
         ``PEER_UNREACHABLE`` and ``PEER_UNKNOWN`` mean a silent owner: an online attempt may then
         use ``ask_local`` or another upstream, batch waits.  ``NOT_OWNER`` means that the views of
         the two nodes differ for a moment.  Any other fault is the owner's refusal.
+        ``NOT_OWNER`` also tells that the upstream has gone or is leaving by the time of the grant.
         A late grant is given back by the client itself.
         """
         sent_ms = now_ms()
@@ -151,12 +152,13 @@
     def ask_local(self, ask: PermitAsk) -> Result[Grant, Fault]:
         """Grant one online attempt without its owner, under the conservative local limit.
 
-        ``NO_CAPACITY`` when the local limit is used up, or for batch work, which must wait.
+        ``NO_CAPACITY`` when the local limit is used up, or for batch work, which must wait;
+        ``NOT_OWNER`` when the upstream has gone or is leaving.
         """
         if ask.work_class is not WorkClass.ONLINE or not self.local_limit.try_take(ask.upstream_id):
             message = f"no local room at {ask.upstream_id}"
             return Err(Fault(ResultCode.NO_CAPACITY, message, self._settings.adjust_ms))
-        return Ok(self._grant(HeldGrant(ask, now_ms(), float("inf"), local=True)))
+        return self._grant(HeldGrant(ask, now_ms(), float("inf"), local=True))
 
     def give_back(self, grant: Grant) -> None:
         """Give a permit back that nothing was done with."""
@@ -194,10 +196,33 @@
         if code is ResultCode.OK:
             renew_at_ms = sent_ms + reply.valid_ms / _RENEWALS_PER_VALIDITY
             held = HeldGrant(ask, now_ms(), sent_ms + reply.valid_ms, renew_at_ms)
-            return Ok(self._grant(held))
+            return self._grant(held)
         return Err(Fault(code, f"refused at {ask.upstream_id}", reply.retry_after_ms))
 
-    def _grant(self, held: HeldGrant) -> Grant:
+    def _grant(self, held: HeldGrant) -> Result[Grant, Fault]:
+        """Hand out a permit; one for an upstream that takes no more work by now is given back.
+
+        An ask may wait at its owner for a second, and the owner may know less than this node by the
+        time it grants.  All permits pass through here, so that none is used on its word alone.
+        """
+        grant = self._take(held)
+        fault = self._overtaken(grant.upstream_id)
+        if fault is None:
+            return Ok(grant)
+        self.give_back(grant)
+        return Err(fault)
+
+    def _overtaken(self, upstream_id: str) -> Fault | None:
+        """Return why no attempt may begin at an upstream by what this node knows now, if so."""
+        upstream = self._view.upstreams.get(upstream_id)
+        if upstream is None:
+            return Fault(ResultCode.NOT_OWNER, f"{upstream_id!r} has gone")
+        if upstream.leaving:
+            # Not a lack of room: whoever asked has to choose another upstream at once.
+            return Fault(ResultCode.NOT_OWNER, f"{upstream_id!r} is leaving")
+        return None
+
+    def _take(self, held: HeldGrant) -> Grant:
         self._book.add(held)
         grant = Grant(held, self._end)
         self._grants[grant.permit_id] = grant
--- a/src/fescuedock/agent/permit_service.py
+++ b/src/fescuedock/agent/permit_service.py
@@ -96,12 +96,10 @@
 
     async def _ask(self, ask: PermitAsk, peer: ServerPeer) -> PermitReply:
         self._peers[ask.holder_id] = peer
-        # The view may have changed since the loop that follows it last ran.
-        self._follow()
         waiter = _Waiter()
         self._waiters[ask.attempt_id].append(waiter)
         try:
-            self._perform(self._owner.ask(ask, now_ms()))
+            self._perform(self._informed().ask(ask, now_ms()))
             if ask.work_class is WorkClass.ONLINE and not waiter.settled:
                 # It may wait for less than the tick that is under way.
                 self._asked.set()
@@ -112,13 +110,12 @@
 
     async def _renew(self, message: PermitRenew, peer: ServerPeer) -> PermitRenewReply:
         self._peers[message.holder_id] = peer
-        self._follow()
-        renewal = self._owner.renew(message, now_ms())
+        renewal = self._informed().renew(message, now_ms())
         self._perform(renewal.actions)
         return renewal.reply
 
     async def _end(self, message: PermitsEnded, _peer: ServerPeer) -> None:
-        self._perform(self._owner.end(message, now_ms()))
+        self._perform(self._informed().end(message, now_ms()))
 
     def _forget(self, attempt_id: str, waiter: "_Waiter") -> None:
         waiters = self._waiters[attempt_id]
@@ -159,6 +156,15 @@
         self._followed_version = -1
         self._follow()
 
+    def _informed(self) -> PermitOwner:
+        """Return the owner's state as the newest view has it, which each decision rests on.
+
+        The loop that follows the view may not have run since it changed: an end that came before
+        it granted the freed slot of an upstream that was leaving.
+        """
+        self._follow()
+        return self._owner
+
     def _follow(self) -> None:
         if self._view.version == self._followed_version:
             return
@@ -185,7 +191,7 @@
 
     async def _tick_forever(self) -> None:
         while True:
-            self._perform(self._owner.tick(now_ms()))
+            self._perform(self._informed().tick(now_ms()))
             self._asked = trio.Event()
             with trio.move_on_after(self._tick_s()):
                 await self._asked.wait()
@@ -200,9 +206,7 @@
         """Read the load of each engine that is ours, one round at a time."""
         while True:
             interval_s = self._settings.permits.load_poll_ms / 1000
-            # The loop that follows the view may not have run since it changed.
-            self._follow()
-            if not self._owner.owns_any:
+            if not self._informed().owns_any:
                 await self._view.wait_changed(self._followed_version)
                 continue
             await trio.sleep(interval_s * self._rng.uniform(0.8, 1.2))
@@ -215,7 +219,7 @@
     async def _poll(self, upstream: UpstreamRecord) -> None:
         if self._owner.take_trial(upstream.upstream_id, now_ms()):
             outcome = await self._checks.probe(upstream, self._view.configuration)
-            self._perform(self._owner.observe(upstream.upstream_id, outcome, now_ms()))
+            self._perform(self._informed().observe(upstream.upstream_id, outcome, now_ms()))
         elif upstream.kind is UpstreamKind.ENGINE and self._checks.load is not None:
             self._take_load(upstream.upstream_id, await self._checks.load(upstream))
 
@@ -224,7 +228,7 @@
             # A lost report says little; a refused connection says that the process is gone.
             if result.err_value.code is ResultCode.PEER_UNREACHABLE:
                 refused = AttemptOutcome.CONNECT_REFUSED
-                self._perform(self._owner.observe(upstream_id, refused, now_ms()))
+                self._perform(self._informed().observe(upstream_id, refused, now_ms()))
             return
         load = result.ok_value
         self._owner.observe_load(upstream_id, load.running, load.waiting, now_ms())
--- a/tests/builders/permits.py
+++ b/tests/builders/permits.py
@@ -101,20 +101,31 @@
 
 @dataclass(slots=True)
 class ServedOwner:
-    """An agent that owns "u1", one holder's client, and the view that both follow."""
+    """An agent that owns "u1", one holder's client, and the view that each of them follows."""
 
+    service: PermitService
+    owner_view: FleetView
     view: FleetView
     client: PermitClient
     address: Address
     _version: int = 1
 
     def show(self, upstream: UpstreamRecord, address: Address | None = None) -> None:
-        """Let the view show ``upstream`` and the owner at ``address`` (by default the real one)."""
+        """Let both see ``upstream`` and the owner at ``address`` (by default the real one)."""
         self._version += 1
+        self._show(self.owner_view, upstream, address)
+        self._show(self.view, upstream, address)
+
+    def show_holder(self, upstream: UpstreamRecord) -> None:
+        """Let the holder see ``upstream`` of which the owner has not heard yet."""
+        self._version += 1
+        self._show(self.view, upstream, None)
+
+    def _show(self, view: FleetView, upstream: UpstreamRecord, address: Address | None) -> None:
         port = (address or self.address).port
         vm = VmRecord("vm1", "r1", "d1", "127.0.0.1", 1, VmState.ALIVE, agent_port=port)
         vm.ready = [Program.AGENT]
-        self.view.replace(self._version, [vm], [upstream], 0.0)
+        view.replace(self._version, [vm], [upstream], 0.0)
 
 
 @asynccontextmanager
@@ -122,10 +133,11 @@
     """Serve a permit service on a free port and open a client to it."""
     settings = settings_for()
     codec = Codec([permits])
-    view = FleetView("vm1")
-    view.replace_configuration(1, 1, Configuration(), 0.0)
+    owner_view, view = FleetView("vm1"), FleetView("vm1")
+    for each in (owner_view, view):
+        each.replace_configuration(1, 1, Configuration(), 0.0)
     async with trio.open_nursery() as nursery:
-        service = PermitService(settings, view, HttpClient(), random.Random(1))
+        service = PermitService(settings, owner_view, HttpClient(), random.Random(1))
         handlers = service.handlers()
 
         async def handle(message: object, peer: object) -> object:
@@ -134,7 +146,7 @@
         address = await nursery.start(serve_channel, Address("127.0.0.1", 0), codec, handle)
         nursery.start_soon(service.run)
         async with open_permit_client(settings, codec, view, "h1") as client:
-            owner = ServedOwner(view, client, address)
+            owner = ServedOwner(service, owner_view, view, client, address)
             owner.show(upstream or upstream_record())
             yield owner
         nursery.cancel_scope.cancel()
--- a/tests/test_permits_service.py
+++ b/tests/test_permits_service.py
@@ -1,21 +1,30 @@
 """Permits between a served owner and a holder's client, over real sockets."""
 
 import unittest
+from collections.abc import Callable
+from functools import partial
 from unittest import mock
 
 import msgspec
 import trio
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from fescuedock.address import Address
 from fescuedock.core.permits.owner import PermitOwner
 from fescuedock.core.permits.validity import validity_ms
 from fescuedock.faults import Fault
-from fescuedock.schema.permits import AttemptOutcome, WorkClass
+from fescuedock.schema.permits import AttemptOutcome, PermitAsk, PermitsEnded, WorkClass
 from fescuedock.schema.result_codes import ResultCode
 from fescuedock.schema.settings import AgentSettings
-from fescuedock.schema.view import UpstreamKind
-from tests.builders.permits import VALID_MS, ask_for, end_of, served_owner, upstream_record
+from fescuedock.schema.view import UpstreamKind, UpstreamRecord
+from tests.builders.permits import (
+    VALID_MS,
+    ServedOwner,
+    ask_for,
+    end_of,
+    served_owner,
+    upstream_record,
+)
 
 GUARD_S = 20
 TIMEOUT_MS = 5000
@@ -132,6 +141,73 @@
 
         _run(run)
 
+    def test_a_permit_that_comes_when_its_holder_knows_better_is_not_used(self) -> None:
+        """An ask waits in the queue of an owner that has not heard what its holder has."""
+        news = {
+            "leaving": upstream_record(slots=1, leaving=True),
+            "gone": upstream_record(upstream_id="u1-started-again", slots=1),
+        }
+        for name, upstream in news.items():
+            with self.subTest(name):
+                _run(partial(self._use_overtaken_permit, upstream))
+
+    async def _use_overtaken_permit(self, newer: UpstreamRecord) -> None:
+        async with served_owner(upstream_record(slots=1)) as owner:
+            running = ask_for()
+            (await owner.client.ask(running, TIMEOUT_MS)).unwrap()
+            answers: list[Result] = []
+
+            async def ask() -> None:
+                answers.append(await owner.client.ask(ask_for(wait_ms=5000), TIMEOUT_MS))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(ask)
+                await _until(lambda: owner.service.load("u1").queued_online)
+                owner.show_holder(newer)
+                await self._tell_end(owner, running)
+            self.assertIs(_code(answers[0]), ResultCode.NOT_OWNER)
+            # Given back, so that the owner does not count what never runs.
+            owner.show_holder(upstream_record(slots=1))
+            with trio.fail_after(VALID_MS / 1000 / 2):
+                await _until(lambda: not owner.service.load("u1").in_flight_online)
+
+    async def _tell_end(self, owner: ServedOwner, ask: PermitAsk) -> None:
+        """Have the owner take the end of an attempt, without waiting for anything else."""
+        ended = PermitsEnded("h1", [end_of(ask, AttemptOutcome.COMPLETED)])
+        await owner.service.handlers()[PermitsEnded](ended, None)
+
+    def test_nothing_is_granted_without_an_owner_at_an_upstream_that_leaves(self) -> None:
+        async def run() -> None:
+            async with served_owner() as owner:
+                owner.show_holder(upstream_record(leaving=True))
+                refusal = owner.client.ask_local(ask_for())
+                self.assertIs(_code(refusal), ResultCode.NOT_OWNER)
+                owner.show_holder(upstream_record())
+                grants = [owner.client.ask_local(ask_for()) for _ in range(3)]
+                self.assertEqual([grant.is_ok() for grant in grants], [True, True, False])
+
+        _run(run)
+
+    def test_an_end_that_frees_a_slot_of_a_leaving_upstream_lets_nobody_in(self) -> None:
+        async def run() -> None:
+            async with served_owner(upstream_record(slots=1)) as owner:
+                first = ask_for()
+                (await owner.client.ask(first, TIMEOUT_MS)).unwrap()
+                answers: list[Result] = []
+
+                async def ask() -> None:
+                    answers.append(await owner.client.ask(ask_for(wait_ms=5000), TIMEOUT_MS))
+
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(ask)
+                    await _until(lambda: owner.service.load("u1").queued_online)
+                    # The end is taken before the loop that follows the view has run.
+                    owner.show(upstream_record(slots=1, leaving=True))
+                    await self._tell_end(owner, first)
+                self.assertIs(_code(answers[0]), ResultCode.NO_CAPACITY)
+
+        _run(run)
+
     def test_a_silent_owner_leaves_online_the_local_limit_and_batch_nothing(self) -> None:
         async def run() -> None:
             async with served_owner() as owner:
@@ -176,6 +252,13 @@
         _run(run)
 
 
+async def _until(condition: Callable[[], object]) -> None:
+    while True:
+        if condition():
+            return
+        await trio.sleep(0.005)
+
+
 def _code(result: "Ok | Err[Fault]") -> ResultCode:
     return result.err().code
 
