Send no attempt that nobody wants any more, and none that cannot be joined to what was sent

Cause: on a kept connection a request is written without a checkpoint. A call whose client had left or whose time was up in the moment its permit came, and an item whose permit or job was taken back between its choice and its run, were still sent, ran, and were cut off. An answer without events of more than the megabyte that is held back, once broken off, was run again at another upstream, though its client had the beginning and the second answer was read only to be dropped.

Ruled out: a checkpoint for each attempt, which waits for a turn of the loop also where nothing is cancelled.

--- a/src/fescuedock/core/forwarding/progress.py
+++ b/src/fescuedock/core/forwarding/progress.py
@@ -40,6 +40,7 @@
     """The attempts of one call so far.
 
     ``last_event`` is the number of the last event that the client has, below 0 for none.
+    ``answer_begun`` says that the client has the beginning of an answer without events.
     """
 
     idempotent: bool
@@ -47,6 +48,7 @@
     last_event: int = -1
     runs: int = 0
     attempts: int = 0
+    answer_begun: bool = False
 
     @property
     def may_have_run(self) -> bool:
@@ -73,6 +75,9 @@
 
     def may_try_again(self) -> bool:
         """Whether another attempt may be made."""
+        if self.answer_begun:
+            # No other run can go on with it; it would keep an upstream busy for nobody.
+            return False
         if not self.may_have_run:
             return True
         return self.idempotent and self.runs < self.max_runs
--- a/src/fescuedock/node/item_run.py
+++ b/src/fescuedock/node/item_run.py
@@ -51,6 +51,9 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_cancel_when, grant.revoked, nursery.cancel_scope)
             nursery.start_soon(_cancel_when, stopped, nursery.cancel_scope)
+            if grant.revoked.is_set() or stopped.is_set():
+                # The tasks that look for it run only once the request has been written.
+                nursery.cancel_scope.cancel()
             end, attempt_end, reason = await _run(http, job, item, upstream, record)
             nursery.cancel_scope.cancel()
     finally:
--- a/src/fescuedock/node/online_call.py
+++ b/src/fescuedock/node/online_call.py
@@ -258,6 +258,7 @@
             parts.append(part)
             held_bytes += len(part)
             if held_bytes > _HELD_BYTES:
+                self.progress.answer_begun = True
                 self.out = self.out or await self.responder.begin(answer.head.status, headers)
                 await self.out.write(b"".join(parts))
                 parts, held_bytes = [], 0
--- a/tests/test_node_online.py
+++ b/tests/test_node_online.py
@@ -178,6 +178,22 @@
         [passed_on] = [line for line in ours if line["message_type"] == "call_failure_passed_on"]
         self.assertEqual((passed_on["request_id"], passed_on["status"]), ("failing", 500))
 
+    def test_a_long_answer_that_breaks_off_is_not_run_again_for_nobody(self) -> None:
+        """The client has the beginning of it by then, and no other run can go on with that."""
+
+        async def test(fleet: NodeFleet) -> None:
+            for upstream in fleet.upstreams:
+                upstream.event_count, upstream.event_interval_ms = 300, 0.0
+                # Events of 5 KB: 250 of them are more than is held back.
+                upstream.faults.append(UpstreamFault(cut_after=250))
+            headers = {"X-Request-Id": "r-long"}
+            target = "/safe/" + "x" * 5000
+            answer = await fleet.call(fleet.nodes[0].front, "GET", target, headers=headers)
+            self.assertEqual((answer.status, answer.whole), (200, False))
+            self.assertEqual(fleet.upstream_runs("r-long"), 1)
+
+        self.run_fleet(test)
+
     def test_a_silent_upstream_is_left_for_another_one(self) -> None:
         async def test(fleet: NodeFleet) -> None:
             fleet.upstreams[0].faults += [UpstreamFault(hang_after=2)] * 3
