Give no order by an outdated view: none new to an upstream that leaves, none to one that has gone

Cause: OrderService read once, before a series of steps, whether an upstream was leaving, though each step may take as long as an order; and an order that waited for its load slot was sent to the record that was read before the wait, whose address may be another upstream's by then.

Change: each step refreshes the upstream from the view, and an order is sent to the record that the view has at that moment, or counts as not sent.

Ruled out: dropping an order that is recorded as begun while its upstream is leaving; a new holder gives it again first, so the sequence has to be kept.

Result: the two new tests fail before (three failures with subtests) and pass after. Not mended: an order that was begun for an upstream that has gone is tried, as not sent, for as long as the agent runs; that was so before.

--- a/src/fescuedock/agent/order_service.py
+++ b/src/fescuedock/agent/order_service.py
@@ -160,6 +160,8 @@
     async def _work(self, part: ServedUpstream) -> float:
         """Take steps until there is nothing to do or a wait without holding; returns the wait."""
         while True:
+            # Each step may take as long as an order, in which the upstream may begin to leave.
+            part.refresh(self._view)
             wanted = self._wanted(part)
             match part.holder.step(wanted, now_ms()):
                 case ReadRecord():
@@ -223,7 +225,7 @@
             with scope:
                 async with self._slot(part.upstream, give.order):
                     outcome = GiveOutcome.UNKNOWN
-                    outcome = await self._send(part.upstream, give)
+                    outcome = await self._send(part.upstream.upstream_id, give)
             nursery.cancel_scope.cancel()
         if outcome is GiveOutcome.REJECTED:
             part.refuse(give.order, now_ms())
@@ -249,7 +251,15 @@
             else:
                 await self._read(part)
 
-    async def _send(self, upstream: UpstreamRecord, give: Give) -> GiveOutcome:
+    async def _send(self, upstream_id: str, give: Give) -> GiveOutcome:
+        """Send an order to the upstream as the view has it now.
+
+        The order may have waited long for its slot; the address of an upstream that has gone
+        meanwhile may be another one's.
+        """
+        upstream = self._view.upstreams.get(upstream_id)
+        if upstream is None:
+            return GiveOutcome.NOT_SENT
         order = give.order
         message = EngineOrder(
             give.fencing, order.kind.value, order.model, order.version, order.adapter, order.role
--- a/tests/builders/orders.py
+++ b/tests/builders/orders.py
@@ -20,7 +20,14 @@
 from tests.builders.config import vm_record
 from tests.builders.kv import MemoryKv
 
-__all__ = ["LoggedEngine", "configuration", "order_service", "order_view", "upstream"]
+__all__ = [
+    "LoggedEngine",
+    "configuration",
+    "order_service",
+    "order_view",
+    "show_upstreams",
+    "upstream",
+]
 
 
 @dataclass
@@ -30,6 +37,8 @@
     order_s: float = 30.0
     began: list[EngineOrder] = field(default_factory=list)
     done: list[EngineOrder] = field(default_factory=list)
+    # The upstreams that were given orders.
+    given_to: list[str] = field(default_factory=list)
     faults: list[ResultCode | None] = field(default_factory=list)
     most_at_once: int = 0
     _running: int = 0
@@ -41,8 +50,9 @@
             await self._changed.wait()
 
     async def order(
-        self, _upstream: UpstreamRecord, order: EngineOrder, _timeout_ms: float
+        self, upstream: UpstreamRecord, order: EngineOrder, _timeout_ms: float
     ) -> Result[None, Fault]:
+        self.given_to.append(upstream.upstream_id)
         self.began.append(order)
         self._changed.set()
         self._changed = trio.Event()
@@ -85,6 +95,11 @@
     return view
 
 
+def show_upstreams(view: FleetView, *upstreams: UpstreamRecord) -> None:
+    """Let ``view`` show these upstreams and no others."""
+    view.replace(view.version + 1, list(view.vms.values()), list(upstreams), 0.0)
+
+
 def order_service(kv: MemoryKv, engine: LoggedEngine, view: FleetView) -> OrderService:
     """Return the service of one agent whose upstreams have no online requests."""
     settings = Settings(
--- a/tests/test_orders_service.py
+++ b/tests/test_orders_service.py
@@ -2,9 +2,11 @@
 
 import unittest
 
+import msgspec
 import trio
 import trio.testing
 
+from fescuedock.agent.order_service import SLOTS_PREFIX
 from fescuedock.core.orders.fencing import OrderHolder, Phase
 from fescuedock.core.orders.placement import (
     Placement,
@@ -24,6 +26,7 @@
     configuration,
     order_service,
     order_view,
+    show_upstreams,
     upstream,
 )
 
@@ -134,6 +137,43 @@
             nursery.cancel_scope.cancel()
         self.assertEqual([done for _, done in changes], [0, 2])
 
+    def test_an_upstream_that_begins_to_leave_gets_no_further_order(self):
+        run_mocked(self._leaving)
+
+    async def _leaving(self):
+        engine = LoggedEngine(order_s=30)
+        view = order_view("vm-a", ["vm-a"], ("worker-1",), configuration("fenced"))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(order_service(MemoryKv(), engine, view).run)
+            await engine.wait_began(1)
+            show_upstreams(view, msgspec.structs.replace(upstream(), leaving=True))
+            await trio.sleep(300)
+            nursery.cancel_scope.cancel()
+        self.assertEqual([item.order for item in engine.began], ["load_model"])
+
+    def test_an_order_that_waited_for_its_slot_until_its_upstream_was_gone_is_not_given(self):
+        for name, left in (("gone", []), ("started elsewhere", [upstream("worker-2")])):
+            with self.subTest(name):
+                run_mocked(lambda left=left: self._gone(left))
+
+    async def _gone(self, left):
+        """Its address may be another upstream's by then."""
+        kv, engine = MemoryKv(), LoggedEngine(order_s=1)
+        taken = msgspec.msgpack.encode(LoadSlot("other", "other", "other"))
+        slots = [f"/fescuedock/{SLOTS_PREFIX}{number}" for number in range(3)]
+        revisions = [(await kv.put_if(slot, taken, 0)).unwrap() for slot in slots]
+        view = order_view("vm-a", ["vm-a"], ("worker-1",), configuration("fenced"))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(order_service(kv, engine, view).run)
+            await trio.sleep(30)
+            self.assertEqual(engine.began, [])
+            show_upstreams(view, *left)
+            for slot, revision in zip(slots, revisions, strict=True):
+                (await kv.delete_if(slot, revision)).unwrap()
+            await trio.sleep(300)
+            nursery.cancel_scope.cancel()
+        self.assertNotIn("worker-1", engine.given_to)
+
     def test_an_order_that_fails_is_given_again_and_a_rejected_one_left_for_a_while(self):
         run_mocked(self._refusals)
 
