Keep a machine's status completed when an older look at it comes to another end

Cause: a node asks a machine that is to be emptied how much it holds, for up to a quarter of a second. When another node told the operator meanwhile that it is empty, the machine may be gone; the first one then wrote 'running' over 'completed', as the condition of its write is the revision that it reads after the question.

Change: a status 'completed' that is newer than the request is not written over.

Ruled out: reading the status before the question as well, which every round would pay for.

--- a/src/fescuedock/node/retirement.py
+++ b/src/fescuedock/node/retirement.py
@@ -10,7 +10,7 @@
 
 from fescuedock.agent.link import FleetView
 from fescuedock.core.rendezvous import choose_name
-from fescuedock.kv import KvStore
+from fescuedock.kv import KvEntry, KvStore
 from fescuedock.log import log_event
 from fescuedock.node.replicas import Replicas
 from fescuedock.node.spools import Spools
@@ -55,7 +55,7 @@
         log_event("machine_emptying", node=node, pending=pending)
         if is_empty and not await self._unregister(node):
             return
-        if await self._write(records.retirement_status_key(node), value) and is_empty:
+        if await self._write(records.retirement_status_key(node), value, revision) and is_empty:
             self._answered[key] = revision
 
     async def _unregister(self, node: str) -> bool:
@@ -66,13 +66,24 @@
         removed = await self._kv.delete_if(entry.key, entry.mod_revision)
         return isinstance(removed, Ok)
 
-    async def _write(self, key: str, value: bytes) -> bool:
-        """Write a status unless it is there already; False when it may not be there."""
+    async def _write(self, key: str, value: bytes, revision: int) -> bool:
+        """Write a status unless it is there already; False when it may not be there.
+
+        ``revision`` is that of the request.  Once another node has found the machine empty after
+        it, the machine may be gone, and that it does not answer must not take the word back.
+        """
         found = await self._kv.get(key)
         if not isinstance(found, Ok):
             return False
         if found.ok_value is not None and found.ok_value.value == value:
             return True
+        if found.ok_value is not None and _says_empty(found.ok_value, revision):
+            return False
         before = found.ok_value.mod_revision if found.ok_value else 0
         written = await self._kv.put_if(key, value, before)
         return isinstance(written, Ok)
+
+
+def _says_empty(status: KvEntry, revision: int) -> bool:
+    """Whether a status answers the request of ``revision`` for good."""
+    return status.value == records.encode_emptied() and status.mod_revision > revision
