Let no resend at the same entry take over a claim that is still under way

Cause: ClaimDesk counted a claim's token among those that certainly sent nothing from the moment it was made, and took it out only when the answer to its write had come. A resend at the same entry in between read the record, found its token among the unsent ones and took it over: both sent the call, which may run once.

Change: a token counts as unsent only once its claim has ended without leave to send.

Ruled out: a lock by key, as records decide between entries already and suffice within one.

Result: the new test of a claim under way fails before (two leaves to send) and passes after; the one of a claim that was given up fails when its token is not noted.

--- a/src/fescuedock/entry/claiming.py
+++ b/src/fescuedock/entry/claiming.py
@@ -66,12 +66,17 @@
             created_at_s=self._context.unix_clock(),
             unsent_tokens=self._unsent.keys(),
         )
-        self._note_unsent(claim.token)
-        with trio.move_on_at(call.deadline_ms / 1000):
-            made = await self._carry_on(claim)
-            if isinstance(made, Ok) and made.ok_value is claim:
-                del self._unsent[claim.token]
-            return made
+        is_ours = False
+        try:
+            with trio.move_on_at(call.deadline_ms / 1000):
+                made = await self._carry_on(claim)
+                is_ours = isinstance(made, Ok) and made.ok_value is claim
+                return made
+        finally:
+            # Only now: while the answer to its write is on the way, this claim may still be the
+            # one that sends, and a resend that took it over would send the call as well.
+            if not is_ours:
+                self._note_unsent(claim.token)
         message = "the call's claim could not be made within the deadline"
         return Err(Fault(ResultCode.CLAIM_UNAVAILABLE, message, _RETRY_AFTER_MS))
 
--- /dev/null
+++ b/tests/test_online_claiming.py
@@ -0,0 +1,94 @@
+"""Resends of a call at one entry while its claim is still under way: one of them may send it."""
+
+import random
+import unittest
+from types import SimpleNamespace
+
+import trio
+import trio.testing
+from result import Ok, Result
+
+from fescuedock.clock import now_ms
+from fescuedock.core.claims import Claim
+from fescuedock.entry.claiming import ClaimDesk
+from fescuedock.entry.service_call import ServiceCall
+from fescuedock.faults import Fault
+from fescuedock.schema.claims import RecordedAnswer
+from fescuedock.schema.config import ServiceKind, ServiceSpec
+from fescuedock.schema.result_codes import ResultCode
+from tests.builders.kv import MemoryKv
+
+_ANSWER_S = 0.5
+
+
+class LateAnswerKv(MemoryKv):
+    """Answers the first write half a second after it took effect."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._writes = 0
+
+    async def put_if(self, *arguments: object, **options: object) -> Result[int, Fault]:
+        self._writes += 1
+        is_first = self._writes == 1
+        written = await super().put_if(*arguments, **options)
+        if is_first:
+            await trio.sleep(_ANSWER_S)
+        return written
+
+
+def service_call(left_ms: float = 3000.0) -> ServiceCall:
+    """Return a call that may run once, with ``left_ms`` until its deadline."""
+    return ServiceCall(
+        request_id="r-1",
+        service="bookings",
+        spec=ServiceSpec(ServiceKind.PLAIN),
+        member="manizales",
+        method="POST",
+        target="/bookings",
+        headers=[],
+        body=b"{}",
+        deadline_ms=now_ms() + left_ms,
+        repeatable=False,
+        idempotency_key="k",
+    )
+
+
+class ClaimUnderWayTest(unittest.TestCase):
+    def resend(self, first_left_ms: float) -> list[Result[Claim | RecordedAnswer, Fault]]:
+        """Return what a call and its resend, a fifth of a second later, got in their order."""
+        made: dict[int, Result] = {}
+
+        async def run() -> None:
+            platform = SimpleNamespace(key_prefix="/p/")
+            context = SimpleNamespace(
+                kv=LateAnswerKv(),
+                settings=SimpleNamespace(platform=platform),
+                unix_clock=lambda: 1_000_000,
+            )
+            desk = ClaimDesk(context, random.Random(1))
+
+            async def claim(number: int, left_ms: float) -> None:
+                made[number] = await desk.make_claim(service_call(left_ms))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(claim, 0, first_left_ms)
+                await trio.sleep(0.2)
+                nursery.start_soon(claim, 1, 3000.0)
+
+        trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+        return [made[0], made[1]]
+
+    def test_a_claim_that_is_under_way_is_not_taken_over(self) -> None:
+        first, second = self.resend(3000.0)
+        self.assertIsInstance(first, Ok)
+        self.assertIs(second.err_value.code, ResultCode.ALREADY_CLAIMED)
+
+    def test_a_claim_that_was_given_up_unsent_is_taken_over(self) -> None:
+        first, second = self.resend(100.0)
+        self.assertIs(first.err_value.code, ResultCode.CLAIM_UNAVAILABLE)
+        self.assertIsInstance(second, Ok)
+
+
+if __name__ == "__main__":
+    unittest.main()
