Take a read of the record that a newer version overtook for no sign of a restored service

Cause: an agent reads the configuration's record while another VM writes the next version and pushes it. The read's answer, older than what is in force here by then, was taken for a service that had been restored: an alarm was raised, and a patch of an operator refused with CONFIG_REVERTED. Only versions heard of by gossip were compared with the time at which the read was asked.

Change: versions that are pushed, and own writes, are heard of too; Replica.observe_kv answers OVERTAKEN for an older record that was asked for before, and a patch is then built on a new read.

Ruled out: taking an older record for known without a new read, as a patch on the version in force would be refused as unknown to it.

--- a/src/fescuedock/agent/config_service.py
+++ b/src/fescuedock/agent/config_service.py
@@ -222,6 +222,8 @@
         if not isinstance(step, Accepted):
             return SubmitPatchReply(step.code.value, step.version, list(step.problems))
         self._copied = trio.Event()
+        # A read that is under way may still show the version before.
+        self._node.replica.hear(self._node.version, now_ms())
         self._note_changes()
         with trio.move_on_after(_FIRST_COPY_MS / 1000):
             await self._copied.wait()
--- a/src/fescuedock/core/config/node.py
+++ b/src/fescuedock/core/config/node.py
@@ -147,6 +147,8 @@
             self.replica.offer_delta(delta)
         if message.record:
             self._offer_bytes(message.record, source, message.kv_revision)
+        # A read that is under way may still show the version before.
+        self.replica.hear(self.version, now_ms)
         if message.version > self.version:
             self._hear_from(source, message.version, now_ms)
             return Offer.GAP
--- a/src/fescuedock/core/config/replica.py
+++ b/src/fescuedock/core/config/replica.py
@@ -45,6 +45,8 @@
     KNOWN = "known"
     GAP = "gap"
     REFUSED = "refused"
+    # Read before a version that is known by now was written.
+    OVERTAKEN = "overtaken"
 
 
 class Replica(msgspec.Struct):
@@ -110,8 +112,11 @@
     def observe_kv(self, record: ConfigRecord, kv_revision: int, asked_at_ms: float) -> Offer:
         """Take what the key-value service held at or after ``asked_at_ms``.
 
-        It must not be older than what any VM had before then: such a record was restored.
+        It must not be older than what any VM had before then: such a record was restored.  A read
+        that was under way while the version in force here was written proves nothing.
         """
+        if record.version < self.version and self._learned_since(asked_at_ms):
+            return Offer.OVERTAKEN
         lowest = self.heard_version if self.heard_at_ms <= asked_at_ms else 0
         if record.version < max(self.version, lowest):
             return self._refuse(AlarmKind.REVERTED, "key-value service", record.version)
@@ -121,6 +126,10 @@
             self.alarm = None
         return offer
 
+    def _learned_since(self, asked_at_ms: float) -> bool:
+        """Whether the version in force here was first heard of after ``asked_at_ms``."""
+        return self.heard_version >= self.version and self.heard_at_ms > asked_at_ms
+
     def confirm(self, asked_at_ms: float) -> None:
         """Note that the version in force was the newest at or after ``asked_at_ms``."""
         self.confirmed_at_ms = max(self.confirmed_at_ms, asked_at_ms)
--- a/src/fescuedock/core/config/writer.py
+++ b/src/fescuedock/core/config/writer.py
@@ -72,8 +72,12 @@
         applied = find_applied(record, self.request.patch_id)
         if applied is not None and self._is_ours(record):
             self._accept(revision, asked_at_ms)
-        elif self.replica.observe_kv(record, revision, asked_at_ms) is Offer.REFUSED:
-            return self._refused(ResultCode.CONFIG_REVERTED)
+        else:
+            offer = self.replica.observe_kv(record, revision, asked_at_ms)
+            if offer is Offer.OVERTAKEN:
+                return Read()
+            if offer is Offer.REFUSED:
+                return self._refused(ResultCode.CONFIG_REVERTED)
         if applied is not None:
             return self._settled(applied)
         if self._put is not None and self._put.expected_revision == revision:
--- a/tests/test_config_decisions.py
+++ b/tests/test_config_decisions.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import unittest
+from math import inf
 
 import msgspec
 from result import Err
@@ -22,7 +23,7 @@
 from fescuedock.core.config.replica import AlarmKind, Offer, Replica
 from fescuedock.core.config.republish import plan_republish
 from fescuedock.core.config.spread import Standing, is_serving, standing, watchers_of
-from fescuedock.core.config.writer import Accepted, PatchWriter, Put
+from fescuedock.core.config.writer import Accepted, PatchWriter, Put, Read
 from fescuedock.faults import Fault
 from fescuedock.schema.config import ConfigPull, PatchRequest
 from fescuedock.schema.result_codes import ResultCode
@@ -195,6 +196,33 @@
         self.assertEqual(plan_republish(self.replica, old, 5).code, ResultCode.CONFIG_UNCONFIRMED)
 
 
+class OvertakenReadTest(unittest.TestCase):
+    """A read of the service under way while another VM writes the next version and pushes it."""
+
+    def setUp(self):
+        vms = [vm_record("vm-a"), vm_record("vm-b")]
+        self.chain = records(3)
+        self.node, writer = (node_of(vm, vms) for vm in vms)
+        self.node.replica.offer_record(self.chain[2], "vm-b", 7)
+        writer.replica.offer_record(self.chain[3], "own write", 8)
+        pushed = writer.on_pull(ConfigPull(2), now_ms=10)
+        self.assertEqual(self.node.on_push(pushed, -inf, now_ms=10), Offer.APPLIED)
+        self.assertEqual(self.node.version, 3)
+
+    def test_it_is_no_sign_of_a_restored_service(self):
+        older = encode_record(self.chain[2])
+        self.node.on_record(older, 7, asked_at_ms=5)
+        self.assertIsNone(self.node.replica.alarm)
+        self.assertFalse(self.node.replica.ever_confirmed)
+        self.node.on_record(older, 7, asked_at_ms=15)
+        self.assertEqual(self.node.replica.alarm.kind, AlarmKind.REVERTED)
+
+    def test_a_patch_is_not_refused_for_it_but_built_on_a_new_read(self):
+        writer = PatchWriter(member_patch(3, "new"), self.node.replica, 0)
+        self.assertEqual(writer.on_read(encode_record(self.chain[2]), 7, 5), Read())
+        self.assertIsInstance(writer.on_read(encode_record(self.chain[3]), 8, 15), Put)
+
+
 class ReplicaTest(unittest.TestCase):
     def test_a_fork_is_refused_however_high(self):
         replica = Replica(record=records(3)[3])
