Look for a cancelled caller where every request is written, not in the node's attempts only

Cause: the entry's and the batch runner's attempts are written on kept connections as well, so that one whose caller was cancelled in the moment its permit came was sent there too.

Change: the look moves from send_attempt to HttpClient.request, which all of them pass through.

Result: tests.test_node_attempt, which failed without the look in its former place, passes with it here.

--- a/src/fescuedock/net/http_client.py
+++ b/src/fescuedock/net/http_client.py
@@ -185,6 +185,9 @@
         ``fresh`` forces a new connection: a reused one may have been closed by the server just
         as we wrote to it, and then nobody can say whether the request arrived.
         """
+        # On a kept connection the request is written without a checkpoint: a caller that had been
+        # cancelled just before would still have it run.
+        await trio.lowlevel.checkpoint_if_cancelled()
         connection = None if fresh else self._take_idle(address)
         if connection is None:
             connection = await self._connect(address)
--- a/src/fescuedock/node/attempt.py
+++ b/src/fescuedock/node/attempt.py
@@ -4,7 +4,6 @@
 from contextlib import asynccontextmanager
 
 import msgspec
-import trio
 
 from fescuedock.address import Address
 from fescuedock.agent.permit_client import Grant
@@ -101,9 +100,6 @@
 
     ``NotSentError`` and ``ResponseLostError`` are those of ``HttpClient.request``.
     """
-    # On a kept connection the request is written without a checkpoint: a caller that was cancelled
-    # in the moment its permit came would still have it run.
-    await trio.lowlevel.checkpoint_if_cancelled()
     async with http.request(
         Address(upstream.host, upstream.port),
         method,
