Choose anew for a call whose upstream begins to leave while it waits there for a slot

Cause: the owner of an upstream that begins to leave refuses who waits there. That refusal stood for all upstreams chosen before the wait, so a call was answered 503 beside an upstream with free slots that had come since.

Change: a refusal by an upstream that the newest view shows as leaving or gone ends the round, and the choice is made anew without it.

Ruled out: another code from the owner, as an ask that comes later is rightly told of no capacity.

A second test holds that a queued call is not sent after its client has left; it fails when leaving clients go unnoticed.

--- a/src/fescuedock/entry/online_permits.py
+++ b/src/fescuedock/entry/online_permits.py
@@ -119,14 +119,7 @@
 
 
 def _choose(state: PermitSearch, call: OnlineCall, avoid: Collection[str]) -> list[Choice]:
-    view = state.view
-    policies = view.configuration.upstreams
-    usable = [
-        item
-        for item in view.upstreams_of(call.service)
-        if not item.leaving
-        and not (item.upstream_id in policies and policies[item.upstream_id].drain)
-    ]
+    usable = [item for item in state.view.upstreams_of(call.service) if _is_usable(state, item)]
     candidates = [
         msgspec.structs.replace(_candidate(state, item), avoided=item.upstream_id in avoid)
         for item in usable
@@ -135,6 +128,17 @@
     return choose_upstreams(candidates, call.demand, token_ms, state.routing, state.rng)
 
 
+def _is_usable(state: PermitSearch, upstream: UpstreamRecord) -> bool:
+    policy = state.view.configuration.upstreams.get(upstream.upstream_id)
+    return not upstream.leaving and not (policy is not None and policy.drain)
+
+
+def _is_overtaken(state: PermitSearch, upstream_id: str) -> bool:
+    """Whether an upstream that was chosen has begun to leave or has gone since."""
+    upstream = state.view.upstreams.get(upstream_id)
+    return upstream is None or not _is_usable(state, upstream)
+
+
 def _candidate(state: PermitSearch, upstream: UpstreamRecord) -> Candidate:
     owner = state.view.owner_of(upstream.upstream_id)
     silent = owner is None or state.silent.is_silent(owner.vm_id, now_ms())
@@ -241,6 +245,8 @@
             if code is ResultCode.NOT_OWNER:
                 await trio.sleep(_NOT_OWNER_PAUSE_S)
             again = code is ResultCode.NOT_OWNER or (in_vain and code not in _SILENCE)
+            # The refusal of one that leaves says nothing of those that came since the choice.
+            again = again or _is_overtaken(state, ask.upstream_id)
             refusals.append(_Answer(granted, again=again))
             return
         grants.append(granted.ok_value)
--- a/tests/test_node_online.py
+++ b/tests/test_node_online.py
@@ -214,6 +214,49 @@
 
         self.run_fleet(test)
 
+    def test_a_call_that_waits_for_a_slot_is_not_sent_once_its_client_has_left(self) -> None:
+        async def test(fleet: NodeFleet) -> None:
+            [upstream], [node] = fleet.upstreams, fleet.nodes
+            upstream.event_interval_ms = 200.0
+            async with trio.open_nursery() as nursery:
+                for number in range(SLOTS):
+                    nursery.start_soon(fleet.call, node.front, "POST", f"/check/{number}", b"a")
+                await trio.sleep(0.3)
+                self.assertEqual(upstream.running, SLOTS)
+                with trio.move_on_after(0.3):
+                    headers = {"X-Request-Id": "r-left"}
+                    await fleet.call(node.front, "POST", "/check/9", b"a", headers)
+            # All slots are free by now, and nobody else asks.
+            await trio.sleep(0.3)
+            self.assertEqual(fleet.upstream_runs("r-left"), 0)
+            self.assertEqual((await fleet.call(node.front, "POST", "/check/9", b"a")).status, 200)
+
+        self.run_fleet(test, upstreams=1)
+
+    def test_a_call_that_waits_for_a_slot_goes_elsewhere_when_the_upstream_leaves(self) -> None:
+        async def test(fleet: NodeFleet) -> None:
+            [upstream], [node] = fleet.upstreams, fleet.nodes
+            upstream.event_interval_ms = 200.0
+            answers: list[int] = []
+
+            async def call() -> None:
+                headers = {"X-Request-Id": "r-waits"}
+                answer = await fleet.call(node.front, "POST", "/check/9", b"a", headers)
+                answers.append(answer.status)
+
+            async with trio.open_nursery() as nursery:
+                for number in range(SLOTS):
+                    nursery.start_soon(fleet.call, node.front, "POST", f"/check/{number}", b"a")
+                await trio.sleep(0.3)
+                nursery.start_soon(call)
+                await trio.sleep(0.1)
+                other = await fleet.start_upstream("i-other")
+                fleet.register(upstream, state="draining")
+            self.assertEqual(answers, [200])
+            self.assertEqual((upstream.runs["r-waits"], other.runs["r-waits"]), (0, 1))
+
+        self.run_fleet(test, upstreams=1)
+
     def test_a_call_is_ended_at_its_route_s_timeout(self) -> None:
         async def test(fleet: NodeFleet) -> None:
             document = config_document(2)
