--- a/tests/test_node_online.py
+++ b/tests/test_node_online.py
@@ -178,6 +178,22 @@
         [passed_on] = [line for line in ours if line["message_type"] == "call_failure_passed_on"]
         self.assertEqual((passed_on["request_id"], passed_on["status"]), ("failing", 500))
 
+    def test_a_long_answer_that_breaks_off_is_not_run_again_for_nobody(self) -> None:
+        """The client has the beginning of it by then, and no other run can go on with that."""
+
+        async def test(fleet: NodeFleet) -> None:
+            for upstream in fleet.upstreams:
+                upstream.event_count, upstream.event_interval_ms = 300, 0.0
+                # Events of 5 KB: 250 of them are more than is held back.
+                upstream.faults.append(UpstreamFault(cut_after=250))
+            headers = {"X-Request-Id": "r-long"}
+            target = "/safe/" + "x" * 5000
+            answer = await fleet.call(fleet.nodes[0].front, "GET", target, headers=headers)
+            self.assertEqual((answer.status, answer.whole), (200, False))
+            self.assertEqual(fleet.upstream_runs("r-long"), 1)
+
+        self.run_fleet(test)
+
     def test_a_silent_upstream_is_left_for_another_one(self) -> None:
         async def test(fleet: NodeFleet) -> None:
             fleet.upstreams[0].faults += [UpstreamFault(hang_after=2)] * 3
@@ -198,6 +214,49 @@
 
         self.run_fleet(test)
 
+    def test_a_call_that_waits_for_a_slot_is_not_sent_once_its_client_has_left(self) -> None:
+        async def test(fleet: NodeFleet) -> None:
+            [upstream], [node] = fleet.upstreams, fleet.nodes
+            upstream.event_interval_ms = 200.0
+            async with trio.open_nursery() as nursery:
+                for number in range(SLOTS):
+                    nursery.start_soon(fleet.call, node.front, "POST", f"/check/{number}", b"a")
+                await trio.sleep(0.3)
+                self.assertEqual(upstream.running, SLOTS)
+                with trio.move_on_after(0.3):
+                    headers = {"X-Request-Id": "r-left"}
+                    await fleet.call(node.front, "POST", "/check/9", b"a", headers)
+            # All slots are free by now, and nobody else asks.
+            await trio.sleep(0.3)
+            self.assertEqual(fleet.upstream_runs("r-left"), 0)
+            self.assertEqual((await fleet.call(node.front, "POST", "/check/9", b"a")).status, 200)
+
+        self.run_fleet(test, upstreams=1)
+
+    def test_a_call_that_waits_for_a_slot_goes_elsewhere_when_the_upstream_leaves(self) -> None:
+        async def test(fleet: NodeFleet) -> None:
+            [upstream], [node] = fleet.upstreams, fleet.nodes
+            upstream.event_interval_ms = 200.0
+            answers: list[int] = []
+
+            async def call() -> None:
+                headers = {"X-Request-Id": "r-waits"}
+                answer = await fleet.call(node.front, "POST", "/check/9", b"a", headers)
+                answers.append(answer.status)
+
+            async with trio.open_nursery() as nursery:
+                for number in range(SLOTS):
+                    nursery.start_soon(fleet.call, node.front, "POST", f"/check/{number}", b"a")
+                await trio.sleep(0.3)
+                nursery.start_soon(call)
+                await trio.sleep(0.1)
+                other = await fleet.start_upstream("i-other")
+                fleet.register(upstream, state="draining")
+            self.assertEqual(answers, [200])
+            self.assertEqual((upstream.runs["r-waits"], other.runs["r-waits"]), (0, 1))
+
+        self.run_fleet(test, upstreams=1)
+
     def test_a_call_is_ended_at_its_route_s_timeout(self) -> None:
         async def test(fleet: NodeFleet) -> None:
             document = config_document(2)
