--- a/tests/test_node_attempt.py
+++ b/tests/test_node_attempt.py
@@ -15,7 +15,7 @@
 from fescuedock.core.stored_jobs.job import ItemEnd, ItemRun
 from fescuedock.net.http_client import HttpClient
 from fescuedock.node.attempt import send_attempt
-from fescuedock.node.item_run import run_item
+from fescuedock.node.item_run import KnownAtBegin, run_item
 from fescuedock.platform.standin.event_upstream import EventUpstream
 from fescuedock.schema.permits import AttemptOutcome, EndedPermit, WorkClass
 from fescuedock.schema.stored_jobs import StoredItem
@@ -71,7 +71,9 @@
                 grant.revoked.set()
             if taken_back == "job":
                 let_go.set()
-            end = await run_item(http, job_record(), item, record, grant, let_go, 0.0)
+            end = await run_item(
+                http, job_record(), item, record, grant, let_go, KnownAtBegin(1, 0.0)
+            )
             await trio.sleep(0.1)
         [outcome] = [permit.outcome for permit in ended]
         if taken_back:
--- a/tests/test_permits_service.py
+++ b/tests/test_permits_service.py
@@ -245,8 +245,10 @@
             async with served_owner() as owner:
                 # Nothing listens on the discard port.
                 owner.show(upstream_record(port=9, kind=UpstreamKind.ENGINE))
-                while (await owner.client.ask(ask_for(), TIMEOUT_MS)).is_ok():
-                    pass
+                while (granted := await owner.client.ask(ask_for(), TIMEOUT_MS)).is_ok():
+                    # Kept, they would use up the limit first, which is refused as well.
+                    owner.client.give_back(granted.ok_value)
+                    await trio.sleep(0.005)
                 self.assertFalse(owner.client.loads["u1"].load.accepting)
 
         _run(run)
