Let one place decide whether an item of a batch job may begin, by a record of bounded age

Cause: a runner began items by the record as it had last read or written it, however long ago that was. Without a commit (long items, stores away) and without the push of a cancel, nothing bounded it: a job went on after an acknowledged cancel or under a claim that another runner had raised. Besides, the answer to a read that was sent before the push ended the hold of the push; a write refused by a conflict stopped nothing before the next read; a record under another epoch did not before the next poll; and a stop between the choice of an item and the start of its task missed it.

Change: core/batch/start_gate.py decides for peek and take, through which every item passes, by the owner, the state, whether something points to a newer record, and the time since the call was sent that last confirmed it. A record with items in flight or ready is read at two thirds of the new setting record_age_ms; commits count as well, and a job in which nothing can run costs no read. While the service answers nobody work goes on: the agent says so (kv_away), by the configuration's confirmations and its contact with most VMs. An attempt can be stopped before its task runs.

Ruled out: taking one's own failed reads for an outage (a runner that is cut off would go on); a read for each item.

The scheduler's tests make no call for minutes of their clock, so their settings got a record age of an hour; what they assert is unchanged.

--- a/src/fescuedock/agent/config_service.py
+++ b/src/fescuedock/agent/config_service.py
@@ -106,6 +106,11 @@
         """Whether the cut-off policy lets the entry of this VM take new requests."""
         return is_serving(self._node.standing(now_ms()), self._settings.agent.config_cut_off)
 
+    @property
+    def kv_away(self) -> bool:
+        """Whether the key-value service seems to answer nobody."""
+        return self._node.kv_away(now_ms())
+
     @property
     def alarm(self) -> str:
         """What was refused and has to be looked at, in one line; empty when there is nothing."""
--- a/src/fescuedock/agent/link.py
+++ b/src/fescuedock/agent/link.py
@@ -30,6 +30,8 @@
 _POLL_WAIT_MS = 2000
 _CALL_TIMEOUT_MS = 3000
 _RETRY_S = 0.2
+# What the agent says of the key-value service is good for one poll that gets no answer.
+_KV_AWAY_MS = _POLL_WAIT_MS + _CALL_TIMEOUT_MS
 _PORT_FIELDS = {program: f"{program.value}_port" for program in Program}
 
 
@@ -48,6 +50,7 @@
     __slots__ = (
         "_changed",
         "_confirmed_at_ms",
+        "_kv_away_until_ms",
         "_listed_at_ms",
         "_owners",
         "config_version",
@@ -67,6 +70,7 @@
         self.config_version = 0
         self._listed_at_ms = float("-inf")
         self._confirmed_at_ms = float("-inf")
+        self._kv_away_until_ms = float("-inf")
         self._owners = OwnerIndex()
         self._changed = trio.Event()
 
@@ -80,6 +84,11 @@
         """Time since the configuration's version was last known to be current."""
         return now_ms() - self._confirmed_at_ms
 
+    @property
+    def kv_away(self) -> bool:
+        """Whether this VM's agent says that the key-value service answers nobody."""
+        return now_ms() < self._kv_away_until_ms
+
     def live_vms(self, program: Program | None = None) -> list[VmRecord]:
         """Return the VMs that may get new work, for ``program`` if given.
 
@@ -128,6 +137,10 @@
         """Take the time since the VM list was last read."""
         self._listed_at_ms = now_ms() - age_ms
 
+    def note_kv(self, away: bool) -> None:
+        """Take whether the key-value service answers nobody."""
+        self._kv_away_until_ms = now_ms() + _KV_AWAY_MS if away else float("-inf")
+
     def replace_configuration(
         self, view_version: int, config_version: int, configuration: Configuration, age_ms: float
     ) -> None:
@@ -219,6 +232,7 @@
 
 def _take(view: FleetView, reply: ViewReply) -> None:
     view.note_list_age(reply.membership_age_ms)
+    view.note_kv(reply.kv_away)
     configuration = view.configuration
     config_version = view.config_version
     if reply.config_document and reply.config_version > view.config_version:
--- a/src/fescuedock/agent/membership_service.py
+++ b/src/fescuedock/agent/membership_service.py
@@ -71,6 +71,10 @@
     def serving(self) -> bool:
         """Whether the entry of this VM may take new requests all the same."""
 
+    @property
+    def kv_away(self) -> bool:
+        """Whether the key-value service seems to answer nobody."""
+
     def on_peer_version(self, vm: VmRecord, version: int) -> None:
         """Note the version that a datagram of ``vm`` carried."""
 
@@ -297,6 +301,7 @@
             config_version=view.config_version,
             config_age_ms=_whole(source.confirmed_age_ms),
             config_document=source.document if newer else b"",
+            kv_away=source.kv_away,
             unchanged=view.version == message.seen_version,
         )
         if not reply.unchanged:
--- a/src/fescuedock/batch/dispatch.py
+++ b/src/fescuedock/batch/dispatch.py
@@ -131,16 +131,15 @@
         # What is polled by the job itself, such as the next input, may be due now.
         task = self._task_of(assignment.run.job_id)
         task.wake()
-        self._nursery.start_soon(self._run_item, task, assignment, upstream, grant)
-
-    async def _run_item(
-        self, task: JobTask, assignment: Assignment, upstream: UpstreamRecord, grant: Grant
-    ) -> None:
-        context = self._context
-        spec = context.view.configuration.services.get(upstream.service)
+        spec = self._context.view.configuration.services.get(upstream.service)
         timeout_ms = spec.request_timeout_ms if spec else ServiceSpec.request_timeout_ms
         attempt = Attempt(assignment.item, upstream, grant, timeout_ms)
+        # Known before its task runs, so that a stop in between reaches it.
         task.attempts.add(attempt.scope)
+        self._nursery.start_soon(self._run_item, task, assignment, attempt)
+
+    async def _run_item(self, task: JobTask, assignment: Assignment, attempt: Attempt) -> None:
+        context, upstream = self._context, attempt.upstream
         try:
             end = await run_attempt(context.upstreams, attempt)
         finally:
--- a/src/fescuedock/batch/runner.py
+++ b/src/fescuedock/batch/runner.py
@@ -199,7 +199,13 @@
         if self._stopping or job_id in self._tasks:
             return
         context = self._context
-        run = JobRun(job_id, str(context.name), context.settings.batch, context.random)
+        run = JobRun(
+            job_id,
+            str(context.name),
+            context.settings.batch,
+            context.random,
+            lambda: context.view.kv_away,
+        )
         task = JobTask(context, run)
         self._tasks[job_id] = task
         self._silence.clear(job_id)
--- a/src/fescuedock/core/batch/commits.py
+++ b/src/fescuedock/core/batch/commits.py
@@ -11,6 +11,7 @@
 from fescuedock.core.batch.actions import ReadRecord, WriteRecord
 from fescuedock.core.batch.ranges import holds
 from fescuedock.core.batch.record import DuplicateItemError, OwnerChange, changed, claimed, is_final
+from fescuedock.core.batch.start_gate import KnownRecord
 from fescuedock.schema.batch import CommittedGroup, JobForecast, JobRecord, JobState, SegmentRef
 from fescuedock.schema.result_codes import ResultCode
 
@@ -39,6 +40,8 @@
     __slots__ = (
         "_asked_epoch",
         "_busy",
+        "_confirmed_at_ms",
+        "_doubted",
         "_failures",
         "_finish_at_s",
         "_folded",
@@ -50,6 +53,7 @@
         "_random",
         "_retry_at_ms",
         "_revision",
+        "_sent_at_ms",
         "_unmarks",
         "_writing",
         "epoch",
@@ -67,6 +71,9 @@
         self._revision = 0
         self._busy = False
         self._must_read = True
+        self._doubted = False
+        self._sent_at_ms = 0.0
+        self._confirmed_at_ms = float("-inf")
         self._writing: JobRecord | None = None
         self._failures = 0
         self._retry_at_ms = 0.0
@@ -93,6 +100,12 @@
     def cancelling(self) -> bool:
         return self.record is not None and self.record.state is JobState.CANCELLING
 
+    @property
+    def known(self) -> KnownRecord:
+        """What is known of the record, for the decision whether an item may begin."""
+        owned = self.ownership is Ownership.OWNED
+        return KnownRecord(self.record, owned, self._confirmed_at_ms, self._doubted)
+
     def add_group(self, group: CommittedGroup) -> None:
         self._groups.append(group)
 
@@ -118,6 +131,13 @@
     def look(self) -> None:
         """Read the record at the next chance: somebody says that it was changed."""
         self._must_read = True
+        self._doubted = True
+
+    def refresh(self) -> None:
+        """Read the record at the next chance, as nothing has confirmed it for a while."""
+        # The answer to a call under way will confirm it.
+        if not self._busy:
+            self._must_read = True
 
     def next_action(self, now_ms: float) -> ReadRecord | WriteRecord | None:
         """Return the next call on the key-value service; None while there is none to make."""
@@ -126,18 +146,20 @@
         if self.ownership not in (Ownership.CLAIMING, Ownership.OWNED):
             return None
         if self._must_read:
-            self._busy = True
+            # Not at the answer: a change that is told in between needs another read.
+            self._must_read = False
+            self._send(now_ms)
             return ReadRecord()
         self._writing = self._next_record()
         if self._writing is None:
             return None
-        self._busy = True
+        self._send(now_ms)
         return WriteRecord(self._writing, self._revision)
 
     def on_record(self, record: JobRecord | None, revision: int) -> None:
-        """Take what the service holds now."""
+        """Take what the service held when it was asked."""
         self._answered()
-        self._must_read = False
+        self._doubted = self._must_read
         self._revision = revision
         self.record = record or self.record
         if record is None:
@@ -157,12 +179,19 @@
         self._busy = False
         self._must_read = True
         if code is ResultCode.KV_CONFLICT:
+            self._doubted = True
             return
         delay_ms = min(_FIRST_RETRY_MS * 2**self._failures, _LAST_RETRY_MS)
         self._failures += 1
         self._retry_at_ms = now_ms + delay_ms * self._random.uniform(0.5, 1.5)
 
+    def _send(self, now_ms: float) -> None:
+        self._busy = True
+        self._sent_at_ms = now_ms
+
     def _answered(self) -> None:
+        # An answer may be long on its way, and tells of no change that came after it was asked for.
+        self._confirmed_at_ms = self._sent_at_ms
         self._busy = False
         self._failures = 0
         self._retry_at_ms = 0.0
--- a/src/fescuedock/core/batch/job.py
+++ b/src/fescuedock/core/batch/job.py
@@ -5,7 +5,7 @@
 """
 
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from enum import StrEnum, auto
 
 import msgspec
@@ -21,6 +21,7 @@
 from fescuedock.core.batch.commits import CommitQueue, Ownership
 from fescuedock.core.batch.folding import ManifestFolder
 from fescuedock.core.batch.items import AttemptEnd, Isolation, Item
+from fescuedock.core.batch.start_gate import read_due_ms, refusal_of
 from fescuedock.core.batch.work import JobWork
 from fescuedock.schema.batch import JobRecord, JobState, SegmentRef
 from fescuedock.schema.result_codes import ResultCode
@@ -61,13 +62,14 @@
 class JobRun:
     """Runs job ``job_id`` under ``owner``, the unique name of this runner.
 
-    ``may_load`` is set by the scheduler; without it no input is read.
+    ``may_load`` is set by the scheduler; without it no input is read.  ``kv_away`` tells whether
+    the key-value service answers nobody.
     """
 
     __slots__ = (
         "_commits",
         "_folder",
-        "_held",
+        "_kv_away",
         "_random",
         "_released",
         "_settings",
@@ -79,7 +81,12 @@
     )
 
     def __init__(
-        self, job_id: str, owner: str, settings: BatchSettings, random_: random.Random
+        self,
+        job_id: str,
+        owner: str,
+        settings: BatchSettings,
+        random_: random.Random,
+        kv_away: Callable[[], bool] = lambda: False,
     ) -> None:
         self.job_id = job_id
         self.phase = JobPhase.CLAIMING
@@ -90,7 +97,7 @@
         self._folder = ManifestFolder(settings.manifest_groups)
         # There from the claim on.
         self._work: JobWork | None = None
-        self._held = False
+        self._kv_away = kv_away
         self._released = False
         self._stop_due = False
 
@@ -151,6 +158,8 @@
         actions = self._advance(moment)
         if self.phase in _WORKING:
             actions += self._poll_work(moment)
+        if moment.now_ms >= self._read_due_ms(moment.now_ms):
+            self._commits.refresh()
         commit = self._commits.next_action(moment.now_ms)
         if commit is not None:
             actions.append(commit)
@@ -160,7 +169,7 @@
 
     def wake_at_ms(self, now_ms: float) -> float:
         """Return when ``poll`` has something new, if nothing is reported before."""
-        due = [self._folder.due_at_ms, self._commits.retry_at_ms]
+        due = [self._folder.due_at_ms, self._commits.retry_at_ms, self._read_due_ms(now_ms)]
         if self._work is not None:
             due += self._work.due_ms()
         return min((at_ms for at_ms in due if at_ms > now_ms), default=float("inf"))
@@ -185,15 +194,19 @@
 
     def peek(self, now_ms: float) -> Item | None:
         """Return the item that would probably run next, without taking it."""
-        return self._work.peek(now_ms) if self._can_start() else None
+        return self._work.peek(now_ms) if self._can_start(now_ms) else None
 
     def strictest_isolation(self, now_ms: float) -> Isolation:
         """Return the strictest isolation that an item which could run now needs."""
-        return self._work.items.strictest_ready(now_ms) if self._can_start() else Isolation.NONE
+        if not self._can_start(now_ms):
+            return Isolation.NONE
+        return self._work.items.strictest_ready(now_ms)
 
     def take(self, upstream_id: str, allowed: Isolation, now_ms: float) -> Item | None:
         """Take an item to run on ``upstream_id``; answer with ``on_attempt_ended``."""
-        return self._work.take(upstream_id, allowed, now_ms) if self._can_start() else None
+        if not self._can_start(now_ms):
+            return None
+        return self._work.take(upstream_id, allowed, now_ms)
 
     def on_attempt_ended(self, item: Item, end: AttemptEnd, now_ms: float) -> ResultCode | None:
         """Take the end of an attempt; of a job that is over it changes nothing.
@@ -205,7 +218,6 @@
     # Answers.
 
     def on_record(self, record: JobRecord | None, revision: int) -> None:
-        self._held = False
         self._commits.on_record(record, revision)
         self._after_commit()
 
@@ -219,7 +231,6 @@
     def on_pushed(self, cancelled: bool) -> None:
         """An entry or scanner names the job; a cancel holds it until the record is read."""
         if cancelled and self.phase not in (JobPhase.STOPPING, JobPhase.FINISHING):
-            self._held = True
             self._stop_due = True
             self._commits.look()
 
@@ -326,7 +337,26 @@
             self._commits.finish(moment.now_s)
         return put
 
-    def _can_start(self) -> bool:
-        if self.phase is not JobPhase.RUNNING or self._held or self._released:
+    def _read_due_ms(self, now_ms: float) -> float:
+        """Return when the record is to be read for the items in flight, or those that may begin.
+
+        A job in which nothing runs or could costs no read.
+        """
+        if self.phase is not JobPhase.RUNNING:
+            return float("inf")
+        if not self.in_flight and not (self._is_open and self._work.peek(now_ms)):
+            return float("inf")
+        return read_due_ms(self._commits.known, self._settings.record_age_ms)
+
+    @property
+    def _is_open(self) -> bool:
+        """Whether there is room for another item, as far as this runner is concerned."""
+        return self.phase is JobPhase.RUNNING and not self._released and not self._work.crowded
+
+    def _can_start(self, now_ms: float) -> bool:
+        # Every item passes here, whichever way the job came to this runner.
+        if not self._is_open:
             return False
-        return not self._commits.cancelling and not self._work.crowded
+        known, most_age_ms = self._commits.known, self._settings.record_age_ms
+        kv_away = self._kv_away()
+        return refusal_of(known, now_ms, most_age_ms=most_age_ms, kv_away=kv_away) is None
--- a/src/fescuedock/core/config/node.py
+++ b/src/fescuedock/core/config/node.py
@@ -90,6 +90,17 @@
             len(known),
         )
 
+    def kv_away(self, now_ms: float) -> bool:
+        """Whether the service answers nobody: this VM reaches most others, and none of them knew.
+
+        Judged after half of the limit, by when this VM has asked the service itself.
+        """
+        known = self.vms()
+        age_ms = now_ms - self.replica.confirmed_at_ms
+        limit_ms = self.confirm_limit_ms / 2
+        judged = standing(age_ms, limit_ms, self.version, len(live(known)), len(known))
+        return judged is Standing.UNCONFIRMED
+
     def next_due_ms(self) -> float:
         """Return when ``tick`` has to be called at the latest."""
         return min(self._pull_due_ms, self._confirm_due_ms)
--- a/src/fescuedock/node/configuration.py
+++ b/src/fescuedock/node/configuration.py
@@ -62,6 +62,11 @@
     def serving(self) -> bool:
         return self.is_known
 
+    @property
+    def kv_away(self) -> bool:
+        """Never: programs that follow a node's agent have no means of their own to know better."""
+        return False
+
     def on_peer_version(self, vm: VmRecord, version: int) -> None:
         """Neighbours' versions come with their replicas, not by datagrams."""
 
--- a/src/fescuedock/schema/settings.py
+++ b/src/fescuedock/schema/settings.py
@@ -221,6 +221,13 @@
         int,
         Meta(description="A live owner that does not answer for this long loses its jobs.", ge=1),
     ] = 10000
+    record_age_ms: Annotated[
+        int,
+        Meta(
+            description="No item begins on a job record that was not confirmed for longer, so that none begins later than this after an acknowledged cancel. A record in use is read at two thirds of it unless a commit confirms it.",
+            ge=100,
+        ),
+    ] = 3000
     max_items: Annotated[int, Meta(ge=1)] = 110000
     max_line_bytes: Annotated[int, Meta(ge=1024, le=4194304)] = 1048576
     segment_items: Annotated[int, Meta(ge=1)] = 1000
--- a/src/fescuedock/schema/view.py
+++ b/src/fescuedock/schema/view.py
@@ -130,6 +130,12 @@
     ] = 0
     gone_vms: list[str] = field(default_factory=list)
     gone_upstreams: list[str] = field(default_factory=list)
+    kv_away: Annotated[
+        bool,
+        Meta(
+            description="Most VMs are within reach and for a while none that was asked had an answer of the key-value service."
+        ),
+    ] = False
 
 
 class LeaveRequest(WireStruct):
--- a/tests/builders/batch.py
+++ b/tests/builders/batch.py
@@ -78,7 +78,8 @@
     """The record of one job under compare-and-swap, its segments and its log, with an oracle.
 
     ``committed`` counts, by item, the committed result lines; ``sent`` the attempts that may have
-    run.  The record is checked at each write that takes effect.
+    run.  The record is checked at each write that takes effect, and the runner's right at each
+    attempt.
     """
 
     def __init__(
@@ -95,6 +96,9 @@
         self.sent: Counter[int] = Counter()
         self.committed: Counter[int] = Counter()
         self.late_writes: list[Callable[[], object]] = []
+        # When the present owner claimed the job, and when its cancel was recorded.
+        self.claimed_at_ms = float("inf")
+        self.cancelled_at_ms = float("inf")
         lines = [input_line(number) for number in range(item_count)]
         step = settings.segment_items
         chunks = [lines[start : start + step] for start in range(0, item_count, step)]
@@ -123,6 +127,10 @@
         before = self.record
         self.value = encode_record(record)
         self.revision += 1
+        if record.epoch > before.epoch:
+            self.claimed_at_ms = self.now_ms
+        if record.state is JobState.CANCELLING and before.state is JobState.RUNNING:
+            self.cancelled_at_ms = self.now_ms
         self._check(before, self.record)
         return self.revision
 
@@ -150,6 +158,19 @@
             assert group.failed == sum(ref.items for ref in group.errors)
         return lines
 
+    def check_start(self, epoch: int) -> None:
+        """Check that an item may begin under ``epoch``, by what its runner could know.
+
+        Nothing tells a runner what happened just before the service went away.
+        """
+        if self.kv_down:
+            return
+        since_cancel_ms = self.now_ms - self.cancelled_at_ms
+        assert since_cancel_ms <= self.settings.record_age_ms, "begun after the cancel"
+        if epoch != self.record.epoch:
+            since_claim_ms = self.now_ms - self.claimed_at_ms
+            assert since_claim_ms <= self.settings.record_age_ms, "begun under a lost claim"
+
     def _check(self, before: JobRecord, after: JobRecord) -> None:
         assert after.epoch >= before.epoch
         assert not is_final(before), "a final record was changed"
@@ -177,9 +198,15 @@
     seed: int = 0
     waiting: list[Action] = field(default_factory=list)
     flying: list[Item] = field(default_factory=list)
+    # Of reads, as they were when the service was asked.
+    answers: list[Callable[[], None]] = field(default_factory=list)
+    told_of_cancel: bool = False
 
     def __post_init__(self) -> None:
-        self.run = JobRun(JOB_ID, self.name, self.world.settings, random.Random(self.seed))
+        chance = random.Random(self.seed)
+        # All runners know at once of an outage.
+        settings, kv_away = self.world.settings, lambda: self.world.kv_down
+        self.run = JobRun(JOB_ID, self.name, settings, chance, kv_away)
 
     def poll(self) -> None:
         """Let the machine decide; stops take effect at once, the rest waits."""
@@ -201,6 +228,8 @@
         """Start one attempt, if the machine has an item."""
         item = self.run.take(upstream_id, Isolation.ALONE, self.world.now_ms)
         if item is not None:
+            assert not self.told_of_cancel, "begun after a push of the cancel"
+            self.world.check_start(self.run.epoch)
             self.world.sent[item.number] += 1
             self.flying.append(item)
         return item
@@ -236,6 +265,18 @@
         else:
             self.run.on_record(self.world.record, self.world.revision)
 
+    def ask(self, action: ReadRecord) -> None:
+        """Let the service answer a read now; the answer comes with ``hear``."""
+        self.waiting.remove(action)
+        record, revision = self.world.record, self.world.revision
+        self.answers.append(lambda: self.run.on_record(record, revision))
+
+    def hear(self) -> None:
+        """Take the answers that were on their way."""
+        answers, self.answers = self.answers, []
+        for answer in answers:
+            answer()
+
     def _write(self, action: WriteRecord, lost: str) -> None:
         world = self.world
         world.kv_calls += 1
--- a/tests/test_batch_daemon.py
+++ b/tests/test_batch_daemon.py
@@ -2,6 +2,7 @@
 
 import unittest
 from collections import Counter
+from unittest import mock
 
 import msgspec
 import trio
@@ -10,6 +11,7 @@
 from fescuedock.cli.local_setup import TRIP_MODEL
 from fescuedock.core.batch.record import decode_record, is_final
 from fescuedock.core.job_keys import job_key, open_job_key
+from fescuedock.entry import jobs
 from fescuedock.schema.batch import JobRecord
 from tests.builders.batch_session import IMPOSSIBLE_LINES, LINES, job_lines, upload
 from tests.builders.golden import GoldenSession
@@ -17,6 +19,10 @@
 
 _ENDPOINT = "/v1/completions"
 _OUTAGE_S = 0.7
+# The age at which a record in use is read, and as much for a busy machine.
+_STOPPED_S = 4.0
+# What a submission that comes again may set off has begun by then.
+_AGAIN_S = 1.0
 
 
 class RunnerLossTest(unittest.TestCase):
@@ -53,6 +59,31 @@
 
         run_session(session)
 
+    def test_a_cancel_whose_pushes_are_lost_stops_the_job_all_the_same(self) -> None:
+        async def session(system: LocalSystem) -> None:
+            # No item ends in the time of the test, so that nothing is committed.
+            job_id = await self._submit(system, max_tokens=20_000)
+            engines = [engine.core for engine in system.standins.engines.values()]
+
+            async def running() -> bool:
+                return any(engine.model.running for engine in engines)
+
+            await wait_until(running)
+            with mock.patch.object(jobs, "push_job"):
+                answer = await post(system, f"/v1/batches/{job_id}/cancel", {})
+            self.assertEqual(answer.status, 200)
+
+            async def stopped() -> bool:
+                return is_final(self._record(system, job_id)) and not await running()
+
+            await wait_until(stopped, timeout_s=_STOPPED_S)
+            admitted = sum(engine.stats.admitted for engine in engines)
+            self.assertEqual(await self._submit(system, max_tokens=20_000), job_id)
+            await trio.sleep(_AGAIN_S)
+            self.assertEqual(sum(engine.stats.admitted for engine in engines), admitted)
+
+        run_session(session)
+
     async def _submit(self, system: LocalSystem, max_tokens: int) -> str:
         lines = job_lines(TRIP_MODEL, max_tokens=max_tokens)
         file_id = (await upload(GoldenSession(system), lines)).json["id"]
--- a/tests/test_batch_decisions.py
+++ b/tests/test_batch_decisions.py
@@ -20,6 +20,7 @@
     scans,
 )
 from fescuedock.schema.result_codes import ResultCode
+from fescuedock.schema.settings import BatchSettings
 from fescuedock.schema.view import VmRecord, VmState
 from tests.builders.batch import DONE, JobWorld, Runner, batch_settings, input_line
 
@@ -31,11 +32,16 @@
     return VmRecord(vm_id, "vlaanderen", domain, "127.0.0.1", 1, state, batch_port=7)
 
 
+def _fleet_settings(**changes: int) -> BatchSettings:
+    # No call is made once the items are at hand, so the records must do for all of a test.
+    return batch_settings(segment_items=200, record_age_ms=3_600_000, **changes)
+
+
 class _Fleet:
     """A scheduler with jobs; each has items at hand."""
 
     def __init__(self) -> None:
-        self.settings = batch_settings(max_items_in_flight=1000, segment_items=200)
+        self.settings = _fleet_settings(max_items_in_flight=1000)
         self.scheduler = ItemScheduler(self.settings)
         self.runners: dict[str, Runner] = {}
         self.now_ms = 1000.0
@@ -126,7 +132,7 @@
 
     def test_an_item_that_was_getting_tokens_is_suspected_less(self):
         fleet = _Fleet()
-        fleet.settings = batch_settings(segment_items=200, item_attempts=4)
+        fleet.settings = _fleet_settings(item_attempts=4)
         fleet.add("a")
         seen = []
         for number in range(1, 7):
@@ -141,7 +147,7 @@
 
     def test_a_twofold_suspect_waits_for_an_empty_upstream_and_keeps_it(self):
         fleet = _Fleet()
-        fleet.settings = batch_settings(max_items_in_flight=99, segment_items=200, item_attempts=4)
+        fleet.settings = _fleet_settings(max_items_in_flight=99, item_attempts=4)
         fleet.add("a")
         bad = fleet.take("u1")
         fleet.end(bad, AttemptEnd(EndKind.DIED))
--- a/tests/test_batch_stateful.py
+++ b/tests/test_batch_stateful.py
@@ -1,8 +1,9 @@
 """Several runners and one job under every kind of fault, against an oracle of committed items.
 
 ``JobWorld`` checks at each write that takes effect: no item committed twice, none gone, no count
-going down, every line readable.  After each example the faults end, a last runner comes, and the
-job must become whole (or, when a cancel was recorded, end).
+going down, every line readable.  At each start of an item its runner was not told of a cancel, and
+no cancel or claim of another runner is older than a record in use may be.  After each example the
+faults end, a last runner comes, and the job must become whole, or end when a cancel was recorded.
 """
 
 import random
@@ -11,6 +12,7 @@
 from hypothesis import settings, strategies
 from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
 
+from fescuedock.core.batch.actions import ReadRecord
 from fescuedock.core.batch.items import AttemptEnd, EndKind
 from fescuedock.core.batch.record import is_final
 from fescuedock.schema.batch import JobState
@@ -71,6 +73,18 @@
         if runner.waiting:
             runner.perform(runner.waiting[which % len(runner.waiting)], lost)
 
+    @rule(slot=_SLOT)
+    def answer_slowly(self, slot):
+        """A read is answered at once, and what comes of it is on its way for a while."""
+        runner = self.runners[slot]
+        for action in list(runner.waiting):
+            if isinstance(action, ReadRecord) and not self.world.kv_down:
+                runner.ask(action)
+
+    @rule(slot=_SLOT)
+    def hear_answers(self, slot):
+        self.runners[slot].hear()
+
     @rule(slot=_SLOT, count=strategies.integers(1, 4))
     def start_items(self, slot, count):
         for _ in range(count):
@@ -111,6 +125,7 @@
         self.cancelled = True
         if pushed:
             self.runners[slot].run.on_pushed(True)
+            self.runners[slot].told_of_cancel = True
 
     @rule(slot=_SLOT, cancelled=strategies.booleans())
     def push(self, slot, cancelled):
@@ -141,6 +156,7 @@
         final.work()
         # The others wake up and find that the job is no longer theirs.
         for runner in self.runners:
+            runner.hear()
             runner.work(60)
         self._check_end()
 
--- a/tests/test_config_decisions.py
+++ b/tests/test_config_decisions.py
@@ -27,6 +27,7 @@
 from fescuedock.schema.config import ConfigPull, PatchRequest
 from fescuedock.schema.result_codes import ResultCode
 from fescuedock.schema.settings import CutOff
+from fescuedock.schema.view import VmState
 from tests.builders.config import config_document, member_patch, node_of, records, vm_record
 
 UNKNOWN = Err(Fault(ResultCode.KV_UNKNOWN, "lost"))
@@ -251,6 +252,17 @@
 
 
 class StandingTest(unittest.TestCase):
+    def test_the_service_is_away_when_nobody_within_reach_knows_better(self):
+        vms = [vm_record(f"vm-{n}") for n in range(4)]
+        node = node_of(vms[0], vms)
+        self.assertFalse(node.kv_away(60_000), "nothing was ever confirmed")
+        node.replica.offer_record(records(1)[1], "vm-b")
+        node.replica.confirm(0)
+        self.assertFalse(node.kv_away(7500))
+        self.assertTrue(node.kv_away(7501))
+        vms += [msgspec.structs.replace(vm, state=VmState.GONE) for vm in vms]
+        self.assertFalse(node.kv_away(7501), "half of the VMs may know better")
+
     def judge(self, age_ms, version, reached, known):
         return standing(age_ms, 15000, version, reached, known)
 
