Test on a whole system that runners without answers hold their jobs, and that an outage is one

Cause: the test of a lost runner set faults.down of the key-value stand-in, which its HTTP service does not look at (only take_down closes it), so its outage never took place.

Change: that test uses kv_down, which takes the service down. A new one lets only the runners' calls for records fail, sees that no attempt begins after three seconds, then takes the service down for all and sees that attempts begin again. Attempts are counted where they begin: the engines' count of admitted calls has probes in it, too.

--- a/tests/test_batch_daemon.py
+++ b/tests/test_batch_daemon.py
@@ -1,21 +1,33 @@
 """The runner's program over a local system: its VM is lost, the key-value service goes away."""
 
+import functools
 import unittest
 from collections import Counter
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
 from unittest import mock
 
 import msgspec
 import trio
 
+from fescuedock.batch import dispatch
+from fescuedock.batch.attempts import Attempt, UpstreamClients, run_attempt
+from fescuedock.batch.jobs import JobTask
+from fescuedock.cli import local_vm
 from fescuedock.cli.local import LocalSystem
 from fescuedock.cli.local_setup import TRIP_MODEL
+from fescuedock.clock import now_ms
+from fescuedock.core.batch.items import AttemptEnd
 from fescuedock.core.batch.record import decode_record, is_final
 from fescuedock.core.job_keys import job_key, open_job_key
 from fescuedock.entry import jobs
 from fescuedock.schema.batch import JobRecord
+from fescuedock.schema.result_codes import ResultCode
+from fescuedock.schema.settings import BatchSettings
 from tests.builders.batch_session import IMPOSSIBLE_LINES, LINES, job_lines, upload
 from tests.builders.golden import GoldenSession
 from tests.builders.local import exchange, post, run_session, wait_until
+from tests.builders.promises import kv_down
 
 _ENDPOINT = "/v1/completions"
 _OUTAGE_S = 0.7
@@ -23,6 +35,45 @@
 _STOPPED_S = 4.0
 # What a submission that comes again may set off has begun by then.
 _AGAIN_S = 1.0
+# No item starts on a record of this age; half a second for those that are on their way.
+_HELD_S = 3.5
+# Half of the time in which a configuration is confirmed, a poll of the view, and as much to spare.
+_AWAY_S = 15.0
+
+
+@contextmanager
+def _counted_attempts() -> Iterator[list[Attempt]]:
+    """Note the attempts that begin while the block runs."""
+    begun: list[Attempt] = []
+
+    async def noted(upstreams: UpstreamClients, attempt: Attempt) -> AttemptEnd:
+        begun.append(attempt)
+        return await run_attempt(upstreams, attempt)
+
+    with mock.patch.object(dispatch, "run_attempt", noted):
+        yield begun
+
+
+@contextmanager
+def _unanswered_runners() -> Iterator[trio.Event]:
+    """Let all calls for jobs' records fail once the event is set, and no others."""
+    cut_off = trio.Event()
+
+    def failing(call: Callable[..., Awaitable[None]]) -> Callable[..., Awaitable[None]]:
+        async def maybe_answered(task: JobTask, *action: object) -> None:
+            if not cut_off.is_set():
+                await call(task, *action)
+                return
+            await trio.sleep(0.05)
+            task.run.on_kv_failed(ResultCode.KV_UNAVAILABLE, now_ms())
+
+        return maybe_answered
+
+    with (
+        mock.patch.object(JobTask, "_read_record", failing(JobTask._read_record)),
+        mock.patch.object(JobTask, "_write_record", failing(JobTask._write_record)),
+    ):
+        yield cut_off
 
 
 class RunnerLossTest(unittest.TestCase):
@@ -36,11 +87,10 @@
             await self._until(
                 system, job_id, lambda record: record.owner.partition("/")[0] != owner
             )
-            system.standins.kv.faults.down = True
-            for engine in system.standins.engines.values():
-                engine.core.crash()
-            await trio.sleep(_OUTAGE_S)
-            system.standins.kv.faults.down = False
+            with kv_down(system):
+                for engine in system.standins.engines.values():
+                    engine.core.crash()
+                await trio.sleep(_OUTAGE_S)
             await self._until(system, job_id, is_final)
             await self._check_results(system, job_id, entry)
 
@@ -64,26 +114,54 @@
             # No item ends in the time of the test, so that nothing is committed.
             job_id = await self._submit(system, max_tokens=20_000)
             engines = [engine.core for engine in system.standins.engines.values()]
-
-            async def running() -> bool:
-                return any(engine.model.running for engine in engines)
-
-            await wait_until(running)
-            with mock.patch.object(jobs, "push_job"):
-                answer = await post(system, f"/v1/batches/{job_id}/cancel", {})
-            self.assertEqual(answer.status, 200)
-
-            async def stopped() -> bool:
-                return is_final(self._record(system, job_id)) and not await running()
-
-            await wait_until(stopped, timeout_s=_STOPPED_S)
-            admitted = sum(engine.stats.admitted for engine in engines)
-            self.assertEqual(await self._submit(system, max_tokens=20_000), job_id)
-            await trio.sleep(_AGAIN_S)
-            self.assertEqual(sum(engine.stats.admitted for engine in engines), admitted)
+            with _counted_attempts() as begun:
+                await self._until_begun(begun)
+                with mock.patch.object(jobs, "push_job"):
+                    answer = await post(system, f"/v1/batches/{job_id}/cancel", {})
+                self.assertEqual(answer.status, 200)
+
+                async def stopped() -> bool:
+                    idle = not any(engine.model.running for engine in engines)
+                    return idle and is_final(self._record(system, job_id))
+
+                await wait_until(stopped, timeout_s=_STOPPED_S)
+                before = len(begun)
+                self.assertEqual(await self._submit(system, max_tokens=20_000), job_id)
+                await trio.sleep(_AGAIN_S)
+                self.assertEqual(len(begun), before)
 
         run_session(session)
 
+    def test_runners_that_get_no_answer_hold_their_jobs_unless_nobody_gets_one(self) -> None:
+        async def session(system: LocalSystem) -> None:
+            job_id = await self._submit(system, max_tokens=150)
+            with _counted_attempts() as begun, _unanswered_runners() as cut_off:
+                await self._until_begun(begun)
+                cut_off.set()
+                await trio.sleep(_HELD_S)
+                held = len(begun)
+                self.assertLess(len({attempt.item.number for attempt in begun}), LINES)
+                await trio.sleep(_AGAIN_S)
+                self.assertEqual(len(begun), held)
+                with kv_down(system):
+
+                    async def goes_on() -> bool:
+                        return len(begun) > held
+
+                    await wait_until(goes_on, timeout_s=_AWAY_S)
+            self.assertFalse(is_final(self._record(system, job_id)))
+
+        # So few at once that there are always items that could begin.
+        few_at_once = functools.partial(BatchSettings, max_items_in_flight=10)
+        with mock.patch.object(local_vm, "BatchSettings", few_at_once):
+            run_session(session)
+
+    async def _until_begun(self, begun: list[Attempt]) -> None:
+        async def any_begun() -> bool:
+            return bool(begun)
+
+        await wait_until(any_begun)
+
     async def _submit(self, system: LocalSystem, max_tokens: int) -> str:
         lines = job_lines(TRIP_MODEL, max_tokens=max_tokens)
         file_id = (await upload(GoldenSession(system), lines)).json["id"]
