Run the items of a job whose service left the configuration

Cause: for a service without an entry the dispatcher took the timeout from the class of the settings, where it is a descriptor and no number; every attempt failed as a fault of ours until the item was given up.

Change: the default comes from an instance. The test failed before (no stream was opened) and passes now; the tests of the dispatcher share their setting.

--- a/src/fescuedock/batch/dispatch.py
+++ b/src/fescuedock/batch/dispatch.py
@@ -17,7 +17,7 @@
 from fescuedock.core.batch.job import JobRun
 from fescuedock.core.batch.scheduler import Assignment
 from fescuedock.faults import Fault
-from fescuedock.schema.config import MemberSpec, ServiceSpec
+from fescuedock.schema.config import MemberSpec, ServiceKind, ServiceSpec
 from fescuedock.schema.permits import AttemptOutcome, EndedPermit, PermitAsk, WorkClass
 from fescuedock.schema.view import UpstreamRecord
 
@@ -131,9 +131,7 @@
         # What is polled by the job itself, such as the next input, may be due now.
         task = self._task_of(assignment.run.job_id)
         task.wake()
-        spec = self._context.view.configuration.services.get(upstream.service)
-        timeout_ms = spec.request_timeout_ms if spec else ServiceSpec.request_timeout_ms
-        attempt = Attempt(assignment.item, upstream, grant, timeout_ms)
+        attempt = Attempt(assignment.item, upstream, grant, self._timeout_ms(upstream.service))
         # Known before its task runs, so that a stop in between reaches it.
         task.attempts.add(attempt.scope)
         self._nursery.start_soon(self._run_item, task, assignment, attempt)
@@ -154,6 +152,11 @@
         if was_full:
             context.work_changed()
 
+    def _timeout_ms(self, service: str) -> float:
+        # A job outlives its service's entry in the configuration; the default is that of any kind.
+        spec = self._context.view.configuration.services.get(service)
+        return (spec or ServiceSpec(ServiceKind.MODEL)).request_timeout_ms
+
     def _share_of(self, member: str) -> float:
         spec = self._context.view.configuration.members.get(member)
         return (spec or MemberSpec()).share
--- a/tests/test_batch_starts.py
+++ b/tests/test_batch_starts.py
@@ -204,9 +204,7 @@
         yield
 
 
-def _context(world: JobWorld, engine: _Engine) -> SimpleNamespace:
-    spec = ServiceSpec(ServiceKind.MODEL)
-    configuration = Configuration(services={_UPSTREAM.service: spec})
+def _context(world: JobWorld, engine: _Engine, configuration: Configuration) -> SimpleNamespace:
     return SimpleNamespace(
         view=SimpleNamespace(configuration=configuration, upstreams={"u1": _UPSTREAM}),
         upstreams=UpstreamClients(engine, None),
@@ -216,32 +214,42 @@
     )
 
 
-def _grant(ended: list[object]) -> SimpleNamespace:
-    return SimpleNamespace(permit_id="p", upstream_id="u1", revoked=trio.Event(), end=ended.append)
-
-
 class DispatchTest(unittest.TestCase):
-    def test_a_cancel_between_the_choice_of_an_item_and_its_start_stops_it(self) -> None:
+    def dispatch_one(self, services: dict[str, ServiceSpec], *, cancelled: bool) -> _Engine:
+        """Start one item, at once followed by a cancel if told so; return the upstream's engine."""
         world = JobWorld(_ITEMS, batch_settings())
         run = running(world).run
         engine = _Engine()
         ended: list[object] = []
 
         async def test() -> None:
-            context = _context(world, engine)
+            context = _context(world, engine, Configuration(services=services))
             context.scheduler.add(run)
             task = JobTask(context, run)
             dispatcher = Dispatcher(context, lambda _job_id: task)
+            grant = SimpleNamespace(
+                permit_id="p", upstream_id="u1", revoked=trio.Event(), end=ended.append
+            )
             async with trio.open_nursery() as nursery:
                 dispatcher._nursery = nursery
-                await dispatcher._use(_UPSTREAM, _grant(ended))
+                await dispatcher._use(_UPSTREAM, grant)
                 self.assertEqual(run.in_flight, 1)
-                task.push(cancelled=True)
+                if cancelled:
+                    task.push(cancelled=True)
                 await trio.sleep(1)
+                self.assertEqual(len(ended), int(cancelled))
                 nursery.cancel_scope.cancel()
 
         trio.run(test, clock=trio.testing.MockClock(autojump_threshold=0))
-        self.assertEqual((engine.opened, run.in_flight, len(ended)), (0, 0, 1))
+        return engine
+
+    def test_a_cancel_between_the_choice_of_an_item_and_its_start_stops_it(self) -> None:
+        services = {_UPSTREAM.service: ServiceSpec(ServiceKind.MODEL)}
+        self.assertEqual(self.dispatch_one(services, cancelled=True).opened, 0)
+        self.assertEqual(self.dispatch_one(services, cancelled=False).opened, 1)
+
+    def test_an_item_of_a_service_that_left_the_configuration_runs(self) -> None:
+        self.assertEqual(self.dispatch_one({}, cancelled=False).opened, 1)
 
 
 if __name__ == "__main__":
