Let clients of the soak end jobs and send them again, and hold every run against the end

Cause: the soak judged that nothing of a job runs 3 s after its end, and never saw that a submission that comes again after the end is begun: its clients ended few jobs, all within 0.01 s of the acceptance, and sent nothing again after an end. Its seeds did not repeat their faults either, as clients and faults drew from one source.

Ruled out: slow items by a longer interval of the upstreams' events, which slows the calls too.

--- /dev/null
+++ b/tests/soak/ending.py
@@ -0,0 +1,122 @@
+"""Clients of the soak that end their jobs, while others send the same submission and end again.
+
+Their jobs are large and slow enough that items wait for slots, so that work which should not begin
+any more has something to begin with.
+"""
+
+import random
+from dataclasses import dataclass, field
+
+import trio
+
+from fescuedock.net.http_client import HttpClient
+from tests.builders.jobs_calls import job_body
+from tests.soak.clients import Reply, call_node
+from tests.soak.promises import NOT_RUN, SETTLE_S, Ledger, SoakJob
+from tests.soak.world import SLOW_ITEM, NodeProcess, World
+
+__all__ = ["EndingClient"]
+
+_ITEMS = (20, 60)
+_PAUSE_S = 0.4
+# When jobs are ended after their acceptance: at once, or while their items run.
+_END_AT_ONCE_S = (0.0, 0.1)
+_END_LATER_S = (0.5, 4.0)
+# When their submission and their end come again after the acknowledged end.
+_REPEAT_AT_ONCE_S = (0.0, 0.3)
+_REPEAT_LATER_S = (3.0, 8.0)
+_SUBMIT_TRIES = 6
+_END_TRIES = 30
+_RETRY_S = (0.05, 0.5)
+# Answers by which a node says that a proper call is wrong, or that there is no such job.
+_DENIALS = (400, 404, 409, 410, 413, 422, 431)
+
+
+@dataclass(slots=True)
+class EndingClient:
+    """Ends one job after the other; what comes again goes on beside it, on kept connections."""
+
+    name: str
+    world: World
+    ledger: Ledger
+    rng: random.Random
+    http: HttpClient = field(default_factory=HttpClient)
+    _jobs: int = 0
+
+    async def run(self) -> None:
+        """Submit and end jobs until cancelled."""
+        async with trio.open_nursery() as repeats:
+            while True:
+                await trio.sleep(self.rng.expovariate(1 / _PAUSE_S))
+                job = self._new_job()
+                await self._submit(job)
+                if not job.accepted:
+                    continue
+                if self.rng.random() < 0.3:
+                    repeats.start_soon(self._repeat, job, _REPEAT_AT_ONCE_S)
+                await self._end(job)
+                for span_s in (_REPEAT_AT_ONCE_S, _REPEAT_LATER_S, _REPEAT_LATER_S):
+                    repeats.start_soon(self._repeat, job, span_s)
+
+    def _new_job(self) -> SoakJob:
+        self._jobs += 1
+        number = f"{self.name}-{self._jobs}"
+        items = [f"{SLOW_ITEM}{number}-{index}" for index in range(self.rng.randint(*_ITEMS))]
+        job = SoakJob(f"job-{number}", items, to_end=True)
+        self.ledger.jobs[job.job_id] = job
+        return job
+
+    async def _submit(self, job: SoakJob) -> None:
+        for _ in range(_SUBMIT_TRIES):
+            node = self.rng.choice(self.world.nodes)
+            may_be_accepted, job.may_be_accepted = job.may_be_accepted, True
+            reply = await self._send(job, node)
+            if reply.status == 202:
+                job.accepted_s, job.owner = trio.current_time(), node.name
+                return
+            if reply.status in NOT_RUN or not reply.sent:
+                job.may_be_accepted = may_be_accepted
+            await trio.sleep(self.rng.uniform(*_RETRY_S))
+
+    async def _end(self, job: SoakJob) -> None:
+        """Wait until it is time, or until a fault wants the end now, and end the job."""
+        span_s = _END_AT_ONCE_S if self.rng.random() < 0.4 else _END_LATER_S
+        with trio.move_on_after(self.rng.uniform(*span_s)):
+            await job.end_now.wait()
+        for _ in range(_END_TRIES):
+            reply = await self._send_end(job, self.rng.choice(self.world.nodes))
+            if reply.status == 200:
+                return
+            await trio.sleep(self.rng.uniform(*_RETRY_S))
+
+    async def _repeat(self, job: SoakJob, span_s: tuple[float, float]) -> None:
+        """Send the submission again at the job's owner or any node, and perhaps the end."""
+        await trio.sleep(self.rng.uniform(*span_s))
+        owner = self.world.node(job.owner)
+        for node in (owner, self.rng.choice(self.world.nodes)):
+            await self._send(job, node)
+            # An end that comes again finds the same end.
+            if job.has_ended and self.rng.random() < 0.5:
+                await self._send_end(job, self.rng.choice(self.world.nodes))
+
+    async def _send(self, job: SoakJob, node: NodeProcess) -> Reply:
+        return await self._call(job, node, "POST", "/letters/new", job_body(*job.items))
+
+    async def _send_end(self, job: SoakJob, node: NodeProcess) -> Reply:
+        job.end_asked = True
+        reply = await self._call(job, node, "DELETE", f"/api/lots/{job.job_id}")
+        if reply.status == 200:
+            # The first acknowledgement counts.
+            job.ended_s = min(job.ended_s, trio.current_time())
+        return reply
+
+    async def _call(
+        self, job: SoakJob, node: NodeProcess, method: str, target: str, body: bytes = b""
+    ) -> Reply:
+        sent_s = trio.current_time()
+        headers = {"x-request-id": job.job_id}
+        reply = await call_node(self.http, node.front, method, target, body, headers, fresh=False)
+        job.calls.append(f"{self.ledger.tell(sent_s)} {method} {node.name}: {reply.status}")
+        if reply.status in _DENIALS and sent_s > job.accepted_s + SETTLE_S:
+            self.ledger.broken.append(f"{job.job_id}: {method} {reply.status} at {node.name}")
+        return reply
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -7,6 +7,7 @@
 import signal
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from functools import partial
 
 import trio
 
@@ -72,7 +73,9 @@
         upstreams = [self._reset, self._silence, self._slow, self._replace, self._crash]
         # Often, as each harms a few calls only.
         spoilt = [self._spoil] * 4
-        return [*nodes, *store, *upstreams, *spoilt, self._change]
+        # Often, as what overlaps here is what an end must hold against.
+        ends = [self._harm_around_end] * 5
+        return [*nodes, *store, *upstreams, *spoilt, *ends, self._change]
 
     async def _cause(self, fault: Callable[[], Awaitable[str]]) -> None:
         disturbance = Disturbance(trio.current_time())
@@ -94,8 +97,8 @@
 
     # --- nodes -----------------------------------------------------------------------------------
 
-    async def _kill(self) -> str:
-        node = self._node()
+    async def _kill(self, node: NodeProcess | None = None) -> str:
+        node = node or self._node()
         if not node.runs:
             return ""
         node.signal(signal.SIGKILL)
@@ -119,9 +122,9 @@
             await node.start()
         return "all nodes killed"
 
-    async def _stop(self) -> str:
+    async def _stop(self, node: NodeProcess | None = None) -> str:
         """Ask a node to stop; it has to end by itself, in time and with 0, unless harmed."""
-        node = self._node()
+        node = node or self._node()
         # One that starts up has nothing to finish, and no handler for the signal yet.
         if not node.runs or node.paused or not await serves(node):
             return ""
@@ -141,8 +144,8 @@
         await node.start()
         return f"{node.name} stopped, took {took_s:.1f} s"
 
-    async def _pause(self) -> str:
-        node = self._node()
+    async def _pause(self, node: NodeProcess | None = None) -> str:
+        node = node or self._node()
         if not node.runs or node.paused:
             return ""
         node.signal(signal.SIGSTOP)
@@ -150,6 +153,27 @@
         node.signal(signal.SIGCONT)
         return f"{node.name} paused"
 
+    async def _harm_around_end(self) -> str:
+        """Have a job ended while its owner, or the store, is harmed in up to three ways."""
+        jobs = [job for job in self.ledger.jobs.values() if job.awaits_end]
+        if not jobs:
+            return ""
+        job = self.rng.choice(jobs)
+        owner = self.world.node(job.owner)
+        at_owner = [self._kill, self._stop, self._pause, self._cut_node, self._silence_node]
+        harms = [partial(harm, owner) for harm in at_owner]
+        harms += [self._store_slow, self._lose_writes, self._store_silent, self._forget_history]
+        chosen = self.rng.sample(harms, k=self.rng.randint(1, 3))
+        ended_after = self.rng.randrange(len(chosen))
+        async with trio.open_nursery() as nursery:
+            for number, harm in enumerate(chosen):
+                nursery.start_soon(harm)
+                await trio.sleep(self.rng.uniform(0.0, 0.4))
+                if number == ended_after:
+                    job.end_now.set()
+        names = [getattr(harm, "func", harm).__name__.strip("_") for harm in chosen]
+        return f"{job.job_id} ended around {', '.join(names)} at {owner.name}"
+
     # --- the store -------------------------------------------------------------------------------
 
     async def _store_down(self) -> str:
@@ -181,16 +205,16 @@
         self.world.store.cut_watches()
         return "store forgot its history"
 
-    async def _cut_node(self) -> str:
-        node = self._node()
+    async def _cut_node(self, node: NodeProcess | None = None) -> str:
+        node = node or self._node()
         node.store_proxy.refuses = True
         node.store_proxy.reset_open()
         await trio.sleep(self.rng.uniform(0.3, 4.0))
         node.store_proxy.refuses = False
         return f"{node.name} cut off from the store"
 
-    async def _silence_node(self) -> str:
-        node = self._node()
+    async def _silence_node(self, node: NodeProcess | None = None) -> str:
+        node = node or self._node()
         requests, answers = self.rng.choice(((True, True), (True, False), (False, True)))
         node.store_proxy.silence_open(requests=requests, answers=answers)
         await trio.sleep(1.5)
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -7,6 +7,8 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
+import trio
+
 from fescuedock.platform.standin.event_upstream import event_bytes
 from tests.soak.world import SoakUpstream
 
@@ -16,6 +18,8 @@
 CALM_S = 3.0
 DRAIN_S = 2.0
 END_S = 3.0
+# Of our own: heartbeats and watches bring an end to all nodes within this when nothing is wrong.
+CALM_END_S = 1.0
 SETTLE_S = 1.0
 # Statuses by which a request has not run and never will.
 NOT_RUN = (408, 421, 429, 503)
@@ -62,12 +66,28 @@
     may_be_accepted: bool = False
     end_asked: bool = False
     ended_s: float = float("inf")
+    # Its client means to end it; set ``end_now`` to have that done at this moment.
+    to_end: bool = False
+    end_now: trio.Event = field(default_factory=trio.Event)
+    # The node that accepted it, which owns it at first.
+    owner: str = ""
+    # What clients that end it have sent, for people.
+    calls: list[str] = field(default_factory=list)
     results: dict[int, tuple[str, str, str]] = field(default_factory=dict)
 
     @property
     def accepted(self) -> bool:
         return self.accepted_s != float("inf")
 
+    @property
+    def has_ended(self) -> bool:
+        return self.ended_s != float("inf")
+
+    @property
+    def awaits_end(self) -> bool:
+        """Whether it runs and its client has still to end it."""
+        return self.to_end and self.accepted and not self.end_asked and not self.end_now.is_set()
+
     @property
     def is_done(self) -> bool:
         return len(self.results) == len(self.items)
@@ -104,6 +124,12 @@
     jobs: dict[str, SoakJob] = field(default_factory=dict)
     broken: list[str] = field(default_factory=list)
     disturbances: list[Disturbance] = field(default_factory=list)
+    # The clock of the day less trio's, so that lines here can be found in the nodes' logs.
+    unix_offset_s: float = 0.0
+
+    def tell(self, at_s: float) -> str:
+        """Return a moment as the nodes' logs have it, in seconds."""
+        return f"{at_s + self.unix_offset_s:.3f}"
 
     def was_calm(self, from_s: float, to_s: float) -> bool:
         """Whether nothing was disturbed from ``CALM_S`` before ``from_s`` to ``to_s``."""
@@ -147,7 +173,7 @@
         return [
             job
             for job in self.jobs.values()
-            if job.accepted and not job.end_asked and not job.is_done
+            if job.accepted and not (job.end_asked or job.to_end) and not job.is_done
         ]
 
     def judge_jobs(self) -> None:
@@ -164,14 +190,30 @@
 
     def _late_starts(self, item: SoakUpstream) -> Iterator[str]:
         """Yield runs that began too long after an upstream left or a job was ended."""
-        ended = {name: job.ended_s for job in self.jobs.values() for name in job.items}
+        jobs = {name: job for job in self.jobs.values() for name in job.items}
         upstream_id = item.upstream.upstream_id
         for request_id, at_s in item.upstream.started:
             if at_s > item.leaving_s + DRAIN_S and self.was_calm(item.leaving_s, at_s):
                 late_s = at_s - item.leaving_s
                 yield f"{request_id} reached {upstream_id} {late_s:.1f} s after it was leaving"
-            if at_s > ended.get(request_id, float("inf")) + END_S:
-                yield f"{request_id} ran {at_s - ended[request_id]:.1f} s after its job's end"
+            job = jobs.get(request_id)
+            if job is not None and self._is_late(job, at_s):
+                late_s = at_s - job.ended_s
+                yield (
+                    f"{request_id} ran {late_s:.1f} s after the end of {job.job_id}, "
+                    f"{self.tell(at_s)} at {upstream_id}"
+                )
+
+    def _is_late(self, job: SoakJob, at_s: float) -> bool:
+        """Whether an item began too long after its job's end was acknowledged.
+
+        In calm the bound is shorter: whoever was left alone for ``CALM_S`` and a second more has
+        heard of an end that is that old, also if it came during a disturbance.
+        """
+        late_s = at_s - job.ended_s
+        if late_s > END_S:
+            return True
+        return late_s > CALM_END_S and self.was_calm(at_s - CALM_END_S, at_s)
 
 
 def _last_whole(answer: bytes) -> int:
--- a/tests/soak/regressions.py
+++ b/tests/soak/regressions.py
@@ -23,4 +23,7 @@
     Regression(
         8, 4, 12.0, "the soak killed all nodes, and waited for one that a stop had started anew"
     ),
+    Regression(
+        900, 3, 6.0, "a submission that came again after its job's end was begun at the owner"
+    ),
 )
--- a/tests/soak/runs.py
+++ b/tests/soak/runs.py
@@ -1,8 +1,10 @@
 """One run of the soak: faults while clients work, then calm, then the last judgement."""
 
+import itertools
 import random
 import shutil
 import signal
+import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -11,14 +13,16 @@
 import trio
 
 from tests.soak.clients import ConfigWatcher, JobClient, OnlineClient
+from tests.soak.ending import EndingClient
 from tests.soak.faults import Schedule, first_configuration
 from tests.soak.promises import CALM_S, Ledger
 from tests.soak.world import World, own_network, serves
 
-__all__ = ["SoakReport", "run_seed"]
+__all__ = ["SoakReport", "new_folder", "run_seed"]
 
 _UPSTREAMS = 4
 _ONLINE_CLIENTS = 10
+_ENDING_CLIENTS = 3
 _START_S = 20.0
 # Accepted jobs have this long after the last fault.
 _FINISH_S = 18.0
@@ -35,15 +39,19 @@
     whole: int
     jobs: int
     accepted: int
+    ended: int
+    # With these the same schedule is made again.
+    nodes: int
+    fault_s: float
     faults: list[str]
     broken: list[str]
+    # What clients have sent about the jobs that ``broken`` names, in the time of the nodes' logs.
+    job_calls: dict[str, list[str]] = {}
 
 
 def run_seed(seed: int, folder: Path, fault_s: float, nodes: int) -> SoakReport:
     """Run one seed; its folder with logs stays only if a promise was broken."""
-    logs = folder / f"seed-{seed}"
-    shutil.rmtree(logs, ignore_errors=True)
-    logs.mkdir(parents=True)
+    logs = new_folder(folder / f"seed-{seed}")
     report = trio.run(_run, seed, logs, fault_s, nodes)
     if not report.broken:
         shutil.rmtree(logs)
@@ -52,12 +60,25 @@
     return report
 
 
+def new_folder(wanted: Path) -> Path:
+    """Make a folder that is not there yet: logs of an earlier failure of the seed stay."""
+    names = (f"{wanted.name}-{number}" for number in itertools.count(2))
+    found = next(
+        path
+        for path in itertools.chain([wanted], map(wanted.with_name, names))
+        if not path.exists()
+    )
+    found.mkdir(parents=True)
+    return found
+
+
 async def _run(seed: int, logs: Path, fault_s: float, nodes: int) -> SoakReport:
-    rng = random.Random(seed)
-    ledger = Ledger()
+    # Apart: what clients draw depends on the time that calls take, and must not move the faults.
+    rng, fault_rng = random.Random(f"clients-{seed}"), random.Random(seed)
+    ledger = Ledger(unix_offset_s=time.time() - trio.current_time())
     async with trio.open_nursery() as nursery:
         world = World(nursery, logs, own_network(), config=first_configuration())
-        schedule = Schedule(world, ledger, rng)
+        schedule = Schedule(world, ledger, fault_rng)
         await nursery.start(_end_on_signal)
         try:
             await world.start(nodes, _UPSTREAMS)
@@ -76,11 +97,24 @@
         whole,
         len(ledger.jobs),
         accepted,
+        sum(job.has_ended for job in ledger.jobs.values()),
+        nodes,
+        fault_s,
         schedule.told,
         ledger.broken,
+        _calls_of_broken(ledger),
     )
 
 
+def _calls_of_broken(ledger: Ledger) -> dict[str, list[str]]:
+    told = "\n".join(ledger.broken) + "\n"
+    return {
+        job.job_id: job.calls
+        for job in ledger.jobs.values()
+        if any(f"{job.job_id}{after}" in told for after in (",", ":", " "))
+    }
+
+
 async def _end_on_signal(*, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED) -> None:
     """Let SIGTERM end the run in order, so that the processes of the run are ended too."""
     with trio.open_signal_receiver(signal.SIGTERM) as signals:
@@ -106,8 +140,11 @@
     online = [OnlineClient(world, ledger, rng) for _ in range(_ONLINE_CLIENTS)]
     jobs = JobClient(world, ledger, rng)
     watcher = ConfigWatcher(world, ledger)
-    async with _closing([*online, jobs, watcher]), trio.open_nursery() as clients:
-        for client in (*online, watcher):
+    enders = [
+        EndingClient(f"end-{number}", world, ledger, rng) for number in range(_ENDING_CLIENTS)
+    ]
+    async with _closing([*online, jobs, watcher, *enders]), trio.open_nursery() as clients:
+        for client in (*online, watcher, *enders):
             clients.start_soon(client.run)
         for _ in range(2):
             clients.start_soon(jobs.read_some)
@@ -124,7 +161,7 @@
 
 @asynccontextmanager
 async def _closing(
-    clients: list[OnlineClient | JobClient | ConfigWatcher],
+    clients: list[OnlineClient | JobClient | ConfigWatcher | EndingClient],
 ) -> AsyncIterator[None]:
     """Close the connections that clients have kept when the block is left."""
     try:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -14,16 +14,20 @@
 import trio
 
 from fescuedock.address import Address
+from fescuedock.net.http_server import Request, Responder
 from fescuedock.platform.standin.event_upstream import EventUpstream
 from fescuedock.platform.standin.metadata_store import MetadataStoreService
 from tests.builders.node import config_document, free_ports, worker_entry
 from tests.soak.proxy import FaultProxy
 
-__all__ = ["NodeProcess", "SoakUpstream", "World", "own_network", "serves"]
+__all__ = ["SLOW_ITEM", "NodeProcess", "SoakUpstream", "World", "own_network", "serves"]
 
 # What a node has to end in after SIGTERM; its setting below, and a second of our own.
 STOP_TIMEOUT_S = 5
 _HEARTBEAT_S = 0.4
+# Items with this at the beginning of their name take so long before their first event.
+SLOW_ITEM = "slow-"
+_SLOW_ITEM_S = 0.6
 _INI = """\
 [vm]
 vm_id = {name}
@@ -104,6 +108,17 @@
             await self.process.wait()
 
 
+@dataclass(slots=True)
+class SlowItemUpstream(EventUpstream):
+    """Takes its time for some items, so that others of their jobs wait."""
+
+    # Not in ``handle``: there the time would pass before the run counts as begun.
+    async def _run(self, request: Request, responder: Responder, *details: object) -> None:
+        if request.path.startswith(f"/letters/{SLOW_ITEM}"):
+            await trio.sleep(_SLOW_ITEM_S)
+        await EventUpstream._run(self, request, responder, *details)
+
+
 @dataclass(slots=True)
 class SoakUpstream:
     """An upstream with the proxy by which nodes reach it; it registers itself while it lives."""
@@ -147,6 +162,10 @@
         for number in range(nodes):
             await self._add_node(number, ports)
 
+    def node(self, name: str) -> NodeProcess:
+        """Return the node of that name."""
+        return next(node for node in self.nodes if node.name == name)
+
     def configure(self, changes: dict) -> None:
         """Put a new version in force."""
         version = self.config["version"] + 1
@@ -158,7 +177,7 @@
         self.config_s = trio.current_time()
 
     async def add_upstream(self, name: str) -> SoakUpstream:
-        upstream = EventUpstream(name, event_count=12, event_interval_ms=15.0)
+        upstream = SlowItemUpstream(name, event_count=12, event_interval_ms=15.0)
         await self.nursery.start(upstream.run, Address(self.upstream_host, 0))
         proxy = FaultProxy(upstream.address)
         await self.nursery.start(proxy.run, self.upstream_host)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,7 +1,9 @@
 """A short seeded run of the soak: real processes, faults from outside, promises from both ends."""
 
 import math
+import random
 import tempfile
+import types
 import unittest
 from pathlib import Path
 from unittest import mock
@@ -10,17 +12,22 @@
 import trio.testing
 
 from fescuedock.address import Address
+from fescuedock.platform.standin.event_upstream import EventUpstream
 from tests.builders.standins import run_async
+from tests.soak.clients import Reply
+from tests.soak.ending import EndingClient
 from tests.soak.faults import Schedule
-from tests.soak.promises import CALM_S, Disturbance, Ledger
+from tests.soak.promises import CALM_S, Disturbance, Ledger, SoakJob
 from tests.soak.proxy import FaultProxy
 from tests.soak.regressions import REGRESSIONS
-from tests.soak.runs import run_seed
+from tests.soak.runs import new_folder, run_seed
+from tests.soak.world import SoakUpstream
 
 # Long enough for about ten faults; the long runs are made by hand (docs/SOAK.md).
 FAULT_S = 6.0
 SEED = 20
 NODES = 3
+LOGS = Path(__file__).parents[1] / "soak-logs" / "tests"
 
 
 async def _sleep(_stream: trio.SocketStream) -> None:
@@ -29,14 +36,22 @@
 
 class SoakTest(unittest.TestCase):
     def run_seed(self, seed: int, nodes: int, fault_s: float) -> None:
-        with tempfile.TemporaryDirectory() as folder:
-            report = run_seed(seed, Path(folder), fault_s, nodes)
-            self.assertEqual(report.broken, [], report.faults)
-            self.assertGreater(report.whole, 0)
+        # Logs and report of a seed that broke a promise stay here; the others' go.
+        report = run_seed(seed, LOGS, fault_s, nodes)
+        told = f"{report.faults}; logs and report are in {LOGS} under the seed"
+        self.assertEqual(report.broken, [], told)
+        self.assertGreater(report.whole, 0)
+        self.assertGreater(report.ended, 0)
 
     def test_a_seeded_run_keeps_the_promises(self) -> None:
         self.run_seed(SEED, NODES, FAULT_S)
 
+    def test_logs_of_an_earlier_failure_stay(self) -> None:
+        with tempfile.TemporaryDirectory() as name:
+            wanted = Path(name) / "seed-3"
+            made = [new_folder(wanted).name for _ in range(3)]
+        self.assertEqual(made, ["seed-3", "seed-3-2", "seed-3-3"])
+
     def test_killing_all_waits_for_the_processes_that_it_killed(self) -> None:
         """Another fault starts the second node anew while the first one is waited for."""
 
@@ -81,6 +96,93 @@
         self.assertFalse(ledger.was_calm(12.0 + CALM_S, 21.0))
         self.assertTrue(ledger.was_calm(12.1 + CALM_S, 21.0))
 
+    def test_every_run_is_held_against_its_jobs_acknowledged_end(self) -> None:
+        """A run may begin 3 s after the end, and 1 s after it where nothing is disturbed."""
+        job = SoakJob("job-1", ["item-1"], accepted_s=90.0, end_asked=True, ended_s=100.0)
+
+        def told(at_s: float, *disturbances: Disturbance) -> list[str]:
+            ledger = Ledger(jobs={job.job_id: job}, disturbances=list(disturbances))
+            upstream = EventUpstream("i-0", started=[("item-1", at_s)])
+            ledger.judge_runs([SoakUpstream(upstream, mock.Mock())])
+            return ledger.broken
+
+        self.assertEqual(told(100.9), [])
+        self.assertEqual(len(told(101.1)), 1)
+        disturbed = Disturbance(98.0, 99.0)
+        self.assertEqual(told(101.9, disturbed), [])
+        self.assertEqual(told(102.9, disturbed), [])
+        self.assertEqual(len(told(103.1, disturbed)), 1)
+        # Disturbed shortly before the end, and left alone for long enough when this run begins.
+        self.assertEqual(len(told(102.9, Disturbance(95.0, 98.5))), 1)
+        self.assertEqual(told(102.9, Disturbance(95.0)), [])
+        self.assertEqual(len(told(103.1, Disturbance(95.0))), 1)
+        job.ended_s = math.inf
+        self.assertEqual(told(200.0), [])
+
+    def test_a_job_is_ended_while_its_owner_or_the_store_is_harmed(self) -> None:
+        job = SoakJob("job-1", ["item-1"], accepted_s=0.0, to_end=True, owner="node-1")
+        ledger = Ledger(jobs={job.job_id: job})
+        harmed: list[str] = []
+        own_faults = ("_kill", "_stop", "_pause", "_cut_node", "_silence_node")
+        store_faults = ("_store_slow", "_lose_writes", "_store_silent", "_forget_history")
+
+        def fault(name: str):
+            async def harm(*nodes) -> str:
+                self.assertEqual([node.name for node in nodes], ["node-1"] * (name in own_faults))
+                harmed.append(name)
+                return ""
+
+            harm.__name__ = name
+            return harm
+
+        world = mock.Mock()
+        world.node.side_effect = lambda name: types.SimpleNamespace(name=name)
+        schedule = types.SimpleNamespace(world=world, ledger=ledger, rng=random.Random(SEED))
+        for name in own_faults + store_faults:
+            setattr(schedule, name, fault(name))
+
+        async def run() -> None:
+            for _ in range(60):
+                job.end_now = trio.Event()
+                self.assertIn("job-1", await Schedule._harm_around_end(schedule))
+                self.assertTrue(job.end_now.is_set())
+            job.end_asked = True
+            self.assertEqual(await Schedule._harm_around_end(schedule), "")
+
+        trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+        self.assertEqual(set(harmed), {*own_faults, *store_faults})
+        self.assertGreater(len(harmed), 90)
+
+    def test_a_job_is_ended_and_its_submission_and_end_come_again(self) -> None:
+        calls: list[tuple[float, str, bool]] = []
+
+        async def call_node(_http, _address, method, *_details, fresh: bool) -> Reply:
+            calls.append((trio.current_time(), method, fresh))
+            return Reply(status=202 if method == "POST" else 200)
+
+        world = mock.Mock(nodes=[mock.Mock()])
+        world.nodes[0].name = "node-0"
+        world.node.return_value = world.nodes[0]
+        ledger = Ledger()
+        client = EndingClient("end-0", world, ledger, random.Random(SEED))
+
+        async def run() -> None:
+            with trio.move_on_after(60):
+                await client.run()
+
+        with mock.patch("tests.soak.ending.call_node", call_node):
+            trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+        ended = [job for job in ledger.jobs.values() if job.has_ended]
+        self.assertGreater(len(ended), 10)
+        delays_s = [job.ended_s - job.accepted_s for job in ended]
+        self.assertLess(min(delays_s), 0.1)
+        self.assertGreater(max(delays_s), 2.0)
+        submissions = sum(method == "POST" for _, method, _ in calls)
+        self.assertGreater(submissions, 5 * len(ended))
+        self.assertGreater(len(calls) - submissions, 2 * len(ended))
+        self.assertFalse(any(fresh for _, _, fresh in calls))
+        self.assertEqual(ledger.broken, [])
+
     def test_a_connection_whose_end_was_faster_is_not_reset_again(self) -> None:
         async def run() -> None:
             async with trio.open_nursery() as nursery:
