--- a/tests/soak/regressions.py
+++ b/tests/soak/regressions.py
@@ -26,4 +26,7 @@
     Regression(
         900, 3, 6.0, "a submission that came again after its job's end was begun at the owner"
     ),
+    Regression(
+        1040, 4, 12.0, "an owner that had stood still took news of before for knowledge of now"
+    ),
 )
