Show two ways in which an old record passes for a confirmed one

Cause: news that a node reads late confirm its tables as of the moment of reading; and a neighbour that has itself written an end confirms the record from before it to the job's owner, so that the owner goes on for as long as the store stays silent.

Change: a test of each.

--- a/tests/test_node_jobs_ended.py
+++ b/tests/test_node_jobs_ended.py
@@ -17,6 +17,7 @@
 from unittest import mock
 
 import eliot
+import msgspec
 import trio
 
 from fescuedock.address import Address
@@ -138,6 +139,59 @@
 
         self.run_fleet(test)
 
+    def test_news_that_were_long_on_their_way_confirm_nothing(self) -> None:
+        """What a node reads late, as it stood still or news were held up, is as old as that."""
+        tell = GroupSpread.tell
+
+        async def test(fleet: NodeFleet) -> None:
+            for upstream in fleet.upstreams:
+                upstream.event_interval_ms = 150.0
+            door = await self.open_door(fleet)
+            # Not number 1, which would be the node that watches the jobs for both.
+            owner = await fleet.start_node(2, store_address=str(door.address))
+            await fleet.wait_ready()
+
+            async def tell_late(spread: GroupSpread, message: msgspec.Struct) -> None:
+                await trio.sleep(3.5)
+                await tell(spread, message)
+
+            async def hold_up(spread: GroupSpread, message: msgspec.Struct) -> None:
+                fleet.nursery.start_soon(tell_late, spread, message)
+
+            await submit(fleet, owner.front, *(f"item-{number}" for number in range(80)))
+            with (
+                mock.patch.object(Replicas, "_ask", return_value=None),
+                mock.patch.object(GroupSpread, "tell", hold_up),
+            ):
+                door.faults.silent = True
+                await trio.sleep(1.0)
+                ended_s = await self.end(fleet, fleet.nodes[0].front)
+                await trio.sleep(4.5)
+            late = [delay_s for _, delay_s in self.late_starts(fleet, ended_s)]
+            self.assertLess(max(late, default=0.0), KNOWN_S)
+
+        self.run_fleet(test)
+
+    def test_a_neighbour_that_ended_the_job_itself_agrees_to_no_older_record(self) -> None:
+        """The store falls silent after an end of which only the node that wrote it knows."""
+
+        async def test(fleet: NodeFleet) -> None:
+            for upstream in fleet.upstreams:
+                upstream.event_interval_ms = 150.0
+            owner, other = fleet.nodes
+            await submit(fleet, owner.front, *(f"item-{number}" for number in range(80)))
+            await trio.sleep(0.1)
+            # No watch tells of the end any more.
+            fleet.store.faults.delays_ms[CallKind.WATCH] = 60_000.0
+            await trio.sleep(0.35)
+            ended_s = await self.end(fleet, other.front)
+            fleet.store.faults.silent = True
+            await trio.sleep(4.5)
+            late = [delay_s for _, delay_s in self.late_starts(fleet, ended_s)]
+            self.assertLess(max(late, default=0.0), KNOWN_S)
+
+        self.run_fleet(test, nodes=2)
+
     def test_items_go_on_while_the_store_answers_nobody(self) -> None:
         async def test(fleet: NodeFleet) -> None:
             await submit(fleet, fleet.nodes[0].front, *(f"item-{n}" for n in range(80)))
