Tell the owner of an end before it is acknowledged, and others what this node has itself written

Cause, found by the soak: a neighbour that had written an end itself confirmed the record from before it to the owner, as its table had the same revision, so that the owner went on through a whole outage. Change: an answer to a neighbour holds what the answering node has itself written or read beyond its table; the node that ends a job tells its owner, for 100 ms at the most. The tests of owners that hear nothing or hear late keep it from being told.

--- a/src/fescuedock/core/replica_table.py
+++ b/src/fescuedock/core/replica_table.py
@@ -44,6 +44,8 @@
     confirmed_ms: float = float("-inf")
     as_of_ms: float = float("-inf")
     entries: dict[str, KvEntry] = msgspec.field(default_factory=dict)
+    # The newest of all entries; beyond ``revision`` while one was noted that no news have told of.
+    _newest_revision: int = UNKNOWN_REVISION
     # Revisions of removals, so that an older state does not bring a key back.
     _removed: dict[str, int] = msgspec.field(default_factory=dict)
 
@@ -109,6 +111,12 @@
         """Take a single key that this node has itself written or read."""
         self._put(entry)
 
+    def noted(self) -> list[KvEntry]:
+        """Return the entries that this node knows of by itself alone, beyond ``revision``."""
+        if self._newest_revision <= self.revision:
+            return []
+        return [entry for entry in self.entries.values() if entry.mod_revision > self.revision]
+
     def _confirm(self, revision: int, confirmed_ms: float, as_of_ms: float) -> None:
         self.revision = max(self.revision, revision)
         self.confirmed_ms = max(self.confirmed_ms, confirmed_ms)
@@ -123,6 +131,7 @@
             return
         self._removed.pop(entry.key, None)
         self.entries[entry.key] = entry
+        self._newest_revision = max(self._newest_revision, entry.mod_revision)
         if known is None or not self.is_heartbeat(known.value, entry.value):
             self.version += 1
 
--- a/src/fescuedock/node/job_calls.py
+++ b/src/fescuedock/node/job_calls.py
@@ -238,12 +238,27 @@
         )
         with trio.move_on_after(_END_TIMEOUT_MS / 1000):
             ended = await self._end(call.job_id)
-        _log_end(call.job_id, ended, now_ms() - received_ms)
+        told = isinstance(ended, Ok) and await self._tell_owner(ended.ok_value)
+        _log_end(call.job_id, ended, told, now_ms() - received_ms)
         if isinstance(ended, Err):
             await _refuse(responder, ended.err_value)
         else:
             await responder.send(200, b"{}")
 
+    async def _tell_owner(self, ended: VersionedRecord) -> bool:
+        """Tell the owner of an ended job, which then need not wait for a watch; whether it knows.
+
+        An outage of the store may begin before any watch has told of the end.
+        """
+        record = ended.record
+        if self.owner.owns(record):
+            return True
+        address = self.owner_reads.address_of(record.owner_id)
+        if address is None or not record.ended:
+            return False
+        keys = self.store.keys
+        return await self.replicas.tell_noted(address, keys.live, ended.entry(keys))
+
     async def _end(self, job_id: str) -> Result[VersionedRecord, Fault]:
         """End a job in the store; one that may still have to get there can't be ended yet."""
         for _ in range(2):
@@ -258,7 +273,9 @@
         return Err(_no_such_job(job_id))
 
 
-def _log_end(job_id: str, ended: Result[VersionedRecord, Fault], took_ms: float) -> None:
+def _log_end(
+    job_id: str, ended: Result[VersionedRecord, Fault], told: bool, took_ms: float
+) -> None:
     """Log the end of a job with the owner and the revision that it has to reach."""
     fields = {"job_id": job_id, "took_ms": round(took_ms, 1)}
     if isinstance(ended, Err):
@@ -269,6 +286,7 @@
         "job_ended",
         **fields,
         owner=record.owner_id,
+        owner_told=told,
         epoch=record.epoch,
         revision=ended.ok_value.revision,
         listed=record.listed,
--- a/src/fescuedock/node/replicas.py
+++ b/src/fescuedock/node/replicas.py
@@ -7,7 +7,7 @@
 
 import math
 import random
-from collections.abc import Awaitable, Callable, Collection, Mapping
+from collections.abc import Awaitable, Callable, Collection, Iterable, Mapping
 from typing import Protocol
 
 import msgspec
@@ -26,6 +26,8 @@
 from fescuedock.schema.replicas import (
     ReplicaEntry,
     ReplicaNews,
+    ReplicaNoted,
+    ReplicaNotedReply,
     ReplicaReply,
     ReplicaRequest,
     ReplicaSnapshot,
@@ -40,6 +42,8 @@
 _STALE_MS = 700.0
 _NEIGHBOUR_INTERVAL_S = 0.4
 _NEIGHBOUR_TIMEOUT_MS = 400.0
+# A node answers in 1 to 7 ms.  So long, at the most, a client waits for one that does not.
+_TELL_TIMEOUT_MS = 100.0
 # Asked at once: while the store turns half of the nodes away, one alone would be such a node as
 # well every other time, and its word that it knows nothing newer worth nothing.
 _NEIGHBOURS = 3
@@ -131,6 +135,7 @@
             ReplicaRequest: self._on_request,
             ReplicaNews: self._on_news,
             ReplicaSnapshot: self._on_snapshot,
+            ReplicaNoted: self._on_noted,
         }
 
     @property
@@ -326,6 +331,8 @@
             case Ok(ReplicaReply() as reply):
                 for snapshot in reply.snapshots:
                     self._take(snapshot, address, asked_ms)
+                for noted in reply.noted:
+                    self._take_noted(noted)
                 for prefix, age_ms in reply.ages_ms.items():
                     if prefix in self.tables:
                         self.tables[prefix].confirm(asked_ms - age_ms)
@@ -363,13 +370,32 @@
                 for table, revision in asked
                 if table.revision == revision
             },
+            # Whoever wrote a key knows more than its table's revision says: an outage may have
+            # begun before any watch told of it.
+            [
+                ReplicaNoted(table.prefix, _entries_of(noted))
+                for table, _ in asked
+                if (noted := table.noted())
+            ],
         )
 
+    async def tell_noted(self, address: Address, prefix: str, entry: KvEntry) -> bool:
+        """Tell one node of a key that this node has written; return whether it has answered."""
+        message = ReplicaNoted(prefix, _entries_of([entry]))
+        return (await self._call_neighbour(address, message, _TELL_TIMEOUT_MS)).is_ok()
+
+    async def _on_noted(self, message: ReplicaNoted, _peer: ServerPeer) -> ReplicaNotedReply:
+        self._take_noted(message)
+        return ReplicaNotedReply()
+
+    def _take_noted(self, message: ReplicaNoted) -> None:
+        if message.prefix not in self.tables:
+            return
+        for item in message.entries:
+            self.note(message.prefix, KvEntry(item.key, item.value, item.revision))
+
     def _snapshot(self, table: ReplicaTable) -> ReplicaSnapshot:
-        entries = [
-            ReplicaEntry(entry.key, entry.mod_revision, entry.value)
-            for entry in table.entries.values()
-        ]
+        entries = _entries_of(table.entries.values())
         return ReplicaSnapshot(
             table.prefix,
             table.revision,
@@ -383,11 +409,7 @@
     def _news_of(
         self, table: ReplicaTable, from_revision: int, revision: int, events: Collection[KvEvent]
     ) -> ReplicaNews:
-        entries = [
-            ReplicaEntry(event.key, event.revision, event.entry.value)
-            for event in events
-            if event.entry is not None
-        ]
+        entries = _entries_of(event.entry for event in events if event.entry is not None)
         return ReplicaNews(
             table.prefix,
             from_revision,
@@ -405,6 +427,10 @@
     return math.ceil(min(age_ms, _MAX_AGE_MS))
 
 
+def _entries_of(entries: Iterable[KvEntry]) -> list[ReplicaEntry]:
+    return [ReplicaEntry(entry.key, entry.mod_revision, entry.value) for entry in entries]
+
+
 def _events_of(message: ReplicaNews) -> list[KvEvent]:
     written = [
         KvEvent(item.key, item.revision, KvEntry(item.key, item.value, item.revision))
--- a/src/fescuedock/schema/replicas.py
+++ b/src/fescuedock/schema/replicas.py
@@ -50,14 +50,17 @@
     sent_ms: Annotated[int, Meta(description="By the clock of that process.")] = 0
 
 
-class ReplicaReply(WireStruct):
-    snapshots: list[ReplicaSnapshot]
-    ages_ms: Annotated[
-        dict[str, int],
-        Meta(
-            description="Of the prefixes that the caller knows as well as the sender: since a time at which that certainly was all there was."
-        ),
-    ] = field(default_factory=dict)
+class ReplicaNoted(WireStruct):
+    """
+    Keys that the sender has itself written or read; says nothing of others. Sent by itself, it is answered.
+    """
+
+    prefix: str
+    entries: list[ReplicaEntry]
+
+
+class ReplicaNotedReply(WireStruct):
+    pass
 
 
 class ReplicaNews(WireStruct):
@@ -80,3 +83,19 @@
     ] = 0
     sender: Annotated[str, Meta(description="Names one process of one node.")] = ""
     sent_ms: Annotated[int, Meta(description="By the clock of that process.")] = 0
+
+
+class ReplicaReply(WireStruct):
+    snapshots: list[ReplicaSnapshot]
+    ages_ms: Annotated[
+        dict[str, int],
+        Meta(
+            description="Of the prefixes that the caller knows as well as the sender: since a time at which that certainly was all there was."
+        ),
+    ] = field(default_factory=dict)
+    noted: Annotated[
+        list[ReplicaNoted],
+        Meta(
+            description="What the sender has itself written or read, and no news have told of yet."
+        ),
+    ] = field(default_factory=list)
--- a/tests/test_node_jobs_ended.py
+++ b/tests/test_node_jobs_ended.py
@@ -138,6 +138,7 @@
             await submit(fleet, owner.front, *(f"item-{number}" for number in range(80)))
             with (
                 mock.patch.object(Replicas, "_ask", return_value=None),
+                mock.patch.object(Replicas, "tell_noted", return_value=False),
                 mock.patch.object(GroupSpread, "tell", return_value=None),
             ):
                 # What the owner is not answered any more would tell of the end.
@@ -174,6 +175,7 @@
             await submit(fleet, owner.front, *(f"item-{number}" for number in range(80)))
             with (
                 mock.patch.object(Replicas, "_ask", return_value=None),
+                mock.patch.object(Replicas, "tell_noted", return_value=False),
                 mock.patch.object(GroupSpread, "tell", hold_up),
             ):
                 door.faults.silent = True
@@ -197,7 +199,8 @@
             # No watch tells of the end any more.
             fleet.store.faults.delays_ms[CallKind.WATCH] = 60_000.0
             await trio.sleep(0.35)
-            ended_s = await self.end(fleet, other.front)
+            with mock.patch.object(Replicas, "tell_noted", return_value=False):
+                ended_s = await self.end(fleet, other.front)
             fleet.store.faults.silent = True
             await trio.sleep(4.5)
             late = [delay_s for _, delay_s in self.late_starts(fleet, ended_s)]
--- a/tests/test_replica_knowledge.py
+++ b/tests/test_replica_knowledge.py
@@ -197,6 +197,28 @@
 
         trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
 
+    def test_what_a_node_has_itself_written_is_told_to_who_asks(self) -> None:
+        async def run() -> None:
+            telling, asking = (self.replicas(FakeStore(0.0, AWAY)) for _ in range(2))
+            for replicas in (telling, asking):
+                replicas.tables[PREFIX].replace([], 5, 0.0)
+            telling.note(PREFIX, ENTRY)
+
+            async def call(
+                _address: Address, message: msgspec.Struct, _timeout_ms: float
+            ) -> Result:
+                return Ok(await telling.handlers()[ReplicaRequest](message, None))
+
+            asking._call_neighbour = call
+            await asking._ask(NEIGHBOUR)
+            self.assertIn(ENTRY.key, asking.tables[PREFIX].entries)
+            # Once a watch has told of it, there is nothing left to tell.
+            telling.tables[PREFIX].apply([KvEvent(ENTRY.key, 7, ENTRY)], 7, 1.0)
+            reply = await telling.handlers()[ReplicaRequest](ReplicaRequest({PREFIX: 5}), None)
+            self.assertEqual(reply.noted, [])
+
+        trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+
     def test_a_snapshot_tells_what_was_heard_and_as_of_when_it_is_certain(self) -> None:
         async def run() -> None:
             await trio.sleep(2.0)
