Tell the age of news by the sender's clock, once a question and its answer have shown how far it is off

Cause: comparing with the fastest message of a sender trusts the first one, however late it is (one test of late news failed for that), and a path that is slow from the beginning. Change: a message names its sender and its time; a node asks a sender whose clock it does not know, once a minute for each, and until then its news confirm nothing for certain. Who hears but knows nothing for certain asks the store itself. Ruled out: a round trip for each piece of news.

--- a/src/fescuedock/node/replicas.py
+++ b/src/fescuedock/node/replicas.py
@@ -16,8 +16,8 @@
 
 from fescuedock.address import Address
 from fescuedock.clock import now_ms
-from fescuedock.core.news_delay import NewsDelays
 from fescuedock.core.replica_table import IsHeartbeat, ReplicaTable, no_heartbeat
+from fescuedock.core.sender_clocks import SenderClocks
 from fescuedock.core.store_contact import StoreContact
 from fescuedock.faults import Fault
 from fescuedock.kv import KvChangeLog, KvEntry, KvEvent, KvStore
@@ -83,10 +83,25 @@
         """Return how long to wait for news before asking by oneself."""
         return self.wait_ms + self.pause_ms + _NEWS_MARGIN_MS
 
+    @property
+    def certain_ms(self) -> float:
+        """Return how old a table may be for certain before asking by oneself, news or not.
+
+        Changes at the end of one watch count from its beginning until the end of the next.
+        """
+        return self.wait_ms + self.patience_ms
+
 
 class Spread(Protocol):
     """How news go to the nodes of this group."""
 
+    @property
+    def vm_id(self) -> str:
+        """This node's own name."""
+
+    def address_of(self, vm_id: str) -> Address | None:
+        """Return where a node can be asked; None for one that is not known."""
+
     def watches(self, prefix: str) -> bool:
         """Whether this node asks the service for them."""
 
@@ -124,8 +139,11 @@
         self._news = {item.prefix: trio.Event() for item in watched}
         # Prefixes of which news came that do not follow on from what is known.
         self._behind: set[str] = set()
-        self._sender = f"{rng.getrandbits(_SENDER_BITS):x}"
-        self._delays = NewsDelays()
+        self._sender = f"{spread.vm_id}/{rng.getrandbits(_SENDER_BITS):x}"
+        self._clocks = SenderClocks()
+        # Senders of news whose clocks are not known, and what is set when there is one more.
+        self._strangers: set[str] = set()
+        self._stranger_came = trio.Event()
         # When last a neighbour that was asked had told all that it knew.
         self._agreed_ms = float("-inf")
 
@@ -160,6 +178,7 @@
             for item in self._watched:
                 nursery.start_soon(self._follow, item)
             nursery.start_soon(self._ask_neighbours)
+            nursery.start_soon(self._meet_strangers)
 
     # --- the service ---------------------------------------------------------------------------
 
@@ -192,7 +211,10 @@
         table = self.tables[watched.prefix]
         while not self._spread.watches(watched.prefix):
             heard_ms = table.confirmed_ms
-            left_ms = watched.patience_ms - table.age_ms(now_ms())
+            left_ms = min(
+                watched.patience_ms - table.age_ms(now_ms()),
+                watched.certain_ms - table.as_of_age_ms(now_ms()),
+            )
             if left_ms <= 0 or table.prefix in self._behind:
                 self._behind.discard(table.prefix)
                 return False
@@ -269,7 +291,6 @@
         table = self.tables.get(message.prefix)
         if table is None or not table.is_known:
             return
-        sent_ms = self._sent_ms(message)
         self._note_news(message.prefix)
         if message.from_revision > table.revision:
             self._behind.add(message.prefix)
@@ -279,18 +300,38 @@
             # Its sender knows less than this node: that says nothing of now.
             table.apply(_events_of(message), message.revision, float("-inf"))
         else:
+            sent_ms = self._sent_ms(message)
+            heard_ms = now_ms() if sent_ms == float("-inf") else sent_ms
             as_of_ms = sent_ms - message.as_of_age_ms
-            table.apply(_events_of(message), message.revision, sent_ms, as_of_ms)
+            table.apply(_events_of(message), message.revision, heard_ms, as_of_ms)
         self._wake_if(table.version != before)
 
     def _sent_ms(self, message: ReplicaNews | ReplicaSnapshot) -> float:
-        """Return when a message that was not asked for was sent, by this process's clock."""
-        received_ms = now_ms()
-        return received_ms - self._delays.observe(message.sender, message.sent_ms, received_ms)
+        """Return when a message that was not asked for was sent, or a time before that.
+
+        By this process's clock; infinitely long ago while its sender's clock is not known.
+        """
+        if not self._clocks.is_known(message.sender, now_ms()):
+            self._strangers.add(message.sender)
+            self._stranger_came.set()
+        return self._clocks.sent_ms(message.sender, message.sent_ms, now_ms())
+
+    async def _meet_strangers(self) -> None:
+        """Ask senders whose clocks are not known, so that the age of their news is."""
+        while True:
+            await self._stranger_came.wait()
+            self._stranger_came = trio.Event()
+            strangers, self._strangers = self._strangers, set()
+            async with trio.open_nursery() as nursery:
+                for sender in strangers:
+                    address = self._spread.address_of(sender.partition("/")[0])
+                    if address is not None:
+                        nursery.start_soon(self._call, address, ReplicaRequest({}))
 
     async def _on_snapshot(self, message: ReplicaSnapshot, _peer: ServerPeer) -> None:
         self.contact.heard_of(now_ms())
-        self._take(message, None, self._sent_ms(message))
+        sent_ms = self._sent_ms(message)
+        self._take(message, None, sent_ms, now_ms() if sent_ms == float("-inf") else sent_ms)
         if message.prefix in self._news:
             self._note_news(message.prefix)
 
@@ -327,26 +368,36 @@
     async def _ask(self, address: Address) -> None:
         request = ReplicaRequest({name: table.revision for name, table in self.tables.items()})
         asked_ms = now_ms()
+        if await self._call(address, request):
+            self._agreed_ms = asked_ms
+
+    async def _call(self, address: Address, request: ReplicaRequest) -> bool:
+        """Ask a node and take what it answers; False when it does not."""
+        asked_ms = now_ms()
         match await self._call_neighbour(address, request, _NEIGHBOUR_TIMEOUT_MS):
             case Ok(ReplicaReply() as reply):
+                self._clocks.note_answer(reply.sender, asked_ms, reply.sent_ms)
                 for snapshot in reply.snapshots:
-                    self._take(snapshot, address, asked_ms)
+                    self._take(snapshot, address, asked_ms, asked_ms)
                 for noted in reply.noted:
                     self._take_noted(noted)
                 for prefix, age_ms in reply.ages_ms.items():
                     if prefix in self.tables:
                         self.tables[prefix].confirm(asked_ms - age_ms)
-                self._agreed_ms = asked_ms
+                return True
+        return False
 
-    def _take(self, snapshot: ReplicaSnapshot, source: Address | None, sent_ms: float) -> None:
-        """Take a snapshot that was sent no earlier than ``sent_ms``."""
+    def _take(
+        self, snapshot: ReplicaSnapshot, source: Address | None, sent_ms: float, heard_ms: float
+    ) -> None:
+        """Take a snapshot that was sent no earlier than ``sent_ms``, heard of at ``heard_ms``."""
         table = self.tables.get(snapshot.prefix)
         if table is None or snapshot.revision <= table.revision:
             return
         before = table.version
         entries = [KvEntry(item.key, item.value, item.revision) for item in snapshot.entries]
         table.replace(entries, snapshot.revision, sent_ms - snapshot.as_of_age_ms)
-        table.confirmed_ms = max(table.confirmed_ms, sent_ms - snapshot.age_ms)
+        table.confirmed_ms = max(table.confirmed_ms, heard_ms - snapshot.age_ms)
         if table.version != before:
             log_event(
                 "replica_from_neighbour",
@@ -372,11 +423,13 @@
             },
             # Whoever wrote a key knows more than its table's revision says: an outage may have
             # begun before any watch told of it.
-            [
+            noted=[
                 ReplicaNoted(table.prefix, _entries_of(noted))
                 for table, _ in asked
                 if (noted := table.noted())
             ],
+            sender=self._sender,
+            sent_ms=int(now_ms()),
         )
 
     async def tell_noted(self, address: Address, prefix: str, entry: KvEntry) -> bool:
--- a/src/fescuedock/node/spread.py
+++ b/src/fescuedock/node/spread.py
@@ -18,6 +18,14 @@
         self._duty = duty
         self._pool = pool
 
+    @property
+    def vm_id(self) -> str:
+        return self._view.vm_id
+
+    def address_of(self, vm_id: str) -> Address | None:
+        vm = self._view.vms.get(vm_id)
+        return None if vm is None or not vm.agent_port else Address(vm.host, vm.agent_port)
+
     def watches(self, prefix: str) -> bool:
         return self._duty.watches(prefix, self._view.vms.values())
 
--- a/src/fescuedock/schema/replicas.py
+++ b/src/fescuedock/schema/replicas.py
@@ -46,7 +46,9 @@
             description="Since a time at which this certainly was all there was; older than the age, as news take time."
         ),
     ] = 2147483647
-    sender: Annotated[str, Meta(description="Names one process of one node.")] = ""
+    sender: Annotated[
+        str, Meta(description="Names one process of one node: its VM, / and a number.")
+    ] = ""
     sent_ms: Annotated[int, Meta(description="By the clock of that process.")] = 0
 
 
@@ -81,7 +83,9 @@
             description="When it was sent: since a time at which this certainly was all there was."
         ),
     ] = 0
-    sender: Annotated[str, Meta(description="Names one process of one node.")] = ""
+    sender: Annotated[
+        str, Meta(description="Names one process of one node: its VM, / and a number.")
+    ] = ""
     sent_ms: Annotated[int, Meta(description="By the clock of that process.")] = 0
 
 
@@ -93,6 +97,8 @@
             description="Of the prefixes that the caller knows as well as the sender: since a time at which that certainly was all there was."
         ),
     ] = field(default_factory=dict)
+    sender: Annotated[str, Meta(description="As of news.")] = ""
+    sent_ms: Annotated[int, Meta(description="By the clock of that process.")] = 0
     noted: Annotated[
         list[ReplicaNoted],
         Meta(
--- a/tests/builders/runner_world.py
+++ b/tests/builders/runner_world.py
@@ -203,6 +203,11 @@
 class _OwnWatch:
     """Each node asks the store by itself."""
 
+    vm_id = "n"
+
+    def address_of(self, _vm_id: str) -> Address | None:
+        return None
+
     def watches(self, _prefix: str) -> bool:
         return True
 
--- a/tests/test_replica_knowledge.py
+++ b/tests/test_replica_knowledge.py
@@ -45,9 +45,14 @@
 class FakeSpread:
     """Watches by itself, and keeps what it would tell."""
 
+    vm_id = "n-1"
+
     def __init__(self) -> None:
         self.told: list[msgspec.Struct] = []
 
+    def address_of(self, vm_id: str) -> Address | None:
+        return NEIGHBOUR if vm_id == "n-2" else None
+
     def watches(self, _prefix: str) -> bool:
         return True
 
@@ -128,6 +133,7 @@
             other = self.replicas(FakeStore(0.0, AWAY))
             table = other.tables[PREFIX]
             table.replace([], 5, now_ms() - 3000)
+            other._clocks.note_answer(news.sender, now_ms(), news.sent_ms)
             await other.handlers()[ReplicaNews](news, None)
             self.assertIn(ENTRY.key, table.entries)
             self.assertAlmostEqual(table.as_of_age_ms(now_ms()), 800, delta=5)
@@ -171,21 +177,69 @@
 
         trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
 
+    def news(self, sent_ms: int) -> ReplicaNews:
+        return ReplicaNews(PREFIX, 5, 6, [], {}, 100, sender="n-2/1", sent_ms=sent_ms)
+
     def test_news_that_were_long_on_their_way_are_as_old_as_that(self) -> None:
         async def run() -> None:
             replicas = self.replicas(FakeStore(0.0, AWAY))
             table = replicas.tables[PREFIX]
             table.replace([], 5, 0.0)
-            hear = replicas.handlers()[ReplicaNews]
-            for sent_ms, way_s in ((70_000, 0.0), (71_000, 5.0)):
-                await trio.sleep(1.0 + way_s)
-                news = ReplicaNews(PREFIX, 5, 6, [], {}, 100, sender="a", sent_ms=sent_ms)
-                await hear(news, None)
+            replicas._clocks.note_answer("n-2/1", 0.0, 70_000.0)
+            await trio.sleep(6.0)
+            await replicas.handlers()[ReplicaNews](self.news(71_000), None)
             self.assertAlmostEqual(table.age_ms(now_ms()), 5000, delta=10)
             self.assertAlmostEqual(table.as_of_age_ms(now_ms()), 5100, delta=10)
 
         trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
 
+    def test_news_of_a_stranger_are_heard_and_certain_once_it_was_asked(self) -> None:
+        asked: list[ReplicaRequest] = []
+
+        async def neighbour(
+            _address: Address, message: ReplicaRequest, _timeout_ms: float
+        ) -> Result[ReplicaReply, Fault]:
+            asked.append(message)
+            return Ok(ReplicaReply([], sender="n-2/1", sent_ms=int(70_000 + now_ms())))
+
+        async def run() -> None:
+            replicas = self.replicas(FakeStore(0.0, AWAY), call=neighbour)
+            table = replicas.tables[PREFIX]
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(replicas.run)
+                await trio.sleep(3.0)
+                hear = replicas.handlers()[ReplicaNews]
+                await hear(self.news(73_000), None)
+                self.assertAlmostEqual(table.age_ms(now_ms()), 0, delta=5)
+                self.assertGreater(table.as_of_age_ms(now_ms()), 2900)
+                await trio.sleep(0.5)
+                self.assertEqual(asked, [ReplicaRequest({})])
+                await hear(self.news(73_500), None)
+                self.assertAlmostEqual(table.as_of_age_ms(now_ms()), 100, delta=10)
+                nursery.cancel_scope.cancel()
+
+        trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    def test_who_hears_but_knows_nothing_for_certain_asks_the_store(self) -> None:
+        store = FakeStore(0.0, Ok(KvChanges((), 6)))
+        spread = FakeSpread()
+        spread.watches = lambda _prefix: False
+        replicas = self.replicas(store, spread)
+
+        async def run() -> None:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(replicas.run)
+                for _ in range(20):
+                    await trio.sleep(0.2)
+                    # From a sender that nobody can ask.
+                    news = ReplicaNews(PREFIX, 5, 6, [], {}, 100, sender="n-9/1")
+                    await replicas.handlers()[ReplicaNews](news, None)
+                nursery.cancel_scope.cancel()
+
+        trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+        self.assertGreater(store.watches, 0)
+        self.assertLess(store.watches, 4)
+
     def test_a_neighbour_that_knows_less_vouches_for_nothing(self) -> None:
         async def run() -> None:
             replicas = self.replicas(FakeStore(0.0, AWAY))
@@ -228,6 +282,7 @@
             table.apply([], 9, now_ms() - 100, now_ms() - 800)
             request = ReplicaRequest({PREFIX: 5})
             [snapshot] = (await telling.handlers()[ReplicaRequest](request, None)).snapshots
+            taking._clocks.note_answer(snapshot.sender, now_ms(), snapshot.sent_ms)
             await taking.handlers()[ReplicaSnapshot](snapshot, None)
             taken = taking.tables[PREFIX]
             self.assertIn(ENTRY.key, taken.entries)
