--- a/src/fescuedock/node/replicas.py
+++ b/src/fescuedock/node/replicas.py
@@ -141,9 +141,9 @@
         self._behind: set[str] = set()
         self._sender = f"{spread.vm_id}/{rng.getrandbits(_SENDER_BITS):x}"
         self._clocks = SenderClocks()
-        # Senders of news whose clocks are not known, and what is set when there is one more.
-        self._strangers: set[str] = set()
-        self._stranger_came = trio.Event()
+        # Senders of news whose clocks are to be compared, and what is set when there is one more.
+        self._unknown_clocks: set[str] = set()
+        self._clock_wanted = trio.Event()
         # When last a neighbour that was asked had told all that it knew.
         self._agreed_ms = float("-inf")
 
@@ -178,7 +178,7 @@
             for item in self._watched:
                 nursery.start_soon(self._follow, item)
             nursery.start_soon(self._ask_neighbours)
-            nursery.start_soon(self._meet_strangers)
+            nursery.start_soon(self._compare_clocks)
 
     # --- the service ---------------------------------------------------------------------------
 
@@ -312,18 +312,18 @@
         By this process's clock; infinitely long ago while its sender's clock is not known.
         """
         if not self._clocks.is_known(message.sender, now_ms()):
-            self._strangers.add(message.sender)
-            self._stranger_came.set()
+            self._unknown_clocks.add(message.sender)
+            self._clock_wanted.set()
         return self._clocks.sent_ms(message.sender, message.sent_ms, now_ms())
 
-    async def _meet_strangers(self) -> None:
-        """Ask senders whose clocks are not known, so that the age of their news is."""
+    async def _compare_clocks(self) -> None:
+        """Ask senders whose clocks are not known, so that the age of their news becomes known."""
         while True:
-            await self._stranger_came.wait()
-            self._stranger_came = trio.Event()
-            strangers, self._strangers = self._strangers, set()
+            await self._clock_wanted.wait()
+            self._clock_wanted = trio.Event()
+            senders, self._unknown_clocks = self._unknown_clocks, set()
             async with trio.open_nursery() as nursery:
-                for sender in strangers:
+                for sender in senders:
                     address = self._spread.address_of(sender.partition("/")[0])
                     if address is not None:
                         nursery.start_soon(self._call, address, ReplicaRequest({}))
--- a/tests/test_replica_knowledge.py
+++ b/tests/test_replica_knowledge.py
@@ -193,7 +193,7 @@
 
         trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
 
-    def test_news_of_a_stranger_are_heard_and_certain_once_it_was_asked(self) -> None:
+    def test_news_of_an_unknown_sender_are_heard_and_certain_once_it_was_asked(self) -> None:
         asked: list[ReplicaRequest] = []
 
         async def neighbour(
