Compare owners as two agents name them once they know the same fleet

Cause: the test looked at both views as soon as one of them was whole, and compared all that each knew of the owner. Beside load one agent had not heard of the third yet, or of a suspicion that was refuted, which raises an incarnation number.

--- a/tests/test_membership_agent.py
+++ b/tests/test_membership_agent.py
@@ -23,6 +23,17 @@
 from tests.builders.standins import run_async
 
 
+def _known(view: FleetView) -> tuple[set[str], set[str]]:
+    """Return the names of what owners are chosen from and for."""
+    return {vm.vm_id for vm in view.live_vms(Program.AGENT)}, set(view.upstreams)
+
+
+def _owner(view: FleetView, upstream_id: str) -> tuple[str, str, int]:
+    """Return who is to be asked; other news of it, as a refuted suspicion, may be on their way."""
+    vm = view.owner_of(upstream_id)
+    return vm.vm_id, vm.host, vm.agent_port
+
+
 def _key_line(name: str) -> str:
     return f"{name} {name.encode().hex() * 4}\n"
 
@@ -38,10 +49,13 @@
                 await until(view, lambda seen: len(seen.live_vms(Program.AGENT)) == 3)
                 await until(other, lambda seen: len(seen.live_vms(Program.ENTRY)) == 1)
                 await until(view, lambda seen: len(seen.live_vms(Program.STORE)) == 1)
+                # Each hears of the third in its own time; nodes that know the same fleet agree.
+                await until(other, lambda seen: len(seen.live_vms(Program.AGENT)) == 3)
+                await until(other, lambda seen: _known(seen) == _known(view))
                 self.assertEqual(8080, view.vms["vm-1"].store_port)
                 self.assertEqual(set(fleet.standins.engines), set(view.upstreams) - {"plain-1"})
                 for upstream_id in view.upstreams:
-                    self.assertEqual(view.owner_of(upstream_id), other.owner_of(upstream_id))
+                    self.assertEqual(_owner(view, upstream_id), _owner(other, upstream_id))
                 self.assertLess(view.membership_age_ms, 60000)
 
         run_async(check)
