Judge each change of a key by what those before it have left, and bring no removed key back

Cause: a node that watches compared all changes of one answer with its table as it was before them. A key that was removed and written again alike passed for a heartbeat, so the others heard of the removal alone and had lost an upstream until its entry changed by more. And a key that is no newer than a table that does not hold it was taken for new, unless the node remembered its removal: one that was started later does not.

Change: changes are told from heartbeats one after the other; a single key or news no newer than the table add no key.

Ruled out: telling all heartbeats (a wake-up of all nodes each).

--- a/src/fescuedock/core/replica_table.py
+++ b/src/fescuedock/core/replica_table.py
@@ -87,12 +87,15 @@
         ``confirmed_ms`` is when they were heard of, ``as_of_ms`` no later than when they were all.
         Returns those that others have to hear of, which heartbeats are not.
         """
-        news = [event for event in events if not self._is_heartbeat(event)]
+        news: list[KvEvent] = []
         for event in events:
+            # Each against what those before it have left: a key may have gone and come back alike.
+            if not self._is_heartbeat(event):
+                news.append(event)
             if event.entry is None:
                 self._remove(event.key, event.revision)
             else:
-                self._put(event.entry)
+                self._take(event.entry)
         self._confirm(revision, confirmed_ms, as_of_ms)
         return news
 
@@ -109,7 +112,7 @@
 
     def note(self, entry: KvEntry) -> None:
         """Take a single key that this node has itself written or read."""
-        self._put(entry)
+        self._take(entry)
 
     def noted(self) -> list[KvEntry]:
         """Return the entries that this node knows of by itself alone, beyond ``revision``."""
@@ -124,6 +127,12 @@
         if len(self._removed) > len(self.entries) + _MOST_REMOVED:
             self._forget_removed()
 
+    def _take(self, entry: KvEntry) -> None:
+        # A key that is not here though it is no newer than the table has been removed: by then, or
+        # before this node started, of which it remembers nothing.
+        if entry.key in self.entries or entry.mod_revision > self.revision:
+            self._put(entry)
+
     def _put(self, entry: KvEntry) -> None:
         known = self.entries.get(entry.key)
         newest = known.mod_revision if known else self._removed.get(entry.key, -1)
