Let only a neighbour that knows as much vouch that records still hold while the store is away

Cause: any answer of a neighbour counted as word that there is nothing newer, also of one that knew less or had just started. While the store turned some nodes away, an owner could begin items of an ended job for as long as it asked only such neighbours.

Ruled out: asking for the same of all prefixes at once, as neighbours seldom agree on the busiest.

--- a/src/fescuedock/core/stored_jobs/work_gate.py
+++ b/src/fescuedock/core/stored_jobs/work_gate.py
@@ -41,7 +41,7 @@
     """How good a node's knowledge of all records is; ages in milliseconds.
 
     ``age_ms`` is the time since they were known to be current, ``agreed_age_ms`` the time since a
-    neighbour that was asked knew nothing newer.
+    neighbour that was asked knew as much, and nothing newer.
     """
 
     age_ms: float
--- a/src/fescuedock/node/job_runner.py
+++ b/src/fescuedock/node/job_runner.py
@@ -442,7 +442,9 @@
 
     def _known_records(self) -> KnownRecords:
         away = self._replicas.contact.is_away(now_ms())
-        agreed_age_ms = self._replicas.agreed_age_ms() if away else float("inf")
+        agreed_age_ms = float("inf")
+        if away:
+            agreed_age_ms = self._replicas.agreed_age_ms(self._store.keys.live)
         return KnownRecords(self._table.as_of_age_ms(now_ms()), away, agreed_age_ms)
 
     def _serves(self, record: StoredJobRecord, service: str) -> bool:
--- a/src/fescuedock/node/replicas.py
+++ b/src/fescuedock/node/replicas.py
@@ -144,8 +144,8 @@
         # Senders of news whose clocks are to be compared, and what is set when there is one more.
         self._unknown_clocks: set[str] = set()
         self._clock_wanted = trio.Event()
-        # When last a neighbour that was asked had told all that it knew.
-        self._agreed_ms = float("-inf")
+        # By prefix, when last a neighbour was asked that knew as much as this node, or more.
+        self._agreed_ms = dict.fromkeys(self.tables, float("-inf"))
 
     def handlers(self) -> dict[type[msgspec.Struct], CallHandler]:
         """Handlers by message type, to be merged with those of other services."""
@@ -358,21 +358,22 @@
             for item in self._watched
         )
 
-    def agreed_age_ms(self) -> float:
+    def agreed_age_ms(self, prefix: str) -> float:
         """Return the time since a neighbour that was asked knew nothing newer; 0 without any.
 
         Neighbours are asked only while a table here is stale.
         """
-        return now_ms() - self._agreed_ms if self._neighbours() else 0.0
+        return now_ms() - self._agreed_ms[prefix] if self._neighbours() else 0.0
 
     async def _ask(self, address: Address) -> None:
         request = ReplicaRequest({name: table.revision for name, table in self.tables.items()})
         asked_ms = now_ms()
-        if await self._call(address, request):
-            self._agreed_ms = asked_ms
+        # One that knows less, or nothing yet, has nothing newer to tell and can vouch for nothing.
+        for prefix in await self._call(address, request):
+            self._agreed_ms[prefix] = asked_ms
 
-    async def _call(self, address: Address, request: ReplicaRequest) -> bool:
-        """Ask a node and take what it answers; False when it does not."""
+    async def _call(self, address: Address, request: ReplicaRequest) -> set[str]:
+        """Ask a node and take what it answers; return the prefixes of which it knew as much."""
         asked_ms = now_ms()
         match await self._call_neighbour(address, request, _NEIGHBOUR_TIMEOUT_MS):
             case Ok(ReplicaReply() as reply):
@@ -384,8 +385,9 @@
                 for prefix, age_ms in reply.ages_ms.items():
                     if prefix in self.tables:
                         self.tables[prefix].confirm(asked_ms - age_ms)
-                return True
-        return False
+                known = {*reply.ages_ms, *(snapshot.prefix for snapshot in reply.snapshots)}
+                return known & self.tables.keys()
+        return set()
 
     def _take(
         self, snapshot: ReplicaSnapshot, source: Address | None, sent_ms: float, heard_ms: float
--- a/tests/test_replica_knowledge.py
+++ b/tests/test_replica_knowledge.py
@@ -161,7 +161,7 @@
         def check() -> None:
             self.assertTrue(asked)
             self.assertAlmostEqual(table.as_of_ms, 700, delta=5)
-            self.assertLess(replicas.agreed_age_ms(), 500)
+            self.assertLess(replicas.agreed_age_ms(PREFIX), 500)
 
         known.replace([], 5, 700.0)
         self.run_for(replicas, 2.5, check)
@@ -304,7 +304,7 @@
             # At the start, before the store was read, it may be asked as well.
             stale_ms = next(at_ms for at_ms in asked_ms if at_ms > 0)
             self.assertAlmostEqual(stale_ms, WAIT_MS + 700, delta=50)
-            self.assertEqual(replicas.agreed_age_ms(), float("inf"))
+            self.assertEqual(replicas.agreed_age_ms(PREFIX), float("inf"))
 
         self.run_for(replicas, 2.5, check)
 
@@ -312,7 +312,7 @@
         replicas = self.replicas(FakeStore(0.0, AWAY))
 
         def check() -> None:
-            self.assertEqual(replicas.agreed_age_ms(), 0.0)
+            self.assertEqual(replicas.agreed_age_ms(PREFIX), 0.0)
 
         self.run_for(replicas, 2.5, check)
 
