Show with whole nodes that a worker listed again at once is gone for all nodes but one

Cause: as in the tests of the table: of a removal and a new entry in one answer of the store only the removal is told to the nodes that do not watch.

Change: a test only; it fails on the code as it is.

Ruled out: that a later heartbeat of the worker brings it back; one is written before the check.

--- a/tests/test_replica_changes.py
+++ b/tests/test_replica_changes.py
@@ -2,8 +2,12 @@
 
 import unittest
 
+import trio
+
 from fescuedock.core.replica_table import ReplicaTable
 from fescuedock.kv import KvEntry, KvEvent
+from tests.builders.node import running_fleet
+from tests.builders.standins import run_async
 
 KEY = "servers/w"
 
@@ -68,5 +72,27 @@
         self.check()
 
 
+class LapsedWorkerTest(unittest.TestCase):
+    def test_a_worker_that_is_listed_again_at_once_serves_at_every_node(self) -> None:
+        answers: list[int] = []
+
+        async def run() -> None:
+            with trio.fail_after(30):
+                async with running_fleet(nodes=3, upstreams=1) as fleet:
+                    [worker] = fleet.upstreams
+                    fleet.store.state.delete(f"servers/{worker.upstream_id}")
+                    fleet.register(worker, sequence=2)
+                    await trio.sleep(1.0)
+                    # Its heartbeats go on.
+                    fleet.register(worker, sequence=3)
+                    await trio.sleep(2.0)
+                    for node in fleet.nodes:
+                        answer = await fleet.call(node.front, "GET", "/safe/1")
+                        answers.append(answer.status)
+
+        run_async(run)
+        self.assertEqual(answers, [200, 200, 200])
+
+
 if __name__ == "__main__":
     unittest.main()
