Take a route for removed only by a configuration that is certainly newer than the job

Cause: a route that the configuration lacks counted as removed 2.5 s later, however old that configuration was; one older than the route lacks it as well. The node listed all items as given up, which nothing takes back.

Change: the time counts from when the configuration was certainly all there was.

Ruled out: bounding the configuration's age, as a read that is turned away makes it old at any bound.

--- a/src/fescuedock/node/configuration.py
+++ b/src/fescuedock/node/configuration.py
@@ -54,6 +54,11 @@
     def confirmed_age_ms(self) -> float:
         return self._table.age_ms(now_ms())
 
+    @property
+    def as_of_ms(self) -> float:
+        """Return a time at which no newer configuration was there for certain."""
+        return self._table.as_of_ms
+
     @property
     def unconfirmed(self) -> bool:
         return self.confirmed_age_ms > _UNCONFIRMED_MS
--- a/src/fescuedock/node/job_runner.py
+++ b/src/fescuedock/node/job_runner.py
@@ -371,7 +371,8 @@
         # A node that knows no configuration yet misses every route, and none has been removed.
         if not self._configuration.is_known or self._route_of(record) is not None:
             job.route_seen_ms = now_ms()
-        route_gone = now_ms() - job.route_seen_ms > _ROUTE_GONE_MS
+        # One that is older than the route lacks it as well, and what is given up stays so.
+        route_gone = self._configuration.as_of_ms - job.route_seen_ms > _ROUTE_GONE_MS
         count = job.run.abandon() if route_gone else job.run.give_up(now_ms())
         if count:
             reason = "its route was removed" if route_gone else "its retention is over"
--- a/tests/builders/runner_world.py
+++ b/tests/builders/runner_world.py
@@ -15,6 +15,7 @@
 from result import Err, Ok, Result
 
 from fescuedock.address import Address
+from fescuedock.clock import now_ms
 from fescuedock.core.forwarding.route_table import RouteKind, RouteTable
 from fescuedock.core.stored_jobs.cache import JobCache
 from fescuedock.core.stored_jobs.job import ItemEnd, ItemRun
@@ -201,6 +202,10 @@
     routes: RouteTable
     is_known: bool = True
 
+    @property
+    def as_of_ms(self) -> float:
+        return now_ms()
+
 
 class _OwnWatch:
     """Each node asks the store by itself."""
