Remember ends of jobs that could not be recorded, and record them later

Cause: an end that was answered 503, because the job waited on disks or the store did not answer, was kept nowhere. Clients do not always come again; the disk entered the job as it was submitted, and it ran whole. An acceptance that was still under way at a neighbour made the node answer 404, and the job ran once it was stored.

Change: the node that was asked goes on until the end is recorded or there is no such job (node/job_ends.py), with a bounded number and time; its gate begins no item of the job meanwhile. Spools that hold a copy are told; they replace its file by one that says that the job is ended, enter it so, and end it if another copy came first. A node knows the acceptances that it has under way or was not sure of for 10 s, and does not deny these jobs. What a spool finds at its start counts as synced only once its folder is: a process may have ended before that.

Ruled out: an answer 200 once the disks know the end: 200 stays the word that it is recorded. A mark beside the job's file: two names may come back one without the other. Dropping the job at a node that wants its end: it would be taken in again with a read of the store every half second, and an end that is given up must leave the job as it was.

--- a/src/fescuedock/core/stored_jobs/work_gate.py
+++ b/src/fescuedock/core/stored_jobs/work_gate.py
@@ -29,12 +29,17 @@
     LISTED = "all its results are listed"
     NOT_OWNED = "another node owns it"
     LEAVING = "this node leaves"
+    END_WANTED = "its client wants its end, which is not recorded yet"
     UNCONFIRMED = "its record was not confirmed for too long"
 
     @property
     def is_final(self) -> bool:
         """Whether this node can never again begin work of the job, unless it claims it anew."""
-        return self not in (WorkRefusal.LEAVING, WorkRefusal.UNCONFIRMED)
+        return self not in (
+            WorkRefusal.LEAVING,
+            WorkRefusal.END_WANTED,
+            WorkRefusal.UNCONFIRMED,
+        )
 
 
 class KnownRecords(msgspec.Struct, frozen=True):
@@ -67,11 +72,13 @@
     *,
     end_bound_ms: float,
     leaving: bool,
+    end_wanted: bool = False,
 ) -> WorkRefusal | None:
     """Return why no item of the job may begin at this node, or None when one may.
 
     ``record`` is the newest that the node knows, None when there is none; ``end_bound_ms`` is how
-    long after an acknowledged end an item may still begin.
+    long after an acknowledged end an item may still begin; ``end_wanted`` says that a client asked
+    this node for an end which could not be recorded so far.
     """
     if record is None:
         return WorkRefusal.UNKNOWN
@@ -83,6 +90,8 @@
         return WorkRefusal.LISTED
     if leaving:
         return WorkRefusal.LEAVING
+    if end_wanted:
+        return WorkRefusal.END_WANTED
     if not known.holds(end_bound_ms - _WAY_MS):
         return WorkRefusal.UNCONFIRMED
     return None
--- a/src/fescuedock/node/job_acceptance.py
+++ b/src/fescuedock/node/job_acceptance.py
@@ -15,6 +15,7 @@
 from fescuedock.address import Address
 from fescuedock.clock import now_ms
 from fescuedock.core.stored_jobs.ownership import OwnerIdentity
+from fescuedock.core.stored_jobs.wanted_ends import UnsettledAcceptances
 from fescuedock.faults import Fault
 from fescuedock.log import log_event
 from fescuedock.net.channel import CallHandler, ServerPeer
@@ -55,6 +56,7 @@
     rng: random.Random
     spools: Spools
     is_leaving: Callable[[], bool]
+    unsettled: UnsettledAcceptances = msgspec.field(default_factory=UnsettledAcceptances)
 
     def handlers(self) -> dict[type[msgspec.Struct], CallHandler]:
         """Handlers by message type, to be merged with those of other services."""
@@ -69,12 +71,18 @@
         that it may be.
         """
         attempt = _Attempt(self, record, items)
-        with trio.move_on_after(max(wait_ms, 0.0) / 1000):
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(attempt.by_itself, nursery.cancel_scope)
-                nursery.start_soon(attempt.by_neighbours, nursery.cancel_scope)
-                nursery.start_soon(attempt.by_spools, nursery.cancel_scope)
-        return attempt.result()
+        self.unsettled.begin(record.job_id)
+        try:
+            with trio.move_on_after(max(wait_ms, 0.0) / 1000):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(attempt.by_itself, nursery.cancel_scope)
+                    nursery.start_soon(attempt.by_neighbours, nursery.cancel_scope)
+                    nursery.start_soon(attempt.by_spools, nursery.cancel_scope)
+            return attempt.result()
+        finally:
+            # Also when the client has left.
+            unsure = attempt.may_be_stored_later
+            self.unsettled.finish(record.job_id, now_ms(), unsure=unsure)
 
     async def _on_accept_job(self, message: AcceptJob, _peer: ServerPeer) -> AcceptJobReply:
         """Accept a job for a neighbour, and own it."""
@@ -83,14 +91,20 @@
         record = msgspec.structs.replace(
             message.record, owner_id=self.owner.node_id, owner_boot=self.owner.boot
         )
-        with trio.move_on_after(_NEIGHBOUR_TIMEOUT_MS / 1000):
-            stored = await self.store.accept(record, message.items)
-            if isinstance(stored, Err):
-                return AcceptJobReply(stored.err_value.code)
-            if self.owner.owns(stored.ok_value.record) and not stored.ok_value.record.listed:
-                self.on_accepted(stored.ok_value, message.items)
-            return AcceptJobReply(ResultCode.OK)
-        return AcceptJobReply(ResultCode.KV_UNKNOWN)
+        settled = False
+        self.unsettled.begin(record.job_id)
+        try:
+            with trio.move_on_after(_NEIGHBOUR_TIMEOUT_MS / 1000):
+                stored = await self.store.accept(record, message.items)
+                settled = True
+                if isinstance(stored, Err):
+                    return AcceptJobReply(stored.err_value.code)
+                if self.owner.owns(stored.ok_value.record) and not stored.ok_value.record.listed:
+                    self.on_accepted(stored.ok_value, message.items)
+                return AcceptJobReply(ResultCode.OK)
+            return AcceptJobReply(ResultCode.KV_UNKNOWN)
+        finally:
+            self.unsettled.finish(record.job_id, now_ms(), unsure=not settled)
 
 
 class _Attempt(msgspec.Struct):
@@ -165,12 +179,18 @@
         self.accepted = True
         scope.cancel()
 
+    @property
+    def may_be_stored_later(self) -> bool:
+        """Whether the job may get to the store, or to a disk, after this attempt has ended."""
+        if self.accepted:
+            return False
+        return self.own_fault is None or self.unsure or self.kept.may_be_stored
+
     def result(self) -> Result[None, Fault]:
         """Return what is known once both ways have ended or the time is up."""
         if self.accepted:
             return Ok(None)
-        may_be_stored = self.unsure or self.kept.may_be_stored
-        if self.own_fault is not None and not may_be_stored:
+        if not self.may_be_stored_later:
             return Err(self.own_fault)
         return Err(
             Fault(ResultCode.EXECUTION_UNKNOWN, "nobody could say whether the job is stored")
--- a/src/fescuedock/node/job_calls.py
+++ b/src/fescuedock/node/job_calls.py
@@ -14,7 +14,8 @@
 from fescuedock.log import log_event
 from fescuedock.net.http_server import Request, Responder, fault_body
 from fescuedock.node.job_acceptance import JobAcceptance
-from fescuedock.node.job_store import JobStore, VersionedRecord, decode_record
+from fescuedock.node.job_ends import JobEnds
+from fescuedock.node.job_store import JobStore, decode_record
 from fescuedock.node.owner_reads import OwnerReads
 from fescuedock.node.replicas import Replicas
 from fescuedock.node.spools import Spools
@@ -31,7 +32,6 @@
 # An answer must be on its way before the client gives up: a few round trips.
 _ANSWER_MARGIN_MS = 150.0
 _READ_TIMEOUT_MS = 1200.0
-_END_TIMEOUT_MS = 3500.0
 # What is logged of a submission whose client did not wait for the answer.
 _LEFT = Err(Fault(ResultCode.EXECUTION_UNKNOWN, "its client left, and the job may be stored"))
 
@@ -48,6 +48,7 @@
     acceptance: JobAcceptance
     owner_reads: OwnerReads
     spools: Spools
+    ends: JobEnds
     # Whether this node is about to stop, so that another one should run what it accepts.
     is_leaving: Callable[[], bool]
 
@@ -232,67 +233,12 @@
 
     async def end(self, responder: Responder, call: job_calls.JobCall) -> None:
         """End a job; answered once it is recorded, so that no node goes on with it."""
-        received_ms = now_ms()
-        ended: Result[VersionedRecord, Fault] = Err(
-            _unsure("the store did not answer in time", self.retry_after_ms)
-        )
-        with trio.move_on_after(_END_TIMEOUT_MS / 1000):
-            ended = await self._end(call.job_id)
-        told = isinstance(ended, Ok) and await self._tell_owner(ended.ok_value)
-        _log_end(call.job_id, ended, told, now_ms() - received_ms)
+        ended = await self.ends.end(call.job_id)
         if isinstance(ended, Err):
             await _refuse(responder, ended.err_value)
         else:
             await responder.send(200, b"{}")
 
-    async def _tell_owner(self, ended: VersionedRecord) -> bool:
-        """Tell the owner of an ended job, which then need not wait for a watch; whether it knows.
-
-        An outage of the store may begin before any watch has told of the end.
-        """
-        record = ended.record
-        if self.owner.owns(record):
-            return True
-        address = self.owner_reads.address_of(record.owner_id)
-        if address is None or not record.ended:
-            return False
-        keys = self.store.keys
-        return await self.replicas.tell_noted(address, keys.live, ended.entry(keys))
-
-    async def _end(self, job_id: str) -> Result[VersionedRecord, Fault]:
-        """End a job in the store; one that may still have to get there can't be ended yet."""
-        for _ in range(2):
-            ended = await self.store.end(job_id)
-            if isinstance(ended, Err):
-                return ended
-            if ended.ok_value is not None:
-                self.replicas.note(self.store.keys.live, ended.ok_value.entry(self.store.keys))
-                return ended
-            if await self.spools.may_hold(job_id):
-                return Err(_unsure("the job may still have to be stored", self.retry_after_ms))
-        return Err(_no_such_job(job_id))
-
-
-def _log_end(
-    job_id: str, ended: Result[VersionedRecord, Fault], told: bool, took_ms: float
-) -> None:
-    """Log the end of a job with the owner and the revision that it has to reach."""
-    fields = {"job_id": job_id, "took_ms": round(took_ms, 1)}
-    if isinstance(ended, Err):
-        log_event("job_not_ended", **fields, code=ended.err_value.code.name)
-        return
-    record = ended.ok_value.record
-    log_event(
-        "job_ended",
-        **fields,
-        owner=record.owner_id,
-        owner_told=told,
-        epoch=record.epoch,
-        revision=ended.ok_value.revision,
-        listed=record.listed,
-        total=record.total,
-    )
-
 
 async def _refuse(responder: Responder, fault: Fault) -> None:
     headers = calls.refusal_headers(fault)
--- a/src/fescuedock/node/job_runner.py
+++ b/src/fescuedock/node/job_runner.py
@@ -23,6 +23,7 @@
 )
 from fescuedock.core.stored_jobs.pool import ItemPool
 from fescuedock.core.stored_jobs.urgency import ItemChoice
+from fescuedock.core.stored_jobs.wanted_ends import WantedEnds
 from fescuedock.core.stored_jobs.work_gate import KnownRecords, WorkRefusal, refusal_of
 from fescuedock.log import log_event
 from fescuedock.net.http_client import HttpClient
@@ -51,6 +52,8 @@
 _COMMIT_SHUTDOWN_MS = 1500.0
 # Stands for "never" in logs.
 _LONG_AGO_MS = 1e9
+# A job that is refused for no more than this is taken in, and its items wait.
+_HELD = (None, WorkRefusal.UNCONFIRMED, WorkRefusal.END_WANTED)
 # Runs that ended an attempt of an item one way or the other; others go on elsewhere.
 _ITEM_CODES = {
     ItemEnd.WHOLE: ResultCode.OK,
@@ -96,6 +99,7 @@
         unix_clock: UnixClock,
         rng: random.Random,
         metrics: Metrics,
+        wanted_ends: WantedEnds,
     ) -> None:
         self._settings = settings
         self._store = store
@@ -110,6 +114,7 @@
         self._unix_clock = unix_clock
         self._rng = rng
         self._metrics = metrics
+        self._wanted_ends = wanted_ends
         self._jobs: dict[str, OwnedJob] = {}
         self._claiming: set[str] = set()
         self._missing = MissingOwners()
@@ -257,7 +262,7 @@
     def _start(self, stored: VersionedRecord, loaded: LoadedJob, way: str) -> None:
         record = stored.record
         refusal = self._refusal(record.job_id)
-        if refusal is not None and refusal is not WorkRefusal.UNCONFIRMED:
+        if refusal not in _HELD:
             log_event("job_not_started", job_id=record.job_id, way=way, reason=refusal.value)
             return
         log_event(
@@ -438,6 +443,7 @@
             known or self._known_records(),
             end_bound_ms=self._settings.end_bound_ms,
             leaving=self.leaving,
+            end_wanted=job_id in self._wanted_ends,
         )
 
     def _known_records(self) -> KnownRecords:
--- a/src/fescuedock/node/main.py
+++ b/src/fescuedock/node/main.py
@@ -29,6 +29,7 @@
 from fescuedock.core.stored_jobs.cache import JobCache
 from fescuedock.core.stored_jobs.keys import JobKeys
 from fescuedock.core.stored_jobs.ownership import OwnerIdentity
+from fescuedock.core.stored_jobs.wanted_ends import WantedEnds
 from fescuedock.core.watch_duty import WatchDuty
 from fescuedock.daemon import Stop, run_program
 from fescuedock.entry.fleet_status import fleet_status
@@ -44,6 +45,7 @@
 from fescuedock.node.health_probe import health_probe
 from fescuedock.node.job_acceptance import JobAcceptance
 from fescuedock.node.job_calls import JobCalls
+from fescuedock.node.job_ends import JobEnds
 from fescuedock.node.job_runner import JobRunner
 from fescuedock.node.job_store import JobStore
 from fescuedock.node.online import OnlineCalls
@@ -209,6 +211,7 @@
         owner = OwnerIdentity(settings.vm.vm_id, self._boot)
         store = JobStore(self._store, self._keys, node.store_value_bytes)
         cache = JobCache(node.job_cache_bytes)
+        wanted_ends = WantedEnds()
         self._runner = JobRunner(
             node,
             store,
@@ -222,6 +225,7 @@
             self._clock,
             self._rng,
             self._metrics,
+            wanted_ends,
         )
         spools = Spools(
             self._table(self._keys.live),
@@ -254,6 +258,16 @@
             self._address_of,
             self._runner.listed_of,
         )
+        self._ends = JobEnds(
+            store,
+            self._replicas,
+            spools,
+            self._owner_reads,
+            self._configuration,
+            wanted_ends,
+            self._acceptance.unsettled,
+            node.retry_after_ms,
+        )
         self.front.jobs = JobCalls(
             store,
             cache,
@@ -264,6 +278,7 @@
             self._acceptance,
             self._owner_reads,
             spools,
+            self._ends,
             lambda: self.front.leaving,
         )
 
@@ -285,6 +300,7 @@
             self._lease,
             self._runner,
             self._retirement,
+            self._ends,
         )
         for part in parts:
             nursery.start_soon(part.run)
--- a/src/fescuedock/node/spools.py
+++ b/src/fescuedock/node/spools.py
@@ -17,6 +17,8 @@
 from fescuedock.schema.stored_jobs import (
     EmptySpool,
     EmptySpoolReply,
+    EndSpooled,
+    EndSpooledReply,
     FindSpooled,
     FindSpooledReply,
     NodeRecord,
@@ -83,12 +85,20 @@
 
     async def may_hold(self, job_id: str) -> bool:
         """Whether a job that is not in the store may be waiting to get there."""
+        return await self._ask_all(FindSpooled(job_id))
+
+    async def end(self, job_id: str) -> bool:
+        """Have copies of a job enter the store as ended; whether there may be any."""
+        return await self._ask_all(EndSpooled(job_id))
+
+    async def _ask_all(self, message: FindSpooled | EndSpooled) -> bool:
+        """Send all spools a message about a job; False once each has said that it holds none."""
         spools = self._listed()
         denied: set[str] = set()
 
         async def ask(spool: NodeRecord) -> None:
-            reply = await self._send(spool, FindSpooled(job_id), _ASK_TIMEOUT_MS)
-            if isinstance(reply, FindSpooledReply) and not reply.held:
+            reply = await self._send(spool, message, _ASK_TIMEOUT_MS)
+            if isinstance(reply, FindSpooledReply | EndSpooledReply) and not reply.held:
                 denied.add(spool.vm_id)
 
         async with trio.open_nursery() as nursery:
--- a/src/fescuedock/schema/stored_jobs.py
+++ b/src/fescuedock/schema/stored_jobs.py
@@ -156,6 +156,22 @@
     held: bool
 
 
+class EndSpooled(WireStruct):
+    """
+    A node that could not record the end of a job tells it to the disks that keep the job.
+    """
+
+    job_id: str
+
+
+class EndSpooledReply(WireStruct):
+    held: Annotated[bool, Meta(description="Whether a copy waits to be stored.")]
+    code: Annotated[
+        int,
+        Meta(description="A ResultCode; OK when the end of a held copy survives a loss of power."),
+    ]
+
+
 class EmptySpool(WireStruct):
     """
     Take no further job, since the machine is to be removed.
--- a/src/fescuedock/spool/files.py
+++ b/src/fescuedock/spool/files.py
@@ -1,4 +1,6 @@
-"""Jobs on the disk of one VM, each a file that is written once and removed when it is stored.
+"""Jobs on the disk of one VM, each a file that is removed when the job is stored.
+
+A file is written once, and replaced as a whole when the job is ended before it is stored.
 
 A file has the checksum of its content before it.  One that a loss of power has torn was never
 acknowledged, so it is dropped.
@@ -34,6 +36,8 @@
         self._jobs: dict[str, SpoolJob] = {}
         # Those whose names a loss of power may take away; a restart without one finds them.
         self._unsynced: set[str] = set()
+        # Those whose end is not in their files, as these could not be written.
+        self._unwritten: set[str] = set()
         self._sizes_bytes: dict[str, int] = {}
 
     def __contains__(self, job_id: str) -> bool:
@@ -45,6 +49,10 @@
     def __iter__(self) -> Iterator[SpoolJob]:
         return iter(tuple(self._jobs.values()))
 
+    def is_ended(self, job_id: str) -> bool:
+        """Whether a job that is here was ended."""
+        return job_id in self._jobs and self._jobs[job_id].record.ended
+
     def open(self) -> None:
         """Read what was kept before; ``OSError`` when the disk cannot be read."""
         self._disk.make_folder(self._folder)
@@ -54,6 +62,8 @@
                 self._read(path)
             elif status.name.endswith(_PART_SUFFIX):
                 self._disk.remove(path)
+        # A former process may have ended between naming a file and syncing the name.
+        self._unsynced.update(self._jobs)
 
     def put(self, job: SpoolJob) -> Result[None, Fault]:
         """Keep a job; when it returns ``Ok`` the job survives a loss of power.
@@ -67,6 +77,25 @@
         body = msgspec.msgpack.encode(job)
         if sum(self._sizes_bytes.values()) + len(body) > self._max_bytes:
             return Err(Fault(ResultCode.DISK_FULL, f"no room for job {job_id}: {len(body)} bytes"))
+        return self._write(job, body)
+
+    def end(self, job_id: str) -> Result[None, Fault]:
+        """Keep that a job which is here was ended; ``Ok`` when that survives a loss of power.
+
+        The job's file is replaced as a whole.  After a fault the end is known until a restart.
+        """
+        job = self._jobs[job_id]
+        if job.record.ended and job_id not in self._unwritten:
+            return self._sync_names(job_id)
+        ended = SpoolJob(msgspec.structs.replace(job.record, ended=True), job.items)
+        # Whatever becomes of the file, this process stores the job as ended.
+        self._jobs[job_id] = ended
+        self._unwritten.add(job_id)
+        return self._write(ended, msgspec.msgpack.encode(ended))
+
+    def _write(self, job: SpoolJob, body: bytes) -> Result[None, Fault]:
+        """Write a job's file, in place of an older one."""
+        job_id = job.record.job_id
         path = self._path(job_id)
         part = path.with_suffix(_PART_SUFFIX)
         try:
@@ -79,6 +108,7 @@
         # From its name on the job comes back with a restart, so it counts as being here.
         self._jobs[job_id] = job
         self._sizes_bytes[job_id] = len(body)
+        self._unwritten.discard(job_id)
         self._unsynced.add(job_id)
         return self._sync_names(job_id)
 
@@ -101,6 +131,7 @@
         self._jobs.pop(job_id, None)
         self._sizes_bytes.pop(job_id, None)
         self._unsynced.discard(job_id)
+        self._unwritten.discard(job_id)
         try:
             self._disk.remove(self._path(job_id))
         except OSError as error:
--- a/src/fescuedock/spool/service.py
+++ b/src/fescuedock/spool/service.py
@@ -4,6 +4,7 @@
 import trio
 from result import Err, Ok, Result
 
+from fescuedock.core.stored_jobs.ownership import is_open
 from fescuedock.faults import Fault
 from fescuedock.kv import KvEntry, KvStore
 from fescuedock.log import log_event
@@ -14,6 +15,8 @@
 from fescuedock.schema.stored_jobs import (
     EmptySpool,
     EmptySpoolReply,
+    EndSpooled,
+    EndSpooledReply,
     FindSpooled,
     FindSpooledReply,
     NodeRecord,
@@ -48,7 +51,12 @@
 
     def handlers(self) -> dict[type[msgspec.Struct], CallHandler]:
         """Handlers by message type."""
-        return {SpoolJob: self._keep, FindSpooled: self._find, EmptySpool: self._empty}
+        return {
+            SpoolJob: self._keep,
+            FindSpooled: self._find,
+            EndSpooled: self._end,
+            EmptySpool: self._empty,
+        }
 
     async def run(self) -> None:
         """Register, and store what is kept, until cancelled."""
@@ -79,6 +87,23 @@
     async def _find(self, message: FindSpooled, _peer: ServerPeer) -> FindSpooledReply:
         return FindSpooledReply(message.job_id in self._files)
 
+    async def _end(self, message: EndSpooled, _peer: ServerPeer) -> EndSpooledReply:
+        """Have a copy that waits here enter the store as ended."""
+        if message.job_id not in self._files:
+            return EndSpooledReply(False, ResultCode.OK)
+        was_ended = self._files.is_ended(message.job_id)
+        kept = self._files.end(message.job_id)
+        code = ResultCode.OK if isinstance(kept, Ok) else kept.err_value.code
+        log_event(
+            "spooled_job_ended",
+            # Nodes tell it again until the job is stored.
+            routine=was_ended and isinstance(kept, Ok),
+            job_id=message.job_id,
+            outcome=code.name,
+            reason="" if isinstance(kept, Ok) else kept.err_value.message,
+        )
+        return EndSpooledReply(True, code)
+
     async def _empty(self, message: EmptySpool, _peer: ServerPeer) -> EmptySpoolReply:
         if not self._emptying:
             log_event("spool_emptying", reason=message.reason, pending=len(self._files))
@@ -115,11 +140,21 @@
 
     async def _store_job(self, job: SpoolJob) -> bool:
         """Enter a job into the store, or find it there; one that is there may go from the disk."""
+        job_id = job.record.job_id
         with trio.move_on_after(_STORE_JOB_S):
             stored = await self._store.accept(job.record, job.items)
             if isinstance(stored, Err):
                 return False
-            log_event("spooled_job_stored", job_id=job.record.job_id, pending=len(self._files) - 1)
-            self._files.remove(job.record.job_id)
+            # The end may have come while the job was on its way, or another disk, which knows
+            # nothing of it, may have been first.
+            if self._files.is_ended(job_id) and is_open(stored.ok_value.record):
+                await self._store.end(job_id)
+            log_event(
+                "spooled_job_stored",
+                job_id=job_id,
+                ended=self._files.is_ended(job_id),
+                pending=len(self._files) - 1,
+            )
+            self._files.remove(job_id)
             return True
         return False
--- a/tests/builders/node.py
+++ b/tests/builders/node.py
@@ -88,8 +88,10 @@
     return found
 
 
-def _is_free(host: str, port: int) -> bool:
+def _is_free(host: str, port: int, *, reuse: bool = False) -> bool:
+    """Whether nobody listens there; connections that linger count too, but for ``reuse``."""
     with socket.socket() as tcp:
+        tcp.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, reuse)
         try:
             tcp.bind((host, port))
         except OSError:
@@ -202,6 +204,19 @@
         self.nodes[self.nodes.index(node)] = again
         return again
 
+    async def restart_spool(self, spool: RunningSpool) -> RunningSpool:
+        """Start a killed spool again, over the same folder.
+
+        ZeroMQ lets go of a port some time after its socket was closed.
+        """
+        await spool.ended.wait()
+        host, port = spool.settings.vm.host, spool.settings.agent.port
+        while not _is_free(host, port, reuse=True):  # noqa: ASYNC110
+            await trio.sleep(0.01)
+        again = RunningSpool(spool.settings)
+        await self.nursery.start(again.run)
+        return again
+
     async def start_upstream(self, name: str, **fields: object) -> EventUpstream:
         """Start an upstream and register it."""
         upstream = EventUpstream(name, **fields)
--- a/tests/test_spool_files.py
+++ b/tests/test_spool_files.py
@@ -57,6 +57,72 @@
         files.put(job("cut", b"x" * 500))
         return disk.steps - before
 
+    def test_an_end_that_was_acknowledged_survives_a_loss_of_power(self) -> None:
+        for seed in range(20):
+            disk = MemoryDisk()
+            files = opened(disk)
+            files.put(job())
+            self.assertEqual(files.end("job-1"), Ok(None))
+            disk.lose_power(seed)
+            self.assertTrue(opened(disk).is_ended("job-1"))
+
+    def test_whatever_the_step_at_which_the_power_goes_a_job_is_ended_or_as_it_was(self) -> None:
+        disk = MemoryDisk()
+        files = opened(disk)
+        files.put(job(body=b"x" * 500))
+        before = disk.steps
+        files.end("job-1")
+        steps = disk.steps - before
+        self.assertGreaterEqual(steps, 4)
+        for step in range(1, steps + 1):
+            for seed in range(5):
+                with self.subTest(step=step, seed=seed):
+                    disk = MemoryDisk()
+                    files = opened(disk)
+                    files.put(job(body=b"x" * 500))
+                    disk.cut_at = disk.steps + step
+                    with self.assertRaises(PowerCutError):
+                        files.end("job-1")
+                    disk.lose_power(seed)
+                    [found] = opened(disk)
+                    self.assertEqual(found.items[0].body, b"x" * 500)
+
+    def test_a_job_that_comes_again_stays_ended(self) -> None:
+        disk = MemoryDisk()
+        files = opened(disk)
+        files.put(job())
+        files.end("job-1")
+        self.assertEqual(files.put(job()), Ok(None))
+        self.assertTrue(files.is_ended("job-1"))
+        self.assertTrue(opened(disk).is_ended("job-1"))
+
+    def test_an_end_that_could_not_be_written_is_known_and_written_the_next_time(self) -> None:
+        for failing_step in ("create", "write", "sync", "rename", "sync_folder"):
+            with self.subTest(step=failing_step):
+                disk = MemoryDisk()
+                files = opened(disk)
+                files.put(job())
+                disk.failing = lambda step, name=failing_step: step == name
+                for _ in range(2):
+                    self.assertTrue(files.end("job-1").is_err())
+                    self.assertTrue(files.is_ended("job-1"))
+                disk.failing = lambda _step: False
+                self.assertEqual(files.end("job-1"), Ok(None))
+                disk.lose_power(seed=1)
+                self.assertTrue(opened(disk).is_ended("job-1"))
+
+    def test_what_a_restart_finds_is_acknowledged_only_once_its_name_is_on_disk(self) -> None:
+        for seed in range(20):
+            disk = MemoryDisk()
+            files = opened(disk)
+            disk.failing = lambda step: step == "sync_folder"
+            self.assertTrue(files.put(job()).is_err())
+            disk.failing = lambda _step: False
+            # The process starts again, and the power stays.
+            self.assertEqual(opened(disk).put(job()), Ok(None))
+            disk.lose_power(seed)
+            self.assertEqual(len(opened(disk)), 1)
+
     def test_a_file_whose_content_is_not_what_was_written_is_dropped(self) -> None:
         disk = MemoryDisk()
         opened(disk).put(job(body=b"x" * 500))
--- a/tests/test_work_gate.py
+++ b/tests/test_work_gate.py
@@ -37,9 +37,15 @@
 
 
 def judge(
-    found: StoredJobRecord | None, known: KnownRecords = FRESH, *, leaving: bool = False
+    found: StoredJobRecord | None,
+    known: KnownRecords = FRESH,
+    *,
+    leaving: bool = False,
+    end_wanted: bool = False,
 ) -> WorkRefusal | None:
-    return refusal_of(found, OWN, known, end_bound_ms=END_BOUND_MS, leaving=leaving)
+    return refusal_of(
+        found, OWN, known, end_bound_ms=END_BOUND_MS, leaving=leaving, end_wanted=end_wanted
+    )
 
 
 class WorkGateTest(unittest.TestCase):
@@ -68,13 +74,21 @@
         self.assertFalse(WorkRefusal.UNCONFIRMED.is_final)
         self.assertIsNone(judge(record(), KnownRecords(2400.0)))
 
+    def test_an_end_that_is_not_recorded_yet_holds_work_until_it_is_settled(self) -> None:
+        for known in (FRESH, KnownRecords(9000.0), KnownRecords(9000.0, True, 400.0)):
+            with self.subTest(known=known):
+                self.assertIs(judge(record(), known, end_wanted=True), WorkRefusal.END_WANTED)
+        # Nothing is dropped for it: it may be given up.
+        self.assertFalse(WorkRefusal.END_WANTED.is_final)
+        self.assertIs(judge(record(ended=True), end_wanted=True), WorkRefusal.ENDED)
+
     def test_an_outage_that_neighbours_share_holds_nothing(self) -> None:
         self.assertIsNone(judge(record(), KnownRecords(9000.0, True, 400.0)))
         for known in (KnownRecords(9000.0, True, 2401.0), KnownRecords(9000.0, False, 400.0)):
             with self.subTest(known=known):
                 self.assertIs(judge(record(), known), WorkRefusal.UNCONFIRMED)
 
-    @given(records, ages_ms, st.booleans(), ages_ms, st.booleans())
+    @given(records, ages_ms, st.booleans(), ages_ms, st.booleans(), st.booleans())
     def test_work_begins_only_of_an_open_job_that_is_owned_and_well_known(
         self,
         found: StoredJobRecord,
@@ -82,11 +96,12 @@
         away: bool,
         agreed_age_ms: float,
         leaving: bool,
+        end_wanted: bool,
     ) -> None:
         known = KnownRecords(age_ms, away, agreed_age_ms)
-        if judge(found, known, leaving=leaving) is not None:
+        if judge(found, known, leaving=leaving, end_wanted=end_wanted) is not None:
             return
-        self.assertFalse(found.ended or leaving)
+        self.assertFalse(found.ended or leaving or end_wanted)
         self.assertLess(found.listed, found.total)
         self.assertEqual((found.owner_id, found.owner_boot), (OWN.node_id, OWN.boot))
         self.assertLess(min(age_ms, agreed_age_ms if away else age_ms), END_BOUND_MS)
