--- a/tests/builders/node.py
+++ b/tests/builders/node.py
@@ -176,6 +176,13 @@
         self.nodes[self.nodes.index(node)] = again
         return again
 
+    async def restart_spool(self, spool: RunningSpool) -> RunningSpool:
+        """Start a killed spool again, over the same folder."""
+        await spool.ended.wait()
+        again = RunningSpool(spool.settings)
+        await self.nursery.start(again.run)
+        return again
+
     async def start_upstream(self, name: str, **fields: object) -> EventUpstream:
         """Start an upstream and register it."""
         upstream = EventUpstream(name, **fields)
