Show that a job runs whose end was answered before the writing of it reached the store

Cause: an end of a job that is not in the store, nor on any disk, leaves nothing behind. A submission whose client left may still be on its way, in the store or at a neighbour, and finds no trace of it.

Change: a test only; it fails on the code as it is.

Ruled out: that the node which took the submission goes on by itself after its client left; the first write alone takes effect late.

--- /dev/null
+++ b/tests/test_review_end_before_acceptance.py
@@ -0,0 +1,49 @@
+"""A job that is ended before the writing of it has reached the store."""
+
+import unittest
+
+import trio
+
+from fescuedock.standin.kv_faults import LostAnswer
+from tests.builders.jobs_calls import JOB, submit
+from tests.builders.node import NodeFleet, running_fleet
+from tests.builders.standins import run_async
+
+LATE_S = 1.5
+
+
+class EndBeforeAcceptanceTest(unittest.TestCase):
+    """A client left before its submission was answered, and ended the job at another node.
+
+    The store executed the submission's write a second later.  No node remembered that the client
+    had ended the job, so all of it ran.
+    """
+
+    def test_a_job_that_was_ended_does_not_run_though_it_is_stored_later(self) -> None:
+        ran: list[int] = []
+        answers: list[int] = []
+
+        async def test(fleet: NodeFleet) -> None:
+            first, other = fleet.nodes
+            fleet.store.faults.late_effect_ms = LATE_S * 1000
+            for nth in range(1, 4):
+                fleet.store.faults.lose_answer(LostAnswer.LATE_EFFECT, nth)
+            with trio.move_on_after(0.09):
+                await submit(fleet, first.front, "a", "b", "c")
+            answer = await fleet.call(other.front, "DELETE", f"/api/lots/{JOB}")
+            answers.append(answer.status)
+            await trio.sleep(LATE_S + 2.0)
+            ran.append(sum(upstream.runs.total() for upstream in fleet.upstreams))
+
+        async def run() -> None:
+            with trio.fail_after(30):
+                async with running_fleet(nodes=2) as fleet:
+                    await test(fleet)
+
+        run_async(run)
+        self.assertIn(answers[0], (200, 404))
+        self.assertEqual(ran[0], 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
