Keep on a spool's disk that it is emptied, and deny no job before spools are known

Cause: that a spool was being emptied was kept in memory. One that was started again between "holds nothing" and its removal from the list took jobs again, and put itself back on the list, though its machine goes with its disk. It also answered "no copy here" for a job that it still held. A node that had not read the spools' records yet took that for "there are none": it could answer 404 for a job that waits on a disk, and report a machine with jobs as empty.

Change: a spool writes a file, synced with its folder, before it says how much it holds; a start finds it. It says so when it cannot, and then does not count as empty. An emptied spool that holds nothing does not register. A node whose table of records is not known denies nothing.

Ruled out: a mark in the store: the store may be away just then, and the disk that would lose jobs is the one that has to know.

--- a/src/fescuedock/node/spools.py
+++ b/src/fescuedock/node/spools.py
@@ -93,6 +93,9 @@
 
     async def _ask_all(self, message: FindSpooled | EndSpooled) -> bool:
         """Send all spools a message about a job; False once each has said that it holds none."""
+        if not self._table.is_known:
+            # Their records were not read yet, so nobody knows whom to ask.
+            return True
         spools = self._listed()
         denied: set[str] = set()
 
@@ -109,14 +112,18 @@
     async def pending_at(self, vm_id: str) -> int | None:
         """Have a spool take nothing more, and return how many jobs it has still to store.
 
-        0 for a VM that is no spool; None when it does not answer.
+        0 for a VM that is no spool; None when it does not answer, or when it is not known yet
+        which VMs are spools.
         """
+        if not self._table.is_known:
+            return None
         entry = self.entry_of(vm_id)
         if entry is None:
             return 0
         record = msgspec.msgpack.decode(entry.value, type=NodeRecord)
         reply = await self._send(record, EmptySpool("the operator wants it"), _ASK_TIMEOUT_MS)
-        return reply.pending if isinstance(reply, EmptySpoolReply) else None
+        is_sure = isinstance(reply, EmptySpoolReply) and reply.code == ResultCode.OK
+        return reply.pending if is_sure else None
 
     def entry_of(self, vm_id: str) -> KvEntry | None:
         """Return the record of a spool as it lies in the store; None for a VM that is none."""
--- a/src/fescuedock/schema/stored_jobs.py
+++ b/src/fescuedock/schema/stored_jobs.py
@@ -182,3 +182,9 @@
 
 class EmptySpoolReply(WireStruct):
     pending: Annotated[int, Meta(description="Jobs that are not in the store yet.")]
+    code: Annotated[
+        int,
+        Meta(
+            description="A ResultCode; OK when a restart or a loss of power does not let it take jobs again."
+        ),
+    ] = 0
--- a/src/fescuedock/spool/files.py
+++ b/src/fescuedock/spool/files.py
@@ -24,6 +24,8 @@
 _SUFFIX = ".job"
 _PART_SUFFIX = ".part"
 _DIGEST_BYTES = 32
+# A file that is there once the machine is to be removed; all jobs' names have another suffix.
+_EMPTYING = "emptying"
 
 
 class SpoolFiles:
@@ -39,6 +41,7 @@
         # Those whose end is not in their files, as these could not be written.
         self._unwritten: set[str] = set()
         self._sizes_bytes: dict[str, int] = {}
+        self.is_emptying = False
 
     def __contains__(self, job_id: str) -> bool:
         return job_id in self._jobs
@@ -62,6 +65,8 @@
                 self._read(path)
             elif status.name.endswith(_PART_SUFFIX):
                 self._disk.remove(path)
+            elif status.name == _EMPTYING:
+                self.is_emptying = True
         # A former process may have ended between naming a file and syncing the name.
         self._unsynced.update(self._jobs)
 
@@ -112,6 +117,18 @@
         self._unsynced.add(job_id)
         return self._sync_names(job_id)
 
+    def keep_emptying(self) -> Result[None, Fault]:
+        """Keep that nothing more is to be taken; ``Ok`` when that survives a loss of power."""
+        self.is_emptying = True
+        try:
+            # Each time anew: a file that a former process left may not be on disk yet.
+            with self._disk.create(self._folder / _EMPTYING) as file:
+                file.sync()
+            self._disk.sync_folder(self._folder)
+        except OSError as error:
+            return Err(Fault(ResultCode.STORES_UNAVAILABLE, f"not kept on disk: {error}"))
+        return Ok(None)
+
     def _sync_names(self, job_id: str) -> Result[None, Fault]:
         """Let the job's name survive a loss of power, and with it those of all others."""
         if job_id not in self._unsynced:
--- a/src/fescuedock/spool/service.py
+++ b/src/fescuedock/spool/service.py
@@ -46,7 +46,8 @@
         self._store = store
         self._key = key
         self._record = record
-        self._emptying = False
+        # Whether a restart would know that the machine is to be emptied.
+        self._emptying_kept = False
         self._kept = trio.Event()
 
     def handlers(self) -> dict[type[msgspec.Struct], CallHandler]:
@@ -77,7 +78,8 @@
         return SpoolJobReply(code)
 
     def _put(self, message: SpoolJob) -> Result[None, Fault]:
-        if self._emptying:
+        # Of a job that is here the refusal, which promises that there is no copy, would be wrong.
+        if self._files.is_emptying and message.record.job_id not in self._files:
             return Err(Fault(ResultCode.STORES_UNAVAILABLE, "the machine is to be removed"))
         kept = self._files.put(message)
         # Also after a fault there may be a copy, which is stored like all others.
@@ -105,16 +107,25 @@
         return EndSpooledReply(True, code)
 
     async def _empty(self, message: EmptySpool, _peer: ServerPeer) -> EmptySpoolReply:
-        if not self._emptying:
-            log_event("spool_emptying", reason=message.reason, pending=len(self._files))
-        self._emptying = True
-        return EmptySpoolReply(len(self._files))
+        """Take no more jobs, also after a restart: the machine goes once it was found empty."""
+        if not self._emptying_kept:
+            kept = self._files.keep_emptying()
+            self._emptying_kept = isinstance(kept, Ok)
+            log_event(
+                "spool_emptying",
+                reason=message.reason,
+                pending=len(self._files),
+                fault="" if isinstance(kept, Ok) else kept.err_value.message,
+            )
+        code = ResultCode.OK if self._emptying_kept else ResultCode.STORES_UNAVAILABLE
+        return EmptySpoolReply(len(self._files), code)
 
     async def _register(self) -> None:
         """Write the record without a lease: jobs wait here however long nobody hears of this VM."""
         value = msgspec.msgpack.encode(self._record)
         pauses = GrowingPauses(_FIRST_PAUSE_MS, _MOST_PAUSE_MS)
-        while True:
+        # A machine that was emptied may be off the list already, and gone soon.
+        while len(self._files) or not self._files.is_emptying:
             found = await self._kv.get(self._key)
             if isinstance(found, Ok) and await self._write_record(found.ok_value, value):
                 return
--- /dev/null
+++ b/tests/test_spool_service.py
@@ -0,0 +1,182 @@
+"""What a spool promises holds whatever comes between: an end that overtakes a job, a restart.
+
+What happened: a spool said that it held nothing, was started again before its removal from the
+list, and took jobs: that it was being emptied was kept in memory only.  The machine, and its disk
+with the only copies, may be taken away by then.  A node that had not read yet who is a spool
+answered that there is no such job.
+"""
+
+import unittest
+from pathlib import Path
+
+import msgspec
+import trio
+import trio.testing
+from result import Ok, Result
+
+from fescuedock.core.replica_table import ReplicaTable
+from fescuedock.core.stored_jobs.keys import JobKeys
+from fescuedock.faults import Fault
+from fescuedock.kv import KvEntry, KvTransaction
+from fescuedock.node.job_store import JobStore
+from fescuedock.node.spools import Spools
+from fescuedock.schema.result_codes import ResultCode
+from fescuedock.schema.stored_jobs import (
+    EmptySpool,
+    EmptySpoolReply,
+    EndSpooled,
+    NodeRecord,
+    SpoolJob,
+    StoredJobRecord,
+)
+from fescuedock.spool.files import SpoolFiles
+from fescuedock.spool.service import SpoolService
+from fescuedock.standin.kv_state import KvState
+from tests.builders.disk import MemoryDisk
+from tests.builders.forwarding import job_record, stored_item
+from tests.builders.runner_world import StoreWay
+
+KEYS = JobKeys("p/")
+FOLDER = Path("/data/spool")
+VALUE_BYTES = 100_000
+RECORD = NodeRecord("s-1", "caldas", "sala-1", "10.0.0.1", 1)
+OWN_KEY = KEYS.spools + RECORD.vm_id
+JOB = SpoolJob(job_record("job-1", total=1), [stored_item("a")])
+
+
+class SpoolWay(StoreWay):
+    """A way to the store by which a spool can register."""
+
+    async def put_if(self, key: str, value: bytes, revision: int) -> Result[int, Fault]:
+        return await self.transact(KvTransaction({key: revision}, writes={key: value}))
+
+
+def opened(disk: MemoryDisk, way: SpoolWay) -> SpoolService:
+    files = SpoolFiles(disk, FOLDER, VALUE_BYTES)
+    files.open()
+    return SpoolService(files, way, JobStore(way, KEYS, VALUE_BYTES), OWN_KEY, RECORD)
+
+
+async def ask(service: SpoolService, message: msgspec.Struct) -> msgspec.Struct:
+    return await service.handlers()[type(message)](message, None)
+
+
+class SpoolServiceTest(unittest.TestCase):
+    def run_test(self, test) -> None:
+        async def run() -> None:
+            with trio.fail_after(30):
+                async with trio.open_nursery() as nursery:
+                    await test(nursery)
+                    nursery.cancel_scope.cancel()
+
+        trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    def record(self, state: KvState) -> StoredJobRecord:
+        return msgspec.msgpack.decode(state.get(KEYS.record("job-1")).value, type=StoredJobRecord)
+
+    def test_an_end_that_comes_while_the_job_is_on_its_way_to_the_store_is_recorded(self) -> None:
+        async def test(nursery: trio.Nursery) -> None:
+            way = SpoolWay(KvState())
+            service = opened(MemoryDisk(), way)
+            way.after_s = 0.2
+            await ask(service, JOB)
+            nursery.start_soon(service.run)
+            await trio.sleep(0.1)
+            # The job is in the store, and the spool has not heard so yet.
+            self.assertFalse(self.record(way.state).ended)
+            reply = await ask(service, EndSpooled("job-1"))
+            self.assertEqual((reply.held, reply.code), (True, ResultCode.OK))
+            await trio.sleep(2.0)
+            self.assertTrue(self.record(way.state).ended)
+            self.assertFalse((await ask(service, EndSpooled("job-1"))).held)
+
+        self.run_test(test)
+
+    def test_a_spool_that_is_emptied_takes_no_job_after_a_restart(self) -> None:
+        async def test(_nursery: trio.Nursery) -> None:
+            for seed in range(5):
+                disk, way = MemoryDisk(), SpoolWay(KvState())
+                reply = await ask(opened(disk, way), EmptySpool("to be removed"))
+                self.assertEqual((reply.pending, reply.code), (0, ResultCode.OK))
+                disk.lose_power(seed)
+                reply = await ask(opened(disk, way), JOB)
+                self.assertEqual(reply.code, ResultCode.STORES_UNAVAILABLE)
+
+        self.run_test(test)
+
+    def test_a_spool_that_is_emptied_denies_no_job_that_it_holds(self) -> None:
+        async def test(_nursery: trio.Nursery) -> None:
+            service = opened(MemoryDisk(), SpoolWay(KvState()))
+            await ask(service, JOB)
+            await ask(service, EmptySpool("to be removed"))
+            # A refusal would promise that there is no copy; this one is stored before the end.
+            self.assertEqual((await ask(service, JOB)).code, ResultCode.OK)
+
+        self.run_test(test)
+
+    def test_a_spool_that_was_emptied_does_not_come_back_to_the_list(self) -> None:
+        async def test(nursery: trio.Nursery) -> None:
+            disk, way = MemoryDisk(), SpoolWay(KvState())
+            await ask(opened(disk, way), EmptySpool("to be removed"))
+            # The node that emptied it removes its record, and the process starts again.
+            nursery.start_soon(opened(disk, way).run)
+            await trio.sleep(1.0)
+            self.assertIsNone(way.state.get(OWN_KEY))
+
+        self.run_test(test)
+
+    def test_a_spool_that_still_holds_a_job_registers_though_it_is_emptied(self) -> None:
+        async def test(nursery: trio.Nursery) -> None:
+            disk, way = MemoryDisk(), SpoolWay(KvState(), refuses=True)
+            service = opened(disk, way)
+            await ask(service, JOB)
+            self.assertEqual((await ask(service, EmptySpool("to be removed"))).pending, 1)
+            again = opened(disk, way)
+            nursery.start_soon(again.run)
+            way.mend()
+            await trio.sleep(1.0)
+            self.assertIsNotNone(way.state.get(OWN_KEY))
+            self.assertEqual((await ask(again, EmptySpool("to be removed"))).pending, 0)
+
+        self.run_test(test)
+
+    def test_a_spool_that_cannot_keep_that_it_is_emptied_does_not_count_as_empty(self) -> None:
+        async def test(_nursery: trio.Nursery) -> None:
+            for failing_step in ("create", "sync", "sync_folder"):
+                disk, way = MemoryDisk(), SpoolWay(KvState())
+                service = opened(disk, way)
+                disk.failing = lambda step, name=failing_step: step == name
+                reply = await ask(service, EmptySpool("to be removed"))
+                self.assertNotEqual(reply.code, ResultCode.OK)
+                self.assertIsNone(await self.spools(reply).pending_at("s-1"))
+                self.assertEqual((await ask(service, JOB)).code, ResultCode.STORES_UNAVAILABLE)
+                disk.failing = lambda _step: False
+                reply = await ask(service, EmptySpool("to be removed"))
+                self.assertEqual(await self.spools(reply).pending_at("s-1"), 0)
+
+        self.run_test(test)
+
+    def spools(self, reply: EmptySpoolReply, *, known: bool = True) -> Spools:
+        """Return a node's way to the one spool, which answers with ``reply``."""
+
+        async def call(*_arguments: object) -> Result:
+            return Ok(reply)
+
+        table = ReplicaTable(KEYS.live)
+        if known:
+            table.replace([KvEntry(OWN_KEY, msgspec.msgpack.encode(RECORD), 2)], 2, 0.0)
+        return Spools(table, KEYS.spools, 1, call)
+
+    def test_a_node_that_has_not_read_who_is_a_spool_denies_nothing(self) -> None:
+        async def test(_nursery: trio.Nursery) -> None:
+            spools = self.spools(EmptySpoolReply(0), known=False)
+            self.assertTrue(await spools.may_hold("job-1"))
+            self.assertTrue(await spools.end("job-1"))
+            # Nor does it say that a machine which may be a spool holds nothing.
+            self.assertIsNone(await spools.pending_at("s-1"))
+
+        self.run_test(test)
+
+
+if __name__ == "__main__":
+    unittest.main()
