Show that an owner vouches for its results by late news of a sender whose clock it never compared

Cause: news of an unknown sender count as heard now, however old they are. OwnerReads goes by when the table was last heard of, not by when it certainly was all there was.

Change: a test only; it fails on the code as it is.

Ruled out: news of a sender whose clock was compared (the other test passes); the gate of work, which goes by the certain time.

--- /dev/null
+++ b/tests/test_review_vouch.py
@@ -0,0 +1,78 @@
+"""What an owner vouches for when the only news that it has heard may be of any age."""
+
+import random
+import unittest
+
+import trio
+import trio.testing
+
+from fescuedock.clock import now_ms
+from fescuedock.core.stored_jobs.cache import JobCache
+from fescuedock.core.stored_jobs.ownership import OwnerIdentity
+from fescuedock.node.owner_reads import OwnerReads
+from fescuedock.node.replicas import Replicas, Watched
+from fescuedock.schema.replicas import ReplicaNews
+from fescuedock.schema.stored_jobs import ResultGroup, StoredResult
+from tests.builders.forwarding import job_record
+from tests.test_replica_knowledge import AWAY, FakeSpread, FakeStore
+
+PREFIX = "live/"
+RECORD = job_record(total=3, owner_id="n-1", owner_boot=1)
+LATE_S = 5.0
+
+
+class VouchTest(unittest.TestCase):
+    """An owner stood still, and another node took its job over and listed more.
+
+    When the owner went on it found news in its socket, from a node that had begun to watch
+    meanwhile, whose clock it had never compared.  They counted as of now: asked for results, it
+    said that there were no more than it knew of, and a reader did not get what it had seen before.
+    """
+
+    def vouches(self, *, known_sender: bool) -> bool:
+        found: list[bool] = []
+
+        async def run() -> None:
+            replicas = Replicas(
+                FakeStore(0.0, AWAY),
+                [Watched(PREFIX, 900, 300)],
+                self.silent,
+                lambda: (),
+                FakeSpread(),
+                random.Random(1),
+            )
+            replicas.tables[PREFIX].replace([], 5, now_ms())
+            news = ReplicaNews(PREFIX, 5, 6, [], {}, 0, "n-2/1", int(now_ms()))
+            if known_sender:
+                replicas._clocks.note_answer("n-2/1", now_ms(), now_ms())
+            await trio.sleep(LATE_S)
+            await replicas.handlers()[ReplicaNews](news, None)
+            cache = JobCache(1000)
+            results = [StoredResult(str(number), True, "x") for number in range(2)]
+            cache.open(RECORD).add(ResultGroup(0, results))
+            reads = OwnerReads(
+                cache,
+                replicas,
+                PREFIX,
+                OwnerIdentity("n-1", 1),
+                call_neighbour=self.silent,
+                address_of=lambda _vm_id: None,
+                listed_of=lambda _job_id: 2,
+            )
+            found.append((await reads.read(RECORD, 2)).current)
+
+        trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+        return found[0]
+
+    async def silent(self, *_call: object) -> object:
+        return AWAY
+
+    def test_late_news_of_a_known_sender_vouch_for_nothing(self) -> None:
+        self.assertFalse(self.vouches(known_sender=True))
+
+    def test_late_news_of_an_unknown_sender_vouch_for_nothing(self) -> None:
+        self.assertFalse(self.vouches(known_sender=False))
+
+
+if __name__ == "__main__":
+    unittest.main()
