End and read jobs at a node whose last upstream has gone

Cause: a node without upstreams took itself for one that had not started, and answered 503 to ends and reads of jobs. An end that nobody took left the job open until upstreams were back.

Change: having started is remembered.

Ruled out: looking at the kind of call first; a node that has just started must know its configuration for all.

--- a/src/fescuedock/node/front.py
+++ b/src/fescuedock/node/front.py
@@ -34,6 +34,7 @@
     """The handlers of one node; ``online`` and ``jobs`` are there once the node has started."""
 
     __slots__ = (
+        "_has_started",
         "configuration",
         "jobs",
         "leaving",
@@ -59,6 +60,7 @@
         self.online: OnlineCalls | None = None
         self.jobs: JobCalls | None = None
         self.leaving = False
+        self._has_started = False
         self.server = HttpServer(self.handle, http_limits(ClientLimits()), on_error=on_error)
 
     @property
@@ -68,8 +70,13 @@
 
     @property
     def has_started(self) -> bool:
-        """Whether the configuration and the upstreams are known."""
-        return self.configuration.is_known and bool(self.view.upstreams)
+        """Whether the configuration and the upstreams have been known.
+
+        Once only: a node whose last upstream goes still ends jobs and reads them.
+        """
+        if not self._has_started:
+            self._has_started = self.configuration.is_known and bool(self.view.upstreams)
+        return self._has_started
 
     async def _wait_started(self) -> bool:
         """Wait a little for a node that has just started; return whether it can serve."""
