Send no two attempts of one call over the same connection

Cause: a late answer is told from the one that is due by the call's identity, which all its attempts bear. An extra answer to the first attempt, read on the kept connection, passed for that to the second: "not run" of a request that ran.

Change: a connection remembers the identities that it has carried, and is left to others.

Ruled out: closing connections after each rejected attempt, as new ones cost upstreams time.

--- a/src/fescuedock/net/http_client.py
+++ b/src/fescuedock/net/http_client.py
@@ -11,7 +11,7 @@
 import math
 import os
 import re
-from collections import defaultdict
+from collections import defaultdict, deque
 from collections.abc import AsyncIterator, Callable, Iterator, Mapping
 from contextlib import asynccontextmanager, contextmanager
 
@@ -39,6 +39,9 @@
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*(\d+)")
 # A request must have arrived before the server closes: more than the slowest way there.
 _KEEP_ALIVE_MARGIN_S = 0.25
+# Requests of a kept connection whose late answers may still come; attempts of one call follow each
+# other within seconds, in which a connection carries a few.
+_MOST_CARRIED = 32
 
 # Returns why a request must not be sent any more, None when it may; neither waits nor does I/O.
 SendCheck = Callable[[], enum.Enum | None]
@@ -199,6 +202,7 @@
         answer_timeout_ms: float = math.inf,
         is_answer: IsAnswer = lambda headers: True,
         check: SendCheck = unchecked,
+        identity: str = "",
     ) -> AsyncIterator[ClientResponse]:
         """Send one request and give its answer; leaving the block early cuts the connection.
 
@@ -213,13 +217,17 @@
 
         ``check`` is asked right before the first byte is handed to the kernel, with nothing of this
         process in between; ``WithdrawnError`` when it refuses.
+
+        ``identity`` is that of the work, if ``is_answer`` goes by it: no connection carries one
+        twice, as a late answer to the first attempt would pass for that to the second.
         """
         # On a kept connection the request is written without a checkpoint: a caller that had been
         # cancelled just before would still have it run.
         await trio.lowlevel.checkpoint_if_cancelled()
-        connection = None if fresh else self._take_idle(address)
+        connection = None if fresh else self._take_idle(address, identity)
         if connection is None:
             connection = await self._connect(address)
+        connection.carried.append(identity)
         try:
             with _answer_due(address, answer_timeout_ms):
                 response = await connection.exchange(
@@ -260,14 +268,20 @@
         self.on_connect(address)
         return _ClientConnection(stream)
 
-    def _take_idle(self, address: Address) -> "_ClientConnection | None":
+    def _take_idle(self, address: Address, identity: str) -> "_ClientConnection | None":
         waiting = (self._idle or {}).get(address, [])
-        while waiting:
+        found: _ClientConnection | None = None
+        carriers: list[_ClientConnection] = []
+        while waiting and found is None:
             connection = waiting.pop()
-            if connection.is_usable():
-                return connection
-            connection.abort()
-        return None
+            if not connection.is_usable():
+                connection.abort()
+            elif identity and identity in connection.carried:
+                carriers.append(connection)
+            else:
+                found = connection
+        waiting.extend(reversed(carriers))
+        return found
 
     def _keep_idle(self, address: Address, connection: "_ClientConnection") -> None:
         if self._idle is None:
@@ -318,9 +332,11 @@
 class _ClientConnection:
     """One connection: the h11 state and the socket."""
 
-    __slots__ = ("_idle_until_s", "_is_partly_sent", "_protocol", "_stream")
+    __slots__ = ("_idle_until_s", "_is_partly_sent", "_protocol", "_stream", "carried")
 
     def __init__(self, stream: trio.SocketStream) -> None:
+        # Identities of the newest requests.
+        self.carried: deque[str] = deque(maxlen=_MOST_CARRIED)
         self._protocol = h11.Connection(h11.CLIENT, _MAX_HEADER_BYTES)
         self._stream = stream
         self._is_partly_sent = False
--- a/src/fescuedock/node/attempt.py
+++ b/src/fescuedock/node/attempt.py
@@ -111,6 +111,7 @@
         body,
         is_answer=lambda fields: calls.answer_head(0, fields).answers(request_id),
         check=check,
+        identity=request_id,
     ) as response:
         head = calls.answer_head(response.status, response.header_fields)
         yield UpstreamAnswer(head, response)
--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -5,7 +5,7 @@
 import trio
 
 from fescuedock.address import Address
-from fescuedock.net.http_client import HttpClient
+from fescuedock.net.http_client import HttpClient, unchecked
 from fescuedock.node.attempt import send_attempt
 from fescuedock.schema.view import UpstreamRecord
 from tests.builders.net import LOOPBACK
@@ -47,7 +47,9 @@
 
     async def send(self, http: HttpClient, upstream: UpstreamRecord) -> tuple[int, bool]:
         headers = [("host", "desk.example"), ("x-request-id", CALL)]
-        async with send_attempt(http, upstream, CALL, "POST", "/x", headers, b"") as found:
+        async with send_attempt(
+            http, upstream, CALL, "POST", "/x", headers, b"", unchecked
+        ) as found:
             await found.response.read()
             return found.head.status, found.head.not_run
 
