Vouch for results only by news whose age is known

Cause: news of a sender whose clock was never compared count as heard now, so that nodes do not ask the store for want of patience. An owner that had stood still vouched by such news, however old, that nothing more was listed.

Change: replicas keep apart when a prefix was heard of by news of known age; owners go by that.

Ruled out: not counting such news at all: nodes would ask the store themselves at each change of the watcher.

The stub of the test of owners' reads gives the age instead of a table; what is asserted is the same.

--- a/src/fescuedock/node/owner_reads.py
+++ b/src/fescuedock/node/owner_reads.py
@@ -10,7 +10,6 @@
 from result import Err
 
 from fescuedock.address import Address
-from fescuedock.clock import now_ms
 from fescuedock.core.stored_jobs.cache import CachedJob, JobCache
 from fescuedock.core.stored_jobs.ownership import VOUCH_AGE_MS, OwnerIdentity
 from fescuedock.log import log_event
@@ -89,5 +88,5 @@
 
     def _has_all(self, job_id: str, job: CachedJob) -> bool:
         """Whether the cache holds all that is listed of a job that this node still owns."""
-        age_ms = self.replicas.tables[self.live_prefix].age_ms(now_ms())
+        age_ms = self.replicas.heard_age_ms(self.live_prefix)
         return age_ms <= VOUCH_AGE_MS and self.listed_of(job_id) == len(job.results)
--- a/src/fescuedock/node/replicas.py
+++ b/src/fescuedock/node/replicas.py
@@ -139,6 +139,9 @@
         self._news = {item.prefix: trio.Event() for item in watched}
         # Prefixes of which news came that do not follow on from what is known.
         self._behind: set[str] = set()
+        # By prefix, when it was last heard of but for news of any age: their sender's clock is not
+        # known.
+        self._dated_ms = dict.fromkeys(self.tables, float("-inf"))
         self._sender = f"{spread.vm_id}/{rng.getrandbits(_SENDER_BITS):x}"
         self._clocks = SenderClocks()
         # Senders of news whose clocks are to be compared, and what is set when there is one more.
@@ -167,6 +170,13 @@
             await self._changed.wait()
         return self.version
 
+    def heard_age_ms(self, prefix: str) -> float:
+        """Return the time since a prefix was heard of, not counting news of unknown age."""
+        return now_ms() - self._dated_ms[prefix]
+
+    def _note_heard(self, prefix: str, heard_ms: float) -> None:
+        self._dated_ms[prefix] = max(self._dated_ms[prefix], heard_ms)
+
     def note(self, prefix: str, entry: KvEntry) -> None:
         """Take a key that this node has itself written or read."""
         self.tables[prefix].note(entry)
@@ -242,6 +252,7 @@
             start_after = page.entries[-1].key
         before = table.version
         table.replace(entries, revision, asked_ms)
+        self._note_heard(table.prefix, asked_ms)
         self._wake_if(table.version != before)
         if self._spread.watches(table.prefix):
             await self._spread.tell(self._snapshot(table))
@@ -260,6 +271,7 @@
         # have answered at once.
         as_of_ms = asked_ms if changes.events else min(asked_ms + watched.wait_ms, now_ms())
         events = table.apply(changes.events, changes.revision, now_ms(), as_of_ms)
+        self._note_heard(table.prefix, now_ms())
         self._wake_if(table.version != before)
         if self._spread.watches(table.prefix):
             # Also when nothing has changed: others ask by themselves when they hear nothing, and
@@ -302,6 +314,7 @@
         else:
             sent_ms = self._sent_ms(message)
             heard_ms = now_ms() if sent_ms == float("-inf") else sent_ms
+            self._note_heard(message.prefix, sent_ms)
             as_of_ms = sent_ms - message.as_of_age_ms
             table.apply(_events_of(message), message.revision, heard_ms, as_of_ms)
         self._wake_if(table.version != before)
@@ -385,6 +398,7 @@
                 for prefix, age_ms in reply.ages_ms.items():
                     if prefix in self.tables:
                         self.tables[prefix].confirm(asked_ms - age_ms)
+                        self._note_heard(prefix, asked_ms - age_ms)
                 known = {*reply.ages_ms, *(snapshot.prefix for snapshot in reply.snapshots)}
                 return known & self.tables.keys()
         return set()
@@ -400,6 +414,7 @@
         entries = [KvEntry(item.key, item.value, item.revision) for item in snapshot.entries]
         table.replace(entries, snapshot.revision, sent_ms - snapshot.as_of_age_ms)
         table.confirmed_ms = max(table.confirmed_ms, heard_ms - snapshot.age_ms)
+        self._note_heard(table.prefix, sent_ms - snapshot.age_ms)
         if table.version != before:
             log_event(
                 "replica_from_neighbour",
--- a/tests/test_owner_reads.py
+++ b/tests/test_owner_reads.py
@@ -34,7 +34,7 @@
             table = ReplicaTable(PREFIX, confirmed_ms=now_ms() - age_ms)
             reads = OwnerReads(
                 cache,
-                SimpleNamespace(tables={PREFIX: table}),
+                SimpleNamespace(heard_age_ms=lambda _prefix: table.age_ms(now_ms())),
                 PREFIX,
                 OwnerIdentity("n-1", 1),
                 call_neighbour=None,
