Give no port of a test's nodes to two test processes

Cause: a fleet draws one number for the agents of all its hosts, looked whether it was free at 127.0.0.1 only, and bound it later. Each process knew just the numbers that it had drawn itself. Beside other test processes a node of test_node_jobs_ended did not start: "Address already in use" at 127.0.0.2, once in the first 312 runs of modules, up to 18 processes at a time.

Change: a process holds blocks of a hundred ports, by binding each block's first one at a loopback address where nobody serves, until it ends. The system refuses it to a second process.

Ruled out: ports that the system gives out itself; the number lay below them.

--- a/tests/builders/node.py
+++ b/tests/builders/node.py
@@ -2,8 +2,6 @@
 
 import itertools
 import json
-import random
-import socket
 from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -28,6 +26,7 @@
 from fescuedock.settings import Settings
 from fescuedock.spool.main import run_spool
 from tests.builders.net import LOOPBACK
+from tests.builders.ports import free_ports
 
 __all__ = ["Answer", "NodeFleet", "RunningNode", "config_document", "running_fleet"]
 
@@ -35,9 +34,6 @@
 SERVICE = "desk-llm"
 SLOTS = 4
 _request_numbers = itertools.count(1)
-# Below the usual range of ports that the system chooses, 32768 and up.
-_PORTS = range(20000, 32000)
-_given_ports: set[int] = set()
 
 
 def worker_entry(address: str, **changes: object) -> dict[str, object]:
@@ -73,30 +69,6 @@
     return document | {"services": services, "limits": limits} | changes
 
 
-def free_ports(count: int, host: str = "127.0.0.1") -> list[int]:
-    """Return ports that are free at ``host`` just now, and were not given before.
-
-    They lie below those that the system gives out by itself: of these the same one came twice in 6
-    of 30,000 nodes with three ports, and any other socket may take one before its node does.
-    """
-    found: list[int] = []
-    while len(found) < count:
-        port = random.choice(_PORTS)
-        if port not in _given_ports and _is_free(host, port):
-            _given_ports.add(port)
-            found.append(port)
-    return found
-
-
-def _is_free(host: str, port: int) -> bool:
-    with socket.socket() as tcp:
-        try:
-            tcp.bind((host, port))
-        except OSError:
-            return False
-    return True
-
-
 @dataclass(frozen=True, slots=True)
 class Answer:
     """A whole answer, or what came of one that broke off."""
--- /dev/null
+++ b/tests/builders/ports.py
@@ -0,0 +1,59 @@
+"""Ports for programs that must know theirs before they start."""
+
+import itertools
+import random
+import socket
+from collections.abc import Iterator
+
+__all__ = ["free_ports"]
+
+# Below the usual range of ports that the system chooses, 32768 and up.
+_PORTS = range(20000, 32000)
+_BLOCK = 100
+# No program serves here: a process that binds a block's first port at it holds the whole block.
+_HOLDING_HOST = "127.255.255.254"
+
+
+def free_ports(count: int, host: str = "127.0.0.1") -> list[int]:
+    """Return ports that are free at ``host`` just now, and that nobody else is given.
+
+    They are never given twice, also not to tests in other processes: a fleet uses one number at
+    several hosts, and binds it later, so that its being free here and now does not say enough.
+    They lie below those that the system gives out by itself: of these the same one came twice in 6
+    of 30,000 nodes with three ports, and any other socket may take one before its node does.
+    """
+    return list(itertools.islice(filter(lambda port: _is_free(host, port), _own_ports), count))
+
+
+def _all_own_ports() -> Iterator[int]:
+    """Give the ports of one block after the other, each held until this process ends."""
+    blocks = list(range(_PORTS.start, _PORTS.stop, _BLOCK))
+    random.shuffle(blocks)
+    for first in blocks:
+        if _hold(first):
+            yield from range(first, first + _BLOCK)
+    raise RuntimeError(f"no block of ports from {_PORTS.start} to {_PORTS.stop} is left")
+
+
+def _hold(first: int) -> bool:
+    tcp = socket.socket()
+    try:
+        tcp.bind((_HOLDING_HOST, first))
+    except OSError:
+        tcp.close()
+        return False
+    # Only the end of the process closes it.
+    tcp.detach()
+    return True
+
+
+def _is_free(host: str, port: int) -> bool:
+    with socket.socket() as tcp:
+        try:
+            tcp.bind((host, port))
+        except OSError:
+            return False
+    return True
+
+
+_own_ports = _all_own_ports()
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -17,7 +17,8 @@
 from fescuedock.net.http_server import Request, Responder
 from fescuedock.platform.standin.event_upstream import EventUpstream
 from fescuedock.platform.standin.metadata_store import MetadataStoreService
-from tests.builders.node import config_document, free_ports, worker_entry
+from tests.builders.node import config_document, worker_entry
+from tests.builders.ports import free_ports
 from tests.soak.proxy import FaultProxy
 
 __all__ = ["SLOW_ITEM", "NodeProcess", "SoakUpstream", "World", "own_network", "serves"]
--- a/tests/test_online_stop.py
+++ b/tests/test_online_stop.py
@@ -24,7 +24,6 @@
 from fescuedock.settings import Settings
 from fescuedock.standin.engine import EngineService
 from fescuedock.standin.platform import run_standins
-from tests.builders.node import free_ports
 from tests.builders.online import (
     HOST,
     chat_body,
@@ -34,6 +33,7 @@
     run,
     wait_until,
 )
+from tests.builders.ports import free_ports
 
 CHAT = "/v1/chat/completions"
 # Of /v1/entries, from the stop on; the tests' streams are longer or shorter than this.
