Take a test's program for ended only once its address is free

Cause: ZeroMQ closes a listening socket in a thread of its own, after the program that used it has returned. Tests that kill a node or spool and start it again in the same process then found its own port taken: "Address already in use" once in 11 runs of test_node_spools beside other tests, and at 20 of 360 restarts of a spool, six processes at a time. A process that really dies frees its addresses at once.

Change: the builders' nodes and spools count as ended once nobody listens at their agent's address.

Ruled out: another process at that port, as the restarts failed with ports that this process held.

--- a/tests/builders/node.py
+++ b/tests/builders/node.py
@@ -26,7 +26,7 @@
 from fescuedock.settings import Settings
 from fescuedock.spool.main import run_spool
 from tests.builders.net import LOOPBACK
-from tests.builders.ports import free_ports
+from tests.builders.ports import free_ports, wait_let_go
 
 __all__ = ["Answer", "NodeFleet", "RunningNode", "config_document", "running_fleet"]
 
@@ -109,6 +109,7 @@
     async def run(self, *, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED) -> None:
         with self._scope:
             await run_node(self.settings, self.stop, task_status=task_status)
+        await wait_let_go(_agent_address(self.settings))
         self.ended.set()
 
 
@@ -130,6 +131,7 @@
     async def run(self, *, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED) -> None:
         with self._scope:
             await run_spool(self.settings, Stop(), task_status=task_status)
+        await wait_let_go(_agent_address(self.settings))
         self.ended.set()
 
 
@@ -237,6 +239,10 @@
     return Answer(response.status, response.headers, b"".join(parts))
 
 
+def _agent_address(settings: Settings) -> Address:
+    return Address(settings.vm.host, settings.agent.port)
+
+
 def _node_settings(
     number: int, agent_port: int, store: Address, changes: Mapping[str, object]
 ) -> Settings:
--- a/tests/builders/ports.py
+++ b/tests/builders/ports.py
@@ -5,7 +5,11 @@
 import socket
 from collections.abc import Iterator
 
-__all__ = ["free_ports"]
+import trio
+
+from fescuedock.address import Address
+
+__all__ = ["free_ports", "wait_let_go"]
 
 # Below the usual range of ports that the system chooses, 32768 and up.
 _PORTS = range(20000, 32000)
@@ -25,6 +29,16 @@
     return list(itertools.islice(filter(lambda port: _is_free(host, port), _own_ports), count))
 
 
+async def wait_let_go(address: Address) -> None:
+    """Return once nobody listens at ``address``.
+
+    The end of a process frees its addresses at once.  ZeroMQ closes a socket in a thread of its
+    own, some time after the program that ended has returned.
+    """
+    while not _is_free(address.host, address.port, reuse=True):  # noqa: ASYNC110
+        await trio.sleep(0.005)
+
+
 def _all_own_ports() -> Iterator[int]:
     """Give the ports of one block after the other, each held until this process ends."""
     blocks = list(range(_PORTS.start, _PORTS.stop, _BLOCK))
@@ -47,8 +61,10 @@
     return True
 
 
-def _is_free(host: str, port: int) -> bool:
+def _is_free(host: str, port: int, reuse: bool = False) -> bool:
+    """Whether ``port`` can be bound; with ``reuse`` connections that are over do not count."""
     with socket.socket() as tcp:
+        tcp.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, reuse)
         try:
             tcp.bind((host, port))
         except OSError:
