Look at the timers of our own connections only

Cause: the test of keepalive took every connection of the machine with its server's port number for its own. Other test processes serve at other loopback addresses, where the system gives out the same numbers.

The test holds a connection to the same port of another address, so that it fails always if that is mixed up.

Ruled out: a late timer of our own connection, which would be "01", and leaves two ends.

--- a/tests/test_net_channel.py
+++ b/tests/test_net_channel.py
@@ -1,6 +1,8 @@
 """Messages between our processes: digests, key rotation, matching of answers, strangers."""
 
 import functools
+import socket
+import sys
 import tempfile
 import unittest
 from pathlib import Path
@@ -10,6 +12,7 @@
 from hypothesis import strategies as st
 from result import Err, Ok
 
+from fescuedock.address import Address
 from fescuedock.net.channel import ChannelClient, serve_channel
 from fescuedock.net.codec import BadMessageError, Codec, load_keys
 from fescuedock.schema import view
@@ -22,17 +25,19 @@
 # Of the column "tr" of /proc/net/tcp, and its state of an established connection.
 KEEPALIVE_TIMER = "02"
 ESTABLISHED = "01"
+# Of this machine, and used by no other test.
+OTHER_HOST = "127.77.0.1"
 
 
-def connection_timers(port: int) -> list[str]:
-    """Return the kernel's timer of both ends of each connection to ``port`` on this machine."""
+def connection_timers(address: Address) -> list[str]:
+    """Return the kernel's timer of both ends of each connection to ``address``.
+
+    Programs at other addresses of this machine may serve at the same port.
+    """
     rows = [line.split() for line in Path("/proc/net/tcp").read_text().splitlines()[1:]]
-    ending = f":{port:04X}"
-    return [
-        row[5].partition(":")[0]
-        for row in rows
-        if row[3] == ESTABLISHED and (row[1].endswith(ending) or row[2].endswith(ending))
-    ]
+    host = int.from_bytes(socket.inet_aton(address.host), sys.byteorder)
+    end = f"{host:08X}:{address.port:04X}"
+    return [row[5].partition(":")[0] for row in rows if row[3] == ESTABLISHED and end in row[1:3]]
 
 
 class CodecTest(unittest.TestCase):
@@ -150,11 +155,15 @@
         async def test(nursery: trio.Nursery) -> None:
             codec = signed_codec()
             address = await nursery.start(serve_channel, LOOPBACK, codec, answer)
+            other = (OTHER_HOST, address.port)
             async with ChannelClient.open(address, codec) as client:
                 self.assertTrue((await client.call(LeaveRequest(), 10_000)).is_ok())
-                # What was just sent is acknowledged by then, and its own timer off.
-                await trio.sleep(0.3)
-                timers = connection_timers(address.port)
+                with socket.create_server(other) as server, socket.create_connection(other):
+                    accepted, _ = server.accept()
+                    # What was just sent is acknowledged by then, and its own timer off.
+                    await trio.sleep(0.3)
+                    timers = connection_timers(address)
+                    accepted.close()
                 self.assertEqual(timers, [KEEPALIVE_TIMER, KEEPALIVE_TIMER])
 
         self.run_guarded(test)
