Have the stateful test of jobs find each decision of the gate of work that is taken out

Cause: the test passed with most of the gate's questions taken out: its upstreams always had slots, so results came every 0.1 s and a node that should have stopped was stopped by its next commit; all nodes reached each other, so no node's knowledge grew old. Change: calls of others may hold all slots, and a node may reach no other node. The test asks two things more: nothing begins that the node itself knows to have ended or to be another's, however short a time, and a submission does not make a node answer for such a job. Five fixed worlds need one decision each. Nothing that was checked before is left out. Ruled out: waiting for the drawn examples alone to reach these worlds.

--- a/tests/builders/runner_world.py
+++ b/tests/builders/runner_world.py
@@ -166,17 +166,21 @@
 
 
 class _Permits:
-    """Grants slots at once while there are any, to all nodes together."""
+    """Grants slots at once while there are any, to all nodes together.
+
+    While ``world.full`` says that calls of others hold them, it grants none.
+    """
 
     holder_id = "holder"
 
-    def __init__(self, slots: Counter[str]) -> None:
-        self._slots = slots
+    def __init__(self, world: "RunnerWorld") -> None:
+        self._world = world
+        self._slots = world.slots
         self.loads: dict = {}
 
     async def ask(self, ask: msgspec.Struct, _timeout_ms: float) -> Result["_Grant", Fault]:
         await trio.sleep(_WAY_S)
-        if self._slots[ask.upstream_id] <= 0:
+        if self._world.full or self._slots[ask.upstream_id] <= 0:
             return Err(Fault(ResultCode.KV_UNAVAILABLE, "full", 60))
         self._slots[ask.upstream_id] -= 1
         return Ok(_Grant(ask.upstream_id))
@@ -219,12 +223,16 @@
 
 @dataclass(frozen=True, slots=True)
 class BegunItem:
-    """A run that began: what, under which epoch, and trio's time in seconds."""
+    """A run that began: what, under which epoch, and trio's time in seconds.
+
+    ``refused_s`` is how long its node had known by then that the job had ended or was another's.
+    """
 
     item_id: str
     job_id: str
     epoch: int
     at_s: float
+    refused_s: float = 0.0
 
 
 class ModelNode:
@@ -250,8 +258,9 @@
         )
         self.store = JobStore(way, KEYS, settings.store_value_bytes)
         neighbours = partial(world.neighbours_of, self)
+        call = partial(world.call, self)
         self.replicas = Replicas(
-            way, [Watched(KEYS.live, _WATCH_MS, 20)], world.call, neighbours, _OwnWatch(), rng
+            way, [Watched(KEYS.live, _WATCH_MS, 20)], call, neighbours, _OwnWatch(), rng
         )
         self._clock = lambda: int(_UNIX_S + skew_s + trio.current_time())
         self.runner = JobRunner(
@@ -261,7 +270,7 @@
             self.replicas,
             _Configuration(route_table(route("/letters/", kind=RouteKind.BATCH))),
             _View(world, name),
-            _Permits(world.slots),
+            _Permits(world),
             self,
             self.owner,
             self._clock,
@@ -272,21 +281,43 @@
             self.store,
             self.replicas,
             self.owner,
-            world.call,
+            call,
             neighbours,
             self.runner.accept,
             rng,
-            Spools(self.replicas.tables[KEYS.live], KEYS.spools, 2, world.call),
+            Spools(self.replicas.tables[KEYS.live], KEYS.spools, 2, call),
             lambda: self.leaving,
         )
         self.handlers = {**self.replicas.handlers(), **self.acceptance.handlers()}
+        # Since when this node knows, by job, that it has ended or is another node's.
+        self._refused_s: dict[str, float] = {}
+
+    def refused_s(self, job_id: str) -> float:
+        """Return how long this node has known that a job has ended or is another node's."""
+        now_s = trio.current_time()
+        return now_s - self._refused_s.get(job_id, now_s)
 
     async def run(self) -> None:
         with self.scope:
             async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._note_refused)
                 nursery.start_soon(self.replicas.run)
                 nursery.start_soon(self.runner.run)
 
+    async def _note_refused(self) -> None:
+        table = self.replicas.tables[KEYS.live]
+        while True:
+            seen = self.replicas.version
+            for key, entry in table.entries.items():
+                if not key.startswith(KEYS.records):
+                    continue
+                record = msgspec.msgpack.decode(entry.value, type=StoredJobRecord)
+                if record.ended or not self.owner.owns(record):
+                    self._refused_s.setdefault(record.job_id, trio.current_time())
+                else:
+                    self._refused_s.pop(record.job_id, None)
+            await self.replicas.wait_changed(seen)
+
     async def submit(self, job_id: str, items: list[StoredItem]) -> ResultCode:
         """Submit a job as the front does; what is answered to the client."""
         record = StoredJobRecord(
@@ -337,8 +368,10 @@
         self._skews_s = skews_s
         self._gone_s: dict[str, float] = {}
         self.nodes: list[ModelNode] = []
-        # Nodes that membership misses though they run.
+        # Nodes that membership misses though they run, and those that reach no other node.
         self.hidden: set[str] = set()
+        self.parted: set[str] = set()
+        self.full = False
 
     def start(self) -> None:
         for number in range(self.NODES):
@@ -374,12 +407,12 @@
         return [node.address for node in self.nodes if node is not own and self.runs(node)]
 
     async def call(
-        self, address: Address, message: msgspec.Struct, timeout_ms: float
+        self, caller: ModelNode, address: Address, message: msgspec.Struct, timeout_ms: float
     ) -> Result[msgspec.Struct, Fault]:
-        """Call the node at ``address``."""
+        """Call the node at ``address`` from another."""
         await trio.sleep(_WAY_S)
         node = next((node for node in self.nodes if node.address == address), None)
-        if node is None or not self.runs(node):
+        if node is None or not self.runs(node) or self.parted & {caller.name, node.name}:
             return _fault(ResultCode.PEER_UNREACHABLE)
         with trio.move_on_after(timeout_ms / 1000):
             reply = await node.handlers[type(message)](message, None)
@@ -400,7 +433,7 @@
 
     async def run_item(
         self,
-        _node: ModelNode,
+        node: ModelNode,
         job: StoredJobRecord,
         item: ItemRun,
         upstream: UpstreamRecord,
@@ -409,8 +442,8 @@
         *_logged: object,
     ) -> ItemEnd:
         """Stand in for a run at an upstream."""
-        begun = BegunItem(item.item.item_id, job.job_id, job.epoch, trio.current_time())
-        self.begun.append(begun)
+        at_s, refused_s = trio.current_time(), node.refused_s(job.job_id)
+        self.begun.append(BegunItem(item.item.item_id, job.job_id, job.epoch, at_s, refused_s))
         # Of different lengths, so that commits are under way at most times.
         share = 0.5 + len(self.begun) % 7 / 7
         try:
--- a/tests/test_job_runner_stateful.py
+++ b/tests/test_job_runner_stateful.py
@@ -11,7 +11,7 @@
 import msgspec
 import trio
 import trio.testing
-from hypothesis import HealthCheck, given, settings
+from hypothesis import HealthCheck, example, given, settings
 from hypothesis import strategies as st
 
 from fescuedock.node import job_runner
@@ -42,6 +42,8 @@
         st.tuples(st.just("harm"), faults, nodes),
         st.tuples(st.just("harm_all"), faults, nodes),
         st.tuples(st.just("hide"), jobs, nodes),
+        st.tuples(st.just("part"), jobs, nodes),
+        st.tuples(st.sampled_from(["fill", "free"]), jobs, nodes),
         st.tuples(st.just("mend"), jobs, nodes),
         st.tuples(st.just("kill"), jobs, nodes),
         st.tuples(st.just("leave"), jobs, nodes),
@@ -54,6 +56,53 @@
 )
 skews_s = st.lists(st.integers(-3, 3), min_size=3, max_size=3)
 
+# Worlds in which one decision each keeps from beginning what must not begin.  Calls of others hold
+# all slots at first, so that items are left and nothing is committed, which would tell the owner.
+ENDED_WHILE_FULL = [
+    ("submit", 0, 0),
+    ("fill", 0, 0),
+    ("end", 0, 1),
+    ("free", 0, 0),
+    ("pause", 0.33, 0),
+]
+CLAIMED_WHILE_FULL = [
+    ("submit", 0, 0),
+    ("fill", 0, 0),
+    ("hide", 0, 0),
+    ("free", 0, 0),
+    ("pause", 0.33, 0),
+]
+ENDED_BEHIND_A_CUT = [
+    ("submit", 0, 0),
+    ("fill", 0, 0),
+    ("pause", 1.2, 0),
+    ("harm", "silent", 0),
+    ("part", 0, 0),
+    ("end", 0, 1),
+    ("pause", 3.2, 0),
+    ("free", 0, 0),
+    ("pause", 0.33, 0),
+]
+# Half listed, claimed after its owner's death, and submitted again at each node while the claimant
+# still loads it.
+SUBMITTED_DURING_CLAIM = [
+    ("submit", 0, 1),
+    ("pause", 1.2, 0),
+    ("kill", 0, 1),
+    ("harm_all", "slow_after", 0),
+    ("pause", 1.2, 0),
+    ("pause", 1.2, 0),
+    ("submit", 0, 2),
+    ("submit", 0, 0),
+]
+SUBMITTED_LATE_IN_CLAIM = [
+    *SUBMITTED_DURING_CLAIM[:-2],
+    ("pause", 0.71, 0),
+    ("submit", 0, 0),
+    ("submit", 0, 2),
+]
+IN_STEP = [0, 0, 0]
+
 
 @dataclass
 class JobTold:
@@ -82,6 +131,11 @@
         derandomize=True,
         suppress_health_check=list(HealthCheck),
     )
+    @example(ENDED_WHILE_FULL, IN_STEP)
+    @example(CLAIMED_WHILE_FULL, IN_STEP)
+    @example(ENDED_BEHIND_A_CUT, IN_STEP)
+    @example(SUBMITTED_DURING_CLAIM, IN_STEP)
+    @example(SUBMITTED_LATE_IN_CLAIM, IN_STEP)
     @given(steps, skews_s)
     def test_what_clients_were_told_stays_true(self, chosen: list[tuple], skews: list[int]) -> None:
         trio.run(self.run_world, chosen, skews, clock=trio.testing.MockClock(autojump_threshold=0))
@@ -105,8 +159,7 @@
         node = world.live(number)
         match kind:
             case "submit" if node:
-                code = await node.submit(told[what].job_id, items_of(told[what].job_id, ITEMS))
-                told[what].codes.append(code)
+                told[what].codes.append(await self.submit(node, told[what].job_id))
             case "end" if node:
                 await self.end(node, told[what])
             case "harm":
@@ -117,8 +170,13 @@
             case "hide":
                 world.hidden.add(world.nodes[number].name)
                 await trio.sleep(HIDDEN_S)
+            case "part":
+                world.parted.add(world.nodes[number].name)
+            case "fill" | "free":
+                world.full = kind == "fill"
             case "mend":
                 world.hidden.clear()
+                world.parted.clear()
                 for each in world.nodes:
                     each.way.mend()
             case "kill" if node:
@@ -132,6 +190,14 @@
             case "pause":
                 await trio.sleep(what)
 
+    async def submit(self, node, job_id: str) -> ResultCode:
+        """Submit a job; a node that knew better must not take it in again by that."""
+        code = await node.submit(job_id, items_of(job_id, ITEMS))
+        if node.refused_s(job_id) > 0:
+            # Else it would answer others, who ask how much is listed, as the job's owner.
+            self.assertIsNone(node.runner.listed_of(job_id), f"{node.name} runs {job_id}")
+        return code
+
     async def end(self, node, told: JobTold) -> None:
         listed = await node.end(told.job_id)
         if listed is None:
@@ -142,6 +208,8 @@
     async def calm(self, world: RunnerWorld, told: list[JobTold]) -> None:
         """Mend all, send ended jobs again at each node, and let what is left run."""
         world.hidden.clear()
+        world.parted.clear()
+        world.full = False
         for node in tuple(world.nodes):
             node.way.mend()
             if not world.runs(node) or node.leaving:
@@ -151,7 +219,7 @@
             if job.ended_s is None:
                 continue
             for node in world.nodes:
-                await node.submit(job.job_id, items_of(job.job_id, ITEMS))
+                await self.submit(node, job.job_id)
         await trio.sleep(CALM_S)
 
     def check(self, world: RunnerWorld, told: list[JobTold], bound_s: float) -> None:
@@ -169,6 +237,8 @@
             elif job.accepted and not job.end_unsure:
                 self.assertEqual(record.listed, ITEMS)
             for run in begun:
+                # Whatever is harmed: a node acts upon the newest that it knows itself.
+                self.assertEqual(run.refused_s, 0.0, run)
                 newer = [other.at_s for other in begun if other.epoch > run.epoch]
                 self.assertLessEqual(run.at_s - min(newer, default=run.at_s), bound_s)
             if record is not None:
