Have the soak run spools, nodes that stand still around ends, and look at what follows an end

Cause: the soak ran no spools, so no job waited on disks there; nodes stood still at any time, seldom as jobs began or ended; it looked neither at the bodies of items, nor at what runs after an item was listed, nor at ends that nobody acknowledges. Change: three spools, killed, stopped, paused, cut off and with slow disks; jobs accepted and ended while the store is down; owners, or all nodes but one, that stand still for 1 to 6 s as jobs begin and end. These draw from a source of their own: seeds that failed before play the first series alone, as they did then. Finished and half listed jobs are submitted again at any node. Judged besides: nothing runs 3 s (1 s in calm) after it was listed; a result that was read comes again; an item that is not listed gives its body until the end; what is listed is completed or a dead letter. Three ends a run get no acknowledgement; runs after they count are reported apart, as broken_lost_ends. Ruled out: looking for items that run at two upstreams at once.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -6,12 +6,13 @@
 import msgspec
 
 from fescuedock.cli.command_line import Command, ExitCode, run_command_line
-from tests.soak.runs import run_seed
+from tests.soak.runs import SPOOLS, run_seed
 
 _HELP = """\
 python -m tests.soak: real node processes under faults, judged by what clients and upstreams see.
 
-usage: python -m tests.soak [--seeds=FIRST-LAST] [--seconds=S] [--nodes=N] [--folder=DIR]
+usage: python -m tests.soak [--seeds=FIRST-LAST] [--seconds=S] [--nodes=N] [--spools=N]
+                            [--folder=DIR]
 
 Prints one JSON line for each seed.  Logs of a seed that broke a promise stay in DIR/seed-N.
 
@@ -19,16 +20,22 @@
 """
 
 
-def _soak(seeds: str = "1-3", seconds: int = 12, nodes: int = 4, folder: str = "soak-logs") -> int:
+def _soak(
+    seeds: str = "1-3",
+    seconds: int = 12,
+    nodes: int = 4,
+    spools: int = SPOOLS,
+    folder: str = "soak-logs",
+) -> int:
     first, _, last = seeds.partition("-")
     if not first.isdigit() or not (last or first).isdigit():
         print(f"soak: not FIRST-LAST: {seeds!r}", file=sys.stderr)
         return ExitCode.USAGE
     broken = 0
     for seed in range(int(first), int(last or first) + 1):
-        report = run_seed(seed, Path(folder), float(seconds), nodes)
+        report = run_seed(seed, Path(folder), float(seconds), nodes, spools)
         print(msgspec.json.encode(report).decode(), flush=True)
-        broken += bool(report.broken)
+        broken += report.has_failed
     return ExitCode.FAILED if broken else ExitCode.OK
 
 
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -14,12 +14,16 @@
 from tests.soak.promises import CALM_S, NOT_RUN, SETTLE_S, Ledger, OnlineAttempt, SoakJob
 from tests.soak.world import NodeProcess, World
 
-__all__ = ["ConfigWatcher", "JobClient", "OnlineClient", "Reply", "call_node"]
+__all__ = ["DENIALS", "ConfigWatcher", "JobClient", "OnlineClient", "Reply", "call_node"]
 
 _DEADLINE_MS = 3000
 # What a client waits beyond its deadline.
 _PATIENCE_S = 4.0
 _KINDS = (("/check/", False), ("/rights/", True), ("/safe/", False))
+# When an accepted submission comes again: half listed, or finished.
+_REPEAT_S = ((0.0, 0.6), (1.0, 9.0))
+# Answers by which a node says that a proper call is wrong, or that there is no such job.
+DENIALS = (400, 404, 409, 410, 413, 422, 431)
 _numbers = itertools.count(1)
 
 
@@ -43,11 +47,12 @@
     headers: dict[str, str] | None = None,
     *,
     fresh: bool = True,
+    patience_s: float = _PATIENCE_S,
 ) -> Reply:
     """Make one call and read as much of its answer as comes within a client's patience."""
     reply = Reply()
     fields = {"host": HOST, "x-deadline-ms": str(_DEADLINE_MS)} | (headers or {})
-    with trio.move_on_after(_PATIENCE_S):
+    with trio.move_on_after(patience_s):
         try:
             async with http.request(
                 address, method, target, list(fields.items()), body, fresh=fresh
@@ -117,7 +122,10 @@
 
 @dataclass(slots=True)
 class JobClient:
-    """Submits jobs, again at other nodes until one accepts, reads them, and ends a few."""
+    """Submits jobs, again at other nodes until one accepts, reads them, and ends a few.
+
+    Accepted ones come again on kept connections, half listed, finished or ended.
+    """
 
     world: World
     ledger: Ledger
@@ -126,27 +134,34 @@
 
     async def run(self) -> None:
         """Submit until cancelled; reading goes on in ``read_all``."""
-        while True:
-            await trio.sleep(self.rng.expovariate(1 / 0.8))
-            number = next(_numbers)
-            items = [f"item-{number}-{index}" for index in range(self.rng.randint(1, 6))]
-            job = SoakJob(f"job-{number}", items)
-            self.ledger.jobs[job.job_id] = job
-            await self._submit(job)
-            if job.accepted and self.rng.random() < 0.15:
-                await self._end(job)
+        async with trio.open_nursery() as repeats:
+            while True:
+                await trio.sleep(self.rng.expovariate(1 / 0.8))
+                number = next(_numbers)
+                items = [f"item-{number}-{index}" for index in range(self.rng.randint(1, 6))]
+                job = SoakJob(f"job-{number}", items)
+                self.ledger.jobs[job.job_id] = job
+                await self._submit(job)
+                if job.accepted:
+                    for span_s in _REPEAT_S:
+                        repeats.start_soon(self._repeat, job, self.rng.uniform(*span_s))
+                    if self.rng.random() < 0.15:
+                        await self._end(job)
 
     async def read_some(self) -> None:
         """Read accepted jobs, at any node and from any position, until cancelled."""
         while True:
             await trio.sleep(0.05)
             jobs = [job for job in self.ledger.jobs.values() if job.accepted]
-            if jobs:
-                await self.read(self.rng.choice(jobs))
+            if not jobs:
+                continue
+            job = self.rng.choice(jobs)
+            await self.read(job, self.rng.randint(0, len(job.results)))
+            if self.rng.random() < 0.3:
+                await self._read_body(job)
 
-    async def read(self, job: SoakJob) -> None:
+    async def read(self, job: SoakJob, after: int) -> None:
         """Read a job once."""
-        after = self.rng.randint(0, len(job.results))
         node = self.rng.choice(self.world.nodes)
         asked_s = trio.current_time()
         target = f"/api/lots/{job.job_id}?after={after}"
@@ -157,12 +172,49 @@
             return
         page = json.loads(reply.body)
         found = page["results"]
+        known_s = job.listed_s.get(job.results.get(after, ("",))[0], float("inf"))
+        was_calm = self.ledger.was_calm(asked_s, trio.current_time())
+        if not found and asked_s > known_s + SETTLE_S and was_calm:
+            self.ledger.broken.append(f"{job.job_id}: nothing at position {after} at {node.name}")
         if page["total"] != len(job.items) or page["nextToken"] != after + len(found):
             self.ledger.broken.append(f"{job.job_id}: a page that does not fit: {page}"[:200])
         for position, item in enumerate(found, start=after):
             wrong = job.take(position, (item["id"], item["state"], item["text"]))
             if wrong:
                 self.ledger.broken.append(f"{job.job_id} at {node.name}: {wrong}")
+            job.listed_s.setdefault(item["id"], trio.current_time())
+
+    async def _read_body(self, job: SoakJob) -> None:
+        """Ask for the body of an item that is not listed; it is given until the job's end."""
+        waiting = [item for item in job.items if item not in job.listed_s]
+        if not waiting:
+            return
+        item, node = self.rng.choice(waiting), self.rng.choice(self.world.nodes)
+        asked_s = trio.current_time()
+        target = f"/api/items/{job.job_id}?id={item}"
+        reply = await call_node(self.http, node.front, "GET", target)
+        if reply.status == 200 and reply.whole and reply.body != item.encode():
+            self.ledger.broken.append(f"{job.job_id}: another body of {item} at {node.name}")
+        if reply.status not in (404, 410) or asked_s < job.accepted_s + SETTLE_S:
+            return
+        # It may have been listed meanwhile, as far as nobody has read; all before it is read now.
+        for _ in range(len(job.items)):
+            await self.read(job, len(job.results))
+        if item not in job.listed_s and not job.end_asked:
+            self.ledger.broken.append(f"{job.job_id}: no body of {item} at {node.name}")
+
+    async def _repeat(self, job: SoakJob, after_s: float) -> None:
+        """Send the submission again at any node."""
+        await trio.sleep(after_s)
+        node, sent_s = self.rng.choice(self.world.nodes), trio.current_time()
+        headers = {"x-request-id": job.job_id}
+        body = job_body(*job.items)
+        reply = await call_node(
+            self.http, node.front, "POST", "/letters/new", body, headers, fresh=False
+        )
+        job.calls.append(f"{self.ledger.tell(sent_s)} POST {node.name}: {reply.status}")
+        if reply.status in DENIALS and sent_s > job.accepted_s + SETTLE_S:
+            self.ledger.broken.append(f"{job.job_id}: POST {reply.status} at {node.name}")
 
     async def _submit(self, job: SoakJob) -> None:
         body = job_body(*job.items)
--- a/tests/soak/ending.py
+++ b/tests/soak/ending.py
@@ -11,7 +11,7 @@
 
 from fescuedock.net.http_client import HttpClient
 from tests.builders.jobs_calls import job_body
-from tests.soak.clients import Reply, call_node
+from tests.soak.clients import DENIALS, Reply, call_node
 from tests.soak.promises import NOT_RUN, SETTLE_S, Ledger, SoakJob
 from tests.soak.world import SLOW_ITEM, NodeProcess, World
 
@@ -28,8 +28,6 @@
 _SUBMIT_TRIES = 6
 _END_TRIES = 30
 _RETRY_S = (0.05, 0.5)
-# Answers by which a node says that a proper call is wrong, or that there is no such job.
-_DENIALS = (400, 404, 409, 410, 413, 422, 431)
 
 
 @dataclass(slots=True)
@@ -117,6 +115,6 @@
         headers = {"x-request-id": job.job_id}
         reply = await call_node(self.http, node.front, method, target, body, headers, fresh=False)
         job.calls.append(f"{self.ledger.tell(sent_s)} {method} {node.name}: {reply.status}")
-        if reply.status in _DENIALS and sent_s > job.accepted_s + SETTLE_S:
+        if reply.status in DENIALS and sent_s > job.accepted_s + SETTLE_S:
             self.ledger.broken.append(f"{job.job_id}: {method} {reply.status} at {node.name}")
         return reply
--- /dev/null
+++ b/tests/soak/lost_ends.py
@@ -0,0 +1,106 @@
+"""Clients of the soak whose one try to end a job is never acknowledged.
+
+Their jobs are so long that items are left when such an end counts as acknowledged.
+"""
+
+import random
+from dataclasses import dataclass, field
+
+import trio
+
+from fescuedock.net.http_client import HttpClient
+from tests.builders.jobs_calls import job_body
+from tests.soak.clients import call_node
+from tests.soak.promises import NOT_RUN, Disturbance, Ledger, SoakJob
+from tests.soak.world import LONG_ITEM, World
+
+__all__ = ["LostEndClient", "lose_ends"]
+
+_ITEMS = 60
+_SUBMIT_TRIES = 10
+_RETRY_S = 0.2
+# Longer than a node takes to answer that the store is away, or to keep a job on disks.
+_OUTAGE_S = 1.5
+_REFUSAL_S = 1.2
+# Too short for an answer.
+_LEAVES_S = 0.002
+
+
+@dataclass(slots=True)
+class LostEndClient:
+    """Submits one job, tries to end it once, and is gone before that is acknowledged."""
+
+    name: str
+    world: World
+    ledger: Ledger
+    rng: random.Random
+    http: HttpClient = field(default_factory=HttpClient)
+    job: SoakJob | None = None
+
+    async def submit(self) -> None:
+        """Submit the job until it is accepted, a few times."""
+        items = [f"{LONG_ITEM}{self.name}-{index}" for index in range(_ITEMS)]
+        job = self.job = SoakJob(f"job-{self.name}", items, to_end=True)
+        job.end_now.set()
+        self.ledger.jobs[job.job_id] = job
+        await self._submit(job)
+
+    async def try_end(self, patience_s: float) -> None:
+        """Try once to end the job, and note what becomes of that."""
+        if self.job is not None and self.job.accepted:
+            await self._end(self.job, patience_s)
+
+    async def end_for_good(self) -> None:
+        """End the job after all, so that its items do not keep others waiting."""
+        await self.try_end(4.0)
+
+    async def _submit(self, job: SoakJob) -> None:
+        for _ in range(_SUBMIT_TRIES):
+            node = self.rng.choice(self.world.nodes)
+            may_be_accepted, job.may_be_accepted = job.may_be_accepted, True
+            headers = {"x-request-id": job.job_id}
+            body = job_body(*job.items)
+            reply = await call_node(self.http, node.front, "POST", "/letters/new", body, headers)
+            if reply.status == 202:
+                job.accepted_s, job.owner = trio.current_time(), node.name
+                return
+            if reply.status in NOT_RUN or not reply.sent:
+                job.may_be_accepted = may_be_accepted
+            await trio.sleep(_RETRY_S)
+
+    async def _end(self, job: SoakJob, patience_s: float) -> None:
+        node = self.rng.choice(self.world.nodes)
+        pid = node.process.pid
+        job.end_asked = True
+        sent_s = trio.current_time()
+        target = f"/api/lots/{job.job_id}"
+        reply = await call_node(self.http, node.front, "DELETE", target, patience_s=patience_s)
+        job.calls.append(f"{self.ledger.tell(sent_s)} DELETE {node.name}: {reply.status}")
+        if reply.status == 200:
+            job.ended_s = min(job.ended_s, trio.current_time())
+        elif reply.sent and node.process.pid == pid:
+            # Who was killed while it had the call cannot know of it.
+            job.lost_end_s = min(job.lost_end_s, trio.current_time())
+            job.lost_end_at = (node.name, pid)
+
+
+async def lose_ends(world: World, ledger: Ledger, clients: list[LostEndClient]) -> None:
+    """Lose three ends after the last fault: no node that gets one is harmed after it.
+
+    One is refused while the store is away; so is one of a job that waits on disks then; and one
+    client leaves before the answer.
+    """
+    refused, on_disks, leaving = clients
+    await refused.submit()
+    await leaving.submit()
+    outage = Disturbance(trio.current_time())
+    ledger.disturbances.append(outage)
+    world.store.take_down()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(refused.try_end, _REFUSAL_S)
+        nursery.start_soon(on_disks.submit)
+        await trio.sleep(_OUTAGE_S)
+        await on_disks.try_end(_REFUSAL_S)
+        world.store.bring_up()
+    outage.ended_s = trio.current_time()
+    await leaving.try_end(_LEAVES_S)
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -4,7 +4,7 @@
 """
 
 from collections import Counter
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 
 import trio
@@ -12,7 +12,16 @@
 from fescuedock.platform.standin.event_upstream import event_bytes
 from tests.soak.world import SoakUpstream
 
-__all__ = ["CALM_S", "Disturbance", "Ledger", "OnlineAttempt", "SoakJob"]
+__all__ = [
+    "ACK_S",
+    "CALM_S",
+    "END_S",
+    "Disturbance",
+    "Ledger",
+    "OnlineAttempt",
+    "SoakJob",
+    "wanted_text",
+]
 
 # The users' bounds: how long a part must have been undisturbed, and the time to follow news.
 CALM_S = 3.0
@@ -21,9 +30,13 @@
 # Of our own: heartbeats and watches bring an end to all nodes within this when nothing is wrong.
 CALM_END_S = 1.0
 SETTLE_S = 1.0
+# The least time without disturbance after which an end that nobody acknowledged counts as
+# acknowledged; the users' deployments have 4 to 8 s.
+ACK_S = 4.0
 # Statuses by which a request has not run and never will.
 NOT_RUN = (408, 421, 429, 503)
 _EVENTS = 12
+_STATES = ("completed", "dead_letter")
 
 
 @dataclass(slots=True)
@@ -66,6 +79,11 @@
     may_be_accepted: bool = False
     end_asked: bool = False
     ended_s: float = float("inf")
+    # When a client's one try to end it went without acknowledgement; node and process that got it.
+    lost_end_s: float = float("inf")
+    lost_end_at: tuple[str, int] = ("", 0)
+    # When that counts as acknowledged; infinite unless it does.
+    counted_end_s: float = float("inf")
     # Its client means to end it; set ``end_now`` to have that done at this moment.
     to_end: bool = False
     end_now: trio.Event = field(default_factory=trio.Event)
@@ -74,6 +92,8 @@
     # What clients that end it have sent, for people.
     calls: list[str] = field(default_factory=list)
     results: dict[int, tuple[str, str, str]] = field(default_factory=dict)
+    # When an item was first read as listed.
+    listed_s: dict[str, float] = field(default_factory=dict)
 
     @property
     def accepted(self) -> bool:
@@ -103,6 +123,8 @@
         if item_id in {found[0] for found in self.results.values()}:
             return f"item {item_id} stands at position {position} and at another"
         self.results[position] = result
+        if state not in _STATES:
+            return f"{item_id} is listed as {state!r}"
         if state == "completed" and text != wanted_text(item_id):
             return f"the text of {item_id} is not whole: {text[-60:]!r}"
         if state != "completed" and not self.end_asked:
@@ -118,11 +140,15 @@
 
 @dataclass(slots=True)
 class Ledger:
-    """Everything seen in one run; ``broken`` has one line for each broken promise."""
+    """Everything seen in one run; ``broken`` has one line for each broken promise.
+
+    ``broken_lost_ends`` has those about ends that nobody acknowledged.
+    """
 
     attempts: list[OnlineAttempt] = field(default_factory=list)
     jobs: dict[str, SoakJob] = field(default_factory=dict)
     broken: list[str] = field(default_factory=list)
+    broken_lost_ends: list[str] = field(default_factory=list)
     disturbances: list[Disturbance] = field(default_factory=list)
     # The clock of the day less trio's, so that lines here can be found in the nodes' logs.
     unix_offset_s: float = 0.0
@@ -150,6 +176,22 @@
         elif attempt.status in (400, 404, 413, 431):
             self.broken.append(f"{name}: denied with {attempt.status}")
 
+    def count_lost_ends(self, processes: Mapping[str, int]) -> float:
+        """Settle when ends that nobody acknowledged count as acknowledged; return the last one.
+
+        ``processes`` has the process of each node.  One that has started since its client's try
+        cannot know of that.
+        """
+        calm_s = max([item.ended_s for item in self.disturbances], default=0.0) + CALM_S
+        last_s = float("-inf")
+        for job in self.jobs.values():
+            node, process = job.lost_end_at
+            if job.has_ended or processes.get(node) != process:
+                continue
+            job.counted_end_s = max(job.lost_end_s, calm_s) + ACK_S
+            last_s = max(last_s, job.counted_end_s)
+        return last_s
+
     def judge_runs(self, upstreams: Iterable[SoakUpstream]) -> None:
         """Check at the end what has run."""
         runs: Counter[str] = Counter()
@@ -167,6 +209,7 @@
                 self.broken.append(f"{job.job_id}: refused at every attempt, yet items have run")
         for item in upstreams:
             self.broken += self._late_starts(item)
+            self.broken_lost_ends += self._after_lost_ends(item)
 
     def unfinished_jobs(self) -> list[SoakJob]:
         """Return the accepted jobs that were not ended and not read to their end."""
@@ -197,20 +240,45 @@
                 late_s = at_s - item.leaving_s
                 yield f"{request_id} reached {upstream_id} {late_s:.1f} s after it was leaving"
             job = jobs.get(request_id)
-            if job is not None and self._is_late(job, at_s):
+            if job is not None and self._is_late(job.ended_s, at_s):
                 late_s = at_s - job.ended_s
                 yield (
                     f"{request_id} ran {late_s:.1f} s after the end of {job.job_id}, "
                     f"{self.tell(at_s)} at {upstream_id}"
                 )
 
-    def _is_late(self, job: SoakJob, at_s: float) -> bool:
-        """Whether an item began too long after its job's end was acknowledged.
+            if job is None:
+                continue
+            listed_s = job.listed_s.get(request_id, float("inf"))
+            if self._is_late(listed_s, at_s):
+                late_s = at_s - listed_s
+                yield (
+                    f"{request_id} of {job.job_id} ran {late_s:.1f} s after it was listed, "
+                    f"{self.tell(at_s)} at {upstream_id}"
+                )
+
+    def _after_lost_ends(self, item: SoakUpstream) -> Iterator[str]:
+        """Yield runs that began too long after an end counted that nobody acknowledged."""
+        ends_s = {
+            name: (job.counted_end_s, job.job_id)
+            for job in self.jobs.values()
+            for name in job.items
+        }
+        for request_id, at_s in item.upstream.started:
+            counted_s, job_id = ends_s.get(request_id, (float("inf"), ""))
+            if at_s > counted_s + END_S:
+                yield (
+                    f"{request_id} ran {at_s - counted_s:.1f} s after the unacknowledged end of "
+                    f"{job_id} counted, {self.tell(at_s)} at {item.upstream.upstream_id}"
+                )
+
+    def _is_late(self, known_s: float, at_s: float) -> bool:
+        """Whether an item began too long after its job's end was acknowledged, or it was listed.
 
         In calm the bound is shorter: whoever was left alone for ``CALM_S`` and a second more has
         heard of an end that is that old, also if it came during a disturbance.
         """
-        late_s = at_s - job.ended_s
+        late_s = at_s - known_s
         if late_s > END_S:
             return True
         return late_s > CALM_END_S and self.was_calm(at_s - CALM_END_S, at_s)
--- a/tests/soak/regressions.py
+++ b/tests/soak/regressions.py
@@ -7,12 +7,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Regression:
-    """A seed, its nodes, and how long faults go on; times are real, so it repeats only mostly."""
+    """A seed, its nodes, and how long faults go on; times are real, so it repeats only mostly.
+
+    Without spools the first series of faults goes on alone, as it was when the seed failed.
+    """
 
     seed: int
     nodes: int
     fault_s: float
     cause: str
+    spools: int = 0
 
 
 REGRESSIONS: tuple[Regression, ...] = (
--- a/tests/soak/runs.py
+++ b/tests/soak/runs.py
@@ -15,20 +15,27 @@
 from tests.soak.clients import ConfigWatcher, JobClient, OnlineClient
 from tests.soak.ending import EndingClient
 from tests.soak.faults import Schedule, first_configuration
-from tests.soak.promises import CALM_S, Ledger
+from tests.soak.lost_ends import LostEndClient, lose_ends
+from tests.soak.overlaps import OverlapSchedule
+from tests.soak.promises import CALM_S, END_S, Ledger
 from tests.soak.world import World, own_network, serves
 
-__all__ = ["SoakReport", "new_folder", "run_seed"]
+__all__ = ["SPOOLS", "SoakReport", "new_folder", "run_seed"]
 
 _UPSTREAMS = 4
 _ONLINE_CLIENTS = 10
 _ENDING_CLIENTS = 3
+# One for each failure domain; a job counts as kept with two copies.
+SPOOLS = 3
+_LOST_ENDS = 3
 _START_S = 20.0
 # Accepted jobs have this long after the last fault.
 _FINISH_S = 18.0
 # Share of the calls in the calm at the end that has to be answered whole.
 _SERVED_SHARE = 0.95
 _CALM_RUN_S = 2.0
+# How long items are looked for that begin after they may.
+_LATE_S = 1.0
 
 
 class SoakReport(msgspec.Struct):
@@ -42,18 +49,33 @@
     ended: int
     # With these the same schedule is made again.
     nodes: int
+    spools: int
     fault_s: float
+    # Ends that nobody acknowledged, and that count as acknowledged.
+    lost_ends: int
+    # Copies of jobs that disks have kept.
+    spooled: int
     faults: list[str]
     broken: list[str]
+    broken_lost_ends: list[str]
     # What clients have sent about the jobs that ``broken`` names, in the time of the nodes' logs.
     job_calls: dict[str, list[str]] = {}
 
+    @property
+    def has_failed(self) -> bool:
+        return bool(self.broken or self.broken_lost_ends)
 
-def run_seed(seed: int, folder: Path, fault_s: float, nodes: int) -> SoakReport:
-    """Run one seed; its folder with logs stays only if a promise was broken."""
+
+def run_seed(
+    seed: int, folder: Path, fault_s: float, nodes: int, spools: int = SPOOLS
+) -> SoakReport:
+    """Run one seed; its folder with logs stays only if a promise was broken.
+
+    Without ``spools`` there is one series of faults only, and every end is acknowledged.
+    """
     logs = new_folder(folder / f"seed-{seed}")
-    report = trio.run(_run, seed, logs, fault_s, nodes)
-    if not report.broken:
+    report = trio.run(_run, seed, logs, fault_s, nodes, spools)
+    if not report.has_failed:
         shutil.rmtree(logs)
     else:
         (logs / "report.json").write_bytes(msgspec.json.format(msgspec.json.encode(report)))
@@ -72,18 +94,21 @@
     return found
 
 
-async def _run(seed: int, logs: Path, fault_s: float, nodes: int) -> SoakReport:
+async def _run(seed: int, logs: Path, fault_s: float, nodes: int, spools: int) -> SoakReport:
     # Apart: what clients draw depends on the time that calls take, and must not move the faults.
     rng, fault_rng = random.Random(f"clients-{seed}"), random.Random(seed)
     ledger = Ledger(unix_offset_s=time.time() - trio.current_time())
     async with trio.open_nursery() as nursery:
         world = World(nursery, logs, own_network(), config=first_configuration())
-        schedule = Schedule(world, ledger, fault_rng)
+        schedules = [Schedule(world, ledger, fault_rng)]
+        if spools:
+            overlap_rng = random.Random(f"overlaps-{seed}")
+            schedules.append(OverlapSchedule(world, ledger, overlap_rng))
         await nursery.start(_end_on_signal)
         try:
-            await world.start(nodes, _UPSTREAMS)
+            await world.start(nodes, _UPSTREAMS, spools)
             await _wait_serving(world)
-            await _soak(world, ledger, schedule, rng, fault_s)
+            await _soak(world, ledger, schedules, rng, fault_s)
         finally:
             with trio.CancelScope(shield=True):
                 await world.end()
@@ -99,15 +124,25 @@
         accepted,
         sum(job.has_ended for job in ledger.jobs.values()),
         nodes,
+        spools,
         fault_s,
-        schedule.told,
+        sum(job.counted_end_s < float("inf") for job in ledger.jobs.values()),
+        _spooled(logs),
+        [line for schedule in schedules for line in schedule.told],
         ledger.broken,
+        ledger.broken_lost_ends,
         _calls_of_broken(ledger),
     )
 
 
+def _spooled(logs: Path) -> int:
+    """Count the copies of jobs that spools have logged as kept."""
+    lines = [line for log in logs.glob("spool-*.log") for line in log.read_bytes().splitlines()]
+    return sum(b'"job_spooled"' in line and b'"outcome":"OK"' in line for line in lines)
+
+
 def _calls_of_broken(ledger: Ledger) -> dict[str, list[str]]:
-    told = "\n".join(ledger.broken) + "\n"
+    told = "\n".join(ledger.broken + ledger.broken_lost_ends) + "\n"
     return {
         job.job_id: job.calls
         for job in ledger.jobs.values()
@@ -135,7 +170,7 @@
 
 
 async def _soak(
-    world: World, ledger: Ledger, schedule: Schedule, rng: random.Random, fault_s: float
+    world: World, ledger: Ledger, schedules: list[Schedule], rng: random.Random, fault_s: float
 ) -> None:
     online = [OnlineClient(world, ledger, rng) for _ in range(_ONLINE_CLIENTS)]
     jobs = JobClient(world, ledger, rng)
@@ -143,16 +178,26 @@
     enders = [
         EndingClient(f"end-{number}", world, ledger, rng) for number in range(_ENDING_CLIENTS)
     ]
-    async with _closing([*online, jobs, watcher, *enders]), trio.open_nursery() as clients:
+    losers = [
+        LostEndClient(f"lost-{number}", world, ledger, rng)
+        for number in range(_LOST_ENDS if world.spools else 0)
+    ]
+    everyone = [*online, jobs, watcher, *enders, *losers]
+    async with _closing(everyone), trio.open_nursery() as clients:
         for client in (*online, watcher, *enders):
             clients.start_soon(client.run)
         for _ in range(2):
             clients.start_soon(jobs.read_some)
         submitting = trio.CancelScope()
         clients.start_soon(_run_in, submitting, jobs.run)
-        await schedule.run(fault_s)
+        async with trio.open_nursery() as faults:
+            for schedule in schedules:
+                faults.start_soon(schedule.run, fault_s)
         submitting.cancel()
+        if losers:
+            await lose_ends(world, ledger, losers)
         await _judge_calm(world, ledger)
+        await _wait_lost_ends(world, ledger, losers)
         with trio.move_on_after(_FINISH_S):
             await _wait_jobs(ledger)
         ledger.judge_jobs()
@@ -161,7 +206,7 @@
 
 @asynccontextmanager
 async def _closing(
-    clients: list[OnlineClient | JobClient | ConfigWatcher | EndingClient],
+    clients: list[OnlineClient | JobClient | ConfigWatcher | EndingClient | LostEndClient],
 ) -> AsyncIterator[None]:
     """Close the connections that clients have kept when the block is left."""
     try:
@@ -171,6 +216,15 @@
             await client.http.close()
 
 
+async def _wait_lost_ends(world: World, ledger: Ledger, losers: list[LostEndClient]) -> None:
+    """Wait until nothing may begin any more of jobs whose end nobody acknowledged."""
+    processes = {node.name: node.process.pid for node in world.nodes}
+    counted_s = ledger.count_lost_ends(processes)
+    await trio.sleep_until(max(counted_s + END_S + _LATE_S, trio.current_time()))
+    for loser in losers:
+        await loser.end_for_good()
+
+
 async def _wait_jobs(ledger: Ledger) -> None:
     """Wait until every accepted job that nobody ended was read to its end."""
     while True:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -20,7 +20,16 @@
 from tests.builders.node import config_document, free_ports, worker_entry
 from tests.soak.proxy import FaultProxy
 
-__all__ = ["SLOW_ITEM", "NodeProcess", "SoakUpstream", "World", "own_network", "serves"]
+__all__ = [
+    "LONG_ITEM",
+    "SLOW_ITEM",
+    "NodeProcess",
+    "SoakProcess",
+    "SoakUpstream",
+    "World",
+    "own_network",
+    "serves",
+]
 
 # What a node has to end in after SIGTERM; its setting below, and a second of our own.
 STOP_TIMEOUT_S = 5
@@ -28,6 +37,10 @@
 # Items with this at the beginning of their name take so long before their first event.
 SLOW_ITEM = "slow-"
 _SLOW_ITEM_S = 0.6
+# Jobs of these have items left long after the last fault: 16 slots take 11 a second.  Nodes let a
+# run go on elsewhere after 1.5 s without an event.
+LONG_ITEM = "long-"
+_LONG_ITEM_S = 1.2
 _INI = """\
 [vm]
 vm_id = {name}
@@ -56,15 +69,29 @@
 [permits]
 ended_batch_ms = 2
 """
+_SPOOL_INI = """\
+[vm]
+vm_id = {name}
+host = {host}
+region = caldas
+failure_domain = sala-{domain}
+log_file = -
 
+[spool]
+data_dir = {folder}
+store_address = {store}
+
+[agent]
+port = {agent_port}
+"""
 
-@dataclass(slots=True)
-class NodeProcess:
-    """One node as a process; it keeps its address over restarts."""
+
+@dataclass(slots=True, kw_only=True)
+class SoakProcess:
+    """One program as a process; it keeps its address and its disk over restarts."""
 
     name: str
-    front: Address
-    directory: Address
+    module: str
     settings: Path
     log: Path
     store_proxy: FaultProxy
@@ -86,7 +113,7 @@
                 await self._start()
 
     async def _start(self) -> None:
-        command = [sys.executable, "-m", "fescuedock.node.main", str(self.settings)]
+        command = [sys.executable, "-m", self.module, str(self.settings)]
         async with await trio.open_file(self.log, "ab") as log:
             self.process = await trio.lowlevel.open_process(
                 command, stdin=subprocess.DEVNULL, stdout=log.wrapped, stderr=log.wrapped
@@ -108,6 +135,14 @@
             await self.process.wait()
 
 
+@dataclass(slots=True, kw_only=True)
+class NodeProcess(SoakProcess):
+    """One node, with where its clients reach it."""
+
+    front: Address
+    directory: Address
+
+
 @dataclass(slots=True)
 class SlowItemUpstream(EventUpstream):
     """Takes its time for some items, so that others of their jobs wait."""
@@ -116,6 +151,8 @@
     async def _run(self, request: Request, responder: Responder, *details: object) -> None:
         if request.path.startswith(f"/letters/{SLOW_ITEM}"):
             await trio.sleep(_SLOW_ITEM_S)
+        elif request.path.startswith(f"/letters/{LONG_ITEM}"):
+            await trio.sleep(_LONG_ITEM_S)
         await EventUpstream._run(self, request, responder, *details)
 
 
@@ -141,6 +178,7 @@
     store: MetadataStoreService = field(default_factory=MetadataStoreService)
     upstreams: list[SoakUpstream] = field(default_factory=list)
     nodes: list[NodeProcess] = field(default_factory=list)
+    spools: list[SoakProcess] = field(default_factory=list)
     # The newest configuration, and when it was put in force.
     config: dict = field(default_factory=config_document)
     config_s: float = float("-inf")
@@ -150,7 +188,7 @@
     def upstream_host(self) -> str:
         return f"{self.network}250"
 
-    async def start(self, nodes: int, upstreams: int) -> None:
+    async def start(self, nodes: int, upstreams: int, spools: int) -> None:
         """Start everything; returns before the nodes serve."""
         await self.nursery.start(self.store.run, Address(f"{self.network}251", 0))
         self._put_configuration()
@@ -161,6 +199,8 @@
         ports = free_ports(5, f"{self.network}1")
         for number in range(nodes):
             await self._add_node(number, ports)
+        for number in range(spools):
+            await self._add_spool(number, ports[-1])
 
     def node(self, name: str) -> NodeProcess:
         """Return the node of that name."""
@@ -200,8 +240,8 @@
 
     async def end(self) -> None:
         """Kill every process that was started here."""
-        for node in self.nodes:
-            await node.end()
+        for process in (*self.nodes, *self.spools):
+            await process.end()
 
     async def _beat_forever(self) -> None:
         while True:
@@ -213,8 +253,7 @@
 
     async def _add_node(self, number: int, ports: list[int]) -> None:
         host = f"{self.network}{number + 1}"
-        proxy = FaultProxy(self.store.address)
-        await self.nursery.start(proxy.run, f"{self.network}251")
+        proxy = await self._store_proxy()
         front, ready, directory, control, agent = ports
         name = f"node-{number}"
         settings = self.folder / f"{name}.ini"
@@ -235,16 +274,47 @@
             encoding="utf-8",
         )
         node = NodeProcess(
-            name,
-            Address(host, front),
-            Address(host, directory),
-            settings,
-            self.folder / f"{name}.log",
-            proxy,
+            name=name,
+            module="fescuedock.node.main",
+            front=Address(host, front),
+            directory=Address(host, directory),
+            settings=settings,
+            log=self.folder / f"{name}.log",
+            store_proxy=proxy,
         )
         self.nodes.append(node)
         await node.start()
 
+    async def _add_spool(self, number: int, agent_port: int) -> None:
+        proxy = await self._store_proxy()
+        name = f"spool-{number}"
+        settings = self.folder / f"{name}.ini"
+        settings.write_text(
+            _SPOOL_INI.format(
+                name=name,
+                host=f"{self.network}{100 + number}",
+                domain=number % 3,
+                folder=self.folder / f"{name}-disk",
+                store=proxy.address,
+                agent_port=agent_port,
+            ),
+            encoding="utf-8",
+        )
+        spool = SoakProcess(
+            name=name,
+            module="fescuedock.spool.main",
+            settings=settings,
+            log=self.folder / f"{name}.log",
+            store_proxy=proxy,
+        )
+        self.spools.append(spool)
+        await spool.start()
+
+    async def _store_proxy(self) -> FaultProxy:
+        proxy = FaultProxy(self.store.address)
+        await self.nursery.start(proxy.run, f"{self.network}251")
+        return proxy
+
 
 async def serves(node: NodeProcess) -> bool:
     """Whether a node takes connections."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,5 +1,7 @@
 """A short seeded run of the soak: real processes, faults from outside, promises from both ends."""
 
+import functools
+import json
 import math
 import random
 import tempfile
@@ -14,37 +16,44 @@
 from fescuedock.address import Address
 from fescuedock.platform.standin.event_upstream import EventUpstream
 from tests.builders.standins import run_async
-from tests.soak.clients import Reply
+from tests.soak.clients import JobClient, Reply
 from tests.soak.ending import EndingClient
 from tests.soak.faults import Schedule
-from tests.soak.promises import CALM_S, Disturbance, Ledger, SoakJob
+from tests.soak.promises import ACK_S, CALM_S, END_S, Disturbance, Ledger, SoakJob, wanted_text
 from tests.soak.proxy import FaultProxy
 from tests.soak.regressions import REGRESSIONS
-from tests.soak.runs import new_folder, run_seed
+from tests.soak.runs import SoakReport, new_folder, run_seed
 from tests.soak.world import SoakUpstream
 
 # Long enough for about ten faults; the long runs are made by hand (docs/SOAK.md).
 FAULT_S = 6.0
 SEED = 20
 NODES = 3
+TEXT = wanted_text("item-1")
 LOGS = Path(__file__).parents[1] / "soak-logs" / "tests"
 
 
+@functools.cache
+def seeded_report() -> SoakReport:
+    """Run the seed of CI, once; logs and report of a run that broke a promise stay in ``LOGS``."""
+    return run_seed(SEED, LOGS, FAULT_S, NODES)
+
+
 async def _sleep(_stream: trio.SocketStream) -> None:
     await trio.sleep_forever()
 
 
 class SoakTest(unittest.TestCase):
-    def run_seed(self, seed: int, nodes: int, fault_s: float) -> None:
-        # Logs and report of a seed that broke a promise stay here; the others' go.
-        report = run_seed(seed, LOGS, fault_s, nodes)
+    def check(self, report: SoakReport) -> None:
         told = f"{report.faults}; logs and report are in {LOGS} under the seed"
         self.assertEqual(report.broken, [], told)
         self.assertGreater(report.whole, 0)
         self.assertGreater(report.ended, 0)
 
     def test_a_seeded_run_keeps_the_promises(self) -> None:
-        self.run_seed(SEED, NODES, FAULT_S)
+        report = seeded_report()
+        self.check(report)
+        self.assertGreater(report.spooled, 0)
 
     def test_logs_of_an_earlier_failure_stay(self) -> None:
         with tempfile.TemporaryDirectory() as name:
@@ -119,6 +128,106 @@
         job.ended_s = math.inf
         self.assertEqual(told(200.0), [])
 
+    def test_an_unacknowledged_end_counts_once_all_was_calm_for_long_enough(self) -> None:
+        job = SoakJob("job-1", ["item-1"], accepted_s=90.0, end_asked=True)
+        job.lost_end_s, job.lost_end_at = 100.0, ("node-0", 7)
+
+        def told(at_s: float, *disturbances: Disturbance, process: int = 7) -> list[str]:
+            job.counted_end_s = math.inf
+            ledger = Ledger(jobs={job.job_id: job}, disturbances=list(disturbances))
+            ledger.count_lost_ends({"node-0": process})
+            ledger.judge_runs(
+                [SoakUpstream(EventUpstream("i-0", started=[("item-1", at_s)]), mock.Mock())]
+            )
+            self.assertEqual(ledger.broken, [])
+            return ledger.broken_lost_ends
+
+        late_s = 100.0 + ACK_S + END_S
+        self.assertEqual(told(late_s - 0.1), [])
+        self.assertEqual(len(told(late_s + 0.1)), 1)
+        disturbed = Disturbance(101.0, 102.0)
+        late_s = 102.0 + CALM_S + ACK_S + END_S
+        self.assertEqual(told(late_s - 0.1, disturbed), [])
+        self.assertEqual(len(told(late_s + 0.1, disturbed)), 1)
+        # The node that got the call has started anew.
+        self.assertEqual(told(late_s + 0.1, process=8), [])
+
+    def test_nothing_runs_of_an_item_that_was_read_as_listed(self) -> None:
+        job = SoakJob("job-1", ["item-1"], accepted_s=90.0, listed_s={"item-1": 100.0})
+
+        def told(at_s: float, *disturbances: Disturbance) -> list[str]:
+            ledger = Ledger(jobs={job.job_id: job}, disturbances=list(disturbances))
+            upstream = EventUpstream("i-0", started=[("item-1", at_s)])
+            ledger.judge_runs([SoakUpstream(upstream, mock.Mock())])
+            return ledger.broken
+
+        self.assertEqual(told(100.9), [])
+        self.assertEqual(len(told(101.1)), 1)
+        self.assertEqual(told(102.9, Disturbance(99.0)), [])
+        self.assertEqual(len(told(103.1, Disturbance(99.0))), 1)
+
+    def test_a_result_is_whole_or_a_dead_letter_and_stays_where_it_is(self) -> None:
+        job = SoakJob("job-1", ["item-1", "item-2"], accepted_s=90.0, end_asked=True)
+        self.assertIn("listed as", job.take(0, ("item-1", "cancelled", "")))
+        job.results.clear()
+        self.assertIn("not whole", job.take(0, ("item-1", "completed", "x")))
+        job.results.clear()
+        self.assertEqual(job.take(0, ("item-1", "dead_letter", "")), "")
+        self.assertEqual(job.take(0, ("item-1", "dead_letter", "")), "")
+        self.assertIn("position 0 held", job.take(0, ("item-2", "dead_letter", "")))
+        self.assertIn("and at another", job.take(1, ("item-1", "dead_letter", "")))
+
+    def test_a_body_is_given_and_listed_results_come_again_until_the_end(self) -> None:
+        """What a reader of the soak makes of a node's denials, and of results that are gone."""
+        cases = [
+            # Status of the body, its bytes, results that are read, whether the job was ended.
+            ("no body", 404, b"", [], False),
+            ("", 404, b"", [], True),
+            ("another body", 200, b"item-2", [], False),
+            ("", 200, b"item-1", [], False),
+            ("", 503, b"", [], False),
+            ("", 404, b"", [{"id": "item-1", "state": "completed", "text": TEXT}], False),
+        ]
+        for wanted, status, body, results, ended in cases:
+            with self.subTest(wanted=wanted, status=status, ended=ended):
+                broken = self.read_body(status, body, results, ended)
+                self.assertEqual(len(broken), bool(wanted), broken)
+                self.assertIn(wanted, "".join(broken))
+
+    def read_body(self, status: int, body: bytes, results: list, ended: bool) -> list[str]:
+        job = SoakJob("job-1", ["item-1"], accepted_s=-10.0, end_asked=ended)
+        page = {"total": 1, "nextToken": len(results), "results": results}
+
+        async def call_node(_http, _address, _method, target, *_details, **_more) -> Reply:
+            if target.startswith("/api/items/"):
+                return Reply(status, body=body, whole=True)
+            return Reply(200, body=json.dumps(page).encode(), whole=True)
+
+        world = mock.Mock(nodes=[mock.Mock()])
+        ledger = Ledger(jobs={job.job_id: job})
+        client = JobClient(world, ledger, random.Random(SEED))
+
+        async def run() -> None:
+            await client._read_body(job)
+
+        with mock.patch("tests.soak.clients.call_node", call_node):
+            trio.run(run, clock=trio.testing.MockClock())
+        return ledger.broken
+
+    def test_a_result_that_was_read_comes_again(self) -> None:
+        job = SoakJob("job-1", ["item-1"], accepted_s=-10.0)
+        job.results[0], job.listed_s["item-1"] = ("item-1", "completed", TEXT), -5.0
+
+        async def call_node(*_call, **_more) -> Reply:
+            return Reply(200, body=b'{"total": 1, "nextToken": 0, "results": []}', whole=True)
+
+        ledger = Ledger(jobs={job.job_id: job})
+        client = JobClient(mock.Mock(nodes=[mock.Mock()]), ledger, random.Random(SEED))
+        with mock.patch("tests.soak.clients.call_node", call_node):
+            trio.run(client.read, job, 0, clock=trio.testing.MockClock())
+        self.assertEqual(len(ledger.broken), 1)
+        self.assertIn("nothing at position 0", ledger.broken[0])
+
     def test_a_job_is_ended_while_its_owner_or_the_store_is_harmed(self) -> None:
         job = SoakJob("job-1", ["item-1"], accepted_s=0.0, to_end=True, owner="node-1")
         ledger = Ledger(jobs={job.job_id: job})
@@ -206,7 +315,7 @@
     def test_seeds_that_failed_once_keep_them_now(self) -> None:
         for case in REGRESSIONS:
             with self.subTest(seed=case.seed, cause=case.cause):
-                self.run_seed(case.seed, case.nodes, case.fault_s)
+                self.check(run_seed(case.seed, LOGS, case.fault_s, case.nodes, case.spools))
 
 
 if __name__ == "__main__":
