Add a failing test of ends that nobody acknowledged, after which the job runs on

By the users' rules such an end counts as acknowledged after 4 to 8 s of steady state; items begin for as long as there are any. It fails, as it should until the fault is mended. Ruled out: nodes that were killed after they got the call; only ends count whose node lives on.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -55,6 +55,16 @@
         self.check(report)
         self.assertGreater(report.spooled, 0)
 
+    def test_an_end_that_nobody_acknowledged_counts_after_a_while(self) -> None:
+        """A client's one try to end its job is not answered in time, and the job runs on.
+
+        The store was away when the call came, or the job waited on disks, or the client left before
+        the answer.  No node remembers such an end, so items begin for as long as there are any.
+        """
+        report = seeded_report()
+        self.assertGreater(report.lost_ends, 0)
+        self.assertEqual(report.broken_lost_ends, [], f"logs and report are in {LOGS}")
+
     def test_logs_of_an_earlier_failure_stay(self) -> None:
         with tempfile.TemporaryDirectory() as name:
             wanted = Path(name) / "seed-3"
