Answer two of the unacknowledged ends of a 12 s soak with 503

Cause: the store came back before the node refused the end, so the client always had to leave first. Change: the outage in which ends are tried is a share of the time of faults, 4.2 s in a run of 12 s.

--- a/tests/soak/lost_ends.py
+++ b/tests/soak/lost_ends.py
@@ -19,9 +19,9 @@
 _ITEMS = 60
 _SUBMIT_TRIES = 10
 _RETRY_S = 0.2
-# Longer than a node takes to answer that the store is away, or to keep a job on disks.
-_OUTAGE_S = 1.5
-_REFUSAL_S = 1.2
+# The outage in which ends are tried, as a share of the time of faults.  In a run of 12 s it is
+# longer than the 3.5 s after which a node refuses; in shorter ones the clients leave before that.
+_OUTAGE_SHARE = 0.35
 # Too short for an answer.
 _LEAVES_S = 0.002
 
@@ -84,23 +84,27 @@
             job.lost_end_at = (node.name, pid)
 
 
-async def lose_ends(world: World, ledger: Ledger, clients: list[LostEndClient]) -> None:
+async def lose_ends(
+    world: World, ledger: Ledger, clients: list[LostEndClient], fault_s: float
+) -> None:
     """Lose three ends after the last fault: no node that gets one is harmed after it.
 
-    One is refused while the store is away; so is one of a job that waits on disks then; and one
-    client leaves before the answer.
+    One comes while the store is away; so does one of a job that waits on disks then; and one client
+    leaves at once.
     """
-    refused, on_disks, leaving = clients
-    await refused.submit()
+    in_outage, on_disks, leaving = clients
+    await in_outage.submit()
     await leaving.submit()
+    outage_s = fault_s * _OUTAGE_SHARE
     outage = Disturbance(trio.current_time())
     ledger.disturbances.append(outage)
     world.store.take_down()
+    until_s = trio.current_time() + outage_s
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(refused.try_end, _REFUSAL_S)
-        nursery.start_soon(on_disks.submit)
-        await trio.sleep(_OUTAGE_S)
-        await on_disks.try_end(_REFUSAL_S)
-        world.store.bring_up()
+        nursery.start_soon(in_outage.try_end, outage_s)
+        await on_disks.submit()
+        await on_disks.try_end(max(until_s - trio.current_time(), 0.0))
+        await trio.sleep_until(max(until_s, trio.current_time()))
+    world.store.bring_up()
     outage.ended_s = trio.current_time()
     await leaving.try_end(_LEAVES_S)
--- a/tests/soak/runs.py
+++ b/tests/soak/runs.py
@@ -195,7 +195,7 @@
                 faults.start_soon(schedule.run, fault_s)
         submitting.cancel()
         if losers:
-            await lose_ends(world, ledger, losers)
+            await lose_ends(world, ledger, losers, fault_s)
         await _judge_calm(world, ledger)
         await _wait_lost_ends(world, ledger, losers)
         with trio.move_on_after(_FINISH_S):
