Let accepted jobs come again in the soak's calm too, and test when owners stand still

Cause: what stopped new jobs after the last fault stopped the resends of accepted ones with them. Change: only submitting ends then. A test holds the faults that let owners stand still against the times of stop, continuation and end, over 20 draws each. Ruled out: nothing.

--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -131,22 +131,28 @@
     ledger: Ledger
     rng: random.Random
     http: HttpClient = field(default_factory=HttpClient)
+    # Cancel this to have it submit nothing new; what was accepted goes on to come again.
+    submits: trio.CancelScope = field(default_factory=trio.CancelScope)
 
     async def run(self) -> None:
-        """Submit until cancelled; reading goes on in ``read_all``."""
+        """Submit until cancelled; reading goes on in ``read_some``."""
         async with trio.open_nursery() as repeats:
-            while True:
-                await trio.sleep(self.rng.expovariate(1 / 0.8))
-                number = next(_numbers)
-                items = [f"item-{number}-{index}" for index in range(self.rng.randint(1, 6))]
-                job = SoakJob(f"job-{number}", items)
-                self.ledger.jobs[job.job_id] = job
-                await self._submit(job)
-                if job.accepted:
-                    for span_s in _REPEAT_S:
-                        repeats.start_soon(self._repeat, job, self.rng.uniform(*span_s))
-                    if self.rng.random() < 0.15:
-                        await self._end(job)
+            with self.submits:
+                await self._submit_jobs(repeats)
+
+    async def _submit_jobs(self, repeats: trio.Nursery) -> None:
+        while True:
+            await trio.sleep(self.rng.expovariate(1 / 0.8))
+            number = next(_numbers)
+            items = [f"item-{number}-{index}" for index in range(self.rng.randint(1, 6))]
+            job = SoakJob(f"job-{number}", items)
+            self.ledger.jobs[job.job_id] = job
+            await self._submit(job)
+            if job.accepted:
+                for span_s in _REPEAT_S:
+                    repeats.start_soon(self._repeat, job, self.rng.uniform(*span_s))
+                if self.rng.random() < 0.15:
+                    await self._end(job)
 
     async def read_some(self) -> None:
         """Read accepted jobs, at any node and from any position, until cancelled."""
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -246,10 +246,7 @@
                     f"{request_id} ran {late_s:.1f} s after the end of {job.job_id}, "
                     f"{self.tell(at_s)} at {upstream_id}"
                 )
-
-            if job is None:
-                continue
-            listed_s = job.listed_s.get(request_id, float("inf"))
+            listed_s = float("inf") if job is None else job.listed_s.get(request_id, float("inf"))
             if self._is_late(listed_s, at_s):
                 late_s = at_s - listed_s
                 yield (
--- a/tests/soak/runs.py
+++ b/tests/soak/runs.py
@@ -188,12 +188,11 @@
             clients.start_soon(client.run)
         for _ in range(2):
             clients.start_soon(jobs.read_some)
-        submitting = trio.CancelScope()
-        clients.start_soon(_run_in, submitting, jobs.run)
+        clients.start_soon(jobs.run)
         async with trio.open_nursery() as faults:
             for schedule in schedules:
                 faults.start_soon(schedule.run, fault_s)
-        submitting.cancel()
+        jobs.submits.cancel()
         if losers:
             await lose_ends(world, ledger, losers, fault_s)
         await _judge_calm(world, ledger)
@@ -233,11 +232,6 @@
         await trio.sleep(0.1)
 
 
-async def _run_in(scope: trio.CancelScope, run) -> None:
-    with scope:
-        await run()
-
-
 async def _judge_calm(world: World, ledger: Ledger) -> None:
     """Check that a fleet that was left alone for ``CALM_S`` serves again."""
     await trio.sleep(CALM_S + 1.0)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,6 +4,7 @@
 import json
 import math
 import random
+import signal
 import tempfile
 import types
 import unittest
@@ -19,6 +20,7 @@
 from tests.soak.clients import JobClient, Reply
 from tests.soak.ending import EndingClient
 from tests.soak.faults import Schedule
+from tests.soak.overlaps import OverlapSchedule
 from tests.soak.promises import ACK_S, CALM_S, END_S, Disturbance, Ledger, SoakJob, wanted_text
 from tests.soak.proxy import FaultProxy
 from tests.soak.regressions import REGRESSIONS
@@ -138,6 +140,48 @@
         job.ended_s = math.inf
         self.assertEqual(told(200.0), [])
 
+    def test_owners_stand_still_as_their_jobs_begin_and_end(self) -> None:
+        """The job is ended at most 0.2 s before its owner stands still, or while it does."""
+        for fault in (OverlapSchedule._freeze_at_end, OverlapSchedule._freeze_at_start):
+            for seed in range(20):
+                with self.subTest(fault=fault.__name__, seed=seed):
+                    ended_s, signals = self.freeze(fault, seed)
+                    (stopped_s, first), (continued_s, second) = signals
+                    self.assertEqual((first, second), (signal.SIGSTOP, signal.SIGCONT))
+                    self.assertTrue(1.0 <= continued_s - stopped_s <= 6.0)
+                    self.assertTrue(stopped_s - 0.2 <= ended_s <= continued_s)
+
+    def freeze(self, fault, seed: int) -> tuple[float, list[tuple[float, int]]]:
+        """Return when the job was told to end, and the signals that its owner got."""
+        job = SoakJob("job-1", ["item-1"], accepted_s=math.inf, to_end=True, owner="node-1")
+        signals: list[tuple[float, int]] = []
+        ended_s = math.inf
+
+        def note(number: int) -> None:
+            signals.append((trio.current_time(), number))
+
+        owner = types.SimpleNamespace(name="node-1", runs=True, paused=False, signal=note)
+        # All nodes but one: the owner.
+        world = mock.Mock(nodes=[owner, owner])
+        world.node.return_value = owner
+        schedule = OverlapSchedule(world, Ledger(jobs={"job-1": job}), random.Random(seed))
+
+        async def accept() -> None:
+            nonlocal ended_s
+            job.accepted_s = trio.current_time()
+            await job.end_now.wait()
+            ended_s = trio.current_time()
+
+        async def run() -> None:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(accept)
+                await trio.sleep(0.01)
+                job.accepted_s = trio.current_time()
+                self.assertIn("job-1", await fault(schedule))
+
+        trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+        return ended_s, signals
+
     def test_an_unacknowledged_end_counts_once_all_was_calm_for_long_enough(self) -> None:
         job = SoakJob("job-1", ["item-1"], accepted_s=90.0, end_asked=True)
         job.lost_end_s, job.lost_end_at = 100.0, ("node-0", 7)
