Let the stateful test of jobs pursue refused ends, with an oracle for them

Cause: the model's nodes ended jobs in the store directly, so nothing over many interleavings looked at ends that are refused with 503 and pursued; and no end was refused in any of its 80 worlds.

Change: the model's nodes end jobs by the real JobEnds (owners still hear by their watches alone). A new step ends a job at a node that the store refuses. An end that a running process still wants when all ways are mended is recorded without its client, and no item begins later than 3.4 s after that. Jobs have 60 items in place of 36, and the calm lasts 20 s in place of 14, so that work is left when the ends are refused. An end that found no job counts as unsure, as before.

Ruled out: telling owners in the model: it would hide what watches miss.

--- a/tests/builders/runner_world.py
+++ b/tests/builders/runner_world.py
@@ -24,8 +24,10 @@
 from fescuedock.faults import Fault
 from fescuedock.kv import KvChanges, KvEntry, KvEvent, KvPage, KvTransaction
 from fescuedock.node.job_acceptance import JobAcceptance
+from fescuedock.node.job_ends import JobEnds
 from fescuedock.node.job_runner import JobRunner
 from fescuedock.node.job_store import JobStore
+from fescuedock.node.owner_reads import OwnerReads
 from fescuedock.node.replicas import Replicas, Watched
 from fescuedock.node.spools import Spools
 from fescuedock.schema.result_codes import ResultCode
@@ -255,12 +257,15 @@
             way, [Watched(KEYS.live, _WATCH_MS, 20)], world.call, neighbours, _OwnWatch(), rng
         )
         self._clock = lambda: int(_UNIX_S + skew_s + trio.current_time())
+        cache = JobCache(1_000_000)
+        configuration = _Configuration(route_table(route("/letters/", kind=RouteKind.BATCH)))
+        wanted_ends = WantedEnds()
         self.runner = JobRunner(
             settings,
             self.store,
-            JobCache(1_000_000),
+            cache,
             self.replicas,
-            _Configuration(route_table(route("/letters/", kind=RouteKind.BATCH))),
+            configuration,
             _View(world, name),
             _Permits(world.slots),
             self,
@@ -268,8 +273,9 @@
             self._clock,
             rng,
             _Metrics(),
-            WantedEnds(),
+            wanted_ends,
         )
+        spools = Spools(self.replicas.tables[KEYS.live], KEYS.spools, 2, world.call)
         self.acceptance = JobAcceptance(
             self.store,
             self.replicas,
@@ -278,9 +284,28 @@
             neighbours,
             self.runner.accept,
             rng,
-            Spools(self.replicas.tables[KEYS.live], KEYS.spools, 2, world.call),
+            spools,
             lambda: self.leaving,
         )
+        self.ends = JobEnds(
+            self.store,
+            self.replicas,
+            spools,
+            # Owners hear of an end by their watches alone.
+            OwnerReads(
+                cache,
+                self.replicas,
+                KEYS.live,
+                self.owner,
+                world.call,
+                lambda _vm_id: None,
+                self.runner.listed_of,
+            ),
+            configuration,
+            wanted_ends,
+            self.acceptance.unsettled,
+            retry_after_ms=300,
+        )
         self.handlers = {**self.replicas.handlers(), **self.acceptance.handlers()}
 
     async def run(self) -> None:
@@ -288,6 +313,7 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self.replicas.run)
                 nursery.start_soon(self.runner.run)
+                nursery.start_soon(self.ends.run)
 
     async def submit(self, job_id: str, items: list[StoredItem]) -> ResultCode:
         """Submit a job as the front does; what is answered to the client."""
@@ -305,15 +331,10 @@
         accepted = await self.acceptance.accept(record, items, 2850.0)
         return ResultCode.OK if isinstance(accepted, Ok) else accepted.err_value.code
 
-    async def end(self, job_id: str) -> int | None:
-        """End a job as the front does; how many results are listed, None without an answer."""
-        with trio.move_on_after(3.5):
-            ended = await self.store.end(job_id)
-            if isinstance(ended, Err) or ended.ok_value is None:
-                return None
-            self.replicas.note(KEYS.live, ended.ok_value.entry(KEYS))
-            return ended.ok_value.record.listed
-        return None
+    async def end(self, job_id: str) -> Result[int, Fault]:
+        """End a job as the front does; how many results are listed."""
+        ended = await self.ends.end(job_id)
+        return ended.map(lambda versioned: versioned.record.listed)
 
     async def leave(self) -> None:
         """Stop gracefully."""
--- a/tests/test_job_runner_stateful.py
+++ b/tests/test_job_runner_stateful.py
@@ -11,23 +11,27 @@
 import msgspec
 import trio
 import trio.testing
-from hypothesis import HealthCheck, given, settings
+from hypothesis import HealthCheck, example, given, settings
 from hypothesis import strategies as st
+from result import Err
 
-from fescuedock.node import job_runner
+from fescuedock.node import job_ends, job_runner
 from fescuedock.schema.result_codes import ResultCode
 from fescuedock.schema.stored_jobs import ResultGroup, StoredJobRecord
-from tests.builders.runner_world import END_BOUND_MS, KEYS, RunnerWorld, items_of
+from tests.builders.runner_world import END_BOUND_MS, KEYS, ModelNode, RunnerWorld, items_of
 
-ITEMS = 36
-# An item takes about this long, and six run at once: a job lasts for some 3.6 s, two for 7 s.
+ITEMS = 60
+# An item takes about this long, and six run at once: a job lasts for some 6 s, two for 12 s.
 RUN_S = 0.6
 # Longer than an owner has to be missing before its jobs are claimed.
 HIDDEN_S = 1.8
 # Long enough for owners that are gone to be missed, and for what is left to run.
-CALM_S = 14.0
+CALM_S = 20.0
 # When no way to the store is harmed, nodes hear of a change within milliseconds.
 HEARD_S = 0.3
+# An end that was refused is recorded this long after all ways are mended: the longest pause between
+# two tries, and what nodes need to find the store back and to hear of the record.
+PURSUED_S = 2.0 + 1.1 + HEARD_S
 
 jobs = st.integers(0, 1)
 nodes = st.integers(0, RunnerWorld.NODES - 1)
@@ -39,6 +43,7 @@
         st.tuples(st.just("submit"), jobs, nodes),
         st.tuples(st.just("submit"), jobs, nodes),
         st.tuples(st.just("end"), jobs, nodes),
+        st.tuples(st.just("end_away"), jobs, nodes),
         st.tuples(st.just("harm"), faults, nodes),
         st.tuples(st.just("harm_all"), faults, nodes),
         st.tuples(st.just("hide"), jobs, nodes),
@@ -52,6 +57,18 @@
     min_size=4,
     max_size=14,
 )
+LEAVES_WITH_AN_END = [
+    ("submit", 1, 1),
+    ("harm_all", "refuses", 2),
+    ("end", 1, 1),
+    ("harm_all", "silent", 2),
+    ("leave", 1, 1),
+    ("mend", 1, 1),
+    ("harm_all", "silent", 2),
+    ("harm_all", "refuses", 2),
+    ("mend", 1, 1),
+    ("leave", 1, 1),
+]
 skews_s = st.lists(st.integers(-3, 3), min_size=3, max_size=3)
 
 
@@ -65,6 +82,8 @@
     ended_s: float | None = None
     listed_at_end: int = 0
     end_unsure: bool = False
+    # Processes that answered an end by 503, and have to go on with it while they run.
+    pursuing: list[ModelNode] = field(default_factory=list)
 
     @property
     def accepted(self) -> bool:
@@ -83,6 +102,8 @@
         suppress_health_check=list(HealthCheck),
     )
     @given(steps, skews_s)
+    # The node that wants the end leaves with what it remembers.
+    @example(LEAVES_WITH_AN_END, [0, -3, 3])
     def test_what_clients_were_told_stays_true(self, chosen: list[tuple], skews: list[int]) -> None:
         trio.run(self.run_world, chosen, skews, clock=trio.testing.MockClock(autojump_threshold=0))
 
@@ -95,9 +116,14 @@
                 told = [JobTold(f"j{number}") for number in range(2)]
                 for step in chosen:
                     await self.do(world, step, told)
+                # Nodes that were told to leave have begun to by then.
+                await trio.sleep(0.01)
+                mended_s = trio.current_time()
+                pursued = [job for job in told if self.is_pursued(world, job)]
                 await self.calm(world, told)
-                harmed = any(step[0] in ("harm", "harm_all") for step in chosen)
+                harmed = any(step[0] in ("harm", "harm_all", "end_away") for step in chosen)
                 self.check(world, told, END_BOUND_MS / 1000 if harmed else HEARD_S)
+                self.check_pursued(world, pursued, mended_s)
             nursery.cancel_scope.cancel()
 
     async def do(self, world: RunnerWorld, step: tuple, told: list[JobTold]) -> None:
@@ -109,6 +135,12 @@
                 told[what].codes.append(code)
             case "end" if node:
                 await self.end(node, told[what])
+            case "end_away" if node:
+                # The store answers this node nothing until all is mended.
+                node.way.refuses = True
+                # Its client does not wait for long, so that work is left.
+                with mock.patch.object(job_ends, "_CALL_TIMEOUT_S", 0.3):
+                    await self.end(node, told[what])
             case "harm":
                 harm(world.nodes[number].way, what)
             case "harm_all":
@@ -133,11 +165,14 @@
                 await trio.sleep(what)
 
     async def end(self, node, told: JobTold) -> None:
-        listed = await node.end(told.job_id)
-        if listed is None:
+        ended = await node.end(told.job_id)
+        if isinstance(ended, Err):
             told.end_unsure = True
+            if ended.err_value.code is ResultCode.KV_UNAVAILABLE:
+                told.pursuing.append(node)
+                self.assertIn(told.job_id, node.ends.wanted)
         elif told.ended_s is None:
-            told.ended_s, told.listed_at_end = trio.current_time(), listed
+            told.ended_s, told.listed_at_end = trio.current_time(), ended.ok_value
 
     async def calm(self, world: RunnerWorld, told: list[JobTold]) -> None:
         """Mend all, send ended jobs again at each node, and let what is left run."""
@@ -174,6 +209,19 @@
             if record is not None:
                 self.check_results(world, record)
 
+    def is_pursued(self, world: RunnerWorld, job: JobTold) -> bool:
+        """Whether a process that runs still wants an end that it has refused with 503."""
+        live = [node for node in job.pursuing if node in world.nodes and world.runs(node)]
+        return any(job.job_id in node.ends.wanted and not node.leaving for node in live)
+
+    def check_pursued(self, world: RunnerWorld, pursued: list[JobTold], mended_s: float) -> None:
+        """An end that was refused with 503 is recorded once the store answers, unasked."""
+        for job in pursued:
+            record = self.record_of(world, job)
+            self.assertTrue(record is None or record.ended or record.listed == record.total)
+            begun = [run.at_s for run in world.begun if run.job_id == job.job_id]
+            self.assertLessEqual(max(begun, default=mended_s) - mended_s, PURSUED_S)
+
     def check_results(self, world: RunnerWorld, record: StoredJobRecord) -> None:
         """Each item is listed once at most, whole, and not beyond what the record says."""
         page = world.state.page(KEYS.results(record.job_id), KEYS.results(record.job_id) + "~", 0)
