Count a permit's time for sending from its grant, and test it on slow machines

Cause: The check at the writing took a permit as lapsed when it was good no more counted from the sending of its ask. An ask may be queued for 1 or 2 s and a permit be good for 0.9 to 2 s, so a permit that had waited long was lapsed when it came, and its item asked anew.

Change: For the first use the time counts from the latest moment at which the owner can have granted: when the answer came, or when the ask was sent and had waited for as long as it may, whichever is sooner. A renewal counts as before.

Ruled out: counting from the answer alone; an answer that lay unread while the process stood still would pass.

Result: Found by reading, not by a run: no test before queued an ask for that long under the check.

--- a/src/fescuedock/agent/permit_client.py
+++ b/src/fescuedock/agent/permit_client.py
@@ -18,7 +18,7 @@
 from fescuedock.address import Address
 from fescuedock.agent.peers import PeerChannels
 from fescuedock.clock import now_ms
-from fescuedock.core.permits.holder import HeldGrant, HolderBook
+from fescuedock.core.permits.holder import HeldGrant, HolderBook, lapsed_by_ms
 from fescuedock.core.permits.local_limit import LocalLimit
 from fescuedock.faults import Fault
 from fescuedock.net.channel import ChannelClient
@@ -78,9 +78,12 @@
         return self._held.ask.work_class
 
     @property
-    def valid_until_ms(self) -> float:
-        """When it lapses unless it is renewed, by ``clock.now_ms``; infinite for a local one."""
-        return self._held.valid_until_ms
+    def sendable_until_ms(self) -> float:
+        """When no attempt may begin under it any more, by ``clock.now_ms``.
+
+        Infinite for a local one.
+        """
+        return self._held.sendable_until_ms
 
     @property
     def local(self) -> bool:
@@ -201,6 +204,7 @@
         if code is ResultCode.OK:
             renew_at_ms = sent_ms + reply.valid_ms / _RENEWALS_PER_VALIDITY
             held = HeldGrant(ask, now_ms(), sent_ms + reply.valid_ms, renew_at_ms)
+            held.lapsed_by_ms = lapsed_by_ms(sent_ms, now_ms(), ask.wait_ms, reply.valid_ms)
             return self._grant(held)
         return Err(Fault(code, f"refused at {ask.upstream_id}", reply.retry_after_ms))
 
--- a/src/fescuedock/agent/send_check.py
+++ b/src/fescuedock/agent/send_check.py
@@ -23,7 +23,7 @@
         return refusal_of(
             upstream,
             view.upstreams.get(upstream.upstream_id),
-            PermitStanding(grant.revoked.is_set(), grant.valid_until_ms),
+            PermitStanding(grant.revoked.is_set(), grant.sendable_until_ms),
             deadline_ms=deadline_ms,
             now_ms=now_ms(),
         )
--- a/src/fescuedock/core/permits/holder.py
+++ b/src/fescuedock/core/permits/holder.py
@@ -6,7 +6,7 @@
 
 from fescuedock.schema.permits import EndedPermit, HeldPermit, PermitAsk, WorkClass
 
-__all__ = ["HeldGrant", "HolderBook"]
+__all__ = ["HeldGrant", "HolderBook", "lapsed_by_ms"]
 
 
 class HeldGrant(msgspec.Struct):
@@ -21,6 +21,13 @@
     local: bool = False
     first_token_ms: float = -1.0
     generated_tokens: int = 0
+    # When it had lapsed at its owner for certain, were it never renewed.
+    lapsed_by_ms: float = 0.0
+
+    @property
+    def sendable_until_ms(self) -> float:
+        """When no attempt may begin under it any more."""
+        return max(self.valid_until_ms, self.lapsed_by_ms)
 
     def as_held(self, now_ms: float) -> HeldPermit:
         """Return what a renewal says of this permit."""
@@ -45,6 +52,16 @@
         return max(self.ask.left_ms - int(now_ms - self.granted_ms), 1)
 
 
+def lapsed_by_ms(sent_ms: float, arrived_ms: float, wait_ms: float, valid_ms: float) -> float:
+    """Return when a permit has lapsed for certain whose ask was sent and answered at these times.
+
+    Its owner counts from the grant, which was before the answer came, and no later than the ask may
+    wait.  Counted from the sending, a permit that was queued for as long as it is good would never
+    be used; counted from the answer alone, one whose answer lay unread for long would be.
+    """
+    return min(arrived_ms, sent_ms + wait_ms) + valid_ms
+
+
 class HolderBook(msgspec.Struct):
     """All permits of one process."""
 
--- a/tests/test_node_online.py
+++ b/tests/test_node_online.py
@@ -2,18 +2,16 @@
 
 import json
 import unittest
-from functools import partial
-from unittest import mock
 
 import eliot
 import trio
 
-from fescuedock.core.route_learning import AskTimeout
 from fescuedock.platform.standin.event_upstream import UpstreamFault, event_bytes
 from tests.builders.node import (
     SLOTS,
     NodeFleet,
     config_document,
+    patient_asks,
     running_fleet,
     worker_entry,
 )
@@ -25,15 +23,6 @@
     return b"".join(event_bytes(number, path, len(body)) for number in range(count))
 
 
-def patient_asks():
-    """Let nodes wait two seconds for an owner that should answer at once.
-
-    All programs of a test share one loop.  On a busy machine it answers later than an ask waits;
-    the owner then counts as silent, and a call runs beside its slots in place of waiting for one.
-    """
-    return mock.patch("fescuedock.node.online.AskTimeout", partial(AskTimeout, base_ms=2000.0))
-
-
 class NodeOnlineTest(unittest.TestCase):
     def run_fleet(self, test, **options: object) -> None:
         async def run() -> None:
--- a/tests/test_send_gate.py
+++ b/tests/test_send_gate.py
@@ -2,9 +2,11 @@
 
 import unittest
 
+from fescuedock.core.permits.holder import HeldGrant, HolderBook, lapsed_by_ms
 from fescuedock.core.send_gate import PermitStanding, SendRefusal, refusal_of
+from fescuedock.schema.permits import WorkClass
 from fescuedock.schema.view import UpstreamRecord
-from tests.builders.permits import upstream_record
+from tests.builders.permits import ask_for, upstream_record
 
 NOW_MS = 5000.0
 GOOD = PermitStanding(revoked=False, valid_until_ms=NOW_MS + 1)
@@ -42,5 +44,26 @@
                 self.assertIs(found, wanted)
 
 
+class PermitTimeTest(unittest.TestCase):
+    def held(self, arrived_ms: float) -> HeldGrant:
+        """Return a permit good for 300 ms, asked for at 1000 ms, by an ask that may wait 1 s."""
+        ask = ask_for(WorkClass.BATCH)
+        by_ms = lapsed_by_ms(1000.0, arrived_ms, 1000.0, 300.0)
+        return HeldGrant(ask, arrived_ms, 1000.0 + 300.0, lapsed_by_ms=by_ms)
+
+    def test_a_permit_that_was_queued_for_longer_than_it_is_good_can_be_used(self) -> None:
+        self.assertEqual(self.held(1900.0).sendable_until_ms, 2200.0)
+
+    def test_a_permit_whose_answer_lay_unread_for_long_cannot(self) -> None:
+        self.assertEqual(self.held(6000.0).sendable_until_ms, 2300.0)
+
+    def test_a_renewal_counts(self) -> None:
+        held = self.held(1900.0)
+        book = HolderBook()
+        book.add(held)
+        book.renewed([held.ask.attempt_id], 2600.0)
+        self.assertEqual(held.sendable_until_ms, 2600.0)
+
+
 if __name__ == "__main__":
     unittest.main()
