Discard what is unsent of a request that was given up unanswered

Cause: When an attempt is given up, bytes of its request may lie in this kernel, as the way is cut or the server does not read. A plain close lets the kernel deliver them later, long after the work ran elsewhere or was ended.

Change: A connection whose request was written and whose answer has not begun is closed with SO_LINGER of 0 s, which discards and resets. It holds for all clients of HttpClient; once an answer has begun the close is as before.

Ruled out: nothing else was tried.

What remains: bytes that the server's kernel has taken are still read, shown by a test; where the way is cut for the reset too, the server may keep them and a half-open connection.

--- a/src/fescuedock/net/http_client.py
+++ b/src/fescuedock/net/http_client.py
@@ -11,6 +11,8 @@
 import math
 import os
 import re
+import socket
+import struct
 from collections import defaultdict
 from collections.abc import AsyncIterator, Callable, Iterator, Mapping
 from contextlib import asynccontextmanager, contextmanager
@@ -39,6 +41,8 @@
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*(\d+)")
 # A request must have arrived before the server closes: more than the slowest way there.
 _KEEP_ALIVE_MARGIN_S = 0.25
+# SO_LINGER switched on with 0 s: a close discards what was not sent or acknowledged, and resets.
+_DISCARD_UNSENT = struct.pack("ii", 1, 0)
 
 # Returns why a request must not be sent any more, None when it may; neither waits nor does I/O.
 SendCheck = Callable[[], enum.Enum | None]
@@ -318,12 +322,14 @@
 class _ClientConnection:
     """One connection: the h11 state and the socket."""
 
-    __slots__ = ("_idle_until_s", "_is_partly_sent", "_protocol", "_stream")
+    __slots__ = ("_idle_until_s", "_is_partly_sent", "_is_unanswered", "_protocol", "_stream")
 
     def __init__(self, stream: trio.SocketStream) -> None:
         self._protocol = h11.Connection(h11.CLIENT, _MAX_HEADER_BYTES)
         self._stream = stream
         self._is_partly_sent = False
+        # A request was written, and its answer has not begun.
+        self._is_unanswered = False
         self._idle_until_s = math.inf
 
     async def exchange(
@@ -340,6 +346,7 @@
             if is_answer(fields):
                 break
             await self._skip_answer(address, events)
+        self._is_unanswered = False
         self._note_keep_alive(dict(fields).get("keep-alive", ""))
         return ClientResponse(response.status_code, fields, self)
 
@@ -382,6 +389,7 @@
                 raise WithdrawnError(address, refusal)
             sent_bytes = self._send_now(address, data)
             if sent_bytes:
+                self._is_unanswered = True
                 return sent_bytes
             await trio.lowlevel.wait_writable(self._stream.socket)
 
@@ -481,7 +489,14 @@
         return not self._stream.socket.is_readable()
 
     def abort(self) -> None:
-        """Close at once, without a checkpoint: what the attempt failed by stays its error."""
+        """Close at once, without a checkpoint: what the attempt failed by stays its error.
+
+        A plain close lets the kernel go on sending what it holds.  When a way that was cut comes
+        back, a request would arrive that was given up long before; so an unanswered one is
+        discarded, as far as the server's kernel has not taken it.
+        """
+        if self._is_unanswered:
+            self._stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _DISCARD_UNSENT)
         self._stream.socket.close()
 
     def _note_keep_alive(self, text: str) -> None:
--- /dev/null
+++ b/tests/test_net_given_up.py
@@ -0,0 +1,130 @@
+"""A request that was given up unanswered is not delivered later, as far as that can be helped.
+
+What callers saw: a server ran work long after it had been given up and run elsewhere.
+
+What happened: the way to a server is cut, or it does not read, while requests are written to it.
+Their bytes wait in the kernel of the sender.  The attempts are given up and their connections
+closed; a plain close lets the kernel deliver what it holds as soon as the way is there again.
+
+What proved it: the receiver of the first test, which reads only after the request was given up, got
+five times what its kernel had taken by then.  That much is out of the sender's reach, and is still
+delivered.
+"""
+
+import array
+import errno
+import fcntl
+import socket
+import termios
+import unittest
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import trio
+
+from fescuedock.address import Address
+from fescuedock.net.http_client import HttpClient, open_http_client
+from tests.builders.standins import run_async
+
+# Far more than the receiver's buffer takes, and less than the sender's.
+BODY = b"x" * 400_000
+GIVE_UP_S = 0.3
+# For what the sender's kernel would still deliver.
+DELIVERY_S = 0.5
+
+
+@contextmanager
+def slow_receiver() -> Iterator[tuple[socket.socket, Address]]:
+    """Give a listening socket whose connections take a few kilobytes until they are read."""
+    with socket.socket() as listener:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        yield listener, Address(*listener.getsockname())
+
+
+def bytes_taken(connection: socket.socket) -> int:
+    """Return how many bytes the kernel has received that nobody has read."""
+    count = array.array("i", [0])
+    fcntl.ioctl(connection.fileno(), termios.FIONREAD, count)
+    return count[0]
+
+
+async def read_to_end(connection: socket.socket) -> tuple[int, bool]:
+    """Read until nothing more comes; return the bytes, and whether the connection was reset."""
+    connection.setblocking(False)
+    size_bytes = 0
+    deadline_s = trio.current_time() + DELIVERY_S
+    while trio.current_time() < deadline_s:
+        try:
+            data = connection.recv(65536)
+        except BlockingIOError:
+            await trio.sleep(0.01)
+            continue
+        except ConnectionResetError as error:
+            return size_bytes, error.errno == errno.ECONNRESET
+        if not data:
+            return size_bytes, False
+        size_bytes += len(data)
+    return size_bytes, False
+
+
+async def give_up(http: HttpClient, address: Address) -> None:
+    with trio.move_on_after(GIVE_UP_S):
+        async with http.request(address, "POST", "/", (), BODY):
+            raise AssertionError("nobody answers")
+
+
+class GivenUpRequestTest(unittest.TestCase):
+    def test_what_the_receiver_had_not_taken_is_not_delivered(self) -> None:
+        async def test() -> None:
+            with slow_receiver() as (listener, address):
+                async with open_http_client() as http:
+                    await give_up(http, address)
+                    with listener.accept()[0] as connection:
+                        taken_bytes = bytes_taken(connection)
+                        received_bytes, reset = await read_to_end(connection)
+            self.assertLess(taken_bytes, len(BODY) / 2)
+            self.assertLessEqual(received_bytes, taken_bytes)
+            self.assertTrue(reset)
+
+        run_async(test)
+
+    def test_a_small_request_that_the_receiver_has_taken_is_still_delivered(self) -> None:
+        # Out of the sender's reach; the reset behind it is all that the receiver can notice.
+        async def test() -> None:
+            with slow_receiver() as (listener, address):
+                async with open_http_client() as http:
+                    with trio.move_on_after(GIVE_UP_S):
+                        async with http.request(address, "POST", "/", (), b"small"):
+                            raise AssertionError("nobody answers")
+                    with listener.accept()[0] as connection:
+                        taken_bytes = bytes_taken(connection)
+                        received_bytes, reset = await read_to_end(connection)
+            self.assertEqual(received_bytes, taken_bytes)
+            self.assertTrue(reset)
+
+        run_async(test)
+
+    def test_a_connection_whose_answer_has_begun_is_closed_as_usual(self) -> None:
+        async def give_up_within_answer(http: HttpClient, address: Address) -> None:
+            with trio.move_on_after(GIVE_UP_S):
+                async with http.request(address, "GET", "/") as response:
+                    await response.read()
+
+        async def test() -> None:
+            with slow_receiver() as (listener, address):
+                async with open_http_client() as http, trio.open_nursery() as nursery:
+                    nursery.start_soon(give_up_within_answer, http, address)
+                    await trio.sleep(GIVE_UP_S / 3)
+                    with listener.accept()[0] as connection:
+                        self.assertIn(b"GET / ", connection.recv(65536))
+                        connection.send(b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nbe")
+                        await trio.sleep(GIVE_UP_S)
+                        self.assertEqual(await read_to_end(connection), (0, False))
+
+        run_async(test)
+
+
+if __name__ == "__main__":
+    unittest.main()
