Let the tests of overtaken sends show all attempts when they fail

Cause: One failed once under allocation tracing beside a load of 29, and its message did not say which attempt was another than expected.

Change: The attempts are in the message. What is asserted is the same.

--- a/tests/test_overtaken_sends.py
+++ b/tests/test_overtaken_sends.py
@@ -57,7 +57,7 @@
         One is, as the process stands still; where the machine is slow, more permits may lapse.
         """
         self.assertEqual(ends[-1], "whole")
-        self.assertEqual(set(ends[:-1]), {"withdrawn"})
+        self.assertEqual(set(ends[:-1]), {"withdrawn"}, ends)
 
     def end_elsewhere(self, fleet: NodeFleet) -> None:
         """Write the end of the job as another node does, which then acknowledges it."""
@@ -153,7 +153,7 @@
         with patient_asks():
             lines = self.run_fleet(test)
         attempts = [line for line in lines if line["message_type"] == "call_attempt"]
-        self.assertEqual({line["local_permit"] for line in attempts}, {False})
+        self.assertEqual({line["local_permit"] for line in attempts}, {False}, attempts)
         self.check_sent_once([line["end"] for line in attempts])
 
     def test_a_call_is_not_sent_to_an_upstream_that_began_to_leave_meanwhile(self) -> None:
