--- a/src/fescuedock/net/http_client.py
+++ b/src/fescuedock/net/http_client.py
@@ -11,6 +11,8 @@
 import math
 import os
 import re
+import socket
+import struct
 from collections import defaultdict, deque
 from collections.abc import AsyncIterator, Callable, Iterator, Mapping
 from contextlib import asynccontextmanager, contextmanager
@@ -42,6 +44,8 @@
 # Requests of a kept connection whose late answers may still come; attempts of one call follow each
 # other within seconds, in which a connection carries a few.
 _MOST_CARRIED = 32
+# SO_LINGER switched on with 0 s: a close discards what was not sent or acknowledged, and resets.
+_DISCARD_UNSENT = struct.pack("ii", 1, 0)
 
 # Returns why a request must not be sent any more, None when it may; neither waits nor does I/O.
 SendCheck = Callable[[], enum.Enum | None]
@@ -332,7 +336,14 @@
 class _ClientConnection:
     """One connection: the h11 state and the socket."""
 
-    __slots__ = ("_idle_until_s", "_is_partly_sent", "_protocol", "_stream", "carried")
+    __slots__ = (
+        "_idle_until_s",
+        "_is_partly_sent",
+        "_is_unanswered",
+        "_protocol",
+        "_stream",
+        "carried",
+    )
 
     def __init__(self, stream: trio.SocketStream) -> None:
         # Identities of the newest requests.
@@ -340,6 +351,8 @@
         self._protocol = h11.Connection(h11.CLIENT, _MAX_HEADER_BYTES)
         self._stream = stream
         self._is_partly_sent = False
+        # A request was written, and its answer has not begun.
+        self._is_unanswered = False
         self._idle_until_s = math.inf
 
     async def exchange(
@@ -356,6 +369,7 @@
             if is_answer(fields):
                 break
             await self._skip_answer(address, events)
+        self._is_unanswered = False
         self._note_keep_alive(dict(fields).get("keep-alive", ""))
         return ClientResponse(response.status_code, fields, self)
 
@@ -398,6 +412,7 @@
                 raise WithdrawnError(address, refusal)
             sent_bytes = self._send_now(address, data)
             if sent_bytes:
+                self._is_unanswered = True
                 return sent_bytes
             await trio.lowlevel.wait_writable(self._stream.socket)
 
@@ -497,7 +512,14 @@
         return not self._stream.socket.is_readable()
 
     def abort(self) -> None:
-        """Close at once, without a checkpoint: what the attempt failed by stays its error."""
+        """Close at once, without a checkpoint: what the attempt failed by stays its error.
+
+        A plain close lets the kernel go on sending what it holds.  When a way that was cut comes
+        back, a request would arrive that was given up long before; so an unanswered one is
+        discarded, as far as the server's kernel has not taken it.
+        """
+        if self._is_unanswered:
+            self._stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _DISCARD_UNSENT)
         self._stream.socket.close()
 
     def _note_keep_alive(self, text: str) -> None:
