Take back the record of an end that found no job

Cause: it took the place of a job that its client submits within half a second of such an end, by clocks that may be off by more.

Ruled out: easing what those tests ask, which is what clients expect of a job that was accepted after the end.

--- a/src/fescuedock/node/job_calls.py
+++ b/src/fescuedock/node/job_calls.py
@@ -10,7 +10,6 @@
 from fescuedock.core.forwarding.route_table import Route
 from fescuedock.core.stored_jobs.cache import CachedJob, JobCache
 from fescuedock.core.stored_jobs.ownership import OwnerIdentity
-from fescuedock.core.stored_jobs.tombstones import is_tombstone
 from fescuedock.faults import Fault
 from fescuedock.log import log_event
 from fescuedock.net.http_server import Request, Responder, fault_body
@@ -184,12 +183,12 @@
             found = await self.store.read_record(job_id)
         if isinstance(found, Err):
             return Err(_unsure(found.err_value.message, self.retry_after_ms))
-        return Ok(None if found.ok_value is None else _job_of(found.ok_value.record))
+        return Ok(None if found.ok_value is None else found.ok_value.record)
 
     def _known_record(self, job_id: str) -> StoredJobRecord | None:
         table = self.replicas.tables[self.store.keys.live]
         entry = table.entries.get(self.store.keys.record(job_id))
-        return None if entry is None else _job_of(decode_record(entry).record)
+        return None if entry is None else decode_record(entry).record
 
     async def _wait_listed(self, job_id: str, known: int, seen_version: int) -> None:
         """Wait to hear that more than ``known`` results are listed, or that no more will be."""
@@ -241,11 +240,6 @@
             await responder.send(200, b"{}")
 
 
-def _job_of(record: StoredJobRecord) -> StoredJobRecord | None:
-    """Return the record of a job, None for that of an end which found none."""
-    return None if is_tombstone(record) else record
-
-
 async def _refuse(responder: Responder, fault: Fault) -> None:
     headers = calls.refusal_headers(fault)
     await responder.send(fault.http_status, fault_body(fault), headers)
--- a/src/fescuedock/node/job_ends.py
+++ b/src/fescuedock/node/job_ends.py
@@ -9,8 +9,7 @@
 import trio
 from result import Err, Ok, Result
 
-from fescuedock.clock import UnixClock, now_ms
-from fescuedock.core.stored_jobs.tombstones import is_tombstone
+from fescuedock.clock import now_ms
 from fescuedock.core.stored_jobs.wanted_ends import UnsettledAcceptances, WantedEnds
 from fescuedock.faults import Fault
 from fescuedock.log import log_event
@@ -52,7 +51,6 @@
     configuration: NodeConfiguration
     wanted: WantedEnds
     unsettled: UnsettledAcceptances
-    unix_clock: UnixClock
     retry_after_ms: int
     _pursued: set[str] = msgspec.field(default_factory=set)
     _nursery: trio.Nursery | None = None
@@ -107,20 +105,11 @@
             if isinstance(ended, Err):
                 return ended
             if ended.ok_value is not None:
-                self._note(ended.ok_value)
-                return _no_such_job(job_id) if is_tombstone(ended.ok_value.record) else ended
+                self.replicas.note(self.store.keys.live, ended.ok_value.entry(self.store.keys))
+                return ended
             if await self.spools.end(job_id) or self.unsettled.may_store(job_id, now_ms()):
                 return self._unsure("the job may still have to be stored")
-        # Nobody has it, and yet a write may be on its way, by a node that stands still or in the
-        # store itself.
-        forestalled = await self.store.forestall(job_id, self.unix_clock() * 1000)
-        if isinstance(forestalled, Err):
-            return self._unsure(forestalled.err_value.message)
-        self._note(forestalled.ok_value)
-        return _no_such_job(job_id)
-
-    def _note(self, versioned: VersionedRecord) -> None:
-        self.replicas.note(self.store.keys.live, versioned.entry(self.store.keys))
+        return Err(Fault(ResultCode.NOT_FOUND, f"there is no job {job_id!r}"))
 
     # --- going on --------------------------------------------------------------------------------
 
@@ -228,7 +217,3 @@
 def _is_settled(ended: Result[VersionedRecord, Fault]) -> bool:
     """Whether an end is recorded, or it is known that there is no such job."""
     return isinstance(ended, Ok) or ended.err_value.code is ResultCode.NOT_FOUND
-
-
-def _no_such_job(job_id: str) -> Err[Fault]:
-    return Err(Fault(ResultCode.NOT_FOUND, f"there is no job {job_id!r}"))
--- a/src/fescuedock/node/job_store.py
+++ b/src/fescuedock/node/job_store.py
@@ -13,7 +13,6 @@
 from fescuedock.core.stored_jobs.commit import CommitState, judge_commit
 from fescuedock.core.stored_jobs.keys import JobKeys
 from fescuedock.core.stored_jobs.ownership import is_open
-from fescuedock.core.stored_jobs.tombstones import behind_tombstone, is_tombstone, tombstone
 from fescuedock.faults import Fault
 from fescuedock.kv import KvEntry, KvStore, KvTransaction, KvTransactions
 from fescuedock.pauses import GrowingPauses
@@ -78,28 +77,26 @@
     ) -> Result[VersionedRecord, Fault]:
         """Store a new job, or find the one that is there under its identity.
 
-        One that was ended before it could be stored is stored as ended.  Runs until the outcome is
-        known: the caller bounds the time, and being cancelled means that the job may or may not be
-        there.  ``KV_UNAVAILABLE`` promises that it is not.
+        Runs until the outcome is known: the caller bounds the time, and being cancelled means that
+        the job may or may not be there.  ``KV_UNAVAILABLE`` promises that it is not.
         """
         parts = self._parts(msgspec.msgpack.encode(items))
         record = msgspec.structs.replace(record, spec_parts=len(parts))
-        revision = 0
+        writes = {self.keys.record(record.job_id): msgspec.msgpack.encode(record)}
+        for number, part in enumerate(parts):
+            writes[self.keys.items(record.job_id, number)] = part
+        transaction = KvTransaction({self.keys.record(record.job_id): 0}, writes=writes)
         unsure = False
         pauses = GrowingPauses(_FIRST_PAUSE_MS, _MOST_PAUSE_MS)
         while True:
-            result = await self._kv.transact(self._acceptance(record, revision, parts))
+            result = await self._kv.transact(transaction)
             if isinstance(result, Ok):
                 return Ok(VersionedRecord(record, result.ok_value))
             fault = result.err_value
             if fault.code is ResultCode.KV_CONFLICT:
                 found = await self.read_record(record.job_id)
                 if isinstance(found, Ok) and found.ok_value is not None:
-                    if not is_tombstone(found.ok_value.record):
-                        return Ok(found.ok_value)
-                    record = behind_tombstone(record, found.ok_value.record)
-                    revision = found.ok_value.revision
-                    continue
+                    return Ok(found.ok_value)
                 # It is there, though it cannot be read: a later refusal promises nothing.
                 unsure = True
             elif fault.code is ResultCode.KV_UNKNOWN:
@@ -108,16 +105,6 @@
                 return result
             await pauses.wait()
 
-    def _acceptance(
-        self, record: StoredJobRecord, revision: int, parts: list[bytes]
-    ) -> KvTransaction:
-        """Return the write of a whole job in the place of what is there at ``revision``."""
-        key = self.keys.record(record.job_id)
-        writes = {key: msgspec.msgpack.encode(record)}
-        for number, part in enumerate(parts):
-            writes[self.keys.items(record.job_id, number)] = part
-        return KvTransaction({key: revision}, writes=writes)
-
     async def read_record(self, job_id: str) -> Result[VersionedRecord | None, Fault]:
         """Read a job's record; None when there is no such job."""
         found = await self._kv.get(self.keys.record(job_id))
@@ -261,15 +248,6 @@
                     return Ok(VersionedRecord(ended, written.ok_value))
             await pauses.wait()
 
-    async def forestall(self, job_id: str, ended_at_ms: float) -> Result[VersionedRecord, Fault]:
-        """Record an end that found no job, so that a submission from before it does not run.
-
-        ``KV_CONFLICT`` when the job is there by now.
-        """
-        record = tombstone(job_id, ended_at_ms)
-        written = await self._write(record, 0, {})
-        return written.map(lambda revision: VersionedRecord(record, revision))
-
     async def remove(self, job_id: str) -> Result[None, Fault]:
         """Remove all that is stored of a job, its record last."""
         keys: list[str] = []
--- a/src/fescuedock/node/main.py
+++ b/src/fescuedock/node/main.py
@@ -266,7 +266,6 @@
             self._configuration,
             wanted_ends,
             self._acceptance.unsettled,
-            self._clock,
             node.retry_after_ms,
         )
         self.front.jobs = JobCalls(
