Show that a node whose clock is ahead gives up a young job that it claims

Cause: JobRunner._start counts a job's age from the time of day at the node that it came to, by the time of day of the node that claims it. A difference over the retention makes any job too old.

Change: a test only; it fails on the code as it is.

Ruled out: a difference that the margin of 6 s covers.

--- /dev/null
+++ b/tests/test_review_clock_ahead.py
@@ -0,0 +1,52 @@
+"""A job that is claimed by a node whose time of day is ahead of that of the node it came to."""
+
+import unittest
+from unittest import mock
+
+import trio
+import trio.testing
+
+from fescuedock.node import job_runner
+from fescuedock.schema.stored_jobs import ResultGroup
+from tests.builders.runner_world import RunnerWorld, items_of
+
+# More than the retention of the jobs of that world, which is 60 s.
+AHEAD_S = 90
+
+
+class ClockAheadTest(unittest.TestCase):
+    """The owner of a job was lost a second after it had taken it in.
+
+    The node that claimed it took the job for older than its retention, by the difference of two
+    clocks, and listed what had not run within 6 s as given up.
+    """
+
+    def test_a_job_of_two_seconds_is_not_given_up(self) -> None:
+        given_up: list[str] = []
+        listed: list[str] = []
+
+        async def run() -> None:
+            async with trio.open_nursery() as nursery:
+                world = RunnerWorld(nursery, [0, AHEAD_S, AHEAD_S], 3.0)
+                with mock.patch.object(job_runner, "run_item", world.run_item):
+                    world.start()
+                    await trio.sleep(0.3)
+                    await world.nodes[0].submit("j0", items_of("j0", 36))
+                    await trio.sleep(1.0)
+                    world.nodes[0].scope.cancel()
+                    await trio.sleep(40.0)
+                    store = world.nodes[1].store
+                    record = (await store.read_record("j0")).unwrap().record
+                    groups: list[ResultGroup] = (await store.load(record)).unwrap().groups
+                    results = [result for group in groups for result in group.results]
+                    listed.extend(result.item_id for result in results)
+                    given_up.extend(item.item_id for item in results if not item.completed)
+                nursery.cancel_scope.cancel()
+
+        trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+        self.assertEqual(len(listed), 36)
+        self.assertEqual(given_up, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
