Show that VMs take the key-value service for away while one that they reach is answered

Cause: ConfigNode.kv_away judges by the age of this VM's own confirmation and by how many VMs membership shows. No VM was asked whether it was answered but one at random in each round, and that one may have had its answer half of the limit ago.

Change: a test only; it fails on the code as it is.

Ruled out: that it lasts only until the next round: it is counted 3 s after each answer, the age at which records become too old to begin items on.

What it takes besides for an item to begin after a cancel is that the push to the owner is lost; not shown.

--- /dev/null
+++ b/tests/test_review_kv_away.py
@@ -0,0 +1,70 @@
+"""What one VM takes for "the key-value service answers nobody", while it answers some."""
+
+import unittest
+
+from fescuedock.core.config.node import ConfigNode, Pull, ReadRevision
+from fescuedock.schema.settings import BatchSettings
+from tests.builders.config import node_of, records, vm_record
+
+VMS = 6
+STEP_MS = 50.0
+RUN_MS = 120_000.0
+# How old a record may be on which a runner begins items, and how long after an answer is looked.
+RECORD_AGE_MS = BatchSettings(port=1).record_age_ms
+LOOK_MS = 500.0
+
+
+class PartlyAwayTest(unittest.TestCase):
+    """The service turned away five of six VMs and served the one that recorded a cancel.
+
+    The five reached each other and the sixth all the while.  A runner asks whether the service
+    answers nobody, and begins items on records of any age while it does not.
+    """
+
+    def test_a_vm_does_not_say_so_while_one_that_it_reaches_is_answered(self) -> None:
+        vms = [vm_record(f"vm-{number}") for number in range(VMS)]
+        nodes = {vm.vm_id: node_of(vm, vms, seed) for seed, vm in enumerate(vms)}
+        record = records(1)[-1]
+        for node in nodes.values():
+            node.replica.offer_record(record, "start", 3)
+            node.replica.confirm(0.0)
+        # One that does not watch for its domain, as the others of the domain rely on those.
+        served = self.not_watching(nodes)
+        answered_ms = 0.0
+        wrong_ms: list[float] = []
+        now_ms = 0.0
+        while now_ms < RUN_MS:
+            now_ms += STEP_MS
+            for node in nodes.values():
+                answered = self.act(nodes, node, served, now_ms)
+                answered_ms = now_ms if answered else answered_ms
+            if answered_ms and 0 <= now_ms - answered_ms - RECORD_AGE_MS <= LOOK_MS:
+                wrong_ms += [now_ms for node in nodes.values() if node.kv_away(now_ms)]
+        self.assertGreater(answered_ms, 0.0)
+        self.assertEqual(wrong_ms, [])
+
+    def not_watching(self, nodes: dict[str, ConfigNode]) -> ConfigNode:
+        for node in nodes.values():
+            if not any(isinstance(item, ReadRevision) for item in node._confirm(0.0)):
+                node._confirm_due_ms = 0.0
+                return node
+        raise AssertionError("all watch")
+
+    def act(
+        self, nodes: dict[str, ConfigNode], node: ConfigNode, served: ConfigNode, now_ms: float
+    ) -> bool:
+        """Carry out what is due at a node; return whether the service answered it."""
+        answered = False
+        actions = node.tick(now_ms)
+        while actions:
+            match actions.pop(0):
+                case ReadRevision():
+                    answered = answered or node is served
+                    actions += node.on_revision(3 if node is served else None, now_ms)
+                case Pull(vm, message):
+                    node.on_push(nodes[vm.vm_id].on_pull(message, now_ms), now_ms, now_ms)
+        return answered
+
+
+if __name__ == "__main__":
+    unittest.main()
