--- a/tests/soak/regressions.py
+++ b/tests/soak/regressions.py
@@ -33,4 +33,7 @@
     Regression(
         1040, 4, 12.0, "an owner that had stood still took news of before for knowledge of now"
     ),
+    Regression(
+        2994, 4, 12.0, "no node remembered an end that could not be recorded at once", spools=3
+    ),
 )
