Have the soak's client that leaves send its whole call first

Cause: the client gave up 2 ms after it began to connect.

Change: it connects first, sends the whole call, and closes 2 ms later.

--- a/tests/soak/lost_ends.py
+++ b/tests/soak/lost_ends.py
@@ -10,9 +10,10 @@
 
 from fescuedock.net.http_client import HttpClient
 from tests.builders.jobs_calls import job_body
+from tests.builders.node import HOST
 from tests.soak.clients import call_node
 from tests.soak.promises import NOT_RUN, Disturbance, Ledger, SoakJob
-from tests.soak.world import LONG_ITEM, World
+from tests.soak.world import LONG_ITEM, NodeProcess, World
 
 __all__ = ["LostEndClient", "lose_ends"]
 
@@ -24,6 +25,7 @@
 _OUTAGE_SHARE = 0.35
 # Too short for an answer.
 _LEAVES_S = 0.002
+_CONNECT_S = 4.0
 
 
 @dataclass(slots=True)
@@ -50,6 +52,26 @@
         if self.job is not None and self.job.accepted:
             await self._end(self.job, patience_s)
 
+    async def end_and_leave(self) -> None:
+        """Send one call to end the job, whole, and close the connection before its answer."""
+        job, node = self.job, self.rng.choice(self.world.nodes)
+        if job is None or not job.accepted:
+            return
+        pid = node.process.pid
+        job.end_asked = True
+        call = f"DELETE /api/lots/{job.job_id} HTTP/1.1\r\nhost: {HOST}\r\n\r\n"
+        sent_s = trio.current_time()
+        try:
+            with trio.fail_after(_CONNECT_S):
+                stream = await trio.open_tcp_stream(node.front.host, node.front.port)
+            await stream.send_all(call.encode())
+        except (OSError, trio.TooSlowError, trio.BrokenResourceError):
+            return
+        await trio.sleep(_LEAVES_S)
+        await trio.aclose_forcefully(stream)
+        job.calls.append(f"{self.ledger.tell(sent_s)} DELETE {node.name}: left")
+        self._note_lost(job, node, pid)
+
     async def end_for_good(self) -> None:
         """End the job after all, so that its items do not keep others waiting."""
         await self.try_end(4.0)
@@ -78,10 +100,15 @@
         job.calls.append(f"{self.ledger.tell(sent_s)} DELETE {node.name}: {reply.status}")
         if reply.status == 200:
             job.ended_s = min(job.ended_s, trio.current_time())
-        elif reply.sent and node.process.pid == pid:
+        elif reply.sent:
+            self._note_lost(job, node, pid)
+
+    def _note_lost(self, job: SoakJob, node: NodeProcess, pid: int) -> None:
+        if node.process.pid != pid:
             # Who was killed while it had the call cannot know of it.
-            job.lost_end_s = min(job.lost_end_s, trio.current_time())
-            job.lost_end_at = (node.name, pid)
+            return
+        job.lost_end_s = min(job.lost_end_s, trio.current_time())
+        job.lost_end_at = (node.name, pid)
 
 
 async def lose_ends(
@@ -107,4 +134,4 @@
         await trio.sleep_until(max(until_s, trio.current_time()))
     world.store.bring_up()
     outage.ended_s = trio.current_time()
-    await leaving.try_end(_LEAVES_S)
+    await leaving.end_and_leave()
