Show that a machine being emptied takes jobs again once its program has started anew

Cause: SpoolService keeps in memory alone that its machine is to be removed. After "holds nothing" and a restart it registers and acknowledges jobs again, while the operator is told that it is empty.

Change: a test only; it fails on the code as it is.

Ruled out: a machine that goes on running refuses (the other test passes).

--- /dev/null
+++ b/tests/test_review_spool_emptied.py
@@ -0,0 +1,55 @@
+"""A machine that is being emptied and whose program starts again on the way."""
+
+import unittest
+
+from fescuedock.core.stored_jobs.keys import JobKeys
+from fescuedock.node.job_store import JobStore
+from fescuedock.schema.result_codes import ResultCode
+from fescuedock.schema.stored_jobs import EmptySpool, NodeRecord, SpoolJob
+from fescuedock.spool.service import SpoolService
+from tests.builders.disk import MemoryDisk
+from tests.builders.kv import MemoryKv
+from tests.builders.standins import run_async
+from tests.test_spool_files import job, opened
+
+KEYS = JobKeys("p/")
+RECORD = NodeRecord("spool-1", "caldas", "sala-1", "127.0.1.1", 1)
+
+
+class EmptiedSpoolTest(unittest.TestCase):
+    """A node had asked a machine to take nothing more and heard that it held nothing.
+
+    Before the machine was taken away its program started again, which knew nothing of that: it
+    acknowledged another job, on a disk that went with the machine.
+    """
+
+    def service(self, disk: MemoryDisk) -> SpoolService:
+        kv = MemoryKv()
+        store = JobStore(kv, KEYS, 100_000)
+        return SpoolService(opened(disk), kv, store, KEYS.spools + RECORD.vm_id, RECORD)
+
+    def code_of_a_job(self, *, restarted: bool) -> ResultCode:
+        codes: list[ResultCode] = []
+
+        async def run() -> None:
+            disk = MemoryDisk()
+            service = self.service(disk)
+            reply = await service.handlers()[EmptySpool](EmptySpool("it goes"), None)
+            self.assertEqual(reply.pending, 0)
+            if restarted:
+                service = self.service(disk)
+            kept = await service.handlers()[SpoolJob](job(), None)
+            codes.append(ResultCode(kept.code))
+
+        run_async(run)
+        return codes[0]
+
+    def test_a_machine_that_is_being_emptied_takes_nothing(self) -> None:
+        self.assertEqual(self.code_of_a_job(restarted=False), ResultCode.STORES_UNAVAILABLE)
+
+    def test_nor_does_it_after_its_program_has_started_again(self) -> None:
+        self.assertNotEqual(self.code_of_a_job(restarted=True), ResultCode.OK)
+
+
+if __name__ == "__main__":
+    unittest.main()
