Keep a claimed job for its retention, whatever the clock of the node that claims it

Callers saw items of a young job listed as given up after its owner was lost: the node that claimed it, whose time of day was ahead, took the job for older than its retention. A job is no older than the last time at which this node's copy of the records certainly lacked it, by the node's own clock.

--- a/src/fescuedock/core/replica_table.py
+++ b/src/fescuedock/core/replica_table.py
@@ -46,6 +46,8 @@
     entries: dict[str, KvEntry] = msgspec.field(default_factory=dict)
     # The newest of all entries; beyond ``revision`` while one was noted that no news have told of.
     _newest_revision: int = UNKNOWN_REVISION
+    # For each key, a time at which it certainly was not there yet.
+    _absent_ms: dict[str, float] = msgspec.field(default_factory=dict)
     # Revisions of removals, so that an older state does not bring a key back.
     _removed: dict[str, int] = msgspec.field(default_factory=dict)
 
@@ -61,6 +63,13 @@
         """Return the longest time for which there may have been changes that are not here."""
         return now_ms - self.as_of_ms
 
+    def absent_as_of_ms(self, key: str) -> float:
+        """Return a time at which ``key`` certainly was not there yet, by this node's own clock.
+
+        Infinitely long ago for a key that was there when this node first heard of the prefix.
+        """
+        return self._absent_ms.get(key, float("-inf"))
+
     def replace(self, entries: Iterable[KvEntry], revision: int, confirmed_ms: float) -> None:
         """Take all keys as of ``revision``; those that are missing have gone by then.
 
@@ -140,6 +149,8 @@
             return
         self._removed.pop(entry.key, None)
         self.entries[entry.key] = entry
+        if known is None:
+            self._absent_ms[entry.key] = self.as_of_ms
         self._newest_revision = max(self._newest_revision, entry.mod_revision)
         if known is None or not self.is_heartbeat(known.value, entry.value):
             self.version += 1
@@ -149,6 +160,7 @@
         if known is None or known.mod_revision > revision:
             return
         del self.entries[key]
+        del self._absent_ms[key]
         self._removed[key] = revision
         self.version += 1
 
--- a/src/fescuedock/node/job_runner.py
+++ b/src/fescuedock/node/job_runner.py
@@ -284,12 +284,15 @@
         listed = [result.item_id for result in loaded.results]
         age_ms = self._unix_clock() * 1000 - record.submitted_at_ms
         began_ms = now_ms() - min(max(age_ms, 0), record.retention_ms or record.due_in_ms)
+        # Clocks of nodes differ by any amount, and what is given up stays so.
+        absent_ms = self._table.absent_as_of_ms(self._store.keys.record(record.job_id))
+        kept_from_ms = max(began_ms, absent_ms)
         run = StoredJob(
             record,
             loaded.items,
             listed,
             due_ms=began_ms + record.due_in_ms,
-            give_up_ms=began_ms + record.retention_ms + _GIVE_UP_MARGIN_MS,
+            give_up_ms=kept_from_ms + record.retention_ms + _GIVE_UP_MARGIN_MS,
         )
         run.resume(loaded.progress)
         job = OwnedJob(run, stored)
