Log the identity of each piece of work, and serve a node's metrics once it has results

Logs named calls by the identity that each try of a client has anew, so they could not tell whether upstreams ended under the same work or under calls that happened to be there. Each scrape of a node's metrics failed from its first result on: the name of the process was taken to have two parts.

--- a/src/fescuedock/core/stored_jobs/job.py
+++ b/src/fescuedock/core/stored_jobs/job.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from fescuedock.core.forwarding.event_stream import SplitEvent
+from fescuedock.core.work_identity import work_identity
 from fescuedock.schema.stored_jobs import (
     ItemProgress,
     StoredItem,
@@ -58,6 +59,7 @@
     """One item without a result yet, and what its runs have given so far."""
 
     item: StoredItem
+    work_id: str = ""
     running: bool = False
     failures: int = 0
     interruptions: int = 0
@@ -128,7 +130,11 @@
         self.give_up_ms = give_up_ms
         self.listed_count = len(listed)
         self._pauses = pauses or RetryPauses()
-        self._open = {item.item_id: ItemRun(item) for item in items if item.item_id not in done}
+        self._open = {
+            item.item_id: ItemRun(item, _work_id(record, item))
+            for item in items
+            if item.item_id not in done
+        }
         self._results: list[StoredResult] = []
         self._committing = 0
         self._saved_events = 0
@@ -250,3 +256,8 @@
         self._open.pop(run.item.item_id, None)
         text = "\n".join(run.texts) if completed else ""
         self._results.append(StoredResult(run.item.item_id, completed, text))
+
+
+def _work_id(record: StoredJobRecord, item: StoredItem) -> str:
+    """Return the identity of an item's work, which is that of a call with the same request."""
+    return work_identity("POST", record.host, item.path, "", item.body)
--- a/src/fescuedock/node/item_run.py
+++ b/src/fescuedock/node/item_run.py
@@ -79,6 +79,7 @@
         routine=end is ItemEnd.WHOLE,
         job_id=job.job_id,
         item_id=item.item.item_id,
+        work_id=item.work_id,
         upstream_id=upstream.upstream_id,
         end=end.value,
         attempt_end="whole" if attempt_end is None else attempt_end.value,
--- a/src/fescuedock/node/main.py
+++ b/src/fescuedock/node/main.py
@@ -95,7 +95,7 @@
         open_permit_client(settings, codec, view, holder_id) as permits,
         trio.open_nursery() as nursery,
     ):
-        node = _Node(settings, view, store_http, upstream_http, pool)
+        node = _Node(settings, view, store_http, upstream_http, pool, holder_id)
         node.wire(udp, codec, permits)
         handlers.update(node.handlers())
         node.start(nursery)
@@ -125,6 +125,7 @@
         store_http: HttpClient,
         upstream_http: HttpClient,
         pool: ChannelPool,
+        holder_id: str,
     ) -> None:
         node = settings.node
         self._settings = settings
@@ -168,7 +169,7 @@
         self._lease = NodeLease(
             self._store, self._keys.nodes, self._node_record(), node.lease_ttl_ms
         )
-        self._metrics = Metrics(settings.vm.vm_id, self._clock, self._objectives)
+        self._metrics = Metrics(holder_id, self._clock, self._objectives)
         self._served = trio.Event()
 
     def wire(self, udp, codec, permits) -> None:
--- a/src/fescuedock/node/online_call.py
+++ b/src/fescuedock/node/online_call.py
@@ -13,6 +13,7 @@
 from fescuedock.core.forwarding.progress import AttemptEnd, CallProgress
 from fescuedock.core.forwarding.route_table import Route, RouteKind
 from fescuedock.core.routing import Demand
+from fescuedock.core.work_identity import work_identity
 from fescuedock.entry.online_permits import find_permit
 from fescuedock.faults import Fault
 from fescuedock.log import log_event
@@ -65,6 +66,7 @@
         "sending",
         "service",
         "shared",
+        "work_id",
     )
 
     def __init__(
@@ -101,6 +103,8 @@
             self.route.idempotent, self.route.max_attempts, self.head.last_event
         )
         self.service = self.route.choose_service(self.shared.rng)
+        host = request.headers.get("host", "")
+        self.work_id = work_identity(request.method, host, request.target, self.member, body)
         parts = self.head.shared_parts
         self.demand = Demand(
             prompt_tokens=self.head.prompt_tokens,
@@ -313,6 +317,7 @@
         log_event(
             "call_given_up",
             request_id=self.request_id,
+            work_id=self.work_id,
             route=self.route.name,
             code=fault.code.name,
             status=fault.http_status,
@@ -368,6 +373,7 @@
             "call_attempt",
             routine=end == "whole",
             request_id=self.request_id,
+            work_id=self.work_id,
             route=self.route.name,
             upstream_id=upstream.upstream_id,
             attempt=self.progress.attempts + 1,
