--- a/src/fescuedock/platform/standin/event_upstream.py
+++ b/src/fescuedock/platform/standin/event_upstream.py
@@ -1,6 +1,7 @@
 """An upstream of the users' platform as a stand-in: numbered events, with faults on command."""
 
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import trio
@@ -9,7 +10,7 @@
 from fescuedock.net.http_server import DroppedConnectionError, Request, Responder
 from fescuedock.standin.listener import Listener
 
-__all__ = ["EventUpstream", "UpstreamFault"]
+__all__ = ["EventUpstream", "UpstreamCrash", "UpstreamFault", "event_bytes"]
 
 _MAX_BODY_BYTES = 16 * 1024 * 1024
 
@@ -32,9 +33,27 @@
     lose: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamCrash:
+    """One crash: the path of the request that caused it, trio's time in seconds, what ran there."""
+
+    path: str
+    at_s: float
+    request_ids: tuple[str, ...]
+
+
+def _nobody(_upstream: "EventUpstream") -> None:
+    """Tell nobody."""
+
+
 @dataclass(slots=True)
 class EventUpstream:
-    """One upstream.  ``runs`` counts by request identity; ``seen`` has the headers of each run."""
+    """One upstream.  ``runs`` counts by request identity; ``seen`` has the headers of each run.
+
+    A request to one of the ``harmful`` paths crashes it ``crash_after_ms`` after it has begun: every
+    connection is cut and new ones are refused for ``restart_ms``.  It comes back at the same address
+    as another incarnation, with an identity of its own, and calls ``on_restart``.
+    """
 
     upstream_id: str
     event_count: int = 5
@@ -47,12 +66,24 @@
     # Paths that always fail, and those that can never be done.
     failing: set[str] = field(default_factory=set)
     impossible: set[str] = field(default_factory=set)
-    running: int = 0
+    harmful: set[str] = field(default_factory=set)
+    crash_after_ms: float = 20.0
+    restart_ms: float = 300.0
+    crashes: list[UpstreamCrash] = field(default_factory=list)
+    on_crash: Callable[["EventUpstream"], None] = _nobody
+    on_restart: Callable[["EventUpstream"], None] = _nobody
+    # Identities of the requests that run now.
+    in_progress: list[str] = field(default_factory=list)
     listener: Listener = field(init=False)
+    _background: trio.Nursery | None = None
 
     def __post_init__(self) -> None:
         self.listener = Listener(self.handle)
 
+    @property
+    def running(self) -> int:
+        return len(self.in_progress)
+
     @property
     def address(self) -> Address:
         return self.listener.address
@@ -61,7 +92,26 @@
         self, address: Address, *, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED
     ) -> None:
         """Serve until cancelled; report the real ``Address``."""
-        await self.listener.run(address, task_status=task_status)
+        async with trio.open_nursery() as nursery:
+            self._background = nursery
+            task_status.started(await nursery.start(self.listener.run, address))
+
+    def crash(self, path: str = "") -> None:
+        """Cut every connection, refuse new ones, and come back after a while."""
+        if not self.listener.is_up:
+            return
+        running = tuple(self.in_progress)
+        self.crashes.append(UpstreamCrash(path, trio.current_time(), running))
+        self.listener.take_down()
+        self.on_crash(self)
+        self._background.start_soon(self._come_back)
+
+    async def _come_back(self) -> None:
+        await trio.sleep(self.restart_ms / 1000)
+        name = self.upstream_id.partition("+")[0]
+        self.upstream_id = f"{name}+{len(self.crashes)}"
+        self.listener.bring_up()
+        self.on_restart(self)
 
     async def handle(self, request: Request, responder: Responder) -> None:
         """Run one request and stream its events."""
@@ -81,11 +131,15 @@
         self.runs[request_id] += 1
         self.seen.append(dict(request.headers))
         self.started.append((request_id, trio.current_time()))
-        self.running += 1
+        self.in_progress.append(request_id)
         try:
+            if request.path in self.harmful:
+                await trio.sleep(self.crash_after_ms / 1000)
+                self.crash(request.path)
+                await trio.sleep_forever()
             await self._run(request, responder, request_id, body, fault)
         finally:
-            self.running -= 1
+            self.in_progress.remove(request_id)
 
     async def _run(
         self,
--- a/tests/builders/node.py
+++ b/tests/builders/node.py
@@ -33,6 +33,8 @@
 HOST = "desk.example"
 SERVICE = "desk-llm"
 SLOTS = 4
+# After a crash, until the store removes an upstream's entry.
+UPSTREAM_LEASE_S = 0.6
 _request_numbers = itertools.count(1)
 
 
@@ -189,8 +191,20 @@
         await self.nursery.start(upstream.run, LOOPBACK)
         self.upstreams.append(upstream)
         self.register(upstream)
+        upstream.on_crash = self._lapse_soon
+        upstream.on_restart = self.register
         return upstream
 
+    def _lapse_soon(self, upstream: EventUpstream) -> None:
+        """Have the entry of a crashed upstream lapse, as its lease does some time later."""
+        key = f"servers/{upstream.upstream_id}"
+
+        async def lapse() -> None:
+            await trio.sleep(UPSTREAM_LEASE_S)
+            self.store.state.delete(key)
+
+        self.nursery.start_soon(lapse)
+
     def register(self, upstream: EventUpstream, state: str = "ready", **changes: object) -> None:
         entry = worker_entry(str(upstream.address), state=state, **changes)
         self.store.state.put(f"servers/{upstream.upstream_id}", json.dumps(entry).encode())
