--- a/src/fescuedock/agent/codec.py
+++ b/src/fescuedock/agent/codec.py
@@ -6,6 +6,7 @@
 from fescuedock.schema import (
     batch,
     config,
+    crashes,
     membership,
     permits,
     replicas,
@@ -18,7 +19,7 @@
 
 __all__ = ["open_codec"]
 
-_MODULES = (batch, config, membership, permits, replicas, report, store, stored_jobs, view)
+_MODULES = (batch, config, crashes, membership, permits, replicas, report, store, stored_jobs, view)
 
 
 def open_codec(settings: VmSettings) -> Codec:
--- /dev/null
+++ b/src/fescuedock/agent/crash_service.py
@@ -0,0 +1,298 @@
+"""The agent's part in what is known of upstreams that ended: found out, shared, and kept.
+
+Programs tell of runs that were broken off.  Whether the upstream has ended is found out by asking
+it for a connection; what is found goes to the other agents by message and to the key-value service,
+where it outlives them all.
+"""
+
+import random
+from collections import defaultdict
+from collections.abc import Iterable
+from secrets import token_hex
+
+import msgspec
+import trio
+from result import Err
+
+from fescuedock.address import Address
+from fescuedock.agent.link import FleetView
+from fescuedock.clock import UnixClock, now_ms
+from fescuedock.core.crash_log import CrashFact, CrashLog
+from fescuedock.core.quarantine import QuarantinePolicy
+from fescuedock.core.rendezvous import choose_name
+from fescuedock.kv import KvEntry, KvStore
+from fescuedock.log import log_event
+from fescuedock.net.channel import CallHandler, ServerPeer
+from fescuedock.net.channel_pool import ChannelPool
+from fescuedock.net.http_client import Acceptance, HttpClient
+from fescuedock.pauses import GrowingPauses
+from fescuedock.schema.crashes import (
+    BrokenRun,
+    CrashedRun,
+    CrashesReply,
+    CrashesRequest,
+    CrashReport,
+    WholeRun,
+    WorkCleared,
+)
+from fescuedock.schema.result_codes import ResultCode
+from fescuedock.schema.view import UpstreamRecord
+
+__all__ = ["CrashService"]
+
+# Below the prefix of all reports.
+_CRASHES = "ended/"
+_CLEARED = "cleared/"
+_REPORT_BYTES = 12
+_SAME_END_MS = QuarantinePolicy().same_end_ms
+# A dying process may still take connections while those that it had are cut already.
+_SECOND_LOOK_S = 0.05
+# An upstream that neither refuses nor takes connections has ended if it goes from the list within
+# this time: engines that stop writing to it are gone from it after some seconds.
+_GONE_S = 5.0
+# Runs that were broken off by one end come in within milliseconds of each other.
+_GATHER_S = 0.01
+_FIRST_PAUSE_MS = 100.0
+_MOST_PAUSE_MS = 2000.0
+# Between two looks at what is too old.
+_FORGET_S = 600.0
+# Agents hear of what others find by message; this is for those that were away.  370 of them make 6
+# reads a second of it.
+_READ_S = 60.0
+# Waiting longer than this would hold an answer that a program does not wait for any more.
+_MOST_WAIT_MS = 30000
+
+
+class CrashService:
+    """Keeps ``view.quarantine`` current, and finds out about the upstreams of this VM's programs.
+
+    ``prefix`` is where reports lie in the key-value service; whoever follows it hands what lies
+    there to ``take_entries``.
+    """
+
+    def __init__(
+        self,
+        view: FleetView,
+        http: HttpClient,
+        pool: ChannelPool,
+        kv: KvStore,
+        prefix: str,
+        rng: random.Random,
+        unix_clock: UnixClock,
+    ) -> None:
+        self._view = view
+        self._http = http
+        self._pool = pool
+        self._kv = kv
+        self._prefix = prefix
+        self._rng = rng
+        # Unix time at trio's time 0; the clock itself gives whole seconds.
+        self._unix_base_ms = unix_clock() * 1000.0 - now_ms()
+        self._log = CrashLog(view.quarantine, boot=rng.getrandbits(53))
+        self._changed = trio.Event()
+        # Runs that were broken off, by upstream, while it is being found out whether that ended.
+        self._broken: defaultdict[str, list[BrokenRun]] = defaultdict(list)
+        # When upstreams of this VM's broken runs were found to have ended.
+        self._ended_ms: dict[str, float] = {}
+        # Revisions of what lies in the key-value service.
+        self._stored: dict[str, int] = {}
+        self._nursery: trio.Nursery | None = None
+
+    def handlers(self) -> dict[type[msgspec.Struct], CallHandler]:
+        """Handlers by message type, to be merged with those of the agent's other services."""
+        return {
+            BrokenRun: self._on_broken,
+            WholeRun: self._on_whole,
+            CrashReport: self._on_fact,
+            WorkCleared: self._on_fact,
+            CrashesRequest: self._on_request,
+        }
+
+    async def run(self) -> None:
+        """Find out, share and keep until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            while True:
+                await trio.sleep(_FORGET_S)
+                self._view.quarantine.forget(self._now_ms())
+                self._ended_ms.clear()
+                await self._remove_forgotten()
+
+    async def read_forever(self) -> None:
+        """Read what lies in the key-value service now and then, where nothing follows its keys."""
+        while True:
+            was_read = await self._read_all()
+            pause_s = _READ_S if was_read else _MOST_PAUSE_MS / 1000
+            await trio.sleep(pause_s * self._rng.uniform(0.7, 1.3))
+
+    async def _read_all(self) -> bool:
+        start_after = ""
+        while True:
+            read = await self._kv.get_range(self._prefix, start_after=start_after)
+            if isinstance(read, Err):
+                return False
+            page = read.ok_value
+            self.take_entries(page.entries)
+            if not page.more or not page.entries:
+                return True
+            start_after = page.entries[-1].key
+
+    def take_entries(self, entries: Iterable[KvEntry]) -> None:
+        """Take in what lies in the key-value service, each entry as often as it may come."""
+        for entry in entries:
+            if not entry.key.startswith(self._prefix):
+                continue
+            kind = WorkCleared if entry.key.startswith(self._prefix + _CLEARED) else CrashReport
+            if self._view.quarantine.knows(entry.key.rpartition("/")[2]):
+                continue
+            try:
+                fact = msgspec.msgpack.decode(entry.value, type=kind)
+            except msgspec.MsgspecError as error:
+                log_event("crash_report_unreadable", key=entry.key, reason=str(error))
+                continue
+            self._stored[entry.key] = entry.mod_revision
+            if not self._view.quarantine.is_forgotten(fact.at_ms, self._now_ms()):
+                self._learn(fact)
+
+    # --- programs --------------------------------------------------------------------------------
+
+    async def _on_broken(self, message: BrokenRun, _peer: ServerPeer) -> None:
+        upstream = self._view.upstreams.get(message.upstream_id)
+        known = self._has_just_ended(message.upstream_id) or message.upstream_id in self._broken
+        if not known and (upstream is None or upstream.leaving):
+            # One that was to leave has ended as planned, with what ran there.
+            return
+        waiting = self._broken[message.upstream_id]
+        waiting.append(message)
+        if len(waiting) == 1:
+            self._nursery.start_soon(self._find_out, message.upstream_id, upstream)
+
+    async def _on_whole(self, message: WholeRun, _peer: ServerPeer) -> None:
+        reports = self._view.quarantine.reports_against(message.work_id)
+        if reports:
+            self._tell(WorkCleared(_new_id(), message.work_id, reports, int(self._now_ms())))
+
+    async def _on_request(self, message: CrashesRequest, _peer: ServerPeer) -> CrashesReply:
+        seen = self._log.seen_of(message.agent_boot, message.seen)
+        with trio.move_on_after(min(message.wait_ms, _MOST_WAIT_MS) / 1000):
+            while self._log.length <= seen:
+                await self._changed.wait()
+        return self._log.reply_after(seen)
+
+    # --- finding out -----------------------------------------------------------------------------
+
+    async def _find_out(self, upstream_id: str, upstream: UpstreamRecord | None) -> None:
+        """Report the runs that an upstream broke off, if it has ended."""
+        if not self._has_just_ended(upstream_id):
+            if not await self._has_ended(upstream):
+                del self._broken[upstream_id]
+                return
+            self._ended_ms[upstream_id] = now_ms()
+        await trio.sleep(_GATHER_S)
+        runs = [
+            CrashedRun(item.work_id, item.alone, item.begun)
+            for item in self._broken.pop(upstream_id)
+        ]
+        self._tell(CrashReport(_new_id(), upstream_id, int(self._now_ms()), runs))
+
+    def _has_just_ended(self, upstream_id: str) -> bool:
+        ended_ms = self._ended_ms.get(upstream_id, float("-inf"))
+        return now_ms() - ended_ms <= _SAME_END_MS
+
+    async def _has_ended(self, upstream: UpstreamRecord) -> bool:
+        address = Address(upstream.host, upstream.port)
+        acceptance = await self._http.try_connect(address)
+        if acceptance is Acceptance.ACCEPTED:
+            await trio.sleep(_SECOND_LOOK_S)
+            acceptance = await self._http.try_connect(address)
+        if acceptance is Acceptance.REFUSED:
+            return True
+        return await self._goes_unannounced(upstream.upstream_id)
+
+    async def _goes_unannounced(self, upstream_id: str) -> bool:
+        """Whether an upstream goes from the list soon without having been leaving."""
+        version = self._view.version
+        with trio.move_on_after(_GONE_S):
+            while True:
+                current = self._view.upstreams.get(upstream_id)
+                if current is None or current.leaving:
+                    return current is None
+                version = await self._view.wait_changed(version)
+        return False
+
+    # --- sharing ---------------------------------------------------------------------------------
+
+    def _tell(self, fact: CrashFact) -> None:
+        """Learn a fact that was found here, and see to it that all others do."""
+        self._learn(fact)
+        self._nursery.start_soon(self._push, fact)
+        self._nursery.start_soon(self._keep, fact)
+
+    async def _on_fact(self, message: CrashFact, _peer: ServerPeer) -> None:
+        self._learn(message)
+
+    def _learn(self, fact: CrashFact) -> None:
+        if not self._log.note(fact):
+            return
+        self._view.note_quarantine()
+        self._changed.set()
+        self._changed = trio.Event()
+        match fact:
+            case CrashReport():
+                log_event(
+                    "upstream_ended",
+                    upstream_id=fact.upstream_id,
+                    report_id=fact.report_id,
+                    works=[run.work_id for run in fact.runs],
+                    alone=any(run.alone for run in fact.runs),
+                )
+                for run in fact.runs:
+                    self._log_verdict(run.work_id)
+            case WorkCleared():
+                log_event("work_cleared", work_id=fact.work_id, reports=len(fact.void_report_ids))
+
+    def _log_verdict(self, work_id: str) -> None:
+        verdict = self._view.quarantine.verdict(work_id, self._now_ms())
+        log_event(
+            "work_suspected",
+            routine=verdict.crashes < 2,
+            work_id=work_id,
+            crashes=verdict.crashes,
+            standing=verdict.standing.name,
+        )
+
+    async def _push(self, fact: CrashFact) -> None:
+        for vm in self._view.live_vms():
+            if vm.vm_id != self._view.vm_id and vm.agent_port:
+                client = await self._pool.client(Address(vm.host, vm.agent_port))
+                client.push(fact)
+
+    async def _keep(self, fact: CrashFact) -> None:
+        """Write a fact until it is certainly there; what it says stays true meanwhile."""
+        kind = _CLEARED if isinstance(fact, WorkCleared) else _CRASHES
+        key = f"{self._prefix}{kind}{fact.report_id}"
+        value = msgspec.msgpack.encode(fact)
+        pauses = GrowingPauses(_FIRST_PAUSE_MS, _MOST_PAUSE_MS)
+        while True:
+            written = await self._kv.put_if(key, value, 0)
+            # A conflict is the answer to a write of our own whose answer was lost.
+            if not isinstance(written, Err) or written.err_value.code is ResultCode.KV_CONFLICT:
+                return
+            await pauses.wait()
+
+    async def _remove_forgotten(self) -> None:
+        """Remove what has been forgotten from the key-value service; one agent does it."""
+        vm_ids = [vm.vm_id for vm in self._view.live_vms()]
+        for key, revision in list(self._stored.items()):
+            if self._view.quarantine.knows(key.rpartition("/")[2]):
+                continue
+            del self._stored[key]
+            if choose_name(key, vm_ids) == self._view.vm_id:
+                await self._kv.delete_if(key, revision)
+
+    def _now_ms(self) -> float:
+        return self._unix_base_ms + now_ms()
+
+
+def _new_id() -> str:
+    return token_hex(_REPORT_BYTES)
--- a/src/fescuedock/agent/link.py
+++ b/src/fescuedock/agent/link.py
@@ -8,11 +8,13 @@
 from result import Ok, Result
 
 from fescuedock.address import Address
-from fescuedock.clock import now_ms
+from fescuedock.clock import UnixClock, now_ms, unix_clock
+from fescuedock.core.quarantine import Quarantine, Verdict
 from fescuedock.core.rendezvous import OwnerIndex
 from fescuedock.net.channel import ChannelClient
 from fescuedock.net.codec import Codec
 from fescuedock.schema.config import Configuration
+from fescuedock.schema.crashes import CrashesReply, CrashesRequest
 from fescuedock.schema.view import (
     Hello,
     Program,
@@ -53,8 +55,11 @@
         "_kv_away_until_ms",
         "_listed_at_ms",
         "_owners",
+        "_quarantine_changed",
         "config_version",
         "configuration",
+        "quarantine",
+        "unix_clock",
         "upstreams",
         "version",
         "vm_id",
@@ -73,6 +78,11 @@
         self._kv_away_until_ms = float("-inf")
         self._owners = OwnerIndex()
         self._changed = trio.Event()
+        # What is known of works that were running when upstreams ended.
+        self.quarantine = Quarantine()
+        self._quarantine_changed = trio.Event()
+        # That of this process; made when first needed.
+        self.unix_clock: UnixClock | None = None
 
     @property
     def membership_age_ms(self) -> float:
@@ -111,6 +121,20 @@
             return None
         return self.vms.get(self._owners.owner_id(upstream) or "")
 
+    def verdict_on(self, work_id: str) -> Verdict:
+        """Return how a piece of work may run now."""
+        self.unix_clock = self.unix_clock or unix_clock()
+        return self.quarantine.verdict(work_id, self.unix_clock() * 1000.0)
+
+    def note_quarantine(self) -> None:
+        """Wake those who wait for a change of ``quarantine``."""
+        self._quarantine_changed.set()
+        self._quarantine_changed = trio.Event()
+
+    async def wait_quarantine(self) -> None:
+        """Wait until something new is known of a work."""
+        await self._quarantine_changed.wait()
+
     async def wait_changed(self, seen_version: int) -> int:
         """Return the version as soon as it is another than ``seen_version``."""
         while self.version == seen_version:
@@ -206,6 +230,7 @@
         link = AgentLink(client, hello)
         nursery.start_soon(_announce, link)
         nursery.start_soon(_follow, link, view)
+        nursery.start_soon(_follow_crashes, link, view)
         yield link, view
         nursery.cancel_scope.cancel()
 
@@ -230,6 +255,21 @@
                 await trio.sleep(_RETRY_S)
 
 
+async def _follow_crashes(link: AgentLink, view: FleetView) -> None:
+    request = CrashesRequest()
+    while True:
+        match await link.call(request, request.wait_ms + _CALL_TIMEOUT_MS):
+            case Ok(CrashesReply() as reply):
+                for report in reply.crashes:
+                    view.quarantine.note_crash(report)
+                for cleared in reply.cleared:
+                    view.quarantine.note_cleared(cleared)
+                view.note_quarantine()
+                request = CrashesRequest(reply.agent_boot, reply.seen, _POLL_WAIT_MS)
+            case _:
+                await trio.sleep(_RETRY_S)
+
+
 def _take(view: FleetView, reply: ViewReply) -> None:
     view.note_list_age(reply.membership_age_ms)
     view.note_kv(reply.kv_away)
--- a/src/fescuedock/agent/main.py
+++ b/src/fescuedock/agent/main.py
@@ -10,6 +10,7 @@
 from fescuedock.address import Address
 from fescuedock.agent.codec import open_codec
 from fescuedock.agent.config_service import CallPeer, ConfigService
+from fescuedock.agent.crash_service import CrashService
 from fescuedock.agent.link import FleetView
 from fescuedock.agent.membership_service import MembershipService
 from fescuedock.agent.order_service import OrderService
@@ -34,6 +35,8 @@
 
 __all__ = ["main", "run_agent"]
 
+# Where what is known of upstreams that ended lies in the key-value service.
+CRASHES_PREFIX = "crashes/"
 # How long a stopping agent still answers, in probe intervals: its leave must have spread.
 _LEAVE_INTERVALS = 3
 
@@ -74,6 +77,10 @@
         programs = LocalPrograms(settings.vm, udp.address.port)
         kv = EtcdKv(http, settings.platform)
         clock = unix_clock()
+        self.view.unix_clock = clock
+        self.crashes = CrashService(
+            self.view, http, pool, kv, settings.platform.key_prefix + CRASHES_PREFIX, rng, clock
+        )
         self.config = ConfigService(settings, kv, self, _peer_caller(pool), rng, clock)
         boot_ms = clock() * 1000 + rng.randrange(1000)
         membership = Membership(
@@ -106,12 +113,13 @@
         return self.membership.vms()
 
     def handlers(self) -> Mapping[type[msgspec.Struct], CallHandler]:
-        parts = (self.membership, self.config, self.permits)
+        parts = (self.membership, self.config, self.permits, self.crashes)
         return {kind: handler for part in parts for kind, handler in part.handlers().items()}
 
     def start(self, nursery: trio.Nursery) -> None:
-        for part in (self.membership, self.config, self.permits, self.orders):
+        for part in (self.membership, self.config, self.permits, self.orders, self.crashes):
             nursery.start_soon(part.run)
+        nursery.start_soon(self.crashes.read_forever)
 
 
 def _peer_caller(pool: ChannelPool) -> CallPeer:
--- a/src/fescuedock/agent/permit_client.py
+++ b/src/fescuedock/agent/permit_client.py
@@ -23,6 +23,7 @@
 from fescuedock.faults import Fault
 from fescuedock.net.channel import ChannelClient
 from fescuedock.net.codec import Codec
+from fescuedock.schema.crashes import BrokenRun, WholeRun
 from fescuedock.schema.permits import (
     AttemptOutcome,
     BatchStage,
@@ -44,6 +45,8 @@
 __all__ = ["Grant", "PermitClient", "TimedLoad", "open_permit_client"]
 
 _DEFAULT_VALID_MS = 2000
+# Ends by which an upstream may have ended as well.
+_BROKEN_OFF = (AttemptOutcome.TRUNCATED, AttemptOutcome.RESPONSE_TIMEOUT)
 # Three renewals fit into the validity, so that two may be lost.
 _RENEWALS_PER_VALIDITY = 3
 
@@ -77,6 +80,16 @@
     def work_class(self) -> WorkClass:
         return self._held.ask.work_class
 
+    @property
+    def work_id(self) -> str:
+        """The identity of the work that runs under it; empty while none is chosen."""
+        return self._held.ask.work_id
+
+    @property
+    def alone(self) -> bool:
+        """Whether its owner lets nothing else run at the upstream meanwhile."""
+        return self._held.ask.alone
+
     @property
     def sendable_until_ms(self) -> float:
         """When no attempt may begin under it any more, by ``clock.now_ms``.
@@ -99,8 +112,12 @@
             self._held.first_token_ms = now_ms() - self._held.granted_ms
         self._held.generated_tokens += count
 
+    def choose(self, work_id: str) -> None:
+        """Note which work runs under a permit that was asked for before it was chosen."""
+        self._held.ask = msgspec.structs.replace(self._held.ask, work_id=work_id)
+
     def describe(self, stage: BatchStage, slack_ms: float, left_ms: float) -> None:
-        """Tell the owner, with the next renewal, which work was chosen to run."""
+        """Tell the owner, with the next renewal, how the work stands that was chosen to run."""
         self._held.ask = msgspec.structs.replace(
             self._held.ask, stage=stage, slack_ms=int(slack_ms), left_ms=int(left_ms)
         )
@@ -126,6 +143,9 @@
         self._grants: dict[str, Grant] = {}
         self._valid_ms = settings.agent.permit_valid_ms if settings.agent else _DEFAULT_VALID_MS
         self._something_ended = trio.Event()
+        self._own_agent = Address(settings.vm.host, settings.agent.port) if settings.agent else None
+        # What this VM's agent is to be told of works, in order.
+        self._to_tell: list[BrokenRun | WholeRun] = []
         # Attempts whose ask is under way; True once a revocation has overtaken the grant.
         self._asking: dict[str, bool] = {}
 
@@ -246,8 +266,21 @@
         del self._grants[ended.permit_id]
         if held.local:
             self.local_limit.give_back(ended.upstream_id)
+        self._note_run(held, ended)
         self._something_ended.set()
 
+    def _note_run(self, held: HeldGrant, ended: EndedPermit) -> None:
+        """Note what a run says of the work; all runs end here, so that none is missed."""
+        work_id = held.ask.work_id
+        if not work_id:
+            return
+        if ended.outcome in _BROKEN_OFF:
+            begun = ended.generated_tokens > 0
+            run = BrokenRun(ended.upstream_id, work_id, alone=held.ask.alone, begun=begun)
+            self._to_tell.append(run)
+        elif ended.outcome is AttemptOutcome.COMPLETED and self._view.quarantine.suspects(work_id):
+            self._to_tell.append(WholeRun(work_id))
+
     def _give_up(self, ask: PermitAsk) -> None:
         outcome = AttemptOutcome.CANCELLED
         self._book.give_up(EndedPermit(ask.attempt_id, ask.upstream_id, outcome, ask.work_class))
@@ -304,6 +337,7 @@
         while True:
             await self._something_ended.wait()
             self._something_ended = trio.Event()
+            await self._tell_agent()
             await trio.sleep(self._settings.ended_batch_ms / 1000)
             by_owner: dict[Address, list[EndedPermit]] = defaultdict(list)
             for ended in self._book.take_ended():
@@ -314,6 +348,15 @@
                 channel = await self._channels.get(address)
                 channel.push(PermitsEnded(self.holder_id, group))
 
+    async def _tell_agent(self) -> None:
+        """Tell this VM's agent of works at once: the next try of one may be on its way."""
+        messages, self._to_tell = self._to_tell, []
+        if not messages or self._own_agent is None:
+            return
+        channel = await self._channels.get(self._own_agent)
+        for message in messages:
+            channel.push(message)
+
 
 @asynccontextmanager
 async def open_permit_client(
--- a/src/fescuedock/agent/send_check.py
+++ b/src/fescuedock/agent/send_check.py
@@ -23,9 +23,10 @@
         return refusal_of(
             upstream,
             view.upstreams.get(upstream.upstream_id),
-            PermitStanding(grant.revoked.is_set(), grant.sendable_until_ms),
+            PermitStanding(grant.revoked.is_set(), grant.sendable_until_ms, grant.alone),
             deadline_ms=deadline_ms,
             now_ms=now_ms(),
+            verdict=view.verdict_on(grant.work_id),
         )
 
     return check
--- a/src/fescuedock/batch/attempts.py
+++ b/src/fescuedock/batch/attempts.py
@@ -44,6 +44,7 @@
     EndKind.REVOKED: AttemptOutcome.REVOKED,
     EndKind.STOPPED: AttemptOutcome.CANCELLED,
     EndKind.WITHDRAWN: AttemptOutcome.CANCELLED,
+    EndKind.HARMFUL: AttemptOutcome.CANCELLED,
 }
 
 
--- a/src/fescuedock/batch/dispatch.py
+++ b/src/fescuedock/batch/dispatch.py
@@ -15,8 +15,13 @@
 from fescuedock.batch.context import RunnerContext
 from fescuedock.batch.jobs import JobTask
 from fescuedock.clock import now_ms
+from fescuedock.core.batch.answers import read_line
+from fescuedock.core.batch.items import AttemptEnd, EndKind, Isolation, Item
 from fescuedock.core.batch.job import JobRun
 from fescuedock.core.batch.scheduler import Assignment
+from fescuedock.core.quarantine import Standing
+from fescuedock.core.rendezvous import choose_name
+from fescuedock.core.work_identity import work_identity
 from fescuedock.faults import Fault
 from fescuedock.net.http_client import SendCheck
 from fescuedock.schema.config import MemberSpec, ServiceKind, ServiceSpec
@@ -31,6 +36,8 @@
 # An ask may be late by this much beyond the time it may stay queued.
 _ASK_MARGIN_MS = 500.0
 _RECHECK_S = 1.0
+# An upstream that is being emptied for a run alone takes as long as the longest run there.
+_ALONE_WAIT_MS = 30000
 _BYTES_PER_TOKEN = 4
 _MAX_SLACK_MS = 2**31 - 1
 
@@ -133,6 +140,21 @@
         # What is polled by the job itself, such as the next input, may be due now.
         task = self._task_of(assignment.run.job_id)
         task.wake()
+        work_id = _work_id(assignment.run, assignment.item, upstream.service)
+        standing = self._context.view.verdict_on(work_id).standing
+        if standing is Standing.FREE and assignment.isolation is not Isolation.ALONE:
+            grant.choose(work_id)
+            self._begin(task, assignment, upstream, grant)
+            return
+        # It needs an upstream where nothing of any VM runs, or none at all.
+        self._context.permits.give_back(grant)
+        scope = trio.CancelScope()
+        task.attempts.add(scope)
+        self._nursery.start_soon(self._run_alone, task, assignment, work_id, scope)
+
+    def _begin(
+        self, task: JobTask, assignment: Assignment, upstream: UpstreamRecord, grant: Grant
+    ) -> None:
         timeout_ms = self._timeout_ms(upstream.service)
         check = self._item_check(assignment.run, upstream, grant)
         attempt = Attempt(assignment.item, upstream, grant, timeout_ms, check)
@@ -141,17 +163,81 @@
         self._nursery.start_soon(self._run_item, task, assignment, attempt)
 
     async def _run_item(self, task: JobTask, assignment: Assignment, attempt: Attempt) -> None:
-        context, upstream = self._context, attempt.upstream
         try:
-            end = await run_attempt(context.upstreams, attempt)
+            end = await run_attempt(self._context.upstreams, attempt)
         finally:
             task.attempts.discard(attempt.scope)
+        self._note_end(task, assignment, end, now_ms() - attempt.started_ms)
+
+    async def _run_alone(
+        self, task: JobTask, assignment: Assignment, work_id: str, scope: trio.CancelScope
+    ) -> None:
+        """Wait until an item may run alone somewhere, and run it there."""
+        granted: tuple[UpstreamRecord, Grant] | None = None
+        with scope:
+            granted = await self._find_alone(assignment, work_id)
+        task.attempts.discard(scope)
+        if scope.cancel_called:
+            if granted is not None:
+                self._context.permits.give_back(granted[1])
+            self._note_end(task, assignment, AttemptEnd(EndKind.STOPPED), 0.0)
+            return
+        if granted is None:
+            message = b"upstreams ended each time while they ran this item"
+            self._note_end(task, assignment, AttemptEnd(EndKind.HARMFUL, body=message), 0.0)
+            return
+        upstream, grant = granted
+        assignment.item.upstream_id = upstream.upstream_id
+        self._begin(task, assignment, upstream, grant)
+
+    async def _find_alone(
+        self, assignment: Assignment, work_id: str
+    ) -> tuple[UpstreamRecord, Grant] | None:
+        """Return an upstream with a permit to run alone there; None for work that is refused."""
+        context = self._context
+        while context.view.verdict_on(work_id).standing is not Standing.REFUSED:
+            names = [
+                item.upstream_id
+                for item in context.view.upstreams_of(assignment.service)
+                if not item.leaving
+            ]
+            # The one that all VMs choose, so that such runs take no more than one.
+            upstream = context.view.upstreams.get(choose_name(assignment.service, names) or "")
+            if upstream is None:
+                await trio.sleep(_RECHECK_S)
+                continue
+            ask = self._alone_ask(upstream, assignment.run, work_id)
+            result = await context.permits.ask(ask, _ALONE_WAIT_MS + _ASK_MARGIN_MS)
+            if isinstance(result, Ok):
+                return upstream, result.ok_value
+            pause_ms = max(result.err_value.retry_after_ms, _REFUSED_PAUSE_MS)
+            await trio.sleep(pause_ms * context.random.uniform(0.5, 1.5) / 1000)
+        return None
+
+    def _alone_ask(self, upstream: UpstreamRecord, run: JobRun, work_id: str) -> PermitAsk:
+        return PermitAsk(
+            upstream_id=upstream.upstream_id,
+            attempt_id=token_hex(16),
+            holder_id=self._context.permits.holder_id,
+            service=upstream.service,
+            member=run.record.member,
+            work_class=WorkClass.BATCH,
+            slack_ms=0,
+            wait_ms=_ALONE_WAIT_MS,
+            work_id=work_id,
+            alone=True,
+        )
+
+    def _note_end(
+        self, task: JobTask, assignment: Assignment, end: AttemptEnd, run_ms: float
+    ) -> None:
+        context = self._context
         was_full = context.scheduler.full
         context.scheduler.on_ended(assignment, now_ms())
         code = task.run.on_attempt_ended(assignment.item, end, now_ms())
         if code is not None:
-            run_ms = now_ms() - attempt.started_ms
-            context.metrics.record_item(upstream.service, task.run.record.member, run_ms, code)
+            member = task.run.record.member
+            context.metrics.record_item(assignment.service, member, run_ms, code)
         task.wake()
         if was_full:
             context.work_changed()
@@ -171,6 +257,12 @@
         return (spec or MemberSpec()).share
 
 
+def _work_id(run: JobRun, item: Item, service: str) -> str:
+    """Return the identity of an item's work, which is that of a call with the same request."""
+    line = read_line(item.line)
+    return work_identity(service, line.method, line.url, run.record.member, bytes(line.body))
+
+
 def _unused(grant: Grant) -> EndedPermit:
     return EndedPermit(
         permit_id=grant.permit_id,
--- a/src/fescuedock/core/batch/items.py
+++ b/src/fescuedock/core/batch/items.py
@@ -44,6 +44,8 @@
     STOPPED = auto()
     # Not sent, as what it had been chosen by did not hold any more.
     WITHDRAWN = auto()
+    # Not sent, as upstreams ended each time while they ran the same work.
+    HARMFUL = auto()
 
 
 class AttemptEnd(msgspec.Struct, frozen=True):
@@ -69,7 +71,7 @@
 
 # Ends that say nothing against the item or the upstream, and those that tell that it never ran.
 _NO_FAULT = (EndKind.REVOKED, EndKind.STOPPED, EndKind.WITHDRAWN)
-_NOT_RUN = (EndKind.NOT_SENT, EndKind.BUSY, EndKind.WITHDRAWN)
+_NOT_RUN = (EndKind.NOT_SENT, EndKind.BUSY, EndKind.WITHDRAWN, EndKind.HARMFUL)
 _STRICTNESS = (Isolation.NONE, Isolation.ONLY_SUSPECT, Isolation.ALONE)
 
 
@@ -227,6 +229,8 @@
         return item
 
     def _judge(self, item: Item, end: AttemptEnd, now_ms: float) -> ItemVerdict | None:
+        if end.kind is EndKind.HARMFUL:
+            return ItemVerdict(item.number, ResultCode.ITEM_ISOLATED, _text(end), item.line)
         progressed = end.tokens > item.tokens
         item.text, item.tokens = end.text, end.tokens
         if end.kind in _NO_FAULT:
--- a/src/fescuedock/core/permits/held.py
+++ b/src/fescuedock/core/permits/held.py
@@ -31,6 +31,8 @@
     area_before: float = 0.0
     batch_area_before: float = 0.0
     revoked_ms: float | None = None
+    # Nothing else may begin at the upstream while it is out.
+    alone: bool = False
     # Set until the time to the first token has been taken into account.
     start: Start | None = None
 
@@ -47,6 +49,7 @@
             stage=ask.stage,
             done_ms=now_ms + ask.left_ms if ask.left_ms else 0.0,
             prompt_tokens=ask.prompt_tokens,
+            alone=ask.alone,
             start=start,
         )
 
@@ -66,6 +69,7 @@
             expires_ms=now_ms + valid_ms,
             prompt_tokens=permit.prompt_tokens,
             generated_tokens=permit.generated_tokens,
+            alone=permit.alone,
         )
         held.note_standing(permit, now_ms)
         return held
@@ -101,6 +105,8 @@
     online: int = 0
     batch: int = 0
     revoking: int = 0
+    # Beside which nothing may begin.
+    alone: int = 0
     _area: float = 0.0
     _batch_area: float = 0.0
     _at_ms: float = 0.0
@@ -128,6 +134,7 @@
     def add(self, held: Held, now_ms: float) -> None:
         self.start_window(held, 0, now_ms)
         self._by_id[held.permit_id] = held
+        self.alone += held.alone
         self._by_member[held.member] = self.count_of(held.member) + 1
         if held.work_class is WorkClass.ONLINE:
             self.online += 1
@@ -140,6 +147,7 @@
             return None
         self._advance(now_ms)
         del self._by_id[permit_id]
+        self.alone -= held.alone
         self._by_member[held.member] -= 1
         if not self._by_member[held.member]:
             del self._by_member[held.member]
@@ -154,6 +162,14 @@
         held.revoked_ms = now_ms
         self.revoking += 1
 
+    def staying_batch_permits(self) -> list[Held]:
+        """Return the batch permits that have not been revoked."""
+        return [
+            held
+            for held in self._by_id.values()
+            if held.work_class is WorkClass.BATCH and held.revoked_ms is None
+        ]
+
     def victims(self, count: int, now_ms: float, urgent_slack_ms: int) -> list[Held]:
         """Return the ``count`` batch permits whose loss costs least.
 
@@ -161,11 +177,7 @@
         it still has to run the sooner it goes, as the other will soon be done.  Where holders do
         not say that, those due soon go last and the fewest tokens to read again go first.
         """
-        candidates = [
-            held
-            for held in self._by_id.values()
-            if held.work_class is WorkClass.BATCH and held.revoked_ms is None
-        ]
+        candidates = self.staying_batch_permits()
 
         def loss(held: Held) -> tuple[int, bool, float, int]:
             stage, _ = batch_rank(held.stage, 0.0, 0.0)
--- a/src/fescuedock/core/permits/holder.py
+++ b/src/fescuedock/core/permits/holder.py
@@ -44,6 +44,7 @@
             prompt_tokens=self.ask.prompt_tokens,
             generated_tokens=self.generated_tokens,
             first_token_ms=self.first_token_ms,
+            alone=self.ask.alone,
         )
 
     def _left_ms(self, now_ms: float) -> int:
--- a/src/fescuedock/core/permits/queue.py
+++ b/src/fescuedock/core/permits/queue.py
@@ -161,7 +161,7 @@
             in_flight_online=self._held.online,
             in_flight_batch=self._held.batch,
             queued_online=self._waiting.count(WorkClass.ONLINE),
-            limit=self._hard_limit(),
+            limit=0 if self._is_reserved else self._hard_limit(),
             first_token_ms=predicted_ms + self._online_wait_ms(queued),
             accepting=self.accepting,
         )
@@ -176,6 +176,8 @@
     def _serve(self, now_ms: float) -> list[Action]:
         if not self.accepting:
             return self.refuse_all(ResultCode.NO_CAPACITY)
+        if self._is_reserved:
+            return self._serve_alone(now_ms)
         actions = self._serve_online(now_ms)
         if actions and not self._terms.slots:
             actions += self._clear_prefill(now_ms)
@@ -183,6 +185,31 @@
         actions += self._serve_batch(now_ms)
         return actions
 
+    @property
+    def _is_reserved(self) -> bool:
+        """Whether something runs alone here, or waits to."""
+        return self._held.alone > 0 or self._waiting.alone > 0
+
+    def _serve_alone(self, now_ms: float) -> list[Action]:
+        """Let the upstream run empty for the next ask to run alone; nothing else begins.
+
+        What else waits is not refused before its time, as the run that it waits for is short.
+        """
+        actions: list[Action] = []
+        if not self._held.alone:
+            actions += [self._revoke(held, now_ms) for held in self._held.staying_batch_permits()]
+        for waiting in self._waiting.alone_in_order():
+            # An owner that is new does not know yet what runs.
+            if not len(self._held) and now_ms >= self._batch_from_ms:
+                self._waiting.remove(waiting.ask.attempt_id)
+                actions.append(self._grant(waiting.ask, now_ms))
+        overdue = [item for item in self._waiting if now_ms >= item.answer_by_ms]
+        for waiting in overdue:
+            self._waiting.remove(waiting.ask.attempt_id)
+            retry_ms = self._retry_after_ms(waiting.ask, now_ms)
+            actions.append(Refused(waiting.ask, ResultCode.NO_CAPACITY, retry_ms))
+        return actions
+
     def _serve_online(self, now_ms: float) -> list[Action]:
         if not self._waiting.count(WorkClass.ONLINE):
             return []
--- a/src/fescuedock/core/permits/waiting.py
+++ b/src/fescuedock/core/permits/waiting.py
@@ -68,6 +68,8 @@
     """
 
     shares: MemberShares
+    # Of them, those that are to run with nothing beside them.
+    alone: int = 0
     _by_attempt: dict[str, Waiting] = msgspec.field(default_factory=dict)
     _counts: dict[WorkClass, int] = msgspec.field(
         default_factory=lambda: dict.fromkeys(WorkClass, 0)
@@ -82,6 +84,12 @@
     def count(self, work_class: WorkClass) -> int:
         return self._counts[work_class]
 
+    def alone_in_order(self) -> list[Waiting]:
+        """Return the asks to run alone, next first: online before batch, as they came."""
+        asks = [item for item in self._by_attempt.values() if item.ask.alone]
+        asks.sort(key=lambda item: (item.ask.work_class is WorkClass.BATCH, item.arrived_ms))
+        return asks
+
     def online_share(self) -> float:
         """Return how many of the online asks will start here, as some wait elsewhere too."""
         return sum(
@@ -93,11 +101,13 @@
     def add(self, waiting: Waiting) -> None:
         self._by_attempt[waiting.ask.attempt_id] = waiting
         self._counts[waiting.ask.work_class] += 1
+        self.alone += waiting.ask.alone
 
     def remove(self, attempt_id: str) -> Waiting | None:
         waiting = self._by_attempt.pop(attempt_id, None)
         if waiting is not None:
             self._counts[waiting.ask.work_class] -= 1
+            self.alone -= waiting.ask.alone
         return waiting
 
     def in_order(
--- a/src/fescuedock/core/send_gate.py
+++ b/src/fescuedock/core/send_gate.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from fescuedock.core.quarantine import FREE, Standing, Verdict
 from fescuedock.schema.view import UpstreamRecord
 
 __all__ = ["PermitStanding", "SendRefusal", "refusal_of"]
@@ -25,13 +26,19 @@
     REVOKED = "its permit was revoked"
     LAPSED = "its permit has lapsed"
     LATE = "its deadline has passed"
+    HARMFUL = "upstreams have ended under this work"
+    NOT_ALONE = "this work may only run alone"
 
 
 class PermitStanding(msgspec.Struct, frozen=True):
-    """How a permit stands; ``valid_until_ms`` is infinite for one that no owner gave."""
+    """How a permit stands; ``valid_until_ms`` is infinite for one that no owner gave.
+
+    ``alone`` says that its owner lets nothing else run at the upstream.
+    """
 
     revoked: bool
     valid_until_ms: float
+    alone: bool = False
 
 
 def refusal_of(
@@ -41,11 +48,14 @@
     *,
     deadline_ms: float,
     now_ms: float,
+    verdict: Verdict = FREE,
 ) -> SendRefusal | None:
     """Return why the request must not be written to ``chosen``, or None when it may.
 
-    ``current`` is what is known of the upstream now, None when it is not there.  A permit that has
-    lapsed may have been given to other work, also where one that already runs may go on without.
+    ``verdict`` is that on the work: what is known against it may have come since the permit was
+    asked for, from another node where a client tried it too.  ``current`` is what is known of the
+    upstream now, None when it is not there.  A permit that has lapsed may have been given to other
+    work, also where one that already runs may go on without.
     """
     if current is None:
         return SendRefusal.GONE
@@ -53,6 +63,10 @@
         return SendRefusal.MOVED
     if current.leaving:
         return SendRefusal.LEAVING
+    if verdict.standing is Standing.REFUSED:
+        return SendRefusal.HARMFUL
+    if verdict.standing is Standing.ALONE and not permit.alone:
+        return SendRefusal.NOT_ALONE
     if permit.revoked:
         return SendRefusal.REVOKED
     if permit.valid_until_ms <= now_ms:
--- a/src/fescuedock/core/stored_jobs/keys.py
+++ b/src/fescuedock/core/stored_jobs/keys.py
@@ -7,6 +7,7 @@
 _JOBS = "live/job/"
 _NODES = "live/vm/"
 _SPOOLS = "live/spool/"
+_CRASHES = "live/crash/"
 _LIVE = "live/"
 _DATA = "data/"
 
@@ -34,6 +35,11 @@
         """Prefix of the VMs that keep jobs on disk while the service is away."""
         return self.prefix + _SPOOLS
 
+    @property
+    def crashes(self) -> str:
+        """Prefix of what is known of upstreams that ended, and of what ran there."""
+        return self.prefix + _CRASHES
+
     @property
     def records(self) -> str:
         return self.prefix + _JOBS
--- a/src/fescuedock/core/stored_jobs/pool.py
+++ b/src/fescuedock/core/stored_jobs/pool.py
@@ -6,6 +6,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterable
 
+from fescuedock.core.quarantine import Standing
 from fescuedock.core.stored_jobs.job import ItemEnd, ItemRun, StoredJob
 from fescuedock.core.stored_jobs.pace import Pace, RunEstimate
 from fescuedock.core.stored_jobs.urgency import ItemChoice, rank_items
@@ -15,15 +16,20 @@
 
 
 class ItemPool:
-    """Chooses among the items of ``jobs``; ``serves`` tells whether a service may run a job's."""
+    """Chooses among the items of ``jobs``; ``serves`` tells whether a service may run a job's.
+
+    ``standing`` tells how a piece of work may run.
+    """
 
     def __init__(
         self,
         jobs: Callable[[], Iterable[StoredJob]],
         serves: Callable[[StoredJobRecord, str], bool],
+        standing: Callable[[str], Standing] = lambda _work_id: Standing.FREE,
     ) -> None:
         self._jobs = jobs
         self._serves = serves
+        self._standing = standing
         self._estimate = RunEstimate()
         self._pace = Pace()
 
@@ -32,7 +38,7 @@
         services = list(services)
         counts: Counter[str] = Counter()
         for job in self._jobs():
-            ready = len(job.ready_items(now_ms))
+            ready = sum(self._stands(run, Standing.FREE) for run in job.ready_items(now_ms))
             for service in services:
                 if ready and self._serves(job.record, service):
                     counts[service] += ready
@@ -50,11 +56,22 @@
         None when no item could start there.
         """
         jobs = [job for job in self._jobs() if self._serves(job.record, service)]
-        choices = rank_items(jobs, upstream_id, self._estimate, self._pace, now_ms)
+        ranked = rank_items(jobs, upstream_id, self._estimate, self._pace, now_ms)
+        choices = [item for item in ranked if self._stands(item.run, Standing.FREE)]
         if not choices:
             return None
         return choices[min(position, len(choices) - 1)]
 
+    def choose_alone(self, service: str, now_ms: float) -> ItemChoice | None:
+        """Return the most urgent item of those that may only run alone."""
+        jobs = [job for job in self._jobs() if self._serves(job.record, service)]
+        ranked = rank_items(jobs, "", self._estimate, self._pace, now_ms)
+        choices = (item for item in ranked if self._stands(item.run, Standing.ALONE))
+        return next(choices, None)
+
+    def _stands(self, run: ItemRun, standing: Standing) -> bool:
+        return self._standing(run.work_id) is standing
+
     def start(self, run: ItemRun, now_ms: float) -> None:
         """Note that an item runs, and learn from the time that it had to wait since it last did."""
         if run.ran_ms > 0:
--- a/src/fescuedock/entry/online_permits.py
+++ b/src/fescuedock/entry/online_permits.py
@@ -13,6 +13,8 @@
 from fescuedock.agent.permit_client import Grant, PermitClient
 from fescuedock.clock import now_ms
 from fescuedock.core.admission import Admission
+from fescuedock.core.quarantine import Standing, Verdict
+from fescuedock.core.rendezvous import rank_names
 from fescuedock.core.route_learning import AskTimeout, DomainLatency, PrefillModel, SilentOwners
 from fescuedock.core.routing import (
     Ask,
@@ -38,6 +40,7 @@
 # every 100 ms.  An upstream that leaves has its asks refused so; taken for silence, the node that
 # answered was passed over for a second, with all that it owns.
 _NOT_OWNER_PAUSE_S = 0.02
+_NOTHING_KNOWN = Fault(ResultCode.NO_CAPACITY, "more became known of the work", _RETRY_AFTER_MS)
 
 
 class OnlineCall(Protocol):
@@ -46,6 +49,10 @@
     @property
     def request_id(self) -> str: ...
 
+    @property
+    def work_id(self) -> str:
+        """The identity of the work, the same for each try of it."""
+
     @property
     def service(self) -> str: ...
 
@@ -104,8 +111,19 @@
     The permit's identity is unguessable and serves as the attempt's.  Upstreams in ``avoid`` are
     used only when there is no other.  A refusal is given at once when owners refuse; while one of
     them queues the call, the choice is made anew now and then.
+
+    ``WORK_HARMFUL`` when upstreams have ended under the work; one under suspicion waits for an
+    upstream of its own.
     """
     while True:
+        verdict = state.view.verdict_on(call.work_id)
+        if verdict.standing is Standing.REFUSED:
+            return Err(_harmful(verdict))
+        if verdict.standing is Standing.ALONE:
+            answer = await _ask_alone(state, call, avoid)
+            if not answer.again:
+                return answer.result
+            continue
         choices = _choose(state, call, avoid)
         if not choices:
             message = f"no live upstream serves {call.service!r}"
@@ -118,6 +136,62 @@
             return answer.result
 
 
+def _harmful(verdict: Verdict) -> Fault:
+    message = f"{verdict.crashes} upstreams ended while they ran this request"
+    return Fault(ResultCode.WORK_HARMFUL, message, int(verdict.retry_after_ms))
+
+
+async def _ask_alone(state: PermitSearch, call: OnlineCall, avoid: Collection[str]) -> "_Answer":
+    """Wait for an upstream on which nothing else runs; again when more is known of the work.
+
+    All nodes choose the same one for a service, so that suspects never take more than that.
+    """
+    choices = _choose(state, call, avoid)
+    usable = [item.upstream_id for item in choices if item.accepting and not item.owner_silent]
+    fresh = [name for name in usable if name not in avoid]
+    run_ms = state.admission.times(call.service).run_ms(call.max_tokens, now_ms())
+    wait_ms = _slack_ms(call, run_ms)
+    if not usable or wait_ms <= 0:
+        why = "no upstream is free for a run alone" if usable else "no upstream can be asked"
+        return _Answer(Err(Fault(ResultCode.NO_CAPACITY, why, _RETRY_AFTER_MS)))
+    ask = Ask(rank_names(call.service, fresh or usable)[0], wait_ms)
+    started_ms = now_ms()
+    granted = await _ask_until_news(state, call, ask, run_ms)
+    if granted is None:
+        return _Answer(Err(_NOTHING_KNOWN), again=True)
+    in_vain = now_ms() - started_ms >= wait_ms
+    if isinstance(granted, Err) and not in_vain:
+        # Its owner is silent or keeps work from it, which the next choice knows.
+        await trio.sleep(_NOT_OWNER_PAUSE_S)
+        return _Answer(granted, again=True)
+    return _Answer(granted)
+
+
+async def _ask_until_news(
+    state: PermitSearch, call: OnlineCall, ask: Ask, run_ms: float
+) -> Result[Grant, Fault] | None:
+    """Ask for a run alone; None when the work is no such suspect any more."""
+    granted: Result[Grant, Fault] | None = None
+    try:
+        async with trio.open_nursery() as nursery:
+
+            async def ask_alone() -> None:
+                nonlocal granted
+                granted = await _ask(state, call, ask, run_ms, alone=True)
+                nursery.cancel_scope.cancel()
+
+            nursery.start_soon(ask_alone)
+            while state.view.verdict_on(call.work_id).standing is Standing.ALONE:
+                await state.view.wait_quarantine()
+            nursery.cancel_scope.cancel()
+    except BaseException:
+        # The call was cancelled just when a grant had come, which nobody would ever use.
+        if isinstance(granted, Ok):
+            state.permits.give_back(granted.ok_value)
+        raise
+    return granted
+
+
 def _choose(state: PermitSearch, call: OnlineCall, avoid: Collection[str]) -> list[Choice]:
     usable = [item for item in state.view.upstreams_of(call.service) if _is_usable(state, item)]
     candidates = [
@@ -287,7 +361,13 @@
 
 
 async def _ask(
-    state: PermitSearch, call: OnlineCall, ask: Ask, run_ms: float, queues: int = 1
+    state: PermitSearch,
+    call: OnlineCall,
+    ask: Ask,
+    run_ms: float,
+    queues: int = 1,
+    *,
+    alone: bool = False,
 ) -> Result[Grant, Fault]:
     message = PermitAsk(
         upstream_id=ask.upstream_id,
@@ -303,6 +383,8 @@
         wait_ms=int(ask.wait_ms),
         target_ms=call.target_left_ms(),
         queues=queues,
+        work_id=call.work_id,
+        alone=alone,
     )
     if ask.local:
         return state.permits.ask_local(message)
--- a/src/fescuedock/entry/online_request.py
+++ b/src/fescuedock/entry/online_request.py
@@ -9,6 +9,7 @@
 
 from fescuedock.clock import now_ms
 from fescuedock.core.routing import Demand
+from fescuedock.core.work_identity import work_identity
 from fescuedock.entry.context import EntryContext
 from fescuedock.entry.members import find_member
 from fescuedock.entry.models import service_of_model
@@ -40,6 +41,7 @@
     demand: Demand
     max_tokens: int
     deadline_ms: float
+    work_id: str = ""
 
     @property
     def streamed(self) -> bool:
@@ -83,7 +85,8 @@
     deadline = read_deadline_ms(context, request.headers)
     if isinstance(deadline, Err):
         return deadline
-    body = _decode(await request.read(_MAX_BODY_BYTES))
+    data = await request.read(_MAX_BODY_BYTES)
+    body = _decode(data)
     if isinstance(body, Err):
         return body
     model = body.ok_value.get("model")
@@ -101,6 +104,7 @@
             demand=_demand_of(body.ok_value),
             max_tokens=_max_tokens(body.ok_value),
             deadline_ms=arrived_ms + deadline.ok_value,
+            work_id=work_identity(service, "POST", request.path, member.ok_value, data),
         )
     )
 
--- a/src/fescuedock/entry/service_call.py
+++ b/src/fescuedock/entry/service_call.py
@@ -10,6 +10,7 @@
 from fescuedock.clock import now_ms
 from fescuedock.core.claims import is_non_idempotent
 from fescuedock.core.routing import Demand
+from fescuedock.core.work_identity import work_identity
 from fescuedock.entry.context import EntryContext
 from fescuedock.entry.members import ANONYMOUS, find_member
 from fescuedock.entry.online_request import DEADLINE_HEADER, read_deadline_ms
@@ -49,6 +50,12 @@
     repeatable: bool
     idempotency_key: str
 
+    @property
+    def work_id(self) -> str:
+        """The identity of the work, the same for each try of it."""
+        path = f"/services/{self.service}{self.target}"
+        return work_identity(self.service, self.method, path, self.member, self.body)
+
     @property
     def demand(self) -> Demand:
         return _NO_DEMAND
--- a/src/fescuedock/net/http_client.py
+++ b/src/fescuedock/net/http_client.py
@@ -25,6 +25,7 @@
 from fescuedock.net.http_messages import Headers
 
 __all__ = [
+    "Acceptance",
     "ClientResponse",
     "HttpClient",
     "NotSentError",
@@ -51,6 +52,16 @@
 SendCheck = Callable[[], enum.Enum | None]
 
 
+class Acceptance(enum.Enum):
+    """What became of a connection that nothing is sent on."""
+
+    ACCEPTED = enum.auto()
+    # No process listens there.
+    REFUSED = enum.auto()
+    # Nobody answered in time, or there is no way.
+    UNKNOWN = enum.auto()
+
+
 class NotSentError(Exception):
     """No byte of the request can have reached the server."""
 
@@ -246,6 +257,17 @@
         else:
             connection.abort()
 
+    async def try_connect(self, address: Address) -> Acceptance:
+        """Find out whether a server takes new connections, without sending anything."""
+        try:
+            with trio.fail_after(self.connect_timeout_ms / 1000):
+                stream = await trio.open_tcp_stream(address.host, address.port)
+        except (OSError, trio.TooSlowError) as error:
+            return Acceptance.REFUSED if _is_refused(error) else Acceptance.UNKNOWN
+        self.on_connect(address)
+        stream.socket.close()
+        return Acceptance.ACCEPTED
+
     def has_idle(self, address: Address) -> bool:
         """Whether a connection is kept that its server should still have; costs no system call."""
         now_s = trio.current_time()
@@ -296,6 +318,14 @@
         waiting.append(connection)
 
 
+def _is_refused(error: Exception) -> bool:
+    """Whether a connection was refused; trio gives the reason as the cause, or in a group."""
+    causes = [error, error.__cause__]
+    if isinstance(error.__cause__, BaseExceptionGroup):
+        causes += error.__cause__.exceptions
+    return any(isinstance(cause, ConnectionRefusedError) for cause in causes)
+
+
 @asynccontextmanager
 async def open_http_client(connect_timeout_ms: int = 2000) -> AsyncIterator[HttpClient]:
     """Give a client whose idle connections are closed with the block."""
--- a/src/fescuedock/node/job_runner.py
+++ b/src/fescuedock/node/job_runner.py
@@ -31,6 +31,7 @@
 from fescuedock.net.http_client import HttpClient, SendCheck
 from fescuedock.node.configuration import NodeConfiguration
 from fescuedock.node.item_asking import ItemAsker
+from fescuedock.node.item_isolation import LoneItems
 from fescuedock.node.item_run import KnownAtBegin, run_item
 from fescuedock.node.job_store import JobStore, LoadedJob, VersionedRecord, decode_record
 from fescuedock.node.replicas import Replicas
@@ -120,10 +121,13 @@
         self._jobs: dict[str, OwnedJob] = {}
         self._claiming: set[str] = set()
         self._missing = MissingOwners()
-        self._pool = ItemPool(self._running_jobs, self._serves)
+        self._pool = ItemPool(
+            self._running_jobs, self._serves, lambda work_id: view.verdict_on(work_id).standing
+        )
         self._asker = ItemAsker(
             settings, view, permits, rng, self._waiting, self._choose, self._use
         )
+        self._lone_items = LoneItems(view, permits, self._has_lone_item, self._use_alone)
         # Whether jobs wait for news of their records.
         self._held = False
         self._nursery: trio.Nursery | None = None
@@ -134,6 +138,7 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             nursery.start_soon(self._reconcile_forever)
+            nursery.start_soon(self._lone_items.run)
             await self._asker.run(self._next_look_s)
 
     def accept(self, stored: VersionedRecord, items: list[StoredItem]) -> None:
@@ -485,11 +490,26 @@
         if choice is None:
             self._permits.give_back(grant)
             return
+        self._begin(choice, upstream, grant)
+
+    def _begin(self, choice: ItemChoice, upstream: UpstreamRecord, grant: Grant) -> None:
+        grant.choose(choice.run.work_id)
         grant.describe(choice.stage, choice.slack_ms, choice.left_ms)
         self._pool.start(choice.run, now_ms())
         job = self._jobs[choice.job.job_id]
         self._nursery.start_soon(partial(self._run_item, job, choice.run, upstream, grant))
 
+    def _has_lone_item(self, service: str) -> bool:
+        return self._pool.choose_alone(service, now_ms()) is not None
+
+    def _use_alone(self, upstream: UpstreamRecord, grant: Grant) -> None:
+        """Run the most urgent item that may only run alone, or give the permit back."""
+        choice = self._pool.choose_alone(upstream.service, now_ms())
+        if choice is None:
+            self._permits.give_back(grant)
+            return
+        self._begin(choice, upstream, grant)
+
     async def _run_item(
         self, job: OwnedJob, item: ItemRun, upstream: UpstreamRecord, grant: Grant
     ) -> None:
--- a/src/fescuedock/node/main.py
+++ b/src/fescuedock/node/main.py
@@ -16,6 +16,7 @@
 
 from fescuedock.address import Address
 from fescuedock.agent.codec import open_codec
+from fescuedock.agent.crash_service import CrashService
 from fescuedock.agent.link import FleetView
 from fescuedock.agent.membership_service import MembershipService
 from fescuedock.agent.permit_client import open_permit_client
@@ -138,6 +139,7 @@
         self._clock = unix_clock()
         self._boot = self._clock() * 1000 + self._rng.randrange(1000)
         self._keys = JobKeys(node.key_prefix)
+        view.unix_clock = self._clock
         address = Address.parse(node.store_address)
         self._store_calls: Counter[str] = Counter()
         self._store = MetadataStore(
@@ -160,6 +162,9 @@
             GroupSpread(view, _watch_duty(settings.vm), pool),
             self._rng,
         )
+        self._crashes = CrashService(
+            view, upstream_http, pool, self._store, self._keys.crashes, self._rng, self._clock
+        )
         self._configuration = NodeConfiguration(
             self._table(records.OPERATOR_PREFIX), records.CONFIG_KEY, records.read_route_table
         )
@@ -290,6 +295,7 @@
             self._replicas,
             self._acceptance,
             self._owner_reads,
+            self._crashes,
         )
         return {kind: handler for part in parts for kind, handler in part.handlers().items()}
 
@@ -302,9 +308,11 @@
             self._runner,
             self._retirement,
             self._ends,
+            self._crashes,
         )
         for part in parts:
             nursery.start_soon(part.run)
+        nursery.start_soon(self._follow_crashes)
         nursery.start_soon(self._follow_configuration)
         nursery.start_soon(self._announce)
         nursery.start_soon(self._report_store_calls)
@@ -378,6 +386,16 @@
                 self._note_programs()
             await self._replicas.wait_changed(seen)
 
+    async def _follow_crashes(self) -> None:
+        """Take in what other nodes have found out about upstreams that ended."""
+        table = self._table(self._keys.live)
+        seen = -1
+        while True:
+            if table.version != seen:
+                seen = table.version
+                self._crashes.take_entries(table.entries.values())
+            await self._replicas.wait_changed(self._replicas.version)
+
     async def _drop_connections(self) -> None:
         """Close what is kept to upstreams that have gone, or have started again."""
         known: dict[str, Address] = {}
--- a/src/fescuedock/platform/standin/event_upstream.py
+++ b/src/fescuedock/platform/standin/event_upstream.py
@@ -50,9 +50,9 @@
 class EventUpstream:
     """One upstream.  ``runs`` counts by request identity; ``seen`` has the headers of each run.
 
-    A request to one of the ``harmful`` paths crashes it ``crash_after_ms`` after it has begun: every
-    connection is cut and new ones are refused for ``restart_ms``.  It comes back at the same address
-    as another incarnation, with an identity of its own, and calls ``on_restart``.
+    A request to one of the ``harmful`` paths crashes it ``crash_after_ms`` after it has begun: all
+    connections are cut and new ones are refused for ``restart_ms``.  It comes back at the same
+    address as another incarnation, with an identity of its own, and calls ``on_restart``.
     """
 
     upstream_id: str
--- /dev/null
+++ b/src/fescuedock/schema/crashes.py
@@ -0,0 +1,80 @@
+"""What is known of upstreams that ended while they ran work.
+
+Generated from ``source/crashes.yaml``; do not edit.
+"""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+from msgspec import Meta
+
+from fescuedock.schema.wire import WireStruct
+
+
+class BrokenRun(WireStruct):
+    """
+    A program tells its agent that a run of a piece of work was broken off.
+    """
+
+    upstream_id: str
+    work_id: str
+    alone: Annotated[bool, Meta(description="Nothing else ran at the upstream.")] = False
+    begun: Annotated[bool, Meta(description="Something of an answer had come.")] = False
+
+
+class WholeRun(WireStruct):
+    """
+    A program tells its agent that a work against which something is known has run to its end.
+    """
+
+    work_id: str
+
+
+class CrashedRun(WireStruct):
+    work_id: str
+    alone: Annotated[bool, Meta(description="Nothing else ran at the upstream.")] = False
+    begun: Annotated[bool, Meta(description="Something of an answer had come.")] = False
+
+
+class CrashReport(WireStruct):
+    """
+    An upstream ended; what one VM had running there.
+    """
+
+    report_id: Annotated[str, Meta(description="Unique for each report.")]
+    upstream_id: str
+    at_ms: Annotated[int, Meta(description="Unix time by the clock of the VM that reports it.")]
+    runs: list[CrashedRun]
+
+
+class WorkCleared(WireStruct):
+    """
+    A run of the work ended whole, so it was not the cause of the ends that these reports tell of.
+    """
+
+    report_id: Annotated[str, Meta(description="Unique for each report.")]
+    work_id: str
+    void_report_ids: list[str]
+    at_ms: Annotated[int, Meta(description="Unix time by the clock of the VM that reports it.")]
+
+
+class CrashesRequest(WireStruct):
+    """
+    A program asks its agent for what it has not been told yet.
+    """
+
+    agent_boot: Annotated[
+        int, Meta(description="The agent's incarnation that the program last heard from.")
+    ] = 0
+    seen: Annotated[
+        int, Meta(description="How much of that incarnation's knowledge the program has.")
+    ] = 0
+    wait_ms: int = 0
+
+
+class CrashesReply(WireStruct):
+    agent_boot: int
+    seen: int
+    crashes: list[CrashReport]
+    cleared: list[WorkCleared]
--- a/src/fescuedock/schema/permits.py
+++ b/src/fescuedock/schema/permits.py
@@ -72,6 +72,12 @@
     left_ms: Annotated[
         int, Meta(description="Of a batch ask: how long its run will still take; 0 says nothing.")
     ] = 0
+    work_id: Annotated[
+        str, Meta(description="The same for each try of the work; empty while it is not chosen.")
+    ] = ""
+    alone: Annotated[bool, Meta(description="Nothing else may run at the upstream meanwhile.")] = (
+        False
+    )
     queues: Annotated[
         int,
         Meta(
@@ -124,6 +130,7 @@
     left_ms: Annotated[int, Meta(description="As in the ask, less the time since.")] = 0
     prompt_tokens: int = 0
     generated_tokens: Annotated[int, Meta(description="So far")] = 0
+    alone: Annotated[bool, Meta(description="As in the ask.")] = False
     first_token_ms: Annotated[float, Meta(description="Below 0 while there is none.")] = -1
 
 
--- a/src/fescuedock/schema/result_codes.py
+++ b/src/fescuedock/schema/result_codes.py
@@ -35,6 +35,7 @@
     MEMBER_OVER_SHARE = 2002
     NO_UPSTREAM = 2003
     REVOKED = 2005
+    WORK_HARMFUL = 2006
     BAD_LINE = 3000
     DUPLICATE_CUSTOM_ID = 3001
     TOO_MANY_ITEMS = 3002
@@ -89,6 +90,7 @@
     ResultCode.MEMBER_OVER_SHARE: 429,
     ResultCode.NO_UPSTREAM: 503,
     ResultCode.REVOKED: 503,
+    ResultCode.WORK_HARMFUL: 503,
     ResultCode.BAD_LINE: 400,
     ResultCode.DUPLICATE_CUSTOM_ID: 400,
     ResultCode.TOO_MANY_ITEMS: 400,
@@ -143,6 +145,7 @@
     ResultCode.MEMBER_OVER_SHARE: Outcome.NOT_RUN,
     ResultCode.NO_UPSTREAM: Outcome.NOT_RUN,
     ResultCode.REVOKED: Outcome.NOT_RUN,
+    ResultCode.WORK_HARMFUL: Outcome.NOT_RUN,
     ResultCode.BAD_LINE: Outcome.NOT_RUN,
     ResultCode.DUPLICATE_CUSTOM_ID: Outcome.NOT_RUN,
     ResultCode.TOO_MANY_ITEMS: Outcome.NOT_RUN,
--- a/tests/builders/load_player.py
+++ b/tests/builders/load_player.py
@@ -308,6 +308,7 @@
 
     request_id: str
     times: CallTimes
+    work_id: str = ""
     arrived_ms: float = field(default_factory=now_ms)
     service: str = SERVICE
     member: str = ""
--- a/tests/builders/runner_world.py
+++ b/tests/builders/runner_world.py
@@ -17,6 +17,7 @@
 from fescuedock.address import Address
 from fescuedock.clock import now_ms
 from fescuedock.core.forwarding.route_table import RouteKind, RouteTable
+from fescuedock.core.quarantine import Quarantine, Verdict
 from fescuedock.core.stored_jobs.cache import JobCache
 from fescuedock.core.stored_jobs.job import ItemEnd, ItemRun
 from fescuedock.core.stored_jobs.keys import JobKeys
@@ -33,6 +34,7 @@
 from fescuedock.node.owner_reads import OwnerReads
 from fescuedock.node.replicas import Replicas, Watched
 from fescuedock.node.spools import Spools
+from fescuedock.schema.crashes import CrashedRun, CrashReport
 from fescuedock.schema.result_codes import ResultCode
 from fescuedock.schema.settings import NodeSettings
 from fescuedock.schema.stored_jobs import StoredItem, StoredJobRecord
@@ -47,6 +49,8 @@
 # One way over the network, and the node's timeout of a call.
 _WAY_S = 0.004
 _TIMEOUT_S = 0.3
+# From the beginning of a harmful item until all nodes know that its upstream has ended.
+_CRASH_S = 0.05
 _WATCH_MS = 500
 _SLOTS = 3
 _UPSTREAMS = 2
@@ -152,6 +156,7 @@
     def __init__(self, world: "RunnerWorld", own: str) -> None:
         self._world = world
         self._own = own
+        self.quarantine = world.quarantine
         self.upstreams = {
             name: UpstreamRecord(
                 name, "caldas", "sala-1", "10.0.0.9", 1, UpstreamKind.ENGINE, _SERVICE
@@ -164,6 +169,9 @@
         shown = set(self._world.present()) - (self._world.hidden - {self._own})
         return {name: _Vm(name) for name in shown}
 
+    def verdict_on(self, work_id: str) -> Verdict:
+        return self.quarantine.verdict(work_id, now_ms())
+
     def live_vms(self, _program: Program) -> list[_Vm]:
         return [vm for vm in self.vms.values() if not self._world.is_leaving(vm.vm_id)]
 
@@ -189,7 +197,7 @@
         if self._world.full or self._slots[ask.upstream_id] <= 0:
             return Err(Fault(ResultCode.KV_UNAVAILABLE, "full", 60))
         self._slots[ask.upstream_id] -= 1
-        return Ok(_Grant(ask.upstream_id))
+        return Ok(_Grant(ask.upstream_id, alone=ask.alone))
 
     def give_back(self, grant: "_Grant") -> None:
         self._slots[grant.upstream_id] += 1
@@ -199,6 +207,11 @@
     upstream_id: str
     revoked: trio.Event = msgspec.field(default_factory=trio.Event)
     sendable_until_ms: float = float("inf")
+    alone: bool = False
+    work_id: str = ""
+
+    def choose(self, _work_id: str) -> None:
+        return None
 
     def describe(self, *_standing: object) -> None:
         return None
@@ -406,6 +419,10 @@
         self.hidden: set[str] = set()
         self.parted: set[str] = set()
         self.full = False
+        # Items that crash the upstream that begins them; how often each has, and what nodes know.
+        self.harmful: set[str] = set()
+        self.crashes: Counter[str] = Counter()
+        self.quarantine = Quarantine()
 
     def start(self) -> None:
         for number in range(self.NODES):
@@ -487,6 +504,9 @@
             return ItemEnd.INTERRUPTED
         at_s, refused_s = trio.current_time(), node.refused_s(job.job_id)
         self.begun.append(BegunItem(item.item.item_id, job.job_id, job.epoch, at_s, refused_s))
+        if item.item.item_id in self.harmful:
+            await self._crash(item, upstream, grant)
+            return ItemEnd.INTERRUPTED
         # Of different lengths, so that commits are under way at most times.
         share = 0.5 + len(self.begun) % 7 / 7
         try:
@@ -499,6 +519,17 @@
         item.last_event, item.texts = 0, [item.item.item_id]
         return ItemEnd.WHOLE
 
+    async def _crash(self, item: ItemRun, upstream: UpstreamRecord, grant: _Grant) -> None:
+        """Have an upstream end under an item; nodes know of it a little later."""
+        self.crashes[item.item.item_id] += 1
+        await trio.sleep(_CRASH_S)
+        self.slots[upstream.upstream_id] += 1
+        number = self.crashes.total()
+        run = CrashedRun(item.work_id, alone=grant.alone)
+        upstream_id = f"{upstream.upstream_id}+{number}"
+        report = CrashReport(str(number), upstream_id, int(now_ms()), [run])
+        self.quarantine.note_crash(report)
+
 
 def items_of(job_id: str, count: int) -> list[StoredItem]:
     return [stored_item(f"{job_id}-{number}") for number in range(count)]
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -146,6 +146,8 @@
     """
 
     attempts: list[OnlineAttempt] = field(default_factory=list)
+    # Calls that crash upstreams, and those that come beside them.
+    harmful: list[OnlineAttempt] = field(default_factory=list)
     jobs: dict[str, SoakJob] = field(default_factory=dict)
     broken: list[str] = field(default_factory=list)
     broken_lost_ends: list[str] = field(default_factory=list)
@@ -198,7 +200,7 @@
         for item in upstreams:
             runs.update(item.upstream.runs)
         self.broken += self._unasked(runs)
-        for attempt in self.attempts:
+        for attempt in (*self.attempts, *self.harmful):
             count = runs[attempt.request_id]
             if attempt.status in NOT_RUN and count:
                 self.broken.append(f"{attempt.request_id}: {attempt.status}, yet it has run")
@@ -226,7 +228,7 @@
             self.broken.append(f"{job.job_id}: accepted, and never listed: {missing}")
 
     def _unasked(self, runs: Counter[str]) -> Iterator[str]:
-        known = {attempt.request_id for attempt in self.attempts}
+        known = {attempt.request_id for attempt in (*self.attempts, *self.harmful)}
         known |= {item for job in self.jobs.values() for item in job.items}
         for request_id in runs.keys() - known:
             yield f"{request_id} has run, and nobody sent it"
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -49,15 +49,32 @@
     delay_ms: float = 0.0
     refuses: bool = False
     _links: set[_Link] = field(default_factory=set)
+    _up: trio.Event = field(default_factory=trio.Event)
+    _scope: trio.CancelScope = field(default_factory=trio.CancelScope)
 
     async def run(
         self, host: str, *, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED
     ) -> None:
         """Forward until cancelled; report the ``Address`` to connect to."""
-        [listener] = await trio.open_tcp_listeners(0, host=host)
-        self.address = Address(host, listener.socket.getsockname()[1])
-        task_status.started(self.address)
-        await trio.serve_listeners(self._forward, [listener])
+        self._up.set()
+        while True:
+            await self._up.wait()
+            port = 0 if self.address is None else self.address.port
+            [listener] = await trio.open_tcp_listeners(port, host=host)
+            if self.address is None:
+                self.address = Address(host, listener.socket.getsockname()[1])
+                task_status.started(self.address)
+            with trio.CancelScope() as self._scope:
+                await trio.serve_listeners(self._forward, [listener])
+
+    def take_down(self) -> None:
+        """Cut every connection and refuse new ones, as the machine of a dead process does."""
+        self._up = trio.Event()
+        self._scope.cancel()
+
+    def bring_up(self) -> None:
+        """Take connections again."""
+        self._up.set()
 
     def reset_open(self) -> None:
         """Reset every open connection; new ones work."""
--- a/tests/soak/regressions.py
+++ b/tests/soak/regressions.py
@@ -17,6 +17,8 @@
     fault_s: float
     cause: str
     spools: int = 0
+    # Whether work that crashes upstreams comes as well.
+    harm: bool = False
 
 
 REGRESSIONS: tuple[Regression, ...] = (
--- a/tests/soak/runs.py
+++ b/tests/soak/runs.py
@@ -15,6 +15,7 @@
 from tests.soak.clients import ConfigWatcher, JobClient, OnlineClient
 from tests.soak.ending import EndingClient
 from tests.soak.faults import Schedule, first_configuration
+from tests.soak.harmful import CAUSES, HarmfulClient, harm_after_enough, harmful_paths
 from tests.soak.lost_ends import LostEndClient, lose_ends
 from tests.soak.overlaps import OverlapSchedule
 from tests.soak.promises import CALM_S, END_S, Ledger
@@ -55,6 +56,8 @@
     lost_ends: int
     # Copies of jobs that disks have kept.
     spooled: int
+    # Upstreams that were crashed by harmful work.
+    crashes: int
     faults: list[str]
     broken: list[str]
     broken_lost_ends: list[str]
@@ -67,14 +70,21 @@
 
 
 def run_seed(
-    seed: int, folder: Path, fault_s: float, nodes: int, spools: int = SPOOLS
+    seed: int,
+    folder: Path,
+    fault_s: float,
+    nodes: int,
+    spools: int = SPOOLS,
+    *,
+    harm: bool = True,
 ) -> SoakReport:
     """Run one seed; its folder with logs stays only if a promise was broken.
 
-    Without ``spools`` there is one series of faults only, and every end is acknowledged.
+    Without ``spools`` there is one series of faults only, and every end is acknowledged.  Without
+    ``harm`` no work crashes upstreams.
     """
     logs = new_folder(folder / f"seed-{seed}")
-    report = trio.run(_run, seed, logs, fault_s, nodes, spools)
+    report = trio.run(_run, seed, logs, fault_s, nodes, spools, harm)
     if not report.has_failed:
         shutil.rmtree(logs)
     else:
@@ -94,12 +104,19 @@
     return found
 
 
-async def _run(seed: int, logs: Path, fault_s: float, nodes: int, spools: int) -> SoakReport:
+async def _run(
+    seed: int, logs: Path, fault_s: float, nodes: int, spools: int, harm: bool
+) -> SoakReport:
     # Apart: what clients draw depends on the time that calls take, and must not move the faults.
     rng, fault_rng = random.Random(f"clients-{seed}"), random.Random(seed)
     ledger = Ledger(unix_offset_s=time.time() - trio.current_time())
     async with trio.open_nursery() as nursery:
         world = World(nursery, logs, own_network(), config=first_configuration())
+        harmers: list[HarmfulClient] = []
+        if harm:
+            world.harmful |= harmful_paths()
+            harm_rng = random.Random(f"harm-{seed}")
+            harmers += [HarmfulClient(n, world, ledger, harm_rng) for n in range(CAUSES)]
         schedules = [Schedule(world, ledger, fault_rng)]
         if spools:
             overlap_rng = random.Random(f"overlaps-{seed}")
@@ -108,11 +125,12 @@
         try:
             await world.start(nodes, _UPSTREAMS, spools)
             await _wait_serving(world)
-            await _soak(world, ledger, schedules, rng, fault_s)
+            await _soak(world, ledger, schedules, rng, harmers, fault_s)
         finally:
             with trio.CancelScope(shield=True):
                 await world.end()
         ledger.judge_runs(world.upstreams)
+        ledger.broken += harm_after_enough(ledger, world.upstreams)
         nursery.cancel_scope.cancel()
     whole = sum(attempt.whole and attempt.status == 200 for attempt in ledger.attempts)
     accepted = sum(job.accepted for job in ledger.jobs.values())
@@ -128,6 +146,7 @@
         fault_s,
         sum(job.counted_end_s < float("inf") for job in ledger.jobs.values()),
         _spooled(logs),
+        sum(len(item.upstream.crashes) for item in world.upstreams),
         [line for schedule in schedules for line in schedule.told],
         ledger.broken,
         ledger.broken_lost_ends,
@@ -170,7 +189,12 @@
 
 
 async def _soak(
-    world: World, ledger: Ledger, schedules: list[Schedule], rng: random.Random, fault_s: float
+    world: World,
+    ledger: Ledger,
+    schedules: list[Schedule],
+    rng: random.Random,
+    harmers: list[HarmfulClient],
+    fault_s: float,
 ) -> None:
     online = [OnlineClient(world, ledger, rng) for _ in range(_ONLINE_CLIENTS)]
     jobs = JobClient(world, ledger, rng)
@@ -182,9 +206,9 @@
         LostEndClient(f"lost-{number}", world, ledger, rng)
         for number in range(_LOST_ENDS if world.spools else 0)
     ]
-    everyone = [*online, jobs, watcher, *enders, *losers]
+    everyone = [*online, jobs, watcher, *enders, *losers, *harmers]
     async with _closing(everyone), trio.open_nursery() as clients:
-        for client in (*online, watcher, *enders):
+        for client in (*online, watcher, *enders, *harmers):
             clients.start_soon(client.run)
         for _ in range(2):
             clients.start_soon(jobs.read_some)
@@ -205,7 +229,9 @@
 
 @asynccontextmanager
 async def _closing(
-    clients: list[OnlineClient | JobClient | ConfigWatcher | EndingClient | LostEndClient],
+    clients: list[
+        OnlineClient | JobClient | ConfigWatcher | EndingClient | LostEndClient | HarmfulClient
+    ],
 ) -> AsyncIterator[None]:
     """Close the connections that clients have kept when the block is left."""
     try:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -35,6 +35,8 @@
 # What a node has to end in after SIGTERM; its setting below, and a second of our own.
 STOP_TIMEOUT_S = 5
 _HEARTBEAT_S = 0.4
+# Three heartbeats.
+_LEASE_S = 1.2
 # Items with this at the beginning of their name take so long before their first event.
 SLOW_ITEM = "slow-"
 _SLOW_ITEM_S = 0.6
@@ -183,6 +185,8 @@
     # The newest configuration, and when it was put in force.
     config: dict = field(default_factory=config_document)
     config_s: float = float("-inf")
+    # Paths of requests that crash the upstreams that begin them.
+    harmful: set[str] = field(default_factory=set)
     sequence: int = 0
 
     @property
@@ -223,10 +227,31 @@
         proxy = FaultProxy(upstream.address)
         await self.nursery.start(proxy.run, self.upstream_host)
         found = SoakUpstream(upstream, proxy)
+        upstream.harmful = self.harmful
+        upstream.on_crash = lambda _upstream: self._note_crash(found)
+        upstream.on_restart = lambda _upstream: self._note_restart(found)
         self.upstreams.append(found)
         self.register(found)
         return found
 
+    def _note_crash(self, item: SoakUpstream) -> None:
+        """Have a crashed upstream refuse connections, and its entry lapse some time later."""
+        item.proxy.take_down()
+        item.registered = False
+        key = f"servers/{item.upstream.upstream_id}"
+
+        async def lapse() -> None:
+            await trio.sleep(_LEASE_S)
+            self.store.state.delete(key)
+
+        self.nursery.start_soon(lapse)
+
+    def _note_restart(self, item: SoakUpstream) -> None:
+        item.proxy.bring_up()
+        if item.state == "ready":
+            item.registered = True
+            self.register(item)
+
     def register(self, item: SoakUpstream) -> None:
         """Write an upstream's own entry, as it does with each heartbeat."""
         self.sequence += 1
--- a/tests/test_batch_dispatch_address.py
+++ b/tests/test_batch_dispatch_address.py
@@ -16,6 +16,7 @@
 from fescuedock.batch.jobs import JobTask
 from fescuedock.core.batch.job import JobPhase
 from fescuedock.core.batch.scheduler import ItemScheduler
+from fescuedock.core.quarantine import FREE
 from fescuedock.schema.config import Configuration, ServiceKind, ServiceSpec
 from fescuedock.schema.view import UpstreamKind, UpstreamRecord
 from tests.builders.batch import JobWorld, Runner, batch_settings
@@ -53,13 +54,17 @@
         engine = _Engine()
         services = {BEFORE.service: ServiceSpec(ServiceKind.MODEL)}
         view = SimpleNamespace(
-            configuration=Configuration(services=services), upstreams={"u1": BEFORE}
+            configuration=Configuration(services=services),
+            upstreams={"u1": BEFORE},
+            verdict_on=lambda _work_id: FREE,
         )
 
         async def ask(*_args: object) -> Ok:
             await trio.sleep(1.0)
             view.upstreams = {"u1": AFTER}
             grant = SimpleNamespace(permit_id="p", upstream_id="u1", revoked=trio.Event())
+            grant.work_id, grant.alone = "", False
+            grant.choose = lambda _work_id: None
             grant.end = lambda _ended: None
             return Ok(grant)
 
--- a/tests/test_batch_starts.py
+++ b/tests/test_batch_starts.py
@@ -22,6 +22,7 @@
 from fescuedock.core.batch.job import JobPhase
 from fescuedock.core.batch.record import claimed
 from fescuedock.core.batch.scheduler import ItemScheduler
+from fescuedock.core.quarantine import FREE
 from fescuedock.net.http_client import WithdrawnError
 from fescuedock.schema.batch import JobState
 from fescuedock.schema.config import Configuration, ServiceKind, ServiceSpec
@@ -218,7 +219,11 @@
 
 def _context(world: JobWorld, engine: _Engine, configuration: Configuration) -> SimpleNamespace:
     return SimpleNamespace(
-        view=SimpleNamespace(configuration=configuration, upstreams={"u1": _UPSTREAM}),
+        view=SimpleNamespace(
+            configuration=configuration,
+            upstreams={"u1": _UPSTREAM},
+            verdict_on=lambda _work_id: FREE,
+        ),
         upstreams=UpstreamClients(engine, None),
         scheduler=ItemScheduler(world.settings),
         metrics=None,
@@ -233,6 +238,9 @@
         upstream_id="u1",
         revoked=trio.Event(),
         sendable_until_ms=float("inf"),
+        work_id="",
+        alone=False,
+        choose=lambda _work_id: None,
         end=ended.append,
     )
 
--- a/tests/test_node_harmful_calls.py
+++ b/tests/test_node_harmful_calls.py
@@ -1,10 +1,20 @@
 """Calls that crash each upstream that begins them, and come again at any node."""
 
+import time
 import unittest
 
 import trio
-
-from tests.builders.node import Answer, NodeFleet, running_fleet
+from msgspec import msgpack
+from msgspec.structs import fields
+
+from fescuedock.core.stored_jobs.keys import JobKeys
+from fescuedock.core.work_identity import work_identity
+from fescuedock.platform.standin.event_upstream import UpstreamFault
+from fescuedock.schema.crashes import CrashedRun, CrashReport
+from fescuedock.schema.settings import NodeSettings
+from tests.builders.jobs_calls import read_page, submit
+from tests.builders.node import HOST, Answer, NodeFleet, running_fleet
+from tests.builders.online import wait_until
 from tests.builders.standins import run_async
 
 HARMFUL = "/rights/harmful"
@@ -12,20 +22,27 @@
 ENOUGH = 3
 # Between the tries of a client: nodes hear of each other's knowledge well within it.
 PAUSE_S = 0.4
+KEYS = JobKeys(next(field.default for field in fields(NodeSettings) if field.name == "key_prefix"))
 
 
 def crash_count(fleet: NodeFleet) -> int:
     return sum(len(upstream.crashes) for upstream in fleet.upstreams)
 
 
+def stored_keys(fleet: NodeFleet, kind: str) -> list[str]:
+    """Return the keys of what nodes have written of upstreams that ended."""
+    entries = fleet.store.state.page("", None, 10_000).entries
+    return [entry.key for entry in entries if entry.key.startswith(KEYS.crashes + kind)]
+
+
 class HarmfulCallsTest(unittest.TestCase):
     """Users saw twelve upstreams end under one request on one day.
 
-    A call to a stream route crashed the upstream that began it, with all that ran there.  Its client
-    came again, as a call of its own, at another node, which began from nothing: another upstream.
-    Logs showed one call that had just begun at each end, all at different nodes, each the first
-    attempt of its call; what they had in common was the path and the body.  Nothing that is known
-    against a piece of work outlived its call.
+    A call to a stream route crashed the upstream that began it, with all that ran there.  Its
+    client came again, as a call of its own, at another node, which began from nothing: another
+    upstream.  Logs showed one call that had just begun at each end, all at different nodes, each
+    the first attempt of its call; what they had in common was the path and the body.  Nothing that
+    is known against a piece of work outlived its call.
     """
 
     def run_fleet(self, test, **options: object) -> None:
@@ -44,6 +61,26 @@
         headers = {"X-Request-Id": f"try-{number}", "X-Deadline-Ms": "3000"}
         return await fleet.call(node.front, "POST", HARMFUL, b"case", headers)
 
+    async def try_at_all(self, fleet: NodeFleet, first: int) -> list[Answer]:
+        """Make one try at each node at the same moment."""
+        answers: list[Answer] = []
+
+        async def try_one(number: int) -> None:
+            answers.append(await self.try_harmful(fleet, number))
+
+        async with trio.open_nursery() as nursery:
+            for number in range(len(fleet.nodes)):
+                nursery.start_soon(try_one, first + number)
+        return answers
+
+    async def try_until_refused(self, fleet: NodeFleet) -> None:
+        for number in range(20):
+            answer = await self.try_harmful(fleet, number)
+            if answer.status == 503 and b"WORK_HARMFUL" in answer.body:
+                return
+            await trio.sleep(PAUSE_S)
+        self.fail("it was never refused")
+
     def test_a_call_that_comes_again_at_any_node_ends_three_upstreams_at_most(self) -> None:
         async def test(fleet: NodeFleet) -> None:
             for number in range(8):
@@ -56,6 +93,134 @@
 
         self.run_fleet(test, nodes=3, upstreams=4)
 
+    def test_tries_at_all_nodes_at_once_end_no_more_than_are_under_way_at_the_third(self) -> None:
+        async def test(fleet: NodeFleet) -> None:
+            for number in range(6):
+                await self.try_at_all(fleet, 3 * number)
+                await trio.sleep(PAUSE_S)
+            # The first round is on its way before anything is known; the rest runs alone.
+            self.assertLessEqual(crash_count(fleet), ENOUGH + 1)
+
+        self.run_fleet(test, nodes=3, upstreams=6)
+
+    def test_what_is_known_outlives_all_nodes(self) -> None:
+        async def test(fleet: NodeFleet) -> None:
+            await self.try_until_refused(fleet)
+            before = crash_count(fleet)
+            for node in fleet.nodes:
+                node.kill()
+            for node in list(fleet.nodes):
+                await fleet.restart(node)
+            await fleet.wait_ready()
+            for answer in await self.try_at_all(fleet, 100):
+                self.assertEqual(answer.status, 503)
+                self.assertGreater(float(answer.headers["retry-after"]), 60.0)
+            self.assertEqual(crash_count(fleet), before)
+
+        self.run_fleet(test, nodes=3, upstreams=4)
+
+    def test_it_is_known_everywhere_while_the_store_is_away_and_written_later(self) -> None:
+        async def test(fleet: NodeFleet) -> None:
+            fleet.store.refuse_status = 503
+            for number in range(8):
+                await self.try_harmful(fleet, number)
+                await trio.sleep(PAUSE_S)
+            self.assertLessEqual(crash_count(fleet), ENOUGH)
+            fleet.store.refuse_status = 0
+            with trio.fail_after(5):
+                await wait_until(lambda: len(stored_keys(fleet, "ended/")) >= ENOUGH)
+
+        self.run_fleet(test, nodes=3, upstreams=6)
+
+    def test_an_innocent_call_that_ran_beside_ten_crashes_is_served(self) -> None:
+        """Each cause is another one, so what the crashes have in common is the innocent call."""
+
+        async def test(fleet: NodeFleet) -> None:
+            first, second = fleet.nodes
+            innocent = work_identity("POST", HOST, "/rights/innocent", "", b"case")
+            for number in range(10):
+                runs = [CrashedRun(innocent), CrashedRun(f"cause-{number}")]
+                at_ms = int(time.time() * 1000)
+                report = CrashReport(f"report-{number}", f"i-gone-{number}", at_ms, runs)
+                key = f"{KEYS.crashes}ended/{report.report_id}"
+                fleet.store.state.put(key, msgpack.encode(report))
+            await trio.sleep(0.6)
+            for upstream in fleet.upstreams:
+                upstream.event_interval_ms = 30.0
+            async with trio.open_nursery() as nursery:
+                for number in range(6):
+                    path = f"/check/{number}"
+                    nursery.start_soon(fleet.call, first.front, "POST", path, b"other")
+                await trio.sleep(0.05)
+                answer = await fleet.call(second.front, "POST", "/rights/innocent", b"case")
+            self.assertEqual((answer.status, answer.whole), (200, True))
+            # That it has run to its end clears it for good.
+            with trio.fail_after(3):
+                await wait_until(lambda: bool(stored_keys(fleet, "cleared/")))
+
+        self.run_fleet(test, nodes=2, upstreams=2)
+
+    def test_answers_that_are_broken_off_by_upstreams_that_live_count_for_nothing(self) -> None:
+        async def test(fleet: NodeFleet) -> None:
+            [node] = fleet.nodes
+            for _ in range(4):
+                for upstream in fleet.upstreams:
+                    upstream.faults = [UpstreamFault(cut_after=1)]
+                answer = await fleet.call(node.front, "POST", "/rights/1", b"case")
+                self.assertFalse(answer.whole)
+            for upstream in fleet.upstreams:
+                upstream.faults.clear()
+            answer = await fleet.call(node.front, "POST", "/rights/1", b"case")
+            self.assertEqual((answer.status, answer.whole), (200, True))
+            self.assertEqual(stored_keys(fleet, ""), [])
+
+        self.run_fleet(test)
+
+
+class HarmfulItemsTest(unittest.TestCase):
+    """An item that crashes each upstream that begins it was sent on without end.
+
+    Its run counted as interrupted, which says nothing against an item, so it began again elsewhere
+    within 0.2 s, for as long as its job was kept.
+    """
+
+    def test_an_item_ends_three_upstreams_at_most_and_the_others_are_done(self) -> None:
+        async def test() -> None:
+            with trio.fail_after(30):
+                async with running_fleet(nodes=2, upstreams=4) as fleet:
+                    for upstream in fleet.upstreams:
+                        upstream.harmful.add("/letters/harmful")
+                    names = ("a", "harmful", "b", "c")
+                    front = fleet.nodes[0].front
+                    self.assertEqual((await submit(fleet, front, *names)).status, 202)
+                    done: set[str] = set()
+                    while len(done) < 3:
+                        page = (await read_page(fleet, front, wait_ms=500)).json()
+                        done = {item["id"] for item in page["results"]}
+                    self.assertEqual(done, {"a", "b", "c"})
+                    await trio.sleep(4.0)
+                    self.assertLessEqual(crash_count(fleet), ENOUGH)
+
+        run_async(test)
+
+    def test_what_is_known_of_an_item_holds_for_the_call_that_asks_for_the_same(self) -> None:
+        async def test() -> None:
+            with trio.fail_after(30):
+                async with running_fleet(nodes=2, upstreams=4) as fleet:
+                    for upstream in fleet.upstreams:
+                        upstream.harmful.add("/letters/harmful")
+                    await submit(fleet, fleet.nodes[0].front, "harmful")
+                    work_id = work_identity("POST", HOST, "/letters/harmful", "", b"harmful")
+                    await wait_until(lambda: crash_count(fleet) >= ENOUGH)
+                    await trio.sleep(1.0)
+                    keys = stored_keys(fleet, "ended/")
+                    entries = [fleet.store.state.get(key).value for key in keys]
+                    reports = [msgpack.decode(item, type=CrashReport) for item in entries]
+                    works = {run.work_id for report in reports for run in report.runs}
+                    self.assertEqual(works, {work_id})
+
+        run_async(test)
+
 
 if __name__ == "__main__":
     unittest.main()
--- /dev/null
+++ b/tests/test_permits_alone.py
@@ -0,0 +1,98 @@
+"""Permits to run alone: the upstream is emptied first, and nothing else begins meanwhile."""
+
+import unittest
+
+from fescuedock.core.permits.actions import Granted, Refused, Revoked
+from fescuedock.core.permits.queue import UpstreamQueue
+from fescuedock.core.permits.terms import UpstreamTerms
+from fescuedock.schema.permits import (
+    AttemptOutcome,
+    EndedPermit,
+    HeldPermit,
+    PermitAsk,
+    WorkClass,
+)
+from fescuedock.schema.result_codes import ResultCode
+from fescuedock.schema.settings import PermitSettings
+
+SLOTS = 4
+VALID_MS = 2000
+WAIT_MS = 1000
+
+
+class AloneTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.queue = UpstreamQueue(
+            "u", PermitSettings(), UpstreamTerms(slots=SLOTS), VALID_MS, 0.0, 0.0
+        )
+
+    def ask(self, name: str, *, alone: bool = False, batch: bool = False, now_ms: float = 0.0):
+        work_class = WorkClass.BATCH if batch else WorkClass.ONLINE
+        ask = PermitAsk("u", name, "h", "s", "", work_class, 5000, wait_ms=WAIT_MS, alone=alone)
+        return self.queue.ask(ask, now_ms)
+
+    def end(self, name: str, now_ms: float = 0.0):
+        ended = EndedPermit(name, "u", AttemptOutcome.COMPLETED, WorkClass.ONLINE)
+        return self.queue.end(ended, now_ms)
+
+    def granted(self, actions) -> list[str]:
+        return [item.ask.attempt_id for item in actions if isinstance(item, Granted)]
+
+    def test_an_empty_upstream_is_given_at_once_and_to_nobody_else(self) -> None:
+        self.assertEqual(self.granted(self.ask("lone", alone=True)), ["lone"])
+        self.assertEqual(self.ask("other"), [])
+        self.assertEqual(self.ask("item", batch=True), [])
+        self.assertEqual(self.queue.load(0.0).limit, 0)
+        self.assertEqual(self.granted(self.end("lone")), ["other", "item"])
+        self.assertEqual(self.queue.load(0.0).limit, SLOTS)
+
+    def test_it_waits_until_online_work_has_ended_and_takes_batch_work_back(self) -> None:
+        self.assertEqual(self.granted(self.ask("call")), ["call"])
+        self.assertEqual(self.granted(self.ask("item", batch=True)), ["item"])
+        actions = self.ask("lone", alone=True)
+        self.assertEqual([item.permit_id for item in actions], ["item"])
+        self.assertIsInstance(actions[0], Revoked)
+        self.assertEqual(self.ask("late call"), [])
+        self.assertEqual(self.end("item"), [])
+        self.assertEqual(self.granted(self.end("call")), ["lone"])
+
+    def test_two_of_them_take_turns(self) -> None:
+        self.assertEqual(self.granted(self.ask("one", alone=True)), ["one"])
+        self.assertEqual(self.ask("two", alone=True), [])
+        self.assertEqual(self.granted(self.end("one")), ["two"])
+
+    def test_one_that_waits_in_vain_is_refused_and_the_upstream_goes_on(self) -> None:
+        self.ask("call")
+        self.ask("lone", alone=True)
+        self.ask("other", now_ms=100.0)
+        actions = self.queue.tick(WAIT_MS)
+        self.assertIn(
+            ResultCode.NO_CAPACITY, [item.code for item in actions if isinstance(item, Refused)]
+        )
+        actions += self.queue.tick(WAIT_MS + 1)
+        self.assertEqual(self.granted(actions), ["other"])
+
+    def test_what_else_waits_is_refused_when_its_own_time_is_up(self) -> None:
+        self.ask("lone", alone=True)
+        self.ask("other")
+        [refused] = self.queue.tick(WAIT_MS)
+        self.assertEqual((refused.ask.attempt_id, refused.code), ("other", ResultCode.NO_CAPACITY))
+
+    def test_a_new_owner_waits_until_it_knows_what_runs(self) -> None:
+        queue = UpstreamQueue(
+            "u", PermitSettings(), UpstreamTerms(slots=SLOTS), VALID_MS, 500.0, 0.0
+        )
+        ask = PermitAsk("u", "lone", "h", "s", "", WorkClass.ONLINE, 5000, wait_ms=2000, alone=True)
+        self.assertEqual(queue.ask(ask, 0.0), [])
+        held = HeldPermit("call", "u", "call", "s", "", WorkClass.ONLINE)
+        queue.renew("h2", held, 400.0)
+        self.assertEqual(queue.tick(600.0), [])
+
+    def test_a_new_owner_keeps_what_runs_alone_apart(self) -> None:
+        held = HeldPermit("lone", "u", "lone", "s", "", WorkClass.ONLINE, alone=True)
+        self.queue.renew("h2", held, 0.0)
+        self.assertEqual(self.ask("other"), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -369,7 +369,9 @@
     def test_seeds_that_failed_once_keep_them_now(self) -> None:
         for case in REGRESSIONS:
             with self.subTest(seed=case.seed, cause=case.cause):
-                report = run_seed(case.seed, LOGS, case.fault_s, case.nodes, case.spools)
+                report = run_seed(
+                    case.seed, LOGS, case.fault_s, case.nodes, case.spools, harm=case.harm
+                )
                 self.check(report)
                 self.assertEqual(report.broken_lost_ends, [])
 
