Count the time that a machine is suspended in the clock that everything is judged by

After a suspension permits, leases, records and deadlines read too young by its length, as the kernel's steady clock stands still meanwhile: a permit that its owner had given to other work was still used, and what was due meanwhile waited for the whole rest of its time.

--- a/src/fescuedock/cli/entry_session.py
+++ b/src/fescuedock/cli/entry_session.py
@@ -11,6 +11,7 @@
 
 from fescuedock.address import Address
 from fescuedock.cli.command_line import ExitCode
+from fescuedock.clock import loop_clock
 from fescuedock.net.http_client import (
     HttpClient,
     NotSentError,
@@ -100,7 +101,7 @@
     except ValueError as error:
         print(f"fescuedock: {error}", file=sys.stderr)
         return ExitCode.USAGE
-    match trio.run(_run_steps, address, steps):
+    match trio.run(_run_steps, address, steps, clock=loop_clock()):
         case Ok(shown):
             if shown:
                 print(shown)
--- a/src/fescuedock/cli/local_command.py
+++ b/src/fescuedock/cli/local_command.py
@@ -12,6 +12,7 @@
 from fescuedock.cli.local_banner import banner
 from fescuedock.cli.local_setup import log_settings
 from fescuedock.cli.local_vm import STOP_TIMEOUT_MS
+from fescuedock.clock import loop_clock
 from fescuedock.daemon import CutOffError, Stop, report_errors, stop_on_signals
 from fescuedock.log import open_log
 
@@ -47,7 +48,7 @@
     def run() -> None:
         folder.mkdir(parents=True, exist_ok=True)
         with open_log(log_settings(log_file), "local"):
-            trio.run(_serve, port, folder, log_file)
+            trio.run(_serve, port, folder, log_file, clock=loop_clock())
 
     return report_errors("fescuedock local", run)
 
--- a/src/fescuedock/daemon.py
+++ b/src/fescuedock/daemon.py
@@ -18,6 +18,7 @@
 
 from fescuedock.address import Address
 from fescuedock.cli.command_line import Command, ExitCode, run_command_line
+from fescuedock.clock import loop_clock
 from fescuedock.log import log_event, open_log
 from fescuedock.settings import Settings, load_settings
 from fescuedock.settings_file import SettingsFile, watch_settings
@@ -104,7 +105,8 @@
 
     def run() -> None:
         with open_log(settings.vm, name):
-            trio.run(_serve, name, program, SettingsFile(path, sections, settings))
+            file = SettingsFile(path, sections, settings)
+            trio.run(_serve, name, program, file, clock=loop_clock())
 
     return report_errors(f"fescuedock-{name}", run)
 
--- a/src/fescuedock/standin/main.py
+++ b/src/fescuedock/standin/main.py
@@ -11,6 +11,7 @@
 from result import Err, Result
 
 from fescuedock.cli.command_line import Command, ExitCode, run_command_line
+from fescuedock.clock import loop_clock
 from fescuedock.daemon import Stop, report_errors, stop_on_signals
 from fescuedock.log import log_event, open_log
 from fescuedock.schema.settings import StandinSettings, VmSettings
@@ -76,7 +77,7 @@
 
     def run() -> None:
         with open_log(log_settings, "standin"):
-            trio.run(_serve, settings)
+            trio.run(_serve, settings, clock=loop_clock())
 
     return report_errors(_NAME, run)
 
