Find harmful work whose caller had left, tell large fleets by relays, and pause refused connections

A run that was given up goes on at its upstream for a while: a client that always left before the crash was never found, as nobody had a broken run there. Runs given up in the last second count once their upstream has ended, which a refused connection at any VM shows. A node takes calls only once it knows what is held against works.

From the second refusal on it pauses, 10 to 160 ms.

--- a/src/fescuedock/agent/crash_service.py
+++ b/src/fescuedock/agent/crash_service.py
@@ -17,7 +17,7 @@
 from fescuedock.address import Address
 from fescuedock.agent.link import FleetView
 from fescuedock.clock import UnixClock, now_ms
-from fescuedock.core.crash_log import CrashFact, CrashLog
+from fescuedock.core.crash_log import CrashFact, CrashLog, audience_of, facts_of, news_of
 from fescuedock.core.quarantine import QuarantinePolicy
 from fescuedock.core.rendezvous import choose_name
 from fescuedock.kv import KvEntry, KvStore
@@ -31,18 +31,16 @@
     CrashedRun,
     CrashesReply,
     CrashesRequest,
+    CrashNews,
     CrashReport,
     WholeRun,
     WorkCleared,
 )
 from fescuedock.schema.result_codes import ResultCode
-from fescuedock.schema.view import UpstreamRecord
+from fescuedock.schema.view import UpstreamRecord, VmRecord
 
 __all__ = ["CrashService"]
 
-# Below the prefix of all reports.
-_CRASHES = "ended/"
-_CLEARED = "cleared/"
 _REPORT_BYTES = 12
 _SAME_END_MS = QuarantinePolicy().same_end_ms
 # A dying process may still take connections while those that it had are cut already.
@@ -52,6 +50,8 @@
 _GONE_S = 5.0
 # Runs that were broken off by one end come in within milliseconds of each other.
 _GATHER_S = 0.01
+# Between two writes of one node.
+_WRITE_PAUSE_S = 0.5
 _FIRST_PAUSE_MS = 100.0
 _MOST_PAUSE_MS = 2000.0
 # Between two looks at what is too old.
@@ -89,11 +89,17 @@
         # Unix time at trio's time 0; the clock itself gives whole seconds.
         self._unix_base_ms = unix_clock() * 1000.0 - now_ms()
         self._log = CrashLog(view.quarantine, boot=rng.getrandbits(53))
+        # Set when something was learned, or found out here.
         self._changed = trio.Event()
+        self._found = trio.Event()
         # Runs that were broken off, by upstream, while it is being found out whether that ended.
         self._broken: defaultdict[str, list[BrokenRun]] = defaultdict(list)
         # When upstreams of this VM's broken runs were found to have ended.
         self._ended_ms: dict[str, float] = {}
+        # What others are still to be told, by whether they pass it on; and what is to be written.
+        self._untold: list[CrashFact] = []
+        self._unrelayed: list[CrashFact] = []
+        self._unwritten: list[CrashFact] = []
         # Revisions of what lies in the key-value service.
         self._stored: dict[str, int] = {}
         self._nursery: trio.Nursery | None = None
@@ -103,8 +109,7 @@
         return {
             BrokenRun: self._on_broken,
             WholeRun: self._on_whole,
-            CrashReport: self._on_fact,
-            WorkCleared: self._on_fact,
+            CrashNews: self._on_news,
             CrashesRequest: self._on_request,
         }
 
@@ -112,6 +117,8 @@
         """Find out, share and keep until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
+            nursery.start_soon(self._tell_forever)
+            nursery.start_soon(self._write_forever)
             while True:
                 await trio.sleep(_FORGET_S)
                 self._view.quarantine.forget(self._now_ms())
@@ -140,19 +147,17 @@
     def take_entries(self, entries: Iterable[KvEntry]) -> None:
         """Take in what lies in the key-value service, each entry as often as it may come."""
         for entry in entries:
-            if not entry.key.startswith(self._prefix):
-                continue
-            kind = WorkCleared if entry.key.startswith(self._prefix + _CLEARED) else CrashReport
-            if self._view.quarantine.knows(entry.key.rpartition("/")[2]):
+            if not entry.key.startswith(self._prefix) or entry.key in self._stored:
                 continue
+            self._stored[entry.key] = entry.mod_revision
             try:
-                fact = msgspec.msgpack.decode(entry.value, type=kind)
+                news = msgspec.msgpack.decode(entry.value, type=CrashNews)
             except msgspec.MsgspecError as error:
-                log_event("crash_report_unreadable", key=entry.key, reason=str(error))
+                log_event("crash_news_unreadable", key=entry.key, reason=str(error))
                 continue
-            self._stored[entry.key] = entry.mod_revision
-            if not self._view.quarantine.is_forgotten(fact.at_ms, self._now_ms()):
-                self._learn(fact)
+            for fact in facts_of(news):
+                if not self._view.quarantine.is_forgotten(fact.at_ms, self._now_ms()):
+                    self._learn(fact)
 
     # --- programs --------------------------------------------------------------------------------
 
@@ -184,7 +189,7 @@
     async def _find_out(self, upstream_id: str, upstream: UpstreamRecord | None) -> None:
         """Report the runs that an upstream broke off, if it has ended."""
         if not self._has_just_ended(upstream_id):
-            if not await self._has_ended(upstream):
+            if upstream is None or not await self._has_ended(upstream):
                 del self._broken[upstream_id]
                 return
             self._ended_ms[upstream_id] = now_ms()
@@ -192,7 +197,10 @@
         runs = [
             CrashedRun(item.work_id, item.alone, item.begun)
             for item in self._broken.pop(upstream_id)
+            if item.work_id
         ]
+        if not runs and self._view.has_just_ended(upstream_id):
+            return
         self._tell(CrashReport(_new_id(), upstream_id, int(self._now_ms()), runs))
 
     def _has_just_ended(self, upstream_id: str) -> bool:
@@ -225,15 +233,25 @@
     def _tell(self, fact: CrashFact) -> None:
         """Learn a fact that was found here, and see to it that all others do."""
         self._learn(fact)
-        self._nursery.start_soon(self._push, fact)
-        self._nursery.start_soon(self._keep, fact)
-
-    async def _on_fact(self, message: CrashFact, _peer: ServerPeer) -> None:
-        self._learn(message)
-
-    def _learn(self, fact: CrashFact) -> None:
+        self._untold.append(fact)
+        if not isinstance(fact, CrashReport) or fact.runs:
+            # That an upstream ended under nothing is of use for a moment only.
+            self._unwritten.append(fact)
+        self._wake_tellers()
+
+    def _wake_tellers(self) -> None:
+        self._found.set()
+        self._found = trio.Event()
+
+    async def _on_news(self, message: CrashNews, _peer: ServerPeer) -> None:
+        facts = [fact for fact in facts_of(message) if self._learn(fact)]
+        if message.relay and facts:
+            self._unrelayed += facts
+            self._wake_tellers()
+
+    def _learn(self, fact: CrashFact) -> bool:
         if not self._log.note(fact):
-            return
+            return False
         self._view.note_quarantine()
         self._changed.set()
         self._changed = trio.Event()
@@ -250,6 +268,7 @@
                     self._log_verdict(run.work_id)
             case WorkCleared():
                 log_event("work_cleared", work_id=fact.work_id, reports=len(fact.void_report_ids))
+        return True
 
     def _log_verdict(self, work_id: str) -> None:
         verdict = self._view.quarantine.verdict(work_id, self._now_ms())
@@ -261,17 +280,43 @@
             standing=verdict.standing.name,
         )
 
-    async def _push(self, fact: CrashFact) -> None:
-        for vm in self._view.live_vms():
+    async def _tell_forever(self) -> None:
+        while True:
+            while not self._untold and not self._unrelayed:
+                await self._found.wait()
+            found, self._untold = self._untold, []
+            relayed, self._unrelayed = self._unrelayed, []
+            vms = self._view.live_vms()
+            if found:
+                audience = audience_of(self._view.vm_id, found[0].report_id, vms)
+                await self._push(audience.direct, news_of(found))
+                await self._push(audience.relays, news_of(found, relay=True))
+            if relayed:
+                own = self._view.vms.get(self._view.vm_id)
+                near = [vm for vm in vms if own and vm.failure_domain == own.failure_domain]
+                await self._push(near, news_of(relayed))
+
+    async def _push(self, vms: Iterable[VmRecord], news: CrashNews) -> None:
+        for vm in vms:
             if vm.vm_id != self._view.vm_id and vm.agent_port:
                 client = await self._pool.client(Address(vm.host, vm.agent_port))
-                client.push(fact)
+                client.push(news)
+
+    async def _write_forever(self) -> None:
+        """Write what was found here, together what comes within a pause, until it is all there.
 
-    async def _keep(self, fact: CrashFact) -> None:
-        """Write a fact until it is certainly there; what it says stays true meanwhile."""
-        kind = _CLEARED if isinstance(fact, WorkCleared) else _CRASHES
-        key = f"{self._prefix}{kind}{fact.report_id}"
-        value = msgspec.msgpack.encode(fact)
+        When a failure domain goes, each node that had work there finds many upstreams ended.
+        """
+        while True:
+            while not self._unwritten:
+                await self._found.wait()
+            facts, self._unwritten = self._unwritten, []
+            await self._write(facts)
+            await trio.sleep(_WRITE_PAUSE_S * self._rng.uniform(0.5, 1.5))
+
+    async def _write(self, facts: list[CrashFact]) -> None:
+        key = f"{self._prefix}{_new_id()}"
+        value = msgspec.msgpack.encode(news_of(facts))
         pauses = GrowingPauses(_FIRST_PAUSE_MS, _MOST_PAUSE_MS)
         while True:
             written = await self._kv.put_if(key, value, 0)
@@ -284,12 +329,27 @@
         """Remove what has been forgotten from the key-value service; one agent does it."""
         vm_ids = [vm.vm_id for vm in self._view.live_vms()]
         for key, revision in list(self._stored.items()):
-            if self._view.quarantine.knows(key.rpartition("/")[2]):
+            if choose_name(key, vm_ids) != self._view.vm_id:
                 continue
-            del self._stored[key]
-            if choose_name(key, vm_ids) == self._view.vm_id:
+            read = await self._kv.get(key)
+            entry = None if isinstance(read, Err) else read.ok_value
+            if entry is None:
+                self._stored.pop(key, None)
+            elif self._is_forgotten(entry):
                 await self._kv.delete_if(key, revision)
 
+    def _is_forgotten(self, entry: KvEntry) -> bool:
+        """Whether all that an entry tells is too old to count."""
+        try:
+            news = msgspec.msgpack.decode(entry.value, type=CrashNews)
+        except msgspec.MsgspecError:
+            # Of a newer version, which will know.
+            return False
+        now_ms = self._now_ms()
+        return all(
+            self._view.quarantine.is_forgotten(fact.at_ms, now_ms) for fact in facts_of(news)
+        )
+
     def _now_ms(self) -> float:
         return self._unix_base_ms + now_ms()
 
--- a/src/fescuedock/agent/link.py
+++ b/src/fescuedock/agent/link.py
@@ -9,6 +9,7 @@
 
 from fescuedock.address import Address
 from fescuedock.clock import UnixClock, now_ms, unix_clock
+from fescuedock.core.crash_log import facts_of
 from fescuedock.core.quarantine import Quarantine, Verdict
 from fescuedock.core.rendezvous import OwnerIndex
 from fescuedock.net.channel import ChannelClient
@@ -32,6 +33,8 @@
 _POLL_WAIT_MS = 2000
 _CALL_TIMEOUT_MS = 3000
 _RETRY_S = 0.2
+# How long an upstream's end is news: what clocks of VMs differ by, and what reports take.
+_JUST_ENDED_MS = 3000.0
 # What the agent says of the key-value service is good for one poll that gets no answer.
 _KV_AWAY_MS = _POLL_WAIT_MS + _CALL_TIMEOUT_MS
 _PORT_FIELDS = {program: f"{program.value}_port" for program in Program}
@@ -126,6 +129,12 @@
         self.unix_clock = self.unix_clock or unix_clock()
         return self.quarantine.verdict(work_id, self.unix_clock() * 1000.0)
 
+    def has_just_ended(self, upstream_id: str) -> bool:
+        """Whether an upstream was found to have ended in the last seconds."""
+        self.unix_clock = self.unix_clock or unix_clock()
+        since_ms = self.unix_clock() * 1000.0 - _JUST_ENDED_MS
+        return self.quarantine.has_ended_since(upstream_id, since_ms)
+
     def note_quarantine(self) -> None:
         """Wake those who wait for a change of ``quarantine``."""
         self._quarantine_changed.set()
@@ -260,10 +269,8 @@
     while True:
         match await link.call(request, request.wait_ms + _CALL_TIMEOUT_MS):
             case Ok(CrashesReply() as reply):
-                for report in reply.crashes:
-                    view.quarantine.note_crash(report)
-                for cleared in reply.cleared:
-                    view.quarantine.note_cleared(cleared)
+                for fact in facts_of(reply.news):
+                    view.quarantine.note(fact)
                 view.note_quarantine()
                 request = CrashesRequest(reply.agent_boot, reply.seen, _POLL_WAIT_MS)
             case _:
--- a/src/fescuedock/agent/permit_client.py
+++ b/src/fescuedock/agent/permit_client.py
@@ -20,6 +20,7 @@
 from fescuedock.clock import now_ms
 from fescuedock.core.permits.holder import HeldGrant, HolderBook, lapsed_by_ms
 from fescuedock.core.permits.local_limit import LocalLimit
+from fescuedock.core.recent_runs import RecentRuns
 from fescuedock.faults import Fault
 from fescuedock.net.channel import ChannelClient
 from fescuedock.net.codec import Codec
@@ -47,6 +48,8 @@
 _DEFAULT_VALID_MS = 2000
 # Ends by which an upstream may have ended as well.
 _BROKEN_OFF = (AttemptOutcome.TRUNCATED, AttemptOutcome.RESPONSE_TIMEOUT)
+# Ends of our own making, after which an upstream may still be at work.
+_GIVEN_UP = (AttemptOutcome.CANCELLED, AttemptOutcome.REVOKED)
 # Three renewals fit into the validity, so that two may be lost.
 _RENEWALS_PER_VALIDITY = 3
 
@@ -112,6 +115,10 @@
             self._held.first_token_ms = now_ms() - self._held.granted_ms
         self._held.generated_tokens += count
 
+    def note_sent(self) -> None:
+        """Note that the attempt's request is written."""
+        self._held.sent = True
+
     def choose(self, work_id: str) -> None:
         """Note which work runs under a permit that was asked for before it was chosen."""
         self._held.ask = msgspec.structs.replace(self._held.ask, work_id=work_id)
@@ -146,6 +153,7 @@
         self._own_agent = Address(settings.vm.host, settings.agent.port) if settings.agent else None
         # What this VM's agent is to be told of works, in order.
         self._to_tell: list[BrokenRun | WholeRun] = []
+        self._given_up = RecentRuns()
         # Attempts whose ask is under way; True once a revocation has overtaken the grant.
         self._asking: dict[str, bool] = {}
 
@@ -199,6 +207,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._renew_forever)
             nursery.start_soon(self._report_forever)
+            nursery.start_soon(self._follow_ends)
 
     def take_push(self, message: msgspec.Struct) -> None:
         """Take a message that an owner sent of its own accord."""
@@ -272,11 +281,19 @@
     def _note_run(self, held: HeldGrant, ended: EndedPermit) -> None:
         """Note what a run says of the work; all runs end here, so that none is missed."""
         work_id = held.ask.work_id
+        upstream_id = ended.upstream_id
+        begun = ended.generated_tokens > 0
+        run = BrokenRun(upstream_id, work_id, alone=held.ask.alone, begun=begun)
+        if ended.outcome in (*_BROKEN_OFF, AttemptOutcome.CONNECT_REFUSED):
+            # What was given up just before may be what ended it, and nobody else would tell.
+            self._to_tell += self._given_up.take(upstream_id, now_ms())
+        if ended.outcome is AttemptOutcome.CONNECT_REFUSED:
+            self._note_refused(upstream_id)
         if not work_id:
             return
-        if ended.outcome in _BROKEN_OFF:
-            begun = ended.generated_tokens > 0
-            run = BrokenRun(ended.upstream_id, work_id, alone=held.ask.alone, begun=begun)
+        if ended.outcome in _GIVEN_UP and held.sent:
+            self._given_up.note(run, now_ms())
+        elif ended.outcome in _BROKEN_OFF:
             self._to_tell.append(run)
         elif ended.outcome is AttemptOutcome.COMPLETED and self._view.quarantine.suspects(work_id):
             self._to_tell.append(WholeRun(work_id))
@@ -348,6 +365,20 @@
                 channel = await self._channels.get(address)
                 channel.push(PermitsEnded(self.holder_id, group))
 
+    def _note_refused(self, upstream_id: str) -> None:
+        """Have it found out whether an upstream has ended: others may have given runs up there."""
+        if not self._view.has_just_ended(upstream_id):
+            self._to_tell.append(BrokenRun(upstream_id, ""))
+
+    async def _follow_ends(self) -> None:
+        """Tell of runs that were given up at upstreams which other VMs have found to have ended."""
+        while True:
+            await self._view.wait_quarantine()
+            for upstream_id in self._given_up.upstream_ids(now_ms()):
+                if self._view.has_just_ended(upstream_id):
+                    self._to_tell += self._given_up.take(upstream_id, now_ms())
+            await self._tell_agent()
+
     async def _tell_agent(self) -> None:
         """Tell this VM's agent of works at once: the next try of one may be on its way."""
         messages, self._to_tell = self._to_tell, []
--- a/src/fescuedock/agent/send_check.py
+++ b/src/fescuedock/agent/send_check.py
@@ -20,7 +20,7 @@
     """Return the check of a request to ``upstream`` under ``grant``, by what is known then."""
 
     def check() -> SendRefusal | None:
-        return refusal_of(
+        refusal = refusal_of(
             upstream,
             view.upstreams.get(upstream.upstream_id),
             PermitStanding(grant.revoked.is_set(), grant.sendable_until_ms, grant.alone),
@@ -28,5 +28,9 @@
             now_ms=now_ms(),
             verdict=view.verdict_on(grant.work_id),
         )
+        if refusal is None:
+            # Nothing comes between this and the writing.
+            grant.note_sent()
+        return refusal
 
     return check
--- a/src/fescuedock/core/crash_log.py
+++ b/src/fescuedock/core/crash_log.py
@@ -1,19 +1,66 @@
-"""What an agent has learned of upstreams that ended, in the order in which it tells its programs.
+"""What an agent has learned of upstreams that ended, and whom it tells.
 
 Pure.
 """
 
+from collections.abc import Iterable, Sequence
+
 import msgspec
 
 from fescuedock.core.quarantine import Quarantine
-from fescuedock.schema.crashes import CrashesReply, CrashReport, WorkCleared
+from fescuedock.core.rendezvous import rank_names
+from fescuedock.schema.crashes import CrashesReply, CrashNews, CrashReport, WorkCleared
+from fescuedock.schema.view import VmRecord
 
-__all__ = ["CrashFact", "CrashLog"]
+__all__ = ["Audience", "CrashFact", "CrashLog", "audience_of", "facts_of", "news_of"]
 
 CrashFact = CrashReport | WorkCleared
 
 # Kept for programs that start or were away: about 500 bytes each.
 _MOST_FACTS = 4096
+# VMs that one tells by itself.  A channel to each of several hundred would take tens of megabytes.
+_MOST_TOLD = 64
+# Of each other failure domain, as one may have gone.
+_RELAYS = 2
+
+
+def news_of(facts: Iterable[CrashFact], *, relay: bool = False) -> CrashNews:
+    """Return facts as one message."""
+    found = list(facts)
+    return CrashNews(
+        crashes=[fact for fact in found if isinstance(fact, CrashReport)],
+        cleared=[fact for fact in found if isinstance(fact, WorkCleared)],
+        relay=relay,
+    )
+
+
+def facts_of(news: CrashNews) -> list[CrashFact]:
+    """Return the facts that a message tells."""
+    return [*news.crashes, *news.cleared]
+
+
+class Audience(msgspec.Struct, frozen=True):
+    """VMs to be told, and those of them that tell others of their failure domain."""
+
+    direct: Sequence[VmRecord]
+    relays: Sequence[VmRecord] = ()
+
+
+def audience_of(own_id: str, key: str, vms: Iterable[VmRecord]) -> Audience:
+    """Return whom a VM tells: all in a small fleet, else its failure domain and relays of others.
+
+    ``key`` spreads the work of relaying.
+    """
+    known = {vm.vm_id: vm for vm in vms if vm.agent_port}
+    own = known.pop(own_id, None)
+    if len(known) <= _MOST_TOLD or own is None:
+        return Audience(list(known.values()))
+    by_domain: dict[str, list[str]] = {}
+    for vm in known.values():
+        by_domain.setdefault(vm.failure_domain, []).append(vm.vm_id)
+    near = by_domain.pop(own.failure_domain, [])
+    relays = [name for names in by_domain.values() for name in rank_names(key, names)[:_RELAYS]]
+    return Audience([known[name] for name in near], [known[name] for name in relays])
 
 
 class CrashLog(msgspec.Struct):
@@ -31,11 +78,7 @@
 
     def note(self, fact: CrashFact) -> bool:
         """Take a fact; False for one that is known already."""
-        match fact:
-            case CrashReport():
-                is_new = self.quarantine.note_crash(fact)
-            case WorkCleared():
-                is_new = self.quarantine.note_cleared(fact)
+        is_new = self.quarantine.note(fact)
         if is_new:
             self._facts.append(fact)
             if len(self._facts) > _MOST_FACTS:
@@ -50,9 +93,4 @@
     def reply_after(self, seen: int) -> CrashesReply:
         """Return what comes after the first ``seen`` facts."""
         facts = self._facts[max(seen - self._dropped, 0) :]
-        return CrashesReply(
-            agent_boot=self.boot,
-            seen=self.length,
-            crashes=[fact for fact in facts if isinstance(fact, CrashReport)],
-            cleared=[fact for fact in facts if isinstance(fact, WorkCleared)],
-        )
+        return CrashesReply(agent_boot=self.boot, seen=self.length, news=news_of(facts))
--- a/src/fescuedock/core/forwarding/progress.py
+++ b/src/fescuedock/core/forwarding/progress.py
@@ -39,6 +39,16 @@
 _NOT_RUN = (AttemptEnd.NOT_SENT, AttemptEnd.REJECTED, AttemptEnd.WITHDRAWN)
 
 
+# Before the next attempt after an upstream that was full: a share of the time a slot takes to free.
+_REJECTED_PAUSE_MS = 15.0
+# After a connection that was refused another upstream is tried at once, and from the second on with
+# pauses that double: while most upstreams are down a call tried the same ones every 0.3 ms.
+_FIRST_REFUSED_PAUSE_MS = 10.0
+_MOST_REFUSED_PAUSE_MS = 160.0
+# Keeps the power within numbers.
+_MOST_DOUBLINGS = 8
+
+
 class CallProgress(msgspec.Struct):
     """The attempts of one call so far.
 
@@ -52,6 +62,8 @@
     runs: int = 0
     attempts: int = 0
     answer_begun: bool = False
+    # Connections that were refused in a row.
+    _refused: int = 0
 
     @property
     def may_have_run(self) -> bool:
@@ -62,6 +74,19 @@
         self.attempts += 1
         if end not in _NOT_RUN:
             self.runs += 1
+        if end is AttemptEnd.NOT_SENT:
+            self._refused += 1
+        elif end is not AttemptEnd.WITHDRAWN:
+            self._refused = 0
+
+    def pause_ms(self, end: AttemptEnd) -> float:
+        """Return the pause before the attempt that follows one which ended so."""
+        if end is AttemptEnd.REJECTED:
+            return _REJECTED_PAUSE_MS
+        if end is not AttemptEnd.NOT_SENT or self._refused < 2:
+            return 0.0
+        doublings = min(self._refused - 2, _MOST_DOUBLINGS)
+        return min(_FIRST_REFUSED_PAUSE_MS * 2**doublings, _MOST_REFUSED_PAUSE_MS)
 
     def take_fresh(self, events: Iterable[SplitEvent]) -> bytes | None:
         """Return the bytes of the events that the client lacks; None when one is missing."""
--- a/src/fescuedock/core/quarantine.py
+++ b/src/fescuedock/core/quarantine.py
@@ -85,6 +85,10 @@
         """Whether nothing is known against any work."""
         return not self._by_work
 
+    def note(self, fact: CrashReport | WorkCleared) -> bool:
+        """Take a fact; False for one that is known."""
+        return self.note_crash(fact) if isinstance(fact, CrashReport) else self.note_cleared(fact)
+
     def note_crash(self, report: CrashReport) -> bool:
         """Take a report of an upstream's end; False for one that is known."""
         if report.report_id in self._seen:
@@ -113,6 +117,11 @@
         """Whether a report was taken and has not been forgotten."""
         return report_id in self._seen
 
+    def has_ended_since(self, upstream_id: str, since_ms: float) -> bool:
+        """Whether an upstream is known to have ended after ``since_ms``."""
+        names = self._by_upstream.get(upstream_id, ())
+        return any(self._reports[name].at_ms >= since_ms for name in names)
+
     def suspects(self, work_id: str) -> bool:
         """Whether anything is known against a work."""
         return work_id in self._by_work
--- a/src/fescuedock/node/front.py
+++ b/src/fescuedock/node/front.py
@@ -35,6 +35,7 @@
 
     __slots__ = (
         "_has_started",
+        "_knows_work",
         "configuration",
         "jobs",
         "leaving",
@@ -52,6 +53,7 @@
         configuration: NodeConfiguration,
         view: FleetView,
         on_error: Callable[[Exception], None],
+        knows_work: Callable[[], bool] = lambda: True,
     ) -> None:
         self.settings = settings
         self.own_address = own_address
@@ -61,6 +63,7 @@
         self.jobs: JobCalls | None = None
         self.leaving = False
         self._has_started = False
+        self._knows_work = knows_work
         self.server = HttpServer(self.handle, http_limits(ClientLimits()), on_error=on_error)
 
     @property
@@ -70,12 +73,13 @@
 
     @property
     def has_started(self) -> bool:
-        """Whether the configuration and the upstreams have been known.
+        """Whether the configuration, the upstreams and what is held against works have been known.
 
         Once only: a node whose last upstream goes still ends jobs and reads them.
         """
         if not self._has_started:
-            self._has_started = self.configuration.is_known and bool(self.view.upstreams)
+            is_known = self.configuration.is_known and self._knows_work()
+            self._has_started = is_known and bool(self.view.upstreams)
         return self._has_started
 
     async def _wait_started(self) -> bool:
--- a/src/fescuedock/node/main.py
+++ b/src/fescuedock/node/main.py
@@ -169,7 +169,10 @@
             self._table(records.OPERATOR_PREFIX), records.CONFIG_KEY, records.read_route_table
         )
         front_address = Address.parse(node.front_address)
-        self.front = Front(node, front_address, self._configuration, view, _log_error)
+        live = self._table(self._keys.live)
+        self.front = Front(
+            node, front_address, self._configuration, view, _log_error, lambda: live.is_known
+        )
         self._programs = LocalPrograms(settings.vm, settings.agent.port)
         self._lease = NodeLease(
             self._store, self._keys.nodes, self._node_record(), node.lease_ttl_ms
--- a/src/fescuedock/node/online_call.py
+++ b/src/fescuedock/node/online_call.py
@@ -41,8 +41,6 @@
 # Answers that are no streams are held back up to this size, so that a broken one can be repeated.
 _HELD_BYTES = 1024 * 1024
 _SERVER_ERROR = 500
-# Before the next attempt after an upstream that was full: a share of the time a slot takes to free.
-_REJECTED_PAUSE_MS = 15.0
 
 
 class Call:
@@ -168,8 +166,7 @@
             if not self.progress.may_try_again():
                 await self.give_up(self._fault_of(end))
                 return
-            if end is AttemptEnd.REJECTED:
-                await trio.sleep(_REJECTED_PAUSE_MS / 1000)
+            await trio.sleep(self.progress.pause_ms(end) / 1000)
 
     async def _try(self, grant: Grant) -> AttemptEnd | None:
         """Make one attempt; None when the client got its answer."""
--- a/src/fescuedock/platform/standin/event_upstream.py
+++ b/src/fescuedock/platform/standin/event_upstream.py
@@ -68,6 +68,8 @@
     impossible: set[str] = field(default_factory=set)
     harmful: set[str] = field(default_factory=set)
     crash_after_ms: float = 20.0
+    # Whether a harmful request crashes it also when its caller has left.
+    goes_on: bool = False
     restart_ms: float = 300.0
     crashes: list[UpstreamCrash] = field(default_factory=list)
     on_crash: Callable[["EventUpstream"], None] = _nobody
@@ -134,8 +136,9 @@
         self.in_progress.append(request_id)
         try:
             if request.path in self.harmful:
-                await trio.sleep(self.crash_after_ms / 1000)
-                self.crash(request.path)
+                with trio.CancelScope(shield=self.goes_on):
+                    await trio.sleep(self.crash_after_ms / 1000)
+                    self.crash(request.path)
                 await trio.sleep_forever()
             await self._run(request, responder, request_id, body, fault)
         finally:
--- a/src/fescuedock/schema/crashes.py
+++ b/src/fescuedock/schema/crashes.py
@@ -7,18 +7,18 @@
 
 from typing import Annotated
 
-from msgspec import Meta
+from msgspec import Meta, field
 
 from fescuedock.schema.wire import WireStruct
 
 
 class BrokenRun(WireStruct):
     """
-    A program tells its agent that a run of a piece of work was broken off.
+    A program tells its agent that a run of a piece of work was broken off, or that an upstream refused a connection.
     """
 
     upstream_id: str
-    work_id: str
+    work_id: Annotated[str, Meta(description="Empty where nothing was running.")]
     alone: Annotated[bool, Meta(description="Nothing else ran at the upstream.")] = False
     begun: Annotated[bool, Meta(description="Something of an answer had come.")] = False
 
@@ -59,6 +59,18 @@
     at_ms: Annotated[int, Meta(description="Unix time by the clock of the VM that reports it.")]
 
 
+class CrashNews(WireStruct):
+    """
+    What an agent has found out, one-way to others and as kept in the key-value service.
+    """
+
+    crashes: list[CrashReport] = field(default_factory=list)
+    cleared: list[WorkCleared] = field(default_factory=list)
+    relay: Annotated[
+        bool, Meta(description="The receiver tells the other VMs of its failure domain.")
+    ] = False
+
+
 class CrashesRequest(WireStruct):
     """
     A program asks its agent for what it has not been told yet.
@@ -76,5 +88,4 @@
 class CrashesReply(WireStruct):
     agent_boot: int
     seen: int
-    crashes: list[CrashReport]
-    cleared: list[WorkCleared]
+    news: CrashNews
--- a/tests/builders/runner_world.py
+++ b/tests/builders/runner_world.py
@@ -213,6 +213,9 @@
     def choose(self, _work_id: str) -> None:
         return None
 
+    def note_sent(self) -> None:
+        return None
+
     def describe(self, *_standing: object) -> None:
         return None
 
--- a/tests/test_batch_dispatch_address.py
+++ b/tests/test_batch_dispatch_address.py
@@ -65,6 +65,7 @@
             grant = SimpleNamespace(permit_id="p", upstream_id="u1", revoked=trio.Event())
             grant.work_id, grant.alone = "", False
             grant.choose = lambda _work_id: None
+            grant.note_sent = lambda: None
             grant.end = lambda _ended: None
             return Ok(grant)
 
--- a/tests/test_batch_starts.py
+++ b/tests/test_batch_starts.py
@@ -241,6 +241,7 @@
         work_id="",
         alone=False,
         choose=lambda _work_id: None,
+        note_sent=lambda: None,
         end=ended.append,
     )
 
--- a/tests/test_forwarding_core.py
+++ b/tests/test_forwarding_core.py
@@ -128,6 +128,22 @@
         self.assertFalse(progress.may_try_again())
 
 
+class AttemptPausesTest(unittest.TestCase):
+    def test_refused_connections_are_tried_less_and_less_often(self) -> None:
+        progress = CallProgress(idempotent=False, max_runs=1)
+        pauses_ms = []
+        for _ in range(12):
+            progress.note(AttemptEnd.NOT_SENT)
+            pauses_ms.append(progress.pause_ms(AttemptEnd.NOT_SENT))
+        self.assertEqual(pauses_ms[0], 0.0, "another upstream is tried at once")
+        self.assertEqual(pauses_ms[1:4], [10.0, 20.0, 40.0])
+        self.assertEqual(pauses_ms[-1], 160.0)
+        progress.note(AttemptEnd.REJECTED)
+        self.assertGreater(progress.pause_ms(AttemptEnd.REJECTED), 0.0)
+        progress.note(AttemptEnd.NOT_SENT)
+        self.assertEqual(progress.pause_ms(AttemptEnd.NOT_SENT), 0.0)
+
+
 class StallLimitsTest(unittest.TestCase):
     def test_waits_are_a_share_of_the_route_s_targets(self) -> None:
         limits = StallLimits(share=0.5, least_ms=10.0, most_ms=1000.0)
--- a/tests/test_node_harmful_calls.py
+++ b/tests/test_node_harmful_calls.py
@@ -10,7 +10,7 @@
 from fescuedock.core.stored_jobs.keys import JobKeys
 from fescuedock.core.work_identity import work_identity
 from fescuedock.platform.standin.event_upstream import UpstreamFault
-from fescuedock.schema.crashes import CrashedRun, CrashReport
+from fescuedock.schema.crashes import CrashedRun, CrashNews, CrashReport
 from fescuedock.schema.settings import NodeSettings
 from tests.builders.jobs_calls import read_page, submit
 from tests.builders.node import HOST, Answer, NodeFleet, running_fleet
@@ -29,10 +29,15 @@
     return sum(len(upstream.crashes) for upstream in fleet.upstreams)
 
 
-def stored_keys(fleet: NodeFleet, kind: str) -> list[str]:
-    """Return the keys of what nodes have written of upstreams that ended."""
+def stored_news(fleet: NodeFleet) -> list[CrashNews]:
+    """Return what nodes have written of upstreams that ended."""
     entries = fleet.store.state.page("", None, 10_000).entries
-    return [entry.key for entry in entries if entry.key.startswith(KEYS.crashes + kind)]
+    found = [entry.value for entry in entries if entry.key.startswith(KEYS.crashes)]
+    return [msgpack.decode(value, type=CrashNews) for value in found]
+
+
+def stored_reports(fleet: NodeFleet) -> list[CrashReport]:
+    return [report for news in stored_news(fleet) for report in news.crashes]
 
 
 class HarmfulCallsTest(unittest.TestCase):
@@ -128,7 +133,7 @@
             self.assertLessEqual(crash_count(fleet), ENOUGH)
             fleet.store.refuse_status = 0
             with trio.fail_after(5):
-                await wait_until(lambda: len(stored_keys(fleet, "ended/")) >= ENOUGH)
+                await wait_until(lambda: len(stored_reports(fleet)) >= ENOUGH)
 
         self.run_fleet(test, nodes=3, upstreams=6)
 
@@ -142,8 +147,8 @@
                 runs = [CrashedRun(innocent), CrashedRun(f"cause-{number}")]
                 at_ms = int(time.time() * 1000)
                 report = CrashReport(f"report-{number}", f"i-gone-{number}", at_ms, runs)
-                key = f"{KEYS.crashes}ended/{report.report_id}"
-                fleet.store.state.put(key, msgpack.encode(report))
+                key = f"{KEYS.crashes}{report.report_id}"
+                fleet.store.state.put(key, msgpack.encode(CrashNews(crashes=[report])))
             await trio.sleep(0.6)
             for upstream in fleet.upstreams:
                 upstream.event_interval_ms = 30.0
@@ -156,10 +161,31 @@
             self.assertEqual((answer.status, answer.whole), (200, True))
             # That it has run to its end clears it for good.
             with trio.fail_after(3):
-                await wait_until(lambda: bool(stored_keys(fleet, "cleared/")))
+                await wait_until(lambda: any(news.cleared for news in stored_news(fleet)))
 
         self.run_fleet(test, nodes=2, upstreams=2)
 
+    def test_a_call_whose_client_leaves_before_the_crash_is_found_all_the_same(self) -> None:
+        """A run that was given up goes on at its upstream for a while, and nobody sees its end."""
+
+        async def test(fleet: NodeFleet) -> None:
+            for upstream in fleet.upstreams:
+                upstream.crash_after_ms = 120.0
+                upstream.goes_on = True
+            for number in range(8):
+                with trio.move_on_after(0.08):
+                    await self.try_harmful(fleet, number)
+                # Others find the upstream gone, and its node hears of it.
+                await trio.sleep(0.1)
+                for node in fleet.nodes:
+                    headers = {"X-Deadline-Ms": "200"}
+                    await fleet.call(node.front, "POST", f"/check/{number}", b"other", headers)
+                await wait_until(lambda: fleet.upstreams[0].listener.is_up)
+                await trio.sleep(PAUSE_S)
+            self.assertLessEqual(crash_count(fleet), ENOUGH)
+
+        self.run_fleet(test, nodes=2, upstreams=1)
+
     def test_answers_that_are_broken_off_by_upstreams_that_live_count_for_nothing(self) -> None:
         async def test(fleet: NodeFleet) -> None:
             [node] = fleet.nodes
@@ -172,7 +198,7 @@
                 upstream.faults.clear()
             answer = await fleet.call(node.front, "POST", "/rights/1", b"case")
             self.assertEqual((answer.status, answer.whole), (200, True))
-            self.assertEqual(stored_keys(fleet, ""), [])
+            self.assertEqual(stored_news(fleet), [])
 
         self.run_fleet(test)
 
@@ -213,9 +239,7 @@
                     work_id = work_identity("POST", HOST, "/letters/harmful", "", b"harmful")
                     await wait_until(lambda: crash_count(fleet) >= ENOUGH)
                     await trio.sleep(1.0)
-                    keys = stored_keys(fleet, "ended/")
-                    entries = [fleet.store.state.get(key).value for key in keys]
-                    reports = [msgpack.decode(item, type=CrashReport) for item in entries]
+                    reports = stored_reports(fleet)
                     works = {run.work_id for report in reports for run in report.runs}
                     self.assertEqual(works, {work_id})
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -7,9 +7,11 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from fescuedock.core.crash_log import CrashLog
+from fescuedock.core.crash_log import CrashLog, audience_of
 from fescuedock.core.quarantine import FREE, Quarantine, QuarantinePolicy, Standing
-from fescuedock.schema.crashes import CrashedRun, CrashReport, WorkCleared
+from fescuedock.core.recent_runs import RecentRuns
+from fescuedock.schema.crashes import BrokenRun, CrashedRun, CrashReport, WorkCleared
+from fescuedock.schema.view import VmRecord, VmState
 
 START_MS = 1_800_000_000_000
 MINUTE_MS = 60_000.0
@@ -175,13 +177,46 @@
         log = CrashLog(Quarantine(), boot=7)
         log.note(report("1", *mixed("a")))
         first = log.reply_after(log.seen_of(0, 0))
-        self.assertEqual([item.report_id for item in first.crashes], ["1"])
+        self.assertEqual([item.report_id for item in first.news.crashes], ["1"])
         log.note(WorkCleared("2", "a", ["1"], START_MS))
         second = log.reply_after(log.seen_of(first.agent_boot, first.seen))
-        self.assertEqual((len(second.crashes), len(second.cleared)), (0, 1))
+        self.assertEqual((len(second.news.crashes), len(second.news.cleared)), (0, 1))
         self.assertEqual(log.seen_of(6, second.seen), 0)
 
 
+class RecentRunsTest(unittest.TestCase):
+    def test_what_was_given_up_lately_at_an_upstream_is_taken_once(self) -> None:
+        recent = RecentRuns()
+        old, young, other = (BrokenRun(name, "w") for name in ("u", "u", "v"))
+        recent.note(old, 0.0)
+        recent.note(young, 900.0)
+        recent.note(other, 900.0)
+        self.assertEqual(recent.upstream_ids(1500.0), {"u", "v"})
+        self.assertEqual(recent.take("u", 1500.0), [young])
+        self.assertEqual(recent.take("u", 1500.0), [])
+        self.assertEqual(recent.take("v", 1500.0), [other])
+
+
+class AudienceTest(unittest.TestCase):
+    def vms(self, count: int) -> list[VmRecord]:
+        return [
+            VmRecord(f"vm-{n}", "r", f"d-{n % 4}", f"10.0.0.{n}", VmState.ALIVE, 1, agent_port=7)
+            for n in range(count)
+        ]
+
+    def test_all_of_a_small_fleet_are_told_directly(self) -> None:
+        audience = audience_of("vm-0", "k", self.vms(20))
+        self.assertEqual(len(audience.direct), 19)
+        self.assertEqual(list(audience.relays), [])
+
+    def test_a_large_fleet_is_told_through_two_vms_of_each_other_failure_domain(self) -> None:
+        audience = audience_of("vm-0", "k", self.vms(200))
+        self.assertEqual({vm.failure_domain for vm in audience.direct}, {"d-0"})
+        self.assertEqual(len(audience.direct), 49)
+        domains = sorted(vm.failure_domain for vm in audience.relays)
+        self.assertEqual(domains, ["d-1", "d-1", "d-2", "d-2", "d-3", "d-3"])
+
+
 class Fleet(RuleBasedStateMachine):
     """Works that come again at any node, a few at once, and upstreams that run several of them.
 
