--- a/src/fescuedock/agent/crash_service.py
+++ b/src/fescuedock/agent/crash_service.py
@@ -5,6 +5,7 @@
 where it outlives them all.
 """
 
+import math
 import random
 from collections import defaultdict
 from collections.abc import Iterable
@@ -100,8 +101,8 @@
         self._untold: list[CrashFact] = []
         self._unrelayed: list[CrashFact] = []
         self._unwritten: list[CrashFact] = []
-        # Revisions of what lies in the key-value service.
-        self._stored: dict[str, int] = {}
+        # What was read from the key-value service, with the time of the newest fact in it.
+        self._stored: dict[str, float] = {}
         self._nursery: trio.Nursery | None = None
 
     def handlers(self) -> dict[type[msgspec.Struct], CallHandler]:
@@ -149,13 +150,16 @@
         for entry in entries:
             if not entry.key.startswith(self._prefix) or entry.key in self._stored:
                 continue
-            self._stored[entry.key] = entry.mod_revision
             try:
                 news = msgspec.msgpack.decode(entry.value, type=CrashNews)
             except msgspec.MsgspecError as error:
+                # Of a newer version, which will remove it.
+                self._stored[entry.key] = math.inf
                 log_event("crash_news_unreadable", key=entry.key, reason=str(error))
                 continue
-            for fact in facts_of(news):
+            facts = facts_of(news)
+            self._stored[entry.key] = max((fact.at_ms for fact in facts), default=-math.inf)
+            for fact in facts:
                 if not self._view.quarantine.is_forgotten(fact.at_ms, self._now_ms()):
                     self._learn(fact)
 
@@ -328,27 +332,19 @@
     async def _remove_forgotten(self) -> None:
         """Remove what has been forgotten from the key-value service; one agent does it."""
         vm_ids = [vm.vm_id for vm in self._view.live_vms()]
-        for key, revision in list(self._stored.items()):
-            if choose_name(key, vm_ids) != self._view.vm_id:
+        for key, at_ms in list(self._stored.items()):
+            if not self._view.quarantine.is_forgotten(at_ms, self._now_ms()):
                 continue
-            read = await self._kv.get(key)
-            entry = None if isinstance(read, Err) else read.ok_value
-            if entry is None:
-                self._stored.pop(key, None)
-            elif self._is_forgotten(entry):
-                await self._kv.delete_if(key, revision)
-
-    def _is_forgotten(self, entry: KvEntry) -> bool:
-        """Whether all that an entry tells is too old to count."""
-        try:
-            news = msgspec.msgpack.decode(entry.value, type=CrashNews)
-        except msgspec.MsgspecError:
-            # Of a newer version, which will know.
-            return False
-        now_ms = self._now_ms()
-        return all(
-            self._view.quarantine.is_forgotten(fact.at_ms, now_ms) for fact in facts_of(news)
-        )
+            del self._stored[key]
+            if choose_name(key, vm_ids) == self._view.vm_id:
+                await self._remove(key)
+
+    async def _remove(self, key: str) -> None:
+        """Remove a key, which nobody writes twice; one that stays is met again at the next read."""
+        read = await self._kv.get(key)
+        entry = None if isinstance(read, Err) else read.ok_value
+        if entry is not None:
+            await self._kv.delete_if(key, entry.mod_revision)
 
     def _now_ms(self) -> float:
         return self._unix_base_ms + now_ms()
--- a/src/fescuedock/core/stored_jobs/pool.py
+++ b/src/fescuedock/core/stored_jobs/pool.py
@@ -18,7 +18,7 @@
 class ItemPool:
     """Chooses among the items of ``jobs``; ``serves`` tells whether a service may run a job's.
 
-    ``standing`` tells how a piece of work may run.
+    ``standing`` tells how a piece of work may run, ``all_free`` that nothing is known against any.
     """
 
     def __init__(
@@ -26,10 +26,12 @@
         jobs: Callable[[], Iterable[StoredJob]],
         serves: Callable[[StoredJobRecord, str], bool],
         standing: Callable[[str], Standing] = lambda _work_id: Standing.FREE,
+        all_free: Callable[[], bool] = lambda: False,
     ) -> None:
         self._jobs = jobs
         self._serves = serves
         self._standing = standing
+        self._all_free = all_free
         self._estimate = RunEstimate()
         self._pace = Pace()
 
@@ -38,7 +40,7 @@
         services = list(services)
         counts: Counter[str] = Counter()
         for job in self._jobs():
-            ready = sum(self._stands(run, Standing.FREE) for run in job.ready_items(now_ms))
+            ready = self._count_free(job.ready_items(now_ms))
             for service in services:
                 if ready and self._serves(job.record, service):
                     counts[service] += ready
@@ -57,7 +59,9 @@
         """
         jobs = [job for job in self._jobs() if self._serves(job.record, service)]
         ranked = rank_items(jobs, upstream_id, self._estimate, self._pace, now_ms)
-        choices = [item for item in ranked if self._stands(item.run, Standing.FREE)]
+        choices = ranked
+        if not self._all_free():
+            choices = [item for item in ranked if self._stands(item.run, Standing.FREE)]
         if not choices:
             return None
         return choices[min(position, len(choices) - 1)]
@@ -69,6 +73,11 @@
         choices = (item for item in ranked if self._stands(item.run, Standing.ALONE))
         return next(choices, None)
 
+    def _count_free(self, runs: list[ItemRun]) -> int:
+        if self._all_free():
+            return len(runs)
+        return sum(self._stands(run, Standing.FREE) for run in runs)
+
     def _stands(self, run: ItemRun, standing: Standing) -> bool:
         return self._standing(run.work_id) is standing
 
--- a/src/fescuedock/node/job_runner.py
+++ b/src/fescuedock/node/job_runner.py
@@ -122,7 +122,10 @@
         self._claiming: set[str] = set()
         self._missing = MissingOwners()
         self._pool = ItemPool(
-            self._running_jobs, self._serves, lambda work_id: view.verdict_on(work_id).standing
+            self._running_jobs,
+            self._serves,
+            lambda work_id: view.verdict_on(work_id).standing,
+            lambda: view.quarantine.is_empty,
         )
         self._asker = ItemAsker(
             settings, view, permits, rng, self._waiting, self._choose, self._use
