--- a/src/fescuedock/node/item_isolation.py
+++ b/src/fescuedock/node/item_isolation.py
@@ -43,11 +43,14 @@
     async def run(self) -> None:
         """Look for such items until cancelled."""
         while True:
+            if self._view.quarantine.is_empty:
+                # An idle node is not woken for what is hardly ever there.
+                await self._view.wait_quarantine()
+                continue
+            for service in sorted({item.service for item in self._view.upstreams.values()}):
+                if self._wanted(service):
+                    await self._ask(service)
             await trio.sleep(_LOOK_S)
-            if not self._view.quarantine.is_empty:
-                for service in sorted({item.service for item in self._view.upstreams.values()}):
-                    if self._wanted(service):
-                        await self._ask(service)
 
     async def _ask(self, service: str) -> None:
         """Ask for the upstream that all nodes choose for the service."""
--- a/tests/builders/runner_world.py
+++ b/tests/builders/runner_world.py
@@ -169,6 +169,9 @@
         shown = set(self._world.present()) - (self._world.hidden - {self._own})
         return {name: _Vm(name) for name in shown}
 
+    async def wait_quarantine(self) -> None:
+        await self._world.crashed.wait()
+
     def verdict_on(self, work_id: str) -> Verdict:
         return self.quarantine.verdict(work_id, now_ms())
 
@@ -426,6 +429,7 @@
         self.harmful: set[str] = set()
         self.crashes: Counter[str] = Counter()
         self.quarantine = Quarantine()
+        self.crashed = trio.Event()
 
     def start(self) -> None:
         for number in range(self.NODES):
@@ -532,6 +536,7 @@
         upstream_id = f"{upstream.upstream_id}+{number}"
         report = CrashReport(str(number), upstream_id, int(now_ms()), [run])
         self.quarantine.note_crash(report)
+        self.crashed.set()
 
 
 def items_of(job_id: str, count: int) -> list[StoredItem]:
