Count nothing against the proof of a run alone that had been given up before it

An upstream is emptied for a run alone, which takes batch items back; since runs that were given up lately count towards an upstream's end, those items counted as having run beside it, and the run alone proved nothing.

--- a/src/fescuedock/agent/crash_service.py
+++ b/src/fescuedock/agent/crash_service.py
@@ -201,7 +201,7 @@
             # Beside a run alone there is nothing to wait for, and its next try may be on its way.
             await trio.sleep(_GATHER_S)
         runs = [
-            CrashedRun(item.work_id, item.alone, item.begun)
+            CrashedRun(item.work_id, item.alone, item.begun, item.given_up)
             for item in self._broken.pop(upstream_id)
             if item.work_id
         ]
--- a/src/fescuedock/agent/permit_client.py
+++ b/src/fescuedock/agent/permit_client.py
@@ -292,6 +292,7 @@
         if not work_id:
             return
         if ended.outcome in _GIVEN_UP and held.sent:
+            run = msgspec.structs.replace(run, given_up=True)
             self._given_up.note(run, now_ms())
         elif ended.outcome in _BROKEN_OFF:
             self._to_tell.append(run)
--- a/src/fescuedock/core/quarantine.py
+++ b/src/fescuedock/core/quarantine.py
@@ -183,9 +183,15 @@
         return any(self._is_cause(work_id) for work_id in works)
 
     def _was_alone(self, work_id: str, report: CrashReport) -> bool:
-        """Whether nothing else ran at the upstream, by all that is known of its end."""
+        """Whether nothing else ran at the upstream, by all that is known of its end.
+
+        What others had given up does not count: an upstream is emptied for a run alone, so there
+        always is some, and with it no cause would ever be known for certain.
+        """
         runs = [run for item in self._same_end(report) for run in item.runs]
-        return all(run.work_id == work_id and run.alone for run in runs)
+        own = [run for run in runs if run.work_id == work_id]
+        others = [run for run in runs if run.work_id != work_id]
+        return all(run.alone for run in own) and all(run.given_up for run in others)
 
     def _weight(self, work_id: str, report: CrashReport) -> float:
         begun = all(run.begun for run in report.runs if run.work_id == work_id)
--- a/src/fescuedock/schema/crashes.py
+++ b/src/fescuedock/schema/crashes.py
@@ -21,6 +21,9 @@
     work_id: Annotated[str, Meta(description="Empty where nothing was running.")]
     alone: Annotated[bool, Meta(description="Nothing else ran at the upstream.")] = False
     begun: Annotated[bool, Meta(description="Something of an answer had come.")] = False
+    given_up: Annotated[
+        bool, Meta(description="It had been given up shortly before, and its permit returned.")
+    ] = False
 
 
 class WholeRun(WireStruct):
@@ -35,6 +38,9 @@
     work_id: str
     alone: Annotated[bool, Meta(description="Nothing else ran at the upstream.")] = False
     begun: Annotated[bool, Meta(description="Something of an answer had come.")] = False
+    given_up: Annotated[
+        bool, Meta(description="It had been given up shortly before, and its permit returned.")
+    ] = False
 
 
 class CrashReport(WireStruct):
--- a/tests/soak/regressions.py
+++ b/tests/soak/regressions.py
@@ -38,4 +38,12 @@
     Regression(
         2994, 4, 12.0, "no node remembered an end that could not be recorded at once", spools=3
     ),
+    Regression(
+        8006,
+        4,
+        12.0,
+        "items taken back for a run alone counted as having run beside it, so nothing was proved",
+        spools=3,
+        harm=True,
+    ),
 )
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -83,6 +83,15 @@
         self.quarantine.note_crash(late)
         self.assertIs(self.standing("innocent"), Standing.ALONE)
 
+    def test_runs_that_were_given_up_for_a_run_alone_do_not_void_its_proof(self) -> None:
+        for number in range(2):
+            self.quarantine.note_crash(report(str(number), *mixed("bad", f"x{number}")))
+        lone, beside = CrashedRun("bad", alone=True), CrashedRun("item", given_up=True)
+        self.quarantine.note_crash(report("2", lone, upstream_id="u"))
+        self.quarantine.note_crash(report("3", beside, upstream_id="u", at_ms=START_MS + 100))
+        self.assertIs(self.standing("bad"), Standing.REFUSED)
+        self.assertIs(self.standing("item"), Standing.FREE)
+
     def test_runs_that_were_well_under_way_weigh_half(self) -> None:
         for number in range(3):
             self.quarantine.note_crash(report(str(number), *mixed("slow", begun=True)))
