--- a/tests/soak/runs.py
+++ b/tests/soak/runs.py
@@ -222,7 +222,7 @@
         await _judge_calm(world, ledger)
         await _wait_lost_ends(world, ledger, losers)
         with trio.move_on_after(_FINISH_S):
-            await _wait_jobs(ledger)
+            await _wait_jobs(ledger, jobs)
         ledger.judge_jobs()
         clients.cancel_scope.cancel()
 
@@ -250,11 +250,14 @@
         await loser.end_for_good()
 
 
-async def _wait_jobs(ledger: Ledger) -> None:
-    """Wait until every accepted job that nobody ended was read to its end."""
-    while True:
-        if not ledger.unfinished_jobs():
-            return
+async def _wait_jobs(ledger: Ledger, reader: JobClient) -> None:
+    """Read every accepted job that nobody ended, until each was read to its end.
+
+    The clients choose among all jobs, so by chance alone one may not be read for long.
+    """
+    while unfinished := ledger.unfinished_jobs():
+        for job in unfinished:
+            await reader.read(job, len(job.results))
         await trio.sleep(0.1)
 
 
