Have a write of a job that comes after its end find that end

Change: such an end writes a leased mark under the job; the write of a submission has the mark's absence as its condition. A submission that begins after the end names the mark's revision and is stored. A neighbour that accepts for another node never passes over a mark. Ruled out: storing the job as ended instead (a client that submits after a 404 gets nothing run; test_a_job_that_nobody_has_is_not_found_and_may_be_submitted_then).

--- a/src/fescuedock/core/stored_jobs/keys.py
+++ b/src/fescuedock/core/stored_jobs/keys.py
@@ -10,6 +10,7 @@
 _CRASHES = "live/crash/"
 _LIVE = "live/"
 _DATA = "data/"
+_ENDED = "ended/"
 
 
 class JobKeys(msgspec.Struct, frozen=True):
@@ -47,6 +48,10 @@
     def record(self, job_id: str) -> str:
         return f"{self.records}{job_id}"
 
+    def ended(self, job_id: str) -> str:
+        """Return the key that says that a client ended a job which was not stored by then."""
+        return f"{self.prefix}{_ENDED}{job_id}"
+
     def data(self, job_id: str) -> str:
         """Prefix of a job's items and results."""
         return f"{self.prefix}{_DATA}{job_id}/"
--- a/src/fescuedock/node/job_acceptance.py
+++ b/src/fescuedock/node/job_acceptance.py
@@ -95,7 +95,8 @@
         self.unsettled.begin(record.job_id)
         try:
             with trio.move_on_after(_NEIGHBOUR_TIMEOUT_MS / 1000):
-                stored = await self.store.accept(record, message.items)
+                # Its client may have left the asking node meanwhile, and ended the job.
+                stored = await self.store.accept(record, message.items, after_end=False)
                 settled = True
                 if isinstance(stored, Err):
                     return AcceptJobReply(stored.err_value.code)
--- a/src/fescuedock/node/job_ends.py
+++ b/src/fescuedock/node/job_ends.py
@@ -109,7 +109,10 @@
                 return ended
             if await self.spools.end(job_id) or self.unsettled.may_store(job_id, now_ms()):
                 return self._unsure("the job may still have to be stored")
-        return Err(Fault(ResultCode.NOT_FOUND, f"there is no job {job_id!r}"))
+            # Its writer may be a node that this one knows nothing of.
+            if await self.store.note_ended(job_id):
+                return Err(Fault(ResultCode.NOT_FOUND, f"there is no job {job_id!r}"))
+        return self._unsure("it is not sure that the job is not stored")
 
     # --- going on --------------------------------------------------------------------------------
 
--- a/src/fescuedock/node/job_store.py
+++ b/src/fescuedock/node/job_store.py
@@ -34,6 +34,8 @@
 _VALUE_MARGIN_BYTES = 1024
 # Operations that one transaction may hold.
 _MAX_OPERATIONS = 32
+# How long the end of a job that is not stored binds writes of the job that are on their way.
+_ENDED_TTL_S = 600
 
 
 class JobKv(KvStore, KvTransactions, Protocol):
@@ -73,19 +75,23 @@
         self._part_bytes = value_bytes - _VALUE_MARGIN_BYTES
 
     async def accept(
-        self, record: StoredJobRecord, items: list[StoredItem]
+        self, record: StoredJobRecord, items: list[StoredItem], *, after_end: bool = True
     ) -> Result[VersionedRecord, Fault]:
         """Store a new job, or find the one that is there under its identity.
 
         Runs until the outcome is known: the caller bounds the time, and being cancelled means that
         the job may or may not be there.  ``KV_UNAVAILABLE`` promises that it is not.
+
+        Where a client has ended the job before it was there, it is stored if this submission is
+        known to be a later one: ``after_end``, and the first write's answer was not lost.
         """
         parts = self._parts(msgspec.msgpack.encode(items))
         record = msgspec.structs.replace(record, spec_parts=len(parts))
         writes = {self.keys.record(record.job_id): msgspec.msgpack.encode(record)}
         for number, part in enumerate(parts):
             writes[self.keys.items(record.job_id, number)] = part
-        transaction = KvTransaction({self.keys.record(record.job_id): 0}, writes=writes)
+        key, ended_key = self.keys.record(record.job_id), self.keys.ended(record.job_id)
+        transaction = KvTransaction({key: 0, ended_key: 0}, writes=writes)
         unsure = False
         pauses = GrowingPauses(_FIRST_PAUSE_MS, _MOST_PAUSE_MS)
         while True:
@@ -97,8 +103,18 @@
                 found = await self.read_record(record.job_id)
                 if isinstance(found, Ok) and found.ok_value is not None:
                     return Ok(found.ok_value)
-                # It is there, though it cannot be read: a later refusal promises nothing.
-                unsure = True
+                if isinstance(found, Ok):
+                    if unsure or not after_end:
+                        # Writes that are still on their way fail on the same condition.
+                        return Err(Fault(ResultCode.KV_UNAVAILABLE, "its client has ended the job"))
+                    noted = await self._kv.get(ended_key)
+                    if isinstance(noted, Ok) and noted.ok_value is not None:
+                        conditions = {key: 0, ended_key: noted.ok_value.mod_revision}
+                        transaction = KvTransaction(conditions, writes=writes, removes=[ended_key])
+                        continue
+                else:
+                    # It is there, though it cannot be read: a later refusal promises nothing.
+                    unsure = True
             elif fault.code is ResultCode.KV_UNKNOWN:
                 unsure = True
             elif not unsure:
@@ -248,6 +264,24 @@
                     return Ok(VersionedRecord(ended, written.ok_value))
             await pauses.wait()
 
+    async def note_ended(self, job_id: str) -> bool:
+        """Have writes of a job that are still on their way find that its client ended it.
+
+        False when the job has been stored meanwhile, or the service did not answer.
+        """
+        lease = await self._kv.grant_lease(_ENDED_TTL_S)
+        if isinstance(lease, Err):
+            return False
+        # Written anew each time: a submission after an earlier end names that one's revision.
+        written = await self._kv.transact(
+            KvTransaction(
+                {self.keys.record(job_id): 0},
+                writes={self.keys.ended(job_id): b""},
+                lease_id=lease.ok_value,
+            )
+        )
+        return isinstance(written, Ok)
+
     async def remove(self, job_id: str) -> Result[None, Fault]:
         """Remove all that is stored of a job, its record last."""
         keys: list[str] = []
--- a/tests/test_node_jobs_forestalled.py
+++ b/tests/test_node_jobs_forestalled.py
@@ -4,12 +4,18 @@
 
 import trio
 
+from fescuedock.core.stored_jobs.keys import JobKeys
+from fescuedock.node.job_store import JobStore
+from fescuedock.schema.result_codes import ResultCode
 from fescuedock.standin.kv_faults import LostAnswer
+from tests.builders.forwarding import job_record
 from tests.builders.jobs_calls import JOB, submit
+from tests.builders.metadata_store import open_store, running_store
 from tests.builders.node import NodeFleet, running_fleet
 from tests.builders.standins import run_async
 
 LATE_S = 1.5
+KEYS = JobKeys("p/")
 
 
 class EndBeforeAcceptanceTest(unittest.TestCase):
@@ -46,6 +52,21 @@
         self.assertIn(answers[0], (200, 404))
         self.assertEqual(ran[0], 0)
 
+    def test_a_write_of_before_the_end_finds_it_and_a_later_submission_does_not(self) -> None:
+        async def test() -> None:
+            async with running_store() as service, open_store(service) as kv:
+                store = JobStore(kv, KEYS, 100_000)
+                job = job_record()
+                self.assertTrue(await store.note_ended(job.job_id))
+                refused = await store.accept(job, [], after_end=False)
+                self.assertIs(refused.err_value.code, ResultCode.KV_UNAVAILABLE)
+                self.assertIsNone(service.state.get(KEYS.record(job.job_id)))
+                stored = await store.accept(job, [])
+                self.assertFalse(stored.ok_value.record.ended)
+                self.assertFalse(await store.note_ended(job.job_id))
+
+        run_async(test)
+
 
 if __name__ == "__main__":
     unittest.main()
