--- a/src/fescuedock/node/online.py
+++ b/src/fescuedock/node/online.py
@@ -30,10 +30,9 @@
 _FIRST_EVENT_MS = 80.0
 # Of the moving mean of the times to a first event: about the last ten count.
 _FIRST_EVENT_GAIN = 0.1
-# How calls look for a permit.  All upstreams of a small service are asked before a call queues: a
-# refusal takes 1 to 3 ms and tells the load of its upstream, a wrong queue costs up to the target.
-# The choice is made anew every 150 ms, as a slot may come free elsewhere.
-ONLINE_ROUTING = RoutingPolicy(at_once=8, queue_ms=150.0)
+# How calls look for a permit.  The choice is made anew every 150 ms, as a slot may come free
+# elsewhere.
+ONLINE_ROUTING = RoutingPolicy(at_once=2, queue_ms=150.0)
 
 
 class OnlineCalls:
