Know customers by their keys on the node path, and keep one limit of each over all nodes

Ruled out: a customer's jobs told apart by a check at each call (seven ways in, each a way to forget).

--- a/src/fescuedock/agent/codec.py
+++ b/src/fescuedock/agent/codec.py
@@ -9,6 +9,7 @@
     crashes,
     membership,
     permits,
+    quotas,
     replicas,
     report,
     store,
@@ -19,7 +20,19 @@
 
 __all__ = ["open_codec"]
 
-_MODULES = (batch, config, crashes, membership, permits, replicas, report, store, stored_jobs, view)
+_MODULES = (
+    batch,
+    config,
+    crashes,
+    membership,
+    permits,
+    quotas,
+    replicas,
+    report,
+    store,
+    stored_jobs,
+    view,
+)
 
 
 def open_codec(settings: VmSettings) -> Codec:
--- a/src/fescuedock/agent/send_check.py
+++ b/src/fescuedock/agent/send_check.py
@@ -1,5 +1,7 @@
 """The check that a request to an upstream has to pass when it is written."""
 
+from collections.abc import Callable
+
 from fescuedock.agent.link import FleetView
 from fescuedock.agent.permit_client import Grant
 from fescuedock.clock import now_ms
@@ -16,8 +18,12 @@
     grant: Grant,
     *,
     deadline_ms: float = float("inf"),
+    key_holds: Callable[[], bool] = lambda: True,
 ) -> SendCheck:
-    """Return the check of a request to ``upstream`` under ``grant``, by what is known then."""
+    """Return the check of a request to ``upstream`` under ``grant``, by what is known then.
+
+    ``key_holds`` says whether the key of the request's caller is still in force.
+    """
 
     def check() -> SendRefusal | None:
         refusal = refusal_of(
@@ -27,6 +33,7 @@
             deadline_ms=deadline_ms,
             now_ms=now_ms(),
             verdict=view.verdict_on(grant.work_id),
+            key_holds=key_holds(),
         )
         if refusal is None:
             # Nothing comes between this and the writing.
--- a/src/fescuedock/core/forwarding/route_table.py
+++ b/src/fescuedock/core/forwarding/route_table.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from fescuedock.core.customers import CustomerIndex
+
 __all__ = ["ClientLimits", "Route", "RouteKind", "RouteTable", "ServiceTerms"]
 
 
@@ -41,6 +43,8 @@
     max_attempts: int = 1
     # A stream may go on at another upstream after the last event that arrived.
     resumable: bool = False
+    # Callers need no key.
+    public: bool = False
     # Of batch jobs, from their submission.
     due_ms: float = 0.0
     retention_ms: float = 0.0
@@ -92,6 +96,7 @@
     routes: tuple[Route, ...] = ()
     services: Mapping[str, ServiceTerms] = msgspec.field(default_factory=dict)
     limits: ClientLimits = msgspec.field(default_factory=ClientLimits)
+    customers: CustomerIndex = msgspec.field(default_factory=CustomerIndex)
     # Made of ``routes``, whatever is passed.
     _by_host: dict[str, dict[str, Route]] = msgspec.field(default_factory=dict)
 
--- a/src/fescuedock/core/send_gate.py
+++ b/src/fescuedock/core/send_gate.py
@@ -28,6 +28,7 @@
     LATE = "its deadline has passed"
     HARMFUL = "upstreams have ended under this work"
     NOT_ALONE = "this work may only run alone"
+    KEY_GONE = "its caller's API key does not hold any more"
 
 
 class PermitStanding(msgspec.Struct, frozen=True):
@@ -49,13 +50,16 @@
     deadline_ms: float,
     now_ms: float,
     verdict: Verdict = FREE,
+    key_holds: bool = True,
 ) -> SendRefusal | None:
     """Return why the request must not be written to ``chosen``, or None when it may.
 
     ``verdict`` is that on the work: what is known against it may have come since the permit was
-    asked for, from another node where a client tried it too.  ``current`` is what is known of the
-    upstream now, None when it is not there.  A permit that has lapsed may have been given to other
-    work, also where one that already runs may go on without.
+    asked for, from another node where a client tried it too.  ``key_holds`` tells whether the
+    version in force still gives the caller's key to the same customer, as it may have been taken
+    away while the call waited.  ``current`` is what is known of the upstream now, None when it is
+    not there.  A permit that has lapsed may have been given to other work, also where one that
+    already runs may go on without.
     """
     if current is None:
         return SendRefusal.GONE
@@ -71,6 +75,8 @@
         return SendRefusal.REVOKED
     if permit.valid_until_ms <= now_ms:
         return SendRefusal.LAPSED
+    if not key_holds:
+        return SendRefusal.KEY_GONE
     if deadline_ms <= now_ms:
         return SendRefusal.LATE
     return None
--- a/src/fescuedock/core/stored_jobs/job.py
+++ b/src/fescuedock/core/stored_jobs/job.py
@@ -260,4 +260,4 @@
 
 def _work_id(record: StoredJobRecord, item: StoredItem) -> str:
     """Return the identity of an item's work, which is that of a call with the same request."""
-    return work_identity("POST", record.host, item.path, "", item.body)
+    return work_identity("POST", record.host, item.path, record.customer or "", item.body)
--- a/src/fescuedock/entry/members.py
+++ b/src/fescuedock/entry/members.py
@@ -1,10 +1,10 @@
 """Finds out which member a request comes from, by its API key."""
 
 from collections.abc import Mapping
-from hashlib import sha256
 
 from result import Err, Ok, Result
 
+from fescuedock.core.customers import Customer, CustomerIndex, bearer_keys, index_of, key_digest
 from fescuedock.entry.context import EntryContext
 from fescuedock.faults import Fault
 from fescuedock.schema.config import Configuration
@@ -15,24 +15,22 @@
 # Stands for all callers without a known key, who then share one member's share.
 ANONYMOUS = "anonymous"
 
-_SCHEME = "bearer "
-
 
 class MemberDirectory:
-    """Members by the SHA-256 of their keys, made anew when the configuration changes."""
+    """Members by the digests of their keys, made anew when the configuration changes."""
 
     __slots__ = ("_configuration", "_members")
 
     def __init__(self) -> None:
         self._configuration: Configuration | None = None
-        self._members: dict[str, str] = {}
+        self._members = CustomerIndex()
 
     def member_of(self, configuration: Configuration, key: str) -> str | None:
         """Return the member that ``key`` belongs to, or None."""
         if configuration is not self._configuration:
             self._members = _index(configuration)
             self._configuration = configuration
-        return self._members.get(sha256(key.encode()).hexdigest())
+        return self._members.name_of(key_digest(key))
 
 
 _DIRECTORY = MemberDirectory()
@@ -57,13 +55,10 @@
 
 def bearer_key(headers: Mapping[str, str]) -> str:
     """Return the key of an ``Authorization: Bearer`` header, or an empty string."""
-    value = headers.get("authorization", "")
-    return value[len(_SCHEME) :].strip() if value.lower().startswith(_SCHEME) else ""
+    return bearer_keys([headers.get("authorization", "")])[0]
 
 
-def _index(configuration: Configuration) -> dict[str, str]:
-    return {
-        key_hash: member
-        for member, spec in configuration.members.items()
-        for key_hash in spec.key_hashes
-    }
+def _index(configuration: Configuration) -> CustomerIndex:
+    return index_of(
+        (Customer(member), spec.key_hashes) for member, spec in configuration.members.items()
+    )
--- a/src/fescuedock/node/front.py
+++ b/src/fescuedock/node/front.py
@@ -2,10 +2,14 @@
 
 from collections.abc import Callable
 
+import msgspec
 import trio
+from result import Err, Result
 
 from fescuedock.address import Address
 from fescuedock.agent.link import FleetView
+from fescuedock.clock import now_ms
+from fescuedock.core.customers import Caller, identify, scoped_job_id
 from fescuedock.core.entry_choice import named_fronts
 from fescuedock.core.forwarding.route_table import ClientLimits, Route, RouteKind
 from fescuedock.faults import Fault
@@ -14,6 +18,7 @@
 from fescuedock.node.configuration import NodeConfiguration
 from fescuedock.node.job_calls import JobCalls
 from fescuedock.node.online import OnlineCalls
+from fescuedock.node.quotas import Quotas
 from fescuedock.platform import calls, directory, job_calls
 from fescuedock.schema.result_codes import ResultCode
 from fescuedock.schema.settings import NodeSettings
@@ -24,6 +29,9 @@
 _STARTING_RETRY_MS = 300
 # How long a call waits for a node that has just started: most of them know their fleet by then.
 _STARTING_WAIT_S = 1.0
+# A route or key that this node lacks may be in a newer version, while its own may be older than
+# this; a watch that brings changes makes it 2.1 s at the most when all is well.
+_DOUBTED_MS = 2400.0
 # Stands for "never" in logs.
 _LONG_AGO_MS = 1e9
 # The slack beyond the configured idle time: clients count it from an answer's arrival.
@@ -41,6 +49,7 @@
         "leaving",
         "online",
         "own_address",
+        "quotas",
         "server",
         "settings",
         "view",
@@ -61,6 +70,7 @@
         self.view = view
         self.online: OnlineCalls | None = None
         self.jobs: JobCalls | None = None
+        self.quotas: Quotas | None = None
         self.leaving = False
         self._has_started = False
         self._knows_work = knows_work
@@ -118,7 +128,11 @@
         route = self._route_of(request)
         if route is None:
             text = f"no route for {request.headers.get('host', '')!r} {request.path!r}"
-            await self._refuse(request, responder, Fault(ResultCode.NOT_FOUND, text))
+            await self._refuse_unknown(request, responder, Fault(ResultCode.NOT_FOUND, text))
+            return
+        caller = self._caller_of(request, public=route.public)
+        if isinstance(caller, Err):
+            await self._refuse_unknown(request, responder, caller.err_value)
             return
         body = await request.read(self.configuration.routes.limits.max_body_bytes)
         if route.kind is RouteKind.BATCH:
@@ -127,9 +141,18 @@
                 fault = Fault(ResultCode.METHOD_NOT_ALLOWED, text)
                 await self._refuse(request, responder, fault)
                 return
-            await self.jobs.submit(request, responder, route, body)
+            await self.jobs.submit(request, responder, route, body, caller.ok_value)
+            return
+        admitted = await self.quotas.admit(caller.ok_value.name or "")
+        if isinstance(admitted, Err):
+            await self._refuse(request, responder, admitted.err_value)
             return
-        await self.online.handle(request, responder, route, body)
+        await self.online.handle(request, responder, route, body, caller.ok_value)
+
+    def _caller_of(self, request: Request, *, public: bool) -> Result[Caller, Fault]:
+        index = self.configuration.routes.customers
+        caller = identify(index, calls.api_keys(request.header_fields), public=public)
+        return caller.map_err(lambda why: Fault(ResultCode.UNAUTHORIZED, why.value))
 
     def _route_of(self, request: Request) -> Route | None:
         path = request.target.partition("?")[0]
@@ -138,6 +161,13 @@
     async def _handle_job_call(
         self, request: Request, responder: Responder, call: job_calls.JobCall
     ) -> None:
+        routes = self.configuration.routes.routes
+        public = any(route.public for route in routes if route.kind is RouteKind.BATCH)
+        caller = self._caller_of(request, public=public)
+        if isinstance(caller, Err):
+            await self._refuse_unknown(request, responder, caller.err_value)
+            return
+        call = msgspec.structs.replace(call, job_id=scoped_job_id(caller.ok_value, call.job_id))
         match call.verb:
             case "read":
                 await self.jobs.read(responder, call)
@@ -146,6 +176,14 @@
             case _:
                 await self.jobs.end(responder, call)
 
+    async def _refuse_unknown(self, request: Request, responder: Responder, fault: Fault) -> None:
+        """Refuse what this node's version lacks, for good only where that is the newest."""
+        age_ms = now_ms() - self.configuration.as_of_ms
+        if age_ms > _DOUBTED_MS:
+            text = f"{fault.message}, by a version that may be {age_ms:.0f} ms old"
+            fault = Fault(ResultCode.CONFIG_UNCONFIRMED, text, _STARTING_RETRY_MS)
+        await self._refuse(request, responder, fault)
+
     async def _refuse(self, request: Request, responder: Responder, fault: Fault) -> None:
         log_event(
             "call_refused",
--- a/src/fescuedock/node/item_run.py
+++ b/src/fescuedock/node/item_run.py
@@ -111,6 +111,7 @@
         item_id=item.item.item_id,
         upstream_id=upstream.upstream_id,
         last_event=item.last_event,
+        customer=job.customer,
     )
     headers.insert(0, ("host", job.host))
     try:
--- a/src/fescuedock/node/job_calls.py
+++ b/src/fescuedock/node/job_calls.py
@@ -7,6 +7,7 @@
 from result import Err, Ok, Result
 
 from fescuedock.clock import UnixClock, now_ms
+from fescuedock.core.customers import Caller, scoped_job_id
 from fescuedock.core.forwarding.route_table import Route
 from fescuedock.core.stored_jobs.cache import CachedJob, JobCache
 from fescuedock.core.stored_jobs.ownership import OwnerIdentity
@@ -55,18 +56,20 @@
     # --- submitting ------------------------------------------------------------------------------
 
     async def submit(
-        self, request: Request, responder: Responder, route: Route, body: bytes
+        self, request: Request, responder: Responder, route: Route, body: bytes, caller: Caller
     ) -> None:
         """Accept a job once, however often it comes."""
         received_ms = now_ms()
         head = calls.call_head(request.header_fields)
+        job_id = scoped_job_id(caller, head.request_id) if head.request_id else ""
         result: Result[None, Fault] = _LEFT
         try:
-            result = await self._accept(request, head.request_id, route, body, head.patience_ms)
+            record = self._new_record(request, job_id, route, caller)
+            result = await self._accept(record, body, head.patience_ms)
         finally:
             log_event(
                 "job_submitted",
-                job_id=head.request_id,
+                job_id=job_id,
                 route=route.name,
                 outcome="accepted" if isinstance(result, Ok) else result.err_value.code.name,
                 reason="" if isinstance(result, Ok) else result.err_value.message,
@@ -78,20 +81,20 @@
             await responder.send(202, b"{}")
 
     async def _accept(
-        self, request: Request, job_id: str, route: Route, body: bytes, patience_ms: float | None
+        self, record: StoredJobRecord, body: bytes, patience_ms: float | None
     ) -> Result[None, Fault]:
         items = job_calls.read_submission(body)
         if isinstance(items, Err):
             return Err(Fault(ResultCode.BAD_REQUEST, items.err_value))
-        if not job_id:
+        if not record.job_id:
             return Err(Fault(ResultCode.BAD_REQUEST, "the job has no id"))
-        record = self._new_record(request, job_id, route, len(items.ok_value))
+        record = msgspec.structs.replace(record, total=len(items.ok_value))
         wait_ms = (_DEFAULT_PATIENCE_MS if patience_ms is None else patience_ms) - _ANSWER_MARGIN_MS
         accepted = await self.acceptance.accept(record, items.ok_value, wait_ms)
         return accepted.map_err(lambda fault: _with_retry(fault, self.retry_after_ms))
 
     def _new_record(
-        self, request: Request, job_id: str, route: Route, total: int
+        self, request: Request, job_id: str, route: Route, caller: Caller
     ) -> StoredJobRecord:
         leaving = self.is_leaving()
         return StoredJobRecord(
@@ -101,7 +104,8 @@
             submitted_at_ms=self.unix_clock() * 1000,
             due_in_ms=int(route.due_ms),
             retention_ms=int(route.retention_ms),
-            total=total,
+            total=0,
+            customer=caller.name,
             owner_id="" if leaving else self.owner.node_id,
             owner_boot=0 if leaving else self.owner.boot,
         )
--- a/src/fescuedock/node/main.py
+++ b/src/fescuedock/node/main.py
@@ -51,6 +51,7 @@
 from fescuedock.node.job_store import JobStore
 from fescuedock.node.online import OnlineCalls
 from fescuedock.node.owner_reads import OwnerReads
+from fescuedock.node.quotas import Quotas
 from fescuedock.node.replicas import Replicas, Watched
 from fescuedock.node.retirement import Retirement
 from fescuedock.node.spools import Spools
@@ -244,8 +245,22 @@
         )
         self._retirement = Retirement(self._store, self._replicas, self._view, spools)
         self.front.online = OnlineCalls(
-            self._view, permits, self._http, self._rng, node.retry_after_ms, self._metrics
+            self._view,
+            permits,
+            self._http,
+            self._rng,
+            node.retry_after_ms,
+            self._metrics,
+            lambda: self._configuration.routes.customers,
         )
+        self.quotas = Quotas(
+            self._view,
+            lambda: self._configuration.routes.customers,
+            self._call_neighbour,
+            self._fleet_size,
+            node.quota_slack_calls,
+        )
+        self.front.quotas = self.quotas
         self._permits = permits
         self._acceptance = JobAcceptance(
             store,
@@ -299,6 +314,7 @@
             self._acceptance,
             self._owner_reads,
             self._crashes,
+            self.quotas,
         )
         return {kind: handler for part in parts for kind, handler in part.handlers().items()}
 
@@ -478,6 +494,12 @@
             if vm.vm_id != own_id and vm.agent_port
         ]
 
+    def _fleet_size(self) -> int:
+        """Return how many nodes have a record, or are known to membership if those are more."""
+        prefix = self._keys.nodes
+        recorded = sum(1 for key in self._table(self._keys.live).entries if key.startswith(prefix))
+        return max(recorded, len(self._view.vms))
+
     def _seeds(self) -> list[Address]:
         text = self._settings.node.seeds
         hosts = {Address.parse(part).host for part in text.split(",")} if text else set()
--- a/src/fescuedock/node/online.py
+++ b/src/fescuedock/node/online.py
@@ -1,6 +1,7 @@
 """What the online calls of one node share: how they look for permits, and what they learn."""
 
 import random
+from collections.abc import Callable
 from secrets import token_hex
 
 import trio
@@ -9,6 +10,7 @@
 from fescuedock.agent.link import FleetView
 from fescuedock.agent.permit_client import PermitClient
 from fescuedock.core.admission import Admission
+from fescuedock.core.customers import Caller, CustomerIndex
 from fescuedock.core.forwarding.route_table import Route
 from fescuedock.core.forwarding.stalls import StallLimits
 from fescuedock.core.route_learning import AskTimeout, DomainLatency, PrefillModel, SilentOwners
@@ -42,6 +44,7 @@
         "_prefill",
         "admission",
         "ask_timeout",
+        "customers",
         "first_event_ms",
         "http",
         "latency",
@@ -63,8 +66,11 @@
         rng: random.Random,
         retry_after_ms: int,
         metrics: Metrics,
+        customers: Callable[[], CustomerIndex] = CustomerIndex,
     ) -> None:
+        """``customers`` gives those of the version in force."""
         self.view = view
+        self.customers = customers
         self.permits = permits
         self.http = http
         self.rng = rng
@@ -96,10 +102,11 @@
         return self.http.has_idle(Address(upstream.host, upstream.port))
 
     async def handle(
-        self, request: Request, responder: Responder, route: Route, body: bytes
+        self, request: Request, responder: Responder, route: Route, body: bytes, caller: Caller
     ) -> None:
         """Answer one call; never raises but for a client that has left."""
-        call = Call(self, request, responder, route, body, calls.call_head(request.header_fields))
+        head = calls.call_head(request.header_fields)
+        call = Call(self, request, responder, route, body, head, caller)
         with trio.CancelScope(deadline=call.deadline_ms / 1000) as scope:
             await call.run()
         if scope.cancelled_caught:
--- a/src/fescuedock/node/online_call.py
+++ b/src/fescuedock/node/online_call.py
@@ -8,6 +8,7 @@
 from fescuedock.agent.permit_client import Grant
 from fescuedock.agent.send_check import send_check
 from fescuedock.clock import now_ms
+from fescuedock.core.customers import Caller
 from fescuedock.core.forwarding.calls import CallHead
 from fescuedock.core.forwarding.event_stream import EventSplitter
 from fescuedock.core.forwarding.progress import AttemptEnd, CallProgress
@@ -49,6 +50,7 @@
     __slots__ = (
         "avoided",
         "body",
+        "caller",
         "deadline_ms",
         "demand",
         "failure_passed_on",
@@ -75,8 +77,10 @@
         route: Route,
         body: bytes,
         head: CallHead,
+        caller: Caller,
     ) -> None:
         self.shared = shared
+        self.caller = caller
         self.request = request
         self.responder = responder
         self.route = route
@@ -102,7 +106,7 @@
         )
         self.service = self.route.choose_service(self.shared.rng)
         host = request.headers.get("host", "")
-        self.work_id = work_identity(request.method, host, request.target, self.member, body)
+        self.work_id = work_identity(request.method, host, request.target, self.customer, body)
         parts = self.head.shared_parts
         self.demand = Demand(
             prompt_tokens=self.head.prompt_tokens,
@@ -118,9 +122,18 @@
 
     @property
     def member(self) -> str:
-        """No customer is known here, so all calls count as one's."""
+        """All calls count as one customer's in the queues of upstreams."""
         return ""
 
+    @property
+    def customer(self) -> str:
+        """Whom the call counts for; empty for nobody."""
+        return self.caller.name or ""
+
+    def key_holds(self) -> bool:
+        """Whether the version in force still lets the caller in."""
+        return self.shared.customers().holds(self.caller)
+
     @property
     def max_tokens(self) -> int:
         return self.head.max_tokens
@@ -151,6 +164,10 @@
     async def run(self) -> None:
         """Make attempts until one gives the whole answer or none may follow."""
         while True:
+            if not self.key_holds():
+                text = "the API key was taken away while the call waited"
+                await self.give_up(self._truthful(Fault(ResultCode.UNAUTHORIZED, text)))
+                return
             granted = await find_permit(self.shared, self, self.avoided)
             if isinstance(granted, Err):
                 await self.give_up(self._truthful(granted.err_value))
@@ -206,9 +223,16 @@
             left_ms=self.left_ms(),
             upstream_id=upstream.upstream_id,
             last_event=self.progress.last_event,
+            customer=self.caller.name,
         )
         headers.insert(0, ("host", self.request.headers.get("host", "")))
-        check = send_check(self.shared.view, upstream, record.grant, deadline_ms=self.deadline_ms)
+        check = send_check(
+            self.shared.view,
+            upstream,
+            record.grant,
+            deadline_ms=self.deadline_ms,
+            key_holds=self.key_holds,
+        )
         with trio.CancelScope() as stall:
             stall.deadline = self._stall_s(first=True)
             async with send_attempt(
@@ -348,7 +372,7 @@
 
     def _count(self, code: ResultCode) -> None:
         self.shared.metrics.record_online(
-            self.service, self.member, max(self.first_event_ms, 0.0), self.pause_ms, code
+            self.service, self.customer, max(self.first_event_ms, 0.0), self.pause_ms, code
         )
 
     def late_fault(self) -> Fault:
@@ -362,6 +386,8 @@
         """Return a refusal, unless the call may have run."""
         if self.progress.may_have_run:
             return Fault(ResultCode.UPSTREAM_LOST, f"a run was lost; then: {fault.message}")
+        if fault.code is ResultCode.UNAUTHORIZED:
+            return fault
         retry_ms = max(fault.retry_after_ms, self.shared.retry_after_ms)
         return Fault(fault.code, fault.message, retry_ms)
 
--- a/src/fescuedock/platform/calls.py
+++ b/src/fescuedock/platform/calls.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable, Sequence
 
+from fescuedock.core.customers import bearer_keys
 from fescuedock.core.forwarding.calls import AnswerHead, CallHead
 from fescuedock.faults import Fault
 from fescuedock.net.http_messages import HOP_HEADERS, Headers
@@ -10,6 +11,7 @@
 __all__ = [
     "HEALTH_ID_HEADER",
     "answer_head",
+    "api_keys",
     "call_head",
     "client_headers",
     "item_headers",
@@ -30,6 +32,9 @@
 _NOT_RUN = "x-not-executed"
 # Proves that an answer is an upstream's.
 _SEAL = "x-response-seal"
+# A caller's key, and whom it belongs to, which upstreams are told instead.
+_KEY = "authorization"
+_CUSTOMER = "x-tenant"
 _RETRY_AFTER = "retry-after"
 _KEEP_ALIVE = "keep-alive"
 _MISDIRECTED = 421
@@ -39,6 +44,11 @@
 _REPLACED = frozenset(("host", "content-length", _DEADLINE, _EXPECTED_UPSTREAM, _LAST_EVENT))
 
 
+def api_keys(headers: Headers) -> list[str]:
+    """Return the keys that a client's headers bring, an empty one for each that is none."""
+    return bearer_keys(value for name, value in headers if name == _KEY)
+
+
 def call_head(headers: Headers) -> CallHead:
     """Return what a client's headers say of its call."""
     fields = dict(headers)
@@ -54,13 +64,19 @@
 
 
 def upstream_headers(
-    headers: Headers, *, left_ms: float, upstream_id: str, last_event: int
+    headers: Headers,
+    *,
+    left_ms: float,
+    upstream_id: str,
+    last_event: int,
+    customer: str | None = None,
 ) -> list[tuple[str, str]]:
     """Return a client's headers for one attempt at ``upstream_id``.
 
     ``last_event`` is the number of the last event that the client has, below 0 for none.
+    ``customer`` is whom the call counts for, empty for nobody; None where there are no customers.
     """
-    passed = _without_hops(headers, _REPLACED)
+    passed = _for_customer(_without_hops(headers, _REPLACED), customer)
     passed.append((_DEADLINE, str(max(int(left_ms), 1))))
     passed.append((_EXPECTED_UPSTREAM, registered_id(upstream_id)))
     if last_event >= 0:
@@ -69,11 +85,19 @@
 
 
 def item_headers(
-    headers: Iterable[Sequence[str]], *, item_id: str, upstream_id: str, last_event: int
+    headers: Iterable[Sequence[str]],
+    *,
+    item_id: str,
+    upstream_id: str,
+    last_event: int,
+    customer: str | None = None,
 ) -> list[tuple[str, str]]:
-    """Return the headers of a batch item for one attempt at ``upstream_id``."""
+    """Return the headers of a batch item for one attempt at ``upstream_id``.
+
+    ``customer`` is whom its job belongs to, as in ``upstream_headers``.
+    """
     fields = [(name.lower(), value) for name, value in headers]
-    passed = _without_hops(fields, _REPLACED | {_REQUEST_ID})
+    passed = _for_customer(_without_hops(fields, _REPLACED | {_REQUEST_ID}), customer)
     passed += [(_REQUEST_ID, item_id), (_EXPECTED_UPSTREAM, registered_id(upstream_id))]
     if last_event >= 0:
         passed.append((_LAST_EVENT, str(last_event)))
@@ -103,6 +127,14 @@
     return [(_RETRY_AFTER, f"{fault.retry_after_ms / 1000:.3f}")]
 
 
+def _for_customer(fields: list[tuple[str, str]], customer: str | None) -> list[tuple[str, str]]:
+    """Put the customer's name in place of the key, whatever the client sent of either."""
+    if customer is None:
+        return fields
+    passed = [(name, value) for name, value in fields if name not in (_KEY, _CUSTOMER)]
+    return [*passed, (_CUSTOMER, customer)] if customer else passed
+
+
 def _without_hops(headers: Headers, dropped: frozenset[str]) -> list[tuple[str, str]]:
     named = {
         name.strip().lower()
--- a/src/fescuedock/platform/records.py
+++ b/src/fescuedock/platform/records.py
@@ -7,6 +7,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from fescuedock.core.customers import Customer, CustomerIndex, index_of, key_digest
 from fescuedock.core.forwarding.route_table import (
     ClientLimits,
     Route,
@@ -62,6 +63,7 @@
     # Upstreams that may run one call of a client, not tries in all.
     max_attempts: int = 1
     resumable: bool = False
+    public: bool = False
     due_ms: float = 0.0
     retention_s: float = 0.0
 
@@ -83,11 +85,19 @@
     idle_timeout_ms: float = 15000.0
 
 
+class _Tenant(msgspec.Struct, rename="camel"):
+    name: str
+    api_keys: list[str] = []
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
 class _Config(msgspec.Struct, rename="camel"):
     version: int
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] = []
 
 
 class _Server(msgspec.Struct, rename="camel"):
@@ -116,6 +126,7 @@
     try:
         config = msgspec.json.decode(value, type=_Config)
         routes = tuple(_route(item) for item in config.routes)
+        customers = _customers(config.tenants)
     except (msgspec.DecodeError, ValueError) as error:
         return Err(f"the configuration cannot be read: {error}")
     services = {item.name: _service(item) for item in config.services}
@@ -125,7 +136,7 @@
         header_timeout_ms=config.limits.header_timeout_ms,
         idle_timeout_ms=config.limits.idle_timeout_ms,
     )
-    return Ok(RouteTable(config.version, routes, services, limits))
+    return Ok(RouteTable(config.version, routes, services, limits, customers))
 
 
 def read_upstream(key: str, value: bytes, region: str) -> Result[UpstreamRecord, str]:
@@ -220,6 +231,7 @@
         first_event_patience_ms=_first_event_patience_ms(item),
         max_attempts=max(item.max_attempts, 1),
         resumable=item.resumable,
+        public=item.public,
         due_ms=item.due_ms,
         retention_ms=item.retention_s * 1000,
     )
@@ -236,6 +248,18 @@
     )
 
 
+def _customers(tenants: Iterable[_Tenant]) -> CustomerIndex:
+    for item in tenants:
+        if not item.name:
+            raise ValueError("a customer has no name")
+        if item.rate_per_s < 0 or item.burst < 0:
+            raise ValueError(f"customer {item.name!r} has a limit below 0")
+    return index_of(
+        (Customer(item.name, item.rate_per_s, item.burst), map(key_digest, item.api_keys))
+        for item in tenants
+    )
+
+
 _KINDS = {kind.value for kind in RouteKind}
 
 
--- a/src/fescuedock/schema/result_codes.py
+++ b/src/fescuedock/schema/result_codes.py
@@ -36,6 +36,7 @@
     NO_UPSTREAM = 2003
     REVOKED = 2005
     WORK_HARMFUL = 2006
+    OVER_LIMIT = 2007
     BAD_LINE = 3000
     DUPLICATE_CUSTOM_ID = 3001
     TOO_MANY_ITEMS = 3002
@@ -91,6 +92,7 @@
     ResultCode.NO_UPSTREAM: 503,
     ResultCode.REVOKED: 503,
     ResultCode.WORK_HARMFUL: 503,
+    ResultCode.OVER_LIMIT: 429,
     ResultCode.BAD_LINE: 400,
     ResultCode.DUPLICATE_CUSTOM_ID: 400,
     ResultCode.TOO_MANY_ITEMS: 400,
@@ -146,6 +148,7 @@
     ResultCode.NO_UPSTREAM: Outcome.NOT_RUN,
     ResultCode.REVOKED: Outcome.NOT_RUN,
     ResultCode.WORK_HARMFUL: Outcome.NOT_RUN,
+    ResultCode.OVER_LIMIT: Outcome.NOT_RUN,
     ResultCode.BAD_LINE: Outcome.NOT_RUN,
     ResultCode.DUPLICATE_CUSTOM_ID: Outcome.NOT_RUN,
     ResultCode.TOO_MANY_ITEMS: Outcome.NOT_RUN,
--- a/src/fescuedock/schema/settings.py
+++ b/src/fescuedock/schema/settings.py
@@ -620,6 +620,13 @@
             ge=0,
         ),
     ] = 1
+    quota_slack_calls: Annotated[
+        float,
+        Meta(
+            description="Calls of one customer that may run beyond its limit, over all nodes, in one window of the platform; what a new owner of the limit begins with comes from them.",
+            ge=0.0,
+        ),
+    ] = 20
     job_cache_bytes: Annotated[
         int, Meta(description="Items and results of jobs kept in memory for readers.", ge=0)
     ] = 33554432
--- a/src/fescuedock/schema/stored_jobs.py
+++ b/src/fescuedock/schema/stored_jobs.py
@@ -41,6 +41,15 @@
         int, Meta(description="Raised by each claim; a commit under an older one fails.")
     ] = 0
     spec_parts: Annotated[int, Meta(description="Values that hold the items.")] = 1
+    customer: (
+        Annotated[
+            str,
+            Meta(
+                description="Whom the job belongs to, empty for nobody; null where no customers are configured."
+            ),
+        ]
+        | None
+    ) = None
 
 
 class StoredItem(WireStruct):
--- /dev/null
+++ b/tests/test_customers.py
@@ -0,0 +1,89 @@
+"""Who a caller is, by the keys of a version."""
+
+import unittest
+from urllib.parse import unquote
+
+from hypothesis import given
+from hypothesis import strategies as st
+from result import Err, Ok
+
+from fescuedock.core.customers import (
+    NOBODY,
+    Caller,
+    CallerRefusal,
+    Customer,
+    CustomerIndex,
+    bearer_keys,
+    identify,
+    index_of,
+    key_digest,
+    scoped_job_id,
+)
+
+_NAMES = st.text(max_size=12)
+
+
+def index(**keys: str) -> CustomerIndex:
+    """Index customers by one key each."""
+    return index_of((Customer(name), [key_digest(key)]) for name, key in keys.items())
+
+
+KNOWN = index(caldas="key-c", gent="key-g")
+
+
+class IdentifyTest(unittest.TestCase):
+    def test_a_key_names_its_customer(self) -> None:
+        found = identify(KNOWN, ["key-c"], public=False).ok_value
+        self.assertEqual(found.name, "caldas")
+        self.assertNotIn("key-c", repr(found))
+        self.assertTrue(KNOWN.holds(found))
+
+    def test_the_same_key_twice_counts_once_and_two_keys_are_refused(self) -> None:
+        self.assertIsInstance(identify(KNOWN, ["key-c", "key-c"], public=False), Ok)
+        refused = identify(KNOWN, ["key-c", "key-g"], public=False)
+        self.assertEqual(refused, Err(CallerRefusal.SEVERAL_KEYS))
+        self.assertEqual(
+            identify(KNOWN, ["key-c", ""], public=False), Err(CallerRefusal.SEVERAL_KEYS)
+        )
+
+    def test_no_key_and_an_unknown_one_are_told_apart(self) -> None:
+        self.assertEqual(identify(KNOWN, [], public=False), Err(CallerRefusal.NO_KEY))
+        self.assertEqual(identify(KNOWN, ["x"], public=False), Err(CallerRefusal.UNKNOWN_KEY))
+
+    def test_a_public_route_serves_all_and_names_who_brings_a_key(self) -> None:
+        self.assertEqual(identify(KNOWN, [], public=True), Ok(Caller("")))
+        self.assertEqual(identify(KNOWN, ["x"], public=True), Ok(Caller("")))
+        named = identify(KNOWN, ["key-g"], public=True).ok_value
+        self.assertEqual(named.name, "gent")
+        # Without the key the call is as good.
+        self.assertTrue(CustomerIndex().holds(named))
+
+    def test_without_customers_nobody_needs_a_key(self) -> None:
+        self.assertEqual(identify(CustomerIndex(), ["x", "y"], public=False), Ok(NOBODY))
+
+    def test_a_key_that_went_or_changed_hands_does_not_hold(self) -> None:
+        caller = identify(KNOWN, ["key-c"], public=False).ok_value
+        self.assertFalse(index(gent="key-g").holds(caller))
+        self.assertFalse(index(gent="key-c").holds(caller))
+        self.assertTrue(index(caldas="key-c").holds(caller))
+
+    def test_a_key_of_two_customers_and_a_customer_twice_are_refused(self) -> None:
+        for rows in ([("a", "k"), ("b", "k")], [("a", "k"), ("a", "l")]):
+            with self.assertRaises(ValueError):
+                index_of((Customer(name), [key]) for name, key in rows)
+
+    def test_only_bearer_lines_bring_keys(self) -> None:
+        self.assertEqual(bearer_keys(["Bearer a", "bearer  b ", "Basic a"]), ["a", "b", ""])
+
+    @given(_NAMES, st.text(min_size=1), _NAMES, st.text(min_size=1))
+    def test_jobs_of_two_customers_never_have_the_same_identity(
+        self, name: str, job: str, other: str, other_job: str
+    ) -> None:
+        scoped = scoped_job_id(Caller(name), job)
+        same = scoped == scoped_job_id(Caller(other), other_job)
+        self.assertEqual(same, (name, job) == (other, other_job))
+        self.assertEqual(unquote(scoped.partition(":")[0]), name)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_net_http_body.py
+++ b/tests/test_net_http_body.py
@@ -1,6 +1,7 @@
 """The body of an answer as it is cut out of the bytes behind its head."""
 
 import unittest
+from itertools import pairwise
 
 import h11
 from hypothesis import given
@@ -15,7 +16,7 @@
 def feed_cut(reader: BodyReader, data: bytes, cuts: list[int]) -> bytes:
     """Feed ``data`` in the pieces that ``cuts`` make of it; return what came of the body."""
     places = sorted({min(cut, len(data)) for cut in cuts} | {0, len(data)})
-    pieces = [data[first:last] for first, last in zip(places, places[1:], strict=False)]
+    pieces = [data[first:last] for first, last in pairwise(places)]
     return b"".join(reader.feed(piece) for piece in pieces)
 
 
