Have the soak's clients be customers, one whose keys go and one beyond its limit

Each client brings a key and a forged name; upstreams must see the customer's name and no key; no call runs with a key that has been gone for longer than the bound, and no window holds more than a limit.

--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -23,7 +23,7 @@
 # When an accepted submission comes again: half listed, or finished.
 _REPEAT_S = ((0.0, 0.6), (1.0, 9.0))
 # Answers by which a node says that a proper call is wrong, or that there is no such job.
-DENIALS = (400, 404, 409, 410, 413, 422, 431)
+DENIALS = (400, 401, 404, 409, 410, 413, 422, 431)
 _numbers = itertools.count(1)
 
 
@@ -51,7 +51,9 @@
 ) -> Reply:
     """Make one call and read as much of its answer as comes within a client's patience."""
     reply = Reply()
-    fields = {"host": HOST, "x-deadline-ms": str(_DEADLINE_MS)} | (headers or {})
+    fields = {"host": HOST, "x-deadline-ms": str(_DEADLINE_MS)}
+    # The name is forged: nodes put that of the key's customer in its place.
+    fields |= {"authorization": f"Bearer {Ledger.key}", "x-tenant": "forged"} | (headers or {})
     with trio.move_on_after(patience_s):
         try:
             async with http.request(
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -13,31 +13,25 @@
 
 from fescuedock.platform.standin.event_upstream import UpstreamFault
 from fescuedock.standin.kv_faults import LostAnswer
-from tests.builders.node import SERVICE, config_document
+from tests.builders.node import config_document
+from tests.soak.customers import first_customers
 from tests.soak.promises import Disturbance, Ledger
-from tests.soak.world import STOP_TIMEOUT_S, NodeProcess, SoakUpstream, World, serves
+from tests.soak.world import (
+    STOP_TIMEOUT_S,
+    NodeProcess,
+    SoakUpstream,
+    World,
+    serves,
+    version_route,
+)
 
-__all__ = ["Schedule", "version_route"]
+__all__ = ["Schedule"]
 
 # Mean pause between two faults, or series of one.
 _PAUSE_S = 0.7
 _MIN_UPSTREAMS = 2
 
 
-def version_route(version: int) -> dict:
-    """Return the route that a version of the configuration adds."""
-    return {
-        "name": f"version-{version}",
-        "prefix": f"/version-{version}/",
-        "kind": "safe",
-        "maxAttempts": 2,
-        "host": "desk.example",
-        "service": SERVICE,
-        "timeoutMs": 3000,
-        "targetLatencyMs": 1000,
-    }
-
-
 @dataclass(slots=True)
 class Schedule:
     """Draws faults from ``rng`` and carries them out; ``told`` has a line for each."""
@@ -60,12 +54,6 @@
                     await trio.sleep(self.rng.uniform(0.05, 0.4))
                 await trio.sleep(self.rng.expovariate(1 / _PAUSE_S))
 
-    def change_configuration(self) -> None:
-        """Add a route that only this version and later ones have."""
-        version = self.world.config["version"] + 1
-        routes = [*self.world.config["routes"], version_route(version)]
-        self.world.configure({"routes": routes})
-
     def _faults(self) -> list[Callable[[], Awaitable[str]]]:
         nodes = [self._kill, self._kill_all, self._stop, self._stop, self._pause]
         store = [self._store_down, self._store_silent, self._store_slow, self._lose_writes]
@@ -287,11 +275,12 @@
     # --- the operator ----------------------------------------------------------------------------
 
     async def _change(self) -> str:
-        self.change_configuration()
+        self.world.configure({})
         return f"configuration {self.world.config['version']}"
 
 
 def first_configuration() -> dict:
     """Return the configuration of the beginning, with a route of its own."""
     document = config_document()
-    return {**document, "routes": [*document["routes"], version_route(1)]}
+    routes = [*document["routes"], version_route(1)]
+    return {**document, "routes": routes, "tenants": first_customers()}
--- a/tests/soak/lost_ends.py
+++ b/tests/soak/lost_ends.py
@@ -59,7 +59,8 @@
             return
         pid = node.process.pid
         job.end_asked = True
-        call = f"DELETE /api/lots/{job.job_id} HTTP/1.1\r\nhost: {HOST}\r\n\r\n"
+        head = f"host: {HOST}\r\nauthorization: Bearer {Ledger.key}\r\n"
+        call = f"DELETE /api/lots/{job.job_id} HTTP/1.1\r\n{head}\r\n"
         sent_s = trio.current_time()
         try:
             with trio.fail_after(_CONNECT_S):
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -6,6 +6,7 @@
 from collections import Counter
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
+from typing import ClassVar
 
 import trio
 
@@ -145,6 +146,10 @@
     ``broken_lost_ends`` has those about ends that nobody acknowledged.
     """
 
+    # Whom all clients are of that do not say otherwise.
+    customer: ClassVar[str] = "caldas"
+    key: ClassVar[str] = "key-caldas"
+
     attempts: list[OnlineAttempt] = field(default_factory=list)
     # Calls that crash upstreams, and those that come beside them.
     harmful: list[OnlineAttempt] = field(default_factory=list)
@@ -175,7 +180,7 @@
                 self.broken.append(f"{name}: another answer than the upstream's")
             if not attempt.wanted.startswith(attempt.answer[: _last_whole(attempt.answer)]):
                 self.broken.append(f"{name}: events that are not the upstream's")
-        elif attempt.status in (400, 404, 413, 431):
+        elif attempt.status in (400, 401, 404, 413, 431):
             self.broken.append(f"{name}: denied with {attempt.status}")
 
     def count_lost_ends(self, processes: Mapping[str, int]) -> float:
@@ -230,7 +235,9 @@
     def _unasked(self, runs: Counter[str]) -> Iterator[str]:
         known = {attempt.request_id for attempt in (*self.attempts, *self.harmful)}
         known |= {item for job in self.jobs.values() for item in job.items}
-        for request_id in runs.keys() - known:
+        # Calls of the customers with keys and limits of their own are judged with those.
+        others = {request_id for request_id in runs if request_id.startswith(("k-", "l-"))}
+        for request_id in runs.keys() - known - others:
             yield f"{request_id} has run, and nobody sent it"
 
     def _late_starts(self, item: SoakUpstream) -> Iterator[str]:
--- a/tests/soak/runs.py
+++ b/tests/soak/runs.py
@@ -13,6 +13,7 @@
 import trio
 
 from tests.soak.clients import ConfigWatcher, JobClient, OnlineClient
+from tests.soak.customers import HotClient, KeyClient, broken_by_customers
 from tests.soak.ending import EndingClient
 from tests.soak.faults import Schedule, first_configuration
 from tests.soak.harmful import CAUSES, HarmfulClient, harm_after_enough, harmful_paths
@@ -117,6 +118,9 @@
             world.harmful |= harmful_paths()
             harm_rng = random.Random(f"harm-{seed}")
             harmers += [HarmfulClient(n, world, ledger, harm_rng) for n in range(CAUSES)]
+        customer_rng = random.Random(f"customers-{seed}")
+        changing = KeyClient(world, ledger, customer_rng)
+        hot = HotClient(world, ledger, customer_rng)
         schedules = [Schedule(world, ledger, fault_rng)]
         if spools:
             overlap_rng = random.Random(f"overlaps-{seed}")
@@ -125,12 +129,13 @@
         try:
             await world.start(nodes, _UPSTREAMS, spools)
             await _wait_serving(world)
-            await _soak(world, ledger, schedules, rng, harmers, fault_s)
+            await _soak(world, ledger, schedules, rng, harmers, [changing, hot], fault_s)
         finally:
             with trio.CancelScope(shield=True):
                 await world.end()
         ledger.judge_runs(world.upstreams)
         ledger.broken += harm_after_enough(ledger, world.upstreams)
+        ledger.broken += broken_by_customers(ledger, world.upstreams, changing, hot)
         nursery.cancel_scope.cancel()
     whole = sum(attempt.whole and attempt.status == 200 for attempt in ledger.attempts)
     accepted = sum(job.accepted for job in ledger.jobs.values())
@@ -194,6 +199,7 @@
     schedules: list[Schedule],
     rng: random.Random,
     harmers: list[HarmfulClient],
+    customers: list[KeyClient | HotClient],
     fault_s: float,
 ) -> None:
     online = [OnlineClient(world, ledger, rng) for _ in range(_ONLINE_CLIENTS)]
@@ -206,16 +212,21 @@
         LostEndClient(f"lost-{number}", world, ledger, rng)
         for number in range(_LOST_ENDS if world.spools else 0)
     ]
-    everyone = [*online, jobs, watcher, *enders, *losers, *harmers]
+    everyone = [*online, jobs, watcher, *enders, *losers, *harmers, *customers]
     async with _closing(everyone), trio.open_nursery() as clients:
         for client in (*online, watcher, *enders, *harmers):
             clients.start_soon(client.run)
         for _ in range(2):
             clients.start_soon(jobs.read_some)
         clients.start_soon(jobs.run)
-        async with trio.open_nursery() as faults:
-            for schedule in schedules:
-                faults.start_soon(schedule.run, fault_s)
+        async with trio.open_nursery() as meanwhile:
+            # Only meanwhile: their calls keep items of jobs from slots.
+            for client in customers:
+                meanwhile.start_soon(client.run)
+            async with trio.open_nursery() as faults:
+                for schedule in schedules:
+                    faults.start_soon(schedule.run, fault_s)
+            meanwhile.cancel_scope.cancel()
         jobs.submits.cancel()
         if losers:
             await lose_ends(world, ledger, losers, fault_s)
@@ -230,7 +241,14 @@
 @asynccontextmanager
 async def _closing(
     clients: list[
-        OnlineClient | JobClient | ConfigWatcher | EndingClient | LostEndClient | HarmfulClient
+        OnlineClient
+        | JobClient
+        | ConfigWatcher
+        | EndingClient
+        | LostEndClient
+        | HarmfulClient
+        | KeyClient
+        | HotClient
     ],
 ) -> AsyncIterator[None]:
     """Close the connections that clients have kept when the block is left."""
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -17,7 +17,7 @@
 from fescuedock.net.http_server import Request, Responder
 from fescuedock.platform.standin.event_upstream import EventUpstream
 from fescuedock.platform.standin.metadata_store import MetadataStoreService
-from tests.builders.node import config_document, worker_entry
+from tests.builders.node import SERVICE, config_document, worker_entry
 from tests.builders.ports import free_ports
 from tests.soak.proxy import FaultProxy
 
@@ -28,6 +28,7 @@
     "SoakProcess",
     "SoakUpstream",
     "World",
+    "version_route",
     "own_network",
     "serves",
 ]
@@ -89,6 +90,20 @@
 """
 
 
+def version_route(version: int) -> dict:
+    """Return the route that a version of the configuration adds."""
+    return {
+        "name": f"version-{version}",
+        "prefix": f"/version-{version}/",
+        "kind": "safe",
+        "maxAttempts": 2,
+        "host": "desk.example",
+        "service": SERVICE,
+        "timeoutMs": 3000,
+        "targetLatencyMs": 1000,
+    }
+
+
 @dataclass(slots=True, kw_only=True)
 class SoakProcess:
     """One program as a process; it keeps its address and its disk over restarts."""
@@ -212,9 +227,10 @@
         return next(node for node in self.nodes if node.name == name)
 
     def configure(self, changes: dict) -> None:
-        """Put a new version in force."""
+        """Put a new version in force, with a route that only it and later ones have."""
         version = self.config["version"] + 1
-        self.config = {**self.config, **changes, "version": version}
+        routes = [*self.config["routes"], version_route(version)]
+        self.config = {**self.config, "routes": routes, **changes, "version": version}
         self._put_configuration()
 
     def _put_configuration(self) -> None:
