Start programs with their modules out of one file of bytecode, and load no engine checks on a node

Change: deploy/build.py writes a bundle beside the package, fescuedock.bundle loads from it; another Python or a torn file means the path as usual. Checks of engines with the OpenAI interface have a module of their own. The limits' core is one module with the bucket beside it, as a start may load 160. Ruled out: a zip archive, which the interpreter reads with code in Python.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -5,6 +5,7 @@
 """
 
 import compileall
+import json
 import shutil
 import subprocess
 import sys
@@ -17,6 +18,19 @@
 TARGET = ROOT / "target" / "deps"
 # The requirements that are installed.
 STAMP = TARGET / ".requirements"
+# What is put into one file of bytecode each.
+PROGRAMS = ("node", "spool")
+_LIST_MODULES = """
+import json, sys
+before = set(sys.modules)
+import fescuedock.{program}.main
+files = {{
+    name: vars(module).get("__file__")
+    for name, module in list(sys.modules.items())
+    if name not in before and hasattr(module, "__dict__")
+}}
+print(json.dumps({{name: file for name, file in files.items() if file and file.endswith(".py")}}))
+"""
 
 
 def main() -> int:
@@ -25,6 +39,8 @@
     if not install_dependencies():
         return 1
     copy_package(PACKAGE, TARGET)
+    for program in PROGRAMS:
+        bundle_program(program, TARGET)
     return 0
 
 
@@ -51,5 +67,21 @@
     compileall.compile_dir(copy, quiet=2, invalidation_mode=PycInvalidationMode.UNCHECKED_HASH)
 
 
+def bundle_program(program: str, target: Path) -> None:
+    """Put what a program imports at its start into one file beside its package."""
+    listed = subprocess.run(
+        [sys.executable, "-S", "-c", _LIST_MODULES.format(program=program)],
+        cwd=target,
+        capture_output=True,
+        check=True,
+        text=True,
+    )
+    sys.path.insert(0, str(target))
+    from fescuedock.bundle import bundle_path, write_bundle
+
+    sources = ((name, Path(file)) for name, file in json.loads(listed.stdout).items())
+    write_bundle(target / "fescuedock" / bundle_path(program).name, sources)
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/src/fescuedock/agent/main.py
+++ b/src/fescuedock/agent/main.py
@@ -11,6 +11,7 @@
 from fescuedock.agent.codec import open_codec
 from fescuedock.agent.config_service import CallPeer, ConfigService
 from fescuedock.agent.crash_service import CrashService
+from fescuedock.agent.engine_checks import engine_checks
 from fescuedock.agent.link import FleetView
 from fescuedock.agent.membership_service import MembershipService
 from fescuedock.agent.order_service import OrderService
@@ -105,7 +106,9 @@
         self.orders = OrderService(
             settings, kv, self.view, EngineControl(http), lambda name: self.permits.load(name), rng
         )
-        self.permits = PermitService(settings, self.view, http, rng, self.orders.is_loading)
+        self.permits = PermitService(
+            settings, self.view, engine_checks(http, rng), rng, self.orders.is_loading
+        )
         self.orders.on_change = self.permits.follow_again
 
     def vms(self) -> list[VmRecord]:
--- a/src/fescuedock/agent/permit_service.py
+++ b/src/fescuedock/agent/permit_service.py
@@ -10,8 +10,7 @@
 import trio
 from result import Err, Result
 
-from fescuedock.agent.upstream_checks import UpstreamChecks, engine_checks
-from fescuedock.backing.engine_wire import EngineLoad
+from fescuedock.agent.upstream_checks import UpstreamChecks
 from fescuedock.clock import now_ms
 from fescuedock.core.permits.actions import Action, Granted, Refused, Revoked
 from fescuedock.core.permits.owner import OwnedUpstream, PermitOwner
@@ -20,7 +19,6 @@
 from fescuedock.core.permits.waiting import MemberShares
 from fescuedock.faults import Fault
 from fescuedock.net.channel import CallHandler, ServerPeer
-from fescuedock.net.http_client import HttpClient
 from fescuedock.schema.config import Configuration, Objectives
 from fescuedock.schema.permits import (
     AttemptOutcome,
@@ -39,6 +37,7 @@
 
 if TYPE_CHECKING:
     from fescuedock.agent.link import FleetView
+    from fescuedock.backing.engine_wire import EngineLoad
 
 __all__ = ["PermitService"]
 
@@ -55,21 +54,19 @@
     """Soft state for each upstream that ``view`` says this VM owns.
 
     ``is_loading`` says of an upstream that it lacks a model and so must not get work yet.
-    ``checks`` are those for engines with the OpenAI interface unless given.
     """
 
     def __init__(
         self,
         settings: Settings,
         view: "FleetView",
-        http: HttpClient,
+        checks: UpstreamChecks,
         rng: random.Random,
         is_loading: Callable[[str], bool] = lambda _upstream_id: False,
-        checks: UpstreamChecks | None = None,
     ) -> None:
         self._settings = settings
         self._view = view
-        self._checks = checks or engine_checks(http, rng)
+        self._checks = checks
         self._rng = rng
         self._is_loading = is_loading
         self._owner = PermitOwner(settings.permits, settings.agent.permit_valid_ms)
@@ -223,7 +220,7 @@
         elif upstream.kind is UpstreamKind.ENGINE and self._checks.load is not None:
             self._take_load(upstream.upstream_id, await self._checks.load(upstream))
 
-    def _take_load(self, upstream_id: str, result: Result[EngineLoad, Fault]) -> None:
+    def _take_load(self, upstream_id: str, result: Result["EngineLoad", Fault]) -> None:
         if isinstance(result, Err):
             # A lost report says little; a refused connection says that the process is gone.
             if result.err_value.code is ResultCode.PEER_UNREACHABLE:
--- a/src/fescuedock/agent/upstream_checks.py
+++ b/src/fescuedock/agent/upstream_checks.py
@@ -1,21 +1,20 @@
 """How the owner of an upstream looks at it, besides what its own attempts tell."""
 
-import random
 from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING
 
 import msgspec
 from result import Result
 
-from fescuedock.agent.upstream_probe import UpstreamProbe
-from fescuedock.backing.engine_control import EngineControl
-from fescuedock.backing.engine_wire import EngineLoad
 from fescuedock.faults import Fault
-from fescuedock.net.http_client import HttpClient
 from fescuedock.schema.config import Configuration
 from fescuedock.schema.permits import AttemptOutcome
 from fescuedock.schema.view import UpstreamRecord
 
-__all__ = ["UpstreamChecks", "engine_checks"]
+if TYPE_CHECKING:
+    from fescuedock.backing.engine_wire import EngineLoad
+
+__all__ = ["UpstreamChecks"]
 
 
 class UpstreamChecks(msgspec.Struct, frozen=True):
@@ -26,9 +25,4 @@
     """
 
     probe: Callable[[UpstreamRecord, Configuration], Awaitable[AttemptOutcome]]
-    load: Callable[[UpstreamRecord], Awaitable[Result[EngineLoad, Fault]]] | None = None
-
-
-def engine_checks(http: HttpClient, rng: random.Random) -> UpstreamChecks:
-    """Return the checks for engines with the OpenAI interface, and for plain services."""
-    return UpstreamChecks(UpstreamProbe(http, rng).run, EngineControl(http).load)
+    load: Callable[[UpstreamRecord], Awaitable[Result["EngineLoad", Fault]]] | None = None
--- a/src/fescuedock/core/quotas/owner.py
+++ b/src/fescuedock/core/quotas.py
@@ -1,13 +1,15 @@
-"""Grants the calls of the customers that this node keeps the limit of.
+"""One limit of a customer over all nodes, without a write to a store for each call.
 
 Each call of a customer with a limit is granted by one node, which rendezvous hashing names for the
-customer, so that the limit holds over the fleet.  State is soft: a new owner starts with a part of
-the slack alone.  What any span holds is then at most one burst, the rate over it, and the start of
-each owner that came in between, which the slack covers.
+customer.  State is soft: a new owner starts with a part of the slack alone.  What any span holds is
+then at most one burst, the rate over it, and the start of each owner that came in between, which
+the slack covers.
 
 It answers a load in which one customer sends many times its usual while nodes restart: the excess
 is refused before it takes a slot, and what is within the limit is served by whichever owner there
-is.
+is.  A node that reaches no owner may be the only one that is cut off, while its clients still reach
+it.  It serves a part of what its share of the fleet makes of the limit: enough for most customers
+within their limits, and bounded for one beyond it.
 
 Pure: the caller passes the time, by a clock that counts suspensions.
 """
@@ -17,9 +19,16 @@
 import msgspec
 
 from fescuedock.core.customers import Customer
-from fescuedock.core.quotas.bucket import Bucket, BucketTerms
+from fescuedock.core.rendezvous import rank_names
+from fescuedock.core.token_bucket import Bucket, BucketTerms
 
-__all__ = ["QuotaOwner", "QuotaPolicy"]
+__all__ = ["LocalAllowance", "QuotaOwner", "QuotaPolicy", "QuotaRoute"]
+
+# Owners that are asked for one call: the first and one that stands in for it.
+_ASKED = 2
+_QUOTA_KEY = "quota/"
+# Of a node's share of a limit; the owner goes on granting all of it to the others.
+_ALLOWED_SHARE = 0.5
 
 
 class QuotaPolicy(msgspec.Struct, frozen=True):
@@ -72,3 +81,40 @@
         """Forget the customers that are not among ``names``."""
         for key in [key for key in self._buckets if key[0] not in names]:
             del self._buckets[key]
+
+
+class QuotaRoute:
+    """The owners of each customer among the nodes that are there."""
+
+    __slots__ = ("_names", "_ranked")
+
+    def __init__(self) -> None:
+        self._names: frozenset[str] = frozenset()
+        self._ranked: dict[str, tuple[str, ...]] = {}
+
+    def owners(self, customer: str, names: Collection[str]) -> tuple[str, ...]:
+        """Return whom to ask, in order."""
+        if names != self._names:
+            self._names, self._ranked = frozenset(names), {}
+        if customer not in self._ranked:
+            self._ranked[customer] = tuple(rank_names(_QUOTA_KEY + customer, names)[:_ASKED])
+        return self._ranked[customer]
+
+
+class LocalAllowance(msgspec.Struct):
+    """What this node serves of each customer while no owner answers."""
+
+    _buckets: dict[str, Bucket] = msgspec.field(default_factory=dict)
+
+    def take(self, customer: Customer, fleet_size: int, now_ms: float) -> bool:
+        """Whether a call may run; ``fleet_size`` counts the nodes that share the limit."""
+        part = _ALLOWED_SHARE / max(fleet_size, 1)
+        size = 1.0 + customer.burst * part
+        terms = BucketTerms(customer.rate_per_s * part, size, size)
+        bucket = self._buckets.setdefault(customer.name, Bucket(size, now_ms))
+        return bucket.take(terms, now_ms)
+
+    def keep(self, names: Collection[str]) -> None:
+        """Forget the customers that are not among ``names``."""
+        for name in self._buckets.keys() - set(names):
+            del self._buckets[name]
--- a/src/fescuedock/node/quotas.py
+++ b/src/fescuedock/node/quotas.py
@@ -9,12 +9,13 @@
 from fescuedock.agent.link import FleetView
 from fescuedock.clock import now_ms
 from fescuedock.core.customers import Customer, CustomerIndex
-from fescuedock.core.quotas import LocalAllowance, QuotaOwner, QuotaPolicy, QuotaRoute, SilentOwners
+from fescuedock.core.quotas import LocalAllowance, QuotaOwner, QuotaPolicy, QuotaRoute
+from fescuedock.core.route_learning import SilentOwners
 from fescuedock.faults import Fault
 from fescuedock.log import log_event
 from fescuedock.net.channel import CallHandler, ServerPeer
 from fescuedock.node.replicas import CallNeighbour
-from fescuedock.schema.quotas import QuotaAsk, QuotaReply
+from fescuedock.schema.permits import QuotaAsk, QuotaReply
 from fescuedock.schema.report import CustomerStatus
 from fescuedock.schema.result_codes import ResultCode
 from fescuedock.schema.view import VmRecord
--- a/src/fescuedock/schema/permits.py
+++ b/src/fescuedock/schema/permits.py
@@ -173,3 +173,24 @@
     """
 
     permit_ids: list[str]
+
+
+class QuotaAsk(WireStruct):
+    """
+    Ask the node that keeps a customer's limit for one call.
+    """
+
+    customer: str
+    stands_in: Annotated[
+        bool, Meta(description="Another node, which is asked first, did not answer.")
+    ] = False
+
+
+class QuotaReply(WireStruct):
+    code: Annotated[
+        int,
+        Meta(
+            description="A ResultCode: OK, OVER_LIMIT, or NOT_OWNER where this node cannot speak for the fleet."
+        ),
+    ]
+    retry_after_ms: Annotated[int, Meta(description="When a refused caller may come back.")] = 0
