--- a/src/fescuedock/net/http_client.py
+++ b/src/fescuedock/net/http_client.py
@@ -473,10 +473,8 @@
     def _begin_body(self, method: str, response: h11.Response) -> None:
         """Take what h11 has received behind the head; from here on it gets no more bytes."""
         self._body = body_reader(method, response)
-        data, closed = self._protocol.trailing_data
+        data, _ = self._protocol.trailing_data
         self._taken = self._feed_body(data) if data else b""
-        if closed:
-            self._feed_body(b"")
 
     async def next_event(self) -> object:
         """Return h11's next event up to the head of the answer."""
