Have tests wait for a service that listens again, and grant leases in the runner's world

The runner's world had no leases, so an end that finds no job failed there, and hypothesis went on shrinking it for minutes.

--- a/tests/builders/runner_world.py
+++ b/tests/builders/runner_world.py
@@ -100,6 +100,11 @@
 
         return await self._call(write, writes=True)
 
+    async def grant_lease(self, ttl_s: int) -> Result[int, Fault]:
+        return await self._call(
+            lambda: Ok(self.state.grant(ttl_s, trio.current_time())), writes=True
+        )
+
     async def changes(
         self, prefix: str, after_revision: int, wait_ms: int
     ) -> Result[KvChanges, Fault]:
--- a/tests/test_config_service.py
+++ b/tests/test_config_service.py
@@ -6,9 +6,15 @@
 
 import trio
 
+from fescuedock.address import Address
 from fescuedock.cli.local import LocalSystem
 from fescuedock.cli.local_vm import LocalVm
-from fescuedock.net.http_client import NotSentError, ResponseLostError
+from fescuedock.net.http_client import (
+    Acceptance,
+    HttpClient,
+    NotSentError,
+    ResponseLostError,
+)
 from fescuedock.standin.kv_faults import LostAnswer
 from tests.builders.local import Answer, exchange, run_session, wait_until
 
@@ -21,6 +27,10 @@
     return {"base_version": base_version, "patch_id": name, "patch": {"members": {name: {}}}}
 
 
+async def listens(address: Address) -> bool:
+    return await HttpClient().try_connect(address) is Acceptance.ACCEPTED
+
+
 class Operators:
     """Operators at the entries of a running system."""
 
@@ -121,6 +131,8 @@
         seen = await self._restart(system, operators)
         self.assertEqual(set(seen), {version})
         system.standins.kv.bring_up()
+        # It listens again a little later than it is told to.
+        await wait_until(partial(listens, system.standins.kv.address), timeout_s=4)
         answer = await operators.patch(VM_LOST, version, "outage")
         self.assertEqual((answer.status, answer.json), (200, {"version": version + 1}))
 
