Take back the bound of owners that do not know their fleet, and the early renewals

Nodes see nine tenths of their fleet 0.1 to 0.4 s after they serve, so that few upstreams are filled twice, and calls waited for the bound instead.

--- a/src/fescuedock/agent/permit_client.py
+++ b/src/fescuedock/agent/permit_client.py
@@ -208,7 +208,6 @@
             nursery.start_soon(self._renew_forever)
             nursery.start_soon(self._report_forever)
             nursery.start_soon(self._follow_ends)
-            nursery.start_soon(self._follow_owners)
 
     def take_push(self, message: msgspec.Struct) -> None:
         """Take a message that an owner sent of its own accord."""
@@ -235,7 +234,6 @@
             renew_at_ms = sent_ms + reply.valid_ms / _RENEWALS_PER_VALIDITY
             held = HeldGrant(ask, now_ms(), sent_ms + reply.valid_ms, renew_at_ms)
             held.lapsed_by_ms = lapsed_by_ms(sent_ms, now_ms(), ask.wait_ms, reply.valid_ms)
-            held.owner_id = self._owner_id(ask.upstream_id)
             return self._grant(held)
         return Err(Fault(code, f"refused at {ask.upstream_id}", reply.retry_after_ms))
 
@@ -329,34 +327,6 @@
                         nursery.start_soon(self._renew, address, group)
             self._revoke(self._book.lapsed(now_ms()))
 
-    async def _follow_owners(self) -> None:
-        """Tell a new owner at once of what runs already, so that it does not fill the slots twice.
-
-        Until the next renewal, up to a third of the validity later, it would take the upstream for
-        idle.
-        """
-        version = 0
-        async with trio.open_nursery() as nursery:
-            while True:
-                version = await self._view.wait_changed(version)
-                moved: dict[Address, list[HeldGrant]] = defaultdict(list)
-                for address, group in self._held_by_owner().items():
-                    moved[address] += [held for held in group if self._has_moved(held)]
-                for address, group in moved.items():
-                    if group:
-                        nursery.start_soon(self._renew, address, group)
-
-    def _has_moved(self, held: HeldGrant) -> bool:
-        """Whether a permit has another owner than the one that knows of it; noted as told."""
-        owner_id = self._owner_id(held.ask.upstream_id)
-        has_moved = owner_id != held.owner_id
-        held.owner_id = owner_id
-        return has_moved
-
-    def _owner_id(self, upstream_id: str) -> str:
-        owner = self._view.owner_of(upstream_id)
-        return "" if owner is None else owner.vm_id
-
     def _held_by_owner(self) -> dict[Address, list[HeldGrant]]:
         by_owner: dict[Address, list[HeldGrant]] = defaultdict(list)
         for held in self._book:
--- a/src/fescuedock/agent/permit_service.py
+++ b/src/fescuedock/agent/permit_service.py
@@ -14,7 +14,6 @@
 from fescuedock.clock import now_ms
 from fescuedock.core.permits.actions import Action, Granted, Refused, Revoked
 from fescuedock.core.permits.owner import OwnedUpstream, PermitOwner
-from fescuedock.core.permits.settling import Settling
 from fescuedock.core.permits.terms import UpstreamTerms
 from fescuedock.core.permits.validity import validity_ms
 from fescuedock.core.permits.waiting import MemberShares
@@ -33,7 +32,7 @@
     WorkClass,
 )
 from fescuedock.schema.result_codes import ResultCode
-from fescuedock.schema.view import Program, UpstreamKind, UpstreamRecord
+from fescuedock.schema.view import UpstreamKind, UpstreamRecord
 from fescuedock.settings import Settings
 
 if TYPE_CHECKING:
@@ -55,7 +54,6 @@
     """Soft state for each upstream that ``view`` says this VM owns.
 
     ``is_loading`` says of an upstream that it lacks a model and so must not get work yet.
-    ``fleet_size`` counts the VMs that are recorded, in sight or not; 0 where nobody records them.
     """
 
     def __init__(
@@ -65,15 +63,12 @@
         checks: UpstreamChecks,
         rng: random.Random,
         is_loading: Callable[[str], bool] = lambda _upstream_id: False,
-        fleet_size: Callable[[], int] = lambda: 0,
     ) -> None:
         self._settings = settings
         self._view = view
         self._checks = checks
         self._rng = rng
         self._is_loading = is_loading
-        self._fleet_size = fleet_size
-        self._settling = Settling(now_ms())
         self._owner = PermitOwner(settings.permits, settings.agent.permit_valid_ms)
         self._waiters: dict[str, list[_Waiter]] = defaultdict(list)
         self._peers: dict[str, ServerPeer] = {}
@@ -165,16 +160,8 @@
         it granted the freed slot of an upstream that was leaving.
         """
         self._follow()
-        if not self._settling.is_settled:
-            self._owner.set_budget(self._budget())
         return self._owner
 
-    def _budget(self) -> int | None:
-        declared = [item.slots for item in self._view.upstreams.values()]
-        slots = sum(declared) if all(declared) else 0
-        seen = len(self._view.live_vms(Program.AGENT))
-        return self._settling.budget(slots, seen, self._fleet_size(), now_ms())
-
     def _follow(self) -> None:
         if self._view.version == self._followed_version:
             return
--- a/src/fescuedock/core/permits/holder.py
+++ b/src/fescuedock/core/permits/holder.py
@@ -19,8 +19,6 @@
     # When to ask for more time; an owner says how long its permits are good, and they differ.
     renew_at_ms: float = 0.0
     local: bool = False
-    # The VM that was last told of it as its owner.
-    owner_id: str = ""
     # A request under it was written.
     sent: bool = False
     first_token_ms: float = -1.0
--- a/src/fescuedock/core/permits/owner.py
+++ b/src/fescuedock/core/permits/owner.py
@@ -46,12 +46,6 @@
         self._queues: dict[str, UpstreamQueue] = {}
         self._services: dict[str, str] = {}
         self._health: dict[str, HealthTracker] = {}
-        # Attempts that may run at all upstreams together; None for no bound (see ``Settling``).
-        self._budget: int | None = None
-
-    def set_budget(self, budget: int | None) -> None:
-        """Bound what runs at all upstreams together; what waits is served by the next tick."""
-        self._budget = budget
 
     @property
     def owns_any(self) -> bool:
@@ -166,20 +160,9 @@
 
     def _new_queue(self, upstream_id: str, terms: UpstreamTerms, now_ms: float) -> UpstreamQueue:
         return UpstreamQueue(
-            upstream_id,
-            self._settings,
-            terms,
-            self._valid_ms,
-            self._valid_ms,
-            now_ms,
-            self._may_start,
+            upstream_id, self._settings, terms, self._valid_ms, self._valid_ms, now_ms
         )
 
-    def _may_start(self) -> bool:
-        if self._budget is None:
-            return True
-        return sum(queue.in_flight for queue in self._queues.values()) < self._budget
-
     def _health_of(self, upstream_id: str) -> HealthTracker:
         return self._tracker(self._services[upstream_id])
 
--- a/src/fescuedock/core/permits/queue.py
+++ b/src/fescuedock/core/permits/queue.py
@@ -7,7 +7,6 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Callable
 
 from fescuedock.core.permits.actions import Action, Granted, Refused, Revoked
 from fescuedock.core.permits.evidence import UpstreamEvidence
@@ -33,7 +32,7 @@
     """Soft state of one upstream, kept by the agent that owns it.
 
     ``rebuild_ms`` is how long batch waits after a change of owner, for the holders' renewals to
-    tell what runs already.  ``may_start`` bounds online attempts over all queues of an owner.
+    tell what runs already.
     """
 
     def __init__(
@@ -44,10 +43,8 @@
         valid_ms: int,
         rebuild_ms: float,
         now_ms: float,
-        may_start: Callable[[], bool] = lambda: True,
     ) -> None:
         self.upstream_id = upstream_id
-        self._may_start = may_start
         self.healthy = True
         self._settings = settings
         self._terms = terms
@@ -65,11 +62,6 @@
         self._limits = self._evidence.limits
         self._first_token = self._evidence.first_token
 
-    @property
-    def in_flight(self) -> int:
-        """Attempts that run by the permits that are out."""
-        return len(self._held)
-
     @property
     def accepting(self) -> bool:
         return self._terms.admitting and self.healthy
@@ -225,7 +217,7 @@
         queue = self._waiting.in_order(WorkClass.ONLINE, self._held.count_of, now_ms)
         ahead = 0.0
         for waiting in queue:
-            if self._held.online < self._hard_limit() and self._may_start():
+            if self._held.online < self._hard_limit():
                 self._waiting.remove(waiting.ask.attempt_id)
                 actions.append(self._grant(waiting.ask, now_ms))
             elif self._is_hopeless(waiting, ahead, now_ms):
--- a/src/fescuedock/node/main.py
+++ b/src/fescuedock/node/main.py
@@ -215,9 +215,7 @@
             first_version=self._boot,
         )
         checks = UpstreamChecks(health_probe(self._http, self._configuration))
-        self._permit_service = PermitService(
-            settings, self._view, checks, self._rng, fleet_size=self._fleet_size
-        )
+        self._permit_service = PermitService(settings, self._view, checks, self._rng)
         owner = OwnerIdentity(settings.vm.vm_id, self._boot)
         store = JobStore(self._store, self._keys, node.store_value_bytes)
         cache = JobCache(node.job_cache_bytes)
--- a/tests/builders/load_player.py
+++ b/tests/builders/load_player.py
@@ -31,7 +31,7 @@
 from fescuedock.faults import Fault
 from fescuedock.node.item_asking import ItemAsker
 from fescuedock.schema.config import Configuration
-from fescuedock.schema.permits import AttemptOutcome, EndedPermit, LoadSnapshot
+from fescuedock.schema.permits import AttemptOutcome, EndedPermit
 from fescuedock.schema.result_codes import ResultCode
 from fescuedock.schema.settings import (
     AgentSettings,
@@ -245,10 +245,6 @@
         vm.ready = [Program.AGENT]
         return vm
 
-    def owned_load(self, upstream_id: str) -> LoadSnapshot:
-        """Return the load of an upstream as this node counts it, being its owner."""
-        return self._service.load(upstream_id)
-
     def start(self) -> None:
         self.nursery.start_soon(self.permits.run)
         self.nursery.start_soon(self._service.run)
