Hold responses for clients that read slowly, within bounds per call and process

Cause: a client that does not read stalls the relay. The upstream is not read and its permit lasts until the client has taken everything. With small socket buffers, four such clients on an upstream of four slots made a fifth call fail with 503.

Change: what the kernel does not take is held at the connection and sent as the client reads, by a task that starts only when the kernel refuses bytes. A handler waits only beyond held_call_bytes, and not behind the end of a response, so that a call's permit ends with its upstream. core/slow_peers.py decides who is cut off beyond held_process_bytes: the slowest first, by a reset. Requests that have not come whole count toward the same bound. The time for which a call waits for its client no longer counts as a stall of the upstream.

Ruled out: waiting for the next event to send what is held, as the rest of a burst would be delayed by a pause of the upstream.

--- /dev/null
+++ b/src/fescuedock/core/slow_peers.py
@@ -0,0 +1,138 @@
+"""Which slow clients a process may hold bytes for, and which of them are cut off.
+
+A process holds bytes for a client that reads its response slowly, and of a request that comes
+slowly.  All count toward one bound; beyond it the slowest clients are cut off first.
+
+Pure: the caller passes the time, and does what is returned.
+"""
+
+import math
+from collections.abc import Hashable
+
+import msgspec
+
+__all__ = ["HeldBounds", "HeldBytes", "SlowPeer"]
+
+# Of a new client nothing is known: a round trip and some packets pass before its first bytes move.
+_JUDGED_AFTER_MS = 250.0
+# A rate is that of the current window and the one before, so that a stall shows within 2 s.
+_WINDOW_MS = 1000.0
+# One page of results takes this share of what is free, so that several fit.
+_PAGE_SHARE = 1 / 8
+_LEAST_PAGE_BYTES = 16384
+
+
+class HeldBounds(msgspec.Struct, frozen=True):
+    """Bytes that may be held.
+
+    ``call_bytes`` bounds one streamed response, whose producer waits beyond it; with 0 every
+    producer waits until its client has taken all.
+    """
+
+    call_bytes: int = 0
+    process_bytes: int = 2**62
+
+
+class SlowPeer(msgspec.Struct):
+    """A client for which bytes are held, and how fast its bytes have moved of late."""
+
+    since_ms: float
+    held_bytes: int = 0
+    window_ms: float = 0.0
+    moved_bytes: int = 0
+    moved_before_bytes: int = 0
+
+    def note_moved(self, size_bytes: int, now_ms: float) -> None:
+        """Count bytes that the client has taken or sent."""
+        self._turn_window(now_ms)
+        self.moved_bytes += size_bytes
+
+    def rate(self, now_ms: float) -> float:
+        """Return the bytes a second of the last one to two seconds; infinite for a new client."""
+        age_ms = now_ms - self.since_ms
+        if age_ms < _JUDGED_AFTER_MS:
+            return math.inf
+        self._turn_window(now_ms)
+        span_ms = min(age_ms, _WINDOW_MS + now_ms - self.window_ms)
+        return (self.moved_before_bytes + self.moved_bytes) * 1000 / span_ms
+
+    def _turn_window(self, now_ms: float) -> None:
+        passed = now_ms - self.window_ms
+        if passed < _WINDOW_MS:
+            return
+        self.moved_before_bytes = self.moved_bytes if passed < 2 * _WINDOW_MS else 0
+        self.moved_bytes = 0
+        self.window_ms = now_ms
+
+
+class HeldBytes:
+    """The slow clients of one process.
+
+    Nothing is kept of a client for which nothing is held.
+    """
+
+    __slots__ = ("bounds", "peers", "total_bytes")
+
+    def __init__(self, bounds: HeldBounds) -> None:
+        self.bounds = bounds
+        self.peers: dict[Hashable, SlowPeer] = {}
+        self.total_bytes = 0
+
+    def hold(self, key: Hashable, size_bytes: int, now_ms: float) -> list[Hashable]:
+        """Count ``size_bytes`` more for a client; return those to cut off, ``key`` among them.
+
+        They count as cut off from then on.
+        """
+        peer = self.peers.get(key)
+        if peer is None:
+            peer = self.peers[key] = SlowPeer(now_ms, window_ms=now_ms)
+        peer.held_bytes += size_bytes
+        self.total_bytes += size_bytes
+        cut_off: list[Hashable] = []
+        if peer.held_bytes > self.bounds.process_bytes:
+            # Room for it cannot be made, whoever else is cut off.
+            cut_off.append(key)
+            self.forget(key)
+        while self.total_bytes > self.bounds.process_bytes:
+            slowest = min(self.peers, key=lambda known: self._order(known, now_ms))
+            cut_off.append(slowest)
+            self.forget(slowest)
+        return cut_off
+
+    def note_received(self, key: Hashable, size_bytes: int, now_ms: float) -> list[Hashable]:
+        """Count bytes of a request: they are held, and show how fast its client sends."""
+        cut_off = self.hold(key, size_bytes, now_ms)
+        if key in self.peers:
+            self.peers[key].note_moved(size_bytes, now_ms)
+        return cut_off
+
+    def note_taken(self, key: Hashable, size_bytes: int, now_ms: float) -> None:
+        """Count bytes that a client has taken; it is forgotten when nothing is left."""
+        peer = self.peers.get(key)
+        if peer is None:
+            return
+        peer.note_moved(size_bytes, now_ms)
+        taken_bytes = min(size_bytes, peer.held_bytes)
+        peer.held_bytes -= taken_bytes
+        self.total_bytes -= taken_bytes
+        if not peer.held_bytes:
+            del self.peers[key]
+
+    def forget(self, key: Hashable) -> None:
+        """Free all that is held for a client."""
+        peer = self.peers.pop(key, None)
+        if peer is not None:
+            self.total_bytes -= peer.held_bytes
+
+    def page_bytes(self, wanted_bytes: int) -> int:
+        """Return how large a page of results may be, at most ``wanted_bytes``.
+
+        With little room readers get smaller pages, before any of them has to be cut off.
+        """
+        free_bytes = self.bounds.process_bytes - self.total_bytes
+        return min(wanted_bytes, max(int(free_bytes * _PAGE_SHARE), _LEAST_PAGE_BYTES))
+
+    def _order(self, key: Hashable, now_ms: float) -> tuple[float, int]:
+        """Slowest first; among equals, as new ones are, the one for which most is held."""
+        peer = self.peers[key]
+        return (peer.rate(now_ms), -peer.held_bytes)
--- a/src/fescuedock/net/http_connection.py
+++ b/src/fescuedock/net/http_connection.py
@@ -1,13 +1,20 @@
 """A caller's connection to the HTTP server: the h11 state and the socket."""
 
 import os
+import socket
+import struct
 from collections.abc import AsyncIterator, Callable
 
 import h11
 import msgspec
 import trio
 
+from fescuedock.clock import now_ms
+from fescuedock.core.slow_peers import HeldBounds, HeldBytes
+from fescuedock.net.unsent import UnsentBytes
+
 __all__ = [
+    "CutOff",
     "LINGER_S",
     "DroppedConnectionError",
     "HttpConnection",
@@ -21,6 +28,9 @@
 # The line that h11 adds to the head of an answer without a length, in lower case.
 _CHUNKED_LINE = b"\r\ntransfer-encoding: chunked\r\n"
 
+# SO_LINGER switched on with 0 s: a close discards what was not sent, and resets.
+_DISCARD_UNSENT = struct.pack("ii", 1, 0)
+
 
 class DroppedConnectionError(Exception):
     """The caller has left or takes nothing more, or a handler drops it; nothing is answered.
@@ -46,17 +56,40 @@
     idle_timeout_ms: int = 60000
 
 
+class CutOff(msgspec.Struct, frozen=True):
+    """Why a slow caller was cut off, and what was held for it; ``total_bytes`` for all callers."""
+
+    reason: str
+    held_bytes: int
+    total_bytes: int
+
+
 class HttpConnection:
-    """One caller's connection: the h11 state and the socket."""
+    """One caller's connection: the h11 state and the socket.
+
+    What the kernel does not take of a response is held here and sent as the caller reads.  ``held``
+    counts it for all connections of the process, together with what has come of requests, and says
+    who is cut off when it becomes too much.
+    """
 
     __slots__ = (
+        "_body_bytes",
         "_body_read",
+        "_cut_off",
+        "_drain_scope",
+        "_held",
         "_in_chunks",
         "_is_closing",
+        "_is_waiting",
         "_limits_of",
+        "_nursery",
+        "_on_cut_off",
         "_peer_closed",
-        "_sending",
+        "_progress",
+        "_refusal",
         "_stream",
+        "_unsent",
+        "_upload_scope",
         "protocol",
     )
 
@@ -65,6 +98,8 @@
         stream: trio.SocketStream,
         limits_of: Callable[[], HttpLimits],
         is_closing: Callable[[], bool] = lambda: False,
+        held: HeldBytes | None = None,
+        on_cut_off: Callable[[CutOff], None] = lambda cut_off: None,
     ) -> None:
         """``limits_of`` gives the bounds now in force; ``is_closing`` asks for the last answer."""
         self.protocol = h11.Connection(h11.SERVER, limits_of().max_header_bytes)
@@ -73,7 +108,21 @@
         self._is_closing = is_closing
         self._body_read = trio.Event()
         self._peer_closed = False
-        self._sending = False
+        self._held = held or HeldBytes(HeldBounds())
+        self._on_cut_off = on_cut_off
+        # Why the connection takes nothing more; empty while it does.
+        self._cut_off = ""
+        self._unsent = UnsentBytes()
+        self._is_waiting = False
+        # Set while a task sends what is held, and replaced at each progress.
+        self._drain_scope: trio.CancelScope | None = None
+        self._progress = trio.Event()
+        # That of the request's handler.
+        self._nursery: trio.Nursery | None = None
+        # Of the request's body: what has come, and the wait for more of it.
+        self._body_bytes = 0
+        self._upload_scope: trio.CancelScope | None = None
+        self._refusal = ""
         # Whether the body of the answer that has begun goes out in chunks.
         self._in_chunks = False
 
@@ -130,26 +179,48 @@
         self._peer_closed = not data
         self.protocol.receive_data(data)
 
+    # --- the response ----------------------------------------------------------------------------
+
     async def send_events(self, *events: h11.Event) -> None:
-        """Serialise and send; ``DroppedConnectionError`` when the caller takes nothing."""
+        """Serialise and send; ``DroppedConnectionError`` when the caller takes nothing.
+
+        Waits like ``send_part``, but not behind the end of a response, which ``flush`` waits for.
+        """
         data = b"".join(self.protocol.send(event) or b"" for event in events)
         if isinstance(events[0], h11.Response):
             self._in_chunks = _CHUNKED_LINE in data.partition(b"\r\n\r\n")[0].lower() + b"\r\n"
-        await self._send(data)
+        if not self._put(data):
+            await self._wait_room(is_end=isinstance(events[-1], h11.EndOfMessage))
 
     async def send_part(self, data: bytes) -> None:
-        """Send the next part of a streamed body; in chunks h11 need only know of its end."""
+        """Send the next part of a streamed body, waiting while too much of it is held."""
+        if not self.put_part(data):
+            await self.wait_room()
+
+    def put_part(self, data: bytes) -> bool:
+        """Send or hold the next part of a streamed body; False when ``wait_room`` must follow.
+
+        In chunks h11 need only know of its end.
+        """
         if not self._in_chunks:
-            await self.send_events(h11.Data(data=data))
-        elif data:
-            await self._send(b"%x\r\n%b\r\n" % (len(data), data))
+            return self._put(self.protocol.send(h11.Data(data=data)) or b"")
+        return not data or self._put(b"%x\r\n%b\r\n" % (len(data), data))
 
-    async def _send(self, data: bytes) -> None:
-        if self._sending:
+    async def wait_room(self) -> None:
+        """Wait until the caller has taken enough; ``DroppedConnectionError`` when it does not."""
+        await self._wait_room(is_end=False)
+
+    def _put(self, data: bytes) -> bool:
+        """Hand the kernel what it takes, and hold the rest; whether no wait need follow."""
+        if self._is_waiting:
             raise trio.BusyResourceError("two tasks answer one request")
-        sent_bytes = self._send_now(data)
-        if sent_bytes < len(data):
-            await self._send_rest(data[sent_bytes:])
+        if self._unsent.size_bytes:
+            self._hold(memoryview(data))
+        elif (sent_bytes := self._send_now(data)) < len(data):
+            self._hold(memoryview(data)[sent_bytes:])
+        else:
+            return True
+        return self._has_room() and self._drain_scope is not None
 
     def _send_now(self, data: bytes) -> int:
         """Hand the kernel what it takes without waiting, the usual case by far.
@@ -164,15 +235,122 @@
         except OSError as error:
             raise DroppedConnectionError(str(error)) from error
 
-    async def _send_rest(self, data: bytes) -> None:
-        self._sending = True
+    def _hold(self, data: memoryview) -> None:
+        self._check_open()
+        self._unsent.append(data)
+        self._cut_off_slowest(self._held.hold(self, len(data), now_ms()))
+        self._check_open()
+
+    def _has_room(self) -> bool:
+        return self._unsent.size_bytes <= self._held.bounds.call_bytes
+
+    async def _wait_room(self, *, is_end: bool) -> None:
+        """Have what is held sent; wait for it as far as the bound of one response asks for."""
+        self._check_open()
+        if self._nursery is None or not self._held.bounds.call_bytes:
+            await self.flush()
+            return
+        if is_end:
+            return
+        if self._drain_scope is None:
+            self._drain_scope = trio.CancelScope()
+            self._nursery.start_soon(self._drain_behind, self._drain_scope)
+        self._is_waiting = True
+        try:
+            while not self._has_room():
+                await self._progress.wait()
+        finally:
+            self._is_waiting = False
+        self._check_open()
+
+    async def flush(self) -> None:
+        """Wait until the caller has taken all that is held for it.
+
+        ``DroppedConnectionError`` when it takes nothing for the write timeout or is cut off.
+        """
+        self._is_waiting = True
+        try:
+            if self._drain_scope is None and self._unsent.size_bytes:
+                self._drain_scope = trio.CancelScope()
+                await self._drain(self._drain_scope)
+            while self._unsent.size_bytes:
+                await self._progress.wait()
+        finally:
+            self._is_waiting = False
+        self._check_open()
+
+    async def _drain_behind(self, scope: trio.CancelScope) -> None:
+        """Send what is held beside the handler, and cancel that when the caller takes nothing."""
         try:
-            with trio.fail_after(self._limits_of().write_timeout_ms / 1000):
-                await self._stream.send_all(data)
-        except (trio.BrokenResourceError, trio.ClosedResourceError, trio.TooSlowError) as error:
-            raise DroppedConnectionError(repr(error)) from error
+            await self._drain(scope)
+        except DroppedConnectionError:
+            # What the handler would get from its next write.
+            self._nursery.cancel_scope.cancel()
+
+    async def _drain(self, scope: trio.CancelScope) -> None:
+        """Send what is held as the caller reads; ``scope`` ends it when the caller is cut off."""
+        try:
+            with scope:
+                while self._unsent.size_bytes:
+                    scope.deadline = trio.current_time() + self._limits_of().write_timeout_ms / 1000
+                    await trio.lowlevel.wait_writable(self._stream.socket)
+                    self._send_held()
+            if scope.cancelled_caught and not self._cut_off:
+                self.cut_off("takes nothing")
+            self._check_open()
         finally:
-            self._sending = False
+            self._drain_scope = None
+            self._note_progress()
+
+    def _send_held(self) -> None:
+        try:
+            taken_bytes = self._unsent.write_to(self._stream.socket.fileno())
+        except OSError as error:
+            self._free()
+            raise DroppedConnectionError(str(error)) from error
+        self._held.note_taken(self, taken_bytes, now_ms())
+        self._note_progress()
+
+    def _note_progress(self) -> None:
+        self._progress.set()
+        self._progress = trio.Event()
+
+    # --- cutting off -----------------------------------------------------------------------------
+
+    def cut_off(self, reason: str) -> None:
+        """Give up a slow caller: free what is held for it, and end what goes on for it.
+
+        Its response is never made to look complete: the connection is reset, also where the kernel
+        holds the rest of the response.  A request that has not come whole is still refused.
+        """
+        held_bytes = self._unsent.size_bytes or self._body_bytes
+        self._free()
+        self._on_cut_off(CutOff(reason, held_bytes, self._held.total_bytes))
+        if self._upload_scope is not None:
+            self._refusal = reason
+            self._upload_scope.cancel()
+            return
+        self._cut_off = reason
+        self._stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _DISCARD_UNSENT)
+        if self._drain_scope is not None:
+            self._drain_scope.cancel()
+        if self._nursery is not None:
+            self._nursery.cancel_scope.cancel()
+
+    def _cut_off_slowest(self, slowest: list["HttpConnection"]) -> None:
+        for connection in slowest:
+            connection.cut_off("slowest of too many")
+
+    def _check_open(self) -> None:
+        if self._cut_off:
+            raise DroppedConnectionError(f"the caller was cut off: {self._cut_off}")
+
+    def _free(self) -> None:
+        self._unsent.clear()
+        self._held.forget(self)
+        self._note_progress()
+
+    # --- the request -----------------------------------------------------------------------------
 
     def body(self) -> AsyncIterator[bytes]:
         return _RequestBody(self)
@@ -181,20 +359,45 @@
         """Return the next bytes of the request's body, None after its end."""
         if self._body_read.is_set():
             return None
-        limit_ms = self._limits_of().read_timeout_ms
-        try:
-            with trio.fail_after(limit_ms / 1000):
-                event = await self.next_event()
-        except trio.TooSlowError as error:
-            message = f"nothing of the body came for {limit_ms:g} ms"
-            raise RequestTimeoutError(message) from error
+        event = self.protocol.next_event()
+        if event is h11.NEED_DATA:
+            event = await self._wait_body()
         if isinstance(event, h11.Data):
+            self._body_bytes += len(event.data)
             return bytes(event.data)
+        self._held.forget(self)
         self._body_read.set()
         return None
 
+    async def _wait_body(self) -> object:
+        """Wait for more of a body; what has come of it counts as held meanwhile."""
+        limit_ms = self._limits_of().read_timeout_ms
+        event: object = None
+        with trio.move_on_after(limit_ms / 1000) as scope:
+            self._upload_scope = scope
+            try:
+                self._count_body()
+                event = await self.next_event()
+            finally:
+                self._upload_scope = None
+        if event is None:
+            late = f"nothing of the body came for {limit_ms:g} ms"
+            raise RequestTimeoutError(self._refusal or late)
+        return event
+
+    def _count_body(self) -> None:
+        counted = self._held.peers.get(self)
+        fresh_bytes = self._body_bytes - (0 if counted is None else counted.held_bytes)
+        if fresh_bytes:
+            self._cut_off_slowest(self._held.note_received(self, fresh_bytes, now_ms()))
+
+    def serve_in(self, nursery: trio.Nursery) -> None:
+        """Run what is done beside the request's handler in ``nursery``, which is the handler's."""
+        self._nursery = nursery
+
     def begin_body(self, head: h11.Request) -> None:
         """Take the end of a request without a body, so that watching can begin at once."""
+        self._body_bytes = 0
         names = {bytes(name) for name, _ in head.headers}
         if not names & {b"content-length", b"transfer-encoding"}:
             self.protocol.next_event()
@@ -212,6 +415,9 @@
 
     async def prepare_next(self) -> bool:
         """Make ready for the next request on this connection; False when there can be none."""
+        self._nursery = None
+        if self._cut_off or self._unsent.size_bytes:
+            return False
         if self.protocol.our_state is not h11.DONE or self.protocol.their_state is not h11.DONE:
             return False
         self.protocol.start_next_cycle()
@@ -223,7 +429,8 @@
 
         Closing with unread bytes resets the connection, which can destroy our answer on its way.
         """
-        if not self.body_read and not self._peer_closed:
+        self._free()
+        if not self.body_read and not self._peer_closed and not self._cut_off:
             await self._linger()
         await self._stream.aclose()
 
--- a/src/fescuedock/net/http_messages.py
+++ b/src/fescuedock/net/http_messages.py
@@ -59,14 +59,17 @@
 
     async def read(self, limit_bytes: int) -> bytes:
         """Return the whole body; ``BodyTooLargeError`` when it is over ``limit_bytes``."""
-        parts: list[bytes] = []
-        size_bytes = 0
+        first = b""
+        # Of a body that trickles in each part would cost far more than its bytes.
+        more = bytearray()
         async for part in self.body:
-            size_bytes += len(part)
-            if size_bytes > limit_bytes:
+            if len(first) + len(more) + len(part) > limit_bytes:
                 raise BodyTooLargeError(f"body over {limit_bytes} bytes")
-            parts.append(part)
-        return b"".join(parts)
+            if first:
+                more += part
+            else:
+                first = part
+        return first + more if more else first
 
 
 class Responder:
@@ -143,9 +146,17 @@
         self._connection = connection
 
     async def write(self, data: bytes) -> None:
-        """Send ``data``, waiting while the caller is slow."""
+        """Send ``data``, waiting while the caller is slow and too much is held for it."""
         await self._connection.send_part(data)
 
+    def put(self, data: bytes) -> bool:
+        """Send or hold ``data`` without waiting; False when ``wait_room`` must follow."""
+        return self._connection.put_part(data)
+
+    async def wait_room(self) -> None:
+        """Wait until the caller has taken enough of what is held for it."""
+        await self._connection.wait_room()
+
 
 Handler = Callable[[Request, Responder], Awaitable[None]]
 
--- a/src/fescuedock/net/http_server.py
+++ b/src/fescuedock/net/http_server.py
@@ -4,6 +4,7 @@
 whatever it must finish regardless it shields itself.
 """
 
+import socket
 from collections.abc import Callable
 from urllib.parse import parse_qsl, unquote, urlsplit
 
@@ -12,9 +13,11 @@
 import trio
 
 from fescuedock.address import Address, naming_address
+from fescuedock.core.slow_peers import HeldBounds, HeldBytes
 from fescuedock.faults import Fault
 from fescuedock.net.http_connection import (
     LINGER_S,
+    CutOff,
     DroppedConnectionError,
     HttpConnection,
     HttpLimits,
@@ -33,6 +36,7 @@
 
 __all__ = [
     "BodyTooLargeError",
+    "CutOff",
     "DroppedConnectionError",
     "Handler",
     "Headers",
@@ -59,6 +63,11 @@
     draining: bool = False
     # Told of errors that a handler let through, which are faults of ours.
     on_error: Callable[[Exception], None] = lambda error: None
+    # Send buffer of the kernel for each connection; 0 leaves its size to the kernel.
+    send_buffer_bytes: int = 0
+    # What is held for slow callers, here and at whatever else of this process shares it.
+    held: HeldBytes = msgspec.field(default_factory=lambda: HeldBytes(HeldBounds()))
+    on_cut_off: Callable[[CutOff], None] = lambda cut_off: None
     in_flight: int = 0
     _stopping: trio.Event = msgspec.field(default_factory=trio.Event)
     _idle_scopes: set[trio.CancelScope] = msgspec.field(default_factory=set)
@@ -74,6 +83,12 @@
             listeners = await trio.open_tcp_listeners(
                 address.port, host=address.host, backlog=_BACKLOG
             )
+        if self.send_buffer_bytes:
+            # Accepted connections inherit it, which costs no call for each.
+            for listener in listeners:
+                listener.socket.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_SNDBUF, self.send_buffer_bytes
+                )
         bound_port = listeners[0].socket.getsockname()[1]
         async with trio.open_nursery() as connections:
             accepting = trio.CancelScope()
@@ -101,7 +116,11 @@
 
     async def _serve_stream(self, stream: trio.SocketStream) -> None:
         connection = HttpConnection(
-            stream, lambda: self.limits, lambda: self.draining or self.stopping
+            stream,
+            lambda: self.limits,
+            lambda: self.draining or self.stopping,
+            self.held,
+            self.on_cut_off,
         )
         try:
             while await self._serve_request(connection):
@@ -152,8 +171,10 @@
         connection.begin_body(head)
         request = _request_of(head, connection)
         async with trio.open_nursery() as nursery:
+            connection.serve_in(nursery)
             nursery.start_soon(connection.watch_disconnect, nursery.cancel_scope)
             await self._run_handler(connection, request, responder)
+            await _flush(connection)
             nursery.cancel_scope.cancel()
 
     async def _run_handler(
@@ -177,6 +198,14 @@
             await _fail(responder, Fault(ResultCode.INTERNAL, "internal error; see the logs"))
 
 
+async def _flush(connection: HttpConnection) -> None:
+    """Wait until a slow caller has the rest; one that leaves cancels this like its handler."""
+    try:
+        await connection.flush()
+    except DroppedConnectionError:
+        return
+
+
 def _only_caller_gone(error: Exception) -> bool:
     """Whether a handler's nursery raised nothing but its caller's disconnect."""
     return isinstance(error, ExceptionGroup) and error.split(DroppedConnectionError)[1] is None
--- a/src/fescuedock/node/front.py
+++ b/src/fescuedock/node/front.py
@@ -12,9 +12,17 @@
 from fescuedock.core.customers import Caller, identify, scoped_job_id
 from fescuedock.core.entry_choice import named_fronts
 from fescuedock.core.forwarding.route_table import ClientLimits, Route, RouteKind
+from fescuedock.core.slow_peers import HeldBounds, HeldBytes
 from fescuedock.faults import Fault
 from fescuedock.log import log_event
-from fescuedock.net.http_server import HttpLimits, HttpServer, Request, Responder, fault_body
+from fescuedock.net.http_server import (
+    CutOff,
+    HttpLimits,
+    HttpServer,
+    Request,
+    Responder,
+    fault_body,
+)
 from fescuedock.node.configuration import NodeConfiguration
 from fescuedock.node.job_calls import JobCalls
 from fescuedock.node.online import OnlineCalls
@@ -45,6 +53,8 @@
         "_has_started",
         "_knows_work",
         "configuration",
+        "cut_off_callers",
+        "held",
         "jobs",
         "leaving",
         "online",
@@ -74,7 +84,17 @@
         self.leaving = False
         self._has_started = False
         self._knows_work = knows_work
-        self.server = HttpServer(self.handle, http_limits(ClientLimits()), on_error=on_error)
+        bounds = HeldBounds(settings.held_call_bytes, settings.held_process_bytes)
+        self.held = HeldBytes(bounds)
+        self.cut_off_callers = 0
+        self.server = HttpServer(
+            self.handle,
+            http_limits(ClientLimits()),
+            on_error=on_error,
+            send_buffer_bytes=settings.client_buffer_bytes,
+            held=self.held,
+            on_cut_off=self._note_cut_off,
+        )
 
     @property
     def ready(self) -> bool:
@@ -105,6 +125,16 @@
         """Take the limits of the configuration in force, for open connections too."""
         self.server.limits = http_limits(self.configuration.routes.limits)
 
+    def _note_cut_off(self, cut_off: CutOff) -> None:
+        self.cut_off_callers += 1
+        log_event(
+            "caller_cut_off",
+            reason=cut_off.reason,
+            held_bytes=cut_off.held_bytes,
+            total_held_bytes=cut_off.total_bytes,
+            callers=len(self.held.peers),
+        )
+
     # --- clients ---------------------------------------------------------------------------------
 
     async def handle(self, request: Request, responder: Responder) -> None:
--- a/src/fescuedock/node/online_call.py
+++ b/src/fescuedock/node/online_call.py
@@ -327,7 +327,11 @@
             if fresh is None:
                 return AttemptEnd.LOST
             if self.out is not None:
-                await self.out.write(fresh)
+                if not self.out.put(fresh):
+                    # The upstream is no slower for a client that does not read.
+                    stall.deadline = float("inf")
+                    moved_s = float("-inf")
+                    await self.out.wait_room()
             elif fresh:
                 await self._begin(answer, fresh)
         if splitter.has_rest:
--- a/src/fescuedock/schema/settings.py
+++ b/src/fescuedock/schema/settings.py
@@ -630,3 +630,24 @@
     job_cache_bytes: Annotated[
         int, Meta(description="Items and results of jobs kept in memory for readers.", ge=0)
     ] = 33554432
+    held_call_bytes: Annotated[
+        int,
+        Meta(
+            description="Bytes of one streamed response that are held for a client that reads slowly, so that its upstream is read at its own pace; beyond them the upstream waits. Whole responses are held whole.",
+            ge=0,
+        ),
+    ] = 262144
+    held_process_bytes: Annotated[
+        int,
+        Meta(
+            description="Bytes that are held for all slow clients together, responses as well as requests that have not come whole; beyond them the slowest are cut off. A tenth of the memory of a node of 160 MB.",
+            ge=65536,
+        ),
+    ] = 16777216
+    client_buffer_bytes: Annotated[
+        int,
+        Meta(
+            description="Send buffer of the kernel for each connection of a client, which is not counted as held; 100 Mbit/s at a round trip of 6 ms need 75 KB. 0 leaves it to the kernel, which takes up to 4 MB.",
+            ge=0,
+        ),
+    ] = 131072
