Count no wait for a client as a stall of its upstream; show what is held

Cause: while a call waited for its client, the time for which an upstream may be silent went on. A client that paused for 1.3 s had its call broken off and run elsewhere, and the upstream took the blame.

Change: the time stops while the call waits for its client. The status and the metrics of a node show the bytes held for slow clients and how many were cut off.

--- a/src/fescuedock/node/main.py
+++ b/src/fescuedock/node/main.py
@@ -385,6 +385,8 @@
         """Answer with the fleet as JSON, or with this process's counts as text for Prometheus."""
         status = fleet_status(self._view, self._permits)
         status.customers = self.quotas.status()
+        status.held_bytes = self.front.held.total_bytes
+        status.cut_off_callers = self.front.cut_off_callers
         if request.path == STATUS_PATH:
             await responder.send_json(200, status)
             return
--- a/src/fescuedock/node/online_call.py
+++ b/src/fescuedock/node/online_call.py
@@ -1,5 +1,6 @@
 """One online call of a client: passed on to an upstream as it came, and its answer back as well."""
 
+from collections.abc import Awaitable
 from typing import TYPE_CHECKING
 
 import trio
@@ -328,12 +329,9 @@
                 return AttemptEnd.LOST
             if self.out is not None:
                 if not self.out.put(fresh):
-                    # The upstream is no slower for a client that does not read.
-                    stall.deadline = float("inf")
-                    moved_s = float("-inf")
-                    await self.out.wait_room()
+                    await self._wait_client(stall, self.out.wait_room())
             elif fresh:
-                await self._begin(answer, fresh)
+                await self._wait_client(stall, self._begin(answer, fresh))
         if splitter.has_rest:
             return AttemptEnd.LOST
         if self.out is None:
@@ -342,6 +340,12 @@
         self.pause_ms = max(record.pause_ms(), 0.0)
         return None
 
+    async def _wait_client(self, stall: trio.CancelScope, sending: Awaitable[None]) -> None:
+        """Wait for the client to read; meanwhile the upstream does not count as stalled."""
+        stall.deadline = float("inf")
+        await sending
+        stall.deadline = self._stall_s(first=False) + _STALL_MOVE_S
+
     async def _begin(self, answer: UpstreamAnswer, first: bytes) -> None:
         headers = calls.client_headers(answer.response.header_fields)
         self.out = await self.responder.begin(answer.head.status, headers, first)
--- a/src/fescuedock/report/prometheus.py
+++ b/src/fescuedock/report/prometheus.py
@@ -138,9 +138,12 @@
             "Upstreams for which no live agent grants permits.",
             sum(not upstream.owner for upstream in status.upstreams),
         ),
+        ("held_bytes", "Bytes held for slow clients.", status.held_bytes),
     )
     for name, text, value in gauges:
         yield GaugeMetricFamily(f"fescuedock_{name}", text, value=value)
+    text = "Slow clients that were cut off."
+    yield CounterMetricFamily("fescuedock_cut_off_callers", text, value=status.cut_off_callers)
     vms = GaugeMetricFamily("fescuedock_vms", "VMs of ours by state.", labels=("state",))
     for state, count in Counter(vm.state for vm in status.vms).items():
         vms.add_metric((state,), count)
--- a/src/fescuedock/schema/report.py
+++ b/src/fescuedock/schema/report.py
@@ -154,6 +154,15 @@
     customers: Annotated[
         list[CustomerStatus], Meta(description="Those that the configuration in force names.")
     ] = field(default_factory=list)
+    held_bytes: Annotated[
+        int,
+        Meta(
+            description="Held for slow clients, responses as well as requests that have not come whole."
+        ),
+    ] = 0
+    cut_off_callers: Annotated[
+        int, Meta(description="Slow clients that were cut off since the start.")
+    ] = 0
 
 
 class MetricsReport(Struct):
--- a/tests/test_node_slow_readers.py
+++ b/tests/test_node_slow_readers.py
@@ -5,9 +5,11 @@
 
 import trio
 
+from fescuedock.address import Address
 from tests.builders.net import LOOPBACK
 from tests.builders.node import SLOTS, NodeFleet, running_fleet
 from tests.builders.online import wait_until
+from tests.builders.ports import free_ports
 from tests.builders.slow_readers import (
     SMALL_BUFFER_BYTES,
     BigUpstream,
@@ -18,6 +20,8 @@
 from tests.builders.standins import run_async
 
 EVENTS = 8
+# Of four responses of 131 KB, less what the kernel takes, one fits.
+BOUND_BYTES = 200_000
 CHUNKED_END = b"0\r\n\r\n"
 
 
@@ -69,6 +73,45 @@
 
         self.run_fleet(test)
 
+    def test_a_client_that_pauses_is_no_stall_of_its_upstream(self) -> None:
+        """Guards against a second run, as the wait for the client counted as the upstream's."""
+
+        async def test(fleet: NodeFleet) -> None:
+            upstream = await start_big_upstream(fleet)
+            async with AsyncExitStack() as stack:
+                [client] = await self.stalled_calls(fleet, stack, "/check/slow", 1)
+                # Twice what the route allows between two events.
+                await trio.sleep(1.3)
+                data, whole = await client.read_to_end(CHUNKED_END)
+                self.assertTrue(whole)
+                self.assertEqual(data.count(b"data: "), EVENTS)
+            self.assertEqual(fleet.upstream_runs("slow-0") + upstream.runs["slow-0"], 1)
+
+        self.run_fleet(test, held_call_bytes=20_000)
+
+    def test_beyond_the_bound_of_the_process_the_oldest_stalled_are_cut_and_counted(self) -> None:
+        async def test(fleet: NodeFleet) -> None:
+            await start_big_upstream(fleet)
+            async with AsyncExitStack() as stack:
+                clients = await self.stalled_calls(fleet, stack, "/rights/slow", SLOTS)
+                status = await self.wait_cut_off(fleet, 3)
+                self.assertLessEqual(status["held_bytes"], BOUND_BYTES)
+                results = [await client.read_to_end(CHUNKED_END) for client in clients]
+                self.assertEqual(sum(whole for _, whole in results), 1)
+            self.assertEqual((await self.wait_cut_off(fleet, 3))["cut_off_callers"], 3)
+
+        port = free_ports(1)[0]
+        self.run_fleet(test, held_process_bytes=BOUND_BYTES, metrics_port=port)
+
+    async def wait_cut_off(self, fleet: NodeFleet, count: int) -> dict:
+        settings = fleet.nodes[0].settings
+        address = Address(settings.vm.host, settings.node.metrics_port)
+        while True:
+            status = (await fleet.call(address, "GET", "/admin/status")).json()
+            if status["cut_off_callers"] >= count:
+                return status
+            await trio.sleep(0.02)
+
 
 if __name__ == "__main__":
     unittest.main()
