Have the soak's clients read slowly, read nothing, and send half of a request

Cause: no client of the soak was slow.

Change: nodes of the soak run with small socket buffers and hold 150 KB for slow clients. The report has the clients that were cut off.

--- a/src/fescuedock/net/http_connection.py
+++ b/src/fescuedock/net/http_connection.py
@@ -339,7 +339,7 @@
 
     def _cut_off_slowest(self, slowest: list["HttpConnection"]) -> None:
         for connection in slowest:
-            connection.cut_off("slowest of too many")
+            connection.cut_off("too much is held for slow callers")
 
     def _check_open(self) -> None:
         if self._cut_off:
--- a/tests/builders/jobs_calls.py
+++ b/tests/builders/jobs_calls.py
@@ -6,23 +6,29 @@
 from fescuedock.address import Address
 from tests.builders.node import Answer, NodeFleet
 
-__all__ = ["JOB", "job_body", "read_page", "submit", "wanted_text"]
+__all__ = ["JOB", "item_entry", "job_body", "submission_of", "read_page", "submit", "wanted_text"]
 
 JOB = "7c41e09b52d6a3f8"
 
 
 def job_body(*names: str) -> bytes:
     """Return a job with an item of each name."""
-    items = [
-        {
-            "id": name,
-            "path": f"/letters/{name}",
-            "headers": {"X-Model": "m", "X-Token-Count": "100,50"},
-            "body": base64.b64encode(name.encode()).decode(),
-            "tokens": 150,
-        }
-        for name in names
-    ]
+    return submission_of([item_entry(name, name.encode()) for name in names])
+
+
+def item_entry(name: str, body: bytes) -> dict:
+    """Return an item of a submission."""
+    return {
+        "id": name,
+        "path": f"/letters/{name}",
+        "headers": {"X-Model": "m", "X-Token-Count": "100,50"},
+        "body": base64.b64encode(body).decode(),
+        "tokens": 150,
+    }
+
+
+def submission_of(items: list[dict]) -> bytes:
+    """Return the submission of a job with ``items``."""
     return json.dumps({"items": items}).encode()
 
 
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -235,8 +235,9 @@
     def _unasked(self, runs: Counter[str]) -> Iterator[str]:
         known = {attempt.request_id for attempt in (*self.attempts, *self.harmful)}
         known |= {item for job in self.jobs.values() for item in job.items}
-        # Calls of the customers with keys and limits of their own are judged with those.
-        others = {request_id for request_id in runs if request_id.startswith(("k-", "l-"))}
+        # Calls of the customers with keys and limits of their own are judged with those, and items
+        # with large bodies by what slow clients read of them.
+        others = {name for name in runs if name.startswith(("k-", "l-", "big-"))}
         for request_id in runs.keys() - known - others:
             yield f"{request_id} has run, and nobody sent it"
 
--- a/tests/soak/runs.py
+++ b/tests/soak/runs.py
@@ -20,6 +20,12 @@
 from tests.soak.lost_ends import LostEndClient, lose_ends
 from tests.soak.overlaps import OverlapSchedule
 from tests.soak.promises import CALM_S, END_S, Ledger
+from tests.soak.slow import (
+    NeverReader,
+    SlowReader,
+    broken_by_slow_clients,
+    cut_off_callers,
+)
 from tests.soak.world import World, own_network, serves
 
 __all__ = ["SPOOLS", "SoakReport", "new_folder", "run_seed"]
@@ -59,6 +65,10 @@
     spooled: int
     # Upstreams that were crashed by harmful work.
     crashes: int
+    # Slow clients that nodes have cut off, what was read slowly to its end, a node's most memory.
+    cut_off: int
+    read_slowly: int
+    memory_bytes: int
     faults: list[str]
     broken: list[str]
     broken_lost_ends: list[str]
@@ -121,6 +131,9 @@
         customer_rng = random.Random(f"customers-{seed}")
         changing = KeyClient(world, ledger, customer_rng)
         hot = HotClient(world, ledger, customer_rng)
+        slow_rng = random.Random(f"slow-{seed}")
+        reader = SlowReader(world, ledger, slow_rng)
+        slow = [reader, NeverReader(world, ledger, slow_rng, reader)]
         schedules = [Schedule(world, ledger, fault_rng)]
         if spools:
             overlap_rng = random.Random(f"overlaps-{seed}")
@@ -129,12 +142,13 @@
         try:
             await world.start(nodes, _UPSTREAMS, spools)
             await _wait_serving(world)
-            await _soak(world, ledger, schedules, rng, harmers, [changing, hot], fault_s)
+            await _soak(world, ledger, schedules, rng, [*harmers, *slow], [changing, hot], fault_s)
         finally:
             with trio.CancelScope(shield=True):
                 await world.end()
         ledger.judge_runs(world.upstreams)
         ledger.broken += harm_after_enough(ledger, world.upstreams)
+        ledger.broken += broken_by_slow_clients(reader)
         ledger.broken += broken_by_customers(ledger, world.upstreams, changing, hot)
         nursery.cancel_scope.cancel()
     whole = sum(attempt.whole and attempt.status == 200 for attempt in ledger.attempts)
@@ -152,6 +166,9 @@
         sum(job.counted_end_s < float("inf") for job in ledger.jobs.values()),
         _spooled(logs),
         sum(len(item.upstream.crashes) for item in world.upstreams),
+        cut_off_callers(logs),
+        reader.whole,
+        reader.most_memory_bytes,
         [line for schedule in schedules for line in schedule.told],
         ledger.broken,
         ledger.broken_lost_ends,
@@ -198,7 +215,7 @@
     ledger: Ledger,
     schedules: list[Schedule],
     rng: random.Random,
-    harmers: list[HarmfulClient],
+    others: list[HarmfulClient | SlowReader | NeverReader],
     customers: list[KeyClient | HotClient],
     fault_s: float,
 ) -> None:
@@ -212,9 +229,9 @@
         LostEndClient(f"lost-{number}", world, ledger, rng)
         for number in range(_LOST_ENDS if world.spools else 0)
     ]
-    everyone = [*online, jobs, watcher, *enders, *losers, *harmers, *customers]
+    everyone = [*online, jobs, watcher, *enders, *losers, *others, *customers]
     async with _closing(everyone), trio.open_nursery() as clients:
-        for client in (*online, watcher, *enders, *harmers):
+        for client in (*online, watcher, *enders, *others):
             clients.start_soon(client.run)
         for _ in range(2):
             clients.start_soon(jobs.read_some)
@@ -249,6 +266,8 @@
         | HarmfulClient
         | KeyClient
         | HotClient
+        | SlowReader
+        | NeverReader
     ],
 ) -> AsyncIterator[None]:
     """Close the connections that clients have kept when the block is left."""
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -22,6 +22,7 @@
 from tests.soak.proxy import FaultProxy
 
 __all__ = [
+    "HELD_PROCESS_BYTES",
     "LONG_ITEM",
     "SLOW_ITEM",
     "NodeProcess",
@@ -45,6 +46,8 @@
 # run go on elsewhere after 1.5 s without an event.
 LONG_ITEM = "long-"
 _LONG_ITEM_S = 1.2
+# So small that a few slow clients reach it.
+HELD_PROCESS_BYTES = 150_000
 _INI = """\
 [vm]
 vm_id = {name}
@@ -63,6 +66,9 @@
 seeds = {seeds}
 stop_timeout_s = {stop_timeout_s}
 lease_ttl_ms = 2000
+held_call_bytes = 16384
+held_process_bytes = {held_process_bytes}
+client_buffer_bytes = 4096
 
 [agent]
 port = {agent_port}
@@ -312,6 +318,7 @@
                 store=proxy.address,
                 seeds=",".join(f"{self.network}{seed + 1}:{control}" for seed in range(2)),
                 stop_timeout_s=STOP_TIMEOUT_S,
+                held_process_bytes=HELD_PROCESS_BYTES,
             ),
             encoding="utf-8",
         )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -25,6 +25,7 @@
 from tests.soak.proxy import FaultProxy
 from tests.soak.regressions import REGRESSIONS
 from tests.soak.runs import SoakReport, new_folder, run_seed
+from tests.soak.slow import BIG_ITEM, SlowReader, big_body
 from tests.soak.world import SoakUpstream
 
 # Long enough for about ten faults; the long runs are made by hand (docs/SOAK.md).
@@ -366,6 +367,39 @@
 
         run_async(run)
 
+    def test_a_body_that_is_read_slowly_is_whole_or_visibly_broken_off(self) -> None:
+        """What the soak makes of an answer: only wrong bytes and a shortened length break it."""
+        item = f"{BIG_ITEM}1"
+        body = big_body(item)
+        cases = [
+            ("", len(body), body, 1),
+            ("", len(body), body[:5000], 0),
+            ("another body", len(body), b"y" * len(body), 1),
+            ("another length", 5000, body[:5000], 0),
+        ]
+        for wanted, length, sent, whole in cases:
+            with self.subTest(wanted=wanted, length=length):
+                reader = SlowReader(mock.Mock(), Ledger(), random.Random(SEED))
+                answer = f"HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n".encode() + sent
+                run_async(functools.partial(self.read_slowly, reader, item, answer))
+                self.assertEqual(len(reader.ledger.broken), bool(wanted), reader.ledger.broken)
+                self.assertIn(wanted, "".join(reader.ledger.broken))
+                self.assertEqual(reader.whole, whole)
+
+    async def read_slowly(self, reader: SlowReader, item: str, answer: bytes) -> None:
+        async def send(stream: trio.SocketStream) -> None:
+            async with stream:
+                await stream.receive_some(65536)
+                await stream.send_all(answer)
+
+        async with trio.open_nursery() as nursery:
+            [listener] = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            nursery.start_soon(trio.serve_listeners, send, [listener])
+            node = mock.Mock(front=Address("127.0.0.1", listener.socket.getsockname()[1]))
+            with mock.patch("tests.soak.slow._READ_PAUSE_S", (0.0, 0.0)):
+                await reader._read(node, "job-1", item)
+            nursery.cancel_scope.cancel()
+
     def test_seeds_that_failed_once_keep_them_now(self) -> None:
         for case in REGRESSIONS:
             with self.subTest(seed=case.seed, cause=case.cause):
