Send nothing behind what was dropped of a response

Cause: a handler that was cut off runs until its next checkpoint, and could put an event behind those that were dropped. Counts of a request's body and of its response were kept as one.

Change: a connection that was cut off takes nothing more. What is held of a request is counted apart.

--- a/src/fescuedock/net/http_connection.py
+++ b/src/fescuedock/net/http_connection.py
@@ -74,6 +74,7 @@
 
     __slots__ = (
         "_body_bytes",
+        "_body_held_bytes",
         "_body_read",
         "_cut_off",
         "_drain_scope",
@@ -119,8 +120,9 @@
         self._progress = trio.Event()
         # That of the request's handler.
         self._nursery: trio.Nursery | None = None
-        # Of the request's body: what has come, and the wait for more of it.
+        # Of the request's body: what has come, what of it counts as held, the wait for more.
         self._body_bytes = 0
+        self._body_held_bytes = 0
         self._upload_scope: trio.CancelScope | None = None
         self._refusal = ""
         # Whether the body of the answer that has begun goes out in chunks.
@@ -214,6 +216,9 @@
         """Hand the kernel what it takes, and hold the rest; whether no wait need follow."""
         if self._is_waiting:
             raise trio.BusyResourceError("two tasks answer one request")
+        if self._cut_off:
+            # Bytes before these are gone; its handler is cancelled at its next checkpoint only.
+            self._check_open()
         if self._unsent.size_bytes:
             self._hold(memoryview(data))
         elif (sent_bytes := self._send_now(data)) < len(data):
@@ -236,7 +241,6 @@
             raise DroppedConnectionError(str(error)) from error
 
     def _hold(self, data: memoryview) -> None:
-        self._check_open()
         self._unsent.append(data)
         self._cut_off_slowest(self._held.hold(self, len(data), now_ms()))
         self._check_open()
@@ -365,7 +369,9 @@
         if isinstance(event, h11.Data):
             self._body_bytes += len(event.data)
             return bytes(event.data)
-        self._held.forget(self)
+        if self._body_held_bytes:
+            self._held.note_taken(self, self._body_held_bytes, now_ms())
+            self._body_held_bytes = 0
         self._body_read.set()
         return None
 
@@ -386,9 +392,9 @@
         return event
 
     def _count_body(self) -> None:
-        counted = self._held.peers.get(self)
-        fresh_bytes = self._body_bytes - (0 if counted is None else counted.held_bytes)
+        fresh_bytes = self._body_bytes - self._body_held_bytes
         if fresh_bytes:
+            self._body_held_bytes = self._body_bytes
             self._cut_off_slowest(self._held.note_received(self, fresh_bytes, now_ms()))
 
     def serve_in(self, nursery: trio.Nursery) -> None:
@@ -397,7 +403,7 @@
 
     def begin_body(self, head: h11.Request) -> None:
         """Take the end of a request without a body, so that watching can begin at once."""
-        self._body_bytes = 0
+        self._body_bytes = self._body_held_bytes = 0
         names = {bytes(name) for name, _ in head.headers}
         if not names & {b"content-length", b"transfer-encoding"}:
             self.protocol.next_event()
--- a/tests/test_net_slow_readers.py
+++ b/tests/test_net_slow_readers.py
@@ -1,5 +1,8 @@
 """The HTTP server before callers that read or send slowly, over sockets with small buffers."""
 
+import contextlib
+import os
+import time
 import tracemalloc
 import unittest
 from contextlib import AsyncExitStack, asynccontextmanager
@@ -12,7 +15,13 @@
 
 from fescuedock.core.slow_peers import HeldBounds, HeldBytes
 from fescuedock.net.http_connection import HttpConnection
-from fescuedock.net.http_server import CutOff, HttpLimits, Request, Responder
+from fescuedock.net.http_server import (
+    CutOff,
+    DroppedConnectionError,
+    HttpLimits,
+    Request,
+    Responder,
+)
 from tests.builders.net import served
 from tests.builders.online import wait_until
 from tests.builders.slow_readers import SMALL_BUFFER_BYTES, SlowClient, slow_client
@@ -174,6 +183,35 @@
 
         self.run_guarded(test)
 
+    def test_nothing_is_sent_behind_what_was_dropped(self) -> None:
+        """Guards against a response with a hole: a handler that was cut off still runs a while."""
+        refused: list[str] = []
+        clients: list[SlowClient] = []
+
+        async def answer(_request: Request, responder: Responder) -> None:
+            await wait_until(lambda: bool(clients))
+            out = await responder.begin(200, [("transfer-encoding", "chunked")])
+            out.put(b"x" * 100_000)
+            responder._connection.cut_off("for this test")
+            # The kernel would take more now.
+            read_now(clients[0])
+            try:
+                out.put(b"behind")
+            except DroppedConnectionError as error:
+                refused.append(str(error))
+                raise
+
+        async def test() -> None:
+            serving = self.serve(answer, HeldBounds(200_000, 400_000))
+            async with serving as (_, address), self.asked(address, 1) as [client]:
+                clients.append(client)
+                await wait_until(lambda: len(refused) == 1 and not self.held.peers)
+                data, whole = await client.read_to_end(CHUNKED_END)
+                self.assertFalse(whole)
+                self.assertNotIn(b"behind", data)
+
+        self.run_guarded(test)
+
     def test_a_caller_that_reads_costs_no_task_and_no_copy(self) -> None:
         async def answer(_request: Request, responder: Responder) -> None:
             out = await responder.begin(200, [("transfer-encoding", "chunked")])
@@ -248,6 +286,14 @@
         self.run_guarded(test)
 
 
+def read_now(client: SlowClient) -> None:
+    """Read all that comes within a moment, while no other task runs."""
+    until_s = time.monotonic() + 0.1
+    while time.monotonic() < until_s:
+        with contextlib.suppress(BlockingIOError):
+            os.read(client.stream.socket.fileno(), 65536)
+
+
 async def read_some(client: SlowClient, size_bytes: int) -> bytes:
     """Read once what comes within a moment."""
     with trio.move_on_after(0.01):
