--- a/tests/test_node_slow_readers.py
+++ b/tests/test_node_slow_readers.py
@@ -6,6 +6,7 @@
 import trio
 
 from fescuedock.address import Address
+from tests.builders.jobs_calls import item_entry, submission_of
 from tests.builders.net import LOOPBACK
 from tests.builders.node import SLOTS, NodeFleet, running_fleet
 from tests.builders.online import wait_until
@@ -103,6 +104,41 @@
         port = free_ports(1)[0]
         self.run_fleet(test, held_process_bytes=BOUND_BYTES, metrics_port=port)
 
+    def test_a_stopping_node_lets_its_slow_clients_have_the_rest(self) -> None:
+        async def test(fleet: NodeFleet) -> None:
+            upstream = await start_big_upstream(fleet)
+            async with AsyncExitStack() as stack:
+                [client] = await self.stalled_calls(fleet, stack, "/rights/slow", 1)
+                await wait_until(lambda: upstream.runs["slow-0"] and not upstream.running)
+                fleet.nodes[0].stop.request()
+                data, whole = await client.read_to_end(CHUNKED_END, pause_s=0.002)
+                self.assertTrue(whole)
+                self.assertEqual(data.count(b"data: "), EVENTS)
+            await fleet.nodes[0].ended.wait()
+
+        self.run_fleet(test)
+
+    def test_bodies_of_items_that_nobody_reads_are_bounded(self) -> None:
+        async def test(fleet: NodeFleet) -> None:
+            front, body = fleet.nodes[0].front, b"x" * 60_000 + b"end"
+            headers = {"x-request-id": "job", "x-deadline-ms": "3000"}
+            job = submission_of([item_entry("a", body)])
+            answer = await fleet.call(front, "POST", "/letters/new", job, headers)
+            self.assertEqual(answer.status, 202)
+            target = "/api/items/job?id=a"
+            async with AsyncExitStack() as stack:
+                for _ in range(10):
+                    client = await stack.enter_async_context(slow_client(front))
+                    await client.send("GET", target, {})
+                status = await self.wait_cut_off(fleet, 5)
+                self.assertLessEqual(status["held_bytes"], BOUND_BYTES)
+                answer = await fleet.call(front, "GET", target)
+                self.assertEqual((answer.status, answer.body), (200, body))
+                self.assertTrue(answer.whole)
+
+        port = free_ports(1)[0]
+        self.run_fleet(test, held_process_bytes=BOUND_BYTES, metrics_port=port)
+
     async def wait_cut_off(self, fleet: NodeFleet, count: int) -> dict:
         settings = fleet.nodes[0].settings
         address = Address(settings.vm.host, settings.node.metrics_port)
