--- a/tests/test_net_slow_readers.py
+++ b/tests/test_net_slow_readers.py
@@ -91,7 +91,7 @@
 
         self.run_guarded(test)
 
-    @settings(max_examples=15, deadline=None)
+    @settings(max_examples=60, deadline=None)
     @given(
         st.lists(st.lists(st.integers(1, 20_000), max_size=12), min_size=2, max_size=4),
         st.lists(st.tuples(st.integers(0, 3), st.integers(1, 30_000)), max_size=40),
