--- a/src/fescuedock/net/http_connection.py
+++ b/src/fescuedock/net/http_connection.py
@@ -4,6 +4,7 @@
 import socket
 import struct
 from collections.abc import AsyncIterator, Callable
+from typing import TYPE_CHECKING
 
 import h11
 import msgspec
@@ -11,7 +12,9 @@
 
 from fescuedock.clock import now_ms
 from fescuedock.core.slow_peers import HeldBounds, HeldBytes
-from fescuedock.net.unsent import UnsentBytes
+
+if TYPE_CHECKING:
+    from fescuedock.net.unsent import UnsentBytes
 
 __all__ = [
     "CutOff",
@@ -113,7 +116,8 @@
         self._on_cut_off = on_cut_off
         # Why the connection takes nothing more; empty while it does.
         self._cut_off = ""
-        self._unsent = UnsentBytes()
+        # What the kernel has not taken; None as long as it has always taken all.
+        self._unsent: UnsentBytes | None = None
         self._is_waiting = False
         # Set while a task sends what is held, and replaced at each progress.
         self._drain_scope: trio.CancelScope | None = None
@@ -219,7 +223,7 @@
         if self._cut_off:
             # Bytes before these are gone; its handler is cancelled at its next checkpoint only.
             self._check_open()
-        if self._unsent.size_bytes:
+        if self._unsent is not None and self._unsent.size_bytes:
             self._hold(memoryview(data))
         elif (sent_bytes := self._send_now(data)) < len(data):
             self._hold(memoryview(data)[sent_bytes:])
@@ -240,13 +244,21 @@
         except OSError as error:
             raise DroppedConnectionError(str(error)) from error
 
+    def _unsent_bytes(self) -> int:
+        return 0 if self._unsent is None else self._unsent.size_bytes
+
     def _hold(self, data: memoryview) -> None:
+        if self._unsent is None:
+            # Imported at the first slow caller, which a start need not wait for.
+            from fescuedock.net.unsent import UnsentBytes
+
+            self._unsent = UnsentBytes()
         self._unsent.append(data)
         self._cut_off_slowest(self._held.hold(self, len(data), now_ms()))
         self._check_open()
 
     def _has_room(self) -> bool:
-        return self._unsent.size_bytes <= self._held.bounds.call_bytes
+        return self._unsent_bytes() <= self._held.bounds.call_bytes
 
     async def _wait_room(self, *, is_end: bool) -> None:
         """Have what is held sent; wait for it as far as the bound of one response asks for."""
@@ -274,10 +286,10 @@
         """
         self._is_waiting = True
         try:
-            if self._drain_scope is None and self._unsent.size_bytes:
+            if self._drain_scope is None and self._unsent_bytes():
                 self._drain_scope = trio.CancelScope()
                 await self._drain(self._drain_scope)
-            while self._unsent.size_bytes:
+            while self._unsent_bytes():
                 await self._progress.wait()
         finally:
             self._is_waiting = False
@@ -295,7 +307,7 @@
         """Send what is held as the caller reads; ``scope`` ends it when the caller is cut off."""
         try:
             with scope:
-                while self._unsent.size_bytes:
+                while self._unsent_bytes():
                     scope.deadline = trio.current_time() + self._limits_of().write_timeout_ms / 1000
                     await trio.lowlevel.wait_writable(self._stream.socket)
                     self._send_held()
@@ -327,7 +339,7 @@
         Its response is never made to look complete: the connection is reset, also where the kernel
         holds the rest of the response.  A request that has not come whole is still refused.
         """
-        held_bytes = self._unsent.size_bytes or self._body_bytes
+        held_bytes = self._unsent_bytes() or self._body_bytes
         self._free()
         self._on_cut_off(CutOff(reason, held_bytes, self._held.total_bytes))
         if self._upload_scope is not None:
@@ -350,7 +362,8 @@
             raise DroppedConnectionError(f"the caller was cut off: {self._cut_off}")
 
     def _free(self) -> None:
-        self._unsent.clear()
+        if self._unsent is not None:
+            self._unsent.clear()
         self._held.forget(self)
         self._note_progress()
 
@@ -422,7 +435,7 @@
     async def prepare_next(self) -> bool:
         """Make ready for the next request on this connection; False when there can be none."""
         self._nursery = None
-        if self._cut_off or self._unsent.size_bytes:
+        if self._cut_off or self._unsent_bytes():
             return False
         if self.protocol.our_state is not h11.DONE or self.protocol.their_state is not h11.DONE:
             return False
