Learn the speed of upstreams, report it, and play loads on uneven ones

Upstreams of speeds 0.6 to 1.6 with slow periods are not told apart in time.

The end of a permit carries the mean of the latest pauses, as the mean over a whole run shows a slow period only after it.

--- a/src/fescuedock/core/permits/evidence.py
+++ b/src/fescuedock/core/permits/evidence.py
@@ -4,8 +4,9 @@
 from fescuedock.core.permits.held import Held, HeldPermits
 from fescuedock.core.permits.limits import AttemptSample, UpstreamLimits
 from fescuedock.core.permits.prediction import FirstTokenModel
+from fescuedock.core.permits.speed import UpstreamSpeed
 from fescuedock.schema.config import Objectives
-from fescuedock.schema.permits import EndedPermit, HeldPermit, WorkClass
+from fescuedock.schema.permits import AttemptOutcome, EndedPermit, HeldPermit, WorkClass
 from fescuedock.schema.settings import PermitSettings
 
 __all__ = ["UpstreamEvidence"]
@@ -23,6 +24,7 @@
         half_life_ms = settings.estimate_half_life_ms
         self.limits = UpstreamLimits(settings, objectives, now_ms)
         self.first_token = FirstTokenModel(half_life_ms)
+        self.speed = UpstreamSpeed(half_life_ms)
         self._held = held
         self._online_hold = DecayedMean(half_life_ms)
 
@@ -34,9 +36,13 @@
         """Take in the last report of an attempt, which is still counted as held."""
         if held.revoked_ms is not None:
             self.limits.revocation_done(now_ms - held.revoked_ms, now_ms)
+        recent_ms = ended.recent_token_ms if ended.recent_token_ms >= 0 else ended.inter_token_ms
+        self.speed.observe_events(recent_ms, len(self._held), now_ms)
         if held.work_class is not WorkClass.ONLINE:
             return
         self._online_hold.add(now_ms - held.granted_ms, now_ms)
+        if ended.outcome is AttemptOutcome.COMPLETED and ended.generated_tokens:
+            self.speed.observe_length(ended.generated_tokens, now_ms)
         if ended.first_token_ms >= 0:
             self._observe_first_token(held, ended.first_token_ms, now_ms)
         if ended.inter_token_ms >= 0 and not held.window_tokens:
@@ -50,14 +56,18 @@
         tokens = permit.generated_tokens - held.window_tokens
         if tokens < _MIN_WINDOW_TOKENS:
             return
-        if held.window_tokens and held.work_class is WorkClass.ONLINE:
-            self._observe(held, -1.0, (now_ms - held.window_ms) / tokens, now_ms)
+        if held.window_tokens:
+            event_ms = (now_ms - held.window_ms) / tokens
+            self.speed.observe_events(event_ms, len(self._held), now_ms)
+            if held.work_class is WorkClass.ONLINE:
+                self._observe(held, -1.0, event_ms, now_ms)
         self._held.start_window(held, permit.generated_tokens, now_ms)
 
     def _observe_first_token(self, held: Held, first_token_ms: float, now_ms: float) -> None:
         if held.start is None:
             return
         self.first_token.observe(held.start, first_token_ms, now_ms)
+        self.speed.observe_start(held.start.prompt_tokens, first_token_ms, now_ms)
         held.start = None
         if held.work_class is WorkClass.ONLINE:
             self._observe(held, first_token_ms, -1.0, now_ms)
--- a/src/fescuedock/core/permits/queue.py
+++ b/src/fescuedock/core/permits/queue.py
@@ -156,14 +156,23 @@
     def load(self, now_ms: float) -> LoadSnapshot:
         queued = self._waiting.online_share()
         predicted_ms = self._first_token.predict_ms(self._held.staying, now_ms)
+        wait_ms = self._online_wait_ms(queued)
+        speed = self._evidence.speed.speed(self._held.staying + 1, now_ms)
         return LoadSnapshot(
             upstream_id=self.upstream_id,
             in_flight_online=self._held.online,
             in_flight_batch=self._held.batch,
             queued_online=self._waiting.count(WorkClass.ONLINE),
             limit=0 if self._is_reserved else self._hard_limit(),
-            first_token_ms=predicted_ms + self._online_wait_ms(queued),
+            first_token_ms=predicted_ms + wait_ms,
             accepting=self.accepting,
+            wait_ms=wait_ms + self._first_token.prefill_ahead_ms(now_ms),
+            start_ms=speed.start_ms,
+            prompt_token_ms=speed.prompt_token_ms,
+            event_ms=speed.event_ms,
+            run_ms=speed.run_ms,
+            slowness=speed.slowness,
+            speed_age_ms=speed.age_ms,
         )
 
     def refuse_all(self, code: ResultCode) -> list[Action]:
--- a/src/fescuedock/core/routing.py
+++ b/src/fescuedock/core/routing.py
@@ -9,7 +9,7 @@
 """
 
 import random
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 import msgspec
 
@@ -21,13 +21,37 @@
     "Candidate",
     "Choice",
     "Demand",
+    "PlacementPolicy",
+    "Ranking",
     "RoutingPolicy",
     "choose_upstreams",
+    "covering_upstream",
     "free_slots",
+    "last_resort",
     "plan_asks",
+    "takes_a_batch_slot",
 ]
 
 
+class PlacementPolicy(msgspec.Struct, frozen=True):
+    """Constants of the prediction.
+
+    A lasting speed counts half after ``speed_half_life_ms`` without evidence, and then turns into
+    the typical one, so that an upstream that is believed slow is tried again.  An upstream of which
+    nothing is known counts as ``unknown_factor`` times slower than typical ones, so that it gets
+    little work at first.  A start within ``reserve`` of the time to the target counts as on time.
+    """
+
+    speed_half_life_ms: float = 20_000.0
+    unknown_factor: float = 1.3
+    reserve: float = 0.8
+    # About what is left of a slow period on the average.
+    slow_rest_ms: float = 400.0
+    run_share: float = 0.1
+    spread: float = 0.25
+    domain_ms: float = 2.0
+
+
 class RoutingPolicy(msgspec.Struct, frozen=True):
     """Constants of the choice.
 
@@ -57,6 +81,9 @@
     at_once: int = 2
     evict_ms: float = 25.0
     connect_ms: float = 4.0
+    # How upstreams are ranked; None is ``choose_upstreams``.
+    rank: "Ranking | None" = None
+    placing: PlacementPolicy = PlacementPolicy()
 
 
 class Candidate(msgspec.Struct, frozen=True):
@@ -72,14 +99,27 @@
     owner_silent: bool = False
     avoided: bool = False
     connected: bool = True
+    # The latest report of its speed, older than ``load`` may be, and the age of the evidence.
+    speed: LoadSnapshot | None = None
+    speed_age_ms: float = 0.0
+    # It is in the caller's failure domain.
+    near: bool = True
 
 
 class Demand(msgspec.Struct, frozen=True):
-    """What matters of the request: its prompt's length and leading part."""
+    """What matters of the request: its prompt's length and leading part, and what it may take.
+
+    ``target_ms`` is left for a start whose first event is in time, ``left_ms`` for the whole
+    answer; ``pause_ms`` is good between two events.  0 says nothing, and a target below 0 has
+    passed.
+    """
 
     prompt_tokens: int
     prefix_tokens: int
     prefix_hash: str
+    target_ms: float = 0.0
+    left_ms: float = 0.0
+    pause_ms: float = 0.0
 
 
 class Choice(msgspec.Struct, frozen=True):
@@ -99,6 +139,10 @@
     owner_silent: bool = False
 
 
+# Candidates, demand, time for a prompt token, constants and randomness; returns the best first.
+Ranking = Callable[[Sequence[Candidate], Demand, float, RoutingPolicy, random.Random], list[Choice]]
+
+
 class Ask(msgspec.Struct, frozen=True):
     """Ask the owner of an upstream, which may queue the request for ``wait_ms``.
 
@@ -130,14 +174,14 @@
     if not candidates:
         return []
     usual_ms = _usual_first_token_ms(candidates)
-    covering = _covering_upstream(candidates, demand, policy)
+    covering = covering_upstream(candidates, demand, policy)
     scored = []
     for item in candidates:
         covered = demand.prefix_tokens if item.upstream_id == covering else 0
         prefill_ms = max(0, demand.prompt_tokens - covered) * token_ms
         queue_ms = item.load.first_token_ms if item.load is not None else usual_ms
         queue_ms += 2 * item.latency_ms
-        extra_ms = policy.evict_ms if _takes_a_batch_slot(item) else 0.0
+        extra_ms = policy.evict_ms if takes_a_batch_slot(item) else 0.0
         extra_ms += 0.0 if item.connected else policy.connect_ms
         spread = 1.0 + policy.near_share * rng.random()
         choice = Choice(
@@ -148,7 +192,7 @@
             _is_accepting(item),
             item.owner_silent,
         )
-        scored.append((_last_resort(item), not choice.has_room, choice.first_token_ms, choice))
+        scored.append((last_resort(item), not choice.has_room, choice.first_token_ms, choice))
     scored.sort(key=lambda entry: entry[:3])
     return [entry[3] for entry in scored]
 
@@ -180,7 +224,8 @@
     return item.load is None or item.load.accepting
 
 
-def _last_resort(item: Candidate) -> int:
+def last_resort(item: Candidate) -> int:
+    """Return 0 for an upstream like others, more the less it should be used."""
     if not _is_accepting(item):
         return 3
     if item.avoided:
@@ -201,7 +246,7 @@
     return load.limit - load.in_flight_online - load.in_flight_batch
 
 
-def _takes_a_batch_slot(item: Candidate) -> bool:
+def takes_a_batch_slot(item: Candidate) -> bool:
     """Whether all slots are taken, some of them by batch work that would have to give way."""
     load = item.load
     return load is not None and load.in_flight_batch > 0 and free_slots(load) <= 0
@@ -213,13 +258,13 @@
     return min(known, default=0.0)
 
 
-def _covering_upstream(
+def covering_upstream(
     candidates: Sequence[Candidate], demand: Demand, policy: RoutingPolicy
 ) -> str:
     """Return the upstream that should have the prefix, or "" without one."""
     if not demand.prefix_hash:
         return ""
-    usable = {item.upstream_id: item for item in candidates if not _last_resort(item)}
+    usable = {item.upstream_id: item for item in candidates if not last_resort(item)}
     busy = {name: _online_work(item) for name, item in usable.items()}
     mean = sum(busy.values()) / max(1, len(busy))
     bound = policy.load_bound * mean + 1
--- a/src/fescuedock/entry/online_permits.py
+++ b/src/fescuedock/entry/online_permits.py
@@ -209,13 +209,31 @@
 
 
 def _choose(state: PermitSearch, call: OnlineCall, avoid: Collection[str]) -> list[Choice]:
+    own = state.view.vms.get(state.view.vm_id)
+    domain = own.failure_domain if own is not None else ""
     candidates = [
-        _candidate(state, item, avoided=item.upstream_id in avoid)
+        _candidate(state, item, domain, avoided=item.upstream_id in avoid)
         for item in state.view.upstreams_of(call.service)
         if _is_usable(state, item)
     ]
     token_ms = state.prefill(call.service).token_ms
-    return choose_upstreams(candidates, call.demand, token_ms, state.routing, state.rng)
+    rank = state.routing.rank
+    if rank is None:
+        return choose_upstreams(candidates, call.demand, token_ms, state.routing, state.rng)
+    return rank(candidates, _demand_now(call), token_ms, state.routing, state.rng)
+
+
+def _demand_now(call: OnlineCall) -> Demand:
+    """Return the call's demand with the times that are left to it."""
+    demand = call.demand
+    return Demand(
+        demand.prompt_tokens,
+        demand.prefix_tokens,
+        demand.prefix_hash,
+        call.target_left_ms(),
+        call.left_ms(),
+        demand.pause_ms,
+    )
 
 
 def _is_usable(state: PermitSearch, upstream: UpstreamRecord) -> bool:
@@ -229,13 +247,33 @@
     return upstream is None or not _is_usable(state, upstream)
 
 
-def _candidate(state: PermitSearch, upstream: UpstreamRecord, *, avoided: bool) -> Candidate:
+def _candidate(
+    state: PermitSearch, upstream: UpstreamRecord, domain: str, *, avoided: bool
+) -> Candidate:
     owner = state.view.owner_of(upstream.upstream_id)
     silent = owner is None or state.silent.is_silent(owner.vm_id, now_ms())
     latency_ms = state.latency.one_way_ms(upstream.failure_domain)
     load = _fresh_load(state, upstream)
     connected = state.is_connected(upstream)
-    return Candidate(upstream.upstream_id, latency_ms, load, silent, avoided, connected)
+    if state.routing.rank is None:
+        return Candidate(upstream.upstream_id, latency_ms, load, silent, avoided, connected)
+    near = not domain or upstream.failure_domain == domain
+    timed = state.permits.loads.get(upstream.upstream_id)
+    if timed is None or timed.load.speed_age_ms < 0:
+        return Candidate(
+            upstream.upstream_id, latency_ms, load, silent, avoided, connected, near=near
+        )
+    return Candidate(
+        upstream.upstream_id,
+        latency_ms,
+        load,
+        silent,
+        avoided,
+        connected,
+        timed.load,
+        now_ms() - timed.at_ms + timed.load.speed_age_ms,
+        near,
+    )
 
 
 def _fresh_load(state: PermitSearch, upstream: UpstreamRecord) -> LoadSnapshot | None:
--- a/src/fescuedock/node/attempt.py
+++ b/src/fescuedock/node/attempt.py
@@ -18,6 +18,8 @@
 
 __all__ = ["AttemptRecord", "UpstreamAnswer", "send_attempt"]
 
+# What a pause between events moves the recent mean by: the last four or so count.
+_RECENT_GAIN = 0.4
 # What each end of an attempt says of the upstream's health.
 _OUTCOMES = {
     AttemptEnd.NOT_SENT: AttemptOutcome.CONNECT_REFUSED,
@@ -47,12 +49,19 @@
     first_event_ms: float = -1.0
     last_event_ms: float = 0.0
     events: int = 0
+    # Moving mean of the latest pauses between events; below 0 before the first.
+    recent_ms: float = -1.0
 
     def note_events(self, count: int) -> None:
         """Note that ``count`` events came just now."""
         at_ms = now_ms()
         if self.first_event_ms < 0:
             self.first_event_ms = at_ms - self.started_ms
+        elif self.recent_ms < 0:
+            self.recent_ms = (at_ms - self.last_event_ms) / count
+        else:
+            pause_ms = (at_ms - self.last_event_ms) / count
+            self.recent_ms += _RECENT_GAIN * (pause_ms - self.recent_ms)
         self.last_event_ms = at_ms
         self.events += count
         self.grant.count_tokens(count)
@@ -77,6 +86,7 @@
                 inter_token_ms=self.pause_ms(),
                 prompt_tokens=self.prompt_tokens,
                 generated_tokens=self.events,
+                recent_token_ms=self.recent_ms,
             )
         )
 
--- a/src/fescuedock/schema/permits.py
+++ b/src/fescuedock/schema/permits.py
@@ -100,6 +100,38 @@
         float, Meta(description="Predicted for an online request that came now.")
     ]
     accepting: Annotated[bool, Meta(description="False for a leaving or unhealthy upstream.")]
+    wait_ms: Annotated[
+        float,
+        Meta(
+            description="The part of first_token_ms that is waiting for a slot and for other prompts."
+        ),
+    ] = 0
+    start_ms: Annotated[
+        float,
+        Meta(
+            description="Lasting time from a grant to a first event, less that of the prompt; 0 says nothing."
+        ),
+    ] = 0
+    prompt_token_ms: Annotated[float, Meta(description="Lasting time for each prompt token.")] = 0
+    event_ms: Annotated[
+        float,
+        Meta(
+            description="Lasting time between events, for one more attempt beside those that run; 0 says nothing."
+        ),
+    ] = 0
+    run_ms: Annotated[
+        float,
+        Meta(
+            description="Lasting time from the first to the last event of a usual online call; 0 says nothing."
+        ),
+    ] = 0
+    slowness: Annotated[
+        float,
+        Meta(description="How many times as long as its lasting times things take at the moment."),
+    ] = 1
+    speed_age_ms: Annotated[
+        float, Meta(description="Age of the newest evidence of speed; below 0 there is none.")
+    ] = -1
 
 
 class PermitReply(WireStruct):
@@ -156,6 +188,9 @@
     ] = -1
     prompt_tokens: int = 0
     generated_tokens: int = 0
+    recent_token_ms: Annotated[
+        float, Meta(description="Time between the last few tokens; below 0 when unknown.")
+    ] = -1
 
 
 class PermitsEnded(WireStruct):
--- a/tests/builders/load_player.py
+++ b/tests/builders/load_player.py
@@ -1,7 +1,8 @@
 """Plays a load against owners of permits in virtual time, and tells what callers get.
 
 Searches for permits, holders and owners are what ships; channels are calls that take a while, and
-engines have slots and a constant time between two events.  To be run under a ``trio`` mock clock.
+engines have slots and a time between two events, constant or by ``PlayedSpeeds``.  To be run under
+a ``trio`` mock clock.
 """
 
 import random
@@ -29,6 +30,7 @@
 from fescuedock.core.stored_jobs.urgency import ItemChoice
 from fescuedock.entry.online_permits import find_permit
 from fescuedock.faults import Fault
+from fescuedock.node.attempt import AttemptRecord
 from fescuedock.node.item_asking import ItemAsker
 from fescuedock.schema.config import Configuration
 from fescuedock.schema.permits import AttemptOutcome, EndedPermit
@@ -43,6 +45,7 @@
 from fescuedock.schema.stored_jobs import StoredItem, StoredJobRecord
 from fescuedock.schema.view import Program, UpstreamKind, UpstreamRecord, VmRecord, VmState
 from fescuedock.settings import Settings
+from tests.builders.played_speeds import PlayedSpeeds
 
 __all__ = [
     "BatchLoad",
@@ -70,6 +73,7 @@
     first_event_ms: float = 45.0
     event_ms: float = 28.0
     events: int = 26
+    pause_ms: float = 400.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,10 +88,15 @@
     target_ms: float
     held_ms: float = 0.0
     refused: bool = False
+    upstream_id: str = ""
+    # Its upstream is in another failure domain than its node.
+    crossed: bool = False
+    # It was whole by its deadline, and no pause was too long.
+    kept_up: bool = True
 
     @property
     def on_time(self) -> bool:
-        return 0 <= self.first_event_ms <= self.target_ms
+        return 0 <= self.first_event_ms <= self.target_ms and self.kept_up
 
 
 @dataclass(frozen=True, slots=True)
@@ -219,7 +228,9 @@
         routing: RoutingPolicy,
         seed: int,
         hop_ms: float,
+        domain: str = "d1",
     ) -> None:
+        self.domain = domain
         self.vm_id = f"vm-{number}"
         self.host = f"10.0.0.{number + 1}"
         self.nursery = nursery
@@ -227,7 +238,7 @@
         self.view = FleetView(self.vm_id)
         self.view.replace_configuration(1, 1, Configuration(), 0.0)
         self.settings = Settings(
-            vm=VmSettings(self.vm_id, self.host, "r1", "d1"),
+            vm=VmSettings(self.vm_id, self.host, "r1", domain),
             platform=PlatformSettings("127.0.0.1:1", "127.0.0.1:1"),
             agent=AgentSettings(_AGENT_PORT, permit_valid_ms=1500),
             permits=PermitSettings(max_limit=64, ended_batch_ms=2, adjust_ms=200),
@@ -241,7 +252,9 @@
         self.search = _Search(self.view, self.permits, self.rng, routing)
 
     def record(self) -> VmRecord:
-        vm = VmRecord(self.vm_id, "r1", "d1", self.host, 1, VmState.ALIVE, agent_port=_AGENT_PORT)
+        vm = VmRecord(
+            self.vm_id, "r1", self.domain, self.host, 1, VmState.ALIVE, agent_port=_AGENT_PORT
+        )
         vm.ready = [Program.AGENT]
         return vm
 
@@ -261,6 +274,8 @@
     slots: int
     running: Counter[str] = field(default_factory=Counter)
     most_running: int = 0
+    # None: all upstreams are as fast as ``CallTimes`` has it, at all times.
+    speeds: PlayedSpeeds | None = None
 
     @classmethod
     async def start(
@@ -273,16 +288,25 @@
         routing: RoutingPolicy,
         seed: int,
         hop_ms: float = 1.4,
+        domains: int = 1,
     ) -> "PlayedFleet":
         """Start a fleet in which every node sees the others, and let new owners settle."""
         by_host: dict[str, PlayedNode] = {}
         played = [
-            PlayedNode(number, by_host, nursery, routing, seed, hop_ms) for number in range(nodes)
+            PlayedNode(number, by_host, nursery, routing, seed, hop_ms, f"d{number % domains + 1}")
+            for number in range(nodes)
         ]
         by_host.update((node.host, node) for node in played)
         records = [
             UpstreamRecord(
-                f"i-{number}", "r1", "d1", "10.1.0.1", 9, UpstreamKind.PLAIN, SERVICE, slots=slots
+                f"i-{number}",
+                "r1",
+                f"d{number % domains + 1}",
+                "10.1.0.1",
+                9,
+                UpstreamKind.PLAIN,
+                SERVICE,
+                slots=slots,
             )
             for number in range(upstreams)
         ]
@@ -300,6 +324,15 @@
     def end_run(self, upstream_id: str) -> None:
         self.running[upstream_id] -= 1
 
+    def factor(self, upstream_id: str) -> float:
+        """Return how many times as long as usual a step takes at an upstream now."""
+        if self.speeds is None:
+            return 1.0
+        return self.speeds.factor(upstream_id, self.running, now_ms())
+
+    def crosses(self, node: PlayedNode, upstream_id: str) -> bool:
+        return node.view.upstreams[upstream_id].failure_domain != node.domain
+
     @property
     def total_slots(self) -> int:
         return self.slots * len(self.nodes[0].view.upstreams)
@@ -340,22 +373,40 @@
     if not isinstance(granted, Ok):
         refused = granted is not None
         return CallOutcome(call.arrived_ms, -1.0, times.target_ms, held_ms, refused)
-    first_ms = await _use(fleet, granted.ok_value, times)
-    return CallOutcome(call.arrived_ms, first_ms - call.arrived_ms, times.target_ms)
-
-
-async def _use(fleet: PlayedFleet, grant: Grant, times: CallTimes) -> float:
-    """Run a call under its permit; returns the time of the first event."""
+    grant = granted.ok_value
+    first_ms, kept_up = await _use(fleet, grant, call)
+    return CallOutcome(
+        call.arrived_ms,
+        first_ms - call.arrived_ms,
+        times.target_ms,
+        upstream_id=grant.upstream_id,
+        crossed=fleet.crosses(node, grant.upstream_id),
+        kept_up=kept_up,
+    )
+
+
+async def _use(fleet: PlayedFleet, grant: Grant, call: _Call) -> tuple[float, bool]:
+    """Run a call under its permit; returns the time of the first event, and if all else was good.
+
+    It tells its owner what ``AttemptRecord`` tells.
+    """
+    times = call.times
     fleet.begin_run(grant.upstream_id)
+    record = AttemptRecord(grant, grant.work_class, now_ms(), call.demand.prompt_tokens)
+    longest_ms = 0.0
     try:
-        await trio.sleep(times.first_event_ms / 1000)
+        await trio.sleep(times.first_event_ms * fleet.factor(grant.upstream_id) / 1000)
         first_ms = now_ms()
-        await trio.sleep(times.event_ms * (times.events - 1) / 1000)
+        record.note_events(1)
+        for _ in range(times.events - 1):
+            pause_ms = times.event_ms * fleet.factor(grant.upstream_id)
+            longest_ms = max(longest_ms, pause_ms)
+            await trio.sleep(pause_ms / 1000)
+            record.note_events(1)
     finally:
         fleet.end_run(grant.upstream_id)
-        outcome = AttemptOutcome.COMPLETED
-        grant.end(EndedPermit(grant.permit_id, grant.upstream_id, outcome, grant.work_class))
-    return first_ms
+        record.finish(None)
+    return first_ms, longest_ms <= times.pause_ms and call.left_ms() >= 0
 
 
 async def play_calls(
@@ -435,12 +486,15 @@
         self._pool.start(choice.run, now_ms())
         self._node.nursery.start_soon(self._run_item, choice.job, choice.run, grant)
 
+    def _event_ms(self, grant: Grant) -> float:
+        return self._load.event_ms * self._fleet.factor(grant.upstream_id)
+
     async def _run_item(self, job: StoredJob, run: ItemRun, grant: Grant) -> None:
         length = self._lengths[run.item.item_id]
         self._runs[run.item.item_id] += 1
         self._fleet.begin_run(grant.upstream_id)
         while run.last_event + 1 < length and not grant.revoked.is_set():
-            with trio.move_on_after(self._load.event_ms / 1000):
+            with trio.move_on_after(self._event_ms(grant) / 1000):
                 await grant.revoked.wait()
             if not grant.revoked.is_set():
                 run.last_event += 1
