Place online calls by predicted first event, pauses and end

Nodes rank upstreams by what owners report of lasting speed and of the slow period of the moment, each by its age. An upstream of which a node has heard nothing is tried early, since a permit's reply tells its speed: where it is much slower than the next choice, the call asks there and gives the first permit back.

--- a/src/fescuedock/core/placement.py
+++ b/src/fescuedock/core/placement.py
@@ -9,6 +9,7 @@
 
 import random
 from collections.abc import Sequence
+from operator import itemgetter
 
 import msgspec
 
@@ -26,15 +27,10 @@
 )
 from fescuedock.schema.permits import LoadSnapshot
 
-__all__ = ["Prediction", "choose_by_prediction", "predict", "typical_of"]
+__all__ = ["Typical", "choose_by_prediction", "is_worth_moving", "predict", "typical_of"]
 
 
-class Prediction(msgspec.Struct, frozen=True):
-    """What an attempt that began now would give; ``pause_ms`` is the mean between two events."""
-
-    first_ms: float
-    pause_ms: float
-    run_ms: float
+_RANK = itemgetter(0, 1, 2, 3)
 
 
 class Typical(msgspec.Struct, frozen=True):
@@ -46,48 +42,55 @@
     wait_ms: float = 0.0
 
 
-def typical_of(candidates: Sequence[Candidate]) -> Typical | None:
-    """Return typical values; None while nobody has told of any speed."""
-    known = [item.speed for item in candidates if item.speed is not None and item.speed.event_ms]
-    if not known:
+def typical_of(candidates: Sequence[Candidate], policy: PlacementPolicy) -> Typical | None:
+    """Return typical values, to which old reports add little; None without any report of speed."""
+    weights = start_ms = event_ms = run_ms = 0.0
+    least_wait_ms = float("inf")
+    for item in candidates:
+        if item.load is not None and item.load.wait_ms < least_wait_ms:
+            least_wait_ms = item.load.wait_ms
+        speed = item.speed
+        if speed is None:
+            continue
+        weight = 0.5 ** (item.speed_age_ms / policy.speed_half_life_ms)
+        weights += weight
+        start_ms += weight * speed.start_ms
+        event_ms += weight * speed.event_ms
+        run_ms += weight * speed.run_ms
+    if not weights:
         return None
-    waits = [item.load.wait_ms for item in candidates if item.load is not None]
-    count = len(known)
-    return Typical(
-        sum([load.start_ms for load in known]) / count,
-        sum([load.event_ms for load in known]) / count,
-        sum([load.run_ms for load in known]) / count,
-        min(waits, default=0.0),
-    )
+    wait_ms = 0.0 if least_wait_ms == float("inf") else least_wait_ms
+    return Typical(start_ms / weights, event_ms / weights, run_ms / weights, wait_ms)
 
 
 def predict(
     item: Candidate, typical: Typical, prompt_tokens: int, policy: PlacementPolicy
-) -> Prediction:
-    """Return what an attempt at an upstream would give."""
+) -> tuple[float, float, float]:
+    """Return the times that an attempt which began now at an upstream would take.
+
+    They are those to the first event, between two events, and from the first event to the last, in
+    milliseconds.  A plain tuple, as a call predicts for each upstream of its service.
+    """
     load = item.load
     wait_ms = (typical.wait_ms if load is None else load.wait_ms) + 2 * item.latency_ms
     speed = item.speed
-    if speed is None or not speed.event_ms:
-        factor = policy.unknown_factor
-        return Prediction(
-            wait_ms + typical.start_ms * factor,
-            typical.event_ms * factor,
-            typical.run_ms * factor,
-        )
-    known = 0.5 ** (item.speed_age_ms / policy.speed_half_life_ms)
-    start_ms = typical.start_ms + known * (speed.start_ms - typical.start_ms)
+    if speed is None:
+        factor = policy.unheard_factor if load is None else policy.new_factor
+        start_ms = typical.start_ms * factor
+        return wait_ms + start_ms, typical.event_ms * factor, typical.run_ms * factor
+    age_ms = item.speed_age_ms
+    known = 0.5 ** (age_ms / policy.speed_half_life_ms)
+    other = 1.0 - known
+    start_ms = other * typical.start_ms + known * speed.start_ms
     start_ms += prompt_tokens * speed.prompt_token_ms
-    event_ms = typical.event_ms + known * (speed.event_ms - typical.event_ms)
-    run_ms = typical.run_ms + known * (speed.run_ms - typical.run_ms)
-    slowness = _slowness(speed, item.speed_age_ms)
+    event_ms = other * typical.event_ms + known * speed.event_ms
+    run_ms = other * typical.run_ms + known * speed.run_ms
+    if speed.slowness <= 1.0:
+        return wait_ms + start_ms, event_ms, run_ms
+    slowness = 1.0 + (speed.slowness - 1.0) * 0.5 ** (age_ms / SLOWNESS_HALF_LIFE_MS)
     # The run outlasts the slow period.
     slowed_ms = min(policy.slow_rest_ms, run_ms * slowness) * (1.0 - 1.0 / slowness)
-    return Prediction(wait_ms + start_ms * slowness, event_ms * slowness, run_ms + slowed_ms)
-
-
-def _slowness(speed: LoadSnapshot, age_ms: float) -> float:
-    return 1.0 + (speed.slowness - 1.0) * 0.5 ** (age_ms / SLOWNESS_HALF_LIFE_MS)
+    return wait_ms + start_ms * slowness, event_ms * slowness, run_ms + slowed_ms
 
 
 def choose_by_prediction(
@@ -103,10 +106,10 @@
     by the predicted first event and, less, the end.  The order of near equals is random, with those
     of the caller's failure domain ahead.  Without any report of speed it is ``choose_upstreams``.
     """
-    typical = typical_of(candidates)
+    placing = policy.placing
+    typical = typical_of(candidates, placing)
     if typical is None:
         return choose_upstreams(candidates, demand, token_ms, policy, rng)
-    placing = policy.placing
     # ``target_ms`` leaves out the time that a first event usually takes.
     target_ms = float("inf")
     if demand.target_ms > 0:
@@ -114,28 +117,27 @@
     pause_ms = demand.pause_ms or float("inf")
     left_ms = demand.left_ms or float("inf")
     covering = covering_upstream(candidates, demand, policy)
+    draw = rng.random
     scored = []
     for item in candidates:
-        covered = demand.prefix_tokens if item.upstream_id == covering else 0
-        found = predict(item, typical, max(demand.prompt_tokens - covered, 0), placing)
-        first_ms = found.first_ms
-        misses = (
-            (first_ms > target_ms)
-            + (found.pause_ms > pause_ms)
-            + (first_ms + found.run_ms > left_ms)
-        )
-        cost_ms = first_ms + placing.run_share * found.run_ms
-        cost_ms += 0.0 if item.near else placing.domain_ms
-        cost_ms += 0.0 if item.connected else policy.connect_ms
         load = item.load
-        has_room, accepting = True, True
+        covered = demand.prefix_tokens if item.upstream_id == covering else 0
+        prompt_tokens = max(demand.prompt_tokens - covered, 0)
+        first_ms, event_ms, run_ms = predict(item, typical, prompt_tokens, placing)
+        misses = (first_ms > target_ms) + (event_ms > pause_ms) + (first_ms + run_ms > left_ms)
+        cost_ms = first_ms + placing.run_share * run_ms
+        if not item.near:
+            cost_ms += placing.domain_ms
+        if not item.connected:
+            cost_ms += policy.connect_ms
+        has_room, accepting, queue_ms = True, True, typical.wait_ms
         if load is not None:
             has_room = not load.queued_online and load.in_flight_online < load.limit
             accepting = load.accepting
-            if takes_a_batch_slot(item):
+            queue_ms = load.first_token_ms
+            if load.in_flight_batch and takes_a_batch_slot(item):
                 cost_ms += policy.evict_ms
-        cost_ms *= 1.0 + placing.spread * rng.random()
-        queue_ms = item.load.first_token_ms if item.load is not None else typical.wait_ms
+        cost_ms *= 1.0 + placing.spread * draw()
         choice = Choice(
             item.upstream_id,
             cost_ms,
@@ -143,11 +145,21 @@
             has_room,
             accepting,
             item.owner_silent,
+            first_ms,
         )
         scored.append((last_resort(item), not has_room, misses, cost_ms, choice))
-    scored.sort(key=_by_rank)
+    scored.sort(key=_RANK)
     return [entry[4] for entry in scored]
 
 
-def _by_rank(entry: tuple[int, bool, int, float, Choice]) -> tuple[int, bool, int, float]:
-    return entry[:4]
+def is_worth_moving(
+    load: LoadSnapshot, other: Choice, prompt_tokens: int, policy: PlacementPolicy
+) -> bool:
+    """Whether a call is better off at ``other`` than where it just got a permit.
+
+    ``load`` came with the permit, so that it tells of a slow period which was not known before.
+    """
+    if load.speed_age_ms < 0 or not other.start_ms or not other.has_room:
+        return False
+    start_ms = (load.start_ms + prompt_tokens * load.prompt_token_ms) * load.slowness
+    return start_ms > policy.move_factor * other.start_ms
--- a/src/fescuedock/core/routing.py
+++ b/src/fescuedock/core/routing.py
@@ -43,13 +43,15 @@
     """
 
     speed_half_life_ms: float = 20_000.0
-    unknown_factor: float = 1.3
+    new_factor: float = 1.3
+    unheard_factor: float = 0.7
     reserve: float = 0.8
     # About what is left of a slow period on the average.
     slow_rest_ms: float = 400.0
     run_share: float = 0.1
     spread: float = 0.25
-    domain_ms: float = 2.0
+    domain_ms: float = 20.0
+    move_factor: float = 1.5
 
 
 class RoutingPolicy(msgspec.Struct, frozen=True):
@@ -128,7 +130,8 @@
     ``queue_ms`` leaves prefill out, which is a guess good enough to choose by and no more;
     ``first_token_ms`` also has what batch work loses by it, and a new connection.
     ``has_room`` is False when its owner is known to be full;
-    ``accepting`` is False for one that its owner keeps work from.
+    ``accepting`` is False for one that its owner keeps work from.  ``start_ms`` is the predicted
+    time to the first event without any preference; 0 where nothing is known of speeds.
     """
 
     upstream_id: str
@@ -137,6 +140,7 @@
     has_room: bool = True
     accepting: bool = True
     owner_silent: bool = False
+    start_ms: float = 0.0
 
 
 # Candidates, demand, time for a prompt token, constants and randomness; returns the best first.
--- a/src/fescuedock/entry/online_permits.py
+++ b/src/fescuedock/entry/online_permits.py
@@ -2,7 +2,7 @@
 
 import random
 from collections.abc import Collection, Iterable, Sequence
-from itertools import groupby
+from itertools import groupby, pairwise
 from typing import Protocol
 
 import msgspec
@@ -13,6 +13,7 @@
 from fescuedock.agent.permit_client import Grant, PermitClient
 from fescuedock.clock import now_ms
 from fescuedock.core.admission import Admission
+from fescuedock.core.placement import is_worth_moving
 from fescuedock.core.quarantine import Standing, Verdict
 from fescuedock.core.rendezvous import rank_names
 from fescuedock.core.route_learning import AskTimeout, DomainLatency, PrefillModel, SilentOwners
@@ -259,7 +260,7 @@
         return Candidate(upstream.upstream_id, latency_ms, load, silent, avoided, connected)
     near = not domain or upstream.failure_domain == domain
     timed = state.permits.loads.get(upstream.upstream_id)
-    if timed is None or timed.load.speed_age_ms < 0:
+    if timed is None or not (timed.load.start_ms and timed.load.event_ms):
         return Candidate(
             upstream.upstream_id, latency_ms, load, silent, avoided, connected, near=near
         )
@@ -323,7 +324,7 @@
         if queues:
             answer = await _queue_at_several(state, call, list(asks), run_ms)
         else:
-            answer = await _ask_in_turn(state, call, asks, run_ms)
+            answer = await _ask_in_turn(state, call, list(asks), choices, run_ms)
         if isinstance(answer.result, Ok) or answer.again:
             return answer
         refusal = _kinder(refusal, answer.result.err_value)
@@ -337,14 +338,18 @@
 
 
 async def _ask_in_turn(
-    state: PermitSearch, call: OnlineCall, asks: Iterable[Ask], run_ms: float
+    state: PermitSearch,
+    call: OnlineCall,
+    asks: Sequence[Ask],
+    choices: Sequence[Choice],
+    run_ms: float,
 ) -> _Answer:
     """Ask for slots that are believed to be free, until one is granted."""
     refusal: Fault | None = None
-    for ask in asks:
+    for number, ask in enumerate(asks, start=1):
         granted = await _ask(state, call, ask, run_ms)
         if isinstance(granted, Ok):
-            return _Answer(granted)
+            return _Answer(await _better(state, call, granted, asks[number - 1 :], choices, run_ms))
         if granted.err_value.code in _SILENCE:
             return _Answer(granted, again=True)
         refusal = _kinder(refusal, granted.err_value)
@@ -353,6 +358,46 @@
     return _Answer(Err(refusal))
 
 
+def _should_move(
+    state: PermitSearch, call: OnlineCall, ask: Ask, other: Ask, choices: Sequence[Choice]
+) -> bool:
+    if state.routing.rank is None or ask.local or other.local:
+        return False
+    timed = state.permits.loads.get(ask.upstream_id)
+    choice = next(item for item in choices if item.upstream_id == other.upstream_id)
+    placing = state.routing.placing
+    return timed is not None and is_worth_moving(
+        timed.load, choice, call.demand.prompt_tokens, placing
+    )
+
+
+async def _better(
+    state: PermitSearch,
+    call: OnlineCall,
+    granted: Ok[Grant],
+    asks: Sequence[Ask],
+    choices: Sequence[Choice],
+    run_ms: float,
+) -> Ok[Grant]:
+    """Return ``granted``, of the first of ``asks``, or a permit of one that is much faster now.
+
+    A permit is held until there is another one.
+    """
+    for ask, other in pairwise(asks):
+        if not _should_move(state, call, ask, other, choices):
+            return granted
+        try:
+            moved = await _ask(state, call, other, run_ms)
+        except BaseException:
+            state.permits.give_back(granted.ok_value)
+            raise
+        if isinstance(moved, Err):
+            return granted
+        state.permits.give_back(granted.ok_value)
+        granted = moved
+    return granted
+
+
 async def _queue_at_several(
     state: PermitSearch, call: OnlineCall, asks: Sequence[Ask], run_ms: float
 ) -> _Answer:
--- a/src/fescuedock/node/online.py
+++ b/src/fescuedock/node/online.py
@@ -13,6 +13,7 @@
 from fescuedock.core.customers import Caller, CustomerIndex
 from fescuedock.core.forwarding.route_table import Route
 from fescuedock.core.forwarding.stalls import StallLimits
+from fescuedock.core.placement import choose_by_prediction
 from fescuedock.core.route_learning import AskTimeout, DomainLatency, PrefillModel, SilentOwners
 from fescuedock.core.routing import RoutingPolicy
 from fescuedock.net.http_client import HttpClient
@@ -34,7 +35,7 @@
 _FIRST_EVENT_GAIN = 0.1
 # How calls look for a permit.  The choice is made anew every 150 ms, as a slot may come free
 # elsewhere.
-ONLINE_ROUTING = RoutingPolicy(at_once=2, queue_ms=150.0)
+ONLINE_ROUTING = RoutingPolicy(at_once=2, queue_ms=150.0, rank=choose_by_prediction)
 
 
 class OnlineCalls:
--- a/src/fescuedock/node/online_call.py
+++ b/src/fescuedock/node/online_call.py
@@ -114,6 +114,7 @@
             prompt_tokens=self.head.prompt_tokens,
             prefix_tokens=self.head.shared_tokens,
             prefix_hash=parts[-1][0] if parts else "",
+            pause_ms=self.route.gap_target_ms,
         )
 
     # --- what the search for a permit asks -------------------------------------------------------
--- a/tests/builders/load_player.py
+++ b/tests/builders/load_player.py
@@ -14,6 +14,7 @@
 
 import msgspec
 import trio
+from msgspec.structs import replace as replace_fields
 from result import Err, Ok, Result
 
 from fescuedock.address import Address
@@ -24,7 +25,7 @@
 from fescuedock.clock import now_ms
 from fescuedock.core.admission import Admission
 from fescuedock.core.route_learning import AskTimeout, DomainLatency, PrefillModel, SilentOwners
-from fescuedock.core.routing import Demand, RoutingPolicy
+from fescuedock.core.routing import Demand, Ranking, RoutingPolicy
 from fescuedock.core.stored_jobs.job import ItemEnd, ItemRun, StoredJob
 from fescuedock.core.stored_jobs.pool import ItemPool
 from fescuedock.core.stored_jobs.urgency import ItemChoice
@@ -330,6 +331,11 @@
             return 1.0
         return self.speeds.factor(upstream_id, self.running, now_ms())
 
+    def set_ranking(self, rank: Ranking | None) -> None:
+        """Have all nodes rank upstreams by ``rank``."""
+        for node in self.nodes:
+            node.search.routing = replace_fields(node.search.routing, rank=rank)
+
     def crosses(self, node: PlayedNode, upstream_id: str) -> bool:
         return node.view.upstreams[upstream_id].failure_domain != node.domain
 
--- a/tests/builders/placement_ways.py
+++ b/tests/builders/placement_ways.py
@@ -15,7 +15,7 @@
 )
 from tests.builders.load_player import PlayedFleet
 
-__all__ = ["least_loaded", "oracle", "two_choices"]
+__all__ = ["WAYS", "least_loaded", "oracle", "two_choices"]
 
 _Cost = Callable[[Candidate], float]
 
@@ -28,13 +28,13 @@
     rng: random.Random,
 ) -> list[Choice]:
     """Draw two at random, the one with the sooner predicted end first; the others as they come."""
-    typical = typical_of(candidates)
+    typical = typical_of(candidates, policy.placing)
     if typical is None:
         return choose_upstreams(candidates, demand, token_ms, policy, rng)
 
     def end_ms(item: Candidate) -> float:
-        found = predict(item, typical, demand.prompt_tokens, policy.placing)
-        return found.first_ms + found.run_ms
+        first_ms, _, run_ms = predict(item, typical, demand.prompt_tokens, policy.placing)
+        return first_ms + run_ms
 
     drawn = list(candidates)
     rng.shuffle(drawn)
@@ -52,14 +52,14 @@
     rng: random.Random,
 ) -> list[Choice]:
     """Put the least work for its slots first, weighted with the speed."""
-    typical = typical_of(candidates)
+    typical = typical_of(candidates, policy.placing)
     if typical is None:
         return choose_upstreams(candidates, demand, token_ms, policy, rng)
 
     def cost(item: Candidate) -> float:
-        found = predict(item, typical, demand.prompt_tokens, policy.placing)
+        _, pause_ms, _ = predict(item, typical, demand.prompt_tokens, policy.placing)
         work = 0.5 if item.load is None else _work(item) / max(item.load.limit, 1)
-        return (work + 0.1) * found.pause_ms * (1.0 + 0.25 * rng.random())
+        return (work + 0.1) * pause_ms * (1.0 + 0.25 * rng.random())
 
     return _rank(candidates, cost)
 
@@ -107,7 +107,7 @@
 
 
 WAYS: dict[str, Ranking | None] = {
-    "today": None,
+    "by load": None,
     "two choices": two_choices,
     "least loaded": least_loaded,
     "predicted": choose_by_prediction,
--- /dev/null
+++ b/tests/test_uneven_load.py
@@ -0,0 +1,81 @@
+"""Calls at 1.9 times the mean on upstreams of uneven speed, played in virtual time.
+
+15 upstreams and 23 nodes stand for 45 and 69.  Speeds are 0.6, 1.0 and 1.6, and 0.15 of the
+upstreams at a time are 2.5 times slower for about 600 ms.
+"""
+
+import random
+import unittest
+from collections.abc import Callable
+
+import trio
+from msgspec.structs import replace
+from trio.testing import MockClock
+
+from fescuedock.node.online import ONLINE_ROUTING
+from tests.builders.load_player import CallOutcome, CallTimes, PlayedFleet, play_calls
+from tests.builders.placement_ways import WAYS, oracle
+from tests.builders.played_speeds import PlayedSpeeds
+
+SEEDS = (1, 2, 4)
+SLOTS = 8
+# 80 ms to a first event at speed 1 are what a node takes for usual (``_FIRST_EVENT_MS``).
+TIMES = CallTimes(
+    target_ms=311.0, deadline_ms=5200.0, patience_ms=3200.0, first_event_ms=80.0, events=20
+)
+MEAN_PER_S = 67.0
+# Nodes get to know the upstreams first; the calls of the step count.
+CALM_S, STEP_S = 5.0, 6.0
+
+_Turn = Callable[[PlayedFleet, random.Random], None]
+
+
+def play(
+    way: str, seed: int, turn: _Turn | None = None, *, speeds: Callable = PlayedSpeeds.uneven
+) -> list[CallOutcome]:
+    """Return the calls of a demand step; ``turn`` changes the fleet at its begin."""
+
+    async def run() -> list[CallOutcome]:
+        async with trio.open_nursery() as nursery:
+            fleet = await PlayedFleet.start(
+                nursery,
+                nodes=23,
+                upstreams=15,
+                slots=SLOTS,
+                routing=replace(ONLINE_ROUTING, rank=WAYS.get(way)),
+                seed=seed,
+                hop_ms=0.9,
+                domains=3,
+            )
+            rng = random.Random(seed)
+            fleet.speeds = speeds(fleet.nodes[0].view.upstreams, SLOTS, random.Random(seed))
+            if way == "oracle":
+                fleet.set_ranking(oracle(fleet))
+            await play_calls(fleet, ((CALM_S, MEAN_PER_S),), rng, TIMES)
+            if turn is not None:
+                turn(fleet, rng)
+            outcomes = await play_calls(fleet, ((STEP_S, 1.9 * MEAN_PER_S),), rng, TIMES)
+            nursery.cancel_scope.cancel()
+        return outcomes
+
+    return trio.run(run, clock=MockClock(autojump_threshold=0))
+
+
+def on_time_share(way: str, turn: _Turn | None = None) -> float:
+    outcomes = [item for seed in SEEDS for item in play(way, seed, turn)]
+    return sum(item.on_time for item in outcomes) / len(outcomes)
+
+
+class UnevenSpeedTest(unittest.TestCase):
+    """Today's choice, the one that ships, and one that knows all speeds."""
+
+    def test_the_prediction_is_nearly_as_good_as_an_oracle(self) -> None:
+        self.assertGreaterEqual(on_time_share("predicted"), 0.99)
+        self.assertGreaterEqual(on_time_share("oracle"), 0.995)
+
+    def test_the_load_is_hard_enough_to_tell_policies_apart(self) -> None:
+        self.assertLess(on_time_share("by load"), 0.985)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_upstream_speed.py
@@ -0,0 +1,178 @@
+"""What is learned of an upstream's speed, and how calls are placed by it."""
+
+import random
+import unittest
+from collections import Counter
+
+from hypothesis import given
+from hypothesis import strategies as st
+from msgspec.structs import replace
+
+from fescuedock.core.permits.speed import UpstreamSpeed
+from fescuedock.core.placement import Typical, choose_by_prediction, is_worth_moving, predict
+from fescuedock.core.routing import Candidate, Choice, Demand, PlacementPolicy, RoutingPolicy
+from fescuedock.schema.permits import LoadSnapshot
+
+POLICY = RoutingPolicy(rank=choose_by_prediction)
+PLACING = PlacementPolicy()
+TYPICAL = Typical(80.0, 28.0, 500.0)
+DEMAND = Demand(450, 0, "", target_ms=230.0, left_ms=5000.0, pause_ms=400.0)
+HALF_LIFE_MS = 30_000.0
+REPORTS = st.lists(
+    st.tuples(st.floats(0.1, 5000.0), st.integers(1, 8), st.floats(0.0, 500.0)), max_size=60
+)
+
+
+def report(name: str = "a", factor: float = 1.0, **changes: object) -> LoadSnapshot:
+    load = LoadSnapshot(name, 2, 0, 0, 8, 0.0, True)
+    return replace(
+        load,
+        **{
+            "start_ms": 80.0 * factor,
+            "event_ms": 28.0 * factor,
+            "run_ms": 500.0 * factor,
+            "speed_age_ms": 0.0,
+            **changes,
+        },
+    )
+
+
+def candidate(load: LoadSnapshot, age_ms: float = 0.0, near: bool = True) -> Candidate:
+    fresh = load if age_ms <= POLICY.stale_ms else None
+    return Candidate(load.upstream_id, 0.5, fresh, speed=load, speed_age_ms=age_ms, near=near)
+
+
+def first_of(candidates: list[Candidate], seeds: int = 200) -> Counter[str]:
+    """Return how often each is chosen first by nodes that know the same."""
+    chosen = (
+        choose_by_prediction(candidates, DEMAND, 0.0, POLICY, random.Random(seed))
+        for seed in range(seeds)
+    )
+    return Counter(choices[0].upstream_id for choices in chosen)
+
+
+class LearnedSpeedTest(unittest.TestCase):
+    """The estimates that an owner keeps."""
+
+    def learned(self, event_ms: float = 28.0, in_flight: int = 4) -> UpstreamSpeed:
+        speed = UpstreamSpeed(HALF_LIFE_MS)
+        for number in range(100):
+            speed.observe_events(event_ms, in_flight, 80.0 * number)
+        return speed
+
+    def test_a_slow_period_shows_after_two_reports(self) -> None:
+        speed = self.learned()
+        for at_ms in (8000.0, 8080.0):
+            speed.observe_events(70.0, 4, at_ms)
+        self.assertGreater(speed.slowness(8080.0), 1.7)
+
+    def test_a_slow_period_hardly_moves_the_lasting_speed(self) -> None:
+        speed = self.learned()
+        for number in range(8):
+            speed.observe_events(70.0, 4, 8000.0 + 80.0 * number)
+        self.assertLess(speed.speed(4, 8600.0).event_ms, 1.1 * 28.0)
+
+    def test_a_lasting_change_is_learned(self) -> None:
+        speed = self.learned()
+        for number in range(1500):
+            speed.observe_events(70.0, 4, 8000.0 + 80.0 * number)
+        self.assertAlmostEqual(speed.speed(4, 128_000.0).event_ms, 70.0, delta=7.0)
+
+    def test_an_upstream_that_is_full_is_not_taken_for_a_slow_one(self) -> None:
+        """Events of 24 ms alone and 31 ms in full company are one speed."""
+        speed = UpstreamSpeed(HALF_LIFE_MS)
+        for number in range(200):
+            in_flight = 1 + number % 8
+            speed.observe_events(23.0 + in_flight, in_flight, 80.0 * number)
+        speed.observe_events(31.0, 8, 16_000.0)
+        self.assertAlmostEqual(speed.slowness(16_000.0), 1.0, delta=0.05)
+        self.assertAlmostEqual(speed.speed(1, 16_000.0).event_ms, 24.0, delta=1.0)
+
+    def test_without_evidence_nothing_is_claimed(self) -> None:
+        self.assertLess(UpstreamSpeed(HALF_LIFE_MS).speed(1, 5.0).age_ms, 0.0)
+
+    @given(REPORTS)
+    def test_a_slow_period_is_forgotten_within_a_second(
+        self, reports: list[tuple[float, int, float]]
+    ) -> None:
+        speed = UpstreamSpeed(HALF_LIFE_MS)
+        at_ms = 0.0
+        for event_ms, in_flight, gap_ms in reports:
+            at_ms += gap_ms
+            speed.observe_events(event_ms, in_flight, at_ms)
+            self.assertGreaterEqual(speed.slowness(at_ms), 1.0)
+        before = speed.slowness(at_ms)
+        self.assertLessEqual(speed.slowness(at_ms + 1000.0), 1.0 + (before - 1.0) / 15)
+
+
+class PredictionTest(unittest.TestCase):
+    """What a node makes of reports of any age."""
+
+    @given(st.floats(0.05, 20.0), st.floats(1.0, 10.0), st.floats(0.0, 200_000.0))
+    def test_no_estimate_outlives_its_half_life(
+        self, factor: float, slowness: float, age_ms: float
+    ) -> None:
+        """The distance from the typical values is halved with each half-life, or more."""
+        load = report(factor=factor, slowness=slowness)
+        _, event_ms, _ = predict(candidate(load, age_ms), TYPICAL, 0, PLACING)
+        kept = 0.5 ** (age_ms / PLACING.speed_half_life_ms)
+        lasting_ms = 28.0 + kept * (load.event_ms - 28.0)
+        slowed = 1.0 + (slowness - 1.0) * 0.5 ** (age_ms / 250.0)
+        self.assertAlmostEqual(event_ms, lasting_ms * slowed, places=6)
+
+    def test_a_slow_period_counts_for_its_rest_only(self) -> None:
+        _, _, run_ms = predict(candidate(report(slowness=2.5)), TYPICAL, 0, PLACING)
+        self.assertLess(run_ms, 1.6 * 500.0)
+        self.assertGreater(run_ms, 1.2 * 500.0)
+
+
+class PlacementTest(unittest.TestCase):
+    """Which upstream a call goes to."""
+
+    def test_one_that_would_be_late_comes_after_those_that_would_not(self) -> None:
+        slow = candidate(report("slow", factor=1.7, slowness=2.5))
+        others = [candidate(report(name)) for name in ("b", "c")]
+        self.assertNotIn("slow", first_of([slow, *others]))
+
+    def test_nodes_that_know_the_same_do_not_all_choose_the_same(self) -> None:
+        """Of 15 upstreams, 5 of them fast, none gets a third of the calls."""
+        candidates = [
+            candidate(report(f"i-{number}", factor=(1.67, 1.0, 0.63)[number % 3]))
+            for number in range(15)
+        ]
+        self.assertLess(max(first_of(candidates).values()), 200 / 3)
+
+    @given(st.floats(1.0, 20.0), st.floats(1.0, 10.0))
+    def test_an_upstream_that_is_believed_slow_is_tried_again(
+        self, factor: float, slowness: float
+    ) -> None:
+        """After some half-lives without evidence, it is as good as a typical one."""
+        forgotten = candidate(
+            report("slow", factor=factor, slowness=slowness), 8 * PLACING.speed_half_life_ms
+        )
+        known = [candidate(report(name)) for name in ("b", "c")]
+        self.assertGreater(first_of([forgotten, *known], 60)["slow"], 0)
+
+    def test_equals_in_the_callers_domain_go_first(self) -> None:
+        far = [candidate(report(f"far-{number}"), near=False) for number in range(4)]
+        near = [candidate(report(f"near-{number}")) for number in range(2)]
+        chosen = first_of([*far, *near])
+        self.assertGreater(chosen["near-0"] + chosen["near-1"], 150)
+
+    def test_without_reports_of_speed_the_choice_is_that_by_load(self) -> None:
+        bare = [
+            Candidate("a", 0.5, LoadSnapshot("a", 2, 0, 0, 8, 200.0, True)),
+            Candidate("b", 0.5, LoadSnapshot("b", 2, 0, 0, 8, 50.0, True)),
+        ]
+        self.assertEqual(first_of(bare), Counter({"b": 200}))
+
+    def test_a_permit_of_an_upstream_that_turned_slow_is_worth_changing(self) -> None:
+        other = Choice("b", 90.0, has_room=True, start_ms=80.0)
+        self.assertTrue(is_worth_moving(report(slowness=2.4), other, 0, PLACING))
+        self.assertFalse(is_worth_moving(report(), other, 0, PLACING))
+        full = replace(other, has_room=False)
+        self.assertFalse(is_worth_moving(report(slowness=2.4), full, 0, PLACING))
+
+
+if __name__ == "__main__":
+    unittest.main()
