Weigh how full an upstream is, and log permits that are changed for faster ones

Among upstreams where a call is on time, one whose slots are mostly taken now costs more, so that calls spread and find a slot at the first ask.

Ruled out: taking an upstream that was not heard of lately for 0.6 full; then one that is believed slow may never be tried again, which tests/test_upstream_speed.py found.

--- a/src/fescuedock/core/placement.py
+++ b/src/fescuedock/core/placement.py
@@ -34,21 +34,28 @@
 
 
 class Typical(msgspec.Struct, frozen=True):
-    """Means over the upstreams of a service whose speed is known."""
+    """Means over the upstreams of a service whose speed is known.
+
+    Of ``wait_ms`` and ``fill``, the share of the slots that run online calls, it has the least that
+    is known: an upstream that nobody heard of lately is worth asking.
+    """
 
     start_ms: float = 0.0
     event_ms: float = 0.0
     run_ms: float = 0.0
     wait_ms: float = 0.0
+    fill: float = 0.0
 
 
 def typical_of(candidates: Sequence[Candidate], policy: PlacementPolicy) -> Typical | None:
     """Return typical values, to which old reports add little; None without any report of speed."""
     weights = start_ms = event_ms = run_ms = 0.0
-    least_wait_ms = float("inf")
+    least_wait_ms = least_fill = float("inf")
     for item in candidates:
-        if item.load is not None and item.load.wait_ms < least_wait_ms:
-            least_wait_ms = item.load.wait_ms
+        load = item.load
+        if load is not None:
+            least_wait_ms = min(least_wait_ms, load.wait_ms)
+            least_fill = min(least_fill, _fill(load))
         speed = item.speed
         if speed is None:
             continue
@@ -59,8 +66,15 @@
         run_ms += weight * speed.run_ms
     if not weights:
         return None
-    wait_ms = 0.0 if least_wait_ms == float("inf") else least_wait_ms
-    return Typical(start_ms / weights, event_ms / weights, run_ms / weights, wait_ms)
+    if least_fill == float("inf"):
+        least_wait_ms = least_fill = 0.0
+    return Typical(
+        start_ms / weights, event_ms / weights, run_ms / weights, least_wait_ms, least_fill
+    )
+
+
+def _fill(load: LoadSnapshot) -> float:
+    return load.in_flight_online / (load.limit or 1)
 
 
 def predict(
@@ -130,14 +144,15 @@
             cost_ms += placing.domain_ms
         if not item.connected:
             cost_ms += policy.connect_ms
-        has_room, accepting, queue_ms = True, True, typical.wait_ms
+        has_room, accepting, queue_ms, fill = True, True, typical.wait_ms, typical.fill
         if load is not None:
             has_room = not load.queued_online and load.in_flight_online < load.limit
             accepting = load.accepting
             queue_ms = load.first_token_ms
+            fill = _fill(load)
             if load.in_flight_batch and takes_a_batch_slot(item):
                 cost_ms += policy.evict_ms
-        cost_ms *= 1.0 + placing.spread * draw()
+        cost_ms *= (1.0 + placing.fill_weight * fill) * (1.0 + placing.spread * draw())
         choice = Choice(
             item.upstream_id,
             cost_ms,
--- a/src/fescuedock/core/routing.py
+++ b/src/fescuedock/core/routing.py
@@ -34,24 +34,33 @@
 
 
 class PlacementPolicy(msgspec.Struct, frozen=True):
-    """Constants of the prediction.
+    """Constants of the prediction, and of the order among upstreams where a call is on time.
 
     A lasting speed counts half after ``speed_half_life_ms`` without evidence, and then turns into
-    the typical one, so that an upstream that is believed slow is tried again.  An upstream of which
-    nothing is known counts as ``unknown_factor`` times slower than typical ones, so that it gets
-    little work at first.  A start within ``reserve`` of the time to the target counts as on time.
+    the typical one, so that an upstream that is believed slow is tried again.  One whose owner
+    knows no speed yet counts as ``new_factor`` times slower than typical ones, so that it gets
+    little work at first; one that the node has not heard of as ``unheard_factor``, so that it is
+    asked soon, as the reply tells its speed.  With 1.3 there 0.988 of a step's calls were on time,
+    with 0.7 0.996.  A call goes on to its next choice where that is predicted to be
+    ``move_factor`` times faster than a reply shows the first one to be.
+
+    A start within ``reserve`` of the time to the target counts as on time.  ``run_share`` of the
+    run counts beside the first event, ``fill_weight`` of the share of the slots that run makes one
+    costlier, and ``spread`` of the cost is chance, so that nodes which know the same choose
+    differently.  Bytes from another failure domain count as ``domain_ms``.  ``slow_rest_ms`` is
+    about what is left of a slow period when it shows.
     """
 
     speed_half_life_ms: float = 20_000.0
     new_factor: float = 1.3
     unheard_factor: float = 0.7
+    move_factor: float = 1.5
     reserve: float = 0.8
-    # About what is left of a slow period on the average.
-    slow_rest_ms: float = 400.0
     run_share: float = 0.1
+    fill_weight: float = 0.5
     spread: float = 0.25
     domain_ms: float = 20.0
-    move_factor: float = 1.5
+    slow_rest_ms: float = 400.0
 
 
 class RoutingPolicy(msgspec.Struct, frozen=True):
--- a/src/fescuedock/entry/online_permits.py
+++ b/src/fescuedock/entry/online_permits.py
@@ -27,6 +27,7 @@
     plan_asks,
 )
 from fescuedock.faults import Fault
+from fescuedock.log import log_event
 from fescuedock.schema.permits import LoadSnapshot, PermitAsk, WorkClass
 from fescuedock.schema.result_codes import ResultCode
 from fescuedock.schema.view import UpstreamRecord
@@ -394,6 +395,13 @@
         if isinstance(moved, Err):
             return granted
         state.permits.give_back(granted.ok_value)
+        log_event(
+            "permit_moved",
+            routine=True,
+            request_id=call.request_id,
+            from_upstream_id=ask.upstream_id,
+            to_upstream_id=other.upstream_id,
+        )
         granted = moved
     return granted
 
--- a/tests/builders/load_player.py
+++ b/tests/builders/load_player.py
@@ -34,7 +34,7 @@
 from fescuedock.node.attempt import AttemptRecord
 from fescuedock.node.item_asking import ItemAsker
 from fescuedock.schema.config import Configuration
-from fescuedock.schema.permits import AttemptOutcome, EndedPermit
+from fescuedock.schema.permits import AttemptOutcome, EndedPermit, LoadSnapshot
 from fescuedock.schema.result_codes import ResultCode
 from fescuedock.schema.settings import (
     AgentSettings,
@@ -263,6 +263,19 @@
         self.nursery.start_soon(self.permits.run)
         self.nursery.start_soon(self._service.run)
 
+    def spoil_reports(self, rng: random.Random, lost_share: float, age_ms: float) -> None:
+        note = self.permits._note_loads
+
+        async def note_late(loads: list[LoadSnapshot]) -> None:
+            await trio.sleep(rng.uniform(0.0, age_ms) / 1000)
+            note(loads)
+
+        def spoil(loads: list[LoadSnapshot]) -> None:
+            if rng.random() >= lost_share:
+                self.nursery.start_soon(note_late, loads)
+
+        self.permits._note_loads = spoil
+
     async def handle(self, message: msgspec.Struct, peer: _Peer) -> msgspec.Struct | None:
         return await self._handlers[type(message)](message, peer)
 
@@ -331,6 +344,17 @@
             return 1.0
         return self.speeds.factor(upstream_id, self.running, now_ms())
 
+    def replace_upstreams(self, records: list[UpstreamRecord]) -> None:
+        """Have all nodes see other upstreams; what runs at one that has gone may finish."""
+        for node in self.nodes:
+            members = list(node.view.vms.values())
+            node.view.replace(node.view.version + 1, members, records, 0.0)
+
+    def spoil_reports(self, rng: random.Random, lost_share: float, age_ms: float) -> None:
+        """Lose some reports of load from now on; the others arrive up to ``age_ms`` late."""
+        for node in self.nodes:
+            node.spoil_reports(rng, lost_share, age_ms)
+
     def set_ranking(self, rank: Ranking | None) -> None:
         """Have all nodes rank upstreams by ``rank``."""
         for node in self.nodes:
--- a/tests/test_uneven_load.py
+++ b/tests/test_uneven_load.py
@@ -61,6 +61,21 @@
     return trio.run(run, clock=MockClock(autojump_threshold=0))
 
 
+def break_a_third(fleet: PlayedFleet, rng: random.Random) -> None:
+    """Of 15 upstreams two turn slow, two are restarted under new identities, and one goes."""
+    records = list(fleet.nodes[0].view.upstreams.values())
+    chosen = rng.sample(records, 5)
+    for record in chosen[:2]:
+        fleet.speeds.lasting[record.upstream_id] *= 2.0
+    staying = [record for record in records if record not in chosen[2:]]
+    for record in chosen[2:4]:
+        new = replace(record, upstream_id=f"{record.upstream_id}-again")
+        fleet.speeds.lasting[new.upstream_id] = fleet.speeds.lasting[record.upstream_id]
+        staying.append(new)
+    fleet.replace_upstreams(staying)
+    fleet.spoil_reports(rng, lost_share=1 / 3, age_ms=1000.0)
+
+
 def on_time_share(way: str, turn: _Turn | None = None) -> float:
     outcomes = [item for seed in SEEDS for item in play(way, seed, turn)]
     return sum(item.on_time for item in outcomes) / len(outcomes)
@@ -76,6 +91,13 @@
     def test_the_load_is_hard_enough_to_tell_policies_apart(self) -> None:
         self.assertLess(on_time_share("by load"), 0.985)
 
+    def test_it_holds_while_a_third_changes_and_reports_are_old_or_lost(self) -> None:
+        """By load 0.978 to 0.980 are on time, by prediction 0.985 to 0.989."""
+        by_load = on_time_share("by load", break_a_third)
+        predicted = on_time_share("predicted", break_a_third)
+        self.assertGreaterEqual(predicted, 0.98)
+        self.assertGreater(predicted, by_load + 0.003)
+
 
 if __name__ == "__main__":
     unittest.main()
