--- /dev/null
+++ b/src/fescuedock/core/placement.py
@@ -0,0 +1,180 @@
+"""Chooses upstreams for an online request by the predicted first event, pauses and end.
+
+The prediction is made of what owners report of their upstreams' speed and queues.  Each part counts
+as far as its age lets it: a report is mostly a second old or older, as a node asks each owner
+rarely.
+
+Pure: the caller passes the time and the randomness.
+"""
+
+import random
+from collections.abc import Sequence
+from operator import itemgetter
+
+import msgspec
+
+from fescuedock.core.permits.speed import SLOWNESS_HALF_LIFE_MS
+from fescuedock.core.routing import (
+    Candidate,
+    Choice,
+    Demand,
+    PlacementPolicy,
+    RoutingPolicy,
+    choose_upstreams,
+    covering_upstream,
+    last_resort,
+    takes_a_batch_slot,
+)
+from fescuedock.schema.permits import LoadSnapshot
+
+__all__ = ["Typical", "choose_by_prediction", "is_worth_moving", "predict", "typical_of"]
+
+
+_RANK = itemgetter(0, 1, 2, 3)
+
+
+class Typical(msgspec.Struct, frozen=True):
+    """Means over the upstreams of a service whose speed is known.
+
+    Of ``wait_ms`` and ``fill``, the share of the slots that run online calls, it has the least that
+    is known: an upstream that nobody heard of lately is worth asking.
+    """
+
+    start_ms: float = 0.0
+    event_ms: float = 0.0
+    run_ms: float = 0.0
+    wait_ms: float = 0.0
+    fill: float = 0.0
+
+
+def typical_of(candidates: Sequence[Candidate], policy: PlacementPolicy) -> Typical | None:
+    """Return typical values, to which old reports add little; None without any report of speed."""
+    weights = start_ms = event_ms = run_ms = 0.0
+    least_wait_ms = least_fill = float("inf")
+    for item in candidates:
+        load = item.load
+        if load is not None:
+            least_wait_ms = min(least_wait_ms, load.wait_ms)
+            least_fill = min(least_fill, _fill(load))
+        speed = item.speed
+        if speed is None:
+            continue
+        weight = 0.5 ** (item.speed_age_ms / policy.speed_half_life_ms)
+        weights += weight
+        start_ms += weight * speed.start_ms
+        event_ms += weight * speed.event_ms
+        run_ms += weight * speed.run_ms
+    if not weights:
+        return None
+    if least_fill == float("inf"):
+        least_wait_ms = least_fill = 0.0
+    return Typical(
+        start_ms / weights, event_ms / weights, run_ms / weights, least_wait_ms, least_fill
+    )
+
+
+def _fill(load: LoadSnapshot) -> float:
+    return load.in_flight_online / (load.limit or 1)
+
+
+def predict(
+    item: Candidate, typical: Typical, prompt_tokens: int, policy: PlacementPolicy
+) -> tuple[float, float, float]:
+    """Return the times that an attempt which began now at an upstream would take.
+
+    They are those to the first event, between two events, and from the first event to the last, in
+    milliseconds.  A plain tuple, as a call predicts for each upstream of its service.
+    """
+    load = item.load
+    wait_ms = (typical.wait_ms if load is None else load.wait_ms) + 2 * item.latency_ms
+    speed = item.speed
+    if speed is None:
+        factor = policy.unheard_factor if load is None else policy.new_factor
+        start_ms = typical.start_ms * factor
+        return wait_ms + start_ms, typical.event_ms * factor, typical.run_ms * factor
+    age_ms = item.speed_age_ms
+    known = 0.5 ** (age_ms / policy.speed_half_life_ms)
+    other = 1.0 - known
+    start_ms = other * typical.start_ms + known * speed.start_ms
+    start_ms += prompt_tokens * speed.prompt_token_ms
+    event_ms = other * typical.event_ms + known * speed.event_ms
+    run_ms = other * typical.run_ms + known * speed.run_ms
+    if speed.slowness <= 1.0:
+        return wait_ms + start_ms, event_ms, run_ms
+    slowness = 1.0 + (speed.slowness - 1.0) * 0.5 ** (age_ms / SLOWNESS_HALF_LIFE_MS)
+    # The run outlasts the slow period.
+    slowed_ms = min(policy.slow_rest_ms, run_ms * slowness) * (1.0 - 1.0 / slowness)
+    return wait_ms + start_ms * slowness, event_ms * slowness, run_ms + slowed_ms
+
+
+def choose_by_prediction(
+    candidates: Sequence[Candidate],
+    demand: Demand,
+    token_ms: float,
+    policy: RoutingPolicy,
+    rng: random.Random,
+) -> list[Choice]:
+    """Return the candidates from the best to the worst, as ``choose_upstreams`` does.
+
+    First come upstreams with room at which the request would be on time; among them the order is
+    by the predicted first event and, less, the end.  The order of near equals is random, with those
+    of the caller's failure domain ahead.  Without any report of speed it is ``choose_upstreams``.
+    """
+    placing = policy.placing
+    typical = typical_of(candidates, placing)
+    if typical is None:
+        return choose_upstreams(candidates, demand, token_ms, policy, rng)
+    # ``target_ms`` leaves out the time that a first event usually takes.
+    target_ms = float("inf")
+    if demand.target_ms > 0:
+        target_ms = demand.target_ms * placing.reserve + typical.start_ms
+    pause_ms = demand.pause_ms or float("inf")
+    left_ms = demand.left_ms or float("inf")
+    covering = covering_upstream(candidates, demand, policy)
+    draw = rng.random
+    scored = []
+    for item in candidates:
+        load = item.load
+        covered = demand.prefix_tokens if item.upstream_id == covering else 0
+        prompt_tokens = max(demand.prompt_tokens - covered, 0)
+        first_ms, event_ms, run_ms = predict(item, typical, prompt_tokens, placing)
+        misses = (first_ms > target_ms) + (event_ms > pause_ms) + (first_ms + run_ms > left_ms)
+        cost_ms = first_ms + placing.run_share * run_ms
+        if not item.near:
+            cost_ms += placing.domain_ms
+        if not item.connected:
+            cost_ms += policy.connect_ms
+        has_room, accepting, queue_ms, fill = True, True, typical.wait_ms, typical.fill
+        if load is not None:
+            has_room = not load.queued_online and load.in_flight_online < load.limit
+            accepting = load.accepting
+            queue_ms = load.first_token_ms
+            fill = _fill(load)
+            if load.in_flight_batch and takes_a_batch_slot(item):
+                cost_ms += policy.evict_ms
+        cost_ms *= (1.0 + placing.fill_weight * fill) * (1.0 + placing.spread * draw())
+        choice = Choice(
+            item.upstream_id,
+            cost_ms,
+            queue_ms + 2 * item.latency_ms,
+            has_room,
+            accepting,
+            item.owner_silent,
+            first_ms,
+        )
+        scored.append((last_resort(item), not has_room, misses, cost_ms, choice))
+    scored.sort(key=_RANK)
+    return [entry[4] for entry in scored]
+
+
+def is_worth_moving(
+    load: LoadSnapshot, other: Choice, prompt_tokens: int, policy: PlacementPolicy
+) -> bool:
+    """Whether a call is better off at ``other`` than where it just got a permit.
+
+    ``load`` came with the permit, so that it tells of a slow period which was not known before.
+    """
+    if load.speed_age_ms < 0 or not other.start_ms or not other.has_room:
+        return False
+    start_ms = (load.start_ms + prompt_tokens * load.prompt_token_ms) * load.slowness
+    return start_ms > policy.move_factor * other.start_ms
--- a/src/fescuedock/entry/online_permits.py
+++ b/src/fescuedock/entry/online_permits.py
@@ -2,7 +2,7 @@
 
 import random
 from collections.abc import Collection, Iterable, Sequence
-from itertools import groupby
+from itertools import groupby, pairwise
 from typing import Protocol
 
 import msgspec
@@ -10,9 +10,10 @@
 from result import Err, Ok, Result
 
 from fescuedock.agent.link import FleetView
-from fescuedock.agent.permit_client import Grant, PermitClient
+from fescuedock.agent.permit_client import Grant, PermitClient, TimedLoad
 from fescuedock.clock import now_ms
 from fescuedock.core.admission import Admission
+from fescuedock.core.placement import is_worth_moving
 from fescuedock.core.quarantine import Standing, Verdict
 from fescuedock.core.rendezvous import rank_names
 from fescuedock.core.route_learning import AskTimeout, DomainLatency, PrefillModel, SilentOwners
@@ -26,7 +27,8 @@
     plan_asks,
 )
 from fescuedock.faults import Fault
-from fescuedock.schema.permits import LoadSnapshot, PermitAsk, WorkClass
+from fescuedock.log import log_event
+from fescuedock.schema.permits import PermitAsk, WorkClass
 from fescuedock.schema.result_codes import ResultCode
 from fescuedock.schema.view import UpstreamRecord
 
@@ -209,13 +211,35 @@
 
 
 def _choose(state: PermitSearch, call: OnlineCall, avoid: Collection[str]) -> list[Choice]:
+    own = state.view.vms.get(state.view.vm_id)
+    domain = own.failure_domain if own is not None else ""
+    at_ms = now_ms()
+    loads = state.permits.loads
     candidates = [
-        _candidate(state, item, avoided=item.upstream_id in avoid)
+        _candidate(
+            state, item, loads.get(item.upstream_id), domain, item.upstream_id in avoid, at_ms
+        )
         for item in state.view.upstreams_of(call.service)
         if _is_usable(state, item)
     ]
     token_ms = state.prefill(call.service).token_ms
-    return choose_upstreams(candidates, call.demand, token_ms, state.routing, state.rng)
+    rank = state.routing.rank
+    if rank is None:
+        return choose_upstreams(candidates, call.demand, token_ms, state.routing, state.rng)
+    return rank(candidates, _demand_now(call), token_ms, state.routing, state.rng)
+
+
+def _demand_now(call: OnlineCall) -> Demand:
+    """Return the call's demand with the times that are left to it."""
+    demand = call.demand
+    return Demand(
+        demand.prompt_tokens,
+        demand.prefix_tokens,
+        demand.prefix_hash,
+        call.target_left_ms(),
+        call.left_ms(),
+        demand.pause_ms,
+    )
 
 
 def _is_usable(state: PermitSearch, upstream: UpstreamRecord) -> bool:
@@ -229,20 +253,37 @@
     return upstream is None or not _is_usable(state, upstream)
 
 
-def _candidate(state: PermitSearch, upstream: UpstreamRecord, *, avoided: bool) -> Candidate:
+def _candidate(
+    state: PermitSearch,
+    upstream: UpstreamRecord,
+    timed: TimedLoad | None,
+    domain: str,
+    avoided: bool,
+    at_ms: float,
+) -> Candidate:
+    """Return what is known of an upstream by ``at_ms``; it is made for each one with each call."""
     owner = state.view.owner_of(upstream.upstream_id)
-    silent = owner is None or state.silent.is_silent(owner.vm_id, now_ms())
-    latency_ms = state.latency.one_way_ms(upstream.failure_domain)
-    load = _fresh_load(state, upstream)
-    connected = state.is_connected(upstream)
-    return Candidate(upstream.upstream_id, latency_ms, load, silent, avoided, connected)
-
-
-def _fresh_load(state: PermitSearch, upstream: UpstreamRecord) -> LoadSnapshot | None:
-    timed = state.permits.loads.get(upstream.upstream_id)
-    if timed is None or now_ms() - timed.at_ms > state.routing.stale_ms:
-        return None
-    return timed.load
+    load = speed = None
+    speed_age_ms = 0.0
+    if timed is not None:
+        age_ms = at_ms - timed.at_ms
+        latest = timed.load
+        if age_ms <= state.routing.stale_ms:
+            load = latest
+        if latest.start_ms and latest.event_ms:
+            speed = latest
+            speed_age_ms = age_ms + latest.speed_age_ms
+    return Candidate(
+        upstream.upstream_id,
+        state.latency.one_way_ms(upstream.failure_domain),
+        load,
+        owner is None or state.silent.is_silent(owner.vm_id, at_ms),
+        avoided,
+        state.is_connected(upstream),
+        speed,
+        speed_age_ms,
+        not domain or upstream.failure_domain == domain,
+    )
 
 
 def _check_deadline(
@@ -285,7 +326,7 @@
         if queues:
             answer = await _queue_at_several(state, call, list(asks), run_ms)
         else:
-            answer = await _ask_in_turn(state, call, asks, run_ms)
+            answer = await _ask_in_turn(state, call, list(asks), choices, run_ms)
         if isinstance(answer.result, Ok) or answer.again:
             return answer
         refusal = _kinder(refusal, answer.result.err_value)
@@ -299,14 +340,18 @@
 
 
 async def _ask_in_turn(
-    state: PermitSearch, call: OnlineCall, asks: Iterable[Ask], run_ms: float
+    state: PermitSearch,
+    call: OnlineCall,
+    asks: Sequence[Ask],
+    choices: Sequence[Choice],
+    run_ms: float,
 ) -> _Answer:
     """Ask for slots that are believed to be free, until one is granted."""
     refusal: Fault | None = None
-    for ask in asks:
+    for number, ask in enumerate(asks, start=1):
         granted = await _ask(state, call, ask, run_ms)
         if isinstance(granted, Ok):
-            return _Answer(granted)
+            return _Answer(await _better(state, call, granted, asks[number - 1 :], choices, run_ms))
         if granted.err_value.code in _SILENCE:
             return _Answer(granted, again=True)
         refusal = _kinder(refusal, granted.err_value)
@@ -315,6 +360,53 @@
     return _Answer(Err(refusal))
 
 
+def _should_move(
+    state: PermitSearch, call: OnlineCall, ask: Ask, other: Ask, choices: Sequence[Choice]
+) -> bool:
+    if state.routing.rank is None or ask.local or other.local:
+        return False
+    timed = state.permits.loads.get(ask.upstream_id)
+    choice = next(item for item in choices if item.upstream_id == other.upstream_id)
+    placing = state.routing.placing
+    return timed is not None and is_worth_moving(
+        timed.load, choice, call.demand.prompt_tokens, placing
+    )
+
+
+async def _better(
+    state: PermitSearch,
+    call: OnlineCall,
+    granted: Ok[Grant],
+    asks: Sequence[Ask],
+    choices: Sequence[Choice],
+    run_ms: float,
+) -> Ok[Grant]:
+    """Return ``granted``, of the first of ``asks``, or a permit of one that is much faster now.
+
+    A permit is held until there is another one.
+    """
+    for ask, other in pairwise(asks):
+        if not _should_move(state, call, ask, other, choices):
+            return granted
+        try:
+            moved = await _ask(state, call, other, run_ms)
+        except BaseException:
+            state.permits.give_back(granted.ok_value)
+            raise
+        if isinstance(moved, Err):
+            return granted
+        state.permits.give_back(granted.ok_value)
+        log_event(
+            "permit_moved",
+            routine=True,
+            request_id=call.request_id,
+            from_upstream_id=ask.upstream_id,
+            to_upstream_id=other.upstream_id,
+        )
+        granted = moved
+    return granted
+
+
 async def _queue_at_several(
     state: PermitSearch, call: OnlineCall, asks: Sequence[Ask], run_ms: float
 ) -> _Answer:
