--- a/src/fescuedock/core/permits/queue.py
+++ b/src/fescuedock/core/permits/queue.py
@@ -170,6 +170,10 @@
             accepting=self.accepting,
         )
 
+    def customers_kept(self) -> int:
+        """Return the number of customers and refused works of which anything is kept."""
+        return self._waiting.customers_kept() + len(self._held.by_member())
+
     def refuse_all(self, code: ResultCode) -> list[Action]:
         """Answer every waiting ask with ``code``: nothing can be granted here any more."""
         asks = [waiting.ask for waiting in self._waiting]
--- a/src/fescuedock/core/permits/waiting.py
+++ b/src/fescuedock/core/permits/waiting.py
@@ -114,6 +114,11 @@
             order.shares.forget(now_ms, running, anyone_waits=waits)
             order.refused.forget(now_ms)
 
+    def customers_kept(self) -> int:
+        """Return the number of customers and refused works of which anything is kept."""
+        orders = self._orders.values()
+        return sum(len(order.shares) + len(order.refused) for order in orders)
+
     def over_share(self, member: str, running: Callable[[str], int]) -> bool:
         """Whether ``member`` runs more than its share while another member waits."""
         members = {item.ask.member for item in self._by_attempt.values()} | {member}
--- a/tests/builders/load_player.py
+++ b/tests/builders/load_player.py
@@ -6,7 +6,7 @@
 
 import random
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field, replace
 from itertools import count
 from secrets import token_hex
@@ -84,6 +84,7 @@
     target_ms: float
     held_ms: float = 0.0
     refused: bool = False
+    member: str = ""
 
     @property
     def on_time(self) -> bool:
@@ -261,6 +262,8 @@
     slots: int
     running: Counter[str] = field(default_factory=Counter)
     most_running: int = 0
+    # Whether calls ask under their customer's name.
+    names_customers: bool = True
 
     @classmethod
     async def start(
@@ -335,17 +338,21 @@
         return int(self.times.target_ms - used_ms) or -1
 
 
-async def _run_call(fleet: PlayedFleet, node: PlayedNode, times: CallTimes) -> CallOutcome:
-    call = _Call(token_hex(8), times)
+async def _run_call(
+    fleet: PlayedFleet, node: PlayedNode, times: CallTimes, member: str
+) -> CallOutcome:
+    asking = member if fleet.names_customers else ""
+    call = _Call(token_hex(8), times, member=asking)
     granted: Result[Grant, Fault] | None = None
     with trio.move_on_after(times.patience_ms / 1000):
         granted = await find_permit(node.search, call)
     held_ms = now_ms() - call.arrived_ms
     if not isinstance(granted, Ok):
         refused = granted is not None
-        return CallOutcome(call.arrived_ms, -1.0, times.target_ms, held_ms, refused)
+        return CallOutcome(call.arrived_ms, -1.0, times.target_ms, held_ms, refused, member)
     first_ms = await _use(fleet, granted.ok_value, times)
-    return CallOutcome(call.arrived_ms, first_ms - call.arrived_ms, times.target_ms)
+    first_event_ms = first_ms - call.arrived_ms
+    return CallOutcome(call.arrived_ms, first_event_ms, times.target_ms, member=member)
 
 
 async def _use(fleet: PlayedFleet, grant: Grant, times: CallTimes) -> float:
@@ -367,23 +374,26 @@
     rates: Sequence[tuple[float, float]],
     rng: random.Random,
     times: CallTimes | None = None,
+    draw_member: Callable[[], str] = str,
 ) -> list[CallOutcome]:
     """Send calls at random times to random nodes and return what became of each.
 
-    ``rates`` are phases: their length in seconds and their calls a second.
+    ``rates`` are phases: their length in seconds and their calls a second.  ``draw_member`` gives
+    the customer of each call.
     """
     times = times or CallTimes()
     outcomes: list[CallOutcome] = []
 
-    async def send(node: PlayedNode, sent_times: CallTimes) -> None:
-        outcomes.append(await _run_call(fleet, node, sent_times))
+    async def send(node: PlayedNode, sent_times: CallTimes, member: str) -> None:
+        outcomes.append(await _run_call(fleet, node, sent_times, member))
 
     async with trio.open_nursery() as calls:
         for length_s, per_s in rates:
             end_s = trio.current_time() + length_s
             while trio.current_time() < end_s:
                 events = max(2, round(rng.gauss(times.events, times.events / 5)))
-                calls.start_soon(send, rng.choice(fleet.nodes), replace(times, events=events))
+                node = rng.choice(fleet.nodes)
+                calls.start_soon(send, node, replace(times, events=events), draw_member())
                 await trio.sleep(rng.expovariate(per_s))
     return outcomes
 
