Let customers take turns with their items at a node

Items asked under no name and ran by urgency alone, so hundreds of jobs of one customer that were due first kept another's waiting, and items that are cut off again and again came first each time.

A node orders them by priority, then by customers in turn, counting what runs; urgency orders a customer's own items. A permit granted from a customer's share runs that customer's items. Items that an upstream has failed stay last there. Jobs of one customer and priority keep the former order. Ruled out: lateness before the customers' turns, as a customer whose items are all late would never get a slot.

--- a/src/fescuedock/agent/permit_client.py
+++ b/src/fescuedock/agent/permit_client.py
@@ -83,6 +83,11 @@
     def work_class(self) -> WorkClass:
         return self._held.ask.work_class
 
+    @property
+    def member(self) -> str:
+        """Whose share it was granted from."""
+        return self._held.ask.member
+
     @property
     def work_id(self) -> str:
         """The identity of the work that runs under it; empty while none is chosen."""
--- a/src/fescuedock/core/stored_jobs/job.py
+++ b/src/fescuedock/core/stored_jobs/job.py
@@ -164,6 +164,10 @@
             run for run in self._open.values() if not run.running and run.not_before_ms <= now_ms
         ]
 
+    def running_count(self) -> int:
+        """Return how many items run now."""
+        return sum(run.running for run in self._open.values())
+
     def next_ready_ms(self, now_ms: float) -> float:
         """Return when the next item that pauses may start; infinite when none does."""
         pauses = [
--- a/src/fescuedock/core/stored_jobs/pool.py
+++ b/src/fescuedock/core/stored_jobs/pool.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Iterable
 
 from fescuedock.core.quarantine import Standing
+from fescuedock.core.stored_jobs.customer_turns import running_items, take_turns
 from fescuedock.core.stored_jobs.job import ItemEnd, ItemRun, StoredJob
 from fescuedock.core.stored_jobs.pace import Pace, RunEstimate
 from fescuedock.core.stored_jobs.urgency import ItemChoice, rank_items
@@ -19,6 +20,7 @@
     """Chooses among the items of ``jobs``; ``serves`` tells whether a service may run a job's.
 
     ``standing`` tells how a piece of work may run, ``all_free`` that nothing is known against any.
+    Customers take turns, and ``priority`` gives that of a job's items.
     """
 
     def __init__(
@@ -27,11 +29,13 @@
         serves: Callable[[StoredJobRecord, str], bool],
         standing: Callable[[str], Standing] = lambda _work_id: Standing.FREE,
         all_free: Callable[[], bool] = lambda: False,
+        priority: Callable[[StoredJobRecord], int] = lambda _record: 0,
     ) -> None:
         self._jobs = jobs
         self._serves = serves
         self._standing = standing
         self._all_free = all_free
+        self._priority = priority
         self._estimate = RunEstimate()
         self._pace = Pace()
 
@@ -51,28 +55,47 @@
         return min((job.next_ready_ms(now_ms) for job in self._jobs()), default=float("inf"))
 
     def choose(
-        self, upstream_id: str, service: str, now_ms: float, position: int = 0
+        self,
+        upstream_id: str,
+        service: str,
+        now_ms: float,
+        position: int = 0,
+        customer: str = "",
     ) -> ItemChoice | None:
         """Return the item to run next at an upstream, or one further back in the order.
 
-        None when no item could start there.
+        One of ``customer``, whose turn it is at the upstream, goes first; None when no item could
+        start there.
         """
-        jobs = [job for job in self._jobs() if self._serves(job.record, service)]
-        ranked = rank_items(jobs, upstream_id, self._estimate, self._pace, now_ms)
+        ranked = self._ranked(upstream_id, service, now_ms)
         choices = ranked
         if not self._all_free():
             choices = [item for item in ranked if self._stands(item.run, Standing.FREE)]
         if not choices:
             return None
+        if customer:
+            own = [
+                item
+                for item in choices
+                if item.job.record.customer == customer and upstream_id not in item.run.avoided
+            ]
+            choices = own or choices
         return choices[min(position, len(choices) - 1)]
 
     def choose_alone(self, service: str, now_ms: float) -> ItemChoice | None:
         """Return the most urgent item of those that may only run alone."""
-        jobs = [job for job in self._jobs() if self._serves(job.record, service)]
-        ranked = rank_items(jobs, "", self._estimate, self._pace, now_ms)
+        ranked = self._ranked("", service, now_ms)
         choices = (item for item in ranked if self._stands(item.run, Standing.ALONE))
         return next(choices, None)
 
+    def _ranked(self, upstream_id: str, service: str, now_ms: float) -> list[ItemChoice]:
+        jobs = [job for job in self._jobs() if self._serves(job.record, service)]
+        ranked = rank_items(jobs, upstream_id, self._estimate, self._pace, now_ms)
+        whose = {(job.record.customer, self._priority(job.record)) for job in jobs}
+        if len(whose) < 2:
+            return ranked
+        return take_turns(ranked, running_items(self._jobs()), self._priority, upstream_id)
+
     def _count_free(self, runs: list[ItemRun]) -> int:
         if self._all_free():
             return len(runs)
--- a/src/fescuedock/node/job_runner.py
+++ b/src/fescuedock/node/job_runner.py
@@ -126,6 +126,7 @@
             self._serves,
             lambda work_id: view.verdict_on(work_id).standing,
             lambda: view.quarantine.is_empty,
+            self._priority,
         )
         self._asker = ItemAsker(
             settings, view, permits, rng, self._waiting, self._choose, self._use, self._priority
@@ -483,13 +484,17 @@
         next_ms = self._pool.next_ready_ms(now_ms())
         return min(max(next_ms - now_ms(), 0.0) / 1000, _IDLE_WAIT_S)
 
-    def _choose(self, upstream: UpstreamRecord, position: int = 0) -> ItemChoice | None:
-        return self._pool.choose(upstream.upstream_id, upstream.service, now_ms(), position)
+    def _choose(
+        self, upstream: UpstreamRecord, position: int = 0, customer: str = ""
+    ) -> ItemChoice | None:
+        return self._pool.choose(
+            upstream.upstream_id, upstream.service, now_ms(), position, customer
+        )
 
     def _use(self, upstream_id: str, grant: Grant) -> None:
         """Run the most urgent item under ``grant``, or give it back when there is none any more."""
         upstream = self._view.upstreams.get(upstream_id)
-        choice = self._choose(upstream) if upstream is not None else None
+        choice = self._choose(upstream, customer=grant.member) if upstream is not None else None
         if choice is None:
             self._permits.give_back(grant)
             return
--- a/tests/test_stored_jobs_urgency.py
+++ b/tests/test_stored_jobs_urgency.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+from msgspec.structs import replace
+
 from fescuedock.core.permits.batch_order import batch_rank
 from fescuedock.core.stored_jobs.job import ItemEnd, StoredJob
 from fescuedock.core.stored_jobs.pace import Pace, RunEstimate
@@ -103,5 +105,62 @@
         self.assertIs(fresh.choose("i-1", "s", 40_000.0).stage, BatchStage.FRESH)
 
 
+class CustomersTest(unittest.TestCase):
+    """Jobs of two customers at one node; "big" has hundreds that are due first."""
+
+    def setUp(self) -> None:
+        self.jobs = [self.job("big", f"b{number}", 5000.0) for number in range(200)]
+        self.jobs += [self.job("small", f"s{number}", 9000.0) for number in range(3)]
+        self.urgent = ""
+        self.pool = ItemPool(
+            lambda: self.jobs,
+            lambda _record, _service: True,
+            priority=lambda record: int(record.customer != self.urgent) if self.urgent else 0,
+        )
+
+    def job(self, customer: str, name: str, due_ms: float) -> StoredJob:
+        record = replace(job_record(name), customer=customer)
+        return StoredJob(record, [stored_item(name)], [], due_ms, 60_000.0)
+
+    def start(self, count: int, customer: str = "") -> list[str]:
+        """Start items, and return whose they were."""
+        names = []
+        for _ in range(count):
+            choice = self.pool.choose("i-1", "s", 0.0, customer=customer)
+            self.pool.start(choice.run, 0.0)
+            names.append(choice.job.record.customer)
+        return names
+
+    def test_hundreds_of_jobs_do_not_keep_another_customers_items_waiting(self) -> None:
+        """By urgency alone the small customer's items came after all 200."""
+        self.assertEqual(self.start(6).count("small"), 3)
+
+    def test_items_that_never_end_count_as_running(self) -> None:
+        self.start(20, customer="big")
+        self.assertEqual(self.start(3), ["small"] * 3)
+
+    def test_a_permit_of_a_customers_share_runs_its_items(self) -> None:
+        self.assertEqual(self.start(4, customer="small"), ["small"] * 3 + ["big"])
+
+    def test_an_item_goes_back_to_an_upstream_that_failed_it_only_when_no_other_may_start(
+        self,
+    ) -> None:
+        for job in self.jobs[-3:]:
+            [run] = job.ready_items(0.0)
+            run.avoided.add("i-1")
+        self.assertEqual(self.start(3, customer="small"), ["big"] * 3)
+
+    def test_a_customers_items_keep_their_order(self) -> None:
+        self.jobs = [self.job("big", "later", 9000.0), self.job("big", "sooner", 5000.0)]
+        self.jobs.append(self.job("small", "s", 1000.0))
+        chosen = [self.pool.choose("i-1", "s", 0.0, customer="big") for _ in range(1)]
+        self.assertEqual(chosen[0].run.item.item_id, "sooner")
+
+    def test_a_change_of_priority_applies_to_jobs_that_wait(self) -> None:
+        self.assertIn("big", self.start(2))
+        self.urgent = "small"
+        self.assertEqual(self.start(2), ["small"] * 2)
+
+
 if __name__ == "__main__":
     unittest.main()
