--- a/tests/test_permits_shares.py
+++ b/tests/test_permits_shares.py
@@ -60,6 +60,15 @@
                 urgent = full.wait(work_class, priority=1)
                 self.assertEqual(full.next_granted(), urgent)
 
+    def test_the_more_urgent_goes_first_whoever_used_more(self) -> None:
+        """Within one customer the order of its own asks would hide a missing priority."""
+        for work_class in WorkClass:
+            with self.subTest(work_class=work_class):
+                full = FullUpstream("big", work_class)
+                full.wait(work_class, member="small", priority=1)
+                urgent = full.wait(work_class, member="big", priority=0)
+                self.assertEqual(full.next_granted(), urgent)
+
     def test_urgent_items_stay_behind_calls(self) -> None:
         full = FullUpstream()
         full.wait(WorkClass.BATCH, priority=0)
