--- a/src/fescuedock/entry/online_permits.py
+++ b/src/fescuedock/entry/online_permits.py
@@ -306,6 +306,7 @@
     """Ask the other upstreams that may have free slots; None when none of them grants.
 
     A customer above its share is refused by full owners at once, which says nothing of the others.
+    Each answer tells the load, so a node asks an upstream in vain once in ``stale_ms`` at most.
     """
     asked = {ask.upstream_id for ask in plan}
     rest = [
--- a/tests/test_permit_search.py
+++ b/tests/test_permit_search.py
@@ -4,6 +4,7 @@
 import unittest
 from dataclasses import dataclass, field
 
+from msgspec.structs import replace
 from result import Err, Ok
 
 from fescuedock.agent.link import FleetView
@@ -157,6 +158,43 @@
         self.assertTrue(silent)
 
 
+class OverShareTest(unittest.TestCase):
+    """Full owners refuse a customer above its share; another upstream may have free slots."""
+
+    def search(self, refusals: int, member: str) -> tuple[StubSearch, object]:
+        found = []
+
+        async def run() -> None:
+            state = StubSearch()
+            owner = VmRecord("node-2", "r", "d", "127.0.0.1", 1, VmState.ALIVE, agent_port=1)
+            owner.ready = [Program.AGENT]
+            [first] = state.view.upstreams.values()
+            records = [replace(first, upstream_id=f"u-{number}") for number in range(10)]
+            state.view.replace(2, [owner], records, 0.0)
+            state.permits = MovedPermits(ResultCode.MEMBER_OVER_SHARE, refusals)
+            found.append((state, await find_permit(state, StubCall(500, member=member))))
+
+        run_async(run)
+        return found[0]
+
+    def test_it_is_not_refused_while_an_upstream_may_have_room(self) -> None:
+        """The first such refusal ended the search, which left free slots unused."""
+        state, result = self.search(refusals=9, member="big")
+        self.assertTrue(result.is_ok())
+        self.assertIn(state.permits.asked[-1].upstream_id, state.view.upstreams)
+
+    def test_it_is_refused_with_that_code_when_all_of_them_refuse(self) -> None:
+        state, result = self.search(refusals=100, member="big")
+        self.assertIs(result.err_value.code, ResultCode.MEMBER_OVER_SHARE)
+        asked = {ask.upstream_id for ask in state.permits.asked}
+        # The first is known to be full.
+        self.assertEqual(asked | {UPSTREAM}, set(state.view.upstreams))
+
+    def test_without_customers_no_more_are_asked_than_planned(self) -> None:
+        state, _ = self.search(refusals=100, member="")
+        self.assertLessEqual(len(state.permits.asked), 5)
+
+
 class LongQueueTest(unittest.TestCase):
     """The queue of the only upstream is longer than the time that the call has left."""
 
