Refuse a customer's late call by its run time again, and not by the whole queue

The check of the deadline was left out for every call with a customer's name, which also took in calls of members without a target, and no longer saw that a run did not fit before the deadline. Only the wait predicted for the whole queue is left out now, and only for late calls.

--- a/src/fescuedock/entry/online_permits.py
+++ b/src/fescuedock/entry/online_permits.py
@@ -256,12 +256,14 @@
     A call that can still be on time goes ahead of the late ones in the owners' queues, so the
     length of the whole queue says nothing about it; its own wait for a slot decides.  With the
     check, calls with a short deadline were refused after 0.1 ms while slots came free all the
-    time: 0 of 87 were served where 775 of 1,296 others were.  Of a customer's call only the owners
-    know by its share how long it will wait.
+    time: 0 of 87 were served where 775 of 1,296 others were.  Of a customer's late call only the
+    owners know by its share how long it will wait.
     """
-    if call.target_left_ms() > 0 or call.member:
+    target_left_ms = call.target_left_ms()
+    if target_left_ms > 0:
         return Ok(None)
-    first_token_ms = min(item.queue_ms for item in choices)
+    by_share = bool(call.member) and target_left_ms < 0
+    first_token_ms = 0.0 if by_share else min(item.queue_ms for item in choices)
     start_left_ms = call.start_left_ms()
     if first_token_ms > start_left_ms:
         message = f"starts in about {first_token_ms:.0f} ms, of use for {start_left_ms:.0f} ms"
--- a/tests/test_permit_search.py
+++ b/tests/test_permit_search.py
@@ -198,7 +198,7 @@
 class LongQueueTest(unittest.TestCase):
     """The queue of the only upstream is longer than the time that the call has left."""
 
-    def search(self, target_ms: int, **times: float):
+    def search(self, target_ms: int, **times: object):
         results = []
 
         async def run() -> None:
@@ -213,6 +213,11 @@
     def test_a_call_whose_target_has_passed_is_refused(self) -> None:
         self.assertIs(self.search(-1).err_value.code, ResultCode.DEADLINE_CANNOT_BE_MET)
 
+    def test_a_customers_late_call_asks_as_the_queue_may_be_anothers(self) -> None:
+        self.assertTrue(self.search(-1, member="small").is_ok())
+        fault = self.search(-1, member="small", deadline_left_ms=-1.0).err_value
+        self.assertIs(fault.code, ResultCode.DEADLINE_CANNOT_BE_MET)
+
     def test_a_call_without_a_target_is_refused(self) -> None:
         self.assertIs(self.search(0).err_value.code, ResultCode.DEADLINE_CANNOT_BE_MET)
 
