--- a/src/fescuedock/node/job_runner.py
+++ b/src/fescuedock/node/job_runner.py
@@ -31,7 +31,7 @@
 from fescuedock.net.http_client import HttpClient, SendCheck
 from fescuedock.node.configuration import NodeConfiguration
 from fescuedock.node.item_asking import ItemAsker
-from fescuedock.node.item_isolation import LoneItems
+from fescuedock.node.item_isolation import LoneItem, LoneItems
 from fescuedock.node.item_run import KnownAtBegin, run_item
 from fescuedock.node.job_store import JobStore, LoadedJob, VersionedRecord, decode_record
 from fescuedock.node.replicas import Replicas
@@ -126,11 +126,12 @@
             self._serves,
             lambda work_id: view.verdict_on(work_id).standing,
             lambda: view.quarantine.is_empty,
+            self._priority,
         )
         self._asker = ItemAsker(
-            settings, view, permits, rng, self._waiting, self._choose, self._use
+            settings, view, permits, rng, self._waiting, self._choose, self._use, self._priority
         )
-        self._lone_items = LoneItems(view, permits, self._has_lone_item, self._use_alone)
+        self._lone_items = LoneItems(view, permits, self._lone_item, self._use_alone)
         # Whether jobs wait for news of their records.
         self._held = False
         self._nursery: trio.Nursery | None = None
@@ -483,13 +484,17 @@
         next_ms = self._pool.next_ready_ms(now_ms())
         return min(max(next_ms - now_ms(), 0.0) / 1000, _IDLE_WAIT_S)
 
-    def _choose(self, upstream: UpstreamRecord, position: int = 0) -> ItemChoice | None:
-        return self._pool.choose(upstream.upstream_id, upstream.service, now_ms(), position)
+    def _choose(
+        self, upstream: UpstreamRecord, position: int = 0, customer: str = ""
+    ) -> ItemChoice | None:
+        return self._pool.choose(
+            upstream.upstream_id, upstream.service, now_ms(), position, customer
+        )
 
     def _use(self, upstream_id: str, grant: Grant) -> None:
         """Run the most urgent item under ``grant``, or give it back when there is none any more."""
         upstream = self._view.upstreams.get(upstream_id)
-        choice = self._choose(upstream) if upstream is not None else None
+        choice = self._choose(upstream, customer=grant.member) if upstream is not None else None
         if choice is None:
             self._permits.give_back(grant)
             return
@@ -502,8 +507,17 @@
         job = self._jobs[choice.job.job_id]
         self._nursery.start_soon(partial(self._run_item, job, choice.run, upstream, grant))
 
-    def _has_lone_item(self, service: str) -> bool:
-        return self._pool.choose_alone(service, now_ms()) is not None
+    def _lone_item(self, service: str) -> LoneItem | None:
+        choice = self._pool.choose_alone(service, now_ms())
+        if choice is None:
+            return None
+        record = choice.job.record
+        return LoneItem(record.customer or "", self._priority(record))
+
+    def _priority(self, record: StoredJobRecord) -> int:
+        """Return the priority of a job's items by the version in force."""
+        routes = self._configuration.routes
+        return routes.priority_of(self._route_of(record), record.customer)
 
     def _use_alone(self, upstream: UpstreamRecord, grant: Grant) -> None:
         """Run the most urgent item that may only run alone, or give the permit back."""
--- a/tests/builders/load_player.py
+++ b/tests/builders/load_player.py
@@ -7,7 +7,7 @@
 
 import random
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field, replace
 from itertools import count
 from secrets import token_hex
@@ -61,6 +61,8 @@
 
 SERVICE = "desk-llm"
 _AGENT_PORT = 7720
+# Nodes of later groups have died: nobody calls them.
+_MOST_CALLED_GROUP = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,6 +96,7 @@
     crossed: bool = False
     # It was whole by its deadline, and no pause was too long.
     kept_up: bool = True
+    member: str = ""
 
     @property
     def on_time(self) -> bool:
@@ -141,6 +144,8 @@
 
         async def handle() -> None:
             await trio.sleep(self._hop_s)
+            if self._target.group != self._sender.group:
+                return
             replies.append(await self._target.handle(message, self._peer()))
             await trio.sleep(self._hop_s)
             answered.set()
@@ -154,7 +159,8 @@
     def push(self, message: msgspec.Struct) -> bool:
         async def handle() -> None:
             await trio.sleep(self._hop_s)
-            await self._target.handle(message, self._peer())
+            if self._target.group == self._sender.group:
+                await self._target.handle(message, self._peer())
 
         self._sender.nursery.start_soon(handle)
         return True
@@ -174,7 +180,8 @@
     def push(self, message: msgspec.Struct) -> bool:
         async def deliver() -> None:
             await trio.sleep(self.hop_s)
-            self.holder.permits.take_push(message)
+            if self.holder.group == self.owner.group:
+                self.holder.permits.take_push(message)
 
         self.owner.nursery.start_soon(deliver)
         return True
@@ -233,6 +240,8 @@
     ) -> None:
         self.domain = domain
         self.vm_id = f"vm-{number}"
+        # Nodes of different groups do not reach each other.
+        self.group = 0
         self.host = f"10.0.0.{number + 1}"
         self.nursery = nursery
         self.rng = random.Random(seed * 1000 + number)
@@ -290,6 +299,8 @@
     most_running: int = 0
     # None: all upstreams are as fast as ``CallTimes`` has it, at all times.
     speeds: PlayedSpeeds | None = None
+    # Whether calls ask under their customer's name.
+    names_customers: bool = True
 
     @classmethod
     async def start(
@@ -331,6 +342,24 @@
         await trio.sleep(2.0)
         return cls(played, slots)
 
+    async def isolate(self, groups: Sequence[Sequence[PlayedNode]], notice_s: float) -> None:
+        """Cut groups of nodes off from the others; views follow after ``notice_s``."""
+        for number, group in enumerate(groups, start=1):
+            for node in group:
+                node.group = number
+        await trio.sleep(notice_s)
+        for node in self.nodes:
+            reached = [other.record() for other in self.nodes if other.group == node.group]
+            upstreams = list(node.view.upstreams.values())
+            node.view.replace(node.view.version + 1, reached, upstreams, 0.0)
+
+    def lose_upstreams(self, count: int) -> None:
+        """Let ``count`` upstreams go, which every node sees at once."""
+        for node in self.nodes:
+            left = list(node.view.upstreams.values())[count:]
+            nodes = list(node.view.vms.values())
+            node.view.replace(node.view.version + 1, nodes, left, 0.0)
+
     def begin_run(self, upstream_id: str) -> None:
         self.running[upstream_id] += 1
         self.most_running = max(self.most_running, self.running[upstream_id])
@@ -363,6 +392,10 @@
     def crosses(self, node: PlayedNode, upstream_id: str) -> bool:
         return node.view.upstreams[upstream_id].failure_domain != node.domain
 
+    def callable_nodes(self) -> list[PlayedNode]:
+        """Return the nodes that clients still call: all but those that have died."""
+        return [node for node in self.nodes if node.group <= _MOST_CALLED_GROUP]
+
     @property
     def total_slots(self) -> int:
         return self.slots * len(self.nodes[0].view.upstreams)
@@ -378,10 +411,14 @@
     arrived_ms: float = field(default_factory=now_ms)
     service: str = SERVICE
     member: str = ""
+    priority: int = 0
     demand: Demand = field(default_factory=lambda: Demand(450, 0, ""))
     max_tokens: int = 0
     repeatable: bool = True
 
+    def urgency(self) -> tuple[int, int]:
+        return self.priority, int(now_ms() - self.arrived_ms)
+
     def left_ms(self) -> float:
         return self.arrived_ms + self.times.deadline_ms - now_ms()
 
@@ -394,15 +431,18 @@
         return int(self.times.target_ms - used_ms) or -1
 
 
-async def _run_call(fleet: PlayedFleet, node: PlayedNode, times: CallTimes) -> CallOutcome:
-    call = _Call(token_hex(8), times)
+async def _run_call(
+    fleet: PlayedFleet, node: PlayedNode, times: CallTimes, member: str
+) -> CallOutcome:
+    asking = member if fleet.names_customers else ""
+    call = _Call(token_hex(8), times, member=asking)
     granted: Result[Grant, Fault] | None = None
     with trio.move_on_after(times.patience_ms / 1000):
         granted = await find_permit(node.search, call)
     held_ms = now_ms() - call.arrived_ms
     if not isinstance(granted, Ok):
         refused = granted is not None
-        return CallOutcome(call.arrived_ms, -1.0, times.target_ms, held_ms, refused)
+        return CallOutcome(call.arrived_ms, -1.0, times.target_ms, held_ms, refused, member=member)
     grant = granted.ok_value
     first_ms, kept_up = await _use(fleet, grant, call)
     return CallOutcome(
@@ -412,6 +452,7 @@
         upstream_id=grant.upstream_id,
         crossed=fleet.crosses(node, grant.upstream_id),
         kept_up=kept_up,
+        member=member,
     )
 
 
@@ -444,23 +485,26 @@
     rates: Sequence[tuple[float, float]],
     rng: random.Random,
     times: CallTimes | None = None,
+    draw_member: Callable[[], str] = str,
 ) -> list[CallOutcome]:
     """Send calls at random times to random nodes and return what became of each.
 
-    ``rates`` are phases: their length in seconds and their calls a second.
+    ``rates`` are phases: their length in seconds and their calls a second.  ``draw_member`` gives
+    the customer of each call.
     """
     times = times or CallTimes()
     outcomes: list[CallOutcome] = []
 
-    async def send(node: PlayedNode, sent_times: CallTimes) -> None:
-        outcomes.append(await _run_call(fleet, node, sent_times))
+    async def send(node: PlayedNode, sent_times: CallTimes, member: str) -> None:
+        outcomes.append(await _run_call(fleet, node, sent_times, member))
 
     async with trio.open_nursery() as calls:
         for length_s, per_s in rates:
             end_s = trio.current_time() + length_s
             while trio.current_time() < end_s:
                 events = max(2, round(rng.gauss(times.events, times.events / 5)))
-                calls.start_soon(send, rng.choice(fleet.nodes), replace(times, events=events))
+                node = rng.choice(fleet.callable_nodes())
+                calls.start_soon(send, node, replace(times, events=events), draw_member())
                 await trio.sleep(rng.expovariate(per_s))
     return outcomes
 
