--- a/bench/queue_costs.py
+++ b/bench/queue_costs.py
@@ -1,7 +1,7 @@
 """What one upstream's queue costs per call: ``python -m bench.queue_costs``.
 
 The shipped queue is driven in virtual time at a full upstream of 8 slots.  Two cases stand for a
-deployment without customers, one without and one with asks that wait; the third has customers.
+deployment without customers, without and with asks that wait, and two for one with customers.
 """
 
 import statistics
@@ -22,6 +22,7 @@
     """Print the processor time of an ask, its grant and its end."""
     for name, waiting, customers in (
         ("nobody waits, no customers", 0, 0),
+        ("nobody waits, 12 customers", 0, CUSTOMERS),
         ("16 wait, no customers", 16, 0),
         ("16 wait, 12 customers", 16, CUSTOMERS),
     ):
--- a/src/fescuedock/core/permits/waiting.py
+++ b/src/fescuedock/core/permits/waiting.py
@@ -77,7 +77,7 @@
         ``running`` gives the attempts of a member that run now.
         """
         asks = [item for item in self._by_attempt.values() if item.ask.work_class is work_class]
-        if not self._shared:
+        if not self._shared or len(asks) < 2:
             asks.sort(key=lambda item: item.order(now_ms))
             return asks
         return self._orders[work_class].in_order(asks, self.shares, running, now_ms)
