--- a/tests/builders/load_player.py
+++ b/tests/builders/load_player.py
@@ -444,13 +444,15 @@
         refused = granted is not None
         return CallOutcome(call.arrived_ms, -1.0, times.target_ms, held_ms, refused, member=member)
     grant = granted.ok_value
+    # Its upstream may have gone by the end of the run.
+    crossed = fleet.crosses(node, grant.upstream_id)
     first_ms, kept_up = await _use(fleet, grant, call)
     return CallOutcome(
         call.arrived_ms,
         first_ms - call.arrived_ms,
         times.target_ms,
         upstream_id=grant.upstream_id,
-        crossed=fleet.crosses(node, grant.upstream_id),
+        crossed=crossed,
         kept_up=kept_up,
         member=member,
     )
