--- /dev/null
+++ b/src/fescuedock/core/permits/batch_start.py
@@ -0,0 +1,78 @@
+"""Which batch work may begin now, and which would only be cut off by the next rise of online.
+
+Work that is not urgent leaves free what online used a moment ago.  Where the next rise is forecast,
+it begins only if that takes no more runs than to begin when demand has fallen again.  Work that is
+urgent, or waits beside work that is short of time, may take any free slot: what is cut off resumes
+where it was, so a slot left empty costs more than a run.
+
+Pure: the caller passes the time.
+"""
+
+import math
+from collections import deque
+from collections.abc import Iterable
+
+from fescuedock.core.permits.demand_steps import DemandSteps
+from fescuedock.core.permits.waiting import Waiting
+from fescuedock.schema.permits import BatchStage
+
+__all__ = ["BatchStart", "is_short_of_time"]
+
+# How long online's use of a slot counts: between its calls while demand is low, and about the
+# length of a call while it is high.
+_LOW_HOLD_MS = 150.0
+_HIGH_HOLD_MS = 800.0
+# Work is urgent whose slack is below this many times its own length.
+_URGENT_SLACK_FACTOR = 2.4
+
+
+class BatchStart:
+    """What an owner knows of online's use of the ``slots`` of one upstream."""
+
+    __slots__ = ("_slots", "_steps", "_used")
+
+    def __init__(self, slots: int) -> None:
+        self._slots = slots
+        self._steps = DemandSteps(slots)
+        # The slots that online used, by the time since when, over the longest hold.
+        self._used: deque[tuple[float, int]] = deque()
+
+    def observe(self, online: int, now_ms: float) -> None:
+        """Take in that online uses ``online`` slots from now on."""
+        self._steps.observe(online, now_ms)
+        if not self._used or self._used[-1][1] != online:
+            self._used.append((now_ms, online))
+        # The first entry tells what was used at the begin of the hold.
+        while len(self._used) > 1 and self._used[1][0] <= now_ms - _HIGH_HOLD_MS:
+            self._used.popleft()
+
+    def may_begin(self, waiting: Waiting, batch: int, now_ms: float) -> bool:
+        """Whether ``waiting``, which is not short of time, may begin beside ``batch`` others."""
+        left_ms = waiting.ask.left_ms
+        if waiting.due_ms - now_ms < _URGENT_SLACK_FACTOR * left_ms:
+            return True
+        is_high = self._steps.is_high(now_ms)
+        held = self._peak(_HIGH_HOLD_MS if is_high else _LOW_HOLD_MS, now_ms)
+        if batch + held >= self._slots:
+            return False
+        to_rise_ms = self._steps.to_rise_ms(now_ms)
+        if is_high or to_rise_ms is None or not left_ms or not self._steps.low_ms:
+            return True
+        cuts_later = math.ceil(left_ms / self._steps.low_ms) - 1
+        cuts_now = math.ceil((left_ms - to_rise_ms) / self._steps.low_ms)
+        return cuts_now <= cuts_later
+
+    def _peak(self, hold_ms: float, now_ms: float) -> int:
+        """Return the most slots that online used within ``hold_ms``."""
+        peak = 0
+        for since_ms, online in reversed(self._used):
+            peak = max(peak, online)
+            if since_ms <= now_ms - hold_ms:
+                break
+        return peak
+
+
+def is_short_of_time(asks: Iterable[Waiting]) -> bool:
+    """Whether any of these batch asks may miss the time when it is due."""
+    on_time = (BatchStage.FRESH, BatchStage.BEGUN)
+    return any(waiting.ask.stage not in on_time for waiting in asks)
--- a/tests/builders/load_player.py
+++ b/tests/builders/load_player.py
@@ -57,6 +57,7 @@
 
 SERVICE = "desk-llm"
 _AGENT_PORT = 7720
+_IDLE_SAMPLE_S = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -261,6 +262,10 @@
     slots: int
     running: Counter[str] = field(default_factory=Counter)
     most_running: int = 0
+    cut_runs: int = 0
+    # Slot-seconds that were free, and those of them in which an item waited; both while jobs come.
+    idle_slot_s: float = 0.0
+    wasted_slot_s: float = 0.0
 
     @classmethod
     async def start(
@@ -423,6 +428,9 @@
     def _waiting(self) -> Counter[str]:
         return self._pool.waiting([SERVICE], now_ms())
 
+    def waiting_items(self) -> int:
+        return self._waiting()[SERVICE]
+
     def _choose(self, upstream: UpstreamRecord, position: int = 0) -> ItemChoice | None:
         return self._pool.choose(upstream.upstream_id, SERVICE, now_ms(), position)
 
@@ -446,6 +454,7 @@
                 run.last_event += 1
                 grant.count_tokens()
         self._fleet.end_run(grant.upstream_id)
+        self._fleet.cut_runs += run.last_event + 1 < length
         end = ItemEnd.INTERRUPTED if run.last_event + 1 < length else ItemEnd.WHOLE
         outcome = AttemptOutcome.REVOKED if end is ItemEnd.INTERRUPTED else AttemptOutcome.COMPLETED
         grant.end(EndedPermit(grant.permit_id, grant.upstream_id, outcome, grant.work_class))
@@ -457,6 +466,16 @@
         self._asker.wake()
 
 
+async def _watch_idle(fleet: PlayedFleet, runners: list[_Runner], end_s: float) -> None:
+    """Add up the free slots until ``end_s``, seen every ``_IDLE_SAMPLE_S``."""
+    while trio.current_time() < end_s:
+        idle = max(fleet.total_slots - fleet.running.total(), 0)
+        waiting = sum(runner.waiting_items() for runner in runners)
+        fleet.idle_slot_s += idle * _IDLE_SAMPLE_S
+        fleet.wasted_slot_s += min(idle, waiting) * _IDLE_SAMPLE_S
+        await trio.sleep(_IDLE_SAMPLE_S)
+
+
 async def play_jobs(
     fleet: PlayedFleet, load: BatchLoad, rng: random.Random, rest_s: float = 60.0
 ) -> list[ItemOutcome]:
@@ -465,6 +484,7 @@
     for runner in runners:
         fleet.nodes[0].nursery.start_soon(runner.run)
     end_s = trio.current_time() + load.length_s
+    fleet.nodes[0].nursery.start_soon(_watch_idle, fleet, runners, end_s)
     numbers = count()
     while trio.current_time() < end_s:
         rng.choice(runners).add_job(next(numbers), rng)
