Hold batch back only where the next rise of online is forecast

Change: without a forecast all begins as before, and work is urgent from 2.8 times its length on.

Ruled out: 2.4 times the length cuts less (1,475 runs for 1,617), with 664 items on time for 666.

--- a/src/fescuedock/core/permits/batch_start.py
+++ b/src/fescuedock/core/permits/batch_start.py
@@ -1,7 +1,8 @@
 """Which batch work may begin now, and which would only be cut off by the next rise of online.
 
-Work that is not urgent leaves free what online used a moment ago.  Where the next rise is forecast,
-it begins only if that takes no more runs than to begin when demand has fallen again.  Work that is
+Nothing is held back unless the next rise is forecast: without a rhythm that would cost 2 in 100
+items their time.  With one, work that is not urgent leaves free what online used a moment ago, and
+begins only if that takes no more runs than to begin when demand has fallen again.  Work that is
 urgent may take any free slot, and so may all work while some was short of time lately: what is cut
 off resumes where it was, so a slot left empty then costs more than a run.
 
@@ -22,8 +23,9 @@
 # length of a call while it is high.
 _LOW_HOLD_MS = 150.0
 _HIGH_HOLD_MS = 800.0
-# Work is urgent whose slack is below this many times its own length.
-_URGENT_SLACK_FACTOR = 2.4
+# Work is urgent whose slack is below this many times its own length.  With 2.4 it was cut off less
+# (1,475 instead of 1,617 for 670 results), but 664 instead of 666 were on time, of 667 unheld.
+_URGENT_SLACK_FACTOR = 2.8
 _ON_TIME = (BatchStage.FRESH, BatchStage.BEGUN)
 # How long every free slot is used after batch was short of time.  Judged by each moment alone,
 # 1,045 items instead of 1,070 were on time where more came than fit.
@@ -62,12 +64,14 @@
         left_ms = waiting.ask.left_ms
         if waiting.due_ms - now_ms < _URGENT_SLACK_FACTOR * left_ms:
             return True
+        to_rise_ms = self._steps.to_rise_ms(now_ms)
+        if to_rise_ms is None:
+            return True
         is_high = self._steps.is_high(now_ms)
         held = self._peak(_HIGH_HOLD_MS if is_high else _LOW_HOLD_MS, now_ms)
         if batch + held >= self._slots:
             return False
-        to_rise_ms = self._steps.to_rise_ms(now_ms)
-        if is_high or to_rise_ms is None or not left_ms or not self._steps.low_ms:
+        if is_high or not left_ms or not self._steps.low_ms:
             return True
         cuts_later = math.ceil(left_ms / self._steps.low_ms) - 1
         cuts_now = math.ceil((left_ms - to_rise_ms) / self._steps.low_ms)
