--- a/src/fescuedock/core/permits/queue.py
+++ b/src/fescuedock/core/permits/queue.py
@@ -9,7 +9,6 @@
 from collections import OrderedDict
 
 from fescuedock.core.permits.actions import Action, Granted, Refused, Revoked
-from fescuedock.core.permits.batch_start import BatchStart
 from fescuedock.core.permits.evidence import UpstreamEvidence
 from fescuedock.core.permits.held import Held, HeldPermits
 from fescuedock.core.permits.terms import UpstreamTerms
@@ -57,7 +56,6 @@
         self._peak_ms = -float("inf")
         self._ticked_ms = now_ms
         self._held = HeldPermits()
-        self._batch_start = BatchStart(terms.slots)
         self._waiting = WaitingAsks(terms.shares)
         self._ended: OrderedDict[str, float] = OrderedDict()
         self._evidence = UpstreamEvidence(settings, terms.objectives, self._held, now_ms)
@@ -70,8 +68,6 @@
 
     def set_terms(self, terms: UpstreamTerms, now_ms: float) -> list[Action]:
         """Take in changed terms; asks that can no longer be granted are refused."""
-        if terms.slots != self._terms.slots:
-            self._batch_start = BatchStart(terms.slots)
         self._terms = terms
         self._waiting.shares = terms.shares
         self._limits.objectives = terms.objectives
@@ -183,9 +179,7 @@
         if self._is_reserved:
             return self._serve_alone(now_ms)
         actions = self._serve_online(now_ms)
-        if self._terms.slots:
-            self._batch_start.observe(self._held.online, now_ms)
-        elif actions:
+        if actions and not self._terms.slots:
             actions += self._clear_prefill(now_ms)
         actions += self._give_way(now_ms)
         actions += self._serve_batch(now_ms)
@@ -285,12 +279,8 @@
         if not self._waiting.count(WorkClass.BATCH):
             return []
         actions: list[Action] = []
-        asks = self._waiting.in_order(WorkClass.BATCH, self._held.count_of, now_ms)
-        begins_anyway = not self._terms.slots or self._batch_start.is_short(asks, now_ms)
-        for waiting in asks:
-            if self._batch_room(now_ms) and (
-                begins_anyway or self._batch_start.may_begin(waiting, self._held.batch, now_ms)
-            ):
+        for waiting in self._waiting.in_order(WorkClass.BATCH, self._held.count_of, now_ms):
+            if self._batch_room(now_ms):
                 self._waiting.remove(waiting.ask.attempt_id)
                 actions.append(self._grant(waiting.ask, now_ms))
                 self._pace_batch(waiting.ask, now_ms)
