--- a/src/fescuedock/core/quotas.py
+++ b/src/fescuedock/core/quotas.py
@@ -22,7 +22,7 @@
 from fescuedock.core.rendezvous import rank_names
 from fescuedock.core.token_bucket import Bucket, BucketTerms
 
-__all__ = ["LocalAllowance", "QuotaOwner", "QuotaPolicy", "QuotaRoute"]
+__all__ = ["LocalAllowance", "QuotaOwner", "QuotaPolicy", "QuotaRoute", "quota_key"]
 
 # Owners that are asked for one call: the first and one that stands in for it.
 _ASKED = 2
@@ -31,6 +31,11 @@
 _ALLOWED_SHARE = 0.5
 
 
+def quota_key(customer: str) -> str:
+    """Return the key by which nodes rank for a customer."""
+    return _QUOTA_KEY + customer
+
+
 class QuotaPolicy(msgspec.Struct, frozen=True):
     """``slack_calls`` may run beyond a limit in one window.
 
@@ -97,7 +102,7 @@
         if names != self._names:
             self._names, self._ranked = frozenset(names), {}
         if customer not in self._ranked:
-            self._ranked[customer] = tuple(rank_names(_QUOTA_KEY + customer, names)[:_ASKED])
+            self._ranked[customer] = tuple(rank_names(quota_key(customer), names)[:_ASKED])
         return self._ranked[customer]
 
 
--- /dev/null
+++ b/tests/builders/quota_fleet.py
@@ -0,0 +1,274 @@
+"""A fleet that keeps limits of customers, without processes: decisions, views, losses and sends.
+
+Nodes are in groups that cannot reach each other, and die and come back with nothing remembered.
+Each notices a loss after ``NOTICED_MS`` and a return after ``RETURNED_MS``.  Time only goes on.
+"""
+
+import heapq
+import random
+from bisect import bisect_right
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from fescuedock.core.customers import Customer
+from fescuedock.core.quota_windows import (
+    CLOCKS_DIFFER_MS,
+    Leadership,
+    NodeParts,
+    Outcome,
+    Records,
+    Roster,
+    WindowOwner,
+    WindowPolicy,
+)
+from fescuedock.core.quotas import LocalAllowance, QuotaOwner, QuotaPolicy, QuotaRoute
+
+__all__ = ["Admission", "BucketFleet", "Change", "World", "WindowFleet", "fullest_ms"]
+
+NOTICED_MS = (1000.0, 2000.0)
+RETURNED_MS = (20.0, 300.0)
+# How old the records that a node knows may be: a held watch and the pause after it.
+RECORDS_AGE_MS = 1200.0
+# The least time between two lives of a node.
+_DOWN_MS = 1000.0
+
+
+class Change(msgspec.Struct, frozen=True):
+    """At ``at_ms`` nodes get into ``groups`` (by node; all others into group 0), or die.
+
+    Those in ``down`` are dead until a change that does not name them; ``cut_from_store`` cannot
+    reach the key-value service.
+    """
+
+    at_ms: float
+    groups: dict[int, int] = {}
+    down: frozenset[int] = frozenset()
+    cut_from_store: frozenset[int] = frozenset()
+
+
+class World:
+    """Who is up, reaches whom, and sees whom."""
+
+    def __init__(self, size: int, changes: Iterable[Change], rng: random.Random) -> None:
+        self.names = [f"node-{number}" for number in range(size)]
+        self.rng = rng
+        self.now = Change(0.0)
+        self.started_ms = [float("-inf")] * size
+        # What each node sees; replaced at once, so that identities tell of a change.
+        self.views = [frozenset(self.names) for _ in range(size)]
+        self.on_view: Callable[[int, float], None] = lambda node, now_ms: None
+        self.on_start: Callable[[int, float], None] = lambda node, now_ms: None
+        self._events: list[tuple[float, int, object]] = []
+        self._count = 0
+        for change in sorted(changes, key=lambda change: change.at_ms):
+            self._push(change.at_ms, change)
+
+    def _push(self, at_ms: float, event: object) -> None:
+        self._count += 1
+        heapq.heappush(self._events, (at_ms, self._count, event))
+
+    def advance(self, now_ms: float) -> None:
+        """Let everything up to ``now_ms`` happen."""
+        while self._events and self._events[0][0] <= now_ms:
+            at_ms, _, event = heapq.heappop(self._events)
+            if isinstance(event, Change):
+                self._change(event)
+            else:
+                self._see(at_ms, *event)
+
+    def is_up(self, node: int) -> bool:
+        return node not in self.now.down
+
+    def reaches(self, node: int, other: int) -> bool:
+        groups = self.now.groups
+        both_up = self.is_up(node) and self.is_up(other)
+        return both_up and groups.get(node, 0) == groups.get(other, 0)
+
+    def reaches_store(self, node: int) -> bool:
+        return node not in self.now.cut_from_store
+
+    def _change(self, change: Change) -> None:
+        before, self.now = self.now, change
+        for node in before.down - change.down:
+            self.started_ms[node] = change.at_ms
+            self.views[node] = frozenset([self.names[node]])
+            self.on_start(node, change.at_ms)
+        size = len(self.names)
+        for node in range(size):
+            for other in range(size):
+                low_ms, high_ms = RETURNED_MS if self.reaches(node, other) else NOTICED_MS
+                due_ms = change.at_ms + self.rng.uniform(low_ms, high_ms)
+                is_seen = self.names[other] in self.views[node]
+                if node != other and is_seen != self.reaches(node, other):
+                    self._push(due_ms, (node, other, change))
+
+    def _see(self, at_ms: float, node: int, other: int, change: Change) -> None:
+        # A later change that left this pair as it was does not put off its being noticed.
+        del change
+        if not self.is_up(node):
+            return
+        name, reached = self.names[other], self.reaches(node, other)
+        if reached != (name in self.views[node]):
+            view = self.views[node]
+            self.views[node] = view | {name} if reached else view - {name}
+            self.on_view(node, at_ms)
+
+
+class Admission(msgspec.Struct, frozen=True):
+    """What became of a call, and the messages that it took."""
+
+    admitted: bool
+    messages: int
+
+
+class BucketFleet:
+    """A token bucket at the owner, another one at its stand-in, and allowances (no window set)."""
+
+    def __init__(self, world: World) -> None:
+        self._world = world
+        self._route = QuotaRoute()
+        size = len(world.names)
+        self._owners = [QuotaOwner(QuotaPolicy()) for _ in range(size)]
+        self._allowances = [LocalAllowance() for _ in range(size)]
+        world.on_start = self._start
+
+    def _start(self, node: int, _now_ms: float) -> None:
+        self._owners[node] = QuotaOwner(QuotaPolicy())
+        self._allowances[node] = LocalAllowance()
+
+    def admit(
+        self, customer: Customer, node: int, now_ms: float, waited_ms: float = 0.0
+    ) -> Admission:
+        world, messages = self._world, 0
+        size = len(world.names)
+        for rank, name in enumerate(self._route.owners(customer.name, world.views[node])):
+            other = world.names.index(name)
+            messages += 2 * (other != node)
+            if other != node and not world.reaches(node, other):
+                continue
+            owner = self._owners[other]
+            if owner.may_grant(len(world.views[other]) / size):
+                wait_ms = owner.ask(customer, now_ms, stands_in=rank > 0)
+                return Admission(wait_ms is None, messages)
+        return Admission(self._allowances[node].take(customer, size, now_ms), messages)
+
+
+class _Node(msgspec.Struct):
+    leadership: Leadership
+    owner: WindowOwner
+    parts: NodeParts
+
+
+class WindowFleet:
+    """The decisions of ``core.quota_windows``, with records that any node that lives may write."""
+
+    def __init__(
+        self, world: World, policy: WindowPolicy | None = None, *, with_records: bool = True
+    ) -> None:
+        self._world = world
+        self.policy = policy or WindowPolicy()
+        self._with_records = with_records
+        self._route = QuotaRoute()
+        # By customer: when each record was written, and until when it counts.
+        self._records: dict[str, list[tuple[float, float]]] = {}
+        self.store_calls = 0
+        self._known_ms = [0.0] * len(world.names)
+        self._rosters = [Roster(name) for name in world.names]
+        for roster in self._rosters:
+            roster.note(world.names, 0.0)
+        self._nodes = [self._new_node(node, -1e6) for node in range(len(world.names))]
+        for node in range(len(world.names)):
+            self._view(node, -1e6)
+        world.on_view, world.on_start = self._view, self._start
+
+    def owner_of(self, customer: str) -> str:
+        """Return the first in rank of all nodes."""
+        return self._route.owners(customer, self._world.names)[0]
+
+    def _new_node(self, node: int, now_ms: float) -> _Node:
+        return _Node(
+            Leadership(self._world.names[node]),
+            WindowOwner(self.policy),
+            NodeParts(self.policy, now_ms),
+        )
+
+    def _start(self, node: int, now_ms: float) -> None:
+        self._nodes[node] = self._new_node(node, now_ms)
+        self._known_ms[node] = float("-inf")
+        self._view(node, now_ms)
+
+    def _view(self, node: int, now_ms: float) -> None:
+        world = self._world
+        self._nodes[node].leadership.note(world.views[node], len(world.names), now_ms)
+
+    def admit(
+        self, customer: Customer, node: int, now_ms: float, waited_ms: float = 0.0
+    ) -> Admission:
+        """Ask as ``node`` does; ``waited_ms`` is since a grant that has not been used."""
+        world, messages = self._world, 0
+        for name in self._route.owners(customer.name, world.views[node]):
+            other = world.names.index(name)
+            messages += 2 * (other != node)
+            if other != node and not world.reaches(node, other):
+                continue
+            outcome = self._ask(customer, other, now_ms, waited_ms)
+            if outcome is not Outcome.UNSETTLED:
+                return Admission(outcome is Outcome.GRANTED, messages)
+        return Admission(self._take_part(customer, node, now_ms), messages)
+
+    def _take_part(self, customer: Customer, node: int, now_ms: float) -> bool:
+        roster = self._rosters[node]
+        parts = self._nodes[node].parts
+        return parts.take(customer, roster.rank(customer.name), roster.size, now_ms)
+
+    def _ask(self, customer: Customer, node: int, now_ms: float, waited_ms: float) -> Outcome:
+        owner, name = self._nodes[node].owner, customer.name
+        since_ms = self._nodes[node].leadership.since_ms(name)
+        answer = owner.ask(
+            customer,
+            since_ms,
+            self._known_records(name, node, now_ms),
+            now_ms,
+            restarted=self._has_restarted(node, now_ms),
+            waited_ms=waited_ms,
+        )
+        due = self._with_records and owner.record_due(name, now_ms)
+        if due and self._world.reaches_store(node):
+            self.store_calls += 2
+            until_ms = owner.used_until_ms(now_ms)
+            self._records.setdefault(name, []).append((now_ms, until_ms))
+            owner.note_record(name, since_ms, now_ms)
+        if answer.outcome is Outcome.UNSETTLED and self._take_part(customer, node, now_ms):
+            return Outcome.GRANTED
+        return answer.outcome
+
+    def _known_records(self, name: str, node: int, now_ms: float) -> Records:
+        if self._world.reaches_store(node):
+            started_ms = self._world.started_ms[node]
+            self._known_ms[node] = max(now_ms - RECORDS_AGE_MS, min(started_ms + 50.0, now_ms))
+        as_of_ms = self._known_ms[node]
+        known = [until for at, until in self._records.get(name, ()) if at <= as_of_ms]
+        return Records(as_of_ms, max(known, default=float("-inf")) + CLOCKS_DIFFER_MS)
+
+    def _has_restarted(self, node: int, now_ms: float) -> bool:
+        world = self._world
+        since_ms = now_ms - self.policy.restart_ms
+        names = world.views[node]
+        young = sum(
+            started_ms >= since_ms and name in names
+            for name, started_ms in zip(world.names, world.started_ms, strict=True)
+        )
+        return 2 * young > len(world.names)
+
+
+def fullest_ms(times_ms: list[float], window_ms: float) -> tuple[int, float]:
+    """Return the most of any window that is open at its end, and where it begins."""
+    times_ms = sorted(times_ms)
+    return max(
+        (
+            (bisect_right(times_ms, first_ms + window_ms - 1e-6) - position, first_ms)
+            for position, first_ms in enumerate(times_ms)
+        ),
+        default=(0, 0.0),
+    )
