Keep customers' limits by a sliding window on nodes whose settings name one

Cause: a call within the limit as customers count it was refused by the owner's token bucket, and nothing bounded the sum over nodes that cannot reach each other.

A leader now also has to hear of some other nodes: membership never tells a node that is cut off alone that it is (it leaves the judgement to the others). Without the setting the token buckets of before apply.

--- a/src/fescuedock/core/quota_windows.py
+++ b/src/fescuedock/core/quota_windows.py
@@ -8,6 +8,10 @@
   half of the fleet.  L + 0.2 E by its own log, and of these rate x window + burst + 0.2 E by a
   token bucket unless a record covers the rest.  The bucket begins empty, so those of leaders that
   follow each other add up to one of them.
+- A leader that hears of few other nodes may be cut off with them.  Membership leaves that to others
+  and need not tell it, so what it may grant falls to none with the number of nodes that it has
+  heard of within ``heard_ms``, from as many as membership can judge with (8, or a quarter of a
+  small fleet) downwards.
 - A new leader grants nothing as such for ``settle_ms``, in which one that was cut off notices.  It
   grants nothing either while a record says that the window may be used up.  Any number of leaders
   in a row grant no more than one.
@@ -20,16 +24,18 @@
 - 0.15 E are for nodes that disagree on who is registered, and for what leaders start with after a
   restart of most of the fleet.
 
-This rests on: a node that is cut off from half of the fleet or more ceases to see it within
-``settle_ms`` after the other side has (membership notices in 1 to 2 s); clocks of machines differ
+This rests on: a node that is cut off from half of the fleet or more, beside more nodes than those
+few, ceases to see it within ``settle_ms`` after the other side has (membership notices in 1 to
+2 s); clocks of machines differ
 by at most ``CLOCKS_DIFFER_MS``; after its grant a call is sent within ``unsent_ms`` or asks again.
 
 Pure: the caller passes the time, by a clock that counts suspensions.
 """
 
 import enum
-from collections import deque
-from collections.abc import Collection
+from collections import OrderedDict, deque
+from collections.abc import Collection, Hashable
+from itertools import islice
 
 import msgspec
 
@@ -41,6 +47,7 @@
 __all__ = [
     "CLOCKS_DIFFER_MS",
     "Answer",
+    "Contacts",
     "Leadership",
     "NodeParts",
     "Outcome",
@@ -48,10 +55,15 @@
     "Roster",
     "WindowOwner",
     "WindowPolicy",
+    "needed_contacts",
 ]
 
 # Nodes keep their clocks by NTP, within some 10 ms; a record counts this much longer.
 CLOCKS_DIFFER_MS = 500.0
+# Membership removes a node on the evidence of two others of two failure domains; among so many that
+# are cut off together there are such.
+_CONTACTS = 8
+_CONTACTS_OF_FLEET = 4
 # The first of all nodes by rank, which have larger parts.
 _PAIR = 2
 # Below one whole call more, so that rounding never makes it one.
@@ -79,6 +91,7 @@
     # After a restart the leader starts with one call and this time of the rate.  No call ran for
     # the second or more that the fleet was down.
     restart_rate_s: float = 0.25
+    heard_ms: float = 2000.0
     longest_wait_ms: float = 2000.0
 
     @property
@@ -104,6 +117,11 @@
         start = 1.0 + self.restart_rate_s * customer.rate_per_s if restarted else 0.0
         return BucketTerms(customer.rate_per_s, size, min(start, size))
 
+    def heard_share(self, heard: int, fleet_size: int) -> float:
+        """Return what a leader may grant of its calls that has heard of ``heard`` other nodes."""
+        needed = needed_contacts(fleet_size)
+        return min(heard / needed, 1.0) if needed else 1.0
+
     def part_calls(self, customer: Customer, rank: int, fleet_size: int) -> int:
         """Return the calls of one span that a node may serve by itself."""
         spare = self.spare_calls(customer)
@@ -118,11 +136,41 @@
         return BucketTerms((calls - size + _ALMOST_ONE) * 1000 / self.span_ms, size, 0.0)
 
 
+def needed_contacts(fleet_size: int) -> int:
+    """Return how many other nodes a leader has to hear of."""
+    return max(min(_CONTACTS, fleet_size // _CONTACTS_OF_FLEET), min(fleet_size - 1, 1))
+
+
+class Contacts(msgspec.Struct):
+    """Which other nodes this one has heard of, the latest last."""
+
+    _heard_ms: OrderedDict[Hashable, float] = msgspec.field(default_factory=OrderedDict)
+
+    def note(self, node: Hashable, now_ms: float) -> None:
+        """Take an ask or an answer of another node."""
+        self._heard_ms[node] = now_ms
+        self._heard_ms.move_to_end(node)
+
+    def count(self, since_ms: float) -> int:
+        """Return how many were heard of since then, as far as a leader needs them."""
+        latest = islice(reversed(self._heard_ms.values()), _CONTACTS)
+        return sum(heard_ms >= since_ms for heard_ms in latest)
+
+    def keep(self, since_ms: float) -> None:
+        """Forget those that have not been heard of since then."""
+        while self._heard_ms and next(iter(self._heard_ms.values())) < since_ms:
+            self._heard_ms.popitem(last=False)
+
+
 class Outcome(enum.Enum):
-    """Answers to an ask; ``UNSETTLED`` is that of a node that cannot speak for the fleet now."""
+    """Answers to an ask; ``UNSETTLED`` is that of a node that cannot speak for the fleet now.
+
+    One that is ``UNHEARD`` could if it heard of more nodes; it may ask some whether they are there.
+    """
 
     GRANTED = "granted"
     OVER_LIMIT = "over limit"
+    UNHEARD = "unheard"
     UNSETTLED = "unsettled"
 
 
@@ -134,6 +182,7 @@
 
 
 _GRANTED = Answer(Outcome.GRANTED)
+_UNHEARD = Answer(Outcome.UNHEARD)
 _UNSETTLED = Answer(Outcome.UNSETTLED)
 
 
@@ -217,11 +266,13 @@
         *,
         restarted: bool = False,
         waited_ms: float = 0.0,
+        heard_share: float = 1.0,
     ) -> Answer:
         """Answer for one call.
 
         ``since_ms`` is that of ``Leadership``; ``restarted`` says that most of the fleet has just
-        started; ``waited_ms`` that the call had a grant that long ago and has not been sent.
+        started; ``waited_ms`` that the call had a grant that long ago and has not been sent;
+        ``heard_share`` is that of the policy.
         """
         if since_ms is None:
             self._leads.pop(customer.name, None)
@@ -230,7 +281,11 @@
         if now_ms < lead.begin_ms or self._is_blocked(lead, records, now_ms):
             return _UNSETTLED
         terms = self.policy.leader_terms(customer, restarted=False)
-        if self._grant(lead, customer, terms, now_ms, waited_ms):
+        most = self.policy.leader_calls(customer)
+        self._trim(lead, now_ms)
+        if len(lead.log_ms) + 1 > heard_share * most and heard_share < 1.0:
+            return _UNHEARD
+        if self._grant(lead, most, terms, now_ms, waited_ms):
             return _GRANTED
         wait_ms = lead.bucket.wait_ms(terms, now_ms, self.policy.longest_wait_ms)
         return Answer(Outcome.OVER_LIMIT, wait_ms)
@@ -256,23 +311,25 @@
                 lead.blocked_until_ms = passed_ms
         return now_ms < lead.blocked_until_ms
 
+    def _trim(self, lead: _Lead, now_ms: float) -> None:
+        while lead.log_ms and lead.log_ms[0] <= now_ms - self.policy.span_ms:
+            lead.log_ms.popleft()
+
     def _grant(
         self,
         lead: _Lead,
-        customer: Customer,
+        most: float,
         terms: BucketTerms,
         now_ms: float,
         waited_ms: float,
     ) -> bool:
-        log_ms, policy = lead.log_ms, self.policy
-        while log_ms and log_ms[0] <= now_ms - policy.span_ms:
-            log_ms.popleft()
-        knows_window = now_ms >= lead.begin_ms + policy.span_ms
+        log_ms = lead.log_ms
+        knows_window = now_ms >= lead.begin_ms + self.policy.span_ms
         is_covered = knows_window and now_ms < lead.covered_until_ms
         granted = False
         if is_covered and waited_ms and _move(log_ms, now_ms - waited_ms):
             granted = True
-        elif len(log_ms) + 1 <= policy.leader_calls(customer):
+        elif len(log_ms) + 1 <= most:
             granted = lead.bucket.take(terms, now_ms) or is_covered
         if granted:
             log_ms.append(now_ms)
--- a/src/fescuedock/core/stored_jobs/keys.py
+++ b/src/fescuedock/core/stored_jobs/keys.py
@@ -8,6 +8,7 @@
 _NODES = "live/vm/"
 _SPOOLS = "live/spool/"
 _CRASHES = "live/crash/"
+_QUOTAS = "live/quota/"
 _LIVE = "live/"
 _DATA = "data/"
 _ENDED = "ended/"
@@ -41,6 +42,11 @@
         """Prefix of what is known of upstreams that ended, and of what ran there."""
         return self.prefix + _CRASHES
 
+    @property
+    def quotas(self) -> str:
+        """Prefix of the records of customers whose window may be used up."""
+        return self.prefix + _QUOTAS
+
     @property
     def records(self) -> str:
         return self.prefix + _JOBS
--- a/src/fescuedock/node/front.py
+++ b/src/fescuedock/node/front.py
@@ -147,7 +147,8 @@
         if isinstance(admitted, Err):
             await self._refuse(request, responder, admitted.err_value)
             return
-        await self.online.handle(request, responder, route, body, caller.ok_value)
+        confirm = admitted.ok_value
+        await self.online.handle(request, responder, route, body, caller.ok_value, confirm)
 
     def _caller_of(self, request: Request, *, public: bool) -> Result[Caller, Fault]:
         index = self.configuration.routes.customers
--- a/src/fescuedock/node/main.py
+++ b/src/fescuedock/node/main.py
@@ -51,6 +51,7 @@
 from fescuedock.node.job_store import JobStore
 from fescuedock.node.online import OnlineCalls
 from fescuedock.node.owner_reads import OwnerReads
+from fescuedock.node.quota_records import QuotaRecords
 from fescuedock.node.quotas import Quotas
 from fescuedock.node.replicas import Replicas, Watched
 from fescuedock.node.retirement import Retirement
@@ -256,7 +257,10 @@
             lambda: self._configuration.routes.customers,
             self._call_neighbour,
             self._fleet_size,
-            node.quota_slack_calls,
+            self._registered,
+            node,
+            QuotaRecords(self._store, self._table(self._keys.live), self._keys.quotas, self._clock),
+            self._clock,
         )
         self.front.quotas = self.quotas
         self._permits = permits
@@ -326,6 +330,7 @@
             self._retirement,
             self._ends,
             self._crashes,
+            self.quotas,
         )
         for part in parts:
             nursery.start_soon(part.run)
@@ -498,9 +503,13 @@
 
     def _fleet_size(self) -> int:
         """Return how many nodes have a record, or are known to membership if those are more."""
+        return max(len(self._registered()), len(self._view.vms))
+
+    def _registered(self) -> list[str]:
+        """Return the names of the nodes that have a record."""
         prefix = self._keys.nodes
-        recorded = sum(1 for key in self._table(self._keys.live).entries if key.startswith(prefix))
-        return max(recorded, len(self._view.vms))
+        entries = self._table(self._keys.live).entries
+        return [key.removeprefix(prefix) for key in entries if key.startswith(prefix)]
 
     def _seeds(self) -> list[Address]:
         text = self._settings.node.seeds
--- a/src/fescuedock/node/online.py
+++ b/src/fescuedock/node/online.py
@@ -21,6 +21,7 @@
     Responder,
 )
 from fescuedock.node.online_call import Call
+from fescuedock.node.quotas import Confirm
 from fescuedock.platform import calls
 from fescuedock.report.metrics import Metrics
 from fescuedock.schema.view import UpstreamRecord
@@ -102,11 +103,20 @@
         return self.http.has_idle(Address(upstream.host, upstream.port))
 
     async def handle(
-        self, request: Request, responder: Responder, route: Route, body: bytes, caller: Caller
+        self,
+        request: Request,
+        responder: Responder,
+        route: Route,
+        body: bytes,
+        caller: Caller,
+        confirm: Confirm | None = None,
     ) -> None:
-        """Answer one call; never raises but for a client that has left."""
+        """Answer one call; never raises but for a client that has left.
+
+        ``confirm`` is asked before the call is sent whether its customer's limit still lets it.
+        """
         head = calls.call_head(request.header_fields)
-        call = Call(self, request, responder, route, body, head, caller)
+        call = Call(self, request, responder, route, body, head, caller, confirm)
         with trio.CancelScope(deadline=call.deadline_ms / 1000) as scope:
             await call.run()
         if scope.cancelled_caught:
--- a/src/fescuedock/node/online_call.py
+++ b/src/fescuedock/node/online_call.py
@@ -3,7 +3,7 @@
 from typing import TYPE_CHECKING
 
 import trio
-from result import Err
+from result import Err, Ok
 
 from fescuedock.agent.permit_client import Grant
 from fescuedock.agent.send_check import send_check
@@ -27,6 +27,7 @@
     fault_body,
 )
 from fescuedock.node.attempt import AttemptRecord, UpstreamAnswer, send_attempt
+from fescuedock.node.quotas import Confirm
 from fescuedock.platform import calls
 from fescuedock.schema.permits import WorkClass
 from fescuedock.schema.result_codes import ResultCode
@@ -53,6 +54,7 @@
         "avoided",
         "body",
         "caller",
+        "confirm",
         "deadline_ms",
         "demand",
         "failure_passed_on",
@@ -80,9 +82,11 @@
         body: bytes,
         head: CallHead,
         caller: Caller,
+        confirm: Confirm | None = None,
     ) -> None:
         self.shared = shared
         self.caller = caller
+        self.confirm = confirm
         self.request = request
         self.responder = responder
         self.route = route
@@ -174,6 +178,10 @@
             if isinstance(granted, Err):
                 await self.give_up(self._truthful(granted.err_value))
                 return
+            refused = await self._refused_before_send(granted.ok_value)
+            if refused is not None:
+                await self.give_up(refused)
+                return
             end = await self._try(granted.ok_value)
             if end is None:
                 self._count(ResultCode.OK)
@@ -187,6 +195,23 @@
                 return
             await trio.sleep(self.progress.pause_ms(end) / 1000)
 
+    async def _refused_before_send(self, grant: Grant) -> Fault | None:
+        """Return why a call that waited may not be sent any more.
+
+        It counts toward its customer's limit when it is sent, and only once.
+        """
+        if self.confirm is None or self.progress.may_have_run:
+            return None
+        confirmed, done = None, False
+        try:
+            confirmed = await self.confirm()
+            done = isinstance(confirmed, Ok)
+        finally:
+            if not done:
+                record = AttemptRecord(grant, WorkClass.ONLINE, now_ms(), self.head.prompt_tokens)
+                record.cancel()
+        return None if done else confirmed.err_value
+
     async def _try(self, grant: Grant) -> AttemptEnd | None:
         """Make one attempt; None when the client got its answer."""
         upstream = self.shared.view.upstreams.get(grant.upstream_id)
--- a/src/fescuedock/node/quotas.py
+++ b/src/fescuedock/node/quotas.py
@@ -1,26 +1,34 @@
 """Asks for each call of a customer with a limit, and answers for those that this node keeps."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Collection
 
 import msgspec
+import trio
 from result import Err, Ok, Result
 
 from fescuedock.address import Address
 from fescuedock.agent.link import FleetView
-from fescuedock.clock import now_ms
+from fescuedock.clock import UnixClock, now_ms
 from fescuedock.core.customers import Customer, CustomerIndex
+from fescuedock.core.quota_windows import WindowPolicy
 from fescuedock.core.quotas import LocalAllowance, QuotaOwner, QuotaPolicy, QuotaRoute
 from fescuedock.core.route_learning import SilentOwners
 from fescuedock.faults import Fault
 from fescuedock.log import log_event
 from fescuedock.net.channel import CallHandler, ServerPeer
+from fescuedock.node.quota_records import QuotaRecords
+from fescuedock.node.quota_windows import WindowLimits
 from fescuedock.node.replicas import CallNeighbour
 from fescuedock.schema.permits import QuotaAsk, QuotaReply
 from fescuedock.schema.report import CustomerStatus
 from fescuedock.schema.result_codes import ResultCode
+from fescuedock.schema.settings import NodeSettings
 from fescuedock.schema.view import VmRecord
 
-__all__ = ["Quotas"]
+__all__ = ["Confirm", "Quotas"]
+
+# To be called right before a call is sent that was let in; fails when it may not be sent any more.
+Confirm = Callable[[], Awaitable[Result[None, Fault]]]
 
 # An owner answers in 1 to 4 ms; a process that is busy itself reads answers later.
 _ASK_TIMEOUT_MS = 60.0
@@ -35,8 +43,35 @@
     refused: int = 0
 
 
+class _BucketLimits:
+    """Answers of a node where no window is set."""
+
+    def __init__(self, slack_calls: float, present_share: Callable[[], float]) -> None:
+        self._owner = QuotaOwner(QuotaPolicy(slack_calls=slack_calls))
+        self._allowance = LocalAllowance()
+        self._present_share = present_share
+
+    def answer(self, customer: Customer, ask: QuotaAsk) -> QuotaReply:
+        if not self._owner.may_grant(self._present_share()):
+            return QuotaReply(ResultCode.NOT_OWNER)
+        retry_ms = self._owner.ask(customer, now_ms(), stands_in=ask.stands_in)
+        if retry_ms is None:
+            return QuotaReply(ResultCode.OK)
+        return QuotaReply(ResultCode.OVER_LIMIT, int(retry_ms))
+
+    def take_locally(self, customer: Customer, fleet_size: int) -> bool:
+        return self._allowance.take(customer, fleet_size, now_ms())
+
+    def keep(self, names: Collection[str]) -> None:
+        self._owner.keep(names)
+        self._allowance.keep(names)
+
+
 class Quotas:
-    """``fleet_size`` counts the nodes that belong to the fleet, whether or not they are reached."""
+    """``registered`` gives the names of the nodes that have a record.
+
+    ``fleet_size`` counts the nodes that belong to the fleet, whether or not they are reached.
+    """
 
     def __init__(
         self,
@@ -44,21 +79,48 @@
         customers: Callable[[], CustomerIndex],
         call_neighbour: CallNeighbour,
         fleet_size: Callable[[], int],
-        slack_calls: float,
+        registered: Callable[[], Collection[str]],
+        settings: NodeSettings,
+        records: QuotaRecords,
+        clock: UnixClock,
     ) -> None:
         self._view = view
         self._customers = customers
         self._call_neighbour = call_neighbour
         self._fleet_size = fleet_size
-        self._owner = QuotaOwner(QuotaPolicy(slack_calls=slack_calls))
+        self._records = records
+        self._buckets = _BucketLimits(settings.quota_slack_calls, self._present_share)
+        self._policy = WindowPolicy(
+            settings.quota_window_ms, settings.quota_over_share, settings.quota_slack_calls
+        )
+        # None where no window is set.
+        self._windows: WindowLimits | None = None
+        if settings.quota_window_ms > 0:
+            self._windows = WindowLimits(
+                self._policy,
+                view,
+                self._live_nodes,
+                registered,
+                fleet_size,
+                call_neighbour,
+                records,
+                clock,
+            )
         self._route = QuotaRoute()
         self._silent = SilentOwners()
-        self._allowance = LocalAllowance()
         self._use: dict[str, CustomerUse] = {}
         self._followed: CustomerIndex | None = None
         self._nodes: dict[str, VmRecord] = {}
         self._nodes_version = -1
 
+    async def run(self) -> None:
+        """Follow the fleet and write records until cancelled; returns where no window is set."""
+        if self._windows is None:
+            return
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._windows.run)
+            nursery.start_soon(self._records.run)
+
     def status(self) -> list[CustomerStatus]:
         """Return the customers in force, with their use at this node."""
         index = self._follow()
@@ -81,8 +143,11 @@
         """Handlers by message type, to be merged with those of other services."""
         return {QuotaAsk: self._on_ask}
 
-    async def admit(self, name: str) -> Result[None, Fault]:
-        """Let a call of a customer in, or tell when to come back."""
+    async def admit(self, name: str) -> Result[Confirm | None, Fault]:
+        """Let a call of a customer in, or tell when to come back.
+
+        ``Ok`` holds what has to be called before the call is sent, where that is needed.
+        """
         index = self._follow()
         customer = index.by_name.get(name)
         if customer is None:
@@ -91,24 +156,52 @@
         if customer.rate_per_s <= 0:
             use.admitted += 1
             return Ok(None)
-        admitted = await self._ask_owners(name)
-        if admitted is None:
-            taken = self._allowance.take(customer, self._fleet_size(), now_ms())
-            admitted = Ok(None) if taken else _over_limit(name, _NO_OWNER_RETRY_MS)
-        if isinstance(admitted, Ok):
-            use.admitted += 1
-        else:
+        asked_ms = now_ms()
+        admitted = await self._ask(customer)
+        if isinstance(admitted, Err):
             use.refused += 1
-        return admitted
+            return admitted
+        use.admitted += 1
+        return Ok(self._confirmation(name, asked_ms) if self._windows is not None else None)
+
+    def _confirmation(self, name: str, asked_ms: float) -> Confirm:
+        """Return what asks anew for a call that waited, since it counts when it is sent."""
+        granted_ms = now_ms()
+
+        async def confirm() -> Result[None, Fault]:
+            nonlocal asked_ms, granted_ms
+            customer = self._follow().by_name.get(name)
+            began_ms = now_ms()
+            if began_ms - asked_ms <= self._policy.unsent_ms or customer is None:
+                return Ok(None)
+            confirmed = await self._ask(customer, waited_ms=began_ms - granted_ms)
+            asked_ms, granted_ms = began_ms, now_ms()
+            if isinstance(confirmed, Err):
+                self._use.setdefault(name, CustomerUse()).refused += 1
+            return confirmed
+
+        return confirm
+
+    async def _ask(self, customer: Customer, waited_ms: float = 0.0) -> Result[None, Fault]:
+        if customer.rate_per_s <= 0:
+            return Ok(None)
+        admitted = await self._ask_owners(customer.name, waited_ms)
+        if admitted is not None:
+            return admitted
+        if self._windows is not None:
+            taken = self._windows.take_part(customer)
+        else:
+            taken = self._buckets.take_locally(customer, self._fleet_size())
+        return Ok(None) if taken else _over_limit(customer.name, _NO_OWNER_RETRY_MS)
 
-    async def _ask_owners(self, name: str) -> Result[None, Fault] | None:
+    async def _ask_owners(self, name: str, waited_ms: float) -> Result[None, Fault] | None:
         """Ask the owner, or the node that stands in for it; None when neither answers."""
         nodes = self._live_nodes()
         owners = self._route.owners(name, nodes.keys())
         for rank, vm_id in enumerate(owners):
-            ask = QuotaAsk(name, stands_in=rank > 0)
+            ask = QuotaAsk(name, rank > 0, waited_ms, self._view.vm_id)
             if vm_id == self._view.vm_id:
-                reply = self._answer(ask)
+                reply = await self._answer(ask)
             elif self._silent.is_silent(vm_id, now_ms()):
                 continue
             else:
@@ -121,6 +214,7 @@
                     log_event("quota_owner_silent", customer=name, about=vm_id)
                     continue
                 reply = called.ok_value
+                self._note_contact(vm_id)
             if reply.code == ResultCode.OK:
                 return Ok(None)
             if reply.code == ResultCode.OVER_LIMIT:
@@ -128,18 +222,22 @@
         return None
 
     async def _on_ask(self, ask: QuotaAsk, _peer: ServerPeer) -> QuotaReply:
-        return self._answer(ask)
+        self._note_contact(ask.node)
+        return await self._answer(ask)
 
-    def _answer(self, ask: QuotaAsk) -> QuotaReply:
+    def _note_contact(self, vm_id: str) -> None:
+        if self._windows is not None and vm_id:
+            self._windows.contacts.note(vm_id, now_ms())
+
+    async def _answer(self, ask: QuotaAsk) -> QuotaReply:
         customer = self._follow().by_name.get(ask.customer)
-        if customer is None or not self._owner.may_grant(self._present_share()):
+        if customer is None:
             return QuotaReply(ResultCode.NOT_OWNER)
         if customer.rate_per_s <= 0:
             return QuotaReply(ResultCode.OK)
-        retry_ms = self._owner.ask(customer, now_ms(), stands_in=ask.stands_in)
-        if retry_ms is None:
-            return QuotaReply(ResultCode.OK)
-        return QuotaReply(ResultCode.OVER_LIMIT, int(retry_ms))
+        if self._windows is not None:
+            return await self._windows.answer(customer, ask)
+        return self._buckets.answer(customer, ask)
 
     def _live_nodes(self) -> dict[str, VmRecord]:
         if self._view.version != self._nodes_version:
@@ -157,8 +255,9 @@
         if index is not self._followed:
             self._followed = index
             names = index.by_name.keys()
-            self._owner.keep(names)
-            self._allowance.keep(names)
+            self._buckets.keep(names)
+            if self._windows is not None:
+                self._windows.keep(names)
             self._use = {name: use for name, use in self._use.items() if name in names}
         return index
 
--- a/src/fescuedock/schema/permits.py
+++ b/src/fescuedock/schema/permits.py
@@ -184,6 +184,16 @@
     stands_in: Annotated[
         bool, Meta(description="Another node, which is asked first, did not answer.")
     ] = False
+    waited_ms: Annotated[
+        float,
+        Meta(
+            description="How long ago the call was granted, if it was and has not been sent; 0 for a new call."
+        ),
+    ] = 0
+    node: Annotated[
+        str,
+        Meta(description="Who asks; an ask without a customer only asks whether a node is there."),
+    ] = ""
 
 
 class QuotaReply(WireStruct):
@@ -194,3 +204,16 @@
         ),
     ]
     retry_after_ms: Annotated[int, Meta(description="When a refused caller may come back.")] = 0
+
+
+class QuotaRecord(WireStruct):
+    """
+    Kept in the key-value service while a customer uses more than a token bucket grants.
+    """
+
+    used_until_unix_ms: Annotated[
+        int,
+        Meta(
+            description="Until when a node that does not know what ran takes the window of the customer for used up."
+        ),
+    ]
--- a/src/fescuedock/schema/settings.py
+++ b/src/fescuedock/schema/settings.py
@@ -627,6 +627,20 @@
             ge=0.0,
         ),
     ] = 20
+    quota_window_ms: Annotated[
+        float,
+        Meta(
+            description="Sliding window by which customers count their limits; with it, what runs is bounded over all nodes whatever they reach. 0 limits by token buckets.",
+            ge=0.0,
+        ),
+    ] = 0
+    quota_over_share: Annotated[
+        float,
+        Meta(
+            description="Share of a limit that may run beyond it in one window, besides quota_slack_calls.",
+            ge=0.0,
+        ),
+    ] = 0.1
     job_cache_bytes: Annotated[
         int, Meta(description="Items and results of jobs kept in memory for readers.", ge=0)
     ] = 33554432
--- a/tests/builders/quota_fleet.py
+++ b/tests/builders/quota_fleet.py
@@ -1,7 +1,8 @@
 """A fleet that keeps limits of customers, without processes: decisions, views, losses and sends.
 
 Nodes are in groups that cannot reach each other, and die and come back with nothing remembered.
-Each notices a loss after ``NOTICED_MS`` and a return after ``RETURNED_MS``.  Time only goes on.
+Each notices a loss after ``NOTICED_MS`` and a return after ``RETURNED_MS``, but a node in a group
+too small for membership to judge by notices no loss at all.  Time only goes on.
 """
 
 import heapq
@@ -14,6 +15,7 @@
 from fescuedock.core.customers import Customer
 from fescuedock.core.quota_windows import (
     CLOCKS_DIFFER_MS,
+    Contacts,
     Leadership,
     NodeParts,
     Outcome,
@@ -21,6 +23,7 @@
     Roster,
     WindowOwner,
     WindowPolicy,
+    needed_contacts,
 )
 from fescuedock.core.quotas import LocalAllowance, QuotaOwner, QuotaPolicy, QuotaRoute
 
@@ -96,7 +99,11 @@
             self.on_start(node, change.at_ms)
         size = len(self.names)
         for node in range(size):
+            beside = sum(self.reaches(node, other) for other in range(size)) - 1
+            notices = beside >= needed_contacts(size)
             for other in range(size):
+                if not notices and not self.reaches(node, other):
+                    continue
                 low_ms, high_ms = RETURNED_MS if self.reaches(node, other) else NOTICED_MS
                 due_ms = change.at_ms + self.rng.uniform(low_ms, high_ms)
                 is_seen = self.names[other] in self.views[node]
@@ -158,6 +165,7 @@
     leadership: Leadership
     owner: WindowOwner
     parts: NodeParts
+    contacts: Contacts
 
 
 class WindowFleet:
@@ -191,6 +199,7 @@
             Leadership(self._world.names[node]),
             WindowOwner(self.policy),
             NodeParts(self.policy, now_ms),
+            Contacts(),
         )
 
     def _start(self, node: int, now_ms: float) -> None:
@@ -212,11 +221,29 @@
             messages += 2 * (other != node)
             if other != node and not world.reaches(node, other):
                 continue
+            if other != node:
+                self._nodes[other].contacts.note(node, now_ms)
+                self._nodes[node].contacts.note(other, now_ms)
             outcome = self._ask(customer, other, now_ms, waited_ms)
-            if outcome is not Outcome.UNSETTLED:
+            if outcome is Outcome.UNHEARD:
+                messages += 2 * self._look_around(other, now_ms)
+                outcome = self._ask(customer, other, now_ms, waited_ms)
+            if outcome in (Outcome.GRANTED, Outcome.OVER_LIMIT):
                 return Admission(outcome is Outcome.GRANTED, messages)
         return Admission(self._take_part(customer, node, now_ms), messages)
 
+    def _look_around(self, node: int, now_ms: float) -> int:
+        """Ask some nodes whether they are there; return how many."""
+        world = self._world
+        others = [name for name in world.views[node] if name != world.names[node]]
+        asked = world.rng.sample(
+            sorted(others), min(needed_contacts(len(world.names)), len(others))
+        )
+        for name in asked:
+            if world.reaches(node, world.names.index(name)):
+                self._nodes[node].contacts.note(world.names.index(name), now_ms)
+        return len(asked)
+
     def _take_part(self, customer: Customer, node: int, now_ms: float) -> bool:
         roster = self._rosters[node]
         parts = self._nodes[node].parts
@@ -232,6 +259,7 @@
             now_ms,
             restarted=self._has_restarted(node, now_ms),
             waited_ms=waited_ms,
+            heard_share=self._heard_share(node, now_ms),
         )
         due = self._with_records and owner.record_due(name, now_ms)
         if due and self._world.reaches_store(node):
@@ -239,10 +267,15 @@
             until_ms = owner.used_until_ms(now_ms)
             self._records.setdefault(name, []).append((now_ms, until_ms))
             owner.note_record(name, since_ms, now_ms)
-        if answer.outcome is Outcome.UNSETTLED and self._take_part(customer, node, now_ms):
+        may_serve = answer.outcome in (Outcome.UNHEARD, Outcome.UNSETTLED)
+        if may_serve and self._take_part(customer, node, now_ms):
             return Outcome.GRANTED
         return answer.outcome
 
+    def _heard_share(self, node: int, now_ms: float) -> float:
+        heard = self._nodes[node].contacts.count(now_ms - self.policy.heard_ms)
+        return self.policy.heard_share(heard, len(self._world.names))
+
     def _known_records(self, name: str, node: int, now_ms: float) -> Records:
         if self._world.reaches_store(node):
             started_ms = self._world.started_ms[node]
