--- a/bench/quota_ways.py
+++ b/bench/quota_ways.py
@@ -1,22 +1,32 @@
 """Ways to keep one limit of a customer over all nodes, on the same calls.
 
 Run ``python -m bench.quota_ways``.
-A simulation without processes: messages take 2 ms, a node or owner that is down answers nobody and
-has forgotten all when it is back.  Figures of each way: calls refused though their customer was
-within its limit, the fullest window against what may run in one, and messages.
+A simulation without processes: messages take no time, and a node that was down has forgotten all.
+Figures of each way: calls refused though their customer was within its limit by a sliding window,
+the fullest window against the bound, messages a call, and calls of the key-value service.
 """
 
 import random
 import sys
 from bisect import bisect_right
+from collections import deque
 from collections.abc import Callable, Iterator
+from typing import Protocol
 
 import fire
 import msgspec
 
 from fescuedock.core.customers import Customer
-from fescuedock.core.quotas import LocalAllowance, QuotaOwner, QuotaPolicy, QuotaRoute
+from fescuedock.core.quotas import LocalAllowance, QuotaRoute
 from fescuedock.core.token_bucket import Bucket, BucketTerms
+from tests.builders.quota_fleet import (
+    Admission,
+    BucketFleet,
+    Change,
+    WindowFleet,
+    World,
+    fullest_ms,
+)
 
 __all__ = ["compare"]
 
@@ -25,135 +35,244 @@
 _SLACK = 20.0
 # Limits are this many times what customers usually send.
 _LIMIT_TIMES = 1.6
-_DOWN_MS = 1000.0
-# Until the others have taken a node that is down for gone.
-_NOTICED_MS = 1500.0
 _TOLD_EACH_MS = 500.0
-_RUN_MS = 30_000.0
+_RUN_MS = 24_000.0
+_HOT_MS = (8000.0, 13_000.0)
+_DOWN_MS = 1200.0
+# Grants that an owner may have that its stand-in has not been told of.
+_UNTOLD = 5
+# The third largest customer is hot.
+_HOT = 2
 
 
 class Load(msgspec.Struct, frozen=True):
-    """Calls of one run: a hot customer sends ``times`` its usual, ``restarts`` nodes restart."""
+    """Calls of one run: a hot customer sends ``times`` its usual; ``changes`` by nodes and owner.
+
+    ``owner`` is that of the hot customer.
+    """
 
     name: str
     times: float = 1.0
-    restarts_share: float = 0.0
-
-
-class World:
-    """Which nodes are up when, and what is known of that."""
-
-    def __init__(self, nodes: int, load: Load, rng: random.Random) -> None:
-        self.names = [f"node-{number}" for number in range(nodes)]
-        self.down_ms: dict[str, float] = {}
-        for name in rng.sample(self.names, int(nodes * load.restarts_share)):
-            self.down_ms[name] = rng.uniform(8000.0, 14_000.0)
-
-    def is_up(self, name: str, now_ms: float) -> bool:
-        down_ms = self.down_ms.get(name)
-        return down_ms is None or not down_ms <= now_ms < down_ms + _DOWN_MS
-
-    def life(self, name: str, now_ms: float) -> int:
-        return int(now_ms >= self.down_ms.get(name, float("inf")) + _DOWN_MS)
-
-    def believed(self, now_ms: float) -> frozenset[str]:
-        """Return the nodes that the others take for live."""
-        return frozenset(
-            name
-            for name in self.names
-            if not self.down_ms.get(name, float("inf")) + _NOTICED_MS
-            <= now_ms
-            < self.down_ms.get(name, float("inf")) + _DOWN_MS + _NOTICED_MS
+    changes: Callable[[int, int, random.Random], list[Change]] = lambda size, owner, rng: []
+
+
+def _restarts(size: int, owner: int, rng: random.Random) -> list[Change]:
+    """A third of the nodes restart in groups of six, the owner among the first."""
+    others = [node for node in range(size) if node != owner]
+    nodes, changes, at_ms = [owner, *rng.sample(others, size // 3 - 1)], [], 9000.0
+    for first in range(0, len(nodes), 6):
+        changes.append(Change(at_ms, down=frozenset(nodes[first : first + 6])))
+        at_ms += _DOWN_MS
+    return [*changes, Change(at_ms)]
+
+
+def _cut_off(size: int, owner: int, rng: random.Random) -> list[Change]:
+    """16 of 54 nodes are each cut off from all others for 5 s, the owner among them."""
+    others = [node for node in range(size) if node != owner]
+    nodes = [owner, *rng.sample(others, size * 16 // 54 - 1)]
+    groups = {node: number + 1 for number, node in enumerate(nodes)}
+    return [Change(10_000.0, groups), Change(15_000.0)]
+
+
+def _power_loss(size: int, _owner: int, _rng: random.Random) -> list[Change]:
+    return [Change(10_000.0, down=frozenset(range(size))), Change(10_000.0 + _DOWN_MS)]
+
+
+class Way(Protocol):
+    """Decides on one call: customer, node, time."""
+
+    def admit(self, customer: Customer, node: int, now_ms: float) -> Admission: ...
+
+
+class _LoggingOwners:
+    """Owners that count a sliding window, and learn of what others granted as ``learn`` says."""
+
+    def __init__(self, world: World) -> None:
+        self._world = world
+        self._route = QuotaRoute()
+        size = len(world.names)
+        # By node: the grants of each customer that the node knows of.
+        self.logs: list[dict[str, deque[float]]] = [{} for _ in range(size)]
+        self._allowances = [LocalAllowance() for _ in range(size)]
+        world.on_start = self.start
+
+    def start(self, node: int, _now_ms: float) -> None:
+        self.logs[node] = {}
+        self._allowances[node] = LocalAllowance()
+
+    def log(self, node: int, customer: str, now_ms: float) -> deque[float]:
+        log_ms = self.logs[node].setdefault(customer, deque())
+        while log_ms and log_ms[0] <= now_ms - _WINDOW_MS:
+            log_ms.popleft()
+        return log_ms
+
+    def used(self, node: int, customer: str, now_ms: float) -> int:
+        return len(self.log(node, customer, now_ms))
+
+    def learn(self, node: int, owner: int, customer: str, now_ms: float) -> None:
+        """Let ``owner`` learn from an ask of ``node``."""
+
+    def granted(self, node: int, owner: int, customer: str, now_ms: float) -> int:
+        """Note a grant to ``node``; return further messages."""
+        self.log(owner, customer, now_ms).append(now_ms)
+        return 0
+
+    def admit(self, customer: Customer, node: int, now_ms: float) -> Admission:
+        world, messages, name = self._world, 0, customer.name
+        limit = _limit(customer)
+        for owner_name in self._route.owners(name, world.views[node]):
+            owner = world.names.index(owner_name)
+            messages += 2 * (owner != node)
+            if owner != node and not world.reaches(node, owner):
+                continue
+            if 2 * len(world.views[owner]) < len(world.names):
+                continue
+            self.learn(node, owner, name, now_ms)
+            if self.used(owner, name, now_ms) + 1 > limit + _SLACK / 4:
+                return Admission(False, messages)
+            return Admission(True, messages + self.granted(node, owner, name, now_ms))
+        taken = self._allowances[node].take(customer, len(world.names), now_ms)
+        return Admission(taken, messages)
+
+
+class AskersReport(_LoggingOwners):
+    """Asks tell what the asker has used of late; an owner adds up what others granted."""
+
+    def __init__(self, world: World) -> None:
+        super().__init__(world)
+        size = len(world.names)
+        # By asker: the times and owners of its grants, of which its asks give those of others.
+        self._own: list[dict[str, deque[tuple[float, int]]]] = [{} for _ in range(size)]
+        self._told: list[dict[tuple[str, int], list[float]]] = [{} for _ in range(size)]
+
+    def start(self, node: int, now_ms: float) -> None:
+        super().start(node, now_ms)
+        self._own[node], self._told[node] = {}, {}
+
+    def learn(self, node: int, owner: int, customer: str, now_ms: float) -> None:
+        own = self._own[node].get(customer, ())
+        told = [at_ms for at_ms, by in own if by != owner]
+        self._told[owner][customer, node] = told
+
+    def used(self, node: int, customer: str, now_ms: float) -> int:
+        since_ms = now_ms - _WINDOW_MS
+        told = (
+            sum(at_ms > since_ms for at_ms in times)
+            for (name, _), times in self._told[node].items()
+            if name == customer
         )
-
-
-# Decides on one call: customer, node, time; whether it may run, and the messages it took.
-Admit = Callable[[Customer, str, float], tuple[bool, int]]
-
-
-def ask_owner(world: World) -> Admit:
-    """Each call is granted by the customer's owner, or by the node that stands in for it."""
-    owners: dict[tuple[str, int], QuotaOwner] = {}
-    allowances: dict[tuple[str, int], LocalAllowance] = {}
-    route = QuotaRoute()
-    policy = QuotaPolicy(slack_calls=_SLACK)
-
-    def admit(customer: Customer, node: str, now_ms: float) -> tuple[bool, int]:
-        names, messages = world.believed(now_ms), 0
-        for rank, name in enumerate(route.owners(customer.name, names)):
-            messages += 2 * (name != node)
-            if world.is_up(name, now_ms):
-                key = (name, world.life(name, now_ms))
-                owner = owners.setdefault(key, QuotaOwner(policy))
-                wait_ms = owner.ask(customer, now_ms, stands_in=rank > 0)
-                return wait_ms is None, messages
-        key = (node, world.life(node, now_ms))
-        allowance = allowances.setdefault(key, LocalAllowance())
-        return allowance.take(customer, len(world.names), now_ms), messages
-
-    return admit
-
-
-def share_by_demand(world: World) -> Admit:
+        return super().used(node, customer, now_ms) + sum(told)
+
+    def granted(self, node: int, owner: int, customer: str, now_ms: float) -> int:
+        own = self._own[node].setdefault(customer, deque(maxlen=200))
+        own.append((now_ms, owner))
+        return super().granted(node, owner, customer, now_ms)
+
+
+class OwnerReports(_LoggingOwners):
+    """An owner tells its stand-in of its grants, up to ``_UNTOLD`` of them late."""
+
+    def __init__(self, world: World) -> None:
+        super().__init__(world)
+        self._untold: dict[tuple[int, str], list[float]] = {}
+
+    def start(self, node: int, now_ms: float) -> None:
+        super().start(node, now_ms)
+        for key in [key for key in self._untold if key[0] == node]:
+            del self._untold[key]
+
+    def granted(self, node: int, owner: int, customer: str, now_ms: float) -> int:
+        super().granted(node, owner, customer, now_ms)
+        untold = self._untold.setdefault((owner, customer), [])
+        untold.append(now_ms)
+        if len(untold) < _UNTOLD:
+            return 0
+        pair = self._route.owners(customer, self._world.views[owner])
+        for name in pair:
+            other = self._world.names.index(name)
+            if other != owner and self._world.reaches(owner, other):
+                log_ms = self.log(other, customer, now_ms)
+                merged = sorted([*log_ms, *untold])
+                log_ms.clear()
+                log_ms.extend(merged)
+        untold.clear()
+        return 2
+
+
+class ShareByDemand:
     """Each node serves a part of the limit by the demand that nodes have told all others of."""
-    asked: dict[tuple[str, str, int], int] = {}
-    told: dict[tuple[str, str, int], float] = {}
-    buckets: dict[tuple[str, str, int], Bucket] = {}
 
-    def admit(customer: Customer, node: str, now_ms: float) -> tuple[bool, int]:
-        period = int(now_ms / _TOLD_EACH_MS)
-        own = (customer.name, node, period)
+    def __init__(self, world: World) -> None:
+        self._world = world
+        self._asked: dict[tuple[str, str, int], int] = {}
+        self._buckets: dict[tuple[str, int, float], Bucket] = {}
+
+    def admit(self, customer: Customer, node: int, now_ms: float) -> Admission:
+        world, asked, period = self._world, self._asked, int(now_ms / _TOLD_EACH_MS)
+        own = (customer.name, world.names[node], period)
         first = own not in asked
         asked[own] = asked.get(own, 0) + 1
-        names = world.believed(now_ms)
+        names = world.views[node]
         total = sum(asked.get((customer.name, name, period - 1), 0) for name in names)
-        demand = asked.get((customer.name, node, period - 1), 0)
+        demand = asked.get((customer.name, world.names[node], period - 1), 0)
         even = 1.0 / len(names)
         part = even if not total else max(demand / total, even / 2)
-        told[own] = part
         size = 1.0 + (customer.burst + _SLACK / 2) * part
         terms = BucketTerms(customer.rate_per_s * part, size, size)
-        key = (customer.name, node, world.life(node, now_ms))
-        bucket = buckets.setdefault(key, Bucket(size, now_ms))
-        return bucket.take(terms, now_ms), (len(names) - 1) * first
-
-    return admit
+        key = (customer.name, node, world.started_ms[node])
+        bucket = self._buckets.setdefault(key, Bucket(size, now_ms))
+        return Admission(bucket.take(terms, now_ms), (len(names) - 1) * first)
 
 
-def even_parts(world: World) -> Admit:
+class EvenParts:
     """Each node serves the same part of the limit and tells nobody anything."""
-    allowances: dict[tuple[str, int], LocalAllowance] = {}
 
-    def admit(customer: Customer, node: str, now_ms: float) -> tuple[bool, int]:
-        key = (node, world.life(node, now_ms))
-        allowance = allowances.setdefault(key, LocalAllowance())
-        return allowance.take(customer, len(world.names), now_ms), 0
+    def __init__(self, world: World) -> None:
+        self._world = world
+        self._allowances: dict[tuple[int, float], LocalAllowance] = {}
 
-    return admit
+    def admit(self, customer: Customer, node: int, now_ms: float) -> Admission:
+        key = (node, self._world.started_ms[node])
+        allowance = self._allowances.setdefault(key, LocalAllowance())
+        return Admission(allowance.take(customer, len(self._world.names), now_ms), 0)
 
 
-WAYS: dict[str, Callable[[World], Admit]] = {
-    "owner": ask_owner,
-    "demand": share_by_demand,
-    "even": even_parts,
+WAYS: dict[str, Callable[[World], Way]] = {
+    "windows": WindowFleet,
+    "windows without records": lambda world: WindowFleet(world, with_records=False),
+    "buckets": BucketFleet,
+    "askers report": AskersReport,
+    "owner reports": OwnerReports,
+    "demand": ShareByDemand,
+    "even": EvenParts,
 }
 LOADS = (
     Load("calm"),
-    Load("hot", times=12.0),
-    Load("hot, a third restarts", times=12.0, restarts_share=1 / 3),
+    Load("hot", 5.6),
+    Load("calm, a third restarts", 1.0, _restarts),
+    Load("hot, a third restarts", 5.6, _restarts),
+    Load("hot, 16 of 54 cut off", 5.6, _cut_off),
+    Load("hot, all lose power", 5.6, _power_loss),
 )
 
 
 class Figures(msgspec.Struct):
-    """Of one way under one load: shares in percent, the fullest window of any customer."""
+    """Of one way under one load: shares in percent, the fullest window of any customer.
+
+    ``refused_hot`` counts the hot customer's calls that were refused within its limit.  Within the
+    limit is what a sliding window lets in that sees all calls; ``refused_below`` counts the refused
+    calls of all customers before which fewer than the limit ran in the window.
+    """
 
     way: str
     load: str
     seed: int
     refused_within_limit_pct: float
-    hot_served_per_s: float
+    refused_hot: int
+    refused_below: int
     fullest_window: float
     messages_per_call: float
+    store_calls: int
 
 
 def compare(
@@ -180,12 +299,12 @@
 def _calls(
     customers: list[tuple[Customer, float]], load: Load, rng: random.Random
 ) -> Iterator[tuple[float, int]]:
-    """Yield the times of calls and whose they are; the third largest is hot from 6 to 16 s."""
+    """Yield the times of calls and whose they are; the third largest is hot."""
     calls: list[tuple[float, int]] = []
     for number, (_, rate_per_s) in enumerate(customers):
         now_ms = 0.0
         while now_ms < _RUN_MS:
-            hot = number == 2 and 6000.0 <= now_ms < 16_000.0
+            hot = number == _HOT and _HOT_MS[0] <= now_ms < _HOT_MS[1]
             now_ms += rng.expovariate(rate_per_s * (load.times if hot else 1.0)) * 1000
             calls.append((now_ms, number))
     yield from sorted(calls)
@@ -195,49 +314,62 @@
     way: str, load: Load, nodes: int, customers: int, calls_per_s: float, seed: int
 ) -> Figures:
     rng = random.Random(seed)
-    world = World(nodes, load, rng)
-    admit = WAYS[way](world)
     known = _customers(customers, calls_per_s)
-    owed = [Bucket(customer.burst, 0.0) for customer, _ in known]
+    names = [f"node-{number}" for number in range(nodes)]
+    owner = names.index(QuotaRoute().owners(known[_HOT][0].name, names)[0])
+    world = World(nodes, load.changes(nodes, owner, rng), rng)
+    fleet = WAYS[way](world)
+    owed: list[deque[float]] = [deque() for _ in known]
     ran: list[list[float]] = [[] for _ in known]
-    refused = within = messages = count = 0
+    refused = [0] * len(known)
+    messages = within = count = below = 0
     for now_ms, number in _calls(known, load, rng):
         customer = known[number][0]
-        node = rng.choice(world.names)
-        while not world.is_up(node, now_ms):
-            node = rng.choice(world.names)
-        terms = BucketTerms(customer.rate_per_s, max(customer.burst, 1.0), 1.0)
-        is_owed = owed[number].take(terms, now_ms)
-        admitted, sent = admit(customer, node, now_ms)
-        count, messages, within = count + 1, messages + sent, within + is_owed
-        if admitted:
+        world.advance(now_ms)
+        up = [node for node in range(nodes) if world.is_up(node)]
+        if not up:
+            continue
+        is_owed = _is_owed(owed[number], customer, now_ms)
+        admission = fleet.admit(customer, rng.choice(up), now_ms)
+        count, messages, within = count + 1, messages + admission.messages, within + is_owed
+        if admission.admitted:
             ran[number].append(now_ms)
         else:
-            refused += is_owed
-    hot = [at_ms for at_ms in ran[2] if 6000.0 <= at_ms < 16_000.0]
+            refused[number] += is_owed
+            in_window = len(ran[number]) - bisect_right(ran[number], now_ms - _WINDOW_MS)
+            below += in_window + 1 <= _limit(customer)
     fullest = max(_fullest(times, known[number][0]) for number, times in enumerate(ran))
     return Figures(
         way,
         load.name,
         seed,
-        round(100 * refused / within, 3),
-        round(len(hot) / 10, 2),
+        round(100 * sum(refused) / within, 3),
+        refused[_HOT],
+        below,
         round(fullest, 3),
         round(messages / count, 2),
+        getattr(fleet, "store_calls", 0),
     )
 
 
+def _is_owed(owed_ms: deque[float], customer: Customer, now_ms: float) -> bool:
+    """Whether a call is within its customer's limit by a sliding window; notes it if so."""
+    while owed_ms and owed_ms[0] <= now_ms - _WINDOW_MS:
+        owed_ms.popleft()
+    if len(owed_ms) + 1 > _limit(customer):
+        return False
+    owed_ms.append(now_ms)
+    return True
+
+
+def _limit(customer: Customer) -> float:
+    return customer.rate_per_s * _WINDOW_MS / 1000 + customer.burst
+
+
 def _fullest(times_ms: list[float], customer: Customer) -> float:
     """Return the most that ran in a window over what may; above 1 a limit is broken."""
-    allowed = (customer.rate_per_s * _WINDOW_MS / 1000 + customer.burst) * (1 + _OVER) + _SLACK
-    most = max(
-        (
-            bisect_right(times_ms, first_ms + _WINDOW_MS) - position
-            for position, first_ms in enumerate(times_ms)
-        ),
-        default=0,
-    )
-    return most / allowed
+    allowed = _limit(customer) * (1 + _OVER) + _SLACK
+    return fullest_ms(times_ms, _WINDOW_MS)[0] / allowed
 
 
 if __name__ == "__main__":
--- a/src/fescuedock/core/quota_windows.py
+++ b/src/fescuedock/core/quota_windows.py
@@ -5,21 +5,20 @@
 each other.  What is between the two is the spare, E.  What each participant may grant in a window:
 
 - The leader of a customer: the first in rank of the nodes that it sees, while it sees more than
-  half of the fleet.  L + 0.2 E by its own log, and of these rate x window + burst + 0.2 E by a
+  half of the fleet.  L + 0.15 E by its own log, and of these rate x window + burst + 0.15 E by a
   token bucket unless a record covers the rest.  The bucket begins empty, so those of leaders that
   follow each other add up to one of them.
-- A leader that hears of few other nodes may be cut off with them.  Membership leaves that to others
-  and need not tell it, so what it may grant falls to none with the number of nodes that it has
-  heard of within ``heard_ms``, from as many as membership can judge with (8, or a quarter of a
-  small fleet) downwards.
+- A node that has not heard of enough others within ``heard_ms`` (8, or a quarter of a small fleet)
+  does not lead: it may be cut off with those few, which membership leaves to others to judge and
+  need not tell it.  Nor does one that was paused, until it has looked again.
 - A new leader grants nothing as such for ``settle_ms``, in which one that was cut off notices.  It
   grants nothing either while a record says that the window may be used up.  Any number of leaders
   in a row grant no more than one.
 - A record in the key-value service says until when the window may be used up.  A leader that has
   led for a whole window writes it before it grants what its bucket does not cover.
 - Every node, whatever it sees or has forgotten, has a part of its own, by its rank among all nodes
-  that are registered: 0.15 E for each of the first two, which stand in for a silent leader, and
-  0.35 E over all others, in whole calls.  It serves from it while nobody leads, and for its own
+  that are registered: 0.25 E for each of the first two, which stand in for a silent leader, and
+  0.2 E over all others, in whole calls.  It serves from it while nobody leads, and for its own
   calls while it reaches no owner.  Buckets of parts begin empty too.
 - 0.15 E are for nodes that disagree on who is registered, and for what leaders start with after a
   restart of most of the fleet.
@@ -66,6 +65,8 @@
 _CONTACTS_OF_FLEET = 4
 # The first of all nodes by rank, which have larger parts.
 _PAIR = 2
+# Until it is known what earlier leaders have recorded.
+_UNKNOWN = float("inf")
 # Below one whole call more, so that rounding never makes it one.
 _ALMOST_ONE = 0.99
 
@@ -81,17 +82,20 @@
     window_ms: float = 5000.0
     over_share: float = 0.1
     slack_calls: float = 20.0
-    leader_share: float = 0.2
-    pair_share: float = 0.15
-    others_share: float = 0.35
-    unsent_ms: float = 100.0
+    leader_share: float = 0.15
+    pair_share: float = 0.25
+    others_share: float = 0.2
+    unsent_ms: float = 50.0
     settle_ms: float = 1200.0
     record_ms: float = 4000.0
     restart_ms: float = 4000.0
     # After a restart the leader starts with one call and this time of the rate.  No call ran for
     # the second or more that the fleet was down.
-    restart_rate_s: float = 0.25
-    heard_ms: float = 2000.0
+    restart_rate_s: float = 0.5
+    heard_ms: float = 1500.0
+    # Between two looks at how many were heard of; with it, a node that is cut off ceases to lead
+    # before another one may begin to (a notice of 1 s at the least, and ``settle_ms``).
+    look_ms: float = 400.0
     longest_wait_ms: float = 2000.0
 
     @property
@@ -117,11 +121,6 @@
         start = 1.0 + self.restart_rate_s * customer.rate_per_s if restarted else 0.0
         return BucketTerms(customer.rate_per_s, size, min(start, size))
 
-    def heard_share(self, heard: int, fleet_size: int) -> float:
-        """Return what a leader may grant of its calls that has heard of ``heard`` other nodes."""
-        needed = needed_contacts(fleet_size)
-        return min(heard / needed, 1.0) if needed else 1.0
-
     def part_calls(self, customer: Customer, rank: int, fleet_size: int) -> int:
         """Return the calls of one span that a node may serve by itself."""
         spare = self.spare_calls(customer)
@@ -163,14 +162,10 @@
 
 
 class Outcome(enum.Enum):
-    """Answers to an ask; ``UNSETTLED`` is that of a node that cannot speak for the fleet now.
-
-    One that is ``UNHEARD`` could if it heard of more nodes; it may ask some whether they are there.
-    """
+    """Answers to an ask; ``UNSETTLED`` is that of a node that cannot speak for the fleet now."""
 
     GRANTED = "granted"
     OVER_LIMIT = "over limit"
-    UNHEARD = "unheard"
     UNSETTLED = "unsettled"
 
 
@@ -182,7 +177,6 @@
 
 
 _GRANTED = Answer(Outcome.GRANTED)
-_UNHEARD = Answer(Outcome.UNHEARD)
 _UNSETTLED = Answer(Outcome.UNSETTLED)
 
 
@@ -203,24 +197,30 @@
     vm_id: str
     route: QuotaRoute = msgspec.field(default_factory=QuotaRoute)
     _names: frozenset[str] = frozenset()
-    _has_majority: bool = False
+    _may_lead: bool = False
     _changed_ms: float = float("-inf")
     _since_ms: dict[str, float] = msgspec.field(default_factory=dict)
 
-    def note(self, names: Collection[str], fleet_size: int, now_ms: float) -> None:
-        """Take the nodes that this one sees; must be told of each change when it occurs.
+    def note(self, names: Collection[str], fleet_size: int, heard: int, now_ms: float) -> None:
+        """Take the nodes that this one sees, and how many others it has heard of.
 
-        Two halves of a fleet that cannot reach each other would both lead, so more than half of it
-        must be seen.
+        Must be told of each change when it occurs.  Two halves of a fleet that cannot reach each
+        other would both lead, so more than half of it must be seen.
         """
-        seen, has_majority = frozenset(names), 2 * len(names) > fleet_size
-        if seen == self._names and has_majority == self._has_majority:
+        seen = frozenset(names)
+        may_lead = 2 * len(seen) > fleet_size and heard >= needed_contacts(fleet_size)
+        if seen == self._names and may_lead == self._may_lead:
             return
-        self._names, self._has_majority, self._changed_ms = seen, has_majority, now_ms
+        self._names, self._may_lead, self._changed_ms = seen, may_lead, now_ms
         self._since_ms = {
             name: since_ms for name, since_ms in self._since_ms.items() if self._leads(name)
         }
 
+    def interrupt(self, now_ms: float) -> None:
+        """Begin anew after a time in which this node could not look."""
+        self._changed_ms = now_ms
+        self._since_ms.clear()
+
     def since_ms(self, customer: str) -> float | None:
         """Return since when this node certainly has led ``customer``; None when it does not."""
         if not self._leads(customer):
@@ -228,7 +228,7 @@
         return self._since_ms.setdefault(customer, self._changed_ms)
 
     def _leads(self, customer: str) -> bool:
-        if not self._has_majority:
+        if not self._may_lead:
             return False
         return self.route.owners(customer, self._names)[0] == self.vm_id
 
@@ -246,7 +246,7 @@
     records_ms: float
     bucket: Bucket
     log_ms: deque[float] = msgspec.field(default_factory=deque)
-    blocked_until_ms: float = float("inf")
+    blocked_until_ms: float = _UNKNOWN
     covered_until_ms: float = float("-inf")
     is_beyond: bool = False
 
@@ -266,13 +266,11 @@
         *,
         restarted: bool = False,
         waited_ms: float = 0.0,
-        heard_share: float = 1.0,
     ) -> Answer:
         """Answer for one call.
 
         ``since_ms`` is that of ``Leadership``; ``restarted`` says that most of the fleet has just
-        started; ``waited_ms`` that the call had a grant that long ago and has not been sent;
-        ``heard_share`` is that of the policy.
+        started; ``waited_ms`` that the call had a grant that long ago and has not been sent.
         """
         if since_ms is None:
             self._leads.pop(customer.name, None)
@@ -281,11 +279,7 @@
         if now_ms < lead.begin_ms or self._is_blocked(lead, records, now_ms):
             return _UNSETTLED
         terms = self.policy.leader_terms(customer, restarted=False)
-        most = self.policy.leader_calls(customer)
-        self._trim(lead, now_ms)
-        if len(lead.log_ms) + 1 > heard_share * most and heard_share < 1.0:
-            return _UNHEARD
-        if self._grant(lead, most, terms, now_ms, waited_ms):
+        if self._grant(lead, customer, terms, now_ms, waited_ms):
             return _GRANTED
         wait_ms = lead.bucket.wait_ms(terms, now_ms, self.policy.longest_wait_ms)
         return Answer(Outcome.OVER_LIMIT, wait_ms)
@@ -303,7 +297,7 @@
 
     def _is_blocked(self, lead: _Lead, records: Records, now_ms: float) -> bool:
         """Whether an earlier leader may have used up the window by a record."""
-        if lead.blocked_until_ms == float("inf"):
+        if lead.blocked_until_ms == _UNKNOWN:
             passed_ms = lead.begin_ms + self.policy.span_ms
             if records.as_of_ms >= lead.records_ms:
                 lead.blocked_until_ms = min(records.used_until_ms, passed_ms)
@@ -311,32 +305,38 @@
                 lead.blocked_until_ms = passed_ms
         return now_ms < lead.blocked_until_ms
 
-    def _trim(self, lead: _Lead, now_ms: float) -> None:
-        while lead.log_ms and lead.log_ms[0] <= now_ms - self.policy.span_ms:
-            lead.log_ms.popleft()
-
     def _grant(
         self,
         lead: _Lead,
-        most: float,
+        customer: Customer,
         terms: BucketTerms,
         now_ms: float,
         waited_ms: float,
     ) -> bool:
         log_ms = lead.log_ms
+        while log_ms and log_ms[0] <= now_ms - self.policy.span_ms:
+            log_ms.popleft()
         knows_window = now_ms >= lead.begin_ms + self.policy.span_ms
         is_covered = knows_window and now_ms < lead.covered_until_ms
         granted = False
         if is_covered and waited_ms and _move(log_ms, now_ms - waited_ms):
             granted = True
-        elif len(log_ms) + 1 <= most:
+        elif len(log_ms) + 1 <= self.policy.leader_calls(customer):
             granted = lead.bucket.take(terms, now_ms) or is_covered
         if granted:
             log_ms.append(now_ms)
-        is_low = lead.bucket.tokens < terms.size / 2
+        is_low = lead.bucket.tokens < terms.size / 4
         lead.is_beyond = knows_window and (is_low or waited_ms > 0)
         return granted
 
+    def lookup_due(self, name: str, now_ms: float) -> bool:
+        """Whether a leader waits to know what earlier ones have recorded.
+
+        What all nodes follow is up to some 1.2 s old, and the calls of that time would be refused.
+        """
+        lead = self._leads.get(name)
+        return lead is not None and now_ms >= lead.begin_ms and lead.blocked_until_ms == _UNKNOWN
+
     def record_due(self, name: str, now_ms: float) -> bool:
         """Whether a record is to be written, so that the customer can have its whole window."""
         lead = self._leads.get(name)
--- a/src/fescuedock/node/main.py
+++ b/src/fescuedock/node/main.py
@@ -261,6 +261,7 @@
             node,
             QuotaRecords(self._store, self._table(self._keys.live), self._keys.quotas, self._clock),
             self._clock,
+            self._rng,
         )
         self.front.quotas = self.quotas
         self._permits = permits
--- a/src/fescuedock/node/quota_records.py
+++ b/src/fescuedock/node/quota_records.py
@@ -1,11 +1,11 @@
 """Records in the key-value service: until when a customer's window may be used up."""
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 import msgspec
 import trio
-from result import Err, Result
+from result import Err, Ok, Result
 
 from fescuedock.clock import UnixClock, now_ms
 from fescuedock.core.quota_windows import CLOCKS_DIFFER_MS, Records
@@ -35,15 +35,38 @@
         # Customers whose record is due, with what it has to cover and whom to tell.
         self._due: dict[str, tuple[float, Callable[[float], None]]] = {}
         self._failed_ms: dict[str, float] = {}
+        # What was read for one customer, and when; and when that was last tried.
+        self._found: dict[str, tuple[float, KvEntry | None]] = {}
+        self._looked_ms: dict[str, float] = {}
         self._woken = trio.Event()
 
     def read(self, customer: str) -> Records:
         """Return what this node knows of a customer's record."""
+        found_ms, found = self._found.get(customer, (float("-inf"), None))
         entry = self._table.entries.get(self._prefix + customer)
+        if found is not None and (entry is None or entry.mod_revision < found.mod_revision):
+            # One that has lapsed since counts no more anyway.
+            entry = found
+        as_of_ms = max(self._table.as_of_ms, found_ms)
         if entry is None:
-            return Records(self._table.as_of_ms)
+            return Records(as_of_ms)
         left_ms = _used_until_unix_ms(entry) - self._clock() * 1000.0
-        return Records(self._table.as_of_ms, now_ms() + left_ms + CLOCKS_DIFFER_MS)
+        return Records(as_of_ms, now_ms() + left_ms + CLOCKS_DIFFER_MS)
+
+    async def look_up(self, customer: str) -> None:
+        """Read a customer's record, so that ``read`` is as of now."""
+        if now_ms() - self._looked_ms.get(customer, float("-inf")) < _RETRY_MS:
+            return
+        began_ms = self._looked_ms[customer] = now_ms()
+        found = await self._kv.get(self._prefix + customer)
+        if isinstance(found, Ok):
+            self._found[customer] = (began_ms, found.ok_value)
+
+    def keep(self, names: Collection[str]) -> None:
+        """Forget the customers that are not among ``names``."""
+        for kept in (self._found, self._looked_ms, self._failed_ms):
+            for name in kept.keys() - set(names):
+                del kept[name]
 
     def request(self, customer: str, lasts_ms: float, stored: Callable[[float], None]) -> None:
         """Have a record written that counts for ``lasts_ms``.
--- a/src/fescuedock/node/quota_windows.py
+++ b/src/fescuedock/node/quota_windows.py
@@ -1,5 +1,6 @@
 """Answers of a node for customers' limits by a sliding window; see ``core.quota_windows``."""
 
+import random
 from collections.abc import Callable, Collection
 
 import trio
@@ -29,10 +30,13 @@
 
 __all__ = ["WindowLimits"]
 
-# How long the others may take to say that they are there.
-_LOOK_TIMEOUT_MS = 60.0
-# Between two looks, so that a node which is cut off does not wait at each ask.
-_LOOK_PAUSE_MS = 1000.0
+# How long others may take to say that they are there; a busy process answers late.
+_LOOK_TIMEOUT_MS = 300.0
+# How long an ask waits for a read of a customer's record.
+_LOOKUP_MS = 30.0
+# A node that could not look for so long may have been taken for gone: others notice in 1 s at the
+# least.
+_PAUSED_MS = 1000.0
 
 
 class WindowLimits:
@@ -48,6 +52,7 @@
         call_neighbour: CallNeighbour,
         records: QuotaRecords,
         clock: UnixClock,
+        rng: random.Random,
     ) -> None:
         self._policy = policy
         self._view = view
@@ -57,37 +62,49 @@
         self._call_neighbour = call_neighbour
         self._records = records
         self._clock = clock
+        self._rng = rng
         self._started_ms = now_ms()
         self._leadership = Leadership(view.vm_id)
         self._owner = WindowOwner(policy)
         self._parts = NodeParts(policy, self._started_ms)
         self._roster = Roster(view.vm_id)
         self.contacts = Contacts()
-        self._looked_ms = float("-inf")
+        self._noted_ms = float("-inf")
+        self._version = -1
 
     async def run(self) -> None:
         """Follow the fleet, so that no time passes unseen in which another node led."""
+        noted_ms = float("-inf")
         version = 0
         while True:
-            with trio.move_on_after(self._roster.keep_ms / 2000):
+            with trio.move_on_after(self._policy.look_ms / 1000):
                 version = await self._view.wait_changed(version)
             self._note_fleet()
-            self.contacts.keep(now_ms() - self._policy.heard_ms)
+            if now_ms() - noted_ms > self._roster.keep_ms / 4 or version != self._version:
+                noted_ms, self._version = now_ms(), version
+                self._roster.note([*self._registered(), *self._view.vms], noted_ms)
+            await self._look_around()
 
     def _note_fleet(self) -> None:
         now = now_ms()
-        self._leadership.note(self._nodes().keys(), self._fleet_size(), now)
-        self._roster.note([*self._registered(), *self._view.vms], now)
+        if now - self._noted_ms > _PAUSED_MS:
+            self._leadership.interrupt(now)
+            log_event("quota_leads_anew", paused_ms=round(min(now - self._noted_ms, 1e9)))
+        self._noted_ms = now
+        heard = self.contacts.count(now - self._policy.heard_ms)
+        self._leadership.note(self._nodes().keys(), self._fleet_size(), heard, now)
 
     def keep(self, names: Collection[str]) -> None:
         """Forget the customers that are not among ``names``."""
-        for part in (self._owner, self._parts, self._leadership):
+        for part in (self._owner, self._parts, self._leadership, self._records):
             part.keep(names)
 
     async def answer(self, customer: Customer, ask: QuotaAsk) -> QuotaReply:
         """Answer for one call, whoever asks."""
         answer = self._ask(customer, ask.waited_ms)
-        if answer.outcome is Outcome.UNHEARD and await self._look_around():
+        if self._owner.lookup_due(customer.name, now_ms()):
+            with trio.move_on_after(_LOOKUP_MS / 1000):
+                await self._records.look_up(customer.name)
             answer = self._ask(customer, ask.waited_ms)
         if answer.outcome is Outcome.OVER_LIMIT:
             return QuotaReply(ResultCode.OVER_LIMIT, int(answer.retry_ms))
@@ -102,9 +119,8 @@
 
     def _ask(self, customer: Customer, waited_ms: float) -> Answer:
         now, name = now_ms(), customer.name
-        self._leadership.note(self._nodes().keys(), self._fleet_size(), now)
+        self._note_fleet()
         since_ms = self._leadership.since_ms(name)
-        heard = self.contacts.count(now - self._policy.heard_ms)
         answer = self._owner.ask(
             customer,
             since_ms,
@@ -112,7 +128,6 @@
             now,
             restarted=self._has_restarted(now),
             waited_ms=waited_ms,
-            heard_share=self._policy.heard_share(heard, self._fleet_size()),
         )
         if self._owner.record_due(name, now):
             lasts_ms = self._owner.used_until_ms(now) - now
@@ -134,19 +149,22 @@
         young = sum(vm.incarnation >= since_unix_ms for vm in self._nodes().values())
         return 2 * young > self._fleet_size()
 
-    async def _look_around(self) -> bool:
-        """Ask some nodes whether they are there; return whether any was asked."""
-        if now_ms() - self._looked_ms < _LOOK_PAUSE_MS:
-            return False
-        self._looked_ms = now_ms()
+    async def _look_around(self) -> None:
+        """Ask some nodes whether they are there, when too few have been heard of.
+
+        Those that were heard of in the first half of the time are asked for again in good time.
+        """
+        needed = needed_contacts(self._fleet_size())
+        missing = needed - self.contacts.count(now_ms() - self._policy.heard_ms / 2)
+        if missing <= 0:
+            return
         others = [vm for vm in self._nodes().values() if vm.vm_id != self._view.vm_id]
-        asked = others[: needed_contacts(self._fleet_size())]
+        # One more for each, as one that has gone does not answer.
+        asked = self._rng.sample(others, min(2 * missing, len(others)))
         async with trio.open_nursery() as nursery:
             for vm in asked:
                 nursery.start_soon(self._look_at, vm)
-        heard = self.contacts.count(self._looked_ms)
-        log_event("quota_looked_around", asked=len(asked), heard=heard)
-        return bool(asked)
+        self._note_fleet()
 
     async def _look_at(self, vm: VmRecord) -> None:
         ask = QuotaAsk("", node=self._view.vm_id)
--- a/src/fescuedock/node/quotas.py
+++ b/src/fescuedock/node/quotas.py
@@ -1,5 +1,6 @@
 """Asks for each call of a customer with a limit, and answers for those that this node keeps."""
 
+import random
 from collections.abc import Awaitable, Callable, Collection
 
 import msgspec
@@ -34,6 +35,8 @@
 _ASK_TIMEOUT_MS = 60.0
 # Without an owner nobody knows when there is room again.
 _NO_OWNER_RETRY_MS = 500
+# Another node may let the call in at once.
+_UNKNOWN_RETRY_MS = 100
 
 
 class CustomerUse(msgspec.Struct):
@@ -83,6 +86,7 @@
         settings: NodeSettings,
         records: QuotaRecords,
         clock: UnixClock,
+        rng: random.Random,
     ) -> None:
         self._view = view
         self._customers = customers
@@ -105,6 +109,7 @@
                 call_neighbour,
                 records,
                 clock,
+                rng,
             )
         self._route = QuotaRoute()
         self._silent = SilentOwners()
@@ -190,8 +195,8 @@
             return admitted
         if self._windows is not None:
             taken = self._windows.take_part(customer)
-        else:
-            taken = self._buckets.take_locally(customer, self._fleet_size())
+            return Ok(None) if taken else _unknown_use(customer.name)
+        taken = self._buckets.take_locally(customer, self._fleet_size())
         return Ok(None) if taken else _over_limit(customer.name, _NO_OWNER_RETRY_MS)
 
     async def _ask_owners(self, name: str, waited_ms: float) -> Result[None, Fault] | None:
@@ -262,6 +267,12 @@
         return index
 
 
+def _unknown_use(name: str) -> Err[Fault]:
+    """Refuse a call that may be within its customer's limit; another node may know."""
+    text = f"no node that is reached knows what customer {name!r} uses of its limit"
+    return Err(Fault(ResultCode.QUOTA_UNKNOWN, text, _UNKNOWN_RETRY_MS))
+
+
 def _over_limit(name: str, retry_after_ms: int) -> Err[Fault]:
     text = f"customer {name!r} is over its limit of calls"
     return Err(Fault(ResultCode.OVER_LIMIT, text, retry_after_ms))
--- a/tests/builders/quota_fleet.py
+++ b/tests/builders/quota_fleet.py
@@ -2,7 +2,8 @@
 
 Nodes are in groups that cannot reach each other, and die and come back with nothing remembered.
 Each notices a loss after ``NOTICED_MS`` and a return after ``RETURNED_MS``, but a node in a group
-too small for membership to judge by notices no loss at all.  Time only goes on.
+too small for membership to judge by notices no loss at all, but that it hears of too few.  Time
+only goes on.
 """
 
 import heapq
@@ -15,7 +16,6 @@
 from fescuedock.core.customers import Customer
 from fescuedock.core.quota_windows import (
     CLOCKS_DIFFER_MS,
-    Contacts,
     Leadership,
     NodeParts,
     Outcome,
@@ -31,6 +31,8 @@
 
 NOTICED_MS = (1000.0, 2000.0)
 RETURNED_MS = (20.0, 300.0)
+# When a node that is cut off finds that it hears of too few: what it heard, and a look.
+LOST_MS = (1500.0, 1900.0)
 # How old the records that a node knows may be: a held watch and the pause after it.
 RECORDS_AGE_MS = 1200.0
 # The least time between two lives of a node.
@@ -60,6 +62,8 @@
         self.started_ms = [float("-inf")] * size
         # What each node sees; replaced at once, so that identities tell of a change.
         self.views = [frozenset(self.names) for _ in range(size)]
+        # Which nodes have heard of enough others; one remembers for a while what it heard.
+        self.in_contact = [True] * size
         self.on_view: Callable[[int, float], None] = lambda node, now_ms: None
         self.on_start: Callable[[int, float], None] = lambda node, now_ms: None
         self._events: list[tuple[float, int, object]] = []
@@ -77,6 +81,8 @@
             at_ms, _, event = heapq.heappop(self._events)
             if isinstance(event, Change):
                 self._change(event)
+            elif isinstance(event, int):
+                self._look(at_ms, event)
             else:
                 self._see(at_ms, *event)
 
@@ -96,11 +102,13 @@
         for node in before.down - change.down:
             self.started_ms[node] = change.at_ms
             self.views[node] = frozenset([self.names[node]])
+            self.in_contact[node] = False
             self.on_start(node, change.at_ms)
         size = len(self.names)
         for node in range(size):
-            beside = sum(self.reaches(node, other) for other in range(size)) - 1
-            notices = beside >= needed_contacts(size)
+            notices = self._hears_enough(node)
+            low_ms, high_ms = RETURNED_MS if notices else LOST_MS
+            self._push(change.at_ms + self.rng.uniform(low_ms, high_ms), node)
             for other in range(size):
                 if not notices and not self.reaches(node, other):
                     continue
@@ -110,6 +118,24 @@
                 if node != other and is_seen != self.reaches(node, other):
                     self._push(due_ms, (node, other, change))
 
+    def _hears_enough(self, node: int) -> bool:
+        size = len(self.names)
+        beside = sum(self.reaches(node, other) for other in range(size)) - 1
+        return beside >= needed_contacts(size)
+
+    def _look(self, at_ms: float, node: int) -> None:
+        if not self.is_up(node) or at_ms < self._lost_ms(node, at_ms):
+            return
+        if self.in_contact[node] != self._hears_enough(node):
+            self.in_contact[node] = not self.in_contact[node]
+            self.on_view(node, at_ms)
+
+    def _lost_ms(self, node: int, at_ms: float) -> float:
+        """Return before when a node that is cut off still remembers whom it heard."""
+        if self._hears_enough(node):
+            return at_ms
+        return self.now.at_ms + LOST_MS[0]
+
     def _see(self, at_ms: float, node: int, other: int, change: Change) -> None:
         # A later change that left this pair as it was does not put off its being noticed.
         del change
@@ -165,7 +191,6 @@
     leadership: Leadership
     owner: WindowOwner
     parts: NodeParts
-    contacts: Contacts
 
 
 class WindowFleet:
@@ -182,6 +207,7 @@
         self._records: dict[str, list[tuple[float, float]]] = {}
         self.store_calls = 0
         self._known_ms = [0.0] * len(world.names)
+        self._looked_ms: list[dict[str, float]] = [{} for _ in world.names]
         self._rosters = [Roster(name) for name in world.names]
         for roster in self._rosters:
             roster.note(world.names, 0.0)
@@ -199,17 +225,19 @@
             Leadership(self._world.names[node]),
             WindowOwner(self.policy),
             NodeParts(self.policy, now_ms),
-            Contacts(),
         )
 
     def _start(self, node: int, now_ms: float) -> None:
         self._nodes[node] = self._new_node(node, now_ms)
         self._known_ms[node] = float("-inf")
+        self._looked_ms[node] = {}
         self._view(node, now_ms)
 
     def _view(self, node: int, now_ms: float) -> None:
         world = self._world
-        self._nodes[node].leadership.note(world.views[node], len(world.names), now_ms)
+        size = len(world.names)
+        heard = size if world.in_contact[node] else 0
+        self._nodes[node].leadership.note(world.views[node], size, heard, now_ms)
 
     def admit(
         self, customer: Customer, node: int, now_ms: float, waited_ms: float = 0.0
@@ -221,29 +249,11 @@
             messages += 2 * (other != node)
             if other != node and not world.reaches(node, other):
                 continue
-            if other != node:
-                self._nodes[other].contacts.note(node, now_ms)
-                self._nodes[node].contacts.note(other, now_ms)
             outcome = self._ask(customer, other, now_ms, waited_ms)
-            if outcome is Outcome.UNHEARD:
-                messages += 2 * self._look_around(other, now_ms)
-                outcome = self._ask(customer, other, now_ms, waited_ms)
-            if outcome in (Outcome.GRANTED, Outcome.OVER_LIMIT):
+            if outcome is not Outcome.UNSETTLED:
                 return Admission(outcome is Outcome.GRANTED, messages)
         return Admission(self._take_part(customer, node, now_ms), messages)
 
-    def _look_around(self, node: int, now_ms: float) -> int:
-        """Ask some nodes whether they are there; return how many."""
-        world = self._world
-        others = [name for name in world.views[node] if name != world.names[node]]
-        asked = world.rng.sample(
-            sorted(others), min(needed_contacts(len(world.names)), len(others))
-        )
-        for name in asked:
-            if world.reaches(node, world.names.index(name)):
-                self._nodes[node].contacts.note(world.names.index(name), now_ms)
-        return len(asked)
-
     def _take_part(self, customer: Customer, node: int, now_ms: float) -> bool:
         roster = self._rosters[node]
         parts = self._nodes[node].parts
@@ -259,28 +269,26 @@
             now_ms,
             restarted=self._has_restarted(node, now_ms),
             waited_ms=waited_ms,
-            heard_share=self._heard_share(node, now_ms),
         )
+        if owner.lookup_due(name, now_ms) and self._world.reaches_store(node):
+            self.store_calls += 1
+            self._looked_ms[node][name] = now_ms
+            return self._ask(customer, node, now_ms, waited_ms)
         due = self._with_records and owner.record_due(name, now_ms)
         if due and self._world.reaches_store(node):
             self.store_calls += 2
             until_ms = owner.used_until_ms(now_ms)
             self._records.setdefault(name, []).append((now_ms, until_ms))
             owner.note_record(name, since_ms, now_ms)
-        may_serve = answer.outcome in (Outcome.UNHEARD, Outcome.UNSETTLED)
-        if may_serve and self._take_part(customer, node, now_ms):
+        if answer.outcome is Outcome.UNSETTLED and self._take_part(customer, node, now_ms):
             return Outcome.GRANTED
         return answer.outcome
 
-    def _heard_share(self, node: int, now_ms: float) -> float:
-        heard = self._nodes[node].contacts.count(now_ms - self.policy.heard_ms)
-        return self.policy.heard_share(heard, len(self._world.names))
-
     def _known_records(self, name: str, node: int, now_ms: float) -> Records:
         if self._world.reaches_store(node):
             started_ms = self._world.started_ms[node]
             self._known_ms[node] = max(now_ms - RECORDS_AGE_MS, min(started_ms + 50.0, now_ms))
-        as_of_ms = self._known_ms[node]
+        as_of_ms = max(self._known_ms[node], self._looked_ms[node].get(name, float("-inf")))
         known = [until for at, until in self._records.get(name, ()) if at <= as_of_ms]
         return Records(as_of_ms, max(known, default=float("-inf")) + CLOCKS_DIFFER_MS)
 
--- a/tests/test_quota_windows.py
+++ b/tests/test_quota_windows.py
@@ -9,6 +9,18 @@
 from hypothesis import strategies as st
 
 from fescuedock.core.customers import Customer
+from fescuedock.core.quota_windows import (
+    Contacts,
+    Leadership,
+    NodeParts,
+    Outcome,
+    Records,
+    Roster,
+    WindowOwner,
+    WindowPolicy,
+)
+from fescuedock.core.quotas import QuotaRoute
+from fescuedock.core.token_bucket import Bucket
 from tests.builders.quota_fleet import BucketFleet, Change, WindowFleet, World, fullest_ms
 
 WINDOW_MS = 5000.0
@@ -72,6 +84,40 @@
         self.assertGreater(most, most_allowed(RECORDED))
 
 
+class DirectedCourseTest(unittest.TestCase):
+    """Guards rules that random courses seldom meet."""
+
+    LARGE = Customer("caldas", rate_per_s=200.0, burst=200.0)
+
+    def most(self, seed: int, others: int, healed_ms: float, hot_ms: float) -> int:
+        """Cut the leader off with ``others`` from 6 s on; calls at 5 times the rate from then."""
+        rng = random.Random(seed)
+        names = World(NODES, (), rng).names
+        leader = names.index(QuotaRoute().owners("caldas", names)[0])
+        beside = rng.sample([node for node in range(NODES) if node != leader], others)
+        # Without the key-value service, buckets alone keep the bound.
+        cut = dict.fromkeys([leader, *beside], 1)
+        changes = [Change(6000.0, cut, cut_from_store=frozenset(cut)), Change(healed_ms)]
+        world = World(NODES, changes, rng)
+        fleet, ran, now_ms = WindowFleet(world), [], hot_ms
+        while now_ms < 16_000.0:
+            now_ms += rng.expovariate(5 * self.LARGE.rate_per_s) * 1000
+            world.advance(now_ms)
+            if fleet.admit(self.LARGE, rng.randrange(NODES), now_ms).admitted:
+                ran.append(now_ms)
+        return fullest_ms(ran, WINDOW_MS)[0]
+
+    def test_a_leader_that_is_cut_off_with_many_has_noticed_before_another_one_begins(self) -> None:
+        for seed in range(4):
+            most = self.most(seed, others=25, healed_ms=15_000.0, hot_ms=6000.0)
+            self.assertLessEqual(most, most_allowed(self.LARGE), seed)
+
+    def test_a_leader_that_was_cut_off_alone_does_not_go_on_as_if_it_had_led(self) -> None:
+        for seed in range(4):
+            most = self.most(seed, others=0, healed_ms=11_500.0, hot_ms=9500.0)
+            self.assertLessEqual(most, most_allowed(self.LARGE), seed)
+
+
 class Course(msgspec.Struct, frozen=True):
     """A fleet's course, drawn by hypothesis; ``phases`` are of demand: times of the rate, and ms.
 
@@ -166,5 +212,196 @@
         self.assertLessEqual(most, most_allowed(customer))
 
 
+NOW_MS = 1e6
+KNOWN = Records(float("inf"))
+CUSTOMER = Customer("caldas", rate_per_s=10.0, burst=10.0)
+
+
+class OwnerTest(unittest.TestCase):
+    """A leader's answers: what it may grant, and since when."""
+
+    def setUp(self) -> None:
+        self.policy = WindowPolicy()
+        self.owner = WindowOwner(self.policy)
+        self.begin_ms = NOW_MS + self.policy.settle_ms
+
+    def ask(self, now_ms: float, records: Records = KNOWN, **terms: object) -> Outcome:
+        return self.owner.ask(CUSTOMER, NOW_MS, records, now_ms, **terms).outcome
+
+    def granted(self, now_ms: float, records: Records = KNOWN, **terms: object) -> int:
+        """Ask until a call is refused; return how many were granted."""
+        count = 0
+        while self.ask(now_ms, records, **terms) is Outcome.GRANTED:
+            count += 1
+        return count
+
+    def cover(self, now_ms: float) -> None:
+        self.assertTrue(self.owner.record_due("caldas", now_ms))
+        self.owner.note_record("caldas", NOW_MS, now_ms)
+
+    def test_a_new_leader_waits_for_one_that_was_cut_off_and_begins_empty(self) -> None:
+        self.assertIs(self.ask(self.begin_ms - 1.0), Outcome.UNSETTLED)
+        self.assertIs(self.ask(self.begin_ms), Outcome.OVER_LIMIT)
+        self.assertEqual(self.granted(self.begin_ms + 500.0), 5)
+
+    def test_most_of_a_fleet_that_has_just_started_need_not_wait(self) -> None:
+        self.assertEqual(self.granted(NOW_MS, restarted=True), 6)
+
+    def test_the_whole_window_is_granted_under_a_record_and_no_more(self) -> None:
+        now_ms = self.begin_ms + 10_000.0
+        by_bucket = self.granted(now_ms)
+        self.assertLess(by_bucket, 20)
+        self.cover(now_ms)
+        # 60 within the limit, and 0.15 of the spare 26.
+        self.assertEqual(by_bucket + self.granted(now_ms), 63)
+        self.assertFalse(self.owner.record_due("caldas", now_ms))
+        self.assertEqual(self.granted(now_ms + self.policy.window_ms), 0)
+        self.assertGreater(self.granted(now_ms + self.policy.span_ms), 0)
+
+    def test_a_leader_that_does_not_know_the_window_asks_for_no_record(self) -> None:
+        now_ms = self.begin_ms + self.policy.span_ms - 1.0
+        self.granted(now_ms)
+        self.assertFalse(self.owner.record_due("caldas", now_ms))
+
+    def test_a_record_that_lapses_leaves_the_bucket_alone(self) -> None:
+        now_ms = self.begin_ms + 10_000.0
+        self.granted(now_ms)
+        self.cover(now_ms - self.policy.record_ms)
+        self.assertEqual(self.granted(now_ms), 0)
+
+    def test_a_new_leader_waits_while_the_window_may_be_used_up(self) -> None:
+        until_ms = self.begin_ms + 3000.0
+        records = Records(float("inf"), until_ms)
+        self.assertIs(self.ask(until_ms - 1.0, records), Outcome.UNSETTLED)
+        self.assertGreater(self.granted(until_ms, records), 0)
+
+    def test_without_news_of_records_a_new_leader_waits_one_window_at_most(self) -> None:
+        records = Records(self.begin_ms - 1.0)
+        passed_ms = self.begin_ms + self.policy.span_ms
+        self.assertIs(self.ask(passed_ms - 1.0, records), Outcome.UNSETTLED)
+        self.assertTrue(self.owner.lookup_due("caldas", passed_ms - 1.0))
+        self.assertGreater(self.granted(passed_ms, records), 0)
+
+    def test_a_call_that_waited_counts_when_it_is_sent_and_once(self) -> None:
+        now_ms = self.begin_ms + 10_000.0
+        count = self.granted(now_ms)
+        self.cover(now_ms)
+        count += self.granted(now_ms)
+        sent_ms = now_ms + 2000.0
+        self.cover_again(sent_ms)
+        for _ in range(count):
+            self.assertIs(self.ask(sent_ms, waited_ms=2000.0), Outcome.GRANTED)
+        self.assertIs(self.ask(sent_ms), Outcome.OVER_LIMIT)
+        # Counted at their grants they would have left the window by now.
+        later_ms = now_ms + self.policy.span_ms + 1.0
+        self.assertIs(self.ask(later_ms), Outcome.OVER_LIMIT)
+
+    def cover_again(self, now_ms: float) -> None:
+        self.owner.note_record("caldas", NOW_MS, now_ms)
+
+    def test_a_lower_limit_holds_at_once_and_in_whole_after_a_window(self) -> None:
+        now_ms = self.begin_ms + 10_000.0
+        self.granted(now_ms)
+        lower = Customer("caldas", rate_per_s=1.0, burst=1.0)
+        answer = self.owner.ask(lower, NOW_MS, KNOWN, now_ms + 1000.0)
+        self.assertIs(answer.outcome, Outcome.OVER_LIMIT)
+        later_ms, count = now_ms + self.policy.span_ms, 0
+        while self.owner.ask(lower, NOW_MS, KNOWN, later_ms).outcome is Outcome.GRANTED:
+            count += 1
+        self.assertLessEqual(count, 4)
+
+    def test_another_time_of_leading_begins_anew(self) -> None:
+        self.assertGreater(self.granted(self.begin_ms + 5000.0), 0)
+        again = self.owner.ask(CUSTOMER, self.begin_ms + 6000.0, KNOWN, self.begin_ms + 6500.0)
+        self.assertIs(again.outcome, Outcome.UNSETTLED)
+
+
+class LeadershipTest(unittest.TestCase):
+    """Guards against two nodes that lead, and against one that led while it could not look."""
+
+    NAMES = tuple(f"node-{number}" for number in range(20))
+
+    def leader(self) -> Leadership:
+        return Leadership(QuotaRoute().owners("caldas", self.NAMES)[0])
+
+    def test_a_node_leads_with_more_than_half_of_the_fleet_and_contact(self) -> None:
+        leadership = self.leader()
+        half = [leadership.vm_id, *[n for n in self.NAMES if n != leadership.vm_id][:9]]
+        for names, heard, leads in (
+            (self.NAMES, 5, True),
+            (half, 5, False),
+            (self.NAMES, 4, False),
+        ):
+            leadership.note(names, len(self.NAMES), heard, NOW_MS)
+            self.assertEqual(leadership.since_ms("caldas") is not None, leads, (len(names), heard))
+
+    def test_leading_anew_counts_from_then(self) -> None:
+        leadership = self.leader()
+        for heard, now_ms in ((5, 0.0), (4, 1000.0), (5, 1100.0)):
+            leadership.note(self.NAMES, len(self.NAMES), heard, now_ms)
+        self.assertEqual(leadership.since_ms("caldas"), 1100.0)
+        # Changes among others leave it.
+        leadership.note(self.NAMES[:-1], len(self.NAMES), 5, 2000.0)
+        self.assertIn(leadership.since_ms("caldas"), (1100.0, None))
+        leadership.interrupt(3000.0)
+        self.assertIn(leadership.since_ms("caldas"), (3000.0, None))
+
+    def test_others_that_were_heard_of_are_counted_once(self) -> None:
+        contacts = Contacts()
+        for now_ms, node in enumerate(("a", "b", "a", "a", "c")):
+            contacts.note(node, float(now_ms))
+        self.assertEqual(contacts.count(0.0), 3)
+        self.assertEqual(contacts.count(3.0), 2)
+        contacts.keep(3.0)
+        self.assertEqual(contacts.count(0.0), 2)
+
+
+class PartsTest(unittest.TestCase):
+    """Guards the sum of what nodes serve by themselves, which is what exceeded a limit."""
+
+    @given(st.integers(1, 400), st.floats(0.1, 100.0), st.floats(0.0, 5.0), st.floats(0.0, 60.0))
+    def test_the_parts_of_all_nodes_fit_into_what_may_run_beyond_the_limit(
+        self, size: int, rate_per_s: float, burst_s: float, slack_calls: float
+    ) -> None:
+        policy = WindowPolicy(slack_calls=slack_calls)
+        customer = Customer("caldas", rate_per_s, rate_per_s * burst_s)
+        parts = sum(policy.part_calls(customer, rank, size) for rank in range(size))
+        shared = policy.leader_share + 2 * policy.pair_share + policy.others_share
+        self.assertLessEqual(shared, 0.85 + 1e-9)
+        self.assertLessEqual(
+            parts, (2 * policy.pair_share + policy.others_share) * policy.spare_calls(customer)
+        )
+
+    @given(st.integers(1, 60), st.lists(st.floats(0.0, 700.0), max_size=300))
+    def test_a_part_serves_no_more_than_its_calls_in_any_span(
+        self, calls: int, gaps_ms: list[float]
+    ) -> None:
+        policy, now_ms, taken = WindowPolicy(), 0.0, []
+        terms = policy.part_terms(calls)
+        bucket = Bucket(0.0, -1e6)
+        for gap_ms in gaps_ms:
+            now_ms += gap_ms
+            while bucket.take(terms, now_ms):
+                taken.append(now_ms)
+        self.assertLessEqual(fullest_ms(taken, policy.span_ms)[0], calls)
+
+    def test_a_node_that_gets_a_larger_part_begins_empty(self) -> None:
+        parts = NodeParts(WindowPolicy(), 0.0)
+        self.assertFalse(parts.take(CUSTOMER, None, 54, 1e6))
+        self.assertFalse(parts.take(CUSTOMER, 0, 54, 1e6))
+        self.assertTrue(parts.take(CUSTOMER, 0, 54, 1e6 + 5000.0))
+
+    def test_a_node_that_was_registered_counts_on_for_a_minute(self) -> None:
+        names = [f"node-{number}" for number in range(9)]
+        roster = Roster("node-0")
+        self.assertIsNone(roster.rank("caldas"))
+        roster.note(names, 0.0)
+        rank = roster.rank("caldas")
+        roster.note(names[:4], 59_000.0)
+        self.assertEqual((roster.size, roster.rank("caldas")), (9, rank))
+        roster.note(names[:4], 61_000.0)
+        self.assertEqual(roster.size, 4)
+
+
 if __name__ == "__main__":
     unittest.main()
