--- a/src/fescuedock/node/main.py
+++ b/src/fescuedock/node/main.py
@@ -256,7 +256,13 @@
             lambda: self._configuration.routes.customers,
             self._call_neighbour,
             self._fleet_size,
-            node.quota_slack_calls,
+            self._registered,
+            node,
+            self._store,
+            self._table(self._keys.live),
+            self._keys.quotas,
+            self._clock,
+            self._rng,
         )
         self.front.quotas = self.quotas
         self._permits = permits
@@ -327,6 +333,7 @@
             self._retirement,
             self._ends,
             self._crashes,
+            self.quotas,
         )
         for part in parts:
             nursery.start_soon(part.run)
@@ -501,9 +508,13 @@
 
     def _fleet_size(self) -> int:
         """Return how many nodes have a record, or are known to membership if those are more."""
+        return max(len(self._registered()), len(self._view.vms))
+
+    def _registered(self) -> list[str]:
+        """Return the names of the nodes that have a record."""
         prefix = self._keys.nodes
-        recorded = sum(1 for key in self._table(self._keys.live).entries if key.startswith(prefix))
-        return max(recorded, len(self._view.vms))
+        entries = self._table(self._keys.live).entries
+        return [key.removeprefix(prefix) for key in entries if key.startswith(prefix)]
 
     def _seeds(self) -> list[Address]:
         text = self._settings.node.seeds
