--- a/bench/capacity_model.py
+++ b/bench/capacity_model.py
@@ -8,7 +8,7 @@
 from math import ceil
 
 from bench.slopes import Slope
-from fescuedock.core.permits.validity import validity_ms
+from fescuedock.core.permits.holder import validity_ms
 from fescuedock.schema.settings import AgentSettings, BatchSettings
 
 __all__ = ["Assumptions", "Load", "Target", "control_loads", "data_loads", "kv_loads", "total"]
--- a/bench/mix_actors.py
+++ b/bench/mix_actors.py
@@ -15,8 +15,7 @@
 from bench.virtual import Attempt, VirtualEngine, VirtualLoop
 from fescuedock.core.admission import Admission
 from fescuedock.core.permits.actions import Action, Granted, Refused, Revoked
-from fescuedock.core.permits.holder import HeldGrant, HolderBook
-from fescuedock.core.permits.local_limit import LocalLimit
+from fescuedock.core.permits.holder import HeldGrant, HolderBook, LocalLimit
 from fescuedock.core.permits.owner import OwnedUpstream, PermitOwner
 from fescuedock.core.permits.terms import UpstreamTerms
 from fescuedock.core.route_learning import SilentOwners
--- a/src/fescuedock/agent/permit_client.py
+++ b/src/fescuedock/agent/permit_client.py
@@ -18,8 +18,7 @@
 from fescuedock.address import Address
 from fescuedock.agent.peers import PeerChannels
 from fescuedock.clock import now_ms
-from fescuedock.core.permits.holder import HeldGrant, HolderBook, lapsed_by_ms
-from fescuedock.core.permits.local_limit import LocalLimit
+from fescuedock.core.permits.holder import HeldGrant, HolderBook, LocalLimit, lapsed_by_ms
 from fescuedock.core.recent_runs import RecentRuns
 from fescuedock.faults import Fault
 from fescuedock.net.channel import ChannelClient
--- a/src/fescuedock/agent/permit_service.py
+++ b/src/fescuedock/agent/permit_service.py
@@ -13,9 +13,9 @@
 from fescuedock.agent.upstream_checks import UpstreamChecks
 from fescuedock.clock import now_ms
 from fescuedock.core.permits.actions import Action, Granted, Refused, Revoked
+from fescuedock.core.permits.holder import validity_ms
 from fescuedock.core.permits.owner import OwnedUpstream, PermitOwner
 from fescuedock.core.permits.terms import UpstreamTerms
-from fescuedock.core.permits.validity import validity_ms
 from fescuedock.core.permits.waiting import MemberShares
 from fescuedock.faults import Fault
 from fescuedock.net.channel import CallHandler, ServerPeer
--- a/src/fescuedock/core/permits/held.py
+++ b/src/fescuedock/core/permits/held.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-from fescuedock.core.permits.batch_order import batch_rank
 from fescuedock.core.permits.prediction import Start
+from fescuedock.core.permits.queued import batch_rank
 from fescuedock.schema.permits import BatchStage, HeldPermit, PermitAsk, WorkClass
 
 __all__ = ["Company", "Held", "HeldPermits"]
--- a/src/fescuedock/core/permits/holder.py
+++ b/src/fescuedock/core/permits/holder.py
@@ -5,8 +5,9 @@
 import msgspec
 
 from fescuedock.schema.permits import EndedPermit, HeldPermit, PermitAsk, WorkClass
+from fescuedock.schema.settings import AgentSettings
 
-__all__ = ["HeldGrant", "HolderBook", "lapsed_by_ms"]
+__all__ = ["HeldGrant", "HolderBook", "LocalLimit", "lapsed_by_ms", "validity_ms"]
 
 
 class HeldGrant(msgspec.Struct):
@@ -56,6 +57,16 @@
         return max(self.ask.left_ms - int(now_ms - self.granted_ms), 1)
 
 
+def validity_ms(settings: AgentSettings, vms: int) -> int:
+    """Return the validity in a fleet of ``vms`` VMs.
+
+    A holder renews with each owner by itself, and in a large fleet nearly every permit has another
+    owner.  Were the validity fixed, renewals would grow with the permits that a VM holds until they
+    took most of its control budget; they only free the permits of a holder that died.
+    """
+    return max(settings.permit_valid_ms, settings.permit_valid_per_vm_ms * vms)
+
+
 def lapsed_by_ms(sent_ms: float, arrived_ms: float, wait_ms: float, valid_ms: float) -> float:
     """Return when a permit has lapsed for certain whose ask was sent and answered at these times.
 
@@ -113,3 +124,24 @@
             for permit_id, grant in self._grants.items()
             if grant.ask.work_class is WorkClass.BATCH and grant.valid_until_ms <= now_ms
         ]
+
+
+class LocalLimit(msgspec.Struct):
+    """Counts the attempts of one holder at each upstream whose owner is silent."""
+
+    limit: int
+    _running: dict[str, int] = msgspec.field(default_factory=dict)
+
+    def try_take(self, upstream_id: str) -> bool:
+        running = self._running.get(upstream_id, 0)
+        if running >= self.limit:
+            return False
+        self._running[upstream_id] = running + 1
+        return True
+
+    def give_back(self, upstream_id: str) -> None:
+        running = self._running.get(upstream_id, 0) - 1
+        if running > 0:
+            self._running[upstream_id] = running
+        else:
+            self._running.pop(upstream_id, None)
--- a/src/fescuedock/core/permits/queued.py
+++ b/src/fescuedock/core/permits/queued.py
@@ -1,13 +1,17 @@
-"""One ask that waits in the queue of an upstream, and the weights of members."""
+"""One ask that waits in the queue of an upstream, the weights of members, and the order of batch.
+
+The order of batch work is the same at the nodes that hold it and in the queues of owners.
+"""
 
 from collections.abc import Mapping
 
 import msgspec
 
-from fescuedock.core.permits.batch_order import batch_rank
-from fescuedock.schema.permits import PermitAsk, WorkClass
+from fescuedock.schema.permits import BatchStage, PermitAsk, WorkClass
+
+__all__ = ["MemberShares", "Waiting", "batch_rank"]
 
-__all__ = ["MemberShares", "Waiting"]
+_STAGE_RANKS = {stage: number for number, stage in enumerate(BatchStage)}
 
 
 class MemberShares(msgspec.Struct, frozen=True):
@@ -67,3 +71,19 @@
             return self.arrived_ms + self.ask.target_ms
         # An ask is made anew now and then, which must not cost a late one its place.
         return self.due_ms if self.ask.target_ms else min(self.answer_by_ms, self.due_ms)
+
+
+def batch_rank(stage: BatchStage, left_ms: float, due_ms: float) -> tuple[int, float]:
+    """Return what batch work is ordered by; the lower goes first and gives way last.
+
+    Of what has begun the least that is left goes first.  Of what has not, the one that is due
+    first; or, where that is doubtful, the one that is due last, which has the best chance.
+    """
+    match stage:
+        case BatchStage.FRESH:
+            order = due_ms
+        case BatchStage.DOUBTFUL:
+            order = -due_ms
+        case _:
+            order = left_ms
+    return _STAGE_RANKS[stage], order
--- a/src/fescuedock/core/permits/waiting.py
+++ b/src/fescuedock/core/permits/waiting.py
@@ -1,14 +1,17 @@
 """The asks that wait for one upstream, ordered by class, priority, customer's share and slack."""
 
 from collections.abc import Callable, Iterator, Mapping
+from typing import TYPE_CHECKING
 
 import msgspec
 
-from fescuedock.core.permits.fair_order import FairOrder
 from fescuedock.core.permits.held import Held
 from fescuedock.core.permits.queued import MemberShares, Waiting
 from fescuedock.schema.permits import WorkClass
 
+if TYPE_CHECKING:
+    from fescuedock.core.permits.fair_order import FairOrder
+
 __all__ = ["MemberShares", "Waiting", "WaitingAsks"]
 
 
@@ -28,9 +31,7 @@
     )
     # Of them, those that name a customer or a priority; without any, nothing is kept of customers.
     _shared: int = 0
-    _orders: dict[WorkClass, FairOrder] = msgspec.field(
-        default_factory=lambda: {work_class: FairOrder() for work_class in WorkClass}
-    )
+    _orders: dict[WorkClass, "FairOrder"] = msgspec.field(default_factory=dict)
 
     def __contains__(self, attempt_id: str) -> bool:
         return attempt_id in self._by_attempt
@@ -80,21 +81,30 @@
         if not self._shared or len(asks) < 2:
             asks.sort(key=lambda item: item.order(now_ms))
             return asks
-        return self._orders[work_class].in_order(asks, self.shares, running, now_ms)
+        return self._order(work_class).in_order(asks, self.shares, running, now_ms)
+
+    def _order(self, work_class: WorkClass) -> "FairOrder":
+        order = self._orders.get(work_class)
+        if order is None:
+            # Imported with the first customer: a start without any loads three modules less.
+            from fescuedock.core.permits.fair_order import FairOrder
+
+            order = self._orders[work_class] = FairOrder()
+        return order
 
     def charge(self, waiting: Waiting, now_ms: float) -> float:
         """Charge an ask that was removed to be granted to its customer; return the cost."""
         ask = waiting.ask
         if not waiting.is_shared or not self._counts[ask.work_class]:
             return 0.0
-        order = self._orders[ask.work_class]
+        order = self._order(ask.work_class)
         return order.granted(waiting, self.shares.weight(ask.member), now_ms)
 
     def settle(self, held: Held, generated_tokens: int, now_ms: float) -> None:
         """Take in what an attempt has really generated."""
         if not held.member:
             return
-        shares = self._orders[held.work_class].shares
+        shares = self._order(held.work_class).shares
         if generated_tokens:
             shares.learn_tokens(generated_tokens)
         if held.charged_tokens:
@@ -105,7 +115,7 @@
     def note_refusal(self, waiting: Waiting, now_ms: float) -> None:
         """Take in that work is refused for good, so that it goes before others if it returns."""
         if waiting.is_shared:
-            self._orders[waiting.ask.work_class].refused.note(waiting.ask.work_id, now_ms)
+            self._order(waiting.ask.work_class).refused.note(waiting.ask.work_id, now_ms)
 
     def forget(self, running: Mapping[str, int], now_ms: float) -> None:
         """Drop what is kept of customers and no longer makes a difference."""
--- a/src/fescuedock/core/stored_jobs/pool.py
+++ b/src/fescuedock/core/stored_jobs/pool.py
@@ -7,7 +7,6 @@
 from collections.abc import Callable, Iterable
 
 from fescuedock.core.quarantine import Standing
-from fescuedock.core.stored_jobs.customer_turns import running_items, take_turns
 from fescuedock.core.stored_jobs.job import ItemEnd, ItemRun, StoredJob
 from fescuedock.core.stored_jobs.pace import Pace, RunEstimate
 from fescuedock.core.stored_jobs.urgency import ItemChoice, rank_items
@@ -94,6 +93,9 @@
         whose = {(job.record.customer, self._priority(job.record)) for job in jobs}
         if len(whose) < 2:
             return ranked
+        # Imported when customers compete, which a start need not wait for.
+        from fescuedock.core.stored_jobs.customer_turns import running_items, take_turns
+
         return take_turns(ranked, running_items(self._jobs()), self._priority, upstream_id)
 
     def _count_free(self, runs: list[ItemRun]) -> int:
--- a/src/fescuedock/core/stored_jobs/urgency.py
+++ b/src/fescuedock/core/stored_jobs/urgency.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from fescuedock.core.permits.batch_order import batch_rank
+from fescuedock.core.permits.queued import batch_rank
 from fescuedock.core.stored_jobs.job import ItemRun, StoredJob
 from fescuedock.core.stored_jobs.pace import Pace, RunEstimate
 from fescuedock.schema.permits import BatchStage
--- a/src/fescuedock/node/main.py
+++ b/src/fescuedock/node/main.py
@@ -33,7 +33,6 @@
 from fescuedock.core.stored_jobs.wanted_ends import WantedEnds
 from fescuedock.core.watch_duty import WatchDuty
 from fescuedock.daemon import Stop, run_program
-from fescuedock.entry.fleet_status import STATUS_PATH, fleet_status
 from fescuedock.faults import Fault
 from fescuedock.log import log_event
 from fescuedock.net.channel import CallHandler
@@ -390,6 +389,9 @@
 
     async def _answer_metrics(self, request: Request, responder: Responder) -> None:
         """Answer with the fleet as JSON, or with this process's counts as text for Prometheus."""
+        # Imported at the first scrape, which a start need not wait for.
+        from fescuedock.entry.fleet_status import STATUS_PATH, fleet_status
+
         status = fleet_status(self._view, self._permits)
         status.customers = self.quotas.status()
         status.held_bytes = self.front.held.total_bytes
@@ -397,7 +399,6 @@
         if request.path == STATUS_PATH:
             await responder.send_json(200, status)
             return
-        # Imported at the first scrape, which a start need not wait for.
         from fescuedock.report.prometheus import CONTENT_TYPE, exposition
 
         text = exposition([self._metrics.totals()], status)
--- a/tests/test_permits_service.py
+++ b/tests/test_permits_service.py
@@ -10,8 +10,8 @@
 from result import Err, Ok, Result
 
 from fescuedock.address import Address
+from fescuedock.core.permits.holder import validity_ms
 from fescuedock.core.permits.owner import PermitOwner
-from fescuedock.core.permits.validity import validity_ms
 from fescuedock.faults import Fault
 from fescuedock.schema.permits import AttemptOutcome, PermitAsk, PermitsEnded, WorkClass
 from fescuedock.schema.result_codes import ResultCode
--- a/tests/test_stored_jobs_urgency.py
+++ b/tests/test_stored_jobs_urgency.py
@@ -4,7 +4,7 @@
 
 from msgspec.structs import replace
 
-from fescuedock.core.permits.batch_order import batch_rank
+from fescuedock.core.permits.queued import batch_rank
 from fescuedock.core.stored_jobs.job import ItemEnd, StoredJob
 from fescuedock.core.stored_jobs.pace import Pace, RunEstimate
 from fescuedock.core.stored_jobs.pool import ItemPool
