Keep the bound of a limit by buckets while nodes but not the owner are cut off

Cause: nodes that reach no owner each served half of their share of a limit, which added up beside an owner that grants all of it; a node that stood in for an owner and became it began twice. Change: a fifth of the share; one bucket for both roles. Ruled out: no share and a smaller start, which change the course with a cut-off owner little.

--- a/src/fescuedock/core/quotas.py
+++ b/src/fescuedock/core/quotas.py
@@ -28,7 +28,9 @@
 _ASKED = 2
 _QUOTA_KEY = "quota/"
 # Of a node's share of a limit; the owner goes on granting all of it to the others.
-_ALLOWED_SHARE = 0.5
+# With 16 of 54 nodes cut off the fullest window held up to 394 calls with half of it and 375 with
+# a fifth, where 389 may run.
+_ALLOWED_SHARE = 0.2
 
 
 def quota_key(customer: str) -> str:
@@ -59,21 +61,21 @@
 
 
 class QuotaOwner(msgspec.Struct):
-    """Buckets by customer, and by whether this node stands in for a silent owner."""
+    """Buckets by customer.
 
-    policy: QuotaPolicy = msgspec.field(default_factory=QuotaPolicy)
-    _buckets: dict[tuple[str, bool], Bucket] = msgspec.field(default_factory=dict)
+    A node that has stood in for a silent owner goes on with the same bucket when it becomes the
+    owner: with one for each, a change of owners let two starts into the window.
+    """
 
-    def ask(self, customer: Customer, now_ms: float, *, stands_in: bool = False) -> float | None:
-        """Grant one call: None, or the time after which to come back.
+    policy: QuotaPolicy = msgspec.field(default_factory=QuotaPolicy)
+    _buckets: dict[str, Bucket] = msgspec.field(default_factory=dict)
 
-        ``stands_in`` has a bucket of its own: whoever owns the customer may grant as well.
-        """
+    def ask(self, customer: Customer, now_ms: float) -> float | None:
+        """Grant one call: None, or the time after which to come back."""
         terms = self.policy.terms(customer)
-        bucket = self._buckets.get((customer.name, stands_in))
+        bucket = self._buckets.get(customer.name)
         if bucket is None:
-            bucket = Bucket(terms.start, now_ms)
-            self._buckets[customer.name, stands_in] = bucket
+            bucket = self._buckets[customer.name] = Bucket(terms.start, now_ms)
         if bucket.take(terms, now_ms):
             return None
         return bucket.wait_ms(terms, now_ms, self.policy.longest_wait_ms)
@@ -84,8 +86,8 @@
 
     def keep(self, names: Collection[str]) -> None:
         """Forget the customers that are not among ``names``."""
-        for key in [key for key in self._buckets if key[0] not in names]:
-            del self._buckets[key]
+        for name in self._buckets.keys() - set(names):
+            del self._buckets[name]
 
 
 class QuotaRoute:
--- a/src/fescuedock/node/quotas.py
+++ b/src/fescuedock/node/quotas.py
@@ -59,7 +59,7 @@
     def answer(self, customer: Customer, ask: QuotaAsk) -> QuotaReply:
         if not self._owner.may_grant(self._present_share()):
             return QuotaReply(ResultCode.NOT_OWNER)
-        retry_ms = self._owner.ask(customer, now_ms(), stands_in=ask.stands_in)
+        retry_ms = self._owner.ask(customer, now_ms())
         if retry_ms is None:
             return QuotaReply(ResultCode.OK)
         return QuotaReply(ResultCode.OVER_LIMIT, int(retry_ms))
--- a/tests/builders/quota_fleet.py
+++ b/tests/builders/quota_fleet.py
@@ -175,14 +175,14 @@
     ) -> Admission:
         world, messages = self._world, 0
         size = len(world.names)
-        for rank, name in enumerate(self._route.owners(customer.name, world.views[node])):
+        for name in self._route.owners(customer.name, world.views[node]):
             other = world.names.index(name)
             messages += 2 * (other != node)
             if other != node and not world.reaches(node, other):
                 continue
             owner = self._owners[other]
             if owner.may_grant(len(world.views[other]) / size):
-                wait_ms = owner.ask(customer, now_ms, stands_in=rank > 0)
+                wait_ms = owner.ask(customer, now_ms)
                 return Admission(wait_ms is None, messages)
         return Admission(self._allowances[node].take(customer, size, now_ms), messages)
 
--- a/tests/test_quota_windows.py
+++ b/tests/test_quota_windows.py
@@ -77,11 +77,20 @@
                     # A fleet that lets nobody in keeps any bound.
                     self.assertGreaterEqual(most, 0.8 * RECORDED.rate_per_s * 6)
 
-    def test_the_course_exceeds_the_bound_by_buckets(self) -> None:
-        """Shows that the course is hard: a bucket each at owner and stand-in do not keep it."""
-        world, calls_ms = recorded_course(0, owner_is_cut_off=True)
-        most, _ = fullest_ms(ran_ms(world, BucketFleet(world), calls_ms), WINDOW_MS)
-        self.assertGreater(most, most_allowed(RECORDED))
+    def check_buckets(self, seeds: range, *, owner_is_cut_off: bool) -> None:
+        for seed in seeds:
+            with self.subTest(seed=seed):
+                world, calls_ms = recorded_course(seed, owner_is_cut_off=owner_is_cut_off)
+                most, _ = fullest_ms(ran_ms(world, BucketFleet(world), calls_ms), WINDOW_MS)
+                self.assertLessEqual(most, most_allowed(RECORDED))
+
+    def test_buckets_keep_the_bound_while_the_owner_is_in_contact(self) -> None:
+        """Guards against allowances of cut-off nodes that add up: 394 calls ran of 389."""
+        self.check_buckets(range(8), owner_is_cut_off=False)
+
+    def test_buckets_keep_the_bound_while_the_owner_is_cut_off(self) -> None:
+        """A new owner does not know what the former one, now cut off, has granted and grants."""
+        self.check_buckets(range(8), owner_is_cut_off=True)
 
 
 class DirectedCourseTest(unittest.TestCase):
