--- a/src/fescuedock/node/main.py
+++ b/src/fescuedock/node/main.py
@@ -48,7 +48,7 @@
 from fescuedock.node.job_ends import JobEnds
 from fescuedock.node.job_runner import JobRunner
 from fescuedock.node.job_store import JobStore
-from fescuedock.node.online import OnlineCalls
+from fescuedock.node.online import ONLINE_ROUTING, PREDICTED_ROUTING, OnlineCalls
 from fescuedock.node.owner_reads import OwnerReads
 from fescuedock.node.quotas import Quotas
 from fescuedock.node.replicas import Replicas, Watched
@@ -249,6 +249,7 @@
             node.retry_after_ms,
             self._metrics,
             lambda: self._configuration.routes,
+            PREDICTED_ROUTING if node.place_by_prediction else ONLINE_ROUTING,
         )
         self.quotas = Quotas(
             self._view,
--- a/src/fescuedock/node/online.py
+++ b/src/fescuedock/node/online.py
@@ -27,7 +27,7 @@
 from fescuedock.report.metrics import Metrics
 from fescuedock.schema.view import UpstreamRecord
 
-__all__ = ["ONLINE_ROUTING", "OnlineCalls"]
+__all__ = ["ONLINE_ROUTING", "PREDICTED_ROUTING", "OnlineCalls"]
 
 _IDENTITY_BYTES = 16
 # What an upstream is taken to need to a first event until calls have shown it.
@@ -36,7 +36,9 @@
 _FIRST_EVENT_GAIN = 0.1
 # How calls look for a permit.  The choice is made anew every 150 ms, as a slot may come free
 # elsewhere.
-ONLINE_ROUTING = RoutingPolicy(at_once=2, queue_ms=150.0, rank=choose_by_prediction)
+ONLINE_ROUTING = RoutingPolicy(at_once=2, queue_ms=150.0)
+# The same where the settings ask for placement by the learned speeds of upstreams.
+PREDICTED_ROUTING = RoutingPolicy(at_once=2, queue_ms=150.0, rank=choose_by_prediction)
 
 
 class OnlineCalls:
@@ -69,6 +71,7 @@
         retry_after_ms: int,
         metrics: Metrics,
         routes: Callable[[], RouteTable] = RouteTable,
+        routing: RoutingPolicy = ONLINE_ROUTING,
     ) -> None:
         """``routes`` gives those of the version in force."""
         self.view = view
@@ -78,7 +81,7 @@
         self.rng = rng
         self.retry_after_ms = retry_after_ms
         self.metrics = metrics
-        self.routing = ONLINE_ROUTING
+        self.routing = routing
         self.admission = Admission()
         self.latency = DomainLatency()
         self.ask_timeout = AskTimeout()
--- a/src/fescuedock/schema/settings.py
+++ b/src/fescuedock/schema/settings.py
@@ -634,6 +634,12 @@
             ge=0.0,
         ),
     ] = 0
+    place_by_prediction: Annotated[
+        bool,
+        Meta(
+            description="Whether online calls are placed by the predicted first event, pauses and end at each upstream, learned from its runs; else by the load that owners report."
+        ),
+    ] = False
     quota_over_share: Annotated[
         float,
         Meta(
