Keep the order of work of one priority however long it waits

Cause: one grant in eight went to work of a lower priority that had waited for 0.8 s, also when nothing more urgent waited: items of a route with priority 2 lost their order by urgency. Change: the bound on waiting applies only beside work of a more urgent priority. Measured: the new test is red without it.

--- a/src/fescuedock/core/permits/fair_order.py
+++ b/src/fescuedock/core/permits/fair_order.py
@@ -6,7 +6,7 @@
 Pure: the caller passes the time.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 
 import msgspec
 
@@ -76,12 +76,16 @@
         self.shares.charge(ask.member, cost, weight, now_ms)
         return cost
 
-    def _first_overdue(self, asks: Iterable[Waiting], now_ms: float) -> Waiting | None:
+    def _first_overdue(self, asks: Sequence[Waiting], now_ms: float) -> Waiting | None:
         """Return the ask whose turn it is after it has waited too long."""
         if not self.overdue.is_due:
             return None
+        # Asks are in the order of priorities.  Among equals nobody is kept waiting by another.
+        most_urgent = asks[0].ask.priority
         waiting = [
-            item for item in asks if item.ask.priority and item.waited_ms(now_ms) >= OVERDUE_MS
+            item
+            for item in asks
+            if item.ask.priority > most_urgent and item.waited_ms(now_ms) >= OVERDUE_MS
         ]
         return max(waiting, key=lambda item: item.waited_ms(now_ms), default=None)
 
--- a/tests/test_permits_shares.py
+++ b/tests/test_permits_shares.py
@@ -13,7 +13,7 @@
 from fescuedock.core.permits.terms import UpstreamTerms
 from fescuedock.platform.records import read_route_table
 from fescuedock.schema.config import Objectives
-from fescuedock.schema.permits import AttemptOutcome, PermitAsk, WorkClass
+from fescuedock.schema.permits import AttemptOutcome, BatchStage, PermitAsk, WorkClass
 from tests.builders.permits import ask_for, end_of, new_queue
 
 SLOTS = 4
@@ -85,6 +85,16 @@
         self.assertIn(low, granted)
         self.assertGreater(granted.index(low), 5)
 
+    def test_work_of_one_priority_keeps_its_order_however_long_it_waits(self) -> None:
+        """Items of a route with a lower priority were taken by their wait, one grant in eight."""
+        full = FullUpstream(work_class=WorkClass.BATCH)
+        late = full.wait(
+            WorkClass.BATCH, priority=2, waited_ms=int(OVERDUE_MS), stage=BatchStage.LATE
+        )
+        for _ in range(20):
+            full.wait(WorkClass.BATCH, priority=2, stage=BatchStage.FRESH)
+        self.assertNotIn(late, [full.next_granted() for _ in range(16)])
+
     def test_a_preference_that_is_not_used_does_not_pile_up(self) -> None:
         preference = BoundedPreference(4)
         for _ in range(20):
