--- a/tests/builders/runner_world.py
+++ b/tests/builders/runner_world.py
@@ -153,6 +153,7 @@
 
 class _Vm(msgspec.Struct, frozen=True):
     vm_id: str
+    failure_domain: str = "sala-1"
 
 
 class _View:
@@ -161,6 +162,7 @@
     def __init__(self, world: "RunnerWorld", own: str) -> None:
         self._world = world
         self._own = own
+        self.vm_id = own
         self.quarantine = world.quarantine
         self.upstreams = {
             name: UpstreamRecord(
