--- a/src/fescuedock/net/http_server.py
+++ b/src/fescuedock/net/http_server.py
@@ -190,7 +190,11 @@
         except RequestTimeoutError as error:
             await _fail(responder, Fault(ResultCode.REQUEST_TIMEOUT, str(error)))
         except h11.RemoteProtocolError as error:
-            await _send_protocol_fault(connection, error)
+            try:
+                await _send_protocol_fault(connection, error)
+            except DroppedConnectionError:
+                # It left in the middle of its request; raised on, this would end the whole server.
+                return
         except Exception as error:
             if _only_caller_gone(error):
                 return
--- /dev/null
+++ b/tests/test_net_left_callers.py
@@ -0,0 +1,32 @@
+"""Callers that leave in the middle of a request must not end the server."""
+
+import unittest
+from unittest import mock
+
+import h11
+import trio
+
+from fescuedock.net import http_server
+from fescuedock.net.http_server import DroppedConnectionError, HttpServer, Request, Responder
+
+
+class LeftCallerTest(unittest.TestCase):
+    def test_a_refusal_that_nobody_takes_ends_no_server(self) -> None:
+        """A client sent half of a body and closed; the refusal met a broken pipe, and the server
+        of a stand-in ended with it for all its callers.
+        """
+
+        async def handler(_request: Request, _responder: Responder) -> None:
+            raise h11.RemoteProtocolError("peer closed connection without sending complete message")
+
+        async def run() -> None:
+            gone = mock.AsyncMock(side_effect=DroppedConnectionError("broken pipe"))
+            with mock.patch.object(http_server, "_send_protocol_fault", gone):
+                await HttpServer(handler)._run_handler(mock.Mock(), mock.Mock(), mock.Mock())
+            gone.assert_awaited_once()
+
+        trio.run(run)
+
+
+if __name__ == "__main__":
+    unittest.main()
