Bound the whole wait of a response's part again where its producer waits for it

Cause: the write timeout began anew with each byte that the kernel took, and its buffers grow, so a caller that reads nothing went on for longer: the test of its bound of memory failed. Change: where nothing is held for streamed responses the timeout is that of the part, as it was; where something is held it still counts from the last progress.

--- a/src/fescuedock/net/http_connection.py
+++ b/src/fescuedock/net/http_connection.py
@@ -307,10 +307,14 @@
         """Send what is held as the caller reads; ``scope`` ends it when the caller is cut off."""
         try:
             with scope:
+                scope.deadline = self._write_due_s()
                 while self._unsent_bytes():
-                    scope.deadline = trio.current_time() + self._limits_of().write_timeout_ms / 1000
                     await trio.lowlevel.wait_writable(self._stream.socket)
                     self._send_held()
+                    if self._held.bounds.call_bytes:
+                        # Where a producer waits for each part, the time is that of the part: the
+                        # kernel's buffers grow, and a caller that reads nothing would get on.
+                        scope.deadline = self._write_due_s()
             if scope.cancelled_caught and not self._cut_off:
                 self.cut_off("takes nothing")
             self._check_open()
@@ -318,6 +322,9 @@
             self._drain_scope = None
             self._note_progress()
 
+    def _write_due_s(self) -> float:
+        return trio.current_time() + self._limits_of().write_timeout_ms / 1000
+
     def _send_held(self) -> None:
         try:
             taken_bytes = self._unsent.write_to(self._stream.socket.fileno())
