--- a/bench/quota_ways.py
+++ b/bench/quota_ways.py
@@ -17,7 +17,7 @@
 import msgspec
 
 from fescuedock.core.customers import Customer
-from fescuedock.core.quotas import LocalAllowance, QuotaRoute
+from fescuedock.core.quotas import QuotaRoute
 from fescuedock.core.token_bucket import Bucket, BucketTerms
 from tests.builders.quota_fleet import (
     Admission,
@@ -27,8 +27,9 @@
     World,
     fullest_ms,
 )
+from tests.builders.quota_single_owner import Allowances, SingleOwnerFleet
 
-__all__ = ["compare"]
+__all__ = ["LOADS", "Figures", "compare", "run_way"]
 
 _WINDOW_MS = 5000.0
 _OVER = 0.1
@@ -46,35 +47,80 @@
 
 
 class Load(msgspec.Struct, frozen=True):
-    """Calls of one run: a hot customer sends ``times`` its usual; ``changes`` by nodes and owner.
+    """Calls of one run: a hot customer sends ``times`` its usual; ``changes`` by nodes.
 
-    ``owner`` is that of the hot customer.
+    ``granting`` are nodes that grant calls of the hot customer: its first owner, then the keepers
+    of shares.
     """
 
     name: str
     times: float = 1.0
-    changes: Callable[[int, int, random.Random], list[Change]] = lambda size, owner, rng: []
+    changes: Callable[[int, list[int], random.Random], list[Change]] = lambda size, granting, rng: (
+        []
+    )
+
+
+def _with(size: int, count: int, granting: list[int], rng: random.Random) -> list[int]:
+    """Return ``count`` nodes, those that are ``granting`` first."""
+    others = [node for node in range(size) if node not in granting]
+    return [*granting, *rng.sample(others, count - len(granting))]
 
 
-def _restarts(size: int, owner: int, rng: random.Random) -> list[Change]:
+def _restarts(size: int, granting: list[int], rng: random.Random) -> list[Change]:
     """A third of the nodes restart in groups of six, the owner among the first."""
-    others = [node for node in range(size) if node != owner]
-    nodes, changes, at_ms = [owner, *rng.sample(others, size // 3 - 1)], [], 9000.0
+    return _rolled(_with(size, size // 3, granting[:1], rng))
+
+
+def _keepers_restart(size: int, granting: list[int], rng: random.Random) -> list[Change]:
+    """The same, with all keepers of the hot customer's shares in the first groups."""
+    return _rolled(_with(size, size // 3, granting, rng))
+
+
+def _rolled(nodes: list[int]) -> list[Change]:
+    changes, at_ms = [], 9000.0
     for first in range(0, len(nodes), 6):
         changes.append(Change(at_ms, down=frozenset(nodes[first : first + 6])))
         at_ms += _DOWN_MS
     return [*changes, Change(at_ms)]
 
 
-def _cut_off(size: int, owner: int, rng: random.Random) -> list[Change]:
+def _cut_off(size: int, granting: list[int], rng: random.Random) -> list[Change]:
     """16 of 54 nodes are each cut off from all others for 5 s, the owner among them."""
-    others = [node for node in range(size) if node != owner]
-    nodes = [owner, *rng.sample(others, size * 16 // 54 - 1)]
+    return _alone(_with(size, size * 16 // 54, granting[:1], rng))
+
+
+def _keepers_cut_off(size: int, granting: list[int], rng: random.Random) -> list[Change]:
+    return _alone(_with(size, size * 16 // 54, granting, rng))
+
+
+def _alone(nodes: list[int]) -> list[Change]:
     groups = {node: number + 1 for number, node in enumerate(nodes)}
     return [Change(10_000.0, groups), Change(15_000.0)]
 
 
-def _power_loss(size: int, _owner: int, _rng: random.Random) -> list[Change]:
+def _together(size: int, granting: list[int], rng: random.Random) -> list[Change]:
+    """16 of 54 nodes are cut off from the others, but reach each other."""
+    nodes = _with(size, size * 16 // 54, granting[:1], rng)
+    return [Change(10_000.0, dict.fromkeys(nodes, 1)), Change(15_000.0)]
+
+
+def _halves(size: int, granting: list[int], rng: random.Random) -> list[Change]:
+    nodes = _with(size, size // 2, granting[:1], rng)
+    return [Change(10_000.0, dict.fromkeys(nodes, 1)), Change(15_000.0)]
+
+
+def _second_cut(size: int, granting: list[int], rng: random.Random) -> list[Change]:
+    """16 nodes are cut off, and 16 others 2.5 s later, when the first are back."""
+    nodes = _with(size, 2 * (size * 16 // 54), granting[:1], rng)
+    half = len(nodes) // 2
+    return [
+        Change(9000.0, {node: number + 1 for number, node in enumerate(nodes[:half])}),
+        Change(11_500.0, {node: number + 1 for number, node in enumerate(nodes[half:])}),
+        Change(15_000.0),
+    ]
+
+
+def _power_loss(size: int, _granting: list[int], _rng: random.Random) -> list[Change]:
     return [Change(10_000.0, down=frozenset(range(size))), Change(10_000.0 + _DOWN_MS)]
 
 
@@ -93,12 +139,12 @@
         size = len(world.names)
         # By node: the grants of each customer that the node knows of.
         self.logs: list[dict[str, deque[float]]] = [{} for _ in range(size)]
-        self._allowances = [LocalAllowance() for _ in range(size)]
+        self._allowances = [Allowances() for _ in range(size)]
         world.on_start = self.start
 
     def start(self, node: int, _now_ms: float) -> None:
         self.logs[node] = {}
-        self._allowances[node] = LocalAllowance()
+        self._allowances[node] = Allowances()
 
     def log(self, node: int, customer: str, now_ms: float) -> deque[float]:
         log_ms = self.logs[node].setdefault(customer, deque())
@@ -199,6 +245,13 @@
         return 2
 
 
+class _DeathsKnown(WindowFleet):
+    """A new leader waits only where the former one may be cut off: all know at once who died."""
+
+    def _has_restarted(self, node: int, now_ms: float) -> bool:
+        return not self._world.now.groups or super()._has_restarted(node, now_ms)
+
+
 class ShareByDemand:
     """Each node serves a part of the limit by the demand that nodes have told all others of."""
 
@@ -229,18 +282,20 @@
 
     def __init__(self, world: World) -> None:
         self._world = world
-        self._allowances: dict[tuple[int, float], LocalAllowance] = {}
+        self._allowances: dict[tuple[int, float], Allowances] = {}
 
     def admit(self, customer: Customer, node: int, now_ms: float) -> Admission:
         key = (node, self._world.started_ms[node])
-        allowance = self._allowances.setdefault(key, LocalAllowance())
+        allowance = self._allowances.setdefault(key, Allowances())
         return Admission(allowance.take(customer, len(self._world.names), now_ms), 0)
 
 
 WAYS: dict[str, Callable[[World], Way]] = {
     "windows": WindowFleet,
     "windows without records": lambda world: WindowFleet(world, with_records=False),
-    "buckets": BucketFleet,
+    "shares": BucketFleet,
+    "one owner": SingleOwnerFleet,
+    "windows, deaths known": lambda world: _DeathsKnown(world),
     "askers report": AskersReport,
     "owner reports": OwnerReports,
     "demand": ShareByDemand,
@@ -250,8 +305,14 @@
     Load("calm"),
     Load("hot", 5.6),
     Load("calm, a third restarts", 1.0, _restarts),
+    Load("calm, all keepers restart", 1.0, _keepers_restart),
     Load("hot, a third restarts", 5.6, _restarts),
+    Load("hot, all keepers restart", 5.6, _keepers_restart),
     Load("hot, 16 of 54 cut off", 5.6, _cut_off),
+    Load("hot, all keepers cut off", 5.6, _keepers_cut_off),
+    Load("hot, 16 cut off together", 5.6, _together),
+    Load("hot, halves", 5.6, _halves),
+    Load("hot, second cut", 5.6, _second_cut),
     Load("hot, all lose power", 5.6, _power_loss),
 )
 
@@ -282,7 +343,7 @@
     for seed in range(seeds):
         for load in LOADS:
             for way in WAYS:
-                figures = _run(way, load, nodes, customers, calls_per_s, seed)
+                figures = run_way(way, load, nodes, customers, calls_per_s, seed)
                 print(msgspec.json.encode(figures).decode())
 
 
@@ -310,14 +371,18 @@
     yield from sorted(calls)
 
 
-def _run(
+def run_way(
     way: str, load: Load, nodes: int, customers: int, calls_per_s: float, seed: int
 ) -> Figures:
+    """Play one load, by one way."""
     rng = random.Random(seed)
     known = _customers(customers, calls_per_s)
     names = [f"node-{number}" for number in range(nodes)]
-    owner = names.index(QuotaRoute().owners(known[_HOT][0].name, names)[0])
-    world = World(nodes, load.changes(nodes, owner, rng), rng)
+    hot = known[_HOT][0]
+    owner = names.index(QuotaRoute().owners(hot.name, names)[0])
+    keepers = BucketFleet(World(nodes, (), rng)).keepers(hot)
+    granting = list(dict.fromkeys([owner, *keepers]))
+    world = World(nodes, load.changes(nodes, granting, rng), rng)
     fleet = WAYS[way](world)
     owed: list[deque[float]] = [deque() for _ in known]
     ran: list[list[float]] = [[] for _ in known]
--- a/src/fescuedock/core/quota_windows.py
+++ b/src/fescuedock/core/quota_windows.py
@@ -39,9 +39,8 @@
 import msgspec
 
 from fescuedock.core.customers import Customer
-from fescuedock.core.quotas import QuotaRoute, quota_key
-from fescuedock.core.rendezvous import rank_names
-from fescuedock.core.token_bucket import Bucket, BucketTerms
+from fescuedock.core.quotas import QuotaRoute, Roster
+from fescuedock.core.token_bucket import Bucket, BucketTerms, take_out
 
 __all__ = [
     "CLOCKS_DIFFER_MS",
@@ -322,7 +321,7 @@
         knows_window = now_ms >= lead.begin_ms + self.policy.span_ms
         is_covered = knows_window and now_ms < lead.covered_until_ms
         granted = False
-        if is_covered and waited_ms and _move(log_ms, now_ms - waited_ms):
+        if is_covered and waited_ms and take_out(log_ms, now_ms - waited_ms):
             granted = True
         elif len(log_ms) + 1 <= self.policy.leader_calls(customer):
             granted = lead.bucket.take(terms, now_ms) or is_covered
@@ -363,54 +362,6 @@
             del self._leads[name]
 
 
-def _move(log_ms: deque[float], granted_ms: float) -> bool:
-    """Take out the grant of a call that is only sent now; False when there is none such.
-
-    The latest that is not after it: its own or an older one, which would have left the log sooner.
-    """
-    for position in range(len(log_ms) - 1, -1, -1):
-        if log_ms[position] <= granted_ms:
-            del log_ms[position]
-            return True
-    return False
-
-
-class Roster(msgspec.Struct):
-    """All nodes that were registered of late, and this node's rank among them.
-
-    A node that is cut off drops out of the key-value service while it goes on serving from its
-    part, so its name counts on for ``keep_ms``.
-    """
-
-    vm_id: str
-    keep_ms: float = 60_000.0
-    _seen_ms: dict[str, float] = msgspec.field(default_factory=dict)
-    _ranks: dict[str, int] = msgspec.field(default_factory=dict)
-
-    def note(self, names: Collection[str], now_ms: float) -> None:
-        """Take the nodes that are registered or seen now."""
-        before = len(self._seen_ms)
-        self._seen_ms.update(dict.fromkeys(names, now_ms))
-        gone = [name for name, ms in self._seen_ms.items() if ms < now_ms - self.keep_ms]
-        for name in gone:
-            del self._seen_ms[name]
-        if gone or len(self._seen_ms) != before:
-            self._ranks.clear()
-
-    @property
-    def size(self) -> int:
-        return len(self._seen_ms)
-
-    def rank(self, customer: str) -> int | None:
-        """Return this node's rank for a customer, from 0 on; None while it is not registered."""
-        if self.vm_id not in self._seen_ms:
-            return None
-        if customer not in self._ranks:
-            ranked = rank_names(quota_key(customer), self._seen_ms)
-            self._ranks[customer] = ranked.index(self.vm_id)
-        return self._ranks[customer]
-
-
 class _Part(msgspec.Struct):
     calls: int
     bucket: Bucket
--- a/src/fescuedock/core/quotas.py
+++ b/src/fescuedock/core/quotas.py
@@ -1,36 +1,44 @@
-"""One limit of a customer over all nodes, without a write to a store for each call.
+"""One limit of a customer over all nodes, in shares that add up to it.
 
-Each call of a customer with a limit is granted by one node, which rendezvous hashing names for the
-customer.  State is soft: a new owner starts with a part of the slack alone.  What any span holds is
-then at most one burst, the rate over it, and the start of each owner that came in between, which
-the slack covers.
+A limit is divided into a few shares.  Each is a token bucket at one node, its keeper, which
+rendezvous hashing names among all registered nodes, whether or not they are reached or believed to
+live.  Nobody grants in place of a keeper: one that is cut off goes on granting, and nobody can know
+how much.  So what runs in any window is at most the sum of the shares, whoever reaches whom and
+however often that changes, and a keeper that is lost takes only its own share along.
 
-It answers a load in which one customer sends many times its usual while nodes restart: the excess
-is refused before it takes a slot, and what is within the limit is served by whichever owner there
-is.  A node that reaches no owner may be the only one that is cut off, while its clients still reach
-it.  It serves a part of what its share of the fleet makes of the limit: enough for most customers
-within their limits, and bounded for one beyond it.
+A call takes a token of any share that its node reaches.
+
+State is soft.  A keeper that starts again has an empty bucket, but for one call if it has not
+started just before as well; a node that becomes the keeper of a share begins with nothing.  What is
+beyond a limit's rate and burst has room for that, for calls that are sent a moment after they were
+granted, and for two keepers of one share until the former one has heard that a node was added.
 
 Pure: the caller passes the time, by a clock that counts suspensions.
 """
 
-from collections.abc import Collection
+from collections.abc import Collection, Sequence
+from random import Random
 
 import msgspec
 
 from fescuedock.core.customers import Customer
-from fescuedock.core.rendezvous import rank_names
-from fescuedock.core.token_bucket import Bucket, BucketTerms
-
-__all__ = ["LocalAllowance", "QuotaOwner", "QuotaPolicy", "QuotaRoute", "quota_key"]
-
-# Owners that are asked for one call: the first and one that stands in for it.
+from fescuedock.core.rendezvous import choose_name, rank_names
+from fescuedock.core.token_bucket import Bucket, BucketTerms, SendBucket
+
+__all__ = [
+    "KeptShare",
+    "QuotaOwner",
+    "QuotaPolicy",
+    "QuotaRoute",
+    "Roster",
+    "ShareRoute",
+    "ask_order",
+    "quota_key",
+]
+
+# Owners that are asked for one call where limits are by a sliding window.
 _ASKED = 2
 _QUOTA_KEY = "quota/"
-# Of a node's share of a limit; the owner goes on granting all of it to the others.
-# With 16 of 54 nodes cut off the fullest window held up to 394 calls with half of it and 375 with
-# a fifth, where 389 may run.
-_ALLOWED_SHARE = 0.2
 
 
 def quota_key(customer: str) -> str:
@@ -39,59 +47,222 @@
 
 
 class QuotaPolicy(msgspec.Struct, frozen=True):
-    """``slack_calls`` may run beyond a limit in one window.
-
-    A part each is for a start and on top of a burst, the rest for nodes that are out of contact.
+    """``slack_calls`` and ``over_share`` of a limit may run beyond it in each ``bound_ms``.
 
-    An owner that sees less than ``least_share`` of the fleet grants nothing: most are served
-    elsewhere, or it has just started and knows nobody yet.
+    ``start_calls`` is what a share may begin with after a start of its keeper.  A call is sent
+    within ``unsent_ms`` of its grant, or asks again; ``news_ms`` is how long a node may not know
+    that another one was added.
     """
 
     slack_calls: float = 20.0
-    start_share: float = 0.25
-    burst_share: float = 0.25
-    least_share: float = 0.5
+    over_share: float = 0.1
+    bound_ms: float = 5000.0
+    most_shares: int = 4
+    start_calls: float = 1.0
+    unsent_ms: float = 50.0
+    news_ms: float = 600.0
     longest_wait_ms: float = 2000.0
 
-    def terms(self, customer: Customer) -> BucketTerms:
-        """Return what an owner grants of a customer's limit."""
-        size = max(customer.burst + self.burst_share * self.slack_calls, 1.0)
-        start = min(max(self.start_share * self.slack_calls, 1.0), size)
-        return BucketTerms(customer.rate_per_s, size, start)
+    def share_count(self, customer: Customer) -> int:
+        """Return into how many shares a limit is divided; each has room for a whole call."""
+        count = self.most_shares
+        while count > 1 and self._size(customer, count) < count:
+            count -= 1
+        return count
+
+    def share_terms(self, customer: Customer) -> BucketTerms:
+        """Return what the keeper of each share grants."""
+        count = self.share_count(customer)
+        size = max(self._size(customer, count) / count, 1.0)
+        return BucketTerms(customer.rate_per_s / count, size, min(self.start_calls, size))
+
+    def _size(self, customer: Customer, count: int) -> float:
+        """Return the size of all buckets of a customer together."""
+        in_bound = customer.rate_per_s * self.bound_ms / 1000 + customer.burst
+        spare = self.slack_calls + self.over_share * in_bound
+        late_s = (self.unsent_ms + self.news_ms / self.most_shares) / 1000
+        spare -= count * self.start_calls + customer.rate_per_s * late_s
+        return customer.burst + max(spare, 0.0)
+
+    def may_start(self, since_previous_ms: float | None) -> bool:
+        """Whether a keeper may begin with ``start_calls``.
+
+        ``since_previous_ms`` lies between its start and the one before; None while not known.
+        """
+        return since_previous_ms is not None and since_previous_ms >= self.bound_ms
+
+
+class Roster(msgspec.Struct):
+    """All nodes that were registered of late, and this node's rank among them.
+
+    A node that is cut off drops out of the key-value service while it goes on serving from its
+    part, so its name counts on for ``keep_ms``.  ``changed_ms`` is when the names last changed,
+    and ``joined_ms`` when this node's own was first among them.
+    """
+
+    vm_id: str
+    keep_ms: float = 60_000.0
+    changed_ms: float = float("-inf")
+    joined_ms: float | None = None
+    _seen_ms: dict[str, float] = msgspec.field(default_factory=dict)
+    _ranks: dict[str, int] = msgspec.field(default_factory=dict)
+
+    def note(self, names: Collection[str], now_ms: float) -> bool:
+        """Take the nodes that are registered or seen now; return whether that is news."""
+        before = len(self._seen_ms)
+        self._seen_ms.update(dict.fromkeys(names, now_ms))
+        gone = [name for name, ms in self._seen_ms.items() if ms < now_ms - self.keep_ms]
+        for name in gone:
+            del self._seen_ms[name]
+        is_changed = bool(gone) or len(self._seen_ms) != before
+        if is_changed:
+            self._ranks.clear()
+            self.changed_ms = now_ms
+        if self.joined_ms is None and self.vm_id in self._seen_ms:
+            self.joined_ms = now_ms
+        return is_changed
+
+    @property
+    def size(self) -> int:
+        return len(self._seen_ms)
+
+    @property
+    def names(self) -> Collection[str]:
+        return self._seen_ms.keys()
+
+    def rank(self, customer: str) -> int | None:
+        """Return this node's rank for a customer, from 0 on; None while it is not registered."""
+        if self.vm_id not in self._seen_ms:
+            return None
+        if customer not in self._ranks:
+            ranked = rank_names(quota_key(customer), self._seen_ms)
+            self._ranks[customer] = ranked.index(self.vm_id)
+        return self._ranks[customer]
 
 
-class QuotaOwner(msgspec.Struct):
-    """Buckets by customer.
+class KeptShare(msgspec.Struct, frozen=True):
+    """One share that this node keeps, since ``since_ms``.
 
-    A node that has stood in for a silent owner goes on with the same bucket when it becomes the
-    owner: with one for each, a change of owners let two starts into the window.
+    ``since_start`` says that no other node has kept it since this node's process started.
     """
 
-    policy: QuotaPolicy = msgspec.field(default_factory=QuotaPolicy)
-    _buckets: dict[str, Bucket] = msgspec.field(default_factory=dict)
-
-    def ask(self, customer: Customer, now_ms: float) -> float | None:
-        """Grant one call: None, or the time after which to come back."""
-        terms = self.policy.terms(customer)
-        bucket = self._buckets.get(customer.name)
-        if bucket is None:
-            bucket = self._buckets[customer.name] = Bucket(terms.start, now_ms)
-        if bucket.take(terms, now_ms):
+    customer: str
+    number: int
+    since_ms: float
+    since_start: bool
+
+
+class ShareRoute(msgspec.Struct):
+    """The keepers of all shares, as the nodes that were registered of late have it."""
+
+    roster: Roster
+    # By customer: the keeper of each share.
+    _keepers: dict[str, list[str | None]] = msgspec.field(default_factory=dict)
+    _kept: dict[tuple[str, int], KeptShare] = msgspec.field(default_factory=dict)
+
+    def note(self, names: Collection[str], now_ms: float) -> None:
+        """Take the nodes that are registered now; must be told of each change."""
+        if self.roster.note(names, now_ms):
+            self._keepers.clear()
+            # One that was lost in between begins anew when it comes back.
+            own = self.roster.vm_id
+            self._kept = {key: kept for key, kept in self._kept.items() if self.keeper(*key) == own}
+
+    def keeper(self, customer: str, number: int) -> str | None:
+        """Return the node that keeps a share; None while no node is known.
+
+        No node keeps two shares of a customer while there are others, so that it takes no more
+        than one along.
+        """
+        keepers = self._keepers.setdefault(customer, [])
+        while len(keepers) <= number:
+            share_key = f"{quota_key(customer)}/{len(keepers)}"
+            names = self.roster.names - set(keepers) or self.roster.names
+            keepers.append(choose_name(share_key, names))
+        return keepers[number]
+
+    def kept(self, customer: str, number: int) -> KeptShare | None:
+        """Return a share if this node keeps it, else None."""
+        if self.keeper(customer, number) != self.roster.vm_id:
             return None
-        return bucket.wait_ms(terms, now_ms, self.policy.longest_wait_ms)
+        key = (customer, number)
+        if key not in self._kept:
+            changed_ms = self.roster.changed_ms
+            since_start = changed_ms == self.roster.joined_ms
+            self._kept[key] = KeptShare(customer, number, changed_ms, since_start)
+        return self._kept[key]
+
+    def keep(self, names: Collection[str]) -> None:
+        """Forget the customers that are not among ``names``."""
+        for name in self._keepers.keys() - set(names):
+            del self._keepers[name]
+        self._kept = {key: kept for key, kept in self._kept.items() if key[0] in names}
 
-    def may_grant(self, present_share: float) -> bool:
-        """Whether a node that sees ``present_share`` of the fleet may speak for all of it."""
-        return present_share >= self.policy.least_share
+
+def ask_order(
+    keepers: Sequence[str | None], own: str, rng: Random, last: int | None = None
+) -> list[int]:
+    """Return the numbers of shares in the order in which to ask for a call.
+
+    That of its ``last`` grant first, then those of this node, which take no message, then any, so
+    that all shares are used alike.
+    """
+    order = list(range(len(keepers)))
+    rng.shuffle(order)
+    order.sort(key=lambda number: (number != last, keepers[number] != own))
+    return order
+
+
+class _Share(msgspec.Struct):
+    since_ms: float
+    bucket: SendBucket
+
+
+class QuotaOwner(msgspec.Struct):
+    """The buckets of the shares that this node keeps."""
+
+    policy: QuotaPolicy = msgspec.field(default_factory=QuotaPolicy)
+    _shares: dict[tuple[str, int], _Share] = msgspec.field(default_factory=dict)
+
+    def ask(
+        self,
+        customer: Customer,
+        kept: KeptShare,
+        now_ms: float,
+        *,
+        may_start: bool = False,
+        waited_ms: float = 0.0,
+    ) -> float | None:
+        """Grant one call: None, or the time after which to come back.
+
+        ``waited_ms`` says that the call had a grant of this share that long ago and is only sent
+        now.
+        """
+        terms = self.policy.share_terms(customer)
+        bucket = self._bucket(kept, terms, may_start=may_start)
+        if waited_ms:
+            granted = bucket.move(terms, now_ms - waited_ms, now_ms)
+        else:
+            granted = bucket.take(terms, now_ms)
+        return None if granted else bucket.wait_ms(terms, now_ms, self.policy.longest_wait_ms)
+
+    def _bucket(self, kept: KeptShare, terms: BucketTerms, *, may_start: bool) -> SendBucket:
+        key = (kept.customer, kept.number)
+        share = self._shares.get(key)
+        if share is None or share.since_ms != kept.since_ms:
+            start = terms.start if kept.since_start and may_start else 0.0
+            share = _Share(kept.since_ms, SendBucket(Bucket(start, kept.since_ms)))
+            self._shares[key] = share
+        return share.bucket
 
     def keep(self, names: Collection[str]) -> None:
         """Forget the customers that are not among ``names``."""
-        for name in self._buckets.keys() - set(names):
-            del self._buckets[name]
+        for key in [key for key in self._shares if key[0] not in names]:
+            del self._shares[key]
 
 
 class QuotaRoute:
-    """The owners of each customer among the nodes that are there."""
+    """Whom to ask where limits are by a sliding window, among the nodes that are there."""
 
     __slots__ = ("_names", "_ranked")
 
@@ -106,22 +277,3 @@
         if customer not in self._ranked:
             self._ranked[customer] = tuple(rank_names(quota_key(customer), names)[:_ASKED])
         return self._ranked[customer]
-
-
-class LocalAllowance(msgspec.Struct):
-    """What this node serves of each customer while no owner answers."""
-
-    _buckets: dict[str, Bucket] = msgspec.field(default_factory=dict)
-
-    def take(self, customer: Customer, fleet_size: int, now_ms: float) -> bool:
-        """Whether a call may run; ``fleet_size`` counts the nodes that share the limit."""
-        part = _ALLOWED_SHARE / max(fleet_size, 1)
-        size = 1.0 + customer.burst * part
-        terms = BucketTerms(customer.rate_per_s * part, size, size)
-        bucket = self._buckets.setdefault(customer.name, Bucket(size, now_ms))
-        return bucket.take(terms, now_ms)
-
-    def keep(self, names: Collection[str]) -> None:
-        """Forget the customers that are not among ``names``."""
-        for name in self._buckets.keys() - set(names):
-            del self._buckets[name]
--- a/src/fescuedock/core/token_bucket.py
+++ b/src/fescuedock/core/token_bucket.py
@@ -1,11 +1,15 @@
 """A token bucket: what it grants in any span is at most its size and the rate over that span."""
 
+from collections import deque
+
 import msgspec
 
-__all__ = ["Bucket", "BucketTerms"]
+__all__ = ["Bucket", "BucketTerms", "SendBucket", "take_out"]
 
 # Shortest time that a refused caller is told to wait.
 _LEAST_WAIT_MS = 50.0
+# For how long a grant may wait to be sent and still be known; calls are given up sooner.
+_LONGEST_UNSENT_MS = 10_000.0
 
 
 class BucketTerms(msgspec.Struct, frozen=True):
@@ -23,11 +27,15 @@
     at_ms: float
     told_until_ms: float = float("-inf")
 
-    def take(self, terms: BucketTerms, now_ms: float) -> bool:
-        """Take one token; False when there is none."""
+    def refill(self, terms: BucketTerms, now_ms: float) -> None:
+        """Add the tokens that came up to ``now_ms``."""
         passed_s = max(now_ms - self.at_ms, 0.0) / 1000
         self.tokens = min(self.tokens + passed_s * terms.rate_per_s, terms.size)
         self.at_ms = max(self.at_ms, now_ms)
+
+    def take(self, terms: BucketTerms, now_ms: float) -> bool:
+        """Take one token; False when there is none."""
+        self.refill(terms, now_ms)
         if self.tokens < 1.0:
             return False
         self.tokens -= 1.0
@@ -48,3 +56,59 @@
             return longest_ms
         self.told_until_ms = due_ms
         return max(due_ms - now_ms, _LEAST_WAIT_MS)
+
+
+class SendBucket(msgspec.Struct):
+    """A token bucket for calls that may wait between their grant and their being sent.
+
+    Grants that are spread over seconds may all be sent at once, so a call that waited gives its
+    token back and takes one at the time at which it is sent.  ``_first`` is the bucket before the
+    grants that are still known.
+    """
+
+    _bucket: Bucket
+    _first: Bucket | None = None
+    _granted_ms: deque[float] = msgspec.field(default_factory=deque)
+
+    def take(self, terms: BucketTerms, now_ms: float) -> bool:
+        """Take one token; False when there is none."""
+        if self._first is None:
+            self._first = Bucket(self._bucket.tokens, self._bucket.at_ms)
+        while self._granted_ms and self._granted_ms[0] <= now_ms - _LONGEST_UNSENT_MS:
+            _replay(self._first, terms, self._granted_ms.popleft())
+        if not self._bucket.take(terms, now_ms):
+            return False
+        self._granted_ms.append(now_ms)
+        return True
+
+    def move(self, terms: BucketTerms, granted_ms: float, now_ms: float) -> bool:
+        """Take a token now in place of one that was taken up to ``granted_ms``."""
+        if self._first is not None and take_out(self._granted_ms, granted_ms):
+            bucket = Bucket(self._first.tokens, self._first.at_ms, self._bucket.told_until_ms)
+            for at_ms in self._granted_ms:
+                _replay(bucket, terms, at_ms)
+            self._bucket = bucket
+        return self.take(terms, now_ms)
+
+    def wait_ms(self, terms: BucketTerms, now_ms: float, longest_ms: float) -> float:
+        """See ``Bucket.wait_ms``."""
+        return self._bucket.wait_ms(terms, now_ms, longest_ms)
+
+
+def _replay(bucket: Bucket, terms: BucketTerms, at_ms: float) -> None:
+    bucket.refill(terms, at_ms)
+    # Below 0 where a limit has become lower since.
+    bucket.tokens -= 1.0
+
+
+def take_out(granted_ms: deque[float], at_ms: float) -> bool:
+    """Take out the grant of a call that is only sent now; False when there is none such.
+
+    The latest that is not after ``at_ms``: its own or an older one, which would be forgotten
+    sooner.
+    """
+    for position in range(len(granted_ms) - 1, -1, -1):
+        if granted_ms[position] <= at_ms:
+            del granted_ms[position]
+            return True
+    return False
--- a/src/fescuedock/node/fleet.py
+++ b/src/fescuedock/node/fleet.py
@@ -154,8 +154,11 @@
         self._kv = kv
         self._key = nodes_prefix + record.vm_id
         self._value = msgspec.msgpack.encode(record)
+        self._started_unix_ms = record.started_unix_ms
         self._ttl_s = -(-ttl_ms // 1000)
         self._lease_id = 0
+        # Between this process's start and that of the one before; None until the record is read.
+        self.since_previous_ms: float | None = None
 
     async def run(self) -> None:
         """Write the record, and again whenever it was lost; never returns."""
@@ -176,6 +179,8 @@
         found = await self._kv.get(self._key)
         if isinstance(found, Err):
             return False
+        if self.since_previous_ms is None:
+            self.since_previous_ms = self._since_previous_ms(found.ok_value)
         revision = found.ok_value.mod_revision if found.ok_value else 0
         lease_id = granted.ok_value
         written = await self._kv.put_if(self._key, self._value, revision, lease_id=lease_id)
@@ -185,6 +190,20 @@
         log_event("node_registered", key=self._key, lease_id=lease_id)
         return True
 
+    def _since_previous_ms(self, found: KvEntry | None) -> float:
+        """Return how long before this process the one that wrote ``found`` started.
+
+        Infinite where there is no record: its lease has ended, or it left.
+        """
+        if found is None:
+            return float("inf")
+        try:
+            record = msgspec.msgpack.decode(found.value, type=NodeRecord)
+        except msgspec.DecodeError as error:
+            log_event("node_unreadable", key=found.key, reason=str(error))
+            return 0.0
+        return max(float(self._started_unix_ms - record.started_unix_ms), 0.0)
+
     async def _renew(self) -> bool:
         kept = await self._kv.keep_lease(self._lease_id)
         if isinstance(kept, Ok) and kept.ok_value:
--- a/src/fescuedock/node/main.py
+++ b/src/fescuedock/node/main.py
@@ -261,6 +261,7 @@
             self._store,
             self._table(self._keys.live),
             self._keys.quotas,
+            lambda: self._lease.since_previous_ms,
             self._clock,
             self._rng,
         )
@@ -493,7 +494,12 @@
     def _node_record(self) -> NodeRecord:
         vm = self._settings.vm
         return NodeRecord(
-            vm.vm_id, vm.region, vm.failure_domain, vm.host, self._settings.agent.port
+            vm.vm_id,
+            vm.region,
+            vm.failure_domain,
+            vm.host,
+            self._settings.agent.port,
+            int(self._clock() * 1000),
         )
 
     def _neighbours(self) -> list[Address]:
--- a/src/fescuedock/node/quotas.py
+++ b/src/fescuedock/node/quotas.py
@@ -11,7 +11,14 @@
 from fescuedock.agent.link import FleetView
 from fescuedock.clock import UnixClock, now_ms
 from fescuedock.core.customers import Customer, CustomerIndex
-from fescuedock.core.quotas import LocalAllowance, QuotaOwner, QuotaPolicy, QuotaRoute
+from fescuedock.core.quotas import (
+    QuotaOwner,
+    QuotaPolicy,
+    QuotaRoute,
+    Roster,
+    ShareRoute,
+    ask_order,
+)
 from fescuedock.core.replica_table import ReplicaTable
 from fescuedock.core.route_learning import SilentOwners
 from fescuedock.faults import Fault
@@ -35,8 +42,9 @@
 
 # An owner answers in 1 to 4 ms; a process that is busy itself reads answers later.
 _ASK_TIMEOUT_MS = 60.0
-# Without an owner nobody knows when there is room again.
-_NO_OWNER_RETRY_MS = 500
+_ASK_AGAIN_TIMEOUT_MS = 30.0
+# Between two looks at which nodes are registered.
+_LEAST_LOOK_MS = 200.0
 # Another node may let the call in at once.
 _UNKNOWN_RETRY_MS = 100
 
@@ -48,28 +56,75 @@
     refused: int = 0
 
 
-class _BucketLimits:
-    """Answers of a node where no window is set."""
+class _ShareLimits:
+    """Asks and answers of a node where no window is set: shares of limits, by token buckets.
 
-    def __init__(self, slack_calls: float, present_share: Callable[[], float]) -> None:
-        self._owner = QuotaOwner(QuotaPolicy(slack_calls=slack_calls))
-        self._allowance = LocalAllowance()
-        self._present_share = present_share
+    ``registered`` gives the names of the nodes that have a record, of which ``live`` tells when
+    they may have changed.  ``since_previous_ms`` is that of ``NodeLease``.
+    """
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        vm_id: str,
+        live: ReplicaTable,
+        registered: Callable[[], Collection[str]],
+        since_previous_ms: Callable[[], float | None],
+        rng: random.Random,
+    ) -> None:
+        self.policy = QuotaPolicy(
+            settings.quota_slack_calls, settings.quota_over_share, settings.quota_bound_s * 1000
+        )
+        self._owner = QuotaOwner(self.policy)
+        self._vm_id = vm_id
+        self._route = ShareRoute(Roster(vm_id))
+        self._live = live
+        self._registered = registered
+        self._since_previous_ms = since_previous_ms
+        self._rng = rng
+        self._noted_ms = float("-inf")
+        self._noted_version = -1
+
+    def _note_fleet(self) -> None:
+        now = now_ms()
+        is_stale = now - self._noted_ms >= self._route.roster.keep_ms / 4
+        is_news = self._live.version != self._noted_version
+        if not self._live.is_known or not (
+            is_stale or (is_news and now - self._noted_ms >= _LEAST_LOOK_MS)
+        ):
+            return
+        self._noted_ms, self._noted_version = now, self._live.version
+        self._route.note(self._registered(), now)
+
+    def keepers(self, customer: Customer) -> list[str | None]:
+        """Return the node that keeps each share of a limit."""
+        self._note_fleet()
+        count = self.policy.share_count(customer)
+        return [self._route.keeper(customer.name, number) for number in range(count)]
+
+    def order(self, keepers: list[str | None], last: int | None) -> list[int]:
+        """Return the shares in the order in which to ask; the ``last`` grant came from one."""
+        return ask_order(keepers, self._vm_id, self._rng, last)
 
     def answer(self, customer: Customer, ask: QuotaAsk) -> QuotaReply:
-        if not self._owner.may_grant(self._present_share()):
+        self._note_fleet()
+        kept = self._route.kept(customer.name, ask.share)
+        if kept is None or not 0 <= ask.share < self.policy.share_count(customer):
             return QuotaReply(ResultCode.NOT_OWNER)
-        retry_ms = self._owner.ask(customer, now_ms())
+        retry_ms = self._owner.ask(
+            customer,
+            kept,
+            now_ms(),
+            may_start=self.policy.may_start(self._since_previous_ms()),
+            waited_ms=ask.waited_ms,
+        )
         if retry_ms is None:
             return QuotaReply(ResultCode.OK)
         return QuotaReply(ResultCode.OVER_LIMIT, int(retry_ms))
 
-    def take_locally(self, customer: Customer, fleet_size: int) -> bool:
-        return self._allowance.take(customer, fleet_size, now_ms())
-
     def keep(self, names: Collection[str]) -> None:
         self._owner.keep(names)
-        self._allowance.keep(names)
+        self._route.keep(names)
 
 
 class Quotas:
@@ -89,14 +144,14 @@
         kv: KvStore,
         live: ReplicaTable,
         records_prefix: str,
+        since_previous_ms: Callable[[], float | None],
         clock: UnixClock,
         rng: random.Random,
     ) -> None:
         self._view = view
         self._customers = customers
         self._call_neighbour = call_neighbour
-        self._fleet_size = fleet_size
-        self._buckets = _BucketLimits(settings.quota_slack_calls, self._present_share)
+        self._shares = _ShareLimits(settings, view.vm_id, live, registered, since_previous_ms, rng)
         # None where no window is set.
         self._windows: WindowLimits | None = None
         if settings.quota_window_ms > 0:
@@ -114,6 +169,8 @@
                 clock,
                 rng,
             )
+        # How long after its ask a call may be sent without another one.
+        self._unsent_ms = (self._windows or self._shares.policy).unsent_ms
         self._route = QuotaRoute()
         self._silent = SilentOwners()
         self._use: dict[str, CustomerUse] = {}
@@ -133,17 +190,24 @@
 
     def _status_of(self, customer: Customer) -> CustomerStatus:
         use = self._use.get(customer.name, CustomerUse())
-        limited = customer.rate_per_s > 0
-        owners = self._route.owners(customer.name, self._live_nodes().keys()) if limited else ()
         return CustomerStatus(
             customer.name,
             customer.rate_per_s,
             customer.burst,
             use.admitted,
             use.refused,
-            owners[0] if owners else "",
+            self._owner_of(customer),
         )
 
+    def _owner_of(self, customer: Customer) -> str:
+        """Return the node that grants the customer's calls, or those that keep shares of them."""
+        if customer.rate_per_s <= 0:
+            return ""
+        if self._windows is not None:
+            owners = self._route.owners(customer.name, self._live_nodes().keys())
+            return owners[0] if owners else ""
+        return " ".join(sorted({name for name in self._shares.keepers(customer) if name}))
+
     def handlers(self) -> dict[type[msgspec.Struct], CallHandler]:
         """Handlers by message type, to be merged with those of other services."""
         return {QuotaAsk: self._on_ask}
@@ -162,65 +226,98 @@
             use.admitted += 1
             return Ok(None)
         asked_ms = now_ms()
-        admitted = await self._ask(customer)
-        if isinstance(admitted, Err):
+        granted = await self._ask(customer)
+        if isinstance(granted, Err):
             use.refused += 1
-            return admitted
+            return granted
         use.admitted += 1
-        if self._windows is None:
-            return Ok(None)
-        return Ok(self._confirmation(name, asked_ms, self._windows.unsent_ms))
+        return Ok(self._confirmation(name, asked_ms, granted.ok_value))
 
-    def _confirmation(self, name: str, asked_ms: float, unsent_ms: float) -> Confirm:
+    def _confirmation(self, name: str, asked_ms: float, share: int | None) -> Confirm:
         """Return what asks anew for a call that waited, since it counts when it is sent."""
         granted_ms = now_ms()
 
         async def confirm() -> Result[None, Fault]:
-            nonlocal asked_ms, granted_ms
+            nonlocal asked_ms, granted_ms, share
             customer = self._follow().by_name.get(name)
             began_ms = now_ms()
-            if began_ms - asked_ms <= unsent_ms or customer is None:
+            if began_ms - asked_ms <= self._unsent_ms or customer is None:
                 return Ok(None)
-            confirmed = await self._ask(customer, waited_ms=began_ms - granted_ms)
+            confirmed = await self._ask(customer, began_ms - granted_ms, share)
             asked_ms, granted_ms = began_ms, now_ms()
             if isinstance(confirmed, Err):
                 self._use.setdefault(name, CustomerUse()).refused += 1
-            return confirmed
+                return confirmed
+            share = confirmed.ok_value
+            return Ok(None)
 
         return confirm
 
-    async def _ask(self, customer: Customer, waited_ms: float = 0.0) -> Result[None, Fault]:
+    async def _ask(
+        self, customer: Customer, waited_ms: float = 0.0, share: int | None = None
+    ) -> Result[int | None, Fault]:
+        """Ask for one call; returns the share that it is granted from, where there are shares.
+
+        ``waited_ms`` and ``share`` are of a grant that has not been used.
+        """
         if customer.rate_per_s <= 0:
             return Ok(None)
+        if self._windows is None:
+            return await self._ask_shares(customer, waited_ms, share)
         admitted = await self._ask_owners(customer.name, waited_ms)
         if admitted is not None:
             return admitted
-        if self._windows is not None:
-            taken = self._windows.take_part(customer)
-            return Ok(None) if taken else _unknown_use(customer.name)
-        taken = self._buckets.take_locally(customer, self._fleet_size())
-        return Ok(None) if taken else _over_limit(customer.name, _NO_OWNER_RETRY_MS)
+        taken = self._windows.take_part(customer)
+        return Ok(None) if taken else _unknown_use(customer.name)
+
+    async def _ask_shares(
+        self, customer: Customer, waited_ms: float, last: int | None
+    ) -> Result[int | None, Fault]:
+        """Ask the keepers of shares until one grants the call."""
+        keepers = self._shares.keepers(customer)
+        refused: list[int] = []
+        timeout_ms = _ASK_TIMEOUT_MS
+        for share in self._shares.order(keepers, last):
+            moved_ms = waited_ms if share == last else 0.0
+            ask = QuotaAsk(customer.name, False, moved_ms, self._view.vm_id, share)
+            reply = await self._ask_node(keepers[share], ask, timeout_ms)
+            if reply is None:
+                # At a node that is cut off none of them answers.
+                timeout_ms = _ASK_AGAIN_TIMEOUT_MS
+            if reply is None or reply.code == ResultCode.NOT_OWNER:
+                continue
+            if reply.code == ResultCode.OK:
+                return Ok(share)
+            refused.append(reply.retry_after_ms)
+        if 2 * len(refused) <= len(keepers):
+            return _unknown_use(customer.name)
+        return _over_limit(customer.name, min(refused))
+
+    async def _ask_node(
+        self, vm_id: str | None, ask: QuotaAsk, timeout_ms: float = _ASK_TIMEOUT_MS
+    ) -> QuotaReply | None:
+        """Return a node's answer; None when it is not there, or was silent of late."""
+        if vm_id == self._view.vm_id:
+            return await self._answer(ask)
+        vm = self._live_nodes().get(vm_id)
+        if vm is None or self._silent.is_silent(vm_id, now_ms()):
+            return None
+        called = await self._call_neighbour(Address(vm.host, vm.agent_port), ask, timeout_ms)
+        if isinstance(called, Err):
+            self._silent.note_silent(vm_id, now_ms())
+            log_event("quota_owner_silent", customer=ask.customer, about=vm_id)
+            return None
+        return called.ok_value
 
     async def _ask_owners(self, name: str, waited_ms: float) -> Result[None, Fault] | None:
         """Ask the owner, or the node that stands in for it; None when neither answers."""
-        nodes = self._live_nodes()
-        owners = self._route.owners(name, nodes.keys())
+        owners = self._route.owners(name, self._live_nodes().keys())
         for rank, vm_id in enumerate(owners):
             ask = QuotaAsk(name, rank > 0, waited_ms, self._view.vm_id)
-            if vm_id == self._view.vm_id:
-                reply = await self._answer(ask)
-            elif self._silent.is_silent(vm_id, now_ms()):
+            reply = await self._ask_node(vm_id, ask)
+            if reply is None:
                 continue
-            else:
-                vm = nodes[vm_id]
-                called = await self._call_neighbour(
-                    Address(vm.host, vm.agent_port), ask, _ASK_TIMEOUT_MS
-                )
-                if isinstance(called, Err):
-                    self._silent.note_silent(vm_id, now_ms())
-                    log_event("quota_owner_silent", customer=name, about=vm_id)
-                    continue
-                reply = called.ok_value
+            if vm_id != self._view.vm_id:
                 self._note_contact(vm_id)
             if reply.code == ResultCode.OK:
                 return Ok(None)
@@ -244,7 +341,7 @@
             return QuotaReply(ResultCode.OK)
         if self._windows is not None:
             return await self._windows.answer(customer, ask)
-        return self._buckets.answer(customer, ask)
+        return self._shares.answer(customer, ask)
 
     def _live_nodes(self) -> dict[str, VmRecord]:
         if self._view.version != self._nodes_version:
@@ -252,17 +349,13 @@
             self._nodes = {vm.vm_id: vm for vm in self._view.live_vms() if vm.agent_port}
         return self._nodes
 
-    def _present_share(self) -> float:
-        live = len(self._live_nodes())
-        return live / max(self._fleet_size(), live, 1)
-
     def _follow(self) -> CustomerIndex:
         """Return the customers of the version in force, forgetting those that are in it no more."""
         index = self._customers()
         if index is not self._followed:
             self._followed = index
             names = index.by_name.keys()
-            self._buckets.keep(names)
+            self._shares.keep(names)
             if self._windows is not None:
                 self._windows.keep(names)
             self._use = {name: use for name, use in self._use.items() if name in names}
--- a/src/fescuedock/schema/permits.py
+++ b/src/fescuedock/schema/permits.py
@@ -220,7 +220,7 @@
 
 class QuotaAsk(WireStruct):
     """
-    Ask the node that keeps a customer's limit for one call.
+    Ask a node that keeps a customer's limit, or a share of it, for one call.
     """
 
     customer: str
@@ -237,13 +237,19 @@
         str,
         Meta(description="Who asks; an ask without a customer only asks whether a node is there."),
     ] = ""
+    share: Annotated[
+        int,
+        Meta(
+            description="Which share of the limit is meant, from 0 on; unused where limits are by a sliding window."
+        ),
+    ] = 0
 
 
 class QuotaReply(WireStruct):
     code: Annotated[
         int,
         Meta(
-            description="A ResultCode: OK, OVER_LIMIT, or NOT_OWNER where this node cannot speak for the fleet."
+            description="A ResultCode: OK, OVER_LIMIT, or NOT_OWNER where this node does not keep the share, or cannot speak for the fleet."
         ),
     ]
     retry_after_ms: Annotated[int, Meta(description="When a refused caller may come back.")] = 0
--- a/src/fescuedock/schema/settings.py
+++ b/src/fescuedock/schema/settings.py
@@ -623,14 +623,21 @@
     quota_slack_calls: Annotated[
         float,
         Meta(
-            description="Calls of one customer that may run beyond its limit, over all nodes, in one window of the platform; what a new owner of the limit begins with comes from them.",
+            description="Calls of one customer that may run beyond its limit, over all nodes, in each quota_bound_s.",
             ge=0.0,
         ),
     ] = 20
+    quota_bound_s: Annotated[
+        float,
+        Meta(
+            description="Length of the windows in which no more may run than a limit, quota_over_share of it and quota_slack_calls, whatever nodes reach.",
+            ge=0.0,
+        ),
+    ] = 5
     quota_window_ms: Annotated[
         float,
         Meta(
-            description="Sliding window by which customers count their limits; with it, what runs is bounded over all nodes whatever they reach. 0 limits by token buckets.",
+            description="Sliding window by which customers count their limits; with it, what runs is bounded over all nodes whatever they reach. 0 limits by token buckets, each a share of the limit at one node.",
             ge=0.0,
         ),
     ] = 0
@@ -643,7 +650,7 @@
     quota_over_share: Annotated[
         float,
         Meta(
-            description="Share of a limit that may run beyond it in one window, besides quota_slack_calls.",
+            description="Part of a limit that may run beyond it in one window, besides quota_slack_calls.",
             ge=0.0,
         ),
     ] = 0.1
--- a/src/fescuedock/schema/stored_jobs.py
+++ b/src/fescuedock/schema/stored_jobs.py
@@ -102,6 +102,9 @@
     failure_domain: str
     host: Annotated[str, Meta(description="IP number.")]
     port: Annotated[int, Meta(description="TCP and UDP port of the agent.")]
+    started_unix_ms: Annotated[
+        int, Meta(description="When its process started; 0 where it does not say.")
+    ] = 0
 
 
 class AcceptJob(WireStruct):
--- a/tests/builders/quota_fleet.py
+++ b/tests/builders/quota_fleet.py
@@ -20,12 +20,18 @@
     NodeParts,
     Outcome,
     Records,
-    Roster,
     WindowOwner,
     WindowPolicy,
     needed_contacts,
 )
-from fescuedock.core.quotas import LocalAllowance, QuotaOwner, QuotaPolicy, QuotaRoute
+from fescuedock.core.quotas import (
+    QuotaOwner,
+    QuotaPolicy,
+    QuotaRoute,
+    Roster,
+    ShareRoute,
+    ask_order,
+)
 
 __all__ = ["Admission", "BucketFleet", "Change", "World", "WindowFleet", "fullest_ms"]
 
@@ -37,6 +43,8 @@
 RECORDS_AGE_MS = 1200.0
 # The least time between two lives of a node.
 _DOWN_MS = 1000.0
+# Since when a fleet has run that a course begins with.
+_LONG_AGO_MS = -1e6
 
 
 class Change(msgspec.Struct, frozen=True):
@@ -156,35 +164,74 @@
 
 
 class BucketFleet:
-    """A token bucket at the owner, another one at its stand-in, and allowances (no window set)."""
+    """Shares of limits, each a token bucket at one node (no window set)."""
 
-    def __init__(self, world: World) -> None:
+    def __init__(self, world: World, policy: QuotaPolicy | None = None) -> None:
         self._world = world
-        self._route = QuotaRoute()
+        self.policy = policy or QuotaPolicy()
         size = len(world.names)
-        self._owners = [QuotaOwner(QuotaPolicy()) for _ in range(size)]
-        self._allowances = [LocalAllowance() for _ in range(size)]
+        self._numbers = {name: number for number, name in enumerate(world.names)}
+        self._owners = [QuotaOwner(self.policy) for _ in range(size)]
+        self._routes = [self._new_route(node, _LONG_AGO_MS) for node in range(size)]
+        self._may_start = [False] * size
+        self._lived_ms = [_LONG_AGO_MS] * size
+        # By call: the share that a grant came from.
+        self._granted: dict[tuple[str, int, float], int] = {}
+        # Of its own, so that ways that are compared see the same course.
+        self._rng = random.Random(size)
         world.on_start = self._start
 
-    def _start(self, node: int, _now_ms: float) -> None:
-        self._owners[node] = QuotaOwner(QuotaPolicy())
-        self._allowances[node] = LocalAllowance()
+    def _new_route(self, node: int, now_ms: float) -> ShareRoute:
+        route = ShareRoute(Roster(self._world.names[node]))
+        route.note(self._world.names, now_ms)
+        return route
+
+    def _start(self, node: int, now_ms: float) -> None:
+        self._owners[node] = QuotaOwner(self.policy)
+        self._routes[node] = self._new_route(node, now_ms)
+        self._may_start[node] = self.policy.may_start(now_ms - self._lived_ms[node])
+        self._lived_ms[node] = now_ms
+
+    def keepers(self, customer: Customer) -> list[int]:
+        """Return the nodes that keep the shares of a customer, by share."""
+        count = self.policy.share_count(customer)
+        route = self._routes[0]
+        return [self._numbers[route.keeper(customer.name, number)] for number in range(count)]
 
     def admit(
         self, customer: Customer, node: int, now_ms: float, waited_ms: float = 0.0
     ) -> Admission:
-        world, messages = self._world, 0
-        size = len(world.names)
-        for name in self._route.owners(customer.name, world.views[node]):
-            other = world.names.index(name)
-            messages += 2 * (other != node)
-            if other != node and not world.reaches(node, other):
+        """Ask as ``node`` does; ``waited_ms`` is since a grant that has not been used."""
+        keepers = self.keepers(customer)
+        key = (customer.name, node, round(now_ms - waited_ms, 3))
+        last = self._granted.pop(key, None) if waited_ms else None
+        order = ask_order(
+            [self._world.names[keeper] for keeper in keepers],
+            self._world.names[node],
+            self._rng,
+            last,
+        )
+        messages = 0
+        for share in order:
+            keeper = keepers[share]
+            messages += 2 * (keeper != node)
+            if keeper != node and not self._world.reaches(node, keeper):
                 continue
-            owner = self._owners[other]
-            if owner.may_grant(len(world.views[other]) / size):
-                wait_ms = owner.ask(customer, now_ms)
-                return Admission(wait_ms is None, messages)
-        return Admission(self._allowances[node].take(customer, size, now_ms), messages)
+            moved_ms = waited_ms if share == last else 0.0
+            if self._ask(customer, keeper, share, now_ms, moved_ms):
+                self._granted[(customer.name, node, round(now_ms, 3))] = share
+                return Admission(True, messages)
+        return Admission(False, messages)
+
+    def _ask(
+        self, customer: Customer, keeper: int, share: int, now_ms: float, waited_ms: float
+    ) -> bool:
+        kept = self._routes[keeper].kept(customer.name, share)
+        may_start = self._may_start[keeper]
+        wait_ms = self._owners[keeper].ask(
+            customer, kept, now_ms, may_start=may_start, waited_ms=waited_ms
+        )
+        return wait_ms is None
 
 
 class _Node(msgspec.Struct):
--- /dev/null
+++ b/tests/builders/quota_single_owner.py
@@ -0,0 +1,73 @@
+"""Limits granted by one node for each customer, by another that stands in, and by allowances.
+
+Compared with shares: the bound does not hold while an owner is cut off and goes on granting.
+"""
+
+from fescuedock.core.customers import Customer
+from fescuedock.core.quotas import QuotaRoute
+from fescuedock.core.token_bucket import Bucket, BucketTerms
+from tests.builders.quota_fleet import Admission, World
+
+__all__ = ["Allowances", "SingleOwnerFleet"]
+
+_SLACK_CALLS = 20.0
+# Of the slack: on top of a burst, and what a new owner starts with.
+_PART = 0.25
+# Of a node's share of the limit, while it reaches no owner.
+_ALLOWED_SHARE = 0.2
+
+
+class Allowances:
+    """What one node serves of each customer while no owner answers."""
+
+    def __init__(self) -> None:
+        self._buckets: dict[str, Bucket] = {}
+
+    def take(self, customer: Customer, fleet_size: int, now_ms: float) -> bool:
+        part = _ALLOWED_SHARE / max(fleet_size, 1)
+        size = 1.0 + customer.burst * part
+        terms = BucketTerms(customer.rate_per_s * part, size, size)
+        return self._buckets.setdefault(customer.name, Bucket(size, now_ms)).take(terms, now_ms)
+
+
+class SingleOwnerFleet:
+    """Nodes with a bucket for each customer that they own or stand in for."""
+
+    def __init__(self, world: World) -> None:
+        self._world = world
+        self._route = QuotaRoute()
+        self._numbers = {name: number for number, name in enumerate(world.names)}
+        self._buckets: list[dict[str, Bucket]] = [{} for _ in world.names]
+        self._allowances = [Allowances() for _ in world.names]
+        world.on_start = self._start
+
+    def _start(self, node: int, _now_ms: float) -> None:
+        self._buckets[node] = {}
+        self._allowances[node] = Allowances()
+
+    def owner_of(self, customer: Customer) -> int:
+        """Return the node that is asked first while all are seen."""
+        return self._numbers[self._route.owners(customer.name, self._world.names)[0]]
+
+    def admit(
+        self, customer: Customer, node: int, now_ms: float, waited_ms: float = 0.0
+    ) -> Admission:
+        """Ask as ``node`` does; a call that waited is not asked for again."""
+        if waited_ms:
+            return Admission(True, 0)
+        world, messages = self._world, 0
+        size = len(world.names)
+        for name in self._route.owners(customer.name, world.views[node]):
+            other = self._numbers[name]
+            messages += 2 * (other != node)
+            if other != node and not world.reaches(node, other):
+                continue
+            if 2 * len(world.views[other]) >= size:
+                return Admission(self._take(other, customer, now_ms), messages)
+        return Admission(self._allowances[node].take(customer, size, now_ms), messages)
+
+    def _take(self, owner: int, customer: Customer, now_ms: float) -> bool:
+        size = max(customer.burst + _PART * _SLACK_CALLS, 1.0)
+        terms = BucketTerms(customer.rate_per_s, size, min(_PART * _SLACK_CALLS, size))
+        buckets = self._buckets[owner]
+        return buckets.setdefault(customer.name, Bucket(terms.start, now_ms)).take(terms, now_ms)
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -128,6 +128,7 @@
         with tempfile.TemporaryDirectory() as folder:
             node = load_settings(rendered("node.ini", folder, FIELDS), NODE_SECTIONS).unwrap().node
             self.assertEqual((node.quota_window_ms, node.quota_slack_calls), (0.0, 20.0))
+            self.assertEqual((node.quota_over_share, node.quota_bound_s), (0.1, 5.0))
 
     def test_a_platform_that_names_no_bound_of_ends_has_the_usual_one(self) -> None:
         fields = {name: value for name, value in FIELDS.items() if name != "bounds.cancelMs"}
--- a/tests/test_node_quotas.py
+++ b/tests/test_node_quotas.py
@@ -59,6 +59,7 @@
             self.kv,
             table,
             PREFIX,
+            lambda: float("inf"),
             clock,
             random.Random(1),
         )
--- a/tests/test_quota_windows.py
+++ b/tests/test_quota_windows.py
@@ -3,6 +3,7 @@
 import heapq
 import random
 import unittest
+from collections.abc import Callable
 
 import msgspec
 from hypothesis import given, settings
@@ -179,11 +180,15 @@
     )
 
 
-def sends_ms(course: Course, customer: Customer) -> list[float]:
+def sends_ms(
+    course: Course,
+    customer: Customer,
+    make_fleet: Callable[[World], BucketFleet | WindowFleet] = WindowFleet,
+) -> list[float]:
     """Play a course; return when the calls were sent that the fleet let in."""
     rng = random.Random(course.seed)
     world = World(course.size, course.changes, rng)
-    fleet = WindowFleet(world)
+    fleet = make_fleet(world)
     end_ms = course.changes[-1].at_ms + 4000.0
     calls: list[tuple[float, int, float]] = []
     now_ms, phase, phase_end_ms = 0.0, 0, course.phases[0][1]
