Follow registered nodes while nobody calls, and count shares from the start

Cause, from the keepers' buckets logged at each ask: a keeper learned at the first ask which nodes are registered, and its share began empty then, though the process had run for 8 s and more.

A node follows them once a second, and a share that no other node has kept since the process started counts from that start. A start call is also given when the former start becomes known after the first ask.

--- a/src/fescuedock/core/quotas.py
+++ b/src/fescuedock/core/quotas.py
@@ -153,9 +153,13 @@
 
 
 class ShareRoute(msgspec.Struct):
-    """The keepers of all shares, as the nodes that were registered of late have it."""
+    """The keepers of all shares, as the nodes that were registered of late have it.
+
+    ``started_ms`` is when this node's process started.
+    """
 
     roster: Roster
+    started_ms: float
     # By customer: the keeper of each share.
     _keepers: dict[str, list[str | None]] = msgspec.field(default_factory=dict)
     _kept: dict[tuple[str, int], KeptShare] = msgspec.field(default_factory=dict)
@@ -189,7 +193,9 @@
         if key not in self._kept:
             changed_ms = self.roster.changed_ms
             since_start = changed_ms == self.roster.joined_ms
-            self._kept[key] = KeptShare(customer, number, changed_ms, since_start)
+            # What keepers before this one granted was before this process as well.
+            since_ms = self.started_ms if since_start else changed_ms
+            self._kept[key] = KeptShare(customer, number, since_ms, since_start)
         return self._kept[key]
 
     def keep(self, names: Collection[str]) -> None:
@@ -216,6 +222,8 @@
 class _Share(msgspec.Struct):
     since_ms: float
     bucket: SendBucket
+    # Whether the bucket has been given what it may begin with.
+    has_started: bool = False
 
 
 class QuotaOwner(msgspec.Struct):
@@ -239,21 +247,26 @@
         now.
         """
         terms = self.policy.share_terms(customer)
-        bucket = self._bucket(kept, terms, may_start=may_start)
+        share = self._share(kept)
+        if may_start and kept.since_start and not share.has_started:
+            # Whether it may is known some time after the process started.
+            share.has_started = True
+            share.bucket.add(terms, terms.start, now_ms)
         if waited_ms:
-            granted = bucket.move(terms, now_ms - waited_ms, now_ms)
+            granted = share.bucket.move(terms, now_ms - waited_ms, now_ms)
         else:
-            granted = bucket.take(terms, now_ms)
-        return None if granted else bucket.wait_ms(terms, now_ms, self.policy.longest_wait_ms)
+            granted = share.bucket.take(terms, now_ms)
+        if granted:
+            return None
+        return share.bucket.wait_ms(terms, now_ms, self.policy.longest_wait_ms)
 
-    def _bucket(self, kept: KeptShare, terms: BucketTerms, *, may_start: bool) -> SendBucket:
+    def _share(self, kept: KeptShare) -> _Share:
         key = (kept.customer, kept.number)
         share = self._shares.get(key)
         if share is None or share.since_ms != kept.since_ms:
-            start = terms.start if kept.since_start and may_start else 0.0
-            share = _Share(kept.since_ms, SendBucket(Bucket(start, kept.since_ms)))
-            self._shares[key] = share
-        return share.bucket
+            bucket = SendBucket(Bucket(0.0, kept.since_ms))
+            share = self._shares[key] = _Share(kept.since_ms, bucket)
+        return share
 
     def keep(self, names: Collection[str]) -> None:
         """Forget the customers that are not among ``names``."""
--- a/src/fescuedock/core/token_bucket.py
+++ b/src/fescuedock/core/token_bucket.py
@@ -81,6 +81,13 @@
         self._granted_ms.append(now_ms)
         return True
 
+    def add(self, terms: BucketTerms, tokens: float, now_ms: float) -> None:
+        """Add tokens, up to the size of the bucket; earlier grants are known no more."""
+        self._bucket.refill(terms, now_ms)
+        self._bucket.tokens = min(self._bucket.tokens + tokens, terms.size)
+        self._first = None
+        self._granted_ms.clear()
+
     def move(self, terms: BucketTerms, granted_ms: float, now_ms: float) -> bool:
         """Take a token now in place of one that was taken up to ``granted_ms``."""
         if self._first is not None and take_out(self._granted_ms, granted_ms):
--- a/src/fescuedock/node/quotas.py
+++ b/src/fescuedock/node/quotas.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 import msgspec
+import trio
 from result import Err, Ok, Result
 
 from fescuedock.address import Address
@@ -42,9 +43,9 @@
 
 # An owner answers in 1 to 4 ms; a process that is busy itself reads answers later.
 _ASK_TIMEOUT_MS = 60.0
-_ASK_AGAIN_TIMEOUT_MS = 30.0
-# Between two looks at which nodes are registered.
+# Between two looks at which nodes are registered: while calls come, and at all times.
 _LEAST_LOOK_MS = 200.0
+_LOOK_INTERVAL_S = 1.0
 # Another node may let the call in at once.
 _UNKNOWN_RETRY_MS = 100
 
@@ -77,7 +78,7 @@
         )
         self._owner = QuotaOwner(self.policy)
         self._vm_id = vm_id
-        self._route = ShareRoute(Roster(vm_id))
+        self._route = ShareRoute(Roster(vm_id), now_ms())
         self._live = live
         self._registered = registered
         self._since_previous_ms = since_previous_ms
@@ -85,6 +86,12 @@
         self._noted_ms = float("-inf")
         self._noted_version = -1
 
+    async def run(self) -> None:
+        """Follow which nodes are registered, also while nobody calls; never returns."""
+        while True:
+            self._note_fleet()
+            await trio.sleep(_LOOK_INTERVAL_S)
+
     def _note_fleet(self) -> None:
         now = now_ms()
         is_stale = now - self._noted_ms >= self._route.roster.keep_ms / 4
@@ -179,9 +186,8 @@
         self._nodes_version = -1
 
     async def run(self) -> None:
-        """Follow the fleet and write records until cancelled; returns where no window is set."""
-        if self._windows is not None:
-            await self._windows.run()
+        """Follow the fleet, and write records where a window is set, until cancelled."""
+        await (self._windows or self._shares).run()
 
     def status(self) -> list[CustomerStatus]:
         """Return the customers in force, with their use at this node."""
@@ -276,14 +282,10 @@
         """Ask the keepers of shares until one grants the call."""
         keepers = self._shares.keepers(customer)
         refused: list[int] = []
-        timeout_ms = _ASK_TIMEOUT_MS
         for share in self._shares.order(keepers, last):
             moved_ms = waited_ms if share == last else 0.0
             ask = QuotaAsk(customer.name, False, moved_ms, self._view.vm_id, share)
-            reply = await self._ask_node(keepers[share], ask, timeout_ms)
-            if reply is None:
-                # At a node that is cut off none of them answers.
-                timeout_ms = _ASK_AGAIN_TIMEOUT_MS
+            reply = await self._ask_node(keepers[share], ask)
             if reply is None or reply.code == ResultCode.NOT_OWNER:
                 continue
             if reply.code == ResultCode.OK:
@@ -293,16 +295,14 @@
             return _unknown_use(customer.name)
         return _over_limit(customer.name, min(refused))
 
-    async def _ask_node(
-        self, vm_id: str | None, ask: QuotaAsk, timeout_ms: float = _ASK_TIMEOUT_MS
-    ) -> QuotaReply | None:
+    async def _ask_node(self, vm_id: str | None, ask: QuotaAsk) -> QuotaReply | None:
         """Return a node's answer; None when it is not there, or was silent of late."""
         if vm_id == self._view.vm_id:
             return await self._answer(ask)
         vm = self._live_nodes().get(vm_id)
         if vm is None or self._silent.is_silent(vm_id, now_ms()):
             return None
-        called = await self._call_neighbour(Address(vm.host, vm.agent_port), ask, timeout_ms)
+        called = await self._call_neighbour(Address(vm.host, vm.agent_port), ask, _ASK_TIMEOUT_MS)
         if isinstance(called, Err):
             self._silent.note_silent(vm_id, now_ms())
             log_event("quota_owner_silent", customer=ask.customer, about=vm_id)
--- a/tests/builders/quota_fleet.py
+++ b/tests/builders/quota_fleet.py
@@ -182,7 +182,7 @@
         world.on_start = self._start
 
     def _new_route(self, node: int, now_ms: float) -> ShareRoute:
-        route = ShareRoute(Roster(self._world.names[node]))
+        route = ShareRoute(Roster(self._world.names[node]), now_ms)
         route.note(self._world.names, now_ms)
         return route
 
--- a/tests/test_node_quotas.py
+++ b/tests/test_node_quotas.py
@@ -4,6 +4,7 @@
 import unittest
 from collections.abc import Awaitable, Callable
 
+import msgspec
 import trio
 from result import Err, Ok, Result
 from trio.testing import MockClock
@@ -30,12 +31,14 @@
     store_address="127.0.0.1:4",
     quota_window_ms=5000,
 )
+# Limits by token buckets.
+BUCKETS = msgspec.structs.replace(SETTINGS, quota_window_ms=0)
 
 
 class World:
     """One node, beside as many others as are named, which answer as ``others`` says."""
 
-    def __init__(self, count: int = 1) -> None:
+    def __init__(self, count: int = 1, settings: NodeSettings = SETTINGS) -> None:
         self.kv = MemoryKv()
         self.asked = 0
         self.others: Result = Err(Fault(ResultCode.PEER_UNREACHABLE, "cut off"))
@@ -47,6 +50,7 @@
             )
         view.version = 1
         table = ReplicaTable("fescuedock/live/")
+        table.replace([], 1, now_ms())
         clock = unix_clock(1e9)
         index = index_of([(GENT, ())])
         self.quotas = Quotas(
@@ -55,7 +59,7 @@
             self._call,
             lambda: count,
             lambda: list(view.vms),
-            SETTINGS,
+            settings,
             self.kv,
             table,
             PREFIX,
@@ -76,9 +80,11 @@
         return count
 
 
-def run_world(test: Callable[[World], Awaitable[None]], count: int = 1) -> None:
+def run_world(
+    test: Callable[[World], Awaitable[None]], count: int = 1, settings: NodeSettings = SETTINGS
+) -> None:
     async def run() -> None:
-        world = World(count)
+        world = World(count, settings)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(world.quotas.run)
             # So long a node that has led knows the whole window.
@@ -160,5 +166,41 @@
         run_world(test, count=12)
 
 
+class NodeSharesTest(unittest.TestCase):
+    """A node's part in limits by shares."""
+
+    def test_shares_fill_while_nobody_calls(self) -> None:
+        """Guards against a keeper that counted from its first call on, and refused the next."""
+
+        async def test(world: World) -> None:
+            # A burst of 2, and of the 21.2 beyond the limit what is not set aside for starts.
+            self.assertGreaterEqual(await world.admit_all(), 16)
+
+        run_world(test, settings=BUCKETS)
+
+    def test_a_call_that_waited_is_counted_when_it_is_sent(self) -> None:
+        async def test(world: World) -> None:
+            confirms = [(await world.quotas.admit("gent")).unwrap() for _ in range(8)]
+            await world.admit_all()
+            await trio.sleep(2.0)
+            for confirm in confirms:
+                self.assertIsInstance(await confirm(), Ok)
+            # Four tokens came meanwhile, of which full buckets have lost some.
+            self.assertIn(await world.admit_all(), (2, 3, 4))
+
+        run_world(test, settings=BUCKETS)
+
+    def test_a_node_that_reaches_no_keeper_says_that_it_does_not_know(self) -> None:
+        async def test(world: World) -> None:
+            codes = set()
+            for _ in range(60):
+                admitted = await world.quotas.admit("gent")
+                if isinstance(admitted, Err):
+                    codes.add(admitted.err_value.code)
+            self.assertEqual(codes, {ResultCode.QUOTA_UNKNOWN})
+
+        run_world(test, count=12, settings=BUCKETS)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_quotas_core.py
+++ b/tests/test_quotas_core.py
@@ -164,6 +164,13 @@
             self.assertEqual(first is None, granted)
             self.assertIsNotNone(owner.ask(customer, kept, 0.0, may_start=may_start))
 
+    def test_a_keeper_that_learns_late_that_it_may_begins_with_one_call_once(self) -> None:
+        """Guards against a share that stayed empty as its first ask came before the record."""
+        owner, customer = QuotaOwner(), Customer("caldas", rate_per_s=0.001, burst=8.0)
+        self.assertIsNotNone(owner.ask(customer, KEPT, 0.0, may_start=False))
+        granted = [owner.ask(customer, KEPT, 1.0, may_start=True) is None for _ in range(3)]
+        self.assertEqual(granted, [True, False, False])
+
     def test_a_process_that_follows_another_at_once_begins_with_nothing(self) -> None:
         policy = QuotaPolicy()
         for since_previous_ms, may_start in (
@@ -224,7 +231,7 @@
     NAMES = tuple(f"node-{number}" for number in range(20))
 
     def route(self, vm_id: str, names: tuple[str, ...] = NAMES, now_ms: float = 0.0) -> ShareRoute:
-        route = ShareRoute(Roster(vm_id))
+        route = ShareRoute(Roster(vm_id), now_ms - 500.0)
         route.note(names, now_ms)
         return route
 
@@ -254,7 +261,8 @@
     def test_a_share_that_another_node_kept_is_not_one_since_the_start(self) -> None:
         keeper = self.route("node-0").keeper("caldas", 1)
         route = self.route(keeper)
-        self.assertTrue(route.kept("caldas", 1).since_start)
+        kept = route.kept("caldas", 1)
+        self.assertEqual((kept.since_ms, kept.since_start), (-500.0, True))
         others = tuple(name for name in self.NAMES if name != keeper)
         follower = self.route("node-0", others).keeper("caldas", 1)
         route = self.route(follower)
@@ -266,7 +274,7 @@
     def test_a_node_that_is_not_registered_keeps_nothing(self) -> None:
         route = self.route("node-20")
         self.assertEqual([route.kept("caldas", number) for number in range(4)], [None] * 4)
-        self.assertIsNone(ShareRoute(Roster("node-0")).kept("caldas", 0))
+        self.assertIsNone(ShareRoute(Roster("node-0"), 0.0).kept("caldas", 0))
 
     def test_the_last_grant_is_asked_about_first_and_own_shares_before_others(self) -> None:
         keepers = ["node-1", "node-0", "node-2", "node-3"]
