Ask an owner in the same process without a socket

The holder calls the owner's handler itself. An ask that finds room or is refused at once needs no wait, and one that is queued is waited for up to 2 s beyond its time in the queue.

--- a/src/fescuedock/agent/permit_client.py
+++ b/src/fescuedock/agent/permit_client.py
@@ -21,7 +21,7 @@
 from fescuedock.core.permits.holder import HeldGrant, HolderBook, LocalLimit, lapsed_by_ms
 from fescuedock.core.recent_runs import RecentRuns
 from fescuedock.faults import Fault
-from fescuedock.net.channel import ChannelClient
+from fescuedock.net.channel import CallHandler, ChannelClient, Push
 from fescuedock.net.codec import Codec
 from fescuedock.schema.crashes import BrokenRun, WholeRun
 from fescuedock.schema.permits import (
@@ -49,6 +49,8 @@
 _BROKEN_OFF = (AttemptOutcome.TRUNCATED, AttemptOutcome.RESPONSE_TIMEOUT)
 # Ends of our own making, after which an upstream may still be at work.
 _GIVEN_UP = (AttemptOutcome.CANCELLED, AttemptOutcome.REVOKED)
+# Beyond the time that an ask may be queued, for an owner in the same process.
+_OWN_TIMEOUT_MS = 2000
 # Three renewals fit into the validity, so that two may be lost.
 _RENEWALS_PER_VALIDITY = 3
 
@@ -138,11 +140,26 @@
         self._end(ended)
 
 
+class _OwnPeer(msgspec.Struct, frozen=True):
+    """This process as an owner in it sees its caller."""
+
+    take_push: Push
+
+    def push(self, message: msgspec.Struct) -> bool:
+        self.take_push(message)
+        return True
+
+
 class PermitClient:
     """Asks owners for permits, renews what is held, and keeps their load snapshots."""
 
     def __init__(
-        self, settings: Settings, view: "FleetView", channels: PeerChannels, holder_id: str
+        self,
+        settings: Settings,
+        view: "FleetView",
+        channels: PeerChannels,
+        holder_id: str,
+        handlers: Mapping[type[msgspec.Struct], CallHandler],
     ) -> None:
         self.holder_id = holder_id
         self.loads: Mapping[str, TimedLoad] = {}
@@ -150,6 +167,7 @@
         self._settings = settings.permits
         self._view = view
         self._channels = channels
+        self._handlers = handlers
         self._book = HolderBook()
         self._grants: dict[str, Grant] = {}
         self._valid_ms = settings.agent.permit_valid_ms if settings.agent else _DEFAULT_VALID_MS
@@ -164,7 +182,8 @@
     async def ask(self, ask: PermitAsk, timeout_ms: float) -> Result[Grant, Fault]:
         """Ask the owner of ``ask.upstream_id``; wait ``timeout_ms`` at most for its answer.
 
-        ``timeout_ms`` should exceed ``ask.wait_ms``, the time the owner may queue the ask.
+        ``timeout_ms`` should exceed ``ask.wait_ms``, the time the owner may queue the ask.  Where
+        this process is the owner itself it is waited for longer: late is not silent then.
         ``PEER_UNREACHABLE`` and ``PEER_UNKNOWN`` mean a silent owner: an online attempt may then
         use ``ask_local`` or another upstream, batch waits.  ``NOT_OWNER`` means that the views of
         the two nodes differ for a moment.  Any other fault is the owner's refusal.
@@ -174,13 +193,19 @@
         sent_ms = now_ms()
         answered = False
         self._asking[ask.attempt_id] = False
+        own = self._own_handler(ask.upstream_id)
+        if own is not None:
+            timeout_ms = max(timeout_ms, ask.wait_ms + _OWN_TIMEOUT_MS)
         try:
             with trio.move_on_after(timeout_ms / 1000):
-                channel = await self._channel_of(ask.upstream_id)
-                if channel is None:
-                    answered = True
-                    return Err(self._no_owner(ask.upstream_id))
-                reply = await channel.call(ask, timeout_ms)
+                if own is not None:
+                    reply = Ok(await own(ask, _OwnPeer(self.take_push)))
+                else:
+                    channel = await self._channel_of(ask.upstream_id)
+                    if channel is None:
+                        answered = True
+                        return Err(self._no_owner(ask.upstream_id))
+                    reply = await channel.call(ask, timeout_ms)
                 answered = reply.is_ok()
                 return reply.and_then(lambda found: self._settle(ask, found, sent_ms))
             return Err(Fault(ResultCode.PEER_UNKNOWN, f"no answer for {ask.upstream_id}"))
@@ -218,6 +243,16 @@
         if isinstance(message, PermitsRevoked):
             self._revoke(message.permit_ids)
 
+    def _own_handler(self, upstream_id: str) -> CallHandler | None:
+        """Return what answers asks if the owner of an upstream is in this process.
+
+        A busy process reads answers late, also its own, and took itself for silent.
+        """
+        owner = self._view.owner_of(upstream_id)
+        if owner is None or Address(owner.host, owner.agent_port) != self._own_agent:
+            return None
+        return self._handlers.get(PermitAsk)
+
     async def _channel_of(self, upstream_id: str) -> ChannelClient | None:
         owner = self._view.owner_of(upstream_id)
         if owner is None:
@@ -396,12 +431,19 @@
 
 @asynccontextmanager
 async def open_permit_client(
-    settings: Settings, codec: Codec, view: "FleetView", holder_id: str
+    settings: Settings,
+    codec: Codec,
+    view: "FleetView",
+    holder_id: str,
+    handlers: Mapping[type[msgspec.Struct], CallHandler] | None = None,
 ) -> AsyncIterator[PermitClient]:
-    """Run a client's background work until the block is left."""
+    """Run a client's background work until the block is left.
+
+    ``handlers`` are those of this VM's agent, where it runs in the same process.
+    """
     async with trio.open_nursery() as nursery:
         channels = PeerChannels(codec, nursery, lambda message: client.take_push(message))
-        client = PermitClient(settings, view, channels, holder_id)
+        client = PermitClient(settings, view, channels, holder_id, handlers or {})
         nursery.start_soon(client.run)
         try:
             yield client
--- a/src/fescuedock/node/main.py
+++ b/src/fescuedock/node/main.py
@@ -93,7 +93,7 @@
         _open_http(settings.node.connect_timeout_ms) as upstream_http,
         open_channel_pool(codec) as pool,
         open_agent_port(settings, codec, handlers) as udp,
-        open_permit_client(settings, codec, view, holder_id) as permits,
+        open_permit_client(settings, codec, view, holder_id, handlers) as permits,
         trio.open_nursery() as nursery,
     ):
         node = _Node(settings, view, store_http, upstream_http, pool, holder_id)
--- a/tests/builders/load_player.py
+++ b/tests/builders/load_player.py
@@ -255,7 +255,7 @@
             permits=PermitSettings(max_limit=64, ended_batch_ms=2, adjust_ms=200),
         )
         channels = _Channels(self, nodes, hop_ms)
-        self.permits = PermitClient(self.settings, self.view, channels, f"{self.vm_id}/node")
+        self.permits = PermitClient(self.settings, self.view, channels, f"{self.vm_id}/node", {})
         self._service = PermitService(
             self.settings, self.view, engine_checks(None, self.rng), self.rng
         )
--- a/tests/builders/permits.py
+++ b/tests/builders/permits.py
@@ -6,6 +6,7 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
+import msgspec
 import trio
 
 from fescuedock.address import Address
@@ -130,8 +131,13 @@
 
 
 @asynccontextmanager
-async def served_owner(upstream: UpstreamRecord | None = None) -> AsyncIterator[ServedOwner]:
-    """Serve a permit service on a free port and open a client to it."""
+async def served_owner(
+    upstream: UpstreamRecord | None = None, *, same_process: bool = False
+) -> AsyncIterator[ServedOwner]:
+    """Serve a permit service on a free port and open a client to it.
+
+    With ``same_process`` the client knows that the owner is its own node.
+    """
     settings = settings_for()
     codec = Codec([permits])
     owner_view, view = FleetView("vm1"), FleetView("vm1")
@@ -148,7 +154,13 @@
 
         address = await nursery.start(serve_channel, Address("127.0.0.1", 0), codec, handle)
         nursery.start_soon(service.run)
-        async with open_permit_client(settings, codec, view, "h1") as client:
+        own = {}
+        if same_process:
+            agent = msgspec.structs.replace(settings.agent, port=address.port)
+            vm = msgspec.structs.replace(settings.vm, host=address.host)
+            settings = msgspec.structs.replace(settings, agent=agent, vm=vm)
+            own = {"handlers": handlers}
+        async with open_permit_client(settings, codec, view, "h1", **own) as client:
             owner = ServedOwner(service, owner_view, view, client, address)
             owner.show(upstream or upstream_record())
             yield owner
--- a/tests/test_permits_service.py
+++ b/tests/test_permits_service.py
@@ -1,5 +1,7 @@
 """Permits between a served owner and a holder's client, over real sockets."""
 
+import random
+import time
 import unittest
 from collections.abc import Callable
 from functools import partial
@@ -30,6 +32,47 @@
 TIMEOUT_MS = 5000
 
 
+class OwnOwnerTest(unittest.TestCase):
+    """Guards against a busy node that took itself for a silent owner, and ran calls beside it."""
+
+    def test_a_busy_owner_in_the_same_process_is_not_silent(self) -> None:
+        async def busy(rng: random.Random) -> None:
+            while True:
+                time.sleep(rng.uniform(0.0, 0.08))  # noqa: ASYNC251
+                await trio.sleep(0.005)
+
+        async def run() -> None:
+            codes = []
+            async with served_owner(same_process=True) as owner, trio.open_nursery() as nursery:
+                nursery.start_soon(busy, random.Random(1))
+                for _ in range(40):
+                    ask = ask_for(wait_ms=0)
+                    asked = await owner.client.ask(ask, timeout_ms=25.0)
+                    codes.append(asked.is_ok())
+                    if asked.is_ok():
+                        asked.unwrap().end(end_of(ask, AttemptOutcome.COMPLETED))
+                    await trio.sleep(0.02)
+                nursery.cancel_scope.cancel()
+            self.assertEqual(codes, [True] * 40)
+
+        _run(run)
+
+    def test_ends_renewals_and_revocations_reach_it(self) -> None:
+        async def run() -> None:
+            async with served_owner(same_process=True) as owner:
+                ask = ask_for()
+                grant = (await owner.client.ask(ask, TIMEOUT_MS)).unwrap()
+                self.assertEqual(owner.client.loads["u1"].load.in_flight_online, 1)
+                # Longer than a permit that is not renewed is valid.
+                await trio.sleep(1.5 * VALID_MS / 1000)
+                self.assertFalse(grant.revoked.is_set())
+                grant.end(end_of(ask, AttemptOutcome.COMPLETED))
+                while owner.service.load("u1").in_flight_online:  # noqa: ASYNC110
+                    await trio.sleep(0.01)
+
+        _run(run)
+
+
 class ServedOwnerTest(unittest.TestCase):
     """The path from a client's ask to the owner's decision and back."""
 
