Let customers take turns only among items that can wait equally well

Cause, shown by two tests that fail without this change: turns came before the stage of an item, at the node that chooses and in the queue of an upstream.

What another wait would make late goes first, then what can wait, by turns, then what is doubtful, then what is late, whoever it belongs to.

--- a/src/fescuedock/core/permits/fair_order.py
+++ b/src/fescuedock/core/permits/fair_order.py
@@ -1,7 +1,8 @@
 """The order of asks of one class that come from several customers or have priorities.
 
-What is most urgent by priority goes first; among those, customers take turns by virtual time; where
-these are equal, a customer that runs less goes first, and then what must start soonest.
+What is most urgent by priority goes first; among those, batch work that can wait less; then
+customers take turns by virtual time; where these are equal, a customer that runs less goes first,
+and then what must start soonest.
 
 Pure: the caller passes the time.
 """
@@ -60,8 +61,8 @@
                 ask.priority, item.waited_ms(now_ms), overdue_first=item is overdue
             )
             # Positions differ, so that asks themselves are never compared.
-            rank = (urgency, tag, over[ask.member], item is not returned, position, item)
-            ranked.append(rank)
+            share_rank = (tag, over[ask.member], item is not returned)
+            ranked.append((urgency, item.turn_rank, share_rank, position, item))
         ranked.sort()
         return [rank[-1] for rank in ranked]
 
--- a/src/fescuedock/core/permits/queued.py
+++ b/src/fescuedock/core/permits/queued.py
@@ -9,9 +9,18 @@
 
 from fescuedock.schema.permits import BatchStage, PermitAsk, WorkClass
 
-__all__ = ["MemberShares", "Waiting", "batch_rank"]
+__all__ = ["MemberShares", "Waiting", "batch_rank", "turn_rank"]
 
 _STAGE_RANKS = {stage: number for number, stage in enumerate(BatchStage)}
+# Customers take turns among work that can wait equally well: what another wait would make late goes
+# before it, and what cannot be done in time behind it, whoever's it is.
+_TURN_RANKS = {
+    BatchStage.ENDANGERED: 0,
+    BatchStage.BEGUN: 1,
+    BatchStage.FRESH: 1,
+    BatchStage.DOUBTFUL: 2,
+    BatchStage.LATE: 3,
+}
 
 
 class MemberShares(msgspec.Struct, frozen=True):
@@ -46,6 +55,11 @@
             return batch_rank(self.ask.stage, self.ask.left_ms, self.due_ms)
         return int(self.is_late(now_ms)), self.start_by_ms
 
+    @property
+    def turn_rank(self) -> int:
+        """Return what asks of one class and priority are ordered by before customers take turns."""
+        return turn_rank(self.ask.stage) if self.ask.work_class is WorkClass.BATCH else 0
+
     def waited_ms(self, now_ms: float) -> float:
         """Return how long the work has waited, at other owners too."""
         return self.ask.waited_ms + now_ms - self.arrived_ms
@@ -73,6 +87,11 @@
         return self.due_ms if self.ask.target_ms else min(self.answer_by_ms, self.due_ms)
 
 
+def turn_rank(stage: BatchStage) -> int:
+    """Return by what batch work is ordered before customers take turns; the lower goes first."""
+    return _TURN_RANKS[stage]
+
+
 def batch_rank(stage: BatchStage, left_ms: float, due_ms: float) -> tuple[int, float]:
     """Return what batch work is ordered by; the lower goes first and gives way last.
 
--- a/src/fescuedock/core/stored_jobs/customer_turns.py
+++ b/src/fescuedock/core/stored_jobs/customer_turns.py
@@ -6,6 +6,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterable, Sequence
 
+from fescuedock.core.permits.queued import turn_rank
 from fescuedock.core.stored_jobs.job import StoredJob
 from fescuedock.core.stored_jobs.urgency import ItemChoice
 from fescuedock.schema.stored_jobs import StoredJobRecord
@@ -29,8 +30,9 @@
 ) -> list[ItemChoice]:
     """Return ``ranked`` with the more urgent priority first and customers in turn within it.
 
-    A customer's items keep their order; the first of them counts as behind all that run of it.
-    Items that the upstream has failed stay last, whoever's they are.
+    They take turns among items that can wait equally well.  A customer's items keep their order;
+    the first of them counts as behind all that run of it.  Items that the upstream has failed stay
+    last, whoever's they are.
     """
     turns = Counter(running)
     keyed = []
@@ -38,6 +40,7 @@
         record = choice.job.record
         customer = record.customer or ""
         avoided = upstream_id in choice.run.avoided
-        keyed.append((avoided, priority(record), turns[customer], position))
+        urgency = (priority(record), turn_rank(choice.stage))
+        keyed.append((avoided, urgency, turns[customer], position))
         turns[customer] += 1
     return [ranked[key[-1]] for key in sorted(keyed)]
--- a/tests/test_permits_shares.py
+++ b/tests/test_permits_shares.py
@@ -153,6 +153,17 @@
         self.assertEqual(sorted(names[:6]), list("aaabbb"))
         self.assertEqual(names[6:], "aaa")
 
+    def test_what_another_wait_makes_late_goes_first_and_what_is_late_last(self) -> None:
+        """Guards against turns that made another customer's items late."""
+        full = FullUpstream(work_class=WorkClass.BATCH)
+        stages = {"a": (BatchStage.ENDANGERED,) * 2, "b": (BatchStage.LATE, BatchStage.FRESH)}
+        for member, waiting in stages.items():
+            for stage in waiting:
+                full.wait(WorkClass.BATCH, member=member, stage=stage)
+        granted = [full.next_granted().stage for _ in range(4)]
+        expected = [BatchStage.ENDANGERED] * 2 + [BatchStage.FRESH, BatchStage.LATE]
+        self.assertEqual(granted, expected)
+
     def test_work_that_costs_twice_as_much_gets_half_as_many_turns(self) -> None:
         full = FullUpstream()
         for _ in range(12):
--- a/tests/test_stored_jobs_urgency.py
+++ b/tests/test_stored_jobs_urgency.py
@@ -135,6 +135,12 @@
         """By urgency alone the small customer's items came after all 200."""
         self.assertEqual(self.start(6).count("small"), 3)
 
+    def test_a_late_item_does_not_go_before_one_that_can_still_be_done(self) -> None:
+        """Guards against turns that made another customer's items late for what was late anyway."""
+        self.jobs = [self.job("small", "late", -1.0)]
+        self.jobs += [self.job("big", f"b{number}", 60_000.0) for number in range(3)]
+        self.assertEqual(self.start(4), ["big"] * 3 + ["small"])
+
     def test_items_that_never_end_count_as_running(self) -> None:
         self.start(20, customer="big")
         self.assertEqual(self.start(3), ["small"] * 3)
