Refuse a work that ran alone only once all that ran there has been reported

Cause, from the logs of that run: two owners had each let one work run alone at the same upstream, which one of them ended. The first report said that the innocent one was alone; the other report came 9 ms later, and voided that. Calls of these 9 ms were refused.

It cannot end another upstream meanwhile, so the bound on harm stays.

--- a/src/fescuedock/batch/dispatch.py
+++ b/src/fescuedock/batch/dispatch.py
@@ -195,7 +195,10 @@
     ) -> tuple[UpstreamRecord, Grant] | None:
         """Return an upstream with a permit to run alone there; None for work that is refused."""
         context = self._context
-        while context.view.verdict_on(work_id).standing is not Standing.REFUSED:
+        while (verdict := context.view.verdict_on(work_id)).standing is not Standing.REFUSED:
+            if verdict.standing is Standing.UNSETTLED:
+                await trio.sleep(verdict.retry_after_ms / 1000)
+                continue
             names = [
                 item.upstream_id
                 for item in context.view.upstreams_of(assignment.service)
--- a/src/fescuedock/core/quarantine.py
+++ b/src/fescuedock/core/quarantine.py
@@ -25,6 +25,8 @@
 
     FREE = "beside others"
     ALONE = "alone"
+    # It would be refused, but for what others may still report of the same end.
+    UNSETTLED = "not yet"
     REFUSED = "not at all"
 
 
@@ -41,7 +43,8 @@
     Evidence is forgotten after ``kept_ms``, and the oldest first beyond ``most_reports``.
 
     Reports of one upstream within ``same_end_ms`` are about the same end: an upstream may keep its
-    identity over restarts, and takes longer to come back.
+    identity over restarts, and takes longer to come back.  As long a work that seems to have been
+    alone is neither run nor refused: others that ran there may be reported in the meantime.
     """
 
     begun_weight: float = 0.5
@@ -54,7 +57,10 @@
 
 
 class Verdict(msgspec.Struct, frozen=True):
-    """How a work may run; ``retry_after_ms`` is the time until a refused one may come again."""
+    """How a work may run.
+
+    ``retry_after_ms`` is the time until a refused one may come again, or until it is settled.
+    """
 
     standing: Standing
     crashes: int = 0
@@ -161,7 +167,11 @@
         self, work_id: str, reports: list[CrashReport], crashes: int, now_ms: float
     ) -> Verdict:
         pauses_ms = self._policy.pauses_ms
-        chances = self._count_ends([item for item in reports if self._was_alone(work_id, item)])
+        by_itself = [item for item in reports if self._was_alone(work_id, item)]
+        unsettled_ms = max(item.at_ms for item in by_itself) + self._policy.same_end_ms - now_ms
+        if unsettled_ms > 0:
+            return Verdict(Standing.UNSETTLED, crashes, unsettled_ms)
+        chances = self._count_ends(by_itself)
         pause_ms = pauses_ms[chances - 1] if chances <= len(pauses_ms) else self._policy.kept_ms
         left_ms = max(report.at_ms for report in reports) + pause_ms - now_ms
         if left_ms <= 0:
--- a/src/fescuedock/core/send_gate.py
+++ b/src/fescuedock/core/send_gate.py
@@ -69,6 +69,8 @@
         return SendRefusal.LEAVING
     if verdict.standing is Standing.REFUSED:
         return SendRefusal.HARMFUL
+    if verdict.standing is Standing.UNSETTLED:
+        return SendRefusal.NOT_ALONE
     if verdict.standing is Standing.ALONE and not permit.alone:
         return SendRefusal.NOT_ALONE
     if permit.revoked:
--- a/src/fescuedock/entry/online_permits.py
+++ b/src/fescuedock/entry/online_permits.py
@@ -126,6 +126,10 @@
         verdict = state.view.verdict_on(call.work_id)
         if verdict.standing is Standing.REFUSED:
             return Err(_harmful(verdict))
+        if verdict.standing is Standing.UNSETTLED:
+            with trio.move_on_after(verdict.retry_after_ms / 1000):
+                await state.view.wait_quarantine()
+            continue
         if verdict.standing is Standing.ALONE:
             answer = await _ask_alone(state, call, avoid)
             if not answer.again:
