--- a/src/fescuedock/schema/report.py
+++ b/src/fescuedock/schema/report.py
@@ -136,7 +136,10 @@
     admitted: int = 0
     refused: int = 0
     owner: Annotated[
-        str, Meta(description="Node that keeps the limit; empty when none is known.")
+        str,
+        Meta(
+            description="Node that keeps the limit, or those that keep shares of it, with spaces between; empty when none is known."
+        ),
     ] = ""
 
 
