Have a keeper begin with more, and nodes find keepers sooner, after all were lost

Causes: membership finds a node later than it can answer; one that was silent as it started was passed over for a second; and a share began with one call while clients came back together.

A node asks a keeper that membership has not shown since the start at the address of its record, asks again for up to a second while it is young itself, and takes an ask or a return in the view for a sign of life. A share begins with what comes in 0.3 s besides the one call, set aside from the spare.

--- a/src/fescuedock/core/quotas.py
+++ b/src/fescuedock/core/quotas.py
@@ -8,7 +8,7 @@
 
 A call takes a token of any share that its node reaches.
 
-State is soft.  A keeper that starts again has an empty bucket, but for one call if it has not
+State is soft.  A keeper that starts again has an empty bucket, but for a few calls if it has not
 started just before as well; a node that becomes the keeper of a share begins with nothing.  What is
 beyond a limit's rate and burst has room for that, for calls that are sent a moment after they were
 granted, and for two keepers of one share until the former one has heard that a node was added.
@@ -49,7 +49,8 @@
 class QuotaPolicy(msgspec.Struct, frozen=True):
     """``slack_calls`` and ``over_share`` of a limit may run beyond it in each ``bound_ms``.
 
-    ``start_calls`` is what a share may begin with after a start of its keeper.  A call is sent
+    ``start_calls``, and what comes in ``start_rate_s``, is what a share may begin with after a
+    start of its keeper: clients that were refused meanwhile come back together.  A call is sent
     within ``unsent_ms`` of its grant, or asks again; ``news_ms`` is how long a node may not know
     that another one was added.
     """
@@ -59,6 +60,7 @@
     bound_ms: float = 5000.0
     most_shares: int = 4
     start_calls: float = 1.0
+    start_rate_s: float = 0.3
     unsent_ms: float = 50.0
     news_ms: float = 600.0
     longest_wait_ms: float = 2000.0
@@ -74,18 +76,22 @@
         """Return what the keeper of each share grants."""
         count = self.share_count(customer)
         size = max(self._size(customer, count) / count, 1.0)
-        return BucketTerms(customer.rate_per_s / count, size, min(self.start_calls, size))
+        start = min(self._start(customer, count), size)
+        return BucketTerms(customer.rate_per_s / count, size, start)
+
+    def _start(self, customer: Customer, count: int) -> float:
+        return self.start_calls + self.start_rate_s * customer.rate_per_s / count
 
     def _size(self, customer: Customer, count: int) -> float:
         """Return the size of all buckets of a customer together."""
         in_bound = customer.rate_per_s * self.bound_ms / 1000 + customer.burst
         spare = self.slack_calls + self.over_share * in_bound
         late_s = (self.unsent_ms + self.news_ms / self.most_shares) / 1000
-        spare -= count * self.start_calls + customer.rate_per_s * late_s
+        spare -= count * self._start(customer, count) + customer.rate_per_s * late_s
         return customer.burst + max(spare, 0.0)
 
     def may_start(self, since_previous_ms: float | None) -> bool:
-        """Whether a keeper may begin with ``start_calls``.
+        """Whether a keeper may begin with more than nothing.
 
         ``since_previous_ms`` lies between its start and the one before; None while not known.
         """
--- a/src/fescuedock/node/main.py
+++ b/src/fescuedock/node/main.py
@@ -257,6 +257,7 @@
             self._call_neighbour,
             self._fleet_size,
             self._registered,
+            self._record_address,
             node,
             self._store,
             self._table(self._keys.live),
@@ -524,6 +525,18 @@
         entries = self._table(self._keys.live).entries
         return [key.removeprefix(prefix) for key in entries if key.startswith(prefix)]
 
+    def _record_address(self, vm_id: str) -> Address | None:
+        """Return the agent of a node by its record; None where there is none that can be read."""
+        entry = self._table(self._keys.live).entries.get(self._keys.nodes + vm_id)
+        if entry is None:
+            return None
+        try:
+            record = msgspec.msgpack.decode(entry.value, type=NodeRecord)
+        except msgspec.DecodeError:
+            # Logged where nodes are listed.
+            return None
+        return Address(record.host, record.port)
+
     def _seeds(self) -> list[Address]:
         text = self._settings.node.seeds
         hosts = {Address.parse(part).host for part in text.split(",")} if text else set()
--- a/src/fescuedock/node/quotas.py
+++ b/src/fescuedock/node/quotas.py
@@ -43,6 +43,10 @@
 
 # An owner answers in 1 to 4 ms; a process that is busy itself reads answers later.
 _ASK_TIMEOUT_MS = 60.0
+# How long after its start a node waits for others that keep shares, and how often it asks them.
+_YOUNG_MS = 3000.0
+_PATIENCE_MS = 1000.0
+_ASK_AGAIN_S = 0.1
 # Between two looks at which nodes are registered: while calls come, and at all times.
 _LEAST_LOOK_MS = 200.0
 _LOOK_INTERVAL_S = 1.0
@@ -135,7 +139,8 @@
 
 
 class Quotas:
-    """``registered`` gives the names of the nodes that have a record.
+    """``registered`` gives the names of the nodes that have a record, and ``record_address`` where
+    the record says that one can be asked.
 
     ``fleet_size`` counts the nodes that belong to the fleet, whether or not they are reached.
     """
@@ -147,6 +152,7 @@
         call_neighbour: CallNeighbour,
         fleet_size: Callable[[], int],
         registered: Callable[[], Collection[str]],
+        record_address: Callable[[str], Address | None],
         settings: NodeSettings,
         kv: KvStore,
         live: ReplicaTable,
@@ -184,6 +190,10 @@
         self._followed: CustomerIndex | None = None
         self._nodes: dict[str, VmRecord] = {}
         self._nodes_version = -1
+        self._record_address = record_address
+        self._started_ms = now_ms()
+        # Nodes that membership has shown since this process started.
+        self._met: set[str] = set()
 
     async def run(self) -> None:
         """Follow the fleet, and write records where a window is set, until cancelled."""
@@ -269,13 +279,26 @@
         if customer.rate_per_s <= 0:
             return Ok(None)
         if self._windows is None:
-            return await self._ask_shares(customer, waited_ms, share)
+            return await self._ask_shares_until_known(customer, waited_ms, share)
         admitted = await self._ask_owners(customer.name, waited_ms)
         if admitted is not None:
             return admitted
         taken = self._windows.take_part(customer)
         return Ok(None) if taken else _unknown_use(customer.name)
 
+    async def _ask_shares_until_known(
+        self, customer: Customer, waited_ms: float, share: int | None
+    ) -> Result[int | None, Fault]:
+        """Ask again for a while where this node has just started, as others may have as well."""
+        began_ms = now_ms()
+        while True:
+            granted = await self._ask_shares(customer, waited_ms, share)
+            is_known = granted.is_ok() or granted.err_value.code != ResultCode.QUOTA_UNKNOWN
+            is_young = now_ms() - self._started_ms < _YOUNG_MS
+            if is_known or not is_young or now_ms() - began_ms >= _PATIENCE_MS:
+                return granted
+            await trio.sleep(_ASK_AGAIN_S)
+
     async def _ask_shares(
         self, customer: Customer, waited_ms: float, last: int | None
     ) -> Result[int | None, Fault]:
@@ -299,16 +322,26 @@
         """Return a node's answer; None when it is not there, or was silent of late."""
         if vm_id == self._view.vm_id:
             return await self._answer(ask)
-        vm = self._live_nodes().get(vm_id)
-        if vm is None or self._silent.is_silent(vm_id, now_ms()):
+        address = self._address_of(vm_id)
+        if address is None or self._silent.is_silent(vm_id, now_ms()):
             return None
-        called = await self._call_neighbour(Address(vm.host, vm.agent_port), ask, _ASK_TIMEOUT_MS)
+        called = await self._call_neighbour(address, ask, _ASK_TIMEOUT_MS)
         if isinstance(called, Err):
             self._silent.note_silent(vm_id, now_ms())
             log_event("quota_owner_silent", customer=ask.customer, about=vm_id)
             return None
         return called.ok_value
 
+    def _address_of(self, vm_id: str | None) -> Address | None:
+        """Return where a node can be asked; None for one that membership has removed.
+
+        After a restart of the whole fleet nodes can answer before membership has found them.
+        """
+        vm = self._live_nodes().get(vm_id)
+        if vm is not None:
+            return Address(vm.host, vm.agent_port)
+        return None if vm_id is None or vm_id in self._met else self._record_address(vm_id)
+
     async def _ask_owners(self, name: str, waited_ms: float) -> Result[None, Fault] | None:
         """Ask the owner, or the node that stands in for it; None when neither answers."""
         owners = self._route.owners(name, self._live_nodes().keys())
@@ -326,6 +359,7 @@
         return None
 
     async def _on_ask(self, ask: QuotaAsk, _peer: ServerPeer) -> QuotaReply:
+        self._silent.note_answer(ask.node)
         self._note_contact(ask.node)
         return await self._answer(ask)
 
@@ -346,7 +380,11 @@
     def _live_nodes(self) -> dict[str, VmRecord]:
         if self._view.version != self._nodes_version:
             self._nodes_version = self._view.version
+            before = self._nodes
             self._nodes = {vm.vm_id: vm for vm in self._view.live_vms() if vm.agent_port}
+            self._met.update(self._nodes)
+            for name in self._nodes.keys() - before.keys():
+                self._silent.note_answer(name)
         return self._nodes
 
     def _follow(self) -> CustomerIndex:
--- a/tests/test_node_quotas.py
+++ b/tests/test_node_quotas.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 from trio.testing import MockClock
 
+from fescuedock.address import Address
 from fescuedock.agent.link import FleetView
 from fescuedock.clock import now_ms, unix_clock
 from fescuedock.core.customers import Customer, index_of
@@ -40,9 +41,11 @@
 
     def __init__(self, count: int = 1, settings: NodeSettings = SETTINGS) -> None:
         self.kv = MemoryKv()
+        self.records: dict[str, Address] = {}
         self.asked = 0
         self.others: Result = Err(Fault(ResultCode.PEER_UNREACHABLE, "cut off"))
-        view = FleetView("node-0")
+        self.view = view = FleetView("node-0")
+        self.names = [f"node-{number}" for number in range(count)]
         for number in range(count):
             name = f"node-{number}"
             view.vms[name] = VmRecord(
@@ -58,7 +61,8 @@
             lambda: index,
             self._call,
             lambda: count,
-            lambda: list(view.vms),
+            lambda: self.names,
+            self.records.get,
             settings,
             self.kv,
             table,
@@ -189,6 +193,36 @@
 
         run_world(test, settings=BUCKETS)
 
+    def test_a_node_that_has_just_started_waits_for_keepers_that_have_as_well(self) -> None:
+        """Guards against refusals after a loss of all nodes, before membership has found them."""
+
+        async def run() -> None:
+            world = World(12, BUCKETS)
+            for name in list(world.view.vms):
+                world.records[name] = Address("127.0.0.1", 1)
+                if name != "node-0":
+                    del world.view.vms[name]
+            admitted: list[Result] = []
+
+            async def admit() -> None:
+                admitted.append(await world.quotas.admit("gent"))
+
+            async with trio.open_nursery() as nursery:
+                for _ in range(8):
+                    nursery.start_soon(admit)
+                await trio.sleep(0.4)
+                world.others = Ok(QuotaReply(ResultCode.OK))
+            self.assertEqual([type(item) for item in admitted], [Ok] * 8)
+            # Not later than that, as it may be the one that is cut off.
+            world.others = Err(Fault(ResultCode.PEER_UNREACHABLE, "cut off"))
+            await trio.sleep(5.0)
+            began_s = trio.current_time()
+            while isinstance(await world.quotas.admit("gent"), Ok):
+                began_s = trio.current_time()
+            self.assertLess(trio.current_time() - began_s, 0.1)
+
+        trio.run(run, clock=MockClock(autojump_threshold=0))
+
     def test_a_node_that_reaches_no_keeper_says_that_it_does_not_know(self) -> None:
         async def test(world: World) -> None:
             codes = set()
