--- a/tests/test_quota_shares.py
+++ b/tests/test_quota_shares.py
@@ -118,22 +118,28 @@
 class RestartCostTest(unittest.TestCase):
     """Guards callers within their limit, who must not pay for stops and deaths of nodes."""
 
-    SEEDS = range(6)
+    SEEDS = range(8)
 
-    def refused_pct(self, way: str, load_name: str) -> float:
-        """Return the share of calls within a limit that were refused, over all seeds."""
+    def refused(self, way: str, load_name: str) -> tuple[float, float]:
+        """Return how much of what is within the limits was refused, on the mean of all seeds.
+
+        In percent of the calls that a window lets in which sees all, and as the number of calls
+        before which less than the limit had run.
+        """
         [load] = [load for load in LOADS if load.name == load_name]
         figures = [run_way(way, load, NODES, 74, 141.0, seed) for seed in self.SEEDS]
-        return sum(item.refused_within_limit_pct for item in figures) / len(figures)
+        within_pct = sum(item.refused_within_limit_pct for item in figures) / len(figures)
+        return within_pct, sum(item.refused_below for item in figures) / len(figures)
 
     def test_a_third_of_the_nodes_that_restart_costs_no_more_than_with_one_owner(self) -> None:
         for load_name in ("calm, a third restarts", "hot, a third restarts"):
             with self.subTest(load=load_name):
-                shares = self.refused_pct("shares", load_name)
-                self.assertLessEqual(shares, self.refused_pct("one owner", load_name))
+                shares = self.refused("shares", load_name)
+                for found, most in zip(shares, self.refused("one owner", load_name), strict=True):
+                    self.assertLessEqual(found, most)
 
     def test_hardly_a_call_within_its_limit_is_refused_while_a_third_restarts(self) -> None:
-        self.assertLessEqual(self.refused_pct("shares", "calm, a third restarts"), 0.3)
+        self.assertLessEqual(self.refused("shares", "calm, a third restarts")[0], 0.3)
 
 
 if __name__ == "__main__":
--- a/tests/test_quotas_core.py
+++ b/tests/test_quotas_core.py
@@ -219,7 +219,8 @@
         limit = rate_per_s * bound_s + customer.burst
         most = count * (terms.size + terms.rate_per_s * (bound_s + policy.unsent_ms / 1000))
         starts = count * terms.start
-        spare = slack + over * limit - count - 0.5 * rate_per_s
+        late_s = policy.start_rate_s + 0.2
+        spare = slack + over * limit - count - late_s * rate_per_s
         # With less room a share still grants a call at a time.
         if spare >= 0.0 and customer.burst + spare >= 1.0:
             self.assertLessEqual(most + starts, limit * (1 + over) + slack + 1e-6)
