--- a/tests/builders/partitioned_node.py
+++ b/tests/builders/partitioned_node.py
@@ -9,6 +9,7 @@
 import sys
 
 from fescuedock.address import Address
+from fescuedock.daemon import run_program
 from fescuedock.net.channel import ChannelClient
 from fescuedock.net.channel_pool import ChannelPool
 from fescuedock.net.udp import UdpSocket
@@ -41,8 +42,6 @@
 
 def main() -> None:
     """Run one node until SIGTERM."""
-    from fescuedock.daemon import run_program
-
     file, number = sys.argv.pop(1), int(sys.argv.pop(1))
     _redirect(number)
     run_program("node", run_node, NODE_SECTIONS, file=file)
--- a/tests/test_node_quotas.py
+++ b/tests/test_node_quotas.py
@@ -16,7 +16,7 @@
 from fescuedock.core.replica_table import ReplicaTable
 from fescuedock.faults import Fault
 from fescuedock.node.quotas import Quotas
-from fescuedock.schema.permits import QuotaReply
+from fescuedock.schema.permits import QuotaAsk, QuotaReply
 from fescuedock.schema.result_codes import ResultCode
 from fescuedock.schema.settings import NodeSettings
 from fescuedock.schema.view import VmRecord, VmState
@@ -223,6 +223,28 @@
 
         trio.run(run, clock=MockClock(autojump_threshold=0))
 
+    def test_a_keeper_that_was_silent_counts_again_once_it_asks(self) -> None:
+        async def test(world: World) -> None:
+            self.assertIsInstance(await self.admit_alone(world), Err)
+            asked = world.asked
+            await self.admit_alone(world)
+            self.assertEqual(world.asked, asked)
+            world.others = Ok(QuotaReply(ResultCode.OK))
+            on_ask = world.quotas.handlers()[QuotaAsk]
+            for name in world.names:
+                await on_ask(QuotaAsk("", node=name), None)
+            self.assertIsInstance(await self.admit_alone(world), Ok)
+
+        run_world(test, count=12, settings=BUCKETS)
+
+    async def admit_alone(self, world: World) -> Result:
+        """Ask for calls until this node's own shares are used up; return the last answer."""
+        for _ in range(30):
+            admitted = await world.quotas.admit("gent")
+            if isinstance(admitted, Err):
+                break
+        return admitted
+
     def test_a_node_that_reaches_no_keeper_says_that_it_does_not_know(self) -> None:
         async def test(world: World) -> None:
             codes = set()
