Name the next token where half of a limit's keepers are cut off

Cause: two of four keepers had answered that they are empty, which was not more than half.

With any answer a caller is told 429 and when the next token of a share comes that is reached. Only a node that has just started still waits for more than half of the keepers.

--- a/src/fescuedock/node/quotas.py
+++ b/src/fescuedock/node/quotas.py
@@ -294,11 +294,14 @@
         while True:
             granted = await self._ask_shares(customer, waited_ms, share)
             is_known = granted.is_ok() or granted.err_value.code != ResultCode.QUOTA_UNKNOWN
-            is_young = now_ms() - self._started_ms < _YOUNG_MS
-            if is_known or not is_young or now_ms() - began_ms >= _PATIENCE_MS:
+            has_waited = now_ms() - began_ms >= _PATIENCE_MS
+            if is_known or has_waited or not self._is_young():
                 return granted
             await trio.sleep(_ASK_AGAIN_S)
 
+    def _is_young(self) -> bool:
+        return now_ms() - self._started_ms < _YOUNG_MS
+
     async def _ask_shares(
         self, customer: Customer, waited_ms: float, last: int | None
     ) -> Result[int | None, Fault]:
@@ -314,7 +317,10 @@
             if reply.code == ResultCode.OK:
                 return Ok(share)
             refused.append(reply.retry_after_ms)
-        if 2 * len(refused) <= len(keepers):
+        # Others may be on their way back while this node is young; else a token of the shares
+        # that are reached comes sooner than another node that reaches more can be found.
+        needed = len(keepers) // 2 + 1 if self._is_young() else 1
+        if len(refused) < needed:
             return _unknown_use(customer.name)
         return _over_limit(customer.name, min(refused))
 
--- a/tests/test_node_quotas.py
+++ b/tests/test_node_quotas.py
@@ -237,6 +237,20 @@
 
         run_world(test, count=12, settings=BUCKETS)
 
+    def test_a_share_that_is_reached_says_when_to_come_back(self) -> None:
+        """Guards against 503 and a return at once while half of the keepers are cut off."""
+
+        async def test(world: World) -> None:
+            world.others = Ok(QuotaReply(ResultCode.OVER_LIMIT, 700))
+            refused = await self.admit_alone(world)
+            self.assertIs(refused.unwrap_err().code, ResultCode.OVER_LIMIT)
+            world.others = Err(Fault(ResultCode.PEER_UNREACHABLE, "cut off"))
+            refused = await self.admit_alone(world)
+            self.assertIs(refused.unwrap_err().code, ResultCode.OVER_LIMIT)
+
+        # With two nodes each keeps shares of every customer.
+        run_world(test, count=2, settings=BUCKETS)
+
     async def admit_alone(self, world: World) -> Result:
         """Ask for calls until this node's own shares are used up; return the last answer."""
         for _ in range(30):
