--- a/src/fescuedock/platform/standin/event_upstream.py
+++ b/src/fescuedock/platform/standin/event_upstream.py
@@ -1,7 +1,7 @@
 """An upstream of the users' platform as a stand-in: numbered events, with faults on command."""
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 import trio
@@ -10,9 +10,18 @@
 from fescuedock.net.http_server import DroppedConnectionError, Request, Responder
 from fescuedock.standin.listener import Listener
 
-__all__ = ["EventUpstream", "UpstreamCrash", "UpstreamFault", "event_bytes"]
+__all__ = [
+    "DEFAULT_VERSION",
+    "EventUpstream",
+    "UpstreamCrash",
+    "UpstreamFault",
+    "event_bytes",
+    "versions_in",
+]
 
+DEFAULT_VERSION = "v1"
 _MAX_BODY_BYTES = 16 * 1024 * 1024
+_VERSION_MARK = " by "
 
 
 @dataclass(slots=True)
@@ -57,6 +66,8 @@
 
     upstream_id: str
     event_count: int = 5
+    # Of its software; what two versions write does not fit together.
+    version: str = DEFAULT_VERSION
     event_interval_ms: float = 1.0
     faults: list[UpstreamFault] = field(default_factory=list)
     runs: Counter[str] = field(default_factory=Counter)
@@ -176,9 +187,17 @@
                 if number == fault.hang_after:
                     await trio.sleep_forever()
                 await trio.sleep(self.event_interval_ms / 1000)
-                await out.write(event_bytes(number, request.path, len(body)))
+                await out.write(event_bytes(number, request.path, len(body), self.version))
 
 
-def event_bytes(number: int, path: str, body_bytes: int) -> bytes:
-    """Return the event that every upstream makes of a request."""
-    return f"id: {number}\ndata: {path} {body_bytes} {number}\n\n".encode()
+def event_bytes(number: int, path: str, body_bytes: int, version: str = DEFAULT_VERSION) -> bytes:
+    """Return the event that every upstream of a software version makes of a request."""
+    text = f"{path} {body_bytes} {number}"
+    if version != DEFAULT_VERSION:
+        text += f"{_VERSION_MARK}{version}"
+    return f"id: {number}\ndata: {text}\n\n".encode()
+
+
+def versions_in(texts: Iterable[str]) -> set[str]:
+    """Return the software versions that wrote the data of events, ``event_bytes`` each."""
+    return {text.partition(_VERSION_MARK)[2] or DEFAULT_VERSION for text in texts}
--- a/tests/builders/node.py
+++ b/tests/builders/node.py
@@ -2,7 +2,7 @@
 
 import itertools
 import json
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Mapping, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from functools import partial
@@ -14,7 +14,7 @@
 from fescuedock.daemon import Stop
 from fescuedock.net.http_client import ClientResponse, HttpClient
 from fescuedock.node.main import run_node
-from fescuedock.platform.standin.event_upstream import EventUpstream
+from fescuedock.platform.standin.event_upstream import DEFAULT_VERSION, EventUpstream
 from fescuedock.platform.standin.metadata_store import MetadataStoreService
 from fescuedock.schema.settings import (
     AgentSettings,
@@ -206,7 +206,8 @@
         self.nursery.start_soon(lapse)
 
     def register(self, upstream: EventUpstream, state: str = "ready", **changes: object) -> None:
-        entry = worker_entry(str(upstream.address), state=state, **changes)
+        fields = {"state": state, "version": upstream.version} | changes
+        entry = worker_entry(str(upstream.address), **fields)
         self.store.state.put(f"servers/{upstream.upstream_id}", json.dumps(entry).encode())
 
     def configure(self, document: dict) -> None:
@@ -296,16 +297,19 @@
 
 @asynccontextmanager
 async def running_fleet(
-    nodes: int = 1, upstreams: int = 2, **changes: object
+    nodes: int = 1, upstreams: int = 2, versions: Sequence[str] = (), **changes: object
 ) -> AsyncIterator[NodeFleet]:
-    """Run a fleet that knows its configuration while the block runs."""
+    """Run a fleet that knows its configuration while the block runs.
+
+    With ``versions``, it has one upstream of each of these software versions.
+    """
     store = MetadataStoreService()
     async with trio.open_nursery() as nursery:
         await nursery.start(store.run, LOOPBACK)
         fleet = NodeFleet(store, [], nursery)
         fleet.configure(config_document())
-        for number in range(upstreams):
-            await fleet.start_upstream(f"i-{number}")
+        for number, version in enumerate(versions or [DEFAULT_VERSION] * upstreams):
+            await fleet.start_upstream(f"i-{number}", version=version)
         async with trio.open_nursery() as starting:
             for number in range(nodes):
                 starting.start_soon(partial(fleet.start_node, number, **changes))
