Keep the software version of upstreams, and name it in the logs

A stream or item that went on at an upstream of another software version could not be told from one that stayed: the version was decoded and dropped. call_attempt, item_run and upstream_listed name it now, the record of an upstream keeps it.

--- a/src/fescuedock/backing/vm_list.py
+++ b/src/fescuedock/backing/vm_list.py
@@ -38,6 +38,8 @@
     state: str = STATE_LIVE
     kind: str = ""
     service: str = ""
+    # Of an upstream; empty where the list does not say.
+    software_version: str = ""
 
     @property
     def is_leaving(self) -> bool:
@@ -114,6 +116,7 @@
         kind=UpstreamKind(vm.kind),
         service=vm.service,
         leaving=vm.is_leaving,
+        software_version=vm.software_version,
     )
 
 
--- a/src/fescuedock/node/fleet.py
+++ b/src/fescuedock/node/fleet.py
@@ -109,6 +109,7 @@
                     "upstream_listed",
                     upstream_id=name,
                     address=f"{item.host}:{item.port}",
+                    software_version=item.software_version,
                     leaving=item.leaving,
                     lapsed=name in self._listing.lapsed,
                     revision=revision,
--- a/src/fescuedock/node/item_run.py
+++ b/src/fescuedock/node/item_run.py
@@ -81,6 +81,7 @@
         item_id=item.item.item_id,
         work_id=item.work_id,
         upstream_id=upstream.upstream_id,
+        software_version=upstream.software_version,
         end=end.value,
         attempt_end="whole" if attempt_end is None else attempt_end.value,
         reason=reason,
--- a/src/fescuedock/node/online_call.py
+++ b/src/fescuedock/node/online_call.py
@@ -449,6 +449,7 @@
             work_id=self.work_id,
             route=self.route.name,
             upstream_id=upstream.upstream_id,
+            software_version=upstream.software_version,
             attempt=self.progress.attempts + 1,
             local_permit=record.grant.local,
             end=end,
--- a/src/fescuedock/platform/records.py
+++ b/src/fescuedock/platform/records.py
@@ -164,6 +164,7 @@
             service=server.service,
             leaving=server.state == "draining",
             slots=server.slots,
+            software_version=server.version,
         )
     )
 
--- a/src/fescuedock/schema/stored_jobs.py
+++ b/src/fescuedock/schema/stored_jobs.py
@@ -90,6 +90,9 @@
     last_event: Annotated[int, Meta(description="Number of the last event; below 0 for none.")]
     texts: Annotated[list[str], Meta(description="Data of each event.")]
     failures: Annotated[int, Meta(description="Runs that the upstream said had failed.")]
+    software_version: Annotated[str, Meta(description="Of the upstreams that wrote the texts.")] = (
+        ""
+    )
 
 
 class NodeRecord(WireStruct):
--- a/src/fescuedock/schema/view.py
+++ b/src/fescuedock/schema/view.py
@@ -77,6 +77,12 @@
     slots: Annotated[
         int, Meta(description="Requests that it declares to run at once; 0 when it does not say.")
     ] = 0
+    software_version: Annotated[
+        str,
+        Meta(
+            description="Of its software; what two versions write of one answer does not fit together."
+        ),
+    ] = ""
 
 
 class Hello(WireStruct):
