Begin an item anew at another software version, not in the middle of its text

An item went on after its last event at whichever upstream had a slot, also at a node that read its stored progress. An item keeps the version that wrote its text, stored with its progress. A run at another version begins anew, and its first event takes the place of the text. An item waits for its own version for as long as its text took to make, unless that version has gone.

--- a/src/fescuedock/core/stored_jobs/job.py
+++ b/src/fescuedock/core/stored_jobs/job.py
@@ -68,6 +68,8 @@
     barren_since_event: int = -1
     not_before_ms: float = 0.0
     last_event: int = -1
+    # Of the upstreams that wrote the texts.
+    software_version: str = ""
     texts: list[str] = msgspec.field(default_factory=list)
     avoided: set[str] = msgspec.field(default_factory=set)
     # The run under way, or the last one: when it began and from which event, how long it took.
@@ -95,11 +97,25 @@
         self.barren_runs += 1
         self.barren_since_event = self.last_event
 
-    def take(self, events: Iterable[SplitEvent]) -> bool:
-        """Take events in order, each once; False when one is missing before them."""
+    def fits(self, software_version: str) -> bool:
+        """Whether a run at this software version goes on; any other one begins anew."""
+        return self.last_event < 0 or self.software_version == software_version
+
+    def resume_after(self, software_version: str) -> int:
+        """Return the event after which a run at a version goes on; below 0 for from the start."""
+        return self.last_event if self.fits(software_version) else -1
+
+    def take(self, events: Iterable[SplitEvent], software_version: str = "") -> bool:
+        """Take events in order, each once; False when one is missing before them.
+
+        The first one of another software version takes the place of all that came before.
+        """
         for event in events:
             if event.number < 0:
                 continue
+            if not self.fits(software_version):
+                self._begin_anew()
+            self.software_version = software_version
             if event.number <= self.last_event:
                 continue
             if self.last_event >= 0 and event.number > self.last_event + 1:
@@ -108,6 +124,10 @@
             self.texts.append(event.data())
         return True
 
+    def _begin_anew(self) -> None:
+        self.texts.clear()
+        self.last_event = self.started_event = self.barren_since_event = -1
+
 
 class StoredJob:
     """The items of one job that have no committed result.
@@ -203,7 +223,13 @@
     def progress(self) -> list[ItemProgress]:
         """Return what runs have given of the items without a result."""
         return [
-            ItemProgress(run.item.item_id, run.last_event, list(run.texts), run.failures)
+            ItemProgress(
+                run.item.item_id,
+                run.last_event,
+                list(run.texts),
+                run.failures,
+                run.software_version,
+            )
             for run in self._open.values()
             if run.texts or run.failures
         ]
@@ -223,6 +249,7 @@
             if run is not None and item.last_event >= run.last_event:
                 run.last_event = item.last_event
                 run.texts = list(item.texts)
+                run.software_version = item.software_version
                 run.failures = max(run.failures, item.failures)
         self.note_saved()
 
--- a/src/fescuedock/core/stored_jobs/pace.py
+++ b/src/fescuedock/core/stored_jobs/pace.py
@@ -34,6 +34,10 @@
         self.events += self.gain * (events - self.events)
         self.event_ms += self.gain * (event_ms - self.event_ms)
 
+    def made_ms(self, events_done: int) -> float:
+        """Return how long it took, or would take again, to make what an item has so far."""
+        return events_done * self.event_ms
+
     def left_ms(self, events_done: int) -> float:
         """Return how long an item still has to run; a spread at least, as some are longer."""
         left = self.events - events_done
--- a/src/fescuedock/core/stored_jobs/pool.py
+++ b/src/fescuedock/core/stored_jobs/pool.py
@@ -6,13 +6,22 @@
 from collections import Counter
 from collections.abc import Callable, Iterable
 
+import msgspec
+
 from fescuedock.core.quarantine import Standing
 from fescuedock.core.stored_jobs.job import ItemEnd, ItemRun, StoredJob
 from fescuedock.core.stored_jobs.pace import Pace, RunEstimate
 from fescuedock.core.stored_jobs.urgency import ItemChoice, rank_items
 from fescuedock.schema.stored_jobs import StoredJobRecord
 
-__all__ = ["ItemPool"]
+__all__ = ["ItemPool", "Site"]
+
+
+class Site(msgspec.Struct, frozen=True):
+    """The software version of an upstream, and those that upstreams of its service have now."""
+
+    software_version: str
+    served: frozenset[str]
 
 
 class ItemPool:
@@ -60,6 +69,7 @@
         now_ms: float,
         position: int = 0,
         customer: str = "",
+        site: Site | None = None,
     ) -> ItemChoice | None:
         """Return the item to run next at an upstream, or one further back in the order.
 
@@ -70,6 +80,8 @@
         choices = ranked
         if not self._all_free():
             choices = [item for item in ranked if self._stands(item.run, Standing.FREE)]
+        if site is not None:
+            choices = self._startable(choices, site)
         if not choices:
             return None
         if customer:
@@ -87,6 +99,23 @@
         choices = (item for item in ranked if self._stands(item.run, Standing.ALONE))
         return next(choices, None)
 
+    def _startable(self, choices: Iterable[ItemChoice], site: Site) -> list[ItemChoice]:
+        """Return the items that may start at an upstream, those last that would begin anew there.
+
+        An item waits for an upstream of the version that began it as long as what it has took to
+        make, so that beginning anew costs it about as much again at the most.
+        """
+        going_on, anew = [], []
+        for choice in choices:
+            run = choice.run
+            if run.fits(site.software_version):
+                going_on.append(choice)
+                continue
+            made_ms = self._estimate.made_ms(run.last_event + 1)
+            if run.software_version not in site.served or choice.waited_ms >= made_ms:
+                anew.append(choice)
+        return going_on + anew
+
     def _ranked(self, upstream_id: str, service: str, now_ms: float) -> list[ItemChoice]:
         jobs = [job for job in self._jobs() if self._serves(job.record, service)]
         ranked = rank_items(jobs, upstream_id, self._estimate, self._pace, now_ms)
--- a/src/fescuedock/node/item_asking.py
+++ b/src/fescuedock/node/item_asking.py
@@ -2,7 +2,7 @@
 
 import random
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from secrets import token_hex
 
 import trio
@@ -81,6 +81,7 @@
         own = self._view.vms.get(self._view.vm_id)
         own_domain = "" if own is None else own.failure_domain
         for service, count in self._waiting().items():
+            versions = {item.software_version for item in self._view.upstreams_of(service)}
             candidates = [
                 AskCandidate(
                     item.upstream_id,
@@ -88,13 +89,19 @@
                     is_near=item.failure_domain == own_domain,
                 )
                 for item in self._view.upstreams_of(service)
-                if not item.leaving and item.upstream_id not in self._asking
+                if not item.leaving
+                and item.upstream_id not in self._asking
+                and self._is_wanted(item, versions)
             ]
             chosen = choose_asks(count, open_asks[service], candidates, self._policy, self._rng)
             for number, upstream_id in enumerate(chosen, start=open_asks[service]):
                 self._asking[upstream_id] = service
                 nursery.start_soon(self._ask, upstream_id, number // self._policy.per_item)
 
+    def _is_wanted(self, upstream: UpstreamRecord, versions: Collection[str]) -> bool:
+        """Whether an item could start at an upstream; one that has begun waits for its version."""
+        return len(versions) == 1 or self._choose(upstream, 0) is not None
+
     def _free_slots(self, upstream_id: str) -> int | None:
         timed = self._permits.loads.get(upstream_id)
         if timed is None or now_ms() - timed.at_ms > _LOAD_FRESH_MS:
--- a/src/fescuedock/node/item_run.py
+++ b/src/fescuedock/node/item_run.py
@@ -59,7 +59,7 @@
     whether the run may still begin when its request is written.
     """
     record = AttemptRecord(grant, WorkClass.BATCH, now_ms())
-    first_event = item.last_event
+    first_event = item.resume_after(upstream.software_version)
     end = ItemEnd.INTERRUPTED
     attempt_end: AttemptEnd | None = AttemptEnd.REVOKED
     reason = ""
@@ -111,7 +111,7 @@
         item.item.headers,
         item_id=item.item.item_id,
         upstream_id=upstream.upstream_id,
-        last_event=item.last_event,
+        last_event=item.resume_after(upstream.software_version),
         customer=job.customer,
     )
     headers.insert(0, ("host", job.host))
@@ -128,7 +128,7 @@
                 item.item.body,
                 check,
             ) as answer:
-                return await _take(answer, item, record, stall)
+                return await _take(answer, item, upstream.software_version, record, stall)
         return ItemEnd.INTERRUPTED, AttemptEnd.STALLED, f"silent for {_STALL_MS:g} ms"
     except WithdrawnError as error:
         return ItemEnd.INTERRUPTED, AttemptEnd.WITHDRAWN, str(error)
@@ -139,7 +139,11 @@
 
 
 async def _take(
-    answer: UpstreamAnswer, item: ItemRun, record: AttemptRecord, stall: trio.CancelScope
+    answer: UpstreamAnswer,
+    item: ItemRun,
+    software_version: str,
+    record: AttemptRecord,
+    stall: trio.CancelScope,
 ) -> tuple[ItemEnd, AttemptEnd | None, str]:
     head = answer.head
     if not head.is_success:
@@ -152,25 +156,29 @@
     try:
         while data := await response.read_some():
             stall.deadline = trio.current_time() + _STALL_MS / 1000
-            if not _take_events(splitter.feed(data), item, record):
+            if not _take_events(splitter.feed(data), item, software_version, record):
                 return ItemEnd.INTERRUPTED, AttemptEnd.LOST, "an event is missing"
             if not response.ended:
                 await trio.sleep(_READ_PAUSE_MS / 1000)
     except trio.Cancelled:
         # What came since the last read need not be run again.
         with suppress(ResponseLostError):
-            _take_events(splitter.feed(response.read_ready()), item, record)
+            _take_events(splitter.feed(response.read_ready()), item, software_version, record)
         raise
     if splitter.has_rest:
         return ItemEnd.INTERRUPTED, AttemptEnd.LOST, "the last event is not whole"
+    if not item.fits(software_version):
+        return ItemEnd.INTERRUPTED, AttemptEnd.LOST, "no event came"
     return ItemEnd.WHOLE, None, ""
 
 
-def _take_events(events: list[SplitEvent], item: ItemRun, record: AttemptRecord) -> bool:
+def _take_events(
+    events: list[SplitEvent], item: ItemRun, software_version: str, record: AttemptRecord
+) -> bool:
     """Take in what came of an item; False when an event is missing."""
     if events:
         record.note_events(len(events))
-    return item.take(events)
+    return item.take(events, software_version)
 
 
 def _failure(status: int, *, not_run: bool) -> tuple[ItemEnd, AttemptEnd, str]:
--- a/src/fescuedock/node/job_runner.py
+++ b/src/fescuedock/node/job_runner.py
@@ -23,7 +23,7 @@
     duty_of,
     is_open,
 )
-from fescuedock.core.stored_jobs.pool import ItemPool
+from fescuedock.core.stored_jobs.pool import ItemPool, Site
 from fescuedock.core.stored_jobs.urgency import ItemChoice
 from fescuedock.core.stored_jobs.wanted_ends import WantedEnds
 from fescuedock.core.stored_jobs.work_gate import KnownRecords, WorkRefusal, refusal_of
@@ -488,9 +488,22 @@
         self, upstream: UpstreamRecord, position: int = 0, customer: str = ""
     ) -> ItemChoice | None:
         return self._pool.choose(
-            upstream.upstream_id, upstream.service, now_ms(), position, customer
+            upstream.upstream_id,
+            upstream.service,
+            now_ms(),
+            position,
+            customer,
+            self._site(upstream),
         )
 
+    def _site(self, upstream: UpstreamRecord) -> Site:
+        served = frozenset(
+            item.software_version
+            for item in self._view.upstreams_of(upstream.service)
+            if not item.leaving
+        )
+        return Site(upstream.software_version, served)
+
     def _use(self, upstream_id: str, grant: Grant) -> None:
         """Run the most urgent item under ``grant``, or give it back when there is none any more."""
         upstream = self._view.upstreams.get(upstream_id)
