Send no resume point to an engine of another software version

A resume point joins what two versions wrote into one answer. An attempt at another version than the one that opened the answer replays it and must repeat what the caller has; while upstreams of that version serve, the next attempt goes there. Batch attempts of this dialect begin anew. The search for permits takes the versions that an attempt may go to.

--- a/src/fescuedock/batch/attempts.py
+++ b/src/fescuedock/batch/attempts.py
@@ -80,7 +80,11 @@
     """
     item = attempt.item
     line = read_line(item.line)
-    gathered = AnswerAssembly(line.url == _CHAT_URL, item.text, item.tokens)
+    software_version = attempt.upstream.software_version
+    # What two versions write of one answer does not fit together.
+    goes_on = item.software_version == software_version
+    begun = (item.text, item.tokens) if goes_on else ("", 0)
+    gathered = AnswerAssembly(line.url == _CHAT_URL, *begun)
     attempt.started_ms = now_ms()
     end = AttemptEnd(EndKind.STOPPED)
     async with trio.open_nursery() as nursery:
@@ -91,8 +95,11 @@
     if end.kind is EndKind.STOPPED and attempt.grant.revoked.is_set():
         end = AttemptEnd(EndKind.REVOKED)
     if end.kind is not EndKind.DONE:
-        end = AttemptEnd(end.kind, end.status, end.body, gathered.text, gathered.tokens)
-    _give_back(attempt, end, gathered.tokens - item.tokens)
+        made = (item.text, item.tokens, item.software_version)
+        if gathered.tokens > begun[1]:
+            made = (gathered.text, gathered.tokens, software_version)
+        end = AttemptEnd(end.kind, end.status, end.body, *made)
+    _give_back(attempt, end, gathered.tokens - begun[1])
     return end
 
 
--- a/src/fescuedock/core/batch/items.py
+++ b/src/fescuedock/core/batch/items.py
@@ -51,7 +51,8 @@
 class AttemptEnd(msgspec.Struct, frozen=True):
     """One attempt's end; ``text`` and ``tokens`` are what was generated, for a later resume.
 
-    For ``DONE`` and ``REJECTED`` the body is the upstream's answer; for others a message.
+    ``software_version`` is that of the upstream which wrote them.  For ``DONE`` and ``REJECTED``
+    the body is the upstream's answer; for others a message.
     """
 
     kind: EndKind
@@ -59,6 +60,7 @@
     body: bytes = b""
     text: str = ""
     tokens: int = 0
+    software_version: str = ""
 
 
 class Isolation(StrEnum):
@@ -85,6 +87,7 @@
     suspicion: float = 0.0
     text: str = ""
     tokens: int = 0
+    software_version: str = ""
     avoid: str = ""
     upstream_id: str = ""
     ready_at_ms: float = 0.0
@@ -233,6 +236,7 @@
             return ItemVerdict(item.number, ResultCode.ITEM_ISOLATED, _text(end), item.line)
         progressed = end.tokens > item.tokens
         item.text, item.tokens = end.text, end.tokens
+        item.software_version = end.software_version
         if end.kind in _NO_FAULT:
             self._wait(item, now_ms)
             return None
--- a/src/fescuedock/core/streams.py
+++ b/src/fescuedock/core/streams.py
@@ -98,7 +98,9 @@
     ``wants_usage`` says that the caller asked for a closing event with token counts, so that the
     answer is not whole before it.  ``resumable`` is False for an answer of several texts.
     ``replays`` lets further attempts start anew, as far as they repeat what the caller was given;
-    it is set once an engine does not take a resume point.  ``begun``: there was an attempt.
+    it is set once an engine does not take a resume point.  An attempt at another software version
+    than the one that wrote what the caller was given starts anew in the same way.  ``begun``: there
+    was an attempt.
     """
 
     wants_usage: bool = False
@@ -109,6 +111,9 @@
     finished: bool = False
     ended: bool = False
     begun: bool = False
+    # Of the upstream that opened the answer.
+    software_version: str = ""
+    _current_version: str = ""
     _texts: list[str] = msgspec.field(default_factory=list)
     _opened: bool = False
     _closed: bool = False
@@ -133,14 +138,16 @@
         """Whether the caller was given anything."""
         return self._opened
 
-    def begin(self, attempt_id: str) -> ResumePoint | None:
+    def begin(self, attempt_id: str, software_version: str = "") -> ResumePoint | None:
         """Let ``attempt_id`` take over; return where it must go on, None for from the start."""
         self.attempt_id = attempt_id
+        self._current_version = software_version
         self.begun = True
         self._first_event = True
         self._resumed = self._opened
-        self._repeated = 0 if self.replays else self.tokens
-        if self.replays or not self.tokens:
+        replays = self.replays or (self._opened and software_version != self.software_version)
+        self._repeated = 0 if replays else self.tokens
+        if replays or not self.tokens:
             return None
         return ResumePoint(self.tokens, self.text)
 
@@ -208,6 +215,7 @@
         """Return the event's bytes; all carry the answer identity of the first one."""
         if not self._opened:
             self._opened = True
+            self.software_version = self._current_version
             found = _IDENTITY.search(event.data)
             self._identity = found.group() if found else b""
         if not self._resumed or not self._identity:
--- a/src/fescuedock/entry/online_permits.py
+++ b/src/fescuedock/entry/online_permits.py
@@ -66,6 +66,10 @@
     @property
     def demand(self) -> Demand: ...
 
+    @property
+    def software_versions(self) -> Collection[str] | None:
+        """Versions of upstreams that the next attempt may go to; None for any."""
+
     @property
     def max_tokens(self) -> int: ...
 
@@ -137,8 +141,7 @@
             continue
         choices = _choose(state, call, avoid)
         if not choices:
-            message = f"no live upstream serves {call.service!r}"
-            return Err(Fault(ResultCode.NO_UPSTREAM, message, _RETRY_AFTER_MS))
+            return Err(Fault(ResultCode.NO_UPSTREAM, _why_none(state, call), _RETRY_AFTER_MS))
         in_time = _check_deadline(state, call, choices)
         if isinstance(in_time, Err):
             return in_time
@@ -147,6 +150,13 @@
             return answer.result
 
 
+def _why_none(state: PermitSearch, call: OnlineCall) -> str:
+    message = f"no live upstream serves {call.service!r}"
+    if any(_is_usable(state, item) for item in state.view.upstreams_of(call.service)):
+        message += f" at software version {' or '.join(sorted(call.software_versions))}"
+    return message
+
+
 def _harmful(verdict: Verdict) -> Fault:
     message = f"{verdict.crashes} upstreams ended while they ran this request"
     return Fault(ResultCode.WORK_HARMFUL, message, int(verdict.retry_after_ms))
@@ -222,12 +232,13 @@
     domain = own.failure_domain if own is not None else ""
     at_ms = now_ms()
     loads = state.permits.loads
+    versions = call.software_versions
     candidates = [
         _candidate(
             state, item, loads.get(item.upstream_id), domain, item.upstream_id in avoid, at_ms
         )
         for item in state.view.upstreams_of(call.service)
-        if _is_usable(state, item)
+        if _is_usable(state, item) and (versions is None or item.software_version in versions)
     ]
     token_ms = state.prefill(call.service).token_ms
     rank = state.routing.rank
--- a/src/fescuedock/entry/online_relay.py
+++ b/src/fescuedock/entry/online_relay.py
@@ -77,7 +77,7 @@
 
     async def run(self, upstream: UpstreamRecord) -> None:
         """Relay until the answer is whole; raise one of ``ATTEMPT_ERRORS`` if it is not."""
-        resume = self.stream.begin(self.attempt.attempt_id)
+        resume = self.stream.begin(self.attempt.attempt_id, upstream.software_version)
         how = AttemptEnd.BROKEN
         error: Exception = ResponseLostError("the stream ended without a reason for its end")
         try:
@@ -96,12 +96,22 @@
                 how = AttemptEnd.WHOLE
         except ATTEMPT_ERRORS as caught:
             error = caught
+        self._prefer_version()
         step = self.stream.end(self.attempt.attempt_id, how)
         if step is NextStep.GIVE_UP:
             raise AnswerLostError(f"the answer cannot be continued: {error}") from error
         if step is not NextStep.FINISH:
             raise self._resume_refusal(error, resume)
 
+    def _prefer_version(self) -> None:
+        """Have the next attempt go to the version that opened the answer, while that serves."""
+        version = self.stream.software_version
+        serving = any(
+            item.software_version == version and not item.leaving
+            for item in self.state.view.upstreams_of(self.request.service)
+        )
+        self.request.software_versions = (version,) if self.stream.opened and serving else None
+
     def _resume_refusal(self, error: Exception, resume: ResumePoint | None) -> Exception:
         """Return ``error``, or what it means if an engine refused to go on from ``resume``."""
         if resume is None or not isinstance(error, EngineError) or not error.is_permanent:
--- a/src/fescuedock/entry/online_request.py
+++ b/src/fescuedock/entry/online_request.py
@@ -1,6 +1,6 @@
 """Reads an online request: who asks, for what, by when."""
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Collection, Iterator, Mapping
 from hashlib import blake2b
 from typing import Any
 
@@ -29,8 +29,11 @@
 _HASH_BYTES = 12
 
 
-class OnlineRequest(msgspec.Struct, frozen=True):
-    """One accepted call; ``deadline_ms`` is on ``clock.now_ms``."""
+class OnlineRequest(msgspec.Struct):
+    """One accepted call; ``deadline_ms`` is on ``clock.now_ms``.
+
+    ``software_versions`` are those of upstreams that its next attempt may go to, None for any.
+    """
 
     request_id: str
     path: str
@@ -42,6 +45,7 @@
     max_tokens: int
     deadline_ms: float
     work_id: str = ""
+    software_versions: Collection[str] | None = None
 
     @property
     def streamed(self) -> bool:
--- a/src/fescuedock/entry/service_call.py
+++ b/src/fescuedock/entry/service_call.py
@@ -64,6 +64,11 @@
     def max_tokens(self) -> int:
         return 0
 
+    @property
+    def software_versions(self) -> None:
+        """A call to a plain service is answered by one run."""
+        return None
+
     def target_left_ms(self) -> int:
         """No time to the first token is promised to a single call."""
         return 0
--- a/tests/builders/load_player.py
+++ b/tests/builders/load_player.py
@@ -419,6 +419,7 @@
     priority: int = 0
     demand: Demand = field(default_factory=lambda: Demand(450, 0, ""))
     max_tokens: int = 0
+    software_versions: None = None
     repeatable: bool = True
 
     def urgency(self) -> tuple[int, int]:
--- a/tests/test_batch_attempts.py
+++ b/tests/test_batch_attempts.py
@@ -6,6 +6,7 @@
 
 import msgspec
 import trio
+from msgspec.structs import replace
 from trio.testing import MockClock
 
 from fescuedock.address import Address
@@ -118,6 +119,21 @@
         self.assertEqual(content, "t0 t1 t2 ")
         self.assertEqual(grant.ended[0].generated_tokens, 1)
 
+    def test_what_another_software_version_generated_is_not_gone_on_with(self):
+        engine, upstream = _Engine(), replace(_ENGINE, software_version="b2")
+        item = Item(3, input_line(3), text="x0 x1 ", tokens=2, software_version="b1")
+        end, grant = _run(engine, item, upstream=upstream)
+        self.assertIsNone(engine.resume)
+        content = msgspec.json.decode(end.body)["choices"][0]["message"]["content"]
+        self.assertEqual(content, "t0 t1 t2 ")
+        self.assertEqual(grant.ended[0].generated_tokens, 3)
+
+    def test_an_attempt_that_gave_nothing_leaves_what_another_version_generated(self):
+        engine = _Engine(tokens=0, failure=NotSentError("refused"))
+        item = Item(3, input_line(3), text="x0 x1 ", tokens=2, software_version="b1")
+        end, _ = _run(engine, item, upstream=replace(_ENGINE, software_version="b2"))
+        self.assertEqual((end.text, end.tokens, end.software_version), ("x0 x1 ", 2, "b1"))
+
     def test_each_failure_is_told_apart(self):
         cases = {
             EndKind.NOT_SENT: NotSentError("refused"),
--- a/tests/test_online_streams_core.py
+++ b/tests/test_online_streams_core.py
@@ -141,6 +141,25 @@
         self.state = StreamState()
         self.state.begin("a")
 
+    def test_another_software_version_gets_no_resume_point_and_must_repeat_what_was_given(self):
+        state = StreamState()
+        state.begin("a-1", "b1")
+        for text in ANSWER[:2]:
+            state.receive("a-1", event("a-1", text))
+        state.end("a-1", AttemptEnd.BROKEN)
+        self.assertIsNone(state.begin("a-2", "b2"))
+        self.assertIsNone(state.receive("a-2", event("a-2", ANSWER[0])))
+        self.assertIsNone(state.receive("a-2", event("a-2", "another word")))
+        self.assertTrue(state.diverged)
+        self.assertIs(state.end("a-2", AttemptEnd.BROKEN), NextStep.GIVE_UP)
+
+    def test_the_version_that_opened_an_answer_goes_on_from_where_it_was(self):
+        state = StreamState()
+        state.begin("a-1", "b1")
+        state.receive("a-1", event("a-1", ANSWER[0]))
+        state.end("a-1", AttemptEnd.BROKEN)
+        self.assertEqual(state.begin("a-2", "b1").tokens, 1)
+
     def test_done_without_a_reason_is_not_whole(self) -> None:
         self.state.receive("a", event("a", "x"))
         self.assertIs(self.state.end("a", AttemptEnd.WHOLE), NextStep.CONTINUE)
--- a/tests/test_permit_search.py
+++ b/tests/test_permit_search.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+from collections.abc import Collection
 from dataclasses import dataclass, field
 
 from msgspec.structs import replace
@@ -89,6 +90,7 @@
     member: str = ""
     demand: Demand = field(default_factory=lambda: Demand(10, 0, ""))
     max_tokens: int = 1
+    software_versions: Collection[str] | None = None
     repeatable: bool = True
     # The time until the deadline, and that after which its caller leaves.
     deadline_left_ms: float = 993.0
