Go on with a stream only at the software version that began it

Callers' streams held events of two versions: a call's next attempt went to any upstream with a slot, and a node at which a client took a stream up knew nothing of how it began. The version is now fixed with the first event. While a service has several versions, the node that begins a stream tells two others before the client gets that event; a node that is asked to go on asks those, and refuses (2009) what nobody knows. No stream begins at a version that the service's record in the key-value service does not name, so that while it names a single one, that is the answer, also after a loss of all nodes.

--- a/src/fescuedock/core/forwarding/calls.py
+++ b/src/fescuedock/core/forwarding/calls.py
@@ -17,6 +17,8 @@
     prompt_parts: tuple[tuple[str, int], ...] = ()
     # Number of the last event that the client has of an earlier answer; below 0 for none.
     last_event: int = -1
+    # The client's attempt that brought that stream's first event; empty when it does not say.
+    resumes: str = ""
 
     @property
     def shared_parts(self) -> tuple[tuple[str, int], ...]:
--- a/src/fescuedock/core/forwarding/progress.py
+++ b/src/fescuedock/core/forwarding/progress.py
@@ -69,6 +69,11 @@
     def may_have_run(self) -> bool:
         return self.runs > 0
 
+    @property
+    def refused(self) -> int:
+        """Connections that were refused in a row."""
+        return self._refused
+
     def note(self, end: AttemptEnd) -> None:
         """Take in how an attempt ended."""
         self.attempts += 1
--- a/src/fescuedock/core/forwarding/route_table.py
+++ b/src/fescuedock/core/forwarding/route_table.py
@@ -120,6 +120,16 @@
             return 0
         return self._by_name.get(route.name, route).priority
 
+    @property
+    def resumable_services(self) -> frozenset[str]:
+        """The services to which streams go that may be resumed."""
+        return frozenset(
+            name
+            for route in self.routes
+            if route.kind is RouteKind.STREAM and route.resumable
+            for name, _ in route.services
+        )
+
     def find(self, host: str, path: str) -> Route | None:
         """Return the route of ``host`` with the longest prefix of ``path``; None without one.
 
--- a/src/fescuedock/core/send_gate.py
+++ b/src/fescuedock/core/send_gate.py
@@ -22,6 +22,7 @@
 
     GONE = "the upstream has gone"
     MOVED = "the upstream has another address"
+    REPLACED = "the upstream has another software version"
     LEAVING = "the upstream is leaving"
     REVOKED = "its permit was revoked"
     LAPSED = "its permit has lapsed"
@@ -65,6 +66,8 @@
         return SendRefusal.GONE
     if (current.host, current.port) != (chosen.host, chosen.port):
         return SendRefusal.MOVED
+    if current.software_version != chosen.software_version:
+        return SendRefusal.REPLACED
     if current.leaving:
         return SendRefusal.LEAVING
     if verdict.standing is Standing.REFUSED:
--- a/src/fescuedock/core/stored_jobs/keys.py
+++ b/src/fescuedock/core/stored_jobs/keys.py
@@ -9,6 +9,7 @@
 _SPOOLS = "live/spool/"
 _CRASHES = "live/crash/"
 _QUOTAS = "live/quota/"
+_VERSIONS = "live/version/"
 _LIVE = "live/"
 _DATA = "data/"
 _ENDED = "ended/"
@@ -47,6 +48,11 @@
         """Prefix of the records of customers whose window may be used up."""
         return self.prefix + _QUOTAS
 
+    @property
+    def versions(self) -> str:
+        """Prefix of the software versions at which streams of each service may have begun."""
+        return self.prefix + _VERSIONS
+
     @property
     def records(self) -> str:
         return self.prefix + _JOBS
--- a/src/fescuedock/node/main.py
+++ b/src/fescuedock/node/main.py
@@ -55,6 +55,7 @@
 from fescuedock.node.retirement import Retirement
 from fescuedock.node.spools import Spools
 from fescuedock.node.spread import GroupSpread
+from fescuedock.node.stream_origins import StreamOrigins
 from fescuedock.node.upstream_entries import UpstreamEntries
 from fescuedock.platform import records
 from fescuedock.platform.store import MetadataStore
@@ -241,6 +242,15 @@
             self._call_neighbour,
         )
         self._retirement = Retirement(self._store, self._replicas, self._view, spools)
+        self._origins = StreamOrigins(
+            self._view,
+            self._store,
+            self._replicas,
+            self._keys,
+            lambda: self._configuration.routes.resumable_services,
+            self._call_neighbour,
+            self._rng,
+        )
         self.front.online = OnlineCalls(
             self._view,
             permits,
@@ -250,6 +260,7 @@
             self._metrics,
             lambda: self._configuration.routes,
             PREDICTED_ROUTING if node.place_by_prediction else ONLINE_ROUTING,
+            self._origins,
         )
         self.quotas = Quotas(
             self._view,
@@ -322,6 +333,7 @@
             self._owner_reads,
             self._crashes,
             self.quotas,
+            self._origins,
         )
         return {kind: handler for part in parts for kind, handler in part.handlers().items()}
 
@@ -336,6 +348,7 @@
             self._ends,
             self._crashes,
             self.quotas,
+            self._origins,
         )
         for part in parts:
             nursery.start_soon(part.run)
@@ -383,6 +396,7 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._runner.leave)
                 await trio.sleep(node.directory_leave_ms / 1000)
+                await self._origins.leave()
                 self.front.server.stop()
                 await self._served.wait()
         with trio.move_on_after(_LAST_ANSWERS_S / 2):
--- a/src/fescuedock/node/online.py
+++ b/src/fescuedock/node/online.py
@@ -5,6 +5,7 @@
 from secrets import token_hex
 
 import trio
+from result import Err, Result
 
 from fescuedock.address import Address
 from fescuedock.agent.link import FleetView
@@ -16,6 +17,7 @@
 from fescuedock.core.placement import choose_by_prediction
 from fescuedock.core.route_learning import AskTimeout, DomainLatency, PrefillModel, SilentOwners
 from fescuedock.core.routing import RoutingPolicy
+from fescuedock.faults import Fault
 from fescuedock.net.http_client import HttpClient
 from fescuedock.net.http_server import (
     Request,
@@ -23,8 +25,11 @@
 )
 from fescuedock.node.online_call import Call
 from fescuedock.node.quotas import Confirm
+from fescuedock.node.stream_origins import StreamOrigins
 from fescuedock.platform import calls
 from fescuedock.report.metrics import Metrics
+from fescuedock.schema.origins import StreamOrigin
+from fescuedock.schema.result_codes import ResultCode
 from fescuedock.schema.view import UpstreamRecord
 
 __all__ = ["ONLINE_ROUTING", "PREDICTED_ROUTING", "OnlineCalls"]
@@ -53,6 +58,7 @@
         "http",
         "latency",
         "metrics",
+        "origins",
         "permits",
         "retry_after_ms",
         "rng",
@@ -72,8 +78,13 @@
         metrics: Metrics,
         routes: Callable[[], RouteTable] = RouteTable,
         routing: RoutingPolicy = ONLINE_ROUTING,
+        origins: StreamOrigins | None = None,
     ) -> None:
-        """``routes`` gives those of the version in force."""
+        """``routes`` gives those of the version in force.
+
+        Without ``origins`` no stream that a client takes up goes on.
+        """
+        self.origins = origins
         self.view = view
         self._routes = routes
         self.permits = permits
@@ -99,6 +110,21 @@
         """Return the priority of a customer's calls on ``route`` by the version in force."""
         return self._routes().priority_of(route, customer)
 
+    def startable(self, service: str) -> frozenset[str] | None:
+        """Return the software versions at which streams may begin; None where there is no bound."""
+        return None if self.origins is None else self.origins.startable(service)
+
+    async def note_begun(self, key: str, origin: StreamOrigin, route: Route) -> None:
+        """Note what begins a stream; see ``StreamOrigins.begun``."""
+        if self.origins is not None:
+            await self.origins.begun(key, origin, route)
+
+    async def origin_of(self, key: str | None, route: Route) -> Result[StreamOrigin, Fault]:
+        """Return what began a stream that a client takes up."""
+        if self.origins is None:
+            return Err(Fault(ResultCode.ORIGIN_UNKNOWN, "this node keeps no origins of streams"))
+        return await self.origins.origin_of(key, route)
+
     def prefill(self, service: str) -> PrefillModel:
         return self._prefill.setdefault(service, PrefillModel())
 
--- a/src/fescuedock/node/online_call.py
+++ b/src/fescuedock/node/online_call.py
@@ -1,6 +1,6 @@
 """One online call of a client: passed on to an upstream as it came, and its answer back as well."""
 
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Collection
 from typing import TYPE_CHECKING
 
 import trio
@@ -15,6 +15,7 @@
 from fescuedock.core.forwarding.progress import AttemptEnd, CallProgress
 from fescuedock.core.forwarding.route_table import Route, RouteKind
 from fescuedock.core.routing import Demand
+from fescuedock.core.stream_origins import stream_key
 from fescuedock.core.work_identity import work_identity
 from fescuedock.entry.online_permits import find_permit
 from fescuedock.faults import Fault
@@ -30,6 +31,7 @@
 from fescuedock.node.attempt import AttemptRecord, UpstreamAnswer, send_attempt
 from fescuedock.node.quotas import Confirm
 from fescuedock.platform import calls
+from fescuedock.schema.origins import StreamOrigin
 from fescuedock.schema.permits import WorkClass
 from fescuedock.schema.result_codes import ResultCode
 from fescuedock.schema.view import UpstreamRecord
@@ -44,6 +46,8 @@
 # Answers that are no streams are held back up to this size, so that a broken one can be repeated.
 _HELD_BYTES = 1024 * 1024
 _SERVER_ERROR = 500
+# Connections that were refused in a row, after which a stream with no other upstream ends.
+_MOST_REFUSED = 3
 # How often the time by which more of a stream must come is moved, which adds as much to it.
 _STALL_MOVE_S = 0.1
 
@@ -71,6 +75,8 @@
         "sending",
         "service",
         "shared",
+        "software_version",
+        "stream_key",
         "work_id",
     )
 
@@ -114,6 +120,9 @@
         self.service = self.route.choose_service(self.shared.rng)
         host = request.headers.get("host", "")
         self.work_id = work_identity(request.method, host, request.target, self.customer, body)
+        # Of the upstreams that the stream goes on at; None while the client has nothing of it.
+        self.software_version: str | None = None
+        self.stream_key = stream_key(self.head.resumes or self.head.request_id, self.work_id)
         parts = self.head.shared_parts
         self.demand = Demand(
             prompt_tokens=self.head.prompt_tokens,
@@ -147,6 +156,17 @@
         """Whether the version in force still lets the caller in."""
         return self.shared.customers().holds(self.caller)
 
+    @property
+    def software_versions(self) -> Collection[str] | None:
+        if self.software_version is not None:
+            return (self.software_version,)
+        return self.shared.startable(self.service) if self.may_be_taken_up else None
+
+    @property
+    def may_be_taken_up(self) -> bool:
+        """Whether a client may go on at another node with the stream that this call is."""
+        return self.route.kind is RouteKind.STREAM and self.route.resumable
+
     @property
     def max_tokens(self) -> int:
         return self.head.max_tokens
@@ -176,6 +196,11 @@
 
     async def run(self) -> None:
         """Make attempts until one gives the whole answer or none may follow."""
+        if self.route.kind is RouteKind.STREAM and self.head.last_event >= 0:
+            refused = await self._take_up()
+            if refused is not None:
+                await self.give_up(self._truthful(refused))
+                return
         while True:
             if not self.key_holds():
                 text = "the API key was taken away while the call waited"
@@ -197,11 +222,45 @@
             if self.failure_passed_on:
                 self._note_failure_passed_on()
                 return
-            if not self.progress.may_try_again():
+            if not self.progress.may_try_again() or self._has_no_upstream_left():
                 await self.give_up(self._fault_of(end))
                 return
             await trio.sleep(self.progress.pause_ms(end) / 1000)
 
+    async def _take_up(self) -> Fault | None:
+        """Find out what began the stream that the client has the beginning of.
+
+        Returns why it cannot go on here.
+        """
+        key = self.stream_key if self.head.resumes else None
+        found = await self.shared.origin_of(key, self.route)
+        log_event(
+            "stream_taken_up",
+            request_id=self.request_id,
+            resumes=self.head.resumes,
+            last_event=self.head.last_event,
+            software_version=found.ok_value.software_version if isinstance(found, Ok) else "",
+            outcome="known" if isinstance(found, Ok) else found.err_value.message,
+            took_ms=round(now_ms() - self.received_ms, 1),
+        )
+        if isinstance(found, Err):
+            return found.err_value
+        if not self.route.allows(found.ok_value.service):
+            text = f"the route does not go to {found.ok_value.service!r} any more"
+            return Fault(ResultCode.NO_UPSTREAM, text)
+        self.service = found.ok_value.service
+        self.software_version = found.ok_value.software_version
+        return None
+
+    def _has_no_upstream_left(self) -> bool:
+        """Whether each upstream at which a stream could go on has refused it."""
+        if self.software_version is None or self.progress.refused < _MOST_REFUSED:
+            return False
+        return not any(
+            item.software_version == self.software_version and item.upstream_id not in self.avoided
+            for item in self.shared.view.upstreams_of(self.service)
+        )
+
     async def _refused_before_send(self, grant: Grant) -> Fault | None:
         """Return why a call that waited may not be sent any more.
 
@@ -226,6 +285,11 @@
         if upstream is None:
             record.cancel()
             return AttemptEnd.NOT_SENT
+        versions = self.software_versions
+        if versions is not None and upstream.software_version not in versions:
+            # It was replaced since it was chosen.
+            record.cancel()
+            return AttemptEnd.WITHDRAWN
         done = False
         reason = ""
         end: AttemptEnd | None = None
@@ -279,7 +343,7 @@
                 self.body,
                 check,
             ) as answer:
-                return await self._take_answer(answer, record, stall)
+                return await self._take_answer(answer, upstream, record, stall)
         return AttemptEnd.STALLED
 
     def _stall_s(self, *, first: bool) -> float:
@@ -291,7 +355,11 @@
         return (now_ms() + wait_ms) / 1000
 
     async def _take_answer(
-        self, answer: UpstreamAnswer, record: AttemptRecord, stall: trio.CancelScope
+        self,
+        answer: UpstreamAnswer,
+        upstream: UpstreamRecord,
+        record: AttemptRecord,
+        stall: trio.CancelScope,
     ) -> AttemptEnd | None:
         head = answer.head
         if head.not_run:
@@ -300,7 +368,7 @@
         if head.is_forged:
             return AttemptEnd.LOST
         if head.is_success and self.route.kind is RouteKind.STREAM:
-            return await self._relay_events(answer, record, stall)
+            return await self._relay_events(answer, upstream, record, stall)
         if self.out is not None:
             # The client has the beginning of a success; a failure can't be told any more.
             await answer.response.read()
@@ -337,7 +405,11 @@
         return AttemptEnd.FAILED
 
     async def _relay_events(
-        self, answer: UpstreamAnswer, record: AttemptRecord, stall: trio.CancelScope
+        self,
+        answer: UpstreamAnswer,
+        upstream: UpstreamRecord,
+        record: AttemptRecord,
+        stall: trio.CancelScope,
     ) -> AttemptEnd | None:
         """Pass on whole events as they come, each one once; the head goes with the first."""
         splitter = EventSplitter()
@@ -362,7 +434,9 @@
                 if not self.out.put(fresh):
                     await self._wait_client(stall, self.out.wait_room())
             elif fresh:
-                await self._wait_client(stall, self._begin(answer, fresh))
+                if self._is_replaced(upstream):
+                    return AttemptEnd.LOST
+                await self._wait_client(stall, self._begin_stream(answer, upstream, fresh))
         if splitter.has_rest:
             return AttemptEnd.LOST
         if self.out is None:
@@ -377,6 +451,21 @@
         await sending
         stall.deadline = self._stall_s(first=False) + _STALL_MOVE_S
 
+    def _is_replaced(self, upstream: UpstreamRecord) -> bool:
+        """Whether an upstream turned out to have another version than when it was sent to."""
+        current = self.shared.view.upstreams.get(upstream.upstream_id)
+        return current is not None and current.software_version != upstream.software_version
+
+    async def _begin_stream(
+        self, answer: UpstreamAnswer, upstream: UpstreamRecord, first: bytes
+    ) -> None:
+        """Pass on the first event once it is known elsewhere what wrote it."""
+        self.software_version = upstream.software_version
+        if self.may_be_taken_up:
+            origin = StreamOrigin(self.service, upstream.software_version)
+            await self.shared.note_begun(self.stream_key, origin, self.route)
+        await self._begin(answer, first)
+
     async def _begin(self, answer: UpstreamAnswer, first: bytes) -> None:
         headers = calls.client_headers(answer.response.header_fields)
         self.out = await self.responder.begin(answer.head.status, headers, first)
--- /dev/null
+++ b/src/fescuedock/node/stream_origins.py
@@ -0,0 +1,385 @@
+"""Keeps and finds out what began each stream; ``core.stream_origins`` decides."""
+
+import random
+from collections import defaultdict
+from collections.abc import Callable, Collection, Iterable, Mapping
+
+import msgspec
+import trio
+from result import Err, Ok, Result
+
+from fescuedock.address import Address
+from fescuedock.agent.link import FleetView
+from fescuedock.clock import now_ms
+from fescuedock.core.forwarding.route_table import Route
+from fescuedock.core.rendezvous import rank_names
+from fescuedock.core.replica_table import ReplicaTable
+from fescuedock.core.stored_jobs.keys import JobKeys
+from fescuedock.core.stored_jobs.work_gate import KnownRecords
+from fescuedock.core.stream_origins import (
+    OriginMemory,
+    OriginPolicy,
+    RegisteredVersions,
+    Retirement,
+    decide_origin,
+    rank_keepers,
+    versions_by_service,
+)
+from fescuedock.faults import Fault
+from fescuedock.kv import KvEntry, KvStore
+from fescuedock.log import log_event
+from fescuedock.net.channel import CallHandler, ServerPeer
+from fescuedock.node.replicas import CallNeighbour, Replicas
+from fescuedock.schema.origins import (
+    FindOrigin,
+    FindOriginReply,
+    KeepOrigins,
+    KeepOriginsReply,
+    KnownStream,
+    ServedVersions,
+    StreamOrigin,
+)
+from fescuedock.schema.result_codes import ResultCode
+from fescuedock.schema.stored_jobs import NodeRecord
+
+__all__ = ["StreamOrigins"]
+
+# A neighbour answers in 1 to 7 ms.
+_TELL_TIMEOUT_MS = 60.0
+_FIND_TIMEOUT_MS = 150.0
+# How long a stream's first event waits for a node to say that it keeps the origin.
+_FIRST_ACK_S = 0.03
+_TELL_ROUNDS = 3
+# Bounds a read of a service's record while a client waits.
+_READ_S = 0.3
+# How old knowledge of a record may be where the record cannot be read.
+_MOST_AGE_MS = 2400.0
+_LOOK_INTERVAL_S = 1.0
+# By which a node that ranks lower leaves the write of a record to those before it.
+_RANK_PAUSE_S = 0.15
+_MOST_RANK = 8
+_PER_MESSAGE = 512
+# Another node may know.
+_UNKNOWN_RETRY_MS = 100
+
+
+class StreamOrigins:
+    """The origins of streams at one node.
+
+    ``services`` gives those that streams which may be resumed go to.
+    """
+
+    def __init__(
+        self,
+        view: FleetView,
+        kv: KvStore,
+        replicas: Replicas,
+        keys: JobKeys,
+        services: Callable[[], Collection[str]],
+        call_neighbour: CallNeighbour,
+        rng: random.Random,
+        policy: OriginPolicy | None = None,
+    ) -> None:
+        self._view = view
+        self._kv = kv
+        self._replicas = replicas
+        self._keys = keys
+        self._table: ReplicaTable = replicas.tables[keys.live]
+        self._services = services
+        self._call_neighbour = call_neighbour
+        self._rng = rng
+        self._policy = policy or OriginPolicy()
+        self.memory = OriginMemory(self._policy)
+        self._retirement = Retirement(self._policy)
+        # By service, its record as it was last decoded.
+        self._decoded: dict[str, tuple[int, frozenset[str]]] = {}
+        # Nodes by their records: failure domain and address, as of a version of the table.
+        self._nodes: dict[str, tuple[str, Address]] = {}
+        self._nodes_version = -1
+        self._nursery: trio.Nursery | None = None
+
+    def handlers(self) -> dict[type[msgspec.Struct], CallHandler]:
+        """Handlers by message type, to be merged with those of other services."""
+        return {KeepOrigins: self._on_keep, FindOrigin: self._on_find}
+
+    async def run(self) -> None:
+        """Keep the records of services, and tell others what they need, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            nursery.start_soon(self._keep_records)
+            while True:
+                seen = self._replicas.version
+                if self._has_several():
+                    await self._tell_all(self.memory.untold(now_ms()))
+                with trio.move_on_after(_LOOK_INTERVAL_S):
+                    await self._replicas.wait_changed(seen)
+
+    # --- streams that begin ----------------------------------------------------------------------
+
+    def startable(self, service: str) -> frozenset[str] | None:
+        """Return the versions at which a stream may begin; None where there is no bound."""
+        return self._registered(service)
+
+    async def begun(self, key: str, origin: StreamOrigin, route: Route) -> None:
+        """Note what begins a stream, before its client gets the first event.
+
+        While others may need it, returns once another node keeps it, or after a short while: a
+        stream of which nobody knows is refused later, never continued wrongly.
+        """
+        self.memory.note(key, origin, now_ms(), is_own=True)
+        is_uncertain = len(route.services) > 1 or self._is_uncertain(origin.service)
+        if not is_uncertain or self._nursery is None:
+            return
+        ranked = self._keepers(key, live_only=True)
+        for first in range(0, _TELL_ROUNDS * self._policy.told, self._policy.told):
+            told = ranked[first : first + self._policy.told]
+            if not told:
+                return
+            kept = trio.Event()
+            for name in told:
+                self._nursery.start_soon(self._tell, name, {key: origin}, kept)
+            with trio.move_on_after(_FIRST_ACK_S):
+                await kept.wait()
+                return
+        log_event("origin_not_told", stream_key=key)
+
+    async def _tell(
+        self,
+        name: str,
+        origins: Mapping[str, StreamOrigin],
+        kept: trio.Event | None = None,
+    ) -> None:
+        streams = [KnownStream(key, origin) for key, origin in origins.items()]
+        reply = await self._call(name, KeepOrigins(streams), _TELL_TIMEOUT_MS)
+        if not isinstance(reply, KeepOriginsReply):
+            return
+        self.memory.note_told(origins)
+        if kept is not None:
+            kept.set()
+
+    async def _tell_all(self, origins: Mapping[str, StreamOrigin]) -> None:
+        """Tell the keepers of each stream, with one message for many."""
+        by_keeper: defaultdict[str, dict[str, StreamOrigin]] = defaultdict(dict)
+        for key, origin in origins.items():
+            for name in self._keepers(key, live_only=True)[: self._policy.told]:
+                by_keeper[name][key] = origin
+        async with trio.open_nursery() as nursery:
+            for name, rows in by_keeper.items():
+                pairs = list(rows.items())
+                for first in range(0, len(pairs), _PER_MESSAGE):
+                    part = dict(pairs[first : first + _PER_MESSAGE])
+                    nursery.start_soon(self._tell, name, part)
+
+    async def leave(self) -> None:
+        """Hand over all that this node knows, before it stops."""
+        if self._has_several():
+            await self._tell_all(self.memory.all_known(now_ms()))
+
+    # --- streams that are taken up ---------------------------------------------------------------
+
+    async def origin_of(self, key: str | None, route: Route) -> Result[StreamOrigin, Fault]:
+        """Return what began a stream; ``ORIGIN_UNKNOWN`` where nobody knows.
+
+        ``key`` is None where the client does not name the stream.
+        """
+        known = None if key is None else self.memory.find(key, now_ms())
+        if known is not None:
+            return Ok(known)
+        services = [name for name, weight in route.services if weight > 0]
+        kept, registered = await self._ask(key, services[0] if len(services) == 1 else None)
+        decided = decide_origin(kept, registered)
+        if isinstance(decided, Err):
+            return Err(Fault(ResultCode.ORIGIN_UNKNOWN, decided.err_value, _UNKNOWN_RETRY_MS))
+        return decided
+
+    async def _ask(
+        self, key: str | None, service: str | None
+    ) -> tuple[list[StreamOrigin], RegisteredVersions | None]:
+        """Ask the nodes that may keep an origin, and read the service's record meanwhile."""
+        kept: list[StreamOrigin] = []
+        registered: RegisteredVersions | None = None
+
+        async def find(name: str) -> None:
+            reply = await self._call(name, FindOrigin(key), _FIND_TIMEOUT_MS)
+            if isinstance(reply, FindOriginReply) and reply.origins:
+                kept.extend(reply.origins)
+                # One that keeps it is enough: it was told by the node that began the stream.
+                nursery.cancel_scope.cancel()
+
+        async def read() -> None:
+            nonlocal registered
+            registered = await self._read(service)
+
+        async with trio.open_nursery() as nursery:
+            if service is not None:
+                nursery.start_soon(read)
+            for name in self._keepers(key)[: self._policy.asked] if key is not None else ():
+                nursery.start_soon(find, name)
+        return kept, registered
+
+    async def _read(self, service: str) -> RegisteredVersions:
+        """Read a service's record as it is now, or return what is known of it."""
+        with trio.move_on_after(_READ_S):
+            found = await self._kv.get(self._keys.versions + service)
+            if isinstance(found, Ok):
+                entry = found.ok_value
+                versions = None if entry is None else _versions_of(entry)
+                return RegisteredVersions(service, versions, is_current=True)
+        return RegisteredVersions(service, self._registered(service), self._is_current())
+
+    def _is_current(self) -> bool:
+        """Whether the records here hold although the store does not answer.
+
+        While it answers nobody, no version is added.  A node that reaches less than half of the
+        others cannot tell.
+        """
+        live = {vm.vm_id for vm in self._view.live_vms()} | {self._view.vm_id}
+        if 2 * len(live & self._known_nodes().keys()) <= len(self._nodes):
+            return False
+        is_away = self._replicas.contact.is_away(now_ms())
+        agreed_age_ms = self._replicas.agreed_age_ms(self._keys.live)
+        age_ms = self._table.as_of_age_ms(now_ms())
+        return KnownRecords(age_ms, is_away, agreed_age_ms).holds(_MOST_AGE_MS)
+
+    # --- what others ask -------------------------------------------------------------------------
+
+    async def _on_keep(self, message: KeepOrigins, _peer: ServerPeer) -> KeepOriginsReply:
+        for stream in message.streams:
+            self.memory.note(stream.stream_key, stream.origin, now_ms())
+        return KeepOriginsReply(ResultCode.OK)
+
+    async def _on_find(self, message: FindOrigin, _peer: ServerPeer) -> FindOriginReply:
+        known = self.memory.find(message.stream_key, now_ms())
+        return FindOriginReply([] if known is None else [known])
+
+    # --- the records of services -----------------------------------------------------------------
+
+    def _is_uncertain(self, service: str) -> bool:
+        """Whether a service's record alone may not tell how a stream began."""
+        registered = self._registered(service)
+        if registered is None or len(registered) > 1:
+            return True
+        return self._replicas.contact.is_away(now_ms())
+
+    def _has_several(self) -> bool:
+        """Whether streams of any service may have begun at several versions."""
+        return any(len(self._registered(name) or ()) > 1 for name in self._services())
+
+    def _registered(self, service: str) -> frozenset[str] | None:
+        """Return the versions of a service's record; None where there is none."""
+        entry = self._table.entries.get(self._keys.versions + service)
+        if entry is None:
+            return None
+        known = self._decoded.get(service)
+        if known is None or known[0] != entry.mod_revision:
+            versions = _versions_of(entry)
+            if versions is None:
+                return None
+            known = self._decoded[service] = (entry.mod_revision, versions)
+        return known[1]
+
+    async def _keep_records(self) -> None:
+        """Add versions that are listed to the records, and remove those that are long gone."""
+        while True:
+            seen = self._view.version
+            for service, wanted in self._due_records().items():
+                await self._write_in_turn(service, wanted)
+            with trio.move_on_after(_LOOK_INTERVAL_S):
+                await self._view.wait_changed(seen)
+
+    def _due_records(self) -> dict[str, frozenset[str]]:
+        """Return the services whose records are to be changed, with the versions to put there."""
+        services = self._services()
+        if not self._table.is_known:
+            return {}
+        listed = versions_by_service(self._view.upstreams.values(), services)
+        registered = {name: self._registered(name) or frozenset() for name in services}
+        contact = self._replicas.contact
+        retired = self._retirement.due(
+            registered, listed, now_ms(), is_certain=not contact.in_grace(now_ms())
+        )
+        wanted = {
+            name: (versions | listed.get(name, frozenset())) - frozenset(retired.get(name, ()))
+            for name, versions in registered.items()
+        }
+        return {
+            name: versions
+            for name, versions in wanted.items()
+            if versions and versions != registered[name]
+        }
+
+    async def _write_in_turn(self, service: str, wanted: frozenset[str]) -> None:
+        """Write a record, unless a node that comes before this one does so meanwhile."""
+        live = {vm.vm_id for vm in self._view.live_vms()} | {self._view.vm_id}
+        rank = rank_names(service, live).index(self._view.vm_id)
+        await trio.sleep(min(rank, _MOST_RANK) * _RANK_PAUSE_S)
+        if self._due_records().get(service) != wanted:
+            return
+        key = self._keys.versions + service
+        entry = self._table.entries.get(key)
+        value = msgspec.msgpack.encode(ServedVersions(sorted(wanted)))
+        revision = 0 if entry is None else entry.mod_revision
+        written = await self._kv.put_if(key, value, revision)
+        if isinstance(written, Err):
+            reason = written.err_value.message
+            log_event("served_versions_not_written", service=service, reason=reason)
+            # Another one has written it, which will be heard of, or the store does not answer.
+            await trio.sleep(self._rng.uniform(0.5, 1.5) * _RANK_PAUSE_S)
+            return
+        self._replicas.note(self._keys.live, KvEntry(key, value, written.ok_value))
+        log_event(
+            "served_versions_written",
+            service=service,
+            software_versions=sorted(wanted),
+            former_versions=sorted(self._decoded.get(service, (0, frozenset()))[1]),
+        )
+
+    # --- other nodes -----------------------------------------------------------------------------
+
+    def _keepers(self, key: str, *, live_only: bool = False) -> list[str]:
+        """Return the other nodes that may keep an origin, in order; those that are gone left out.
+
+        All nodes rank all registered ones, so that they agree while they see different ones live.
+        One that is leaving is asked, but not told any more.
+        """
+        nodes = self._known_nodes()
+        vms = self._view.vms
+        present = {vm.vm_id for vm in self._view.live_vms()} if live_only else vms.keys()
+        ranked = rank_keepers(key, {name: domain for name, (domain, _) in nodes.items()})
+        return [name for name in ranked if name in present and name != self._view.vm_id]
+
+    def _known_nodes(self) -> dict[str, tuple[str, Address]]:
+        if self._nodes_version != self._table.version:
+            self._nodes_version = self._table.version
+            self._nodes = dict(_nodes_in(self._table.entries.values(), self._keys.nodes))
+        return self._nodes
+
+    async def _call(
+        self, name: str, message: msgspec.Struct, timeout_ms: float
+    ) -> msgspec.Struct | None:
+        """Return a node's answer, None without one."""
+        _, address = self._nodes[name]
+        called = await self._call_neighbour(address, message, timeout_ms)
+        return called.ok_value if isinstance(called, Ok) else None
+
+
+def _nodes_in(entries: Iterable[KvEntry], prefix: str) -> Iterable[tuple[str, tuple[str, Address]]]:
+    for entry in entries:
+        if not entry.key.startswith(prefix):
+            continue
+        try:
+            record = msgspec.msgpack.decode(entry.value, type=NodeRecord)
+        except msgspec.DecodeError:
+            # Logged where nodes are listed.
+            continue
+        yield record.vm_id, (record.failure_domain, Address(record.host, record.port))
+
+
+def _versions_of(entry: KvEntry) -> frozenset[str] | None:
+    """Return the versions that a record names; None, with a line in the log, for none of ours."""
+    try:
+        record = msgspec.msgpack.decode(entry.value, type=ServedVersions)
+    except msgspec.DecodeError as error:
+        log_event("served_versions_unreadable", key=entry.key, reason=str(error))
+        return None
+    return frozenset(record.software_versions)
--- a/src/fescuedock/platform/calls.py
+++ b/src/fescuedock/platform/calls.py
@@ -26,6 +26,8 @@
 # Parts of the prompt in order, as ID:TOKENS; the last one is the request's or its session's own.
 _PROMPT_PARTS = "x-prompt-prefix"
 _LAST_EVENT = "last-event-id"
+# The identity of the client's attempt that brought the first event of the stream that it takes up.
+_RESUMES = "resumes"
 # An upstream with another identity answers 421 and does not run the request.
 _EXPECTED_UPSTREAM = "x-expect-instance"
 # On an upstream's answer: the request was not run.
@@ -60,6 +62,7 @@
         max_tokens=max_tokens,
         prompt_parts=tuple(_prompt_parts(fields.get(_PROMPT_PARTS, ""))),
         last_event=_whole_number(fields.get(_LAST_EVENT, "")),
+        resumes=fields.get(_RESUMES, "").strip(),
     )
 
 
--- a/src/fescuedock/schema/result_codes.py
+++ b/src/fescuedock/schema/result_codes.py
@@ -38,6 +38,7 @@
     WORK_HARMFUL = 2006
     OVER_LIMIT = 2007
     QUOTA_UNKNOWN = 2008
+    ORIGIN_UNKNOWN = 2009
     BAD_LINE = 3000
     DUPLICATE_CUSTOM_ID = 3001
     TOO_MANY_ITEMS = 3002
@@ -95,6 +96,7 @@
     ResultCode.WORK_HARMFUL: 503,
     ResultCode.OVER_LIMIT: 429,
     ResultCode.QUOTA_UNKNOWN: 503,
+    ResultCode.ORIGIN_UNKNOWN: 503,
     ResultCode.BAD_LINE: 400,
     ResultCode.DUPLICATE_CUSTOM_ID: 400,
     ResultCode.TOO_MANY_ITEMS: 400,
@@ -152,6 +154,7 @@
     ResultCode.WORK_HARMFUL: Outcome.NOT_RUN,
     ResultCode.OVER_LIMIT: Outcome.NOT_RUN,
     ResultCode.QUOTA_UNKNOWN: Outcome.NOT_RUN,
+    ResultCode.ORIGIN_UNKNOWN: Outcome.NOT_RUN,
     ResultCode.BAD_LINE: Outcome.NOT_RUN,
     ResultCode.DUPLICATE_CUSTOM_ID: Outcome.NOT_RUN,
     ResultCode.TOO_MANY_ITEMS: Outcome.NOT_RUN,
