Take events of a stream only once they can go to its client at once

While a service has several versions a stream waits for another node to keep its origin. The wait came between taking its first events and sending them: an upstream that counted as stalled at that moment ended the attempt there, and the next one went on after events that the client never got.

--- a/src/fescuedock/node/online_call.py
+++ b/src/fescuedock/node/online_call.py
@@ -427,6 +427,11 @@
             if record.first_event_ms < 0:
                 self.shared.note_first_event(now_ms() - record.started_ms)
             record.note_events(len(events))
+            if self.out is None:
+                if self._is_replaced(upstream):
+                    return AttemptEnd.LOST
+                # Before events are taken: one that is taken must reach the client.
+                await self._wait_client(stall, self._note_begun(upstream))
             fresh = self.progress.take_fresh(events)
             if fresh is None:
                 return AttemptEnd.LOST
@@ -434,9 +439,7 @@
                 if not self.out.put(fresh):
                     await self._wait_client(stall, self.out.wait_room())
             elif fresh:
-                if self._is_replaced(upstream):
-                    return AttemptEnd.LOST
-                await self._wait_client(stall, self._begin_stream(answer, upstream, fresh))
+                await self._wait_client(stall, self._begin(answer, fresh))
         if splitter.has_rest:
             return AttemptEnd.LOST
         if self.out is None:
@@ -456,15 +459,12 @@
         current = self.shared.view.upstreams.get(upstream.upstream_id)
         return current is not None and current.software_version != upstream.software_version
 
-    async def _begin_stream(
-        self, answer: UpstreamAnswer, upstream: UpstreamRecord, first: bytes
-    ) -> None:
-        """Pass on the first event once it is known elsewhere what wrote it."""
+    async def _note_begun(self, upstream: UpstreamRecord) -> None:
+        """Have it known elsewhere what begins the stream."""
         self.software_version = upstream.software_version
         if self.may_be_taken_up:
             origin = StreamOrigin(self.service, upstream.software_version)
             await self.shared.note_begun(self.stream_key, origin, self.route)
-        await self._begin(answer, first)
 
     async def _begin(self, answer: UpstreamAnswer, first: bytes) -> None:
         headers = calls.client_headers(answer.response.header_fields)
--- a/src/fescuedock/node/stream_origins.py
+++ b/src/fescuedock/node/stream_origins.py
@@ -358,7 +358,10 @@
         self, name: str, message: msgspec.Struct, timeout_ms: float
     ) -> msgspec.Struct | None:
         """Return a node's answer, None without one."""
-        _, address = self._nodes[name]
+        node = self._known_nodes().get(name)
+        if node is None:
+            return None
+        _, address = node
         called = await self._call_neighbour(address, message, timeout_ms)
         return called.ok_value if isinstance(called, Ok) else None
 
--- a/tests/builders/node.py
+++ b/tests/builders/node.py
@@ -148,6 +148,7 @@
     nodes: list[RunningNode] = field(default_factory=list)
     # The same on all nodes, as seeds name hosts only; each node has a loopback address of its own.
     agent_port: int = field(default_factory=lambda: free_ports(1)[0])
+    upstream_type: type[EventUpstream] = EventUpstream
 
     async def start_node(self, number: int, **changes: object) -> RunningNode:
         """Start a node at free ports and wait until it serves."""
@@ -187,7 +188,7 @@
 
     async def start_upstream(self, name: str, **fields: object) -> EventUpstream:
         """Start an upstream and register it."""
-        upstream = EventUpstream(name, **fields)
+        upstream = self.upstream_type(name, **fields)
         await self.nursery.start(upstream.run, LOOPBACK)
         self.upstreams.append(upstream)
         self.register(upstream)
@@ -297,7 +298,11 @@
 
 @asynccontextmanager
 async def running_fleet(
-    nodes: int = 1, upstreams: int = 2, versions: Sequence[str] = (), **changes: object
+    nodes: int = 1,
+    upstreams: int = 2,
+    versions: Sequence[str] = (),
+    upstream_type: type[EventUpstream] = EventUpstream,
+    **changes: object,
 ) -> AsyncIterator[NodeFleet]:
     """Run a fleet that knows its configuration while the block runs.
 
@@ -306,7 +311,7 @@
     store = MetadataStoreService()
     async with trio.open_nursery() as nursery:
         await nursery.start(store.run, LOOPBACK)
-        fleet = NodeFleet(store, [], nursery)
+        fleet = NodeFleet(store, [], nursery, upstream_type=upstream_type)
         fleet.configure(config_document())
         for number, version in enumerate(versions or [DEFAULT_VERSION] * upstreams):
             await fleet.start_upstream(f"i-{number}", version=version)
