--- /dev/null
+++ b/tests/test_stream_origins.py
@@ -0,0 +1,158 @@
+"""What a node knows of how streams began, and what it makes of what others tell."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from fescuedock.core.stream_origins import (
+    OriginMemory,
+    OriginPolicy,
+    RegisteredVersions,
+    Retirement,
+    decide_origin,
+    rank_keepers,
+    stream_key,
+    versions_by_service,
+)
+from fescuedock.schema.origins import StreamOrigin
+from fescuedock.schema.view import UpstreamKind, UpstreamRecord
+
+OLD, NEW = StreamOrigin("desk", "v1"), StreamOrigin("desk", "v2")
+POLICY = OriginPolicy(keep_ms=1000.0, most_kept=3)
+
+
+def registered(*versions: str, is_current: bool = True) -> RegisteredVersions:
+    return RegisteredVersions("desk", frozenset(versions), is_current)
+
+
+class StreamKeyTest(unittest.TestCase):
+    def test_an_identity_with_other_work_finds_nothing(self) -> None:
+        keys = {stream_key(name, work) for name in ("r-1", "r-2", "") for work in ("w-1", "w-2")}
+        self.assertEqual(len(keys), 6)
+
+
+class OriginMemoryTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.memory = OriginMemory(POLICY)
+
+    def test_an_origin_is_kept_for_its_time(self) -> None:
+        self.memory.note("s", OLD, 0.0)
+        self.assertEqual(self.memory.find("s", 999.0), OLD)
+        self.assertIsNone(self.memory.find("s", 1000.0))
+        self.assertEqual(len(self.memory), 0)
+
+    def test_the_oldest_go_when_there_are_too_many(self) -> None:
+        for number in range(5):
+            self.memory.note(f"s-{number}", OLD, float(number))
+        self.assertEqual(len(self.memory), 3)
+        self.assertIsNone(self.memory.find("s-1", 5.0))
+        self.assertEqual(self.memory.find("s-2", 5.0), OLD)
+
+    def test_a_stream_that_was_noted_at_two_versions_counts_as_unknown(self) -> None:
+        for origin in (OLD, NEW, NEW):
+            self.memory.note("s", origin, 0.0)
+        self.assertIsNone(self.memory.find("s", 1.0))
+        self.assertEqual(self.memory.all_known(1.0), {})
+
+    def test_only_own_streams_that_nobody_was_told_of_are_untold(self) -> None:
+        self.memory.note("own", OLD, 0.0, is_own=True)
+        self.memory.note("told", OLD, 0.0, is_own=True)
+        self.memory.note("kept", NEW, 0.0)
+        self.memory.note_told(["told", "never heard of"])
+        self.assertEqual(self.memory.untold(1.0), {"own": OLD})
+        self.assertEqual(self.memory.all_known(1.0), {"own": OLD, "told": OLD, "kept": NEW})
+        # A stream that goes on here is told of no second time.
+        self.memory.note("told", OLD, 2.0, is_own=True)
+        self.assertEqual(self.memory.untold(3.0), {"own": OLD})
+
+
+class RankKeepersTest(unittest.TestCase):
+    def test_keepers_that_follow_each_other_are_of_different_domains(self) -> None:
+        domains = {f"n-{number}": f"d-{number % 3}" for number in range(9)}
+        for key in map(str, range(50)):
+            ranked = rank_keepers(key, domains)
+            self.assertEqual(sorted(ranked), sorted(domains))
+            for first in (0, 3, 6):
+                self.assertEqual(len({domains[name] for name in ranked[first : first + 3]}), 3)
+
+    @given(st.sets(st.integers(0, 40), min_size=1), st.integers(0, 40), st.text())
+    def test_a_node_that_is_gone_moves_nobody_of_its_domain_back(self, names, gone, key) -> None:
+        domains = {f"n-{number}": "d" for number in names}
+        ranked = rank_keepers(key, domains)
+        without = {name: domain for name, domain in domains.items() if name != f"n-{gone}"}
+        self.assertEqual(
+            rank_keepers(key, without), [name for name in ranked if name != f"n-{gone}"]
+        )
+
+
+class DecideOriginTest(unittest.TestCase):
+    def test_what_a_node_kept_goes_before_the_record(self) -> None:
+        found = decide_origin([OLD], registered("v2"))
+        self.assertEqual(found.ok_value, OLD)
+
+    def test_the_single_version_of_a_current_record_began_what_nobody_knows(self) -> None:
+        self.assertEqual(decide_origin([], registered("v1")).ok_value, OLD)
+
+    def test_nothing_is_concluded_from_silence(self) -> None:
+        unknown = [
+            registered("v1", "v2"),
+            registered("v1", is_current=False),
+            registered(),
+            RegisteredVersions("desk", None, is_current=True),
+            None,
+        ]
+        for record in unknown:
+            with self.subTest(record=record):
+                self.assertTrue(decide_origin([], record).is_err())
+
+    def test_nodes_that_disagree_leave_it_unknown(self) -> None:
+        self.assertTrue(decide_origin([OLD, NEW], registered("v1")).is_err())
+        self.assertEqual(decide_origin([NEW, NEW], registered("v1")).ok_value, NEW)
+
+
+class RetirementTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.retirement = Retirement(OriginPolicy(retire_ms=100.0))
+
+    def due(self, listed: str, now_ms: float, *, is_certain: bool = True) -> dict:
+        return self.retirement.due(
+            {"desk": ("v1", "v2")}, {"desk": listed.split()}, now_ms, is_certain=is_certain
+        )
+
+    def test_a_version_leaves_once_it_has_not_been_listed_for_long(self) -> None:
+        self.assertEqual(self.due("v2", 0.0), {})
+        self.assertEqual(self.due("v2", 99.0), {})
+        self.assertEqual(self.due("v2", 100.0), {"desk": ["v1"]})
+
+    def test_one_that_comes_back_stays(self) -> None:
+        self.due("v2", 0.0)
+        self.due("v1 v2", 50.0)
+        self.assertEqual(self.due("v2", 120.0), {})
+        self.assertEqual(self.due("v2", 220.0), {"desk": ["v1"]})
+
+    def test_time_without_certain_entries_does_not_count(self) -> None:
+        self.due("v2", 0.0)
+        self.assertEqual(self.due("v2", 150.0, is_certain=False), {})
+        self.assertEqual(self.due("v2", 200.0), {})
+        self.assertEqual(self.due("v2", 300.0), {"desk": ["v1"]})
+
+
+class VersionsByServiceTest(unittest.TestCase):
+    def test_leaving_upstreams_count_and_other_services_do_not(self) -> None:
+        def upstream(name: str, service: str, version: str, *, leaving: bool = False):
+            record = UpstreamRecord(name, "r", "d", "h", 1, UpstreamKind.ENGINE, service, leaving)
+            record.software_version = version
+            return record
+
+        upstreams = [
+            upstream("a", "desk", "v1", leaving=True),
+            upstream("b", "desk", "v2"),
+            upstream("c", "other", "v3"),
+        ]
+        found = versions_by_service(upstreams, {"desk", "absent"})
+        self.assertEqual(found, {"desk": frozenset(("v1", "v2"))})
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_stream_take_up.py
@@ -0,0 +1,223 @@
+"""Streams that clients take up at other nodes: what goes on, what is refused, and what it costs."""
+
+import unittest
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from fescuedock.schema.origins import KeepOrigins
+from fescuedock.schema.result_codes import ResultCode
+from tests.builders.node import Answer, NodeFleet, RunningNode, running_fleet
+from tests.builders.online import wait_until
+from tests.builders.standins import run_async
+from tests.builders.versions import TakenUp, event_numbers, take_up
+
+ONE = ("v1", "v1")
+TWO = ("v1", "v1", "v1.1", "v1.1")
+RECORD = "fescuedock/live/version/desk-llm"
+BEFORE_RELEASE_S = 0.6
+
+
+class TakeUpTest(unittest.TestCase):
+    def run_fleet(
+        self, test: Callable[[NodeFleet], Awaitable[None]], versions=TWO, nodes: int = 3, **options
+    ) -> None:
+        async def run() -> None:
+            with trio.fail_after(20):
+                async with running_fleet(versions=versions, nodes=nodes, **options) as fleet:
+                    await wait_until(lambda: fleet.store.state.get(RECORD) is not None)
+                    await test(fleet)
+
+        run_async(run)
+
+    async def begin(
+        self, fleet: NodeFleet, node: RunningNode, name: str, path="/check/7"
+    ) -> Answer:
+        """Have a client read the first two events of a stream and lose its connection."""
+        for upstream in fleet.upstreams:
+            upstream.event_interval_ms = 60
+        answer = await self.cut_short(fleet, node, name, path)
+        for upstream in fleet.upstreams:
+            upstream.event_interval_ms = 1
+        return answer
+
+    async def cut_short(self, fleet: NodeFleet, node: RunningNode, name: str, path: str) -> Answer:
+        body = b""
+        headers = [("host", "desk.example"), ("x-request-id", name)]
+        async with fleet.http.request(
+            node.front, "POST", path, headers, b"case", fresh=True
+        ) as response:
+            async for part in response.chunks():
+                body += part
+                if len(event_numbers(body)) == 2:
+                    break
+        return Answer(200, response.headers, body, whole=False)
+
+    def check_whole(self, taken: TakenUp) -> None:
+        self.assertEqual((taken.second.status, taken.second.whole), (200, True), taken.second)
+        self.assertEqual(taken.numbers, list(range(5)))
+        self.assertEqual(len(taken.versions), 1)
+
+    def check_refused(self, answer: Answer) -> None:
+        self.assertEqual(answer.status, 503, answer)
+        self.assertEqual(answer.json()["error"]["code"], ResultCode.ORIGIN_UNKNOWN)
+        self.assertIn("retry-after", answer.headers)
+
+    def test_every_node_goes_on_with_the_version_that_began_a_stream(self) -> None:
+        async def test(fleet: NodeFleet) -> None:
+            for number in range(6):
+                name, path = f"r-first-{number}", f"/check/{number}"
+                first = await self.begin(fleet, fleet.nodes[number % 3], name, path)
+                for node in fleet.nodes:
+                    self.check_whole(await take_up(fleet, node.front, path, b"case", first, name))
+
+        self.run_fleet(test)
+
+    def test_a_stream_goes_on_after_the_node_that_began_it_has_stopped_as_planned(self) -> None:
+        async def test(fleet: NodeFleet) -> None:
+            started = [await self.begin(fleet, fleet.nodes[0], f"r-{n}") for n in range(4)]
+            # Both nodes that may have been told leave one after the other.
+            for node in fleet.nodes[:2]:
+                node.stop.request()
+                await node.ended.wait()
+            for number, first in enumerate(started):
+                other = fleet.nodes[3].front
+                taken = await take_up(fleet, other, "/check/7", b"case", first, f"r-{number}")
+                self.check_whole(taken)
+
+        self.run_fleet(test, nodes=4)
+
+    def test_with_one_version_streams_go_on_after_the_loss_of_all_nodes(self) -> None:
+        async def test(fleet: NodeFleet) -> None:
+            first = await self.begin(fleet, fleet.nodes[0], "r-1")
+            await self.restart_all(fleet)
+            taken = await take_up(fleet, fleet.nodes[1].front, "/check/7", b"case", first, "r-1")
+            self.check_whole(taken)
+
+        self.run_fleet(test, versions=ONE)
+
+    def test_with_two_versions_nodes_that_know_nothing_refuse(self) -> None:
+        async def test(fleet: NodeFleet) -> None:
+            first = await self.begin(fleet, fleet.nodes[0], "r-1")
+            await self.restart_all(fleet)
+            for node in fleet.nodes:
+                taken = await take_up(fleet, node.front, "/check/7", b"case", first, "r-1")
+                self.check_refused(taken.second)
+            again = await fleet.call(fleet.nodes[0].front, "POST", "/check/7", b"case")
+            self.assertEqual((again.status, event_numbers(again.body)), (200, list(range(5))))
+
+        self.run_fleet(test)
+
+    async def restart_all(self, fleet: NodeFleet) -> None:
+        for node in fleet.nodes:
+            node.kill()
+        for node in list(fleet.nodes):
+            await fleet.restart(node)
+        await fleet.wait_ready()
+
+    def test_streams_begun_before_a_release_go_on_at_other_nodes_after_it(self) -> None:
+        async def test(fleet: NodeFleet) -> None:
+            first = await self.begin(fleet, fleet.nodes[0], "r-1")
+            for name in ("i-new-0", "i-new-1"):
+                await fleet.start_upstream(name, version="v1.1")
+            await trio.sleep(BEFORE_RELEASE_S)
+            fleet.nodes[0].kill()
+            taken = await take_up(fleet, fleet.nodes[1].front, "/check/7", b"case", first, "r-1")
+            self.check_whole(taken)
+            self.assertEqual(taken.versions, {"v1"})
+
+        self.run_fleet(test, versions=ONE)
+
+    def test_no_stream_begins_at_a_version_before_the_record_names_it(self) -> None:
+        async def test(fleet: NodeFleet) -> None:
+            [old] = fleet.upstreams
+            async with trio.open_nursery() as nursery:
+
+                async def call(number: int) -> None:
+                    while True:
+                        await fleet.call(fleet.nodes[number].front, "POST", "/check/1", b"a")
+
+                for number in range(2):
+                    nursery.start_soon(call, number)
+                await trio.sleep(0.2)
+                new = await fleet.start_upstream("i-new", version="v1.1")
+                await wait_until(lambda: bool(new.seen))
+                self.assertIn(b"v1.1", fleet.store.state.get(RECORD).value)
+                nursery.cancel_scope.cancel()
+            self.assertTrue(old.seen)
+
+        self.run_fleet(test, versions=("v1",), nodes=2)
+
+    def test_an_identity_that_is_no_streams_begins_none_of_another(self) -> None:
+        async def test(fleet: NodeFleet) -> None:
+            first = await self.begin(fleet, fleet.nodes[0], "r-1")
+            other = fleet.nodes[1].front
+            for name in ("r-unknown", "", "r-1, r-2"):
+                taken = await take_up(fleet, other, "/check/7", b"case", first, name)
+                self.check_refused(taken.second)
+            # Another request, and another route.
+            for path, body in (("/check/7", b"other case"), ("/check/8", b"case")):
+                taken = await take_up(fleet, other, path, body, first, "r-1")
+                self.check_refused(taken.second)
+            # Without an event there is nothing to go on with: a start from the beginning.
+            fresh = await fleet.call(other, "POST", "/check/7", b"case", {"resumes": "r-1"})
+            self.assertEqual((fresh.status, event_numbers(fresh.body)), (200, list(range(5))))
+
+        self.run_fleet(test)
+
+    def test_a_stream_whose_version_has_gone_is_refused_at_once(self) -> None:
+        async def test(fleet: NodeFleet) -> None:
+            first = await self.begin(fleet, fleet.nodes[0], "r-1")
+            [version] = TakenUp(first, first).versions
+            for upstream in fleet.upstreams:
+                if upstream.version == version:
+                    fleet.store.state.delete(f"servers/{upstream.upstream_id}")
+            await trio.sleep(BEFORE_RELEASE_S)
+            with trio.fail_after(0.5):
+                taken = await take_up(
+                    fleet, fleet.nodes[1].front, "/check/7", b"case", first, "r-1"
+                )
+            self.assertEqual(taken.second.status, 503)
+            self.assertEqual(taken.second.json()["error"]["code"], ResultCode.NO_UPSTREAM)
+
+        self.run_fleet(test)
+
+    def test_a_version_that_comes_under_the_same_key_gets_no_stream_of_the_former(self) -> None:
+        async def test(fleet: NodeFleet) -> None:
+            firsts = [await self.begin(fleet, fleet.nodes[0], f"r-{n}") for n in range(4)]
+            for upstream in fleet.upstreams:
+                upstream.version = "v3"
+                fleet.register(upstream)
+            await trio.sleep(BEFORE_RELEASE_S)
+            for number, first in enumerate(firsts):
+                other = fleet.nodes[1].front
+                taken = await take_up(fleet, other, "/check/7", b"case", first, f"r-{number}")
+                self.assertEqual(taken.second.status, 503)
+
+        self.run_fleet(test)
+
+    def test_with_one_version_nodes_tell_each_other_nothing_of_streams(self) -> None:
+        async def test(fleet: NodeFleet) -> None:
+            first = await self.begin(fleet, fleet.nodes[0], "r-1")
+            # In an outage of the store nodes that agree go on as before.
+            fleet.store.take_down()
+            await trio.sleep(1.6)
+            taken = await take_up(fleet, fleet.nodes[1].front, "/check/7", b"case", first, "r-1")
+            self.check_whole(taken)
+
+        self.run_fleet(test, versions=ONE)
+
+
+class TellingTest(unittest.TestCase):
+    def test_a_message_of_many_streams_is_small(self) -> None:
+        """Bytes a stream at a keeper, as the page of the design has it."""
+        import msgspec
+
+        from fescuedock.schema.origins import KnownStream, StreamOrigin
+
+        one = KeepOrigins([KnownStream("0" * 32, StreamOrigin("admision-llm", "v1.2"))])
+        self.assertLess(len(msgspec.msgpack.encode(one)), 140)
+
+
+if __name__ == "__main__":
+    unittest.main()
