--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -17,6 +17,7 @@
 )
 from fescuedock.schema.origins import StreamOrigin
 from fescuedock.schema.view import UpstreamKind, UpstreamRecord
+from tests.builders.origin_ways import LOSSES, WAYS, Outcome, play
 
 OLD, NEW = StreamOrigin("desk", "v1"), StreamOrigin("desk", "v2")
 POLICY = OriginPolicy(keep_ms=1000.0, most_kept=3)
@@ -138,6 +139,38 @@
         self.assertEqual(self.due("v2", 300.0), {"desk": ["v1"]})
 
 
+class WaysTest(unittest.TestCase):
+    """The way that is built, against its aims, and against others on the same seeds."""
+
+    def outcomes(self, way: str, loss: str, seeds: int = 20, **options: object) -> list[Outcome]:
+        return [play(WAYS[way], loss, seed, **options) for seed in range(seeds)]
+
+    def share(self, way: str, loss: str, **options: object) -> float:
+        outcomes = self.outcomes(way, loss, **options)
+        self.assertEqual(sum(item.wrong for item in outcomes), 0)
+        return sum(item.went_on for item in outcomes) / sum(item.taken_up for item in outcomes)
+
+    def test_all_go_on_in_calm_and_nearly_all_with_a_third_of_the_nodes_lost(self) -> None:
+        for versions in (1, 2):
+            self.assertEqual(self.share("keepers", "calm", versions=versions), 1.0)
+        for loss in ("a third is gone", "a third was killed", "a domain is gone"):
+            with self.subTest(loss=loss):
+                self.assertGreaterEqual(self.share("keepers", loss), 0.95)
+
+    def test_with_one_version_all_go_on_after_any_loss_and_nobody_is_told(self) -> None:
+        for loss in LOSSES:
+            with self.subTest(loss=loss):
+                outcomes = self.outcomes("keepers", loss, versions=1)
+                self.assertEqual(sum(item.told for item in outcomes), 0)
+                self.assertEqual(sum(item.went_on for item in outcomes), 20 * 400)
+
+    def test_no_way_goes_on_at_another_version(self) -> None:
+        for name in WAYS:
+            for loss in LOSSES:
+                for store_away in (False, True):
+                    self.share(name, loss, seeds=4, store_away=store_away)
+
+
 class VersionsByServiceTest(unittest.TestCase):
     def test_leaving_upstreams_count_and_other_services_do_not(self) -> None:
         def upstream(name: str, service: str, version: str, *, leaving: bool = False):
