Keep what began streams on disks too, and tell all tries of a stream from any of them

Each origin goes to one spool as well, which has it on disk before it answers. The test through nodes and spools that lose their processes passes; without spools the nodes refuse, as before. explain follows the calls by which a client went on, so that both versions of a stream are told from any of its ids.

--- a/src/fescuedock/core/stream_origins.py
+++ b/src/fescuedock/core/stream_origins.py
@@ -38,7 +38,8 @@
     """Constants.
 
     Of each stream ``told`` nodes are told, and ``asked`` are asked, in the same order, as some of
-    the first may have come back without their memory or may not be reached.  Origins are kept for
+    the first may have come back without their memory or may not be reached.  The same holds for
+    ``told_disks`` and ``asked_disks``, which know it after a loss of power.  Origins are kept for
     ``keep_ms``, longer than a client waits for a whole stream, and ``most_kept`` of them at most:
     the oldest go first, and their streams count as unknown.  A version that has not been listed
     for ``retire_ms`` leaves the record of its service.
@@ -46,6 +47,8 @@
 
     told: int = 2
     asked: int = 8
+    told_disks: int = 1
+    asked_disks: int = 2
     keep_ms: float = 30_000.0
     most_kept: int = 8192
     retire_ms: float = 60_000.0
--- a/src/fescuedock/node/stream_origins.py
+++ b/src/fescuedock/node/stream_origins.py
@@ -95,6 +95,7 @@
         self._decoded: dict[str, tuple[int, frozenset[str]]] = {}
         # Nodes by their records: failure domain and address, as of a version of the table.
         self._nodes: dict[str, tuple[str, Address]] = {}
+        self._spools: dict[str, tuple[str, Address]] = {}
         self._nodes_version = -1
         self._nursery: trio.Nursery | None = None
 
@@ -131,8 +132,9 @@
         if not is_uncertain or self._nursery is None:
             return
         ranked = self._keepers(key, live_only=True)
+        disks = self._disks(key)[: self._policy.told_disks]
         for first in range(0, _TELL_ROUNDS * self._policy.told, self._policy.told):
-            told = ranked[first : first + self._policy.told]
+            told = ranked[first : first + self._policy.told] + (disks if not first else [])
             if not told:
                 return
             kept = trio.Event()
@@ -161,7 +163,8 @@
         """Tell the keepers of each stream, with one message for many."""
         by_keeper: defaultdict[str, dict[str, StreamOrigin]] = defaultdict(dict)
         for key, origin in origins.items():
-            for name in self._keepers(key, live_only=True)[: self._policy.told]:
+            told = self._keepers(key, live_only=True)[: self._policy.told]
+            for name in told + self._disks(key)[: self._policy.told_disks]:
                 by_keeper[name][key] = origin
         async with trio.open_nursery() as nursery:
             for name, rows in by_keeper.items():
@@ -213,8 +216,10 @@
         async with trio.open_nursery() as nursery:
             if service is not None:
                 nursery.start_soon(read)
-            for name in self._keepers(key)[: self._policy.asked] if key is not None else ():
-                nursery.start_soon(find, name)
+            if key is not None:
+                disks = self._disks(key)[: self._policy.asked_disks]
+                for name in self._keepers(key)[: self._policy.asked] + disks:
+                    nursery.start_soon(find, name)
         return kept, registered
 
     async def _read(self, service: str) -> RegisteredVersions:
@@ -348,17 +353,24 @@
         ranked = rank_keepers(key, {name: domain for name, (domain, _) in nodes.items()})
         return [name for name in ranked if name in present and name != self._view.vm_id]
 
+    def _disks(self, key: str) -> list[str]:
+        """Return the spools that may keep an origin, in order."""
+        self._known_nodes()
+        return rank_keepers(key, {name: domain for name, (domain, _) in self._spools.items()})
+
     def _known_nodes(self) -> dict[str, tuple[str, Address]]:
         if self._nodes_version != self._table.version:
             self._nodes_version = self._table.version
-            self._nodes = dict(_nodes_in(self._table.entries.values(), self._keys.nodes))
+            entries = self._table.entries
+            self._nodes = dict(_nodes_in(entries.values(), self._keys.nodes))
+            self._spools = dict(_nodes_in(entries.values(), self._keys.spools))
         return self._nodes
 
     async def _call(
         self, name: str, message: msgspec.Struct, timeout_ms: float
     ) -> msgspec.Struct | None:
         """Return a node's answer, None without one."""
-        node = self._known_nodes().get(name)
+        node = self._known_nodes().get(name) or self._spools.get(name)
         if node is None:
             return None
         _, address = node
--- a/src/fescuedock/report/explain.py
+++ b/src/fescuedock/report/explain.py
@@ -16,6 +16,8 @@
 )
 # Fields by which lines are found.
 _ID_FIELDS = ("request_id", "job_id", "item_id")
+# Of a call by which a client goes on with a stream; ``resumes`` is the call that began it.
+_TAKEN_UP = "stream_taken_up"
 
 
 class LogLine(msgspec.Struct, frozen=True):
@@ -54,11 +56,13 @@
 def lines_about(identity: str, texts: Iterable[str], around_ms: float = 0.0) -> list[LogLine]:
     """Return the events that name ``identity``, in the order of time.
 
+    Those of the other tries of a stream that its client took up elsewhere are among them.
     With ``around_ms``, also what the same nodes came to believe shortly before and meanwhile:
     events that name no request, job or item.
     """
     events = [event for text in texts if (event := parse_line(text)) is not None]
-    named = [event for event in events if identity in _identities(event)]
+    tries = _tries_of(identity, events)
+    named = [event for event in events if not tries.isdisjoint(_identities(event))]
     if not named:
         return []
     chosen = list(named)
@@ -76,6 +80,17 @@
     return sorted(chosen, key=lambda event: event.at_s)
 
 
+def _tries_of(identity: str, events: Iterable[LogLine]) -> set[str]:
+    """Return the identities of all tries of the stream that a request belongs to."""
+    begun_by = {
+        str(event.fields["request_id"]): str(event.fields["resumes"])
+        for event in events
+        if event.event == _TAKEN_UP and event.fields.get("resumes")
+    }
+    first = begun_by.get(identity, identity)
+    return {identity, first, *(name for name, begun in begun_by.items() if begun == first)}
+
+
 def _identities(event: LogLine) -> Iterator[str]:
     """Yield the requests, jobs and items that an event is about."""
     for name in _ID_FIELDS:
--- a/src/fescuedock/spool/main.py
+++ b/src/fescuedock/spool/main.py
@@ -18,6 +18,7 @@
 from fescuedock.schema.stored_jobs import NodeRecord
 from fescuedock.settings import SPOOL_SECTIONS, Settings
 from fescuedock.spool.files import SpoolFiles
+from fescuedock.spool.origins import OriginService
 from fescuedock.spool.service import SpoolService
 from fescuedock.store.disk import OsDisk
 
@@ -26,6 +27,7 @@
 _SETTINGS_VARIABLE = "FESCUEDOCK_SETTINGS"
 _CONNECT_MS = 400
 _FOLDER = "spool"
+_ORIGINS_FOLDER = "origins"
 
 
 async def run_spool(
@@ -35,6 +37,8 @@
     spool, vm = settings.spool, settings.vm
     files = SpoolFiles(OsDisk(), Path(spool.data_dir) / _FOLDER, spool.max_bytes)
     files.open()
+    origins = OriginService(OsDisk(), Path(spool.data_dir) / _ORIGINS_FOLDER)
+    origins.open()
     log_event("spool_opened", pending=len(files))
     http = HttpClient(_CONNECT_MS)
     kv = MetadataStore(http, Address.parse(spool.store_address), spool.store_timeout_ms)
@@ -43,7 +47,7 @@
     record = NodeRecord(vm.vm_id, vm.region, vm.failure_domain, vm.host, port)
     store = JobStore(kv, keys, spool.store_value_bytes)
     service = SpoolService(files, kv, store, keys.spools + vm.vm_id, record)
-    handlers = service.handlers()
+    handlers = service.handlers() | origins.handlers()
 
     async def handle(message: msgspec.Struct, peer: ServerPeer) -> msgspec.Struct | None:
         handler = handlers.get(type(message))
--- /dev/null
+++ b/src/fescuedock/spool/origins.py
@@ -0,0 +1,134 @@
+"""What began streams, on the disk of one VM, so that it is known after all nodes have lost power.
+
+Origins are appended to a log of checked records.  Two logs take turns: one that is older than
+origins are kept for begins anew.
+"""
+
+import zlib
+from collections.abc import Iterator, Sequence
+from pathlib import Path
+
+import msgspec
+
+from fescuedock.clock import now_ms
+from fescuedock.core.stream_origins import OriginMemory, OriginPolicy
+from fescuedock.log import log_event
+from fescuedock.net.channel import CallHandler, ServerPeer
+from fescuedock.schema.origins import (
+    FindOrigin,
+    FindOriginReply,
+    KeepOrigins,
+    KeepOriginsReply,
+    KnownStream,
+)
+from fescuedock.schema.result_codes import ResultCode
+from fescuedock.store.disk import Disk
+
+__all__ = ["OriginLog", "OriginService"]
+
+_NAMES = ("origins-0.log", "origins-1.log")
+# Length and checksum before each record.
+_HEAD_BYTES = 8
+_FIELD_BYTES = 4
+
+
+class OriginLog:
+    """Appends to one log of ``folder`` until ``turn_ms`` have passed, then to the other."""
+
+    def __init__(self, disk: Disk, folder: Path, turn_ms: float) -> None:
+        self._disk = disk
+        self._folder = folder
+        self._turn_ms = turn_ms
+        self._number = 0
+        self._since_ms = float("-inf")
+        # Read at the start, to be carried over into the first log that begins.
+        self._carried: list[KnownStream] = []
+
+    def read(self) -> list[KnownStream]:
+        """Return what the logs hold; ``OSError`` when the disk cannot be read.
+
+        What was being written as the power went is left out: nobody was told that it is kept.
+        """
+        self._disk.make_folder(self._folder)
+        self._carried = []
+        newest = (-1, -1)
+        for number, name in enumerate(_NAMES):
+            status = self._disk.status(self._folder / name)
+            if status is None:
+                continue
+            if (status.modified_s, status.size_bytes) > newest:
+                newest, self._number = (status.modified_s, status.size_bytes), number
+            for body in _records_in(self._disk.read(self._folder / name)):
+                self._carried += msgspec.msgpack.decode(body, type=list[KnownStream])
+        return list(self._carried)
+
+    def append(self, streams: Sequence[KnownStream], now_ms: float) -> None:
+        """Return when ``streams`` survive a loss of power; ``OSError`` when they may not."""
+        if now_ms - self._since_ms < self._turn_ms:
+            since_ms, self._since_ms = self._since_ms, float("-inf")
+            with self._disk.append(self._path()) as file:
+                file.write(_record(streams))
+                file.sync()
+            self._since_ms = since_ms
+            return
+        # Also after a start or a fault: a torn record would hide those that follow it.
+        self._number = 1 - self._number
+        with self._disk.create(self._path()) as file:
+            file.write(_record([*self._carried, *streams]))
+            file.sync()
+        self._disk.sync_folder(self._folder)
+        self._since_ms, self._carried = now_ms, []
+
+    def _path(self) -> Path:
+        return self._folder / _NAMES[self._number]
+
+
+def _record(streams: Sequence[KnownStream]) -> bytes:
+    body = msgspec.msgpack.encode(list(streams))
+    return len(body).to_bytes(_FIELD_BYTES) + zlib.crc32(body).to_bytes(_FIELD_BYTES) + body
+
+
+def _records_in(data: bytes) -> Iterator[bytes]:
+    """Yield the records of a log up to one that is not whole."""
+    start = 0
+    while start + _HEAD_BYTES <= len(data):
+        size_bytes = int.from_bytes(data[start : start + _FIELD_BYTES])
+        checksum = int.from_bytes(data[start + _FIELD_BYTES : start + _HEAD_BYTES])
+        start += _HEAD_BYTES
+        body = data[start : start + size_bytes]
+        if len(body) < size_bytes or zlib.crc32(body) != checksum:
+            return
+        yield body
+        start += size_bytes
+
+
+class OriginService:
+    """Answers nodes by what it was told, in this process or before it."""
+
+    def __init__(self, disk: Disk, folder: Path, policy: OriginPolicy | None = None) -> None:
+        self._policy = policy or OriginPolicy()
+        self._log = OriginLog(disk, folder, self._policy.keep_ms)
+        self._memory = OriginMemory(self._policy)
+
+    def open(self) -> None:
+        """Read what was kept before; ``OSError`` when the disk cannot be read."""
+        for stream in self._log.read():
+            self._memory.note(stream.stream_key, stream.origin, now_ms())
+
+    def handlers(self) -> dict[type[msgspec.Struct], CallHandler]:
+        """Handlers by message type."""
+        return {KeepOrigins: self._on_keep, FindOrigin: self._on_find}
+
+    async def _on_keep(self, message: KeepOrigins, _peer: ServerPeer) -> KeepOriginsReply:
+        for stream in message.streams:
+            self._memory.note(stream.stream_key, stream.origin, now_ms())
+        try:
+            self._log.append(message.streams, now_ms())
+        except OSError as error:
+            log_event("origins_not_written", reason=str(error))
+            return KeepOriginsReply(ResultCode.STORES_UNAVAILABLE)
+        return KeepOriginsReply(ResultCode.OK)
+
+    async def _on_find(self, message: FindOrigin, _peer: ServerPeer) -> FindOriginReply:
+        known = self._memory.find(message.stream_key, now_ms())
+        return FindOriginReply([] if known is None else [known])
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -32,6 +32,20 @@
             [item.event for item in found], ["config_applied", "call_attempt", "call_given_up"]
         )
 
+    def test_a_stream_is_told_with_its_versions_over_all_tries_of_its_client(self) -> None:
+        lines = [
+            line(1.0, "call_attempt", request_id="r-1", software_version="v1", end="lost"),
+            line(2.0, "stream_taken_up", "n-2", request_id="r-2", resumes="r-1", outcome="no"),
+            line(3.0, "stream_taken_up", "n-3", request_id="r-3", resumes="r-1"),
+            line(3.1, "call_attempt", "n-3", request_id="r-3", software_version="v1", end="whole"),
+            line(4.0, "stream_taken_up", "n-3", request_id="r-9", resumes="r-8"),
+            line(4.1, "stream_taken_up", "n-3", request_id="r-10", resumes=""),
+        ]
+        for identity in ("r-1", "r-2", "r-3"):
+            found = lines_about(identity, lines)
+            self.assertEqual([item.at_s for item in found], [1.0, 2.0, 3.0, 3.1])
+        self.assertEqual([item.at_s for item in lines_about("r-10", lines)], [4.1])
+
     def test_an_unknown_identity_finds_nothing(self) -> None:
         self.assertEqual(lines_about("r-9", self.lines, around_ms=1000.0), [])
 
--- a/tests/test_stream_take_up.py
+++ b/tests/test_stream_take_up.py
@@ -2,6 +2,8 @@
 
 import unittest
 from collections.abc import Awaitable, Callable
+from pathlib import Path
+from tempfile import TemporaryDirectory
 
 import trio
 
@@ -108,6 +110,27 @@
 
         self.run_fleet(test)
 
+    def test_with_two_versions_streams_go_on_after_all_nodes_and_disks_have_lost_power(
+        self,
+    ) -> None:
+        async def test(fleet: NodeFleet) -> None:
+            with TemporaryDirectory() as folder:
+                spools = [await fleet.start_spool(n, Path(folder) / str(n)) for n in range(2)]
+                spool_key = "fescuedock/live/spool/spool-1"
+                await wait_until(lambda: fleet.store.state.get(spool_key) is not None)
+                await trio.sleep(0.5)
+                for number in range(6):
+                    name, path = f"r-{number}", f"/check/{number}"
+                    first = await self.begin(fleet, fleet.nodes[0], name, path)
+                    for spool in spools:
+                        spool.kill()
+                    await self.restart_all(fleet)
+                    spools = [await fleet.restart_spool(spool) for spool in spools]
+                    other = fleet.nodes[1 + number % 2].front
+                    self.check_whole(await take_up(fleet, other, path, b"case", first, name))
+
+        self.run_fleet(test)
+
     async def restart_all(self, fleet: NodeFleet) -> None:
         for node in fleet.nodes:
             node.kill()
