Tell others of streams also when the key-value service is found away

Streams begun shortly before an outage could go on at another node only where the nodes agreed about the outage. Those that nobody else knows are told once a second at the most.

--- a/src/fescuedock/node/stream_origins.py
+++ b/src/fescuedock/node/stream_origins.py
@@ -108,12 +108,20 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             nursery.start_soon(self._keep_records)
-            while True:
-                seen = self._replicas.version
-                if self._has_several():
-                    await self._tell_all(self.memory.untold(now_ms()))
-                with trio.move_on_after(_LOOK_INTERVAL_S):
-                    await self._replicas.wait_changed(seen)
+            nursery.start_soon(self._tell_untold)
+
+    async def _tell_untold(self) -> None:
+        """Tell others of streams that began while no other node had to know of them."""
+        told_ms = float("-inf")
+        while True:
+            seen = self._replicas.version
+            if not self._is_needed_elsewhere():
+                told_ms = float("-inf")
+            elif now_ms() - told_ms >= _LOOK_INTERVAL_S * 1000:
+                told_ms = now_ms()
+                await self._tell_all(self.memory.untold(told_ms))
+            with trio.move_on_after(_LOOK_INTERVAL_S):
+                await self._replicas.wait_changed(seen)
 
     # --- streams that begin ----------------------------------------------------------------------
 
@@ -175,7 +183,7 @@
 
     async def leave(self) -> None:
         """Hand over all that this node knows, before it stops."""
-        if self._has_several():
+        if self._is_needed_elsewhere():
             await self._tell_all(self.memory.all_known(now_ms()))
 
     # --- streams that are taken up ---------------------------------------------------------------
@@ -266,9 +274,10 @@
             return True
         return self._replicas.contact.is_away(now_ms())
 
-    def _has_several(self) -> bool:
-        """Whether streams of any service may have begun at several versions."""
-        return any(len(self._registered(name) or ()) > 1 for name in self._services())
+    def _is_needed_elsewhere(self) -> bool:
+        """Whether other nodes may need to know how streams began here."""
+        served = versions_by_service(self._view.upstreams.values(), self._services())
+        return any(self._is_uncertain(name) for name in served)
 
     def _registered(self, service: str) -> frozenset[str] | None:
         """Return the versions of a service's record; None where there is none."""
