Close two clients' sockets in the tests of online calls

They were left to the garbage collector, which said so: ResourceWarning: unclosed socket, in the tests of a chunked body and of a hidden request. Gone with both closed.

--- a/tests/test_node_online.py
+++ b/tests/test_node_online.py
@@ -281,15 +281,17 @@
     def test_a_body_in_chunks_reaches_the_upstream_whole(self) -> None:
         async def test(fleet: NodeFleet) -> None:
             front = fleet.nodes[0].front
-            stream = await trio.open_tcp_stream(front.host, front.port)
-            head = b"POST /check/1 HTTP/1.1\r\nhost: desk.example\r\nx-request-id: r-chunks\r\n"
-            await stream.send_all(head + b"transfer-encoding: chunked\r\nconnection: close\r\n\r\n")
-            for part in (b"5\r\nfirst\r\n", b"6\r\nsecond\r\n", b"0\r\n\r\n"):
-                await stream.send_all(part)
-                await trio.sleep(0.01)
-            answer = b""
-            while data := await stream.receive_some(65536):
-                answer += data
+            async with await trio.open_tcp_stream(front.host, front.port) as stream:
+                head = b"POST /check/1 HTTP/1.1\r\nhost: desk.example\r\nx-request-id: r-chunks\r\n"
+                await stream.send_all(
+                    head + b"transfer-encoding: chunked\r\nconnection: close\r\n\r\n"
+                )
+                for part in (b"5\r\nfirst\r\n", b"6\r\nsecond\r\n", b"0\r\n\r\n"):
+                    await stream.send_all(part)
+                    await trio.sleep(0.01)
+                answer = b""
+                while data := await stream.receive_some(65536):
+                    answer += data
             self.assertIn(event_bytes(4, "/check/1", len(b"firstsecond")), answer)
             self.assertTrue(answer.endswith(b"0\r\n\r\n"))
             [seen] = [found for item in fleet.upstreams for found in item.seen]
@@ -303,11 +305,11 @@
             hidden = b"POST /rights/9 HTTP/1.1\r\nhost: desk.example\r\nx-request-id: hid\r\n\r\n"
             head = b"POST /check/1 HTTP/1.1\r\nhost: desk.example\r\nx-request-id: r\r\n"
             both = b"content-length: 3\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n"
-            stream = await trio.open_tcp_stream(front.host, front.port)
-            await stream.send_all(head + both + hidden)
-            with trio.move_on_after(1.0):
-                while await stream.receive_some(65536):
-                    pass
+            async with await trio.open_tcp_stream(front.host, front.port) as stream:
+                await stream.send_all(head + both + hidden)
+                with trio.move_on_after(1.0):
+                    while await stream.receive_some(65536):
+                        pass
             self.assertEqual(fleet.upstream_runs("hid"), 0)
 
         self.run_fleet(test)
