Load no messages at a start that nodes and spools do not speak

A node loaded 162 modules at its start where 160 is the bound, as keeping the origins of streams added three: test_node_start failed.

--- a/src/fescuedock/node/job_store.py
+++ b/src/fescuedock/node/job_store.py
@@ -10,7 +10,6 @@
 import msgspec
 from result import Err, Ok, Result
 
-from fescuedock.core.stored_jobs.commit import CommitState, judge_commit
 from fescuedock.core.stored_jobs.keys import JobKeys
 from fescuedock.core.stored_jobs.ownership import is_open
 from fescuedock.faults import Fault
@@ -204,6 +203,9 @@
             if isinstance(result, Ok):
                 return Ok(VersionedRecord(wanted, result.ok_value))
             if result.err_value.code is ResultCode.KV_CONFLICT:
+                # Loaded here, as each module that a start loads costs all restarts of a fleet.
+                from fescuedock.core.stored_jobs.commit import CommitState, judge_commit
+
                 found = await self.read_record(wanted.job_id)
                 if isinstance(found, Ok):
                     match judge_commit(wanted, found.ok_value and found.ok_value.record):
--- a/src/fescuedock/node/main.py
+++ b/src/fescuedock/node/main.py
@@ -15,7 +15,7 @@
 from result import Result
 
 from fescuedock.address import Address
-from fescuedock.agent.codec import open_codec
+from fescuedock.agent.codec import open_node_codec
 from fescuedock.agent.crash_service import CrashService
 from fescuedock.agent.link import FleetView
 from fescuedock.agent.membership_service import MembershipService
@@ -85,7 +85,7 @@
     settings: Settings, stop: Stop, *, task_status: trio.TaskStatus[Address]
 ) -> None:
     """Run the node until ``stop`` and the graceful shutdown after it; reports its front address."""
-    codec = open_codec(settings.vm)
+    codec = open_node_codec(settings.vm)
     handlers: dict[type[msgspec.Struct], CallHandler] = {}
     view = FleetView(settings.vm.vm_id)
     holder_id = f"{settings.vm.vm_id}/node/{token_hex(8)}"
--- a/src/fescuedock/spool/main.py
+++ b/src/fescuedock/spool/main.py
@@ -7,7 +7,7 @@
 import trio
 
 from fescuedock.address import Address
-from fescuedock.agent.codec import open_codec
+from fescuedock.agent.codec import open_node_codec
 from fescuedock.core.stored_jobs.keys import JobKeys
 from fescuedock.daemon import Stop, run_program
 from fescuedock.log import log_event
@@ -57,7 +57,7 @@
     try:
         async with trio.open_nursery() as nursery:
             address = await nursery.start(
-                serve_channel, Address(vm.host, port), open_codec(vm), handle
+                serve_channel, Address(vm.host, port), open_node_codec(vm), handle
             )
             nursery.start_soon(service.run)
             task_status.started(address)
