--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -31,6 +31,7 @@
 # Long enough for about ten faults; the long runs are made by hand (docs/SOAK.md).
 FAULT_S = 6.0
 SEED = 20
+RELEASE_SEED = 44
 NODES = 3
 TEXT = wanted_text("item-1")
 LOGS = Path(__file__).parents[1] / "soak-logs" / "tests"
@@ -68,6 +69,12 @@
         self.assertGreater(report.lost_ends, 0)
         self.assertEqual(report.broken_lost_ends, [], f"logs and report are in {LOGS}")
 
+    def test_streams_keep_their_version_while_releases_overlap_with_faults(self) -> None:
+        report = run_seed(RELEASE_SEED, LOGS, FAULT_S, NODES, releases=True)
+        self.check(report)
+        self.assertGreater(report.taken_up, 0)
+        self.assertGreater(report.went_on, 0)
+
     def test_logs_of_an_earlier_failure_stay(self) -> None:
         with tempfile.TemporaryDirectory() as name:
             wanted = Path(name) / "seed-3"
