--- a/src/fescuedock/node/stream_origins.py
+++ b/src/fescuedock/node/stream_origins.py
@@ -93,7 +93,7 @@
         self._retirement = Retirement(self._policy)
         # By service, its record as it was last decoded.
         self._decoded: dict[str, tuple[int, frozenset[str]]] = {}
-        # Nodes by their records: failure domain and address, as of a version of the table.
+        # Nodes and spools by their records: failure domain and address, as of a table's version.
         self._nodes: dict[str, tuple[str, Address]] = {}
         self._spools: dict[str, tuple[str, Address]] = {}
         self._nodes_version = -1
@@ -161,7 +161,7 @@
     ) -> None:
         streams = [KnownStream(key, origin) for key, origin in origins.items()]
         reply = await self._call(name, KeepOrigins(streams), _TELL_TIMEOUT_MS)
-        if not isinstance(reply, KeepOriginsReply):
+        if not isinstance(reply, KeepOriginsReply) or reply.code != ResultCode.OK:
             return
         self.memory.note_told(origins)
         if kept is not None:
@@ -296,8 +296,9 @@
         """Add versions that are listed to the records, and remove those that are long gone."""
         while True:
             seen = self._view.version
-            for service, wanted in self._due_records().items():
-                await self._write_in_turn(service, wanted)
+            async with trio.open_nursery() as nursery:
+                for service, wanted in self._due_records().items():
+                    nursery.start_soon(self._write_in_turn, service, wanted)
             with trio.move_on_after(_LOOK_INTERVAL_S):
                 await self._view.wait_changed(seen)
 
--- a/tests/test_stream_take_up.py
+++ b/tests/test_stream_take_up.py
@@ -9,7 +9,13 @@
 
 from fescuedock.schema.origins import KeepOrigins
 from fescuedock.schema.result_codes import ResultCode
-from tests.builders.node import Answer, NodeFleet, RunningNode, running_fleet
+from tests.builders.node import (
+    Answer,
+    NodeFleet,
+    RunningNode,
+    config_document,
+    running_fleet,
+)
 from tests.builders.online import wait_until
 from tests.builders.standins import run_async
 from tests.builders.versions import TakenUp, event_numbers, take_up
@@ -171,6 +177,29 @@
 
         self.run_fleet(test, versions=("v1",), nodes=2)
 
+    def test_new_versions_of_many_services_are_named_at_once(self) -> None:
+        async def test(fleet: NodeFleet) -> None:
+            document = config_document(version=2)
+            names = [f"llm-{number}" for number in range(40)]
+            [stream, *_] = document["routes"]
+            document["services"] += [{"name": name, "healthPath": "/health"} for name in names]
+            document["routes"] += [
+                stream | {"name": name, "prefix": f"/{name}/", "service": name} for name in names
+            ]
+            fleet.configure(document)
+            await trio.sleep(BEFORE_RELEASE_S)
+            for name in names:
+                fleet.register(fleet.upstreams[0], service=name)
+                key = f"servers/{name}"
+                entry = fleet.store.state.get(f"servers/{fleet.upstreams[0].upstream_id}")
+                fleet.store.state.put(key, entry.value)
+            with trio.fail_after(1.5):
+                for name in names:
+                    key = f"fescuedock/live/version/{name}"
+                    await wait_until(lambda key=key: fleet.store.state.get(key) is not None)
+
+        self.run_fleet(test, nodes=2)
+
     def test_an_identity_that_is_no_streams_begins_none_of_another(self) -> None:
         async def test(fleet: NodeFleet) -> None:
             first = await self.begin(fleet, fleet.nodes[0], "r-1")
