Know a stream that began anew by its own identity

A client whose first try brought no event may still name it; the stream that it then got from the beginning was kept under that name, so its next try was refused. The test fails before (503 where 200 is wanted) and passes after.

--- a/src/fescuedock/node/online_call.py
+++ b/src/fescuedock/node/online_call.py
@@ -122,7 +122,8 @@
         self.work_id = work_identity(request.method, host, request.target, self.customer, body)
         # Of the upstreams that the stream goes on at; None while the client has nothing of it.
         self.software_version: str | None = None
-        self.stream_key = stream_key(self.head.resumes or self.head.request_id, self.work_id)
+        begun_by = self.head.resumes if self.head.last_event >= 0 else ""
+        self.stream_key = stream_key(begun_by or self.head.request_id, self.work_id)
         parts = self.head.shared_parts
         self.demand = Demand(
             prompt_tokens=self.head.prompt_tokens,
--- a/tests/test_stream_take_up.py
+++ b/tests/test_stream_take_up.py
@@ -39,21 +39,28 @@
         run_async(run)
 
     async def begin(
-        self, fleet: NodeFleet, node: RunningNode, name: str, path="/check/7"
+        self,
+        fleet: NodeFleet,
+        node: RunningNode,
+        name: str,
+        path: str = "/check/7",
+        **headers: str,
     ) -> Answer:
         """Have a client read the first two events of a stream and lose its connection."""
         for upstream in fleet.upstreams:
             upstream.event_interval_ms = 60
-        answer = await self.cut_short(fleet, node, name, path)
+        fields = {"host": "desk.example", "x-request-id": name} | headers
+        answer = await self.cut_short(fleet, node, path, fields)
         for upstream in fleet.upstreams:
             upstream.event_interval_ms = 1
         return answer
 
-    async def cut_short(self, fleet: NodeFleet, node: RunningNode, name: str, path: str) -> Answer:
+    async def cut_short(
+        self, fleet: NodeFleet, node: RunningNode, path: str, headers: dict[str, str]
+    ) -> Answer:
         body = b""
-        headers = [("host", "desk.example"), ("x-request-id", name)]
         async with fleet.http.request(
-            node.front, "POST", path, headers, b"case", fresh=True
+            node.front, "POST", path, list(headers.items()), b"case", fresh=True
         ) as response:
             async for part in response.chunks():
                 body += part
@@ -217,6 +224,17 @@
 
         self.run_fleet(test)
 
+    def test_a_stream_that_began_anew_is_known_by_its_own_identity(self) -> None:
+        async def test(fleet: NodeFleet) -> None:
+            # The first try brought nothing, so what its client names began nothing.
+            for number in range(4):
+                name = f"r-{number}"
+                first = await self.begin(fleet, fleet.nodes[0], name, resumes="r-nothing")
+                other = fleet.nodes[1].front
+                self.check_whole(await take_up(fleet, other, "/check/7", b"case", first, name))
+
+        self.run_fleet(test)
+
     def test_a_stream_whose_version_has_gone_is_refused_at_once(self) -> None:
         async def test(fleet: NodeFleet) -> None:
             first = await self.begin(fleet, fleet.nodes[0], "r-1")
