--- a/tests/test_send_gate.py
+++ b/tests/test_send_gate.py
@@ -57,6 +57,7 @@
             (SendRefusal.GONE, judge(None)),
             (SendRefusal.MOVED, judge(upstream_record(10))),
             (SendRefusal.MOVED, judge(upstream_record(9, host="127.0.0.2"))),
+            (SendRefusal.REPLACED, judge(upstream_record(9, software_version="v2"))),
             (SendRefusal.LEAVING, judge(upstream_record(9, leaving=True))),
             (SendRefusal.REVOKED, judge(permit=PermitStanding(True, NOW_MS + 1))),
             (SendRefusal.LAPSED, judge(permit=PermitStanding(False, NOW_MS))),
--- a/tests/test_stream_take_up.py
+++ b/tests/test_stream_take_up.py
@@ -4,9 +4,11 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from tempfile import TemporaryDirectory
+from unittest import mock
 
 import trio
 
+from fescuedock.node.stream_origins import StreamOrigins
 from fescuedock.schema.origins import KeepOrigins
 from fescuedock.schema.result_codes import ResultCode
 from tests.builders.node import (
@@ -90,9 +92,9 @@
 
     def test_a_stream_goes_on_after_the_node_that_began_it_has_stopped_as_planned(self) -> None:
         async def test(fleet: NodeFleet) -> None:
-            started = [await self.begin(fleet, fleet.nodes[0], f"r-{n}") for n in range(4)]
-            # Both nodes that may have been told leave one after the other.
-            for node in fleet.nodes[:2]:
+            started = [await self.begin(fleet, fleet.nodes[0], f"r-{n}") for n in range(8)]
+            # All that were told leave, one after the other, but for what they hand over.
+            for node in fleet.nodes[:3]:
                 node.stop.request()
                 await node.ended.wait()
             for number, first in enumerate(started):
@@ -184,6 +186,24 @@
 
         self.run_fleet(test, versions=("v1",), nodes=2)
 
+    def test_a_version_that_no_record_names_gets_no_stream(self) -> None:
+        async def never(*_args: object) -> None:
+            """Write nothing."""
+
+        async def test(fleet: NodeFleet) -> None:
+            with mock.patch.object(StreamOrigins, "_write_in_turn", never):
+                new = await fleet.start_upstream("i-new", version="v1.1")
+                await trio.sleep(BEFORE_RELEASE_S)
+                # More at once than the other one has slots for.
+                fleet.upstreams[0].event_interval_ms = 40
+                async with trio.open_nursery() as nursery:
+                    for number in range(8):
+                        path = f"/check/{number}"
+                        nursery.start_soon(fleet.call, fleet.nodes[0].front, "POST", path, b"a")
+            self.assertEqual(new.seen, [])
+
+        self.run_fleet(test, versions=("v1",), nodes=1)
+
     def test_new_versions_of_many_services_are_named_at_once(self) -> None:
         async def test(fleet: NodeFleet) -> None:
             document = config_document(version=2)
