Give overdue batch items one grant in eight, so that younger work cannot pass them for ever

Callers saw an accepted job whose items were not listed while younger jobs kept coming.

Cause: items that cannot be on time run after all others, at the node that chooses (rank_items, take_turns), in the queues of owners (batch_rank, turn_rank) and when calls need slots (victims). A node's asks name the items that come first, so that no owner ever heard of a late one.

Evidence: a model of 4 nodes and 16 slots with the shipped decisions, younger jobs that never stop and one job that is late from the beginning.

Change: a batch item that has missed its last chance to be on time by 2 s is overdue. An owner gives one batch grant in eight to overdue work, the longest overdue first, whoever's it is; a node asks one owner for its longest overdue item beside its other asks, and uses such a grant for it. Lateness follows from the job's record, so it survives owners, nodes and revocations. A run in its turn is not the first to give way.

--- a/src/fescuedock/agent/permit_client.py
+++ b/src/fescuedock/agent/permit_client.py
@@ -19,6 +19,7 @@
 from fescuedock.agent.peers import PeerChannels
 from fescuedock.clock import now_ms
 from fescuedock.core.permits.holder import HeldGrant, HolderBook, LocalLimit, lapsed_by_ms
+from fescuedock.core.permits.queued import is_overdue
 from fescuedock.core.recent_runs import RecentRuns
 from fescuedock.faults import Fault
 from fescuedock.net.channel import CallHandler, ChannelClient, Push
@@ -89,6 +90,11 @@
         """Whose share it was granted from."""
         return self._held.ask.member
 
+    @property
+    def is_overdue(self) -> bool:
+        """Whether it was asked for on behalf of overdue batch work."""
+        return is_overdue(self._held.ask.stage, self._held.ask.slack_ms)
+
     @property
     def work_id(self) -> str:
         """The identity of the work that runs under it; empty while none is chosen."""
--- a/src/fescuedock/core/permits/held.py
+++ b/src/fescuedock/core/permits/held.py
@@ -22,6 +22,8 @@
     granted_ms: float
     expires_ms: float
     stage: BatchStage = BatchStage.FRESH
+    # Overdue work that got its turn: late as it is, it gives way like other work that has begun.
+    in_turn: bool = False
     # When its run will be over, as far as its holder can tell; 0 when it says nothing.
     done_ms: float = 0.0
     prompt_tokens: int = 0
@@ -182,13 +184,14 @@
         """Return the ``count`` batch permits whose loss costs least.
 
         What is late goes first and what cutting would make late goes last; in between, the longer
-        it still has to run the sooner it goes, as the other will soon be done.  Where holders do
+        it still has to run the sooner it goes, as the other will soon be done.  What runs in its
+        turn as overdue counts as begun.  Where holders do
         not say that, those due soon go last and the fewest tokens to read again go first.
         """
         candidates = self.staying_batch_permits()
 
         def loss(held: Held) -> tuple[int, bool, float, int]:
-            stage, _ = batch_rank(held.stage, 0.0, 0.0)
+            stage, _ = batch_rank(BatchStage.BEGUN if held.in_turn else held.stage, 0.0, 0.0)
             is_due_soon = held.due_ms - now_ms < urgent_slack_ms
             return (-stage, is_due_soon, -held.left_ms(now_ms), held.redo_tokens)
 
--- a/src/fescuedock/core/permits/queue.py
+++ b/src/fescuedock/core/permits/queue.py
@@ -339,6 +339,7 @@
         start = self._first_token.start(ask.prompt_tokens, self._held.staying, now_ms)
         held = Held.granted(ask, start, now_ms, self.valid_ms)
         held.charged_tokens = self._waiting.charge(waiting, now_ms)
+        held.in_turn = self._waiting.note_grant(waiting, now_ms)
         self._held.add(held, now_ms)
         self._note_online(ask.work_class, now_ms)
         if ask.work_class is WorkClass.ONLINE:
--- a/src/fescuedock/core/permits/queued.py
+++ b/src/fescuedock/core/permits/queued.py
@@ -9,7 +9,19 @@
 
 from fescuedock.schema.permits import BatchStage, PermitAsk, WorkClass
 
-__all__ = ["MemberShares", "Waiting", "batch_rank", "turn_rank"]
+__all__ = [
+    "OVERDUE_EVERY",
+    "MemberShares",
+    "Waiting",
+    "batch_rank",
+    "is_overdue",
+    "turn_rank",
+]
+
+# One batch grant in so many goes to overdue work, before all other batch.
+OVERDUE_EVERY = 8
+# By so much has work missed its last chance to be on time when it counts as overdue.
+_OVERDUE_MS = 2000.0
 
 _STAGE_RANKS = {stage: number for number, stage in enumerate(BatchStage)}
 # Customers take turns among work that can wait equally well: what another wait would make late goes
@@ -55,6 +67,12 @@
             return batch_rank(self.ask.stage, self.ask.left_ms, self.due_ms)
         return int(self.is_late(now_ms)), self.start_by_ms
 
+    def is_overdue(self, now_ms: float) -> bool:
+        """Whether this is batch work that has turns of its own, see ``is_overdue``."""
+        return self.ask.work_class is WorkClass.BATCH and is_overdue(
+            self.ask.stage, self.due_ms - now_ms
+        )
+
     @property
     def turn_rank(self) -> int:
         """Return what asks of one class and priority are ordered by before customers take turns."""
@@ -87,6 +105,14 @@
         return self.due_ms if self.ask.target_ms else min(self.answer_by_ms, self.due_ms)
 
 
+def is_overdue(stage: BatchStage, slack_ms: float) -> bool:
+    """Whether batch work is so late that it is not to be passed over any longer.
+
+    What is late runs after all that can still be on time, which may never end.
+    """
+    return stage is BatchStage.LATE and slack_ms <= -_OVERDUE_MS
+
+
 def turn_rank(stage: BatchStage) -> int:
     """Return by what batch work is ordered before customers take turns; the lower goes first."""
     return _TURN_RANKS[stage]
--- a/src/fescuedock/core/permits/waiting.py
+++ b/src/fescuedock/core/permits/waiting.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from fescuedock.core.permits.held import Held
-from fescuedock.core.permits.queued import MemberShares, Waiting
+from fescuedock.core.permits.queued import OVERDUE_EVERY, MemberShares, Waiting
 from fescuedock.schema.permits import WorkClass
 
 if TYPE_CHECKING:
@@ -19,7 +19,8 @@
     """A queue of one upstream.  Online always goes before batch.
 
     Within a class, ``FairOrder`` decides between customers and priorities, so that one customer's
-    backlog cannot hold up another's; among a customer's, what must start soonest goes first.
+    backlog cannot hold up another's; among a customer's, what must start soonest goes first.  Batch
+    work that is overdue has a share of the grants to itself, whoever's it is.
     """
 
     shares: MemberShares
@@ -32,6 +33,8 @@
     # Of them, those that name a customer or a priority; without any, nothing is kept of customers.
     _shared: int = 0
     _orders: dict[WorkClass, "FairOrder"] = msgspec.field(default_factory=dict)
+    # Batch grants since overdue work had its last turn.
+    _since_overdue: int = 0
 
     def __contains__(self, attempt_id: str) -> bool:
         return attempt_id in self._by_attempt
@@ -80,8 +83,23 @@
         asks = [item for item in self._by_attempt.values() if item.ask.work_class is work_class]
         if not self._shared or len(asks) < 2:
             asks.sort(key=lambda item: item.order(now_ms))
-            return asks
-        return self._order(work_class).in_order(asks, self.shares, running, now_ms)
+        else:
+            asks = self._order(work_class).in_order(asks, self.shares, running, now_ms)
+        if work_class is WorkClass.BATCH and self._is_overdue_turn:
+            _put_longest_overdue_first(asks, now_ms)
+        return asks
+
+    @property
+    def _is_overdue_turn(self) -> bool:
+        return self._since_overdue >= OVERDUE_EVERY - 1
+
+    def note_grant(self, waiting: Waiting, now_ms: float) -> bool:
+        """Take in that an ask is granted; return whether it was the turn of overdue work."""
+        if waiting.ask.work_class is not WorkClass.BATCH:
+            return False
+        is_turn = self._is_overdue_turn and waiting.is_overdue(now_ms)
+        self._since_overdue = 0 if is_turn else self._since_overdue + 1
+        return is_turn
 
     def _order(self, work_class: WorkClass) -> "FairOrder":
         order = self._orders.get(work_class)
@@ -137,3 +155,11 @@
         total = sum(running(name) for name in members)
         weight = sum(self.shares.weight(name) for name in members)
         return running(member) > total * self.shares.weight(member) / weight
+
+
+def _put_longest_overdue_first(asks: list[Waiting], now_ms: float) -> None:
+    overdue = (item for item in asks if item.is_overdue(now_ms))
+    longest = min(overdue, key=lambda item: item.due_ms, default=None)
+    if longest is not None:
+        asks.remove(longest)
+        asks.insert(0, longest)
--- a/src/fescuedock/core/stored_jobs/pool.py
+++ b/src/fescuedock/core/stored_jobs/pool.py
@@ -16,6 +16,8 @@
 
 __all__ = ["ItemPool", "Site"]
 
+_FAILED_HERE_MS = 5000.0
+
 
 class Site(msgspec.Struct, frozen=True):
     """The software version of an upstream, and those that upstreams of its service have now."""
@@ -76,12 +78,7 @@
         One of ``customer``, whose turn it is at the upstream, goes first; None when no item could
         start there.
         """
-        ranked = self._ranked(upstream_id, service, now_ms)
-        choices = ranked
-        if not self._all_free():
-            choices = [item for item in ranked if self._stands(item.run, Standing.FREE)]
-        if site is not None:
-            choices = self._startable(choices, site)
+        choices = self._choices(upstream_id, service, now_ms, site)
         if not choices:
             return None
         if customer:
@@ -93,12 +90,40 @@
             choices = own or choices
         return choices[min(position, len(choices) - 1)]
 
+    def choose_overdue(
+        self, upstream_id: str, service: str, now_ms: float, site: Site | None = None
+    ) -> ItemChoice | None:
+        """Return the item that is overdue for the longest time, whoever's it is.
+
+        One that the upstream has failed counts as due later, so that it is tried elsewhere first.
+        """
+        overdue = (
+            choice
+            for choice in self._choices(upstream_id, service, now_ms, site)
+            if choice.is_overdue
+        )
+
+        def due_ms(choice: ItemChoice) -> float:
+            penalty_ms = _FAILED_HERE_MS if upstream_id in choice.run.avoided else 0.0
+            return choice.job.due_ms + penalty_ms
+
+        return min(overdue, key=due_ms, default=None)
+
     def choose_alone(self, service: str, now_ms: float) -> ItemChoice | None:
         """Return the most urgent item of those that may only run alone."""
         ranked = self._ranked("", service, now_ms)
         choices = (item for item in ranked if self._stands(item.run, Standing.ALONE))
         return next(choices, None)
 
+    def _choices(
+        self, upstream_id: str, service: str, now_ms: float, site: Site | None
+    ) -> list[ItemChoice]:
+        """Return the items that may start at an upstream beside others, the next one first."""
+        choices = self._ranked(upstream_id, service, now_ms)
+        if not self._all_free():
+            choices = [item for item in choices if self._stands(item.run, Standing.FREE)]
+        return choices if site is None else self._startable(choices, site)
+
     def _startable(self, choices: Iterable[ItemChoice], site: Site) -> list[ItemChoice]:
         """Return the items that may start at an upstream, those last that would begin anew there.
 
--- a/src/fescuedock/core/stored_jobs/urgency.py
+++ b/src/fescuedock/core/stored_jobs/urgency.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from fescuedock.core.permits.queued import batch_rank
+from fescuedock.core.permits.queued import batch_rank, is_overdue
 from fescuedock.core.stored_jobs.job import ItemRun, StoredJob
 from fescuedock.core.stored_jobs.pace import Pace, RunEstimate
 from fescuedock.schema.permits import BatchStage
@@ -35,6 +35,11 @@
     # Since the item last ran, or since its job came.
     waited_ms: float = 0.0
 
+    @property
+    def is_overdue(self) -> bool:
+        """Whether it has turns of its own in the queues of owners."""
+        return is_overdue(self.stage, self.slack_ms)
+
     def rank(self) -> tuple[int, float]:
         """Return what this item is ordered by among items; the lower goes first."""
         return batch_rank(self.stage, self.left_ms, self.job.due_ms)
--- a/src/fescuedock/node/item_asking.py
+++ b/src/fescuedock/node/item_asking.py
@@ -28,14 +28,16 @@
 _REFUSED_PAUSE_MS = 60.0
 # A load that is older says nothing, as for online calls.
 _LOAD_FRESH_MS = RoutingPolicy().stale_ms
+# Overdue items are asked for one at a time: the one that waits longest, at one owner.
+_OVERDUE_ASKS = AskPolicy(per_item=1)
 
 
 class ItemAsker:
     """Asks for permits and hands each one to ``use``, which gives it back when nothing waits.
 
     ``waiting`` counts the items that could start now, by the service they need; ``choose`` returns
-    the most urgent of them for an upstream, or one at a later position; ``priority`` gives that of
-    a job's items.
+    the most urgent of them for an upstream, or one at a later position; ``choose_overdue`` the one
+    that has a claim to a turn of its own; ``priority`` gives that of a job's items.
     """
 
     def __init__(
@@ -47,6 +49,7 @@
         waiting: Callable[[], Mapping[str, int]],
         choose: Callable[[UpstreamRecord, int], ItemChoice | None],
         use: Callable[[str, Grant], None],
+        choose_overdue: Callable[[UpstreamRecord], ItemChoice | None] = lambda _upstream: None,
         priority: Callable[[StoredJobRecord], int] = lambda _record: 0,
         policy: AskPolicy | None = None,
     ) -> None:
@@ -57,10 +60,13 @@
         self._waiting = waiting
         self._choose = choose
         self._use = use
+        self._choose_overdue = choose_overdue
         self._priority = priority
         self._policy = policy or AskPolicy()
         # The upstreams that are being asked, with their services.
         self._asking: dict[str, str] = {}
+        # The services of which overdue items are asked for.
+        self._asking_overdue: set[str] = set()
         self._work = trio.Event()
 
     def wake(self) -> None:
@@ -97,6 +103,19 @@
             for number, upstream_id in enumerate(chosen, start=open_asks[service]):
                 self._asking[upstream_id] = service
                 nursery.start_soon(self._ask, upstream_id, number // self._policy.per_item)
+            if count and service not in self._asking_overdue:
+                self._ask_overdue_of(service, nursery)
+
+    def _ask_overdue_of(self, service: str, nursery: trio.Nursery) -> None:
+        """Ask one owner beside the other asks, which are all for items that can be on time."""
+        candidates = [
+            AskCandidate(item.upstream_id, self._free_slots(item.upstream_id))
+            for item in self._view.upstreams_of(service)
+            if not item.leaving and self._choose_overdue(item) is not None
+        ]
+        for upstream_id in choose_asks(1, 0, candidates, _OVERDUE_ASKS, self._rng):
+            self._asking_overdue.add(service)
+            nursery.start_soon(self._ask_overdue, upstream_id, service)
 
     def _is_wanted(self, upstream: UpstreamRecord, versions: Collection[str]) -> bool:
         """Whether an item could start at an upstream; one that has begun waits for its version."""
@@ -111,22 +130,34 @@
     async def _ask(self, upstream_id: str, position: int) -> None:
         """Ask once, for the item at ``position``; a refusing upstream is left alone for a while."""
         try:
-            upstream = self._view.upstreams.get(upstream_id)
-            if upstream is None:
-                return
-            timeout_ms = self._settings.ask_wait_ms + _ASK_MARGIN_MS
-            granted = await self._permits.ask(self._new_ask(upstream, position), timeout_ms)
-            if isinstance(granted, Ok):
-                self._use(upstream_id, granted.ok_value)
-                return
-            pause_ms = max(granted.err_value.retry_after_ms, _REFUSED_PAUSE_MS)
-            await trio.sleep(pause_ms * self._rng.uniform(0.5, 1.5) / 1000)
+            await self._ask_once(upstream_id, lambda upstream: self._choose(upstream, position))
         finally:
             self._asking.pop(upstream_id, None)
             self.wake()
 
-    def _new_ask(self, upstream: UpstreamRecord, position: int) -> PermitAsk:
-        choice = self._choose(upstream, position)
+    async def _ask_overdue(self, upstream_id: str, service: str) -> None:
+        try:
+            await self._ask_once(upstream_id, self._choose_overdue)
+        finally:
+            self._asking_overdue.discard(service)
+            self.wake()
+
+    async def _ask_once(
+        self, upstream_id: str, choose: Callable[[UpstreamRecord], ItemChoice | None]
+    ) -> None:
+        """Ask, and use what is granted; return a while after a refusal."""
+        upstream = self._view.upstreams.get(upstream_id)
+        if upstream is None:
+            return
+        timeout_ms = self._settings.ask_wait_ms + _ASK_MARGIN_MS
+        granted = await self._permits.ask(self._new_ask(upstream, choose(upstream)), timeout_ms)
+        if isinstance(granted, Ok):
+            self._use(upstream_id, granted.ok_value)
+            return
+        pause_ms = max(granted.err_value.retry_after_ms, _REFUSED_PAUSE_MS)
+        await trio.sleep(pause_ms * self._rng.uniform(0.5, 1.5) / 1000)
+
+    def _new_ask(self, upstream: UpstreamRecord, choice: ItemChoice | None) -> PermitAsk:
         ask = PermitAsk(
             upstream_id=upstream.upstream_id,
             attempt_id=token_hex(16),
--- a/src/fescuedock/node/job_runner.py
+++ b/src/fescuedock/node/job_runner.py
@@ -129,7 +129,15 @@
             self._priority,
         )
         self._asker = ItemAsker(
-            settings, view, permits, rng, self._waiting, self._choose, self._use, self._priority
+            settings,
+            view,
+            permits,
+            rng,
+            self._waiting,
+            self._choose,
+            self._use,
+            self._choose_overdue,
+            self._priority,
         )
         self._lone_items = LoneItems(view, permits, self._lone_item, self._use_alone)
         # Whether jobs wait for news of their records.
@@ -496,6 +504,11 @@
             self._site(upstream),
         )
 
+    def _choose_overdue(self, upstream: UpstreamRecord) -> ItemChoice | None:
+        return self._pool.choose_overdue(
+            upstream.upstream_id, upstream.service, now_ms(), self._site(upstream)
+        )
+
     def _site(self, upstream: UpstreamRecord) -> Site:
         served = frozenset(
             item.software_version
@@ -505,9 +518,16 @@
         return Site(upstream.software_version, served)
 
     def _use(self, upstream_id: str, grant: Grant) -> None:
-        """Run the most urgent item under ``grant``, or give it back when there is none any more."""
+        """Run the most urgent item under ``grant``, or give it back when there is none any more.
+
+        One that was asked for on behalf of overdue items is used for those.
+        """
         upstream = self._view.upstreams.get(upstream_id)
-        choice = self._choose(upstream, customer=grant.member) if upstream is not None else None
+        choice = None
+        if upstream is not None and grant.is_overdue:
+            choice = self._choose_overdue(upstream)
+        if upstream is not None and choice is None:
+            choice = self._choose(upstream, customer=grant.member)
         if choice is None:
             self._permits.give_back(grant)
             return
--- a/tests/builders/load_player.py
+++ b/tests/builders/load_player.py
@@ -24,6 +24,7 @@
 from fescuedock.agent.permit_service import PermitService
 from fescuedock.clock import now_ms
 from fescuedock.core.admission import Admission
+from fescuedock.core.forwarding.progress import AttemptEnd
 from fescuedock.core.route_learning import AskTimeout, DomainLatency, PrefillModel, SilentOwners
 from fescuedock.core.routing import Demand, Ranking, RoutingPolicy
 from fescuedock.core.stored_jobs.job import ItemEnd, ItemRun, StoredJob
@@ -34,7 +35,7 @@
 from fescuedock.node.attempt import AttemptRecord
 from fescuedock.node.item_asking import ItemAsker
 from fescuedock.schema.config import Configuration
-from fescuedock.schema.permits import AttemptOutcome, EndedPermit, LoadSnapshot
+from fescuedock.schema.permits import LoadSnapshot
 from fescuedock.schema.result_codes import ResultCode
 from fescuedock.schema.settings import (
     AgentSettings,
@@ -114,6 +115,10 @@
     due_ms: float = 18_000.0
     events: int = 182
     event_ms: float = 28.0
+    # Of each run, before its first event.
+    first_event_ms: float = 0.0
+    # The client of a job ends it after so long.
+    ended_after_s: float = float("inf")
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,6 +128,7 @@
     took_ms: float
     due_ms: float
     runs: int
+    job_id: str = ""
 
     @property
     def on_time(self) -> bool:
@@ -306,6 +312,11 @@
     # Slot-seconds that were free, and those of them in which an item waited; both while jobs come.
     idle_slot_s: float = 0.0
     wasted_slot_s: float = 0.0
+    # Of items: all that they ran, and the runs with events of those that became whole.
+    batch_slot_s: float = 0.0
+    whole_slot_s: float = 0.0
+    # Runs that were cut off before their first event.
+    barren_runs: int = 0
 
     @classmethod
     async def start(
@@ -527,25 +538,43 @@
         self._jobs: list[StoredJob] = []
         self._lengths: dict[str, int] = {}
         self._runs: Counter[str] = Counter()
+        # Time of the runs with events, by item.
+        self._gaining_s: Counter[str] = Counter()
         self._pool = ItemPool(lambda: self._jobs, lambda _record, _service: True)
         settings = NodeSettings("0.0.0.0:1", "0.0.0.0:1", "0.0.0.0:1", "0.0.0.0:1")
         self._asker = ItemAsker(
-            settings, node.view, node.permits, node.rng, self._waiting, self._choose, self._use
+            settings,
+            node.view,
+            node.permits,
+            node.rng,
+            self._waiting,
+            self._choose,
+            self._use,
+            self._choose_overdue,
         )
         self.outcomes: list[ItemOutcome] = []
 
-    def add_job(self, number: int, rng: random.Random) -> None:
+    def add_job(self, number: int, rng: random.Random, due_ms: float | None = None) -> str:
+        """Take in a job and return its identity; ``due_ms`` takes the place of the load's."""
         load = self._load
         names = [f"{number}-{index}" for index in range(load.items)]
         for name in names:
             self._lengths[name] = max(10, round(rng.gauss(load.events, load.events / 6)))
         items = [StoredItem(name, "/letters/", [], b"", 100) for name in names]
+        due_ms = load.due_ms if due_ms is None else due_ms
         record = StoredJobRecord(
-            f"job-{number}", "desk.example", "/letters/", 0, int(load.due_ms), 60_000, len(items)
+            f"job-{number}", "desk.example", "/letters/", 0, int(due_ms), 60_000, len(items)
         )
-        due_ms = now_ms() + load.due_ms
-        self._jobs.append(StoredJob(record, items, [], due_ms, due_ms + 60_000))
+        due_at_ms = now_ms() + due_ms
+        job = StoredJob(record, items, [], due_at_ms, due_at_ms + 60_000)
+        self._jobs.append(job)
         self._asker.wake()
+        return job.job_id
+
+    async def end_job(self, job_id: str, after_s: float) -> None:
+        """Let a client end a job; what runs of it may finish."""
+        await trio.sleep(after_s)
+        self._jobs = [job for job in self._jobs if job.job_id != job_id]
 
     async def run(self) -> None:
         await self._asker.run(self._next_look_s)
@@ -562,8 +591,13 @@
     def _choose(self, upstream: UpstreamRecord, position: int = 0) -> ItemChoice | None:
         return self._pool.choose(upstream.upstream_id, SERVICE, now_ms(), position)
 
+    def _choose_overdue(self, upstream: UpstreamRecord) -> ItemChoice | None:
+        return self._pool.choose_overdue(upstream.upstream_id, SERVICE, now_ms())
+
     def _use(self, upstream_id: str, grant: Grant) -> None:
-        choice = self._choose(self._node.view.upstreams[upstream_id])
+        upstream = self._node.view.upstreams[upstream_id]
+        choice = self._choose_overdue(upstream) if grant.is_overdue else None
+        choice = choice or self._choose(upstream)
         if choice is None:
             self._node.permits.give_back(grant)
             return
@@ -575,27 +609,43 @@
         return self._load.event_ms * self._fleet.factor(grant.upstream_id)
 
     async def _run_item(self, job: StoredJob, run: ItemRun, grant: Grant) -> None:
-        length = self._lengths[run.item.item_id]
-        self._runs[run.item.item_id] += 1
+        name = run.item.item_id
+        length = self._lengths[name]
+        self._runs[name] += 1
         self._fleet.begin_run(grant.upstream_id)
+        record = AttemptRecord(grant, grant.work_class, now_ms())
+        began_event = run.last_event
+        await self._wait(grant, self._load.first_event_ms)
         while run.last_event + 1 < length and not grant.revoked.is_set():
-            with trio.move_on_after(self._event_ms(grant) / 1000):
-                await grant.revoked.wait()
+            await self._wait(grant, self._event_ms(grant))
             if not grant.revoked.is_set():
                 run.last_event += 1
-                grant.count_tokens()
+                record.note_events(1)
         self._fleet.end_run(grant.upstream_id)
         self._fleet.cut_runs += run.last_event + 1 < length
+        ran_ms = now_ms() - record.started_ms
+        self._note_time(name, ran_ms, gained=run.last_event > began_event)
         end = ItemEnd.INTERRUPTED if run.last_event + 1 < length else ItemEnd.WHOLE
-        outcome = AttemptOutcome.REVOKED if end is ItemEnd.INTERRUPTED else AttemptOutcome.COMPLETED
-        grant.end(EndedPermit(grant.permit_id, grant.upstream_id, outcome, grant.work_class))
+        record.finish(None if end is ItemEnd.WHOLE else AttemptEnd.REVOKED)
         self._pool.finish(job, run, end, grant.upstream_id, 3, now_ms())
         if end is ItemEnd.WHOLE:
-            took_ms = now_ms() - (job.due_ms - self._load.due_ms)
-            runs = self._runs[run.item.item_id]
-            self.outcomes.append(ItemOutcome(took_ms, self._load.due_ms, runs))
+            self._fleet.whole_slot_s += self._gaining_s[name]
+            took_ms = now_ms() - (job.due_ms - job.record.due_in_ms)
+            outcome = ItemOutcome(took_ms, job.record.due_in_ms, self._runs[name], job.job_id)
+            self.outcomes.append(outcome)
         self._asker.wake()
 
+    async def _wait(self, grant: Grant, for_ms: float) -> None:
+        """Let time pass, less when the run is cut off."""
+        with trio.move_on_after(for_ms / 1000):
+            await grant.revoked.wait()
+
+    def _note_time(self, name: str, ran_ms: float, *, gained: bool) -> None:
+        self._fleet.batch_slot_s += ran_ms / 1000
+        self._fleet.barren_runs += not gained
+        if gained:
+            self._gaining_s[name] += ran_ms / 1000
+
 
 async def _watch_idle(fleet: PlayedFleet, runners: list[_Runner], end_s: float) -> None:
     """Add up the free slots until ``end_s``, seen every ``_IDLE_SAMPLE_S``."""
@@ -608,17 +658,31 @@
 
 
 async def play_jobs(
-    fleet: PlayedFleet, load: BatchLoad, rng: random.Random, rest_s: float = 60.0
+    fleet: PlayedFleet,
+    load: BatchLoad,
+    rng: random.Random,
+    rest_s: float = 60.0,
+    *,
+    late_jobs: int = 0,
 ) -> list[ItemOutcome]:
-    """Send jobs to random nodes; returns what became of their items, ``rest_s`` after the last."""
+    """Send jobs to random nodes; returns what became of their items, ``rest_s`` after the last.
+
+    ``late_jobs`` come first, and are due at once.
+    """
+    nursery = fleet.nodes[0].nursery
     runners = [_Runner(fleet, node, load) for node in fleet.nodes]
     for runner in runners:
-        fleet.nodes[0].nursery.start_soon(runner.run)
+        nursery.start_soon(runner.run)
     end_s = trio.current_time() + load.length_s
-    fleet.nodes[0].nursery.start_soon(_watch_idle, fleet, runners, end_s)
+    nursery.start_soon(_watch_idle, fleet, runners, end_s)
     numbers = count()
+    for _ in range(late_jobs):
+        rng.choice(runners).add_job(next(numbers), rng, due_ms=0.0)
     while trio.current_time() < end_s:
-        rng.choice(runners).add_job(next(numbers), rng)
+        runner = rng.choice(runners)
+        job_id = runner.add_job(next(numbers), rng)
+        if load.ended_after_s < float("inf"):
+            nursery.start_soon(runner.end_job, job_id, load.ended_after_s)
         await trio.sleep(rng.expovariate(load.per_s))
     await trio.sleep(rest_s)
     return [outcome for runner in runners for outcome in runner.outcomes]
--- a/tests/builders/runner_world.py
+++ b/tests/builders/runner_world.py
@@ -220,6 +220,7 @@
     alone: bool = False
     work_id: str = ""
     member: str = ""
+    is_overdue: bool = False
 
     def choose(self, _work_id: str) -> None:
         return None
--- /dev/null
+++ b/tests/test_items_passed_over.py
@@ -0,0 +1,92 @@
+"""Items of late jobs beside calls and younger jobs that never end, in virtual time.
+
+All decisions are those that ship: searches for permits, owners, asks of nodes, choice of items.
+"""
+
+import random
+import unittest
+from dataclasses import dataclass, field
+
+import trio
+from trio.testing import MockClock
+
+from fescuedock.node.online import ONLINE_ROUTING
+from tests.builders.load_player import (
+    BatchLoad,
+    CallOutcome,
+    CallTimes,
+    ItemOutcome,
+    PlayedFleet,
+    play_calls,
+    play_jobs,
+)
+
+SEEDS = (1, 2, 3)
+LENGTH_S = 30.0
+# In which the soak has accepted items listed after its last fault.
+LISTED_MS = 18_000.0
+CALLS = CallTimes(first_event_ms=20.0, event_ms=20.0, events=12)
+
+
+@dataclass(slots=True)
+class Played:
+    """What came of all seeds."""
+
+    items: list[ItemOutcome] = field(default_factory=list)
+    calls: list[CallOutcome] = field(default_factory=list)
+    late_items: int = 0
+
+    @property
+    def late(self) -> list[ItemOutcome]:
+        """Items of the job that was late from the beginning."""
+        return [item for item in self.items if not item.due_ms]
+
+
+def play(load: BatchLoad, calls_per_s: float) -> Played:
+    """Play one late job, and then younger ones and calls, on 16 slots."""
+    played = Played(late_items=load.items * len(SEEDS))
+
+    async def play_seed(seed: int) -> None:
+        async with trio.open_nursery() as nursery:
+            fleet = await PlayedFleet.start(
+                nursery, nodes=4, upstreams=4, slots=4, routing=ONLINE_ROUTING, seed=seed
+            )
+            done = trio.Event()
+
+            async def play_items() -> None:
+                rng = random.Random(seed + 100)
+                played.items += await play_jobs(fleet, load, rng, rest_s=0.0, late_jobs=1)
+                done.set()
+
+            nursery.start_soon(play_items)
+            phases = [(load.length_s, calls_per_s)]
+            played.calls += await play_calls(fleet, phases, random.Random(seed), CALLS)
+            await done.wait()
+            nursery.cancel_scope.cancel()
+
+    for seed in SEEDS:
+        trio.run(play_seed, seed, clock=MockClock(autojump_threshold=0))
+    return played
+
+
+class LateJobTest(unittest.TestCase):
+    """Jobs come twice as fast as they can be done, and their clients end them after 4 s."""
+
+    def test_a_late_job_is_done_while_younger_jobs_keep_coming(self) -> None:
+        """Guards against late items that no node asked for and no owner granted: 6 of 18 done."""
+        load = BatchLoad(
+            per_s=6.0,
+            length_s=LENGTH_S,
+            items=6,
+            events=12,
+            event_ms=20.0,
+            first_event_ms=600.0,
+            ended_after_s=4.0,
+        )
+        played = play(load, calls_per_s=10.0)
+        self.assertEqual(len(played.late), played.late_items)
+        self.assertLessEqual(max(item.took_ms for item in played.late), LISTED_MS)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_permits_overdue.py
@@ -0,0 +1,93 @@
+"""Batch work that is late is not passed over for ever in the queue of an upstream."""
+
+import unittest
+
+from fescuedock.core.permits.actions import Granted
+from fescuedock.core.permits.queue import UpstreamQueue
+from fescuedock.core.permits.queued import OVERDUE_EVERY
+from fescuedock.core.permits.terms import UpstreamTerms
+from fescuedock.schema.permits import AttemptOutcome, BatchStage, PermitAsk, WorkClass
+from fescuedock.schema.settings import PermitSettings
+from tests.builders.permits import ask_for, end_of, new_queue
+
+LATE = {"stage": BatchStage.LATE, "slack_ms": -10_000, "left_ms": 500}
+FRESH = {"stage": BatchStage.FRESH, "slack_ms": 9000, "left_ms": 500}
+
+
+class OverdueTest(unittest.TestCase):
+    """One slot, for which there is always more work than it takes."""
+
+    def setUp(self) -> None:
+        self.queue: UpstreamQueue = new_queue(PermitSettings(quiet_ms=0), UpstreamTerms(slots=1))
+        self.now_ms = 0.0
+        self.running = self.ask(**FRESH)
+
+    def ask(self, **changes: object) -> PermitAsk:
+        ask = ask_for(WorkClass.BATCH, **changes)
+        self.queue.ask(ask, self.now_ms)
+        return ask
+
+    def granted(self, count: int, **other: object) -> list[PermitAsk]:
+        """End run after run while work like ``other`` keeps coming; return what was granted."""
+        granted = []
+        for _ in range(count):
+            self.ask(**(other or FRESH))
+            self.ask(**(other or FRESH))
+            self.now_ms += 100.0
+            end = end_of(self.running, AttemptOutcome.COMPLETED)
+            [grant] = [
+                item for item in self.queue.end(end, self.now_ms) if isinstance(item, Granted)
+            ]
+            self.running = grant.ask
+            granted.append(grant.ask)
+        return granted
+
+    def test_late_work_gets_its_turn_however_much_other_work_comes(self) -> None:
+        """Guards against late items that waited for as long as younger ones kept coming."""
+        late = self.ask(**LATE)
+        self.assertIn(late, self.granted(OVERDUE_EVERY))
+
+    def test_all_late_work_is_served_the_longest_overdue_first(self) -> None:
+        late = [self.ask(**LATE | {"slack_ms": -slack_ms}) for slack_ms in (7000, 9000, 8000)]
+        granted = [ask for ask in self.granted(3 * OVERDUE_EVERY) if ask in late]
+        self.assertEqual(granted, [late[1], late[2], late[0]])
+
+    def test_what_can_be_on_time_loses_no_more_than_its_share(self) -> None:
+        for _ in range(30):
+            self.ask(**LATE)
+        granted = self.granted(10 * OVERDUE_EVERY)
+        self.assertLessEqual(sum(ask.stage is BatchStage.LATE for ask in granted), 10)
+
+    def test_it_holds_beside_customers_and_priorities(self) -> None:
+        for priority in (0, 3):
+            with self.subTest(priority=priority):
+                late = self.ask(**LATE, member="small", priority=priority)
+                granted = self.granted(OVERDUE_EVERY, **FRESH, member="big", priority=0)
+                self.assertIn(late, granted)
+
+    def test_what_has_just_become_late_waits_for_what_can_be_on_time(self) -> None:
+        late = self.ask(**LATE | {"slack_ms": -100})
+        self.assertNotIn(late, self.granted(2 * OVERDUE_EVERY))
+
+    def test_a_turn_that_nobody_wanted_is_kept(self) -> None:
+        self.granted(2 * OVERDUE_EVERY)
+        late = self.ask(**LATE)
+        self.assertEqual(self.granted(1), [late])
+
+
+class InTurnTest(unittest.TestCase):
+    """A run that got its turn as overdue is not the first to give way."""
+
+    def test_a_run_in_its_turn_gives_way_like_one_that_has_begun(self) -> None:
+        queue = new_queue(PermitSettings(quiet_ms=0), UpstreamTerms(slots=OVERDUE_EVERY))
+        fresh = [ask_for(WorkClass.BATCH, **FRESH) for _ in range(OVERDUE_EVERY - 1)]
+        late = ask_for(WorkClass.BATCH, **LATE)
+        for ask in (*fresh, late):
+            queue.ask(ask, 0.0)
+        revoked = [item.permit_id for item in queue.ask(ask_for(), 1.0)[1:]]
+        self.assertEqual(len(revoked), 1)
+        self.assertNotEqual(revoked, [late.attempt_id])
+
+
+if __name__ == "__main__":
+    unittest.main()
