Revoke no batch run for a peak of online that is over

Callers saw items late: runs were cut off though nobody wanted their slots.

The same figure decided what has to give way. Where batch had begun beside little online, for which the peak does not count, the next call brought the peak back into force, and all batch of the upstream was revoked beside free slots.

Change: what runs stays while calls and runs fit into the slots; the peak decides what begins.

test_permits_revoked failed before.

--- a/src/fescuedock/core/permits/queue.py
+++ b/src/fescuedock/core/permits/queue.py
@@ -274,7 +274,11 @@
         return Refused(waiting.ask, code, max(int(wait_ms), 1))
 
     def _give_way(self, now_ms: float) -> list[Action]:
-        excess = self._held.staying_batch - self._batch_limit(now_ms)
+        limit = self._batch_limit(now_ms)
+        if self._terms.slots:
+            # A recent peak keeps batch from beginning; what runs stays while there are slots.
+            limit = max(self._hard_limit() - self._held.online, 0)
+        excess = self._held.staying_batch - limit
         if excess <= 0 or not self._held.staying_batch:
             return []
         victims = self._held.victims(excess, now_ms, self._settings.urgent_slack_ms)
