Log how often an item's runs were cut off and how long it waited, and count slot time without events

Operators could not tell an item whose runs give nothing from one that makes progress: item_run named one run, and no metric held the time of runs that were cut off.

item_run has interruptions, barren_runs and waited_ms, which explain shows for an item; the histograms run_with_events and run_without_events have each run's slot time.

--- a/src/fescuedock/node/item_run.py
+++ b/src/fescuedock/node/item_run.py
@@ -36,10 +36,14 @@
 
 
 class KnownAtBegin(msgspec.Struct, frozen=True):
-    """The revision of a job's record that a run rests on, and the age of that knowledge."""
+    """The revision of a job's record that a run rests on, and the age of that knowledge.
+
+    ``waited_ms`` is the time since the item last ran, or since its job came.
+    """
 
     revision: int
     age_ms: float
+    waited_ms: float = 0.0
 
 
 async def run_item(
@@ -87,6 +91,9 @@
         reason=reason,
         from_event=first_event,
         last_event=item.last_event,
+        interruptions=item.interruptions,
+        barren_runs=item.barren_runs,
+        waited_ms=round(known.waited_ms),
         revision=known.revision,
         records_age_ms=known.age_ms,
         took_ms=round(now_ms() - record.started_ms, 1),
--- a/src/fescuedock/node/job_runner.py
+++ b/src/fescuedock/node/job_runner.py
@@ -538,7 +538,10 @@
         grant.describe(choice.stage, choice.slack_ms, choice.left_ms)
         self._pool.start(choice.run, now_ms())
         job = self._jobs[choice.job.job_id]
-        self._nursery.start_soon(partial(self._run_item, job, choice.run, upstream, grant))
+        waited_ms = choice.waited_ms
+        self._nursery.start_soon(
+            partial(self._run_item, job, choice.run, upstream, grant, waited_ms)
+        )
 
     def _lone_item(self, service: str) -> LoneItem | None:
         choice = self._pool.choose_alone(service, now_ms())
@@ -561,15 +564,26 @@
         self._begin(choice, upstream, grant)
 
     async def _run_item(
-        self, job: OwnedJob, item: ItemRun, upstream: UpstreamRecord, grant: Grant
+        self,
+        job: OwnedJob,
+        item: ItemRun,
+        upstream: UpstreamRecord,
+        grant: Grant,
+        waited_ms: float,
     ) -> None:
         record = job.run.record
-        known = KnownAtBegin(self._revision_of(record.job_id), self._records_age_ms())
+        revision = self._revision_of(record.job_id)
+        known = KnownAtBegin(revision, self._records_age_ms(), waited_ms)
         check = self._item_check(job, upstream, grant)
+        first_event = item.last_event
         end = await run_item(self._http, record, item, upstream, grant, job.let_go, known, check)
+        ran_ms = now_ms() - item.started_ms
+        self._metrics.record_run(
+            upstream.service, ran_ms, gained=end is ItemEnd.WHOLE or item.last_event > first_event
+        )
         code = _ITEM_CODES.get(end)
         if code is not None:
-            self._metrics.record_item(upstream.service, "", now_ms() - item.started_ms, code)
+            self._metrics.record_item(upstream.service, "", ran_ms, code)
         route = self._route_of(record)
         max_failures = route.max_attempts if route is not None else 1
         self._pool.finish(job.run, item, end, upstream.upstream_id, max_failures, now_ms())
--- a/src/fescuedock/report/metrics.py
+++ b/src/fescuedock/report/metrics.py
@@ -53,6 +53,9 @@
     FIRST_TOKEN = "first_token"
     INTER_TOKEN = "inter_token"
     ITEM = "item"
+    # Of single runs of items: those that gave events, and those that were cut off before.
+    RUN_WITH_EVENTS = "run_with_events"
+    RUN_WITHOUT_EVENTS = "run_without_events"
 
 
 class HistogramKey(msgspec.Struct, frozen=True, order=True):
@@ -133,6 +136,11 @@
         self._codes[service, int(code)] += 1
         self._record(service, _BATCH, group_of(member), Measure.ITEM, run_ms)
 
+    def record_run(self, service: str, run_ms: float, *, gained: bool) -> None:
+        """Count one run of a batch item, whole or cut off; ``gained`` tells that events came."""
+        measure = Measure.RUN_WITH_EVENTS if gained else Measure.RUN_WITHOUT_EVENTS
+        self._record(self._bounded_service(service), _BATCH, group_of(""), measure, run_ms)
+
     def record_job(self, service: str, in_time: bool) -> None:
         """Count one batch job when it is whole, or when its deadline has passed before."""
         self._series[self._bounded_service(service)].count_job(self._clock(), in_time=in_time)
--- a/tests/builders/runner_world.py
+++ b/tests/builders/runner_world.py
@@ -236,6 +236,9 @@
     def record_item(self, *_run: object) -> None:
         return None
 
+    def record_run(self, *_run: object, **_gained: object) -> None:
+        return None
+
 
 class _Configuration(msgspec.Struct):
     routes: RouteTable
--- a/tests/test_report_metrics.py
+++ b/tests/test_report_metrics.py
@@ -123,6 +123,14 @@
         self.assertLessEqual(len(groups), 8)
         self.assertEqual(sum(item.total.online for item in snapshot.services), 2700)
 
+    def test_slot_time_of_items_is_told_apart_by_whether_it_gave_events(self) -> None:
+        metrics = Metrics("vm-1/node/1", lambda: NOW_S)
+        for ran_ms, gained in ((500.0, True), (40.0, False), (60.0, False)):
+            metrics.record_run("s", ran_ms, gained=gained)
+        found = {item.measure: (sum(item.counts), item.sum_ms) for item in metrics.totals().buckets}
+        wanted = {"run_with_events": (1, 500.0), "run_without_events": (2, 100.0)}
+        self.assertEqual(found, wanted)
+
     def test_value_out_of_range_is_kept_at_the_end_of_the_range(self) -> None:
         metrics = Metrics("vm-1/entry/1", lambda: NOW_S)
         metrics.record_online("s", "g", 1e12, 0.0, ResultCode.OK)
