Shelter an item's run that was cut off before its first event twice, while calls can go elsewhere

Callers saw an accepted job whose items were run all the time and never listed.

Cause: a run without an event is the cheapest to cut off. It begins again from nothing, and is the cheapest again, at any upstream: where calls want slots back sooner than a first event comes, no item gets anywhere. Nothing counted it.

Change: an ask carries how many runs of the item in a row gave nothing, to any owner, and renewals carry it to a new one. From two on a run gives way last until it has given events for as long as the first one took, in a quarter of the slots at the most. Calls are told that these slots are taken and go elsewhere; one that found no room there, and waits in queues, gets the slot after 10 ms.

test_permits_revoked and test_items_passed_over fail without it.

--- a/src/fescuedock/agent/permit_client.py
+++ b/src/fescuedock/agent/permit_client.py
@@ -135,10 +135,16 @@
         """Note which work runs under a permit that was asked for before it was chosen."""
         self._held.ask = msgspec.structs.replace(self._held.ask, work_id=work_id)
 
-    def describe(self, stage: BatchStage, slack_ms: float, left_ms: float) -> None:
+    def describe(
+        self, stage: BatchStage, slack_ms: float, left_ms: float, barren_runs: int
+    ) -> None:
         """Tell the owner, with the next renewal, how the work stands that was chosen to run."""
         self._held.ask = msgspec.structs.replace(
-            self._held.ask, stage=stage, slack_ms=int(slack_ms), left_ms=int(left_ms)
+            self._held.ask,
+            stage=stage,
+            slack_ms=int(slack_ms),
+            left_ms=int(left_ms),
+            barren_runs=barren_runs,
         )
 
     def end(self, ended: EndedPermit) -> None:
--- a/src/fescuedock/core/permits/evidence.py
+++ b/src/fescuedock/core/permits/evidence.py
@@ -53,6 +53,7 @@
         if permit.first_token_ms >= 0:
             self._observe_first_token(held, permit.first_token_ms, now_ms)
         held.generated_tokens = permit.generated_tokens
+        held.first_token_ms = permit.first_token_ms
         tokens = permit.generated_tokens - held.window_tokens
         if tokens < _MIN_WINDOW_TOKENS:
             return
--- a/src/fescuedock/core/permits/held.py
+++ b/src/fescuedock/core/permits/held.py
@@ -10,6 +10,9 @@
 
 __all__ = ["Company", "Held", "HeldPermits"]
 
+# As many runs of an item in a row may be cut off before their first event like any other.
+_SHELTERED_FROM = 2
+
 
 class Held(msgspec.Struct):
     """One permit that is out.  Its identity is that of the attempt."""
@@ -24,10 +27,14 @@
     stage: BatchStage = BatchStage.FRESH
     # Overdue work that got its turn: late as it is, it gives way like other work that has begun.
     in_turn: bool = False
+    # Runs of its work in a row that were cut off before their first event.
+    barren_runs: int = 0
     # When its run will be over, as far as its holder can tell; 0 when it says nothing.
     done_ms: float = 0.0
     prompt_tokens: int = 0
     generated_tokens: int = 0
+    # From its grant; below 0 while there is none.
+    first_token_ms: float = -1.0
     # Begin of the window whose token rate is to be seen next, and the tokens there were by then.
     window_ms: float = 0.0
     window_tokens: int = 0
@@ -56,6 +63,7 @@
             done_ms=now_ms + ask.left_ms if ask.left_ms else 0.0,
             prompt_tokens=ask.prompt_tokens,
             alone=ask.alone,
+            barren_runs=ask.barren_runs,
             start=start,
         )
 
@@ -83,12 +91,22 @@
     def note_standing(self, permit: HeldPermit, now_ms: float) -> None:
         """Take in how the work stands that runs under the permit, which the holder chose late."""
         self.stage = permit.stage
+        self.barren_runs = permit.barren_runs
         self.done_ms = now_ms + permit.left_ms if permit.left_ms else 0.0
 
     def left_ms(self, now_ms: float) -> float:
         """Return how long the run will still take; 0 when nothing is known."""
         return max(self.done_ms - now_ms, 1.0) if self.done_ms else 0.0
 
+    def is_sheltered(self, now_ms: float) -> bool:
+        """Whether it gives way last, as its work was cut off before its first event several times.
+
+        It is until it has given events for as long as the first one took.
+        """
+        if self.barren_runs < _SHELTERED_FROM:
+            return False
+        return not self.generated_tokens or now_ms < self.granted_ms + 2 * self.first_token_ms
+
     @property
     def redo_tokens(self) -> int:
         """Tokens that an engine has to read again when the attempt is resumed elsewhere."""
@@ -185,20 +203,30 @@
 
         What is late goes first and what cutting would make late goes last; in between, the longer
         it still has to run the sooner it goes, as the other will soon be done.  What runs in its
-        turn as overdue counts as begun.  Where holders do
+        turn as overdue counts as begun.  A run that is sheltered gives way last.  Where holders do
         not say that, those due soon go last and the fewest tokens to read again go first.
         """
         candidates = self.staying_batch_permits()
 
-        def loss(held: Held) -> tuple[int, bool, float, int]:
+        def loss(held: Held) -> tuple[bool, int, bool, float, int]:
             stage, _ = batch_rank(BatchStage.BEGUN if held.in_turn else held.stage, 0.0, 0.0)
             is_due_soon = held.due_ms - now_ms < urgent_slack_ms
-            return (-stage, is_due_soon, -held.left_ms(now_ms), held.redo_tokens)
+            return (
+                held.is_sheltered(now_ms),
+                -stage,
+                is_due_soon,
+                -held.left_ms(now_ms),
+                held.redo_tokens,
+            )
 
         candidates.sort(key=loss)
         return candidates[:count]
 
-    def batch_unstarted(self) -> list[Held]:
+    def sheltered(self, now_ms: float) -> int:
+        """Return how many batch permits give way last."""
+        return sum(held.is_sheltered(now_ms) for held in self.staying_batch_permits())
+
+    def batch_unstarted(self, now_ms: float) -> list[Held]:
         """Return the batch permits that may stay and have shown no first token yet."""
         return [
             held
@@ -206,6 +234,7 @@
             if held.work_class is WorkClass.BATCH
             and held.revoked_ms is None
             and held.start is not None
+            and not held.is_sheltered(now_ms)
             and not held.generated_tokens
         ]
 
--- a/src/fescuedock/core/permits/holder.py
+++ b/src/fescuedock/core/permits/holder.py
@@ -49,6 +49,7 @@
             first_token_ms=self.first_token_ms,
             alone=self.ask.alone,
             priority=self.ask.priority,
+            barren_runs=self.ask.barren_runs,
         )
 
     def _left_ms(self, now_ms: float) -> int:
--- a/src/fescuedock/core/permits/queue.py
+++ b/src/fescuedock/core/permits/queue.py
@@ -1,7 +1,8 @@
 """The queue of one upstream: who may start now, who waits, who must give way.
 
-An online ask is granted at once as long as online alone is under the hard limit; if that leaves
-more than the mixed limit in flight, batch permits are revoked in the same step.  So for the time
+An online ask is granted at once as long as online alone is under the hard limit, and leaves a few
+batch runs alone that were cut off again and again while it can go elsewhere; if that leaves more
+than the mixed limit in flight, batch permits are revoked in the same step.  So for the time
 that a revocation takes, the upstream runs more than its limit by the permits being revoked, and
 never by more.  Batch is granted only into room that is free beyond the headroom for bursts.
 """
@@ -27,6 +28,10 @@
 _PEAK_HOLD_MS = 150.0
 # A late ask waits longer than the asks before it make it, since those that come on time go first.
 _LATE_WAIT_FACTOR = 2.0
+# Of the slots, the largest share that sheltered batch runs take from online.
+_SHELTERED_SHARE = 0.25
+# In which an online call that waits at several owners is granted by another one, if any has room.
+_ELSEWHERE_MS = 10.0
 
 
 class UpstreamQueue:
@@ -159,13 +164,15 @@
 
     def load(self, now_ms: float) -> LoadSnapshot:
         queued = self._waiting.online_share()
+        # They take slots from calls as online does.
+        sheltered = self._sheltered(now_ms)
         predicted_ms = self._first_token.predict_ms(self._held.staying, now_ms)
         wait_ms = self._online_wait_ms(queued)
         speed = self._evidence.speed.speed(self._held.staying + 1, now_ms)
         return LoadSnapshot(
             upstream_id=self.upstream_id,
-            in_flight_online=self._held.online,
-            in_flight_batch=self._held.batch,
+            in_flight_online=self._held.online + sheltered,
+            in_flight_batch=self._held.batch - sheltered,
             queued_online=self._waiting.count(WorkClass.ONLINE),
             limit=0 if self._is_reserved else self._hard_limit(),
             first_token_ms=predicted_ms + wait_ms,
@@ -234,7 +241,7 @@
         queue = self._waiting.in_order(WorkClass.ONLINE, self._held.count_of, now_ms)
         ahead = 0.0
         for waiting in queue:
-            if self._held.online < self._hard_limit():
+            if self._held.online < self._online_limit(waiting, now_ms):
                 self._waiting.remove(waiting.ask.attempt_id)
                 actions.append(self._grant(waiting, now_ms))
             elif self._is_hopeless(waiting, ahead, now_ms):
@@ -244,6 +251,20 @@
                 ahead += waiting.expected_starts
         return actions
 
+    def _online_limit(self, waiting: Waiting, now_ms: float) -> int:
+        """Return below which number of online attempts an ask is granted.
+
+        Sheltered batch runs give way only to a call that found no room at other upstreams.
+        """
+        if waiting.ask.wait_ms > 0 and now_ms >= waiting.arrived_ms + _ELSEWHERE_MS:
+            return self._hard_limit()
+        return self._hard_limit() - self._sheltered(now_ms)
+
+    def _sheltered(self, now_ms: float) -> int:
+        """Return how many batch runs do not give way to calls that can go elsewhere."""
+        most = max(int(self._hard_limit() * _SHELTERED_SHARE), 1)
+        return min(self._held.sheltered(now_ms), most)
+
     def _is_hopeless(self, waiting: Waiting, ahead: float, now_ms: float) -> bool:
         """Whether an ask will not be granted while it may wait.
 
@@ -291,7 +312,7 @@
         """
         return [
             self._revoke(held, now_ms)
-            for held in self._held.batch_unstarted()
+            for held in self._held.batch_unstarted(now_ms)
             if self._in_the_way(self._first_token.left_ms(held.start, held.granted_ms, now_ms))
         ]
 
--- a/src/fescuedock/node/item_asking.py
+++ b/src/fescuedock/node/item_asking.py
@@ -180,4 +180,5 @@
             slack_ms=int(choice.slack_ms),
             stage=choice.stage,
             left_ms=int(choice.left_ms),
+            barren_runs=choice.run.barren_runs,
         )
--- a/src/fescuedock/node/job_runner.py
+++ b/src/fescuedock/node/job_runner.py
@@ -535,7 +535,7 @@
 
     def _begin(self, choice: ItemChoice, upstream: UpstreamRecord, grant: Grant) -> None:
         grant.choose(choice.run.work_id)
-        grant.describe(choice.stage, choice.slack_ms, choice.left_ms)
+        grant.describe(choice.stage, choice.slack_ms, choice.left_ms, choice.run.barren_runs)
         self._pool.start(choice.run, now_ms())
         job = self._jobs[choice.job.job_id]
         waited_ms = choice.waited_ms
--- a/src/fescuedock/schema/permits.py
+++ b/src/fescuedock/schema/permits.py
@@ -91,6 +91,12 @@
             description="How long the work had waited when it was asked for, at other owners too; only sent with a priority above 0."
         ),
     ] = 0
+    barren_runs: Annotated[
+        int,
+        Meta(
+            description="Of a batch ask: how many runs of the work in a row were cut off before their first event."
+        ),
+    ] = 0
 
 
 class LoadSnapshot(WireStruct):
@@ -172,6 +178,7 @@
     alone: Annotated[bool, Meta(description="As in the ask.")] = False
     priority: Annotated[int, Meta(description="As in the ask.")] = 0
     first_token_ms: Annotated[float, Meta(description="Below 0 while there is none.")] = -1
+    barren_runs: Annotated[int, Meta(description="As in the ask.")] = 0
 
 
 class PermitRenew(WireStruct):
--- a/tests/builders/load_player.py
+++ b/tests/builders/load_player.py
@@ -601,7 +601,7 @@
         if choice is None:
             self._node.permits.give_back(grant)
             return
-        grant.describe(choice.stage, choice.slack_ms, choice.left_ms)
+        grant.describe(choice.stage, choice.slack_ms, choice.left_ms, choice.run.barren_runs)
         self._pool.start(choice.run, now_ms())
         self._node.nursery.start_soon(self._run_item, choice.job, choice.run, grant)
 
--- a/tests/test_items_passed_over.py
+++ b/tests/test_items_passed_over.py
@@ -87,6 +87,22 @@
         self.assertEqual(len(played.late), played.late_items)
         self.assertLessEqual(max(item.took_ms for item in played.late), LISTED_MS)
 
+    def test_it_is_done_where_calls_cut_off_most_runs_before_their_first_event(self) -> None:
+        """Guards against late items whose every run was cut off before it gave anything."""
+        load = BatchLoad(
+            per_s=3.0,
+            length_s=LENGTH_S,
+            items=6,
+            events=12,
+            event_ms=20.0,
+            first_event_ms=600.0,
+            ended_after_s=4.0,
+        )
+        played = play(load, calls_per_s=36.0)
+        self.assertEqual(len(played.late), played.late_items)
+        self.assertLessEqual(max(item.took_ms for item in played.late), LISTED_MS)
+        self.assertTrue(all(call.on_time for call in played.calls))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_permits_revoked.py
+++ b/tests/test_permits_revoked.py
@@ -2,14 +2,15 @@
 
 import unittest
 
-from fescuedock.core.permits.actions import Granted, Revoked
+from fescuedock.core.permits.actions import Granted, Refused, Revoked
 from fescuedock.core.permits.queue import UpstreamQueue
 from fescuedock.core.permits.terms import UpstreamTerms
-from fescuedock.schema.permits import AttemptOutcome, PermitAsk, WorkClass
+from fescuedock.schema.permits import AttemptOutcome, HeldPermit, PermitAsk, WorkClass
 from fescuedock.schema.settings import PermitSettings
 from tests.builders.permits import ask_for, end_of, new_queue
 
 SLOTS = 4
+BARREN = 2
 
 
 def slots_queue() -> UpstreamQueue:
@@ -44,5 +45,84 @@
         self.assertEqual(queue.ask(ask_for(WorkClass.BATCH), 20.0), [])
 
 
+class ShelterTest(unittest.TestCase):
+    """A run whose work was cut off before its first event again and again."""
+
+    def setUp(self) -> None:
+        self.queue = slots_queue()
+        self.run_of_item = ask_for(WorkClass.BATCH, barren_runs=BARREN)
+        self.queue.ask(self.run_of_item, 0.0)
+
+    def fill(self) -> None:
+        """Let online take all slots but the one of the run."""
+        for _ in range(SLOTS - 1):
+            ask_online(self.queue, 1.0)
+
+    def revoked(self, actions: list) -> list[str]:
+        return [item.permit_id for item in actions if isinstance(item, Revoked)]
+
+    def test_a_call_that_can_go_elsewhere_does_not_cut_it_off(self) -> None:
+        """Guards against items whose every run was cut off before its first event."""
+        self.fill()
+        [refused] = self.queue.ask(ask_for(), 2.0)
+        self.assertIsInstance(refused, Refused)
+
+    def test_a_call_that_found_no_room_elsewhere_does(self) -> None:
+        self.fill()
+        self.assertEqual(self.queue.ask(ask_for(wait_ms=150), 2.0), [])
+        actions = self.queue.tick(13.0)
+        self.assertIsInstance(actions[0], Granted)
+        self.assertEqual(self.revoked(actions), [self.run_of_item.attempt_id])
+
+    def test_other_batch_gives_way_before_it(self) -> None:
+        other = ask_for(WorkClass.BATCH, left_ms=10)
+        self.queue.ask(other, 0.0)
+        ask_online(self.queue, 1.0)
+        ask_online(self.queue, 1.0)
+        actions = self.queue.ask(ask_for(), 2.0)
+        self.assertEqual(self.revoked(actions), [other.attempt_id])
+
+    def test_no_more_than_a_quarter_of_the_slots_is_kept_from_calls(self) -> None:
+        self.queue.ask(ask_for(WorkClass.BATCH, barren_runs=BARREN), 0.0)
+        self.assertEqual(self.queue.load(1.0).in_flight_online, 1)
+        calls = [ask_for() for _ in range(SLOTS)]
+        granted = [isinstance(self.queue.ask(call, 2.0)[0], Granted) for call in calls]
+        self.assertEqual(granted, [True] * (SLOTS - 1) + [False])
+
+    def test_it_lasts_until_events_came_for_as_long_as_the_first_one_took(self) -> None:
+        self.queue.renew("h1", self.renewal(first_token_ms=600.0, generated_tokens=1), 620.0)
+        self.fill()
+        self.assertIsInstance(self.queue.ask(ask_for(), 1100.0)[0], Refused)
+        self.assertIsInstance(self.queue.ask(ask_for(), 1300.0)[0], Granted)
+
+    def test_work_that_was_cut_off_once_is_like_any_other(self) -> None:
+        queue = slots_queue()
+        run = ask_for(WorkClass.BATCH, barren_runs=BARREN - 1)
+        queue.ask(run, 0.0)
+        for _ in range(SLOTS - 1):
+            ask_online(queue, 1.0)
+        self.assertEqual(self.revoked(queue.ask(ask_for(), 2.0)), [run.attempt_id])
+
+    def test_a_new_owner_learns_it_from_the_holder(self) -> None:
+        queue = slots_queue()
+        queue.renew("h1", self.renewal(barren_runs=BARREN), 0.0)
+        for _ in range(SLOTS - 1):
+            ask_online(queue, 1.0)
+        self.assertIsInstance(queue.ask(ask_for(), 2.0)[0], Refused)
+
+    def renewal(self, **changes: object) -> HeldPermit:
+        ask = self.run_of_item
+        fields: dict = {
+            "permit_id": ask.attempt_id,
+            "upstream_id": ask.upstream_id,
+            "attempt_id": ask.attempt_id,
+            "service": ask.service,
+            "member": ask.member,
+            "work_class": ask.work_class,
+            "barren_runs": BARREN,
+        }
+        return HeldPermit(**{**fields, **changes})
+
+
 if __name__ == "__main__":
     unittest.main()
