Refuse another job under the id of an accepted one

Callers who reused an id with other items got 202, and all readers at that node got those items as bodies of the accepted job; an owner that had just started would have run them.

Change: records bear a digest of their items. Other items are refused with KEY_REUSED (3004, 409) by nodes, neighbours and spools; a spool that accepted them in an outage drops its copy when it finds another job in the store, with a line in the log.

test_another_job_under_the_same_id_is_refused_and_changes_nothing got 202 before.

--- a/src/fescuedock/node/job_acceptance.py
+++ b/src/fescuedock/node/job_acceptance.py
@@ -67,8 +67,8 @@
     ) -> Result[None, Fault]:
         """Store a job by whichever way works first.
 
-        ``KV_UNAVAILABLE`` promises that no copy of it is or will be there; ``EXECUTION_UNKNOWN``
-        that it may be.
+        ``KV_UNAVAILABLE`` promises that no copy of it is or will be there, ``KEY_REUSED`` that its
+        identity is that of a job with other items; ``EXECUTION_UNKNOWN`` that it may be there.
         """
         attempt = _Attempt(self, record, items)
         self.unsettled.begin(record.job_id)
@@ -132,6 +132,8 @@
         stored = await self.shared.store.accept(self.record, self.items)
         if isinstance(stored, Err):
             self.own_fault = stored.err_value
+            if stored.err_value.code is ResultCode.KEY_REUSED:
+                scope.cancel()
             self.own_failed.set()
             return
         self._done(scope)
@@ -143,9 +145,14 @@
         addresses = list(self.shared.neighbours())
         self.shared.rng.shuffle(addresses)
         for address in addresses[:_NEIGHBOURS]:
-            if await self._ask(address):
+            code = await self._ask(address)
+            if code is ResultCode.OK:
                 self._done(scope)
                 return
+            if code is ResultCode.KEY_REUSED:
+                self.own_fault = Fault(code, "a job of this id has other items")
+                scope.cancel()
+                return
         await self.own_failed.wait()
         self.all_failed.set()
 
@@ -155,7 +162,7 @@
         if await self.shared.spools.keep(self.record, self.items, self.kept):
             self._done(scope)
 
-    async def _ask(self, address: Address) -> bool:
+    async def _ask(self, address: Address) -> ResultCode:
         message = AcceptJob(self.record, self.items)
         was_unsure, self.unsure = self.unsure, True
         reply = await self.shared.call_neighbour(address, message, _NEIGHBOUR_TIMEOUT_MS)
@@ -174,7 +181,7 @@
             neighbour=str(address),
             outcome=ResultCode(code).name,
         )
-        return code == ResultCode.OK
+        return ResultCode(code)
 
     def _done(self, scope: trio.CancelScope) -> None:
         self.accepted = True
@@ -191,7 +198,8 @@
         """Return what is known once both ways have ended or the time is up."""
         if self.accepted:
             return Ok(None)
-        if not self.may_be_stored_later:
+        is_reused = self.own_fault is not None and self.own_fault.code is ResultCode.KEY_REUSED
+        if is_reused or not self.may_be_stored_later:
             return Err(self.own_fault)
         return Err(
             Fault(ResultCode.EXECUTION_UNKNOWN, "nobody could say whether the job is stored")
--- a/src/fescuedock/node/job_calls.py
+++ b/src/fescuedock/node/job_calls.py
@@ -89,9 +89,14 @@
         items = job_calls.read_submission(body)
         if isinstance(items, Err):
             return Err(Fault(ResultCode.BAD_REQUEST, items.err_value))
+        # Loaded with the first submission, which a start need not wait for.
+        from fescuedock.core.stored_jobs.submission import digest_of
+
         if not record.job_id:
             return Err(Fault(ResultCode.BAD_REQUEST, "the job has no id"))
-        record = msgspec.structs.replace(record, total=len(items.ok_value))
+        record = msgspec.structs.replace(
+            record, total=len(items.ok_value), items_digest=digest_of(items.ok_value)
+        )
         wait_ms = (_DEFAULT_PATIENCE_MS if patience_ms is None else patience_ms) - _ANSWER_MARGIN_MS
         accepted = await self.acceptance.accept(record, items.ok_value, wait_ms)
         return accepted.map_err(lambda fault: _with_retry(fault, self.retry_after_ms))
--- a/src/fescuedock/node/job_store.py
+++ b/src/fescuedock/node/job_store.py
@@ -79,11 +79,15 @@
         """Store a new job, or find the one that is there under its identity.
 
         Runs until the outcome is known: the caller bounds the time, and being cancelled means that
-        the job may or may not be there.  ``KV_UNAVAILABLE`` promises that it is not.
+        the job may or may not be there.  ``KV_UNAVAILABLE`` promises that it is not, and
+        ``KEY_REUSED`` that one with other items is there in its place.
 
         Where a client has ended the job before it was there, it is stored if this submission is
         known to be a later one: ``after_end``, and the first write's answer was not lost.
         """
+        # Loaded with the first submission, which a start need not wait for.
+        from fescuedock.core.stored_jobs.submission import is_same_submission
+
         parts = self._parts(msgspec.msgpack.encode(items))
         record = msgspec.structs.replace(record, spec_parts=len(parts))
         writes = {self.keys.record(record.job_id): msgspec.msgpack.encode(record)}
@@ -101,7 +105,9 @@
             if fault.code is ResultCode.KV_CONFLICT:
                 found = await self.read_record(record.job_id)
                 if isinstance(found, Ok) and found.ok_value is not None:
-                    return Ok(found.ok_value)
+                    if is_same_submission(found.ok_value.record, record):
+                        return Ok(found.ok_value)
+                    return Err(Fault(ResultCode.KEY_REUSED, "a job of this id has other items"))
                 if isinstance(found, Ok):
                     if unsure or not after_end:
                         # Writes that are still on their way fail on the same condition.
--- a/src/fescuedock/schema/stored_jobs.py
+++ b/src/fescuedock/schema/stored_jobs.py
@@ -50,6 +50,12 @@
         ]
         | None
     ) = None
+    items_digest: Annotated[
+        str,
+        Meta(
+            description="Of the items as they were submitted; empty in records of an earlier version."
+        ),
+    ] = ""
 
 
 class StoredItem(WireStruct):
--- a/src/fescuedock/spool/files.py
+++ b/src/fescuedock/spool/files.py
@@ -13,6 +13,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from fescuedock.core.stored_jobs.submission import is_same_submission
 from fescuedock.faults import Fault
 from fescuedock.log import log_event
 from fescuedock.schema.result_codes import ResultCode
@@ -77,7 +78,10 @@
         after any other fault there is no copy of it.
         """
         job_id = job.record.job_id
-        if job_id in self._jobs:
+        known = self._jobs.get(job_id)
+        if known is not None and not is_same_submission(known.record, job.record):
+            return Err(Fault(ResultCode.KEY_REUSED, f"job {job_id} is here with other items"))
+        if known is not None:
             return self._sync_names(job_id)
         body = msgspec.msgpack.encode(job)
         if sum(self._sizes_bytes.values()) + len(body) > self._max_bytes:
--- a/src/fescuedock/spool/service.py
+++ b/src/fescuedock/spool/service.py
@@ -154,6 +154,11 @@
         job_id = job.record.job_id
         with trio.move_on_after(_STORE_JOB_S):
             stored = await self._store.accept(job.record, job.items)
+            if isinstance(stored, Err) and stored.err_value.code is ResultCode.KEY_REUSED:
+                # The store was away when it was accepted, and nobody could know of the other one.
+                log_event("spooled_job_dropped", job_id=job_id, reason=stored.err_value.message)
+                self._files.remove(job_id)
+                return True
             if isinstance(stored, Err):
                 return False
             # The end may have come while the job was on its way, or another disk, which knows
--- a/tests/test_node_jobs.py
+++ b/tests/test_node_jobs.py
@@ -176,6 +176,25 @@
 
         self.run_fleet(test, nodes=2)
 
+    def test_another_job_under_the_same_id_is_refused_and_changes_nothing(self) -> None:
+        """Guards against bodies of items that were never accepted, read under an accepted job."""
+
+        async def test(fleet: NodeFleet) -> None:
+            first, second = (node.front for node in fleet.nodes)
+            self.assertEqual((await submit(fleet, first, "a", "b")).status, 202)
+            for front in (first, second):
+                for names in (("a", "c"), ("a", "b", "c")):
+                    refused = await submit(fleet, front, *names)
+                    self.assertEqual((refused.status, refused.json()["error"]["code"]), (409, 3004))
+                answer = await fleet.call(front, "GET", f"/api/items/{JOB}?id=b")
+                self.assertEqual((answer.status, answer.body), (200, b"b"))
+                missing = await fleet.call(front, "GET", f"/api/items/{JOB}?id=c")
+                self.assertEqual(missing.status, 404)
+            self.assertEqual(len(await read_all(fleet, second, 2)), 2)
+            self.assertEqual(fleet.upstream_runs("c"), 0)
+
+        self.run_fleet(test, nodes=2)
+
     def test_a_lost_answer_of_the_store_accepts_once_too(self) -> None:
         for when in LostAnswer:
             with self.subTest(when=when):
--- a/tests/test_spool_files.py
+++ b/tests/test_spool_files.py
@@ -3,9 +3,11 @@
 import unittest
 from pathlib import Path
 
+from msgspec.structs import replace
 from result import Ok
 
 from fescuedock.core.stored_jobs.spools import KnownSpools, choose_spools
+from fescuedock.core.stored_jobs.submission import digest_of
 from fescuedock.schema.result_codes import ResultCode
 from fescuedock.schema.stored_jobs import NodeRecord, SpoolJob
 from fescuedock.spool.files import SpoolFiles
@@ -57,6 +59,15 @@
         files.put(job("cut", b"x" * 500))
         return disk.steps - before
 
+    def test_another_job_under_the_same_id_is_refused(self) -> None:
+        files = opened(MemoryDisk())
+        for number, items in enumerate(([stored_item("a", b"x")], [stored_item("a", b"y")])):
+            record = replace(job_record("job-1", total=1), items_digest=digest_of(items))
+            kept = files.put(SpoolJob(record, items))
+            self.assertEqual(kept.is_ok(), number == 0)
+        self.assertIs(kept.err_value.code, ResultCode.KEY_REUSED)
+        self.assertEqual(next(iter(files)).items[0].body, b"x")
+
     def test_an_end_that_was_acknowledged_survives_a_loss_of_power(self) -> None:
         for seed in range(20):
             disk = MemoryDisk()
--- a/tests/test_spool_service.py
+++ b/tests/test_spool_service.py
@@ -25,6 +25,7 @@
     EmptySpool,
     EmptySpoolReply,
     EndSpooled,
+    FindSpooled,
     NodeRecord,
     SpoolJob,
     StoredJobRecord,
@@ -74,6 +75,23 @@
     def record(self, state: KvState) -> StoredJobRecord:
         return msgspec.msgpack.decode(state.get(KEYS.record("job-1")).value, type=StoredJobRecord)
 
+    def test_a_job_whose_id_another_one_has_is_dropped(self) -> None:
+        async def test(nursery: trio.Nursery) -> None:
+            state = KvState()
+            way = SpoolWay(state)
+            other = job_record("job-1", total=2)
+            await JobStore(way, KEYS, VALUE_BYTES).accept(
+                other, [stored_item("x"), stored_item("y")]
+            )
+            service = opened(MemoryDisk(), way)
+            nursery.start_soon(service.run)
+            await ask(service, JOB)
+            await trio.sleep(5.0)
+            self.assertFalse((await ask(service, FindSpooled("job-1"))).held)
+            self.assertEqual(self.record(state).total, 2)
+
+        self.run_test(test)
+
     def test_an_end_that_comes_while_the_job_is_on_its_way_to_the_store_is_recorded(self) -> None:
         async def test(nursery: trio.Nursery) -> None:
             way = SpoolWay(KvState())
