Run test modules in processes of their own, as many at a time as there are cores

Each module runs in a process of its own, those that take longest first; the soak's tests run one by one in a third of the processes, as they judge real fleets by the clock, and the seeds that failed once are a test each. The verdict is made of what each process reports, by the identities of tests; a process that ends without a report has failed. What each wrote stays in test-logs/, also when it passed.

--- a/tests/soak/runs.py
+++ b/tests/soak/runs.py
@@ -1,5 +1,6 @@
 """One run of the soak: faults while clients work, then calm, then the last judgement."""
 
+import contextlib
 import itertools
 import random
 import shutil
@@ -112,13 +113,13 @@
 def new_folder(wanted: Path) -> Path:
     """Make a folder that is not there yet: logs of an earlier failure of the seed stay."""
     names = (f"{wanted.name}-{number}" for number in itertools.count(2))
-    found = next(
-        path
-        for path in itertools.chain([wanted], map(wanted.with_name, names))
-        if not path.exists()
-    )
-    found.mkdir(parents=True)
-    return found
+    wanted.parent.mkdir(parents=True, exist_ok=True)
+    for path in itertools.chain([wanted], map(wanted.with_name, names)):
+        # Another process may make the same folder at this moment.
+        with contextlib.suppress(FileExistsError):
+            path.mkdir()
+            return path
+    raise AssertionError("there is always another name")
 
 
 async def _run(
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -1,11 +1,21 @@
 """Known failures are passed over one by one; everything else still fails the run."""
 
+import io
 import subprocess
 import sys
+import tempfile
 import unittest
 from pathlib import Path
+from unittest import mock
 
-from tools.run_tests import KnownRed, failed_tests, read_known_red, unexpected
+from tools.run_tests import (
+    KnownRed,
+    failed_tests,
+    read_known_red,
+    run_all_apart,
+    run_apart,
+    unexpected,
+)
 
 ROOT = Path(__file__).resolve().parent.parent
 LINE = "tests.test_x.X.test_y | python -m unittest tests.test_x | 7 | 2 of 3 | An incident"
@@ -50,5 +60,35 @@
         self.assertEqual(ended.returncode, 1)
 
 
+class ApartTest(unittest.TestCase):
+    """Tests in processes of their own are judged like tests in one."""
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+
+    def test_what_fails_and_what_passes_is_told_by_test(self) -> None:
+        name = "tests.builders.samples.SampleTest"
+        run = run_apart(name, self.folder)
+        self.assertEqual((run.tests, run.skipped), (3, 1))
+        self.assertEqual(run.failed, [f"{name}.test_that_fails"])
+        self.assertIn("it always does", (self.folder / f"{name}.txt").read_text())
+
+    def test_a_process_that_ends_without_a_report_has_failed(self) -> None:
+        name = "tests.builders.samples.EndingTest"
+        self.assertEqual(run_apart(name, self.folder).failed, [name])
+
+    def test_a_module_that_cannot_be_loaded_has_failed(self) -> None:
+        self.assertEqual(len(run_apart("tests.no_such_module", self.folder).failed), 1)
+
+    def test_all_failures_are_told_together(self) -> None:
+        names = [f"tests.builders.samples.{name}" for name in ("SampleTest", "EndingTest")]
+        with mock.patch("sys.stderr", io.StringIO()) as told:
+            failed = run_all_apart(names, ["tests.builders.samples.PassingTest"], 4, self.folder)
+        self.assertEqual(failed, {names[0] + ".test_that_fails", names[1]})
+        self.assertIn("4 tests in 3 processes, 1 skipped", told.getvalue())
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -23,7 +23,7 @@
 from tests.soak.overlaps import OverlapSchedule
 from tests.soak.promises import ACK_S, CALM_S, END_S, Disturbance, Ledger, SoakJob, wanted_text
 from tests.soak.proxy import FaultProxy
-from tests.soak.regressions import REGRESSIONS
+from tests.soak.regressions import REGRESSIONS, Regression
 from tests.soak.runs import SoakReport, new_folder, run_seed
 from tests.soak.slow import BIG_ITEM, SlowReader, big_body
 from tests.soak.world import SoakUpstream
@@ -47,16 +47,18 @@
     await trio.sleep_forever()
 
 
-class SoakTest(unittest.TestCase):
-    def check(self, report: SoakReport) -> None:
-        told = f"{report.faults}; logs and report are in {LOGS} under the seed"
-        self.assertEqual(report.broken, [], told)
-        self.assertGreater(report.whole, 0)
-        self.assertGreater(report.ended, 0)
+def check_report(test: unittest.TestCase, report: SoakReport, about: str = "") -> None:
+    """Check that a run kept the promises, and that there was something to keep."""
+    told = f"{about} {report.faults}; logs and report are in {LOGS} under the seed"
+    test.assertEqual(report.broken, [], told)
+    test.assertGreater(report.whole, 0)
+    test.assertGreater(report.ended, 0)
+
 
+class SoakTest(unittest.TestCase):
     def test_a_seeded_run_keeps_the_promises(self) -> None:
         report = seeded_report()
-        self.check(report)
+        check_report(self, report)
         self.assertGreater(report.spooled, 0)
 
     def test_an_end_that_nobody_acknowledged_counts_after_a_while(self) -> None:
@@ -71,7 +73,7 @@
 
     def test_streams_keep_their_version_while_releases_overlap_with_faults(self) -> None:
         report = run_seed(RELEASE_SEED, LOGS, FAULT_S, NODES, releases=True)
-        self.check(report)
+        check_report(self, report)
         self.assertGreater(report.taken_up, 0)
         self.assertGreater(report.went_on, 0)
 
@@ -407,14 +409,22 @@
                 await reader._read(node, "job-1", item)
             nursery.cancel_scope.cancel()
 
-    def test_seeds_that_failed_once_keep_them_now(self) -> None:
-        for case in REGRESSIONS:
-            with self.subTest(seed=case.seed, cause=case.cause):
-                report = run_seed(
-                    case.seed, LOGS, case.fault_s, case.nodes, case.spools, harm=case.harm
-                )
-                self.check(report)
-                self.assertEqual(report.broken_lost_ends, [])
+
+class RegressionTest(unittest.TestCase):
+    """Seeds that failed once keep the promises now; there is one test for each of them."""
+
+    def check(self, case: Regression) -> None:
+        report = run_seed(case.seed, LOGS, case.fault_s, case.nodes, case.spools, harm=case.harm)
+        check_report(self, report, case.cause)
+        self.assertEqual(report.broken_lost_ends, [])
+
+
+for _case in REGRESSIONS:
+    setattr(
+        RegressionTest,
+        f"test_seed_{_case.seed}",
+        functools.partialmethod(RegressionTest.check, _case),
+    )
 
 
 if __name__ == "__main__":
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -3,23 +3,50 @@
 A line of that file names one test, what runs it, its seed, what was seen, and the open issue, with
 `` | `` between them.  Each listed test still runs; its failure is printed and fails nothing else.
 
-Usage: run_tests.py [NAME...]; without names it runs all.  Ends with 1 when another test has failed.
+Usage: run_tests.py [--jobs=N] [NAME...]; without names it runs every module in a process of its
+own, the soak's tests one by one, N processes at a time, and leaves what each has written in
+``test-logs/``.  Ends with 1 when another test has failed.
 """
 
+import os
+import subprocess
 import sys
+import time
 import unittest
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
+from concurrent.futures import ThreadPoolExecutor, as_completed
 from pathlib import Path
 
 import msgspec
 
-__all__ = ["KnownRed", "failed_tests", "main", "read_known_red", "unexpected"]
+__all__ = [
+    "KnownRed",
+    "TestRun",
+    "failed_tests",
+    "main",
+    "read_known_red",
+    "run_all_apart",
+    "run_apart",
+    "unexpected",
+]
 
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
+LOGS = ROOT / "test-logs"
 # More than this many known faults are to be mended first.
 MOST_KNOWN_RED = 3
 _SEPARATOR = " | "
+# These take longest, and so begin first.
+_LONG_MODULES = (
+    "tests.test_quota_partition",
+    "tests.test_heavy_load",
+    "tests.test_promises_jobs",
+    "tests.test_batch_daemon",
+)
+# Each of its longer tests starts a fleet of processes, and judges it by the clock.
+_SOAK = "tests.test_soak"
+_SOAK_SHARE = 3
+_TIMEOUT_S = 600
 
 
 class KnownRed(msgspec.Struct, frozen=True):
@@ -63,18 +90,141 @@
         print(f"KNOWN RED, {state}: {item.test} ({item.issue}): {item.seen}", file=sys.stderr)
 
 
-def main(names: list[str]) -> int:
-    """Run the tests called ``names``, or all; return the exit status."""
+class TestRun(msgspec.Struct):
+    """How the tests under one name went in a process of their own."""
+
+    name: str
+    tests: int = 0
+    skipped: int = 0
+    failed: list[str] = []
+    took_s: float = 0.0
+    output: str = ""
+
+
+class _Report(msgspec.Struct):
+    """What a process tells of its tests."""
+
+    tests: int
+    skipped: int
+    failed: list[str]
+
+
+def run_apart(name: str, folder: Path = LOGS) -> TestRun:
+    """Run the tests of a module, or one test, in another process that writes to ``folder``.
+
+    A process that ends without a report has failed under that name.
+    """
+    folder.mkdir(parents=True, exist_ok=True)
+    log, report_file = folder / f"{name}.txt", folder / f"{name}.json"
+    report_file.unlink(missing_ok=True)
+    options = [f"-W{option}" for option in sys.warnoptions]
+    command = [sys.executable, *options, __file__, f"--report={report_file}", name]
+    began_s = time.monotonic()
+    with log.open("wb") as output:
+        try:
+            subprocess.run(
+                command,
+                cwd=ROOT,
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=subprocess.STDOUT,
+                timeout=_TIMEOUT_S,
+                check=False,
+            )
+        except subprocess.TimeoutExpired:
+            output.write(f"not done after {_TIMEOUT_S} s\n".encode())
+    run = TestRun(name, took_s=time.monotonic() - began_s)
+    run.output = log.read_text(encoding="utf-8", errors="replace")
+    try:
+        report = msgspec.json.decode(report_file.read_bytes(), type=_Report)
+    except (OSError, msgspec.DecodeError):
+        run.failed = [name]
+        return run
+    report_file.unlink()
+    run.tests, run.skipped, run.failed = report.tests, report.skipped, report.failed
+    return run
+
+
+def run_all_apart(
+    names: Sequence[str], soak: Sequence[str], jobs: int, folder: Path = LOGS
+) -> set[str]:
+    """Run tests ``jobs`` at a time, and tell how they went; return those that failed.
+
+    Those of the ``soak`` get a part of the processes to themselves.
+    """
+    soak_jobs = max(jobs // _SOAK_SHARE, 1)
+    runs: list[TestRun] = []
+    with (
+        ThreadPoolExecutor(max(jobs - soak_jobs, 1)) as pool,
+        ThreadPoolExecutor(soak_jobs) as soak_pool,
+    ):
+        started = [soak_pool.submit(run_apart, name, folder) for name in soak]
+        started += [pool.submit(run_apart, name, folder) for name in names]
+        for done in as_completed(started):
+            run = done.result()
+            runs.append(run)
+            if run.failed:
+                print(run.output, file=sys.stderr)
+    slowest = sorted(runs, key=lambda item: -item.took_s)[:5]
+    tests, skipped = (sum(getattr(item, name) for item in runs) for name in ("tests", "skipped"))
+    failed = {name for item in runs for name in item.failed}
+    print(f"{tests} tests in {len(runs)} processes, {skipped} skipped", file=sys.stderr)
+    print(
+        "slowest: " + ", ".join(f"{item.name} {item.took_s:.0f} s" for item in slowest),
+        file=sys.stderr,
+    )
+    for name in sorted(failed):
+        print(f"FAILED: {name}", file=sys.stderr)
+    return failed
+
+
+def _all_modules() -> list[str]:
+    """Return the test modules of this tree but that of the soak, those first that take longest."""
+    found = [
+        ".".join(path.relative_to(ROOT).with_suffix("").parts)
+        for path in (ROOT / "tests").rglob("test_*.py")
+    ]
+    found.remove(_SOAK)
+    return sorted(found, key=lambda name: (name not in _LONG_MODULES, name))
+
+
+def _tests_of(module: str) -> list[str]:
+    """Return the identities of a module's tests, or its own name when it cannot be loaded."""
+    found: list[str] = []
+    suites: list[unittest.TestSuite] = [unittest.defaultTestLoader.loadTestsFromName(module)]
+    while suites:
+        for item in suites.pop():
+            if isinstance(item, unittest.TestSuite):
+                suites.append(item)
+            else:
+                found.append(item.id())
+    return found if all(name.startswith(module) for name in found) else [module]
+
+
+def _run_here(names: Sequence[str], report_file: Path | None) -> set[str]:
+    """Run tests in this process; return those that failed."""
+    result = unittest.TextTestRunner().run(unittest.defaultTestLoader.loadTestsFromNames(names))
+    failed = failed_tests(result)
+    if report_file is not None:
+        report = _Report(result.testsRun, len(result.skipped), sorted(failed))
+        report_file.write_bytes(msgspec.json.encode(report))
+    return failed
+
+
+def main(arguments: list[str]) -> int:
+    """Run the tests that are named, or all; return the exit status."""
     sys.path.insert(0, str(ROOT))
     known = read_known_red(KNOWN_RED.read_text(encoding="utf-8") if KNOWN_RED.exists() else "")
-    loader = unittest.defaultTestLoader
+    names = [item for item in arguments if not item.startswith("--")]
+    options = dict(item[2:].partition("=")[::2] for item in arguments if item.startswith("--"))
     if names:
-        suite = loader.loadTestsFromNames(names)
+        report_file = Path(options["report"]) if "report" in options else None
+        failed = _run_here(names, report_file)
     else:
-        suite = loader.discover(str(ROOT / "tests"), top_level_dir=str(ROOT))
-    result = unittest.TextTestRunner().run(suite)
-    failed = failed_tests(result)
-    _report(known, failed)
+        jobs = int(options.get("jobs") or os.cpu_count() or 1)
+        failed = run_all_apart(_all_modules(), _tests_of(_SOAK), jobs)
+    if "report" not in options:
+        _report(known, failed)
     return 1 if unexpected(failed, known) else 0
 
 
