--- a/tests/test_stored_jobs_urgency.py
+++ b/tests/test_stored_jobs_urgency.py
@@ -5,9 +5,9 @@
 from msgspec.structs import replace
 
 from fescuedock.core.permits.queued import batch_rank
-from fescuedock.core.stored_jobs.job import ItemEnd, StoredJob
+from fescuedock.core.stored_jobs.job import ItemEnd, ItemRun, StoredJob
 from fescuedock.core.stored_jobs.pace import Pace, RunEstimate
-from fescuedock.core.stored_jobs.pool import ItemPool
+from fescuedock.core.stored_jobs.pool import ItemPool, Site
 from fescuedock.core.stored_jobs.urgency import rank_items, stage_of
 from fescuedock.schema.permits import BatchStage
 from tests.builders.forwarding import job_record, stored_item
@@ -168,5 +168,55 @@
         self.assertEqual(self.start(2), ["small"] * 2)
 
 
+class OverdueTest(unittest.TestCase):
+    """Guards items that come last in every order against waiting for ever at their node."""
+
+    def setUp(self) -> None:
+        self.jobs = [job_due(f"fresh-{number}", 60_000.0) for number in range(20)]
+        self.urgent = ""
+        self.pool = ItemPool(
+            lambda: self.jobs,
+            lambda _record, _service: True,
+            priority=lambda record: int(record.job_id != self.urgent),
+        )
+
+    def add(self, name: str, due_ms: float) -> ItemRun:
+        job = job_due(name, due_ms)
+        self.jobs.append(job)
+        [run] = job.ready_items(0.0)
+        return run
+
+    def overdue(self, now_ms: float, site: Site | None = None) -> str | None:
+        choice = self.pool.choose_overdue("i-1", "s", now_ms, site)
+        return None if choice is None else choice.run.item.item_id
+
+    def test_an_item_is_overdue_some_time_after_its_last_chance(self) -> None:
+        self.add("late", 4000.0)
+        # It takes five seconds as far as anybody knows.
+        self.assertIsNone(self.overdue(900.0))
+        self.assertEqual(self.overdue(1100.0), "late")
+
+    def test_the_longest_overdue_goes_first_whatever_its_priority(self) -> None:
+        self.add("late", -9000.0)
+        self.add("later", -8000.0)
+        self.urgent = "later"
+        self.assertEqual(self.overdue(0.0), "late")
+
+    def test_one_that_the_upstream_has_failed_is_tried_there_again_in_the_end(self) -> None:
+        self.add("failed", -9000.0).avoided.add("i-1")
+        self.add("other", -5000.0)
+        self.assertEqual(self.overdue(0.0), "other")
+        self.jobs.pop()
+        self.assertEqual(self.overdue(0.0), "failed")
+
+    def test_one_of_another_version_begins_anew_when_it_has_waited(self) -> None:
+        run = self.add("late", -30_000.0)
+        run.last_event, run.software_version, run.ended_ms = 99, "v1", 100.0
+        served = frozenset({"v1", "v2"})
+        self.assertIsNone(self.overdue(1000.0, Site("v2", served)))
+        self.assertEqual(self.overdue(1000.0, Site("v1", served)), "late")
+        self.assertEqual(self.overdue(9000.0, Site("v2", served)), "late")
+
+
 if __name__ == "__main__":
     unittest.main()
