Keep the place of an item whose software version has gone

Cause: an item that would begin anew at an upstream came after all others that could start there. Its nine events were of a version that no upstream served any more, its node always had other items, and so it was never chosen; its four fellows, which had no events yet, were done within 13 s of their submission.

Change: such an item keeps its place among the others, and counts with the whole run that it has left.

--- a/src/fescuedock/core/stored_jobs/pool.py
+++ b/src/fescuedock/core/stored_jobs/pool.py
@@ -119,31 +119,28 @@
         self, upstream_id: str, service: str, now_ms: float, site: Site | None
     ) -> list[ItemChoice]:
         """Return the items that may start at an upstream beside others, the next one first."""
-        choices = self._ranked(upstream_id, service, now_ms)
+        version = None if site is None else site.software_version
+        choices = self._ranked(upstream_id, service, now_ms, version)
         if not self._all_free():
             choices = [item for item in choices if self._stands(item.run, Standing.FREE)]
-        return choices if site is None else self._startable(choices, site)
+        return [item for item in choices if site is None or self._may_start(item, site)]
 
-    def _startable(self, choices: Iterable[ItemChoice], site: Site) -> list[ItemChoice]:
-        """Return the items that may start at an upstream, those last that would begin anew there.
+    def _may_start(self, choice: ItemChoice, site: Site) -> bool:
+        """Whether an item may start at an upstream, if need be from the beginning.
 
         An item waits for an upstream of the version that began it as long as what it has took to
         make, so that beginning anew costs it about as much again at the most.
         """
-        going_on, anew = [], []
-        for choice in choices:
-            run = choice.run
-            if run.fits(site.software_version):
-                going_on.append(choice)
-                continue
-            made_ms = self._estimate.made_ms(run.last_event + 1)
-            if run.software_version not in site.served or choice.waited_ms >= made_ms:
-                anew.append(choice)
-        return going_on + anew
-
-    def _ranked(self, upstream_id: str, service: str, now_ms: float) -> list[ItemChoice]:
+        run = choice.run
+        if run.fits(site.software_version) or run.software_version not in site.served:
+            return True
+        return choice.waited_ms >= self._estimate.made_ms(run.last_event + 1)
+
+    def _ranked(
+        self, upstream_id: str, service: str, now_ms: float, version: str | None = None
+    ) -> list[ItemChoice]:
         jobs = [job for job in self._jobs() if self._serves(job.record, service)]
-        ranked = rank_items(jobs, upstream_id, self._estimate, self._pace, now_ms)
+        ranked = rank_items(jobs, upstream_id, self._estimate, self._pace, now_ms, version)
         whose = {(job.record.customer, self._priority(job.record)) for job in jobs}
         if len(whose) < 2:
             return ranked
--- a/src/fescuedock/core/stored_jobs/urgency.py
+++ b/src/fescuedock/core/stored_jobs/urgency.py
@@ -46,25 +46,40 @@
 
 
 def rank_items(
-    jobs: Iterable[StoredJob], upstream_id: str, estimate: RunEstimate, pace: Pace, now_ms: float
+    jobs: Iterable[StoredJob],
+    upstream_id: str,
+    estimate: RunEstimate,
+    pace: Pace,
+    now_ms: float,
+    software_version: str | None = None,
 ) -> list[ItemChoice]:
     """Return the items that could start at an upstream now, the next one first.
 
-    Items go back to an upstream that failed them only when no other may start.
+    Items go back to an upstream that failed them only when no other may start.  With the
+    upstream's ``software_version``, what would begin anew there has all of its run left.
     """
     choices = [
-        _choice(job, run, estimate, pace, now_ms) for job in jobs for run in job.ready_items(now_ms)
+        _choice(job, run, estimate, pace, now_ms, software_version)
+        for job in jobs
+        for run in job.ready_items(now_ms)
     ]
     choices.sort(key=lambda choice: (upstream_id in choice.run.avoided, *choice.rank()))
     return choices
 
 
 def _choice(
-    job: StoredJob, run: ItemRun, estimate: RunEstimate, pace: Pace, now_ms: float
+    job: StoredJob,
+    run: ItemRun,
+    estimate: RunEstimate,
+    pace: Pace,
+    now_ms: float,
+    software_version: str | None,
 ) -> ItemChoice:
-    left_ms = estimate.left_ms(run.last_event + 1)
+    goes_on = software_version is None or run.fits(software_version)
+    events_done = run.last_event + 1 if goes_on else 0
+    left_ms = estimate.left_ms(events_done)
     time_ms = job.due_ms - now_ms
-    stage = stage_of(time_ms, left_ms, pace.share, begun=run.last_event >= 0)
+    stage = stage_of(time_ms, left_ms, pace.share, begun=events_done > 0)
     since_ms = run.ended_ms or job.due_ms - job.record.due_in_ms
     return ItemChoice(job, run, stage, time_ms - left_ms, left_ms, now_ms - since_ms)
 
--- a/tests/test_item_versions.py
+++ b/tests/test_item_versions.py
@@ -105,6 +105,24 @@
         self.fresh.running = True
         self.assertIs(self.choose("v1.1", frozenset(("v1.1",)), 1001.0), self.begun)
 
+    def test_an_item_whose_version_has_gone_keeps_its_place_among_others(self) -> None:
+        """Guards against an item that came after all that came later, for ever."""
+        self.job.due_ms = 60_000.0
+        younger = new_job("younger")
+        younger.due_ms = 90_000.0
+        self.fresh.running = True
+        self.pool = ItemPool(lambda: [younger, self.job], lambda _record, _service: True)
+        self.assertIs(self.choose("v1.1", frozenset(("v1.1",)), 1100.0), self.begun)
+
+    def test_what_begins_anew_has_all_of_its_run_left(self) -> None:
+        left_ms = [
+            self.pool.choose("i", "s", 9000.0, site=Site(version, frozenset((version,)))).left_ms
+            for version in ("v1", "v1.1")
+        ]
+        self.fresh.running = True
+        anew = self.pool.choose("i", "s", 9000.0, site=Site("v1.1", frozenset(("v1.1",))))
+        self.assertGreater(anew.left_ms, left_ms[0])
+
     def test_events_of_another_version_take_the_place_of_those_before(self) -> None:
         self.assertEqual(self.begun.resume_after("v1.1"), -1)
         self.assertEqual(self.begun.resume_after("v1"), 99)
