Let jobs take turns with their overdue items, and shelter a run in its turn

Callers of a small late job waited for all items of an older, larger one, and turns were spent on runs that the next call cut off.

--- a/src/fescuedock/core/permits/held.py
+++ b/src/fescuedock/core/permits/held.py
@@ -99,11 +99,12 @@
         return max(self.done_ms - now_ms, 1.0) if self.done_ms else 0.0
 
     def is_sheltered(self, now_ms: float) -> bool:
-        """Whether it gives way last, as its work was cut off before its first event several times.
+        """Whether it gives way last: its work was cut off before its first event several times, or
+        is overdue and has its turn.
 
         It is until it has given events for as long as the first one took.
         """
-        if self.barren_runs < _SHELTERED_FROM:
+        if self.barren_runs < _SHELTERED_FROM and not self.in_turn:
             return False
         return not self.generated_tokens or now_ms < self.granted_ms + 2 * self.first_token_ms
 
--- a/src/fescuedock/core/stored_jobs/job.py
+++ b/src/fescuedock/core/stored_jobs/job.py
@@ -158,6 +158,8 @@
         self._results: list[StoredResult] = []
         self._committing = 0
         self._saved_events = 0
+        # In which its next overdue item has a turn, among jobs of a node; None before it has any.
+        self.overdue_round: int | None = None
 
     @property
     def job_id(self) -> str:
--- a/src/fescuedock/core/stored_jobs/pool.py
+++ b/src/fescuedock/core/stored_jobs/pool.py
@@ -48,6 +48,8 @@
         self._priority = priority
         self._estimate = RunEstimate()
         self._pace = Pace()
+        # In which jobs with overdue items take turns; a job joins the next one.
+        self._overdue_round = 0
 
     def waiting(self, services: Iterable[str], now_ms: float) -> Counter[str]:
         """Count the items that could start now, by the services that may run them."""
@@ -93,21 +95,25 @@
     def choose_overdue(
         self, upstream_id: str, service: str, now_ms: float, site: Site | None = None
     ) -> ItemChoice | None:
-        """Return the item that is overdue for the longest time, whoever's it is.
+        """Return the overdue item whose turn it is, whoever's it is.
 
-        One that the upstream has failed counts as due later, so that it is tried elsewhere first.
+        Jobs take turns, so that a large one holds up nobody, the longest overdue first.  An item
+        that the upstream has failed counts as due later, so that it is tried elsewhere first.
         """
-        overdue = (
+        overdue = [
             choice
             for choice in self._choices(upstream_id, service, now_ms, site)
             if choice.is_overdue
-        )
+        ]
+        for choice in overdue:
+            if choice.job.overdue_round is None:
+                choice.job.overdue_round = self._overdue_round + 1
 
-        def due_ms(choice: ItemChoice) -> float:
+        def turn(choice: ItemChoice) -> tuple[int, float]:
             penalty_ms = _FAILED_HERE_MS if upstream_id in choice.run.avoided else 0.0
-            return choice.job.due_ms + penalty_ms
+            return choice.job.overdue_round, choice.job.due_ms + penalty_ms
 
-        return min(overdue, key=due_ms, default=None)
+        return min(overdue, key=turn, default=None)
 
     def choose_alone(self, service: str, now_ms: float) -> ItemChoice | None:
         """Return the most urgent item of those that may only run alone."""
@@ -157,6 +163,16 @@
     def _stands(self, run: ItemRun, standing: Standing) -> bool:
         return self._standing(run.work_id) is standing
 
+    def take_overdue_turn(
+        self, upstream_id: str, service: str, now_ms: float, site: Site | None = None
+    ) -> ItemChoice | None:
+        """Return ``choose_overdue`` and count it as its job's turn."""
+        choice = self.choose_overdue(upstream_id, service, now_ms, site)
+        if choice is not None:
+            self._overdue_round = choice.job.overdue_round
+            choice.job.overdue_round += 1
+        return choice
+
     def start(self, run: ItemRun, now_ms: float) -> None:
         """Note that an item runs, and learn from the time that it had to wait since it last did."""
         if run.ran_ms > 0:
--- a/src/fescuedock/node/job_runner.py
+++ b/src/fescuedock/node/job_runner.py
@@ -525,7 +525,9 @@
         upstream = self._view.upstreams.get(upstream_id)
         choice = None
         if upstream is not None and grant.is_overdue:
-            choice = self._choose_overdue(upstream)
+            choice = self._pool.take_overdue_turn(
+                upstream_id, upstream.service, now_ms(), self._site(upstream)
+            )
         if upstream is not None and choice is None:
             choice = self._choose(upstream, customer=grant.member)
         if choice is None:
--- a/tests/builders/load_player.py
+++ b/tests/builders/load_player.py
@@ -596,7 +596,9 @@
 
     def _use(self, upstream_id: str, grant: Grant) -> None:
         upstream = self._node.view.upstreams[upstream_id]
-        choice = self._choose_overdue(upstream) if grant.is_overdue else None
+        choice = None
+        if grant.is_overdue:
+            choice = self._pool.take_overdue_turn(upstream_id, SERVICE, now_ms())
         choice = choice or self._choose(upstream)
         if choice is None:
             self._node.permits.give_back(grant)
--- a/tests/test_permits_overdue.py
+++ b/tests/test_permits_overdue.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from fescuedock.core.permits.actions import Granted
+from fescuedock.core.permits.actions import Granted, Revoked
 from fescuedock.core.permits.queue import UpstreamQueue
 from fescuedock.core.permits.queued import OVERDUE_EVERY
 from fescuedock.core.permits.terms import UpstreamTerms
@@ -88,6 +88,21 @@
         self.assertEqual(len(revoked), 1)
         self.assertNotEqual(revoked, [late.attempt_id])
 
+    def test_calls_that_can_go_elsewhere_leave_it_alone_until_it_has_given_something(self) -> None:
+        """Guards against turns of overdue work that were cut off by the next call."""
+        queue = new_queue(PermitSettings(quiet_ms=0), UpstreamTerms(slots=OVERDUE_EVERY))
+        fresh = [ask_for(WorkClass.BATCH, **FRESH) for _ in range(OVERDUE_EVERY - 1)]
+        late = ask_for(WorkClass.BATCH, **LATE)
+        for ask in (*fresh, late):
+            queue.ask(ask, 0.0)
+        revoked = [
+            item.permit_id
+            for _ in range(OVERDUE_EVERY)
+            for item in queue.ask(ask_for(), 1.0)
+            if isinstance(item, Revoked)
+        ]
+        self.assertEqual(set(revoked), {ask.attempt_id for ask in fresh})
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_stored_jobs_urgency.py
+++ b/tests/test_stored_jobs_urgency.py
@@ -202,6 +202,29 @@
         self.urgent = "later"
         self.assertEqual(self.overdue(0.0), "late")
 
+    def test_a_job_with_many_overdue_items_does_not_hold_up_one_that_is_due_later(self) -> None:
+        """Guards against an item that waited behind all items of a larger job."""
+        items = [stored_item(f"big-{number}") for number in range(30)]
+        self.jobs.append(StoredJob(job_record("big"), items, [], -9000.0, 60_000.0))
+        self.add("small", -8000.0)
+        taken = []
+        for _ in range(4):
+            choice = self.pool.take_overdue_turn("i-1", "s", 0.0)
+            self.pool.start(choice.run, 0.0)
+            taken.append(choice.job.job_id)
+        self.assertEqual(taken, ["big", "small", "big", "big"])
+
+    def test_jobs_that_become_overdue_take_no_turns_from_those_before(self) -> None:
+        items = [stored_item(f"big-{number}") for number in range(30)]
+        self.jobs.append(StoredJob(job_record("big"), items, [], -9000.0, 60_000.0))
+        taken = []
+        for number in range(10):
+            self.add(f"new-{number}", -8000.0)
+            choice = self.pool.take_overdue_turn("i-1", "s", 0.0)
+            self.pool.start(choice.run, 0.0)
+            taken.append(choice.job.job_id)
+        self.assertGreaterEqual(taken.count("big"), 2)
+
     def test_one_that_the_upstream_has_failed_is_tried_there_again_in_the_end(self) -> None:
         self.add("failed", -9000.0).avoided.add("i-1")
         self.add("other", -5000.0)
