Look for overdue items only where a job may have any

A node with waiting items ranked all of them for each upstream at each wake-up, to find out whether one was overdue; by reading. A look at the jobs' due times alone comes first now, and then the first upstream of a random order that an overdue item may start at.

--- a/src/fescuedock/core/stored_jobs/pool.py
+++ b/src/fescuedock/core/stored_jobs/pool.py
@@ -8,10 +8,12 @@
 
 import msgspec
 
+from fescuedock.core.permits.queued import is_overdue
 from fescuedock.core.quarantine import Standing
 from fescuedock.core.stored_jobs.job import ItemEnd, ItemRun, StoredJob
 from fescuedock.core.stored_jobs.pace import Pace, RunEstimate
 from fescuedock.core.stored_jobs.urgency import ItemChoice, rank_items
+from fescuedock.schema.permits import BatchStage
 from fescuedock.schema.stored_jobs import StoredJobRecord
 
 __all__ = ["ItemPool", "Site"]
@@ -92,6 +94,13 @@
             choices = own or choices
         return choices[min(position, len(choices) - 1)]
 
+    def any_overdue(self, now_ms: float) -> bool:
+        """Whether there may be an overdue item; a look at the jobs alone."""
+        left_ms = self._estimate.left_ms(0)
+        return any(
+            is_overdue(BatchStage.LATE, job.due_ms - now_ms - left_ms) for job in self._jobs()
+        )
+
     def choose_overdue(
         self, upstream_id: str, service: str, now_ms: float, site: Site | None = None
     ) -> ItemChoice | None:
--- a/src/fescuedock/node/item_asking.py
+++ b/src/fescuedock/node/item_asking.py
@@ -28,8 +28,6 @@
 _REFUSED_PAUSE_MS = 60.0
 # A load that is older says nothing, as for online calls.
 _LOAD_FRESH_MS = RoutingPolicy().stale_ms
-# Overdue items are asked for one at a time: the one that waits longest, at one owner.
-_OVERDUE_ASKS = AskPolicy(per_item=1)
 
 
 class ItemAsker:
@@ -37,7 +35,8 @@
 
     ``waiting`` counts the items that could start now, by the service they need; ``choose`` returns
     the most urgent of them for an upstream, or one at a later position; ``choose_overdue`` the one
-    that has a claim to a turn of its own; ``priority`` gives that of a job's items.
+    that has a claim to a turn of its own, where ``any_overdue`` says that there may be one;
+    ``priority`` gives that of a job's items.
     """
 
     def __init__(
@@ -50,6 +49,7 @@
         choose: Callable[[UpstreamRecord, int], ItemChoice | None],
         use: Callable[[str, Grant], None],
         choose_overdue: Callable[[UpstreamRecord], ItemChoice | None] = lambda _upstream: None,
+        any_overdue: Callable[[], bool] = lambda: False,
         priority: Callable[[StoredJobRecord], int] = lambda _record: 0,
         policy: AskPolicy | None = None,
     ) -> None:
@@ -61,6 +61,7 @@
         self._choose = choose
         self._use = use
         self._choose_overdue = choose_overdue
+        self._any_overdue = any_overdue
         self._priority = priority
         self._policy = policy or AskPolicy()
         # The upstreams that are being asked, with their services.
@@ -103,19 +104,22 @@
             for number, upstream_id in enumerate(chosen, start=open_asks[service]):
                 self._asking[upstream_id] = service
                 nursery.start_soon(self._ask, upstream_id, number // self._policy.per_item)
-            if count and service not in self._asking_overdue:
+            if count and service not in self._asking_overdue and self._any_overdue():
                 self._ask_overdue_of(service, nursery)
 
     def _ask_overdue_of(self, service: str, nursery: trio.Nursery) -> None:
         """Ask one owner beside the other asks, which are all for items that can be on time."""
-        candidates = [
-            AskCandidate(item.upstream_id, self._free_slots(item.upstream_id))
-            for item in self._view.upstreams_of(service)
-            if not item.leaving and self._choose_overdue(item) is not None
-        ]
-        for upstream_id in choose_asks(1, 0, candidates, _OVERDUE_ASKS, self._rng):
-            self._asking_overdue.add(service)
-            nursery.start_soon(self._ask_overdue, upstream_id, service)
+        upstreams = {
+            item.upstream_id: item for item in self._view.upstreams_of(service) if not item.leaving
+        }
+        candidates = [AskCandidate(name, self._free_slots(name)) for name in upstreams]
+        policy = AskPolicy(per_item=len(candidates))
+        # Looking for an item is dear: mostly the first upstream may run one.
+        for upstream_id in choose_asks(1, 0, candidates, policy, self._rng):
+            if self._choose_overdue(upstreams[upstream_id]) is not None:
+                self._asking_overdue.add(service)
+                nursery.start_soon(self._ask_overdue, upstream_id, service)
+                return
 
     def _is_wanted(self, upstream: UpstreamRecord, versions: Collection[str]) -> bool:
         """Whether an item could start at an upstream; one that has begun waits for its version."""
--- a/src/fescuedock/node/job_runner.py
+++ b/src/fescuedock/node/job_runner.py
@@ -137,6 +137,7 @@
             self._choose,
             self._use,
             self._choose_overdue,
+            lambda: self._pool.any_overdue(now_ms()),
             self._priority,
         )
         self._lone_items = LoneItems(view, permits, self._lone_item, self._use_alone)
--- a/tests/builders/load_player.py
+++ b/tests/builders/load_player.py
@@ -551,6 +551,7 @@
             self._choose,
             self._use,
             self._choose_overdue,
+            lambda: self._pool.any_overdue(now_ms()),
         )
         self.outcomes: list[ItemOutcome] = []
 
--- a/tests/test_stored_jobs_urgency.py
+++ b/tests/test_stored_jobs_urgency.py
@@ -188,12 +188,15 @@
 
     def overdue(self, now_ms: float, site: Site | None = None) -> str | None:
         choice = self.pool.choose_overdue("i-1", "s", now_ms, site)
+        # The look at the jobs alone misses none.
+        self.assertTrue(choice is None or self.pool.any_overdue(now_ms))
         return None if choice is None else choice.run.item.item_id
 
     def test_an_item_is_overdue_some_time_after_its_last_chance(self) -> None:
         self.add("late", 4000.0)
         # It takes five seconds as far as anybody knows.
         self.assertIsNone(self.overdue(900.0))
+        self.assertFalse(self.pool.any_overdue(900.0))
         self.assertEqual(self.overdue(1100.0), "late")
 
     def test_the_longest_overdue_goes_first_whatever_its_priority(self) -> None:
