Test what asks and renewals tell of overdue items and of runs that gave nothing

Three parts of the mends could be taken out of a scratch copy without a red test: that asks and renewals carry the runs that gave nothing, and that a run in its turn counts as begun after its shelter.

--- /dev/null
+++ b/tests/test_item_asking.py
@@ -0,0 +1,92 @@
+"""What a node's asks tell owners of the items that they are for."""
+
+import random
+import unittest
+from collections import Counter
+
+import trio
+from result import Err
+from trio.testing import MockClock
+
+from fescuedock.agent.link import FleetView
+from fescuedock.core.permits.holder import HeldGrant
+from fescuedock.core.stored_jobs.job import ItemEnd, StoredJob
+from fescuedock.core.stored_jobs.pool import ItemPool
+from fescuedock.faults import Fault
+from fescuedock.node.item_asking import ItemAsker
+from fescuedock.schema.permits import BatchStage, PermitAsk, WorkClass
+from fescuedock.schema.result_codes import ResultCode
+from fescuedock.schema.settings import NodeSettings
+from tests.builders.forwarding import job_record, stored_item
+from tests.builders.permits import SERVICE, ask_for, upstream_record
+
+SETTINGS = NodeSettings("0.0.0.0:1", "0.0.0.0:1", "0.0.0.0:1", "0.0.0.0:1")
+
+
+class RefusingPermits:
+    """Refuses every ask, and keeps it."""
+
+    holder_id = "h1"
+
+    def __init__(self) -> None:
+        self.loads: dict = {}
+        self.asks: list[PermitAsk] = []
+
+    async def ask(self, ask: PermitAsk, _timeout_ms: float) -> Err[Fault]:
+        self.asks.append(ask)
+        return Err(Fault(ResultCode.NO_CAPACITY, "full", 5000))
+
+
+class ItemAskerTest(unittest.TestCase):
+    def asks_for(self, *jobs: StoredJob) -> list[PermitAsk]:
+        """Return what is asked of an upstream while items of jobs wait."""
+        pool = ItemPool(lambda: jobs, lambda _record, _service: True)
+        permits = RefusingPermits()
+        view = FleetView("vm1")
+        asker = ItemAsker(
+            SETTINGS,
+            view,
+            permits,
+            random.Random(1),
+            lambda: Counter(pool.waiting([SERVICE], 0.0)),
+            lambda _upstream, position: pool.choose("u1", SERVICE, 0.0, position),
+            lambda _upstream_id, _grant: None,
+            lambda _upstream: pool.choose_overdue("u1", SERVICE, 0.0),
+            lambda: pool.any_overdue(0.0),
+        )
+
+        async def run() -> None:
+            view.replace(1, [], [upstream_record()], 0.0)
+            with trio.move_on_after(1.0):
+                await asker.run(lambda: 0.1)
+
+        trio.run(run, clock=MockClock(autojump_threshold=0))
+        return permits.asks
+
+    def job(self, name: str, due_ms: float) -> StoredJob:
+        return StoredJob(job_record(name), [stored_item(name)], [], due_ms, 60_000.0)
+
+    def test_an_ask_tells_how_often_runs_of_the_item_gave_nothing(self) -> None:
+        job = self.job("a", 60_000.0)
+        [run] = job.ready_items(0.0)
+        for at_ms in (-9000.0, -8000.0, -7000.0):
+            run.start(at_ms)
+            job.finish(run, ItemEnd.INTERRUPTED, "u1", 3, at_ms)
+        [ask] = self.asks_for(job)
+        self.assertEqual(ask.barren_runs, 3)
+
+    def test_an_overdue_item_is_asked_for_beside_items_that_can_be_on_time(self) -> None:
+        """Guards against late items that no owner ever heard of."""
+        jobs = [self.job(f"fresh-{number}", 60_000.0) for number in range(9)]
+        asks = self.asks_for(*jobs, self.job("late", -9000.0))
+        self.assertEqual(
+            sorted(ask.stage for ask in asks), sorted((BatchStage.FRESH, BatchStage.LATE))
+        )
+
+    def test_a_renewal_tells_it_too(self) -> None:
+        held = HeldGrant(ask_for(WorkClass.BATCH, barren_runs=2), 0.0, 1000.0)
+        self.assertEqual(held.as_held(10.0).barren_runs, 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_permits_overdue.py
+++ b/tests/test_permits_overdue.py
@@ -3,6 +3,7 @@
 import unittest
 
 from fescuedock.core.permits.actions import Granted, Revoked
+from fescuedock.core.permits.holder import HeldGrant
 from fescuedock.core.permits.queue import UpstreamQueue
 from fescuedock.core.permits.queued import OVERDUE_EVERY
 from fescuedock.core.permits.terms import UpstreamTerms
@@ -84,7 +85,10 @@
         late = ask_for(WorkClass.BATCH, **LATE)
         for ask in (*fresh, late):
             queue.ask(ask, 0.0)
-        revoked = [item.permit_id for item in queue.ask(ask_for(), 1.0)[1:]]
+        # Its first event came at once, so that it is not sheltered any more.
+        held = HeldGrant(late, 0.0, 1000.0, first_token_ms=10.0, generated_tokens=5)
+        queue.renew("h1", held.as_held(100.0), 100.0)
+        revoked = [item.permit_id for item in queue.ask(ask_for(), 100.0)[1:]]
         self.assertEqual(len(revoked), 1)
         self.assertNotEqual(revoked, [late.attempt_id])
 
