--- a/tests/test_items_passed_over.py
+++ b/tests/test_items_passed_over.py
@@ -42,6 +42,19 @@
         return [item for item in self.items if not item.due_ms]
 
 
+def young_jobs(per_s: float) -> BatchLoad:
+    """Return jobs whose items take 600 ms to a first event, and whose clients leave after 4 s."""
+    return BatchLoad(
+        per_s=per_s,
+        length_s=LENGTH_S,
+        items=6,
+        events=12,
+        event_ms=20.0,
+        first_event_ms=600.0,
+        ended_after_s=4.0,
+    )
+
+
 def play(load: BatchLoad, calls_per_s: float) -> Played:
     """Play one late job, and then younger ones and calls, on 16 slots."""
     played = Played(late_items=load.items * len(SEEDS))
@@ -74,31 +87,13 @@
 
     def test_a_late_job_is_done_while_younger_jobs_keep_coming(self) -> None:
         """Guards against late items that no node asked for and no owner granted: 6 of 18 done."""
-        load = BatchLoad(
-            per_s=6.0,
-            length_s=LENGTH_S,
-            items=6,
-            events=12,
-            event_ms=20.0,
-            first_event_ms=600.0,
-            ended_after_s=4.0,
-        )
-        played = play(load, calls_per_s=10.0)
+        played = play(young_jobs(per_s=6.0), calls_per_s=10.0)
         self.assertEqual(len(played.late), played.late_items)
         self.assertLessEqual(max(item.took_ms for item in played.late), LISTED_MS)
 
     def test_it_is_done_where_calls_cut_off_most_runs_before_their_first_event(self) -> None:
         """Guards against late items whose every run was cut off before it gave anything."""
-        load = BatchLoad(
-            per_s=3.0,
-            length_s=LENGTH_S,
-            items=6,
-            events=12,
-            event_ms=20.0,
-            first_event_ms=600.0,
-            ended_after_s=4.0,
-        )
-        played = play(load, calls_per_s=36.0)
+        played = play(young_jobs(per_s=3.0), calls_per_s=36.0)
         self.assertEqual(len(played.late), played.late_items)
         self.assertLessEqual(max(item.took_ms for item in played.late), LISTED_MS)
         self.assertTrue(all(call.on_time for call in played.calls))
--- a/tests/test_permits_overdue.py
+++ b/tests/test_permits_overdue.py
@@ -79,33 +79,30 @@
 class InTurnTest(unittest.TestCase):
     """A run that got its turn as overdue is not the first to give way."""
 
+    def setUp(self) -> None:
+        self.queue = new_queue(PermitSettings(quiet_ms=0), UpstreamTerms(slots=OVERDUE_EVERY))
+        self.fresh = [ask_for(WorkClass.BATCH, **FRESH) for _ in range(OVERDUE_EVERY - 1)]
+        self.late = ask_for(WorkClass.BATCH, **LATE)
+        for ask in (*self.fresh, self.late):
+            self.queue.ask(ask, 0.0)
+
     def test_a_run_in_its_turn_gives_way_like_one_that_has_begun(self) -> None:
-        queue = new_queue(PermitSettings(quiet_ms=0), UpstreamTerms(slots=OVERDUE_EVERY))
-        fresh = [ask_for(WorkClass.BATCH, **FRESH) for _ in range(OVERDUE_EVERY - 1)]
-        late = ask_for(WorkClass.BATCH, **LATE)
-        for ask in (*fresh, late):
-            queue.ask(ask, 0.0)
         # Its first event came at once, so that it is not sheltered any more.
-        held = HeldGrant(late, 0.0, 1000.0, first_token_ms=10.0, generated_tokens=5)
-        queue.renew("h1", held.as_held(100.0), 100.0)
-        revoked = [item.permit_id for item in queue.ask(ask_for(), 100.0)[1:]]
+        held = HeldGrant(self.late, 0.0, 1000.0, first_token_ms=10.0, generated_tokens=5)
+        self.queue.renew("h1", held.as_held(100.0), 100.0)
+        revoked = [item.permit_id for item in self.queue.ask(ask_for(), 100.0)[1:]]
         self.assertEqual(len(revoked), 1)
-        self.assertNotEqual(revoked, [late.attempt_id])
+        self.assertNotEqual(revoked, [self.late.attempt_id])
 
     def test_calls_that_can_go_elsewhere_leave_it_alone_until_it_has_given_something(self) -> None:
         """Guards against turns of overdue work that were cut off by the next call."""
-        queue = new_queue(PermitSettings(quiet_ms=0), UpstreamTerms(slots=OVERDUE_EVERY))
-        fresh = [ask_for(WorkClass.BATCH, **FRESH) for _ in range(OVERDUE_EVERY - 1)]
-        late = ask_for(WorkClass.BATCH, **LATE)
-        for ask in (*fresh, late):
-            queue.ask(ask, 0.0)
         revoked = [
             item.permit_id
             for _ in range(OVERDUE_EVERY)
-            for item in queue.ask(ask_for(), 1.0)
+            for item in self.queue.ask(ask_for(), 1.0)
             if isinstance(item, Revoked)
         ]
-        self.assertEqual(set(revoked), {ask.attempt_id for ask in fresh})
+        self.assertEqual(set(revoked), {ask.attempt_id for ask in self.fresh})
 
 
 if __name__ == "__main__":
