Log the parts of prompts, whether an answer had begun, and broken runs that nobody looks into

The logs of upstreams that end one after the other cannot tell which of the runs that are cut off have something in common, as calls and items bear the identity of the whole request only. call_attempt and item_run have the parts now, and whether the head of an answer had come. A report of a broken run that an agent drops, and a look that finds the upstream up, have a line each.

--- a/src/fescuedock/agent/crash_service.py
+++ b/src/fescuedock/agent/crash_service.py
@@ -170,6 +170,14 @@
         known = self._has_just_ended(message.upstream_id) or message.upstream_id in self._broken
         if not known and (upstream is None or upstream.leaving):
             # One that was to leave has ended as planned, with what ran there.
+            why = "the upstream is unknown" if upstream is None else "the upstream is leaving"
+            log_event(
+                "broken_run_ignored",
+                routine=True,
+                upstream_id=message.upstream_id,
+                work_id=message.work_id,
+                reason=why,
+            )
             return
         waiting = self._broken[message.upstream_id]
         waiting.append(message)
@@ -194,7 +202,14 @@
         """Report the runs that an upstream broke off, if it has ended."""
         if not self._has_just_ended(upstream_id):
             if upstream is None or not await self._has_ended(upstream):
-                del self._broken[upstream_id]
+                found = self._broken.pop(upstream_id)
+                log_event(
+                    "upstream_not_ended",
+                    routine=True,
+                    upstream_id=upstream_id,
+                    runs=len(found),
+                    listed=upstream_id in self._view.upstreams,
+                )
                 return
             self._ended_ms[upstream_id] = now_ms()
         if not any(item.alone for item in self._broken[upstream_id]):
--- a/src/fescuedock/core/stored_jobs/job.py
+++ b/src/fescuedock/core/stored_jobs/job.py
@@ -4,7 +4,7 @@
 """
 
 import enum
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 import msgspec
 
@@ -60,6 +60,8 @@
 
     item: StoredItem
     work_id: str = ""
+    # Of the prompt, those that other work may have too.
+    parts: tuple[str, ...] = ()
     running: bool = False
     failures: int = 0
     interruptions: int = 0
@@ -132,7 +134,8 @@
 class StoredJob:
     """The items of one job that have no committed result.
 
-    ``listed`` are the identities of those that have one, in the order of their positions.
+    ``listed`` are the identities of those that have one, in the order of their positions;
+    ``parts_of`` gives the identities of the parts that an item's prompt may share with others.
     """
 
     def __init__(
@@ -143,6 +146,7 @@
         due_ms: float,
         give_up_ms: float,
         pauses: RetryPauses | None = None,
+        parts_of: Callable[[StoredItem], tuple[str, ...]] = lambda _item: (),
     ) -> None:
         done = set(listed)
         self.record = record
@@ -151,7 +155,7 @@
         self.listed_count = len(listed)
         self._pauses = pauses or RetryPauses()
         self._open = {
-            item.item_id: ItemRun(item, _work_id(record, item))
+            item.item_id: ItemRun(item, _work_id(record, item), parts_of(item))
             for item in items
             if item.item_id not in done
         }
--- a/src/fescuedock/core/work_identity.py
+++ b/src/fescuedock/core/work_identity.py
@@ -1,17 +1,24 @@
-"""The identity of a piece of work: the same for each try of it, wherever and whenever it comes.
+"""The identities of a piece of work and of its prompt's parts, wherever and whenever it comes.
 
 A client that tries again gives its call another identity, and an item runs at many nodes; what a
 piece of work does to the upstreams that run it depends on what is sent to them alone.
 """
 
+from collections.abc import Iterable
 from hashlib import blake2b
+from itertools import islice
 
-__all__ = ["work_identity"]
+__all__ = ["part_identities", "work_identity"]
 
 # 16 bytes: nobody finds other content with the identity of somebody's work.
 _IDENTITY_BYTES = 16
 # Each part is preceded by its length, so that no two lists of parts give the same bytes.
 _LENGTH_BYTES = 8
+_PART_BYTES = 10
+# Keeps these apart from the identities of works.
+_PART_PREFIX = "part-"
+# Prompts have a handful of shared parts; a caller may claim any number.
+_MOST_PARTS = 16
 
 
 def work_identity(*parts: str | bytes) -> str:
@@ -25,3 +32,14 @@
         digest.update(len(data).to_bytes(_LENGTH_BYTES))
         digest.update(data)
     return digest.hexdigest()
+
+
+def part_identities(names: Iterable[str]) -> tuple[str, ...]:
+    """Return the identities of a prompt's parts, by their names, of the same length for any name.
+
+    Of a prompt with too many parts the first ones count.
+    """
+    digests = (
+        blake2b(name.encode(), digest_size=_PART_BYTES) for name in islice(names, _MOST_PARTS)
+    )
+    return tuple(f"{_PART_PREFIX}{digest.hexdigest()}" for digest in digests)
--- a/src/fescuedock/node/attempt.py
+++ b/src/fescuedock/node/attempt.py
@@ -51,6 +51,8 @@
     events: int = 0
     # Moving mean of the latest pauses between events; below 0 before the first.
     recent_ms: float = -1.0
+    # The head of an answer has come.
+    answered: bool = False
 
     def note_events(self, count: int) -> None:
         """Note that ``count`` events came just now."""
--- a/src/fescuedock/node/item_run.py
+++ b/src/fescuedock/node/item_run.py
@@ -84,11 +84,13 @@
         job_id=job.job_id,
         item_id=item.item.item_id,
         work_id=item.work_id,
+        parts=item.parts,
         upstream_id=upstream.upstream_id,
         software_version=upstream.software_version,
         end=end.value,
         attempt_end="whole" if attempt_end is None else attempt_end.value,
         reason=reason,
+        answered=record.answered,
         from_event=first_event,
         last_event=item.last_event,
         interruptions=item.interruptions,
@@ -153,6 +155,7 @@
     stall: trio.CancelScope,
 ) -> tuple[ItemEnd, AttemptEnd | None, str]:
     head = answer.head
+    record.answered = True
     if not head.is_success:
         await answer.response.read()
         return _failure(head.status, not_run=head.not_run)
--- a/src/fescuedock/node/job_runner.py
+++ b/src/fescuedock/node/job_runner.py
@@ -27,6 +27,7 @@
 from fescuedock.core.stored_jobs.urgency import ItemChoice
 from fescuedock.core.stored_jobs.wanted_ends import WantedEnds
 from fescuedock.core.stored_jobs.work_gate import KnownRecords, WorkRefusal, refusal_of
+from fescuedock.core.work_identity import part_identities
 from fescuedock.log import log_event
 from fescuedock.net.http_client import HttpClient, SendCheck
 from fescuedock.node.configuration import NodeConfiguration
@@ -35,6 +36,7 @@
 from fescuedock.node.item_run import KnownAtBegin, run_item
 from fescuedock.node.job_store import JobStore, LoadedJob, VersionedRecord, decode_record
 from fescuedock.node.replicas import Replicas
+from fescuedock.platform import calls
 from fescuedock.report.metrics import Metrics
 from fescuedock.schema.result_codes import ResultCode
 from fescuedock.schema.settings import NodeSettings
@@ -311,6 +313,7 @@
             listed,
             due_ms=began_ms + record.due_in_ms,
             give_up_ms=kept_from_ms + record.retention_ms + _GIVE_UP_MARGIN_MS,
+            parts_of=_parts_of,
         )
         run.resume(loaded.progress)
         job = OwnedJob(run, stored)
@@ -610,3 +613,7 @@
 
     def _route_of(self, record: StoredJobRecord) -> Route | None:
         return self._configuration.routes.find(record.host, record.path)
+
+
+def _parts_of(item: StoredItem) -> tuple[str, ...]:
+    return part_identities(name for name, _ in calls.item_head(item.headers).shared_parts)
--- a/src/fescuedock/node/online_call.py
+++ b/src/fescuedock/node/online_call.py
@@ -16,7 +16,7 @@
 from fescuedock.core.forwarding.route_table import Route, RouteKind
 from fescuedock.core.routing import Demand
 from fescuedock.core.stream_origins import stream_key
-from fescuedock.core.work_identity import work_identity
+from fescuedock.core.work_identity import part_identities, work_identity
 from fescuedock.entry.online_permits import find_permit
 from fescuedock.faults import Fault
 from fescuedock.log import log_event
@@ -66,6 +66,7 @@
         "first_event_ms",
         "head",
         "out",
+        "parts",
         "pause_ms",
         "progress",
         "received_ms",
@@ -125,6 +126,7 @@
         begun_by = self.head.resumes if self.head.last_event >= 0 else ""
         self.stream_key = stream_key(begun_by or self.head.request_id, self.work_id)
         parts = self.head.shared_parts
+        self.parts = part_identities(name for name, _ in parts)
         self.demand = Demand(
             prompt_tokens=self.head.prompt_tokens,
             prefix_tokens=self.head.shared_tokens,
@@ -363,6 +365,7 @@
         stall: trio.CancelScope,
     ) -> AttemptEnd | None:
         head = answer.head
+        record.answered = True
         if head.not_run:
             await answer.response.read()
             return AttemptEnd.REJECTED
@@ -537,6 +540,7 @@
             routine=end == "whole",
             request_id=self.request_id,
             work_id=self.work_id,
+            parts=self.parts,
             route=self.route.name,
             upstream_id=upstream.upstream_id,
             software_version=upstream.software_version,
@@ -544,6 +548,7 @@
             local_permit=record.grant.local,
             end=end,
             reason=reason,
+            answered=record.answered,
             first_event_ms=round(record.first_event_ms, 1),
             events=record.events,
             last_event=self.progress.last_event,
--- a/src/fescuedock/platform/calls.py
+++ b/src/fescuedock/platform/calls.py
@@ -14,6 +14,7 @@
     "api_keys",
     "call_head",
     "client_headers",
+    "item_head",
     "item_headers",
     "refusal_headers",
     "upstream_headers",
@@ -66,6 +67,11 @@
     )
 
 
+def item_head(headers: Iterable[Sequence[str]]) -> CallHead:
+    """Return what a batch item's headers say of it."""
+    return call_head([(name.lower(), value) for name, value in headers])
+
+
 def upstream_headers(
     headers: Headers,
     *,
