Reproduce upstreams that end one after the other under a shared part of prompts

Three nodes, six stand-in upstreams that come back after 2 s, three clients whose calls are no two alike and share one part, eight sound ones beside them with the same first part. A popular part under twelve ends of another cause is not refused.

--- a/src/fescuedock/net/http_messages.py
+++ b/src/fescuedock/net/http_messages.py
@@ -81,6 +81,10 @@
         self._connection = connection
         self.started = False
 
+    def answer_as_http_1_0(self) -> None:
+        """Have a streamed response end with its connection instead of in chunks."""
+        self._connection.protocol.their_http_version = b"1.0"
+
     async def send(self, status: int, body: bytes = b"", headers: Headers = ()) -> None:
         """Send a whole response; a body without a content type is JSON."""
         fields = list(headers)
--- a/src/fescuedock/platform/standin/event_upstream.py
+++ b/src/fescuedock/platform/standin/event_upstream.py
@@ -1,5 +1,6 @@
 """An upstream of the users' platform as a stand-in: numbered events, with faults on command."""
 
+import enum
 from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
@@ -8,10 +9,12 @@
 
 from fescuedock.address import Address
 from fescuedock.net.http_server import DroppedConnectionError, Request, Responder
+from fescuedock.platform.calls import call_head
 from fescuedock.standin.listener import Listener
 
 __all__ = [
     "DEFAULT_VERSION",
+    "CrashForm",
     "EventUpstream",
     "UpstreamCrash",
     "UpstreamFault",
@@ -42,6 +45,15 @@
     lose: bool = False
 
 
+class CrashForm(enum.Enum):
+    """What a request with a harmful part of its prompt gets of its answer before the crash."""
+
+    HEAD = enum.auto()
+    HALF_AN_EVENT = enum.auto()
+    # One event, and the plain end of an answer that ends with its connection.
+    WHOLE_EVENT = enum.auto()
+
+
 @dataclass(frozen=True, slots=True)
 class UpstreamCrash:
     """One crash: the path of the request that caused it, trio's time in seconds, what ran there."""
@@ -62,6 +74,10 @@
     A request to one of the ``harmful`` paths crashes it ``crash_after_ms`` after it has begun: all
     connections are cut and new ones are refused for ``restart_ms``.  It comes back at the same
     address as another incarnation, with an identity of its own, and calls ``on_restart``.
+
+    One with any of the ``harmful_parts`` in its prompt, but for the last part, crashes it as well,
+    once its answer has begun as ``crash_form`` says.  ``unframed`` answers have neither a length
+    nor chunks.
     """
 
     upstream_id: str
@@ -78,6 +94,9 @@
     failing: set[str] = field(default_factory=set)
     impossible: set[str] = field(default_factory=set)
     harmful: set[str] = field(default_factory=set)
+    harmful_parts: set[str] = field(default_factory=set)
+    crash_form: CrashForm = CrashForm.HEAD
+    unframed: bool = False
     crash_after_ms: float = 20.0
     # Whether a harmful request crashes it also when its caller has left.
     goes_on: bool = False
@@ -178,7 +197,13 @@
             raise DroppedConnectionError("lost on command")
         first = int(request.headers.get("last-event-id", "-1")) + 1
         headers.append(("content-type", "text/event-stream"))
-        headers.append(("transfer-encoding", "chunked"))
+        if self.unframed:
+            # An answer to a client of HTTP/1.0 ends with its connection.
+            responder.answer_as_http_1_0()
+        else:
+            headers.append(("transfer-encoding", "chunked"))
+        if self._is_harmful(request):
+            await self._crash_in_answer(request, responder, headers)
         async with responder.stream(200, headers) as out:
             for number in range(first, self.event_count):
                 if number == fault.cut_after:
@@ -189,6 +214,30 @@
                 await trio.sleep(self.event_interval_ms / 1000)
                 await out.write(event_bytes(number, request.path, len(body), self.version))
 
+    def _is_harmful(self, request: Request) -> bool:
+        parts = call_head(list(request.headers.items())).shared_parts
+        return any(name in self.harmful_parts for name, _ in parts)
+
+    async def _crash_in_answer(
+        self, request: Request, responder: Responder, headers: list[tuple[str, str]]
+    ) -> None:
+        """Begin an answer and crash ``crash_after_ms`` after that."""
+        out = await responder.begin(200, headers)
+        if self.crash_form is CrashForm.HALF_AN_EVENT:
+            await out.write(b"id: 0\ndata: ha")
+        if self.crash_form is CrashForm.WHOLE_EVENT:
+            await out.write(event_bytes(0, request.path, 0, self.version))
+            await responder.end()
+            self._background.start_soon(self._crash_later, request.path)
+            raise DroppedConnectionError("the answer ends with its connection")
+        await trio.sleep(self.crash_after_ms / 1000)
+        self.crash(request.path)
+        await trio.sleep_forever()
+
+    async def _crash_later(self, path: str) -> None:
+        await trio.sleep(self.crash_after_ms / 1000)
+        self.crash(path)
+
 
 def event_bytes(number: int, path: str, body_bytes: int, version: str = DEFAULT_VERSION) -> bytes:
     """Return the event that every upstream of a software version makes of a request."""
--- /dev/null
+++ b/tests/test_node_harmful_parts.py
@@ -0,0 +1,112 @@
+"""Calls that are no two alike and share a part of their prompts that crashes upstreams."""
+
+import random
+import unittest
+from collections.abc import Callable
+
+import trio
+
+from fescuedock.platform.standin.event_upstream import CrashForm
+from tests.builders.harmful_parts import (
+    Callers,
+    crashes_of,
+    make_harmful,
+)
+from tests.builders.node import NodeFleet, running_fleet
+from tests.builders.standins import run_async
+
+# The users' bounds: so many ends, and so many runs later than this after the last of them.
+ENOUGH = 5
+CONTACT_S = 3.0
+MOST_LATE = 3
+MOST_CRASHES = 8
+LEAST_IN_TIME = 0.98
+SECONDS = 11.0
+
+
+class HarmfulPartsTest(unittest.TestCase):
+    """Users saw seventeen upstreams end under requests of one kind on one day.
+
+    At each end one call had just begun; each was another request.  What was known against it was
+    kept by the whole request, so that nothing added up.
+    """
+
+    def play(
+        self,
+        harmful: int = 3,
+        sound: int = 8,
+        form: CrashForm = CrashForm.HEAD,
+        unframed: bool = False,
+        disturb: Callable | None = None,
+        **parts: Callable,
+    ) -> Callers:
+        """Run clients beside each other; return them with what came of their calls."""
+
+        async def run() -> None:
+            nonlocal callers
+            with trio.fail_after(40):
+                async with running_fleet(nodes=3, upstreams=6) as fleet:
+                    for upstream in fleet.upstreams:
+                        make_harmful(upstream, form)
+                        upstream.unframed = unframed
+                    callers = Callers(fleet, random.Random(50), **parts)
+                    async with trio.open_nursery() as nursery:
+                        if disturb is not None:
+                            nursery.start_soon(disturb, fleet)
+                        await callers.run(harmful, sound, SECONDS)
+                        nursery.cancel_scope.cancel()
+
+        callers: Callers | None = None
+        run_async(run)
+        return callers
+
+    def assert_kept(self, callers: Callers, most_crashes: int = MOST_CRASHES) -> None:
+        """Few more runs with the part, and sound calls served beside them."""
+        crashes = crashes_of(callers.fleet)
+        known_s = crashes[min(ENOUGH, len(crashes)) - 1]
+        late = [at_s for at_s in callers.harmful_starts() if at_s > known_s + CONTACT_S]
+        self.assertLessEqual(len(late), MOST_LATE)
+        self.assertLessEqual(len(crashes), most_crashes)
+        self.assertFalse([call for call in callers.sound if call.refused_as_harmful])
+        sound = callers.sound_since(known_s + 2 * CONTACT_S)
+        if callers.sound:
+            in_time = sum(call.in_time for call in sound)
+            self.assertGreater(len(sound), 50)
+            self.assertGreaterEqual(in_time / len(sound), LEAST_IN_TIME)
+
+    def test_a_part_crashes_few_upstreams_and_sound_calls_with_the_same_first_part_are_served(
+        self,
+    ) -> None:
+        self.assert_kept(self.play())
+
+
+class PopularPartTest(unittest.TestCase):
+    """Ends of other causes under a part that nearly all prompts have."""
+
+    def test_a_popular_part_under_twelve_ends_is_never_refused(self) -> None:
+        async def crash_in_turn(fleet: NodeFleet) -> None:
+            while len(crashes_of(fleet)) < 12:
+                await trio.sleep(0.4)
+                busy = [item for item in fleet.upstreams if item.running and item.listener.is_up]
+                if busy:
+                    busy[0].crash()
+
+        async def run() -> None:
+            with trio.fail_after(40):
+                async with running_fleet(nodes=3, upstreams=6) as fleet:
+                    for upstream in fleet.upstreams:
+                        make_harmful(upstream)
+                    callers = Callers(fleet, random.Random(50))
+                    async with trio.open_nursery() as nursery:
+                        nursery.start_soon(crash_in_turn, fleet)
+                        await callers.run(0, 8, SECONDS)
+                    self.assertEqual(len(crashes_of(fleet)), 12)
+                    self.assertFalse([call for call in callers.sound if call.refused_as_harmful])
+                    last = callers.sound[-40:]
+                    self.assertEqual(sum(call.in_time for call in last), 40)
+
+        run_async(run)
+
+
+if __name__ == "__main__":
+    unittest.main()
