Find the part of prompts that crashes upstreams, and refuse what has it

Callers of one route lost their calls again and again as upstreams ended one after the other under calls that were no two alike. What was known against a call was kept by the whole request, so that nothing added up.

Crash reports name the parts of each run's prompt besides the work, but for those that the reporter's own runs became whole with lately; others that know a part to be sound take back what is said against it. The decision is over traits, of which the work is one: a part under two ends has its calls run alone, and after three, two of them alone, calls with it are refused. Ends that a rarer part explains speak against no other, and where several parts always came together only works that have all of them are refused.

An answer with neither length nor chunks whose upstream ends with it cleared the work: it counts as whole now once its upstream is still up a second later, and a run alone keeps its place for that. A stream without any event that ends so is broken off.

Broken runs are told to an agent in the same process without a socket. While an agent waited up to 5 s to see whether an upstream goes from the list it did not look again when more runs were broken off there; it does now.

--- a/src/fescuedock/agent/crash_service.py
+++ b/src/fescuedock/agent/crash_service.py
@@ -7,7 +7,6 @@
 
 import math
 import random
-from collections import defaultdict
 from collections.abc import Iterable
 from secrets import token_hex
 
@@ -18,8 +17,9 @@
 from fescuedock.address import Address
 from fescuedock.agent.link import FleetView
 from fescuedock.clock import UnixClock, now_ms
+from fescuedock.core.broken_runs import BrokenRuns
 from fescuedock.core.crash_log import CrashFact, CrashLog, audience_of, facts_of, news_of
-from fescuedock.core.quarantine import QuarantinePolicy
+from fescuedock.core.quarantine import QuarantinePolicy, traits_of
 from fescuedock.core.rendezvous import choose_name
 from fescuedock.kv import KvEntry, KvStore
 from fescuedock.log import log_event
@@ -38,7 +38,7 @@
     WorkCleared,
 )
 from fescuedock.schema.result_codes import ResultCode
-from fescuedock.schema.view import UpstreamRecord, VmRecord
+from fescuedock.schema.view import VmRecord
 
 __all__ = ["CrashService"]
 
@@ -46,9 +46,8 @@
 _SAME_END_MS = QuarantinePolicy().same_end_ms
 # A dying process may still take connections while those that it had are cut already.
 _SECOND_LOOK_S = 0.05
-# An upstream that neither refuses nor takes connections has ended if it goes from the list within
-# this time: engines that stop writing to it are gone from it after some seconds.
-_GONE_S = 5.0
+# Between two looks at an upstream that is up, or at the list.
+_LOOK_PAUSE_S = 0.25
 # Runs that were broken off by one end come in within milliseconds of each other.
 _GATHER_S = 0.01
 # Between two writes of one node.
@@ -94,7 +93,7 @@
         self._changed = trio.Event()
         self._found = trio.Event()
         # Runs that were broken off, by upstream, while it is being found out whether that ended.
-        self._broken: defaultdict[str, list[BrokenRun]] = defaultdict(list)
+        self._broken: dict[str, BrokenRuns] = {}
         # When upstreams of this VM's broken runs were found to have ended.
         self._ended_ms: dict[str, float] = {}
         # What others are still to be told, by whether they pass it on; and what is to be written.
@@ -118,6 +117,8 @@
         """Find out, share and keep until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
+            for upstream_id in self._broken:
+                nursery.start_soon(self._find_out, upstream_id)
             nursery.start_soon(self._tell_forever)
             nursery.start_soon(self._write_forever)
             while True:
@@ -179,15 +180,21 @@
                 reason=why,
             )
             return
-        waiting = self._broken[message.upstream_id]
-        waiting.append(message)
-        if len(waiting) == 1:
-            self._nursery.start_soon(self._find_out, message.upstream_id, upstream)
+        waiting = self._broken.get(message.upstream_id)
+        if waiting is None:
+            waiting = self._broken[message.upstream_id] = BrokenRuns()
+            if self._nursery is not None:
+                self._nursery.start_soon(self._find_out, message.upstream_id)
+        waiting.add(message, now_ms())
 
     async def _on_whole(self, message: WholeRun, _peer: ServerPeer) -> None:
-        reports = self._view.quarantine.reports_against(message.work_id)
+        self._clear(message.work_id)
+
+    def _clear(self, trait: str) -> None:
+        """Take back what is known against a trait of a run that became whole."""
+        reports = self._view.quarantine.reports_against(trait)
         if reports:
-            self._tell(WorkCleared(_new_id(), message.work_id, reports, int(self._now_ms())))
+            self._tell(WorkCleared(_new_id(), trait, reports, int(self._now_ms())))
 
     async def _on_request(self, message: CrashesRequest, _peer: ServerPeer) -> CrashesReply:
         seen = self._log.seen_of(message.agent_boot, message.seen)
@@ -198,26 +205,49 @@
 
     # --- finding out -----------------------------------------------------------------------------
 
-    async def _find_out(self, upstream_id: str, upstream: UpstreamRecord | None) -> None:
+    async def _find_out(self, upstream_id: str) -> None:
         """Report the runs that an upstream broke off, if it has ended."""
-        if not self._has_just_ended(upstream_id):
-            if upstream is None or not await self._has_ended(upstream):
-                found = self._broken.pop(upstream_id)
-                log_event(
-                    "upstream_not_ended",
-                    routine=True,
-                    upstream_id=upstream_id,
-                    runs=len(found),
-                    listed=upstream_id in self._view.upstreams,
-                )
+        waiting = self._broken[upstream_id]
+        while len(waiting):
+            if self._has_just_ended(upstream_id):
+                await self._report_end(upstream_id, refused=False)
                 return
+            upstream = self._view.upstreams.get(upstream_id)
+            if upstream is None:
+                await self._report_end(upstream_id, refused=False)
+                return
+            if upstream.leaving:
+                break
+            began_ms = now_ms()
+            if waiting.wants_look(began_ms):
+                if await self._refuses(Address(upstream.host, upstream.port)):
+                    await self._report_end(upstream_id, refused=True)
+                    return
+                waiting.note_up(began_ms)
+            for run in waiting.take_settled(now_ms()):
+                self._note_not_ended(run)
+            await trio.sleep(_LOOK_PAUSE_S)
+        del self._broken[upstream_id]
+        log_event("upstream_not_ended", routine=True, upstream_id=upstream_id, runs=len(waiting))
+
+    def _note_not_ended(self, run: BrokenRun) -> None:
+        """Note that the upstream of a run goes on, so that one that looks whole is."""
+        if run.looks_whole:
+            self._view.sound_parts.note(run.parts, now_ms())
+            for trait in (run.work_id, *run.parts):
+                self._clear(trait)
+
+    async def _report_end(self, upstream_id: str, *, refused: bool) -> None:
+        """Report what ran at an upstream when it ended."""
+        if not self._has_just_ended(upstream_id):
             self._ended_ms[upstream_id] = now_ms()
-        if not any(item.alone for item in self._broken[upstream_id]):
+        if not self._broken[upstream_id].has_alone:
             # Beside a run alone there is nothing to wait for, and its next try may be on its way.
             await trio.sleep(_GATHER_S)
+        broken = self._broken.pop(upstream_id).take_ended(refused=refused)
         runs = [
-            CrashedRun(item.work_id, item.alone, item.begun, item.given_up)
-            for item in self._broken.pop(upstream_id)
+            CrashedRun(item.work_id, item.alone, item.begun, item.given_up, item.parts)
+            for item in broken
             if item.work_id
         ]
         if not runs and self._view.has_just_ended(upstream_id):
@@ -228,26 +258,13 @@
         ended_ms = self._ended_ms.get(upstream_id, float("-inf"))
         return now_ms() - ended_ms <= _SAME_END_MS
 
-    async def _has_ended(self, upstream: UpstreamRecord) -> bool:
-        address = Address(upstream.host, upstream.port)
+    async def _refuses(self, address: Address) -> bool:
+        """Whether nothing takes connections at an address any more."""
         acceptance = await self._http.try_connect(address)
         if acceptance is Acceptance.ACCEPTED:
             await trio.sleep(_SECOND_LOOK_S)
             acceptance = await self._http.try_connect(address)
-        if acceptance is Acceptance.REFUSED:
-            return True
-        return await self._goes_unannounced(upstream.upstream_id)
-
-    async def _goes_unannounced(self, upstream_id: str) -> bool:
-        """Whether an upstream goes from the list soon without having been leaving."""
-        version = self._view.version
-        with trio.move_on_after(_GONE_S):
-            while True:
-                current = self._view.upstreams.get(upstream_id)
-                if current is None or current.leaving:
-                    return current is None
-                version = await self._view.wait_changed(version)
-        return False
+        return acceptance is Acceptance.REFUSED
 
     # --- sharing ---------------------------------------------------------------------------------
 
@@ -285,18 +302,18 @@
                     works=[run.work_id for run in fact.runs],
                     alone=any(run.alone for run in fact.runs),
                 )
-                for run in fact.runs:
-                    self._log_verdict(run.work_id)
+                for trait in sorted({trait for run in fact.runs for trait in traits_of(run)}):
+                    self._log_verdict(trait)
             case WorkCleared():
                 log_event("work_cleared", work_id=fact.work_id, reports=len(fact.void_report_ids))
         return True
 
-    def _log_verdict(self, work_id: str) -> None:
-        verdict = self._view.quarantine.verdict(work_id, self._now_ms())
+    def _log_verdict(self, trait: str) -> None:
+        verdict = self._view.quarantine.verdict(trait, self._now_ms())
         log_event(
             "work_suspected",
             routine=verdict.crashes < 2,
-            work_id=work_id,
+            work_id=trait,
             crashes=verdict.crashes,
             standing=verdict.standing.name,
         )
--- a/src/fescuedock/agent/link.py
+++ b/src/fescuedock/agent/link.py
@@ -1,6 +1,6 @@
 """How a program of a VM follows the fleet: a link to its VM's agent and a view kept fresh by it."""
 
-from collections.abc import AsyncIterator, Callable, Sequence
+from collections.abc import AsyncIterator, Callable, Collection, Sequence
 from contextlib import asynccontextmanager
 
 import msgspec
@@ -10,8 +10,9 @@
 from fescuedock.address import Address
 from fescuedock.clock import UnixClock, now_ms, unix_clock
 from fescuedock.core.crash_log import facts_of
-from fescuedock.core.quarantine import Quarantine, Verdict
+from fescuedock.core.quarantine import FREE, Quarantine, Verdict
 from fescuedock.core.rendezvous import OwnerIndex
+from fescuedock.core.sound_parts import SoundParts
 from fescuedock.net.channel import ChannelClient
 from fescuedock.net.codec import Codec
 from fescuedock.schema.config import Configuration
@@ -62,6 +63,7 @@
         "config_version",
         "configuration",
         "quarantine",
+        "sound_parts",
         "unix_clock",
         "upstreams",
         "version",
@@ -83,6 +85,8 @@
         self._changed = trio.Event()
         # What is known of works that were running when upstreams ended.
         self.quarantine = Quarantine()
+        # Of prompts, by the runs of this process.
+        self.sound_parts = SoundParts()
         self._quarantine_changed = trio.Event()
         # That of this process; made when first needed.
         self.unix_clock: UnixClock | None = None
@@ -124,10 +128,12 @@
             return None
         return self.vms.get(self._owners.owner_id(upstream) or "")
 
-    def verdict_on(self, work_id: str) -> Verdict:
-        """Return how a piece of work may run now."""
+    def verdict_on(self, work_id: str, parts: Collection[str] = ()) -> Verdict:
+        """Return how a piece of work may run now that has ``parts`` in its prompt."""
+        if self.quarantine.is_empty:
+            return FREE
         self.unix_clock = self.unix_clock or unix_clock()
-        return self.quarantine.verdict(work_id, self.unix_clock() * 1000.0)
+        return self.quarantine.verdict(work_id, self.unix_clock() * 1000.0, parts)
 
     def has_just_ended(self, upstream_id: str) -> bool:
         """Whether an upstream was found to have ended in the last seconds."""
--- a/src/fescuedock/agent/permit_client.py
+++ b/src/fescuedock/agent/permit_client.py
@@ -6,6 +6,7 @@
         case Err(fault): ...     # refused (retry_after_ms is truthful) or a silent owner
 """
 
+import random
 from collections import defaultdict
 from collections.abc import AsyncIterator, Callable, Iterable, Mapping
 from contextlib import asynccontextmanager
@@ -22,6 +23,7 @@
 from fescuedock.core.permits.queued import is_overdue
 from fescuedock.core.recent_runs import RecentRuns
 from fescuedock.faults import Fault
+from fescuedock.log import log_event
 from fescuedock.net.channel import CallHandler, ChannelClient, Push
 from fescuedock.net.codec import Codec
 from fescuedock.schema.crashes import BrokenRun, WholeRun
@@ -50,6 +52,10 @@
 _BROKEN_OFF = (AttemptOutcome.TRUNCATED, AttemptOutcome.RESPONSE_TIMEOUT)
 # Ends of our own making, after which an upstream may still be at work.
 _GIVEN_UP = (AttemptOutcome.CANCELLED, AttemptOutcome.REVOKED)
+# After an answer that ended with its connection, before a permit for a run alone is returned.
+_LINGER_S = 0.25
+# For each VM, in which one of those that know a part to be sound says so before the others.
+_VOUCH_PAUSE_S = 0.002
 # Beyond the time that an ask may be queued, for an owner in the same process.
 _OWN_TIMEOUT_MS = 2000
 # Three renewals fit into the validity, so that two may be lost.
@@ -100,6 +106,11 @@
         """The identity of the work that runs under it; empty while none is chosen."""
         return self._held.ask.work_id
 
+    @property
+    def parts(self) -> tuple[str, ...]:
+        """Identities of the parts that the work's prompt may share with others."""
+        return self._held.parts
+
     @property
     def alone(self) -> bool:
         """Whether its owner lets nothing else run at the upstream meanwhile."""
@@ -131,9 +142,14 @@
         """Note that the attempt's request is written."""
         self._held.sent = True
 
-    def choose(self, work_id: str) -> None:
+    def note_unframed(self) -> None:
+        """Note that the attempt's answer ends with its connection."""
+        self._held.unframed = True
+
+    def choose(self, work_id: str, parts: tuple[str, ...] = ()) -> None:
         """Note which work runs under a permit that was asked for before it was chosen."""
         self._held.ask = msgspec.structs.replace(self._held.ask, work_id=work_id)
+        self._held.parts = parts
 
     def describe(
         self, stage: BatchStage, slack_ms: float, left_ms: float, barren_runs: int
@@ -188,12 +204,18 @@
         # What this VM's agent is to be told of works, in order.
         self._to_tell: list[BrokenRun | WholeRun] = []
         self._given_up = RecentRuns()
+        self._rng = random.Random()
+        self._nursery: trio.Nursery | None = None
         # Attempts whose ask is under way; True once a revocation has overtaken the grant.
         self._asking: dict[str, bool] = {}
 
-    async def ask(self, ask: PermitAsk, timeout_ms: float) -> Result[Grant, Fault]:
+    async def ask(
+        self, ask: PermitAsk, timeout_ms: float, parts: tuple[str, ...] = ()
+    ) -> Result[Grant, Fault]:
         """Ask the owner of ``ask.upstream_id``; wait ``timeout_ms`` at most for its answer.
 
+        ``parts`` are the identities of those that the work's prompt may share with others.
+
         ``timeout_ms`` should exceed ``ask.wait_ms``, the time the owner may queue the ask.  Where
         this process is the owner itself it is waited for longer: late is not silent then.
         ``PEER_UNREACHABLE`` and ``PEER_UNKNOWN`` mean a silent owner: an online attempt may then
@@ -219,14 +241,14 @@
                         return Err(self._no_owner(ask.upstream_id))
                     reply = await channel.call(ask, timeout_ms)
                 answered = reply.is_ok()
-                return reply.and_then(lambda found: self._settle(ask, found, sent_ms))
+                return reply.and_then(lambda found: self._settle(ask, found, sent_ms, parts))
             return Err(Fault(ResultCode.PEER_UNKNOWN, f"no answer for {ask.upstream_id}"))
         finally:
             self._asking.pop(ask.attempt_id, None)
             if not answered:
                 self._give_up(ask)
 
-    def ask_local(self, ask: PermitAsk) -> Result[Grant, Fault]:
+    def ask_local(self, ask: PermitAsk, parts: tuple[str, ...] = ()) -> Result[Grant, Fault]:
         """Grant one online attempt without its owner, under the conservative local limit.
 
         ``NO_CAPACITY`` when the local limit is used up, or for batch work, which must wait;
@@ -235,7 +257,7 @@
         if ask.work_class is not WorkClass.ONLINE or not self.local_limit.try_take(ask.upstream_id):
             message = f"no local room at {ask.upstream_id}"
             return Err(Fault(ResultCode.NO_CAPACITY, message, self._settings.adjust_ms))
-        return self._grant(HeldGrant(ask, now_ms(), float("inf"), local=True))
+        return self._grant(HeldGrant(ask, now_ms(), float("inf"), local=True, parts=parts))
 
     def give_back(self, grant: Grant) -> None:
         """Give a permit back that nothing was done with."""
@@ -246,6 +268,7 @@
     async def run(self) -> None:
         """Renew, report ends and revoke what lapses; never returns."""
         async with trio.open_nursery() as nursery:
+            self._nursery = nursery
             nursery.start_soon(self._renew_forever)
             nursery.start_soon(self._report_forever)
             nursery.start_soon(self._follow_ends)
@@ -277,13 +300,16 @@
         code = ResultCode.PEER_UNREACHABLE if known else ResultCode.NOT_OWNER
         return Fault(code, f"no owner is known for {upstream_id!r}")
 
-    def _settle(self, ask: PermitAsk, reply: PermitReply, sent_ms: float) -> Result[Grant, Fault]:
+    def _settle(
+        self, ask: PermitAsk, reply: PermitReply, sent_ms: float, parts: tuple[str, ...]
+    ) -> Result[Grant, Fault]:
         code = ResultCode(reply.code)
         if code is not ResultCode.NOT_OWNER:
             self._note_loads([reply.load])
         if code is ResultCode.OK:
             renew_at_ms = sent_ms + reply.valid_ms / _RENEWALS_PER_VALIDITY
             held = HeldGrant(ask, now_ms(), sent_ms + reply.valid_ms, renew_at_ms)
+            held.parts = parts
             held.lapsed_by_ms = lapsed_by_ms(sent_ms, now_ms(), ask.wait_ms, reply.valid_ms)
             return self._grant(held)
         return Err(Fault(code, f"refused at {ask.upstream_id}", reply.retry_after_ms))
@@ -320,21 +346,36 @@
         return grant
 
     def _end(self, ended: EndedPermit) -> None:
-        held = self._book.end(ended)
-        if held is None:
+        held = self._book.get(ended.permit_id)
+        if held is None or self._grants.pop(ended.permit_id, None) is None:
             return
-        del self._grants[ended.permit_id]
+        self._note_run(held, ended)
+        if held.ask.alone and held.unframed and self._nursery is not None:
+            self._nursery.start_soon(self._return_later, held, ended)
+        else:
+            self._return(held, ended)
+
+    def _return(self, held: HeldGrant, ended: EndedPermit) -> None:
+        self._book.end(ended)
         if held.local:
             self.local_limit.give_back(ended.upstream_id)
-        self._note_run(held, ended)
         self._something_ended.set()
 
+    async def _return_later(self, held: HeldGrant, ended: EndedPermit) -> None:
+        """Keep other work off an upstream that may be about to end under a run alone."""
+        self._something_ended.set()
+        await trio.sleep(_LINGER_S)
+        self._return(held, ended)
+
     def _note_run(self, held: HeldGrant, ended: EndedPermit) -> None:
         """Note what a run says of the work; all runs end here, so that none is missed."""
         work_id = held.ask.work_id
         upstream_id = ended.upstream_id
         begun = ended.generated_tokens > 0
-        run = BrokenRun(upstream_id, work_id, alone=held.ask.alone, begun=begun)
+        unknown = self._view.sound_parts.unknown_among(held.parts, now_ms())
+        run = BrokenRun(
+            upstream_id, work_id, alone=held.ask.alone, begun=begun, parts=list(unknown)
+        )
         if ended.outcome in (*_BROKEN_OFF, AttemptOutcome.CONNECT_REFUSED):
             # What was given up just before may be what ended it, and nobody else would tell.
             self._to_tell += self._given_up.take(upstream_id, now_ms())
@@ -347,8 +388,20 @@
             self._given_up.note(run, now_ms())
         elif ended.outcome in _BROKEN_OFF:
             self._to_tell.append(run)
-        elif ended.outcome is AttemptOutcome.COMPLETED and self._view.quarantine.suspects(work_id):
-            self._to_tell.append(WholeRun(work_id))
+        elif ended.outcome is AttemptOutcome.COMPLETED:
+            self._note_whole(held, run)
+
+    def _note_whole(self, held: HeldGrant, run: BrokenRun) -> None:
+        """Note that a run became whole, or that it looks so and its upstream may have ended."""
+        quarantine = self._view.quarantine
+        traits = (run.work_id, *held.parts)
+        suspected = [trait for trait in traits if quarantine.suspects(trait)]
+        if held.unframed:
+            if run.parts or suspected:
+                self._to_tell.append(msgspec.structs.replace(run, looks_whole=True))
+            return
+        self._view.sound_parts.note(held.parts, now_ms())
+        self._to_tell += [WholeRun(trait) for trait in suspected]
 
     def _give_up(self, ask: PermitAsk) -> None:
         outcome = AttemptOutcome.CANCELLED
@@ -430,15 +483,35 @@
                 if self._view.has_just_ended(upstream_id):
                     self._to_tell += self._given_up.take(upstream_id, now_ms())
             await self._tell_agent()
+            await self._vouch()
+
+    async def _vouch(self) -> None:
+        """Tell of parts under suspicion that runs of this process have become whole with.
+
+        One that is popular is known to many nodes; whoever comes first spares the others.
+        """
+        sound = self._view.sound_parts
+        suspected = self._view.quarantine.suspected_among
+        if not sound.sound_among(suspected(sound.parts), now_ms()):
+            return
+        await trio.sleep(_VOUCH_PAUSE_S * len(self._view.vms) * self._rng.random())
+        found = sound.sound_among(suspected(sound.parts), now_ms())
+        self._to_tell += [WholeRun(part) for part in sorted(found)]
+        await self._tell_agent()
 
     async def _tell_agent(self) -> None:
         """Tell this VM's agent of works at once: the next try of one may be on its way."""
         messages, self._to_tell = self._to_tell, []
         if not messages or self._own_agent is None:
             return
-        channel = await self._channels.get(self._own_agent)
         for message in messages:
-            channel.push(message)
+            handler = self._handlers.get(type(message))
+            if handler is not None:
+                await handler(message, _OwnPeer(self.take_push))
+                continue
+            channel = await self._channels.get(self._own_agent)
+            if not channel.push(message):
+                log_event("run_not_reported", work_id=message.work_id, reason="channel is full")
 
 
 @asynccontextmanager
--- a/src/fescuedock/agent/send_check.py
+++ b/src/fescuedock/agent/send_check.py
@@ -32,7 +32,7 @@
             PermitStanding(grant.revoked.is_set(), grant.sendable_until_ms, grant.alone),
             deadline_ms=deadline_ms,
             now_ms=now_ms(),
-            verdict=view.verdict_on(grant.work_id),
+            verdict=view.verdict_on(grant.work_id, grant.parts),
             key_holds=key_holds(),
         )
         if refusal is None:
--- /dev/null
+++ b/src/fescuedock/core/broken_runs.py
@@ -0,0 +1,70 @@
+"""Runs that one upstream broke off, while it is being found out whether it has ended.
+
+Pure: the caller passes the time.
+"""
+
+import msgspec
+
+from fescuedock.schema.crashes import BrokenRun
+
+__all__ = ["BrokenRuns"]
+
+# An upstream that neither refuses nor takes connections has ended if it goes from the list within
+# this time: engines that stop writing to it are gone from it after some seconds.
+_GONE_MS = 5000.0
+# An answer that ends with its connection is whole if its upstream is there this much later.
+_WHOLE_MS = 1000.0
+_PAUSE_MS = 250.0
+
+
+class BrokenRuns(msgspec.Struct):
+    """The runs, with when each was told of."""
+
+    _runs: list[tuple[float, BrokenRun]] = msgspec.field(default_factory=list)
+    # When the last look began that found the upstream up.
+    _up_ms: float = float("-inf")
+
+    def __len__(self) -> int:
+        return len(self._runs)
+
+    @property
+    def has_alone(self) -> bool:
+        """Whether any of them was to run alone."""
+        return any(run.alone for _, run in self._runs)
+
+    def add(self, run: BrokenRun, now_ms: float) -> None:
+        """Add a run that was broken off, or whose answer looks whole, just now."""
+        self._runs.append((now_ms, run))
+
+    def wants_look(self, now_ms: float) -> bool:
+        """Whether the upstream should be asked for a connection."""
+        if any(at_ms > self._up_ms for at_ms, _ in self._runs):
+            return True
+        looks_whole = any(run.looks_whole for _, run in self._runs)
+        return looks_whole and now_ms - self._up_ms >= _PAUSE_MS
+
+    def note_up(self, began_ms: float) -> None:
+        """Note that the upstream took connections from ``began_ms`` on."""
+        self._up_ms = began_ms
+
+    def take_settled(self, now_ms: float) -> list[BrokenRun]:
+        """Remove and return the runs that say nothing against anybody by now."""
+        settled = [item for item in self._runs if self._is_settled(item, now_ms)]
+        self._runs = [item for item in self._runs if not self._is_settled(item, now_ms)]
+        return [run for _, run in settled]
+
+    def take_ended(self, *, refused: bool) -> list[BrokenRun]:
+        """Remove and return the runs that were under way when the upstream ended.
+
+        With ``refused`` it ended after the last look: what it had broken off before is not by that.
+        """
+        runs, self._runs = self._runs, []
+        if not refused:
+            return [run for _, run in runs]
+        return [run for at_ms, run in runs if run.looks_whole or at_ms > self._up_ms]
+
+    def _is_settled(self, item: tuple[float, BrokenRun], now_ms: float) -> bool:
+        at_ms, run = item
+        if run.looks_whole:
+            return self._up_ms - at_ms >= _WHOLE_MS
+        return now_ms - at_ms >= _GONE_MS
--- a/src/fescuedock/core/permits/holder.py
+++ b/src/fescuedock/core/permits/holder.py
@@ -26,6 +26,10 @@
     generated_tokens: int = 0
     # When it had lapsed at its owner for certain, were it never renewed.
     lapsed_by_ms: float = 0.0
+    # Identities of the parts that the work's prompt may share with others.
+    parts: tuple[str, ...] = ()
+    # The answer has neither a length nor chunks, so that its end looks like that of its upstream.
+    unframed: bool = False
 
     @property
     def sendable_until_ms(self) -> float:
--- a/src/fescuedock/core/quarantine.py
+++ b/src/fescuedock/core/quarantine.py
@@ -1,8 +1,10 @@
-"""Whether a piece of work may run, by the upstreams that ended while they ran it.
+"""Whether a piece of work may run, by the upstreams that ended while they ran it or its like.
 
-When an upstream ends, each work that ran there may be the cause, and most are not.  What comes
-again and is there again becomes a suspect and runs alone; what then ends an upstream is the cause
-and is refused.  A work that has run to its end is not.
+What ends an upstream may be one piece of work, or a part of the prompt that works share which are
+no two alike.  Both are traits of a run.  When an upstream ends, each trait of what ran there may be
+the cause, and most are not.  What comes again and is there again becomes a suspect, and works that
+have it run alone; what then ends an upstream is the cause and is refused.  A trait of a run that
+became whole is not.
 
 Evidence is a set of facts about incarnations of upstreams, so it may be heard of in any order, more
 than once and from anywhere: all who know the same facts decide the same.
@@ -12,12 +14,15 @@
 
 import enum
 from collections import defaultdict
+from collections.abc import Collection, Iterable
+from itertools import groupby
 
 import msgspec
 
-from fescuedock.schema.crashes import CrashReport, WorkCleared
+from fescuedock.core.work_identity import is_part
+from fescuedock.schema.crashes import CrashedRun, CrashReport, WorkCleared
 
-__all__ = ["FREE", "Quarantine", "QuarantinePolicy", "Standing", "Verdict"]
+__all__ = ["FREE", "Quarantine", "QuarantinePolicy", "Standing", "Verdict", "traits_of"]
 
 
 class Standing(enum.Enum):
@@ -36,7 +41,9 @@
     A crash weighs 1 against a work whose run had given nothing yet, and ``begun_weight`` against
     one that was well under way: what ends an upstream mostly does so at its start.  From
     ``alone_from`` on a work runs alone, so that it ends nobody else's runs and its innocence shows.
-    One that has been there in ``enough`` crashes, and was alone in one, is refused.
+    One that has been there in ``enough`` crashes, and was alone in one, is refused.  A part of
+    prompts weighs 1 whatever had come, as it is known to be sound from other runs where it is, and
+    needs ``part_proofs`` crashes alone, as many callers may share it.
 
     A refused work gets another chance, alone, when the next of ``pauses_ms`` has passed since its
     last crash, as that may have been chance; after these it is refused until it is forgotten.
@@ -50,6 +57,7 @@
     begun_weight: float = 0.5
     alone_from: float = 2.0
     enough: int = 3
+    part_proofs: int = 2
     pauses_ms: tuple[float, ...] = (600_000.0, 3_600_000.0)
     kept_ms: float = 86_400_000.0
     most_reports: int = 4000
@@ -60,28 +68,50 @@
     """How a work may run.
 
     ``retry_after_ms`` is the time until a refused one may come again, or until it is settled.
+    ``trait`` is what speaks against it: its own identity, or that of a part of its prompt.
     """
 
     standing: Standing
     crashes: int = 0
     retry_after_ms: float = 0.0
+    trait: str = ""
 
 
 FREE = Verdict(Standing.FREE)
+_SEVERITY = list(Standing)
 
 
-class Quarantine:
-    """What is known of works that were running when upstreams ended."""
+def traits_of(run: CrashedRun) -> tuple[str, ...]:
+    """Return the traits that a run may have ended its upstream by."""
+    return (run.work_id, *run.parts)
+
 
-    __slots__ = ("_by_upstream", "_by_work", "_cleared", "_policy", "_reports", "_seen")
+class Quarantine:
+    """What is known of the traits of runs that were under way when upstreams ended."""
+
+    __slots__ = (
+        "_by_trait",
+        "_by_upstream",
+        "_causes",
+        "_cleared",
+        "_policy",
+        "_proofs",
+        "_reports",
+        "_seen",
+    )
 
     def __init__(self, policy: QuarantinePolicy | None = None) -> None:
         self._policy = policy or QuarantinePolicy()
         self._reports: dict[str, CrashReport] = {}
-        # Identities of reports, by upstream; and by work, those that speak against it.
+        # Identities of reports, by upstream; and by trait, those that speak against it.
         self._by_upstream: defaultdict[str, set[str]] = defaultdict(set)
-        self._by_work: defaultdict[str, set[str]] = defaultdict(set)
-        # Works and reports that say nothing against them, with when that was found out.
+        self._by_trait: defaultdict[str, set[str]] = defaultdict(set)
+        # Those of runs alone.
+        self._proofs: set[str] = set()
+        # Traits known as causes, each with those that were there whenever it was; None when they
+        # have to be found anew.
+        self._causes: dict[str, frozenset[str]] | None = {}
+        # Traits and reports that say nothing against them, with when that was found out.
         self._cleared: dict[tuple[str, str], float] = {}
         # Whatever was taken, with its time.
         self._seen: dict[str, float] = {}
@@ -89,7 +119,7 @@
     @property
     def is_empty(self) -> bool:
         """Whether nothing is known against any work."""
-        return not self._by_work
+        return not self._by_trait
 
     def note(self, fact: CrashReport | WorkCleared) -> bool:
         """Take a fact; False for one that is known."""
@@ -103,20 +133,25 @@
         self._reports[report.report_id] = report
         self._by_upstream[report.upstream_id].add(report.report_id)
         for run in report.runs:
-            if (run.work_id, report.report_id) not in self._cleared:
-                self._by_work[run.work_id].add(report.report_id)
+            for trait in traits_of(run):
+                if (trait, report.report_id) not in self._cleared:
+                    self._by_trait[trait].add(report.report_id)
+            if run.alone:
+                self._proofs.add(report.report_id)
+        self._causes = None
         while len(self._reports) > self._policy.most_reports:
             self._drop(min(self._reports, key=lambda name: self._reports[name].at_ms))
         return True
 
     def note_cleared(self, cleared: WorkCleared) -> bool:
-        """Take word that a work was not the cause of some ends; False when that is known."""
+        """Take word that a trait was not the cause of some ends; False when that is known."""
         if cleared.report_id in self._seen:
             return False
         self._seen[cleared.report_id] = cleared.at_ms
         for report_id in cleared.void_report_ids:
             self._cleared[cleared.work_id, report_id] = cleared.at_ms
-            _discard(self._by_work, cleared.work_id, report_id)
+            _discard(self._by_trait, cleared.work_id, report_id)
+        self._causes = None
         return True
 
     def knows(self, report_id: str) -> bool:
@@ -128,27 +163,26 @@
         names = self._by_upstream.get(upstream_id, ())
         return any(self._reports[name].at_ms >= since_ms for name in names)
 
-    def suspects(self, work_id: str) -> bool:
-        """Whether anything is known against a work."""
-        return work_id in self._by_work
+    def suspects(self, trait: str) -> bool:
+        """Whether anything is known against a trait."""
+        return trait in self._by_trait
 
-    def reports_against(self, work_id: str) -> list[str]:
-        """Return the identities of the reports that speak against a work."""
-        return sorted(self._by_work.get(work_id, ()))
+    def suspected_among(self, traits: Collection[str]) -> set[str]:
+        """Return those of ``traits``, keys of a mapping, against which anything is known."""
+        return self._by_trait.keys() & traits
 
-    def verdict(self, work_id: str, now_ms: float) -> Verdict:
-        """Return how a work may run now."""
-        if work_id not in self._by_work:
+    def reports_against(self, trait: str) -> list[str]:
+        """Return the identities of the reports that speak against a trait."""
+        return sorted(self._by_trait.get(trait, ()))
+
+    def verdict(self, work_id: str, now_ms: float, parts: Collection[str] = ()) -> Verdict:
+        """Return how a work may run now that has ``parts`` in its prompt; the strictest counts."""
+        by_trait = self._by_trait
+        if not by_trait:
             return FREE
-        reports = self._reports_against(work_id)
-        crashes = self._count_ends(reports)
-        if self._is_cause(work_id):
-            return self._verdict_on_cause(work_id, reports, crashes, now_ms)
-        weight = sum(
-            self._weight(work_id, report) for report in reports if not self._is_explained(report)
-        )
-        standing = Standing.ALONE if weight >= self._policy.alone_from else Standing.FREE
-        return Verdict(standing, crashes)
+        traits = (work_id, *parts)
+        found = [self._verdict_on(trait, traits, now_ms) for trait in traits if trait in by_trait]
+        return max(found, key=lambda item: _SEVERITY.index(item.standing), default=FREE)
 
     def is_forgotten(self, at_ms: float, now_ms: float) -> bool:
         """Whether what was found out at ``at_ms`` is too old to count."""
@@ -163,52 +197,130 @@
             for key in [key for key, at_ms in known.items() if self.is_forgotten(at_ms, now_ms)]:
                 del known[key]
 
+    def _verdict_on(self, trait: str, traits: Collection[str], now_ms: float) -> Verdict:
+        reports = self._reports_against(trait)
+        crashes = self._count_ends(reports)
+        company = self._known_causes().get(trait)
+        if company is not None:
+            verdict = self._verdict_on_cause(trait, reports, crashes, now_ms)
+            if verdict.standing is Standing.REFUSED and not company.issubset(traits):
+                # Something else that was always there may be the cause; alone, this one shows it.
+                return Verdict(Standing.ALONE, crashes, trait=trait)
+            return verdict
+        weight = sum(
+            self._weight(trait, report) for report in reports if not self._is_explained(report)
+        )
+        standing = Standing.ALONE if weight >= self._policy.alone_from else Standing.FREE
+        return Verdict(standing, crashes, trait=trait)
+
     def _verdict_on_cause(
-        self, work_id: str, reports: list[CrashReport], crashes: int, now_ms: float
+        self, trait: str, reports: list[CrashReport], crashes: int, now_ms: float
     ) -> Verdict:
         pauses_ms = self._policy.pauses_ms
-        by_itself = [item for item in reports if self._was_alone(work_id, item)]
+        by_itself = [item for item in reports if self._was_alone(trait, item)]
         unsettled_ms = max(item.at_ms for item in by_itself) + self._policy.same_end_ms - now_ms
         if unsettled_ms > 0:
-            return Verdict(Standing.UNSETTLED, crashes, unsettled_ms)
-        chances = self._count_ends(by_itself)
+            return Verdict(Standing.UNSETTLED, crashes, unsettled_ms, trait)
+        chances = self._count_ends(by_itself) - self._least_proofs(trait) + 1
         pause_ms = pauses_ms[chances - 1] if chances <= len(pauses_ms) else self._policy.kept_ms
         left_ms = max(report.at_ms for report in reports) + pause_ms - now_ms
         if left_ms <= 0:
-            return Verdict(Standing.ALONE, crashes)
-        return Verdict(Standing.REFUSED, crashes, left_ms)
+            return Verdict(Standing.ALONE, crashes, trait=trait)
+        return Verdict(Standing.REFUSED, crashes, left_ms, trait)
 
-    def _is_cause(self, work_id: str) -> bool:
-        """Whether a work has ended upstreams often enough, one of them certainly by itself."""
-        if len(self._by_work.get(work_id, ())) < self._policy.enough:
-            return False
-        reports = self._reports_against(work_id)
+    def _known_causes(self) -> dict[str, frozenset[str]]:
+        if self._causes is None:
+            self._causes = self._find_causes()
+        return self._causes
+
+    def _find_causes(self) -> dict[str, frozenset[str]]:
+        """Find the traits that have ended upstreams often enough, certainly by themselves.
+
+        A part that most prompts have is there whenever a rarer one is that ends upstreams.  So the
+        traits of the fewest runs are looked at first, and ends that they explain speak against no
+        other.  Were the common part the cause, there would be ends without the rarer one.
+        """
+        enough = self._policy.enough
+        suspects = {
+            trait
+            for name in self._proofs
+            for run in self._reports[name].runs
+            for trait in traits_of(run)
+            if run.alone and len(self._by_trait.get(trait, ())) >= enough
+        }
+        if not suspects:
+            return {}
+        runs = {trait: len(self._runs_with(trait)) for trait in suspects}
+        causes: dict[str, frozenset[str]] = {}
+        explained: set[str] = set()
+        for _, rare in groupby(sorted(suspects, key=runs.get), key=runs.get):
+            found = [trait for trait in rare if self._is_cause(trait, explained)]
+            for trait in found:
+                causes[trait] = self._company_of(trait)
+            explained.update(
+                item.report_id
+                for trait in found
+                for report in self._reports_against(trait)
+                for item in self._same_end(report)
+            )
+        return causes
+
+    def _is_cause(self, trait: str, explained: Collection[str]) -> bool:
+        """Whether a trait has ended upstreams by itself, beside the ends that others explain."""
+        reports = [item for item in self._reports_against(trait) if item.report_id not in explained]
         if self._count_ends(reports) < self._policy.enough:
             return False
-        return any(self._was_alone(work_id, report) for report in reports)
+        by_itself = [item for item in reports if self._was_alone(trait, item)]
+        return self._count_ends(by_itself) >= self._least_proofs(trait)
+
+    def _least_proofs(self, trait: str) -> int:
+        return self._policy.part_proofs if is_part(trait) else 1
+
+    def _company_of(self, trait: str) -> frozenset[str]:
+        """Return the suspected traits that all runs with a trait had, itself among them."""
+        return frozenset.intersection(
+            *(
+                frozenset(
+                    other for other in traits_of(run) if name in self._by_trait.get(other, ())
+                )
+                for name, run in self._runs_with(trait)
+            )
+        )
+
+    def _runs_with(self, trait: str) -> list[tuple[str, CrashedRun]]:
+        """Return the runs with a trait, each with its report's identity."""
+        return [
+            (report.report_id, run)
+            for report in self._reports_against(trait)
+            for run in report.runs
+            if trait in traits_of(run)
+        ]
 
     def _is_explained(self, report: CrashReport) -> bool:
-        """Whether a work took part in an end that is known to be a cause."""
-        works = {run.work_id for item in self._same_end(report) for run in item.runs}
-        return any(self._is_cause(work_id) for work_id in works)
+        """Whether a trait took part in an end that is known to be a cause."""
+        causes = self._known_causes()
+        if not causes:
+            return False
+        runs: Iterable[CrashedRun] = (run for item in self._same_end(report) for run in item.runs)
+        return any(trait in causes for run in runs for trait in traits_of(run))
 
-    def _was_alone(self, work_id: str, report: CrashReport) -> bool:
-        """Whether nothing else ran at the upstream, by all that is known of its end.
+    def _was_alone(self, trait: str, report: CrashReport) -> bool:
+        """Whether only runs with a trait were at the upstream, by all that is known of its end.
 
         What others had given up does not count: an upstream is emptied for a run alone, so there
         always is some, and with it no cause would ever be known for certain.
         """
         runs = [run for item in self._same_end(report) for run in item.runs]
-        own = [run for run in runs if run.work_id == work_id]
-        others = [run for run in runs if run.work_id != work_id]
+        own = [run for run in runs if trait in traits_of(run)]
+        others = [run for run in runs if trait not in traits_of(run)]
         return all(run.alone for run in own) and all(run.given_up for run in others)
 
-    def _weight(self, work_id: str, report: CrashReport) -> float:
-        begun = all(run.begun for run in report.runs if run.work_id == work_id)
-        return self._policy.begun_weight if begun else 1.0
+    def _weight(self, trait: str, report: CrashReport) -> float:
+        begun = all(run.begun for run in report.runs if trait in traits_of(run))
+        return self._policy.begun_weight if begun and not is_part(trait) else 1.0
 
-    def _reports_against(self, work_id: str) -> list[CrashReport]:
-        return [self._reports[name] for name in self._by_work.get(work_id, ())]
+    def _reports_against(self, trait: str) -> list[CrashReport]:
+        return [self._reports[name] for name in self._by_trait.get(trait, ())]
 
     def _same_end(self, report: CrashReport) -> list[CrashReport]:
         """Return the reports of the end that ``report`` is about, itself among them."""
@@ -230,8 +342,11 @@
     def _drop(self, report_id: str) -> None:
         report = self._reports.pop(report_id)
         _discard(self._by_upstream, report.upstream_id, report_id)
+        self._proofs.discard(report_id)
         for run in report.runs:
-            _discard(self._by_work, run.work_id, report_id)
+            for trait in traits_of(run):
+                _discard(self._by_trait, trait, report_id)
+        self._causes = None
 
 
 def _discard(sets: dict[str, set[str]], key: str, value: str) -> None:
--- a/src/fescuedock/core/stored_jobs/pool.py
+++ b/src/fescuedock/core/stored_jobs/pool.py
@@ -31,7 +31,7 @@
 class ItemPool:
     """Chooses among the items of ``jobs``; ``serves`` tells whether a service may run a job's.
 
-    ``standing`` tells how a piece of work may run, ``all_free`` that nothing is known against any.
+    ``standing`` tells how an item may run, ``all_free`` that nothing is known against any.
     Customers take turns, and ``priority`` gives that of a job's items.
     """
 
@@ -39,7 +39,7 @@
         self,
         jobs: Callable[[], Iterable[StoredJob]],
         serves: Callable[[StoredJobRecord, str], bool],
-        standing: Callable[[str], Standing] = lambda _work_id: Standing.FREE,
+        standing: Callable[[ItemRun], Standing] = lambda _run: Standing.FREE,
         all_free: Callable[[], bool] = lambda: False,
         priority: Callable[[StoredJobRecord], int] = lambda _record: 0,
     ) -> None:
@@ -170,7 +170,7 @@
         return sum(self._stands(run, Standing.FREE) for run in runs)
 
     def _stands(self, run: ItemRun, standing: Standing) -> bool:
-        return self._standing(run.work_id) is standing
+        return self._standing(run) is standing
 
     def take_overdue_turn(
         self, upstream_id: str, service: str, now_ms: float, site: Site | None = None
--- a/src/fescuedock/core/work_identity.py
+++ b/src/fescuedock/core/work_identity.py
@@ -8,7 +8,7 @@
 from hashlib import blake2b
 from itertools import islice
 
-__all__ = ["part_identities", "work_identity"]
+__all__ = ["is_part", "part_identities", "work_identity"]
 
 # 16 bytes: nobody finds other content with the identity of somebody's work.
 _IDENTITY_BYTES = 16
@@ -43,3 +43,8 @@
         blake2b(name.encode(), digest_size=_PART_BYTES) for name in islice(names, _MOST_PARTS)
     )
     return tuple(f"{_PART_PREFIX}{digest.hexdigest()}" for digest in digests)
+
+
+def is_part(identity: str) -> bool:
+    """Whether an identity is that of a prompt's part, and not of a work."""
+    return identity.startswith(_PART_PREFIX)
--- a/src/fescuedock/entry/online_permits.py
+++ b/src/fescuedock/entry/online_permits.py
@@ -26,6 +26,7 @@
     choose_upstreams,
     plan_asks,
 )
+from fescuedock.core.work_identity import is_part
 from fescuedock.faults import Fault
 from fescuedock.log import log_event
 from fescuedock.schema.permits import PermitAsk, WorkClass
@@ -57,6 +58,10 @@
     def work_id(self) -> str:
         """The identity of the work, the same for each try of it."""
 
+    @property
+    def parts(self) -> tuple[str, ...]:
+        """Identities of the parts that its prompt may share with others."""
+
     @property
     def service(self) -> str: ...
 
@@ -127,7 +132,7 @@
     upstream of its own.
     """
     while True:
-        verdict = state.view.verdict_on(call.work_id)
+        verdict = state.view.verdict_on(call.work_id, call.parts)
         if verdict.standing is Standing.REFUSED:
             return Err(_harmful(verdict))
         if verdict.standing is Standing.UNSETTLED:
@@ -158,7 +163,8 @@
 
 
 def _harmful(verdict: Verdict) -> Fault:
-    message = f"{verdict.crashes} upstreams ended while they ran this request"
+    what = "requests with a part of its prompt" if is_part(verdict.trait) else "this request"
+    message = f"{verdict.crashes} upstreams ended while they ran {what} ({verdict.trait})"
     return Fault(ResultCode.WORK_HARMFUL, message, int(verdict.retry_after_ms))
 
 
@@ -196,7 +202,7 @@
     An upstream that failed the call may just have ended, under another try of the same work.
     """
     with trio.move_on_after(_NEWS_S):
-        while state.view.verdict_on(call.work_id).standing is Standing.ALONE:
+        while state.view.verdict_on(call.work_id, call.parts).standing is Standing.ALONE:
             await state.view.wait_quarantine()
         return True
     return False
@@ -216,7 +222,7 @@
                 nursery.cancel_scope.cancel()
 
             nursery.start_soon(ask_alone)
-            while state.view.verdict_on(call.work_id).standing is Standing.ALONE:
+            while state.view.verdict_on(call.work_id, call.parts).standing is Standing.ALONE:
                 await state.view.wait_quarantine()
             nursery.cancel_scope.cancel()
     except BaseException:
@@ -542,12 +548,12 @@
         waited_ms=waited_ms,
     )
     if ask.local:
-        return state.permits.ask_local(message)
+        return state.permits.ask_local(message, call.parts)
     started_ms = now_ms()
     state.ask_timeout.under_way += 1
     try:
         timeout_ms = ask.wait_ms + state.ask_timeout.timeout_ms
-        granted = await state.permits.ask(message, timeout_ms)
+        granted = await state.permits.ask(message, timeout_ms, call.parts)
     finally:
         state.ask_timeout.under_way -= 1
     _note_answer(state, ask, granted, now_ms() - started_ms)
--- a/src/fescuedock/entry/online_request.py
+++ b/src/fescuedock/entry/online_request.py
@@ -45,6 +45,7 @@
     max_tokens: int
     deadline_ms: float
     work_id: str = ""
+    parts: tuple[str, ...] = ()
     software_versions: Collection[str] | None = None
 
     @property
--- a/src/fescuedock/entry/service_call.py
+++ b/src/fescuedock/entry/service_call.py
@@ -56,6 +56,11 @@
         path = f"/services/{self.service}{self.target}"
         return work_identity(self.service, self.method, path, self.member, self.body)
 
+    @property
+    def parts(self) -> tuple[str, ...]:
+        """A call to a plain service has no prompt."""
+        return ()
+
     @property
     def demand(self) -> Demand:
         return _NO_DEMAND
--- a/src/fescuedock/net/http_body.py
+++ b/src/fescuedock/net/http_body.py
@@ -37,6 +37,11 @@
         self._in_trailer = False
         self._trailer_bytes = 0
 
+    @property
+    def unframed(self) -> bool:
+        """Whether only the end of its connection ends it."""
+        return self._left_bytes < 0 and not self.chunked
+
     @property
     def rest(self) -> bytes:
         """What has come behind the end of the body."""
--- a/src/fescuedock/net/http_client.py
+++ b/src/fescuedock/net/http_client.py
@@ -137,6 +137,11 @@
         """Return what has come of the body by now, without waiting."""
         return self._connection.take_body() + self._connection.receive_body_now()
 
+    @property
+    def unframed(self) -> bool:
+        """Whether the body has neither a length nor chunks, and ends with the connection."""
+        return self._connection.body_unframed
+
     @property
     def ended(self) -> bool:
         """Whether the body has been read to its end."""
@@ -470,6 +475,11 @@
             except (h11.RemoteProtocolError, OSError) as error:
                 raise ResponseLostError(str(error)) from error
 
+    @property
+    def body_unframed(self) -> bool:
+        """Whether only the end of the connection ends the answer's body."""
+        return self._body.unframed
+
     @property
     def body_ended(self) -> bool:
         """Whether all of the answer's body has come."""
--- a/src/fescuedock/node/attempt.py
+++ b/src/fescuedock/node/attempt.py
@@ -54,6 +54,12 @@
     # The head of an answer has come.
     answered: bool = False
 
+    def note_answer(self, answer: UpstreamAnswer) -> None:
+        """Note that the head of an answer has come."""
+        self.answered = True
+        if answer.response.unframed:
+            self.grant.note_unframed()
+
     def note_events(self, count: int) -> None:
         """Note that ``count`` events came just now."""
         at_ms = now_ms()
--- a/src/fescuedock/node/item_run.py
+++ b/src/fescuedock/node/item_run.py
@@ -155,7 +155,7 @@
     stall: trio.CancelScope,
 ) -> tuple[ItemEnd, AttemptEnd | None, str]:
     head = answer.head
-    record.answered = True
+    record.note_answer(answer)
     if not head.is_success:
         await answer.response.read()
         return _failure(head.status, not_run=head.not_run)
--- a/src/fescuedock/node/job_runner.py
+++ b/src/fescuedock/node/job_runner.py
@@ -126,7 +126,7 @@
         self._pool = ItemPool(
             self._running_jobs,
             self._serves,
-            lambda work_id: view.verdict_on(work_id).standing,
+            lambda run: view.verdict_on(run.work_id, run.parts).standing,
             lambda: view.quarantine.is_empty,
             self._priority,
         )
@@ -540,7 +540,7 @@
         self._begin(choice, upstream, grant)
 
     def _begin(self, choice: ItemChoice, upstream: UpstreamRecord, grant: Grant) -> None:
-        grant.choose(choice.run.work_id)
+        grant.choose(choice.run.work_id, choice.run.parts)
         grant.describe(choice.stage, choice.slack_ms, choice.left_ms, choice.run.barren_runs)
         self._pool.start(choice.run, now_ms())
         job = self._jobs[choice.job.job_id]
--- a/src/fescuedock/node/online_call.py
+++ b/src/fescuedock/node/online_call.py
@@ -365,7 +365,7 @@
         stall: trio.CancelScope,
     ) -> AttemptEnd | None:
         head = answer.head
-        record.answered = True
+        record.note_answer(answer)
         if head.not_run:
             await answer.response.read()
             return AttemptEnd.REJECTED
@@ -446,6 +446,9 @@
                 await self._wait_client(stall, self._begin(answer, fresh))
         if splitter.has_rest:
             return AttemptEnd.LOST
+        if answer.response.unframed and not record.events and self.progress.last_event < 0:
+            # Nothing tells an answer without an event from one that was broken off.
+            return AttemptEnd.LOST
         if self.out is None:
             await self._begin(answer, b"")
         await self.responder.end()
--- a/src/fescuedock/schema/crashes.py
+++ b/src/fescuedock/schema/crashes.py
@@ -24,14 +24,24 @@
     given_up: Annotated[
         bool, Meta(description="It had been given up shortly before, and its permit returned.")
     ] = False
+    parts: Annotated[
+        list[str],
+        Meta(description="Identities of the parts of its prompt that are not known to be sound."),
+    ] = field(default_factory=list)
+    looks_whole: Annotated[
+        bool,
+        Meta(
+            description="Its answer ended with the connection as a whole one may; it is broken off only if the upstream has ended."
+        ),
+    ] = False
 
 
 class WholeRun(WireStruct):
     """
-    A program tells its agent that a work against which something is known has run to its end.
+    A program tells its agent that a run with a trait against which something is known has become whole.
     """
 
-    work_id: str
+    work_id: Annotated[str, Meta(description="Of the work or of a part of its prompt.")]
 
 
 class CrashedRun(WireStruct):
@@ -41,6 +51,12 @@
     given_up: Annotated[
         bool, Meta(description="It had been given up shortly before, and its permit returned.")
     ] = False
+    parts: Annotated[
+        list[str],
+        Meta(
+            description="Identities of the parts of its prompt that its VM does not know to be sound."
+        ),
+    ] = field(default_factory=list)
 
 
 class CrashReport(WireStruct):
@@ -56,11 +72,11 @@
 
 class WorkCleared(WireStruct):
     """
-    A run of the work ended whole, so it was not the cause of the ends that these reports tell of.
+    A run with the trait became whole, so it was not the cause of the ends that these reports tell of.
     """
 
     report_id: Annotated[str, Meta(description="Unique for each report.")]
-    work_id: str
+    work_id: Annotated[str, Meta(description="Of the work or of a part of its prompt.")]
     void_report_ids: list[str]
     at_ms: Annotated[int, Meta(description="Unix time by the clock of the VM that reports it.")]
 
--- a/tests/test_node_harmful_parts.py
+++ b/tests/test_node_harmful_parts.py
@@ -8,6 +8,8 @@
 
 from fescuedock.platform.standin.event_upstream import CrashForm
 from tests.builders.harmful_parts import (
+    BAD_PART,
+    FIRST_PART,
     Callers,
     crashes_of,
     make_harmful,
@@ -79,6 +81,44 @@
     ) -> None:
         self.assert_kept(self.play())
 
+    def test_it_is_found_among_sound_calls_whose_other_parts_are_rare(self) -> None:
+        rare = self.play(parts_of_sound=lambda number: [FIRST_PART, f"rare-{number // 3}"])
+        self.assert_kept(rare)
+
+    def test_it_is_found_where_it_stands_before_another_shared_part(self) -> None:
+        self.assert_kept(
+            self.play(parts_of_harmful=lambda number: [FIRST_PART, BAD_PART, f"topic-{number % 4}"])
+        )
+
+    def test_it_is_found_where_half_of_the_calls_share_nothing_else(self) -> None:
+        def parts(number: int) -> list[str]:
+            return [FIRST_PART, BAD_PART] if number % 2 else [f"other-{number}", BAD_PART]
+
+        self.assert_kept(self.play(parts_of_harmful=parts))
+
+    def test_it_is_found_where_answers_stop_in_their_first_event(self) -> None:
+        self.assert_kept(self.play(form=CrashForm.HALF_AN_EVENT))
+
+    def test_it_is_found_where_answers_look_whole_before_the_crash(self) -> None:
+        self.assert_kept(self.play(form=CrashForm.WHOLE_EVENT, unframed=True))
+
+    def test_it_is_found_without_other_calls(self) -> None:
+        self.assert_kept(self.play(sound=0))
+
+    def test_ten_clients_at_once_crash_no_more_than_were_under_way(self) -> None:
+        self.assert_kept(self.play(harmful=10), most_crashes=10)
+
+    def test_it_stays_known_while_nodes_are_killed_in_turn(self) -> None:
+        async def kill_in_turn(fleet: NodeFleet) -> None:
+            await trio.sleep(2.0)
+            for number in range(len(fleet.nodes)):
+                fleet.nodes[number].kill()
+                await fleet.restart(fleet.nodes[number])
+                await trio.sleep(1.0)
+
+        callers = self.play(sound=0, disturb=kill_in_turn)
+        self.assert_kept(callers)
+
 
 class PopularPartTest(unittest.TestCase):
     """Ends of other causes under a part that nearly all prompts have."""
