Keep a channel that was opened for a caller who left, and forget one that has closed

Callers saw: a restarted node beside load accepted and claimed jobs for 38 s and ran no item of any; an accepted job was never listed.

Cause: a channel to an owner is opened as a task that the first caller starts. Trio leaves such a task with its starter where that was cancelled meanwhile, as an ask with a time limit of some milliseconds is on a busy machine. The task ended at its next checkpoint and closed the socket, but its channel stayed in the table, and whatever was sent by it failed at once, for good.

The channel is opened in a shield now, which waits for nothing, and leaves the table when it closes. test_peer_channels fails without the change (PEER_UNREACHABLE) and passes with it.

--- a/src/fescuedock/agent/peers.py
+++ b/src/fescuedock/agent/peers.py
@@ -22,7 +22,10 @@
         """Return the channel to ``address``; connecting goes on in the background."""
         channel = self._open.get(address)
         if channel is None:
-            channel = await self._nursery.start(self._hold, address)
+            # Opening waits for nothing.  A task that is started by a cancelled one ends with it,
+            # and the channel is for all callers.
+            with trio.CancelScope(shield=True):
+                channel = await self._nursery.start(self._hold, address)
         return channel
 
     async def _hold(self, address: Address, *, task_status: trio.TaskStatus[ChannelClient]) -> None:
@@ -30,4 +33,8 @@
             # Two callers may have got here at once; both channels work, the last one is kept.
             self._open[address] = channel
             task_status.started(channel)
-            await trio.sleep_forever()
+            try:
+                await trio.sleep_forever()
+            finally:
+                if self._open.get(address) is channel:
+                    del self._open[address]
