Take leading messages for shared parts of prompts in the other deployment

Calls and items that are no two alike and share a leading message that crashes engines were not known by it. Test doubles take the parts as well.

--- a/src/fescuedock/batch/dispatch.py
+++ b/src/fescuedock/batch/dispatch.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from secrets import token_hex
 
+import msgspec
 import trio
 from result import Ok, Result
 
@@ -21,7 +22,7 @@
 from fescuedock.core.batch.scheduler import Assignment
 from fescuedock.core.quarantine import Standing
 from fescuedock.core.rendezvous import choose_name
-from fescuedock.core.work_identity import work_identity
+from fescuedock.core.work_identity import message_parts, work_identity
 from fescuedock.faults import Fault
 from fescuedock.net.http_client import SendCheck
 from fescuedock.schema.config import MemberSpec, ServiceKind, ServiceSpec
@@ -140,17 +141,17 @@
         # What is polled by the job itself, such as the next input, may be due now.
         task = self._task_of(assignment.run.job_id)
         task.wake()
-        work_id = _work_id(assignment.run, assignment.item, upstream.service)
-        standing = self._context.view.verdict_on(work_id).standing
+        work = _work_of(assignment.run, assignment.item, upstream.service)
+        standing = self._context.view.verdict_on(work.work_id, work.parts).standing
         if standing is Standing.FREE and assignment.isolation is not Isolation.ALONE:
-            grant.choose(work_id)
+            grant.choose(work.work_id, work.parts)
             self._begin(task, assignment, upstream, grant)
             return
         # It needs an upstream where nothing of any VM runs, or none at all.
         self._context.permits.give_back(grant)
         scope = trio.CancelScope()
         task.attempts.add(scope)
-        self._nursery.start_soon(self._run_alone, task, assignment, work_id, scope)
+        self._nursery.start_soon(self._run_alone, task, assignment, work, scope)
 
     def _begin(
         self, task: JobTask, assignment: Assignment, upstream: UpstreamRecord, grant: Grant
@@ -170,12 +171,12 @@
         self._note_end(task, assignment, end, now_ms() - attempt.started_ms)
 
     async def _run_alone(
-        self, task: JobTask, assignment: Assignment, work_id: str, scope: trio.CancelScope
+        self, task: JobTask, assignment: Assignment, work: "_Work", scope: trio.CancelScope
     ) -> None:
         """Wait until an item may run alone somewhere, and run it there."""
         granted: tuple[UpstreamRecord, Grant] | None = None
         with scope:
-            granted = await self._find_alone(assignment, work_id)
+            granted = await self._find_alone(assignment, work)
         task.attempts.discard(scope)
         if scope.cancel_called:
             if granted is not None:
@@ -191,11 +192,14 @@
         self._begin(task, assignment, upstream, grant)
 
     async def _find_alone(
-        self, assignment: Assignment, work_id: str
+        self, assignment: Assignment, work: "_Work"
     ) -> tuple[UpstreamRecord, Grant] | None:
         """Return an upstream with a permit to run alone there; None for work that is refused."""
         context = self._context
-        while (verdict := context.view.verdict_on(work_id)).standing is not Standing.REFUSED:
+        while True:
+            verdict = context.view.verdict_on(work.work_id, work.parts)
+            if verdict.standing is Standing.REFUSED:
+                return None
             if verdict.standing is Standing.UNSETTLED:
                 await trio.sleep(verdict.retry_after_ms / 1000)
                 continue
@@ -209,13 +213,13 @@
             if upstream is None:
                 await trio.sleep(_RECHECK_S)
                 continue
-            ask = self._alone_ask(upstream, assignment.run, work_id)
-            result = await context.permits.ask(ask, _ALONE_WAIT_MS + _ASK_MARGIN_MS)
+            ask = self._alone_ask(upstream, assignment.run, work.work_id)
+            timeout_ms = _ALONE_WAIT_MS + _ASK_MARGIN_MS
+            result = await context.permits.ask(ask, timeout_ms, work.parts)
             if isinstance(result, Ok):
                 return upstream, result.ok_value
             pause_ms = max(result.err_value.retry_after_ms, _REFUSED_PAUSE_MS)
             await trio.sleep(pause_ms * context.random.uniform(0.5, 1.5) / 1000)
-        return None
 
     def _alone_ask(self, upstream: UpstreamRecord, run: JobRun, work_id: str) -> PermitAsk:
         return PermitAsk(
@@ -260,10 +264,19 @@
         return (spec or MemberSpec()).share
 
 
-def _work_id(run: JobRun, item: Item, service: str) -> str:
-    """Return the identity of an item's work, which is that of a call with the same request."""
+class _Work(msgspec.Struct, frozen=True):
+    """The identities of an item's work and of its prompt's shared parts."""
+
+    work_id: str
+    parts: tuple[str, ...]
+
+
+def _work_of(run: JobRun, item: Item, service: str) -> _Work:
+    """Return the identities of an item's work, which are those of a call with the same request."""
     line = read_line(item.line)
-    return work_identity(service, line.method, line.url, run.record.member, bytes(line.body))
+    body = bytes(line.body)
+    work_id = work_identity(service, line.method, line.url, run.record.member, body)
+    return _Work(work_id, message_parts(msgspec.json.decode(body, type=dict)))
 
 
 def _unused(grant: Grant) -> EndedPermit:
--- a/src/fescuedock/core/work_identity.py
+++ b/src/fescuedock/core/work_identity.py
@@ -4,11 +4,13 @@
 piece of work does to the upstreams that run it depends on what is sent to them alone.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from hashlib import blake2b
 from itertools import islice
 
-__all__ = ["is_part", "part_identities", "work_identity"]
+import msgspec
+
+__all__ = ["is_part", "message_parts", "part_identities", "work_identity"]
 
 # 16 bytes: nobody finds other content with the identity of somebody's work.
 _IDENTITY_BYTES = 16
@@ -45,6 +47,13 @@
     return tuple(f"{_PART_PREFIX}{digest.hexdigest()}" for digest in digests)
 
 
+def message_parts(body: Mapping[str, object]) -> tuple[str, ...]:
+    """Return the identities of the messages that lead up to the last one of a chat request."""
+    messages = body.get("messages")
+    leading = messages[:-1] if isinstance(messages, list) else []
+    return part_identities(msgspec.json.encode(message).decode() for message in leading)
+
+
 def is_part(identity: str) -> bool:
     """Whether an identity is that of a prompt's part, and not of a work."""
     return identity.startswith(_PART_PREFIX)
--- a/src/fescuedock/entry/online_request.py
+++ b/src/fescuedock/entry/online_request.py
@@ -9,7 +9,7 @@
 
 from fescuedock.clock import now_ms
 from fescuedock.core.routing import Demand
-from fescuedock.core.work_identity import work_identity
+from fescuedock.core.work_identity import message_parts, work_identity
 from fescuedock.entry.context import EntryContext
 from fescuedock.entry.members import find_member
 from fescuedock.entry.models import service_of_model
@@ -114,6 +114,7 @@
             max_tokens=_max_tokens(body.ok_value),
             deadline_ms=arrived_ms + deadline.ok_value,
             work_id=work_identity(service, "POST", request.path, member.ok_value, data),
+            parts=message_parts(body.ok_value),
         )
     )
 
--- a/tests/builders/load_player.py
+++ b/tests/builders/load_player.py
@@ -424,6 +424,7 @@
     request_id: str
     times: CallTimes
     work_id: str = ""
+    parts: tuple[str, ...] = ()
     arrived_ms: float = field(default_factory=now_ms)
     service: str = SERVICE
     member: str = ""
--- a/tests/builders/runner_world.py
+++ b/tests/builders/runner_world.py
@@ -179,7 +179,7 @@
     async def wait_quarantine(self) -> None:
         await self._world.crashed.wait()
 
-    def verdict_on(self, work_id: str) -> Verdict:
+    def verdict_on(self, work_id: str, _parts: object = ()) -> Verdict:
         return self.quarantine.verdict(work_id, now_ms())
 
     def live_vms(self, _program: Program) -> list[_Vm]:
@@ -222,7 +222,7 @@
     member: str = ""
     is_overdue: bool = False
 
-    def choose(self, _work_id: str) -> None:
+    def choose(self, _work_id: str, _parts: object = ()) -> None:
         return None
 
     def note_sent(self) -> None:
--- a/tests/test_batch_dispatch_address.py
+++ b/tests/test_batch_dispatch_address.py
@@ -56,15 +56,15 @@
         view = SimpleNamespace(
             configuration=Configuration(services=services),
             upstreams={"u1": BEFORE},
-            verdict_on=lambda _work_id: FREE,
+            verdict_on=lambda _work_id, _parts: FREE,
         )
 
         async def ask(*_args: object) -> Ok:
             await trio.sleep(1.0)
             view.upstreams = {"u1": AFTER}
             grant = SimpleNamespace(permit_id="p", upstream_id="u1", revoked=trio.Event())
-            grant.work_id, grant.alone = "", False
-            grant.choose = lambda _work_id: None
+            grant.work_id, grant.parts, grant.alone = "", (), False
+            grant.choose = lambda _work_id, _parts: None
             grant.note_sent = lambda: None
             grant.end = lambda _ended: None
             return Ok(grant)
--- a/tests/test_batch_starts.py
+++ b/tests/test_batch_starts.py
@@ -222,7 +222,7 @@
         view=SimpleNamespace(
             configuration=configuration,
             upstreams={"u1": _UPSTREAM},
-            verdict_on=lambda _work_id: FREE,
+            verdict_on=lambda _work_id, _parts=(): FREE,
         ),
         upstreams=UpstreamClients(engine, None),
         scheduler=ItemScheduler(world.settings),
@@ -239,8 +239,9 @@
         revoked=trio.Event(),
         sendable_until_ms=float("inf"),
         work_id="",
+        parts=(),
         alone=False,
-        choose=lambda _work_id: None,
+        choose=lambda _work_id, _parts: None,
         note_sent=lambda: None,
         end=ended.append,
     )
@@ -353,7 +354,7 @@
             dispatcher = Dispatcher(context, lambda _job_id: task)
             granted = _grant([])
 
-            async def ask(_ask: object, _timeout_ms: float) -> Ok:
+            async def ask(_ask: object, _timeout_ms: float, _parts: object = ()) -> Ok:
                 await trio.sleep(0.01)
                 # Another server has the address by the time that the permit is there.
                 context.view.upstreams["u1"] = replace(_UPSTREAM, port=2)
--- a/tests/test_permit_search.py
+++ b/tests/test_permit_search.py
@@ -86,6 +86,7 @@
     target_ms: int
     request_id: str = "r-1"
     work_id: str = ""
+    parts: tuple[str, ...] = ()
     service: str = "desk"
     member: str = ""
     demand: Demand = field(default_factory=lambda: Demand(10, 0, ""))
