--- a/tests/test_permit_moves.py
+++ b/tests/test_permit_moves.py
@@ -42,7 +42,9 @@
     def __post_init__(self) -> None:
         self.loads = {load.upstream_id: TimedLoad(load, now_ms()) for load in (_QUICK, _OTHER)}
 
-    async def ask(self, ask: PermitAsk, _timeout_ms: float) -> Result[PermitAsk, Fault]:
+    async def ask(
+        self, ask: PermitAsk, _timeout_ms: float, _parts: object = ()
+    ) -> Result[PermitAsk, Fault]:
         if ask.upstream_id == "other":
             return await self.other_answers(ask)
         load = replace(_QUICK, slowness=self.slowness)
