Hand on the jobs of a node that no owner answers, and log asks that give nothing

Callers saw an accepted job that was never listed: its node ran no item for 38 s and kept that job and ten more, while other nodes ran items. Whatever silences a node's asks, nobody noticed and no line said why.

While items wait and no ask is granted for 5 s there is a line with the reasons. Metrics count suspected, harmful and cleared traits.

--- a/src/fescuedock/agent/permit_client.py
+++ b/src/fescuedock/agent/permit_client.py
@@ -21,6 +21,7 @@
 from fescuedock.clock import now_ms
 from fescuedock.core.permits.holder import HeldGrant, HolderBook, LocalLimit, lapsed_by_ms
 from fescuedock.core.permits.queued import is_overdue
+from fescuedock.core.permits.unanswered import UnansweredAsks
 from fescuedock.core.recent_runs import RecentRuns
 from fescuedock.faults import Fault
 from fescuedock.log import log_event
@@ -204,11 +205,17 @@
         # What this VM's agent is to be told of works, in order.
         self._to_tell: list[BrokenRun | WholeRun] = []
         self._given_up = RecentRuns()
+        self._unanswered = UnansweredAsks()
         self._rng = random.Random()
         self._nursery: trio.Nursery | None = None
         # Attempts whose ask is under way; True once a revocation has overtaken the grant.
         self._asking: dict[str, bool] = {}
 
+    @property
+    def is_unanswered(self) -> bool:
+        """Whether no owner has answered any ask for seconds; nobody else's may be concerned."""
+        return self._unanswered.is_long(now_ms())
+
     async def ask(
         self, ask: PermitAsk, timeout_ms: float, parts: tuple[str, ...] = ()
     ) -> Result[Grant, Fault]:
@@ -241,7 +248,12 @@
                         return Err(self._no_owner(ask.upstream_id))
                     reply = await channel.call(ask, timeout_ms)
                 answered = reply.is_ok()
+                if answered:
+                    self._unanswered.note_answer()
+                else:
+                    self._unanswered.note_silence(now_ms())
                 return reply.and_then(lambda found: self._settle(ask, found, sent_ms, parts))
+            self._unanswered.note_silence(now_ms())
             return Err(Fault(ResultCode.PEER_UNKNOWN, f"no answer for {ask.upstream_id}"))
         finally:
             self._asking.pop(ask.attempt_id, None)
@@ -297,6 +309,8 @@
     def _no_owner(self, upstream_id: str) -> Fault:
         # One that has gone since it was chosen says nothing against the node that owned it.
         known = upstream_id in self._view.upstreams
+        if known:
+            self._unanswered.note_silence(now_ms())
         code = ResultCode.PEER_UNREACHABLE if known else ResultCode.NOT_OWNER
         return Fault(code, f"no owner is known for {upstream_id!r}")
 
--- a/src/fescuedock/core/quarantine.py
+++ b/src/fescuedock/core/quarantine.py
@@ -171,6 +171,11 @@
         """Return those of ``traits``, keys of a mapping, against which anything is known."""
         return self._by_trait.keys() & traits
 
+    def counts(self) -> tuple[int, int, int]:
+        """Return how many traits are under suspicion, known as causes, and have been cleared."""
+        cleared = len({trait for trait, _ in self._cleared})
+        return len(self._by_trait), len(self._known_causes()), cleared
+
     def reports_against(self, trait: str) -> list[str]:
         """Return the identities of the reports that speak against a trait."""
         return sorted(self._by_trait.get(trait, ()))
--- a/src/fescuedock/entry/fleet_status.py
+++ b/src/fescuedock/entry/fleet_status.py
@@ -19,7 +19,11 @@
 
 def fleet_status(view: FleetView, permits: PermitClient) -> FleetStatus:
     """Return the fleet as ``view`` shows it, with the loads that owners told ``permits``."""
+    suspected, harmful, cleared = view.quarantine.counts()
     return FleetStatus(
+        suspected_traits=suspected,
+        harmful_traits=harmful,
+        cleared_traits=cleared,
         vm_id=view.vm_id,
         config_version=view.config_version,
         config_age_ms=_whole_ms(view.config_age_ms),
--- a/src/fescuedock/node/item_asking.py
+++ b/src/fescuedock/node/item_asking.py
@@ -15,7 +15,9 @@
 from fescuedock.core.routing import RoutingPolicy, free_slots
 from fescuedock.core.stored_jobs.asking import AskCandidate, AskPolicy, choose_asks
 from fescuedock.core.stored_jobs.urgency import ItemChoice
+from fescuedock.log import log_event
 from fescuedock.schema.permits import PermitAsk, WorkClass
+from fescuedock.schema.result_codes import ResultCode
 from fescuedock.schema.settings import NodeSettings
 from fescuedock.schema.stored_jobs import StoredJobRecord
 from fescuedock.schema.view import UpstreamRecord
@@ -26,6 +28,8 @@
 _ASK_MARGIN_MS = 300.0
 # After a refusal that names no time: about the length of a call, by which slots come free.
 _REFUSED_PAUSE_MS = 60.0
+# Between two lines about asks of which none was granted.
+_VAIN_MS = 5000.0
 # A load that is older says nothing, as for online calls.
 _LOAD_FRESH_MS = RoutingPolicy().stale_ms
 
@@ -69,6 +73,9 @@
         # The services of which overdue items are asked for.
         self._asking_overdue: set[str] = set()
         self._work = trio.Event()
+        # Since the last grant, or the last line about it: the answers that were none.
+        self._refused: Counter[str] = Counter()
+        self._refused_since_ms = 0.0
 
     def wake(self) -> None:
         """Look again at what waits."""
@@ -156,11 +163,27 @@
         timeout_ms = self._settings.ask_wait_ms + _ASK_MARGIN_MS
         granted = await self._permits.ask(self._new_ask(upstream, choose(upstream)), timeout_ms)
         if isinstance(granted, Ok):
+            self._refused.clear()
             self._use(upstream_id, granted.ok_value)
             return
+        self._note_refused(granted.err_value.code)
         pause_ms = max(granted.err_value.retry_after_ms, _REFUSED_PAUSE_MS)
         await trio.sleep(pause_ms * self._rng.uniform(0.5, 1.5) / 1000)
 
+    def _note_refused(self, code: ResultCode) -> None:
+        """Log now and then that items wait and no owner grants any ask, with their reasons."""
+        if not self._refused:
+            self._refused_since_ms = now_ms()
+        self._refused[code.name] += 1
+        if now_ms() - self._refused_since_ms < _VAIN_MS:
+            return
+        waiting = sum(self._waiting().values())
+        if waiting:
+            since_ms = round(now_ms() - self._refused_since_ms)
+            reasons = dict(self._refused)
+            log_event("items_not_granted", waiting=waiting, since_ms=since_ms, reasons=reasons)
+        self._refused.clear()
+
     def _new_ask(self, upstream: UpstreamRecord, choice: ItemChoice | None) -> PermitAsk:
         ask = PermitAsk(
             upstream_id=upstream.upstream_id,
--- a/src/fescuedock/node/job_runner.py
+++ b/src/fescuedock/node/job_runner.py
@@ -189,8 +189,10 @@
 
     def _reconcile(self) -> None:
         takers = {vm.vm_id for vm in self._view.live_vms(Program.BATCH)}
-        if not self.leaving:
+        if self._is_taking:
             takers.add(self._owner.node_id)
+        else:
+            takers.discard(self._owner.node_id)
         present = {*self._view.vms, self._owner.node_id}
         self._missing.note(present, now_ms())
         for job in list(self._jobs.values()):
@@ -199,13 +201,28 @@
             if key.startswith(self._store.keys.records):
                 self._look_at(decode_record(entry), takers, present)
         self._note_held()
+        away = self._replicas.contact.is_away(now_ms())
+        if takers and not away and not self._is_taking and not self.leaving:
+            self._give_away()
+
+    @property
+    def _is_taking(self) -> bool:
+        """Whether this node runs jobs: nothing of any runs where no owner answers it."""
+        return not self.leaving and not self._permits.is_unanswered
+
+    def _give_away(self) -> None:
+        """Hand all jobs on to nodes that owners answer."""
+        for job in self._jobs.values():
+            if not job.stopped and job.run.job_id not in self._claiming:
+                log_event("job_given_away", job_id=job.run.job_id, reason="no owner answers asks")
+                self._nursery.start_soon(self._hand_on, job)
 
     def _look_at(self, found: VersionedRecord, takers: set[str], present: set[str]) -> None:
         record = found.record
         if record.job_id in self._jobs or not is_open(record):
             return
         gone = self._missing.is_gone(record.owner_id, present, now_ms())
-        duty = duty_of(record, self._owner, takers, owner_gone=gone, leaving=self.leaving)
+        duty = duty_of(record, self._owner, takers, owner_gone=gone, leaving=not self._is_taking)
         if duty is not Duty.NONE and record.job_id not in self._claiming:
             self._claiming.add(record.job_id)
             self._nursery.start_soon(self._claim, found, duty)
--- a/src/fescuedock/node/main.py
+++ b/src/fescuedock/node/main.py
@@ -494,7 +494,10 @@
         port = Address.parse(self._settings.node.front_address).port
         for program in (Program.ENTRY, Program.BATCH):
             # No load: nothing here chooses by it, and each change of it is news for all nodes.
-            hello = Hello(program, port, self.front.ready, in_flight=0)
+            ready = self.front.ready
+            if program is Program.BATCH:
+                ready = ready and not self._permits.is_unanswered
+            hello = Hello(program, port, ready, in_flight=0)
             self._programs.note(hello, now_ms())
 
     # --- helpers ---------------------------------------------------------------------------------
--- a/src/fescuedock/report/prometheus.py
+++ b/src/fescuedock/report/prometheus.py
@@ -144,6 +144,12 @@
         yield GaugeMetricFamily(f"fescuedock_{name}", text, value=value)
     text = "Slow clients that were cut off."
     yield CounterMetricFamily("fescuedock_cut_off_callers", text, value=status.cut_off_callers)
+    text = "Works and parts of prompts that upstreams ended under, or were shown not to end under."
+    traits = GaugeMetricFamily("fescuedock_quarantine_traits", text, labels=("state",))
+    traits.add_metric(("suspected",), status.suspected_traits)
+    traits.add_metric(("harmful",), status.harmful_traits)
+    traits.add_metric(("cleared",), status.cleared_traits)
+    yield traits
     vms = GaugeMetricFamily("fescuedock_vms", "VMs of ours by state.", labels=("state",))
     for state, count in Counter(vm.state for vm in status.vms).items():
         vms.add_metric((state,), count)
--- a/src/fescuedock/schema/report.py
+++ b/src/fescuedock/schema/report.py
@@ -166,6 +166,15 @@
     cut_off_callers: Annotated[
         int, Meta(description="Slow clients that were cut off since the start.")
     ] = 0
+    suspected_traits: Annotated[
+        int, Meta(description="Works and parts of prompts that were at an upstream as it ended.")
+    ] = 0
+    harmful_traits: Annotated[
+        int, Meta(description="Those of them that are known to end upstreams.")
+    ] = 0
+    cleared_traits: Annotated[
+        int, Meta(description="Those that a whole run showed to be sound.")
+    ] = 0
 
 
 class MetricsReport(Struct):
--- a/tests/builders/runner_world.py
+++ b/tests/builders/runner_world.py
@@ -196,6 +196,7 @@
     """
 
     holder_id = "holder"
+    is_unanswered = False
 
     def __init__(self, world: "RunnerWorld") -> None:
         self._world = world
@@ -219,6 +220,7 @@
     sendable_until_ms: float = float("inf")
     alone: bool = False
     work_id: str = ""
+    parts: tuple[str, ...] = ()
     member: str = ""
     is_overdue: bool = False
 
