Tell a harmful part from the works that have it, and weigh ways to find it

Twelve upstreams ended under four items of one job: an item with the part came again and was refused as the cause itself after three ends, which then spoke against no part, and so on with the next item. Parts are judged before works now, by the ends of two different works alone, and items that gave less by their last runs come later in the order for a run alone. Calls with a refused part get another chance after a minute, as sound ones may be among them.

--- a/src/fescuedock/core/quarantine.py
+++ b/src/fescuedock/core/quarantine.py
@@ -43,10 +43,11 @@
     ``alone_from`` on a work runs alone, so that it ends nobody else's runs and its innocence shows.
     One that has been there in ``enough`` crashes, and was alone in one, is refused.  A part of
     prompts weighs 1 whatever had come, as it is known to be sound from other runs where it is, and
-    needs ``part_proofs`` crashes alone, as many callers may share it.
+    needs crashes of ``part_works`` works alone, as one work says nothing of its parts.
 
     A refused work gets another chance, alone, when the next of ``pauses_ms`` has passed since its
-    last crash, as that may have been chance; after these it is refused until it is forgotten.
+    last crash, as that may have been chance; after these it is refused until it is forgotten.  What
+    has a refused part gets it after ``part_pauses_ms``, as sound callers may be among those.
     Evidence is forgotten after ``kept_ms``, and the oldest first beyond ``most_reports``.
 
     Reports of one upstream within ``same_end_ms`` are about the same end: an upstream may keep its
@@ -57,8 +58,9 @@
     begun_weight: float = 0.5
     alone_from: float = 2.0
     enough: int = 3
-    part_proofs: int = 2
+    part_works: int = 2
     pauses_ms: tuple[float, ...] = (600_000.0, 3_600_000.0)
+    part_pauses_ms: tuple[float, ...] = (60_000.0, 600_000.0, 3_600_000.0)
     kept_ms: float = 86_400_000.0
     most_reports: int = 4000
     same_end_ms: float = 500.0
@@ -221,13 +223,14 @@
     def _verdict_on_cause(
         self, trait: str, reports: list[CrashReport], crashes: int, now_ms: float
     ) -> Verdict:
-        pauses_ms = self._policy.pauses_ms
+        policy = self._policy
+        pauses_ms = policy.part_pauses_ms if is_part(trait) else policy.pauses_ms
         by_itself = [item for item in reports if self._was_alone(trait, item)]
-        unsettled_ms = max(item.at_ms for item in by_itself) + self._policy.same_end_ms - now_ms
+        unsettled_ms = max(item.at_ms for item in by_itself) + policy.same_end_ms - now_ms
         if unsettled_ms > 0:
             return Verdict(Standing.UNSETTLED, crashes, unsettled_ms, trait)
-        chances = self._count_ends(by_itself) - self._least_proofs(trait) + 1
-        pause_ms = pauses_ms[chances - 1] if chances <= len(pauses_ms) else self._policy.kept_ms
+        chances = self._count_ends(by_itself) - self._least_works(trait) + 1
+        pause_ms = pauses_ms[chances - 1] if chances <= len(pauses_ms) else policy.kept_ms
         left_ms = max(report.at_ms for report in reports) + pause_ms - now_ms
         if left_ms <= 0:
             return Verdict(Standing.ALONE, crashes, trait=trait)
@@ -242,8 +245,9 @@
         """Find the traits that have ended upstreams often enough, certainly by themselves.
 
         A part that most prompts have is there whenever a rarer one is that ends upstreams.  So the
-        traits of the fewest runs are looked at first, and ends that they explain speak against no
-        other.  Were the common part the cause, there would be ends without the rarer one.
+        parts of the fewest runs are looked at first, and ends that they explain speak against no
+        other.  Were the common part the cause, there would be ends without the rarer one.  Works
+        come last: one that has a harmful part is there again and again as well.
         """
         enough = self._policy.enough
         suspects = {
@@ -255,10 +259,10 @@
         }
         if not suspects:
             return {}
-        runs = {trait: len(self._runs_with(trait)) for trait in suspects}
+        ranks = {trait: (not is_part(trait), len(self._runs_with(trait))) for trait in suspects}
         causes: dict[str, frozenset[str]] = {}
         explained: set[str] = set()
-        for _, rare in groupby(sorted(suspects, key=runs.get), key=runs.get):
+        for _, rare in groupby(sorted(suspects, key=ranks.get), key=ranks.get):
             found = [trait for trait in rare if self._is_cause(trait, explained)]
             for trait in found:
                 causes[trait] = self._company_of(trait)
@@ -275,11 +279,17 @@
         reports = [item for item in self._reports_against(trait) if item.report_id not in explained]
         if self._count_ends(reports) < self._policy.enough:
             return False
-        by_itself = [item for item in reports if self._was_alone(trait, item)]
-        return self._count_ends(by_itself) >= self._least_proofs(trait)
+        works = {
+            run.work_id
+            for report in reports
+            if self._was_alone(trait, report)
+            for run in report.runs
+            if trait in traits_of(run)
+        }
+        return len(works) >= self._least_works(trait)
 
-    def _least_proofs(self, trait: str) -> int:
-        return self._policy.part_proofs if is_part(trait) else 1
+    def _least_works(self, trait: str) -> int:
+        return self._policy.part_works if is_part(trait) else 1
 
     def _company_of(self, trait: str) -> frozenset[str]:
         """Return the suspected traits that all runs with a trait had, itself among them."""
--- a/src/fescuedock/core/stored_jobs/pool.py
+++ b/src/fescuedock/core/stored_jobs/pool.py
@@ -125,10 +125,14 @@
         return min(overdue, key=turn, default=None)
 
     def choose_alone(self, service: str, now_ms: float) -> ItemChoice | None:
-        """Return the most urgent item of those that may only run alone."""
+        """Return the most urgent item of those that may only run alone.
+
+        Those that gave less by their last runs come after others: what ends upstreams by a part of
+        its prompt is known by several works, and what is sound should not wait for it.
+        """
         ranked = self._ranked("", service, now_ms)
         choices = (item for item in ranked if self._stands(item.run, Standing.ALONE))
-        return next(choices, None)
+        return min(choices, key=lambda item: item.run.barren_runs, default=None)
 
     def _choices(
         self, upstream_id: str, service: str, now_ms: float, site: Site | None
--- a/tests/test_node_harmful_parts.py
+++ b/tests/test_node_harmful_parts.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from fescuedock.core.work_identity import part_identities
 from fescuedock.platform.standin.event_upstream import CrashForm
 from tests.builders.harmful_parts import (
     BAD_PART,
@@ -14,6 +15,7 @@
     crashes_of,
     make_harmful,
 )
+from tests.builders.jobs_calls import JOB, item_entry, read_page, submission_of
 from tests.builders.node import NodeFleet, running_fleet
 from tests.builders.standins import run_async
 
@@ -120,6 +122,62 @@
         self.assert_kept(callers)
 
 
+class HarmfulItemsTest(unittest.TestCase):
+    """Items that are no two alike and share the part; calls and items know the same."""
+
+    def test_items_with_the_part_end_few_upstreams_and_calls_with_it_are_refused(self) -> None:
+        async def test() -> None:
+            with trio.fail_after(40):
+                async with running_fleet(nodes=2, upstreams=4) as fleet:
+                    for upstream in fleet.upstreams:
+                        make_harmful(upstream)
+                        upstream.restart_ms = 500.0
+                    entries = [item_entry(f"good-{number}", b"case") for number in range(4)]
+                    for entry in entries:
+                        entry["headers"]["X-Prompt-Prefix"] = f"{FIRST_PART}:100,own:50"
+                    for number in range(4):
+                        entry = item_entry(f"bad-{number}", b"case")
+                        entry["headers"]["X-Prompt-Prefix"] = f"{FIRST_PART}:100,{BAD_PART}:9,o:5"
+                        entries.append(entry)
+                    front = fleet.nodes[0].front
+                    headers = {"X-Request-Id": JOB, "X-Deadline-Ms": "3000"}
+                    body = submission_of(entries)
+                    answer = await fleet.call(front, "POST", "/letters/new", body, headers)
+                    self.assertEqual(answer.status, 202)
+                    done: set[str] = set()
+                    while len(done) < 4:
+                        page = (await read_page(fleet, front, wait_ms=500)).json()
+                        done = {item["id"] for item in page["results"]}
+                    self.assertEqual(done, {f"good-{number}" for number in range(4)})
+                    await trio.sleep(6.0)
+                    count = len(crashes_of(fleet))
+                    self.assertLessEqual(count, MOST_CRASHES)
+                    fields = {"X-Prompt-Prefix": f"{FIRST_PART}:100,{BAD_PART}:9,mine:5"}
+                    other = fleet.nodes[1].front
+                    answer = await fleet.call(other, "POST", "/rights/1", b"case", fields)
+                    self.assertEqual(answer.status, 503)
+                    self.assertIn(b"WORK_HARMFUL", answer.body)
+                    self.assertIn(part_identities([BAD_PART])[0].encode(), answer.body)
+                    self.assertEqual(len(crashes_of(fleet)), count)
+
+        run_async(test)
+
+    def test_a_stream_that_ends_with_its_connection_before_any_event_is_no_success(self) -> None:
+        async def test() -> None:
+            with trio.fail_after(20):
+                async with running_fleet(nodes=1, upstreams=1) as fleet:
+                    [upstream] = fleet.upstreams
+                    upstream.unframed, upstream.event_count = True, 0
+                    front = fleet.nodes[0].front
+                    answer = await fleet.call(front, "POST", "/rights/1", b"case")
+                    self.assertEqual(answer.status, 502)
+                    upstream.event_count = 3
+                    answer = await fleet.call(front, "POST", "/rights/2", b"case")
+                    self.assertEqual((answer.status, answer.whole), (200, True))
+
+        run_async(test)
+
+
 class PopularPartTest(unittest.TestCase):
     """Ends of other causes under a part that nearly all prompts have."""
 
