--- a/bench/part_ways.py
+++ b/bench/part_ways.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from fescuedock.core.quarantine import Quarantine, Standing
-from fescuedock.core.sound_parts import SoundParts
+from fescuedock.core.recent_runs import SoundParts
 from fescuedock.schema.crashes import CrashedRun, CrashReport, WorkCleared
 
 __all__ = ["WAYS", "Outcome", "Scenario", "play"]
--- a/src/fescuedock/agent/crash_service.py
+++ b/src/fescuedock/agent/crash_service.py
@@ -9,6 +9,7 @@
 import random
 from collections.abc import Iterable
 from secrets import token_hex
+from typing import TYPE_CHECKING
 
 import msgspec
 import trio
@@ -17,7 +18,6 @@
 from fescuedock.address import Address
 from fescuedock.agent.link import FleetView
 from fescuedock.clock import UnixClock, now_ms
-from fescuedock.core.broken_runs import BrokenRuns
 from fescuedock.core.crash_log import CrashFact, CrashLog, audience_of, facts_of, news_of
 from fescuedock.core.quarantine import QuarantinePolicy, traits_of
 from fescuedock.core.rendezvous import choose_name
@@ -40,6 +40,9 @@
 from fescuedock.schema.result_codes import ResultCode
 from fescuedock.schema.view import VmRecord
 
+if TYPE_CHECKING:
+    from fescuedock.core.broken_runs import BrokenRuns
+
 __all__ = ["CrashService"]
 
 _REPORT_BYTES = 12
@@ -182,6 +185,9 @@
             return
         waiting = self._broken.get(message.upstream_id)
         if waiting is None:
+            # Imported when a run was broken off, which a start need not wait for.
+            from fescuedock.core.broken_runs import BrokenRuns
+
             waiting = self._broken[message.upstream_id] = BrokenRuns()
             if self._nursery is not None:
                 self._nursery.start_soon(self._find_out, message.upstream_id)
--- a/src/fescuedock/agent/link.py
+++ b/src/fescuedock/agent/link.py
@@ -11,8 +11,8 @@
 from fescuedock.clock import UnixClock, now_ms, unix_clock
 from fescuedock.core.crash_log import facts_of
 from fescuedock.core.quarantine import FREE, Quarantine, Verdict
+from fescuedock.core.recent_runs import SoundParts
 from fescuedock.core.rendezvous import OwnerIndex
-from fescuedock.core.sound_parts import SoundParts
 from fescuedock.net.channel import ChannelClient
 from fescuedock.net.codec import Codec
 from fescuedock.schema.config import Configuration
--- a/src/fescuedock/agent/permit_client.py
+++ b/src/fescuedock/agent/permit_client.py
@@ -21,8 +21,8 @@
 from fescuedock.clock import now_ms
 from fescuedock.core.permits.holder import HeldGrant, HolderBook, LocalLimit, lapsed_by_ms
 from fescuedock.core.permits.queued import is_overdue
-from fescuedock.core.permits.unanswered import UnansweredAsks
 from fescuedock.core.recent_runs import RecentRuns
+from fescuedock.core.route_learning import UnansweredAsks
 from fescuedock.faults import Fault
 from fescuedock.log import log_event
 from fescuedock.net.channel import CallHandler, ChannelClient, Push
--- a/src/fescuedock/core/recent_runs.py
+++ b/src/fescuedock/core/recent_runs.py
@@ -1,21 +1,30 @@
-"""Runs that were given up lately: what was sent to an upstream may still crash it.
+"""What recent runs say of ends of upstreams: those given up, and what others became whole with.
+
+What was sent to an upstream and given up may still crash it.  A part of a prompt that runs became
+whole with is not what ends upstreams; whoever sees runs end keeps it, so that it costs no message
+and is known when an upstream ends.
 
 Pure: the caller passes the time.
 """
 
-from collections import deque
+from collections import OrderedDict, deque
+from collections.abc import Collection, Iterable
 
 import msgspec
 
 from fescuedock.schema.crashes import BrokenRun
 
-__all__ = ["RecentRuns"]
+__all__ = ["RecentRuns", "SoundParts"]
 
 # How long after it was given up a run is taken for what may have ended its upstream: an engine goes
 # on until it notices that its caller has left, and the end shows with the next connection.
 _SUSPECT_MS = 1000.0
 # A runner gives up some tens of items a second when calls need their places.
 _MOST_RUNS = 256
+# An upstream of another software version may end by what the last one bore.
+_GOOD_FOR_MS = 60_000.0
+# About 150 bytes each.
+_MOST_PARTS = 4096
 
 
 class RecentRuns(msgspec.Struct):
@@ -40,3 +49,33 @@
             (item for item in young if item[1].upstream_id != upstream_id), _MOST_RUNS
         )
         return [run for _, run in young if run.upstream_id == upstream_id]
+
+
+class SoundParts(msgspec.Struct):
+    """Parts of prompts that runs became whole with lately, each with when that was."""
+
+    _seen_ms: OrderedDict[str, float] = msgspec.field(default_factory=OrderedDict)
+
+    def note(self, parts: Iterable[str], now_ms: float) -> None:
+        """Note that a run with these parts became whole."""
+        for part in parts:
+            self._seen_ms[part] = now_ms
+            self._seen_ms.move_to_end(part)
+        while len(self._seen_ms) > _MOST_PARTS:
+            self._seen_ms.popitem(last=False)
+
+    def unknown_among(self, parts: Iterable[str], now_ms: float) -> list[str]:
+        """Return those of ``parts`` that are not known to be sound."""
+        return [part for part in parts if not self._is_sound(part, now_ms)]
+
+    def sound_among(self, parts: Iterable[str], now_ms: float) -> list[str]:
+        """Return those of ``parts`` that are known to be sound."""
+        return [part for part in parts if self._is_sound(part, now_ms)]
+
+    @property
+    def parts(self) -> Collection[str]:
+        """All that are kept, those included that were seen too long ago."""
+        return self._seen_ms.keys()
+
+    def _is_sound(self, part: str, now_ms: float) -> bool:
+        return now_ms - self._seen_ms.get(part, float("-inf")) <= _GOOD_FOR_MS
--- a/src/fescuedock/core/route_learning.py
+++ b/src/fescuedock/core/route_learning.py
@@ -9,7 +9,14 @@
 
 from fescuedock.core.routing import RoutingPolicy
 
-__all__ = ["AskTimeout", "DomainLatency", "PrefillModel", "PrefixMemory", "SilentOwners"]
+__all__ = [
+    "AskTimeout",
+    "DomainLatency",
+    "PrefillModel",
+    "PrefixMemory",
+    "SilentOwners",
+    "UnansweredAsks",
+]
 
 
 class AskTimeout(msgspec.Struct):
@@ -28,6 +35,13 @@
         return self.base_ms + self.each_ms * self.under_way
 
 
+# Owners die and nodes are cut off for shorter; others take the upstreams over within this time.
+_UNANSWERED_MS = 5000.0
+_LEAST_UNANSWERED = 8
+# After the last one it is tried again.
+_UNANSWERED_FORGOTTEN_MS = 10_000.0
+
+
 class SilentOwners(msgspec.Struct):
     """Owners that did not answer of late, so that only the first request waits for each."""
 
@@ -44,6 +58,36 @@
         return now_ms < self._until_ms.get(vm_id, float("-inf"))
 
 
+class UnansweredAsks(msgspec.Struct):
+    """The asks since the last one that any owner answered; a part of this program may be at fault.
+
+    A node in that state can serve calls under its own limit, but no batch item would ever run.
+    """
+
+    _count: int = 0
+    _first_ms: float = 0.0
+    _last_ms: float = float("-inf")
+
+    def note_answer(self) -> None:
+        """Note that an owner granted or refused an ask."""
+        self._count = 0
+
+    def note_silence(self, now_ms: float) -> None:
+        """Note that an ask could not be sent, or got no answer in time."""
+        if now_ms - self._last_ms > _UNANSWERED_FORGOTTEN_MS:
+            self._count = 0
+        if not self._count:
+            self._first_ms = now_ms
+        self._count += 1
+        self._last_ms = now_ms
+
+    def is_long(self, now_ms: float) -> bool:
+        """Whether none has been answered for so long that others should do the batch work."""
+        if self._count < _LEAST_UNANSWERED or now_ms - self._last_ms > _UNANSWERED_FORGOTTEN_MS:
+            return False
+        return now_ms - self._first_ms >= _UNANSWERED_MS
+
+
 class DomainLatency(msgspec.Struct):
     """One-way latency to each failure domain, from the round trips seen.
 
--- a/tests/test_quarantine_parts.py
+++ b/tests/test_quarantine_parts.py
@@ -7,7 +7,7 @@
 
 from bench.part_ways import Scenario, play
 from fescuedock.core.quarantine import FREE, Quarantine, QuarantinePolicy, Standing
-from fescuedock.core.sound_parts import SoundParts
+from fescuedock.core.recent_runs import SoundParts
 from fescuedock.core.work_identity import message_parts, part_identities
 from fescuedock.schema.crashes import CrashedRun, CrashReport, WorkCleared
 
--- a/tests/test_unanswered_asks.py
+++ b/tests/test_unanswered_asks.py
@@ -6,7 +6,7 @@
 import trio
 
 from fescuedock.agent.permit_client import PermitClient
-from fescuedock.core.permits.unanswered import UnansweredAsks
+from fescuedock.core.route_learning import UnansweredAsks
 from tests.builders.jobs_calls import read_page, submit
 from tests.builders.node import running_fleet
 from tests.builders.standins import run_async
