Have the soak crash upstreams by a part of prompts, and judge enough calls and streams

The calm lasts until 60 calls have ended now, 30 s at the most, with the same share to be served and none still a failure; the faults go on in rounds until ten streams were taken up, six at the most.

--- a/tests/soak/harmful.py
+++ b/tests/soak/harmful.py
@@ -1,7 +1,8 @@
 """Work that crashes each upstream that begins it, coming again at any node, amid all other faults.
 
-Beside it comes work that is always the same and harms nobody.  What crashes upstreams is judged by
-what the upstreams saw; that others are not refused, by the answers.
+Some comes again as it was; some is no two alike and shares a part of its prompt.  Beside it comes
+work that is always the same and harms nobody.  What crashes upstreams is judged by what the
+upstreams saw; that others are not refused, by the answers.
 """
 
 import itertools
@@ -18,12 +19,25 @@
 from tests.soak.promises import CALM_S, NOT_RUN, Ledger, OnlineAttempt, SoakJob
 from tests.soak.world import NodeProcess, SoakUpstream, World
 
-__all__ = ["CAUSES", "HarmfulClient", "harm_after_enough", "harmful_paths"]
+__all__ = [
+    "BAD_PART",
+    "CAUSES",
+    "HarmfulClient",
+    "HarmfulPartClient",
+    "harm_after_enough",
+    "harmful_paths",
+]
 
 CAUSES = 2
 # Three crashes are enough to know a piece of work by, and as many runs are borne after that.
 _ENOUGH = 3
 _BORNE = 3
+# A part of prompts is known after five.
+BAD_PART = "soak-bad-part"
+_FIRST_PART = "soak-first-part"
+_ENOUGH_OF_PART = 5
+_PART_PATH = "/rights/part-"
+_BESIDE_PATH = "/rights/beside-"
 _PAUSE_S = (0.3, 2.5)
 _INNOCENT = "/rights/always-the-same"
 _ITEM = "harmful-item"
@@ -57,12 +71,14 @@
                     tries.start_soon(self._send, node, f"/rights/harmful-{self.number}")
                     tries.start_soon(self._send, node, _INNOCENT)
 
-    async def _send(self, node: NodeProcess, path: str) -> None:
+    async def _send(self, node: NodeProcess, path: str, parts: str = "") -> None:
         request_id = f"h-{next(_numbers)}"
         at_s = trio.current_time()
         attempt = OnlineAttempt(request_id, path, b"case", node.name, at_s, once=True)
         self.ledger.harmful.append(attempt)
         headers = {"x-request-id": request_id, "x-model": "m"}
+        if parts:
+            headers["x-prompt-prefix"] = parts
         reply = await call_node(
             self.http, node.front, "POST", path, attempt.body, headers, fresh=False
         )
@@ -70,7 +86,8 @@
         attempt.seal = reply.headers.get("x-response-seal", "")
         attempt.ended_s = trio.current_time()
         self.ledger.judge_answer(attempt)
-        if path == _INNOCENT and _is_refused_as_harmful(reply):
+        is_innocent = path == _INNOCENT or path.startswith(_BESIDE_PATH)
+        if is_innocent and _is_refused_as_harmful(reply):
             at = self.ledger.tell(attempt.sent_s)
             self.ledger.broken.append(f"{request_id} at {node.name}, {at}: innocent and refused")
 
@@ -89,6 +106,23 @@
             await trio.sleep(0.3)
 
 
+@dataclass(slots=True)
+class HarmfulPartClient(HarmfulClient):
+    """Sends calls that are no two alike and share a harmful part, and sound ones beside them."""
+
+    async def run(self) -> None:
+        """Send until cancelled, often at several nodes at the same moment."""
+        async with trio.open_nursery() as tries:
+            while True:
+                await trio.sleep(self.rng.uniform(*_PAUSE_S))
+                for node in self.rng.sample(self.world.nodes, k=self.rng.randint(1, 2)):
+                    number = next(_numbers)
+                    harmful = f"{_FIRST_PART}:100,{BAD_PART}:50,own-{number}:10"
+                    sound = f"{_FIRST_PART}:100,own-{number}:10"
+                    tries.start_soon(self._send, node, f"{_PART_PATH}{number}", harmful)
+                    tries.start_soon(self._send, node, f"{_BESIDE_PATH}{number}", sound)
+
+
 def _is_refused_as_harmful(reply: Reply) -> bool:
     return reply.status in NOT_RUN and ResultCode.WORK_HARMFUL.name.encode() in reply.body
 
@@ -99,17 +133,18 @@
     A run counts that began ``CALM_S`` after the third crash, with nothing disturbed for as long;
     the crashes themselves are no disturbance of the nodes.
     """
-    for path in sorted(harmful_paths()):
+    enough = dict.fromkeys(sorted(harmful_paths()), _ENOUGH) | {_PART_PATH: _ENOUGH_OF_PART}
+    for path, count in enough.items():
         crashes_s = sorted(
             crash.at_s
             for item in upstreams
             for crash in item.upstream.crashes
-            if crash.path == path
+            if crash.path == path or (path == _PART_PATH and crash.path.startswith(path))
         )
-        if len(crashes_s) <= _ENOUGH:
+        if len(crashes_s) <= count:
             continue
-        bound_s = crashes_s[_ENOUGH - 1] + CALM_S
+        bound_s = crashes_s[count - 1] + CALM_S
         late_s = [at_s for at_s in crashes_s if at_s > bound_s and ledger.was_calm(at_s, at_s)]
         if len(late_s) > _BORNE:
             times = ", ".join(ledger.tell(at_s) for at_s in late_s)
-            yield f"{path} crashed {len(late_s)} upstreams more, long after the third: {times}"
+            yield f"{path} crashed {len(late_s)} upstreams more, long after {count}: {times}"
--- a/tests/soak/runs.py
+++ b/tests/soak/runs.py
@@ -17,10 +17,17 @@
 from tests.soak.customers import HotClient, KeyClient, broken_by_customers
 from tests.soak.ending import EndingClient
 from tests.soak.faults import Schedule, first_configuration
-from tests.soak.harmful import CAUSES, HarmfulClient, harm_after_enough, harmful_paths
+from tests.soak.harmful import (
+    BAD_PART,
+    CAUSES,
+    HarmfulClient,
+    HarmfulPartClient,
+    harm_after_enough,
+    harmful_paths,
+)
 from tests.soak.lost_ends import LostEndClient, lose_ends
 from tests.soak.overlaps import OverlapSchedule
-from tests.soak.promises import CALM_S, END_S, Ledger
+from tests.soak.promises import CALM_S, END_S, Ledger, OnlineAttempt
 from tests.soak.releases import ReleaseSchedule, ResumingClient
 from tests.soak.slow import (
     NeverReader,
@@ -45,6 +52,12 @@
 # Share of the calls in the calm at the end that has to be answered whole.
 _SERVED_SHARE = 0.95
 _CALM_RUN_S = 2.0
+# On a busy machine few calls end within that time, and a share of few says little.
+_CALM_CALLS = 60
+_MOST_CALM_RUN_S = 30.0
+# Streams that clients take up at another node, for which faults go on in rounds.
+_LEAST_TAKEN_UP = 10
+_MOST_ROUNDS = 6
 # How long items are looked for that begin after they may.
 _LATE_S = 1.0
 
@@ -135,6 +148,9 @@
             world.harmful |= harmful_paths()
             harm_rng = random.Random(f"harm-{seed}")
             harmers += [HarmfulClient(n, world, ledger, harm_rng) for n in range(CAUSES)]
+            world.harmful_parts.add(BAD_PART)
+            part_rng = random.Random(f"parts-{seed}")
+            harmers.append(HarmfulPartClient(CAUSES, world, ledger, part_rng))
         customer_rng = random.Random(f"customers-{seed}")
         changing = KeyClient(world, ledger, customer_rng)
         hot = HotClient(world, ledger, customer_rng)
@@ -244,6 +260,7 @@
         LostEndClient(f"lost-{number}", world, ledger, rng)
         for number in range(_LOST_ENDS if world.spools else 0)
     ]
+    takes_up = any(isinstance(client, ResumingClient) for client in customers)
     everyone = [*online, jobs, watcher, *enders, *losers, *others, *customers]
     async with _closing(everyone), trio.open_nursery() as clients:
         for client in (*online, watcher, *enders, *others):
@@ -255,9 +272,12 @@
             # Only meanwhile: their calls keep items of jobs from slots.
             for client in customers:
                 meanwhile.start_soon(client.run)
-            async with trio.open_nursery() as faults:
-                for schedule in schedules:
-                    faults.start_soon(schedule.run, fault_s)
+            for _ in range(_MOST_ROUNDS):
+                async with trio.open_nursery() as faults:
+                    for schedule in schedules:
+                        faults.start_soon(schedule.run, fault_s)
+                if ledger.taken_up >= _LEAST_TAKEN_UP or not takes_up:
+                    break
             meanwhile.cancel_scope.cancel()
         jobs.submits.cancel()
         if losers:
@@ -314,12 +334,9 @@
         await trio.sleep(0.1)
 
 
-async def _judge_calm(world: World, ledger: Ledger) -> None:
-    """Check that a fleet that was left alone for ``CALM_S`` serves again."""
-    await trio.sleep(CALM_S + 1.0)
-    from_s = trio.current_time()
-    await trio.sleep(_CALM_RUN_S)
-    calls = [
+def _calls_since(ledger: Ledger, from_s: float) -> list[OnlineAttempt]:
+    """Return the calls that were sent since a time and have ended."""
+    return [
         attempt
         for attempt in ledger.attempts
         if attempt.sent_s >= from_s
@@ -327,6 +344,18 @@
         and attempt.path[1] != "v"
         and not attempt.left
     ]
+
+
+async def _judge_calm(world: World, ledger: Ledger) -> None:
+    """Check that a fleet that was left alone for ``CALM_S`` serves again."""
+    await trio.sleep(CALM_S + 1.0)
+    from_s = trio.current_time()
+    await trio.sleep(_CALM_RUN_S)
+    calls = _calls_since(ledger, from_s)
+    with trio.move_on_after(_MOST_CALM_RUN_S - _CALM_RUN_S):
+        while len(calls) < _CALM_CALLS:
+            await trio.sleep(0.1)
+            calls = _calls_since(ledger, from_s)
     whole = sum(attempt.whole and attempt.status == 200 for attempt in calls)
     if not calls or whole < _SERVED_SHARE * len(calls):
         ledger.broken.append(f"in the calm at the end {whole} of {len(calls)} calls were served")
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -208,6 +208,8 @@
     config_s: float = float("-inf")
     # Paths of requests that crash the upstreams that begin them.
     harmful: set[str] = field(default_factory=set)
+    # Parts of prompts that do.
+    harmful_parts: set[str] = field(default_factory=set)
     # Of the software of upstreams that start.
     version: str = DEFAULT_VERSION
     sequence: int = 0
@@ -254,6 +256,7 @@
         await self.nursery.start(proxy.run, self.upstream_host)
         found = SoakUpstream(upstream, proxy)
         upstream.harmful = self.harmful
+        upstream.harmful_parts = self.harmful_parts
         upstream.on_crash = lambda _upstream: self._note_crash(found)
         upstream.on_restart = lambda _upstream: self._note_restart(found)
         self.upstreams.append(found)
