Refuse no common part for ends alone that another suspected part or chance may explain

An end alone counts in full only for what has all the suspected parts that were there; otherwise it takes three with another company each.

--- a/src/fescuedock/core/quarantine.py
+++ b/src/fescuedock/core/quarantine.py
@@ -110,9 +110,8 @@
         self._by_trait: defaultdict[str, set[str]] = defaultdict(set)
         # Those of runs alone.
         self._proofs: set[str] = set()
-        # Traits known as causes, each with those that were there whenever it was; None when they
-        # have to be found anew.
-        self._causes: dict[str, frozenset[str]] | None = {}
+        # Traits known as causes; None when they have to be found anew.
+        self._causes: set[str] | None = set()
         # Traits and reports that say nothing against them, with when that was found out.
         self._cleared: dict[tuple[str, str], float] = {}
         # Whatever was taken, with its time.
@@ -207,11 +206,10 @@
     def _verdict_on(self, trait: str, traits: Collection[str], now_ms: float) -> Verdict:
         reports = self._reports_against(trait)
         crashes = self._count_ends(reports)
-        company = self._known_causes().get(trait)
-        if company is not None:
+        if trait in self._known_causes():
             verdict = self._verdict_on_cause(trait, reports, crashes, now_ms)
-            if verdict.standing is Standing.REFUSED and not company.issubset(traits):
-                # Something else that was always there may be the cause; alone, this one shows it.
+            if verdict.standing is Standing.REFUSED and not self._is_shown(trait, traits):
+                # Something else that was there may be the cause; alone, this one shows it.
                 return Verdict(Standing.ALONE, crashes, trait=trait)
             return verdict
         weight = sum(
@@ -236,12 +234,12 @@
             return Verdict(Standing.ALONE, crashes, trait=trait)
         return Verdict(Standing.REFUSED, crashes, left_ms, trait)
 
-    def _known_causes(self) -> dict[str, frozenset[str]]:
+    def _known_causes(self) -> set[str]:
         if self._causes is None:
             self._causes = self._find_causes()
         return self._causes
 
-    def _find_causes(self) -> dict[str, frozenset[str]]:
+    def _find_causes(self) -> set[str]:
         """Find the traits that have ended upstreams often enough, certainly by themselves.
 
         A part that most prompts have is there whenever a rarer one is that ends upstreams.  So the
@@ -258,14 +256,13 @@
             if run.alone and len(self._by_trait.get(trait, ())) >= enough
         }
         if not suspects:
-            return {}
+            return set()
         ranks = {trait: (not is_part(trait), len(self._runs_with(trait))) for trait in suspects}
-        causes: dict[str, frozenset[str]] = {}
+        causes: set[str] = set()
         explained: set[str] = set()
         for _, rare in groupby(sorted(suspects, key=ranks.get), key=ranks.get):
             found = [trait for trait in rare if self._is_cause(trait, explained)]
-            for trait in found:
-                causes[trait] = self._company_of(trait)
+            causes.update(found)
             explained.update(
                 item.report_id
                 for trait in found
@@ -291,16 +288,32 @@
     def _least_works(self, trait: str) -> int:
         return self._policy.part_works if is_part(trait) else 1
 
-    def _company_of(self, trait: str) -> frozenset[str]:
-        """Return the suspected traits that all runs with a trait had, itself among them."""
-        return frozenset.intersection(
-            *(
-                frozenset(
-                    other for other in traits_of(run) if name in self._by_trait.get(other, ())
-                )
-                for name, run in self._runs_with(trait)
-            )
-        )
+    def _is_shown(self, trait: str, traits: Collection[str]) -> bool:
+        """Whether works that ended upstreams alone show that a trait is harmful in ``traits``.
+
+        Of a part they show little where another suspected one was there that ``traits`` lack, and
+        more if it was another one each time.
+        """
+        if not is_part(trait):
+            return True
+        works: set[str] = set()
+        companies: set[frozenset[str]] = set()
+        for name, run in self._runs_with(trait):
+            if not run.alone or not self._was_alone(trait, self._reports[name]):
+                continue
+            suspected = (other for other in run.parts if self._is_suspect(other, name))
+            company = frozenset(suspected).difference(traits)
+            if company:
+                companies.add(company)
+            else:
+                works.add(run.work_id)
+        enough = self._policy.part_works
+        return len(works) >= enough or len(works) + len(companies) > enough
+
+    def _is_suspect(self, trait: str, report_id: str) -> bool:
+        """Whether a report speaks against a trait, and not it alone."""
+        reports = self._by_trait.get(trait, ())
+        return report_id in reports and len(reports) > 1
 
     def _runs_with(self, trait: str) -> list[tuple[str, CrashedRun]]:
         """Return the runs with a trait, each with its report's identity."""
--- a/tests/test_quarantine_parts.py
+++ b/tests/test_quarantine_parts.py
@@ -83,6 +83,25 @@
             self.quarantine.note_crash(end(number, crashed(number, FIRST, alone=number >= 6)))
         self.assertIs(self.standing(FIRST, TOPIC), Standing.REFUSED)
 
+    def test_an_end_by_chance_alone_does_not_have_a_common_part_refused(self) -> None:
+        """Sound calls were refused: one alone with the harmful part, one alone ended by chance."""
+        for number in range(2):
+            run = crashed(number, FIRST, BAD)
+            self.quarantine.note_crash(end(number, run, crashed(10 + number, FIRST)))
+        self.quarantine.note_crash(end(2, crashed(2, FIRST, BAD, alone=True)))
+        self.quarantine.note_crash(end(3, crashed(3, FIRST, TOPIC, alone=True)))
+        self.assertIs(self.standing(FIRST, TOPIC), Standing.ALONE)
+        self.assertIs(self.standing(FIRST), Standing.ALONE)
+        self.quarantine.note_crash(end(4, crashed(4, FIRST, BAD, alone=True)))
+        self.assertIs(self.standing(FIRST, BAD), Standing.REFUSED)
+        self.assertIsNot(self.standing(FIRST, TOPIC), Standing.REFUSED)
+
+    def test_a_common_part_is_found_whatever_other_came_with_it(self) -> None:
+        others = part_identities(f"other-{number}" for number in range(3))
+        for number, other in enumerate([*others, *others]):
+            self.quarantine.note_crash(end(number, crashed(number, BAD, other, alone=number >= 3)))
+        self.assertIs(self.standing(BAD, TOPIC), Standing.REFUSED)
+
     def test_one_work_that_comes_again_is_refused_and_its_parts_run_on(self) -> None:
         for number in range(3):
             run = CrashedRun("same", alone=number == 2, parts=[FIRST])
