--- a/tests/builders/harmful_parts.py
+++ b/tests/builders/harmful_parts.py
@@ -67,14 +67,13 @@
     harmful_statuses: list[int] = field(default_factory=list)
     _number: int = 0
 
-    async def run(self, harmful: int, sound: int, seconds: float) -> None:
-        """Have so many clients of each kind call one after the other for a while."""
-        with trio.move_on_after(seconds):
-            async with trio.open_nursery() as nursery:
-                for _ in range(harmful):
-                    nursery.start_soon(self._repeat, self._call_harmful, _HARMFUL_PAUSE_S)
-                for _ in range(sound):
-                    nursery.start_soon(self._repeat, self._call_sound, _SOUND_PAUSE_S)
+    async def run(self, harmful: int, sound: int) -> None:
+        """Have so many clients of each kind call one after the other until cancelled."""
+        async with trio.open_nursery() as nursery:
+            for _ in range(harmful):
+                nursery.start_soon(self._repeat, self._call_harmful, _HARMFUL_PAUSE_S)
+            for _ in range(sound):
+                nursery.start_soon(self._repeat, self._call_sound, _SOUND_PAUSE_S)
 
     def harmful_starts(self) -> list[float]:
         """Return trio's time of each run with the bad part."""
--- a/tests/test_node_harmful_parts.py
+++ b/tests/test_node_harmful_parts.py
@@ -12,11 +12,13 @@
     BAD_PART,
     FIRST_PART,
     Callers,
+    SoundCall,
     crashes_of,
     make_harmful,
 )
 from tests.builders.jobs_calls import JOB, item_entry, read_page, submission_of
 from tests.builders.node import NodeFleet, running_fleet
+from tests.builders.online import wait_until
 from tests.builders.standins import run_async
 
 # The users' bounds: so many ends, and so many runs later than this after the last of them.
@@ -25,7 +27,22 @@
 MOST_LATE = 3
 MOST_CRASHES = 8
 LEAST_IN_TIME = 0.98
-SECONDS = 11.0
+# Of sound calls that are judged; on a busy machine they take longer to come together.
+LEAST_SOUND = 100
+LAST = 40
+LEAST_S = 11.0
+MOST_S = 50.0
+
+
+def known_s(fleet: NodeFleet) -> float:
+    """Return when the part was at its fifth crash, or at the last one before."""
+    crashes = crashes_of(fleet)
+    return crashes[min(ENOUGH, len(crashes)) - 1] if crashes else float("inf")
+
+
+def judged(callers: Callers) -> list[SoundCall]:
+    """Return the sound calls that were sent long enough after that crash."""
+    return callers.sound_since(known_s(callers.fleet) + 2 * CONTACT_S)
 
 
 class HarmfulPartsTest(unittest.TestCase):
@@ -48,7 +65,7 @@
 
         async def run() -> None:
             nonlocal callers
-            with trio.fail_after(40):
+            with trio.fail_after(60):
                 async with running_fleet(nodes=3, upstreams=6) as fleet:
                     for upstream in fleet.upstreams:
                         make_harmful(upstream, form)
@@ -57,7 +74,12 @@
                     async with trio.open_nursery() as nursery:
                         if disturb is not None:
                             nursery.start_soon(disturb, fleet)
-                        await callers.run(harmful, sound, SECONDS)
+                        nursery.start_soon(callers.run, harmful, sound)
+                        await trio.sleep(LEAST_S)
+                        with trio.move_on_after(MOST_S - LEAST_S):
+                            await wait_until(
+                                lambda: not sound or len(judged(callers)) >= LEAST_SOUND
+                            )
                         nursery.cancel_scope.cancel()
 
         callers: Callers | None = None
@@ -66,16 +88,15 @@
 
     def assert_kept(self, callers: Callers, most_crashes: int = MOST_CRASHES) -> None:
         """Few more runs with the part, and sound calls served beside them."""
-        crashes = crashes_of(callers.fleet)
-        known_s = crashes[min(ENOUGH, len(crashes)) - 1]
-        late = [at_s for at_s in callers.harmful_starts() if at_s > known_s + CONTACT_S]
+        known = known_s(callers.fleet)
+        late = [at_s for at_s in callers.harmful_starts() if at_s > known + CONTACT_S]
         self.assertLessEqual(len(late), MOST_LATE)
-        self.assertLessEqual(len(crashes), most_crashes)
+        self.assertLessEqual(len(crashes_of(callers.fleet)), most_crashes)
         self.assertFalse([call for call in callers.sound if call.refused_as_harmful])
-        sound = callers.sound_since(known_s + 2 * CONTACT_S)
         if callers.sound:
+            sound = judged(callers)
             in_time = sum(call.in_time for call in sound)
-            self.assertGreater(len(sound), 50)
+            self.assertGreaterEqual(len(sound), LEAST_SOUND)
             self.assertGreaterEqual(in_time / len(sound), LEAST_IN_TIME)
 
     def test_a_part_crashes_few_upstreams_and_sound_calls_with_the_same_first_part_are_served(
@@ -196,12 +217,16 @@
                         make_harmful(upstream)
                     callers = Callers(fleet, random.Random(50))
                     async with trio.open_nursery() as nursery:
-                        nursery.start_soon(crash_in_turn, fleet)
-                        await callers.run(0, 8, SECONDS)
+                        nursery.start_soon(callers.run, 0, 8)
+                        await crash_in_turn(fleet)
+                        ended_s = trio.current_time()
+                        since_s = ended_s + CONTACT_S
+                        await wait_until(lambda: len(callers.sound_since(since_s)) >= LAST)
+                        nursery.cancel_scope.cancel()
                     self.assertEqual(len(crashes_of(fleet)), 12)
                     self.assertFalse([call for call in callers.sound if call.refused_as_harmful])
-                    last = callers.sound[-40:]
-                    self.assertEqual(sum(call.in_time for call in last), 40)
+                    last = callers.sound[-LAST:]
+                    self.assertEqual(sum(call.in_time for call in last), LAST)
 
         run_async(run)
 
