Keep an upstream for a run alone until it is known whether its answer was whole

Beside load five runs with a harmful part began too late where answers look whole: the upstream ended more than 250 ms after the answer, when other runs had begun there, so that no end counted as alone.

An upstream that could not be reached counted as up for answers that look whole, and cleared what it may have ended by. Only an accepted connection does now.

--- a/src/fescuedock/agent/crash_service.py
+++ b/src/fescuedock/agent/crash_service.py
@@ -226,22 +226,23 @@
                 break
             began_ms = now_ms()
             if waiting.wants_look(began_ms):
-                if await self._refuses(Address(upstream.host, upstream.port)):
+                acceptance = await self._try_twice(Address(upstream.host, upstream.port))
+                if acceptance is Acceptance.REFUSED:
                     await self._report_end(upstream_id, refused=True)
                     return
-                waiting.note_up(began_ms)
-            for run in waiting.take_settled(now_ms()):
-                self._note_not_ended(run)
+                if acceptance is Acceptance.ACCEPTED:
+                    waiting.note_up(began_ms)
+            for run in waiting.take_whole(now_ms()):
+                self._note_whole(run)
             await trio.sleep(_LOOK_PAUSE_S)
         del self._broken[upstream_id]
         log_event("upstream_not_ended", routine=True, upstream_id=upstream_id, runs=len(waiting))
 
-    def _note_not_ended(self, run: BrokenRun) -> None:
-        """Note that the upstream of a run goes on, so that one that looks whole is."""
-        if run.looks_whole:
-            self._view.sound_parts.note(run.parts, now_ms())
-            for trait in (run.work_id, *run.parts):
-                self._clear(trait)
+    def _note_whole(self, run: BrokenRun) -> None:
+        """Note that a run that looks whole is, as its upstream goes on."""
+        self._view.sound_parts.note(run.parts, now_ms())
+        for trait in (run.work_id, *run.parts):
+            self._clear(trait)
 
     async def _report_end(self, upstream_id: str, *, refused: bool) -> None:
         """Report what ran at an upstream when it ended."""
@@ -264,13 +265,13 @@
         ended_ms = self._ended_ms.get(upstream_id, float("-inf"))
         return now_ms() - ended_ms <= _SAME_END_MS
 
-    async def _refuses(self, address: Address) -> bool:
-        """Whether nothing takes connections at an address any more."""
+    async def _try_twice(self, address: Address) -> Acceptance:
+        """Find out whether a server still takes connections, and goes on doing so."""
         acceptance = await self._http.try_connect(address)
         if acceptance is Acceptance.ACCEPTED:
             await trio.sleep(_SECOND_LOOK_S)
             acceptance = await self._http.try_connect(address)
-        return acceptance is Acceptance.REFUSED
+        return acceptance
 
     # --- sharing ---------------------------------------------------------------------------------
 
--- a/src/fescuedock/agent/permit_client.py
+++ b/src/fescuedock/agent/permit_client.py
@@ -54,7 +54,7 @@
 # Ends of our own making, after which an upstream may still be at work.
 _GIVEN_UP = (AttemptOutcome.CANCELLED, AttemptOutcome.REVOKED)
 # After an answer that ended with its connection, before a permit for a run alone is returned.
-_LINGER_S = 0.25
+_LINGER_S = 1.0
 # For each VM, in which one of those that know a part to be sound says so before the others.
 _VOUCH_PAUSE_S = 0.002
 # Beyond the time that an ask may be queued, for an owner in the same process.
@@ -206,7 +206,7 @@
         self._to_tell: list[BrokenRun | WholeRun] = []
         self._given_up = RecentRuns()
         self._unanswered = UnansweredAsks()
-        self._rng = random.Random()
+        self._rng = random.Random(holder_id)
         self._nursery: trio.Nursery | None = None
         # Attempts whose ask is under way; True once a revocation has overtaken the grant.
         self._asking: dict[str, bool] = {}
@@ -525,7 +525,9 @@
                 continue
             channel = await self._channels.get(self._own_agent)
             if not channel.push(message):
-                log_event("run_not_reported", work_id=message.work_id, reason="channel is full")
+                log_event(
+                    "run_not_reported", work_id=message.work_id, reason="it could not be sent"
+                )
 
 
 @asynccontextmanager
--- a/src/fescuedock/core/broken_runs.py
+++ b/src/fescuedock/core/broken_runs.py
@@ -47,11 +47,11 @@
         """Note that the upstream took connections from ``began_ms`` on."""
         self._up_ms = began_ms
 
-    def take_settled(self, now_ms: float) -> list[BrokenRun]:
-        """Remove and return the runs that say nothing against anybody by now."""
-        settled = [item for item in self._runs if self._is_settled(item, now_ms)]
+    def take_whole(self, now_ms: float) -> list[BrokenRun]:
+        """Forget the runs that say nothing against anybody by now; return those that are whole."""
+        whole = [run for item in self._runs if self._is_whole(item) for run in item[1:]]
         self._runs = [item for item in self._runs if not self._is_settled(item, now_ms)]
-        return [run for _, run in settled]
+        return whole
 
     def take_ended(self, *, refused: bool) -> list[BrokenRun]:
         """Remove and return the runs that were under way when the upstream ended.
@@ -64,7 +64,8 @@
         return [run for at_ms, run in runs if run.looks_whole or at_ms > self._up_ms]
 
     def _is_settled(self, item: tuple[float, BrokenRun], now_ms: float) -> bool:
+        return now_ms - item[0] >= _GONE_MS or self._is_whole(item)
+
+    def _is_whole(self, item: tuple[float, BrokenRun]) -> bool:
         at_ms, run = item
-        if run.looks_whole:
-            return self._up_ms - at_ms >= _WHOLE_MS
-        return now_ms - at_ms >= _GONE_MS
+        return run.looks_whole and self._up_ms - at_ms >= _WHOLE_MS
--- /dev/null
+++ b/tests/test_broken_runs.py
@@ -0,0 +1,75 @@
+"""What broken runs say while it is being found out whether their upstream has ended."""
+
+import unittest
+
+from fescuedock.core.broken_runs import BrokenRuns
+from fescuedock.schema.crashes import BrokenRun
+
+
+def broken(work_id: str, *, looks_whole: bool = False, alone: bool = False) -> BrokenRun:
+    return BrokenRun("u", work_id, alone=alone, looks_whole=looks_whole)
+
+
+def names(runs: list[BrokenRun]) -> list[str]:
+    return [run.work_id for run in runs]
+
+
+class BrokenRunsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.runs = BrokenRuns()
+
+    def test_each_broken_run_has_the_upstream_looked_at_once(self) -> None:
+        self.runs.add(broken("a"), 0.0)
+        self.assertTrue(self.runs.wants_look(0.0))
+        self.runs.note_up(10.0)
+        self.assertFalse(self.runs.wants_look(1000.0))
+        self.runs.add(broken("b"), 1000.0)
+        self.assertTrue(self.runs.wants_look(1000.0))
+
+    def test_an_upstream_that_refuses_after_it_was_up_has_ended_under_later_runs_only(self) -> None:
+        self.runs.add(broken("before"), 0.0)
+        self.runs.note_up(10.0)
+        self.runs.add(broken("after"), 1000.0)
+        self.assertEqual(names(self.runs.take_ended(refused=True)), ["after"])
+        self.assertEqual(len(self.runs), 0)
+
+    def test_one_that_goes_from_the_list_has_ended_under_all_of_them(self) -> None:
+        self.runs.add(broken("before"), 0.0)
+        self.runs.note_up(10.0)
+        self.runs.add(broken("after"), 1000.0)
+        self.assertEqual(names(self.runs.take_ended(refused=False)), ["before", "after"])
+
+    def test_a_run_that_looks_whole_is_once_its_upstream_is_up_a_second_later(self) -> None:
+        self.runs.add(broken("a", looks_whole=True), 0.0)
+        self.runs.note_up(900.0)
+        self.assertEqual(self.runs.take_whole(990.0), [])
+        self.assertTrue(self.runs.wants_look(1150.0))
+        self.runs.note_up(1150.0)
+        self.assertEqual(names(self.runs.take_whole(1200.0)), ["a"])
+
+    def test_a_run_that_looks_whole_speaks_for_nobody_where_the_upstream_is_not_reached(
+        self,
+    ) -> None:
+        """An upstream that had fallen silent cleared what it had ended by."""
+        self.runs.add(broken("a", looks_whole=True), 0.0)
+        self.assertEqual(self.runs.take_whole(4000.0), [])
+        self.assertEqual(len(self.runs), 1)
+        self.assertEqual(self.runs.take_whole(5000.0), [])
+        self.assertEqual(len(self.runs), 0)
+
+    def test_a_run_that_looks_whole_counts_where_the_upstream_refuses_soon_after(self) -> None:
+        self.runs.add(broken("a", looks_whole=True, alone=True), 0.0)
+        self.runs.note_up(10.0)
+        self.assertTrue(self.runs.has_alone)
+        self.assertEqual(names(self.runs.take_ended(refused=True)), ["a"])
+
+    def test_a_broken_run_says_nothing_after_five_seconds(self) -> None:
+        self.runs.add(broken("a"), 0.0)
+        self.assertEqual(self.runs.take_whole(4999.0), [])
+        self.assertEqual(len(self.runs), 1)
+        self.runs.take_whole(5000.0)
+        self.assertEqual(len(self.runs), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_node_harmful_parts.py
+++ b/tests/test_node_harmful_parts.py
@@ -58,6 +58,7 @@
         sound: int = 8,
         form: CrashForm = CrashForm.HEAD,
         unframed: bool = False,
+        crash_after_ms: float = 50.0,
         disturb: Callable | None = None,
         **parts: Callable,
     ) -> Callers:
@@ -70,6 +71,7 @@
                     for upstream in fleet.upstreams:
                         make_harmful(upstream, form)
                         upstream.unframed = unframed
+                        upstream.crash_after_ms = crash_after_ms
                     callers = Callers(fleet, random.Random(50), **parts)
                     async with trio.open_nursery() as nursery:
                         if disturb is not None:
@@ -125,6 +127,13 @@
     def test_it_is_found_where_answers_look_whole_before_the_crash(self) -> None:
         self.assert_kept(self.play(form=CrashForm.WHOLE_EVENT, unframed=True))
 
+    def test_it_is_found_where_upstreams_end_some_time_after_answers_that_look_whole(self) -> None:
+        """Other runs had begun beside one that was alone by then, so that none counted as alone."""
+        form = CrashForm.WHOLE_EVENT
+        callers = self.play(form=form, unframed=True, crash_after_ms=400.0)
+        # Each client sends up to four calls before the first crash.
+        self.assert_kept(callers, most_crashes=12)
+
     def test_it_is_found_without_other_calls(self) -> None:
         self.assert_kept(self.play(sound=0))
 
