Renew a permit that is kept after a run alone, where its holder has no other

A permit for a run alone is kept for a second after such an answer, but renewals were skipped where the node held no grant. So it lapsed at its owner, after 0.3 s there and up to 1.5 s as deployed, and the next run alone began beside the pending end, as company that voids what it shows.

Renewals now look at all permits that are kept. The new test had the second permit after 0.61 s before.

--- a/src/fescuedock/agent/permit_client.py
+++ b/src/fescuedock/agent/permit_client.py
@@ -437,7 +437,7 @@
     async def _renew_forever(self) -> None:
         while True:
             await trio.sleep(self._valid_ms / _RENEWALS_PER_VALIDITY / 1000)
-            if not self._grants:
+            if not len(self._book):
                 continue
             async with trio.open_nursery() as nursery:
                 for address, group in self._held_by_owner().items():
--- a/src/fescuedock/core/permits/holder.py
+++ b/src/fescuedock/core/permits/holder.py
@@ -91,6 +91,9 @@
     def __iter__(self) -> Iterator[HeldGrant]:
         return iter(tuple(self._grants.values()))
 
+    def __len__(self) -> int:
+        return len(self._grants)
+
     def get(self, permit_id: str) -> HeldGrant | None:
         return self._grants.get(permit_id)
 
--- a/tests/test_permits_service.py
+++ b/tests/test_permits_service.py
@@ -273,6 +273,23 @@
 
         _run(run)
 
+    def test_a_permit_kept_after_a_run_alone_is_renewed_where_its_holder_has_no_other(self) -> None:
+        """It lapsed, and the next run alone began beside a crash that the first may have caused."""
+
+        async def run() -> None:
+            async with served_owner() as owner:
+                await trio.sleep(1.5 * VALID_MS / 1000)
+                first, second = (ask_for(alone=True, wait_ms=5000) for _ in range(2))
+                grant = (await owner.client.ask(first, TIMEOUT_MS)).unwrap()
+                grant.note_sent()
+                grant.note_unframed()
+                grant.end(end_of(first, AttemptOutcome.COMPLETED))
+                ended_s = trio.current_time()
+                (await owner.client.ask(second, TIMEOUT_MS)).unwrap()
+                self.assertGreaterEqual(trio.current_time() - ended_s, 1.0)
+
+        _run(run)
+
     def test_an_ask_for_an_upstream_that_has_gone_is_no_silence_of_its_owner(self) -> None:
         async def run() -> None:
             async with served_owner() as owner:
