Have the test of streams at a new version fill the old upstream

It took 1.5 to 13 s, and more than its 20 s on a busy machine. In six traced runs beside each other (trials) the record named the new version 0.06 s after it was listed, and 61 to 1,138 calls of each of two callers passed before the new upstream had one, in up to 22 s: an upstream with open connections goes first until it is full, and two callers never filled it. So the test waited for chance.

Eight callers at once are more than the old one's slots, as in the next test. What is checked is the same.

--- a/tests/test_stream_take_up.py
+++ b/tests/test_stream_take_up.py
@@ -169,14 +169,16 @@
     def test_no_stream_begins_at_a_version_before_the_record_names_it(self) -> None:
         async def test(fleet: NodeFleet) -> None:
             [old] = fleet.upstreams
+            # A new upstream is used once the one with open connections is full.
+            old.event_interval_ms = 40
             async with trio.open_nursery() as nursery:
 
                 async def call(number: int) -> None:
                     while True:
                         await fleet.call(fleet.nodes[number].front, "POST", "/check/1", b"a")
 
-                for number in range(2):
-                    nursery.start_soon(call, number)
+                for number in range(8):
+                    nursery.start_soon(call, number % 2)
                 await trio.sleep(0.2)
                 new = await fleet.start_upstream("i-new", version="v1.1")
                 await wait_until(lambda: bool(new.seen))
