Let a run alone that has made room be neither proof nor company of the next one

A run alone whose answer looked whole was watched until its upstream was seen up a second later, which takes up to 1.3 s; its permit was returned after one. An end in between was reported with both runs alone, so that neither was known to have been alone, or, where the first was looked at later, both were.

What had made room by then is reported as over and not alone.

--- a/src/fescuedock/agent/crash_service.py
+++ b/src/fescuedock/agent/crash_service.py
@@ -251,9 +251,9 @@
         if not self._broken[upstream_id].has_alone:
             # Beside a run alone there is nothing to wait for, and its next try may be on its way.
             await trio.sleep(_GATHER_S)
-        broken = self._broken.pop(upstream_id).take_ended(refused=refused)
+        broken = self._broken.pop(upstream_id).take_ended(now_ms(), refused=refused)
         runs = [
-            CrashedRun(item.work_id, item.alone, item.begun, _had_left(item), item.parts)
+            CrashedRun(item.work_id, item.alone, item.begun, item.given_up, item.parts)
             for item in broken
             if item.work_id
         ]
@@ -391,10 +391,5 @@
         return self._unix_base_ms + now_ms()
 
 
-def _had_left(run: BrokenRun) -> bool:
-    """Whether a run was over before its upstream ended, so that another one may have been alone."""
-    return run.given_up or (run.looks_whole and not run.alone)
-
-
 def _new_id() -> str:
     return token_hex(_REPORT_BYTES)
--- a/src/fescuedock/core/broken_runs.py
+++ b/src/fescuedock/core/broken_runs.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from fescuedock.core.recent_runs import LONE_PAUSE_MS
 from fescuedock.schema.crashes import BrokenRun
 
 __all__ = ["BrokenRuns"]
@@ -53,15 +54,18 @@
         self._runs = [item for item in self._runs if not self._is_settled(item, now_ms)]
         return whole
 
-    def take_ended(self, *, refused: bool) -> list[BrokenRun]:
+    def take_ended(self, now_ms: float, *, refused: bool) -> list[BrokenRun]:
         """Remove and return the runs that were under way when the upstream ended.
 
         With ``refused`` it ended after the last look: what it had broken off before is not by that.
+        Those that had made room for others by then are returned as given up, and as not alone.
         """
-        runs, self._runs = self._runs, []
-        if not refused:
-            return [run for _, run in runs]
-        return [run for at_ms, run in runs if run.looks_whole or at_ms > self._up_ms]
+        items, self._runs = self._runs, []
+        if refused:
+            items = [item for item in items if item[1].looks_whole or item[0] > self._up_ms]
+        return [
+            _without_place(run) if _had_left(run, now_ms - at_ms) else run for at_ms, run in items
+        ]
 
     def _is_settled(self, item: tuple[float, BrokenRun], now_ms: float) -> bool:
         return now_ms - item[0] >= _GONE_MS or self._is_whole(item)
@@ -69,3 +73,12 @@
     def _is_whole(self, item: tuple[float, BrokenRun]) -> bool:
         at_ms, run = item
         return run.looks_whole and self._up_ms - at_ms >= _WHOLE_MS
+
+
+def _had_left(run: BrokenRun, age_ms: float) -> bool:
+    """Whether a run that looks whole made room for others before its upstream ended."""
+    return run.looks_whole and (not run.alone or age_ms >= LONE_PAUSE_MS)
+
+
+def _without_place(run: BrokenRun) -> BrokenRun:
+    return msgspec.structs.replace(run, given_up=True, alone=False)
--- a/src/fescuedock/schema/crashes.py
+++ b/src/fescuedock/schema/crashes.py
@@ -22,7 +22,7 @@
     alone: Annotated[bool, Meta(description="Nothing else ran at the upstream.")] = False
     begun: Annotated[bool, Meta(description="Something of an answer had come.")] = False
     given_up: Annotated[
-        bool, Meta(description="It had been given up shortly before, and its permit returned.")
+        bool, Meta(description="It was over shortly before, and its permit returned.")
     ] = False
     parts: Annotated[
         list[str],
@@ -49,7 +49,7 @@
     alone: Annotated[bool, Meta(description="Nothing else ran at the upstream.")] = False
     begun: Annotated[bool, Meta(description="Something of an answer had come.")] = False
     given_up: Annotated[
-        bool, Meta(description="It had been given up shortly before, and its permit returned.")
+        bool, Meta(description="It was over shortly before, and its permit returned.")
     ] = False
     parts: Annotated[
         list[str],
