Return a permit kept after a run alone as soon as the run is known to have been whole

Sound callers whose parts were under suspicion waited in turn for runs alone, 1.2 s each, and the next turn often went to a part that was just about to be cleared: the permit was returned after a second, the run was known to be whole after up to 1.3.

--- a/src/fescuedock/agent/crash_service.py
+++ b/src/fescuedock/agent/crash_service.py
@@ -49,8 +49,6 @@
 _SAME_END_MS = QuarantinePolicy().same_end_ms
 # A dying process may still take connections while those that it had are cut already.
 _SECOND_LOOK_S = 0.05
-# Between two looks at an upstream that is up, or at the list.
-_LOOK_PAUSE_S = 0.25
 # Runs that were broken off by one end come in within milliseconds of each other.
 _GATHER_S = 0.01
 # Between two writes of one node.
@@ -170,6 +168,10 @@
     # --- programs --------------------------------------------------------------------------------
 
     async def _on_broken(self, message: BrokenRun, _peer: ServerPeer) -> None:
+        if message.looks_whole and message.given_up:
+            if message.upstream_id in self._broken:
+                self._broken[message.upstream_id].note_left(message.work_id)
+            return
         upstream = self._view.upstreams.get(message.upstream_id)
         known = self._has_just_ended(message.upstream_id) or message.upstream_id in self._broken
         if not known and (upstream is None or upstream.leaving):
@@ -234,7 +236,7 @@
                     waiting.note_up(began_ms)
             for run in waiting.take_whole(now_ms()):
                 self._note_whole(run)
-            await trio.sleep(_LOOK_PAUSE_S)
+            await trio.sleep(waiting.pause_ms(now_ms()) / 1000)
         del self._broken[upstream_id]
         log_event("upstream_not_ended", routine=True, upstream_id=upstream_id, runs=len(waiting))
 
@@ -251,7 +253,7 @@
         if not self._broken[upstream_id].has_alone:
             # Beside a run alone there is nothing to wait for, and its next try may be on its way.
             await trio.sleep(_GATHER_S)
-        broken = self._broken.pop(upstream_id).take_ended(now_ms(), refused=refused)
+        broken = self._broken.pop(upstream_id).take_ended(refused=refused)
         runs = [
             CrashedRun(item.work_id, item.alone, item.begun, item.given_up, item.parts)
             for item in broken
--- a/src/fescuedock/agent/permit_client.py
+++ b/src/fescuedock/agent/permit_client.py
@@ -21,7 +21,7 @@
 from fescuedock.clock import now_ms
 from fescuedock.core.permits.holder import HeldGrant, HolderBook, LocalLimit, lapsed_by_ms
 from fescuedock.core.permits.queued import is_overdue
-from fescuedock.core.recent_runs import LONE_PAUSE_MS, RecentRuns
+from fescuedock.core.recent_runs import RecentRuns
 from fescuedock.core.route_learning import UnansweredAsks
 from fescuedock.faults import Fault
 from fescuedock.log import log_event
@@ -53,6 +53,8 @@
 _BROKEN_OFF = (AttemptOutcome.TRUNCATED, AttemptOutcome.RESPONSE_TIMEOUT)
 # Ends of our own making, after which an upstream may still be at work.
 _GIVEN_UP = (AttemptOutcome.CANCELLED, AttemptOutcome.REVOKED)
+# How long a permit for a run alone is kept after an answer that ended with its connection, at most.
+_LONE_PAUSE_S = 1.5
 # For each VM, in which one of those that know a part to be sound says so before the others.
 _VOUCH_PAUSE_S = 0.002
 # Beyond the time that an ask may be queued, for an owner in the same process.
@@ -376,7 +378,11 @@
     async def _return_later(self, held: HeldGrant, ended: EndedPermit) -> None:
         """Keep other work off an upstream that may be about to end under a run alone."""
         self._something_ended.set()
-        await trio.sleep(LONE_PAUSE_MS / 1000)
+        work_id = held.ask.work_id
+        with trio.move_on_after(_LONE_PAUSE_S):
+            while any(map(self._view.quarantine.suspects, (work_id, *held.parts))):
+                await self._view.wait_quarantine()
+        self._to_tell.append(BrokenRun(ended.upstream_id, work_id, given_up=True, looks_whole=True))
         self._return(held, ended)
 
     def _note_run(self, held: HeldGrant, ended: EndedPermit) -> None:
--- a/src/fescuedock/core/broken_runs.py
+++ b/src/fescuedock/core/broken_runs.py
@@ -5,7 +5,6 @@
 
 import msgspec
 
-from fescuedock.core.recent_runs import LONE_PAUSE_MS
 from fescuedock.schema.crashes import BrokenRun
 
 __all__ = ["BrokenRuns"]
@@ -37,12 +36,25 @@
         """Add a run that was broken off, or whose answer looks whole, just now."""
         self._runs.append((now_ms, run))
 
+    def note_left(self, work_id: str) -> None:
+        """Note that a run alone that looks whole has made room for others."""
+        self._runs = [
+            (at_ms, _without_place(run) if run.work_id == work_id and run.looks_whole else run)
+            for at_ms, run in self._runs
+        ]
+
     def wants_look(self, now_ms: float) -> bool:
         """Whether the upstream should be asked for a connection."""
         if any(at_ms > self._up_ms for at_ms, _ in self._runs):
             return True
-        looks_whole = any(run.looks_whole for _, run in self._runs)
-        return looks_whole and now_ms - self._up_ms >= _PAUSE_MS
+        since_ms = now_ms - self._up_ms
+        return any(
+            since_ms >= _PAUSE_MS or self._up_ms < due_ms <= now_ms for due_ms in self._due()
+        )
+
+    def pause_ms(self, now_ms: float) -> float:
+        """Return how long to wait before the next look."""
+        return min([due_ms - now_ms for due_ms in self._due() if due_ms > now_ms] + [_PAUSE_MS])
 
     def note_up(self, began_ms: float) -> None:
         """Note that the upstream took connections from ``began_ms`` on."""
@@ -54,18 +66,20 @@
         self._runs = [item for item in self._runs if not self._is_settled(item, now_ms)]
         return whole
 
-    def take_ended(self, now_ms: float, *, refused: bool) -> list[BrokenRun]:
+    def take_ended(self, *, refused: bool) -> list[BrokenRun]:
         """Remove and return the runs that were under way when the upstream ended.
 
         With ``refused`` it ended after the last look: what it had broken off before is not by that.
-        Those that had made room for others by then are returned as given up, and as not alone.
+        Those that had made room for others by then are returned as given up.
         """
         items, self._runs = self._runs, []
         if refused:
             items = [item for item in items if item[1].looks_whole or item[0] > self._up_ms]
-        return [
-            _without_place(run) if _had_left(run, now_ms - at_ms) else run for at_ms, run in items
-        ]
+        return [_without_place(run) if _made_room(run) else run for _, run in items]
+
+    def _due(self) -> list[float]:
+        """Return from when on an upstream that is up shows that an answer was whole."""
+        return [at_ms + _WHOLE_MS for at_ms, run in self._runs if run.looks_whole]
 
     def _is_settled(self, item: tuple[float, BrokenRun], now_ms: float) -> bool:
         return now_ms - item[0] >= _GONE_MS or self._is_whole(item)
@@ -75,9 +89,8 @@
         return run.looks_whole and self._up_ms - at_ms >= _WHOLE_MS
 
 
-def _had_left(run: BrokenRun, age_ms: float) -> bool:
-    """Whether a run that looks whole made room for others before its upstream ended."""
-    return run.looks_whole and (not run.alone or age_ms >= LONE_PAUSE_MS)
+def _made_room(run: BrokenRun) -> bool:
+    return run.looks_whole and not run.alone
 
 
 def _without_place(run: BrokenRun) -> BrokenRun:
--- a/src/fescuedock/core/recent_runs.py
+++ b/src/fescuedock/core/recent_runs.py
@@ -14,10 +14,7 @@
 
 from fescuedock.schema.crashes import BrokenRun
 
-__all__ = ["LONE_PAUSE_MS", "RecentRuns", "SoundParts"]
-
-# A permit for a run alone is kept for so long after an answer that ended with its connection.
-LONE_PAUSE_MS = 1000.0
+__all__ = ["RecentRuns", "SoundParts"]
 
 # How long after it was given up a run is taken for what may have ended its upstream: an engine goes
 # on until it notices that its caller has left, and the end shows with the next connection.
--- a/tests/test_broken_runs.py
+++ b/tests/test_broken_runs.py
@@ -30,14 +30,14 @@
         self.runs.add(broken("before"), 0.0)
         self.runs.note_up(10.0)
         self.runs.add(broken("after"), 1000.0)
-        self.assertEqual(names(self.runs.take_ended(1050.0, refused=True)), ["after"])
+        self.assertEqual(names(self.runs.take_ended(refused=True)), ["after"])
         self.assertEqual(len(self.runs), 0)
 
     def test_one_that_goes_from_the_list_has_ended_under_all_of_them(self) -> None:
         self.runs.add(broken("before"), 0.0)
         self.runs.note_up(10.0)
         self.runs.add(broken("after"), 1000.0)
-        self.assertEqual(names(self.runs.take_ended(1050.0, refused=False)), ["before", "after"])
+        self.assertEqual(names(self.runs.take_ended(refused=False)), ["before", "after"])
 
     def test_a_run_that_looks_whole_is_once_its_upstream_is_up_a_second_later(self) -> None:
         self.runs.add(broken("a", looks_whole=True), 0.0)
@@ -61,13 +61,21 @@
         self.runs.add(broken("a", looks_whole=True, alone=True), 0.0)
         self.runs.note_up(10.0)
         self.assertTrue(self.runs.has_alone)
-        [run] = self.runs.take_ended(500.0, refused=True)
+        [run] = self.runs.take_ended(refused=True)
         self.assertEqual((run.work_id, run.alone, run.given_up), ("a", True, False))
 
+    def test_a_look_comes_when_an_answer_is_whole(self) -> None:
+        self.runs.add(broken("a", looks_whole=True), 0.0)
+        self.runs.note_up(900.0)
+        self.assertEqual(self.runs.pause_ms(900.0), 100.0)
+        self.assertFalse(self.runs.wants_look(999.0))
+        self.assertTrue(self.runs.wants_look(1000.0))
+
     def test_a_run_alone_that_made_room_is_neither_proof_nor_company_of_the_next_one(self) -> None:
         self.runs.add(broken("first", looks_whole=True, alone=True), 0.0)
+        self.runs.note_left("first")
         self.runs.add(broken("second", looks_whole=True, alone=True), 1010.0)
-        first, second = self.runs.take_ended(1500.0, refused=True)
+        first, second = self.runs.take_ended(refused=True)
         self.assertEqual((first.alone, first.given_up), (False, True))
         self.assertEqual((second.alone, second.given_up), (True, False))
 
--- a/tests/test_permits_service.py
+++ b/tests/test_permits_service.py
@@ -15,6 +15,7 @@
 from fescuedock.core.permits.holder import validity_ms
 from fescuedock.core.permits.owner import PermitOwner
 from fescuedock.faults import Fault
+from fescuedock.schema.crashes import CrashedRun, CrashReport
 from fescuedock.schema.permits import AttemptOutcome, PermitAsk, PermitsEnded, WorkClass
 from fescuedock.schema.result_codes import ResultCode
 from fescuedock.schema.settings import AgentSettings
@@ -279,7 +280,11 @@
         async def run() -> None:
             async with served_owner() as owner:
                 await trio.sleep(1.5 * VALID_MS / 1000)
-                first, second = (ask_for(alone=True, wait_ms=5000) for _ in range(2))
+                report = CrashReport("report", "u2", 0, [CrashedRun("work")])
+                owner.view.quarantine.note_crash(report)
+                first, second = (
+                    ask_for(alone=True, work_id="work", wait_ms=5000) for _ in range(2)
+                )
                 grant = (await owner.client.ask(first, TIMEOUT_MS)).unwrap()
                 grant.note_sent()
                 grant.note_unframed()
