Refuse a work whose runs alone ended upstreams beside other company each time

Three ends of runs that were to be alone, beside others which have no trait in common, are now enough as well, as two are for parts. An innocent work that always comes with the harmful one has that in common.

--- a/src/fescuedock/core/quarantine.py
+++ b/src/fescuedock/core/quarantine.py
@@ -224,10 +224,11 @@
         policy = self._policy
         pauses_ms = policy.part_pauses_ms if is_part(trait) else policy.pauses_ms
         by_itself = [item for item in reports if self._was_alone(trait, item)]
-        unsettled_ms = max(item.at_ms for item in by_itself) + policy.same_end_ms - now_ms
+        shown_by = by_itself or [item for item in reports if self._ran_alone(trait, item)]
+        unsettled_ms = max(item.at_ms for item in shown_by) + policy.same_end_ms - now_ms
         if unsettled_ms > 0:
             return Verdict(Standing.UNSETTLED, crashes, unsettled_ms, trait)
-        chances = self._count_ends(by_itself) - self._least_works(trait) + 1
+        chances = max(self._count_ends(by_itself) - self._least_works(trait), 0) + 1
         pause_ms = pauses_ms[chances - 1] if chances <= len(pauses_ms) else policy.kept_ms
         left_ms = max(report.at_ms for report in reports) + pause_ms - now_ms
         if left_ms <= 0:
@@ -283,7 +284,25 @@
             for run in report.runs
             if trait in traits_of(run)
         }
-        return len(works) >= self._least_works(trait)
+        if len(works) >= self._least_works(trait):
+            return True
+        return not is_part(trait) and self._has_changing_company(trait, reports)
+
+    def _has_changing_company(self, trait: str, reports: list[CrashReport]) -> bool:
+        """Whether runs that were to be alone ended upstreams beside others that had none in common.
+
+        Where owners are silent, calls run without their permits beside a run alone.
+        """
+        met: set[str] = set()
+        ends = 0
+        for report in sorted(reports, key=lambda item: (item.at_ms, item.report_id)):
+            if not self._ran_alone(trait, report):
+                continue
+            company = self._company(trait, report)
+            if met.isdisjoint(company):
+                ends += 1
+                met.update(company)
+        return ends >= self._policy.enough
 
     def _least_works(self, trait: str) -> int:
         return self._policy.part_works if is_part(trait) else 1
@@ -338,10 +357,19 @@
         What others had given up does not count: an upstream is emptied for a run alone, so there
         always is some, and with it no cause would ever be known for certain.
         """
-        runs = [run for item in self._same_end(report) for run in item.runs]
-        own = [run for run in runs if trait in traits_of(run)]
-        others = [run for run in runs if trait not in traits_of(run)]
-        return all(run.alone for run in own) and all(run.given_up for run in others)
+        return self._ran_alone(trait, report) and not self._company(trait, report)
+
+    def _ran_alone(self, trait: str, report: CrashReport) -> bool:
+        """Whether all runs with a trait were to be alone at the upstream."""
+        return all(run.alone for run in self._runs_at(report) if trait in traits_of(run))
+
+    def _company(self, trait: str, report: CrashReport) -> set[str]:
+        """Return the traits of runs without ``trait`` that were at the upstream as it ended."""
+        others = (run for run in self._runs_at(report) if trait not in traits_of(run))
+        return {name for run in others if not run.given_up for name in traits_of(run)}
+
+    def _runs_at(self, report: CrashReport) -> list[CrashedRun]:
+        return [run for item in self._same_end(report) for run in item.runs]
 
     def _weight(self, trait: str, report: CrashReport) -> float:
         begun = all(run.begun for run in report.runs if trait in traits_of(run))
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -91,6 +91,27 @@
         for now_ms in (START_MS + 200, SETTLED_MS):
             self.assertIs(self.standing("innocent", now_ms), Standing.ALONE)
 
+    def test_a_work_whose_runs_alone_had_other_company_each_time_is_refused(self) -> None:
+        """Calls ran beside them under local permits, and it ended five upstreams more."""
+        for number in range(3):
+            lone = CrashedRun("bad", alone=True)
+            runs = [lone, *mixed(f"call-{number}", f"other-{number}")]
+            self.assertIsNot(self.standing("bad"), Standing.REFUSED)
+            self.quarantine.note_crash(report(f"lone-{number}", *runs))
+        self.assertIs(self.standing("bad"), Standing.REFUSED)
+        self.assertIs(self.standing("call-0"), Standing.FREE)
+        verdict = self.quarantine.verdict("bad", START_MS)
+        self.assertEqual((verdict.standing, verdict.crashes), (Standing.UNSETTLED, 3))
+        later_ms = START_MS + POLICY.pauses_ms[0]
+        self.assertIs(self.standing("bad", later_ms), Standing.ALONE)
+
+    def test_a_work_whose_runs_alone_had_the_same_company_is_not_refused(self) -> None:
+        for number in range(6):
+            lone = CrashedRun("innocent", alone=True)
+            runs = [lone, *mixed("bad", f"other-{number}")]
+            self.quarantine.note_crash(report(f"lone-{number}", *runs))
+        self.assertIs(self.standing("innocent"), Standing.ALONE)
+
     def test_runs_that_were_given_up_for_a_run_alone_do_not_void_its_proof(self) -> None:
         for number in range(2):
             self.quarantine.note_crash(report(str(number), *mixed("bad", f"x{number}")))
