Refuse a part whose runs alone ended upstreams beside other company each time

In the trace each of ten runs alone with the harmful part had other sound calls beside it, which ran under local permits as owners were slow to answer. So no end showed the part alone.

What holds for whole works now holds for parts: three such ends, of different works, with nothing in common, have a part refused; for whoever lacks another suspected part that was there each time they show nothing, as before. The first of the three new tests of the decision was red.

--- a/src/fescuedock/core/quarantine.py
+++ b/src/fescuedock/core/quarantine.py
@@ -284,9 +284,7 @@
             for run in report.runs
             if trait in traits_of(run)
         }
-        if len(works) >= self._least_works(trait):
-            return True
-        return not is_part(trait) and self._has_changing_company(trait, reports)
+        return len(works) >= self._least_works(trait) or self._has_changing_company(trait, reports)
 
     def _has_changing_company(self, trait: str, reports: list[CrashReport]) -> bool:
         """Whether runs that were to be alone ended upstreams beside others that had none in common.
@@ -294,6 +292,7 @@
         Where owners are silent, calls run without their permits beside a run alone.
         """
         met: set[str] = set()
+        works: set[str] = set()
         ends = 0
         for report in sorted(reports, key=lambda item: (item.at_ms, item.report_id)):
             if not self._ran_alone(trait, report):
@@ -302,7 +301,8 @@
             if met.isdisjoint(company):
                 ends += 1
                 met.update(company)
-        return ends >= self._policy.enough
+                works.update(run.work_id for run in report.runs if trait in traits_of(run))
+        return ends >= self._policy.enough and len(works) >= self._least_works(trait)
 
     def _least_works(self, trait: str) -> int:
         return self._policy.part_works if is_part(trait) else 1
@@ -327,7 +327,20 @@
             else:
                 works.add(run.work_id)
         enough = self._policy.part_works
-        return len(works) >= enough or len(works) + len(companies) > enough
+        if len(works) >= enough or len(works) + len(companies) > enough:
+            return True
+        reports = [
+            report
+            for report in self._reports_against(trait)
+            if not self._suspected_beside(trait, report).difference(traits)
+        ]
+        return self._has_changing_company(trait, reports)
+
+    def _suspected_beside(self, trait: str, report: CrashReport) -> set[str]:
+        """Return the suspected parts that runs with ``trait`` had in a report."""
+        runs = (run for run in report.runs if trait in traits_of(run))
+        parts = {part for run in runs for part in run.parts if part != trait}
+        return {part for part in parts if self._is_suspect(part, report.report_id)}
 
     def _is_suspect(self, trait: str, report_id: str) -> bool:
         """Whether a report speaks against a trait, and not it alone."""
--- a/tests/test_quarantine_parts.py
+++ b/tests/test_quarantine_parts.py
@@ -55,6 +55,32 @@
         self.assertEqual(verdict.retry_after_ms, POLICY.part_pauses_ms[0] - 7000)
         self.assertEqual(self.quarantine.verdict("new", self.later_ms, (FIRST, TOPIC)), FREE)
 
+    def test_a_part_whose_runs_alone_had_other_company_each_time_is_refused(self) -> None:
+        """Calls under local permits ran beside each of them, and upstreams went on ending."""
+        for number in range(5):
+            self.assertIsNot(self.standing(FIRST, BAD), Standing.REFUSED)
+            beside = [] if number < 2 else [CrashedRun(f"sound-{number}", parts=[f"part-{number}"])]
+            run = crashed(number, FIRST, BAD, alone=number >= 2)
+            self.quarantine.note_crash(end(number, run, *beside))
+        self.assertIs(self.standing(FIRST, BAD), Standing.REFUSED)
+        # The other part always came with it, and works without the harmful one try it.
+        self.assertIs(self.standing(FIRST, TOPIC), Standing.ALONE)
+        self.assertIs(self.standing("part-3"), Standing.FREE)
+
+    def test_a_part_whose_runs_alone_had_the_harmful_one_beside_them_is_not_refused(self) -> None:
+        for number in range(6):
+            beside = crashed(10 + number, FIRST, BAD)
+            run = crashed(number, FIRST, TOPIC, alone=True)
+            self.quarantine.note_crash(end(number, run, beside))
+            self.assertIsNot(self.standing(FIRST, TOPIC), Standing.REFUSED)
+
+    def test_one_work_whose_runs_alone_had_company_says_nothing_of_its_parts(self) -> None:
+        for number in range(6):
+            run = CrashedRun("work", alone=True, parts=[BAD])
+            self.quarantine.note_crash(end(number, run, CrashedRun(f"sound-{number}")))
+        self.assertIs(self.standing(BAD, work_id="work"), Standing.REFUSED)
+        self.assertIsNot(self.standing(BAD), Standing.REFUSED)
+
     def test_an_answer_that_had_begun_speaks_no_less_against_a_part(self) -> None:
         for number in range(2):
             self.quarantine.note_crash(end(number, crashed(number, BAD, begun=True)))
