Have the soak ask no node to stop that was killed while it answered

Only SIGKILL gives that, and the stop sends its own after it has noted how the node ended. By the report a kill of the same node (10.95 to 12.05 s) overlapped with the stop (11.15 to 13.06), and the node's log has no line of a stop. The kill had come while the stop waited for the node's answer to whether it serves, and the time that tells harmed nodes apart was read after that. A kill after the request is told apart as before.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -114,9 +114,13 @@
     async def _stop(self, node: NodeProcess | None = None) -> str:
         """Ask a node to stop; it has to end by itself, in time and with 0, unless harmed."""
         node = node or self._node()
+        seen_s = node.disturbed_s
         # One that starts up has nothing to finish, and no handler for the signal yet.
         if not node.runs or node.paused or not await serves(node):
             return ""
+        # A fault that overlaps may have killed it while it answered.
+        if node.disturbed_s != seen_s:
+            return ""
         process, asked_s = node.process, trio.current_time()
         node.signal(signal.SIGTERM)
         disturbed_s = node.disturbed_s
