--- a/src/fescuedock/agent/crash_service.py
+++ b/src/fescuedock/agent/crash_service.py
@@ -169,8 +169,9 @@
 
     async def _on_broken(self, message: BrokenRun, _peer: ServerPeer) -> None:
         if message.looks_whole and message.given_up:
+            # The permit of a run alone was returned; the run itself was told of before.
             if message.upstream_id in self._broken:
-                self._broken[message.upstream_id].note_left(message.work_id)
+                self._broken[message.upstream_id].note_returned(message.work_id)
             return
         upstream = self._view.upstreams.get(message.upstream_id)
         known = self._has_just_ended(message.upstream_id) or message.upstream_id in self._broken
--- a/src/fescuedock/core/broken_runs.py
+++ b/src/fescuedock/core/broken_runs.py
@@ -36,10 +36,10 @@
         """Add a run that was broken off, or whose answer looks whole, just now."""
         self._runs.append((now_ms, run))
 
-    def note_left(self, work_id: str) -> None:
-        """Note that a run alone that looks whole has made room for others."""
+    def note_returned(self, work_id: str) -> None:
+        """Note that the permit of a run alone that looks whole was returned."""
         self._runs = [
-            (at_ms, _without_place(run) if run.work_id == work_id and run.looks_whole else run)
+            (at_ms, _as_over(run) if run.work_id == work_id and run.looks_whole else run)
             for at_ms, run in self._runs
         ]
 
@@ -70,12 +70,12 @@
         """Remove and return the runs that were under way when the upstream ended.
 
         With ``refused`` it ended after the last look: what it had broken off before is not by that.
-        Those that had made room for others by then are returned as given up.
+        Those whose permits had been returned by then are returned as given up.
         """
         items, self._runs = self._runs, []
         if refused:
             items = [item for item in items if item[1].looks_whole or item[0] > self._up_ms]
-        return [_without_place(run) if _made_room(run) else run for _, run in items]
+        return [_as_over(run) if _has_ended(run) else run for _, run in items]
 
     def _due(self) -> list[float]:
         """Return from when on an upstream that is up shows that an answer was whole."""
@@ -89,9 +89,10 @@
         return run.looks_whole and self._up_ms - at_ms >= _WHOLE_MS
 
 
-def _made_room(run: BrokenRun) -> bool:
+def _has_ended(run: BrokenRun) -> bool:
+    """Whether others may have begun in a run's place; one alone keeps it for a while."""
     return run.looks_whole and not run.alone
 
 
-def _without_place(run: BrokenRun) -> BrokenRun:
+def _as_over(run: BrokenRun) -> BrokenRun:
     return msgspec.structs.replace(run, given_up=True, alone=False)
--- a/tests/test_broken_runs.py
+++ b/tests/test_broken_runs.py
@@ -73,7 +73,7 @@
 
     def test_a_run_alone_that_made_room_is_neither_proof_nor_company_of_the_next_one(self) -> None:
         self.runs.add(broken("first", looks_whole=True, alone=True), 0.0)
-        self.runs.note_left("first")
+        self.runs.note_returned("first")
         self.runs.add(broken("second", looks_whole=True, alone=True), 1010.0)
         first, second = self.runs.take_ended(refused=True)
         self.assertEqual((first.alone, first.given_up), (False, True))
