--- a/tests/test_crash_service.py
+++ b/tests/test_crash_service.py
@@ -145,6 +145,24 @@
 
         self.run_agent(test)
 
+    def test_a_run_alone_whose_permit_was_returned_is_reported_as_over(self) -> None:
+        """The next run alone had company by it, or it seemed to have been alone in its place."""
+
+        async def test(agent: Agent) -> None:
+            agent.http.acceptance = Acceptance.ACCEPTED
+            await agent.tell(BrokenRun("u", "first", alone=True, looks_whole=True))
+            await trio.sleep(0.2)
+            await agent.tell(BrokenRun("u", "first", given_up=True, looks_whole=True))
+            await agent.tell(BrokenRun("u", "second", alone=True, looks_whole=True))
+            agent.http.acceptance = Acceptance.REFUSED
+            await trio.sleep(0.5)
+            [(_, news)] = agent.pool.told
+            [report] = news.crashes
+            found = [(run.work_id, run.alone, run.given_up) for run in report.runs]
+            self.assertEqual(found, [("first", False, True), ("second", True, False)])
+
+        self.run_agent(test)
+
     def test_an_upstream_that_takes_connections_and_stays_has_not_ended(self) -> None:
         async def test(agent: Agent) -> None:
             agent.http.acceptance = Acceptance.ACCEPTED
--- a/tests/test_permits_service.py
+++ b/tests/test_permits_service.py
@@ -15,7 +15,7 @@
 from fescuedock.core.permits.holder import validity_ms
 from fescuedock.core.permits.owner import PermitOwner
 from fescuedock.faults import Fault
-from fescuedock.schema.crashes import CrashedRun, CrashReport
+from fescuedock.schema.crashes import BrokenRun, CrashedRun, CrashReport, WorkCleared
 from fescuedock.schema.permits import AttemptOutcome, PermitAsk, PermitsEnded, WorkClass
 from fescuedock.schema.result_codes import ResultCode
 from fescuedock.schema.settings import AgentSettings
@@ -295,6 +295,38 @@
 
         _run(run)
 
+    def test_a_permit_kept_after_a_run_alone_is_returned_and_told_of_once_the_run_is_cleared(
+        self,
+    ) -> None:
+        told: list[BrokenRun] = []
+
+        async def note(message: BrokenRun, _peer: object) -> None:
+            told.append(message)
+
+        async def run() -> None:
+            async with served_owner(same_process=True) as owner:
+                owner.client._handlers[BrokenRun] = note
+                quarantine = owner.view.quarantine
+                quarantine.note_crash(CrashReport("report", "u2", 0, [CrashedRun("work")]))
+                first, second = (
+                    ask_for(alone=True, work_id="work", wait_ms=5000) for _ in range(2)
+                )
+                grant = (await owner.client.ask(first, TIMEOUT_MS)).unwrap()
+                grant.note_sent()
+                grant.note_unframed()
+                grant.end(end_of(first, AttemptOutcome.COMPLETED))
+                ended_s = trio.current_time()
+                await trio.sleep(0.1)
+                self.assertEqual([item.given_up for item in told], [False])
+                quarantine.note_cleared(WorkCleared("cleared", "work", ["report"], 0))
+                owner.view.note_quarantine()
+                (await owner.client.ask(second, TIMEOUT_MS)).unwrap()
+                self.assertLess(trio.current_time() - ended_s, 1.0)
+                self.assertEqual([item.given_up for item in told], [False, True])
+                self.assertTrue(all(item.looks_whole for item in told))
+
+        _run(run)
+
     def test_an_ask_for_an_upstream_that_has_gone_is_no_silence_of_its_owner(self) -> None:
         async def run() -> None:
             async with served_owner() as owner:
