Log each failed write of a job's record, with its size and fault

What operators could not see: a job whose results are not listed logs nothing while its owner repeats a write, so a refused value, an outage and a conflict look alike.

--- a/src/fescuedock/node/job_store.py
+++ b/src/fescuedock/node/job_store.py
@@ -14,6 +14,7 @@
 from fescuedock.core.stored_jobs.ownership import is_open
 from fescuedock.faults import Fault
 from fescuedock.kv import KvEntry, KvStore, KvTransaction, KvTransactions
+from fescuedock.log import log_event
 from fescuedock.pauses import ExponentialBackoff
 from fescuedock.schema.result_codes import ResultCode
 from fescuedock.schema.stored_jobs import (
@@ -211,6 +212,15 @@
             result = await self._write(updated, revision, extra_writes)
             if isinstance(result, Ok):
                 return Ok(VersionedRecord(updated, result.ok_value))
+            log_event(
+                "job_write_failed",
+                job_id=updated.job_id,
+                revision=revision,
+                listed=updated.listed,
+                size_bytes=sum(len(value) for value in extra_writes.values()),
+                code=result.err_value.code.name,
+                reason=result.err_value.message,
+            )
             if result.err_value.code is ResultCode.KV_CONFLICT:
                 # Imported here: each module loaded at start-up slows every restart of a fleet.
                 from fescuedock.core.stored_jobs.commit import CommitState, check_commit
