List results whatever the width of their characters

What callers saw: after 6 s without the store 24 of 150 items of a job were listed, then none at any node, though all had been run.

Cause: groups of results were limited in characters, so a group of a script of three bytes a character was up to three times as large as the limit, and a write refused as too large was repeated unchanged for as long as the owner ran.

Why this works: results count with their encoded size, and a refused group is divided, so every write is either taken or smaller than the one before. The same measure was used for pages of results and for the cache, and reports of crashes were repeated unchanged as well.

Existing tests of sizes name the encoded size instead of a number of characters, and check one byte less too, which is stricter.

--- a/src/fescuedock/agent/crash_service.py
+++ b/src/fescuedock/agent/crash_service.py
@@ -373,6 +373,13 @@
             # A conflict means that an earlier write was applied and only its answer was lost.
             if not isinstance(written, Err) or written.err_value.code is ResultCode.KV_CONFLICT:
                 return
+            if written.err_value.code is ResultCode.KV_VALUE_TOO_LARGE:
+                log_event("crash_news_too_large", facts=len(facts), size_bytes=len(value))
+                half = len(facts) // 2
+                if half:
+                    await self._write(facts[:half])
+                    await self._write(facts[half:])
+                return
             await pauses.wait()
 
     async def _remove_expired(self) -> None:
--- a/src/fescuedock/core/stored_jobs/cache.py
+++ b/src/fescuedock/core/stored_jobs/cache.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from fescuedock.core.stored_jobs.result_sizes import page_size_bytes, resident_size_bytes
 from fescuedock.schema.stored_jobs import ResultGroup, StoredItem, StoredJobRecord, StoredResult
 
 __all__ = ["CachedJob", "JobCache"]
@@ -35,7 +36,7 @@
             return False
         fresh = group.results[known - group.first_position :]
         self.results += fresh
-        self.size_bytes += sum(len(result.text) for result in fresh)
+        self.size_bytes += sum(map(resident_size_bytes, fresh))
         return True
 
     def set_items(self, items: list[StoredItem]) -> None:
@@ -44,11 +45,11 @@
             self.size_bytes += sum(len(item.body) for item in items)
 
     def page(self, after: int, max_bytes: int) -> list[StoredResult]:
-        """Return results from position ``after`` on, up to ``max_bytes`` but at least one."""
+        """Return results from position ``after`` on, up to ``max_bytes`` encoded, at least one."""
         size_bytes = 0
         chosen: list[StoredResult] = []
         for result in self.results[after:]:
-            size_bytes += len(result.text)
+            size_bytes += page_size_bytes(result)
             if chosen and size_bytes > max_bytes:
                 break
             chosen.append(result)
--- a/src/fescuedock/core/stored_jobs/job.py
+++ b/src/fescuedock/core/stored_jobs/job.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from fescuedock.core.forwarding.event_stream import SplitEvent
+from fescuedock.core.stored_jobs.result_sizes import stored_size_bytes
 from fescuedock.core.work_identity import work_identity
 from fescuedock.schema.stored_jobs import (
     ItemProgress,
@@ -273,16 +274,27 @@
         return len(given_up)
 
     def next_group(self, max_bytes: int) -> list[StoredResult]:
-        """Return the results to commit next, up to ``max_bytes`` but at least one if any."""
+        """Return the results to commit next, up to ``max_bytes`` encoded, at least one if any."""
         size_bytes = 0
         self._committing = 0
         for result in self._results:
-            size_bytes += len(result.text)
+            size_bytes += stored_size_bytes(result)
             if self._committing and size_bytes > max_bytes:
                 break
             self._committing += 1
         return self._results[: self._committing]
 
+    @property
+    def group_count(self) -> int:
+        """Number of results that ``next_group`` returned last and that are not committed."""
+        return self._committing
+
+    def give_up_result(self) -> str:
+        """Replace the next result to commit by one without text; return the item's identity."""
+        item_id = self._results[0].item_id
+        self._results[0] = StoredResult(item_id, False, "")
+        return item_id
+
     def record_commit(self) -> None:
         """Record that the group returned by ``next_group`` was committed."""
         self.listed_count += self._committing
--- a/src/fescuedock/node/job_calls.py
+++ b/src/fescuedock/node/job_calls.py
@@ -27,7 +27,7 @@
 
 __all__ = ["JobCalls"]
 
-# Size of the results in one answer before encoding; answers are limited to 1 MB.
+# Encoded size of the results in one answer; answers are limited to 1 MB.
 _PAGE_BYTES = 700_000
 # Used when the client names no deadline.
 _DEFAULT_PATIENCE_MS = 4000.0
--- a/src/fescuedock/node/job_runner.py
+++ b/src/fescuedock/node/job_runner.py
@@ -74,6 +74,8 @@
 
     run: StoredJob
     versioned: VersionedRecord
+    # Limit of the results of one commit.
+    group_bytes: int
     # Set when this node must stop running the job; its current runs are cancelled.
     released: trio.Event = msgspec.field(default_factory=trio.Event)
     changed: trio.Event = msgspec.field(default_factory=trio.Event)
@@ -349,7 +351,8 @@
             parts_of=_parts_of,
         )
         run.resume(loaded.progress)
-        job = OwnedJob(run, stored)
+        group_bytes = min(self._settings.commit_bytes, self._store.max_group_bytes)
+        job = OwnedJob(run, stored, group_bytes)
         self._jobs[record.job_id] = job
         self._nursery.start_soon(self._commit_forever, job)
         self._permit_requester.wake()
@@ -448,7 +451,7 @@
 
     async def _commit(self, job: OwnedJob) -> bool:
         """Commit one group of results; False when this node does not own the job any more."""
-        results = job.run.next_group(self._settings.commit_bytes)
+        results = job.run.next_group(job.group_bytes)
         record = job.versioned.record
         group = ResultGroup(record.listed, results)
         updated = msgspec.structs.replace(record, listed=record.listed + len(results))
@@ -462,6 +465,9 @@
             outcome="done" if isinstance(result, Ok) else result.err_value.code.name,
             took_ms=round(now_ms() - started_ms, 1),
         )
+        if isinstance(result, Err) and result.err_value.code is ResultCode.KV_VALUE_TOO_LARGE:
+            self._shrink_group(job)
+            return True
         if isinstance(result, Err):
             self._drop(job, "its record was changed by another node or by its client")
             return False
@@ -472,6 +478,16 @@
         self._record_write(result.ok_value)
         return True
 
+    def _shrink_group(self, job: OwnedJob) -> None:
+        """Commit half as many bytes at a time from now on; give up a single result."""
+        if job.run.group_count > 1:
+            job.group_bytes //= 2
+            return
+        item_id = job.run.give_up_result()
+        log_event(
+            "items_given_up", job_id=job.run.job_id, count=1, reason=f"{item_id}: result too large"
+        )
+
     def _revision_of(self, job_id: str) -> int:
         entry = self._table.entries.get(self._store.keys.record(job_id))
         return 0 if entry is None else entry.mod_revision
--- a/src/fescuedock/node/job_store.py
+++ b/src/fescuedock/node/job_store.py
@@ -74,6 +74,11 @@
         self._kv = kv
         self._part_bytes = value_bytes - _VALUE_MARGIN_BYTES
 
+    @property
+    def max_group_bytes(self) -> int:
+        """Largest total size of the encoded results of one group."""
+        return self._part_bytes
+
     async def accept(
         self, record: StoredJobRecord, items: list[StoredItem], *, after_end: bool = True
     ) -> Result[VersionedRecord, Fault]:
@@ -200,7 +205,8 @@
     ) -> Result[VersionedRecord, Fault]:
         """Replace a job's record, adding ``group`` if given; run until the outcome is known.
 
-        ``KV_CONFLICT`` says that the job was ended or has another owner, and nothing was written.
+        ``KV_CONFLICT`` says that the job was ended or has another owner, ``KV_VALUE_TOO_LARGE``
+        that the group must be smaller; in both cases nothing was written.
         After a cancellation the change may or may not be stored.
         """
         extra_writes = {}
@@ -221,6 +227,8 @@
                 code=result.err_value.code.name,
                 reason=result.err_value.message,
             )
+            if result.err_value.code is ResultCode.KV_VALUE_TOO_LARGE:
+                return result
             if result.err_value.code is ResultCode.KV_CONFLICT:
                 # Imported here: each module loaded at start-up slows every restart of a fleet.
                 from fescuedock.core.stored_jobs.commit import CommitState, check_commit
--- a/tests/test_crash_service.py
+++ b/tests/test_crash_service.py
@@ -33,11 +33,14 @@
 
     state: KvState = field(default_factory=lambda: KvState())
     unavailable: bool = False
+    max_value_bytes: int = 1 << 20
 
     async def put_if(self, key: str, value: bytes, expected: int) -> Result[int, Fault]:
         await trio.sleep(0.001)
         if self.unavailable:
             return Err(Fault(ResultCode.KV_UNAVAILABLE, "away"))
+        if len(value) > self.max_value_bytes:
+            return Err(Fault(ResultCode.KV_VALUE_TOO_LARGE, "too large"))
         return Ok(self.state.put_if(key, value, expected))
 
     async def get(self, key: str) -> Result[KvEntry | None, Fault]:
@@ -205,6 +208,27 @@
 
         self.run_agent(test)
 
+    # A refused value that is written again unchanged blocks all later reports.
+    def test_reports_too_large_for_one_value_are_written_in_parts(self) -> None:
+        async def test(agent: Agent) -> None:
+            agent.kv.max_value_bytes = 400
+            agent.kv.unavailable = True
+            for number in range(6):
+                agent.set_view([], f"u{number}")
+                await agent.send(BrokenRun(f"u{number}", f"work {number} " + "x" * 100))
+                await trio.sleep(2.0)
+            agent.kv.unavailable = False
+            await trio.sleep(10.0)
+            written = [
+                run.work_id[:6]
+                for entry in agent.kv.entries()
+                for report in msgpack.decode(entry.value, type=CrashNews).crashes
+                for run in report.runs
+            ]
+            self.assertEqual(sorted(written), [f"work {number}" for number in range(6)])
+
+        self.run_agent(test)
+
     def test_a_completed_run_is_sent_only_for_suspected_work(self) -> None:
         async def test(agent: Agent) -> None:
             await agent.send(BrokenRun("u", "a"))
--- a/tests/test_node_jobs_released.py
+++ b/tests/test_node_jobs_released.py
@@ -192,7 +192,7 @@
                     runner = simulation.nodes[0].runner
                     await simulation.nodes[0].submit("j0", items_of("j0", 24))
                     job = runner._jobs["j0"]
-                    former = job_runner.OwnedJob(job.run, job.versioned)
+                    former = job_runner.OwnedJob(job.run, job.versioned, job.group_bytes)
                     runner._drop(former, "it was replaced")
                     self.assertIs(runner._jobs["j0"], job)
                     runner._drop(job, "another node owns it")
--- a/tests/test_stored_jobs_core.py
+++ b/tests/test_stored_jobs_core.py
@@ -15,8 +15,10 @@
     PermitRequestPolicy,
     choose_upstreams,
 )
+from fescuedock.core.stored_jobs.result_sizes import page_size_bytes, stored_size_bytes
 from fescuedock.core.stored_jobs.run_estimates import RunEstimate, RunShare
 from fescuedock.core.stored_jobs.urgency import rank_items
+from fescuedock.platform.job_calls import encode_results
 from fescuedock.schema.stored_jobs import ResultGroup, StoredResult
 from tests.builders.forwarding import event, job_record, stored_item, stored_job
 
@@ -124,12 +126,24 @@
             run = start_next(job, "i-1", 0.0)
             run.texts = ["x" * 60]
             job.finish(run, ItemEnd.COMPLETED, "i-1", 3, 0.0)
-        self.assertEqual(len(job.next_group(100)), 1)
+        size_bytes = stored_size_bytes(StoredResult("a", True, "x" * 60))
+        self.assertEqual(len(job.next_group(size_bytes - 1)), 1)
+        self.assertEqual(len(job.next_group(2 * size_bytes - 1)), 1)
         job.record_commit()
-        self.assertEqual(len(job.next_group(130)), 2)
+        self.assertEqual(len(job.next_group(2 * size_bytes)), 2)
         job.record_commit()
         self.assertTrue(job.is_finished)
 
+    # The store's limit of a value is in bytes, not in characters.
+    def test_a_group_of_wide_characters_is_bounded_in_bytes(self) -> None:
+        job = stored_job("a", "b", "c", "d")
+        for run in job.ready_items(0.0):
+            run.texts = ["\u4fe1" * 100]
+            job.finish(run, ItemEnd.COMPLETED, "u", 3, 0.0)
+        group = ResultGroup(0, job.next_group(1000))
+        self.assertGreater(len(group.results), 1)
+        self.assertLessEqual(len(msgspec.msgpack.encode(group)), 1024)
+
     def test_results_added_during_a_commit_are_not_part_of_it(self) -> None:
         job = stored_job("a", "b")
         first, second = start_next(job, "i-1", 0.0), start_next(job, "i-1", 0.0)
@@ -285,9 +299,26 @@
     def test_a_page_starts_at_the_requested_position_and_is_bounded(self) -> None:
         job = JobCache(1000).open(job_record())
         job.add(ResultGroup(0, [StoredResult(name, True, "x" * 40) for name in "abc"]))
-        self.assertEqual([item.item_id for item in job.page(1, 50)], ["b"])
-        self.assertEqual([item.item_id for item in job.page(0, 90)], ["a", "b"])
-        self.assertEqual(job.page(3, 50), [])
+        size_bytes = page_size_bytes(job.results[0])
+        self.assertEqual([item.item_id for item in job.page(1, size_bytes - 1)], ["b"])
+        self.assertEqual([item.item_id for item in job.page(0, 2 * size_bytes)], ["a", "b"])
+        self.assertEqual([item.item_id for item in job.page(0, 2 * size_bytes - 1)], ["a"])
+        self.assertEqual(job.page(3, size_bytes), [])
+
+    # A page limited in characters may be several times as large once it is encoded.
+    def test_a_page_is_bounded_by_its_encoded_size(self) -> None:
+        for text in ("\u4fe1" * 4000, "\n" * 6000, "\x01" * 2000):
+            job = JobCache(1 << 20).open(job_record())
+            job.add(ResultGroup(0, [StoredResult(f"item-{n}", True, text) for n in range(20)]))
+            page = job.page(0, 50_000)
+            self.assertGreater(len(page), 1)
+            self.assertLess(len(encode_results(20, 0, page)), 51_000)
+
+    # A cache limited in characters may take several times as much memory.
+    def test_cached_results_count_with_their_memory(self) -> None:
+        job = JobCache(1 << 20).open(job_record())
+        job.add(ResultGroup(0, [StoredResult("a", True, "\U0001f600" * 1000)]))
+        self.assertGreaterEqual(job.size_bytes, 4000)
 
     def test_the_least_recently_used_jobs_are_evicted_first(self) -> None:
         cache = JobCache(100)
