Commit the results of a job one write at a time, and never twice at a position

What callers saw: after two planned stops, the first during a slow write of results, two undisturbed nodes listed 3 of 10 results, though all had been read.

Cause: a job's transfer at a stop commits without waiting for the commit under way. The second write conflicts and was repeated on the new revision, so a group that readers had was replaced by a longer one under its key; readers continue at the end of the groups they know. The first commit to end also took the results of both for committed.

Evidence: logs of a node that stops during a commit: two commits at position 0 and one revision, a KV_CONFLICT, then both done.

Why this works: one commit per job at a time, also beside its transfer; after a conflict a commit is repeated only where the record still ends at its position, and counts as done only if the stored group is its own, which also covers a job that the same node starts again while an earlier write is unanswered. A reader that has fewer results than the record lists reads from the start.

check_commit takes the position; its tests name it, and a new one checks other results there.

--- a/src/fescuedock/node/job_calls.py
+++ b/src/fescuedock/node/job_calls.py
@@ -172,12 +172,28 @@
         reply = await self.owner_reads.read(record, known)
         if reply is not None and (reply.group.results or reply.current):
             job = self.cache.open(record)
-            job.add(reply.group)
+            is_added = job.add(reply.group)
             self.cache.trim()
-            if reply.current or len(job.results) > after:
+            if is_added and (reply.current or len(job.results) > after):
                 return Ok(job)
             known = len(job.results)
-        groups = await self.store.read_groups(job_id, known)
+        job = await self._read_groups(record, known)
+        if isinstance(job, Ok) and job.ok_value is None:
+            log_event("results_reread", job_id=job_id, known=known)
+            job = await self._read_groups(record, 0)
+        if isinstance(job, Ok) and job.ok_value is None:
+            return Err(_unavailable("some results are missing", self.retry_after_ms))
+        return job
+
+    async def _read_groups(
+        self, record: StoredJobRecord, known: int
+    ) -> Result[CachedJob | None, Fault]:
+        """Add the stored results from position ``known`` on to the cache.
+
+        ``Ok(None)`` if results that ``record`` lists are missing: the cache lost some meanwhile, or
+        its last group is the beginning of a stored one.
+        """
+        groups = await self.store.read_groups(record.job_id, known)
         if isinstance(groups, Err):
             return Err(_unavailable(groups.err_value.message, self.retry_after_ms))
         # Opened again: other calls may have changed the cache while the store was read.
@@ -185,7 +201,7 @@
         for group in groups.ok_value:
             job.add(group)
         self.cache.trim()
-        return Ok(job)
+        return Ok(job if len(job.results) >= record.listed else None)
 
     async def _find_record(self, job_id: str) -> Result[StoredJobRecord | None, Fault]:
         """Read a job's record; None only when the job is neither stored nor pending on a spool."""
--- a/src/fescuedock/node/job_runner.py
+++ b/src/fescuedock/node/job_runner.py
@@ -76,6 +76,8 @@
     versioned: VersionedRecord
     # Limit of the results of one commit.
     group_bytes: int
+    # Held during each commit: two writes in progress would list results at the same position.
+    committing: trio.Lock = msgspec.field(default_factory=trio.Lock)
     # Set when this node must stop running the job; its current runs are cancelled.
     released: trio.Event = msgspec.field(default_factory=trio.Event)
     changed: trio.Event = msgspec.field(default_factory=trio.Event)
@@ -359,9 +361,9 @@
 
     def _drop(self, job: OwnedJob, reason: str) -> None:
         """Cancel the runs of a job that this node must not run any more."""
-        if self._jobs.get(job.run.job_id) is not job:
+        if not self._is_current(job):
             return
-        del self._jobs[job.run.job_id]
+        self._forget(job)
         log_event("job_dropped", job_id=job.run.job_id, reason=reason, listed=job.run.listed_count)
         job.released.set()
         job.wake()
@@ -374,21 +376,35 @@
         job.released.set()
         job.wake()
         with trio.move_on_after(_COMMIT_SHUTDOWN_MS / 1000):
-            while job.run.has_results and self._jobs.get(job.run.job_id) is job:
-                if not await self._commit(job):
-                    return
-            record = msgspec.structs.replace(job.versioned.record, owner_id="", owner_boot=0)
-            progress = job.run.progress()
-            result = await self._store.swap(record, job.versioned.revision, progress)
-            log_event(
-                "job_handed_on",
-                job_id=record.job_id,
-                begun_items=len(progress),
-                outcome="done" if isinstance(result, Ok) else result.err_value.code.name,
-            )
-            if isinstance(result, Ok):
-                self._record_write(result.ok_value)
-        self._jobs.pop(job.run.job_id, None)
+            async with job.committing:
+                while job.run.has_results and self._is_current(job):
+                    if not await self._commit(job):
+                        return
+                if self._is_current(job):
+                    await self._release(job)
+        self._forget(job)
+
+    async def _release(self, job: OwnedJob) -> None:
+        """Clear the owner in a job's record, and store the progress of its unfinished items."""
+        record = msgspec.structs.replace(job.versioned.record, owner_id="", owner_boot=0)
+        progress = job.run.progress()
+        result = await self._store.swap(record, job.versioned.revision, progress)
+        log_event(
+            "job_handed_on",
+            job_id=record.job_id,
+            begun_items=len(progress),
+            outcome="done" if isinstance(result, Ok) else result.err_value.code.name,
+        )
+        if isinstance(result, Ok):
+            self._record_write(result.ok_value)
+
+    def _is_current(self, job: OwnedJob) -> bool:
+        """Whether ``job`` runs here and was not replaced by a later start of the same job."""
+        return self._jobs.get(job.run.job_id) is job
+
+    def _forget(self, job: OwnedJob) -> None:
+        if self._is_current(job):
+            del self._jobs[job.run.job_id]
 
     # --- commits ---------------------------------------------------------------------------------
 
@@ -406,12 +422,11 @@
                 with trio.move_on_after(interval_s):
                     while not job.run.all_items_ended and not job.stopped:
                         await job.changed.wait()
-            if job.stopped:
-                return
-            if not await self._commit(job):
-                return
+            async with job.committing:
+                if job.stopped or not await self._commit(job):
+                    return
             if job.run.is_finished:
-                self._jobs.pop(job.run.job_id, None)
+                self._forget(job)
                 log_event("job_finished", job_id=job.run.job_id, total=job.run.listed_count)
                 return
 
@@ -456,7 +471,7 @@
         group = ResultGroup(record.listed, results)
         updated = msgspec.structs.replace(record, listed=record.listed + len(results))
         started_ms = now_ms()
-        result = await self._store.change(updated, job.versioned.revision, group)
+        result = await self._store.commit(updated, job.versioned.revision, group)
         log_event(
             "job_committed",
             job_id=record.job_id,
--- a/src/fescuedock/node/job_store.py
+++ b/src/fescuedock/node/job_store.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Mapping
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 import msgspec
 from result import Err, Ok, Result
@@ -25,6 +25,9 @@
     StoredResult,
 )
 
+if TYPE_CHECKING:
+    from fescuedock.core.stored_jobs.commit import CommitState
+
 __all__ = ["JobStore", "LoadedJob", "VersionedRecord"]
 
 # Pauses between two tries of a write whose outcome is not known yet.
@@ -200,30 +203,29 @@
         )
         return Ok(LoadedJob(items, groups, item_progress))
 
-    async def change(
-        self, updated: StoredJobRecord, revision: int, group: ResultGroup | None = None
+    async def commit(
+        self, updated: StoredJobRecord, revision: int, group: ResultGroup
     ) -> Result[VersionedRecord, Fault]:
-        """Replace a job's record, adding ``group`` if given; run until the outcome is known.
+        """Replace a job's record and add ``group``; run until the outcome is known.
 
-        ``KV_CONFLICT`` says that the job was ended or has another owner, ``KV_VALUE_TOO_LARGE``
-        that the group must be smaller; in both cases nothing was written.
-        After a cancellation the change may or may not be stored.
+        ``KV_CONFLICT`` says that the job was ended, has another owner or other results at that
+        position, ``KV_VALUE_TOO_LARGE`` that the group must be smaller; in both cases nothing was
+        written.  After a cancellation the commit may or may not be stored.
         """
-        extra_writes = {}
-        if group is not None:
-            key = self.keys.group(updated.job_id, group.first_position)
-            extra_writes[key] = msgspec.msgpack.encode(group)
+        key = self.keys.group(updated.job_id, group.first_position)
+        value = msgspec.msgpack.encode(group)
         pauses = ExponentialBackoff(_FIRST_PAUSE_MS, _MAX_PAUSE_MS)
         while True:
-            result = await self._write(updated, revision, extra_writes)
+            result = await self._write(updated, revision, {key: value})
             if isinstance(result, Ok):
                 return Ok(VersionedRecord(updated, result.ok_value))
             log_event(
                 "job_write_failed",
                 job_id=updated.job_id,
                 revision=revision,
+                first_position=group.first_position,
                 listed=updated.listed,
-                size_bytes=sum(len(value) for value in extra_writes.values()),
+                size_bytes=len(value),
                 code=result.err_value.code.name,
                 reason=result.err_value.message,
             )
@@ -231,19 +233,37 @@
                 return result
             if result.err_value.code is ResultCode.KV_CONFLICT:
                 # Imported here: each module loaded at start-up slows every restart of a fleet.
-                from fescuedock.core.stored_jobs.commit import CommitState, check_commit
+                from fescuedock.core.stored_jobs.commit import CommitState
 
-                found = await self.read_record(updated.job_id)
+                found = await self._read_commit(updated, group.first_position, value)
                 if isinstance(found, Ok):
-                    match check_commit(updated, found.ok_value and found.ok_value.record):
-                        case CommitState.DONE:
-                            return Ok(found.ok_value)
-                        case CommitState.LOST:
-                            return result
-                        case CommitState.RETRY:
-                            revision = found.ok_value.revision
+                    state, versioned = found.ok_value
+                    if state is CommitState.DONE:
+                        return Ok(versioned)
+                    if state is CommitState.LOST:
+                        return result
+                    revision = versioned.revision
             await pauses.wait()
 
+    async def _read_commit(
+        self, wanted: StoredJobRecord, first_position: int, value: bytes
+    ) -> "Result[tuple[CommitState, VersionedRecord | None], Fault]":
+        """Read whether a commit that met a conflict is stored, and the current record."""
+        from fescuedock.core.stored_jobs.commit import CommitState, check_commit
+
+        found = await self.read_record(wanted.job_id)
+        if isinstance(found, Err):
+            return found
+        versioned = found.ok_value
+        state = check_commit(wanted, versioned and versioned.record, first_position)
+        if state is CommitState.DONE:
+            stored = await self._kv.get(self.keys.group(wanted.job_id, first_position))
+            if isinstance(stored, Err):
+                return stored
+            if stored.ok_value is None or stored.ok_value.value != value:
+                state = CommitState.LOST
+        return Ok((state, versioned))
+
     async def swap(
         self, updated: StoredJobRecord, revision: int, progress: list[ItemProgress] | None = None
     ) -> Result[VersionedRecord, Fault]:
--- a/tests/test_stored_jobs_core.py
+++ b/tests/test_stored_jobs_core.py
@@ -224,20 +224,26 @@
 class CommitTest(unittest.TestCase):
     def test_a_record_that_shows_the_commit_means_done(self) -> None:
         wanted = job_record(listed=2, owner_id="n", owner_boot=1, epoch=1)
-        self.assertIs(check_commit(wanted, wanted), CommitState.DONE)
+        self.assertIs(check_commit(wanted, wanted, 1), CommitState.DONE)
 
     def test_a_record_before_the_commit_means_retry(self) -> None:
         wanted = job_record(listed=2, owner_id="n", owner_boot=1, epoch=1)
         found = msgspec.structs.replace(wanted, listed=1)
-        self.assertIs(check_commit(wanted, found), CommitState.RETRY)
+        self.assertIs(check_commit(wanted, found, 1), CommitState.RETRY)
+
+    # Writing the group again would replace results that readers have.
+    def test_other_results_at_its_position_mean_lost(self) -> None:
+        wanted = job_record(listed=4, owner_id="n", owner_boot=1, epoch=1)
+        found = msgspec.structs.replace(wanted, listed=3)
+        self.assertIs(check_commit(wanted, found, 0), CommitState.LOST)
 
     def test_another_owner_epoch_or_end_means_lost(self) -> None:
         wanted = job_record(listed=2, owner_id="n", owner_boot=1, epoch=1)
         for change in ({"owner_id": "m"}, {"owner_boot": 2}, {"epoch": 2}, {"ended": True}):
             with self.subTest(change=change):
                 found = msgspec.structs.replace(wanted, **change)
-                self.assertIs(check_commit(wanted, found), CommitState.LOST)
-        self.assertIs(check_commit(wanted, None), CommitState.LOST)
+                self.assertIs(check_commit(wanted, found, 1), CommitState.LOST)
+        self.assertIs(check_commit(wanted, None, 1), CommitState.LOST)
 
 
 class OwnershipTest(unittest.TestCase):
