Run owed items again after crashes, in isolation and after pauses of seconds

So was an item that shares a part of its prompt with work that is refused.

Cause: calls and items shared one verdict, whose pauses are meant for calls that crash each upstream. Items of jobs are no cause by themselves.

Why this works: owed work is refused only for 2 s after its third crash and 4 s after each further one, and runs in isolation in between, so a crash takes nothing else along. Evidence outlives nodes, so the pauses hold at any owner. Calls are refused as before; crashes of items count there but do not lengthen the pauses.

New field owed at the end of BrokenRun and CrashedRun; event item_restricted, gauge restricted_items.

--- a/src/fescuedock/agent/crash_service.py
+++ b/src/fescuedock/agent/crash_service.py
@@ -258,7 +258,7 @@
             await trio.sleep(_GATHER_PAUSE_S)
         broken = self._broken.pop(upstream_id).drain_ended(refused=refused)
         runs = [
-            CrashedRun(item.work_id, item.alone, item.begun, item.given_up, item.parts)
+            CrashedRun(item.work_id, item.alone, item.begun, item.given_up, item.parts, item.owed)
             for item in broken
             if item.work_id
         ]
--- a/src/fescuedock/agent/link.py
+++ b/src/fescuedock/agent/link.py
@@ -128,12 +128,17 @@
             return None
         return self.vms.get(self._owners.owner_id(upstream) or "")
 
-    def verdict_on(self, work_id: str, parts: Collection[str] = ()) -> Verdict:
-        """Return the current verdict on a unit of work with ``parts`` in its prompt."""
+    def verdict_on(
+        self, work_id: str, parts: Collection[str] = (), *, owed: bool = False
+    ) -> Verdict:
+        """Return the current verdict on a unit of work with ``parts`` in its prompt.
+
+        ``owed`` is true for batch items.
+        """
         if self.quarantine.is_empty:
             return FREE
         self.unix_clock = self.unix_clock or unix_clock()
-        return self.quarantine.verdict(work_id, self.unix_clock() * 1000.0, parts)
+        return self.quarantine.verdict(work_id, self.unix_clock() * 1000.0, parts, owed=owed)
 
     def has_just_ended(self, upstream_id: str) -> bool:
         """Whether an upstream was reported to have ended in the last ``_RECENT_END_MS``."""
--- a/src/fescuedock/agent/permit_client.py
+++ b/src/fescuedock/agent/permit_client.py
@@ -103,6 +103,11 @@
         """Whether it was requested for overdue batch work."""
         return is_overdue(self._held.request.stage, self._held.request.slack_ms)
 
+    @property
+    def is_owed(self) -> bool:
+        """Whether it is for batch items, which are run again however often upstreams crashed."""
+        return self.work_class is WorkClass.BATCH
+
     @property
     def work_id(self) -> str:
         """The identity of the unit of work that runs under it; empty while none is assigned."""
@@ -415,7 +420,12 @@
         begun = ended.generated_tokens > 0
         unknown = self._view.sound_parts.unknown_among(held.parts, now_ms())
         run = BrokenRun(
-            upstream_id, work_id, alone=held.request.alone, begun=begun, parts=list(unknown)
+            upstream_id,
+            work_id,
+            alone=held.request.alone,
+            begun=begun,
+            parts=list(unknown),
+            owed=held.request.work_class is WorkClass.BATCH,
         )
         if ended.outcome in (*_BROKEN_OUTCOMES, AttemptOutcome.CONNECT_REFUSED):
             # A run abandoned shortly before may have ended the upstream, and only this node can
--- a/src/fescuedock/agent/send_check.py
+++ b/src/fescuedock/agent/send_check.py
@@ -32,7 +32,7 @@
             PermitStatus(grant.revoked.is_set(), grant.sendable_until_ms, grant.isolated),
             deadline_ms=deadline_ms,
             now_ms=now_ms(),
-            verdict=view.verdict_on(grant.work_id, grant.parts),
+            verdict=view.verdict_on(grant.work_id, grant.parts, owed=grant.is_owed),
             key_is_valid=key_is_valid(),
         )
         if refusal is None:
--- a/src/fescuedock/core/quarantine.py
+++ b/src/fescuedock/core/quarantine.py
@@ -50,8 +50,10 @@
     Refused work gets another isolated run when the next of ``retry_pauses_ms`` has passed since its
     last crash, as that may have been a coincidence.  After the last pause it is refused until its
     evidence expires.  Work with a refused part uses ``part_retry_pauses_ms`` instead, as harmless
-    work may share the part.  Evidence expires after ``retention_ms``; beyond ``max_reports`` the
-    oldest is dropped first.
+    work may share the part.  Batch items are owed: they get another isolated run after each of
+    ``owed_retry_pauses_ms``, the last of which repeats without end.  Crashes of such runs do not
+    lengthen the pauses of other work.  Evidence expires after ``retention_ms``; beyond
+    ``max_reports`` the oldest is dropped first.
 
     Reports of one upstream within ``same_crash_ms`` are about the same crash: an upstream may keep
     its identity over restarts, which take longer than that.  For as long, work that appears to have
@@ -64,6 +66,7 @@
     part_min_units_of_work: int = 2
     retry_pauses_ms: tuple[float, ...] = (600_000.0, 3_600_000.0)
     part_retry_pauses_ms: tuple[float, ...] = (60_000.0, 600_000.0, 3_600_000.0)
+    owed_retry_pauses_ms: tuple[float, ...] = (2000.0, 4000.0)
     retention_ms: float = 86_400_000.0
     max_reports: int = 4000
     same_crash_ms: float = 500.0
@@ -188,13 +191,22 @@
         """Return the identities of the reports that count against a trait."""
         return sorted(self._by_trait.get(trait, ()))
 
-    def verdict(self, work_id: str, now_ms: float, parts: Collection[str] = ()) -> Verdict:
-        """Return how work with ``parts`` in its prompt may run; the strictest trait decides."""
+    def verdict(
+        self, work_id: str, now_ms: float, parts: Collection[str] = (), *, owed: bool = False
+    ) -> Verdict:
+        """Return how work with ``parts`` in its prompt may run; the strictest trait decides.
+
+        ``owed`` work is refused only for a pause after the last crash.
+        """
         by_trait = self._by_trait
         if not by_trait:
             return FREE
         traits = (work_id, *parts)
-        found = [self._verdict_on(trait, traits, now_ms) for trait in traits if trait in by_trait]
+        found = [
+            self._verdict_on(trait, traits, now_ms, owed=owed)
+            for trait in traits
+            if trait in by_trait
+        ]
         return max(found, key=lambda item: _SEVERITY.index(item.restriction), default=FREE)
 
     def is_expired(self, at_ms: float, now_ms: float) -> bool:
@@ -210,12 +222,14 @@
             for key in [key for key, at_ms in known.items() if self.is_expired(at_ms, now_ms)]:
                 del known[key]
 
-    def _verdict_on(self, trait: str, traits: Collection[str], now_ms: float) -> Verdict:
+    def _verdict_on(
+        self, trait: str, traits: Collection[str], now_ms: float, *, owed: bool
+    ) -> Verdict:
         """Return how work with ``traits`` may run as far as one of them is concerned."""
         reports = self._reports_against(trait)
         crashes = self._count_crashes(reports)
         if trait in self._known_causes():
-            verdict = self._verdict_on_cause(trait, reports, crashes, now_ms)
+            verdict = self._verdict_on_cause(trait, reports, crashes, now_ms, owed=owed)
             if verdict.restriction is Restriction.REFUSED and not self._is_proven(trait, traits):
                 # Another trait of those runs may be the cause; an isolated run shows whether this
                 # one is.
@@ -230,11 +244,10 @@
         return Verdict(restriction, crashes, trait=trait)
 
     def _verdict_on_cause(
-        self, trait: str, reports: list[CrashReport], crashes: int, now_ms: float
+        self, trait: str, reports: list[CrashReport], crashes: int, now_ms: float, *, owed: bool
     ) -> Verdict:
         """Return the verdict on a known cause, which depends on the time since its crashes."""
         policy = self._policy
-        pauses_ms = policy.part_retry_pauses_ms if is_part(trait) else policy.retry_pauses_ms
         isolated_reports = [item for item in reports if self._was_isolated(trait, item)]
         proofs = isolated_reports or [
             item for item in reports if self._was_meant_to_be_isolated(trait, item)
@@ -242,13 +255,28 @@
         unsettled_ms = max(item.at_ms for item in proofs) + policy.same_crash_ms - now_ms
         if unsettled_ms > 0:
             return Verdict(Restriction.UNSETTLED, crashes, unsettled_ms, trait)
-        chances = max(self._count_crashes(isolated_reports) - self._min_units_of_work(trait), 0) + 1
-        pause_ms = pauses_ms[chances - 1] if chances <= len(pauses_ms) else policy.retention_ms
+        if owed:
+            pauses_ms = policy.owed_retry_pauses_ms
+            pause_ms = pauses_ms[min(max(crashes - policy.min_crashes, 0), len(pauses_ms) - 1)]
+        else:
+            pause_ms = self._refusal_pause_ms(trait, isolated_reports)
         left_ms = max(report.at_ms for report in reports) + pause_ms - now_ms
         if left_ms <= 0:
             return Verdict(Restriction.ALONE, crashes, trait=trait)
         return Verdict(Restriction.REFUSED, crashes, left_ms, trait)
 
+    def _refusal_pause_ms(self, trait: str, isolated_reports: list[CrashReport]) -> float:
+        """Return how long a cause is refused after its last crash, unless the work is owed."""
+        policy = self._policy
+        pauses_ms = policy.part_retry_pauses_ms if is_part(trait) else policy.retry_pauses_ms
+        counted = [
+            report
+            for report in isolated_reports
+            if not all(run.owed for run in report.runs if trait in traits_of(run))
+        ]
+        chances = max(self._count_crashes(counted) - self._min_units_of_work(trait), 0) + 1
+        return pauses_ms[chances - 1] if chances <= len(pauses_ms) else policy.retention_ms
+
     def _known_causes(self) -> set[str]:
         if self._causes is None:
             self._causes = self._find_causes()
--- a/src/fescuedock/core/stored_jobs/job.py
+++ b/src/fescuedock/core/stored_jobs/job.py
@@ -191,6 +191,10 @@
             run for run in self._open.values() if not run.running and run.not_before_ms <= now_ms
         ]
 
+    def open_items(self) -> list[ItemRun]:
+        """Return the items without a result."""
+        return list(self._open.values())
+
     def running_count(self) -> int:
         """Return the number of running items."""
         return sum(run.running for run in self._open.values())
--- a/src/fescuedock/node/job_runner.py
+++ b/src/fescuedock/node/job_runner.py
@@ -13,6 +13,7 @@
 from fescuedock.agent.send_check import send_check
 from fescuedock.clock import UnixClock, now_ms
 from fescuedock.core.forwarding.route_table import Route
+from fescuedock.core.quarantine import Restriction
 from fescuedock.core.send_gate import SendRefusal
 from fescuedock.core.stored_jobs.cache import JobCache
 from fescuedock.core.stored_jobs.job import ItemEnd, ItemRun, StoredJob
@@ -25,6 +26,7 @@
 )
 from fescuedock.core.stored_jobs.pending_ends import PendingEnds
 from fescuedock.core.stored_jobs.pool import ItemPool, UpstreamVersions
+from fescuedock.core.stored_jobs.restricted import RestrictedItem, RestrictedItems
 from fescuedock.core.stored_jobs.urgency import ItemChoice
 from fescuedock.core.stored_jobs.work_gate import RecordFreshness, WorkRefusal, refusal_of
 from fescuedock.core.work_identity import part_identities
@@ -132,7 +134,7 @@
         self._pool = ItemPool(
             self._running_jobs,
             self._serves,
-            lambda run: view.verdict_on(run.work_id, run.parts).restriction,
+            lambda run: view.verdict_on(run.work_id, run.parts, owed=True).restriction,
             lambda: view.quarantine.is_empty,
             self._priority,
         )
@@ -151,6 +153,7 @@
         self._isolated_runs = IsolatedRuns(
             view, permits, self._next_isolated_item, self._run_isolated_item
         )
+        self._restricted_items = RestrictedItems()
         # Whether any job waits until its record is confirmed again.
         self._any_unconfirmed = False
         self._nursery: trio.Nursery | None = None
@@ -209,6 +212,7 @@
             if key.startswith(self._store.keys.records):
                 self._claim_if_due(decode_record(entry), available_nodes, present)
         self._log_unconfirmed()
+        self._log_restricted()
         store_unreachable = self._replicas.kv_availability.is_unavailable(now_ms())
         if available_nodes and not store_unreachable and not self._runs_jobs and not self.leaving:
             self._transfer_all()
@@ -263,6 +267,31 @@
             records_age_ms=self._records_age_ms(),
         )
 
+    @property
+    def restricted_count(self) -> int:
+        """Number of items that may run only in isolation, now or after a pause."""
+        return len(self._restricted_items)
+
+    def _log_restricted(self) -> None:
+        """Log the items that wait for an isolated run, again after each further crash."""
+        found: list[RestrictedItem] = []
+        if not self._view.quarantine.is_empty:
+            for job in self._jobs.values():
+                for run in job.run.open_items():
+                    verdict = self._view.verdict_on(run.work_id, run.parts, owed=True)
+                    if verdict.restriction is not Restriction.FREE:
+                        found.append(RestrictedItem(job.run.job_id, run.item.item_id, verdict))
+        for item in self._restricted_items.update(found):
+            log_event(
+                "item_restricted",
+                job_id=item.job_id,
+                item_id=item.item_id,
+                trait=item.verdict.trait,
+                restriction=item.verdict.restriction.name,
+                crashes=item.verdict.crashes,
+                retry_after_ms=round(item.verdict.retry_after_ms),
+            )
+
     async def _claim(self, found: VersionedRecord, duty: Duty) -> None:
         try:
             claimed = await (
--- a/src/fescuedock/node/main.py
+++ b/src/fescuedock/node/main.py
@@ -411,6 +411,7 @@
         status.customers = self.quotas.status()
         status.held_bytes = self.front.held.total_bytes
         status.cut_off_callers = self.front.cut_off_callers
+        status.restricted_items = self._runner.restricted_count
         if request.path == STATUS_PATH:
             await responder.send_json(200, status)
             return
--- a/src/fescuedock/report/prometheus.py
+++ b/src/fescuedock/report/prometheus.py
@@ -139,6 +139,11 @@
             sum(not upstream.owner for upstream in status.upstreams),
         ),
         ("held_bytes", "Bytes held for slow clients.", status.held_bytes),
+        (
+            "restricted_items",
+            "Batch items that may run only in isolation.",
+            status.restricted_items,
+        ),
     )
     for name, text, value in gauges:
         yield GaugeMetricFamily(f"fescuedock_{name}", text, value=value)
--- a/src/fescuedock/schema/crashes.py
+++ b/src/fescuedock/schema/crashes.py
@@ -34,6 +34,12 @@
             description="Its answer ended with the connection as a whole one may; it is broken off only if the upstream has ended."
         ),
     ] = False
+    owed: Annotated[
+        bool,
+        Meta(
+            description="A batch item, which is run again however often upstreams ended under it."
+        ),
+    ] = False
 
 
 class WholeRun(WireStruct):
@@ -57,6 +63,12 @@
             description="Identities of the parts of its prompt that its VM does not know to be sound."
         ),
     ] = field(default_factory=list)
+    owed: Annotated[
+        bool,
+        Meta(
+            description="A batch item, which is run again however often upstreams ended under it."
+        ),
+    ] = False
 
 
 class CrashReport(WireStruct):
--- a/src/fescuedock/schema/report.py
+++ b/src/fescuedock/schema/report.py
@@ -157,6 +157,9 @@
     customers: Annotated[
         list[CustomerStatus], Meta(description="Those that the configuration in force names.")
     ] = field(default_factory=list)
+    restricted_items: Annotated[
+        int, Meta(description="Items of batch jobs at this node that may run only in isolation.")
+    ] = 0
     held_bytes: Annotated[
         int,
         Meta(
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -174,6 +174,35 @@
             self.quarantine.record_crash(report(f"chance-{number}", run, at_ms=at_ms))
         self.assertIs(self.restriction("bad", at_ms + 23 * 60 * MINUTE_MS), Restriction.REFUSED)
 
+    def record_isolated_items(self, count: int) -> int:
+        """Record crashes of isolated runs of the item ``item``; return the time of the last."""
+        known_cause(self.quarantine, "item")
+        at_ms = START_MS
+        for number in range(count):
+            at_ms += 10_000
+            run = CrashedRun("item", alone=True, owed=True)
+            self.quarantine.record_crash(report(f"owed-{number}", run, at_ms=at_ms))
+        return at_ms
+
+    # An item was refused for 10 minutes, an hour and a day, though it is never the cause.
+    def test_owed_work_is_never_refused_for_longer_than_the_longest_pause(self) -> None:
+        for crashes in range(12):
+            with self.subTest(crashes=crashes):
+                self.setUp()
+                last_ms = self.record_isolated_items(crashes)
+                pauses_ms = POLICY.owed_retry_pauses_ms
+                pause_ms = pauses_ms[min(crashes, len(pauses_ms) - 1)]
+                early = self.quarantine.verdict("item", int(last_ms + pause_ms) - 1, owed=True)
+                self.assertIs(early.restriction, Restriction.REFUSED)
+                due = self.quarantine.verdict("item", int(last_ms + pause_ms), owed=True)
+                self.assertIs(due.restriction, Restriction.ALONE)
+
+    def test_crashes_of_owed_runs_refuse_calls_but_not_for_longer(self) -> None:
+        last_ms = self.record_isolated_items(5)
+        pause_ms = int(POLICY.retry_pauses_ms[0])
+        self.assertIs(self.restriction("item", last_ms + pause_ms - 1), Restriction.REFUSED)
+        self.assertIs(self.restriction("item", last_ms + pause_ms), Restriction.ALONE)
+
     def test_old_reports_and_reports_beyond_the_bound_are_forgotten(self) -> None:
         known_cause(self.quarantine, "bad")
         self.quarantine.forget(START_MS + POLICY.retention_ms + 1)
