Bound what an upstream may send without a new event

What callers saw: an upstream that sends bytes without end held calls until their deadline (504), and a run of an item for as long as the bytes came, while the node's memory grew.

Cause: any data counted as a sign of life, and nothing bounded an incomplete event, comments, an event repeated, informational answers, an item's output, or bodies that are only read to be dropped.

Why this works: a stream has to bring an event of a higher number within 64 KiB, and for items within 1.5 s; an item's output has to fit into one value of the store and is discarded beyond it; unused bodies are read for 64 KiB and 0.3 s; a failure that is passed on has 1 MiB, as has the answer of another request; 32 informational answers may come. Each bound ends the run as one that broke off, so it goes on elsewhere and the owner judges the upstream.

--- a/src/fescuedock/core/forwarding/event_stream.py
+++ b/src/fescuedock/core/forwarding/event_stream.py
@@ -1,14 +1,19 @@
 """Splits a stream of server-sent events into events, keeping their bytes unchanged.
 
 Only complete events are returned: an upstream may stop in the middle of an event, which the
-upstream that continues the stream sends again.
+upstream that continues the stream sends again.  An upstream may also send bytes without end that
+are no events, or the same event again and again; neither counts as progress.
 """
 
 import msgspec
 
-__all__ = ["EventSplitter", "SplitEvent"]
+__all__ = ["MAX_EVENT_BYTES", "EventSplitter", "SplitEvent"]
 
+# Bytes within which the next event must end; the size at which the head of an answer is refused.
+MAX_EVENT_BYTES = 65536
 _NO_ID = -1
+_END_MARKS = (b"\n\n", b"\r\n\r\n")
+_MAX_MARK_BYTES = max(map(len, _END_MARKS))
 
 
 class SplitEvent(msgspec.Struct, frozen=True):
@@ -28,12 +33,25 @@
 
 
 class EventSplitter:
-    """Splits the bytes of one upstream's stream into complete events."""
+    """Splits the bytes of one upstream's stream into complete events.
 
-    __slots__ = ("_buffer",)
+    The stream makes progress with each event whose number is higher than all before.
+    """
+
+    __slots__ = ("_buffer", "_idle_bytes", "_last_number", "progress_count")
 
     def __init__(self) -> None:
         self._buffer = bytearray()
+        self._last_number = _NO_ID
+        # Bytes of complete events since the last progress.
+        self._idle_bytes = 0
+        # Number of events that were progress.
+        self.progress_count = 0
+
+    @property
+    def is_overlong(self) -> bool:
+        """Whether too many bytes have come since the last progress."""
+        return self._idle_bytes + len(self._buffer) > MAX_EVENT_BYTES
 
     @property
     def has_partial_event(self) -> bool:
@@ -42,21 +60,34 @@
 
     def feed(self, data: bytes) -> list[SplitEvent]:
         """Append ``data``; return the events that it completes."""
+        # The end of an event may have begun within the last bytes of the buffer.
+        search_from = max(len(self._buffer) - _MAX_MARK_BYTES + 1, 0)
         self._buffer += data
         events: list[SplitEvent] = []
-        while (end := _event_end(self._buffer)) is not None:
+        while (end := _event_end(self._buffer, search_from)) is not None:
             raw = bytes(self._buffer[:end])
             del self._buffer[:end]
-            events.append(SplitEvent(_number(raw), raw))
+            search_from = 0
+            event = SplitEvent(_number(raw), raw)
+            events.append(event)
+            self._record_progress(event)
         return events
 
+    def _record_progress(self, event: SplitEvent) -> None:
+        if event.number > self._last_number:
+            self._last_number = event.number
+            self._idle_bytes = 0
+            self.progress_count += 1
+        else:
+            self._idle_bytes += len(event.raw)
+
 
-def _event_end(buffer: bytearray) -> int | None:
+def _event_end(buffer: bytearray, search_from: int) -> int | None:
     """Return the position after the first event's empty line, None without a complete event."""
     ends = [
         position + len(mark)
-        for mark in (b"\n\n", b"\r\n\r\n")
-        if (position := buffer.find(mark)) >= 0
+        for mark in _END_MARKS
+        if (position := buffer.find(mark, search_from)) >= 0
     ]
     return min(ends, default=None)
 
--- a/src/fescuedock/core/stored_jobs/job.py
+++ b/src/fescuedock/core/stored_jobs/job.py
@@ -4,12 +4,13 @@
 """
 
 import enum
+import math
 from collections.abc import Callable, Collection, Iterable
 
 import msgspec
 
 from fescuedock.core.forwarding.event_stream import SplitEvent
-from fescuedock.core.stored_jobs.result_sizes import stored_size_bytes
+from fescuedock.core.stored_jobs.result_sizes import stored_size_bytes, text_size_bytes
 from fescuedock.core.work_identity import work_identity
 from fescuedock.schema.stored_jobs import (
     ItemProgress,
@@ -22,6 +23,8 @@
 
 # Keeps the power of two within the range of a float.
 _MAX_DOUBLINGS = 16
+# The line feed between the texts of two events of a result.
+_SEPARATOR_BYTES = 1
 
 
 class ItemEnd(enum.Enum):
@@ -74,6 +77,9 @@
     # Software version of the upstreams that generated ``texts``.
     software_version: str = ""
     texts: list[str] = msgspec.field(default_factory=list)
+    # Size of ``texts`` in a result, and the largest that a result may have.
+    output_bytes: int = 0
+    max_output_bytes: float = math.inf
     avoided: set[str] = msgspec.field(default_factory=set)
     # The current run, or the last one: start time, last event before it, duration and end time.
     started_ms: float = 0.0
@@ -100,6 +106,11 @@
         self.runs_without_output += 1
         self.event_at_interruption = self.last_event
 
+    @property
+    def is_overlong(self) -> bool:
+        """Whether the output is larger than a result may be."""
+        return self.output_bytes > self.max_output_bytes
+
     def accepts_version(self, software_version: str) -> bool:
         """Whether a run at this software version can resume; at others it starts from scratch."""
         return self.last_event < 0 or self.software_version == software_version
@@ -117,18 +128,31 @@
             if event.number < 0:
                 continue
             if not self.accepts_version(software_version):
-                self._restart()
+                self.restart()
             self.software_version = software_version
             if event.number <= self.last_event:
                 continue
             if self.last_event >= 0 and event.number > self.last_event + 1:
                 return False
             self.last_event = event.number
-            self.texts.append(event.data())
+            text = event.data()
+            self.texts.append(text)
+            self.output_bytes += text_size_bytes(text) + _SEPARATOR_BYTES
         return True
 
-    def _restart(self) -> None:
+    def load_progress(self, progress: ItemProgress) -> None:
+        """Continue from the output that another node stored."""
+        self.last_event = progress.last_event
+        self.texts = list(progress.texts)
+        self.output_bytes = sum(map(text_size_bytes, self.texts))
+        self.output_bytes += len(self.texts) * _SEPARATOR_BYTES
+        self.software_version = progress.software_version
+        self.failures = max(self.failures, progress.failures)
+
+    def restart(self) -> None:
+        """Discard the output, so that the next run starts from the beginning."""
         self.texts.clear()
+        self.output_bytes = 0
         self.last_event = self.started_event = self.event_at_interruption = -1
 
 
@@ -136,7 +160,8 @@
     """The items of one job that have no committed result.
 
     ``listed`` are the identities of the items that have one, ordered by position; ``parts_of``
-    returns the identities of the prompt parts that an item may share with others.
+    returns the identities of the prompt parts that an item may share with others;
+    ``max_output_bytes`` is the size of the largest text that a result may have.
     """
 
     def __init__(
@@ -148,6 +173,7 @@
         give_up_ms: float,
         pauses: RetryPauses | None = None,
         parts_of: Callable[[StoredItem], tuple[str, ...]] = lambda _item: (),
+        max_output_bytes: float = math.inf,
     ) -> None:
         done = set(listed)
         self.record = record
@@ -156,7 +182,9 @@
         self.listed_count = len(listed)
         self._pauses = pauses or RetryPauses()
         self._open = {
-            item.item_id: ItemRun(item, _work_id(record, item), parts_of(item))
+            item.item_id: ItemRun(
+                item, _work_id(record, item), parts_of(item), max_output_bytes=max_output_bytes
+            )
             for item in items
             if item.item_id not in done
         }
@@ -258,10 +286,7 @@
         for item in progress:
             run = self._open.get(item.item_id)
             if run is not None and item.last_event >= run.last_event:
-                run.last_event = item.last_event
-                run.texts = list(item.texts)
-                run.software_version = item.software_version
-                run.failures = max(run.failures, item.failures)
+                run.load_progress(item)
         self.record_saved()
 
     def give_up(self, now_ms: float) -> int:
--- a/src/fescuedock/net/http_client.py
+++ b/src/fescuedock/net/http_client.py
@@ -40,6 +40,9 @@
 
 _RECEIVE_BYTES = 65536
 _MAX_HEADER_BYTES = 65536
+# Limits for what may precede an answer: its informational answers, and the rest of another answer.
+_MAX_INFORMATIONAL_ANSWERS = 32
+_MAX_SKIPPED_BYTES = 1024 * 1024
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*(\d+)")
 # A request must arrive before the server closes: longer than the slowest network transit.
 _KEEP_ALIVE_MARGIN_S = 0.25
@@ -438,7 +441,11 @@
 
     async def _next_response(self, address: Address) -> h11.Response:
         event = await self.next_event()
+        informational = 0
         while isinstance(event, h11.InformationalResponse):
+            informational += 1
+            if informational > _MAX_INFORMATIONAL_ANSWERS:
+                raise ResponseLostError(f"{address} sent too many informational answers")
             event = await self.next_event()
         if not isinstance(event, h11.Response):
             raise ResponseLostError(f"{address} closed without an answer")
@@ -446,8 +453,11 @@
 
     async def _skip_answer(self, address: Address, events: list[h11.Event]) -> None:
         """Read an answer to another request to its end; the answer to this one follows."""
+        skipped_bytes = len(self._unread_body)
         while not self._body.ended:
-            await self.receive_body()
+            skipped_bytes += len(await self.receive_body())
+            if skipped_bytes > _MAX_SKIPPED_BYTES:
+                raise ResponseLostError(f"{address} sent too much of another request's answer")
         if self._protocol.our_state is not h11.DONE:
             raise ResponseLostError(f"{address} closed after another request's answer")
         rest = self._body.rest
--- a/src/fescuedock/node/attempt.py
+++ b/src/fescuedock/node/attempt.py
@@ -4,6 +4,7 @@
 from contextlib import asynccontextmanager
 
 import msgspec
+import trio
 
 from fescuedock.address import Address
 from fescuedock.agent.permit_client import Grant
@@ -16,10 +17,13 @@
 from fescuedock.schema.permits import AttemptOutcome, EndedPermit, WorkClass
 from fescuedock.schema.view import UpstreamRecord
 
-__all__ = ["AttemptRecord", "UpstreamAnswer", "send_attempt"]
+__all__ = ["AttemptRecord", "UpstreamAnswer", "drain", "send_attempt"]
 
 # Weight of the latest pause between events in the moving mean, which covers about the last four.
 _RECENT_PAUSE_GAIN = 0.4
+# Limits for the rest of an answer that is read only so that its connection can be reused.
+_MAX_DRAINED_BYTES = 65536
+_DRAIN_TIMEOUT_S = 0.3
 # What the end of an attempt reports about the upstream's health.
 _OUTCOMES = {
     AttemptEnd.NOT_SENT: AttemptOutcome.CONNECT_REFUSED,
@@ -105,6 +109,14 @@
         return (self.last_event_ms - self.started_ms - self.first_event_ms) / (self.events - 1)
 
 
+async def drain(response: ClientResponse) -> None:
+    """Read the rest of an answer that is not used, or its beginning if it is long or slow."""
+    drained_bytes = 0
+    with trio.move_on_after(_DRAIN_TIMEOUT_S):
+        while drained_bytes <= _MAX_DRAINED_BYTES and (data := await response.read_some()):
+            drained_bytes += len(data)
+
+
 @asynccontextmanager
 async def send_attempt(
     http: HttpClient,
--- a/src/fescuedock/node/health_probe.py
+++ b/src/fescuedock/node/health_probe.py
@@ -5,7 +5,12 @@
 import trio
 
 from fescuedock.address import Address
-from fescuedock.net.http_client import HttpClient, NotSentError, ResponseLostError
+from fescuedock.net.http_client import (
+    HttpClient,
+    NotSentError,
+    ResponseLostError,
+    ResponseTooLargeError,
+)
 from fescuedock.node.configuration import NodeConfiguration
 from fescuedock.platform.calls import HEALTH_ID_HEADER
 from fescuedock.platform.records import registered_id
@@ -17,6 +22,7 @@
 
 # The health page waits for a slot like any request.
 _TIMEOUT_S = 1.0
+_MAX_ANSWER_BYTES = 65536
 
 Probe = Callable[[UpstreamRecord, Configuration], Awaitable[AttemptOutcome]]
 
@@ -38,12 +44,12 @@
     address = Address(upstream.host, upstream.port)
     try:
         async with http.request(address, "GET", path) as answer:
-            await answer.read()
+            await answer.read(_MAX_ANSWER_BYTES)
             named = answer.headers.get(HEALTH_ID_HEADER, "")
             is_same = named in ("", registered_id(upstream.upstream_id))
             healthy = answer.status == 200 and is_same
             return AttemptOutcome.COMPLETED if healthy else AttemptOutcome.SERVER_ERROR
     except NotSentError:
         return AttemptOutcome.CONNECT_REFUSED
-    except ResponseLostError:
+    except (ResponseLostError, ResponseTooLargeError):
         return AttemptOutcome.TRUNCATED
--- a/src/fescuedock/node/item_run.py
+++ b/src/fescuedock/node/item_run.py
@@ -18,7 +18,7 @@
     SendCheck,
     WithdrawnError,
 )
-from fescuedock.node.attempt import AttemptRecord, UpstreamAnswer, send_attempt
+from fescuedock.node.attempt import AttemptRecord, UpstreamAnswer, drain, send_attempt
 from fescuedock.platform import calls
 from fescuedock.schema.permits import WorkClass
 from fescuedock.schema.stored_jobs import StoredJobRecord
@@ -28,7 +28,7 @@
 
 _IMPOSSIBLE_STATUS = 422
 _FAILED_STATUS = 500
-# Time without data after which a run is interrupted and continued at another upstream: several
+# Time without an event after which a run is interrupted and continued at another upstream: several
 # times the longest step of an engine.
 _STALL_TIMEOUT_MS = 1500.0
 # Pause between two reads of an item's events.  The client of a job sees only complete results, and
@@ -139,7 +139,7 @@
                 check,
             ) as answer:
                 return await _read_answer(answer, item, upstream.software_version, record, stall)
-        return ItemEnd.INTERRUPTED, AttemptEnd.STALLED, f"silent for {_STALL_TIMEOUT_MS:g} ms"
+        return ItemEnd.INTERRUPTED, AttemptEnd.STALLED, f"no event for {_STALL_TIMEOUT_MS:g} ms"
     except WithdrawnError as error:
         return ItemEnd.INTERRUPTED, AttemptEnd.WITHDRAWN, str(error)
     except NotSentError as error:
@@ -158,17 +158,25 @@
     head = answer.head
     record.record_answer(answer)
     if not head.is_success:
-        await answer.response.read()
+        await drain(answer.response)
         return _failure(head.status, not_run=head.not_run)
     if head.is_forged:
         return ItemEnd.INTERRUPTED, AttemptEnd.LOST, "the answer lacks the upstream's seal"
     splitter = EventSplitter()
     response = answer.response
+    progress_count = 0
     try:
         while data := await response.read_some():
-            stall.deadline = trio.current_time() + _STALL_TIMEOUT_MS / 1000
             if not _apply_events(splitter.feed(data), item, software_version, record):
                 return ItemEnd.INTERRUPTED, AttemptEnd.LOST, "an event is missing"
+            if splitter.is_overlong:
+                return ItemEnd.INTERRUPTED, AttemptEnd.LOST, "too many bytes without an event"
+            if item.is_overlong:
+                item.restart()
+                return ItemEnd.INTERRUPTED, AttemptEnd.LOST, "the output is too long"
+            if splitter.progress_count > progress_count:
+                progress_count = splitter.progress_count
+                stall.deadline = trio.current_time() + _STALL_TIMEOUT_MS / 1000
             if not response.ended:
                 await trio.sleep(_READ_INTERVAL_MS / 1000)
     except trio.Cancelled:
--- a/src/fescuedock/node/job_runner.py
+++ b/src/fescuedock/node/job_runner.py
@@ -380,6 +380,7 @@
             due_ms=began_ms + record.due_in_ms,
             give_up_ms=retained_from_ms + record.retention_ms + _GIVE_UP_MARGIN_MS,
             parts_of=_parts_of,
+            max_output_bytes=self._store.max_output_bytes,
         )
         run.resume(loaded.progress)
         group_bytes = min(self._settings.commit_bytes, self._store.max_group_bytes)
--- a/src/fescuedock/node/job_store.py
+++ b/src/fescuedock/node/job_store.py
@@ -77,6 +77,11 @@
         self._kv = kv
         self._part_bytes = value_bytes - _VALUE_MARGIN_BYTES
 
+    @property
+    def max_output_bytes(self) -> int:
+        """Largest text of a result that can be stored."""
+        return self._part_bytes - _VALUE_MARGIN_BYTES
+
     @property
     def max_group_bytes(self) -> int:
         """Largest total size of the encoded results of one group."""
--- a/src/fescuedock/node/online_call.py
+++ b/src/fescuedock/node/online_call.py
@@ -28,7 +28,7 @@
     ResponseStream,
     fault_body,
 )
-from fescuedock.node.attempt import AttemptRecord, UpstreamAnswer, send_attempt
+from fescuedock.node.attempt import AttemptRecord, UpstreamAnswer, drain, send_attempt
 from fescuedock.node.quotas import Confirm
 from fescuedock.platform import calls
 from fescuedock.schema.origins import StreamOrigin
@@ -376,7 +376,7 @@
         head = answer.head
         record.record_answer(answer)
         if head.not_run:
-            await answer.response.read()
+            await drain(answer.response)
             return AttemptEnd.REJECTED
         if head.is_forged:
             return AttemptEnd.LOST
@@ -384,17 +384,20 @@
             return await self._relay_events(answer, upstream, record, stall)
         if self.client_stream is not None:
             # The head of a success was sent to the client, so a failure cannot be relayed any more.
-            await answer.response.read()
+            await drain(answer.response)
             return AttemptEnd.FAILED
         if head.status >= _SERVER_ERROR and not self.progress.is_last_run():
-            await answer.response.read()
+            await drain(answer.response)
             return AttemptEnd.FAILED
         return await self._relay_body(answer, stall)
 
     async def _relay_body(
         self, answer: UpstreamAnswer, stall: trio.CancelScope
     ) -> AttemptEnd | None:
-        """Relay an answer in one write; one beyond the buffer's size is relayed as it arrives."""
+        """Relay an answer in one write; a success beyond the buffer's size as it arrives.
+
+        A failure of that size counts as no answer, as its body may have no end.
+        """
         stall.deadline = float("inf")
         parts: list[bytes] = []
         buffered_bytes = 0
@@ -403,6 +406,8 @@
             parts.append(part)
             buffered_bytes += len(part)
             if buffered_bytes > _MAX_BUFFERED_BYTES:
+                if not answer.head.is_success:
+                    return AttemptEnd.LOST
                 self.progress.answer_started = True
                 self.client_stream = self.client_stream or await self.responder.begin(
                     answer.head.status, headers
@@ -428,14 +433,17 @@
     ) -> AttemptEnd | None:
         """Relay complete events as they arrive, each one once; the head is sent with the first."""
         splitter = EventSplitter()
-        deadline_set_s = float("-inf")
+        deadline_set_s, progress_count = float("-inf"), 0
         while data := await answer.response.read_some():
+            events = splitter.feed(data)
+            if splitter.is_overlong:
+                return AttemptEnd.LOST
             # Moving the deadline costs the event loop, so it moves only now and then.  The step is
             # added to it, so that no active stream is cut off.
-            if trio.current_time() - deadline_set_s >= _STALL_DEADLINE_STEP_S:
-                deadline_set_s = trio.current_time()
+            is_due = trio.current_time() - deadline_set_s >= _STALL_DEADLINE_STEP_S
+            if is_due and splitter.progress_count > progress_count:
+                deadline_set_s, progress_count = trio.current_time(), splitter.progress_count
                 stall.deadline = self._stall_deadline_s(first=False) + _STALL_DEADLINE_STEP_S
-            events = splitter.feed(data)
             if not events:
                 continue
             if self.first_event_ms < 0:
--- a/tests/test_forwarding_core.py
+++ b/tests/test_forwarding_core.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from fescuedock.core.forwarding.calls import AnswerHead, CallHead
-from fescuedock.core.forwarding.event_stream import EventSplitter, SplitEvent
+from fescuedock.core.forwarding.event_stream import MAX_EVENT_BYTES, EventSplitter, SplitEvent
 from fescuedock.core.forwarding.progress import AttemptEnd, CallProgress
 from fescuedock.core.forwarding.route_table import RouteKind
 from fescuedock.core.forwarding.stalls import StallLimits
@@ -89,6 +89,28 @@
         [found] = EventSplitter().feed(b"id: x1\r\ndata: a\r\n\r\n")
         self.assertEqual(found.number, -1)
 
+    # Bytes without end that are no new event must be noticed, whatever they are.
+    def test_bytes_without_progress_are_overlong(self) -> None:
+        fillers = (b"x", b"\n", b"\r\n", b": ping\n\n", b"data: x\n", b"id: 1\ndata: x\n\n")
+        for filler in fillers:
+            with self.subTest(filler=filler):
+                splitter = EventSplitter()
+                splitter.feed(event(0) + event(1))
+                fed_bytes = 0
+                while not splitter.is_overlong:
+                    splitter.feed(filler * 100)
+                    fed_bytes += len(filler) * 100
+                    self.assertLessEqual(fed_bytes, MAX_EVENT_BYTES + len(filler) * 100)
+                self.assertGreater(fed_bytes, MAX_EVENT_BYTES)
+                self.assertEqual(splitter.progress_count, 2)
+
+    def test_a_long_stream_of_new_events_is_not_overlong(self) -> None:
+        splitter = EventSplitter()
+        for number in range(4000):
+            splitter.feed(event(number))
+            self.assertFalse(splitter.is_overlong)
+        self.assertEqual(splitter.progress_count, 4000)
+
 
 class CallProgressTest(unittest.TestCase):
     def test_a_call_that_did_not_run_may_always_be_retried(self) -> None:
--- a/tests/test_stored_jobs_core.py
+++ b/tests/test_stored_jobs_core.py
@@ -19,7 +19,7 @@
 from fescuedock.core.stored_jobs.run_estimates import RunEstimate, RunShare
 from fescuedock.core.stored_jobs.urgency import rank_items
 from fescuedock.platform.job_calls import encode_results
-from fescuedock.schema.stored_jobs import ResultGroup, StoredResult
+from fescuedock.schema.stored_jobs import ItemProgress, ResultGroup, StoredResult
 from tests.builders.forwarding import event, job_record, stored_item, stored_job
 
 
@@ -49,6 +49,20 @@
         self.assertFalse(run.add_events(events(3)))
         self.assertEqual(run.last_event, 1)
 
+    # The output of a run without end must not grow beyond what a result may hold.
+    def test_an_output_beyond_the_limit_is_overlong_until_it_is_discarded(self) -> None:
+        run = ItemRun(stored_item("a"), max_output_bytes=20)
+        run.add_events(events(0, 1))
+        self.assertFalse(run.is_overlong)
+        run.add_events(events(2))
+        self.assertTrue(run.is_overlong)
+        resumed = ItemRun(stored_item("a"), max_output_bytes=20)
+        resumed.load_progress(ItemProgress("a", run.last_event, run.texts, 0))
+        self.assertTrue(resumed.is_overlong)
+        run.restart()
+        self.assertFalse(run.is_overlong)
+        self.assertEqual((run.last_event, run.texts), (-1, []))
+
 
 class StoredJobTest(unittest.TestCase):
     def test_an_item_runs_once_at_a_time_and_is_listed_once(self) -> None:
