Read missing results in one place, and name the bound of a commit by its encoding

Change: job_calls reads once more from the start in a loop; event results_missing in place of results_reread. Measured: test_node_jobs_concurrent_commits, test_owner_reads, test_events_page passed.

--- a/src/fescuedock/node/job_calls.py
+++ b/src/fescuedock/node/job_calls.py
@@ -177,31 +177,27 @@
             if is_added and (reply.current or len(job.results) > after):
                 return Ok(job)
             known = len(job.results)
-        job = await self._read_groups(record, known)
-        if isinstance(job, Ok) and job.ok_value is None:
-            log_event("results_reread", job_id=job_id, known=known)
-            job = await self._read_groups(record, 0)
-        if isinstance(job, Ok) and job.ok_value is None:
-            return Err(_unavailable("some results are missing", self.retry_after_ms))
-        return job
-
-    async def _read_groups(
-        self, record: StoredJobRecord, known: int
-    ) -> Result[CachedJob | None, Fault]:
+        return await self._read_groups(record, known)
+
+    async def _read_groups(self, record: StoredJobRecord, known: int) -> Result[CachedJob, Fault]:
         """Add the stored results from position ``known`` on to the cache.
 
-        ``Ok(None)`` if results that ``record`` lists are missing: the cache lost some meanwhile, or
-        its last group is the beginning of a stored one.
+        If results that ``record`` lists are missing then, all are read: the cache lost some
+        meanwhile, or its last group is the beginning of a stored one.
         """
-        groups = await self.store.read_groups(record.job_id, known)
-        if isinstance(groups, Err):
-            return Err(_unavailable(groups.err_value.message, self.retry_after_ms))
-        # Opened again: other calls may have changed the cache while the store was read.
-        job = self.cache.open(record)
-        for group in groups.ok_value:
-            job.add(group)
-        self.cache.trim()
-        return Ok(job if len(job.results) >= record.listed else None)
+        for first in (known, 0):
+            groups = await self.store.read_groups(record.job_id, first)
+            if isinstance(groups, Err):
+                return Err(_unavailable(groups.err_value.message, self.retry_after_ms))
+            # Opened again: other calls may have changed the cache while the store was read.
+            job = self.cache.open(record)
+            for group in groups.ok_value:
+                job.add(group)
+            self.cache.trim()
+            if len(job.results) >= record.listed:
+                return Ok(job)
+            log_event("results_missing", job_id=record.job_id, first_position=first)
+        return Err(_unavailable("some results are missing", self.retry_after_ms))
 
     async def _find_record(self, job_id: str) -> Result[StoredJobRecord | None, Fault]:
         """Read a job's record; None only when the job is neither stored nor pending on a spool."""
--- a/src/fescuedock/node/job_runner.py
+++ b/src/fescuedock/node/job_runner.py
@@ -524,7 +524,7 @@
         return True
 
     def _shrink_group(self, job: OwnedJob) -> None:
-        """Commit half as many bytes at a time from now on; give up a single result."""
+        """Commit half as many bytes at a time from now on; give up a result that is too large."""
         if job.run.group_count > 1:
             job.group_bytes //= 2
             return
--- a/src/fescuedock/schema/settings.py
+++ b/src/fescuedock/schema/settings.py
@@ -602,7 +602,7 @@
     commit_bytes: Annotated[
         int,
         Meta(
-            description="Results of one commit at most; half of what the store takes as a value.",
+            description="Encoded results of one commit at most; half of what the store takes as a value.",
             ge=1024,
         ),
     ] = 524288
