--- a/src/fescuedock/core/stored_jobs/cache.py
+++ b/src/fescuedock/core/stored_jobs/cache.py
@@ -1,13 +1,22 @@
 """Caches the items and results of jobs for readers; listed results never change."""
 
+import sys
 from collections import OrderedDict
 
 import msgspec
 
-from fescuedock.core.stored_jobs.result_sizes import page_size_bytes, resident_size_bytes
 from fescuedock.schema.stored_jobs import ResultGroup, StoredItem, StoredJobRecord, StoredResult
 
-__all__ = ["CachedJob", "JobCache"]
+__all__ = ["CachedJob", "JobCache", "page_size_bytes"]
+
+# Upper bound of the framing of one result in a page, around its identity and text.
+_PAGE_FRAME_BYTES = 64
+
+
+def page_size_bytes(result: StoredResult) -> int:
+    """Return the size of a result in an answer to a reader, including escapes."""
+    text_bytes = len(msgspec.json.encode(result.text))
+    return text_bytes + len(msgspec.json.encode(result.item_id)) + _PAGE_FRAME_BYTES
 
 
 class CachedJob(msgspec.Struct):
@@ -36,7 +45,7 @@
             return False
         fresh = group.results[known - group.first_position :]
         self.results += fresh
-        self.size_bytes += sum(map(resident_size_bytes, fresh))
+        self.size_bytes += sum(sys.getsizeof(result.text) for result in fresh)
         return True
 
     def set_items(self, items: list[StoredItem]) -> None:
--- a/src/fescuedock/core/stored_jobs/job.py
+++ b/src/fescuedock/core/stored_jobs/job.py
@@ -10,7 +10,6 @@
 import msgspec
 
 from fescuedock.core.forwarding.event_stream import SplitEvent
-from fescuedock.core.stored_jobs.result_sizes import stored_size_bytes, text_size_bytes
 from fescuedock.core.work_identity import work_identity
 from fescuedock.schema.stored_jobs import (
     ItemProgress,
@@ -19,7 +18,7 @@
     StoredResult,
 )
 
-__all__ = ["ItemEnd", "ItemRun", "RetryPauses", "StoredJob"]
+__all__ = ["ItemEnd", "ItemRun", "RetryPauses", "StoredJob", "stored_size_bytes"]
 
 # Keeps the power of two within the range of a float.
 _MAX_DOUBLINGS = 16
@@ -137,14 +136,14 @@
             self.last_event = event.number
             text = event.data()
             self.texts.append(text)
-            self.output_bytes += text_size_bytes(text) + _SEPARATOR_BYTES
+            self.output_bytes += _text_size_bytes(text) + _SEPARATOR_BYTES
         return True
 
     def load_progress(self, progress: ItemProgress) -> None:
         """Continue from the output that another node stored."""
         self.last_event = progress.last_event
         self.texts = list(progress.texts)
-        self.output_bytes = sum(map(text_size_bytes, self.texts))
+        self.output_bytes = sum(map(_text_size_bytes, self.texts))
         self.output_bytes += len(self.texts) * _SEPARATOR_BYTES
         self.software_version = progress.software_version
         self.failures = max(self.failures, progress.failures)
@@ -336,6 +335,16 @@
         self._results.append(StoredResult(run.item.item_id, completed, text))
 
 
+def stored_size_bytes(result: StoredResult) -> int:
+    """Return the size of a result as part of a value in the key-value service."""
+    return len(msgspec.msgpack.encode(result))
+
+
+def _text_size_bytes(text: str) -> int:
+    """Return the size of a text in UTF-8."""
+    return len(text) if text.isascii() else len(text.encode())
+
+
 def _work_id(record: StoredJobRecord, item: StoredItem) -> str:
     """Return the identity of an item's work, equal to that of a call with the same request."""
     return work_identity("POST", record.host, item.path, record.customer or "", item.body)
--- a/src/fescuedock/node/job_runner.py
+++ b/src/fescuedock/node/job_runner.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Iterator, Mapping
 from functools import partial
+from typing import TYPE_CHECKING
 
 import msgspec
 import trio
@@ -26,7 +27,6 @@
 )
 from fescuedock.core.stored_jobs.pending_ends import PendingEnds
 from fescuedock.core.stored_jobs.pool import ItemPool, UpstreamVersions
-from fescuedock.core.stored_jobs.restricted import RestrictedItem, RestrictedItems
 from fescuedock.core.stored_jobs.urgency import ItemChoice
 from fescuedock.core.stored_jobs.work_gate import RecordFreshness, WorkRefusal, refusal_of
 from fescuedock.core.work_identity import part_identities
@@ -45,6 +45,9 @@
 from fescuedock.schema.stored_jobs import ResultGroup, StoredItem, StoredJobRecord
 from fescuedock.schema.view import Program, UpstreamRecord
 
+if TYPE_CHECKING:
+    from fescuedock.core.stored_jobs.restricted import RestrictedItems
+
 __all__ = ["JobRunner"]
 
 # Interval at which waiting items are polled when no event wakes the requester earlier.
@@ -153,7 +156,8 @@
         self._isolated_runs = IsolatedRuns(
             view, permits, self._next_isolated_item, self._run_isolated_item
         )
-        self._restricted_items = RestrictedItems()
+        # None before the first upstream crash.
+        self._restricted_items: RestrictedItems | None = None
         # Whether any job waits until its record is confirmed again.
         self._any_unconfirmed = False
         self._nursery: trio.Nursery | None = None
@@ -270,10 +274,15 @@
     @property
     def restricted_count(self) -> int:
         """Number of items that may run only in isolation, now or after a pause."""
-        return len(self._restricted_items)
+        return len(self._restricted_items or ())
 
     def _log_restricted(self) -> None:
         """Log the items that wait for an isolated run, again after each further crash."""
+        if self._view.quarantine.is_empty and not self._restricted_items:
+            return
+        # Imported after the first crash, to keep it off the start-up path.
+        from fescuedock.core.stored_jobs.restricted import RestrictedItem, RestrictedItems
+
         found: list[RestrictedItem] = []
         if not self._view.quarantine.is_empty:
             for job in self._jobs.values():
@@ -281,6 +290,7 @@
                     verdict = self._view.verdict_on(run.work_id, run.parts, owed=True)
                     if verdict.restriction is not Restriction.FREE:
                         found.append(RestrictedItem(job.run.job_id, run.item.item_id, verdict))
+        self._restricted_items = self._restricted_items or RestrictedItems()
         for item in self._restricted_items.update(found):
             log_event(
                 "item_restricted",
--- a/tests/test_stored_jobs_core.py
+++ b/tests/test_stored_jobs_core.py
@@ -6,16 +6,15 @@
 import msgspec
 
 from fescuedock.core.forwarding.event_stream import EventSplitter
-from fescuedock.core.stored_jobs.cache import JobCache
+from fescuedock.core.stored_jobs.cache import JobCache, page_size_bytes
 from fescuedock.core.stored_jobs.commit import CommitState, check_commit
-from fescuedock.core.stored_jobs.job import ItemEnd, ItemRun, StoredJob
+from fescuedock.core.stored_jobs.job import ItemEnd, ItemRun, StoredJob, stored_size_bytes
 from fescuedock.core.stored_jobs.ownership import Duty, MissingOwners, OwnerIdentity, duty_of
 from fescuedock.core.stored_jobs.permit_requests import (
     PermitRequestCandidate,
     PermitRequestPolicy,
     choose_upstreams,
 )
-from fescuedock.core.stored_jobs.result_sizes import page_size_bytes, stored_size_bytes
 from fescuedock.core.stored_jobs.run_estimates import RunEstimate, RunShare
 from fescuedock.core.stored_jobs.urgency import rank_items
 from fescuedock.platform.job_calls import encode_results
