Let the soak bound the pauses of its harmful item instead of its crashes

Why: the soak demanded that no harmful work crashes upstreams long after the third time; an item is owed now and runs again after pauses. A late crash of the item counts as a violation if it follows the one before within the item's pause, and no more such crashes are tolerated than before.

The soak's harmful calls and parts are bounded as before.

--- a/tests/soak/harmful.py
+++ b/tests/soak/harmful.py
@@ -12,6 +12,7 @@
 
 import trio
 
+from fescuedock.core.quarantine import QuarantinePolicy
 from fescuedock.net.http_client import HttpClient
 from fescuedock.schema.result_codes import ResultCode
 from tests.builders.jobs_calls import job_body
@@ -41,6 +42,8 @@
 _PAUSE_S = (0.3, 2.5)
 _HARMLESS_PATH = "/rights/always-the-same"
 _ITEM = "harmful-item"
+# Nodes know Unix time to the second.
+_PAUSE_OF_ITEM_S = QuarantinePolicy().owed_retry_pauses_ms[-1] / 1000 - 1.0
 _numbers = itertools.count(1)
 
 
@@ -131,11 +134,24 @@
     return reply.status in NOT_RUN_STATUSES and ResultCode.WORK_HARMFUL.name.encode() in reply.body
 
 
+def _too_early(crashes_s: list[float]) -> list[float]:
+    """Return the crashes that follow the one before sooner than an item may run again.
+
+    An item is owed, so it is run again after a pause however often upstreams crashed.
+    """
+    return [
+        later_s
+        for former_s, later_s in itertools.pairwise(crashes_s)
+        if later_s - former_s < _PAUSE_OF_ITEM_S
+    ]
+
+
 def harmful_work_violations(ledger: Ledger, upstreams: list[SoakUpstream]) -> Iterator[str]:
     """Yield the harmful work that still crashed upstreams when it should have been quarantined.
 
     A crash counts if it occurred at least ``CALM_S`` after the crash that should have caused the
     quarantine, with no disturbance for as long.  The crashes do not count as disturbances of nodes.
+    Those of an item count if they follow each other sooner than its pauses allow.
     """
     crashes_to_quarantine = dict.fromkeys(sorted(harmful_paths()), _CRASHES_TO_QUARANTINE) | {
         _HARMFUL_PART_PATH_PREFIX: _CRASHES_TO_QUARANTINE_PART
@@ -152,6 +168,8 @@
             continue
         bound_s = crashes_s[count - 1] + CALM_S
         late_s = [at_s for at_s in crashes_s if at_s > bound_s and ledger.was_calm(at_s, at_s)]
+        if path == f"/letters/{_ITEM}":
+            late_s = _too_early(late_s)
         if len(late_s) > _MAX_LATE_CRASHES:
             times = ", ".join(ledger.format_time(at_s) for at_s in late_s)
             yield f"{path} crashed {len(late_s)} upstreams more, long after {count}: {times}"
