Refuse a submission that is too large for the store after a lost answer

A caller whose submission was larger than the store takes, and whose first write had an unknown outcome, waited until its deadline: every refusal of the repeated write was taken as another unknown outcome. Every try is the same transaction, so a refusal for its size proves that no earlier one took effect; the caller now gets KV_VALUE_TOO_LARGE at once.

Evidence: tests.test_job_refusals with [KV_UNKNOWN, KV_VALUE_TOO_LARGE] got no answer before, and gets the refusal now.

Tests beside it, for faults that are fixed already: a health page and a list of upstreams without end, informational answers and another request's answer without a deadline, one event repeated without end, an owed item whose owner is killed, and the log line and metric of an item that waits.

--- a/src/fescuedock/node/job_store.py
+++ b/src/fescuedock/node/job_store.py
@@ -93,8 +93,8 @@
         """Store a new job, or return the record already stored under its identity.
 
         Runs until the outcome is known; the caller bounds the time, and after a cancellation the
-        job may or may not be stored.  ``KV_UNAVAILABLE`` promises that it is not, and
-        ``KEY_REUSED`` that a job with other items is stored in its place.
+        job may or may not be stored.  ``KV_UNAVAILABLE`` and ``KV_VALUE_TOO_LARGE`` promise that it
+        is not, and ``KEY_REUSED`` that a job with other items is stored in its place.
 
         If a client ended the job before it was stored, the job is stored only if this submission
         is known to be later than the end: ``after_end`` is true, and the answer of the first write
@@ -135,6 +135,9 @@
                 else:
                     # A record exists but cannot be read, so a later refusal proves nothing.
                     may_be_stored = True
+            elif fault.code is ResultCode.KV_VALUE_TOO_LARGE:
+                # Every try is the same transaction, so no earlier one can have taken effect.
+                return result
             elif fault.code is ResultCode.KV_UNKNOWN:
                 may_be_stored = True
             elif not may_be_stored:
--- a/tests/builders/endless.py
+++ b/tests/builders/endless.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from fescuedock.address import Address
 from fescuedock.platform.standin.event_upstream import DEFAULT_VERSION
 from tests.builders.net import LOOPBACK
 from tests.builders.node import NodeFleet, worker_entry
@@ -15,7 +16,6 @@
 __all__ = ["ANSWERS", "EndlessAnswer", "EndlessUpstream", "growing_events"]
 
 _WRITE_BYTES = 12_000
-_WRITE_INTERVAL_S = 0.001
 _STREAM = "content-type: text/event-stream\r\n"
 _CHUNK = b"%x\r\n%s\r\n" % (_WRITE_BYTES, b"x" * _WRITE_BYTES)
 
@@ -33,7 +33,7 @@
     return lambda _number: data * count
 
 
-# By name, the answers that never contain a first event.
+# By name, the answers that never contain a second event.
 ANSWERS: dict[str, EndlessAnswer] = {
     "noise": (lambda _: b"", _repeated(b"\x00noise")),
     "header": (lambda _: b"HTTP/1.1 200 OK\r\nX-Long: ", _repeated(b"a")),
@@ -44,6 +44,11 @@
     ),
     "unframed bytes": (lambda name: _head(name, fields=_STREAM), _repeated(b"x")),
     "one event": (lambda name: _head(name, fields=_STREAM) + b"id: 0\n", _repeated(b"data: x\n")),
+    # The first of these is an event; the others are repetitions.
+    "the same event": (
+        lambda name: _head(name, fields=_STREAM),
+        _repeated(b"id: 0\ndata: x\n\n"),
+    ),
     "comments": (lambda name: _head(name, fields=_STREAM), _repeated(b": ping\n\n")),
     "refusal": (
         lambda name: _head(name, "503 Full", "X-Not-Executed: 1\r\n"),
@@ -69,16 +74,22 @@
 
     upstream_id: str
     answer: EndlessAnswer
+    # Pause after every 12 kB.
+    write_interval_s: float = 0.001
     open_s: list[float] = field(default_factory=list)
     # Number of requests by ID.
     requests: Counter[str] = field(default_factory=Counter)
 
+    async def listen(self, nursery: trio.Nursery) -> Address:
+        """Listen on a free port and return its address."""
+        serve = partial(trio.serve_tcp, self._serve, LOOPBACK.port, host=LOOPBACK.host)
+        listeners = await nursery.start(serve)
+        return Address(*listeners[0].socket.getsockname()[:2])
+
     async def start(self, fleet: NodeFleet) -> None:
         """Listen on a free port, and register with the fleet's store."""
-        serve = partial(trio.serve_tcp, self._serve, LOOPBACK.port, host=LOOPBACK.host)
-        listeners = await fleet.nursery.start(serve)
-        host, port = listeners[0].socket.getsockname()[:2]
-        entry = worker_entry(f"{host}:{port}", version=DEFAULT_VERSION)
+        address = await self.listen(fleet.nursery)
+        entry = worker_entry(str(address), version=DEFAULT_VERSION)
         fleet.store.state.put(f"servers/{self.upstream_id}", json.dumps(entry).encode())
 
     async def _serve(self, stream: trio.SocketStream) -> None:
@@ -104,6 +115,6 @@
             while True:
                 await stream.send_all(following(number))
                 number += 1
-                await trio.sleep(_WRITE_INTERVAL_S)
+                await trio.sleep(self.write_interval_s)
         except trio.BrokenResourceError:
             self.open_s.append(trio.current_time() - began_s)
--- a/tests/test_job_refusals.py
+++ b/tests/test_job_refusals.py
@@ -63,6 +63,12 @@
         refused = self.accept(ScriptedKv([], []))
         self.assertIs(refused.err_value.code, ResultCode.KV_UNAVAILABLE)
 
+    # A transaction that is too large was repeated until its caller gave up.
+    def test_a_submission_too_large_for_the_store_is_refused_after_a_lost_answer(self) -> None:
+        codes = [ResultCode.KV_UNKNOWN, ResultCode.KV_VALUE_TOO_LARGE]
+        refused = self.accept(ScriptedKv(codes, []))
+        self.assertIs(refused.err_value.code, ResultCode.KV_VALUE_TOO_LARGE)
+
     def test_a_job_that_is_stored_but_unreadable_is_not_refused(self) -> None:
         codes = [ResultCode.KV_CONFLICT]
         self.assertIsNone(self.accept(ScriptedKv(codes, [])))
--- a/tests/test_node_endless_answers.py
+++ b/tests/test_node_endless_answers.py
@@ -2,11 +2,26 @@
 
 import itertools
 import unittest
-from collections import Counter
 from collections.abc import Awaitable, Callable
+from types import SimpleNamespace
+from typing import cast
 
 import trio
-
+from result import Result
+
+from fescuedock.address import Address
+from fescuedock.core.forwarding.route_table import RouteTable
+from fescuedock.faults import Fault
+from fescuedock.kv import KvPage
+from fescuedock.net.http_client import HttpClient, ResponseLostError, open_http_client
+from fescuedock.net.http_messages import Headers
+from fescuedock.node.configuration import NodeConfiguration
+from fescuedock.node.health_probe import health_probe
+from fescuedock.platform.store import MetadataStore
+from fescuedock.schema.config import Configuration
+from fescuedock.schema.permits import AttemptOutcome
+from fescuedock.schema.result_codes import ResultCode
+from fescuedock.schema.view import UpstreamKind, UpstreamRecord
 from tests.builders.endless import ANSWERS, EndlessAnswer, EndlessUpstream, growing_events
 from tests.builders.jobs_calls import read_page, submit, wanted_text
 from tests.builders.node import Answer, NodeFleet, running_fleet
@@ -21,6 +36,9 @@
 _MAX_ATTEMPTS = 2
 _ITEMS = ("a", "b", "c", "d", "e", "f")
 _VALUE_BYTES = 131072
+# A probe has a second.
+_MAX_PROBE_S = 1.5
+_STORE_TIMEOUT_MS = 400
 
 
 class EndlessAnswersTest(unittest.TestCase):
@@ -72,14 +90,18 @@
                                 nursery.start_soon(self.call, fleet, number, answers)
                                 await trio.sleep(0.02)
 
-                endless = self.play(answer, test, 3)
-                statuses = Counter(item.status for item in answers.values())
-                self.assertGreater(statuses[200], 0.9 * len(answers))
-                for request_id, item in answers.items():
-                    if item.status != 200:
-                        # Where the others are full both attempts of a call may go there.
-                        self.assertEqual((request_id, item.status), (request_id, 502))
-                        self.assertEqual(endless.requests[request_id], _MAX_ATTEMPTS)
+                endless = self.play(answer, test, 6)
+                failed = {
+                    request_id: item
+                    for request_id, item in answers.items()
+                    if item.status != 200 or not item.complete
+                }
+                self.assertLess(len(failed), 0.1 * len(answers))
+                for request_id, item in failed.items():
+                    # Where the others are full both attempts of a call may go there.  One that has
+                    # got the first event is cut off.
+                    self.assertIn((request_id, item.status), ((request_id, 502), (request_id, 200)))
+                    self.assertEqual(endless.requests[request_id], _MAX_ATTEMPTS)
                 self.assertLess(max(endless.open_s), _MAX_CALL_S)
 
     # Runs went on for as long as the bytes came, and the memory of the node grew.
@@ -108,10 +130,81 @@
             if answer is ANSWERS["failure"] and item["state"] == "dead_letter":
                 # Three answers of 500 end an item.
                 continue
-            self.assertEqual(item["text"], wanted_text(item["id"]))
+            events = wanted_text(item["id"]).split("\n")
+            if answer is ANSWERS["the same event"]:
+                # Its event is a sound one, after which the item may have been resumed elsewhere.
+                events[0] = item["text"].split("\n")[0]
+            self.assertEqual(item["text"], "\n".join(events))
         self.assertTrue(open_s, "no run went there")
         self.assertLess(max(open_s), _MAX_RUN_S)
 
 
+class EndlessProbesTest(unittest.TestCase):
+    def ask(
+        self, answer: EndlessAnswer, ask: Callable[[HttpClient, Address], Awaitable[object]]
+    ) -> tuple[object, float]:
+        """Return what ``ask`` gets from a server that answers ``answer``, and its time in s."""
+        found: list[tuple[object, float]] = []
+
+        async def run() -> None:
+            async with trio.open_nursery() as nursery, open_http_client() as http:
+                # As fast as it can, to meet limits of bytes before those of time.
+                server = EndlessUpstream("endless", answer, write_interval_s=0.0)
+                address = await server.listen(nursery)
+                began_s = trio.current_time()
+                with trio.fail_after(20):
+                    result = await ask(http, address)
+                found.append((result, trio.current_time() - began_s))
+                nursery.cancel_scope.cancel()
+
+        run_async(run)
+        return found[0]
+
+    # A health page that never ended held its probe, or ended the node beyond 16 MB.
+    def test_a_health_page_without_end_is_a_failed_probe(self) -> None:
+        async def probe(http: HttpClient, address: Address) -> AttemptOutcome:
+            upstream = UpstreamRecord(
+                "u", "r", "d", address.host, address.port, UpstreamKind.ENGINE, "s"
+            )
+            configuration = cast(NodeConfiguration, SimpleNamespace(routes=RouteTable([])))
+            return await health_probe(http, configuration)(upstream, Configuration())
+
+        for name, answer in ANSWERS.items():
+            with self.subTest(answer=name):
+                outcome, took_s = self.ask(answer, probe)
+                self.assertIsNot(outcome, AttemptOutcome.COMPLETED)
+                self.assertLess(took_s, _MAX_PROBE_S)
+
+    # Both were read until the deadline of the request.
+    def test_what_precedes_an_answer_is_bounded_without_a_deadline(self) -> None:
+        async def request(http: HttpClient, address: Address) -> str:
+            def is_answer(fields: Headers) -> bool:
+                return dict(fields).get("x-request-id") == "own"
+
+            try:
+                async with http.request(address, "POST", "/", is_answer=is_answer):
+                    return "answered"
+            except ResponseLostError as error:
+                return str(error)
+
+        for name, reason in (
+            ("informational answers", "informational"),
+            ("another answer", "too much"),
+        ):
+            with self.subTest(answer=name):
+                self.assertIn(reason, self.ask(ANSWERS[name], request)[0])
+
+    # The list of upstreams is read from the store.
+    def test_a_list_without_end_is_unavailable(self) -> None:
+        async def read(http: HttpClient, address: Address) -> Result[KvPage, Fault]:
+            return await MetadataStore(http, address, _STORE_TIMEOUT_MS).get_range("servers/")
+
+        for name, answer in ANSWERS.items():
+            with self.subTest(answer=name):
+                page, took_s = self.ask(answer, read)
+                self.assertIs(page.err_value.code, ResultCode.KV_UNAVAILABLE)
+                self.assertLess(took_s, _STORE_TIMEOUT_MS / 1000 + 0.5)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_node_owed_items.py
+++ b/tests/test_node_owed_items.py
@@ -3,14 +3,18 @@
 import unittest
 from collections.abc import Awaitable, Callable
 
+import eliot
 import trio
 
+from fescuedock.address import Address
 from fescuedock.core.quarantine import QuarantinePolicy
+from fescuedock.core.work_identity import work_identity
 from fescuedock.net.http_server import Request, Responder
 from fescuedock.platform.standin.event_upstream import EventUpstream
 from tests.builders.jobs_calls import item_entry, read_page, submission_of
-from tests.builders.node import NodeFleet, running_fleet
+from tests.builders.node import HOST, NodeFleet, running_fleet
 from tests.builders.online import wait_until
+from tests.builders.ports import free_ports
 from tests.builders.standins import run_async
 
 _JOB = "owed-items"
@@ -141,6 +145,38 @@
 
         self.run_fleet(4, test)
 
+    def test_an_item_is_listed_though_its_owner_is_killed_after_the_crashes(self) -> None:
+        async def test(fleet: NodeFleet) -> None:
+            await submit_items(fleet, "unlucky")
+            await self.wait_crashes(fleet, 3)
+            fleet.nodes[0].kill()
+            states = await listed_states(fleet, 1, _LISTED_WITHIN_S)
+            self.assertEqual(states, {"unlucky": "completed"})
+
+        self.run_fleet(4, test)
+
+    def test_an_item_that_waits_is_logged_and_counted(self) -> None:
+        lines: list[dict] = []
+        [port] = free_ports(1, "127.0.0.1")
+
+        async def test(fleet: NodeFleet) -> None:
+            await submit_items(fleet, "unlucky")
+            await self.wait_crashes(fleet, 4)
+            await trio.sleep(1.0)
+            answer = await fleet.call(Address("127.0.0.1", port), "GET", "/metrics")
+            self.assertIn(b"fescuedock_restricted_items 1.0", answer.body)
+
+        eliot.add_destinations(lines.append)
+        self.addCleanup(eliot.remove_destination, lines.append)
+        self.run_fleet(1000, test, nodes=1, metrics_port=port)
+        waits = [line for line in lines if line["message_type"] == "item_restricted"]
+        self.assertEqual({line["item_id"] for line in waits}, {"unlucky"})
+        work_id = work_identity("POST", HOST, _PATH, "", b"unlucky")
+        self.assertEqual({line["trait"] for line in waits}, {work_id})
+        refused = [line for line in waits if line["restriction"] == "REFUSED"]
+        self.assertTrue(refused)
+        self.assertTrue(all(0 < line["retry_after_ms"] <= 5000 for line in refused))
+
     # A job must not lose an item to a part of its prompt that is held to be harmful either.
     def test_an_item_with_a_refused_part_is_listed(self) -> None:
         async def test(fleet: NodeFleet) -> None:
