Send calls faster until one reaches the upstream without end

test_calls_are_answered_by_other_upstreams waits until a call has gone to the upstream whose answer never ends. On a quiet machine none went there: calls at 50 a second overlap too little, and nodes prefer upstreams that have answered.

The pause between calls is now halved after each round in which none went there. All checks are as before.

--- a/tests/test_node_endless_answers.py
+++ b/tests/test_node_endless_answers.py
@@ -82,13 +82,16 @@
                 async def test(
                     fleet: NodeFleet, endless: EndlessUpstream, answers: dict = answers
                 ) -> None:
-                    # Which upstreams calls go to is left to chance.
+                    # Nodes prefer upstreams that have answered, unless these have more to do: calls
+                    # come faster until one is sent to the other upstream.
+                    pause_s = 0.02
                     while not endless.open_s:
                         async with trio.open_nursery() as nursery:
                             for _ in range(_CALLS):
                                 number = next(self.numbers)
                                 nursery.start_soon(self.call, fleet, number, answers)
-                                await trio.sleep(0.02)
+                                await trio.sleep(pause_s)
+                        pause_s /= 2
 
                 endless = self.play(answer, test, 6)
                 failed = {
