Run items of jobs with files again after crashes, until the deadline of their job

What users saw: an item during whose runs three workers had died got an error line (ITEM_ISOLATED) and was never run again, though the workers had died by chance. The same where crashes of other work had its content refused. Items handed in for later are owed.

Cause: the suspicion of an item ended it at 3, and the dispatcher ended it when the shared verdict refused its work; the verdict was the one for calls, refused for 10 minutes and more, where batch items have pauses of seconds.

Fix: the dispatcher asks for the verdict on owed work and waits for its pauses; an item that is suspected runs in isolation after doubled pauses (max_retry_backoff_ms at most), and only a death after the deadline of its job ends it, so each job ends. item_restricted names such an item. The doubling is bounded, as 2.0**1024 is no float.

Tests, failed before: test_batch_job, 3, 5 and 1,100 deaths (one error line each); test_session_harmful, an item whose engines crash four times (never listed as completed). Two tests demanded the error line after three deaths, which contradicts that the item is owed. They now demand pauses between crashes, that all other items complete, that the item ends no sooner than the deadline, and still that a call with its content crashes nothing more. The stand-in engine can be told to ignore its crash marker.

--- a/src/fescuedock/batch/attempts.py
+++ b/src/fescuedock/batch/attempts.py
@@ -44,7 +44,6 @@
     EndKind.REVOKED: AttemptOutcome.REVOKED,
     EndKind.STOPPED: AttemptOutcome.CANCELLED,
     EndKind.WITHDRAWN: AttemptOutcome.CANCELLED,
-    EndKind.HARMFUL: AttemptOutcome.CANCELLED,
 }
 
 
--- a/src/fescuedock/batch/dispatch.py
+++ b/src/fescuedock/batch/dispatch.py
@@ -25,6 +25,7 @@
 from fescuedock.core.rendezvous import choose_name
 from fescuedock.core.work_identity import message_parts, work_identity
 from fescuedock.faults import Fault
+from fescuedock.log import log_event
 from fescuedock.net.http_client import SendCheck
 from fescuedock.schema.config import MemberSpec, ServiceKind, ServiceSpec
 from fescuedock.schema.permits import AttemptOutcome, EndedPermit, PermitAsk, WorkClass
@@ -145,12 +146,13 @@
         task = self._find_task(assignment.run.job_id)
         task.wake()
         work = _identify_work(assignment.run, assignment.item, upstream.service)
-        restriction = self._context.view.verdict_on(work.work_id, work.parts).restriction
+        view = self._context.view
+        restriction = view.verdict_on(work.work_id, work.parts, owed=True).restriction
         if restriction is Restriction.FREE and assignment.isolation is not Isolation.FULL:
             grant.assign_work(work.work_id, work.parts)
             self._start_attempt(task, assignment, upstream, grant)
             return
-        # The item needs an upstream where no VM runs anything else, or is refused.
+        # The item needs an upstream where no VM runs anything else.
         self._context.permits.return_unused(grant)
         scope = trio.CancelScope()
         task.attempts.add(scope)
@@ -186,24 +188,19 @@
                 self._context.permits.return_unused(granted[1])
             self._record_end(task, assignment, AttemptEnd(EndKind.STOPPED), 0.0)
             return
-        if granted is None:
-            message = b"upstreams ended each time while they ran this item"
-            self._record_end(task, assignment, AttemptEnd(EndKind.HARMFUL, body=message), 0.0)
-            return
         upstream, grant = granted
         assignment.item.upstream_id = upstream.upstream_id
         self._start_attempt(task, assignment, upstream, grant)
 
     async def _acquire_isolated(
         self, assignment: Assignment, work: "_WorkIdentity"
-    ) -> tuple[UpstreamRecord, Grant] | None:
-        """Return an upstream and a permit for an isolated run there; None if work is refused."""
+    ) -> tuple[UpstreamRecord, Grant]:
+        """Return an upstream and a permit for an isolated run there."""
         context = self._context
+        self._log_restricted(assignment, work)
         while True:
-            verdict = context.view.verdict_on(work.work_id, work.parts)
-            if verdict.restriction is Restriction.REFUSED:
-                return None
-            if verdict.restriction is Restriction.UNSETTLED:
+            verdict = context.view.verdict_on(work.work_id, work.parts, owed=True)
+            if verdict.restriction in (Restriction.UNSETTLED, Restriction.REFUSED):
                 await trio.sleep(verdict.retry_after_ms / 1000)
                 continue
             names = [
@@ -224,6 +221,19 @@
             pause_ms = max(result.err_value.retry_after_ms, _REFUSED_PAUSE_MS)
             await trio.sleep(pause_ms * context.random.uniform(0.5, 1.5) / 1000)
 
+    def _log_restricted(self, assignment: Assignment, work: "_WorkIdentity") -> None:
+        verdict = self._context.view.verdict_on(work.work_id, work.parts, owed=True)
+        log_event(
+            "item_restricted",
+            job_id=assignment.run.job_id,
+            item_number=assignment.item.number,
+            deaths=assignment.item.deaths,
+            trait=verdict.trait,
+            restriction=verdict.restriction.name,
+            crashes=verdict.crashes,
+            retry_after_ms=round(verdict.retry_after_ms),
+        )
+
     def _isolated_request(self, upstream: UpstreamRecord, run: JobRun, work_id: str) -> PermitAsk:
         return PermitAsk(
             upstream_id=upstream.upstream_id,
--- a/src/fescuedock/core/batch/items.py
+++ b/src/fescuedock/core/batch/items.py
@@ -4,7 +4,8 @@
 and avoids the upstream where it failed.  An item that was in flight when a worker died may be the
 cause; it is less likely to be if it was receiving tokens, as harmful items mostly kill a worker at
 their start.  Depending on its suspicion an item runs like any other, as the only suspect of an
-upstream, or in isolation; at the maximum it fails permanently.
+upstream, or in isolation.  Workers may also have died by chance, so it is run again until the
+deadline of its job; after that it fails permanently once its suspicion is high enough.
 
 Memory is bounded by the loaded input segment, and by the number and bytes of the items in flight or
 waiting.
@@ -27,9 +28,10 @@
 _DEATH_SUSPICION_WITH_TOKENS = 0.5
 _MIN_SUSPECT_SUSPICION = 1.0
 _MIN_ISOLATED_SUSPICION = 2.0
-# An item fails permanently at this suspicion.  Not the number of attempts, as each death costs a
-# worker and everything running on it.
-_MAX_SUSPICION = 3.0
+# From this suspicion on, an item of a job past its deadline fails permanently.
+_MIN_FAILED_SUSPICION = 3.0
+# Keeps the backoff in the range of a float, whatever the number of deaths.
+_MAX_BACKOFF_DOUBLINGS = 60
 
 
 class EndKind(StrEnum):
@@ -45,8 +47,6 @@
     STOPPED = auto()
     # Not sent, as the conditions under which it was chosen no longer held.
     WITHDRAWN = auto()
-    # Not sent, as upstreams crashed each time they ran the same work.
-    HARMFUL = auto()
 
 
 class AttemptEnd(msgspec.Struct, frozen=True):
@@ -77,7 +77,7 @@
 
 # Ends that count against neither the item nor the upstream, and ends of attempts that never ran.
 _NO_FAULT = (EndKind.REVOKED, EndKind.STOPPED, EndKind.WITHDRAWN)
-_NOT_RUN = (EndKind.NOT_SENT, EndKind.BUSY, EndKind.WITHDRAWN, EndKind.HARMFUL)
+_NOT_RUN = (EndKind.NOT_SENT, EndKind.BUSY, EndKind.WITHDRAWN)
 _STRICTNESS = (Isolation.NONE, Isolation.FROM_SUSPECTS, Isolation.FULL)
 
 
@@ -115,10 +115,14 @@
 
 
 class ItemQueue:
-    """Hands out the items of a job without a result; ``ended`` is shared with the job."""
+    """Hands out the items of a job without a result; ``ended`` is shared with the job.
+
+    ``deadline_ms``, the job's deadline, is on the clock of ``now_ms``.
+    """
 
     __slots__ = (
         "_cursor",
+        "_deadline_ms",
         "_ended",
         "_held_bytes",
         "_in_flight",
@@ -131,9 +135,15 @@
     )
 
     def __init__(
-        self, ended: ItemSet, non_idempotent: bool, settings: BatchSettings, random_: random.Random
+        self,
+        ended: ItemSet,
+        non_idempotent: bool,
+        settings: BatchSettings,
+        random_: random.Random,
+        deadline_ms: float,
     ) -> None:
         self._ended = ended
+        self._deadline_ms = deadline_ms
         self.non_idempotent = non_idempotent
         self._settings = settings
         self._random = random_
@@ -238,8 +248,6 @@
         return item
 
     def _evaluate_failure(self, item: Item, end: AttemptEnd, now_ms: float) -> ItemFailure | None:
-        if end.kind is EndKind.HARMFUL:
-            return ItemFailure(item.number, ResultCode.ITEM_ISOLATED, _text(end), item.line)
         progressed = end.tokens > item.tokens
         item.text, item.tokens = end.text, end.tokens
         item.software_version = end.software_version
@@ -254,7 +262,8 @@
         # The generated text may itself make the next attempt fail.
         if end.kind is EndKind.SERVER_ERROR or item.suspicion >= _MIN_SUSPECT_SUSPICION:
             item.text, item.tokens = "", 0
-        if item.suspicion >= min(self._settings.item_attempts, _MAX_SUSPICION):
+        late = now_ms >= self._deadline_ms
+        if late and item.suspicion >= min(self._settings.item_attempts, _MIN_FAILED_SUSPICION):
             message = f"{item.deaths} workers died while they ran the item"
             return ItemFailure(item.number, ResultCode.ITEM_ISOLATED, message, item.line)
         if item.failures >= self._settings.item_attempts:
@@ -275,8 +284,8 @@
         heapq.heappush(self._waiting, (ready_at_ms, item.number, item))
 
     def _backoff_ms(self, item: Item) -> float:
-        doublings = item.failures + item.deaths - 1
-        delay_ms = self._settings.retry_backoff_ms * 2.0 ** max(doublings, 0)
+        doublings = min(max(item.failures + item.deaths - 1, 0), _MAX_BACKOFF_DOUBLINGS)
+        delay_ms = self._settings.retry_backoff_ms * 2.0**doublings
         capped_ms = min(delay_ms, self._settings.max_retry_backoff_ms)
         return capped_ms * self._random.uniform(0.5, 1.5)
 
--- a/src/fescuedock/core/batch/work.py
+++ b/src/fescuedock/core/batch/work.py
@@ -57,7 +57,7 @@
         self._input = InputReader(record.input)
         self._log = ResultLog(settings.buffer_bytes)
         self._forecast_due_ms = 0.0
-        self.items = ItemQueue(self._ended, record.non_idempotent, settings, random_)
+        self.items = ItemQueue(self._ended, record.non_idempotent, settings, random_, deadline_ms)
         self.recovery = LogRecovery(needed=record.epoch > 1)
         self.results = GroupBuilder(settings)
         self.deadline_watch = DeadlineWatch(deadline_ms, now_ms)
--- a/src/fescuedock/standin/engine.py
+++ b/src/fescuedock/standin/engine.py
@@ -45,12 +45,13 @@
 
     Each status code in ``fail_with`` is the response to one request, and each number in
     ``cut_after`` cuts one stream after that many tokens.  ``restart_ms`` is how long the engine
-    stays down after ``[[kills]]``.
+    stays down after ``[[kills]]``, which has no effect without ``obeys_crash_marker``.
     """
 
     fail_with: deque[int] = field(default_factory=deque)
     cut_after: deque[int] = field(default_factory=deque)
     restart_ms: float = 1000.0
+    obeys_crash_marker: bool = True
 
 
 class EngineService:
@@ -166,7 +167,7 @@
 
     async def _inject_fault(self, parsed: GenerateRequest, responder: Responder) -> bool:
         """Inject the fault that the prompt or a command requests; return whether it responded."""
-        if CRASH_MARKER in parsed.prompt:
+        if CRASH_MARKER in parsed.prompt and self.faults.obeys_crash_marker:
             self._background.start_soon(self._crash_and_restart)
             await trio.sleep_forever()
         if SERVER_ERROR_MARKER in parsed.prompt:
