Request isolated runs at the first choice of all nodes though its owner was silent

Cause: all nodes rank upstreams equally, so that suspected work occupies only one; but a node passed over the upstreams of an owner that had not answered another request in time within the last second, and ran the work elsewhere beside the others. By a trace each node's verdict was ALONE with all crashes known, both permits came from owners, and one node had its first choice marked as silent.

Fix: the first choice is requested all the same, and may queue the request for 150 ms; if its owner is still silent, the next choice follows.

--- a/src/fescuedock/core/routing.py
+++ b/src/fescuedock/core/routing.py
@@ -9,11 +9,11 @@
 """
 
 import random
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 
 import msgspec
 
-from fescuedock.core.rendezvous import rank_names
+from fescuedock.core.rendezvous import choose_name, rank_names
 from fescuedock.schema.permits import LoadSnapshot
 
 __all__ = [
@@ -28,6 +28,7 @@
     "choose_upstreams",
     "free_slots",
     "needs_batch_eviction",
+    "plan_isolated_requests",
     "plan_requests",
     "prefix_upstream",
 ]
@@ -69,7 +70,8 @@
 
     A load snapshot older than ``stale_ms`` is ignored.  An upstream is preferred for its prefixes
     while its work in flight is within ``load_bound`` times the mean.  An owner that did not answer
-    is skipped for ``silent_ms``.
+    is skipped for ``silent_ms``; one whose upstream is the first choice for isolated runs is asked
+    again, and may queue the request for ``silent_queue_ms``.
 
     Where no slot is free a request waits in the queues of ``max_queues`` owners at once and starts
     at the first one with a free slot; each owner queues it for at most ``queue_ms`` before the
@@ -86,6 +88,7 @@
     stale_ms: float = 1000.0
     load_bound: float = 1.5
     silent_ms: float = 1000.0
+    silent_queue_ms: float = 150.0
     random_spread: float = 0.05
     queue_ms: float = 1000.0
     max_queues: int = 3
@@ -244,6 +247,39 @@
     return requests
 
 
+def plan_isolated_requests(
+    choices: Sequence[Choice],
+    service: str,
+    avoid: Collection[str],
+    wait_ms: float,
+    policy: RoutingPolicy,
+) -> list[PlannedRequest]:
+    """Return the requests for an isolated run to make, in order, until an owner answers.
+
+    All nodes rank the upstreams of a service equally, so that suspected work occupies only one.
+    Therefore the first one is requested even if its owner did not answer another request lately: it
+    may just have been slow, and the other nodes use that upstream.  Upstreams in ``avoid`` are used
+    only if there is no other.
+    """
+    accepting = {item.upstream_id: item for item in choices if item.accepting}
+    answering = [name for name, item in accepting.items() if not item.owner_silent]
+    requests: list[PlannedRequest] = []
+    first = _first_not_avoided(service, accepting, avoid)
+    if first and accepting[first].owner_silent:
+        requests.append(PlannedRequest(first, min(wait_ms, policy.silent_queue_ms)))
+        wait_ms -= requests[0].wait_ms
+    first = _first_not_avoided(service, answering, avoid)
+    if first and wait_ms > 0:
+        requests.append(PlannedRequest(first, wait_ms))
+    return requests
+
+
+def _first_not_avoided(service: str, names: Collection[str], avoid: Collection[str]) -> str:
+    """Return the first choice of all nodes for a service, or "" when there are no ``names``."""
+    preferred = [name for name in names if name not in avoid]
+    return choose_name(service, preferred or names) or ""
+
+
 def _is_accepting(item: Candidate) -> bool:
     return item.load is None or item.load.accepting
 
--- a/src/fescuedock/entry/online_permits.py
+++ b/src/fescuedock/entry/online_permits.py
@@ -15,7 +15,6 @@
 from fescuedock.core.admission import Admission
 from fescuedock.core.placement import should_move
 from fescuedock.core.quarantine import Restriction, Verdict
-from fescuedock.core.rendezvous import rank_names
 from fescuedock.core.route_learning import DomainLatency, PrefillModel, RequestTimeout, SilentOwners
 from fescuedock.core.routing import (
     Candidate,
@@ -24,6 +23,7 @@
     PlannedRequest,
     RoutingPolicy,
     choose_upstreams,
+    plan_isolated_requests,
     plan_requests,
 )
 from fescuedock.core.work_identity import is_part
@@ -182,18 +182,19 @@
     if avoid and await _wait_for_verdict_change(state, call):
         return _SearchResult(Err(_VERDICT_CHANGED), retry=True)
     choices = _choose(state, call, avoid)
-    usable = [item.upstream_id for item in choices if item.accepting and not item.owner_silent]
-    fresh = [name for name in usable if name not in avoid]
     run_ms = state.admission.times(call.service).run_ms(call.max_tokens, now_ms())
     wait_ms = _slack_ms(call, run_ms)
-    if not usable or wait_ms <= 0:
-        why = "no upstream is free for an isolated run" if usable else "no upstream is available"
+    requests = plan_isolated_requests(choices, call.service, avoid, wait_ms, state.routing)
+    if not requests or wait_ms <= 0:
+        why = "no upstream is free for an isolated run" if requests else "no upstream is available"
         return _SearchResult(Err(Fault(ResultCode.NO_CAPACITY, why, _RETRY_AFTER_MS)))
-    request = PlannedRequest(rank_names(call.service, fresh or usable)[0], wait_ms)
     started_ms = now_ms()
-    granted = await _request_until_verdict_change(state, call, request, run_ms)
-    if granted is None:
-        return _SearchResult(Err(_VERDICT_CHANGED), retry=True)
+    for request in requests:
+        granted = await _request_until_verdict_change(state, call, request, run_ms)
+        if granted is None:
+            return _SearchResult(Err(_VERDICT_CHANGED), retry=True)
+        if isinstance(granted, Ok) or granted.err_value.code not in _NO_REPLY_CODES:
+            break
     timed_out = now_ms() - started_ms >= wait_ms
     if isinstance(granted, Err) and not timed_out:
         # Its owner is silent or keeps work away from it; the next choice takes that into account.
--- a/tests/test_permit_search.py
+++ b/tests/test_permit_search.py
@@ -1,6 +1,7 @@
 """The search for a permit: which calls are refused by prediction, and which request one anyway."""
 
 import random
+import time
 import unittest
 from collections.abc import Collection
 from dataclasses import dataclass, field
@@ -12,10 +13,18 @@
 from fescuedock.agent.permit_client import TimedLoad
 from fescuedock.clock import now_ms
 from fescuedock.core.admission import Admission
+from fescuedock.core.rendezvous import rank_names
 from fescuedock.core.route_learning import DomainLatency, PrefillModel, RequestTimeout, SilentOwners
-from fescuedock.core.routing import Demand, RoutingPolicy
+from fescuedock.core.routing import (
+    Choice,
+    Demand,
+    PlannedRequest,
+    RoutingPolicy,
+    plan_isolated_requests,
+)
 from fescuedock.entry.online_permits import find_permit
 from fescuedock.faults import Fault
+from fescuedock.schema.crashes import CrashedRun, CrashReport
 from fescuedock.schema.permits import LoadSnapshot, PermitAsk
 from fescuedock.schema.result_codes import ResultCode
 from fescuedock.schema.view import Program, UpstreamKind, UpstreamRecord, VmRecord, VmState
@@ -161,6 +170,95 @@
         self.assertTrue(silent)
 
 
+class IsolatedRunTest(unittest.TestCase):
+    """Guards against isolated runs of the same work at two upstreams.
+
+    A node whose request an owner had answered late passed over that owner's upstreams for a second,
+    and ran suspected work at another upstream than the other nodes did.
+    """
+
+    def plan(self, silent: Collection[str], avoid: Collection[str] = (), wait_ms: float = 900.0):
+        choices = [Choice(name, 1.0, owner_silent=name in silent) for name in self.ranked]
+        return plan_isolated_requests(choices, "desk", avoid, wait_ms, RoutingPolicy())
+
+    def setUp(self) -> None:
+        self.ranked = rank_names("desk", [f"u-{number}" for number in range(5)])
+
+    def test_the_first_choice_is_requested_though_its_owner_was_silent(self) -> None:
+        first, second, *_ = self.ranked
+        queue_ms = RoutingPolicy().silent_queue_ms
+        self.assertEqual(self.plan(()), [PlannedRequest(first, 900.0)])
+        self.assertEqual(self.plan((second,)), [PlannedRequest(first, 900.0)])
+        wanted = [PlannedRequest(first, queue_ms), PlannedRequest(second, 900.0 - queue_ms)]
+        self.assertEqual(self.plan((first,)), wanted)
+        self.assertEqual(self.plan(self.ranked), wanted[:1])
+        self.assertEqual(self.plan((first,), wait_ms=100.0), [PlannedRequest(first, 100.0)])
+
+    def test_upstreams_that_failed_the_call_are_requested_last(self) -> None:
+        first, second, third, *others = self.ranked
+        queue_ms = RoutingPolicy().silent_queue_ms
+        self.assertEqual(self.plan((), avoid=(first,)), [PlannedRequest(second, 900.0)])
+        self.assertEqual(self.plan((), avoid=self.ranked), [PlannedRequest(first, 900.0)])
+        wanted = [PlannedRequest(second, queue_ms), PlannedRequest(third, 900.0 - queue_ms)]
+        self.assertEqual(self.plan((second,), avoid=(first,)), wanted)
+        wanted = [PlannedRequest(second, queue_ms), PlannedRequest(first, 900.0 - queue_ms)]
+        self.assertEqual(self.plan((second, third, *others), avoid=(first,)), wanted)
+
+    def test_an_owner_that_answers_again_grants_the_run(self) -> None:
+        result, requested = self.search(refusals=0)
+        self.assertTrue(result.is_ok())
+        self.assertEqual(requested, self.ranked[:1])
+
+    def test_an_owner_that_is_still_silent_is_passed_over(self) -> None:
+        result, requested = self.search(refusals=1)
+        self.assertTrue(result.is_ok())
+        self.assertEqual(requested, self.ranked[:2])
+
+    def search(self, refusals: int) -> tuple[object, list[str]]:
+        """Search for suspected work after the owner of the first choice has been silent.
+
+        Return the result and the upstreams requested.
+        """
+        found = []
+
+        async def run() -> None:
+            state = StubSearch()
+            [record] = state.view.upstreams.values()
+            owners = [
+                VmRecord(
+                    vm_id=f"node-{name}",
+                    region="r",
+                    failure_domain=f"d-{name}",
+                    host="127.0.0.1",
+                    incarnation=1,
+                    state=VmState.ALIVE,
+                    agent_port=1,
+                    ready=[Program.AGENT],
+                )
+                for name in self.ranked
+            ]
+            records = [
+                replace(record, upstream_id=name, failure_domain=f"d-{name}")
+                for name in self.ranked
+            ]
+            state.view.replace(2, owners, records, 0.0)
+            for number in range(2):
+                at_ms = time.time() * 1000
+                run = CrashedRun("work")
+                state.view.quarantine.record_crash(
+                    CrashReport(f"report-{number}", f"gone-{number}", at_ms, [run])
+                )
+            state.silent_owners.record_silence(f"node-{self.ranked[0]}", now_ms())
+            state.permits = MovedPermits(ResultCode.PEER_UNKNOWN, refusals)
+            result = await find_permit(state, StubCall(target_ms=500, work_id="work"))
+            requested = [request.upstream_id for request in state.permits.requested]
+            self.assertTrue(all(request.alone for request in state.permits.requested))
+            found.append((result, requested))
+
+        run_async(run)
+        return found[0]
+
+
 class OverShareTest(unittest.TestCase):
     """Full owners refuse a customer above its share, while other upstreams may have free slots."""
 
