Keep the port of a stand-in that is down from other processes

A stand-in that listened again at its address found the port taken by another process (Address already in use): one of 192 runs of a test that restarts upstreams, sixteen at a time.

--- a/src/fescuedock/standin/listener.py
+++ b/src/fescuedock/standin/listener.py
@@ -1,5 +1,6 @@
 """An HTTP server at a fixed address that can be taken down and brought up on command."""
 
+import socket
 from dataclasses import dataclass, field
 
 import trio
@@ -28,15 +29,17 @@
         """Listen on ``address`` until cancelled; report the bound ``Address``."""
         self._up.set()
         while True:
-            await self._up.wait()
-            self._scope = trio.CancelScope()
-            with self._scope:
-                async with trio.open_nursery() as nursery:
-                    server = HttpServer(self.handler, _LIMITS)
-                    bound = await nursery.start(server.serve, self.address or address)
-                    if self.address is None:
-                        self.address = bound
-                        task_status.started(bound)
+            with _reserve(self.address) as reserved:
+                await self._up.wait()
+                self._scope = trio.CancelScope()
+                with self._scope:
+                    async with trio.open_nursery() as nursery:
+                        server = HttpServer(self.handler, _LIMITS)
+                        bound = await nursery.start(server.serve, self.address or address)
+                        reserved.close()
+                        if self.address is None:
+                            self.address = bound
+                            task_status.started(bound)
 
     @property
     def is_up(self) -> bool:
@@ -51,3 +54,12 @@
     def bring_up(self) -> None:
         """Listen again."""
         self._up.set()
+
+
+def _reserve(address: Address | None) -> socket.socket:
+    """Return a socket that keeps other programs from ``address``; connections are refused."""
+    reserved = socket.socket()
+    if address is not None:
+        reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        reserved.bind((address.host, address.port))
+    return reserved
