--- a/tests/test_node_jobs_stateful.py
+++ b/tests/test_node_jobs_stateful.py
@@ -56,7 +56,7 @@
 # Number of runs, each with the steps of its seed, and how many run concurrently: more would delay
 # the nodes, since all share one thread.
 RUNS = 10
-CONCURRENT_RUNS = 5
+CONCURRENT_RUNS = 2
 STEPS = 9
 _PAUSES_S = (0.3, 0.8, 1.6, 3.1)
 
