Tell what each waiting item of a job waits for, since when, and what ends that

What operators saw: an accepted item without a result, and no line that says which part holds it. A load of a claimed job that failed, a refused permit for an isolated run and a job that waits on a disk said nothing; a job that was held back was logged for the first and last job of a node only.

The gauges held_items and longest_hold_seconds count them by what they wait for. job_not_loaded, isolated_run_not_granted and spooled_jobs_held tell the rest.

--- a/src/fescuedock/node/item_isolation.py
+++ b/src/fescuedock/node/item_isolation.py
@@ -12,8 +12,11 @@
 
 from fescuedock.agent.link import FleetView
 from fescuedock.agent.permit_client import Grant, PermitClient
+from fescuedock.clock import now_ms
 from fescuedock.core.rendezvous import choose_name
+from fescuedock.log import log_event
 from fescuedock.schema.permits import PermitAsk, WorkClass
+from fescuedock.schema.result_codes import ResultCode
 from fescuedock.schema.view import UpstreamRecord
 
 __all__ = ["IsolatedItem", "IsolatedRuns"]
@@ -24,6 +27,7 @@
 # queued as long as the longest of them takes.
 _QUEUE_WAIT_MS = 10000
 _REPLY_MARGIN_MS = 300.0
+_REFUSAL_LOG_INTERVAL_MS = 5000.0
 
 
 class IsolatedItem(msgspec.Struct, frozen=True):
@@ -50,6 +54,8 @@
         self._permits = permits
         self._next_item = next_item
         self._use_grant = use_grant
+        # Time of the last log line about a refusal.
+        self._logged_ms = float("-inf")
 
     async def run(self) -> None:
         """Poll for items that need isolation until cancelled."""
@@ -82,11 +88,24 @@
             alone=True,
             priority=item.priority,
         )
+        began_ms = now_ms()
         granted = await self._permits.request(request, _QUEUE_WAIT_MS + _REPLY_MARGIN_MS)
         upstream = self._view.upstreams.get(upstream_id)
         if not isinstance(granted, Ok):
+            self._log_refusal(upstream_id, granted.err_value.code, now_ms() - began_ms)
             return
         if upstream is None:
             self._permits.return_unused(granted.ok_value)
             return
         self._use_grant(upstream, granted.ok_value)
+
+    def _log_refusal(self, upstream_id: str, code: ResultCode, waited_ms: float) -> None:
+        if now_ms() - self._logged_ms < _REFUSAL_LOG_INTERVAL_MS:
+            return
+        self._logged_ms = now_ms()
+        log_event(
+            "isolated_run_not_granted",
+            upstream_id=upstream_id,
+            code=code.name,
+            waited_ms=round(waited_ms),
+        )
--- a/src/fescuedock/node/job_runner.py
+++ b/src/fescuedock/node/job_runner.py
@@ -15,6 +15,7 @@
 from fescuedock.clock import UnixClock, now_ms
 from fescuedock.core.forwarding.route_table import Route
 from fescuedock.core.quarantine import Restriction
+from fescuedock.core.rendezvous import choose_name
 from fescuedock.core.send_gate import SendRefusal
 from fescuedock.core.stored_jobs.cache import JobCache
 from fescuedock.core.stored_jobs.job import ItemEnd, ItemRun, StoredJob
@@ -46,6 +47,7 @@
 from fescuedock.schema.view import Program, UpstreamRecord
 
 if TYPE_CHECKING:
+    from fescuedock.core.stored_jobs.holds import HeldItem, HeldItems
     from fescuedock.core.stored_jobs.restricted import RestrictedItems
 
 __all__ = ["JobRunner"]
@@ -55,6 +57,8 @@
 # The same while this node runs no job.
 _NO_JOBS_POLL_S = 2.0
 _RECONCILE_INTERVAL_S = 0.5
+# Interval at which it is determined what items wait for.
+_HELD_INTERVAL_MS = 1000.0
 # A route missing from the configuration for this long counts as removed, and the remaining items
 # of its jobs are abandoned.
 _ROUTE_REMOVED_AFTER_MS = 2500.0
@@ -86,6 +90,9 @@
     # Set when this node must stop running the job; its current runs are cancelled.
     released: trio.Event = msgspec.field(default_factory=trio.Event)
     changed: trio.Event = msgspec.field(default_factory=trio.Event)
+    started_ms: float = msgspec.field(default_factory=now_ms)
+    # When results were first seen to wait since the last commit.
+    uncommitted_ms: float | None = None
     route_seen_ms: float = msgspec.field(default_factory=now_ms)
     saved_ms: float = msgspec.field(default_factory=now_ms)
 
@@ -97,6 +104,11 @@
         self.changed.set()
         self.changed = trio.Event()
 
+    def results_since_ms(self) -> float:
+        """Return since when results have waited to be committed."""
+        self.uncommitted_ms = now_ms() if self.uncommitted_ms is None else self.uncommitted_ms
+        return self.uncommitted_ms
+
 
 class JobRunner:
     """Runs jobs from their acceptance or claim until their last commit."""
@@ -158,6 +170,11 @@
         )
         # None before the first upstream crash.
         self._restricted_items: RestrictedItems | None = None
+        # None before the first job.
+        self._held_items: HeldItems | None = None
+        self._held_checked_ms = float("-inf")
+        # Since when open jobs have not run at any node, as far as this node knows.
+        self._unowned_since_ms: dict[str, float] = {}
         # Whether any job waits until its record is confirmed again.
         self._any_unconfirmed = False
         self._nursery: trio.Nursery | None = None
@@ -212,11 +229,16 @@
         self._missing_owners.record_present(present, now_ms())
         for job in list(self._jobs.values()):
             self._drop_if_refused(job)
-        for key, entry in list(self._table.entries.items()):
-            if key.startswith(self._store.keys.records):
-                self._claim_if_due(decode_record(entry), available_nodes, present)
+        found = [
+            decode_record(entry)
+            for key, entry in self._table.entries.items()
+            if key.startswith(self._store.keys.records)
+        ]
+        for stored in found:
+            self._claim_if_due(stored, available_nodes, present)
         self._log_unconfirmed()
         self._log_restricted()
+        self._log_held([stored.record for stored in found], present)
         store_unreachable = self._replicas.kv_availability.is_unavailable(now_ms())
         if available_nodes and not store_unreachable and not self._runs_jobs and not self.leaving:
             self._transfer_all()
@@ -302,6 +324,101 @@
                 retry_after_ms=round(item.verdict.retry_after_ms),
             )
 
+    @property
+    def held_counts(self) -> dict[str, int]:
+        """Number of items without a listed result, by what they wait for."""
+        held = self._held_items
+        return {} if held is None else {hold.name: count for hold, count in held.counts.items()}
+
+    @property
+    def longest_holds_ms(self) -> dict[str, float]:
+        """Longest time since an item last ran, by what it waits for now."""
+        held = self._held_items
+        return {} if held is None else {hold.name: ms for hold, ms in held.longest_ms.items()}
+
+    def _log_held(self, records: list[StoredJobRecord], present: set[str]) -> None:
+        """Log which items have not run for long, what they wait for and what ends that."""
+        if now_ms() - self._held_checked_ms < _HELD_INTERVAL_MS:
+            return
+        self._held_checked_ms = now_ms()
+        unowned = self._unowned_jobs(records, present)
+        if not self._jobs and not unowned and not self.held_counts:
+            return
+        # Imported with the first job, to keep it off the start-up path.
+        from fescuedock.core.stored_jobs.holds import HeldItems
+
+        self._held_items = self._held_items or HeldItems()
+        items = [*self._held_jobs(unowned), *self._held_in_owned_jobs()]
+        for group in self._held_items.update(items, now_ms()):
+            ends_in_ms = min(group.item.ends_in_ms, _MAX_LOGGED_AGE_MS)
+            log_event(
+                "items_held",
+                job_id=group.item.job_id,
+                item_id=group.item.item_id,
+                items=group.count,
+                hold=group.item.hold.name,
+                ends_with=group.item.hold.value,
+                ends_in_ms=round(ends_in_ms),
+                reason=group.item.reason,
+                held_ms=round(group.held_ms),
+                waited_ms=round(group.waited_ms),
+            )
+
+    def _held_in_owned_jobs(self) -> "Iterator[HeldItem]":
+        from fescuedock.core.stored_jobs.holds import HeldItem, Hold, hold_of
+
+        known = self._known_records()
+        services = {item.service for item in self._view.upstreams.values() if not item.leaving}
+        for job in self._jobs.values():
+            job_id, record = job.run.job_id, job.run.record
+            refusal = WorkRefusal.LEAVING if job.stopped else self._refusal(job_id, known)
+            has_upstream = any(self._serves(record, service) for service in services)
+            for run in job.run.open_items():
+                yield hold_of(
+                    job_id,
+                    run,
+                    job.started_ms,
+                    now_ms(),
+                    refusal=refusal,
+                    verdict=self._view.verdict_on(run.work_id, run.parts, owed=True),
+                    has_upstream=has_upstream,
+                )
+            if job.run.has_results:
+                count = record.total - job.run.listed_count - len(job.run.open_items())
+                yield HeldItem(job_id, "", Hold.COMMIT, job.results_since_ms(), count=count)
+
+    def _held_jobs(self, unowned: "list[StoredJobRecord]") -> "Iterator[HeldItem]":
+        from fescuedock.core.stored_jobs.holds import HeldItem, Hold
+
+        for record in unowned:
+            hold = Hold.LOAD if record.job_id in self._claiming else Hold.OWNER
+            since_ms = self._unowned_since_ms[record.job_id]
+            count = record.total - record.listed
+            reason = f"owner {record.owner_id!r}"
+            yield HeldItem(record.job_id, "", hold, since_ms, reason, count=count)
+
+    def _unowned_jobs(
+        self, records: list[StoredJobRecord], present: set[str]
+    ) -> list[StoredJobRecord]:
+        """Return the open jobs that run at no present node; one node of all reports each."""
+        own_id = self._owner.node_id
+        found = [
+            record
+            for record in records
+            if is_open(record)
+            and record.job_id not in self._jobs
+            and (record.owner_id == own_id or record.owner_id not in present)
+        ]
+        since_ms = self._unowned_since_ms
+        self._unowned_since_ms = {
+            record.job_id: since_ms.get(record.job_id, now_ms()) for record in found
+        }
+        return [
+            record
+            for record in found
+            if record.owner_id == own_id or choose_name(record.job_id, present) == own_id
+        ]
+
     async def _claim(self, found: VersionedRecord, duty: Duty) -> None:
         try:
             claimed = await (
@@ -310,7 +427,15 @@
             if claimed is None:
                 return
             loaded = await self._store.load(claimed.record)
-            if isinstance(loaded, Err) or claimed.record.job_id in self._jobs:
+            if isinstance(loaded, Err):
+                log_event(
+                    "job_not_loaded",
+                    job_id=claimed.record.job_id,
+                    code=loaded.err_value.code.name,
+                    reason=loaded.err_value.message,
+                )
+                return
+            if claimed.record.job_id in self._jobs:
                 return
             self._start(claimed, loaded.ok_value, duty.value)
         finally:
@@ -527,6 +652,7 @@
             self._drop(job, "its record was changed by another node or by its client")
             return False
         job.versioned = result.ok_value
+        job.uncommitted_ms = None
         job.run.record_commit()
         self._cache.open(record).add(group)
         self._cache.trim()
--- a/src/fescuedock/node/main.py
+++ b/src/fescuedock/node/main.py
@@ -412,6 +412,8 @@
         status.held_bytes = self.front.held.total_bytes
         status.cut_off_callers = self.front.cut_off_callers
         status.restricted_items = self._runner.restricted_count
+        status.held_items = self._runner.held_counts
+        status.longest_holds_ms = self._runner.longest_holds_ms
         if request.path == STATUS_PATH:
             await responder.send_json(200, status)
             return
--- a/src/fescuedock/report/prometheus.py
+++ b/src/fescuedock/report/prometheus.py
@@ -155,6 +155,15 @@
     traits.add_metric(("harmful",), status.harmful_traits)
     traits.add_metric(("cleared",), status.cleared_traits)
     yield traits
+    text = "Batch items without a listed result, by what they wait for."
+    held = GaugeMetricFamily("fescuedock_held_items", text, labels=("hold",))
+    text = "Longest time since such an item last ran, by what it waits for."
+    holds = GaugeMetricFamily("fescuedock_longest_hold_seconds", text, labels=("hold",))
+    for hold, count in status.held_items.items():
+        held.add_metric((hold.lower(),), count)
+        holds.add_metric((hold.lower(),), status.longest_holds_ms.get(hold, 0.0) / _MS_PER_S)
+    yield held
+    yield holds
     vms = GaugeMetricFamily("fescuedock_vms", "VMs of ours by state.", labels=("state",))
     for state, count in Counter(vm.state for vm in status.vms).items():
         vms.add_metric((state,), count)
--- a/src/fescuedock/schema/report.py
+++ b/src/fescuedock/schema/report.py
@@ -160,6 +160,16 @@
     restricted_items: Annotated[
         int, Meta(description="Items of batch jobs at this node that may run only in isolation.")
     ] = 0
+    held_items: Annotated[
+        dict[str, int],
+        Meta(
+            description="Items without a listed result in jobs of this node, or of no node, by what they wait for."
+        ),
+    ] = field(default_factory=dict)
+    longest_holds_ms: Annotated[
+        dict[str, float],
+        Meta(description="Longest time since one of them last ran, by what it waits for now."),
+    ] = field(default_factory=dict)
     held_bytes: Annotated[
         int,
         Meta(
--- a/src/fescuedock/spool/service.py
+++ b/src/fescuedock/spool/service.py
@@ -4,6 +4,7 @@
 import trio
 from result import Err, Ok, Result
 
+from fescuedock.clock import now_ms
 from fescuedock.core.stored_jobs.ownership import is_open
 from fescuedock.faults import Fault
 from fescuedock.kv import KvEntry, KvStore
@@ -33,6 +34,8 @@
 _MAX_PAUSE_MS = 400.0
 # A job's transaction takes up to 20 ms; this leaves time for two attempts of the store's client.
 _STORE_JOB_TIMEOUT_S = 1.0
+# Wait of jobs before the first line about it; each further line needs twice the wait.
+_FIRST_REPORT_MS = 5000.0
 
 
 class SpoolService:
@@ -49,6 +52,9 @@
         # Whether the disk records that the machine is being emptied, so that a restart knows it.
         self._emptying_durable = False
         self._job_written = trio.Event()
+        # Since when jobs have waited for the store, and after which wait the next line is written.
+        self._unstored_since_ms: float | None = None
+        self._next_report_ms = _FIRST_REPORT_MS
 
     def handlers(self) -> dict[type[msgspec.Struct], CallHandler]:
         """Return the handlers by message type."""
@@ -152,6 +158,7 @@
                 stored = [await self._store_job(job) for job in self._files]
                 if not all(stored):
                     await pauses.wait()
+            self._unstored_since_ms, self._next_report_ms = None, _FIRST_REPORT_MS
             self._job_written = trio.Event()
             await self._job_written.wait()
 
@@ -166,6 +173,7 @@
                 self._files.remove(job_id)
                 return True
             if isinstance(stored, Err):
+                self._log_unstored(job_id, stored.err_value.code.name)
                 return False
             # The end may have been received while the job was being stored, or another spool
             # without knowledge of the end may have stored the job first.
@@ -179,4 +187,19 @@
             )
             self._files.remove(job_id)
             return True
+        self._log_unstored(job_id, "the store did not answer in time")
         return False
+
+    def _log_unstored(self, job_id: str, reason: str) -> None:
+        """Log now and then that jobs wait on this disk, with the last reason."""
+        self._unstored_since_ms = self._unstored_since_ms or now_ms()
+        waited_ms = now_ms() - self._unstored_since_ms
+        if waited_ms >= self._next_report_ms:
+            self._next_report_ms = 2 * waited_ms
+            log_event(
+                "spooled_jobs_held",
+                job_id=job_id,
+                pending=len(self._files),
+                waited_ms=round(waited_ms),
+                reason=reason,
+            )
