--- a/tests/builders/node.py
+++ b/tests/builders/node.py
@@ -25,6 +25,7 @@
 )
 from fescuedock.settings import Settings
 from fescuedock.spool.main import run_spool
+from tests.builders.clocks import AHEAD_S
 from tests.builders.net import LOOPBACK
 from tests.builders.ports import free_ports, wait_released
 
@@ -89,6 +90,8 @@
     """One node; ``kill`` ends it at once, ``stop`` requests a graceful shutdown."""
 
     settings: Settings
+    # With ``clocks_apart``: how far its time of day is ahead.
+    clock_ahead_s: float = 0.0
     stop: Stop = field(default_factory=Stop)
     ended: trio.Event = field(default_factory=trio.Event)
     _scope: trio.CancelScope = field(default_factory=trio.CancelScope)
@@ -109,6 +112,7 @@
         self._scope.cancel()
 
     async def run(self, *, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED) -> None:
+        AHEAD_S.set(self.clock_ahead_s)
         with self._scope:
             await run_node(self.settings, self.stop, task_status=task_status)
         await wait_released(_agent_address(self.settings))
@@ -149,10 +153,14 @@
     # The same on all nodes, as seeds name hosts only; each node has its own loopback address.
     agent_port: int = field(default_factory=lambda: free_ports(1)[0])
     upstream_type: type[EventUpstream] = EventUpstream
+    # With ``clocks_apart``: how far the time of day of each node is ahead, by its number.
+    clocks_ahead_s: Sequence[float] = ()
 
     async def start_node(self, number: int, **changes: object) -> RunningNode:
         """Start a node at free ports and wait until it serves."""
-        node = RunningNode(_node_settings(number, self.agent_port, self.store.address, changes))
+        ahead_s = self.clocks_ahead_s[number] if number < len(self.clocks_ahead_s) else 0.0
+        settings = _node_settings(number, self.agent_port, self.store.address, changes)
+        node = RunningNode(settings, ahead_s)
         await self.nursery.start(node.run)
         self.nodes.append(node)
         return node
@@ -174,7 +182,7 @@
     async def restart(self, node: RunningNode) -> RunningNode:
         """Restart a node with its former settings."""
         await node.ended.wait()
-        again = RunningNode(node.settings)
+        again = RunningNode(node.settings, node.clock_ahead_s)
         await self.nursery.start(again.run)
         self.nodes[self.nodes.index(node)] = again
         return again
@@ -302,6 +310,7 @@
     upstreams: int = 2,
     versions: Sequence[str] = (),
     upstream_type: type[EventUpstream] = EventUpstream,
+    clocks_ahead_s: Sequence[float] = (),
     **changes: object,
 ) -> AsyncIterator[NodeFleet]:
     """Run a fleet while the block runs; the fleet has applied its configuration.
@@ -311,7 +320,9 @@
     store = MetadataStoreService()
     async with trio.open_nursery() as nursery:
         await nursery.start(store.run, LOOPBACK)
-        fleet = NodeFleet(store, [], nursery, upstream_type=upstream_type)
+        fleet = NodeFleet(
+            store, [], nursery, upstream_type=upstream_type, clocks_ahead_s=clocks_ahead_s
+        )
         fleet.configure(config_document())
         for number, version in enumerate(versions or [DEFAULT_VERSION] * upstreams):
             await fleet.start_upstream(f"i-{number}", version=version)
--- a/tests/builders/runner_simulation.py
+++ b/tests/builders/runner_simulation.py
@@ -463,6 +463,10 @@
             self.nodes.append(node)
             self._nursery.start_soon(node.run)
 
+    def set_clocks(self, skews_s: list[int]) -> None:
+        """Set how far ahead the clocks of nodes are that start from now on."""
+        self._skews_s = skews_s
+
     def is_running(self, node: SimulatedNode) -> bool:
         return not node.scope.cancel_called
 
