--- a/bench/part_ways.py
+++ b/bench/part_ways.py
@@ -134,7 +134,7 @@
                 )
                 for run in found
             ]
-            self._quarantine.record_crash(CrashReport(self._next_report_id(), name, at_ms, crashed))
+            self._record(CrashReport(self._next_report_id(), name, at_ms, crashed, crash_number=1))
         for sound in self._sound:
             suspected = self._quarantine.suspected_among(sound.parts)
             for part in sound.sound_among(suspected, now_ms):
@@ -148,9 +148,10 @@
     def _clear(self, trait: str, at_ms: int) -> None:
         reports = self._quarantine.reports_against(trait)
         if reports:
-            self._quarantine.record_cleared(
-                WorkCleared(self._next_report_id(), trait, reports, at_ms)
-            )
+            self._record(WorkCleared(self._next_report_id(), trait, reports, at_ms))
+
+    def _record(self, fact: CrashReport | WorkCleared) -> None:
+        self._quarantine.record(fact, fact.at_ms)
 
     def _next_report_id(self) -> str:
         return f"report-{next(self._report_numbers)}"
--- a/src/fescuedock/agent/crash_service.py
+++ b/src/fescuedock/agent/crash_service.py
@@ -5,7 +5,6 @@
 all agents.
 """
 
-import math
 import random
 from collections.abc import Iterable
 from secrets import token_hex
@@ -13,7 +12,7 @@
 
 import msgspec
 import trio
-from result import Err
+from result import Err, Ok
 
 from fescuedock.address import Address
 from fescuedock.agent.link import FleetView
@@ -62,6 +61,10 @@
 _READ_INTERVAL_S = 60.0
 # Longest wait of a request: a program does not wait longer for the reply.
 _MAX_WAIT_MS = 30000
+# A starting agent asks another one after a pause, in which it hears of others, and tries again.
+_NEIGHBOUR_PAUSE_S = 1.0
+_NEIGHBOUR_TIMEOUT_MS = 1000
+_MAX_NEIGHBOUR_TRIES = 5
 
 
 class CrashService:
@@ -87,8 +90,7 @@
         self._kv = kv
         self._prefix = prefix
         self._rng = rng
-        # Unix time at trio's time 0; the clock itself has a resolution of a second.
-        self._unix_base_ms = unix_clock() * 1000.0 - now_ms()
+        self._unix_clock = unix_clock
         self._log = CrashLog(view.quarantine, boot=rng.getrandbits(53))
         # Set when a fact was applied, and when there are facts to send or write.
         self._changed = trio.Event()
@@ -101,8 +103,8 @@
         self._unsent: list[CrashFact] = []
         self._to_relay: list[CrashFact] = []
         self._to_write: list[CrashFact] = []
-        # Keys read from the key-value service, with the time of the newest fact in each.
-        self._stored_at_ms: dict[str, float] = {}
+        # Keys read from the key-value service, with the identities of their facts.
+        self._stored: dict[str, list[str]] = {}
         self._nursery: trio.Nursery | None = None
 
     def handlers(self) -> dict[type[msgspec.Struct], CallHandler]:
@@ -122,9 +124,10 @@
                 nursery.start_soon(self._check_upstream, upstream_id)
             nursery.start_soon(self._send_forever)
             nursery.start_soon(self._write_forever)
+            nursery.start_soon(self._ask_neighbour)
             while True:
                 await trio.sleep(_FORGET_INTERVAL_S)
-                self._view.quarantine.forget(self._now_ms())
+                self._view.quarantine.forget(now_ms())
                 self._ended_ms.clear()
                 await self._remove_expired()
 
@@ -150,20 +153,44 @@
     def apply_entries(self, entries: Iterable[KvEntry]) -> None:
         """Apply stored reports; entries may be passed repeatedly."""
         for entry in entries:
-            if not entry.key.startswith(self._prefix) or entry.key in self._stored_at_ms:
+            if not entry.key.startswith(self._prefix) or entry.key in self._stored:
                 continue
             try:
                 message = msgspec.msgpack.decode(entry.value, type=CrashNews)
             except msgspec.MsgspecError as error:
                 # Written by a newer version, which also removes it.
-                self._stored_at_ms[entry.key] = math.inf
+                self._stored[entry.key] = []
                 log_event("crash_news_unreadable", key=entry.key, reason=str(error))
                 continue
             facts = facts_of(message)
-            self._stored_at_ms[entry.key] = max((fact.at_ms for fact in facts), default=-math.inf)
+            self._stored[entry.key] = [fact.report_id for fact in facts]
             for fact in facts:
-                if not self._view.quarantine.is_expired(fact.at_ms, self._now_ms()):
-                    self._apply_fact(fact)
+                self._apply_fact(fact)
+
+    async def _ask_neighbour(self) -> None:
+        """Ask another agent once how old the reports are, which the stored ones do not tell."""
+        for _ in range(_MAX_NEIGHBOUR_TRIES):
+            await trio.sleep(_NEIGHBOUR_PAUSE_S)
+            others = [
+                vm for vm in self._view.live_vms() if vm.vm_id != self._view.vm_id and vm.agent_port
+            ]
+            if not others:
+                continue
+            chosen = self._rng.choice(others)
+            client = await self._pool.client(Address(chosen.host, chosen.agent_port))
+            reply = await client.call(CrashesRequest(), _NEIGHBOUR_TIMEOUT_MS)
+            match reply:
+                case Ok(CrashesReply(news=news)):
+                    for fact in facts_of(news):
+                        self._apply_fact(fact)
+                    return
+                case Err(fault):
+                    log_event(
+                        "crash_reports_not_sent",
+                        routine=True,
+                        vm=chosen.vm_id,
+                        code=fault.code.name,
+                    )
 
     # --- programs --------------------------------------------------------------------------------
 
@@ -203,14 +230,14 @@
         """Void the crash reports against a trait of a run that completed."""
         reports = self._view.quarantine.reports_against(trait)
         if reports:
-            self._publish(WorkCleared(_new_id(), trait, reports, int(self._now_ms())))
+            self._publish(WorkCleared(_new_id(), trait, reports, self._unix_clock() * 1000))
 
     async def _on_request(self, message: CrashesRequest, _peer: ServerPeer) -> CrashesReply:
         seen = self._log.known_count(message.agent_boot, message.seen)
         with trio.move_on_after(min(message.wait_ms, _MAX_WAIT_MS) / 1000):
             while self._log.length <= seen:
                 await self._changed.wait()
-        return self._log.reply_after(seen)
+        return self._log.reply_after(seen, now_ms())
 
     # --- detection -------------------------------------------------------------------------------
 
@@ -264,7 +291,12 @@
         ]
         if not runs and self._view.has_just_ended(upstream_id):
             return
-        self._publish(CrashReport(_new_id(), upstream_id, int(self._now_ms()), runs))
+        number = self._view.quarantine.crash_number(upstream_id, now_ms())
+        self._publish(
+            CrashReport(
+                _new_id(), upstream_id, self._unix_clock() * 1000, runs, crash_number=number
+            )
+        )
 
     def _has_just_ended(self, upstream_id: str) -> bool:
         ended_ms = self._ended_ms.get(upstream_id, float("-inf"))
@@ -300,7 +332,7 @@
             self._wake_sender()
 
     def _apply_fact(self, fact: CrashFact) -> bool:
-        if not self._log.record(fact):
+        if not self._log.record(fact, now_ms()):
             return False
         self._view.notify_quarantine_changed()
         self._changed.set()
@@ -321,7 +353,7 @@
         return True
 
     def _log_verdict(self, trait: str) -> None:
-        verdict = self._view.quarantine.verdict(trait, self._now_ms())
+        verdict = self._view.quarantine.verdict(trait, now_ms())
         log_event(
             "work_suspected",
             routine=verdict.crashes < 2,
@@ -339,12 +371,12 @@
             vms = self._view.live_vms()
             if found:
                 targets = receivers_of(self._view.vm_id, found[0].report_id, vms)
-                await self._push(targets.direct, message_of(found))
-                await self._push(targets.relays, message_of(found, relay=True))
+                await self._push(targets.direct, self._message(found))
+                await self._push(targets.relays, self._message(found, relay=True))
             if relayed:
                 own = self._view.vms.get(self._view.vm_id)
                 same_domain = [vm for vm in vms if own and vm.failure_domain == own.failure_domain]
-                await self._push(same_domain, message_of(relayed))
+                await self._push(same_domain, self._message(relayed))
 
     async def _push(self, vms: Iterable[VmRecord], message: CrashNews) -> None:
         for vm in vms:
@@ -366,7 +398,7 @@
 
     async def _write(self, facts: list[CrashFact]) -> None:
         key = f"{self._prefix}{_new_id()}"
-        value = msgspec.msgpack.encode(message_of(facts))
+        value = msgspec.msgpack.encode(self._message(facts))
         pauses = ExponentialBackoff(_FIRST_PAUSE_MS, _MAX_PAUSE_MS)
         while True:
             written = await self._kv.put_if(key, value, 0)
@@ -385,10 +417,11 @@
     async def _remove_expired(self) -> None:
         """Remove expired reports from the key-value service; all agents choose one to do it."""
         vm_ids = [vm.vm_id for vm in self._view.live_vms()]
-        for key, at_ms in list(self._stored_at_ms.items()):
-            if not self._view.quarantine.is_expired(at_ms, self._now_ms()):
+        for key, names in list(self._stored.items()):
+            if not names or any(map(self._view.quarantine.knows, names)):
                 continue
-            del self._stored_at_ms[key]
+            # The key stays known, so that its facts are not applied again.
+            self._stored[key] = []
             if choose_name(key, vm_ids) == self._view.vm_id:
                 await self._remove(key)
 
@@ -402,8 +435,8 @@
         if entry is not None:
             await self._kv.delete_if(key, entry.mod_revision)
 
-    def _now_ms(self) -> float:
-        return self._unix_base_ms + now_ms()
+    def _message(self, facts: Iterable[CrashFact], *, relay: bool = False) -> CrashNews:
+        return message_of(facts, self._view.quarantine, now_ms(), relay=relay)
 
 
 def _new_id() -> str:
--- a/src/fescuedock/agent/link.py
+++ b/src/fescuedock/agent/link.py
@@ -8,7 +8,7 @@
 from result import Ok, Result
 
 from fescuedock.address import Address
-from fescuedock.clock import UnixClock, now_ms, unix_clock
+from fescuedock.clock import now_ms
 from fescuedock.core.crash_log import facts_of
 from fescuedock.core.quarantine import FREE, Quarantine, Verdict
 from fescuedock.core.recent_runs import SoundParts
@@ -34,7 +34,7 @@
 _POLL_WAIT_MS = 2000
 _CALL_TIMEOUT_MS = 3000
 _RETRY_S = 0.2
-# How long an upstream's end counts as recent; covers clock differences of VMs and report delays.
+# How long an upstream's end counts as recent; covers the delays of reports.
 _RECENT_END_MS = 3000.0
 # The agent's report on the key-value service stays valid over one poll without an answer.
 _KV_AWAY_VALIDITY_MS = _POLL_WAIT_MS + _CALL_TIMEOUT_MS
@@ -64,7 +64,6 @@
         "configuration",
         "quarantine",
         "sound_parts",
-        "unix_clock",
         "upstreams",
         "version",
         "vm_id",
@@ -88,8 +87,6 @@
         # Parts of prompts with which runs of this process have completed.
         self.sound_parts = SoundParts()
         self._quarantine_changed = trio.Event()
-        # The clock of this process; created at first use.
-        self.unix_clock: UnixClock | None = None
 
     @property
     def membership_age_ms(self) -> float:
@@ -137,14 +134,11 @@
         """
         if self.quarantine.is_empty:
             return FREE
-        self.unix_clock = self.unix_clock or unix_clock()
-        return self.quarantine.verdict(work_id, self.unix_clock() * 1000.0, parts, owed=owed)
+        return self.quarantine.verdict(work_id, now_ms(), parts, owed=owed)
 
     def has_just_ended(self, upstream_id: str) -> bool:
-        """Whether an upstream was reported to have ended in the last ``_RECENT_END_MS``."""
-        self.unix_clock = self.unix_clock or unix_clock()
-        since_ms = self.unix_clock() * 1000.0 - _RECENT_END_MS
-        return self.quarantine.has_crashed_since(upstream_id, since_ms)
+        """Whether an upstream may have ended in the last ``_RECENT_END_MS``, by reports."""
+        return self.quarantine.has_crashed_since(upstream_id, now_ms() - _RECENT_END_MS)
 
     def notify_quarantine_changed(self) -> None:
         """Wake the tasks that wait for a change of ``quarantine``."""
@@ -281,7 +275,7 @@
         match await link.call(request, request.wait_ms + _CALL_TIMEOUT_MS):
             case Ok(CrashesReply() as reply):
                 for fact in facts_of(reply.news):
-                    view.quarantine.record(fact)
+                    view.quarantine.record(fact, now_ms() - max(fact.age_ms, 0))
                 view.notify_quarantine_changed()
                 request = CrashesRequest(reply.agent_boot, reply.seen, _POLL_WAIT_MS)
             case _:
--- a/src/fescuedock/agent/main.py
+++ b/src/fescuedock/agent/main.py
@@ -78,7 +78,6 @@
         programs = LocalPrograms(settings.vm, udp.address.port)
         kv = EtcdKv(http, settings.platform)
         clock = unix_clock()
-        self.view.unix_clock = clock
         self.crashes = CrashService(
             self.view, http, pool, kv, settings.platform.key_prefix + CRASHES_PREFIX, rng, clock
         )
--- a/src/fescuedock/core/crash_log.py
+++ b/src/fescuedock/core/crash_log.py
@@ -1,6 +1,6 @@
 """An agent's facts about crashed upstreams, and the VMs it sends them to.
 
-Pure.
+Pure: the caller passes the time.
 """
 
 from collections.abc import Iterable, Sequence
@@ -25,9 +25,14 @@
 _RELAYS_PER_DOMAIN = 2
 
 
-def message_of(facts: Iterable[CrashFact], *, relay: bool = False) -> CrashNews:
-    """Return facts as one message."""
-    found = list(facts)
+def message_of(
+    facts: Iterable[CrashFact], quarantine: Quarantine, now_ms: float, *, relay: bool = False
+) -> CrashNews:
+    """Return facts that ``quarantine`` knows as one message, with their ages."""
+    found = [
+        msgspec.structs.replace(fact, age_ms=int(quarantine.age_ms(fact.report_id, now_ms)))
+        for fact in facts
+    ]
     return CrashNews(
         crashes=[fact for fact in found if isinstance(fact, CrashReport)],
         cleared=[fact for fact in found if isinstance(fact, WorkCleared)],
@@ -80,9 +85,9 @@
         """Total number of facts recorded."""
         return self._dropped + len(self._facts)
 
-    def record(self, fact: CrashFact) -> bool:
-        """Record a fact; return False if it is already known."""
-        is_new = self.quarantine.record(fact)
+    def record(self, fact: CrashFact, now_ms: float) -> bool:
+        """Record a fact received now; return False if it is already known."""
+        is_new = self.quarantine.record(fact, now_ms - max(fact.age_ms, 0))
         if is_new:
             self._facts.append(fact)
             if len(self._facts) > _MAX_FACTS:
@@ -94,7 +99,9 @@
         """Return how many facts a program has that received ``seen`` of the log of ``boot``."""
         return min(max(seen, 0), self.length) if boot == self.boot else 0
 
-    def reply_after(self, seen: int) -> CrashesReply:
+    def reply_after(self, seen: int, now_ms: float) -> CrashesReply:
         """Return the facts after the first ``seen``."""
         facts = self._facts[max(seen - self._dropped, 0) :]
-        return CrashesReply(agent_boot=self.boot, seen=self.length, news=message_of(facts))
+        return CrashesReply(
+            agent_boot=self.boot, seen=self.length, news=message_of(facts, self.quarantine, now_ms)
+        )
--- a/src/fescuedock/core/quarantine.py
+++ b/src/fescuedock/core/quarantine.py
@@ -9,7 +9,11 @@
 The evidence is a set of facts about incarnations of upstreams.  Facts may arrive in any order,
 repeatedly and from any VM: all VMs that know the same facts reach the same decision.
 
-Pure: the caller passes the time, which is Unix time, as reports outlive processes.
+A fact's time is the latest at which it can have happened, by the clock of this process: when the
+fact was received, less the age that its sender stated.  Clocks of two VMs are never compared, so a
+wrong time of day neither lengthens a pause nor makes one crash look like several.
+
+Pure: the caller passes the time.
 """
 
 import enum
@@ -55,9 +59,10 @@
     lengthen the pauses of other work.  Evidence expires after ``retention_ms``; beyond
     ``max_reports`` the oldest is dropped first.
 
-    Reports of one upstream within ``same_crash_ms`` are about the same crash: an upstream may keep
-    its identity over restarts, which take longer than that.  For as long, work that appears to have
-    been isolated is neither run nor refused, as other VMs may still report runs that were there.
+    An upstream may keep its identity over restarts, which take longer than ``same_crash_ms``: a
+    crash that a VM finds later than that after a known one is another crash.  For as long, work
+    that appears to have been isolated is neither run nor refused, as other VMs may still report
+    runs that were there.
     """
 
     begun_weight: float = 0.5
@@ -119,10 +124,9 @@
         self._isolated_run_reports: set[str] = set()
         # Traits known as causes; None when they must be determined again.
         self._causes: set[str] | None = set()
-        # Pairs of a trait and a report that does not count against it, with the time of the
-        # clearance.
-        self._cleared: dict[tuple[str, str], float] = {}
-        # All recorded facts, with their times.
+        # Pairs of a trait and a report that does not count against it, with the fact that says so.
+        self._cleared: dict[tuple[str, str], str] = {}
+        # All recorded facts, with the latest times at which they can have happened.
         self._known_facts: dict[str, float] = {}
 
     @property
@@ -130,17 +134,22 @@
         """Whether there is no evidence against any work."""
         return not self._by_trait
 
-    def record(self, fact: CrashReport | WorkCleared) -> bool:
-        """Record a fact; return False if it is already known."""
-        return (
-            self.record_crash(fact) if isinstance(fact, CrashReport) else self.record_cleared(fact)
-        )
+    def record(self, fact: CrashReport | WorkCleared, at_ms: float) -> bool:
+        """Record a fact that is as old as ``at_ms`` at least; return False if it is already known.
 
-    def record_crash(self, report: CrashReport) -> bool:
-        """Record a report of a crash; return False if it is already known."""
-        if report.report_id in self._known_facts:
+        A known fact keeps the earliest of its times.
+        """
+        known_ms = self._known_facts.get(fact.report_id)
+        self._known_facts[fact.report_id] = at_ms if known_ms is None else min(known_ms, at_ms)
+        if known_ms is not None:
             return False
-        self._known_facts[report.report_id] = report.at_ms
+        if isinstance(fact, CrashReport):
+            self._record_crash(fact)
+        else:
+            self._record_cleared(fact)
+        return True
+
+    def _record_crash(self, report: CrashReport) -> None:
         self._reports[report.report_id] = report
         self._by_upstream[report.upstream_id].add(report.report_id)
         for run in report.runs:
@@ -151,28 +160,39 @@
                 self._isolated_run_reports.add(report.report_id)
         self._causes = None
         while len(self._reports) > self._policy.max_reports:
-            self._drop(min(self._reports, key=lambda name: self._reports[name].at_ms))
-        return True
+            self._drop(min(self._reports, key=lambda name: (self._known_facts[name], name)))
 
-    def record_cleared(self, cleared: WorkCleared) -> bool:
-        """Record that a trait did not cause some crashes; return False if that is already known."""
-        if cleared.report_id in self._known_facts:
-            return False
-        self._known_facts[cleared.report_id] = cleared.at_ms
+    def _record_cleared(self, cleared: WorkCleared) -> None:
         for report_id in cleared.void_report_ids:
-            self._cleared[cleared.work_id, report_id] = cleared.at_ms
+            self._cleared[cleared.work_id, report_id] = cleared.report_id
             _discard(self._by_trait, cleared.work_id, report_id)
         self._causes = None
-        return True
 
     def knows(self, report_id: str) -> bool:
         """Whether a fact was recorded and has not expired."""
         return report_id in self._known_facts
 
+    def age_ms(self, report_id: str, now_ms: float) -> float:
+        """Return how old a fact is at least; 0 for an unknown one."""
+        return max(now_ms - self._known_facts.get(report_id, now_ms), 0.0)
+
+    def crash_number(self, upstream_id: str, now_ms: float) -> int:
+        """Return the number of the crash of an upstream that was found now, 1 for the first.
+
+        Reports with the same number are about the same crash.
+        """
+        reports = [self._reports[name] for name in self._by_upstream.get(upstream_id, ())]
+        last = max(map(_number_of, reports), default=0)
+        since_ms = now_ms - self._policy.same_crash_ms
+        is_last = any(
+            _number_of(report) == last and self._at_ms(report) >= since_ms for report in reports
+        )
+        return last if is_last else last + 1
+
     def has_crashed_since(self, upstream_id: str, since_ms: float) -> bool:
-        """Whether an upstream is known to have crashed after ``since_ms``."""
+        """Whether an upstream may have crashed after ``since_ms``."""
         names = self._by_upstream.get(upstream_id, ())
-        return any(self._reports[name].at_ms >= since_ms for name in names)
+        return any(self._known_facts[name] >= since_ms for name in names)
 
     def is_suspected(self, trait: str) -> bool:
         """Whether there is evidence against a trait."""
@@ -215,12 +235,15 @@
 
     def forget(self, now_ms: float) -> None:
         """Drop expired facts."""
-        reports = list(self._reports.items())
-        for name in [name for name, report in reports if self.is_expired(report.at_ms, now_ms)]:
+        expired = {
+            name for name, at_ms in self._known_facts.items() if self.is_expired(at_ms, now_ms)
+        }
+        for name in expired & self._reports.keys():
             self._drop(name)
-        for known in (self._cleared, self._known_facts):
-            for key in [key for key, at_ms in known.items() if self.is_expired(at_ms, now_ms)]:
-                del known[key]
+        for key in [key for key, name in self._cleared.items() if name in expired]:
+            del self._cleared[key]
+        for name in expired:
+            del self._known_facts[name]
 
     def _verdict_on(
         self, trait: str, traits: Collection[str], now_ms: float, *, owed: bool
@@ -252,7 +275,7 @@
         proofs = isolated_reports or [
             item for item in reports if self._was_meant_to_be_isolated(trait, item)
         ]
-        unsettled_ms = max(item.at_ms for item in proofs) + policy.same_crash_ms - now_ms
+        unsettled_ms = max(map(self._at_ms, proofs)) + policy.same_crash_ms - now_ms
         if unsettled_ms > 0:
             return Verdict(Restriction.UNSETTLED, crashes, unsettled_ms, trait)
         if owed:
@@ -260,7 +283,7 @@
             pause_ms = pauses_ms[min(max(crashes - policy.min_crashes, 0), len(pauses_ms) - 1)]
         else:
             pause_ms = self._refusal_pause_ms(trait, isolated_reports)
-        left_ms = max(report.at_ms for report in reports) + pause_ms - now_ms
+        left_ms = max(map(self._at_ms, reports)) + pause_ms - now_ms
         if left_ms <= 0:
             return Verdict(Restriction.ALONE, crashes, trait=trait)
         return Verdict(Restriction.REFUSED, crashes, left_ms, trait)
@@ -341,10 +364,14 @@
         seen_concurrent: set[str] = set()
         work_ids: set[str] = set()
         crashes = 0
-        for report in sorted(reports, key=lambda item: (item.at_ms, item.report_id)):
-            if not self._was_meant_to_be_isolated(trait, report):
-                continue
-            concurrent = self._concurrent_traits(trait, report)
+        found = [
+            (self._concurrent_traits(trait, report), report)
+            for report in reports
+            if self._was_meant_to_be_isolated(trait, report)
+        ]
+        # The fewest first, which counts the most; the times of reports differ among VMs.
+        found.sort(key=lambda item: (len(item[0]), item[1].report_id))
+        for concurrent, report in found:
             if seen_concurrent.isdisjoint(concurrent):
                 crashes += 1
                 seen_concurrent.update(concurrent)
@@ -450,19 +477,14 @@
     def _reports_of_same_crash(self, report: CrashReport) -> list[CrashReport]:
         """Return the reports about the crash that ``report`` is about, including itself."""
         others = (self._reports[name] for name in self._by_upstream[report.upstream_id])
-        window_ms = self._policy.same_crash_ms
-        return [item for item in others if abs(item.at_ms - report.at_ms) <= window_ms]
+        return [item for item in others if _number_of(item) == _number_of(report)]
 
     def _count_crashes(self, reports: list[CrashReport]) -> int:
         """Return the number of different crashes that the reports are about."""
-        count = 0
-        last: CrashReport | None = None
-        for report in sorted(reports, key=lambda item: (item.upstream_id, item.at_ms)):
-            is_new = last is None or last.upstream_id != report.upstream_id
-            if is_new or report.at_ms - last.at_ms > self._policy.same_crash_ms:
-                count += 1
-            last = report
-        return count
+        return len({(report.upstream_id, _number_of(report)) for report in reports})
+
+    def _at_ms(self, report: CrashReport) -> float:
+        return self._known_facts[report.report_id]
 
     def _drop(self, report_id: str) -> None:
         report = self._reports.pop(report_id)
@@ -474,6 +496,11 @@
         self._causes = None
 
 
+def _number_of(report: CrashReport) -> int:
+    """Return the number of a report's crash; reports of earlier versions have none."""
+    return max(report.crash_number, 1)
+
+
 def _discard(sets: dict[str, set[str]], key: str, value: str) -> None:
     """Remove a value from a set in ``sets``, and the set itself once it is empty."""
     found = sets.get(key)
--- a/src/fescuedock/node/main.py
+++ b/src/fescuedock/node/main.py
@@ -141,7 +141,6 @@
         self._clock = unix_clock()
         self._boot = self._clock() * 1000 + self._rng.randrange(1000)
         self._keys = JobKeys(node.key_prefix)
-        view.unix_clock = self._clock
         address = Address.parse(node.store_address)
         self._store_calls: Counter[str] = Counter()
         self._store = MetadataStore(
--- a/src/fescuedock/schema/crashes.py
+++ b/src/fescuedock/schema/crashes.py
@@ -78,8 +78,25 @@
 
     report_id: Annotated[str, Meta(description="Unique for each report.")]
     upstream_id: str
-    at_ms: Annotated[int, Meta(description="Unix time by the clock of the VM that reports it.")]
+    at_ms: Annotated[
+        int,
+        Meta(
+            description="Unix time by the clock of the VM that reports it, for people; not compared."
+        ),
+    ]
     runs: list[CrashedRun]
+    crash_number: Annotated[
+        int,
+        Meta(
+            description="Counts the crashes of the upstream, from 1, as far as the reporter knew of them; 0 where it does not say."
+        ),
+    ] = 0
+    age_ms: Annotated[
+        int,
+        Meta(
+            description="Time since the crash as this was sent or written, by a clock that does not jump; it may be older."
+        ),
+    ] = 0
 
 
 class WorkCleared(WireStruct):
@@ -90,7 +107,18 @@
     report_id: Annotated[str, Meta(description="Unique for each report.")]
     work_id: Annotated[str, Meta(description="Of the work or of a part of its prompt.")]
     void_report_ids: list[str]
-    at_ms: Annotated[int, Meta(description="Unix time by the clock of the VM that reports it.")]
+    at_ms: Annotated[
+        int,
+        Meta(
+            description="Unix time by the clock of the VM that reports it, for people; not compared."
+        ),
+    ]
+    age_ms: Annotated[
+        int,
+        Meta(
+            description="Time since the run as this was sent or written, by a clock that does not jump; it may be older."
+        ),
+    ] = 0
 
 
 class CrashNews(WireStruct):
--- a/tests/builders/runner_simulation.py
+++ b/tests/builders/runner_simulation.py
@@ -566,7 +566,7 @@
         run = CrashedRun(item.work_id, alone=grant.isolated, owed=True)
         upstream_id = f"{upstream.upstream_id}+{number}"
         report = CrashReport(str(number), upstream_id, int(now_ms()), [run])
-        self.quarantine.record_crash(report)
+        self.quarantine.record(report, now_ms())
         self.crashed.set()
 
 
--- a/tests/test_crash_service.py
+++ b/tests/test_crash_service.py
@@ -12,12 +12,21 @@
 from fescuedock.address import Address
 from fescuedock.agent.crash_service import CrashService
 from fescuedock.agent.link import FleetView
+from fescuedock.clock import now_ms
 from fescuedock.core.quarantine import QuarantinePolicy
 from fescuedock.core.rendezvous import choose_name
 from fescuedock.faults import Fault
 from fescuedock.kv import KvEntry, KvPage
 from fescuedock.net.http_client import ConnectResult
-from fescuedock.schema.crashes import BrokenRun, CrashedRun, CrashNews, CrashReport, WholeRun
+from fescuedock.schema.crashes import (
+    BrokenRun,
+    CrashedRun,
+    CrashesReply,
+    CrashesRequest,
+    CrashNews,
+    CrashReport,
+    WholeRun,
+)
 from fescuedock.schema.result_codes import ResultCode
 from fescuedock.schema.view import UpstreamKind, UpstreamRecord, VmRecord, VmState
 from fescuedock.standin.kv_state import KvState, prefix_end
@@ -74,9 +83,10 @@
 
 @dataclass(slots=True)
 class StubPool:
-    """Records the messages pushed to other agents."""
+    """Records the messages pushed to other agents, and answers requests with ``known``."""
 
     pushed: list[tuple[str, CrashNews]] = field(default_factory=list)
+    known: CrashNews = field(default_factory=CrashNews)
 
     async def client(self, address: Address) -> "StubPool.Client":
         return StubPool.Client(self, address.host)
@@ -91,6 +101,10 @@
         def push(self, message: CrashNews) -> None:
             self.pool.pushed.append((self.host, message))
 
+        async def call(self, _message: CrashesRequest, _timeout_ms: float) -> Ok[CrashesReply]:
+            await trio.sleep(0.001)
+            return Ok(CrashesReply(1, 1, self.pool.known))
+
 
 class Agent:
     """One agent's crash service with stubs of its dependencies."""
@@ -105,9 +119,14 @@
             for n in range(2)
         ]
         self.set_view(vms, "u")
-        self.view.unix_clock = lambda: int(START_S + trio.current_time())
         self.service = CrashService(
-            self.view, self.http, self.pool, kv, PREFIX, random.Random(1), self.view.unix_clock
+            self.view,
+            self.http,
+            self.pool,
+            kv,
+            PREFIX,
+            random.Random(1),
+            lambda: int(START_S + trio.current_time()),
         )
 
     def set_view(self, vms: list[VmRecord], *upstreams: str, leaving: bool = False) -> None:
@@ -241,30 +260,82 @@
 
         self.run_agent(test)
 
-    def test_a_starting_agent_knows_the_stored_reports_except_old_ones(self) -> None:
+    def stored_reports(self, *names: str) -> StubKv:
+        """Return a store with a report of each name, written by clocks that are far apart."""
         kv = StubKv()
-        names = [f"old-{number}" for number in range(6)]
-        for name, age_s in (("young", 60), *((name, 2 * DAY_S) for name in names)):
-            report = CrashReport(name, "gone", (START_S - age_s) * 1000, [CrashedRun(name)])
+        for number, name in enumerate(names):
+            at_ms = (START_S + (number - 3) * DAY_S) * 1000
+            report = CrashReport(name, f"gone-{name}", at_ms, [CrashedRun(name)])
             kv.state.put(PREFIX + name, msgpack.encode(CrashNews(crashes=[report])))
         kv.state.put(PREFIX + "odd", b"\xc1")
+        return kv
+
+    def test_stored_reports_expire_a_day_after_an_agent_has_read_them(self) -> None:
+        names = [f"report-{number}" for number in range(6)]
+        kv = self.stored_reports(*names)
 
         async def test(agent: Agent) -> None:
             quarantine = agent.view.quarantine
-            self.assertEqual(
-                [quarantine.is_suspected(n) for n in ("young", "old-1")], [True, False]
-            )
-            await trio.sleep(QuarantinePolicy().retention_ms / 1000 + 1800)
+            self.assertTrue(all(map(quarantine.is_suspected, names)))
+            await trio.sleep(QuarantinePolicy().retention_ms / 1000 - 60)
+            self.assertTrue(all(map(quarantine.is_suspected, names)))
+            await trio.sleep(1860)
             self.assertTrue(quarantine.is_empty)
             remaining = {entry.key.removeprefix(PREFIX) for entry in kv.entries()}
             # All agents choose the same one to remove a key.
             vms = agent.view.vms
-            others = {n for n in (*names, "young") if choose_name(PREFIX + n, vms) != "vm-0"}
+            others = {name for name in names if choose_name(PREFIX + name, vms) != "vm-0"}
             self.assertEqual(remaining, {"odd"} | others)
             self.assertLess(len(others), len(names))
+            # Keys that another agent removes later do not bring the reports back.
+            await trio.sleep(1800)
+            self.assertTrue(quarantine.is_empty)
 
         self.run_agent(test, kv=kv)
 
+    def test_a_starting_agent_learns_from_another_one_how_old_stored_reports_are(self) -> None:
+        names = [f"report-{number}" for number in range(6)]
+        kv = self.stored_reports(*names)
+        old, young = (int(QuarantinePolicy().retention_ms) + extra for extra in (60_000, -60_000))
+        ages_ms = {name: young if name == names[0] else old for name in names}
+
+        async def test(agent: Agent) -> None:
+            quarantine = agent.view.quarantine
+            agent.pool.known = CrashNews(
+                crashes=[
+                    CrashReport(name, f"gone-{name}", 0, [CrashedRun(name)], age_ms=age_ms)
+                    for name, age_ms in ages_ms.items()
+                ]
+            )
+            await trio.sleep(2.0)
+            self.assertEqual(quarantine.age_ms(names[0], now_ms()) // 10_000, young // 10_000)
+            await trio.sleep(630.0)
+            self.assertTrue(quarantine.is_empty)
+            remaining = {entry.key.removeprefix(PREFIX) for entry in kv.entries()}
+            vms = agent.view.vms
+            others = {name for name in names if choose_name(PREFIX + name, vms) != "vm-0"}
+            self.assertEqual(remaining, {"odd"} | others)
+
+        self.run_agent(test, kv=kv)
+
+    # A pause was counted from the time of day of the reporter.
+    def test_the_age_of_a_report_counts_and_not_its_time_of_day(self) -> None:
+        async def test(agent: Agent) -> None:
+            quarantine = agent.view.quarantine
+            for name, ahead_s in (("ahead", 3600), ("behind", -3600)):
+                at_ms = (START_S + ahead_s) * 1000
+                report = CrashReport(name, name, at_ms, [CrashedRun(name)], age_ms=1500)
+                news = CrashNews(crashes=[report])
+                await agent.service.handlers()[CrashNews](news, None)
+                self.assertEqual(round(quarantine.age_ms(name, now_ms())), 1500)
+            # A sender's age of less than nothing, and an older copy.
+            for age_ms, known_ms in ((-(10**9), 1500), (9000, 9000)):
+                report = CrashReport("ahead", "ahead", 0, [CrashedRun("ahead")], age_ms=age_ms)
+                await agent.service.handlers()[CrashNews](CrashNews(crashes=[report]), None)
+                self.assertEqual(round(quarantine.age_ms("ahead", now_ms())), known_ms)
+
+        self.run_agent(test)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_node_harmful_calls.py
+++ b/tests/test_node_harmful_calls.py
@@ -1,7 +1,6 @@
 """Calls that crash each upstream that starts them, and are retried at any node."""
 
 import itertools
-import time
 import unittest
 
 import trio
@@ -153,8 +152,7 @@
             innocent = work_identity("POST", HOST, "/rights/innocent", "", b"case")
             for number in range(10):
                 runs = [CrashedRun(innocent), CrashedRun(f"cause-{number}")]
-                at_ms = int(time.time() * 1000)
-                report = CrashReport(f"report-{number}", f"i-gone-{number}", at_ms, runs)
+                report = CrashReport(f"report-{number}", f"i-gone-{number}", 0, runs)
                 key = f"{KEYS.crashes}{report.report_id}"
                 fleet.store.state.put(key, msgpack.encode(CrashNews(crashes=[report])))
             await trio.sleep(0.6)
@@ -239,8 +237,7 @@
                         key=lambda crash: crash.at_s,
                     )
                     self.assertEqual({item.request_ids for item in crashes[2:]}, {("harmful",)})
-                    # Nodes know Unix time to the second.
-                    pauses_s = [ms / 1000 - 1.0 for ms in QuarantinePolicy().owed_retry_pauses_ms]
+                    pauses_s = [ms / 1000 for ms in QuarantinePolicy().owed_retry_pauses_ms]
                     for number, (former, later) in enumerate(itertools.pairwise(crashes[2:])):
                         pause_s = pauses_s[min(number, len(pauses_s) - 1)]
                         self.assertGreaterEqual(later.at_s - former.at_s, pause_s)
--- a/tests/test_permit_search.py
+++ b/tests/test_permit_search.py
@@ -1,7 +1,6 @@
 """The search for a permit: which calls are refused by prediction, and which request one anyway."""
 
 import random
-import time
 import unittest
 from collections.abc import Collection
 from dataclasses import dataclass, field
@@ -243,11 +242,8 @@
             ]
             state.view.replace(2, owners, records, 0.0)
             for number in range(2):
-                at_ms = time.time() * 1000
-                run = CrashedRun("work")
-                state.view.quarantine.record_crash(
-                    CrashReport(f"report-{number}", f"gone-{number}", at_ms, [run])
-                )
+                report = CrashReport(f"report-{number}", f"gone-{number}", 0, [CrashedRun("work")])
+                state.view.quarantine.record(report, now_ms())
             state.silent_owners.record_silence(f"node-{self.ranked[0]}", now_ms())
             state.permits = MovedPermits(ResultCode.PEER_UNKNOWN, refusals)
             result = await find_permit(state, StubCall(target_ms=500, work_id="work"))
--- a/tests/test_permits_service.py
+++ b/tests/test_permits_service.py
@@ -12,6 +12,7 @@
 from result import Err, Ok, Result
 
 from fescuedock.address import Address
+from fescuedock.clock import now_ms
 from fescuedock.core.permits.holder import validity_ms
 from fescuedock.core.permits.owner import PermitOwner
 from fescuedock.faults import Fault
@@ -287,7 +288,7 @@
             async with served_owner() as owner:
                 await trio.sleep(1.5 * VALID_MS / 1000)
                 report = CrashReport("report", "u2", 0, [CrashedRun("work")])
-                owner.view.quarantine.record_crash(report)
+                owner.view.quarantine.record(report, now_ms())
                 first, second = (
                     ask_for(alone=True, work_id="work", wait_ms=5000) for _ in range(2)
                 )
@@ -313,7 +314,7 @@
             async with served_owner(same_process=True) as owner:
                 owner.client._handlers[BrokenRun] = note
                 quarantine = owner.view.quarantine
-                quarantine.record_crash(CrashReport("report", "u2", 0, [CrashedRun("work")]))
+                quarantine.record(CrashReport("report", "u2", 0, [CrashedRun("work")]), now_ms())
                 first, second = (
                     ask_for(alone=True, work_id="work", wait_ms=5000) for _ in range(2)
                 )
@@ -324,7 +325,7 @@
                 ended_s = trio.current_time()
                 await trio.sleep(0.1)
                 self.assertEqual([item.given_up for item in reports], [False])
-                quarantine.record_cleared(WorkCleared("cleared", "work", ["report"], 0))
+                quarantine.record(WorkCleared("cleared", "work", ["report"], 0), now_ms())
                 owner.view.notify_quarantine_changed()
                 (await owner.client.request(second, TIMEOUT_MS)).unwrap()
                 self.assertLess(trio.current_time() - ended_s, 1.0)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -12,6 +12,7 @@
 from fescuedock.core.recent_runs import AbandonedRuns
 from fescuedock.schema.crashes import BrokenRun, CrashedRun, CrashReport, WorkCleared
 from fescuedock.schema.view import VmRecord, VmState
+from tests.builders.quarantine import record
 
 START_MS = 1_800_000_000_000
 MINUTE_MS = 60_000.0
@@ -20,8 +21,14 @@
 SETTLED_MS = START_MS + POLICY.same_crash_ms
 
 
-def report(name: str, *runs: CrashedRun, upstream_id: str = "", at_ms: int = START_MS):
-    return CrashReport(name, upstream_id or f"u-{name}", at_ms, list(runs))
+def report(
+    name: str,
+    *runs: CrashedRun,
+    upstream_id: str = "",
+    at_ms: int = START_MS,
+    crash_number: int = 1,
+) -> CrashReport:
+    return CrashReport(name, upstream_id or f"u-{name}", at_ms, list(runs), crash_number)
 
 
 def mixed(*work_ids: str, begun: bool = False) -> list[CrashedRun]:
@@ -31,8 +38,8 @@
 def known_cause(quarantine: Quarantine, work_id: str) -> None:
     """Record two crashes of concurrent runs with the work and one of an isolated run."""
     for number in range(2):
-        quarantine.record_crash(report(f"{work_id}-{number}", *mixed(work_id, f"x{number}")))
-    quarantine.record_crash(report(f"{work_id}-2", CrashedRun(work_id, alone=True)))
+        record(quarantine, report(f"{work_id}-{number}", *mixed(work_id, f"x{number}")))
+    record(quarantine, report(f"{work_id}-2", CrashedRun(work_id, alone=True)))
 
 
 class QuarantineTest(unittest.TestCase):
@@ -47,11 +54,11 @@
         self.assertEqual(self.quarantine.verdict("other", START_MS), FREE)
 
     def test_work_is_isolated_after_the_second_crash_and_refused_after_the_third(self) -> None:
-        self.quarantine.record_crash(report("1", *mixed("bad", "a")))
+        record(self.quarantine, report("1", *mixed("bad", "a")))
         self.assertIs(self.restriction("bad"), Restriction.FREE)
-        self.quarantine.record_crash(report("2", *mixed("bad", "b")))
+        record(self.quarantine, report("2", *mixed("bad", "b")))
         self.assertIs(self.restriction("bad"), Restriction.ALONE)
-        self.quarantine.record_crash(report("3", CrashedRun("bad", alone=True)))
+        record(self.quarantine, report("3", CrashedRun("bad", alone=True)))
         # Until then the work does not run again either.
         verdict = self.quarantine.verdict("bad", START_MS)
         self.assertEqual((verdict.restriction, verdict.crashes), (Restriction.UNSETTLED, 3))
@@ -62,32 +69,32 @@
 
     def test_innocent_work_present_in_ten_crashes_is_never_refused(self) -> None:
         for number in range(10):
-            self.quarantine.record_crash(report(str(number), *mixed("innocent", f"bad-{number}")))
+            record(self.quarantine, report(str(number), *mixed("innocent", f"bad-{number}")))
             self.assertIsNot(self.restriction("innocent"), Restriction.REFUSED)
 
     def test_innocent_work_present_in_ten_crashes_of_one_cause_runs_freely_again(self) -> None:
         for number in range(10):
-            self.quarantine.record_crash(report(str(number), *mixed("innocent", "bad")))
+            record(self.quarantine, report(str(number), *mixed("innocent", "bad")))
         self.assertIs(self.restriction("innocent"), Restriction.ALONE)
-        self.quarantine.record_crash(report("isolated", CrashedRun("bad", alone=True)))
+        record(self.quarantine, report("isolated", CrashedRun("bad", alone=True)))
         self.assertIs(self.restriction("bad"), Restriction.REFUSED)
         self.assertIs(self.restriction("innocent"), Restriction.FREE)
 
     def test_a_chance_crash_during_an_isolated_run_refuses_no_work(self) -> None:
-        self.quarantine.record_crash(report("1", CrashedRun("innocent", alone=True)))
-        self.quarantine.record_crash(report("2", *mixed("innocent", "a")))
+        record(self.quarantine, report("1", CrashedRun("innocent", alone=True)))
+        record(self.quarantine, report("2", *mixed("innocent", "a")))
         self.assertIs(self.restriction("innocent"), Restriction.ALONE)
 
     def test_a_run_that_was_not_isolated_after_all_is_no_proof(self) -> None:
         """Guards against refusing innocent work until the concurrent run has been reported."""
         for number in range(2):
-            self.quarantine.record_crash(report(str(number), *mixed("innocent", f"x{number}")))
+            record(self.quarantine, report(str(number), *mixed("innocent", f"x{number}")))
         isolated = CrashedRun("innocent", alone=True)
-        self.quarantine.record_crash(report("2", isolated, upstream_id="u"))
+        record(self.quarantine, report("2", isolated, upstream_id="u"))
         self.assertIs(self.restriction("innocent", START_MS + 200), Restriction.UNSETTLED)
         # Another VM had a run there without a permit of the owner.
         late = report("3", *mixed("bad"), upstream_id="u", at_ms=START_MS + 200)
-        self.quarantine.record_crash(late)
+        record(self.quarantine, late)
         for now_ms in (START_MS + 200, SETTLED_MS):
             self.assertIs(self.restriction("innocent", now_ms), Restriction.ALONE)
 
@@ -100,7 +107,7 @@
             isolated = CrashedRun("bad", alone=True)
             runs = [isolated, *mixed(f"call-{number}", f"other-{number}")]
             self.assertIsNot(self.restriction("bad"), Restriction.REFUSED)
-            self.quarantine.record_crash(report(f"isolated-{number}", *runs))
+            record(self.quarantine, report(f"isolated-{number}", *runs))
         self.assertIs(self.restriction("bad"), Restriction.REFUSED)
         self.assertIs(self.restriction("call-0"), Restriction.FREE)
         verdict = self.quarantine.verdict("bad", START_MS)
@@ -112,54 +119,60 @@
         for number in range(6):
             isolated = CrashedRun("innocent", alone=True)
             runs = [isolated, *mixed("bad", f"other-{number}")]
-            self.quarantine.record_crash(report(f"isolated-{number}", *runs))
+            record(self.quarantine, report(f"isolated-{number}", *runs))
         self.assertIs(self.restriction("innocent"), Restriction.ALONE)
 
     def test_runs_given_up_for_an_isolated_run_do_not_invalidate_its_proof(self) -> None:
         for number in range(2):
-            self.quarantine.record_crash(report(str(number), *mixed("bad", f"x{number}")))
+            record(self.quarantine, report(str(number), *mixed("bad", f"x{number}")))
         isolated, concurrent = CrashedRun("bad", alone=True), CrashedRun("item", given_up=True)
-        self.quarantine.record_crash(report("2", isolated, upstream_id="u"))
-        self.quarantine.record_crash(report("3", concurrent, upstream_id="u", at_ms=START_MS + 100))
+        record(self.quarantine, report("2", isolated, upstream_id="u"))
+        record(self.quarantine, report("3", concurrent, upstream_id="u", at_ms=START_MS + 100))
         self.assertIs(self.restriction("bad"), Restriction.REFUSED)
         self.assertIs(self.restriction("item"), Restriction.FREE)
 
     def test_runs_that_were_well_under_way_weigh_half(self) -> None:
         for number in range(3):
-            self.quarantine.record_crash(report(str(number), *mixed("slow", begun=True)))
+            record(self.quarantine, report(str(number), *mixed("slow", begun=True)))
         self.assertIs(self.restriction("slow"), Restriction.FREE)
-        self.quarantine.record_crash(report("3", *mixed("slow", begun=True)))
+        record(self.quarantine, report("3", *mixed("slow", begun=True)))
         self.assertIs(self.restriction("slow"), Restriction.ALONE)
 
     def test_a_complete_run_voids_earlier_reports_and_no_later_ones(self) -> None:
         known_cause(self.quarantine, "work")
         reports = self.quarantine.reports_against("work")
         cleared = WorkCleared("c", "work", reports, START_MS)
-        self.assertTrue(self.quarantine.record_cleared(cleared))
+        self.assertTrue(record(self.quarantine, cleared))
         self.assertIs(self.restriction("work"), Restriction.FREE)
         self.assertFalse(self.quarantine.is_suspected("work"))
         for number in range(2):
-            self.quarantine.record_crash(report(f"again-{number}", *mixed("work")))
+            record(self.quarantine, report(f"again-{number}", *mixed("work")))
         self.assertIs(self.restriction("work"), Restriction.ALONE)
 
     def test_a_clearance_may_arrive_before_the_reports_that_it_voids(self) -> None:
-        self.quarantine.record_cleared(WorkCleared("c", "work", ["1", "2"], START_MS))
+        record(self.quarantine, WorkCleared("c", "work", ["1", "2"], START_MS))
         for name in ("1", "2"):
-            self.quarantine.record_crash(report(name, *mixed("work")))
+            record(self.quarantine, report(name, *mixed("work")))
         self.assertIs(self.restriction("work"), Restriction.FREE)
 
     def test_reports_of_several_vms_about_one_crash_count_once(self) -> None:
         for number in range(5):
             at_ms = START_MS + 100 * number
+            self.assertEqual(self.quarantine.crash_number("u", at_ms), 1)
             duplicate = report(str(number), *mixed("work"), upstream_id="u", at_ms=at_ms)
-            self.quarantine.record_crash(duplicate)
+            record(self.quarantine, duplicate)
         self.assertEqual(self.quarantine.verdict("work", START_MS).crashes, 1)
 
     def test_crashes_of_an_upstream_that_keeps_its_identity_count_separately(self) -> None:
         for number in range(3):
             at_ms = START_MS + 1000 * number
             run = CrashedRun("work", alone=number == 2)
-            self.quarantine.record_crash(report(str(number), run, upstream_id="u", at_ms=at_ms))
+            crash_number = self.quarantine.crash_number("u", at_ms)
+            self.assertEqual(crash_number, number + 1)
+            found = report(
+                str(number), run, upstream_id="u", at_ms=at_ms, crash_number=crash_number
+            )
+            record(self.quarantine, found)
         self.assertEqual(self.quarantine.verdict("work", START_MS + 2000).crashes, 3)
         self.assertIs(self.restriction("work", SETTLED_MS + 2000), Restriction.REFUSED)
 
@@ -171,7 +184,7 @@
             self.assertIs(self.restriction("bad", at_ms + pause_ms), Restriction.ALONE)
             at_ms += int(pause_ms)
             run = CrashedRun("bad", alone=True)
-            self.quarantine.record_crash(report(f"chance-{number}", run, at_ms=at_ms))
+            record(self.quarantine, report(f"chance-{number}", run, at_ms=at_ms))
         self.assertIs(self.restriction("bad", at_ms + 23 * 60 * MINUTE_MS), Restriction.REFUSED)
 
     def record_isolated_items(self, count: int) -> int:
@@ -181,7 +194,7 @@
         for number in range(count):
             at_ms += 10_000
             run = CrashedRun("item", alone=True, owed=True)
-            self.quarantine.record_crash(report(f"owed-{number}", run, at_ms=at_ms))
+            record(self.quarantine, report(f"owed-{number}", run, at_ms=at_ms))
         return at_ms
 
     # An item was refused for 10 minutes, an hour and a day, though it is never the cause.
@@ -210,7 +223,7 @@
         self.assertFalse(self.quarantine.knows("bad-0"))
         small = Quarantine(QuarantinePolicy(max_reports=2))
         for number in range(4):
-            small.record_crash(report(str(number), *mixed(f"w{number}"), at_ms=START_MS + number))
+            record(small, report(str(number), *mixed(f"w{number}"), at_ms=START_MS + number))
         self.assertEqual(
             [small.is_suspected(f"w{number}") for number in range(4)], [False] * 2 + [True] * 2
         )
@@ -226,8 +239,8 @@
             chosen = rng.sample(work_ids, rng.randint(1, 3))
             alone = len(chosen) == 1 and rng.random() < 0.5
             runs = [CrashedRun(name, alone=alone, begun=rng.random() < 0.3) for name in chosen]
-            upstream_id, at_ms = f"u{rng.randrange(3)}", START_MS + rng.randrange(4) * 300
-            facts.append(CrashReport(str(number), upstream_id, at_ms, runs))
+            upstream_id, crash_number = f"u{rng.randrange(3)}", rng.randrange(4)
+            facts.append(CrashReport(str(number), upstream_id, START_MS, runs, crash_number))
         void = [str(rng.randrange(8)) for _ in range(2)]
         facts.append(WorkCleared("c", rng.choice(work_ids), void, START_MS))
         verdicts = []
@@ -236,7 +249,7 @@
             received = facts * copies
             rng.shuffle(received)
             for fact in received:
-                log.record(fact)
+                log.record(fact, START_MS)
             self.assertEqual(log.length, len(facts))
             verdicts.append([log.quarantine.verdict(name, START_MS + 2000) for name in work_ids])
         self.assertEqual(verdicts[0], verdicts[1])
@@ -245,11 +258,11 @@
 class CrashLogTest(unittest.TestCase):
     def test_a_program_receives_each_fact_once_and_all_facts_from_a_new_agent(self) -> None:
         log = CrashLog(Quarantine(), boot=7)
-        log.record(report("1", *mixed("a")))
-        first = log.reply_after(log.known_count(0, 0))
+        log.record(report("1", *mixed("a")), START_MS)
+        first = log.reply_after(log.known_count(0, 0), START_MS)
         self.assertEqual([item.report_id for item in first.news.crashes], ["1"])
-        log.record(WorkCleared("2", "a", ["1"], START_MS))
-        second = log.reply_after(log.known_count(first.agent_boot, first.seen))
+        log.record(WorkCleared("2", "a", ["1"], START_MS), START_MS)
+        second = log.reply_after(log.known_count(first.agent_boot, first.seen), START_MS)
         self.assertEqual((len(second.news.crashes), len(second.news.cleared)), (0, 1))
         self.assertEqual(log.known_count(6, second.seen), 0)
 
@@ -358,7 +371,7 @@
         for node in self.nodes:
             self.rng.shuffle(found)
             for _, fact in found:
-                node.record(fact)
+                node.record(fact, self.now_ms)
         self.facts += [fact for _, fact in found]
 
     @rule(number=st.integers(0, NODES - 1))
@@ -366,7 +379,7 @@
         """Restart a node with the stored facts."""
         self.nodes[number] = CrashLog(Quarantine(), boot=2)
         for fact in self.facts:
-            self.nodes[number].record(fact)
+            self.nodes[number].record(fact, self.now_ms)
 
     @rule(work=st.integers(0, 2))
     def innocent_work_is_served(self, work: int) -> None:
@@ -392,6 +405,33 @@
             assert count <= self.MAX_CRASHES, f"{count} upstreams ended under {work}"
 
 
+class FixedDraws:
+    """Stands in for hypothesis: draws the same groups each time."""
+
+    def __init__(self, groups: list[list[str]]) -> None:
+        self._groups = groups
+
+    def draw(self, _strategy: object) -> list[list[str]]:
+        return self._groups
+
+
+class SecondCauseTest(unittest.TestCase):
+    # Crashes that another cause explains do not count, so that this one ran at three upstreams.
+    def test_work_beside_another_cause_crashes_no_more_upstreams_than_alone(self) -> None:
+        fleet = Fleet()
+        fleet.rng = random.Random(0)
+        fleet.crashes = {"bad-0": 0, "bad-1": 0}
+        fleet.innocent = []
+        fleet.nodes = [CrashLog(Quarantine(), boot=1) for _ in range(Fleet.NODES)]
+        fleet.facts = []
+        fleet.now_ms = START_MS
+        fleet.upstreams = 0
+        both = ["bad-0", "bad-1"]
+        for groups in ([["bad-1"]], [both] * 2, [["bad-0"]], [both] * 3):
+            fleet.submit_work(data=FixedDraws(groups))
+        self.assertLessEqual(max(fleet.crashes.values()), Fleet.MAX_CRASHES)
+
+
 Fleet.TestCase.settings = settings(max_examples=60, stateful_step_count=25, deadline=None)
 FleetTest = Fleet.TestCase
 
--- a/tests/test_quarantine_parts.py
+++ b/tests/test_quarantine_parts.py
@@ -10,6 +10,7 @@
 from fescuedock.core.recent_runs import SoundParts
 from fescuedock.core.work_identity import message_parts, part_identities
 from fescuedock.schema.crashes import CrashedRun, CrashReport, WorkCleared
+from tests.builders.quarantine import record
 
 START_MS = 1_800_000_000_000
 POLICY = QuarantinePolicy()
@@ -30,7 +31,7 @@
     """Record four crashes of runs with a part and ``other_parts``, the last two isolated."""
     for number in range(4):
         run = crashed_run(number, *other_parts, BAD, alone=number >= 2)
-        quarantine.record_crash(crash_report(number, run))
+        record(quarantine, crash_report(number, run))
 
 
 class PartsTest(unittest.TestCase):
@@ -46,8 +47,8 @@
     ) -> None:
         seen = []
         for number in range(4):
-            self.quarantine.record_crash(
-                crash_report(number, crashed_run(number, BAD, alone=number >= 2))
+            record(
+                self.quarantine, crash_report(number, crashed_run(number, BAD, alone=number >= 2))
             )
             seen.append(self.restriction(BAD))
         alone = Restriction.ALONE
@@ -65,7 +66,7 @@
                 [] if number < 2 else [CrashedRun(f"sound-{number}", parts=[f"part-{number}"])]
             )
             run = crashed_run(number, FIRST, BAD, alone=number >= 2)
-            self.quarantine.record_crash(crash_report(number, run, *concurrent))
+            record(self.quarantine, crash_report(number, run, *concurrent))
         self.assertIs(self.restriction(FIRST, BAD), Restriction.REFUSED)
         # The other part always occurred with the harmful one; work without that one tests it.
         self.assertIs(self.restriction(FIRST, TOPIC), Restriction.ALONE)
@@ -77,19 +78,19 @@
         for number in range(6):
             concurrent = crashed_run(10 + number, FIRST, BAD)
             run = crashed_run(number, FIRST, TOPIC, alone=True)
-            self.quarantine.record_crash(crash_report(number, run, concurrent))
+            record(self.quarantine, crash_report(number, run, concurrent))
             self.assertIsNot(self.restriction(FIRST, TOPIC), Restriction.REFUSED)
 
     def test_one_unit_of_work_with_concurrent_runs_does_not_incriminate_its_parts(self) -> None:
         for number in range(6):
             run = CrashedRun("work", alone=True, parts=[BAD])
-            self.quarantine.record_crash(crash_report(number, run, CrashedRun(f"sound-{number}")))
+            record(self.quarantine, crash_report(number, run, CrashedRun(f"sound-{number}")))
         self.assertIs(self.restriction(BAD, work_id="work"), Restriction.REFUSED)
         self.assertIsNot(self.restriction(BAD), Restriction.REFUSED)
 
     def test_a_response_that_had_begun_weighs_the_same_against_a_part(self) -> None:
         for number in range(2):
-            self.quarantine.record_crash(crash_report(number, crashed_run(number, BAD, begun=True)))
+            record(self.quarantine, crash_report(number, crashed_run(number, BAD, begun=True)))
         self.assertIs(self.restriction(BAD), Restriction.ALONE)
 
     def test_a_part_that_always_occurred_with_the_harmful_one_is_isolated_and_not_refused(
@@ -99,7 +100,7 @@
         self.assertIs(self.restriction(FIRST, BAD), Restriction.REFUSED)
         self.assertIs(self.restriction(FIRST, TOPIC), Restriction.ALONE)
         clear = WorkCleared("c", FIRST, self.quarantine.reports_against(FIRST), START_MS)
-        self.quarantine.record_cleared(clear)
+        record(self.quarantine, clear)
         self.assertIs(self.restriction(FIRST, TOPIC), Restriction.FREE)
         self.assertIs(self.restriction(BAD), Restriction.REFUSED)
 
@@ -107,15 +108,15 @@
         for number in range(4):
             concurrent = [] if number >= 2 else [crashed_run(10 + number, FIRST)]
             run = crashed_run(number, FIRST, BAD, alone=number >= 2)
-            self.quarantine.record_crash(crash_report(number, run, *concurrent))
+            record(self.quarantine, crash_report(number, run, *concurrent))
         self.assertIs(self.restriction(FIRST, BAD), Restriction.REFUSED)
         self.assertIs(self.restriction(FIRST), Restriction.FREE)
 
     def test_a_common_part_that_crashes_upstreams_without_the_rarer_one_is_found(self) -> None:
         record_bad_part(self.quarantine, FIRST)
         for number in range(4, 8):
-            self.quarantine.record_crash(
-                crash_report(number, crashed_run(number, FIRST, alone=number >= 6))
+            record(
+                self.quarantine, crash_report(number, crashed_run(number, FIRST, alone=number >= 6))
             )
         self.assertIs(self.restriction(FIRST, TOPIC), Restriction.REFUSED)
 
@@ -123,27 +124,28 @@
         """Guards against refusing sound calls by one harmful and one unrelated isolated crash."""
         for number in range(2):
             run = crashed_run(number, FIRST, BAD)
-            self.quarantine.record_crash(crash_report(number, run, crashed_run(10 + number, FIRST)))
-        self.quarantine.record_crash(crash_report(2, crashed_run(2, FIRST, BAD, alone=True)))
-        self.quarantine.record_crash(crash_report(3, crashed_run(3, FIRST, TOPIC, alone=True)))
+            record(self.quarantine, crash_report(number, run, crashed_run(10 + number, FIRST)))
+        record(self.quarantine, crash_report(2, crashed_run(2, FIRST, BAD, alone=True)))
+        record(self.quarantine, crash_report(3, crashed_run(3, FIRST, TOPIC, alone=True)))
         self.assertIs(self.restriction(FIRST, TOPIC), Restriction.ALONE)
         self.assertIs(self.restriction(FIRST), Restriction.ALONE)
-        self.quarantine.record_crash(crash_report(4, crashed_run(4, FIRST, BAD, alone=True)))
+        record(self.quarantine, crash_report(4, crashed_run(4, FIRST, BAD, alone=True)))
         self.assertIs(self.restriction(FIRST, BAD), Restriction.REFUSED)
         self.assertIsNot(self.restriction(FIRST, TOPIC), Restriction.REFUSED)
 
     def test_a_common_part_is_found_whichever_other_part_occurs_with_it(self) -> None:
         others = part_identities(f"other-{number}" for number in range(3))
         for number, other in enumerate([*others, *others]):
-            self.quarantine.record_crash(
-                crash_report(number, crashed_run(number, BAD, other, alone=number >= 3))
+            record(
+                self.quarantine,
+                crash_report(number, crashed_run(number, BAD, other, alone=number >= 3)),
             )
         self.assertIs(self.restriction(BAD, TOPIC), Restriction.REFUSED)
 
     def test_a_repeated_unit_of_work_is_refused_and_its_parts_are_not(self) -> None:
         for number in range(3):
             run = CrashedRun("same", alone=number == 2, parts=[FIRST])
-            self.quarantine.record_crash(crash_report(number, run))
+            record(self.quarantine, crash_report(number, run))
         self.assertIs(self.restriction(FIRST, work_id="same"), Restriction.REFUSED)
         self.assertIsNot(self.restriction(FIRST), Restriction.REFUSED)
 
@@ -166,11 +168,11 @@
         ]
         one, other = Quarantine(), Quarantine()
         for report in reports:
-            one.record_crash(report)
+            record(one, report)
         by_name = {report.report_id: report for report in reports}
         for number in [*order, *again]:
             if f"r{number}" in by_name:
-                other.record_crash(by_name[f"r{number}"])
+                record(other, by_name[f"r{number}"])
         for parts in ((FIRST, BAD), (FIRST,), (BAD,), (TOPIC,), (FIRST, TOPIC)):
             verdicts = [item.verdict("new", self.later_ms, parts) for item in (one, other)]
             self.assertEqual(*verdicts)
