--- a/src/fescuedock/core/replica_table.py
+++ b/src/fescuedock/core/replica_table.py
@@ -48,8 +48,6 @@
     # The newest of all entries.  It exceeds ``revision`` while an entry recorded by this node
     # itself has not arrived as a change yet.
     _newest_revision: int = UNKNOWN_REVISION
-    # For each key, a time at which it certainly did not exist yet.
-    _absent_ms: dict[str, float] = msgspec.field(default_factory=dict)
     # Revisions of removals, so that an older state does not restore a key.
     _removed: dict[str, int] = msgspec.field(default_factory=dict)
 
@@ -65,13 +63,6 @@
         """Return the longest time for which changes may be missing from the table."""
         return now_ms - self.as_of_ms
 
-    def absent_as_of_ms(self, key: str) -> float:
-        """Return a time at which ``key`` certainly did not exist yet, by this node's clock.
-
-        Minus infinity for a key that existed when the table was first filled.
-        """
-        return self._absent_ms.get(key, float("-inf"))
-
     def replace(self, entries: Iterable[KvEntry], revision: int, confirmed_ms: float) -> None:
         """Apply a snapshot of all keys as of ``revision``; keys missing from it were removed.
 
@@ -153,8 +144,6 @@
             return
         self._removed.pop(entry.key, None)
         self.entries[entry.key] = entry
-        if known is None:
-            self._absent_ms[entry.key] = self.as_of_ms
         self._newest_revision = max(self._newest_revision, entry.mod_revision)
         if known is None or not self.is_heartbeat(known.value, entry.value):
             self.version += 1
@@ -164,7 +153,6 @@
         if known is None or known.mod_revision > revision:
             return
         del self.entries[key]
-        del self._absent_ms[key]
         self._removed[key] = revision
         self.version += 1
 
--- a/src/fescuedock/node/job_runner.py
+++ b/src/fescuedock/node/job_runner.py
@@ -12,7 +12,7 @@
 from fescuedock.agent.link import FleetView
 from fescuedock.agent.permit_client import Grant, PermitClient
 from fescuedock.agent.send_check import send_check
-from fescuedock.clock import UnixClock, now_ms
+from fescuedock.clock import now_ms
 from fescuedock.core.forwarding.route_table import Route
 from fescuedock.core.quarantine import Restriction
 from fescuedock.core.rendezvous import choose_name
@@ -37,6 +37,7 @@
 from fescuedock.node.item_isolation import IsolatedItem, IsolatedRuns
 from fescuedock.node.item_permits import ItemPermitRequester
 from fescuedock.node.item_run import StartState, run_item
+from fescuedock.node.job_ages import NodeJobAges
 from fescuedock.node.job_store import JobStore, LoadedJob, VersionedRecord, decode_record
 from fescuedock.node.replicas import Replicas
 from fescuedock.platform import calls
@@ -62,7 +63,8 @@
 # A route missing from the configuration for this long counts as removed, and the remaining items
 # of its jobs are abandoned.
 _ROUTE_REMOVED_AFTER_MS = 2500.0
-# Added to the time after which items may be given up, as node clocks differ and may jump.
+# Added to the time after which items may be given up: a client may learn of the acceptance this
+# much later than the first node.
 _GIVE_UP_MARGIN_MS = 6000.0
 _COMMIT_SHUTDOWN_MS = 1500.0
 # Logged in place of an infinite age.
@@ -104,6 +106,11 @@
         self.changed.set()
         self.changed = trio.Event()
 
+    def set_submitted(self, submitted_ms: float) -> None:
+        """Set the times of the job by the time of its submission."""
+        self.run.due_ms = submitted_ms + self.run.record.due_in_ms
+        self.run.give_up_ms = _give_up_ms(self.run.record, submitted_ms)
+
     def results_since_ms(self) -> float:
         """Return since when results have waited to be committed."""
         self.uncommitted_ms = now_ms() if self.uncommitted_ms is None else self.uncommitted_ms
@@ -124,7 +131,7 @@
         permits: PermitClient,
         http: HttpClient,
         owner: OwnerIdentity,
-        unix_clock: UnixClock,
+        ages: NodeJobAges,
         rng: random.Random,
         metrics: Metrics,
         wanted_ends: PendingEnds,
@@ -139,7 +146,7 @@
         self._permits = permits
         self._http = http
         self._owner = owner
-        self._unix_clock = unix_clock
+        self._ages = ages
         self._rng = rng
         self._metrics = metrics
         self._wanted_ends = wanted_ends
@@ -185,6 +192,7 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             nursery.start_soon(self._reconcile_forever)
+            nursery.start_soon(self._learn_ages)
             nursery.start_soon(self._isolated_runs.run)
             await self._permit_requester.run(self._next_poll_s)
 
@@ -219,6 +227,11 @@
             with trio.move_on_after(_RECONCILE_INTERVAL_S):
                 await self._replicas.wait_changed(seen)
 
+    async def _learn_ages(self) -> None:
+        while not self._table.is_known:
+            await self._replicas.wait_changed(self._replicas.version)
+        await self._ages.learn()
+
     def _reconcile(self) -> None:
         available_nodes = {vm.vm_id for vm in self._view.live_vms(Program.BATCH)}
         if self._runs_jobs:
@@ -234,6 +247,10 @@
             for key, entry in self._table.entries.items()
             if key.startswith(self._store.keys.records)
         ]
+        self._ages.known.observe_all((stored.record for stored in found), now_ms())
+        for job in self._jobs.values():
+            # Other nodes may have known the job for longer than this one.
+            job.set_submitted(self._ages.known.observe(job.run.record, now_ms()))
         for stored in found:
             self._claim_if_due(stored, available_nodes, present)
         self._log_unconfirmed()
@@ -462,7 +479,7 @@
 
     async def _take_over(self, found: VersionedRecord) -> VersionedRecord | None:
         updated = msgspec.structs.replace(
-            found.record,
+            self._ages.known.with_age(found.record, now_ms()),
             owner_id=self._owner.node_id,
             owner_boot=self._owner.boot,
             epoch=found.record.epoch + 1,
@@ -503,17 +520,13 @@
         for group in loaded.groups:
             cached.add(group)
         listed = [result.item_id for result in loaded.results]
-        age_ms = self._unix_clock() * 1000 - record.submitted_at_ms
-        began_ms = now_ms() - min(max(age_ms, 0), record.retention_ms or record.due_in_ms)
-        # Node clocks may differ by any amount, and giving up an item is final.
-        absent_ms = self._table.absent_as_of_ms(self._store.keys.record(record.job_id))
-        retained_from_ms = max(began_ms, absent_ms)
+        submitted_ms = self._ages.known.observe(record, now_ms())
         run = StoredJob(
             record,
             loaded.items,
             listed,
-            due_ms=began_ms + record.due_in_ms,
-            give_up_ms=retained_from_ms + record.retention_ms + _GIVE_UP_MARGIN_MS,
+            due_ms=submitted_ms + record.due_in_ms,
+            give_up_ms=_give_up_ms(record, submitted_ms),
             parts_of=_parts_of,
             max_output_bytes=self._store.max_output_bytes,
         )
@@ -551,7 +564,8 @@
 
     async def _release(self, job: OwnedJob) -> None:
         """Clear the owner in a job's record, and store the progress of its unfinished items."""
-        record = msgspec.structs.replace(job.versioned.record, owner_id="", owner_boot=0)
+        record = self._ages.known.with_age(job.versioned.record, now_ms())
+        record = msgspec.structs.replace(record, owner_id="", owner_boot=0)
         progress = job.run.progress()
         result = await self._store.swap(record, job.versioned.revision, progress)
         log_event(
@@ -634,7 +648,9 @@
         results = job.run.next_group(job.group_bytes)
         record = job.versioned.record
         group = ResultGroup(record.listed, results)
-        updated = msgspec.structs.replace(record, listed=record.listed + len(results))
+        updated = msgspec.structs.replace(
+            self._ages.known.with_age(record, now_ms()), listed=record.listed + len(results)
+        )
         started_ms = now_ms()
         result = await self._store.commit(updated, job.versioned.revision, group)
         log_event(
@@ -855,5 +871,9 @@
         return self._configuration.routes.find(record.host, record.path)
 
 
+def _give_up_ms(record: StoredJobRecord, submitted_ms: float) -> float:
+    return submitted_ms + record.retention_ms + _GIVE_UP_MARGIN_MS
+
+
 def _parts_of(item: StoredItem) -> tuple[str, ...]:
     return part_identities(name for name, _ in calls.item_head(item.headers).shared_parts)
--- a/src/fescuedock/node/main.py
+++ b/src/fescuedock/node/main.py
@@ -46,6 +46,7 @@
 from fescuedock.node.group_broadcast import GroupBroadcaster
 from fescuedock.node.health_probe import health_probe
 from fescuedock.node.job_acceptance import JobAcceptance
+from fescuedock.node.job_ages import NodeJobAges
 from fescuedock.node.job_calls import JobCalls
 from fescuedock.node.job_ends import JobEnds
 from fescuedock.node.job_runner import JobRunner
@@ -220,6 +221,7 @@
         store = JobStore(self._store, self._keys, node.store_value_bytes)
         cache = JobCache(node.job_cache_bytes)
         wanted_ends = PendingEnds()
+        self._job_ages = NodeJobAges(self._call_neighbour, self._live_neighbours)
         self._runner = JobRunner(
             node,
             store,
@@ -230,7 +232,7 @@
             permits,
             self._http,
             owner,
-            self._clock,
+            self._job_ages,
             self._rng,
             self._metrics,
             wanted_ends,
@@ -327,6 +329,7 @@
             self._replicas,
             self._acceptance,
             self._owner_reads,
+            self._job_ages,
             self._crashes,
             self.quotas,
             self._origins,
--- a/src/fescuedock/schema/stored_jobs.py
+++ b/src/fescuedock/schema/stored_jobs.py
@@ -7,7 +7,7 @@
 
 from typing import Annotated
 
-from msgspec import Meta
+from msgspec import Meta, field
 
 from fescuedock.schema.wire import WireStruct
 
@@ -24,7 +24,7 @@
         Meta(description="Path at which the job was submitted; selects the route of its items."),
     ]
     submitted_at_ms: Annotated[
-        int, Meta(description="Unix time by the clock of the node that accepted the job.")
+        int, Meta(description="Unix time by the clock of the node that accepted the job")
     ]
     due_in_ms: Annotated[int, Meta(description="From submission until all results are wanted.")]
     retention_ms: Annotated[int, Meta(description="From submission until items may be given up.")]
@@ -56,6 +56,12 @@
             description="Of the items as they were submitted; empty in records of an earlier version."
         ),
     ] = ""
+    age_ms: Annotated[
+        int,
+        Meta(
+            description="Time since the submission as this record was written, or less, by a clock that does not jump."
+        ),
+    ] = 0
 
 
 class StoredItem(WireStruct):
@@ -129,6 +135,18 @@
     code: Annotated[int, Meta(description="A ResultCode; OK when the job is stored.")]
 
 
+class JobAgesRequest(WireStruct):
+    """
+    A node that starts asks another one how old the open jobs are.
+    """
+
+
+class JobAgesReply(WireStruct):
+    ages_ms: Annotated[
+        dict[str, int], Meta(description="By job, the time since its submission, or less.")
+    ] = field(default_factory=dict)
+
+
 class ReadResults(WireStruct):
     """
     A node that a client reads a job at asks the job's owner for results that it lacks.
