Let other nodes take over jobs whose owner cannot reach the store

What callers saw: results of an accepted job were not listed for as long as its owner's path to the store was away, though other nodes had one; a job whose owner was gone was claimed by nobody if the node chosen to claim it had no path.

Cause: an owner counts as gone only when it is missing from membership, and the node that claims is chosen among all that are ready; neither asks whether the node can write a record.

Why this works: a node whose calls about jobs have all failed for 6 s says that it runs no jobs, and tries again 5 s after its last call. An owner that has said so for 4 s loses its jobs to another node, by the record's revision and epoch as always.

--- a/src/fescuedock/core/stored_jobs/ownership.py
+++ b/src/fescuedock/core/stored_jobs/ownership.py
@@ -12,12 +12,29 @@
 from fescuedock.core.rendezvous import choose_name
 from fescuedock.schema.stored_jobs import StoredJobRecord
 
-__all__ = ["MAX_CONFIRM_AGE_MS", "Duty", "MissingOwners", "OwnerIdentity", "duty_of", "is_open"]
+__all__ = [
+    "IDLE_OWNER_GRACE_MS",
+    "MAX_CONFIRM_AGE_MS",
+    "Duty",
+    "MissingOwners",
+    "OwnerIdentity",
+    "StorePath",
+    "duty_of",
+    "is_open",
+]
 
 # Largest age of an owner's copy of the records at which it may confirm that no more results are
 # listed.  Less than the 1.5 s that an owner must be missing before another node claims its jobs.
 MAX_CONFIRM_AGE_MS = 1400.0
 
+# An owner that is present and says for this long that it runs no jobs loses those that it has not
+# given away by itself.
+IDLE_OWNER_GRACE_MS = 4000.0
+# Calls about jobs have failed for this long when the path to the key-value service counts as lost.
+_PATH_LOST_AFTER_MS = 6000.0
+# Without a further call the path counts as usable again, so that one is tried.
+_PATH_RETRY_MS = 5000.0
+
 
 class Duty(enum.Enum):
     """What a node must do for a job."""
@@ -66,6 +83,31 @@
         return now_ms - since_ms >= self.grace_ms
 
 
+class StorePath(msgspec.Struct):
+    """Whether this node's own calls about jobs reach the key-value service."""
+
+    _failing_since_ms: float | None = None
+    _last_failure_ms: float = float("-inf")
+
+    def record(self, *, answered: bool, now_ms: float) -> None:
+        """Record the outcome of a call."""
+        if answered:
+            self._failing_since_ms = None
+            return
+        self._last_failure_ms = now_ms
+        if self._failing_since_ms is None:
+            self._failing_since_ms = now_ms
+
+    def is_lost(self, now_ms: float) -> bool:
+        """Whether all calls have failed for long, the last one recently."""
+        since_ms = self._failing_since_ms
+        return (
+            since_ms is not None
+            and now_ms - since_ms >= _PATH_LOST_AFTER_MS
+            and now_ms - self._last_failure_ms < _PATH_RETRY_MS
+        )
+
+
 def duty_of(
     record: StoredJobRecord,
     own: OwnerIdentity,
--- a/src/fescuedock/node/job_runner.py
+++ b/src/fescuedock/node/job_runner.py
@@ -1,7 +1,7 @@
 """Runs the items of the jobs that this node owns and commits their results to the store."""
 
 import random
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Collection, Iterator, Mapping
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -9,6 +9,7 @@
 import trio
 from result import Err, Ok
 
+from fescuedock.address import Address
 from fescuedock.agent.link import FleetView
 from fescuedock.agent.permit_client import Grant, PermitClient
 from fescuedock.agent.send_check import send_check
@@ -19,7 +20,9 @@
 from fescuedock.core.send_gate import SendRefusal
 from fescuedock.core.stored_jobs.cache import JobCache
 from fescuedock.core.stored_jobs.job import ItemEnd, ItemRun, StoredJob
+from fescuedock.core.stored_jobs.job_ages import JobAges
 from fescuedock.core.stored_jobs.ownership import (
+    IDLE_OWNER_GRACE_MS,
     Duty,
     MissingOwners,
     OwnerIdentity,
@@ -32,24 +35,30 @@
 from fescuedock.core.stored_jobs.work_gate import RecordFreshness, WorkRefusal, refusal_of
 from fescuedock.core.work_identity import part_identities
 from fescuedock.log import log_event
+from fescuedock.net.channel import CallHandler, ServerPeer
 from fescuedock.net.http_client import HttpClient, SendCheck
 from fescuedock.node.configuration import NodeConfiguration
-from fescuedock.node.item_isolation import IsolatedItem, IsolatedRuns
 from fescuedock.node.item_permits import ItemPermitRequester
 from fescuedock.node.item_run import StartState, run_item
-from fescuedock.node.job_ages import NodeJobAges
 from fescuedock.node.job_store import JobStore, LoadedJob, VersionedRecord, decode_record
-from fescuedock.node.replicas import Replicas
+from fescuedock.node.replicas import CallNeighbour, Replicas
 from fescuedock.platform import calls
 from fescuedock.report.metrics import Metrics
 from fescuedock.schema.result_codes import ResultCode
 from fescuedock.schema.settings import NodeSettings
-from fescuedock.schema.stored_jobs import ResultGroup, StoredItem, StoredJobRecord
+from fescuedock.schema.stored_jobs import (
+    JobAgesReply,
+    JobAgesRequest,
+    ResultGroup,
+    StoredItem,
+    StoredJobRecord,
+)
 from fescuedock.schema.view import Program, UpstreamRecord
 
 if TYPE_CHECKING:
     from fescuedock.core.stored_jobs.holds import HeldItem, HeldItems
     from fescuedock.core.stored_jobs.restricted import RestrictedItems
+    from fescuedock.node.item_isolation import IsolatedItem
 
 __all__ = ["JobRunner"]
 
@@ -131,7 +140,8 @@
         permits: PermitClient,
         http: HttpClient,
         owner: OwnerIdentity,
-        ages: NodeJobAges,
+        call_neighbour: CallNeighbour,
+        neighbours: Callable[[], Collection[Address]],
         rng: random.Random,
         metrics: Metrics,
         wanted_ends: PendingEnds,
@@ -146,13 +156,17 @@
         self._permits = permits
         self._http = http
         self._owner = owner
-        self._ages = ages
+        self._call_neighbour = call_neighbour
+        self._neighbours = neighbours
+        self._ages = JobAges()
         self._rng = rng
         self._metrics = metrics
         self._wanted_ends = wanted_ends
         self._jobs: dict[str, OwnedJob] = {}
         self._claiming: set[str] = set()
         self._missing_owners = MissingOwners()
+        # Owners that are present and run no jobs.
+        self._idle_owners = MissingOwners(IDLE_OWNER_GRACE_MS)
         self._pool = ItemPool(
             self._running_jobs,
             self._serves,
@@ -172,9 +186,6 @@
             lambda: self._pool.any_overdue(now_ms()),
             self._priority,
         )
-        self._isolated_runs = IsolatedRuns(
-            view, permits, self._next_isolated_item, self._run_isolated_item
-        )
         # None before the first upstream crash.
         self._restricted_items: RestrictedItems | None = None
         # None before the first job.
@@ -187,13 +198,17 @@
         self._nursery: trio.Nursery | None = None
         self.leaving = False
 
+    def handlers(self) -> dict[type[msgspec.Struct], CallHandler]:
+        """Return the handlers by message type, to be merged with those of other services."""
+        return {JobAgesRequest: self._on_ages_request}
+
     async def run(self) -> None:
         """Run until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             nursery.start_soon(self._reconcile_forever)
             nursery.start_soon(self._learn_ages)
-            nursery.start_soon(self._isolated_runs.run)
+            nursery.start_soon(self._run_isolated)
             await self._permit_requester.run(self._next_poll_s)
 
     def accept(self, stored: VersionedRecord, items: list[StoredItem]) -> None:
@@ -230,16 +245,26 @@
     async def _learn_ages(self) -> None:
         while not self._table.is_known:
             await self._replicas.wait_changed(self._replicas.version)
-        await self._ages.learn()
+        # Imported after the start-up.
+        from fescuedock.node.job_ages import learn_ages
+
+        await learn_ages(self._ages, self._call_neighbour, self._neighbours)
+
+    async def _on_ages_request(self, _message: JobAgesRequest, _peer: ServerPeer) -> JobAgesReply:
+        return JobAgesReply(self._ages.ages_ms(now_ms()))
 
     def _reconcile(self) -> None:
         available_nodes = {vm.vm_id for vm in self._view.live_vms(Program.BATCH)}
-        if self._runs_jobs:
+        if self.claims_jobs:
             available_nodes.add(self._owner.node_id)
         else:
             available_nodes.discard(self._owner.node_id)
         present = {*self._view.vms, self._owner.node_id}
         self._missing_owners.record_present(present, now_ms())
+        store_unreachable = self._replicas.kv_availability.is_unavailable(now_ms())
+        # While the store answers nobody, no owner is idle by a fault of its own.
+        active = present if store_unreachable else available_nodes
+        self._idle_owners.record_present(active, now_ms())
         for job in list(self._jobs.values()):
             self._drop_if_refused(job)
         found = [
@@ -247,16 +272,15 @@
             for key, entry in self._table.entries.items()
             if key.startswith(self._store.keys.records)
         ]
-        self._ages.known.observe_all((stored.record for stored in found), now_ms())
+        self._ages.observe_all((stored.record for stored in found), now_ms())
         for job in self._jobs.values():
             # Other nodes may have known the job for longer than this one.
-            job.set_submitted(self._ages.known.observe(job.run.record, now_ms()))
+            job.set_submitted(self._ages.observe(job.run.record, now_ms()))
         for stored in found:
             self._claim_if_due(stored, available_nodes, present)
         self._log_unconfirmed()
         self._log_restricted()
         self._log_held([stored.record for stored in found], present)
-        store_unreachable = self._replicas.kv_availability.is_unavailable(now_ms())
         if available_nodes and not store_unreachable and not self._runs_jobs and not self.leaving:
             self._transfer_all()
 
@@ -265,6 +289,14 @@
         """Whether this node runs jobs.  Without an owner that answers, no item can start here."""
         return not self.leaving and not self._permits.no_owner_answers
 
+    @property
+    def claims_jobs(self) -> bool:
+        """Whether this node claims jobs, and counts as the owner of those that it has.
+
+        Without a path to the key-value service it can neither claim a job nor commit a result.
+        """
+        return self._runs_jobs and not self._store.path_lost
+
     def _transfer_all(self) -> None:
         """Transfer all jobs to nodes whose permit requests are answered by upstream owners."""
         for job in self._jobs.values():
@@ -282,7 +314,9 @@
         record = found.record
         if record.job_id in self._jobs or not is_open(record):
             return
-        gone = self._missing_owners.is_gone(record.owner_id, present, now_ms())
+        gone = self._missing_owners.is_gone(
+            record.owner_id, present, now_ms()
+        ) or self._idle_owners.is_gone(record.owner_id, available_nodes, now_ms())
         duty = duty_of(
             record, self._owner, available_nodes, owner_gone=gone, leaving=not self._runs_jobs
         )
@@ -479,7 +513,7 @@
 
     async def _take_over(self, found: VersionedRecord) -> VersionedRecord | None:
         updated = msgspec.structs.replace(
-            self._ages.known.with_age(found.record, now_ms()),
+            self._ages.with_age(found.record, now_ms()),
             owner_id=self._owner.node_id,
             owner_boot=self._owner.boot,
             epoch=found.record.epoch + 1,
@@ -520,7 +554,7 @@
         for group in loaded.groups:
             cached.add(group)
         listed = [result.item_id for result in loaded.results]
-        submitted_ms = self._ages.known.observe(record, now_ms())
+        submitted_ms = self._ages.observe(record, now_ms())
         run = StoredJob(
             record,
             loaded.items,
@@ -564,7 +598,7 @@
 
     async def _release(self, job: OwnedJob) -> None:
         """Clear the owner in a job's record, and store the progress of its unfinished items."""
-        record = self._ages.known.with_age(job.versioned.record, now_ms())
+        record = self._ages.with_age(job.versioned.record, now_ms())
         record = msgspec.structs.replace(record, owner_id="", owner_boot=0)
         progress = job.run.progress()
         result = await self._store.swap(record, job.versioned.revision, progress)
@@ -649,7 +683,7 @@
         record = job.versioned.record
         group = ResultGroup(record.listed, results)
         updated = msgspec.structs.replace(
-            self._ages.known.with_age(record, now_ms()), listed=record.listed + len(results)
+            self._ages.with_age(record, now_ms()), listed=record.listed + len(results)
         )
         started_ms = now_ms()
         result = await self._store.commit(updated, job.versioned.revision, group)
@@ -801,7 +835,21 @@
             partial(self._run_item, job, choice.run, upstream, grant, waited_ms)
         )
 
-    def _next_isolated_item(self, service: str) -> IsolatedItem | None:
+    async def _run_isolated(self) -> None:
+        """Run items in isolation, after the first crash of an upstream."""
+        while self._view.quarantine.is_empty:
+            await self._view.wait_quarantine_changed()
+        # Imported after the first crash, to keep it off the start-up path.
+        from fescuedock.node.item_isolation import IsolatedRuns
+
+        runs = IsolatedRuns(
+            self._view, self._permits, self._next_isolated_item, self._run_isolated_item
+        )
+        await runs.run()
+
+    def _next_isolated_item(self, service: str) -> "IsolatedItem | None":
+        from fescuedock.node.item_isolation import IsolatedItem
+
         choice = self._pool.choose_isolated(service, now_ms())
         if choice is None:
             return None
--- a/src/fescuedock/node/job_store.py
+++ b/src/fescuedock/node/job_store.py
@@ -10,8 +10,9 @@
 import msgspec
 from result import Err, Ok, Result
 
+from fescuedock.clock import now_ms
 from fescuedock.core.stored_jobs.keys import JobKeys
-from fescuedock.core.stored_jobs.ownership import is_open
+from fescuedock.core.stored_jobs.ownership import StorePath, is_open
 from fescuedock.faults import Fault
 from fescuedock.kv import KvEntry, KvStore, KvTransaction, KvTransactions
 from fescuedock.log import log_event
@@ -39,6 +40,7 @@
 _MAX_OPERATIONS = 32
 # How long the end of a job that is not stored blocks writes of the job still in flight.
 _ENDED_TTL_S = 600
+_UNANSWERED_CODES = (ResultCode.KV_UNAVAILABLE, ResultCode.KV_UNKNOWN)
 
 
 class JobKv(KvStore, KvTransactions, Protocol):
@@ -76,6 +78,12 @@
         self.keys = keys
         self._kv = kv
         self._part_bytes = value_bytes - _VALUE_MARGIN_BYTES
+        self._path = StorePath()
+
+    @property
+    def path_lost(self) -> bool:
+        """Whether this node's calls have failed for seconds; other nodes may be unaffected."""
+        return self._path.is_lost(now_ms())
 
     @property
     def max_output_bytes(self) -> int:
@@ -113,7 +121,7 @@
         may_be_stored = False
         pauses = ExponentialBackoff(_FIRST_PAUSE_MS, _MAX_PAUSE_MS)
         while True:
-            result = await self._kv.transact(transaction)
+            result = self._note(await self._kv.transact(transaction))
             if isinstance(result, Ok):
                 return Ok(VersionedRecord(record, result.ok_value))
             fault = result.err_value
@@ -146,7 +154,7 @@
 
     async def read_record(self, job_id: str) -> Result[VersionedRecord | None, Fault]:
         """Read a job's record; None when the job does not exist."""
-        found = await self._kv.get(self.keys.record(job_id))
+        found = self._note(await self._kv.get(self.keys.record(job_id)))
         return found.map(lambda entry: None if entry is None else decode_record(entry))
 
     async def read_items(self, record: StoredJobRecord) -> Result[list[StoredItem], Fault]:
@@ -181,7 +189,9 @@
         values: dict[str, bytes] = {}
         start_after = ""
         while True:
-            page = await self._kv.get_range(self.keys.data(record.job_id), start_after=start_after)
+            page = self._note(
+                await self._kv.get_range(self.keys.data(record.job_id), start_after=start_after)
+            )
             if isinstance(page, Err):
                 return page
             values |= {entry.key: entry.value for entry in page.ok_value.entries}
@@ -366,7 +376,13 @@
     ) -> Result[int, Fault]:
         key = self.keys.record(updated.job_id)
         writes = {key: msgspec.msgpack.encode(updated), **extra_writes}
-        return await self._kv.transact(KvTransaction({key: revision}, writes=writes))
+        return self._note(await self._kv.transact(KvTransaction({key: revision}, writes=writes)))
+
+    def _note(self, result: Result) -> Result:
+        """Record whether a call was answered; return its result."""
+        unanswered = isinstance(result, Err) and result.err_value.code in _UNANSWERED_CODES
+        self._path.record(answered=not unanswered, now_ms=now_ms())
+        return result
 
     def _fit_into_value(self, progress: list[ItemProgress]) -> list[ItemProgress]:
         """Return the items that fit into one value, preferring those with the most progress."""
--- a/src/fescuedock/node/main.py
+++ b/src/fescuedock/node/main.py
@@ -46,7 +46,6 @@
 from fescuedock.node.group_broadcast import GroupBroadcaster
 from fescuedock.node.health_probe import health_probe
 from fescuedock.node.job_acceptance import JobAcceptance
-from fescuedock.node.job_ages import NodeJobAges
 from fescuedock.node.job_calls import JobCalls
 from fescuedock.node.job_ends import JobEnds
 from fescuedock.node.job_runner import JobRunner
@@ -221,7 +220,6 @@
         store = JobStore(self._store, self._keys, node.store_value_bytes)
         cache = JobCache(node.job_cache_bytes)
         wanted_ends = PendingEnds()
-        self._job_ages = NodeJobAges(self._call_neighbour, self._live_neighbours)
         self._runner = JobRunner(
             node,
             store,
@@ -232,7 +230,8 @@
             permits,
             self._http,
             owner,
-            self._job_ages,
+            self._call_neighbour,
+            self._live_neighbours,
             self._rng,
             self._metrics,
             wanted_ends,
@@ -329,7 +328,7 @@
             self._replicas,
             self._acceptance,
             self._owner_reads,
-            self._job_ages,
+            self._runner,
             self._crashes,
             self.quotas,
             self._origins,
@@ -503,7 +502,7 @@
             # The load is always 0: no choice uses it, and each change would go to all nodes.
             ready = self.front.ready
             if program is Program.BATCH:
-                ready = ready and not self._permits.no_owner_answers
+                ready = ready and self._runner.claims_jobs
             hello = Hello(program, port, ready, in_flight=0)
             self._programs.record_hello(hello, now_ms())
 
--- a/tests/builders/runner_simulation.py
+++ b/tests/builders/runner_simulation.py
@@ -28,7 +28,6 @@
 from fescuedock.net.http_client import SendCheck
 from fescuedock.node.item_run import StartState
 from fescuedock.node.job_acceptance import JobAcceptance
-from fescuedock.node.job_ages import NodeJobAges
 from fescuedock.node.job_ends import JobEnds
 from fescuedock.node.job_runner import JobRunner
 from fescuedock.node.job_store import JobStore
@@ -185,7 +184,7 @@
         return self.quarantine.verdict(work_id, now_ms(), owed=owed)
 
     def live_vms(self, _program: Program) -> list[_Vm]:
-        return [vm for vm in self.vms.values() if not self._simulation.is_leaving(vm.vm_id)]
+        return [vm for vm in self.vms.values() if self._simulation.claims_jobs(vm.vm_id)]
 
     def upstreams_of(self, _service: str) -> list[UpstreamRecord]:
         return list(self.upstreams.values())
@@ -322,7 +321,6 @@
         cache = JobCache(1_000_000)
         configuration = _Configuration(route_table(route("/letters/", kind=RouteKind.BATCH)))
         wanted_ends = PendingEnds()
-        ages = NodeJobAges(call, neighbours)
         self.runner = JobRunner(
             settings,
             self.store,
@@ -333,7 +331,8 @@
             _Permits(simulation),
             self,
             self.owner,
-            ages,
+            call,
+            neighbours,
             rng,
             _Metrics(),
             wanted_ends,
@@ -372,7 +371,7 @@
         self.handlers = {
             **self.replicas.handlers(),
             **self.acceptance.handlers(),
-            **ages.handlers(),
+            **self.runner.handlers(),
         }
         # By job, since when this node knows that it has ended or is owned by another node.
         self._refused_s: dict[str, float] = {}
@@ -493,8 +492,9 @@
             node.name for node in self.nodes if self._gone_s.get(node.name, late_s + 1) > late_s
         ]
 
-    def is_leaving(self, name: str) -> bool:
-        return any(node.name == name and node.leaving for node in self.nodes)
+    def claims_jobs(self, name: str) -> bool:
+        """Whether the node of that name announces that it claims jobs."""
+        return all(node.runner.claims_jobs for node in self.nodes if node.name == name)
 
     def neighbours_of(self, own: SimulatedNode) -> list[Address]:
         return [node.address for node in self.nodes if node is not own and self.is_running(node)]
