--- a/src/fescuedock/core/quarantine.py
+++ b/src/fescuedock/core/quarantine.py
@@ -135,9 +135,9 @@
         return not self._by_trait
 
     def record(self, fact: CrashReport | WorkCleared, at_ms: float) -> bool:
-        """Record a fact that is as old as ``at_ms`` at least; return False if it is already known.
+        """Record a fact that happened at ``at_ms`` or before; return False if it is known already.
 
-        A known fact keeps the earliest of its times.
+        Of several times of a fact the earliest counts.
         """
         known_ms = self._known_facts.get(fact.report_id)
         self._known_facts[fact.report_id] = at_ms if known_ms is None else min(known_ms, at_ms)
--- a/src/fescuedock/node/job_runner.py
+++ b/src/fescuedock/node/job_runner.py
@@ -120,8 +120,8 @@
         self.run.due_ms = submitted_ms + self.run.record.due_in_ms
         self.run.give_up_ms = _give_up_ms(self.run.record, submitted_ms)
 
-    def results_since_ms(self) -> float:
-        """Return since when results have waited to be committed."""
+    def uncommitted_since_ms(self) -> float:
+        """Return since when results have waited, as of the first call after the last commit."""
         self.uncommitted_ms = now_ms() if self.uncommitted_ms is None else self.uncommitted_ms
         return self.uncommitted_ms
 
@@ -190,6 +190,7 @@
         self._restricted_items: RestrictedItems | None = None
         # None before the first job.
         self._held_items: HeldItems | None = None
+        # Time of the last check of what items wait for.
         self._held_checked_ms = float("-inf")
         # Since when open jobs have not run at any node, as far as this node knows.
         self._unowned_since_ms: dict[str, float] = {}
@@ -243,6 +244,7 @@
                 await self._replicas.wait_changed(seen)
 
     async def _learn_ages(self) -> None:
+        """Learn once, with the first records, how old other nodes know their jobs to be."""
         while not self._table.is_known:
             await self._replicas.wait_changed(self._replicas.version)
         # Imported after the start-up.
@@ -399,7 +401,7 @@
         from fescuedock.core.stored_jobs.holds import HeldItems
 
         self._held_items = self._held_items or HeldItems()
-        items = [*self._held_jobs(unowned), *self._held_in_owned_jobs()]
+        items = [*self._held_unowned_jobs(unowned), *self._held_in_owned_jobs()]
         for group in self._held_items.update(items, now_ms()):
             ends_in_ms = min(group.item.ends_in_ms, _MAX_LOGGED_AGE_MS)
             log_event(
@@ -436,9 +438,9 @@
                 )
             if job.run.has_results:
                 count = record.total - job.run.listed_count - len(job.run.open_items())
-                yield HeldItem(job_id, "", Hold.COMMIT, job.results_since_ms(), count=count)
+                yield HeldItem(job_id, "", Hold.COMMIT, job.uncommitted_since_ms(), count=count)
 
-    def _held_jobs(self, unowned: "list[StoredJobRecord]") -> "Iterator[HeldItem]":
+    def _held_unowned_jobs(self, unowned: "list[StoredJobRecord]") -> "Iterator[HeldItem]":
         from fescuedock.core.stored_jobs.holds import HeldItem, Hold
 
         for record in unowned:
--- a/src/fescuedock/node/job_store.py
+++ b/src/fescuedock/node/job_store.py
@@ -121,7 +121,7 @@
         may_be_stored = False
         pauses = ExponentialBackoff(_FIRST_PAUSE_MS, _MAX_PAUSE_MS)
         while True:
-            result = self._note(await self._kv.transact(transaction))
+            result = self._record_outcome(await self._kv.transact(transaction))
             if isinstance(result, Ok):
                 return Ok(VersionedRecord(record, result.ok_value))
             fault = result.err_value
@@ -154,7 +154,7 @@
 
     async def read_record(self, job_id: str) -> Result[VersionedRecord | None, Fault]:
         """Read a job's record; None when the job does not exist."""
-        found = self._note(await self._kv.get(self.keys.record(job_id)))
+        found = self._record_outcome(await self._kv.get(self.keys.record(job_id)))
         return found.map(lambda entry: None if entry is None else decode_record(entry))
 
     async def read_items(self, record: StoredJobRecord) -> Result[list[StoredItem], Fault]:
@@ -189,7 +189,7 @@
         values: dict[str, bytes] = {}
         start_after = ""
         while True:
-            page = self._note(
+            page = self._record_outcome(
                 await self._kv.get_range(self.keys.data(record.job_id), start_after=start_after)
             )
             if isinstance(page, Err):
@@ -376,10 +376,12 @@
     ) -> Result[int, Fault]:
         key = self.keys.record(updated.job_id)
         writes = {key: msgspec.msgpack.encode(updated), **extra_writes}
-        return self._note(await self._kv.transact(KvTransaction({key: revision}, writes=writes)))
+        return self._record_outcome(
+            await self._kv.transact(KvTransaction({key: revision}, writes=writes))
+        )
 
-    def _note(self, result: Result) -> Result:
-        """Record whether a call was answered; return its result."""
+    def _record_outcome(self, result: Result) -> Result:
+        """Record whether this node's path to the service worked for a call; return its result."""
         unanswered = isinstance(result, Err) and result.err_value.code in _UNANSWERED_CODES
         self._path.record(answered=not unanswered, now_ms=now_ms())
         return result
