--- a/tests/builders/node.py
+++ b/tests/builders/node.py
@@ -197,7 +197,9 @@
     async def start_upstream(self, name: str, **fields: object) -> EventUpstream:
         """Start an upstream and register it."""
         upstream = self.upstream_type(name, **fields)
-        await self.nursery.start(upstream.run, LOOPBACK)
+        # The system may give a port of its own range to a connection while the upstream is down.
+        address = Address(LOOPBACK.host, free_ports(1)[0])
+        await self.nursery.start(upstream.run, address)
         self.upstreams.append(upstream)
         self.register(upstream)
         upstream.on_crash = self._lapse_soon
--- a/tests/soak/harness.py
+++ b/tests/soak/harness.py
@@ -252,7 +252,9 @@
         upstream = SlowItemUpstream(
             name, event_count=12, event_interval_ms=15.0, version=self.version
         )
-        await self.nursery.start(upstream.run, Address(self.upstream_host, 0))
+        # The system may give a port of its own range to a connection while the upstream is down.
+        address = Address(self.upstream_host, free_ports(1, self.upstream_host)[0])
+        await self.nursery.start(upstream.run, address)
         proxy = FaultProxy(upstream.address)
         await self.nursery.start(proxy.run, self.upstream_host)
         added = SoakUpstream(upstream, proxy)
