Append a run's events only to the output that the run was asked to continue

What callers could see: a text of two runs, the second of which was not asked with the Last-Event-Id of the first one's last event, or a text without its first events, listed as completed.

Cause: ItemRun took events by their number alone. A run that was asked for what follows event 1, or for the whole, went on after event 4 if the item had got there in another way (progress loaded, a later run), and an output that was discarded took any number as its first event. Found by reading; no course of today's callers is known that reaches it, as progress is loaded before the first run and only the run itself discards its output.

Change: a run's start event and version are held by the run (RunOutput), and its events count only while the item's output is the one that it began with or wrote. Loading progress, discarding the output and the next run end that.

Tests: three new ones in test_stored_jobs_core.

--- a/src/fescuedock/core/stored_jobs/job.py
+++ b/src/fescuedock/core/stored_jobs/job.py
@@ -18,7 +18,14 @@
     StoredResult,
 )
 
-__all__ = ["ItemEnd", "ItemRun", "RetryPauses", "StoredJob", "stored_size_bytes"]
+__all__ = [
+    "ItemEnd",
+    "ItemRun",
+    "RetryPauses",
+    "RunOutput",
+    "StoredJob",
+    "stored_size_bytes",
+]
 
 # Keeps the power of two within the range of a float.
 _MAX_DOUBLINGS = 16
@@ -76,6 +83,8 @@
     # Software version of the upstreams that generated ``texts``.
     software_version: str = ""
     texts: list[str] = msgspec.field(default_factory=list)
+    # Number of the run whose events may be appended, unique among the item's runs.
+    output_number: int = 0
     # Size of ``texts`` in a result, and the largest that a result may have.
     output_bytes: int = 0
     max_output_bytes: float = math.inf
@@ -114,33 +123,22 @@
         """Whether a run at this software version can resume; at others it starts from scratch."""
         return self.last_event < 0 or self.software_version == software_version
 
-    def resume_after(self, software_version: str) -> int:
-        """Return the event after which a run at a version resumes; below 0 for a fresh start."""
-        return self.last_event if self.accepts_version(software_version) else -1
+    def begin_output(self, software_version: str) -> "RunOutput":
+        """Return the output of a run that begins now; events of earlier runs count no more."""
+        resume_after = self.last_event if self.accepts_version(software_version) else -1
+        self.output_number += 1
+        return RunOutput(self, self.output_number, software_version, resume_after)
 
-    def add_events(self, events: Iterable[SplitEvent], software_version: str = "") -> bool:
-        """Append events in order, skipping known ones; return False when an event is missing.
-
-        The first event of another software version discards all earlier events.
-        """
-        for event in events:
-            if event.number < 0:
-                continue
-            if not self.accepts_version(software_version):
-                self.restart()
-            self.software_version = software_version
-            if event.number <= self.last_event:
-                continue
-            if self.last_event >= 0 and event.number > self.last_event + 1:
-                return False
-            self.last_event = event.number
-            text = event.data()
-            self.texts.append(text)
-            self.output_bytes += _text_size_bytes(text) + _SEPARATOR_BYTES
-        return True
+    def append(self, event: SplitEvent) -> None:
+        """Append the next event of the current run."""
+        self.last_event = event.number
+        text = event.data()
+        self.texts.append(text)
+        self.output_bytes += _text_size_bytes(text) + _SEPARATOR_BYTES
 
     def load_progress(self, progress: ItemProgress) -> None:
-        """Continue from the output that another node stored."""
+        """Continue from the output that another node stored, instead of that of a run."""
+        self.output_number += 1
         self.last_event = progress.last_event
         self.texts = list(progress.texts)
         self.output_bytes = sum(map(_text_size_bytes, self.texts))
@@ -150,11 +148,67 @@
 
     def restart(self) -> None:
         """Discard the output, so that the next run starts from the beginning."""
+        self.output_number += 1
+        self.clear()
+
+    def clear(self) -> None:
+        """Discard the output of earlier runs; the current run generates it anew."""
         self.texts.clear()
         self.output_bytes = 0
         self.last_event = self.started_event = self.event_at_interruption = -1
 
 
+class RunOutput(msgspec.Struct, eq=False):
+    """The output of one run of an item, which is asked for what follows ``resume_after``.
+
+    Its events are appended only to the output that the run was asked to continue: one run cannot
+    continue what another one has generated, at the same software version neither.
+    """
+
+    item: ItemRun
+    number: int
+    software_version: str
+    # The event after which the run resumes; below 0 for a start from the beginning.
+    resume_after: int
+    _begun: bool = False
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether the item's output is this run's if the run ends now."""
+        return self._is_current and (self._begun or self.item.last_event == self.resume_after)
+
+    @property
+    def _is_current(self) -> bool:
+        return self.item.output_number == self.number
+
+    def add_events(self, events: Iterable[SplitEvent]) -> bool:
+        """Append events in order, skipping known ones; return False when they cannot follow.
+
+        The first event of a run from the beginning discards the output of earlier runs.
+        """
+        for event in events:
+            if event.number < 0:
+                continue
+            if not self._is_current:
+                return False
+            if not self._begun:
+                self._begin()
+            item = self.item
+            if event.number <= item.last_event:
+                continue
+            if item.last_event >= 0 and event.number > item.last_event + 1:
+                return False
+            item.append(event)
+        return True
+
+    def _begin(self) -> None:
+        """Make the item's output that of this run."""
+        self._begun = True
+        if self.resume_after < 0:
+            self.item.clear()
+        self.item.software_version = self.software_version
+
+
 class StoredJob:
     """The items of one job that have no committed result.
 
--- a/src/fescuedock/node/item_run.py
+++ b/src/fescuedock/node/item_run.py
@@ -9,7 +9,7 @@
 from fescuedock.clock import now_ms
 from fescuedock.core.forwarding.event_stream import EventSplitter, SplitEvent
 from fescuedock.core.forwarding.progress import AttemptEnd
-from fescuedock.core.stored_jobs.job import ItemEnd, ItemRun
+from fescuedock.core.stored_jobs.job import ItemEnd, ItemRun, RunOutput
 from fescuedock.log import log_event
 from fescuedock.net.http_client import (
     HttpClient,
@@ -64,7 +64,7 @@
     may still start at the moment its request is written.
     """
     record = AttemptRecord(grant, WorkClass.BATCH, now_ms())
-    first_event = item.resume_after(upstream.software_version)
+    output = item.begin_output(upstream.software_version)
     end = ItemEnd.INTERRUPTED
     attempt_end: AttemptEnd | None = AttemptEnd.REVOKED
     reason = ""
@@ -75,7 +75,7 @@
             if grant.revoked.is_set() or stopped.is_set():
                 # The watching tasks would run only after the request has been written.
                 nursery.cancel_scope.cancel()
-            end, attempt_end, reason = await _send(http, job, item, upstream, record, check)
+            end, attempt_end, reason = await _send(http, job, output, upstream, record, check)
             nursery.cancel_scope.cancel()
     finally:
         record.finish(attempt_end)
@@ -92,7 +92,7 @@
         attempt_end="whole" if attempt_end is None else attempt_end.value,
         reason=reason,
         answered=record.answered,
-        from_event=first_event,
+        from_event=output.resume_after,
         last_event=item.last_event,
         interruptions=item.interruptions,
         barren_runs=item.runs_without_output,
@@ -112,16 +112,17 @@
 async def _send(
     http: HttpClient,
     job: StoredJobRecord,
-    item: ItemRun,
+    output: RunOutput,
     upstream: UpstreamRecord,
     record: AttemptRecord,
     check: SendCheck,
 ) -> tuple[ItemEnd, AttemptEnd | None, str]:
+    item = output.item.item
     headers = calls.item_headers(
-        item.item.headers,
-        item_id=item.item.item_id,
+        item.headers,
+        item_id=item.item_id,
         upstream_id=upstream.upstream_id,
-        last_event=item.resume_after(upstream.software_version),
+        last_event=output.resume_after,
         customer=job.customer,
     )
     headers.insert(0, ("host", job.host))
@@ -131,14 +132,14 @@
             async with send_attempt(
                 http,
                 upstream,
-                item.item.item_id,
+                item.item_id,
                 "POST",
-                item.item.path,
+                item.path,
                 headers,
-                item.item.body,
+                item.body,
                 check,
             ) as answer:
-                return await _read_answer(answer, item, upstream.software_version, record, stall)
+                return await _read_answer(answer, output, record, stall)
         return ItemEnd.INTERRUPTED, AttemptEnd.STALLED, f"no event for {_STALL_TIMEOUT_MS:g} ms"
     except WithdrawnError as error:
         return ItemEnd.INTERRUPTED, AttemptEnd.WITHDRAWN, str(error)
@@ -150,8 +151,7 @@
 
 async def _read_answer(
     answer: UpstreamAnswer,
-    item: ItemRun,
-    software_version: str,
+    output: RunOutput,
     record: AttemptRecord,
     stall: trio.CancelScope,
 ) -> tuple[ItemEnd, AttemptEnd | None, str]:
@@ -167,12 +167,12 @@
     progress_count = 0
     try:
         while data := await response.read_some():
-            if not _apply_events(splitter.feed(data), item, software_version, record):
-                return ItemEnd.INTERRUPTED, AttemptEnd.LOST, "an event is missing"
+            if not _apply_events(splitter.feed(data), output, record):
+                return ItemEnd.INTERRUPTED, AttemptEnd.LOST, "an event cannot follow"
             if splitter.is_overlong:
                 return ItemEnd.INTERRUPTED, AttemptEnd.LOST, "too many bytes without an event"
-            if item.is_overlong:
-                item.restart()
+            if output.item.is_overlong:
+                output.item.restart()
                 return ItemEnd.INTERRUPTED, AttemptEnd.LOST, "the output is too long"
             if splitter.progress_count > progress_count:
                 progress_count = splitter.progress_count
@@ -182,22 +182,20 @@
     except trio.Cancelled:
         # Events received since the last read need not be run again.
         with suppress(ResponseLostError):
-            _apply_events(splitter.feed(response.read_ready()), item, software_version, record)
+            _apply_events(splitter.feed(response.read_ready()), output, record)
         raise
     if splitter.has_partial_event:
         return ItemEnd.INTERRUPTED, AttemptEnd.LOST, "the last event is incomplete"
-    if not item.accepts_version(software_version):
+    if not output.is_complete:
         return ItemEnd.INTERRUPTED, AttemptEnd.LOST, "no event was received"
     return ItemEnd.COMPLETED, None, ""
 
 
-def _apply_events(
-    events: list[SplitEvent], item: ItemRun, software_version: str, record: AttemptRecord
-) -> bool:
-    """Append received events to an item; False when an event is missing."""
+def _apply_events(events: list[SplitEvent], output: RunOutput, record: AttemptRecord) -> bool:
+    """Append received events to an item; False when one cannot follow."""
     if events:
         record.record_events(len(events))
-    return item.add_events(events, software_version)
+    return output.add_events(events)
 
 
 def _failure(status: int, *, not_run: bool) -> tuple[ItemEnd, AttemptEnd, str]:
--- a/tests/test_item_versions.py
+++ b/tests/test_item_versions.py
@@ -85,7 +85,7 @@
         self.job = new_job("begun", "fresh")
         self.pool = ItemPool(lambda: [self.job], lambda _record, _service: True)
         [self.begun, self.fresh] = self.job.ready_items(0.0)
-        self.begun.add_events(events_of(0, 100, "v1"), "v1")
+        self.begun.begin_output("v1").add_events(events_of(0, 100, "v1"))
         self.begun.ended_ms = 1000.0
 
     def choose(self, version: str, served: frozenset[str], at_ms: float):
@@ -128,9 +128,10 @@
         self.assertGreater(restarted.left_ms, left_ms[0])
 
     def test_events_of_another_version_replace_earlier_events(self) -> None:
-        self.assertEqual(self.begun.resume_after("v1.1"), -1)
-        self.assertEqual(self.begun.resume_after("v1"), 99)
-        self.assertTrue(self.begun.add_events(events_of(0, 2, "v1.1"), "v1.1"))
+        self.assertEqual(self.begun.begin_output("v1").resume_after, 99)
+        output = self.begun.begin_output("v1.1")
+        self.assertEqual(output.resume_after, -1)
+        self.assertTrue(output.add_events(events_of(0, 2, "v1.1")))
         self.assertEqual(versions_in(self.begun.texts), {"v1.1"})
         self.assertEqual((self.begun.last_event, len(self.begun.texts)), (1, 2))
 
@@ -138,7 +139,9 @@
         other = new_job("begun", "fresh")
         other.resume(self.job.progress())
         [begun, _] = other.ready_items(0.0)
-        self.assertEqual((begun.software_version, begun.resume_after("v1.1")), ("v1", -1))
+        self.assertEqual(
+            (begun.software_version, begun.begin_output("v1.1").resume_after), ("v1", -1)
+        )
 
 
 if __name__ == "__main__":
--- a/tests/test_stored_jobs_core.py
+++ b/tests/test_stored_jobs_core.py
@@ -38,22 +38,55 @@
 class ItemRunTest(unittest.TestCase):
     def test_each_event_counts_once_over_several_runs(self) -> None:
         run = ItemRun(stored_item("a"))
-        self.assertTrue(run.add_events(events(0, 1, 2)))
-        self.assertTrue(run.add_events(events(1, 2, 3)))
+        self.assertTrue(run.begin_output("").add_events(events(0, 1, 2)))
+        self.assertTrue(run.begin_output("").add_events(events(1, 2, 3)))
         self.assertEqual(run.texts, ["word 0", "word 1", "word 2", "word 3"])
 
     def test_events_after_a_gap_are_rejected(self) -> None:
         run = ItemRun(stored_item("a"))
-        run.add_events(events(0, 1))
-        self.assertFalse(run.add_events(events(3)))
+        output = run.begin_output("")
+        output.add_events(events(0, 1))
+        self.assertFalse(output.add_events(events(3)))
         self.assertEqual(run.last_event, 1)
 
+    def test_a_run_does_not_continue_progress_that_it_was_not_asked_to_follow(self) -> None:
+        """Guards against a text of two runs, the second asked for what follows another event."""
+        for known in (0, 2):
+            run = ItemRun(stored_item("a"))
+            run.begin_output("v1").add_events(events(*range(known)))
+            output = run.begin_output("v1")
+            stored = [f"stored {number}" for number in range(5)]
+            run.load_progress(ItemProgress("a", 4, stored, 0, "v1"))
+            self.assertFalse(output.add_events(events(*range(known, 6))), known)
+            self.assertEqual((run.last_event, run.texts), (4, stored))
+            self.assertFalse(output.is_complete)
+
+    def test_a_run_does_not_continue_an_output_that_was_discarded(self) -> None:
+        """Guards against a text without its first events."""
+        run = ItemRun(stored_item("a"))
+        run.begin_output("v1").add_events(events(0, 1))
+        output = run.begin_output("v1")
+        run.restart()
+        self.assertFalse(output.add_events(events(2, 3)))
+        self.assertEqual((run.last_event, run.texts), (-1, []))
+        self.assertFalse(output.is_complete)
+
+    def test_events_of_a_former_run_are_not_mixed_into_the_current_one(self) -> None:
+        run = ItemRun(stored_item("a"))
+        former = run.begin_output("v1")
+        former.add_events(events(0))
+        current = run.begin_output("v1.1")
+        current.add_events(events(0))
+        self.assertFalse(former.add_events(events(1, 2)))
+        self.assertTrue(current.add_events(events(1)))
+        self.assertEqual((run.last_event, run.software_version), (1, "v1.1"))
+
     # The output of a run without end must not grow beyond what a result may hold.
     def test_an_output_beyond_the_limit_is_overlong_until_it_is_discarded(self) -> None:
         run = ItemRun(stored_item("a"), max_output_bytes=20)
-        run.add_events(events(0, 1))
+        run.begin_output("").add_events(events(0, 1))
         self.assertFalse(run.is_overlong)
-        run.add_events(events(2))
+        run.begin_output("").add_events(events(2))
         self.assertTrue(run.is_overlong)
         resumed = ItemRun(stored_item("a"), max_output_bytes=20)
         resumed.load_progress(ItemProgress("a", run.last_event, run.texts, 0))
@@ -70,7 +103,7 @@
         second = start_next(job)
         self.assertEqual({first.item.item_id, second.item.item_id}, {"a", "b"})
         self.assertIsNone(start_next(job))
-        first.add_events(events(0, 1))
+        first.begin_output("").add_events(events(0, 1))
         job.finish(first, ItemEnd.COMPLETED, "i-1", 3, 10.0)
         [result] = job.next_group(1000)
         self.assertEqual((result.completed, result.text), (True, "word 0\nword 1"))
@@ -108,7 +141,7 @@
             pauses.append(run.not_before_ms)
         self.assertEqual(pauses, [25.0, 50.0, 100.0, 200.0, 200.0, 200.0])
         run = start_next(job, now_ms=10_000.0)
-        run.add_events(events(0, 1))
+        run.begin_output("").add_events(events(0, 1))
         job.finish(run, ItemEnd.INTERRUPTED, "i-1", 3, 0.0)
         self.assertEqual(run.not_before_ms, 25.0)
 
@@ -169,7 +202,7 @@
     def test_another_node_resumes_from_stored_progress(self) -> None:
         job = stored_job("a", "b")
         run = start_next(job, "i-1", 0.0)
-        run.add_events(events(0, 1))
+        run.begin_output("").add_events(events(0, 1))
         other = stored_job("a", "b")
         other.resume(job.progress())
         found = {start_next(other, "i-2", 0.0), start_next(other, "i-2", 0.0)}
