Do not go on with a run that begins an item anew instead of resuming

What callers could see: a text of two runs, where an upstream ignores the event that it is asked to resume after and begins anew, or repeats an event with another text: the numbers already there were skipped unread, and what came after them was appended.

Cause: ItemRun skipped each event whose number it had, whatever its text.

Change: a known event must have the text that the output has at its number, and one before the output's first event cannot be compared; else the run ends as lost, and the output stays as it was for the next upstream.

Test: test_a_run_that_begins_anew_instead_of_resuming_is_not_continued, seen failing before ("True is not false : 0"). test_stored_jobs_core and test_item_versions pass (49). Streams of calls (CallProgress.take_new_events) still skip known numbers unread.

--- a/src/fescuedock/core/stored_jobs/job.py
+++ b/src/fescuedock/core/stored_jobs/job.py
@@ -129,6 +129,11 @@
         self.output_number += 1
         return RunOutput(self, self.output_number, software_version, resume_after)
 
+    def has_event(self, event: SplitEvent) -> bool:
+        """Whether the output has an event of this number with the same text."""
+        position = len(self.texts) - 1 - (self.last_event - event.number)
+        return position >= 0 and self.texts[position] == event.data()
+
     def append(self, event: SplitEvent) -> None:
         """Append the next event of the current run."""
         self.last_event = event.number
@@ -184,7 +189,8 @@
     def add_events(self, events: Iterable[SplitEvent]) -> bool:
         """Append events in order, skipping known ones; return False when they cannot follow.
 
-        The first event of a run from the beginning discards the output of earlier runs.
+        A known event with another text shows that the run did not resume.  The first event of a run
+        from the beginning discards the output of earlier runs.
         """
         for event in events:
             if event.number < 0:
@@ -195,6 +201,8 @@
                 self._begin()
             item = self.item
             if event.number <= item.last_event:
+                if not item.has_event(event):
+                    return False
                 continue
             if item.last_event >= 0 and event.number > item.last_event + 1:
                 return False
--- a/tests/test_stored_jobs_core.py
+++ b/tests/test_stored_jobs_core.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from fescuedock.core.forwarding.event_stream import EventSplitter
+from fescuedock.core.forwarding.event_stream import EventSplitter, SplitEvent
 from fescuedock.core.stored_jobs.cache import JobCache, page_size_bytes
 from fescuedock.core.stored_jobs.commit import CommitState, check_commit
 from fescuedock.core.stored_jobs.job import ItemEnd, ItemRun, StoredJob, stored_size_bytes
@@ -81,6 +81,17 @@
         self.assertTrue(current.add_events(events(1)))
         self.assertEqual((run.last_event, run.software_version), (1, "v1.1"))
 
+    def test_a_run_that_begins_anew_instead_of_resuming_is_not_continued(self) -> None:
+        """Guards against a text of two runs, by an upstream that ignores the event to resume at."""
+        run = ItemRun(stored_item("a"))
+        run.begin_output("").add_events(events(1, 2))
+        for first in (0, 1, 2):
+            other = [
+                SplitEvent(number, b"data: other %d\n\n" % number) for number in range(first, 4)
+            ]
+            self.assertFalse(run.begin_output("").add_events(other), first)
+            self.assertEqual((run.last_event, run.texts), (2, ["word 1", "word 2"]))
+
     # The output of a run without end must not grow beyond what a result may hold.
     def test_an_output_beyond_the_limit_is_overlong_until_it_is_discarded(self) -> None:
         run = ItemRun(stored_item("a"), max_output_bytes=20)
