Do not complete an item with an unframed answer that has no event

What callers could see: an item listed as completed with an empty text.

Cause: an upstream may answer with neither a length nor chunks; the end of its connection then ends the answer, and a crash before the first event looks the same. Streams take such an answer for broken off, items took it for whole.

Change: items do as streams do: a run without events whose answer was unframed is interrupted while the item has no output. An unframed answer that ends at a later event still counts as whole, since nothing tells it from a whole one.

Test: test_an_unframed_answer_without_events_does_not_complete_an_item, seen failing before ('' instead of five lines). test_node_jobs passes (27 with the new one, which was run twice).

--- a/src/fescuedock/node/item_run.py
+++ b/src/fescuedock/node/item_run.py
@@ -186,6 +186,9 @@
         raise
     if splitter.has_partial_event:
         return ItemEnd.INTERRUPTED, AttemptEnd.LOST, "the last event is incomplete"
+    if response.unframed and output.item.last_event < 0:
+        # Without framing an answer without events looks like one that was cut off.
+        return ItemEnd.INTERRUPTED, AttemptEnd.LOST, "no event before the end of the connection"
     if not output.is_complete:
         return ItemEnd.INTERRUPTED, AttemptEnd.LOST, "no event was received"
     return ItemEnd.COMPLETED, None, ""
--- a/tests/test_node_jobs.py
+++ b/tests/test_node_jobs.py
@@ -14,6 +14,7 @@
 from tests.builders.jobs_calls import JOB, job_body, read_page, submit, wanted_text
 from tests.builders.net import LOOPBACK
 from tests.builders.node import NodeFleet, config_document, running_fleet
+from tests.builders.online import wait_until
 from tests.builders.standins import run_async
 
 
@@ -43,6 +44,22 @@
 
         run_async(run)
 
+    def test_an_unframed_answer_without_events_does_not_complete_an_item(self) -> None:
+        """Guards against an empty text after the end of a connection, which may be a crash's."""
+
+        async def test(fleet: NodeFleet) -> None:
+            [upstream] = fleet.upstreams
+            upstream.unframed, upstream.event_count = True, 0
+            front = fleet.nodes[0].front
+            await submit(fleet, front, "a")
+            with trio.move_on_after(3):
+                await wait_until(lambda: upstream.runs["a"] >= 2)
+            upstream.event_count = 5
+            [item] = await read_all(fleet, front, 1)
+            self.assertEqual(item["text"], wanted_text("a"))
+
+        self.run_fleet(test, upstreams=1)
+
     def test_a_job_is_accepted_run_and_read_at_any_node(self) -> None:
         async def test(fleet: NodeFleet) -> None:
             first, second = (node.front for node in fleet.nodes)
