Have engines name their software version in each answer

The dialect of engines said nothing of the process that generates an answer, so a program could only believe the VM list, which may be older than the process. An answer's header X-Software-Version now names it, and EngineStream has it as software_version. Nothing uses it yet.

The stand-in engine has a software_version on which its text depends (no version: the same text as before). It still refuses to resume after text that it would not have generated; with the fault resumes_any_text it goes on all the same, as an engine does that knows nothing of other versions.

Test: test_an_answer_names_the_software_version_that_its_text_depends_on.

--- a/src/fescuedock/backing/engine.py
+++ b/src/fescuedock/backing/engine.py
@@ -33,6 +33,8 @@
 ]
 
 ATTEMPT_HEADER = "x-attempt-id"
+# In an answer: the software version of the process that generates it.
+VERSION_HEADER = "x-software-version"
 _EVENT_END = b"\n\n"
 _DATA_PREFIX = b"data: "
 _DONE_EVENT = b"data: [DONE]"
@@ -107,13 +109,15 @@
     ends before it raises ``ResponseLostError``.
     """
 
-    __slots__ = ("_events", "_partial_event", "_response", "done", "headers")
+    __slots__ = ("_events", "_partial_event", "_response", "done", "headers", "software_version")
 
     def __init__(self, response: ClientResponse) -> None:
         self._response = response
         self._events: list[bytes] = []
         self._partial_event = b""
         self.headers = response.headers
+        # Of the process that generates the answer; empty if it does not name it.
+        self.software_version = response.headers.get(VERSION_HEADER, "")
         self.done = False
 
     def __aiter__(self) -> "EngineStream":
--- a/src/fescuedock/standin/engine.py
+++ b/src/fescuedock/standin/engine.py
@@ -12,7 +12,7 @@
 import trio
 
 from fescuedock.address import Address
-from fescuedock.backing.engine import ATTEMPT_HEADER
+from fescuedock.backing.engine import ATTEMPT_HEADER, VERSION_HEADER
 from fescuedock.clock import UnixClock, unix_clock
 from fescuedock.entry.routes import Route, route_requests
 from fescuedock.net.http_server import DroppedConnectionError, Request, Responder
@@ -45,20 +45,26 @@
 
     Each status code in ``fail_with`` is the response to one request, and each number in
     ``cut_after`` cuts one stream after that many tokens.  ``restart_ms`` is how long the engine
-    stays down after ``[[kills]]``, which has no effect without ``obeys_crash_marker``.
+    stays down after ``[[kills]]``, which has no effect without ``obeys_crash_marker``.  With
+    ``resumes_any_text`` the engine resumes also after a text that it would not have generated.
     """
 
     fail_with: deque[int] = field(default_factory=deque)
     cut_after: deque[int] = field(default_factory=deque)
     restart_ms: float = 1000.0
     obeys_crash_marker: bool = True
+    resumes_any_text: bool = False
 
 
 class EngineService:
-    """One engine; ``run`` serves its HTTP interface."""
+    """One engine; ``run`` serves its HTTP interface.
+
+    Its answers name ``software_version``, on which the text that it generates depends.
+    """
 
     def __init__(self, upstream_id: str, core: EngineCore, orders: EngineOrders) -> None:
         self.upstream_id = upstream_id
+        self.software_version = ""
         self.core = core
         self.orders = orders
         self.faults = EngineFaults()
@@ -160,7 +166,9 @@
             return
         if resume.tokens >= parsed.answer_tokens:
             raise BadRequestError(f"no tokens left to generate after {resume.tokens} tokens")
-        if resume.text != answer_text(parsed.prompt, resume.tokens):
+        if self.faults.resumes_any_text:
+            return
+        if resume.text != answer_text(self._text_source(parsed), resume.tokens):
             raise BadRequestError(
                 f"resume.text does not match the first {resume.tokens} tokens of the answer"
             )
@@ -186,6 +194,12 @@
         await trio.sleep(self.faults.restart_ms / 1000)
         self.revive()
 
+    def _text_source(self, parsed: GenerateRequest) -> str:
+        return parsed.prompt + self.software_version
+
+    def _headers(self) -> tuple[tuple[str, str], ...]:
+        return ((VERSION_HEADER, self.software_version),) if self.software_version else ()
+
     async def _answer(self, generation: Generation, responder: Responder) -> None:
         response = ResponseBuilder(generation.request, self._unix_clock())
         if generation.request.stream:
@@ -195,8 +209,9 @@
         while await generation.wait_tokens(generation.ready) < total:
             pass
         parsed = generation.request
-        text = answer_text(parsed.prompt, parsed.answer_tokens)
-        await responder.send(200, response.complete_response(text, parsed.answer_tokens))
+        text = answer_text(self._text_source(parsed), parsed.answer_tokens)
+        body = response.complete_response(text, parsed.answer_tokens)
+        await responder.send(200, body, self._headers())
 
     async def _stream(
         self, generation: Generation, response: ResponseBuilder, responder: Responder
@@ -205,16 +220,22 @@
         total = generation.sequence.answer_tokens
         cut_after = self.faults.cut_after.popleft() if self.faults.cut_after else total + 1
         sent = await generation.wait_tokens(0)
-        async with responder.stream(200, _STREAM_HEADERS) as stream:
-            await stream.write(response.first_event() + _events(response, parsed, 0, sent))
+        async with responder.stream(200, (*_STREAM_HEADERS, *self._headers())) as stream:
+            await stream.write(response.first_event() + self._events(response, parsed, 0, sent))
             while sent < total:
                 if sent >= cut_after:
                     raise DroppedConnectionError("stream cut on command")
                 ready = await generation.wait_tokens(sent)
-                await stream.write(_events(response, parsed, sent, ready))
+                await stream.write(self._events(response, parsed, sent, ready))
                 sent = ready
             await stream.write(response.last_events(parsed.answer_tokens))
 
+    def _events(
+        self, response: ResponseBuilder, parsed: GenerateRequest, first: int, end: int
+    ) -> bytes:
+        texts = token_texts(self._text_source(parsed), parsed.first_token + first, end - first)
+        return b"".join(response.token_event(text) for text in texts)
+
     async def _cancel(self, request: Request, responder: Responder, values: dict[str, str]) -> None:
         if self.core.cancel(values["attempt_id"]):
             await responder.send_json(200, {"cancelled": values["attempt_id"]})
@@ -222,11 +243,6 @@
         await _refuse(responder, 404, f"no attempt {values['attempt_id']!r}")
 
 
-def _events(response: ResponseBuilder, parsed: GenerateRequest, first: int, end: int) -> bytes:
-    texts = token_texts(parsed.prompt, parsed.first_token + first, end - first)
-    return b"".join(response.token_event(text) for text in texts)
-
-
 def error_body(status: int, message: str) -> dict:
     """Return an error body in the format of OpenAI's interface."""
     kind = "invalid_request_error" if status < 500 else "server_error"
--- a/tests/test_standin_engine.py
+++ b/tests/test_standin_engine.py
@@ -71,6 +71,20 @@
 
         self.run_with_engine(test)
 
+    def test_an_answer_names_the_software_version_that_its_text_depends_on(self):
+        async def test(harness: EngineHarness) -> None:
+            body, found = chat_body("hello", 12), {}
+            for version in ("", "b1", "b2"):
+                harness.engine.software_version = version
+                async with harness.client.stream(harness.upstream, CHAT, body, version) as stream:
+                    found[stream.software_version] = "".join(await texts_of(stream))
+            prompt = chat_prompt("hello")
+            wanted = {name: answer_text(prompt + name, 12) for name in ("", "b1", "b2")}
+            self.assertEqual(found, wanted)
+            self.assertEqual(len(set(found.values())), 3)
+
+        self.run_with_engine(test)
+
     def test_response_without_streaming_has_the_same_text(self):
         async def test(harness: EngineHarness) -> None:
             body = {"model": "demo-model", "prompt": "hello", "max_tokens": 9}
