Hold a streamed answer to the version of its tokens, not of its opening

What callers could see: an answer of two software versions in the OpenAI dialect. A chat's first event has no token. Where an attempt broke after it, the next one might run at another version; its tokens then counted as written by the version of the opening, and a third attempt resumed them there.

Cause: the version of an answer was that of the attempt that delivered its first event, of whatever kind.

Change: it is that of the attempt that delivers the first token. Until then an attempt starts from the beginning anyway, at any version.

Test: test_tokens_belong_to_the_version_that_wrote_them_and_not_to_the_opening_one, seen failing before (a resume point after one token of b2 at b1). test_online_streams_core and test_online_requests pass.

--- a/src/fescuedock/core/streams.py
+++ b/src/fescuedock/core/streams.py
@@ -113,7 +113,7 @@
     finished: bool = False
     ended: bool = False
     started: bool = False
-    # Version of the upstream that opened the answer.
+    # Version of the upstream that generated the delivered tokens; empty before the first.
     software_version: str = ""
     _current_version: str = ""
     _texts: list[str] = msgspec.field(default_factory=list)
@@ -147,7 +147,7 @@
         self.started = True
         self._first_event = True
         self._resumed = self._opened
-        replays = self.replays or (self._opened and software_version != self.software_version)
+        replays = self.replays or (self.tokens > 0 and software_version != self.software_version)
         self._repeated = 0 if replays else self.tokens
         if replays or not self.tokens:
             return None
@@ -168,6 +168,8 @@
         if self.finished:
             return self._usage_event(event)
         if event.text:
+            if not self.tokens:
+                self.software_version = self._current_version
             self.tokens += 1
             self._repeated += 1
             self._texts.append(event.text)
@@ -217,7 +219,6 @@
         """Return the event's bytes, with the answer identity of the first attempt."""
         if not self._opened:
             self._opened = True
-            self.software_version = self._current_version
             found = _IDENTITY.search(event.data)
             self._identity = found.group() if found else b""
         if not self._resumed or not self._identity:
--- a/src/fescuedock/entry/online_relay.py
+++ b/src/fescuedock/entry/online_relay.py
@@ -104,13 +104,13 @@
             raise self._resume_error(error, resume)
 
     def _prefer_version(self) -> None:
-        """Restrict the next attempt to the version that opened the answer, while it serves."""
+        """Restrict the next attempt to the version of the delivered tokens, while it serves."""
         version = self.stream.software_version
         serving = any(
             item.software_version == version and not item.leaving
             for item in self.state.view.upstreams_of(self.request.service)
         )
-        self.request.software_versions = (version,) if self.stream.opened and serving else None
+        self.request.software_versions = (version,) if self.stream.tokens and serving else None
 
     def _resume_error(self, error: Exception, resume: ResumePoint | None) -> Exception:
         """Return ``error``, or ``ResumeRefusedError`` if the engine rejected ``resume``."""
--- a/tests/test_online_streams_core.py
+++ b/tests/test_online_streams_core.py
@@ -160,6 +160,19 @@
         state.end("a-1", AttemptEnd.BROKEN)
         self.assertEqual(state.begin("a-2", "b1").tokens, 1)
 
+    def test_tokens_belong_to_the_version_that_wrote_them_and_not_to_the_opening_one(self) -> None:
+        """Guards against an answer that resumes at the version of an opening without tokens."""
+        state = StreamState()
+        state.begin("a-1", "b1")
+        self.assertIsNotNone(state.receive("a-1", event("a-1")))
+        state.end("a-1", AttemptEnd.BROKEN)
+        state.begin("a-2", "b2")
+        state.receive("a-2", event("a-2"))
+        self.assertIsNotNone(state.receive("a-2", event("a-2", ANSWER[0])))
+        state.end("a-2", AttemptEnd.BROKEN)
+        self.assertIsNone(state.begin("a-3", "b1"))
+        self.assertEqual(state.begin("a-4", "b2").tokens, 1)
+
     def test_an_end_without_a_finish_reason_is_incomplete(self) -> None:
         self.state.receive("a", event("a", "x"))
         self.assertIs(self.state.end("a", AttemptEnd.COMPLETE), NextStep.CONTINUE)
