Resume a streamed answer only where the engine's answer names its version

What callers saw: an OpenAI-dialect stream of two software versions, complete with status 200, where an engine had restarted at another version and the VM list still named the former one, or named none: a resume point went to the restarted engine, or what it had begun was resumed at an engine of the listed version.

Cause: the version of both the delivered text and the process that resumes was taken from the upstream's record, which may be older than the process.

Change: an engine names the version of the process in the head of its answer. That is the version of the tokens it brings, and what it resumes is compared with it before any event is handled; at another one the attempt ends with OtherVersionError and the next begins. The record only saves attempts that would be in vain.

Cost: nothing where versions agree. Else one prefill in vain. Streams that began at a wrongly listed engine and break can end visibly, as no record names their version.

The tests of StreamState that name versions now also pass the answer's. test_online_streams_core, test_online_requests, test_online_stop, test_standin_engine pass (61).

--- a/src/fescuedock/backing/engine.py
+++ b/src/fescuedock/backing/engine.py
@@ -28,6 +28,7 @@
     "EngineEvent",
     "EngineStream",
     "NotSentError",
+    "OtherVersionError",
     "ResponseLostError",
     "ResumePoint",
 ]
@@ -64,6 +65,13 @@
         return self.status in _PERMANENT_ERROR_STATUSES
 
 
+class OtherVersionError(Exception):
+    """The process that would resume an answer has another software version than the answer.
+
+    Nothing that it generated was used.
+    """
+
+
 class ResumePoint(msgspec.Struct, frozen=True):
     """The delivered part of an answer: the number of its ``tokens`` and their ``text``."""
 
--- a/src/fescuedock/core/streams.py
+++ b/src/fescuedock/core/streams.py
@@ -101,8 +101,9 @@
     incomplete without it.  ``resumable`` is False for an answer of several texts.  With
     ``replays``, further attempts start from the beginning and must repeat the delivered text; it
     is set once an engine rejects a resume point.  An attempt at a software version other than the
-    one that wrote the delivered text starts from the beginning in the same way.  ``started`` says
-    that there was an attempt.
+    one that wrote the delivered text starts from the beginning in the same way; as the record of an
+    upstream may be older than its process, the version is the one that an answer names.
+    ``started`` says that there was an attempt.
     """
 
     wants_usage: bool = False
@@ -113,7 +114,7 @@
     finished: bool = False
     ended: bool = False
     started: bool = False
-    # Version of the upstream that generated the delivered tokens; empty before the first.
+    # Version of the process that generated the delivered tokens; empty before the first.
     software_version: str = ""
     _current_version: str = ""
     _texts: list[str] = msgspec.field(default_factory=list)
@@ -140,19 +141,34 @@
         """Whether anything was delivered to the caller."""
         return self._opened
 
-    def begin(self, attempt_id: str, software_version: str = "") -> ResumePoint | None:
-        """Make ``attempt_id`` the current attempt; return its resume point, None for the start."""
+    def begin(self, attempt_id: str, listed_version: str = "") -> ResumePoint | None:
+        """Make ``attempt_id`` the current attempt; return its resume point, None for the start.
+
+        ``listed_version`` is that of the upstream's record, empty if it has none.
+        """
         self.attempt_id = attempt_id
-        self._current_version = software_version
+        self._current_version = ""
         self.started = True
         self._first_event = True
         self._resumed = self._opened
-        replays = self.replays or (self.tokens > 0 and software_version != self.software_version)
+        at_other_version = bool(listed_version) and listed_version != self.software_version
+        replays = self.replays or (self.tokens > 0 and at_other_version)
         self._repeated = 0 if replays else self.tokens
         if replays or not self.tokens:
             return None
         return ResumePoint(self.tokens, self.text)
 
+    def accept_version(self, attempt_id: str, named_version: str) -> bool:
+        """Record the version that the attempt's answer names, before any event of it is handled.
+
+        Return False if the answer resumes what another version wrote.
+        """
+        if attempt_id != self.attempt_id:
+            return False
+        self._current_version = named_version
+        resumes = 0 < self.tokens == self._repeated
+        return not resumes or named_version == self.software_version
+
     def receive(self, attempt_id: str, event: StreamEvent) -> bytes | None:
         """Handle an event; return the bytes to deliver now, or None.
 
--- a/src/fescuedock/entry/online_attempt.py
+++ b/src/fescuedock/entry/online_attempt.py
@@ -4,7 +4,7 @@
 import trio
 
 from fescuedock.agent.permit_client import Grant
-from fescuedock.backing.engine import EngineError
+from fescuedock.backing.engine import EngineError, OtherVersionError
 from fescuedock.clock import now_ms
 from fescuedock.entry.online_permits import OnlineCall
 from fescuedock.faults import Fault
@@ -49,6 +49,7 @@
     WithdrawnError,
     ResponseLostError,
     EngineError,
+    OtherVersionError,
     UpstreamStalledError,
     ResumeRefusedError,
     AnswerLostError,
@@ -142,7 +143,7 @@
         case UpstreamStalledError():
             fault = Fault(ResultCode.UPSTREAM_TIMEOUT, str(error), _RETRY_AFTER_MS)
             return Failure(AttemptOutcome.RESPONSE_TIMEOUT, fault, upstream_lost=True)
-        case ResumeRefusedError():
+        case ResumeRefusedError() | OtherVersionError():
             fault = Fault(ResultCode.UPSTREAM_LOST, str(error), _RETRY_AFTER_MS)
             return Failure(AttemptOutcome.CLIENT_ERROR, fault)
         case AnswerLostError():
--- a/src/fescuedock/entry/online_relay.py
+++ b/src/fescuedock/entry/online_relay.py
@@ -7,7 +7,7 @@
 import trio
 from result import Result
 
-from fescuedock.backing.engine import EngineError, EngineStream
+from fescuedock.backing.engine import EngineError, EngineStream, OtherVersionError
 from fescuedock.clock import now_ms
 from fescuedock.core.streams import AttemptEnd, NextStep, ResumePoint, StreamState
 from fescuedock.entry.online_attempt import (
@@ -122,6 +122,11 @@
     async def _relay_events(self, events: EngineStream, watch: _StallWatch) -> None:
         stream = self.stream
         attempt = self.attempt
+        if not stream.accept_version(attempt.attempt_id, events.software_version):
+            raise OtherVersionError(
+                f"the upstream resumes with software version {events.software_version!r}"
+                f" what {stream.software_version!r} wrote"
+            )
         async for event in events:
             at_ms = now_ms()
             if event.text:
--- a/tests/test_online_streams_core.py
+++ b/tests/test_online_streams_core.py
@@ -144,10 +144,12 @@
     def test_another_software_version_gets_no_resume_point_and_must_repeat_delivered_text(self):
         state = StreamState()
         state.begin("a-1", "b1")
+        state.accept_version("a-1", "b1")
         for text in ANSWER[:2]:
             state.receive("a-1", event("a-1", text))
         state.end("a-1", AttemptEnd.BROKEN)
         self.assertIsNone(state.begin("a-2", "b2"))
+        self.assertTrue(state.accept_version("a-2", "b2"))
         self.assertIsNone(state.receive("a-2", event("a-2", ANSWER[0])))
         self.assertIsNone(state.receive("a-2", event("a-2", "another word")))
         self.assertTrue(state.diverged)
@@ -156,17 +158,37 @@
     def test_the_version_that_opened_an_answer_resumes_after_the_delivered_tokens(self):
         state = StreamState()
         state.begin("a-1", "b1")
+        state.accept_version("a-1", "b1")
         state.receive("a-1", event("a-1", ANSWER[0]))
         state.end("a-1", AttemptEnd.BROKEN)
         self.assertEqual(state.begin("a-2", "b1").tokens, 1)
+        self.assertTrue(state.accept_version("a-2", "b1"))
+
+    def test_a_record_does_not_tell_the_version_that_wrote_or_resumes_an_answer(self) -> None:
+        """Guards against an answer of two versions where an engine's record is old."""
+        for listed in ("b1", ""):
+            state = StreamState()
+            state.begin("a-1", listed)
+            state.accept_version("a-1", "b2")
+            state.receive("a-1", event("a-1", ANSWER[0]))
+            state.end("a-1", AttemptEnd.BROKEN)
+            if listed:
+                self.assertIsNone(state.begin("a-2", "b1"))
+            for attempt_id, version in (("a-3", "b2"), ("a-4", "")):
+                self.assertEqual(state.begin(attempt_id, version).tokens, 1)
+                for named in ("b1", ""):
+                    self.assertFalse(state.accept_version(attempt_id, named))
+                self.assertTrue(state.accept_version(attempt_id, "b2"))
 
     def test_tokens_belong_to_the_version_that_wrote_them_and_not_to_the_opening_one(self) -> None:
         """Guards against an answer that resumes at the version of an opening without tokens."""
         state = StreamState()
         state.begin("a-1", "b1")
+        state.accept_version("a-1", "b1")
         self.assertIsNotNone(state.receive("a-1", event("a-1")))
         state.end("a-1", AttemptEnd.BROKEN)
         state.begin("a-2", "b2")
+        state.accept_version("a-2", "b2")
         state.receive("a-2", event("a-2"))
         self.assertIsNotNone(state.receive("a-2", event("a-2", ANSWER[0])))
         state.end("a-2", AttemptEnd.BROKEN)
