Resume a batch item only where the engine's answer names its version

What callers saw: an OpenAI-dialect item with an answer of two software versions, listed as done, where an engine had restarted at another version and the VM list still named the former one.

Cause: as for streamed answers, the version of the generated text and of the process that resumes it was that of the upstream's record.

Change: both are now the one that the engine's answer names.

Tests: BatchVersionsTest in test_engine_versions; two of three failed before (text of b1 resumed at b2: DONE; text of b2 kept as b1's), the third requires that text is resumed at its version. The engine of test_batch_attempts names its version in its answers, as the dialect has it now. test_engine_versions, test_batch_attempts, _job, _decisions and _daemon pass.

--- a/src/fescuedock/batch/attempts.py
+++ b/src/fescuedock/batch/attempts.py
@@ -10,6 +10,7 @@
     EngineClient,
     EngineError,
     NotSentError,
+    OtherVersionError,
     ResponseLostError,
     ResumePoint,
 )
@@ -44,6 +45,7 @@
     EndKind.REVOKED: AttemptOutcome.REVOKED,
     EndKind.STOPPED: AttemptOutcome.CANCELLED,
     EndKind.WITHDRAWN: AttemptOutcome.CANCELLED,
+    EndKind.OTHER_VERSION: AttemptOutcome.CLIENT_ERROR,
 }
 
 
@@ -52,7 +54,9 @@
 
     ``stall_timeout_ms`` bounds the wait for the next token, or for an answer that is not streamed.
     ``check`` decides, just before the request is written, whether the attempt may still begin.
-    ``first_token_ms`` is the time from the start to the first token; -1 before it.
+    ``software_version`` is the one that the answer names; the record of an upstream may be older
+    than its process.  ``first_token_ms`` is the time from the start to the first token; -1 before
+    it.
     """
 
     item: Item
@@ -61,6 +65,7 @@
     stall_timeout_ms: float
     check: SendCheck
     scope: trio.CancelScope = msgspec.field(default_factory=trio.CancelScope)
+    software_version: str = ""
     started_ms: float = 0.0
     first_token_ms: float = -1.0
 
@@ -80,9 +85,9 @@
     """
     item = attempt.item
     line = read_line(item.line)
-    software_version = attempt.upstream.software_version
+    listed_version = attempt.upstream.software_version
     # An answer is not continued by another software version: the two parts would not match.
-    can_resume = item.software_version == software_version
+    can_resume = not listed_version or item.software_version == listed_version
     initial = (item.text, item.tokens) if can_resume else ("", 0)
     assembly = AnswerAssembly(line.url == _CHAT_URL, *initial)
     attempt.started_ms = now_ms()
@@ -97,7 +102,7 @@
     if end.kind is not EndKind.DONE:
         generated = (item.text, item.tokens, item.software_version)
         if assembly.tokens > initial[1]:
-            generated = (assembly.text, assembly.tokens, software_version)
+            generated = (assembly.text, assembly.tokens, attempt.software_version)
         end = AttemptEnd(end.kind, end.status, end.body, *generated)
     _end_permit(attempt, end, assembly.tokens - initial[1])
     return end
@@ -121,6 +126,8 @@
         return AttemptEnd(EndKind.NOT_SENT, body=str(error).encode())
     except ResponseLostError as error:
         return AttemptEnd(EndKind.DIED, body=str(error).encode())
+    except OtherVersionError as error:
+        return AttemptEnd(EndKind.OTHER_VERSION, body=str(error).encode())
     except EngineError as error:
         return AttemptEnd(_end_kind(error), error.status, error.body)
     except msgspec.MsgspecError as error:
@@ -159,6 +166,12 @@
     async with engine.stream(
         attempt.upstream, line.url, body, attempt_id, resume, attempt.check
     ) as stream:
+        attempt.software_version = stream.software_version
+        if resume is not None and stream.software_version != attempt.item.software_version:
+            raise OtherVersionError(
+                f"the upstream resumes with software version {stream.software_version!r}"
+                f" what {attempt.item.software_version!r} wrote"
+            )
         async for event in stream:
             stall.deadline = trio.current_time() + stall_s
             if event.text:
--- a/src/fescuedock/core/batch/items.py
+++ b/src/fescuedock/core/batch/items.py
@@ -47,12 +47,14 @@
     STOPPED = auto()
     # Not sent, as the conditions under which it was chosen no longer held.
     WITHDRAWN = auto()
+    # The upstream would have resumed at another software version than its record names.
+    OTHER_VERSION = auto()
 
 
 class AttemptEnd(msgspec.Struct, frozen=True):
     """The end of one attempt; ``text`` and ``tokens`` are its output so far, for a later resume.
 
-    ``software_version`` is that of the upstream which generated them.  ``body`` is the upstream's
+    ``software_version`` is that of the process which generated them.  ``body`` is the upstream's
     answer for ``DONE`` and ``REJECTED``, and a message otherwise.
     """
 
--- a/tests/test_batch_attempts.py
+++ b/tests/test_batch_attempts.py
@@ -1,6 +1,7 @@
 """One attempt at one upstream, in virtual time: how each way to end is classified and reported."""
 
 import unittest
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
@@ -38,6 +39,15 @@
         self.ended.append(ended)
 
 
+@dataclass
+class _Stream:
+    events: AsyncIterator[EngineEvent]
+    software_version: str
+
+    def __aiter__(self) -> AsyncIterator[EngineEvent]:
+        return self.events
+
+
 @dataclass
 class _Engine:
     """Streams ``tokens``, one a second, then raises ``failure``, stays silent or finishes."""
@@ -48,9 +58,10 @@
     resume: object = None
 
     @asynccontextmanager
-    async def stream(self, _upstream, _path, _body, _attempt_id, resume, _check):
+    async def stream(self, upstream, _path, _body, _attempt_id, resume, _check):
         self.resume = resume
-        yield self._events(resume.tokens if resume else 0)
+        events = self._events(resume.tokens if resume else 0)
+        yield _Stream(events, upstream.software_version)
 
     async def _events(self, first):
         for number in range(first, self.tokens):
--- a/tests/test_engine_versions.py
+++ b/tests/test_engine_versions.py
@@ -5,12 +5,17 @@
 
 import unittest
 from contextlib import suppress
+from dataclasses import dataclass, field
 
 import msgspec
+import trio
 from msgspec.structs import replace
 
-from fescuedock.net.http_client import ResponseLostError
-from fescuedock.schema.view import UpstreamKind
+from fescuedock.backing.engine import EngineClient
+from fescuedock.batch.attempts import Attempt, UpstreamClients, run_attempt
+from fescuedock.core.batch.items import AttemptEnd, EndKind, Item
+from fescuedock.net.http_client import ResponseLostError, unchecked
+from fescuedock.schema.view import UpstreamKind, UpstreamRecord
 from fescuedock.standin.engine import EngineService
 from fescuedock.standin.token_text import answer_text
 from tests.builders.online import (
@@ -22,7 +27,7 @@
     record,
     with_fleet,
 )
-from tests.builders.standins import chat_prompt
+from tests.builders.standins import chat_prompt, open_http, run_async, running_standins, upstream_of
 
 CHAT = "/v1/chat/completions"
 TOKENS = 12
@@ -106,5 +111,91 @@
         self.assertLess(tokens, 16 * (TOKENS + 3))
 
 
+@dataclass
+class _Grant:
+    permit_id: str
+    revoked: trio.Event = field(default_factory=trio.Event)
+
+    def count_tokens(self, count: int = 1) -> None: ...
+
+    def end(self, ended: object) -> None: ...
+
+
+class BatchVersionsTest(unittest.TestCase):
+    TEXT = "application 7"
+
+    def run_engines(self, test, *versions: str) -> None:
+        async def run() -> None:
+            async with (
+                running_standins(engines=len(versions), plain_services=0) as standins,
+                open_http() as http,
+            ):
+                engines = list(standins.engines.values())
+                set_versions(engines, *versions)
+                await test(UpstreamClients(EngineClient(http), http), engines)
+
+        run_async(run)
+
+    async def attempt(
+        self,
+        clients: UpstreamClients,
+        engine: EngineService,
+        item: Item,
+        *,
+        cut: bool = False,
+    ) -> AttemptEnd:
+        """Run an attempt at an engine that is listed at version b1, and keep what it generated."""
+        if cut:
+            engine.faults.cut_after.append(4)
+        upstream: UpstreamRecord = replace(upstream_of(engine), software_version=LISTED)
+        grant = _Grant(f"attempt-{engine.received}-{engine.upstream_id}")
+        end = await run_attempt(clients, Attempt(item, upstream, grant, 5000.0, unchecked))
+        item.text, item.tokens = end.text, end.tokens
+        item.software_version = end.software_version
+        return end
+
+    def new_item(self) -> Item:
+        line = (
+            b'{"custom_id":"c","method":"POST","url":"/v1/chat/completions","body":{"model":'
+            b'"demo-model","messages":[{"role":"user","content":"%b"}],"max_tokens":%d}}'
+        )
+        return Item(0, line % (self.TEXT.encode(), TOKENS))
+
+    def check_version(self, end: AttemptEnd, version: str) -> None:
+        self.assertIs(end.kind, EndKind.DONE, end.body)
+        self.assertIn(answer_text(chat_prompt(self.TEXT) + version, TOKENS).encode(), end.body)
+
+    def test_text_is_not_resumed_at_an_engine_that_restarted_at_another_version(self) -> None:
+        async def test(clients: UpstreamClients, engines: list[EngineService]) -> None:
+            item, (same, other) = self.new_item(), engines
+            await self.attempt(clients, same, item, cut=True)
+            generated = (item.text, item.tokens)
+            end = await self.attempt(clients, other, item)
+            self.assertIsNot(end.kind, EndKind.DONE)
+            self.assertEqual((item.text, item.tokens, item.software_version), (*generated, "b1"))
+            self.check_version(await self.attempt(clients, same, item), "b1")
+
+        self.run_engines(test, "b1", "b2")
+
+    def test_text_of_a_restarted_engine_is_not_resumed_at_its_listed_version(self) -> None:
+        async def test(clients: UpstreamClients, engines: list[EngineService]) -> None:
+            item, (same, other) = self.new_item(), engines
+            await self.attempt(clients, other, item, cut=True)
+            self.assertEqual(item.software_version, "b2")
+            self.check_version(await self.attempt(clients, same, item), "b1")
+
+        self.run_engines(test, "b1", "b2")
+
+    def test_text_is_resumed_at_its_version(self) -> None:
+        async def test(clients: UpstreamClients, engines: list[EngineService]) -> None:
+            item, (first, second) = self.new_item(), engines
+            await self.attempt(clients, first, item, cut=True)
+            self.assertGreaterEqual(item.tokens, 4)
+            self.check_version(await self.attempt(clients, second, item), "b1")
+            self.assertLess(second.stats.tokens, TOKENS)
+
+        self.run_engines(test, "b1", "b1")
+
+
 if __name__ == "__main__":
     unittest.main()
