Let a batch item begin anew when an engine rejects its resume point

What callers saw: a sound OpenAI-dialect item listed as UPSTREAM_REJECTED after its first attempt had been cut off or revoked, where the next engine answered 400 to the resume point (another version that checks the text, or an engine that cannot resume).

Cause: a permanent error ended the item, also when the attempt was to resume.

Change: such an attempt ends as RESUME_REJECTED; the item drops its text, waits and avoids that upstream. An attempt from the beginning that is rejected still ends the item.

Test: test_an_item_whose_resume_point_is_rejected_begins_anew, seen failing before (EndKind.REJECTED). test_engine_versions, test_batch_attempts pass (19).

--- a/src/fescuedock/batch/attempts.py
+++ b/src/fescuedock/batch/attempts.py
@@ -46,6 +46,7 @@
     EndKind.STOPPED: AttemptOutcome.CANCELLED,
     EndKind.WITHDRAWN: AttemptOutcome.CANCELLED,
     EndKind.OTHER_VERSION: AttemptOutcome.CLIENT_ERROR,
+    EndKind.RESUME_REJECTED: AttemptOutcome.CLIENT_ERROR,
 }
 
 
@@ -99,7 +100,10 @@
         nursery.cancel_scope.cancel()
     if end.kind is EndKind.STOPPED and attempt.grant.revoked.is_set():
         end = AttemptEnd(EndKind.REVOKED)
-    if end.kind is not EndKind.DONE:
+    if end.kind is EndKind.REJECTED and initial[1]:
+        # The next attempt begins anew and shows whether the item itself is rejected.
+        end = AttemptEnd(EndKind.RESUME_REJECTED, end.status, end.body)
+    elif end.kind is not EndKind.DONE:
         generated = (item.text, item.tokens, item.software_version)
         if assembly.tokens > initial[1]:
             generated = (assembly.text, assembly.tokens, attempt.software_version)
--- a/src/fescuedock/core/batch/items.py
+++ b/src/fescuedock/core/batch/items.py
@@ -49,6 +49,8 @@
     WITHDRAWN = auto()
     # The upstream would have resumed at another software version than its record names.
     OTHER_VERSION = auto()
+    # The upstream rejected the resume point, and perhaps not the item.
+    RESUME_REJECTED = auto()
 
 
 class AttemptEnd(msgspec.Struct, frozen=True):
--- a/tests/test_engine_versions.py
+++ b/tests/test_engine_versions.py
@@ -186,6 +186,20 @@
 
         self.run_engines(test, "b1", "b2")
 
+    def test_an_item_whose_resume_point_is_rejected_begins_anew(self) -> None:
+        """Guards against a sound item that ends as rejected, where only its resume point was."""
+
+        async def test(clients: UpstreamClients, engines: list[EngineService]) -> None:
+            item, (first, checking) = self.new_item(), engines
+            checking.faults.resumes_any_text = False
+            await self.attempt(clients, first, item, cut=True)
+            end = await self.attempt(clients, checking, item)
+            self.assertIs(end.kind, EndKind.RESUME_REJECTED)
+            self.assertEqual((item.text, item.tokens), ("", 0))
+            self.check_version(await self.attempt(clients, checking, item), "b2")
+
+        self.run_engines(test, "b1", "b2")
+
     def test_text_is_resumed_at_its_version(self) -> None:
         async def test(clients: UpstreamClients, engines: list[EngineService]) -> None:
             item, (first, second) = self.new_item(), engines
