Say that a listed test was not run instead of that it did not fail

Who reads a run's report saw "did not fail this time" for the two entries of tests.soak, which neither make test nor any run by names executes, and for every listed test when only some modules were run.

The runner knew only how many tests ran. It now keeps the identities of those that started and were not skipped, and a listed test that is not among them is printed as "not run".

--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -12,7 +12,9 @@
     MAX_KNOWN_RED,
     KnownRed,
     failed_tests,
+    main,
     read_known_red,
+    report_known,
     run_all_apart,
     run_apart,
     unexpected,
@@ -40,6 +42,32 @@
         self.assertEqual(unexpected({"a", "b"}, known), {"b"})
         self.assertEqual(unexpected({"a"}, known), set())
 
+    def test_a_listed_test_that_was_not_run_is_not_said_to_have_passed(self) -> None:
+        known = [KnownRed(name, "", "", "seen", "41") for name in ("soak", "red", "green")]
+        with mock.patch("sys.stderr", io.StringIO()) as told:
+            report_known(known, ran={"red", "green"}, failed={"red"})
+        states = ("not run: soak", "failed: red", "did not fail this time: green")
+        expected = [f"KNOWN RED, {state} (41): seen" for state in states]
+        self.assertEqual(told.getvalue().splitlines(), expected)
+
+    def test_a_run_by_names_says_that_the_other_listed_tests_were_not_run(self) -> None:
+        passing = "tests.builders.samples.PassingTest.test_that_passes"
+        names = ("tests.soak", "tests.test_x.X.test_y", passing)
+        listed = "\n".join(f"{name} | x | x | x | x" for name in names)
+        with (
+            tempfile.TemporaryDirectory() as folder,
+            mock.patch("sys.stderr", io.StringIO()) as told,
+        ):
+            path = Path(folder, "KNOWN-RED.txt")
+            path.write_text(listed, encoding="utf-8")
+            with mock.patch("tools.run_tests.KNOWN_RED", path):
+                status = main(["tests.builders.samples.PassingTest"])
+        self.assertEqual(status, 0)
+        states = [line for line in told.getvalue().splitlines() if line.startswith("KNOWN RED")]
+        self.assertEqual(len(states), 3)
+        for line, state in zip(states, ("not run", "not run", "did not fail"), strict=True):
+            self.assertTrue(line.startswith(f"KNOWN RED, {state}"), line)
+
     def test_subtests_count_as_their_test(self) -> None:
         class Sample(unittest.TestCase):
             def test_sample(self) -> None:
@@ -74,7 +102,8 @@
     def test_what_fails_and_what_passes_is_told_by_test(self) -> None:
         name = "tests.builders.samples.SampleTest"
         run = run_apart(name, self.folder)
-        self.assertEqual((run.tests, run.skipped), (3, 1))
+        ran = [f"{name}.{test}" for test in ("test_that_fails", "test_that_passes")]
+        self.assertEqual((run.ran, run.skipped), (ran, 1))
         self.assertEqual(run.failed, [f"{name}.test_that_fails"])
         self.assertIn("it always does", (self.folder / f"{name}.txt").read_text())
 
@@ -88,7 +117,13 @@
     def test_all_failures_are_told_together(self) -> None:
         names = [f"tests.builders.samples.{name}" for name in ("SampleTest", "EndingTest")]
         with mock.patch("sys.stderr", io.StringIO()) as told:
-            failed = run_all_apart(names, ["tests.builders.samples.PassingTest"], 4, self.folder)
+            ran, failed = run_all_apart(
+                names, ["tests.builders.samples.PassingTest"], 4, self.folder
+            )
+        passing = [
+            f"tests.builders.samples.{name}Test.test_that_passes" for name in ("Sample", "Passing")
+        ]
+        self.assertEqual(ran, {names[0] + ".test_that_fails", *passing})
         self.assertEqual(failed, {names[0] + ".test_that_fails", names[1]})
         self.assertIn("4 tests in 3 processes, 1 skipped", told.getvalue())
 
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -2,6 +2,7 @@
 
 Each line of that file holds a test, its command, its seed, the observed failure and the open issue,
 separated by `` | ``.  Listed tests still run; their failures are printed but do not fail the run.
+A listed test that is no part of the run is printed as not run.
 
 Usage: run_tests.py [--jobs=N] [NAME...]; without names it runs every module in a separate process,
 the soak's tests one by one, N processes at a time, by default three for each four processors, and
@@ -17,6 +18,7 @@
 from collections.abc import Iterable, Sequence
 from concurrent.futures import ThreadPoolExecutor, as_completed
 from pathlib import Path
+from typing import Any
 
 import msgspec
 
@@ -27,6 +29,7 @@
     "failed_tests",
     "main",
     "read_known_red",
+    "report_known",
     "run_all_apart",
     "run_apart",
     "unexpected",
@@ -94,9 +97,18 @@
     return set(failed) - {item.test for item in known}
 
 
-def _report(known: Iterable[KnownRed], failed: set[str]) -> None:
+def report_known(known: Iterable[KnownRed], ran: set[str], failed: set[str]) -> None:
+    """Print how the listed tests went.
+
+    ``ran`` has the tests that were run, as a list may name commands that are no part of the run.
+    """
     for item in known:
-        state = "failed" if item.test in failed else "did not fail this time"
+        if item.test in failed:
+            state = "failed"
+        elif item.test in ran:
+            state = "did not fail this time"
+        else:
+            state = "not run"
         print(f"KNOWN RED, {state}: {item.test} ({item.issue}): {item.seen}", file=sys.stderr)
 
 
@@ -104,7 +116,7 @@
     """Result of the tests under one name, which ran in a separate process."""
 
     name: str
-    tests: int = 0
+    ran: list[str] = []
     skipped: int = 0
     failed: list[str] = []
     took_s: float = 0.0
@@ -114,11 +126,23 @@
 class _Report(msgspec.Struct):
     """Test results that a process reports."""
 
-    tests: int
+    ran: list[str]
     skipped: int
     failed: list[str]
 
 
+class _RecordingResult(unittest.TextTestResult):
+    """Also keeps the identities of the tests that were started."""
+
+    def __init__(self, *args: Any, **options: Any) -> None:
+        super().__init__(*args, **options)
+        self.started: list[str] = []
+
+    def startTest(self, test: unittest.TestCase) -> None:  # noqa: N802
+        self.started.append(test.id())
+        super().startTest(test)
+
+
 def run_apart(name: str, folder: Path = LOGS) -> TestRun:
     """Run the tests of a module, or one test, in another process that writes to ``folder``.
 
@@ -151,14 +175,14 @@
         run.failed = [name]
         return run
     report_file.unlink()
-    run.tests, run.skipped, run.failed = report.tests, report.skipped, report.failed
+    run.ran, run.skipped, run.failed = report.ran, report.skipped, report.failed
     return run
 
 
 def run_all_apart(
     names: Sequence[str], soak: Sequence[str], jobs: int, folder: Path = LOGS
-) -> set[str]:
-    """Run tests ``jobs`` at a time and print a summary; return the failed tests.
+) -> tuple[set[str], set[str]]:
+    """Run tests ``jobs`` at a time and print a summary; return those that ran and that failed.
 
     A fixed share of the processes is reserved for the tests in ``soak``.
     """
@@ -176,7 +200,9 @@
             if run.failed:
                 print(run.output, file=sys.stderr)
     slowest = sorted(runs, key=lambda item: -item.took_s)[:5]
-    tests, skipped = (sum(getattr(item, name) for item in runs) for name in ("tests", "skipped"))
+    skipped = sum(item.skipped for item in runs)
+    tests = skipped + sum(len(item.ran) for item in runs)
+    ran = {name for item in runs for name in item.ran}
     failed = {name for item in runs for name in item.failed}
     print(f"{tests} tests in {len(runs)} processes, {skipped} skipped", file=sys.stderr)
     print(
@@ -185,7 +211,7 @@
     )
     for name in sorted(failed):
         print(f"FAILED: {name}", file=sys.stderr)
-    return failed
+    return ran, failed
 
 
 def _all_modules() -> list[str]:
@@ -216,14 +242,17 @@
     return max((os.cpu_count() or 1) * 3 // 4, 1)
 
 
-def _run_here(names: Sequence[str], report_file: Path | None) -> set[str]:
-    """Run tests in this process; return the failed ones."""
-    result = unittest.TextTestRunner().run(unittest.defaultTestLoader.loadTestsFromNames(names))
+def _run_here(names: Sequence[str], report_file: Path | None) -> tuple[set[str], set[str]]:
+    """Run tests in this process; return those that ran, without the skipped, and that failed."""
+    runner = unittest.TextTestRunner(resultclass=_RecordingResult)
+    result = runner.run(unittest.defaultTestLoader.loadTestsFromNames(names))
     failed = failed_tests(result)
+    skipped = {test.id() for test, _ in result.skipped}
+    ran = [name for name in result.started if name not in skipped]
     if report_file is not None:
-        report = _Report(result.testsRun, len(result.skipped), sorted(failed))
+        report = _Report(ran, len(result.started) - len(ran), sorted(failed))
         report_file.write_bytes(msgspec.json.encode(report))
-    return failed
+    return set(ran), failed
 
 
 def main(arguments: list[str]) -> int:
@@ -234,12 +263,12 @@
     options = dict(item[2:].partition("=")[::2] for item in arguments if item.startswith("--"))
     if names:
         report_file = Path(options["report"]) if "report" in options else None
-        failed = _run_here(names, report_file)
+        ran, failed = _run_here(names, report_file)
     else:
         jobs = int(options.get("jobs") or _default_jobs())
-        failed = run_all_apart(_all_modules(), _tests_of(_SOAK), jobs)
+        ran, failed = run_all_apart(_all_modules(), _tests_of(_SOAK), jobs)
     if "report" not in options:
-        _report(known, failed)
+        report_known(known, ran, failed)
     return 1 if unexpected(failed, known) else 0
 
 
