Identify the process that a stream or item reaches, and log it

Streams and texts of batch items were joined from two software versions while no node was lost. The version of an upstream is that of its entry, and the log lines of attempts and runs name only this entry, so they could not tell whether the process that was reached is the one that wrote it.

A connection that carries a stream which may be resumed, or an item, now asks the upstream's report for its start time first, once for each connection, as a connection does not outlive the process at its other end. Lines of attempts and item runs tell it as `process`. Nothing is decided by it yet. Upstreams whose entries name no start time are not asked, nor are calls of a single run.

--- a/src/fescuedock/net/http_client.py
+++ b/src/fescuedock/net/http_client.py
@@ -30,6 +30,7 @@
     "ClientResponse",
     "HttpClient",
     "NotSentError",
+    "PeerQuery",
     "ResponseLostError",
     "ResponseTooLargeError",
     "SendCheck",
@@ -46,6 +47,9 @@
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*(\d+)")
 # A request must arrive before the server closes: longer than the slowest network transit.
 _KEEP_ALIVE_MARGIN_S = 0.25
+_MAX_IDENTITY_BYTES = 65536
+# A server may close any connection after an answer, so also after the one that identified it.
+_MAX_IDENTITY_TRIES = 2
 # Number of previous requests on a connection whose late answers may still arrive.  Attempts of one
 # call follow each other within seconds, in which a connection carries only a few requests.
 _MAX_CARRIED_IDENTITIES = 32
@@ -112,6 +116,11 @@
         self.headers: Mapping[str, str] = dict(header_fields)
         self._connection = connection
 
+    @property
+    def peer(self) -> str | None:
+        """The identity of the process that answered; None if it was not asked or did not tell."""
+        return self._connection.peer
+
     def chunks(self) -> AsyncIterator[bytes]:
         """Iterate over the body as it arrives; raise ``ResponseLostError`` if it is truncated."""
         return self
@@ -170,6 +179,17 @@
 IsAnswer = Callable[[Headers], bool]
 
 
+class PeerQuery(msgspec.Struct, frozen=True):
+    """A GET request whose answer names the process at the other end of a connection.
+
+    ``read_identity`` returns the identity in an answer with this status and body, None if the
+    process does not tell it; it raises ``ValueError`` for an answer that cannot be read.
+    """
+
+    target: str
+    read_identity: Callable[[int, bytes], str | None]
+
+
 class HttpClient(msgspec.Struct):
     """Makes requests, reusing up to ``max_idle_per_address`` idle connections per address.
 
@@ -196,6 +216,7 @@
         is_answer: IsAnswer = lambda headers: True,
         check: SendCheck = unchecked,
         identity: str = "",
+        peer_query: PeerQuery | None = None,
     ) -> AsyncIterator[ClientResponse]:
         """Send one request and yield its answer; leaving the block early closes the connection.
 
@@ -213,6 +234,9 @@
 
         ``identity`` identifies the work, if ``is_answer`` relies on it: no connection carries the
         same one twice, since a late answer to the first attempt would match the second one.
+
+        ``peer_query`` is sent first on a connection whose peer is not identified yet.  A connection
+        does not outlive the process at its other end, so one answer holds while it is open.
         """
         # On a reused connection the request is written without a checkpoint: without this one, a
         # caller that was cancelled just before would still send it.
@@ -220,6 +244,8 @@
         connection = None if fresh else self._pop_idle(address, identity)
         if connection is None:
             connection = await self._connect(address)
+        if peer_query is not None and not connection.is_identified:
+            connection = await self._identify(address, connection, peer_query)
         connection.carried.append(identity)
         try:
             with _answer_timeout(address, answer_timeout_ms):
@@ -272,6 +298,29 @@
         self.on_connect(address)
         return _ClientConnection(stream)
 
+    async def _identify(
+        self, address: Address, connection: "_ClientConnection", query: PeerQuery
+    ) -> "_ClientConnection":
+        """Return a connection whose peer has answered ``query``, another one if that was closed."""
+        reason = ""
+        for tries_left in reversed(range(_MAX_IDENTITY_TRIES)):
+            try:
+                with _answer_timeout(address, self.connect_timeout_ms):
+                    await connection.identify(address, query)
+                if connection.reusable():
+                    return connection
+                reason = "it closed the connection"
+            except ResponseLostError as error:
+                reason = str(error)
+            except (ResponseTooLargeError, ValueError) as error:
+                raise NotSentError(f"{address} did not identify itself: {error}") from error
+            finally:
+                if not connection.is_identified or reason:
+                    connection.abort()
+            if tries_left:
+                connection = await self._connect(address)
+        raise NotSentError(f"{address} did not identify itself: {reason}")
+
     def _pop_idle(self, address: Address, identity: str) -> "_ClientConnection | None":
         idle = (self._idle or {}).get(address, [])
         found: _ClientConnection | None = None
@@ -353,11 +402,16 @@
         "_stream",
         "_unread_body",
         "carried",
+        "is_identified",
+        "peer",
     )
 
     def __init__(self, stream: trio.SocketStream) -> None:
         # Identities of the latest requests.
         self.carried: deque[str] = deque(maxlen=_MAX_CARRIED_IDENTITIES)
+        # Whether the peer was asked for its identity, and what it told.
+        self.is_identified = False
+        self.peer: str | None = None
         self._protocol = h11.Connection(h11.CLIENT, _MAX_HEADER_BYTES)
         self._stream = stream
         self._is_partly_sent = False
@@ -368,6 +422,14 @@
         self._body = BodyReader(0)
         self._unread_body = b""
 
+    async def identify(self, address: Address, query: PeerQuery) -> None:
+        """Ask the peer for its identity; raise ``ValueError`` if its answer cannot be read."""
+        message = _Message("GET", query.target, (), b"")
+        response = await self.exchange(address, message, lambda _headers: True, unchecked)
+        body = await response.read(_MAX_IDENTITY_BYTES)
+        self.peer = query.read_identity(response.status, body)
+        self.is_identified = True
+
     async def exchange(
         self, address: Address, message: _Message, is_answer: IsAnswer, check: SendCheck
     ) -> ClientResponse:
--- a/src/fescuedock/node/attempt.py
+++ b/src/fescuedock/node/attempt.py
@@ -14,6 +14,7 @@
 from fescuedock.net.http_client import ClientResponse, HttpClient, SendCheck
 from fescuedock.net.http_messages import Headers
 from fescuedock.platform import calls
+from fescuedock.platform.reports import process_query
 from fescuedock.schema.permits import AttemptOutcome, EndedPermit, WorkClass
 from fescuedock.schema.view import UpstreamRecord
 
@@ -55,12 +56,14 @@
     events: int = 0
     # Moving mean of the latest pauses between events; below 0 before the first.
     recent_pause_ms: float = -1.0
-    # Whether the head of an answer was received.
+    # Whether the head of an answer was received, and which process sent it, if known.
     answered: bool = False
+    process: str | None = None
 
     def record_answer(self, answer: UpstreamAnswer) -> None:
         """Record that the head of an answer was received."""
         self.answered = True
+        self.process = answer.response.peer
         if answer.response.unframed:
             self.grant.record_unframed()
 
@@ -127,11 +130,14 @@
     headers: Headers,
     body: bytes,
     check: SendCheck,
+    *,
+    identifies: bool = False,
 ) -> AsyncIterator[UpstreamAnswer]:
     """Send a request to an upstream and yield the answer.
 
-    ``check`` is called right before the request is written.  Raises ``NotSentError``,
-    ``WithdrawnError`` and ``ResponseLostError`` as ``HttpClient.request`` does.
+    ``check`` is called right before the request is written.  With ``identifies`` the process that
+    gets the request is identified first, where the upstream's entry names one.  Raises
+    ``NotSentError``, ``WithdrawnError`` and ``ResponseLostError`` as ``HttpClient.request`` does.
     """
     async with http.request(
         Address(upstream.host, upstream.port),
@@ -142,6 +148,7 @@
         is_answer=lambda fields: calls.answer_head(0, fields).answers(request_id),
         check=check,
         identity=request_id,
+        peer_query=process_query(upstream.upstream_id) if identifies else None,
     ) as response:
         head = calls.answer_head(response.status, response.header_fields)
         yield UpstreamAnswer(head, response)
--- a/src/fescuedock/node/item_run.py
+++ b/src/fescuedock/node/item_run.py
@@ -87,6 +87,7 @@
         work_id=item.work_id,
         parts=item.parts,
         upstream_id=upstream.upstream_id,
+        process=record.process,
         software_version=upstream.software_version,
         end=end.value,
         attempt_end="whole" if attempt_end is None else attempt_end.value,
@@ -137,6 +138,7 @@
                 headers,
                 item.item.body,
                 check,
+                identifies=True,
             ) as answer:
                 return await _read_answer(answer, item, upstream.software_version, record, stall)
         return ItemEnd.INTERRUPTED, AttemptEnd.STALLED, f"no event for {_STALL_TIMEOUT_MS:g} ms"
--- a/src/fescuedock/node/online_call.py
+++ b/src/fescuedock/node/online_call.py
@@ -173,6 +173,12 @@
         """Whether the client may resume this call's stream at another node."""
         return self.route.kind is RouteKind.STREAM and self.route.resumable
 
+    @property
+    def joins_runs(self) -> bool:
+        """Whether the answer may consist of several runs, which need one software version."""
+        is_stream = self.route.kind is RouteKind.STREAM
+        return is_stream and (self.route.resumable or self.head.last_event >= 0)
+
     @property
     def max_tokens(self) -> int:
         return self.head.max_tokens
@@ -354,6 +360,7 @@
                 headers,
                 self.body,
                 check,
+                identifies=self.joins_runs,
             ) as answer:
                 return await self._handle_answer(answer, upstream, record, stall)
         return AttemptEnd.STALLED
@@ -566,6 +573,7 @@
             parts=self.parts,
             route=self.route.name,
             upstream_id=upstream.upstream_id,
+            process=record.process,
             software_version=upstream.software_version,
             attempt=self.progress.attempts + 1,
             local_permit=record.grant.local,
--- a/src/fescuedock/platform/records.py
+++ b/src/fescuedock/platform/records.py
@@ -32,6 +32,7 @@
     "registered_id",
     "retired_node",
     "retirement_status_key",
+    "started_at",
 ]
 
 OPERATOR_PREFIX = "op/"
@@ -190,6 +191,11 @@
     return upstream_id.partition(_START_SEPARATOR)[0]
 
 
+def started_at(upstream_id: str) -> str:
+    """Return the start time in an upstream's ID; empty if its entry names none."""
+    return upstream_id.partition(_START_SEPARATOR)[2]
+
+
 def _incarnation_id(name: str, born: int) -> str:
     if not name or _START_SEPARATOR in name:
         raise ValueError(f"{name!r} is not a valid worker ID")
--- a/src/fescuedock/platform/standin/event_upstream.py
+++ b/src/fescuedock/platform/standin/event_upstream.py
@@ -1,6 +1,7 @@
 """Stand-in for an upstream of the users' platform: streams numbered events, injects faults."""
 
 import enum
+import json
 from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
@@ -23,8 +24,11 @@
 ]
 
 DEFAULT_VERSION = "v1"
+_REPORT_PATH = "/api/report"
 _MAX_BODY_BYTES = 16 * 1024 * 1024
 _VERSION_SEPARATOR = " by "
+# The requests of the former process have ended by then.
+_RESTART_S = 0.02
 
 
 @dataclass(slots=True)
@@ -71,7 +75,9 @@
 class EventUpstream:
     """One upstream.  ``runs`` counts runs by request ID; ``seen`` has the headers of each run.
 
-    Each request consumes the first of ``faults``.
+    Each request consumes the first of ``faults``.  ``born`` is the start time in its entry and its
+    report, 0 for none; ``reports`` counts the requests for a report, each of which consumes the
+    first of ``report_faults``.
 
     A request to one of the ``harmful`` paths crashes the upstream ``crash_after_ms`` after its
     start: all connections are cut and new ones are refused for ``restart_ms``.  The upstream then
@@ -87,6 +93,9 @@
     # Of its software; what two versions write does not fit together.
     version: str = DEFAULT_VERSION
     event_interval_ms: float = 1.0
+    born: int = 0
+    reports: int = 0
+    report_faults: list[UpstreamFault] = field(default_factory=list)
     faults: list[UpstreamFault] = field(default_factory=list)
     runs: Counter[str] = field(default_factory=Counter)
     seen: list[dict[str, str]] = field(default_factory=list)
@@ -153,6 +162,9 @@
         if request.path == "/health":
             await responder.send(200, b"{}", [("X-Instance-Id", self.upstream_id)])
             return
+        if request.path == _REPORT_PATH:
+            await self._report(responder)
+            return
         expected = request.headers.get("x-expect-instance", self.upstream_id)
         if expected != self.upstream_id:
             await responder.send(421, b"{}", [("X-Instance-Id", self.upstream_id)])
@@ -176,6 +188,26 @@
         finally:
             self.in_progress.remove(request_id)
 
+    async def _report(self, responder: Responder) -> None:
+        self.reports += 1
+        fault = self.report_faults.pop(0) if self.report_faults else UpstreamFault()
+        if fault.lose:
+            raise DroppedConnectionError("dropped the report as configured")
+        if fault.hang_after >= 0:
+            await trio.sleep_forever()
+        fields = {"stage": "both", "inFlight": self.running}
+        if self.born:
+            fields["born"] = self.born
+        await responder.send(fault.fail_status or 200, json.dumps(fields).encode())
+
+    async def restart(self, version: str = "") -> None:
+        """Restart under the same ID, with another software version if one is given."""
+        self.listener.take_down()
+        await trio.sleep(_RESTART_S)
+        self.version = version or self.version
+        self.born += 1
+        self.listener.bring_up()
+
     async def _run(
         self,
         request: Request,
--- a/tests/builders/node.py
+++ b/tests/builders/node.py
@@ -206,6 +206,18 @@
         upstream.on_restart = self.register
         return upstream
 
+    async def restart_upstream(
+        self, upstream: EventUpstream, version: str = "", entry_after_s: float = 0.0
+    ) -> None:
+        """Restart an upstream under its ID; its entry is updated ``entry_after_s`` later."""
+        await upstream.restart(version)
+
+        async def register(entry: EventUpstream) -> None:
+            await trio.sleep(entry_after_s)
+            self.register(entry)
+
+        self.nursery.start_soon(register, upstream)
+
     def _lapse_soon(self, upstream: EventUpstream) -> None:
         """Remove the entry of a crashed upstream after a while, as its lease would."""
         key = f"servers/{upstream.upstream_id}"
@@ -218,6 +230,8 @@
 
     def register(self, upstream: EventUpstream, state: str = "ready", **changes: object) -> None:
         fields = {"state": state, "version": upstream.version} | changes
+        if upstream.born:
+            fields = {"born": upstream.born} | fields
         entry = worker_entry(str(upstream.address), **fields)
         self.store.state.put(f"servers/{upstream.upstream_id}", json.dumps(entry).encode())
 
