Add failing tests of streams joined from two versions at restarted upstreams

An upstream restarts under its own ID at another software version, and its entry is updated later or not at all. Streams that go on there, or begin there and go on elsewhere, get text of two versions with status 200.

--- a/tests/test_restarted_upstreams.py
+++ b/tests/test_restarted_upstreams.py
@@ -8,11 +8,18 @@
 
 import trio
 
-from fescuedock.platform.standin.event_upstream import UpstreamFault
+from fescuedock.platform.standin.event_upstream import EventUpstream, UpstreamFault
 from tests.builders.node import NodeFleet, running_fleet
 from tests.builders.standins import run_async
+from tests.builders.versions import (
+    ResumedStream,
+    event_numbers,
+    resume_stream,
+    versions_of,
+)
 
 STARTED_MS = 1_790_000_000_000
+NEVER_S = 3600.0
 STREAMS = 24
 
 
@@ -38,6 +45,82 @@
         run_async(run)
 
 
+class RestartedUpstreamsTest(FleetTestCase):
+    async def cut_streams(self, fleet: NodeFleet, cut: Callable[[int], EventUpstream]) -> int:
+        """Have clients call while an upstream cuts off its runs; count the whole answers."""
+        whole = 0
+        for number in range(STREAMS):
+            upstream = cut(number)
+            upstream.faults = [UpstreamFault(cut_after=2)]
+            front = fleet.nodes[number % len(fleet.nodes)].front
+            answer = await fleet.call(front, "POST", f"/check/{number}", b"case")
+            upstream.faults = []
+            self.assertLessEqual(len(versions_of(answer.body)), 1, answer.body)
+            whole += answer.complete and answer.status == 200
+        return whole
+
+    def test_a_stream_does_not_go_on_at_an_upstream_that_restarted_at_another_version(self) -> None:
+        for entry_after_s in (0.05, 0.3, NEVER_S):
+            with self.subTest(entry_after_s=entry_after_s):
+
+                async def test(fleet: NodeFleet, entry_after_s: float = entry_after_s) -> None:
+                    first, second = fleet.upstreams
+                    await fleet.restart_upstream(second, "v1.1", entry_after_s)
+                    await self.cut_streams(fleet, lambda _number: first)
+
+                self.run_fleet(test)
+
+    def test_a_stream_that_began_at_a_restarted_upstream_goes_on_at_its_version(self) -> None:
+        for entry_after_s in (0.05, 0.3, NEVER_S):
+            with self.subTest(entry_after_s=entry_after_s):
+
+                async def test(fleet: NodeFleet, entry_after_s: float = entry_after_s) -> None:
+                    _, second = fleet.upstreams
+                    await fleet.restart_upstream(second, "v1.1", entry_after_s)
+                    await self.cut_streams(fleet, lambda _number: second)
+
+                self.run_fleet(test)
+
+    def test_a_client_that_resumes_gets_one_version_while_upstreams_restart_in_turn(self) -> None:
+        async def test(fleet: NodeFleet) -> None:
+            resumed: list[ResumedStream] = []
+            for upstream in fleet.upstreams:
+                upstream.event_interval_ms = 30
+
+            async def stream(number: int) -> None:
+                await trio.sleep(number * 0.02)
+                name, path = f"first-{number}", f"/check/{number}"
+                fronts = [node.front for node in fleet.nodes]
+                headers = {"x-request-id": name}
+                first = await fleet.call(
+                    fronts[number % len(fronts)], "POST", path, b"case", headers
+                )
+                if first.complete or first.status != 200 or not event_numbers(first.body):
+                    resumed.append(ResumedStream(first, first))
+                    return
+                for attempt in range(1, 4):
+                    other = fronts[(number + attempt) % len(fronts)]
+                    found = await resume_stream(fleet, other, path, b"case", first, name)
+                    if found.second.status == 200:
+                        break
+                    await trio.sleep(0.1)
+                resumed.append(found)
+
+            async with trio.open_nursery() as nursery:
+                for number in range(90):
+                    nursery.start_soon(stream, number)
+                for upstream in list(fleet.upstreams):
+                    await trio.sleep(0.4)
+                    await fleet.restart_upstream(upstream, "v1.1", 0.15)
+            self.assertEqual(len(resumed), 90)
+            joined = [
+                item for item in resumed if item.second.status == 200 and len(item.versions) > 1
+            ]
+            self.assertEqual(joined, [])
+
+        self.run_fleet(test, versions=("v1",) * 4, nodes=3)
+
+
 class IdentificationTest(FleetTestCase):
     """The cost of telling processes apart, and what happens where that fails."""
 
@@ -97,6 +180,22 @@
 
         self.run_fleet(test, versions=("v1",))
 
+    def test_a_restarted_upstream_serves_once_its_entry_is_updated(self) -> None:
+        async def test(fleet: NodeFleet) -> None:
+            [upstream] = fleet.upstreams
+            await fleet.call(fleet.nodes[0].front, "POST", "/check/1", b"a")
+            await fleet.restart_upstream(upstream, "v1.1", 0.5)
+            refused = await fleet.call(
+                fleet.nodes[0].front, "POST", "/check/2", b"a", {"x-deadline-ms": "300"}
+            )
+            self.assertEqual(refused.status, 503)
+            fleet.register(upstream)
+
+            answer = await fleet.call(fleet.nodes[0].front, "POST", "/check/3", b"a")
+            self.assertEqual((answer.status, versions_of(answer.body)), (200, {"v1.1"}))
+
+        self.run_fleet(test, versions=("v1",), nodes=1)
+
 
 if __name__ == "__main__":
     unittest.main()
