Send streams and items only to the process that the upstream's entry describes

What callers saw: a stream, or the text of a batch item, whose first part came from one software version and the rest from another, complete and with status 200, while no node was lost.

Cause: the software version of an upstream is that of its entry, and an entry may be older than the process at its address. An upstream may restart under its own ID; X-Expect-Instance names this ID only, so the new process takes the request. Work went on there, or began there and went on elsewhere at the version that the entry named.

Fix: the connection tells the process. Its report names the start time, which is compared with the one in the entry by which the upstream was chosen, before a stream that may be resumed or an item is written. Another process counts as an upstream that was not reached: the work goes elsewhere, and the restarted upstream gets work again when its entry describes it. A connection does not outlive the process at its other end, so it is asked once. An upstream that gives no report in time is not used for such work; one whose report names no start time is used as before.

--- a/src/fescuedock/net/http_client.py
+++ b/src/fescuedock/net/http_client.py
@@ -30,6 +30,7 @@
     "ClientResponse",
     "HttpClient",
     "NotSentError",
+    "OtherPeerError",
     "PeerQuery",
     "ResponseLostError",
     "ResponseTooLargeError",
@@ -74,6 +75,10 @@
     """No byte of the request can have reached the server."""
 
 
+class OtherPeerError(NotSentError):
+    """Another process than the expected one is at the other end of the connection."""
+
+
 class WithdrawnError(Exception):
     """No byte of the request was sent, because its check refused it just before the write.
 
@@ -184,10 +189,12 @@
 
     ``read_identity`` returns the identity in an answer with this status and body, None if the
     process does not tell it; it raises ``ValueError`` for an answer that cannot be read.
+    ``expected`` is the identity that the process must have if it tells one.
     """
 
     target: str
     read_identity: Callable[[int, bytes], str | None]
+    expected: str
 
 
 class HttpClient(msgspec.Struct):
@@ -235,8 +242,9 @@
         ``identity`` identifies the work, if ``is_answer`` relies on it: no connection carries the
         same one twice, since a late answer to the first attempt would match the second one.
 
-        ``peer_query`` is sent first on a connection whose peer is not identified yet.  A connection
-        does not outlive the process at its other end, so one answer holds while it is open.
+        ``peer_query`` is sent first on a connection whose peer is not identified yet; raise
+        ``OtherPeerError`` unless the expected process answers.  A connection does not outlive the
+        process at its other end, so one answer holds while it is open.
         """
         # On a reused connection the request is written without a checkpoint: without this one, a
         # caller that was cancelled just before would still send it.
@@ -244,8 +252,12 @@
         connection = None if fresh else self._pop_idle(address, identity)
         if connection is None:
             connection = await self._connect(address)
-        if peer_query is not None and not connection.is_identified:
+        if peer_query is not None:
             connection = await self._identify(address, connection, peer_query)
+            if connection.peer not in (None, peer_query.expected):
+                # The process may be listed soon, and the connection is of use then.
+                self._store_idle(address, connection)
+                raise OtherPeerError(f"another process is at {address}: {connection.peer}")
         connection.carried.append(identity)
         try:
             with _answer_timeout(address, answer_timeout_ms):
@@ -302,6 +314,8 @@
         self, address: Address, connection: "_ClientConnection", query: PeerQuery
     ) -> "_ClientConnection":
         """Return a connection whose peer has answered ``query``, another one if that was closed."""
+        if connection.is_identified:
+            return connection
         reason = ""
         for tries_left in reversed(range(_MAX_IDENTITY_TRIES)):
             try:
--- a/src/fescuedock/platform/reports.py
+++ b/src/fescuedock/platform/reports.py
@@ -24,7 +24,8 @@
     Without a start time in its entry each start of a worker has an ID of its own, which every
     request names.
     """
-    return PeerQuery(_REPORT_PATH, _read_start) if started_at(upstream_id) else None
+    expected = started_at(upstream_id)
+    return PeerQuery(_REPORT_PATH, _read_start, expected) if expected else None
 
 
 def _read_start(status: int, body: bytes) -> str | None:
--- a/tests/test_restarted_upstreams.py
+++ b/tests/test_restarted_upstreams.py
@@ -191,7 +191,12 @@
             self.assertEqual(refused.status, 503)
             fleet.register(upstream)
 
-            answer = await fleet.call(fleet.nodes[0].front, "POST", "/check/3", b"a")
+            # Refused until the record of the service names the new version.
+            for _ in range(40):
+                answer = await fleet.call(fleet.nodes[0].front, "POST", "/check/3", b"a")
+                if answer.status != 503:
+                    break
+                await trio.sleep(0.05)
             self.assertEqual((answer.status, versions_of(answer.body)), (200, {"v1.1"}))
 
         self.run_fleet(test, versions=("v1",), nodes=1)
