Discard an attempt whose upstream was listed anew before its first event

What callers saw: streams joined from two versions at upstreams that restart under their ID, where the process does not tell its start time.

Cause: an upstream counted as replaced only if its own ID was listed with another version. A restarted one is listed under another ID at the same address, and its former ID is gone, which counted as not replaced. A further attempt of a stream that had begun was not checked at all.

Now the first event of each attempt is checked, and an upstream whose ID is gone counts as replaced if another one is listed at its address.

--- a/src/fescuedock/node/online_call.py
+++ b/src/fescuedock/node/online_call.py
@@ -458,9 +458,9 @@
             if record.first_event_ms < 0:
                 self.shared.record_first_event(now_ms() - record.started_ms)
             record.record_events(len(events))
+            if record.events == len(events) and self._is_replaced(upstream):
+                return AttemptEnd.LOST
             if self.client_stream is None:
-                if self._is_replaced(upstream):
-                    return AttemptEnd.LOST
                 # Done before events are counted as relayed: a counted event must reach the client.
                 await self._wait_client(stall, self._record_origin(upstream))
             fresh = self.progress.take_new_events(events)
@@ -489,9 +489,16 @@
         stall.deadline = self._stall_deadline_s(first=False) + _STALL_DEADLINE_STEP_S
 
     def _is_replaced(self, upstream: UpstreamRecord) -> bool:
-        """Whether an upstream is now known to have another version than when it was chosen."""
+        """Whether an upstream is now known to have another version than when it was chosen.
+
+        A restarted upstream is listed under another ID, at the same address.
+        """
         current = self.shared.view.upstreams.get(upstream.upstream_id)
-        return current is not None and current.software_version != upstream.software_version
+        if current is not None:
+            return current.software_version != upstream.software_version
+        address = (upstream.host, upstream.port)
+        others = self.shared.view.upstreams_of(self.service)
+        return any((item.host, item.port) == address for item in others)
 
     async def _record_origin(self, upstream: UpstreamRecord) -> None:
         """Record the origin of the stream, at other nodes too if it is resumable."""
--- a/src/fescuedock/platform/standin/event_upstream.py
+++ b/src/fescuedock/platform/standin/event_upstream.py
@@ -76,8 +76,8 @@
     """One upstream.  ``runs`` counts runs by request ID; ``seen`` has the headers of each run.
 
     Each request consumes the first of ``faults``.  ``born`` is the start time in its entry and its
-    report, 0 for none; ``reports`` counts the requests for a report, each of which consumes the
-    first of ``report_faults``.
+    report, 0 for none; ``reports_born`` False leaves it out of the report.  ``reports`` counts the
+    requests for a report, each of which consumes the first of ``report_faults``.
 
     A request to one of the ``harmful`` paths crashes the upstream ``crash_after_ms`` after its
     start: all connections are cut and new ones are refused for ``restart_ms``.  The upstream then
@@ -94,6 +94,7 @@
     version: str = DEFAULT_VERSION
     event_interval_ms: float = 1.0
     born: int = 0
+    reports_born: bool = True
     reports: int = 0
     report_faults: list[UpstreamFault] = field(default_factory=list)
     faults: list[UpstreamFault] = field(default_factory=list)
@@ -196,7 +197,7 @@
         if fault.hang_after >= 0:
             await trio.sleep_forever()
         fields = {"stage": "both", "inFlight": self.running}
-        if self.born:
+        if self.born and self.reports_born:
             fields["born"] = self.born
         await responder.send(fault.fail_status or 200, json.dumps(fields).encode())
 
--- a/tests/test_restarted_upstreams.py
+++ b/tests/test_restarted_upstreams.py
@@ -120,6 +120,27 @@
 
         self.run_fleet(test, versions=("v1",) * 4, nodes=3)
 
+    def test_an_entry_that_changes_before_the_first_event_discards_the_attempt(self) -> None:
+        for joins in ("begins", "goes on"):
+            with self.subTest(joins=joins):
+
+                async def test(fleet: NodeFleet, joins: str = joins) -> None:
+                    first, second = fleet.upstreams
+                    second.reports_born = False
+                    second.event_interval_ms = 150
+                    cut = first if joins == "goes on" else second
+                    cut.faults = [UpstreamFault(cut_after=2)]
+                    await fleet.restart_upstream(second, "v1.1", 0.1)
+                    async with trio.open_nursery() as nursery:
+                        for number in range(6):
+                            nursery.start_soon(self.check_one_version, fleet, number)
+
+                self.run_fleet(test, nodes=1)
+
+    async def check_one_version(self, fleet: NodeFleet, number: int) -> None:
+        answer = await fleet.call(fleet.nodes[0].front, "POST", f"/check/{number}", b"case")
+        self.assertLessEqual(len(versions_of(answer.body)), 1, answer.body)
+
 
 class IdentificationTest(FleetTestCase):
     """The cost of telling processes apart, and what happens where that fails."""
@@ -174,7 +195,7 @@
     def test_an_upstream_whose_report_names_no_start_serves(self) -> None:
         async def test(fleet: NodeFleet) -> None:
             [upstream] = fleet.upstreams
-            upstream.born = 0
+            upstream.reports_born = False
             answer = await fleet.call(fleet.nodes[0].front, "POST", "/check/1", b"a")
             self.assertEqual((answer.status, answer.complete), (200, True))
 
