Discard an item's run whose upstream was listed anew meanwhile

What callers saw: a text of two software versions, listed as completed, at upstreams that restart under their ID where the process does not tell its start (no born in its report or its entry).

Cause: a run that was sent under the old entry kept its events under the version of that entry, also when the entry told of another process before the run ended. Items did not look at the entry after the request was written.

Nothing was delivered, so the end of the run is early enough. Progress that was stored meanwhile is corrected, as discarded events count as unsaved. Where processes identify themselves nothing is looked at or discarded.

What remains for such processes: a run that ends before the entry changes.

--- a/src/fescuedock/core/stored_jobs/job.py
+++ b/src/fescuedock/core/stored_jobs/job.py
@@ -83,6 +83,8 @@
     # Software version of the upstreams that generated ``texts``.
     software_version: str = ""
     texts: list[str] = msgspec.field(default_factory=list)
+    # Number of events that were ever added or discarded.
+    changed_events: int = 0
     # Number of the run whose events may be appended, unique among the item's runs.
     output_number: int = 0
     # Size of ``texts`` in a result, and the largest that a result may have.
@@ -137,10 +139,24 @@
     def append(self, event: SplitEvent) -> None:
         """Append the next event of the current run."""
         self.last_event = event.number
+        self.changed_events += 1
         text = event.data()
         self.texts.append(text)
         self.output_bytes += _text_size_bytes(text) + _SEPARATOR_BYTES
 
+    def discard_after(self, number: int) -> None:
+        """Discard the events after ``number``, an event of the output."""
+        self.output_number += 1
+        count = self.last_event - number
+        if count > 0:
+            discarded = self.texts[-count:]
+            del self.texts[-count:]
+            self.output_bytes -= sum(
+                _text_size_bytes(text) + _SEPARATOR_BYTES for text in discarded
+            )
+            self.last_event = number
+            self.changed_events += count
+
     def load_progress(self, progress: ItemProgress) -> None:
         """Continue from the output that another node stored, instead of that of a run."""
         self.output_number += 1
@@ -158,6 +174,7 @@
 
     def clear(self) -> None:
         """Discard the output of earlier runs; the current run generates it anew."""
+        self.changed_events += len(self.texts)
         self.texts.clear()
         self.output_bytes = 0
         self.last_event = self.started_event = self.event_at_interruption = -1
@@ -209,6 +226,15 @@
             item.append(event)
         return True
 
+    def discard(self) -> None:
+        """Discard the events of this run and keep those that it was to follow."""
+        if not self._is_current or not self._begun:
+            return
+        if self.resume_after < 0:
+            self.item.restart()
+        else:
+            self.item.discard_after(self.resume_after)
+
     def _begin(self) -> None:
         """Make the item's output that of this run."""
         self._begun = True
@@ -335,12 +361,15 @@
         ]
 
     def unsaved_events(self) -> int:
-        """Return the number of events of open items received since ``record_saved``."""
-        return sum(run.last_event + 1 for run in self._open.values()) - self._saved_events
+        """Return how many events of open items were added or discarded since ``record_saved``."""
+        return self._changed_events() - self._saved_events
 
     def record_saved(self) -> None:
         """Record that the current progress is stored."""
-        self._saved_events = sum(run.last_event + 1 for run in self._open.values())
+        self._saved_events = self._changed_events()
+
+    def _changed_events(self) -> int:
+        return sum(run.changed_events for run in self._open.values())
 
     def resume(self, progress: Iterable[ItemProgress]) -> None:
         """Continue from the progress that another node stored."""
--- a/src/fescuedock/node/item_run.py
+++ b/src/fescuedock/node/item_run.py
@@ -1,5 +1,6 @@
 """Runs a batch item at an upstream, resuming after the last event of its earlier runs."""
 
+from collections.abc import Callable
 from contextlib import suppress
 
 import msgspec
@@ -28,6 +29,7 @@
 
 _IMPOSSIBLE_STATUS = 422
 _FAILED_STATUS = 500
+_ENDS_WITH_EVENTS = (ItemEnd.COMPLETED, ItemEnd.INTERRUPTED)
 # Time without an event after which a run is interrupted and continued at another upstream: several
 # times the longest step of an engine.
 _STALL_TIMEOUT_MS = 1500.0
@@ -57,11 +59,14 @@
     stopped: trio.Event,
     start: StartState,
     check: SendCheck,
+    is_replaced: Callable[[], bool],
 ) -> ItemEnd:
     """Run an item until it is complete, the run fails, ``grant`` is revoked or ``stopped`` is set.
 
     ``item`` retains the events received before an interruption.  ``check`` says whether the run
-    may still start at the moment its request is written.
+    may still start at the moment its request is written.  If the process at the upstream did not
+    identify itself and ``is_replaced`` says that it is now listed as another one, the events of the
+    run are discarded, as their software version is not known.
     """
     record = AttemptRecord(grant, WorkClass.BATCH, now_ms())
     output = item.begin_output(upstream.software_version)
@@ -79,6 +84,9 @@
             nursery.cancel_scope.cancel()
     finally:
         record.finish(attempt_end)
+    if end in _ENDS_WITH_EVENTS and record.answered and record.process is None and is_replaced():
+        output.discard()
+        end, reason = ItemEnd.INTERRUPTED, "the upstream was listed anew"
     log_event(
         "item_run",
         routine=end is ItemEnd.COMPLETED,
--- a/src/fescuedock/node/job_runner.py
+++ b/src/fescuedock/node/job_runner.py
@@ -885,7 +885,15 @@
         check = self._item_check(job, upstream, grant)
         first_event = item.last_event
         end = await run_item(
-            self._http, record, item, upstream, grant, job.released, start_state, check
+            self._http,
+            record,
+            item,
+            upstream,
+            grant,
+            job.released,
+            start_state,
+            check,
+            lambda: self._view.is_replaced(upstream),
         )
         ran_ms = now_ms() - item.started_ms
         self._metrics.record_run(
--- a/tests/builders/runner_simulation.py
+++ b/tests/builders/runner_simulation.py
@@ -7,6 +7,7 @@
 
 import random
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
 
@@ -534,6 +535,7 @@
         stopped: trio.Event,
         _known: StartState,
         check: SendCheck,
+        _is_replaced: Callable[[], bool],
     ) -> ItemEnd:
         """Simulate a run at an upstream; its request is written after ``connect_s``.
 
--- a/tests/test_item_restarted_upstreams.py
+++ b/tests/test_item_restarted_upstreams.py
@@ -130,6 +130,31 @@
 
         self.run_fleet(test, upstreams=3, nodes=2, **SAVES_OFTEN)
 
+    def test_events_of_an_upstream_that_is_listed_anew_meanwhile_are_taken_back(self) -> None:
+        """Guards against texts joined at processes that do not tell their start."""
+        for started_ms in (STARTED_MS, 0):
+            with self.subTest(started_ms=started_ms):
+
+                async def test(fleet: NodeFleet, started_ms: int = started_ms) -> None:
+                    first, second = fleet.upstreams
+                    second.reports_born = False
+                    for upstream in fleet.upstreams:
+                        upstream.event_interval_ms = 60
+                        upstream.born = started_ms
+                        fleet.register(upstream)
+                    await trio.sleep(0.4)
+                    first.faults = [UpstreamFault(cut_after=1 + number % 4) for number in range(24)]
+                    await submit(fleet, fleet.nodes[0].front, *NAMES)
+                    await wait_until(lambda: second.running == 4)
+                    await trio.sleep(0.15)
+                    await second.restart("v1.1")
+                    second.born = second.born if started_ms else 0
+                    await trio.sleep(0.2)
+                    fleet.register(second)
+                    await self.check_results(fleet, fleet.nodes[0].front)
+
+                self.run_fleet(test)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_node_attempt.py
+++ b/tests/test_node_attempt.py
@@ -117,7 +117,15 @@
             if revoked == "job":
                 released.set()
             end = await run_item(
-                http, job_record(), item, record, grant, released, StartState(1, 0.0), check
+                http,
+                job_record(),
+                item,
+                record,
+                grant,
+                released,
+                StartState(1, 0.0),
+                check,
+                lambda: False,
             )
             await trio.sleep(0.1)
         [outcome] = [permit.outcome for permit in ended]
--- a/tests/test_stored_jobs_core.py
+++ b/tests/test_stored_jobs_core.py
@@ -92,6 +92,32 @@
             self.assertFalse(run.begin_output("").add_events(other), first)
             self.assertEqual((run.last_event, run.texts), (2, ["word 1", "word 2"]))
 
+    def test_events_of_a_discarded_run_are_taken_back_and_those_before_it_kept(self) -> None:
+        run = ItemRun(stored_item("a"), max_output_bytes=26)
+        run.begin_output("v1").add_events(events(1, 2))
+        output = run.begin_output("v1")
+        output.discard()
+        output.add_events(events(3, 4))
+        self.assertTrue(run.is_overlong)
+        output.discard()
+        self.assertFalse(run.is_overlong)
+        self.assertEqual((run.last_event, run.texts), (2, ["word 1", "word 2"]))
+        self.assertFalse(output.add_events(events(3)))
+        afresh = run.begin_output("v1.1")
+        afresh.add_events(events(1))
+        afresh.discard()
+        self.assertEqual((run.last_event, run.texts), (-1, []))
+
+    def test_discarded_events_count_as_unsaved(self) -> None:
+        """Guards against stored progress with events that were taken back."""
+        job = stored_job("a")
+        output = start_next(job).begin_output("v1")
+        output.add_events(events(0, 1, 2))
+        job.record_saved()
+        self.assertEqual(job.unsaved_events(), 0)
+        output.discard()
+        self.assertEqual(job.unsaved_events(), 3)
+
     # The output of a run without end must not grow beyond what a result may hold.
     def test_an_output_beyond_the_limit_is_overlong_until_it_is_discarded(self) -> None:
         run = ItemRun(stored_item("a"), max_output_bytes=20)
