--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -12,9 +12,10 @@
 python -m tests.soak: real node processes under faults, judged by what clients and upstreams see.
 
 usage: python -m tests.soak [--seeds=FIRST-LAST] [--seconds=S] [--nodes=N] [--spools=N]
-                            [--releases] [--folder=DIR]
+                            [--releases] [--restarts] [--folder=DIR]
 
-With --releases upstreams of several software versions serve beside each other.
+With --releases upstreams of several software versions serve beside each other; with --restarts
+upstreams also restart under their IDs at other versions, and their entries are late.
 
 Prints one JSON line for each seed.  Logs of a seed that broke a promise stay in DIR/seed-N.
 
@@ -29,6 +30,7 @@
     spools: int = SPOOLS,
     folder: str = "soak-logs",
     releases: bool = False,
+    restarts: bool = False,
 ) -> int:
     first, _, last = seeds.partition("-")
     if not first.isdigit() or not (last or first).isdigit():
@@ -36,7 +38,15 @@
         return ExitCode.USAGE
     broken = 0
     for seed in range(int(first), int(last or first) + 1):
-        report = run_seed(seed, Path(folder), float(seconds), nodes, spools, releases=releases)
+        report = run_seed(
+            seed,
+            Path(folder),
+            float(seconds),
+            nodes,
+            spools,
+            releases=releases,
+            restarts=restarts,
+        )
         print(msgspec.json.encode(report).decode(), flush=True)
         broken += report.has_failed
     return ExitCode.FAILED if broken else ExitCode.OK
--- a/tests/soak/harness.py
+++ b/tests/soak/harness.py
@@ -37,6 +37,8 @@
 
 # The time within which a node must exit after SIGTERM, passed to it as ``stop_timeout_s`` below.
 STOP_TIMEOUT_S = 5
+# The start time that the first process of an upstream names; later ones name later times.
+_BORN_MS = 1_790_000_000_000
 _HEARTBEAT_S = 0.4
 # Three heartbeats.
 _LEASE_S = 1.2
@@ -250,7 +252,7 @@
 
     async def add_upstream(self, name: str) -> SoakUpstream:
         upstream = SlowItemUpstream(
-            name, event_count=12, event_interval_ms=15.0, version=self.version
+            name, event_count=12, event_interval_ms=15.0, version=self.version, born=_BORN_MS
         )
         # The system may give a port of its own range to a connection while the upstream is down.
         address = Address(self.upstream_host, free_ports(1, self.upstream_host)[0])
@@ -290,7 +292,11 @@
         self.sequence += 1
         address = str(item.proxy.address)
         entry = worker_entry(
-            address, state=item.state, sequence=self.sequence, version=item.upstream.version
+            address,
+            state=item.state,
+            sequence=self.sequence,
+            version=item.upstream.version,
+            born=item.upstream.born,
         )
         key = f"servers/{item.upstream.upstream_id}"
         self.store.state.put(key, json.dumps(entry).encode())
--- a/tests/soak/releases.py
+++ b/tests/soak/releases.py
@@ -11,13 +11,15 @@
 from tests.soak.harness import NodeProcess
 from tests.soak.promises import OnlineAttempt
 
-__all__ = ["ReleaseSchedule", "ResumingClient"]
+__all__ = ["ReleaseSchedule", "RestartSchedule", "ResumingClient"]
 
 # Versions have no order; a version may be released again.
 _VERSIONS = ("v1", "v1.1", "v1.2")
 _MAX_ATTEMPTS = 3
 _MAX_REPLACED = 3
 _MIN_UPSTREAMS = 2
+# How late an upstream that restarted under its ID writes its first entry.
+_ENTRY_DELAY_S = (0.0, 1.5)
 # When a client that loses its connection to a node disconnects.
 _DISCONNECT_AFTER_S = (0.04, 0.2)
 _DISCONNECT_SHARE = 0.5
@@ -57,6 +59,28 @@
         return f"{item.upstream.upstream_id} crashed and came back"
 
 
+@dataclass(slots=True)
+class RestartSchedule(Schedule):
+    """Restarts upstreams under their IDs at other software versions; their entries are late."""
+
+    def _faults(self) -> list[Callable[[], Awaitable[str]]]:
+        return [self._restart_in_place]
+
+    async def _restart_in_place(self) -> str:
+        item = self._upstream()
+        if item.state != "ready" or not item.registered or not item.upstream.listener.is_up:
+            return ""
+        item.registered = False
+        version = self.rng.choice(_VERSIONS)
+        await item.upstream.restart(version)
+        await trio.sleep(self.rng.uniform(*_ENTRY_DELAY_S))
+        if item.state != "ready" or not item.upstream.listener.is_up:
+            return ""
+        item.registered = True
+        self.harness.register(item)
+        return f"{item.upstream.upstream_id} restarted at {version}"
+
+
 @dataclass(slots=True)
 class ResumingClient(OnlineClient):
     """Calls a route whose streams may be resumed, and resumes broken ones at other nodes."""
--- a/tests/soak/runs.py
+++ b/tests/soak/runs.py
@@ -29,7 +29,7 @@
 from tests.soak.lost_ends import LostEndClient, lose_ends
 from tests.soak.overlaps import OverlapSchedule
 from tests.soak.promises import CALM_S, END_S, Ledger, OnlineAttempt
-from tests.soak.releases import ReleaseSchedule, ResumingClient
+from tests.soak.releases import ReleaseSchedule, RestartSchedule, ResumingClient
 from tests.soak.slow import (
     NeverReader,
     SlowReader,
@@ -109,14 +109,16 @@
     *,
     harm: bool = True,
     releases: bool = False,
+    restarts: bool = False,
 ) -> SoakReport:
     """Run one seed; its folder with logs is retained only if a promise was broken.
 
     Without ``spools`` there is only one series of faults, and no unacknowledged ends.  Without
-    ``harm`` no work crashes upstreams.  With ``releases`` upstreams have different versions.
+    ``harm`` no work crashes upstreams.  With ``releases`` upstreams have different versions, and
+    with ``restarts`` they also restart under their IDs at others.
     """
     logs = new_folder(folder / f"seed-{seed}")
-    report = trio.run(_run, seed, logs, fault_s, nodes, spools, harm, releases)
+    report = trio.run(_run, seed, logs, fault_s, nodes, spools, harm, releases, restarts)
     if not report.has_failed:
         shutil.rmtree(logs)
     else:
@@ -137,7 +139,14 @@
 
 
 async def _run(
-    seed: int, logs: Path, fault_s: float, nodes: int, spools: int, harm: bool, releases: bool
+    seed: int,
+    logs: Path,
+    fault_s: float,
+    nodes: int,
+    spools: int,
+    harm: bool,
+    releases: bool,
+    restarts: bool,
 ) -> SoakReport:
     # Separate sources: the clients' draws depend on the duration of calls, and must not change the
     # schedule of faults.
@@ -169,6 +178,9 @@
         if releases:
             release_rng = random.Random(f"releases-{seed}")
             schedules.append(ReleaseSchedule(harness, ledger, release_rng))
+        if restarts:
+            restart_rng = random.Random(f"restarts-{seed}")
+            schedules.append(RestartSchedule(harness, ledger, restart_rng))
             resuming += [
                 ResumingClient(harness, ledger, release_rng) for _ in range(_RESUMING_CLIENTS)
             ]
