Refuse a stream of two origins instead of believing the first reply

Callers saw a stream go on although two runs had begun under its identity at two software versions. Holders that knew of both answered nothing, and the asking node took the first reply that named one; a node that had begun one of the runs asked nobody.

A node waits for all replies, 30 ms at the most after the first origin, also where it knows one itself and other nodes may know another. A conflict that it learns stays known.

The unit tests of OriginMemory compare lists where they compared mappings, as a stream in conflict is listed twice; the one of a conflict now demands both origins where it demanded that none is handed over, which was the fault.

--- a/src/fescuedock/core/stream_origins.py
+++ b/src/fescuedock/core/stream_origins.py
@@ -20,7 +20,7 @@
 
 from fescuedock.core.rendezvous import rank_names
 from fescuedock.core.work_identity import work_identity
-from fescuedock.schema.origins import StreamOrigin
+from fescuedock.schema.origins import KnownStream, StreamOrigin
 from fescuedock.schema.view import UpstreamRecord
 
 __all__ = [
@@ -57,9 +57,9 @@
 
 
 class _KnownOrigin(msgspec.Struct):
-    """``origin`` is None if two different ones were recorded for the same stream."""
+    """``origins`` holds two if different ones were recorded for the same stream."""
 
-    origin: StreamOrigin | None
+    origins: tuple[StreamOrigin, ...]
     at_ms: float
     # Whether this node started the stream, and whether other nodes were notified.
     is_own: bool
@@ -93,21 +93,28 @@
         """Record the origin of a stream; conflicting origins make it unknown."""
         self._drop_old(now_ms)
         known = self._origins.pop(key, None)
-        updated = _KnownOrigin(origin, now_ms, is_own)
+        updated = _KnownOrigin((origin,), now_ms, is_own)
         if known is not None:
             updated.is_own |= known.is_own
-            updated.is_reported = known.is_reported
-            if known.origin != origin:
-                updated.origin = None
+            if origin in known.origins:
+                updated.origins = known.origins
+                updated.is_reported = known.is_reported
+            else:
+                updated.origins = (known.origins[0], origin)
         self._origins[key] = updated
         if len(self._origins) > self._policy.max_origins:
             self._origins.popitem(last=False)
 
     def find(self, key: str, now_ms: float) -> StreamOrigin | None:
         """Return the origin of a stream, None if it is not known for certain."""
+        recorded = self.recorded(key, now_ms)
+        return recorded[0] if len(recorded) == 1 else None
+
+    def recorded(self, key: str, now_ms: float) -> tuple[StreamOrigin, ...]:
+        """Return what is known of a stream: no origin, a certain one, or two that conflict."""
         self._drop_old(now_ms)
         known = self._origins.get(key)
-        return None if known is None else known.origin
+        return () if known is None else known.origins
 
     def mark_reported(self, keys: Iterable[str]) -> None:
         """Record that other nodes hold the origins of these streams as well."""
@@ -115,23 +122,22 @@
             if key in self._origins:
                 self._origins[key].is_reported = True
 
-    def unreported(self, now_ms: float) -> dict[str, StreamOrigin]:
+    def unreported(self, now_ms: float) -> list[KnownStream]:
         """Return the streams that were started here and reported to no other node."""
         return self._select(now_ms, lambda known: known.is_own and not known.is_reported)
 
-    def all_known(self, now_ms: float) -> dict[str, StreamOrigin]:
-        """Return every stream whose origin is certain."""
+    def all_known(self, now_ms: float) -> list[KnownStream]:
+        """Return every stream, and one with conflicting origins twice."""
         return self._select(now_ms, lambda _known: True)
 
-    def _select(
-        self, now_ms: float, wanted: Callable[[_KnownOrigin], bool]
-    ) -> dict[str, StreamOrigin]:
+    def _select(self, now_ms: float, wanted: Callable[[_KnownOrigin], bool]) -> list[KnownStream]:
         self._drop_old(now_ms)
-        return {
-            key: known.origin
+        return [
+            KnownStream(key, origin)
             for key, known in self._origins.items()
-            if known.origin is not None and wanted(known)
-        }
+            if wanted(known)
+            for origin in known.origins
+        ]
 
     def _drop_old(self, now_ms: float) -> None:
         while self._origins:
@@ -176,8 +182,8 @@
 ) -> Result[StreamOrigin, str]:
     """Return the origin of a stream, or ``Err`` with the reason why it is unknown.
 
-    ``reported`` holds the origins that the queried nodes knew.  ``registered`` is the record of the
-    only service that may have started the stream, None if there are several.
+    ``reported`` holds the origins that this node and the queried ones knew.  ``registered`` is the
+    record of the only service that may have started the stream, None if there are several.
     """
     if any(origin != reported[0] for origin in reported):
         return Err("nodes report different software versions")
--- a/src/fescuedock/node/stream_origins.py
+++ b/src/fescuedock/node/stream_origins.py
@@ -5,7 +5,7 @@
 
 import random
 from collections import defaultdict
-from collections.abc import Callable, Collection, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Sequence
 
 import msgspec
 import trio
@@ -50,6 +50,8 @@
 # A neighbour answers in 1 to 7 ms.
 _SEND_TIMEOUT_MS = 60.0
 _FIND_TIMEOUT_MS = 150.0
+# How long the other nodes may take to contradict the first origin that is known.
+_AGREEMENT_TIMEOUT_S = 0.03
 # How long a stream's first event waits until another node confirms that it stores the origin.
 _ACK_TIMEOUT_S = 0.03
 _SEND_ROUNDS = 3
@@ -140,9 +142,9 @@
         a stream of unknown origin cannot be resumed, but is never continued on a wrong version.
         """
         self.memory.record(key, origin, now_ms(), is_own=True)
-        is_uncertain = len(route.services) > 1 or self._is_uncertain(origin.service)
-        if not is_uncertain or self._nursery is None:
+        if not self._may_be_known_elsewhere(origin, route) or self._nursery is None:
             return
+        told = KnownStream(key, origin)
         ranked = self._origin_nodes(key, live_only=True)
         spools = self._origin_spools(key)[: self._policy.notified_disks]
         for first in range(
@@ -155,7 +157,7 @@
                 return
             acknowledged = trio.Event()
             for name in receivers:
-                self._nursery.start_soon(self._send, name, {key: origin}, acknowledged)
+                self._nursery.start_soon(self._send, name, [told], acknowledged)
             with trio.move_on_after(_ACK_TIMEOUT_S):
                 await acknowledged.wait()
                 return
@@ -164,29 +166,28 @@
     async def _send(
         self,
         name: str,
-        origins: Mapping[str, StreamOrigin],
+        streams: Sequence[KnownStream],
         acknowledged: trio.Event | None = None,
     ) -> None:
-        streams = [KnownStream(key, origin) for key, origin in origins.items()]
         reply = await self._call(name, KeepOrigins(streams), _SEND_TIMEOUT_MS)
         if not isinstance(reply, KeepOriginsReply) or reply.code != ResultCode.OK:
             return
-        self.memory.mark_reported(origins)
+        self.memory.mark_reported(stream.stream_key for stream in streams)
         if acknowledged is not None:
             acknowledged.set()
 
-    async def _send_all(self, origins: Mapping[str, StreamOrigin]) -> None:
+    async def _send_all(self, streams: Iterable[KnownStream]) -> None:
         """Send origins to the nodes and spools that store them, many in one message."""
-        by_receiver: defaultdict[str, dict[str, StreamOrigin]] = defaultdict(dict)
-        for key, origin in origins.items():
+        by_receiver: defaultdict[str, list[KnownStream]] = defaultdict(list)
+        for stream in streams:
+            key = stream.stream_key
             receivers = self._origin_nodes(key, live_only=True)[: self._policy.notified_nodes]
             for name in receivers + self._origin_spools(key)[: self._policy.notified_disks]:
-                by_receiver[name][key] = origin
+                by_receiver[name].append(stream)
         async with trio.open_nursery() as nursery:
-            for name, origins_by_key in by_receiver.items():
-                pairs = list(origins_by_key.items())
-                for first in range(0, len(pairs), _MAX_STREAMS_PER_MESSAGE):
-                    part = dict(pairs[first : first + _MAX_STREAMS_PER_MESSAGE])
+            for name, received in by_receiver.items():
+                for first in range(0, len(received), _MAX_STREAMS_PER_MESSAGE):
+                    part = received[first : first + _MAX_STREAMS_PER_MESSAGE]
                     nursery.start_soon(self._send, name, part)
 
     async def leave(self) -> None:
@@ -201,30 +202,27 @@
 
         ``key`` is None when the client does not name the stream.
         """
-        known = None if key is None else self.memory.find(key, now_ms())
-        if known is not None:
-            return Ok(known)
-        services = [name for name, weight in route.services if weight > 0]
-        origins, registered = await self._query(key, services[0] if len(services) == 1 else None)
+        origins = [] if key is None else list(self.memory.recorded(key, now_ms()))
+        registered: RegisteredVersions | None = None
+        if not origins:
+            services = [name for name, weight in route.services if weight > 0]
+            service = services[0] if len(services) == 1 else None
+            registered = await self._query(key, service, origins)
+        elif len(origins) == 1 and self._may_be_known_elsewhere(origins[0], route):
+            await self._find_elsewhere(key, origins)
         decided = decide_origin(origins, registered)
         if isinstance(decided, Err):
+            for origin in origins:
+                self.memory.record(key, origin, now_ms())
             return Err(Fault(ResultCode.ORIGIN_UNKNOWN, decided.err_value, _UNKNOWN_RETRY_MS))
         return decided
 
     async def _query(
-        self, key: str | None, service: str | None
-    ) -> tuple[list[StreamOrigin], RegisteredVersions | None]:
-        """Query the nodes that may store an origin, and read the service's record in parallel."""
-        origins: list[StreamOrigin] = []
+        self, key: str | None, service: str | None, origins: list[StreamOrigin]
+    ) -> RegisteredVersions | None:
+        """Find ``origins`` elsewhere, and read the service's record in parallel."""
         registered: RegisteredVersions | None = None
 
-        async def find(name: str) -> None:
-            reply = await self._call(name, FindOrigin(key), _FIND_TIMEOUT_MS)
-            if isinstance(reply, FindOriginReply) and reply.origins:
-                origins.extend(reply.origins)
-                # One origin is enough: each was received from the node that started the stream.
-                nursery.cancel_scope.cancel()
-
         async def read() -> None:
             nonlocal registered
             registered = await self._read_versions(service)
@@ -233,10 +231,36 @@
             if service is not None:
                 nursery.start_soon(read)
             if key is not None:
-                spools = self._origin_spools(key)[: self._policy.queried_disks]
-                for name in self._origin_nodes(key)[: self._policy.queried_nodes] + spools:
-                    nursery.start_soon(find, name)
-        return origins, registered
+                await self._find_elsewhere(key, origins)
+            if origins:
+                nursery.cancel_scope.cancel()
+        return registered
+
+    async def _find_elsewhere(self, key: str, origins: list[StreamOrigin]) -> None:
+        """Query the nodes that may store an origin, and add those that they know to ``origins``.
+
+        Two runs may have begun under one key, and a node may know of only one of them.  So a known
+        origin is returned once all nodes agree, or after ``_AGREEMENT_TIMEOUT_S``.
+        """
+
+        def limit_wait(scope: trio.CancelScope) -> None:
+            if len(origins) > 1:
+                scope.cancel()
+            elif origins:
+                latest_s = trio.current_time() + _AGREEMENT_TIMEOUT_S
+                scope.deadline = min(scope.deadline, latest_s)
+
+        async def find(name: str) -> None:
+            reply = await self._call(name, FindOrigin(key), _FIND_TIMEOUT_MS)
+            if isinstance(reply, FindOriginReply):
+                origins.extend(item for item in reply.origins if item not in origins)
+                limit_wait(nursery.cancel_scope)
+
+        async with trio.open_nursery() as nursery:
+            limit_wait(nursery.cancel_scope)
+            spools = self._origin_spools(key)[: self._policy.queried_disks]
+            for name in self._origin_nodes(key)[: self._policy.queried_nodes] + spools:
+                nursery.start_soon(find, name)
 
     async def _read_versions(self, service: str) -> RegisteredVersions:
         """Read a service's current record, or return its last known state."""
@@ -270,8 +294,7 @@
         return KeepOriginsReply(ResultCode.OK)
 
     async def _on_find(self, message: FindOrigin, _peer: ServerPeer) -> FindOriginReply:
-        known = self.memory.find(message.stream_key, now_ms())
-        return FindOriginReply([] if known is None else [known])
+        return FindOriginReply(list(self.memory.recorded(message.stream_key, now_ms())))
 
     # --- the records of services -----------------------------------------------------------------
 
@@ -282,6 +305,10 @@
             return True
         return self._replicas.kv_availability.is_unavailable(now_ms())
 
+    def _may_be_known_elsewhere(self, origin: StreamOrigin, route: Route) -> bool:
+        """Whether other nodes are notified of such a stream when it starts."""
+        return len(route.services) > 1 or self._is_uncertain(origin.service)
+
     def _is_needed_elsewhere(self) -> bool:
         """Whether other nodes may need the origins of streams that started here."""
         served = versions_by_service(self._view.upstreams.values(), self._services())
--- a/src/fescuedock/schema/origins.py
+++ b/src/fescuedock/schema/origins.py
@@ -48,7 +48,7 @@
 
 class FindOriginReply(WireStruct):
     """
-    Without an origin where none is known for certain.
+    Without an origin where none is known; two where two different ones are, so that the stream may not go on.
     """
 
     origins: list[StreamOrigin] = field(default_factory=list)
--- a/src/fescuedock/spool/origins.py
+++ b/src/fescuedock/spool/origins.py
@@ -130,5 +130,4 @@
         return KeepOriginsReply(ResultCode.OK)
 
     async def _on_find(self, message: FindOrigin, _peer: ServerPeer) -> FindOriginReply:
-        known = self._memory.find(message.stream_key, now_ms())
-        return FindOriginReply([] if known is None else [known])
+        return FindOriginReply(list(self._memory.recorded(message.stream_key, now_ms())))
--- /dev/null
+++ b/tests/builders/origin_nodes.py
@@ -0,0 +1,184 @@
+"""Nodes and spools that exchange stream origins in one process, over a network with given delays.
+
+The replicas of the key-value service follow it at once; run them with ``trio.testing.MockClock``.
+"""
+
+import random
+from collections import Counter, defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from unittest import mock
+
+import msgspec
+import trio
+import trio.testing
+from result import Err, Ok, Result
+
+from fescuedock.address import Address
+from fescuedock.agent.link import FleetView
+from fescuedock.core.forwarding.route_table import Route, RouteKind
+from fescuedock.core.stored_jobs.keys import JobKeys
+from fescuedock.core.stream_origins import OriginPolicy
+from fescuedock.faults import Fault
+from fescuedock.kv import KvEntry, KvEvent
+from fescuedock.node.replicas import Replicas, WatchedPrefix
+from fescuedock.node.stream_origins import StreamOrigins
+from fescuedock.schema.origins import ServedVersions, StreamOrigin
+from fescuedock.schema.result_codes import ResultCode
+from fescuedock.schema.stored_jobs import NodeRecord
+from fescuedock.schema.view import UpstreamKind, UpstreamRecord, VmRecord, VmState
+from fescuedock.spool.origins import OriginService
+from tests.builders.disk import MemoryDisk
+from tests.builders.kv import MemoryKv
+
+__all__ = ["ROUTE", "SERVICE", "OriginNodes"]
+
+SERVICE = "desk"
+ROUTE = Route("stream", "desk.example", "/", RouteKind.STREAM, ((SERVICE, 1.0),), resumable=True)
+_KEYS = JobKeys("t/")
+_RECORD = _KEYS.versions + SERVICE
+_PORT = 1
+
+
+@dataclass(slots=True)
+class OriginNodes:
+    """``delays_ms`` is the time to a process's reply; those in ``silent`` never reply.
+
+    Nodes in ``stale`` get no news of the key-value service.
+    """
+
+    nodes: int = 6
+    spools: int = 0
+    policy: OriginPolicy = field(default_factory=OriginPolicy)
+    delays_ms: defaultdict[str, float] = field(default_factory=lambda: defaultdict(lambda: 1.0))
+    silent: set[str] = field(default_factory=set)
+    stale: set[str] = field(default_factory=set)
+    kv: MemoryKv = field(default_factory=MemoryKv)
+    origins: dict[str, StreamOrigins] = field(default_factory=dict)
+    views: dict[str, FleetView] = field(default_factory=dict)
+    replicas: dict[str, Replicas] = field(default_factory=dict)
+    services: dict[str, OriginService] = field(default_factory=dict)
+    disks: dict[str, MemoryDisk] = field(default_factory=dict)
+    messages: Counter[str] = field(default_factory=Counter)
+    _listed: tuple[str, ...] = ()
+
+    def __post_init__(self) -> None:
+        for names, prefix in ((self.node_names, _KEYS.nodes), (self.spool_names, _KEYS.spools)):
+            for number, name in enumerate(names):
+                record = NodeRecord(name, "r", f"d-{number % 3}", name, _PORT)
+                self.kv.state.put(prefix + name, msgspec.msgpack.encode(record))
+        for name in self.spool_names:
+            self.disks[name] = MemoryDisk()
+            self.start_spool(name)
+        for name in self.node_names:
+            self.start_node(name)
+        self.kv.state.listeners.append(self._show)
+
+    @property
+    def node_names(self) -> list[str]:
+        return [f"n-{number}" for number in range(self.nodes)]
+
+    @property
+    def spool_names(self) -> list[str]:
+        return [f"s-{number}" for number in range(self.spools)]
+
+    @property
+    def recorded(self) -> frozenset[str]:
+        """The versions in the record of the service."""
+        entry = self.kv.state.get(_RECORD)
+        return frozenset(msgspec.msgpack.decode(entry.value, type=ServedVersions).software_versions)
+
+    def start_spool(self, name: str) -> None:
+        """Start a spool on its disk, in the place of the process of before."""
+        service = OriginService(self.disks[name], Path("/origins"), self.policy)
+        service.open()
+        self.services[name] = service
+
+    def start_node(self, name: str) -> None:
+        """Start a node that knows the key-value service, in the place of the one of before."""
+        view = self.views[name] = FleetView(name)
+        replicas = self.replicas[name] = Replicas(
+            self.kv,
+            [WatchedPrefix(_KEYS.live, 900, 300)],
+            self._call,
+            tuple,
+            mock.Mock(vm_id=name),
+            random.Random(1),
+        )
+        page = self.kv.state.page(_KEYS.live, _KEYS.live + "\x7f", 1000)
+        replicas.tables[_KEYS.live].replace(page.entries, page.revision, 0.0)
+        self.origins[name] = StreamOrigins(
+            view,
+            self.kv,
+            replicas,
+            _KEYS,
+            lambda: (SERVICE,),
+            self._call,
+            random.Random(name),
+            self.policy,
+        )
+        self._replace_view(view)
+
+    def list_versions(self, *versions: str) -> None:
+        """Let every node see one upstream of each of these versions, and no others."""
+        self._listed = versions
+        for view in self.views.values():
+            self._replace_view(view)
+
+    def record_versions(self, *versions: str) -> None:
+        """Write the record of the service."""
+        self.write_record(msgspec.msgpack.encode(ServedVersions(sorted(versions))))
+
+    def write_record(self, value: bytes) -> None:
+        self.kv.state.put(_RECORD, value)
+
+    async def run(self, nursery: trio.Nursery) -> None:
+        """Run all nodes in ``nursery``."""
+        for origins in self.origins.values():
+            nursery.start_soon(origins.run)
+        await trio.testing.wait_all_tasks_blocked()
+
+    async def start_stream(self, name: str, key: str, version: str) -> float:
+        """Begin a stream at a node; return for how many milliseconds its first event waits."""
+        started_s = trio.current_time()
+        await self.origins[name].record_start(key, StreamOrigin(SERVICE, version), ROUTE)
+        return (trio.current_time() - started_s) * 1000
+
+    async def resume(self, name: str, key: str) -> Result[StreamOrigin, Fault]:
+        return await self.origins[name].origin_of(key, ROUTE)
+
+    def _replace_view(self, view: FleetView) -> None:
+        vms = [
+            VmRecord(name, "r", f"d-{number % 3}", name, 0, VmState.ALIVE, agent_port=_PORT)
+            for number, name in enumerate(self.node_names)
+        ]
+        upstreams = [
+            UpstreamRecord(
+                version, "r", "d", "h", 1, UpstreamKind.ENGINE, SERVICE, software_version=version
+            )
+            for version in self._listed
+        ]
+        view.replace(view.version + 1, vms, upstreams, 0.0)
+
+    def _show(self, event: KvEvent) -> None:
+        for name, replicas in self.replicas.items():
+            if event.entry is not None and name not in self.stale:
+                replicas.record_entry(
+                    _KEYS.live, KvEntry(event.key, event.entry.value, event.revision)
+                )
+
+    async def _call(
+        self, address: Address, message: msgspec.Struct, timeout_ms: float
+    ) -> Result[msgspec.Struct, Fault]:
+        name = address.host
+        self.messages[name] += 1
+        with trio.move_on_after(timeout_ms / 1000):
+            if name in self.silent:
+                await trio.sleep_forever()
+            handlers: dict[type, Callable] = (
+                self.services.get(name) or self.origins[name]
+            ).handlers()
+            await trio.sleep(self.delays_ms[name] / 1000)
+            return Ok(await handlers[type(message)](message, None))
+        return Err(Fault(ResultCode.PEER_UNREACHABLE, "no reply"))
--- /dev/null
+++ b/tests/test_origin_exchange.py
@@ -0,0 +1,135 @@
+"""Nodes and spools that exchange the origins of streams, and maintain the record of a service."""
+
+import unittest
+from collections.abc import Awaitable, Callable
+
+import trio
+import trio.testing
+from result import Result
+
+from fescuedock.schema.origins import StreamOrigin
+from fescuedock.schema.result_codes import ResultCode
+from tests.builders.origin_nodes import SERVICE, OriginNodes
+from tests.builders.standins import run_async
+
+OLD, NEW = StreamOrigin(SERVICE, "v1"), StreamOrigin(SERVICE, "v2")
+KEY = "stream"
+
+
+class ExchangeTest(unittest.TestCase):
+    def play(self, test: Callable[[], Awaitable[None]]) -> None:
+        run_async(test, trio.testing.MockClock(autojump_threshold=0))
+
+    def check_unknown(self, found: Result) -> None:
+        self.assertTrue(found.is_err(), found)
+        self.assertEqual(found.err_value.code, ResultCode.ORIGIN_UNKNOWN)
+
+
+class ConflictTest(ExchangeTest):
+    """Two runs that began under one identity, at two versions: none of them may go on."""
+
+    async def begin_twice(self, fleet: OriginNodes, nursery: trio.Nursery) -> None:
+        fleet.list_versions("v1", "v2")
+        fleet.record_versions("v1", "v2")
+        await fleet.run(nursery)
+        await fleet.start_stream("n-0", KEY, "v1")
+        await fleet.start_stream("n-1", KEY, "v2")
+        await trio.sleep(0.1)
+
+    def test_no_node_resumes_a_stream_that_began_at_two_versions(self) -> None:
+        async def test() -> None:
+            for first in (*(f"n-{number}" for number in range(6)), "s-0", "s-1"):
+                for name in (f"n-{number}" for number in range(6)):
+                    async with trio.open_nursery() as nursery:
+                        fleet = OriginNodes(spools=2)
+                        await self.begin_twice(fleet, nursery)
+                        fleet.delays_ms.default_factory = lambda: 6.0
+                        fleet.delays_ms.clear()
+                        fleet.delays_ms[first] = 1.0
+                        with self.subTest(first_reply=first, asked=name):
+                            self.check_unknown(await fleet.resume(name, KEY))
+                        nursery.cancel_scope.cancel()
+
+        self.play(test)
+
+    def test_a_conflict_that_only_a_spool_knows_refuses_the_stream(self) -> None:
+        async def test() -> None:
+            async with trio.open_nursery() as nursery:
+                fleet = OriginNodes(spools=1)
+                await self.begin_twice(fleet, nursery)
+                for name in fleet.node_names[1:]:
+                    fleet.start_node(name)
+                fleet.start_spool("s-0")
+                fleet.delays_ms["s-0"] = 6.0
+                for name in fleet.node_names:
+                    self.check_unknown(await fleet.resume(name, KEY))
+                nursery.cancel_scope.cancel()
+
+        self.play(test)
+
+    def test_a_known_conflict_is_not_settled_by_a_node_that_knows_one_version(self) -> None:
+        async def test() -> None:
+            async with trio.open_nursery() as nursery:
+                fleet = OriginNodes()
+                await self.begin_twice(fleet, nursery)
+                asked = next(
+                    name
+                    for name in fleet.node_names[2:]
+                    if fleet.origins[name].memory.find(KEY, trio.current_time() * 1000) is None
+                    and len(fleet.origins[name].memory)
+                )
+                fleet.messages.clear()
+                fleet.silent.update(set(fleet.node_names) - {"n-0", asked})
+                self.check_unknown(await fleet.resume(asked, KEY))
+                self.assertEqual(fleet.messages.total(), 0)
+                nursery.cancel_scope.cancel()
+
+        self.play(test)
+
+    def test_a_node_that_leaves_hands_over_a_conflict(self) -> None:
+        async def test() -> None:
+            async with trio.open_nursery() as nursery:
+                fleet = OriginNodes()
+                fleet.list_versions("v1", "v2")
+                fleet.record_versions("v1", "v2")
+                await fleet.run(nursery)
+                for origin in (OLD, NEW):
+                    fleet.origins["n-0"].memory.record(KEY, origin, 0.0)
+                await fleet.origins["n-0"].leave()
+                # One more node knows one of the two runs, and answers first.
+                fleet.origins["n-1"].memory.record(KEY, OLD, 0.0)
+                fleet.delays_ms["n-1"] = 0.5
+                fleet.silent.add("n-0")
+                for name in fleet.node_names[1:]:
+                    self.check_unknown(await fleet.resume(name, KEY))
+                nursery.cancel_scope.cancel()
+
+        self.play(test)
+
+    def test_replies_that_agree_are_not_waited_for_any_longer(self) -> None:
+        async def waited_ms(silent: int) -> float:
+            async with trio.open_nursery() as nursery:
+                fleet = OriginNodes(nodes=8, spools=2)
+                fleet.list_versions("v1", "v2")
+                fleet.record_versions("v1", "v2")
+                await fleet.run(nursery)
+                await fleet.start_stream("n-0", KEY, "v1")
+                await trio.sleep(0.1)
+                for number, name in enumerate(fleet.node_names):
+                    fleet.delays_ms[name] = 1.0 + number % 7
+                fleet.silent.update(fleet.node_names[-silent:] if silent else ())
+                started_s = trio.current_time()
+                self.assertEqual((await fleet.resume("n-1", KEY)).ok_value, OLD)
+                took_ms = (trio.current_time() - started_s) * 1000
+                nursery.cancel_scope.cancel()
+            return took_ms
+
+        async def test() -> None:
+            self.assertLessEqual(await waited_ms(silent=0), 8.0)
+            self.assertLessEqual(await waited_ms(silent=3), 40.0)
+
+        self.play(test)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -15,7 +15,7 @@
     stream_key,
     versions_by_service,
 )
-from fescuedock.schema.origins import StreamOrigin
+from fescuedock.schema.origins import KnownStream, StreamOrigin
 from fescuedock.schema.view import UpstreamKind, UpstreamRecord
 from tests.builders.origin_strategies import LOSSES, STRATEGIES, Outcome, play
 
@@ -54,18 +54,23 @@
         for origin in (OLD, NEW, NEW):
             self.memory.record("s", origin, 0.0)
         self.assertIsNone(self.memory.find("s", 1.0))
-        self.assertEqual(self.memory.all_known(1.0), {})
+        self.assertEqual(self.memory.recorded("s", 1.0), (OLD, NEW))
+        # Both are handed over, so that the next holder knows of the conflict too.
+        self.assertEqual(self.memory.all_known(1.0), [KnownStream("s", OLD), KnownStream("s", NEW)])
 
     def test_only_own_streams_that_were_not_reported_are_unreported(self) -> None:
         self.memory.record("own", OLD, 0.0, is_own=True)
         self.memory.record("reported", OLD, 0.0, is_own=True)
         self.memory.record("remote", NEW, 0.0)
         self.memory.mark_reported(["reported", "unknown"])
-        self.assertEqual(self.memory.unreported(1.0), {"own": OLD})
-        self.assertEqual(self.memory.all_known(1.0), {"own": OLD, "reported": OLD, "remote": NEW})
-        # A stream that continues here is not reported again.
+        own, reported = KnownStream("own", OLD), KnownStream("reported", OLD)
+        self.assertEqual(self.memory.unreported(1.0), [own])
+        self.assertEqual(self.memory.all_known(1.0), [own, reported, KnownStream("remote", NEW)])
+        # A stream that continues here is not reported again, unless its origin differs.
         self.memory.record("reported", OLD, 2.0, is_own=True)
-        self.assertEqual(self.memory.unreported(3.0), {"own": OLD})
+        self.assertEqual(self.memory.unreported(3.0), [own])
+        self.memory.record("reported", NEW, 3.0, is_own=True)
+        self.assertEqual(self.memory.unreported(4.0), [own, reported, KnownStream("reported", NEW)])
 
 
 class RankHoldersTest(unittest.TestCase):
