Conclude no version from a record that was unreadable

A record of a service that a node could not decode was written anew with the listed versions alone. What it had named was lost, and where one version was listed, a stream of which nobody knew went on at that one.

The new record also names `(unreadable)` in the place of what the former may have held. It is a version like any other, never listed: nodes notify each other of streams, no single version decides, and it leaves the record as a version does that has gone. A record that names nothing else decides nothing either.

tests/test_origin_exchange.py on the code of before: after 2 s all nodes took an unknown stream as of `v2`, the only one listed; now they refuse it until the former versions' streams are over. The same record was decoded, and `served_versions_unreadable` logged, with each stream: 50 lines for 50 calls, now 1.

--- a/src/fescuedock/core/stream_origins.py
+++ b/src/fescuedock/core/stream_origins.py
@@ -24,6 +24,7 @@
 from fescuedock.schema.view import UpstreamRecord
 
 __all__ = [
+    "UNREADABLE",
     "OriginMemory",
     "OriginPolicy",
     "RegisteredVersions",
@@ -35,6 +36,10 @@
 ]
 
 
+# Takes the place of the versions that an unreadable record may have named.
+UNREADABLE = "(unreadable)"
+
+
 class OriginPolicy(msgspec.Struct, frozen=True):
     """Limits of how origins are replicated, queried and retained.
 
@@ -174,7 +179,8 @@
         """The only version at which streams may have started; None if there are several or none."""
         if self.software_versions is None or len(self.software_versions) != 1:
             return None
-        return next(iter(self.software_versions))
+        [version] = self.software_versions
+        return None if version == UNREADABLE else version
 
 
 def decide_origin(
--- a/src/fescuedock/node/stream_origins.py
+++ b/src/fescuedock/node/stream_origins.py
@@ -20,6 +20,7 @@
 from fescuedock.core.stored_jobs.keys import JobKeys
 from fescuedock.core.stored_jobs.work_gate import RecordFreshness
 from fescuedock.core.stream_origins import (
+    UNREADABLE,
     OriginMemory,
     OriginPolicy,
     RegisteredVersions,
@@ -97,8 +98,8 @@
         self._policy = policy or OriginPolicy()
         self.memory = OriginMemory(self._policy)
         self._retirement = Retirement(self._policy)
-        # By service, the revision of its record and the versions decoded from it.
-        self._decoded: dict[str, tuple[int, frozenset[str]]] = {}
+        # By service, the revision of its record and its versions, None if they are unreadable.
+        self._decoded: dict[str, tuple[int, frozenset[str] | None]] = {}
         # Failure domain and address of nodes and spools, from their records at a table version.
         self._nodes: dict[str, tuple[str, Address]] = {}
         self._spools: dict[str, tuple[str, Address]] = {}
@@ -321,12 +322,17 @@
             return None
         known = self._decoded.get(service)
         if known is None or known[0] != entry.mod_revision:
-            versions = _versions_of(entry)
-            if versions is None:
-                return None
-            known = self._decoded[service] = (entry.mod_revision, versions)
+            known = self._decoded[service] = (entry.mod_revision, _versions_of(entry))
         return known[1]
 
+    def _recorded(self, service: str) -> frozenset[str]:
+        """Return the versions that a new record must retain until they are retired."""
+        versions = self._registered(service)
+        if versions is not None:
+            return versions
+        is_present = self._keys.versions + service in self._table.entries
+        return frozenset((UNREADABLE,) if is_present else ())
+
     async def _maintain_records(self) -> None:
         """Add listed software versions to the records, and remove those long unlisted."""
         while True:
@@ -343,7 +349,7 @@
         if not self._table.is_known:
             return {}
         listed = versions_by_service(self._view.upstreams.values(), services)
-        registered = {name: self._registered(name) or frozenset() for name in services}
+        registered = {name: self._recorded(name) for name in services}
         kv_availability = self._replicas.kv_availability
         retired = self._retirement.due(
             registered, listed, now_ms(), is_certain=not kv_availability.in_grace(now_ms())
@@ -367,6 +373,7 @@
             return
         key = self._keys.versions + service
         entry = self._table.entries.get(key)
+        former = self._recorded(service)
         value = msgspec.msgpack.encode(ServedVersions(sorted(wanted)))
         revision = 0 if entry is None else entry.mod_revision
         written = await self._kv.put_if(key, value, revision)
@@ -381,7 +388,7 @@
             "served_versions_written",
             service=service,
             software_versions=sorted(wanted),
-            former_versions=sorted(self._decoded.get(service, (0, frozenset()))[1]),
+            former_versions=sorted(former),
         )
 
     # --- other nodes -----------------------------------------------------------------------------
--- a/tests/test_origin_exchange.py
+++ b/tests/test_origin_exchange.py
@@ -2,11 +2,14 @@
 
 import unittest
 from collections.abc import Awaitable, Callable
+from unittest import mock
 
 import trio
 import trio.testing
 from result import Result
 
+from fescuedock.core.stream_origins import OriginPolicy
+from fescuedock.node import stream_origins
 from fescuedock.schema.origins import StreamOrigin
 from fescuedock.schema.result_codes import ResultCode
 from tests.builders.origin_nodes import SERVICE, OriginNodes
@@ -131,5 +134,57 @@
         self.play(test)
 
 
+class UnreadableRecordTest(ExchangeTest):
+    """A record that cannot be decoded may have named any version, so none is concluded from it."""
+
+    POLICY = OriginPolicy(retire_after_ms=5_000.0)
+
+    def test_no_version_is_concluded_while_streams_of_an_unreadable_record_may_go_on(self) -> None:
+        async def test() -> None:
+            async with trio.open_nursery() as nursery:
+                fleet = OriginNodes(policy=self.POLICY)
+                fleet.write_record(b"\xc1")
+                fleet.list_versions("v2")
+                await fleet.run(nursery)
+                await trio.sleep(2.0)
+                self.assertIn("v2", fleet.recorded)
+                self.assertIn("v2", fleet.origins["n-0"].startable_versions(SERVICE))
+                for name in fleet.node_names:
+                    self.check_unknown(await fleet.resume(name, KEY))
+                # All that it may have named is over by then.
+                over_ms = self.POLICY.retire_after_ms + self.POLICY.retention_ms
+                await trio.sleep(over_ms / 1000 + 3.0)
+                self.assertEqual(fleet.recorded, {"v2"})
+                self.assertEqual((await fleet.resume("n-0", KEY)).ok_value, NEW)
+                nursery.cancel_scope.cancel()
+
+        self.play(test)
+
+    def test_an_unreadable_record_stays_until_a_version_is_listed(self) -> None:
+        async def test() -> None:
+            async with trio.open_nursery() as nursery:
+                fleet = OriginNodes(policy=self.POLICY)
+                fleet.write_record(b"\xc1")
+                await fleet.run(nursery)
+                await trio.sleep(1.0)
+                writes = fleet.kv.faults.writes_seen
+                self.check_unknown(await fleet.resume("n-0", KEY))
+                nursery.cancel_scope.cancel()
+            self.assertEqual(writes, 0)
+
+        self.play(test)
+
+    def test_an_unreadable_record_is_logged_once_and_not_with_each_stream(self) -> None:
+        async def test() -> None:
+            fleet = OriginNodes(nodes=1)
+            fleet.write_record(b"\xc1")
+            with mock.patch.object(stream_origins, "log_event") as log:
+                for _ in range(50):
+                    fleet.origins["n-0"].startable_versions(SERVICE)
+            self.assertEqual(log.call_count, 1)
+
+        self.play(test)
+
+
 if __name__ == "__main__":
     unittest.main()
