Retire a version in two writes, so that none lands late on one that returned

The write that retires a version may take effect seconds after its response was lost. If the version was listed again meanwhile nothing was written, as the record still named it, and streams began at it; then the write landed, and a stream of which no reachable node knew went on at the version that was left.

A version is now marked first, once unlisted for 60 s, and removed once it has been unlisted for 60 s more. No stream begins at a marked version. One that returns is written anew without the mark before streams begin at it, under a new revision, with which a removal under way fails. A mark that lands late removes nothing. The second step also covers nodes that have not heard of the first, for 30 s. The last versions of a service without upstreams stay unmarked. The mark is a field with a default: builds without it read the record, and may drop the mark, which only delays the removal.

The tests of Retirement pass records where they passed plain versions, with the same assertions.

--- a/src/fescuedock/core/stream_origins.py
+++ b/src/fescuedock/core/stream_origins.py
@@ -14,13 +14,14 @@
 from collections import OrderedDict, defaultdict
 from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from itertools import zip_longest
+from typing import Self
 
 import msgspec
 from result import Err, Ok, Result
 
 from fescuedock.core.rendezvous import rank_names
 from fescuedock.core.work_identity import work_identity
-from fescuedock.schema.origins import KnownStream, StreamOrigin
+from fescuedock.schema.origins import KnownStream, ServedVersions, StreamOrigin
 from fescuedock.schema.view import UpstreamRecord
 
 __all__ = [
@@ -29,6 +30,7 @@
     "OriginPolicy",
     "RegisteredVersions",
     "Retirement",
+    "VersionRecord",
     "decide_origin",
     "rank_holders",
     "stream_key",
@@ -49,7 +51,9 @@
     which still know an origin after a power loss.  Origins are retained for ``retention_ms``,
     longer than a client waits for a complete stream, and for at most ``max_origins`` streams: the
     oldest are dropped first, and their streams count as unknown.  A version that has been unlisted
-    for ``retire_after_ms`` is removed from the record of its service.
+    for ``retire_after_ms`` is marked as leaving in the record of its service, and removed when it
+    has been unlisted for as long again: longer than ``retention_ms``, by the time for which a node
+    may not know of the mark.
     """
 
     notified_nodes: int = 2
@@ -215,6 +219,43 @@
     return {service: frozenset(versions) for service, versions in found.items()}
 
 
+class VersionRecord(msgspec.Struct, frozen=True):
+    """The versions in a service's record.
+
+    No stream starts at a version in ``leaving``.  A write that removes one from the record is
+    conditional on the revision that has the mark, and may take effect late; so a version that
+    returns is written anew without the mark, which makes such a write fail, before streams start.
+    """
+
+    software_versions: frozenset[str] = frozenset()
+    leaving: frozenset[str] = frozenset()
+
+    @classmethod
+    def of(cls, served: ServedVersions) -> Self:
+        versions = frozenset(served.software_versions)
+        return cls(versions, versions & frozenset(served.leaving))
+
+    @property
+    def startable(self) -> frozenset[str]:
+        """The versions at which a stream may start."""
+        return self.software_versions - self.leaving
+
+    def updated(self, listed: Collection[str], due: Collection[str]) -> Self:
+        """Return the record with the ``listed`` versions, and those that are ``due`` retired."""
+        due = frozenset(due) - frozenset(listed)
+        versions = self.software_versions.union(listed) - (self.leaving & due)
+        if not versions:
+            return self
+        leaving = (self.leaving & versions).difference(listed)
+        marked = leaving | (due & versions)
+        # The last versions remain, as they will most likely serve again.
+        return type(self)(versions, marked if versions - marked else leaving)
+
+    def served(self) -> ServedVersions:
+        """Return the record as stored."""
+        return ServedVersions(sorted(self.software_versions), sorted(self.leaving))
+
+
 class Retirement:
     """Tracks since when each version in a service's record has no listed upstream."""
 
@@ -222,32 +263,33 @@
 
     def __init__(self, policy: OriginPolicy) -> None:
         self._policy = policy
-        self._since_ms: dict[tuple[str, str], float] = {}
+        # By service, version, and whether it is marked as leaving.
+        self._since_ms: dict[tuple[str, str, bool], float] = {}
 
     def due(
         self,
-        registered: Mapping[str, Collection[str]],
+        registered: Mapping[str, VersionRecord],
         listed: Mapping[str, Collection[str]],
         now_ms: float,
         *,
         is_certain: bool,
     ) -> dict[str, Sequence[str]]:
-        """Return the versions to remove from the record of each service.
+        """Return the versions to mark as leaving, or to remove if they are marked, by service.
 
         A version that still starts streams anywhere stays.  ``is_certain`` is False while serving
         upstreams may be missing from the list.
         """
         gone = {
-            (service, version)
-            for service, versions in registered.items()
-            for version in versions
+            (service, version, version in record.leaving)
+            for service, record in registered.items()
+            for version in record.software_versions
             if version not in listed.get(service, ())
         }
         if not is_certain:
             gone = set()
-        self._since_ms = {pair: self._since_ms.get(pair, now_ms) for pair in gone}
+        self._since_ms = {item: self._since_ms.get(item, now_ms) for item in gone}
         due: defaultdict[str, list[str]] = defaultdict(list)
-        for (service, version), since_ms in self._since_ms.items():
+        for (service, version, _), since_ms in self._since_ms.items():
             if now_ms - since_ms >= self._policy.retire_after_ms:
                 due[service].append(version)
         return dict(due)
--- a/src/fescuedock/node/stream_origins.py
+++ b/src/fescuedock/node/stream_origins.py
@@ -25,6 +25,7 @@
     OriginPolicy,
     RegisteredVersions,
     Retirement,
+    VersionRecord,
     decide_origin,
     rank_holders,
     versions_by_service,
@@ -99,7 +100,7 @@
         self.memory = OriginMemory(self._policy)
         self._retirement = Retirement(self._policy)
         # By service, the revision of its record and its versions, None if they are unreadable.
-        self._decoded: dict[str, tuple[int, frozenset[str] | None]] = {}
+        self._decoded: dict[str, tuple[int, VersionRecord | None]] = {}
         # Failure domain and address of nodes and spools, from their records at a table version.
         self._nodes: dict[str, tuple[str, Address]] = {}
         self._spools: dict[str, tuple[str, Address]] = {}
@@ -134,7 +135,8 @@
 
     def startable_versions(self, service: str) -> frozenset[str] | None:
         """Return the software versions on which a stream may start; None if any may be used."""
-        return self._registered(service)
+        registered = self._registered(service)
+        return None if registered is None else registered.startable
 
     async def record_start(self, key: str, origin: StreamOrigin, route: Route) -> None:
         """Record the origin of a stream, before its client gets the first event.
@@ -269,9 +271,9 @@
             found = await self._kv.get(self._keys.versions + service)
             if isinstance(found, Ok):
                 entry = found.ok_value
-                versions = None if entry is None else _versions_of(entry)
-                return RegisteredVersions(service, versions, is_current=True)
-        return RegisteredVersions(service, self._registered(service), self._is_current())
+                record = None if entry is None else _record_in(entry)
+                return _as_registered(service, record, is_current=True)
+        return _as_registered(service, self._registered(service), is_current=self._is_current())
 
     def _is_current(self) -> bool:
         """Whether the records here are current although the store does not answer.
@@ -302,7 +304,7 @@
     def _is_uncertain(self, service: str) -> bool:
         """Whether a service's record alone may not determine the version a stream started on."""
         registered = self._registered(service)
-        if registered is None or len(registered) > 1:
+        if registered is None or len(registered.software_versions) > 1:
             return True
         return self._replicas.kv_availability.is_unavailable(now_ms())
 
@@ -315,23 +317,23 @@
         served = versions_by_service(self._view.upstreams.values(), self._services())
         return any(self._is_uncertain(name) for name in served)
 
-    def _registered(self, service: str) -> frozenset[str] | None:
-        """Return the versions in a service's record; None without a readable record."""
+    def _registered(self, service: str) -> VersionRecord | None:
+        """Return a service's record; None without a readable one."""
         entry = self._table.entries.get(self._keys.versions + service)
         if entry is None:
             return None
         known = self._decoded.get(service)
         if known is None or known[0] != entry.mod_revision:
-            known = self._decoded[service] = (entry.mod_revision, _versions_of(entry))
+            known = self._decoded[service] = (entry.mod_revision, _record_in(entry))
         return known[1]
 
-    def _recorded(self, service: str) -> frozenset[str]:
-        """Return the versions that a new record must retain until they are retired."""
-        versions = self._registered(service)
-        if versions is not None:
-            return versions
+    def _recorded(self, service: str) -> VersionRecord:
+        """Return the record whose versions a new one must retain until they are retired."""
+        registered = self._registered(service)
+        if registered is not None:
+            return registered
         is_present = self._keys.versions + service in self._table.entries
-        return frozenset((UNREADABLE,) if is_present else ())
+        return VersionRecord(frozenset((UNREADABLE,) if is_present else ()))
 
     async def _maintain_records(self) -> None:
         """Add listed software versions to the records, and remove those long unlisted."""
@@ -343,8 +345,8 @@
             with trio.move_on_after(_POLL_INTERVAL_S):
                 await self._view.wait_changed(seen)
 
-    def _due_records(self) -> dict[str, frozenset[str]]:
-        """Return the services whose records must change, with the versions to write."""
+    def _due_records(self) -> dict[str, VersionRecord]:
+        """Return the services whose records must change, with the records to write."""
         services = self._services()
         if not self._table.is_known:
             return {}
@@ -355,16 +357,12 @@
             registered, listed, now_ms(), is_certain=not kv_availability.in_grace(now_ms())
         )
         wanted = {
-            name: (versions | listed.get(name, frozenset())) - frozenset(retired.get(name, ()))
-            for name, versions in registered.items()
-        }
-        return {
-            name: versions
-            for name, versions in wanted.items()
-            if versions and versions != registered[name]
+            name: record.updated(listed.get(name, ()), retired.get(name, ()))
+            for name, record in registered.items()
         }
+        return {name: record for name, record in wanted.items() if record != registered[name]}
 
-    async def _write_by_rank(self, service: str, wanted: frozenset[str]) -> None:
+    async def _write_by_rank(self, service: str, wanted: VersionRecord) -> None:
         """Write a record after a delay by rank, unless a node of a higher rank did so before."""
         live = {vm.vm_id for vm in self._view.live_vms()} | {self._view.vm_id}
         rank = rank_names(service, live).index(self._view.vm_id)
@@ -374,7 +372,7 @@
         key = self._keys.versions + service
         entry = self._table.entries.get(key)
         former = self._recorded(service)
-        value = msgspec.msgpack.encode(ServedVersions(sorted(wanted)))
+        value = msgspec.msgpack.encode(wanted.served())
         revision = 0 if entry is None else entry.mod_revision
         written = await self._kv.put_if(key, value, revision)
         if isinstance(written, Err):
@@ -387,8 +385,9 @@
         log_event(
             "served_versions_written",
             service=service,
-            software_versions=sorted(wanted),
-            former_versions=sorted(former),
+            software_versions=sorted(wanted.software_versions),
+            leaving_versions=sorted(wanted.leaving),
+            former_versions=sorted(former.software_versions),
         )
 
     # --- other nodes -----------------------------------------------------------------------------
@@ -443,11 +442,17 @@
         yield record.vm_id, (record.failure_domain, Address(record.host, record.port))
 
 
-def _versions_of(entry: KvEntry) -> frozenset[str] | None:
-    """Return the versions in a record; log and return None when it cannot be decoded."""
+def _record_in(entry: KvEntry) -> VersionRecord | None:
+    """Return the record of a service; log and return None when it cannot be decoded."""
     try:
-        record = msgspec.msgpack.decode(entry.value, type=ServedVersions)
+        return VersionRecord.of(msgspec.msgpack.decode(entry.value, type=ServedVersions))
     except msgspec.DecodeError as error:
         log_event("served_versions_unreadable", key=entry.key, reason=str(error))
         return None
-    return frozenset(record.software_versions)
+
+
+def _as_registered(
+    service: str, record: VersionRecord | None, *, is_current: bool
+) -> RegisteredVersions:
+    versions = None if record is None else record.software_versions
+    return RegisteredVersions(service, versions, is_current)
--- a/src/fescuedock/schema/origins.py
+++ b/src/fescuedock/schema/origins.py
@@ -60,3 +60,9 @@
     """
 
     software_versions: list[str]
+    leaving: Annotated[
+        list[str],
+        Meta(
+            description="Those of them at which no stream begins before the record is written anew."
+        ),
+    ] = field(default_factory=list)
--- a/tests/builders/origin_nodes.py
+++ b/tests/builders/origin_nodes.py
@@ -133,6 +133,12 @@
     def write_record(self, value: bytes) -> None:
         self.kv.state.put(_RECORD, value)
 
+    def catch_up(self, name: str) -> None:
+        """Let a node in ``stale`` know the key-value service again."""
+        self.stale.discard(name)
+        for entry in self.kv.state.page(_KEYS.live, _KEYS.live + "\x7f", 1000).entries:
+            self.replicas[name].record_entry(_KEYS.live, entry)
+
     async def run(self, nursery: trio.Nursery) -> None:
         """Run all nodes in ``nursery``."""
         for origins in self.origins.values():
--- a/tests/test_origin_exchange.py
+++ b/tests/test_origin_exchange.py
@@ -1,7 +1,9 @@
 """Nodes and spools that exchange the origins of streams, and maintain the record of a service."""
 
+import random
 import unittest
 from collections.abc import Awaitable, Callable
+from functools import partial
 from unittest import mock
 
 import trio
@@ -12,6 +14,8 @@
 from fescuedock.node import stream_origins
 from fescuedock.schema.origins import StreamOrigin
 from fescuedock.schema.result_codes import ResultCode
+from tests.builders.kv import LostAnswer
+from tests.builders.online import wait_until
 from tests.builders.origin_nodes import SERVICE, OriginNodes
 from tests.builders.standins import run_async
 
@@ -137,7 +141,7 @@
 class UnreadableRecordTest(ExchangeTest):
     """A record that cannot be decoded may have named any version, so none is concluded from it."""
 
-    POLICY = OriginPolicy(retire_after_ms=5_000.0)
+    POLICY = OriginPolicy(retire_after_ms=5_000.0, retention_ms=2_000.0)
 
     def test_no_version_is_concluded_while_streams_of_an_unreadable_record_may_go_on(self) -> None:
         async def test() -> None:
@@ -152,8 +156,7 @@
                 for name in fleet.node_names:
                     self.check_unknown(await fleet.resume(name, KEY))
                 # All that it may have named is over by then.
-                over_ms = self.POLICY.retire_after_ms + self.POLICY.retention_ms
-                await trio.sleep(over_ms / 1000 + 3.0)
+                await trio.sleep(2 * self.POLICY.retire_after_ms / 1000 + 3.0)
                 self.assertEqual(fleet.recorded, {"v2"})
                 self.assertEqual((await fleet.resume("n-0", KEY)).ok_value, NEW)
                 nursery.cancel_scope.cancel()
@@ -186,5 +189,111 @@
         self.play(test)
 
 
+class RetirementTest(ExchangeTest):
+    """The record may name a single version only if no stream of another one can go on."""
+
+    POLICY = OriginPolicy(retire_after_ms=3_000.0, retention_ms=1_000.0)
+
+    def test_a_retirement_that_lands_late_hides_no_version_that_has_returned(self) -> None:
+        async def test(lost_write: int) -> None:
+            async with trio.open_nursery() as nursery:
+                fleet = OriginNodes(nodes=3, policy=self.POLICY)
+                fleet.list_versions("v1", "v2")
+                fleet.record_versions("v1", "v2")
+                await fleet.run(nursery)
+                fleet.kv.faults.lose_answer(LostAnswer.LATE_EFFECT, lost_write)
+                fleet.list_versions("v2")
+                await wait_until(lambda: fleet.kv.faults.writes_seen >= lost_write)
+                fleet.kv.faults.down = True
+                fleet.list_versions("v1", "v2")
+                await trio.sleep(0.5)
+                fleet.kv.faults.down = False
+                origins = fleet.origins["n-0"]
+                await wait_until(lambda: "v1" in origins.startable_versions(SERVICE))
+                fleet.silent.update(fleet.node_names)
+                await fleet.start_stream("n-0", KEY, "v1")
+                fleet.kv.apply_late_writes()
+                self.check_unknown(await fleet.resume("n-1", KEY))
+                nursery.cancel_scope.cancel()
+
+        for lost_write in (1, 2):
+            with self.subTest(lost_write=lost_write):
+                self.play(partial(test, lost_write))
+
+    def test_the_record_decides_no_wrong_version_through_late_writes_and_stale_replicas(
+        self,
+    ) -> None:
+        for seed in range(60):
+            with self.subTest(seed=seed):
+                self.play(partial(self.check_record, random.Random(seed)))
+
+    async def check_record(self, rng: random.Random) -> None:
+        """Let versions come and go while writes land late and nodes have stale replicas."""
+        async with trio.open_nursery() as nursery:
+            fleet = OriginNodes(nodes=3, policy=self.POLICY)
+            fleet.list_versions("v1")
+            fleet.record_versions("v1")
+            await fleet.run(nursery)
+            started: list[tuple[float, str]] = []
+            stale_until_s = 0.0
+            for _ in range(300):
+                await trio.sleep(0.1)
+                now_s = trio.current_time()
+                if rng.random() < 0.04:
+                    fleet.list_versions(*rng.choice((["v1"], ["v2"], ["v1", "v2"])))
+                if rng.random() < 0.05:
+                    fleet.kv.faults.lose_answer(LostAnswer.LATE_EFFECT)
+                if rng.random() < 0.1:
+                    fleet.kv.apply_late_writes()
+                if not fleet.stale and rng.random() < 0.1:
+                    fleet.stale.add(rng.choice(fleet.node_names))
+                    stale_until_s = now_s + 1.5
+                elif now_s >= stale_until_s:
+                    for name in set(fleet.stale):
+                        fleet.catch_up(name)
+                started = [item for item in started if now_s - item[0] < 1.0]
+                if len(fleet.recorded) == 1:
+                    self.assertEqual({version for _, version in started} - fleet.recorded, set())
+                for name in fleet.node_names:
+                    startable = fleet.origins[name].startable_versions(SERVICE)
+                    started += [
+                        (now_s, item.software_version)
+                        for item in fleet.views[name].upstreams.values()
+                        if item.software_version in startable
+                    ]
+            nursery.cancel_scope.cancel()
+
+    def test_a_version_that_has_gone_leaves_the_record_with_two_writes(self) -> None:
+        async def test() -> None:
+            async with trio.open_nursery() as nursery:
+                fleet = OriginNodes(nodes=3, policy=self.POLICY)
+                fleet.list_versions("v1", "v2")
+                fleet.record_versions("v1", "v2")
+                await fleet.run(nursery)
+                fleet.list_versions("v2")
+                await trio.sleep(30.0)
+                self.assertEqual(fleet.recorded, {"v2"})
+                self.assertEqual(fleet.kv.faults.writes_seen, 2)
+                self.assertEqual((await fleet.resume("n-1", KEY)).ok_value, NEW)
+                nursery.cancel_scope.cancel()
+
+        self.play(test)
+
+    def test_a_service_without_upstreams_keeps_its_versions_without_a_write(self) -> None:
+        async def test() -> None:
+            async with trio.open_nursery() as nursery:
+                fleet = OriginNodes(nodes=3, policy=self.POLICY)
+                fleet.list_versions("v1")
+                fleet.record_versions("v1", "v2")
+                fleet.list_versions()
+                await fleet.run(nursery)
+                await trio.sleep(30.0)
+                self.assertEqual(fleet.recorded, {"v1", "v2"})
+                self.assertEqual(fleet.kv.faults.writes_seen, 0)
+                nursery.cancel_scope.cancel()
+
+        self.play(test)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+import msgspec
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -10,13 +11,15 @@
     OriginPolicy,
     RegisteredVersions,
     Retirement,
+    VersionRecord,
     decide_origin,
     rank_holders,
     stream_key,
     versions_by_service,
 )
-from fescuedock.schema.origins import KnownStream, StreamOrigin
+from fescuedock.schema.origins import KnownStream, ServedVersions, StreamOrigin
 from fescuedock.schema.view import UpstreamKind, UpstreamRecord
+from fescuedock.schema.wire import WireStruct
 from tests.builders.origin_strategies import LOSSES, STRATEGIES, Outcome, play
 
 OLD, NEW = StreamOrigin("desk", "v1"), StreamOrigin("desk", "v2")
@@ -121,9 +124,12 @@
     def setUp(self) -> None:
         self.retirement = Retirement(OriginPolicy(retire_after_ms=100.0))
 
-    def due(self, listed: str, now_ms: float, *, is_certain: bool = True) -> dict:
+    def due(
+        self, listed: str, now_ms: float, *, is_certain: bool = True, leaving: str = ""
+    ) -> dict:
+        record = VersionRecord(frozenset(("v1", "v2")), frozenset(leaving.split()))
         return self.retirement.due(
-            {"desk": ("v1", "v2")}, {"desk": listed.split()}, now_ms, is_certain=is_certain
+            {"desk": record}, {"desk": listed.split()}, now_ms, is_certain=is_certain
         )
 
     def test_a_version_is_due_once_unlisted_for_retire_after_ms(self) -> None:
@@ -143,6 +149,54 @@
         self.assertEqual(self.due("v2", 200.0), {})
         self.assertEqual(self.due("v2", 300.0), {"desk": ["v1"]})
 
+    def test_a_version_marked_as_leaving_is_due_after_as_long_again(self) -> None:
+        self.due("v2", 0.0)
+        self.assertEqual(self.due("v2", 100.0), {"desk": ["v1"]})
+        self.assertEqual(self.due("v2", 110.0, leaving="v1"), {})
+        self.assertEqual(self.due("v2", 209.0, leaving="v1"), {})
+        self.assertEqual(self.due("v2", 210.0, leaving="v1"), {"desk": ["v1"]})
+
+
+class VersionRecordTest(unittest.TestCase):
+    def record(self, versions: str, leaving: str = "") -> VersionRecord:
+        return VersionRecord(frozenset(versions.split()), frozenset(leaving.split()))
+
+    def test_a_version_leaves_in_two_steps(self) -> None:
+        marked = self.record("v1 v2").updated({"v2"}, ["v1"])
+        self.assertEqual(marked, self.record("v1 v2", "v1"))
+        self.assertEqual(marked.startable, {"v2"})
+        self.assertEqual(marked.updated({"v2"}, ["v1"]), self.record("v2"))
+
+    def test_a_listed_version_is_startable(self) -> None:
+        marked = self.record("v1 v2", "v1")
+        self.assertEqual(marked.updated({"v1", "v2"}, ["v1"]), self.record("v1 v2"))
+        self.assertEqual(marked.updated({"v3"}, []), self.record("v1 v2 v3", "v1"))
+
+    @given(*[st.sets(st.sampled_from(("v1", "v2", "v3"))) for _ in range(4)])
+    def test_an_update_adds_all_that_is_listed_and_removes_only_what_was_leaving(
+        self, versions, leaving, listed, due
+    ) -> None:
+        before = VersionRecord(frozenset(versions), frozenset(leaving & versions))
+        after = before.updated(listed, due)
+        self.assertLessEqual(listed, after.startable)
+        removed = before.software_versions - after.software_versions
+        self.assertLessEqual(removed, before.leaving & due - listed)
+        # Versions that were not there and a record of none may not come from a retirement.
+        self.assertEqual(after.software_versions | removed, versions | listed)
+        if before.software_versions:
+            self.assertTrue(after.software_versions)
+
+    def test_builds_with_and_without_the_mark_read_each_others_records(self) -> None:
+        class FormerVersions(WireStruct):
+            software_versions: list[str]
+
+        marked = self.record("v1 v2", "v1")
+        encoded = msgspec.msgpack.encode(marked.served())
+        read = msgspec.msgpack.decode(encoded, type=FormerVersions)
+        self.assertEqual(read.software_versions, ["v1", "v2"])
+        served = msgspec.msgpack.decode(msgspec.msgpack.encode(read), type=ServedVersions)
+        self.assertEqual(VersionRecord.of(served), self.record("v1 v2"))
+
 
 class StrategiesTest(unittest.TestCase):
     """The implemented strategy reaches its targets; no strategy resumes at a wrong version."""
