Let a stream's first event wait until a spool has its origin on disk

While versions are mixed, a stream began once the first of two nodes and one spool had confirmed its origin: a node in nearly all cases. Streams that began within one write of a disk before all nodes and spools were lost were never taken up again, nor were those whose spool did not answer.

A stream now waits for a node and a spool. A spool that is late by 30 ms is replaced by the second one that nodes ask, and no stream waits for it for 1 s. The bound of three rounds of 30 ms stays.

--- a/src/fescuedock/node/stream_origins.py
+++ b/src/fescuedock/node/stream_origins.py
@@ -54,9 +54,12 @@
 _FIND_TIMEOUT_MS = 150.0
 # How long the other nodes may take to contradict the first origin that is known.
 _AGREEMENT_TIMEOUT_S = 0.03
-# How long a stream's first event waits until another node confirms that it stores the origin.
+# How long a stream's first event waits in a round until other nodes and a spool confirm that they
+# store the origin.
 _ACK_TIMEOUT_S = 0.03
 _SEND_ROUNDS = 3
+# How long no stream waits for a spool that was late.
+_LATE_SPOOL_MS = 1000.0
 # Bounds a read of a service's record while a client waits.
 _READ_TIMEOUT_S = 0.3
 # How old the replica of a record may be if the record cannot be read.
@@ -105,6 +108,8 @@
         self._nodes: dict[str, tuple[str, Address]] = {}
         self._spools: dict[str, tuple[str, Address]] = {}
         self._nodes_version = -1
+        # By spool that confirmed an origin too late, until when no stream waits for it.
+        self._late_until_ms: dict[str, float] = {}
         self._nursery: trio.Nursery | None = None
 
     def handlers(self) -> dict[type[msgspec.Struct], CallHandler]:
@@ -141,43 +146,55 @@
     async def record_start(self, key: str, origin: StreamOrigin, route: Route) -> None:
         """Record the origin of a stream, before its client gets the first event.
 
-        If other nodes may need it, return once another node has stored it, or after a short while:
-        a stream of unknown origin cannot be resumed, but is never continued on a wrong version.
+        If other nodes may need it, return once another process has stored it, a spool on disk if
+        there is one, or after a short while: a stream of unknown origin cannot be resumed, but is
+        never continued on a wrong version.
         """
         self.memory.record(key, origin, now_ms(), is_own=True)
         if not self._may_be_known_elsewhere(origin, route) or self._nursery is None:
             return
-        told = KnownStream(key, origin)
-        ranked = self._origin_nodes(key, live_only=True)
-        spools = self._origin_spools(key)[: self._policy.notified_disks]
-        for first in range(
-            0, _SEND_ROUNDS * self._policy.notified_nodes, self._policy.notified_nodes
-        ):
-            receivers = ranked[first : first + self._policy.notified_nodes] + (
-                spools if not first else []
-            )
-            if not receivers:
-                return
-            acknowledged = trio.Event()
-            for name in receivers:
-                self._nursery.start_soon(self._send, name, [told], acknowledged)
+        streams = [KnownStream(key, origin)]
+        nodes = self._origin_nodes(key, live_only=True)
+        spools = self._origin_spools(key)[: self._policy.queried_disks]
+        if not nodes and not spools:
+            return
+        late = [name for name in spools if nodes and now_ms() < self._late_until_ms.get(name, 0.0)]
+        spools = [name for name in spools if name not in late]
+        is_stored, is_on_disk = trio.Event(), trio.Event()
+        for name in late:
+            self._nursery.start_soon(self._send, name, streams, (is_stored, is_on_disk))
+        for _ in range(_SEND_ROUNDS):
+            next_nodes, nodes = _split(nodes, self._policy.notified_nodes)
+            next_spools, spools = _split(spools, self._policy.notified_disks)
+            if is_stored.is_set():
+                next_nodes = []
+            if not next_nodes and not next_spools:
+                break
+            for name in next_nodes:
+                self._nursery.start_soon(self._send, name, streams, (is_stored,))
+            for name in next_spools:
+                self._nursery.start_soon(self._send, name, streams, (is_stored, is_on_disk))
             with trio.move_on_after(_ACK_TIMEOUT_S):
-                await acknowledged.wait()
+                await is_stored.wait()
+                if next_spools:
+                    await is_on_disk.wait()
                 return
-        log_event("origin_not_told", stream_key=key)
+            self._late_until_ms |= dict.fromkeys(next_spools, now_ms() + _LATE_SPOOL_MS)
+        if not is_stored.is_set():
+            log_event("origin_not_told", stream_key=key)
 
     async def _send(
         self,
         name: str,
         streams: Sequence[KnownStream],
-        acknowledged: trio.Event | None = None,
+        acknowledged: Iterable[trio.Event] = (),
     ) -> None:
         reply = await self._call(name, KeepOrigins(streams), _SEND_TIMEOUT_MS)
         if not isinstance(reply, KeepOriginsReply) or reply.code != ResultCode.OK:
             return
         self.memory.mark_reported(stream.stream_key for stream in streams)
-        if acknowledged is not None:
-            acknowledged.set()
+        for event in acknowledged:
+            event.set()
 
     async def _send_all(self, streams: Iterable[KnownStream]) -> None:
         """Send origins to the nodes and spools that store them, many in one message."""
@@ -430,6 +447,10 @@
         return called.ok_value if isinstance(called, Ok) else None
 
 
+def _split(names: list[str], count: int) -> tuple[list[str], list[str]]:
+    return names[:count], names[count:]
+
+
 def _nodes_in(entries: Iterable[KvEntry], prefix: str) -> Iterable[tuple[str, tuple[str, Address]]]:
     for entry in entries:
         if not entry.key.startswith(prefix):
--- a/tests/builders/origin_nodes.py
+++ b/tests/builders/origin_nodes.py
@@ -133,6 +133,14 @@
     def write_record(self, value: bytes) -> None:
         self.kv.state.put(_RECORD, value)
 
+    def lose_power(self) -> None:
+        """Start all nodes and spools anew, with what the disks of the spools have synced."""
+        for number, name in enumerate(self.spool_names):
+            self.disks[name].lose_power(number)
+            self.start_spool(name)
+        for name in self.node_names:
+            self.start_node(name)
+
     def catch_up(self, name: str) -> None:
         """Let a node in ``stale`` know the key-value service again."""
         self.stale.discard(name)
--- a/tests/test_origin_exchange.py
+++ b/tests/test_origin_exchange.py
@@ -2,7 +2,7 @@
 
 import random
 import unittest
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 from functools import partial
 from unittest import mock
 
@@ -295,5 +295,68 @@
         self.play(test)
 
 
+class DiskTest(ExchangeTest):
+    """Streams whose nodes are all lost, with the spools, right after their first events."""
+
+    STREAMS = 20
+
+    def prepared(self, **delays_ms: float) -> OriginNodes:
+        fleet = OriginNodes(spools=2)
+        fleet.list_versions("v1", "v2")
+        fleet.record_versions("v1", "v2")
+        fleet.delays_ms |= {name.replace("_", "-"): value for name, value in delays_ms.items()}
+        return fleet
+
+    async def known_after_loss(self, fleet: OriginNodes, silent: Collection[str] = ()) -> int:
+        """Return how many of ``STREAMS`` are known when all lose power after each first event."""
+        known = 0
+        for number in range(self.STREAMS):
+            async with trio.open_nursery() as nursery:
+                await fleet.run(nursery)
+                fleet.silent.update(silent)
+                await fleet.start_stream(f"n-{number % 6}", f"{KEY}-{number}", "v1")
+                nursery.cancel_scope.cancel()
+            fleet.lose_power()
+            fleet.silent.clear()
+            found = await fleet.resume(f"n-{(number + 1) % 6}", f"{KEY}-{number}")
+            known += found.is_ok()
+        return known
+
+    def test_a_stream_goes_on_after_all_lost_power_right_after_its_first_event(self) -> None:
+        async def test() -> None:
+            fleet = self.prepared(s_0=6.0, s_1=6.0)
+            self.assertEqual(await self.known_after_loss(fleet), self.STREAMS)
+
+        self.play(test)
+
+    def test_another_spool_stores_the_origin_while_one_does_not_answer(self) -> None:
+        async def test() -> None:
+            fleet = self.prepared(s_1=6.0)
+            self.assertEqual(await self.known_after_loss(fleet, silent=["s-0"]), self.STREAMS)
+
+        self.play(test)
+
+    def test_spools_that_do_not_answer_delay_few_streams_and_none_by_more_than_a_round(
+        self,
+    ) -> None:
+        async def test() -> None:
+            fleet = self.prepared()
+            async with trio.open_nursery() as nursery:
+                await fleet.run(nursery)
+                fleet.silent.update(fleet.spool_names)
+                waits_ms = []
+                for number in range(100):
+                    waits_ms.append(await fleet.start_stream("n-0", f"{KEY}-{number}", "v1"))
+                    await trio.sleep(0.02)
+                fleet.silent.update(fleet.node_names)
+                alone_ms = await fleet.start_stream("n-0", KEY, "v1")
+                nursery.cancel_scope.cancel()
+            self.assertLessEqual(max(waits_ms), 61.0)
+            self.assertLessEqual(sum(wait_ms > 5.0 for wait_ms in waits_ms), 8)
+            self.assertLessEqual(alone_ms, 91.0)
+
+        self.play(test)
+
+
 if __name__ == "__main__":
     unittest.main()
