Tell by what the origin of a stream is known, and log origins that differ

`stream_taken_up` names the version that a stream goes on at, but not whether this node, other nodes, a spool or the record of the service said so, nor who did. So a wrong origin could not be followed to where it was recorded, and a conflict of two left only the text of the refusal.

`StreamOrigins.origin_of` returns the origin with `known_by` (memory, nodes, spool, record) and `named_by`, for the line in `node/online_call.py`. Origins that differ are logged as `stream_origins_differ` with the stream's key, both origins and who named them.

tests/test_origin_exchange.py: without the fields the two new tests cannot be imported. The assertions on found origins compare service and version, as a found origin has more fields.

--- a/src/fescuedock/core/stream_origins.py
+++ b/src/fescuedock/core/stream_origins.py
@@ -11,6 +11,7 @@
 Pure: the caller passes the time.
 """
 
+import enum
 from collections import OrderedDict, defaultdict
 from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from itertools import zip_longest
@@ -26,6 +27,8 @@
 
 __all__ = [
     "UNREADABLE",
+    "FoundOrigin",
+    "KnownBy",
     "OriginMemory",
     "OriginPolicy",
     "RegisteredVersions",
@@ -187,6 +190,22 @@
         return None if version == UNREADABLE else version
 
 
+class KnownBy(enum.StrEnum):
+    """By what the origin of a stream is known."""
+
+    MEMORY = "memory"
+    NODES = "nodes"
+    SPOOL = "spool"
+    RECORD = "record"
+
+
+class FoundOrigin(StreamOrigin):
+    """An origin, by what it is known, and which nodes and spools named it when asked."""
+
+    known_by: KnownBy = KnownBy.MEMORY
+    named_by: tuple[str, ...] = ()
+
+
 def decide_origin(
     reported: Sequence[StreamOrigin], registered: RegisteredVersions | None
 ) -> Result[StreamOrigin, str]:
--- a/src/fescuedock/node/stream_origins.py
+++ b/src/fescuedock/node/stream_origins.py
@@ -21,6 +21,8 @@
 from fescuedock.core.stored_jobs.work_gate import RecordFreshness
 from fescuedock.core.stream_origins import (
     UNREADABLE,
+    FoundOrigin,
+    KnownBy,
     OriginMemory,
     OriginPolicy,
     RegisteredVersions,
@@ -73,6 +75,17 @@
 _UNKNOWN_RETRY_MS = 100
 
 
+class _Reports(msgspec.Struct):
+    """The different origins known of one stream, and the nodes and spools that named any."""
+
+    origins: list[StreamOrigin]
+    named_by: list[str] = []
+
+    def add(self, name: str, origins: Iterable[StreamOrigin]) -> None:
+        self.named_by.append(name)
+        self.origins.extend(item for item in origins if item not in self.origins)
+
+
 class StreamOrigins:
     """The origins of streams at one node.
 
@@ -217,30 +230,51 @@
 
     # --- streams that are resumed ----------------------------------------------------------------
 
-    async def origin_of(self, key: str | None, route: Route) -> Result[StreamOrigin, Fault]:
+    async def origin_of(self, key: str | None, route: Route) -> Result[FoundOrigin, Fault]:
         """Return the origin of a stream; ``ORIGIN_UNKNOWN`` when it cannot be found.
 
         ``key`` is None when the client does not name the stream.
         """
-        origins = [] if key is None else list(self.memory.recorded(key, now_ms()))
+        recorded = () if key is None else self.memory.recorded(key, now_ms())
+        reports = _Reports(list(recorded))
         registered: RegisteredVersions | None = None
-        if not origins:
+        if not recorded:
             services = [name for name, weight in route.services if weight > 0]
             service = services[0] if len(services) == 1 else None
-            registered = await self._query(key, service, origins)
-        elif len(origins) == 1 and self._may_be_known_elsewhere(origins[0], route):
-            await self._find_elsewhere(key, origins)
-        decided = decide_origin(origins, registered)
+            registered = await self._query(key, service, reports)
+        elif len(recorded) == 1 and self._may_be_known_elsewhere(recorded[0], route):
+            await self._find_elsewhere(key, reports)
+        decided = decide_origin(reports.origins, registered)
         if isinstance(decided, Err):
-            for origin in origins:
-                self.memory.record(key, origin, now_ms())
+            if key is not None and reports.origins:
+                self._record_conflict(key, reports)
             return Err(Fault(ResultCode.ORIGIN_UNKNOWN, decided.err_value, _UNKNOWN_RETRY_MS))
-        return decided
+        origin = decided.ok_value
+        known_by = KnownBy.MEMORY if recorded else self._known_by(reports)
+        return Ok(
+            FoundOrigin(origin.service, origin.software_version, known_by, tuple(reports.named_by))
+        )
+
+    def _known_by(self, reports: _Reports) -> KnownBy:
+        if not reports.named_by:
+            return KnownBy.RECORD
+        only_spools = self._spools.keys() >= set(reports.named_by)
+        return KnownBy.SPOOL if only_spools else KnownBy.NODES
+
+    def _record_conflict(self, key: str, reports: _Reports) -> None:
+        for origin in reports.origins:
+            self.memory.record(key, origin, now_ms())
+        log_event(
+            "stream_origins_differ",
+            stream_key=key,
+            origins=[f"{item.service} {item.software_version}" for item in reports.origins],
+            named_by=reports.named_by,
+        )
 
     async def _query(
-        self, key: str | None, service: str | None, origins: list[StreamOrigin]
+        self, key: str | None, service: str | None, reports: _Reports
     ) -> RegisteredVersions | None:
-        """Find ``origins`` elsewhere, and read the service's record in parallel."""
+        """Find a stream's origin elsewhere, and read the service's record in parallel."""
         registered: RegisteredVersions | None = None
 
         async def read() -> None:
@@ -251,29 +285,29 @@
             if service is not None:
                 nursery.start_soon(read)
             if key is not None:
-                await self._find_elsewhere(key, origins)
-            if origins:
+                await self._find_elsewhere(key, reports)
+            if reports.origins:
                 nursery.cancel_scope.cancel()
         return registered
 
-    async def _find_elsewhere(self, key: str, origins: list[StreamOrigin]) -> None:
-        """Query the nodes that may store an origin, and add those that they know to ``origins``.
+    async def _find_elsewhere(self, key: str, reports: _Reports) -> None:
+        """Query the nodes that may store an origin, and add what they know to ``reports``.
 
         Two runs may have begun under one key, and a node may know of only one of them.  So a known
         origin is returned once all nodes agree, or after ``_AGREEMENT_TIMEOUT_S``.
         """
 
         def limit_wait(scope: trio.CancelScope) -> None:
-            if len(origins) > 1:
+            if len(reports.origins) > 1:
                 scope.cancel()
-            elif origins:
+            elif reports.origins:
                 latest_s = trio.current_time() + _AGREEMENT_TIMEOUT_S
                 scope.deadline = min(scope.deadline, latest_s)
 
         async def find(name: str) -> None:
             reply = await self._call(name, FindOrigin(key), _FIND_TIMEOUT_MS)
-            if isinstance(reply, FindOriginReply):
-                origins.extend(item for item in reply.origins if item not in origins)
+            if isinstance(reply, FindOriginReply) and reply.origins:
+                reports.add(name, reply.origins)
                 limit_wait(nursery.cancel_scope)
 
         async with trio.open_nursery() as nursery:
--- a/tests/test_origin_exchange.py
+++ b/tests/test_origin_exchange.py
@@ -10,7 +10,7 @@
 import trio.testing
 from result import Result
 
-from fescuedock.core.stream_origins import OriginPolicy
+from fescuedock.core.stream_origins import KnownBy, OriginPolicy
 from fescuedock.node import stream_origins
 from fescuedock.schema.origins import StreamOrigin
 from fescuedock.schema.result_codes import ResultCode
@@ -31,6 +31,10 @@
         self.assertTrue(found.is_err(), found)
         self.assertEqual(found.err_value.code, ResultCode.ORIGIN_UNKNOWN)
 
+    def check_origin(self, found: Result, origin: StreamOrigin) -> None:
+        known = found.ok_value
+        self.assertEqual(StreamOrigin(known.service, known.software_version), origin)
+
 
 class ConflictTest(ExchangeTest):
     """Two runs that began under one identity, at two versions: none of them may go on."""
@@ -126,7 +130,7 @@
                     fleet.delays_ms[name] = 1.0 + number % 7
                 fleet.silent.update(fleet.node_names[-silent:] if silent else ())
                 started_s = trio.current_time()
-                self.assertEqual((await fleet.resume("n-1", KEY)).ok_value, OLD)
+                self.check_origin(await fleet.resume("n-1", KEY), OLD)
                 took_ms = (trio.current_time() - started_s) * 1000
                 nursery.cancel_scope.cancel()
             return took_ms
@@ -158,7 +162,7 @@
                 # All that it may have named is over by then.
                 await trio.sleep(2 * self.POLICY.retire_after_ms / 1000 + 3.0)
                 self.assertEqual(fleet.recorded, {"v2"})
-                self.assertEqual((await fleet.resume("n-0", KEY)).ok_value, NEW)
+                self.check_origin(await fleet.resume("n-0", KEY), NEW)
                 nursery.cancel_scope.cancel()
 
         self.play(test)
@@ -274,7 +278,7 @@
                 await trio.sleep(30.0)
                 self.assertEqual(fleet.recorded, {"v2"})
                 self.assertEqual(fleet.kv.faults.writes_seen, 2)
-                self.assertEqual((await fleet.resume("n-1", KEY)).ok_value, NEW)
+                self.check_origin(await fleet.resume("n-1", KEY), NEW)
                 nursery.cancel_scope.cancel()
 
         self.play(test)
@@ -358,5 +362,52 @@
         self.play(test)
 
 
+class KnownByTest(ExchangeTest):
+    """What is logged of a stream that is taken up tells how its version was determined."""
+
+    def test_an_origin_tells_by_what_it_is_known(self) -> None:
+        async def test() -> None:
+            async with trio.open_nursery() as nursery:
+                fleet = OriginNodes(spools=1)
+                fleet.list_versions("v1", "v2")
+                fleet.record_versions("v1", "v2")
+                await fleet.run(nursery)
+                await fleet.start_stream("n-0", KEY, "v1")
+                await trio.sleep(0.1)
+                found = (await fleet.resume("n-0", KEY)).ok_value
+                self.assertEqual(found.known_by, KnownBy.MEMORY)
+                unaware = next(
+                    name for name in fleet.node_names if not len(fleet.origins[name].memory)
+                )
+                found = (await fleet.resume(unaware, KEY)).ok_value
+                self.assertEqual(found.known_by, KnownBy.NODES)
+                self.assertLessEqual({"n-0", "s-0"}, set(found.named_by))
+                fleet.silent.update(fleet.node_names)
+                found = (await fleet.resume(unaware, KEY)).ok_value
+                self.assertEqual((found.known_by, found.named_by), (KnownBy.SPOOL, ("s-0",)))
+                fleet.record_versions("v1")
+                found = (await fleet.resume(unaware, "unknown")).ok_value
+                self.assertEqual((found.known_by, found.named_by), (KnownBy.RECORD, ()))
+                nursery.cancel_scope.cancel()
+
+        self.play(test)
+
+    def test_a_conflict_is_logged_with_its_versions(self) -> None:
+        async def test() -> None:
+            fleet = OriginNodes(nodes=1)
+            for origin in (OLD, NEW):
+                fleet.origins["n-0"].memory.record(KEY, origin, 0.0)
+            with mock.patch.object(stream_origins, "log_event") as log:
+                self.check_unknown(await fleet.resume("n-0", KEY))
+            log.assert_called_once_with(
+                "stream_origins_differ",
+                stream_key=KEY,
+                origins=["desk v1", "desk v2"],
+                named_by=[],
+            )
+
+        self.play(test)
+
+
 if __name__ == "__main__":
     unittest.main()
