--- a/src/fescuedock/core/stream_origins.py
+++ b/src/fescuedock/core/stream_origins.py
@@ -11,23 +11,29 @@
 Pure: the caller passes the time.
 """
 
+import enum
 from collections import OrderedDict, defaultdict
 from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from itertools import zip_longest
+from typing import Self
 
 import msgspec
 from result import Err, Ok, Result
 
 from fescuedock.core.rendezvous import rank_names
 from fescuedock.core.work_identity import work_identity
-from fescuedock.schema.origins import StreamOrigin
+from fescuedock.schema.origins import KnownStream, ServedVersions, StreamOrigin
 from fescuedock.schema.view import UpstreamRecord
 
 __all__ = [
+    "UNREADABLE",
+    "FoundOrigin",
+    "KnownBy",
     "OriginMemory",
     "OriginPolicy",
     "RegisteredVersions",
     "Retirement",
+    "VersionRecord",
     "decide_origin",
     "rank_holders",
     "stream_key",
@@ -35,6 +41,10 @@
 ]
 
 
+# Takes the place of the versions that an unreadable record may have named.
+UNREADABLE = "(unreadable)"
+
+
 class OriginPolicy(msgspec.Struct, frozen=True):
     """Limits of how origins are replicated, queried and retained.
 
@@ -44,7 +54,9 @@
     which still know an origin after a power loss.  Origins are retained for ``retention_ms``,
     longer than a client waits for a complete stream, and for at most ``max_origins`` streams: the
     oldest are dropped first, and their streams count as unknown.  A version that has been unlisted
-    for ``retire_after_ms`` is removed from the record of its service.
+    for ``retire_after_ms`` is marked as leaving in the record of its service, and removed when it
+    has been unlisted for as long again: longer than ``retention_ms``, by the time for which a node
+    may not know of the mark.
     """
 
     notified_nodes: int = 2
@@ -57,9 +69,9 @@
 
 
 class _KnownOrigin(msgspec.Struct):
-    """``origin`` is None if two different ones were recorded for the same stream."""
+    """``origins`` holds two if different ones were recorded for the same stream."""
 
-    origin: StreamOrigin | None
+    origins: tuple[StreamOrigin, ...]
     at_ms: float
     # Whether this node started the stream, and whether other nodes were notified.
     is_own: bool
@@ -93,21 +105,28 @@
         """Record the origin of a stream; conflicting origins make it unknown."""
         self._drop_old(now_ms)
         known = self._origins.pop(key, None)
-        updated = _KnownOrigin(origin, now_ms, is_own)
+        updated = _KnownOrigin((origin,), now_ms, is_own)
         if known is not None:
             updated.is_own |= known.is_own
-            updated.is_reported = known.is_reported
-            if known.origin != origin:
-                updated.origin = None
+            if origin in known.origins:
+                updated.origins = known.origins
+                updated.is_reported = known.is_reported
+            else:
+                updated.origins = (known.origins[0], origin)
         self._origins[key] = updated
         if len(self._origins) > self._policy.max_origins:
             self._origins.popitem(last=False)
 
     def find(self, key: str, now_ms: float) -> StreamOrigin | None:
         """Return the origin of a stream, None if it is not known for certain."""
+        recorded = self.recorded(key, now_ms)
+        return recorded[0] if len(recorded) == 1 else None
+
+    def recorded(self, key: str, now_ms: float) -> tuple[StreamOrigin, ...]:
+        """Return what is known of a stream: no origin, a certain one, or two that conflict."""
         self._drop_old(now_ms)
         known = self._origins.get(key)
-        return None if known is None else known.origin
+        return () if known is None else known.origins
 
     def mark_reported(self, keys: Iterable[str]) -> None:
         """Record that other nodes hold the origins of these streams as well."""
@@ -115,23 +134,22 @@
             if key in self._origins:
                 self._origins[key].is_reported = True
 
-    def unreported(self, now_ms: float) -> dict[str, StreamOrigin]:
+    def unreported(self, now_ms: float) -> list[KnownStream]:
         """Return the streams that were started here and reported to no other node."""
         return self._select(now_ms, lambda known: known.is_own and not known.is_reported)
 
-    def all_known(self, now_ms: float) -> dict[str, StreamOrigin]:
-        """Return every stream whose origin is certain."""
+    def all_known(self, now_ms: float) -> list[KnownStream]:
+        """Return every stream, and one with conflicting origins twice."""
         return self._select(now_ms, lambda _known: True)
 
-    def _select(
-        self, now_ms: float, wanted: Callable[[_KnownOrigin], bool]
-    ) -> dict[str, StreamOrigin]:
+    def _select(self, now_ms: float, wanted: Callable[[_KnownOrigin], bool]) -> list[KnownStream]:
         self._drop_old(now_ms)
-        return {
-            key: known.origin
+        return [
+            KnownStream(key, origin)
             for key, known in self._origins.items()
-            if known.origin is not None and wanted(known)
-        }
+            if wanted(known)
+            for origin in known.origins
+        ]
 
     def _drop_old(self, now_ms: float) -> None:
         while self._origins:
@@ -168,7 +186,24 @@
         """The only version at which streams may have started; None if there are several or none."""
         if self.software_versions is None or len(self.software_versions) != 1:
             return None
-        return next(iter(self.software_versions))
+        [version] = self.software_versions
+        return None if version == UNREADABLE else version
+
+
+class KnownBy(enum.StrEnum):
+    """By what the origin of a stream is known."""
+
+    MEMORY = "memory"
+    NODES = "nodes"
+    SPOOL = "spool"
+    RECORD = "record"
+
+
+class FoundOrigin(StreamOrigin):
+    """An origin, by what it is known, and which nodes and spools named it when asked."""
+
+    known_by: KnownBy = KnownBy.MEMORY
+    named_by: tuple[str, ...] = ()
 
 
 def decide_origin(
@@ -176,8 +211,8 @@
 ) -> Result[StreamOrigin, str]:
     """Return the origin of a stream, or ``Err`` with the reason why it is unknown.
 
-    ``reported`` holds the origins that the queried nodes knew.  ``registered`` is the record of the
-    only service that may have started the stream, None if there are several.
+    ``reported`` holds the origins that this node and the queried ones knew.  ``registered`` is the
+    record of the only service that may have started the stream, None if there are several.
     """
     if any(origin != reported[0] for origin in reported):
         return Err("nodes report different software versions")
@@ -203,6 +238,43 @@
     return {service: frozenset(versions) for service, versions in found.items()}
 
 
+class VersionRecord(msgspec.Struct, frozen=True):
+    """The versions in a service's record.
+
+    No stream starts at a version in ``leaving``.  A write that removes one from the record is
+    conditional on the revision that has the mark, and may take effect late; so a version that
+    returns is written anew without the mark, which makes such a write fail, before streams start.
+    """
+
+    software_versions: frozenset[str] = frozenset()
+    leaving: frozenset[str] = frozenset()
+
+    @classmethod
+    def of(cls, served: ServedVersions) -> Self:
+        versions = frozenset(served.software_versions)
+        return cls(versions, versions & frozenset(served.leaving))
+
+    @property
+    def startable(self) -> frozenset[str]:
+        """The versions at which a stream may start."""
+        return self.software_versions - self.leaving
+
+    def updated(self, listed: Collection[str], due: Collection[str]) -> Self:
+        """Return the record with the ``listed`` versions, and those that are ``due`` retired."""
+        due = frozenset(due) - frozenset(listed)
+        versions = self.software_versions.union(listed) - (self.leaving & due)
+        if not versions:
+            return self
+        leaving = (self.leaving & versions).difference(listed)
+        marked = leaving | (due & versions)
+        # The last versions remain, as they will most likely serve again.
+        return type(self)(versions, marked if versions - marked else leaving)
+
+    def served(self) -> ServedVersions:
+        """Return the record as stored."""
+        return ServedVersions(sorted(self.software_versions), sorted(self.leaving))
+
+
 class Retirement:
     """Tracks since when each version in a service's record has no listed upstream."""
 
@@ -210,32 +282,33 @@
 
     def __init__(self, policy: OriginPolicy) -> None:
         self._policy = policy
-        self._since_ms: dict[tuple[str, str], float] = {}
+        # By service, version, and whether it is marked as leaving.
+        self._since_ms: dict[tuple[str, str, bool], float] = {}
 
     def due(
         self,
-        registered: Mapping[str, Collection[str]],
+        registered: Mapping[str, VersionRecord],
         listed: Mapping[str, Collection[str]],
         now_ms: float,
         *,
         is_certain: bool,
     ) -> dict[str, Sequence[str]]:
-        """Return the versions to remove from the record of each service.
+        """Return the versions to mark as leaving, or to remove if they are marked, by service.
 
         A version that still starts streams anywhere stays.  ``is_certain`` is False while serving
         upstreams may be missing from the list.
         """
         gone = {
-            (service, version)
-            for service, versions in registered.items()
-            for version in versions
+            (service, version, version in record.leaving)
+            for service, record in registered.items()
+            for version in record.software_versions
             if version not in listed.get(service, ())
         }
         if not is_certain:
             gone = set()
-        self._since_ms = {pair: self._since_ms.get(pair, now_ms) for pair in gone}
+        self._since_ms = {item: self._since_ms.get(item, now_ms) for item in gone}
         due: defaultdict[str, list[str]] = defaultdict(list)
-        for (service, version), since_ms in self._since_ms.items():
+        for (service, version, _), since_ms in self._since_ms.items():
             if now_ms - since_ms >= self._policy.retire_after_ms:
                 due[service].append(version)
         return dict(due)
--- a/src/fescuedock/node/stream_origins.py
+++ b/src/fescuedock/node/stream_origins.py
@@ -5,7 +5,7 @@
 
 import random
 from collections import defaultdict
-from collections.abc import Callable, Collection, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Sequence
 
 import msgspec
 import trio
@@ -20,10 +20,14 @@
 from fescuedock.core.stored_jobs.keys import JobKeys
 from fescuedock.core.stored_jobs.work_gate import RecordFreshness
 from fescuedock.core.stream_origins import (
+    UNREADABLE,
+    FoundOrigin,
+    KnownBy,
     OriginMemory,
     OriginPolicy,
     RegisteredVersions,
     Retirement,
+    VersionRecord,
     decide_origin,
     rank_holders,
     versions_by_service,
@@ -50,9 +54,14 @@
 # A neighbour answers in 1 to 7 ms.
 _SEND_TIMEOUT_MS = 60.0
 _FIND_TIMEOUT_MS = 150.0
-# How long a stream's first event waits until another node confirms that it stores the origin.
+# How long the other nodes may take to contradict the first origin that is known.
+_AGREEMENT_TIMEOUT_S = 0.03
+# How long a stream's first event waits in a round until other nodes and a spool confirm that they
+# store the origin.
 _ACK_TIMEOUT_S = 0.03
 _SEND_ROUNDS = 3
+# How long no stream waits for a spool that was late.
+_LATE_SPOOL_MS = 1000.0
 # Bounds a read of a service's record while a client waits.
 _READ_TIMEOUT_S = 0.3
 # How old the replica of a record may be if the record cannot be read.
@@ -66,6 +75,17 @@
 _UNKNOWN_RETRY_MS = 100
 
 
+class _Reports(msgspec.Struct):
+    """The different origins known of one stream, and the nodes and spools that named any."""
+
+    origins: list[StreamOrigin]
+    named_by: list[str] = []
+
+    def add(self, name: str, origins: Iterable[StreamOrigin]) -> None:
+        self.named_by.append(name)
+        self.origins.extend(item for item in origins if item not in self.origins)
+
+
 class StreamOrigins:
     """The origins of streams at one node.
 
@@ -95,12 +115,14 @@
         self._policy = policy or OriginPolicy()
         self.memory = OriginMemory(self._policy)
         self._retirement = Retirement(self._policy)
-        # By service, the revision of its record and the versions decoded from it.
-        self._decoded: dict[str, tuple[int, frozenset[str]]] = {}
+        # By service, the revision of its record and its versions, None if they are unreadable.
+        self._decoded: dict[str, tuple[int, VersionRecord | None]] = {}
         # Failure domain and address of nodes and spools, from their records at a table version.
         self._nodes: dict[str, tuple[str, Address]] = {}
         self._spools: dict[str, tuple[str, Address]] = {}
         self._nodes_version = -1
+        # By spool that confirmed an origin too late, until when no stream waits for it.
+        self._late_until_ms: dict[str, float] = {}
         self._nursery: trio.Nursery | None = None
 
     def handlers(self) -> dict[type[msgspec.Struct], CallHandler]:
@@ -131,62 +153,74 @@
 
     def startable_versions(self, service: str) -> frozenset[str] | None:
         """Return the software versions on which a stream may start; None if any may be used."""
-        return self._registered(service)
+        registered = self._registered(service)
+        return None if registered is None else registered.startable
 
     async def record_start(self, key: str, origin: StreamOrigin, route: Route) -> None:
         """Record the origin of a stream, before its client gets the first event.
 
-        If other nodes may need it, return once another node has stored it, or after a short while:
-        a stream of unknown origin cannot be resumed, but is never continued on a wrong version.
+        If other nodes may need it, return once another process has stored it, a spool on disk if
+        there is one, or after a short while: a stream of unknown origin cannot be resumed, but is
+        never continued on a wrong version.
         """
         self.memory.record(key, origin, now_ms(), is_own=True)
-        is_uncertain = len(route.services) > 1 or self._is_uncertain(origin.service)
-        if not is_uncertain or self._nursery is None:
+        if not self._may_be_known_elsewhere(origin, route) or self._nursery is None:
             return
-        ranked = self._origin_nodes(key, live_only=True)
-        spools = self._origin_spools(key)[: self._policy.notified_disks]
-        for first in range(
-            0, _SEND_ROUNDS * self._policy.notified_nodes, self._policy.notified_nodes
-        ):
-            receivers = ranked[first : first + self._policy.notified_nodes] + (
-                spools if not first else []
-            )
-            if not receivers:
-                return
-            acknowledged = trio.Event()
-            for name in receivers:
-                self._nursery.start_soon(self._send, name, {key: origin}, acknowledged)
+        streams = [KnownStream(key, origin)]
+        nodes = self._origin_nodes(key, live_only=True)
+        spools = self._origin_spools(key)[: self._policy.queried_disks]
+        if not nodes and not spools:
+            return
+        late = [name for name in spools if nodes and now_ms() < self._late_until_ms.get(name, 0.0)]
+        spools = [name for name in spools if name not in late]
+        is_stored, is_on_disk = trio.Event(), trio.Event()
+        for name in late:
+            self._nursery.start_soon(self._send, name, streams, (is_stored, is_on_disk))
+        for _ in range(_SEND_ROUNDS):
+            next_nodes, nodes = _split(nodes, self._policy.notified_nodes)
+            next_spools, spools = _split(spools, self._policy.notified_disks)
+            if is_stored.is_set():
+                next_nodes = []
+            if not next_nodes and not next_spools:
+                break
+            for name in next_nodes:
+                self._nursery.start_soon(self._send, name, streams, (is_stored,))
+            for name in next_spools:
+                self._nursery.start_soon(self._send, name, streams, (is_stored, is_on_disk))
             with trio.move_on_after(_ACK_TIMEOUT_S):
-                await acknowledged.wait()
+                await is_stored.wait()
+                if next_spools:
+                    await is_on_disk.wait()
                 return
-        log_event("origin_not_told", stream_key=key)
+            self._late_until_ms |= dict.fromkeys(next_spools, now_ms() + _LATE_SPOOL_MS)
+        if not is_stored.is_set():
+            log_event("origin_not_told", stream_key=key)
 
     async def _send(
         self,
         name: str,
-        origins: Mapping[str, StreamOrigin],
-        acknowledged: trio.Event | None = None,
+        streams: Sequence[KnownStream],
+        acknowledged: Iterable[trio.Event] = (),
     ) -> None:
-        streams = [KnownStream(key, origin) for key, origin in origins.items()]
         reply = await self._call(name, KeepOrigins(streams), _SEND_TIMEOUT_MS)
         if not isinstance(reply, KeepOriginsReply) or reply.code != ResultCode.OK:
             return
-        self.memory.mark_reported(origins)
-        if acknowledged is not None:
-            acknowledged.set()
+        self.memory.mark_reported(stream.stream_key for stream in streams)
+        for event in acknowledged:
+            event.set()
 
-    async def _send_all(self, origins: Mapping[str, StreamOrigin]) -> None:
+    async def _send_all(self, streams: Iterable[KnownStream]) -> None:
         """Send origins to the nodes and spools that store them, many in one message."""
-        by_receiver: defaultdict[str, dict[str, StreamOrigin]] = defaultdict(dict)
-        for key, origin in origins.items():
+        by_receiver: defaultdict[str, list[KnownStream]] = defaultdict(list)
+        for stream in streams:
+            key = stream.stream_key
             receivers = self._origin_nodes(key, live_only=True)[: self._policy.notified_nodes]
             for name in receivers + self._origin_spools(key)[: self._policy.notified_disks]:
-                by_receiver[name][key] = origin
+                by_receiver[name].append(stream)
         async with trio.open_nursery() as nursery:
-            for name, origins_by_key in by_receiver.items():
-                pairs = list(origins_by_key.items())
-                for first in range(0, len(pairs), _MAX_STREAMS_PER_MESSAGE):
-                    part = dict(pairs[first : first + _MAX_STREAMS_PER_MESSAGE])
+            for name, received in by_receiver.items():
+                for first in range(0, len(received), _MAX_STREAMS_PER_MESSAGE):
+                    part = received[first : first + _MAX_STREAMS_PER_MESSAGE]
                     nursery.start_soon(self._send, name, part)
 
     async def leave(self) -> None:
@@ -196,35 +230,53 @@
 
     # --- streams that are resumed ----------------------------------------------------------------
 
-    async def origin_of(self, key: str | None, route: Route) -> Result[StreamOrigin, Fault]:
+    async def origin_of(self, key: str | None, route: Route) -> Result[FoundOrigin, Fault]:
         """Return the origin of a stream; ``ORIGIN_UNKNOWN`` when it cannot be found.
 
         ``key`` is None when the client does not name the stream.
         """
-        known = None if key is None else self.memory.find(key, now_ms())
-        if known is not None:
-            return Ok(known)
-        services = [name for name, weight in route.services if weight > 0]
-        origins, registered = await self._query(key, services[0] if len(services) == 1 else None)
-        decided = decide_origin(origins, registered)
+        recorded = () if key is None else self.memory.recorded(key, now_ms())
+        reports = _Reports(list(recorded))
+        registered: RegisteredVersions | None = None
+        if not recorded:
+            services = [name for name, weight in route.services if weight > 0]
+            service = services[0] if len(services) == 1 else None
+            registered = await self._query(key, service, reports)
+        elif len(recorded) == 1 and self._may_be_known_elsewhere(recorded[0], route):
+            await self._find_elsewhere(key, reports)
+        decided = decide_origin(reports.origins, registered)
         if isinstance(decided, Err):
+            if key is not None and reports.origins:
+                self._record_conflict(key, reports)
             return Err(Fault(ResultCode.ORIGIN_UNKNOWN, decided.err_value, _UNKNOWN_RETRY_MS))
-        return decided
+        origin = decided.ok_value
+        known_by = KnownBy.MEMORY if recorded else self._known_by(reports)
+        return Ok(
+            FoundOrigin(origin.service, origin.software_version, known_by, tuple(reports.named_by))
+        )
+
+    def _known_by(self, reports: _Reports) -> KnownBy:
+        if not reports.named_by:
+            return KnownBy.RECORD
+        only_spools = self._spools.keys() >= set(reports.named_by)
+        return KnownBy.SPOOL if only_spools else KnownBy.NODES
+
+    def _record_conflict(self, key: str, reports: _Reports) -> None:
+        for origin in reports.origins:
+            self.memory.record(key, origin, now_ms())
+        log_event(
+            "stream_origins_differ",
+            stream_key=key,
+            origins=[f"{item.service} {item.software_version}" for item in reports.origins],
+            named_by=reports.named_by,
+        )
 
     async def _query(
-        self, key: str | None, service: str | None
-    ) -> tuple[list[StreamOrigin], RegisteredVersions | None]:
-        """Query the nodes that may store an origin, and read the service's record in parallel."""
-        origins: list[StreamOrigin] = []
+        self, key: str | None, service: str | None, reports: _Reports
+    ) -> RegisteredVersions | None:
+        """Find a stream's origin elsewhere, and read the service's record in parallel."""
         registered: RegisteredVersions | None = None
 
-        async def find(name: str) -> None:
-            reply = await self._call(name, FindOrigin(key), _FIND_TIMEOUT_MS)
-            if isinstance(reply, FindOriginReply) and reply.origins:
-                origins.extend(reply.origins)
-                # One origin is enough: each was received from the node that started the stream.
-                nursery.cancel_scope.cancel()
-
         async def read() -> None:
             nonlocal registered
             registered = await self._read_versions(service)
@@ -233,10 +285,36 @@
             if service is not None:
                 nursery.start_soon(read)
             if key is not None:
-                spools = self._origin_spools(key)[: self._policy.queried_disks]
-                for name in self._origin_nodes(key)[: self._policy.queried_nodes] + spools:
-                    nursery.start_soon(find, name)
-        return origins, registered
+                await self._find_elsewhere(key, reports)
+            if reports.origins:
+                nursery.cancel_scope.cancel()
+        return registered
+
+    async def _find_elsewhere(self, key: str, reports: _Reports) -> None:
+        """Query the nodes that may store an origin, and add what they know to ``reports``.
+
+        Two runs may have begun under one key, and a node may know of only one of them.  So a known
+        origin is returned once all nodes agree, or after ``_AGREEMENT_TIMEOUT_S``.
+        """
+
+        def limit_wait(scope: trio.CancelScope) -> None:
+            if len(reports.origins) > 1:
+                scope.cancel()
+            elif reports.origins:
+                latest_s = trio.current_time() + _AGREEMENT_TIMEOUT_S
+                scope.deadline = min(scope.deadline, latest_s)
+
+        async def find(name: str) -> None:
+            reply = await self._call(name, FindOrigin(key), _FIND_TIMEOUT_MS)
+            if isinstance(reply, FindOriginReply) and reply.origins:
+                reports.add(name, reply.origins)
+                limit_wait(nursery.cancel_scope)
+
+        async with trio.open_nursery() as nursery:
+            limit_wait(nursery.cancel_scope)
+            spools = self._origin_spools(key)[: self._policy.queried_disks]
+            for name in self._origin_nodes(key)[: self._policy.queried_nodes] + spools:
+                nursery.start_soon(find, name)
 
     async def _read_versions(self, service: str) -> RegisteredVersions:
         """Read a service's current record, or return its last known state."""
@@ -244,9 +322,9 @@
             found = await self._kv.get(self._keys.versions + service)
             if isinstance(found, Ok):
                 entry = found.ok_value
-                versions = None if entry is None else _versions_of(entry)
-                return RegisteredVersions(service, versions, is_current=True)
-        return RegisteredVersions(service, self._registered(service), self._is_current())
+                record = None if entry is None else _record_in(entry)
+                return _as_registered(service, record, is_current=True)
+        return _as_registered(service, self._registered(service), is_current=self._is_current())
 
     def _is_current(self) -> bool:
         """Whether the records here are current although the store does not answer.
@@ -270,36 +348,44 @@
         return KeepOriginsReply(ResultCode.OK)
 
     async def _on_find(self, message: FindOrigin, _peer: ServerPeer) -> FindOriginReply:
-        known = self.memory.find(message.stream_key, now_ms())
-        return FindOriginReply([] if known is None else [known])
+        return FindOriginReply(list(self.memory.recorded(message.stream_key, now_ms())))
 
     # --- the records of services -----------------------------------------------------------------
 
     def _is_uncertain(self, service: str) -> bool:
         """Whether a service's record alone may not determine the version a stream started on."""
         registered = self._registered(service)
-        if registered is None or len(registered) > 1:
+        if registered is None or len(registered.software_versions) > 1:
             return True
         return self._replicas.kv_availability.is_unavailable(now_ms())
 
+    def _may_be_known_elsewhere(self, origin: StreamOrigin, route: Route) -> bool:
+        """Whether other nodes are notified of such a stream when it starts."""
+        return len(route.services) > 1 or self._is_uncertain(origin.service)
+
     def _is_needed_elsewhere(self) -> bool:
         """Whether other nodes may need the origins of streams that started here."""
         served = versions_by_service(self._view.upstreams.values(), self._services())
         return any(self._is_uncertain(name) for name in served)
 
-    def _registered(self, service: str) -> frozenset[str] | None:
-        """Return the versions in a service's record; None without a readable record."""
+    def _registered(self, service: str) -> VersionRecord | None:
+        """Return a service's record; None without a readable one."""
         entry = self._table.entries.get(self._keys.versions + service)
         if entry is None:
             return None
         known = self._decoded.get(service)
         if known is None or known[0] != entry.mod_revision:
-            versions = _versions_of(entry)
-            if versions is None:
-                return None
-            known = self._decoded[service] = (entry.mod_revision, versions)
+            known = self._decoded[service] = (entry.mod_revision, _record_in(entry))
         return known[1]
 
+    def _recorded(self, service: str) -> VersionRecord:
+        """Return the record whose versions a new one must retain until they are retired."""
+        registered = self._registered(service)
+        if registered is not None:
+            return registered
+        is_present = self._keys.versions + service in self._table.entries
+        return VersionRecord(frozenset((UNREADABLE,) if is_present else ()))
+
     async def _maintain_records(self) -> None:
         """Add listed software versions to the records, and remove those long unlisted."""
         while True:
@@ -310,28 +396,24 @@
             with trio.move_on_after(_POLL_INTERVAL_S):
                 await self._view.wait_changed(seen)
 
-    def _due_records(self) -> dict[str, frozenset[str]]:
-        """Return the services whose records must change, with the versions to write."""
+    def _due_records(self) -> dict[str, VersionRecord]:
+        """Return the services whose records must change, with the records to write."""
         services = self._services()
         if not self._table.is_known:
             return {}
         listed = versions_by_service(self._view.upstreams.values(), services)
-        registered = {name: self._registered(name) or frozenset() for name in services}
+        registered = {name: self._recorded(name) for name in services}
         kv_availability = self._replicas.kv_availability
         retired = self._retirement.due(
             registered, listed, now_ms(), is_certain=not kv_availability.in_grace(now_ms())
         )
         wanted = {
-            name: (versions | listed.get(name, frozenset())) - frozenset(retired.get(name, ()))
-            for name, versions in registered.items()
-        }
-        return {
-            name: versions
-            for name, versions in wanted.items()
-            if versions and versions != registered[name]
+            name: record.updated(listed.get(name, ()), retired.get(name, ()))
+            for name, record in registered.items()
         }
+        return {name: record for name, record in wanted.items() if record != registered[name]}
 
-    async def _write_by_rank(self, service: str, wanted: frozenset[str]) -> None:
+    async def _write_by_rank(self, service: str, wanted: VersionRecord) -> None:
         """Write a record after a delay by rank, unless a node of a higher rank did so before."""
         live = {vm.vm_id for vm in self._view.live_vms()} | {self._view.vm_id}
         rank = rank_names(service, live).index(self._view.vm_id)
@@ -340,7 +422,8 @@
             return
         key = self._keys.versions + service
         entry = self._table.entries.get(key)
-        value = msgspec.msgpack.encode(ServedVersions(sorted(wanted)))
+        former = self._recorded(service)
+        value = msgspec.msgpack.encode(wanted.served())
         revision = 0 if entry is None else entry.mod_revision
         written = await self._kv.put_if(key, value, revision)
         if isinstance(written, Err):
@@ -353,8 +436,9 @@
         log_event(
             "served_versions_written",
             service=service,
-            software_versions=sorted(wanted),
-            former_versions=sorted(self._decoded.get(service, (0, frozenset()))[1]),
+            software_versions=sorted(wanted.software_versions),
+            leaving_versions=sorted(wanted.leaving),
+            former_versions=sorted(former.software_versions),
         )
 
     # --- other nodes -----------------------------------------------------------------------------
@@ -397,6 +481,10 @@
         return called.ok_value if isinstance(called, Ok) else None
 
 
+def _split(names: list[str], count: int) -> tuple[list[str], list[str]]:
+    return names[:count], names[count:]
+
+
 def _nodes_in(entries: Iterable[KvEntry], prefix: str) -> Iterable[tuple[str, tuple[str, Address]]]:
     for entry in entries:
         if not entry.key.startswith(prefix):
@@ -409,11 +497,17 @@
         yield record.vm_id, (record.failure_domain, Address(record.host, record.port))
 
 
-def _versions_of(entry: KvEntry) -> frozenset[str] | None:
-    """Return the versions in a record; log and return None when it cannot be decoded."""
+def _record_in(entry: KvEntry) -> VersionRecord | None:
+    """Return the record of a service; log and return None when it cannot be decoded."""
     try:
-        record = msgspec.msgpack.decode(entry.value, type=ServedVersions)
+        return VersionRecord.of(msgspec.msgpack.decode(entry.value, type=ServedVersions))
     except msgspec.DecodeError as error:
         log_event("served_versions_unreadable", key=entry.key, reason=str(error))
         return None
-    return frozenset(record.software_versions)
+
+
+def _as_registered(
+    service: str, record: VersionRecord | None, *, is_current: bool
+) -> RegisteredVersions:
+    versions = None if record is None else record.software_versions
+    return RegisteredVersions(service, versions, is_current)
