--- a/src/fescuedock/node/online_call.py
+++ b/src/fescuedock/node/online_call.py
@@ -255,6 +255,8 @@
             resumes=self.head.resumed_request_id,
             last_event=self.head.last_event,
             software_version=found.ok_value.software_version if isinstance(found, Ok) else "",
+            known_by=found.ok_value.known_by if isinstance(found, Ok) else "",
+            named_by=list(found.ok_value.named_by) if isinstance(found, Ok) else [],
             outcome="known" if isinstance(found, Ok) else found.err_value.message,
             took_ms=round(now_ms() - self.received_ms, 1),
         )
