--- a/src/fescuedock/node/online.py
+++ b/src/fescuedock/node/online.py
@@ -17,6 +17,7 @@
 from fescuedock.core.placement import choose_by_prediction
 from fescuedock.core.route_learning import DomainLatency, PrefillModel, RequestTimeout, SilentOwners
 from fescuedock.core.routing import RoutingPolicy
+from fescuedock.core.stream_origins import FoundOrigin
 from fescuedock.faults import Fault
 from fescuedock.net.http_client import HttpClient
 from fescuedock.net.http_server import (
@@ -121,7 +122,7 @@
         if self.origins is not None:
             await self.origins.record_start(key, origin, route)
 
-    async def origin_of(self, key: str | None, route: Route) -> Result[StreamOrigin, Fault]:
+    async def origin_of(self, key: str | None, route: Route) -> Result[FoundOrigin, Fault]:
         """Return the origin of a stream that a client resumes."""
         if self.origins is None:
             return Err(Fault(ResultCode.ORIGIN_UNKNOWN, "this node stores no origins of streams"))
