Use the connection that replaces one closed while its peer was identified

An upstream may close any connection after an answer. Where it closed the one that asked for its report, the connection opened in its place was identified, closed as well and then written to, so the call counted as lost. tests/test_net_peer_identity.py failed in one of five tests before.

--- a/src/fescuedock/net/http_client.py
+++ b/src/fescuedock/net/http_client.py
@@ -316,21 +316,21 @@
         """Return a connection whose peer has answered ``query``, another one if that was closed."""
         if connection.is_identified:
             return connection
-        reason = ""
         for tries_left in reversed(range(_MAX_IDENTITY_TRIES)):
+            is_usable, reason = False, "it closed the connection"
             try:
                 with _answer_timeout(address, self.connect_timeout_ms):
                     await connection.identify(address, query)
-                if connection.reusable():
-                    return connection
-                reason = "it closed the connection"
+                is_usable = connection.reusable()
             except ResponseLostError as error:
                 reason = str(error)
             except (ResponseTooLargeError, ValueError) as error:
                 raise NotSentError(f"{address} did not identify itself: {error}") from error
             finally:
-                if not connection.is_identified or reason:
+                if not is_usable:
                     connection.abort()
+            if is_usable:
+                return connection
             if tries_left:
                 connection = await self._connect(address)
         raise NotSentError(f"{address} did not identify itself: {reason}")
--- /dev/null
+++ b/tests/test_net_peer_identity.py
@@ -0,0 +1,115 @@
+"""A request that names the process it is meant for is written to no other one."""
+
+import unittest
+from collections import Counter
+
+import trio
+
+from fescuedock.net.http_client import NotSentError, OtherPeerError, PeerQuery, open_http_client
+from fescuedock.net.http_server import DroppedConnectionError, Request, Responder
+from tests.builders.net import served
+
+
+def read_identity(status: int, body: bytes) -> str | None:
+    if status != 200:
+        raise ValueError(f"status {status}")
+    return body.decode() or None
+
+
+def query(expected: str) -> PeerQuery:
+    return PeerQuery("/identity", read_identity, expected)
+
+
+class PeerIdentityTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.targets: Counter[str] = Counter()
+        self.identity = b"first"
+        self.status = 200
+        self.headers: list[tuple[str, str]] = []
+        self.drops = 0
+
+    async def answer(self, request: Request, responder: Responder) -> None:
+        await request.read(1024)
+        self.targets[request.path] += 1
+        if request.path != "/identity":
+            await responder.send(200, b"done")
+            return
+        if self.drops:
+            self.drops -= 1
+            raise DroppedConnectionError("dropped the answer as configured")
+        await responder.send(self.status, self.identity, self.headers)
+
+    def run_guarded(self, test) -> None:
+        async def guarded() -> None:
+            with trio.fail_after(10):
+                async with served(self.answer) as (_, address), open_http_client() as client:
+                    connected = []
+                    client.on_connect = connected.append
+
+                    async def send(expected: str) -> str | None:
+                        async with client.request(
+                            address, "POST", "/run", peer_query=query(expected)
+                        ) as response:
+                            await response.read()
+                            return response.peer
+
+                    await test(send, connected)
+
+        trio.run(guarded)
+
+    def test_each_connection_is_identified_once(self) -> None:
+        async def test(send, connected) -> None:
+            for _ in range(5):
+                self.assertEqual(await send("first"), "first")
+            self.assertEqual(self.targets, {"/identity": 1, "/run": 5})
+            self.assertEqual(len(connected), 1)
+
+        self.run_guarded(test)
+
+    def test_another_process_gets_no_request_and_its_connection_is_kept(self) -> None:
+        async def test(send, connected) -> None:
+            for _ in range(3):
+                with self.assertRaises(OtherPeerError):
+                    await send("second")
+            self.assertEqual(self.targets, {"/identity": 1})
+            self.assertEqual(await send("first"), "first")
+            self.assertEqual(len(connected), 1)
+
+        self.run_guarded(test)
+
+    def test_a_process_that_does_not_tell_its_identity_gets_requests(self) -> None:
+        async def test(send, _connected) -> None:
+            self.identity = b""
+            self.assertIsNone(await send("first"))
+            self.assertEqual(self.targets["/run"], 1)
+
+        self.run_guarded(test)
+
+    def test_a_connection_that_is_closed_with_the_identity_is_replaced_once(self) -> None:
+        async def test(send, connected) -> None:
+            self.drops = 1
+            self.assertEqual(await send("first"), "first")
+            self.assertEqual((self.targets["/identity"], len(connected)), (2, 2))
+            self.headers = [("connection", "close")]
+            self.identity = b"other"
+            with self.assertRaises(OtherPeerError):
+                await send("second")
+
+        self.run_guarded(test)
+
+    def test_nothing_is_sent_if_the_identity_cannot_be_read(self) -> None:
+        async def test(send, connected) -> None:
+            for status, drops in ((503, 0), (200, 2)):
+                self.status, self.drops = status, drops
+                with self.assertRaises(NotSentError):
+                    await send("first")
+            self.assertEqual(self.targets["/run"], 0)
+            self.status = 200
+            self.assertEqual(await send("first"), "first")
+            self.assertEqual(len(connected), 4)
+
+        self.run_guarded(test)
+
+
+if __name__ == "__main__":
+    unittest.main()
