Pass over upstreams that take no work when an item needs an isolated run

What callers saw: an owed item that has to run in isolation was not listed for as long as one upstream was drained, unhealthy or had an owner that did not answer, while all others had room.

Cause: items requested isolated runs at the first choice of all nodes among the upstreams that do not leave. Online calls choose among those whose owners answer and admit work; items did not. So did items of jobs with files. With six upstreams one in six of such faults holds back every suspected item of a service.

Evidence: an item with three crashes, in a fleet of three nodes and six upstreams whose first choice then answers nothing: no item listed after 18 s.

Why this works: items plan their requests as online calls do, by the loads that owners report and by the owners that answered them. The first choice of all nodes stays the first for all, so that suspected work still occupies one upstream. isolated_run_not_granted names the service and the refusal.

The context of test_batch_starts has no permits; it names them now, as the dispatcher passes them on.

--- a/src/fescuedock/batch/dispatch.py
+++ b/src/fescuedock/batch/dispatch.py
@@ -11,6 +11,7 @@
 import trio
 from result import Ok, Result
 
+from fescuedock.agent.isolated_permits import IsolatedPermits
 from fescuedock.agent.permit_client import Grant
 from fescuedock.agent.send_check import send_check
 from fescuedock.batch.attempts import Attempt, run_attempt
@@ -22,7 +23,6 @@
 from fescuedock.core.batch.job import JobRun
 from fescuedock.core.batch.scheduler import Assignment
 from fescuedock.core.quarantine import Restriction
-from fescuedock.core.rendezvous import choose_name
 from fescuedock.core.work_identity import message_parts, work_identity
 from fescuedock.faults import Fault
 from fescuedock.log import log_event
@@ -51,11 +51,19 @@
 class Dispatcher:
     """Keeps permit requests open at the owner of each upstream whose service has jobs here."""
 
-    __slots__ = ("_context", "_find_task", "_nursery", "_requesting", "_stopping")
+    __slots__ = (
+        "_context",
+        "_find_task",
+        "_isolated_permits",
+        "_nursery",
+        "_requesting",
+        "_stopping",
+    )
 
     def __init__(self, context: RunnerContext, find_task: FindTask) -> None:
         self._context = context
         self._find_task = find_task
+        self._isolated_permits = IsolatedPermits(context.view, context.permits, _REQUEST_MARGIN_MS)
         self._requesting: set[str] = set()
         self._stopping = False
 
@@ -203,21 +211,10 @@
             if verdict.restriction in (Restriction.UNSETTLED, Restriction.REFUSED):
                 await trio.sleep(verdict.retry_after_ms / 1000)
                 continue
-            names = [
-                item.upstream_id
-                for item in context.view.upstreams_of(assignment.service)
-                if not item.leaving
-            ]
-            # All VMs choose the same upstream, so that isolated runs occupy no more than one.
-            upstream = context.view.upstreams.get(choose_name(assignment.service, names) or "")
-            if upstream is None:
-                await trio.sleep(_UPSTREAMS_POLL_S)
-                continue
-            request = self._isolated_request(upstream, assignment.run, work.work_id)
-            timeout_ms = _ISOLATED_WAIT_MS + _REQUEST_MARGIN_MS
-            result = await context.permits.request(request, timeout_ms, work.parts)
+            request = self._isolated_request(assignment, work.work_id)
+            result = await self._isolated_permits.request(request, work.parts)
             if isinstance(result, Ok):
-                return upstream, result.ok_value
+                return result.ok_value
             pause_ms = max(result.err_value.retry_after_ms, _REFUSED_PAUSE_MS)
             await trio.sleep(pause_ms * context.random.uniform(0.5, 1.5) / 1000)
 
@@ -234,13 +231,13 @@
             retry_after_ms=round(verdict.retry_after_ms),
         )
 
-    def _isolated_request(self, upstream: UpstreamRecord, run: JobRun, work_id: str) -> PermitAsk:
+    def _isolated_request(self, assignment: Assignment, work_id: str) -> PermitAsk:
         return PermitAsk(
-            upstream_id=upstream.upstream_id,
-            attempt_id=token_hex(16),
+            upstream_id="",
+            attempt_id="",
             holder_id=self._context.permits.holder_id,
-            service=upstream.service,
-            member=run.record.member,
+            service=assignment.service,
+            member=assignment.run.record.member,
             work_class=WorkClass.BATCH,
             slack_ms=0,
             wait_ms=_ISOLATED_WAIT_MS,
--- a/src/fescuedock/node/item_isolation.py
+++ b/src/fescuedock/node/item_isolation.py
@@ -4,19 +4,18 @@
 """
 
 from collections.abc import Callable
-from secrets import token_hex
 
 import msgspec
 import trio
 from result import Ok
 
+from fescuedock.agent.isolated_permits import IsolatedPermits
 from fescuedock.agent.link import FleetView
 from fescuedock.agent.permit_client import Grant, PermitClient
 from fescuedock.clock import now_ms
-from fescuedock.core.rendezvous import choose_name
+from fescuedock.faults import Fault
 from fescuedock.log import log_event
 from fescuedock.schema.permits import PermitAsk, WorkClass
-from fescuedock.schema.result_codes import ResultCode
 from fescuedock.schema.view import UpstreamRecord
 
 __all__ = ["IsolatedItem", "IsolatedRuns"]
@@ -51,7 +50,8 @@
         use_grant: Callable[[UpstreamRecord, Grant], None],
     ) -> None:
         self._view = view
-        self._permits = permits
+        self._holder_id = permits.holder_id
+        self._permits = IsolatedPermits(view, permits, _REPLY_MARGIN_MS)
         self._next_item = next_item
         self._use_grant = use_grant
         # Time of the last log line about a refusal.
@@ -71,15 +71,11 @@
             await trio.sleep(_POLL_INTERVAL_S)
 
     async def _request(self, service: str, item: IsolatedItem) -> None:
-        """Request the upstream that all nodes choose for isolated runs of the service."""
-        usable = [item.upstream_id for item in self._view.upstreams_of(service) if not item.leaving]
-        upstream_id = choose_name(service, usable)
-        if upstream_id is None:
-            return
+        """Request an isolated run of an item of the service."""
         request = PermitAsk(
-            upstream_id=upstream_id,
-            attempt_id=token_hex(16),
-            holder_id=self._permits.holder_id,
+            upstream_id="",
+            attempt_id="",
+            holder_id=self._holder_id,
             service=service,
             member=item.customer,
             work_class=WorkClass.BATCH,
@@ -89,23 +85,20 @@
             priority=item.priority,
         )
         began_ms = now_ms()
-        granted = await self._permits.request(request, _QUEUE_WAIT_MS + _REPLY_MARGIN_MS)
-        upstream = self._view.upstreams.get(upstream_id)
-        if not isinstance(granted, Ok):
-            self._log_refusal(upstream_id, granted.err_value.code, now_ms() - began_ms)
-            return
-        if upstream is None:
-            self._permits.return_unused(granted.ok_value)
-            return
-        self._use_grant(upstream, granted.ok_value)
+        granted = await self._permits.request(request)
+        if isinstance(granted, Ok):
+            self._use_grant(*granted.ok_value)
+        else:
+            self._log_refusal(service, granted.err_value, now_ms() - began_ms)
 
-    def _log_refusal(self, upstream_id: str, code: ResultCode, waited_ms: float) -> None:
+    def _log_refusal(self, service: str, fault: Fault, waited_ms: float) -> None:
         if now_ms() - self._logged_ms < _REFUSAL_LOG_INTERVAL_MS:
             return
         self._logged_ms = now_ms()
         log_event(
             "isolated_run_not_granted",
-            upstream_id=upstream_id,
-            code=code.name,
+            service=service,
+            code=fault.code.name,
+            reason=fault.message,
             waited_ms=round(waited_ms),
         )
--- a/tests/test_batch_starts.py
+++ b/tests/test_batch_starts.py
@@ -221,6 +221,7 @@
     harness: BatchJobHarness, engine: _Engine, configuration: Configuration
 ) -> SimpleNamespace:
     return SimpleNamespace(
+        permits=None,
         view=SimpleNamespace(
             configuration=configuration,
             upstreams={"u1": _UPSTREAM},
--- a/tests/test_node_owed_items.py
+++ b/tests/test_node_owed_items.py
@@ -8,11 +8,12 @@
 
 from fescuedock.address import Address
 from fescuedock.core.quarantine import QuarantinePolicy
+from fescuedock.core.rendezvous import choose_name
 from fescuedock.core.work_identity import work_identity
 from fescuedock.net.http_server import Request, Responder
 from fescuedock.platform.standin.event_upstream import EventUpstream
 from tests.builders.jobs_calls import item_entry, read_page, submission_of
-from tests.builders.node import HOST, NodeFleet, running_fleet
+from tests.builders.node import HOST, SERVICE, NodeFleet, running_fleet
 from tests.builders.online import wait_until
 from tests.builders.ports import free_ports
 from tests.builders.standins import run_async
@@ -25,11 +26,17 @@
 
 
 class UnluckyUpstream(EventUpstream):
-    """Crashes during each run of the item ``unlucky`` until ``crashes_left`` is used up."""
+    """Crashes during each run of the item ``unlucky`` until ``crashes_left`` is used up.
+
+    The upstream ``hung_id`` answers nothing.
+    """
 
     crashes_left = 0
+    hung_id = ""
 
     async def handle(self, request: Request, responder: Responder) -> None:
+        if self.upstream_id == UnluckyUpstream.hung_id:
+            await trio.sleep_forever()
         if UnluckyUpstream.crashes_left > 0:
             self.harmful.add(_PATH)
         else:
@@ -81,6 +88,7 @@
     ) -> None:
         async def run() -> None:
             UnluckyUpstream.crashes_left = crashes
+            UnluckyUpstream.hung_id = ""
             with trio.fail_after(60):
                 async with running_fleet(
                     **({"nodes": 3, "upstreams": 6} | options), upstream_type=UnluckyUpstream
@@ -155,6 +163,20 @@
 
         self.run_fleet(4, test)
 
+    # All nodes request isolated runs at the same upstream, and that one granted none.
+    def test_an_item_is_listed_though_the_first_choice_for_isolated_runs_hangs(self) -> None:
+        async def test(fleet: NodeFleet) -> None:
+            await submit_items(fleet, "unlucky")
+            await self.wait_crashes(fleet, 3)
+            with trio.fail_after(2):
+                await wait_until(lambda: all(item.listener.is_up for item in fleet.upstreams))
+            names = [upstream.upstream_id for upstream in fleet.upstreams]
+            UnluckyUpstream.hung_id = choose_name(SERVICE, names)
+            states = await listed_states(fleet, 1, _LISTED_WITHIN_S)
+            self.assertEqual(states, {"unlucky": "completed"})
+
+        self.run_fleet(3, test)
+
     def test_an_item_that_waits_is_logged_and_counted(self) -> None:
         lines: list[dict] = []
         [port] = free_ports(1, "127.0.0.1")
