Let batch items have one in four isolated runs beside suspected calls

What callers saw: an owed item that has to run in isolation was not listed for as long as suspected calls came one after the other.

Cause: an upstream's owner granted isolated runs to calls before items, without a share for items. All isolated runs of a service use one upstream, so a few suspected calls at a time keep it.

Evidence: test_isolated_runs, two callers with isolated calls of 1 s each at a real queue: the item had no run after 60 s of virtual time.

Why this works: after three isolated runs of calls the next one goes to an item if one waits. A suspected call waits for one run of an item in four at most, and calls that do not wait beside an item are not delayed.

Measured: the test above and a new one of test_permits_isolated failed before and pass.

--- a/src/fescuedock/core/permits/waiting.py
+++ b/src/fescuedock/core/permits/waiting.py
@@ -14,6 +14,9 @@
 
 __all__ = ["MemberShares", "WaitingRequest", "WaitingRequests"]
 
+# One in this many isolated runs goes to a batch item, before calls that may never stop.
+_ISOLATED_BATCH_INTERVAL = 4
+
 
 class WaitingRequests(msgspec.Struct):
     """The queued requests of one upstream.  Online always goes before batch.
@@ -37,6 +40,8 @@
     _orders: dict[WorkClass, "FairOrder"] = msgspec.field(default_factory=dict)
     # Batch grants since the last one reserved for overdue work.
     _grants_since_overdue: int = 0
+    # Isolated runs granted to calls since the last one of a batch item.
+    _isolated_calls: int = 0
 
     def __contains__(self, attempt_id: str) -> bool:
         return attempt_id in self._by_attempt
@@ -48,11 +53,15 @@
         return self._counts[work_class]
 
     def isolated_in_order(self) -> list[WaitingRequest]:
-        """Return the requests for isolated runs, next first: online before batch, by arrival."""
+        """Return the requests for isolated runs, next first: by class and arrival.
+
+        Online goes before batch, but for one in ``_ISOLATED_BATCH_INTERVAL``.
+        """
+        first = WorkClass.ONLINE
+        if self._isolated_calls >= _ISOLATED_BATCH_INTERVAL - 1:
+            first = WorkClass.BATCH
         requests = [item for item in self._by_attempt.values() if item.request.alone]
-        requests.sort(
-            key=lambda item: (item.request.work_class is WorkClass.BATCH, item.arrived_ms)
-        )
+        requests.sort(key=lambda item: (item.request.work_class is not first, item.arrived_ms))
         return requests
 
     def expected_online_starts(self) -> float:
@@ -101,6 +110,9 @@
 
     def record_grant(self, waiting: WaitingRequest, now_ms: float) -> bool:
         """Record a grant; return whether it was the one reserved for overdue work."""
+        if waiting.request.alone:
+            is_call = waiting.request.work_class is WorkClass.ONLINE
+            self._isolated_calls = self._isolated_calls + 1 if is_call else 0
         if waiting.request.work_class is not WorkClass.BATCH:
             return False
         is_reserved_grant = self._is_overdue_grant_due and waiting.is_overdue(now_ms)
--- a/tests/builders/isolated_runs.py
+++ b/tests/builders/isolated_runs.py
@@ -1,5 +1,6 @@
 """Owners' real queues, and one node that requests isolated runs, for trio's mock clock."""
 
+import itertools
 from dataclasses import dataclass, field
 
 import trio
@@ -24,6 +25,7 @@
 SERVICE = "desk-llm"
 _SLOTS = 4
 _TICK_S = 0.05
+_CALL_WAIT_MS = 60_000
 # Permits are not renewed here.
 _VALID_MS = 1_000_000_000
 
@@ -59,11 +61,11 @@
 
 
 class IsolationFleet:
-    """Upstreams ``u0`` to ``u2`` of ``SERVICE``, each owned by a VM of its failure domain."""
+    """Three upstreams of each of ``services``, each owned by a VM of its failure domain."""
 
-    def __init__(self, services: tuple[str, ...] = (SERVICE,)) -> None:
+    def __init__(self, *services: str) -> None:
         self.view = FleetView("vm-0")
-        names = [f"{service}/u{number}" for service in services for number in range(3)]
+        names = [f"{name}/u{number}" for name in dict.fromkeys(services) for number in range(3)]
         domains = {name: f"d-{name}" for name in names}
         vms = [
             VmRecord(
@@ -80,10 +82,10 @@
             for name, domain in domains.items()
         ]
         upstreams = [
-            UpstreamRecord(name, "r", domains[name], "127.0.0.1", 1, UpstreamKind.ENGINE, service)
-            for service in services
-            for name in names
-            if name.startswith(service)
+            UpstreamRecord(
+                name, "r", domain, "127.0.0.1", 1, UpstreamKind.ENGINE, name.partition("/")[0]
+            )
+            for name, domain in domains.items()
         ]
         self.view.replace(1, vms, upstreams, 0.0)
         self.view.quarantine.record(CrashReport("r", "u", 0, [CrashedRun("w")]), 0.0)
@@ -103,21 +105,27 @@
             for owner in self.owners.values():
                 owner.apply(owner.queue.tick(now_ms()))
 
-    async def occupy(self, upstream_id: str, run_s: float, pause_s: float = 0.0) -> None:
-        """Send calls of ``run_s`` to an upstream one after the other."""
-        permits = SimulatedPermits(self, "caller")
-        number = 0
-        while True:
-            number += 1
+    async def call_forever(
+        self, name: str, upstream_id: str, run_s: float, *, isolated: bool = False
+    ) -> None:
+        """Run online calls of ``run_s`` at an upstream, the next one right after each."""
+        permits = SimulatedPermits(self, name)
+        for number in itertools.count():
             call = PermitAsk(
-                upstream_id, f"call-{number}", "caller", SERVICE, "", WorkClass.ONLINE, 60_000,
-                wait_ms=60_000,
-            )  # fmt: skip
-            granted = await permits.request(call, 61_000)
+                upstream_id=upstream_id,
+                attempt_id=f"{name}-{number}",
+                holder_id=name,
+                service=upstream_id.partition("/")[0],
+                member="",
+                work_class=WorkClass.ONLINE,
+                slack_ms=_CALL_WAIT_MS,
+                wait_ms=_CALL_WAIT_MS,
+                alone=isolated,
+            )
+            granted = await permits.request(call, 2 * _CALL_WAIT_MS)
             if isinstance(granted, Ok):
                 await trio.sleep(run_s)
                 permits.return_unused(granted.ok_value)
-            await trio.sleep(pause_s)
 
 
 class SimulatedPermits:
--- a/tests/test_isolated_runs.py
+++ b/tests/test_isolated_runs.py
@@ -3,6 +3,7 @@
 import random
 import unittest
 from collections.abc import Callable
+from functools import partial
 from types import SimpleNamespace
 
 import trio
@@ -24,32 +25,41 @@
 # The rule for batch jobs allows this long for what is left at the end.
 _LISTED_WITHIN_S = 18.0
 _RUN_S = 1.0
+# Time at which the item begins to wait.
+_BEGIN_S = 20.0
+# Comes after ``SERVICE`` in the order of names.
+_OTHER_SERVICE = "other-llm"
 
 
 def run_one_item(
-    disturb: Callable[[IsolationFleet, trio.Nursery], None], service: str = SERVICE
+    disturb: Callable[[IsolationFleet, trio.Nursery], None], *, other_service_waits: bool = False
 ) -> tuple[float, str]:
-    """Return when one item that waits for an isolated run started, and the upstream."""
+    """Return how long one item waited for an isolated run in seconds, and its upstream.
+
+    With ``other_service_waits`` its service is another one than ``SERVICE``, where an item waits.
+    """
     started: list[tuple[float, str]] = []
+    service = _OTHER_SERVICE if other_service_waits else SERVICE
 
     async def test() -> None:
         has_started = trio.Event()
-        services = tuple(sorted({SERVICE, service}))
-        fleet = IsolationFleet(services)
+        fleet = IsolationFleet(SERVICE, service)
         permits = SimulatedPermits(fleet)
 
         def use_grant(upstream: UpstreamRecord, grant: SimulatedGrant) -> None:
-            started.append((now_ms() / 1000, upstream.upstream_id))
-            has_started.set()
             permits.return_unused(grant)
+            if upstream.service == service:
+                started.append((trio.current_time() - since_s, upstream.upstream_id))
+                has_started.set()
 
         def next_item(wanted: str) -> IsolatedItem | None:
-            return IsolatedItem() if wanted == service and not started else None
+            return IsolatedItem() if wanted == service or other_service_waits else None
 
         async with trio.open_nursery() as nursery:
             nursery.start_soon(fleet.run)
             disturb(fleet, nursery)
-            await trio.sleep(1.0)
+            await trio.sleep(_BEGIN_S)
+            since_s = trio.current_time()
             runs = IsolatedRuns(fleet.view, permits, next_item, use_grant)
             nursery.start_soon(runs.run)
             with trio.move_on_after(60.0):
@@ -61,7 +71,7 @@
 
 
 def first_choice(fleet: IsolationFleet) -> str:
-    return rank_names(SERVICE, fleet.owners)[0]
+    return rank_names(SERVICE, [name for name in fleet.owners if name.startswith(SERVICE)])[0]
 
 
 class UpstreamChoiceTest(unittest.TestCase):
@@ -97,7 +107,7 @@
         granted: list[tuple[UpstreamRecord, SimulatedGrant]] = []
 
         async def test() -> None:
-            fleet = IsolationFleet()
+            fleet = IsolationFleet(SERVICE)
             fleet.owners[first_choice(fleet)].queue.set_terms(
                 UpstreamTerms(admitting=False), now_ms()
             )
@@ -116,5 +126,24 @@
         self.assertEqual(len(granted), 1)
 
 
+class TurnTest(unittest.TestCase):
+    """Other work never leaves the upstream that all nodes choose."""
+
+    def test_an_item_gets_its_turn_beside_suspected_calls_that_never_stop(self) -> None:
+        def call(fleet: IsolationFleet, nursery: trio.Nursery) -> None:
+            for number in range(2):
+                nursery.start_soon(
+                    partial(
+                        fleet.call_forever,
+                        f"caller-{number}",
+                        first_choice(fleet),
+                        _RUN_S,
+                        isolated=True,
+                    )
+                )
+
+        self.assertLess(run_one_item(call)[0], _LISTED_WITHIN_S)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_permits_isolated.py
+++ b/tests/test_permits_isolated.py
@@ -61,6 +61,17 @@
         self.assertEqual(self.ask("two", alone=True), [])
         self.assertEqual(self.granted(self.end("one")), ["two"])
 
+    def test_a_batch_item_gets_one_in_four_isolated_runs_before_calls(self) -> None:
+        order = self.granted(self.ask("call-0", alone=True))
+        for number in range(1, 8):
+            self.ask(f"call-{number}", alone=True)
+        self.ask("item-0", alone=True, batch=True)
+        self.ask("item-1", alone=True, batch=True)
+        for _ in range(7):
+            order += self.granted(self.end(order[-1]))
+        calls = [f"call-{number}" for number in range(6)]
+        self.assertEqual(order, [*calls[:3], "item-0", *calls[3:], "item-1"])
+
     def test_one_that_waits_too_long_is_refused_and_other_work_continues(self) -> None:
         self.ask("call")
         self.ask("isolated", alone=True)
