Request isolated runs of items of several services at the same time

What callers saw: an owed item that has to run in isolation waited for 10 s before each of its runs while an item of another service waited for an upstream with long calls.

Cause: a node requested isolated runs of one service after the other, and each request may stay queued at its owner for 10 s.

Evidence: test_isolated_runs: 10.0 s of virtual time at an idle upstream, beside one other service.

Why this works: each service has a request of its own, one at a time as before.

Measured: the new test failed before (10.0 s where 2 s are allowed) and passes.

--- a/src/fescuedock/node/item_isolation.py
+++ b/src/fescuedock/node/item_isolation.py
@@ -1,6 +1,6 @@
 """Requests permits to run items in isolation that were running when an upstream ended.
 
-A node runs such items one at a time.
+A node requests one such run of each service at a time.
 """
 
 from collections.abc import Callable
@@ -54,23 +54,37 @@
         self._permits = IsolatedPermits(view, permits, _REPLY_MARGIN_MS)
         self._next_item = next_item
         self._use_grant = use_grant
+        # Services with an open request.
+        self._requested: set[str] = set()
         # Time of the last log line about a refusal.
         self._logged_ms = float("-inf")
 
     async def run(self) -> None:
         """Poll for items that need isolation until cancelled."""
-        while True:
-            if self._view.quarantine.is_empty:
-                # Without a restriction no item needs isolation; an idle node does not poll.
-                await self._view.wait_quarantine_changed()
-                continue
-            for service in sorted({item.service for item in self._view.upstreams.values()}):
-                item = self._next_item(service)
-                if item is not None:
-                    await self._request(service, item)
-            await trio.sleep(_POLL_INTERVAL_S)
+        async with trio.open_nursery() as nursery:
+            while True:
+                if self._view.quarantine.is_empty:
+                    # Without a restriction no item needs isolation; an idle node does not poll.
+                    await self._view.wait_quarantine_changed()
+                    continue
+                self._open_requests(nursery)
+                await trio.sleep(_POLL_INTERVAL_S)
+
+    def _open_requests(self, nursery: trio.Nursery) -> None:
+        services = {item.service for item in self._view.upstreams.values()}
+        for service in sorted(services - self._requested):
+            item = self._next_item(service)
+            if item is not None:
+                self._requested.add(service)
+                nursery.start_soon(self._request, service, item)
 
     async def _request(self, service: str, item: IsolatedItem) -> None:
+        try:
+            await self._request_once(service, item)
+        finally:
+            self._requested.discard(service)
+
+    async def _request_once(self, service: str, item: IsolatedItem) -> None:
         """Request an isolated run of an item of the service."""
         request = PermitAsk(
             upstream_id="",
--- a/tests/test_isolated_runs.py
+++ b/tests/test_isolated_runs.py
@@ -144,6 +144,12 @@
 
         self.assertLess(run_one_item(call)[0], _LISTED_WITHIN_S)
 
+    def test_an_item_does_not_wait_for_the_upstreams_of_other_services(self) -> None:
+        def call(fleet: IsolationFleet, nursery: trio.Nursery) -> None:
+            nursery.start_soon(fleet.call_forever, "caller", first_choice(fleet), 60.0)
+
+        self.assertLess(run_one_item(call, other_service_waits=True)[0], 2.0)
+
 
 if __name__ == "__main__":
     unittest.main()
