Keep an upstream reserved until the request of an isolated run is repeated

What callers saw: an owed item that has to run in isolation was not listed as long as calls at its upstream took longer than the item's request may wait, which is 10 s, or 30 s in jobs with files.

Cause: the owner reserves an upstream while such a request waits. Once it was refused, work that waited started at once, before the node repeated the request, and had to end first again.

Evidence: test_isolated_runs, eight callers with calls of 16 s, and of 40 s for jobs with files: no run within 60 s and 120 s of virtual time.

Why this works: after the refusal of an item's request the upstream stays reserved for 0.5 s, in which its node repeats it. So an item waits for the longest call that runs there and no more. Without a repetition other work starts 0.5 s later than before.

Measured: both tests and a new one of test_permits_isolated failed before and pass.

--- a/src/fescuedock/core/permits/queue.py
+++ b/src/fescuedock/core/permits/queue.py
@@ -34,6 +34,9 @@
 # Time within which an online request queued at several owners is granted by another one if that one
 # has room.
 _OTHER_OWNERS_MS = 10.0
+# Time within which a node repeats a request for an isolated run of a batch item.  Work that started
+# meanwhile would have to end first, however long it takes.
+_REPEAT_MS = 500.0
 
 
 class UpstreamQueue:
@@ -59,6 +62,7 @@
         self.valid_ms = valid_ms
         self._rebuild_until_ms = now_ms + rebuild_ms
         self._next_batch_start_ms = now_ms
+        self._reserved_until_ms = -float("inf")
         self._last_online_ms = -float("inf")
         self._peak = 0
         self._peak_ms = -float("inf")
@@ -180,7 +184,7 @@
             in_flight_online=self._held.online + protected,
             in_flight_batch=self._held.batch - protected,
             queued_online=self._waiting.count(WorkClass.ONLINE),
-            limit=0 if self._is_reserved else self._hard_limit(),
+            limit=0 if self._is_reserved(now_ms) else self._hard_limit(),
             first_token_ms=predicted_ms + wait_ms,
             accepting=self.accepting,
             wait_ms=wait_ms + self._first_token.prefill_ahead_ms(now_ms),
@@ -207,7 +211,7 @@
         """Grant, refuse and revoke as the current state permits."""
         if not self.accepting:
             return self.refuse_all(ResultCode.NO_CAPACITY)
-        if self._is_reserved:
+        if self._is_reserved(now_ms):
             return self._serve_isolated(now_ms)
         actions = self._serve_online(now_ms)
         if actions and not self._terms.slots:
@@ -216,10 +220,13 @@
         actions += self._serve_batch(now_ms)
         return actions
 
-    @property
-    def _is_reserved(self) -> bool:
-        """Whether an isolated run holds a permit here or waits for one."""
-        return self._held.isolated > 0 or self._waiting.isolated > 0
+    def _is_reserved(self, now_ms: float) -> bool:
+        """Whether an isolated run holds a permit here or waits for one, or its request is due."""
+        return (
+            self._held.isolated > 0
+            or self._waiting.isolated > 0
+            or now_ms < self._reserved_until_ms
+        )
 
     def _serve_isolated(self, now_ms: float) -> list[Action]:
         """Grant nothing until the upstream is empty, then grant the next isolated run.
@@ -237,6 +244,8 @@
         timed_out = [item for item in self._waiting if now_ms >= item.answer_by_ms]
         for waiting in timed_out:
             self._waiting.remove(waiting.request.attempt_id)
+            if waiting.request.alone and waiting.request.work_class is WorkClass.BATCH:
+                self._reserved_until_ms = now_ms + _REPEAT_MS
             retry_ms = self._retry_after_ms(waiting.request, now_ms)
             actions.append(Refused(waiting.request, ResultCode.NO_CAPACITY, retry_ms))
         return actions
--- a/tests/builders/isolated_runs.py
+++ b/tests/builders/isolated_runs.py
@@ -106,10 +106,17 @@
                 owner.apply(owner.queue.tick(now_ms()))
 
     async def call_forever(
-        self, name: str, upstream_id: str, run_s: float, *, isolated: bool = False
+        self,
+        name: str,
+        upstream_id: str,
+        run_s: float,
+        first_s: float = 0.0,
+        *,
+        isolated: bool = False,
     ) -> None:
-        """Run online calls of ``run_s`` at an upstream, the next one right after each."""
+        """Run online calls of ``run_s`` at an upstream from ``first_s`` on, one after the other."""
         permits = SimulatedPermits(self, name)
+        await trio.sleep(first_s)
         for number in itertools.count():
             call = PermitAsk(
                 upstream_id=upstream_id,
--- a/tests/test_isolated_runs.py
+++ b/tests/test_isolated_runs.py
@@ -70,6 +70,33 @@
     return started[0] if started else (float("inf"), "")
 
 
+def wait_for_job_with_files(disturb: Callable[[IsolationFleet, trio.Nursery], None]) -> float:
+    """Return how long an item of a job with files waited for an isolated run in seconds."""
+    waits_s: list[float] = []
+
+    async def test() -> None:
+        fleet = IsolationFleet(SERVICE)
+        context = SimpleNamespace(
+            view=fleet.view, permits=SimulatedPermits(fleet), random=random.Random(1)
+        )
+        run = SimpleNamespace(job_id="j", record=SimpleNamespace(member=""))
+        item = SimpleNamespace(number=0, deaths=2)
+        assignment = SimpleNamespace(service=SERVICE, item=item, run=run)
+        work = SimpleNamespace(work_id="w", parts=())
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(fleet.run)
+            disturb(fleet, nursery)
+            await trio.sleep(_BEGIN_S)
+            since_s = trio.current_time()
+            with trio.move_on_after(120.0):
+                await Dispatcher(context, lambda _job_id: None)._acquire_isolated(assignment, work)
+                waits_s.append(trio.current_time() - since_s)
+            nursery.cancel_scope.cancel()
+
+    trio.run(test, clock=trio.testing.MockClock(autojump_threshold=0))
+    return waits_s[0] if waits_s else float("inf")
+
+
 def first_choice(fleet: IsolationFleet) -> str:
     return rank_names(SERVICE, [name for name in fleet.owners if name.startswith(SERVICE)])[0]
 
@@ -104,26 +131,11 @@
     def test_an_item_of_a_job_with_files_gets_a_permit_though_the_first_choice_is_drained(
         self,
     ) -> None:
-        granted: list[tuple[UpstreamRecord, SimulatedGrant]] = []
-
-        async def test() -> None:
-            fleet = IsolationFleet(SERVICE)
-            fleet.owners[first_choice(fleet)].queue.set_terms(
-                UpstreamTerms(admitting=False), now_ms()
-            )
-            context = SimpleNamespace(
-                view=fleet.view, permits=SimulatedPermits(fleet), random=random.Random(1)
-            )
-            item = SimpleNamespace(number=0, deaths=2)
-            run = SimpleNamespace(job_id="j", record=SimpleNamespace(member=""))
-            assignment = SimpleNamespace(service=SERVICE, item=item, run=run)
-            work = SimpleNamespace(work_id="w", parts=())
-            with trio.move_on_after(_LISTED_WITHIN_S):
-                dispatcher = Dispatcher(context, lambda _job_id: None)
-                granted.append(await dispatcher._acquire_isolated(assignment, work))
-
-        trio.run(test, clock=trio.testing.MockClock(autojump_threshold=0))
-        self.assertEqual(len(granted), 1)
+        def drain(fleet: IsolationFleet, _nursery: trio.Nursery) -> None:
+            queue = fleet.owners[first_choice(fleet)].queue
+            queue.set_terms(UpstreamTerms(admitting=False), now_ms())
+
+        self.assertLess(wait_for_job_with_files(drain), _LISTED_WITHIN_S)
 
 
 class TurnTest(unittest.TestCase):
@@ -144,6 +156,25 @@
 
         self.assertLess(run_one_item(call)[0], _LISTED_WITHIN_S)
 
+    def test_an_item_gets_an_upstream_whose_calls_take_longer_than_its_request_waits(self) -> None:
+        def call(fleet: IsolationFleet, nursery: trio.Nursery) -> None:
+            for number in range(8):
+                nursery.start_soon(
+                    fleet.call_forever, f"caller-{number}", first_choice(fleet), 16.0, 2.0 * number
+                )
+
+        self.assertLess(run_one_item(call)[0], _LISTED_WITHIN_S)
+
+    def test_an_item_of_a_job_with_files_gets_an_upstream_with_such_calls(self) -> None:
+        def call(fleet: IsolationFleet, nursery: trio.Nursery) -> None:
+            for number in range(8):
+                nursery.start_soon(
+                    fleet.call_forever, f"caller-{number}", first_choice(fleet), 40.0, 5.0 * number
+                )
+
+        # No longer than the longest call.
+        self.assertLess(wait_for_job_with_files(call), 42.0)
+
     def test_an_item_does_not_wait_for_the_upstreams_of_other_services(self) -> None:
         def call(fleet: IsolationFleet, nursery: trio.Nursery) -> None:
             nursery.start_soon(fleet.call_forever, "caller", first_choice(fleet), 60.0)
--- a/tests/test_permits_isolated.py
+++ b/tests/test_permits_isolated.py
@@ -83,6 +83,16 @@
         actions += self.queue.tick(WAIT_MS + 1)
         self.assertEqual(self.granted(actions), ["other"])
 
+    def test_the_upstream_stays_reserved_until_a_node_can_repeat_the_request_of_an_item(
+        self,
+    ) -> None:
+        self.ask("call")
+        self.ask("isolated", alone=True, batch=True)
+        self.ask("other", now_ms=WAIT_MS - 1)
+        self.assertEqual(self.granted(self.queue.tick(WAIT_MS)), [])
+        self.assertEqual(self.granted(self.queue.tick(WAIT_MS + 400)), [])
+        self.assertEqual(self.granted(self.queue.tick(WAIT_MS + 600)), ["other"])
+
     def test_other_waiting_requests_are_refused_at_their_own_timeout(self) -> None:
         self.ask("isolated", alone=True)
         self.ask("other")
