Order isolated runs of items by their whole wait

What callers saw: an owed item that has to run in isolation had no turn while items of other nodes had one after the other.

Cause: the owner grants isolated runs by the arrival of requests, which a node repeats after 10 s, and a repeated request went behind all others. With more nodes than runs in 10 s the same nodes were granted again and again.

Evidence: test_isolated_runs, seven nodes with items of 3 s each at one real queue: 102 s of virtual time between two runs of one node.

Why this works: a request says how long the node has waited for its next isolated run, and the owner counts that with the time in its queue. Each node has its turn after at most one run of each other.

Measured: the new test failed before (102 s where 23 s are allowed) and passes.

--- a/src/fescuedock/batch/dispatch.py
+++ b/src/fescuedock/batch/dispatch.py
@@ -206,12 +206,14 @@
         """Return an upstream and a permit for an isolated run there."""
         context = self._context
         self._log_restricted(assignment, work)
+        since_ms = now_ms()
         while True:
             verdict = context.view.verdict_on(work.work_id, work.parts, owed=True)
             if verdict.restriction in (Restriction.UNSETTLED, Restriction.REFUSED):
                 await trio.sleep(verdict.retry_after_ms / 1000)
+                since_ms = now_ms()
                 continue
-            request = self._isolated_request(assignment, work.work_id)
+            request = self._isolated_request(assignment, work.work_id, now_ms() - since_ms)
             result = await self._isolated_permits.request(request, work.parts)
             if isinstance(result, Ok):
                 return result.ok_value
@@ -231,7 +233,9 @@
             retry_after_ms=round(verdict.retry_after_ms),
         )
 
-    def _isolated_request(self, assignment: Assignment, work_id: str) -> PermitAsk:
+    def _isolated_request(
+        self, assignment: Assignment, work_id: str, waited_ms: float
+    ) -> PermitAsk:
         return PermitAsk(
             upstream_id="",
             attempt_id="",
@@ -243,6 +247,7 @@
             wait_ms=_ISOLATED_WAIT_MS,
             work_id=work_id,
             alone=True,
+            waited_ms=int(waited_ms),
         )
 
     def _record_end(
--- a/src/fescuedock/core/permits/waiting.py
+++ b/src/fescuedock/core/permits/waiting.py
@@ -53,15 +53,21 @@
         return self._counts[work_class]
 
     def isolated_in_order(self) -> list[WaitingRequest]:
-        """Return the requests for isolated runs, next first: by class and arrival.
+        """Return the requests for isolated runs, next first: by class and total wait.
 
+        A refused request that is repeated keeps its place, as more may wait than are granted.
         Online goes before batch, but for one in ``_ISOLATED_BATCH_INTERVAL``.
         """
         first = WorkClass.ONLINE
         if self._isolated_calls >= _ISOLATED_BATCH_INTERVAL - 1:
             first = WorkClass.BATCH
         requests = [item for item in self._by_attempt.values() if item.request.alone]
-        requests.sort(key=lambda item: (item.request.work_class is not first, item.arrived_ms))
+        requests.sort(
+            key=lambda item: (
+                item.request.work_class is not first,
+                item.arrived_ms - item.request.waited_ms,
+            )
+        )
         return requests
 
     def expected_online_starts(self) -> float:
--- a/src/fescuedock/node/item_isolation.py
+++ b/src/fescuedock/node/item_isolation.py
@@ -56,6 +56,8 @@
         self._use_grant = use_grant
         # Services with an open request.
         self._requested: set[str] = set()
+        # Since when items of a service have waited for the next isolated run of this node.
+        self._waiting_since_ms: dict[str, float] = {}
         # Time of the last log line about a refusal.
         self._logged_ms = float("-inf")
 
@@ -74,7 +76,9 @@
         services = {item.service for item in self._view.upstreams.values()}
         for service in sorted(services - self._requested):
             item = self._next_item(service)
-            if item is not None:
+            if item is None:
+                self._waiting_since_ms.pop(service, None)
+            else:
                 self._requested.add(service)
                 nursery.start_soon(self._request, service, item)
 
@@ -86,6 +90,7 @@
 
     async def _request_once(self, service: str, item: IsolatedItem) -> None:
         """Request an isolated run of an item of the service."""
+        since_ms = self._waiting_since_ms.setdefault(service, now_ms())
         request = PermitAsk(
             upstream_id="",
             attempt_id="",
@@ -97,13 +102,14 @@
             wait_ms=_QUEUE_WAIT_MS,
             alone=True,
             priority=item.priority,
+            waited_ms=int(now_ms() - since_ms),
         )
-        began_ms = now_ms()
         granted = await self._permits.request(request)
         if isinstance(granted, Ok):
+            del self._waiting_since_ms[service]
             self._use_grant(*granted.ok_value)
         else:
-            self._log_refusal(service, granted.err_value, now_ms() - began_ms)
+            self._log_refusal(service, granted.err_value, now_ms() - since_ms)
 
     def _log_refusal(self, service: str, fault: Fault, waited_ms: float) -> None:
         if now_ms() - self._logged_ms < _REFUSAL_LOG_INTERVAL_MS:
--- a/src/fescuedock/schema/permits.py
+++ b/src/fescuedock/schema/permits.py
@@ -88,7 +88,7 @@
     waited_ms: Annotated[
         int,
         Meta(
-            description="How long the work had waited when it was asked for, at other owners too; only sent with a priority above 0."
+            description="How long the work had waited when it was asked for, at other owners too; only sent with a priority above 0, or for an isolated run."
         ),
     ] = 0
     barren_runs: Annotated[
--- a/tests/test_isolated_runs.py
+++ b/tests/test_isolated_runs.py
@@ -2,8 +2,10 @@
 
 import random
 import unittest
+from collections import defaultdict
 from collections.abc import Callable
 from functools import partial
+from itertools import pairwise
 from types import SimpleNamespace
 
 import trio
@@ -181,6 +183,43 @@
 
         self.assertLess(run_one_item(call, other_service_waits=True)[0], 2.0)
 
+    def test_each_node_gets_its_turn_while_items_wait_at_all_nodes(self) -> None:
+        nodes, run_s = 7, 3.0
+        started: defaultdict[str, list[float]] = defaultdict(list)
+
+        async def test() -> None:
+            fleet = IsolationFleet(SERVICE)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(fleet.run)
+                for number in range(nodes):
+                    name = f"node-{number}"
+                    permits = SimulatedPermits(fleet, name)
+
+                    async def hold(permits: SimulatedPermits, grant: SimulatedGrant) -> None:
+                        started[permits.holder_id].append(trio.current_time())
+                        await trio.sleep(run_s)
+                        permits.return_unused(grant)
+
+                    def use_grant(
+                        _upstream: UpstreamRecord,
+                        grant: SimulatedGrant,
+                        permits: SimulatedPermits = permits,
+                    ) -> None:
+                        nursery.start_soon(hold, permits, grant)
+
+                    runs = IsolatedRuns(
+                        fleet.view, permits, lambda _service: IsolatedItem(), use_grant
+                    )
+                    nursery.start_soon(runs.run)
+                await trio.sleep(_LISTED_WITHIN_S * 10)
+                nursery.cancel_scope.cancel()
+
+        trio.run(test, clock=trio.testing.MockClock(autojump_threshold=0))
+        self.assertEqual(len(started), nodes)
+        for times in started.values():
+            gaps_s = [later - earlier for earlier, later in pairwise(times)]
+            self.assertLess(max(gaps_s), nodes * run_s + 2.0)
+
 
 if __name__ == "__main__":
     unittest.main()
