Give each item that must run in isolation its turn at its node

What callers saw: an owed item that has to run in isolation, and is late or has met several crashes, was not listed for as long as other such items of its node came before it.

Cause: a node chose the item with the fewest runs without output, then the most urgent, each time.

Why this works: one isolated run in four goes to the item that has waited longest since its last run, so each runs after at most four times as many runs as items waited before it. The others keep their order, in which sound items do not wait behind those with a harmful part.

--- a/src/fescuedock/core/stored_jobs/pool.py
+++ b/src/fescuedock/core/stored_jobs/pool.py
@@ -19,6 +19,8 @@
 __all__ = ["ItemPool", "UpstreamVersions"]
 
 _FAILED_UPSTREAM_PENALTY_MS = 5000.0
+# One in this many isolated runs goes to the item that has waited longest.
+_ISOLATED_TURN_INTERVAL = 4
 
 
 class UpstreamVersions(msgspec.Struct, frozen=True):
@@ -53,6 +55,8 @@
         self._run_share = RunShare()
         # Current round-robin round of the jobs with overdue items; a new job joins the next round.
         self._overdue_round = 0
+        # Number of items that ``claim_isolated`` returned.
+        self._isolated_claims = 0
 
     def waiting(self, services: Iterable[str], now_ms: float) -> Counter[str]:
         """Return the number of items that could start now, by the services that may run them."""
@@ -134,12 +138,21 @@
         """Return the most urgent item of those that may only run in isolation.
 
         Items with more runs without output come later: harmful prompt parts crash the upstreams of
-        several units of work, and sound items should not wait behind those.
+        several units of work, and sound items should not wait behind those.  One in
+        ``_ISOLATED_TURN_INTERVAL`` is the one that has waited longest.
         """
         ranked = self._ranked("", service, now_ms)
         choices = (item for item in ranked if self._has_restriction(item.run, Restriction.ALONE))
+        if self._isolated_claims % _ISOLATED_TURN_INTERVAL == _ISOLATED_TURN_INTERVAL - 1:
+            return max(choices, key=lambda item: item.waited_ms, default=None)
         return min(choices, key=lambda item: item.run.runs_without_output, default=None)
 
+    def claim_isolated(self, service: str, now_ms: float) -> ItemChoice | None:
+        """Return the item of ``choose_isolated`` and count it as run."""
+        choice = self.choose_isolated(service, now_ms)
+        self._isolated_claims += choice is not None
+        return choice
+
     def _choices(
         self, upstream_id: str, service: str, now_ms: float, versions: UpstreamVersions | None
     ) -> list[ItemChoice]:
--- a/src/fescuedock/node/job_runner.py
+++ b/src/fescuedock/node/job_runner.py
@@ -864,8 +864,8 @@
         return routes.priority_of(self._route_of(record), record.customer)
 
     def _run_isolated_item(self, upstream: UpstreamRecord, grant: Grant) -> None:
-        """Run the most urgent item that must run in isolation, or return the permit."""
-        choice = self._pool.choose_isolated(upstream.service, now_ms())
+        """Run the next item that must run in isolation, or return the permit."""
+        choice = self._pool.claim_isolated(upstream.service, now_ms())
         if choice is None:
             self._permits.return_unused(grant)
             return
--- a/tests/test_stored_jobs_urgency.py
+++ b/tests/test_stored_jobs_urgency.py
@@ -5,6 +5,7 @@
 from msgspec.structs import replace
 
 from fescuedock.core.permits.queued import batch_rank
+from fescuedock.core.quarantine import Restriction
 from fescuedock.core.stored_jobs.job import ItemEnd, ItemRun, StoredJob
 from fescuedock.core.stored_jobs.pool import ItemPool, UpstreamVersions
 from fescuedock.core.stored_jobs.run_estimates import RunEstimate, RunShare
@@ -168,6 +169,49 @@
         self.assertEqual(self.start(2), ["small"] * 2)
 
 
+class IsolatedTest(unittest.TestCase):
+    """Items that may only run in isolation, one at a time."""
+
+    def setUp(self) -> None:
+        self.jobs = [job_due(f"fresh-{number}", 60_000.0) for number in range(20)]
+        self.pool = ItemPool(
+            lambda: self.jobs, lambda _record, _service: True, lambda _run: Restriction.ALONE
+        )
+
+    def run_next(self, now_ms: float) -> str:
+        choice = self.pool.claim_isolated("s", now_ms)
+        self.pool.start(choice.run, now_ms)
+        self.pool.finish(choice.job, choice.run, ItemEnd.COMPLETED, "i-1", 3, now_ms + 500.0)
+        return choice.run.item.item_id
+
+    def test_an_item_gets_its_turn_while_more_urgent_ones_keep_coming(self) -> None:
+        """Guards against starvation of late items, and of those with several crashes."""
+        late, crashed = job_due("late", -9000.0), job_due("crashed", 60_000.0)
+        [run] = crashed.ready_items(0.0)
+        run.runs_without_output = 5
+        self.jobs += [late, crashed]
+        ran = []
+        for number in range(100):
+            self.jobs.append(job_due(f"new-{number}", 60_000.0 + 1000.0 * number))
+            ran.append(self.run_next(1000.0 * number))
+        self.assertIn("late", ran)
+        self.assertIn("crashed", ran)
+
+    def test_three_in_four_runs_go_to_the_items_with_the_fewest_runs_without_output(self) -> None:
+        crashed = job_due("crashed", 0.0)
+        [run] = crashed.ready_items(0.0)
+        run.runs_without_output = 5
+        self.jobs.append(crashed)
+        self.assertEqual(
+            [self.run_next(0.0) == "crashed" for _ in range(6)],
+            [False, False, False, True, False, False],
+        )
+
+    def test_a_choice_is_no_turn_until_it_is_claimed(self) -> None:
+        chosen = {self.pool.choose_isolated("s", 0.0).run.item.item_id for _ in range(9)}
+        self.assertEqual(len(chosen), 1)
+
+
 class OverdueTest(unittest.TestCase):
     """Guards against starvation of items that rank last in every order at their node."""
 
