Request isolated runs elsewhere once an upstream has refused an item

What callers saw: an owed item that has to run in isolation was not listed for as long as one healthy upstream refused all work, though the others had room.

Cause: a refusal is no evidence against an upstream, so its owner goes on granting. Other items run elsewhere then, but all isolated runs of a service go to one upstream.

Evidence: test_node_owed_items with a first choice that answers 503 with X-Not-Executed: the item was run there again and again and not listed within 18 s (one run).

Why this works: for 10 s after such a refusal a node's isolated runs use the next choice. Nothing ran at the upstream, so this adds no isolated run; other nodes get the same refusal and choose the same next one.

--- a/src/fescuedock/agent/isolated_permits.py
+++ b/src/fescuedock/agent/isolated_permits.py
@@ -1,5 +1,6 @@
 """Requests permits for isolated runs of batch items, at the upstream that all nodes choose."""
 
+from collections.abc import Collection
 from secrets import token_hex
 
 import msgspec
@@ -36,14 +37,16 @@
         self._silent_owners = SilentOwners(self._policy)
 
     async def request(
-        self, template: PermitAsk, parts: tuple[str, ...] = ()
+        self, template: PermitAsk, parts: tuple[str, ...] = (), avoid: Collection[str] = ()
     ) -> Result[tuple[UpstreamRecord, Grant], Fault]:
         """Request a run of ``template.service``; queue for ``template.wait_ms`` at most.
 
-        The upstream and the identity of the attempt are set here.
+        The upstream and the identity of the attempt are set here.  Upstreams in ``avoid`` are used
+        only if there is no other.
         """
+        choices = self._choices(template.service)
         requests = plan_isolated_requests(
-            self._choices(template.service), template.service, (), template.wait_ms, self._policy
+            choices, template.service, avoid, template.wait_ms, self._policy
         )
         result: Result[Grant, Fault] = Err(
             Fault(ResultCode.NO_CAPACITY, f"no upstream of {template.service!r} takes work")
--- a/src/fescuedock/core/stored_jobs/job.py
+++ b/src/fescuedock/core/stored_jobs/job.py
@@ -80,6 +80,8 @@
     output_bytes: int = 0
     max_output_bytes: float = math.inf
     avoided: set[str] = msgspec.field(default_factory=set)
+    # Whether the upstream of the last run refused it without running the item.
+    was_refused: bool = False
     # The current run, or the last one: start time, last event before it, duration and end time.
     started_ms: float = 0.0
     started_event: int = -1
@@ -89,6 +91,7 @@
     def start(self, now_ms: float) -> None:
         """Record the start of a run."""
         self.running = True
+        self.was_refused = False
         self.started_ms = now_ms
         self.started_event = self.last_event
 
--- a/src/fescuedock/node/item_isolation.py
+++ b/src/fescuedock/node/item_isolation.py
@@ -27,6 +27,8 @@
 _QUEUE_WAIT_MS = 10000
 _REPLY_MARGIN_MS = 300.0
 _REFUSAL_LOG_INTERVAL_MS = 5000.0
+# Time for which isolated runs use another upstream than one that refused to run an item.
+_AVOID_MS = 10000.0
 
 
 class IsolatedItem(msgspec.Struct, frozen=True):
@@ -58,9 +60,21 @@
         self._requested: set[str] = set()
         # Since when items of a service have waited for the next isolated run of this node.
         self._waiting_since_ms: dict[str, float] = {}
+        # Until when isolated runs use other upstreams, by upstream.
+        self._avoid_until_ms: dict[str, float] = {}
         # Time of the last log line about a refusal.
         self._logged_ms = float("-inf")
 
+    def record_refusal(self, upstream_id: str) -> None:
+        """Record that an upstream refused to run an item under its permit."""
+        self._avoid_until_ms[upstream_id] = now_ms() + _AVOID_MS
+
+    def _avoided(self) -> list[str]:
+        until_ms = self._avoid_until_ms
+        for upstream_id in [name for name, at_ms in until_ms.items() if at_ms <= now_ms()]:
+            del until_ms[upstream_id]
+        return list(until_ms)
+
     async def run(self) -> None:
         """Poll for items that need isolation until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -104,7 +118,7 @@
             priority=item.priority,
             waited_ms=int(now_ms() - since_ms),
         )
-        granted = await self._permits.request(request)
+        granted = await self._permits.request(request, avoid=self._avoided())
         if isinstance(granted, Ok):
             del self._waiting_since_ms[service]
             self._use_grant(*granted.ok_value)
--- a/src/fescuedock/node/item_run.py
+++ b/src/fescuedock/node/item_run.py
@@ -79,6 +79,7 @@
             nursery.cancel_scope.cancel()
     finally:
         record.finish(attempt_end)
+    item.was_refused = end is ItemEnd.INTERRUPTED and attempt_end is AttemptEnd.REJECTED
     log_event(
         "item_run",
         routine=end is ItemEnd.COMPLETED,
--- a/src/fescuedock/node/job_runner.py
+++ b/src/fescuedock/node/job_runner.py
@@ -58,7 +58,7 @@
 if TYPE_CHECKING:
     from fescuedock.core.stored_jobs.holds import HeldItem, HeldItems
     from fescuedock.core.stored_jobs.restricted import RestrictedItems
-    from fescuedock.node.item_isolation import IsolatedItem
+    from fescuedock.node.item_isolation import IsolatedItem, IsolatedRuns
 
 __all__ = ["JobRunner"]
 
@@ -188,6 +188,7 @@
         )
         # None before the first upstream crash.
         self._restricted_items: RestrictedItems | None = None
+        self._isolated_runs: IsolatedRuns | None = None
         # None before the first job.
         self._held_items: HeldItems | None = None
         # Time of the last check of what items wait for.
@@ -844,10 +845,10 @@
         # Imported after the first crash, to keep it off the start-up path.
         from fescuedock.node.item_isolation import IsolatedRuns
 
-        runs = IsolatedRuns(
+        self._isolated_runs = IsolatedRuns(
             self._view, self._permits, self._next_isolated_item, self._run_isolated_item
         )
-        await runs.run()
+        await self._isolated_runs.run()
 
     def _next_isolated_item(self, service: str) -> "IsolatedItem | None":
         from fescuedock.node.item_isolation import IsolatedItem
@@ -887,6 +888,8 @@
         end = await run_item(
             self._http, record, item, upstream, grant, job.released, start_state, check
         )
+        if item.was_refused and grant.isolated and self._isolated_runs is not None:
+            self._isolated_runs.record_refusal(upstream.upstream_id)
         ran_ms = now_ms() - item.started_ms
         self._metrics.record_run(
             upstream.service,
--- a/tests/test_node_owed_items.py
+++ b/tests/test_node_owed_items.py
@@ -22,21 +22,26 @@
 _PATH = "/letters/unlucky"
 # The rule for batch jobs allows this long for what is left at the end.
 _LISTED_WITHIN_S = 18.0
+_MAX_BODY_BYTES = 100_000
 _PARTS = "9c2e41:30,5d07b8:40,aa:50"
 
 
 class UnluckyUpstream(EventUpstream):
     """Crashes during each run of the item ``unlucky`` until ``crashes_left`` is used up.
 
-    The upstream ``hung_id`` answers nothing.
+    The upstreams ``hung_id`` and ``refusing_id`` run nothing; the latter is healthy.
     """
 
     crashes_left = 0
-    hung_id = ""
+    hung_id = refusing_id = ""
 
     async def handle(self, request: Request, responder: Responder) -> None:
         if self.upstream_id == UnluckyUpstream.hung_id:
             await trio.sleep_forever()
+        if self.upstream_id == UnluckyUpstream.refusing_id and request.path != "/health":
+            await request.read(_MAX_BODY_BYTES)
+            await responder.send(503, b"", [("X-Not-Executed", "1")])
+            return
         if UnluckyUpstream.crashes_left > 0:
             self.harmful.add(_PATH)
         else:
@@ -88,7 +93,7 @@
     ) -> None:
         async def run() -> None:
             UnluckyUpstream.crashes_left = crashes
-            UnluckyUpstream.hung_id = ""
+            UnluckyUpstream.hung_id = UnluckyUpstream.refusing_id = ""
             with trio.fail_after(60):
                 async with running_fleet(
                     **({"nodes": 3, "upstreams": 6} | options), upstream_type=UnluckyUpstream
@@ -163,19 +168,24 @@
 
         self.run_fleet(4, test)
 
-    # All nodes request isolated runs at the same upstream, and that one granted none.
-    def test_an_item_is_listed_though_the_first_choice_for_isolated_runs_hangs(self) -> None:
-        async def test(fleet: NodeFleet) -> None:
-            await submit_items(fleet, "unlucky")
-            await self.wait_crashes(fleet, 3)
-            with trio.fail_after(2):
-                await wait_until(lambda: all(item.listener.is_up for item in fleet.upstreams))
-            names = [upstream.upstream_id for upstream in fleet.upstreams]
-            UnluckyUpstream.hung_id = choose_name(SERVICE, names)
-            states = await listed_states(fleet, 1, _LISTED_WITHIN_S)
-            self.assertEqual(states, {"unlucky": "completed"})
+    # All nodes request isolated runs at the same upstream, and that one granted or ran none.
+    def test_an_item_is_listed_though_the_first_choice_for_isolated_runs_runs_nothing(
+        self,
+    ) -> None:
+        for fault in ("hung_id", "refusing_id"):
+            with self.subTest(fault=fault):
+
+                async def test(fleet: NodeFleet, fault: str = fault) -> None:
+                    await submit_items(fleet, "unlucky")
+                    await self.wait_crashes(fleet, 3)
+                    with trio.fail_after(2):
+                        await wait_until(lambda: all(up.listener.is_up for up in fleet.upstreams))
+                    names = [upstream.upstream_id for upstream in fleet.upstreams]
+                    setattr(UnluckyUpstream, fault, choose_name(SERVICE, names))
+                    states = await listed_states(fleet, 1, _LISTED_WITHIN_S)
+                    self.assertEqual(states, {"unlucky": "completed"})
 
-        self.run_fleet(3, test)
+                self.run_fleet(3, test)
 
     def test_an_item_that_waits_is_logged_and_counted(self) -> None:
         lines: list[dict] = []
