Refuse a job whose identity is too long for the store's keys

What callers saw: a job with an identity of 168 to 173 characters got 202 and was never listed; a longer one got no answer before its deadline (504).

Cause: the store takes keys of at most 200 bytes, and the key of a group of results is longer than those of the job's record and items. The store's refusal of a key is none that says that nothing was done, so the write counted as unknown and was repeated.

Evidence: test_node_jobs_long_ids with a stand-in that limits keys as the store does: 202 and no result, and 504, on the code before.

Why this works: a submission is refused with BAD_REQUEST (1000) before anything is written if the longest of the job's keys would not fit.

Measured: the test of refusals failed before in all its parts; both tests pass.

--- a/src/fescuedock/core/stored_jobs/keys.py
+++ b/src/fescuedock/core/stored_jobs/keys.py
@@ -75,3 +75,7 @@
 
     def group(self, job_id: str, first_position: int) -> str:
         return f"{self.results(job_id)}{first_position:08d}"
+
+    def longest_bytes(self, job_id: str) -> int:
+        """Return the size of the longest key of a job."""
+        return len(self.group(job_id, 0).encode())
--- a/src/fescuedock/node/job_calls.py
+++ b/src/fescuedock/node/job_calls.py
@@ -22,6 +22,7 @@
 from fescuedock.node.replicas import Replicas
 from fescuedock.node.spools import Spools
 from fescuedock.platform import calls, job_calls
+from fescuedock.platform.store import MAX_KEY_BYTES
 from fescuedock.schema.result_codes import ResultCode
 from fescuedock.schema.stored_jobs import StoredJobRecord
 
@@ -96,6 +97,8 @@
 
         if not record.job_id:
             return Err(Fault(ResultCode.BAD_REQUEST, "the job has no id"))
+        if self.store.keys.longest_bytes(record.job_id) > MAX_KEY_BYTES:
+            return Err(Fault(ResultCode.BAD_REQUEST, "the job's id is too long for the store"))
         record = msgspec.structs.replace(
             record, total=len(items.ok_value), items_digest=digest_of(items.ok_value)
         )
--- a/src/fescuedock/platform/standin/metadata_store.py
+++ b/src/fescuedock/platform/standin/metadata_store.py
@@ -13,6 +13,7 @@
 from fescuedock.kv import KvEntry, KvEvent, KvTransaction
 from fescuedock.net.http_server import Request, Responder
 from fescuedock.platform import store_wire as wire
+from fescuedock.platform.store import MAX_KEY_BYTES
 from fescuedock.standin.kv_faults import CallKind, LostAnswer
 from fescuedock.standin.kv_host import KvHost
 from fescuedock.standin.kv_state import CompactedError, LeaseNotFoundError, prefix_end
@@ -128,6 +129,8 @@
         values = {item.key: base64.b64decode(item.value) for item in request.writes}
         if count > MAX_ENTRIES or any(len(value) > MAX_VALUE_BYTES for value in values.values()):
             return _Answer(413)
+        if any(len(key.encode()) > MAX_KEY_BYTES for key in values):
+            return _Answer(400)
         leases = {item.lease for item in request.writes}
         transaction = KvTransaction(
             {item.key: item.revision for item in request.expect},
--- a/src/fescuedock/platform/store.py
+++ b/src/fescuedock/platform/store.py
@@ -33,8 +33,10 @@
 from fescuedock.platform import store_wire as wire
 from fescuedock.schema.result_codes import ResultCode
 
-__all__ = ["MetadataStore"]
+__all__ = ["MAX_KEY_BYTES", "MetadataStore"]
 
+# Size of the longest key that the store takes.
+MAX_KEY_BYTES = 200
 # A page has at most about 1 MB of values, to which base64 and JSON add somewhat more than a third.
 _MAX_ANSWER_BYTES = 16 * 1024 * 1024
 # Extra time for the answer of a watch beyond the wait that it requested.
