--- a/src/fescuedock/node/online_call.py
+++ b/src/fescuedock/node/online_call.py
@@ -173,6 +173,12 @@
         """Whether the client may resume this call's stream at another node."""
         return self.route.kind is RouteKind.STREAM and self.route.resumable
 
+    @property
+    def joins_runs(self) -> bool:
+        """Whether the answer may consist of several runs, which need one software version."""
+        is_stream = self.route.kind is RouteKind.STREAM
+        return is_stream and (self.route.resumable or self.head.last_event >= 0)
+
     @property
     def max_tokens(self) -> int:
         return self.head.max_tokens
@@ -354,6 +360,7 @@
                 headers,
                 self.body,
                 check,
+                identifies=self.joins_runs,
             ) as answer:
                 return await self._handle_answer(answer, upstream, record, stall)
         return AttemptEnd.STALLED
@@ -451,9 +458,9 @@
             if record.first_event_ms < 0:
                 self.shared.record_first_event(now_ms() - record.started_ms)
             record.record_events(len(events))
+            if record.events == len(events) and self._is_replaced(upstream):
+                return AttemptEnd.LOST
             if self.client_stream is None:
-                if self._is_replaced(upstream):
-                    return AttemptEnd.LOST
                 # Done before events are counted as relayed: a counted event must reach the client.
                 await self._wait_client(stall, self._record_origin(upstream))
             fresh = self.progress.take_new_events(events)
@@ -482,9 +489,16 @@
         stall.deadline = self._stall_deadline_s(first=False) + _STALL_DEADLINE_STEP_S
 
     def _is_replaced(self, upstream: UpstreamRecord) -> bool:
-        """Whether an upstream is now known to have another version than when it was chosen."""
+        """Whether an upstream is now known to have another version than when it was chosen.
+
+        A restarted upstream is listed under another ID, at the same address.
+        """
         current = self.shared.view.upstreams.get(upstream.upstream_id)
-        return current is not None and current.software_version != upstream.software_version
+        if current is not None:
+            return current.software_version != upstream.software_version
+        address = (upstream.host, upstream.port)
+        others = self.shared.view.upstreams_of(self.service)
+        return any((item.host, item.port) == address for item in others)
 
     async def _record_origin(self, upstream: UpstreamRecord) -> None:
         """Record the origin of the stream, at other nodes too if it is resumable."""
@@ -566,6 +580,7 @@
             parts=self.parts,
             route=self.route.name,
             upstream_id=upstream.upstream_id,
+            process=record.process,
             software_version=upstream.software_version,
             attempt=self.progress.attempts + 1,
             local_permit=record.grant.local,
