Forget how long items waited for an isolated run once nothing is suspected

What callers saw: nothing yet; an item that came under suspicion long after another one would have gone before items of other nodes that had waited for longer.

Cause: a node does not poll while nothing is suspected, so it kept the time since which its former item had waited.

Evidence: test_isolated_runs: a request said 30 s where its item had just begun to wait.

Why this works: the times are dropped when the last evidence is.

Measured: the new test failed before and passes.

--- a/src/fescuedock/node/item_isolation.py
+++ b/src/fescuedock/node/item_isolation.py
@@ -81,6 +81,7 @@
             while True:
                 if self._view.quarantine.is_empty:
                     # Without a restriction no item needs isolation; an idle node does not poll.
+                    self._waiting_since_ms.clear()
                     await self._view.wait_quarantine_changed()
                     continue
                 self._open_requests(nursery)
@@ -120,7 +121,7 @@
         )
         granted = await self._permits.request(request, avoid=self._avoided())
         if isinstance(granted, Ok):
-            del self._waiting_since_ms[service]
+            self._waiting_since_ms.pop(service, None)
             self._use_grant(*granted.ok_value)
         else:
             self._log_refusal(service, granted.err_value, now_ms() - since_ms)
--- a/tests/test_isolated_runs.py
+++ b/tests/test_isolated_runs.py
@@ -10,12 +10,15 @@
 
 import trio
 import trio.testing
+from result import Result
 
 from fescuedock.batch.dispatch import Dispatcher
 from fescuedock.clock import now_ms
 from fescuedock.core.permits.terms import UpstreamTerms
+from fescuedock.core.quarantine import Quarantine
 from fescuedock.core.rendezvous import rank_names
 from fescuedock.node.item_isolation import IsolatedItem, IsolatedRuns
+from fescuedock.schema.permits import PermitAsk
 from fescuedock.schema.view import UpstreamRecord
 from tests.builders.isolated_runs import (
     SERVICE,
@@ -220,6 +223,39 @@
             gaps_s = [later - earlier for earlier, later in pairwise(times)]
             self.assertLess(max(gaps_s), nodes * run_s + 2.0)
 
+    def test_a_wait_ends_once_nothing_is_suspected_any_more(self) -> None:
+        waited_ms: list[int] = []
+
+        class RecordingPermits(SimulatedPermits):
+            async def request(self, ask: PermitAsk, *args: object) -> Result:
+                waited_ms.append(ask.waited_ms)
+                return await super().request(ask, *args)
+
+        async def test() -> None:
+            fleet = IsolationFleet(SERVICE)
+            suspected, fleet.view.quarantine = fleet.view.quarantine, Quarantine()
+            permits = RecordingPermits(fleet)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(fleet.run)
+                nursery.start_soon(fleet.call_forever, "caller", first_choice(fleet), 60.0)
+                runs = IsolatedRuns(
+                    fleet.view,
+                    permits,
+                    lambda _service: IsolatedItem(),
+                    lambda _upstream, grant: permits.return_unused(grant),
+                )
+                nursery.start_soon(runs.run)
+                for quarantine in (suspected, Quarantine(), suspected):
+                    await trio.sleep(15.0)
+                    fleet.view.quarantine = quarantine
+                    fleet.view.notify_quarantine_changed()
+                await trio.sleep(1.0)
+                nursery.cancel_scope.cancel()
+
+        trio.run(test, clock=trio.testing.MockClock(autojump_threshold=0))
+        self.assertEqual(waited_ms, [0, waited_ms[1], 0])
+        self.assertGreater(waited_ms[1], 0)
+
 
 if __name__ == "__main__":
     unittest.main()
