--- a/src/fescuedock/node/item_run.py
+++ b/src/fescuedock/node/item_run.py
@@ -84,6 +84,7 @@
             nursery.cancel_scope.cancel()
     finally:
         record.finish(attempt_end)
+    item.was_refused = end is ItemEnd.INTERRUPTED and attempt_end is AttemptEnd.REJECTED
     if end in _ENDS_WITH_EVENTS and record.answered and record.process is None and is_replaced():
         output.discard()
         end, reason = ItemEnd.INTERRUPTED, "the upstream was listed anew"
--- a/tests/test_permits_isolated.py
+++ b/tests/test_permits_isolated.py
@@ -61,6 +61,17 @@
         self.assertEqual(self.ask("two", alone=True), [])
         self.assertEqual(self.granted(self.end("one")), ["two"])
 
+    def test_a_batch_item_gets_one_in_four_isolated_runs_before_calls(self) -> None:
+        order = self.granted(self.ask("call-0", alone=True))
+        for number in range(1, 8):
+            self.ask(f"call-{number}", alone=True)
+        self.ask("item-0", alone=True, batch=True)
+        self.ask("item-1", alone=True, batch=True)
+        for _ in range(7):
+            order += self.granted(self.end(order[-1]))
+        calls = [f"call-{number}" for number in range(6)]
+        self.assertEqual(order, [*calls[:3], "item-0", *calls[3:], "item-1"])
+
     def test_one_that_waits_too_long_is_refused_and_other_work_continues(self) -> None:
         self.ask("call")
         self.ask("isolated", alone=True)
@@ -72,6 +83,16 @@
         actions += self.queue.tick(WAIT_MS + 1)
         self.assertEqual(self.granted(actions), ["other"])
 
+    def test_the_upstream_stays_reserved_until_a_node_can_repeat_the_request_of_an_item(
+        self,
+    ) -> None:
+        self.ask("call")
+        self.ask("isolated", alone=True, batch=True)
+        self.ask("other", now_ms=WAIT_MS - 1)
+        self.assertEqual(self.granted(self.queue.tick(WAIT_MS)), [])
+        self.assertEqual(self.granted(self.queue.tick(WAIT_MS + 400)), [])
+        self.assertEqual(self.granted(self.queue.tick(WAIT_MS + 600)), ["other"])
+
     def test_other_waiting_requests_are_refused_at_their_own_timeout(self) -> None:
         self.ask("isolated", alone=True)
         self.ask("other")
