--- a/src/fescuedock/schema/origins.py
+++ b/src/fescuedock/schema/origins.py
@@ -48,7 +48,7 @@
 
 class FindOriginReply(WireStruct):
     """
-    Without an origin where none is known for certain.
+    Without an origin where none is known; two where two different ones are, so that the stream may not go on.
     """
 
     origins: list[StreamOrigin] = field(default_factory=list)
@@ -60,3 +60,9 @@
     """
 
     software_versions: list[str]
+    leaving: Annotated[
+        list[str],
+        Meta(
+            description="Those of them at which no stream begins before the record is written anew."
+        ),
+    ] = field(default_factory=list)
