Complete the simulated node's view for isolated runs

The simulation of job runners has a view and permits of its own, which lacked the configuration, the owners of upstreams and the parts of a request that asks for. test_job_runner_harmful ended with an AttributeError since then; its checks are unchanged and pass.

--- a/tests/builders/runner_simulation.py
+++ b/tests/builders/runner_simulation.py
@@ -34,6 +34,7 @@
 from fescuedock.node.owner_reads import OwnerReads
 from fescuedock.node.replicas import Replicas, WatchedPrefix
 from fescuedock.node.spools import Spools
+from fescuedock.schema.config import Configuration
 from fescuedock.schema.crashes import CrashedRun, CrashReport
 from fescuedock.schema.result_codes import ResultCode
 from fescuedock.schema.settings import NodeSettings
@@ -164,6 +165,7 @@
         self._simulation = simulation
         self._own = own
         self.vm_id = own
+        self.configuration = Configuration()
         self.quarantine = simulation.quarantine
         self.upstreams = {
             name: UpstreamRecord(
@@ -189,6 +191,9 @@
     def upstreams_of(self, _service: str) -> list[UpstreamRecord]:
         return list(self.upstreams.values())
 
+    def owner_of(self, _upstream_id: str) -> _Vm:
+        return _Vm(self.vm_id)
+
 
 class _Permits:
     """Grants free slots at once, from one pool for all nodes.
@@ -204,7 +209,9 @@
         self._slots = simulation.slots
         self.loads: dict = {}
 
-    async def request(self, ask: msgspec.Struct, _timeout_ms: float) -> Result["_Grant", Fault]:
+    async def request(
+        self, ask: msgspec.Struct, _timeout_ms: float, _parts: object = ()
+    ) -> Result["_Grant", Fault]:
         await trio.sleep(_HOP_S)
         if self._simulation.slots_full or self._slots[ask.upstream_id] <= 0:
             return Err(Fault(ResultCode.KV_UNAVAILABLE, "full", 60))
