--- a/src/fescuedock/backing/engine.py
+++ b/src/fescuedock/backing/engine.py
@@ -28,11 +28,14 @@
     "EngineEvent",
     "EngineStream",
     "NotSentError",
+    "OtherVersionError",
     "ResponseLostError",
     "ResumePoint",
 ]
 
 ATTEMPT_HEADER = "x-attempt-id"
+# In an answer: the software version of the process that generates it.
+VERSION_HEADER = "x-software-version"
 _EVENT_END = b"\n\n"
 _DATA_PREFIX = b"data: "
 _DONE_EVENT = b"data: [DONE]"
@@ -62,6 +65,13 @@
         return self.status in _PERMANENT_ERROR_STATUSES
 
 
+class OtherVersionError(Exception):
+    """The process that would resume an answer has another software version than the answer.
+
+    Nothing that it generated was used.
+    """
+
+
 class ResumePoint(msgspec.Struct, frozen=True):
     """The delivered part of an answer: the number of its ``tokens`` and their ``text``."""
 
@@ -107,13 +117,15 @@
     ends before it raises ``ResponseLostError``.
     """
 
-    __slots__ = ("_events", "_partial_event", "_response", "done", "headers")
+    __slots__ = ("_events", "_partial_event", "_response", "done", "headers", "software_version")
 
     def __init__(self, response: ClientResponse) -> None:
         self._response = response
         self._events: list[bytes] = []
         self._partial_event = b""
         self.headers = response.headers
+        # Of the process that generates the answer; empty if it does not name it.
+        self.software_version = response.headers.get(VERSION_HEADER, "")
         self.done = False
 
     def __aiter__(self) -> "EngineStream":
--- a/src/fescuedock/entry/online_relay.py
+++ b/src/fescuedock/entry/online_relay.py
@@ -7,7 +7,7 @@
 import trio
 from result import Result
 
-from fescuedock.backing.engine import EngineError, EngineStream
+from fescuedock.backing.engine import EngineError, EngineStream, OtherVersionError
 from fescuedock.clock import now_ms
 from fescuedock.core.streams import AttemptEnd, NextStep, ResumePoint, StreamState
 from fescuedock.entry.online_attempt import (
@@ -104,13 +104,13 @@
             raise self._resume_error(error, resume)
 
     def _prefer_version(self) -> None:
-        """Restrict the next attempt to the version that opened the answer, while it serves."""
+        """Restrict the next attempt to the version of the delivered tokens, while it serves."""
         version = self.stream.software_version
         serving = any(
             item.software_version == version and not item.leaving
             for item in self.state.view.upstreams_of(self.request.service)
         )
-        self.request.software_versions = (version,) if self.stream.opened and serving else None
+        self.request.software_versions = (version,) if self.stream.tokens and serving else None
 
     def _resume_error(self, error: Exception, resume: ResumePoint | None) -> Exception:
         """Return ``error``, or ``ResumeRefusedError`` if the engine rejected ``resume``."""
@@ -122,6 +122,11 @@
     async def _relay_events(self, events: EngineStream, watch: _StallWatch) -> None:
         stream = self.stream
         attempt = self.attempt
+        if not stream.accept_version(attempt.attempt_id, events.software_version):
+            raise OtherVersionError(
+                f"the upstream resumes with software version {events.software_version!r}"
+                f" what {stream.software_version!r} wrote"
+            )
         async for event in events:
             at_ms = now_ms()
             if event.text:
