Isolate a second harmful unit of work though its crashes have a known cause

What callers saw: a request that crashes servers, beside another one, reached up to eight servers.

Cause: a crash at which a known cause was present weighed nothing against the other units there and did not count towards their three crashes. Trace of SecondCauseTest, one step further: [bad-1]; [bad-0, bad-1] at two servers, the third crash of bad-1; [bad-0] isolated, which makes it a cause; bad-1 now weighs 1, is FREE and crashes three more servers at once; it is isolated and crashes a seventh. With [bad-0, bad-1] at three servers first, no crash of bad-1 counts any more and the same follows.

Nothing in these reports tells a second cause from an innocent unit; only a run that completes does. So crashes of a unit of work count whatever other units were there, for its isolation and as two of its three crashes, one of which must still be an isolated run. Only a harmful part of the unit's own prompt explains a crash under it. Among parts nothing changes: a common part that is explained by a rare one stays free, as calls would otherwise run one at a time.

QuarantineTest.test_innocent_work_present_in_ten_crashes_of_one_cause_runs_freely_again was wrong: it demanded FREE after the cause was known, for reports that are the same as those of bad-1 above. In its place the unit is never refused at any of these crashes nor after them, is isolated, and free as soon as one run has completed; the cause stays refused.

Price: an innocent unit that was in two crashes waits for one isolated run also when their cause is known by then.

--- a/src/fescuedock/core/quarantine.py
+++ b/src/fescuedock/core/quarantine.py
@@ -258,8 +258,11 @@
                 # one is.
                 return Verdict(Restriction.ALONE, crashes, trait=trait)
             return verdict
+        causes = self._known_causes()
         weight = sum(
-            self._weight(trait, report) for report in reports if not self._is_explained(report)
+            self._weight(trait, report)
+            for report in reports
+            if not self._is_explained(trait, report, causes)
         )
         restriction = (
             Restriction.ALONE if weight >= self._policy.isolation_weight else Restriction.FREE
@@ -310,7 +313,7 @@
 
         A part that most prompts have is also present when a rare harmful part crashes an upstream.
         Parts with the fewest runs are therefore examined first, and the crashes that they explain
-        count against no other trait.  If the common part were the cause, there would be crashes
+        count against no other part.  If the common part were the cause, there would be crashes
         without the rare one.  Units of work come last, as work with a harmful part is repeatedly
         present as well.
         """
@@ -326,21 +329,17 @@
             return set()
         ranks = {trait: (not is_part(trait), len(self._runs_with(trait))) for trait in suspects}
         causes: set[str] = set()
-        explained: set[str] = set()
         for _, rare in groupby(sorted(suspects, key=ranks.get), key=ranks.get):
-            found = [trait for trait in rare if self._is_cause(trait, explained)]
-            causes.update(found)
-            explained.update(
-                item.report_id
-                for trait in found
-                for report in self._reports_against(trait)
-                for item in self._reports_of_same_crash(report)
-            )
+            causes.update([trait for trait in rare if self._is_cause(trait, causes)])
         return causes
 
-    def _is_cause(self, trait: str, explained: Collection[str]) -> bool:
+    def _is_cause(self, trait: str, causes: Collection[str]) -> bool:
         """Whether a trait crashed upstreams by itself, apart from crashes explained by others."""
-        reports = [item for item in self._reports_against(trait) if item.report_id not in explained]
+        reports = [
+            report
+            for report in self._reports_against(trait)
+            if not self._is_explained(trait, report, causes)
+        ]
         if self._count_crashes(reports) < self._policy.min_crashes:
             return False
         work_ids = {
@@ -435,15 +434,18 @@
             if trait in traits_of(run)
         ]
 
-    def _is_explained(self, report: CrashReport) -> bool:
-        """Whether a known cause was present in a crash."""
-        causes = self._known_causes()
+    def _is_explained(self, trait: str, report: CrashReport, causes: Collection[str]) -> bool:
+        """Whether a crash says nothing about a trait as one of ``causes`` was present.
+
+        That concurrent work was harmful does not make a unit of work harmless: a completed run
+        does.  Only a harmful part of its own explains a crash under it.
+        """
         if not causes:
             return False
-        runs: Iterable[CrashedRun] = (
-            run for item in self._reports_of_same_crash(report) for run in item.runs
-        )
-        return any(trait in causes for run in runs for trait in traits_of(run))
+        runs: Iterable[CrashedRun] = self._runs_at(report)
+        if not is_part(trait):
+            runs = (run for run in runs if run.work_id == trait)
+        return any(other in causes for run in runs for other in traits_of(run))
 
     def _was_isolated(self, trait: str, report: CrashReport) -> bool:
         """Whether only runs with a trait were at the upstream, by all reports of its crash.
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -72,13 +72,21 @@
             record(self.quarantine, report(str(number), *mixed("innocent", f"bad-{number}")))
             self.assertIsNot(self.restriction("innocent"), Restriction.REFUSED)
 
-    def test_innocent_work_present_in_ten_crashes_of_one_cause_runs_freely_again(self) -> None:
+    def test_innocent_work_present_in_ten_crashes_of_one_cause_is_isolated_until_it_completes(
+        self,
+    ) -> None:
         for number in range(10):
             record(self.quarantine, report(str(number), *mixed("innocent", "bad")))
+            self.assertIsNot(self.restriction("innocent"), Restriction.REFUSED)
         self.assertIs(self.restriction("innocent"), Restriction.ALONE)
         record(self.quarantine, report("isolated", CrashedRun("bad", alone=True)))
         self.assertIs(self.restriction("bad"), Restriction.REFUSED)
+        # The same reports would be known of a second cause.
+        self.assertIs(self.restriction("innocent"), Restriction.ALONE)
+        reports = self.quarantine.reports_against("innocent")
+        record(self.quarantine, WorkCleared("c", "innocent", reports, START_MS))
         self.assertIs(self.restriction("innocent"), Restriction.FREE)
+        self.assertIs(self.restriction("bad"), Restriction.REFUSED)
 
     def test_a_chance_crash_during_an_isolated_run_refuses_no_work(self) -> None:
         record(self.quarantine, report("1", CrashedRun("innocent", alone=True)))
@@ -416,8 +424,7 @@
 
 
 class SecondCauseTest(unittest.TestCase):
-    # Crashes that another cause explains do not count, so that this one ran at three upstreams.
-    def test_work_beside_another_cause_crashes_no_more_upstreams_than_alone(self) -> None:
+    def fleet(self) -> Fleet:
         fleet = Fleet()
         fleet.rng = random.Random(0)
         fleet.crashes = {"bad-0": 0, "bad-1": 0}
@@ -426,11 +433,27 @@
         fleet.facts = []
         fleet.now_ms = START_MS
         fleet.upstreams = 0
+        return fleet
+
+    # Crashes that another cause explains did not count, so that this one ran at three upstreams.
+    def test_work_beside_another_cause_crashes_no_more_upstreams_than_alone(self) -> None:
+        fleet = self.fleet()
         both = ["bad-0", "bad-1"]
         for groups in ([["bad-1"]], [both] * 2, [["bad-0"]], [both] * 3):
             fleet.submit_work(data=FixedDraws(groups))
         self.assertLessEqual(max(fleet.crashes.values()), Fleet.MAX_CRASHES)
 
+    def test_work_that_crashed_only_beside_another_cause_crashes_no_more_upstreams(self) -> None:
+        both = ["bad-0", "bad-1"]
+        for first in ([[both] * 2], [[both] * 3], [[both], [both] * 3]):
+            fleet = self.fleet()
+            retries = [[["bad-1"]] * 3] * 4
+            for groups in (*first, [["bad-0"]], *retries):
+                fleet.submit_work(data=FixedDraws(groups))
+            with self.subTest(first=first):
+                self.assertLessEqual(max(fleet.crashes.values()), Fleet.MAX_CRASHES)
+                self.assertIs(fleet.restriction(fleet.nodes[0], "bad-1"), Restriction.REFUSED)
+
 
 Fleet.TestCase.settings = settings(max_examples=60, stateful_step_count=25, deadline=None)
 FleetTest = Fleet.TestCase
