Run the tests of customers on a virtual clock

The test is at fault. Node, store, upstreams and callers share one process, and the test races the new configuration, some hops long, against runs of five sleeps of 150 ms by the real clock. Shown: (1) beside 30 busy loops on one core: "401 not found in {200, 503}" in 1 of 5 runs, and with the answers printed beside 20 loops the 503 are "no local capacity at i-1" and "no slot became free in time": owners answered too late. (2) In virtual time with the configuration stored after 0.8 s or later, once the first runs are over at 0.75 s, all 14 calls get 200 and none 401; up to 0.75 s six get 401.

virtual_clock() is trio's MockClock that advances only while all tasks of the process wait, so that a busy machine delays nothing. Checks and bounds are as they were. The listed test passes in 8 of 8 runs beside a load of 10 to 28, and on a processor made slower (2 and 4 ms more for each step of a task), where the real clock gave an error at 4 ms; the module takes 5 s.

--- a/tests/test_node_customers.py
+++ b/tests/test_node_customers.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from tests.builders.clocks import virtual_clock
 from tests.builders.jobs_calls import JOB, job_body
 from tests.builders.node import Answer, NodeFleet, RunningNode, config_document, running_fleet
 from tests.builders.standins import run_async
@@ -38,7 +39,7 @@
                         upstream.seen.clear()
                     await test(fleet)
 
-        run_async(run)
+        run_async(run, virtual_clock())
 
     async def wait_in_force(self, fleet: NodeFleet, key: str, status: int = 200) -> None:
         for node in fleet.nodes:
