Play four rounds where the policies are compared with lost reports

It runs in virtual time, so the machine has no part in it: reports are lost and delayed by draws whose order depends on trio's own scheduling, and the draws of arrivals follow them.

The bounds stay; both shares are now of four rounds.

--- a/tests/test_uneven_load.py
+++ b/tests/test_uneven_load.py
@@ -80,8 +80,9 @@
     fleet.degrade_reports(rng, lost_share=1 / 3, age_ms=1000.0)
 
 
-def on_time_share(policy: str, change: _FleetChange | None = None) -> float:
-    outcomes = [item for seed in SEEDS for item in play(policy, seed, change)]
+def on_time_share(policy: str, change: _FleetChange | None = None, rounds: int = 1) -> float:
+    """Return the share of calls on time; rounds differ where reports are lost at random."""
+    outcomes = [item for seed in SEEDS * rounds for item in play(policy, seed, change)]
     return sum(item.on_time for item in outcomes) / len(outcomes)
 
 
@@ -96,9 +97,9 @@
         self.assertLess(on_time_share("by load"), 0.985)
 
     def test_it_holds_while_a_third_changes_and_reports_are_old_or_lost(self) -> None:
-        """By load 0.978 to 0.980 are on time, by prediction 0.985 to 0.989."""
-        by_load = on_time_share("by load", break_a_third)
-        predicted = on_time_share("predicted", break_a_third)
+        """In a round by load 0.974 to 0.982 are on time, by prediction 0.983 to 0.992."""
+        by_load = on_time_share("by load", break_a_third, rounds=4)
+        predicted = on_time_share("predicted", break_a_third, rounds=4)
         self.assertGreaterEqual(predicted, 0.98)
         self.assertGreater(predicted, by_load + 0.003)
 
