Identify peers that are slow, close their connections or took another's place

What callers saw: streams that may be resumed, and items, found no upstream (503, 504) where reports took over 250 ms, or where upstreams close each connection after an answer. An idle connection to a process that vanished without closing it kept requests from the process in its place.

Cause: a report had the time of a connect and was asked again from the start, a closed connection was asked again in vain, and a connection to another process than the expected one went back to the pool and was handed out again. A late answer to an earlier call could be taken for the report.

A connection opened right after the answer of a peer that closed it counts as that peer's, as no process restarts so quickly. The pool passes over connections to other processes, and closes those that a newly identified process has replaced; where another process was found within the last 0.5 s nothing is opened. Answers that bear a request's ID are no reports.

--- a/src/fescuedock/net/http_client.py
+++ b/src/fescuedock/net/http_client.py
@@ -48,9 +48,11 @@
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*(\d+)")
 # A request must arrive before the server closes: longer than the slowest network transit.
 _KEEP_ALIVE_MARGIN_S = 0.25
-_MAX_IDENTITY_BYTES = 65536
+_MAX_PEER_BYTES = 65536
 # A server may close any connection after an answer, so also after the one that identified it.
-_MAX_IDENTITY_TRIES = 2
+_MAX_IDENTIFY_TRIES = 2
+# How long it is not asked again which process is at an address where another one was found.
+_PEER_VALID_S = 0.5
 # Number of previous requests on a connection whose late answers may still arrive.  Attempts of one
 # call follow each other within seconds, in which a connection carries only a few requests.
 _MAX_CARRIED_IDENTITIES = 32
@@ -187,23 +189,27 @@
 class PeerQuery(msgspec.Struct, frozen=True):
     """A GET request whose answer names the process at the other end of a connection.
 
-    ``read_identity`` returns the identity in an answer with this status and body, None if the
+    ``read_peer`` returns the identity in an answer with this status and body, None if the
     process does not tell it; it raises ``ValueError`` for an answer that cannot be read.
-    ``expected`` is the identity that the process must have if it tells one.
+    ``expected`` is the identity that the process must have if it tells one.  ``is_answer`` rejects
+    late answers to other requests by their headers.
     """
 
     target: str
-    read_identity: Callable[[int, bytes], str | None]
+    read_peer: Callable[[int, bytes], str | None]
     expected: str
+    is_answer: IsAnswer = lambda headers: True
 
 
 class HttpClient(msgspec.Struct):
     """Makes requests, reusing up to ``max_idle_per_address`` idle connections per address.
 
-    ``on_connect`` is called for each new connection.
+    ``identify_timeout_ms`` bounds the time in which a peer must identify itself, with a second
+    connection if the first one closes.  ``on_connect`` is called for each new connection.
     """
 
     connect_timeout_ms: int = 2000
+    identify_timeout_ms: int = 700
     max_idle_per_address: int = 16
     on_connect: Callable[[Address], None] = lambda address: None
 
@@ -249,13 +255,18 @@
         # On a reused connection the request is written without a checkpoint: without this one, a
         # caller that was cancelled just before would still send it.
         await trio.lowlevel.checkpoint_if_cancelled()
-        connection = None if fresh else self._pop_idle(address, identity)
+        expected = None if peer_query is None else peer_query.expected
+        connection = None if fresh else self._pop_idle(address, identity, expected)
         if connection is None:
+            if self._has_other_peer(address, expected):
+                raise OtherPeerError(f"another process is at {address}")
             connection = await self._connect(address)
-        if peer_query is not None:
+        if peer_query is not None and not connection.is_identified:
             connection = await self._identify(address, connection, peer_query)
-            if connection.peer not in (None, peer_query.expected):
+            self._drop_former_peers(address, connection.peer)
+            if connection.is_other_peer(expected):
                 # The process may be listed soon, and the connection is of use then.
+                connection.mismatched_s = trio.current_time()
                 self._store_idle(address, connection)
                 raise OtherPeerError(f"another process is at {address}: {connection.peer}")
         connection.carried.append(identity)
@@ -314,28 +325,37 @@
         self, address: Address, connection: "_ClientConnection", query: PeerQuery
     ) -> "_ClientConnection":
         """Return a connection whose peer has answered ``query``, another one if that was closed."""
-        if connection.is_identified:
-            return connection
-        for tries_left in reversed(range(_MAX_IDENTITY_TRIES)):
-            is_usable, reason = False, "it closed the connection"
+        try:
+            with _answer_timeout(address, self.identify_timeout_ms):
+                return await self._identify_any(address, connection, query)
+        except (ResponseLostError, ResponseTooLargeError, ValueError) as error:
+            raise NotSentError(f"{address} did not identify itself: {error}") from error
+
+    async def _identify_any(
+        self, address: Address, connection: "_ClientConnection", query: PeerQuery
+    ) -> "_ClientConnection":
+        for tries_left in reversed(range(_MAX_IDENTIFY_TRIES)):
+            is_usable = False
             try:
-                with _answer_timeout(address, self.connect_timeout_ms):
-                    await connection.identify(address, query)
+                await connection.identify(address, query)
                 is_usable = connection.reusable()
-            except ResponseLostError as error:
-                reason = str(error)
-            except (ResponseTooLargeError, ValueError) as error:
-                raise NotSentError(f"{address} did not identify itself: {error}") from error
+            except ResponseLostError:
+                if not tries_left:
+                    raise
             finally:
                 if not is_usable:
                     connection.abort()
             if is_usable:
                 return connection
-            if tries_left:
-                connection = await self._connect(address)
-        raise NotSentError(f"{address} did not identify itself: {reason}")
+            told = connection
+            connection = await self._connect(address)
+        # A peer that closes each connection after an answer: no process restarts so quickly.
+        connection.set_peer(told.peer)
+        return connection
 
-    def _pop_idle(self, address: Address, identity: str) -> "_ClientConnection | None":
+    def _pop_idle(
+        self, address: Address, identity: str, expected_peer: str | None
+    ) -> "_ClientConnection | None":
         idle = (self._idle or {}).get(address, [])
         found: _ClientConnection | None = None
         excluded: list[_ClientConnection] = []
@@ -343,13 +363,30 @@
             connection = idle.pop()
             if not connection.is_usable():
                 connection.abort()
-            elif identity and identity in connection.carried:
+            elif (identity and identity in connection.carried) or connection.is_other_peer(
+                expected_peer
+            ):
                 excluded.append(connection)
             else:
                 found = connection
         idle.extend(reversed(excluded))
         return found
 
+    def _has_other_peer(self, address: Address, expected: str | None) -> bool:
+        """Whether another process than the expected one was found at an address just now."""
+        now_s = trio.current_time()
+        return any(
+            item.is_other_peer(expected) and now_s - item.mismatched_s < _PEER_VALID_S
+            for item in (self._idle or {}).get(address, ())
+        )
+
+    def _drop_former_peers(self, address: Address, current: str | None) -> None:
+        """Close the idle connections to processes that another one has replaced."""
+        idle = (self._idle or {}).get(address, [])
+        for connection in [item for item in idle if item.is_other_peer(current)]:
+            idle.remove(connection)
+            connection.abort()
+
     def _store_idle(self, address: Address, connection: "_ClientConnection") -> None:
         if self._idle is None:
             self._idle = defaultdict(list)
@@ -417,15 +454,18 @@
         "_unread_body",
         "carried",
         "is_identified",
+        "mismatched_s",
         "peer",
     )
 
     def __init__(self, stream: trio.SocketStream) -> None:
         # Identities of the latest requests.
         self.carried: deque[str] = deque(maxlen=_MAX_CARRIED_IDENTITIES)
-        # Whether the peer was asked for its identity, and what it told.
+        # Whether the peer was asked which process it is, what it told, and when that was found to
+        # be another one than expected.
         self.is_identified = False
         self.peer: str | None = None
+        self.mismatched_s = -math.inf
         self._protocol = h11.Connection(h11.CLIENT, _MAX_HEADER_BYTES)
         self._stream = stream
         self._is_partly_sent = False
@@ -439,10 +479,18 @@
     async def identify(self, address: Address, query: PeerQuery) -> None:
         """Ask the peer for its identity; raise ``ValueError`` if its answer cannot be read."""
         message = _Message("GET", query.target, (), b"")
-        response = await self.exchange(address, message, lambda _headers: True, unchecked)
-        body = await response.read(_MAX_IDENTITY_BYTES)
-        self.peer = query.read_identity(response.status, body)
+        response = await self.exchange(address, message, query.is_answer, unchecked)
+        body = await response.read(_MAX_PEER_BYTES)
+        self.set_peer(query.read_peer(response.status, body))
+
+    def set_peer(self, peer: str | None) -> None:
+        """Record the identity of the peer, None if it does not tell it."""
         self.is_identified = True
+        self.peer = peer
+
+    def is_other_peer(self, expected: str | None) -> bool:
+        """Whether the peer is known to be another process than the expected one."""
+        return None not in (expected, self.peer) and self.peer != expected
 
     async def exchange(
         self, address: Address, message: _Message, is_answer: IsAnswer, check: SendCheck
--- a/src/fescuedock/node/attempt.py
+++ b/src/fescuedock/node/attempt.py
@@ -14,7 +14,6 @@
 from fescuedock.net.http_client import ClientResponse, HttpClient, SendCheck
 from fescuedock.net.http_messages import Headers
 from fescuedock.platform import calls
-from fescuedock.platform.reports import process_query
 from fescuedock.schema.permits import AttemptOutcome, EndedPermit, WorkClass
 from fescuedock.schema.view import UpstreamRecord
 
@@ -148,7 +147,7 @@
         is_answer=lambda fields: calls.answer_head(0, fields).answers(request_id),
         check=check,
         identity=request_id,
-        peer_query=process_query(upstream.upstream_id) if identifies else None,
+        peer_query=calls.process_query(upstream.upstream_id) if identifies else None,
     ) as response:
         head = calls.answer_head(response.status, response.header_fields)
         yield UpstreamAnswer(head, response)
--- a/src/fescuedock/platform/calls.py
+++ b/src/fescuedock/platform/calls.py
@@ -1,12 +1,15 @@
-"""Translates the headers of clients' calls and upstreams' answers."""
+"""Translates the headers of clients' calls and upstreams' answers, and identifies upstreams."""
 
 from collections.abc import Iterable, Sequence
 
+import msgspec
+
 from fescuedock.core.customers import bearer_keys
 from fescuedock.core.forwarding.calls import AnswerHead, CallHead
 from fescuedock.faults import Fault
+from fescuedock.net.http_client import PeerQuery
 from fescuedock.net.http_messages import HOP_HEADERS, Headers
-from fescuedock.platform.records import registered_id
+from fescuedock.platform.records import registered_id, started_at
 
 __all__ = [
     "HEALTH_ID_HEADER",
@@ -16,6 +19,7 @@
     "client_headers",
     "item_head",
     "item_headers",
+    "process_query",
     "refusal_headers",
     "upstream_headers",
 ]
@@ -43,6 +47,9 @@
 _KEEP_ALIVE = "keep-alive"
 _MISDIRECTED = 421
 HEALTH_ID_HEADER = "x-instance-id"
+_REPORT_PATH = "/api/report"
+_OK = 200
+_NOT_FOUND = 404
 
 # Headers that every attempt sets itself.
 _REPLACED_HEADERS = frozenset(
@@ -135,6 +142,39 @@
     return _without_hop_headers(headers, frozenset(("content-length",)))
 
 
+class _Report(msgspec.Struct):
+    """A worker's report of its state; only its start time in Unix milliseconds is read."""
+
+    born: int | None = None
+
+
+def process_query(upstream_id: str) -> PeerQuery | None:
+    """Return the query that identifies an upstream's process; None if its entry names no start.
+
+    Without a start time in its entry each start of a worker has an ID of its own, which every
+    request names.
+    """
+    expected = started_at(upstream_id)
+    return PeerQuery(_REPORT_PATH, _read_start, expected, _is_report) if expected else None
+
+
+def _is_report(headers: Headers) -> bool:
+    """Whether an answer belongs to a request without an ID, which all others have."""
+    return not answer_head(_OK, headers).request_id
+
+
+def _read_start(status: int, body: bytes) -> str | None:
+    if status == _NOT_FOUND:
+        return None
+    if status != _OK:
+        raise ValueError(f"status {status}")
+    try:
+        report = msgspec.json.decode(body, type=_Report)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise ValueError(f"its report cannot be read: {error}") from error
+    return None if report.born is None else str(report.born)
+
+
 def refusal_headers(fault: Fault) -> list[tuple[str, str]]:
     """Return the headers of a refusal by this node; ``retry-after`` is in seconds."""
     if not fault.retry_after_ms:
--- a/src/fescuedock/platform/standin/event_upstream.py
+++ b/src/fescuedock/platform/standin/event_upstream.py
@@ -95,6 +95,7 @@
     event_interval_ms: float = 1.0
     born: int = 0
     reports_born: bool = True
+    report_delay_ms: float = 0.0
     reports: int = 0
     report_faults: list[UpstreamFault] = field(default_factory=list)
     faults: list[UpstreamFault] = field(default_factory=list)
@@ -196,6 +197,7 @@
             raise DroppedConnectionError("dropped the report as configured")
         if fault.hang_after >= 0:
             await trio.sleep_forever()
+        await trio.sleep(self.report_delay_ms / 1000)
         fields = {"stage": "both", "inFlight": self.running}
         if self.born and self.reports_born:
             fields["born"] = self.born
--- a/tests/test_net_peer_identity.py
+++ b/tests/test_net_peer_identity.py
@@ -2,22 +2,24 @@
 
 import unittest
 from collections import Counter
+from functools import partial
 
 import trio
 
+from fescuedock.address import Address
 from fescuedock.net.http_client import NotSentError, OtherPeerError, PeerQuery, open_http_client
 from fescuedock.net.http_server import DroppedConnectionError, Request, Responder
 from tests.builders.net import served
 
 
-def read_identity(status: int, body: bytes) -> str | None:
+def read_peer(status: int, body: bytes) -> str | None:
     if status != 200:
         raise ValueError(f"status {status}")
     return body.decode() or None
 
 
 def query(expected: str) -> PeerQuery:
-    return PeerQuery("/identity", read_identity, expected)
+    return PeerQuery("/identity", read_peer, expected)
 
 
 class PeerIdentityTest(unittest.TestCase):
@@ -27,6 +29,7 @@
         self.status = 200
         self.headers: list[tuple[str, str]] = []
         self.drops = 0
+        self.delay_s = 0.0
 
     async def answer(self, request: Request, responder: Responder) -> None:
         await request.read(1024)
@@ -37,12 +40,16 @@
         if self.drops:
             self.drops -= 1
             raise DroppedConnectionError("dropped the answer as configured")
+        await trio.sleep(self.delay_s)
         await responder.send(self.status, self.identity, self.headers)
 
-    def run_guarded(self, test) -> None:
+    def run_guarded(self, test, connect_timeout_ms: int = 2000) -> None:
         async def guarded() -> None:
             with trio.fail_after(10):
-                async with served(self.answer) as (_, address), open_http_client() as client:
+                async with (
+                    served(self.answer) as (_, address),
+                    open_http_client(connect_timeout_ms) as client,
+                ):
                     connected = []
                     client.on_connect = connected.append
 
@@ -110,6 +117,59 @@
 
         self.run_guarded(test)
 
+    def test_a_slow_answer_identifies_the_peer(self) -> None:
+        async def test(send, connected) -> None:
+            self.delay_s = 0.4
+            self.assertEqual(await send("first"), "first")
+            self.assertEqual((self.targets["/identity"], len(connected)), (1, 1))
+
+        self.run_guarded(test, connect_timeout_ms=100)
+
+    def test_a_peer_that_closes_after_each_answer_gets_requests(self) -> None:
+        async def test(send, _connected) -> None:
+            self.headers = [("connection", "close")]
+            self.assertEqual(await send("first"), "first")
+            with self.assertRaises(OtherPeerError):
+                await send("second")
+            self.assertEqual(self.targets["/run"], 1)
+
+        self.run_guarded(test)
+
+    def test_a_connection_to_a_former_process_keeps_no_request_from_the_current_one(self) -> None:
+        """Guards against an idle connection whose process vanished without closing it."""
+
+        async def test(send, connected) -> None:
+            self.assertEqual(await send("first"), "first")
+            self.identity = b"second"
+            self.assertEqual(await send("second"), "second")
+            self.assertEqual(len(connected), 2)
+
+        self.run_guarded(test)
+
+    def test_a_late_answer_to_another_request_identifies_nobody(self) -> None:
+        async def serve(stream: trio.SocketStream) -> None:
+            await stream.receive_some()
+            late = b"HTTP/1.1 200 OK\r\nx-late: 1\r\ncontent-length: 5\r\n\r\nfirst"
+            await stream.send_all(late)
+            await stream.send_all(b"HTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\nsecond")
+            await trio.sleep_forever()
+
+        async def run() -> None:
+            async with trio.open_nursery() as nursery:
+                serve_tcp = partial(trio.serve_tcp, host="127.0.0.1")
+                [listener] = await nursery.start(serve_tcp, serve, 0)
+                address = Address(*listener.socket.getsockname())
+                asked = PeerQuery(
+                    "/identity", read_peer, "first", lambda headers: "x-late" not in dict(headers)
+                )
+                async with open_http_client() as client:
+                    with trio.fail_after(5), self.assertRaises(OtherPeerError):
+                        async with client.request(address, "POST", "/run", peer_query=asked):
+                            pass
+                nursery.cancel_scope.cancel()
+
+        trio.run(run)
+
 
 if __name__ == "__main__":
     unittest.main()
