Relay sound answers while their upstream is listed anew

What callers saw: 502 for a stream of one run, or one at an identified process, whose upstream was listed under another start time before its first event, at the same version.

Now the versions are compared, and only for answers of several runs whose process did not tell its start. test_a_sound_answer_is_relayed_while_its_upstream_is_listed_anew; two tests of the reviewer failed before and pass now.

--- a/src/fescuedock/agent/link.py
+++ b/src/fescuedock/agent/link.py
@@ -119,15 +119,16 @@
         return [item for item in self.upstreams.values() if item.service == service]
 
     def is_replaced(self, chosen: UpstreamRecord) -> bool:
-        """Whether an upstream is now listed as another process than when it was chosen.
+        """Whether an upstream is now listed with another version than when it was chosen.
 
         A restarted upstream may be listed under another ID, at the same address.
         """
-        current = self.upstreams.get(chosen.upstream_id)
-        if current is not None:
-            return current.software_version != chosen.software_version
         address = (chosen.host, chosen.port)
-        return any((item.host, item.port) == address for item in self.upstreams_of(chosen.service))
+        return any(
+            item.software_version != chosen.software_version
+            for item in self.upstreams_of(chosen.service)
+            if (item.host, item.port) == address
+        )
 
     def owner_of(self, upstream_id: str) -> VmRecord | None:
         """Return the VM whose agent owns the upstream; None if that is unknown or no VM is live."""
--- a/src/fescuedock/node/online_call.py
+++ b/src/fescuedock/node/online_call.py
@@ -460,7 +460,7 @@
             if record.first_event_ms < 0:
                 self.shared.record_first_event(now_ms() - record.started_ms)
             record.record_events(len(events))
-            if record.events == len(events) and self._is_replaced(upstream):
+            if record.events == len(events) and self._is_replaced(upstream, record):
                 return AttemptEnd.LOST
             if self.client_stream is None:
                 # Done before events are counted as relayed: a counted event must reach the client.
@@ -490,17 +490,11 @@
         await sending
         stall.deadline = self._stall_deadline_s(first=False) + _STALL_DEADLINE_STEP_S
 
-    def _is_replaced(self, upstream: UpstreamRecord) -> bool:
-        """Whether an upstream is now known to have another version than when it was chosen.
-
-        A restarted upstream is listed under another ID, at the same address.
-        """
-        current = self.shared.view.upstreams.get(upstream.upstream_id)
-        if current is not None:
-            return current.software_version != upstream.software_version
-        address = (upstream.host, upstream.port)
-        others = self.shared.view.upstreams_of(self.service)
-        return any((item.host, item.port) == address for item in others)
+    def _is_replaced(self, upstream: UpstreamRecord, record: AttemptRecord) -> bool:
+        """Whether the attempt may be at another version; an identified process keeps its own."""
+        return (
+            self.joins_runs and record.process is None and self.shared.view.is_replaced(upstream)
+        )
 
     async def _record_origin(self, upstream: UpstreamRecord) -> None:
         """Record the origin of the stream, at other nodes too if it is resumable."""
