Count an attempt that never wrote its request as not sent

What callers saw: 504, which promises nothing, for calls whose deadline passed while only a report or a connection was awaited; such a stall also used up one of the call's runs.

Cause: an attempt counted as under way from its start, not from the write of its request.

Now the check right before the write marks it, and a stall before that ends as not sent. The time of the first event runs from the write. test_a_call_that_only_awaited_a_report_is_answered_as_not_run failed before (504).

--- a/src/fescuedock/node/online_call.py
+++ b/src/fescuedock/node/online_call.py
@@ -15,6 +15,7 @@
 from fescuedock.core.forwarding.progress import AttemptEnd, CallProgress
 from fescuedock.core.forwarding.route_table import Route, RouteKind
 from fescuedock.core.routing import Demand
+from fescuedock.core.send_gate import SendRefusal
 from fescuedock.core.stream_origins import stream_key
 from fescuedock.core.work_identity import part_identities, work_identity
 from fescuedock.entry.online_permits import find_permit
@@ -313,7 +314,6 @@
         done = False
         reason = ""
         end: AttemptEnd | None = None
-        self.sending = True
         try:
             end = await self._send(upstream, record)
             done = True
@@ -351,8 +351,18 @@
             deadline_ms=self.deadline_ms,
             key_is_valid=self.key_holds,
         )
-        with trio.CancelScope() as stall:
-            stall.deadline = self._stall_deadline_s(first=True)
+        stall = trio.CancelScope(deadline=self._stall_deadline_s(first=True))
+        if self.joins_runs:
+            stall.deadline += self.shared.http.identify_timeout_ms / 1000
+
+        def check_and_start() -> SendRefusal | None:
+            refusal = check()
+            if refusal is None:
+                self.sending = True
+                stall.deadline = self._stall_deadline_s(first=True)
+            return refusal
+
+        with stall:
             async with send_attempt(
                 self.shared.http,
                 upstream,
@@ -361,11 +371,11 @@
                 self.request.target,
                 headers,
                 self.body,
-                check,
+                check_and_start,
                 identifies=self.joins_runs,
             ) as answer:
                 return await self._handle_answer(answer, upstream, record, stall)
-        return AttemptEnd.STALLED
+        return AttemptEnd.STALLED if self.sending else AttemptEnd.NOT_SENT
 
     def _stall_deadline_s(self, *, first: bool) -> float:
         """Return the time by which data must arrive, else the call moves to another upstream."""
@@ -492,9 +502,7 @@
 
     def _is_replaced(self, upstream: UpstreamRecord, record: AttemptRecord) -> bool:
         """Whether the attempt may be at another version; an identified process keeps its own."""
-        return (
-            self.joins_runs and record.process is None and self.shared.view.is_replaced(upstream)
-        )
+        return self.joins_runs and record.process is None and self.shared.view.is_replaced(upstream)
 
     async def _record_origin(self, upstream: UpstreamRecord) -> None:
         """Record the origin of the stream, at other nodes too if it is resumable."""
--- a/tests/test_restarted_upstreams.py
+++ b/tests/test_restarted_upstreams.py
@@ -192,6 +192,60 @@
 
                 self.run_fleet(test)
 
+    def test_upstreams_whose_reports_are_slow_serve(self) -> None:
+        async def test(fleet: NodeFleet) -> None:
+            for upstream in fleet.upstreams:
+                upstream.report_delay_ms = 300
+            for number in range(5):
+                answer = await fleet.call(fleet.nodes[0].front, "POST", f"/check/{number}", b"a")
+                self.assertEqual((answer.status, answer.complete), (200, True))
+
+        self.run_fleet(test, nodes=1)
+
+    def test_a_call_that_only_awaited_a_report_is_answered_as_not_run(self) -> None:
+        async def test(fleet: NodeFleet) -> None:
+            [upstream] = fleet.upstreams
+            upstream.report_faults = [UpstreamFault(hang_after=0)] * 100
+            headers = {"x-deadline-ms": "300"}
+            answer = await fleet.call(fleet.nodes[0].front, "POST", "/check/1", b"a", headers)
+            self.assertEqual((answer.status, upstream.seen), (503, []))
+
+        self.run_fleet(test, versions=("v1",), nodes=1)
+
+    def test_a_hung_report_uses_up_no_run_and_little_time(self) -> None:
+        async def test(fleet: NodeFleet) -> None:
+            hung, cutting, _ = fleet.upstreams
+            hung.report_faults = [UpstreamFault(hang_after=0)] * 100
+            for number in range(12):
+                cutting.faults = [UpstreamFault(cut_after=2)]
+                started_s = trio.current_time()
+                answer = await fleet.call(fleet.nodes[0].front, "POST", f"/check/{number}", b"a")
+                self.assertLess(trio.current_time() - started_s, 2.0)
+                self.assertEqual((answer.status, answer.complete), (200, True))
+            self.assertEqual(hung.seen, [])
+
+        self.run_fleet(test, versions=("v1",) * 3, nodes=1)
+
+    def test_a_sound_answer_is_relayed_while_its_upstream_is_listed_anew(self) -> None:
+        async def test(fleet: NodeFleet) -> None:
+            [upstream] = fleet.upstreams
+            upstream.event_interval_ms = 250
+            # A stream of one run, and one at an identified process whose old entry comes again.
+            await fleet.restart_upstream(upstream, "", 0.15)
+            answers = [await fleet.call(fleet.nodes[0].front, "POST", "/rights/1", b"a")]
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.register_later, fleet, upstream)
+                answers += [await fleet.call(fleet.nodes[0].front, "POST", "/check/1", b"a")]
+            self.assertEqual(upstream.runs.total(), 2)
+            for answer in answers:
+                self.assertEqual((answer.status, answer.complete), (200, True))
+
+        self.run_fleet(test, versions=("v1",), nodes=1)
+
+    async def register_later(self, fleet: NodeFleet, upstream: EventUpstream) -> None:
+        await trio.sleep(0.1)
+        fleet.register(upstream, born=STARTED_MS)
+
     def test_an_upstream_whose_report_names_no_start_serves(self) -> None:
         async def test(fleet: NodeFleet) -> None:
             [upstream] = fleet.upstreams
