Let a batch item begin anew once its version seems gone

What callers saw: an OpenAI-dialect item was never done where the version of its text had gone while the VM list still named it, or named none.

Cause: an attempt at another version kept the text and counted against nothing, without end.

After three such attempts in a row the text is dropped. The new test failed before (a resume point at the fourth attempt) and passes.

--- a/src/fescuedock/core/batch/items.py
+++ b/src/fescuedock/core/batch/items.py
@@ -82,6 +82,8 @@
 # Ends that count against neither the item nor the upstream, and ends of attempts that never ran.
 _NO_FAULT = (EndKind.REVOKED, EndKind.STOPPED, EndKind.WITHDRAWN)
 _NOT_RUN = (EndKind.NOT_SENT, EndKind.BUSY, EndKind.WITHDRAWN)
+# An item begins anew after this many attempts at other versions in a row.
+_MAX_OTHER_VERSIONS = 3
 _STRICTNESS = (Isolation.NONE, Isolation.FROM_SUSPECTS, Isolation.FULL)
 
 
@@ -96,6 +98,8 @@
     text: str = ""
     tokens: int = 0
     software_version: str = ""
+    # Attempts in a row that reached another version than that of ``text``.
+    other_versions: int = 0
     avoid: str = ""
     upstream_id: str = ""
     ready_at_ms: float = 0.0
@@ -263,8 +267,10 @@
             item.deaths += 1
             item.suspicion += _DEATH_SUSPICION_WITH_TOKENS if progressed else _DEATH_SUSPICION
         item.failures += end.kind is EndKind.SERVER_ERROR
-        # The generated text may itself make the next attempt fail.
-        if end.kind is EndKind.SERVER_ERROR or item.suspicion >= _MIN_SUSPECT_SUSPICION:
+        item.other_versions = item.other_versions + 1 if end.kind is EndKind.OTHER_VERSION else 0
+        # The generated text may itself make the next attempt fail, or its version may be gone.
+        is_gone = item.other_versions >= _MAX_OTHER_VERSIONS
+        if is_gone or end.kind is EndKind.SERVER_ERROR or item.suspicion >= _MIN_SUSPECT_SUSPICION:
             item.text, item.tokens = "", 0
         late = now_ms >= self._deadline_ms
         if late and item.suspicion >= min(self._settings.item_attempts, _MIN_FAILED_SUSPICION):
--- a/tests/test_batch_decisions.py
+++ b/tests/test_batch_decisions.py
@@ -77,6 +77,22 @@
         return counts
 
 
+class GoneVersionTest(unittest.TestCase):
+    def test_an_item_whose_version_is_gone_begins_anew(self):
+        """Guards against an item that waits forever for a version that no engine has."""
+        fleet = _Fleet()
+        fleet.add("a", items=1)
+        generated = {"text": "begun", "tokens": 4, "software_version": "b1"}
+        fleet.end(fleet.claim(), AttemptEnd(EndKind.DIED, **generated))
+        tokens = []
+        for number in range(4):
+            fleet.now_ms += 60_000.0
+            assignment = fleet.claim(f"u{number}")
+            tokens.append(assignment.item.tokens)
+            fleet.end(assignment, AttemptEnd(EndKind.OTHER_VERSION, **generated))
+        self.assertEqual(tokens, [4, 4, 4, 0])
+
+
 class SchedulerTest(unittest.TestCase):
     def test_members_share_slots_equally_when_nothing_is_urgent(self):
         fleet = _Fleet()
