Test that no stream is joined where all nodes restart before the entries change

All nodes end at once, upstreams restart under their IDs at another version meanwhile, and their entries are 1.5 s late.

--- a/tests/test_restarted_upstreams.py
+++ b/tests/test_restarted_upstreams.py
@@ -9,7 +9,7 @@
 import trio
 
 from fescuedock.platform.standin.event_upstream import EventUpstream, UpstreamFault
-from tests.builders.node import NodeFleet, running_fleet
+from tests.builders.node import Answer, NodeFleet, running_fleet
 from tests.builders.standins import run_async
 from tests.builders.versions import (
     ResumedStream,
@@ -120,6 +120,43 @@
 
         self.run_fleet(test, versions=("v1",) * 4, nodes=3)
 
+    def test_no_stream_is_joined_where_all_nodes_restart_before_the_entries_change(self) -> None:
+        async def test(fleet: NodeFleet) -> None:
+            resumed: list[ResumedStream] = []
+            for upstream in fleet.upstreams:
+                upstream.event_interval_ms = 200
+            firsts: dict[int, Answer] = {}
+
+            async def begin(number: int) -> None:
+                front = fleet.nodes[number % 2].front
+                headers = {"x-request-id": f"first-{number}"}
+                path = f"/check/{number}"
+                firsts[number] = await fleet.call(front, "POST", path, b"case", headers)
+
+            async with trio.open_nursery() as nursery:
+                for number in range(12):
+                    nursery.start_soon(begin, number)
+                await trio.sleep(0.5)
+                for node in fleet.nodes:
+                    node.kill()
+            for upstream in fleet.upstreams:
+                upstream.event_interval_ms = 1
+                await fleet.restart_upstream(upstream, "v1.1", 1.5)
+            for node in list(fleet.nodes):
+                await fleet.restart(node)
+            for number, first in firsts.items():
+                if event_numbers(first.body):
+                    front = fleet.nodes[number % 2].front
+                    path, name = f"/check/{number}", f"first-{number}"
+                    resumed.append(await resume_stream(fleet, front, path, b"case", first, name))
+            self.assertGreater(len(resumed), 0)
+            joined = [
+                item for item in resumed if item.second.status == 200 and len(item.versions) > 1
+            ]
+            self.assertEqual(joined, [])
+
+        self.run_fleet(test, versions=("v1",) * 3)
+
     def test_an_entry_that_changes_before_the_first_event_discards_the_attempt(self) -> None:
         for joins in ("begins", "goes on"):
             with self.subTest(joins=joins):
