Ask which process accepts a connection before it speaks for an upstream

Where an upstream crashed and was back under its own ID before the first connection attempt, with a late entry, the attempt found a process and took it for the one that had broken off the run. The crash was not reported, and a run that only looked whole proved its parts sound, so harmful work was found later.

The second connection of a check now asks for the identity of its peer where the entry names one. Another process means that the upstream has ended; no answer in time means that nothing is known, so it is no proof. The process that was found counts as the expected one from then on: calls of single runs still go there under the old entry, and each sound one would count as evidence. A run that looks whole at a process that no check has found before its end counts as given up, as that process may have completed it. An address that is listed under another ID is asked as well, since a late write of the former process changes the entry too. An end that is found late gets the number of the last known crash, so that it is not counted twice if another agent found it at once.

--- a/src/fescuedock/agent/crash_service.py
+++ b/src/fescuedock/agent/crash_service.py
@@ -6,7 +6,7 @@
 """
 
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from secrets import token_hex
 from typing import TYPE_CHECKING
 
@@ -24,7 +24,7 @@
 from fescuedock.log import log_event
 from fescuedock.net.channel import CallHandler, ServerPeer
 from fescuedock.net.channel_pool import ChannelPool
-from fescuedock.net.http_client import ConnectResult, HttpClient
+from fescuedock.net.http_client import ConnectResult, HttpClient, PeerQuery
 from fescuedock.pauses import ExponentialBackoff
 from fescuedock.schema.crashes import (
     BrokenRun,
@@ -71,7 +71,8 @@
     """Keeps ``view.quarantine`` current, and checks the upstreams of this VM's broken runs.
 
     Reports are stored below ``prefix`` in the key-value service; the reader of that prefix passes
-    its entries to ``apply_entries``.
+    its entries to ``apply_entries``.  ``process_query`` returns the query that tells which process
+    is at the address of an upstream, None for an upstream that cannot be asked.
     """
 
     def __init__(
@@ -83,6 +84,7 @@
         prefix: str,
         rng: random.Random,
         unix_clock: UnixClock,
+        process_query: Callable[[str], PeerQuery | None] = lambda upstream_id: None,
     ) -> None:
         self._view = view
         self._http = http
@@ -91,6 +93,7 @@
         self._prefix = prefix
         self._rng = rng
         self._unix_clock = unix_clock
+        self._process_query = process_query
         self._log = CrashLog(view.quarantine, boot=rng.getrandbits(53))
         # Set when a fact was applied, and when there are facts to send or write.
         self._changed = trio.Event()
@@ -99,6 +102,8 @@
         self._broken: dict[str, BrokenRuns] = {}
         # When upstreams of this VM's broken runs were detected as ended.
         self._ended_ms: dict[str, float] = {}
+        # Processes found at upstreams in place of those that their entries name, by upstream.
+        self._found_peers: dict[str, str] = {}
         # Facts of this agent not sent yet, facts of others to relay, and facts not written yet.
         self._unsent: list[CrashFact] = []
         self._to_relay: list[CrashFact] = []
@@ -129,6 +134,8 @@
                 await trio.sleep(_FORGET_INTERVAL_S)
                 self._view.quarantine.forget(now_ms())
                 self._ended_ms.clear()
+                for upstream_id in self._found_peers.keys() - self._view.upstreams.keys():
+                    del self._found_peers[upstream_id]
                 await self._remove_expired()
 
     async def read_forever(self) -> None:
@@ -244,23 +251,32 @@
     async def _check_upstream(self, upstream_id: str) -> None:
         """Report the runs that an upstream broke off, if it has ended."""
         broken_runs = self._broken[upstream_id]
+        address: Address | None = None
         while len(broken_runs):
             if self._has_just_ended(upstream_id):
                 await self._report_end(upstream_id, refused=False)
                 return
             upstream = self._view.upstreams.get(upstream_id)
-            if upstream is None:
+            if upstream is not None:
+                address = Address(upstream.host, upstream.port)
+            if upstream is None and not self._can_ask_relisted(upstream_id, address):
                 await self._report_end(upstream_id, refused=False)
                 return
-            if upstream.leaving:
+            if upstream is not None and upstream.leaving:
                 break
             started_ms = now_ms()
-            if broken_runs.needs_probe(started_ms):
-                acceptance = await self._connect_twice(Address(upstream.host, upstream.port))
-                if acceptance is ConnectResult.REFUSED:
-                    await self._report_end(upstream_id, refused=True)
+            if upstream is None or broken_runs.needs_probe(started_ms):
+                known_peer = self._found_peers.get(upstream_id)
+                acceptance = await self._probe(upstream_id, address)
+                if acceptance in (ConnectResult.REFUSED, ConnectResult.OTHER_PEER) or (
+                    upstream is None and acceptance is not ConnectResult.EXPECTED_PEER
+                ):
+                    # Other agents may have found the end of the listed process long before.
+                    found_late = acceptance is not ConnectResult.REFUSED and known_peer is None
+                    refused = upstream is not None or known_peer is not None
+                    await self._report_end(upstream_id, refused=refused, found_late=found_late)
                     return
-                if acceptance is ConnectResult.ACCEPTED:
+                if acceptance is not ConnectResult.UNKNOWN:
                     broken_runs.record_up(started_ms)
             for run in broken_runs.drain_complete(now_ms()):
                 self._record_completed_run(run)
@@ -276,14 +292,18 @@
         for trait in (run.work_id, *run.parts):
             self._void_reports(trait)
 
-    async def _report_end(self, upstream_id: str, *, refused: bool) -> None:
+    async def _report_end(
+        self, upstream_id: str, *, refused: bool, found_late: bool = False
+    ) -> None:
         """Report the runs at an upstream when it ended."""
         if not self._has_just_ended(upstream_id):
             self._ended_ms[upstream_id] = now_ms()
         if not self._broken[upstream_id].has_isolated:
             # Nothing runs concurrently with an isolated run, and its retry may be imminent.
             await trio.sleep(_GATHER_PAUSE_S)
-        broken = self._broken.pop(upstream_id).drain_ended(refused=refused)
+        broken = self._broken.pop(upstream_id).drain_ended(
+            refused=refused, other_peer=upstream_id in self._found_peers
+        )
         runs = [
             CrashedRun(item.work_id, item.alone, item.begun, item.given_up, item.parts, item.owed)
             for item in broken
@@ -291,7 +311,7 @@
         ]
         if not runs and self._view.has_just_ended(upstream_id):
             return
-        number = self._view.quarantine.crash_number(upstream_id, now_ms())
+        number = self._view.quarantine.crash_number(upstream_id, now_ms(), found_late=found_late)
         self._publish(
             CrashReport(
                 _new_id(), upstream_id, self._unix_clock() * 1000, runs, crash_number=number
@@ -302,12 +322,40 @@
         ended_ms = self._ended_ms.get(upstream_id, float("-inf"))
         return now_ms() - ended_ms <= _SAME_END_WINDOW_MS
 
-    async def _connect_twice(self, address: Address) -> ConnectResult:
-        """Return whether a server accepts connections, and still does a little later."""
+    def _can_ask_relisted(self, upstream_id: str, address: Address | None) -> bool:
+        """Whether an address is listed under another ID, and its process can be asked.
+
+        The list alone says little: the process may have been found there before its entry was, or
+        its former process may have written the entry late.
+        """
+        return self._process_query(upstream_id) is not None and any(
+            Address(item.host, item.port) == address for item in self._view.upstreams.values()
+        )
+
+    async def _probe(self, upstream_id: str, address: Address) -> ConnectResult:
+        """Return whether an upstream accepts connections, and a little later still is the same.
+
+        Another process that is found counts as the expected one in later probes.
+        """
         acceptance = await self._http.try_connect(address)
-        if acceptance is ConnectResult.ACCEPTED:
-            await trio.sleep(_SECOND_CONNECT_DELAY_S)
-            acceptance = await self._http.try_connect(address)
+        if acceptance is not ConnectResult.ACCEPTED:
+            return acceptance
+        await trio.sleep(_SECOND_CONNECT_DELAY_S)
+        query = self._process_query(upstream_id)
+        if query is None:
+            return await self._http.try_connect(address)
+        peer: str | None = None
+
+        def read_identity(status: int, body: bytes) -> str | None:
+            nonlocal peer
+            peer = query.read_identity(status, body)
+            return peer
+
+        expected = self._found_peers.get(upstream_id, query.expected)
+        asked = msgspec.structs.replace(query, read_identity=read_identity, expected=expected)
+        acceptance = await self._http.try_connect(address, asked)
+        if acceptance is ConnectResult.OTHER_PEER and peer is not None:
+            self._found_peers[upstream_id] = peer
         return acceptance
 
     # --- sharing ---------------------------------------------------------------------------------
--- a/src/fescuedock/core/broken_runs.py
+++ b/src/fescuedock/core/broken_runs.py
@@ -71,16 +71,25 @@
         self._runs = [item for item in self._runs if not self._is_settled(item, now_ms)]
         return complete
 
-    def drain_ended(self, *, refused: bool) -> list[BrokenRun]:
+    def drain_ended(self, *, refused: bool, other_peer: bool = False) -> list[BrokenRun]:
         """Remove and return the runs that were in progress when the upstream crashed.
 
         With ``refused`` it crashed after the last probe, which excludes runs that broke off before.
-        Runs whose permits had been returned by then are returned as given up.
+        Runs whose permits had been returned by then are returned as given up.  So are runs that
+        look whole if there has been an ``other_peer`` in every probe: it may have completed them.
         """
         items, self._runs = self._runs, []
         if refused:
             items = [item for item in items if item[1].looks_whole or item[0] > self._last_up_ms]
-        return [_as_given_up(run) if _is_permit_returned(run) else run for _, run in items]
+        return [
+            (
+                _as_given_up(run)
+                if _is_permit_returned(run)
+                or (other_peer and run.looks_whole and at_ms > self._last_up_ms)
+                else run
+            )
+            for at_ms, run in items
+        ]
 
     def _complete_from_ms(self) -> list[float]:
         """Return the times from which on an upstream that is up proves a response complete."""
--- a/src/fescuedock/core/quarantine.py
+++ b/src/fescuedock/core/quarantine.py
@@ -176,13 +176,16 @@
         """Return how old a fact is at least; 0 for an unknown one."""
         return max(now_ms - self._known_facts.get(report_id, now_ms), 0.0)
 
-    def crash_number(self, upstream_id: str, now_ms: float) -> int:
+    def crash_number(self, upstream_id: str, now_ms: float, *, found_late: bool = False) -> int:
         """Return the number of the crash of an upstream that was found now, 1 for the first.
 
-        Reports with the same number are about the same crash.
+        Reports with the same number are about the same crash.  One that is ``found_late``, when a
+        new process serves already, is the last known one, however old that is.
         """
         reports = [self._reports[name] for name in self._by_upstream.get(upstream_id, ())]
         last = max(map(_number_of, reports), default=0)
+        if found_late:
+            return max(last, 1)
         since_ms = now_ms - self._policy.same_crash_ms
         is_last = any(
             _number_of(report) == last and self._at_ms(report) >= since_ms for report in reports
--- a/src/fescuedock/net/http_client.py
+++ b/src/fescuedock/net/http_client.py
@@ -62,12 +62,15 @@
 
 
 class ConnectResult(enum.Enum):
-    """The result of connecting without sending anything."""
+    """The result of a connection that carries no request but perhaps a ``PeerQuery``."""
 
+    # The process was not asked for its identity, or does not tell it.
     ACCEPTED = enum.auto()
+    EXPECTED_PEER = enum.auto()
+    OTHER_PEER = enum.auto()
     # No process listens on the port.
     REFUSED = enum.auto()
-    # No reply within the timeout, or no route.
+    # No reply within the timeout, no usable answer to the query, or no route.
     UNKNOWN = enum.auto()
 
 
@@ -273,16 +276,29 @@
         else:
             connection.abort()
 
-    async def try_connect(self, address: Address) -> ConnectResult:
-        """Check whether a server accepts new connections, without sending anything."""
+    async def try_connect(
+        self, address: Address, peer_query: PeerQuery | None = None
+    ) -> ConnectResult:
+        """Check whether a server accepts new connections, and with a query which process does."""
         try:
             with trio.fail_after(self.connect_timeout_ms / 1000):
                 stream = await trio.open_tcp_stream(address.host, address.port)
         except (OSError, trio.TooSlowError) as error:
             return ConnectResult.REFUSED if _is_refused(error) else ConnectResult.UNKNOWN
         self.on_connect(address)
-        stream.socket.close()
-        return ConnectResult.ACCEPTED
+        connection = _ClientConnection(stream)
+        try:
+            if peer_query is not None:
+                with _answer_timeout(address, self.connect_timeout_ms):
+                    await connection.identify(address, peer_query)
+        except (ResponseLostError, ResponseTooLargeError, ValueError):
+            return ConnectResult.UNKNOWN
+        finally:
+            connection.abort()
+        if peer_query is None or connection.peer is None:
+            return ConnectResult.ACCEPTED
+        is_expected = connection.peer == peer_query.expected
+        return ConnectResult.EXPECTED_PEER if is_expected else ConnectResult.OTHER_PEER
 
     def has_idle(self, address: Address) -> bool:
         """Whether an idle connection is within its keep-alive time; makes no system call."""
--- a/src/fescuedock/node/main.py
+++ b/src/fescuedock/node/main.py
@@ -59,6 +59,7 @@
 from fescuedock.node.stream_origins import StreamOrigins
 from fescuedock.node.upstream_entries import UpstreamEntries
 from fescuedock.platform import records
+from fescuedock.platform.reports import process_query
 from fescuedock.platform.store import MetadataStore
 from fescuedock.report.metrics import Metrics
 from fescuedock.schema.config import Objectives
@@ -164,7 +165,14 @@
             self._rng,
         )
         self._crashes = CrashService(
-            view, upstream_http, pool, self._store, self._keys.crashes, self._rng, self._clock
+            view,
+            upstream_http,
+            pool,
+            self._store,
+            self._keys.crashes,
+            self._rng,
+            self._clock,
+            process_query,
         )
         self._configuration = NodeConfiguration(
             self._table(records.OPERATOR_PREFIX), records.CONFIG_KEY, records.read_route_table
--- a/tests/test_broken_runs.py
+++ b/tests/test_broken_runs.py
@@ -68,6 +68,19 @@
         [run] = self.runs.drain_ended(refused=True)
         self.assertEqual((run.work_id, run.alone, run.given_up), ("a", True, False))
 
+    def test_a_run_that_looks_complete_is_given_up_if_another_process_was_there_all_along(
+        self,
+    ) -> None:
+        for up_ms, given_up in ((None, True), (10.0, False)):
+            with self.subTest(up_ms=up_ms):
+                runs = BrokenRuns()
+                runs.add(broken("a", looks_whole=True, alone=True), 0.0)
+                runs.add(broken("b", alone=True), 1.0 if up_ms is None else 11.0)
+                if up_ms is not None:
+                    runs.record_up(up_ms)
+                found = runs.drain_ended(refused=True, other_peer=True)
+                self.assertEqual([run.given_up for run in found], [given_up, False])
+
     def test_a_probe_is_due_when_a_response_counts_as_complete(self) -> None:
         self.runs.add(broken("a", looks_whole=True), 0.0)
         self.runs.record_up(900.0)
--- a/tests/test_crash_service.py
+++ b/tests/test_crash_service.py
@@ -17,7 +17,7 @@
 from fescuedock.core.rendezvous import choose_name
 from fescuedock.faults import Fault
 from fescuedock.kv import KvEntry, KvPage
-from fescuedock.net.http_client import ConnectResult
+from fescuedock.net.http_client import ConnectResult, PeerQuery
 from fescuedock.schema.crashes import (
     BrokenRun,
     CrashedRun,
@@ -72,13 +72,38 @@
 
 @dataclass(slots=True)
 class StubUpstreams:
-    """The result of connection attempts to all upstreams."""
+    """The result of connection attempts to all upstreams, and the process that accepts them.
+
+    ``process`` is None if it does not tell its identity; ``is_mute`` if it answers no queries.
+    """
 
     acceptance: ConnectResult = ConnectResult.REFUSED
+    process: str | None = None
+    is_mute: bool = False
+    queries: int = 0
 
-    async def try_connect(self, _address: Address) -> ConnectResult:
+    async def try_connect(
+        self, _address: Address, peer_query: PeerQuery | None = None
+    ) -> ConnectResult:
         await trio.sleep(0.001)
-        return self.acceptance
+        if peer_query is None or self.acceptance is not ConnectResult.ACCEPTED:
+            return self.acceptance
+        self.queries += 1
+        if self.is_mute:
+            return ConnectResult.UNKNOWN
+        found = peer_query.read_identity(200, (self.process or "").encode())
+        if found is None:
+            return ConnectResult.ACCEPTED
+        is_expected = found == peer_query.expected
+        return ConnectResult.EXPECTED_PEER if is_expected else ConnectResult.OTHER_PEER
+
+
+def query_of(upstream_id: str) -> PeerQuery | None:
+    """Return a query for the process that an ID names after ``@``."""
+    expected = upstream_id.partition("@")[2]
+    if not expected:
+        return None
+    return PeerQuery("/", lambda _status, body: body.decode() or None, expected)
 
 
 @dataclass(slots=True)
@@ -127,6 +152,7 @@
             PREFIX,
             random.Random(1),
             lambda: int(START_S + trio.current_time()),
+            query_of,
         )
 
     def set_view(self, vms: list[VmRecord], *upstreams: str, leaving: bool = False) -> None:
@@ -139,6 +165,26 @@
     async def send(self, message: BrokenRun | WholeRun) -> None:
         await self.service.handlers()[type(message)](message, None)
 
+    def list_only(self, upstream_id: str, *, leaving: bool = False) -> None:
+        """Replace the listed upstreams by one, at the same address."""
+        self.set_view(list(self.view.vms.values()), upstream_id, leaving=leaving)
+
+    def serve(self, process: str | None) -> None:
+        """Let a process accept the connections to all upstreams."""
+        self.http.acceptance, self.http.process = ConnectResult.ACCEPTED, process
+
+    def reported(self) -> list[tuple[str, bool, bool]]:
+        """Return the runs that were reported as crashed: work, whether isolated, given up."""
+        return [
+            (run.work_id, run.alone, run.given_up)
+            for _, news in self.pool.pushed
+            for report in news.crashes
+            for run in report.runs
+        ]
+
+    def is_sound(self, part: str) -> bool:
+        return bool(self.view.sound_parts.sound_among([part], now_ms()))
+
 
 class CrashServiceTest(unittest.TestCase):
     def run_agent(self, test, *, kv: StubKv | None = None) -> None:
@@ -336,6 +382,165 @@
 
         self.run_agent(test)
 
+    def test_a_broken_run_is_reported_though_another_process_accepts_connections(self) -> None:
+        async def test(agent: Agent) -> None:
+            agent.list_only("u@1")
+            agent.serve("2")
+            await agent.send(BrokenRun("u@1", "a", alone=True))
+            await trio.sleep(0.2)
+            self.assertEqual(agent.reported(), [("a", True, False)])
+
+        self.run_agent(test)
+
+    def test_a_run_that_looks_whole_is_no_proof_where_another_process_accepts(self) -> None:
+        """Given up, as the other process may have completed it."""
+
+        async def test(agent: Agent) -> None:
+            agent.list_only("u@1")
+            agent.serve("2")
+            run = BrokenRun("u@1", "a", alone=True, parts=["part"], looks_whole=True)
+            await agent.send(run)
+            await trio.sleep(6.0)
+            self.assertFalse(agent.is_sound("part"))
+            self.assertEqual(agent.reported(), [("a", False, True)])
+
+        self.run_agent(test)
+
+    def test_a_process_that_is_replaced_within_a_second_crashed_under_a_run_that_looks_whole(
+        self,
+    ) -> None:
+        async def test(agent: Agent) -> None:
+            agent.list_only("u@1")
+            agent.serve("1")
+            run = BrokenRun("u@1", "a", alone=True, parts=["part"], looks_whole=True)
+            await agent.send(run)
+            await trio.sleep(0.5)
+            agent.serve("2")
+            await trio.sleep(2.0)
+            self.assertFalse(agent.is_sound("part"))
+            self.assertEqual(agent.reported(), [("a", True, False)])
+
+        self.run_agent(test)
+
+    def test_a_process_that_does_not_identify_itself_in_time_proves_nothing(self) -> None:
+        async def test(agent: Agent) -> None:
+            agent.list_only("u@1")
+            agent.serve("1")
+            agent.http.is_mute = True
+            await agent.send(BrokenRun("u@1", "a", parts=["part"], looks_whole=True))
+            await trio.sleep(6.0)
+            self.assertEqual((agent.reported(), agent.is_sound("part")), ([], False))
+
+        self.run_agent(test)
+
+    def test_the_expected_process_has_not_ended_and_is_asked_once_for_a_broken_run(self) -> None:
+        async def test(agent: Agent) -> None:
+            agent.list_only("u@1")
+            agent.serve("1")
+            await agent.send(BrokenRun("u@1", "a"))
+            await trio.sleep(20.0)
+            self.assertEqual((agent.reported(), agent.http.queries), ([], 1))
+            await agent.send(BrokenRun("u@1", "b", parts=["part"], looks_whole=True))
+            await trio.sleep(20.0)
+            self.assertEqual((agent.reported(), agent.is_sound("part")), ([], True))
+
+        self.run_agent(test)
+
+    def test_an_upstream_whose_entry_names_no_process_is_not_asked(self) -> None:
+        async def test(agent: Agent) -> None:
+            agent.serve("2")
+            await agent.send(BrokenRun("u", "a"))
+            await trio.sleep(10.0)
+            self.assertEqual((agent.reported(), agent.http.queries), ([], 0))
+
+        self.run_agent(test)
+
+    def test_sound_runs_at_a_process_whose_entry_is_late_are_not_reported(self) -> None:
+        """Each would count as evidence of a crash until the entry is known."""
+
+        async def test(agent: Agent) -> None:
+            agent.list_only("u@1")
+            agent.serve("2")
+            await agent.send(BrokenRun("u@1", "first"))
+            await trio.sleep(1.0)
+            for number in range(5):
+                await agent.send(BrokenRun("u@1", "cut"))
+                run = BrokenRun("u@1", "whole", parts=[f"part-{number}"], looks_whole=True)
+                await agent.send(run)
+                await trio.sleep(0.7)
+            await trio.sleep(1.0)
+            await agent.send(BrokenRun("u@1", "cut"))
+            await trio.sleep(0.5)
+            agent.list_only("u@2")
+            await trio.sleep(10.0)
+            self.assertEqual([name for name, _, _ in agent.reported()], ["first"])
+            self.assertTrue(all(agent.is_sound(f"part-{number}") for number in range(5)))
+
+        self.run_agent(test)
+
+    def test_a_late_entry_of_the_former_process_is_no_evidence_of_a_crash(self) -> None:
+        async def test(agent: Agent) -> None:
+            agent.list_only("u@2")
+            agent.serve("2")
+            await agent.send(BrokenRun("u@2", "a"))
+            await trio.sleep(1.0)
+            agent.list_only("u@1")
+            await trio.sleep(10.0)
+            self.assertEqual(agent.reported(), [])
+
+        self.run_agent(test)
+
+    def test_an_entry_that_changes_to_another_process_is_evidence_if_it_cannot_be_asked(
+        self,
+    ) -> None:
+        for process, is_mute in ((None, False), ("2", True)):
+            with self.subTest(process=process, is_mute=is_mute):
+
+                async def test(
+                    agent: Agent, process: str | None = process, is_mute: bool = is_mute
+                ) -> None:
+                    agent.list_only("u@1")
+                    agent.serve(process)
+                    agent.http.is_mute = is_mute
+                    await agent.send(BrokenRun("u@1", "a"))
+                    await trio.sleep(1.0)
+                    agent.list_only("u@2")
+                    await trio.sleep(1.0)
+                    self.assertEqual(agent.reported(), [("a", False, False)])
+
+                self.run_agent(test)
+
+    def test_a_process_whose_entry_is_late_crashes_under_later_runs(self) -> None:
+        async def test(agent: Agent) -> None:
+            agent.list_only("u@1")
+            for process in ("2", "3"):
+                agent.serve(process)
+                await agent.send(BrokenRun("u@1", f"before {process}"))
+                await trio.sleep(1.0)
+            agent.http.acceptance = ConnectResult.REFUSED
+            await agent.send(BrokenRun("u@1", "last"))
+            await trio.sleep(1.0)
+            names = [name for name, _, _ in agent.reported()]
+            self.assertEqual(names, ["before 2", "before 3", "last"])
+            numbers = [news.crashes[0].crash_number for _, news in agent.pool.pushed]
+            self.assertEqual(numbers, [1, 2, 3])
+
+        self.run_agent(test)
+
+    def test_a_crash_that_another_agent_reported_earlier_is_not_counted_again(self) -> None:
+        async def test(agent: Agent) -> None:
+            agent.list_only("u@1")
+            agent.serve("2")
+            report = CrashReport("other", "u@1", 0, [CrashedRun("b")], crash_number=1)
+            await agent.service.handlers()[CrashNews](CrashNews(crashes=[report]), None)
+            await trio.sleep(2.0)
+            await agent.send(BrokenRun("u@1", "a"))
+            await trio.sleep(1.0)
+            [(_, news)] = agent.pool.pushed
+            self.assertEqual([item.crash_number for item in news.crashes], [1])
+
+        self.run_agent(test)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_net_peer_identity.py
+++ b/tests/test_net_peer_identity.py
@@ -5,7 +5,13 @@
 
 import trio
 
-from fescuedock.net.http_client import NotSentError, OtherPeerError, PeerQuery, open_http_client
+from fescuedock.net.http_client import (
+    ConnectResult,
+    NotSentError,
+    OtherPeerError,
+    PeerQuery,
+    open_http_client,
+)
 from fescuedock.net.http_server import DroppedConnectionError, Request, Responder
 from tests.builders.net import served
 
@@ -27,6 +33,7 @@
         self.status = 200
         self.headers: list[tuple[str, str]] = []
         self.drops = 0
+        self.hangs = False
 
     async def answer(self, request: Request, responder: Responder) -> None:
         await request.read(1024)
@@ -34,6 +41,8 @@
         if request.path != "/identity":
             await responder.send(200, b"done")
             return
+        if self.hangs:
+            await trio.sleep_forever()
         if self.drops:
             self.drops -= 1
             raise DroppedConnectionError("dropped the answer as configured")
@@ -110,6 +119,31 @@
 
         self.run_guarded(test)
 
+    def test_an_attempted_connection_tells_which_process_accepts_it(self) -> None:
+        async def run() -> None:
+            with trio.fail_after(10):
+                async with served(self.answer) as (_, address), open_http_client(200) as client:
+
+                    async def check(result: ConnectResult, expected: str = "first") -> None:
+                        found = await client.try_connect(address, query(expected))
+                        self.assertIs(found, result)
+
+                    await check(ConnectResult.EXPECTED_PEER)
+                    await check(ConnectResult.OTHER_PEER, "second")
+                    self.identity = b""
+                    await check(ConnectResult.ACCEPTED)
+                    for self.status, self.drops in ((503, 0), (200, 1)):
+                        await check(ConnectResult.UNKNOWN)
+                    self.hangs = True
+                    await check(ConnectResult.UNKNOWN)
+                    asked = self.targets["/identity"]
+                    self.assertIs(await client.try_connect(address), ConnectResult.ACCEPTED)
+                    self.assertEqual(self.targets["/identity"], asked)
+                found = await client.try_connect(address, query("first"))
+                self.assertIs(found, ConnectResult.REFUSED)
+
+        trio.run(run)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_restarted_upstreams.py
+++ b/tests/test_restarted_upstreams.py
@@ -6,10 +6,15 @@
 import unittest
 from collections.abc import Awaitable, Callable
 
+import msgspec
 import trio
 
+from fescuedock.core.work_identity import work_identity
 from fescuedock.platform.standin.event_upstream import EventUpstream, UpstreamFault
-from tests.builders.node import NodeFleet, running_fleet
+from fescuedock.schema.crashes import CrashNews
+from fescuedock.standin.kv_state import prefix_end
+from tests.builders.node import HOST, NodeFleet, running_fleet
+from tests.builders.online import wait_until
 from tests.builders.standins import run_async
 from tests.builders.versions import (
     ResumedStream,
@@ -21,6 +26,7 @@
 STARTED_MS = 1_790_000_000_000
 NEVER_S = 3600.0
 STREAMS = 24
+CRASHES = "fescuedock/live/crash/"
 
 
 class FleetTestCase(unittest.TestCase):
@@ -142,6 +148,49 @@
         self.assertLessEqual(len(versions_of(answer.body)), 1, answer.body)
 
 
+class BrokenRunsTest(FleetTestCase):
+    """Runs that upstreams break off, checked with connections to them."""
+
+    async def break_run(self, fleet: NodeFleet, *, restarts: bool = False) -> list[str]:
+        """Cut a run off; return the units of work that are reported as crashed then."""
+        [upstream] = fleet.upstreams
+        upstream.event_interval_ms = 50
+        upstream.faults = [UpstreamFault(cut_after=1)]
+        fields = {"x-deadline-ms": "1500"}
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(fleet.call, fleet.nodes[0].front, "POST", "/rights/1", b"a", fields)
+            await wait_until(lambda: upstream.running)
+            # From here on another process answers, which accepts connections at once.
+            upstream.born += restarts
+        await trio.sleep(0.7)
+        entries = fleet.store.state.page(CRASHES, prefix_end(CRASHES), 100).entries
+        return [
+            run.work_id
+            for entry in entries
+            for report in msgspec.msgpack.decode(entry.value, type=CrashNews).crashes
+            for run in report.runs
+        ]
+
+    def test_a_crash_is_reported_though_the_upstream_is_back_before_the_first_connection(
+        self,
+    ) -> None:
+        async def test(fleet: NodeFleet) -> None:
+            work = work_identity("POST", HOST, "/rights/1", "", b"a")
+            self.assertEqual(await self.break_run(fleet, restarts=True), [work])
+
+        self.run_fleet(test, versions=("v1",), nodes=1)
+
+    def test_a_run_that_breaks_off_alone_costs_one_report_where_entries_name_starts(self) -> None:
+        for started_ms, asked in ((STARTED_MS, 1), (0, 0)):
+            with self.subTest(started_ms=started_ms):
+
+                async def test(fleet: NodeFleet, asked: int = asked) -> None:
+                    self.assertEqual(await self.break_run(fleet), [])
+                    self.assertEqual(fleet.upstreams[0].reports, asked)
+
+                self.run_fleet(test, versions=("v1",), nodes=1, started_ms=started_ms)
+
+
 class IdentificationTest(FleetTestCase):
     """The cost of telling processes apart, and what happens where that fails."""
 
