Report broken runs whose upstream's entry changes after their watch

A broken run was watched for five seconds, in which an upstream that accepts connections counts as up. Where its process does not tell which one it is, or did not answer, a new process may have accepted them; the entry that shows it came later, and the crash was never reported.

A run whose upstream was not identified after it is kept for ten seconds. If the upstream's address is listed under another ID by then, its process has been replaced, and the run is reported as given up: it counts against its traits, but never as isolated, so it cannot get sound work refused by itself. Upstreams that were seen leaving, or whose entry is only removed, are not reported, and a process that was identified after the run settles it. The watch makes no further connections.

--- a/src/fescuedock/agent/crash_service.py
+++ b/src/fescuedock/agent/crash_service.py
@@ -208,7 +208,8 @@
                 self._broken[message.upstream_id].record_returned(message.work_id)
             return
         upstream = self._view.upstreams.get(message.upstream_id)
-        known = self._has_just_ended(message.upstream_id) or message.upstream_id in self._broken
+        is_watched = bool(self._broken.get(message.upstream_id))
+        known = is_watched or self._has_just_ended(message.upstream_id)
         if not known and (upstream is None or upstream.leaving):
             # A leaving upstream has ended as planned, together with its runs.
             reason = "the upstream is unknown" if upstream is None else "the upstream is leaving"
@@ -252,32 +253,39 @@
         """Report the runs that an upstream broke off, if it has ended."""
         broken_runs = self._broken[upstream_id]
         address: Address | None = None
-        while len(broken_runs):
+        while len(broken_runs) or broken_runs.has_undecided:
             if self._has_just_ended(upstream_id):
                 await self._report_end(upstream_id, refused=False)
                 return
             upstream = self._view.upstreams.get(upstream_id)
             if upstream is not None:
                 address = Address(upstream.host, upstream.port)
-            if upstream is None and not self._can_ask_relisted(upstream_id, address):
-                await self._report_end(upstream_id, refused=False)
+            is_relisted = upstream is None and self._is_listed(address)
+            # The list alone does not show an end: the process may have been found before its entry
+            # was, or the former process may have written the entry late.
+            can_ask = is_relisted and self._process_query(upstream_id) is not None
+            if upstream is None and not can_ask and (is_relisted or len(broken_runs)):
+                await self._report_end(upstream_id, refused=False, replaced=is_relisted)
                 return
             if upstream is not None and upstream.leaving:
                 break
             started_ms = now_ms()
-            if upstream is None or broken_runs.needs_probe(started_ms):
+            if can_ask or broken_runs.needs_probe(started_ms):
                 known_peer = self._found_peers.get(upstream_id)
                 acceptance = await self._probe(upstream_id, address)
                 if acceptance in (ConnectResult.REFUSED, ConnectResult.OTHER_PEER) or (
                     upstream is None and acceptance is not ConnectResult.EXPECTED_PEER
                 ):
-                    # Other agents may have found the end of the listed process long before.
-                    found_late = acceptance is not ConnectResult.REFUSED and known_peer is None
-                    refused = upstream is not None or known_peer is not None
-                    await self._report_end(upstream_id, refused=refused, found_late=found_late)
+                    is_replaced = is_relisted or acceptance is ConnectResult.OTHER_PEER
+                    await self._report_end(
+                        upstream_id,
+                        refused=upstream is not None or known_peer is not None,
+                        replaced=is_replaced and known_peer is None,
+                    )
                     return
                 if acceptance is not ConnectResult.UNKNOWN:
-                    broken_runs.record_up(started_ms)
+                    identified = acceptance is ConnectResult.EXPECTED_PEER
+                    broken_runs.record_up(started_ms, identified=identified)
             for run in broken_runs.drain_complete(now_ms()):
                 self._record_completed_run(run)
             await trio.sleep(broken_runs.pause_ms(now_ms()) / 1000)
@@ -292,18 +300,23 @@
         for trait in (run.work_id, *run.parts):
             self._void_reports(trait)
 
-    async def _report_end(
-        self, upstream_id: str, *, refused: bool, found_late: bool = False
-    ) -> None:
-        """Report the runs at an upstream when it ended."""
+    async def _report_end(self, upstream_id: str, *, refused: bool, replaced: bool = False) -> None:
+        """Report the runs at an upstream when it ended.
+
+        If its process is found to be ``replaced``, that may have happened some time ago, and other
+        agents may have found the end then.
+        """
         if not self._has_just_ended(upstream_id):
             self._ended_ms[upstream_id] = now_ms()
         if not self._broken[upstream_id].has_isolated:
             # Nothing runs concurrently with an isolated run, and its retry may be imminent.
             await trio.sleep(_GATHER_PAUSE_S)
-        broken = self._broken.pop(upstream_id).drain_ended(
+        broken_runs = self._broken.pop(upstream_id)
+        broken = broken_runs.drain_ended(
             refused=refused, other_peer=upstream_id in self._found_peers
         )
+        if replaced:
+            broken += broken_runs.drain_replaced()
         runs = [
             CrashedRun(item.work_id, item.alone, item.begun, item.given_up, item.parts, item.owed)
             for item in broken
@@ -311,7 +324,7 @@
         ]
         if not runs and self._view.has_just_ended(upstream_id):
             return
-        number = self._view.quarantine.crash_number(upstream_id, now_ms(), found_late=found_late)
+        number = self._view.quarantine.crash_number(upstream_id, now_ms(), found_late=replaced)
         self._publish(
             CrashReport(
                 _new_id(), upstream_id, self._unix_clock() * 1000, runs, crash_number=number
@@ -322,15 +335,10 @@
         ended_ms = self._ended_ms.get(upstream_id, float("-inf"))
         return now_ms() - ended_ms <= _SAME_END_WINDOW_MS
 
-    def _can_ask_relisted(self, upstream_id: str, address: Address | None) -> bool:
-        """Whether an address is listed under another ID, and its process can be asked.
-
-        The list alone says little: the process may have been found there before its entry was, or
-        its former process may have written the entry late.
-        """
-        return self._process_query(upstream_id) is not None and any(
-            Address(item.host, item.port) == address for item in self._view.upstreams.values()
-        )
+    def _is_listed(self, address: Address | None) -> bool:
+        """Whether any upstream is listed at an address."""
+        upstreams = self._view.upstreams.values()
+        return any(Address(item.host, item.port) == address for item in upstreams)
 
     async def _probe(self, upstream_id: str, address: Address) -> ConnectResult:
         """Return whether an upstream accepts connections, and a little later still is the same.
--- a/src/fescuedock/core/broken_runs.py
+++ b/src/fescuedock/core/broken_runs.py
@@ -16,6 +16,9 @@
 # A response that ends with its connection is complete if its upstream is up this much later.
 _COMPLETE_AFTER_MS = 1000.0
 _PROBE_INTERVAL_MS = 250.0
+# The process of an upstream may have been replaced before it was probed.  Its entry shows that if
+# it changes within this time after the run.
+_REPLACED_WITHIN_MS = 10_000.0
 
 
 class BrokenRuns(msgspec.Struct):
@@ -24,10 +27,19 @@
     _runs: list[tuple[float, BrokenRun]] = msgspec.field(default_factory=list)
     # Start of the last probe that found the upstream up.
     _last_up_ms: float = float("-inf")
+    # Start of the last probe that found the same process.
+    _last_identified_ms: float = float("-inf")
+    # Settled runs whose upstreams were not identified after them.
+    _undecided: list[tuple[float, BrokenRun]] = msgspec.field(default_factory=list)
 
     def __len__(self) -> int:
         return len(self._runs)
 
+    @property
+    def has_undecided(self) -> bool:
+        """Whether a changed entry of the upstream would show that it crashed under settled runs."""
+        return bool(self._undecided)
+
     @property
     def has_isolated(self) -> bool:
         """Whether any of the runs was permitted as isolated."""
@@ -61,16 +73,33 @@
             + [_PROBE_INTERVAL_MS]
         )
 
-    def record_up(self, began_ms: float) -> None:
-        """Record that the upstream accepted connections from ``began_ms`` on."""
+    def record_up(self, began_ms: float, *, identified: bool = False) -> None:
+        """Record that the upstream accepted connections from ``began_ms`` on.
+
+        ``identified`` tells that its process is known to be the same.
+        """
         self._last_up_ms = began_ms
+        if identified:
+            self._last_identified_ms = began_ms
 
     def drain_complete(self, now_ms: float) -> list[BrokenRun]:
         """Drop runs that are no longer evidence of a crash; return those that are complete."""
         complete = [run for item in self._runs if self._is_complete(item) for run in item[1:]]
+        settled = [item for item in self._runs if self._is_settled(item, now_ms)]
         self._runs = [item for item in self._runs if not self._is_settled(item, now_ms)]
+        self._undecided = [
+            item for item in (*self._undecided, *settled) if self._is_undecided(item, now_ms)
+        ]
         return complete
 
+    def drain_replaced(self) -> list[BrokenRun]:
+        """Remove and return the settled runs under which the upstream's process was replaced.
+
+        They may have been over before, so they are returned as given up.
+        """
+        items, self._undecided = self._undecided, []
+        return [_as_given_up(run) for _, run in items]
+
     def drain_ended(self, *, refused: bool, other_peer: bool = False) -> list[BrokenRun]:
         """Remove and return the runs that were in progress when the upstream crashed.
 
@@ -98,6 +127,11 @@
     def _is_settled(self, item: tuple[float, BrokenRun], now_ms: float) -> bool:
         return now_ms - item[0] >= _DELISTED_WITHIN_MS or self._is_complete(item)
 
+    def _is_undecided(self, item: tuple[float, BrokenRun], now_ms: float) -> bool:
+        at_ms, run = item
+        is_recent = bool(run.work_id) and now_ms - at_ms < _REPLACED_WITHIN_MS
+        return is_recent and self._last_identified_ms <= at_ms and not self._is_complete(item)
+
     def _is_complete(self, item: tuple[float, BrokenRun]) -> bool:
         at_ms, run = item
         return run.looks_whole and self._last_up_ms - at_ms >= _COMPLETE_AFTER_MS
--- a/tests/test_crash_service.py
+++ b/tests/test_crash_service.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import trio
@@ -139,6 +140,8 @@
         self.http = StubUpstreams()
         self.pool = StubPool()
         self.view = FleetView(vm_id)
+        # Parts that a test found to be sound.
+        self.known_sound: list[str] = []
         vms = [
             VmRecord(f"vm-{n}", "r", "d", f"10.0.0.{n}", 1, VmState.ALIVE, agent_port=7)
             for n in range(2)
@@ -155,9 +158,15 @@
             query_of,
         )
 
-    def set_view(self, vms: list[VmRecord], *upstreams: str, leaving: bool = False) -> None:
+    def set_view(
+        self,
+        vms: list[VmRecord],
+        *upstreams: str,
+        leaving: bool = False,
+        address: str = "10.0.1.1",
+    ) -> None:
         records = [
-            UpstreamRecord(name, "r", "d", "10.0.1.1", 1, UpstreamKind.ENGINE, "s", leaving=leaving)
+            UpstreamRecord(name, "r", "d", address, 1, UpstreamKind.ENGINE, "s", leaving=leaving)
             for name in upstreams
         ]
         self.view.replace(self.view.version + 1, vms, records, 0.0)
@@ -165,9 +174,9 @@
     async def send(self, message: BrokenRun | WholeRun) -> None:
         await self.service.handlers()[type(message)](message, None)
 
-    def list_only(self, upstream_id: str, *, leaving: bool = False) -> None:
-        """Replace the listed upstreams by one, at the same address."""
-        self.set_view(list(self.view.vms.values()), upstream_id, leaving=leaving)
+    def list_only(self, *upstream_ids: str, **fields: object) -> None:
+        """Replace the listed upstreams, at the same address unless ``fields`` say otherwise."""
+        self.set_view(list(self.view.vms.values()), *upstream_ids, **fields)
 
     def serve(self, process: str | None) -> None:
         """Let a process accept the connections to all upstreams."""
@@ -541,6 +550,68 @@
 
         self.run_agent(test)
 
+    def play_late_entry(
+        self,
+        run: BrokenRun,
+        at_s: float,
+        *,
+        process: str | None = None,
+        upstream_id: str = "u@1",
+        change: Callable[[Agent], object] = lambda agent: agent.list_only("u@2"),
+        meanwhile: Callable[[Agent], object] = lambda agent: None,
+    ) -> Agent:
+        """Report a run as broken, and change the entries so much later; return the agent."""
+        agents: list[Agent] = []
+
+        async def test(agent: Agent) -> None:
+            agents.append(agent)
+            agent.list_only(upstream_id)
+            agent.serve(process)
+            await agent.send(run)
+            await trio.sleep(at_s - 0.3)
+            meanwhile(agent)
+            await trio.sleep(0.3)
+            change(agent)
+            await trio.sleep(0.7)
+            for name in (*run.parts, "other"):
+                if agent.is_sound(name):
+                    agent.known_sound.append(name)
+
+        self.run_agent(test)
+        return agents[0]
+
+    def test_a_crash_is_found_by_an_entry_that_is_later_than_the_watch(self) -> None:
+        for upstream_id in ("u", "u@1"):
+            with self.subTest(upstream_id=upstream_id):
+                run = BrokenRun(upstream_id, "a", alone=True)
+                agent = self.play_late_entry(run, 6.0, upstream_id=upstream_id)
+                # Given up, as it may have been over before the process ended.
+                self.assertEqual(agent.reported(), [("a", False, True)])
+
+    def test_an_entry_that_changes_later_says_nothing_of_a_process_that_was_identified(
+        self,
+    ) -> None:
+        agent = self.play_late_entry(BrokenRun("u@1", "a"), 6.0, process="1")
+        self.assertEqual(agent.reported(), [])
+
+    def test_entries_that_do_not_show_a_crash_after_the_watch(self) -> None:
+        cases: dict[str, dict] = {
+            "removed": {"change": lambda agent: agent.list_only()},
+            "another address": {"change": lambda agent: agent.list_only("u@2", address="10.0.1.2")},
+            "planned": {"meanwhile": lambda agent: agent.list_only("u@1", leaving=True)},
+            "much later": {"at_s": 12.0},
+        }
+        for name, case in cases.items():
+            with self.subTest(name):
+                agent = self.play_late_entry(BrokenRun("u@1", "a"), **({"at_s": 6.0} | case))
+                self.assertEqual(agent.reported(), [])
+
+    def test_an_entry_that_is_removed_first_and_then_replaced_shows_a_crash(self) -> None:
+        agent = self.play_late_entry(
+            BrokenRun("u@1", "a"), 7.0, meanwhile=lambda agent: agent.list_only()
+        )
+        self.assertEqual(agent.reported(), [("a", False, True)])
+
 
 if __name__ == "__main__":
     unittest.main()
