Withdraw the proof of a run whose upstream proves to have been replaced

A run that looks whole proves its parts sound once its upstream accepts connections a second later. Where the process cannot be identified, a new one may have accepted them. When the entry showed that, the parts stayed proven for a minute, and no report counted against them.

The run is kept like a broken one, and if its address is listed under another ID within ten seconds, the proof is withdrawn and the run reported as given up. Parts that later runs have proven stay proven and are left out of the report. A proof by an identified process stays. Reports that the proof has voided stay void: they were published, and there is no fact that takes that back.

--- a/src/fescuedock/agent/crash_service.py
+++ b/src/fescuedock/agent/crash_service.py
@@ -286,20 +286,28 @@
                 if acceptance is not ConnectResult.UNKNOWN:
                     identified = acceptance is ConnectResult.EXPECTED_PEER
                     broken_runs.record_up(started_ms, identified=identified)
-            for run in broken_runs.drain_complete(now_ms()):
-                self._record_completed_run(run)
+            settled_ms = now_ms()
+            for run in broken_runs.drain_complete(settled_ms):
+                self._record_completed_run(run, settled_ms)
             await trio.sleep(broken_runs.pause_ms(now_ms()) / 1000)
         del self._broken[upstream_id]
         log_event(
             "upstream_not_ended", routine=True, upstream_id=upstream_id, runs=len(broken_runs)
         )
 
-    def _record_completed_run(self, run: BrokenRun) -> None:
+    def _record_completed_run(self, run: BrokenRun, settled_ms: float) -> None:
         """Record that a run that looked complete is complete, as its upstream keeps running."""
-        self._view.sound_parts.record(run.parts, now_ms())
+        self._view.sound_parts.record(run.parts, settled_ms)
         for trait in (run.work_id, *run.parts):
             self._void_reports(trait)
 
+    def _withdraw_completed_run(self, run: BrokenRun, settled_ms: float) -> BrokenRun:
+        """Withdraw the proof by a run that was not complete; return it without sound parts."""
+        sound_parts = self._view.sound_parts
+        if run.looks_whole:
+            sound_parts.withdraw(run.parts, settled_ms)
+        return msgspec.structs.replace(run, parts=sound_parts.unknown_among(run.parts, now_ms()))
+
     async def _report_end(self, upstream_id: str, *, refused: bool, replaced: bool = False) -> None:
         """Report the runs at an upstream when it ended.
 
@@ -316,7 +324,10 @@
             refused=refused, other_peer=upstream_id in self._found_peers
         )
         if replaced:
-            broken += broken_runs.drain_replaced()
+            broken += [
+                self._withdraw_completed_run(run, settled_ms)
+                for settled_ms, run in broken_runs.drain_replaced()
+            ]
         runs = [
             CrashedRun(item.work_id, item.alone, item.begun, item.given_up, item.parts, item.owed)
             for item in broken
--- a/src/fescuedock/core/broken_runs.py
+++ b/src/fescuedock/core/broken_runs.py
@@ -29,8 +29,9 @@
     _last_up_ms: float = float("-inf")
     # Start of the last probe that found the same process.
     _last_identified_ms: float = float("-inf")
-    # Settled runs whose upstreams were not identified after them.
-    _undecided: list[tuple[float, BrokenRun]] = msgspec.field(default_factory=list)
+    # Settled runs whose upstreams were not identified after them, with the times of their reports
+    # and of their settlement.
+    _undecided: list[tuple[float, float, BrokenRun]] = msgspec.field(default_factory=list)
 
     def __len__(self) -> int:
         return len(self._runs)
@@ -85,20 +86,23 @@
     def drain_complete(self, now_ms: float) -> list[BrokenRun]:
         """Drop runs that are no longer evidence of a crash; return those that are complete."""
         complete = [run for item in self._runs if self._is_complete(item) for run in item[1:]]
-        settled = [item for item in self._runs if self._is_settled(item, now_ms)]
-        self._runs = [item for item in self._runs if not self._is_settled(item, now_ms)]
+        self._undecided += [
+            (item[0], now_ms, item[1]) for item in self._runs if self._is_settled(item, now_ms)
+        ]
         self._undecided = [
-            item for item in (*self._undecided, *settled) if self._is_undecided(item, now_ms)
+            item for item in self._undecided if self._is_undecided(item[0], item[2], now_ms)
         ]
+        self._runs = [item for item in self._runs if not self._is_settled(item, now_ms)]
         return complete
 
-    def drain_replaced(self) -> list[BrokenRun]:
+    def drain_replaced(self) -> list[tuple[float, BrokenRun]]:
         """Remove and return the settled runs under which the upstream's process was replaced.
 
-        They may have been over before, so they are returned as given up.
+        They may have been over before, so they are returned as given up, with the times at which
+        they were settled.
         """
         items, self._undecided = self._undecided, []
-        return [_as_given_up(run) for _, run in items]
+        return [(settled_ms, _as_given_up(run)) for _, settled_ms, run in items]
 
     def drain_ended(self, *, refused: bool, other_peer: bool = False) -> list[BrokenRun]:
         """Remove and return the runs that were in progress when the upstream crashed.
@@ -127,10 +131,10 @@
     def _is_settled(self, item: tuple[float, BrokenRun], now_ms: float) -> bool:
         return now_ms - item[0] >= _DELISTED_WITHIN_MS or self._is_complete(item)
 
-    def _is_undecided(self, item: tuple[float, BrokenRun], now_ms: float) -> bool:
-        at_ms, run = item
+    def _is_undecided(self, at_ms: float, run: BrokenRun, now_ms: float) -> bool:
         is_recent = bool(run.work_id) and now_ms - at_ms < _REPLACED_WITHIN_MS
-        return is_recent and self._last_identified_ms <= at_ms and not self._is_complete(item)
+        identified_from_ms = at_ms + (_COMPLETE_AFTER_MS if run.looks_whole else 0.0)
+        return is_recent and self._last_identified_ms < identified_from_ms
 
     def _is_complete(self, item: tuple[float, BrokenRun]) -> bool:
         at_ms, run = item
--- a/src/fescuedock/core/recent_runs.py
+++ b/src/fescuedock/core/recent_runs.py
@@ -65,6 +65,12 @@
         while len(self._last_completed_ms) > _MAX_PARTS:
             self._last_completed_ms.popitem(last=False)
 
+    def withdraw(self, parts: Iterable[str], completed_ms: float) -> None:
+        """Withdraw the proof of a run of ``completed_ms``; that of a later run stays."""
+        for part in parts:
+            if self._last_completed_ms.get(part, float("inf")) <= completed_ms:
+                del self._last_completed_ms[part]
+
     def unknown_among(self, parts: Iterable[str], now_ms: float) -> list[str]:
         """Return those of ``parts`` that are not known to be sound."""
         return [part for part in parts if not self._is_sound(part, now_ms)]
--- a/tests/test_broken_runs.py
+++ b/tests/test_broken_runs.py
@@ -96,6 +96,26 @@
         self.assertEqual((first.alone, first.given_up), (False, True))
         self.assertEqual((second.alone, second.given_up), (True, False))
 
+    def test_a_settled_run_stays_undecided_for_ten_seconds_unless_its_process_is_identified(
+        self,
+    ) -> None:
+        for looks_whole, identified_ms in ((False, 0.0), (True, 1000.0)):
+            with self.subTest(looks_whole=looks_whole):
+                runs = BrokenRuns()
+                runs.add(broken("a", looks_whole=looks_whole, alone=True), 0.0)
+                runs.record_up(1000.0)
+                runs.drain_complete(5000.0)
+                self.assertTrue(runs.has_undecided)
+                runs.record_up(identified_ms - 1.0, identified=True)
+                runs.drain_complete(9999.0)
+                self.assertTrue(runs.has_undecided)
+                runs.drain_complete(10_000.0)
+                self.assertFalse(runs.has_undecided)
+                runs.add(broken("b", looks_whole=looks_whole), 0.0)
+                runs.record_up(identified_ms, identified=True)
+                runs.drain_complete(5000.0)
+                self.assertEqual((len(runs), runs.has_undecided), (0, False))
+
     def test_a_broken_run_is_dropped_after_five_seconds(self) -> None:
         self.runs.add(broken("a"), 0.0)
         self.assertEqual(self.runs.drain_complete(4999.0), [])
--- a/tests/test_crash_service.py
+++ b/tests/test_crash_service.py
@@ -612,6 +612,32 @@
         )
         self.assertEqual(agent.reported(), [("a", False, True)])
 
+    def test_a_proof_is_withdrawn_if_the_entry_then_shows_another_process(self) -> None:
+        """The process that accepted connections had replaced the one that crashed."""
+        for upstream_id in ("u", "u@1"):
+            with self.subTest(upstream_id=upstream_id):
+                run = BrokenRun(upstream_id, "a", alone=True, parts=["part"], looks_whole=True)
+                agent = self.play_late_entry(run, 1.5, upstream_id=upstream_id)
+                self.assertEqual(agent.reported(), [("a", False, True)])
+                self.assertEqual(agent.known_sound, [])
+
+    def test_a_proof_by_an_identified_process_is_not_withdrawn(self) -> None:
+        run = BrokenRun("u@1", "a", parts=["part"], looks_whole=True)
+        agent = self.play_late_entry(run, 1.5, process="1")
+        self.assertEqual((agent.reported(), agent.known_sound), ([], ["part"]))
+
+    def test_parts_that_other_runs_have_proven_are_not_reported_with_a_withdrawn_proof(
+        self,
+    ) -> None:
+        def prove(agent: Agent) -> None:
+            agent.view.sound_parts.record(["part", "other"], now_ms())
+
+        run = BrokenRun("u@1", "a", parts=["part", "rare"], looks_whole=True)
+        agent = self.play_late_entry(run, 1.5, meanwhile=prove)
+        self.assertEqual(agent.known_sound, ["part", "other"])
+        [(_, news)] = agent.pool.pushed
+        self.assertEqual([run.parts for run in news.crashes[0].runs], [["rare"]])
+
 
 if __name__ == "__main__":
     unittest.main()
