--- a/src/fescuedock/agent/crash_service.py
+++ b/src/fescuedock/agent/crash_service.py
@@ -6,7 +6,7 @@
 """
 
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from secrets import token_hex
 from typing import TYPE_CHECKING
 
@@ -24,7 +24,7 @@
 from fescuedock.log import log_event
 from fescuedock.net.channel import CallHandler, ServerPeer
 from fescuedock.net.channel_pool import ChannelPool
-from fescuedock.net.http_client import ConnectResult, HttpClient
+from fescuedock.net.http_client import ConnectResult, HttpClient, PeerQuery
 from fescuedock.pauses import ExponentialBackoff
 from fescuedock.schema.crashes import (
     BrokenRun,
@@ -71,7 +71,8 @@
     """Keeps ``view.quarantine`` current, and checks the upstreams of this VM's broken runs.
 
     Reports are stored below ``prefix`` in the key-value service; the reader of that prefix passes
-    its entries to ``apply_entries``.
+    its entries to ``apply_entries``.  ``process_query`` returns the query that tells which process
+    is at the address of an upstream, None for an upstream that cannot be asked.
     """
 
     def __init__(
@@ -83,6 +84,7 @@
         prefix: str,
         rng: random.Random,
         unix_clock: UnixClock,
+        process_query: Callable[[str], PeerQuery | None] = lambda upstream_id: None,
     ) -> None:
         self._view = view
         self._http = http
@@ -91,6 +93,7 @@
         self._prefix = prefix
         self._rng = rng
         self._unix_clock = unix_clock
+        self._process_query = process_query
         self._log = CrashLog(view.quarantine, boot=rng.getrandbits(53))
         # Set when a fact was applied, and when there are facts to send or write.
         self._changed = trio.Event()
@@ -99,6 +102,8 @@
         self._broken: dict[str, BrokenRuns] = {}
         # When upstreams of this VM's broken runs were detected as ended.
         self._ended_ms: dict[str, float] = {}
+        # Processes found at upstreams in place of those that their entries name, by upstream.
+        self._found_peers: dict[str, str] = {}
         # Facts of this agent not sent yet, facts of others to relay, and facts not written yet.
         self._unsent: list[CrashFact] = []
         self._to_relay: list[CrashFact] = []
@@ -129,6 +134,8 @@
                 await trio.sleep(_FORGET_INTERVAL_S)
                 self._view.quarantine.forget(now_ms())
                 self._ended_ms.clear()
+                for upstream_id in self._found_peers.keys() - self._view.upstreams.keys():
+                    del self._found_peers[upstream_id]
                 await self._remove_expired()
 
     async def read_forever(self) -> None:
@@ -201,7 +208,8 @@
                 self._broken[message.upstream_id].record_returned(message.work_id)
             return
         upstream = self._view.upstreams.get(message.upstream_id)
-        known = self._has_just_ended(message.upstream_id) or message.upstream_id in self._broken
+        is_watched = bool(self._broken.get(message.upstream_id))
+        known = is_watched or self._has_just_ended(message.upstream_id)
         if not known and (upstream is None or upstream.leaving):
             # A leaving upstream has ended as planned, together with its runs.
             reason = "the upstream is unknown" if upstream is None else "the upstream is leaving"
@@ -244,46 +252,82 @@
     async def _check_upstream(self, upstream_id: str) -> None:
         """Report the runs that an upstream broke off, if it has ended."""
         broken_runs = self._broken[upstream_id]
-        while len(broken_runs):
+        address: Address | None = None
+        while len(broken_runs) or broken_runs.has_undecided:
             if self._has_just_ended(upstream_id):
                 await self._report_end(upstream_id, refused=False)
                 return
             upstream = self._view.upstreams.get(upstream_id)
-            if upstream is None:
-                await self._report_end(upstream_id, refused=False)
+            if upstream is not None:
+                address = Address(upstream.host, upstream.port)
+            is_relisted = upstream is None and self._is_listed(address)
+            # The list alone does not show an end: the process may have been found before its entry
+            # was, or the former process may have written the entry late.
+            can_ask = is_relisted and self._process_query(upstream_id) is not None
+            if upstream is None and not can_ask and (is_relisted or len(broken_runs)):
+                await self._report_end(upstream_id, refused=False, replaced=is_relisted)
                 return
-            if upstream.leaving:
+            if upstream is not None and upstream.leaving:
                 break
             started_ms = now_ms()
-            if broken_runs.needs_probe(started_ms):
-                acceptance = await self._connect_twice(Address(upstream.host, upstream.port))
-                if acceptance is ConnectResult.REFUSED:
-                    await self._report_end(upstream_id, refused=True)
+            if can_ask or broken_runs.needs_probe(started_ms):
+                known_peer = self._found_peers.get(upstream_id)
+                acceptance = await self._probe(upstream_id, address)
+                if acceptance in (ConnectResult.REFUSED, ConnectResult.OTHER_PEER) or (
+                    upstream is None and acceptance is not ConnectResult.EXPECTED_PEER
+                ):
+                    is_replaced = is_relisted or acceptance is ConnectResult.OTHER_PEER
+                    await self._report_end(
+                        upstream_id,
+                        refused=upstream is not None or known_peer is not None,
+                        replaced=is_replaced and known_peer is None,
+                    )
                     return
-                if acceptance is ConnectResult.ACCEPTED:
-                    broken_runs.record_up(started_ms)
-            for run in broken_runs.drain_complete(now_ms()):
-                self._record_completed_run(run)
+                if acceptance is not ConnectResult.UNKNOWN:
+                    identified = acceptance is ConnectResult.EXPECTED_PEER
+                    broken_runs.record_up(started_ms, identified=identified)
+            settled_ms = now_ms()
+            for run in broken_runs.drain_complete(settled_ms):
+                self._record_completed_run(run, settled_ms)
             await trio.sleep(broken_runs.pause_ms(now_ms()) / 1000)
         del self._broken[upstream_id]
         log_event(
             "upstream_not_ended", routine=True, upstream_id=upstream_id, runs=len(broken_runs)
         )
 
-    def _record_completed_run(self, run: BrokenRun) -> None:
+    def _record_completed_run(self, run: BrokenRun, settled_ms: float) -> None:
         """Record that a run that looked complete is complete, as its upstream keeps running."""
-        self._view.sound_parts.record(run.parts, now_ms())
+        self._view.sound_parts.record(run.parts, settled_ms)
         for trait in (run.work_id, *run.parts):
             self._void_reports(trait)
 
-    async def _report_end(self, upstream_id: str, *, refused: bool) -> None:
-        """Report the runs at an upstream when it ended."""
+    def _withdraw_completed_run(self, run: BrokenRun, settled_ms: float) -> BrokenRun:
+        """Withdraw the proof by a run that was not complete; return it without sound parts."""
+        sound_parts = self._view.sound_parts
+        if run.looks_whole:
+            sound_parts.withdraw(run.parts, settled_ms)
+        return msgspec.structs.replace(run, parts=sound_parts.unknown_among(run.parts, now_ms()))
+
+    async def _report_end(self, upstream_id: str, *, refused: bool, replaced: bool = False) -> None:
+        """Report the runs at an upstream when it ended.
+
+        If its process is found to be ``replaced``, that may have happened some time ago, and other
+        agents may have found the end then.
+        """
         if not self._has_just_ended(upstream_id):
             self._ended_ms[upstream_id] = now_ms()
         if not self._broken[upstream_id].has_isolated:
             # Nothing runs concurrently with an isolated run, and its retry may be imminent.
             await trio.sleep(_GATHER_PAUSE_S)
-        broken = self._broken.pop(upstream_id).drain_ended(refused=refused)
+        broken_runs = self._broken.pop(upstream_id)
+        broken = broken_runs.drain_ended(
+            refused=refused, other_peer=upstream_id in self._found_peers
+        )
+        if replaced:
+            broken += [
+                self._withdraw_completed_run(run, settled_ms)
+                for settled_ms, run in broken_runs.drain_replaced()
+            ]
         runs = [
             CrashedRun(item.work_id, item.alone, item.begun, item.given_up, item.parts, item.owed)
             for item in broken
@@ -291,7 +335,7 @@
         ]
         if not runs and self._view.has_just_ended(upstream_id):
             return
-        number = self._view.quarantine.crash_number(upstream_id, now_ms())
+        number = self._view.quarantine.crash_number(upstream_id, now_ms(), found_late=replaced)
         self._publish(
             CrashReport(
                 _new_id(), upstream_id, self._unix_clock() * 1000, runs, crash_number=number
@@ -302,12 +346,35 @@
         ended_ms = self._ended_ms.get(upstream_id, float("-inf"))
         return now_ms() - ended_ms <= _SAME_END_WINDOW_MS
 
-    async def _connect_twice(self, address: Address) -> ConnectResult:
-        """Return whether a server accepts connections, and still does a little later."""
+    def _is_listed(self, address: Address | None) -> bool:
+        """Whether any upstream is listed at an address."""
+        upstreams = self._view.upstreams.values()
+        return any(Address(item.host, item.port) == address for item in upstreams)
+
+    async def _probe(self, upstream_id: str, address: Address) -> ConnectResult:
+        """Return whether an upstream accepts connections, and a little later still is the same.
+
+        Another process that is found counts as the expected one in later probes.
+        """
         acceptance = await self._http.try_connect(address)
-        if acceptance is ConnectResult.ACCEPTED:
-            await trio.sleep(_SECOND_CONNECT_DELAY_S)
-            acceptance = await self._http.try_connect(address)
+        if acceptance is not ConnectResult.ACCEPTED:
+            return acceptance
+        await trio.sleep(_SECOND_CONNECT_DELAY_S)
+        query = self._process_query(upstream_id)
+        if query is None:
+            return await self._http.try_connect(address)
+        peer: str | None = None
+
+        def read_peer(status: int, body: bytes) -> str | None:
+            nonlocal peer
+            peer = query.read_peer(status, body)
+            return peer
+
+        expected = self._found_peers.get(upstream_id, query.expected)
+        asked = msgspec.structs.replace(query, read_peer=read_peer, expected=expected)
+        acceptance = await self._http.try_connect(address, asked)
+        if acceptance is ConnectResult.OTHER_PEER and peer is not None:
+            self._found_peers[upstream_id] = peer
         return acceptance
 
     # --- sharing ---------------------------------------------------------------------------------
--- a/tests/test_broken_runs.py
+++ b/tests/test_broken_runs.py
@@ -68,6 +68,19 @@
         [run] = self.runs.drain_ended(refused=True)
         self.assertEqual((run.work_id, run.alone, run.given_up), ("a", True, False))
 
+    def test_a_run_that_looks_complete_is_given_up_if_another_process_was_there_all_along(
+        self,
+    ) -> None:
+        for up_ms, given_up in ((None, True), (10.0, False)):
+            with self.subTest(up_ms=up_ms):
+                runs = BrokenRuns()
+                runs.add(broken("a", looks_whole=True, alone=True), 0.0)
+                runs.add(broken("b", alone=True), 1.0 if up_ms is None else 11.0)
+                if up_ms is not None:
+                    runs.record_up(up_ms)
+                found = runs.drain_ended(refused=True, other_peer=True)
+                self.assertEqual([run.given_up for run in found], [given_up, False])
+
     def test_a_probe_is_due_when_a_response_counts_as_complete(self) -> None:
         self.runs.add(broken("a", looks_whole=True), 0.0)
         self.runs.record_up(900.0)
@@ -83,6 +96,26 @@
         self.assertEqual((first.alone, first.given_up), (False, True))
         self.assertEqual((second.alone, second.given_up), (True, False))
 
+    def test_a_settled_run_stays_undecided_for_ten_seconds_unless_its_process_is_identified(
+        self,
+    ) -> None:
+        for looks_whole, identified_ms in ((False, 0.0), (True, 1000.0)):
+            with self.subTest(looks_whole=looks_whole):
+                runs = BrokenRuns()
+                runs.add(broken("a", looks_whole=looks_whole, alone=True), 0.0)
+                runs.record_up(1000.0)
+                runs.drain_complete(5000.0)
+                self.assertTrue(runs.has_undecided)
+                runs.record_up(identified_ms - 1.0, identified=True)
+                runs.drain_complete(9999.0)
+                self.assertTrue(runs.has_undecided)
+                runs.drain_complete(10_000.0)
+                self.assertFalse(runs.has_undecided)
+                runs.add(broken("b", looks_whole=looks_whole), 0.0)
+                runs.record_up(identified_ms, identified=True)
+                runs.drain_complete(5000.0)
+                self.assertEqual((len(runs), runs.has_undecided), (0, False))
+
     def test_a_broken_run_is_dropped_after_five_seconds(self) -> None:
         self.runs.add(broken("a"), 0.0)
         self.assertEqual(self.runs.drain_complete(4999.0), [])
