Give an attempt time for a report only where one is asked for

An attempt of a resumable stream waited 700 ms longer for a connection also at upstreams that are not asked for a report, as their entries name no start time. Found by reading.

--- a/src/fescuedock/node/online_call.py
+++ b/src/fescuedock/node/online_call.py
@@ -352,7 +352,7 @@
             key_is_valid=self.key_holds,
         )
         stall = trio.CancelScope(deadline=self._stall_deadline_s(first=True))
-        if self.joins_runs:
+        if self.joins_runs and calls.process_query(upstream.upstream_id) is not None:
             stall.deadline += self.shared.http.identify_timeout_ms / 1000
 
         def check_and_start() -> SendRefusal | None:
