--- a/tests/soak/runs.py
+++ b/tests/soak/runs.py
@@ -178,12 +178,12 @@
         if releases:
             release_rng = random.Random(f"releases-{seed}")
             schedules.append(ReleaseSchedule(harness, ledger, release_rng))
-        if restarts:
-            restart_rng = random.Random(f"restarts-{seed}")
-            schedules.append(RestartSchedule(harness, ledger, restart_rng))
             resuming += [
                 ResumingClient(harness, ledger, release_rng) for _ in range(_RESUMING_CLIENTS)
             ]
+        if restarts:
+            restart_rng = random.Random(f"restarts-{seed}")
+            schedules.append(RestartSchedule(harness, ledger, restart_rng))
         await nursery.start(_end_on_signal)
         try:
             await harness.start(nodes, _UPSTREAMS, spools)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -32,6 +32,7 @@
 FAULT_S = 6.0
 SEED = 20
 RELEASE_SEED = 44
+RESTART_SEED = 9003
 NODES = 3
 TEXT = expected_text("item-1")
 LOGS = Path(__file__).parents[1] / "soak-logs" / "tests"
@@ -77,6 +78,11 @@
         self.assertGreater(report.taken_up, 0)
         self.assertGreater(report.went_on, 0)
 
+    def test_streams_keep_their_version_while_upstreams_restart_under_their_ids(self) -> None:
+        report = run_seed(RESTART_SEED, LOGS, FAULT_S, NODES, releases=True, restarts=True)
+        check_report(self, report)
+        self.assertGreater(report.taken_up, 0)
+
     def test_logs_of_an_earlier_failure_are_retained(self) -> None:
         with tempfile.TemporaryDirectory() as name:
             expected = Path(name) / "seed-3"
