Run the tests of answers without end on a virtual clock

The tests are at fault: by the real clock they also measure how long their one process is kept waiting.

An output without end: its first events are valid, so an item whose run is broken off before the limit of 131 kB goes on elsewhere after them, as it should.

Bounds and checks are the same.

--- a/tests/builders/endless.py
+++ b/tests/builders/endless.py
@@ -74,8 +74,9 @@
 
     upstream_id: str
     answer: EndlessAnswer
-    # Pause after every 12 kB.
+    # Pause after every ``writes_per_pause`` times 12 kB.
     write_interval_s: float = 0.001
+    writes_per_pause: int = 1
     open_s: list[float] = field(default_factory=list)
     # Number of requests by ID.
     requests: Counter[str] = field(default_factory=Counter)
@@ -115,6 +116,7 @@
             while True:
                 await stream.send_all(following(number))
                 number += 1
-                await trio.sleep(self.write_interval_s)
+                if number % self.writes_per_pause == 0:
+                    await trio.sleep(self.write_interval_s)
         except trio.BrokenResourceError:
             self.open_s.append(trio.current_time() - began_s)
--- a/tests/test_node_endless_answers.py
+++ b/tests/test_node_endless_answers.py
@@ -22,6 +22,7 @@
 from fescuedock.schema.permits import AttemptOutcome
 from fescuedock.schema.result_codes import ResultCode
 from fescuedock.schema.view import UpstreamKind, UpstreamRecord
+from tests.builders.clocks import virtual_clock
 from tests.builders.endless import ANSWERS, EndlessAnswer, EndlessUpstream, growing_events
 from tests.builders.jobs_calls import read_page, submit, wanted_text
 from tests.builders.node import Answer, NodeFleet, running_fleet
@@ -64,7 +65,7 @@
                     await trio.sleep(0.5)
                     await test(fleet, endless)
 
-        run_async(run)
+        run_async(run, virtual_clock())
         return endless
 
     async def call(self, fleet: NodeFleet, number: int, answers: dict[str, Answer]) -> None:
@@ -151,8 +152,8 @@
 
         async def run() -> None:
             async with trio.open_nursery() as nursery, open_http_client() as http:
-                # As fast as it can, to meet limits of bytes before those of time.
-                server = EndlessUpstream("endless", answer, write_interval_s=0.0)
+                # So fast, 240 MB/s, that it meets limits of bytes before those of time.
+                server = EndlessUpstream("endless", answer, writes_per_pause=20)
                 address = await server.listen(nursery)
                 began_s = trio.current_time()
                 with trio.fail_after(20):
@@ -160,7 +161,7 @@
                 found.append((result, trio.current_time() - began_s))
                 nursery.cancel_scope.cancel()
 
-        run_async(run)
+        run_async(run, virtual_clock())
         return found[0]
 
     # A health page that never ended held its probe, or ended the node beyond 16 MB.
