--- a/tests/builders/local.py
+++ b/tests/builders/local.py
@@ -40,7 +40,9 @@
             yield system
 
 
-def run_session(session: Callable[[LocalSystem], Awaitable[None]]) -> None:
+def run_session(
+    session: Callable[[LocalSystem], Awaitable[None]], clock: trio.abc.Clock | None = None
+) -> None:
     """Run ``session`` against a fresh system within a generous time.
 
     What the session raises comes out as it is, without trio's groups.
@@ -52,7 +54,7 @@
                 await session(system)
 
     try:
-        trio.run(run)
+        trio.run(run, clock=clock)
     except BaseExceptionGroup as errors:
         raise leaf_errors(errors)[0] from None
 
