Do not repeat a permit request that was queued for less than a millisecond

Found by reading while another loop was traced; nothing was seen of it in a fleet. The new test fails without this.

--- a/src/fescuedock/entry/online_permits.py
+++ b/src/fescuedock/entry/online_permits.py
@@ -519,8 +519,11 @@
 
 
 def _has_waited(started_ms: float, wait_ms: float) -> bool:
-    """Whether an owner has kept a request for ``wait_ms``, in whole milliseconds as it counts."""
-    return round(now_ms() - started_ms) >= int(wait_ms)
+    """Whether an owner has kept a request for ``wait_ms``, in whole milliseconds as it counts.
+
+    Shorter waits do not count, as the request would be repeated at once and without end.
+    """
+    return round(now_ms() - started_ms) >= int(wait_ms) >= 1
 
 
 def _merge_refusals(refusals: Iterable[_SearchResult]) -> _SearchResult:
--- a/tests/test_permit_search.py
+++ b/tests/test_permit_search.py
@@ -201,6 +201,17 @@
 
         run_async(run, MockClock(autojump_threshold=0))
 
+    def test_a_request_with_less_than_a_millisecond_left_is_not_repeated(self) -> None:
+        async def run() -> None:
+            state = StubSearch()
+            state.set_owner("node-2")
+            state.permits = QueuedPermits()
+            found = await find_permit(state, StubCall(target_ms=2000, patience_left_ms=0.4))
+            self.assertTrue(found.is_err(), found)
+            self.assertEqual(len(state.permits.requested), 1)
+
+        run_async(run, MockClock(autojump_threshold=0))
+
 
 class IsolatedRunTest(unittest.TestCase):
     """Guards against isolated runs of the same work at two upstreams.
