Call the next neighbour before a slow one has answered about a job

What callers saw: a job submitted at a node that is cut off from the store got its 202 after 640 ms, where the route's target is 400 ms, or after its client's next try, if the neighbour that was called first was cut off as well.

Cause: neighbours were called one after the other, each for up to 900 ms.

Now the next neighbour is called after 100 ms, as the store accepts a job once. Neighbours that have not answered are counted, as one of them may still store the job.

test_job_acceptance: a neighbour without a path delays no job beyond 400 ms; failed before (0.64 s).

--- a/src/fescuedock/node/job_acceptance.py
+++ b/src/fescuedock/node/job_acceptance.py
@@ -30,8 +30,10 @@
 # The store answers in 4 ms and stores a job in at most 20 ms; a neighbour is called after six times
 # that, which leaves most of the usual latency target of 400 ms.
 _NEIGHBOUR_DELAY_S = 0.12
-# Time limit of a neighbour's try, and the number of neighbours called one after the other.
+# Time limit of a neighbour's try, and the number of neighbours called.  A neighbour may have lost
+# the path to the store as well, so the next one is called before it has answered.
 _NEIGHBOUR_TIMEOUT_MS = 900.0
+_NEXT_NEIGHBOUR_DELAY_S = 0.1
 _MAX_NEIGHBOURS = 3
 # Half of the usual latency target of 400 ms; copies on spools take 10 to 20 ms.  While an outage is
 # not detected yet, neither path to the store fails within a second.
@@ -120,8 +122,8 @@
     direct_failed: trio.Event = msgspec.field(default_factory=trio.Event)
     # The fault of the direct path, or ``KEY_REUSED`` from a neighbour.
     direct_fault: Fault | None = None
-    # Whether a neighbour's try may have stored the job or may still store it.
-    neighbour_may_store: bool = False
+    # Neighbours whose tries may have stored the job or may still store it.
+    unsure_neighbours: int = 0
     # Set once the direct path and the neighbours have failed.
     all_failed: trio.Event = msgspec.field(default_factory=trio.Event)
     spool_copies: SpoolCopies = msgspec.field(default_factory=SpoolCopies)
@@ -146,18 +148,27 @@
             await self.direct_failed.wait()
         addresses = list(self.shared.neighbours())
         self.shared.rng.shuffle(addresses)
-        for address in addresses[:_MAX_NEIGHBOURS]:
-            code = await self._call_neighbour(address)
-            if code is ResultCode.OK:
-                self._succeed(scope)
-                return
-            if code is ResultCode.KEY_REUSED:
-                self.direct_fault = Fault(code, "a job of this id has other items")
-                scope.cancel()
-                return
+        async with trio.open_nursery() as nursery:
+            for address in addresses[:_MAX_NEIGHBOURS]:
+                answered = trio.Event()
+                nursery.start_soon(self._store_via, address, scope, answered)
+                with trio.move_on_after(_NEXT_NEIGHBOUR_DELAY_S):
+                    await answered.wait()
         await self.direct_failed.wait()
         self.all_failed.set()
 
+    async def _store_via(
+        self, address: Address, scope: trio.CancelScope, answered: trio.Event
+    ) -> None:
+        code = await self._call_neighbour(address)
+        if code is ResultCode.OK:
+            self._succeed(scope)
+        elif code is ResultCode.KEY_REUSED:
+            self.direct_fault = Fault(code, "a job of this id has other items")
+            scope.cancel()
+        else:
+            answered.set()
+
     async def copy_to_spools(self, scope: trio.CancelScope) -> None:
         with trio.move_on_after(_SPOOLS_DELAY_S):
             await self.all_failed.wait()
@@ -166,7 +177,7 @@
 
     async def _call_neighbour(self, address: Address) -> ResultCode:
         message = AcceptJob(self.record, self.items)
-        may_store_before, self.neighbour_may_store = self.neighbour_may_store, True
+        self.unsure_neighbours += 1
         reply = await self.shared.call_neighbour(address, message, _NEIGHBOUR_TIMEOUT_MS)
         match reply:
             case Ok(AcceptJobReply(code=code)):
@@ -176,7 +187,7 @@
             case _:
                 code = ResultCode.PEER_UNKNOWN
         if code in (ResultCode.KV_UNAVAILABLE, ResultCode.PEER_UNREACHABLE):
-            self.neighbour_may_store = may_store_before
+            self.unsure_neighbours -= 1
         log_event(
             "job_passed_to_neighbour",
             job_id=self.record.job_id,
@@ -195,7 +206,9 @@
         if self.accepted:
             return False
         return (
-            self.direct_fault is None or self.neighbour_may_store or self.spool_copies.may_be_stored
+            self.direct_fault is None
+            or self.unsure_neighbours > 0
+            or self.spool_copies.may_be_stored
         )
 
     def result(self) -> Result[None, Fault]:
