Run the tests of harmful parts on a virtual clock

Bounds and checks are the same. HarmfulItemsTest keeps the real clock, as it reads a page without a pause.

--- a/tests/test_node_harmful_parts.py
+++ b/tests/test_node_harmful_parts.py
@@ -8,6 +8,7 @@
 
 from fescuedock.core.work_identity import part_identities
 from fescuedock.platform.standin.event_upstream import CrashForm
+from tests.builders.clocks import virtual_clock
 from tests.builders.harmful_parts import (
     BAD_PART,
     FIRST_PART,
@@ -86,7 +87,7 @@
                         nursery.cancel_scope.cancel()
 
         callers: Callers | None = None
-        run_async(run)
+        run_async(run, virtual_clock())
         return callers
 
     def assert_bounded(self, callers: Callers, max_crashes: int = MAX_CRASHES) -> None:
