Log how the origin of a resumed stream was queried, and the age of the record's copy

A stream that goes on by the record alone left no line that says whether the record was read from the store, how old the copy was, or whether the queried holders replied.

--- a/src/fescuedock/node/online_call.py
+++ b/src/fescuedock/node/online_call.py
@@ -258,6 +258,7 @@
             "stream_taken_up",
             request_id=self.request_id,
             resumes=self.head.resumed_request_id,
+            stream_key=key or "",
             last_event=self.head.last_event,
             software_version=found.ok_value.software_version if isinstance(found, Ok) else "",
             known_by=found.ok_value.known_by if isinstance(found, Ok) else "",
--- a/src/fescuedock/node/stream_origins.py
+++ b/src/fescuedock/node/stream_origins.py
@@ -76,10 +76,15 @@
 
 
 class _Reports(msgspec.Struct):
-    """The different origins known of one stream, and the nodes and spools that named any."""
+    """The different origins known of one stream, and the nodes and spools that named any.
+
+    ``queried`` counts the nodes and spools that were queried, ``replied`` those that replied.
+    """
 
     origins: list[StreamOrigin]
     named_by: list[str] = []
+    queried: int = 0
+    replied: int = 0
 
     def add(self, name: str, origins: Iterable[StreamOrigin]) -> None:
         self.named_by.append(name)
@@ -242,6 +247,7 @@
             services = [name for name, weight in route.services if weight > 0]
             service = services[0] if len(services) == 1 else None
             registered = await self._query(key, service, reports)
+            self._log_query(key, service, reports, registered)
         elif len(recorded) == 1 and self._may_be_known_elsewhere(recorded[0], route):
             await self._find_elsewhere(key, reports)
         decided = decide_origin(reports.origins, registered)
@@ -261,6 +267,26 @@
         only_spools = self._spools.keys() >= set(reports.named_by)
         return KnownBy.SPOOL if only_spools else KnownBy.NODES
 
+    def _log_query(
+        self,
+        key: str | None,
+        service: str | None,
+        reports: _Reports,
+        registered: RegisteredVersions | None,
+    ) -> None:
+        versions = None if registered is None else registered.software_versions
+        log_event(
+            "stream_origin_queried",
+            stream_key=key or "",
+            service=service or "",
+            queried=reports.queried,
+            replied=reports.replied,
+            named_by=reports.named_by,
+            record_versions=None if versions is None else sorted(versions),
+            record_is_current=registered is not None and registered.is_current,
+            copy_age_ms=round(self._table.as_of_age_ms(now_ms()), 1),
+        )
+
     def _record_conflict(self, key: str, reports: _Reports) -> None:
         for origin in reports.origins:
             self.memory.record(key, origin, now_ms())
@@ -306,14 +332,19 @@
 
         async def find(name: str) -> None:
             reply = await self._call(name, FindOrigin(key), _FIND_TIMEOUT_MS)
-            if isinstance(reply, FindOriginReply) and reply.origins:
+            if not isinstance(reply, FindOriginReply):
+                return
+            reports.replied += 1
+            if reply.origins:
                 reports.add(name, reply.origins)
                 limit_wait(nursery.cancel_scope)
 
         async with trio.open_nursery() as nursery:
             limit_wait(nursery.cancel_scope)
             spools = self._origin_spools(key)[: self._policy.queried_disks]
-            for name in self._origin_nodes(key)[: self._policy.queried_nodes] + spools:
+            holders = self._origin_nodes(key)[: self._policy.queried_nodes] + spools
+            reports.queried = len(holders)
+            for name in holders:
                 nursery.start_soon(find, name)
 
     async def _read_versions(self, service: str) -> RegisteredVersions:
