--- a/tests/builders/origin_nodes.py
+++ b/tests/builders/origin_nodes.py
@@ -7,6 +7,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 from unittest import mock
 
@@ -39,13 +40,35 @@
 _KEYS = JobKeys("t/")
 _RECORD = _KEYS.versions + SERVICE
 _PORT = 1
+_STORE_TIMEOUT_S = 1.5
+
+
+@dataclass(frozen=True, slots=True)
+class _NodeKv:
+    """The key-value service as one node reaches it."""
+
+    fleet: "OriginNodes"
+    node: str
+
+    async def get(self, key: str) -> Result[KvEntry | None, Fault]:
+        return await self._reached() or await self.fleet.kv.get(key)
+
+    async def put_if(self, key: str, value: bytes, revision: int) -> Result[int, Fault]:
+        return await self._reached() or await self.fleet.kv.put_if(key, value, revision)
+
+    async def _reached(self) -> Err[Fault] | None:
+        if self.node not in self.fleet.cut_off:
+            return None
+        await trio.sleep(_STORE_TIMEOUT_S)
+        return Err(Fault(ResultCode.KV_UNAVAILABLE, "no answer"))
 
 
 @dataclass(slots=True)
 class OriginNodes:
     """``delays_ms`` is the time to a process's reply; those in ``silent`` never reply.
 
-    Nodes in ``stale`` get no news of the key-value service.
+    Nodes in ``stale`` get no news of the key-value service.  Those in ``cut_off`` reach neither
+    that service nor other nodes and spools.
     """
 
     nodes: int = 6
@@ -54,6 +77,7 @@
     delays_ms: defaultdict[str, float] = field(default_factory=lambda: defaultdict(lambda: 1.0))
     silent: set[str] = field(default_factory=set)
     stale: set[str] = field(default_factory=set)
+    cut_off: set[str] = field(default_factory=set)
     kv: MemoryKv = field(default_factory=MemoryKv)
     origins: dict[str, StreamOrigins] = field(default_factory=dict)
     views: dict[str, FleetView] = field(default_factory=dict)
@@ -98,10 +122,11 @@
     def start_node(self, name: str) -> None:
         """Start a node that knows the key-value service, in the place of the one of before."""
         view = self.views[name] = FleetView(name)
+        kv, call = _NodeKv(self, name), partial(self._call, name)
         replicas = self.replicas[name] = Replicas(
-            self.kv,
+            kv,
             [WatchedPrefix(_KEYS.live, 900, 300)],
-            self._call,
+            call,
             tuple,
             mock.Mock(vm_id=name),
             random.Random(1),
@@ -110,11 +135,11 @@
         replicas.tables[_KEYS.live].replace(page.entries, page.revision, 0.0)
         self.origins[name] = StreamOrigins(
             view,
-            self.kv,
+            kv,
             replicas,
             _KEYS,
             lambda: (SERVICE,),
-            self._call,
+            call,
             random.Random(name),
             self.policy,
         )
@@ -126,12 +151,12 @@
         for view in self.views.values():
             self._replace_view(view)
 
-    def record_versions(self, *versions: str) -> None:
-        """Write the record of the service."""
-        self.write_record(msgspec.msgpack.encode(ServedVersions(sorted(versions))))
+    def record_versions(self, *versions: str, service: str = SERVICE) -> None:
+        """Write the record of a service."""
+        self.write_record(msgspec.msgpack.encode(ServedVersions(sorted(versions))), service)
 
-    def write_record(self, value: bytes) -> None:
-        self.kv.state.put(_RECORD, value)
+    def write_record(self, value: bytes, service: str = SERVICE) -> None:
+        self.kv.state.put(_KEYS.versions + service, value)
 
     def lose_power(self) -> None:
         """Start all nodes and spools anew, with what the disks of the spools have synced."""
@@ -177,18 +202,18 @@
 
     def _show(self, event: KvEvent) -> None:
         for name, replicas in self.replicas.items():
-            if event.entry is not None and name not in self.stale:
+            if event.entry is not None and name not in self.stale | self.cut_off:
                 replicas.record_entry(
                     _KEYS.live, KvEntry(event.key, event.entry.value, event.revision)
                 )
 
     async def _call(
-        self, address: Address, message: msgspec.Struct, timeout_ms: float
+        self, caller: str, address: Address, message: msgspec.Struct, timeout_ms: float
     ) -> Result[msgspec.Struct, Fault]:
         name = address.host
         self.messages[name] += 1
         with trio.move_on_after(timeout_ms / 1000):
-            if name in self.silent:
+            if name in self.silent or self.cut_off & {name, caller}:
                 await trio.sleep_forever()
             handlers: dict[type, Callable] = (
                 self.services.get(name) or self.origins[name]
