Model nodes with outdated records that start and resume streams, by seeds

Clients were given events of two services or versions in one stream. The model plays the decisions of core.stream_origins in virtual time: nodes with copies of any age, cut off from the store or each other, killed without their memory, versions that are released, and routes that move.

--- /dev/null
+++ b/tests/builders/origin_record_model.py
@@ -0,0 +1,864 @@
+"""A model of nodes that start and resume streams, with copies of records of any age.
+
+It runs the decisions of ``core.stream_origins`` in virtual time.  Nodes lose the key-value service,
+each other, or their memory; versions are released and removed, and routes move to other services.
+The network, the service and the clients exist only as far as these decisions depend on them.
+"""
+
+import heapq
+import random
+from collections import Counter
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
+from itertools import count
+
+from result import Err
+
+from fescuedock.core.forwarding.route_table import Route, RouteKind, RouteTable
+from fescuedock.core.kv_availability import KvAvailability
+from fescuedock.core.rendezvous import rank_names
+from fescuedock.core.stored_jobs.work_gate import RecordFreshness
+from fescuedock.core.stream_origins import (
+    UNREADABLE,
+    OriginMemory,
+    OriginPolicy,
+    RegisteredVersions,
+    Retirement,
+    VersionRecord,
+    decide_origin,
+    rank_holders,
+)
+from fescuedock.schema.origins import StreamOrigin
+
+__all__ = [
+    "COPY",
+    "COURSES",
+    "HOST",
+    "PATHS",
+    "SERVICES",
+    "Fleet",
+    "Outcome",
+    "Settings",
+    "Strategy",
+    "play",
+    "route_table",
+]
+
+HOST = "desk.example"
+SERVICES = ("desk", "desk-b")
+PATHS = ("/check/7", "/rights/8")
+_POLICY = OriginPolicy()
+_SEND_ROUNDS = 3
+_ACK_TIMEOUT_MS = 30.0
+_READ_TIMEOUT_MS = 300.0
+_READ_PAUSE_MS = 50.0
+_PAUSE_PER_RANK_MS = 150.0
+_POLL_INTERVAL_MS = 1000.0
+_START_PATIENCE_MS = 1000.0
+_START_PAUSE_MS = 50.0
+_UNKNOWN_RETRY_MS = 100.0
+# How long a node still lists others that it does not reach any more.
+_SUSPICION_MS = 1000.0
+_MAX_COPY_AGE_MS = 2400.0
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """A node updates its copies every ``sync_ms``, and within ``lag_ms`` after a change.
+
+    A client whose node is not lost resumes its stream elsewhere anyway in a share ``wandering`` of
+    all cases.  A refused one retries ``retries`` times.
+    """
+
+    nodes: int = 6
+    spools: int = 2
+    duration_ms: float = 3500.0
+    sync_ms: tuple[float, float] = (300.0, 700.0)
+    lag_ms: tuple[float, ...] = (10.0, 50.0, 50.0, 400.0)
+    request_ms: float = 150.0
+    wandering: float = 0.7
+    retries: int = 1
+
+
+@dataclass(slots=True)
+class Outcome:
+    """Counts of streams and messages.
+
+    ``misjudged`` counts decisions for another origin than that of the client's events, ``joined``
+    those of them that an upstream would have continued.  ``refused`` counts streams whose origin
+    was unknown although an upstream could have continued them; ``ended`` those that none could.
+    ``unstarted`` requests were allowed no listed upstream in time; ``waits_ms`` has the time for
+    which the others waited for one.
+    """
+
+    started: int = 0
+    unstarted: int = 0
+    resumed: int = 0
+    joined: int = 0
+    misjudged: int = 0
+    refused: int = 0
+    ended: int = 0
+    continued: int = 0
+    messages: int = 0
+    known_by: Counter[str] = field(default_factory=Counter)
+    ways: Counter[str] = field(default_factory=Counter)
+    waits_ms: list[float] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class Node:
+    """``copy`` has records by key with their revision, as they certainly were at ``as_of_ms``.
+
+    A process of another ``group`` is out of reach.  ``epoch`` counts the node's processes.
+    """
+
+    name: str
+    domain: str
+    sync_ms: float = 300.0
+    lag_ms: float = 50.0
+    epoch: int = 0
+    is_alive: bool = True
+    group: int = 0
+    reaches_store: bool = True
+    lost_ms: float = float("-inf")
+    memory: OriginMemory = field(default_factory=lambda: OriginMemory(_POLICY))
+    retirement: Retirement = field(default_factory=lambda: Retirement(_POLICY))
+    availability: KvAvailability = field(default_factory=KvAvailability)
+    copy: dict[str, tuple[int, object]] | None = None
+    revision: int = -1
+    as_of_ms: float = float("-inf")
+    agreed_ms: float = float("-inf")
+    listed: tuple[int, Mapping[str, frozenset[str]]] = (0, {})
+    table: RouteTable | None = None
+    writing: set[str] = field(default_factory=set)
+    # What the node has last acted on, and when.
+    handled: object = None
+    handled_ms: float = float("-inf")
+
+    @property
+    def is_ready(self) -> bool:
+        return self.is_alive and self.table is not None
+
+    def record(self, key: str) -> object | None:
+        """Return the node's copy of a record; None without a readable one."""
+        return None if self.copy is None else self.copy.get(key, (0, None))[1]
+
+
+@dataclass(slots=True)
+class Stream:
+    """A stream whose client has received events of ``origin`` through ``node``."""
+
+    key: str
+    path: str
+    requested_ms: float
+    origin: StreamOrigin | None = None
+    node: Node | None = None
+    ends_ms: float = 0.0
+    attempts: int = 0
+
+
+@dataclass(slots=True)
+class Resumption:
+    """A stream that its client resumes at ``node``; ``found`` has the records that were read."""
+
+    stream: Stream
+    node: Node
+    epoch: int
+    route: Route
+    reported: list[StreamOrigin]
+    requested_ms: float
+    found: dict[str, object | None] = field(default_factory=dict)
+    pending: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Strategy:
+    """What a node may start, whom it tells of it, and what it concludes when nobody knows.
+
+    ``registered`` takes the records that the key-value service returned after the client's request,
+    by key, and returns what ``decide_origin`` is given.
+    """
+
+    startable: "Callable[[Fleet, Node, str, str], frozenset[str] | None]"
+    notifies: "Callable[[Fleet, Node, StreamOrigin, str], bool]"
+    read_keys: Callable[[Route], Sequence[str]]
+    registered: "Callable[[Fleet, Resumption], RegisteredVersions | None]"
+
+
+class Fleet:
+    """Nodes, spools, the key-value service and clients in virtual time."""
+
+    __slots__ = (
+        "_events",
+        "_numbers",
+        "late_share",
+        "listed",
+        "nodes",
+        "now_ms",
+        "outcome",
+        "records",
+        "revision",
+        "rng",
+        "running",
+        "settings",
+        "spools",
+        "store_is_down",
+        "strategy",
+        "table",
+    )
+
+    def __init__(self, strategy: Strategy, settings: Settings, rng: random.Random) -> None:
+        self.strategy = strategy
+        self.settings = settings
+        self.rng = rng
+        self.now_ms = 0.0
+        self.outcome = Outcome()
+        self.records: dict[str, tuple[int, object]] = {}
+        self.revision = 1
+        self.listed: tuple[int, Mapping[str, frozenset[str]]] = (1, {})
+        self.table = route_table(1, {"/": {SERVICES[0]: 1.0}})
+        self.store_is_down = False
+        # The share of writes that are executed late, without an answer.
+        self.late_share = 0.05
+        self.running: list[Stream] = []
+        self._events: list[tuple[float, int, Callable[..., None], tuple]] = []
+        self._numbers = count()
+        self.nodes = [Node(f"n-{number}", f"d-{number % 3}") for number in range(settings.nodes)]
+        self.spools = [Node(f"s-{number}", f"d-{number % 3}") for number in range(settings.spools)]
+
+    # --- courses ---------------------------------------------------------------------------------
+
+    def after(self, delay_ms: float, action: Callable[..., None], *args: object) -> None:
+        """Run ``action`` after a delay."""
+        heapq.heappush(self._events, (self.now_ms + delay_ms, next(self._numbers), action, args))
+
+    def run(self) -> Outcome:
+        """Run until the end of the course and of the streams that it started."""
+        for node in self.nodes:
+            node.sync_ms = self.rng.uniform(*self.settings.sync_ms)
+            node.lag_ms = self.rng.choice(self.settings.lag_ms)
+            node.copy, node.revision, node.as_of_ms = self.records, self.revision, 0.0
+            node.listed, node.table = self.listed, self.table
+            self.after(self.rng.uniform(0.0, node.sync_ms), self._poll, node, node.epoch)
+        self.after(self.rng.uniform(0.0, self.settings.request_ms), self._request)
+        last_ms = self.settings.duration_ms + 2000.0
+        while self._events and self._events[0][0] <= last_ms:
+            self.now_ms, _, action, args = heapq.heappop(self._events)
+            action(*args)
+        return self.outcome
+
+    def serve(self, service: str, *versions: str) -> None:
+        """Let upstreams of exactly these versions serve ``service``."""
+        number, listed = self.listed
+        self.listed = (number + 1, {**listed, service: frozenset(versions)})
+        self._announce()
+
+    def configure(self, routes: Mapping[str, Mapping[str, float]]) -> None:
+        """Set the routes: the weights of services by path prefix."""
+        self.table = route_table(self.table.version + 1, routes)
+        self._announce()
+
+    def write(self, key: str, record: object | None) -> None:
+        """Write a record; None for one that cannot be read."""
+        self.revision += 1
+        self.records = {**self.records, key: (self.revision, record)}
+        self._announce()
+
+    def set_reach(
+        self, nodes: Iterable[Node], *, store: bool | None = None, group: int | None = None
+    ) -> None:
+        """Change what the nodes reach."""
+        for node in nodes:
+            if store is not None:
+                node.reaches_store = store
+            if group is not None and group != node.group:
+                node.group, node.lost_ms = group, self.now_ms
+
+    def set_store(self, *, is_down: bool) -> None:
+        self.store_is_down = is_down
+
+    def kill(self, nodes: Iterable[Node], down_ms: float) -> None:
+        """End the processes of nodes; others without their memory take their place later."""
+        for node in nodes:
+            if not node.is_alive:
+                continue
+            node.is_alive, node.lost_ms = False, self.now_ms
+            node.epoch += 1
+            self.after(down_ms, self._restart, node)
+            broken = [item for item in self.running if item.node is node]
+            for stream in broken:
+                self.after(self.rng.uniform(5.0, 300.0), self._resume, stream)
+
+    def _restart(self, node: Node) -> None:
+        node.is_alive = True
+        node.memory, node.retirement = OriginMemory(_POLICY), Retirement(_POLICY)
+        node.availability = KvAvailability()
+        node.copy, node.revision = None, -1
+        node.as_of_ms = node.agreed_ms = float("-inf")
+        node.listed, node.table = (0, {}), None
+        node.writing, node.handled, node.handled_ms = set(), None, float("-inf")
+        self.after(0.0, self._poll, node, node.epoch)
+
+    # --- what nodes reach and know ---------------------------------------------------------------
+
+    def reach(self, node: Node, other: Node) -> bool:
+        return node.is_alive and other.is_alive and node.group == other.group
+
+    def lists(self, node: Node, other: Node) -> bool:
+        """Whether a node holds another one for live."""
+        if self.reach(node, other):
+            return True
+        lost_ms = node.lost_ms if node.lost_ms > other.lost_ms else other.lost_ms
+        return self.now_ms - lost_ms < _SUSPICION_MS
+
+    def store_answers(self, node: Node) -> bool:
+        return node.is_alive and node.reaches_store and not self.store_is_down
+
+    def is_served(self, origin: StreamOrigin) -> bool:
+        return origin.software_version in self.listed[1].get(origin.service, ())
+
+    def _announce(self) -> None:
+        """Let nodes know of a change soon."""
+        for node in self.nodes:
+            self.after(self.rng.uniform(0.0, node.lag_ms), self._sync, node, node.epoch)
+
+    def _poll(self, node: Node, epoch: int) -> None:
+        if epoch == node.epoch:
+            self._sync(node, epoch)
+            self.after(node.sync_ms * self.rng.uniform(0.5, 1.5), self._poll, node, epoch)
+
+    def _sync(self, node: Node, epoch: int) -> None:
+        """Update a node's copies from the key-value service or a neighbour."""
+        if epoch != node.epoch or not node.is_alive:
+            return
+        rng = self.rng
+        if self.store_answers(node):
+            node.availability.record_answer(self.now_ms)
+            # Each prefix of the store is followed on its own.
+            if rng.random() < 0.8:
+                self._merge(node, self.records, self.revision, self.now_ms)
+            if rng.random() < 0.8:
+                node.listed = self.listed
+            if rng.random() < 0.8:
+                node.table = self.table
+        else:
+            node.availability.record_failure(self.now_ms)
+            reached = [item for item in self.nodes if item is not node and self.reach(node, item)]
+            if reached:
+                self._sync_with_neighbour(node, rng.choice(reached))
+        if node.copy is not None and node.table is not None:
+            state = node.copy, node.listed[0], node.table.version
+            if state != node.handled or self.now_ms - node.handled_ms >= _POLL_INTERVAL_MS:
+                node.handled, node.handled_ms = state, self.now_ms
+                self._maintain(node)
+                self._send_unsent(node)
+
+    def _sync_with_neighbour(self, node: Node, other: Node) -> None:
+        if other.copy is not None:
+            if other.revision >= node.revision:
+                node.agreed_ms = self.now_ms
+            self._merge(node, other.copy, other.revision, other.as_of_ms)
+        node.listed = max(node.listed, other.listed, key=lambda item: item[0])
+        tables = [item for item in (node.table, other.table) if item is not None]
+        node.table = max(tables, key=lambda item: item.version, default=None)
+
+    def _merge(
+        self, node: Node, entries: dict[str, tuple[int, object]], revision: int, as_of_ms: float
+    ) -> None:
+        if node.copy is None:
+            node.copy = entries
+        elif node.copy is not entries:
+            merged = dict(entries)
+            for key, entry in node.copy.items():
+                if key not in merged or entry[0] > merged[key][0]:
+                    merged[key] = entry
+            node.copy = merged
+        node.revision = max(node.revision, revision)
+        node.as_of_ms = max(node.as_of_ms, as_of_ms)
+
+    # --- the records -----------------------------------------------------------------------------
+
+    def _due(self, node: Node) -> dict[str, object]:
+        """Return the records that a node would write."""
+        services = node.table.resumable_services
+        listed = {name: node.listed[1].get(name, frozenset()) for name in services}
+        recorded = {name: _recorded(node, version_key(name)) for name in services}
+        retired = node.retirement.due(
+            recorded,
+            listed,
+            self.now_ms,
+            is_certain=not node.availability.in_grace(self.now_ms),
+        )
+        wanted = {
+            name: record.updated(listed[name], retired.get(name, ()))
+            for name, record in recorded.items()
+        }
+        return {
+            version_key(name): record for name, record in wanted.items() if record != recorded[name]
+        }
+
+    def _maintain(self, node: Node) -> None:
+        live = [item.name for item in self.nodes if self.lists(node, item)]
+        for key in self._due(node):
+            if key not in node.writing:
+                node.writing.add(key)
+                rank = rank_names(key, live).index(node.name)
+                self.after(rank * _PAUSE_PER_RANK_MS, self._write, node, node.epoch, key)
+
+    def _write(self, node: Node, epoch: int, key: str) -> None:
+        if epoch != node.epoch:
+            return
+        node.writing.discard(key)
+        wanted = self._due(node).get(key)
+        if wanted is None or not self.store_answers(node):
+            return
+        expected = node.copy.get(key, (0, None))[0]
+        # The answer may be lost, and the service may execute the write much later.
+        is_lost = self.rng.random() < self.late_share
+        delay_ms = self.rng.uniform(0.0, 3000.0) if is_lost else self.rng.uniform(1.0, 10.0)
+        self.after(delay_ms, self._execute, node, epoch, key, wanted, expected, is_lost)
+
+    def _execute(
+        self, node: Node, epoch: int, key: str, wanted: object, expected: int, is_lost: bool
+    ) -> None:
+        if self.records.get(key, (0, None))[0] != expected:
+            return
+        self.write(key, wanted)
+        if epoch == node.epoch and not is_lost:
+            node.copy = {**node.copy, key: self.records[key]}
+
+    # --- streams that start ----------------------------------------------------------------------
+
+    def _request(self) -> None:
+        if self.now_ms < self.settings.duration_ms:
+            delay_ms = self.settings.request_ms * self.rng.uniform(0.3, 1.7)
+            self.after(delay_ms, self._request)
+        ready = [node for node in self.nodes if node.is_ready]
+        if ready:
+            key = f"stream-{next(self._numbers)}"
+            stream = Stream(key, self.rng.choice(PATHS), self.now_ms)
+            node = self.rng.choice(ready)
+            self._begin(stream, node, node.epoch)
+
+    def _begin(self, stream: Stream, node: Node, epoch: int) -> None:
+        """Choose an upstream for a request, or wait until one may be chosen."""
+        if epoch != node.epoch:
+            return
+        service = node.table.find(HOST, stream.path).choose_service(self.rng)
+        listed = node.listed[1].get(service, frozenset()) & self.listed[1].get(service, frozenset())
+        allowed = self.strategy.startable(self, node, service, stream.path)
+        versions = listed if allowed is None else listed & allowed
+        waited_ms = self.now_ms - stream.requested_ms
+        if versions:
+            self.outcome.waits_ms.append(waited_ms)
+            origin = StreamOrigin(service, self.rng.choice(sorted(versions)))
+            first_event_ms = self.rng.uniform(2.0, 150.0)
+            self.after(first_event_ms, self._first_event, stream, node, epoch, origin)
+        elif listed and waited_ms < _START_PATIENCE_MS:
+            self.after(_START_PAUSE_MS, self._begin, stream, node, epoch)
+        else:
+            self.outcome.unstarted += bool(listed)
+
+    def _first_event(self, stream: Stream, node: Node, epoch: int, origin: StreamOrigin) -> None:
+        if epoch != node.epoch or not self.is_served(origin):
+            return
+        wait_ms = self._record_start(stream, node, origin)
+        self.after(wait_ms, self._deliver, stream, node, epoch, origin)
+
+    def _record_start(self, stream: Stream, node: Node, origin: StreamOrigin) -> float:
+        """Record an origin at the node and its holders; return how long the first event waits."""
+        node.memory.record(stream.key, origin, self.now_ms, is_own=True)
+        if not self.strategy.notifies(self, node, origin, stream.path):
+            return 0.0
+        nodes = [item for item in self._holders(node, stream.key) if self.lists(node, item)]
+        spools = self._disks(node, stream.key)
+        is_stored = is_on_disk = False
+        wait_ms = 3.0
+        for _ in range(_SEND_ROUNDS):
+            if not is_stored:
+                is_stored = self._tell(stream.key, origin, node, nodes[: _POLICY.notified_nodes])
+            if not is_on_disk:
+                disks = spools[: _POLICY.notified_disks]
+                is_on_disk = self._tell(stream.key, origin, node, disks) or not disks
+            if is_stored and is_on_disk:
+                break
+            nodes = nodes[_POLICY.notified_nodes :]
+            spools = spools[_POLICY.notified_disks :]
+            wait_ms += _ACK_TIMEOUT_MS
+        return wait_ms
+
+    def _tell(self, key: str, origin: StreamOrigin, node: Node, holders: Sequence[Node]) -> bool:
+        self.outcome.messages += 2 * len(holders)
+        reached = [item for item in holders if self.reach(node, item)]
+        for item in reached:
+            item.memory.record(key, origin, self.now_ms)
+        if reached:
+            node.memory.mark_reported([key])
+        return bool(reached)
+
+    def _send_unsent(self, node: Node) -> None:
+        """Tell the holders of streams that started while no other node needed their origins."""
+        for item in node.memory.unreported(self.now_ms):
+            if self.strategy.notifies(self, node, item.origin, ""):
+                nodes = [
+                    other
+                    for other in self._holders(node, item.stream_key)
+                    if self.lists(node, other)
+                ][: _POLICY.notified_nodes]
+                spools = self._disks(node, item.stream_key)[: _POLICY.notified_disks]
+                self._tell(item.stream_key, item.origin, node, nodes + spools)
+
+    def _ranked(self, key: str, processes: Sequence[Node]) -> list[Node]:
+        by_name = {item.name: item for item in processes}
+        return [by_name[name] for name in rank_holders(key, _domains(processes))]
+
+    def _holders(self, node: Node, key: str) -> list[Node]:
+        """Return the other nodes in order; a node knows them from the records."""
+        if node.copy is None:
+            return []
+        return [item for item in self._ranked(key, self.nodes) if item is not node]
+
+    def _disks(self, node: Node, key: str) -> list[Node]:
+        if node.copy is None:
+            return []
+        return self._ranked(key, self.spools)[: _POLICY.queried_disks]
+
+    def _deliver(self, stream: Stream, node: Node, epoch: int, origin: StreamOrigin) -> None:
+        """Give the client the first event."""
+        if epoch != node.epoch:
+            return
+        self.outcome.started += 1
+        stream.origin = origin
+        stream.ends_ms = self.now_ms + self.rng.uniform(500.0, 4000.0)
+        self.running.append(stream)
+        self._relay(stream, node)
+
+    def _relay(self, stream: Stream, node: Node) -> None:
+        stream.node, stream.attempts = node, 0
+        left_ms = stream.ends_ms - self.now_ms
+        if self.rng.random() < self.settings.wandering:
+            self.after(self.rng.uniform(0.0, left_ms), self._resume, stream)
+        self.after(left_ms, self._end, stream)
+
+    def _end(self, stream: Stream) -> None:
+        if stream in self.running and self.now_ms >= stream.ends_ms:
+            self.running.remove(stream)
+
+    # --- streams that are resumed ----------------------------------------------------------------
+
+    def _resume(self, stream: Stream) -> None:
+        """Let the client resume its stream at any node."""
+        ready = [node for node in self.nodes if node.is_ready]
+        if stream not in self.running or not ready:
+            return
+        stream.node = None
+        node = self.rng.choice(ready)
+        route = node.table.find(HOST, stream.path)
+        recorded = list(node.memory.recorded(stream.key, self.now_ms))
+        resumption = Resumption(stream, node, node.epoch, route, recorded, self.now_ms)
+        self.outcome.resumed += stream.attempts == 0
+        if recorded:
+            if self.strategy.notifies(self, node, recorded[0], stream.path):
+                self._query(resumption)
+            self._decide(resumption, "memory")
+            return
+        keys = self.strategy.read_keys(route)
+        resumption.pending = 1 + len(keys)
+        self.after(self.rng.uniform(1.0, 20.0), self._query_and_decide, resumption)
+        for key in keys:
+            self.after(self.rng.uniform(1.0, 30.0), self._read, resumption, key)
+
+    def _query(self, resumption: Resumption) -> None:
+        node, key = resumption.node, resumption.stream.key
+        holders = self._holders(node, key)[: _POLICY.queried_nodes]
+        holders += self._disks(node, key)
+        self.outcome.messages += 2 * len(holders)
+        for item in holders:
+            if self.reach(node, item):
+                resumption.reported += item.memory.recorded(key, self.now_ms)
+
+    def _query_and_decide(self, resumption: Resumption) -> None:
+        self._query(resumption)
+        self._finish_one(resumption)
+
+    def _read(self, resumption: Resumption, key: str) -> None:
+        if self.store_answers(resumption.node):
+            resumption.found[key] = self.records.get(key, (0, None))[1]
+        elif self.now_ms - resumption.requested_ms + _READ_PAUSE_MS < _READ_TIMEOUT_MS:
+            self.after(_READ_PAUSE_MS, self._read, resumption, key)
+            return
+        self._finish_one(resumption)
+
+    def _finish_one(self, resumption: Resumption) -> None:
+        resumption.pending -= 1
+        if not resumption.pending:
+            keys = self.strategy.read_keys(resumption.route)
+            is_read = len(resumption.found) == len(keys)
+            known_by = "others" if resumption.reported else "record" if is_read else "copy"
+            self._decide(resumption, known_by)
+
+    def _decide(self, resumption: Resumption, known_by: str) -> None:
+        stream, node, route = resumption.stream, resumption.node, resumption.route
+        if resumption.epoch != node.epoch or stream not in self.running:
+            self.after(_UNKNOWN_RETRY_MS, self._resume, stream)
+            return
+        registered = None if resumption.reported else self.strategy.registered(self, resumption)
+        decided = decide_origin(resumption.reported, registered)
+        may_continue = route.allows(stream.origin.service) and self.is_served(stream.origin)
+        if isinstance(decided, Err):
+            self._refuse(stream, may_continue)
+            return
+        origin = decided.ok_value
+        if origin != stream.origin:
+            self.outcome.misjudged += 1
+            self.running.remove(stream)
+            if route.allows(origin.service) and self.is_served(origin):
+                self.outcome.joined += 1
+                subject = "service" if origin.service != stream.origin.service else "version"
+                self.outcome.ways[f"{subject} by {known_by}"] += 1
+        elif not may_continue:
+            self._refuse(stream, may_continue)
+        else:
+            self.outcome.continued += 1
+            self.outcome.known_by[known_by] += 1
+            self._record_start(stream, node, origin)
+            self._relay(stream, node)
+
+    def _refuse(self, stream: Stream, may_continue: bool) -> None:
+        stream.attempts += 1
+        if stream.attempts <= self.settings.retries:
+            self.after(_UNKNOWN_RETRY_MS * self.rng.uniform(1.0, 2.0), self._resume, stream)
+            return
+        self.running.remove(stream)
+        self.outcome.refused += may_continue
+        self.outcome.ended += not may_continue
+
+
+def _domains(processes: Iterable[Node]) -> dict[str, str]:
+    return {item.name: item.domain for item in processes}
+
+
+def version_key(service: str) -> str:
+    return f"version/{service}"
+
+
+def route_table(version: int, routes: Mapping[str, Mapping[str, float]]) -> RouteTable:
+    """Return a table whose routes lead to services by their weight, by path prefix."""
+    return RouteTable(
+        version,
+        tuple(
+            Route(prefix, HOST, prefix, RouteKind.STREAM, tuple(weights.items()), resumable=True)
+            for prefix, weights in routes.items()
+        ),
+    )
+
+
+def _recorded(node: Node, key: str) -> VersionRecord:
+    """Return the record whose versions a new one must retain until they are retired."""
+    record = node.record(key)
+    if record is not None:
+        return record
+    return VersionRecord(frozenset((UNREADABLE,) if key in node.copy else ()))
+
+
+# --- strategies ----------------------------------------------------------------------------------
+
+
+def _startable_by_versions(
+    _fleet: Fleet, node: Node, service: str, _path: str
+) -> frozenset[str] | None:
+    record = node.record(version_key(service))
+    return None if record is None else record.startable
+
+
+def _may_have_several_versions(fleet: Fleet, node: Node, origin: StreamOrigin, _path: str) -> bool:
+    record = node.record(version_key(origin.service))
+    if record is None or len(record.software_versions) > 1:
+        return True
+    return node.availability.is_unavailable(fleet.now_ms)
+
+
+def _version_keys(route: Route) -> list[str]:
+    services = [name for name, weight in route.services if weight > 0]
+    return [version_key(services[0])] if len(services) == 1 else []
+
+
+def _copy_is_current(fleet: Fleet, node: Node) -> bool:
+    live = [item for item in fleet.nodes if fleet.lists(node, item)]
+    if 2 * len(live) <= len(fleet.nodes):
+        return False
+    now_ms = fleet.now_ms
+    is_unavailable = node.availability.is_unavailable(now_ms)
+    freshness = RecordFreshness(now_ms - node.as_of_ms, is_unavailable, now_ms - node.agreed_ms)
+    return freshness.is_usable(_MAX_COPY_AGE_MS)
+
+
+def _registered_by_copy(fleet: Fleet, resumption: Resumption) -> RegisteredVersions | None:
+    """Use the record of the service to which the route leads now, or a copy of it."""
+    keys = _version_keys(resumption.route)
+    if not keys:
+        return None
+    [key] = keys
+    service = key.removeprefix("version/")
+    if key in resumption.found:
+        record, is_current = resumption.found[key], True
+    else:
+        record, is_current = resumption.node.record(key), _copy_is_current(fleet, resumption.node)
+    versions = None if record is None else record.software_versions
+    return RegisteredVersions(service, versions, is_current)
+
+
+COPY = Strategy(
+    _startable_by_versions, _may_have_several_versions, _version_keys, _registered_by_copy
+)
+
+
+# --- courses -------------------------------------------------------------------------------------
+
+
+def _start_calm(fleet: Fleet) -> None:
+    """Let each service have one version for long."""
+    for service in SERVICES:
+        fleet.serve(service, "v1")
+        fleet.write(version_key(service), VersionRecord(frozenset(("v1",))))
+
+
+_TABLES: tuple[Mapping[str, Mapping[str, float]], ...] = (
+    {"/": {"desk": 1.0}},
+    {"/": {"desk-b": 1.0}},
+    {"/": {"desk": 1.0, "desk-b": 1.0}},
+    {"/": {"desk": 1.0}, "/check/": {"desk-b": 1.0}},
+    {"/": {"desk-b": 1.0}, "/check/": {"desk": 1.0}},
+)
+
+
+def random_course(fleet: Fleet) -> None:
+    """Let a few faults and changes overlap at random times."""
+    rng = fleet.rng
+    _start_calm(fleet)
+    if rng.random() < 0.2:
+        # A service that no stream has used yet.
+        del fleet.records[version_key("desk-b")]
+    centre_ms = _centre_ms(fleet)
+    spread_ms = rng.choice((100.0, 600.0))
+    for _ in range(rng.randint(2, 6)):
+        action = rng.choices((_release, _move, _cut, _kill, _outage), (3, 1, 3, 2, 1))[0]
+        fleet.after(max(0.0, centre_ms + rng.gauss(0.0, spread_ms)), action, fleet)
+    if rng.random() < 0.1:
+        fleet.after(centre_ms, fleet.write, version_key("desk"), None)
+
+
+def first_release(fleet: Fleet) -> None:
+    """Release a version while nodes are cut off, and kill others soon after."""
+    rng = fleet.rng
+    _start_calm(fleet)
+    cut_ms = _centre_ms(fleet)
+    fleet.after(cut_ms, rng.choice((_cut, _isolate)), fleet)
+    fleet.after(cut_ms + rng.uniform(-50.0, 300.0), fleet.serve, "desk", "v1", "v2")
+    fleet.after(cut_ms + rng.uniform(200.0, 1000.0), _kill, fleet)
+
+
+def moved_routes(fleet: Fleet) -> None:
+    """Move routes again and again, and kill nodes."""
+    rng = fleet.rng
+    _start_calm(fleet)
+    if rng.random() < 0.3:
+        del fleet.records[version_key("desk-b")]
+    centre_ms = _centre_ms(fleet)
+    for _ in range(rng.randint(1, 4)):
+        fleet.after(max(0.0, centre_ms + rng.gauss(0.0, 500.0)), _move, fleet)
+    for action in rng.choices((_kill, _cut, _outage), (4, 1, 1), k=2):
+        fleet.after(centre_ms + rng.uniform(0.0, 1000.0), action, fleet)
+
+
+def restarts(fleet: Fleet) -> None:
+    """Let nodes start without memory while a version is released and the store fails."""
+    rng = fleet.rng
+    _start_calm(fleet)
+    centre_ms = _centre_ms(fleet)
+    fleet.late_share = rng.choice((0.05, 0.8))
+    nodes = rng.choice((fleet.nodes, _some(fleet, 3)))
+    down_ms = rng.uniform(100.0, 1000.0)
+    fleet.after(centre_ms, fleet.kill, nodes, down_ms)
+    fleet.after(centre_ms + rng.uniform(0.0, down_ms + 50.0), fleet.serve, "desk", "v1", "v2")
+    if rng.random() < 0.5:
+        fleet.after(centre_ms + down_ms + rng.gauss(0.0, 200.0), rng.choice((_outage, _cut)), fleet)
+
+
+def _centre_ms(fleet: Fleet) -> float:
+    return fleet.rng.uniform(400.0, fleet.settings.duration_ms - 2500.0)
+
+
+def _some(fleet: Fleet, most: int) -> list[Node]:
+    return fleet.rng.sample(fleet.nodes, fleet.rng.randint(1, most))
+
+
+def _release(fleet: Fleet) -> None:
+    rng = fleet.rng
+    service = rng.choices(SERVICES, (4, 1))[0]
+    before = fleet.listed[1][service]
+    new = rng.choices(("v1", "v2", "v3"), (1, 4, 1))[0]
+    fleet.serve(service, *before, new)
+    if rng.random() < 0.5:
+        fleet.after(rng.uniform(50.0, 3000.0), fleet.serve, service, new)
+
+
+def _move(fleet: Fleet) -> None:
+    fleet.configure(fleet.rng.choice(_TABLES))
+
+
+def _cut(fleet: Fleet) -> None:
+    """Cut nodes off from the store, from other nodes, or from both."""
+    rng = fleet.rng
+    nodes = _some(fleet, len(fleet.nodes) // 2)
+    loses_store, loses_nodes = rng.choice(
+        ((True, True), (True, True), (True, False), (False, True))
+    )
+    lasts_ms = rng.choice((rng.uniform(100.0, 1500.0), rng.uniform(1500.0, 6000.0)))
+    is_together = rng.random() < 0.3
+    for number, node in enumerate(nodes):
+        group = (1 if is_together else 1 + number) if loses_nodes else None
+        fleet.set_reach([node], store=False if loses_store else None, group=group)
+    fleet.after(lasts_ms, _heal, fleet, nodes)
+
+
+def _isolate(fleet: Fleet) -> None:
+    """Cut nodes off from the store and from all other nodes."""
+    nodes = _some(fleet, 2)
+    for number, node in enumerate(nodes):
+        fleet.set_reach([node], store=False, group=1 + number)
+    fleet.after(fleet.rng.uniform(1000.0, 3000.0), _heal, fleet, nodes)
+
+
+def _heal(fleet: Fleet, nodes: Sequence[Node]) -> None:
+    fleet.set_reach(nodes, store=True, group=0)
+
+
+def _kill(fleet: Fleet) -> None:
+    nodes = fleet.nodes if fleet.rng.random() < 0.1 else _some(fleet, 2)
+    fleet.kill(nodes, fleet.rng.uniform(100.0, 2500.0))
+
+
+def _outage(fleet: Fleet) -> None:
+    fleet.store_is_down = True
+    lasts_ms = fleet.rng.choice((300.0, 1000.0, 5000.0))
+
+    def end() -> None:
+        fleet.store_is_down = False
+
+    fleet.after(lasts_ms, end)
+
+
+COURSES = (random_course, first_release, moved_routes, restarts)
+
+
+def play(
+    strategy: Strategy,
+    course: Callable[[Fleet], None],
+    seed: int,
+    settings: Settings | None = None,
+) -> Outcome:
+    """Play one course, which schedules its faults and changes."""
+    fleet = Fleet(strategy, settings or Settings(), random.Random(f"{course.__name__}-{seed}"))
+    course(fleet)
+    return fleet.run()
