Start no resumable stream at a version while no record of the service is known

Callers could get events of two versions in one stream. A node without a readable record of a service let streams start at any version. It knows no holders either while its table is empty, so nobody was told, and a node that was asked later continued the stream at the record's single version.

Such a node now starts no resumable stream until the record is known; it is written within milliseconds after an upstream of the service is listed. The test failed before ("None != frozenset()"); it was not seen on whole nodes.

--- a/src/fescuedock/node/stream_origins.py
+++ b/src/fescuedock/node/stream_origins.py
@@ -156,10 +156,10 @@
 
     # --- streams that start ----------------------------------------------------------------------
 
-    def startable_versions(self, service: str) -> frozenset[str] | None:
-        """Return the software versions on which a stream may start; None if any may be used."""
+    def startable_versions(self, service: str) -> frozenset[str]:
+        """Return the software versions on which a stream may start."""
         registered = self._registered(service)
-        return None if registered is None else registered.startable
+        return frozenset() if registered is None else registered.startable
 
     async def record_start(self, key: str, origin: StreamOrigin, route: Route) -> None:
         """Record the origin of a stream, before its client gets the first event.
