Let only records that the store returned decide where a stream began

Cause: a node without an answer of the store took its copy of the version record for current, for up to 2.4 s after it was last confirmed. Another node may have added a version since, and begun streams there. A node that is cut off gets no replies from the stream's holders either, and the guard that more than half of the nodes are live counts those that its membership still lists. So the copy decided, for the older version.

A copy proves nothing, however new it is. A refused read is repeated within its 0.3 s, since the store may turn away single calls.

A case of test_nothing_is_concluded_from_silence named a copy that is not current; such a state is no argument any more, and None, which stands for it, is in the same list.

--- a/src/fescuedock/core/stream_origins.py
+++ b/src/fescuedock/core/stream_origins.py
@@ -172,14 +172,13 @@
 
 
 class RegisteredVersions(msgspec.Struct, frozen=True):
-    """A service's version record as a node read it; ``software_versions`` is None without one.
+    """A service's version record as the key-value service returned it.
 
-    ``is_current`` says that no version can have been added since then.
+    ``software_versions`` is None without one.
     """
 
     service: str
     software_versions: frozenset[str] | None = None
-    is_current: bool = False
 
     @property
     def single(self) -> str | None:
@@ -212,18 +211,17 @@
     """Return the origin of a stream, or ``Err`` with the reason why it is unknown.
 
     ``reported`` holds the origins that this node and the queried ones knew.  ``registered`` is the
-    record of the only service that may have started the stream, None if there are several.
+    record of the only service that may have started the stream, read after the request to resume
+    it; None if there are several, or without an answer of the store.
     """
     if any(origin != reported[0] for origin in reported):
         return Err("nodes report different software versions")
     if reported:
         return Ok(reported[0])
     if registered is None:
-        return Err("no queried node knows the origin, and several services may have started it")
+        return Err("no queried node knows the origin, and no record tells it")
     if registered.single is None:
         return Err("no queried node knows the origin, and several software versions have served")
-    if not registered.is_current:
-        return Err("no queried node knows the origin, and a software version may have been added")
     return Ok(StreamOrigin(registered.service, registered.single))
 
 
--- a/src/fescuedock/node/stream_origins.py
+++ b/src/fescuedock/node/stream_origins.py
@@ -18,7 +18,6 @@
 from fescuedock.core.rendezvous import rank_names
 from fescuedock.core.replica_table import ReplicaTable
 from fescuedock.core.stored_jobs.keys import JobKeys
-from fescuedock.core.stored_jobs.work_gate import RecordFreshness
 from fescuedock.core.stream_origins import (
     UNREADABLE,
     FoundOrigin,
@@ -62,10 +61,9 @@
 _SEND_ROUNDS = 3
 # How long no stream waits for a spool that was late.
 _LATE_SPOOL_MS = 1000.0
-# Bounds a read of a service's record while a client waits.
+# Bounds the read of a service's record while a client waits.  The store may refuse a read at once.
 _READ_TIMEOUT_S = 0.3
-# How old the replica of a record may be if the record cannot be read.
-_MAX_RECORD_AGE_MS = 2400.0
+_READ_PAUSE_S = 0.05
 _POLL_INTERVAL_S = 1.0
 # Delay per rank before a node writes a record, so that nodes of a higher rank write it first.
 _PAUSE_PER_RANK_S = 0.15
@@ -283,7 +281,7 @@
             replied=reports.replied,
             named_by=reports.named_by,
             record_versions=None if versions is None else sorted(versions),
-            record_is_current=registered is not None and registered.is_current,
+            store_answered=registered is not None,
             copy_age_ms=round(self._table.as_of_age_ms(now_ms()), 1),
         )
 
@@ -347,29 +345,22 @@
             for name in holders:
                 nursery.start_soon(find, name)
 
-    async def _read_versions(self, service: str) -> RegisteredVersions:
-        """Read a service's current record, or return its last known state."""
-        with trio.move_on_after(_READ_TIMEOUT_S):
-            found = await self._kv.get(self._keys.versions + service)
-            if isinstance(found, Ok):
-                entry = found.ok_value
-                record = None if entry is None else _record_in(entry)
-                return _as_registered(service, record, is_current=True)
-        return _as_registered(service, self._registered(service), is_current=self._is_current())
-
-    def _is_current(self) -> bool:
-        """Whether the records here are current although the store does not answer.
-
-        While the store answers no node, no version is added.  A node that reaches less than half
-        of the nodes cannot tell whether it answers others.
+    async def _read_versions(self, service: str) -> RegisteredVersions | None:
+        """Read a service's record; None without an answer of the store.
+
+        The read begins after the client's request, so it sees every version that had to be in the
+        record before the stream started.
         """
-        live = {vm.vm_id for vm in self._view.live_vms()} | {self._view.vm_id}
-        if 2 * len(live & self._known_nodes().keys()) <= len(self._nodes):
-            return False
-        is_unavailable = self._replicas.kv_availability.is_unavailable(now_ms())
-        agreed_age_ms = self._replicas.agreed_age_ms(self._keys.live)
-        age_ms = self._table.as_of_age_ms(now_ms())
-        return RecordFreshness(age_ms, is_unavailable, agreed_age_ms).is_usable(_MAX_RECORD_AGE_MS)
+        with trio.move_on_after(_READ_TIMEOUT_S):
+            while True:
+                found = await self._kv.get(self._keys.versions + service)
+                if isinstance(found, Ok):
+                    entry = found.ok_value
+                    record = None if entry is None else _record_in(entry)
+                    versions = None if record is None else record.software_versions
+                    return RegisteredVersions(service, versions)
+                await trio.sleep(_READ_PAUSE_S)
+        return None
 
     # --- requests of other nodes -----------------------------------------------------------------
 
@@ -535,10 +526,3 @@
     except msgspec.DecodeError as error:
         log_event("served_versions_unreadable", key=entry.key, reason=str(error))
         return None
-
-
-def _as_registered(
-    service: str, record: VersionRecord | None, *, is_current: bool
-) -> RegisteredVersions:
-    versions = None if record is None else record.software_versions
-    return RegisteredVersions(service, versions, is_current)
--- a/tests/builders/origin_strategies.py
+++ b/tests/builders/origin_strategies.py
@@ -131,7 +131,7 @@
     lost = choose_lost(names, domains, rng)
     reached = names if restarts else [name for name in names if name not in lost]
     used = _VERSIONS[:versions]
-    record = RegisteredVersions(_SERVICE, frozenset(used), not store_unavailable)
+    record = RegisteredVersions(_SERVICE, frozenset(used))
     outcome = Outcome(streams=streams)
     for number in range(streams):
         key = f"{seed}-{number}"
@@ -149,7 +149,9 @@
             queried = [name for name in strategy.queried(key, domains) if name != second_node]
             outcome.queries += 2 * len(queried)
             reported = [origin] if known_by & set(queried) else []
-        decided = decide_origin(reported, record if strategy.single_by_record else None)
+        decided = decide_origin(
+            reported, record if strategy.single_by_record and not store_unavailable else None
+        )
         outcome.continued += decided.is_ok()
         outcome.wrong_version += decided.is_ok() and decided.ok_value != origin
     return outcome
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -26,8 +26,8 @@
 POLICY = OriginPolicy(retention_ms=1000.0, max_origins=3)
 
 
-def registered(*versions: str, is_current: bool = True) -> RegisteredVersions:
-    return RegisteredVersions("desk", frozenset(versions), is_current)
+def registered(*versions: str) -> RegisteredVersions:
+    return RegisteredVersions("desk", frozenset(versions))
 
 
 class StreamKeyTest(unittest.TestCase):
@@ -106,9 +106,8 @@
     def test_nothing_is_concluded_from_silence(self) -> None:
         unknown = [
             registered("v1", "v2"),
-            registered("v1", is_current=False),
             registered(),
-            RegisteredVersions("desk", None, is_current=True),
+            RegisteredVersions("desk", None),
             None,
         ]
         for record in unknown:
