--- a/src/fescuedock/core/forwarding/route_table.py
+++ b/src/fescuedock/core/forwarding/route_table.py
@@ -11,7 +11,7 @@
 
 from fescuedock.core.customers import CustomerIndex
 
-__all__ = ["ClientLimits", "Route", "RouteKind", "RouteTable", "ServiceTerms"]
+__all__ = ["ClientLimits", "Route", "RouteKind", "RouteTable", "ServiceTerms", "host_name"]
 
 
 class RouteKind(enum.Enum):
@@ -68,6 +68,12 @@
             return rng.choice(names)
         return rng.choices(names, weights)[0]
 
+    @property
+    def drawn_services(self) -> frozenset[str]:
+        """The services that ``choose_service`` may return."""
+        names = frozenset(name for name, _ in self.services)
+        return frozenset(name for name, weight in self.services if weight > 0) or names
+
     def allows(self, service: str) -> bool:
         """Whether calls of this route may go to ``service``."""
         return any(name == service and weight > 0 for name, weight in self.services)
@@ -136,7 +142,7 @@
         Prefixes begin and end with a slash, so only the path's own slashes are tried, and the cost
         does not grow with the number of routes.
         """
-        prefixes = self._by_host.get(_host_name(host))
+        prefixes = self._by_host.get(host_name(host))
         if prefixes is None:
             return None
         end = len(path)
@@ -153,10 +159,10 @@
 def _index(routes: Iterable[Route]) -> dict[str, dict[str, Route]]:
     by_host: dict[str, dict[str, Route]] = {}
     for route in routes:
-        by_host.setdefault(_host_name(route.host), {})[route.prefix] = route
+        by_host.setdefault(host_name(route.host), {})[route.prefix] = route
     return by_host
 
 
-def _host_name(host: str) -> str:
+def host_name(host: str) -> str:
     """Return the host name of a Host header for comparison: without port, in lower case."""
     return host.rpartition(":")[0].lower() if ":" in host else host.lower()
--- a/src/fescuedock/core/stored_jobs/keys.py
+++ b/src/fescuedock/core/stored_jobs/keys.py
@@ -1,5 +1,7 @@
 """Keys of the parts of a stored job in the key-value service."""
 
+from hashlib import blake2b
+
 import msgspec
 
 __all__ = ["JobKeys"]
@@ -9,9 +11,13 @@
 _SPOOLS = "live/spool/"
 _CRASHES = "live/crash/"
 _VERSIONS = "live/version/"
+_ROUTES = "live/route/"
 _LIVE = "live/"
 _DATA = "data/"
 _ENDED = "ended/"
+# Longer names of hosts are replaced by a digest, as keys are limited.
+_MAX_HOST_BYTES = 100
+_HOST_DIGEST_BYTES = 16
 
 
 class JobKeys(msgspec.Struct, frozen=True):
@@ -47,6 +53,12 @@
         """Prefix of the software versions at which streams of each service may have begun."""
         return self.prefix + _VERSIONS
 
+    def routes(self, host: str) -> str:
+        """Return the key of the services at which streams of a host's paths may have begun."""
+        if len(host.encode()) > _MAX_HOST_BYTES:
+            host = blake2b(host.encode(), digest_size=_HOST_DIGEST_BYTES).hexdigest()
+        return f"{self.prefix}{_ROUTES}{host}"
+
     @property
     def records(self) -> str:
         return self.prefix + _JOBS
--- a/src/fescuedock/core/stream_origins.py
+++ b/src/fescuedock/core/stream_origins.py
@@ -1,12 +1,16 @@
 """Determines which software version started a stream, so that no other version continues it.
 
 A client may resume a stream at any node after the node that started it was lost.  There are two
-sources for the version.  While upstreams of several versions serve, the node that starts a stream
-reports its origin to a few other nodes before the client gets the first event; their later reports
-are certain, and their silence proves nothing.  In addition, the key-value service holds a record
-for each service with every version at which a stream may have started; a node starts no stream at
-a version that is missing from it.  While the record has a single version, that is the version of
-a stream whose origin no queried node knows.
+sources for the version.  While streams of a route may start at several services or versions, the
+node that starts one reports its origin to a few other nodes before the client gets the first event;
+their later reports are certain, and their silence proves nothing.
+
+In addition, the key-value service holds records of where streams may have started: for each service
+its software versions, and for each host the services by path prefix, as a change of routes moves
+paths to other services.  A node starts no stream at a service or version that is missing from them.
+While they name a single service and version, that is the origin of a stream which no queried node
+knows.  Only records that the key-value service returned after the client's request prove this: a
+copy may lack what another node has added since, however new it is.
 
 Pure: the caller passes the time.
 """
@@ -20,9 +24,10 @@
 import msgspec
 from result import Err, Ok, Result
 
+from fescuedock.core.forwarding.route_table import Route, RouteKind, RouteTable, host_name
 from fescuedock.core.rendezvous import rank_names
 from fescuedock.core.work_identity import work_identity
-from fescuedock.schema.origins import KnownStream, ServedVersions, StreamOrigin
+from fescuedock.schema.origins import KnownStream, RoutedPrefix, RoutedServices, StreamOrigin
 from fescuedock.schema.view import UpstreamRecord
 
 __all__ = [
@@ -31,18 +36,22 @@
     "KnownBy",
     "OriginMemory",
     "OriginPolicy",
-    "RegisteredVersions",
+    "RegisteredStarts",
     "Retirement",
-    "VersionRecord",
+    "RouteRecord",
+    "StartRecord",
     "decide_origin",
     "rank_holders",
+    "routed_services",
     "stream_key",
+    "stream_prefixes",
     "versions_by_service",
 ]
 
 
 # Takes the place of the versions that an unreadable record may have named.
 UNREADABLE = "(unreadable)"
+_ROOT = "/"
 
 
 class OriginPolicy(msgspec.Struct, frozen=True):
@@ -171,22 +180,27 @@
     return [name for row in zip_longest(*by_domain.values()) for name in row if name is not None]
 
 
-class RegisteredVersions(msgspec.Struct, frozen=True):
-    """A service's version record as the key-value service returned it.
+class RegisteredStarts(msgspec.Struct, frozen=True):
+    """Where streams of a path may have started, as the key-value service has recorded it.
 
-    ``software_versions`` is None without one.
+    ``services`` holds those of the path, ``software_versions`` those of ``service``; each is empty
+    without a record.
     """
 
     service: str
-    software_versions: frozenset[str] | None = None
+    services: frozenset[str] = frozenset()
+    software_versions: frozenset[str] = frozenset()
 
-    @property
-    def single(self) -> str | None:
-        """The only version at which streams may have started; None if there are several or none."""
-        if self.software_versions is None or len(self.software_versions) != 1:
-            return None
+    def origin(self) -> Result[StreamOrigin, str]:
+        """Return the only possible origin, or ``Err`` with the reason why there may be others."""
+        if self.services != {self.service}:
+            return Err("several services may have started it")
+        if len(self.software_versions) != 1:
+            return Err("several software versions have served")
         [version] = self.software_versions
-        return None if version == UNREADABLE else version
+        if version == UNREADABLE:
+            return Err("the record of the service could not be read")
+        return Ok(StreamOrigin(self.service, version))
 
 
 class KnownBy(enum.StrEnum):
@@ -206,23 +220,54 @@
 
 
 def decide_origin(
-    reported: Sequence[StreamOrigin], registered: RegisteredVersions | None
+    reported: Sequence[StreamOrigin], registered: RegisteredStarts | None
 ) -> Result[StreamOrigin, str]:
     """Return the origin of a stream, or ``Err`` with the reason why it is unknown.
 
-    ``reported`` holds the origins that this node and the queried ones knew.  ``registered`` is the
-    record of the only service that may have started the stream, read after the request to resume
-    it; None if there are several, or without an answer of the store.
+    ``reported`` holds the origins that this node and the queried ones knew.  ``registered`` is what
+    the key-value service returned after the request to resume the stream; None without an answer.
     """
     if any(origin != reported[0] for origin in reported):
         return Err("nodes report different software versions")
     if reported:
         return Ok(reported[0])
     if registered is None:
-        return Err("no queried node knows the origin, and no record tells it")
-    if registered.single is None:
-        return Err("no queried node knows the origin, and several software versions have served")
-    return Ok(StreamOrigin(registered.service, registered.single))
+        return Err("no queried node knows the origin, and the store does not answer")
+    return registered.origin().map_err(
+        lambda reason: f"no queried node knows the origin, and {reason}"
+    )
+
+
+def stream_prefixes(table: RouteTable) -> dict[str, set[str]]:
+    """Return the path prefixes of routes with resumable streams, by host name."""
+    found: dict[str, set[str]] = {}
+    for route in table.routes:
+        if _is_resumable(route):
+            found.setdefault(host_name(route.host), set()).add(route.prefix)
+    return found
+
+
+def routed_services(
+    table: RouteTable, host: str, prefixes: Iterable[str]
+) -> dict[str, frozenset[str]]:
+    """Return the services at which resumable streams start, for each of ``prefixes``."""
+    routes = {prefix: table.find(host, prefix) for prefix in prefixes}
+    return {
+        prefix: frozenset(route.drawn_services if _is_resumable(route) else ())
+        for prefix, route in routes.items()
+    }
+
+
+def _is_resumable(route: Route | None) -> bool:
+    return route is not None and route.kind is RouteKind.STREAM and route.resumable
+
+
+def _prefixes_of(path: str) -> Iterable[str]:
+    """Yield the prefixes of ``path`` that end with a slash, the longest first."""
+    end = path.rfind("/")
+    while end >= 0:
+        yield path[: end + 1]
+        end = path.rfind("/", 0, end)
 
 
 def versions_by_service(
@@ -236,77 +281,141 @@
     return {service: frozenset(versions) for service, versions in found.items()}
 
 
-class VersionRecord(msgspec.Struct, frozen=True):
-    """The versions in a service's record.
+class StartRecord(msgspec.Struct, frozen=True):
+    """The services or software versions at which streams may have started.
 
-    No stream starts at a version in ``leaving``.  A write that removes one from the record is
-    conditional on the revision that has the mark, and may take effect late; so a version that
-    returns is written anew without the mark, which makes such a write fail, before streams start.
+    No stream starts at a name in ``leaving``.  A write that removes one from the record is
+    conditional on the revision that has the mark, and may take effect late; so a name that returns
+    is written anew without the mark, which makes such a write fail, before streams start.
     """
 
-    software_versions: frozenset[str] = frozenset()
+    names: frozenset[str] = frozenset()
     leaving: frozenset[str] = frozenset()
 
     @classmethod
-    def of(cls, served: ServedVersions) -> Self:
-        versions = frozenset(served.software_versions)
-        return cls(versions, versions & frozenset(served.leaving))
+    def of(cls, names: Iterable[str], leaving: Iterable[str]) -> Self:
+        names = frozenset(names)
+        return cls(names, names.intersection(leaving))
 
     @property
     def startable(self) -> frozenset[str]:
-        """The versions at which a stream may start."""
-        return self.software_versions - self.leaving
+        """The names at which a stream may start."""
+        return self.names - self.leaving
 
     def updated(self, listed: Collection[str], due: Collection[str]) -> Self:
-        """Return the record with the ``listed`` versions, and those that are ``due`` retired."""
+        """Return the record with the ``listed`` names, and those that are ``due`` retired."""
         due = frozenset(due) - frozenset(listed)
-        versions = self.software_versions.union(listed) - (self.leaving & due)
-        if not versions:
+        names = self.names.union(listed) - (self.leaving & due)
+        leaving = (self.leaving & names).difference(listed)
+        return type(self)(names, leaving | (due & names))
+
+    def updated_versions(self, listed: Collection[str], due: Collection[str]) -> Self:
+        """Return the ``updated`` record of a service's versions.
+
+        The last versions remain startable, as they will most likely serve again.
+        """
+        updated = self.updated(listed, due)
+        if not updated.names:
             return self
-        leaving = (self.leaving & versions).difference(listed)
-        marked = leaving | (due & versions)
-        # The last versions remain, as they will most likely serve again.
-        return type(self)(versions, marked if versions - marked else leaving)
+        if updated.startable:
+            return updated
+        return type(self)(updated.names, (self.leaving & updated.names).difference(listed))
+
+
+class RouteRecord(msgspec.Struct, frozen=True):
+    """The services at which streams of a host's paths may have started, by path prefix.
+
+    The longest prefix of a path applies to it.  A change of routes may move a path to another
+    service, or add or remove a route for a part of another one's paths; a stream that started
+    before still belongs to its former service.
+    """
+
+    prefixes: Mapping[str, StartRecord] = msgspec.field(default_factory=dict)
 
-    def served(self) -> ServedVersions:
+    @classmethod
+    def of(cls, routed: RoutedServices) -> Self:
+        return cls(
+            {item.prefix: StartRecord.of(item.services, item.leaving) for item in routed.prefixes}
+        )
+
+    @classmethod
+    def unreadable(cls) -> Self:
+        """Return what takes the place of a record that cannot be read."""
+        return cls({_ROOT: StartRecord(frozenset((UNREADABLE,)))})
+
+    def at(self, path: str) -> StartRecord:
+        """Return the services at which streams of ``path`` may have started."""
+        for prefix in _prefixes_of(path):
+            if prefix in self.prefixes:
+                return self.prefixes[prefix]
+        return StartRecord()
+
+    def updated(
+        self,
+        routed: Mapping[str, Collection[str]],
+        due: Mapping[str, Collection[str]],
+        configured: Collection[str],
+    ) -> Self:
+        """Return the record with the ``routed`` services, and those that are ``due`` retired.
+
+        ``routed`` has the services of all prefixes in this record and of the ``configured`` ones.
+        A prefix that is not in this record starts with the services of the one that applied.
+        """
+        updated = {
+            prefix: self.at(prefix).updated(services, due.get(prefix, ()))
+            for prefix, services in routed.items()
+        }
+        kept = type(self)({prefix: item for prefix, item in updated.items() if item.names})
+        for prefix in [name for name in kept.prefixes if name not in configured]:
+            without = type(self)({k: v for k, v in kept.prefixes.items() if k != prefix})
+            if without.at(prefix) == kept.prefixes[prefix]:
+                kept = without
+        return kept
+
+    def served(self) -> RoutedServices:
         """Return the record as stored."""
-        return ServedVersions(sorted(self.software_versions), sorted(self.leaving))
+        return RoutedServices(
+            [
+                RoutedPrefix(prefix, sorted(item.names), sorted(item.leaving))
+                for prefix, item in sorted(self.prefixes.items())
+            ]
+        )
 
 
 class Retirement:
-    """Tracks since when each version in a service's record has no listed upstream."""
+    """Tracks since when each name in a record is not listed any more."""
 
     __slots__ = ("_policy", "_since_ms")
 
     def __init__(self, policy: OriginPolicy) -> None:
         self._policy = policy
-        # By service, version, and whether it is marked as leaving.
+        # By record, name, and whether it is marked as leaving.
         self._since_ms: dict[tuple[str, str, bool], float] = {}
 
     def due(
         self,
-        registered: Mapping[str, VersionRecord],
+        registered: Mapping[str, StartRecord],
         listed: Mapping[str, Collection[str]],
         now_ms: float,
         *,
         is_certain: bool,
     ) -> dict[str, Sequence[str]]:
-        """Return the versions to mark as leaving, or to remove if they are marked, by service.
+        """Return the names to mark as leaving, or to remove if they are marked, by record.
 
-        A version that still starts streams anywhere stays.  ``is_certain`` is False while serving
-        upstreams may be missing from the list.
+        A name at which streams still start anywhere stays.  ``is_certain`` is False while listed
+        names may be missing from ``listed``.
         """
         gone = {
-            (service, version, version in record.leaving)
-            for service, record in registered.items()
-            for version in record.software_versions
-            if version not in listed.get(service, ())
+            (key, name, name in record.leaving)
+            for key, record in registered.items()
+            for name in record.names
+            if name not in listed.get(key, ())
         }
         if not is_certain:
             gone = set()
         self._since_ms = {item: self._since_ms.get(item, now_ms) for item in gone}
         due: defaultdict[str, list[str]] = defaultdict(list)
-        for (service, version, _), since_ms in self._since_ms.items():
+        for (key, name, _), since_ms in self._since_ms.items():
             if now_ms - since_ms >= self._policy.retire_after_ms:
-                due[service].append(version)
+                due[key].append(name)
         return dict(due)
--- a/src/fescuedock/node/configuration.py
+++ b/src/fescuedock/node/configuration.py
@@ -37,6 +37,7 @@
         self._revision = -1
         self._document = msgspec.json.encode(Configuration())
         self._known = trio.Event()
+        self._changed = trio.Event()
 
     @property
     def is_known(self) -> bool:
@@ -78,6 +79,11 @@
     async def wait_known(self) -> None:
         await self._known.wait()
 
+    async def wait_changed(self, version: int) -> None:
+        """Return once another version than ``version`` is applied."""
+        while self.current_version == version:
+            await self._changed.wait()
+
     def refresh(self) -> bool:
         """Apply the table's current entry; return whether the routes changed."""
         entry = self._table.entries.get(self._key)
@@ -106,6 +112,8 @@
         self.routes = routes
         self._document = msgspec.json.encode(derived_configuration(routes))
         self._known.set()
+        self._changed.set()
+        self._changed = trio.Event()
 
 
 def derived_configuration(routes: RouteTable) -> Configuration:
--- a/src/fescuedock/node/main.py
+++ b/src/fescuedock/node/main.py
@@ -255,7 +255,7 @@
             self._store,
             self._replicas,
             self._keys,
-            lambda: self._configuration.routes.resumable_services,
+            self._configuration,
             self._call_neighbour,
             self._rng,
         )
--- a/src/fescuedock/node/online.py
+++ b/src/fescuedock/node/online.py
@@ -128,20 +128,29 @@
         """Return the priority of a customer's calls on ``route`` by the current configuration."""
         return self._routes().priority_of(route, customer)
 
-    def startable_versions(self, service: str) -> frozenset[str] | None:
+    def startable_versions(self, service: str, route: Route, path: str) -> frozenset[str] | None:
         """Return the software versions on which streams may start; None if any may be used."""
-        return None if self.origins is None else self.origins.startable_versions(service)
+        if self.origins is None:
+            return None
+        return self.origins.startable_versions(service, route, path)
+
+    async def wait_startable(self, service: str, route: Route, path: str) -> None:
+        """See ``StreamOrigins.wait_startable``."""
+        if self.origins is not None:
+            await self.origins.wait_startable(service, route, path)
 
-    async def record_origin(self, key: str, origin: StreamOrigin, route: Route) -> None:
+    async def record_origin(self, key: str, origin: StreamOrigin, route: Route, path: str) -> None:
         """Record the origin of a stream that starts; see ``StreamOrigins.record_start``."""
         if self.origins is not None:
-            await self.origins.record_start(key, origin, route)
+            await self.origins.record_start(key, origin, route, path)
 
-    async def origin_of(self, key: str | None, route: Route) -> Result[FoundOrigin, Fault]:
+    async def origin_of(
+        self, key: str | None, route: Route, path: str
+    ) -> Result[FoundOrigin, Fault]:
         """Return the origin of a stream that a client resumes."""
         if self.origins is None:
             return Err(Fault(ResultCode.ORIGIN_UNKNOWN, "this node stores no origins of streams"))
-        return await self.origins.origin_of(key, route)
+        return await self.origins.origin_of(key, route, path)
 
     def prefill(self, service: str) -> PrefillModel:
         return self._prefill.setdefault(service, PrefillModel())
--- a/src/fescuedock/node/online_call.py
+++ b/src/fescuedock/node/online_call.py
@@ -171,7 +171,13 @@
     def software_versions(self) -> Collection[str] | None:
         if self.software_version is not None:
             return (self.software_version,)
-        return self.shared.startable_versions(self.service) if self.is_resumable else None
+        if not self.is_resumable:
+            return None
+        return self.shared.startable_versions(self.service, self.route, self.path)
+
+    @property
+    def path(self) -> str:
+        return self.request.target.partition("?")[0]
 
     @property
     def is_resumable(self) -> bool:
@@ -221,6 +227,8 @@
             if refused is not None:
                 await self.give_up(self._accurate_fault(refused))
                 return
+        elif self.is_resumable:
+            await self.shared.wait_startable(self.service, self.route, self.path)
         while True:
             if not self.key_holds():
                 text = "the API key was revoked while the call waited"
@@ -253,7 +261,7 @@
         Return the reason if the stream cannot continue here.
         """
         key = self.stream_key if self.head.resumed_request_id else None
-        found = await self.shared.origin_of(key, self.route)
+        found = await self.shared.origin_of(key, self.route, self.path)
         log_event(
             "stream_taken_up",
             request_id=self.request_id,
@@ -552,7 +560,7 @@
         self.software_version = upstream.software_version
         if self.is_resumable:
             origin = StreamOrigin(self.service, upstream.software_version)
-            await self.shared.record_origin(self.stream_key, origin, self.route)
+            await self.shared.record_origin(self.stream_key, origin, self.route, self.path)
 
     async def _begin_response(self, answer: UpstreamAnswer, first: bytes) -> None:
         headers = calls.client_headers(answer.response.header_fields)
--- a/src/fescuedock/node/stream_origins.py
+++ b/src/fescuedock/node/stream_origins.py
@@ -5,7 +5,8 @@
 
 import random
 from collections import defaultdict
-from collections.abc import Callable, Collection, Iterable, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Mapping, Sequence
+from typing import TypeVar
 
 import msgspec
 import trio
@@ -14,7 +15,7 @@
 from fescuedock.address import Address
 from fescuedock.agent.link import FleetView
 from fescuedock.clock import now_ms
-from fescuedock.core.forwarding.route_table import Route
+from fescuedock.core.forwarding.route_table import Route, host_name
 from fescuedock.core.rendezvous import rank_names
 from fescuedock.core.replica_table import ReplicaTable
 from fescuedock.core.stored_jobs.keys import JobKeys
@@ -24,17 +25,21 @@
     KnownBy,
     OriginMemory,
     OriginPolicy,
-    RegisteredVersions,
+    RegisteredStarts,
     Retirement,
-    VersionRecord,
+    RouteRecord,
+    StartRecord,
     decide_origin,
     rank_holders,
+    routed_services,
+    stream_prefixes,
     versions_by_service,
 )
 from fescuedock.faults import Fault
 from fescuedock.kv import KvEntry, KvStore
 from fescuedock.log import log_event
 from fescuedock.net.channel import CallHandler, ServerPeer
+from fescuedock.node.configuration import NodeConfiguration
 from fescuedock.node.replicas import CallNeighbour, Replicas
 from fescuedock.schema.origins import (
     FindOrigin,
@@ -42,6 +47,7 @@
     KeepOrigins,
     KeepOriginsReply,
     KnownStream,
+    RoutedServices,
     ServedVersions,
     StreamOrigin,
 )
@@ -50,6 +56,8 @@
 
 __all__ = ["StreamOrigins"]
 
+T = TypeVar("T")
+
 # A neighbour answers in 1 to 7 ms.
 _SEND_TIMEOUT_MS = 60.0
 _FIND_TIMEOUT_MS = 150.0
@@ -61,10 +69,12 @@
 _SEND_ROUNDS = 3
 # How long no stream waits for a spool that was late.
 _LATE_SPOOL_MS = 1000.0
-# Bounds the read of a service's record while a client waits.  The store may refuse a read at once.
+# Bounds the reads of records while a client waits.  The store may refuse a read at once.
 _READ_TIMEOUT_S = 0.3
 _READ_PAUSE_S = 0.05
 _POLL_INTERVAL_S = 1.0
+# How long a stream waits until it may start at the service to which its route leads.
+_RECORDED_TIMEOUT_S = 1.0
 # Delay per rank before a node writes a record, so that nodes of a higher rank write it first.
 _PAUSE_PER_RANK_S = 0.15
 _MAX_RANK = 8
@@ -89,11 +99,18 @@
         self.origins.extend(item for item in origins if item not in self.origins)
 
 
+class _RecordUpdate(msgspec.Struct, frozen=True):
+    """A record that is due to be written; ``fields`` describe it in the log."""
+
+    value: bytes
+    fields: Mapping[str, object] = {}
+
+
 class StreamOrigins:
     """The origins of streams at one node.
 
-    ``services`` returns the services of the routes whose streams may be resumed.  A service's
-    record names the software versions on which its streams may have started.
+    Records in the key-value service name the software versions of each service, and the services of
+    each host's paths, at which streams of the ``configuration`` may have started.
     """
 
     def __init__(
@@ -102,7 +119,7 @@
         kv: KvStore,
         replicas: Replicas,
         keys: JobKeys,
-        services: Callable[[], Collection[str]],
+        configuration: NodeConfiguration,
         call_neighbour: CallNeighbour,
         rng: random.Random,
         policy: OriginPolicy | None = None,
@@ -112,14 +129,19 @@
         self._replicas = replicas
         self._keys = keys
         self._table: ReplicaTable = replicas.tables[keys.live]
-        self._services = services
+        self._configuration = configuration
         self._call_neighbour = call_neighbour
         self._rng = rng
         self._policy = policy or OriginPolicy()
         self.memory = OriginMemory(self._policy)
-        self._retirement = Retirement(self._policy)
-        # By service, the revision of its record and its versions, None if they are unreadable.
-        self._decoded: dict[str, tuple[int, VersionRecord | None]] = {}
+        self._version_retirement = Retirement(self._policy)
+        self._service_retirement = Retirement(self._policy)
+        # The version of the configuration, and the prefixes of its resumable streams by host.
+        self._configured: tuple[int, dict[str, set[str]]] = (-1, {})
+        # The version of the configuration and the revisions of the hosts' records that agree.
+        self._settled_routes: tuple[int, ...] = ()
+        # By key, the revision of a record and what it says, None if it is unreadable.
+        self._decoded: dict[str, tuple[int, StartRecord | RouteRecord | None]] = {}
         # Failure domain and address of nodes and spools, from their records at a table version.
         self._nodes: dict[str, tuple[str, Address]] = {}
         self._spools: dict[str, tuple[str, Address]] = {}
@@ -154,12 +176,27 @@
 
     # --- streams that start ----------------------------------------------------------------------
 
-    def startable_versions(self, service: str) -> frozenset[str]:
-        """Return the software versions on which a stream may start."""
+    def startable_versions(self, service: str, route: Route, path: str) -> frozenset[str]:
+        """Return the software versions of ``service`` on which a stream of ``path`` may start."""
+        if service not in self._routed(route.host).at(path).startable:
+            return frozenset()
         registered = self._registered(service)
         return frozenset() if registered is None else registered.startable
 
-    async def record_start(self, key: str, origin: StreamOrigin, route: Route) -> None:
+    async def wait_startable(self, service: str, route: Route, path: str) -> None:
+        """Wait until a stream of ``path`` may start at ``service``, or for a short while.
+
+        A node records a change of routes or versions within milliseconds after it is known.
+        """
+        with trio.move_on_after(_RECORDED_TIMEOUT_S):
+            while not self.startable_versions(service, route, path):
+                if self._replicas.kv_availability.is_unavailable(now_ms()):
+                    return
+                if not self._view.upstreams_of(service):
+                    return
+                await self._replicas.wait_changed(self._replicas.version)
+
+    async def record_start(self, key: str, origin: StreamOrigin, route: Route, path: str) -> None:
         """Record the origin of a stream, before its client gets the first event.
 
         If other nodes may need it, return once another process has stored it, a spool on disk if
@@ -167,7 +204,7 @@
         never continued on a wrong version.
         """
         self.memory.record(key, origin, now_ms(), is_own=True)
-        if not self._may_be_known_elsewhere(origin, route) or self._nursery is None:
+        if not self._may_be_known_elsewhere(origin, route, path) or self._nursery is None:
             return
         streams = [KnownStream(key, origin)]
         nodes = self._origin_nodes(key, live_only=True)
@@ -228,25 +265,25 @@
 
     async def leave(self) -> None:
         """Send all origins that this node knows to other nodes before it stops."""
-        if self._is_needed_elsewhere():
+        if self._is_needed_elsewhere() or self._has_moved_routes():
             await self._send_all(self.memory.all_known(now_ms()))
 
     # --- streams that are resumed ----------------------------------------------------------------
 
-    async def origin_of(self, key: str | None, route: Route) -> Result[FoundOrigin, Fault]:
-        """Return the origin of a stream; ``ORIGIN_UNKNOWN`` when it cannot be found.
+    async def origin_of(
+        self, key: str | None, route: Route, path: str
+    ) -> Result[FoundOrigin, Fault]:
+        """Return the origin of a stream of ``path``; ``ORIGIN_UNKNOWN`` when it cannot be found.
 
         ``key`` is None when the client does not name the stream.
         """
         recorded = () if key is None else self.memory.recorded(key, now_ms())
         reports = _Reports(list(recorded))
-        registered: RegisteredVersions | None = None
+        registered: RegisteredStarts | None = None
         if not recorded:
-            services = [name for name, weight in route.services if weight > 0]
-            service = services[0] if len(services) == 1 else None
-            registered = await self._query(key, service, reports)
-            self._log_query(key, service, reports, registered)
-        elif len(recorded) == 1 and self._may_be_known_elsewhere(recorded[0], route):
+            registered = await self._query(key, route, path, reports)
+            self._log_query(key, route, reports, registered)
+        elif len(recorded) == 1 and self._may_be_known_elsewhere(recorded[0], route, path):
             await self._find_elsewhere(key, reports)
         decided = decide_origin(reports.origins, registered)
         if isinstance(decided, Err):
@@ -268,20 +305,20 @@
     def _log_query(
         self,
         key: str | None,
-        service: str | None,
+        route: Route,
         reports: _Reports,
-        registered: RegisteredVersions | None,
+        registered: RegisteredStarts | None,
     ) -> None:
-        versions = None if registered is None else registered.software_versions
         log_event(
             "stream_origin_queried",
             stream_key=key or "",
-            service=service or "",
+            route=route.name,
             queried=reports.queried,
             replied=reports.replied,
             named_by=reports.named_by,
-            record_versions=None if versions is None else sorted(versions),
             store_answered=registered is not None,
+            services=sorted(registered.services) if registered else [],
+            software_versions=sorted(registered.software_versions) if registered else [],
             copy_age_ms=round(self._table.as_of_age_ms(now_ms()), 1),
         )
 
@@ -296,18 +333,20 @@
         )
 
     async def _query(
-        self, key: str | None, service: str | None, reports: _Reports
-    ) -> RegisteredVersions | None:
-        """Find a stream's origin elsewhere, and read the service's record in parallel."""
-        registered: RegisteredVersions | None = None
+        self, key: str | None, route: Route, path: str, reports: _Reports
+    ) -> RegisteredStarts | None:
+        """Find a stream's origin elsewhere, and read the records in parallel.
+
+        Return what the records say; None without an answer of the store.
+        """
+        registered: RegisteredStarts | None = None
 
         async def read() -> None:
             nonlocal registered
-            registered = await self._read_versions(service)
+            registered = await self._read_records(route, path)
 
         async with trio.open_nursery() as nursery:
-            if service is not None:
-                nursery.start_soon(read)
+            nursery.start_soon(read)
             if key is not None:
                 await self._find_elsewhere(key, reports)
             if reports.origins:
@@ -345,22 +384,36 @@
             for name in holders:
                 nursery.start_soon(find, name)
 
-    async def _read_versions(self, service: str) -> RegisteredVersions | None:
-        """Read a service's record; None without an answer of the store.
+    async def _read_records(self, route: Route, path: str) -> RegisteredStarts | None:
+        """Read where streams of ``path`` may have started; None without an answer of the store.
 
-        The read begins after the client's request, so it sees every version that had to be in the
-        record before the stream started.
+        The reads begin after the client's request, so they see every record that had to be written
+        before the stream started.
         """
+        services = sorted(route.drawn_services)
+        if len(services) > 1:
+            return RegisteredStarts("", route.drawn_services)
+        [service] = services
+        found: dict[str, KvEntry | None] = {}
+        keys = self._keys.routes(host_name(route.host)), self._keys.versions + service
         with trio.move_on_after(_READ_TIMEOUT_S):
-            while True:
-                found = await self._kv.get(self._keys.versions + service)
-                if isinstance(found, Ok):
-                    entry = found.ok_value
-                    record = None if entry is None else _record_in(entry)
-                    versions = None if record is None else record.software_versions
-                    return RegisteredVersions(service, versions)
-                await trio.sleep(_READ_PAUSE_S)
-        return None
+            async with trio.open_nursery() as nursery:
+                for key in keys:
+                    nursery.start_soon(self._read, key, found)
+        if len(found) < len(keys):
+            return None
+        routed, versions = (found[key] for key in keys)
+        route_record = (_routes_in(routed) if routed else None) or RouteRecord()
+        version_record = (_versions_in(versions) if versions else None) or StartRecord()
+        return RegisteredStarts(service, route_record.at(path).names, version_record.names)
+
+    async def _read(self, key: str, found: dict[str, KvEntry | None]) -> None:
+        while True:
+            result = await self._kv.get(key)
+            if isinstance(result, Ok):
+                found[key] = result.ok_value
+                return
+            await trio.sleep(_READ_PAUSE_S)
 
     # --- requests of other nodes -----------------------------------------------------------------
 
@@ -372,96 +425,173 @@
     async def _on_find(self, message: FindOrigin, _peer: ServerPeer) -> FindOriginReply:
         return FindOriginReply(list(self.memory.recorded(message.stream_key, now_ms())))
 
-    # --- the records of services -----------------------------------------------------------------
+    # --- the records of services and hosts -------------------------------------------------------
 
     def _is_uncertain(self, service: str) -> bool:
         """Whether a service's record alone may not determine the version a stream started on."""
         registered = self._registered(service)
-        if registered is None or len(registered.software_versions) > 1:
+        if registered is None or len(registered.names) > 1:
             return True
         return self._replicas.kv_availability.is_unavailable(now_ms())
 
-    def _may_be_known_elsewhere(self, origin: StreamOrigin, route: Route) -> bool:
+    def _may_be_known_elsewhere(self, origin: StreamOrigin, route: Route, path: str) -> bool:
         """Whether other nodes are notified of such a stream when it starts."""
-        return len(route.services) > 1 or self._is_uncertain(origin.service)
+        is_only_service = self._routed(route.host).at(path).names == {origin.service}
+        return not is_only_service or self._is_uncertain(origin.service)
 
     def _is_needed_elsewhere(self) -> bool:
         """Whether other nodes may need the origins of streams that started here."""
-        served = versions_by_service(self._view.upstreams.values(), self._services())
+        services = self._configuration.routes.resumable_services
+        served = versions_by_service(self._view.upstreams.values(), services)
         return any(self._is_uncertain(name) for name in served)
 
-    def _registered(self, service: str) -> VersionRecord | None:
+    def _has_moved_routes(self) -> bool:
+        """Whether streams of the same path may have started at several services."""
+        return any(
+            len(starts.names) > 1
+            for host in stream_prefixes(self._configuration.routes)
+            for starts in self._routed(host).prefixes.values()
+        )
+
+    def _registered(self, service: str) -> StartRecord | None:
         """Return a service's record; None without a readable one."""
-        entry = self._table.entries.get(self._keys.versions + service)
+        return self._decode(self._keys.versions + service, _versions_in)
+
+    def _routed(self, host: str) -> RouteRecord:
+        """Return a host's record, an empty one without a readable one."""
+        return self._decode(self._keys.routes(host_name(host)), _routes_in) or RouteRecord()
+
+    def _decode(self, key: str, decode: Callable[[KvEntry], T | None]) -> T | None:
+        """Return this node's copy of a record; None without a readable one."""
+        entry = self._table.entries.get(key)
         if entry is None:
             return None
-        known = self._decoded.get(service)
+        known = self._decoded.get(key)
         if known is None or known[0] != entry.mod_revision:
-            known = self._decoded[service] = (entry.mod_revision, _record_in(entry))
+            known = self._decoded[key] = (entry.mod_revision, decode(entry))
         return known[1]
 
-    def _recorded(self, service: str) -> VersionRecord:
-        """Return the record whose versions a new one must retain until they are retired."""
-        registered = self._registered(service)
-        if registered is not None:
-            return registered
-        is_present = self._keys.versions + service in self._table.entries
-        return VersionRecord(frozenset((UNREADABLE,) if is_present else ()))
-
     async def _maintain_records(self) -> None:
-        """Add listed software versions to the records, and remove those long unlisted."""
+        """Add what is listed and configured to the records, and remove what has long gone."""
         while True:
-            seen = self._view.version
+            view_version, routes_version = self._view.version, self._configuration.current_version
             async with trio.open_nursery() as nursery:
-                for service, wanted in self._due_records().items():
-                    nursery.start_soon(self._write_by_rank, service, wanted)
+                for key, update in self._due_updates().items():
+                    nursery.start_soon(self._write_by_rank, key, update)
             with trio.move_on_after(_POLL_INTERVAL_S):
-                await self._view.wait_changed(seen)
+                async with trio.open_nursery() as nursery:
+
+                    async def wait(
+                        wait_changed: Callable[[int], Awaitable[None]],
+                        version: int,
+                        scope: trio.CancelScope = nursery.cancel_scope,
+                    ) -> None:
+                        await wait_changed(version)
+                        scope.cancel()
 
-    def _due_records(self) -> dict[str, VersionRecord]:
-        """Return the services whose records must change, with the records to write."""
-        services = self._services()
+                    nursery.start_soon(wait, self._view.wait_changed, view_version)
+                    nursery.start_soon(wait, self._configuration.wait_changed, routes_version)
+
+    def _due_updates(self) -> dict[str, _RecordUpdate]:
+        """Return the records that must be written, by key."""
         if not self._table.is_known:
             return {}
+        return self._due_versions() | self._due_routes()
+
+    def _due_versions(self) -> dict[str, _RecordUpdate]:
+        services = self._configuration.routes.resumable_services
         listed = versions_by_service(self._view.upstreams.values(), services)
-        registered = {name: self._recorded(name) for name in services}
-        kv_availability = self._replicas.kv_availability
-        retired = self._retirement.due(
-            registered, listed, now_ms(), is_certain=not kv_availability.in_grace(now_ms())
+        registered = {name: self._recorded_versions(name) for name in services}
+        retired = self._version_retirement.due(
+            registered,
+            listed,
+            now_ms(),
+            is_certain=not self._replicas.kv_availability.in_grace(now_ms()),
         )
-        wanted = {
-            name: record.updated(listed.get(name, ()), retired.get(name, ()))
-            for name, record in registered.items()
+        updates: dict[str, _RecordUpdate] = {}
+        for name, record in registered.items():
+            wanted = record.updated_versions(listed.get(name, ()), retired.get(name, ()))
+            if wanted != record:
+                served = ServedVersions(sorted(wanted.names), sorted(wanted.leaving))
+                fields = {
+                    "service": name,
+                    "software_versions": served.software_versions,
+                    "leaving": served.leaving,
+                }
+                value = msgspec.msgpack.encode(served)
+                updates[self._keys.versions + name] = _RecordUpdate(value, fields)
+        return updates
+
+    def _due_routes(self) -> dict[str, _RecordUpdate]:
+        table = self._configuration.routes
+        if self._configured[0] != table.version:
+            self._configured = (table.version, stream_prefixes(table))
+        _, configured = self._configured
+        entries = [self._table.entries.get(self._keys.routes(host)) for host in configured]
+        state = (table.version, *(entry.mod_revision if entry else 0 for entry in entries))
+        if state == self._settled_routes:
+            return {}
+        recorded = {host: self._recorded_routes(host) for host in configured}
+        routed = {
+            host: routed_services(table, host, configured[host] | record.prefixes.keys())
+            for host, record in recorded.items()
         }
-        return {name: record for name, record in wanted.items() if record != registered[name]}
+        retired = self._service_retirement.due(
+            _by_path({host: record.prefixes for host, record in recorded.items()}),
+            _by_path(routed),
+            now_ms(),
+            is_certain=True,
+        )
+        updates: dict[str, _RecordUpdate] = {}
+        for host, record in recorded.items():
+            due = {prefix: retired.get(_path_key(host, prefix), ()) for prefix in routed[host]}
+            wanted = record.updated(routed[host], due, configured[host])
+            if wanted != record:
+                value = msgspec.msgpack.encode(wanted.served())
+                fields = {"host": host, "prefixes": len(wanted.prefixes)}
+                updates[self._keys.routes(host)] = _RecordUpdate(value, fields)
+        if all(
+            record.at(prefix) == StartRecord(services)
+            for host, record in recorded.items()
+            for prefix, services in routed[host].items()
+        ):
+            self._settled_routes = state
+        return updates
+
+    def _recorded_versions(self, service: str) -> StartRecord:
+        """Return the record whose versions a new one must retain until they are retired."""
+        registered = self._registered(service)
+        if registered is not None:
+            return registered
+        is_present = self._keys.versions + service in self._table.entries
+        return StartRecord(frozenset((UNREADABLE,) if is_present else ()))
 
-    async def _write_by_rank(self, service: str, wanted: VersionRecord) -> None:
+    def _recorded_routes(self, host: str) -> RouteRecord:
+        """Return the record whose services a new one must retain until they are retired."""
+        key = self._keys.routes(host)
+        routed = self._decode(key, _routes_in)
+        if routed is not None:
+            return routed
+        return RouteRecord.unreadable() if key in self._table.entries else RouteRecord()
+
+    async def _write_by_rank(self, key: str, update: _RecordUpdate) -> None:
         """Write a record after a delay by rank, unless a node of a higher rank did so before."""
         live = {vm.vm_id for vm in self._view.live_vms()} | {self._view.vm_id}
-        rank = rank_names(service, live).index(self._view.vm_id)
+        rank = rank_names(key, live).index(self._view.vm_id)
         await trio.sleep(min(rank, _MAX_RANK) * _PAUSE_PER_RANK_S)
-        if self._due_records().get(service) != wanted:
+        if self._due_updates().get(key) != update:
             return
-        key = self._keys.versions + service
         entry = self._table.entries.get(key)
-        former = self._recorded(service)
-        value = msgspec.msgpack.encode(wanted.served())
         revision = 0 if entry is None else entry.mod_revision
-        written = await self._kv.put_if(key, value, revision)
+        written = await self._kv.put_if(key, update.value, revision)
         if isinstance(written, Err):
             reason = written.err_value.message
-            log_event("served_versions_not_written", service=service, reason=reason)
+            log_event("stream_starts_not_written", key=key, reason=reason)
             # Another node has written it, which a later update shows, or the store does not answer.
             await trio.sleep(self._rng.uniform(0.5, 1.5) * _PAUSE_PER_RANK_S)
             return
-        self._replicas.record_entry(self._keys.live, KvEntry(key, value, written.ok_value))
-        log_event(
-            "served_versions_written",
-            service=service,
-            software_versions=sorted(wanted.software_versions),
-            leaving_versions=sorted(wanted.leaving),
-            former_versions=sorted(former.software_versions),
-        )
+        self._replicas.record_entry(self._keys.live, KvEntry(key, update.value, written.ok_value))
+        log_event("stream_starts_written", **update.fields)
 
     # --- other nodes -----------------------------------------------------------------------------
 
@@ -519,10 +649,33 @@
         yield record.vm_id, (record.failure_domain, Address(record.host, record.port))
 
 
-def _record_in(entry: KvEntry) -> VersionRecord | None:
+def _versions_in(entry: KvEntry) -> StartRecord | None:
     """Return the record of a service; log and return None when it cannot be decoded."""
+    served = _decoded_entry(entry, ServedVersions)
+    return None if served is None else StartRecord.of(served.software_versions, served.leaving)
+
+
+def _routes_in(entry: KvEntry) -> RouteRecord | None:
+    """Return the record of a host; log and return None when it cannot be decoded."""
+    routed = _decoded_entry(entry, RoutedServices)
+    return None if routed is None else RouteRecord.of(routed)
+
+
+def _decoded_entry(entry: KvEntry, kind: type[T]) -> T | None:
     try:
-        return VersionRecord.of(msgspec.msgpack.decode(entry.value, type=ServedVersions))
+        return msgspec.msgpack.decode(entry.value, type=kind)
     except msgspec.DecodeError as error:
-        log_event("served_versions_unreadable", key=entry.key, reason=str(error))
+        log_event("stream_starts_unreadable", key=entry.key, reason=str(error))
         return None
+
+
+def _by_path(by_host: Mapping[str, Mapping[str, T]]) -> dict[str, T]:
+    return {
+        _path_key(host, prefix): item
+        for host, prefixes in by_host.items()
+        for prefix, item in prefixes.items()
+    }
+
+
+def _path_key(host: str, prefix: str) -> str:
+    return host + prefix
--- a/src/fescuedock/schema/origins.py
+++ b/src/fescuedock/schema/origins.py
@@ -66,3 +66,22 @@
             description="Those of them at which no stream begins before the record is written anew."
         ),
     ] = field(default_factory=list)
+
+
+class RoutedPrefix(WireStruct):
+    prefix: Annotated[str, Meta(description="Of the paths to which this applies.")]
+    services: list[str]
+    leaving: Annotated[
+        list[str],
+        Meta(
+            description="Those of them at which no stream begins before the record is written anew."
+        ),
+    ] = field(default_factory=list)
+
+
+class RoutedServices(WireStruct):
+    """
+    Kept in the key-value service for each host; no stream of a path begins at a service that is not in it.
+    """
+
+    prefixes: list[RoutedPrefix]
--- a/tests/builders/origin_nodes.py
+++ b/tests/builders/origin_nodes.py
@@ -18,14 +18,16 @@
 
 from fescuedock.address import Address
 from fescuedock.agent.link import FleetView
-from fescuedock.core.forwarding.route_table import Route, RouteKind
+from fescuedock.core.forwarding.route_table import Route, RouteKind, RouteTable
+from fescuedock.core.replica_table import ReplicaTable
 from fescuedock.core.stored_jobs.keys import JobKeys
-from fescuedock.core.stream_origins import OriginPolicy
+from fescuedock.core.stream_origins import OriginPolicy, RouteRecord, StartRecord
 from fescuedock.faults import Fault
 from fescuedock.kv import KvEntry, KvEvent
+from fescuedock.node.configuration import NodeConfiguration
 from fescuedock.node.replicas import Replicas, WatchedPrefix
 from fescuedock.node.stream_origins import StreamOrigins
-from fescuedock.schema.origins import ServedVersions, StreamOrigin
+from fescuedock.schema.origins import RoutedServices, ServedVersions, StreamOrigin
 from fescuedock.schema.result_codes import ResultCode
 from fescuedock.schema.stored_jobs import NodeRecord
 from fescuedock.schema.view import UpstreamKind, UpstreamRecord, VmRecord, VmState
@@ -33,11 +35,13 @@
 from tests.builders.disk import MemoryDisk
 from tests.builders.kv import MemoryKv
 
-__all__ = ["ROUTE", "SERVICE", "OriginNodes"]
+__all__ = ["PATH", "ROUTE", "SERVICE", "OriginNodes"]
 
 SERVICE = "desk"
 ROUTE = Route("stream", "desk.example", "/", RouteKind.STREAM, ((SERVICE, 1.0),), resumable=True)
+PATH = "/check/7"
 _KEYS = JobKeys("t/")
+_CONFIG = "op/config"
 _RECORD = _KEYS.versions + SERVICE
 _PORT = 1
 _STORE_TIMEOUT_S = 1.5
@@ -81,17 +85,21 @@
     kv: MemoryKv = field(default_factory=MemoryKv)
     origins: dict[str, StreamOrigins] = field(default_factory=dict)
     views: dict[str, FleetView] = field(default_factory=dict)
+    configurations: dict[str, NodeConfiguration] = field(default_factory=dict)
+    routes: RouteTable = field(default_factory=lambda: RouteTable(1, (ROUTE,)))
     replicas: dict[str, Replicas] = field(default_factory=dict)
     services: dict[str, OriginService] = field(default_factory=dict)
     disks: dict[str, MemoryDisk] = field(default_factory=dict)
     messages: Counter[str] = field(default_factory=Counter)
     _listed: tuple[str, ...] = ()
+    _config_tables: dict[str, ReplicaTable] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         for names, prefix in ((self.node_names, _KEYS.nodes), (self.spool_names, _KEYS.spools)):
             for number, name in enumerate(names):
                 record = NodeRecord(name, "r", f"d-{number % 3}", name, _PORT)
                 self.kv.state.put(prefix + name, msgspec.msgpack.encode(record))
+        self.record_routes()
         for name in self.spool_names:
             self.disks[name] = MemoryDisk()
             self.start_spool(name)
@@ -113,6 +121,13 @@
         entry = self.kv.state.get(_RECORD)
         return frozenset(msgspec.msgpack.decode(entry.value, type=ServedVersions).software_versions)
 
+    @property
+    def recorded_services(self) -> frozenset[str]:
+        """The services in the record of the host, for the path of the route."""
+        entry = self.kv.state.get(_KEYS.routes(ROUTE.host))
+        record = RouteRecord.of(msgspec.msgpack.decode(entry.value, type=RoutedServices))
+        return record.at(PATH).names
+
     def start_spool(self, name: str) -> None:
         """Start a spool on its disk, in the place of the process of before."""
         service = OriginService(self.disks[name], Path("/origins"), self.policy)
@@ -133,12 +148,17 @@
         )
         page = self.kv.state.page(_KEYS.live, _KEYS.live + "\x7f", 1000)
         replicas.tables[_KEYS.live].replace(page.entries, page.revision, 0.0)
+        table = self._config_tables[name] = ReplicaTable(_CONFIG)
+        self.configurations[name] = NodeConfiguration(
+            table, _CONFIG, lambda _value: Ok(self.routes)
+        )
+        self._configure(name)
         self.origins[name] = StreamOrigins(
             view,
             kv,
             replicas,
             _KEYS,
-            lambda: (SERVICE,),
+            self.configurations[name],
             call,
             random.Random(name),
             self.policy,
@@ -155,6 +175,27 @@
         """Write the record of a service."""
         self.write_record(msgspec.msgpack.encode(ServedVersions(sorted(versions))), service)
 
+    def record_routes(self) -> None:
+        """Write the record of the host, as it is while its routes lead where they always did."""
+        services = {route.prefix: StartRecord(route.drawn_services) for route in self.routes.routes}
+        value = msgspec.msgpack.encode(RouteRecord(services).served())
+        self.write_routes(value)
+
+    def write_routes(self, value: bytes) -> None:
+        self.kv.state.put(_KEYS.routes(ROUTE.host), value)
+
+    def move_route(self, service: str) -> None:
+        """Let the route lead to another service, at all nodes that are not cut off."""
+        route = msgspec.structs.replace(ROUTE, services=((service, 1.0),))
+        self.routes = RouteTable(self.routes.version + 1, (route,))
+        for name in set(self.node_names) - self.cut_off:
+            self._configure(name)
+
+    def _configure(self, name: str) -> None:
+        entry = KvEntry(_CONFIG, b"", self.routes.version)
+        self._config_tables[name].replace([entry], entry.mod_revision, 0.0)
+        self.configurations[name].refresh()
+
     def write_record(self, value: bytes, service: str = SERVICE) -> None:
         self.kv.state.put(_KEYS.versions + service, value)
 
@@ -181,11 +222,21 @@
     async def start_stream(self, name: str, key: str, version: str) -> float:
         """Begin a stream at a node; return for how many milliseconds its first event waits."""
         started_s = trio.current_time()
-        await self.origins[name].record_start(key, StreamOrigin(SERVICE, version), ROUTE)
+        route = self.configurations[name].routes.find(ROUTE.host, PATH)
+        [service] = route.drawn_services
+        origin = StreamOrigin(service, version)
+        await self.origins[name].record_start(key, origin, route, PATH)
         return (trio.current_time() - started_s) * 1000
 
     async def resume(self, name: str, key: str) -> Result[StreamOrigin, Fault]:
-        return await self.origins[name].origin_of(key, ROUTE)
+        route = self.configurations[name].routes.find(ROUTE.host, PATH)
+        return await self.origins[name].origin_of(key, route, PATH)
+
+    def startable(self, name: str) -> frozenset[str]:
+        """Return the versions at which streams of the route may start at a node."""
+        route = self.configurations[name].routes.find(ROUTE.host, PATH)
+        [service] = route.drawn_services
+        return self.origins[name].startable_versions(service, route, PATH)
 
     def _replace_view(self, view: FleetView) -> None:
         vms = [
--- a/tests/builders/origin_strategies.py
+++ b/tests/builders/origin_strategies.py
@@ -11,7 +11,7 @@
 from fescuedock.core.rendezvous import choose_name
 from fescuedock.core.stream_origins import (
     OriginPolicy,
-    RegisteredVersions,
+    RegisteredStarts,
     decide_origin,
     rank_holders,
 )
@@ -131,7 +131,7 @@
     lost = choose_lost(names, domains, rng)
     reached = names if restarts else [name for name in names if name not in lost]
     used = _VERSIONS[:versions]
-    record = RegisteredVersions(_SERVICE, frozenset(used))
+    record = RegisteredStarts(_SERVICE, frozenset((_SERVICE,)), frozenset(used))
     outcome = Outcome(streams=streams)
     for number in range(streams):
         key = f"{seed}-{number}"
--- a/tests/test_origin_exchange.py
+++ b/tests/test_origin_exchange.py
@@ -156,7 +156,7 @@
                 await fleet.run(nursery)
                 await trio.sleep(2.0)
                 self.assertIn("v2", fleet.recorded)
-                self.assertIn("v2", fleet.origins["n-0"].startable_versions(SERVICE))
+                self.assertIn("v2", fleet.startable("n-0"))
                 for name in fleet.node_names:
                     self.check_unknown(await fleet.resume(name, KEY))
                 # All that it may have named is over by then.
@@ -187,7 +187,7 @@
             fleet.write_record(b"\xc1")
             with mock.patch.object(stream_origins, "log_event") as log:
                 for _ in range(50):
-                    fleet.origins["n-0"].startable_versions(SERVICE)
+                    fleet.startable("n-0")
             self.assertEqual(log.call_count, 1)
 
         self.play(test)
@@ -212,8 +212,7 @@
                 fleet.list_versions("v1", "v2")
                 await trio.sleep(0.5)
                 fleet.kv.faults.down = False
-                origins = fleet.origins["n-0"]
-                await wait_until(lambda: "v1" in origins.startable_versions(SERVICE))
+                await wait_until(lambda: "v1" in fleet.startable("n-0"))
                 fleet.silent.update(fleet.node_names)
                 await fleet.start_stream("n-0", KEY, "v1")
                 fleet.kv.apply_late_writes()
@@ -259,7 +258,7 @@
                 if len(fleet.recorded) == 1:
                     self.assertEqual({version for _, version in started} - fleet.recorded, set())
                 for name in fleet.node_names:
-                    startable = fleet.origins[name].startable_versions(SERVICE)
+                    startable = fleet.startable(name)
                     started += [
                         (now_s, item.software_version)
                         for item in fleet.views[name].upstreams.values()
--- a/tests/test_outdated_origin_records.py
+++ b/tests/test_outdated_origin_records.py
@@ -3,17 +3,15 @@
 import unittest
 from collections.abc import Awaitable, Callable
 
-import msgspec
 import trio
 import trio.testing
 from result import Result
 
 from fescuedock.schema.result_codes import ResultCode
-from tests.builders.origin_nodes import ROUTE, SERVICE, OriginNodes
+from tests.builders.origin_nodes import OriginNodes
 from tests.builders.standins import run_async
 
 OTHER_SERVICE = "desk-b"
-MOVED_ROUTE = msgspec.structs.replace(ROUTE, services=((OTHER_SERVICE, 1.0),))
 KEY = "stream"
 
 
@@ -54,8 +52,11 @@
                 await fleet.run(nursery)
                 await fleet.start_stream("n-0", KEY, "v1")
                 fleet.silent.add("n-0")
-                found = await fleet.origins["n-1"].origin_of(KEY, MOVED_ROUTE)
-                self.check_unknown(found)
+                fleet.move_route(OTHER_SERVICE)
+                for pause_s in (0.0, 0.05, 1.0):
+                    await trio.sleep(pause_s)
+                    with self.subTest(pause_s=pause_s):
+                        self.check_unknown(await fleet.resume("n-1", KEY))
                 nursery.cancel_scope.cancel()
 
         self.play(test)
@@ -63,10 +64,9 @@
     def test_a_node_without_a_readable_record_starts_no_stream(self) -> None:
         async def test() -> None:
             fleet = OriginNodes(nodes=1)
-            origins = fleet.origins["n-0"]
-            self.assertEqual(origins.startable_versions(SERVICE), frozenset())
+            self.assertEqual(fleet.startable("n-0"), frozenset())
             fleet.write_record(b"\xc1")
-            self.assertEqual(origins.startable_versions(SERVICE), frozenset())
+            self.assertEqual(fleet.startable("n-0"), frozenset())
 
         self.play(test)
 
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -1,17 +1,19 @@
 """Tests which stream origins a node knows, and the decision from the reports of others."""
 
 import unittest
+from collections.abc import Sequence
 
 import msgspec
 from hypothesis import given
 from hypothesis import strategies as st
 
 from fescuedock.core.stream_origins import (
+    UNREADABLE,
     OriginMemory,
     OriginPolicy,
-    RegisteredVersions,
+    RegisteredStarts,
     Retirement,
-    VersionRecord,
+    StartRecord,
     decide_origin,
     rank_holders,
     stream_key,
@@ -26,8 +28,8 @@
 POLICY = OriginPolicy(retention_ms=1000.0, max_origins=3)
 
 
-def registered(*versions: str) -> RegisteredVersions:
-    return RegisteredVersions("desk", frozenset(versions))
+def registered(*versions: str, services: Sequence[str] = ("desk",)) -> RegisteredStarts:
+    return RegisteredStarts("desk", frozenset(services), frozenset(versions))
 
 
 class StreamKeyTest(unittest.TestCase):
@@ -107,7 +109,10 @@
         unknown = [
             registered("v1", "v2"),
             registered(),
-            RegisteredVersions("desk", None),
+            registered(UNREADABLE),
+            registered("v1", services=()),
+            registered("v1", services=("desk", "other")),
+            registered("v1", services=("other",)),
             None,
         ]
         for record in unknown:
@@ -126,7 +131,7 @@
     def due(
         self, listed: str, now_ms: float, *, is_certain: bool = True, leaving: str = ""
     ) -> dict:
-        record = VersionRecord(frozenset(("v1", "v2")), frozenset(leaving.split()))
+        record = StartRecord(frozenset(("v1", "v2")), frozenset(leaving.split()))
         return self.retirement.due(
             {"desk": record}, {"desk": listed.split()}, now_ms, is_certain=is_certain
         )
@@ -156,45 +161,48 @@
         self.assertEqual(self.due("v2", 210.0, leaving="v1"), {"desk": ["v1"]})
 
 
-class VersionRecordTest(unittest.TestCase):
-    def record(self, versions: str, leaving: str = "") -> VersionRecord:
-        return VersionRecord(frozenset(versions.split()), frozenset(leaving.split()))
+class StartRecordTest(unittest.TestCase):
+    def record(self, versions: str, leaving: str = "") -> StartRecord:
+        return StartRecord(frozenset(versions.split()), frozenset(leaving.split()))
 
     def test_a_version_leaves_in_two_steps(self) -> None:
-        marked = self.record("v1 v2").updated({"v2"}, ["v1"])
+        marked = self.record("v1 v2").updated_versions({"v2"}, ["v1"])
         self.assertEqual(marked, self.record("v1 v2", "v1"))
         self.assertEqual(marked.startable, {"v2"})
-        self.assertEqual(marked.updated({"v2"}, ["v1"]), self.record("v2"))
+        self.assertEqual(marked.updated_versions({"v2"}, ["v1"]), self.record("v2"))
 
     def test_a_listed_version_is_startable(self) -> None:
         marked = self.record("v1 v2", "v1")
-        self.assertEqual(marked.updated({"v1", "v2"}, ["v1"]), self.record("v1 v2"))
-        self.assertEqual(marked.updated({"v3"}, []), self.record("v1 v2 v3", "v1"))
+        self.assertEqual(marked.updated_versions({"v1", "v2"}, ["v1"]), self.record("v1 v2"))
+        self.assertEqual(marked.updated_versions({"v3"}, []), self.record("v1 v2 v3", "v1"))
 
     @given(*[st.sets(st.sampled_from(("v1", "v2", "v3"))) for _ in range(4)])
     def test_an_update_adds_all_that_is_listed_and_removes_only_what_was_leaving(
         self, versions, leaving, listed, due
     ) -> None:
-        before = VersionRecord(frozenset(versions), frozenset(leaving & versions))
-        after = before.updated(listed, due)
+        before = StartRecord(frozenset(versions), frozenset(leaving & versions))
+        after = before.updated_versions(listed, due)
         self.assertLessEqual(listed, after.startable)
-        removed = before.software_versions - after.software_versions
+        removed = before.names - after.names
         self.assertLessEqual(removed, before.leaving & due - listed)
         # Versions that were not there and a record of none may not come from a retirement.
-        self.assertEqual(after.software_versions | removed, versions | listed)
-        if before.software_versions:
-            self.assertTrue(after.software_versions)
+        self.assertEqual(after.names | removed, versions | listed)
+        if before.names:
+            self.assertTrue(after.names)
 
     def test_builds_with_and_without_the_mark_read_each_others_records(self) -> None:
         class FormerVersions(WireStruct):
             software_versions: list[str]
 
         marked = self.record("v1 v2", "v1")
-        encoded = msgspec.msgpack.encode(marked.served())
+        served = ServedVersions(sorted(marked.names), sorted(marked.leaving))
+        encoded = msgspec.msgpack.encode(served)
         read = msgspec.msgpack.decode(encoded, type=FormerVersions)
         self.assertEqual(read.software_versions, ["v1", "v2"])
         served = msgspec.msgpack.decode(msgspec.msgpack.encode(read), type=ServedVersions)
-        self.assertEqual(VersionRecord.of(served), self.record("v1 v2"))
+        self.assertEqual(
+            StartRecord.of(served.software_versions, served.leaving), self.record("v1 v2")
+        )
 
 
 class StrategiesTest(unittest.TestCase):
