--- a/tests/builders/origin_record_model.py
+++ b/tests/builders/origin_record_model.py
@@ -9,7 +9,7 @@
 import random
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from itertools import count
 
 from result import Err
@@ -22,32 +22,43 @@
     UNREADABLE,
     OriginMemory,
     OriginPolicy,
-    RegisteredVersions,
+    RegisteredStarts,
     Retirement,
-    VersionRecord,
+    RouteRecord,
+    StartRecord,
     decide_origin,
     rank_holders,
+    routed_services,
+    stream_prefixes,
 )
 from fescuedock.schema.origins import StreamOrigin
 
 __all__ = [
-    "COPY",
     "COURSES",
-    "HOST",
-    "PATHS",
-    "SERVICES",
+    "LONG",
+    "STRATEGIES",
     "Fleet",
+    "Node",
     "Outcome",
+    "Resumption",
     "Settings",
     "Strategy",
+    "moved_routes",
     "play",
-    "route_table",
+    "records_of",
+    "retirements",
+    "start_calm",
+    "starts_in",
+    "version_key",
 ]
 
 HOST = "desk.example"
 SERVICES = ("desk", "desk-b")
 PATHS = ("/check/7", "/rights/8")
-_POLICY = OriginPolicy()
+_ROUTE_KEY = f"route/{HOST}"
+# How long a copy counts, and how long a name is recorded before streams start at it.
+_LEASE_MS = 3000.0
+_DOMAINS = 3
 _SEND_ROUNDS = 3
 _ACK_TIMEOUT_MS = 30.0
 _READ_TIMEOUT_MS = 300.0
@@ -56,6 +67,7 @@
 _POLL_INTERVAL_MS = 1000.0
 _START_PATIENCE_MS = 1000.0
 _START_PAUSE_MS = 50.0
+_RESUME_PATIENCE_MS = 3000.0
 _UNKNOWN_RETRY_MS = 100.0
 # How long a node still lists others that it does not reach any more.
 _SUSPICION_MS = 1000.0
@@ -76,6 +88,10 @@
     sync_ms: tuple[float, float] = (300.0, 700.0)
     lag_ms: tuple[float, ...] = (10.0, 50.0, 50.0, 400.0)
     request_ms: float = 150.0
+    stream_ms: tuple[float, float] = (500.0, 4000.0)
+    late_write_ms: float = 3000.0
+    cut_ms: tuple[tuple[float, float], ...] = ((100.0, 1500.0), (1500.0, 6000.0))
+    policy: OriginPolicy = field(default_factory=OriginPolicy)
     wandering: float = 0.7
     retries: int = 1
 
@@ -87,8 +103,8 @@
     ``misjudged`` counts decisions for another origin than that of the client's events, ``joined``
     those of them that an upstream would have continued.  ``refused`` counts streams whose origin
     was unknown although an upstream could have continued them; ``ended`` those that none could.
-    ``unstarted`` requests were allowed no listed upstream in time; ``waits_ms`` has the time for
-    which the others waited for one.
+    ``unstarted`` requests were allowed no listed upstream in time, and ``blocked_ms`` has the times
+    at which a request found listed upstreams but was allowed none.
     """
 
     started: int = 0
@@ -102,10 +118,10 @@
     messages: int = 0
     known_by: Counter[str] = field(default_factory=Counter)
     ways: Counter[str] = field(default_factory=Counter)
-    waits_ms: list[float] = field(default_factory=list)
+    blocked_ms: list[float] = field(default_factory=list)
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Node:
     """``copy`` has records by key with their revision, as they certainly were at ``as_of_ms``.
 
@@ -114,6 +130,9 @@
 
     name: str
     domain: str
+    memory: OriginMemory
+    version_retirement: Retirement
+    service_retirement: Retirement
     sync_ms: float = 300.0
     lag_ms: float = 50.0
     epoch: int = 0
@@ -121,13 +140,15 @@
     group: int = 0
     reaches_store: bool = True
     lost_ms: float = float("-inf")
-    memory: OriginMemory = field(default_factory=lambda: OriginMemory(_POLICY))
-    retirement: Retirement = field(default_factory=lambda: Retirement(_POLICY))
     availability: KvAvailability = field(default_factory=KvAvailability)
     copy: dict[str, tuple[int, object]] | None = None
     revision: int = -1
     as_of_ms: float = float("-inf")
     agreed_ms: float = float("-inf")
+    # Whether this process has read the records itself.
+    has_read: bool = False
+    # Names in the records that a majority of nodes has confirmed.
+    confirmed: set[tuple[str, str]] = field(default_factory=set)
     listed: tuple[int, Mapping[str, frozenset[str]]] = (0, {})
     table: RouteTable | None = None
     writing: set[str] = field(default_factory=set)
@@ -144,7 +165,7 @@
         return None if self.copy is None else self.copy.get(key, (0, None))[1]
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Stream:
     """A stream whose client has received events of ``origin`` through ``node``."""
 
@@ -175,14 +196,18 @@
 class Strategy:
     """What a node may start, whom it tells of it, and what it concludes when nobody knows.
 
-    ``registered`` takes the records that the key-value service returned after the client's request,
-    by key, and returns what ``decide_origin`` is given.
+    ``startable`` returns the versions of a service at which a stream of a path may start, None for
+    any.  ``notifies`` is whether holders are told of a stream when it starts, ``sends_unsent``
+    whether they are told now of those that started before.  ``registered`` takes the records that
+    the key-value service returned after the client's request, by key, and returns what
+    ``decide_origin`` is given.
     """
 
     startable: "Callable[[Fleet, Node, str, str], frozenset[str] | None]"
     notifies: "Callable[[Fleet, Node, StreamOrigin, str], bool]"
+    sends_unsent: "Callable[[Fleet, Node], bool]"
     read_keys: Callable[[Route], Sequence[str]]
-    registered: "Callable[[Fleet, Resumption], RegisteredVersions | None]"
+    registered: "Callable[[Fleet, Resumption], RegisteredStarts | None]"
 
 
 class Fleet:
@@ -191,11 +216,14 @@
     __slots__ = (
         "_events",
         "_numbers",
+        "_ranks",
         "late_share",
         "listed",
+        "named_ms",
         "nodes",
         "now_ms",
         "outcome",
+        "read_share",
         "records",
         "revision",
         "rng",
@@ -217,14 +245,20 @@
         self.revision = 1
         self.listed: tuple[int, Mapping[str, frozenset[str]]] = (1, {})
         self.table = route_table(1, {"/": {SERVICES[0]: 1.0}})
+        # When the store got each name at which streams start: by key, path and name.
+        self.named_ms: dict[tuple[str, str, str], float] = {}
         self.store_is_down = False
         # The share of writes that are executed late, without an answer.
         self.late_share = 0.05
+        # The share of the nodes' updates that include the records.
+        self.read_share = 0.8
         self.running: list[Stream] = []
         self._events: list[tuple[float, int, Callable[..., None], tuple]] = []
         self._numbers = count()
-        self.nodes = [Node(f"n-{number}", f"d-{number % 3}") for number in range(settings.nodes)]
-        self.spools = [Node(f"s-{number}", f"d-{number % 3}") for number in range(settings.spools)]
+        # By key, and the first one of the processes.
+        self._ranks: dict[tuple[str, str], list[Node]] = {}
+        self.nodes = [_node(f"n-{number}", number, settings) for number in range(settings.nodes)]
+        self.spools = [_node(f"s-{number}", number, settings) for number in range(settings.spools)]
 
     # --- courses ---------------------------------------------------------------------------------
 
@@ -241,7 +275,7 @@
             node.listed, node.table = self.listed, self.table
             self.after(self.rng.uniform(0.0, node.sync_ms), self._poll, node, node.epoch)
         self.after(self.rng.uniform(0.0, self.settings.request_ms), self._request)
-        last_ms = self.settings.duration_ms + 2000.0
+        last_ms = self.settings.duration_ms + self.settings.stream_ms[1]
         while self._events and self._events[0][0] <= last_ms:
             self.now_ms, _, action, args = heapq.heappop(self._events)
             action(*args)
@@ -261,9 +295,17 @@
     def write(self, key: str, record: object | None) -> None:
         """Write a record; None for one that cannot be read."""
         self.revision += 1
+        self._note_names(key, record)
         self.records = {**self.records, key: (self.revision, record)}
         self._announce()
 
+    def _note_names(self, key: str, record: object | None) -> None:
+        former = self.records.get(key, (0, None))[1]
+        for path in PATHS if key == _ROUTE_KEY else ("",):
+            known = _names_in(former, path)
+            for name in _names_in(record, path) - known:
+                self.named_ms[key, path, name] = self.now_ms or -_LEASE_MS
+
     def set_reach(
         self, nodes: Iterable[Node], *, store: bool | None = None, group: int | None = None
     ) -> None:
@@ -285,15 +327,18 @@
             node.is_alive, node.lost_ms = False, self.now_ms
             node.epoch += 1
             self.after(down_ms, self._restart, node)
-            broken = [item for item in self.running if item.node is node]
-            for stream in broken:
+            for stream in [item for item in self.running if item.node is node]:
+                stream.node, stream.ends_ms = None, self.now_ms + _RESUME_PATIENCE_MS
                 self.after(self.rng.uniform(5.0, 300.0), self._resume, stream)
 
     def _restart(self, node: Node) -> None:
         node.is_alive = True
-        node.memory, node.retirement = OriginMemory(_POLICY), Retirement(_POLICY)
+        policy = self.settings.policy
+        node.memory = OriginMemory(policy)
+        node.version_retirement, node.service_retirement = Retirement(policy), Retirement(policy)
         node.availability = KvAvailability()
         node.copy, node.revision = None, -1
+        node.has_read, node.confirmed = False, set()
         node.as_of_ms = node.agreed_ms = float("-inf")
         node.listed, node.table = (0, {}), None
         node.writing, node.handled, node.handled_ms = set(), None, float("-inf")
@@ -335,8 +380,9 @@
         if self.store_answers(node):
             node.availability.record_answer(self.now_ms)
             # Each prefix of the store is followed on its own.
-            if rng.random() < 0.8:
+            if rng.random() < self.read_share:
                 self._merge(node, self.records, self.revision, self.now_ms)
+                node.has_read = True
             if rng.random() < 0.8:
                 node.listed = self.listed
             if rng.random() < 0.8:
@@ -380,23 +426,34 @@
 
     def _due(self, node: Node) -> dict[str, object]:
         """Return the records that a node would write."""
+        return self._due_versions(node) | self._due_routes(node)
+
+    def _due_versions(self, node: Node) -> dict[str, StartRecord]:
         services = node.table.resumable_services
         listed = {name: node.listed[1].get(name, frozenset()) for name in services}
-        recorded = {name: _recorded(node, version_key(name)) for name in services}
-        retired = node.retirement.due(
+        recorded = {name: _recorded_versions(node, version_key(name)) for name in services}
+        retired = node.version_retirement.due(
             recorded,
             listed,
             self.now_ms,
             is_certain=not node.availability.in_grace(self.now_ms),
         )
         wanted = {
-            name: record.updated(listed[name], retired.get(name, ()))
+            name: record.updated_versions(listed[name], retired.get(name, ()))
             for name, record in recorded.items()
         }
         return {
             version_key(name): record for name, record in wanted.items() if record != recorded[name]
         }
 
+    def _due_routes(self, node: Node) -> dict[str, RouteRecord]:
+        configured = stream_prefixes(node.table)[HOST]
+        record = _recorded_routes(node)
+        routed = routed_services(node.table, HOST, configured | record.prefixes.keys())
+        retired = node.service_retirement.due(record.prefixes, routed, self.now_ms, is_certain=True)
+        wanted = record.updated(routed, retired, configured)
+        return {} if wanted == record else {_ROUTE_KEY: wanted}
+
     def _maintain(self, node: Node) -> None:
         live = [item.name for item in self.nodes if self.lists(node, item)]
         for key in self._due(node):
@@ -415,7 +472,11 @@
         expected = node.copy.get(key, (0, None))[0]
         # The answer may be lost, and the service may execute the write much later.
         is_lost = self.rng.random() < self.late_share
-        delay_ms = self.rng.uniform(0.0, 3000.0) if is_lost else self.rng.uniform(1.0, 10.0)
+        delay_ms = (
+            self.rng.uniform(0.0, self.settings.late_write_ms)
+            if is_lost
+            else self.rng.uniform(1.0, 10.0)
+        )
         self.after(delay_ms, self._execute, node, epoch, key, wanted, expected, is_lost)
 
     def _execute(
@@ -449,8 +510,9 @@
         allowed = self.strategy.startable(self, node, service, stream.path)
         versions = listed if allowed is None else listed & allowed
         waited_ms = self.now_ms - stream.requested_ms
+        if listed and not versions:
+            self.outcome.blocked_ms.append(self.now_ms)
         if versions:
-            self.outcome.waits_ms.append(waited_ms)
             origin = StreamOrigin(service, self.rng.choice(sorted(versions)))
             first_event_ms = self.rng.uniform(2.0, 150.0)
             self.after(first_event_ms, self._first_event, stream, node, epoch, origin)
@@ -476,14 +538,16 @@
         wait_ms = 3.0
         for _ in range(_SEND_ROUNDS):
             if not is_stored:
-                is_stored = self._tell(stream.key, origin, node, nodes[: _POLICY.notified_nodes])
+                is_stored = self._tell(
+                    stream.key, origin, node, nodes[: self.settings.policy.notified_nodes]
+                )
             if not is_on_disk:
-                disks = spools[: _POLICY.notified_disks]
+                disks = spools[: self.settings.policy.notified_disks]
                 is_on_disk = self._tell(stream.key, origin, node, disks) or not disks
             if is_stored and is_on_disk:
                 break
-            nodes = nodes[_POLICY.notified_nodes :]
-            spools = spools[_POLICY.notified_disks :]
+            nodes = nodes[self.settings.policy.notified_nodes :]
+            spools = spools[self.settings.policy.notified_disks :]
             wait_ms += _ACK_TIMEOUT_MS
         return wait_ms
 
@@ -498,19 +562,25 @@
 
     def _send_unsent(self, node: Node) -> None:
         """Tell the holders of streams that started while no other node needed their origins."""
+        if not self.strategy.sends_unsent(self, node):
+            return
         for item in node.memory.unreported(self.now_ms):
-            if self.strategy.notifies(self, node, item.origin, ""):
-                nodes = [
-                    other
-                    for other in self._holders(node, item.stream_key)
-                    if self.lists(node, other)
-                ][: _POLICY.notified_nodes]
-                spools = self._disks(node, item.stream_key)[: _POLICY.notified_disks]
-                self._tell(item.stream_key, item.origin, node, nodes + spools)
+            key = item.stream_key
+            nodes = [other for other in self._holders(node, key) if self.lists(node, other)]
+            nodes = nodes[: self.settings.policy.notified_nodes]
+            spools = self._disks(node, key)[: self.settings.policy.notified_disks]
+            self._tell(key, item.origin, node, nodes + spools)
 
     def _ranked(self, key: str, processes: Sequence[Node]) -> list[Node]:
-        by_name = {item.name: item for item in processes}
-        return [by_name[name] for name in rank_holders(key, _domains(processes))]
+        if not processes:
+            return []
+        ranked = self._ranks.get((key, processes[0].name))
+        if ranked is None:
+            by_name = {item.name: item for item in processes}
+            domains = {item.name: item.domain for item in processes}
+            ranked = [by_name[name] for name in rank_holders(key, domains)]
+            self._ranks[key, processes[0].name] = ranked
+        return ranked
 
     def _holders(self, node: Node, key: str) -> list[Node]:
         """Return the other nodes in order; a node knows them from the records."""
@@ -521,7 +591,7 @@
     def _disks(self, node: Node, key: str) -> list[Node]:
         if node.copy is None:
             return []
-        return self._ranked(key, self.spools)[: _POLICY.queried_disks]
+        return self._ranked(key, self.spools)[: self.settings.policy.queried_disks]
 
     def _deliver(self, stream: Stream, node: Node, epoch: int, origin: StreamOrigin) -> None:
         """Give the client the first event."""
@@ -529,7 +599,7 @@
             return
         self.outcome.started += 1
         stream.origin = origin
-        stream.ends_ms = self.now_ms + self.rng.uniform(500.0, 4000.0)
+        stream.ends_ms = self.now_ms + self.rng.uniform(*self.settings.stream_ms)
         self.running.append(stream)
         self._relay(stream, node)
 
@@ -541,7 +611,7 @@
         self.after(left_ms, self._end, stream)
 
     def _end(self, stream: Stream) -> None:
-        if stream in self.running and self.now_ms >= stream.ends_ms:
+        if stream in self.running and stream.node is not None and self.now_ms >= stream.ends_ms:
             self.running.remove(stream)
 
     # --- streams that are resumed ----------------------------------------------------------------
@@ -549,9 +619,14 @@
     def _resume(self, stream: Stream) -> None:
         """Let the client resume its stream at any node."""
         ready = [node for node in self.nodes if node.is_ready]
-        if stream not in self.running or not ready:
+        if stream not in self.running:
+            return
+        if stream.node is not None:
+            stream.node, stream.ends_ms = None, self.now_ms + _RESUME_PATIENCE_MS
+        if not ready:
+            if self.now_ms < stream.ends_ms:
+                self.after(_UNKNOWN_RETRY_MS, self._resume, stream)
             return
-        stream.node = None
         node = self.rng.choice(ready)
         route = node.table.find(HOST, stream.path)
         recorded = list(node.memory.recorded(stream.key, self.now_ms))
@@ -570,7 +645,7 @@
 
     def _query(self, resumption: Resumption) -> None:
         node, key = resumption.node, resumption.stream.key
-        holders = self._holders(node, key)[: _POLICY.queried_nodes]
+        holders = self._holders(node, key)[: self.settings.policy.queried_nodes]
         holders += self._disks(node, key)
         self.outcome.messages += 2 * len(holders)
         for item in holders:
@@ -621,6 +696,7 @@
         else:
             self.outcome.continued += 1
             self.outcome.known_by[known_by] += 1
+            stream.ends_ms = self.now_ms + self.rng.uniform(*self.settings.stream_ms)
             self._record_start(stream, node, origin)
             self._relay(stream, node)
 
@@ -634,11 +710,20 @@
         self.outcome.ended += not may_continue
 
 
-def _domains(processes: Iterable[Node]) -> dict[str, str]:
-    return {item.name: item.domain for item in processes}
+def _names_in(record: object | None, path: str) -> frozenset[str]:
+    if isinstance(record, RouteRecord):
+        record = record.at(path)
+    return frozenset() if record is None else record.names
+
+
+def _node(name: str, number: int, settings: Settings) -> Node:
+    policy = settings.policy
+    retirements = Retirement(policy), Retirement(policy)
+    return Node(name, f"d-{number % _DOMAINS}", OriginMemory(policy), *retirements)
 
 
 def version_key(service: str) -> str:
+    """Return the key of a service's record."""
     return f"version/{service}"
 
 
@@ -653,36 +738,88 @@
     )
 
 
-def _recorded(node: Node, key: str) -> VersionRecord:
+def _recorded_versions(node: Node, key: str) -> StartRecord:
     """Return the record whose versions a new one must retain until they are retired."""
     record = node.record(key)
     if record is not None:
         return record
-    return VersionRecord(frozenset((UNREADABLE,) if key in node.copy else ()))
+    return StartRecord(frozenset((UNREADABLE,) if key in node.copy else ()))
+
+
+def _recorded_routes(node: Node) -> RouteRecord:
+    """Return the record whose services a new one must retain until they are retired."""
+    record = node.record(_ROUTE_KEY)
+    if record is not None:
+        return record
+    return RouteRecord.unreadable() if _ROUTE_KEY in node.copy else RouteRecord()
 
 
 # --- strategies ----------------------------------------------------------------------------------
 
 
-def _startable_by_versions(
+def _versions_startable(
     _fleet: Fleet, node: Node, service: str, _path: str
 ) -> frozenset[str] | None:
     record = node.record(version_key(service))
     return None if record is None else record.startable
 
 
-def _may_have_several_versions(fleet: Fleet, node: Node, origin: StreamOrigin, _path: str) -> bool:
-    record = node.record(version_key(origin.service))
-    if record is None or len(record.software_versions) > 1:
+def _recorded_startable(_fleet: Fleet, node: Node, service: str, path: str) -> frozenset[str]:
+    routes, versions = node.record(_ROUTE_KEY), node.record(version_key(service))
+    if routes is None or versions is None or service not in routes.at(path).startable:
+        return frozenset()
+    return versions.startable
+
+
+def _has_several_versions(fleet: Fleet, node: Node, service: str) -> bool:
+    record = node.record(version_key(service))
+    if record is None or len(record.names) > 1:
         return True
     return node.availability.is_unavailable(fleet.now_ms)
 
 
+def _versions_may_differ(fleet: Fleet, node: Node, origin: StreamOrigin, path: str) -> bool:
+    route = node.table.find(HOST, path)
+    return len(route.services) > 1 or _has_several_versions(fleet, node, origin.service)
+
+
+def _starts_may_differ(fleet: Fleet, node: Node, origin: StreamOrigin, path: str) -> bool:
+    routes = node.record(_ROUTE_KEY)
+    if routes is None or routes.at(path).names != {origin.service}:
+        return True
+    return _has_several_versions(fleet, node, origin.service)
+
+
+def _any_service_has_several(fleet: Fleet, node: Node) -> bool:
+    served = node.table.resumable_services & node.listed[1].keys()
+    return any(_has_several_versions(fleet, node, name) for name in served)
+
+
+def _any_path_has_several(fleet: Fleet, node: Node) -> bool:
+    routes = node.record(_ROUTE_KEY)
+    if routes is None or any(len(item.names) > 1 for item in routes.prefixes.values()):
+        return True
+    return _any_service_has_several(fleet, node)
+
+
+def _always(*_args: object) -> bool:
+    return True
+
+
 def _version_keys(route: Route) -> list[str]:
-    services = [name for name, weight in route.services if weight > 0]
+    services = sorted(route.drawn_services)
     return [version_key(services[0])] if len(services) == 1 else []
 
 
+def _all_keys(route: Route) -> list[str]:
+    keys = _version_keys(route)
+    return [_ROUTE_KEY, *keys] if keys else []
+
+
+def _no_keys(_route: Route) -> list[str]:
+    return []
+
+
 def _copy_is_current(fleet: Fleet, node: Node) -> bool:
     live = [item for item in fleet.nodes if fleet.lists(node, item)]
     if 2 * len(live) <= len(fleet.nodes):
@@ -693,34 +830,166 @@
     return freshness.is_usable(_MAX_COPY_AGE_MS)
 
 
-def _registered_by_copy(fleet: Fleet, resumption: Resumption) -> RegisteredVersions | None:
+def _registered_versions(_fleet: Fleet, resumption: Resumption) -> RegisteredStarts | None:
     """Use the record of the service to which the route leads now, or a copy of it."""
     keys = _version_keys(resumption.route)
     if not keys:
         return None
     [key] = keys
-    service = key.removeprefix("version/")
     if key in resumption.found:
-        record, is_current = resumption.found[key], True
+        record = resumption.found[key]
+    elif _copy_is_current(_fleet, resumption.node):
+        record = resumption.node.record(key)
     else:
-        record, is_current = resumption.node.record(key), _copy_is_current(fleet, resumption.node)
-    versions = None if record is None else record.software_versions
-    return RegisteredVersions(service, versions, is_current)
+        return None
+    service = key.removeprefix(version_key(""))
+    versions = frozenset() if record is None else record.names
+    return RegisteredStarts(service, frozenset((service,)), versions)
+
+
+def starts_in(
+    records: Mapping[str, object | None], route: Route, path: str
+) -> RegisteredStarts | None:
+    """Return what the records say, None unless all are there."""
+    keys = _all_keys(route)
+    if not keys:
+        return RegisteredStarts("", route.drawn_services)
+    if not records.keys() >= set(keys):
+        return None
+    [service] = route.drawn_services
+    routes = records[_ROUTE_KEY] or RouteRecord()
+    versions = records[version_key(service)] or StartRecord()
+    return RegisteredStarts(service, routes.at(path).names, versions.names)
 
 
-COPY = Strategy(
-    _startable_by_versions, _may_have_several_versions, _version_keys, _registered_by_copy
+def _registered_starts(_fleet: Fleet, resumption: Resumption) -> RegisteredStarts | None:
+    return starts_in(resumption.found, resumption.route, resumption.stream.path)
+
+
+def _nothing_registered(_fleet: Fleet, _resumption: Resumption) -> None:
+    return None
+
+
+def records_of(entries: Mapping[str, tuple[int, object]]) -> dict[str, object | None]:
+    return {key: record for key, (_, record) in entries.items()}
+
+
+# Lease: a copy counts for as long as no name that it lacks may start streams.
+
+
+def _leased_startable(fleet: Fleet, node: Node, service: str, path: str) -> frozenset[str]:
+    def is_ready(*name: str) -> bool:
+        return fleet.now_ms - fleet.named_ms.get(name, 0.0) >= _LEASE_MS
+
+    versions = _recorded_startable(fleet, node, service, path)
+    if not versions or not is_ready(_ROUTE_KEY, path, service):
+        return frozenset()
+    key = version_key(service)
+    return frozenset(version for version in versions if is_ready(key, "", version))
+
+
+def _registered_by_lease(fleet: Fleet, resumption: Resumption) -> RegisteredStarts | None:
+    registered = _registered_starts(fleet, resumption)
+    node = resumption.node
+    if registered is not None or fleet.now_ms - node.as_of_ms > _MAX_COPY_AGE_MS:
+        return registered
+    return starts_in(records_of(node.copy or {}), resumption.route, resumption.stream.path)
+
+
+# Majority: copies of more than half of the registered nodes count.
+
+
+def _confirming(fleet: Fleet, node: Node) -> list[Node]:
+    """Return the nodes that answer, with this one; empty without a majority."""
+    others = [item for item in fleet.nodes if item is not node]
+    fleet.outcome.messages += 2 * len(others)
+    found = [item for item in others if fleet.reach(node, item) and item.has_read]
+    found += [node] if node.has_read else []
+    return found if 2 * len(found) > len(fleet.nodes) else []
+
+
+def _registered_by_majority(fleet: Fleet, resumption: Resumption) -> RegisteredStarts | None:
+    registered = _registered_starts(fleet, resumption)
+    if registered is not None:
+        return registered
+    newest: dict[str, tuple[int, object]] = {}
+    for node in _confirming(fleet, resumption.node):
+        for key, entry in node.copy.items():
+            newest[key] = max(newest.get(key, entry), entry, key=lambda item: item[0])
+    return starts_in(records_of(newest), resumption.route, resumption.stream.path)
+
+
+def _confirmed_startable(fleet: Fleet, node: Node, service: str, path: str) -> frozenset[str]:
+    """Return the startable versions whose names a majority of nodes has confirmed."""
+    versions = _recorded_startable(fleet, node, service, path)
+    key = version_key(service)
+    missing = [
+        name
+        for name in ((path, service), *((key, version) for version in versions))
+        if versions and name not in node.confirmed
+    ]
+    if missing:
+        nodes = _confirming(fleet, node)
+        for where, name in missing:
+            having = [item for item in nodes if name in _names_at(item, where)]
+            if 2 * len(having) > len(fleet.nodes):
+                node.confirmed.add((where, name))
+    if (path, service) not in node.confirmed:
+        return frozenset()
+    return frozenset(version for version in versions if (key, version) in node.confirmed)
+
+
+def _names_at(node: Node, where: str) -> frozenset[str]:
+    """Return the names in a node's copy of a service's record, or of the host's at a path."""
+    if where in PATHS:
+        routes = node.record(_ROUTE_KEY)
+        return frozenset() if routes is None else routes.at(where).names
+    record = node.record(where)
+    return frozenset() if record is None else record.names
+
+
+_RECORDS = Strategy(
+    _recorded_startable,
+    _starts_may_differ,
+    _any_service_has_several,
+    _all_keys,
+    _registered_starts,
 )
+STRATEGIES = {
+    "copy": Strategy(
+        _versions_startable,
+        _versions_may_differ,
+        _any_service_has_several,
+        _version_keys,
+        _registered_versions,
+    ),
+    "records": _RECORDS,
+    "records, moved streams told": replace(_RECORDS, sends_unsent=_any_path_has_several),
+    "lease": replace(_RECORDS, startable=_leased_startable, registered=_registered_by_lease),
+    "holders always": replace(
+        _RECORDS,
+        notifies=_always,
+        sends_unsent=_always,
+        read_keys=_no_keys,
+        registered=_nothing_registered,
+    ),
+    "holders always, records": replace(_RECORDS, notifies=_always, sends_unsent=_always),
+    "majority of readers": replace(_RECORDS, registered=_registered_by_majority),
+    "majority of readers and starters": replace(
+        _RECORDS, startable=_confirmed_startable, registered=_registered_by_majority
+    ),
+}
 
 
 # --- courses -------------------------------------------------------------------------------------
 
 
-def _start_calm(fleet: Fleet) -> None:
+def start_calm(fleet: Fleet) -> None:
     """Let each service have one version for long."""
     for service in SERVICES:
         fleet.serve(service, "v1")
-        fleet.write(version_key(service), VersionRecord(frozenset(("v1",))))
+        fleet.write(version_key(service), StartRecord(frozenset(("v1",))))
+    fleet.write(_ROUTE_KEY, RouteRecord({"/": StartRecord(frozenset(SERVICES[:1]))}))
 
 
 _TABLES: tuple[Mapping[str, Mapping[str, float]], ...] = (
@@ -735,7 +1004,7 @@
 def random_course(fleet: Fleet) -> None:
     """Let a few faults and changes overlap at random times."""
     rng = fleet.rng
-    _start_calm(fleet)
+    start_calm(fleet)
     if rng.random() < 0.2:
         # A service that no stream has used yet.
         del fleet.records[version_key("desk-b")]
@@ -751,7 +1020,7 @@
 def first_release(fleet: Fleet) -> None:
     """Release a version while nodes are cut off, and kill others soon after."""
     rng = fleet.rng
-    _start_calm(fleet)
+    start_calm(fleet)
     cut_ms = _centre_ms(fleet)
     fleet.after(cut_ms, rng.choice((_cut, _isolate)), fleet)
     fleet.after(cut_ms + rng.uniform(-50.0, 300.0), fleet.serve, "desk", "v1", "v2")
@@ -761,28 +1030,67 @@
 def moved_routes(fleet: Fleet) -> None:
     """Move routes again and again, and kill nodes."""
     rng = fleet.rng
-    _start_calm(fleet)
+    start_calm(fleet)
     if rng.random() < 0.3:
         del fleet.records[version_key("desk-b")]
     centre_ms = _centre_ms(fleet)
-    for _ in range(rng.randint(1, 4)):
-        fleet.after(max(0.0, centre_ms + rng.gauss(0.0, 500.0)), _move, fleet)
-    for action in rng.choices((_kill, _cut, _outage), (4, 1, 1), k=2):
+    if rng.random() < 0.3:
+        # Back before every node has known of it.
+        fleet.after(centre_ms, fleet.configure, _TABLES[1])
+        fleet.after(centre_ms + rng.uniform(50.0, 500.0), fleet.configure, _TABLES[0])
+    else:
+        for _ in range(rng.randint(1, 4)):
+            fleet.after(max(0.0, centre_ms + rng.gauss(0.0, 500.0)), _move, fleet)
+    fleet.late_share = rng.choice((0.05, 0.8))
+    for action in rng.choices((_kill, _kill_most, _cut, _outage), (3, 1, 1, 1), k=2):
         fleet.after(centre_ms + rng.uniform(0.0, 1000.0), action, fleet)
 
 
 def restarts(fleet: Fleet) -> None:
     """Let nodes start without memory while a version is released and the store fails."""
     rng = fleet.rng
-    _start_calm(fleet)
+    start_calm(fleet)
     centre_ms = _centre_ms(fleet)
-    fleet.late_share = rng.choice((0.05, 0.8))
+    fleet.late_share, fleet.read_share = rng.choice(((0.05, 0.8), (0.8, 0.3), (0.8, 0.3)))
     nodes = rng.choice((fleet.nodes, _some(fleet, 3)))
     down_ms = rng.uniform(100.0, 1000.0)
     fleet.after(centre_ms, fleet.kill, nodes, down_ms)
     fleet.after(centre_ms + rng.uniform(0.0, down_ms + 50.0), fleet.serve, "desk", "v1", "v2")
-    if rng.random() < 0.5:
-        fleet.after(centre_ms + down_ms + rng.gauss(0.0, 200.0), rng.choice((_outage, _cut)), fleet)
+    fleet.after(
+        centre_ms + down_ms + rng.uniform(0.0, 800.0), rng.choice((_outage, _cut, _kill)), fleet
+    )
+
+
+LONG = Settings(
+    duration_ms=400_000.0,
+    sync_ms=(1500.0, 4000.0),
+    lag_ms=(50.0, 500.0, 3000.0),
+    request_ms=2000.0,
+    stream_ms=(2000.0, 20_000.0),
+    late_write_ms=20_000.0,
+    cut_ms=((1000.0, 20_000.0),),
+)
+
+
+def retirements(fleet: Fleet) -> None:
+    """Let versions and services leave and return, within settings such as ``LONG``.
+
+    No node is cut off for longer than a name that has gone stays in a record after its mark.
+    """
+    rng, settings = fleet.rng, fleet.settings
+    start_calm(fleet)
+    fleet.late_share = 0.3
+    at_ms = 0.0
+    while at_ms < settings.duration_ms:
+        at_ms += rng.expovariate(1 / 15_000.0)
+        action = rng.choice((_replace, _replace, _move, _cut, _kill, _kill_most))
+        fleet.after(at_ms, action, fleet)
+
+
+def _replace(fleet: Fleet) -> None:
+    """Replace the upstreams of a service by those of one or two versions."""
+    versions = fleet.rng.sample(("v1", "v2"), fleet.rng.choice((1, 1, 2)))
+    fleet.serve(fleet.rng.choices(SERVICES, (4, 1))[0], *versions)
 
 
 def _centre_ms(fleet: Fleet) -> float:
@@ -814,7 +1122,7 @@
     loses_store, loses_nodes = rng.choice(
         ((True, True), (True, True), (True, False), (False, True))
     )
-    lasts_ms = rng.choice((rng.uniform(100.0, 1500.0), rng.uniform(1500.0, 6000.0)))
+    lasts_ms = rng.uniform(*rng.choice(fleet.settings.cut_ms))
     is_together = rng.random() < 0.3
     for number, node in enumerate(nodes):
         group = (1 if is_together else 1 + number) if loses_nodes else None
@@ -839,6 +1147,10 @@
     fleet.kill(nodes, fleet.rng.uniform(100.0, 2500.0))
 
 
+def _kill_most(fleet: Fleet) -> None:
+    fleet.kill(fleet.rng.sample(fleet.nodes, len(fleet.nodes) - 1), fleet.rng.uniform(100.0, 500.0))
+
+
 def _outage(fleet: Fleet) -> None:
     fleet.store_is_down = True
     lasts_ms = fleet.rng.choice((300.0, 1000.0, 5000.0))
