Check the records of hosts once a second while former services wait to be removed

With 1,000 routes each check took 4 to 9 ms, at every change of the view for two minutes after a change of routes.

--- a/src/fescuedock/node/stream_origins.py
+++ b/src/fescuedock/node/stream_origins.py
@@ -106,6 +106,17 @@
     fields: Mapping[str, object] = {}
 
 
+class _CheckedRoutes(msgspec.Struct):
+    """The updates that are due for the records of hosts, while ``state`` stays as it is.
+
+    ``state`` holds the version of the configuration and the revisions of the records.
+    """
+
+    state: tuple[int, ...] = ()
+    valid_until_ms: float = 0.0
+    updates: dict[str, _RecordUpdate] = {}
+
+
 class StreamOrigins:
     """The origins of streams at one node.
 
@@ -138,8 +149,7 @@
         self._service_retirement = Retirement(self._policy)
         # The version of the configuration, and the prefixes of its resumable streams by host.
         self._configured: tuple[int, dict[str, set[str]]] = (-1, {})
-        # The version of the configuration and the revisions of the hosts' records that agree.
-        self._settled_routes: tuple[int, ...] = ()
+        self._checked_routes = _CheckedRoutes()
         # By key, the revision of a record and what it says, None if it is unreadable.
         self._decoded: dict[str, tuple[int, StartRecord | RouteRecord | None]] = {}
         # Failure domain and address of nodes and spools, from their records at a table version.
@@ -529,8 +539,9 @@
         _, configured = self._configured
         entries = [self._table.entries.get(self._keys.routes(host)) for host in configured]
         state = (table.version, *(entry.mod_revision if entry else 0 for entry in entries))
-        if state == self._settled_routes:
-            return {}
+        checked = self._checked_routes
+        if state == checked.state and now_ms() < checked.valid_until_ms:
+            return checked.updates
         recorded = {host: self._recorded_routes(host) for host in configured}
         routed = {
             host: routed_services(table, host, configured[host] | record.prefixes.keys())
@@ -550,12 +561,13 @@
                 value = msgspec.msgpack.encode(wanted.served())
                 fields = {"host": host, "prefixes": len(wanted.prefixes)}
                 updates[self._keys.routes(host)] = _RecordUpdate(value, fields)
-        if all(
+        is_settled = all(
             record.at(prefix) == StartRecord(services)
             for host, record in recorded.items()
             for prefix, services in routed[host].items()
-        ):
-            self._settled_routes = state
+        )
+        valid_ms = float("inf") if is_settled else _POLL_INTERVAL_S * 1000
+        self._checked_routes = _CheckedRoutes(state, now_ms() + valid_ms, updates)
         return updates
 
     def _recorded_versions(self, service: str) -> StartRecord:
