Report the origins of streams within 0.1 s after an outage of the store is noticed

A client whose node was lost early in an outage was refused (ORIGIN_UNKNOWN) until the store was back, also with a single version, since no copy of the record counts any more. Nodes noticed an outage only with their next check, up to 1 s after it, and only then reported the streams that they had begun before.

They check ten times a second.

--- a/src/fescuedock/node/stream_origins.py
+++ b/src/fescuedock/node/stream_origins.py
@@ -73,6 +73,8 @@
 _READ_TIMEOUT_S = 0.3
 _READ_PAUSE_S = 0.05
 _POLL_INTERVAL_S = 1.0
+# How soon an outage of the store is noticed, in which other nodes need the origins of streams.
+_OUTAGE_POLL_S = 0.1
 # How long a stream waits until it may start at the service to which its route leads.
 _RECORDED_TIMEOUT_S = 1.0
 # Delay per rank before a node writes a record, so that nodes of a higher rank write it first.
@@ -181,7 +183,7 @@
             elif now_ms() - sent_ms >= _POLL_INTERVAL_S * 1000:
                 sent_ms = now_ms()
                 await self._send_all(self.memory.unreported(sent_ms))
-            with trio.move_on_after(_POLL_INTERVAL_S):
+            with trio.move_on_after(_OUTAGE_POLL_S):
                 await self._replicas.wait_changed(seen)
 
     # --- streams that start ----------------------------------------------------------------------
--- a/tests/test_stream_take_up.py
+++ b/tests/test_stream_take_up.py
@@ -321,6 +321,26 @@
 
         self.run_fleet(test, versions=ONE_VERSION)
 
+    def test_a_stream_whose_node_is_lost_early_in_an_outage_of_the_store_resumes(self) -> None:
+        async def test(fleet: NodeFleet) -> None:
+            for number in range(3):
+                name = f"r-{number}"
+                first = await self.start_stream(fleet, fleet.nodes[0], name)
+                # At different phases of what nodes do once a second.
+                await trio.sleep(0.33)
+                fleet.store.take_down()
+                await trio.sleep(1.15)
+                fleet.nodes[0].kill()
+                resumed = await resume_stream(
+                    fleet, fleet.nodes[1].front, "/check/7", b"case", first, name
+                )
+                self.check_complete(resumed)
+                fleet.store.bring_up()
+                await fleet.restart(fleet.nodes[0])
+                await fleet.wait_ready()
+
+        self.run_fleet(test, versions=ONE_VERSION)
+
 
 class OriginMessageTest(unittest.TestCase):
     def test_a_message_of_many_streams_is_small(self) -> None:
