Count an unframed answer that is reset during the upload as lost

A client got the first events of an upstream as the whole answer: 200, and properly ended. The upstream had answered a long request at once without length or chunks, sent part of its body and reset the connection. An item of a job was listed as completed with the part as its text.

Cause: the kernel reports a reset once. While a request is being written, a task writes its rest and another waits for the answer. If the answer's bytes and the reset arrive together, both wake; the write gets ECONNRESET, and was ignored since there are bytes to read. The reads then find these bytes and an end of the connection like that after an orderly close. The upstream's process is running, so the answer counted as complete.

Now an answer that ends with its connection before its request was written is lost. This holds for all callers of the client, as the state of the write is known there alone.

--- a/src/fescuedock/net/http_client.py
+++ b/src/fescuedock/net/http_client.py
@@ -707,11 +707,21 @@
         try:
             if data:
                 return self._body.feed(data)
+            self._check_end()
             self._body.close()
         except h11.RemoteProtocolError as error:
             raise ResponseLostError(str(error), head_received=True) from error
         return b""
 
+    def _check_end(self) -> None:
+        """Raise an error if the end of the connection does not show that the body is complete.
+
+        The kernel reports a reset only once.  If the write of the request got that report, the
+        reads find the bytes before the reset, and then an end as after an orderly close.
+        """
+        if self._body.unframed and self._is_partly_sent:
+            raise h11.RemoteProtocolError("connection closed before the request was sent entirely")
+
     async def _receive(self) -> bytes:
         """Wait before reading: the next token of a stream has rarely arrived already."""
         while True:
