Believe a refusal whose body breaks off

A call that may run only once got 502 though its upstream had refused it and said so: an upstream without a free slot answered a long request with 503 and X-Not-Executed before it had read it, and reset the connection.

Cause: the rest of a refusal is read so that its connection can be reused, and the reset within it made the whole attempt count as lost, as if it may have run. The promise is in the head; nothing in the body can take it back.

Shown: the new test got 502 in both cases (reset with the answer and 50 ms later) and gets the other upstream's answer now. Answers of 422 and 500 to items that break off still count as lost, as they end an item.

--- a/src/fescuedock/node/attempt.py
+++ b/src/fescuedock/node/attempt.py
@@ -11,7 +11,7 @@
 from fescuedock.clock import now_ms
 from fescuedock.core.forwarding.calls import AnswerHead
 from fescuedock.core.forwarding.progress import AttemptEnd
-from fescuedock.net.http_client import ClientResponse, HttpClient, SendCheck
+from fescuedock.net.http_client import ClientResponse, HttpClient, ResponseLostError, SendCheck
 from fescuedock.net.http_messages import Headers
 from fescuedock.platform import calls
 from fescuedock.schema.permits import AttemptOutcome, EndedPermit, WorkClass
@@ -125,12 +125,22 @@
         return (self.last_event_ms - self.started_ms - self.first_event_ms) / (self.events - 1)
 
 
-async def drain(response: ClientResponse) -> None:
-    """Read the rest of an answer that is not used, or its beginning if it is long or slow."""
+async def drain(answer: UpstreamAnswer) -> None:
+    """Read the rest of an answer that is not used, or its beginning if it is long or slow.
+
+    Raise ``ResponseLostError`` if it breaks off, unless its head promises that the request was not
+    run: no part of the body can change that.
+    """
     drained_bytes = 0
-    with trio.move_on_after(_DRAIN_TIMEOUT_S):
-        while drained_bytes <= _MAX_DRAINED_BYTES and (data := await response.read_some()):
-            drained_bytes += len(data)
+    try:
+        with trio.move_on_after(_DRAIN_TIMEOUT_S):
+            while drained_bytes <= _MAX_DRAINED_BYTES and (
+                data := await answer.response.read_some()
+            ):
+                drained_bytes += len(data)
+    except ResponseLostError:
+        if not answer.head.not_run:
+            raise
 
 
 @asynccontextmanager
--- a/src/fescuedock/node/item_run.py
+++ b/src/fescuedock/node/item_run.py
@@ -179,7 +179,7 @@
     head = answer.head
     record.record_answer(answer)
     if not head.is_success:
-        await drain(answer.response)
+        await drain(answer)
         return _failure(head.status, not_run=head.not_run)
     if head.is_forged:
         return ItemEnd.INTERRUPTED, AttemptEnd.LOST, "the answer lacks the upstream's seal"
--- a/src/fescuedock/node/online_call.py
+++ b/src/fescuedock/node/online_call.py
@@ -400,7 +400,7 @@
         head = answer.head
         record.record_answer(answer)
         if head.not_run:
-            await drain(answer.response)
+            await drain(answer)
             return AttemptEnd.REJECTED
         if head.is_forged:
             return AttemptEnd.LOST
@@ -410,10 +410,10 @@
             return await self._relay_events(answer, upstream, record, stall)
         if self.client_stream is not None:
             # The head of a success was sent to the client, so a failure cannot be relayed any more.
-            await drain(answer.response)
+            await drain(answer)
             return AttemptEnd.FAILED
         if head.status >= _SERVER_ERROR and not self.progress.is_last_run():
-            await drain(answer.response)
+            await drain(answer)
             return AttemptEnd.FAILED
         return await self._relay_body(answer, upstream, record, stall)
 
--- a/tests/test_node_early_answers.py
+++ b/tests/test_node_early_answers.py
@@ -156,6 +156,19 @@
 
         self.check_ends(check)
 
+    # The call got 502 instead of being sent elsewhere.
+    def test_a_refusal_whose_body_breaks_off_still_says_that_the_call_has_not_run(self) -> None:
+        def refuse(head: str) -> bytes:
+            return answer_of(head, "503 Full", "X-Not-Executed: 1\r\n", b"fu")
+
+        def check(server: EarlyServer, body: bytes) -> None:
+            server.answer = refuse
+            answer = self.call(server, "/rights/", body)
+            self.assertEqual((answer.status, answer.complete), (200, True))
+            self.assertEqual(event_numbers(answer.body), ALL)
+
+        self.check_ends(check)
+
 
 if __name__ == "__main__":
     unittest.main()
