Count an unframed answer that ends before its request was received as lost

Clients got the first two of five events as the whole stream (200, properly ended), and a job listed them as an item's text, where an upstream answered without length or chunks before it had read the request, and closed the connection without a reset.

Cause: the end of the connection counted as the answer's since the upstream's process was still running afterwards. That tells a killed process from one that closed the connection by itself, but not whether it had finished: it had not even received the request, and the rest of that leads to a reset, which comes too late to be seen. A request of 20 kB is enough: the kernel takes all of it, so it also counted as sent.

Now such an answer is lost if the request was not written, or if the server's kernel has not acknowledged all of it (TIOCOUTQ) when the connection ends. The end acknowledges all that arrived before it, so an answer to a request that was received is judged as before; a test holds that for three lengths.

Shown: with 20 kB the new test and the five of test_node_early_answers fail before, at once and 50 ms after the answer, and pass now. What it costs: a whole answer without framing to a long request that was never read is visibly cut off or requested again (docs/design/ends-of-answers.md).

--- a/src/fescuedock/net/http_client.py
+++ b/src/fescuedock/net/http_client.py
@@ -7,12 +7,15 @@
 because the process is paused.  So the decision is checked again immediately before the write.
 """
 
+import array
 import enum
+import fcntl
 import math
 import os
 import re
 import socket
 import struct
+import termios
 from collections import defaultdict, deque
 from collections.abc import AsyncIterator, Callable, Iterator, Mapping
 from contextlib import asynccontextmanager, contextmanager
@@ -717,10 +720,21 @@
         """Raise an error if the end of the connection does not show that the body is complete.
 
         The kernel reports a reset only once.  If the write of the request got that report, the
-        reads find the bytes before the reset, and then an end as after an orderly close.
+        reads find the bytes before the reset, and then an end as after an orderly close.  A server
+        that closes before it has received the request gives no sign that it has finished either,
+        and resets the connection when the rest arrives.
         """
-        if self._body.unframed and self._is_partly_sent:
-            raise h11.RemoteProtocolError("connection closed before the request was sent entirely")
+        if self._body.unframed and (self._is_partly_sent or self._unacknowledged_bytes()):
+            raise h11.RemoteProtocolError("connection closed before the request was received")
+
+    def _unacknowledged_bytes(self) -> int:
+        """Return how many of the sent bytes the server's kernel has not received.
+
+        The end of a connection also acknowledges everything that was received before it.
+        """
+        count = array.array("i", [0])
+        fcntl.ioctl(self._stream.socket.fileno(), termios.TIOCOUTQ, count)
+        return count[0]
 
     async def _receive(self) -> bytes:
         """Wait before reading: the next token of a stream has rarely arrived already."""
--- a/tests/test_net_early_answers.py
+++ b/tests/test_net_early_answers.py
@@ -12,6 +12,8 @@
 
 # More than the kernel takes of a request that its server does not read.
 LONG_BODY = bytes(range(256)) * 32_000
+# The kernel takes all of it, but not that of a server that does not read it.
+BUFFERED_BODY = b"x" * 20_000
 UNFRAMED = b"HTTP/1.1 200 OK\r\n\r\npart"
 WITH_LENGTH = b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nwhole"[:-1]
 IN_CHUNKS = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nwhol\r\n0\r\n\r\n"
@@ -54,6 +56,23 @@
             with self.subTest(pause_s=pause_s):
                 self.check_lost(EarlyServer(lambda _: UNFRAMED, End.RESET, pause_s))
 
+    def test_an_unframed_answer_that_ends_during_the_upload_is_lost(self) -> None:
+        for body in (LONG_BODY, BUFFERED_BODY):
+            for pause_s in (0.0, 0.05):
+                with self.subTest(body_bytes=len(body), pause_s=pause_s):
+                    self.check_lost(EarlyServer(lambda _: UNFRAMED, End.FIN, pause_s), body)
+
+    def test_an_unframed_answer_after_the_upload_is_whole(self) -> None:
+        server = EarlyServer(lambda _: b"", End.READ_AND_CLOSE, final=lambda _: UNFRAMED)
+
+        async def test(http: HttpClient, address: Address) -> None:
+            for body in (LONG_BODY, BUFFERED_BODY, b"x"):
+                async with http.request(address, "POST", "/", (), body) as response:
+                    self.assertEqual(await response.read(), b"part")
+                self.assertEqual(server.bodies.pop(), body)
+
+        self.run_client(server, test)
+
     def test_answers_with_length_and_chunks_reset_during_the_upload_are_whole_or_lost(self) -> None:
         for answer in (WITH_LENGTH, IN_CHUNKS):
             for pause_s in (0.0, 0.05):
--- a/tests/test_node_early_answers.py
+++ b/tests/test_node_early_answers.py
@@ -24,11 +24,19 @@
 EVENTS = 5
 ALL = list(range(EVENTS))
 LONG_BODY = b"x" * 2_000_000
+# The kernel takes all of it, but not that of an upstream that does not read it.
+BUFFERED_BODY = b"x" * 20_000
 _LIMITS = {"maxHeaderBytes": 8192, "maxBodyBytes": 8_000_000}
 _LIMITS |= {"headerTimeoutMs": 1000, "idleTimeoutMs": 5000}
 _EARLY_ID = "early"
 # How answers end, how long after they began, and the bodies of their requests.
-_ENDS = [(End.RESET, 0.0, LONG_BODY), (End.RESET, 0.05, LONG_BODY)]
+_ENDS = [
+    (End.RESET, 0.0, LONG_BODY),
+    (End.RESET, 0.05, LONG_BODY),
+    (End.FIN, 0.0, LONG_BODY),
+    (End.FIN, 0.0, BUFFERED_BODY),
+    (End.FIN, 0.05, BUFFERED_BODY),
+]
 
 
 def answer_of(head: str, status: str = "200 OK", fields: str = "", body: bytes = b"") -> bytes:
