Count an answer with a status above 599 as no answer

An upstream's status of 600 or 999 reached clients, with the upstream's seal, as an answer of this system. On a route whose calls may be repeated it came through with the last attempt.

Cause: the protocol has statuses from 100 to 599. h11 refuses three digits below 100 and any other number of digits, but accepts up to 999. Now these count as no answer too: another attempt where the route allows it, else 502.

Shown: 600 and 999 fail in test_an_answer_with_a_status_that_is_none_is_lost and, on three routes, in ..._reaches_no_client before the fix.

--- a/src/fescuedock/net/http_client.py
+++ b/src/fescuedock/net/http_client.py
@@ -48,6 +48,8 @@
 # Limits for what may precede an answer: its informational answers, and the rest of another answer.
 _MAX_INFORMATIONAL_ANSWERS = 32
 _MAX_SKIPPED_BYTES = 1024 * 1024
+# h11 accepts greater ones.
+_MAX_STATUS = 599
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*(\d+)")
 # A request must arrive before the server closes: longer than the slowest network transit.
 _KEEP_ALIVE_MARGIN_S = 0.25
@@ -612,6 +614,8 @@
             event = await self.next_event()
         if not isinstance(event, h11.Response):
             raise ResponseLostError(f"{address} closed without an answer")
+        if event.status_code > _MAX_STATUS:
+            raise ResponseLostError(f"{address} sent the status {event.status_code}, which is none")
         return event
 
     async def _skip_answer(self, address: Address, events: list[h11.Event]) -> None:
--- a/tests/builders/early_answers.py
+++ b/tests/builders/early_answers.py
@@ -11,11 +11,26 @@
 from fescuedock.address import Address
 from tests.builders.net import LOOPBACK
 
-__all__ = ["EarlyServer", "End", "fields_of"]
+__all__ = ["NO_STATUSES", "EarlyServer", "End", "fields_of"]
 
 _RESET = struct.pack("ii", 1, 0)
 # So small that most of a long request stays at its sender.
 _RECEIVE_BUFFER_BYTES = 4096
+# What no answer in the protocol has as its status.
+NO_STATUSES = (
+    "000",
+    "099",
+    "600",
+    "999",
+    "1000",
+    "20",
+    "2000",
+    "+20",
+    "-20",
+    "2x0",
+    "",
+    "101 Switch",
+)
 
 
 class End(enum.Enum):
--- a/tests/test_net_early_answers.py
+++ b/tests/test_net_early_answers.py
@@ -8,7 +8,7 @@
 from fescuedock.address import Address
 from fescuedock.net.http_client import HttpClient, ResponseLostError
 from fescuedock.net.http_messages import Headers
-from tests.builders.early_answers import EarlyServer, End
+from tests.builders.early_answers import NO_STATUSES, EarlyServer, End
 from tests.builders.standins import open_http, run_async
 
 # More than the kernel takes of a request that its server does not read.
@@ -33,12 +33,14 @@
 
         run_async(run)
 
-    def check_lost(self, server: EarlyServer, body: bytes = LONG_BODY) -> None:
+    def check_lost(
+        self, server: EarlyServer, body: bytes = LONG_BODY, *, head_received: bool = True
+    ) -> None:
         async def test(http: HttpClient, address: Address) -> None:
             with self.assertRaises(ResponseLostError) as caught:
                 async with http.request(address, "POST", "/", (), body) as response:
                     await response.read()
-            self.assertTrue(caught.exception.head_received)
+            self.assertEqual(caught.exception.head_received, head_received)
             self.assertFalse(http.has_idle(address))
 
         self.run_client(server, test)
@@ -138,6 +140,20 @@
 
         self.run_client(server, test)
 
+    def test_an_answer_with_a_status_that_is_none_is_lost(self) -> None:
+        for status in NO_STATUSES:
+            head = f"HTTP/1.1 {status}\r\ncontent-length: 4\r\n\r\nwhol".encode()
+            for body in (b"x", LONG_BODY):
+                with self.subTest(status=status, body_bytes=len(body)):
+                    server = EarlyServer(lambda _, sent=head: sent, End.STAY)
+                    self.check_lost(server, body, head_received=False)
+
+    def test_statuses_at_the_limits_are_answers(self) -> None:
+        for status in ("200", "299", "599", "150 Odd\r\n\r\nHTTP/1.1 200"):
+            head = f"HTTP/1.1 {status} X\r\ncontent-length: 4\r\n\r\nwhol".encode()
+            with self.subTest(status=status):
+                self.check_whole(EarlyServer(lambda _, sent=head: sent, End.STAY))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_node_early_answers.py
+++ b/tests/test_node_early_answers.py
@@ -9,7 +9,7 @@
 
 from fescuedock.platform.standin.event_upstream import DEFAULT_VERSION, event_bytes
 from tests.builders.clocks import virtual_clock
-from tests.builders.early_answers import EarlyServer, End, fields_of
+from tests.builders.early_answers import NO_STATUSES, EarlyServer, End, fields_of
 from tests.builders.jobs_calls import JOB, item_entry, read_page, submission_of
 from tests.builders.node import (
     Answer,
@@ -195,6 +195,40 @@
                 self.assertEqual(event_numbers(answer.body), ALL)
                 self.assertEqual(server.bodies, [LONG_BODY])
 
+    # Statuses above 599 reached the client.
+    def test_an_answer_with_a_status_that_is_none_reaches_no_client(self) -> None:
+        for status in NO_STATUSES[:5]:
+            for prefix in ("/check/", "/rights/", "/safe/"):
+                with self.subTest(status=status, prefix=prefix):
+                    answer = self.call(self.odd_server(status), prefix, b"x", has_other=False)
+                    self.assertEqual((answer.status, answer.complete), (502, True))
+                    self.assertNotIn("x-response-seal", answer.headers)
+
+    def test_a_call_answered_with_a_status_that_is_none_is_repeated_if_it_may_be(self) -> None:
+        for status in NO_STATUSES[:5]:
+            for prefix in ("/check/", "/safe/"):
+                with self.subTest(status=status, prefix=prefix):
+                    answer = self.call(self.odd_server(status), prefix, b"x")
+                    self.assertEqual((answer.status, answer.complete), (200, True))
+                    self.assertEqual(event_numbers(answer.body), ALL)
+
+    def test_an_item_answered_with_a_status_that_is_none_is_run_again(self) -> None:
+        for status in NO_STATUSES[:5]:
+            with self.subTest(status=status):
+                result = self.run_item(self.odd_server(status), b"x")
+                wanted = [f"/letters/case 1 {number}" for number in ALL]
+                self.assertEqual(result["text"].split("\n"), wanted)
+
+    def odd_server(self, status: str) -> EarlyServer:
+        """Return a server that answers with ``status`` and is otherwise sound."""
+
+        def answer(head: str) -> bytes:
+            events = first_events(head, EVENTS).partition(b"\r\n\r\n")[2]
+            fields = f"content-type: text/event-stream\r\ncontent-length: {len(events)}\r\n"
+            return answer_of(head, status, fields, events)
+
+        return EarlyServer(answer, End.STAY)
+
 
 if __name__ == "__main__":
     unittest.main()
