Take no empty answer of the store for a missing key

A 200 of the platform's store whose connection ended before the first byte of its body counted as the answer to a read: the key did not exist. To a renewal it said that the lease had lapsed. For a page of keys, a watch, a write and a new lease it raised an AttributeError that nothing caught, which ends the node.

Cause: an empty body stood for "does not exist" within the client, as the answer to a 404 has none. An answer without framing that ends with its connection, or one of length 0, looked the same. A 404 is now passed on as None, and an empty body is an answer that cannot be read: unavailable or, for a write, unknown.

--- a/src/fescuedock/platform/store.py
+++ b/src/fescuedock/platform/store.py
@@ -186,10 +186,10 @@
         *,
         missing_ok: bool = False,
         timeout_ms: float = 0.0,
-    ) -> Result[bytes, Fault]:
+    ) -> Result[bytes | None, Fault]:
         """Make one call and return the body of the answer.
 
-        With ``missing_ok`` a 404 is an empty body and no fault.
+        With ``missing_ok`` a 404 is None and no fault.
         """
         self._on_call(name)
         writes = method != "GET"
@@ -209,7 +209,7 @@
         if answer.status == 200:
             return Ok(content)
         if answer.status == 404 and missing_ok:
-            return Ok(b"")
+            return Ok(None)
         return Err(_status_fault(name, answer.status, writes))
 
 
@@ -233,11 +233,12 @@
 def _decoder(kind: type[msgspec.Struct], convert: Callable) -> Callable:
     """Return a function that decodes a body as ``kind`` and converts it to the result's value.
 
-    ``convert`` gets None for an empty body, which means that the key or lease does not exist.
+    ``convert`` gets None for no body, which means that the key or lease does not exist.  An empty
+    body is no document: an answer may have broken off before it.
     """
 
-    def decode(content: bytes) -> Result:
-        if not content:
+    def decode(content: bytes | None) -> Result:
+        if content is None:
             return Ok(convert(None))
         try:
             return Ok(convert(msgspec.json.decode(content, type=kind)))
