Do not stop a soak's node that the soak has already killed

The process had not exited yet, so it counted as running and its socket still accepted the connection; the time of the last signal was read after the SIGKILL and told nothing. The soak then judged its own SIGKILL as the node's way to end.

Processes now know that SIGKILL was sent to them, and such a node is not stopped, as one that is paused or starting is not. What is judged of a stop of a living node is the same: the test also has a node that ends with -9 unkilled, which is still reported.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -115,8 +115,10 @@
         """Stop a node by SIGTERM; unless disturbed, it must exit in time and with status 0."""
         node = node or self._node()
         seen_s = node.disturbed_s
+        if not node.is_running or node.paused or node.killed:
+            return ""
         # A node that is starting has nothing to finish, and no signal handler yet.
-        if not node.is_running or node.paused or not await accepts_connections(node):
+        if not await accepts_connections(node):
             return ""
         # An overlapping fault may have killed the node while it accepted the connection.
         if node.disturbed_s != seen_s:
--- a/tests/soak/harness.py
+++ b/tests/soak/harness.py
@@ -124,6 +124,8 @@
     store_proxy: FaultProxy
     process: trio.Process | None = None
     paused: bool = False
+    # Whether the process was sent SIGKILL.  It may still accept connections until it has exited.
+    killed: bool = False
     # When it was last started or sent a signal; for promises with a time bound.
     disturbed_s: float = float("-inf")
     # Two faults may start it concurrently.
@@ -145,7 +147,7 @@
             self.process = await trio.lowlevel.open_process(
                 command, stdin=subprocess.DEVNULL, stdout=log.wrapped, stderr=log.wrapped
             )
-        self.paused = False
+        self.paused = self.killed = False
         self.disturbed_s = trio.current_time()
 
     def signal(self, number: int) -> None:
@@ -153,6 +155,7 @@
         self.disturbed_s = trio.current_time()
         if self.is_running:
             self.process.send_signal(number)
+            self.killed = self.killed or number == signal.SIGKILL
             self.paused = number == signal.SIGSTOP or (self.paused and number != signal.SIGCONT)
 
     async def end(self) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -20,7 +20,7 @@
 from tests.soak.clients import JobClient, Reply
 from tests.soak.ending import EndingClient
 from tests.soak.faults import Schedule
-from tests.soak.harness import SoakUpstream
+from tests.soak.harness import NodeProcess, SoakUpstream
 from tests.soak.overlaps import OverlapSchedule
 from tests.soak.promises import ACK_S, CALM_S, END_S, Disturbance, Ledger, SoakJob, expected_text
 from tests.soak.proxy import FaultProxy
@@ -125,6 +125,50 @@
         trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
         self.assertEqual([node.starts for node in nodes], [1, 1])
 
+    def test_node_that_was_killed_before_is_not_judged_by_its_stop(self) -> None:
+        """A process that was killed may accept connections for some milliseconds more."""
+        for killed_first, expected in ((True, []), (False, ["node-1 ended with -9"])):
+            with self.subTest(killed_first=killed_first):
+                self.assertEqual(self.violations_of_stop(killed_first=killed_first), expected)
+
+    def violations_of_stop(self, *, killed_first: bool) -> list[str]:
+        """Return what a stop reports of a node that ends by SIGKILL, sent by the soak or not."""
+
+        class Process:
+            returncode = None
+
+            def send_signal(self, _number: int) -> None:
+                pass
+
+            async def wait(self) -> None:
+                self.returncode = -signal.SIGKILL
+
+        node = NodeProcess(
+            name="node-1",
+            module="",
+            settings=Path(),
+            log=Path(),
+            store_proxy=mock.Mock(),
+            front=Address("127.0.0.1", 0),
+            directory=Address("127.0.0.1", 0),
+            process=Process(),
+        )
+        schedule = Schedule(mock.Mock(), Ledger(), random.Random(0))
+
+        async def run() -> None:
+            if killed_first:
+                node.signal(signal.SIGKILL)
+            await schedule._stop(node)
+
+        accepts = mock.AsyncMock(return_value=True)
+        start = mock.AsyncMock()
+        with (
+            mock.patch("tests.soak.faults.accepts_connections", accepts),
+            mock.patch.object(NodeProcess, "start", start),
+        ):
+            trio.run(run)
+        return schedule.ledger.violations
+
     def test_continuing_disturbance_is_not_calm(self) -> None:
         ledger = Ledger(disturbances=[Disturbance(10.0)])
         self.assertTrue(ledger.was_calm(5.0, 9.0))
