Wait with a stand-in's address for processes that are being started

Cause: trio starts processes in a thread, and a process that is being started has copies of all sockets until it executes its program. If the stand-in closes its listening socket in that time, the copy still listens, and bind refuses the address though SO_REUSEADDR is set.

The reservation is now tried again for up to 5 s.

--- a/src/fescuedock/standin/listener.py
+++ b/src/fescuedock/standin/listener.py
@@ -1,5 +1,6 @@
 """An HTTP server at a fixed address that can be taken down and brought up on command."""
 
+import errno
 import socket
 from dataclasses import dataclass, field
 
@@ -12,6 +13,9 @@
 
 # An hour, so that timeouts are always those of the client.
 _LIMITS = HttpLimits(idle_timeout_ms=3_600_000)
+# A process that is being started has copies of all sockets until it executes its program.
+_COPIES_CLOSED_WITHIN_S = 5.0
+_RETRY_PAUSE_S = 0.005
 
 
 @dataclass(slots=True)
@@ -29,7 +33,7 @@
         """Listen on ``address`` until cancelled; report the bound ``Address``."""
         self._up.set()
         while True:
-            with _reserve(self.address) as reserved:
+            with await _reserve(self.address) as reserved:
                 await self._up.wait()
                 self._scope = trio.CancelScope()
                 with self._scope:
@@ -56,10 +60,19 @@
         self._up.set()
 
 
-def _reserve(address: Address | None) -> socket.socket:
+async def _reserve(address: Address | None) -> socket.socket:
     """Return a socket that keeps other programs from ``address``; connections are refused."""
     reserved = socket.socket()
-    if address is not None:
-        reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        reserved.bind((address.host, address.port))
-    return reserved
+    if address is None:
+        return reserved
+    reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    deadline_s = trio.current_time() + _COPIES_CLOSED_WITHIN_S
+    while True:
+        try:
+            reserved.bind((address.host, address.port))
+            return reserved
+        except OSError as error:
+            if error.errno != errno.EADDRINUSE or trio.current_time() >= deadline_s:
+                reserved.close()
+                raise
+        await trio.sleep(_RETRY_PAUSE_S)
