Refuse work only after two isolated crashes if its runs had produced output

Cause: any one crash of an isolated run was a proof. A harmful run crashes its upstream before its first output in all that was recorded, while an innocent run has produced output for most of the time in which its upstream may crash for another reason. Suspicion weighs such crashes half already; the proof now does the same: two isolated crashes are needed unless in one of them the run had produced nothing. Work that crashes upstreams after its first output costs one more upstream. Parts of prompts need two isolated crashes anyway.

Both tests failed before.

--- a/src/fescuedock/core/quarantine.py
+++ b/src/fescuedock/core/quarantine.py
@@ -17,6 +17,7 @@
 """
 
 import enum
+import math
 from collections import defaultdict
 from collections.abc import Collection, Iterable
 from itertools import groupby
@@ -46,10 +47,12 @@
     ``begun_weight`` against work that was well under way, as most crashes happen at the start of
     the run that causes them.  From a weight of ``isolation_weight`` on, work runs in isolation, so
     that it can crash no other runs and can be shown to be harmless.  Work that was present in
-    ``min_crashes`` crashes, in one of them isolated, is refused.  A part of prompts always counts
-    with weight 1, as a harmless part is known from other runs that completed with it.  It is
-    refused after isolated crashes of ``part_min_units_of_work`` different units of work, as a
-    single one does not show which trait is the cause.
+    ``min_crashes`` crashes, in one of them isolated, is refused.  If its isolated runs had all
+    produced output, their crashes must have a weight of 1 in total, as one may have had another
+    reason.  A part of prompts always counts with weight 1, as a harmless part is known from other
+    runs that completed with it.  It is refused after isolated crashes of
+    ``part_min_units_of_work`` different units of work, as a single one does not show which trait is
+    the cause.
 
     Refused work gets another isolated run when the next of ``retry_pauses_ms`` has passed since its
     last crash, as that may have been a coincidence.  After the last pause it is refused until its
@@ -303,7 +306,8 @@
             for report in isolated_reports
             if not all(run.owed for run in report.runs if trait in traits_of(run))
         ]
-        chances = max(self._count_crashes(counted) - self._min_units_of_work(trait), 0) + 1
+        min_crashes = self._min_isolated_crashes(trait, isolated_reports)
+        chances = max(self._count_crashes(counted) - min_crashes, 0) + 1
         return pauses_ms[chances - 1] if chances <= len(pauses_ms) else policy.retention_ms
 
     def _known_causes(self) -> set[str]:
@@ -345,17 +349,29 @@
         ]
         if self._count_crashes(reports) < self._policy.min_crashes:
             return False
-        work_ids = {
-            run.work_id
-            for report in reports
-            if self._was_isolated(trait, report)
-            for run in report.runs
-            if trait in traits_of(run)
-        }
-        return len(work_ids) >= self._min_units_of_work(trait) or self._has_varying_concurrent_runs(
+        isolated_reports = [item for item in reports if self._was_isolated(trait, item)]
+        return self._is_shown_by(trait, isolated_reports) or self._has_varying_concurrent_runs(
             trait, reports
         )
 
+    def _is_shown_by(self, trait: str, isolated_reports: list[CrashReport]) -> bool:
+        """Whether isolated crashes are enough to show that a trait is the cause."""
+        if is_part(trait):
+            runs = (run for report in isolated_reports for run in report.runs)
+            work_ids = {run.work_id for run in runs if trait in traits_of(run)}
+            return len(work_ids) >= self._policy.part_min_units_of_work
+        count = self._count_crashes(isolated_reports)
+        return count >= self._min_isolated_crashes(trait, isolated_reports)
+
+    def _min_isolated_crashes(self, trait: str, isolated_reports: list[CrashReport]) -> int:
+        """Return how many isolated crashes show that a trait is the cause."""
+        if is_part(trait):
+            return self._policy.part_min_units_of_work
+        # A run under which its upstream crashes for another reason has mostly begun to produce
+        # output, as it takes much longer than the time to its first output.
+        weights = (self._weight(trait, report) for report in isolated_reports)
+        return math.ceil(1 / max(weights, default=1.0))
+
     def _has_varying_concurrent_runs(self, trait: str, reports: list[CrashReport]) -> bool:
         """Whether runs meant to be isolated crashed upstreams with different concurrent runs.
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -146,6 +146,29 @@
         record(self.quarantine, report("3", *mixed("slow", begun=True)))
         self.assertIs(self.restriction("slow"), Restriction.ALONE)
 
+    # An upstream restarted within a second of an isolated answer that looked complete.
+    def test_one_crash_of_an_isolated_run_with_output_refuses_no_work(self) -> None:
+        for number in range(2):
+            record(self.quarantine, report(str(number), *mixed("innocent", f"x{number}")))
+        isolated = CrashedRun("innocent", alone=True, begun=True)
+        record(self.quarantine, report("2", isolated))
+        for now_ms in (START_MS, SETTLED_MS):
+            self.assertIs(self.restriction("innocent", now_ms), Restriction.ALONE)
+        record(self.quarantine, WorkCleared("c", "innocent", ["0", "1", "2"], START_MS))
+        self.assertIs(self.restriction("innocent"), Restriction.FREE)
+
+    def test_work_that_crashes_upstreams_after_its_first_output_is_refused(self) -> None:
+        for number in range(2):
+            record(self.quarantine, report(str(number), *mixed("bad", f"x{number}")))
+        for number in (2, 3):
+            self.assertIs(self.restriction("bad"), Restriction.ALONE)
+            isolated = CrashedRun("bad", alone=True, begun=True)
+            record(self.quarantine, report(str(number), isolated))
+        verdict = self.quarantine.verdict("bad", START_MS + POLICY.retry_pauses_ms[0] - 1)
+        self.assertIs(verdict.restriction, Restriction.REFUSED)
+        second_ms = START_MS + POLICY.retry_pauses_ms[0]
+        self.assertIs(self.restriction("bad", second_ms), Restriction.ALONE)
+
     def test_a_complete_run_voids_earlier_reports_and_no_later_ones(self) -> None:
         known_cause(self.quarantine, "work")
         reports = self.quarantine.reports_against("work")
