--- a/tests/builders/partition.py
+++ b/tests/builders/partition.py
@@ -27,6 +27,7 @@
 class Network:
     """The links between nodes; those in different ``groups`` carry nothing.
 
+    ``receivers`` are further members, numbered after the nodes, that open no connections.
     Connections that a cut has silenced end when it does, as bytes of them are lost.
     """
 
@@ -34,6 +35,7 @@
     port: int
     size: int
     groups: Mapping[int, int] = field(default_factory=dict)
+    receivers: int = 0
     _silenced: set[trio.CancelScope] = field(default_factory=set)
 
     def host(self, node: int) -> str:
@@ -55,7 +57,7 @@
         """Forward between all pairs until cancelled."""
         async with trio.open_nursery() as nursery:
             for node in range(self.size):
-                for other in range(self.size):
+                for other in range(self.size + self.receivers):
                     if node != other:
                         await nursery.start(self._serve, node, other)
                         nursery.start_soon(self._datagrams, node, other)
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -12,10 +12,12 @@
 python -m tests.soak: real node processes under faults, judged by what clients and upstreams see.
 
 usage: python -m tests.soak [--seeds=FIRST-LAST] [--seconds=S] [--nodes=N] [--spools=N]
-                            [--releases] [--restarts] [--folder=DIR]
+                            [--releases] [--restarts] [--origins [--alone]] [--folder=DIR]
 
 With --releases upstreams of several software versions serve beside each other; with --restarts
 upstreams also restart under their IDs at other versions, and their entries are late.
+With --origins nodes are isolated while other services get a second version, and routes move between
+services; with --alone beside no other faults.
 
 Prints one JSON line for each seed.  Logs of a seed that broke a promise stay in DIR/seed-N.
 
@@ -31,6 +33,8 @@
     folder: str = "soak-logs",
     releases: bool = False,
     restarts: bool = False,
+    origins: bool = False,
+    alone: bool = False,
 ) -> int:
     first, _, last = seeds.partition("-")
     if not first.isdigit() or not (last or first).isdigit():
@@ -46,6 +50,8 @@
             spools,
             releases=releases,
             restarts=restarts,
+            origins=origins,
+            alone=alone,
         )
         print(msgspec.json.encode(report).decode(), flush=True)
         broken += report.has_failed
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -13,7 +13,7 @@
 
 from fescuedock.platform.standin.event_upstream import UpstreamFault
 from fescuedock.standin.kv_faults import LostAnswer
-from tests.builders.node import config_document
+from tests.builders.node import SERVICE, config_document
 from tests.soak.customers import initial_customers
 from tests.soak.harness import (
     STOP_TIMEOUT_S,
@@ -81,8 +81,8 @@
         return self.rng.choice(self.harness.nodes)
 
     def _upstream(self) -> SoakUpstream:
-        registered = [item for item in self.harness.upstreams if item.registered]
-        return self.rng.choice(registered or self.harness.upstreams)
+        upstreams = self.harness.upstreams_of(SERVICE)
+        return self.rng.choice([item for item in upstreams if item.registered] or upstreams)
 
     # --- nodes -----------------------------------------------------------------------------------
 
@@ -266,7 +266,7 @@
 
     async def _crash(self) -> str:
         item = self._upstream()
-        ready = [other for other in self.harness.upstreams if other.registered]
+        ready = [other for other in self.harness.upstreams_of(SERVICE) if other.registered]
         if len(ready) <= _MIN_UPSTREAMS or item.state != "ready":
             return ""
         item.registered = False
--- a/tests/soak/harness.py
+++ b/tests/soak/harness.py
@@ -20,6 +20,7 @@
 from fescuedock.platform.standin.metadata_store import MetadataStoreService
 from tests.builders.node import SERVICE, config_document, worker_entry
 from tests.builders.ports import free_ports
+from tests.soak.links import FIRST_SPOOL_HOST, NodeLinks
 from tests.soak.proxy import FaultProxy
 
 __all__ = [
@@ -40,6 +41,7 @@
 # The start time that the first process of an upstream names; later ones name later times.
 _BORN_MS = 1_790_000_000_000
 _HEARTBEAT_S = 0.4
+_OF_SERVICE = " of "
 # Three heartbeats.
 _LEASE_S = 1.2
 # Items whose name has this prefix take ``_SLOW_ITEM_S`` before their first event.
@@ -190,6 +192,7 @@
     upstream: EventUpstream
     proxy: FaultProxy
     state: str = "ready"
+    service: str = SERVICE
     registered: bool = True
     # When the store accepted the entry that says it is leaving; infinite until then.
     leaving_s: float = float("inf")
@@ -216,6 +219,9 @@
     # Software version of upstreams that start from now on.
     version: str = DEFAULT_VERSION
     sequence: int = 0
+    # Whether nodes reach each other and the spools through ``links``, which can be cut.
+    is_linked: bool = False
+    links: NodeLinks | None = None
 
     @property
     def upstream_host(self) -> str:
@@ -230,6 +236,9 @@
         self.nursery.start_soon(self._send_heartbeats)
         # The same ports on all nodes, as each node has its own host address.
         ports = free_ports(5, f"{self.network}1")
+        if self.is_linked:
+            self.links = NodeLinks(self.network, ports[-1], nodes, receivers=spools)
+            await self.nursery.start(self.links.run)
         for number in range(nodes):
             await self._add_node(number, ports)
         for number in range(spools):
@@ -239,6 +248,10 @@
         """Return the node with that name."""
         return next(node for node in self.nodes if node.name == name)
 
+    def upstreams_of(self, service: str) -> list[SoakUpstream]:
+        """Return the upstreams of one service."""
+        return [item for item in self.upstreams if item.service == service]
+
     def configure(self, changes: dict) -> None:
         """Write a new version, with a route that only it and later versions have."""
         version = self.config["version"] + 1
@@ -250,12 +263,19 @@
         self.store.state.put("op/config", json.dumps(self.config).encode())
         self.config_changed_s = trio.current_time()
 
-    async def add_upstream(self, name: str) -> SoakUpstream:
+    async def add_upstream(
+        self, name: str, service: str = SERVICE, version: str = ""
+    ) -> SoakUpstream:
+        """Start an upstream; what it sends names its version, and its service if that is another.
+
+        Without ``version`` it is the newest one.
+        """
+        version = version or self.version
         upstream = SlowItemUpstream(
             name,
             event_count=12,
             event_interval_ms=15.0,
-            version=self.version,
+            version=version if service == SERVICE else f"{version}{_OF_SERVICE}{service}",
             born=_BORN_MS,
             unframed=len(self.upstreams) % 2 == 1,
         )
@@ -264,7 +284,7 @@
         await self.nursery.start(upstream.run, address)
         proxy = FaultProxy(upstream.address)
         await self.nursery.start(proxy.run, self.upstream_host)
-        added = SoakUpstream(upstream, proxy)
+        added = SoakUpstream(upstream, proxy, service=service)
         upstream.harmful = self.harmful
         upstream.harmful_parts = self.harmful_parts
         upstream.on_crash = lambda _upstream: self._handle_crash(added)
@@ -298,9 +318,10 @@
         address = str(item.proxy.address)
         entry = worker_entry(
             address,
+            service=item.service,
             state=item.state,
             sequence=self.sequence,
-            version=item.upstream.version,
+            version=item.upstream.version.partition(_OF_SERVICE)[0],
             born=item.upstream.born,
         )
         key = f"servers/{item.upstream.upstream_id}"
@@ -359,7 +380,7 @@
         )
         node = NodeProcess(
             name=name,
-            module="fescuedock.node.main",
+            module="tests.soak.links" if self.is_linked else "fescuedock.node.main",
             front=Address(host, front),
             directory=Address(host, directory),
             settings=settings,
@@ -376,7 +397,7 @@
         settings.write_text(
             _SPOOL_INI.format(
                 name=name,
-                host=f"{self.network}{100 + number}",
+                host=f"{self.network}{FIRST_SPOOL_HOST + number}",
                 domain=number % 3,
                 folder=self.folder / f"{name}-disk",
                 store=proxy.address,
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -48,6 +48,8 @@
     address: Address | None = None
     delay_ms: float = 0.0
     refuses: bool = False
+    # Discards the data of new connections; for that of open ones see ``silence_open``.
+    silent: bool = False
     _links: set[_Link] = field(default_factory=set)
     _up: trio.Event = field(default_factory=trio.Event)
     _scope: trio.CancelScope = field(default_factory=trio.CancelScope)
@@ -99,7 +101,7 @@
         except OSError:
             await client.aclose()
             return
-        link = _Link(client, server)
+        link = _Link(client, server, drops_requests=self.silent, drops_answers=self.silent)
         self._links.add(link)
         try:
             async with client, server, trio.open_nursery() as nursery:
--- a/tests/soak/releases.py
+++ b/tests/soak/releases.py
@@ -1,11 +1,12 @@
 """Releases of upstreams' software under faults, and clients that resume streams elsewhere."""
 
 import re
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 
 import trio
 
+from tests.builders.node import SERVICE
 from tests.soak.clients import OnlineClient, call_node
 from tests.soak.faults import Schedule
 from tests.soak.harness import NodeProcess
@@ -20,8 +21,6 @@
 _MIN_UPSTREAMS = 2
 # How late an upstream that restarted under its ID writes its first entry.
 _ENTRY_DELAY_S = (0.0, 1.5)
-# When a client that loses its connection to a node disconnects.
-_DISCONNECT_AFTER_S = (0.04, 0.2)
 _DISCONNECT_SHARE = 0.5
 _CLIENT_TIMEOUT_S = 4.0
 # How long a refused client waits before it retries.
@@ -51,7 +50,7 @@
     async def _crash_at(self) -> str:
         """Crash an upstream, which restarts with the version of the newest release."""
         item = self._upstream()
-        ready = [other for other in self.harness.upstreams if other.registered]
+        ready = [other for other in self.harness.upstreams_of(SERVICE) if other.registered]
         if len(ready) <= _MIN_UPSTREAMS or item.state != "ready":
             return ""
         item.upstream.crash()
@@ -83,17 +82,26 @@
 
 @dataclass(slots=True)
 class ResumingClient(OnlineClient):
-    """Calls a route whose streams may be resumed, and resumes broken ones at other nodes."""
+    """Calls a route whose streams may be resumed, and resumes broken ones at other nodes.
+
+    These are ``resume_at``, or all nodes if there are none.
+    """
+
+    prefix: str = "/check/"
+    resume_at: Sequence[NodeProcess] = ()
+    # When a client that loses its connection to a node disconnects.
+    disconnect_after_s: tuple[float, float] = (0.04, 0.2)
 
     async def run(self) -> None:
         """Call until cancelled."""
         while True:
             await trio.sleep(self.rng.expovariate(1 / 0.2))
-            await self._stream(self.rng.choice(self.harness.nodes))
+            await self.stream(self.rng.choice(self.harness.nodes))
 
-    async def _stream(self, node: NodeProcess) -> None:
+    async def stream(self, node: NodeProcess) -> None:
+        """Begin one stream at ``node``, and judge it when it is complete or given up."""
         number = self.rng.randrange(10**12)
-        path, body = f"/check/s{number}", b"x" * self.rng.randrange(200)
+        path, body = f"{self.prefix}s{number}", b"x" * self.rng.randrange(200)
         attempts: list[OnlineAttempt] = []
         started = None
         while len(attempts) < _MAX_ATTEMPTS:
@@ -108,7 +116,7 @@
                 return
             if attempts[-1].status in (429, 503):
                 await trio.sleep(_PAUSE_S)
-            node = self.rng.choice(self.harness.nodes)
+            node = self.rng.choice(self.resume_at or self.harness.nodes)
         self.ledger.judge_stream(attempts)
         if len(attempts) > 1:
             self.ledger.resumed_streams += 1
@@ -131,7 +139,7 @@
             headers |= {"last-event-id": str(attempt.first_event - 1)}
         self.ledger.attempts.append(attempt)
         disconnects = not previous and self.rng.random() < _DISCONNECT_SHARE
-        timeout_s = self.rng.uniform(*_DISCONNECT_AFTER_S) if disconnects else _CLIENT_TIMEOUT_S
+        timeout_s = self.rng.uniform(*self.disconnect_after_s) if disconnects else _CLIENT_TIMEOUT_S
         attempt.abandoned = disconnects
         reply = await call_node(
             self.http, node.front, "POST", path, body, headers, timeout_s=timeout_s
--- a/tests/soak/runs.py
+++ b/tests/soak/runs.py
@@ -27,6 +27,7 @@
 )
 from tests.soak.harness import SoakHarness, accepts_connections, loopback_network
 from tests.soak.lost_ends import LostEndClient, lose_ends
+from tests.soak.origins import OriginSchedule, with_services
 from tests.soak.overlaps import OverlapSchedule
 from tests.soak.promises import CALM_S, END_S, Ledger, OnlineAttempt
 from tests.soak.releases import ReleaseSchedule, RestartSchedule, ResumingClient
@@ -110,15 +111,21 @@
     harm: bool = True,
     releases: bool = False,
     restarts: bool = False,
+    origins: bool = False,
+    alone: bool = False,
 ) -> SoakReport:
     """Run one seed; its folder with logs is retained only if a promise was broken.
 
     Without ``spools`` there is only one series of faults, and no unacknowledged ends.  Without
     ``harm`` no work crashes upstreams.  With ``releases`` upstreams have different versions, and
-    with ``restarts`` they also restart under their IDs at others.
+    with ``restarts`` they also restart under their IDs at others.  With ``origins`` nodes are
+    isolated while services get their second version, and routes move between services; ``alone``
+    leaves out the other faults.
     """
     logs = new_folder(folder / f"seed-{seed}")
-    report = trio.run(_run, seed, logs, fault_s, nodes, spools, harm, releases, restarts)
+    report = trio.run(
+        _run, seed, logs, fault_s, nodes, spools, harm, releases, restarts, origins, alone
+    )
     if not report.has_failed:
         shutil.rmtree(logs)
     else:
@@ -147,13 +154,22 @@
     harm: bool,
     releases: bool,
     restarts: bool,
+    origins: bool,
+    alone: bool,
 ) -> SoakReport:
     # Separate sources: the clients' draws depend on the duration of calls, and must not change the
     # schedule of faults.
     rng, fault_rng = random.Random(f"clients-{seed}"), random.Random(seed)
     ledger = Ledger(unix_offset_s=time.time() - trio.current_time())
     async with trio.open_nursery() as nursery:
-        harness = SoakHarness(nursery, logs, loopback_network(), config=initial_configuration())
+        config = initial_configuration()
+        harness = SoakHarness(
+            nursery,
+            logs,
+            loopback_network(),
+            config=with_services(config) if origins else config,
+            is_linked=origins,
+        )
         harmful_clients: list[HarmfulClient] = []
         if harm:
             harness.harmful |= harmful_paths()
@@ -170,8 +186,8 @@
         slow_rng = random.Random(f"slow-{seed}")
         reader = SlowReader(harness, ledger, slow_rng)
         slow = [reader, NeverReader(harness, ledger, slow_rng, reader)]
-        schedules = [Schedule(harness, ledger, fault_rng)]
-        if spools:
+        schedules = [] if alone else [Schedule(harness, ledger, fault_rng)]
+        if spools and not alone:
             overlap_rng = random.Random(f"overlaps-{seed}")
             schedules.append(OverlapSchedule(harness, ledger, overlap_rng))
         resuming: list[ResumingClient] = []
@@ -184,6 +200,8 @@
         if restarts:
             restart_rng = random.Random(f"restarts-{seed}")
             schedules.append(RestartSchedule(harness, ledger, restart_rng))
+        if origins:
+            schedules.append(OriginSchedule.of_seed(seed, harness, ledger))
         await nursery.start(_end_on_signal)
         try:
             await harness.start(nodes, _UPSTREAMS, spools)
