--- a/tests/soak/regressions.py
+++ b/tests/soak/regressions.py
@@ -20,6 +20,8 @@
     spools: int = 0
     # Whether work that crashes upstreams is sent as well.
     harm: bool = False
+    # Whether nodes are isolated and routes move, beside no other faults.
+    origins: bool = False
 
 
 REGRESSIONS: tuple[Regression, ...] = (
@@ -47,4 +49,18 @@
         spools=3,
         harm=True,
     ),
+    Regression(
+        9563,
+        4,
+        6.0,
+        "a stream of one service went on at the other one, to which its route had moved",
+        origins=True,
+    ),
+    Regression(
+        9564,
+        4,
+        6.0,
+        "an isolated node resumed streams of the second version by a record that named the first",
+        origins=True,
+    ),
 )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -424,7 +424,18 @@
     """Seeds that failed once must keep the promises; there is one test for each of them."""
 
     def check(self, case: Regression) -> None:
-        report = run_seed(case.seed, LOGS, case.fault_s, case.nodes, case.spools, harm=case.harm)
+        report = run_seed(
+            case.seed,
+            LOGS,
+            case.fault_s,
+            case.nodes,
+            case.spools,
+            harm=case.harm,
+            origins=case.origins,
+            alone=case.origins,
+        )
+        if case.origins:
+            self.assertGreater(report.went_on, 0)
         check_report(self, report, case.cause)
         self.assertEqual(report.broken_lost_ends, [])
 
