--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -17,7 +17,7 @@
 from tests.builders.partition import Network
 from tests.builders.partitioned_node import redirect
 
-__all__ = ["FIRST_SPOOL_HOST", "NodeLinks"]
+__all__ = ["FIRST_SPOOL_HOST", "NodeLinks", "proxied"]
 
 # The last numbers of host addresses: nodes begin at 1, spools and proxies at these.
 FIRST_SPOOL_HOST = 100
@@ -43,7 +43,7 @@
         return _proxy_host(self.prefix, node, other if spool < 0 else _MAX_NODES + spool)
 
 
-def _proxied(own_host: str, address: Address) -> Address:
+def proxied(own_host: str, address: Address) -> Address:
     """Return where the node at ``own_host`` finds the node or spool at ``address``."""
     prefix, own_number = own_host[: own_host.rindex(".") + 1], own_host.rpartition(".")[2]
     if not address.host.startswith(prefix) or address.host == own_host:
@@ -64,7 +64,7 @@
     file = sys.argv.pop(1)
     settings = ConfigParser()
     settings.read(file, encoding="utf-8")
-    redirect(partial(_proxied, settings["vm"]["host"]))
+    redirect(partial(proxied, settings["vm"]["host"]))
     run_program("node", run_node, NODE_SECTIONS, file=file)
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,14 +15,25 @@
 import trio.testing
 
 from fescuedock.address import Address
-from fescuedock.platform.standin.event_upstream import EventUpstream
+from fescuedock.platform.standin.event_upstream import EventUpstream, event_bytes
 from tests.builders.standins import run_async
 from tests.soak.clients import JobClient, Reply
 from tests.soak.ending import EndingClient
 from tests.soak.faults import Schedule
 from tests.soak.harness import SoakUpstream
+from tests.soak.links import NodeLinks, proxied
+from tests.soak.origins import OriginSchedule
 from tests.soak.overlaps import OverlapSchedule
-from tests.soak.promises import ACK_S, CALM_S, END_S, Disturbance, Ledger, SoakJob, expected_text
+from tests.soak.promises import (
+    ACK_S,
+    CALM_S,
+    END_S,
+    Disturbance,
+    Ledger,
+    OnlineAttempt,
+    SoakJob,
+    expected_text,
+)
 from tests.soak.proxy import FaultProxy
 from tests.soak.regressions import REGRESSIONS, Regression
 from tests.soak.runs import SoakReport, new_folder, run_seed
@@ -384,6 +395,76 @@
 
         run_async(run)
 
+    def test_silenced_proxy_forwards_nothing_of_new_connections(self) -> None:
+        received: list[bytes] = []
+
+        async def echo(stream: trio.SocketStream) -> None:
+            async for data in stream:
+                await stream.send_all(data)
+
+        async def run() -> None:
+            async with trio.open_nursery() as nursery:
+                [listener] = await trio.open_tcp_listeners(0, host="127.0.0.1")
+                nursery.start_soon(trio.serve_listeners, echo, [listener])
+                proxy = FaultProxy(Address("127.0.0.1", listener.socket.getsockname()[1]))
+                address = await nursery.start(proxy.run, "127.0.0.1")
+                for is_silent in (False, True):
+                    proxy.silent = is_silent
+                    async with await trio.open_tcp_stream(address.host, address.port) as stream:
+                        await stream.send_all(b"x")
+                        with trio.move_on_after(0.2):
+                            received.append(await stream.receive_some(1))
+                nursery.cancel_scope.cancel()
+
+        run_async(run)
+        self.assertEqual(received, [b"x"])
+
+    def test_every_pair_of_a_node_and_a_peer_has_a_proxy_of_its_own(self) -> None:
+        links = NodeLinks("127.100.1.", 7000, 4, receivers=3)
+        proxies = set()
+        for node in range(4):
+            for other in {*range(7)} - {node}:
+                found = proxied(links.host(node), Address(links.host(other), 7000))
+                self.assertEqual(found, Address(links.proxy_host(node, other), 7000))
+                # Replies to a datagram go to the proxy from which it came.
+                self.assertEqual(proxied(links.host(node), found), found)
+                proxies.add(found)
+            for host in (links.host(node), "127.100.1.250", "127.100.1.251", "127.0.0.1"):
+                self.assertEqual(proxied(links.host(node), Address(host, 1)), Address(host, 1))
+        self.assertEqual(len(proxies), 4 * 6)
+
+    def test_an_isolated_node_reaches_neither_peers_nor_the_store(self) -> None:
+        nodes = [mock.Mock(store_proxy=FaultProxy(Address("127.0.0.1", 1))) for _ in range(3)]
+        harness = mock.Mock(nodes=nodes, links=NodeLinks("127.100.1.", 7000, 3, receivers=1))
+        schedule = OriginSchedule.of_seed(SEED, harness, Ledger())
+        schedule._cut(nodes[:2], True)
+        cut = {(a, b) for a in range(4) for b in range(a) if harness.links.is_cut(a, b)}
+        self.assertEqual(cut, {(1, 0), (2, 0), (2, 1), (3, 0), (3, 1)})
+        self.assertEqual([node.store_proxy.silent for node in nodes], [True, True, False])
+        schedule._cut(nodes[:1], False)
+        cut = {(a, b) for a in range(4) for b in range(a) if harness.links.is_cut(a, b)}
+        self.assertEqual(cut, {(1, 0), (2, 1), (3, 1)})
+        self.assertFalse(nodes[0].store_proxy.silent)
+
+    def test_a_stream_is_of_one_service_and_version(self) -> None:
+        cases = [
+            ("v1 of a", "v1 of a", ""),
+            ("v1 of a", "v1 of b", "of the versions v1 of a, v1 of b"),
+            ("v1.1 of a", "v1 of a", "of the versions v1 of a, v1.1 of a"),
+            ("v1 of a", "v1", "of the versions v1, v1 of a"),
+        ]
+        for first, second, expected in cases:
+            with self.subTest(first=first, second=second):
+                parts = [(0, event_bytes(0, "/p", 1, first)), (1, event_bytes(1, "/p", 1, second))]
+                attempts = [
+                    OnlineAttempt(f"s-{n}", "/p", b"x", "n", 0.0, status=200, answer=answer)
+                    for n, answer in parts
+                ]
+                ledger = Ledger()
+                ledger.judge_stream(attempts)
+                self.assertEqual(len(ledger.violations), bool(expected), ledger.violations)
+                self.assertIn(expected, "".join(ledger.violations))
+
     def test_body_read_slowly_is_complete_or_visibly_truncated(self) -> None:
         """Only wrong bytes and a smaller declared length are violations; truncation is not."""
         item = f"{BIG_ITEM}1"
