Reset an HTTP/1.0 caller's connection where its answer breaks off

A caller that speaks HTTP/1.0 got a streamed answer that broke off as a whole one: it has no chunks, and its end was that of the connection.

Cause: a connection whose handler was dropped, failed or was cancelled is closed in order. To a caller of HTTP/1.1 the missing last chunk shows that the answer is incomplete; nothing shows it to one of HTTP/1.0. Now such a connection is reset. A process that is killed still closes it in order, which the kernel does.

Shown: test_an_answer_to_an_http_1_0_caller_that_breaks_off_never_looks_complete fails before. Two more tests keep what was right at this side: a request that breaks off (length and chunks, with and without a reset) reaches no handler as whole, which fails if the end of a connection counts as the end of a body, and a refusal during the upload is whole and closes the connection, which fails if it does not.

--- a/src/fescuedock/net/http_connection.py
+++ b/src/fescuedock/net/http_connection.py
@@ -84,6 +84,7 @@
         "_held",
         "_in_chunks",
         "_is_closing",
+        "_is_http_1_0",
         "_is_waiting",
         "_limits_of",
         "_nursery",
@@ -129,6 +130,8 @@
         self._body_held_bytes = 0
         self._upload_scope: trio.CancelScope | None = None
         self._refusal = ""
+        # Whether the caller of the current request knows no chunks.
+        self._is_http_1_0 = False
         # Whether the body of the current response is chunked.
         self._in_chunks = False
 
@@ -424,6 +427,7 @@
     def begin_body(self, head: h11.Request) -> None:
         """Handle the end of a request without a body, so that disconnects are watched at once."""
         self._body_bytes = self._body_held_bytes = 0
+        self._is_http_1_0 = head.http_version < b"1.1"
         names = {bytes(name) for name, _ in head.headers}
         if not names & {b"content-length", b"transfer-encoding"}:
             self.protocol.next_event()
@@ -454,9 +458,12 @@
         """Close, after reading some of the bytes that the caller still sends.
 
         Closing with unread bytes resets the connection, which can destroy a response in transit.
+        An incomplete response to an HTTP/1.0 caller needs that reset, as it has no chunks.
         """
         self._free()
-        if not self.body_read and not self._peer_closed and not self._cut_off:
+        if self._is_http_1_0 and self.protocol.our_state is h11.SEND_BODY:
+            self._stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _DISCARD_UNSENT)
+        elif not self.body_read and not self._peer_closed and not self._cut_off:
             await self._linger()
         await self._stream.aclose()
 
--- a/tests/test_net_http.py
+++ b/tests/test_net_http.py
@@ -1,5 +1,7 @@
 """The HTTP transport: complete answers, error classification, disconnects, graceful stops."""
 
+import socket
+import struct
 import unittest
 
 import trio
@@ -103,6 +105,76 @@
 
         self.run_guarded(test)
 
+    # Its end was that of the connection, as after a whole answer.
+    def test_an_answer_to_an_http_1_0_caller_that_breaks_off_never_looks_complete(self) -> None:
+        async def answer(request: Request, responder: Responder) -> None:
+            stream = await responder.begin(200, [("content-type", "text/plain")])
+            await stream.write(b"half")
+            if request.path == "/drop":
+                raise DroppedConnectionError
+            if request.path == "/fail":
+                raise RuntimeError("handler failure")
+            await stream.write(b" and half")
+            await responder.end()
+
+        async def call(address: Address, request: bytes) -> bytes:
+            stream = await trio.open_tcp_stream(address.host, address.port)
+            async with stream:
+                await stream.send_all(request)
+                return b"".join([part async for part in stream])
+
+        async def test() -> None:
+            async with served(answer) as (_, address):
+                for length in (b"", b"content-length: 9\r\n"):
+                    end = b" HTTP/1.0\r\n" + length + b"\r\n"
+                    for target in (b"/drop", b"/fail"):
+                        with self.assertRaises(trio.BrokenResourceError):
+                            await call(address, b"POST " + target + end)
+                    whole = await call(address, b"POST /" + end)
+                    self.assertTrue(whole.endswith(b"\r\n\r\nhalf and half"), whole)
+
+        self.run_guarded(test)
+
+    def test_a_request_that_breaks_off_reaches_no_handler_as_whole(self) -> None:
+        bodies: list[bytes] = []
+
+        async def read(request: Request, responder: Responder) -> None:
+            bodies.append(await request.read(100_000))
+            await responder.send(200)
+
+        async def test() -> None:
+            async with served(read) as (_, address):
+                for head in (b"content-length: 9", b"transfer-encoding: chunked"):
+                    for is_reset in (False, True):
+                        stream = await trio.open_tcp_stream(address.host, address.port)
+                        part = b"4\r\nhalf\r\n" if b"chunked" in head else b"half"
+                        await stream.send_all(b"POST / HTTP/1.1\r\nhost: x\r\n" + head)
+                        await stream.send_all(b"\r\n\r\n" + part)
+                        await trio.testing.wait_all_tasks_blocked(0.02)
+                        if is_reset:
+                            linger = struct.pack("ii", 1, 0)
+                            stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                            await stream.aclose()
+                        else:
+                            await stream.send_eof()
+                            answer = b"".join([part async for part in stream])
+                            self.assertEqual(answer.split(b" ")[1], b"400")
+                await trio.testing.wait_all_tasks_blocked(0.02)
+            self.assertEqual(bodies, [])
+
+        self.run_guarded(test)
+
+    def test_a_refusal_during_the_upload_is_whole_and_closes_the_connection(self) -> None:
+        async def test() -> None:
+            async with served(echo_body) as (_, address), open_http_client() as client:
+                for body in (b"x" * 20_000, b"x" * 3_000_000):
+                    async with client.request(address, "POST", "/", (), body) as response:
+                        self.assertEqual(response.status, 413)
+                        self.assertEqual(response.headers["connection"], "close")
+                        self.assertIn(b'"outcome":"not_run"', await response.read())
+
+        self.run_guarded(test)
+
     def test_body_parts_that_arrived_together_are_read_at_once(self) -> None:
         async def answer(request: Request, responder: Responder) -> None:
             stream = await responder.begin(200, [])
