Test answers cut off within the head, framed ones, and parts of large bodies

These were right and are held by tests now, for calls and items: an answer that is reset or closed before or within its head is none; one with a length or chunks that comes before the upload was written is whole if it is complete and cut off if one byte is missing; a reset after the whole request was received, with the answer or between two reads, leaves no whole part; no other upstream's answer follows the part of a body over 1 MiB that the client has got.

--- a/tests/builders/early_answers.py
+++ b/tests/builders/early_answers.py
@@ -106,7 +106,7 @@
             stream.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             sent = self.answer(head)
             # Without a checkpoint between this and the end.
-            assert stream.socket._sock.send(sent) == len(sent)
+            assert not sent or stream.socket._sock.send(sent) == len(sent)
         if self.end is End.RESET:
             stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
             stream.socket.close()
--- a/tests/test_node_early_answers.py
+++ b/tests/test_node_early_answers.py
@@ -36,6 +36,9 @@
     (End.FIN, 0.0, LONG_BODY),
     (End.FIN, 0.0, BUFFERED_BODY),
     (End.FIN, 0.05, BUFFERED_BODY),
+    # The whole request was received, and the reset comes with the answer or between two reads.
+    (End.RESET, 0.0, b"x"),
+    (End.RESET, 0.05, b"x"),
 ]
 
 
@@ -54,6 +57,21 @@
     return answer_of(head, fields="content-type: text/event-stream\r\n", body=b"".join(events))
 
 
+def with_length(head: str, missing_bytes: int) -> bytes:
+    """Return a whole answer with a length, without its last bytes."""
+    events = first_events(head, EVENTS).partition(b"\r\n\r\n")[2]
+    fields = f"content-type: text/event-stream\r\ncontent-length: {len(events)}\r\n"
+    return answer_of(head, fields=fields, body=events[: len(events) - missing_bytes])
+
+
+def in_chunks(head: str, missing_bytes: int) -> bytes:
+    """Return a whole answer in chunks, without its last bytes."""
+    events = first_events(head, EVENTS).partition(b"\r\n\r\n")[2]
+    fields = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n"
+    body = b"%x\r\n%s\r\n0\r\n\r\n" % (len(events), events)
+    return answer_of(head, fields=fields, body=body[: len(body) - missing_bytes])
+
+
 class EarlyAnswersTest(unittest.TestCase):
     def play(
         self,
@@ -89,14 +107,25 @@
         run_async(run, virtual_clock())
 
     def call(
-        self, server: EarlyServer, prefix: str, body: bytes = LONG_BODY, *, has_other: bool = True
+        self,
+        server: EarlyServer,
+        prefix: str,
+        body: bytes = LONG_BODY,
+        *,
+        has_other: bool = True,
+        other_runs: list[int] | None = None,
     ) -> Answer:
-        """Return the answer to a call that ``server`` gets first."""
+        """Return the answer to a call that ``server`` gets first.
+
+        Add the number of runs at the other upstream to ``other_runs``.
+        """
         answers: list[Answer] = []
 
         async def test(fleet: NodeFleet) -> None:
             front = fleet.nodes[0].front
             answers.append(await fleet.call(front, "POST", f"{prefix}case", body))
+            if other_runs is not None:
+                other_runs.append(fleet.upstreams[0].runs.total())
 
         self.play(server, test, has_other=has_other)
         return answers[0]
@@ -223,12 +252,75 @@
         """Return a server that answers with ``status`` and is otherwise sound."""
 
         def answer(head: str) -> bytes:
-            events = first_events(head, EVENTS).partition(b"\r\n\r\n")[2]
-            fields = f"content-type: text/event-stream\r\ncontent-length: {len(events)}\r\n"
-            return answer_of(head, status, fields, events)
+            return with_length(head, 0).replace(b"200 OK", status.encode(), 1)
 
         return EarlyServer(answer, End.STAY)
 
+    def test_an_answer_cut_off_within_its_head_is_none(self) -> None:
+        for length in (0, 15, 40, -1):
+            for end in (End.RESET, End.FIN):
+                with self.subTest(length=length, end=end):
+                    self.check_cut(lambda head, n=length: first_events(head, 0)[:n], end)
+
+    def check_cut(self, answer: Callable[[str], bytes], end: End) -> None:
+        for body in (LONG_BODY, b"x"):
+            call = self.call(EarlyServer(answer, end), "/check/", body)
+            self.assertEqual((call.status, event_numbers(call.body)), (200, ALL))
+            call = self.call(EarlyServer(answer, end), "/rights/", body)
+            self.assertEqual((call.status, call.complete), (502, True))
+        result = self.run_item(EarlyServer(answer, end), body)
+        self.assertEqual(len(result["text"].split("\n")), EVENTS)
+
+    def test_framed_answers_before_the_upload_ended_are_whole_or_cut_off(self) -> None:
+        for frame in (with_length, in_chunks):
+            for end, pause_s in (
+                (End.RESET, 0.0),
+                (End.RESET, 0.05),
+                (End.FIN, 0.0),
+                (End.STAY, 0.0),
+            ):
+                with self.subTest(frame=frame.__name__, end=end, pause_s=pause_s):
+                    self.check_framed(frame, end, pause_s)
+
+    def check_framed(self, frame: Callable[[str, int], bytes], end: End, pause_s: float) -> None:
+        def whole(head: str) -> bytes:
+            return frame(head, 0)
+
+        def cut(head: str) -> bytes:
+            return frame(head, 1)
+
+        for prefix in ("/check/", "/rights/", "/safe/"):
+            answer = self.call(EarlyServer(whole, end, pause_s), prefix, has_other=False)
+            self.assertEqual((answer.status, answer.complete), (200, True))
+            self.assertEqual(event_numbers(answer.body), ALL)
+        result = self.run_item(EarlyServer(whole, end, pause_s))
+        self.assertEqual(len(result["text"].split("\n")), EVENTS)
+        if end is End.STAY:
+            return
+        answer = self.call(EarlyServer(cut, end, pause_s), "/rights/")
+        self.assertFalse(answer.complete)
+        for prefix in ("/check/", "/safe/"):
+            answer = self.call(EarlyServer(cut, end, pause_s), prefix)
+            self.assertEqual((answer.status, answer.complete), (200, True))
+            self.assertEqual(event_numbers(answer.body), ALL)
+        result = self.run_item(EarlyServer(cut, end, pause_s))
+        self.assertEqual(len(result["text"].split("\n")), EVENTS)
+
+    def test_no_other_answer_follows_the_part_of_a_large_body(self) -> None:
+        part = b"y" * 1_500_000
+
+        def large(head: str) -> bytes:
+            return answer_of(head, body=part)
+
+        for body in (LONG_BODY, b"x"):
+            with self.subTest(body_bytes=len(body)):
+                other_runs: list[int] = []
+                server = EarlyServer(large, End.RESET, 0.05)
+                answer = self.call(server, "/safe/", body, other_runs=other_runs)
+                self.assertEqual((answer.status, answer.complete), (200, False))
+                self.assertTrue(part.startswith(answer.body))
+                self.assertEqual(other_runs, [0])
+
 
 if __name__ == "__main__":
     unittest.main()
