Keep no request in memory once it was sent

Since the client sends the rest of a request while it waits for the answer, a view of the request stayed until the next one on the connection: the whole of a long request for as long as its answer lasted, and then with the idle connection. The view is kept only while something is left to send, and streamed reads have no further coroutine in their path.

Shown: test_a_request_that_was_sent_is_not_kept_in_memory fails with the last empty view kept (8 MB).

--- a/src/fescuedock/net/http_client.py
+++ b/src/fescuedock/net/http_client.py
@@ -66,6 +66,8 @@
 # SO_LINGER with 0 s: closing discards unsent and unacknowledged bytes and resets the connection.
 _DISCARD_UNSENT = struct.pack("ii", 1, 0)
 
+_NOTHING = memoryview(b"")
+
 # Returns why a request must no longer be sent, None if it may; must not wait or do I/O.
 SendCheck = Callable[[], enum.Enum | None]
 
@@ -535,7 +537,7 @@
         self._protocol = h11.Connection(h11.CLIENT, _MAX_HEADER_BYTES)
         self._stream = stream
         # The rest of the current request; sent while its answer is awaited, also within the answer.
-        self._unsent = memoryview(b"")
+        self._unsent = _NOTHING
         # A request was written, and its answer has not started.
         self._is_unanswered = False
         self._idle_until_s = math.inf
@@ -565,7 +567,8 @@
         events = message.events(address)
         data = b"".join(self._protocol.send(event) or b"" for event in events)
         sent_bytes = await self._send_first(address, data, check)
-        self._unsent = memoryview(data)[sent_bytes:]
+        if sent_bytes < len(data):
+            self._unsent = memoryview(data)[sent_bytes:]
         while True:
             response = await self._next_response(address)
             self._begin_body(message.method, response)
@@ -718,21 +721,21 @@
     async def _receive(self) -> bytes:
         """Wait before reading: the next token of a stream has rarely arrived already."""
         while True:
-            await self._wait_readable()
+            if self._unsent:
+                await self._send_until_readable()
+            else:
+                await trio.lowlevel.wait_readable(self._stream.socket)
             try:
                 return os.read(self._stream.socket.fileno(), _RECEIVE_BYTES)
             except BlockingIOError:
                 continue
 
-    async def _wait_readable(self) -> None:
-        """Wait for more of the answer; meanwhile send the rest of the request.
+    async def _send_until_readable(self) -> None:
+        """Send the rest of the request until more of the answer arrives.
 
         A server may never read that rest, so the answer does not wait for it.  It may also need it,
         after an informational answer or to finish an answer that it has begun.
         """
-        if not self._unsent:
-            await trio.lowlevel.wait_readable(self._stream.socket)
-            return
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._send_rest)
             await trio.lowlevel.wait_readable(self._stream.socket)
@@ -749,6 +752,8 @@
             except OSError:
                 return
             self._unsent = self._unsent[sent_bytes:]
+        # An empty view would keep the request in memory.
+        self._unsent = _NOTHING
 
     def reusable(self) -> bool:
         """Prepare for another request; return False if the connection cannot be reused."""
--- a/tests/test_net_early_answers.py
+++ b/tests/test_net_early_answers.py
@@ -1,5 +1,6 @@
 """Answers that arrive before the request was sent entirely, and how the client judges them."""
 
+import tracemalloc
 import unittest
 from collections.abc import Awaitable, Callable
 
@@ -119,6 +120,21 @@
 
         self.run_client(server, test)
 
+    def test_a_request_that_was_sent_is_not_kept_in_memory(self) -> None:
+        server = EarlyServer(lambda _: b"", End.READ_ON, final=lambda _: WITH_LENGTH)
+
+        async def test(http: HttpClient, address: Address) -> None:
+            tracemalloc.start()
+            try:
+                async with http.request(address, "POST", "/", (), LONG_BODY) as response:
+                    server.bodies.clear()
+                    self.assertLess(tracemalloc.get_traced_memory()[0], len(LONG_BODY) / 2)
+                    await response.read()
+            finally:
+                tracemalloc.stop()
+
+        self.run_client(server, test)
+
     def test_a_server_that_reads_on_after_its_answer_gets_no_other_bytes(self) -> None:
         for answer in (WITH_LENGTH, IN_CHUNKS):
             with self.subTest(answer=answer):
--- a/tests/test_node_broken_queries.py
+++ b/tests/test_node_broken_queries.py
@@ -14,7 +14,6 @@
 from fescuedock.node.configuration import NodeConfiguration
 from fescuedock.node.health_probe import health_probe
 from fescuedock.platform import calls
-from fescuedock.platform.records import _START_SEPARATOR
 from fescuedock.schema.config import Configuration
 from fescuedock.schema.permits import AttemptOutcome
 from fescuedock.schema.view import UpstreamKind, UpstreamRecord
@@ -87,7 +86,7 @@
                 self.assertIs(self.ask(answer, find), ConnectResult.UNKNOWN)
 
     def test_nothing_is_sent_to_a_process_whose_report_is_no_answer(self) -> None:
-        query = calls.process_query(f"i-1{_START_SEPARATOR}{BORN}")
+        query = calls.process_query(f"i-1@{BORN}")
 
         async def send(http: HttpClient, address: Address) -> str:
             try:
