Replay no empty answer in the place of a large one

A call to a plain service with an Idempotency-Key whose answer was over 1 MiB or a stream of events, whole or broken off, was answered on a resend with 200 and an empty body, marked as the first call's answer.

Cause: an answer that is not buffered was recorded before it was relayed, with an empty body in place of its own. The record did not say that the body was not known. Now such a call is recorded as answered without an answer, as one over 32 kB already was, and a resend gets ALREADY_CLAIMED.

Found by reading the paths on which a part could pass for a whole answer. Shown: the new test got an empty 200 for an answer of 1.2 MB, and passes now; 100 kB was right.

--- a/src/fescuedock/core/claims.py
+++ b/src/fescuedock/core/claims.py
@@ -131,11 +131,14 @@
         self._phase = _Phase.FINISHED
         return PutRecord(self.key, self._record(ClaimState.NOT_SENT), self.revision)
 
-    def record_answer(self, answer: RecordedAnswer) -> PutRecord:
-        """Return the write that marks the call as answered, with the answer if it is small."""
+    def record_answer(self, answer: RecordedAnswer | None) -> PutRecord:
+        """Return the write that marks the call as answered, with the answer if it is small.
+
+        ``answer`` is None if its body is not known entirely.
+        """
         self._require_phase(_Phase.OWNED)
         self._phase = _Phase.FINISHED
-        small = len(answer.body) <= MAX_RECORDED_BYTES
+        small = answer is not None and len(answer.body) <= MAX_RECORDED_BYTES
         data = msgspec.json.encode(answer) if small else b""
         return PutRecord(self.key, self._record(ClaimState.ANSWERED, data), self.revision)
 
--- a/src/fescuedock/entry/claiming.py
+++ b/src/fescuedock/entry/claiming.py
@@ -81,7 +81,7 @@
         message = "the call's claim could not be made within the deadline"
         return Err(Fault(ResultCode.CLAIM_UNAVAILABLE, message, _RETRY_AFTER_MS))
 
-    async def record_answer(self, claim: Claim, answer: RecordedAnswer) -> None:
+    async def record_answer(self, claim: Claim, answer: RecordedAnswer | None) -> None:
         """Record the answer for resends; without it they learn only that the call may have run."""
         await self._put_once(claim.record_answer(answer))
 
--- a/src/fescuedock/entry/services.py
+++ b/src/fescuedock/entry/services.py
@@ -42,8 +42,8 @@
 _EVENT_STREAM = "text/event-stream"
 _JSON = "application/json"
 
-# Receives an answer before the caller does.
-RecordAnswer = Callable[[RecordedAnswer], Awaitable[None]]
+# Receives an answer before the caller does; None for one that cannot be repeated.
+RecordAnswer = Callable[[RecordedAnswer | None], Awaitable[None]]
 
 
 class _BrokenAnswerError(Exception):
@@ -169,9 +169,8 @@
     buffered = await _read_buffered(chunks, 0 if streamed else _MAX_BUFFERED_BYTES)
     headers = forwarded_headers(response.headers, call.request_id)
     kind = response.headers.get("content-type", "")
-    await record_answer(
-        RecordedAnswer(response.status, kind, buffered.body if buffered.complete else b"")
-    )
+    recorded = RecordedAnswer(response.status, kind, buffered.body) if buffered.complete else None
+    await record_answer(recorded)
     if buffered.complete:
         await responder.send(response.status, buffered.body, headers)
         return
@@ -203,7 +202,7 @@
     return _BufferedBody(b"".join(parts), True)
 
 
-async def _record_nothing(_answer: RecordedAnswer) -> None:
+async def _record_nothing(_answer: RecordedAnswer | None) -> None:
     """Record no answer: the call has no Idempotency-Key."""
 
 
--- a/tests/test_online_services.py
+++ b/tests/test_online_services.py
@@ -339,6 +339,21 @@
                 self.assertEqual(first[2], second[2])
                 self.assertEqual(executions(fleet), number + 1)
 
+    # The second call got 200 with an empty body, marked as the first call's answer.
+    @with_fleet(entries=2)
+    async def test_an_answer_too_large_to_record_is_not_replayed_as_an_empty_one(
+        self, fleet: OnlineFleet
+    ) -> None:
+        for characters in (100_000, 1_200_000):
+            with self.subTest(characters=characters):
+                order, name = b"x" * characters, key(f"large-{characters}")
+                status, _, body = await fleet.post(BOOKINGS, order, name, 0)
+                self.assertEqual(status, 200)
+                self.assertGreater(len(body), characters)
+                status, _, body = await fleet.post(BOOKINGS, order, name, 1)
+                self.assertEqual((status, fault_of(body)["name"]), (409, "ALREADY_CLAIMED"))
+        self.assertEqual(executions(fleet), 2)
+
     @with_fleet(entries=2)
     async def test_a_caller_disconnect_does_not_stop_a_claimed_call(
         self, fleet: OnlineFleet
