Keep the host of a route whole that is an address of IP version 6 without a port

No resumable stream of a host such as [::1]:8080 could start. Its name was cut at the last colon twice, once with the port and once within the address, so the record of the host named no service. A request whose Host header is such an address without a port found no route either. Only a port behind a name or a bracket is cut off now.

--- a/src/fescuedock/core/forwarding/route_table.py
+++ b/src/fescuedock/core/forwarding/route_table.py
@@ -165,4 +165,6 @@
 
 def host_name(host: str) -> str:
     """Return the host name of a Host header for comparison: without port, in lower case."""
-    return host.rpartition(":")[0].lower() if ":" in host else host.lower()
+    name, colon, port = host.rpartition(":")
+    has_port = bool(colon) and port.isdecimal() and (":" not in name or name.endswith("]"))
+    return (name if has_port else host).lower()
