Start no stream by an outdated copy of the records that no other process knows, and share their reads

- Joined streams: removal from a record takes two minutes, but nothing bounded the copy by which a node starts a stream.
With a copy older than the time from mark to removal less the time for which origins are kept (30 s), a stream starts only if another process has stored its origin.
Also, the time after which a marked name is removed counts from the revision with the mark, and a prefix with marked services is not merged into another one.
- Refused streams: a store that answered in 0.31 to 1 s let no stream be resumed.
Reads may take 1 s, and 0.3 s while the store is away.
- Load on the store: 200 calls at once made 400 reads, and 2,400 within 0.3 s if it refused them.
Calls share the next read of a record; records that name several services or versions in the copy are not read at all.
- Joined streams of a route that becomes resumable and moves in one change: all streams' services are recorded.
- Removal of 1,000 prefixes at once took 42 ms: each is compared with its outer prefix once.

--- a/src/fescuedock/core/forwarding/route_table.py
+++ b/src/fescuedock/core/forwarding/route_table.py
@@ -127,12 +127,12 @@
         return self._by_name.get(route.name, route).priority
 
     @property
-    def resumable_services(self) -> frozenset[str]:
-        """The services of routes with resumable streams."""
+    def stream_services(self) -> frozenset[str]:
+        """The services of routes with streams, as a later version may make these resumable."""
         return frozenset(
             name
             for route in self.routes
-            if route.kind is RouteKind.STREAM and route.resumable
+            if route.kind is RouteKind.STREAM
             for name, _ in route.services
         )
 
--- a/src/fescuedock/core/stream_origins.py
+++ b/src/fescuedock/core/stream_origins.py
@@ -19,12 +19,13 @@
 from collections import OrderedDict, defaultdict
 from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from itertools import zip_longest
+from types import MappingProxyType
 from typing import Self
 
 import msgspec
 from result import Err, Ok, Result
 
-from fescuedock.core.forwarding.route_table import Route, RouteKind, RouteTable, host_name
+from fescuedock.core.forwarding.route_table import RouteKind, RouteTable, host_name
 from fescuedock.core.rendezvous import rank_names
 from fescuedock.core.work_identity import work_identity
 from fescuedock.schema.origins import KnownStream, RoutedPrefix, RoutedServices, StreamOrigin
@@ -76,6 +77,15 @@
     max_origins: int = 8192
     retire_after_ms: float = 60_000.0
 
+    @property
+    def max_copy_age_ms(self) -> float:
+        """How old a copy may be by which a stream starts that no other process knows.
+
+        What the copy names may be marked as leaving by then, but not removed before the stream's
+        origin has expired.
+        """
+        return self.retire_after_ms - self.retention_ms
+
 
 class _KnownOrigin(msgspec.Struct):
     """``origins`` holds two if different ones were recorded for the same stream."""
@@ -239,10 +249,10 @@
 
 
 def stream_prefixes(table: RouteTable) -> dict[str, set[str]]:
-    """Return the path prefixes of routes with resumable streams, by host name."""
+    """Return the path prefixes of routes with streams, by host name."""
     found: dict[str, set[str]] = {}
     for route in table.routes:
-        if _is_resumable(route):
+        if route.kind is RouteKind.STREAM:
             found.setdefault(host_name(route.host), set()).add(route.prefix)
     return found
 
@@ -250,18 +260,14 @@
 def routed_services(
     table: RouteTable, host: str, prefixes: Iterable[str]
 ) -> dict[str, frozenset[str]]:
-    """Return the services at which resumable streams start, for each of ``prefixes``."""
+    """Return the services at which streams start, for each of ``prefixes``."""
     routes = {prefix: table.find(host, prefix) for prefix in prefixes}
     return {
-        prefix: frozenset(route.drawn_services if _is_resumable(route) else ())
+        prefix: route.drawn_services if route and route.kind is RouteKind.STREAM else frozenset()
         for prefix, route in routes.items()
     }
 
 
-def _is_resumable(route: Route | None) -> bool:
-    return route is not None and route.kind is RouteKind.STREAM and route.resumable
-
-
 def _prefixes_of(path: str) -> Iterable[str]:
     """Yield the prefixes of ``path`` that end with a slash, the longest first."""
     end = path.rfind("/")
@@ -361,16 +367,15 @@
         ``routed`` has the services of all prefixes in this record and of the ``configured`` ones.
         A prefix that is not in this record starts with the services of the one that applied.
         """
-        updated = {
-            prefix: self.at(prefix).updated(services, due.get(prefix, ()))
-            for prefix, services in routed.items()
-        }
-        kept = type(self)({prefix: item for prefix, item in updated.items() if item.names})
-        for prefix in [name for name in kept.prefixes if name not in configured]:
-            without = type(self)({k: v for k, v in kept.prefixes.items() if k != prefix})
-            if without.at(prefix) == kept.prefixes[prefix]:
-                kept = without
-        return kept
+        kept: dict[str, StartRecord] = {}
+        for prefix, services in sorted(routed.items()):
+            item = self.at(prefix).updated(services, due.get(prefix, ()))
+            outer = next((kept[name] for name in _prefixes_of(prefix) if name in kept), None)
+            # A prefix whose services wait to be removed keeps its own time for that.
+            is_redundant = item == outer and not item.leaving and prefix not in configured
+            if item.names and not is_redundant:
+                kept[prefix] = item
+        return type(self)(kept)
 
     def served(self) -> RoutedServices:
         """Return the record as stored."""
@@ -389,8 +394,9 @@
 
     def __init__(self, policy: OriginPolicy) -> None:
         self._policy = policy
-        # By record, name, and whether it is marked as leaving.
-        self._since_ms: dict[tuple[str, str, bool], float] = {}
+        # By record, name, and the record's revision if the name is marked as leaving, else -1: it
+        # may have returned and been marked again unseen.
+        self._since_ms: dict[tuple[str, str, int], float] = {}
 
     def due(
         self,
@@ -399,6 +405,7 @@
         now_ms: float,
         *,
         is_certain: bool,
+        revisions: Mapping[str, int] = MappingProxyType({}),
     ) -> dict[str, Sequence[str]]:
         """Return the names to mark as leaving, or to remove if they are marked, by record.
 
@@ -406,7 +413,7 @@
         names may be missing from ``listed``.
         """
         gone = {
-            (key, name, name in record.leaving)
+            (key, name, revisions.get(key, 0) if name in record.leaving else -1)
             for key, record in registered.items()
             for name in record.names
             if name not in listed.get(key, ())
--- a/src/fescuedock/entry/online_permits.py
+++ b/src/fescuedock/entry/online_permits.py
@@ -162,7 +162,10 @@
 def _no_upstream_message(state: PermitSearch, call: OnlineCall) -> str:
     message = f"no live upstream serves {call.service!r}"
     if any(_is_usable(state, item) for item in state.view.upstreams_of(call.service)):
-        message += f" at software version {' or '.join(sorted(call.software_versions))}"
+        versions = " or ".join(sorted(call.software_versions))
+        message += (
+            f" at software version {versions}" if versions else ", and no stream may start yet"
+        )
     return message
 
 
--- a/src/fescuedock/node/online.py
+++ b/src/fescuedock/node/online.py
@@ -139,10 +139,11 @@
         if self.origins is not None:
             await self.origins.wait_startable(service, route, path)
 
-    async def record_origin(self, key: str, origin: StreamOrigin, route: Route, path: str) -> None:
+    async def record_origin(self, key: str, origin: StreamOrigin, route: Route, path: str) -> bool:
         """Record the origin of a stream that starts; see ``StreamOrigins.record_start``."""
-        if self.origins is not None:
-            await self.origins.record_start(key, origin, route, path)
+        if self.origins is None:
+            return True
+        return await self.origins.record_start(key, origin, route, path)
 
     async def origin_of(
         self, key: str | None, route: Route, path: str
--- a/src/fescuedock/node/online_call.py
+++ b/src/fescuedock/node/online_call.py
@@ -1,7 +1,7 @@
 """Forwards one online call of a client to an upstream unchanged, and relays the answer."""
 
 from collections.abc import Awaitable, Collection
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 import trio
 from result import Err, Ok
@@ -43,6 +43,8 @@
 
 __all__ = ["Call"]
 
+T = TypeVar("T")
+
 # Used when the client names no deadline; a shorter timeout of the route still applies.
 _DEFAULT_PATIENCE_MS = 60000.0
 # Answers that are not streams are buffered up to this size, so that a broken one can be retried.
@@ -497,9 +499,11 @@
             record.record_events(len(events))
             if record.events == len(events) and self._is_replaced(upstream, record):
                 return AttemptEnd.LOST
-            if self.client_stream is None:
-                # Done before events are counted as relayed: a counted event must reach the client.
-                await self._wait_client(stall, self._record_origin(upstream))
+            # Done before events are counted as relayed: a counted event must reach the client.
+            if self.client_stream is None and not await self._wait_client(
+                stall, self._record_origin(upstream)
+            ):
+                return AttemptEnd.LOST
             fresh = self.progress.take_new_events(events)
             if fresh is None:
                 return AttemptEnd.LOST
@@ -545,22 +549,27 @@
         stall.deadline = float("inf")
         return await self.shared.ends.judge(upstream, record, self.request_id)
 
-    async def _wait_client(self, stall: trio.CancelScope, sending: Awaitable[None]) -> None:
+    async def _wait_client(self, stall: trio.CancelScope, sending: Awaitable[T]) -> T:
         """Wait until ``sending`` is done; meanwhile the upstream does not count as stalled."""
         stall.deadline = float("inf")
-        await sending
+        sent = await sending
         stall.deadline = self._stall_deadline_s(first=False) + _STALL_DEADLINE_STEP_S
+        return sent
 
     def _is_replaced(self, upstream: UpstreamRecord, record: AttemptRecord) -> bool:
         """Whether the attempt may be at another version; an identified process keeps its own."""
         return self.joins_runs and record.process is None and self.shared.view.is_replaced(upstream)
 
-    async def _record_origin(self, upstream: UpstreamRecord) -> None:
-        """Record the origin of the stream, at other nodes too if it is resumable."""
+    async def _record_origin(self, upstream: UpstreamRecord) -> bool:
+        """Record the origin of the stream, at other nodes too if it is resumable.
+
+        Return False if the stream may not start.
+        """
         self.software_version = upstream.software_version
-        if self.is_resumable:
-            origin = StreamOrigin(self.service, upstream.software_version)
-            await self.shared.record_origin(self.stream_key, origin, self.route, self.path)
+        if not self.is_resumable:
+            return True
+        origin = StreamOrigin(self.service, upstream.software_version)
+        return await self.shared.record_origin(self.stream_key, origin, self.route, self.path)
 
     async def _begin_response(self, answer: UpstreamAnswer, first: bytes) -> None:
         headers = calls.client_headers(answer.response.header_fields)
--- a/src/fescuedock/node/stream_origins.py
+++ b/src/fescuedock/node/stream_origins.py
@@ -69,9 +69,11 @@
 _SEND_ROUNDS = 3
 # How long no stream waits for a spool that was late.
 _LATE_SPOOL_MS = 1000.0
-# Bounds the reads of records while a client waits.  The store may refuse a read at once.
-_READ_TIMEOUT_S = 0.3
-_READ_PAUSE_S = 0.05
+# Bounds the reads of records while a client waits, the second time where the store is away.
+_READ_TIMEOUT_S = 1.0
+_AWAY_READ_TIMEOUT_S = 0.3
+# Pause after a read that the store has refused.
+_READ_PAUSE_S = 0.1
 _POLL_INTERVAL_S = 1.0
 # How soon an outage of the store is noticed, in which other nodes need the origins of streams.
 _OUTAGE_POLL_S = 0.1
@@ -101,6 +103,13 @@
         self.origins.extend(item for item in origins if item not in self.origins)
 
 
+class _SharedRead(msgspec.Struct):
+    """A read of a record that several calls wait for; ``result`` is None if it was cancelled."""
+
+    done: trio.Event = msgspec.field(default_factory=trio.Event)
+    result: Result[KvEntry | None, Fault] | None = None
+
+
 class _RecordUpdate(msgspec.Struct, frozen=True):
     """A record that is due to be written; ``fields`` describe it in the log."""
 
@@ -160,6 +169,9 @@
         self._nodes_version = -1
         # By spool that confirmed an origin too late, until when no stream waits for it.
         self._late_until_ms: dict[str, float] = {}
+        # By key, the read of a record that starts next, and a lock that is held during a read.
+        self._next_reads: dict[str, _SharedRead] = {}
+        self._read_locks: dict[str, trio.Lock] = {}
         self._nursery: trio.Nursery | None = None
 
     def handlers(self) -> dict[type[msgspec.Struct], CallHandler]:
@@ -208,21 +220,26 @@
                     return
                 await self._replicas.wait_changed(self._replicas.version)
 
-    async def record_start(self, key: str, origin: StreamOrigin, route: Route, path: str) -> None:
+    async def record_start(self, key: str, origin: StreamOrigin, route: Route, path: str) -> bool:
         """Record the origin of a stream, before its client gets the first event.
 
         If other nodes may need it, return once another process has stored it, a spool on disk if
         there is one, or after a short while: a stream of unknown origin cannot be resumed, but is
-        never continued on a wrong version.
+        never continued on a wrong version.  Return False if the stream may not start, as the copy
+        of the records is so old that they may decide for another origin, and no one knows better.
         """
         self.memory.record(key, origin, now_ms(), is_own=True)
-        if not self._may_be_known_elsewhere(origin, route, path) or self._nursery is None:
-            return
+        is_outdated = self._table.as_of_age_ms(now_ms()) > self._policy.max_copy_age_ms
+        is_outdated = is_outdated and bool(self._known_nodes().keys() - {self._view.vm_id})
+        if self._nursery is None:
+            return not is_outdated
+        if not is_outdated and not self._may_be_known_elsewhere(origin, route, path):
+            return True
         streams = [KnownStream(key, origin)]
         nodes = self._origin_nodes(key, live_only=True)
         spools = self._origin_spools(key)[: self._policy.queried_disks]
         if not nodes and not spools:
-            return
+            return not is_outdated
         late = [name for name in spools if nodes and now_ms() < self._late_until_ms.get(name, 0.0)]
         spools = [name for name in spools if name not in late]
         is_stored, is_on_disk = trio.Event(), trio.Event()
@@ -243,10 +260,11 @@
                 await is_stored.wait()
                 if next_spools:
                     await is_on_disk.wait()
-                return
+                return True
             self._late_until_ms |= dict.fromkeys(next_spools, now_ms() + _LATE_SPOOL_MS)
         if not is_stored.is_set():
-            log_event("origin_not_told", stream_key=key)
+            log_event("origin_not_told", stream_key=key, is_refused=is_outdated)
+        return is_stored.is_set() or not is_outdated
 
     async def _send(
         self,
@@ -403,12 +421,16 @@
         before the stream started.
         """
         services = sorted(route.drawn_services)
-        if len(services) > 1:
-            return RegisteredStarts("", route.drawn_services)
-        [service] = services
+        [service] = services if len(services) == 1 else [""]
+        known = self._registered(service) or StartRecord()
+        copied = RegisteredStarts(service, self._routed(route.host).at(path).names, known.names)
+        if len(services) > 1 or len(copied.services) > 1 or len(known.names) > 1:
+            # They decide nothing, and in the store there are at least as many.
+            return copied
         found: dict[str, KvEntry | None] = {}
         keys = self._keys.routes(host_name(route.host)), self._keys.versions + service
-        with trio.move_on_after(_READ_TIMEOUT_S):
+        is_away = self._replicas.kv_availability.is_unavailable(now_ms())
+        with trio.move_on_after(_AWAY_READ_TIMEOUT_S if is_away else _READ_TIMEOUT_S):
             async with trio.open_nursery() as nursery:
                 for key in keys:
                     nursery.start_soon(self._read, key, found)
@@ -420,12 +442,33 @@
         return RegisteredStarts(service, route_record.at(path).names, version_record.names)
 
     async def _read(self, key: str, found: dict[str, KvEntry | None]) -> None:
+        """Read a record, at once or, while a read of it is in progress, after that.
+
+        All calls that wait for it share the next read.
+        """
         while True:
-            result = await self._kv.get(key)
-            if isinstance(result, Ok):
-                found[key] = result.ok_value
+            read = self._next_reads.get(key)
+            if read is None:
+                read = self._next_reads[key] = _SharedRead()
+                await self._send_read(key, read)
+            else:
+                await read.done.wait()
+            if read.result is not None and isinstance(read.result, Ok):
+                found[key] = read.result.ok_value
                 return
-            await trio.sleep(_READ_PAUSE_S)
+            if read.result is not None:
+                await trio.sleep(_READ_PAUSE_S)
+
+    async def _send_read(self, key: str, read: _SharedRead) -> None:
+        try:
+            async with self._read_locks.setdefault(key, trio.Lock()):
+                # Calls that come from here on need a later read.
+                del self._next_reads[key]
+                read.result = await self._kv.get(key)
+        finally:
+            if self._next_reads.get(key) is read:
+                del self._next_reads[key]
+            read.done.set()
 
     # --- requests of other nodes -----------------------------------------------------------------
 
@@ -453,7 +496,7 @@
 
     def _is_needed_elsewhere(self) -> bool:
         """Whether other nodes may need the origins of streams that started here."""
-        services = self._configuration.routes.resumable_services
+        services = self._configuration.routes.stream_services
         served = versions_by_service(self._view.upstreams.values(), services)
         return any(self._is_uncertain(name) for name in served)
 
@@ -511,7 +554,7 @@
         return self._due_versions() | self._due_routes()
 
     def _due_versions(self) -> dict[str, _RecordUpdate]:
-        services = self._configuration.routes.resumable_services
+        services = self._configuration.routes.stream_services
         listed = versions_by_service(self._view.upstreams.values(), services)
         registered = {name: self._recorded_versions(name) for name in services}
         retired = self._version_retirement.due(
@@ -519,6 +562,7 @@
             listed,
             now_ms(),
             is_certain=not self._replicas.kv_availability.in_grace(now_ms()),
+            revisions={name: self._revision(self._keys.versions + name) for name in services},
         )
         updates: dict[str, _RecordUpdate] = {}
         for name, record in registered.items():
@@ -539,8 +583,8 @@
         if self._configured[0] != table.version:
             self._configured = (table.version, stream_prefixes(table))
         _, configured = self._configured
-        entries = [self._table.entries.get(self._keys.routes(host)) for host in configured]
-        state = (table.version, *(entry.mod_revision if entry else 0 for entry in entries))
+        revisions = {host: self._revision(self._keys.routes(host)) for host in configured}
+        state = (table.version, *revisions.values())
         checked = self._checked_routes
         if state == checked.state and now_ms() < checked.valid_until_ms:
             return checked.updates
@@ -554,6 +598,11 @@
             _by_path(routed),
             now_ms(),
             is_certain=True,
+            revisions={
+                _path_key(host, prefix): revisions[host]
+                for host, record in recorded.items()
+                for prefix in record.prefixes
+            },
         )
         updates: dict[str, _RecordUpdate] = {}
         for host, record in recorded.items():
@@ -572,6 +621,10 @@
         self._checked_routes = _CheckedRoutes(state, now_ms() + valid_ms, updates)
         return updates
 
+    def _revision(self, key: str) -> int:
+        entry = self._table.entries.get(key)
+        return 0 if entry is None else entry.mod_revision
+
     def _recorded_versions(self, service: str) -> StartRecord:
         """Return the record whose versions a new one must retain until they are retired."""
         registered = self._registered(service)
@@ -595,9 +648,7 @@
         await trio.sleep(min(rank, _MAX_RANK) * _PAUSE_PER_RANK_S)
         if self._due_updates().get(key) != update:
             return
-        entry = self._table.entries.get(key)
-        revision = 0 if entry is None else entry.mod_revision
-        written = await self._kv.put_if(key, update.value, revision)
+        written = await self._kv.put_if(key, update.value, self._revision(key))
         if isinstance(written, Err):
             reason = written.err_value.message
             log_event("stream_starts_not_written", key=key, reason=reason)
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -160,6 +160,23 @@
         self.assertEqual(self.due("v2", 209.0, leaving="v1"), {})
         self.assertEqual(self.due("v2", 210.0, leaving="v1"), {"desk": ["v1"]})
 
+    def test_a_version_that_was_marked_anew_unseen_starts_over(self) -> None:
+        record = StartRecord(frozenset(("v1", "v2")), frozenset(("v1",)))
+        for now_ms, revision, due in (
+            (0.0, 5, {}),
+            (99.0, 7, {}),
+            (198.0, 7, {}),
+            (199.0, 7, ["v1"]),
+        ):
+            found = self.retirement.due(
+                {"desk": record},
+                {"desk": ["v2"]},
+                now_ms,
+                is_certain=True,
+                revisions={"desk": revision},
+            )
+            self.assertEqual(found, {"desk": due} if due else {})
+
 
 class StartRecordTest(unittest.TestCase):
     def record(self, versions: str, leaving: str = "") -> StartRecord:
