Keep the end of a job whose client leaves while the node starts

Its client had left node-0 0.8 s after the start of that node, which has no line of the call.

Cause: a node that does not know its configuration and upstreams yet lets a call wait for up to a second. A client that left in this time cancelled its call there, before anything kept the end, and without a line in the log. Ends are kept for clients that leave everywhere else.

Such a call is now kept until the node has started, 256 at most, and then ended as any other once its key is known. A call that is answered 503 after the second is not: its client knows that nothing was done.

The test restarts the only node of a fleet in an outage, and its client leaves after 0.2 s.

--- a/src/fescuedock/node/front.py
+++ b/src/fescuedock/node/front.py
@@ -42,6 +42,8 @@
 _MAX_VERSION_AGE_MS = 2400.0
 # Logged in place of an infinite age.
 _MAX_LOGGED_AGE_MS = 1e9
+# Ends of jobs whose clients left while this node was starting.
+_MAX_ABANDONED_ENDS = 256
 # Added to the configured idle time, which clients count from the arrival of an answer.
 _IDLE_SLACK_MS = 1000
 
@@ -54,6 +56,7 @@
     """
 
     __slots__ = (
+        "_abandoned_ends",
         "_has_started",
         "_knows_restrictions",
         "configuration",
@@ -87,6 +90,10 @@
         self.quotas: Quotas | None = None
         self.leaving = False
         self._has_started = False
+        # The calls, with what they ask for.
+        self._abandoned_ends = trio.open_memory_channel[tuple[Request, job_calls.JobCall]](
+            _MAX_ABANDONED_ENDS
+        )
         self._knows_restrictions = knows_restrictions
         bounds = HeldBounds(settings.held_call_bytes, settings.held_process_bytes)
         self.held = HeldBytes(bounds)
@@ -119,12 +126,36 @@
     async def _wait_started(self) -> bool:
         """Wait shortly while this node starts; return whether it can serve."""
         with trio.move_on_after(_STARTING_WAIT_S):
-            await self.configuration.wait_known()
-            version = 0
-            while not self.has_started:
-                version = await self.view.wait_changed(version)
+            await self._until_started()
         return self.has_started
 
+    async def _until_started(self) -> None:
+        await self.configuration.wait_known()
+        version = 0
+        while not self.has_started:
+            version = await self.view.wait_changed(version)
+
+    async def run(self) -> None:
+        """Once this node has started, end the jobs whose clients left before; never returns.
+
+        Such a client may never retry, and still expects that its job stops.
+        """
+        await self._until_started()
+        async with trio.open_nursery() as nursery:
+            async for request, call in self._abandoned_ends[1]:
+                caller = self._caller_of_job(request)
+                if isinstance(caller, Err):
+                    self._log_refusal(request, caller.err_value)
+                    continue
+                job_id = scoped_job_id(caller.ok_value, call.job_id)
+                nursery.start_soon(self.jobs.ends.end, job_id)
+
+    def _keep_abandoned_end(self, request: Request, call: job_calls.JobCall) -> None:
+        try:
+            self._abandoned_ends[0].send_nowait((request, call))
+        except trio.WouldBlock:
+            log_event("job_end_not_kept", job_id=call.job_id, pending=_MAX_ABANDONED_ENDS)
+
     def apply_limits(self) -> None:
         """Apply the limits of the current configuration, to open connections as well."""
         self.server.limits = http_limits(self.configuration.routes.limits)
@@ -143,16 +174,22 @@
 
     async def handle(self, request: Request, responder: Responder) -> None:
         """Answer one call of a client."""
-        if not self.has_started and not await self._wait_started():
-            text = "this node does not know its configuration and upstreams yet"
-            fault = Fault(ResultCode.CONFIG_UNCONFIRMED, text, _STARTING_RETRY_MS)
-            await self._refuse(request, responder, fault)
-            return
         try:
             call = job_calls.job_call(request.method, request.path, request.query, request.headers)
         except ValueError as error:
             await self._refuse(request, responder, Fault(ResultCode.BAD_REQUEST, str(error)))
             return
+        try:
+            has_started = self.has_started or await self._wait_started()
+        except trio.Cancelled:
+            if call is not None and call.verb == "end":
+                self._keep_abandoned_end(request, call)
+            raise
+        if not has_started:
+            text = "this node does not know its configuration and upstreams yet"
+            fault = Fault(ResultCode.CONFIG_UNCONFIRMED, text, _STARTING_RETRY_MS)
+            await self._refuse(request, responder, fault)
+            return
         if call is not None:
             await self._handle_job_call(request, responder, call)
             return
@@ -189,6 +226,11 @@
         caller = identify(index, calls.api_keys(request.header_fields), public=public)
         return caller.map_err(lambda why: Fault(ResultCode.UNAUTHORIZED, why.value))
 
+    def _caller_of_job(self, request: Request) -> Result[Caller, Fault]:
+        routes = self.configuration.routes.routes
+        public = any(route.public for route in routes if route.kind is RouteKind.BATCH)
+        return self._caller_of(request, public=public)
+
     def _route_of(self, request: Request) -> Route | None:
         path = request.target.partition("?")[0]
         return self.configuration.routes.find(request.headers.get("host", ""), path)
@@ -196,9 +238,7 @@
     async def _handle_job_call(
         self, request: Request, responder: Responder, call: job_calls.JobCall
     ) -> None:
-        routes = self.configuration.routes.routes
-        public = any(route.public for route in routes if route.kind is RouteKind.BATCH)
-        caller = self._caller_of(request, public=public)
+        caller = self._caller_of_job(request)
         if isinstance(caller, Err):
             await self._refuse_unknown(request, responder, caller.err_value)
             return
@@ -223,6 +263,11 @@
         await self._refuse(request, responder, fault)
 
     async def _refuse(self, request: Request, responder: Responder, fault: Fault) -> None:
+        self._log_refusal(request, fault)
+        headers = calls.refusal_headers(fault)
+        await responder.send(fault.http_status, fault_body(fault), headers)
+
+    def _log_refusal(self, request: Request, fault: Fault) -> None:
         log_event(
             "call_refused",
             request_id=calls.call_head(request.header_fields).request_id,
@@ -231,8 +276,6 @@
             config_version=self.configuration.current_version,
             config_age_ms=round(min(self.configuration.confirmed_age_ms, _MAX_LOGGED_AGE_MS)),
         )
-        headers = calls.refusal_headers(fault)
-        await responder.send(fault.http_status, fault_body(fault), headers)
 
     # --- the platform ----------------------------------------------------------------------------
 
--- a/src/fescuedock/node/main.py
+++ b/src/fescuedock/node/main.py
@@ -354,6 +354,7 @@
             self._crashes,
             self.quotas,
             self._origins,
+            self.front,
         )
         for part in parts:
             nursery.start_soon(part.run)
--- a/tests/test_node_job_ends.py
+++ b/tests/test_node_job_ends.py
@@ -198,6 +198,22 @@
 
         self.run_fleet(test, spools=0)
 
+    # The call waited for the configuration, and was dropped when its client left.
+    def test_an_end_whose_client_leaves_while_the_node_starts_is_still_recorded(self) -> None:
+        async def test(fleet: NodeFleet, _spools: list[RunningSpool]) -> None:
+            for upstream in fleet.upstreams:
+                upstream.event_interval_ms = 200.0
+            await submit(fleet, fleet.nodes[0].front, *MANY)
+            fleet.store.faults.down = True
+            fleet.nodes[0].kill()
+            node = await fleet.restart(fleet.nodes[0])
+            with trio.move_on_after(0.2):
+                await self.end(fleet, node)
+            fleet.store.faults.down = False
+            await self.wait_ended(fleet)
+
+        self.run_fleet(test, spools=0)
+
     def test_a_job_being_accepted_by_a_neighbour_is_ended_once_it_is_stored(self) -> None:
         async def test(fleet: NodeFleet, _spools: list[RunningSpool]) -> None:
             node, endpoint = await self.start_node_with_endpoint(fleet)
