Report a crash of the process that answered, where it is known

Traced: a node that had stood still for 3 s sent a call with a harmful part of the prompt to an upstream that had restarted, before its list showed that. The call crashed the new process. The node had asked the process for its start time, as its answer had no framing, but reported the crash under the former process, which its permit named. Another node's isolated run of the innocent call, 18 ms old, was broken off by the same crash and reported under the new process: with nothing beside it, so it counted as the cause.

Runs are now reported at the process that answered if this VM lists it. Before, the report could also get lost, as an upstream that is no longer listed has no crashes: the test, a call that crashes a restarted upstream whose entry is late, found no report at all. Where the process is not known (framed answers of calls whose streams are not resumed) nothing changes.

--- a/src/fescuedock/agent/permit_client.py
+++ b/src/fescuedock/agent/permit_client.py
@@ -153,6 +153,10 @@
         """Record that the attempt's answer has no framing and ends with its connection."""
         self._held.unframed = True
 
+    def record_answered_by(self, upstream_id: str) -> None:
+        """Record which incarnation of the upstream answered."""
+        self._held.answered_by = upstream_id
+
     def assign_work(self, work_id: str, parts: tuple[str, ...] = ()) -> None:
         """Assign the work to a permit that was requested before the work was chosen."""
         self._held.request = msgspec.structs.replace(self._held.request, work_id=work_id)
@@ -385,9 +389,10 @@
         held = self._registry.get(ended.permit_id)
         if held is None or self._grants.pop(ended.permit_id, None) is None:
             return
-        self._record_run(held, ended)
+        ran_at = held.answered_by if held.answered_by in self._view.upstreams else ended.upstream_id
+        self._record_run(held, ended, ran_at)
         if held.request.alone and held.unframed and self._nursery is not None:
-            self._nursery.start_soon(self._return_when_settled, held, ended)
+            self._nursery.start_soon(self._return_when_settled, held, ended, ran_at)
         else:
             self._return(held, ended)
 
@@ -397,7 +402,9 @@
             self.local_limit.release(ended.upstream_id)
         self._permit_ended.set()
 
-    async def _return_when_settled(self, held: HeldGrant, ended: EndedPermit) -> None:
+    async def _return_when_settled(
+        self, held: HeldGrant, ended: EndedPermit, upstream_id: str
+    ) -> None:
         """Return the permit of an isolated run once its work is no longer under suspicion.
 
         Until then, for at most ``_MAX_ISOLATED_HOLD_S``, this keeps other work off an upstream that
@@ -409,14 +416,13 @@
             while any(map(self._view.quarantine.is_suspected, (work_id, *held.parts))):
                 await self._view.wait_quarantine_changed()
         self._unsent_reports.append(
-            BrokenRun(ended.upstream_id, work_id, given_up=True, looks_whole=True)
+            BrokenRun(upstream_id, work_id, given_up=True, looks_whole=True)
         )
         self._return(held, ended)
 
-    def _record_run(self, held: HeldGrant, ended: EndedPermit) -> None:
+    def _record_run(self, held: HeldGrant, ended: EndedPermit, upstream_id: str) -> None:
         """Record what a run's end implies for its work; every run ends here, so none is missed."""
         work_id = held.request.work_id
-        upstream_id = ended.upstream_id
         begun = ended.generated_tokens > 0
         unknown = self._view.sound_parts.unknown_among(held.parts, now_ms())
         run = BrokenRun(
--- a/src/fescuedock/core/permits/holder.py
+++ b/src/fescuedock/core/permits/holder.py
@@ -31,6 +31,9 @@
     # The response has neither a length nor chunks, so its end cannot be distinguished from the end
     # of the upstream.
     unframed: bool = False
+    # The incarnation of the upstream that answered, if it was identified.  The one that the permit
+    # names may have been replaced before this VM knew.
+    answered_by: str = ""
 
     @property
     def sendable_until_ms(self) -> float:
--- a/src/fescuedock/node/answer_ends.py
+++ b/src/fescuedock/node/answer_ends.py
@@ -49,7 +49,7 @@
             return
 
         def read_peer(status: int, body: bytes) -> str | None:
-            record.process = query.read_peer(status, body)
+            record.record_process(query.read_peer(status, body))
             return record.process
 
         asked = msgspec.structs.replace(query, read_peer=read_peer)
--- a/src/fescuedock/node/attempt.py
+++ b/src/fescuedock/node/attempt.py
@@ -14,6 +14,7 @@
 from fescuedock.net.http_client import ClientResponse, HttpClient, SendCheck
 from fescuedock.net.http_messages import Headers
 from fescuedock.platform import calls
+from fescuedock.platform.records import with_start
 from fescuedock.schema.permits import AttemptOutcome, EndedPermit, WorkClass
 from fescuedock.schema.view import UpstreamRecord
 
@@ -66,12 +67,18 @@
     def record_answer(self, answer: UpstreamAnswer) -> None:
         """Record that the head of an answer was received."""
         self.answered = True
-        self.process = answer.response.peer
+        self.record_process(answer.response.peer)
         self.last_data_ms = now_ms()
         if answer.response.unframed:
             self.unframed = True
             self.grant.record_unframed()
 
+    def record_process(self, process: str | None) -> None:
+        """Record which process answers, if known."""
+        self.process = process
+        if process:
+            self.grant.record_answered_by(with_start(self.grant.upstream_id, process))
+
     def record_data(self) -> None:
         """Record that bytes of the answer's body were received now."""
         self.last_data_ms = now_ms()
--- a/src/fescuedock/platform/records.py
+++ b/src/fescuedock/platform/records.py
@@ -33,6 +33,7 @@
     "retired_node",
     "retirement_status_key",
     "started_at",
+    "with_start",
 ]
 
 OPERATOR_PREFIX = "op/"
@@ -196,6 +197,11 @@
     return upstream_id.partition(_START_SEPARATOR)[2]
 
 
+def with_start(upstream_id: str, started_at: str) -> str:
+    """Return the ID of the upstream's incarnation with another start time."""
+    return f"{registered_id(upstream_id)}{_START_SEPARATOR}{started_at}"
+
+
 def _incarnation_id(name: str, born: int) -> str:
     if not name or _START_SEPARATOR in name:
         raise ValueError(f"{name!r} is not a valid worker ID")
--- a/tests/test_restarted_upstreams.py
+++ b/tests/test_restarted_upstreams.py
@@ -11,7 +11,7 @@
 
 from fescuedock.core.work_identity import work_identity
 from fescuedock.platform.standin.event_upstream import EventUpstream, UpstreamFault
-from fescuedock.schema.crashes import CrashNews
+from fescuedock.schema.crashes import CrashNews, CrashReport
 from fescuedock.standin.kv_state import prefix_end
 from tests.builders.node import HOST, Answer, NodeFleet, running_fleet
 from tests.builders.online import wait_until
@@ -200,12 +200,16 @@
             # From here on another process answers, which accepts connections at once.
             upstream.born += restarts
         await trio.sleep(0.7)
+        return [run.work_id for report in self.reports_with_runs(fleet) for run in report.runs]
+
+    def reports_with_runs(self, fleet: NodeFleet) -> list[CrashReport]:
+        """Return the stored crash reports that name runs."""
         entries = fleet.store.state.page(CRASHES, prefix_end(CRASHES), 100).entries
         return [
-            run.work_id
+            report
             for entry in entries
             for report in msgspec.msgpack.decode(entry.value, type=CrashNews).crashes
-            for run in report.runs
+            if report.runs
         ]
 
     def test_a_crash_is_reported_though_the_upstream_is_back_before_the_first_connection(
@@ -217,6 +221,26 @@
 
         self.run_fleet(test, versions=("v1",), nodes=1)
 
+    # One crash was reported of two processes, so that an innocent run seemed isolated in it.
+    def test_a_crash_is_reported_of_the_process_that_answered(self) -> None:
+        async def test(fleet: NodeFleet) -> None:
+            [upstream] = fleet.upstreams
+            upstream.unframed, upstream.event_interval_ms = True, 100.0
+            # Its entry names the former process when the call is sent.
+            await upstream.restart()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(fleet.call, fleet.nodes[0].front, "POST", "/rights/1", b"a")
+                await wait_until(lambda: upstream.running)
+                await trio.sleep(0.1)
+                fleet.register(upstream)
+                await trio.sleep(0.2)
+                upstream.crash()
+            await trio.sleep(0.7)
+            [report] = self.reports_with_runs(fleet)
+            self.assertEqual(report.upstream_id, f"i-0@{STARTED_MS + 1}")
+
+        self.run_fleet(test, versions=("v1",), nodes=1)
+
     def test_a_run_that_breaks_off_alone_costs_one_report_where_entries_name_starts(self) -> None:
         for started_ms, asked in ((STARTED_MS, 1), (0, 0)):
             with self.subTest(started_ms=started_ms):
