Refuse connections to upstreams that restart in place in the soak

Cause, in the soak: while an upstream restarts under its identity its proxy went on to accept connections, found nobody behind it and closed them. A node has sent its request by then and must take the run for broken off by the end of the upstream, though it never began. A process that has ended refuses connections, as the soak's crashed upstreams do, and the request is not sent.

A restart now takes the proxy down as a crash does. The proxy listens again though a process that is being started has a copy of its socket, and stays down if it is taken down while it begins to listen.

The test failed before, as the connection was accepted.

--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -1,5 +1,6 @@
 """A loopback proxy that delays, resets or silences, in one or both directions, its connections."""
 
+import errno
 import socket
 import struct
 from dataclasses import dataclass, field
@@ -11,6 +12,8 @@
 __all__ = ["FaultProxy"]
 
 _CHUNK_BYTES = 65536
+_COPIES_CLOSED_WITHIN_S = 5.0
+_RETRY_PAUSE_S = 0.005
 # A linger time of 0 s: closing the socket sends a reset instead of an orderly end.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -59,14 +62,29 @@
         self._up.set()
         while True:
             await self._up.wait()
-            port = 0 if self.address is None else self.address.port
-            [listener] = await trio.open_tcp_listeners(port, host=host)
-            if self.address is None:
-                self.address = Address(host, listener.socket.getsockname()[1])
-                task_status.started(self.address)
             with trio.CancelScope() as self._scope:
+                listener = await self._listen(host)
+                if self.address is None:
+                    self.address = Address(host, listener.socket.getsockname()[1])
+                    task_status.started(self.address)
                 await trio.serve_listeners(self._forward, [listener])
 
+    async def _listen(self, host: str) -> trio.SocketListener:
+        """Listen at the address; wait for processes that are being started to close their copies.
+
+        Until it executes its program, such a process has a copy of the socket that listened before.
+        """
+        port = 0 if self.address is None else self.address.port
+        deadline_s = trio.current_time() + _COPIES_CLOSED_WITHIN_S
+        while True:
+            try:
+                [listener] = await trio.open_tcp_listeners(port, host=host)
+                return listener
+            except OSError as error:
+                if error.errno != errno.EADDRINUSE or trio.current_time() >= deadline_s:
+                    raise
+            await trio.sleep(_RETRY_PAUSE_S)
+
     def take_down(self) -> None:
         """Cut every connection and refuse new ones, as the machine of a crashed process does."""
         self._up = trio.Event()
--- a/tests/soak/releases.py
+++ b/tests/soak/releases.py
@@ -72,7 +72,10 @@
             return ""
         item.registered = False
         version = self.rng.choice(_VERSIONS)
+        # Connections to a process that has ended are refused, not accepted and closed.
+        item.proxy.take_down()
         await item.upstream.restart(version)
+        item.proxy.bring_up()
         await trio.sleep(self.rng.uniform(*_ENTRY_DELAY_S))
         if item.state != "ready" or not item.upstream.listener.is_up:
             return ""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,7 +15,10 @@
 import trio.testing
 
 from fescuedock.address import Address
+from fescuedock.platform.standin import event_upstream
 from fescuedock.platform.standin.event_upstream import EventUpstream
+from tests.builders.net import LOOPBACK
+from tests.builders.online import wait_until
 from tests.builders.standins import run_async
 from tests.soak.clients import JobClient, Reply
 from tests.soak.ending import EndingClient
@@ -25,6 +28,7 @@
 from tests.soak.promises import ACK_S, CALM_S, END_S, Disturbance, Ledger, SoakJob, expected_text
 from tests.soak.proxy import FaultProxy
 from tests.soak.regressions import REGRESSIONS, Regression
+from tests.soak.releases import RestartSchedule
 from tests.soak.runs import SoakReport, new_folder, run_seed
 from tests.soak.slow import BIG_ITEM, SlowReader, big_body
 
@@ -125,6 +129,37 @@
         trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
         self.assertEqual([node.starts for node in nodes], [1, 1])
 
+    def test_restarting_upstream_refuses_connections(self) -> None:
+        """Its proxy accepted and closed them, so that calls which never ran seemed broken off."""
+
+        async def run() -> None:
+            async with trio.open_nursery() as nursery:
+                upstream = EventUpstream("i-0", born=1)
+                proxy = FaultProxy(await nursery.start(upstream.run, LOOPBACK))
+                address = await nursery.start(proxy.run, LOOPBACK.host)
+                harness = mock.Mock(upstreams=[SoakUpstream(upstream, proxy)])
+                schedule = RestartSchedule(harness, Ledger(), random.Random(0))
+                nursery.start_soon(schedule._restart_in_place)
+                await wait_until(lambda: not upstream.listener.is_up)
+                with self.assertRaises(OSError):
+                    await trio.open_tcp_stream(address.host, address.port)
+                await wait_until(lambda: upstream.listener.is_up)
+                await self.connect(address)
+                nursery.cancel_scope.cancel()
+
+        with mock.patch.object(event_upstream, "_RESTART_S", 0.5):
+            run_async(run)
+
+    async def connect(self, address: Address) -> None:
+        """Connect to an address that accepts connections soon."""
+        with trio.fail_after(5):
+            while True:
+                try:
+                    await (await trio.open_tcp_stream(address.host, address.port)).aclose()
+                    return
+                except OSError:
+                    await trio.sleep(0.01)
+
     def test_node_that_was_killed_before_is_not_judged_by_its_stop(self) -> None:
         """A process that was killed may accept connections for some milliseconds more."""
         for killed_first, expected in ((True, []), (False, ["node-1 ended with -9"])):
