--- a/bench/origin_ways.py
+++ b/bench/origin_ways.py
@@ -47,11 +47,11 @@
     fleet.after(released_ms + rng.uniform(0.0, 500.0), fleet.kill, killed, _DOWN_MS)
 
 
-def _outage(fleet: Fleet, lasts_ms: float) -> None:
+def _outage(fleet: Fleet, lasts_ms: float, delay_ms: float = 0.0) -> None:
     start_calm(fleet)
     killed = fleet.rng.sample(fleet.nodes, len(fleet.nodes) // 3)
     fleet.after(_AT_MS, lambda: fleet.set_store(is_down=True))
-    fleet.after(_AT_MS, fleet.kill, killed, _DOWN_MS)
+    fleet.after(_AT_MS + delay_ms, fleet.kill, killed, _DOWN_MS)
     fleet.after(_AT_MS + lasts_ms, lambda: fleet.set_store(is_down=False))
 
 
@@ -65,6 +65,11 @@
     _outage(fleet, 5000.0)
 
 
+def store_away_before_the_loss(fleet: Fleet) -> None:
+    """Let the store answer nobody, and kill a third of the nodes 1.5 s later."""
+    _outage(fleet, 5000.0, 1500.0)
+
+
 def store_refuses_a_third(fleet: Fleet) -> None:
     """Let the store turn a third of the nodes away, and kill two others 0 to 2 s later."""
     start_calm(fleet)
@@ -110,6 +115,7 @@
     cut_off_at_first_release: "one cut off at the first release, two killed",
     store_away_1_s: "store away 1 s, a third killed",
     store_away_5_s: "store away 5 s, a third killed",
+    store_away_before_the_loss: "store away 5 s, a third killed after 1.5 s",
     store_refuses_a_third: "store refuses a third, two killed",
     moved_and_one_killed: "route moved, one killed",
     moved_and_all_killed: "route moved, all killed",
