--- a/src/fescuedock/core/forwarding/route_table.py
+++ b/src/fescuedock/core/forwarding/route_table.py
@@ -127,12 +127,12 @@
         return self._by_name.get(route.name, route).priority
 
     @property
-    def resumable_services(self) -> frozenset[str]:
-        """The services of routes with resumable streams."""
+    def stream_services(self) -> frozenset[str]:
+        """The services of routes with streams, as a later version may make these resumable."""
         return frozenset(
             name
             for route in self.routes
-            if route.kind is RouteKind.STREAM and route.resumable
+            if route.kind is RouteKind.STREAM
             for name, _ in route.services
         )
 
@@ -165,4 +165,6 @@
 
 def host_name(host: str) -> str:
     """Return the host name of a Host header for comparison: without port, in lower case."""
-    return host.rpartition(":")[0].lower() if ":" in host else host.lower()
+    name, colon, port = host.rpartition(":")
+    has_port = bool(colon) and port.isdecimal() and (":" not in name or name.endswith("]"))
+    return (name if has_port else host).lower()
