Model nodes that are isolated until a service has left the records

A node that is cut off for over two minutes goes on starting streams at a service that is no longer recorded. The model follows the bound on the age of copies by which unknown streams start, and the removal that counts from the revision with the mark.

--- a/tests/builders/origin_record_model.py
+++ b/tests/builders/origin_record_model.py
@@ -38,12 +38,14 @@
     "RETURNS",
     "LONG",
     "STRATEGIES",
+    "ISOLATED",
     "Fleet",
     "Node",
     "Outcome",
     "Resumption",
     "Settings",
     "Strategy",
+    "isolated_for_long",
     "moved_routes",
     "play",
     "records_of",
@@ -206,7 +208,8 @@
     whether they are told now of those that started before.  ``registered`` takes the records that
     the key-value service returned after the client's request, by key, and returns what
     ``decide_origin`` is given.  ``asked_to_read`` other nodes read them for a node that the service
-    does not answer.
+    does not answer.  With ``bounds_copies`` a node with a copy of more than ``max_copy_age_ms``
+    starts only streams whose origins other processes have stored.
     """
 
     startable: "Callable[[Fleet, Node, str, str], frozenset[str] | None]"
@@ -215,6 +218,7 @@
     read_keys: Callable[[Route], Sequence[str]]
     registered: "Callable[[Fleet, Resumption], RegisteredStarts | None]"
     asked_to_read: int = 0
+    bounds_copies: bool = True
 
 
 class Fleet:
@@ -451,6 +455,7 @@
             listed,
             self.now_ms,
             is_certain=not node.availability.in_grace(self.now_ms),
+            revisions={name: _revision(node, version_key(name)) for name in services},
         )
         wanted = {
             name: record.updated_versions(listed[name], retired.get(name, ()))
@@ -464,7 +469,13 @@
         configured = stream_prefixes(node.table)[HOST]
         record = _recorded_routes(node)
         routed = routed_services(node.table, HOST, configured | record.prefixes.keys())
-        retired = node.service_retirement.due(record.prefixes, routed, self.now_ms, is_certain=True)
+        retired = node.service_retirement.due(
+            record.prefixes,
+            routed,
+            self.now_ms,
+            is_certain=True,
+            revisions=dict.fromkeys(record.prefixes, _revision(node, _ROUTE_KEY)),
+        )
         wanted = record.updated(routed, retired, configured)
         return {} if wanted == record else {_ROUTE_KEY: wanted}
 
@@ -483,7 +494,7 @@
         wanted = self._due(node).get(key)
         if wanted is None or not self.store_answers(node):
             return
-        expected = node.copy.get(key, (0, None))[0]
+        expected = _revision(node, key)
         # The answer may be lost, and the service may execute the write much later.
         is_lost = self.rng.random() < self.late_share
         delay_ms = (
@@ -539,12 +550,19 @@
         if epoch != node.epoch or not self.is_served(origin):
             return
         wait_ms = self._record_start(stream, node, origin)
-        self.after(wait_ms, self._deliver, stream, node, epoch, origin)
+        if wait_ms is not None:
+            self.after(wait_ms, self._deliver, stream, node, epoch, origin)
+
+    def _record_start(self, stream: Stream, node: Node, origin: StreamOrigin) -> float | None:
+        """Record an origin at the node and its holders; return how long the first event waits.
 
-    def _record_start(self, stream: Stream, node: Node, origin: StreamOrigin) -> float:
-        """Record an origin at the node and its holders; return how long the first event waits."""
+        Return None if the stream may not start.
+        """
         node.memory.record(stream.key, origin, self.now_ms, is_own=True)
-        if not self.strategy.notifies(self, node, origin, stream.path):
+        age_ms = self.now_ms - node.as_of_ms
+        is_outdated = self.strategy.bounds_copies and node.copy is not None
+        is_outdated = is_outdated and age_ms > self.settings.policy.max_copy_age_ms
+        if not is_outdated and not self.strategy.notifies(self, node, origin, stream.path):
             return 0.0
         nodes = [item for item in self._holders(node, stream.key) if self.lists(node, item)]
         spools = self._disks(node, stream.key)
@@ -563,7 +581,7 @@
             nodes = nodes[self.settings.policy.notified_nodes :]
             spools = spools[self.settings.policy.notified_disks :]
             wait_ms += _ACK_TIMEOUT_MS
-        return wait_ms
+        return None if is_outdated and not is_stored else wait_ms
 
     def _tell(self, key: str, origin: StreamOrigin, node: Node, holders: Sequence[Node]) -> bool:
         self.outcome.messages += 2 * len(holders)
@@ -758,6 +776,10 @@
     )
 
 
+def _revision(node: Node, key: str) -> int:
+    return node.copy.get(key, (0, None))[0]
+
+
 def _recorded_versions(node: Node, key: str) -> StartRecord:
     """Return the record whose versions a new one must retain until they are retired."""
     record = node.record(key)
@@ -982,6 +1004,7 @@
         _any_service_has_several,
         _version_keys,
         _registered_versions,
+        bounds_copies=False,
     ),
     "records": _RECORDS,
     "records, moved streams told": replace(_RECORDS, sends_unsent=_any_path_has_several),
@@ -1142,6 +1165,21 @@
         fleet.after(back_ms + rng.uniform(500.0, 15_000.0), _kill_most, fleet)
 
 
+ISOLATED = replace(LONG, request_ms=100.0)
+
+
+def isolated_for_long(fleet: Fleet) -> None:
+    """Isolate a node until the service to which its routes lead has left the records."""
+    rng = fleet.rng
+    start_calm(fleet)
+    [node] = rng.sample(fleet.nodes, 1)
+    until_ms = 2 * fleet.settings.policy.retire_after_ms + 30_000.0
+    fleet.request_span_ms = (until_ms, until_ms + 10_000.0)
+    fleet.after(1000.0, lambda: fleet.set_reach([node], store=False, group=1))
+    fleet.after(2000.0, fleet.configure, _TABLES[1])
+    fleet.after(until_ms + rng.uniform(3000.0, 10_000.0), fleet.kill, [node], 1000.0)
+
+
 def _replace(fleet: Fleet) -> None:
     """Replace the upstreams of a service by those of one or two versions."""
     versions = fleet.rng.sample(("v1", "v2"), fleet.rng.choice((1, 1, 2)))
--- a/tests/test_origin_record_model.py
+++ b/tests/test_origin_record_model.py
@@ -8,6 +8,7 @@
 from fescuedock.core.stream_origins import OriginPolicy, RegisteredStarts
 from tests.builders.origin_record_model import (
     COURSES,
+    ISOLATED,
     LONG,
     RETURNS,
     STRATEGIES,
@@ -17,6 +18,7 @@
     Resumption,
     Settings,
     Strategy,
+    isolated_for_long,
     moved_routes,
     play,
     records_of,
@@ -75,6 +77,9 @@
         self.check_none_joined(play_all(RECORDS, (retirements,), 30, LONG))
         self.check_none_joined(play_all(RECORDS, (returns,), 40, RETURNS))
 
+    def test_a_node_isolated_for_minutes_starts_no_stream_that_is_joined(self) -> None:
+        self.check_none_joined(play_all(RECORDS, (isolated_for_long,), 10, ISOLATED))
+
     def test_other_sound_ways_join_no_stream(self) -> None:
         for name in STRATEGIES.keys() - {"copy", "records", "majority of readers"}:
             with self.subTest(strategy=name):
@@ -102,6 +107,11 @@
         settings = replace(LONG, policy=OriginPolicy(retire_after_ms=500.0))
         self.assertTrue(ways_of(play_all(RECORDS, (retirements,), 25, settings)))
 
+    def test_streams_that_start_by_copies_of_any_age_are_joined(self) -> None:
+        strategy = replace(RECORDS, bounds_copies=False)
+        outcomes = play_all(strategy, (isolated_for_long,), 10, ISOLATED)
+        self.assertIn("service by record", ways_of(outcomes))
+
 
 if __name__ == "__main__":
     unittest.main()
