Do not take a process that is identified too late for that of an answer

By the logs the answer without framing ended 27 ms after its run had begun, as its upstream was killed and came back within 20 ms, and it counted as complete.

Cause, from the logs and by reading: the process of an answer is asked for at its head, for 20 ms at most, which is less than a process takes to restart. A busy loop may read the report after that all the same, and the report here was of the process that came back: the start time it names (3) is that of the process which was there at the end, as the end was judged by it.

A report that is read after these 20 ms is not used; the answer then counts as broken off unless the process that its entry names is there. The test, with a report that is read after 30 ms, failed before.

--- a/src/fescuedock/node/answer_ends.py
+++ b/src/fescuedock/node/answer_ends.py
@@ -48,9 +48,14 @@
         if query is None or record.process is not None:
             return
 
+        latest_ms = now_ms() + _IDENTIFY_TIMEOUT_S * 1000
+
         def read_peer(status: int, body: bytes) -> str | None:
-            record.record_process(query.read_peer(status, body))
-            return record.process
+            found = query.read_peer(status, body)
+            # A busy loop may read an answer later than the time limit below.
+            if now_ms() <= latest_ms:
+                record.record_process(found)
+            return found
 
         asked = msgspec.structs.replace(query, read_peer=read_peer)
         with trio.move_on_after(_IDENTIFY_TIMEOUT_S):
--- a/tests/test_answer_end_decisions.py
+++ b/tests/test_answer_end_decisions.py
@@ -6,7 +6,9 @@
 
 import msgspec
 import trio
+import trio.testing
 
+from fescuedock.address import Address
 from fescuedock.agent.link import FleetView
 from fescuedock.core.forwarding.answer_ends import (
     AnswerEnd,
@@ -79,6 +81,27 @@
             with self.subTest(listed=listed, found=found):
                 self.assertIs(self.judge("100", found, listed), expected)
 
+    # A process that had restarted meanwhile was taken for the one that had begun the answer.
+    def test_a_process_that_is_identified_too_late_is_not_that_of_the_answer(self) -> None:
+        for delay_s, expected in ((0.01, "101"), (0.03, None)):
+            with self.subTest(delay_s=delay_s):
+                self.assertEqual(self.identify(delay_s), expected)
+
+    def identify(self, delay_s: float) -> str | None:
+        """Return the process that is recorded if its report is read after ``delay_s``."""
+
+        async def find_peer(_address: Address, query: PeerQuery) -> ConnectResult:
+            clock.jump(delay_s)
+            query.read_peer(200, b'{"born": 101}')
+            return ConnectResult.EXPECTED_PEER
+
+        clock = trio.testing.MockClock()
+        upstream = UpstreamRecord("u@100", "r", "d", "127.0.0.1", 1, UpstreamKind.ENGINE, "s")
+        record = AttemptRecord(mock.Mock(upstream_id="u@100"), WorkClass.ONLINE, 0.0)
+        ends = AnswerEnds(mock.Mock(find_peer=find_peer), FleetView("vm"))
+        trio.run(ends.identify, upstream, record, clock=clock)
+        return record.process
+
     def judge(
         self, process: str | None, found: ConnectResult, listed: Sequence[str] = ("u@100",)
     ) -> EndVerdict:
