--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -148,7 +148,8 @@
                 upstream = EventUpstream("i-0", born=1)
                 proxy = FaultProxy(await nursery.start(upstream.run, LOOPBACK))
                 address = await nursery.start(proxy.run, LOOPBACK.host)
-                harness = mock.Mock(upstreams=[SoakUpstream(upstream, proxy)])
+                upstreams = [SoakUpstream(upstream, proxy)]
+                harness = mock.Mock(upstreams=upstreams, upstreams_of=lambda _service: upstreams)
                 schedule = RestartSchedule(harness, Ledger(), random.Random(0))
                 nursery.start_soon(schedule._restart_in_place)
                 await wait_until(lambda: not upstream.listener.is_up)
