Report streams that began before their path got a second service

When a route was split between two services, clients of a node that was lost later were refused: the records name two services, and nobody was told of streams that had begun before. The new test failed before.

A test of moved routes silenced the stream's node, which could still tell others; the right origin became known there. The node is cut off now, as if it were killed, so that nobody may know it and nothing may be concluded.

--- a/src/fescuedock/node/stream_origins.py
+++ b/src/fescuedock/node/stream_origins.py
@@ -295,7 +295,7 @@
 
     async def leave(self) -> None:
         """Send all origins that this node knows to other nodes before it stops."""
-        if self._is_needed_elsewhere() or self._has_moved_routes():
+        if self._is_needed_elsewhere():
             await self._send_all(self.memory.all_known(now_ms()))
 
     # --- streams that are resumed ----------------------------------------------------------------
@@ -498,7 +498,7 @@
         """Whether other nodes may need the origins of streams that started here."""
         services = self._configuration.routes.stream_services
         served = versions_by_service(self._view.upstreams.values(), services)
-        return any(self._is_uncertain(name) for name in served)
+        return any(self._is_uncertain(name) for name in served) or self._has_moved_routes()
 
     def _has_moved_routes(self) -> bool:
         """Whether streams of the same path may have started at several services."""
--- a/tests/test_outdated_origin_records.py
+++ b/tests/test_outdated_origin_records.py
@@ -51,7 +51,7 @@
                 fleet.record_versions("v1", service=OTHER_SERVICE)
                 await fleet.run(nursery)
                 await fleet.start_stream("n-0", KEY, "v1")
-                fleet.silent.add("n-0")
+                fleet.cut_off.add("n-0")
                 fleet.move_route(OTHER_SERVICE)
                 for pause_s in (0.0, 0.05, 1.0):
                     await trio.sleep(pause_s)
--- a/tests/test_route_records.py
+++ b/tests/test_route_records.py
@@ -179,6 +179,17 @@
 
         self.play(test)
 
+    def test_streams_that_started_before_their_route_was_split_become_known_to_others(self) -> None:
+        async def test(fleet: OriginNodes) -> None:
+            await fleet.start_stream("n-0", KEY, "v1")
+            fleet.move_route("desk", "other")
+            await trio.sleep(0.5)
+            fleet.silent.add("n-0")
+            found = await fleet.resume("n-1", KEY)
+            self.assertEqual(found.ok_value.service, "desk")
+
+        self.play(test)
+
     def test_an_unreadable_record_is_replaced(self) -> None:
         async def test(fleet: OriginNodes) -> None:
             fleet.write_routes(b"\xc1")
