--- a/src/fescuedock/node/stream_origins.py
+++ b/src/fescuedock/node/stream_origins.py
@@ -158,8 +158,8 @@
         self.memory = OriginMemory(self._policy)
         self._version_retirement = Retirement(self._policy)
         self._service_retirement = Retirement(self._policy)
-        # The version of the configuration, and the prefixes of its resumable streams by host.
-        self._configured: tuple[int, dict[str, set[str]]] = (-1, {})
+        # The version of the configuration, and the prefixes of its streams by host.
+        self._prefixes: tuple[int, dict[str, set[str]]] = (-1, {})
         self._checked_routes = _CheckedRoutes()
         # By key, the revision of a record and what it says, None if it is unreadable.
         self._decoded: dict[str, tuple[int, StartRecord | RouteRecord | None]] = {}
@@ -425,7 +425,7 @@
         known = self._registered(service) or StartRecord()
         copied = RegisteredStarts(service, self._routed(route.host).at(path).names, known.names)
         if len(services) > 1 or len(copied.services) > 1 or len(known.names) > 1:
-            # They decide nothing, and in the store there are at least as many.
+            # Enough to refuse the stream; only a single origin has to be proven by the store.
             return copied
         found: dict[str, KvEntry | None] = {}
         keys = self._keys.routes(host_name(route.host)), self._keys.versions + service
@@ -504,10 +504,17 @@
         """Whether streams of the same path may have started at several services."""
         return any(
             len(starts.names) > 1
-            for host in stream_prefixes(self._configuration.routes)
+            for host in self._configured_prefixes()
             for starts in self._routed(host).prefixes.values()
         )
 
+    def _configured_prefixes(self) -> dict[str, set[str]]:
+        """Return the path prefixes of routes with streams, by host name."""
+        table = self._configuration.routes
+        if self._prefixes[0] != table.version:
+            self._prefixes = (table.version, stream_prefixes(table))
+        return self._prefixes[1]
+
     def _registered(self, service: str) -> StartRecord | None:
         """Return a service's record; None without a readable one."""
         return self._decode(self._keys.versions + service, _versions_in)
@@ -579,10 +586,7 @@
         return updates
 
     def _due_routes(self) -> dict[str, _RecordUpdate]:
-        table = self._configuration.routes
-        if self._configured[0] != table.version:
-            self._configured = (table.version, stream_prefixes(table))
-        _, configured = self._configured
+        table, configured = self._configuration.routes, self._configured_prefixes()
         revisions = {host: self._revision(self._keys.routes(host)) for host in configured}
         state = (table.version, *revisions.values())
         checked = self._checked_routes
