Send a call again whose unframed body ended with a leaving upstream's process

By the logs the upstream was leaving, its process was gone when it was asked after the end, and the last data had come 0.9 ms before, so the verdict was PROBABLE and the body counted as whole. It had exited by force within the body.

For streams that may be resumed and for items a probable end never counted as one; for a body it did, though the call may be repeated. Now only calls that may run once are judged by that time.

--- a/src/fescuedock/node/online_call.py
+++ b/src/fescuedock/node/online_call.py
@@ -458,7 +458,8 @@
         record.record_answer_end()
         if record.unframed:
             verdict = await self._judge_end(upstream, record, stall)
-            if not (verdict.is_complete or verdict.is_probable):
+            # A call that may be repeated needs no guess.
+            if not verdict.is_complete and (self.route.idempotent or not verdict.is_probable):
                 return AttemptEnd.LOST
         if self.client_stream is None:
             await self.responder.send(answer.head.status, b"".join(parts), headers)
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -203,6 +203,24 @@
 
         self.run_fleet(test, nodes=2)
 
+    def test_bodies_of_a_leaving_upstream_that_exits_right_after_data_are_requested_again(
+        self,
+    ) -> None:
+        async def test(fleet: NodeFleet) -> None:
+            async def exit_early() -> None:
+                chosen = max(fleet.upstreams, key=lambda item: item.running)
+                fleet.register(chosen, state="draining")
+                await trio.sleep(INTERVAL_MS * 2 / 1000)
+                while trio.current_time() - chosen.sent_s > 0.0005:  # noqa: ASYNC110
+                    await trio.sleep(0.0004)
+                chosen.crash()
+
+            answers = await self.call_while(fleet, "/safe/", exit_early)
+            self.check_no_half_answer(answers)
+            self.assertEqual(self.whole(answers), 12)
+
+        self.run_fleet(test, nodes=2)
+
 
 if __name__ == "__main__":
     unittest.main()
