--- a/tests/test_route_records.py
+++ b/tests/test_route_records.py
@@ -67,6 +67,16 @@
                 record = updated(record, table, a=list(SERVICES), **{"a/b": list(SERVICES)})
         self.assertEqual(record.prefixes, {})
 
+    # The outer prefix may be due earlier, which would remove the service of the inner one as well.
+    def test_a_prefix_whose_service_waits_to_be_removed_is_not_merged(self) -> None:
+        table = table_of({"/a/": "desk"})
+        marked = StartRecord(frozenset(SERVICES), frozenset(("other",)))
+        kept = updated(RouteRecord({"/a/": marked, "/a/b/": marked}), table)
+        self.assertEqual(kept.prefixes.keys(), {"/a/", "/a/b/"})
+        settled = StartRecord(frozenset(("desk",)))
+        merged = updated(RouteRecord({"/a/": settled, "/a/b/": settled}), table)
+        self.assertEqual(merged.prefixes.keys(), {"/a/"})
+
     def test_a_path_without_a_record_may_not_start(self) -> None:
         record = updated(RouteRecord(), table_of({"/a/b/": "desk"}))
         self.assertEqual([record.at(path).names for path in ("/a/1", "/", "x", "")], [set()] * 4)
