--- a/review/lib2/deployment.py
+++ b/review/lib2/deployment.py
@@ -426,7 +426,7 @@
         writer.write(head.encode())
         for number in range(last + 1, self.events):
             await asyncio.sleep(self.pause_s)
-            event = f"id: {number}\ndata: {event_text(request_id, number)}\n\n".encode()
+            event = self.event_bytes(request_id, number)
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
             if writer.is_closing():
@@ -434,6 +434,9 @@
         writer.write(b"0\r\n\r\n")
         await writer.drain()
 
+    def event_bytes(self, request_id: str, number: int) -> bytes:
+        return f"id: {number}\ndata: {event_text(request_id, number)}\n\n".encode()
+
     def report(self) -> dict:
         return {
             "stage": "both",
