Review: free ports for the scripts of the second review

Cause: the scripts used fixed ports, which other programs may use. Change: ports are drawn and tried before a run.

--- a/review/lib2/deployment.py
+++ b/review/lib2/deployment.py
@@ -9,9 +9,11 @@
 import base64
 import json
 import os
+import random
 import re
 import shutil
 import signal
+import socket
 import sys
 import tempfile
 import time
@@ -513,6 +515,9 @@
         # Different for each run, so that runs side by side don't meet.
         self._net = f"127.{os.getpid() // 250 % 200 + 20}.{os.getpid() % 250 + 1}"
         self._next_host = 1
+        # The same on all machines, as the seeds name the control port of each.
+        names = ("front", "ready", "control", "directory", "internal")
+        self._ports = dict(zip(names, free_ports(len(names)), strict=True))
 
     def host(self) -> str:
         self._next_host += 1
@@ -572,7 +577,7 @@
         """Start the roles of the deploy file, and wait until each node is ready."""
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())["roles"]
         front_hosts = [self.host() for _ in range(fronts)]
-        seeds = [f"{host}:8166" for host in front_hosts[:3]]
+        seeds = [f"{host}:{self._ports['control']}" for host in front_hosts[:3]]
         machines = [("node", "front", i, host) for i, host in enumerate(front_hosts)]
         machines += [("spool", "store", i, self.host()) for i in range(stores)]
         for role, kind, number, host in machines:
@@ -596,7 +601,8 @@
     def _settings(
         self, name: str, kind: str, host: str, zone: str, seeds: list[str], data: Path
     ) -> dict:
-        listen = {"front": 8161, "ready": 8167, "control": 8166, "directory": 8164}
+        ports = self._ports
+        listen = {key: f"{host}:{port}" for key, port in ports.items() if key != "internal"}
         return {
             "nodeName": name,
             "role": kind,
@@ -604,10 +610,8 @@
             "ip": host,
             "zone": zone,
             "region": REGION,
-            "listen": (
-                {key: f"{host}:{port}" for key, port in listen.items()} if kind == "front" else {}
-            ),
-            "internalPorts": [7720, 7735],
+            "listen": listen if kind == "front" else {},
+            "internalPorts": [ports["internal"], ports["internal"] + 15],
             "seeds": seeds,
             "bootstrap": True,
             "faultCounted": kind == "store",
@@ -661,6 +665,21 @@
                 await program.process.wait()
 
 
+def free_ports(count: int) -> list[int]:
+    """Return ports on which nothing listens at 127.0.0.1 or at all addresses."""
+    found: list[int] = []
+    while len(found) < count:
+        port = random.randrange(12000, 30000, 16)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in found:
+            found.append(port)
+    return found
+
+
 class CannotRunError(Exception):
     """The case could not be run."""
 
