--- a/review/lib2/deployment.py
+++ b/review/lib2/deployment.py
@@ -764,10 +764,14 @@
         record = Record(folder / "record.txt")
         temporary = Path(tempfile.mkdtemp(prefix="review-"))
         deployment = Deployment(record, temporary)
+        # Ended from outside, the script still ends its processes.
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             async with asyncio.timeout(limit_s):
                 broken = await play(deployment, trouble)
-        except (CannotRunError, TimeoutError, OSError) as error:
+        except (Exception, asyncio.CancelledError) as error:
+            # Also a fault of the script itself, which Python would end with 1.
             record.add(f"the case could not run: {error!r}")
             return 2
         finally:
