Bound the numbers of a worker's entry, so that others name no worker

Cause: an entry was read for the types of its fields, not for their ranges.

An ID that no header can hold names none either, since each request to the worker names it.

--- a/src/fescuedock/platform/records.py
+++ b/src/fescuedock/platform/records.py
@@ -3,6 +3,7 @@
 Also encodes the status records that the nodes write for the operator.
 """
 
+import re
 from collections.abc import Iterable
 from ipaddress import ip_address
 from typing import Literal
@@ -18,6 +19,7 @@
     RouteTable,
     ServiceTerms,
 )
+from fescuedock.platform import fields
 from fescuedock.schema.view import UpstreamKind, UpstreamRecord
 
 __all__ = [
@@ -47,6 +49,7 @@
 _RETIRE_PREFIX = "op/retire/"
 # Separates the worker's registered ID from its start time in an upstream ID.
 _START_SEPARATOR = "@"
+_WORKER_ID = re.compile(rf"[^\x00-\x20\x7f-\U0010ffff{_START_SEPARATOR}]+")
 _MAX_PORT = 65535
 _RETIRE_STATUS_PREFIX = "status/retire/"
 
@@ -115,14 +118,14 @@
     address: str
     zone: str
     version: str
-    slots: int
+    slots: fields.Concurrency
     state: Literal["ready", "draining"]
     # Remaining time of slow operation after the worker's start.
-    cold_remaining_ms: float
+    cold_remaining_ms: fields.DurationMs
     # Number of entries that the worker has written; it has no meaning but to differ in each one.
-    sequence: int
+    sequence: fields.Count
     # Start time in Unix milliseconds, since a worker may restart under the same key; 0 if unknown.
-    born: int = 0
+    born: fields.UnixMs = 0
 
 
 class _RetireStatus(msgspec.Struct):
@@ -154,10 +157,10 @@
     its cached prompts, so nothing known about the earlier incarnation may be applied to it.
     """
     try:
-        server = msgspec.json.decode(value, type=_Server)
+        server = fields.decode_json(value, _Server)
         host, port = _host_and_port(server.address)
         upstream_id = _incarnation_id(key.removeprefix(UPSTREAM_PREFIX), server.born)
-    except (msgspec.DecodeError, ValueError, RecursionError) as error:
+    except ValueError as error:
         return Err(f"{key} cannot be read: {error}")
     return Ok(
         UpstreamRecord(
@@ -178,9 +181,9 @@
 def is_heartbeat(before: bytes, after: bytes) -> bool:
     """Return whether a worker's entry differs from its last one in heartbeat fields alone."""
     try:
-        first = msgspec.json.decode(before, type=_Server)
-        second = msgspec.json.decode(after, type=_Server)
-    except (msgspec.DecodeError, ValueError, RecursionError):
+        first = fields.decode_json(before, _Server)
+        second = fields.decode_json(after, _Server)
+    except ValueError:
         return before == after
     first.sequence = second.sequence
     first.cold_remaining_ms = second.cold_remaining_ms
@@ -203,7 +206,8 @@
 
 
 def _incarnation_id(name: str, born: int) -> str:
-    if not name or _START_SEPARATOR in name:
+    # Each request to the worker names it in a header.
+    if not _WORKER_ID.fullmatch(name):
         raise ValueError(f"{name!r} is not a valid worker ID")
     return f"{name}{_START_SEPARATOR}{born}" if born else name
 
