Refuse a job whose items no request can carry, before its 202

What callers saw: a job with an item whose path, header or ID no request can hold was accepted, and then ended each node that owned it 20 to 28 times in 10 s; none of its sound items was listed. Token counts of 10^30 were answered 500.

Cause: a submission was read for the types of its fields. What could not be written as a request, or encoded for the store, came out only after the 202, in the nursery of the process.

Why this works: paths, header names and values, IDs and token counts have the forms and ranges of platform/fields.py, so what is accepted can always be stored and sent. Anything else refuses the job whole with 400, BAD_REQUEST, and the reason names the item and its field. Blanks around a header's value are no part of it and are left out.

--- a/src/fescuedock/platform/fields.py
+++ b/src/fescuedock/platform/fields.py
@@ -17,8 +17,11 @@
     "Count",
     "DurationMs",
     "DurationS",
+    "HeaderName",
     "HeaderText",
+    "HeaderValue",
     "RatePerS",
+    "RequestId",
     "RequestTarget",
     "StoreCount",
     "TokenCount",
@@ -58,7 +61,13 @@
 RatePerS = Annotated[float, Meta(ge=0.0, le=_MAX_RATE)]
 # A path, perhaps with a query, as it stands in a request line (RFC 9112, section 3.2.1).
 RequestTarget = Annotated[str, Meta(pattern=r"\A/[\x21-\x7e]*\Z")]
-# A text that is also sent as the value of a header (RFC 9110, section 5.5).
+# The name and the value of a header (RFC 9110, sections 5.1 and 5.5).  Blanks around a value are no
+# part of it, and texts outside of ASCII are sent in UTF-8.
+HeaderName = Annotated[str, Meta(pattern=r"\A[-!#$%&'*+.^_`|~0-9a-zA-Z]+\Z")]
+HeaderValue = Annotated[str, Meta(pattern=r"\A[^\x00-\x08\x0a-\x1f\x7f]*\Z")]
+# An ID that is sent in a header and compared with the one in the answer.
+RequestId = Annotated[str, Meta(pattern=r"\A[\x21-\x7e](?:[\x20-\x7e]*[\x21-\x7e])?\Z")]
+# A text that is also sent as the value of a header.
 HeaderText = Annotated[
     str, Meta(pattern=r"\A[^\x00-\x20\x7f](?:[^\x00-\x08\x0a-\x1f\x7f]*[^\x00-\x20\x7f])?\Z")
 ]
--- a/src/fescuedock/platform/job_calls.py
+++ b/src/fescuedock/platform/job_calls.py
@@ -1,12 +1,12 @@
 """Decodes the clients' calls about batch jobs and encodes their answers."""
 
 import base64
-import binascii
 from collections.abc import Mapping, Sequence
 
 import msgspec
 from result import Err, Ok, Result
 
+from fescuedock.platform import fields
 from fescuedock.schema.stored_jobs import StoredItem, StoredResult
 
 __all__ = [
@@ -24,14 +24,16 @@
 
 
 class _Item(msgspec.Struct):
-    id: str
+    """An item; every accepted one can be sent as a request."""
+
+    id: fields.RequestId
     # Path of the request to the upstream.
-    path: str
-    headers: dict[str, str]
+    path: fields.RequestTarget
+    headers: dict[fields.HeaderName, fields.HeaderValue]
     # In base64.
     body: str
     # Tokens of the prompt and the longest possible output together.
-    tokens: int = 0
+    tokens: fields.TokenCount = 0
 
 
 class _Submission(msgspec.Struct):
@@ -89,9 +91,9 @@
 def read_submission(body: bytes) -> Result[list[StoredItem], str]:
     """Decode the items of a submitted job; ``Err`` is the reason for its refusal."""
     try:
-        submission = msgspec.json.decode(body, type=_Submission)
+        submission = fields.decode_json(body, _Submission)
         items = [_stored_item(item) for item in submission.items]
-    except (msgspec.DecodeError, binascii.Error, ValueError) as error:
+    except ValueError as error:
         return Err(f"the job cannot be read: {error}")
     if not items:
         return Err("the job has no items")
@@ -112,7 +114,7 @@
 
 
 def _stored_item(item: _Item) -> StoredItem:
-    headers = [[name, value] for name, value in item.headers.items()]
+    headers = [[name, value.strip(" \t")] for name, value in item.headers.items()]
     body = base64.b64decode(item.body, validate=True)
     return StoredItem(item.id, item.path, headers, body, item.tokens)
 
