Take a header's number that is out of range as absent

What callers saw: X-Token-Count of 10^30 and any number of more than 4,300 digits were answered 500; a worker's answer with such a Keep-Alive had its call answered 500, and its event number could end the node that ran an item.

Cause: digits were converted without a bound. Python refuses to convert very long ones, messages between nodes hold 64 bits, and a time of 10^400 s does not fit a float.

Why this works: platform/fields.py reads the numbers in headers up to the bound of the field; beyond it a field counts as absent, like a malformed one. The position and the wait of a job's page are refused with 400, as their malformed values were. An event's number has 15 digits at most, and an idle time ten; others are none.

--- a/src/fescuedock/core/forwarding/event_stream.py
+++ b/src/fescuedock/core/forwarding/event_stream.py
@@ -9,10 +9,13 @@
 
 import msgspec
 
-__all__ = ["MAX_EVENT_BYTES", "EventSplitter", "SplitEvent"]
+__all__ = ["MAX_EVENT_BYTES", "MAX_EVENT_NUMBER", "EventSplitter", "SplitEvent"]
 
 # Bytes within which the next event must end; the size at which the head of an answer is refused.
 MAX_EVENT_BYTES = 65536
+# Events are numbered from 0, so no stream comes near it.
+MAX_EVENT_NUMBER = 10**15 - 1
+_MAX_NUMBER_DIGITS = 15
 _NO_ID = -1
 # One search for both line ends: searching for each would scan the buffer to its end every time.
 _END_MARK = re.compile(rb"\n\n|\r\n\r\n")
@@ -20,7 +23,7 @@
 
 
 class SplitEvent(msgspec.Struct, frozen=True):
-    """One event: its bytes, and its number, -1 if its id is missing or not a number."""
+    """One event: its bytes, and its number, -1 if its id is missing or no event's number."""
 
     number: int
     raw: bytes
@@ -95,7 +98,8 @@
     for line in raw.splitlines():
         if line.partition(b":")[0] == b"id":
             value = _field_value(line)
-            return int(value) if value.isdigit() else _NO_ID
+            is_number = value.isdigit() and len(value) <= _MAX_NUMBER_DIGITS
+            return int(value) if is_number else _NO_ID
     return _NO_ID
 
 
--- a/src/fescuedock/net/http_client.py
+++ b/src/fescuedock/net/http_client.py
@@ -51,7 +51,8 @@
 _MAX_SKIPPED_BYTES = 1024 * 1024
 # h11 accepts greater ones.
 _MAX_STATUS = 599
-_KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*(\d+)")
+# A longer time than ten digits hold counts as not announced.
+_KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*(\d{1,10})(?!\d)", re.ASCII)
 # A request must arrive before the server closes: longer than the slowest network transit.
 _KEEP_ALIVE_MARGIN_S = 0.25
 _MAX_PEER_BYTES = 65536
--- a/src/fescuedock/platform/calls.py
+++ b/src/fescuedock/platform/calls.py
@@ -6,9 +6,18 @@
 
 from fescuedock.core.customers import bearer_keys
 from fescuedock.core.forwarding.calls import AnswerHead, CallHead
+from fescuedock.core.forwarding.event_stream import MAX_EVENT_NUMBER
 from fescuedock.faults import Fault
 from fescuedock.net.http_client import PeerQuery
 from fescuedock.net.http_messages import HOP_HEADERS, Headers
+from fescuedock.platform.fields import (
+    MAX_DURATION_MS,
+    MAX_TOKENS,
+    UnixMs,
+    bounded_number,
+    bounded_whole_number,
+    decode_json,
+)
 from fescuedock.platform.records import registered_id, started_at
 
 __all__ = [
@@ -64,16 +73,19 @@
 
 
 def call_head(headers: Headers) -> CallHead:
-    """Decode the headers of a client's call; a malformed field counts as absent."""
+    """Decode the headers of a client's call; a malformed field counts as absent.
+
+    So does one that is out of range.
+    """
     fields = dict(headers)
     prompt_tokens, max_tokens = _token_counts(fields.get(_TOKENS, ""))
     return CallHead(
         request_id=fields.get(_REQUEST_ID, ""),
-        patience_ms=_number(fields.get(_DEADLINE, "")),
+        patience_ms=bounded_number(fields.get(_DEADLINE, ""), MAX_DURATION_MS),
         prompt_tokens=prompt_tokens,
         max_tokens=max_tokens,
         prompt_parts=tuple(_prompt_parts(fields.get(_PROMPT_PARTS, ""))),
-        last_event=_integer(fields.get(_LAST_EVENT, "")),
+        last_event=_last_event(fields.get(_LAST_EVENT, "")),
         resumed_request_id=fields.get(_RESUMES, "").strip(),
     )
 
@@ -146,7 +158,7 @@
 class _Report(msgspec.Struct):
     """A worker's report of its state; only its start time in Unix milliseconds is read."""
 
-    born: int | None = None
+    born: UnixMs | None = None
 
 
 def process_query(upstream_id: str) -> PeerQuery | None:
@@ -182,8 +194,8 @@
     if status != _OK:
         raise ValueError(f"status {status}")
     try:
-        report = msgspec.json.decode(body, type=_Report)
-    except (msgspec.DecodeError, RecursionError) as error:
+        report = decode_json(body, _Report)
+    except ValueError as error:
         raise ValueError(f"its report cannot be read: {error}") from error
     return None if report.born is None else str(report.born)
 
@@ -221,23 +233,19 @@
 
 def _token_counts(text: str) -> tuple[int, int]:
     prompt, _, output = text.partition(",")
-    return _integer(prompt, 0), _integer(output, 0)
+    return _token_count(prompt), _token_count(output)
 
 
 def _prompt_parts(text: str) -> Iterable[tuple[str, int]]:
     for part in text.split(",") if text else ():
         name, _, tokens = part.strip().partition(":")
-        yield name, _integer(tokens, 0)
+        yield name, _token_count(tokens)
 
 
-def _number(text: str) -> float | None:
-    try:
-        value = float(text)
-    except ValueError:
-        return None
-    return value if value >= 0 else None
+def _token_count(text: str) -> int:
+    return bounded_whole_number(text, MAX_TOKENS) or 0
 
 
-def _integer(text: str, default: int = -1) -> int:
-    text = text.strip()
-    return int(text) if text.isascii() and text.isdigit() else default
+def _last_event(text: str) -> int:
+    number = bounded_whole_number(text, MAX_EVENT_NUMBER)
+    return -1 if number is None else number
--- a/src/fescuedock/platform/job_calls.py
+++ b/src/fescuedock/platform/job_calls.py
@@ -21,6 +21,8 @@
 _RESULTS_PATH = "/api/lots/"
 _BODIES_PATH = "/api/items/"
 _WAIT_HEADER = "x-wait-ms"
+# Characters of a value that a refusal repeats.
+_MAX_NAMED_CHARACTERS = 40
 
 
 class _Item(msgspec.Struct):
@@ -71,7 +73,7 @@
 ) -> JobCall | None:
     """Decode a call about an existing job; return None for any other call.
 
-    Raise ``ValueError``, naming the field, for one that is not an integer.
+    Raise ``ValueError``, naming the field, for one that is no number or out of range.
     """
     if path.startswith(_BODIES_PATH) and method == "GET":
         return JobCall("body", path.removeprefix(_BODIES_PATH), item_id=query.get("id", ""))
@@ -82,10 +84,9 @@
         return JobCall("end", job_id)
     if method != "GET":
         return None
-    after = _integer("after", query.get("after", "0"))
-    return JobCall(
-        "read", job_id, after, wait_ms=_integer(_WAIT_HEADER, headers.get(_WAIT_HEADER, "0"))
-    )
+    after = _integer("after", query.get("after", "0"), fields.MAX_COUNT)
+    wait_ms = _integer(_WAIT_HEADER, headers.get(_WAIT_HEADER, "0"), int(fields.MAX_DURATION_MS))
+    return JobCall("read", job_id, after, wait_ms=wait_ms)
 
 
 def read_submission(body: bytes) -> Result[list[StoredItem], str]:
@@ -119,7 +120,8 @@
     return StoredItem(item.id, item.path, headers, body, item.tokens)
 
 
-def _integer(name: str, text: str) -> int:
-    if not (text.isascii() and text.isdigit()):
-        raise ValueError(f"{name} = {text!r} is not an integer")
-    return int(text)
+def _integer(name: str, text: str, limit: int) -> int:
+    number = fields.bounded_whole_number(text, limit)
+    if number is None:
+        raise ValueError(f"{name} = {text[:_MAX_NAMED_CHARACTERS]!r} is no number up to {limit}")
+    return number
