Answer a request whose target is no URL with 400

What callers saw: one request line, GET //[x HTTP/1.1, ended a node and cut off all calls that it served.

Cause: the target was split before the block that keeps one request's exceptions from ending the server, and urlsplit raises ValueError for a bracket without its other half.

Why this works: the request is made from its head before it counts as in flight, and a target that cannot be read is answered 400, BAD_REQUEST, with Connection: close.

Measured: the new test failed before (ValueError in the server's nursery, no answer), passes now.

--- a/src/fescuedock/net/http_server.py
+++ b/src/fescuedock/net/http_server.py
@@ -146,9 +146,14 @@
         if _is_ambiguous(head):
             await _send_ambiguous_fault(connection)
             return False
+        try:
+            request = _request_of(head, connection)
+        except ValueError as error:
+            await _send_target_fault(connection, error)
+            return False
         self.in_flight += 1
         try:
-            await self._handle(connection, head)
+            await self._handle(connection, head, request)
         finally:
             self.in_flight -= 1
         return not self.stopping and await connection.prepare_next()
@@ -166,10 +171,11 @@
             return event if isinstance(event, h11.Request) else None
         return None
 
-    async def _handle(self, connection: HttpConnection, head: h11.Request) -> None:
+    async def _handle(
+        self, connection: HttpConnection, head: h11.Request, request: Request
+    ) -> None:
         responder = Responder(connection)
         connection.begin_body(head)
-        request = _request_of(head, connection)
         async with trio.open_nursery() as nursery:
             connection.set_handler_nursery(nursery)
             nursery.start_soon(connection.watch_disconnect, nursery.cancel_scope)
@@ -226,6 +232,7 @@
 
 
 def _request_of(head: h11.Request, connection: HttpConnection) -> Request:
+    """Return the request of ``head``; raise ``ValueError`` if its target is no URL."""
     target = head.target.decode("ascii", "replace")
     parts = urlsplit(target)
     return Request(
@@ -253,6 +260,11 @@
     await Responder(connection).send_fault(fault, [("connection", "close")])
 
 
+async def _send_target_fault(connection: HttpConnection, error: ValueError) -> None:
+    fault = Fault(ResultCode.BAD_REQUEST, f"the target of the request cannot be read: {error}")
+    await Responder(connection).send_fault(fault, [("connection", "close")])
+
+
 async def _send_timeout_fault(connection: HttpConnection, error: RequestTimeoutError) -> None:
     if connection.protocol.our_state is not h11.IDLE:
         return
--- a/tests/test_foreign_calls.py
+++ b/tests/test_foreign_calls.py
@@ -136,5 +136,23 @@
         self.run_fleet(test)
 
 
+class RequestLineTest(unittest.TestCase):
+    def test_a_target_that_is_no_url_ends_no_node(self) -> None:
+        """``GET //[x`` ended the node."""
+        targets = ("//[x", "http://[x/", "http://[::1", "//", "//a/safe/1", "*", "/%zz", "/?%zz=[")
+
+        async def run() -> None:
+            with trio.fail_after(30):
+                async with running_fleet(nodes=1, upstreams=1) as fleet:
+                    for target in targets:
+                        answer = await send_raw(fleet.nodes[0].front, request_bytes(target))
+                        with self.subTest(target=target):
+                            self.assertIn(answer[9:12], (b"400", b"404"))
+                    answer = await send_raw(fleet.nodes[0].front, request_bytes("/safe/1"))
+                    self.assertEqual(answer[9:12], b"200")
+
+        run_async(run)
+
+
 if __name__ == "__main__":
     unittest.main()
