Let an unexpected exception end its message, call or connection, not the process

What callers saw: one reply that could not be encoded ended the node that owned the queue, and with it all calls that it served; the same held for a push whose handler raised, for a datagram, and for a connection's own exception. A handler's exception was dropped without a line, as neither nodes nor spools passed a function for it.

Cause: the reply of a message was encoded outside the block that catches its handler's exceptions, in the nursery of the process; the tasks that receive pushes and datagrams, and each connection, had no such block.

Why this works: each of these ends alone. Messages that cannot be read are logged, and those nested too deeply are among them.

--- a/src/fescuedock/agent/membership_service.py
+++ b/src/fescuedock/agent/membership_service.py
@@ -20,9 +20,10 @@
     Send,
     is_membership_message,
 )
+from fescuedock.errors import log_internal_error
 from fescuedock.faults import Fault
 from fescuedock.net.channel import CallHandler, ServerPeer
-from fescuedock.net.codec import BadMessageError, Codec
+from fescuedock.net.codec import BadMessageError, Codec, log_unreadable_message
 from fescuedock.net.udp import UdpSocket
 from fescuedock.schema.config import Configuration
 from fescuedock.schema.view import (
@@ -162,7 +163,10 @@
     async def _receive_forever(self) -> None:
         while True:
             for data, source in await self._udp.receive():
-                self._handle_datagram(data, source)
+                try:
+                    self._handle_datagram(data, source)
+                except Exception as error:
+                    log_internal_error(error, "datagram", source=str(source))
             self._wake_if_due_earlier()
 
     async def _tick_forever(self) -> None:
@@ -211,7 +215,8 @@
             return
         try:
             message = self._codec.decode(data)
-        except BadMessageError:
+        except BadMessageError as error:
+            log_unreadable_message(error)
             return
         if is_membership_message(message):
             self._perform(self._membership.receive(message, source, now_ms()))
--- a/src/fescuedock/net/channel.py
+++ b/src/fescuedock/net/channel.py
@@ -17,8 +17,9 @@
 from result import Err, Ok, Result
 
 from fescuedock.address import Address
+from fescuedock.errors import log_internal_error
 from fescuedock.faults import Fault
-from fescuedock.net.codec import BadMessageError, Codec
+from fescuedock.net.codec import BadMessageError, Codec, log_unreadable_message
 from fescuedock.schema.result_codes import ResultCode
 
 __all__ = ["CallHandler", "ChannelClient", "Peer", "PushHandler", "serve_channel"]
@@ -38,6 +39,10 @@
 PushHandler = Callable[[msgspec.Struct], None]
 
 
+def _log_message_error(error: Exception) -> None:
+    log_internal_error(error, "message")
+
+
 class Peer:
     """The remote end of a server's connection, to which the server can push messages."""
 
@@ -135,14 +140,14 @@
     codec: Codec,
     handler: CallHandler,
     *,
-    on_error: Callable[[Exception], None] = lambda error: None,
+    on_error: Callable[[Exception], None] = _log_message_error,
     task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Answer calls on ``address`` (port 0 selects a free one) until cancelled.
 
     Report the bound ``Address`` through ``task_status``.  Messages that cannot be decoded are
-    dropped.  An exception of a handler goes to ``on_error`` and leaves its call unanswered, so that
-    the outcome is unknown to the caller.
+    logged and dropped.  An exception of a handler, or one raised by encoding its answer, goes to
+    ``on_error`` and leaves its call unanswered, so that the outcome is unknown to the caller.
     """
     socket = _open_socket(zmq.ROUTER)
     socket.setsockopt(zmq.ROUTER_MANDATORY, 1)
@@ -161,15 +166,13 @@
             async def answer(identity: bytes, number: bytes, data: bytes) -> None:
                 try:
                     message = codec.decode(data, number)
-                except BadMessageError:
-                    return
-                try:
                     reply = await handler(message, ServerPeer(Peer(identity, pumped.send), codec))
+                    if reply is not None and number != _PUSH_NUMBER:
+                        pumped.send([identity, number, codec.encode(reply, number)])
+                except BadMessageError as error:
+                    log_unreadable_message(error)
                 except Exception as error:
                     on_error(error)
-                    return
-                if reply is not None and number != _PUSH_NUMBER:
-                    pumped.send([identity, number, codec.encode(reply, number)])
 
             pumped = _PumpedSocket(socket, receive)
             task_status.started(Address(address.host, port))
@@ -254,8 +257,11 @@
         elif self._on_push is not None:
             try:
                 self._on_push(self._codec.decode(data, number))
-            except BadMessageError:
-                return
+            except BadMessageError as error:
+                log_unreadable_message(error)
+            except Exception as error:
+                # Raised here, it would end the task that receives all other messages.
+                _log_message_error(error)
 
 
 def _drop_late_answer(_data: bytes) -> None:
--- a/src/fescuedock/net/codec.py
+++ b/src/fescuedock/net/codec.py
@@ -12,7 +12,9 @@
 
 import msgspec
 
-__all__ = ["BadMessageError", "Codec", "Key", "load_keys"]
+from fescuedock.log import log_event
+
+__all__ = ["BadMessageError", "Codec", "Key", "load_keys", "log_unreadable_message"]
 
 _DIGEST_BYTES = 16
 
@@ -21,6 +23,11 @@
     """A received message that must be ignored; the text says why."""
 
 
+def log_unreadable_message(error: BadMessageError) -> None:
+    """Log that a received message is dropped, as a peer of another version or key sends many."""
+    log_event("message_unreadable", routine=True, reason=str(error))
+
+
 class Key(msgspec.Struct, frozen=True):
     """A named shared secret."""
 
@@ -79,7 +86,7 @@
             return decoder.decode(raw)
         except KeyError as error:
             raise BadMessageError(f"unknown message type {error}") from error
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             raise BadMessageError(str(error)) from error
 
     def _make_decoder(self, name: str) -> msgspec.msgpack.Decoder:
--- a/src/fescuedock/net/http_server.py
+++ b/src/fescuedock/net/http_server.py
@@ -14,6 +14,7 @@
 
 from fescuedock.address import Address, naming_address
 from fescuedock.core.slow_peers import HeldBounds, HeldBytes
+from fescuedock.errors import log_internal_error
 from fescuedock.faults import Fault
 from fescuedock.net.http_connection import (
     LINGER_S,
@@ -61,8 +62,8 @@
     handler: Handler
     limits: HttpLimits = msgspec.field(default_factory=HttpLimits)
     draining: bool = False
-    # Called with unexpected exceptions of a handler.
-    on_error: Callable[[Exception], None] = lambda error: None
+    # Called with unexpected exceptions of a handler or a connection.
+    on_error: Callable[[Exception], None] = log_internal_error
     # Size of the kernel's send buffer for each connection; 0 for the kernel's default.
     send_buffer_bytes: int = 0
     # Bytes buffered for slow callers, here and in other users of the same object.
@@ -127,6 +128,9 @@
                 pass
         except DroppedConnectionError:
             return
+        except Exception as error:
+            # Raised here, it would end the server and all other connections.
+            self.on_error(error)
         finally:
             with trio.CancelScope(shield=True, deadline=trio.current_time() + LINGER_S):
                 await connection.close()
--- a/src/fescuedock/node/front.py
+++ b/src/fescuedock/node/front.py
@@ -78,7 +78,6 @@
         own_address: Address,
         configuration: NodeConfiguration,
         view: FleetView,
-        on_error: Callable[[Exception], None],
         knows_restrictions: Callable[[], bool] = lambda: True,
     ) -> None:
         self.settings = settings
@@ -101,7 +100,6 @@
         self.server = HttpServer(
             self.handle,
             http_limits(ClientLimits()),
-            on_error=on_error,
             send_buffer_bytes=settings.client_buffer_bytes,
             held=self.held,
             on_cut_off=self._log_cut_off,
--- a/src/fescuedock/node/main.py
+++ b/src/fescuedock/node/main.py
@@ -34,6 +34,7 @@
 from fescuedock.core.stored_jobs.pending_ends import PendingEnds
 from fescuedock.core.watch_duty import WatchDuty
 from fescuedock.daemon import Stop, run_program
+from fescuedock.errors import internal_error_counts
 from fescuedock.faults import Fault
 from fescuedock.log import log_event
 from fescuedock.net.channel import CallHandler
@@ -178,9 +179,7 @@
         )
         front_address = Address.parse(node.front_address)
         live = self._table(self._keys.live)
-        self.front = Front(
-            node, front_address, self._configuration, view, _log_error, lambda: live.is_known
-        )
+        self.front = Front(node, front_address, self._configuration, view, lambda: live.is_known)
         self._programs = LocalPrograms(settings.vm, settings.agent.port)
         self._lease = NodeLease(
             self._store, self._keys.nodes, self._node_record(), node.lease_ttl_ms
@@ -368,15 +367,15 @@
     async def serve(self, nursery: trio.Nursery) -> Address:
         """Listen at all addresses; return that of the front."""
         node = self._settings.node
-        ready = HttpServer(self.front.handle_ready, on_error=_log_error)
-        directory = HttpServer(self.front.handle_directory, on_error=_log_error)
+        ready = HttpServer(self.front.handle_ready)
+        directory = HttpServer(self.front.handle_directory)
         await nursery.start(ready.serve, Address.parse(node.ready_address))
         await nursery.start(directory.serve, Address.parse(node.directory_address))
         if node.metrics_port:
-            metrics = HttpServer(self._answer_metrics, on_error=_log_error)
+            metrics = HttpServer(self._answer_metrics)
             await nursery.start(metrics.serve, Address(self._settings.vm.host, node.metrics_port))
         if node.control_address:
-            control = HttpServer(self.front.handle_ready, on_error=_log_error)
+            control = HttpServer(self.front.handle_ready)
             await nursery.start(control.serve, Address.parse(node.control_address))
         return await nursery.start(self._serve_front)
 
@@ -420,6 +419,7 @@
         status.customers = self.quotas.status()
         status.held_bytes = self.front.held.total_bytes
         status.cut_off_callers = self.front.cut_off_callers
+        status.internal_errors = internal_error_counts()
         status.restricted_items = self._runner.restricted_count
         status.held_items = self._runner.held_counts
         status.longest_holds_ms = self._runner.longest_holds_ms
@@ -581,10 +581,6 @@
     return WatchDuty(vm.vm_id, vm.region, vm.failure_domain)
 
 
-def _log_error(error: Exception) -> None:
-    log_event("internal_error", error=repr(error))
-
-
 def main() -> None:
     """Run ``fescuedock-node [FILE]``."""
     run_program("node", run_node, NODE_SECTIONS, file=os.environ.get(_SETTINGS_VARIABLE, ""))
--- a/src/fescuedock/report/prometheus.py
+++ b/src/fescuedock/report/prometheus.py
@@ -149,6 +149,11 @@
         yield GaugeMetricFamily(f"fescuedock_{name}", text, value=value)
     text = "Slow clients that were cut off."
     yield CounterMetricFamily("fescuedock_cut_off_callers", text, value=status.cut_off_callers)
+    text = "Units of work that an unexpected exception has ended."
+    errors = CounterMetricFamily("fescuedock_internal_errors", text, labels=("work",))
+    for work, count in sorted(status.internal_errors.items()):
+        errors.add_metric((work,), count)
+    yield errors
     text = "Works and parts of prompts that upstreams ended under, or were shown not to end under."
     traits = GaugeMetricFamily("fescuedock_quarantine_traits", text, labels=("state",))
     traits.add_metric(("suspected",), status.suspected_traits)
--- a/src/fescuedock/schema/report.py
+++ b/src/fescuedock/schema/report.py
@@ -179,6 +179,12 @@
     cut_off_callers: Annotated[
         int, Meta(description="Slow clients that were cut off since the start.")
     ] = 0
+    internal_errors: Annotated[
+        dict[str, int],
+        Meta(
+            description="Units of work that an unexpected exception has ended since the start, by kind."
+        ),
+    ] = field(default_factory=dict)
     suspected_traits: Annotated[
         int, Meta(description="Works and parts of prompts that were at an upstream as it ended.")
     ] = 0
