Take an answer of the store with numbers out of range as none

What callers would see: a revision of 10^30 in a page or a watch reached the messages in which nodes tell each other of changes, which cannot encode it; an answer nested too deeply raised in the task that reads the store.

Cause: the store's answers were read for the types of their fields alone.

Why this works: revisions and leases are signed 64 bits, as platform/fields.py says, and times to live are bounded; any other answer counts as one that cannot be read, whose call fails with a fault that it may have been executed.

--- a/src/fescuedock/platform/store.py
+++ b/src/fescuedock/platform/store.py
@@ -31,6 +31,7 @@
     ResponseTooLargeError,
 )
 from fescuedock.platform import store_wire as wire
+from fescuedock.platform.fields import decode_json
 from fescuedock.schema.result_codes import ResultCode
 
 __all__ = ["MAX_KEY_BYTES", "MetadataStore"]
@@ -241,8 +242,8 @@
         if content is None:
             return Ok(convert(None))
         try:
-            return Ok(convert(msgspec.json.decode(content, type=kind)))
-        except (msgspec.DecodeError, ValueError) as error:
+            return Ok(convert(decode_json(content, kind)))
+        except ValueError as error:
             # The answer may belong to a write whose effect is unknown.
             return Err(_unknown_outcome(f"the store's answer cannot be read: {error}"))
 
--- a/src/fescuedock/platform/store_wire.py
+++ b/src/fescuedock/platform/store_wire.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from fescuedock.platform.fields import Count, StoreCount
+
 __all__ = [
     "Expectation",
     "Item",
@@ -20,11 +22,11 @@
 
     key: str
     # Revision of the key's last change, not that of the store.
-    revision: int
+    revision: StoreCount
     # In base64.
     value: str = ""
     # 0 if the key is attached to no lease.
-    lease: int = 0
+    lease: StoreCount = 0
     removed: bool = False
 
 
@@ -34,14 +36,14 @@
     items: list[Item]
     truncated: bool
     # Revision of the store when the page was read.
-    as_of: int
+    as_of: StoreCount
 
 
 class WatchAnswer(msgspec.Struct, rename="camel"):
     """All changes up to revision ``as_of``."""
 
     events: list[Item]
-    as_of: int
+    as_of: StoreCount
 
 
 class Expectation(msgspec.Struct):
@@ -70,7 +72,7 @@
 class TxnAnswer(msgspec.Struct):
     """The revision of the transaction's changes."""
 
-    revision: int
+    revision: StoreCount
 
 
 class LeaseRequest(msgspec.Struct, rename="camel"):
@@ -82,5 +84,5 @@
 class LeaseAnswer(msgspec.Struct, rename="camel"):
     """A lease and its remaining time; the answer to a renewal has no ``lease``."""
 
-    ttl_ms: int
-    lease: int = 0
+    ttl_ms: Count
+    lease: StoreCount = 0
