Keep an exception under one permit, upstream, end or report from ending the node

What callers would see: an exception in a task that was started for one unit of work, a request for a permit, the health check of an upstream, the retry of a job's end, the renewal with one owner, ended the node with all its work.

Cause: these tasks run in nurseries of the process, which an exception of any task ends.

Why this works: errors.run_contained runs each, logs and counts what it raises with the unit of work, and the loop that started it goes on; a request for a permit that raised waits as after a refusal. A configuration is applied whole or not at all. Loops over all work still end the process when they raise themselves; that is left open.

--- a/src/fescuedock/agent/crash_service.py
+++ b/src/fescuedock/agent/crash_service.py
@@ -20,7 +20,8 @@
 from fescuedock.core.crash_log import CrashFact, CrashLog, facts_of, message_of, receivers_of
 from fescuedock.core.quarantine import QuarantinePolicy, traits_of
 from fescuedock.core.rendezvous import choose_name
-from fescuedock.kv import KvEntry, KvStore
+from fescuedock.errors import run_contained
+from fescuedock.kv import KvEntry, KvStore, decode_value
 from fescuedock.log import log_event
 from fescuedock.net.channel import CallHandler, ServerPeer
 from fescuedock.net.channel_pool import ChannelPool
@@ -126,7 +127,7 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             for upstream_id in self._broken:
-                nursery.start_soon(self._check_upstream, upstream_id)
+                nursery.start_soon(self._check_contained, upstream_id)
             nursery.start_soon(self._send_forever)
             nursery.start_soon(self._write_forever)
             nursery.start_soon(self._ask_neighbour)
@@ -162,14 +163,14 @@
         for entry in entries:
             if not entry.key.startswith(self._prefix) or entry.key in self._stored:
                 continue
-            try:
-                message = msgspec.msgpack.decode(entry.value, type=CrashNews)
-            except msgspec.MsgspecError as error:
+            decoded = decode_value(entry.key, entry.value, CrashNews)
+            if isinstance(decoded, Err):
                 # Written by a newer version, which also removes it.
                 self._stored[entry.key] = []
-                log_event("crash_news_unreadable", key=entry.key, reason=str(error))
+                reason = decoded.err_value.message
+                log_event("crash_news_unreadable", key=entry.key, reason=reason)
                 continue
-            facts = facts_of(message)
+            facts = facts_of(decoded.ok_value)
             self._stored[entry.key] = [fact.report_id for fact in facts]
             for fact in facts:
                 self._apply_fact(fact)
@@ -228,7 +229,7 @@
 
             broken_runs = self._broken[message.upstream_id] = BrokenRuns()
             if self._nursery is not None:
-                self._nursery.start_soon(self._check_upstream, message.upstream_id)
+                self._nursery.start_soon(self._check_contained, message.upstream_id)
         broken_runs.add(message, now_ms())
 
     async def _on_completed(self, message: WholeRun, _peer: ServerPeer) -> None:
@@ -249,6 +250,14 @@
 
     # --- detection -------------------------------------------------------------------------------
 
+    async def _check_contained(self, upstream_id: str) -> None:
+        """Check an upstream; after an unexpected exception its broken runs are not reported."""
+        checked = await run_contained(
+            "upstream", self._check_upstream, upstream_id, upstream_id=upstream_id
+        )
+        if not checked:
+            self._broken.pop(upstream_id, None)
+
     async def _check_upstream(self, upstream_id: str) -> None:
         """Report the runs that an upstream broke off, if it has ended."""
         broken_runs = self._broken[upstream_id]
--- a/src/fescuedock/agent/permit_client.py
+++ b/src/fescuedock/agent/permit_client.py
@@ -23,6 +23,7 @@
 from fescuedock.core.permits.queued import is_overdue
 from fescuedock.core.recent_runs import AbandonedRuns
 from fescuedock.core.route_learning import UnansweredRequests
+from fescuedock.errors import run_contained
 from fescuedock.faults import Fault
 from fescuedock.log import log_event
 from fescuedock.net.channel import CallHandler, ChannelClient, PushHandler
@@ -488,7 +489,7 @@
             async with trio.open_nursery() as nursery:
                 for address, group in self._held_by_owner().items():
                     if any(held.renew_at_ms <= now_ms() for held in group):
-                        nursery.start_soon(self._renew, address, group)
+                        nursery.start_soon(run_contained, "message", self._renew, address, group)
             self._revoke(self._registry.lapsed(now_ms()))
 
     def _held_by_owner(self) -> dict[Address, list[HeldGrant]]:
--- a/src/fescuedock/agent/permit_service.py
+++ b/src/fescuedock/agent/permit_service.py
@@ -4,6 +4,7 @@
 import random
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable
+from functools import partial
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -17,6 +18,7 @@
 from fescuedock.core.permits.owner import OwnedUpstream, PermitOwner
 from fescuedock.core.permits.terms import UpstreamTerms
 from fescuedock.core.permits.waiting import MemberShares
+from fescuedock.errors import run_contained
 from fescuedock.faults import Fault
 from fescuedock.net.channel import CallHandler, ServerPeer
 from fescuedock.schema.config import Configuration, Objectives
@@ -214,7 +216,15 @@
                 for upstream_id in self._owner.owned():
                     upstream = self._view.upstreams.get(upstream_id)
                     if upstream is not None:
-                        nursery.start_soon(self._poll, upstream)
+                        nursery.start_soon(
+                            partial(
+                                run_contained,
+                                "upstream",
+                                self._poll,
+                                upstream,
+                                upstream_id=upstream_id,
+                            )
+                        )
 
     async def _poll(self, upstream: UpstreamRecord) -> None:
         if self._owner.start_trial(upstream.upstream_id, now_ms()):
--- a/src/fescuedock/node/configuration.py
+++ b/src/fescuedock/node/configuration.py
@@ -109,8 +109,9 @@
             revision=self._revision,
             routes=len(routes.routes),
         )
-        self.routes = routes
-        self._document = msgspec.json.encode(derived_configuration(routes))
+        # Derived first, so that a configuration is applied whole or not at all.
+        document = msgspec.json.encode(derived_configuration(routes))
+        self.routes, self._document = routes, document
         self._known.set()
         self._changed.set()
         self._changed = trio.Event()
--- a/src/fescuedock/node/front.py
+++ b/src/fescuedock/node/front.py
@@ -1,6 +1,7 @@
 """Answers clients and the platform at a node: calls, jobs, readiness and the directory."""
 
 from collections.abc import Callable
+from functools import partial
 
 import msgspec
 import trio
@@ -13,6 +14,7 @@
 from fescuedock.core.entry_choice import recommended_vms
 from fescuedock.core.forwarding.route_table import ClientLimits, Route, RouteKind
 from fescuedock.core.slow_peers import HeldBounds, HeldBytes
+from fescuedock.errors import run_contained
 from fescuedock.faults import Fault
 from fescuedock.log import log_event
 from fescuedock.net.http_server import (
@@ -146,7 +148,9 @@
                     self._log_refusal(request, caller.err_value)
                     continue
                 job_id = scoped_job_id(caller.ok_value, call.job_id)
-                nursery.start_soon(self.jobs.ends.end, job_id)
+                nursery.start_soon(
+                    partial(run_contained, "job", self.jobs.ends.end, job_id, job_id=job_id)
+                )
 
     def _keep_abandoned_end(self, request: Request, call: job_calls.JobCall) -> None:
         try:
--- a/src/fescuedock/node/item_isolation.py
+++ b/src/fescuedock/node/item_isolation.py
@@ -13,6 +13,7 @@
 from fescuedock.agent.link import FleetView
 from fescuedock.agent.permit_client import Grant, PermitClient
 from fescuedock.clock import now_ms
+from fescuedock.errors import run_contained
 from fescuedock.faults import Fault
 from fescuedock.log import log_event
 from fescuedock.schema.permits import PermitAsk, WorkClass
@@ -99,7 +100,7 @@
 
     async def _request(self, service: str, item: IsolatedItem) -> None:
         try:
-            await self._request_once(service, item)
+            await run_contained("item", self._request_once, service, item, service=service)
         finally:
             self._requested.discard(service)
 
--- a/src/fescuedock/node/item_permits.py
+++ b/src/fescuedock/node/item_permits.py
@@ -19,6 +19,7 @@
     choose_upstreams,
 )
 from fescuedock.core.stored_jobs.urgency import ItemChoice
+from fescuedock.errors import run_contained
 from fescuedock.log import log_event
 from fescuedock.schema.permits import PermitAsk, WorkClass
 from fescuedock.schema.result_codes import ResultCode
@@ -152,18 +153,30 @@
     async def _request(self, upstream_id: str, position: int) -> None:
         """Request a permit for the item at ``position``; back off after a refusal."""
         try:
-            await self._request_once(upstream_id, lambda upstream: self._choose(upstream, position))
+            await self._request_contained(
+                upstream_id, lambda upstream: self._choose(upstream, position)
+            )
         finally:
             self._requested.pop(upstream_id, None)
             self.wake()
 
     async def _request_overdue(self, upstream_id: str, service: str) -> None:
         try:
-            await self._request_once(upstream_id, self._choose_overdue)
+            await self._request_contained(upstream_id, self._choose_overdue)
         finally:
             self._overdue_requested.discard(service)
             self.wake()
 
+    async def _request_contained(
+        self, upstream_id: str, choose: Callable[[UpstreamRecord], ItemChoice | None]
+    ) -> None:
+        """Request a permit; an unexpected exception counts as a refusal."""
+        requested = await run_contained(
+            "item", self._request_once, upstream_id, choose, upstream_id=upstream_id
+        )
+        if not requested:
+            await trio.sleep(_REFUSAL_BACKOFF_MS / 1000)
+
     async def _request_once(
         self, upstream_id: str, choose: Callable[[UpstreamRecord], ItemChoice | None]
     ) -> None:
--- a/src/fescuedock/node/job_ends.py
+++ b/src/fescuedock/node/job_ends.py
@@ -5,12 +5,15 @@
 hold a copy of the job are notified as well, since their knowledge outlasts this process.
 """
 
+from functools import partial
+
 import msgspec
 import trio
 from result import Err, Ok, Result
 
 from fescuedock.clock import now_ms
 from fescuedock.core.stored_jobs.pending_ends import PendingEnds, UnresolvedAcceptances
+from fescuedock.errors import run_contained
 from fescuedock.faults import Fault
 from fescuedock.log import log_event
 from fescuedock.node.configuration import NodeConfiguration
@@ -129,7 +132,9 @@
             return
         self._retrying.add(job_id)
         log_event("job_end_pursued", job_id=job_id, pending=len(self._retrying))
-        self._nursery.start_soon(self._retry_until_settled, job_id)
+        self._nursery.start_soon(
+            partial(run_contained, "job", self._retry_until_settled, job_id, job_id=job_id)
+        )
 
     async def _retry_until_settled(self, job_id: str) -> None:
         """Retry until the end is recorded, the job is known not to exist, or its time is over."""
--- a/src/fescuedock/node/replicas.py
+++ b/src/fescuedock/node/replicas.py
@@ -19,6 +19,7 @@
 from fescuedock.core.kv_availability import KvAvailability
 from fescuedock.core.replica_table import IsHeartbeat, ReplicaTable, no_heartbeat
 from fescuedock.core.sender_clocks import SenderClocks
+from fescuedock.errors import run_contained
 from fescuedock.faults import Fault
 from fescuedock.kv import KvChangeLog, KvEntry, KvEvent, KvStore
 from fescuedock.log import log_event
@@ -344,7 +345,10 @@
                 for sender in senders:
                     address = self._broadcaster.address_of(sender.partition("/")[0])
                     if address is not None:
-                        nursery.start_soon(self._exchange, address, ReplicaRequest({}))
+                        request = ReplicaRequest({})
+                        nursery.start_soon(
+                            run_contained, "message", self._exchange, address, request
+                        )
 
     async def _on_snapshot(self, message: ReplicaSnapshot, _peer: ServerPeer) -> None:
         self.kv_availability.record_neighbour_answer(now_ms())
@@ -369,7 +373,7 @@
                     for address in self._rng.sample(
                         addresses, min(_NEIGHBOURS_PER_QUERY, len(addresses))
                     ):
-                        nursery.start_soon(self._query, address)
+                        nursery.start_soon(run_contained, "message", self._query, address)
             fresh_s = self._time_to_stale_ms() / 1000
             await trio.sleep(
                 _NEIGHBOUR_INTERVAL_S if fresh_s <= 0 else max(fresh_s, _MIN_POLL_INTERVAL_S)
--- a/tests/test_contained_errors.py
+++ b/tests/test_contained_errors.py
@@ -10,19 +10,26 @@
 
 from fescuedock import errors
 from fescuedock.agent.membership_service import MembershipService
+from fescuedock.agent.permit_client import PermitClient
 from fescuedock.net import codec as codec_module
 from fescuedock.net import http_server
 from fescuedock.net.channel import ChannelClient, serve_channel
 from fescuedock.net.codec import BadMessageError, Codec
 from fescuedock.net.http_client import ResponseLostError, open_http_client
+from fescuedock.node import job_runner
+from fescuedock.node.job_store import JobStore
 from fescuedock.schema import permits, view
 from fescuedock.schema.permits import PermitsRevoked, QuotaReply
 from fescuedock.schema.view import Acknowledgement, LeaveRequest
+from tests.builders.jobs_calls import read_page, submit
 from tests.builders.net import LOOPBACK, echo_body, served, signed_codec
+from tests.builders.node import running_fleet
 from tests.builders.standins import run_async
 
 
-class ContainedErrorTest(unittest.TestCase):
+class LoggedErrorsTestCase(unittest.TestCase):
+    """Records what is logged."""
+
     def setUp(self) -> None:
         self.logged: list[dict[str, object]] = []
         for module in (errors, codec_module):
@@ -43,6 +50,8 @@
         counts = errors.internal_error_counts()
         self.assertEqual(counts[work] - self.before.get(work, 0), 1)
 
+
+class ContainedErrorTest(LoggedErrorsTestCase):
     def run_channel(self, handler, test, on_push=None) -> None:
         async def run() -> None:
             with trio.fail_after(20):
@@ -177,5 +186,68 @@
         self.check_logged("call", "broken connection")
 
 
+class ContainedWorkTest(LoggedErrorsTestCase):
+    """An exception under one item or job ended the node, and each node that claimed the job."""
+
+    def run_job(self, module: object, name: str, failures: int) -> list[dict]:
+        """Run a job of two items while a function raises so many times; return the results."""
+        sound = getattr(module, name)
+        results: list[dict] = []
+        left = iter(range(failures))
+
+        async def fail_first(*args: object, **fields: object) -> object:
+            for _ in left:
+                raise RuntimeError("broken work")
+            return await sound(*args, **fields)
+
+        async def run() -> None:
+            with trio.fail_after(30):
+                async with running_fleet(nodes=2, upstreams=2) as fleet:
+                    answer = await submit(fleet, fleet.nodes[0].front, "a", "b")
+                    self.assertEqual(answer.status, 202)
+                    while len(results) < 2:
+                        await trio.sleep(0.1)
+                        page = await read_page(fleet, fleet.nodes[1].front)
+                        results[:] = page.json()["results"]
+
+        with patch.object(module, name, fail_first):
+            run_async(run)
+        return results
+
+    def check_completed(self, results: list[dict]) -> None:
+        self.assertEqual([result["state"] for result in results], ["completed"] * 2)
+
+    def test_an_item_whose_run_raises_runs_again(self) -> None:
+        self.check_completed(self.run_job(job_runner, "run_item", 1))
+        self.check_logged("item", "broken work")
+
+    def test_a_job_whose_commit_raises_is_loaded_again(self) -> None:
+        self.check_completed(self.run_job(JobStore, "commit", 1))
+        self.check_logged("job", "broken work")
+
+    def test_a_request_for_a_permit_that_raises_is_made_again(self) -> None:
+        self.check_completed(self.run_job(PermitClient, "request", 1))
+        self.check_logged("item", "broken work")
+
+    def test_a_unit_of_work_that_raises_ends_alone(self) -> None:
+        async def fail() -> None:
+            raise ExceptionGroup("two", [ValueError("first"), ExceptionGroup("", [KeyError("k")])])
+
+        async def run() -> None:
+            self.assertFalse(await errors.run_contained("job", fail, job_id="j"))
+
+        run_async(run)
+        found = [(item["error"], item["job_id"]) for item in self.logged]
+        self.assertEqual(found, [("ValueError('first')", "j"), ("KeyError('k')", "j")])
+
+    def test_a_cancelled_unit_of_work_is_no_error(self) -> None:
+        async def run() -> None:
+            with trio.move_on_after(0.01):
+                await errors.run_contained("job", trio.sleep_forever)
+
+        run_async(run)
+        self.assertEqual(self.logged, [])
+
+
 if __name__ == "__main__":
     unittest.main()
