--- a/src/fescuedock/daemon.py
+++ b/src/fescuedock/daemon.py
@@ -17,7 +17,6 @@
 import zmq
 
 from fescuedock.address import Address
-from fescuedock.cli.command_line import Command, ExitCode, run_command_line
 from fescuedock.clock import loop_clock
 from fescuedock.log import log_event, open_log
 from fescuedock.settings import Settings, load_settings
@@ -93,12 +92,17 @@
     words = sys.argv[1:]
     if file and not words:
         sys.exit(run(file))
+    # Imported when needed, to keep it off the start-up path of a service.
+    from fescuedock.cli.command_line import Command, run_command_line
+
     sys.exit(run_command_line(f"fescuedock-{name}", Command(run, help_text), words))
 
 
 def _run_file(name: str, program: Program, sections: Sequence[str], path: Path) -> int:
     loaded = load_settings(path, sections)
     if loaded.is_err():
+        from fescuedock.cli.command_line import ExitCode
+
         print(loaded.unwrap_err(), file=sys.stderr)
         return ExitCode.USAGE
     settings = loaded.unwrap()
@@ -117,18 +121,21 @@
     An error that an operator can fix, such as an address in use, is printed as one line.  Any other
     is a fault of the program and printed with its traceback.
     """
-    code = ExitCode.OK
+    failed = False
     try:
         run()
     except* (OSError, zmq.ZMQError) as errors:
         for error in leaf_errors(errors):
             print(f"{name}: {error}", file=sys.stderr)
-        code = ExitCode.FAILED
+        failed = True
     except* Exception as errors:
         for error in leaf_errors(errors):
             traceback.print_exception(error)
-        code = ExitCode.FAILED
-    return code
+        failed = True
+    # Imported at the end, to keep it off the start-up path.
+    from fescuedock.cli.command_line import ExitCode
+
+    return ExitCode.FAILED if failed else ExitCode.OK
 
 
 def leaf_errors(errors: BaseExceptionGroup) -> list[BaseException]:
--- a/src/fescuedock/node/fleet.py
+++ b/src/fescuedock/node/fleet.py
@@ -1,6 +1,7 @@
 """Lists the nodes and upstreams registered in the key-value service, and registers this node."""
 
 from collections.abc import Awaitable, Callable, Mapping
+from ipaddress import ip_address
 
 import msgspec
 import trio
@@ -12,14 +13,13 @@
 from fescuedock.core.replica_table import ReplicaTable
 from fescuedock.core.upstream_listing import UpstreamListing
 from fescuedock.faults import Fault
-from fescuedock.kv import KvEntry, KvStore
+from fescuedock.kv import KvEntry, KvStore, decode_value
 from fescuedock.log import log_event
-from fescuedock.node.node_records import read_node_record
 from fescuedock.schema.result_codes import ResultCode
 from fescuedock.schema.stored_jobs import NodeRecord
 from fescuedock.schema.view import UpstreamRecord
 
-__all__ = ["ListedFleet", "NodeLease", "NodeList", "ReadUpstreams"]
+__all__ = ["ListedFleet", "NodeLease", "NodeList", "ReadUpstreams", "read_node_record"]
 
 # Longest wait for a change of the replicas, as the end of a grace period changes none.  Polling
 # every 50 ms caused 20 of the 220 wake-ups a second of an idle node.
@@ -134,6 +134,18 @@
         return tuple(listed for _, listed in decoded.values() if listed is not None)
 
 
+def read_node_record(entry: KvEntry) -> Result[NodeRecord, Fault]:
+    """Decode a record; ``VALUE_UNREADABLE`` if it is damaged or of another version."""
+    decoded = decode_value(entry.key, entry.value, NodeRecord)
+    if isinstance(decoded, Err):
+        return decoded
+    try:
+        ip_address(decoded.ok_value.host)
+    except ValueError as error:
+        return Err(Fault(ResultCode.VALUE_UNREADABLE, f"{entry.key} cannot be read: {error}"))
+    return decoded
+
+
 def _listed_node(entry: KvEntry) -> ListedVm | None:
     """Decode a node's record; log and return None when it cannot be decoded."""
     decoded = read_node_record(entry)
--- a/src/fescuedock/node/main.py
+++ b/src/fescuedock/node/main.py
@@ -42,7 +42,7 @@
 from fescuedock.net.http_client import HttpClient
 from fescuedock.net.http_server import HttpServer, Request, Responder
 from fescuedock.node.configuration import NodeConfiguration
-from fescuedock.node.fleet import NodeLease, NodeList
+from fescuedock.node.fleet import NodeLease, NodeList, read_node_record
 from fescuedock.node.front import Front
 from fescuedock.node.group_broadcast import GroupBroadcaster
 from fescuedock.node.health_probe import health_probe
@@ -51,7 +51,6 @@
 from fescuedock.node.job_ends import JobEnds
 from fescuedock.node.job_runner import JobRunner
 from fescuedock.node.job_store import JobStore
-from fescuedock.node.node_records import read_node_record
 from fescuedock.node.online import ONLINE_ROUTING, PREDICTED_ROUTING, OnlineCalls
 from fescuedock.node.owner_reads import OwnerReads
 from fescuedock.node.quotas import Quotas
--- a/src/fescuedock/node/spools.py
+++ b/src/fescuedock/node/spools.py
@@ -13,7 +13,7 @@
 from fescuedock.faults import Fault
 from fescuedock.kv import KvEntry
 from fescuedock.log import log_event
-from fescuedock.node.node_records import read_node_record
+from fescuedock.node.fleet import read_node_record
 from fescuedock.schema.result_codes import OUTCOME, Outcome, ResultCode
 from fescuedock.schema.stored_jobs import (
     EmptySpool,
--- a/src/fescuedock/node/stream_origins.py
+++ b/src/fescuedock/node/stream_origins.py
@@ -41,7 +41,7 @@
 from fescuedock.log import log_event
 from fescuedock.net.channel import CallHandler, ServerPeer
 from fescuedock.node.configuration import NodeConfiguration
-from fescuedock.node.node_records import read_node_record
+from fescuedock.node.fleet import read_node_record
 from fescuedock.node.replicas import CallNeighbour, Replicas
 from fescuedock.schema.origins import (
     FindOrigin,
--- a/tests/builders/origin_nodes.py
+++ b/tests/builders/origin_nodes.py
@@ -44,6 +44,8 @@
 _CONFIG = "op/config"
 _RECORD = _KEYS.versions + SERVICE
 _PORT = 1
+# The beginnings of the names of nodes and spools.
+_KINDS = ("n", "s")
 _STORE_TIMEOUT_S = 1.5
 
 
@@ -67,6 +69,17 @@
         return Err(Fault(ResultCode.KV_UNAVAILABLE, "no answer"))
 
 
+def _host_of(name: str) -> str:
+    """Return the IP number of a node or spool."""
+    kind, _, number = name.partition("-")
+    return f"10.0.{_KINDS.index(kind)}.{number}"
+
+
+def _name_of(host: str) -> str:
+    *_, kind, number = host.split(".")
+    return f"{_KINDS[int(kind)]}-{number}"
+
+
 @dataclass(slots=True)
 class OriginNodes:
     """``delays_ms`` is the time to a process's reply; those in ``silent`` never reply.
@@ -97,7 +110,7 @@
     def __post_init__(self) -> None:
         for names, prefix in ((self.node_names, _KEYS.nodes), (self.spool_names, _KEYS.spools)):
             for number, name in enumerate(names):
-                record = NodeRecord(name, "r", f"d-{number % 3}", name, _PORT)
+                record = NodeRecord(name, "r", f"d-{number % 3}", _host_of(name), _PORT)
                 self.kv.state.put(prefix + name, msgspec.msgpack.encode(record))
         self.record_routes()
         for name in self.spool_names:
@@ -240,7 +253,9 @@
 
     def _replace_view(self, view: FleetView) -> None:
         vms = [
-            VmRecord(name, "r", f"d-{number % 3}", name, 0, VmState.ALIVE, agent_port=_PORT)
+            VmRecord(
+                name, "r", f"d-{number % 3}", _host_of(name), 0, VmState.ALIVE, agent_port=_PORT
+            )
             for number, name in enumerate(self.node_names)
         ]
         upstreams = [
@@ -261,7 +276,7 @@
     async def _call(
         self, caller: str, address: Address, message: msgspec.Struct, timeout_ms: float
     ) -> Result[msgspec.Struct, Fault]:
-        name = address.host
+        name = _name_of(address.host)
         self.messages[name] += 1
         with trio.move_on_after(timeout_ms / 1000):
             if name in self.silent or self.cut_off & {name, caller}:
--- a/tests/test_foreign_records.py
+++ b/tests/test_foreign_records.py
@@ -15,7 +15,7 @@
 
 from fescuedock.core.stored_jobs.keys import JobKeys
 from fescuedock.kv import KvEntry, decode_value
-from fescuedock.node.node_records import read_node_record
+from fescuedock.node.fleet import read_node_record
 from fescuedock.schema.crashes import CrashNews
 from fescuedock.schema.origins import KnownStream
 from fescuedock.schema.result_codes import ResultCode
