--- a/tests/test_foreign_records.py
+++ b/tests/test_foreign_records.py
@@ -16,7 +16,7 @@
 from fescuedock.core.stored_jobs.keys import JobKeys
 from fescuedock.kv import KvEntry, decode_value
 from fescuedock.node.fleet import read_node_record
-from fescuedock.schema.crashes import CrashNews
+from fescuedock.schema.crashes import CrashedRun, CrashNews, CrashReport, WorkCleared
 from fescuedock.schema.origins import KnownStream
 from fescuedock.schema.result_codes import ResultCode
 from fescuedock.schema.stored_jobs import (
@@ -176,6 +176,28 @@
 
         self.run_fleet(test)
 
+    def test_records_with_numbers_at_the_limits_leave_the_other_jobs_running(self) -> None:
+        fields = ("submitted_at_ms", "due_in_ms", "retention_ms", "total", "listed", "owner_boot")
+        fields += ("epoch", "age_ms")
+
+        async def test(fleet: NodeFleet) -> None:
+            for name in fields:
+                for value in (2**64 - 1, 2**63, -(2**63), -1):
+                    job_id = f"odd-{name}-{value}"
+                    record = msgspec.structs.replace(self.record(job_id), **{name: value})
+                    data = msgspec.msgpack.encode([stored_item("a", b"x")])
+                    fleet.store.state.put(KEYS.items(job_id, 0), data)
+                    fleet.store.state.put(KEYS.record(job_id), msgspec.msgpack.encode(record))
+            news = CrashNews(
+                [CrashReport("r", "i-0", 2**64 - 1, [CrashedRun("w")], -1, 2**64 - 1)],
+                [WorkCleared("c", "w", ["r"], -(2**63), -(2**63))],
+            )
+            fleet.store.state.put(f"{KEYS.crashes}odd", msgspec.msgpack.encode(news))
+            await trio.sleep(1.0)
+            await self.check_jobs(fleet)
+
+        self.run_fleet(test)
+
     def test_records_of_nodes_and_spools_that_cannot_be_used_name_none(self) -> None:
         """A spool's record ended each node that accepted a job while the store was away."""
 
