Test the loss of a job's runner on a job that cannot complete before the kill

Cause: in the test. It kills the runner as soon as the record shows a succeeded item, and took for granted that other items were left. The queue writes all groups that wait in one commit, so when the writes of segments stall until the last items have ended, the first record with a result is the final one. A final job is taken over by nobody, and the wait cannot end.

Evidence: with segment writes that all end 4 s after the first began, the test failed at the same line with the same error, and the record was final, with 197 items succeeded, before the kill; with a stall of 2 s all results were committed at the kill and the job was final right after. Ruled out: a takeover that takes longer under load; in 60 runs, 12 at a time (load 14), it took 1.4 to 2.5 s. The log of the failed run does not show its record, so that the stall happened there is inferred.

Fix: half of the items cannot start before the kill, and the test also checks that the job is not final then. Nothing that was checked before is left out.

Measured: passes without a stall (9.2 s) and with the stall of 4 s (14.0 s), which failed before.

--- a/tests/test_batch_daemon.py
+++ b/tests/test_batch_daemon.py
@@ -55,6 +55,20 @@
         yield begun
 
 
+@contextmanager
+def _held_attempts() -> Iterator[trio.Event]:
+    """Keep the attempts of half of the items from starting until the event is set."""
+    released = trio.Event()
+
+    async def held(upstreams: UpstreamClients, attempt: Attempt) -> AttemptEnd:
+        if attempt.item.number >= LINES // 2:
+            await released.wait()
+        return await run_attempt(upstreams, attempt)
+
+    with mock.patch.object(dispatch, "run_attempt", held):
+        yield released
+
+
 @contextmanager
 def _failing_record_calls() -> Iterator[trio.Event]:
     """Make calls for jobs' records fail once the event is set, and no other calls."""
@@ -80,11 +94,15 @@
 class RunnerLossTest(unittest.TestCase):
     def test_a_job_survives_loss_of_its_runner_a_kv_outage_and_engine_crashes(self) -> None:
         async def session(system: LocalSystem) -> None:
-            job_id = await self._submit(system, max_tokens=40)
-            await self._until(system, job_id, lambda record: record.succeeded > 0)
-            owner = self._record(system, job_id).owner.partition("/")[0]
-            entry = next(vm for vm in system.vms.values() if vm.vm_id != owner).entry_address
-            system.vms[owner].kill()
+            # A job that completes within one slow write would have no owner to lose.
+            with _held_attempts() as released:
+                job_id = await self._submit(system, max_tokens=40)
+                await self._until(system, job_id, lambda record: record.succeeded > 0)
+                self.assertFalse(is_final(self._record(system, job_id)))
+                owner = self._record(system, job_id).owner.partition("/")[0]
+                entry = next(vm for vm in system.vms.values() if vm.vm_id != owner).entry_address
+                system.vms[owner].kill()
+                released.set()
             await self._until(
                 system, job_id, lambda record: record.owner.partition("/")[0] != owner
             )
